--- /dev/null
+++ b/commands/bench.c
@@ -0,0 +1,93 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "peridothill/bench/bench.h"
+#include "peridothill/commands.h"
+
+/* A bench and its name. */
+typedef struct PhBenchEntry {
+    const char *name;
+    const char *summary;
+    PhResult (*run)(const PhBenchOptions *options);
+} PhBenchEntry;
+
+/* Sorted by name for the binary search. */
+static const PhBenchEntry benches[] = {
+    {"kernel", "cost of one message between tasks", PhBench_Kernel},
+};
+
+/* Orders a name against a bench for bsearch. */
+static int
+bench_compare(const void *name, const void *entry)
+{
+    return strcmp(name, ((const PhBenchEntry *)entry)->name);
+}
+
+/* Builds the text that --help shows after the options. */
+static char *
+bench_describe(void)
+{
+    GString *text = g_string_new("Benches:\n");
+    for (size_t i = 0; i < G_N_ELEMENTS(benches); i++) {
+        g_string_append_printf(text, "  %-10s %s\n", benches[i].name,
+                               benches[i].summary);
+    }
+    return g_string_free(text, FALSE);
+}
+
+/* Runs one bench by its name. */
+static int
+bench_run(const char *name, const PhBenchOptions *options)
+{
+    const PhBenchEntry *entry = bsearch(name, benches, G_N_ELEMENTS(benches),
+                                        sizeof(benches[0]), bench_compare);
+    if (entry == NULL) {
+        fprintf(stderr, "peridothill bench: unknown bench '%s'\n", name);
+        return PH_EXIT_USAGE;
+    }
+    PhResult result = entry->run(options);
+    if (!PhResult_IsOk(&result)) {
+        fprintf(stderr, "peridothill bench %s: %s: %.*s\n", name,
+                PhStatus_Name(result.status),
+                PhStr_ARG(PhResult_Message(&result)));
+        return PH_EXIT_FAILED;
+    }
+    return PH_EXIT_DONE;
+}
+
+/* Parses the options and runs the bench that they name. */
+int
+PhCommand_Bench(int argc, char **argv)
+{
+    gint64 seed = 1;
+    gint64 steps = 0;
+    GOptionEntry entries[] = {
+        {"seed", 's', 0, G_OPTION_ARG_INT64, &seed,
+         "Seed of the random numbers (default 1)", "N"},
+        {"steps", 'n', 0, G_OPTION_ARG_INT64, &steps,
+         "Steps to run (default: the bench's own)", "N"},
+        {NULL},
+    };
+    GOptionContext *context = g_option_context_new("NAME");
+    char *description = bench_describe();
+    g_option_context_set_description(context, description);
+    g_option_context_add_main_entries(context, entries, NULL);
+    GError *error = NULL;
+    int code = PH_EXIT_USAGE;
+    if (!g_option_context_parse(context, &argc, &argv, &error)) {
+        fprintf(stderr, "peridothill bench: %s\n", error->message);
+        g_error_free(error);
+    }
+    else if (argc != 2 || seed < 0 || steps < 0) {
+        fprintf(stderr, "peridothill bench: one NAME is needed; see --help\n");
+    }
+    else {
+        PhBenchOptions options = {
+            .seed = (uint64_t)seed, .steps = (uint64_t)steps, .out = stdout};
+        code = bench_run(argv[1], &options);
+    }
+    g_free(description);
+    g_option_context_free(context);
+    return code;
+}
--- /dev/null
+++ b/commands/main.c
@@ -0,0 +1,52 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "peridothill/commands.h"
+
+/* Sorted by name for the binary search. */
+static const PhCommand commands[] = {
+    {"bench", "measure decisions and services", PhCommand_Bench},
+    {"version", "print the version", PhCommand_Version},
+};
+
+/* Prints how the program is called. */
+static void
+print_usage(FILE *out)
+{
+    fprintf(out, "Usage: peridothill COMMAND [OPTION...]\n\nCommands:\n");
+    for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+        fprintf(out, "  %-10s %s\n", commands[i].name, commands[i].summary);
+    }
+    fprintf(out, "\n'peridothill COMMAND --help' shows the options of one.\n");
+}
+
+/* Orders a name against a command for bsearch. */
+static int
+command_compare(const void *name, const void *command)
+{
+    return strcmp(name, ((const PhCommand *)command)->name);
+}
+
+/* Runs the named subcommand. */
+int
+main(int argc, char **argv)
+{
+    if (argc < 2) {
+        print_usage(stderr);
+        return PH_EXIT_USAGE;
+    }
+    if (strcmp(argv[1], "--help") == 0 || strcmp(argv[1], "help") == 0) {
+        print_usage(stdout);
+        return PH_EXIT_DONE;
+    }
+    const PhCommand *command =
+        bsearch(argv[1], commands, G_N_ELEMENTS(commands), sizeof(commands[0]),
+                command_compare);
+    if (command == NULL) {
+        fprintf(stderr, "peridothill: unknown command '%s'\n", argv[1]);
+        print_usage(stderr);
+        return PH_EXIT_USAGE;
+    }
+    return command->run(argc - 1, argv + 1);
+}
--- /dev/null
+++ b/common/invariant.c
@@ -0,0 +1,70 @@
+#include "peridothill/common/invariant.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "peridothill/common/event.h"
+
+enum {
+    VALUES_BYTES = 512
+};
+
+static const char *const labels[] = {
+#define PH_INVARIANT(NAME, LABEL) LABEL,
+#include "peridothill/common/invariant_list.h"
+#undef PH_INVARIANT
+};
+
+static uint64_t checks[PH_INVARIANT_COUNT];
+static PhInvariantHandler installed_handler;
+
+/* Counts one check of the invariant. */
+void
+PhInvariant_Count(PhInvariant invariant)
+{
+    checks[invariant]++;
+}
+
+/* Tells how often the invariant was checked in this process. */
+uint64_t
+PhInvariant_Checks(PhInvariant invariant)
+{
+    return checks[invariant];
+}
+
+/* Names the invariant as reports show it. */
+const char *
+PhInvariant_Label(PhInvariant invariant)
+{
+    return labels[invariant];
+}
+
+/* Installs a handler for broken invariants; NULL restores the default. */
+void
+PhInvariant_SetHandler(PhInvariantHandler handler)
+{
+    installed_handler = handler;
+}
+
+/* Reports the broken invariant with its values and stops the process. */
+void
+PhInvariant_Fail(PhInvariant invariant, const char *condition,
+                 const char *file, int line, const char *format, ...)
+{
+    char values[VALUES_BYTES];
+    va_list args;
+    va_start(args, format);
+    vsnprintf(values, sizeof(values), format, args);
+    va_end(args);
+    if (installed_handler != NULL) {
+        installed_handler(invariant, values);
+        return;
+    }
+    fprintf(stderr,
+            "event=%d level=error invariant=%s condition=\"%s\" at=%s:%d "
+            "values=\"%s\"\n",
+            (int)PH_EVENT_INVARIANT_BROKEN, labels[invariant], condition, file,
+            line, values);
+    abort();
+}
--- /dev/null
+++ b/common/str.c
@@ -0,0 +1,308 @@
+#include "peridothill/common/str.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+#include <xxhash.h>
+
+/* Views a C string without its terminating NUL; NULL gives the empty
+ * string. */
+PhStr
+PhStr_FromC(const char *s)
+{
+    return (PhStr){.data = s, .len = s == NULL ? 0 : strlen(s)};
+}
+
+/* Views `len` bytes at `data`. */
+PhStr
+PhStr_FromBytes(const void *data, size_t len)
+{
+    return (PhStr){.data = data, .len = len};
+}
+
+/* Copies the bytes; the copy is released with PhStr_Clear. */
+PhStr
+PhStr_Dup(PhStr s)
+{
+    if (s.len == 0) {
+        return (PhStr){0};
+    }
+    return (PhStr){.data = g_memdup2(s.data, s.len), .len = s.len};
+}
+
+/* Releases a string that owns its bytes and leaves it empty. */
+void
+PhStr_Clear(PhStr *s)
+{
+    g_free((void *)s->data);
+    *s = (PhStr){0};
+}
+
+/* Copies into a NUL-terminated C string for the edge of a library; released
+ * with g_free.  A NUL byte inside ends the string early for its reader. */
+char *
+PhStr_ToC(PhStr s)
+{
+    char *c = g_malloc(s.len + 1);
+    if (s.len > 0) {
+        memcpy(c, s.data, s.len);
+    }
+    c[s.len] = '\0';
+    return c;
+}
+
+/* Tells whether the string has no bytes. */
+bool
+PhStr_IsEmpty(PhStr s)
+{
+    return s.len == 0;
+}
+
+/* Tells whether both strings hold the same bytes. */
+bool
+PhStr_Equal(PhStr a, PhStr b)
+{
+    return a.len == b.len &&
+           (a.len == 0 || memcmp(a.data, b.data, a.len) == 0);
+}
+
+/* Compares ignoring the case of ASCII letters. */
+bool
+PhStr_EqualNoCase(PhStr a, PhStr b)
+{
+    if (a.len != b.len) {
+        return false;
+    }
+    for (size_t i = 0; i < a.len; i++) {
+        if (g_ascii_tolower(a.data[i]) != g_ascii_tolower(b.data[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Orders by bytes, then by length: negative, zero or positive. */
+int
+PhStr_Compare(PhStr a, PhStr b)
+{
+    size_t n = MIN(a.len, b.len);
+    int order = n == 0 ? 0 : memcmp(a.data, b.data, n);
+    if (order != 0) {
+        return order;
+    }
+    return (a.len > b.len) - (a.len < b.len);
+}
+
+/* Tells whether the string begins with `prefix`. */
+bool
+PhStr_StartsWith(PhStr s, PhStr prefix)
+{
+    return s.len >= prefix.len &&
+           (prefix.len == 0 || memcmp(s.data, prefix.data, prefix.len) == 0);
+}
+
+/* Views `len` bytes from `start`, cut to what the string has. */
+PhStr
+PhStr_Slice(PhStr s, size_t start, size_t len)
+{
+    if (s.data == NULL) {
+        return (PhStr){0};
+    }
+    start = MIN(start, s.len);
+    return (PhStr){.data = s.data + start, .len = MIN(len, s.len - start)};
+}
+
+/* Views the string without the ASCII white space at both ends. */
+PhStr
+PhStr_Trim(PhStr s)
+{
+    while (s.len > 0 && g_ascii_isspace(s.data[0])) {
+        s.data++;
+        s.len--;
+    }
+    while (s.len > 0 && g_ascii_isspace(s.data[s.len - 1])) {
+        s.len--;
+    }
+    return s;
+}
+
+/* Splits at the first separator.  Without one, `head` is the whole string,
+ * `tail` is empty, and the result is false. */
+bool
+PhStr_Cut(PhStr s, char separator, PhStr *head, PhStr *tail)
+{
+    const char *at = s.len == 0 ? NULL : memchr(s.data, separator, s.len);
+    if (at == NULL) {
+        *head = s;
+        *tail = (PhStr){0};
+        return false;
+    }
+    size_t before = (size_t)(at - s.data);
+    *head = PhStr_Slice(s, 0, before);
+    *tail = PhStr_Slice(s, before + 1, s.len);
+    return true;
+}
+
+/* Reads a decimal number that fills the whole string. */
+bool
+PhStr_ParseU64(PhStr s, uint64_t *value)
+{
+    uint64_t sum = 0;
+    if (s.len == 0) {
+        return false;
+    }
+    for (size_t i = 0; i < s.len; i++) {
+        if (!g_ascii_isdigit(s.data[i]) ||
+            __builtin_mul_overflow(sum, 10, &sum) ||
+            __builtin_add_overflow(sum, (uint64_t)(s.data[i] - '0'), &sum)) {
+            return false;
+        }
+    }
+    *value = sum;
+    return true;
+}
+
+/* Reads a decimal number with an optional minus sign. */
+bool
+PhStr_ParseI64(PhStr s, int64_t *value)
+{
+    bool negative = s.len > 0 && s.data[0] == '-';
+    uint64_t size;
+    if (!PhStr_ParseU64(PhStr_Slice(s, negative ? 1 : 0, s.len), &size)) {
+        return false;
+    }
+    if (size > (uint64_t)INT64_MAX) {
+        return false;
+    }
+    *value = negative ? -(int64_t)size : (int64_t)size;
+    return true;
+}
+
+/* Hashes the bytes with XXH3 and the seed; the same on every instance. */
+uint64_t
+PhStr_Hash(PhStr s, uint64_t seed)
+{
+    return XXH3_64bits_withSeed(s.data, s.len, seed);
+}
+
+/* Hashes a `const PhStr *` key for a GHashTable. */
+guint
+PhStr_KeyHash(gconstpointer key)
+{
+    const PhStr *s = key;
+    return (guint)PhStr_Hash(*s, 0);
+}
+
+/* Compares two `const PhStr *` keys for a GHashTable. */
+gboolean
+PhStr_KeyEqual(gconstpointer a, gconstpointer b)
+{
+    const PhStr *x = a;
+    const PhStr *y = b;
+    return PhStr_Equal(*x, *y);
+}
+
+/* Allocates a key that owns a copy of the bytes. */
+PhStr *
+PhStr_KeyCreate(PhStr s)
+{
+    PhStr *key = g_new(PhStr, 1);
+    *key = PhStr_Dup(s);
+    return key;
+}
+
+/* Releases a key made by PhStr_KeyCreate. */
+void
+PhStr_KeyDestroy(gpointer key)
+{
+    PhStr *s = key;
+    PhStr_Clear(s);
+    g_free(s);
+}
+
+/* Makes room for `extra` more bytes, doubling the storage as needed. */
+void
+PhBuf_Reserve(PhBuf *buf, size_t extra)
+{
+    size_t need = buf->len + extra;
+    if (need <= buf->capacity) {
+        return;
+    }
+    buf->capacity = MAX(need, MAX(buf->capacity * 2, (size_t)64));
+    buf->data = g_realloc(buf->data, buf->capacity);
+}
+
+/* Appends the bytes of a string, which may not lie in the buffer itself. */
+void
+PhBuf_Append(PhBuf *buf, PhStr s)
+{
+    if (s.len == 0) {
+        return;
+    }
+    PhBuf_Reserve(buf, s.len);
+    memcpy(buf->data + buf->len, s.data, s.len);
+    buf->len += s.len;
+}
+
+/* Appends one byte. */
+void
+PhBuf_AppendByte(PhBuf *buf, char byte)
+{
+    PhBuf_Reserve(buf, 1);
+    buf->data[buf->len++] = byte;
+}
+
+/* Appends printf-formatted text. */
+void
+PhBuf_AppendFormat(PhBuf *buf, const char *format, ...)
+{
+    va_list args;
+    va_start(args, format);
+    char *text = g_strdup_vprintf(format, args);
+    va_end(args);
+    PhBuf_Append(buf, PhStr_FromC(text));
+    g_free(text);
+}
+
+/* Drops `count` bytes from the front. */
+void
+PhBuf_Consume(PhBuf *buf, size_t count)
+{
+    count = MIN(count, buf->len);
+    buf->len -= count;
+    if (buf->len > 0 && count > 0) {
+        memmove(buf->data, buf->data + count, buf->len);
+    }
+}
+
+/* Empties the buffer and keeps its storage. */
+void
+PhBuf_Reset(PhBuf *buf)
+{
+    buf->len = 0;
+}
+
+/* Releases the storage. */
+void
+PhBuf_Clear(PhBuf *buf)
+{
+    g_free(buf->data);
+    *buf = (PhBuf){0};
+}
+
+/* Views what the buffer holds, until its next change. */
+PhStr
+PhBuf_Str(const PhBuf *buf)
+{
+    return (PhStr){.data = buf->data, .len = buf->len};
+}
+
+/* Moves the bytes out as an owned string and leaves the buffer empty. */
+PhStr
+PhBuf_Take(PhBuf *buf)
+{
+    PhStr s = {.data = buf->data, .len = buf->len};
+    *buf = (PhBuf){0};
+    return s;
+}
--- /dev/null
+++ b/include/peridothill/commands.h
@@ -0,0 +1,27 @@
+/* Subcommands of the program, found by name. */
+#ifndef PERIDOTHILL_COMMANDS_H
+#define PERIDOTHILL_COMMANDS_H
+
+#include "peridothill/common/status.h"
+
+/* Exit codes of every subcommand. */
+enum {
+    PH_EXIT_DONE = 0,
+    PH_EXIT_FAILED = 1,
+    PH_EXIT_USAGE = 2,
+};
+
+/* A subcommand; `run` is given the arguments from its own name on and tells
+ * the exit code. */
+typedef struct PhCommand {
+    const char *name;
+    const char *summary;
+    int (*run)(int argc, char **argv);
+} PhCommand;
+
+int
+PhCommand_Bench(int argc, char **argv);
+int
+PhCommand_Version(int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/include/peridothill/common/counter_list_config.h
@@ -0,0 +1,1 @@
+/* Counters of configuration and operators. */
--- /dev/null
+++ b/include/peridothill/common/counter_list_members.h
@@ -0,0 +1,1 @@
+/* Counters of membership and peer links. */
--- /dev/null
+++ b/include/peridothill/common/counter_list_platform.h
@@ -0,0 +1,1 @@
+/* Counters of the platform's log, list and workers. */
--- /dev/null
+++ b/include/peridothill/common/counter_list_requests.h
@@ -0,0 +1,1 @@
+/* Counters of requests, routing and retries. */
--- /dev/null
+++ b/include/peridothill/common/counter_list_tasks.h
@@ -0,0 +1,1 @@
+/* Counters of tasks, placement and leases. */
--- /dev/null
+++ b/include/peridothill/common/event_list.h
@@ -0,0 +1,7 @@
+/* The catalogue of log events, one list for each area. */
+#include "peridothill/common/event_list_config.h"
+#include "peridothill/common/event_list_kernel.h"
+#include "peridothill/common/event_list_members.h"
+#include "peridothill/common/event_list_platform.h"
+#include "peridothill/common/event_list_requests.h"
+#include "peridothill/common/event_list_tasks.h"
--- /dev/null
+++ b/include/peridothill/common/event_list_config.h
@@ -0,0 +1,1 @@
+/* Events 4000 to 4999: configuration and operators. */
--- /dev/null
+++ b/include/peridothill/common/random.h
@@ -0,0 +1,28 @@
+/* Seeded random numbers; the same seed gives the same sequence. */
+#ifndef PERIDOTHILL_COMMON_RANDOM_H
+#define PERIDOTHILL_COMMON_RANDOM_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef struct PhRandom PhRandom;
+
+PhRandom *
+PhRandom_Create(uint64_t seed);
+void
+PhRandom_Destroy(PhRandom *random);
+uint64_t
+PhRandom_U64(PhRandom *random);
+/* Uniform in [0, bound); bound is at least 1. */
+uint64_t
+PhRandom_Below(PhRandom *random, uint64_t bound);
+/* Uniform in [0, 1). */
+double
+PhRandom_Unit(PhRandom *random);
+bool
+PhRandom_Chance(PhRandom *random, double probability);
+/* Exponential with the given mean. */
+double
+PhRandom_Exponential(PhRandom *random, double mean);
+
+#endif
--- /dev/null
+++ b/tests/test_kernel.c
@@ -0,0 +1,339 @@
+#include "peridothill/kernel/kernel.h"
+
+#include <string.h>
+#include <unistd.h>
+
+#include "table.h"
+
+enum {
+    TRACE_MAILS = 64
+};
+
+/* A task that keeps the kinds of its mails and does what its script says. */
+typedef struct PhRecorder {
+    char trace[TRACE_MAILS]; /* one letter for each mail */
+    size_t count;
+    uint64_t last_timer;
+    PhTaskRef monitored;
+    bool end_on_message;
+} PhRecorder;
+
+static const char mail_letters[] = "SMTIES";
+
+/* Records a mail. */
+static void
+recorder_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhRecorder *r = state;
+    assert_true(r->count < TRACE_MAILS - 1);
+    r->trace[r->count++] = mail_letters[mail->kind];
+    switch (mail->kind) {
+    case PH_MAIL_START:
+        if (!PhTaskRef_IsNone(r->monitored)) {
+            PhTask_Monitor(self, r->monitored);
+        }
+        break;
+    case PH_MAIL_MESSAGE:
+        if (r->end_on_message) {
+            PhTask_End(self);
+        }
+        break;
+    case PH_MAIL_TIMER:
+        r->last_timer = mail->as.timer;
+        break;
+    case PH_MAIL_IO:
+        PhTask_Watch(self, mail->as.io.fd, 0);
+        break;
+    case PH_MAIL_ENDED:
+        break;
+    case PH_MAIL_STOP:
+        PhTask_End(self);
+        break;
+    }
+}
+
+/* A kernel on a paused clock. */
+typedef struct PhFixture {
+    PhClock *clock;
+    PhCounters *counters;
+    PhKernel *kernel;
+} PhFixture;
+
+/* Creates the fixture. */
+static PhFixture
+fixture_create(struct ev_loop *loop)
+{
+    PhFixture f = {.clock = PhClock_Create(PH_CLOCK_PAUSED),
+                   .counters = PhCounters_Create()};
+    f.kernel = PhKernel_Create(&(PhKernelOptions){
+        .clock = f.clock, .counters = f.counters, .loop = loop});
+    return f;
+}
+
+/* Releases the fixture. */
+static void
+fixture_destroy(PhFixture *f)
+{
+    PhKernel_Destroy(f->kernel);
+    PhCounters_Destroy(f->counters);
+    PhClock_Destroy(f->clock);
+}
+
+/* Spawns a recorder under a name. */
+static PhTaskRef
+recorder_spawn(PhFixture *f, PhRecorder *r, const char *name, size_t capacity)
+{
+    PhTaskRef ref;
+    PhTaskSpec spec = {.name = PhStr_FromC(name),
+                       .mailbox_capacity = capacity,
+                       .state = r,
+                       .handle = recorder_handle};
+    assert_int_equal(PhKernel_Spawn(f->kernel, &spec, &ref), PH_STATUS_OK);
+    return ref;
+}
+
+/* Counts released bodies. */
+static void
+release_counted(void *body)
+{
+    ++*(int *)body;
+}
+
+/* How many messages are sent to a mailbox, and how many it takes. */
+typedef struct PhMailboxCase {
+    const char *name;
+    size_t capacity;
+    int sent;
+    int taken;
+} PhMailboxCase;
+
+static const PhMailboxCase mailbox_cases[] = {
+    {"room for all", 8, 5, 5},
+    {"exactly full", 5, 5, 5},
+    {"one too many", 4, 5, 4},
+    {"no room at all", 0, 3, 0},
+};
+
+/* Fills one mailbox. */
+static void
+check_mailbox(const PhMailboxCase *c)
+{
+    PhFixture f = fixture_create(NULL);
+    PhRecorder r = {0};
+    PhTaskRef ref = recorder_spawn(&f, &r, "box", c->capacity);
+    int released = 0;
+    int refused = 0;
+    for (int i = 0; i < c->sent; i++) {
+        PhMessage m = {.body = &released, .release = release_counted};
+        PhStatus status = PhKernel_Send(f.kernel, ref, ref, m);
+        refused += status == PH_STATUS_FULL;
+    }
+    assert_int_equal(refused, c->sent - c->taken);
+    assert_int_equal(released, refused);
+    assert_int_equal(
+        PhCounters_Get(f.counters, PH_COUNTER_KERNEL_MAILBOX_FULL), refused);
+    PhKernel_Drain(f.kernel, SIZE_MAX);
+    assert_int_equal(r.count, c->taken + 1);
+    assert_int_equal(released, c->sent);
+    fixture_destroy(&f);
+}
+
+/* Bounded mailboxes. */
+static void
+test_mailbox(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(mailbox_cases, check_mailbox);
+}
+
+/* How a task ends, seen through its name and ref. */
+typedef struct PhEndCase {
+    const char *name;
+    bool by_stop;
+    bool monitored_after_end;
+} PhEndCase;
+
+static const PhEndCase end_cases[] = {
+    {"ends by itself", false, false},
+    {"is stopped", true, false},
+    {"monitored too late", false, true},
+};
+
+/* Ends a task and checks what others see. */
+static void
+check_end(const PhEndCase *c)
+{
+    PhFixture f = fixture_create(NULL);
+    PhRecorder ended = {.end_on_message = true};
+    PhTaskRef ref = recorder_spawn(&f, &ended, "ended", 4);
+    PhRecorder watcher = {.monitored = ref};
+    if (!c->monitored_after_end) {
+        recorder_spawn(&f, &watcher, "watcher", 4);
+    }
+    PhKernel_Drain(f.kernel, SIZE_MAX);
+    assert_true(PhTaskRef_Equal(
+        PhKernel_Lookup(f.kernel, PhStr_LITERAL("ended")), ref));
+    if (c->by_stop) {
+        PhKernel_Stop(f.kernel, ref);
+    }
+    else {
+        PhKernel_Send(f.kernel, ref, ref, (PhMessage){0});
+    }
+    PhKernel_Drain(f.kernel, SIZE_MAX);
+    if (c->monitored_after_end) {
+        recorder_spawn(&f, &watcher, "watcher", 4);
+        PhKernel_Drain(f.kernel, SIZE_MAX);
+    }
+    assert_true(
+        PhTaskRef_IsNone(PhKernel_Lookup(f.kernel, PhStr_LITERAL("ended"))));
+    assert_int_equal(PhKernel_Send(f.kernel, ref, ref, (PhMessage){0}),
+                     PH_STATUS_GONE);
+    assert_string_equal(watcher.trace, "SE");
+    PhRecorder successor = {0};
+    PhTaskRef next = recorder_spawn(&f, &successor, "ended", 4);
+    assert_false(PhTaskRef_Equal(next, ref));
+    fixture_destroy(&f);
+}
+
+/* The end of a task. */
+static void
+test_end(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(end_cases, check_end);
+}
+
+/* Timers set at start, what moves them, and what has fired at a time. */
+typedef struct PhTimerCase {
+    const char *name;
+    PhTime first;
+    PhTime moved; /* 0 leaves the timer, -1 cancels it */
+    PhTime until;
+    const char *trace;
+} PhTimerCase;
+
+static const PhTimerCase timer_cases[] = {
+    {"fires when due", 10, 0, 10, "ST"},   {"not before", 10, 0, 9, "S"},
+    {"fires once", 10, 0, 1000, "ST"},     {"moved later", 10, 20, 15, "S"},
+    {"moved and fired", 10, 20, 25, "ST"}, {"cancelled", 10, -1, 100, "S"},
+};
+
+/* A task that sets, then moves or cancels its timer. */
+typedef struct PhTimerTask {
+    PhRecorder recorder;
+    const PhTimerCase *c;
+} PhTimerTask;
+
+/* Sets the timers at start and records the rest. */
+static void
+timer_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhTimerTask *t = state;
+    if (mail->kind == PH_MAIL_START) {
+        PhTask_SetTimer(self, 1, t->c->first);
+        if (t->c->moved > 0) {
+            PhTask_SetTimer(self, 1, t->c->moved);
+        }
+        else if (t->c->moved < 0) {
+            PhTask_CancelTimer(self, 1);
+        }
+    }
+    recorder_handle(&t->recorder, self, mail);
+}
+
+/* Runs one timer. */
+static void
+check_timer(const PhTimerCase *c)
+{
+    PhFixture f = fixture_create(NULL);
+    PhTimerTask t = {.c = c};
+    PhTaskSpec spec = {.name = PhStr_LITERAL("timer"),
+                       .mailbox_capacity = 1,
+                       .state = &t,
+                       .handle = timer_handle};
+    assert_int_equal(PhKernel_Spawn(f.kernel, &spec, NULL), PH_STATUS_OK);
+    PhKernel_AdvanceTo(f.kernel, c->until);
+    assert_string_equal(t.recorder.trace, c->trace);
+    assert_int_equal(PhKernel_Now(f.kernel), c->until);
+    fixture_destroy(&f);
+}
+
+/* Timers on a paused clock. */
+static void
+test_timer(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(timer_cases, check_timer);
+}
+
+/* A name is taken while its task lives. */
+static void
+test_name_taken(void **state)
+{
+    PhFixture f = fixture_create(NULL);
+    PhRecorder r = {0};
+    (void)state;
+    recorder_spawn(&f, &r, "same", 1);
+    PhTaskSpec spec = {.name = PhStr_LITERAL("same"),
+                       .handle = recorder_handle};
+    assert_int_equal(PhKernel_Spawn(f.kernel, &spec, NULL), PH_STATUS_EXISTS);
+    assert_int_equal(PhKernel_TaskCount(f.kernel), 1);
+    fixture_destroy(&f);
+}
+
+/* Watches the read end of a pipe at start. */
+static void
+pipe_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    int *fds = state;
+    switch (mail->kind) {
+    case PH_MAIL_START:
+        PhTask_Watch(self, fds[0], PH_IO_READ);
+        break;
+    case PH_MAIL_IO:
+        assert_int_equal(mail->as.io.fd, fds[0]);
+        PhTask_End(self);
+        break;
+    case PH_MAIL_MESSAGE:
+    case PH_MAIL_TIMER:
+    case PH_MAIL_ENDED:
+    case PH_MAIL_STOP:
+        fail();
+    }
+}
+
+/* Readiness of a descriptor reaches the task, and the loop ends with it. */
+static void
+test_io(void **state)
+{
+    int fds[2];
+    (void)state;
+    assert_int_equal(pipe(fds), 0);
+    struct ev_loop *loop = ev_loop_new(0);
+    PhFixture f = fixture_create(loop);
+    PhTaskSpec spec = {.name = PhStr_LITERAL("reader"),
+                       .mailbox_capacity = 1,
+                       .state = fds,
+                       .handle = pipe_handle};
+    assert_int_equal(PhKernel_Spawn(f.kernel, &spec, NULL), PH_STATUS_OK);
+    assert_int_equal(write(fds[1], "x", 1), 1);
+    while (PhKernel_TaskCount(f.kernel) > 0) {
+        ev_run(loop, EVRUN_ONCE);
+    }
+    fixture_destroy(&f);
+    ev_loop_destroy(loop);
+    close(fds[0]);
+    close(fds[1]);
+}
+
+/* Runs the tests of the kernel. */
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_mailbox), cmocka_unit_test(test_end),
+        cmocka_unit_test(test_timer),   cmocka_unit_test(test_name_taken),
+        cmocka_unit_test(test_io),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
