--- a/tests/test_common.c
+++ b/tests/common/test_common.c
@@ -9,7 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "table.h"
+#include "tests/table.h"
 
 enum {
     LARGE_BYTES = 64 * 1024
--- a/tests/test_kernel.c
+++ b/tests/common/test_kernel.c
@@ -3,7 +3,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "table.h"
+#include "tests/table.h"
 
 enum {
     TRACE_MAILS = 64
