config: immutable versions and the interface of the task

Cause: routing, tasks and operators need to read the configuration in force. Change: PhConfigState, a reference-counted sorted map of paths to values with a version and a digest; the messages of the task "config".

--- /dev/null
+++ b/services/config/config_message.c
@@ -0,0 +1,101 @@
+#include "peridothill/services/config.h"
+
+#include "peridothill/services/interface.h"
+
+/* Releases the changes of a submission. */
+static void
+submission_clear(PhConfigSubmission *patch)
+{
+    for (size_t i = 0; i < patch->change_count; i++) {
+        PhStr_Clear(&patch->changes[i].path);
+        PhStr_Clear(&patch->changes[i].value);
+    }
+    g_free(patch->changes);
+    PhStr_Clear(&patch->id);
+    PhStr_Clear(&patch->author);
+}
+
+/* Releases the rows of a history. */
+static void
+past_clear(PhConfigPast *past)
+{
+    for (size_t i = 0; i < past->row_count; i++) {
+        PhStr_Clear(&past->rows[i].id);
+        PhStr_Clear(&past->rows[i].author);
+    }
+    g_free(past->rows);
+}
+
+/* Releases the rows of a report. */
+static void
+reported_clear(PhConfigReported *reported)
+{
+    for (size_t i = 0; i < reported->peer_count; i++) {
+        PhStr_Clear(&reported->peers[i].member);
+        PhStr_Clear(&reported->peers[i].data_centre);
+    }
+    g_free(reported->peers);
+}
+
+/* Releases a message body and what it owns. */
+static void
+message_release(void *data)
+{
+    PhConfigMessage *m = data;
+    switch (m->tag) {
+    case PH_CONFIG_SUBSCRIBE:
+    case PH_CONFIG_GET:
+    case PH_CONFIG_HISTORY:
+    case PH_CONFIG_REPORT:
+        break;
+    case PH_CONFIG_IN_FORCE:
+        PhConfigState_Unref(m->as.in_force);
+        break;
+    case PH_CONFIG_PATCH:
+        submission_clear(&m->as.patch);
+        break;
+    case PH_CONFIG_FIND:
+        PhStr_Clear(&m->as.find.id);
+        break;
+    case PH_CONFIG_VERDICT:
+        PhStr_Clear(&m->as.verdict.id);
+        break;
+    case PH_CONFIG_GOT:
+        PhConfigState_Unref(m->as.got.from);
+        PhConfigState_Unref(m->as.got.to);
+        break;
+    case PH_CONFIG_PAST:
+        past_clear(&m->as.past);
+        break;
+    case PH_CONFIG_REPORTED:
+        reported_clear(&m->as.reported);
+        break;
+    }
+    g_free(m);
+}
+
+/* Wraps a message body. */
+PhMessage
+PhConfigMessage_Wrap(const PhConfigMessage *body)
+{
+    return (PhMessage){.interface = PH_INTERFACE_CONFIG,
+                       .body = g_memdup2(body, sizeof(*body)),
+                       .release = message_release};
+}
+
+/* Names a standing as status pages show it. */
+const char *
+PhConfigStanding_Name(PhConfigStanding standing)
+{
+    switch (standing) {
+    case PH_CONFIG_STANDING_RECOVERING:
+        return "recovering";
+    case PH_CONFIG_STANDING_LAGGING:
+        return "lagging";
+    case PH_CONFIG_STANDING_STALE:
+        return "stale";
+    case PH_CONFIG_STANDING_IN_FORCE:
+        return "in-force";
+    }
+    return "?";
+}
