--- /dev/null
+++ b/services/tasks/tasks_message.c
@@ -0,0 +1,44 @@
+#include "peridothill/services/interface.h"
+#include "peridothill/services/tasks.h"
+
+/* Releases the rows of a listing. */
+static void
+rows_clear(PhTasksListed *listed)
+{
+    for (size_t i = 0; i < listed->row_count; i++) {
+        PhStr_Clear(&listed->rows[i].key);
+        PhStr_Clear(&listed->rows[i].team);
+        PhStr_Clear(&listed->rows[i].reason);
+    }
+    g_free(listed->rows);
+}
+
+/* Releases a message body with all it owns. */
+static void
+message_destroy(void *body)
+{
+    PhTasksMessage *m = body;
+    switch (m->tag) {
+    case PH_TASKS_SUBMIT:
+        PhJobSpec_Clear(&m->as.submit.spec);
+        break;
+    case PH_TASKS_LISTED:
+        rows_clear(&m->as.listed);
+        break;
+    case PH_TASKS_LIST:
+    case PH_TASKS_CANCEL:
+    case PH_TASKS_SUBMITTED:
+    case PH_TASKS_CANCELLED:
+        break;
+    }
+    g_free(m);
+}
+
+/* Wraps a message body for the kernel. */
+PhMessage
+PhTasksMessage_Wrap(const PhTasksMessage *body)
+{
+    return (PhMessage){.interface = PH_INTERFACE_TASKS,
+                       .body = g_memdup2(body, sizeof(*body)),
+                       .release = message_destroy};
+}
