fakes: add the shared queue, worker and log

Tests and benches of every area need the same faults: delay, loss, duplicates, cuts, silent pairs, pauses and crashes; leases that lapse and workers that fail each start; a log with retention, outages and answers lost after the effect.

One seeded queue carries messages and timers and drives a whole run, so that a seed gives one order of events. The fakes take their time as an argument and know nothing of the kernel or of sockets.

--- /dev/null
+++ b/fakes/fake_log.c
@@ -0,0 +1,172 @@
+#include "peridothill/fakes/fake_log.h"
+
+#include "peridothill/common/random.h"
+
+/* The kept records of a stream; `first` is the offset of the oldest. */
+typedef struct PhFakeStream {
+    GQueue records; /* PhFakeRecord, owned with their bytes */
+    uint64_t first;
+    uint64_t next;
+} PhFakeStream;
+
+struct PhFakeLog {
+    PhFakeLogOptions options;
+    PhRandom *random;
+    GHashTable *streams; /* PhStr key to PhFakeStream */
+    PhTime second;       /* the one that appends are counted in */
+    uint32_t second_appends;
+    PhFakeLogCounts counts;
+};
+
+/* Releases a record and its bytes. */
+static void
+record_destroy(gpointer data)
+{
+    PhFakeRecord *r = data;
+    PhStr_Clear(&r->data);
+    g_free(r);
+}
+
+/* Releases a stream and its records. */
+static void
+stream_destroy(gpointer data)
+{
+    PhFakeStream *s = data;
+    g_queue_clear_full(&s->records, record_destroy);
+    g_free(s);
+}
+
+/* Creates an empty log. */
+PhFakeLog *
+PhFakeLog_Create(const PhFakeLogOptions *options)
+{
+    PhFakeLog *log = g_new0(PhFakeLog, 1);
+    log->options = *options;
+    log->random = PhRandom_Create(options->seed);
+    log->streams = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
+                                         PhStr_KeyDestroy, stream_destroy);
+    return log;
+}
+
+/* Releases the log. */
+void
+PhFakeLog_Destroy(PhFakeLog *log)
+{
+    g_hash_table_destroy(log->streams);
+    PhRandom_Destroy(log->random);
+    g_free(log);
+}
+
+/* Gives the options, to read or change. */
+PhFakeLogOptions *
+PhFakeLog_Options(PhFakeLog *log)
+{
+    return &log->options;
+}
+
+/* Tells what the log has done so far. */
+PhFakeLogCounts
+PhFakeLog_Counts(const PhFakeLog *log)
+{
+    return log->counts;
+}
+
+/* Finds a stream, creating it at need, and drops what is past retention. */
+static PhFakeStream *
+log_stream(PhFakeLog *log, PhTime now, PhStr name)
+{
+    PhFakeStream *s = g_hash_table_lookup(log->streams, &name);
+    if (s == NULL) {
+        s = g_new0(PhFakeStream, 1);
+        g_queue_init(&s->records);
+        g_hash_table_insert(log->streams, PhStr_KeyCreate(name), s);
+    }
+    const PhFakeRecord *oldest = NULL;
+    while (log->options.retention > 0 &&
+           (oldest = g_queue_peek_head(&s->records)) != NULL &&
+           oldest->appended + log->options.retention <= now) {
+        record_destroy(g_queue_pop_head(&s->records));
+        s->first++;
+    }
+    return s;
+}
+
+/* Prepares an answer: when it arrives, and whether there is an outage. */
+static PhFakeLogAnswer
+log_answer(PhFakeLog *log, PhTime now, const PhFakeStream *s)
+{
+    double extra =
+        PhRandom_Exponential(log->random, (double)log->options.delay_extra);
+    log->counts.unavailable += log->options.outage;
+    return (PhFakeLogAnswer){
+        .status = log->options.outage ? PH_STATUS_UNAVAILABLE : PH_STATUS_OK,
+        .first = s->first,
+        .at = now + log->options.delay_min + (PhTime)extra};
+}
+
+/* Counts an append against the limit of the current second. */
+static bool
+log_admit(PhFakeLog *log, PhTime now)
+{
+    uint32_t limit = log->options.appends_per_second;
+    if (now / PH_NS_PER_S != log->second) {
+        log->second = now / PH_NS_PER_S;
+        log->second_appends = 0;
+    }
+    return limit == 0 || log->second_appends++ < limit;
+}
+
+/* Appends a record to a stream. */
+PhFakeLogAnswer
+PhFakeLog_Append(PhFakeLog *log, PhTime now, PhStr stream, PhStr record)
+{
+    PhFakeStream *s = log_stream(log, now, stream);
+    PhFakeLogAnswer answer = log_answer(log, now, s);
+    if (answer.status != PH_STATUS_OK) {
+        return answer;
+    }
+    if (!log_admit(log, now)) {
+        log->counts.limited++;
+        answer.status = PH_STATUS_FULL;
+        return answer;
+    }
+    PhFakeRecord *r = g_new0(PhFakeRecord, 1);
+    answer.offset = r->offset = s->next++;
+    r->appended = now;
+    r->data = PhStr_Dup(record);
+    g_queue_push_tail(&s->records, r);
+    log->counts.appends++;
+    if (PhRandom_Chance(log->random, log->options.lost_answers)) {
+        log->counts.answers_lost++;
+        answer = (PhFakeLogAnswer){.status = PH_STATUS_UNKNOWN,
+                                   .at = now + log->options.timeout};
+    }
+    return answer;
+}
+
+/* Reads records of a stream from an offset on. */
+PhFakeLogAnswer
+PhFakeLog_Read(PhFakeLog *log, PhTime now, PhStr stream, uint64_t offset,
+               uint32_t most, GArray *records)
+{
+    PhFakeStream *s = log_stream(log, now, stream);
+    PhFakeLogAnswer answer = log_answer(log, now, s);
+    answer.offset = offset;
+    if (answer.status == PH_STATUS_OK && offset < s->first) {
+        log->counts.expired++;
+        answer.status = PH_STATUS_EXPIRED;
+    }
+    if (answer.status != PH_STATUS_OK || offset >= s->next) {
+        return answer;
+    }
+    /* From the tail, since most readers follow the end of a stream. */
+    GList *link = g_queue_peek_tail_link(&s->records);
+    for (uint64_t i = s->next - offset; i > 1; i--) {
+        link = link->prev;
+    }
+    for (; link != NULL && answer.offset - offset < most; link = link->next) {
+        g_array_append_vals(records, link->data, 1);
+        answer.offset++;
+    }
+    return answer;
+}
--- /dev/null
+++ b/fakes/fake_worker.c
@@ -0,0 +1,295 @@
+#include "peridothill/fakes/fake_worker.h"
+
+#include "peridothill/common/random.h"
+
+/* Use of the worker from a time on. */
+typedef struct PhFakeSample {
+    PhTime at;
+    PhFakeSize size;
+} PhFakeSample;
+
+struct PhFakeWorker {
+    PhFakeWorkerOptions options;
+    PhRandom *random;
+    PhTime now;
+    PhTime *slots;     /* when each is free again */
+    GHashTable *tasks; /* id to PhFakeTask */
+    GHashTable *seen;  /* id to the newest incarnation */
+    GArray *ended;     /* PhFakeEnded that were not yet given out */
+    GArray *samples;   /* PhFakeSample, oldest first */
+};
+
+/* Creates an empty worker. */
+PhFakeWorker *
+PhFakeWorker_Create(const PhFakeWorkerOptions *options)
+{
+    PhFakeWorker *w = g_new0(PhFakeWorker, 1);
+    w->options = *options;
+    w->random = PhRandom_Create(options->seed);
+    w->slots = g_new0(PhTime, MAX(options->slots, 1));
+    w->tasks =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    w->seen =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    w->ended = g_array_new(FALSE, FALSE, sizeof(PhFakeEnded));
+    w->samples = g_array_new(FALSE, FALSE, sizeof(PhFakeSample));
+    return w;
+}
+
+/* Releases the worker. */
+void
+PhFakeWorker_Destroy(PhFakeWorker *worker)
+{
+    g_free(worker->slots);
+    g_hash_table_destroy(worker->tasks);
+    g_hash_table_destroy(worker->seen);
+    g_array_free(worker->ended, TRUE);
+    g_array_free(worker->samples, TRUE);
+    PhRandom_Destroy(worker->random);
+    g_free(worker);
+}
+
+/* Gives the options, to read or change. */
+PhFakeWorkerOptions *
+PhFakeWorker_Options(PhFakeWorker *worker)
+{
+    return &worker->options;
+}
+
+/* Draws a service time, slowed down by the running tasks. */
+static PhTime
+worker_service_time(PhFakeWorker *w)
+{
+    GHashTableIter i;
+    gpointer value = NULL;
+    double factor = 1;
+    g_hash_table_iter_init(&i, w->tasks);
+    while (g_hash_table_iter_next(&i, NULL, &value)) {
+        const PhFakeTask *t = value;
+        factor += t->noise * t->speed;
+    }
+    if (w->options.interference > 0) {
+        factor *= w->options.interference;
+    }
+    double mean = (double)w->options.service_mean * factor;
+    double fixed = mean * w->options.service_fixed;
+    return (PhTime)(fixed + PhRandom_Exponential(w->random, mean - fixed));
+}
+
+/* Gives the request to the slot that is free first. */
+PhTime
+PhFakeWorker_Serve(PhFakeWorker *worker, PhTime now, PhTime *begin)
+{
+    PhTime *slot = worker->slots;
+    for (uint32_t i = 1; i < worker->options.slots; i++) {
+        slot = worker->slots[i] < *slot ? &worker->slots[i] : slot;
+    }
+    PhTime start = MAX(now, *slot);
+    *slot = start + worker_service_time(worker);
+    if (begin != NULL) {
+        *begin = start;
+    }
+    return *slot;
+}
+
+/* Adds up the declared or the actual sizes of the running tasks. */
+static PhFakeSize
+worker_sum(const PhFakeWorker *w, bool actual)
+{
+    GHashTableIter i;
+    gpointer value = NULL;
+    PhFakeSize sum = {0};
+    g_hash_table_iter_init(&i, w->tasks);
+    while (g_hash_table_iter_next(&i, NULL, &value)) {
+        const PhFakeTask *t = value;
+        const PhFakeSize *size = actual ? &t->actual : &t->declared;
+        sum.milli_processors += size->milli_processors;
+        sum.memory_mb += size->memory_mb;
+        sum.accelerators += size->accelerators;
+    }
+    return sum;
+}
+
+/* Tells what the running tasks were declared to need. */
+PhFakeSize
+PhFakeWorker_Committed(const PhFakeWorker *worker)
+{
+    return worker_sum(worker, false);
+}
+
+/* Keeps the use from `at` on for the lagging reports. */
+static void
+worker_sample(PhFakeWorker *w, PhTime at)
+{
+    PhFakeSample sample = {.at = at, .size = worker_sum(w, true)};
+    g_array_append_val(w->samples, sample);
+}
+
+/* Moves one task to `now`; true when it ended on the way. */
+static bool
+task_advance(PhFakeTask *t, PhTime then, PhTime now, PhFakeEnded *e)
+{
+    PhTime until = MIN(t->lease_until, now);
+    double ran = (double)(until - then) * t->speed;
+    double left = (double)(t->work - t->progress);
+    bool finished = t->work != PH_TIME_NEVER && ran >= left;
+    t->progress = finished ? t->work : t->progress + (PhTime)ran;
+    *e = (PhFakeEnded){.task = *t,
+                       .lapsed = !finished,
+                       .at = finished ? then + (PhTime)(left / t->speed)
+                                      : t->lease_until};
+    return finished || t->lease_until <= now;
+}
+
+/* Moves all tasks to `now` and removes those that ended on the way. */
+static void
+worker_advance(PhFakeWorker *w, PhTime now)
+{
+    GHashTableIter i;
+    gpointer value = NULL;
+    guint before = w->ended->len;
+    g_hash_table_iter_init(&i, w->tasks);
+    while (g_hash_table_iter_next(&i, NULL, &value)) {
+        PhFakeEnded e;
+        if (task_advance(value, w->now, now, &e)) {
+            g_array_append_val(w->ended, e);
+            g_hash_table_iter_remove(&i);
+        }
+    }
+    w->now = now;
+    if (w->ended->len != before) {
+        worker_sample(w, now);
+    }
+}
+
+/* Orders ended tasks by time, then by id. */
+static gint
+ended_order(gconstpointer a, gconstpointer b)
+{
+    const PhFakeEnded *x = a;
+    const PhFakeEnded *y = b;
+    if (x->at != y->at) {
+        return x->at < y->at ? -1 : 1;
+    }
+    return (x->task.id > y->task.id) - (x->task.id < y->task.id);
+}
+
+/* Moves all tasks to `now` and gives out those that ended. */
+void
+PhFakeWorker_Advance(PhFakeWorker *worker, PhTime now, GArray *ended)
+{
+    worker_advance(worker, now);
+    g_array_sort(worker->ended, ended_order);
+    g_array_append_vals(ended, worker->ended->data, worker->ended->len);
+    g_array_set_size(worker->ended, 0);
+}
+
+/* Finds a running task by its id. */
+const PhFakeTask *
+PhFakeWorker_Find(const PhFakeWorker *worker, uint64_t id)
+{
+    return g_hash_table_lookup(worker->tasks, &id);
+}
+
+/* Tells whether a size fits beside what is committed. */
+static bool
+worker_fits(const PhFakeWorker *w, PhFakeSize size)
+{
+    PhFakeSize used = PhFakeWorker_Committed(w);
+    PhFakeSize most = w->options.capacity;
+    return used.milli_processors + size.milli_processors <=
+               most.milli_processors &&
+           used.memory_mb + size.memory_mb <= most.memory_mb &&
+           used.accelerators + size.accelerators <= most.accelerators;
+}
+
+/* Starts a task unless something forbids it. */
+static PhStatus
+worker_start(PhFakeWorker *w, PhTime now, const PhFakeTask *task)
+{
+    const uint64_t *seen = g_hash_table_lookup(w->seen, &task->id);
+    const PhFakeTask *running = PhFakeWorker_Find(w, task->id);
+    if (running != NULL && running->incarnation == task->incarnation) {
+        return PH_STATUS_EXISTS;
+    }
+    if (running != NULL || (seen != NULL && *seen >= task->incarnation)) {
+        return PH_STATUS_CONFLICT;
+    }
+    if (task->lease_until <= now) {
+        return PH_STATUS_EXPIRED;
+    }
+    if (w->options.fails_starts) {
+        return PH_STATUS_IO;
+    }
+    if (!worker_fits(w, task->declared)) {
+        return PH_STATUS_FULL;
+    }
+    PhFakeTask *t = g_memdup2(task, sizeof(*task));
+    t->speed = t->speed > 0 ? t->speed : 1;
+    g_hash_table_insert(w->tasks, &t->id, t);
+    g_hash_table_insert(w->seen, g_memdup2(&t->id, sizeof(t->id)),
+                        g_memdup2(&t->incarnation, sizeof(t->incarnation)));
+    worker_sample(w, now);
+    return PH_STATUS_OK;
+}
+
+/* Carries out an order at `now`. */
+PhStatus
+PhFakeWorker_Order(PhFakeWorker *worker, PhTime now, const PhFakeOrder *order)
+{
+    worker_advance(worker, now);
+    PhFakeTask *t = g_hash_table_lookup(worker->tasks, &order->id);
+    if (order->kind != PH_FAKE_START &&
+        (t == NULL || t->incarnation != order->incarnation)) {
+        return PH_STATUS_NOT_FOUND;
+    }
+    switch (order->kind) {
+    case PH_FAKE_START:
+        return worker_start(worker, now, &order->as.start);
+    case PH_FAKE_RENEW:
+        t->lease_until = MAX(t->lease_until, order->as.lease_until);
+        break;
+    case PH_FAKE_CHECKPOINT:
+        t->checkpoint = t->progress;
+        break;
+    case PH_FAKE_THROTTLE:
+        t->speed = order->as.speed;
+        break;
+    case PH_FAKE_STOP:
+        g_hash_table_remove(worker->tasks, &order->id);
+        worker_sample(worker, now);
+        break;
+    }
+    return PH_STATUS_OK;
+}
+
+/* Tells the use that was current `usage_lag` ago. */
+PhFakeSize
+PhFakeWorker_Usage(PhFakeWorker *worker, PhTime now)
+{
+    PhTime at = now - worker->options.usage_lag;
+    const PhFakeSample *samples = (const PhFakeSample *)worker->samples->data;
+    guint later = 0;
+    while (later < worker->samples->len && samples[later].at <= at) {
+        later++;
+    }
+    PhFakeSize size = later > 0 ? samples[later - 1].size : (PhFakeSize){0};
+    if (later > 1) {
+        g_array_remove_range(worker->samples, 0, later - 1);
+    }
+    return size;
+}
+
+/* Empties the worker. */
+void
+PhFakeWorker_Restart(PhFakeWorker *worker, PhTime now)
+{
+    g_hash_table_remove_all(worker->tasks);
+    g_hash_table_remove_all(worker->seen);
+    g_array_set_size(worker->ended, 0);
+    for (uint32_t i = 0; i < worker->options.slots; i++) {
+        worker->slots[i] = now;
+    }
+    worker->now = now;
+    worker_sample(worker, now);
+}
