--- a/tests/proof/test_fakes.c
+++ b/tests/proof/test_fakes.c
@@ -113,13 +113,13 @@
  * and a lease until `lease_until`. */
 typedef struct PhWorkerCase {
     const char *name;
-    bool fails_starts;
     PhWorkerStep steps[4];
-    int step_count;
     PhTime end; /* time of the Advance after the steps */
+    PhTime ended_at;
+    int step_count;
     int ended;
+    bool fails_starts;
     bool lapsed;
-    PhTime ended_at;
 } PhWorkerCase;
 
 /* Starts task 1 as the given incarnation with a size and a lease. */
@@ -238,11 +238,11 @@
 /* A fault of the log, an append at each second 0 to 3, and a read at 4 s. */
 typedef struct PhLogCase {
     const char *name;
+    uint64_t offset; /* read from */
+    uint64_t first;
     PhFakeLogOptions options;
     PhStatus append;
-    uint64_t offset; /* read from */
     PhStatus read;
-    uint64_t first;
     guint records;
 } PhLogCase;
 
