--- /dev/null
+++ b/codec/settings_key.c
@@ -0,0 +1,85 @@
+#include "peridothill/codec/settings_key.h"
+
+#define KEY(SECTION, NAME, KIND, REQUIRED, LEAST, MOST, INITIAL, DOC)         \
+    {                                                                         \
+        .section = #SECTION, .name = #NAME, .kind = PH_SETTING_##KIND,        \
+        .required = (REQUIRED), .offset = offsetof(PhSettings, SECTION.NAME), \
+        .least = (LEAST), .most = (MOST), .initial = (INITIAL), .doc = (DOC)  \
+    }
+#define MS PH_NS_PER_MS
+#define S PH_NS_PER_S
+#define KB UINT64_C(1024)
+#define MB (1024 * KB)
+
+enum {
+    SEEDS_MAX = 32,
+    CONNECTIONS_MAX = 65536,
+};
+
+static const PhSettingKey keys[] = {
+    KEY(instance, id, NAME, true, 0, 0, "entry-1",
+        "Name of this instance; no other live one may have it."),
+    KEY(instance, data_centre, NAME, true, 0, 0, "bacolod",
+        "Data centre that this instance is in."),
+    KEY(instance, deployment, NAME, true, 0, 0, "acceptance",
+        "Name of the deployment; peers of another one are refused."),
+    KEY(callers, listen, LISTEN, false, 0, 0, "127.0.0.1:8080",
+        "IP number and port for callers; port 0 takes a free one."),
+    KEY(operators, listen, LISTEN, false, 0, 0, "127.0.0.1:8081",
+        "IP number and port for operators."),
+    KEY(operators, token_file, PATH, false, 0, 0, "",
+        "File with the bearer token; without it every operator is refused."),
+    KEY(peers, listen, LISTEN, false, 0, 0, "127.0.0.1:8082",
+        "IP number and port for other instances."),
+    KEY(peers, key_file, PATH, false, 0, 0, "",
+        "File with the key that proves every connection between instances."),
+    KEY(peers, previous_key_file, PATH, false, 0, 0, "",
+        "File with a second key that is accepted while keys are changed."),
+    KEY(peers, seeds, ADDRESSES, false, 0, SEEDS_MAX, "",
+        "Peer addresses to try first, separated by spaces."),
+    KEY(platform, log_address, ADDRESS, false, 0, 0, "127.0.0.1:9000",
+        "IP number and port of the platform's log."),
+    KEY(platform, list_address, ADDRESS, false, 0, 0, "127.0.0.1:9000",
+        "IP number and port of the platform's list of instances."),
+    KEY(platform, list_poll, DURATION, false, 100 * MS, 60 * S, "1s",
+        "Time between two readings of the list."),
+    KEY(limits, request_body, SIZE, false, KB, 64 * MB, "1MB",
+        "Largest body of a caller's request."),
+    KEY(limits, connections, COUNT, false, 1, CONNECTIONS_MAX, "1024",
+        "Open connections from callers."),
+    KEY(limits, drain_notice, DURATION, false, 0, 60 * S, "3s",
+        "Time in which the balancer notices a stop; requests are still "
+        "taken."),
+    KEY(limits, drain_limit, DURATION, false, 1 * S, 3600 * S, "30s",
+        "Longest time that a stop waits for the requests in flight."),
+    KEY(log, level, LEVEL, false, 0, 0, "info",
+        "Least level written: debug, info, warning or error."),
+    KEY(log, format, FORMAT, false, 0, 0, "logfmt",
+        "Form of a log line: logfmt or json."),
+};
+
+/* Gives all keys. */
+const PhSettingKey *
+PhSettingKey_List(size_t *count)
+{
+    *count = G_N_ELEMENTS(keys);
+    return keys;
+}
+
+/* Appends the whole file of defaults. */
+void
+PhSettings_RenderDefaults(PhBuf *out)
+{
+    const char *section = "";
+    PhBuf_Append(out, PhStr_LITERAL("# Settings of peridothill serve.\n"));
+    for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+        const PhSettingKey *k = &keys[i];
+        if (g_strcmp0(section, k->section) != 0) {
+            section = k->section;
+            PhBuf_AppendFormat(out, "\n[%s]\n", section);
+        }
+        PhBuf_AppendFormat(out, "# %s%s\n%s =%s%s\n", k->doc,
+                           k->required ? "  Required." : "", k->name,
+                           k->initial[0] != '\0' ? " " : "", k->initial);
+    }
+}
--- a/commands/main.c
+++ b/commands/main.c
@@ -7,6 +7,7 @@
 /* Sorted by name for the binary search. */
 static const PhCommand commands[] = {
     {"bench", "measure decisions and services", PhCommand_Bench},
+    {"check", "check a settings file", PhCommand_Check},
     {"version", "print the version", PhCommand_Version},
 };
 
--- a/include/peridothill/commands.h
+++ b/include/peridothill/commands.h
@@ -22,6 +22,8 @@
 int
 PhCommand_Bench(int argc, char **argv);
 int
+PhCommand_Check(int argc, char **argv);
+int
 PhCommand_Version(int argc, char **argv);
 
 #endif
