--- /dev/null
+++ b/decide/members/members_probe.c
@@ -0,0 +1,163 @@
+#include "peridothill/common/invariant.h"
+#include "state.h"
+
+/* Releases what a probe owns. */
+void
+PhProbe_Clear(gpointer probe)
+{
+    PhProbe *p = probe;
+    PhStr_Clear(&p->target);
+    PhStr_Clear(&p->requester);
+}
+
+/* Shuffles the probing order. */
+static void
+order_shuffle(PhRandom *random, GPtrArray *order)
+{
+    for (guint i = order->len; i > 1; i--) {
+        guint j = (guint)PhRandom_Below(random, i);
+        gpointer swapped = order->pdata[i - 1];
+        order->pdata[i - 1] = order->pdata[j];
+        order->pdata[j] = swapped;
+    }
+}
+
+/* Takes the next member of a probing order that is not under suspicion; each
+ * round over the order is shuffled, so that every member has its turn. */
+static PhEntry *
+order_next(PhMembership *m, GPtrArray *order, guint *next)
+{
+    for (guint tried = 0; tried < order->len; tried++) {
+        if (*next >= order->len) {
+            *next = 0;
+            order_shuffle(m->random, order);
+        }
+        PhEntry *e = g_ptr_array_index(order, *next);
+        (*next)++;
+        if (e->member.state == PH_MEMBER_ALIVE) {
+            return e;
+        }
+    }
+    return NULL;
+}
+
+/* Pings the next member: mostly of the own data centre, now and then of
+ * another. */
+void
+PhMembers_ProbeNext(PhMembership *m)
+{
+    bool far = m->probe_count++ % FAR_PROBE_EVERY == 0;
+    PhEntry *e = far ? order_next(m, m->far, &m->far_next)
+                     : order_next(m, m->near, &m->near_next);
+    if (e == NULL) {
+        return;
+    }
+    PhProbe p = {.stage = PH_PROBE_DIRECT,
+                 .sequence = ++m->sequence,
+                 .deadline = m->now + m->times.probe_timeout,
+                 .target = PhStr_Dup(e->member.id)};
+    g_array_append_val(m->probes, p);
+    PhMembers_SendPing(m, e, p.sequence);
+}
+
+/* Asks other members of the target's kind of data centre to ping it, and
+ * pings it once more. */
+static void
+probe_indirectly(PhMembership *m, PhProbe *p, PhEntry *target)
+{
+    GPtrArray *order = target->near && m->near->len > 1 ? m->near : m->far;
+    guint asked = 0;
+    guint start =
+        order->len == 0 ? 0 : (guint)PhRandom_Below(m->random, order->len);
+    p->stage = PH_PROBE_INDIRECT;
+    p->deadline = m->now + m->times.indirect_timeout;
+    for (guint i = 0; i < order->len && asked < HELPERS; i++) {
+        PhEntry *e = g_ptr_array_index(order, (start + i) % order->len);
+        if (e == target || e->member.state != PH_MEMBER_ALIVE) {
+            continue;
+        }
+        PhMemberMessage ask = {
+            .kind = PH_MEMBER_PROBE,
+            .as.probe = {.sequence = p->sequence,
+                         .target = PhStr_Dup(target->member.id),
+                         .address = PhStr_Dup(target->member.address)}};
+        PhMembers_Send(m, e, ask);
+        asked++;
+    }
+    PhMembers_SendPing(m, target, p->sequence);
+}
+
+/* Judges one probe whose deadline has passed; true when it is over. */
+static bool
+probe_expired(PhMembership *m, PhProbe *p)
+{
+    PhEntry *target = PhEntry_Find(m, p->target);
+    if (p->stage == PH_PROBE_RELAY || target == NULL ||
+        target->member.state != PH_MEMBER_ALIVE) {
+        return true;
+    }
+    switch (p->stage) {
+    case PH_PROBE_DIRECT:
+        probe_indirectly(m, p, target);
+        return false;
+    case PH_PROBE_INDIRECT:
+        PhMembers_Suspect(m, target, target->member.incarnation);
+        return true;
+    case PH_PROBE_RELAY:
+        return true;
+    }
+    return true;
+}
+
+/* Goes over the probes whose deadline has passed. */
+void
+PhMembers_CheckProbes(PhMembership *m)
+{
+    for (guint i = m->probes->len; i > 0; i--) {
+        PhProbe *p = &g_array_index(m->probes, PhProbe, i - 1);
+        if (m->now >= p->deadline && probe_expired(m, p)) {
+            g_array_remove_index_fast(m->probes, i - 1);
+        }
+    }
+}
+
+/* Ends the probe of this number; an ack for a relay goes to who asked. */
+void
+PhMembers_TakeAck(PhMembership *m, uint64_t sequence)
+{
+    for (guint i = 0; i < m->probes->len; i++) {
+        PhProbe *p = &g_array_index(m->probes, PhProbe, i);
+        if (p->sequence != sequence) {
+            continue;
+        }
+        PhEntry *requester = PhEntry_Find(m, p->requester);
+        if (p->stage == PH_PROBE_RELAY && requester != NULL) {
+            PhMemberMessage ack = {
+                .kind = PH_MEMBER_ACK,
+                .as.ack = {.sequence = p->requester_sequence,
+                           .digest = m->digest}};
+            PhMembers_Send(m, requester, ack);
+        }
+        g_array_remove_index_fast(m->probes, i);
+        return;
+    }
+}
+
+/* Pings a member on behalf of another. */
+void
+PhMembers_Relay(PhMembership *m, PhEntry *requester,
+                const PhMemberProbe *probe)
+{
+    PhEntry *target = PhEntry_Find(m, probe->target);
+    if (target == NULL || target == m->self) {
+        return;
+    }
+    PhProbe p = {.stage = PH_PROBE_RELAY,
+                 .sequence = ++m->sequence,
+                 .deadline = m->now + m->times.indirect_timeout,
+                 .target = PhStr_Dup(probe->target),
+                 .requester = PhStr_Dup(requester->member.id),
+                 .requester_sequence = probe->sequence};
+    g_array_append_val(m->probes, p);
+    PhMembers_SendPing(m, target, p.sequence);
+}
--- /dev/null
+++ b/decide/members/members_record.c
@@ -0,0 +1,201 @@
+#include "peridothill/common/invariant.h"
+#include "state.h"
+
+/* Starts, or starts again, the suspicion of a live member and asks it. */
+void
+PhMembers_Suspect(PhMembership *m, PhEntry *e, uint64_t incarnation)
+{
+    bool first = e->member.state != PH_MEMBER_SUSPECT;
+    PhEntry_Change(m, e, PH_MEMBER_SUSPECT, incarnation);
+    e->suspected = m->now;
+    e->confirm = m->now + m->times.probe_interval;
+    e->expires = m->now + m->times.suspicion;
+    if (first) {
+        g_ptr_array_add(m->suspects, e);
+        PhMembers_Report(m, PH_MEMBERSHIP_SUSPECTED, e->member.id);
+    }
+    PhMembers_SendPing(m, e, ++m->sequence);
+}
+
+/* Ends a suspicion: a member that was heard meanwhile gets another term, any
+ * other is dead. */
+static void
+suspicion_end(PhMembership *m, PhEntry *e)
+{
+    if (e->heard > e->suspected) {
+        PhMembers_Suspect(m, e, e->member.incarnation);
+        return;
+    }
+    g_ptr_array_remove_fast(m->suspects, e);
+    PhEntry_Change(m, e, PH_MEMBER_DEAD, e->member.incarnation);
+    PhMembers_Report(m, PH_MEMBERSHIP_DIED, e->member.id);
+}
+
+/* Pings each suspect once an interval, and ends suspicions that are over. */
+void
+PhMembers_CheckSuspects(PhMembership *m)
+{
+    for (guint i = m->suspects->len; i > 0; i--) {
+        PhEntry *e = g_ptr_array_index(m->suspects, i - 1);
+        if (m->now >= e->expires) {
+            suspicion_end(m, e);
+        }
+        else if (m->now >= e->confirm) {
+            e->confirm = m->now + m->times.probe_interval;
+            PhMembers_SendPing(m, e, ++m->sequence);
+        }
+    }
+}
+
+/* A record of this instance itself: whatever says otherwise than "alive", or
+ * knows a later incarnation, is refuted by a yet later one. */
+static void
+merge_self(PhMembership *m, const PhMember *record)
+{
+    PhMember *self = &m->self->member;
+    bool leaving = self->state == PH_MEMBER_LEFT;
+    if (record->state == PH_MEMBER_ALIVE &&
+        !PhStr_Equal(record->address, self->address) &&
+        record->incarnation >= self->incarnation) {
+        PhMembers_Report(m, PH_MEMBERSHIP_ID_CONFLICT, self->id);
+    }
+    bool stale = record->incarnation < self->incarnation ||
+                 (record->incarnation == self->incarnation &&
+                  record->state == PH_MEMBER_ALIVE);
+    if (leaving || stale || record->incarnation == UINT64_MAX) {
+        return;
+    }
+    PhEntry_Change(m, m->self, PH_MEMBER_ALIVE, record->incarnation + 1);
+    PhMembers_Report(m, PH_MEMBERSHIP_SELF_REFUTED, self->id);
+}
+
+/* Adds a member that was not known. */
+static void
+merge_unknown(PhMembership *m, const PhMember *record)
+{
+    if (g_hash_table_size(m->entries) >= MEMBERS_MAX) {
+        PhMembers_Report(m, PH_MEMBERSHIP_TABLE_FULL, record->id);
+        return;
+    }
+    PhMember first = *record;
+    if (record->state == PH_MEMBER_SUSPECT) {
+        first.state = PH_MEMBER_ALIVE;
+    }
+    PhEntry *e = PhEntry_Add(m, &first);
+    if (first.state == PH_MEMBER_ALIVE) {
+        PhMembers_Report(m, PH_MEMBERSHIP_JOINED, e->member.id);
+    }
+    if (record->state == PH_MEMBER_SUSPECT) {
+        PhMembers_Suspect(m, e, record->incarnation);
+    }
+}
+
+/* Takes over what a later record says besides the state. */
+static void
+adopt(PhEntry *e, const PhMember *record)
+{
+    e->member.draining = record->draining;
+    PhStr_Clear(&e->member.address);
+    e->member.address = PhStr_Dup(record->address);
+}
+
+/* "Alive" counts under a higher incarnation only. */
+static void
+merge_alive(PhMembership *m, PhEntry *e, const PhMember *record)
+{
+    if (record->incarnation <= e->member.incarnation) {
+        return;
+    }
+    switch (e->member.state) {
+    case PH_MEMBER_ALIVE:
+        break;
+    case PH_MEMBER_SUSPECT:
+        g_ptr_array_remove_fast(m->suspects, e);
+        PhMembers_Report(m, PH_MEMBERSHIP_REFUTED, e->member.id);
+        break;
+    case PH_MEMBER_DEAD:
+    case PH_MEMBER_LEFT:
+        PhMembers_Report(m, PH_MEMBERSHIP_RETURNED, e->member.id);
+        break;
+    }
+    adopt(e, record);
+    PhEntry_Change(m, e, PH_MEMBER_ALIVE, record->incarnation);
+}
+
+/* "Suspect" and "dead" both only start a suspicion here: the member gets its
+ * time to refute towards every instance, also after a partition in which the
+ * other side took it for dead. */
+static void
+merge_doubt(PhMembership *m, PhEntry *e, const PhMember *record)
+{
+    bool newer = record->incarnation > e->member.incarnation;
+    bool buried =
+        e->member.state == PH_MEMBER_DEAD || e->member.state == PH_MEMBER_LEFT;
+    if (newer && (!buried || record->state == PH_MEMBER_SUSPECT)) {
+        adopt(e, record);
+    }
+    switch (e->member.state) {
+    case PH_MEMBER_ALIVE:
+        if (newer || record->incarnation == e->member.incarnation) {
+            PhMembers_Suspect(m, e, record->incarnation);
+        }
+        break;
+    case PH_MEMBER_SUSPECT:
+        if (newer) {
+            PhMembers_Suspect(m, e, record->incarnation);
+        }
+        break;
+    case PH_MEMBER_DEAD:
+    case PH_MEMBER_LEFT:
+        if (newer && record->state == PH_MEMBER_SUSPECT) {
+            PhMembers_Report(m, PH_MEMBERSHIP_RETURNED, e->member.id);
+            PhMembers_Suspect(m, e, record->incarnation);
+        }
+        break;
+    }
+}
+
+/* A leave is told by the member itself and counts at once. */
+static void
+merge_left(PhMembership *m, PhEntry *e, const PhMember *record)
+{
+    if (e->member.state == PH_MEMBER_LEFT ||
+        record->incarnation < e->member.incarnation) {
+        return;
+    }
+    if (e->member.state == PH_MEMBER_SUSPECT) {
+        g_ptr_array_remove_fast(m->suspects, e);
+    }
+    PhEntry_Change(m, e, PH_MEMBER_LEFT, record->incarnation);
+    PhMembers_Report(m, PH_MEMBERSHIP_GONE, e->member.id);
+}
+
+/* Takes one record into the table. */
+void
+PhMembers_MergeRecord(PhMembership *m, const PhMember *record)
+{
+    PhEntry *e = PhEntry_Find(m, record->id);
+    if (PhStr_IsEmpty(record->id)) {
+        return;
+    }
+    if (e == m->self) {
+        merge_self(m, record);
+        return;
+    }
+    if (e == NULL) {
+        merge_unknown(m, record);
+        return;
+    }
+    switch (record->state) {
+    case PH_MEMBER_ALIVE:
+        merge_alive(m, e, record);
+        return;
+    case PH_MEMBER_SUSPECT:
+    case PH_MEMBER_DEAD:
+        merge_doubt(m, e, record);
+        return;
+    case PH_MEMBER_LEFT:
+        merge_left(m, e, record);
+        return;
+    }
+}
--- /dev/null
+++ b/decide/members/members_send.c
@@ -0,0 +1,143 @@
+#include "peridothill/common/invariant.h"
+#include "state.h"
+
+/* Appends a report. */
+void
+PhMembers_Report(PhMembership *m, PhMembershipReport what, PhStr member)
+{
+    PhMembershipAction a = {
+        .kind = PH_MEMBERSHIP_REPORT,
+        .as.report = {.what = what, .member = PhStr_Dup(member)}};
+    g_array_append_val(m->actions, a);
+}
+
+/* Appends a send; takes over what the message owns. */
+static void
+action_send(PhMembership *m, PhStr member, PhStr address,
+            PhMemberMessage message)
+{
+    PhMembershipAction a = {.kind = PH_MEMBERSHIP_SEND,
+                            .as.send = {.member = PhStr_Dup(member),
+                                        .address = PhStr_Dup(address),
+                                        .message = message}};
+    g_array_append_val(m->actions, a);
+}
+
+/* Appends a copy of a record to a message. */
+static void
+record_add(PhMemberMessage *message, const PhMember *record)
+{
+    message->records =
+        g_renew(PhMember, message->records, message->record_count + 1);
+    message->records[message->record_count++] = PhMember_Copy(record);
+}
+
+/* Takes one send off an entry's news; the entry goes behind the others. */
+static void
+news_taken(PhMembership *m, GList *link)
+{
+    PhEntry *e = link->data;
+    g_queue_unlink(&m->news, link);
+    e->sends--;
+    if (e->sends == 0) {
+        e->fresh = false;
+        g_list_free_1(link);
+        return;
+    }
+    g_queue_push_tail_link(&m->news, link);
+}
+
+/* Adds news to a message.  What is thought of the receiver goes along
+ * whenever that is not "alive", so that it can refute. */
+static void
+news_add(PhMembership *m, const PhEntry *to, PhMemberMessage *message)
+{
+    guint left = MIN(g_queue_get_length(&m->news), NEWS_IN_MESSAGE);
+    if (to->member.state != PH_MEMBER_ALIVE) {
+        record_add(message, &to->member);
+    }
+    for (GList *link = m->news.head; left > 0; left--) {
+        GList *next = link->next;
+        PhEntry *e = link->data;
+        if (e != to) {
+            record_add(message, &e->member);
+            news_taken(m, link);
+        }
+        link = next;
+    }
+}
+
+/* Sends a message, with news, to a known member. */
+void
+PhMembers_Send(PhMembership *m, PhEntry *to, PhMemberMessage message)
+{
+    Ph_INVARIANT(PH_INVARIANT_MEMBER, to != m->self, "kind=%d", message.kind);
+    news_add(m, to, &message);
+    action_send(m, to->member.id, to->member.address, message);
+}
+
+/* Sends a ping under the given number. */
+void
+PhMembers_SendPing(PhMembership *m, PhEntry *to, uint64_t sequence)
+{
+    PhMemberMessage ping = {
+        .kind = PH_MEMBER_PING,
+        .as.ping = {.sequence = sequence, .digest = m->digest}};
+    PhMembers_Send(m, to, ping);
+}
+
+/* Asks for all records, and tells the own one. */
+void
+PhMembers_AskSync(PhMembership *m, PhStr member, PhStr address)
+{
+    PhMemberMessage request = {.kind = PH_MEMBER_SYNC_REQUEST};
+    PhEntry *e = PhEntry_Find(m, member);
+    record_add(&request, &m->self->member);
+    if (e != NULL && e->member.state != PH_MEMBER_ALIVE) {
+        record_add(&request, &e->member);
+    }
+    PhMembers_Report(m, PH_MEMBERSHIP_SYNC_ASKED, member);
+    action_send(m, member, address, request);
+}
+
+/* Sends all records, in messages of bounded size. */
+void
+PhMembers_SendSync(PhMembership *m, PhEntry *to)
+{
+    PhMemberMessage sync = {.kind = PH_MEMBER_SYNC};
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, m->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        record_add(&sync, &((PhEntry *)value)->member);
+        if (sync.record_count == PH_MEMBER_RECORDS_MAX) {
+            action_send(m, to->member.id, to->member.address, sync);
+            sync = (PhMemberMessage){.kind = PH_MEMBER_SYNC};
+        }
+    }
+    if (sync.record_count > 0) {
+        action_send(m, to->member.id, to->member.address, sync);
+    }
+}
+
+/* Tells some members of an order that this one leaves. */
+static void
+tell_leave(PhMembership *m, GPtrArray *order, guint most)
+{
+    guint start =
+        order->len == 0 ? 0 : (guint)PhRandom_Below(m->random, order->len);
+    for (guint i = 0; i < MIN(order->len, most); i++) {
+        PhEntry *to = g_ptr_array_index(order, (start + i) % order->len);
+        PhMemberMessage news = {.kind = PH_MEMBER_NEWS};
+        record_add(&news, &m->self->member);
+        action_send(m, to->member.id, to->member.address, news);
+    }
+}
+
+/* Tells the leave to members of the own and of other data centres. */
+void
+PhMembers_TellLeave(PhMembership *m)
+{
+    tell_leave(m, m->near, LEAVE_TOLD);
+    tell_leave(m, m->far, LEAVE_TOLD / 2);
+}
--- /dev/null
+++ b/decide/members/members_table.c
@@ -0,0 +1,183 @@
+#include <string.h>
+
+#include "peridothill/common/invariant.h"
+#include "state.h"
+
+/* Finds a member by its id; NULL when it is not known. */
+PhEntry *
+PhEntry_Find(const PhMembership *m, PhStr id)
+{
+    return g_hash_table_lookup(m->entries, &id);
+}
+
+/* Releases an entry. */
+void
+PhEntry_Destroy(gpointer entry)
+{
+    PhEntry *e = entry;
+    PhMember_Clear(&e->member);
+    g_free(e);
+}
+
+/* Tells whether a state counts as live. */
+static bool
+is_live(PhMemberState state)
+{
+    return state == PH_MEMBER_ALIVE || state == PH_MEMBER_SUSPECT;
+}
+
+/* The share of one member in the digest: zero unless it is live. */
+static uint64_t
+digest_share(const PhMember *member)
+{
+    if (!is_live(member->state)) {
+        return 0;
+    }
+    return PhStr_Hash(member->id,
+                      member->incarnation * 2 + (member->draining ? 1 : 0));
+}
+
+/* Brings the digest in line with an entry. */
+static void
+digest_update(PhMembership *m, PhEntry *e)
+{
+    m->digest ^= e->share;
+    e->share = digest_share(&e->member);
+    m->digest ^= e->share;
+}
+
+/* Counts a member that has not left, or takes it out of the count. */
+static void
+count_known(PhMembership *m, const PhEntry *e, int by)
+{
+    size_t *known = e->near ? &m->near_known : &m->far_known;
+    if (e != m->self && e->member.state != PH_MEMBER_LEFT) {
+        *known += (size_t)by;
+    }
+}
+
+/* Puts a live member at a random place of the probing order. */
+static void
+order_add(PhMembership *m, PhEntry *e)
+{
+    GPtrArray *order = e->near ? m->near : m->far;
+    guint at = (guint)PhRandom_Below(m->random, order->len + 1);
+    g_ptr_array_insert(order, (gint)at, e);
+    e->listed = true;
+}
+
+/* Brings the probing order and the queue of the dead in line with the state
+ * of an entry. */
+static void
+entry_place(PhMembership *m, PhEntry *e)
+{
+    bool live = is_live(e->member.state);
+    if (e == m->self) {
+        return;
+    }
+    if (live && !e->listed) {
+        order_add(m, e);
+        g_queue_remove(&m->buried, e);
+    }
+    if (!live) {
+        if (e->listed) {
+            g_ptr_array_remove(e->near ? m->near : m->far, e);
+            e->listed = false;
+        }
+        g_queue_remove(&m->buried, e);
+        e->buried = m->now;
+        g_queue_push_tail(&m->buried, e);
+    }
+}
+
+/* Adds a member as its first record tells. */
+PhEntry *
+PhEntry_Add(PhMembership *m, const PhMember *record)
+{
+    PhEntry *e = g_new0(PhEntry, 1);
+    e->member = PhMember_Copy(record);
+    e->near = m->self == NULL ||
+              PhStr_Equal(record->data_centre, m->self->member.data_centre);
+    if (m->self == NULL) {
+        m->self = e;
+    }
+    g_hash_table_insert(m->entries, &e->member.id, e);
+    digest_update(m, e);
+    count_known(m, e, 1);
+    entry_place(m, e);
+    PhEntry_Spread(m, e);
+    m->changed = true;
+    return e;
+}
+
+/* Gives an entry another state and incarnation.  An incarnation never goes
+ * back, and a dead member lives again only under a higher one. */
+void
+PhEntry_Change(PhMembership *m, PhEntry *e, PhMemberState state,
+               uint64_t incarnation)
+{
+    bool returns = is_live(state) && !is_live(e->member.state);
+    Ph_INVARIANT(PH_INVARIANT_MEMBER,
+                 incarnation >= e->member.incarnation &&
+                     (!returns || incarnation > e->member.incarnation),
+                 "member=%.*s from=%d to=%d incarnation=%" G_GUINT64_FORMAT
+                 " before=%" G_GUINT64_FORMAT,
+                 PhStr_ARG(e->member.id), e->member.state, state, incarnation,
+                 e->member.incarnation);
+    count_known(m, e, -1);
+    e->member.state = state;
+    e->member.incarnation = incarnation;
+    digest_update(m, e);
+    count_known(m, e, 1);
+    entry_place(m, e);
+    PhEntry_Spread(m, e);
+    m->changed = true;
+}
+
+/* Puts an entry at the head of the news.  The number of sends grows with the
+ * logarithm of the members, so that news reaches all of them. */
+void
+PhEntry_Spread(PhMembership *m, PhEntry *e)
+{
+    guint size = g_hash_table_size(m->entries);
+    e->sends = NEWS_SENDS_PER_LOG2 * g_bit_storage(size);
+    if (e->fresh) {
+        g_queue_remove(&m->news, e);
+    }
+    e->fresh = true;
+    g_queue_push_head(&m->news, e);
+}
+
+/* Forgets members that are dead or left for longer than they are kept. */
+void
+PhMembers_Purge(PhMembership *m)
+{
+    PhEntry *e;
+    while ((e = g_queue_peek_head(&m->buried)) != NULL &&
+           m->now - e->buried >= m->times.keep_dead) {
+        g_queue_pop_head(&m->buried);
+        if (e->fresh) {
+            g_queue_remove(&m->news, e);
+        }
+        count_known(m, e, -1);
+        m->changed = true;
+        g_hash_table_remove(m->entries, &e->member.id);
+    }
+}
+
+/* Tells whether a live member has this address. */
+bool
+PhMembers_HasAddress(const PhMembership *m, PhStr address)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, m->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        PhEntry *e = value;
+        if (is_live(e->member.state) &&
+            PhStr_Equal(e->member.address, address)) {
+            return true;
+        }
+    }
+    return false;
+}
--- /dev/null
+++ b/decide/members/membership.c
@@ -0,0 +1,501 @@
+#include "peridothill/decide/members/membership.h"
+
+#include "peridothill/common/invariant.h"
+#include "state.h"
+
+/* Digests differ for so long before records are fetched: the time in which
+ * news normally reaches everyone. */
+#define DIFFER_LIMIT (10 * PH_NS_PER_S)
+
+enum {
+    REACH_TRIES = 8, /* draws until one is worth a contact */
+};
+
+/* The times that the daemon uses. */
+PhMembershipTimes
+PhMembershipTimes_Default(void)
+{
+    return (PhMembershipTimes){
+        .probe_interval = PH_NS_PER_S,
+        .probe_timeout = 500 * PH_NS_PER_MS,
+        .indirect_timeout = PH_NS_PER_S,
+        .suspicion = 4 * PH_NS_PER_S,
+        .reach_interval = 10 * PH_NS_PER_S,
+        .hear_near_limit = 8 * PH_NS_PER_S,
+        .hear_far_limit = 30 * PH_NS_PER_S,
+        .platform_limit = 30 * PH_NS_PER_S,
+        .keep_dead = 3600 * PH_NS_PER_S,
+        .pause_limit = 200 * PH_NS_PER_MS,
+    };
+}
+
+/* Releases what an action owns. */
+static void
+action_clear(gpointer data)
+{
+    PhMembershipAction *a = data;
+    switch (a->kind) {
+    case PH_MEMBERSHIP_SEND:
+        PhStr_Clear(&a->as.send.member);
+        PhStr_Clear(&a->as.send.address);
+        PhMemberMessage_Clear(&a->as.send.message);
+        break;
+    case PH_MEMBERSHIP_REPORT:
+        PhStr_Clear(&a->as.report.member);
+        break;
+    case PH_MEMBERSHIP_WAKE:
+    case PH_MEMBERSHIP_VIEW_CHANGED:
+        break;
+    }
+}
+
+/* Creates an empty array of actions. */
+GArray *
+PhMembershipActions_Create(void)
+{
+    GArray *actions = g_array_new(FALSE, FALSE, sizeof(PhMembershipAction));
+    g_array_set_clear_func(actions, action_clear);
+    return actions;
+}
+
+/* Adds the own record. */
+static void
+add_self(PhMembership *m, const PhMembershipOptions *options)
+{
+    PhMember self = {.id = options->id,
+                     .data_centre = options->data_centre,
+                     .address = options->address,
+                     .state = PH_MEMBER_ALIVE,
+                     .incarnation = options->incarnation};
+    PhEntry_Add(m, &self);
+}
+
+/* Creates a membership that knows only itself; it wakes at once. */
+PhMembership *
+PhMembership_Create(const PhMembershipOptions *options, PhTime now)
+{
+    PhMembership *m = g_new0(PhMembership, 1);
+    m->times = options->times;
+    m->random = PhRandom_Create(options->seed);
+    m->entries = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual, NULL,
+                                       PhEntry_Destroy);
+    m->near = g_ptr_array_new();
+    m->far = g_ptr_array_new();
+    m->suspects = g_ptr_array_new();
+    m->candidates = g_ptr_array_new_with_free_func(PhStr_KeyDestroy);
+    m->probes = g_array_new(FALSE, FALSE, sizeof(PhProbe));
+    g_array_set_clear_func(m->probes, PhProbe_Clear);
+    g_queue_init(&m->news);
+    g_queue_init(&m->buried);
+    m->now = now;
+    m->near_heard = m->far_heard = m->platform_heard = now;
+    m->hearing = (PhMembershipHearing){true, true, true};
+    m->probe_due = m->reach_due = m->wake = now;
+    add_self(m, options);
+    return m;
+}
+
+/* Releases a membership; NULL is allowed. */
+void
+PhMembership_Destroy(PhMembership *membership)
+{
+    if (membership == NULL) {
+        return;
+    }
+    g_queue_clear(&membership->news);
+    g_queue_clear(&membership->buried);
+    g_array_free(membership->probes, TRUE);
+    g_ptr_array_free(membership->candidates, TRUE);
+    g_ptr_array_free(membership->suspects, TRUE);
+    g_ptr_array_free(membership->near, TRUE);
+    g_ptr_array_free(membership->far, TRUE);
+    g_hash_table_destroy(membership->entries);
+    PhRandom_Destroy(membership->random);
+    g_free(membership);
+}
+
+/* Moves every deadline by the time that this process stood still, so that
+ * others are not judged by silence that was its own. */
+static void
+shift_deadlines(PhMembership *m, PhTime by)
+{
+    for (guint i = 0; i < m->probes->len; i++) {
+        g_array_index(m->probes, PhProbe, i).deadline += by;
+    }
+    for (guint i = 0; i < m->suspects->len; i++) {
+        PhEntry *e = g_ptr_array_index(m->suspects, i);
+        e->suspected += by;
+        e->confirm += by;
+        e->expires += by;
+    }
+    m->near_heard += by;
+    m->far_heard += by;
+    m->platform_heard += by;
+    PhMembers_Report(m, PH_MEMBERSHIP_PAUSED, (PhStr){0});
+}
+
+/* Notices that this process was paused: it acts late. */
+static void
+check_pause(PhMembership *m)
+{
+    PhTime late = m->now - m->wake;
+    if (late > m->times.pause_limit) {
+        shift_deadlines(m, late);
+    }
+}
+
+/* Spreads an interval by a tenth to each side, so that instances do not act
+ * in step. */
+static PhTime
+jitter(PhMembership *m, PhTime interval)
+{
+    return interval * 9 / 10 +
+           (PhTime)PhRandom_Below(m->random, (uint64_t)(interval / 5) + 1);
+}
+
+/* Asks one member or address, by its number among the buried and the
+ * candidates, whether it is there; false when there is no use in asking. */
+static bool
+reach(PhMembership *m, size_t pick)
+{
+    size_t dead = g_queue_get_length(&m->buried);
+    if (pick < dead) {
+        PhEntry *e = g_queue_peek_nth(&m->buried, (guint)pick);
+        if (e->member.state != PH_MEMBER_DEAD) {
+            return false;
+        }
+        PhMembers_AskSync(m, e->member.id, e->member.address);
+        return true;
+    }
+    PhStr *address = g_ptr_array_index(m->candidates, pick - dead);
+    if (PhMembers_HasAddress(m, *address)) {
+        return false;
+    }
+    PhMembers_AskSync(m, (PhStr){0}, *address);
+    return true;
+}
+
+/* Contacts a dead member or a listed address that no live member has: this
+ * heals partitions and joins groups that started apart. */
+static void
+reach_out(PhMembership *m)
+{
+    size_t total = g_queue_get_length(&m->buried) + m->candidates->len;
+    bool alone = m->near->len + m->far->len == 0;
+    bool reached = total == 0;
+    m->reach_due = m->now + jitter(m, alone ? m->times.probe_interval
+                                            : m->times.reach_interval);
+    for (int i = 0; i < REACH_TRIES && !reached; i++) {
+        reached = reach(m, PhRandom_Below(m->random, total));
+    }
+}
+
+/* Does what is due. */
+static void
+do_due(PhMembership *m)
+{
+    if (m->self->member.state == PH_MEMBER_LEFT) {
+        return;
+    }
+    PhMembers_CheckProbes(m);
+    PhMembers_CheckSuspects(m);
+    if (m->now >= m->probe_due) {
+        m->probe_due = m->now + jitter(m, m->times.probe_interval);
+        PhMembers_ProbeNext(m);
+        PhMembers_Purge(m);
+    }
+    if (m->now >= m->reach_due) {
+        reach_out(m);
+    }
+}
+
+/* Notes that a member was heard; one that is thought dead or left, or is not
+ * known, is asked for its record and told what is thought of it. */
+static PhEntry *
+note_sender(PhMembership *m, PhStr from, PhMemberMessageKind kind)
+{
+    PhEntry *e = PhEntry_Find(m, from);
+    if (e == NULL) {
+        PhMembers_AskSync(m, from, (PhStr){0});
+        return NULL;
+    }
+    if (e == m->self) {
+        PhMembers_Report(m, PH_MEMBERSHIP_ID_CONFLICT, from);
+        return NULL;
+    }
+    e->heard = m->now;
+    if (e->near) {
+        m->near_heard = m->now;
+    }
+    else {
+        m->far_heard = m->now;
+    }
+    bool gone =
+        e->member.state == PH_MEMBER_DEAD || e->member.state == PH_MEMBER_LEFT;
+    if (gone && kind != PH_MEMBER_NEWS &&
+        m->now - e->told >= m->times.probe_interval) {
+        e->told = m->now;
+        PhMembers_SendPing(m, e, ++m->sequence);
+    }
+    return e;
+}
+
+/* Compares digests; when they differ for long, records are fetched. */
+static void
+compare_digest(PhMembership *m, PhEntry *from, uint64_t digest)
+{
+    if (digest == m->digest) {
+        m->differs_since = 0;
+    }
+    else if (m->differs_since == 0) {
+        m->differs_since = m->now;
+    }
+    else if (m->now - m->differs_since >= DIFFER_LIMIT) {
+        m->differs_since = m->now;
+        PhMembers_AskSync(m, from->member.id, from->member.address);
+    }
+}
+
+/* Answers a ping. */
+static void
+take_ping(PhMembership *m, PhEntry *from, const PhMemberPing *ping)
+{
+    PhMemberMessage ack = {
+        .kind = PH_MEMBER_ACK,
+        .as.ack = {.sequence = ping->sequence, .digest = m->digest}};
+    PhMembers_Send(m, from, ack);
+    compare_digest(m, from, ping->digest);
+}
+
+/* Takes a message of another member. */
+static void
+take_message(PhMembership *m, PhStr from, const PhMemberMessage *message)
+{
+    for (size_t i = 0; i < message->record_count; i++) {
+        PhMembers_MergeRecord(m, &message->records[i]);
+    }
+    PhEntry *e = note_sender(m, from, message->kind);
+    if (e == NULL) {
+        return;
+    }
+    switch (message->kind) {
+    case PH_MEMBER_PING:
+        take_ping(m, e, &message->as.ping);
+        return;
+    case PH_MEMBER_ACK:
+        compare_digest(m, e, message->as.ack.digest);
+        PhMembers_TakeAck(m, message->as.ack.sequence);
+        return;
+    case PH_MEMBER_PROBE:
+        PhMembers_Relay(m, e, &message->as.probe);
+        return;
+    case PH_MEMBER_SYNC_REQUEST:
+        PhMembers_SendSync(m, e);
+        return;
+    case PH_MEMBER_SYNC:
+    case PH_MEMBER_NEWS:
+        return;
+    }
+}
+
+/* Keeps the latest list of addresses, without the own one. */
+static void
+take_candidates(PhMembership *m, const PhStr *addresses, size_t count)
+{
+    g_ptr_array_set_size(m->candidates, 0);
+    for (size_t i = 0; i < count; i++) {
+        if (!PhStr_Equal(addresses[i], m->self->member.address)) {
+            g_ptr_array_add(m->candidates, PhStr_KeyCreate(addresses[i]));
+        }
+    }
+}
+
+/* Announces that this instance takes no new work. */
+static void
+drain(PhMembership *m)
+{
+    PhMember *self = &m->self->member;
+    if (self->state == PH_MEMBER_LEFT || self->draining) {
+        return;
+    }
+    self->draining = true;
+    PhEntry_Change(m, m->self, PH_MEMBER_ALIVE, self->incarnation + 1);
+}
+
+/* Announces that this instance leaves. */
+static void
+leave(PhMembership *m)
+{
+    PhMember *self = &m->self->member;
+    if (self->state == PH_MEMBER_LEFT) {
+        return;
+    }
+    self->draining = true;
+    PhEntry_Change(m, m->self, PH_MEMBER_LEFT, self->incarnation + 1);
+    PhMembers_TellLeave(m);
+}
+
+/* Takes one event by its kind. */
+static void
+take_event(PhMembership *m, const PhMembershipEvent *event)
+{
+    switch (event->kind) {
+    case PH_MEMBERSHIP_WOKEN:
+        return;
+    case PH_MEMBERSHIP_MESSAGE:
+        take_message(m, event->as.message.from, event->as.message.message);
+        return;
+    case PH_MEMBERSHIP_CANDIDATES:
+        take_candidates(m, event->as.candidates.addresses,
+                        event->as.candidates.count);
+        return;
+    case PH_MEMBERSHIP_PLATFORM_HEARD:
+        m->platform_heard = m->now;
+        return;
+    case PH_MEMBERSHIP_DRAIN:
+        drain(m);
+        return;
+    case PH_MEMBERSHIP_LEAVE:
+        leave(m);
+        return;
+    }
+}
+
+/* Keeps one flag of the hearing and reports its change. */
+static void
+flag_set(PhMembership *m, bool *flag, bool hears, PhMembershipReport lost,
+         PhMembershipReport heard)
+{
+    if (*flag == hears) {
+        return;
+    }
+    *flag = hears;
+    m->changed = true;
+    PhMembers_Report(m, hears ? heard : lost, (PhStr){0});
+}
+
+/* Judges each kind of hearing by itself; where nobody is known, nobody is
+ * missed. */
+static void
+check_hearing(PhMembership *m)
+{
+    bool near = m->near_known == 0 ||
+                m->now - m->near_heard <= m->times.hear_near_limit;
+    bool far =
+        m->far_known == 0 || m->now - m->far_heard <= m->times.hear_far_limit;
+    bool platform = m->now - m->platform_heard <= m->times.platform_limit;
+    flag_set(m, &m->hearing.own_data_centre, near,
+             PH_MEMBERSHIP_OWN_DATA_CENTRE_LOST,
+             PH_MEMBERSHIP_OWN_DATA_CENTRE_HEARD);
+    flag_set(m, &m->hearing.other_data_centres, far,
+             PH_MEMBERSHIP_OTHER_DATA_CENTRES_LOST,
+             PH_MEMBERSHIP_OTHER_DATA_CENTRES_HEARD);
+    flag_set(m, &m->hearing.platform, platform, PH_MEMBERSHIP_PLATFORM_LOST,
+             PH_MEMBERSHIP_PLATFORM_BACK);
+}
+
+/* Finds the next time at which something is due. */
+static PhTime
+next_due(const PhMembership *m)
+{
+    PhTime at = MIN(m->probe_due, m->reach_due);
+    for (guint i = 0; i < m->probes->len; i++) {
+        at = MIN(at, g_array_index(m->probes, PhProbe, i).deadline);
+    }
+    for (guint i = 0; i < m->suspects->len; i++) {
+        const PhEntry *e = g_ptr_array_index(m->suspects, i);
+        at = MIN(at, MIN(e->confirm, e->expires));
+    }
+    return at;
+}
+
+/* Appends the closing actions of an event. */
+static void
+finish(PhMembership *m)
+{
+    PhTime next =
+        m->self->member.state == PH_MEMBER_LEFT ? PH_TIME_NEVER : next_due(m);
+    Ph_INVARIANT(PH_INVARIANT_MEMBER, next > m->now,
+                 "next=%" G_GINT64_FORMAT " now=%" G_GINT64_FORMAT, next,
+                 m->now);
+    if (next != m->wake) {
+        PhMembershipAction a = {.kind = PH_MEMBERSHIP_WAKE, .as.wake = next};
+        g_array_append_val(m->actions, a);
+        m->wake = next;
+    }
+    if (m->changed) {
+        PhMembershipAction a = {.kind = PH_MEMBERSHIP_VIEW_CHANGED};
+        g_array_append_val(m->actions, a);
+        m->changed = false;
+    }
+}
+
+/* Takes one event and appends the actions. */
+void
+PhMembership_Apply(PhMembership *membership, const PhMembershipEvent *event,
+                   PhTime now, GArray *actions)
+{
+    PhMembership *m = membership;
+    uint64_t incarnation = m->self->member.incarnation;
+    Ph_INVARIANT(PH_INVARIANT_MEMBER, now >= m->now,
+                 "now=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT, now,
+                 m->now);
+    m->now = now;
+    m->actions = actions;
+    check_pause(m);
+    take_event(m, event);
+    do_due(m);
+    check_hearing(m);
+    finish(m);
+    m->actions = NULL;
+    Ph_INVARIANT(PH_INVARIANT_MEMBER,
+                 m->self->member.incarnation >= incarnation &&
+                     (m->self->member.state == PH_MEMBER_ALIVE ||
+                      m->self->member.state == PH_MEMBER_LEFT),
+                 "incarnation=%" G_GUINT64_FORMAT " state=%d",
+                 m->self->member.incarnation, m->self->member.state);
+}
+
+/* Orders members by id for g_array_sort. */
+static gint
+member_compare(gconstpointer a, gconstpointer b)
+{
+    return PhStr_Compare(((const PhMember *)a)->id, ((const PhMember *)b)->id);
+}
+
+/* Gives all known members sorted by id; the strings stay the membership's. */
+GArray *
+PhMembership_List(const PhMembership *membership)
+{
+    GArray *list = g_array_new(FALSE, FALSE, sizeof(PhMember));
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, membership->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        g_array_append_val(list, ((PhEntry *)value)->member);
+    }
+    g_array_sort(list, member_compare);
+    return list;
+}
+
+/* Gives the state of a member. */
+PhMemberState
+PhMembership_State(const PhMembership *membership, PhStr id)
+{
+    const PhEntry *e = PhEntry_Find(membership, id);
+    return e == NULL ? PH_MEMBER_DEAD : e->member.state;
+}
+
+/* Gives the own incarnation. */
+uint64_t
+PhMembership_Incarnation(const PhMembership *membership)
+{
+    return membership->self->member.incarnation;
+}
+
+/* Tells what this instance can hear. */
+PhMembershipHearing
+PhMembership_Hearing(const PhMembership *membership)
+{
+    return membership->hearing;
+}
