--- a/codec/settings_key.c
+++ b/codec/settings_key.c
@@ -1,9 +1,9 @@
 #include "peridothill/codec/settings_key.h"
 
-#define KEY(SECTION, NAME, KIND, REQUIRED, LEAST, MOST, INITIAL, DOC)         \
+#define KEY(SECTION, NAME, MEMBER, KIND, REQUIRED, LEAST, MOST, INITIAL, DOC) \
     {                                                                         \
-        .section = #SECTION, .name = #NAME, .kind = PH_SETTING_##KIND,        \
-        .required = (REQUIRED), .offset = offsetof(PhSettings, SECTION.NAME), \
+        .section = (SECTION), .name = (NAME), .kind = PH_SETTING_##KIND,      \
+        .required = (REQUIRED), .offset = offsetof(PhSettings, MEMBER),       \
         .least = (LEAST), .most = (MOST), .initial = (INITIAL), .doc = (DOC)  \
     }
 #define MS PH_NS_PER_MS
@@ -17,44 +17,50 @@
 };
 
 static const PhSettingKey keys[] = {
-    KEY(instance, id, NAME, true, 0, 0, "entry-1",
+    KEY("instance", "id", instance.id, NAME, true, 0, 0, "entry-1",
         "Name of this instance; no other live one may have it."),
-    KEY(instance, data_centre, NAME, true, 0, 0, "bacolod",
-        "Data centre that this instance is in."),
-    KEY(instance, deployment, NAME, true, 0, 0, "acceptance",
+    KEY("instance", "data_centre", instance.data_centre, NAME, true, 0, 0,
+        "bacolod", "Data centre that this instance is in."),
+    KEY("instance", "deployment", instance.deployment, NAME, true, 0, 0,
+        "acceptance",
         "Name of the deployment; peers of another one are refused."),
-    KEY(callers, listen, LISTEN, false, 0, 0, "127.0.0.1:8080",
+    KEY("callers", "listen", callers.listen, LISTEN, false, 0, 0,
+        "127.0.0.1:8080",
         "IP number and port for callers; port 0 takes a free one."),
-    KEY(operators, listen, LISTEN, false, 0, 0, "127.0.0.1:8081",
-        "IP number and port for operators."),
-    KEY(operators, token_file, PATH, false, 0, 0, "",
+    KEY("operators", "listen", operators.listen, LISTEN, false, 0, 0,
+        "127.0.0.1:8081", "IP number and port for operators."),
+    KEY("operators", "token_file", operators.token_file, PATH, false, 0, 0, "",
         "File with the bearer token; without it every operator is refused."),
-    KEY(peers, listen, LISTEN, false, 0, 0, "127.0.0.1:8082",
+    KEY("peers", "listen", peers.listen, LISTEN, false, 0, 0, "127.0.0.1:8082",
         "IP number and port for other instances."),
-    KEY(peers, key_file, PATH, false, 0, 0, "",
+    KEY("peers", "key_file", peers.key_file, PATH, false, 0, 0, "",
         "File with the key that proves every connection between instances."),
-    KEY(peers, previous_key_file, PATH, false, 0, 0, "",
+    KEY("peers", "previous_key_file", peers.previous_key_file, PATH, false, 0,
+        0, "",
         "File with a second key that is accepted while keys are changed."),
-    KEY(peers, seeds, ADDRESSES, false, 0, SEEDS_MAX, "",
+    KEY("peers", "seeds", peers.seeds, ADDRESSES, false, 0, SEEDS_MAX, "",
         "Peer addresses to try first, separated by spaces."),
-    KEY(platform, log_address, ADDRESS, false, 0, 0, "127.0.0.1:9000",
-        "IP number and port of the platform's log."),
-    KEY(platform, list_address, ADDRESS, false, 0, 0, "127.0.0.1:9000",
+    KEY("platform", "log_address", platform.log_address, ADDRESS, false, 0, 0,
+        "127.0.0.1:9000", "IP number and port of the platform's log."),
+    KEY("platform", "list_address", platform.list_address, ADDRESS, false, 0,
+        0, "127.0.0.1:9000",
         "IP number and port of the platform's list of instances."),
-    KEY(platform, list_poll, DURATION, false, 100 * MS, 60 * S, "1s",
-        "Time between two readings of the list."),
-    KEY(limits, request_body, SIZE, false, KB, 64 * MB, "1MB",
-        "Largest body of a caller's request."),
-    KEY(limits, connections, COUNT, false, 1, CONNECTIONS_MAX, "1024",
-        "Open connections from callers."),
-    KEY(limits, drain_notice, DURATION, false, 0, 60 * S, "3s",
+    KEY("platform", "list_poll", platform.list_poll, DURATION, false, 100 * MS,
+        60 * S, "1s", "Time between two readings of the list."),
+    KEY("limits", "request_body", limits.request_body, SIZE, false, KB,
+        64 * MB, "1MB", "Largest body of a caller's request."),
+    KEY("limits", "connections", limits.connections, COUNT, false, 1,
+        CONNECTIONS_MAX, "1024", "Open connections from callers."),
+    KEY("limits", "drain_notice", limits.drain_notice, DURATION, false, 0,
+        60 * S, "3s",
         "Time in which the balancer notices a stop; requests are still "
         "taken."),
-    KEY(limits, drain_limit, DURATION, false, 1 * S, 3600 * S, "30s",
+    KEY("limits", "drain_limit", limits.drain_limit, DURATION, false, 1 * S,
+        3600 * S, "30s",
         "Longest time that a stop waits for the requests in flight."),
-    KEY(log, level, LEVEL, false, 0, 0, "info",
+    KEY("log", "level", log.level, LEVEL, false, 0, 0, "info",
         "Least level written: debug, info, warning or error."),
-    KEY(log, format, FORMAT, false, 0, 0, "logfmt",
+    KEY("log", "format", log.format, FORMAT, false, 0, 0, "logfmt",
         "Form of a log line: logfmt or json."),
 };
 
