--- /dev/null
+++ b/tests/proof/test_catalogues.c
@@ -0,0 +1,159 @@
+/* The catalogues of events and counters hold the same rows as the code. */
+#include <glib.h>
+#include <string.h>
+
+#include "peridothill/common/counter.h"
+#include "peridothill/common/event.h"
+#include "tests/table.h"
+
+/* Adds the row of each event. */
+static void
+add_event_rows(GHashTable *rows)
+{
+    int count = 0;
+    const PhEventInfo *list = PhEvent_List(&count);
+    for (int i = 0; i < count; i++) {
+        g_hash_table_add(rows, g_strdup_printf("| %d | %s | %s | %s |",
+                                               (int)list[i].id, list[i].name,
+                                               PhLevel_Name(list[i].level),
+                                               list[i].text));
+    }
+}
+
+/* Adds the row of each counter and histogram, from the text that /metrics
+ * shows. */
+static void
+add_counter_rows(GHashTable *rows)
+{
+    PhCounters *counters = PhCounters_Create();
+    PhBuf out = {0};
+    PhCounters_Render(counters, &out);
+    char *text = PhStr_ToC(PhBuf_Str(&out));
+    char **lines = g_strsplit(text, "\n", -1);
+    const char *help = "";
+    bool histogram = false;
+    for (char **line = lines; *line != NULL && **line != '\0'; line++) {
+        const char *space = strrchr(*line, ' ');
+        if (g_str_has_prefix(*line, "# HELP ")) {
+            help = strchr(*line + strlen("# HELP "), ' ') + 1;
+        }
+        else if (g_str_has_prefix(*line, "# TYPE ")) {
+            histogram = g_str_has_suffix(*line, " histogram");
+            const char *name = *line + strlen("# TYPE ");
+            if (histogram) {
+                g_hash_table_add(rows, g_strdup_printf("| `%.*s` | %s |",
+                                                       (int)(space - name),
+                                                       name, help));
+            }
+        }
+        else if (!histogram) {
+            g_hash_table_add(rows, g_strdup_printf("| `%.*s` | %s |",
+                                                   (int)(space - *line), *line,
+                                                   help));
+        }
+    }
+    g_strfreev(lines);
+    g_free(text);
+    PhBuf_Clear(&out);
+    PhCounters_Destroy(counters);
+}
+
+/* A catalogue.  Its rows begin with "| " and one of the characters of
+ * `first`; the first `columns` columns are compared. */
+typedef struct PhCatalogueCase {
+    const char *name;
+    const char *first;
+    int columns;
+    void (*add_rows)(GHashTable *rows);
+} PhCatalogueCase;
+
+static const PhCatalogueCase catalogue_cases[] = {
+    {"EVENTS.md", "123456789", 4, add_event_rows},
+    {"COUNTERS.md", "`", 2, add_counter_rows},
+};
+
+/* Tells whether a line is a row of the catalogue. */
+static bool
+line_is_row(const PhCatalogueCase *c, const char *line)
+{
+    return g_str_has_prefix(line, "| ") && line[2] != '\0' &&
+           strchr(c->first, line[2]) != NULL;
+}
+
+/* Cuts a row after its compared columns. */
+static char *
+row_cut(const char *line, int columns)
+{
+    const char *end = line;
+    for (int i = 0; i < columns && end != NULL; i++) {
+        end = strchr(end + 1, '|');
+    }
+    return end != NULL ? g_strndup(line, (gsize)(end - line) + 1)
+                       : g_strdup(line);
+}
+
+/* Compares a catalogue with the rows of the code, in both directions. */
+static void
+catalogue_run(const PhCatalogueCase *c)
+{
+    char *path = g_build_filename(g_getenv("PH_DOCS"), c->name, NULL);
+    char *text = NULL;
+    assert_true(g_file_get_contents(path, &text, NULL, NULL));
+    GHashTable *rows =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    char **lines = g_strsplit(text, "\n", -1);
+    int wrong = 0;
+    c->add_rows(rows);
+    assert_true(g_hash_table_size(rows) > 0);
+    for (char **line = lines; *line != NULL; line++) {
+        char *row = row_cut(*line, c->columns);
+        if (line_is_row(c, *line) && !g_hash_table_remove(rows, row)) {
+            print_error("%s: not in the code, or twice: %s\n", c->name, row);
+            wrong++;
+        }
+        g_free(row);
+    }
+    GHashTableIter i;
+    gpointer row = NULL;
+    g_hash_table_iter_init(&i, rows);
+    while (g_hash_table_iter_next(&i, &row, NULL)) {
+        print_error("%s: missing: %s\n", c->name, (const char *)row);
+        wrong++;
+    }
+    assert_int_equal(wrong, 0);
+    g_strfreev(lines);
+    g_hash_table_destroy(rows);
+    g_free(text);
+    g_free(path);
+}
+
+/* Runs the table of catalogues. */
+static void
+test_catalogues(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(catalogue_cases, catalogue_run);
+}
+
+/* Checks that numbers of events are not used twice. */
+static void
+test_event_numbers(void **state)
+{
+    (void)state;
+    int count = 0;
+    const PhEventInfo *list = PhEvent_List(&count);
+    for (int i = 0; i < count; i++) {
+        assert_ptr_equal(PhEvent_Find(list[i].id), &list[i]);
+    }
+}
+
+/* Runs the tests of the catalogues. */
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_catalogues),
+        cmocka_unit_test(test_event_numbers),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
