services: speak HTTP both ways and read the platform's log and list

Cause: parts that own sockets need one client and one listener. Change: the task "http" drives libcurl multi and tells for each request whether it was answered, not sent, or unknown; PhListener runs libmicrohttpd on the loop of its task; the tasks "log" and "list" speak the platform's form. A task's state is now released while its watches still exist: the first run of test_http stopped in PhTask_Watch with the old order. Conclusion: test_http covers each outcome over real sockets.

--- /dev/null
+++ b/codec/json.c
@@ -0,0 +1,51 @@
+#include "peridothill/codec/json.h"
+
+/* Parses one JSON value from text; duplicate keys are refused. */
+PhResult
+PhJson_Parse(PhStr text, json_t **value)
+{
+    json_error_t error;
+    *value = json_loadb(
+        text.data == NULL ? "" : text.data, text.len,
+        JSON_REJECT_DUPLICATES | JSON_ALLOW_NUL | JSON_DECODE_ANY, &error);
+    if (*value == NULL) {
+        return PhResult_Make(PH_STATUS_INVALID, "JSON, byte %d: %s",
+                             error.position, error.text);
+    }
+    return PhResult_Ok();
+}
+
+/* Writes a value without white space, keys sorted. */
+PhStr
+PhJson_Write(const json_t *value)
+{
+    size_t flags = JSON_COMPACT | JSON_SORT_KEYS | JSON_ENCODE_ANY;
+    size_t len = json_dumpb(value, NULL, 0, flags);
+    PhBuf buf = {0};
+    PhBuf_Reserve(&buf, len);
+    buf.len = json_dumpb(value, buf.data, len, flags);
+    return PhBuf_Take(&buf);
+}
+
+/* Makes a JSON string of the bytes, which must be UTF-8. */
+json_t *
+PhJson_String(PhStr s)
+{
+    return json_stringn(s.data == NULL ? "" : s.data, s.len);
+}
+
+/* Views the string under a key. */
+PhStr
+PhJson_GetStr(const json_t *object, const char *key)
+{
+    const json_t *v = json_object_get(object, key);
+    return PhStr_FromBytes(json_string_value(v), json_string_length(v));
+}
+
+/* Reads the whole number under a key. */
+int64_t
+PhJson_GetInt(const json_t *object, const char *key, int64_t fallback)
+{
+    const json_t *v = json_object_get(object, key);
+    return json_is_integer(v) ? json_integer_value(v) : fallback;
+}
--- a/include/peridothill/services/platform_log.h
+++ b/include/peridothill/services/platform_log.h
@@ -74,8 +74,6 @@
     PH_LOG_ADAPTER_MEMORY,
 } PhLogAdapterKind;
 
-struct PhMemoryLog;
-
 typedef struct PhLogAdapter {
     PhLogAdapterKind kind;
     union {
--- a/kernel/kernel.c
+++ b/kernel/kernel.c
@@ -250,7 +250,6 @@
 {
     PhKernel *kernel = task->kernel;
     task->ending = true;
-    g_hash_table_destroy(task->watches);
     PhRegistry_Remove(kernel->registry, task->spec.name);
     if (task->queued) {
         g_queue_remove(&kernel->ready, task);
@@ -259,6 +258,7 @@
     if (task->spec.destroy != NULL) {
         task->spec.destroy(task->spec.state);
     }
+    g_hash_table_destroy(task->watches);
     PhMail *mail;
     while ((mail = g_queue_pop_head(&task->mailbox)) != NULL) {
         mail_destroy(mail);
--- /dev/null
+++ b/services/platform/http.c
@@ -0,0 +1,453 @@
+#include "peridothill/services/http.h"
+
+#include <curl/curl.h>
+
+#include "peridothill/common/invariant.h"
+#include "peridothill/services/interface.h"
+
+enum {
+    MAILBOX_CAPACITY = 4096,
+    CURL_TIMER_TOKEN = 0,
+    KEEPALIVE_IDLE_S = 15,
+    KEEPALIVE_INTERVAL_S = 5,
+};
+
+/* Timers of a transfer: its number, shifted, and which deadline it is. */
+typedef enum PhTransferTimer {
+    TRANSFER_DEADLINE,
+    TRANSFER_FIRST_BYTE,
+} PhTransferTimer;
+
+/* State of the task "http". */
+typedef struct PhHttp {
+    PhTask *self;
+    CURLM *multi;
+    GHashTable *transfers; /* PhTransfer by number */
+    uint64_t next_number;
+} PhHttp;
+
+/* A request in flight. */
+typedef struct PhTransfer {
+    PhHttp *http;
+    uint64_t number;
+    PhTaskRef sender;
+    CURL *easy;
+    struct curl_slist *header_lines;
+    PhBuf body_out;
+    PhBuf body_in;
+    PhTime started;
+    PhTime first_byte_at;
+    size_t answer_limit;
+    bool too_large;
+    PhHttpReply reply;
+} PhTransfer;
+
+/* Gives the kernel's timer token of a transfer's deadline. */
+static uint64_t
+timer_token(const PhTransfer *t, PhTransferTimer which)
+{
+    return (t->number << 1) | (uint64_t)which;
+}
+
+/* Collects bytes of the answer's body within the limit. */
+static size_t
+on_body(char *data, size_t size, size_t count, void *context)
+{
+    PhTransfer *t = context;
+    size_t len = size * count;
+    if (t->body_in.len + len > t->answer_limit) {
+        t->too_large = true;
+        return 0;
+    }
+    PhBuf_Append(&t->body_in, PhStr_FromBytes(data, len));
+    return len;
+}
+
+/* Collects one header line; a status line starts the headers anew. */
+static size_t
+on_header(char *data, size_t size, size_t count, void *context)
+{
+    PhTransfer *t = context;
+    PhStr line = PhStr_FromBytes(data, size * count);
+    PhStr name;
+    PhStr value;
+    if (t->first_byte_at == 0) {
+        t->first_byte_at = PhTask_Now(t->http->self);
+        PhTask_CancelTimer(t->http->self, timer_token(t, TRANSFER_FIRST_BYTE));
+    }
+    if (PhStr_Cut(line, ':', &name, &value)) {
+        PhHttpHeader_Add(&t->reply.headers, &t->reply.header_count, name,
+                         PhStr_Trim(value));
+    }
+    return line.len;
+}
+
+/* Releases a transfer; its reply has been moved out or is dropped. */
+static void
+transfer_destroy(gpointer value)
+{
+    PhTransfer *t = value;
+    PhTask_CancelTimer(t->http->self, timer_token(t, TRANSFER_DEADLINE));
+    PhTask_CancelTimer(t->http->self, timer_token(t, TRANSFER_FIRST_BYTE));
+    if (t->easy != NULL) {
+        curl_multi_remove_handle(t->http->multi, t->easy);
+        curl_easy_cleanup(t->easy);
+    }
+    curl_slist_free_all(t->header_lines);
+    PhBuf_Clear(&t->body_out);
+    PhBuf_Clear(&t->body_in);
+    PhHttpMessage unsent = {.tag = PH_HTTP_REPLY, .as.reply = t->reply};
+    PhMessage m = PhHttpMessage_Wrap(&unsent);
+    m.release(m.body);
+    g_free(t);
+}
+
+/* Tells whether libcurl has begun to send the request. */
+static bool
+transfer_may_have_sent(const PhTransfer *t)
+{
+    curl_off_t pretransfer = 0;
+    long request_bytes = 0;
+    curl_easy_getinfo(t->easy, CURLINFO_PRETRANSFER_TIME_T, &pretransfer);
+    curl_easy_getinfo(t->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+    return pretransfer > 0 || request_bytes > 0;
+}
+
+/* Sends the reply of a transfer to its sender and releases it. */
+static void
+transfer_finish(PhTransfer *t, PhHttpOutcome outcome, PhHttpFailure failure)
+{
+    PhHttp *http = t->http;
+    PhTime now = PhTask_Now(http->self);
+    t->reply.outcome = outcome;
+    t->reply.failure = failure;
+    t->reply.body = PhBuf_Take(&t->body_in);
+    t->reply.whole_after = now - t->started;
+    t->reply.first_byte_after =
+        (t->first_byte_at == 0 ? now : t->first_byte_at) - t->started;
+    PhHttpMessage m = {.tag = PH_HTTP_REPLY, .as.reply = t->reply};
+    t->reply = (PhHttpReply){0};
+    PhTaskRef sender = t->sender;
+    uint64_t number = t->number;
+    g_hash_table_remove(http->transfers, &number);
+    PhTask_Send(http->self, sender, PhHttpMessage_Wrap(&m));
+}
+
+/* Ends a transfer that has no whole answer. */
+static void
+transfer_fail(PhTransfer *t, PhHttpFailure failure)
+{
+    PhHttpOutcome outcome =
+        transfer_may_have_sent(t) ? PH_HTTP_UNKNOWN : PH_HTTP_NOT_SENT;
+    transfer_finish(t, outcome, failure);
+}
+
+/* Translates libcurl's error. */
+static PhHttpFailure
+failure_of(const PhTransfer *t, CURLcode code)
+{
+    if (t->too_large) {
+        return PH_HTTP_FAILURE_TOO_LARGE;
+    }
+    if (code == CURLE_COULDNT_CONNECT) {
+        return PH_HTTP_FAILURE_CONNECT;
+    }
+    if (code == CURLE_PARTIAL_FILE) {
+        return PH_HTTP_FAILURE_TRUNCATED;
+    }
+    if (code == CURLE_OPERATION_TIMEDOUT) {
+        return PH_HTTP_FAILURE_DEADLINE;
+    }
+    return PH_HTTP_FAILURE_RESET;
+}
+
+/* Ends every transfer that libcurl has finished with. */
+static void
+collect_finished(PhHttp *http)
+{
+    CURLMsg *m;
+    int left;
+    while ((m = curl_multi_info_read(http->multi, &left)) != NULL) {
+        PhTransfer *t;
+        long status = 0;
+        if (m->msg != CURLMSG_DONE) {
+            continue;
+        }
+        CURLcode code = m->data.result;
+        curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, &t);
+        curl_easy_getinfo(m->easy_handle, CURLINFO_RESPONSE_CODE, &status);
+        t->reply.status = (int)status;
+        if (code == CURLE_OK) {
+            transfer_finish(t, PH_HTTP_ANSWERED, PH_HTTP_FAILURE_NONE);
+        }
+        else {
+            transfer_fail(t, failure_of(t, code));
+        }
+    }
+}
+
+/* Watches the descriptors that libcurl names. */
+static int
+on_socket(CURL *easy, curl_socket_t fd, int what, void *context, void *unused)
+{
+    PhHttp *http = context;
+    (void)easy;
+    (void)unused;
+    int events = 0;
+    if (what == CURL_POLL_IN || what == CURL_POLL_INOUT) {
+        events |= PH_IO_READ;
+    }
+    if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT) {
+        events |= PH_IO_WRITE;
+    }
+    PhTask_Watch(http->self, fd, events);
+    return 0;
+}
+
+/* Sets the timer that libcurl asks for. */
+static int
+on_curl_timer(CURLM *multi, long timeout_ms, void *context)
+{
+    PhHttp *http = context;
+    (void)multi;
+    if (timeout_ms < 0) {
+        PhTask_CancelTimer(http->self, CURL_TIMER_TOKEN);
+    }
+    else {
+        PhTask_SetTimer(http->self, CURL_TIMER_TOKEN,
+                        PhTask_Now(http->self) + timeout_ms * PH_NS_PER_MS);
+    }
+    return 0;
+}
+
+/* Sets up the multi handle. */
+static void
+http_start(PhHttp *http, PhTask *self)
+{
+    http->self = self;
+    http->multi = curl_multi_init();
+    Ph_INVARIANT(PH_INVARIANT_PRECONDITION, http->multi != NULL, "curl");
+    curl_multi_setopt(http->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+    curl_multi_setopt(http->multi, CURLMOPT_SOCKETDATA, http);
+    curl_multi_setopt(http->multi, CURLMOPT_TIMERFUNCTION, on_curl_timer);
+    curl_multi_setopt(http->multi, CURLMOPT_TIMERDATA, http);
+}
+
+/* Adds the request's headers as lines. */
+static void
+set_headers(PhTransfer *t, const PhHttpRequest *r)
+{
+    t->header_lines = curl_slist_append(NULL, "Expect:");
+    for (size_t i = 0; i < r->header_count; i++) {
+        char *line =
+            g_strdup_printf("%.*s: %.*s", PhStr_ARG(r->headers[i].name),
+                            PhStr_ARG(r->headers[i].value));
+        t->header_lines = curl_slist_append(t->header_lines, line);
+        g_free(line);
+    }
+    curl_easy_setopt(t->easy, CURLOPT_HTTPHEADER, t->header_lines);
+}
+
+/* Sets the method and the body. */
+static void
+set_method(PhTransfer *t, const PhHttpRequest *r)
+{
+    if (r->body.len > 0 || PhStr_Equal(r->method, PhStr_LITERAL("POST"))) {
+        PhBuf_Append(&t->body_out, r->body);
+        PhBuf_AppendByte(&t->body_out, '\0');
+        curl_easy_setopt(t->easy, CURLOPT_POSTFIELDS, t->body_out.data);
+        curl_easy_setopt(t->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                         (curl_off_t)r->body.len);
+    }
+    if (PhStr_Equal(r->method, PhStr_LITERAL("HEAD"))) {
+        curl_easy_setopt(t->easy, CURLOPT_NOBODY, 1L);
+        return;
+    }
+    char *method = PhStr_ToC(r->method);
+    curl_easy_setopt(t->easy, CURLOPT_CUSTOMREQUEST, method);
+    g_free(method);
+}
+
+/* Sets the URL, the callbacks and the properties of the connection. */
+static void
+set_transfer(PhTransfer *t, const PhHttpRequest *r)
+{
+    char *url = g_strdup_printf("http://%.*s%.*s", PhStr_ARG(r->address),
+                                PhStr_ARG(r->target));
+    curl_easy_setopt(t->easy, CURLOPT_URL, url);
+    g_free(url);
+    curl_easy_setopt(t->easy, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(t->easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(t->easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(t->easy, CURLOPT_PRIVATE, t);
+    curl_easy_setopt(t->easy, CURLOPT_WRITEFUNCTION, on_body);
+    curl_easy_setopt(t->easy, CURLOPT_WRITEDATA, t);
+    curl_easy_setopt(t->easy, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(t->easy, CURLOPT_HEADERDATA, t);
+    curl_easy_setopt(t->easy, CURLOPT_TCP_KEEPALIVE, 1L);
+    curl_easy_setopt(t->easy, CURLOPT_TCP_KEEPIDLE, (long)KEEPALIVE_IDLE_S);
+    curl_easy_setopt(t->easy, CURLOPT_TCP_KEEPINTVL,
+                     (long)KEEPALIVE_INTERVAL_S);
+    curl_easy_setopt(t->easy, CURLOPT_FRESH_CONNECT,
+                     r->fresh_connection ? 1L : 0L);
+}
+
+/* Starts a transfer for a request. */
+static void
+http_send(PhHttp *http, PhTaskRef sender, const PhHttpRequest *r)
+{
+    PhTransfer *t = g_new0(PhTransfer, 1);
+    t->http = http;
+    t->number = ++http->next_number;
+    t->sender = sender;
+    t->started = PhTask_Now(http->self);
+    t->answer_limit = r->answer_limit_bytes;
+    t->reply.id = r->id;
+    t->easy = curl_easy_init();
+    Ph_INVARIANT(PH_INVARIANT_PRECONDITION, t->easy != NULL, "curl");
+    set_transfer(t, r);
+    set_headers(t, r);
+    set_method(t, r);
+    g_hash_table_insert(http->transfers, &t->number, t);
+    PhTask_SetTimer(http->self, timer_token(t, TRANSFER_DEADLINE),
+                    r->deadline);
+    if (r->first_byte != PH_TIME_NEVER) {
+        PhTask_SetTimer(http->self, timer_token(t, TRANSFER_FIRST_BYTE),
+                        r->first_byte);
+    }
+    curl_multi_add_handle(http->multi, t->easy);
+}
+
+/* Ends the transfer that the sender started with this id. */
+static void
+http_cancel(PhHttp *http, PhTaskRef sender, uint64_t id)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, http->transfers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        PhTransfer *t = value;
+        if (t->reply.id == id && PhTaskRef_Equal(t->sender, sender)) {
+            transfer_fail(t, PH_HTTP_FAILURE_CANCELLED);
+            return;
+        }
+    }
+}
+
+/* Acts on a message of the interface. */
+static void
+on_message(PhHttp *http, const PhMail *mail)
+{
+    const PhHttpMessage *m = mail->as.message.body;
+    if (mail->as.message.interface != PH_INTERFACE_HTTP) {
+        return;
+    }
+    switch (m->tag) {
+    case PH_HTTP_SEND:
+        http_send(http, mail->from, &m->as.send);
+        break;
+    case PH_HTTP_CANCEL:
+        http_cancel(http, mail->from, m->as.cancel);
+        break;
+    case PH_HTTP_REPLY:
+        break;
+    }
+}
+
+/* Acts on a timer: libcurl's own, or a deadline of a transfer. */
+static void
+on_timer(PhHttp *http, uint64_t token)
+{
+    int running;
+    if (token == CURL_TIMER_TOKEN) {
+        curl_multi_socket_action(http->multi, CURL_SOCKET_TIMEOUT, 0,
+                                 &running);
+        collect_finished(http);
+        return;
+    }
+    uint64_t number = token >> 1;
+    PhTransfer *t = g_hash_table_lookup(http->transfers, &number);
+    if (t == NULL) {
+        return;
+    }
+    switch ((PhTransferTimer)(token & 1)) {
+    case TRANSFER_DEADLINE:
+        transfer_fail(t, PH_HTTP_FAILURE_DEADLINE);
+        break;
+    case TRANSFER_FIRST_BYTE:
+        transfer_fail(t, PH_HTTP_FAILURE_FIRST_BYTE);
+        break;
+    }
+}
+
+/* Tells libcurl which descriptor is ready. */
+static void
+on_io(PhHttp *http, int fd, int events)
+{
+    int running;
+    int mask = ((events & PH_IO_READ) ? CURL_CSELECT_IN : 0) |
+               ((events & PH_IO_WRITE) ? CURL_CSELECT_OUT : 0);
+    curl_multi_socket_action(http->multi, fd, mask, &running);
+    collect_finished(http);
+}
+
+/* Handles a mail of the task "http". */
+static void
+http_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhHttp *http = state;
+    switch (mail->kind) {
+    case PH_MAIL_START:
+        http_start(http, self);
+        break;
+    case PH_MAIL_MESSAGE:
+        on_message(http, mail);
+        break;
+    case PH_MAIL_TIMER:
+        on_timer(http, mail->as.timer);
+        break;
+    case PH_MAIL_IO:
+        on_io(http, mail->as.io.fd, mail->as.io.events);
+        break;
+    case PH_MAIL_ENDED:
+        break;
+    case PH_MAIL_STOP:
+        PhTask_End(self);
+        break;
+    }
+}
+
+/* Releases the state of the task. */
+static void
+http_destroy(void *state)
+{
+    PhHttp *http = state;
+    if (http->multi != NULL) {
+        curl_multi_setopt(http->multi, CURLMOPT_SOCKETFUNCTION, NULL);
+        curl_multi_setopt(http->multi, CURLMOPT_TIMERFUNCTION, NULL);
+    }
+    g_hash_table_destroy(http->transfers);
+    if (http->multi != NULL) {
+        curl_multi_cleanup(http->multi);
+    }
+    g_free(http);
+}
+
+/* Starts the task "http". */
+PhStatus
+PhHttp_Start(PhKernel *kernel)
+{
+    PhHttp *http = g_new0(PhHttp, 1);
+    http->transfers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+                                            transfer_destroy);
+    PhTaskSpec spec = {.name = PH_SERVICE_HTTP,
+                       .mailbox_capacity = MAILBOX_CAPACITY,
+                       .state = http,
+                       .handle = http_handle,
+                       .destroy = http_destroy};
+    PhStatus status = PhKernel_Spawn(kernel, &spec, NULL);
+    if (status != PH_STATUS_OK) {
+        http_destroy(http);
+    }
+    return status;
+}
--- /dev/null
+++ b/services/platform/http_message.c
@@ -0,0 +1,71 @@
+#include "peridothill/services/http.h"
+
+#include "peridothill/services/interface.h"
+
+/* Releases a list of headers. */
+static void
+headers_clear(PhHttpHeader *headers, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        PhStr_Clear(&headers[i].name);
+        PhStr_Clear(&headers[i].value);
+    }
+    g_free(headers);
+}
+
+/* Releases a message and all it owns. */
+static void
+message_release(void *body)
+{
+    PhHttpMessage *m = body;
+    switch (m->tag) {
+    case PH_HTTP_SEND:
+        PhStr_Clear(&m->as.send.method);
+        PhStr_Clear(&m->as.send.address);
+        PhStr_Clear(&m->as.send.target);
+        headers_clear(m->as.send.headers, m->as.send.header_count);
+        PhStr_Clear(&m->as.send.body);
+        break;
+    case PH_HTTP_CANCEL:
+        break;
+    case PH_HTTP_REPLY:
+        headers_clear(m->as.reply.headers, m->as.reply.header_count);
+        PhStr_Clear(&m->as.reply.body);
+        break;
+    }
+    g_free(m);
+}
+
+/* Wraps a message for the kernel and takes over what it owns. */
+PhMessage
+PhHttpMessage_Wrap(const PhHttpMessage *body)
+{
+    PhHttpMessage *copy = g_new(PhHttpMessage, 1);
+    *copy = *body;
+    return (PhMessage){.interface = PH_INTERFACE_HTTP,
+                       .body = copy,
+                       .release = message_release};
+}
+
+/* Appends a copy of a header. */
+void
+PhHttpHeader_Add(PhHttpHeader **headers, size_t *count, PhStr name,
+                 PhStr value)
+{
+    *headers = g_renew(PhHttpHeader, *headers, *count + 1);
+    (*headers)[*count] =
+        (PhHttpHeader){.name = PhStr_Dup(name), .value = PhStr_Dup(value)};
+    (*count)++;
+}
+
+/* Finds the value of the first header with this name. */
+PhStr
+PhHttpHeader_Find(const PhHttpHeader *headers, size_t count, PhStr name)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (PhStr_EqualNoCase(headers[i].name, name)) {
+            return headers[i].value;
+        }
+    }
+    return (PhStr){0};
+}
--- /dev/null
+++ b/services/platform/platform_list.c
@@ -0,0 +1,235 @@
+#include "peridothill/services/platform_list.h"
+
+#include "peridothill/codec/list_json.h"
+#include "peridothill/services/http.h"
+#include "peridothill/services/interface.h"
+
+enum {
+    MAILBOX_CAPACITY = 64,
+    ANSWER_LIMIT_BYTES = 16 * 1024 * 1024,
+    POLL_TIMER = 1,
+};
+
+/* Time the platform has to answer one poll. */
+static const PhTime POLL_DEADLINE = 2 * PH_NS_PER_S;
+
+/* State of the task "list". */
+typedef struct PhListTask {
+    PhStr address;
+    PhTime poll_interval;
+    uint64_t poll_id;
+    PhListReading last;  /* status NOT_FOUND before the first answer */
+    GArray *subscribers; /* PhTaskRef */
+} PhListTask;
+
+/* Releases a message and all it owns. */
+static void
+message_release(void *body)
+{
+    PhListMessage *m = body;
+    switch (m->tag) {
+    case PH_LIST_SUBSCRIBE:
+        break;
+    case PH_LIST_READING:
+        PhListReading_Clear(&m->as.reading);
+        break;
+    }
+    g_free(m);
+}
+
+/* Wraps a message for the kernel and takes over what it owns. */
+PhMessage
+PhListMessage_Wrap(const PhListMessage *body)
+{
+    PhListMessage *copy = g_new(PhListMessage, 1);
+    *copy = *body;
+    return (PhMessage){.interface = PH_INTERFACE_LIST,
+                       .body = copy,
+                       .release = message_release};
+}
+
+/* Copies a reading with its strings. */
+PhListReading
+PhListReading_Copy(const PhListReading *reading)
+{
+    PhListReading copy = *reading;
+    copy.entries = g_new(PhListEntry, reading->entry_count);
+    for (size_t i = 0; i < reading->entry_count; i++) {
+        PhListEntry *e = &copy.entries[i];
+        *e = reading->entries[i];
+        e->id = PhStr_Dup(e->id);
+        e->data_centre = PhStr_Dup(e->data_centre);
+        e->rack = PhStr_Dup(e->rack);
+        e->address = PhStr_Dup(e->address);
+        e->services = PhStr_Dup(e->services);
+    }
+    return copy;
+}
+
+/* Releases what a reading owns. */
+void
+PhListReading_Clear(PhListReading *reading)
+{
+    for (size_t i = 0; i < reading->entry_count; i++) {
+        PhListEntry *e = &reading->entries[i];
+        PhStr_Clear(&e->id);
+        PhStr_Clear(&e->data_centre);
+        PhStr_Clear(&e->rack);
+        PhStr_Clear(&e->address);
+        PhStr_Clear(&e->services);
+    }
+    g_free(reading->entries);
+    *reading = (PhListReading){0};
+}
+
+/* Sends the last reading to one subscriber. */
+static void
+send_reading(PhListTask *list, PhTask *self, PhTaskRef to)
+{
+    PhListMessage m = {.tag = PH_LIST_READING,
+                       .as.reading = PhListReading_Copy(&list->last)};
+    PhTask_Send(self, to, PhListMessage_Wrap(&m));
+}
+
+/* Sends the last reading to all subscribers. */
+static void
+publish(PhListTask *list, PhTask *self)
+{
+    for (guint i = 0; i < list->subscribers->len; i++) {
+        send_reading(list, self,
+                     g_array_index(list->subscribers, PhTaskRef, i));
+    }
+}
+
+/* Asks the platform for its list and sets the time of the next poll. */
+static void
+poll_list(PhListTask *list, PhTask *self)
+{
+    PhTime now = PhTask_Now(self);
+    PhHttpMessage m = {.tag = PH_HTTP_SEND,
+                       .as.send = {.id = ++list->poll_id,
+                                   .method = PhStr_Dup(PhStr_LITERAL("GET")),
+                                   .address = PhStr_Dup(list->address),
+                                   .target = PhStr_Dup(PhStr_LITERAL("/list")),
+                                   .deadline = now + POLL_DEADLINE,
+                                   .first_byte = PH_TIME_NEVER,
+                                   .answer_limit_bytes = ANSWER_LIMIT_BYTES}};
+    PhTask_SendTo(self, PH_SERVICE_HTTP, PhHttpMessage_Wrap(&m));
+    PhTask_SetTimer(self, POLL_TIMER, now + list->poll_interval);
+}
+
+/* Takes the platform's answer; a failed one keeps no entries, so that
+ * subscribers can tell that the platform is not heard. */
+static void
+on_reply(PhListTask *list, PhTask *self, const PhHttpReply *reply)
+{
+    if (reply->id != list->poll_id) {
+        return;
+    }
+    PhListReading next = {.status = PH_STATUS_UNAVAILABLE};
+    if (reply->outcome == PH_HTTP_ANSWERED && reply->status == 200) {
+        PhResult r = PhListJson_Decode(reply->body, &next);
+        next.status = PhResult_IsOk(&r) ? PH_STATUS_OK : PH_STATUS_UNAVAILABLE;
+    }
+    next.read_at = PhTask_Now(self);
+    PhListReading_Clear(&list->last);
+    list->last = next;
+    publish(list, self);
+}
+
+/* Acts on a message from a subscriber or from "http". */
+static void
+on_message(PhListTask *list, PhTask *self, const PhMail *mail)
+{
+    if (mail->as.message.interface == PH_INTERFACE_HTTP) {
+        const PhHttpMessage *m = mail->as.message.body;
+        if (m->tag == PH_HTTP_REPLY) {
+            on_reply(list, self, &m->as.reply);
+        }
+        return;
+    }
+    if (mail->as.message.interface != PH_INTERFACE_LIST) {
+        return;
+    }
+    const PhListMessage *m = mail->as.message.body;
+    switch (m->tag) {
+    case PH_LIST_SUBSCRIBE:
+        g_array_append_val(list->subscribers, mail->from);
+        PhTask_Monitor(self, mail->from);
+        if (list->last.status != PH_STATUS_NOT_FOUND) {
+            send_reading(list, self, mail->from);
+        }
+        break;
+    case PH_LIST_READING:
+        break;
+    }
+}
+
+/* Forgets a subscriber that has ended. */
+static void
+on_ended(PhListTask *list, PhTaskRef ended)
+{
+    for (guint i = 0; i < list->subscribers->len; i++) {
+        if (PhTaskRef_Equal(g_array_index(list->subscribers, PhTaskRef, i),
+                            ended)) {
+            g_array_remove_index_fast(list->subscribers, i);
+            return;
+        }
+    }
+}
+
+/* Handles a mail of the task "list". */
+static void
+list_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhListTask *list = state;
+    switch (mail->kind) {
+    case PH_MAIL_START:
+    case PH_MAIL_TIMER:
+        poll_list(list, self);
+        break;
+    case PH_MAIL_MESSAGE:
+        on_message(list, self, mail);
+        break;
+    case PH_MAIL_IO:
+        break;
+    case PH_MAIL_ENDED:
+        on_ended(list, mail->as.ended);
+        break;
+    case PH_MAIL_STOP:
+        PhTask_End(self);
+        break;
+    }
+}
+
+/* Releases the state of the task. */
+static void
+list_destroy(void *state)
+{
+    PhListTask *list = state;
+    PhStr_Clear(&list->address);
+    PhListReading_Clear(&list->last);
+    g_array_free(list->subscribers, TRUE);
+    g_free(list);
+}
+
+/* Starts the task "list". */
+PhStatus
+PhPlatformList_Start(PhKernel *kernel, const PhListOptions *options)
+{
+    PhListTask *list = g_new0(PhListTask, 1);
+    list->address = PhStr_Dup(options->address);
+    list->poll_interval = options->poll_interval;
+    list->last.status = PH_STATUS_NOT_FOUND;
+    list->subscribers = g_array_new(FALSE, FALSE, sizeof(PhTaskRef));
+    PhTaskSpec spec = {.name = PH_SERVICE_LIST,
+                       .mailbox_capacity = MAILBOX_CAPACITY,
+                       .state = list,
+                       .handle = list_handle,
+                       .destroy = list_destroy};
+    PhStatus status = PhKernel_Spawn(kernel, &spec, NULL);
+    if (status != PH_STATUS_OK) {
+        list_destroy(list);
+    }
+    return status;
+}
--- /dev/null
+++ b/tests/platform/test_http.c
@@ -0,0 +1,313 @@
+#include "peridothill/services/http.h"
+
+#include <unistd.h>
+
+#include "peridothill/codec/list_json.h"
+#include "peridothill/codec/log_json.h"
+#include "peridothill/services/interface.h"
+#include "peridothill/services/listener.h"
+#include "tests/table.h"
+
+/* What the server does with a request. */
+typedef enum PhServerAction {
+    SERVER_ANSWERS,
+    SERVER_IS_SILENT,
+    SERVER_IS_ABSENT,
+} PhServerAction;
+
+/* One request and how it ends. */
+typedef struct PhHttpCase {
+    const char *name;
+    PhServerAction action;
+    size_t body_bytes;
+    size_t answer_limit_bytes;
+    PhTime first_byte_ms;
+    PhHttpOutcome outcome;
+    PhHttpFailure failure;
+    int status;
+} PhHttpCase;
+
+static const PhHttpCase http_cases[] = {
+    {"answered", SERVER_ANSWERS, 10, 1000, 0, PH_HTTP_ANSWERED,
+     PH_HTTP_FAILURE_NONE, 200},
+    {"empty body", SERVER_ANSWERS, 0, 1000, 0, PH_HTTP_ANSWERED,
+     PH_HTTP_FAILURE_NONE, 200},
+    {"64 KB body", SERVER_ANSWERS, 65536, 65536, 0, PH_HTTP_ANSWERED,
+     PH_HTTP_FAILURE_NONE, 200},
+    {"answer over the limit", SERVER_ANSWERS, 1001, 1000, 0, PH_HTTP_UNKNOWN,
+     PH_HTTP_FAILURE_TOO_LARGE, 200},
+    {"body over the server's limit", SERVER_ANSWERS, 65537, 100, 0,
+     PH_HTTP_ANSWERED, PH_HTTP_FAILURE_NONE, 413},
+    {"no first byte", SERVER_IS_SILENT, 10, 1000, 30, PH_HTTP_UNKNOWN,
+     PH_HTTP_FAILURE_FIRST_BYTE, 0},
+    {"no answer by the deadline", SERVER_IS_SILENT, 10, 1000, 0,
+     PH_HTTP_UNKNOWN, PH_HTTP_FAILURE_DEADLINE, 0},
+    {"nobody listens", SERVER_IS_ABSENT, 10, 1000, 0, PH_HTTP_NOT_SENT,
+     PH_HTTP_FAILURE_CONNECT, 0},
+};
+
+/* A task that serves, then sends one request to itself. */
+typedef struct PhEcho {
+    const PhHttpCase *c;
+    PhTask *self;
+    PhListener *listener;
+    struct ev_loop *loop;
+    bool done;
+    bool gone;
+    size_t served;
+} PhEcho;
+
+/* Ends the loop once the reply has come and, for a request that was not
+ * answered, the server has seen its caller go. */
+static void
+finish_if_done(PhEcho *e)
+{
+    if (e->done && (e->c->action != SERVER_IS_SILENT || e->gone)) {
+        ev_break(e->loop, EVBREAK_ALL);
+    }
+}
+
+/* Returns the request's body as the answer. */
+static void
+on_request(void *context, const PhIncoming *incoming)
+{
+    PhEcho *e = context;
+    e->served++;
+    assert_true(PhStr_Equal(incoming->path, PhStr_LITERAL("/a%2Fb")));
+    assert_true(PhStr_Equal(incoming->query, PhStr_LITERAL("k=v%20w&x")));
+    assert_true(PhStr_Equal(PhHttpHeader_Find(incoming->headers,
+                                              incoming->header_count,
+                                              PhStr_LITERAL("x-test")),
+                            PhStr_LITERAL("yes")));
+    if (e->c->action == SERVER_ANSWERS) {
+        PhListener_Answer(e->listener, incoming->id, 200, incoming->headers, 0,
+                          incoming->body);
+    }
+}
+
+/* Notes that the caller has gone. */
+static void
+on_gone(void *context, uint64_t id)
+{
+    PhEcho *e = context;
+    (void)id;
+    e->gone = true;
+    finish_if_done(e);
+}
+
+/* Sends the request of the case. */
+static void
+send_request(PhEcho *e)
+{
+    char *body = g_strnfill(e->c->body_bytes, 'b');
+    PhBuf address = {0};
+    uint16_t port =
+        e->c->action == SERVER_IS_ABSENT ? 1 : PhListener_Port(e->listener);
+    PhTime now = PhTask_Now(e->self);
+    PhBuf_AppendFormat(&address, "127.0.0.1:%u", port);
+    PhHttpMessage m = {
+        .tag = PH_HTTP_SEND,
+        .as.send = {.id = 77,
+                    .method = PhStr_Dup(PhStr_LITERAL("POST")),
+                    .address = PhBuf_Take(&address),
+                    .target = PhStr_Dup(PhStr_LITERAL("/a%2Fb?k=v%20w&x")),
+                    .body = PhStr_FromBytes(body, e->c->body_bytes),
+                    .deadline = now + (e->c->action == SERVER_ANSWERS
+                                           ? 20 * PH_NS_PER_S
+                                           : 60 * PH_NS_PER_MS),
+                    .first_byte =
+                        e->c->first_byte_ms == 0
+                            ? PH_TIME_NEVER
+                            : now + e->c->first_byte_ms * PH_NS_PER_MS,
+                    .answer_limit_bytes = e->c->answer_limit_bytes}};
+    PhHttpHeader_Add(&m.as.send.headers, &m.as.send.header_count,
+                     PhStr_LITERAL("X-Test"), PhStr_LITERAL("yes"));
+    assert_int_equal(
+        PhTask_SendTo(e->self, PH_SERVICE_HTTP, PhHttpMessage_Wrap(&m)),
+        PH_STATUS_OK);
+}
+
+/* Checks the reply against the case. */
+static void
+check_reply(PhEcho *e, const PhHttpReply *reply)
+{
+    assert_int_equal(reply->id, 77);
+    assert_int_equal(reply->outcome, e->c->outcome);
+    assert_int_equal(reply->failure, e->c->failure);
+    assert_int_equal(reply->status, e->c->status);
+    if (reply->outcome == PH_HTTP_ANSWERED && reply->status == 200) {
+        assert_int_equal(reply->body.len, e->c->body_bytes);
+    }
+    e->done = true;
+    finish_if_done(e);
+}
+
+/* Serves and calls. */
+static void
+echo_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhEcho *e = state;
+    e->self = self;
+    if (mail->kind == PH_MAIL_START) {
+        PhListenerOptions options = {.address = PhStr_LITERAL("127.0.0.1:0"),
+                                     .body_limit_bytes = 65536,
+                                     .connection_limit = 8,
+                                     .idle_timeout_s = 5,
+                                     .context = e,
+                                     .on_request = on_request,
+                                     .on_gone = on_gone};
+        PhResult r = PhListener_Create(self, &options, &e->listener);
+        assert_int_equal(r.status, PH_STATUS_OK);
+        send_request(e);
+        return;
+    }
+    if (PhListener_Handle(e->listener, mail)) {
+        return;
+    }
+    if (mail->kind == PH_MAIL_MESSAGE &&
+        mail->as.message.interface == PH_INTERFACE_HTTP) {
+        const PhHttpMessage *m = mail->as.message.body;
+        assert_int_equal(m->tag, PH_HTTP_REPLY);
+        check_reply(e, &m->as.reply);
+    }
+}
+
+/* Closes the listener with its task. */
+static void
+echo_destroy(void *state)
+{
+    PhListener_Destroy(((PhEcho *)state)->listener);
+}
+
+/* Runs one request over real sockets. */
+static void
+check_http(const PhHttpCase *c)
+{
+    struct ev_loop *loop = ev_loop_new(0);
+    PhClock *clock = PhClock_Create(PH_CLOCK_REAL);
+    PhCounters *counters = PhCounters_Create();
+    PhKernel *kernel = PhKernel_Create(&(PhKernelOptions){
+        .clock = clock, .loop = loop, .counters = counters});
+    PhEcho e = {.c = c, .loop = loop};
+    assert_int_equal(PhHttp_Start(kernel), PH_STATUS_OK);
+    PhTaskSpec spec = {.name = PhStr_LITERAL("echo"),
+                       .mailbox_capacity = 16,
+                       .state = &e,
+                       .handle = echo_handle,
+                       .destroy = echo_destroy};
+    assert_int_equal(PhKernel_Spawn(kernel, &spec, NULL), PH_STATUS_OK);
+    ev_run(loop, 0);
+    assert_int_equal(e.served,
+                     c->action != SERVER_IS_ABSENT && c->status != 413);
+    PhKernel_Destroy(kernel);
+    PhCounters_Destroy(counters);
+    PhClock_Destroy(clock);
+    ev_loop_destroy(loop);
+}
+
+/* Requests over real sockets, each with its outcome. */
+static void
+test_http(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(http_cases, check_http);
+}
+
+/* A query, a key, and the value. */
+typedef struct PhQueryCase {
+    const char *name;
+    const char *query;
+    bool found;
+    const char *value;
+} PhQueryCase;
+
+static const PhQueryCase query_cases[] = {
+    {"found", "a=1&k=2", true, "2"},    {"decoded", "k=a%20b", true, "a b"},
+    {"no value", "k", true, ""},        {"missing", "a=1", false, ""},
+    {"bad escape", "k=%zz", false, ""}, {"empty", "", false, ""},
+};
+
+/* Reads one value. */
+static void
+check_query(const PhQueryCase *c)
+{
+    PhStr value = {0};
+    assert_int_equal(PhListener_QueryValue(PhStr_FromC(c->query),
+                                           PhStr_LITERAL("k"), &value),
+                     c->found);
+    assert_true(PhStr_Equal(value, PhStr_FromC(c->value)));
+    PhStr_Clear(&value);
+}
+
+/* Values of a query string. */
+static void
+test_query(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(query_cases, check_query);
+}
+
+/* A text of the platform and how many entries or records it gives; -1 when
+ * it is refused. */
+typedef struct PhDecodeCase {
+    const char *name;
+    const char *list;
+    int entries;
+    const char *records;
+    int record_count;
+} PhDecodeCase;
+
+static const PhDecodeCase decode_cases[] = {
+    {"empty", "{\"entries\":[]}", 0,
+     "{\"first\":0,\"next\":0,\"end\":0,\"records\":[]}", 0},
+    {"one",
+     "{\"entries\":[{\"id\":\"w\",\"role\":\"worker\",\"state\":"
+     "\"live\",\"slots\":-5}]}",
+     1,
+     "{\"first\":0,\"next\":1,\"end\":1,\"records\":[{\"offset\":0,"
+     "\"body\":\"a\\u0000b\"}]}",
+     1},
+    {"unknown role",
+     "{\"entries\":[{\"id\":\"w\",\"role\":\"x\",\"state\":"
+     "\"live\"}]}",
+     0, "{\"first\":0,\"next\":1,\"end\":1,\"records\":[{\"body\":\"a\"}]}",
+     -1},
+    {"no JSON", "<html>", -1, "", -1},
+    {"other JSON", "[]", -1, "{}", -1},
+};
+
+/* Decodes one list and one answer of the log. */
+static void
+check_decode(const PhDecodeCase *c)
+{
+    PhListReading reading = {0};
+    PhLogRecords records = {0};
+    PhResult r = PhListJson_Decode(PhStr_FromC(c->list), &reading);
+    assert_int_equal(PhResult_IsOk(&r), c->entries >= 0);
+    assert_int_equal(reading.entry_count, MAX(c->entries, 0));
+    r = PhLogJson_DecodeRecords(PhStr_FromC(c->records), &records);
+    assert_int_equal(PhResult_IsOk(&r), c->record_count >= 0);
+    assert_int_equal(records.record_count, MAX(c->record_count, 0));
+    PhListReading_Clear(&reading);
+    PhLogRecords_Clear(&records);
+}
+
+/* What the platform answers, good and bad. */
+static void
+test_decode(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(decode_cases, check_decode);
+}
+
+/* Runs the tests of HTTP and of the platform's forms. */
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_http),
+        cmocka_unit_test(test_query),
+        cmocka_unit_test(test_decode),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
