--- a/include/peridothill/services/listener.h
+++ b/include/peridothill/services/listener.h
@@ -49,6 +49,9 @@
 PhListener_Answer(PhListener *listener, uint64_t id, int status,
                   const PhHttpHeader *headers, size_t header_count,
                   PhStr body);
+/* Closes the connection of a request without an answer. */
+void
+PhListener_Drop(PhListener *listener, uint64_t id);
 /* Stops taking new connections; those that are open go on. */
 void
 PhListener_Quiesce(PhListener *listener);
--- a/services/platform/listener.c
+++ b/services/platform/listener.c
@@ -25,6 +25,7 @@
     bool too_large;
     bool handed_over;
     bool suspended;
+    bool dropped;
     int fd; /* watched for the caller's close, or -1 */
     struct MHD_Response *response;
     int status;
@@ -236,6 +237,9 @@
         hand_over(x, PhStr_FromC(method), PhStr_FromC(url), PhBuf_Str(&query));
         PhBuf_Clear(&query);
     }
+    if (x->dropped) {
+        return MHD_NO;
+    }
     if (x->response == NULL) {
         x->suspended = true;
         watch_caller(x);
@@ -450,6 +454,23 @@
     }
 }
 
+/* Closes the connection of a request that waits. */
+void
+PhListener_Drop(PhListener *l, uint64_t id)
+{
+    PhExchange *x = g_hash_table_lookup(l->exchanges, &id);
+    if (x == NULL) {
+        return;
+    }
+    g_hash_table_remove(l->exchanges, &id);
+    exchange_unwatch(x);
+    x->dropped = true;
+    if (x->suspended) {
+        x->suspended = false;
+        MHD_resume_connection(x->connection);
+    }
+}
+
 /* Stops listening; the connections that are open go on. */
 void
 PhListener_Quiesce(PhListener *l)
--- /dev/null
+++ b/standin/log.c
@@ -0,0 +1,292 @@
+#include "peridothill/codec/json.h"
+#include "peridothill/codec/log_json.h"
+#include "peridothill/services/listener.h"
+#include "peridothill/standin/standin.h"
+
+#include <inttypes.h>
+
+enum {
+    MAILBOX_CAPACITY = 16,
+    BODY_LIMIT_BYTES = 8 * 1024 * 1024,
+    CONNECTION_LIMIT = 256,
+    IDLE_TIMEOUT_S = 60,
+    READ_LIMIT = 1000,
+    STATUS_OK = 200,
+    STATUS_BAD_REQUEST = 400,
+    STATUS_NOT_FOUND = 404,
+    STATUS_GONE = 410,
+    STATUS_TOO_MANY = 429,
+    STATUS_UNAVAILABLE = 503,
+};
+
+/* An answer that waits for its time; status 0 drops the connection. */
+typedef struct PhDelayed {
+    uint64_t exchange;
+    int status;
+    PhStr body;
+} PhDelayed;
+
+/* State of the log's task. */
+typedef struct PhLogServer {
+    PhTask *self;
+    PhFakeLog *log;
+    PhStr listen;
+    PhListener *listener;
+    GHashTable *delayed; /* PhDelayed by exchange, which is the timer token */
+    PhResult started;
+} PhLogServer;
+
+/* Releases an answer that waits. */
+static void
+delayed_destroy(gpointer value)
+{
+    PhDelayed *d = value;
+    PhStr_Clear(&d->body);
+    g_free(d);
+}
+
+/* Answers at the time that the log gives; takes over the body. */
+static void
+answer_at(PhLogServer *s, uint64_t exchange, PhTime at, int status, PhStr body)
+{
+    PhDelayed *d = g_new(PhDelayed, 1);
+    *d = (PhDelayed){.exchange = exchange, .status = status, .body = body};
+    g_hash_table_insert(s->delayed, &d->exchange, d);
+    PhTask_SetTimer(s->self, exchange, at);
+}
+
+/* Gives the HTTP status of an answer of the log; a lost answer has none. */
+static int
+http_status(PhStatus status)
+{
+    switch (status) {
+    case PH_STATUS_OK:
+        return STATUS_OK;
+    case PH_STATUS_EXPIRED:
+        return STATUS_GONE;
+    case PH_STATUS_FULL:
+        return STATUS_TOO_MANY;
+    case PH_STATUS_UNKNOWN:
+        return 0;
+    case PH_STATUS_INVALID:
+    case PH_STATUS_NOT_FOUND:
+    case PH_STATUS_EXISTS:
+    case PH_STATUS_CONFLICT:
+    case PH_STATUS_GONE:
+    case PH_STATUS_UNAVAILABLE:
+    case PH_STATUS_TIMEOUT:
+    case PH_STATUS_DENIED:
+    case PH_STATUS_TOO_LARGE:
+    case PH_STATUS_IO:
+        break;
+    }
+    return STATUS_UNAVAILABLE;
+}
+
+/* Appends the records of a request in order; the last answer counts. */
+static void
+append(PhLogServer *s, const PhIncoming *incoming, PhStr stream)
+{
+    PhStr *records = NULL;
+    size_t count = 0;
+    PhTime now = PhTask_Now(s->self);
+    PhResult r = PhLogJson_DecodeAppend(incoming->body, &records, &count);
+    if (!PhResult_IsOk(&r)) {
+        answer_at(s, incoming->id, now, STATUS_BAD_REQUEST, (PhStr){0});
+        return;
+    }
+    PhFakeLogAnswer last = {.status = PH_STATUS_OK};
+    PhBuf body = {0};
+    for (size_t i = 0; i < count; i++) {
+        PhFakeLogAnswer a = PhFakeLog_Append(s->log, now, stream, records[i]);
+        if (i == 0) {
+            PhBuf_AppendFormat(&body, "{\"first\":%" PRIu64 "}", a.offset);
+        }
+        if (last.status == PH_STATUS_OK) {
+            last = a;
+        }
+        PhStr_Clear(&records[i]);
+    }
+    g_free(records);
+    answer_at(s, incoming->id, last.at, http_status(last.status),
+              PhBuf_Take(&body));
+}
+
+/* Reads a number of the query, or gives the fallback. */
+static uint64_t
+query_number(PhStr query, PhStr key, uint64_t fallback)
+{
+    PhStr text = {0};
+    uint64_t number = fallback;
+    if (PhListener_QueryValue(query, key, &text) &&
+        !PhStr_ParseU64(text, &number)) {
+        number = fallback;
+    }
+    PhStr_Clear(&text);
+    return number;
+}
+
+/* Reads records of a stream. */
+static void
+read_records(PhLogServer *s, const PhIncoming *incoming, PhStr stream)
+{
+    uint64_t from = query_number(incoming->query, PhStr_LITERAL("from"), 0);
+    uint64_t limit =
+        query_number(incoming->query, PhStr_LITERAL("limit"), READ_LIMIT);
+    GArray *found = g_array_new(FALSE, FALSE, sizeof(PhFakeRecord));
+    PhFakeLogAnswer a =
+        PhFakeLog_Read(s->log, PhTask_Now(s->self), stream, from,
+                       (uint32_t)MIN(limit, READ_LIMIT), found);
+    PhLogRecords records = {.first = a.first,
+                            .next = a.offset,
+                            .end = a.offset,
+                            .records = g_new0(PhLogRecord, found->len),
+                            .record_count = found->len};
+    for (guint i = 0; i < found->len; i++) {
+        const PhFakeRecord *f = &g_array_index(found, PhFakeRecord, i);
+        records.records[i] =
+            (PhLogRecord){.offset = f->offset,
+                          .appended_ms = f->appended / PH_NS_PER_MS,
+                          .body = f->data};
+    }
+    answer_at(s, incoming->id, a.at, http_status(a.status),
+              PhLogJson_EncodeRecords(&records));
+    g_free(records.records);
+    g_array_free(found, TRUE);
+}
+
+/* Finds the stream in "/streams/NAME/records". */
+static bool
+stream_of(PhStr path, PhStr *stream)
+{
+    PhStr prefix = PhStr_LITERAL("/streams/");
+    PhStr rest;
+    if (!PhStr_StartsWith(path, prefix)) {
+        return false;
+    }
+    PhStr_Cut(PhStr_Slice(path, prefix.len, path.len), '/', stream, &rest);
+    return stream->len > 0 && PhStr_Equal(rest, PhStr_LITERAL("records"));
+}
+
+/* Takes an append or a read. */
+static void
+on_request(void *context, const PhIncoming *incoming)
+{
+    PhLogServer *s = context;
+    PhStr stream;
+    if (!stream_of(incoming->path, &stream)) {
+        PhListener_Answer(s->listener, incoming->id, STATUS_NOT_FOUND, NULL, 0,
+                          (PhStr){0});
+        return;
+    }
+    if (PhStr_Equal(incoming->method, PhStr_LITERAL("POST"))) {
+        append(s, incoming, stream);
+    }
+    else {
+        read_records(s, incoming, stream);
+    }
+}
+
+/* A caller that goes away does not undo what was appended. */
+static void
+on_gone(void *context, uint64_t id)
+{
+    PhLogServer *s = context;
+    g_hash_table_remove(s->delayed, &id);
+}
+
+/* Gives the answer whose time has come. */
+static void
+on_due(PhLogServer *s, uint64_t exchange)
+{
+    const PhDelayed *d = g_hash_table_lookup(s->delayed, &exchange);
+    if (d == NULL) {
+        return;
+    }
+    if (d->status == 0) {
+        PhListener_Drop(s->listener, exchange);
+    }
+    else {
+        PhListener_Answer(s->listener, exchange, d->status, NULL, 0, d->body);
+    }
+    g_hash_table_remove(s->delayed, &exchange);
+}
+
+/* Opens the listener. */
+static void
+log_start(PhLogServer *s, PhTask *self)
+{
+    s->self = self;
+    PhListenerOptions options = {.address = s->listen,
+                                 .body_limit_bytes = BODY_LIMIT_BYTES,
+                                 .connection_limit = CONNECTION_LIMIT,
+                                 .idle_timeout_s = IDLE_TIMEOUT_S,
+                                 .context = s,
+                                 .on_request = on_request,
+                                 .on_gone = on_gone};
+    s->started = PhListener_Create(self, &options, &s->listener);
+}
+
+/* Handles a mail of the log's task. */
+static void
+log_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhLogServer *s = state;
+    if (s->listener != NULL && PhListener_Handle(s->listener, mail)) {
+        return;
+    }
+    switch (mail->kind) {
+    case PH_MAIL_START:
+        log_start(s, self);
+        break;
+    case PH_MAIL_TIMER:
+        on_due(s, mail->as.timer);
+        break;
+    case PH_MAIL_MESSAGE:
+    case PH_MAIL_IO:
+    case PH_MAIL_ENDED:
+        break;
+    case PH_MAIL_STOP:
+        PhTask_End(self);
+        break;
+    }
+}
+
+/* Releases the state of the task. */
+static void
+log_destroy(void *state)
+{
+    PhLogServer *s = state;
+    PhListener_Destroy(s->listener);
+    g_hash_table_destroy(s->delayed);
+    PhStr_Clear(&s->listen);
+    g_free(s);
+}
+
+/* Starts the log's task and tells its port. */
+PhResult
+PhStandinLog_Start(PhKernel *kernel, const PhStandinLogOptions *options,
+                   uint16_t *port)
+{
+    PhLogServer *s = g_new0(PhLogServer, 1);
+    s->log = options->log;
+    s->listen = PhStr_Dup(options->listen);
+    s->delayed = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+                                       delayed_destroy);
+    PhTaskSpec spec = {.name = options->name,
+                       .mailbox_capacity = MAILBOX_CAPACITY,
+                       .state = s,
+                       .handle = log_handle,
+                       .destroy = log_destroy};
+    PhStatus status = PhKernel_Spawn(kernel, &spec, NULL);
+    if (status != PH_STATUS_OK) {
+        log_destroy(s);
+        return PhResult_Make(status, "cannot start the stand-in %.*s",
+                             PhStr_ARG(options->name));
+    }
+    PhKernel_Drain(kernel, SIZE_MAX);
+    if (PhResult_IsOk(&s->started)) {
+        *port = PhListener_Port(s->listener);
+    }
+    return s->started;
+}
