--- a/codec/json.c
+++ b/codec/json.c
@@ -49,3 +49,25 @@
     const json_t *v = json_object_get(object, key);
     return json_is_integer(v) ? json_integer_value(v) : fallback;
 }
+
+/* Reads a string of a bounded length. */
+bool
+PhJson_ReadStr(const json_t *value, size_t bound, PhStr *s)
+{
+    if (!json_is_string(value) || json_string_length(value) > bound) {
+        return false;
+    }
+    *s = PhStr_FromBytes(json_string_value(value), json_string_length(value));
+    return true;
+}
+
+/* Reads a number that is not negative. */
+bool
+PhJson_ReadU64(const json_t *value, uint64_t *number)
+{
+    if (!json_is_integer(value) || json_integer_value(value) < 0) {
+        return false;
+    }
+    *number = (uint64_t)json_integer_value(value);
+    return true;
+}
--- /dev/null
+++ b/decide/config/config_appender.c
@@ -0,0 +1,378 @@
+#include "peridothill/decide/config/config_appender.h"
+
+#include "peridothill/common/invariant.h"
+
+enum {
+    BATCH_PATCHES = 32,
+    BURST_PATCHES = 64, /* sent at once while the log is well */
+};
+
+#define PROBE_INTERVAL_NS (8 * PH_NS_PER_S)
+#define CALM_AFTER_NS (10 * PH_NS_PER_S)
+#define RETRY_MIN_NS (500 * PH_NS_PER_MS)
+#define RETRY_MAX_NS (8 * PH_NS_PER_S)
+
+typedef enum PhPendingState {
+    PENDING_QUEUED,
+    PENDING_IN_FLIGHT,
+    PENDING_APPENDED, /* in the log, not yet decided here */
+} PhPendingState;
+
+/* A patch without an answer. */
+typedef struct PhPending {
+    uint64_t request;
+    PhConfigPatch patch;
+    PhTime deadline;
+    PhPendingState state;
+    bool unsure; /* an earlier append may have taken effect */
+} PhPending;
+
+struct PhConfigAppender {
+    PhConfigAppenderOptions options;
+    GQueue pending; /* PhPending in order of arrival */
+    size_t instances;
+    double tokens;
+    PhTime tokens_at;
+    bool in_flight;
+    bool paced; /* after a failure, until the queue was empty for a while */
+    bool down;  /* the log did not answer */
+    PhTime retry;
+    PhTime not_before;
+    PhTime calm_at;
+};
+
+/* Releases what an action owns. */
+static void
+action_clear(gpointer data)
+{
+    PhAppendAction *a = data;
+    switch (a->kind) {
+    case PH_APPEND_ACTION_APPEND:
+        for (size_t i = 0; i < a->as.append.count; i++) {
+            PhConfigPatch_Clear(&a->as.append.patches[i]);
+        }
+        g_free(a->as.append.patches);
+        break;
+    case PH_APPEND_ACTION_ANSWER:
+        PhStr_Clear(&a->as.answer.id);
+        break;
+    }
+}
+
+/* Creates a list that releases its actions. */
+GArray *
+PhAppendActions_Create(void)
+{
+    GArray *actions = g_array_new(FALSE, FALSE, sizeof(PhAppendAction));
+    g_array_set_clear_func(actions, action_clear);
+    return actions;
+}
+
+/* Creates an appender with an empty queue. */
+PhConfigAppender *
+PhConfigAppender_Create(const PhConfigAppenderOptions *options)
+{
+    PhConfigAppender *a = g_new0(PhConfigAppender, 1);
+    a->options = *options;
+    g_queue_init(&a->pending);
+    a->instances = 1;
+    a->tokens = BURST_PATCHES;
+    a->retry = RETRY_MIN_NS;
+    a->calm_at = PH_TIME_NEVER;
+    return a;
+}
+
+/* Releases a patch that waits. */
+static void
+pending_destroy(gpointer data)
+{
+    PhPending *p = data;
+    PhConfigPatch_Clear(&p->patch);
+    g_free(p);
+}
+
+/* Releases an appender; NULL is allowed. */
+void
+PhConfigAppender_Destroy(PhConfigAppender *a)
+{
+    if (a != NULL) {
+        g_queue_clear_full(&a->pending, pending_destroy);
+        g_free(a);
+    }
+}
+
+/* Appends an answer. */
+static void
+answer(GArray *actions, uint64_t request, PhStr id, PhResult result,
+       uint64_t version)
+{
+    PhAppendAction action = {.kind = PH_APPEND_ACTION_ANSWER,
+                             .as.answer = {.request = request,
+                                           .id = PhStr_Dup(id),
+                                           .result = result,
+                                           .version = version}};
+    g_array_append_val(actions, action);
+}
+
+/* The share of the rate that this instance may use, a second. */
+static double
+rate_share(const PhConfigAppender *a)
+{
+    return (double)a->options.appends_per_second / (double)a->instances;
+}
+
+/* Adds the tokens of the time that has passed. */
+static void
+tokens_refill(PhConfigAppender *a, PhTime now)
+{
+    double passed = (double)(now - a->tokens_at) / (double)PH_NS_PER_S;
+    a->tokens = MIN(a->tokens + passed * rate_share(a), BURST_PATCHES);
+    a->tokens_at = now;
+    if (now >= a->calm_at) {
+        a->calm_at = PH_TIME_NEVER;
+        a->paced = false;
+        a->tokens = BURST_PATCHES;
+    }
+}
+
+/* Starts pacing from no tokens, at a random time of one share's length. */
+static void
+pace(PhConfigAppender *a, PhTime now)
+{
+    PhTime spread = (PhTime)((double)PH_NS_PER_S / rate_share(a));
+    a->paced = true;
+    a->calm_at = PH_TIME_NEVER;
+    a->tokens = PhRandom_Unit(a->options.random);
+    a->tokens_at = now;
+    a->not_before =
+        now + (PhTime)PhRandom_Below(a->options.random, (uint64_t)spread + 1);
+}
+
+/* Counts the patches that are to be appended. */
+static size_t
+queued_count(const PhConfigAppender *a)
+{
+    size_t count = 0;
+    for (const GList *i = a->pending.head; i != NULL; i = i->next) {
+        count += ((const PhPending *)i->data)->state == PENDING_QUEUED;
+    }
+    return count;
+}
+
+/* Sends the next batch when the pace allows it. */
+static void
+append_next(PhConfigAppender *a, PhTime now, GArray *actions)
+{
+    tokens_refill(a, now);
+    size_t count = MIN(queued_count(a), BATCH_PATCHES);
+    if (a->in_flight || count == 0 || now < a->not_before || a->tokens < 1) {
+        return;
+    }
+    count = MIN(count, (size_t)a->tokens);
+    if (a->down) {
+        count = 1;
+    }
+    PhAppendAction action = {.kind = PH_APPEND_ACTION_APPEND,
+                             .as.append.patches =
+                                 g_new0(PhConfigPatch, count)};
+    for (GList *i = a->pending.head;
+         i != NULL && action.as.append.count < count; i = i->next) {
+        PhPending *p = i->data;
+        if (p->state == PENDING_QUEUED) {
+            p->state = PENDING_IN_FLIGHT;
+            action.as.append.patches[action.as.append.count++] =
+                PhConfigPatch_Copy(&p->patch);
+        }
+    }
+    a->tokens -= (double)count;
+    a->in_flight = true;
+    g_array_append_val(actions, action);
+}
+
+/* Takes a patch into the queue. */
+static void
+handle_submit(PhConfigAppender *a, const PhAppendEvent *event, GArray *actions)
+{
+    const PhConfigPatch *patch = event->as.submit.patch;
+    if (a->pending.length >= a->options.queue_limit) {
+        answer(actions, event->as.submit.request, patch->id,
+               PhResult_Make(PH_STATUS_UNAVAILABLE,
+                             "not accepted: too many patches wait"),
+               0);
+        return;
+    }
+    PhPending *p = g_new0(PhPending, 1);
+    p->request = event->as.submit.request;
+    p->patch = PhConfigPatch_Copy(patch);
+    p->deadline = event->as.submit.deadline;
+    g_queue_push_tail(&a->pending, p);
+}
+
+/* Notes the outcome for the patches in flight. */
+static void
+in_flight_end(PhConfigAppender *a, PhStatus status)
+{
+    a->in_flight = false;
+    for (GList *i = a->pending.head; i != NULL; i = i->next) {
+        PhPending *p = i->data;
+        if (p->state == PENDING_IN_FLIGHT) {
+            p->state =
+                status == PH_STATUS_OK ? PENDING_APPENDED : PENDING_QUEUED;
+            p->unsure |= status == PH_STATUS_UNKNOWN;
+        }
+    }
+}
+
+/* Handles the outcome of an append. */
+static void
+handle_appended(PhConfigAppender *a, PhTime now, PhStatus status)
+{
+    in_flight_end(a, status);
+    if (status == PH_STATUS_OK) {
+        a->down = false;
+        a->retry = RETRY_MIN_NS;
+        if (a->paced && queued_count(a) == 0) {
+            a->calm_at = now + CALM_AFTER_NS;
+        }
+        return;
+    }
+    pace(a, now);
+    a->not_before =
+        now + a->retry / 2 +
+        (PhTime)PhRandom_Below(a->options.random, (uint64_t)a->retry);
+    a->retry = MIN(a->retry * 2, RETRY_MAX_NS);
+    if (status != PH_STATUS_UNKNOWN) {
+        a->down = true;
+        a->not_before =
+            now + PROBE_INTERVAL_NS +
+            (PhTime)PhRandom_Below(a->options.random, PROBE_INTERVAL_NS);
+    }
+}
+
+/* The log answers again: starts at a random time. */
+static void
+handle_log_heard(PhConfigAppender *a, PhTime now)
+{
+    if (a->down) {
+        a->down = false;
+        a->retry = RETRY_MIN_NS;
+        pace(a, now);
+    }
+}
+
+/* Answers the patches with the id of a verdict. */
+static void
+handle_decided(PhConfigAppender *a, const PhConfigVerdict *v, GArray *actions)
+{
+    GList *next;
+    for (GList *i = a->pending.head; i != NULL; i = next) {
+        PhPending *p = i->data;
+        next = i->next;
+        if (!PhStr_Equal(p->patch.id, v->id)) {
+            continue;
+        }
+        answer(actions, p->request, v->id,
+               PhResult_Make(v->status, "%.*s", PhStr_ARG(v->reason)),
+               v->version);
+        pending_destroy(p);
+        g_queue_delete_link(&a->pending, i);
+    }
+}
+
+/* What is true of a patch whose deadline passes. */
+static PhResult
+expiry_result(const PhPending *p)
+{
+    switch (p->state) {
+    case PENDING_QUEUED:
+        return p->unsure
+                   ? PhResult_Make(PH_STATUS_UNKNOWN,
+                                   "the log may have taken the patch")
+                   : PhResult_Make(PH_STATUS_UNAVAILABLE,
+                                   "not accepted: the log does not answer");
+    case PENDING_IN_FLIGHT:
+        return PhResult_Make(PH_STATUS_UNKNOWN,
+                             "the log may have taken the patch");
+    case PENDING_APPENDED:
+        return PhResult_Make(PH_STATUS_UNKNOWN,
+                             "in the log, not yet decided here");
+    }
+    return PhResult_Make(PH_STATUS_UNKNOWN, "unknown");
+}
+
+/* Answers the patches whose deadline has passed. */
+static void
+expire(PhConfigAppender *a, PhTime now, GArray *actions)
+{
+    GList *next;
+    for (GList *i = a->pending.head; i != NULL; i = next) {
+        PhPending *p = i->data;
+        next = i->next;
+        if (now < p->deadline) {
+            continue;
+        }
+        answer(actions, p->request, p->patch.id, expiry_result(p), 0);
+        pending_destroy(p);
+        g_queue_delete_link(&a->pending, i);
+    }
+}
+
+/* Handles one event. */
+void
+PhConfigAppender_Handle(PhConfigAppender *a, PhTime now,
+                        const PhAppendEvent *event, GArray *actions)
+{
+    switch (event->kind) {
+    case PH_APPEND_EVENT_TICK:
+        break;
+    case PH_APPEND_EVENT_SUBMIT:
+        handle_submit(a, event, actions);
+        break;
+    case PH_APPEND_EVENT_APPENDED:
+        Ph_INVARIANT(PH_INVARIANT_PRECONDITION, a->in_flight, "status=%d",
+                     (int)event->as.appended);
+        handle_appended(a, now, event->as.appended);
+        break;
+    case PH_APPEND_EVENT_DECIDED:
+        handle_decided(a, event->as.decided, actions);
+        break;
+    case PH_APPEND_EVENT_LOG_HEARD:
+        handle_log_heard(a, now);
+        break;
+    case PH_APPEND_EVENT_INSTANCES:
+        a->instances = MAX(event->as.instances, 1);
+        break;
+    }
+    expire(a, now, actions);
+    append_next(a, now, actions);
+}
+
+/* When the pace allows the next append. */
+static PhTime
+append_due(const PhConfigAppender *a)
+{
+    if (a->in_flight || queued_count(a) == 0) {
+        return PH_TIME_NEVER;
+    }
+    double missing = MAX(1.0 - a->tokens, 0.0) / rate_share(a);
+    PhTime filled = a->tokens_at + (PhTime)(missing * (double)PH_NS_PER_S) + 1;
+    return MAX(filled, a->not_before);
+}
+
+/* Tells when the next tick is due. */
+PhTime
+PhConfigAppender_NextTick(const PhConfigAppender *a)
+{
+    PhTime next = append_due(a);
+    for (const GList *i = a->pending.head; i != NULL; i = i->next) {
+        next = MIN(next, ((const PhPending *)i->data)->deadline);
+    }
+    return next;
+}
+
+/* Counts the patches without an answer. */
+size_t
+PhConfigAppender_Waiting(const PhConfigAppender *a)
+{
+    return a->pending.length;
+}
--- /dev/null
+++ b/decide/config/config_follower.c
@@ -0,0 +1,385 @@
+#include "peridothill/decide/config/config_follower.h"
+
+#include "decide/config/config_follower_internal.h"
+#include "peridothill/common/invariant.h"
+
+/* Creates a follower that has nothing in force yet. */
+PhConfigFollower *
+PhConfigFollower_Create(const PhConfigFollowerOptions *options)
+{
+    PhConfigFollower *f = g_new0(PhConfigFollower, 1);
+    f->options = *options;
+    f->ledger = PhConfigLedger_Create();
+    g_queue_init(&f->recent);
+    f->recovering = true;
+    f->confirmed_at = -1;
+    f->peers = g_ptr_array_new_with_free_func(PhPeerRow_Destroy);
+    f->by_member = g_hash_table_new(PhStr_KeyHash, PhStr_KeyEqual);
+    f->local_count = 1;
+    f->next_hello = options->now + PhFollower_Jitter(f, GATHER_NS);
+    f->gather_from = options->now + GATHER_NS;
+    f->gather_until = PH_TIME_NEVER;
+    f->fetch_until = PH_TIME_NEVER;
+    f->read_backoff = options->poll_interval;
+    f->next_read = PH_TIME_NEVER;
+    f->snapshot_check = PH_TIME_NEVER;
+    return f;
+}
+
+/* Drops the reference that the queue of recent records holds. */
+static void
+record_release(gpointer record)
+{
+    PhConfigRecord_Unref(record);
+}
+
+/* Releases a follower; NULL is allowed. */
+void
+PhConfigFollower_Destroy(PhConfigFollower *f)
+{
+    if (f == NULL) {
+        return;
+    }
+    g_hash_table_destroy(f->by_member);
+    g_ptr_array_free(f->peers, TRUE);
+    g_queue_clear_full(&f->recent, record_release);
+    PhConfigLedger_Destroy(f->ledger);
+    g_free(f);
+}
+
+/* Appends an action with a copy of its member. */
+void
+PhFollower_Add(GArray *actions, PhConfigAction action)
+{
+    action.member = PhStr_Dup(action.member);
+    g_array_append_val(actions, action);
+}
+
+/* Appends a note. */
+void
+PhFollower_Note(GArray *actions, PhConfigNote note)
+{
+    PhFollower_Add(actions, (PhConfigAction){.kind = PH_CONFIG_ACTION_NOTE,
+                                             .as.note = note});
+}
+
+/* Draws a duration around a mean. */
+PhTime
+PhFollower_Jitter(const PhConfigFollower *f, PhTime mean)
+{
+    return mean / 2 +
+           (PhTime)PhRandom_Below(f->options.random, (uint64_t)mean + 1);
+}
+
+/* Gives the offset of the record to apply next. */
+uint64_t
+PhFollower_Next(const PhConfigFollower *f)
+{
+    return PhConfigLedger_Next(f->ledger);
+}
+
+/* Gives the highest offset that is known to exist. */
+uint64_t
+PhFollower_HighestNext(const PhConfigFollower *f)
+{
+    uint64_t highest = MAX(PhFollower_Next(f), f->log_end);
+    for (guint i = 0; i < f->peers->len; i++) {
+        const PhPeerRow *row = g_ptr_array_index(f->peers, i);
+        if (!row->recovering && row->digest >= 0) {
+            highest = MAX(highest, row->next);
+        }
+    }
+    return highest;
+}
+
+/* Announces the state in force. */
+static void
+announce(const PhConfigFollower *f, GArray *actions)
+{
+    PhFollower_Add(actions,
+                   (PhConfigAction){.kind = PH_CONFIG_ACTION_IN_FORCE,
+                                    .as.in_force = PhConfigState_Ref(
+                                        PhConfigLedger_State(f->ledger))});
+}
+
+/* Announces one verdict. */
+static void
+announce_verdict(const PhConfigVerdict *verdict, GArray *actions)
+{
+    PhFollower_Add(actions, (PhConfigAction){
+                                .kind = PH_CONFIG_ACTION_DECIDED,
+                                .as.decided = PhConfigVerdict_Copy(verdict)});
+}
+
+/* Keeps a record for peers that lag. */
+static void
+recent_add(PhConfigFollower *f, PhConfigRecord *record)
+{
+    g_queue_push_tail(&f->recent, PhConfigRecord_Ref(record));
+    if (f->recent.length > RECENT_RECORDS) {
+        PhConfigRecord_Unref(g_queue_pop_head(&f->recent));
+    }
+}
+
+/* Applies one record. */
+static void
+record_apply(PhConfigFollower *f, PhConfigRecord *record, GArray *actions)
+{
+    const PhConfigVerdict *verdict = PhConfigLedger_Apply(f->ledger, record);
+    recent_add(f, record);
+    switch (record->kind) {
+    case PH_CONFIG_RECORD_PATCH:
+        break;
+    case PH_CONFIG_RECORD_UNREADABLE:
+        PhFollower_Note(actions, PH_CONFIG_NOTE_UNREADABLE);
+        break;
+    }
+    if (verdict != NULL) {
+        announce_verdict(verdict, actions);
+    }
+}
+
+/* Applies the records that follow the ledger, and skips all others. */
+size_t
+PhFollower_Apply(PhConfigFollower *f, PhConfigRecord *const *records,
+                 size_t count, GArray *actions)
+{
+    uint64_t before = PhConfigState_Version(PhConfigLedger_State(f->ledger));
+    size_t applied = 0;
+    for (size_t i = 0; i < count; i++) {
+        if (records[i]->offset == PhFollower_Next(f)) {
+            record_apply(f, records[i], actions);
+            applied++;
+        }
+    }
+    uint64_t after = PhConfigState_Version(PhConfigLedger_State(f->ledger));
+    Ph_INVARIANT(PH_INVARIANT_CONFIG_IN_FORCE, after >= before,
+                 "before=%" G_GUINT64_FORMAT " after=%" G_GUINT64_FORMAT,
+                 before, after);
+    if (after > before && !f->recovering) {
+        announce(f, actions);
+    }
+    return applied;
+}
+
+/* Tells whether every patch that was accepted here, and that the snapshot
+ * still remembers the time of, is accepted in it as the same version. */
+static bool
+keeps_accepted(const PhConfigLedger *held, const PhConfigLedger *later)
+{
+    uint64_t next = PhConfigLedger_Next(later);
+    const GQueue *verdicts = PhConfigLedger_Verdicts(held);
+    for (const GList *i = verdicts->tail; i != NULL; i = i->prev) {
+        const PhConfigVerdict *v = i->data;
+        if (v->offset + PH_CONFIG_WINDOW_RECORDS < next) {
+            break;
+        }
+        const PhConfigVerdict *other = PhConfigLedger_Find(later, v->id);
+        if (other == NULL || other->status != v->status ||
+            other->version != v->version) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Tells whether a snapshot leads on from what is held. */
+static bool
+leads_on(const PhConfigFollower *f, const PhConfigSnapshot *snapshot,
+         const PhConfigLedger *later)
+{
+    const PhConfigState *held = PhConfigLedger_State(f->ledger);
+    uint64_t version = PhConfigState_Version(snapshot->state);
+    if (version < PhConfigState_Version(held)) {
+        return false;
+    }
+    if (version == PhConfigState_Version(held) &&
+        PhConfigState_Digest(snapshot->state) != PhConfigState_Digest(held)) {
+        return false;
+    }
+    return keeps_accepted(f->ledger, later);
+}
+
+/* Replaces the ledger by a later snapshot that leads on from it. */
+bool
+PhFollower_Restore(PhConfigFollower *f, const PhConfigSnapshot *snapshot,
+                   GArray *actions)
+{
+    uint64_t next = PhFollower_Next(f);
+    if (snapshot->covers <= next) {
+        return false;
+    }
+    PhConfigLedger *later = PhConfigLedger_Restore(snapshot);
+    if (!leads_on(f, snapshot, later)) {
+        PhConfigLedger_Destroy(later);
+        PhFollower_Note(actions, PH_CONFIG_NOTE_STATE_REFUSED);
+        return false;
+    }
+    uint64_t before = PhConfigState_Version(PhConfigLedger_State(f->ledger));
+    uint64_t after = PhConfigState_Version(snapshot->state);
+    Ph_INVARIANT(PH_INVARIANT_CONFIG_IN_FORCE, after >= before,
+                 "before=%" G_GUINT64_FORMAT " after=%" G_GUINT64_FORMAT,
+                 before, after);
+    PhConfigLedger_Destroy(f->ledger);
+    f->ledger = later;
+    g_queue_clear_full(&f->recent, record_release);
+    for (guint i = 0; i < snapshot->verdicts->len; i++) {
+        const PhConfigVerdict *v = g_ptr_array_index(snapshot->verdicts, i);
+        if (v->offset >= next) {
+            announce_verdict(v, actions);
+        }
+    }
+    if (after > before && !f->recovering) {
+        announce(f, actions);
+    }
+    return true;
+}
+
+/* Ends the recovery. */
+void
+PhFollower_Settle(PhConfigFollower *f, GArray *actions)
+{
+    if (f->recovering) {
+        f->recovering = false;
+        announce(f, actions);
+    }
+}
+
+/* Does what is due at `now`. */
+static void
+handle_tick(PhConfigFollower *f, PhTime now, GArray *actions)
+{
+    PhFollowerPeers_Tick(f, now, actions);
+    PhFollowerLog_Tick(f, now, actions);
+}
+
+/* Handles one event. */
+void
+PhConfigFollower_Handle(PhConfigFollower *f, PhTime now,
+                        const PhConfigEvent *event, GArray *actions)
+{
+    switch (event->kind) {
+    case PH_CONFIG_EVENT_TICK:
+        handle_tick(f, now, actions);
+        break;
+    case PH_CONFIG_EVENT_MEMBERS:
+        PhFollowerPeers_Members(f, now, event, actions);
+        break;
+    case PH_CONFIG_EVENT_RECORDS:
+        PhFollowerLog_Records(f, now, event, actions);
+        break;
+    case PH_CONFIG_EVENT_SNAPSHOTS:
+        PhFollowerLog_Snapshots(f, now, event, actions);
+        break;
+    case PH_CONFIG_EVENT_WRITTEN:
+        PhFollowerLog_Written(f, now, event->as.written, actions);
+        break;
+    case PH_CONFIG_EVENT_APPENDED:
+        f->log_end = MAX(f->log_end, event->as.appended + 1);
+        PhFollowerLog_Start(f, now, actions);
+        break;
+    case PH_CONFIG_EVENT_HELLO:
+        PhFollowerPeers_Hello(f, now, event, actions);
+        break;
+    case PH_CONFIG_EVENT_FETCH:
+        PhFollowerPeers_Fetch(f, now, event, actions);
+        break;
+    case PH_CONFIG_EVENT_PUSH:
+        PhFollowerPeers_Push(f, now, event, actions);
+        break;
+    case PH_CONFIG_EVENT_STATE:
+        PhFollowerPeers_State(f, now, event, actions);
+        break;
+    }
+}
+
+/* Tells when the next tick is due. */
+PhTime
+PhConfigFollower_NextTick(const PhConfigFollower *f)
+{
+    return MIN(PhFollowerLog_NextTick(f), PhFollowerPeers_NextTick(f));
+}
+
+/* Gives the ledger. */
+const PhConfigLedger *
+PhConfigFollower_Ledger(const PhConfigFollower *f)
+{
+    return f->ledger;
+}
+
+/* Tells how far the follower is. */
+PhConfigStanding
+PhConfigFollower_Standing(const PhConfigFollower *f, PhTime now)
+{
+    if (f->recovering) {
+        return PH_CONFIG_STANDING_RECOVERING;
+    }
+    if (PhFollower_Next(f) < PhFollower_HighestNext(f)) {
+        return PH_CONFIG_STANDING_LAGGING;
+    }
+    if (f->confirmed_at < 0 || now - f->confirmed_at > STALE_AFTER_NS) {
+        return PH_CONFIG_STANDING_STALE;
+    }
+    return PH_CONFIG_STANDING_IN_FORCE;
+}
+
+/* Names a standing as status pages show it. */
+const char *
+PhConfigStanding_Name(PhConfigStanding standing)
+{
+    switch (standing) {
+    case PH_CONFIG_STANDING_RECOVERING:
+        return "recovering";
+    case PH_CONFIG_STANDING_LAGGING:
+        return "lagging";
+    case PH_CONFIG_STANDING_STALE:
+        return "stale";
+    case PH_CONFIG_STANDING_IN_FORCE:
+        return "in-force";
+    }
+    return "?";
+}
+
+/* Tells whether this instance is a reader. */
+bool
+PhConfigFollower_ReadsLog(const PhConfigFollower *f)
+{
+    return f->rank < f->options.readers;
+}
+
+/* Tells when the held state was last known to be the latest. */
+PhTime
+PhConfigFollower_ConfirmedAt(const PhConfigFollower *f)
+{
+    return f->confirmed_at;
+}
+
+/* Gives the highest version of this instance and its peers. */
+uint64_t
+PhConfigFollower_HighestHeard(const PhConfigFollower *f)
+{
+    uint64_t highest = PhConfigState_Version(PhConfigLedger_State(f->ledger));
+    for (guint i = 0; i < f->peers->len; i++) {
+        const PhPeerRow *row = g_ptr_array_index(f->peers, i);
+        highest = MAX(highest, row->version);
+    }
+    return highest;
+}
+
+/* Counts the peers. */
+size_t
+PhConfigFollower_PeerCount(const PhConfigFollower *f)
+{
+    return f->peers->len;
+}
+
+/* Gives what is known of a peer. */
+PhConfigPeerView
+PhConfigFollower_PeerAt(const PhConfigFollower *f, size_t index)
+{
+    const PhPeerRow *row = g_ptr_array_index(f->peers, index);
+    return (PhConfigPeerView){.member = row->member,
+                              .local = row->local,
+                              .version = row->version,
+                              .heard_at = row->heard_at};
+}
--- /dev/null
+++ b/decide/config/config_follower_log.c
@@ -0,0 +1,274 @@
+#include "decide/config/config_follower_internal.h"
+
+/* Tells whether the end of the log has not been known for a while. */
+static bool
+is_stale(const PhConfigFollower *f, PhTime now)
+{
+    return f->confirmed_at < 0 || now - f->confirmed_at > STALE_AFTER_NS;
+}
+
+/* Tells whether this instance reads the log at `now`: a reader does, and any
+ * other one when its peers do not bring it further. */
+static bool
+should_read(const PhConfigFollower *f, PhTime now)
+{
+    uint64_t next = PhFollower_Next(f);
+    if (f->recovering) {
+        return !PhFollowerPeers_HasSource(f, next);
+    }
+    if (PhConfigFollower_ReadsLog(f) || is_stale(f, now)) {
+        return true;
+    }
+    return next < PhFollower_HighestNext(f) &&
+           !PhFollowerPeers_HasSource(f, next + 1);
+}
+
+/* Asks for the records that follow the ledger. */
+void
+PhFollowerLog_Start(PhConfigFollower *f, PhTime now, GArray *actions)
+{
+    if (f->reading) {
+        return;
+    }
+    f->reading = true;
+    f->read_since = now;
+    PhFollower_Add(actions,
+                   (PhConfigAction){.kind = PH_CONFIG_ACTION_READ_LOG,
+                                    .as.read.from = PhFollower_Next(f),
+                                    .as.read.limit = READ_RECORDS});
+}
+
+/* Asks for the snapshots from an offset of their stream on. */
+static void
+snapshots_read(PhConfigFollower *f, uint64_t from, GArray *actions)
+{
+    if (f->snapshots_reading) {
+        return;
+    }
+    f->snapshots_reading = true;
+    PhFollower_Add(actions,
+                   (PhConfigAction){.kind = PH_CONFIG_ACTION_READ_SNAPSHOTS,
+                                    .as.read.from = from,
+                                    .as.read.limit = 2});
+}
+
+/* Asks for the latest snapshots, from where their stream last ended. */
+static void
+snapshots_read_last(PhConfigFollower *f, GArray *actions)
+{
+    snapshots_read(f, f->snapshots_end > 0 ? f->snapshots_end - 1 : 0,
+                   actions);
+}
+
+/* Tells whether a snapshot has to be written: after many records, after a
+ * quarter of the retention with any, and after half of it in any case. */
+static bool
+snapshot_due(const PhConfigFollower *f, PhTime now)
+{
+    uint64_t next = PhFollower_Next(f);
+    if (next == 0 || f->recovering) {
+        return false;
+    }
+    PhTime age = now - f->snapshot_at;
+    return next >= f->snapshot_covers + SNAPSHOT_RECORDS ||
+           (next > f->snapshot_covers && age >= f->options.retention / 4) ||
+           age >= f->options.retention / 2;
+}
+
+/* Sets when a reader next looks at the snapshots: soon, at a random time,
+ * when one is due, so that one reader writes and the others see it. */
+static void
+snapshot_plan(PhConfigFollower *f, PhTime now)
+{
+    PhTime soon = MIN(SNAPSHOT_JITTER_NS, f->options.retention / 16);
+    if (!PhConfigFollower_ReadsLog(f) || f->recovering) {
+        f->snapshot_check = PH_TIME_NEVER;
+        return;
+    }
+    PhTime later = f->snapshot_at + f->options.retention / 4;
+    if (f->snapshot_known && !snapshot_due(f, now) && later > now) {
+        f->snapshot_check = later;
+    }
+    else if (f->snapshot_check > now + soon) {
+        f->snapshot_check = now + PhFollower_Jitter(f, soon / 2);
+    }
+}
+
+/* Waits longer after each failure of the log. */
+static void
+log_failed(PhConfigFollower *f, PhTime now, GArray *actions)
+{
+    PhTime most =
+        PhConfigFollower_ReadsLog(f) ? READ_BACKOFF_MAX_NS : STALE_READ_MAX_NS;
+    PhFollower_Note(actions, PH_CONFIG_NOTE_LOG_FAILED);
+    f->log_failing = true;
+    f->read_backoff = MIN(f->read_backoff * 2, most);
+    f->next_read = now + PhFollower_Jitter(f, f->read_backoff);
+}
+
+/* Tells when the log has to be read or a snapshot looked for. */
+PhTime
+PhFollowerLog_NextTick(const PhConfigFollower *f)
+{
+    PhTime read = f->reading ? PH_TIME_NEVER : f->next_read;
+    bool busy = f->snapshots_reading || f->snapshot_writing;
+    return MIN(read, busy ? PH_TIME_NEVER : f->snapshot_check);
+}
+
+/* Reads on; an instance that starts looks for a snapshot first. */
+static void
+read_next(PhConfigFollower *f, PhTime now, GArray *actions)
+{
+    if (f->recovering && !f->snapshot_known) {
+        f->snapshot_wanted = true;
+        snapshots_read_last(f, actions);
+    }
+    else if (!f->snapshot_wanted || !f->snapshots_reading) {
+        PhFollowerLog_Start(f, now, actions);
+    }
+}
+
+/* Starts the reads that are due. */
+void
+PhFollowerLog_Tick(PhConfigFollower *f, PhTime now, GArray *actions)
+{
+    if (!f->reading && now >= f->next_read) {
+        f->next_read = now + PhFollower_Jitter(f, f->read_backoff);
+        if (should_read(f, now)) {
+            read_next(f, now, actions);
+        }
+    }
+    if (now >= f->snapshot_check && !f->snapshot_writing) {
+        f->snapshot_check = now + f->options.retention / 4;
+        snapshots_read_last(f, actions);
+    }
+}
+
+/* Takes over records that the log gave. */
+static void
+records_take(PhConfigFollower *f, PhTime now, const PhConfigEvent *event,
+             GArray *actions)
+{
+    uint64_t from = PhFollower_Next(f);
+    f->log_failing = false;
+    f->read_backoff = f->options.poll_interval;
+    f->next_read = now + PhFollower_Jitter(f, f->options.poll_interval);
+    if (event->as.records.end < from) {
+        PhFollower_Note(actions, PH_CONFIG_NOTE_LOG_BEHIND);
+        return;
+    }
+    f->log_end = MAX(f->log_end, event->as.records.end);
+    size_t applied = PhFollower_Apply(f, event->as.records.records,
+                                      event->as.records.count, actions);
+    if (applied > 0) {
+        PhFollowerPeers_Spread(f, from, actions);
+    }
+    if (PhFollower_Next(f) >= event->as.records.end) {
+        f->confirmed_at = MAX(f->confirmed_at, f->read_since);
+        PhFollower_Settle(f, actions);
+        snapshot_plan(f, now);
+    }
+    if (applied > 0 && PhFollower_Next(f) < f->log_end) {
+        PhFollowerLog_Start(f, now, actions);
+    }
+}
+
+/* Handles the answer to a read of the log. */
+void
+PhFollowerLog_Records(PhConfigFollower *f, PhTime now,
+                      const PhConfigEvent *event, GArray *actions)
+{
+    f->reading = false;
+    if (event->as.records.status == PH_STATUS_OK) {
+        records_take(f, now, event, actions);
+    }
+    else if (event->as.records.status == PH_STATUS_EXPIRED) {
+        f->next_read = now + PhFollower_Jitter(f, f->read_backoff);
+        f->snapshot_wanted = true;
+        f->snapshot_gap = true;
+        snapshots_read_last(f, actions);
+    }
+    else {
+        log_failed(f, now, actions);
+    }
+}
+
+/* Recovers from the latest snapshot, or says that nothing closes the gap. */
+static void
+snapshot_recover(PhConfigFollower *f, PhTime now, const PhConfigEvent *event,
+                 GArray *actions)
+{
+    bool gap = f->snapshot_gap;
+    f->snapshot_wanted = false;
+    f->snapshot_gap = false;
+    const PhConfigSnapshot *latest = event->as.snapshots.latest;
+    if (latest != NULL && PhFollower_Restore(f, latest, actions)) {
+        PhFollower_Note(actions, PH_CONFIG_NOTE_RECOVERED_LOG);
+    }
+    else if (gap) {
+        PhFollower_Note(actions, PH_CONFIG_NOTE_RETENTION_GAP);
+        f->read_backoff = MIN(f->read_backoff * 2, READ_BACKOFF_MAX_NS);
+        f->next_read = now + PhFollower_Jitter(f, f->read_backoff);
+        return;
+    }
+    PhFollowerLog_Start(f, now, actions);
+}
+
+/* Handles the answer to a read of snapshots; reads again from the end when
+ * the answer did not reach it. */
+void
+PhFollowerLog_Snapshots(PhConfigFollower *f, PhTime now,
+                        const PhConfigEvent *event, GArray *actions)
+{
+    PhStatus status = event->as.snapshots.status;
+    uint64_t first = event->as.snapshots.first;
+    uint64_t end = event->as.snapshots.end;
+    f->snapshots_reading = false;
+    if (status != PH_STATUS_OK && status != PH_STATUS_EXPIRED) {
+        log_failed(f, now, actions);
+        f->snapshot_check = now + PhFollower_Jitter(f, SNAPSHOT_JITTER_NS);
+        return;
+    }
+    f->snapshots_end = end;
+    bool whole = status == PH_STATUS_OK && event->as.snapshots.read >= end;
+    if (!whole && first < end) {
+        snapshots_read(f, MAX(first, end > 2 ? end - 2 : 0), actions);
+        return;
+    }
+    const PhConfigSnapshot *latest = event->as.snapshots.latest;
+    f->snapshot_known = true;
+    f->snapshot_covers = latest == NULL ? 0 : latest->covers;
+    f->snapshot_at = now - (latest == NULL ? f->options.retention
+                                           : event->as.snapshots.age);
+    if (f->snapshot_wanted) {
+        snapshot_recover(f, now, event, actions);
+    }
+    if (PhConfigFollower_ReadsLog(f) && snapshot_due(f, now) &&
+        !f->snapshot_writing) {
+        f->snapshot_writing = true;
+        f->snapshot_written = PhFollower_Next(f);
+        PhFollower_Add(actions,
+                       (PhConfigAction){
+                           .kind = PH_CONFIG_ACTION_WRITE_SNAPSHOT,
+                           .as.snapshot = PhConfigLedger_Snapshot(f->ledger)});
+    }
+    snapshot_plan(f, now);
+}
+
+/* Handles the outcome of writing a snapshot.  One that may or may not have
+ * been written is looked for before another is. */
+void
+PhFollowerLog_Written(PhConfigFollower *f, PhTime now, PhStatus status,
+                      GArray *actions)
+{
+    f->snapshot_writing = false;
+    if (status != PH_STATUS_OK) {
+        PhFollower_Note(actions, PH_CONFIG_NOTE_SNAPSHOT_FAILED);
+        f->snapshot_check = now + PhFollower_Jitter(f, SNAPSHOT_JITTER_NS);
+        return;
+    }
+    f->snapshots_end++;
+    f->snapshot_covers = f->snapshot_written;
+    f->snapshot_at = now;
+    snapshot_plan(f, now);
+}
--- /dev/null
+++ b/decide/config/config_follower_peers.c
@@ -0,0 +1,503 @@
+#include "decide/config/config_follower_internal.h"
+#include "peridothill/common/invariant.h"
+
+enum {
+    GATHER_REMOTE_PEERS = 16, /* asked when there is no local one */
+    REMOTE_HELLO_PERCENT = 25,
+};
+
+/* Releases a row. */
+void
+PhPeerRow_Destroy(gpointer data)
+{
+    PhPeerRow *row = data;
+    PhStr_Clear(&row->member);
+    g_free(row);
+}
+
+/* Finds the row of a member, or gives NULL. */
+static PhPeerRow *
+row_find(const PhConfigFollower *f, PhStr member)
+{
+    return g_hash_table_lookup(f->by_member, &member);
+}
+
+/* Describes this instance to a peer. */
+static PhConfigHello
+hello_make(const PhConfigFollower *f, PhTime now, bool reply_wanted)
+{
+    const PhConfigState *state = PhConfigLedger_State(f->ledger);
+    return (PhConfigHello){
+        .next = PhFollower_Next(f),
+        .version = PhConfigState_Version(state),
+        .digest = PhConfigState_Digest(state),
+        .confirmed_ms_ago =
+            f->confirmed_at < 0 ? -1 : (now - f->confirmed_at) / PH_NS_PER_MS,
+        .recovering = f->recovering,
+        .reply_wanted = reply_wanted};
+}
+
+/* Sends a hello. */
+static void
+hello_send(PhConfigFollower *f, PhTime now, PhStr member, bool reply_wanted,
+           GArray *actions)
+{
+    PhFollower_Add(actions, (PhConfigAction){
+                                .kind = PH_CONFIG_ACTION_HELLO,
+                                .member = member,
+                                .as.hello = hello_make(f, now, reply_wanted)});
+}
+
+/* Orders local rows first, and each part by name. */
+static gint
+row_compare(gconstpointer a, gconstpointer b)
+{
+    const PhPeerRow *x = *(PhPeerRow *const *)a;
+    const PhPeerRow *y = *(PhPeerRow *const *)b;
+    if (x->local != y->local) {
+        return x->local ? -1 : 1;
+    }
+    return PhStr_Compare(x->member, y->member);
+}
+
+/* Makes the row of a peer; what was known of it is kept. */
+static PhPeerRow *
+row_create(const PhConfigFollower *f, const PhConfigPeer *peer)
+{
+    const PhPeerRow *old = row_find(f, peer->member);
+    PhPeerRow *row = g_new0(PhPeerRow, 1);
+    row->heard_at = -1;
+    if (old != NULL) {
+        *row = *old;
+    }
+    row->member = PhStr_Dup(peer->member);
+    row->local = peer->local;
+    return row;
+}
+
+/* Takes over a new list of peers. */
+void
+PhFollowerPeers_Members(PhConfigFollower *f, PhTime now,
+                        const PhConfigEvent *event, GArray *actions)
+{
+    GPtrArray *rows = g_ptr_array_new_with_free_func(PhPeerRow_Destroy);
+    (void)now;
+    (void)actions;
+    f->local_count = 1;
+    f->rank = 0;
+    for (size_t i = 0; i < event->as.members.count; i++) {
+        const PhConfigPeer *peer = &event->as.members.peers[i];
+        g_ptr_array_add(rows, row_create(f, peer));
+        f->local_count += peer->local;
+        f->rank += peer->local &&
+                   PhStr_Compare(peer->member, event->as.members.self) < 0;
+    }
+    g_ptr_array_sort(rows, row_compare);
+    g_hash_table_remove_all(f->by_member);
+    g_ptr_array_free(f->peers, TRUE);
+    f->peers = rows;
+    for (guint i = 0; i < rows->len; i++) {
+        PhPeerRow *row = g_ptr_array_index(rows, i);
+        g_hash_table_insert(f->by_member, &row->member, row);
+    }
+}
+
+/* Tells whether a peer holds a state at least up to `next`. */
+bool
+PhFollowerPeers_HasSource(const PhConfigFollower *f, uint64_t next)
+{
+    for (guint i = 0; i < f->peers->len; i++) {
+        const PhPeerRow *row = g_ptr_array_index(f->peers, i);
+        if (row->heard_at >= 0 && !row->recovering && row->digest >= 0 &&
+            row->next >= next) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Picks one of the peers that are furthest ahead, or NULL. */
+static PhPeerRow *
+source_pick(const PhConfigFollower *f)
+{
+    PhPeerRow *best = NULL;
+    uint64_t ties = 0;
+    for (guint i = 0; i < f->peers->len; i++) {
+        PhPeerRow *row = g_ptr_array_index(f->peers, i);
+        if (row->recovering || row->digest < 0 ||
+            row->next <= PhFollower_Next(f)) {
+            continue;
+        }
+        bool tie = best != NULL && row->next == best->next;
+        ties = tie ? ties + 1 : 1;
+        if (best == NULL || row->next > best->next ||
+            (tie && PhRandom_Below(f->options.random, ties) == 0)) {
+            best = row;
+        }
+    }
+    return best;
+}
+
+/* Asks a peer for what is missing. */
+bool
+PhFollowerPeers_CatchUp(PhConfigFollower *f, PhTime now, GArray *actions)
+{
+    if (f->fetch_until != PH_TIME_NEVER) {
+        return true;
+    }
+    PhPeerRow *row = source_pick(f);
+    if (row == NULL) {
+        return false;
+    }
+    row->asked = true;
+    f->fetch_until = now + FETCH_TIMEOUT_NS;
+    PhFollower_Add(actions, (PhConfigAction){.kind = PH_CONFIG_ACTION_FETCH,
+                                             .member = row->member,
+                                             .as.fetch = PhFollower_Next(f)});
+    return true;
+}
+
+/* Gives up on a peer that did not answer a fetch, until it is heard again. */
+static void
+fetch_expire(PhConfigFollower *f, PhTime now)
+{
+    if (now < f->fetch_until) {
+        return;
+    }
+    f->fetch_until = PH_TIME_NEVER;
+    for (guint i = 0; i < f->peers->len; i++) {
+        PhPeerRow *row = g_ptr_array_index(f->peers, i);
+        if (row->asked) {
+            row->asked = false;
+            row->next = 0;
+        }
+    }
+}
+
+/* Notes that a peer answered a fetch. */
+static void
+fetch_answered(PhConfigFollower *f, PhPeerRow *row)
+{
+    if (row != NULL && row->asked) {
+        row->asked = false;
+        f->fetch_until = PH_TIME_NEVER;
+    }
+}
+
+/* Asks all local peers, or some remote ones, for a hello. */
+static void
+gather_ask(PhConfigFollower *f, PhTime now, GArray *actions)
+{
+    guint count = f->local_count > 1 ? (guint)f->local_count - 1
+                                     : MIN(f->peers->len, GATHER_REMOTE_PEERS);
+    for (guint i = 0; i < count; i++) {
+        const PhPeerRow *row = g_ptr_array_index(f->peers, i);
+        hello_send(f, now, row->member, true, actions);
+    }
+}
+
+/* Moves the recovery on: asks peers, waits for their answers, takes the
+ * highest state, and falls back on the log when no peer holds one. */
+static void
+gather_tick(PhConfigFollower *f, PhTime now, GArray *actions)
+{
+    if (now >= f->gather_from) {
+        gather_ask(f, now, actions);
+        f->gather_from = PH_TIME_NEVER;
+        f->gather_until = now + GATHER_NS;
+    }
+    if (now < f->gather_until) {
+        return;
+    }
+    f->gather_until = PH_TIME_NEVER;
+    f->gather_from = now + PhFollower_Jitter(f, f->options.hello_interval);
+    if (!PhFollowerPeers_HasSource(f, PhFollower_Next(f))) {
+        f->next_read = MIN(f->next_read, now);
+    }
+    else if (PhFollower_Next(f) >= PhFollower_HighestNext(f)) {
+        PhFollower_Settle(f, actions);
+        f->next_read = MIN(f->next_read, now);
+    }
+    else {
+        PhFollowerPeers_CatchUp(f, now, actions);
+    }
+}
+
+/* Picks a random peer out of a range of rows. */
+static const PhPeerRow *
+row_random(const PhConfigFollower *f, size_t from, size_t to)
+{
+    size_t index = from + PhRandom_Below(f->options.random, to - from);
+    return g_ptr_array_index(f->peers, index);
+}
+
+/* Sends a hello to a random peer, most often a local one.  A reader that
+ * does not reach the log asks another data centre as well. */
+static void
+hello_tick(PhConfigFollower *f, PhTime now, GArray *actions)
+{
+    size_t local = f->local_count - 1;
+    size_t all = f->peers->len;
+    if (all == 0) {
+        return;
+    }
+    bool remote =
+        local == 0 || (local < all && PhRandom_Below(f->options.random, 100) <
+                                          REMOTE_HELLO_PERCENT);
+    hello_send(f, now,
+               row_random(f, remote ? local : 0, remote ? all : local)->member,
+               false, actions);
+    if (f->log_failing && PhConfigFollower_ReadsLog(f) && local < all) {
+        hello_send(f, now, row_random(f, local, all)->member, true, actions);
+    }
+}
+
+/* Tells when a hello, a fetch or the recovery has something to do. */
+PhTime
+PhFollowerPeers_NextTick(const PhConfigFollower *f)
+{
+    PhTime gather =
+        f->recovering ? MIN(f->gather_from, f->gather_until) : PH_TIME_NEVER;
+    return MIN(MIN(f->next_hello, f->fetch_until), gather);
+}
+
+/* Does what is due towards peers. */
+void
+PhFollowerPeers_Tick(PhConfigFollower *f, PhTime now, GArray *actions)
+{
+    fetch_expire(f, now);
+    if (f->recovering) {
+        gather_tick(f, now, actions);
+    }
+    if (now >= f->next_hello) {
+        f->next_hello = now + PhFollower_Jitter(f, f->options.hello_interval);
+        hello_tick(f, now, actions);
+        if (!f->recovering && PhFollower_Next(f) < PhFollower_HighestNext(f) &&
+            !PhFollowerPeers_CatchUp(f, now, actions)) {
+            f->next_read = MIN(f->next_read, now);
+        }
+    }
+}
+
+/* Compares a peer's digest at a version that both hold.  An instance that
+ * stands against most of those it heard holds a broken state. */
+static void
+digest_check(PhConfigFollower *f, PhPeerRow *row, const PhConfigHello *hello,
+             GArray *actions)
+{
+    const PhConfigState *state =
+        PhConfigLedger_StateAt(f->ledger, hello->version);
+    if (state == NULL) {
+        return;
+    }
+    row->digest = PhConfigState_Digest(state) == hello->digest ? 1 : -1;
+    if (row->digest > 0) {
+        return;
+    }
+    PhFollower_Note(actions, PH_CONFIG_NOTE_DIGEST_MISMATCH);
+    unsigned agree = 0;
+    unsigned against = 0;
+    for (guint i = 0; i < f->peers->len; i++) {
+        const PhPeerRow *other = g_ptr_array_index(f->peers, i);
+        agree += other->digest > 0;
+        against += other->digest < 0;
+    }
+    Ph_INVARIANT(PH_INVARIANT_CONFIG_IN_FORCE, against < 2 || against <= agree,
+                 "version=%" G_GUINT64_FORMAT " agree=%u against=%u",
+                 hello->version, agree, against);
+}
+
+/* Takes over what a peer tells of itself. */
+static void
+row_update(PhConfigFollower *f, PhPeerRow *row, PhTime now,
+           const PhConfigHello *hello, GArray *actions)
+{
+    row->heard_at = now;
+    row->recovering = hello->recovering;
+    row->next = hello->next;
+    row->version = hello->version;
+    if (!hello->recovering && !f->recovering) {
+        digest_check(f, row, hello, actions);
+    }
+    if (!hello->recovering && hello->confirmed_ms_ago >= 0 &&
+        hello->next <= PhFollower_Next(f) && row->digest >= 0) {
+        f->confirmed_at =
+            MAX(f->confirmed_at,
+                now - MIN(now, hello->confirmed_ms_ago * PH_NS_PER_MS));
+    }
+}
+
+/* Handles a hello: answers a peer that asks or lags, and catches up with one
+ * that is ahead. */
+void
+PhFollowerPeers_Hello(PhConfigFollower *f, PhTime now,
+                      const PhConfigEvent *event, GArray *actions)
+{
+    const PhConfigHello *hello = &event->as.hello;
+    PhPeerRow *row = row_find(f, event->member);
+    if (row != NULL) {
+        row_update(f, row, now, hello, actions);
+    }
+    bool lags = hello->next < PhFollower_Next(f) || hello->recovering;
+    if (hello->reply_wanted || (lags && !f->recovering)) {
+        hello_send(f, now, event->member, false, actions);
+    }
+    if (!f->recovering && hello->next > PhFollower_Next(f)) {
+        PhFollowerPeers_CatchUp(f, now, actions);
+    }
+}
+
+/* Collects recent records from `from` on; NULL when they are not all kept. */
+static GPtrArray *
+recent_from(const PhConfigFollower *f, uint64_t from)
+{
+    const PhConfigRecord *oldest =
+        f->recent.head ? f->recent.head->data : NULL;
+    if (oldest == NULL || from < oldest->offset) {
+        return NULL;
+    }
+    GPtrArray *records =
+        g_ptr_array_new_with_free_func((GDestroyNotify)PhConfigRecord_Unref);
+    GList *link = g_queue_peek_nth_link((GQueue *)&f->recent,
+                                        (guint)(from - oldest->offset));
+    for (; link != NULL && records->len < PUSH_RECORDS; link = link->next) {
+        g_ptr_array_add(records, PhConfigRecord_Ref(link->data));
+    }
+    return records;
+}
+
+/* Sends records to a peer; the list stays the caller's. */
+static void
+push_send(PhStr member, GPtrArray *records, GArray *actions)
+{
+    PhFollower_Add(actions,
+                   (PhConfigAction){.kind = PH_CONFIG_ACTION_PUSH,
+                                    .member = member,
+                                    .as.push = g_ptr_array_ref(records)});
+}
+
+/* Sends new records to the peers below this instance in the tree of its data
+ * centre: those of rank 8r+1 to 8r+8 below the one of rank r. */
+void
+PhFollowerPeers_Spread(PhConfigFollower *f, uint64_t from, GArray *actions)
+{
+    GPtrArray *records = f->recovering ? NULL : recent_from(f, from);
+    if (records == NULL) {
+        return;
+    }
+    size_t first = f->rank * TREE_FAN_OUT + 1;
+    for (size_t r = first; r < first + TREE_FAN_OUT && r < f->local_count;
+         r++) {
+        /* The rows leave this instance out, whose rank is lower. */
+        const PhPeerRow *row = g_ptr_array_index(f->peers, r - 1);
+        if (row->next < PhFollower_Next(f)) {
+            push_send(row->member, records, actions);
+        }
+    }
+    g_ptr_array_unref(records);
+}
+
+/* Sends the whole state, to a bounded number of peers a second. */
+static void
+state_send(PhConfigFollower *f, PhTime now, PhStr member, GArray *actions)
+{
+    uint64_t second = (uint64_t)(now / PH_NS_PER_S);
+    if (second != f->state_second) {
+        f->state_second = second;
+        f->states_sent = 0;
+    }
+    if (f->states_sent >= STATES_PER_SECOND) {
+        PhFollower_Note(actions, PH_CONFIG_NOTE_STATE_LIMITED);
+        return;
+    }
+    f->states_sent++;
+    PhFollower_Add(
+        actions,
+        (PhConfigAction){.kind = PH_CONFIG_ACTION_STATE,
+                         .member = member,
+                         .as.snapshot = PhConfigLedger_Snapshot(f->ledger)});
+}
+
+/* Handles a fetch: recent records, or the whole state. */
+void
+PhFollowerPeers_Fetch(PhConfigFollower *f, PhTime now,
+                      const PhConfigEvent *event, GArray *actions)
+{
+    uint64_t from = event->as.fetch;
+    if (f->recovering) {
+        return;
+    }
+    if (from >= PhFollower_Next(f)) {
+        hello_send(f, now, event->member, false, actions);
+        return;
+    }
+    GPtrArray *records = recent_from(f, from);
+    if (records == NULL) {
+        state_send(f, now, event->member, actions);
+        return;
+    }
+    push_send(event->member, records, actions);
+    g_ptr_array_unref(records);
+}
+
+/* Goes on after something came from a peer: more of it, or the end of the
+ * recovery. */
+static void
+caught_up(PhConfigFollower *f, PhTime now, GArray *actions)
+{
+    if (PhFollower_Next(f) < PhFollower_HighestNext(f)) {
+        if (!f->recovering || f->gather_until == PH_TIME_NEVER) {
+            PhFollowerPeers_CatchUp(f, now, actions);
+        }
+    }
+    else if (f->recovering && f->gather_until == PH_TIME_NEVER &&
+             PhFollowerPeers_HasSource(f, 0)) {
+        PhFollower_Settle(f, actions);
+        f->next_read = MIN(f->next_read, now);
+    }
+}
+
+/* Handles records that a peer sent. */
+void
+PhFollowerPeers_Push(PhConfigFollower *f, PhTime now,
+                     const PhConfigEvent *event, GArray *actions)
+{
+    size_t count = event->as.push.count;
+    PhPeerRow *row = row_find(f, event->member);
+    uint64_t from = PhFollower_Next(f);
+    fetch_answered(f, row);
+    if (row != NULL && count > 0) {
+        row->heard_at = now;
+        row->next =
+            MAX(row->next, event->as.push.records[count - 1]->offset + 1);
+    }
+    if (PhFollower_Apply(f, event->as.push.records, count, actions) > 0) {
+        PhFollowerPeers_Spread(f, from, actions);
+    }
+    caught_up(f, now, actions);
+}
+
+/* Handles the whole state of a peer. */
+void
+PhFollowerPeers_State(PhConfigFollower *f, PhTime now,
+                      const PhConfigEvent *event, GArray *actions)
+{
+    fetch_answered(f, row_find(f, event->member));
+    if (PhFollower_Restore(f, event->as.state, actions)) {
+        PhFollower_Note(actions, PH_CONFIG_NOTE_RECOVERED_PEER);
+    }
+    caught_up(f, now, actions);
+}
+
+/* Asks every peer that was not heard at the version. */
+void
+PhConfigFollower_AskPeers(PhConfigFollower *f, PhTime now, uint64_t version,
+                          GArray *actions)
+{
+    for (guint i = 0; i < f->peers->len; i++) {
+        const PhPeerRow *row = g_ptr_array_index(f->peers, i);
+        if (row->heard_at < 0 || row->version < version) {
+            hello_send(f, now, row->member, true, actions);
+        }
+    }
+}
--- /dev/null
+++ b/decide/config/config_ledger.c
@@ -0,0 +1,348 @@
+#include "peridothill/decide/config/config_ledger.h"
+
+#include "peridothill/common/invariant.h"
+#include "peridothill/decide/config/config_schema.h"
+
+struct PhConfigLedger {
+    uint64_t next;
+    PhConfigState *state;
+    GQueue past;            /* PhConfigState, latest first */
+    GArray *marks;          /* PhConfigVersionMark, ascending */
+    GHashTable *tombstones; /* PhStr path to PhConfigTombstone */
+    GQueue verdicts;        /* PhConfigVerdict by offset, owned */
+    GHashTable *by_id;      /* PhStr in the verdict to PhConfigVerdict */
+};
+
+/* Creates a ledger around a state, whose reference it takes over. */
+static PhConfigLedger *
+ledger_create(uint64_t next, PhConfigState *state)
+{
+    PhConfigLedger *l = g_new0(PhConfigLedger, 1);
+    l->next = next;
+    l->state = state;
+    g_queue_init(&l->past);
+    g_queue_init(&l->verdicts);
+    g_queue_push_head(&l->past, PhConfigState_Ref(state));
+    l->marks = g_array_new(FALSE, FALSE, sizeof(PhConfigVersionMark));
+    l->tombstones = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
+                                          PhStr_KeyDestroy, g_free);
+    l->by_id = g_hash_table_new(PhStr_KeyHash, PhStr_KeyEqual);
+    return l;
+}
+
+/* Creates an empty ledger. */
+PhConfigLedger *
+PhConfigLedger_Create(void)
+{
+    return ledger_create(0, PhConfigState_CreateEmpty());
+}
+
+/* Remembers a verdict, which the ledger takes over. */
+static void
+ledger_remember(PhConfigLedger *l, PhConfigVerdict *verdict)
+{
+    g_queue_push_tail(&l->verdicts, verdict);
+    g_hash_table_insert(l->by_id, &verdict->id, verdict);
+}
+
+/* Remembers that a version deleted a path. */
+static void
+ledger_bury(PhConfigLedger *l, PhStr path, uint64_t version)
+{
+    PhStr *key = PhStr_KeyCreate(path);
+    PhConfigTombstone *stone = g_new0(PhConfigTombstone, 1);
+    *stone = (PhConfigTombstone){.path = *key, .version = version};
+    g_hash_table_replace(l->tombstones, key, stone);
+}
+
+/* Recreates a ledger from a snapshot. */
+PhConfigLedger *
+PhConfigLedger_Restore(const PhConfigSnapshot *snapshot)
+{
+    PhConfigLedger *l =
+        ledger_create(snapshot->covers, PhConfigState_Ref(snapshot->state));
+    g_array_append_vals(l->marks, snapshot->marks->data, snapshot->marks->len);
+    for (guint i = 0; i < snapshot->tombstones->len; i++) {
+        const PhConfigTombstone *stone =
+            &g_array_index(snapshot->tombstones, PhConfigTombstone, i);
+        ledger_bury(l, stone->path, stone->version);
+    }
+    for (guint i = 0; i < snapshot->verdicts->len; i++) {
+        ledger_remember(
+            l, PhConfigVerdict_Copy(g_ptr_array_index(snapshot->verdicts, i)));
+    }
+    return l;
+}
+
+/* Drops the reference that a queue holds. */
+static void
+state_release(gpointer state)
+{
+    PhConfigState_Unref(state);
+}
+
+/* Releases a ledger; NULL is allowed. */
+void
+PhConfigLedger_Destroy(PhConfigLedger *l)
+{
+    if (l == NULL) {
+        return;
+    }
+    PhConfigState_Unref(l->state);
+    g_queue_clear_full(&l->past, state_release);
+    g_array_free(l->marks, TRUE);
+    g_hash_table_destroy(l->tombstones);
+    g_hash_table_destroy(l->by_id);
+    g_queue_clear_full(&l->verdicts, PhConfigVerdict_Destroy);
+    g_free(l);
+}
+
+/* The first offset of the window that ends with the record now decided. */
+static uint64_t
+window_start(const PhConfigLedger *l)
+{
+    return l->next < PH_CONFIG_WINDOW_RECORDS
+               ? 0
+               : l->next - PH_CONFIG_WINDOW_RECORDS;
+}
+
+/* Forgets verdicts, versions and deletions that have left the window. */
+static void
+window_advance(PhConfigLedger *l)
+{
+    uint64_t start = window_start(l);
+    for (;;) {
+        PhConfigVerdict *v = g_queue_peek_head(&l->verdicts);
+        if (v == NULL || v->offset >= start) {
+            break;
+        }
+        g_hash_table_remove(l->by_id, &v->id);
+        PhConfigVerdict_Destroy(g_queue_pop_head(&l->verdicts));
+    }
+    guint old = 0;
+    while (old < l->marks->len &&
+           g_array_index(l->marks, PhConfigVersionMark, old).offset < start) {
+        old++;
+    }
+    if (old == 0) {
+        return;
+    }
+    uint64_t gone =
+        g_array_index(l->marks, PhConfigVersionMark, old - 1).version;
+    g_array_remove_range(l->marks, 0, old);
+    GHashTableIter it;
+    gpointer value;
+    g_hash_table_iter_init(&it, l->tombstones);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        if (((const PhConfigTombstone *)value)->version <= gone) {
+            g_hash_table_iter_remove(&it);
+        }
+    }
+}
+
+/* Tells whether the version was made within the window, or is in force.  An
+ * id is remembered as long as any base that its patch can name, so that a
+ * copy of a patch that comes later than that is refused by its base. */
+static bool
+base_is_known(const PhConfigLedger *l, uint64_t base)
+{
+    if (base == PhConfigState_Version(l->state) || window_start(l) == 0) {
+        return true;
+    }
+    return l->marks->len > 0 &&
+           base >= g_array_index(l->marks, PhConfigVersionMark, 0).version;
+}
+
+/* Tells the version that last changed a path, deletions included. */
+static uint64_t
+path_changed(const PhConfigLedger *l, PhStr path)
+{
+    const PhConfigEntry *entry = PhConfigState_Find(l->state, path);
+    const PhConfigTombstone *stone = g_hash_table_lookup(l->tombstones, &path);
+    return MAX(entry == NULL ? 0 : entry->changed,
+               stone == NULL ? 0 : stone->version);
+}
+
+/* Checks a patch against the versions since its base. */
+static PhResult
+check_base(const PhConfigLedger *l, const PhConfigPatch *patch)
+{
+    uint64_t version = PhConfigState_Version(l->state);
+    if (patch->base > version) {
+        return PhResult_Make(
+            PH_STATUS_INVALID,
+            "base: version %" G_GUINT64_FORMAT " does not exist", patch->base);
+    }
+    if (patch->strict && patch->base != version) {
+        return PhResult_Make(PH_STATUS_CONFLICT,
+                             "base: version %" G_GUINT64_FORMAT " is in force",
+                             version);
+    }
+    if (!base_is_known(l, patch->base)) {
+        return PhResult_Make(PH_STATUS_EXPIRED, "base: version too old");
+    }
+    for (size_t i = 0; i < patch->change_count; i++) {
+        uint64_t changed = path_changed(l, patch->changes[i].path);
+        if (changed > patch->base) {
+            return PhResult_Make(PH_STATUS_CONFLICT,
+                                 "%.*s: changed by version %" G_GUINT64_FORMAT,
+                                 PhStr_ARG(patch->changes[i].path), changed);
+        }
+    }
+    return PhResult_Ok();
+}
+
+/* Makes `state` the version in force. */
+static void
+ledger_advance(PhConfigLedger *l, PhConfigState *state,
+               const PhConfigPatch *patch)
+{
+    uint64_t version = PhConfigState_Version(state);
+    Ph_INVARIANT(PH_INVARIANT_CONFIG_IN_FORCE,
+                 version == PhConfigState_Version(l->state) + 1,
+                 "version=%" G_GUINT64_FORMAT, version);
+    PhConfigVersionMark mark = {.version = version, .offset = l->next};
+    g_array_append_val(l->marks, mark);
+    for (size_t i = 0; i < patch->change_count; i++) {
+        PhStr path = patch->changes[i].path;
+        if (PhConfigState_Find(state, path) == NULL) {
+            ledger_bury(l, path, version);
+        }
+    }
+    PhConfigState_Unref(l->state);
+    l->state = state;
+    g_queue_push_head(&l->past, PhConfigState_Ref(state));
+    if (l->past.length > PH_CONFIG_PAST_VERSIONS) {
+        PhConfigState_Unref(g_queue_pop_tail(&l->past));
+    }
+}
+
+/* Decides one patch and, when it is accepted, makes the next version. */
+static PhResult
+ledger_decide(PhConfigLedger *l, const PhConfigPatch *patch)
+{
+    PhResult result = PhConfigSchema_CheckPatch(patch);
+    if (PhResult_IsOk(&result)) {
+        result = check_base(l, patch);
+    }
+    if (!PhResult_IsOk(&result)) {
+        return result;
+    }
+    PhConfigState *state =
+        PhConfigState_Apply(l->state, PhConfigState_Version(l->state) + 1,
+                            patch->changes, patch->change_count);
+    result = PhConfigSchema_CheckState(state);
+    if (PhResult_IsOk(&result)) {
+        ledger_advance(l, state, patch);
+    }
+    else {
+        PhConfigState_Unref(state);
+    }
+    return result;
+}
+
+/* Applies the next record of the log. */
+const PhConfigVerdict *
+PhConfigLedger_Apply(PhConfigLedger *l, const PhConfigRecord *record)
+{
+    Ph_INVARIANT(PH_INVARIANT_PRECONDITION, record->offset == l->next,
+                 "offset=%" G_GUINT64_FORMAT " next=%" G_GUINT64_FORMAT,
+                 record->offset, l->next);
+    PhConfigVerdict *verdict = NULL;
+    const PhConfigPatch *patch = &record->patch;
+    window_advance(l);
+    switch (record->kind) {
+    case PH_CONFIG_RECORD_UNREADABLE:
+        break;
+    case PH_CONFIG_RECORD_PATCH:
+        if (g_hash_table_contains(l->by_id, &patch->id)) {
+            break;
+        }
+        PhResult result = ledger_decide(l, patch);
+        verdict = g_new0(PhConfigVerdict, 1);
+        *verdict =
+            (PhConfigVerdict){.id = PhStr_Dup(patch->id),
+                              .author = PhStr_Dup(patch->author),
+                              .status = result.status,
+                              .reason = PhStr_Dup(PhResult_Message(&result)),
+                              .version = PhConfigState_Version(l->state),
+                              .offset = record->offset,
+                              .appended_ms = record->appended_ms};
+        ledger_remember(l, verdict);
+        break;
+    }
+    l->next++;
+    return verdict;
+}
+
+/* Gives the offset of the next record to apply. */
+uint64_t
+PhConfigLedger_Next(const PhConfigLedger *l)
+{
+    return l->next;
+}
+
+/* Gives the state in force. */
+PhConfigState *
+PhConfigLedger_State(const PhConfigLedger *l)
+{
+    return l->state;
+}
+
+/* Finds a version that is still held. */
+PhConfigState *
+PhConfigLedger_StateAt(const PhConfigLedger *l, uint64_t version)
+{
+    for (GList *i = l->past.head; i != NULL; i = i->next) {
+        if (PhConfigState_Version(i->data) == version) {
+            return i->data;
+        }
+    }
+    return NULL;
+}
+
+/* Finds the verdict on a patch. */
+const PhConfigVerdict *
+PhConfigLedger_Find(const PhConfigLedger *l, PhStr id)
+{
+    return g_hash_table_lookup(l->by_id, &id);
+}
+
+/* Gives the verdicts that are remembered. */
+const GQueue *
+PhConfigLedger_Verdicts(const PhConfigLedger *l)
+{
+    return &l->verdicts;
+}
+
+/* Orders tombstones by path. */
+static gint
+tombstone_compare(gconstpointer a, gconstpointer b)
+{
+    const PhConfigTombstone *x = a;
+    const PhConfigTombstone *y = b;
+    return PhStr_Compare(x->path, y->path);
+}
+
+/* Copies all that the rule remembers. */
+PhConfigSnapshot *
+PhConfigLedger_Snapshot(const PhConfigLedger *l)
+{
+    PhConfigSnapshot *s =
+        PhConfigSnapshot_Create(l->next, PhConfigState_Ref(l->state));
+    g_array_append_vals(s->marks, l->marks->data, l->marks->len);
+    GHashTableIter it;
+    gpointer value;
+    g_hash_table_iter_init(&it, l->tombstones);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const PhConfigTombstone *stone = value;
+        PhConfigTombstone copy = {.path = PhStr_Dup(stone->path),
+                                  .version = stone->version};
+        g_array_append_val(s->tombstones, copy);
+    }
+    g_array_sort(s->tombstones, tombstone_compare);
+    for (GList *i = l->verdicts.head; i != NULL; i = i->next) {
+        g_ptr_array_add(s->verdicts, PhConfigVerdict_Copy(i->data));
+    }
+    return s;
+}
--- a/include/peridothill/codec/json.h
+++ b/include/peridothill/codec/json.h
@@ -22,5 +22,11 @@
 /* Reads the whole number under a key, or gives the fallback. */
 int64_t
 PhJson_GetInt(const json_t *object, const char *key, int64_t fallback);
+/* Reads a string of at most `bound` bytes, borrowed from the value, or a
+ * number that is not negative; false when the value is NULL or another. */
+bool
+PhJson_ReadStr(const json_t *value, size_t bound, PhStr *s);
+bool
+PhJson_ReadU64(const json_t *value, uint64_t *number);
 
 #endif
