config: the task that follows the log

Cause: the deciders need a log, peers, members and operators. Change: the task "config" binds follower and appender to the tasks "log", "peers" and "members", sends each new version to its subscribers, and answers patches, look-ups, histories and reports. Conclusion: built, not yet wired into a process.

--- a/include/peridothill/services/config.h
+++ b/include/peridothill/services/config.h
@@ -3,7 +3,7 @@
 #ifndef PERIDOTHILL_SERVICES_CONFIG_H
 #define PERIDOTHILL_SERVICES_CONFIG_H
 
-#include "peridothill/decide/config/config_state.h"
+#include "peridothill/decide/config/config_follower.h"
 #include "peridothill/kernel/kernel.h"
 
 /* Asks for the version in force. */
@@ -83,19 +83,12 @@
 /* What a peer last told of itself; never heard from when `heard_ms_ago` is
  * negative. */
 typedef struct PhConfigPeerRow {
-    PhStr member;      /* owned */
-    PhStr data_centre; /* owned */
+    PhStr member; /* owned */
+    bool local;   /* of this data centre */
     uint64_t version;
     int64_t heard_ms_ago;
 } PhConfigPeerRow;
 
-typedef enum PhConfigStanding {
-    PH_CONFIG_STANDING_RECOVERING, /* nothing in force yet */
-    PH_CONFIG_STANDING_LAGGING,    /* a later version is known to exist */
-    PH_CONFIG_STANDING_STALE,      /* the log was not heard for a while */
-    PH_CONFIG_STANDING_IN_FORCE,
-} PhConfigStanding;
-
 typedef struct PhConfigReported {
     uint64_t request;
     PhConfigStanding standing;
@@ -128,8 +121,6 @@
 /* Wraps a message body for the kernel; takes over what it owns. */
 PhMessage
 PhConfigMessage_Wrap(const PhConfigMessage *body);
-const char *
-PhConfigStanding_Name(PhConfigStanding standing);
 
 /* Settings of the task "config"; the strings are copied. */
 typedef struct PhConfigOptions {
--- /dev/null
+++ b/services/config/config_log.c
@@ -0,0 +1,194 @@
+#include "peridothill/codec/config_record.h"
+#include "services/config/config_task.h"
+
+#define STREAM_PATCHES PhStr_LITERAL("config")
+#define STREAM_SNAPSHOTS PhStr_LITERAL("config.snapshots")
+#define CALL_TIMEOUT_NS (3 * PH_NS_PER_S)
+
+/* Numbers of the calls; one of each is under way at most. */
+enum {
+    CALL_READ = 1,
+    CALL_READ_SNAPSHOTS,
+    CALL_WRITE_SNAPSHOT,
+    CALL_APPEND,
+};
+
+/* Tells the deciders the outcome of a call without records. */
+static void
+call_end(PhConfigTask *t, uint64_t call, PhStatus status, uint64_t first,
+         size_t count)
+{
+    PhConfigEvent event = {.kind = PH_CONFIG_EVENT_WRITTEN,
+                           .as.written = status};
+    PhAppendEvent append = {.kind = PH_APPEND_EVENT_APPENDED,
+                            .as.appended = status};
+    if (call == CALL_WRITE_SNAPSHOT) {
+        PhConfigTask_Follow(t, &event);
+        return;
+    }
+    if (status != PH_STATUS_OK) {
+        t->append_failed_at = PhTask_Now(t->self);
+    }
+    PhConfigTask_Append(t, &append);
+    if (status == PH_STATUS_OK && count > 0) {
+        event.kind = PH_CONFIG_EVENT_APPENDED;
+        event.as.appended = first + count - 1;
+        PhConfigTask_Follow(t, &event);
+    }
+}
+
+/* Tells the follower that a read failed. */
+static void
+read_fail(PhConfigTask *t, uint64_t call)
+{
+    PhConfigEvent event = {.kind = PH_CONFIG_EVENT_RECORDS,
+                           .as.records.status = PH_STATUS_UNAVAILABLE};
+    if (call == CALL_READ_SNAPSHOTS) {
+        event.kind = PH_CONFIG_EVENT_SNAPSHOTS;
+        event.as.snapshots.status = PH_STATUS_UNAVAILABLE;
+    }
+    PhConfigTask_Follow(t, &event);
+}
+
+/* Reads records or snapshots. */
+void
+PhConfigLog_Read(PhConfigTask *t, const PhConfigAction *action)
+{
+    bool patches = action->kind == PH_CONFIG_ACTION_READ_LOG;
+    uint64_t call = patches ? CALL_READ : CALL_READ_SNAPSHOTS;
+    PhLogMessage m = {
+        .tag = PH_LOG_READ,
+        .as.read = {.id = call,
+                    .stream =
+                        PhStr_Dup(patches ? STREAM_PATCHES : STREAM_SNAPSHOTS),
+                    .from = action->as.read.from,
+                    .limit = action->as.read.limit,
+                    .deadline = PhTask_Now(t->self) + CALL_TIMEOUT_NS}};
+    PhCounters_Add(PhKernel_Counters(PhTask_Kernel(t->self)),
+                   PH_COUNTER_CONFIG_LOG_READS, 1);
+    if (PhTask_SendTo(t->self, PH_SERVICE_LOG, PhLogMessage_Wrap(&m)) !=
+        PH_STATUS_OK) {
+        read_fail(t, call);
+    }
+}
+
+/* Appends records, which the message takes over. */
+static void
+append_send(PhConfigTask *t, uint64_t call, PhStr stream, PhStr *records,
+            size_t count)
+{
+    PhLogMessage m = {
+        .tag = PH_LOG_APPEND,
+        .as.append = {.id = call,
+                      .stream = PhStr_Dup(stream),
+                      .records = records,
+                      .record_count = count,
+                      .deadline = PhTask_Now(t->self) + CALL_TIMEOUT_NS}};
+    if (PhTask_SendTo(t->self, PH_SERVICE_LOG, PhLogMessage_Wrap(&m)) !=
+        PH_STATUS_OK) {
+        call_end(t, call, PH_STATUS_UNAVAILABLE, 0, 0);
+    }
+}
+
+/* Writes a snapshot. */
+void
+PhConfigLog_WriteSnapshot(PhConfigTask *t, const PhConfigSnapshot *snapshot)
+{
+    PhStr *records = g_new0(PhStr, 1);
+    records[0] = PhConfigSnapshot_Encode(snapshot);
+    append_send(t, CALL_WRITE_SNAPSHOT, STREAM_SNAPSHOTS, records, 1);
+}
+
+/* Appends a batch of patches. */
+void
+PhConfigLog_Append(PhConfigTask *t, const PhAppendAction *action)
+{
+    size_t count = action->as.append.count;
+    PhStr *records = g_new0(PhStr, count);
+    for (size_t i = 0; i < count; i++) {
+        records[i] = PhConfigPatch_Encode(&action->as.append.patches[i]);
+    }
+    PhCounters_Add(PhKernel_Counters(PhTask_Kernel(t->self)),
+                   PH_COUNTER_CONFIG_APPENDS, 1);
+    t->append_count = count;
+    append_send(t, CALL_APPEND, STREAM_PATCHES, records, count);
+}
+
+/* Decodes a record of the log. */
+static PhConfigRecord *
+record_decode(const PhLogRecord *r)
+{
+    PhConfigPatch patch;
+    PhResult result = PhConfigPatch_Decode(r->body, &patch);
+    return PhConfigRecord_Create(r->offset, r->appended_ms,
+                                 PhResult_IsOk(&result) ? &patch : NULL);
+}
+
+/* Hands records over to the follower. */
+static void
+records_handle(PhConfigTask *t, const PhLogRecords *r)
+{
+    PhConfigRecord **records = g_new0(PhConfigRecord *, r->record_count);
+    for (size_t i = 0; i < r->record_count; i++) {
+        records[i] = record_decode(&r->records[i]);
+    }
+    PhConfigEvent event = {.kind = PH_CONFIG_EVENT_RECORDS,
+                           .as.records = {.status = r->status,
+                                          .first = r->first,
+                                          .end = r->end,
+                                          .records = records,
+                                          .count = r->record_count}};
+    PhConfigTask_Follow(t, &event);
+    for (size_t i = 0; i < r->record_count; i++) {
+        PhConfigRecord_Unref(records[i]);
+    }
+    g_free(records);
+}
+
+/* Hands the latest readable snapshot over to the follower. */
+static void
+snapshots_handle(PhConfigTask *t, const PhLogRecords *r)
+{
+    PhConfigEvent event = {.kind = PH_CONFIG_EVENT_SNAPSHOTS,
+                           .as.snapshots = {.status = r->status,
+                                            .first = r->first,
+                                            .end = r->end,
+                                            .read = r->next}};
+    for (size_t i = r->record_count; i > 0; i--) {
+        const PhLogRecord *record = &r->records[i - 1];
+        PhConfigSnapshot *snapshot;
+        PhResult result = PhConfigSnapshot_Decode(record->body, &snapshot);
+        if (PhResult_IsOk(&result)) {
+            PhTime wall = PhKernel_Wall(PhTask_Kernel(t->self));
+            event.as.snapshots.latest = snapshot;
+            event.as.snapshots.age =
+                MAX(wall - record->appended_ms * PH_NS_PER_MS, 0);
+            break;
+        }
+    }
+    PhConfigTask_Follow(t, &event);
+    PhConfigSnapshot_Unref(event.as.snapshots.latest);
+}
+
+/* Handles an answer of the log. */
+void
+PhConfigLog_Handle(PhConfigTask *t, const PhLogMessage *m)
+{
+    switch (m->tag) {
+    case PH_LOG_APPEND:
+    case PH_LOG_READ:
+        break;
+    case PH_LOG_APPENDED:
+        call_end(t, m->as.appended.id, m->as.appended.status,
+                 m->as.appended.first, t->append_count);
+        break;
+    case PH_LOG_RECORDS:
+        if (m->as.records.id == CALL_READ) {
+            records_handle(t, &m->as.records);
+        }
+        else {
+            snapshots_handle(t, &m->as.records);
+        }
+        break;
+    }
+}
--- a/services/config/config_message.c
+++ b/services/config/config_message.c
@@ -32,7 +32,6 @@
 {
     for (size_t i = 0; i < reported->peer_count; i++) {
         PhStr_Clear(&reported->peers[i].member);
-        PhStr_Clear(&reported->peers[i].data_centre);
     }
     g_free(reported->peers);
 }
@@ -82,20 +81,3 @@
                        .body = g_memdup2(body, sizeof(*body)),
                        .release = message_release};
 }
-
-/* Names a standing as status pages show it. */
-const char *
-PhConfigStanding_Name(PhConfigStanding standing)
-{
-    switch (standing) {
-    case PH_CONFIG_STANDING_RECOVERING:
-        return "recovering";
-    case PH_CONFIG_STANDING_LAGGING:
-        return "lagging";
-    case PH_CONFIG_STANDING_STALE:
-        return "stale";
-    case PH_CONFIG_STANDING_IN_FORCE:
-        return "in-force";
-    }
-    return "?";
-}
--- /dev/null
+++ b/services/config/config_query.c
@@ -0,0 +1,283 @@
+#include "services/config/config_task.h"
+
+enum {
+    HISTORY_ROWS = 100
+};
+
+/* Sends a message of the interface. */
+static void
+reply(PhConfigTask *t, PhTaskRef to, const PhConfigMessage *m)
+{
+    PhTask_Send(t->self, to, PhConfigMessage_Wrap(m));
+}
+
+/* Sends the state in force to a subscriber. */
+void
+PhConfigQuery_SendState(PhConfigTask *t, PhTaskRef to, PhConfigState *state)
+{
+    PhConfigMessage m = {.tag = PH_CONFIG_IN_FORCE,
+                         .as.in_force = PhConfigState_Ref(state)};
+    reply(t, to, &m);
+}
+
+/* Sends the state in force to every subscriber. */
+void
+PhConfigQuery_SendStateToAll(PhConfigTask *t, PhConfigState *state)
+{
+    for (guint i = 0; i < t->subscribers->len; i++) {
+        PhConfigQuery_SendState(t, g_array_index(t->subscribers, PhTaskRef, i),
+                                state);
+    }
+}
+
+/* Adds a subscriber, who gets the state in force at once if there is one. */
+static void
+subscribe(PhConfigTask *t, PhTaskRef from)
+{
+    PhTime now = PhTask_Now(t->self);
+    g_array_append_val(t->subscribers, from);
+    PhTask_Monitor(t->self, from);
+    if (PhConfigFollower_Standing(t->follower, now) !=
+        PH_CONFIG_STANDING_RECOVERING) {
+        PhConfigQuery_SendState(
+            t, from,
+            PhConfigLedger_State(PhConfigFollower_Ledger(t->follower)));
+    }
+}
+
+/* Sends a verdict. */
+static void
+verdict_send(PhConfigTask *t, PhTaskRef to, uint64_t request, PhStr id,
+             const PhResult *result, uint64_t version)
+{
+    PhConfigMessage m = {.tag = PH_CONFIG_VERDICT,
+                         .as.verdict = {.request = request,
+                                        .id = PhStr_Dup(id),
+                                        .result = *result,
+                                        .version = version}};
+    reply(t, to, &m);
+}
+
+/* Sends the verdict on an id that was decided before; false when none was. */
+static bool
+verdict_find(PhConfigTask *t, PhTaskRef to, uint64_t request, PhStr id)
+{
+    const PhConfigVerdict *v =
+        PhConfigLedger_Find(PhConfigFollower_Ledger(t->follower), id);
+    if (v == NULL) {
+        return false;
+    }
+    PhResult result = PhResult_Make(v->status, "%.*s", PhStr_ARG(v->reason));
+    verdict_send(t, to, request, id, &result, v->version);
+    return true;
+}
+
+/* Makes an id for a patch that came without one. */
+static PhStr
+id_make(PhConfigTask *t)
+{
+    PhBuf buf = {0};
+    PhBuf_AppendFormat(&buf, "%016" G_GINT64_MODIFIER "x%08x",
+                       PhRandom_U64(t->random),
+                       (unsigned)PhRandom_Below(t->random, UINT32_MAX));
+    return PhBuf_Take(&buf);
+}
+
+/* Takes a patch in; the verdict follows when the rule has decided. */
+static void
+submit(PhConfigTask *t, PhTaskRef from, const PhConfigSubmission *s)
+{
+    PhStr id = s->id.len > 0 ? PhStr_Dup(s->id) : id_make(t);
+    if (verdict_find(t, from, s->request, id)) {
+        PhStr_Clear(&id);
+        return;
+    }
+    PhConfigWaiter *waiter = g_new0(PhConfigWaiter, 1);
+    *waiter = (PhConfigWaiter){
+        .number = ++t->next_number, .from = from, .request = s->request};
+    g_hash_table_insert(t->waiters, &waiter->number, waiter);
+    PhConfigPatch patch = {.id = id,
+                           .author = s->author,
+                           .base = s->base,
+                           .strict = s->strict,
+                           .changes = s->changes,
+                           .change_count = s->change_count};
+    PhAppendEvent event = {.kind = PH_APPEND_EVENT_SUBMIT,
+                           .as.submit = {.request = waiter->number,
+                                         .patch = &patch,
+                                         .deadline = s->deadline}};
+    PhConfigTask_Append(t, &event);
+    PhStr_Clear(&id);
+}
+
+/* Counts an answer that is not a verdict. */
+static void
+count_unanswered(PhConfigTask *t, PhStatus status)
+{
+    PhCounters *counters = PhKernel_Counters(PhTask_Kernel(t->self));
+    if (status == PH_STATUS_UNAVAILABLE) {
+        PhCounters_Add(counters, PH_COUNTER_CONFIG_NOT_ACCEPTED, 1);
+    }
+    else if (status == PH_STATUS_UNKNOWN) {
+        PhCounters_Add(counters, PH_COUNTER_CONFIG_UNKNOWN, 1);
+    }
+}
+
+/* Answers whoever submitted a patch. */
+void
+PhConfigQuery_Answer(PhConfigTask *t, const PhAppendAction *action)
+{
+    uint64_t number = action->as.answer.request;
+    const PhConfigWaiter *waiter = g_hash_table_lookup(t->waiters, &number);
+    count_unanswered(t, action->as.answer.result.status);
+    if (waiter != NULL) {
+        verdict_send(t, waiter->from, waiter->request, action->as.answer.id,
+                     &action->as.answer.result, action->as.answer.version);
+        g_hash_table_remove(t->waiters, &number);
+    }
+}
+
+/* Looks a verdict up. */
+static void
+find(PhConfigTask *t, PhTaskRef from, const PhConfigFind *f)
+{
+    if (!verdict_find(t, from, f->request, f->id)) {
+        PhResult result =
+            PhResult_Make(PH_STATUS_NOT_FOUND,
+                          "no verdict on this id among those remembered here");
+        verdict_send(t, from, f->request, f->id, &result, 0);
+    }
+}
+
+/* Gives a reference to a version, or NULL. */
+static PhConfigState *
+state_at(const PhConfigTask *t, uint64_t version)
+{
+    const PhConfigLedger *ledger = PhConfigFollower_Ledger(t->follower);
+    PhConfigState *state = version == PH_CONFIG_VERSION_IN_FORCE
+                               ? PhConfigLedger_State(ledger)
+                               : PhConfigLedger_StateAt(ledger, version);
+    return state == NULL ? NULL : PhConfigState_Ref(state);
+}
+
+/* Sends two versions. */
+static void
+get(PhConfigTask *t, PhTaskRef from, const PhConfigGet *g)
+{
+    PhConfigMessage m = {.tag = PH_CONFIG_GOT,
+                         .as.got = {.request = g->request,
+                                    .from = state_at(t, g->from),
+                                    .to = state_at(t, g->to)}};
+    if (m.as.got.from == NULL || m.as.got.to == NULL) {
+        PhConfigState_Unref(m.as.got.from);
+        PhConfigState_Unref(m.as.got.to);
+        m.as.got.from = NULL;
+        m.as.got.to = NULL;
+    }
+    reply(t, from, &m);
+}
+
+/* Sends the latest verdicts. */
+static void
+history(PhConfigTask *t, PhTaskRef from, uint64_t request)
+{
+    const GQueue *verdicts =
+        PhConfigLedger_Verdicts(PhConfigFollower_Ledger(t->follower));
+    PhConfigPast past = {
+        .request = request,
+        .rows = g_new0(PhConfigPastRow, MIN(verdicts->length, HISTORY_ROWS))};
+    for (const GList *i = verdicts->tail;
+         i != NULL && past.row_count < HISTORY_ROWS; i = i->prev) {
+        const PhConfigVerdict *v = i->data;
+        past.rows[past.row_count++] = (PhConfigPastRow){
+            .id = PhStr_Dup(v->id),
+            .author = PhStr_Dup(v->author),
+            .result = PhResult_Make(v->status, "%.*s", PhStr_ARG(v->reason)),
+            .version = v->version,
+            .appended_ms = v->appended_ms};
+    }
+    PhConfigMessage m = {.tag = PH_CONFIG_PAST, .as.past = past};
+    reply(t, from, &m);
+}
+
+/* Gives an age in milliseconds, or -1 for a time that never was. */
+static int64_t
+age_ms(PhTime now, PhTime at)
+{
+    return at < 0 ? -1 : (now - at) / PH_NS_PER_MS;
+}
+
+/* Fills in the rows of the peers. */
+static void
+report_peers(const PhConfigTask *t, PhTime now, PhConfigReported *r)
+{
+    size_t count = PhConfigFollower_PeerCount(t->follower);
+    r->peers = g_new0(PhConfigPeerRow, count);
+    for (size_t i = 0; i < count; i++) {
+        PhConfigPeerView view = PhConfigFollower_PeerAt(t->follower, i);
+        r->peers[i] =
+            (PhConfigPeerRow){.member = PhStr_Dup(view.member),
+                              .local = view.local,
+                              .version = view.version,
+                              .heard_ms_ago = age_ms(now, view.heard_at)};
+    }
+    r->peer_count = count;
+}
+
+/* Sends what is known of this instance and its peers, and asks those that
+ * were not heard at the version in force, for the next report. */
+static void
+report(PhConfigTask *t, PhTaskRef from, uint64_t request)
+{
+    PhTime now = PhTask_Now(t->self);
+    const PhConfigState *state =
+        PhConfigLedger_State(PhConfigFollower_Ledger(t->follower));
+    PhConfigReported r = {
+        .request = request,
+        .standing = PhConfigFollower_Standing(t->follower, now),
+        .version = PhConfigState_Version(state),
+        .digest = PhConfigState_Digest(state),
+        .highest_heard = PhConfigFollower_HighestHeard(t->follower),
+        .log_heard_ms_ago =
+            age_ms(now, PhConfigFollower_ConfirmedAt(t->follower)),
+        .reads_log = PhConfigFollower_ReadsLog(t->follower),
+        .appends_waiting = PhConfigAppender_Waiting(t->appender)};
+    report_peers(t, now, &r);
+    PhConfigMessage m = {.tag = PH_CONFIG_REPORTED, .as.reported = r};
+    reply(t, from, &m);
+    GArray *actions = PhConfigActions_Create();
+    PhConfigFollower_AskPeers(t->follower, now, r.version, actions);
+    PhConfigTask_Act(t, actions);
+}
+
+/* Handles a message of another task. */
+void
+PhConfigQuery_Handle(PhConfigTask *t, PhTaskRef from, const PhConfigMessage *m)
+{
+    switch (m->tag) {
+    case PH_CONFIG_SUBSCRIBE:
+        subscribe(t, from);
+        break;
+    case PH_CONFIG_PATCH:
+        submit(t, from, &m->as.patch);
+        break;
+    case PH_CONFIG_FIND:
+        find(t, from, &m->as.find);
+        break;
+    case PH_CONFIG_GET:
+        get(t, from, &m->as.get);
+        break;
+    case PH_CONFIG_HISTORY:
+        history(t, from, m->as.history);
+        break;
+    case PH_CONFIG_REPORT:
+        report(t, from, m->as.report);
+        break;
+    case PH_CONFIG_IN_FORCE:
+    case PH_CONFIG_VERDICT:
+    case PH_CONFIG_GOT:
+    case PH_CONFIG_PAST:
+    case PH_CONFIG_REPORTED:
+        break;
+    }
+}
