services: stop in order, and answer requests after their handler returned

Cause: the stand-in of the log answered nothing: libmicrohttpd on an external loop does not go on with a resumed connection by itself, and the tests only answered inside the handler. Change: the listener sets a timer for the turn after a resume; new cases answer and drop later. The task supervisor stops services one after another within a limit; the subcommand standin runs the stand-ins.

--- a/commands/main.c
+++ b/commands/main.c
@@ -8,6 +8,7 @@
 static const PhCommand commands[] = {
     {"bench", "measure decisions and services", PhCommand_Bench},
     {"check", "check a settings file", PhCommand_Check},
+    {"standin", "run stand-ins of the platform", PhCommand_Standin},
     {"version", "print the version", PhCommand_Version},
 };
 
--- a/include/peridothill/commands.h
+++ b/include/peridothill/commands.h
@@ -24,6 +24,8 @@
 int
 PhCommand_Check(int argc, char **argv);
 int
+PhCommand_Standin(int argc, char **argv);
+int
 PhCommand_Version(int argc, char **argv);
 
 #endif
--- a/services/platform/listener.c
+++ b/services/platform/listener.c
@@ -370,6 +370,20 @@
     return listener->port;
 }
 
+/* Lets the library go on with a suspended request at the next turn: on an
+ * external loop it does not wake up by itself. */
+static void
+exchange_resume(PhExchange *x)
+{
+    if (!x->suspended) {
+        return;
+    }
+    x->suspended = false;
+    MHD_resume_connection(x->connection);
+    PhTask_SetTimer(x->listener->self, (uint64_t)(uintptr_t)x->listener,
+                    PhTask_Now(x->listener->self));
+}
+
 /* Looks whether the caller of a waiting request has closed. */
 static void
 caller_ready(PhListener *l, PhExchange *x)
@@ -389,8 +403,7 @@
     x->response =
         MHD_create_response_from_buffer(0, NULL, MHD_RESPMEM_PERSISTENT);
     x->status = STATUS_BAD_REQUEST;
-    x->suspended = false;
-    MHD_resume_connection(x->connection);
+    exchange_resume(x);
 }
 
 /* Handles readiness and timers that belong to the listener. */
@@ -448,10 +461,7 @@
                                                   MHD_RESPMEM_MUST_COPY);
     x->status = status;
     add_headers(x->response, headers, header_count);
-    if (x->suspended) {
-        x->suspended = false;
-        MHD_resume_connection(x->connection);
-    }
+    exchange_resume(x);
 }
 
 /* Closes the connection of a request that waits. */
@@ -465,10 +475,7 @@
     g_hash_table_remove(l->exchanges, &id);
     exchange_unwatch(x);
     x->dropped = true;
-    if (x->suspended) {
-        x->suspended = false;
-        MHD_resume_connection(x->connection);
-    }
+    exchange_resume(x);
 }
 
 /* Stops listening; the connections that are open go on. */
--- /dev/null
+++ b/services/supervisor.c
@@ -0,0 +1,111 @@
+#include "peridothill/services/supervisor.h"
+
+#include "peridothill/services/interface.h"
+#include "peridothill/services/members.h"
+
+enum {
+    MAILBOX_CAPACITY = 16,
+    LIMIT_TIMER = 1
+};
+
+/* The order in which services stop: those that take work first, those that
+ * the others speak through last. */
+static const PhStr stop_order[] = {
+    {"entry", 5},  {"tasks", 5},   {"workers", 7}, {"operators", 9},
+    {"config", 6}, {"members", 7}, {"peers", 5},   {"list", 4},
+    {"log", 3},    {"http", 4},
+};
+
+/* State of the task "supervisor". */
+typedef struct PhSupervisor {
+    PhSupervisorOptions options;
+    bool stopping;
+    size_t next; /* index into stop_order of the one that is stopping */
+    PhTaskRef waiting;
+} PhSupervisor;
+
+/* Ends the supervisor and tells its owner. */
+static void
+finish(PhSupervisor *s, PhTask *self)
+{
+    PhTask_LOG(self, PH_EVENT_PROCESS_STOPPED,
+               PhField_U64("services", s->next));
+    PhTask_End(self);
+    s->options.on_stopped(s->options.context);
+}
+
+/* Stops the next service that is alive. */
+static void
+stop_next(PhSupervisor *s, PhTask *self)
+{
+    PhKernel *kernel = PhTask_Kernel(self);
+    for (; s->next < G_N_ELEMENTS(stop_order); s->next++) {
+        s->waiting = PhKernel_Lookup(kernel, stop_order[s->next]);
+        if (!PhTaskRef_IsNone(s->waiting)) {
+            PhTask_Monitor(self, s->waiting);
+            PhKernel_Stop(kernel, s->waiting);
+            return;
+        }
+    }
+    finish(s, self);
+}
+
+/* Begins the stop; a second request changes nothing. */
+static void
+begin(PhSupervisor *s, PhTask *self)
+{
+    if (s->stopping) {
+        return;
+    }
+    s->stopping = true;
+    PhTask_LOG(self, PH_EVENT_PROCESS_STOPPING,
+               PhField_I64("limit_ms", s->options.drain_limit / PH_NS_PER_MS));
+    PhMembersMessage drain = {.tag = PH_MEMBERS_DRAIN};
+    PhTask_SendTo(self, PH_SERVICE_MEMBERS, PhMembersMessage_Wrap(&drain));
+    PhTask_SetTimer(self, LIMIT_TIMER,
+                    PhTask_Now(self) + s->options.drain_limit);
+    stop_next(s, self);
+}
+
+/* Handles a mail of the task "supervisor". */
+static void
+supervisor_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhSupervisor *s = state;
+    switch (mail->kind) {
+    case PH_MAIL_STOP:
+        begin(s, self);
+        break;
+    case PH_MAIL_ENDED:
+        if (PhTaskRef_Equal(mail->as.ended, s->waiting)) {
+            s->next++;
+            stop_next(s, self);
+        }
+        break;
+    case PH_MAIL_TIMER:
+        finish(s, self);
+        break;
+    case PH_MAIL_START:
+    case PH_MAIL_MESSAGE:
+    case PH_MAIL_IO:
+        break;
+    }
+}
+
+/* Starts the task "supervisor". */
+PhStatus
+PhSupervisor_Start(PhKernel *kernel, const PhSupervisorOptions *options)
+{
+    PhSupervisor *s = g_new0(PhSupervisor, 1);
+    s->options = *options;
+    PhTaskSpec spec = {.name = PH_SERVICE_SUPERVISOR,
+                       .mailbox_capacity = MAILBOX_CAPACITY,
+                       .state = s,
+                       .handle = supervisor_handle,
+                       .destroy = g_free};
+    PhStatus status = PhKernel_Spawn(kernel, &spec, NULL);
+    if (status != PH_STATUS_OK) {
+        g_free(s);
+    }
+    return status;
+}
--- a/tests/platform/test_http.c
+++ b/tests/platform/test_http.c
@@ -8,9 +8,15 @@
 #include "peridothill/services/listener.h"
 #include "tests/table.h"
 
+enum {
+    ANSWER_TIMER = 1
+};
+
 /* What the server does with a request. */
 typedef enum PhServerAction {
     SERVER_ANSWERS,
+    SERVER_ANSWERS_LATER,
+    SERVER_DROPS_LATER,
     SERVER_IS_SILENT,
     SERVER_IS_ABSENT,
 } PhServerAction;
@@ -34,6 +40,12 @@
      PH_HTTP_FAILURE_NONE, 200},
     {"64 KB body", SERVER_ANSWERS, 65536, 65536, 0, PH_HTTP_ANSWERED,
      PH_HTTP_FAILURE_NONE, 200},
+    {"answered later", SERVER_ANSWERS_LATER, 10, 1000, 0, PH_HTTP_ANSWERED,
+     PH_HTTP_FAILURE_NONE, 200},
+    {"64 KB answered later", SERVER_ANSWERS_LATER, 65536, 65536, 0,
+     PH_HTTP_ANSWERED, PH_HTTP_FAILURE_NONE, 200},
+    {"closed without an answer", SERVER_DROPS_LATER, 10, 1000, 0,
+     PH_HTTP_UNKNOWN, PH_HTTP_FAILURE_RESET, 0},
     {"answer over the limit", SERVER_ANSWERS, 1001, 1000, 0, PH_HTTP_UNKNOWN,
      PH_HTTP_FAILURE_TOO_LARGE, 200},
     {"body over the server's limit", SERVER_ANSWERS, 65537, 100, 0,
@@ -55,6 +67,8 @@
     bool done;
     bool gone;
     size_t served;
+    uint64_t waiting; /* a request to answer later */
+    PhStr body;
 } PhEcho;
 
 /* Ends the loop once the reply has come and, for a request that was not
@@ -79,12 +93,37 @@
                                               incoming->header_count,
                                               PhStr_LITERAL("x-test")),
                             PhStr_LITERAL("yes")));
-    if (e->c->action == SERVER_ANSWERS) {
+    switch (e->c->action) {
+    case SERVER_ANSWERS:
         PhListener_Answer(e->listener, incoming->id, 200, incoming->headers, 0,
                           incoming->body);
+        break;
+    case SERVER_ANSWERS_LATER:
+    case SERVER_DROPS_LATER:
+        e->waiting = incoming->id;
+        e->body = PhStr_Dup(incoming->body);
+        PhTask_SetTimer(e->self, ANSWER_TIMER,
+                        PhTask_Now(e->self) + 5 * PH_NS_PER_MS);
+        break;
+    case SERVER_IS_SILENT:
+    case SERVER_IS_ABSENT:
+        break;
     }
 }
 
+/* Answers or drops the request that waits. */
+static void
+answer_later(PhEcho *e)
+{
+    if (e->c->action == SERVER_DROPS_LATER) {
+        PhListener_Drop(e->listener, e->waiting);
+    }
+    else {
+        PhListener_Answer(e->listener, e->waiting, 200, NULL, 0, e->body);
+    }
+    PhStr_Clear(&e->body);
+}
+
 /* Notes that the caller has gone. */
 static void
 on_gone(void *context, uint64_t id)
@@ -112,9 +151,9 @@
                     .address = PhBuf_Take(&address),
                     .target = PhStr_Dup(PhStr_LITERAL("/a%2Fb?k=v%20w&x")),
                     .body = PhStr_FromBytes(body, e->c->body_bytes),
-                    .deadline = now + (e->c->action == SERVER_ANSWERS
-                                           ? 20 * PH_NS_PER_S
-                                           : 60 * PH_NS_PER_MS),
+                    .deadline = now + (e->c->action == SERVER_IS_SILENT
+                                           ? 60 * PH_NS_PER_MS
+                                           : 20 * PH_NS_PER_S),
                     .first_byte =
                         e->c->first_byte_ms == 0
                             ? PH_TIME_NEVER
@@ -164,6 +203,10 @@
     if (PhListener_Handle(e->listener, mail)) {
         return;
     }
+    if (mail->kind == PH_MAIL_TIMER && mail->as.timer == ANSWER_TIMER) {
+        answer_later(e);
+        return;
+    }
     if (mail->kind == PH_MAIL_MESSAGE &&
         mail->as.message.interface == PH_INTERFACE_HTTP) {
         const PhHttpMessage *m = mail->as.message.body;
