members: build messages inside their action

Cause: the analyzer could not see that an action takes over a message. Change: records are added to the message where it lies in the actions.

--- a/bench/members_cluster.c
+++ b/bench/members_cluster.c
@@ -13,8 +13,9 @@
 
 enum {
     PACKET_HEAD_BYTES = 52, /* IP and TCP with time stamps */
-    SETUP_PACKETS = 8,      /* SYN, FIN and their acknowledgements */
-    SETUP_FRAMES = 3,       /* greeting, greeting with proof, proof */
+    ACKED_PACKET_BYTES = 2 * PACKET_HEAD_BYTES,
+    SETUP_PACKETS = 8, /* SYN, FIN and their acknowledgements */
+    SETUP_FRAMES = 3,  /* greeting, greeting with proof, proof */
     LINK_IDLE_S = 120,
     NAME_BYTES = 32,
 };
@@ -214,7 +215,7 @@
     PhPeerSession_Send(c->sender, PH_CHANNEL_MEMBERS, PhBuf_Str(&payload),
                        &frame);
     c->counts.frame_bytes += frame.len;
-    c->counts.wire_bytes += frame.len + 2 * PACKET_HEAD_BYTES;
+    c->counts.wire_bytes += frame.len + ACKED_PACKET_BYTES;
     PhPeerEvent e = PhPeerSession_Next(c->receiver, &frame, &none);
     Ph_INVARIANT(PH_INVARIANT_MEMBER,
                  e.kind == PH_PEER_EVENT_DATA &&
@@ -307,6 +308,14 @@
     g_array_free(actions, TRUE);
 }
 
+/* Gives each start of each member a seed of its own. */
+static uint64_t
+member_seed(const PhMembersCluster *c, uint32_t member)
+{
+    return (c->options.seed << 32) + ((uint64_t)member << 16) +
+           c->members[member].starts;
+}
+
 /* Starts a member that knows only the address of the first one. */
 void
 PhMembersCluster_Start(PhMembersCluster *cluster, uint32_t member)
@@ -319,8 +328,7 @@
                                .data_centre = m->data_centre,
                                .address = m->address,
                                .incarnation = m->starts,
-                               .seed = cluster->options.seed * 65536 +
-                                       member * 16 + m->starts,
+                               .seed = member_seed(cluster, member),
                                .times = PhMembershipTimes_Default()},
         PhFakeNet_Now(cluster->net));
     PhStr seeds[] = {cluster->members[0].address};
--- a/decide/members/members_send.c
+++ b/decide/members/members_send.c
@@ -11,16 +11,19 @@
     g_array_append_val(m->actions, a);
 }
 
-/* Appends a send; takes over what the message owns. */
-static void
+/* Appends a send, which takes over what the message owns.  The result is
+ * valid until the next action. */
+static PhMemberMessage *
 action_send(PhMembership *m, PhStr member, PhStr address,
-            PhMemberMessage message)
+            const PhMemberMessage *message)
 {
     PhMembershipAction a = {.kind = PH_MEMBERSHIP_SEND,
                             .as.send = {.member = PhStr_Dup(member),
                                         .address = PhStr_Dup(address),
-                                        .message = message}};
+                                        .message = *message}};
     g_array_append_val(m->actions, a);
+    return &g_array_index(m->actions, PhMembershipAction, m->actions->len - 1)
+                .as.send.message;
 }
 
 /* Appends a copy of a record to a message. */
@@ -72,8 +75,8 @@
 PhMembers_Send(PhMembership *m, PhEntry *to, PhMemberMessage message)
 {
     Ph_INVARIANT(PH_INVARIANT_MEMBER, to != m->self, "kind=%d", message.kind);
-    news_add(m, to, &message);
-    action_send(m, to->member.id, to->member.address, message);
+    news_add(m, to,
+             action_send(m, to->member.id, to->member.address, &message));
 }
 
 /* Sends a ping under the given number. */
@@ -92,31 +95,28 @@
 {
     PhMemberMessage request = {.kind = PH_MEMBER_SYNC_REQUEST};
     PhEntry *e = PhEntry_Find(m, member);
-    record_add(&request, &m->self->member);
+    PhMembers_Report(m, PH_MEMBERSHIP_SYNC_ASKED, member);
+    PhMemberMessage *sent = action_send(m, member, address, &request);
+    record_add(sent, &m->self->member);
     if (e != NULL && e->member.state != PH_MEMBER_ALIVE) {
-        record_add(&request, &e->member);
+        record_add(sent, &e->member);
     }
-    PhMembers_Report(m, PH_MEMBERSHIP_SYNC_ASKED, member);
-    action_send(m, member, address, request);
 }
 
 /* Sends all records, in messages of bounded size. */
 void
 PhMembers_SendSync(PhMembership *m, PhEntry *to)
 {
-    PhMemberMessage sync = {.kind = PH_MEMBER_SYNC};
+    const PhMemberMessage sync = {.kind = PH_MEMBER_SYNC};
+    PhMemberMessage *sent = NULL;
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, m->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        record_add(&sync, &((PhEntry *)value)->member);
-        if (sync.record_count == PH_MEMBER_RECORDS_MAX) {
-            action_send(m, to->member.id, to->member.address, sync);
-            sync = (PhMemberMessage){.kind = PH_MEMBER_SYNC};
+        if (sent == NULL || sent->record_count == PH_MEMBER_RECORDS_MAX) {
+            sent = action_send(m, to->member.id, to->member.address, &sync);
         }
-    }
-    if (sync.record_count > 0) {
-        action_send(m, to->member.id, to->member.address, sync);
+        record_add(sent, &((PhEntry *)value)->member);
     }
 }
 
@@ -124,13 +124,13 @@
 static void
 tell_leave(PhMembership *m, GPtrArray *order, guint most)
 {
+    const PhMemberMessage news = {.kind = PH_MEMBER_NEWS};
     guint start =
         order->len == 0 ? 0 : (guint)PhRandom_Below(m->random, order->len);
     for (guint i = 0; i < MIN(order->len, most); i++) {
         PhEntry *to = g_ptr_array_index(order, (start + i) % order->len);
-        PhMemberMessage news = {.kind = PH_MEMBER_NEWS};
-        record_add(&news, &m->self->member);
-        action_send(m, to->member.id, to->member.address, news);
+        record_add(action_send(m, to->member.id, to->member.address, &news),
+                   &m->self->member);
     }
 }
 
--- a/include/peridothill/services/peers.h
+++ b/include/peridothill/services/peers.h
@@ -70,9 +70,9 @@
     uint64_t seed; /* of the jitter */
 } PhPeersOptions;
 
-/* Reads a key file: one or two lines of 64 hexadecimal digits. */
+/* Reads a key: 64 hexadecimal digits, white space around them ignored. */
 PhResult
-PhPeersKeys_Parse(PhStr text, PhStr keys[2], size_t *count);
+PhPeersKey_Parse(PhStr text, PhStr *key);
 /* Starts the task "peers"; `port` is set to the one it listens at. */
 PhResult
 PhPeers_Start(PhKernel *kernel, const PhPeersOptions *options, uint16_t *port);
