members: keep links to peers and run membership over them

Cause: membership was decided but no task spoke it. Change: the task "peers" owns the listener and the links (non-blocking, bounded queues, silent links found by pings and replaced, back-off with jitter), the task "members" binds the decision to it and to the platform's list. Rows in the catalogues of events and counters.

--- /dev/null
+++ b/services/members/members.c
@@ -0,0 +1,444 @@
+#include "peridothill/services/members.h"
+
+#include "peridothill/codec/member_message.h"
+#include "peridothill/common/invariant.h"
+#include "peridothill/decide/members/membership.h"
+#include "peridothill/services/interface.h"
+#include "peridothill/services/peers.h"
+#include "peridothill/services/platform_list.h"
+
+enum {
+    MAILBOX_CAPACITY = 1024,
+    WAKE_TIMER = 1,
+    ATTACH_TIMER = 2,
+};
+
+#define ATTACH_INTERVAL PH_NS_PER_S
+
+/* State of the task "members". */
+typedef struct PhMembersTask {
+    PhMembership *membership;
+    PhStr self;
+    PhStr *seeds;
+    size_t seed_count;
+    uint16_t list_port;
+    GArray *subscribers; /* PhTaskRef */
+    PhTaskRef peers;     /* tasks that were told of this one */
+    PhTaskRef list;
+    uint64_t views;
+} PhMembersTask;
+
+/* How a report is counted and logged. */
+typedef struct PhReportRow {
+    PhCounter counter;
+    PhEventId event;
+} PhReportRow;
+
+static const PhReportRow report_rows[] = {
+    [PH_MEMBERSHIP_JOINED] = {PH_COUNTER_MEMBERS_JOINED,
+                              PH_EVENT_MEMBER_JOINED},
+    [PH_MEMBERSHIP_SUSPECTED] = {PH_COUNTER_MEMBERS_SUSPECTED,
+                                 PH_EVENT_MEMBER_SUSPECTED},
+    [PH_MEMBERSHIP_REFUTED] = {PH_COUNTER_MEMBERS_REFUTED,
+                               PH_EVENT_MEMBER_REFUTED},
+    [PH_MEMBERSHIP_DIED] = {PH_COUNTER_MEMBERS_DIED, PH_EVENT_MEMBER_DIED},
+    [PH_MEMBERSHIP_RETURNED] = {PH_COUNTER_MEMBERS_RETURNED,
+                                PH_EVENT_MEMBER_RETURNED},
+    [PH_MEMBERSHIP_GONE] = {PH_COUNTER_MEMBERS_LEFT, PH_EVENT_MEMBER_LEFT},
+    [PH_MEMBERSHIP_SELF_REFUTED] = {PH_COUNTER_MEMBERS_SELF_REFUTED,
+                                    PH_EVENT_MEMBER_SELF_REFUTED},
+    [PH_MEMBERSHIP_ID_CONFLICT] = {PH_COUNTER_MEMBERS_ID_CONFLICT,
+                                   PH_EVENT_MEMBER_ID_CONFLICT},
+    [PH_MEMBERSHIP_TABLE_FULL] = {PH_COUNTER_MEMBERS_FULL,
+                                  PH_EVENT_MEMBERS_FULL},
+    [PH_MEMBERSHIP_SYNC_ASKED] = {PH_COUNTER_MEMBERS_SYNCS,
+                                  PH_EVENT_MEMBERS_SYNC_ASKED},
+    [PH_MEMBERSHIP_PAUSED] = {PH_COUNTER_MEMBERS_PAUSES,
+                              PH_EVENT_PROCESS_PAUSED},
+    [PH_MEMBERSHIP_OWN_DATA_CENTRE_LOST] = {PH_COUNTER_MEMBERS_OWN_LOST,
+                                            PH_EVENT_OWN_DATA_CENTRE_LOST},
+    [PH_MEMBERSHIP_OWN_DATA_CENTRE_HEARD] = {PH_COUNTER_MEMBERS_OWN_HEARD,
+                                             PH_EVENT_OWN_DATA_CENTRE_HEARD},
+    [PH_MEMBERSHIP_OTHER_DATA_CENTRES_LOST] =
+        {PH_COUNTER_MEMBERS_OTHERS_LOST, PH_EVENT_OTHER_DATA_CENTRES_LOST},
+    [PH_MEMBERSHIP_OTHER_DATA_CENTRES_HEARD] =
+        {PH_COUNTER_MEMBERS_OTHERS_HEARD, PH_EVENT_OTHER_DATA_CENTRES_HEARD},
+    [PH_MEMBERSHIP_PLATFORM_LOST] = {PH_COUNTER_MEMBERS_PLATFORM_LOST,
+                                     PH_EVENT_PLATFORM_LOST},
+    [PH_MEMBERSHIP_PLATFORM_BACK] = {PH_COUNTER_MEMBERS_PLATFORM_HEARD,
+                                     PH_EVENT_PLATFORM_HEARD},
+};
+
+/* Adds one to a counter of the instance. */
+static void
+count(PhTask *self, PhCounter counter)
+{
+    PhCounters_Add(PhKernel_Counters(PhTask_Kernel(self)), counter, 1);
+}
+
+/* Sends a message to a member through "peers". */
+static void
+send_message(PhTask *self, const PhMembershipAction *a)
+{
+    PhBuf payload = {0};
+    PhMemberMessage_Encode(&a->as.send.message, &payload);
+    PhPeersMessage m = {.tag = PH_PEERS_SEND,
+                        .as.send = {.member = PhStr_Dup(a->as.send.member),
+                                    .address = PhStr_Dup(a->as.send.address),
+                                    .channel = PH_CHANNEL_MEMBERS,
+                                    .payload = PhBuf_Take(&payload)}};
+    PhTask_SendTo(self, PH_SERVICE_PEERS, PhPeersMessage_Wrap(&m));
+}
+
+/* Sends the current view to one task. */
+static void
+send_view(PhMembersTask *t, PhTask *self, PhTaskRef to)
+{
+    GArray *members = PhMembership_List(t->membership);
+    PhMembershipHearing hearing = PhMembership_Hearing(t->membership);
+    PhMembersView view = {.sequence = t->views,
+                          .self = t->self,
+                          .members = (PhMember *)members->data,
+                          .member_count = members->len,
+                          .hears_own_data_centre = hearing.own_data_centre,
+                          .hears_other_data_centres =
+                              hearing.other_data_centres,
+                          .hears_platform = hearing.platform};
+    for (guint i = 1; i < members->len; i++) {
+        Ph_INVARIANT(
+            PH_INVARIANT_MEMBER,
+            PhStr_Compare(view.members[i - 1].id, view.members[i].id) < 0,
+            "member=%.*s", PhStr_ARG(view.members[i].id));
+    }
+    PhMembersMessage m = {.tag = PH_MEMBERS_VIEW,
+                          .as.view = PhMembersView_Copy(&view)};
+    PhTask_Send(self, to, PhMembersMessage_Wrap(&m));
+    g_array_free(members, TRUE);
+}
+
+/* Sends a new view to all subscribers. */
+static void
+publish(PhMembersTask *t, PhTask *self)
+{
+    t->views++;
+    for (guint i = 0; i < t->subscribers->len; i++) {
+        send_view(t, self, g_array_index(t->subscribers, PhTaskRef, i));
+    }
+}
+
+/* Counts and logs a report. */
+static void
+report(PhTask *self, PhMembershipReport what, PhStr member)
+{
+    const PhReportRow *row = &report_rows[what];
+    count(self, row->counter);
+    PhTask_LOG(self, row->event, PhField_STR("member", member));
+}
+
+/* Carries out one action. */
+static void
+act(PhMembersTask *t, PhTask *self, const PhMembershipAction *a)
+{
+    switch (a->kind) {
+    case PH_MEMBERSHIP_SEND:
+        send_message(self, a);
+        return;
+    case PH_MEMBERSHIP_WAKE:
+        if (a->as.wake == PH_TIME_NEVER) {
+            PhTask_CancelTimer(self, WAKE_TIMER);
+        }
+        else {
+            PhTask_SetTimer(self, WAKE_TIMER, a->as.wake);
+        }
+        return;
+    case PH_MEMBERSHIP_VIEW_CHANGED:
+        publish(t, self);
+        return;
+    case PH_MEMBERSHIP_REPORT:
+        report(self, a->as.report.what, a->as.report.member);
+        return;
+    }
+}
+
+/* Gives an event to the decision and carries out its actions. */
+static void
+apply(PhMembersTask *t, PhTask *self, const PhMembershipEvent *event)
+{
+    GArray *actions = PhMembershipActions_Create();
+    PhMembership_Apply(t->membership, event, PhTask_Now(self), actions);
+    for (guint i = 0; i < actions->len; i++) {
+        act(t, self, &g_array_index(actions, PhMembershipAction, i));
+    }
+    g_array_free(actions, TRUE);
+}
+
+/* Gives an event that carries nothing. */
+static void
+apply_kind(PhMembersTask *t, PhTask *self, PhMembershipEventKind kind)
+{
+    PhMembershipEvent event = {.kind = kind};
+    apply(t, self, &event);
+}
+
+/* Asks "peers" for the payloads of members and "list" for its readings,
+ * whenever these tasks are new. */
+static void
+attach(PhMembersTask *t, PhTask *self)
+{
+    PhKernel *kernel = PhTask_Kernel(self);
+    PhTaskRef peers = PhKernel_Lookup(kernel, PH_SERVICE_PEERS);
+    PhTaskRef list = PhKernel_Lookup(kernel, PH_SERVICE_LIST);
+    PhPeersMessage listen = {.tag = PH_PEERS_LISTEN,
+                             .as.listen = PH_CHANNEL_MEMBERS};
+    PhListMessage subscribe = {.tag = PH_LIST_SUBSCRIBE};
+    if (!PhTaskRef_IsNone(peers) && !PhTaskRef_Equal(peers, t->peers) &&
+        PhTask_Send(self, peers, PhPeersMessage_Wrap(&listen)) ==
+            PH_STATUS_OK) {
+        t->peers = peers;
+    }
+    if (!PhTaskRef_IsNone(list) && !PhTaskRef_Equal(list, t->list) &&
+        PhTask_Send(self, list, PhListMessage_Wrap(&subscribe)) ==
+            PH_STATUS_OK) {
+        t->list = list;
+    }
+    PhTask_SetTimer(self, ATTACH_TIMER, PhTask_Now(self) + ATTACH_INTERVAL);
+}
+
+/* Gives the decision the addresses of the seeds, and of the entry instances
+ * of a reading at their peer port. */
+static void
+give_candidates(PhMembersTask *t, PhTask *self, const PhListReading *reading)
+{
+    GPtrArray *owned = g_ptr_array_new_with_free_func(PhStr_KeyDestroy);
+    for (size_t i = 0; i < t->seed_count; i++) {
+        g_ptr_array_add(owned, PhStr_KeyCreate(t->seeds[i]));
+    }
+    for (size_t i = 0; t->list_port != 0 && i < reading->entry_count; i++) {
+        const PhListEntry *e = &reading->entries[i];
+        PhBuf address = {0};
+        size_t host = e->address.len;
+        while (host > 0 && e->address.data[host - 1] != ':') {
+            host--;
+        }
+        if (e->role != PH_LIST_ENTRY || e->state != PH_LIST_LIVE) {
+            continue;
+        }
+        PhBuf_AppendFormat(&address, "%.*s%u", (int)host,
+                           host == 0 ? "" : e->address.data, t->list_port);
+        g_ptr_array_add(owned, PhStr_KeyCreate(PhBuf_Str(&address)));
+        PhBuf_Clear(&address);
+    }
+    GArray *addresses = g_array_new(FALSE, FALSE, sizeof(PhStr));
+    for (guint i = 0; i < owned->len; i++) {
+        g_array_append_val(addresses, *(PhStr *)owned->pdata[i]);
+    }
+    PhMembershipEvent event = {
+        .kind = PH_MEMBERSHIP_CANDIDATES,
+        .as.candidates = {(const PhStr *)addresses->data, addresses->len}};
+    apply(t, self, &event);
+    g_array_free(addresses, TRUE);
+    g_ptr_array_free(owned, TRUE);
+}
+
+/* Takes a reading of the platform's list; one that failed changes nothing. */
+static void
+on_list(PhMembersTask *t, PhTask *self, const PhListMessage *m)
+{
+    switch (m->tag) {
+    case PH_LIST_READING:
+        if (m->as.reading.status == PH_STATUS_OK) {
+            apply_kind(t, self, PH_MEMBERSHIP_PLATFORM_HEARD);
+            give_candidates(t, self, &m->as.reading);
+        }
+        return;
+    case PH_LIST_SUBSCRIBE:
+        return;
+    }
+}
+
+/* Takes a payload of another member. */
+static void
+on_received(PhMembersTask *t, PhTask *self, const PhPeersReceived *received)
+{
+    PhMemberMessage message;
+    PhStatus status = PhMemberMessage_Decode(received->payload, &message);
+    if (status == PH_STATUS_OK) {
+        PhMembershipEvent event = {.kind = PH_MEMBERSHIP_MESSAGE,
+                                   .as.message = {received->member, &message}};
+        apply(t, self, &event);
+    }
+    else if (status == PH_STATUS_NOT_FOUND) {
+        count(self, PH_COUNTER_MEMBERS_UNKNOWN);
+    }
+    else {
+        count(self, PH_COUNTER_MEMBERS_MALFORMED);
+        PhTask_LOG(self, PH_EVENT_MEMBER_MESSAGE_REFUSED,
+                   PhField_STR("member", received->member));
+    }
+    PhMemberMessage_Clear(&message);
+}
+
+/* Takes a message of the payload interface. */
+static void
+on_peers(PhMembersTask *t, PhTask *self, const PhPeersMessage *m)
+{
+    switch (m->tag) {
+    case PH_PEERS_RECEIVED:
+        on_received(t, self, &m->as.received);
+        return;
+    case PH_PEERS_SEND:
+    case PH_PEERS_LISTEN:
+        return;
+    }
+}
+
+/* Takes a message of the own interface. */
+static void
+on_members(PhMembersTask *t, PhTask *self, PhTaskRef from,
+           const PhMembersMessage *m)
+{
+    switch (m->tag) {
+    case PH_MEMBERS_SUBSCRIBE:
+        g_array_append_val(t->subscribers, from);
+        PhTask_Monitor(self, from);
+        send_view(t, self, from);
+        return;
+    case PH_MEMBERS_PLATFORM_HEARD:
+        apply_kind(t, self, PH_MEMBERSHIP_PLATFORM_HEARD);
+        return;
+    case PH_MEMBERS_DRAIN:
+        apply_kind(t, self, PH_MEMBERSHIP_DRAIN);
+        return;
+    case PH_MEMBERS_LEAVE:
+        apply_kind(t, self, PH_MEMBERSHIP_LEAVE);
+        PhTask_End(self);
+        return;
+    case PH_MEMBERS_VIEW:
+        return;
+    }
+}
+
+/* Takes a message by its interface. */
+static void
+on_message(PhMembersTask *t, PhTask *self, const PhMail *mail)
+{
+    const void *body = mail->as.message.body;
+    if (mail->as.message.interface == PH_INTERFACE_PEERS) {
+        on_peers(t, self, body);
+    }
+    else if (mail->as.message.interface == PH_INTERFACE_LIST) {
+        on_list(t, self, body);
+    }
+    else if (mail->as.message.interface == PH_INTERFACE_MEMBERS) {
+        on_members(t, self, mail->from, body);
+    }
+}
+
+/* Forgets a subscriber that has ended. */
+static void
+on_ended(PhMembersTask *t, PhTaskRef ended)
+{
+    for (guint i = t->subscribers->len; i > 0; i--) {
+        if (PhTaskRef_Equal(g_array_index(t->subscribers, PhTaskRef, i - 1),
+                            ended)) {
+            g_array_remove_index_fast(t->subscribers, i - 1);
+        }
+    }
+}
+
+/* Starts with the seeds alone. */
+static void
+on_start(PhMembersTask *t, PhTask *self)
+{
+    PhListReading none = {0};
+    attach(t, self);
+    give_candidates(t, self, &none);
+}
+
+/* Handles a mail of the task "members". */
+static void
+members_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhMembersTask *t = state;
+    switch (mail->kind) {
+    case PH_MAIL_START:
+        on_start(t, self);
+        break;
+    case PH_MAIL_MESSAGE:
+        on_message(t, self, mail);
+        break;
+    case PH_MAIL_TIMER:
+        if (mail->as.timer == WAKE_TIMER) {
+            apply_kind(t, self, PH_MEMBERSHIP_WOKEN);
+        }
+        else {
+            attach(t, self);
+        }
+        break;
+    case PH_MAIL_IO:
+        break;
+    case PH_MAIL_ENDED:
+        on_ended(t, mail->as.ended);
+        break;
+    case PH_MAIL_STOP:
+        apply_kind(t, self, PH_MEMBERSHIP_LEAVE);
+        PhTask_End(self);
+        break;
+    }
+}
+
+/* Releases the state of the task. */
+static void
+members_destroy(void *state)
+{
+    PhMembersTask *t = state;
+    PhMembership_Destroy(t->membership);
+    PhStr_Clear(&t->self);
+    for (size_t i = 0; i < t->seed_count; i++) {
+        PhStr_Clear(&t->seeds[i]);
+    }
+    g_free(t->seeds);
+    g_array_free(t->subscribers, TRUE);
+    g_free(t);
+}
+
+/* Creates the state of the task. */
+static PhMembersTask *
+members_create(const PhMembersOptions *options, PhTime now)
+{
+    PhMembersTask *t = g_new0(PhMembersTask, 1);
+    t->membership = PhMembership_Create(
+        &(PhMembershipOptions){.id = options->id,
+                               .data_centre = options->data_centre,
+                               .address = options->address,
+                               .incarnation = options->incarnation,
+                               .seed = options->seed,
+                               .times = PhMembershipTimes_Default()},
+        now);
+    t->self = PhStr_Dup(options->id);
+    t->seeds = g_new0(PhStr, options->seed_count);
+    t->seed_count = options->seed_count;
+    for (size_t i = 0; i < options->seed_count; i++) {
+        t->seeds[i] = PhStr_Dup(options->seeds[i]);
+    }
+    t->list_port = options->list_port;
+    t->subscribers = g_array_new(FALSE, FALSE, sizeof(PhTaskRef));
+    return t;
+}
+
+/* Starts the task "members". */
+PhStatus
+PhMembers_Start(PhKernel *kernel, const PhMembersOptions *options)
+{
+    PhMembersTask *t = members_create(options, PhKernel_Now(kernel));
+    PhTaskSpec spec = {.name = PH_SERVICE_MEMBERS,
+                       .mailbox_capacity = MAILBOX_CAPACITY,
+                       .state = t,
+                       .handle = members_handle,
+                       .destroy = members_destroy};
+    PhStatus status = PhKernel_Spawn(kernel, &spec, NULL);
+    if (status != PH_STATUS_OK) {
+        members_destroy(t);
+    }
+    return status;
+}
--- /dev/null
+++ b/services/members/peer_socket.c
@@ -0,0 +1,132 @@
+#include "peer_socket.h"
+
+#include <errno.h>
+#include <netdb.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum {
+    LISTEN_BACKLOG = 128,
+};
+
+/* Resolves "IP:port" or "[IP]:port" without asking anyone; released with
+ * freeaddrinfo.  NULL when it is no such address. */
+static struct addrinfo *
+address_parse(PhStr address)
+{
+    struct addrinfo hints = {.ai_family = AF_UNSPEC,
+                             .ai_socktype = SOCK_STREAM,
+                             .ai_flags = AI_NUMERICHOST | AI_NUMERICSERV};
+    struct addrinfo *info = NULL;
+    char *text = PhStr_ToC(address);
+    char *colon = strrchr(text, ':');
+    char *host = text;
+    if (colon != NULL && colon > text) {
+        *colon = '\0';
+        if (host[0] == '[' && colon[-1] == ']') {
+            colon[-1] = '\0';
+            host++;
+        }
+        if (getaddrinfo(host, colon + 1, &hints, &info) != 0) {
+            info = NULL;
+        }
+    }
+    g_free(text);
+    return info;
+}
+
+/* Opens a socket that does not block and sends small frames at once. */
+static int
+socket_open(const struct addrinfo *info)
+{
+    int one = 1;
+    int fd = socket(info->ai_family,
+                    info->ai_socktype | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd >= 0) {
+        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+    }
+    return fd;
+}
+
+/* Reads the port that a socket is bound to. */
+static uint16_t
+socket_port(int fd)
+{
+    struct sockaddr_storage bound;
+    socklen_t len = sizeof(bound);
+    if (getsockname(fd, (struct sockaddr *)&bound, &len) != 0) {
+        return 0;
+    }
+    if (bound.ss_family == AF_INET6) {
+        return ntohs(((struct sockaddr_in6 *)&bound)->sin6_port);
+    }
+    return ntohs(((struct sockaddr_in *)&bound)->sin_port);
+}
+
+/* Opens a listening socket. */
+int
+PhPeerSocket_Listen(PhStr address, uint16_t *port)
+{
+    struct addrinfo *info = address_parse(address);
+    int one = 1;
+    if (info == NULL) {
+        return -1;
+    }
+    int fd = socket_open(info);
+    if (fd >= 0) {
+        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+        if (bind(fd, info->ai_addr, info->ai_addrlen) != 0 ||
+            listen(fd, LISTEN_BACKLOG) != 0) {
+            close(fd);
+            fd = -1;
+        }
+        else {
+            *port = socket_port(fd);
+        }
+    }
+    freeaddrinfo(info);
+    return fd;
+}
+
+/* Accepts one connection. */
+int
+PhPeerSocket_Accept(int listen_fd)
+{
+    int one = 1;
+    int fd = accept4(listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0) {
+        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+    }
+    return fd;
+}
+
+/* Starts to connect. */
+int
+PhPeerSocket_Connect(PhStr address)
+{
+    struct addrinfo *info = address_parse(address);
+    if (info == NULL) {
+        return -1;
+    }
+    int fd = socket_open(info);
+    if (fd >= 0 && connect(fd, info->ai_addr, info->ai_addrlen) != 0 &&
+        errno != EINPROGRESS) {
+        close(fd);
+        fd = -1;
+    }
+    freeaddrinfo(info);
+    return fd;
+}
+
+/* Tells whether a started connection is there. */
+bool
+PhPeerSocket_IsConnected(int fd)
+{
+    int error = 0;
+    socklen_t len = sizeof(error);
+    return getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) == 0 &&
+           error == 0;
+}
--- /dev/null
+++ b/services/members/peers_state.h
@@ -0,0 +1,71 @@
+/* State of the task "peers", shared by its files. */
+#ifndef PERIDOTHILL_SERVICES_MEMBERS_PEERS_STATE_H
+#define PERIDOTHILL_SERVICES_MEMBERS_PEERS_STATE_H
+
+#include "peer_link.h"
+#include "peridothill/common/random.h"
+
+enum {
+    LINKS_MAX = 1024,
+    UNPROVED_MAX = 64, /* accepted links whose peer is not proved yet */
+};
+
+typedef struct PhPeersTask {
+    PhPeerIdentity identity; /* owns its strings */
+    PhPeerNonces *nonces;
+    PhRandom *random;
+    int listen_fd;
+    uint16_t port;
+    PhTaskRef listeners[PH_CHANNEL_LIMIT];
+    PhTaskRef members;     /* the task whose views tell addresses */
+    GHashTable *links;     /* descriptor to PhPeerLink */
+    GHashTable *by_member; /* id to the latest ready PhPeerLink */
+    GHashTable *addresses; /* id to address, from the latest view */
+    GHashTable *back_offs; /* address to PhBackOff */
+    PhTime tick_due;
+    bool stopping;
+} PhPeersTask;
+
+/* Why a link is closed. */
+typedef enum PhLinkEnd {
+    PH_LINK_END_BY_PEER,
+    PH_LINK_END_FAILED,
+    PH_LINK_END_REFUSED,
+    PH_LINK_END_HANDSHAKE,
+    PH_LINK_END_SILENT,
+    PH_LINK_END_IDLE,
+    PH_LINK_END_SELF,
+    PH_LINK_END_LIMIT,
+} PhLinkEnd;
+
+/* peers_links.c */
+void
+PhPeers_CountOne(PhTask *self, PhCounter counter, uint64_t amount);
+/* Adds a link to the tables and watches its socket. */
+void
+PhPeers_AddLink(PhPeersTask *p, PhTask *self, PhPeerLink *link);
+/* Closes and releases a link; a dialled one that failed is backed off. */
+void
+PhPeers_CloseLink(PhPeersTask *p, PhTask *self, PhPeerLink *link,
+                  PhLinkEnd end);
+/* Finds the link for a member or address, or dials; NULL, counted, when
+ * there is none to be had. */
+PhPeerLink *
+PhPeers_FindLink(PhPeersTask *p, PhTask *self, const PhPeersSend *send);
+/* Writes what is queued and watches for room as long as some is left.  False
+ * when the link was closed. */
+bool
+PhPeers_FlushLink(PhPeersTask *p, PhTask *self, PhPeerLink *link);
+/* Pings, replaces and closes links by their times. */
+void
+PhPeers_CheckLinks(PhPeersTask *p, PhTask *self, PhTime late);
+/* Forgets that an address failed. */
+void
+PhPeers_ClearBackOff(PhPeersTask *p, PhStr address);
+
+/* peers_receive.c */
+/* Takes what a link has read. */
+void
+PhPeers_TakeFrames(PhPeersTask *p, PhTask *self, PhPeerLink *link);
+
+#endif
