kernel: let a task read the wall clock

Cause: records of the log and leases compare times across machines. Change: PhTask_Wall; the stand-in log stamps records with it. Conclusion: decisions still get their time from outside.

--- a/include/peridothill/kernel/kernel.h
+++ b/include/peridothill/kernel/kernel.h
@@ -139,6 +139,9 @@
 PhTask_Name(const PhTask *self);
 PhTime
 PhTask_Now(const PhTask *self);
+/* Wall time since the Unix epoch, for what is compared across machines. */
+PhTime
+PhTask_Wall(const PhTask *self);
 /* Sends a message from this task. */
 PhStatus
 PhTask_Send(PhTask *self, PhTaskRef to, PhMessage message);
--- a/kernel/kernel.c
+++ b/kernel/kernel.c
@@ -532,6 +532,13 @@
     return PhKernel_Now(self->kernel);
 }
 
+/* Reads the wall clock. */
+PhTime
+PhTask_Wall(const PhTask *self)
+{
+    return PhClock_Wall(self->kernel->options.clock);
+}
+
 /* Sends a message from this task. */
 PhStatus
 PhTask_Send(PhTask *self, PhTaskRef to, PhMessage message)
--- a/standin/log.c
+++ b/standin/log.c
@@ -142,11 +142,12 @@
                             .end = a.offset,
                             .records = g_new0(PhLogRecord, found->len),
                             .record_count = found->len};
+    PhTime wall = PhTask_Wall(s->self) - PhTask_Now(s->self);
     for (guint i = 0; i < found->len; i++) {
         const PhFakeRecord *f = &g_array_index(found, PhFakeRecord, i);
         records.records[i] =
             (PhLogRecord){.offset = f->offset,
-                          .appended_ms = f->appended / PH_NS_PER_MS,
+                          .appended_ms = (wall + f->appended) / PH_NS_PER_MS,
                           .body = f->data};
     }
     answer_at(s, incoming->id, a.at, http_status(a.status),
