requests: decide on admission, routing, retries, refusals and draining

Pure decisions behind one facade, PhRequests: events in, actions out. The proof of not-run is one function; routing is power of two choices by the latency learned for each pair of service and worker; queues are shared out by team and service; idempotency keys have two homes by rendezvous hashing.

--- /dev/null
+++ b/decide/requests/budget.c
@@ -0,0 +1,42 @@
+#include "peridothill/decide/requests/budget.h"
+
+#include "peridothill/common/invariant.h"
+
+enum {
+    TOKEN_CENTI = 100,
+    CAP_TOKENS = 50, /* retries that may follow a quiet time at once */
+};
+
+/* Counts what may be spent. */
+static uint64_t
+budget_left(const PhBudget *budget)
+{
+    return budget->earned_centi - budget->spent_centi - budget->lost_centi;
+}
+
+/* Earns a part of a token for one request. */
+void
+PhBudget_Earn(PhBudget *budget, uint32_t percent)
+{
+    budget->earned_centi += percent;
+    uint64_t cap = (uint64_t)CAP_TOKENS * TOKEN_CENTI;
+    if (budget_left(budget) > cap) {
+        budget->lost_centi += budget_left(budget) - cap;
+    }
+}
+
+/* Spends one token when there is one. */
+bool
+PhBudget_Spend(PhBudget *budget)
+{
+    if (budget_left(budget) < TOKEN_CENTI) {
+        return false;
+    }
+    budget->spent_centi += TOKEN_CENTI;
+    Ph_INVARIANT(PH_INVARIANT_BUDGET,
+                 budget->spent_centi + budget->lost_centi <=
+                     budget->earned_centi,
+                 "spent=%lu earned=%lu", (unsigned long)budget->spent_centi,
+                 (unsigned long)budget->earned_centi);
+    return true;
+}
--- /dev/null
+++ b/decide/requests/dispatch.c
@@ -0,0 +1,149 @@
+#include "peridothill/common/invariant.h"
+#include "requests_internal.h"
+
+enum {
+    LEAST_FIRST_BYTE_MS = 20
+};
+
+/* Until when the first byte must arrive: a few times what answers take, and no
+ * more than half of the time left, so that a retry fits in. */
+static PhTime
+first_byte_deadline(const PhRequests *r, const PhRequestRecord *record)
+{
+    if (!r->options.tuning.first_byte_timeout || !record->idempotent) {
+        return PH_TIME_NEVER;
+    }
+    PhTime usual = 2 * PhRouter_TailLatency(r->router, record->service->pool);
+    PhTime half = (record->deadline - r->now) / 2;
+    if (usual == 0) {
+        return r->now + half;
+    }
+    usual = MAX(usual, LEAST_FIRST_BYTE_MS * PH_NS_PER_MS);
+    return r->now + MIN(usual, half);
+}
+
+/* Keeps the attempt's number with its request. */
+static void
+live_add(PhRequestRecord *record, uint64_t attempt)
+{
+    for (int i = 0; i < MOST_ATTEMPTS_AT_ONCE; i++) {
+        if (record->live[i] == 0) {
+            record->live[i] = attempt;
+            return;
+        }
+    }
+    Ph_INVARIANT(PH_INVARIANT_QUEUE, false, "request=%lu",
+                 (unsigned long)record->id);
+}
+
+/* Sends one attempt of a request to a worker. */
+static void
+attempt_send(PhRequests *r, PhRequestRecord *record, uint32_t worker,
+             PhSendCause cause)
+{
+    Ph_INVARIANT(PH_INVARIANT_AT_MOST_ONCE,
+                 record->idempotent || (record->sends == record->not_sent &&
+                                        record->live[0] == 0),
+                 "request=%lu sends=%u not_sent=%u", (unsigned long)record->id,
+                 record->sends, record->not_sent);
+    Ph_INVARIANT(PH_INVARIANT_QUEUE, r->now < record->deadline,
+                 "request=%lu deadline passed", (unsigned long)record->id);
+    PhRouter_Sent(r->router, worker);
+    PhAttempt *attempt = g_new0(PhAttempt, 1);
+    *attempt = (PhAttempt){.id = ++r->next_attempt,
+                           .request = record->id,
+                           .worker = worker,
+                           .pool = record->service->pool,
+                           .cause = cause,
+                           .sent_at = r->now};
+    g_hash_table_insert(r->attempts, &attempt->id, attempt);
+    live_add(record, attempt->id);
+    record->sends++;
+    record->last_worker = worker;
+    record->state = PH_REQUEST_IN_FLIGHT;
+    PhRequests_Emit(
+        r, (PhRequestsAction){
+               .tag = PH_REQUESTS_SEND,
+               .as.send = {.request = record->id,
+                           .attempt = attempt->id,
+                           .worker = worker,
+                           .cause = cause,
+                           .deadline = record->deadline,
+                           .first_byte = first_byte_deadline(r, record),
+                           .fresh_connection = !record->idempotent}});
+}
+
+/* Tells whether an answer can still be in time.  What is asked for is at most
+ * half of the request's whole time, or slow services would refuse all. */
+static bool
+can_make_it(const PhRequests *r, const PhRequestRecord *record)
+{
+    if (!r->options.tuning.deadline_aware) {
+        return r->now < record->deadline;
+    }
+    PhTime need = PhRouter_TailLatency(r->router, record->service->pool);
+    need = MIN(need, (record->deadline - record->arrived) / 2);
+    return r->now + need < record->deadline;
+}
+
+/* Sets the timer of a request in flight: its hedge or its deadline. */
+static void
+set_flight_timer(PhRequests *r, PhRequestRecord *record)
+{
+    PhTime hedge_after = record->service->policy.hedge_after;
+    PhTime at = record->deadline;
+    if (hedge_after > 0 && record->idempotent && !record->hedged) {
+        at = MIN(at, r->now + hedge_after);
+    }
+    PhRequests_SetWake(r, record, at);
+}
+
+/* Sends queued requests while there is room, in the order of admission. */
+void
+PhDispatch_Run(PhRequests *r)
+{
+    PhRequestRecord *record;
+    while ((record = PhAdmission_Next(r)) != NULL) {
+        if (!can_make_it(r, record)) {
+            PhRequests_Refuse(r, record,
+                              r->now < record->deadline
+                                  ? PH_REFUSAL_DEADLINE_TOO_SHORT
+                                  : PH_REFUSAL_DEADLINE_PASSED);
+            continue;
+        }
+        uint32_t avoid = record->next_cause == PH_SEND_FIRST
+                             ? PH_WORKER_NONE
+                             : record->last_worker;
+        uint32_t worker = PhRouter_Pick(r->router, record->service->pool,
+                                        avoid, record->idempotent, r->now);
+        Ph_INVARIANT(PH_INVARIANT_QUEUE, worker != PH_WORKER_NONE,
+                     "request=%lu", (unsigned long)record->id);
+        PhAdmission_Dequeue(r, record);
+        PhAdmission_Charge(r, record->service);
+        attempt_send(r, record, worker, record->next_cause);
+        set_flight_timer(r, record);
+    }
+}
+
+/* Sends a second attempt to another worker when the budget allows. */
+void
+PhDispatch_Hedge(PhRequests *r, PhRequestRecord *record)
+{
+    PhService *service = record->service;
+    record->hedged = true;
+    PhRequests_SetWake(r, record, record->deadline);
+    if (!PhRouter_HasRoom(r->router, service->pool, false, r->now)) {
+        return;
+    }
+    uint32_t worker = PhRouter_Pick(r->router, service->pool,
+                                    record->last_worker, true, r->now);
+    if (worker == PH_WORKER_NONE || worker == record->last_worker) {
+        return;
+    }
+    if (!PhBudget_Spend(&service->budget)) {
+        PhRequests_Note(r, PH_NOTE_RETRY_NO_BUDGET, PH_WORKER_NONE);
+        return;
+    }
+    PhAdmission_Charge(r, service);
+    attempt_send(r, record, worker, PH_SEND_HEDGE);
+}
--- /dev/null
+++ b/decide/requests/reply.c
@@ -0,0 +1,196 @@
+#include "peridothill/common/invariant.h"
+#include "requests_internal.h"
+
+enum {
+    BACKOFF_MS = 10,
+    LONGEST_BACKOFF_MS = 200,
+};
+
+/* What an unsuccessful end means for a retry and a refusal. */
+typedef struct PhEndMeaning {
+    PhSendCause cause;
+    PhRefusal refusal;
+    bool worker_failed;
+    bool retry;
+} PhEndMeaning;
+
+static const PhEndMeaning meanings[] = {
+    [PH_ATTEMPT_END_ANSWERED] = {PH_SEND_RETRY_STATUS, PH_REFUSAL_COUNT, true,
+                                 true},
+    [PH_ATTEMPT_END_CONNECT] = {PH_SEND_RETRY_CONNECT,
+                                PH_REFUSAL_CONNECT_FAILED, true, true},
+    [PH_ATTEMPT_END_FIRST_BYTE] = {PH_SEND_RETRY_FIRST_BYTE,
+                                   PH_REFUSAL_FIRST_BYTE_TIMEOUT, true, true},
+    [PH_ATTEMPT_END_DEADLINE] = {PH_SEND_FIRST, PH_REFUSAL_DEADLINE_IN_FLIGHT,
+                                 true, false},
+    [PH_ATTEMPT_END_RESET] = {PH_SEND_RETRY_RESET, PH_REFUSAL_UPSTREAM_RESET,
+                              true, true},
+    [PH_ATTEMPT_END_TRUNCATED] = {PH_SEND_RETRY_TRUNCATED,
+                                  PH_REFUSAL_UPSTREAM_TRUNCATED, true, true},
+    [PH_ATTEMPT_END_TOO_LARGE] = {PH_SEND_FIRST, PH_REFUSAL_UPSTREAM_TOO_LARGE,
+                                  false, false},
+    [PH_ATTEMPT_END_CANCELLED] = {PH_SEND_RETRY_CONNECT,
+                                  PH_REFUSAL_CONNECT_FAILED, false, true},
+};
+
+/* Tells whether the worker itself says that it could not serve. */
+static bool
+status_is_retriable(int status)
+{
+    enum {
+        HTTP_BAD_GATEWAY = 502,
+        HTTP_GATEWAY_TIMEOUT = 504
+    };
+    return status >= HTTP_BAD_GATEWAY && status <= HTTP_GATEWAY_TIMEOUT;
+}
+
+/* Judges a worker by the end of an attempt. */
+static PhAttemptResult
+judge(const PhAttempt *attempt, const PhUpstreamReply *reply)
+{
+    enum {
+        HTTP_SERVER_ERROR = 500
+    };
+    if (reply->end == PH_ATTEMPT_END_ANSWERED) {
+        return reply->status < HTTP_SERVER_ERROR ? PH_ATTEMPT_SUCCEEDED
+                                                 : PH_ATTEMPT_FAILED;
+    }
+    if (attempt->overdue || meanings[reply->end].worker_failed) {
+        return PH_ATTEMPT_FAILED;
+    }
+    return PH_ATTEMPT_CANCELLED;
+}
+
+/* Tells the router how an attempt ended. */
+static void
+settle_worker(PhRequests *r, const PhAttempt *attempt,
+              const PhUpstreamReply *reply)
+{
+    switch (PhRouter_Done(r->router, attempt->worker, attempt->pool,
+                          judge(attempt, reply), r->now - attempt->sent_at,
+                          r->now)) {
+    case PH_ROUTER_EJECTED:
+        PhRequests_Note(r, PH_NOTE_EJECTED, attempt->worker);
+        break;
+    case PH_ROUTER_READMITTED:
+        PhRequests_Note(r, PH_NOTE_READMITTED, attempt->worker);
+        break;
+    case PH_ROUTER_UNCHANGED:
+        break;
+    }
+}
+
+/* Takes an attempt off the list of its request; tells whether it was there. */
+static bool
+live_remove(PhRequestRecord *record, uint64_t attempt)
+{
+    for (int i = 0; i < MOST_ATTEMPTS_AT_ONCE; i++) {
+        if (record->live[i] == attempt) {
+            record->live[i] = record->live[MOST_ATTEMPTS_AT_ONCE - 1];
+            record->live[MOST_ATTEMPTS_AT_ONCE - 1] = 0;
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Gives the whole answer to the caller and drops other attempts. */
+static void
+answer(PhRequests *r, PhRequestRecord *record, const PhAttempt *attempt,
+       const PhUpstreamReply *reply, bool was_live)
+{
+    Ph_INVARIANT(PH_INVARIANT_WHOLE_ANSWER,
+                 was_live && reply->end == PH_ATTEMPT_END_ANSWERED &&
+                     attempt->request == record->id &&
+                     reply->attempt == attempt->id,
+                 "request=%lu attempt=%lu", (unsigned long)record->id,
+                 (unsigned long)attempt->id);
+    if (attempt->cause == PH_SEND_HEDGE) {
+        PhRequests_Note(r, PH_NOTE_HEDGE_WON, attempt->worker);
+    }
+    PhRequests_Emit(r, (PhRequestsAction){.tag = PH_REQUESTS_ANSWER,
+                                          .as.answer = record->id});
+    PhRequests_CancelLive(r, record, false);
+    PhRequests_Finish(r, record);
+}
+
+/* Draws the wait before a retry; it doubles with each attempt. */
+static PhTime
+backoff_draw(PhRequests *r, const PhRequestRecord *record)
+{
+    PhTime base = BACKOFF_MS * PH_NS_PER_MS;
+    base <<= MIN(record->sends - 1, 8U);
+    base = MIN(base, LONGEST_BACKOFF_MS * PH_NS_PER_MS);
+    return base / 2 + (PhTime)PhRandom_Below(r->random, (uint64_t)base);
+}
+
+/* Plans a retry; false when the request may not be sent again, or when time
+ * or budget are short. */
+static bool
+retry_plan(PhRequests *r, PhRequestRecord *record, PhAttemptEnd end)
+{
+    PhService *service = record->service;
+    bool nothing_left = record->sends == record->not_sent;
+    if (!meanings[end].retry || !(record->idempotent || nothing_left) ||
+        !service->configured) {
+        return false;
+    }
+    PhTime at = r->now + backoff_draw(r, record);
+    if (at + PhRouter_MeanLatency(r->router, service->pool) >=
+        record->deadline) {
+        PhRequests_Note(r, PH_NOTE_RETRY_NO_TIME, PH_WORKER_NONE);
+        return false;
+    }
+    if (r->options.tuning.retry_budget && !PhBudget_Spend(&service->budget)) {
+        PhRequests_Note(r, PH_NOTE_RETRY_NO_BUDGET, PH_WORKER_NONE);
+        return false;
+    }
+    record->state = PH_REQUEST_BACKOFF;
+    record->next_cause = meanings[end].cause;
+    PhRequests_SetWake(r, record, at);
+    return true;
+}
+
+/* Decides what the end of an attempt means for its request. */
+static void
+settle_request(PhRequests *r, PhRequestRecord *record,
+               const PhAttempt *attempt, const PhUpstreamReply *reply)
+{
+    bool was_live = live_remove(record, attempt->id);
+    record->not_sent += reply->not_sent ? 1 : 0;
+    bool answered = reply->end == PH_ATTEMPT_END_ANSWERED;
+    if (answered && !status_is_retriable(reply->status)) {
+        answer(r, record, attempt, reply, was_live);
+        return;
+    }
+    if (record->live[0] != 0 || retry_plan(r, record, reply->end)) {
+        return;
+    }
+    if (answered) {
+        answer(r, record, attempt, reply, was_live);
+        return;
+    }
+    PhRequests_Refuse(r, record, meanings[reply->end].refusal);
+}
+
+/* Takes the reply of an attempt, for which exactly one comes. */
+void
+PhReply_Handle(PhRequests *r, const PhUpstreamReply *reply)
+{
+    PhAttempt *attempt = g_hash_table_lookup(r->attempts, &reply->attempt);
+    if (attempt == NULL) {
+        PhRequests_Note(r, PH_NOTE_LATE_ANSWER, PH_WORKER_NONE);
+        return;
+    }
+    g_hash_table_steal(r->attempts, &reply->attempt);
+    settle_worker(r, attempt, reply);
+    PhRequestRecord *record =
+        g_hash_table_lookup(r->records, &attempt->request);
+    if (record != NULL) {
+        settle_request(r, record, attempt, reply);
+    }
+    else if (reply->end == PH_ATTEMPT_END_ANSWERED) {
+        PhRequests_Note(r, PH_NOTE_LATE_ANSWER, attempt->worker);
+    }
+    g_free(attempt);
+}
--- /dev/null
+++ b/decide/requests/requests.c
@@ -0,0 +1,218 @@
+#include "requests_internal.h"
+
+#include "peridothill/common/invariant.h"
+
+/* The policy as a whole. */
+PhRequestsTuning
+PhRequestsTuning_Default(void)
+{
+    return (PhRequestsTuning){.routing = PH_ROUTING_PEAK_EWMA,
+                              .admission = PH_ADMISSION_FAIR,
+                              .cooldown = true,
+                              .first_byte_timeout = true,
+                              .adaptive_limit = true,
+                              .retry_budget = true,
+                              .deadline_aware = true};
+}
+
+/* Releases a record that is in no list. */
+static void
+record_destroy(gpointer value)
+{
+    PhRequestRecord *record = value;
+    PhStr_Clear(&record->key);
+    for (uint32_t i = 0; i < record->home_count; i++) {
+        PhStr_Clear(&record->homes[i]);
+    }
+    g_free(record);
+}
+
+/* Creates the decisions; nothing is answered before policies are known. */
+PhRequests *
+PhRequests_Create(const PhRequestsOptions *options)
+{
+    PhRequests *r = g_new0(PhRequests, 1);
+    r->options = *options;
+    r->options.instance = PhStr_Dup(options->instance);
+    r->options.data_centre = PhStr_Dup(options->data_centre);
+    r->random = PhRandom_Create(options->seed);
+    r->router = PhRouter_Create(
+        &(PhRouterOptions){.instance = options->instance,
+                           .data_centre = options->data_centre,
+                           .routing = options->tuning.routing,
+                           .cooldown = options->tuning.cooldown,
+                           .adaptive_limit = options->tuning.adaptive_limit,
+                           .random = r->random});
+    r->services = g_ptr_array_new();
+    r->teams = g_ptr_array_new();
+    r->records = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+                                       record_destroy);
+    r->attempts =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    r->timers = g_sequence_new(NULL);
+    r->lent = g_ptr_array_new_with_free_func(PhStr_KeyDestroy);
+    return r;
+}
+
+/* Releases the decisions; NULL is allowed. */
+void
+PhRequests_Destroy(PhRequests *r)
+{
+    if (r == NULL) {
+        return;
+    }
+    g_sequence_free(r->timers);
+    g_hash_table_destroy(r->records);
+    g_hash_table_destroy(r->attempts);
+    PhAdmission_Destroy(r);
+    PhRouter_Destroy(r->router);
+    PhKeys_Destroy(r->keys);
+    PhRandom_Destroy(r->random);
+    PhStr_Clear(&r->options.instance);
+    PhStr_Clear(&r->options.data_centre);
+    g_ptr_array_free(r->lent, TRUE);
+    g_free(r);
+}
+
+/* Appends an action. */
+void
+PhRequests_Emit(PhRequests *r, PhRequestsAction action)
+{
+    g_array_append_val(r->actions, action);
+}
+
+/* Appends a note. */
+void
+PhRequests_Note(PhRequests *r, PhRequestsNote note, uint32_t worker)
+{
+    PhRequests_Emit(
+        r, (PhRequestsAction){.tag = PH_REQUESTS_NOTE,
+                              .as.note = {.note = note, .worker = worker}});
+}
+
+/* Orders records by the time of their timers. */
+static gint
+wake_compare(gconstpointer a, gconstpointer b, gpointer data)
+{
+    const PhRequestRecord *left = a;
+    const PhRequestRecord *right = b;
+    (void)data;
+    if (left->wake != right->wake) {
+        return left->wake < right->wake ? -1 : 1;
+    }
+    return left->id < right->id ? -1 : left->id > right->id;
+}
+
+/* Sets or moves the timer of a request. */
+void
+PhRequests_SetWake(PhRequests *r, PhRequestRecord *record, PhTime at)
+{
+    record->wake = at;
+    if (record->timer == NULL) {
+        record->timer =
+            g_sequence_insert_sorted(r->timers, record, wake_compare, NULL);
+    }
+    else {
+        g_sequence_sort_changed(record->timer, wake_compare, NULL);
+    }
+}
+
+/* Cancels what a request has in flight; the replies still come. */
+void
+PhRequests_CancelLive(PhRequests *r, PhRequestRecord *record, bool overdue)
+{
+    for (int i = 0; i < MOST_ATTEMPTS_AT_ONCE; i++) {
+        if (record->live[i] == 0) {
+            continue;
+        }
+        PhAttempt *attempt =
+            g_hash_table_lookup(r->attempts, &record->live[i]);
+        attempt->overdue = overdue;
+        PhRequests_Emit(r, (PhRequestsAction){.tag = PH_REQUESTS_CANCEL,
+                                              .as.cancel = attempt->id});
+    }
+}
+
+/* The proof of "not-run", and the only place that gives it: every attempt
+ * that was ever made has ended, and of each it is proved that no byte left. */
+PhOutcome
+PhRequests_ProveOutcome(const PhRequestRecord *record)
+{
+    bool nothing_left =
+        record->live[0] == 0 && record->sends == record->not_sent;
+    return nothing_left ? PH_OUTCOME_NOT_RUN : PH_OUTCOME_UNKNOWN;
+}
+
+/* Forgets a request that has its answer, its refusal, or no caller. */
+void
+PhRequests_Finish(PhRequests *r, PhRequestRecord *record)
+{
+    if (record->state == PH_REQUEST_QUEUED) {
+        PhAdmission_Dequeue(r, record);
+    }
+    if (record->timer != NULL) {
+        g_sequence_remove(record->timer);
+    }
+    g_hash_table_remove(r->records, &record->id);
+}
+
+/* Refuses a request that has a record. */
+void
+PhRequests_Refuse(PhRequests *r, PhRequestRecord *record, PhRefusal reason)
+{
+    PhOutcome outcome = PhRequests_ProveOutcome(record);
+    Ph_INVARIANT(
+        PH_INVARIANT_NOT_RUN,
+        outcome != PH_OUTCOME_NOT_RUN ||
+            (record->state != PH_REQUEST_IN_FLIGHT || record->not_sent > 0),
+        "request=%lu state=%d sends=%u not_sent=%u", (unsigned long)record->id,
+        (int)record->state, record->sends, record->not_sent);
+    if (outcome == PH_OUTCOME_NOT_RUN) {
+        PhClaims_Release(r, record);
+    }
+    if (reason == PH_REFUSAL_KEY_REPEATED) {
+        outcome = PH_OUTCOME_UNKNOWN; /* the first use may have run */
+    }
+    PhRequests_Emit(r, (PhRequestsAction){.tag = PH_REQUESTS_REFUSE,
+                                          .as.refuse = {.request = record->id,
+                                                        .reason = reason,
+                                                        .outcome = outcome}});
+    PhRequests_Finish(r, record);
+}
+
+/* Tells when the next timer is due. */
+PhTime
+PhRequests_Next(const PhRequests *r)
+{
+    PhTime next = PhRouter_NextWake(r->router);
+    if (r->phase == PH_DRAIN_NOTICE) {
+        next = MIN(next, r->notice_ends);
+    }
+    if (!g_sequence_is_empty(r->timers)) {
+        const PhRequestRecord *first =
+            g_sequence_get(g_sequence_get_begin_iter(r->timers));
+        next = MIN(next, first->wake);
+    }
+    return next;
+}
+
+/* Tells whether callers should come here: configured and not stopping. */
+bool
+PhRequests_IsReady(const PhRequests *r)
+{
+    return r->has_policies && r->phase == PH_DRAIN_RUNNING;
+}
+
+/* Counts the requests that wait for an answer. */
+size_t
+PhRequests_InFlight(const PhRequests *r)
+{
+    return g_hash_table_size(r->records);
+}
+
+/* Gives the router, for the addresses of workers. */
+const PhRouter *
+PhRequests_Router(const PhRequests *r)
+{
+    return r->router;
+}
--- /dev/null
+++ b/decide/requests/router_internal.h
@@ -0,0 +1,104 @@
+/* What router.c and pick.c share: workers, pools, and the lists of workers
+ * that have room. */
+#ifndef PERIDOTHILL_DECIDE_REQUESTS_ROUTER_INTERNAL_H
+#define PERIDOTHILL_DECIDE_REQUESTS_ROUTER_INTERNAL_H
+
+#include "peridothill/decide/requests/limit.h"
+#include "peridothill/decide/requests/outlier.h"
+#include "peridothill/decide/requests/router.h"
+
+enum {
+    POSITION_NONE = UINT32_MAX
+};
+
+/* Which list of a pool an open worker is on. */
+typedef enum PhSide {
+    SIDE_LOCAL,  /* in this data centre */
+    SIDE_REMOTE, /* in another */
+    SIDE_PROBE,  /* half open, waiting for the request that decides */
+    SIDE_COUNT,
+} PhSide;
+
+/* A worker that has room, by its number and its link to the pool. */
+typedef struct PhOpenWorker {
+    uint32_t worker;
+    uint32_t link;
+} PhOpenWorker;
+
+/* A worker's membership of a pool. */
+typedef struct PhPoolLink {
+    uint32_t pool;
+    uint32_t position; /* in the open list of `side`, or POSITION_NONE */
+    PhSide side;
+    double latency_ns; /* learned for the pair; 0 before the first answer */
+    PhTime sampled_at;
+} PhPoolLink;
+
+typedef struct PhRoutedWorker {
+    PhStr id; /* empty in a free slot */
+    PhStr address;
+    PhStr data_centre;
+    PhStr services;
+    uint32_t slots;
+    uint32_t connections; /* the worker's limit */
+    uint32_t cap;         /* this instance's part; 0 outside its subset */
+    uint32_t sharers;
+    uint32_t in_flight;
+    bool present;
+    bool leaving;
+    bool counted; /* its slots count in its pools */
+    PhOutlier outlier;
+    GArray *links; /* PhPoolLink */
+} PhRoutedWorker;
+
+typedef struct PhPool {
+    PhStr service;
+    GArray *open[SIDE_COUNT]; /* PhOpenWorker */
+    uint32_t workers;         /* in the subset, ejected or not */
+    uint32_t ejected;
+    uint32_t in_flight; /* on its workers, of any service */
+    double slots;       /* this instance's part of them */
+    double mean_ns;
+    double deviation_ns;
+    uint32_t turn; /* of round robin */
+    PhLimit limit;
+} PhPool;
+
+struct PhRouter {
+    PhRouterOptions options;
+    GPtrArray *workers;  /* PhRoutedWorker; slots are used again */
+    GHashTable *indexes; /* id to number + 1 */
+    GArray *free_slots;  /* uint32_t */
+    GPtrArray *pools;
+    GHashTable *pool_numbers; /* service to number + 1 */
+    GPtrArray *instances;     /* PhStr keys */
+    GArray *cooling;          /* uint32_t, ejected workers */
+    PhTime next_wake;
+};
+
+static inline PhRoutedWorker *
+router_worker(const PhRouter *router, uint32_t number)
+{
+    return g_ptr_array_index(router->workers, number);
+}
+
+static inline PhPool *
+router_pool(const PhRouter *router, uint32_t number)
+{
+    return g_ptr_array_index(router->pools, number);
+}
+
+static inline PhPoolLink *
+worker_link(const PhRoutedWorker *worker, uint32_t number)
+{
+    return &g_array_index(worker->links, PhPoolLink, number);
+}
+
+/* Brings the pools' lists and sums in line with the worker's state. */
+void
+PhRouter_Refresh(PhRouter *router, uint32_t number);
+/* Opens half the workers whose cooldown has passed. */
+void
+PhRouter_Wake(PhRouter *router, PhTime now);
+
+#endif
--- /dev/null
+++ b/decide/requests/subset.c
@@ -0,0 +1,45 @@
+#include "peridothill/decide/requests/subset.h"
+
+enum {
+    LEAST_CONNECTIONS = 4, /* of a sharer, before fewer instances share */
+};
+
+/* Hashes a name and an owner together. */
+uint64_t
+PhSubset_Weight(PhStr name, PhStr owner)
+{
+    return PhStr_Hash(name, PhStr_Hash(owner, 0));
+}
+
+/* Counts the instances whose weight for the worker is above that of self. */
+static uint32_t
+rank_of(PhStr worker, const PhStr *instances, size_t count, size_t self)
+{
+    uint64_t own = PhSubset_Weight(worker, instances[self]);
+    uint32_t rank = 0;
+    for (size_t i = 0; i < count; i++) {
+        uint64_t weight = PhSubset_Weight(worker, instances[i]);
+        rank +=
+            weight > own || (weight == own &&
+                             PhStr_Compare(instances[i], instances[self]) < 0);
+    }
+    return rank;
+}
+
+/* Works out the part of one instance; room for one more sharer is left. */
+PhSubsetPart
+PhSubset_Part(PhStr worker, uint32_t connection_limit, const PhStr *instances,
+              size_t count, size_t self)
+{
+    uint32_t most = connection_limit / LEAST_CONNECTIONS;
+    most = most > 1 ? most - 1 : 1;
+    uint32_t sharers = count < most ? (uint32_t)count : most;
+    uint32_t connections = connection_limit / (sharers + 1);
+    if (connections == 0) {
+        connections = connection_limit;
+    }
+    if (count > most && rank_of(worker, instances, count, self) >= sharers) {
+        connections = 0;
+    }
+    return (PhSubsetPart){.connections = connections, .sharers = sharers};
+}
--- /dev/null
+++ b/include/peridothill/decide/requests/keys.h
@@ -0,0 +1,53 @@
+/* Idempotency keys: which instances keep a key, and the table of one that
+ * does.  Two homes keep each key, so that one of them may be lost. */
+#ifndef PERIDOTHILL_DECIDE_REQUESTS_KEYS_H
+#define PERIDOTHILL_DECIDE_REQUESTS_KEYS_H
+
+#include "peridothill/common/str.h"
+#include "peridothill/common/time.h"
+
+enum {
+    PH_KEY_HOMES = 2,
+    PH_KEY_WINDOW_MS = 30 * 1000 /* a key is kept for this long */
+};
+
+typedef enum PhKeyVerdict {
+    PH_KEY_GRANTED,       /* not seen within the window */
+    PH_KEY_GRANTED_YOUNG, /* not seen, but this home is not as old as that */
+    PH_KEY_REPEATED,      /* another request holds it */
+    PH_KEY_UNCLEAR,       /* this instance cannot tell */
+} PhKeyVerdict;
+
+/* The homes of a key. */
+typedef struct PhKeyHomes {
+    size_t count;
+    PhStr member[PH_KEY_HOMES]; /* borrowed from the view */
+} PhKeyHomes;
+
+typedef struct PhKeys PhKeys;
+
+/* `self` is this instance's name among the members. */
+PhKeys *
+PhKeys_Create(PhStr self, PhTime window, PhTime now);
+void
+PhKeys_Destroy(PhKeys *keys);
+/* Takes the live members; a restarted one has another name.  An unchanged
+ * set changes nothing. */
+void
+PhKeys_SetMembers(PhKeys *keys, const PhStr *members, size_t count,
+                  PhTime now);
+/* Finds the homes of a key; none before the members are known. */
+PhKeyHomes
+PhKeys_Homes(const PhKeys *keys, PhStr key);
+/* At a home: reserves the key for a request, which `holder` names.  UNCLEAR
+ * when this is not a home of the key, or when by changes of the members within
+ * the window no home need know of an earlier use. */
+PhKeyVerdict
+PhKeys_Claim(PhKeys *keys, PhStr key, PhStr holder, PhTime now);
+/* At a home: frees the key when the holder proved that it did not run. */
+void
+PhKeys_Release(PhKeys *keys, PhStr key, PhStr holder);
+size_t
+PhKeys_Count(const PhKeys *keys);
+
+#endif
--- /dev/null
+++ b/include/peridothill/decide/requests/requests.h
@@ -0,0 +1,215 @@
+/* Decisions on callers' requests: admission, routing, retries, refusals and
+ * draining.  Events go in, actions come out; nothing here knows how a message
+ * is encoded. */
+#ifndef PERIDOTHILL_DECIDE_REQUESTS_REQUESTS_H
+#define PERIDOTHILL_DECIDE_REQUESTS_REQUESTS_H
+
+#include "peridothill/decide/requests/keys.h"
+#include "peridothill/decide/requests/policy.h"
+#include "peridothill/decide/requests/refusal.h"
+#include "peridothill/decide/requests/router.h"
+
+typedef enum PhAdmissionKind {
+    PH_ADMISSION_FAIR,   /* weighted shares of teams and services */
+    PH_ADMISSION_FIFO,   /* in the order of arrival */
+    PH_ADMISSION_STRICT, /* the most urgent class first */
+} PhAdmissionKind;
+
+/* The parts of the policy, each of which a bench can take out. */
+typedef struct PhRequestsTuning {
+    PhRoutingKind routing;
+    PhAdmissionKind admission;
+    bool cooldown;
+    bool first_byte_timeout;
+    bool adaptive_limit;
+    bool retry_budget;
+    bool deadline_aware;
+} PhRequestsTuning;
+
+typedef struct PhRequestsOptions {
+    PhStr instance;
+    PhStr data_centre;
+    uint64_t seed;
+    PhTime drain_notice; /* readiness fails for this long before the stop */
+    PhTime key_window;   /* 0 takes PH_KEY_WINDOW_MS */
+    PhRequestsTuning tuning;
+} PhRequestsOptions;
+
+/* A caller's request; strings borrowed. */
+typedef struct PhArrival {
+    uint64_t id;
+    PhStr method;
+    PhStr path;
+    PhStr key;     /* Idempotency-Key, or empty */
+    PhTime budget; /* from the caller's deadline header, or 0 */
+    size_t body_bytes;
+    bool malformed; /* a header that cannot be read */
+} PhArrival;
+
+/* How an attempt ended, as the client of the workers tells. */
+typedef enum PhAttemptEnd {
+    PH_ATTEMPT_END_ANSWERED,
+    PH_ATTEMPT_END_CONNECT,
+    PH_ATTEMPT_END_FIRST_BYTE,
+    PH_ATTEMPT_END_DEADLINE,
+    PH_ATTEMPT_END_RESET,
+    PH_ATTEMPT_END_TRUNCATED,
+    PH_ATTEMPT_END_TOO_LARGE,
+    PH_ATTEMPT_END_CANCELLED,
+} PhAttemptEnd;
+
+typedef struct PhUpstreamReply {
+    uint64_t attempt;
+    PhAttemptEnd end;
+    bool not_sent; /* proved: no byte of the attempt left */
+    int status;
+} PhUpstreamReply;
+
+/* An answer of a key's home. */
+typedef struct PhClaimReply {
+    uint64_t request;
+    PhKeyVerdict verdict;
+} PhClaimReply;
+
+/* A claim from another instance, or its release. */
+typedef struct PhClaimAsked {
+    PhStr member;
+    PhStr key;
+    uint64_t request;
+} PhClaimAsked;
+
+typedef enum PhRequestsEventTag {
+    PH_REQUESTS_ARRIVED,
+    PH_REQUESTS_REPLIED,
+    PH_REQUESTS_CALLER_GONE,
+    PH_REQUESTS_WORKERS,
+    PH_REQUESTS_POLICIES,
+    PH_REQUESTS_MEMBERS,
+    PH_REQUESTS_CLAIM_REPLIED,
+    PH_REQUESTS_CLAIM_ASKED,
+    PH_REQUESTS_CLAIM_RELEASED,
+    PH_REQUESTS_TIMER,
+    PH_REQUESTS_STOP,
+} PhRequestsEventTag;
+
+typedef struct PhRequestsEvent {
+    PhRequestsEventTag tag;
+    union {
+        PhArrival arrived;
+        PhUpstreamReply replied;
+        uint64_t caller_gone;
+        struct {
+            const PhWorkerRow *rows;
+            size_t count;
+        } workers;
+        PhPolicyTable policies;
+        struct {
+            const PhStr *ids;
+            size_t count;
+        } members;
+        PhClaimReply claim_replied;
+        PhClaimAsked claim;
+    } as;
+} PhRequestsEvent;
+
+/* Why an attempt is sent. */
+typedef enum PhSendCause {
+    PH_SEND_FIRST,
+    PH_SEND_RETRY_CONNECT,
+    PH_SEND_RETRY_FIRST_BYTE,
+    PH_SEND_RETRY_RESET,
+    PH_SEND_RETRY_TRUNCATED,
+    PH_SEND_RETRY_STATUS,
+    PH_SEND_HEDGE,
+    PH_SEND_CAUSE_COUNT,
+} PhSendCause;
+
+typedef struct PhSend {
+    uint64_t request;
+    uint64_t attempt;
+    uint32_t worker;
+    PhSendCause cause;
+    PhTime deadline;
+    PhTime first_byte;
+    bool fresh_connection;
+} PhSend;
+
+typedef struct PhRefuse {
+    uint64_t request;
+    PhRefusal reason;
+    PhOutcome outcome;
+} PhRefuse;
+
+typedef struct PhClaimAction {
+    PhStr member;
+    PhStr key;
+    uint64_t request;
+    PhKeyVerdict verdict; /* of an answer */
+} PhClaimAction;
+
+/* Things worth counting that lead to no other action. */
+typedef enum PhRequestsNote {
+    PH_NOTE_LATE_ANSWER,
+    PH_NOTE_EJECTED,
+    PH_NOTE_READMITTED,
+    PH_NOTE_RETRY_NO_BUDGET,
+    PH_NOTE_RETRY_NO_TIME,
+    PH_NOTE_HEDGE_WON,
+    PH_NOTE_CALLER_GONE,
+    PH_NOTE_COUNT,
+} PhRequestsNote;
+
+typedef enum PhRequestsActionTag {
+    PH_REQUESTS_SEND,
+    PH_REQUESTS_ANSWER, /* give the reply at hand to the caller */
+    PH_REQUESTS_REFUSE,
+    PH_REQUESTS_CANCEL,        /* an attempt; its reply still comes */
+    PH_REQUESTS_CLAIM,         /* ask a home for a key */
+    PH_REQUESTS_CLAIM_ANSWER,  /* answer a claim */
+    PH_REQUESTS_CLAIM_RELEASE, /* tell a home that the key is free */
+    PH_REQUESTS_QUIESCE,       /* take no new connections */
+    PH_REQUESTS_DRAINED,       /* nothing is in flight, the task may end */
+    PH_REQUESTS_NOTE,
+} PhRequestsActionTag;
+
+/* Strings are borrowed until the next event. */
+typedef struct PhRequestsAction {
+    PhRequestsActionTag tag;
+    union {
+        PhSend send;
+        uint64_t answer;
+        PhRefuse refuse;
+        uint64_t cancel;
+        PhClaimAction claim;
+        struct {
+            PhRequestsNote note;
+            uint32_t worker; /* or PH_WORKER_NONE */
+        } note;
+    } as;
+} PhRequestsAction;
+
+typedef struct PhRequests PhRequests;
+
+PhRequestsTuning
+PhRequestsTuning_Default(void);
+PhRequests *
+PhRequests_Create(const PhRequestsOptions *options);
+void
+PhRequests_Destroy(PhRequests *requests);
+/* Takes one event and appends PhRequestsAction to `actions`. */
+void
+PhRequests_Handle(PhRequests *requests, const PhRequestsEvent *event,
+                  PhTime now, GArray *actions);
+/* When PH_REQUESTS_TIMER is due next, or PH_TIME_NEVER. */
+PhTime
+PhRequests_Next(const PhRequests *requests);
+/* Tells whether the balancer should send callers here. */
+bool
+PhRequests_IsReady(const PhRequests *requests);
+/* Requests that wait for an answer. */
+size_t
+PhRequests_InFlight(const PhRequests *requests);
+const PhRouter *
+PhRequests_Router(const PhRequests *requests);
+
+#endif
