requests: let a key's home vouch only for a view it was part of

A home that joined, or took a key over, within the window need not know of an earlier use; a claim now needs one home that would. Members that are not heard stay homes until a majority is heard, so that two sides of a partition never both grant a key.

--- a/decide/requests/claims.c
+++ b/decide/requests/claims.c
@@ -55,7 +55,7 @@
 }
 
 /* Takes the verdict of one home.  The request goes on once all homes granted
- * the key, one of them as old as the window. */
+ * the key, and one vouches. */
 static void
 claim_settle(PhRequests *r, PhRequestRecord *record, PhKeyVerdict verdict)
 {
@@ -69,7 +69,7 @@
     case PH_KEY_GRANTED:
         record->vouched = true;
         break;
-    case PH_KEY_GRANTED_YOUNG:
+    case PH_KEY_UNVOUCHED:
         break;
     }
     record->claims_open--;
--- a/decide/requests/events.c
+++ b/decide/requests/events.c
@@ -201,12 +201,17 @@
     }
 }
 
-/* Takes the live members: they share the workers and keep the keys. */
+/* Takes the members: they share the workers and keep the keys. */
 static void
-members_changed(PhRequests *r, const PhStr *ids, size_t count)
+members_changed(PhRequests *r, const PhKeyMember *rows, size_t count)
 {
-    PhRouter_SetInstances(r->router, ids, count);
-    PhKeys_SetMembers(r->keys, ids, count, r->now);
+    PhKeys_SetMembers(r->keys, rows, count, r->now);
+    const GPtrArray *members = PhKeys_Members(r->keys);
+    g_autofree PhStr *ids = g_new(PhStr, members->len);
+    for (guint i = 0; i < members->len; i++) {
+        ids[i] = *(const PhStr *)g_ptr_array_index(members, i);
+    }
+    PhRouter_SetInstances(r->router, ids, members->len);
 }
 
 /* Creates the table of keys once the time is known. */
@@ -244,7 +249,7 @@
         PhAdmission_SetPolicies(r, &event->as.policies);
         break;
     case PH_REQUESTS_MEMBERS:
-        members_changed(r, event->as.members.ids, event->as.members.count);
+        members_changed(r, event->as.members.rows, event->as.members.count);
         break;
     case PH_REQUESTS_CLAIM_REPLIED:
         PhClaims_Replied(r, &event->as.claim_replied);
--- a/decide/requests/keys.c
+++ b/decide/requests/keys.c
@@ -24,6 +24,7 @@
     PhTime window;
     PhTime started;
     GPtrArray *members; /* PhStr keys; NULL before they are known */
+    bool majority;      /* more than half of the members are heard */
     GQueue past;        /* PhView, oldest first */
     GHashTable *table;  /* key to PhKeyEntry */
     GQueue by_age;      /* PhStr keys, oldest first; some already released */
@@ -80,14 +81,14 @@
 
 /* Tells whether the members are the same in the same order. */
 static bool
-members_equal(const GPtrArray *have, const PhStr *members, size_t count)
+members_equal(const GPtrArray *a, const GPtrArray *b)
 {
-    if (have == NULL || have->len != count) {
+    if (a->len != b->len) {
         return false;
     }
-    for (size_t i = 0; i < count; i++) {
-        if (!PhStr_Equal(*(const PhStr *)g_ptr_array_index(have, i),
-                         members[i])) {
+    for (guint i = 0; i < a->len; i++) {
+        if (!PhStr_KeyEqual(g_ptr_array_index(a, i),
+                            g_ptr_array_index(b, i))) {
             return false;
         }
     }
@@ -105,23 +106,48 @@
     }
 }
 
-/* Takes the live members and keeps the view that they replace. */
-void
-PhKeys_SetMembers(PhKeys *keys, const PhStr *members, size_t count, PhTime now)
+/* Puts a set of members in force and keeps the view that it replaces. */
+static void
+view_replace(PhKeys *keys, GPtrArray *members, PhTime now)
 {
-    views_expire(keys, now);
-    if (members_equal(keys->members, members, count)) {
-        return;
-    }
     if (keys->members != NULL) {
         PhView *view = g_new(PhView, 1);
         *view = (PhView){.members = keys->members, .ended = now};
         g_queue_push_tail(&keys->past, view);
     }
-    keys->members = g_ptr_array_new_with_free_func(PhStr_KeyDestroy);
+    keys->members = members;
+}
+
+/* Takes the members.  Two sides of a partition never both hear more than half
+ * of the same members, so at most one side drops the other. */
+void
+PhKeys_SetMembers(PhKeys *keys, const PhKeyMember *members, size_t count,
+                  PhTime now)
+{
+    size_t heard = 0;
+    for (size_t i = 0; i < count; i++) {
+        heard += members[i].heard;
+    }
+    keys->majority = 2 * heard > count;
+    views_expire(keys, now);
+    GPtrArray *homes = g_ptr_array_new_with_free_func(PhStr_KeyDestroy);
     for (size_t i = 0; i < count; i++) {
-        g_ptr_array_add(keys->members, PhStr_KeyCreate(members[i]));
+        if (members[i].heard || !keys->majority) {
+            g_ptr_array_add(homes, PhStr_KeyCreate(members[i].id));
+        }
+    }
+    if (keys->members != NULL && members_equal(keys->members, homes)) {
+        g_ptr_array_unref(homes);
+        return;
     }
+    view_replace(keys, homes, now);
+}
+
+/* Gives the members that are homes. */
+const GPtrArray *
+PhKeys_Members(const PhKeys *keys)
+{
+    return keys->members;
 }
 
 /* Finds the members with the greatest weights for a key. */
@@ -172,24 +198,25 @@
     return false;
 }
 
-/* Tells whether this instance is a home, and whether for each view within the
- * window some home of then is still one. */
+/* Tells whether this instance is among the homes of a key in a view. */
 static bool
-ownership_clear(PhKeys *keys, PhStr key, PhTime now)
+is_home(const PhKeys *keys, const GPtrArray *members, PhStr key)
 {
-    views_expire(keys, now);
-    PhKeyHomes homes = PhKeys_Homes(keys, key);
-    if (!homes_have(&homes, keys->self)) {
+    PhKeyHomes homes = homes_among(members, key);
+    return homes_have(&homes, keys->self);
+}
+
+/* Tells whether a use of the key within the window would be known here. */
+static bool
+can_vouch(PhKeys *keys, PhStr key, PhTime now)
+{
+    if (now - keys->started < keys->window) {
         return false;
     }
+    views_expire(keys, now);
     for (GList *at = keys->past.head; at != NULL; at = at->next) {
         const PhView *view = at->data;
-        PhKeyHomes then = homes_among(view->members, key);
-        bool shared = false;
-        for (size_t i = 0; i < then.count; i++) {
-            shared = shared || homes_have(&homes, then.member[i]);
-        }
-        if (!shared) {
+        if (!is_home(keys, view->members, key)) {
             return false;
         }
     }
@@ -220,8 +247,8 @@
     if (known != NULL) {
         return PH_KEY_REPEATED;
     }
-    if (g_queue_get_length(&keys->by_age) >= MOST_KEYS ||
-        !ownership_clear(keys, key, now)) {
+    if (g_queue_get_length(&keys->by_age) >= MOST_KEYS || !keys->majority ||
+        !is_home(keys, keys->members, key)) {
         return PH_KEY_UNCLEAR;
     }
     PhKeyEntry *entry = g_new(PhKeyEntry, 1);
@@ -230,8 +257,7 @@
                           .expires = now + keys->window};
     g_hash_table_insert(keys->table, entry->key, entry);
     g_queue_push_tail(&keys->by_age, PhStr_KeyCreate(key));
-    bool young = now - keys->started < keys->window;
-    return young ? PH_KEY_GRANTED_YOUNG : PH_KEY_GRANTED;
+    return can_vouch(keys, key, now) ? PH_KEY_GRANTED : PH_KEY_UNVOUCHED;
 }
 
 /* Frees a key for its holder. */
--- a/decide/requests/requests_internal.h
+++ b/decide/requests/requests_internal.h
@@ -59,7 +59,7 @@
     PhStr homes[PH_KEY_HOMES];
     uint32_t home_count;
     uint32_t claims_open;
-    bool vouched; /* a home as old as the window granted the key */
+    bool vouched; /* a home that would know of a use granted the key */
 } PhRequestRecord;
 
 /* An attempt until its reply. */
--- a/include/peridothill/decide/requests/keys.h
+++ b/include/peridothill/decide/requests/keys.h
@@ -12,10 +12,10 @@
 };
 
 typedef enum PhKeyVerdict {
-    PH_KEY_GRANTED,       /* not seen within the window */
-    PH_KEY_GRANTED_YOUNG, /* not seen, but this home is not as old as that */
-    PH_KEY_REPEATED,      /* another request holds it */
-    PH_KEY_UNCLEAR,       /* this instance cannot tell */
+    PH_KEY_GRANTED,   /* not seen, and this home would know of a use */
+    PH_KEY_UNVOUCHED, /* not seen, but this home need not know of a use */
+    PH_KEY_REPEATED,  /* another request holds it */
+    PH_KEY_UNCLEAR,   /* this instance cannot tell */
 } PhKeyVerdict;
 
 /* The homes of a key. */
@@ -24,6 +24,12 @@
     PhStr member[PH_KEY_HOMES]; /* borrowed from the view */
 } PhKeyHomes;
 
+/* A member that has not left, and whether it is heard. */
+typedef struct PhKeyMember {
+    PhStr id;
+    bool heard;
+} PhKeyMember;
+
 typedef struct PhKeys PhKeys;
 
 /* `self` is this instance's name among the members. */
@@ -31,17 +37,20 @@
 PhKeys_Create(PhStr self, PhTime window, PhTime now);
 void
 PhKeys_Destroy(PhKeys *keys);
-/* Takes the live members; a restarted one has another name.  An unchanged
- * set changes nothing. */
+/* Takes the known members that have not left.  Those that are not heard stay
+ * homes until more than half of all are heard here: then they are dropped. */
 void
-PhKeys_SetMembers(PhKeys *keys, const PhStr *members, size_t count,
+PhKeys_SetMembers(PhKeys *keys, const PhKeyMember *members, size_t count,
                   PhTime now);
+/* The members that are homes (PhStr *), or NULL before they are known. */
+const GPtrArray *
+PhKeys_Members(const PhKeys *keys);
 /* Finds the homes of a key; none before the members are known. */
 PhKeyHomes
 PhKeys_Homes(const PhKeys *keys, PhStr key);
-/* At a home: reserves the key for a request, which `holder` names.  UNCLEAR
- * when this is not a home of the key, or when by changes of the members within
- * the window no home need know of an earlier use. */
+/* At a home: reserves the key for a request, which `holder` names.  A home
+ * vouches when it is as old as the window and has been a home of the key for
+ * all that time.  UNCLEAR when this is not a home, or hears no majority. */
 PhKeyVerdict
 PhKeys_Claim(PhKeys *keys, PhStr key, PhStr holder, PhTime now);
 /* At a home: frees the key when the holder proved that it did not run. */
--- a/include/peridothill/decide/requests/requests.h
+++ b/include/peridothill/decide/requests/requests.h
@@ -104,7 +104,7 @@
         } workers;
         PhPolicyTable policies;
         struct {
-            const PhStr *ids;
+            const PhKeyMember *rows;
             size_t count;
         } members;
         PhClaimReply claim_replied;
--- a/tests/requests/test_requests.c
+++ b/tests/requests/test_requests.c
@@ -43,7 +43,7 @@
 static const char *const notes[] = {"late",      "ejected", "readmitted",
                                     "no-budget", "no-time", "hedge-won",
                                     "gone"};
-static const char *const verdicts[] = {"granted", "young", "repeated",
+static const char *const verdicts[] = {"granted", "unvouched", "repeated",
                                        "unclear"};
 
 /* Finds a word in a list. */
@@ -107,17 +107,20 @@
                               .as.workers = {rows, f->workers}});
 }
 
-/* Gives the live members, one for each letter. */
+/* Gives the members, one for each letter; small letters are not heard. */
 static void
 give_members(PhFixture *f, const char *letters)
 {
-    PhStr ids[8];
+    PhKeyMember rows[8];
+    char ids[8];
     size_t count = strlen(letters);
     for (size_t i = 0; i < count; i++) {
-        ids[i] = PhStr_FromBytes(&letters[i], 1);
+        ids[i] = g_ascii_toupper(letters[i]);
+        rows[i] = (PhKeyMember){.id = PhStr_FromBytes(&ids[i], 1),
+                                .heard = g_ascii_isupper(letters[i])};
     }
     give(f, (PhRequestsEvent){.tag = PH_REQUESTS_MEMBERS,
-                              .as.members = {ids, count}});
+                              .as.members = {rows, count}});
 }
 
 /* Lets a request arrive: method, path and options. */
@@ -450,9 +453,23 @@
      "released k; asked k; told granted"},
     {"a claim at an instance that is no home",
      "members CD; wait 1000; asked k; told unclear"},
-    {"both homes changed at once",
-     "members CD; wait 1000; members A; asked k; told unclear; wait 1000;"
-     "asked k; told granted"},
+    {"a new home does not vouch",
+     "members CD; wait 1000; members A; asked k; told unvouched; wait 1000;"
+     "released k; asked k; told granted"},
+    {"no home vouches after both changed",
+     "members CD; wait 1000; members AB; arrive POST /booking key=k; claim B;"
+     "verdict unvouched; release B; refuse key-unclear not-run"},
+    {"one home vouches",
+     "members CD; wait 1000; members AB; arrive POST /booking key=k; claim B;"
+     "verdict granted; send first fresh; reply answered 200; answer"},
+    {"the smaller side of a partition grants nothing",
+     "members ABC; wait 1000; members Abc; wait 1000; asked k;"
+     "told unclear"},
+    {"half of the members is no majority",
+     "members AB; wait 1000; members Ab; wait 1000; asked k; told unclear"},
+    {"the greater side goes on once the window has passed",
+     "members ABC; wait 1000; members ABc; wait 1000; asked k;"
+     "told granted"},
     {"idempotent requests need no key",
      "arrive PUT /booking key=k; send first; reply answered 200; answer"},
 };
