services: answer callers through the task "entry"

One task owns the listener, the callers' requests and the decisions. A second task for routing would add a hop and a mailbox that can fill to every request and split one request's state in two, so entry and router are one.

Refusals carry a status, a reason, Retry-After where it helps, and Peridothill-Outcome; a worker cannot set that header. An attempt that the client does not take is reported as not sent.

--- /dev/null
+++ b/services/requests/entry_answer.c
@@ -0,0 +1,157 @@
+#include <inttypes.h>
+
+#include "entry_internal.h"
+
+/* A few headers of an answer that is made here. */
+enum {
+    HEADERS_MAX = 5
+};
+
+typedef struct PhHeaderList {
+    PhHttpHeader rows[HEADERS_MAX];
+    size_t count;
+} PhHeaderList;
+
+static const PhCounter refusal_counters[] = {
+#define PH_REFUSAL(NAME, TEXT, STATUS, RETRY_AFTER_S)                         \
+    [PH_REFUSAL_##NAME] = PH_COUNTER_REFUSED_##NAME,
+#include "peridothill/decide/requests/refusal_list.h"
+#undef PH_REFUSAL
+};
+
+/* Appends a borrowed header. */
+static void
+list_add(PhHeaderList *list, PhStr name, PhStr value)
+{
+    list->rows[list->count++] = (PhHttpHeader){.name = name, .value = value};
+}
+
+/* Counts and logs a refusal. */
+static void
+refusal_report(PhEntry *entry, const PhRefuse *refuse, PhStr reason)
+{
+    PhCounters *counters = PhKernel_Counters(PhTask_Kernel(entry->self));
+    PhCounters_Add(counters, refusal_counters[refuse->reason], 1);
+    PhCounters_Add(counters,
+                   refuse->outcome == PH_OUTCOME_NOT_RUN
+                       ? PH_COUNTER_OUTCOME_NOT_RUN
+                       : PH_COUNTER_OUTCOME_UNKNOWN,
+                   1);
+    PhTask_LOG(
+        entry->self, PH_EVENT_REQUEST_REFUSED,
+        PhField_U64("request", refuse->request), PhField_STR("reason", reason),
+        PhField_STR("outcome", PhStr_FromC(PhOutcome_Name(refuse->outcome))));
+}
+
+/* Tells the caller why there is no answer, and what became of the request. */
+void
+PhEntry_Refuse(PhEntry *entry, const PhRefuse *refuse)
+{
+    const PhRefusalInfo *info = PhRefusal_Info(refuse->reason);
+    PhStr reason = PhStr_FromC(info->name);
+    PhStr outcome = PhStr_FromC(PhOutcome_Name(refuse->outcome));
+    char retry_after[16];
+    PhHeaderList list = {0};
+    list_add(&list, PhStr_LITERAL("Content-Type"),
+             PhStr_LITERAL("application/json"));
+    list_add(&list, PH_HEADER_OUTCOME, outcome);
+    list_add(&list, PH_HEADER_REASON, reason);
+    if (info->retry_after_s > 0) {
+        g_snprintf(retry_after, sizeof(retry_after), "%u",
+                   info->retry_after_s);
+        list_add(&list, PhStr_LITERAL("Retry-After"),
+                 PhStr_FromC(retry_after));
+    }
+    if (!PhRequests_IsReady(entry->requests)) {
+        list_add(&list, PhStr_LITERAL("Connection"), PhStr_LITERAL("close"));
+    }
+    PhBuf body = {0};
+    PhBuf_AppendFormat(&body, "{\"outcome\":\"%.*s\",\"reason\":\"%.*s\"}\n",
+                       PhStr_ARG(outcome), PhStr_ARG(reason));
+    refusal_report(entry, refuse, reason);
+    PhListener_Answer(entry->listener, refuse->request, info->status,
+                      list.rows, list.count, PhBuf_Str(&body));
+    PhBuf_Clear(&body);
+    g_hash_table_remove(entry->calls, &refuse->request);
+}
+
+/* Tells whether a worker's header goes on to the caller.  What a refusal says
+ * only this program may say. */
+static bool
+header_passes(PhStr name)
+{
+    return !PhCall_IsHopHeader(name) &&
+           !PhStr_EqualNoCase(name, PH_HEADER_OUTCOME) &&
+           !PhStr_EqualNoCase(name, PH_HEADER_REASON);
+}
+
+/* Gives the whole answer at hand to the caller. */
+void
+PhEntry_PassOn(PhEntry *entry, uint64_t request)
+{
+    const PhHttpReply *reply = entry->reply;
+    const PhCall *call = g_hash_table_lookup(entry->calls, &request);
+    PhCounters *counters = PhKernel_Counters(PhTask_Kernel(entry->self));
+    g_autofree PhHttpHeader *headers =
+        g_new(PhHttpHeader, reply->header_count + 1);
+    size_t count = 0;
+    for (size_t i = 0; i < reply->header_count; i++) {
+        if (header_passes(reply->headers[i].name)) {
+            headers[count++] = reply->headers[i];
+        }
+    }
+    if (!PhRequests_IsReady(entry->requests)) {
+        headers[count++] = (PhHttpHeader){.name = PhStr_LITERAL("Connection"),
+                                          .value = PhStr_LITERAL("close")};
+    }
+    PhListener_Answer(entry->listener, request, reply->status, headers, count,
+                      reply->body);
+    PhCounters_Add(counters, PH_COUNTER_REQUESTS_ANSWERED, 1);
+    PhCounters_Observe(counters, PH_HISTOGRAM_REQUEST_LATENCY,
+                       PhTask_Now(entry->self) - call->arrived);
+    g_hash_table_remove(entry->calls, &request);
+}
+
+/* Answers the balancer's question whether callers should come here. */
+void
+PhEntry_AnswerReady(PhEntry *entry, uint64_t id)
+{
+    enum {
+        HTTP_OK = 200,
+        HTTP_UNAVAILABLE = 503
+    };
+    bool ready = PhRequests_IsReady(entry->requests);
+    PhHttpHeader type = {.name = PhStr_LITERAL("Content-Type"),
+                         .value = PhStr_LITERAL("text/plain")};
+    PhListener_Answer(
+        entry->listener, id, ready ? HTTP_OK : HTTP_UNAVAILABLE, &type, 1,
+        ready ? PhStr_LITERAL("ready\n") : PhStr_LITERAL("not ready\n"));
+}
+
+/* Translates how the client of the workers says that an attempt ended. */
+PhAttemptEnd
+PhEntry_AttemptEnd(const PhHttpReply *reply)
+{
+    if (reply->outcome == PH_HTTP_ANSWERED) {
+        return PH_ATTEMPT_END_ANSWERED;
+    }
+    switch (reply->failure) {
+    case PH_HTTP_FAILURE_CONNECT:
+        return PH_ATTEMPT_END_CONNECT;
+    case PH_HTTP_FAILURE_FIRST_BYTE:
+        return PH_ATTEMPT_END_FIRST_BYTE;
+    case PH_HTTP_FAILURE_DEADLINE:
+        return PH_ATTEMPT_END_DEADLINE;
+    case PH_HTTP_FAILURE_TRUNCATED:
+        return PH_ATTEMPT_END_TRUNCATED;
+    case PH_HTTP_FAILURE_TOO_LARGE:
+        return PH_ATTEMPT_END_TOO_LARGE;
+    case PH_HTTP_FAILURE_CANCELLED:
+    case PH_HTTP_FAILURE_FULL:
+        return PH_ATTEMPT_END_CANCELLED;
+    case PH_HTTP_FAILURE_NONE:
+    case PH_HTTP_FAILURE_RESET:
+        return PH_ATTEMPT_END_RESET;
+    }
+    return PH_ATTEMPT_END_RESET;
+}
--- /dev/null
+++ b/services/requests/entry_call.c
@@ -0,0 +1,168 @@
+#include "entry_internal.h"
+#include "peridothill/services/interface.h"
+
+enum {
+    ANSWER_LIMIT_BYTES = 16 * 1024 * 1024,
+    KEY_MAX_BYTES = 256,
+};
+
+/* Headers that a proxy must not pass on; lengths are set anew. */
+static const char *const hop_headers[] = {
+    "Connection",
+    "Content-Length",
+    "Expect",
+    "Host",
+    "Keep-Alive",
+    "Proxy-Authenticate",
+    "Proxy-Authorization",
+    "Proxy-Connection",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade",
+};
+
+/* Tells whether a header is one of the hop's own. */
+bool
+PhCall_IsHopHeader(PhStr name)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(hop_headers); i++) {
+        if (PhStr_EqualNoCase(name, PhStr_FromC(hop_headers[i]))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Joins path and query as they stood in the request. */
+static PhStr
+target_join(PhStr path, PhStr query)
+{
+    PhBuf buf = {0};
+    PhBuf_Append(&buf, path);
+    if (query.len > 0) {
+        PhBuf_AppendByte(&buf, '?');
+        PhBuf_Append(&buf, query);
+    }
+    return PhBuf_Take(&buf);
+}
+
+/* Copies a request. */
+PhCall *
+PhCall_Create(const PhIncoming *incoming, PhTime now)
+{
+    PhCall *call = g_new0(PhCall, 1);
+    call->id = incoming->id;
+    call->method = PhStr_Dup(incoming->method);
+    call->target = target_join(incoming->path, incoming->query);
+    call->body = PhStr_Dup(incoming->body);
+    call->arrived = now;
+    for (size_t i = 0; i < incoming->header_count; i++) {
+        PhHttpHeader_Add(&call->headers, &call->header_count,
+                         incoming->headers[i].name,
+                         incoming->headers[i].value);
+    }
+    return call;
+}
+
+/* Releases a request. */
+void
+PhCall_Destroy(gpointer value)
+{
+    PhCall *call = value;
+    PhStr_Clear(&call->method);
+    PhStr_Clear(&call->target);
+    PhStr_Clear(&call->body);
+    for (size_t i = 0; i < call->header_count; i++) {
+        PhStr_Clear(&call->headers[i].name);
+        PhStr_Clear(&call->headers[i].value);
+    }
+    g_free(call->headers);
+    g_free(call);
+}
+
+/* Reads the caller's time limit; false when it is no number. */
+static bool
+budget_read(const PhCall *call, PhTime *budget)
+{
+    PhStr text = PhHttpHeader_Find(call->headers, call->header_count,
+                                   PH_HEADER_TIMEOUT);
+    uint64_t ms = 0;
+    *budget = 0;
+    if (text.data == NULL) {
+        return true;
+    }
+    if (!PhStr_ParseU64(PhStr_Trim(text), &ms)) {
+        return false;
+    }
+    /* A limit of zero has passed already. */
+    ms = MIN(ms, (uint64_t)G_MAXINT32);
+    *budget = MAX((PhTime)ms * PH_NS_PER_MS, 1);
+    return true;
+}
+
+/* Counts the headers of one name. */
+static size_t
+header_count(const PhCall *call, PhStr name)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < call->header_count; i++) {
+        count += PhStr_EqualNoCase(call->headers[i].name, name);
+    }
+    return count;
+}
+
+/* Reads what the decisions need to know; the strings borrow from the call. */
+PhArrival
+PhCall_Arrival(const PhCall *call, PhStr path)
+{
+    PhArrival arrival = {.id = call->id,
+                         .method = call->method,
+                         .path = path,
+                         .body_bytes = call->body.len};
+    arrival.key =
+        PhHttpHeader_Find(call->headers, call->header_count, PH_HEADER_KEY);
+    arrival.malformed = !budget_read(call, &arrival.budget) ||
+                        header_count(call, PH_HEADER_KEY) > 1 ||
+                        header_count(call, PH_HEADER_TIMEOUT) > 1 ||
+                        arrival.key.len > KEY_MAX_BYTES;
+    return arrival;
+}
+
+/* Adds the time that is left, so that the worker can give up in time too. */
+static void
+timeout_add(PhHttpRequest *request, PhTime left)
+{
+    char *text = g_strdup_printf("%" G_GINT64_FORMAT, left / PH_NS_PER_MS);
+    PhHttpHeader_Add(&request->headers, &request->header_count,
+                     PH_HEADER_TIMEOUT, PhStr_FromC(text));
+    g_free(text);
+}
+
+/* Makes the message to "http" for one attempt. */
+PhMessage
+PhCall_Message(const PhCall *call, const PhSend *send, PhStr address,
+               PhTime now)
+{
+    PhHttpMessage message = {.tag = PH_HTTP_SEND};
+    PhHttpRequest *request = &message.as.send;
+    *request = (PhHttpRequest){.id = send->attempt,
+                               .method = PhStr_Dup(call->method),
+                               .address = PhStr_Dup(address),
+                               .target = PhStr_Dup(call->target),
+                               .body = PhStr_Dup(call->body),
+                               .deadline = send->deadline,
+                               .first_byte = send->first_byte,
+                               .answer_limit_bytes = ANSWER_LIMIT_BYTES,
+                               .fresh_connection = send->fresh_connection};
+    for (size_t i = 0; i < call->header_count; i++) {
+        const PhHttpHeader *header = &call->headers[i];
+        if (!PhCall_IsHopHeader(header->name) &&
+            !PhStr_EqualNoCase(header->name, PH_HEADER_TIMEOUT)) {
+            PhHttpHeader_Add(&request->headers, &request->header_count,
+                             header->name, header->value);
+        }
+    }
+    timeout_add(request, send->deadline - now);
+    return PhHttpMessage_Wrap(&message);
+}
