--- a/include/peridothill/services/listener.h
+++ b/include/peridothill/services/listener.h
@@ -25,7 +25,8 @@
     PhStr address; /* "127.0.0.1:8080"; port 0 takes a free one */
     size_t body_limit_bytes;
     unsigned connection_limit;
-    unsigned idle_timeout_s;
+    unsigned idle_timeout_s; /* also the longest that a request may take to
+                                arrive */
     void *context;
     /* A whole request has arrived. */
     void (*on_request)(void *context, const PhIncoming *incoming);
@@ -52,9 +53,16 @@
 /* Closes the connection of a request without an answer. */
 void
 PhListener_Drop(PhListener *listener, uint64_t id);
-/* Stops taking new connections; those that are open go on. */
+/* From now on each answer closes its connection. */
+void
+PhListener_Retire(PhListener *listener);
+/* Retires, and closes connections that have no request.  New ones are still
+ * accepted: their requests can be refused in words rather than by a reset. */
 void
 PhListener_Quiesce(PhListener *listener);
+/* Connections that are open, in use or not. */
+size_t
+PhListener_Connections(const PhListener *listener);
 /* Requests that wait for an answer. */
 size_t
 PhListener_InFlight(const PhListener *listener);
--- a/services/platform/http.c
+++ b/services/platform/http.c
@@ -39,6 +39,7 @@
     PhTime first_byte_at;
     size_t answer_limit;
     bool too_large;
+    PhStr length; /* Content-Length as first given, owned */
     PhHttpReply reply;
 } PhTransfer;
 
@@ -63,6 +64,33 @@
     return len;
 }
 
+/* Drops the headers of an interim answer. */
+static void
+headers_restart(PhTransfer *t)
+{
+    for (size_t i = 0; i < t->reply.header_count; i++) {
+        PhStr_Clear(&t->reply.headers[i].name);
+        PhStr_Clear(&t->reply.headers[i].value);
+    }
+    t->reply.header_count = 0;
+    PhStr_Clear(&t->length);
+}
+
+/* Tells whether a length contradicts an earlier one: the end of such an answer
+ * is anyone's guess. */
+static bool
+length_contradicts(PhTransfer *t, PhStr name, PhStr value)
+{
+    if (!PhStr_EqualNoCase(name, PhStr_LITERAL("Content-Length"))) {
+        return false;
+    }
+    if (t->length.data == NULL) {
+        t->length = PhStr_Dup(value);
+        return false;
+    }
+    return !PhStr_Equal(t->length, value);
+}
+
 /* Collects one header line; a status line starts the headers anew. */
 static size_t
 on_header(char *data, size_t size, size_t count, void *context)
@@ -75,9 +103,17 @@
         t->first_byte_at = PhTask_Now(t->http->self);
         PhTask_CancelTimer(t->http->self, timer_token(t, TRANSFER_FIRST_BYTE));
     }
+    if (PhStr_StartsWith(line, PhStr_LITERAL("HTTP/"))) {
+        headers_restart(t);
+        return line.len;
+    }
     if (PhStr_Cut(line, ':', &name, &value)) {
+        value = PhStr_Trim(value);
+        if (length_contradicts(t, name, value)) {
+            return 0;
+        }
         PhHttpHeader_Add(&t->reply.headers, &t->reply.header_count, name,
-                         PhStr_Trim(value));
+                         value);
     }
     return line.len;
 }
@@ -96,6 +132,7 @@
     curl_slist_free_all(t->header_lines);
     PhBuf_Clear(&t->body_out);
     PhBuf_Clear(&t->body_in);
+    PhStr_Clear(&t->length);
     PhHttpMessage unsent = {.tag = PH_HTTP_REPLY, .as.reply = t->reply};
     PhMessage m = PhHttpMessage_Wrap(&unsent);
     m.release(m.body);
--- a/services/platform/listener.c
+++ b/services/platform/listener.c
@@ -1,47 +1,28 @@
-#include "peridothill/services/listener.h"
+#include "listener_internal.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
-#include <microhttpd.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <unistd.h>
-
-#include "peridothill/common/invariant.h"
 
 enum {
-    /* A chunked body this many times over its limit ends the connection. */
-    OVERSIZE_FACTOR = 4,
-    STATUS_TOO_LARGE = 413,
+    SWEEP_INTERVAL_MS = 500,
     STATUS_BAD_REQUEST = 400,
 };
 
-/* A request from its headers to its answer. */
-typedef struct PhExchange {
-    PhListener *listener;
-    struct MHD_Connection *connection;
-    uint64_t id;
-    PhBuf body;
-    bool too_large;
-    bool handed_over;
-    bool suspended;
-    bool dropped;
-    int fd; /* watched for the caller's close, or -1 */
-    struct MHD_Response *response;
-    int status;
-} PhExchange;
+/* Token of the library's timer. */
+static uint64_t
+run_token(const PhListener *l)
+{
+    return (uint64_t)(uintptr_t)l;
+}
 
-struct PhListener {
-    PhTask *self;
-    PhListenerOptions options;
-    struct MHD_Daemon *daemon;
-    int epoll_fd;
-    int listen_fd; /* kept after the listener quiesces, or -1 */
-    uint16_t port;
-    uint64_t next_id;
-    GHashTable *exchanges; /* PhExchange by id, until answered or gone */
-    GHashTable *by_fd;     /* PhExchange by watched descriptor */
-};
+/* Token of the sweep over open connections. */
+static uint64_t
+sweep_token(const PhListener *l)
+{
+    return (uint64_t)(uintptr_t)l + 1;
+}
 
 /* Reads "IP:port" into a socket address. */
 static bool
@@ -63,126 +44,6 @@
     return inet_pton(AF_INET, host_c, &address->sin_addr) == 1;
 }
 
-/* Stops watching for the caller's close. */
-static void
-exchange_unwatch(PhExchange *x)
-{
-    if (x->fd >= 0) {
-        PhTask_Watch(x->listener->self, x->fd, 0);
-        g_hash_table_remove(x->listener->by_fd, GINT_TO_POINTER(x->fd));
-        x->fd = -1;
-    }
-}
-
-/* Releases an exchange. */
-static void
-exchange_destroy(PhExchange *x)
-{
-    exchange_unwatch(x);
-    if (x->response != NULL) {
-        MHD_destroy_response(x->response);
-    }
-    PhBuf_Clear(&x->body);
-    g_free(x);
-}
-
-/* Collects one header for the incoming request. */
-static enum MHD_Result
-collect_header(void *context, enum MHD_ValueKind kind, const char *name,
-               size_t name_len, const char *value, size_t value_len)
-{
-    GArray *headers = context;
-    (void)kind;
-    PhHttpHeader h = {.name = PhStr_FromBytes(name, name_len),
-                      .value = PhStr_FromBytes(value, value_len)};
-    g_array_append_val(headers, h);
-    return MHD_YES;
-}
-
-/* Answers at once with a status and an empty body, then closes. */
-static enum MHD_Result
-refuse(struct MHD_Connection *connection, int status)
-{
-    struct MHD_Response *r =
-        MHD_create_response_from_buffer(0, NULL, MHD_RESPMEM_PERSISTENT);
-    MHD_add_response_header(r, "Connection", "close");
-    enum MHD_Result result =
-        MHD_queue_response(connection, (unsigned)status, r);
-    MHD_destroy_response(r);
-    return result;
-}
-
-/* Watches the caller's socket while its request waits for an answer:
- * libmicrohttpd does not look at suspended connections. */
-static void
-watch_caller(PhExchange *x)
-{
-    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-        x->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    x->fd = info->connect_fd;
-    g_hash_table_insert(x->listener->by_fd, GINT_TO_POINTER(x->fd), x);
-    PhTask_Watch(x->listener->self, x->fd, PH_IO_READ);
-}
-
-/* Hands a whole request to the owner; it may answer before this returns. */
-static void
-hand_over(PhExchange *x, PhStr method, PhStr path, PhStr query)
-{
-    PhListener *l = x->listener;
-    GArray *headers = g_array_new(FALSE, FALSE, sizeof(PhHttpHeader));
-    MHD_get_connection_values_n(x->connection, MHD_HEADER_KIND, collect_header,
-                                headers);
-    PhIncoming incoming = {.id = x->id,
-                           .method = method,
-                           .path = path,
-                           .query = query,
-                           .body = PhBuf_Str(&x->body),
-                           .headers = (const PhHttpHeader *)headers->data,
-                           .header_count = headers->len};
-    x->handed_over = true;
-    g_hash_table_insert(l->exchanges, &x->id, x);
-    l->options.on_request(l->options.context, &incoming);
-    g_array_free(headers, TRUE);
-}
-
-/* Adds a piece of the body; false ends the connection. */
-static bool
-take_body(PhExchange *x, const char *data, size_t len)
-{
-    size_t limit = x->listener->options.body_limit_bytes;
-    if (x->body.len + len > limit) {
-        x->too_large = true;
-    }
-    if (x->body.len + len > limit * OVERSIZE_FACTOR) {
-        return false;
-    }
-    PhBuf_Append(&x->body, PhStr_FromBytes(data, len));
-    return true;
-}
-
-/* Starts the exchange of a new request, or refuses a declared length that is
- * over the limit. */
-static enum MHD_Result
-begin(PhListener *l, struct MHD_Connection *connection, void **slot)
-{
-    const char *length = MHD_lookup_connection_value(
-        connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
-    uint64_t declared = 0;
-    if (length != NULL && !PhStr_ParseU64(PhStr_FromC(length), &declared)) {
-        return refuse(connection, STATUS_BAD_REQUEST);
-    }
-    if (declared > l->options.body_limit_bytes) {
-        return refuse(connection, STATUS_TOO_LARGE);
-    }
-    PhExchange *x = g_new0(PhExchange, 1);
-    x->listener = l;
-    x->connection = connection;
-    x->id = ++l->next_id;
-    x->fd = -1;
-    *slot = x;
-    return MHD_YES;
-}
-
 /* Leaves targets as they were sent; what is routed is what is passed on. */
 static size_t
 keep_escaped(void *context, struct MHD_Connection *connection, char *text)
@@ -192,82 +53,27 @@
     return strlen(text);
 }
 
-/* Appends one query argument in the form it was sent. */
-static enum MHD_Result
-collect_argument(void *context, enum MHD_ValueKind kind, const char *name,
-                 size_t name_len, const char *value, size_t value_len)
-{
-    PhBuf *query = context;
-    (void)kind;
-    if (query->len > 0) {
-        PhBuf_AppendByte(query, '&');
-    }
-    PhBuf_Append(query, PhStr_FromBytes(name, name_len));
-    if (value != NULL) {
-        PhBuf_AppendByte(query, '=');
-        PhBuf_Append(query, PhStr_FromBytes(value, value_len));
-    }
-    return MHD_YES;
-}
-
-/* Drives a request: headers, pieces of the body, the hand-over, the answer. */
-static enum MHD_Result
-on_access(void *context, struct MHD_Connection *connection, const char *url,
-          const char *method, const char *version, const char *data,
-          size_t *data_len, void **slot)
-{
-    PhListener *l = context;
-    PhExchange *x = *slot;
-    (void)version;
-    if (x == NULL) {
-        return begin(l, connection, slot);
-    }
-    if (*data_len > 0) {
-        bool taken = take_body(x, data, *data_len);
-        *data_len = 0;
-        return taken ? MHD_YES : MHD_NO;
-    }
-    if (x->too_large) {
-        return refuse(connection, STATUS_TOO_LARGE);
-    }
-    if (!x->handed_over) {
-        PhBuf query = {0};
-        MHD_get_connection_values_n(connection, MHD_GET_ARGUMENT_KIND,
-                                    collect_argument, &query);
-        hand_over(x, PhStr_FromC(method), PhStr_FromC(url), PhBuf_Str(&query));
-        PhBuf_Clear(&query);
-    }
-    if (x->dropped) {
-        return MHD_NO;
-    }
-    if (x->response == NULL) {
-        x->suspended = true;
-        watch_caller(x);
-        MHD_suspend_connection(connection);
-        return MHD_YES;
-    }
-    return MHD_queue_response(connection, (unsigned)x->status, x->response);
-}
-
-/* Forgets a request that has ended; one without an answer has lost its
- * caller. */
+/* Keeps the connections that are open. */
 static void
-on_completed(void *context, struct MHD_Connection *connection, void **slot,
-             enum MHD_RequestTerminationCode code)
+on_connection(void *context, struct MHD_Connection *connection, void **slot,
+              enum MHD_ConnectionNotificationCode code)
 {
     PhListener *l = context;
-    PhExchange *x = *slot;
-    (void)connection;
-    (void)code;
-    if (x == NULL) {
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    gpointer key = GINT_TO_POINTER(info->connect_fd);
+    (void)slot;
+    if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+        g_hash_table_remove(l->connections, key);
         return;
     }
-    bool unanswered = g_hash_table_remove(l->exchanges, &x->id);
-    uint64_t id = x->id;
-    exchange_destroy(x);
-    *slot = NULL;
-    if (unanswered) {
-        l->options.on_gone(l->options.context, id);
+    PhConnection *link = g_new0(PhConnection, 1);
+    link->fd = info->connect_fd;
+    link->quiet_at = PhTask_Now(l->self);
+    g_hash_table_insert(l->connections, key, link);
+    if (g_hash_table_size(l->connections) == 1) {
+        PhTask_SetTimer(l->self, sweep_token(l),
+                        link->quiet_at + SWEEP_INTERVAL_MS * PH_NS_PER_MS);
     }
 }
 
@@ -277,11 +83,13 @@
 {
     unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
     return MHD_start_daemon(
-        flags, 0, NULL, NULL, on_access, l, MHD_OPTION_SOCK_ADDR, address,
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_CONNECTION_LIMIT,
-        l->options.connection_limit, MHD_OPTION_CONNECTION_TIMEOUT,
-        l->options.idle_timeout_s, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
-        l, MHD_OPTION_UNESCAPE_CALLBACK, keep_escaped, NULL, MHD_OPTION_END);
+        flags, 0, NULL, NULL, PhListener_OnAccess, l, MHD_OPTION_SOCK_ADDR,
+        address, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+        MHD_OPTION_CONNECTION_LIMIT, l->options.connection_limit,
+        MHD_OPTION_CONNECTION_TIMEOUT, l->options.idle_timeout_s,
+        MHD_OPTION_NOTIFY_COMPLETED, PhListener_OnCompleted, l,
+        MHD_OPTION_NOTIFY_CONNECTION, on_connection, l,
+        MHD_OPTION_UNESCAPE_CALLBACK, keep_escaped, NULL, MHD_OPTION_END);
 }
 
 /* Sets the timer for what the library has to do later. */
@@ -289,7 +97,7 @@
 arm_timer(PhListener *l)
 {
     MHD_UNSIGNED_LONG_LONG wait_ms;
-    uint64_t token = (uint64_t)(uintptr_t)l;
+    uint64_t token = run_token(l);
     if (MHD_get_timeout(l->daemon, &wait_ms) == MHD_YES) {
         PhTask_SetTimer(l->self, token,
                         PhTask_Now(l->self) + (PhTime)wait_ms * PH_NS_PER_MS);
@@ -312,9 +120,10 @@
     PhListener *l = g_new0(PhListener, 1);
     l->self = self;
     l->options = *options;
-    l->listen_fd = -1;
     l->exchanges = g_hash_table_new(g_int64_hash, g_int64_equal);
     l->by_fd = g_hash_table_new(g_direct_hash, g_direct_equal);
+    l->connections =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     l->daemon = daemon_start(l, &address);
     if (l->daemon == NULL) {
         PhResult r =
@@ -343,7 +152,7 @@
     g_hash_table_iter_init(&iter, l->exchanges);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         PhExchange *x = value;
-        exchange_unwatch(x);
+        PhExchange_Unwatch(x);
         if (x->suspended) {
             x->suspended = false;
             MHD_resume_connection(x->connection);
@@ -351,18 +160,30 @@
     }
     g_hash_table_remove_all(l->exchanges);
     if (l->daemon != NULL) {
-        PhTask_CancelTimer(l->self, (uint64_t)(uintptr_t)l);
+        PhTask_CancelTimer(l->self, run_token(l));
+        PhTask_CancelTimer(l->self, sweep_token(l));
         PhTask_Watch(l->self, l->epoll_fd, 0);
         MHD_stop_daemon(l->daemon);
     }
-    if (l->listen_fd >= 0) {
-        close(l->listen_fd);
-    }
     g_hash_table_destroy(l->exchanges);
     g_hash_table_destroy(l->by_fd);
+    g_hash_table_destroy(l->connections);
     g_free(l);
 }
 
+/* Lets a suspended connection go on.  The library looks at it in its next run,
+ * which nothing else would bring about. */
+static void
+exchange_resume(PhExchange *x)
+{
+    PhListener *l = x->listener;
+    if (x->suspended) {
+        x->suspended = false;
+        MHD_resume_connection(x->connection);
+        PhTask_SetTimer(l->self, run_token(l), PhTask_Now(l->self));
+    }
+}
+
 /* Gives the port that is listened on. */
 uint16_t
 PhListener_Port(const PhListener *listener)
@@ -370,20 +191,6 @@
     return listener->port;
 }
 
-/* Lets the library go on with a suspended request at the next turn: on an
- * external loop it does not wake up by itself. */
-static void
-exchange_resume(PhExchange *x)
-{
-    if (!x->suspended) {
-        return;
-    }
-    x->suspended = false;
-    MHD_resume_connection(x->connection);
-    PhTask_SetTimer(x->listener->self, (uint64_t)(uintptr_t)x->listener,
-                    PhTask_Now(x->listener->self));
-}
-
 /* Looks whether the caller of a waiting request has closed. */
 static void
 caller_ready(PhListener *l, PhExchange *x)
@@ -393,7 +200,7 @@
     if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
         return;
     }
-    exchange_unwatch(x);
+    PhExchange_Unwatch(x);
     if (n > 0) {
         return;
     }
@@ -406,16 +213,42 @@
     exchange_resume(x);
 }
 
+/* Closes connections whose next request does not arrive whole in time, however
+ * slowly it drips in; while quiescing, those without a request at once.  The
+ * library then reads the end of the stream and cleans up. */
+static void
+sweep(PhListener *l)
+{
+    GHashTableIter iter;
+    gpointer value;
+    PhTime limit = l->options.idle_timeout_s * PH_NS_PER_S;
+    PhTime now = PhTask_Now(l->self);
+    g_hash_table_iter_init(&iter, l->connections);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const PhConnection *link = value;
+        if (!link->busy && (l->quiescing || now - link->quiet_at >= limit)) {
+            shutdown(link->fd, l->quiescing ? SHUT_WR : SHUT_RDWR);
+        }
+    }
+    if (g_hash_table_size(l->connections) > 0) {
+        PhTask_SetTimer(l->self, sweep_token(l),
+                        now + SWEEP_INTERVAL_MS * PH_NS_PER_MS);
+    }
+}
+
 /* Handles readiness and timers that belong to the listener. */
 bool
 PhListener_Handle(PhListener *l, const PhMail *mail)
 {
-    if (mail->kind == PH_MAIL_TIMER &&
-        mail->as.timer == (uint64_t)(uintptr_t)l) {
+    if (mail->kind == PH_MAIL_TIMER && mail->as.timer == run_token(l)) {
         MHD_run(l->daemon);
         arm_timer(l);
         return true;
     }
+    if (mail->kind == PH_MAIL_TIMER && mail->as.timer == sweep_token(l)) {
+        sweep(l);
+        return true;
+    }
     if (mail->kind != PH_MAIL_IO) {
         return false;
     }
@@ -456,11 +289,14 @@
         return;
     }
     g_hash_table_remove(l->exchanges, &id);
-    exchange_unwatch(x);
+    PhExchange_Unwatch(x);
     x->response = MHD_create_response_from_buffer(body.len, (void *)body.data,
                                                   MHD_RESPMEM_MUST_COPY);
     x->status = status;
     add_headers(x->response, headers, header_count);
+    if (l->retired) {
+        MHD_add_response_header(x->response, "Connection", "close");
+    }
     exchange_resume(x);
 }
 
@@ -473,18 +309,32 @@
         return;
     }
     g_hash_table_remove(l->exchanges, &id);
-    exchange_unwatch(x);
+    PhExchange_Unwatch(x);
     x->dropped = true;
     exchange_resume(x);
 }
 
-/* Stops listening; the connections that are open go on. */
+/* Closes each connection after its next answer. */
+void
+PhListener_Retire(PhListener *l)
+{
+    l->retired = true;
+}
+
+/* Closes the connections without a request, now and from now on. */
 void
 PhListener_Quiesce(PhListener *l)
 {
-    if (l->listen_fd < 0) {
-        l->listen_fd = MHD_quiesce_daemon(l->daemon);
-    }
+    l->retired = true;
+    l->quiescing = true;
+    sweep(l);
+}
+
+/* Counts the open connections. */
+size_t
+PhListener_Connections(const PhListener *listener)
+{
+    return g_hash_table_size(listener->connections);
 }
 
 /* Counts the requests that wait for an answer. */
--- /dev/null
+++ b/services/platform/listener_request.c
@@ -0,0 +1,259 @@
+#include "listener_internal.h"
+
+enum {
+    /* A chunked body this many times over its limit ends the connection. */
+    OVERSIZE_FACTOR = 4,
+    STATUS_TOO_LARGE = 413,
+    STATUS_BAD_REQUEST = 400,
+};
+
+/* Stops watching for the caller's close. */
+void
+PhExchange_Unwatch(PhExchange *x)
+{
+    if (x->fd >= 0) {
+        PhTask_Watch(x->listener->self, x->fd, 0);
+        g_hash_table_remove(x->listener->by_fd, GINT_TO_POINTER(x->fd));
+        x->fd = -1;
+    }
+}
+
+/* Releases an exchange. */
+static void
+exchange_destroy(PhExchange *x)
+{
+    PhExchange_Unwatch(x);
+    if (x->response != NULL) {
+        MHD_destroy_response(x->response);
+    }
+    PhBuf_Clear(&x->body);
+    g_free(x);
+}
+
+/* Collects one header for the incoming request. */
+static enum MHD_Result
+collect_header(void *context, enum MHD_ValueKind kind, const char *name,
+               size_t name_len, const char *value, size_t value_len)
+{
+    GArray *headers = context;
+    (void)kind;
+    PhHttpHeader h = {.name = PhStr_FromBytes(name, name_len),
+                      .value = PhStr_FromBytes(value, value_len)};
+    g_array_append_val(headers, h);
+    return MHD_YES;
+}
+
+/* Answers at once with a status and an empty body, then closes. */
+static enum MHD_Result
+refuse(struct MHD_Connection *connection, int status)
+{
+    struct MHD_Response *r =
+        MHD_create_response_from_buffer(0, NULL, MHD_RESPMEM_PERSISTENT);
+    MHD_add_response_header(r, "Connection", "close");
+    enum MHD_Result result =
+        MHD_queue_response(connection, (unsigned)status, r);
+    MHD_destroy_response(r);
+    return result;
+}
+
+/* Watches the caller's socket while its request waits for an answer:
+ * libmicrohttpd does not look at suspended connections. */
+static void
+watch_caller(PhExchange *x)
+{
+    x->fd = x->link->fd;
+    g_hash_table_insert(x->listener->by_fd, GINT_TO_POINTER(x->fd), x);
+    PhTask_Watch(x->listener->self, x->fd, PH_IO_READ);
+}
+
+/* Hands a whole request to the owner; it may answer before this returns. */
+static void
+hand_over(PhExchange *x, PhStr method, PhStr path, PhStr query)
+{
+    PhListener *l = x->listener;
+    GArray *headers = g_array_new(FALSE, FALSE, sizeof(PhHttpHeader));
+    MHD_get_connection_values_n(x->connection, MHD_HEADER_KIND, collect_header,
+                                headers);
+    PhIncoming incoming = {.id = x->id,
+                           .method = method,
+                           .path = path,
+                           .query = query,
+                           .body = PhBuf_Str(&x->body),
+                           .headers = (const PhHttpHeader *)headers->data,
+                           .header_count = headers->len};
+    x->handed_over = true;
+    x->link->busy = true;
+    g_hash_table_insert(l->exchanges, &x->id, x);
+    l->options.on_request(l->options.context, &incoming);
+    g_array_free(headers, TRUE);
+}
+
+/* Adds a piece of the body; false ends the connection. */
+static bool
+take_body(PhExchange *x, const char *data, size_t len)
+{
+    size_t limit = x->listener->options.body_limit_bytes;
+    if (x->body.len + len > limit) {
+        x->too_large = true;
+    }
+    if (x->body.len + len > limit * OVERSIZE_FACTOR) {
+        return false;
+    }
+    PhBuf_Append(&x->body, PhStr_FromBytes(data, len));
+    return true;
+}
+
+/* Counts the headers of one name. */
+static size_t
+header_count(const GArray *headers, PhStr name)
+{
+    size_t count = 0;
+    for (guint i = 0; i < headers->len; i++) {
+        count += PhStr_EqualNoCase(
+            g_array_index(headers, PhHttpHeader, i).name, name);
+    }
+    return count;
+}
+
+/* Tells whether the headers leave no doubt where the body ends.  Doubt would
+ * let one request hide inside another. */
+static bool
+framing_is_clear(const GArray *headers)
+{
+    const PhHttpHeader *rows = (const PhHttpHeader *)headers->data;
+    PhStr coding = PhHttpHeader_Find(rows, headers->len,
+                                     PhStr_LITERAL("Transfer-Encoding"));
+    size_t lengths = header_count(headers, PhStr_LITERAL("Content-Length"));
+    size_t codings = header_count(headers, PhStr_LITERAL("Transfer-Encoding"));
+    if (lengths > 1 || codings > 1 || (lengths == 1 && codings == 1)) {
+        return false;
+    }
+    return codings == 0 || PhStr_EqualNoCase(coding, PhStr_LITERAL("chunked"));
+}
+
+/* Checks the headers of a request before its body is read: 0, or the status
+ * of a refusal. */
+static int
+headers_refusal(const PhListener *l, struct MHD_Connection *connection)
+{
+    GArray *headers = g_array_new(FALSE, FALSE, sizeof(PhHttpHeader));
+    MHD_get_connection_values_n(connection, MHD_HEADER_KIND, collect_header,
+                                headers);
+    PhStr length =
+        PhHttpHeader_Find((const PhHttpHeader *)headers->data, headers->len,
+                          PhStr_LITERAL("Content-Length"));
+    uint64_t declared = 0;
+    int status = 0;
+    if (!framing_is_clear(headers) ||
+        (length.data != NULL && !PhStr_ParseU64(length, &declared))) {
+        status = STATUS_BAD_REQUEST;
+    }
+    else if (declared > l->options.body_limit_bytes) {
+        status = STATUS_TOO_LARGE;
+    }
+    g_array_free(headers, TRUE);
+    return status;
+}
+
+/* Starts the exchange of a new request, or refuses it by its headers. */
+static enum MHD_Result
+begin(PhListener *l, struct MHD_Connection *connection, void **slot)
+{
+    int refusal = headers_refusal(l, connection);
+    if (refusal != 0) {
+        return refuse(connection, refusal);
+    }
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    PhExchange *x = g_new0(PhExchange, 1);
+    x->listener = l;
+    x->connection = connection;
+    x->id = ++l->next_id;
+    x->fd = -1;
+    x->link =
+        g_hash_table_lookup(l->connections, GINT_TO_POINTER(info->connect_fd));
+    x->link->quiet_at = PhTask_Now(l->self);
+    *slot = x;
+    return MHD_YES;
+}
+
+/* Appends one query argument in the form it was sent. */
+static enum MHD_Result
+collect_argument(void *context, enum MHD_ValueKind kind, const char *name,
+                 size_t name_len, const char *value, size_t value_len)
+{
+    PhBuf *query = context;
+    (void)kind;
+    if (query->len > 0) {
+        PhBuf_AppendByte(query, '&');
+    }
+    PhBuf_Append(query, PhStr_FromBytes(name, name_len));
+    if (value != NULL) {
+        PhBuf_AppendByte(query, '=');
+        PhBuf_Append(query, PhStr_FromBytes(value, value_len));
+    }
+    return MHD_YES;
+}
+
+/* Drives a request: headers, pieces of the body, the hand-over, the answer. */
+enum MHD_Result
+PhListener_OnAccess(void *context, struct MHD_Connection *connection,
+                    const char *url, const char *method, const char *version,
+                    const char *data, size_t *data_len, void **slot)
+{
+    PhListener *l = context;
+    PhExchange *x = *slot;
+    (void)version;
+    if (x == NULL) {
+        return begin(l, connection, slot);
+    }
+    if (*data_len > 0) {
+        bool taken = take_body(x, data, *data_len);
+        *data_len = 0;
+        return taken ? MHD_YES : MHD_NO;
+    }
+    if (x->too_large) {
+        return refuse(connection, STATUS_TOO_LARGE);
+    }
+    if (!x->handed_over) {
+        PhBuf query = {0};
+        MHD_get_connection_values_n(connection, MHD_GET_ARGUMENT_KIND,
+                                    collect_argument, &query);
+        hand_over(x, PhStr_FromC(method), PhStr_FromC(url), PhBuf_Str(&query));
+        PhBuf_Clear(&query);
+    }
+    if (x->dropped) {
+        return MHD_NO;
+    }
+    if (x->response == NULL) {
+        x->suspended = true;
+        watch_caller(x);
+        MHD_suspend_connection(connection);
+        return MHD_YES;
+    }
+    return MHD_queue_response(connection, (unsigned)x->status, x->response);
+}
+
+/* Forgets a request that has ended; one without an answer has lost its
+ * caller. */
+void
+PhListener_OnCompleted(void *context, struct MHD_Connection *connection,
+                       void **slot, enum MHD_RequestTerminationCode code)
+{
+    PhListener *l = context;
+    PhExchange *x = *slot;
+    (void)connection;
+    (void)code;
+    if (x == NULL) {
+        return;
+    }
+    bool unanswered = g_hash_table_remove(l->exchanges, &x->id);
+    uint64_t id = x->id;
+    x->link->busy = false;
+    x->link->quiet_at = PhTask_Now(l->self);
+    exchange_destroy(x);
+    *slot = NULL;
+    if (unanswered) {
+        l->options.on_gone(l->options.context, id);
+    }
+}
