requests: test the entry over real sockets

Callers and a worker with scripts: execute-then-close, also on a connection that was used before, truncated, over-long and late answers, smuggling, slow and oversize callers, and stops under load.

--- a/decide/requests/events.c
+++ b/decide/requests/events.c
@@ -207,11 +207,12 @@
 {
     PhKeys_SetMembers(r->keys, rows, count, r->now);
     const GPtrArray *members = PhKeys_Members(r->keys);
-    g_autofree PhStr *ids = g_new(PhStr, members->len);
+    PhStr *ids = g_new(PhStr, members->len);
     for (guint i = 0; i < members->len; i++) {
         ids[i] = *(const PhStr *)g_ptr_array_index(members, i);
     }
     PhRouter_SetInstances(r->router, ids, members->len);
+    g_free(ids);
 }
 
 /* Creates the table of keys once the time is known. */
--- a/decide/requests/keys.c
+++ b/decide/requests/keys.c
@@ -72,7 +72,9 @@
         return;
     }
     PhStr_Clear(&keys->self);
-    g_clear_pointer(&keys->members, g_ptr_array_unref);
+    if (keys->members != NULL) {
+        g_ptr_array_unref(keys->members);
+    }
     g_queue_clear_full(&keys->past, view_destroy);
     g_hash_table_destroy(keys->table);
     g_queue_clear_full(&keys->by_age, PhStr_KeyDestroy);
--- a/decide/requests/router.c
+++ b/decide/requests/router.c
@@ -281,12 +281,13 @@
 static void
 worker_share(PhRouter *router, PhRoutedWorker *w)
 {
-    g_autofree PhStr *ids = g_new(PhStr, router->instances->len);
+    PhStr *ids = g_new(PhStr, router->instances->len);
     size_t self = own_position(router, ids);
     PhSubsetPart part = PhSubset_Part(w->id, w->connections, ids,
                                       router->instances->len, self);
     w->cap = part.connections;
     w->sharers = part.sharers;
+    g_free(ids);
 }
 
 /* Finds the worker of an id, or takes a slot for it. */
@@ -365,8 +366,7 @@
 void
 PhRouter_SetWorkers(PhRouter *router, const PhWorkerRow *rows, size_t count)
 {
-    g_autoptr(GHashTable) named =
-        g_hash_table_new(g_direct_hash, g_direct_equal);
+    GHashTable *named = g_hash_table_new(g_direct_hash, g_direct_equal);
     for (size_t i = 0; i < count; i++) {
         worker_update(router, &rows[i]);
         g_hash_table_add(
@@ -381,6 +381,7 @@
             worker_reclaim(router, i);
         }
     }
+    g_hash_table_destroy(named);
 }
 
 /* Takes the live instances and shares each worker out again. */
--- a/services/requests/entry.c
+++ b/services/requests/entry.c
@@ -5,6 +5,7 @@
 enum {
     MAILBOX_CAPACITY = 65536,
     FLUSH_INTERVAL_MS = 20,
+    FLUSH_LIMIT_MS = 3000,
     BODY_LIMIT_BYTES = 8 * 1024 * 1024,
     CONNECTION_LIMIT = 4096,
     IDLE_TIMEOUT_S = 60,
@@ -78,11 +79,14 @@
     g_hash_table_remove(entry->calls, &id);
 }
 
-/* Ends the task once the last answers have left. */
+/* Ends the task once the last answers have left and the callers have closed,
+ * or when a caller does not read its answer in time. */
 static void
 flush(PhEntry *entry)
 {
-    if (PhListener_InFlight(entry->listener) == 0) {
+    if (PhListener_Connections(entry->listener) == 0 ||
+        PhTask_Now(entry->self) - entry->drained_at >=
+            FLUSH_LIMIT_MS * PH_NS_PER_MS) {
         PhTask_End(entry->self);
         return;
     }
--- a/services/requests/entry_actions.c
+++ b/services/requests/entry_actions.c
@@ -118,6 +118,7 @@
         break;
     case PH_REQUESTS_DRAINED:
         entry->drained = true;
+        entry->drained_at = PhTask_Now(entry->self);
         PhTask_Log(entry->self, PH_EVENT_ENTRY_DRAINED, NULL, 0);
         break;
     case PH_REQUESTS_NOTE:
--- a/services/requests/entry_answer.c
+++ b/services/requests/entry_answer.c
@@ -4,7 +4,7 @@
 
 /* A few headers of an answer that is made here. */
 enum {
-    HEADERS_MAX = 5
+    HEADERS_MAX = 4
 };
 
 typedef struct PhHeaderList {
@@ -62,9 +62,6 @@
         list_add(&list, PhStr_LITERAL("Retry-After"),
                  PhStr_FromC(retry_after));
     }
-    if (!PhRequests_IsReady(entry->requests)) {
-        list_add(&list, PhStr_LITERAL("Connection"), PhStr_LITERAL("close"));
-    }
     PhBuf body = {0};
     PhBuf_AppendFormat(&body, "{\"outcome\":\"%.*s\",\"reason\":\"%.*s\"}\n",
                        PhStr_ARG(outcome), PhStr_ARG(reason));
@@ -92,20 +89,16 @@
     const PhHttpReply *reply = entry->reply;
     const PhCall *call = g_hash_table_lookup(entry->calls, &request);
     PhCounters *counters = PhKernel_Counters(PhTask_Kernel(entry->self));
-    g_autofree PhHttpHeader *headers =
-        g_new(PhHttpHeader, reply->header_count + 1);
+    PhHttpHeader *headers = g_new(PhHttpHeader, reply->header_count);
     size_t count = 0;
     for (size_t i = 0; i < reply->header_count; i++) {
         if (header_passes(reply->headers[i].name)) {
             headers[count++] = reply->headers[i];
         }
     }
-    if (!PhRequests_IsReady(entry->requests)) {
-        headers[count++] = (PhHttpHeader){.name = PhStr_LITERAL("Connection"),
-                                          .value = PhStr_LITERAL("close")};
-    }
     PhListener_Answer(entry->listener, request, reply->status, headers, count,
                       reply->body);
+    g_free(headers);
     PhCounters_Add(counters, PH_COUNTER_REQUESTS_ANSWERED, 1);
     PhCounters_Observe(counters, PH_HISTOGRAM_REQUEST_LATENCY,
                        PhTask_Now(entry->self) - call->arrived);
--- a/services/requests/entry_internal.h
+++ b/services/requests/entry_internal.h
@@ -46,6 +46,7 @@
     unsigned unattached; /* services that were not found yet, as bits */
     const PhHttpReply *reply; /* the one at hand, or NULL */
     bool drained;
+    PhTime drained_at;
     PhResult *started; /* set by the first mail, as is `port` */
     uint16_t *port;
 } PhEntry;
--- /dev/null
+++ b/tests/requests/test_entry.c
@@ -0,0 +1,596 @@
+/* The task "entry" over real sockets, with a scripted worker and scripted
+ * callers on one loop. */
+#include "peridothill/services/entry.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "peridothill/services/config.h"
+#include "peridothill/services/http.h"
+#include "peridothill/services/interface.h"
+#include "peridothill/services/platform_list.h"
+#include "tests/table.h"
+
+enum {
+    CALLERS_MAX = 16,
+    LATE_MS = 150,
+    WATCHDOG_S = 20,
+    READ_BYTES = 4096,
+};
+
+/* What the worker does once it has executed a request that is no GET. */
+typedef enum PhWorkerAction {
+    WORKER_ANSWERS,
+    WORKER_CLOSES,
+    WORKER_RESETS,
+    WORKER_TRUNCATES,
+    WORKER_SENDS_MORE,
+    WORKER_IS_SILENT,
+    WORKER_IS_LATE,
+    WORKER_SENDS_TWO_LENGTHS,
+    WORKER_SENDS_CHUNKS_CUT,
+    WORKER_CLAIMS_NOT_RUN,
+} PhWorkerAction;
+
+static const char *const worker_texts[] = {
+    [WORKER_ANSWERS] = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+    [WORKER_CLOSES] = "",
+    [WORKER_RESETS] = "",
+    [WORKER_TRUNCATES] = "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello",
+    [WORKER_SENDS_MORE] = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+                          "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil",
+    [WORKER_IS_SILENT] = "",
+    [WORKER_IS_LATE] = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+    [WORKER_SENDS_TWO_LENGTHS] = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+                                 "Content-Length: 3\r\n\r\nhello",
+    [WORKER_SENDS_CHUNKS_CUT] = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+                                "\r\n\r\n5\r\nhello\r\n",
+    [WORKER_CLAIMS_NOT_RUN] = "HTTP/1.1 500 No\r\nPeridothill-Outcome: not-run"
+                              "\r\nContent-Length: 5\r\n\r\nhello",
+};
+
+/* A connection of the worker or of a caller. */
+typedef struct PhPeer {
+    int fd;
+    PhBuf in;
+} PhPeer;
+
+/* What a test runs in. */
+typedef struct PhWorld {
+    struct ev_loop *loop;
+    PhClock *clock;
+    PhCounters *counters;
+    PhKernel *kernel;
+    uint16_t port; /* of the entry */
+    PhWorkerAction action;
+    bool configured;
+    bool listed;
+    PhTask *worker;
+    int worker_fd;
+    uint16_t worker_port;
+    GHashTable *peers; /* of the worker, by descriptor */
+    GQueue late;       /* descriptors to be answered later */
+    unsigned executed; /* requests that are no GET */
+    unsigned callers;
+    unsigned ended;
+    PhPeer caller[CALLERS_MAX];
+    const char *request;
+    bool stop_entry;
+} PhWorld;
+
+/* Opens a listening socket on a free port of the loopback. */
+static int
+listen_loopback(uint16_t *port)
+{
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    struct sockaddr_in a = {.sin_family = AF_INET,
+                            .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t len = sizeof(a);
+    assert_int_equal(bind(fd, (struct sockaddr *)&a, sizeof(a)), 0);
+    assert_int_equal(listen(fd, 64), 0);
+    getsockname(fd, (struct sockaddr *)&a, &len);
+    *port = ntohs(a.sin_port);
+    return fd;
+}
+
+/* Closes a connection of the worker, by a reset when asked. */
+static void
+peer_close(PhWorld *w, int fd, bool reset)
+{
+    struct linger linger = {.l_onoff = reset, .l_linger = 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+    PhTask_Watch(w->worker, fd, 0);
+    g_hash_table_remove(w->peers, GINT_TO_POINTER(fd));
+}
+
+/* Writes the text of an action. */
+static void
+peer_answer(int fd, PhWorkerAction action)
+{
+    const char *text = worker_texts[action];
+    if (*text != '\0') {
+        assert_int_equal(send(fd, text, strlen(text), MSG_NOSIGNAL),
+                         strlen(text));
+    }
+}
+
+/* Executes a whole request. */
+static void
+peer_execute(PhWorld *w, PhPeer *peer)
+{
+    bool get = PhStr_StartsWith(PhBuf_Str(&peer->in), PhStr_LITERAL("GET"));
+    PhWorkerAction action = get ? WORKER_ANSWERS : w->action;
+    PhBuf_Reset(&peer->in);
+    w->executed += !get;
+    if (action == WORKER_IS_LATE) {
+        g_queue_push_tail(&w->late, GINT_TO_POINTER(peer->fd));
+        PhTask_SetTimer(w->worker, 1,
+                        PhTask_Now(w->worker) + LATE_MS * PH_NS_PER_MS);
+        return;
+    }
+    peer_answer(peer->fd, action);
+    if (action != WORKER_ANSWERS && action != WORKER_IS_SILENT &&
+        action != WORKER_SENDS_MORE) {
+        peer_close(w, peer->fd, action == WORKER_RESETS);
+    }
+}
+
+/* Reads what the entry sends to the worker. */
+static void
+peer_ready(PhWorld *w, int fd)
+{
+    char bytes[READ_BYTES];
+    PhPeer *peer = g_hash_table_lookup(w->peers, GINT_TO_POINTER(fd));
+    ssize_t n = recv(fd, bytes, sizeof(bytes), 0);
+    if (n <= 0) {
+        peer_close(w, fd, false);
+        return;
+    }
+    PhBuf_Append(&peer->in, PhStr_FromBytes(bytes, (size_t)n));
+    PhBuf_AppendByte(&peer->in, '\0');
+    peer->in.len--;
+    const char *end = strstr(peer->in.data, "\r\n\r\n");
+    const char *length = strstr(peer->in.data, "Content-Length: ");
+    size_t body = length == NULL ? 0 : (size_t)atoi(length + 16);
+    if (end != NULL &&
+        peer->in.len >= (size_t)(end - peer->in.data) + 4 + body) {
+        peer_execute(w, peer);
+    }
+}
+
+/* Releases a connection. */
+static void
+peer_destroy(gpointer value)
+{
+    PhPeer *peer = value;
+    close(peer->fd);
+    PhBuf_Clear(&peer->in);
+    g_free(peer);
+}
+
+/* Answers what waited for the worker. */
+static void
+worker_late(PhWorld *w)
+{
+    while (!g_queue_is_empty(&w->late)) {
+        int fd = GPOINTER_TO_INT(g_queue_pop_head(&w->late));
+        if (g_hash_table_contains(w->peers, GINT_TO_POINTER(fd))) {
+            peer_answer(fd, WORKER_IS_LATE);
+        }
+    }
+}
+
+/* The scripted worker. */
+static void
+worker_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhWorld *w = state;
+    w->worker = self;
+    if (mail->kind == PH_MAIL_START) {
+        PhTask_Watch(self, w->worker_fd, PH_IO_READ);
+    }
+    else if (mail->kind == PH_MAIL_TIMER) {
+        worker_late(w);
+    }
+    else if (mail->kind == PH_MAIL_IO && mail->as.io.fd == w->worker_fd) {
+        int fd = accept4(w->worker_fd, NULL, NULL, SOCK_NONBLOCK);
+        if (fd < 0) {
+            return;
+        }
+        PhPeer *peer = g_new0(PhPeer, 1);
+        peer->fd = fd;
+        g_hash_table_insert(w->peers, GINT_TO_POINTER(fd), peer);
+        PhTask_Watch(self, fd, PH_IO_READ);
+    }
+    else if (mail->kind == PH_MAIL_IO) {
+        peer_ready(w, mail->as.io.fd);
+    }
+}
+
+/* Gives a reading of the list with the scripted worker. */
+static void
+list_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhWorld *w = state;
+    if (mail->kind != PH_MAIL_MESSAGE) {
+        return;
+    }
+    PhBuf address = {0};
+    PhBuf_AppendFormat(&address, "127.0.0.1:%u", w->worker_port);
+    PhListEntry entry = {.id = PhStr_LITERAL("w1"),
+                         .data_centre = PhStr_LITERAL("silay"),
+                         .address = PhBuf_Str(&address),
+                         .services = PhStr_LITERAL("booking"),
+                         .slots = 8,
+                         .connections = 60};
+    PhListReading reading = {.entries = &entry, .entry_count = w->listed};
+    PhListMessage m = {.tag = PH_LIST_READING,
+                       .as.reading = PhListReading_Copy(&reading)};
+    PhTask_Send(self, mail->from, PhListMessage_Wrap(&m));
+    PhBuf_Clear(&address);
+}
+
+/* Gives a configuration with one service. */
+static void
+config_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    static const PhConfigEntry entries[] = {
+        {{"services.booking.class", 22}, {"nonsense", 8}, 1},
+        {{"services.booking.deadline_ms", 28}, {"2000", 4}, 1},
+        {{"services.booking.prefix", 23}, {"/booking", 8}, 1},
+        {{"services.booking.retry_percent", 30}, {"100", 3}, 1},
+    };
+    PhWorld *w = state;
+    if (mail->kind == PH_MAIL_MESSAGE && w->configured) {
+        PhConfigMessage m = {.tag = PH_CONFIG_IN_FORCE,
+                             .as.in_force = PhConfigState_Create(
+                                 1, entries, G_N_ELEMENTS(entries))};
+        PhTask_Send(self, mail->from, PhConfigMessage_Wrap(&m));
+    }
+}
+
+/* Connects a caller and sends its request. */
+static void
+caller_connect(PhWorld *w, PhTask *self, PhPeer *caller)
+{
+    struct sockaddr_in a = {.sin_family = AF_INET,
+                            .sin_port = htons(w->port),
+                            .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    caller->fd = socket(AF_INET, SOCK_STREAM, 0);
+    assert_int_equal(connect(caller->fd, (struct sockaddr *)&a, sizeof(a)), 0);
+    fcntl(caller->fd, F_SETFL, O_NONBLOCK);
+    send(caller->fd, w->request, strlen(w->request), MSG_NOSIGNAL);
+    PhTask_Watch(self, caller->fd, PH_IO_READ);
+}
+
+/* Reads an answer; the end of the stream ends the caller.  No caller may see
+ * a reset. */
+static void
+caller_ready(PhWorld *w, PhTask *self, PhPeer *caller)
+{
+    char bytes[READ_BYTES];
+    ssize_t n = recv(caller->fd, bytes, sizeof(bytes), 0);
+    if (n > 0) {
+        PhBuf_Append(&caller->in, PhStr_FromBytes(bytes, (size_t)n));
+        return;
+    }
+    if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return;
+    }
+    assert_int_equal(n, 0);
+    PhTask_Watch(self, caller->fd, 0);
+    w->ended++;
+    if (w->ended == w->callers && !w->stop_entry) {
+        ev_break(w->loop, EVBREAK_ALL);
+    }
+}
+
+/* The callers; they also see the entry end. */
+static void
+callers_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhWorld *w = state;
+    if (mail->kind == PH_MAIL_TIMER) {
+        for (unsigned i = 0; i < w->callers; i++) {
+            caller_connect(w, self, &w->caller[i]);
+        }
+        if (w->stop_entry) {
+            PhTaskRef entry = PhKernel_Lookup(w->kernel, PH_SERVICE_ENTRY);
+            PhTask_Monitor(self, entry);
+            PhKernel_Stop(w->kernel, entry);
+            PhKernel_Stop(w->kernel, entry);
+        }
+    }
+    else if (mail->kind == PH_MAIL_START) {
+        PhTask_SetTimer(self, 1, PhTask_Now(self) + 10 * PH_NS_PER_MS);
+    }
+    else if (mail->kind == PH_MAIL_ENDED) {
+        ev_break(w->loop, EVBREAK_ALL);
+    }
+    for (unsigned i = 0; mail->kind == PH_MAIL_IO && i < w->callers; i++) {
+        if (w->caller[i].fd == mail->as.io.fd) {
+            caller_ready(w, self, &w->caller[i]);
+        }
+    }
+}
+
+/* Starts one task of the world. */
+static void
+world_spawn(PhWorld *w, PhStr name,
+            void (*handle)(void *, PhTask *, const PhMail *))
+{
+    PhTaskSpec spec = {
+        .name = name, .mailbox_capacity = 64, .state = w, .handle = handle};
+    assert_int_equal(PhKernel_Spawn(w->kernel, &spec, NULL), PH_STATUS_OK);
+}
+
+/* Fails a test whose loop does not end. */
+static void
+on_watchdog(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+    (void)timer;
+    (void)revents;
+    print_error("the loop did not end\n");
+    ev_break(loop, EVBREAK_ALL);
+}
+
+/* Builds the world, runs it, and leaves what the callers got. */
+static void
+world_run(PhWorld *w)
+{
+    ev_timer watchdog;
+    w->loop = ev_loop_new(0);
+    w->clock = PhClock_Create(PH_CLOCK_REAL);
+    w->counters = PhCounters_Create();
+    w->kernel = PhKernel_Create(&(PhKernelOptions){
+        .clock = w->clock, .loop = w->loop, .counters = w->counters});
+    w->peers = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
+                                     peer_destroy);
+    w->worker_fd = listen_loopback(&w->worker_port);
+    assert_int_equal(PhHttp_Start(w->kernel), PH_STATUS_OK);
+    world_spawn(w, PhStr_LITERAL("worker"), worker_handle);
+    world_spawn(w, PH_SERVICE_LIST, list_handle);
+    world_spawn(w, PH_SERVICE_CONFIG, config_handle);
+    PhEntryOptions options = {.listen = PhStr_LITERAL("127.0.0.1:0"),
+                              .instance = PhStr_LITERAL("i1"),
+                              .data_centre = PhStr_LITERAL("silay"),
+                              .seed = 1,
+                              .drain_notice = 50 * PH_NS_PER_MS,
+                              .body_limit_bytes = 1000,
+                              .idle_timeout_s = 1};
+    PhResult started = PhEntry_Start(w->kernel, &options, &w->port);
+    assert_int_equal(started.status, PH_STATUS_OK);
+    world_spawn(w, PhStr_LITERAL("callers"), callers_handle);
+    ev_timer_init(&watchdog, on_watchdog, WATCHDOG_S, 0.0);
+    ev_timer_start(w->loop, &watchdog);
+    ev_run(w->loop, 0);
+    ev_timer_stop(w->loop, &watchdog);
+}
+
+/* Releases the world. */
+static void
+world_clear(PhWorld *w)
+{
+    PhKernel_Destroy(w->kernel);
+    PhCounters_Destroy(w->counters);
+    PhClock_Destroy(w->clock);
+    g_hash_table_destroy(w->peers);
+    g_queue_clear(&w->late);
+    close(w->worker_fd);
+    for (unsigned i = 0; i < w->callers; i++) {
+        close(w->caller[i].fd);
+        PhBuf_Clear(&w->caller[i].in);
+    }
+    ev_loop_destroy(w->loop);
+}
+
+#define POST "POST /booking HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+#define GET "GET /booking HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+
+/* A request, what the worker does, and what the caller must see.  `absent`
+ * is a text that it must not see. */
+typedef struct PhEntryCase {
+    const char *name;
+    const char *request;
+    PhWorkerAction action;
+    const char *status;
+    const char *text;
+    const char *absent;
+    unsigned executed;
+    bool unconfigured;
+    bool unlisted;
+} PhEntryCase;
+
+static const PhEntryCase entry_cases[] = {
+    {"answered", POST "Content-Length: 2\r\n\r\nab", WORKER_ANSWERS, "200",
+     "hello", "Outcome", 1},
+    {"execute, then close", POST "Content-Length: 2\r\n\r\nab", WORKER_CLOSES,
+     "502", "Outcome: unknown", "Retry-After", 1},
+    {"execute, then close, on a connection that was used",
+     "GET /booking HTTP/1.1\r\nHost: h\r\n\r\n" POST
+     "Content-Length: 2\r\n\r\nab",
+     WORKER_CLOSES, "200", "Outcome: unknown", NULL, 1},
+    {"execute, then reset", POST "Content-Length: 2\r\n\r\nab", WORKER_RESETS,
+     "502", "Outcome: unknown", NULL, 1},
+    {"truncated answer", POST "Content-Length: 2\r\n\r\nab", WORKER_TRUNCATES,
+     "502", "Reason: upstream-truncated", "hello", 1},
+    {"chunks without an end", POST "Content-Length: 2\r\n\r\nab",
+     WORKER_SENDS_CHUNKS_CUT, "502", "Outcome: unknown", "hello", 1},
+    {"idempotent requests are tried again",
+     "PUT /booking HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+     "Content-Length: 2\r\n\r\nab",
+     WORKER_TRUNCATES, "502", "Outcome: unknown", "hello", 2},
+    {"more than the answer", POST "Content-Length: 2\r\n\r\nab",
+     WORKER_SENDS_MORE, "200", "hello", "evil", 1},
+    {"two lengths of an answer", POST "Content-Length: 2\r\n\r\nab",
+     WORKER_SENDS_TWO_LENGTHS, "502", "Outcome: unknown", "hello", 1},
+    {"silent worker",
+     POST "Request-Timeout-Ms: 60\r\nContent-Length: 2\r\n\r\nab",
+     WORKER_IS_SILENT, "504", "Reason: deadline-in-flight", NULL, 1},
+    {"late answer",
+     POST "Request-Timeout-Ms: 60\r\nContent-Length: 2\r\n\r\nab",
+     WORKER_IS_LATE, "504", "Outcome: unknown", "hello", 1},
+    {"only the entry says not-run", POST "Content-Length: 2\r\n\r\nab",
+     WORKER_CLAIMS_NOT_RUN, "500", "hello", "Outcome", 1},
+    {"no configuration", POST "Content-Length: 2\r\n\r\nab", WORKER_ANSWERS,
+     "503", "Reason: no-config", NULL, 0, true},
+    {"no worker", POST "Content-Length: 2\r\n\r\nab", WORKER_ANSWERS, "503",
+     "Outcome: not-run\r\n", NULL, 0, false, true},
+    {"no service", "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+     WORKER_ANSWERS, "404", "Outcome: not-run", NULL, 0},
+    {"deadline that is no number", GET "Request-Timeout-Ms: soon\r\n\r\n",
+     WORKER_ANSWERS, "400", "Reason: bad-request", NULL, 0},
+    {"two keys",
+     POST "Idempotency-Key: a\r\nIdempotency-Key: b\r\n"
+          "Content-Length: 0\r\n\r\n",
+     WORKER_ANSWERS, "400", "Outcome: not-run", NULL, 0},
+    {"key without known members",
+     POST "Idempotency-Key: a\r\nContent-Length: 0\r\n\r\n", WORKER_ANSWERS,
+     "503", "Reason: key-unclear", NULL, 0},
+    {"two lengths", POST "Content-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+     WORKER_ANSWERS, "400", "", "hello", 0},
+    {"length with chunking",
+     POST "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "0\r\n\r\nGET /booking HTTP/1.1\r\nHost: h\r\n\r\n",
+     WORKER_ANSWERS, "400", "", "hello", 0},
+    {"unknown coding", POST "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+     WORKER_ANSWERS, "400", "", "hello", 0},
+    {"length that is no number", POST "Content-Length: +2\r\n\r\nab",
+     WORKER_ANSWERS, "400", "", "hello", 0},
+    {"oversize body", POST "Content-Length: 2000\r\n\r\nab", WORKER_ANSWERS,
+     "413", "", "hello", 0},
+    {"oversize header", NULL, WORKER_ANSWERS, "431", "", "hello", 0},
+    {"headers that never end", "POST /booking HTTP/1.1\r\nHost: h\r\nX: ",
+     WORKER_ANSWERS, "", "", "hello", 0},
+    {"body that never ends", POST "Content-Length: 9\r\n\r\nab",
+     WORKER_ANSWERS, "", "", "hello", 0},
+    {"readiness",
+     "GET /ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+     WORKER_ANSWERS, "200", "ready", "not", 0},
+    {"readiness without configuration",
+     "GET /ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+     WORKER_ANSWERS, "503", "not ready", NULL, 0, true},
+};
+
+/* Makes a request with a header of 200 KB. */
+static char *
+oversize_header(void)
+{
+    enum {
+        HEADER_BYTES = 200 * 1024
+    };
+    char *fill = g_strnfill(HEADER_BYTES, 'x');
+    char *request = g_strconcat(GET "X: ", fill, "\r\n\r\n", NULL);
+    g_free(fill);
+    return request;
+}
+
+/* Runs one request. */
+static void
+check_entry(const PhEntryCase *c)
+{
+    char *own = c->request == NULL ? oversize_header() : NULL;
+    PhWorld w = {.action = c->action,
+                 .configured = !c->unconfigured,
+                 .listed = !c->unlisted,
+                 .callers = 1,
+                 .request = c->request == NULL ? own : c->request};
+    world_run(&w);
+    PhBuf_AppendByte(&w.caller[0].in, '\0');
+    const char *got = w.caller[0].in.data;
+    assert_int_equal(w.ended, 1);
+    if (*c->status != '\0') {
+        assert_true(g_str_has_prefix(got, "HTTP/1.1 "));
+        assert_memory_equal(got + 9, c->status, 3);
+    }
+    if (strstr(got, c->text) == NULL) {
+        fail_msg("no '%s' in '%s'", c->text, got);
+    }
+    if (c->absent != NULL && strstr(got, c->absent) != NULL) {
+        fail_msg("'%s' in '%s'", c->absent, got);
+    }
+    assert_int_equal(w.executed, c->executed);
+    world_clear(&w);
+    g_free(own);
+}
+
+/* Requests, good and bad. */
+static void
+test_entry(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(entry_cases, check_entry);
+}
+
+/* Callers in flight while the entry is told to stop, twice. */
+typedef struct PhDrainCase {
+    const char *name;
+    unsigned callers;
+    const char *request;
+    PhWorkerAction action;
+    unsigned answered;
+} PhDrainCase;
+
+static const PhDrainCase drain_cases[] = {
+    {"nobody", 0, "", WORKER_ANSWERS, 0},
+    {"late answers", 8, POST "Content-Length: 2\r\n\r\nab", WORKER_IS_LATE, 8},
+    {"connections that stay open", 8,
+     "POST /booking HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab",
+     WORKER_IS_LATE, 8},
+    {"bounded by the deadline", 3, POST "Content-Length: 2\r\n\r\nab",
+     WORKER_IS_SILENT, 0},
+};
+
+/* Stops one entry under load. */
+static void
+check_drain(const PhDrainCase *c)
+{
+    PhWorld w = {.action = c->action,
+                 .configured = true,
+                 .listed = true,
+                 .callers = c->callers,
+                 .request = c->request,
+                 .stop_entry = true};
+    unsigned answered = 0;
+    world_run(&w);
+    assert_true(PhTaskRef_IsNone(PhKernel_Lookup(w.kernel, PH_SERVICE_ENTRY)));
+    for (unsigned i = 0; i < c->callers; i++) {
+        char bytes[READ_BYTES];
+        ssize_t n;
+        while ((n = recv(w.caller[i].fd, bytes, sizeof(bytes), 0)) > 0) {
+            PhBuf_Append(&w.caller[i].in, PhStr_FromBytes(bytes, (size_t)n));
+        }
+        assert_int_equal(n, 0);
+        PhBuf_AppendByte(&w.caller[i].in, '\0');
+        answered += strstr(w.caller[i].in.data, "hello") != NULL;
+        assert_non_null(strstr(w.caller[i].in.data, "HTTP/1.1 "));
+    }
+    assert_int_equal(answered, c->answered);
+    assert_int_equal(w.executed, c->callers);
+    world_clear(&w);
+}
+
+/* A stop under load cuts off no request. */
+static void
+test_drain(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(drain_cases, check_drain);
+}
+
+/* Runs the tests. */
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_entry),
+        cmocka_unit_test(test_drain),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/requests/test_requests.c
+++ b/tests/requests/test_requests.c
@@ -130,7 +130,7 @@
     PhArrival a = {.id = ++f->last_request,
                    .method = PhStr_FromC(word[1]),
                    .path = PhStr_FromC(word[2])};
-    for (char **w = &word[3]; *w != NULL; w++) {
+    for (char **w = &word[3]; **w != '\0'; w++) {
         if (g_str_has_prefix(*w, "key=")) {
             a.key = PhStr_FromC(*w + 4);
         }
@@ -154,10 +154,8 @@
     PhUpstreamReply reply = {
         .attempt = f->last_attempt - back,
         .end = (PhAttemptEnd)word_index(ends, G_N_ELEMENTS(ends), word[1])};
-    if (word[2] != NULL) {
-        reply.not_sent = strcmp(word[2], "unsent") == 0;
-        reply.status = atoi(word[2]);
-    }
+    reply.not_sent = strcmp(word[2], "unsent") == 0;
+    reply.status = atoi(word[2]);
     give(f,
          (PhRequestsEvent){.tag = PH_REQUESTS_REPLIED, .as.replied = reply});
 }
@@ -283,11 +281,12 @@
 static void
 step_run(PhFixture *f, char *step)
 {
-    char *word[WORDS + 1] = {NULL};
+    char *word[WORDS + 1];
     char *copy = g_strdup(step);
     char *rest = copy;
-    for (int i = 0; i < WORDS && rest != NULL; i++) {
-        word[i] = strsep(&rest, " ");
+    for (int i = 0; i <= WORDS; i++) {
+        char *next = rest == NULL ? NULL : strsep(&rest, " ");
+        word[i] = next == NULL ? "" : next;
     }
     if (!step_event(f, word)) {
         step_expect(f, step);
@@ -477,6 +476,10 @@
 static const PhScriptCase leaving_cases[] = {
     {"a worker that leaves gets no new work",
      "leave 1; arrive GET /booking; refuse no-worker not-run"},
+    {"all new work goes to the others",
+     "leave 2; arrive GET /booking; send first; arrive GET /booking;"
+     "send first; arrive GET /booking; send first; arrive GET /booking;"
+     "send first"},
     {"what is in flight there finishes",
      "workers 1; arrive GET /booking; send first; leave 1;"
      "reply answered 200; answer; arrive GET /booking;"
