operators: the interface of the operators, patch and status

Cause: operators need to read the configuration, submit patches and see what an instance and its peers hold. Change: the task "operators" with a listener of its own, a bearer token from a file and a sorted table of routes; the commands patch and status over a small blocking client.

--- a/codec/config_record.c
+++ b/codec/config_record.c
@@ -5,8 +5,8 @@
 #include "peridothill/codec/json.h"
 
 /* Makes the JSON of one change. */
-static json_t *
-change_make(const PhConfigChange *change)
+json_t *
+PhConfigChange_ToJson(const PhConfigChange *change)
 {
     json_t *json = json_object();
     switch (change->kind) {
@@ -33,7 +33,8 @@
     json_object_set_new(json, "base", json_integer((json_int_t)patch->base));
     json_object_set_new(json, "strict", json_boolean(patch->strict));
     for (size_t i = 0; i < patch->change_count; i++) {
-        json_array_append_new(changes, change_make(&patch->changes[i]));
+        json_array_append_new(changes,
+                              PhConfigChange_ToJson(&patch->changes[i]));
     }
     json_object_set_new(json, "changes", changes);
     PhStr text = PhJson_Write(json);
--- /dev/null
+++ b/commands/client.c
@@ -0,0 +1,169 @@
+#include "commands/client.h"
+
+#include <curl/curl.h>
+
+#include "peridothill/codec/settings.h"
+
+enum {
+    CALL_TIMEOUT_MS = 15000,
+    CONNECT_TIMEOUT_MS = 3000,
+};
+
+#define DEFAULT_ADDRESS "127.0.0.1:8081"
+
+/* Adds the options of a client. */
+void
+PhClient_AddOptions(PhClient *client, GOptionContext *context)
+{
+    GOptionEntry entries[] = {
+        {"settings", 0, 0, G_OPTION_ARG_FILENAME, &client->settings,
+         "Read the address and the token file from a settings file", "FILE"},
+        {"address", 'a', 0, G_OPTION_ARG_STRING, &client->address,
+         "Address of the operators' interface (default " DEFAULT_ADDRESS ")",
+         "IP:PORT"},
+        {"token-file", 0, 0, G_OPTION_ARG_FILENAME, &client->token_file,
+         "File that holds the bearer token", "FILE"},
+        {NULL},
+    };
+    g_option_context_add_main_entries(context, entries, NULL);
+}
+
+/* Fills in from a settings file what the command line left out. */
+static PhResult
+settings_read(PhClient *client)
+{
+    PhSettings settings;
+    PhBuf errors = {0};
+    PhResult result =
+        PhSettings_Load(PhStr_FromC(client->settings), &settings, &errors);
+    PhBuf_Clear(&errors);
+    if (!PhResult_IsOk(&result)) {
+        return result;
+    }
+    if (client->address == NULL) {
+        client->address = PhStr_ToC(settings.operators.listen);
+    }
+    if (client->token_file == NULL && settings.operators.token_file.len > 0) {
+        client->token_file = PhStr_ToC(settings.operators.token_file);
+    }
+    PhSettings_Clear(&settings);
+    return result;
+}
+
+/* Reads settings and token. */
+PhResult
+PhClient_Open(PhClient *client)
+{
+    char *data;
+    gsize len;
+    if (client->settings != NULL) {
+        PhResult result = settings_read(client);
+        if (!PhResult_IsOk(&result)) {
+            return result;
+        }
+    }
+    if (client->address == NULL) {
+        client->address = g_strdup(DEFAULT_ADDRESS);
+    }
+    if (client->token_file == NULL) {
+        return PhResult_Ok();
+    }
+    if (!g_file_get_contents(client->token_file, &data, &len, NULL)) {
+        return PhResult_Make(PH_STATUS_IO, "cannot read the token file %s",
+                             client->token_file);
+    }
+    client->token = PhStr_Dup(PhStr_Trim(PhStr_FromBytes(data, len)));
+    g_free(data);
+    return PhResult_Ok();
+}
+
+/* Releases a client. */
+void
+PhClient_Clear(PhClient *client)
+{
+    g_free(client->settings);
+    g_free(client->address);
+    g_free(client->token_file);
+    PhStr_Clear(&client->token);
+}
+
+/* Appends what libcurl received to a buffer. */
+static size_t
+on_body(char *data, size_t size, size_t count, void *out)
+{
+    PhBuf_Append(out, PhStr_FromBytes(data, size * count));
+    return size * count;
+}
+
+/* Makes the header that carries the token. */
+static struct curl_slist *
+headers_make(const PhClient *client)
+{
+    PhBuf buf = {0};
+    PhBuf_AppendFormat(&buf, "Authorization: Bearer %.*s",
+                       PhStr_ARG(client->token));
+    char *line = PhStr_ToC(PhBuf_Str(&buf));
+    struct curl_slist *headers = curl_slist_append(NULL, line);
+    PhBuf_Clear(&buf);
+    g_free(line);
+    return curl_slist_append(headers, "Content-Type: application/json");
+}
+
+/* Sets what every call has in common. */
+static void
+options_set(CURL *curl, const char *method, const char *url, PhBuf *out)
+{
+    curl_easy_setopt(curl, CURLOPT_URL, url);
+    curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
+    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
+    curl_easy_setopt(curl, CURLOPT_WRITEDATA, out);
+    curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)CALL_TIMEOUT_MS);
+    curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS,
+                     (long)CONNECT_TIMEOUT_MS);
+    curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(curl, CURLOPT_PROXY, "");
+    /* A request that was sent once is never sent again unseen. */
+    curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, 1L);
+}
+
+/* Sends a request and waits for the answer. */
+PhClientAnswer
+PhClient_Call(const PhClient *client, const char *method, const char *target,
+              PhStr body)
+{
+    PhClientAnswer answer = {.result = PhResult_Ok()};
+    PhBuf out = {0};
+    CURL *curl = curl_easy_init();
+    char *url = g_strdup_printf("http://%s%s", client->address, target);
+    struct curl_slist *headers = headers_make(client);
+    options_set(curl, method, url, &out);
+    curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
+    if (body.len > 0) {
+        curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE, (long)body.len);
+        curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body.data);
+    }
+    CURLcode code = curl_easy_perform(curl);
+    answer.sent = code != CURLE_COULDNT_CONNECT &&
+                  code != CURLE_COULDNT_RESOLVE_HOST &&
+                  code != CURLE_URL_MALFORMAT;
+    if (code == CURLE_OK) {
+        curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &answer.status);
+    }
+    else {
+        answer.result =
+            PhResult_Make(PH_STATUS_UNAVAILABLE, "%s: %s", client->address,
+                          curl_easy_strerror(code));
+    }
+    answer.body = PhBuf_Take(&out);
+    curl_slist_free_all(headers);
+    curl_easy_cleanup(curl);
+    g_free(url);
+    return answer;
+}
+
+/* Releases an answer. */
+void
+PhClientAnswer_Clear(PhClientAnswer *answer)
+{
+    PhStr_Clear(&answer->body);
+}
--- /dev/null
+++ b/commands/patch.c
@@ -0,0 +1,337 @@
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "commands/client.h"
+#include "peridothill/codec/config_record.h"
+#include "peridothill/codec/json.h"
+#include "peridothill/commands.h"
+
+enum {
+    ID_BYTES = 12,
+    RETRY_MIN_MS = 300,
+    RETRY_MAX_MS = 4000,
+    SPREAD_POLL_MS = 300,
+};
+
+/* What the command line asks for. */
+typedef struct PhPatchCommand {
+    PhClient client;
+    gint64 base; /* negative: the version in force */
+    gint64 timeout_s;
+    gboolean wait;
+    gboolean strict;
+    char *id;
+    char *author;
+    PhConfigPatch patch;
+} PhPatchCommand;
+
+/* The outcome of the command so far. */
+typedef struct PhPatchOutcome {
+    char word[16]; /* accepted, refused, not-accepted, unknown, not-found */
+    char *reason;
+    int64_t version;
+    bool unsure; /* an earlier try may have been accepted */
+} PhPatchOutcome;
+
+/* Reads "set PATH=VALUE" and "delete PATH" arguments. */
+static bool
+changes_parse(int argc, char **argv, PhConfigPatch *patch)
+{
+    for (int i = 1; i < argc; i += 2) {
+        PhStr path;
+        PhStr value;
+        if (i + 1 == argc) {
+            return false;
+        }
+        PhStr argument = PhStr_FromC(argv[i + 1]);
+        if (strcmp(argv[i], "delete") == 0) {
+            PhConfigPatch_Add(patch, PH_CONFIG_CHANGE_DELETE, argument,
+                              (PhStr){0});
+        }
+        else if (strcmp(argv[i], "set") == 0 &&
+                 PhStr_Cut(argument, '=', &path, &value)) {
+            PhConfigPatch_Add(patch, PH_CONFIG_CHANGE_SET, path, value);
+        }
+        else {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Sets the outcome from an answer. */
+static void
+outcome_read(PhPatchOutcome *o, const PhClientAnswer *answer)
+{
+    json_t *json = NULL;
+    g_free(o->reason);
+    o->reason = NULL;
+    if (answer->status == 0) {
+        g_strlcpy(o->word, answer->sent ? "unknown" : "not-accepted",
+                  sizeof(o->word));
+        o->reason = PhStr_ToC(PhResult_Message(&answer->result));
+        return;
+    }
+    PhResult parsed = PhJson_Parse(answer->body, &json);
+    PhStr word = PhJson_GetStr(json, "outcome");
+    PhStr reason = PhJson_GetStr(json, "reason");
+    if (!PhResult_IsOk(&parsed) || word.len == 0) {
+        word = answer->status == 503  ? PhStr_LITERAL("not-accepted")
+               : answer->status > 503 ? PhStr_LITERAL("unknown")
+                                      : PhStr_LITERAL("refused");
+        reason = PhJson_GetStr(json, "error");
+    }
+    g_snprintf(o->word, sizeof(o->word), "%.*s", PhStr_ARG(word));
+    o->reason = PhStr_ToC(reason);
+    o->version = PhJson_GetInt(json, "version", 0);
+    json_decref(json);
+}
+
+/* Waits before another try, longer each time. */
+static void
+backoff(gint64 *delay_ms)
+{
+    gint64 jitter = randombytes_uniform((uint32_t)*delay_ms + 1);
+    g_usleep((gulong)((*delay_ms / 2 + jitter) * 1000));
+    *delay_ms = MIN(*delay_ms * 2, RETRY_MAX_MS);
+}
+
+/* Submits the patch under its id until there is a verdict or the time is
+ * over.  An id that is sent again is still one patch. */
+static void
+submit(const PhPatchCommand *c, PhPatchOutcome *o)
+{
+    gint64 until = g_get_monotonic_time() + c->timeout_s * G_USEC_PER_SEC;
+    gint64 delay_ms = RETRY_MIN_MS;
+    PhStr body = PhConfigPatch_Encode(&c->patch);
+    for (;;) {
+        PhClientAnswer answer =
+            PhClient_Call(&c->client, "POST", "/config/patches", body);
+        outcome_read(o, &answer);
+        PhClientAnswer_Clear(&answer);
+        o->unsure |= strcmp(o->word, "unknown") == 0;
+        bool decided = strcmp(o->word, "accepted") == 0 ||
+                       strcmp(o->word, "refused") == 0;
+        if (decided || g_get_monotonic_time() >= until) {
+            break;
+        }
+        backoff(&delay_ms);
+    }
+    if (o->unsure && strcmp(o->word, "not-accepted") == 0) {
+        g_strlcpy(o->word, "unknown", sizeof(o->word));
+    }
+    PhStr_Clear(&body);
+}
+
+/* Asks for the verdict on an id. */
+static void
+ask(const PhPatchCommand *c, PhPatchOutcome *o)
+{
+    char *id = g_uri_escape_string(c->id, NULL, FALSE);
+    char *target = g_strdup_printf("/config/patches/%s", id);
+    PhClientAnswer answer =
+        PhClient_Call(&c->client, "GET", target, (PhStr){0});
+    outcome_read(o, &answer);
+    if (answer.status == 0) {
+        g_strlcpy(o->word, "unknown", sizeof(o->word));
+    }
+    PhClientAnswer_Clear(&answer);
+    g_free(target);
+    g_free(id);
+}
+
+/* Takes the version in force as the base. */
+static bool
+base_read(PhPatchCommand *c)
+{
+    json_t *json = NULL;
+    PhClientAnswer answer =
+        PhClient_Call(&c->client, "GET", "/config", (PhStr){0});
+    PhResult parsed = PhJson_Parse(answer.body, &json);
+    c->base = PhResult_IsOk(&parsed) ? PhJson_GetInt(json, "version", -1) : -1;
+    if (c->base < 0) {
+        fprintf(stderr, "peridothill patch: no version to start from: %.*s\n",
+                PhStr_ARG(answer.status == 0 ? PhResult_Message(&answer.result)
+                                             : answer.body));
+    }
+    json_decref(json);
+    PhClientAnswer_Clear(&answer);
+    return c->base >= 0;
+}
+
+/* Counts the instances that hold the version, and lists the others. */
+static size_t
+spread_read(json_t *json, int64_t version, GString *behind)
+{
+    size_t i;
+    json_t *row;
+    json_t *config = json_object_get(json, "config");
+    size_t holding = PhJson_GetInt(config, "version", -1) >= version;
+    g_string_truncate(behind, 0);
+    json_array_foreach(json_object_get(config, "peers"), i, row)
+    {
+        if (PhJson_GetInt(row, "heard_ms_ago", -1) >= 0 &&
+            PhJson_GetInt(row, "version", -1) >= version) {
+            holding++;
+            continue;
+        }
+        PhStr member = PhJson_GetStr(row, "member");
+        g_string_append_printf(behind, " %.*s", PhStr_ARG(member));
+    }
+    return holding;
+}
+
+/* Waits until every instance that this one knows of holds the version. */
+static bool
+spread_wait(const PhPatchCommand *c, int64_t version)
+{
+    gint64 until = g_get_monotonic_time() + c->timeout_s * G_USEC_PER_SEC;
+    GString *behind = g_string_new(NULL);
+    size_t holding = 0;
+    bool read;
+    do {
+        json_t *json = NULL;
+        PhClientAnswer answer =
+            PhClient_Call(&c->client, "GET", "/status", (PhStr){0});
+        PhResult parsed = PhJson_Parse(answer.body, &json);
+        read = answer.status == 200 && PhResult_IsOk(&parsed);
+        if (read) {
+            holding = spread_read(json, version, behind);
+        }
+        json_decref(json);
+        PhClientAnswer_Clear(&answer);
+        if (read && behind->len == 0) {
+            break;
+        }
+        g_usleep(SPREAD_POLL_MS * 1000);
+    } while (g_get_monotonic_time() < until);
+    printf("in force on %zu instances\n", holding);
+    if (behind->len > 0) {
+        printf("not heard from at this version:%s\n", behind->str);
+    }
+    bool everywhere = read && behind->len == 0;
+    g_string_free(behind, TRUE);
+    return everywhere;
+}
+
+/* Prints the outcome; the exit code is that of the command. */
+static int
+outcome_print(const PhPatchCommand *c, const PhPatchOutcome *o)
+{
+    bool accepted = strcmp(o->word, "accepted") == 0;
+    printf("%s id=%.*s", o->word, PhStr_ARG(c->patch.id));
+    if (accepted) {
+        printf(" version=%" G_GINT64_FORMAT, o->version);
+    }
+    if (o->reason != NULL && o->reason[0] != '\0') {
+        printf(" reason=\"%s\"", o->reason);
+    }
+    printf("\n");
+    if (accepted && c->wait && !spread_wait(c, o->version)) {
+        return PH_EXIT_FAILED;
+    }
+    return accepted ? PH_EXIT_DONE : PH_EXIT_FAILED;
+}
+
+/* Fills in the members of the patch besides its changes. */
+static void
+patch_fill(PhPatchCommand *c)
+{
+    char id[ID_BYTES * 2 + 1];
+    unsigned char bytes[ID_BYTES];
+    if (c->id == NULL) {
+        randombytes_buf(bytes, sizeof(bytes));
+        sodium_bin2hex(id, sizeof(id), bytes, sizeof(bytes));
+        c->id = g_strdup(id);
+    }
+    c->patch.id = PhStr_Dup(PhStr_FromC(c->id));
+    c->patch.author = PhStr_Dup(
+        PhStr_FromC(c->author != NULL ? c->author : g_get_user_name()));
+    c->patch.strict = c->strict;
+}
+
+/* Runs the parsed command. */
+static int
+command_run(PhPatchCommand *c)
+{
+    PhPatchOutcome o = {0};
+    bool look_up = c->patch.change_count == 0;
+    PhResult opened = PhClient_Open(&c->client);
+    if (!PhResult_IsOk(&opened)) {
+        fprintf(stderr, "peridothill patch: %.*s\n",
+                PhStr_ARG(PhResult_Message(&opened)));
+        return PH_EXIT_USAGE;
+    }
+    patch_fill(c);
+    if (look_up) {
+        ask(c, &o);
+    }
+    else {
+        if (c->base < 0 && !base_read(c)) {
+            return PH_EXIT_FAILED;
+        }
+        c->patch.base = (uint64_t)c->base;
+        submit(c, &o);
+    }
+    int code = outcome_print(c, &o);
+    g_free(o.reason);
+    return code;
+}
+
+/* Parses the options; false after a message about what is wrong. */
+static bool
+command_parse(PhPatchCommand *c, int argc, char **argv)
+{
+    GOptionEntry entries[] = {
+        {"base", 'b', 0, G_OPTION_ARG_INT64, &c->base,
+         "Version that the changes were made against (default: in force)",
+         "N"},
+        {"id", 0, 0, G_OPTION_ARG_STRING, &c->id,
+         "Id of the patch; without changes: ask for its verdict", "ID"},
+        {"author", 0, 0, G_OPTION_ARG_STRING, &c->author,
+         "Author (default: the user's name)", "NAME"},
+        {"strict", 0, 0, G_OPTION_ARG_NONE, &c->strict,
+         "Refuse unless the base is still in force", NULL},
+        {"wait", 'w', 0, G_OPTION_ARG_NONE, &c->wait,
+         "Wait until every known instance holds the new version", NULL},
+        {"timeout", 't', 0, G_OPTION_ARG_INT64, &c->timeout_s,
+         "Seconds to try for a verdict, and then to wait (default 20)", "S"},
+        {NULL},
+    };
+    GOptionContext *context =
+        g_option_context_new("[set PATH=VALUE | delete PATH]...");
+    GError *error = NULL;
+    g_option_context_add_main_entries(context, entries, NULL);
+    PhClient_AddOptions(&c->client, context);
+    bool valid = g_option_context_parse(context, &argc, &argv, &error);
+    g_option_context_free(context);
+    if (!valid) {
+        fprintf(stderr, "peridothill patch: %s\n", error->message);
+        g_error_free(error);
+        return false;
+    }
+    valid = changes_parse(argc, argv, &c->patch) &&
+            (c->patch.change_count > 0 || c->id != NULL);
+    if (!valid) {
+        fprintf(stderr, "peridothill patch: 'set PATH=VALUE' or 'delete PATH' "
+                        "is needed; see --help\n");
+    }
+    return valid;
+}
+
+/* Submits a patch, or asks for the verdict on one. */
+int
+PhCommand_Patch(int argc, char **argv)
+{
+    PhPatchCommand c = {.base = -1, .timeout_s = 20};
+    int code = PH_EXIT_USAGE;
+    if (command_parse(&c, argc, argv)) {
+        code = command_run(&c);
+    }
+    PhConfigPatch_Clear(&c.patch);
+    PhClient_Clear(&c.client);
+    g_free(c.id);
+    g_free(c.author);
+    return code;
+}
--- /dev/null
+++ b/commands/status.c
@@ -0,0 +1,212 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "commands/client.h"
+#include "peridothill/codec/json.h"
+#include "peridothill/commands.h"
+
+/* A column of the table of instances. */
+typedef struct PhColumn {
+    const char *title;
+    size_t width;
+} PhColumn;
+
+enum {
+    COLUMNS = 4,
+    CELL_BYTES = 80,
+};
+
+/* The rows of the table, as text. */
+typedef struct PhTable {
+    PhColumn columns[COLUMNS];
+    GPtrArray *cells; /* char *, row by row */
+} PhTable;
+
+/* Appends a cell and widens its column at need. */
+static void
+cell_add(PhTable *table, char *text)
+{
+    PhColumn *column = &table->columns[table->cells->len % COLUMNS];
+    column->width = MAX(column->width, strlen(text));
+    g_ptr_array_add(table->cells, text);
+}
+
+/* Makes the text of a string member. */
+static char *
+text_of(const json_t *json, const char *key)
+{
+    return PhStr_ToC(PhJson_GetStr(json, key));
+}
+
+/* Makes the text of an age. */
+static char *
+age_of(const json_t *json, const char *key)
+{
+    int64_t ms = PhJson_GetInt(json, key, -1);
+    return ms < 0 ? g_strdup("never")
+                  : g_strdup_printf("%.1f s ago", (double)ms / 1000.0);
+}
+
+/* Makes the text of a number. */
+static char *
+number_of(const json_t *json, const char *key)
+{
+    return g_strdup_printf("%" G_GINT64_FORMAT,
+                           (gint64)PhJson_GetInt(json, key, 0));
+}
+
+/* Prints the table with a line of titles. */
+static void
+table_print(const PhTable *table)
+{
+    for (size_t i = 0; i < COLUMNS; i++) {
+        printf("%-*s  ", (int)table->columns[i].width,
+               table->columns[i].title);
+    }
+    printf("\n");
+    for (guint i = 0; i < table->cells->len; i++) {
+        printf("%-*s  ", (int)table->columns[i % COLUMNS].width,
+               (const char *)g_ptr_array_index(table->cells, i));
+        if (i % COLUMNS == COLUMNS - 1) {
+            printf("\n");
+        }
+    }
+}
+
+/* Prints the instances and the versions they hold. */
+static void
+peers_print(const json_t *status)
+{
+    size_t i;
+    const json_t *row;
+    const json_t *config = json_object_get(status, "config");
+    PhTable table = {.columns = {{"INSTANCE", 8},
+                                 {"WHERE", 5},
+                                 {"VERSION", 7},
+                                 {"HEARD", 5}},
+                     .cells = g_ptr_array_new_with_free_func(g_free)};
+    cell_add(&table, text_of(status, "instance"));
+    cell_add(&table, g_strdup("here"));
+    cell_add(&table, number_of(config, "version"));
+    cell_add(&table, g_strdup("now"));
+    json_array_foreach(json_object_get(config, "peers"), i, row)
+    {
+        bool local = json_is_true(json_object_get(row, "local"));
+        cell_add(&table, text_of(row, "member"));
+        cell_add(&table, g_strdup(local ? "local" : "remote"));
+        cell_add(&table, number_of(row, "version"));
+        cell_add(&table, age_of(row, "heard_ms_ago"));
+    }
+    table_print(&table);
+    g_ptr_array_free(table.cells, TRUE);
+}
+
+/* Prints one line of the head. */
+static void
+line_print(const char *title, char *text)
+{
+    printf("%-16s %s\n", title, text);
+    g_free(text);
+}
+
+/* Prints what is heard. */
+static void
+hears_print(const json_t *hears)
+{
+    static const char *const keys[] = {"own_data_centre", "other_data_centres",
+                                       "platform"};
+    GString *text = g_string_new(NULL);
+    for (size_t i = 0; hears != NULL && i < G_N_ELEMENTS(keys); i++) {
+        bool heard = json_is_true(json_object_get(hears, keys[i]));
+        g_string_append_printf(text, "%s=%s ", keys[i], heard ? "yes" : "no");
+    }
+    line_print("hears", g_string_free(text, FALSE));
+}
+
+/* Prints a status as text. */
+static void
+status_print(const json_t *status)
+{
+    size_t i;
+    const json_t *row;
+    const json_t *config = json_object_get(status, "config");
+    line_print("instance", text_of(status, "instance"));
+    line_print("data centre", text_of(status, "data_centre"));
+    line_print("configuration", text_of(config, "standing"));
+    line_print("version", number_of(config, "version"));
+    line_print("digest", text_of(config, "digest"));
+    line_print("log confirmed", age_of(config, "log_heard_ms_ago"));
+    line_print("patches waiting", number_of(config, "patches_waiting"));
+    hears_print(json_object_get(status, "hears"));
+    json_array_foreach(json_object_get(status, "promises"), i, row)
+    {
+        line_print(i == 0 ? "promises" : "", g_strdup(json_string_value(row)));
+    }
+    printf("\n");
+    peers_print(status);
+}
+
+/* Prints an answer; tells the exit code. */
+static int
+answer_print(const PhClientAnswer *answer, bool as_json)
+{
+    json_t *json;
+    if (answer->status != 200) {
+        fprintf(stderr, "peridothill status: %.*s\n",
+                PhStr_ARG(answer->status == 0
+                              ? PhResult_Message(&answer->result)
+                              : answer->body));
+        return PH_EXIT_FAILED;
+    }
+    if (as_json) {
+        printf("%.*s\n", PhStr_ARG(answer->body));
+        return PH_EXIT_DONE;
+    }
+    PhResult parsed = PhJson_Parse(answer->body, &json);
+    if (!PhResult_IsOk(&parsed)) {
+        fprintf(stderr, "peridothill status: %.*s\n",
+                PhStr_ARG(PhResult_Message(&parsed)));
+        return PH_EXIT_FAILED;
+    }
+    status_print(json);
+    json_decref(json);
+    return PH_EXIT_DONE;
+}
+
+/* Shows how an instance and its peers are. */
+int
+PhCommand_Status(int argc, char **argv)
+{
+    PhClient client = {0};
+    gboolean as_json = FALSE;
+    GOptionEntry entries[] = {
+        {"json", 'j', 0, G_OPTION_ARG_NONE, &as_json,
+         "Print the JSON of the interface", NULL},
+        {NULL},
+    };
+    GOptionContext *context = g_option_context_new(NULL);
+    GError *error = NULL;
+    int code = PH_EXIT_USAGE;
+    g_option_context_add_main_entries(context, entries, NULL);
+    PhClient_AddOptions(&client, context);
+    bool valid =
+        g_option_context_parse(context, &argc, &argv, &error) && argc == 1;
+    PhResult opened = valid ? PhClient_Open(&client) : PhResult_Ok();
+    if (!valid || !PhResult_IsOk(&opened)) {
+        fprintf(stderr, "peridothill status: %s%.*s\n",
+                error != NULL ? error->message
+                : valid       ? ""
+                              : "no arguments are taken",
+                PhStr_ARG(PhResult_Message(&opened)));
+        g_clear_error(&error);
+    }
+    else {
+        PhClientAnswer answer =
+            PhClient_Call(&client, "GET", "/status", (PhStr){0});
+        code = answer_print(&answer, as_json);
+        PhClientAnswer_Clear(&answer);
+    }
+    g_option_context_free(context);
+    PhClient_Clear(&client);
+    return code;
+}
--- a/include/peridothill/codec/config_record.h
+++ b/include/peridothill/codec/config_record.h
@@ -3,12 +3,17 @@
 #ifndef PERIDOTHILL_CODEC_CONFIG_RECORD_H
 #define PERIDOTHILL_CODEC_CONFIG_RECORD_H
 
+#include <jansson.h>
+
 #include "peridothill/decide/config/config_ledger.h"
 
 enum {
     PH_CONFIG_SNAPSHOT_BYTES = 16 * 1024 * 1024
 };
 
+/* Makes the JSON of one change, as patches have it. */
+json_t *
+PhConfigChange_ToJson(const PhConfigChange *change);
 /* Encodes as JSON that the caller owns. */
 PhStr
 PhConfigPatch_Encode(const PhConfigPatch *patch);
--- a/include/peridothill/commands.h
+++ b/include/peridothill/commands.h
@@ -24,8 +24,12 @@
 int
 PhCommand_Check(int argc, char **argv);
 int
+PhCommand_Patch(int argc, char **argv);
+int
 PhCommand_Standin(int argc, char **argv);
 int
+PhCommand_Status(int argc, char **argv);
+int
 PhCommand_Version(int argc, char **argv);
 
 #endif
--- a/include/peridothill/kernel/kernel.h
+++ b/include/peridothill/kernel/kernel.h
@@ -91,9 +91,6 @@
 PhKernel_Destroy(PhKernel *kernel);
 PhTime
 PhKernel_Now(const PhKernel *kernel);
-/* Wall time since the Unix epoch; only for what leaves the machine. */
-PhTime
-PhKernel_Wall(const PhKernel *kernel);
 PhLog *
 PhKernel_Log(const PhKernel *kernel);
 PhCounters *
--- a/kernel/kernel.c
+++ b/kernel/kernel.c
@@ -301,13 +301,6 @@
     return PhClock_Now(kernel->options.clock);
 }
 
-/* Reads the wall time of the kernel's clock. */
-PhTime
-PhKernel_Wall(const PhKernel *kernel)
-{
-    return PhClock_Wall(kernel->options.clock);
-}
-
 /* Gives the kernel's logger, NULL when there is none. */
 PhLog *
 PhKernel_Log(const PhKernel *kernel)
--- a/services/config/config_log.c
+++ b/services/config/config_log.c
@@ -159,7 +159,7 @@
         PhConfigSnapshot *snapshot;
         PhResult result = PhConfigSnapshot_Decode(record->body, &snapshot);
         if (PhResult_IsOk(&result)) {
-            PhTime wall = PhKernel_Wall(PhTask_Kernel(t->self));
+            PhTime wall = PhTask_Wall(t->self);
             event.as.snapshots.latest = snapshot;
             event.as.snapshots.age =
                 MAX(wall - record->appended_ms * PH_NS_PER_MS, 0);
--- a/services/config/config_service.c
+++ b/services/config/config_service.c
@@ -79,7 +79,7 @@
         PhTime appended = v->appended_ms * PH_NS_PER_MS;
         PhCounters_Observe(PhKernel_Counters(kernel),
                            PH_HISTOGRAM_CONFIG_LATENCY,
-                           MAX(PhKernel_Wall(kernel) - appended, 0));
+                           MAX(PhTask_Wall(t->self) - appended, 0));
     }
     else {
         PhTask_LOG(t->self, PH_EVENT_CONFIG_REFUSED, PhField_STR("id", v->id),
--- /dev/null
+++ b/services/operators/route_status.c
@@ -0,0 +1,173 @@
+#include <inttypes.h>
+
+#include "peridothill/codec/json.h"
+#include "services/operators/operators_task.h"
+
+#define REPORT_TIMEOUT_NS (3 * PH_NS_PER_S)
+
+/* GET /status: asks "config" for its part. */
+void
+PhOperatorsStatus_Get(PhOperatorsTask *t, const PhOperatorsCall *call)
+{
+    uint64_t number = PhOperators_Await(t, call, 0, REPORT_TIMEOUT_NS);
+    PhConfigMessage m = {.tag = PH_CONFIG_REPORT, .as.report = number};
+    PhOperators_Ask(t, number, PH_SERVICE_CONFIG, PhConfigMessage_Wrap(&m));
+}
+
+/* Makes the rows of the peers' versions. */
+static json_t *
+peers_make(const PhConfigReported *r)
+{
+    json_t *list = json_array();
+    for (size_t i = 0; i < r->peer_count; i++) {
+        const PhConfigPeerRow *p = &r->peers[i];
+        json_t *row = json_object();
+        json_object_set_new(row, "member", PhJson_String(p->member));
+        json_object_set_new(row, "local", json_boolean(p->local));
+        json_object_set_new(row, "version",
+                            json_integer((json_int_t)p->version));
+        json_object_set_new(row, "heard_ms_ago",
+                            json_integer(p->heard_ms_ago));
+        json_array_append_new(list, row);
+    }
+    return list;
+}
+
+/* Makes the part of the configuration. */
+static json_t *
+config_make(const PhConfigReported *r)
+{
+    char digest[17];
+    json_t *o = json_object();
+    g_snprintf(digest, sizeof(digest), "%016" PRIx64, r->digest);
+    json_object_set_new(o, "standing",
+                        json_string(PhConfigStanding_Name(r->standing)));
+    json_object_set_new(o, "version", json_integer((json_int_t)r->version));
+    json_object_set_new(o, "digest", json_string(digest));
+    json_object_set_new(o, "highest_heard",
+                        json_integer((json_int_t)r->highest_heard));
+    json_object_set_new(o, "log_heard_ms_ago",
+                        json_integer(r->log_heard_ms_ago));
+    json_object_set_new(o, "reads_log", json_boolean(r->reads_log));
+    json_object_set_new(o, "patches_waiting",
+                        json_integer((json_int_t)r->appends_waiting));
+    json_object_set_new(o, "peers", peers_make(r));
+    return o;
+}
+
+/* What is still promised while something is not heard. */
+static json_t *
+promises_make(const PhOperatorsTask *t, const PhConfigReported *r)
+{
+    json_t *list = json_array();
+    bool platform = !t->has_view || t->view.hears_platform;
+    switch (r->standing) {
+    case PH_CONFIG_STANDING_RECOVERING:
+        json_array_append_new(
+            list, json_string("no configuration is in force here yet"));
+        break;
+    case PH_CONFIG_STANDING_LAGGING:
+        json_array_append_new(
+            list, json_string("a later version exists and is being fetched"));
+        break;
+    case PH_CONFIG_STANDING_STALE:
+        json_array_append_new(
+            list, json_string("the version in force stays; later ones may "
+                              "exist that are not heard of here"));
+        break;
+    case PH_CONFIG_STANDING_IN_FORCE:
+        json_array_append_new(
+            list, json_string("the latest accepted version is in force"));
+        break;
+    }
+    if (!platform) {
+        json_array_append_new(
+            list, json_string("patches are answered as not accepted or "
+                              "unknown until the platform is heard again"));
+    }
+    if (t->has_view && !t->view.hears_other_data_centres) {
+        json_array_append_new(
+            list, json_string("requests are served from this data centre"));
+    }
+    return list;
+}
+
+/* Makes the part of the members. */
+static json_t *
+hears_make(const PhMembersView *view)
+{
+    json_t *o = json_object();
+    json_object_set_new(o, "own_data_centre",
+                        json_boolean(view->hears_own_data_centre));
+    json_object_set_new(o, "other_data_centres",
+                        json_boolean(view->hears_other_data_centres));
+    json_object_set_new(o, "platform", json_boolean(view->hears_platform));
+    return o;
+}
+
+/* Answers a status. */
+void
+PhOperatorsStatus_Report(PhOperatorsTask *t, uint64_t id,
+                         const PhConfigReported *r)
+{
+    json_t *o = json_object();
+    json_object_set_new(o, "instance", PhJson_String(t->options.instance));
+    json_object_set_new(o, "data_centre",
+                        PhJson_String(t->options.data_centre));
+    json_object_set_new(o, "config", config_make(r));
+    json_object_set_new(o, "promises", promises_make(t, r));
+    if (t->has_view) {
+        json_object_set_new(o, "hears", hears_make(&t->view));
+    }
+    PhOperators_Answer(t, id, PH_HTTP_STATUS_OK, o);
+}
+
+/* GET /members: the latest view. */
+void
+PhOperatorsStatus_Members(PhOperatorsTask *t, const PhOperatorsCall *call)
+{
+    json_t *list = json_array();
+    for (size_t i = 0; t->has_view && i < t->view.member_count; i++) {
+        const PhMember *m = &t->view.members[i];
+        json_t *row = json_object();
+        json_object_set_new(row, "id", PhJson_String(m->id));
+        json_object_set_new(row, "data_centre", PhJson_String(m->data_centre));
+        json_object_set_new(row, "address", PhJson_String(m->address));
+        json_object_set_new(row, "state",
+                            PhJson_String(PhMemberState_Name(m->state)));
+        json_object_set_new(row, "incarnation",
+                            json_integer((json_int_t)m->incarnation));
+        json_object_set_new(row, "draining", json_boolean(m->draining));
+        json_array_append_new(list, row);
+    }
+    json_t *o = json_object();
+    json_object_set_new(o, "members", list);
+    PhOperators_Answer(t, call->id, PH_HTTP_STATUS_OK, o);
+}
+
+/* GET /metrics: all counters, as text. */
+void
+PhOperatorsStatus_Metrics(PhOperatorsTask *t, const PhOperatorsCall *call)
+{
+    PhBuf text = {0};
+    PhHttpHeader type = {.name = PhStr_LITERAL("Content-Type"),
+                         .value = PhStr_LITERAL("text/plain; version=0.0.4")};
+    PhCounters_Render(PhKernel_Counters(PhTask_Kernel(t->self)), &text);
+    PhListener_Answer(t->listener, call->id, PH_HTTP_STATUS_OK, &type, 1,
+                      PhBuf_Str(&text));
+    PhBuf_Clear(&text);
+}
+
+/* POST /drain: this instance takes no new work and then stops. */
+void
+PhOperatorsStatus_Drain(PhOperatorsTask *t, const PhOperatorsCall *call)
+{
+    if (t->options.drain == NULL) {
+        PhOperators_Refuse(t, call->id, PH_HTTP_STATUS_NOT_IMPLEMENTED,
+                           "this process cannot be drained");
+        return;
+    }
+    t->options.drain(t->options.drain_context);
+    PhOperators_Answer(t, call->id, PH_HTTP_STATUS_ACCEPTED,
+                       json_pack("{s:s}", "outcome", "draining"));
+}
--- /dev/null
+++ b/services/operators/routes.c
@@ -0,0 +1,60 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "services/operators/operators_task.h"
+
+/* Sorted by path and then by method for the binary search. */
+static const PhOperatorsRoute routes[] = {
+    {"/config", "GET", PhOperatorsConfig_Get},
+    {"/config/at/", "GET", PhOperatorsConfig_At},
+    {"/config/diff", "GET", PhOperatorsConfig_Diff},
+    {"/config/history", "GET", PhOperatorsConfig_History},
+    {"/config/patches", "POST", PhOperatorsConfig_Patch},
+    {"/config/patches/", "GET", PhOperatorsConfig_Find},
+    {"/drain", "POST", PhOperatorsStatus_Drain},
+    {"/members", "GET", PhOperatorsStatus_Members},
+    {"/metrics", "GET", PhOperatorsStatus_Metrics},
+    {"/status", "GET", PhOperatorsStatus_Get},
+};
+
+/* A path and method to look for. */
+typedef struct PhRouteKey {
+    PhStr path;
+    PhStr method;
+} PhRouteKey;
+
+/* Orders a key against a route for bsearch. */
+static int
+route_compare(const void *key, const void *route)
+{
+    const PhRouteKey *k = key;
+    const PhOperatorsRoute *r = route;
+    int order = PhStr_Compare(k->path, PhStr_FromC(r->path));
+    return order != 0 ? order
+                      : PhStr_Compare(k->method, PhStr_FromC(r->method));
+}
+
+/* Finds a route by its exact path. */
+static const PhOperatorsRoute *
+route_find(PhStr method, PhStr path)
+{
+    PhRouteKey key = {.path = path, .method = method};
+    return bsearch(&key, routes, G_N_ELEMENTS(routes), sizeof(routes[0]),
+                   route_compare);
+}
+
+/* Finds a route by its path, or by the part up to each slash, longest
+ * first. */
+const PhOperatorsRoute *
+PhOperatorsRoute_Find(PhStr method, PhStr path, PhStr *rest)
+{
+    const PhOperatorsRoute *route = route_find(method, path);
+    *rest = (PhStr){0};
+    for (size_t i = path.len; i > 1 && route == NULL; i--) {
+        if (path.data[i - 1] == '/') {
+            route = route_find(method, PhStr_Slice(path, 0, i));
+            *rest = PhStr_Slice(path, i, path.len);
+        }
+    }
+    return route;
+}
