standin: tell the end of a stream, and never refuse a half-done append

Cause: the log answered a read with the offset after the records read as the end of the stream, so a follower took a limited read for all there is; and a batch whose later record was refused was answered as not appended. Change: the fake log tells the end; the stand-in gives no answer to an append that took effect in part. Conclusion: followers know when they have all.

--- a/fakes/fake_log.c
+++ b/fakes/fake_log.c
@@ -101,6 +101,7 @@
     return (PhFakeLogAnswer){
         .status = log->options.outage ? PH_STATUS_UNAVAILABLE : PH_STATUS_OK,
         .first = s->first,
+        .end = s->next,
         .at = now + log->options.delay_min + (PhTime)extra};
 }
 
--- a/include/peridothill/fakes/fake_log.h
+++ b/include/peridothill/fakes/fake_log.h
@@ -32,6 +32,7 @@
     PhStatus status;
     uint64_t offset;
     uint64_t first;
+    uint64_t end; /* offset of the next append */
     PhTime at;
 } PhFakeLogAnswer;
 
--- a/standin/log.c
+++ b/standin/log.c
@@ -83,7 +83,8 @@
     return STATUS_UNAVAILABLE;
 }
 
-/* Appends the records of a request in order; the last answer counts. */
+/* Appends the records of a request in order.  When one after the first is
+ * refused, no answer is given: a refusal says that nothing was appended. */
 static void
 append(PhLogServer *s, const PhIncoming *incoming, PhStr stream)
 {
@@ -95,21 +96,19 @@
         answer_at(s, incoming->id, now, STATUS_BAD_REQUEST, (PhStr){0});
         return;
     }
-    PhFakeLogAnswer last = {.status = PH_STATUS_OK};
-    PhBuf body = {0};
-    for (size_t i = 0; i < count; i++) {
+    PhFakeLogAnswer first = PhFakeLog_Append(s->log, now, stream, records[0]);
+    int status = http_status(first.status);
+    for (size_t i = 1; i < count && status == STATUS_OK; i++) {
         PhFakeLogAnswer a = PhFakeLog_Append(s->log, now, stream, records[i]);
-        if (i == 0) {
-            PhBuf_AppendFormat(&body, "{\"first\":%" PRIu64 "}", a.offset);
-        }
-        if (last.status == PH_STATUS_OK) {
-            last = a;
-        }
+        status = a.status == PH_STATUS_OK ? STATUS_OK : 0;
+    }
+    for (size_t i = 0; i < count; i++) {
         PhStr_Clear(&records[i]);
     }
     g_free(records);
-    answer_at(s, incoming->id, last.at, http_status(last.status),
-              PhBuf_Take(&body));
+    PhBuf body = {0};
+    PhBuf_AppendFormat(&body, "{\"first\":%" PRIu64 "}", first.offset);
+    answer_at(s, incoming->id, first.at, status, PhBuf_Take(&body));
 }
 
 /* Reads a number of the query, or gives the fallback. */
@@ -139,7 +138,7 @@
                        (uint32_t)MIN(limit, READ_LIMIT), found);
     PhLogRecords records = {.first = a.first,
                             .next = a.offset,
-                            .end = a.offset,
+                            .end = a.end,
                             .records = g_new0(PhLogRecord, found->len),
                             .record_count = found->len};
     PhTime wall = PhTask_Wall(s->self) - PhTask_Now(s->self);
