config: build messages inside their union, as the analyzer can follow

Cause: the analyzer takes memory that a message owns through a copied struct for leaked. Change: records, rows and batches are filled in inside the message or action. Conclusion: no change of behaviour.

--- a/commands/patch.c
+++ b/commands/patch.c
@@ -93,7 +93,7 @@
 backoff(gint64 *delay_ms)
 {
     gint64 jitter = randombytes_uniform((uint32_t)*delay_ms + 1);
-    g_usleep((gulong)((*delay_ms / 2 + jitter) * 1000));
+    g_usleep((gulong)(*delay_ms / 2 + jitter) * 1000UL);
     *delay_ms = MIN(*delay_ms * 2, RETRY_MAX_MS);
 }
 
@@ -204,7 +204,7 @@
         if (read && behind->len == 0) {
             break;
         }
-        g_usleep(SPREAD_POLL_MS * 1000);
+        g_usleep(SPREAD_POLL_MS * 1000UL);
     } while (g_get_monotonic_time() < until);
     printf("in force on %zu instances\n", holding);
     if (behind->len > 0) {
--- a/decide/config/config_appender.c
+++ b/decide/config/config_appender.c
@@ -159,6 +159,23 @@
     return count;
 }
 
+/* Copies the first patches that are queued into an action. */
+static void
+batch_fill(PhConfigAppender *a, size_t count, PhAppendAction *action)
+{
+    *action = (PhAppendAction){.kind = PH_APPEND_ACTION_APPEND};
+    action->as.append.patches = g_new0(PhConfigPatch, count);
+    for (GList *i = a->pending.head;
+         i != NULL && action->as.append.count < count; i = i->next) {
+        PhPending *p = i->data;
+        if (p->state == PENDING_QUEUED) {
+            p->state = PENDING_IN_FLIGHT;
+            action->as.append.patches[action->as.append.count++] =
+                PhConfigPatch_Copy(&p->patch);
+        }
+    }
+}
+
 /* Sends the next batch when the pace allows it. */
 static void
 append_next(PhConfigAppender *a, PhTime now, GArray *actions)
@@ -172,21 +189,11 @@
     if (a->down) {
         count = 1;
     }
-    PhAppendAction action = {.kind = PH_APPEND_ACTION_APPEND,
-                             .as.append.patches =
-                                 g_new0(PhConfigPatch, count)};
-    for (GList *i = a->pending.head;
-         i != NULL && action.as.append.count < count; i = i->next) {
-        PhPending *p = i->data;
-        if (p->state == PENDING_QUEUED) {
-            p->state = PENDING_IN_FLIGHT;
-            action.as.append.patches[action.as.append.count++] =
-                PhConfigPatch_Copy(&p->patch);
-        }
-    }
+    g_array_set_size(actions, actions->len + 1);
+    batch_fill(a, count,
+               &g_array_index(actions, PhAppendAction, actions->len - 1));
     a->tokens -= (double)count;
     a->in_flight = true;
-    g_array_append_val(actions, action);
 }
 
 /* Takes a patch into the queue. */
--- a/decide/config/config_state.c
+++ b/decide/config/config_state.c
@@ -210,6 +210,25 @@
     return found ? PhConfigState_At(state, index) : NULL;
 }
 
+/* Appends the change that makes one entry of the other; either may lack. */
+static void
+diff_add(GArray *changes, const PhConfigEntry *from, const PhConfigEntry *to)
+{
+    PhConfigChange change = {.kind = PH_CONFIG_CHANGE_DELETE};
+    if (to != NULL) {
+        if (from != NULL && PhStr_Equal(from->value, to->value)) {
+            return;
+        }
+        change.kind = PH_CONFIG_CHANGE_SET;
+        change.path = to->path;
+        change.value = to->value;
+    }
+    else if (from != NULL) {
+        change.path = from->path;
+    }
+    g_array_append_val(changes, change);
+}
+
 /* Merges two sorted states into the changes between them. */
 GArray *
 PhConfigState_Diff(const PhConfigState *from, const PhConfigState *to)
@@ -217,28 +236,20 @@
     GArray *changes = g_array_new(FALSE, FALSE, sizeof(PhConfigChange));
     size_t i = 0;
     size_t j = 0;
-    while (i < from->entries->len || j < to->entries->len) {
-        const PhConfigEntry *a =
-            i < from->entries->len ? PhConfigState_At(from, i) : NULL;
-        const PhConfigEntry *b =
-            j < to->entries->len ? PhConfigState_At(to, j) : NULL;
-        int order = a == NULL   ? 1
-                    : b == NULL ? -1
-                                : PhStr_Compare(a->path, b->path);
-        if (order < 0) {
-            PhConfigChange gone = {.kind = PH_CONFIG_CHANGE_DELETE,
-                                   .path = a->path};
-            g_array_append_val(changes, gone);
-        }
-        else if (order > 0 || !PhStr_Equal(a->value, b->value)) {
-            PhConfigChange set = {.kind = PH_CONFIG_CHANGE_SET,
-                                  .path = b->path,
-                                  .value = b->value};
-            g_array_append_val(changes, set);
-        }
+    while (i < from->entries->len && j < to->entries->len) {
+        const PhConfigEntry *a = PhConfigState_At(from, i);
+        const PhConfigEntry *b = PhConfigState_At(to, j);
+        int order = PhStr_Compare(a->path, b->path);
+        diff_add(changes, order <= 0 ? a : NULL, order >= 0 ? b : NULL);
         i += order <= 0;
         j += order >= 0;
     }
+    for (; i < from->entries->len; i++) {
+        diff_add(changes, PhConfigState_At(from, i), NULL);
+    }
+    for (; j < to->entries->len; j++) {
+        diff_add(changes, NULL, PhConfigState_At(to, j));
+    }
     return changes;
 }
 
--- a/services/config/config_log.c
+++ b/services/config/config_log.c
@@ -72,19 +72,15 @@
     }
 }
 
-/* Appends records, which the message takes over. */
+/* Sends an append; `m` lacks only what all of them have in common. */
 static void
-append_send(PhConfigTask *t, uint64_t call, PhStr stream, PhStr *records,
-            size_t count)
+append_send(PhConfigTask *t, PhLogMessage *m, PhStr stream, uint64_t call)
 {
-    PhLogMessage m = {
-        .tag = PH_LOG_APPEND,
-        .as.append = {.id = call,
-                      .stream = PhStr_Dup(stream),
-                      .records = records,
-                      .record_count = count,
-                      .deadline = PhTask_Now(t->self) + CALL_TIMEOUT_NS}};
-    if (PhTask_SendTo(t->self, PH_SERVICE_LOG, PhLogMessage_Wrap(&m)) !=
+    m->tag = PH_LOG_APPEND;
+    m->as.append.id = call;
+    m->as.append.stream = PhStr_Dup(stream);
+    m->as.append.deadline = PhTask_Now(t->self) + CALL_TIMEOUT_NS;
+    if (PhTask_SendTo(t->self, PH_SERVICE_LOG, PhLogMessage_Wrap(m)) !=
         PH_STATUS_OK) {
         call_end(t, call, PH_STATUS_UNAVAILABLE, 0, 0);
     }
@@ -94,9 +90,10 @@
 void
 PhConfigLog_WriteSnapshot(PhConfigTask *t, const PhConfigSnapshot *snapshot)
 {
-    PhStr *records = g_new0(PhStr, 1);
-    records[0] = PhConfigSnapshot_Encode(snapshot);
-    append_send(t, CALL_WRITE_SNAPSHOT, STREAM_SNAPSHOTS, records, 1);
+    PhLogMessage m = {.as.append.record_count = 1};
+    m.as.append.records = g_new0(PhStr, 1);
+    m.as.append.records[0] = PhConfigSnapshot_Encode(snapshot);
+    append_send(t, &m, STREAM_SNAPSHOTS, CALL_WRITE_SNAPSHOT);
 }
 
 /* Appends a batch of patches. */
@@ -104,14 +101,16 @@
 PhConfigLog_Append(PhConfigTask *t, const PhAppendAction *action)
 {
     size_t count = action->as.append.count;
-    PhStr *records = g_new0(PhStr, count);
+    PhLogMessage m = {.as.append.record_count = count};
+    m.as.append.records = g_new0(PhStr, count);
     for (size_t i = 0; i < count; i++) {
-        records[i] = PhConfigPatch_Encode(&action->as.append.patches[i]);
+        m.as.append.records[i] =
+            PhConfigPatch_Encode(&action->as.append.patches[i]);
     }
     PhCounters_Add(PhKernel_Counters(PhTask_Kernel(t->self)),
                    PH_COUNTER_CONFIG_APPENDS, 1);
     t->append_count = count;
-    append_send(t, CALL_APPEND, STREAM_PATCHES, records, count);
+    append_send(t, &m, STREAM_PATCHES, CALL_APPEND);
 }
 
 /* Decodes a record of the log. */
--- a/services/config/config_query.c
+++ b/services/config/config_query.c
@@ -183,20 +183,19 @@
 {
     const GQueue *verdicts =
         PhConfigLedger_Verdicts(PhConfigFollower_Ledger(t->follower));
-    PhConfigPast past = {
-        .request = request,
-        .rows = g_new0(PhConfigPastRow, MIN(verdicts->length, HISTORY_ROWS))};
+    PhConfigMessage m = {.tag = PH_CONFIG_PAST, .as.past.request = request};
+    PhConfigPast *past = &m.as.past;
+    past->rows = g_new0(PhConfigPastRow, MIN(verdicts->length, HISTORY_ROWS));
     for (const GList *i = verdicts->tail;
-         i != NULL && past.row_count < HISTORY_ROWS; i = i->prev) {
+         i != NULL && past->row_count < HISTORY_ROWS; i = i->prev) {
         const PhConfigVerdict *v = i->data;
-        past.rows[past.row_count++] = (PhConfigPastRow){
+        past->rows[past->row_count++] = (PhConfigPastRow){
             .id = PhStr_Dup(v->id),
             .author = PhStr_Dup(v->author),
             .result = PhResult_Make(v->status, "%.*s", PhStr_ARG(v->reason)),
             .version = v->version,
             .appended_ms = v->appended_ms};
     }
-    PhConfigMessage m = {.tag = PH_CONFIG_PAST, .as.past = past};
     reply(t, from, &m);
 }
 
@@ -232,21 +231,23 @@
     PhTime now = PhTask_Now(t->self);
     const PhConfigState *state =
         PhConfigLedger_State(PhConfigFollower_Ledger(t->follower));
-    PhConfigReported r = {
-        .request = request,
-        .standing = PhConfigFollower_Standing(t->follower, now),
-        .version = PhConfigState_Version(state),
-        .digest = PhConfigState_Digest(state),
-        .highest_heard = PhConfigFollower_HighestHeard(t->follower),
-        .log_heard_ms_ago =
-            age_ms(now, PhConfigFollower_ConfirmedAt(t->follower)),
-        .reads_log = PhConfigFollower_ReadsLog(t->follower),
-        .appends_waiting = PhConfigAppender_Waiting(t->appender)};
-    report_peers(t, now, &r);
-    PhConfigMessage m = {.tag = PH_CONFIG_REPORTED, .as.reported = r};
+    PhConfigMessage m = {
+        .tag = PH_CONFIG_REPORTED,
+        .as.reported = {
+            .request = request,
+            .standing = PhConfigFollower_Standing(t->follower, now),
+            .version = PhConfigState_Version(state),
+            .digest = PhConfigState_Digest(state),
+            .highest_heard = PhConfigFollower_HighestHeard(t->follower),
+            .log_heard_ms_ago =
+                age_ms(now, PhConfigFollower_ConfirmedAt(t->follower)),
+            .reads_log = PhConfigFollower_ReadsLog(t->follower),
+            .appends_waiting = PhConfigAppender_Waiting(t->appender)}};
+    report_peers(t, now, &m.as.reported);
     reply(t, from, &m);
     GArray *actions = PhConfigActions_Create();
-    PhConfigFollower_AskPeers(t->follower, now, r.version, actions);
+    PhConfigFollower_AskPeers(t->follower, now, PhConfigState_Version(state),
+                              actions);
     PhConfigTask_Act(t, actions);
 }
 
