members: test frames, links and failures of membership

Cause: what is refused, bounded and survived had no tests. "No indirect probe" was not seen at first; the case "one broken pair is no death" now also asks that nobody was suspected, and fails with it.

--- a/codec/peer_session.c
+++ b/codec/peer_session.c
@@ -195,9 +195,10 @@
 }
 
 /* Appends a sealed frame with the given content. */
-static void
-seal(PhPeerSession *s, PhStr content, PhBuf *out)
+void
+PhPeerSession_Seal(PhPeerSession *session, PhStr content, PhBuf *out)
 {
+    PhPeerSession *s = session;
     Ph_INVARIANT(PH_INVARIANT_PRECONDITION,
                  s->stage == PH_SESSION_READY &&
                      content.len + SEAL_BYTES <= PH_PEER_BODY_MAX_BYTES,
@@ -217,7 +218,7 @@
     msgpack_packer_init(&packer, &content, PhPack_Write);
     msgpack_pack_map(&packer, 1);
     PhPack_U64(&packer, FRAME_KIND, kind);
-    seal(s, PhBuf_Str(&content), out);
+    PhPeerSession_Seal(s, PhBuf_Str(&content), out);
     PhBuf_Clear(&content);
 }
 
@@ -233,7 +234,7 @@
     PhPack_U64(&packer, FRAME_KIND, KIND_DATA);
     PhPack_U64(&packer, FRAME_CHANNEL, channel);
     PhPack_Bytes(&packer, FRAME_PAYLOAD, payload);
-    seal(session, PhBuf_Str(&content), out);
+    PhPeerSession_Seal(session, PhBuf_Str(&content), out);
     PhBuf_Clear(&content);
 }
 
--- a/include/peridothill/codec/peer_session.h
+++ b/include/peridothill/codec/peer_session.h
@@ -99,7 +99,10 @@
 PhPeerSession_Next(PhPeerSession *session, PhBuf *in, PhBuf *out);
 bool
 PhPeerSession_IsReady(const PhPeerSession *session);
-/* Append a sealed frame; only once ready. */
+/* Append a sealed frame; only once ready.  The content of PhPeerSession_Seal
+ * is the encoded frame. */
+void
+PhPeerSession_Seal(PhPeerSession *session, PhStr content, PhBuf *out);
 void
 PhPeerSession_Send(PhPeerSession *session, uint64_t channel, PhStr payload,
                    PhBuf *out);
--- a/services/members/peer_socket.c
+++ b/services/members/peer_socket.c
@@ -55,15 +55,17 @@
 static uint16_t
 socket_port(int fd)
 {
-    struct sockaddr_storage bound;
+    union {
+        struct sockaddr any;
+        struct sockaddr_in v4;
+        struct sockaddr_in6 v6;
+    } bound = {.v6 = {0}};
     socklen_t len = sizeof(bound);
-    if (getsockname(fd, (struct sockaddr *)&bound, &len) != 0) {
+    if (getsockname(fd, &bound.any, &len) != 0) {
         return 0;
     }
-    if (bound.ss_family == AF_INET6) {
-        return ntohs(((struct sockaddr_in6 *)&bound)->sin6_port);
-    }
-    return ntohs(((struct sockaddr_in *)&bound)->sin_port);
+    return ntohs(bound.any.sa_family == AF_INET6 ? bound.v6.sin6_port
+                                                 : bound.v4.sin_port);
 }
 
 /* Opens a listening socket. */
--- a/tests/members/test_membership.c
+++ b/tests/members/test_membership.c
@@ -30,11 +30,19 @@
     int amount;
 } PhStep;
 
-/* A table row: steps, then what is seen: pairs in each state, the incarnation
- * of the member `about`, and reports. */
+/* A word of a script and what follows it. */
+typedef struct PhStepWord {
+    const char *word;
+    PhStepKind kind;
+    bool has_who;
+    bool has_amount;
+} PhStepWord;
+
+/* A table row: a script of steps, then what is seen: pairs in each state, the
+ * incarnation of the member `about`, and reports. */
 typedef struct PhClusterCase {
     const char *name;
-    PhStep steps[8];
+    const char *script;
     int alive;
     int suspect;
     int dead;
@@ -44,6 +52,7 @@
     int died;
     int returned;
     int paused;
+    bool unsuspected; /* nobody was ever suspected */
 } PhClusterCase;
 
 enum {
@@ -54,198 +63,43 @@
 };
 
 static const PhClusterCase cluster_cases[] = {
-    {"all are seen", {{STEP_RUN, 0, 20000}}, PAIRS, 0, 0, 0, 1, 1, 0, 0, 0},
-    {"a crash is found by all",
-     {{STEP_CRASH, 4}, {STEP_RUN, 0, 30000}},
-     PAIRS - 2 * SEEN_BY_OTHERS,
-     0,
-     SEEN_BY_OTHERS,
-     0,
-     1,
-     1,
-     SEEN_BY_OTHERS,
-     0,
-     0},
-    {"a crash is a suspicion first",
-     {{STEP_CRASH, 4}, {STEP_RUN, 0, 5000}},
-     ANY,
-     ANY,
-     0,
-     0,
-     1,
-     1,
-     0,
-     0,
+    {"all are seen", "run 20000", PAIRS, 0, 0, 0, 1, 1, 0, 0, 0},
+    {"a crash is found by all", "crash 4, run 30000",
+     PAIRS - 2 * SEEN_BY_OTHERS, 0, SEEN_BY_OTHERS, 0, 1, 1, SEEN_BY_OTHERS, 0,
      0},
+    {"a crash is a suspicion first", "crash 4, run 5000", ANY, ANY, 0, 0, 1, 1,
+     0, 0, 0},
     {"a restart under the same id returns",
-     {{STEP_CRASH, 4},
-      {STEP_RUN, 0, 30000},
-      {STEP_START, 4},
-      {STEP_RUN, 0, 30000}},
-     PAIRS,
-     0,
-     0,
-     0,
-     4,
-     ANY,
-     SEEN_BY_OTHERS,
-     SEEN_BY_OTHERS,
-     0},
-    {"a quick restart is no death",
-     {{STEP_CRASH, 4}, {STEP_START, 4}, {STEP_RUN, 0, 30000}},
-     PAIRS,
-     0,
-     0,
-     0,
-     4,
-     2,
-     0,
-     0,
-     0},
+     "crash 4, run 30000, start 4, run 30000", PAIRS, 0, 0, 0, 4, ANY,
+     SEEN_BY_OTHERS, SEEN_BY_OTHERS, 0},
+    {"a quick restart is no death", "crash 4, start 4, run 30000", PAIRS, 0, 0,
+     0, 4, 2, 0, 0, 0},
     {"a leave is announced and no death",
-     {{STEP_LEAVE, 4},
-      {STEP_RUN, 0, 200},
-      {STEP_CRASH, 4},
-      {STEP_RUN, 0, 20000}},
-     PAIRS - 2 * SEEN_BY_OTHERS,
-     0,
-     0,
-     SEEN_BY_OTHERS,
-     1,
-     1,
-     0,
-     0,
-     0},
-    {"draining raises the incarnation",
-     {{STEP_DRAIN, 4}, {STEP_DRAIN, 4}, {STEP_RUN, 0, 10000}},
-     PAIRS,
-     0,
-     0,
-     0,
-     4,
-     2,
-     0,
-     0,
-     0},
-    {"a false suspicion is refuted",
-     {{STEP_SUSPECT, 4}, {STEP_RUN, 0, 20000}},
-     PAIRS,
-     0,
-     0,
-     0,
-     4,
-     2,
-     0,
-     0,
-     0},
-    {"a false death is refuted",
-     {{STEP_DEAD, 4}, {STEP_RUN, 0, 20000}},
-     PAIRS,
-     0,
-     0,
-     0,
-     4,
-     2,
-     0,
-     0,
-     0},
+     "leave 4, run 200, crash 4, run 20000", PAIRS - 2 * SEEN_BY_OTHERS, 0, 0,
+     SEEN_BY_OTHERS, 1, 1, 0, 0, 0},
+    {"draining raises the incarnation", "drain 4, drain 4, run 10000", PAIRS,
+     0, 0, 0, 4, 2, 0, 0, 0},
+    {"a false suspicion is refuted", "suspect 4, run 20000", PAIRS, 0, 0, 0, 4,
+     2, 0, 0, 0},
+    {"a false death is refuted", "dead 4, run 20000", PAIRS, 0, 0, 0, 4, 2, 0,
+     0, 0},
     {"a stale incarnation changes nothing",
-     {{STEP_CRASH, 4},
-      {STEP_RUN, 0, 30000},
-      {STEP_STALE, 4},
-      {STEP_RUN, 0, 10000}},
-     PAIRS - 2 * SEEN_BY_OTHERS,
-     0,
-     SEEN_BY_OTHERS,
-     0,
-     1,
-     1,
-     SEEN_BY_OTHERS,
-     0,
-     0},
-    {"one broken pair is no death",
-     {{STEP_DEAF, 4}, {STEP_RUN, 0, 60000}},
-     ANY,
-     ANY,
-     0,
-     0,
-     1,
-     ANY,
-     0,
-     0,
-     0},
-    {"a short pause is no death",
-     {{STEP_PAUSE, 4, 300}, {STEP_RUN, 0, 20000}},
-     PAIRS,
-     0,
-     0,
-     0,
-     1,
-     1,
-     0,
-     0,
-     ANY},
-    {"a long pause blames nobody else",
-     {{STEP_PAUSE, 4, 30000}, {STEP_RUN, 0, 80000}},
-     PAIRS,
-     0,
-     0,
-     0,
-     4,
-     ANY,
-     SEEN_BY_OTHERS,
-     SEEN_BY_OTHERS,
-     1},
-    {"heavy loss is no death",
-     {{STEP_LOSS, 0, 10}, {STEP_RUN, 0, 600000}},
-     ANY,
-     ANY,
-     0,
-     0,
-     1,
-     ANY,
-     0,
-     0,
-     0},
-    {"two halves take each other for dead",
-     {{STEP_CUT, 1}, {STEP_RUN, 0, 90000}},
-     PAIRS - ACROSS,
-     0,
-     ACROSS,
-     0,
-     1,
-     ANY,
-     ACROSS,
-     0,
-     0},
-    {"two halves heal",
-     {{STEP_CUT, 1},
-      {STEP_RUN, 0, 90000},
-      {STEP_HEAL, 1},
-      {STEP_RUN, 0, 90000}},
-     PAIRS,
-     0,
-     0,
-     0,
-     1,
-     ANY,
-     ACROSS,
-     ACROSS,
-     0},
-    {"a short cut is no death",
-     {{STEP_CUT, 1},
-      {STEP_RUN, 0, 3000},
-      {STEP_HEAL, 1},
-      {STEP_RUN, 0, 30000}},
-     PAIRS,
-     0,
-     0,
-     0,
-     1,
-     ANY,
-     0,
-     0,
-     0},
+     "crash 4, run 30000, stale 4, run 10000", PAIRS - 2 * SEEN_BY_OTHERS, 0,
+     SEEN_BY_OTHERS, 0, 1, 1, SEEN_BY_OTHERS, 0, 0},
+    {"one broken pair is no death", "deaf 4, run 60000", ANY, ANY, 0, 0, 1,
+     ANY, 0, 0, 0, true},
+    {"a short pause is no death", "pause 4 300, run 20000", PAIRS, 0, 0, 0, 1,
+     1, 0, 0, ANY},
+    {"a long pause blames nobody else", "pause 4 30000, run 80000", PAIRS, 0,
+     0, 0, 4, ANY, SEEN_BY_OTHERS, SEEN_BY_OTHERS, 1},
+    {"heavy loss is no death", "loss 10, run 600000", ANY, ANY, 0, 0, 1, ANY,
+     0, 0, 0},
+    {"two halves take each other for dead", "cut 1, run 90000", PAIRS - ACROSS,
+     0, ACROSS, 0, 1, ANY, ACROSS, 0, 0},
+    {"two halves heal", "cut 1, run 90000, heal 1, run 90000", PAIRS, 0, 0, 0,
+     1, ANY, ACROSS, ACROSS, 0},
+    {"a short cut is no death", "cut 1, run 3000, heal 1, run 30000", PAIRS, 0,
+     0, 0, 1, ANY, 0, 0, 0},
 };
 
 /* Cuts or heals one data centre in both directions. */
@@ -337,6 +191,62 @@
     }
 }
 
+/* Reads a step such as "pause 4 300": a word, then the member, the amount or
+ * both. */
+static PhStep
+step_parse(PhStr text)
+{
+    static const PhStepWord words[] = {
+        {"run", STEP_RUN, false, true},
+        {"crash", STEP_CRASH, true, false},
+        {"start", STEP_START, true, false},
+        {"leave", STEP_LEAVE, true, false},
+        {"drain", STEP_DRAIN, true, false},
+        {"pause", STEP_PAUSE, true, true},
+        {"cut", STEP_CUT, true, false},
+        {"heal", STEP_HEAL, true, false},
+        {"deaf", STEP_DEAF, true, false},
+        {"loss", STEP_LOSS, false, true},
+        {"suspect", STEP_SUSPECT, true, false},
+        {"stale", STEP_STALE, true, false},
+        {"dead", STEP_DEAD, true, false},
+    };
+    PhStep s = {0};
+    PhStr word;
+    uint64_t number = 0;
+    PhStr_Cut(PhStr_Trim(text), ' ', &word, &text);
+    for (size_t i = 0; i < G_N_ELEMENTS(words); i++) {
+        if (!PhStr_Equal(word, PhStr_FromC(words[i].word))) {
+            continue;
+        }
+        s.kind = words[i].kind;
+        if (words[i].has_who) {
+            PhStr_Cut(text, ' ', &word, &text);
+            assert_true(PhStr_ParseU64(word, &number));
+            s.who = (uint32_t)number;
+        }
+        if (words[i].has_amount) {
+            assert_true(PhStr_ParseU64(text, &number));
+            s.amount = (int)number;
+        }
+        return s;
+    }
+    fail_msg("no such step");
+    return s;
+}
+
+/* Takes the steps of a script, which commas separate. */
+static void
+run_script(PhMembersCluster *c, PhStr script)
+{
+    PhStr text;
+    while (!PhStr_IsEmpty(script)) {
+        PhStr_Cut(script, ',', &text, &script);
+        PhStep s = step_parse(text);
+        step(c, &s);
+    }
+}
+
 /* Compares a count unless the case leaves it open. */
 static void
 expect(const char *what, int expected, uint64_t seen)
@@ -358,9 +268,7 @@
                                    .encode = true});
     PhMembersCluster_StartAll(cluster);
     PhMembersCluster_Run(cluster, 3 * PH_NS_PER_S);
-    for (size_t i = 0; i < G_N_ELEMENTS(c->steps); i++) {
-        step(cluster, &c->steps[i]);
-    }
+    run_script(cluster, PhStr_FromC(c->script));
     PhMembersClusterCounts counts = PhMembersCluster_Counts(cluster);
     expect("alive", c->alive, PhMembersCluster_Seen(cluster, PH_MEMBER_ALIVE));
     expect("suspect", c->suspect,
@@ -371,6 +279,8 @@
            PhMembership_Incarnation(PhMembersCluster_Get(cluster, c->about)));
     expect("died", c->died, counts.reports[PH_MEMBERSHIP_DIED]);
     expect("returned", c->returned, counts.reports[PH_MEMBERSHIP_RETURNED]);
+    expect("suspected", c->unsuspected ? 0 : ANY,
+           counts.reports[PH_MEMBERSHIP_SUSPECTED]);
     expect("paused", c->paused, counts.reports[PH_MEMBERSHIP_PAUSED]);
     PhMembersCluster_Destroy(cluster);
 }
@@ -383,12 +293,165 @@
     Ph_RUN_TABLE(cluster_cases, check_cluster);
 }
 
+/* Who is cut off, and what member 0 of data centre 0 hears after a time. */
+typedef struct PhHearingCase {
+    const char *name;
+    bool near_cut; /* member 0 hears nobody of its data centre */
+    bool far_cut;  /* data centre 0 hears no other */
+    bool platform; /* the platform is heard once a second */
+    int after_s;
+    PhMembershipHearing expected;
+} PhHearingCase;
+
+static const PhHearingCase hearing_cases[] = {
+    {"all is heard", false, false, true, 60, {true, true, true}},
+    {"own data centre lost", true, false, true, 60, {false, true, true}},
+    {"other data centres lost", false, true, true, 60, {true, false, true}},
+    {"platform lost", false, false, false, 60, {true, true, false}},
+    {"alone", true, true, false, 60, {false, false, false}},
+    {"not yet", true, true, false, 5, {true, true, true}},
+};
+
+/* Cuts member 0 off and asks what it hears. */
+static void
+check_hearing(const PhHearingCase *c)
+{
+    PhMembersCluster *cluster = PhMembersCluster_Create(
+        &(PhMembersClusterOptions){.seed = 3,
+                                   .members = MEMBERS,
+                                   .data_centres = DATA_CENTRES,
+                                   .regions = 2});
+    PhFakeNet *net = PhMembersCluster_Net(cluster);
+    PhMembershipEvent heard = {.kind = PH_MEMBERSHIP_PLATFORM_HEARD};
+    PhMembersCluster_StartAll(cluster);
+    PhMembersCluster_Run(cluster, 3 * PH_NS_PER_S);
+    cut_set(net, 0, c->far_cut);
+    for (uint32_t i = DATA_CENTRES; i < MEMBERS; i += DATA_CENTRES) {
+        PhFakeNet_Silence(net, 0, i, c->near_cut);
+        PhFakeNet_Silence(net, i, 0, c->near_cut);
+    }
+    for (int s = 0; s < c->after_s; s++) {
+        if (c->platform) {
+            PhMembersCluster_Apply(cluster, 0, &heard);
+        }
+        PhMembersCluster_Run(cluster, PhFakeNet_Now(net) + PH_NS_PER_S);
+    }
+    PhMembershipHearing seen =
+        PhMembership_Hearing(PhMembersCluster_Get(cluster, 0));
+    assert_int_equal(seen.own_data_centre, c->expected.own_data_centre);
+    assert_int_equal(seen.other_data_centres, c->expected.other_data_centres);
+    assert_int_equal(seen.platform, c->expected.platform);
+    PhMembersCluster_Destroy(cluster);
+}
+
+/* Cut-off of each kind by itself. */
+static void
+test_hearing(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(hearing_cases, check_hearing);
+}
+
+/* A long run of random failures; `full` starts with full knowledge, without
+ * it members know one seed. */
+typedef struct PhRandomCase {
+    const char *name;
+    uint64_t seed;
+    uint32_t members;
+    int failures;
+    bool full;
+} PhRandomCase;
+
+static const PhRandomCase random_cases[] = {
+    {"from one seed, no failure", 1, 56, 0, false},
+    {"seed 1", 1, 21, 300, true},
+    {"seed 2", 2, 21, 300, false},
+    {"seed 3", 3, 21, 300, true},
+    {"seed 4", 4, 8, 300, false},
+    {"seed 5", 5, 40, 200, true},
+};
+
+/* Lets one random failure happen, or mends something. */
+static void
+fail_once(PhMembersCluster *c, const PhRandomCase *row, PhRandom *random)
+{
+    static const PhStepKind kinds[] = {
+        STEP_CRASH, STEP_START, STEP_START, STEP_LEAVE, STEP_DRAIN, STEP_PAUSE,
+        STEP_CUT,   STEP_HEAL,  STEP_HEAL,  STEP_LOSS,  STEP_RUN,   STEP_RUN,
+    };
+    PhStep s = {
+        .kind = kinds[PhRandom_Below(random, G_N_ELEMENTS(kinds))],
+        .who = (uint32_t)PhRandom_Below(random, row->members),
+        .amount = (int)PhRandom_Below(random, 20000),
+    };
+    if (s.kind == STEP_CUT || s.kind == STEP_HEAL) {
+        s.who %= DATA_CENTRES;
+    }
+    if (s.kind == STEP_LOSS) {
+        s.amount %= 10;
+    }
+    step(c, &s);
+    PhMembersCluster_Run(c,
+                         PhFakeNet_Now(PhMembersCluster_Net(c)) + PH_NS_PER_S);
+}
+
+/* Runs random failures with the invariants inside; once all is mended,
+ * everyone sees everyone alive. */
+static void
+check_random(const PhRandomCase *c)
+{
+    PhMembersCluster *cluster = PhMembersCluster_Create(
+        &(PhMembersClusterOptions){.seed = c->seed,
+                                   .members = c->members,
+                                   .data_centres = DATA_CENTRES,
+                                   .regions = 2,
+                                   .loss = 0.02});
+    PhRandom *random = PhRandom_Create(c->seed);
+    PhFakeNet *net = PhMembersCluster_Net(cluster);
+    if (c->full) {
+        PhMembersCluster_StartAll(cluster);
+    }
+    for (int i = 0; i < c->failures; i++) {
+        fail_once(cluster, c, random);
+    }
+    loss_set(net, 2);
+    for (uint32_t dc = 0; dc < DATA_CENTRES; dc++) {
+        cut_set(net, dc, false);
+    }
+    for (uint32_t i = 0; i < c->members; i++) {
+        const PhMembership *m = PhMembersCluster_Get(cluster, i);
+        PhStr id = PhMembersCluster_Id(cluster, i);
+        PhFakeNet_Pause(net, i, 0);
+        if (m == NULL || PhMembership_State(m, id) == PH_MEMBER_LEFT) {
+            PhMembersCluster_Crash(cluster, i);
+            PhMembersCluster_Start(cluster, i);
+        }
+    }
+    PhMembersCluster_Run(cluster, PhFakeNet_Now(net) + 180 * PH_NS_PER_S);
+    assert_int_equal(PhMembersCluster_Seen(cluster, PH_MEMBER_ALIVE) +
+                         PhMembersCluster_Seen(cluster, PH_MEMBER_SUSPECT),
+                     c->members * (c->members - 1));
+    assert_int_equal(PhMembersCluster_Seen(cluster, PH_MEMBER_DEAD), 0);
+    PhRandom_Destroy(random);
+    PhMembersCluster_Destroy(cluster);
+}
+
+/* Long randomised runs. */
+static void
+test_random(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(random_cases, check_random);
+}
+
 /* Runs the tests of membership. */
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_cluster),
+        cmocka_unit_test(test_hearing),
+        cmocka_unit_test(test_random),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/members/test_peers.c
+++ b/tests/members/test_peers.c
@@ -13,7 +13,6 @@
     NODES = 2,
     STEP_MS = 50,
     PUMPS = 8, /* turns of the loop in one step of the clock */
-    PAYLOADS_MAX = 8192,
 };
 
 #define OLD_KEY PhStr_LITERAL("old-key-old-key-old-key-old-key-")
@@ -268,12 +267,413 @@
     Ph_RUN_TABLE(pair_cases, check_pair);
 }
 
+/* Starts one instance that accepts the old key and knows no other. */
+static void
+start_alone(PhFixture *f, int i, PhStr seed)
+{
+    const PhStr keys[] = {OLD_KEY};
+    node_start(f, i, PhStr_LITERAL("test"), keys, 1, seed);
+}
+
+/* How one instance ends, and what the other one sees. */
+typedef struct PhEndCase {
+    const char *name;
+    bool stopped;
+    int after_ms;
+    PhMemberState seen;
+} PhEndCase;
+
+static const PhEndCase end_cases[] = {
+    {"a stop is announced", true, 1000, PH_MEMBER_LEFT},
+    {"a crash is suspected", false, 4000, PH_MEMBER_SUSPECT},
+    {"a crash is found", false, 15000, PH_MEMBER_DEAD},
+};
+
+/* Ends one of two instances. */
+static void
+check_end(const PhEndCase *c)
+{
+    PhFixture f = fixture_create();
+    PhNode *a = &f.nodes[0];
+    PhNode *b = &f.nodes[1];
+    PhStr id = PhStr_LITERAL("b");
+    start_alone(&f, 0, (PhStr){0});
+    start_alone(&f, 1, a->address);
+    run(&f, 5000);
+    assert_int_equal(sees(a, id), PH_MEMBER_ALIVE);
+    if (c->stopped) {
+        PhKernel_Stop(b->kernel, PhKernel_Lookup(b->kernel, PH_SERVICE_PEERS));
+        PhKernel_Stop(b->kernel,
+                      PhKernel_Lookup(b->kernel, PH_SERVICE_MEMBERS));
+    }
+    else {
+        node_destroy(b);
+    }
+    run(&f, c->after_ms);
+    assert_int_equal(sees(a, id), c->seen);
+    if (c->stopped) {
+        assert_int_equal(PhKernel_TaskCount(b->kernel), 1);
+    }
+    fixture_destroy(&f);
+}
+
+/* The end of an instance. */
+static void
+test_end(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(end_cases, check_end);
+}
+
+/* Connects a plain socket to an instance. */
+static int
+raw_connect(const PhNode *n)
+{
+    struct sockaddr_in to = {.sin_family = AF_INET};
+    PhStr host;
+    PhStr port;
+    uint64_t number;
+    PhStr_Cut(n->address, ':', &host, &port);
+    assert_true(PhStr_ParseU64(port, &number));
+    to.sin_port = htons((uint16_t)number);
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    assert_int_equal(connect(fd, (struct sockaddr *)&to, sizeof(to)), 0);
+    return fd;
+}
+
+/* What strangers send, on how many connections, and what is counted. */
+typedef struct PhStrangerCase {
+    const char *name;
+    PhStr bytes;
+    int connections;
+    PhCounter counter;
+    int counted;
+} PhStrangerCase;
+
+static const PhStrangerCase stranger_cases[] = {
+    {"a request of HTTP",
+     {"GET / HTTP/1.1\r\n\r\n", 18},
+     1,
+     PH_COUNTER_PEER_FRAME_TOO_LONG,
+     1},
+    {"malformed", {"\0\0\0\1\xc1", 5}, 3, PH_COUNTER_PEER_FRAME_MALFORMED, 3},
+    {"silence", {"", 0}, 1, PH_COUNTER_PEER_CLOSE_HANDSHAKE, 1},
+    {"a frame that never ends",
+     {"\0\0\1\0z", 5},
+     1,
+     PH_COUNTER_PEER_CLOSE_HANDSHAKE,
+     1},
+    {"too many at once", {"", 0}, 70, PH_COUNTER_PEER_CLOSE_LIMIT, 6},
+};
+
+/* Strangers connect; afterwards a proper peer still gets its link. */
+static void
+check_stranger(const PhStrangerCase *c)
+{
+    PhFixture f = fixture_create();
+    PhNode *a = &f.nodes[0];
+    int fds[70] = {0};
+    start_alone(&f, 0, (PhStr){0});
+    run(&f, 1000);
+    for (int i = 0; i < c->connections; i++) {
+        fds[i] = raw_connect(a);
+        assert_int_equal(send(fds[i], c->bytes.data, c->bytes.len, 0),
+                         c->bytes.len);
+        turn(&f);
+    }
+    run(&f, 8000);
+    assert_int_equal(PhCounters_Get(a->counters, c->counter), c->counted);
+    start_alone(&f, 1, a->address);
+    run(&f, 5000);
+    assert_int_equal(sees(a, PhStr_LITERAL("b")), PH_MEMBER_ALIVE);
+    for (int i = 0; i < c->connections; i++) {
+        close(fds[i]);
+    }
+    fixture_destroy(&f);
+}
+
+/* Strangers at the listener. */
+static void
+test_strangers(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(stranger_cases, check_stranger);
+}
+
+/* A peer made of a plain listening socket and sessions. */
+typedef struct PhRawPeer {
+    int listener;
+    int fd;
+    PhPeerNonces *nonces;
+    PhPeerSession *session;
+    PhBuf in;
+    PhBuf out;
+    int accepted;
+    int data;
+} PhRawPeer;
+
+/* Listens and gives the address. */
+static PhRawPeer
+raw_create(PhStr *address)
+{
+    struct sockaddr_in at = {.sin_family = AF_INET,
+                             .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t len = sizeof(at);
+    char text[32];
+    PhRawPeer raw = {.fd = -1, .nonces = PhPeerNonces_Create(8)};
+    raw.listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    assert_int_equal(bind(raw.listener, (struct sockaddr *)&at, len), 0);
+    assert_int_equal(listen(raw.listener, 8), 0);
+    getsockname(raw.listener, (struct sockaddr *)&at, &len);
+    snprintf(text, sizeof(text), "127.0.0.1:%u", ntohs(at.sin_port));
+    *address = PhStr_Dup(PhStr_FromC(text));
+    return raw;
+}
+
+/* Closes the current connection. */
+static void
+raw_close(PhRawPeer *raw)
+{
+    if (raw->fd >= 0) {
+        close(raw->fd);
+        PhPeerSession_Destroy(raw->session);
+    }
+    raw->fd = -1;
+    PhBuf_Reset(&raw->in);
+    PhBuf_Reset(&raw->out);
+}
+
+/* Releases the peer. */
+static void
+raw_destroy(PhRawPeer *raw)
+{
+    raw_close(raw);
+    close(raw->listener);
+    PhPeerNonces_Destroy(raw->nonces);
+    PhBuf_Clear(&raw->in);
+    PhBuf_Clear(&raw->out);
+}
+
+/* Takes a new connection in place of the current one. */
+static void
+raw_accept(PhRawPeer *raw)
+{
+    const PhPeerIdentity identity = {.member = PhStr_LITERAL("raw"),
+                                     .data_centre = OWN,
+                                     .deployment = PhStr_LITERAL("test"),
+                                     .version_min = PH_PEER_VERSION_MIN,
+                                     .version_max = PH_PEER_VERSION_MAX,
+                                     .keys = {OLD_KEY},
+                                     .key_count = 1};
+    int fd = accept4(raw->listener, NULL, NULL, SOCK_NONBLOCK);
+    if (fd >= 0) {
+        raw_close(raw);
+        raw->fd = fd;
+        raw->accepted++;
+        raw->session =
+            PhPeerSession_Create(&identity, PH_PEER_ACCEPTING, raw->nonces);
+    }
+}
+
+/* Reads and answers all frames. */
+static void
+raw_serve(PhRawPeer *raw)
+{
+    char bytes[4096];
+    ssize_t n;
+    PhPeerEvent e;
+    raw_accept(raw);
+    while (raw->fd >= 0 && (n = recv(raw->fd, bytes, sizeof(bytes), 0)) > 0) {
+        PhBuf_Append(&raw->in, PhStr_FromBytes(bytes, (size_t)n));
+    }
+    while (raw->fd >= 0 &&
+           (e = PhPeerSession_Next(raw->session, &raw->in, &raw->out)).kind !=
+               PH_PEER_EVENT_NONE) {
+        raw->data += e.kind == PH_PEER_EVENT_DATA;
+    }
+    if (raw->out.len > 0) {
+        ssize_t sent =
+            send(raw->fd, raw->out.data, raw->out.len, MSG_NOSIGNAL);
+        PhBuf_Consume(&raw->out, sent > 0 ? (size_t)sent : 0);
+    }
+}
+
+/* What a raw peer does after its first payload, and how many connections and
+ * silent links that makes. */
+typedef struct PhSilentCase {
+    const char *name;
+    bool silent; /* the first connection is never read again */
+    int sends;   /* one each second */
+    int accepted;
+    int replaced;
+} PhSilentCase;
+
+static const PhSilentCase silent_cases[] = {
+    {"a peer that answers pings keeps its link", false, 20, 1, 0},
+    {"a silent link is replaced", true, 20, 2, 1},
+};
+
+/* Sends to a raw peer that goes silent on its first connection. */
+static void
+check_silent(const PhSilentCase *c)
+{
+    PhFixture f = fixture_create();
+    PhStr address;
+    PhRawPeer raw = raw_create(&address);
+    int first = -1;
+    start_alone(&f, 0, (PhStr){0});
+    for (int t = 0; t < c->sends * 1000; t += STEP_MS) {
+        if (t % 1000 == 0) {
+            send_payload(&f.nodes[0], PhStr_LITERAL("raw"), address, OWN);
+        }
+        if (c->silent && raw.accepted == 1 && raw.data > 0 && first < 0) {
+            /* Still open, and never looked at again. */
+            first = dup(raw.fd);
+            raw_close(&raw);
+        }
+        run(&f, STEP_MS);
+        raw_serve(&raw);
+    }
+    assert_int_equal(raw.accepted, c->accepted);
+    assert_true(raw.data >= c->sends / 2);
+    assert_int_equal(
+        PhCounters_Get(f.nodes[0].counters, PH_COUNTER_PEER_CLOSE_SILENT),
+        c->replaced);
+    if (first >= 0) {
+        close(first);
+    }
+    raw_destroy(&raw);
+    PhStr_Clear(&address);
+    fixture_destroy(&f);
+}
+
+/* Links that go silent for good. */
+static void
+test_silent(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(silent_cases, check_silent);
+}
+
+/* Payloads that are not sent, and what counts them. */
+typedef struct PhRefusedCase {
+    const char *name;
+    PhStr member;
+    bool to_raw;  /* to a listener that never answers */
+    bool to_shut; /* to a port where nobody listens */
+    int bytes;
+    int sends;
+    PhCounter counter;
+    int counted;
+} PhRefusedCase;
+
+static const PhRefusedCase refused_cases[] = {
+    {"no address is known",
+     {"x", 1},
+     false,
+     false,
+     1,
+     1,
+     PH_COUNTER_PEER_SEND_NO_ADDRESS,
+     1},
+    {"payload too large",
+     {"x", 1},
+     true,
+     false,
+     PH_PEERS_PAYLOAD_MAX_BYTES + 1,
+     1,
+     PH_COUNTER_PEER_SEND_TOO_LARGE,
+     1},
+    {"more than may wait for a link",
+     {"x", 1},
+     true,
+     false,
+     1,
+     70,
+     PH_COUNTER_PEER_SEND_QUEUE_FULL,
+     6},
+    {"nobody listens, then back-off",
+     {"x", 1},
+     false,
+     true,
+     1,
+     8,
+     PH_COUNTER_PEER_SEND_BACK_OFF,
+     7},
+};
+
+/* Sends what cannot be sent. */
+static void
+check_refused(const PhRefusedCase *c)
+{
+    static char bytes[PH_PEERS_PAYLOAD_MAX_BYTES + 1];
+    PhFixture f = fixture_create();
+    PhStr address;
+    PhRawPeer raw = raw_create(&address);
+    start_alone(&f, 0, (PhStr){0});
+    run(&f, 1000);
+    if (c->to_shut) {
+        close(raw.listener);
+        raw.listener = -1;
+    }
+    for (int i = 0; i < c->sends; i++) {
+        send_payload(&f.nodes[0], c->member,
+                     c->to_raw || c->to_shut ? address : (PhStr){0},
+                     PhStr_FromBytes(bytes, (size_t)c->bytes));
+        turn(&f);
+    }
+    assert_int_equal(PhCounters_Get(f.nodes[0].counters, c->counter),
+                     c->counted);
+    raw_destroy(&raw);
+    PhStr_Clear(&address);
+    fixture_destroy(&f);
+}
+
+/* Bounds of the sending side. */
+static void
+test_refused(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(refused_cases, check_refused);
+}
+
+/* A peer that stops reading, and what its sender holds at most. */
+static void
+test_slow_reader(void **state)
+{
+    static char bytes[PH_PEERS_PAYLOAD_MAX_BYTES];
+    PhFixture f = fixture_create();
+    PhStr address;
+    PhRawPeer raw = raw_create(&address);
+    (void)state;
+    start_alone(&f, 0, (PhStr){0});
+    send_payload(&f.nodes[0], PhStr_LITERAL("raw"), address, OWN);
+    for (int i = 0; i < 10 && raw.data == 0; i++) {
+        turn(&f);
+        raw_serve(&raw);
+    }
+    assert_int_equal(raw.data, 1);
+    for (int i = 0; i < 1000; i++) {
+        send_payload(&f.nodes[0], PhStr_LITERAL("raw"), address,
+                     PhStr_FromBytes(bytes, sizeof(bytes)));
+        turn(&f);
+    }
+    assert_true(PhCounters_Get(f.nodes[0].counters,
+                               PH_COUNTER_PEER_SEND_QUEUE_FULL) > 0);
+    raw_destroy(&raw);
+    PhStr_Clear(&address);
+    fixture_destroy(&f);
+}
+
 /* Runs the tests of the links. */
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(test_pair),
+        cmocka_unit_test(test_pair),      cmocka_unit_test(test_end),
+        cmocka_unit_test(test_strangers), cmocka_unit_test(test_silent),
+        cmocka_unit_test(test_refused),   cmocka_unit_test(test_slow_reader),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
