--- a/bench/members_cluster.c
+++ b/bench/members_cluster.c
@@ -204,9 +204,11 @@
 /* Sends a message through the encoding and the frames, as the receiver
  * decodes it, and counts what that costs on the wire: the frame in a packet,
  * and a packet that acknowledges it. */
-static PhMemberMessage
-message_carry(PhMembersCluster *c, const PhMemberMessage *message)
+PhMemberMessage
+PhMembersCluster_Carry(PhMembersCluster *cluster,
+                       const PhMemberMessage *message)
 {
+    PhMembersCluster *c = cluster;
     PhBuf payload = {0};
     PhBuf frame = {0};
     PhBuf none = {0};
@@ -253,7 +255,7 @@
     c->counts.messages++;
     if (c->options.encode) {
         link_use(c, from, to);
-        *body = message_carry(c, &a->as.send.message);
+        *body = PhMembersCluster_Carry(c, &a->as.send.message);
     }
     else {
         *body = a->as.send.message;
@@ -414,6 +416,13 @@
     return cluster->members[member].id;
 }
 
+/* Gives the number of the member with this id. */
+uint32_t
+PhMembersCluster_Index(const PhMembersCluster *cluster, PhStr id)
+{
+    return GPOINTER_TO_UINT(g_hash_table_lookup(cluster->by_id, &id)) - 1;
+}
+
 /* Counts how often a running member sees another one in this state. */
 size_t
 PhMembersCluster_Seen(const PhMembersCluster *cluster, PhMemberState state)
--- a/commands/bench.c
+++ b/commands/bench.c
@@ -14,6 +14,7 @@
 
 /* Sorted by name for the binary search. */
 static const PhBenchEntry benches[] = {
+    {"control", "configuration and membership", PhBench_Control},
     {"kernel", "cost of one message between tasks", PhBench_Kernel},
 };
 
--- a/include/peridothill/bench/bench.h
+++ b/include/peridothill/bench/bench.h
@@ -25,6 +25,12 @@
 
 /* The benches, in the order of their names in bench/list.c. */
 PhResult
+PhBench_Control(const PhBenchOptions *options);
+PhResult
 PhBench_Kernel(const PhBenchOptions *options);
 
+/* Parts of the bench "control". */
+PhResult
+PhBench_ControlMembers(const PhBenchOptions *options);
+
 #endif
--- a/include/peridothill/bench/members_cluster.h
+++ b/include/peridothill/bench/members_cluster.h
@@ -54,12 +54,20 @@
 void
 PhMembersCluster_Apply(PhMembersCluster *cluster, uint32_t member,
                        const PhMembershipEvent *event);
+/* Sends a message through the encoding and the frames, and counts its bytes;
+ * gives the message as the receiver decodes it. */
+PhMemberMessage
+PhMembersCluster_Carry(PhMembersCluster *cluster,
+                       const PhMemberMessage *message);
 /* Runs until a time. */
 void
 PhMembersCluster_Run(PhMembersCluster *cluster, PhTime until);
 /* NULL when the member does not run. */
 PhMembership *
 PhMembersCluster_Get(const PhMembersCluster *cluster, uint32_t member);
+/* The number of the member with this id. */
+uint32_t
+PhMembersCluster_Index(const PhMembersCluster *cluster, PhStr id);
 PhStr
 PhMembersCluster_Id(const PhMembersCluster *cluster, uint32_t member);
 /* Counts pairs of members (a, b) where a runs and sees b in this state. */
