members: push news at once and keep the latest in front

Cause: at 400 members news waited behind a backlog, since each record went to the end of the queue after one send, and a sync made news of every record in it; digests then differed for long and whole tables were fetched again. Change: the latest news stays in front; records of unknown members in a sync are no news; a change is pushed at once to two members of the own and two of other data centres, at most every 500 ms.

--- a/decide/members/members_send.c
+++ b/decide/members/members_send.c
@@ -35,19 +35,17 @@
     message->records[message->record_count++] = PhMember_Copy(record);
 }
 
-/* Takes one send off an entry's news; the entry goes behind the others. */
+/* Takes one send off an entry's news.  The latest news stays in front, so that
+ * a backlog does not delay it. */
 static void
 news_taken(PhMembership *m, GList *link)
 {
     PhEntry *e = link->data;
-    g_queue_unlink(&m->news, link);
     e->sends--;
     if (e->sends == 0) {
         e->fresh = false;
-        g_list_free_1(link);
-        return;
+        g_queue_delete_link(&m->news, link);
     }
-    g_queue_push_tail_link(&m->news, link);
 }
 
 /* Adds news to a message.  What is thought of the receiver goes along
@@ -141,3 +139,27 @@
     tell_leave(m, m->near, LEAVE_TOLD);
     tell_leave(m, m->far, LEAVE_TOLD / 2);
 }
+
+/* Sends news to some live members of an order, from a random place on. */
+static void
+push_news(PhMembership *m, GPtrArray *order, guint most)
+{
+    guint sent = 0;
+    guint start =
+        order->len == 0 ? 0 : (guint)PhRandom_Below(m->random, order->len);
+    for (guint i = 0; i < order->len && sent < most; i++) {
+        PhEntry *to = g_ptr_array_index(order, (start + i) % order->len);
+        if (to->member.state == PH_MEMBER_ALIVE) {
+            PhMembers_Send(m, to, (PhMemberMessage){.kind = PH_MEMBER_NEWS});
+            sent++;
+        }
+    }
+}
+
+/* Sends the latest news to a few members without waiting for a probe. */
+void
+PhMembers_PushNews(PhMembership *m)
+{
+    push_news(m, m->near, PUSHED_NEAR);
+    push_news(m, m->far, PUSHED_FAR);
+}
--- a/decide/members/members_table.c
+++ b/decide/members/members_table.c
@@ -90,7 +90,8 @@
     }
 }
 
-/* Adds a member as its first record tells. */
+/* Adds a member as its first record tells.  One learned from a sync is no
+ * news: whoever sent it knows, and the others find out by their digests. */
 PhEntry *
 PhEntry_Add(PhMembership *m, const PhMember *record)
 {
@@ -105,7 +106,9 @@
     digest_update(m, e);
     count_known(m, e, 1);
     entry_place(m, e);
-    PhEntry_Spread(m, e);
+    if (!m->syncing) {
+        PhEntry_Spread(m, e);
+    }
     m->changed = true;
     return e;
 }
@@ -146,6 +149,7 @@
     }
     e->fresh = true;
     g_queue_push_head(&m->news, e);
+    m->push_wanted = true;
 }
 
 /* Forgets members that are dead or left for longer than they are kept. */
--- a/decide/members/membership.c
+++ b/decide/members/membership.c
@@ -7,6 +7,10 @@
  * news normally reaches everyone. */
 #define DIFFER_LIMIT (10 * PH_NS_PER_S)
 
+/* Pushes of news are at least so far apart; what comes up meanwhile goes
+ * together. */
+#define PUSH_INTERVAL (500 * PH_NS_PER_MS)
+
 enum {
     REACH_TRIES = 8, /* draws until one is worth a contact */
 };
@@ -207,6 +211,11 @@
     if (m->now >= m->reach_due) {
         reach_out(m);
     }
+    if (m->push_wanted && m->now >= m->push_due) {
+        m->push_wanted = false;
+        m->push_due = m->now + PUSH_INTERVAL;
+        PhMembers_PushNews(m);
+    }
 }
 
 /* Notes that a member was heard; one that is thought dead or left, or is not
@@ -271,9 +280,11 @@
 static void
 take_message(PhMembership *m, PhStr from, const PhMemberMessage *message)
 {
+    m->syncing = message->kind == PH_MEMBER_SYNC;
     for (size_t i = 0; i < message->record_count; i++) {
         PhMembers_MergeRecord(m, &message->records[i]);
     }
+    m->syncing = false;
     PhEntry *e = note_sender(m, from, message->kind);
     if (e == NULL) {
         return;
@@ -399,6 +410,9 @@
 next_due(const PhMembership *m)
 {
     PhTime at = MIN(m->probe_due, m->reach_due);
+    if (m->push_wanted) {
+        at = MIN(at, m->push_due);
+    }
     for (guint i = 0; i < m->probes->len; i++) {
         at = MIN(at, g_array_index(m->probes, PhProbe, i).deadline);
     }
--- a/decide/members/state.h
+++ b/decide/members/state.h
@@ -10,7 +10,9 @@
     NEWS_SENDS_PER_LOG2 = 3,
     HELPERS = 3,         /* members asked for an indirect probe */
     FAR_PROBE_EVERY = 5, /* of so many probes one goes to other data centres */
-    LEAVE_TOLD = 8,      /* members that a leaving one tells itself */
+    PUSHED_NEAR = 2,     /* members that new news is pushed to at once */
+    PUSHED_FAR = 2,
+    LEAVE_TOLD = 8, /* members that a leaving one tells itself */
 };
 
 /* A known member. */
@@ -67,6 +69,9 @@
     PhTime differs_since; /* of digests heard; 0 while they agree */
     PhTime probe_due;
     PhTime reach_due;
+    PhTime push_due;  /* news is pushed not before */
+    bool push_wanted; /* there is news to push */
+    bool syncing;     /* records of a sync are taken */
     PhTime wake;
     PhTime near_heard;
     PhTime far_heard;
@@ -112,6 +117,9 @@
 PhMembers_SendSync(PhMembership *m, PhEntry *to);
 void
 PhMembers_TellLeave(PhMembership *m);
+/* Sends the latest news to a few members without waiting for a probe. */
+void
+PhMembers_PushNews(PhMembership *m);
 
 /* members_record.c */
 void
