demo: show both deployments end to end under faults

Cause: the parts need one path from callers, operators and the platform through separate instances, with the promises checked from outside. Change: an instance assembles its services and serves from its settings file; the demonstration runs stand-ins, three instances and six workers on loopback, carries out a table of faults, and prints a verdict for each promise.

--- a/commands/main.c
+++ b/commands/main.c
@@ -8,7 +8,9 @@
 static const PhCommand commands[] = {
     {"bench", "measure decisions and services", PhCommand_Bench},
     {"check", "check a settings file", PhCommand_Check},
+    {"demo", "show both deployments under faults", PhCommand_Demo},
     {"patch", "change the configuration", PhCommand_Patch},
+    {"serve", "run an entry instance", PhCommand_Serve},
     {"standin", "run stand-ins of the platform", PhCommand_Standin},
     {"status", "show an instance and its peers", PhCommand_Status},
     {"version", "print the version", PhCommand_Version},
--- /dev/null
+++ b/commands/serve.c
@@ -0,0 +1,203 @@
+#include <ev.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+
+#include "peridothill/commands.h"
+#include "peridothill/services/instance.h"
+#include "peridothill/services/peers.h"
+
+/* What a running instance needs besides its kernel. */
+typedef struct PhServe {
+    PhSettings settings;
+    PhStr keys[2];
+    size_t key_count;
+    struct ev_loop *loop;
+    PhKernel *kernel;
+    ev_signal terminate;
+    ev_signal interrupt;
+} PhServe;
+
+/* Reads a whole file that a setting names; an empty name reads nothing. */
+static PhResult
+read_secret(PhStr path, PhStr *text)
+{
+    if (path.len == 0) {
+        return PhResult_Ok();
+    }
+    char *path_c = PhStr_ToC(path);
+    char *data = NULL;
+    gsize len = 0;
+    GError *error = NULL;
+    gboolean read = g_file_get_contents(path_c, &data, &len, &error);
+    g_free(path_c);
+    if (!read) {
+        PhResult r = PhResult_Make(PH_STATUS_IO, "%s", error->message);
+        g_error_free(error);
+        return r;
+    }
+    *text = PhStr_FromBytes(data, len);
+    return PhResult_Ok();
+}
+
+/* Adds the key of a file, if a file is named. */
+static PhResult
+add_key(PhServe *s, PhStr path)
+{
+    PhStr text = {0};
+    PhResult r = read_secret(path, &text);
+    if (!PhResult_IsOk(&r) || text.len == 0) {
+        return r;
+    }
+    r = PhPeersKey_Parse(text, &s->keys[s->key_count]);
+    if (PhResult_IsOk(&r)) {
+        s->key_count++;
+    }
+    PhStr_Clear(&text);
+    return r;
+}
+
+/* Reads the settings and the files that they name. */
+static PhResult
+serve_load(PhServe *s, const char *path)
+{
+    PhBuf errors = {0};
+    PhResult r = PhSettings_Load(PhStr_FromC(path), &s->settings, &errors);
+    fwrite(errors.data, 1, errors.len, stderr);
+    PhBuf_Clear(&errors);
+    if (PhResult_IsOk(&r)) {
+        r = add_key(s, s->settings.peers.key_file);
+    }
+    if (PhResult_IsOk(&r)) {
+        r = add_key(s, s->settings.peers.previous_key_file);
+    }
+    return r;
+}
+
+/* Begins the graceful stop; a second signal changes nothing. */
+static void
+on_signal(struct ev_loop *loop, ev_signal *watcher, int revents)
+{
+    PhServe *s = watcher->data;
+    (void)loop;
+    (void)revents;
+    PhInstance_Stop(s->kernel);
+}
+
+/* Leaves the loop once every service has ended. */
+static void
+on_stopped(void *context)
+{
+    PhServe *s = context;
+    ev_break(s->loop, EVBREAK_ALL);
+}
+
+/* Catches the signals that ask for a stop. */
+static void
+watch_signals(PhServe *s)
+{
+    signal(SIGPIPE, SIG_IGN);
+    ev_signal_init(&s->terminate, on_signal, SIGTERM);
+    ev_signal_init(&s->interrupt, on_signal, SIGINT);
+    s->terminate.data = s;
+    s->interrupt.data = s;
+    ev_signal_start(s->loop, &s->terminate);
+    ev_signal_start(s->loop, &s->interrupt);
+}
+
+/* Writes the event that tells where the instance listens. */
+static void
+log_started(PhLog *log, const PhClock *clock, const PhSettings *settings,
+            const PhInstancePorts *ports)
+{
+    PhLog_EMIT(log, PH_EVENT_PROCESS_STARTED, PH_SERVICE_SUPERVISOR,
+               PhClock_Now(clock), PhField_STR("id", settings->instance.id),
+               PhField_U64("callers_port", ports->callers),
+               PhField_U64("operators_port", ports->operators),
+               PhField_U64("peers_port", ports->peers));
+}
+
+/* Runs the instance until it has stopped. */
+static PhResult
+serve_run(PhServe *s)
+{
+    PhClock *clock = PhClock_Create(PH_CLOCK_REAL);
+    PhCounters *counters = PhCounters_Create();
+    PhLog *log =
+        PhLog_Create(stderr, s->settings.log.format, s->settings.log.level);
+    s->loop = ev_loop_new(EVFLAG_AUTO);
+    s->kernel = PhKernel_Create(&(PhKernelOptions){
+        .clock = clock, .loop = s->loop, .log = log, .counters = counters});
+    PhInstanceOptions options = {
+        .settings = &s->settings,
+        .keys = s->keys,
+        .key_count = s->key_count,
+        .incarnation = (uint64_t)(PhClock_Wall(clock) / PH_NS_PER_MS),
+        .supervisor = {.drain_limit = s->settings.limits.drain_limit,
+                       .context = s,
+                       .on_stopped = on_stopped}};
+    randombytes_buf(&options.seed, sizeof(options.seed));
+    PhInstancePorts ports = {0};
+    PhResult r = PhInstance_Start(s->kernel, &options, &ports);
+    if (PhResult_IsOk(&r)) {
+        log_started(log, clock, &s->settings, &ports);
+        watch_signals(s);
+        ev_run(s->loop, 0);
+    }
+    PhKernel_Destroy(s->kernel);
+    ev_loop_destroy(s->loop);
+    PhLog_Destroy(log);
+    PhCounters_Destroy(counters);
+    PhClock_Destroy(clock);
+    return r;
+}
+
+/* Loads, runs and releases an instance. */
+static int
+serve_file(const char *path)
+{
+    PhServe s = {0};
+    PhResult r = serve_load(&s, path);
+    if (PhResult_IsOk(&r)) {
+        r = serve_run(&s);
+    }
+    if (!PhResult_IsOk(&r)) {
+        fprintf(stderr, "peridothill serve: %s: %.*s\n",
+                PhStatus_Name(r.status), PhStr_ARG(PhResult_Message(&r)));
+    }
+    for (size_t i = 0; i < s.key_count; i++) {
+        PhStr_Clear(&s.keys[i]);
+    }
+    PhSettings_Clear(&s.settings);
+    return PhResult_IsOk(&r) ? PH_EXIT_DONE : PH_EXIT_FAILED;
+}
+
+/* Runs an entry instance from its settings file. */
+int
+PhCommand_Serve(int argc, char **argv)
+{
+    GOptionEntry entries[] = {{NULL}};
+    GOptionContext *context = g_option_context_new("FILE");
+    g_option_context_set_summary(
+        context, "Runs an entry instance with the settings in FILE until "
+                 "SIGTERM stops it gracefully.");
+    g_option_context_add_main_entries(context, entries, NULL);
+    GError *error = NULL;
+    int code = PH_EXIT_USAGE;
+    if (!g_option_context_parse(context, &argc, &argv, &error)) {
+        fprintf(stderr, "peridothill serve: %s\n", error->message);
+        g_error_free(error);
+    }
+    else if (argc != 2) {
+        fprintf(stderr, "peridothill serve: FILE is needed; see --help\n");
+    }
+    else if (sodium_init() < 0) {
+        fprintf(stderr, "peridothill serve: libsodium does not start\n");
+        code = PH_EXIT_FAILED;
+    }
+    else {
+        code = serve_file(argv[1]);
+    }
+    g_option_context_free(context);
+    return code;
+}
--- /dev/null
+++ b/demo/demo.c
@@ -0,0 +1,181 @@
+#include "peridothill/demo/demo.h"
+
+#include <inttypes.h>
+#include <signal.h>
+
+#include "peridothill/demo/script.h"
+#include "peridothill/services/http.h"
+
+static const PhDeployment deployments[] = {
+    {.name = "acceptance",
+     .data_centres = {"bacolod", "silay"},
+     .service = "booking",
+     .slots = 8,
+     .cpu_milli = 64000,
+     .memory_mb = 250000,
+     .accelerators = 2,
+     .service_mean = 8 * PH_NS_PER_MS},
+    {.name = "order-scheduling",
+     .data_centres = {"windhoek-a", "okahandja"},
+     .service = "booking",
+     .slots = 8,
+     .cpu_milli = 16000,
+     .memory_mb = 60000,
+     .accelerators = 0,
+     .service_mean = 12 * PH_NS_PER_MS},
+};
+
+#define FIRST_PATCH                                                           \
+    "[{\"set\":\"teams.counter.share\",\"value\":\"3\"},"                     \
+    "{\"set\":\"teams.night.share\",\"value\":\"1\"},"                        \
+    "{\"set\":\"services.booking.prefix\",\"value\":\"/booking\"},"           \
+    "{\"set\":\"services.booking.class\",\"value\":\"latency-critical\"},"    \
+    "{\"set\":\"services.booking.team\",\"value\":\"counter\"},"              \
+    "{\"set\":\"services.booking.deadline_ms\",\"value\":\"2000\"}]"
+#define DEADLINE_PATCH(MS)                                                    \
+    "[{\"set\":\"services.booking.deadline_ms\",\"value\":\"" MS "\"}]"
+
+static const PhStep steps[] = {
+    {1200, PH_STEP_PATCH, "first patch", {.patch = FIRST_PATCH}},
+    {3000,
+     PH_STEP_PACE,
+     "callers arrive, 250 a second",
+     {.interval = 4 * PH_NS_PER_MS}},
+    {3200, PH_STEP_JOB, "a batch job of 12 tasks", {.tasks = 12}},
+    {4000,
+     PH_STEP_WORKER_FAULT,
+     "worker 1 falls silent",
+     {.fault = {1, PH_STANDIN_SILENT}}},
+    {6000,
+     PH_STEP_WORKER_FAULT,
+     "worker 1 is well again",
+     {.fault = {1, PH_STANDIN_HEALTHY}}},
+    {6500,
+     PH_STEP_WORKER_FAULT,
+     "worker 2 runs requests, then cuts them off",
+     {.fault = {2, PH_STANDIN_CUTS}}},
+    {7500,
+     PH_STEP_WORKER_FAULT,
+     "worker 2 fails everything at once",
+     {.fault = {2, PH_STANDIN_FAILS_FAST}}},
+    {8500,
+     PH_STEP_WORKER_FAULT,
+     "worker 2 is well again",
+     {.fault = {2, PH_STANDIN_HEALTHY}}},
+    {9000, PH_STEP_LOG_OUTAGE, "the platform's log is down", {.on = true}},
+    {9200,
+     PH_STEP_PATCH,
+     "a patch during the outage",
+     {.patch = DEADLINE_PATCH("1900")}},
+    {10500, PH_STEP_LOG_OUTAGE, "the log is back", {.on = false}},
+    {11000,
+     PH_STEP_LOG_LOSES_ANSWERS,
+     "the log loses its answers",
+     {.on = true}},
+    {11200,
+     PH_STEP_PATCH,
+     "a patch whose answer is lost",
+     {.patch = DEADLINE_PATCH("1800")}},
+    {12200, PH_STEP_LOG_LOSES_ANSWERS, "the log answers again", {.on = false}},
+    {13000, PH_STEP_INSTANCE_KILL, "instance 0 dies", {.index = 0}},
+    {13500,
+     PH_STEP_INSTANCE_START,
+     "a replacement for instance 0",
+     {.index = 0}},
+    {14500, PH_STEP_WORKER_LEAVES, "worker 3 is leaving", {.index = 3}},
+    {15000,
+     PH_STEP_INSTANCE_STOP,
+     "instance 1 stops gracefully",
+     {.index = 1}},
+    {18500,
+     PH_STEP_INSTANCE_START,
+     "a replacement for instance 1",
+     {.index = 1}},
+    {19000,
+     PH_STEP_PATCH,
+     "one more patch",
+     {.patch = DEADLINE_PATCH("2100")}},
+    {19500,
+     PH_STEP_PACE,
+     "a flood, 1,000 callers a second",
+     {.interval = 1 * PH_NS_PER_MS}},
+    {21000, PH_STEP_PACE, "callers go", {.interval = 0}},
+    {24000, PH_STEP_CHECK_CONFIG, "every instance has the last version", {0}},
+    {24500, PH_STEP_JOBS_DONE, "what became of the job", {0}},
+    {26000, PH_STEP_END, "end", {0}},
+};
+
+/* Leaves the loop at the end of the script. */
+static void
+on_end(void *context)
+{
+    ev_break(context, EVBREAK_ALL);
+}
+
+/* Prints what the callers saw. */
+static void
+print_counts(const PhLoad *load, FILE *out)
+{
+    PhLoadCounts c = PhLoad_Counts(load);
+    fprintf(out,
+            "callers: sent=%" PRIu64 " answered=%" PRIu64 " not_run=%" PRIu64
+            " unknown=%" PRIu64 " lost=%" PRIu64 " in_flight=%zu\n",
+            c.sent, c.answered, c.not_run, c.unknown, c.lost,
+            PhLoad_InFlight(load));
+}
+
+/* Shows one deployment. */
+static bool
+run_deployment(const PhDeployment *deployment, uint64_t seed,
+               PhVerdicts *verdicts, FILE *out)
+{
+    struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+    PhClock *clock = PhClock_Create(PH_CLOCK_REAL);
+    PhCounters *counters = PhCounters_Create();
+    PhWorld *world = PhWorld_Create(deployment, loop, clock, seed);
+    PhKernel *kernel = PhKernel_Create(&(PhKernelOptions){
+        .clock = clock, .loop = loop, .counters = counters});
+    fprintf(out,
+            "deployment %s: 3 entry instances in 2 data centres, 6 "
+            "workers\n",
+            deployment->name);
+    PhResult r = PhWorld_Start(world);
+    if (PhResult_IsOk(&r)) {
+        PhHttp_Start(kernel);
+        PhLoad *load = PhLoad_Start(kernel, world, verdicts);
+        PhScriptOptions options = {.world = world,
+                                   .load = load,
+                                   .verdicts = verdicts,
+                                   .steps = steps,
+                                   .out = out,
+                                   .context = loop,
+                                   .on_end = on_end};
+        PhScript_Start(kernel, &options);
+        ev_run(loop, 0);
+        print_counts(load, out);
+    }
+    else {
+        fprintf(out, "cannot start: %.*s\n", PhStr_ARG(PhResult_Message(&r)));
+    }
+    PhKernel_Destroy(kernel);
+    PhWorld_Destroy(world);
+    PhCounters_Destroy(counters);
+    PhClock_Destroy(clock);
+    ev_loop_destroy(loop);
+    return PhResult_IsOk(&r);
+}
+
+/* Shows both deployments and prints the verdicts. */
+bool
+PhDemo_Run(uint64_t seed, FILE *out)
+{
+    PhVerdicts *verdicts = PhVerdicts_Create(out);
+    bool started = true;
+    signal(SIGPIPE, SIG_IGN);
+    for (size_t i = 0; i < G_N_ELEMENTS(deployments) && started; i++) {
+        started = run_deployment(&deployments[i], seed + i, verdicts, out);
+    }
+    bool held = PhVerdicts_Print(verdicts, out);
+    PhVerdicts_Destroy(verdicts);
+    return started && held;
+}
--- /dev/null
+++ b/demo/load.c
@@ -0,0 +1,327 @@
+#include "peridothill/demo/load.h"
+
+#include <inttypes.h>
+
+#include "peridothill/codec/json.h"
+#include "peridothill/services/http.h"
+#include "peridothill/services/interface.h"
+
+enum {
+    MAILBOX_CAPACITY = 4096,
+    TICK_TIMER = 1,
+    ANSWER_LIMIT_BYTES = 64 * 1024,
+    STATUS_OK = 200,
+    /* Every this many requests one is a charge, which must not run twice. */
+    CHARGE_EVERY = 3,
+};
+
+static const PhTime CALLER_DEADLINE = 5 * PH_NS_PER_S;
+
+/* A caller's request, kept to the end to compare it with the runs. */
+typedef struct PhCallerRequest {
+    uint64_t id;
+    PhStr key; /* sent as X-Request-Id, and for a charge as Idempotency-Key */
+    bool charge;
+    bool open;
+    bool repeated; /* asked again elsewhere after an unknown outcome */
+    bool may_have_run;
+    int instance;
+    bool killed; /* its instance was ended at once */
+} PhCallerRequest;
+
+struct PhLoad {
+    PhTask *self;
+    PhWorld *world;
+    PhVerdicts *verdicts;
+    PhTime interval;
+    GPtrArray *requests; /* PhCallerRequest by id */
+    size_t in_flight;
+    int next_instance;
+    PhLoadCounts counts;
+};
+
+/* Releases a request. */
+static void
+request_destroy(gpointer value)
+{
+    PhCallerRequest *r = value;
+    PhStr_Clear(&r->key);
+    g_free(r);
+}
+
+/* Picks the next instance that the balancer would use, or -1. */
+static int
+pick_instance(PhLoad *l)
+{
+    for (int i = 0; i < PH_WORLD_INSTANCES; i++) {
+        int index = (l->next_instance + i) % PH_WORLD_INSTANCES;
+        if (PhWorld_InstanceTakesWork(l->world, index)) {
+            l->next_instance = index + 1;
+            return index;
+        }
+    }
+    return -1;
+}
+
+/* Sends a request to an instance. */
+static void
+request_send(PhLoad *l, PhCallerRequest *r, int instance)
+{
+    r->instance = instance;
+    r->killed = false;
+    r->open = true;
+    l->in_flight++;
+    PhHttpMessage m = {
+        .tag = PH_HTTP_SEND,
+        .as.send = {
+            .id = r->id,
+            .method = PhStr_Dup(r->charge ? PhStr_LITERAL("POST")
+                                          : PhStr_LITERAL("GET")),
+            .address = PhStr_Dup(PhWorld_CallersAddress(l->world, instance)),
+            .target = PhStr_Dup(r->charge ? PhStr_LITERAL("/booking/charge")
+                                          : PhStr_LITERAL("/booking/quote")),
+            .deadline = PhTask_Now(l->self) + CALLER_DEADLINE,
+            .first_byte = PH_TIME_NEVER,
+            .answer_limit_bytes = ANSWER_LIMIT_BYTES,
+            .fresh_connection = true}};
+    PhHttpRequest *send = &m.as.send;
+    PhHttpHeader_Add(&send->headers, &send->header_count,
+                     PhStr_LITERAL("X-Request-Id"), r->key);
+    if (r->charge) {
+        PhHttpHeader_Add(&send->headers, &send->header_count,
+                         PhStr_LITERAL("Idempotency-Key"), r->key);
+        send->body = PhStr_Dup(PhStr_LITERAL("{\"seats\":2}"));
+    }
+    PhTask_SendTo(l->self, PH_SERVICE_HTTP, PhHttpMessage_Wrap(&m));
+}
+
+/* Makes a new request and sends it. */
+static void
+request_create(PhLoad *l)
+{
+    int instance = pick_instance(l);
+    if (instance < 0) {
+        return;
+    }
+    PhCallerRequest *r = g_new0(PhCallerRequest, 1);
+    PhBuf key = {0};
+    r->id = l->requests->len;
+    r->charge = r->id % CHARGE_EVERY == 0;
+    PhBuf_AppendFormat(&key, "request-%" PRIu64, r->id);
+    r->key = PhBuf_Take(&key);
+    g_ptr_array_add(l->requests, r);
+    l->counts.sent++;
+    request_send(l, r, instance);
+}
+
+/* Counts over all workers how often a request ran. */
+static uint64_t
+runs_of(PhLoad *l, PhStr key)
+{
+    uint64_t runs = 0;
+    for (int i = 0; i < PH_WORLD_WORKERS; i++) {
+        const PhStandinWorkerState *w = PhWorld_Worker(l->world, i);
+        runs += GPOINTER_TO_SIZE(g_hash_table_lookup(w->runs, &key));
+    }
+    return runs;
+}
+
+/* Checks that an answer is the whole one to its own request. */
+static void
+check_answer(PhLoad *l, const PhCallerRequest *r, PhStr body)
+{
+    json_t *root;
+    PhResult parsed = PhJson_Parse(body, &root);
+    bool whole = PhResult_IsOk(&parsed);
+    if (whole) {
+        whole = PhStr_Equal(PhJson_GetStr(root, "id"), r->key) &&
+                json_is_object(json_object_get(root, "body")) == r->charge;
+        json_decref(root);
+    }
+    PhVerdicts_Check(l->verdicts, PH_INVARIANT_WHOLE_ANSWER, whole, r->key);
+}
+
+/* Asks again at another instance, as a caller does that does not know. */
+static void
+repeat(PhLoad *l, PhCallerRequest *r)
+{
+    int instance = pick_instance(l);
+    if (r->charge && !r->repeated && instance >= 0) {
+        r->repeated = true;
+        request_send(l, r, instance);
+    }
+}
+
+/* Takes a refusal, which says what became of the request. */
+static void
+on_refused(PhLoad *l, PhCallerRequest *r, PhStr outcome)
+{
+    if (PhStr_Equal(outcome, PhStr_LITERAL("not-run"))) {
+        l->counts.not_run++;
+        if (!r->may_have_run) {
+            PhVerdicts_Check(l->verdicts, PH_INVARIANT_NOT_RUN,
+                             runs_of(l, r->key) == 0, r->key);
+        }
+        return;
+    }
+    l->counts.unknown++;
+    r->may_have_run = true;
+    repeat(l, r);
+}
+
+/* Takes the end of a request that brought no answer. */
+static void
+on_lost(PhLoad *l, PhCallerRequest *r, PhHttpOutcome outcome)
+{
+    PhVerdicts_Check(l->verdicts, PH_INVARIANT_GRACEFUL_STOP, r->killed,
+                     r->key);
+    l->counts.lost++;
+    r->may_have_run |= outcome == PH_HTTP_UNKNOWN;
+    repeat(l, r);
+}
+
+/* Takes the reply to a request. */
+static void
+on_reply(PhLoad *l, const PhHttpReply *reply)
+{
+    PhCallerRequest *r = g_ptr_array_index(l->requests, reply->id);
+    PhStr outcome = PhHttpHeader_Find(reply->headers, reply->header_count,
+                                      PhStr_LITERAL("Peridothill-Outcome"));
+    r->open = false;
+    l->in_flight--;
+    if (reply->outcome != PH_HTTP_ANSWERED) {
+        on_lost(l, r, reply->outcome);
+        return;
+    }
+    if (outcome.len > 0) {
+        on_refused(l, r, outcome);
+        return;
+    }
+    l->counts.answered++;
+    r->may_have_run = true;
+    if (reply->status == STATUS_OK) {
+        check_answer(l, r, reply->body);
+    }
+    if (!PhWorld_InstanceTakesWork(l->world, r->instance)) {
+        PhVerdicts_Check(l->verdicts, PH_INVARIANT_GRACEFUL_STOP, true,
+                         r->key);
+    }
+}
+
+/* Sends the next request and sets the time of the one after. */
+static void
+on_tick(PhLoad *l)
+{
+    if (l->interval > 0) {
+        request_create(l);
+        PhTask_SetTimer(l->self, TICK_TIMER,
+                        PhTask_Now(l->self) + l->interval);
+    }
+}
+
+/* Handles a mail of the task "load". */
+static void
+load_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhLoad *l = state;
+    l->self = self;
+    switch (mail->kind) {
+    case PH_MAIL_TIMER:
+        on_tick(l);
+        break;
+    case PH_MAIL_MESSAGE:
+        if (mail->as.message.interface == PH_INTERFACE_HTTP) {
+            const PhHttpMessage *m = mail->as.message.body;
+            if (m->tag == PH_HTTP_REPLY) {
+                on_reply(l, &m->as.reply);
+            }
+        }
+        break;
+    case PH_MAIL_START:
+    case PH_MAIL_IO:
+    case PH_MAIL_ENDED:
+        break;
+    case PH_MAIL_STOP:
+        PhTask_End(self);
+        break;
+    }
+}
+
+/* Releases the state of the task. */
+static void
+load_destroy(void *state)
+{
+    PhLoad *l = state;
+    g_ptr_array_free(l->requests, TRUE);
+    g_free(l);
+}
+
+/* Starts the task "load", which sends nothing yet. */
+PhLoad *
+PhLoad_Start(PhKernel *kernel, PhWorld *world, PhVerdicts *verdicts)
+{
+    PhLoad *l = g_new0(PhLoad, 1);
+    l->world = world;
+    l->verdicts = verdicts;
+    l->requests = g_ptr_array_new_with_free_func(request_destroy);
+    PhTaskSpec spec = {.name = PH_SERVICE_LOAD,
+                       .mailbox_capacity = MAILBOX_CAPACITY,
+                       .state = l,
+                       .handle = load_handle,
+                       .destroy = load_destroy};
+    PhKernel_Spawn(kernel, &spec, NULL);
+    PhKernel_Drain(kernel, SIZE_MAX);
+    return l;
+}
+
+/* Sets the pace of the callers. */
+void
+PhLoad_SetInterval(PhLoad *l, PhTime interval)
+{
+    l->interval = interval;
+    PhTask_SetTimer(l->self, TICK_TIMER, PhTask_Now(l->self) + interval);
+}
+
+/* Notes which open requests may be lost. */
+void
+PhLoad_InstanceKilled(PhLoad *l, int index)
+{
+    for (guint i = 0; i < l->requests->len; i++) {
+        PhCallerRequest *r = g_ptr_array_index(l->requests, i);
+        if (r->open && r->instance == index) {
+            r->killed = true;
+        }
+    }
+}
+
+/* Gives what the callers have seen. */
+PhLoadCounts
+PhLoad_Counts(const PhLoad *load)
+{
+    return load->counts;
+}
+
+/* Counts the requests without an answer. */
+size_t
+PhLoad_InFlight(const PhLoad *load)
+{
+    return load->in_flight;
+}
+
+/* Checks that no charge ran twice and that what was never sent did not run. */
+void
+PhLoad_CheckRuns(PhLoad *l)
+{
+    for (guint i = 0; i < l->requests->len; i++) {
+        const PhCallerRequest *r = g_ptr_array_index(l->requests, i);
+        uint64_t runs = runs_of(l, r->key);
+        if (r->charge) {
+            PhVerdicts_Check(l->verdicts, PH_INVARIANT_AT_MOST_ONCE, runs <= 1,
+                             r->key);
+        }
+        if (!r->may_have_run) {
+            PhVerdicts_Check(l->verdicts, PH_INVARIANT_NOT_RUN, runs == 0,
+                             r->key);
+        }
+    }
+}
--- /dev/null
+++ b/demo/verdict.c
@@ -0,0 +1,60 @@
+#include "peridothill/demo/verdict.h"
+
+#include <inttypes.h>
+
+struct PhVerdicts {
+    FILE *out;
+    uint64_t checked[PH_PROMISES];
+    uint64_t broken[PH_PROMISES];
+};
+
+/* Creates verdicts with nothing seen. */
+PhVerdicts *
+PhVerdicts_Create(FILE *out)
+{
+    PhVerdicts *v = g_new0(PhVerdicts, 1);
+    v->out = out;
+    return v;
+}
+
+/* Releases the verdicts; NULL is allowed. */
+void
+PhVerdicts_Destroy(PhVerdicts *verdicts)
+{
+    g_free(verdicts);
+}
+
+/* Counts one check. */
+void
+PhVerdicts_Check(PhVerdicts *v, PhInvariant promise, bool held, PhStr about)
+{
+    v->checked[promise]++;
+    if (held) {
+        return;
+    }
+    v->broken[promise]++;
+    fprintf(v->out, "broken: %s: %.*s\n", PhInvariant_Label(promise),
+            PhStr_ARG(about));
+}
+
+/* Prints the verdicts.  A promise without a check from outside is unproved,
+ * however often the program checked it inside. */
+bool
+PhVerdicts_Print(const PhVerdicts *v, FILE *out)
+{
+    bool all = true;
+    for (int i = 0; i < PH_PROMISES; i++) {
+        const char *verdict = "held";
+        if (v->broken[i] > 0) {
+            verdict = "broken";
+        }
+        else if (v->checked[i] == 0) {
+            verdict = "unproved";
+        }
+        all = all && v->broken[i] == 0 && v->checked[i] > 0;
+        fprintf(out, "promise=%s verdict=%s checked=%" PRIu64 "\n",
+                PhInvariant_Label((PhInvariant)i), verdict,
+                v->checked[i] + PhInvariant_Checks((PhInvariant)i));
+    }
+    return all;
+}
--- a/include/peridothill/commands.h
+++ b/include/peridothill/commands.h
@@ -26,6 +26,10 @@
 int
 PhCommand_Patch(int argc, char **argv);
 int
+PhCommand_Demo(int argc, char **argv);
+int
+PhCommand_Serve(int argc, char **argv);
+int
 PhCommand_Standin(int argc, char **argv);
 int
 PhCommand_Status(int argc, char **argv);
--- /dev/null
+++ b/include/peridothill/demo/load.h
@@ -0,0 +1,39 @@
+/* Callers of the demonstration: the task "load" sends requests to the
+ * instances in turn and checks every answer. */
+#ifndef PERIDOTHILL_DEMO_LOAD_H
+#define PERIDOTHILL_DEMO_LOAD_H
+
+#include "peridothill/demo/verdict.h"
+#include "peridothill/demo/world.h"
+
+#define PH_SERVICE_LOAD PhStr_LITERAL("load")
+
+/* What the callers have seen so far. */
+typedef struct PhLoadCounts {
+    uint64_t sent;
+    uint64_t answered;
+    uint64_t not_run;
+    uint64_t unknown;
+    uint64_t lost; /* no answer from an instance that was ended at once */
+} PhLoadCounts;
+
+typedef struct PhLoad PhLoad;
+
+/* Starts the task; the kernel also needs the task "http". */
+PhLoad *
+PhLoad_Start(PhKernel *kernel, PhWorld *world, PhVerdicts *verdicts);
+/* Sets the time between two requests; 0 stops sending. */
+void
+PhLoad_SetInterval(PhLoad *load, PhTime interval);
+/* Notes that an instance was ended at once: its open requests may be lost. */
+void
+PhLoad_InstanceKilled(PhLoad *load, int index);
+PhLoadCounts
+PhLoad_Counts(const PhLoad *load);
+size_t
+PhLoad_InFlight(const PhLoad *load);
+/* Checks how often each request ran, once nothing is in flight. */
+void
+PhLoad_CheckRuns(PhLoad *load);
+
+#endif
--- /dev/null
+++ b/include/peridothill/demo/script.h
@@ -0,0 +1,58 @@
+/* The demonstration's script: the task "script" carries out a table of steps,
+ * breaks things one at a time, and checks what operators see. */
+#ifndef PERIDOTHILL_DEMO_SCRIPT_H
+#define PERIDOTHILL_DEMO_SCRIPT_H
+
+#include "peridothill/demo/load.h"
+
+#define PH_SERVICE_SCRIPT PhStr_LITERAL("script")
+
+typedef enum PhStepKind {
+    PH_STEP_PATCH,             /* `as.patch`: submit, expect it in force */
+    PH_STEP_PACE,              /* `as.interval` between callers' requests */
+    PH_STEP_JOB,               /* `as.tasks`: submit a batch job */
+    PH_STEP_JOBS_DONE,         /* check that the jobs have ended */
+    PH_STEP_WORKER_FAULT,      /* `as.fault` */
+    PH_STEP_WORKER_LEAVES,     /* `as.index` */
+    PH_STEP_LOG_OUTAGE,        /* `as.on` */
+    PH_STEP_LOG_LOSES_ANSWERS, /* `as.on` */
+    PH_STEP_INSTANCE_KILL,     /* `as.index` */
+    PH_STEP_INSTANCE_STOP,     /* `as.index` */
+    PH_STEP_INSTANCE_START,    /* `as.index` */
+    PH_STEP_CHECK_CONFIG, /* every instance has the highest version seen */
+    PH_STEP_END,
+} PhStepKind;
+
+/* One step at a time after the start. */
+typedef struct PhStep {
+    int64_t at_ms;
+    PhStepKind kind;
+    const char *text; /* printed as progress */
+    union {
+        const char *patch; /* JSON list of changes */
+        PhTime interval;
+        int tasks;
+        int index;
+        bool on;
+        struct {
+            int worker;
+            PhStandinFault fault;
+        } fault;
+    } as;
+} PhStep;
+
+typedef struct PhScriptOptions {
+    PhWorld *world;
+    PhLoad *load;
+    PhVerdicts *verdicts;
+    const PhStep *steps; /* ended by PH_STEP_END */
+    FILE *out;
+    void *context;
+    void (*on_end)(void *context);
+} PhScriptOptions;
+
+/* Starts the task; its kernel also needs "http" and "load". */
+void
+PhScript_Start(PhKernel *kernel, const PhScriptOptions *options);
+
+#endif
--- /dev/null
+++ b/services/instance.c
@@ -0,0 +1,165 @@
+#include "peridothill/services/instance.h"
+
+#include "peridothill/services/config.h"
+#include "peridothill/services/entry.h"
+#include "peridothill/services/http.h"
+#include "peridothill/services/members.h"
+#include "peridothill/services/operators.h"
+#include "peridothill/services/peers.h"
+#include "peridothill/services/platform_list.h"
+#include "peridothill/services/platform_log.h"
+
+/* Time between two reads of the log by a data centre's reader. */
+static const PhTime CONFIG_POLL = 500 * PH_NS_PER_MS;
+/* How long the platform keeps the records of the log. */
+static const PhTime LOG_RETENTION = INT64_C(24) * 3600 * PH_NS_PER_S;
+
+/* Turns a status into a result that names the service. */
+static PhResult
+started(PhStatus status, const char *name)
+{
+    if (status == PH_STATUS_OK) {
+        return PhResult_Ok();
+    }
+    return PhResult_Make(status, "cannot start the service %s", name);
+}
+
+/* Starts the services that speak with the platform. */
+static PhResult
+start_platform(PhKernel *kernel, const PhSettings *settings)
+{
+    PhResult r = started(PhHttp_Start(kernel), "http");
+    if (!PhResult_IsOk(&r)) {
+        return r;
+    }
+    PhLogAdapter adapter = {.kind = PH_LOG_ADAPTER_HTTP,
+                            .as.address = settings->platform.log_address};
+    r = started(PhPlatformLog_Start(kernel, &adapter), "log");
+    if (!PhResult_IsOk(&r)) {
+        return r;
+    }
+    PhListOptions list = {.address = settings->platform.list_address,
+                          .poll_interval = settings->platform.list_poll};
+    return started(PhPlatformList_Start(kernel, &list), "list");
+}
+
+/* Gives the address under which others reach the peer listener. */
+static PhStr
+peer_address(PhStr listen, uint16_t port)
+{
+    PhStr host;
+    PhStr rest;
+    PhBuf address = {0};
+    PhStr_Cut(listen, ':', &host, &rest);
+    PhBuf_AppendFormat(&address, "%.*s:%u", PhStr_ARG(host), port);
+    return PhBuf_Take(&address);
+}
+
+/* Starts the services that speak with other instances. */
+static PhResult
+start_peers(PhKernel *kernel, const PhInstanceOptions *options,
+            PhInstancePorts *ports)
+{
+    const PhSettings *s = options->settings;
+    PhPeersOptions peers = {.listen = s->peers.listen,
+                            .id = s->instance.id,
+                            .data_centre = s->instance.data_centre,
+                            .deployment = s->instance.deployment,
+                            .keys = options->keys,
+                            .key_count = options->key_count,
+                            .seed = options->seed + 1};
+    PhResult r = PhPeers_Start(kernel, &peers, &ports->peers);
+    if (!PhResult_IsOk(&r)) {
+        return r;
+    }
+    PhStr address = peer_address(s->peers.listen, ports->peers);
+    PhMembersOptions members = {.id = s->instance.id,
+                                .data_centre = s->instance.data_centre,
+                                .address = address,
+                                .seeds = s->peers.seeds.items,
+                                .seed_count = s->peers.seeds.count,
+                                .incarnation = options->incarnation,
+                                .seed = options->seed + 2};
+    r = started(PhMembers_Start(kernel, &members), "members");
+    PhStr_Clear(&address);
+    return r;
+}
+
+/* Begins the graceful stop for an operator who asks for it. */
+static void
+drain(void *context)
+{
+    PhInstance_Stop(context);
+}
+
+/* Starts the services that operators drive. */
+static PhResult
+start_control(PhKernel *kernel, const PhInstanceOptions *options,
+              PhInstancePorts *ports)
+{
+    const PhSettings *s = options->settings;
+    PhConfigOptions config = {.instance = s->instance.id,
+                              .data_centre = s->instance.data_centre,
+                              .seed = options->seed + 3,
+                              .poll_interval = CONFIG_POLL,
+                              .retention = LOG_RETENTION};
+    PhResult r = started(PhConfigService_Start(kernel, &config), "config");
+    if (!PhResult_IsOk(&r)) {
+        return r;
+    }
+    PhOperatorsOptions operators = {.listen = s->operators.listen,
+                                    .token_file = s->operators.token_file,
+                                    .instance = s->instance.id,
+                                    .data_centre = s->instance.data_centre,
+                                    .drain = drain,
+                                    .drain_context = kernel,
+                                    .port = &ports->operators};
+    return started(PhOperators_Start(kernel, &operators), "operators");
+}
+
+/* Starts the service that answers callers. */
+static PhResult
+start_entry(PhKernel *kernel, const PhInstanceOptions *options,
+            PhInstancePorts *ports)
+{
+    const PhSettings *s = options->settings;
+    PhEntryOptions entry = {.listen = s->callers.listen,
+                            .instance = s->instance.id,
+                            .data_centre = s->instance.data_centre,
+                            .seed = options->seed + 5,
+                            .drain_notice = s->limits.drain_notice,
+                            .body_limit_bytes = s->limits.request_body,
+                            .connection_limit =
+                                (unsigned)s->limits.connections};
+    return PhEntry_Start(kernel, &entry, &ports->callers);
+}
+
+/* Starts every service of the instance. */
+PhResult
+PhInstance_Start(PhKernel *kernel, const PhInstanceOptions *options,
+                 PhInstancePorts *ports)
+{
+    PhResult r = started(PhSupervisor_Start(kernel, &options->supervisor),
+                         "supervisor");
+    if (PhResult_IsOk(&r)) {
+        r = start_platform(kernel, options->settings);
+    }
+    if (PhResult_IsOk(&r)) {
+        r = start_peers(kernel, options, ports);
+    }
+    if (PhResult_IsOk(&r)) {
+        r = start_control(kernel, options, ports);
+    }
+    if (PhResult_IsOk(&r)) {
+        r = start_entry(kernel, options, ports);
+    }
+    PhKernel_Drain(kernel, SIZE_MAX);
+    return r;
+}
+
+/* Asks the supervisor to stop the services. */
+void
+PhInstance_Stop(PhKernel *kernel)
+{
+    PhKernel_Stop(kernel, PhKernel_Lookup(kernel, PH_SERVICE_SUPERVISOR));
+}
