members: bound what strangers, views and incarnations can do

Cause: read as an adversary. An incarnation near the end of its range left no room to refute; each message of an unknown sender asked for a whole table; the first member known of a data centre counted as lost until it was heard; a subscriber whose mailbox was full kept a stale view. Change: such incarnations are malformed and ignored; unknown senders are asked at most every 200 ms; silence counts from when there is somebody to hear; a view that did not fit is sent again within a second.

--- a/codec/member_message.c
+++ b/codec/member_message.c
@@ -170,6 +170,7 @@
         !PhUnpack_Bytes(&f[RECORD_ADDRESS], max, &r.address) ||
         !PhUnpack_U64(&f[RECORD_STATE], &state) ||
         !PhUnpack_U64(&f[RECORD_INCARNATION], &r.incarnation) ||
+        r.incarnation > PH_MEMBER_INCARNATION_MAX ||
         !PhUnpack_U64(&f[RECORD_DRAINING], &draining) ||
         !state_decode(state, &r.state) || PhStr_IsEmpty(r.id)) {
         return false;
--- a/decide/members/members_record.c
+++ b/decide/members/members_record.c
@@ -62,7 +62,7 @@
     bool stale = record->incarnation < self->incarnation ||
                  (record->incarnation == self->incarnation &&
                   record->state == PH_MEMBER_ALIVE);
-    if (leaving || stale || record->incarnation == UINT64_MAX) {
+    if (leaving || stale) {
         return;
     }
     PhEntry_Change(m, m->self, PH_MEMBER_ALIVE, record->incarnation + 1);
@@ -175,7 +175,8 @@
 PhMembers_MergeRecord(PhMembership *m, const PhMember *record)
 {
     PhEntry *e = PhEntry_Find(m, record->id);
-    if (PhStr_IsEmpty(record->id)) {
+    if (PhStr_IsEmpty(record->id) ||
+        record->incarnation > PH_MEMBER_INCARNATION_MAX) {
         return;
     }
     if (e == m->self) {
--- a/decide/members/members_table.c
+++ b/decide/members/members_table.c
@@ -46,14 +46,21 @@
     m->digest ^= e->share;
 }
 
-/* Counts a member that has not left, or takes it out of the count. */
+/* Counts a member that has not left, or takes it out of the count.  From the
+ * first one on there is somebody to hear. */
 static void
-count_known(PhMembership *m, const PhEntry *e, int by)
+known_update(PhMembership *m, PhEntry *e, bool known)
 {
-    size_t *known = e->near ? &m->near_known : &m->far_known;
-    if (e != m->self && e->member.state != PH_MEMBER_LEFT) {
-        *known += (size_t)by;
+    size_t *count = e->near ? &m->near_known : &m->far_known;
+    PhTime *heard = e->near ? &m->near_heard : &m->far_heard;
+    if (e == m->self || e->known == known) {
+        return;
+    }
+    if (known && *count == 0) {
+        *heard = m->now;
     }
+    *count += known ? 1 : (size_t)-1;
+    e->known = known;
 }
 
 /* Puts a live member at a random place of the probing order. */
@@ -104,7 +111,7 @@
     }
     g_hash_table_insert(m->entries, &e->member.id, e);
     digest_update(m, e);
-    count_known(m, e, 1);
+    known_update(m, e, e->member.state != PH_MEMBER_LEFT);
     entry_place(m, e);
     if (!m->syncing) {
         PhEntry_Spread(m, e);
@@ -127,11 +134,10 @@
                  " before=%" G_GUINT64_FORMAT,
                  PhStr_ARG(e->member.id), e->member.state, state, incarnation,
                  e->member.incarnation);
-    count_known(m, e, -1);
     e->member.state = state;
     e->member.incarnation = incarnation;
     digest_update(m, e);
-    count_known(m, e, 1);
+    known_update(m, e, e->member.state != PH_MEMBER_LEFT);
     entry_place(m, e);
     PhEntry_Spread(m, e);
     m->changed = true;
@@ -163,7 +169,7 @@
         if (e->fresh) {
             g_queue_remove(&m->news, e);
         }
-        count_known(m, e, -1);
+        known_update(m, e, false);
         m->changed = true;
         g_hash_table_remove(m->entries, &e->member.id);
     }
--- a/decide/members/membership.c
+++ b/decide/members/membership.c
@@ -11,6 +11,9 @@
  * together. */
 #define PUSH_INTERVAL (500 * PH_NS_PER_MS)
 
+/* Unknown senders are asked for their records at least so far apart. */
+#define STRANGER_INTERVAL (200 * PH_NS_PER_MS)
+
 enum {
     REACH_TRIES = 8, /* draws until one is worth a contact */
 };
@@ -225,7 +228,10 @@
 {
     PhEntry *e = PhEntry_Find(m, from);
     if (e == NULL) {
-        PhMembers_AskSync(m, from, (PhStr){0});
+        if (m->now >= m->stranger_due) {
+            m->stranger_due = m->now + STRANGER_INTERVAL;
+            PhMembers_AskSync(m, from, (PhStr){0});
+        }
         return NULL;
     }
     if (e == m->self) {
--- a/decide/members/state.h
+++ b/decide/members/state.h
@@ -19,6 +19,7 @@
 typedef struct PhEntry {
     PhMember member;
     bool near;        /* in the own data centre */
+    bool known;       /* counted in near_known or far_known */
     bool listed;      /* in `near` or `far` of the membership */
     bool fresh;       /* in the news queue */
     uint64_t share;   /* its part of the digest */
@@ -69,9 +70,10 @@
     PhTime differs_since; /* of digests heard; 0 while they agree */
     PhTime probe_due;
     PhTime reach_due;
-    PhTime push_due;  /* news is pushed not before */
-    bool push_wanted; /* there is news to push */
-    bool syncing;     /* records of a sync are taken */
+    PhTime stranger_due; /* an unknown sender is asked not before */
+    PhTime push_due;     /* news is pushed not before */
+    bool push_wanted;    /* there is news to push */
+    bool syncing;        /* records of a sync are taken */
     PhTime wake;
     PhTime near_heard;
     PhTime far_heard;
--- a/include/peridothill/decide/members/member.h
+++ b/include/peridothill/decide/members/member.h
@@ -14,6 +14,10 @@
     PH_MEMBER_LEFT,    /* said that it leaves */
 } PhMemberState;
 
+/* A record with a higher incarnation is malformed: there must be room to
+ * refute it. */
+#define PH_MEMBER_INCARNATION_MAX (UINT64_C(1) << 62)
+
 /* A member.  Of two records of one member the higher incarnation counts; a
  * member raises its own to refute what is said of it. */
 typedef struct PhMember {
--- a/services/members/members.c
+++ b/services/members/members.c
@@ -15,6 +15,13 @@
 
 #define ATTACH_INTERVAL PH_NS_PER_S
 
+/* A task that receives views; `stale` while the latest one did not fit its
+ * mailbox. */
+typedef struct PhSubscriber {
+    PhTaskRef task;
+    bool stale;
+} PhSubscriber;
+
 /* State of the task "members". */
 typedef struct PhMembersTask {
     PhMembership *membership;
@@ -22,7 +29,7 @@
     PhStr *seeds;
     size_t seed_count;
     uint16_t list_port;
-    GArray *subscribers; /* PhTaskRef */
+    GArray *subscribers; /* PhSubscriber */
     PhTaskRef peers;     /* tasks that were told of this one */
     PhTaskRef list;
     uint64_t views;
@@ -90,9 +97,9 @@
     PhTask_SendTo(self, PH_SERVICE_PEERS, PhPeersMessage_Wrap(&m));
 }
 
-/* Sends the current view to one task. */
+/* Sends the current view to one task; a full mailbox gets it later. */
 static void
-send_view(PhMembersTask *t, PhTask *self, PhTaskRef to)
+send_view(PhMembersTask *t, PhTask *self, PhSubscriber *to)
 {
     GArray *members = PhMembership_List(t->membership);
     PhMembershipHearing hearing = PhMembership_Hearing(t->membership);
@@ -112,7 +119,8 @@
     }
     PhMembersMessage m = {.tag = PH_MEMBERS_VIEW,
                           .as.view = PhMembersView_Copy(&view)};
-    PhTask_Send(self, to, PhMembersMessage_Wrap(&m));
+    to->stale = PhTask_Send(self, to->task, PhMembersMessage_Wrap(&m)) ==
+                PH_STATUS_FULL;
     g_array_free(members, TRUE);
 }
 
@@ -122,7 +130,19 @@
 {
     t->views++;
     for (guint i = 0; i < t->subscribers->len; i++) {
-        send_view(t, self, g_array_index(t->subscribers, PhTaskRef, i));
+        send_view(t, self, &g_array_index(t->subscribers, PhSubscriber, i));
+    }
+}
+
+/* Sends the view to subscribers that missed it. */
+static void
+publish_again(PhMembersTask *t, PhTask *self)
+{
+    for (guint i = 0; i < t->subscribers->len; i++) {
+        PhSubscriber *s = &g_array_index(t->subscribers, PhSubscriber, i);
+        if (s->stale) {
+            send_view(t, self, s);
+        }
     }
 }
 
@@ -292,6 +312,16 @@
     }
 }
 
+/* Adds a subscriber and sends it the view. */
+static void
+subscribe(PhMembersTask *t, PhTask *self, PhTaskRef from)
+{
+    PhSubscriber s = {.task = from};
+    PhTask_Monitor(self, from);
+    send_view(t, self, &s);
+    g_array_append_val(t->subscribers, s);
+}
+
 /* Takes a message of the own interface. */
 static void
 on_members(PhMembersTask *t, PhTask *self, PhTaskRef from,
@@ -299,9 +329,7 @@
 {
     switch (m->tag) {
     case PH_MEMBERS_SUBSCRIBE:
-        g_array_append_val(t->subscribers, from);
-        PhTask_Monitor(self, from);
-        send_view(t, self, from);
+        subscribe(t, self, from);
         return;
     case PH_MEMBERS_PLATFORM_HEARD:
         apply_kind(t, self, PH_MEMBERSHIP_PLATFORM_HEARD);
@@ -339,8 +367,8 @@
 on_ended(PhMembersTask *t, PhTaskRef ended)
 {
     for (guint i = t->subscribers->len; i > 0; i--) {
-        if (PhTaskRef_Equal(g_array_index(t->subscribers, PhTaskRef, i - 1),
-                            ended)) {
+        PhSubscriber *s = &g_array_index(t->subscribers, PhSubscriber, i - 1);
+        if (PhTaskRef_Equal(s->task, ended)) {
             g_array_remove_index_fast(t->subscribers, i - 1);
         }
     }
@@ -373,6 +401,7 @@
         }
         else {
             attach(t, self);
+            publish_again(t, self);
         }
         break;
     case PH_MAIL_IO:
@@ -422,7 +451,7 @@
         t->seeds[i] = PhStr_Dup(options->seeds[i]);
     }
     t->list_port = options->list_port;
-    t->subscribers = g_array_new(FALSE, FALSE, sizeof(PhTaskRef));
+    t->subscribers = g_array_new(FALSE, FALSE, sizeof(PhSubscriber));
     return t;
 }
 
--- a/services/members/peers.c
+++ b/services/members/peers.c
@@ -5,6 +5,7 @@
 
 #include "peer_socket.h"
 #include "peers_state.h"
+#include "peridothill/common/invariant.h"
 #include "peridothill/services/interface.h"
 #include "peridothill/services/members.h"
 
@@ -162,6 +163,10 @@
         on_send(p, self, &m->as.send);
         return;
     case PH_PEERS_LISTEN:
+        Ph_INVARIANT(PH_INVARIANT_PRECONDITION,
+                     m->as.listen >= PH_CHANNEL_MEMBERS &&
+                         m->as.listen <= PH_CHANNEL_TASKS,
+                     "channel=%d", m->as.listen);
         p->listeners[m->as.listen] = mail->from;
         return;
     case PH_PEERS_RECEIVED:
--- a/tests/members/test_membership.c
+++ b/tests/members/test_membership.c
@@ -21,6 +21,7 @@
     STEP_LOSS,    /* of `amount` percent on every link */
     STEP_SUSPECT, /* member 0 is told that `who` is suspect */
     STEP_STALE,   /* member 0 is told that `who` lives, incarnation 0 */
+    STEP_ABSURD,  /* member 0 is told that `who` is dead, highest number */
     STEP_DEAD,    /* member 0 is told that `who` is dead */
 } PhStepKind;
 
@@ -86,6 +87,8 @@
     {"a stale incarnation changes nothing",
      "crash 4, run 30000, stale 4, run 10000", PAIRS - 2 * SEEN_BY_OTHERS, 0,
      SEEN_BY_OTHERS, 0, 1, 1, SEEN_BY_OTHERS, 0, 0},
+    {"an absurd incarnation changes nothing", "absurd 4, run 10000", PAIRS, 0,
+     0, 0, 4, 1, 0, 0, 0, true},
     {"one broken pair is no death", "deaf 4, run 60000", ANY, ANY, 0, 0, 1,
      ANY, 0, 0, 0, true},
     {"a short pause is no death", "pause 4 300, run 20000", PAIRS, 0, 0, 0, 1,
@@ -185,6 +188,9 @@
     case STEP_STALE:
         tell(c, s->who, PH_MEMBER_ALIVE, 0);
         return;
+    case STEP_ABSURD:
+        tell(c, s->who, PH_MEMBER_DEAD, UINT64_MAX);
+        return;
     case STEP_DEAD:
         tell(c, s->who, PH_MEMBER_DEAD, 1);
         return;
@@ -210,6 +216,7 @@
         {"suspect", STEP_SUSPECT, true, false},
         {"stale", STEP_STALE, true, false},
         {"dead", STEP_DEAD, true, false},
+        {"absurd", STEP_ABSURD, true, false},
     };
     PhStep s = {0};
     PhStr word;
@@ -296,6 +303,7 @@
 /* Who is cut off, and what member 0 of data centre 0 hears after a time. */
 typedef struct PhHearingCase {
     const char *name;
+    bool late;     /* members of data centre 1 but one start half way */
     bool near_cut; /* member 0 hears nobody of its data centre */
     bool far_cut;  /* data centre 0 hears no other */
     bool platform; /* the platform is heard once a second */
@@ -304,12 +312,31 @@
 } PhHearingCase;
 
 static const PhHearingCase hearing_cases[] = {
-    {"all is heard", false, false, true, 60, {true, true, true}},
-    {"own data centre lost", true, false, true, 60, {false, true, true}},
-    {"other data centres lost", false, true, true, 60, {true, false, true}},
-    {"platform lost", false, false, false, 60, {true, true, false}},
-    {"alone", true, true, false, 60, {false, false, false}},
-    {"not yet", true, true, false, 5, {true, true, true}},
+    {"all is heard", false, false, false, true, 60, {true, true, true}},
+    {"own data centre lost",
+     false,
+     true,
+     false,
+     true,
+     60,
+     {false, true, true}},
+    {"other data centres lost",
+     false,
+     false,
+     true,
+     true,
+     60,
+     {true, false, true}},
+    {"platform lost", false, false, false, false, 60, {true, true, false}},
+    {"another data centre starts late",
+     true,
+     false,
+     false,
+     true,
+     60,
+     {true, true, true}},
+    {"alone", false, true, true, false, 60, {false, false, false}},
+    {"not yet", false, true, true, false, 5, {true, true, true}},
 };
 
 /* Cuts member 0 off and asks what it hears. */
@@ -323,14 +350,22 @@
                                    .regions = 2});
     PhFakeNet *net = PhMembersCluster_Net(cluster);
     PhMembershipEvent heard = {.kind = PH_MEMBERSHIP_PLATFORM_HEARD};
-    PhMembersCluster_StartAll(cluster);
-    PhMembersCluster_Run(cluster, 3 * PH_NS_PER_S);
+    for (uint32_t i = 0; i < MEMBERS; i++) {
+        if (!c->late || i == 1 || i % DATA_CENTRES != 1) {
+            PhMembersCluster_Start(cluster, i);
+        }
+    }
+    PhMembersCluster_Run(cluster, 5 * PH_NS_PER_S);
     cut_set(net, 0, c->far_cut);
     for (uint32_t i = DATA_CENTRES; i < MEMBERS; i += DATA_CENTRES) {
         PhFakeNet_Silence(net, 0, i, c->near_cut);
         PhFakeNet_Silence(net, i, 0, c->near_cut);
     }
     for (int s = 0; s < c->after_s; s++) {
+        if (c->late && s == c->after_s / 2) {
+            PhMembersCluster_Start(cluster, 1 + DATA_CENTRES);
+            PhMembersCluster_Start(cluster, 1 + 2 * DATA_CENTRES);
+        }
         if (c->platform) {
             PhMembersCluster_Apply(cluster, 0, &heard);
         }
@@ -338,7 +373,10 @@
     }
     PhMembershipHearing seen =
         PhMembership_Hearing(PhMembersCluster_Get(cluster, 0));
+    PhMembersClusterCounts counts = PhMembersCluster_Counts(cluster);
     assert_int_equal(seen.own_data_centre, c->expected.own_data_centre);
+    assert_int_equal(counts.reports[PH_MEMBERSHIP_OWN_DATA_CENTRE_LOST] > 0,
+                     !c->expected.own_data_centre);
     assert_int_equal(seen.other_data_centres, c->expected.other_data_centres);
     assert_int_equal(seen.platform, c->expected.platform);
     PhMembersCluster_Destroy(cluster);
--- a/tests/members/test_peers.c
+++ b/tests/members/test_peers.c
@@ -12,6 +12,7 @@
 enum {
     NODES = 2,
     STEP_MS = 50,
+    INBOX_CAPACITY = 64,
     PUMPS = 8, /* turns of the loop in one step of the clock */
 };
 
@@ -106,7 +107,7 @@
                                        .seed = (uint64_t)i});
     assert_int_equal(status, PH_STATUS_OK);
     PhTaskSpec spec = {.name = PhStr_LITERAL("inbox"),
-                       .mailbox_capacity = 64,
+                       .mailbox_capacity = INBOX_CAPACITY,
                        .state = &n->inbox,
                        .handle = inbox_handle};
     PhKernel_Spawn(n->kernel, &spec, &n->task);
@@ -666,14 +667,44 @@
     fixture_destroy(&f);
 }
 
+/* A subscriber whose mailbox is full when the view changes gets the view
+ * later. */
+static void
+test_full_subscriber(void **state)
+{
+    PhFixture f = fixture_create();
+    PhNode *a = &f.nodes[0];
+    PhMembersMessage drain = {.tag = PH_MEMBERS_DRAIN};
+    PhPeersMessage filler = {.tag = PH_PEERS_RECEIVED};
+    (void)state;
+    start_alone(&f, 0, (PhStr){0});
+    run(&f, 1000);
+    PhKernel_Send(a->kernel, a->task,
+                  PhKernel_Lookup(a->kernel, PH_SERVICE_MEMBERS),
+                  PhMembersMessage_Wrap(&drain));
+    for (int i = 0; i < INBOX_CAPACITY; i++) {
+        PhKernel_Send(a->kernel, a->task, a->task,
+                      PhPeersMessage_Wrap(&filler));
+    }
+    turn(&f);
+    assert_false(a->inbox.view.members[0].draining);
+    run(&f, 2000);
+    assert_true(a->inbox.view.members[0].draining);
+    fixture_destroy(&f);
+}
+
 /* Runs the tests of the links. */
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(test_pair),      cmocka_unit_test(test_end),
-        cmocka_unit_test(test_strangers), cmocka_unit_test(test_silent),
-        cmocka_unit_test(test_refused),   cmocka_unit_test(test_slow_reader),
+        cmocka_unit_test(test_pair),
+        cmocka_unit_test(test_end),
+        cmocka_unit_test(test_strangers),
+        cmocka_unit_test(test_silent),
+        cmocka_unit_test(test_refused),
+        cmocka_unit_test(test_slow_reader),
+        cmocka_unit_test(test_full_subscriber),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
