members: answer an old doubt with the own record

Cause: a member that had refuted a suspicion ignored the same doubt heard again later. An instance that was cut off while the refutation spread kept the member as dead, told it so, and got no answer that it could use.

Change: a doubt about oneself of an older incarnation puts the own record into the news again, so that the answer carries it.

--- a/decide/members/members_record.c
+++ b/decide/members/members_record.c
@@ -62,6 +62,9 @@
     bool stale = record->incarnation < self->incarnation ||
                  (record->incarnation == self->incarnation &&
                   record->state == PH_MEMBER_ALIVE);
+    if (stale && record->state != PH_MEMBER_ALIVE) {
+        PhEntry_Spread(m, m->self);
+    }
     if (leaving || stale) {
         return;
     }
--- /dev/null
+++ b/tests/members/test_stale_doubt.c
@@ -0,0 +1,104 @@
+/* A member that hears an old doubt about itself tells its own record again:
+ * whoever doubts it may have missed the refutation. */
+#include "peridothill/decide/members/membership.h"
+#include "tests/table.h"
+
+enum {
+    OWN_INCARNATION = 5
+};
+
+/* What another member says about this one, and whether it has to be told. */
+typedef struct PhDoubtCase {
+    const char *name;
+    PhMemberState state;
+    uint64_t incarnation;
+    uint64_t told; /* incarnation in the answer; 0 is none */
+} PhDoubtCase;
+
+static const PhDoubtCase doubt_cases[] = {
+    {"old suspicion", PH_MEMBER_SUSPECT, 4, 5},
+    {"old death", PH_MEMBER_DEAD, 4, 5},
+    {"present suspicion", PH_MEMBER_SUSPECT, 5, 6},
+    {"later death", PH_MEMBER_DEAD, 7, 8},
+    {"old life", PH_MEMBER_ALIVE, 4, 0},
+};
+
+/* Finds the incarnation of "a" that a sent message tells; 0 for none. */
+static uint64_t
+told_incarnation(const GArray *actions)
+{
+    for (guint i = 0; i < actions->len; i++) {
+        const PhMembershipAction *a =
+            &g_array_index(actions, PhMembershipAction, i);
+        const PhMemberMessage *m = &a->as.send.message;
+        for (size_t r = 0;
+             a->kind == PH_MEMBERSHIP_SEND && r < m->record_count; r++) {
+            if (PhStr_Equal(m->records[r].id, PhStr_LITERAL("a"))) {
+                return m->records[r].incarnation;
+            }
+        }
+    }
+    return 0;
+}
+
+/* Makes the ping that member "b" sends, with one record. */
+static PhMembershipEvent
+ping_event(const PhMemberMessage *message)
+{
+    return (PhMembershipEvent){
+        .kind = PH_MEMBERSHIP_MESSAGE,
+        .as.message = {.from = PhStr_LITERAL("b"), .message = message}};
+}
+
+/* Lets "a" hear the doubt once its own news has gone out. */
+static void
+doubt_run(const PhDoubtCase *c)
+{
+    PhMembershipOptions options = {.id = PhStr_LITERAL("a"),
+                                   .data_centre = PhStr_LITERAL("silay"),
+                                   .address = PhStr_LITERAL("10.0.0.1:1"),
+                                   .incarnation = OWN_INCARNATION,
+                                   .seed = 1,
+                                   .times = PhMembershipTimes_Default()};
+    PhMembership *m = PhMembership_Create(&options, 0);
+    GArray *actions = PhMembershipActions_Create();
+    PhMember other = {.id = PhStr_LITERAL("b"),
+                      .data_centre = PhStr_LITERAL("silay"),
+                      .address = PhStr_LITERAL("10.0.0.2:1"),
+                      .incarnation = 1};
+    PhMember doubt = {.id = options.id,
+                      .data_centre = options.data_centre,
+                      .address = options.address,
+                      .state = c->state,
+                      .incarnation = c->incarnation};
+    PhMemberMessage ping = {
+        .kind = PH_MEMBER_PING, .records = &other, .record_count = 1};
+    PhMembershipEvent event = ping_event(&ping);
+    for (int i = 0; i < 40; i++) {
+        g_array_set_size(actions, 0);
+        PhMembership_Apply(m, &event, 0, actions);
+    }
+    assert_int_equal(told_incarnation(actions), 0);
+    ping.records = &doubt;
+    g_array_set_size(actions, 0);
+    PhMembership_Apply(m, &event, 0, actions);
+    assert_int_equal(told_incarnation(actions), c->told);
+    g_array_free(actions, TRUE);
+    PhMembership_Destroy(m);
+}
+
+/* Runs the table of doubts. */
+static void
+test_doubts(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(doubt_cases, doubt_run);
+}
+
+/* Runs the tests of stale doubts. */
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {cmocka_unit_test(test_doubts)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
