soak: run membership with faults at any moment

A plan draws faults, one or two at once and each twice in a round, and leaves time to settle after a round. The run of membership has nine instances in three data centres: deaths, restarts under the same id, planned leaves, pauses, cuts, silent pairs, load and an unheard platform. It checks that no record is ahead of its member, that nobody is thought to have left who did not say so, and at rest that each instance knows exactly the live ones.

--- /dev/null
+++ b/bench/soak_members.c
@@ -0,0 +1,484 @@
+/* Membership over the shared queue: three data centres, instances that die,
+ * restart, leave, pause and are cut off. */
+#include <glib.h>
+
+#include "peridothill/bench/soak.h"
+#include "peridothill/common/invariant.h"
+#include "peridothill/decide/members/membership.h"
+#include "peridothill/fakes/fake_net.h"
+
+#define MS PH_NS_PER_MS
+#define S PH_NS_PER_S
+
+enum {
+    DATA_CENTRES = 3,
+    NODES = 9,     /* endpoints 1 to NODES */
+    CONDUCTOR = 0, /* endpoint of the plan of faults and of the list */
+    ADDRESS_BYTES = 32,
+};
+
+/* Kinds of timers, in the low bits of a token. */
+enum {
+    TIMER_WAKE,
+    TIMER_LIST,
+    TIMER_PLAN,
+    TIMER_KINDS,
+};
+
+/* What is true of an id, whatever the instances think. */
+typedef struct PhTruth {
+    uint64_t incarnation;
+    bool alive;
+    bool left;
+} PhTruth;
+
+/* An instance, or the empty place of one. */
+typedef struct PhSoakNode {
+    PhMembership *membership; /* NULL while the place is empty */
+    char *id;
+    char *address;
+    uint64_t wakes; /* number of the last timer that counts */
+} PhSoakNode;
+
+/* A message on its way. */
+typedef struct PhSoakMail {
+    PhMemberMessage message;
+    PhStr from;
+} PhSoakMail;
+
+typedef struct PhSoakMembers {
+    PhSoakRun *run;
+    PhFakeNet *net;
+    PhFaultPlan *plan;
+    PhSoakNode nodes[NODES + 1];
+    GHashTable *truths; /* id to PhTruth */
+    GArray *actions;
+    uint64_t generation;
+    bool store_down;
+    bool cut_off[DATA_CENTRES];
+} PhSoakMembers;
+
+/* Releases what a message on its way owns. */
+static void
+mail_clear(gpointer data)
+{
+    PhSoakMail *mail = data;
+    PhMemberMessage_Clear(&mail->message);
+    PhStr_Clear(&mail->from);
+}
+
+/* Gives the data centre of an endpoint. */
+static uint32_t
+data_centre_of(uint32_t endpoint)
+{
+    return endpoint % DATA_CENTRES;
+}
+
+/* Sets every link to the delays and losses of a calm or a loaded time. */
+static void
+links_set(PhSoakMembers *s, bool loaded)
+{
+    for (uint32_t a = 0; a < DATA_CENTRES; a++) {
+        for (uint32_t b = 0; b < DATA_CENTRES; b++) {
+            PhFakeLink *link = PhFakeNet_Link(s->net, a, b);
+            link->delay_min = a == b ? MS / 4 : 3 * MS;
+            link->delay_extra = (loaded ? 20 : 1) * MS;
+            link->loss = loaded ? 0.1 : 0.02;
+            link->duplicate = 0.01;
+        }
+    }
+}
+
+/* Checks what an instance says of the others against what is true. */
+static void
+node_check(PhSoakMembers *s, const PhSoakNode *node)
+{
+    GArray *list = PhMembership_List(node->membership);
+    for (guint i = 0; i < list->len; i++) {
+        const PhMember *m = &g_array_index(list, PhMember, i);
+        char *id = PhStr_ToC(m->id);
+        const PhTruth *truth = g_hash_table_lookup(s->truths, id);
+        Ph_INVARIANT(PH_INVARIANT_MEMBER,
+                     truth != NULL && m->incarnation <= truth->incarnation,
+                     "seed=%" G_GUINT64_FORMAT " at=%s of=%s", s->run->seed,
+                     node->id, id);
+        Ph_INVARIANT(PH_INVARIANT_MEMBER,
+                     truth != NULL &&
+                         (m->state != PH_MEMBER_LEFT || truth->left),
+                     "seed=%" G_GUINT64_FORMAT " at=%s left=%s", s->run->seed,
+                     node->id, id);
+        g_free(id);
+    }
+    g_array_free(list, TRUE);
+}
+
+/* Checks at rest that an instance takes exactly the live ones for alive, or
+ * suspects them for the moment, since messages are still lost. */
+static void
+node_check_settled(PhSoakMembers *s, const PhSoakNode *node)
+{
+    GHashTableIter i;
+    gpointer id = NULL;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&i, s->truths);
+    while (g_hash_table_iter_next(&i, &id, &value)) {
+        const PhTruth *truth = value;
+        PhMemberState state =
+            PhMembership_State(node->membership, PhStr_FromC(id));
+        Ph_INVARIANT(PH_INVARIANT_MEMBER,
+                     truth->alive == (state == PH_MEMBER_ALIVE ||
+                                      state == PH_MEMBER_SUSPECT),
+                     "seed=%" G_GUINT64_FORMAT " time=%" G_GINT64_FORMAT
+                     " at=%s of=%s state=%d",
+                     s->run->seed, PhFakeNet_Now(s->net), node->id,
+                     (const char *)id, state);
+    }
+    PhMembershipHearing hearing = PhMembership_Hearing(node->membership);
+    Ph_INVARIANT(PH_INVARIANT_MEMBER,
+                 hearing.own_data_centre && hearing.other_data_centres &&
+                     hearing.platform,
+                 "seed=%" G_GUINT64_FORMAT " at=%s", s->run->seed, node->id);
+}
+
+/* Finds the endpoint that an action sends to: the member, over the link that
+ * one of the two keeps, or else whatever listens at the address. */
+static uint32_t
+endpoint_find(PhSoakMembers *s, PhStr member, PhStr address)
+{
+    uint32_t found = CONDUCTOR;
+    for (uint32_t i = 1; i <= NODES; i++) {
+        const PhSoakNode *node = &s->nodes[i];
+        if (node->membership == NULL) {
+            continue;
+        }
+        if (PhStr_Equal(PhStr_FromC(node->id), member)) {
+            return i;
+        }
+        if (PhStr_Equal(PhStr_FromC(node->address), address)) {
+            found = i;
+        }
+    }
+    return found;
+}
+
+/* Sends the message of an action; nobody there loses it. */
+static void
+node_send(PhSoakMembers *s, uint32_t from, PhMembershipAction *action)
+{
+    uint32_t to =
+        endpoint_find(s, action->as.send.member, action->as.send.address);
+    if (to == CONDUCTOR) {
+        return;
+    }
+    PhSoakMail *mail = g_rc_box_new0(PhSoakMail);
+    mail->message = action->as.send.message;
+    mail->from = PhStr_Dup(PhStr_FromC(s->nodes[from].id));
+    action->as.send.message = (PhMemberMessage){.kind = PH_MEMBER_NEWS};
+    PhFakeNet_Send(s->net, from, to, 0, mail);
+}
+
+/* Gives an event to an instance and carries out its actions. */
+static void
+node_apply(PhSoakMembers *s, uint32_t endpoint, const PhMembershipEvent *event)
+{
+    PhSoakNode *node = &s->nodes[endpoint];
+    PhTime now = PhFakeNet_Now(s->net);
+    PhMembership_Apply(node->membership, event, now, s->actions);
+    PhTruth *truth = g_hash_table_lookup(s->truths, node->id);
+    truth->incarnation = PhMembership_Incarnation(node->membership);
+    for (guint i = 0; i < s->actions->len; i++) {
+        PhMembershipAction *a =
+            &g_array_index(s->actions, PhMembershipAction, i);
+        switch (a->kind) {
+        case PH_MEMBERSHIP_SEND:
+            node_send(s, endpoint, a);
+            break;
+        case PH_MEMBERSHIP_WAKE:
+            node->wakes++;
+            if (a->as.wake != PH_TIME_NEVER) {
+                PhFakeNet_SetTimer(s->net, endpoint,
+                                   node->wakes * TIMER_KINDS + TIMER_WAKE,
+                                   a->as.wake);
+            }
+            break;
+        case PH_MEMBERSHIP_VIEW_CHANGED:
+            node_check(s, node);
+            break;
+        case PH_MEMBERSHIP_REPORT:
+            break;
+        }
+    }
+    g_array_set_size(s->actions, 0);
+}
+
+/* Starts an instance in an empty place; `id` is taken, NULL makes one up. */
+static void
+node_start(PhSoakMembers *s, uint32_t endpoint, char *id)
+{
+    static const char *const names[DATA_CENTRES] = {"bacolod", "silay",
+                                                    "talisay"};
+    PhSoakNode *node = &s->nodes[endpoint];
+    PhTime now = PhFakeNet_Now(s->net);
+    s->generation++;
+    node->id = id != NULL
+                   ? id
+                   : g_strdup_printf("e%" G_GUINT64_FORMAT, s->generation);
+    node->address = g_strdup_printf(
+        "10.%u.%u.%u:7000", (unsigned)(s->generation >> 16),
+        (unsigned)(s->generation >> 8 & 255), (unsigned)(s->generation & 255));
+    node->wakes++;
+    PhMembershipOptions options = {
+        .id = PhStr_FromC(node->id),
+        .data_centre = PhStr_FromC(names[data_centre_of(endpoint)]),
+        .address = PhStr_FromC(node->address),
+        .incarnation = (uint64_t)(now / MS) + 1,
+        .seed = s->run->seed + s->generation,
+        .times = PhMembershipTimes_Default()};
+    node->membership = PhMembership_Create(&options, now);
+    PhTruth *truth = g_new0(PhTruth, 1);
+    truth->alive = true;
+    truth->incarnation = options.incarnation;
+    g_hash_table_replace(s->truths, g_strdup(node->id), truth);
+    PhFakeNet_SetTimer(s->net, endpoint, TIMER_LIST, now);
+    node_apply(s, endpoint, &(PhMembershipEvent){.kind = PH_MEMBERSHIP_WOKEN});
+}
+
+/* Ends an instance at once; gives its id to the caller. */
+static char *
+node_end(PhSoakMembers *s, uint32_t endpoint)
+{
+    PhSoakNode *node = &s->nodes[endpoint];
+    PhTruth *truth = g_hash_table_lookup(s->truths, node->id);
+    truth->alive = false;
+    PhFakeNet_Crash(s->net, endpoint);
+    PhMembership_Destroy(g_steal_pointer(&node->membership));
+    g_free(g_steal_pointer(&node->address));
+    return g_steal_pointer(&node->id);
+}
+
+/* Ends an instance: every other time it leaves as planned. */
+static void
+node_leave_or_die(PhSoakMembers *s, uint32_t endpoint, bool planned)
+{
+    if (planned) {
+        PhTruth *truth = g_hash_table_lookup(s->truths, s->nodes[endpoint].id);
+        truth->left = true;
+        node_apply(s, endpoint,
+                   &(PhMembershipEvent){.kind = PH_MEMBERSHIP_DRAIN});
+        node_apply(s, endpoint,
+                   &(PhMembershipEvent){.kind = PH_MEMBERSHIP_LEAVE});
+    }
+    g_free(node_end(s, endpoint));
+}
+
+/* Gives the platform's list to an instance. */
+static void
+node_take_list(PhSoakMembers *s, uint32_t endpoint)
+{
+    PhStr addresses[NODES];
+    size_t count = 0;
+    PhFakeNet_SetTimer(s->net, endpoint, TIMER_LIST,
+                       PhFakeNet_Now(s->net) + S);
+    if (s->store_down || s->cut_off[data_centre_of(endpoint)]) {
+        return;
+    }
+    for (uint32_t i = 1; i <= NODES; i++) {
+        if (s->nodes[i].membership != NULL) {
+            addresses[count++] = PhStr_FromC(s->nodes[i].address);
+        }
+    }
+    node_apply(s, endpoint,
+               &(PhMembershipEvent){.kind = PH_MEMBERSHIP_PLATFORM_HEARD});
+    node_apply(s, endpoint,
+               &(PhMembershipEvent){
+                   .kind = PH_MEMBERSHIP_CANDIDATES,
+                   .as.candidates = {.addresses = addresses, .count = count}});
+}
+
+/* Cuts a data centre off from the others, or mends the links. */
+static void
+partition_set(PhSoakMembers *s, uint32_t centre, bool cut)
+{
+    for (uint32_t other = 0; other < DATA_CENTRES; other++) {
+        if (other != centre) {
+            PhFakeNet_Link(s->net, centre, other)->cut = cut;
+            PhFakeNet_Link(s->net, other, centre)->cut = cut;
+        }
+    }
+}
+
+/* Begins or ends a fault. */
+static void
+fault_set(PhSoakMembers *s, const PhFaultChange *change)
+{
+    bool on = change->kind == PH_FAULT_BEGIN;
+    uint64_t pick = change->pick;
+    uint32_t endpoint = 1 + (uint32_t)(pick % NODES);
+    uint32_t other =
+        1 + (endpoint + (uint32_t)(pick / NODES % (NODES - 1))) % NODES;
+    bool alive = s->nodes[endpoint].membership != NULL;
+    switch (change->fault) {
+    case PH_FAULT_LOAD_SHIFT:
+        links_set(s, on);
+        break;
+    case PH_FAULT_INSTANCE_DEATH:
+        if (on && alive) {
+            node_leave_or_die(s, endpoint, pick >> 32 & 1);
+        }
+        else if (!on && !alive) {
+            node_start(s, endpoint, NULL);
+        }
+        break;
+    case PH_FAULT_PROCESS_DEATH:
+        if (on && alive) {
+            node_start(s, endpoint, node_end(s, endpoint));
+        }
+        break;
+    case PH_FAULT_STORE_DOWN:
+        s->store_down = on;
+        break;
+    case PH_FAULT_PAUSED_HOLDER:
+        if (on) {
+            PhFakeNet_Pause(s->net, endpoint,
+                            PhFakeNet_Now(s->net) + 100 * MS +
+                                (PhTime)(pick % (20 * S)));
+        }
+        break;
+    case PH_FAULT_SILENT_CONNECTION:
+        PhFakeNet_Silence(s->net, endpoint, other, on);
+        break;
+    case PH_FAULT_PARTITION:
+        partition_set(s, data_centre_of(endpoint), on);
+        s->cut_off[data_centre_of(endpoint)] = on && (pick >> 32 & 1);
+        break;
+    case PH_FAULT_NOISY_TASKS:
+    case PH_FAULT_WRONG_SIZES:
+    case PH_FAULT_IMPOSSIBLE_JOB:
+    case PH_FAULT_CANCEL_WAVE:
+    case PH_FAULT_BAD_WORKER:
+    case PH_FAULT_FLOOD_LEAST_URGENT:
+    case PH_FAULT_FLOOD_MOST_URGENT:
+    case PH_FAULT_STORE_SLOW:
+    case PH_FAULT_LOST_ANSWERS:
+    case PH_FAULT_RACING_OPERATORS:
+    case PH_FAULT_COUNT:
+        break;
+    }
+}
+
+/* Carries out the changes of the plan that are due. */
+static void
+plan_step(PhSoakMembers *s)
+{
+    PhFaultChange change;
+    while (PhFaultPlan_Next(s->plan, PhFakeNet_Now(s->net), &change)) {
+        switch (change.kind) {
+        case PH_FAULT_BEGIN:
+        case PH_FAULT_END:
+            fault_set(s, &change);
+            break;
+        case PH_FAULT_SETTLED:
+            for (uint32_t i = 1; i <= NODES; i++) {
+                node_check_settled(s, &s->nodes[i]);
+            }
+            s->run->settled++;
+            break;
+        }
+    }
+    PhFakeNet_SetTimer(s->net, CONDUCTOR, TIMER_PLAN,
+                       PhFaultPlan_Due(s->plan));
+}
+
+/* Gives one event of the queue to whom it concerns. */
+static void
+event_take(PhSoakMembers *s, const PhFakeEvent *event)
+{
+    PhSoakNode *node = &s->nodes[event->to];
+    if (event->to == CONDUCTOR) {
+        plan_step(s);
+        return;
+    }
+    if (node->membership == NULL) {
+        return;
+    }
+    if (event->kind == PH_FAKE_MESSAGE) {
+        const PhSoakMail *mail = event->body;
+        PhMembershipEvent e = {
+            .kind = PH_MEMBERSHIP_MESSAGE,
+            .as.message = {.from = mail->from, .message = &mail->message}};
+        node_apply(s, event->to, &e);
+    }
+    else if (event->token % TIMER_KINDS == TIMER_LIST) {
+        node_take_list(s, event->to);
+    }
+    else if (event->token / TIMER_KINDS == node->wakes) {
+        node_apply(s, event->to,
+                   &(PhMembershipEvent){.kind = PH_MEMBERSHIP_WOKEN});
+    }
+}
+
+static const PhFault faults[] = {
+    PH_FAULT_LOAD_SHIFT, PH_FAULT_INSTANCE_DEATH, PH_FAULT_PROCESS_DEATH,
+    PH_FAULT_STORE_DOWN, PH_FAULT_PAUSED_HOLDER,  PH_FAULT_SILENT_CONNECTION,
+    PH_FAULT_PARTITION,
+};
+
+/* Creates the instances and the queue of a run. */
+static void
+members_create(PhSoakMembers *s)
+{
+    s->net = PhFakeNet_Create(s->run->seed, NODES + 1, mail_clear);
+    s->truths = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    s->actions = PhMembershipActions_Create();
+    s->plan = PhFaultPlan_Create(
+        &(PhFaultPlanOptions){.seed = s->run->seed,
+                              .faults = faults,
+                              .fault_count = G_N_ELEMENTS(faults),
+                              .gap = 20 * S,
+                              .length = 20 * S,
+                              .settle = 180 * S});
+    links_set(s, false);
+    for (uint32_t i = 1; i <= NODES; i++) {
+        PhFakeNet_SetGroup(s->net, i, data_centre_of(i));
+        node_start(s, i, NULL);
+    }
+    plan_step(s);
+}
+
+/* Releases the run. */
+static void
+members_destroy(PhSoakMembers *s)
+{
+    for (uint32_t i = 1; i <= NODES; i++) {
+        if (s->nodes[i].membership != NULL) {
+            g_free(node_end(s, i));
+        }
+    }
+    PhFaultPlan_Destroy(s->plan);
+    PhFakeNet_Destroy(s->net);
+    g_array_free(s->actions, TRUE);
+    g_hash_table_destroy(s->truths);
+}
+
+/* Runs membership for the steps of the run. */
+static void
+members_run(PhSoakRun *run)
+{
+    PhSoakMembers s = {.run = run};
+    PhFakeEvent event;
+    members_create(&s);
+    for (uint64_t i = 0; i < run->steps; i++) {
+        if (!PhFakeNet_Next(s.net, PH_TIME_NEVER, &event)) {
+            break;
+        }
+        event_take(&s, &event);
+    }
+    run->simulated = PhFakeNet_Now(s.net);
+    PhSoakRun_Add(run, s.plan);
+    members_destroy(&s);
+}
+
+const PhSoakArea PhSoak_Members = {.name = "members",
+                                   .run = members_run,
+                                   .faults = faults,
+                                   .fault_count = G_N_ELEMENTS(faults)};
--- /dev/null
+++ b/bench/soak_plan.c
@@ -0,0 +1,189 @@
+#include <glib.h>
+
+#include "peridothill/bench/soak.h"
+#include "peridothill/common/random.h"
+
+enum {
+    ACTIVE_MAX = 2,
+    BEGINS_IN_ROUND = 2, /* of each fault, so that it may meet itself */
+};
+
+/* A fault that is on. */
+typedef struct PhActiveFault {
+    PhFault fault;
+    uint64_t pick;
+    PhTime until;
+} PhActiveFault;
+
+struct PhFaultPlan {
+    PhFaultPlanOptions options;
+    PhRandom *random;
+    PhFault *round; /* shuffled */
+    size_t round_length;
+    size_t next;
+    PhTime next_at; /* of the next fault, or of the rest when none is left */
+    PhActiveFault active[ACTIVE_MAX];
+    size_t active_count;
+    uint64_t begun[PH_FAULT_COUNT];
+};
+
+static const char *const labels[] = {
+#define PH_FAULT(NAME, LABEL) LABEL,
+#include "peridothill/bench/soak_fault_list.h"
+#undef PH_FAULT
+};
+
+/* Names a fault as reports show it. */
+const char *
+PhFault_Label(PhFault fault)
+{
+    return labels[fault];
+}
+
+/* Draws the time from now to the next fault. */
+static PhTime
+plan_gap(PhFaultPlan *plan)
+{
+    return 1 + (PhTime)PhRandom_Exponential(plan->random,
+                                            (double)plan->options.gap);
+}
+
+/* Shuffles the faults of a round and starts it. */
+static void
+plan_start_round(PhFaultPlan *plan, PhTime now)
+{
+    for (size_t i = plan->round_length; i > 1; i--) {
+        size_t j = PhRandom_Below(plan->random, i);
+        PhFault other = plan->round[j];
+        plan->round[j] = plan->round[i - 1];
+        plan->round[i - 1] = other;
+    }
+    plan->next = 0;
+    plan->next_at = now + plan_gap(plan);
+}
+
+/* Creates a plan that starts at time 0. */
+PhFaultPlan *
+PhFaultPlan_Create(const PhFaultPlanOptions *options)
+{
+    PhFaultPlan *plan = g_new0(PhFaultPlan, 1);
+    plan->options = *options;
+    plan->random = PhRandom_Create(options->seed);
+    plan->round_length = options->fault_count * BEGINS_IN_ROUND;
+    plan->round = g_new(PhFault, plan->round_length);
+    for (size_t i = 0; i < plan->round_length; i++) {
+        plan->round[i] = options->faults[i % options->fault_count];
+    }
+    plan_start_round(plan, 0);
+    return plan;
+}
+
+/* Releases the plan. */
+void
+PhFaultPlan_Destroy(PhFaultPlan *plan)
+{
+    g_free(plan->round);
+    PhRandom_Destroy(plan->random);
+    g_free(plan);
+}
+
+/* Finds the active fault that ends first; the count when there is none. */
+static size_t
+plan_first_end(const PhFaultPlan *plan)
+{
+    size_t first = plan->active_count;
+    for (size_t i = 0; i < plan->active_count; i++) {
+        if (first == plan->active_count ||
+            plan->active[i].until < plan->active[first].until) {
+            first = i;
+        }
+    }
+    return first;
+}
+
+/* Tells when the next change is due. */
+PhTime
+PhFaultPlan_Due(const PhFaultPlan *plan)
+{
+    size_t first = plan_first_end(plan);
+    PhTime end =
+        first < plan->active_count ? plan->active[first].until : PH_TIME_NEVER;
+    bool full = plan->active_count == ACTIVE_MAX;
+    bool rest = plan->next == plan->round_length && plan->active_count > 0;
+    return full || rest ? end : MIN(end, plan->next_at);
+}
+
+/* Ends the active fault at a place of the table. */
+static void
+plan_end(PhFaultPlan *plan, size_t place, PhTime now, PhFaultChange *change)
+{
+    change->kind = PH_FAULT_END;
+    change->fault = plan->active[place].fault;
+    change->pick = plan->active[place].pick;
+    plan->active[place] = plan->active[--plan->active_count];
+    if (plan->next == plan->round_length && plan->active_count == 0) {
+        plan->next_at = now + plan->options.settle;
+    }
+}
+
+/* Begins the next fault of the round. */
+static void
+plan_begin(PhFaultPlan *plan, PhTime now, PhFaultChange *change)
+{
+    double length =
+        PhRandom_Exponential(plan->random, (double)plan->options.length);
+    PhActiveFault *active = &plan->active[plan->active_count++];
+    active->fault = plan->round[plan->next++];
+    active->pick = PhRandom_U64(plan->random);
+    active->until = now + 1 + (PhTime)length;
+    plan->begun[active->fault]++;
+    plan->next_at = now + plan_gap(plan);
+    change->kind = PH_FAULT_BEGIN;
+    change->fault = active->fault;
+    change->pick = active->pick;
+}
+
+/* Gives one change that is due. */
+bool
+PhFaultPlan_Next(PhFaultPlan *plan, PhTime now, PhFaultChange *change)
+{
+    if (PhFaultPlan_Due(plan) > now) {
+        return false;
+    }
+    size_t first = plan_first_end(plan);
+    *change = (PhFaultChange){0};
+    if (first < plan->active_count && plan->active[first].until <= now) {
+        plan_end(plan, first, now, change);
+    }
+    else if (plan->next < plan->round_length) {
+        plan_begin(plan, now, change);
+    }
+    else {
+        change->kind = PH_FAULT_SETTLED;
+        plan_start_round(plan, now);
+    }
+    return true;
+}
+
+/* Counts the faults that are on. */
+size_t
+PhFaultPlan_Active(const PhFaultPlan *plan)
+{
+    return plan->active_count;
+}
+
+/* Tells how often a fault has begun. */
+uint64_t
+PhFaultPlan_Begun(const PhFaultPlan *plan, PhFault fault)
+{
+    return plan->begun[fault];
+}
+
+/* Adds the faults of a plan to those of the run. */
+void
+PhSoakRun_Add(PhSoakRun *run, const PhFaultPlan *plan)
+{
+    for (int i = 0; i < PH_FAULT_COUNT; i++) {
+        run->begun[i] += plan->begun[i];
+    }
+}
--- a/include/peridothill/bench/bench.h
+++ b/include/peridothill/bench/bench.h
@@ -28,6 +28,8 @@
 PhBench_Control(const PhBenchOptions *options);
 PhResult
 PhBench_Kernel(const PhBenchOptions *options);
+PhResult
+PhBench_Soak(const PhBenchOptions *options);
 
 /* Parts of the bench "control". */
 PhResult
