operators: test every route over real sockets

Cause: the interface had no test. Change: a table of requests in order against one instance with the stand-in of the log. Conclusion: the path from an operator's patch to the version in force is whole on one instance.

--- /dev/null
+++ b/tests/config/test_operators.c
@@ -0,0 +1,219 @@
+/* The operators' interface over real sockets: operators, config, log and HTTP
+ * on one loop, against the stand-in of the platform's log. */
+#include "peridothill/services/operators.h"
+
+#include <string.h>
+#include <unistd.h>
+
+#include "peridothill/services/config.h"
+#include "peridothill/services/http.h"
+#include "peridothill/services/interface.h"
+#include "peridothill/services/platform_log.h"
+#include "peridothill/standin/standin.h"
+#include "tests/table.h"
+
+enum {
+    CALL_TIMEOUT_S = 10
+};
+
+#define TOKEN "Bearer 0123456789abcdef"
+#define SHARE(ID, BASE, VALUE)                                                \
+    "{\"id\":\"" ID "\",\"author\":\"ana\",\"base\":" BASE                    \
+    ",\"changes\":[{\"set\":\"teams.x.share\",\"value\":\"" VALUE "\"}]}"
+
+/* A request and what the answer holds.  The rows run in order on one
+ * instance. */
+typedef struct PhStepCase {
+    const char *name;
+    const char *method;
+    const char *target;
+    const char *authorization;
+    const char *body;
+    int status;
+    const char *holds;
+} PhStepCase;
+
+static const PhStepCase steps[] = {
+    {"no token", "GET", "/config", "", "", 401, "token"},
+    {"wrong token", "GET", "/config", "Bearer 0123456789abcdee", "", 401, ""},
+    {"longer token", "GET", "/config", TOKEN "0", "", 401, ""},
+    {"other scheme", "GET", "/config", "Basic 0123456789abcdef", "", 401, ""},
+    {"no such path", "GET", "/services", TOKEN, "", 404, "no such path"},
+    {"no such method", "DELETE", "/config", TOKEN, "", 404, ""},
+    {"version 0", "GET", "/config", TOKEN, "", 200, "\"version\":0"},
+    {"no JSON", "POST", "/config/patches", TOKEN, "{", 400, "JSON"},
+    {"no base", "POST", "/config/patches", TOKEN, "{\"changes\":[]}", 400,
+     "base"},
+    {"accepted", "POST", "/config/patches", TOKEN, SHARE("p1", "0", "3"), 200,
+     "\"outcome\":\"accepted\",\"reason\":\"\",\"version\":1"},
+    {"sent again", "POST", "/config/patches", TOKEN, SHARE("p1", "0", "3"),
+     200, "\"version\":1"},
+    {"conflict", "POST", "/config/patches", TOKEN, SHARE("p2", "0", "4"), 409,
+     "teams.x.share: changed by version 1"},
+    {"not valid", "POST", "/config/patches", TOKEN, SHARE("p3", "1", "many"),
+     422, "teams.x.share: a number"},
+    {"no id", "POST", "/config/patches", TOKEN,
+     "{\"base\":1,\"changes\":[{\"delete\":\"teams.x.share\"}]}", 200,
+     "\"version\":2"},
+    {"in force", "GET", "/config", TOKEN, "", 200, "\"version\":2"},
+    {"earlier version", "GET", "/config/at/1", TOKEN, "", 200,
+     "\"teams.x.share\":\"3\""},
+    {"version to come", "GET", "/config/at/9", TOKEN, "", 404, "not held"},
+    {"no version", "GET", "/config/at/x", TOKEN, "", 400, "number"},
+    {"changes between versions", "GET", "/config/diff?from=1&to=2", TOKEN, "",
+     200, "{\"delete\":\"teams.x.share\"}"},
+    {"bad query", "GET", "/config/diff?from=one", TOKEN, "", 400, "number"},
+    {"history", "GET", "/config/history", TOKEN, "", 200,
+     "\"author\":\"ana\""},
+    {"verdict by id", "GET", "/config/patches/p2", TOKEN, "", 409, "refused"},
+    {"no such id", "GET", "/config/patches/p9", TOKEN, "", 404, "not-found"},
+    {"status", "GET", "/status", TOKEN, "", 200, "\"standing\":\"in-force\""},
+    {"members", "GET", "/members", TOKEN, "", 200, "\"members\":[]"},
+    {"metrics", "GET", "/metrics", TOKEN, "", 200,
+     "peridothill_config_patches_total{outcome=\"accepted\"} 2"},
+    {"refusals counted", "GET", "/metrics", TOKEN, "", 200,
+     "peridothill_operators_refused_total{reason=\"token\"} 4"},
+    {"cannot be drained", "POST", "/drain", TOKEN, "", 501, "drained"},
+};
+
+/* One instance and the caller. */
+typedef struct PhOperatorsWorld {
+    struct ev_loop *loop;
+    PhClock *clock;
+    PhCounters *counters;
+    PhKernel *kernel;
+    PhFakeLog *log;
+    uint16_t port;
+    PhTaskRef caller;
+    int status; /* of the last answer; 0: none yet */
+    PhStr body;
+} PhOperatorsWorld;
+
+/* Keeps the answer and ends the loop. */
+static void
+caller_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhOperatorsWorld *w = state;
+    (void)self;
+    if (mail->kind == PH_MAIL_MESSAGE) {
+        const PhHttpMessage *m = mail->as.message.body;
+        w->status = m->as.reply.status;
+        w->body = PhStr_Dup(m->as.reply.body);
+        ev_break(w->loop, EVBREAK_ALL);
+    }
+}
+
+/* Sends a request as the caller and waits for the answer. */
+static void
+call(PhOperatorsWorld *w, const PhStepCase *c)
+{
+    PhBuf address = {0};
+    PhBuf_AppendFormat(&address, "127.0.0.1:%u", w->port);
+    PhHttpMessage m = {.tag = PH_HTTP_SEND,
+                       .as.send = {.method = PhStr_Dup(PhStr_FromC(c->method)),
+                                   .address = PhBuf_Take(&address),
+                                   .target = PhStr_Dup(PhStr_FromC(c->target)),
+                                   .body = PhStr_Dup(PhStr_FromC(c->body)),
+                                   .deadline = PhKernel_Now(w->kernel) +
+                                               CALL_TIMEOUT_S * PH_NS_PER_S,
+                                   .first_byte = PH_TIME_NEVER,
+                                   .answer_limit_bytes = 1024 * 1024}};
+    PhHttpHeader_Add(&m.as.send.headers, &m.as.send.header_count,
+                     PhStr_LITERAL("Authorization"),
+                     PhStr_FromC(c->authorization));
+    PhKernel_Send(w->kernel, w->caller,
+                  PhKernel_Lookup(w->kernel, PH_SERVICE_HTTP),
+                  PhHttpMessage_Wrap(&m));
+    w->status = 0;
+    PhStr_Clear(&w->body);
+    ev_run(w->loop, 0);
+}
+
+/* Runs one step. */
+static void
+check_step(PhOperatorsWorld *w, const PhStepCase *c)
+{
+    print_message("# case %s\n", c->name);
+    call(w, c);
+    char *body = PhStr_ToC(w->body);
+    if (w->status != c->status || strstr(body, c->holds) == NULL) {
+        print_message("# status %d body %s\n", w->status, body);
+    }
+    assert_int_equal(w->status, c->status);
+    assert_non_null(strstr(body, c->holds));
+    g_free(body);
+}
+
+/* Starts the log's stand-in and the tasks of an instance. */
+static void
+world_start(PhOperatorsWorld *w, const char *token_file)
+{
+    uint16_t log_port;
+    PhBuf address = {0};
+    PhStandinLogOptions log = {.name = PhStr_LITERAL("standin"),
+                               .listen = PhStr_LITERAL("127.0.0.1:0"),
+                               .log = w->log};
+    PhResult started = PhStandinLog_Start(w->kernel, &log, &log_port);
+    assert_true(PhResult_IsOk(&started));
+    PhBuf_AppendFormat(&address, "127.0.0.1:%u", log_port);
+    PhLogAdapter adapter = {.kind = PH_LOG_ADAPTER_HTTP,
+                            .as.address = PhBuf_Str(&address)};
+    PhConfigOptions config = {.instance = PhStr_LITERAL("silay-1"),
+                              .data_centre = PhStr_LITERAL("silay"),
+                              .seed = 1,
+                              .poll_interval = 50 * PH_NS_PER_MS,
+                              .retention = 3600 * PH_NS_PER_S};
+    PhOperatorsOptions operators = {.listen = PhStr_LITERAL("127.0.0.1:0"),
+                                    .token_file = PhStr_FromC(token_file),
+                                    .instance = PhStr_LITERAL("silay-1"),
+                                    .data_centre = PhStr_LITERAL("silay"),
+                                    .port = &w->port};
+    PhTaskSpec caller = {.name = PhStr_LITERAL("caller"),
+                         .mailbox_capacity = 4,
+                         .state = w,
+                         .handle = caller_handle};
+    assert_int_equal(PhHttp_Start(w->kernel), PH_STATUS_OK);
+    assert_int_equal(PhPlatformLog_Start(w->kernel, &adapter), PH_STATUS_OK);
+    assert_int_equal(PhConfigService_Start(w->kernel, &config), PH_STATUS_OK);
+    assert_int_equal(PhOperators_Start(w->kernel, &operators), PH_STATUS_OK);
+    PhKernel_Spawn(w->kernel, &caller, &w->caller);
+    PhKernel_Drain(w->kernel, SIZE_MAX);
+    assert_int_not_equal(w->port, 0);
+    PhBuf_Clear(&address);
+}
+
+/* Every request of an operator, in order, on one instance. */
+static void
+test_operators(void **state)
+{
+    char token_file[] = "/tmp/peridothill-token-XXXXXX";
+    PhOperatorsWorld w = {.loop = ev_loop_new(EVFLAG_AUTO),
+                          .clock = PhClock_Create(PH_CLOCK_REAL),
+                          .counters = PhCounters_Create(),
+                          .log = PhFakeLog_Create(&(PhFakeLogOptions){0})};
+    (void)state;
+    int fd = mkstemp(token_file);
+    assert_int_equal(write(fd, "0123456789abcdef\n", 17), 17);
+    close(fd);
+    w.kernel = PhKernel_Create(&(PhKernelOptions){
+        .clock = w.clock, .loop = w.loop, .counters = w.counters});
+    world_start(&w, token_file);
+    unlink(token_file);
+    for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+        check_step(&w, &steps[i]);
+    }
+    PhStr_Clear(&w.body);
+    PhKernel_Destroy(w.kernel);
+    PhFakeLog_Destroy(w.log);
+    PhCounters_Destroy(w.counters);
+    PhClock_Destroy(w.clock);
+    ev_loop_destroy(w.loop);
+}
+
+/* Runs the tests of the operators' interface. */
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {cmocka_unit_test(test_operators)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
