config: run followers and appenders of a fleet under faults

Cause: recovery, retention and outages were not tested, and a log whose records expired before any instance read them held the configuration for good. Change: a fleet of followers and appenders over the fake network and log, which asserts that versions never go back and have one content and one patch everywhere; stories of single failures, and random faults at once. BRIDGE lets an operator give up records that are gone unread.

--- /dev/null
+++ b/bench/config_fleet_internal.h
@@ -0,0 +1,98 @@
+/* State of a fleet, shared by the files that make it up. */
+#ifndef PERIDOTHILL_BENCH_CONFIG_FLEET_INTERNAL_H
+#define PERIDOTHILL_BENCH_CONFIG_FLEET_INTERNAL_H
+
+#include <inttypes.h>
+
+#include "peridothill/bench/config_fleet.h"
+
+enum {
+    NAME_BYTES = 24,
+    TOKEN_TICK = 1,
+    TOKEN_ANSWER = 2, /* the first number of an answer of the log */
+};
+
+#define LOG_TIMEOUT_NS (3 * PH_NS_PER_S)
+
+/* An answer of the log that is on its way. */
+typedef struct PhFleetAnswer {
+    uint64_t token;
+    bool append;
+    PhStatus status; /* of the append */
+    size_t appended; /* records of the append */
+    PhConfigEvent event;
+    GPtrArray *records; /* of the event */
+} PhFleetAnswer;
+
+/* A message between two instances. */
+typedef struct PhFleetMessage {
+    PhConfigEvent event; /* without its member */
+    GPtrArray *records;
+} PhFleetMessage;
+
+/* One instance. */
+typedef struct PhFleetInstance {
+    char name[NAME_BYTES];
+    uint32_t index;
+    uint32_t group;
+    bool up;
+    PhRandom *random;
+    PhConfigFollower *follower;
+    PhConfigAppender *appender;
+    GHashTable *answers; /* PhFleetAnswer by token */
+    PhTime tick_at;
+    PhTime heard_at;
+    PhTime append_failed_at;
+    PhTime useful_at;
+    uint64_t version;
+} PhFleetInstance;
+
+struct PhConfigFleet {
+    PhConfigFleetOptions options;
+    PhFakeNet *net;
+    PhFakeLog *log;
+    PhRandom *random;
+    PhFleetInstance *instances;
+    GArray *patches;      /* PhConfigPatch by the number in the log's record */
+    GPtrArray *snapshots; /* PhConfigSnapshot by the number in the record */
+    GHashTable *records;  /* PhConfigRecord by offset */
+    GArray *versions;     /* PhFleetVersion */
+    uint64_t next_token;
+    PhTime append_second;
+    uint64_t append_count;
+    bool log_cut[PH_FAKE_GROUPS]; /* by data centre */
+    PhFleetAnswered answered;
+    void *context;
+    PhFleetCounts counts;
+};
+
+void
+PhFleetAnswer_Destroy(gpointer answer);
+/* Give an event to the deciders of an instance and act on what they ask. */
+void
+PhFleetInstance_Append(PhConfigFleet *f, PhFleetInstance *x,
+                       const PhAppendEvent *event);
+void
+PhFleetInstance_Follow(PhConfigFleet *f, PhFleetInstance *x,
+                       const PhConfigEvent *event);
+void
+PhFleetInstance_Answer(PhConfigFleet *f, PhFleetInstance *x, uint64_t token);
+void
+PhFleetInstance_Tick(PhConfigFleet *f, PhFleetInstance *x);
+
+/* Reads records or snapshots for an instance. */
+void
+PhFleetLog_Read(PhConfigFleet *f, PhFleetInstance *x,
+                const PhConfigAction *action);
+void
+PhFleetLog_ReadSnapshots(PhConfigFleet *f, PhFleetInstance *x,
+                         const PhConfigAction *action);
+void
+PhFleetLog_WriteSnapshot(PhConfigFleet *f, PhFleetInstance *x,
+                         PhConfigSnapshot *snapshot);
+/* Appends a batch of patches for an instance. */
+void
+PhFleetLog_Append(PhConfigFleet *f, PhFleetInstance *x,
+                  const PhAppendAction *action);
+
+#endif
--- a/decide/config/config_follower.c
+++ b/decide/config/config_follower.c
@@ -290,6 +290,9 @@
     case PH_CONFIG_EVENT_STATE:
         PhFollowerPeers_State(f, now, event, actions);
         break;
+    case PH_CONFIG_EVENT_BRIDGE:
+        PhFollowerLog_Bridge(f, actions);
+        break;
     }
 }
 
@@ -347,6 +350,13 @@
     return f->rank < f->options.readers;
 }
 
+/* Tells whether records that were never seen here are past retention. */
+bool
+PhConfigFollower_HasGap(const PhConfigFollower *f)
+{
+    return !f->recovering && f->gap_end > PhFollower_Next(f);
+}
+
 /* Tells when the held state was last known to be the latest. */
 PhTime
 PhConfigFollower_ConfirmedAt(const PhConfigFollower *f)
--- a/decide/config/config_follower_internal.h
+++ b/decide/config/config_follower_internal.h
@@ -52,6 +52,7 @@
 
     bool reading;     /* an answer of the log is awaited */
     uint64_t log_end; /* as far as known */
+    uint64_t gap_end; /* first kept record after those that are gone, or 0 */
     PhTime read_since;
     PhTime next_read;
     PhTime read_backoff;
@@ -107,6 +108,9 @@
 void
 PhFollowerLog_Snapshots(PhConfigFollower *f, PhTime now,
                         const PhConfigEvent *event, GArray *actions);
+/* Writes a snapshot that passes over the records that are gone. */
+void
+PhFollowerLog_Bridge(PhConfigFollower *f, GArray *actions);
 void
 PhFollowerLog_Written(PhConfigFollower *f, PhTime now, PhStatus status,
                       GArray *actions);
--- a/decide/config/config_follower_log.c
+++ b/decide/config/config_follower_log.c
@@ -151,6 +151,7 @@
 {
     uint64_t from = PhFollower_Next(f);
     f->log_failing = false;
+    f->gap_end = 0;
     f->read_backoff = f->options.poll_interval;
     f->next_read = now + PhFollower_Jitter(f, f->options.poll_interval);
     if (event->as.records.end < from) {
@@ -186,6 +187,7 @@
         f->next_read = now + PhFollower_Jitter(f, f->read_backoff);
         f->snapshot_wanted = true;
         f->snapshot_gap = true;
+        f->gap_end = event->as.records.first;
         snapshots_read_last(f, actions);
     }
     else {
@@ -255,6 +257,23 @@
     snapshot_plan(f, now);
 }
 
+/* Writes a snapshot of what is held as if the records that are gone had
+ * changed nothing.  Every instance that waits at the gap goes on from it. */
+void
+PhFollowerLog_Bridge(PhConfigFollower *f, GArray *actions)
+{
+    if (!PhConfigFollower_HasGap(f) || f->snapshot_writing) {
+        return;
+    }
+    PhConfigSnapshot *snapshot = PhConfigLedger_Snapshot(f->ledger);
+    snapshot->covers = f->gap_end;
+    f->snapshot_writing = true;
+    f->snapshot_written = f->gap_end;
+    PhFollower_Add(actions,
+                   (PhConfigAction){.kind = PH_CONFIG_ACTION_WRITE_SNAPSHOT,
+                                    .as.snapshot = snapshot});
+}
+
 /* Handles the outcome of writing a snapshot.  One that may or may not have
  * been written is looked for before another is. */
 void
--- a/include/peridothill/decide/config/config_action.h
+++ b/include/peridothill/decide/config/config_action.h
@@ -34,6 +34,7 @@
     PH_CONFIG_EVENT_FETCH,
     PH_CONFIG_EVENT_PUSH,
     PH_CONFIG_EVENT_STATE,
+    PH_CONFIG_EVENT_BRIDGE, /* an operator gives up records that are gone */
 } PhConfigEventKind;
 
 /* An event; everything it points to is borrowed. */
--- a/include/peridothill/decide/config/config_follower.h
+++ b/include/peridothill/decide/config/config_follower.h
@@ -55,6 +55,10 @@
 /* Tells whether this instance is one of the readers of its data centre. */
 bool
 PhConfigFollower_ReadsLog(const PhConfigFollower *follower);
+/* Tells whether records that were never seen here are past retention, so that
+ * this instance waits for a peer, a snapshot, or an operator's BRIDGE. */
+bool
+PhConfigFollower_HasGap(const PhConfigFollower *follower);
 /* When what is held was last known to be all of the log; negative: never. */
 PhTime
 PhConfigFollower_ConfirmedAt(const PhConfigFollower *follower);
--- /dev/null
+++ b/tests/config/test_config_fleet.c
@@ -0,0 +1,486 @@
+/* Followers and appenders of a fleet under faults. */
+#include "peridothill/bench/config_fleet.h"
+
+#include "tests/table.h"
+
+enum {
+    INSTANCES = 12,
+    DATA_CENTRES = 3,
+    TEAMS = 6,
+    REQUESTS_MAX = 4096,
+};
+
+#define SECOND PH_NS_PER_S
+
+/* A fleet with operators whose answers are kept. */
+typedef struct PhFleetWorld {
+    PhConfigFleet *fleet;
+    PhRandom *random;
+    uint64_t requests;
+    uint64_t accepted[REQUESTS_MAX]; /* version by request; 0: not accepted */
+    uint64_t counted[4];             /* accepted, refused, not, unknown */
+} PhFleetWorld;
+
+/* Keeps the answer to a request. */
+static void
+on_answer(void *context, uint64_t request, const PhResult *result,
+          uint64_t version)
+{
+    PhFleetWorld *w = context;
+    if (PhResult_IsOk(result)) {
+        w->accepted[request] = version;
+        w->counted[0]++;
+    }
+    else if (result->status == PH_STATUS_UNAVAILABLE) {
+        w->counted[2]++;
+    }
+    else if (result->status == PH_STATUS_UNKNOWN) {
+        w->counted[3]++;
+    }
+    else {
+        w->counted[1]++;
+    }
+}
+
+/* Creates a fleet, all of whose instances start. */
+static PhFleetWorld *
+world_create(uint64_t seed, PhTime retention, double loss)
+{
+    PhFleetWorld *w = g_new0(PhFleetWorld, 1);
+    w->random = PhRandom_Create(seed);
+    w->fleet = PhConfigFleet_Create(
+        &(PhConfigFleetOptions){.seed = seed,
+                                .instances = INSTANCES,
+                                .data_centres = DATA_CENTRES,
+                                .regions = 1,
+                                .readers = 2,
+                                .loss = loss,
+                                .retention = retention});
+    PhConfigFleet_OnAnswer(w->fleet, on_answer, w);
+    PhConfigFleet_StartAll(w->fleet);
+    return w;
+}
+
+/* Releases the fleet. */
+static void
+world_destroy(PhFleetWorld *w)
+{
+    PhConfigFleet_Destroy(w->fleet);
+    PhRandom_Destroy(w->random);
+    g_free(w);
+}
+
+/* Runs on for a while. */
+static void
+run(PhFleetWorld *w, PhTime duration)
+{
+    PhConfigFleet_Run(w->fleet, PhConfigFleet_Now(w->fleet) + duration);
+}
+
+/* Submits a patch at an instance, against what it has in force. */
+static void
+submit(PhFleetWorld *w, uint32_t instance)
+{
+    if (w->requests < REQUESTS_MAX && PhConfigFleet_IsUp(w->fleet, instance)) {
+        uint64_t n = w->requests++;
+        PhConfigFleet_Submit(w->fleet, instance, n, n,
+                             PhConfigFleet_Version(w->fleet, instance),
+                             (uint32_t)PhRandom_Below(w->random, TEAMS),
+                             PhConfigFleet_Now(w->fleet) + 8 * SECOND);
+    }
+}
+
+/* Submits patches one after another, at random instances. */
+static void
+submit_some(PhFleetWorld *w, int count)
+{
+    for (int i = 0; i < count; i++) {
+        submit(w, (uint32_t)PhRandom_Below(w->random, INSTANCES));
+        run(w, SECOND / 2);
+    }
+}
+
+/* Checks that all instances hold the highest version and know it to be the
+ * latest, and that every patch that was answered as accepted is in it. */
+static void
+check_settled(PhFleetWorld *w)
+{
+    uint64_t highest = PhConfigFleet_HighestVersion(w->fleet);
+    PhTime now = PhConfigFleet_Now(w->fleet);
+    for (uint32_t i = 0; i < INSTANCES; i++) {
+        assert_int_equal(PhConfigFleet_Version(w->fleet, i), highest);
+        assert_int_equal(PhConfigFollower_Standing(
+                             PhConfigFleet_Follower(w->fleet, i), now),
+                         PH_CONFIG_STANDING_IN_FORCE);
+    }
+    for (uint64_t n = 0; n < w->requests; n++) {
+        char id[24];
+        uint64_t version = w->accepted[n];
+        g_snprintf(id, sizeof(id), "patch-%u", (unsigned)n);
+        if (version > 0) {
+            assert_true(version <= highest);
+            assert_int_equal(
+                PhConfigFleet_VersionAt(w->fleet, version)->patch_id,
+                PhStr_Hash(PhStr_FromC(id), 1));
+        }
+    }
+}
+
+/* What happens between some first patches and the check. */
+typedef enum PhFleetStory {
+    STORY_NOTHING,
+    STORY_START_LOG_DOWN,
+    STORY_START_BESIDE_PEERS,
+    STORY_START_ALONE,
+    STORY_IDLE_BEYOND_RETENTION,
+    STORY_PAUSED_BEYOND_RETENTION,
+    STORY_PAUSED_PEERS_SILENT,
+    STORY_PLATFORM_CUT,
+    STORY_HALVES,
+    STORY_LOST_ANSWERS,
+    STORY_OUTAGE,
+    STORY_RECORDS_LOST,
+} PhFleetStory;
+
+/* A story; `notes` names one thing that has to be noticed in it, or -1. */
+typedef struct PhStoryCase {
+    const char *name;
+    PhFleetStory story;
+    PhTime retention;
+    int note;
+} PhStoryCase;
+
+static const PhStoryCase story_cases[] = {
+    {"nothing happens", STORY_NOTHING, 3600 * SECOND, -1},
+    {"an instance starts, log down", STORY_START_LOG_DOWN, 3600 * SECOND, -1},
+    {"an instance starts beside peers", STORY_START_BESIDE_PEERS,
+     3600 * SECOND, -1},
+    {"all start again at once", STORY_START_ALONE, 3600 * SECOND,
+     PH_CONFIG_NOTE_RECOVERED_LOG},
+    {"all start again, the records expired", STORY_IDLE_BEYOND_RETENTION,
+     60 * SECOND, PH_CONFIG_NOTE_RECOVERED_LOG},
+    {"paused beyond retention", STORY_PAUSED_BEYOND_RETENTION, 60 * SECOND,
+     -1},
+    {"paused beyond retention, peers silent", STORY_PAUSED_PEERS_SILENT,
+     60 * SECOND, PH_CONFIG_NOTE_RECOVERED_LOG},
+    {"a data centre does not reach the platform", STORY_PLATFORM_CUT,
+     3600 * SECOND, PH_CONFIG_NOTE_LOG_FAILED},
+    {"a data centre is cut off from the others", STORY_HALVES, 3600 * SECOND,
+     -1},
+    {"answers are lost after the append", STORY_LOST_ANSWERS, 3600 * SECOND,
+     -1},
+    {"outage of the log", STORY_OUTAGE, 3600 * SECOND,
+     PH_CONFIG_NOTE_LOG_FAILED},
+    {"records expire that nobody read", STORY_RECORDS_LOST, 60 * SECOND,
+     PH_CONFIG_NOTE_RETENTION_GAP},
+};
+
+/* Starts instance 0 again, with the log down when asked; it has to hold the
+ * highest version the moment that it has one at all. */
+static void
+start_again(PhFleetWorld *w, bool log_down)
+{
+    uint64_t highest = PhConfigFleet_HighestVersion(w->fleet);
+    PhFakeLog_Options(PhConfigFleet_Log(w->fleet))->outage = log_down;
+    PhConfigFleet_Crash(w->fleet, 0);
+    PhConfigFleet_Start(w->fleet, 0);
+    for (int i = 0; i < 1000 && PhConfigFleet_UsefulAt(w->fleet, 0) < 0; i++) {
+        run(w, 10 * PH_NS_PER_MS);
+    }
+    assert_int_equal(PhConfigFleet_Version(w->fleet, 0), highest);
+    PhFakeLog_Options(PhConfigFleet_Log(w->fleet))->outage = false;
+}
+
+/* Cuts one data centre off from the two others, both ways, or heals it. */
+static void
+cut_set(PhFleetWorld *w, uint32_t group, bool cut)
+{
+    PhFakeNet *net = PhConfigFleet_Net(w->fleet);
+    for (uint32_t other = 0; other < DATA_CENTRES; other++) {
+        if (other != group) {
+            PhFakeNet_Link(net, group, other)->cut = cut;
+            PhFakeNet_Link(net, other, group)->cut = cut;
+        }
+    }
+}
+
+/* Pauses instance 0 for two retentions, while patches go on. */
+static void
+pause_first(PhFleetWorld *w, bool peers_silent)
+{
+    PhFakeNet *net = PhConfigFleet_Net(w->fleet);
+    for (uint32_t i = 1; i < INSTANCES && peers_silent; i++) {
+        PhFakeNet_Silence(net, i, 0, true);
+    }
+    PhFakeNet_Pause(net, 0, PhConfigFleet_Now(w->fleet) + 120 * SECOND);
+    submit_some(w, 250);
+    run(w, 30 * SECOND);
+    for (uint32_t i = 1; i < INSTANCES; i++) {
+        PhFakeNet_Silence(net, i, 0, false);
+    }
+}
+
+/* Checks that data centre 0 follows while it does not reach the log. */
+static void
+platform_cut(PhFleetWorld *w)
+{
+    PhConfigFleet_CutLog(w->fleet, 0, true);
+    submit_some(w, 20);
+    run(w, 10 * SECOND);
+    assert_true(PhConfigFleet_HighestVersion(w->fleet) > 5);
+    assert_int_equal(PhConfigFleet_Version(w->fleet, 0),
+                     PhConfigFleet_HighestVersion(w->fleet));
+    PhConfigFleet_CutLog(w->fleet, 0, false);
+}
+
+/* Cuts data centre 0 off from log and peers; it keeps its version. */
+static void
+halves(PhFleetWorld *w)
+{
+    uint64_t held = PhConfigFleet_Version(w->fleet, 0);
+    PhConfigFleet_CutLog(w->fleet, 0, true);
+    cut_set(w, 0, true);
+    submit_some(w, 40);
+    assert_int_equal(PhConfigFleet_Version(w->fleet, 0), held);
+    assert_true(PhConfigFleet_Version(w->fleet, 1) > held);
+    assert_int_equal(
+        PhConfigFollower_Standing(PhConfigFleet_Follower(w->fleet, 0),
+                                  PhConfigFleet_Now(w->fleet)),
+        PH_CONFIG_STANDING_STALE);
+    PhConfigFleet_CutLog(w->fleet, 0, false);
+    cut_set(w, 0, false);
+}
+
+/* Loses a third of the answers; most patches get a verdict all the same. */
+static void
+lost_answers(PhFleetWorld *w)
+{
+    PhFakeLog_Options(PhConfigFleet_Log(w->fleet))->lost_answers = 0.3;
+    submit_some(w, 40);
+    run(w, 20 * SECOND);
+    PhFakeLog_Options(PhConfigFleet_Log(w->fleet))->lost_answers = 0.0;
+    assert_true(w->counted[0] + w->counted[1] >= 40);
+}
+
+/* During an outage no patch is accepted, and none is unknown. */
+static void
+outage(PhFleetWorld *w)
+{
+    uint64_t accepted = w->counted[0];
+    PhFakeLog_Options(PhConfigFleet_Log(w->fleet))->outage = true;
+    submit_some(w, 60);
+    run(w, 20 * SECOND);
+    assert_int_equal(w->counted[0], accepted);
+    assert_int_equal(w->counted[3], 0);
+    assert_int_equal(w->counted[2], 60);
+    PhFakeLog_Options(PhConfigFleet_Log(w->fleet))->outage = false;
+}
+
+/* Has the log lose records before any instance read them: the version stays
+ * and nothing is accepted, until an operator gives the records up. */
+static void
+records_lost(PhFleetWorld *w)
+{
+    PhFakeLog *log = PhConfigFleet_Log(w->fleet);
+    uint64_t held = PhConfigFleet_HighestVersion(w->fleet);
+    PhFakeLog_Options(log)->lost_answers = 1.0;
+    submit(w, 0);
+    PhFakeLog_Options(log)->outage = true;
+    run(w, 130 * SECOND);
+    PhFakeLog_Options(log)->lost_answers = 0.0;
+    PhFakeLog_Options(log)->outage = false;
+    submit_some(w, 40);
+    assert_int_equal(PhConfigFleet_HighestVersion(w->fleet), held);
+    for (uint32_t i = 0; i < INSTANCES; i++) {
+        assert_int_equal(PhConfigFleet_Version(w->fleet, i), held);
+    }
+    assert_true(PhConfigFollower_HasGap(PhConfigFleet_Follower(w->fleet, 0)));
+    PhConfigFleet_Bridge(w->fleet, 0);
+}
+
+/* Plays a story. */
+static void
+story_play(PhFleetWorld *w, PhFleetStory story)
+{
+    switch (story) {
+    case STORY_NOTHING:
+        break;
+    case STORY_START_LOG_DOWN:
+        start_again(w, true);
+        break;
+    case STORY_START_BESIDE_PEERS:
+        start_again(w, false);
+        break;
+    case STORY_START_ALONE:
+    case STORY_IDLE_BEYOND_RETENTION:
+        run(w, 600 * SECOND);
+        PhConfigFleet_CrashAll(w->fleet);
+        PhConfigFleet_StartAll(w->fleet);
+        break;
+    case STORY_PAUSED_BEYOND_RETENTION:
+        pause_first(w, false);
+        break;
+    case STORY_PAUSED_PEERS_SILENT:
+        pause_first(w, true);
+        break;
+    case STORY_PLATFORM_CUT:
+        platform_cut(w);
+        break;
+    case STORY_HALVES:
+        halves(w);
+        break;
+    case STORY_LOST_ANSWERS:
+        lost_answers(w);
+        break;
+    case STORY_OUTAGE:
+        outage(w);
+        break;
+    case STORY_RECORDS_LOST:
+        records_lost(w);
+        break;
+    }
+}
+
+/* Checks that the fleet settles before and after a story. */
+static void
+check_story(const PhStoryCase *c)
+{
+    PhFleetWorld *w = world_create(7, c->retention, 0.0);
+    run(w, 5 * SECOND);
+    submit_some(w, 20);
+    run(w, 10 * SECOND);
+    assert_true(PhConfigFleet_HighestVersion(w->fleet) >= 10);
+    check_settled(w);
+    story_play(w, c->story);
+    run(w, 90 * SECOND);
+    submit_some(w, 3);
+    run(w, 10 * SECOND);
+    check_settled(w);
+    if (c->note >= 0) {
+        assert_true(PhConfigFleet_Counts(w->fleet)->notes[c->note] > 0);
+    }
+    assert_int_equal(
+        PhConfigFleet_Counts(w->fleet)->notes[PH_CONFIG_NOTE_DIGEST_MISMATCH],
+        0);
+    world_destroy(w);
+}
+
+/* One failure at a time. */
+static void
+test_story(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(story_cases, check_story);
+}
+
+/* A seed of random faults. */
+typedef struct PhSoakCase {
+    const char *name;
+    uint64_t seed;
+    PhTime retention;
+    double loss;
+    int steps;
+} PhSoakCase;
+
+static const PhSoakCase soak_cases[] = {
+    {"all faults", 1, 3600 * SECOND, 0.02, 1500},
+    {"all faults, another seed", 2, 3600 * SECOND, 0.02, 1500},
+    {"short retention", 3, 400 * SECOND, 0.02, 1500},
+    {"heavy loss", 4, 400 * SECOND, 0.2, 1500},
+};
+
+/* Brings about one random fault, or ends one. */
+static void
+fault(PhFleetWorld *w)
+{
+    PhFakeLogOptions *log = PhFakeLog_Options(PhConfigFleet_Log(w->fleet));
+    uint32_t i = (uint32_t)PhRandom_Below(w->random, INSTANCES);
+    uint32_t group = (uint32_t)PhRandom_Below(w->random, DATA_CENTRES);
+    switch (PhRandom_Below(w->random, 7)) {
+    case 0:
+        log->outage = PhRandom_Chance(w->random, 0.3);
+        break;
+    case 1:
+        log->lost_answers = PhRandom_Chance(w->random, 0.4) ? 0.3 : 0.0;
+        break;
+    case 2:
+        cut_set(w, group, PhRandom_Chance(w->random, 0.4));
+        break;
+    case 3:
+        PhConfigFleet_CutLog(w->fleet, group, PhRandom_Chance(w->random, 0.4));
+        break;
+    case 4:
+        log->delay_extra =
+            (PhTime)PhRandom_Below(w->random, 2) * 2 * SECOND + SECOND / 100;
+        break;
+    case 5:
+        PhFakeNet_Pause(PhConfigFleet_Net(w->fleet), i,
+                        PhConfigFleet_Now(w->fleet) +
+                            (PhTime)PhRandom_Below(w->random, 20) * SECOND);
+        break;
+    default:
+        if (PhConfigFleet_IsUp(w->fleet, i)) {
+            PhConfigFleet_Crash(w->fleet, i);
+        }
+        else {
+            PhConfigFleet_Start(w->fleet, i);
+        }
+        break;
+    }
+}
+
+/* Ends all faults. */
+static void
+heal(PhFleetWorld *w)
+{
+    PhFakeLogOptions *log = PhFakeLog_Options(PhConfigFleet_Log(w->fleet));
+    log->outage = false;
+    log->lost_answers = 0.0;
+    log->delay_extra = SECOND / 100;
+    for (uint32_t group = 0; group < DATA_CENTRES; group++) {
+        PhConfigFleet_CutLog(w->fleet, group, false);
+        cut_set(w, group, false);
+    }
+    PhConfigFleet_StartAll(w->fleet);
+}
+
+/* Runs random patches under random faults; the fleet asserts that versions
+ * never go back and have one content, and in the end nothing is lost. */
+static void
+check_soak(const PhSoakCase *c)
+{
+    PhFleetWorld *w = world_create(c->seed, c->retention, c->loss);
+    for (int i = 0; i < c->steps; i++) {
+        run(w, (PhTime)PhRandom_Below(w->random, 1000) * PH_NS_PER_MS);
+        submit(w, (uint32_t)PhRandom_Below(w->random, INSTANCES));
+        if (PhRandom_Chance(w->random, 0.1)) {
+            fault(w);
+        }
+    }
+    heal(w);
+    run(w, 120 * SECOND);
+    check_settled(w);
+    for (size_t i = 0; i < G_N_ELEMENTS(w->counted); i++) {
+        assert_true(w->counted[i] > 0);
+    }
+    world_destroy(w);
+}
+
+/* Random faults, several at once. */
+static void
+test_soak(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(soak_cases, check_soak);
+}
+
+/* Runs the tests of followers and appenders. */
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_story),
+        cmocka_unit_test(test_soak),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
