--- /dev/null
+++ b/decide/tasks/engine_log.c
@@ -0,0 +1,470 @@
+#include "job_engine_private.h"
+
+enum {
+    RECORDS_PER_ENTRY_MAX = 256,
+    SNAPSHOT_RECORDS_PER_ENTRY = 32,
+    APPEND_RETRY_MS = 500,
+    SUBMIT_ANSWER_MS = 5000,
+};
+
+/* Answers a submit or a cancel. */
+static void
+answer(PhJobEngine *e, const PhWaiting *w, uint64_t job, PhResult result)
+{
+    PhJobAction action = {.kind = PH_ACTION_ANSWER};
+    action.as.answer.token = w->token;
+    action.as.answer.cancel = w->cancel;
+    action.as.answer.job = job;
+    action.as.answer.result = result;
+    PhJobEngine_Act(e, action);
+}
+
+/* Answers all that wait in a list with one result, and empties it. */
+static void
+answer_all(PhJobEngine *e, GArray *waiting, PhStatus status,
+           const char *message)
+{
+    for (guint i = 0; i < waiting->len; i++) {
+        answer(e, &g_array_index(waiting, PhWaiting, i), 0,
+               PhResult_Make(status, "%s", message));
+    }
+    g_array_set_size(waiting, 0);
+}
+
+/* Tells whether a record stands for a submitter's wish. */
+static bool
+is_wish(const PhJobRecord *record)
+{
+    return record->kind == PH_RECORD_JOB || record->kind == PH_RECORD_CANCEL;
+}
+
+/* Takes submitters' wishes out of a list of records; none of them left this
+ * instance, or the log said that it did not append them. */
+static void
+wishes_drop(PhJobEngine *e, GArray *records, GArray *waiting)
+{
+    for (guint i = records->len; i > 0; i--) {
+        if (is_wish(&g_array_index(records, PhJobRecord, i - 1))) {
+            g_array_remove_index(records, i - 1);
+        }
+    }
+    PhJobEngine_Count(e, PH_COUNTER_TASKS_REFUSED_LOG_DOWN, waiting->len);
+    answer_all(e, waiting, PH_STATUS_UNAVAILABLE,
+               "the log is down: not accepted, nothing will run");
+}
+
+/* Notes that the log does not take appends. */
+static void
+log_lost(PhJobEngine *e)
+{
+    e->log_down = true;
+    if (e->waiting->len > 0) {
+        wishes_drop(e, e->queue, e->waiting);
+    }
+}
+
+/* Refuses a wish at once, when it cannot be appended now. */
+static bool
+refused(PhJobEngine *e, const PhWaiting *w)
+{
+    if (e->state == NULL || e->log_down || e->leaving) {
+        PhJobEngine_Count(e, PH_COUNTER_TASKS_REFUSED_LOG_DOWN, 1);
+        answer(e, w, 0,
+               PhResult_Make(PH_STATUS_UNAVAILABLE,
+                             "the log cannot be reached: not accepted, "
+                             "nothing will run"));
+        return true;
+    }
+    if (e->waiting->len >= PH_JOB_SUBMITS_MAX) {
+        PhJobEngine_Count(e, PH_COUNTER_TASKS_REFUSED_FULL, 1);
+        answer(e, w, 0,
+               PhResult_Make(PH_STATUS_FULL,
+                             "too many submits wait: not accepted"));
+        return true;
+    }
+    return false;
+}
+
+/* Takes a submit. */
+void
+PhJobEngine_OnSubmit(PhJobEngine *e, uint64_t token, const PhJobSpec *spec)
+{
+    PhWaiting w = {.token = token, .position = e->queue->len};
+    PhResult check = PhJobSpec_Check(spec);
+    if (!PhResult_IsOk(&check)) {
+        PhJobEngine_Count(e, PH_COUNTER_TASKS_REFUSED_INVALID, 1);
+        answer(e, &w, 0, check);
+        return;
+    }
+    if (refused(e, &w)) {
+        return;
+    }
+    g_array_append_val(e->waiting, w);
+    PhJobRecord record = {.kind = PH_RECORD_JOB,
+                          .as.job = PhJobSpec_Copy(spec)};
+    PhJobEngine_Queue(e, record);
+}
+
+/* Takes a cancel. */
+void
+PhJobEngine_OnCancel(PhJobEngine *e, uint64_t token, uint64_t job)
+{
+    PhWaiting w = {.token = token, .cancel = true, .position = e->queue->len};
+    if (refused(e, &w)) {
+        return;
+    }
+    g_array_append_val(e->waiting, w);
+    PhJobEngine_Queue(
+        e, (PhJobRecord){.kind = PH_RECORD_CANCEL, .as.cancel = job});
+}
+
+/* Moves the first `n` records of an array to an entry. */
+static void
+records_move(GArray *from, guint first, guint n, GArray *to)
+{
+    g_array_append_vals(to, &g_array_index(from, PhJobRecord, first), n);
+    for (guint i = 0; i < n; i++) {
+        /* The entry owns it now. */
+        g_array_index(from, PhJobRecord, first + i) =
+            (PhJobRecord){.kind = PH_RECORD_HOLD};
+    }
+}
+
+/* Moves the submits of the first `n` records to the flight. */
+static void
+waiting_move(PhJobEngine *e, guint n)
+{
+    guint moved = 0;
+    while (moved < e->waiting->len &&
+           g_array_index(e->waiting, PhWaiting, moved).position < n) {
+        moved++;
+    }
+    if (moved > 0) {
+        g_array_append_vals(e->flight.waiting, e->waiting->data, moved);
+        g_array_remove_range(e->waiting, 0, moved);
+    }
+    for (guint i = 0; i < e->waiting->len; i++) {
+        g_array_index(e->waiting, PhWaiting, i).position -= n;
+    }
+}
+
+/* Sends the entry in flight. */
+static void
+flight_send(PhJobEngine *e)
+{
+    e->flight.outstanding = true;
+    PhJobEngine_Count(e, PH_COUNTER_TASKS_APPENDS, 1);
+    PhJobEngine_Act(e, (PhJobAction){.kind = PH_ACTION_APPEND,
+                                     .as.append = &e->flight.entry});
+}
+
+/* Makes an entry of what is queued and sends it, one at a time. */
+void
+PhJobEngine_Flush(PhJobEngine *e)
+{
+    if (e->flight.open || e->state == NULL) {
+        return;
+    }
+    guint left = e->snapshot->len - e->snapshot_at;
+    guint n = MIN(e->queue->len, RECORDS_PER_ENTRY_MAX);
+    guint parts = MIN(left, SNAPSHOT_RECORDS_PER_ENTRY);
+    if (n + parts == 0) {
+        return;
+    }
+    e->flight.entry = PhJobEntry_Make(e->options.instance, e->sequence + 1);
+    if (n > 0) {
+        records_move(e->queue, 0, n, e->flight.entry.records);
+        g_array_remove_range(e->queue, 0, n);
+        waiting_move(e, n);
+    }
+    if (parts > 0) {
+        records_move(e->snapshot, e->snapshot_at, parts,
+                     e->flight.entry.records);
+        e->snapshot_at += parts;
+    }
+    if (e->snapshot_at == e->snapshot->len) {
+        g_array_set_size(e->snapshot, 0);
+        e->snapshot_at = 0;
+    }
+    e->flight.open = true;
+    e->flight.uncertain = false;
+    e->flight.confirmed = false;
+    e->flight.first_sent = e->now;
+    flight_send(e);
+}
+
+/* Forgets the entry in flight. */
+static void
+flight_close(PhJobEngine *e)
+{
+    PhJobEntry_Clear(&e->flight.entry);
+    g_array_set_size(e->flight.waiting, 0);
+    e->flight.open = false;
+}
+
+/* Takes the answer to an append. */
+void
+PhJobEngine_OnAppended(PhJobEngine *e, PhStatus status)
+{
+    PhFlight *f = &e->flight;
+    f->outstanding = false;
+    f->retry_at = e->now + (APPEND_RETRY_MS * PH_NS_PER_MS);
+    if (!f->open) {
+        return; /* it was read back before the answer came */
+    }
+    if (status == PH_STATUS_OK) {
+        f->confirmed = true;
+        e->log_down = false;
+        e->next_read = e->now;
+        return;
+    }
+    PhJobEngine_Count(e, PH_COUNTER_TASKS_APPEND_RETRIES, 1);
+    f->uncertain = f->uncertain || status != PH_STATUS_UNAVAILABLE;
+    log_lost(e);
+    if (!f->uncertain) {
+        wishes_drop(e, f->entry.records, f->waiting);
+        if (f->entry.records->len == 0) {
+            flight_close(e);
+        }
+    }
+}
+
+/* Gives the answer that a change stands for. */
+static void
+waiting_answer(PhJobEngine *e, const PhWaiting *w, const PhJobChange *change)
+{
+    PhResult result = PhResult_Ok();
+    if (w->cancel && change->job == 0) {
+        result = PhResult_Make(PH_STATUS_NOT_FOUND, "no such job");
+    }
+    else if (change->repeated) {
+        result = PhResult_Make(PH_STATUS_EXISTS, "the key was accepted");
+    }
+    else if (!w->cancel) {
+        PhJobEngine_Count(e, PH_COUNTER_TASKS_ACCEPTED, 1);
+    }
+    answer(e, w, change->job, result);
+}
+
+/* The entry in flight was read back: answers its submits. */
+static void
+flight_done(PhJobEngine *e, const GArray *changes)
+{
+    PhFlight *f = &e->flight;
+    e->sequence = f->entry.sequence;
+    e->log_down = false;
+    for (guint i = 0; i < f->waiting->len; i++) {
+        const PhWaiting *w = &g_array_index(f->waiting, PhWaiting, i);
+        for (guint k = 0; k < changes->len; k++) {
+            const PhJobChange *c = &g_array_index(changes, PhJobChange, k);
+            if (c->position == w->position) {
+                waiting_answer(e, w, c);
+            }
+        }
+    }
+    flight_close(e);
+}
+
+/* Tells the other parts of the engine what an entry changed. */
+static void
+changes_spread(PhJobEngine *e, const PhJobEntry *entry, const GArray *changes,
+               PhTime sent)
+{
+    bool own = sent > 0;
+    PhJobEngine_Contacts(e);
+    for (guint i = 0; i < changes->len; i++) {
+        const PhJobChange *c = &g_array_index(changes, PhJobChange, i);
+        const PhJobRecord *r =
+            &g_array_index(entry->records, PhJobRecord, c->position);
+        if (own && r->kind == PH_RECORD_END) {
+            g_hash_table_remove(e->ending, &r->as.end.run);
+        }
+        if (own && r->kind == PH_RECORD_START && c->kind == PH_CHANGE_VOID) {
+            PhJobEngine_StartVoid(e, r->as.start.run);
+        }
+        PhJobEngine_OwnerChange(e, c, own, sent);
+        PhJobEngine_WorkerChange(e, c);
+        PhJobEngine_ScheduleChange(e, c, own);
+    }
+}
+
+/* Applies one entry that was read. */
+static void
+entry_apply(PhJobEngine *e, const PhPlacedEntry *placed)
+{
+    const PhJobEntry *entry = placed->entry;
+    GArray *changes = g_array_new(FALSE, FALSE, sizeof(PhJobChange));
+    if (PhJobState_Apply(e->state, placed->place, entry, changes)) {
+        bool own = PhStr_Equal(entry->instance, e->options.instance);
+        PhTime sent = 0;
+        /* Other own entries are read again after a snapshot. */
+        if (own && e->flight.open &&
+            e->flight.entry.sequence == entry->sequence) {
+            sent = MAX(e->flight.first_sent, 1);
+            flight_done(e, changes);
+        }
+        PhTime *seen = g_new(PhTime, 1);
+        *seen = e->now;
+        g_hash_table_replace(e->kept_at, PhStr_KeyCreate(entry->instance),
+                             seen);
+        changes_spread(e, entry, changes, sent);
+    }
+    g_array_free(changes, TRUE);
+}
+
+/* Keeps the records of a snapshot; builds the state when it is whole. */
+static void
+entry_load(PhJobEngine *e, const PhJobEntry *entry)
+{
+    GArray *kept = g_hash_table_lookup(e->loading, &entry->instance);
+    if (kept == NULL) {
+        kept = PhJobRecords_Create();
+        g_hash_table_insert(e->loading, PhStr_KeyCreate(entry->instance),
+                            kept);
+    }
+    for (guint i = 0; i < entry->records->len && e->state == NULL; i++) {
+        const PhJobRecord *r = &g_array_index(entry->records, PhJobRecord, i);
+        if (r->kind < PH_RECORD_SNAPSHOT_BEGIN) {
+            continue;
+        }
+        if (r->kind == PH_RECORD_SNAPSHOT_BEGIN) {
+            g_array_set_size(kept, 0);
+        }
+        PhJobRecord copy = PhJobRecord_Copy(r);
+        g_array_append_val(kept, copy);
+        if (r->kind == PH_RECORD_SNAPSHOT_END) {
+            e->state = PhJobState_Load(kept);
+        }
+    }
+}
+
+/* Retention passed the place that was asked for: loads a snapshot. */
+static void
+stream_skip(PhJobEngine *e, uint64_t first)
+{
+    PhJobEngine_OwnerForget(e);
+    PhJobState_Destroy(e->state);
+    e->state = NULL;
+    e->caught_up = false;
+    g_hash_table_remove_all(e->ending);
+    e->load_next = first;
+    g_hash_table_remove_all(e->loading);
+    PhJobEngine_Count(e, PH_COUNTER_TASKS_SNAPSHOT_LOADS, 1);
+}
+
+/* Notes that the end was reached. */
+static void
+end_reached(PhJobEngine *e)
+{
+    if (e->state == NULL) {
+        if (!e->stream_lost) {
+            e->stream_lost = true;
+            PhJobEngine_Note(e, PH_NOTE_STREAM_LOST, e->options.instance,
+                             e->load_next);
+        }
+        return;
+    }
+    if (!e->caught_up) {
+        e->caught_up = true;
+        e->owner_seen = e->now;
+    }
+}
+
+/* Closes the entry in flight if the snapshot includes it. */
+static void
+flight_resume(PhJobEngine *e)
+{
+    const PhJobRenewer *own =
+        PhJobState_RenewerOf(e->state, e->options.instance);
+    if (e->flight.open && own != NULL &&
+        own->sequence >= e->flight.entry.sequence) {
+        e->sequence = e->flight.entry.sequence;
+        answer_all(e, e->flight.waiting, PH_STATUS_UNKNOWN,
+                   "may have been accepted: ask again with the same key");
+        flight_close(e);
+    }
+}
+
+/* Loads entries until a snapshot is whole. */
+static void
+read_load(PhJobEngine *e, const PhJobEvent *event)
+{
+    for (size_t i = 0; i < event->as.read.count && e->state == NULL; i++) {
+        entry_load(e, event->as.read.entries[i].entry);
+    }
+    if (e->state == NULL) {
+        e->load_next = event->as.read.next;
+        return;
+    }
+    g_hash_table_remove_all(e->loading);
+    PhJobEngine_Renumber(e);
+    flight_resume(e);
+    e->stream_lost = false;
+    e->next_read = e->now;
+}
+
+/* Takes entries that were read. */
+void
+PhJobEngine_OnRead(PhJobEngine *e, const PhJobEvent *event)
+{
+    e->read_open = false;
+    e->next_read = e->now + (PH_POLL_MS * PH_NS_PER_MS);
+    if (event->as.read.status == PH_STATUS_EXPIRED) {
+        stream_skip(e, event->as.read.first);
+        e->next_read = e->now;
+        return;
+    }
+    if (event->as.read.status != PH_STATUS_OK) {
+        return;
+    }
+    if (!e->flight.open) {
+        e->log_down = false;
+    }
+    bool loading = e->state == NULL && e->load_next > 0;
+    if (loading) {
+        read_load(e, event);
+    }
+    else {
+        if (e->state == NULL) {
+            e->state = PhJobState_Create();
+            PhJobEngine_Renumber(e);
+        }
+        for (size_t i = 0; i < event->as.read.count; i++) {
+            entry_apply(e, &event->as.read.entries[i]);
+        }
+    }
+    if (!event->as.read.at_end || (e->flight.open && e->flight.confirmed)) {
+        e->next_read = e->now;
+    }
+    if (event->as.read.at_end && !(loading && e->state != NULL)) {
+        end_reached(e);
+    }
+}
+
+/* Reads on, sends an entry again, gives up on waiting submits. */
+void
+PhJobEngine_LogTick(PhJobEngine *e)
+{
+    PhFlight *f = &e->flight;
+    if (!e->read_open && e->now >= e->next_read) {
+        e->read_open = true;
+        PhJobEngine_Act(
+            e, (PhJobAction){.kind = PH_ACTION_READ,
+                             .as.read = e->state == NULL
+                                            ? e->load_next
+                                            : PhJobState_Next(e->state)});
+    }
+    if (!f->open) {
+        return;
+    }
+    if (f->waiting->len > 0 &&
+        e->now > f->first_sent + (SUBMIT_ANSWER_MS * PH_NS_PER_MS)) {
+        PhJobEngine_Count(e, PH_COUNTER_TASKS_ANSWERS_UNKNOWN,
+                          f->waiting->len);
+        answer_all(e, f->waiting, PH_STATUS_UNKNOWN,
+                   "may have been accepted: ask again with the same key");
+    }
+    if (!f->outstanding && !f->confirmed && e->now >= f->retry_at) {
+        flight_send(e);
+    }
+}
--- /dev/null
+++ b/decide/tasks/engine_owner.c
@@ -0,0 +1,218 @@
+#include "job_engine_private.h"
+
+#include "peridothill/common/invariant.h"
+
+enum {
+    CLAIM_JITTER_MAX_MS = 500,
+    /* A renewal this long before the right ends could still be on its way. */
+    LEAVE_MARGIN_MS = 1000,
+};
+
+/* Tells whether this instance may start tasks. */
+bool
+PhJobEngine_Owns(const PhJobEngine *e, PhTime now)
+{
+    return e->owner && now < e->right_until;
+}
+
+/* Tells whether this instance may renew leases. */
+bool
+PhJobEngine_MayRenew(const PhJobEngine *e)
+{
+    return !e->leaving && e->now < e->renew_until;
+}
+
+/* Begins to own the data centre. */
+static void
+owner_gain(PhJobEngine *e)
+{
+    e->owner = true;
+    e->claimed_at = e->now;
+    e->next_hold = e->now + (PH_OWNER_HOLD_MS * PH_NS_PER_MS);
+    e->next_snapshot = e->now + e->options.times.snapshot;
+    PhJobEngine_Count(e, PH_COUNTER_TASKS_CLAIMS, 1);
+    PhJobEngine_Note(e, PH_NOTE_OWNER_GAINED, e->options.instance,
+                     PhJobState_Epoch(e->state));
+    for (guint i = 0; i < e->contacts->len; i++) {
+        PhContact *c = PhJobEngine_Contact(e, i);
+        c->next_question = e->now;
+        c->lapse_from = PH_TIME_NEVER;
+        c->suspected = false;
+    }
+    PhJobEngine_ScheduleReset(e);
+}
+
+/* Ceases to own the data centre. */
+static void
+owner_lose(PhJobEngine *e)
+{
+    e->owner = false;
+    e->right_until = 0;
+    g_hash_table_remove_all(e->starts);
+    PhJobQueue_Clear(e->jobs);
+    PhJobEngine_Note(e, PH_NOTE_OWNER_LOST, e->options.instance,
+                     PhJobState_Epoch(e->state));
+}
+
+/* Forgets the ownership, as the stream has to be read anew. */
+void
+PhJobEngine_OwnerForget(PhJobEngine *e)
+{
+    if (e->owner) {
+        owner_lose(e);
+    }
+    e->claiming = false;
+}
+
+/* Notes the right to renew that an own KEEP gave. */
+static void
+renew_right(PhJobEngine *e, PhTime sent)
+{
+    e->renew_until =
+        sent + e->options.times.renew_right - (LEAVE_MARGIN_MS * PH_NS_PER_MS);
+}
+
+/* Follows the ownership as the log decides it. */
+void
+PhJobEngine_OwnerChange(PhJobEngine *e, const PhJobChange *change, bool own,
+                        PhTime sent)
+{
+    switch (change->kind) {
+    case PH_CHANGE_OWNER:
+        e->claiming = false;
+        e->owner_seen = e->now;
+        if (e->owner) {
+            owner_lose(e);
+        }
+        if (own) {
+            owner_gain(e);
+        }
+        break;
+    case PH_CHANGE_HELD:
+    case PH_CHANGE_PLACED:
+    case PH_CHANGE_RETIRED:
+    case PH_CHANGE_RESTORED:
+        e->owner_seen = e->now;
+        break;
+    case PH_CHANGE_KEPT:
+        if (own) {
+            renew_right(e, sent);
+        }
+        PhJobEngine_Share(e);
+        return;
+    case PH_CHANGE_LEFT:
+        PhJobEngine_Share(e);
+        return;
+    case PH_CHANGE_SNAPSHOT:
+        e->next_snapshot = e->now + e->options.times.snapshot;
+        return;
+    case PH_CHANGE_VOID:
+        if (own) {
+            e->claiming = false;
+        }
+        return;
+    case PH_CHANGE_ACCEPTED:
+    case PH_CHANGE_CANCELLED:
+    case PH_CHANGE_ENDED:
+    case PH_CHANGE_SUSPECTED:
+        return;
+    }
+    if (own) {
+        Ph_INVARIANT(PH_INVARIANT_LEASE, e->owner, "epoch=%" G_GUINT64_FORMAT,
+                     PhJobState_Epoch(e->state));
+        e->right_until =
+            MAX(e->right_until, sent + (PH_OWNER_VALID_MS * PH_NS_PER_MS));
+    }
+}
+
+/* Claims the data centre once the owner must have stopped. */
+static void
+claim_tick(PhJobEngine *e)
+{
+    if (e->owner || e->claiming || !e->caught_up || e->leaving ||
+        e->log_down) {
+        return;
+    }
+    PhTime wait = e->claim_jitter;
+    if (PhJobState_Epoch(e->state) > 0) {
+        wait += PhLease_Stretch(PH_OWNER_VALID_MS * PH_NS_PER_MS);
+    }
+    if (e->now < e->owner_seen + wait) {
+        return;
+    }
+    PhJobRecord claim = {.kind = PH_RECORD_CLAIM};
+    claim.as.claim.epoch = PhJobState_Epoch(e->state) + 1;
+    claim.as.claim.after = PhJobState_OwnerPlace(e->state);
+    e->claiming = true;
+    e->claim_jitter =
+        (PhTime)PhRandom_Below(e->random, CLAIM_JITTER_MAX_MS) * PH_NS_PER_MS;
+    PhJobEngine_Queue(e, claim);
+}
+
+/* Registers as renewer, and again before the right ends. */
+static void
+keep_tick(PhJobEngine *e)
+{
+    if (!e->caught_up || e->leaving || e->now < e->next_keep) {
+        return;
+    }
+    e->next_keep = e->now + e->options.times.keep;
+    PhJobEngine_Queue(e,
+                      (PhJobRecord){.kind = PH_RECORD_KEEP,
+                                    .as.through = PhJobState_Next(e->state)});
+}
+
+/* Appends a snapshot when it is time. */
+static void
+snapshot_tick(PhJobEngine *e)
+{
+    if (e->now < e->next_snapshot || e->snapshot->len > 0) {
+        return;
+    }
+    e->next_snapshot = e->now + e->options.times.snapshot;
+    PhJobState_Snapshot(e->state, PhRandom_U64(e->random) >> 1, e->snapshot);
+}
+
+/* Ends the registration of instances whose right has ended. */
+static void
+forget_tick(PhJobEngine *e)
+{
+    PhTime right = PhLease_Stretch(e->options.times.renew_right);
+    for (uint32_t i = 0; i < PhJobState_RenewerCount(e->state); i++) {
+        const PhJobRenewer *r = PhJobState_Renewer(e->state, i);
+        PhTime *seen = g_hash_table_lookup(e->kept_at, &r->id);
+        if (!r->registered || seen == NULL || e->now < *seen + right ||
+            PhStr_Equal(r->id, e->options.instance)) {
+            continue;
+        }
+        PhJobRecord leave = {.kind = PH_RECORD_LEAVE};
+        leave.as.leave.instance = PhStr_Dup(r->id);
+        leave.as.leave.sequence = r->sequence;
+        PhJobEngine_Queue(e, leave);
+        *seen = e->now; /* not again at the next tick */
+    }
+}
+
+/* Claims, holds, registers and compacts as time passes. */
+void
+PhJobEngine_OwnerTick(PhJobEngine *e)
+{
+    if (e->state == NULL) {
+        return;
+    }
+    claim_tick(e);
+    keep_tick(e);
+    if (!e->owner) {
+        return;
+    }
+    if (e->now >= e->next_hold && !e->leaving && !e->log_down) {
+        e->next_hold = e->now + (PH_OWNER_HOLD_MS * PH_NS_PER_MS);
+        PhJobEngine_Queue(
+            e, (PhJobRecord){.kind = PH_RECORD_HOLD,
+                             .as.hold = PhJobState_Epoch(e->state)});
+    }
+    snapshot_tick(e);
+    if (PhJobEngine_Owns(e, e->now)) {
+        forget_tick(e);
+    }
+}
--- /dev/null
+++ b/decide/tasks/engine_schedule.c
@@ -0,0 +1,338 @@
+#include "job_engine_private.h"
+
+#include "peridothill/common/invariant.h"
+
+enum {
+    STARTS_PER_TICK = 64,
+    /* Start records that may be on their way. */
+    STARTS_UNPLACED_MAX = 512,
+    /* Jobs without room that one pass looks at. */
+    MISFITS_PER_PASS = 64,
+};
+
+/* Tells the placement whether a worker may be chosen. */
+void
+PhJobEngine_SetUsable(PhJobEngine *e, uint32_t worker)
+{
+    const PhContact *c = PhJobEngine_Contact(e, worker);
+    bool usable =
+        c->listed && !c->leaving && c->known && c->misses == 0 &&
+        e->now >= c->quarantined_until &&
+        PhJobState_Worker(e->state, worker)->retired == PH_PLACE_NONE;
+    PhPlacement_SetWorker(e->placement, worker, c->size, c->rack, usable);
+    e->schedule_wanted = e->schedule_wanted || usable;
+}
+
+/* Adds a job to those whose placed tasks are to be stopped. */
+static void
+stopping_add(PhJobEngine *e, const PhJob *job)
+{
+    if (job != NULL && job->cancel_wanted && job->placed > 0) {
+        g_array_append_val(e->stopping, job->number);
+        e->next_stop = e->now;
+    }
+}
+
+/* Builds queue and commitments from the state. */
+void
+PhJobEngine_ScheduleReset(PhJobEngine *e)
+{
+    g_hash_table_remove_all(e->starts);
+    g_array_set_size(e->stopping, 0);
+    PhJobQueue_Clear(e->jobs);
+    PhPlacement_Reset(e->placement);
+    for (uint32_t i = 0; i < PhJobState_WorkerCount(e->state); i++) {
+        const PhJobWorker *w = PhJobState_Worker(e->state, i);
+        for (guint k = 0; k < w->runs->len; k++) {
+            PhRun run = g_array_index(w->runs, PhRun, k);
+            const PhJob *job = PhJobState_Job(e->state, run.job);
+            PhPlacement_Commit(e->placement, i, run.job, job->spec.size,
+                               false);
+        }
+    }
+    for (PhJob *job = PhJobState_JobFrom(e->state, 0); job != NULL;
+         job = PhJobState_JobFrom(e->state, job->number + 1)) {
+        PhJobQueue_AddJob(e->jobs, job);
+        stopping_add(e, job);
+    }
+    e->schedule_wanted = true;
+}
+
+/* Sends the start of a placed run, if this instance still may. */
+static void
+start_send(PhJobEngine *e, PhPendingStart *start)
+{
+    PhContact *c = PhJobEngine_Contact(e, start->worker);
+    const PhJobWorker *w = PhJobState_Worker(e->state, start->worker);
+    const PhJobTask *task = PhJobState_Placed(e->state, start->run);
+    if (start->sent || !PhJobEngine_Owns(e, e->now) ||
+        w->retired != PH_PLACE_NONE || !PhContact_ClockFresh(c, e->now)) {
+        return;
+    }
+    Ph_INVARIANT(PH_INVARIANT_ONE_PLACE,
+                 task != NULL && task->worker == start->worker,
+                 "job=%" G_GUINT64_FORMAT " index=%u", start->run.job,
+                 start->run.index);
+    Ph_INVARIANT(PH_INVARIANT_LEASE, e->owner && e->now < e->right_until,
+                 "now=%" G_GINT64_FORMAT, e->now);
+    const PhJob *job = PhJobState_Job(e->state, start->run.job);
+    start->sent = true;
+    start->valid_until =
+        MIN(e->now + (PH_START_VALID_MS * PH_NS_PER_MS), e->right_until);
+    PhWorkerCommand command =
+        PhJobEngine_Command(e, c, PH_WORKER_START, start->valid_until);
+    command.as.start.run = start->run;
+    command.as.start.size = start->size;
+    command.as.start.run_ms = job->spec.run_ms;
+    command.as.start.resume_from = task->checkpoint;
+    command.as.start.lease_until_ms =
+        PhContact_ClockAt(c, e->now + e->options.times.lease);
+    /* Learns soon after whether it took effect. */
+    c->next_question =
+        MIN(c->next_question, start->valid_until + (PH_NS_PER_S / 4));
+    PhJobEngine_Count(e, PH_COUNTER_TASKS_STARTS, 1);
+    PhJobEngine_Act(
+        e, (PhJobAction){.kind = PH_ACTION_COMMAND, .as.command = command});
+}
+
+/* Decides the start of one task of a job; false when no worker has room. */
+static bool
+start_decide(PhJobEngine *e, PhQueuedJob *queued)
+{
+    const PhJob *job = PhJobState_Job(e->state, queued->number);
+    uint32_t worker =
+        PhPlacement_Choose(e->placement, job->number, job->spec.size);
+    if (worker == PH_PLACEMENT_NONE) {
+        queued->reason = PhPlacement_EverFits(e->placement, job->spec.size)
+                             ? "no worker has room"
+                             : "larger than every worker";
+        return false;
+    }
+    uint32_t index = PhJobQueue_Take(e->jobs, queued);
+    const PhJobTask *task = &job->tasks[index];
+    Ph_INVARIANT(PH_INVARIANT_RESUME_ONCE, task->state == PH_JOB_TASK_WAITING,
+                 "job=%" G_GUINT64_FORMAT " index=%u", job->number, index);
+    PhPendingStart *start = g_new0(PhPendingStart, 1);
+    start->run = (PhRun){job->number, index, task->incarnation + 1};
+    start->worker = worker;
+    start->size = job->spec.size;
+    Ph_INVARIANT(PH_INVARIANT_RESUME_ONCE,
+                 !g_hash_table_contains(e->starts, &start->run),
+                 "job=%" G_GUINT64_FORMAT " index=%u", job->number, index);
+    g_hash_table_insert(e->starts, &start->run, start);
+    PhPlacement_Commit(e->placement, worker, job->number, job->spec.size,
+                       true);
+    PhJobRecord record = {.kind = PH_RECORD_START};
+    record.as.start.epoch = PhJobState_Epoch(e->state);
+    record.as.start.run = start->run;
+    record.as.start.worker =
+        PhStr_Dup(PhJobState_Worker(e->state, worker)->id);
+    PhJobEngine_Queue(e, record);
+    return true;
+}
+
+/* Walks the waiting jobs in order and starts what fits. */
+static void
+schedule_pass(PhJobEngine *e)
+{
+    uint32_t left = STARTS_PER_TICK;
+    uint32_t misfits = 0;
+    PhQueuedJob *job = PhJobQueue_Next(e->jobs, NULL);
+    e->schedule_wanted = false;
+    while (job != NULL && misfits < MISFITS_PER_PASS) {
+        PhQueuedJob *next = PhJobQueue_Next(e->jobs, job);
+        guint tasks = job->indices->len;
+        while (tasks > 0 && left > 0 && start_decide(e, job)) {
+            tasks--;
+            left--;
+        }
+        if (left == 0) {
+            e->schedule_wanted = true;
+            return;
+        }
+        misfits += tasks > 0;
+        job = next;
+    }
+}
+
+/* Sends starts that could not leave when their record was read. */
+static uint32_t
+starts_send(PhJobEngine *e)
+{
+    GHashTableIter iter;
+    gpointer value;
+    uint32_t unplaced = 0;
+    g_hash_table_iter_init(&iter, e->starts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        PhPendingStart *start = value;
+        if (!start->placed) {
+            unplaced++;
+        }
+        else if (!start->sent) {
+            start_send(e, start);
+        }
+    }
+    return unplaced;
+}
+
+/* Sends a stop for each placed task of a cancelled job. */
+static void
+job_stop(PhJobEngine *e, const PhJob *job)
+{
+    for (uint32_t i = 0; i < job->spec.count; i++) {
+        const PhJobTask *task = &job->tasks[i];
+        if (task->state != PH_JOB_TASK_PLACED) {
+            continue;
+        }
+        PhContact *c = PhJobEngine_Contact(e, task->worker);
+        PhWorkerCommand stop = PhJobEngine_Command(
+            e, c, PH_WORKER_STOP,
+            e->now + (PH_WORKER_TIMEOUT_MS * PH_NS_PER_MS));
+        stop.as.stop.run = (PhRun){job->number, i, task->incarnation};
+        PhJobEngine_Count(e, PH_COUNTER_TASKS_STOPS, 1);
+        PhJobEngine_Act(
+            e, (PhJobAction){.kind = PH_ACTION_COMMAND, .as.command = stop});
+    }
+}
+
+/* Stops the tasks of cancelled jobs until all have ended. */
+static void
+stop_tick(PhJobEngine *e)
+{
+    if (e->stopping->len == 0 || e->now < e->next_stop) {
+        return;
+    }
+    e->next_stop = e->now + (PH_STOP_RETRY_MS * PH_NS_PER_MS);
+    for (guint i = e->stopping->len; i > 0; i--) {
+        uint64_t number = g_array_index(e->stopping, uint64_t, i - 1);
+        const PhJob *job = PhJobState_Job(e->state, number);
+        if (job == NULL || job->placed == 0) {
+            g_array_remove_index_fast(e->stopping, i - 1);
+            continue;
+        }
+        job_stop(e, job);
+    }
+}
+
+/* Starts and stops what is due. */
+void
+PhJobEngine_ScheduleTick(PhJobEngine *e)
+{
+    if (e->state == NULL || !PhJobEngine_Owns(e, e->now)) {
+        return;
+    }
+    if (PhJobQueue_Wake(e->jobs, e->state, e->now)) {
+        e->schedule_wanted = true;
+    }
+    uint32_t unplaced = starts_send(e);
+    stop_tick(e);
+    if (e->schedule_wanted && unplaced < STARTS_UNPLACED_MAX && !e->log_down) {
+        schedule_pass(e);
+    }
+}
+
+/* Puts a task that waits again back into the queue. */
+static void
+task_requeue(PhJobEngine *e, PhRun run, PhTime delay)
+{
+    const PhJob *job = PhJobState_Job(e->state, run.job);
+    if (job != NULL && job->tasks != NULL &&
+        job->tasks[run.index].state == PH_JOB_TASK_WAITING) {
+        PhJobQueue_Add(e->jobs, job, run.index,
+                       delay > 0 ? e->now + delay : 0);
+    }
+}
+
+/* Gives back what a start without effect had taken. */
+void
+PhJobEngine_StartVoid(PhJobEngine *e, PhRun run)
+{
+    const PhPendingStart *start = g_hash_table_lookup(e->starts, &run);
+    PhJobEngine_Count(e, PH_COUNTER_TASKS_STARTS_VOID, 1);
+    if (start == NULL) {
+        return;
+    }
+    PhPlacement_Release(e->placement, start->worker, run.job, start->size);
+    g_hash_table_remove(e->starts, &run);
+    task_requeue(e, run, 0);
+    e->schedule_wanted = true;
+}
+
+/* Counts how a run ended. */
+static void
+outcome_count(PhJobEngine *e, PhRunOutcome outcome)
+{
+    switch (outcome) {
+    case PH_RUN_DONE:
+        PhJobEngine_Count(e, PH_COUNTER_TASKS_ENDED_DONE, 1);
+        break;
+    case PH_RUN_FAILED:
+        PhJobEngine_Count(e, PH_COUNTER_TASKS_ENDED_FAILED, 1);
+        break;
+    case PH_RUN_STOPPED:
+        PhJobEngine_Count(e, PH_COUNTER_TASKS_ENDED_STOPPED, 1);
+        break;
+    case PH_RUN_EVICTED:
+        PhJobEngine_Count(e, PH_COUNTER_TASKS_ENDED_EVICTED, 1);
+        break;
+    case PH_RUN_LOST:
+        PhJobEngine_Count(e, PH_COUNTER_TASKS_ENDED_LOST, 1);
+        break;
+    }
+}
+
+/* Follows a run that has ended. */
+static void
+run_ended(PhJobEngine *e, const PhJobChange *change)
+{
+    outcome_count(e, change->outcome);
+    PhTime delay = PhJobEngine_Blame(e, change);
+    g_hash_table_remove(e->starts, &change->run);
+    PhPlacement_Release(e->placement, change->worker, change->run.job,
+                        change->size);
+    task_requeue(e, change->run, delay);
+    e->schedule_wanted = true;
+}
+
+/* Follows what the log says, while this instance owns the data centre. */
+void
+PhJobEngine_ScheduleChange(PhJobEngine *e, const PhJobChange *change, bool own)
+{
+    if (!e->owner) {
+        return;
+    }
+    switch (change->kind) {
+    case PH_CHANGE_ACCEPTED:
+        if (!change->repeated) {
+            PhJobQueue_AddJob(e->jobs, PhJobState_Job(e->state, change->job));
+            e->schedule_wanted = true;
+        }
+        break;
+    case PH_CHANGE_CANCELLED:
+        PhJobQueue_Remove(e->jobs, change->job);
+        stopping_add(e, PhJobState_Job(e->state, change->job));
+        break;
+    case PH_CHANGE_PLACED: {
+        PhPendingStart *start = g_hash_table_lookup(e->starts, &change->run);
+        Ph_INVARIANT(PH_INVARIANT_ONE_PLACE, own && start != NULL,
+                     "job=%" G_GUINT64_FORMAT " index=%u", change->run.job,
+                     change->run.index);
+        start->placed = true;
+        start_send(e, start);
+        break;
+    }
+    case PH_CHANGE_ENDED:
+        run_ended(e, change);
+        break;
+    case PH_CHANGE_OWNER:
+    case PH_CHANGE_HELD:
+    case PH_CHANGE_SUSPECTED:
+    case PH_CHANGE_RETIRED:
+    case PH_CHANGE_RESTORED:
+    case PH_CHANGE_KEPT:
+    case PH_CHANGE_LEFT:
+    case PH_CHANGE_SNAPSHOT:
+    case PH_CHANGE_VOID:
+        break;
+    }
+}
--- /dev/null
+++ b/decide/tasks/job_apply.c
@@ -0,0 +1,320 @@
+#include "job_state_private.h"
+
+#include "peridothill/common/invariant.h"
+
+/* What the records of one entry are applied with. */
+typedef struct PhApply {
+    PhJobState *state;
+    uint64_t place;
+    PhStr instance;
+    uint32_t position;
+} PhApply;
+
+/* The change of a record that has no effect. */
+static PhJobChange
+change_void(const PhApply *a)
+{
+    return (PhJobChange){.kind = PH_CHANGE_VOID,
+                         .position = a->position,
+                         .worker = PH_WORKER_NONE};
+}
+
+/* Tells whether this entry's instance owns the data centre under `epoch`, and
+ * notes that the owner showed itself. */
+static bool
+owner_check(const PhApply *a, uint64_t epoch)
+{
+    if (epoch == 0 || epoch != a->state->epoch ||
+        !PhStr_Equal(a->instance, a->state->owner)) {
+        return false;
+    }
+    a->state->owner_place = a->place;
+    return true;
+}
+
+/* Accepts a job, unless its key is known. */
+static PhJobChange
+apply_job(const PhApply *a, const PhJobSpec *spec)
+{
+    PhJobChange change = change_void(a);
+    change.kind = PH_CHANGE_ACCEPTED;
+    PhJob *known = PhJobState_JobOfKey(a->state, spec->key);
+    change.repeated = known != NULL;
+    if (known == NULL) {
+        uint64_t number = (a->place * PH_ENTRY_RECORDS_MAX) + a->position + 1;
+        known = PhJobState_AddJob(a->state, number, PhJobSpec_Copy(spec));
+    }
+    change.job = known->number;
+    return change;
+}
+
+/* Cancels what waits; what is placed is stopped by the owner. */
+static PhJobChange
+apply_cancel(const PhApply *a, uint64_t number)
+{
+    PhJobChange change = change_void(a);
+    PhJob *job = PhJobState_Job(a->state, number);
+    change.kind = PH_CHANGE_CANCELLED;
+    change.job = job == NULL ? 0 : number;
+    if (job == NULL || job->tasks == NULL) {
+        return change;
+    }
+    job->cancel_wanted = true;
+    for (uint32_t i = 0; i < job->spec.count && job->waiting > 0; i++) {
+        if (job->tasks[i].state == PH_JOB_TASK_WAITING) {
+            job->tasks[i].state = PH_JOB_TASK_CANCELLED;
+            job->waiting--;
+            job->cancelled++;
+        }
+    }
+    PhJobState_Finish(a->state, job);
+    return change;
+}
+
+/* Gives the ownership to the claimant if nobody came before. */
+static PhJobChange
+apply_claim(const PhApply *a, const PhJobRecord *record)
+{
+    PhJobState *state = a->state;
+    PhJobChange change = change_void(a);
+    if (record->as.claim.epoch != state->epoch + 1 ||
+        record->as.claim.after != state->owner_place) {
+        return change;
+    }
+    state->epoch = record->as.claim.epoch;
+    state->owner_place = a->place;
+    PhStr_Clear(&state->owner);
+    state->owner = PhStr_Dup(a->instance);
+    change.kind = PH_CHANGE_OWNER;
+    return change;
+}
+
+/* Finds the task that a start names, if it may be placed. */
+static PhJobTask *
+startable(const PhJobState *state, PhRun run)
+{
+    const PhJob *job = PhJobState_Job(state, run.job);
+    if (job == NULL || job->tasks == NULL || run.index >= job->spec.count) {
+        return NULL;
+    }
+    PhJobTask *task = &job->tasks[run.index];
+    return task->state == PH_JOB_TASK_WAITING &&
+                   run.incarnation == task->incarnation + 1
+               ? task
+               : NULL;
+}
+
+/* Places a run. */
+static PhJobChange
+apply_start(const PhApply *a, const PhJobRecord *record)
+{
+    PhJobState *state = a->state;
+    PhJobChange change = change_void(a);
+    PhRun run = record->as.start.run;
+    if (!owner_check(a, record->as.start.epoch)) {
+        return change;
+    }
+    uint32_t worker = PhJobState_WorkerOf(state, record->as.start.worker);
+    PhJobTask *task = startable(state, run);
+    if (task == NULL ||
+        PhJobState_Worker(state, worker)->retired != PH_PLACE_NONE) {
+        return change;
+    }
+    PhJob *job = PhJobState_Job(state, run.job);
+    task->state = PH_JOB_TASK_PLACED;
+    task->incarnation = run.incarnation;
+    task->worker = worker;
+    job->waiting--;
+    job->placed++;
+    PhJobState_Commit(state, worker, run, job->spec.size);
+    change.kind = PH_CHANGE_PLACED;
+    change.size = job->spec.size;
+    change.worker = worker;
+    change.run = run;
+    return change;
+}
+
+/* Tells what becomes of a task whose run ended so. */
+static PhJobTaskState
+state_after(const PhJob *job, PhRunOutcome outcome)
+{
+    if (outcome == PH_RUN_DONE && job->spec.class != PH_JOB_STANDING) {
+        return PH_JOB_TASK_DONE;
+    }
+    return job->cancel_wanted ? PH_JOB_TASK_CANCELLED : PH_JOB_TASK_WAITING;
+}
+
+/* Counts a task under its state. */
+static void
+job_count(PhJob *job, PhJobTaskState state)
+{
+    switch (state) {
+    case PH_JOB_TASK_WAITING:
+        job->waiting++;
+        break;
+    case PH_JOB_TASK_PLACED:
+        job->placed++;
+        break;
+    case PH_JOB_TASK_DONE:
+        job->done++;
+        break;
+    case PH_JOB_TASK_CANCELLED:
+        job->cancelled++;
+        break;
+    }
+}
+
+/* Notes the end of a placed run. */
+static PhJobChange
+apply_end(const PhApply *a, const PhRunEnd *end)
+{
+    PhJobChange change = change_void(a);
+    PhJobTask *task = (PhJobTask *)PhJobState_Placed(a->state, end->run);
+    if (task == NULL) {
+        return change;
+    }
+    PhJob *job = PhJobState_Job(a->state, end->run.job);
+    change.kind = PH_CHANGE_ENDED;
+    change.worker = task->worker;
+    change.run = end->run;
+    change.outcome = end->outcome;
+    change.size = job->spec.size;
+    PhJobState_Release(a->state, task->worker, end->run, job->spec.size);
+    job->placed--;
+    task->worker = PH_WORKER_NONE;
+    task->checkpoint = MAX(task->checkpoint, end->checkpoint);
+    task->failures = end->outcome == PH_RUN_FAILED ? task->failures + 1
+                     : end->outcome == PH_RUN_DONE ? 0
+                                                   : task->failures;
+    job->evictions += end->outcome == PH_RUN_EVICTED;
+    task->state = state_after(job, end->outcome);
+    job_count(job, task->state);
+    Ph_INVARIANT(PH_INVARIANT_TASK_KEPT,
+                 job->waiting + job->placed + job->done + job->cancelled ==
+                     job->spec.count,
+                 "job=%" G_GUINT64_FORMAT, job->number);
+    PhJobState_Finish(a->state, job);
+    return change;
+}
+
+/* Retires or restores a worker. */
+static PhJobChange
+apply_retire(const PhApply *a, const PhJobRecord *record)
+{
+    PhJobChange change = change_void(a);
+    bool retire = record->kind == PH_RECORD_RETIRE;
+    if (!owner_check(a, record->as.retire.epoch)) {
+        return change;
+    }
+    uint32_t worker = PhJobState_WorkerOf(a->state, record->as.retire.worker);
+    PhJobWorker *w = g_ptr_array_index(a->state->workers, worker);
+    if ((w->retired != PH_PLACE_NONE) == retire) {
+        return change;
+    }
+    w->retired = retire ? a->place : PH_PLACE_NONE;
+    change.kind = retire ? PH_CHANGE_RETIRED : PH_CHANGE_RESTORED;
+    change.worker = worker;
+    return change;
+}
+
+/* Registers this entry's instance as renewer. */
+static PhJobChange
+apply_keep(const PhApply *a, uint64_t through)
+{
+    PhJobChange change = change_void(a);
+    PhJobRenewer *renewer = PhJobState_AddRenewer(a->state, a->instance);
+    renewer->registered = true;
+    renewer->through = MAX(renewer->through, through);
+    change.kind = PH_CHANGE_KEPT;
+    return change;
+}
+
+/* Ends the registration of an instance: its own word, or that of another that
+ * has read all its entries. */
+static PhJobChange
+apply_leave(const PhApply *a, const PhJobRecord *record)
+{
+    PhJobChange change = change_void(a);
+    PhJobRenewer *renewer =
+        PhJobState_AddRenewer(a->state, record->as.leave.instance);
+    if (!renewer->registered ||
+        (!PhStr_Equal(a->instance, renewer->id) &&
+         renewer->sequence != record->as.leave.sequence)) {
+        return change;
+    }
+    renewer->registered = false;
+    PhJobState_PruneRenewers(a->state);
+    change.kind = PH_CHANGE_LEFT;
+    return change;
+}
+
+/* Applies one record. */
+static PhJobChange
+record_apply(const PhApply *a, const PhJobRecord *record)
+{
+    PhJobChange change = change_void(a);
+    switch (record->kind) {
+    case PH_RECORD_JOB:
+        return apply_job(a, &record->as.job);
+    case PH_RECORD_CANCEL:
+        return apply_cancel(a, record->as.cancel);
+    case PH_RECORD_CLAIM:
+        return apply_claim(a, record);
+    case PH_RECORD_HOLD:
+        change.kind =
+            owner_check(a, record->as.hold) ? PH_CHANGE_HELD : PH_CHANGE_VOID;
+        return change;
+    case PH_RECORD_KEEP:
+        return apply_keep(a, record->as.through);
+    case PH_RECORD_LEAVE:
+        return apply_leave(a, record);
+    case PH_RECORD_START:
+        return apply_start(a, record);
+    case PH_RECORD_END:
+        return apply_end(a, &record->as.end);
+    case PH_RECORD_SUSPECT:
+        change.kind = PH_CHANGE_SUSPECTED;
+        change.worker = PhJobState_WorkerOf(a->state, record->as.suspect);
+        return change;
+    case PH_RECORD_RETIRE:
+    case PH_RECORD_RESTORE:
+        return apply_retire(a, record);
+    case PH_RECORD_SNAPSHOT_END:
+        change.kind = PH_CHANGE_SNAPSHOT;
+        change.through = record->as.snapshot.through;
+        return change;
+    case PH_RECORD_SNAPSHOT_BEGIN:
+    case PH_RECORD_SNAPSHOT_JOB:
+    case PH_RECORD_SNAPSHOT_TASKS:
+    case PH_RECORD_SNAPSHOT_WORKER:
+    case PH_RECORD_SNAPSHOT_RENEWER:
+        return change;
+    }
+    return change;
+}
+
+/* Applies one entry of the stream. */
+bool
+PhJobState_Apply(PhJobState *state, uint64_t place, const PhJobEntry *entry,
+                 GArray *changes)
+{
+    Ph_INVARIANT(PH_INVARIANT_TASK_KEPT, place >= state->next,
+                 "place=%" G_GUINT64_FORMAT " next=%" G_GUINT64_FORMAT, place,
+                 state->next);
+    state->next = place + 1;
+    PhJobRenewer *renewer = PhJobState_AddRenewer(state, entry->instance);
+    if (entry->sequence <= renewer->sequence) {
+        return false;
+    }
+    renewer->sequence = entry->sequence;
+    for (guint i = 0; i < entry->records->len; i++) {
+        PhApply a = {.state = state,
+                     .place = place,
+                     .instance = entry->instance,
+                     .position = i};
+        PhJobChange change =
+            record_apply(&a, &g_array_index(entry->records, PhJobRecord, i));
+        g_array_append_val(changes, change);
+    }
+    return true;
+}
--- /dev/null
+++ b/decide/tasks/job_engine.c
@@ -0,0 +1,209 @@
+#include "job_engine_private.h"
+
+#include <xxhash.h>
+
+/* Hashes a run. */
+guint
+PhRun_KeyHash(gconstpointer key)
+{
+    return (guint)PhRun_Digest(*(const PhRun *)key);
+}
+
+/* Compares two runs. */
+gboolean
+PhRun_KeyEqual(gconstpointer a, gconstpointer b)
+{
+    return PhRun_Equal(*(const PhRun *)a, *(const PhRun *)b);
+}
+
+/* Releases an array of records. */
+static void
+records_destroy(gpointer records)
+{
+    g_array_free(records, TRUE);
+}
+
+/* Creates the engine of one instance. */
+PhJobEngine *
+PhJobEngine_Create(const PhJobEngineOptions *options, PhTime now)
+{
+    PhJobEngine *e = g_new0(PhJobEngine, 1);
+    e->options = *options;
+    e->options.instance = PhStr_Dup(options->instance);
+    e->random = PhRandom_Create(options->seed);
+    e->loading = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
+                                       PhStr_KeyDestroy, records_destroy);
+    e->queue = PhJobRecords_Create();
+    e->snapshot = PhJobRecords_Create();
+    e->waiting = g_array_new(FALSE, FALSE, sizeof(PhWaiting));
+    e->flight.waiting = g_array_new(FALSE, FALSE, sizeof(PhWaiting));
+    e->kept_at = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
+                                       PhStr_KeyDestroy, g_free);
+    e->alive = g_ptr_array_new_with_free_func(PhStr_KeyDestroy);
+    e->contacts = g_ptr_array_new_with_free_func(PhJobEngine_ContactDestroy);
+    e->ending =
+        g_hash_table_new_full(PhRun_KeyHash, PhRun_KeyEqual, g_free, NULL);
+    e->placement = PhPlacement_Create(options->policy);
+    e->jobs = PhJobQueue_Create();
+    e->starts =
+        g_hash_table_new_full(PhRun_KeyHash, PhRun_KeyEqual, NULL, g_free);
+    e->stopping = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    e->next_read = now;
+    return e;
+}
+
+/* Releases the engine; NULL is allowed. */
+void
+PhJobEngine_Destroy(PhJobEngine *e)
+{
+    if (e == NULL) {
+        return;
+    }
+    PhJobEntry_Clear(&e->flight.entry);
+    g_array_free(e->flight.waiting, TRUE);
+    g_array_free(e->waiting, TRUE);
+    g_array_free(e->queue, TRUE);
+    g_array_free(e->snapshot, TRUE);
+    g_array_free(e->stopping, TRUE);
+    g_hash_table_destroy(e->loading);
+    g_hash_table_destroy(e->kept_at);
+    g_hash_table_destroy(e->ending);
+    g_hash_table_destroy(e->starts);
+    g_ptr_array_free(e->alive, TRUE);
+    g_ptr_array_free(e->contacts, TRUE);
+    PhPlacement_Destroy(e->placement);
+    PhJobQueue_Destroy(e->jobs);
+    PhJobState_Destroy(e->state);
+    PhRandom_Destroy(e->random);
+    PhStr_Clear(&e->options.instance);
+    g_free(e);
+}
+
+/* Counts, if there is anything to count with. */
+void
+PhJobEngine_Count(PhJobEngine *e, PhCounter counter, uint64_t amount)
+{
+    if (e->options.counters != NULL) {
+        PhCounters_Add(e->options.counters, counter, amount);
+    }
+}
+
+/* Adds an action. */
+void
+PhJobEngine_Act(PhJobEngine *e, PhJobAction action)
+{
+    g_array_append_val(e->actions, action);
+}
+
+/* Notes an event. */
+void
+PhJobEngine_Note(PhJobEngine *e, PhJobNote note, PhStr subject,
+                 uint64_t number)
+{
+    PhJobAction action = {.kind = PH_ACTION_NOTE};
+    action.as.note.note = note;
+    action.as.note.subject = subject;
+    action.as.note.number = number;
+    PhJobEngine_Act(e, action);
+}
+
+/* Queues a record for the next entry. */
+void
+PhJobEngine_Queue(PhJobEngine *e, PhJobRecord record)
+{
+    g_array_append_val(e->queue, record);
+}
+
+/* Queues the end of a run once. */
+void
+PhJobEngine_QueueEnd(PhJobEngine *e, PhRunEnd end)
+{
+    if (g_hash_table_contains(e->ending, &end.run)) {
+        return;
+    }
+    g_hash_table_add(e->ending, g_memdup2(&end.run, sizeof(end.run)));
+    PhJobEngine_Queue(e, (PhJobRecord){.kind = PH_RECORD_END, .as.end = end});
+}
+
+/* Stops renewing and says so. */
+static void
+engine_leave(PhJobEngine *e)
+{
+    if (e->leaving) {
+        return;
+    }
+    e->leaving = true;
+    PhJobRecord record = {.kind = PH_RECORD_LEAVE};
+    record.as.leave.instance = PhStr_Dup(e->options.instance);
+    PhJobEngine_Queue(e, record);
+}
+
+/* Does what is due. */
+static void
+engine_tick(PhJobEngine *e)
+{
+    PhJobEngine_LogTick(e);
+    PhJobEngine_OwnerTick(e);
+    PhJobEngine_WorkersTick(e);
+    PhJobEngine_ScheduleTick(e);
+}
+
+/* Handles one event. */
+void
+PhJobEngine_Handle(PhJobEngine *e, const PhJobEvent *event, PhTime now,
+                   GArray *actions)
+{
+    e->now = now;
+    e->actions = actions;
+    switch (event->kind) {
+    case PH_JOB_TICK:
+        engine_tick(e);
+        break;
+    case PH_JOB_READ:
+        PhJobEngine_OnRead(e, event);
+        break;
+    case PH_JOB_APPENDED:
+        PhJobEngine_OnAppended(e, event->as.appended);
+        PhJobEngine_LogTick(e);
+        break;
+    case PH_JOB_WORKERS:
+        PhJobEngine_OnWorkers(e, event->as.workers.workers,
+                              event->as.workers.count);
+        break;
+    case PH_JOB_MEMBERS:
+        PhJobEngine_OnMembers(e, event->as.members.ids,
+                              event->as.members.count);
+        break;
+    case PH_JOB_WORKER_ANSWER:
+        PhJobEngine_OnAnswer(e, event->as.answer);
+        break;
+    case PH_JOB_SUBMIT:
+        PhJobEngine_OnSubmit(e, event->as.submit.token, event->as.submit.spec);
+        break;
+    case PH_JOB_CANCEL:
+        PhJobEngine_OnCancel(e, event->as.cancel.token, event->as.cancel.job);
+        break;
+    case PH_JOB_LEAVE:
+        engine_leave(e);
+        break;
+    }
+    PhJobEngine_Flush(e);
+    e->actions = NULL;
+}
+
+/* Gives the state, or NULL before it was read. */
+const PhJobState *
+PhJobEngine_State(const PhJobEngine *e)
+{
+    return e->state;
+}
+
+/* Tells why a job waits. */
+PhStr
+PhJobEngine_Reason(const PhJobEngine *e, uint64_t job)
+{
+    const PhQueuedJob *queued = PhJobQueue_Find(e->jobs, job);
+    return queued == NULL || queued->reason == NULL
+               ? (PhStr){0}
+               : PhStr_FromC(queued->reason);
+}
--- /dev/null
+++ b/decide/tasks/lease.c
@@ -0,0 +1,20 @@
+#include "peridothill/decide/tasks/lease.h"
+
+/* Gives the times of the constants. */
+PhLeaseTimes
+PhLeaseTimes_Default(void)
+{
+    return (PhLeaseTimes){.lease = PH_LEASE_MS * PH_NS_PER_MS,
+                          .renew = PH_RENEW_MS * PH_NS_PER_MS,
+                          .keep = PH_KEEP_MS * PH_NS_PER_MS,
+                          .renew_right = PH_RENEW_RIGHT_MS * PH_NS_PER_MS,
+                          .snapshot = PH_SNAPSHOT_MS * PH_NS_PER_MS};
+}
+
+/* Adds the margins for the rate of clocks. */
+PhTime
+PhLease_Stretch(PhTime duration)
+{
+    return duration + (duration / 1000000 * PH_CLOCK_RATE_MARGIN_PPM) +
+           (PH_CLOCK_MARGIN_MS * PH_NS_PER_MS);
+}
