tasks: a data centre on fakes, with tables of faults and random runs

Cause: leases and recovery had no test. Change: the engines, workers and the log on the shared fakes; 17 cases of faults and randomised runs that check one place, capacity, single starts and lost jobs.

--- /dev/null
+++ b/bench/task_faults.c
@@ -0,0 +1,213 @@
+#include "peridothill/bench/task_faults.h"
+
+#include "peridothill/common/random.h"
+
+enum {
+    INSTANCES = 3,
+    WORKERS = 6,
+    FAULT_GAP_MAX_S = 15,
+    PAUSE_MAX_S = 60,
+    RECOVER_S = 700,
+    /* With RETENTION_S, leaves a snapshot in the log at all times. */
+    OUTAGE_MAX_S = 200,
+    RETENTION_S = 400,
+    JOB_TASKS_MAX = 8,
+};
+
+/* A run in progress. */
+typedef struct PhFaults {
+    PhTaskWorld *world;
+    PhRandom *random;
+    uint64_t jobs;
+    PhTime log_heals;
+    PhTaskFaultsResult result;
+} PhFaults;
+
+/* Submits a job with random sizes at a random instance. */
+static void
+job_submit(PhFaults *f, PhJobClass class, uint32_t count)
+{
+    PhBuf key = {0};
+    PhBuf_AppendFormat(&key, "job-%u", (unsigned)++f->jobs);
+    PhJobSpec spec = {
+        .key = PhBuf_Str(&key),
+        .team = PhStr_LITERAL("routes"),
+        .class = class,
+        .run_ms = class == PH_JOB_STANDING
+                      ? 0
+                      : 1000 + (int64_t)PhRandom_Below(f->random, 60000),
+        .size = {100 + (int64_t)PhRandom_Below(f->random, 900),
+                 100 + (int64_t)PhRandom_Below(f->random, 900),
+                 (int64_t)PhRandom_Below(f->random, 2)},
+        .count = count,
+        .checkpointable = true,
+    };
+    uint32_t instance = (uint32_t)PhRandom_Below(f->random, INSTANCES);
+    PhTaskWorld_Submit(f->world, instance, &spec);
+    PhBuf_Clear(&key);
+}
+
+/* Cancels a random job. */
+static void
+job_cancel(PhFaults *f)
+{
+    PhBuf key = {0};
+    /* The first job is the standing one. */
+    PhBuf_AppendFormat(&key, "job-%u",
+                       (unsigned)(2 + PhRandom_Below(f->random, f->jobs)));
+    uint32_t instance = (uint32_t)PhRandom_Below(f->random, INSTANCES);
+    PhTaskWorld_Cancel(f->world, instance, PhBuf_Str(&key));
+    PhBuf_Clear(&key);
+}
+
+/* Brings about one random fault. */
+static void
+fault_draw(PhFaults *f)
+{
+    PhTaskWorld *w = f->world;
+    uint32_t i = (uint32_t)PhRandom_Below(f->random, INSTANCES);
+    uint32_t k = (uint32_t)PhRandom_Below(f->random, WORKERS);
+    bool on = PhRandom_Chance(f->random, 0.4);
+    PhTime pause =
+        (PhTime)PhRandom_Below(f->random, PAUSE_MAX_S) * PH_NS_PER_S;
+    switch (PhRandom_Below(f->random, 11)) {
+    case 0:
+        PhTaskWorld_Kill(w, i);
+        break;
+    case 1:
+    case 2:
+        PhTaskWorld_Replace(w, i);
+        break;
+    case 3:
+        PhTaskWorld_Log(w)->outage = on;
+        break;
+    case 4:
+        PhTaskWorld_CutLog(w, i, on);
+        break;
+    case 5:
+        PhTaskWorld_CutWorker(w, i, k, on);
+        break;
+    case 6:
+        PhTaskWorld_RestartWorker(w, k);
+        break;
+    case 7:
+        PhTaskWorld_FailWorker(w, k, on);
+        break;
+    case 8:
+        PhTaskWorld_PauseInstance(w, i, pause);
+        break;
+    case 9:
+        PhTaskWorld_PauseWorker(w, k, pause);
+        break;
+    case 10:
+        job_cancel(f);
+        break;
+    }
+    f->result.faults++;
+}
+
+/* Lets all instances reach the log again, and starts those that are dead. */
+static void
+log_heal(PhFaults *f)
+{
+    PhTaskWorld *w = f->world;
+    PhTaskWorld_Log(w)->outage = false;
+    for (uint32_t i = 0; i < INSTANCES; i++) {
+        PhTaskWorld_CutLog(w, i, false);
+        if (!PhTaskWorld_Alive(w, i)) {
+            PhTaskWorld_Replace(w, i);
+        }
+    }
+    f->log_heals = PhTaskWorld_Now(w) + (OUTAGE_MAX_S * PH_NS_PER_S);
+}
+
+/* Takes back every fault. */
+static void
+heal(PhFaults *f)
+{
+    PhTaskWorld *w = f->world;
+    log_heal(f);
+    PhTaskWorld_Log(w)->lost_answers = 0;
+    for (uint32_t i = 0; i < INSTANCES; i++) {
+        for (uint32_t k = 0; k < WORKERS; k++) {
+            PhTaskWorld_CutWorker(w, i, k, false);
+            PhTaskWorld_FailWorker(w, k, false);
+        }
+    }
+}
+
+/* Runs on, and watches the number of owners. */
+static void
+run_on(PhFaults *f, PhTime by)
+{
+    f->result.events +=
+        PhTaskWorld_RunUntil(f->world, PhTaskWorld_Now(f->world) + by);
+    f->result.owners_most =
+        MAX(f->result.owners_most, PhTaskWorld_Owners(f->world));
+}
+
+/* Counts the standing tasks that run. */
+static uint64_t
+standing_count(const PhTaskWorld *w)
+{
+    const PhJobEngine *engine = PhTaskWorld_Engine(w);
+    const PhJob *job = engine == NULL
+                           ? NULL
+                           : PhJobState_JobOfKey(PhJobEngine_State(engine),
+                                                 PhStr_LITERAL("job-1"));
+    return job == NULL ? 0 : job->placed;
+}
+
+/* Runs with random faults. */
+PhTaskFaultsResult
+PhTaskFaults_Run(uint64_t seed, PhTime duration)
+{
+    PhTaskWorldOptions options = {
+        .seed = seed,
+        .instances = INSTANCES,
+        .workers = WORKERS,
+        .worker_size = {4000, 4000, 4},
+        .times = PhLeaseTimes_Default(),
+        .link_delay = PH_NS_PER_MS,
+        .loss = 0.02,
+        .duplicate = 0.02,
+        .lost_answers = 0.05,
+    };
+    /* Short enough for lapses and snapshots to happen in a run. */
+    options.times.renew_right = 120 * PH_NS_PER_S;
+    options.times.keep = 20 * PH_NS_PER_S;
+    options.times.snapshot = 30 * PH_NS_PER_S;
+    options.retention = seed % 2 == 0 ? RETENTION_S * PH_NS_PER_S : 0;
+    PhFaults f = {.world = PhTaskWorld_Create(&options),
+                  .random = PhRandom_Create(seed + 1000),
+                  .log_heals = OUTAGE_MAX_S * PH_NS_PER_S};
+    run_on(&f, 3 * PH_NS_PER_S);
+    const PhTaskWorldCounts *n = PhTaskWorld_Counts(f.world);
+    while (n->accepted + n->repeated == 0) {
+        f.jobs = 0; /* the same key again */
+        job_submit(&f, PH_JOB_STANDING, PH_FAULTS_STANDING);
+        run_on(&f, 2 * PH_NS_PER_S);
+    }
+    while (PhTaskWorld_Now(f.world) < duration) {
+        if (PhRandom_Chance(f.random, 0.5)) {
+            job_submit(&f,
+                       PhRandom_Chance(f.random, 0.2) ? PH_JOB_URGENT
+                                                      : PH_JOB_BATCH,
+                       1 + (uint32_t)PhRandom_Below(f.random, JOB_TASKS_MAX));
+        }
+        fault_draw(&f);
+        if (PhTaskWorld_Now(f.world) > f.log_heals) {
+            log_heal(&f);
+        }
+        run_on(&f, (PhTime)PhRandom_Below(f.random, FAULT_GAP_MAX_S) *
+                       PH_NS_PER_S);
+    }
+    heal(&f);
+    run_on(&f, RECOVER_S * PH_NS_PER_S);
+    PhTaskWorld_Unfinished(f.world, &f.result.lost, &f.result.unfinished);
+    f.result.standing = standing_count(f.world);
+    f.result.counts = *PhTaskWorld_Counts(f.world);
+    PhTaskWorld_Destroy(f.world);
+    PhRandom_Destroy(f.random);
+    return f.result;
+}
--- a/decide/tasks/engine_log.c
+++ b/decide/tasks/engine_log.c
@@ -265,27 +265,32 @@
     flight_close(e);
 }
 
-/* Tells the other parts of the engine what an entry changed. */
+/* Tells the other parts of the engine what a record changed.  `sent` is when
+ * this instance first sent it, 0 if another did. */
 static void
-changes_spread(PhJobEngine *e, const PhJobEntry *entry, const GArray *changes,
-               PhTime sent)
+change_spread(PhJobEngine *e, const PhJobRecord *record,
+              const PhJobChange *change, PhTime sent)
 {
     bool own = sent > 0;
     PhJobEngine_Contacts(e);
-    for (guint i = 0; i < changes->len; i++) {
-        const PhJobChange *c = &g_array_index(changes, PhJobChange, i);
-        const PhJobRecord *r =
-            &g_array_index(entry->records, PhJobRecord, c->position);
-        if (own && r->kind == PH_RECORD_END) {
-            g_hash_table_remove(e->ending, &r->as.end.run);
-        }
-        if (own && r->kind == PH_RECORD_START && c->kind == PH_CHANGE_VOID) {
-            PhJobEngine_StartVoid(e, r->as.start.run);
-        }
-        PhJobEngine_OwnerChange(e, c, own, sent);
-        PhJobEngine_WorkerChange(e, c);
-        PhJobEngine_ScheduleChange(e, c, own);
+    if (own && record->kind == PH_RECORD_END) {
+        g_hash_table_remove(e->ending, &record->as.end.run);
+    }
+    if (own && record->kind == PH_RECORD_START &&
+        change->kind == PH_CHANGE_VOID) {
+        PhJobEngine_StartVoid(e, record->as.start.run);
     }
+    PhJobEngine_OwnerChange(e, change, own, sent);
+    PhJobEngine_WorkerChange(e, change);
+    PhJobEngine_ScheduleChange(e, change, own);
+}
+
+/* Remembers that an instance was heard of in the log. */
+static void
+instance_seen(PhJobEngine *e, PhStr instance)
+{
+    g_hash_table_replace(e->kept_at, PhStr_KeyCreate(instance),
+                         g_memdup2(&e->now, sizeof(e->now)));
 }
 
 /* Applies one entry that was read. */
@@ -293,35 +298,64 @@
 entry_apply(PhJobEngine *e, const PhPlacedEntry *placed)
 {
     const PhJobEntry *entry = placed->entry;
+    if (!PhJobState_Enter(e->state, placed->place, entry)) {
+        return;
+    }
+    instance_seen(e, entry->instance);
+    /* Other own entries are read again after a snapshot. */
+    bool own = PhStr_Equal(entry->instance, e->options.instance) &&
+               e->flight.open && e->flight.entry.sequence == entry->sequence;
+    PhTime sent = own ? MAX(e->flight.first_sent, 1) : 0;
     GArray *changes = g_array_new(FALSE, FALSE, sizeof(PhJobChange));
-    if (PhJobState_Apply(e->state, placed->place, entry, changes)) {
-        bool own = PhStr_Equal(entry->instance, e->options.instance);
-        PhTime sent = 0;
-        /* Other own entries are read again after a snapshot. */
-        if (own && e->flight.open &&
-            e->flight.entry.sequence == entry->sequence) {
-            sent = MAX(e->flight.first_sent, 1);
-            flight_done(e, changes);
-        }
-        PhTime *seen = g_new(PhTime, 1);
-        *seen = e->now;
-        g_hash_table_replace(e->kept_at, PhStr_KeyCreate(entry->instance),
-                             seen);
-        changes_spread(e, entry, changes, sent);
+    for (guint i = 0; i < entry->records->len; i++) {
+        /* Each change is followed before the next record is applied, as a
+         * claim builds the queue from the state. */
+        PhJobChange change = PhJobState_Apply(e->state, entry, i);
+        change_spread(e, &g_array_index(entry->records, PhJobRecord, i),
+                      &change, sent);
+        g_array_append_val(changes, change);
+    }
+    if (own) {
+        flight_done(e, changes);
     }
     g_array_free(changes, TRUE);
 }
 
+/* The records that were kept of an instance's snapshot. */
+static PhLoading *
+loading_of(PhJobEngine *e, PhStr instance)
+{
+    PhLoading *loading = g_hash_table_lookup(e->loading, &instance);
+    if (loading == NULL) {
+        loading = g_new0(PhLoading, 1);
+        loading->records = PhJobRecords_Create();
+        g_hash_table_insert(e->loading, PhStr_KeyCreate(instance), loading);
+    }
+    return loading;
+}
+
+/* Loads a snapshot, unless what follows it is past retention. */
+static PhJobState *
+snapshot_load(const GArray *records, uint64_t first)
+{
+    PhJobState *state = PhJobState_Load(records);
+    if (state != NULL && PhJobState_Next(state) < first) {
+        PhJobState_Destroy(state);
+        return NULL;
+    }
+    return state;
+}
+
 /* Keeps the records of a snapshot; builds the state when it is whole. */
 static void
 entry_load(PhJobEngine *e, const PhJobEntry *entry)
 {
-    GArray *kept = g_hash_table_lookup(e->loading, &entry->instance);
-    if (kept == NULL) {
-        kept = PhJobRecords_Create();
-        g_hash_table_insert(e->loading, PhStr_KeyCreate(entry->instance),
-                            kept);
+    PhLoading *loading = loading_of(e, entry->instance);
+    GArray *kept = loading->records;
+    if (entry->sequence <= loading->sequence) {
+        return; /* appended twice */
     }
+    loading->sequence = entry->sequence;
     for (guint i = 0; i < entry->records->len && e->state == NULL; i++) {
         const PhJobRecord *r = &g_array_index(entry->records, PhJobRecord, i);
         if (r->kind < PH_RECORD_SNAPSHOT_BEGIN) {
@@ -333,7 +367,7 @@
         PhJobRecord copy = PhJobRecord_Copy(r);
         g_array_append_val(kept, copy);
         if (r->kind == PH_RECORD_SNAPSHOT_END) {
-            e->state = PhJobState_Load(kept);
+            e->state = snapshot_load(kept, e->load_first);
         }
     }
 }
@@ -348,6 +382,7 @@
     e->caught_up = false;
     g_hash_table_remove_all(e->ending);
     e->load_next = first;
+    e->load_first = first;
     g_hash_table_remove_all(e->loading);
     PhJobEngine_Count(e, PH_COUNTER_TASKS_SNAPSHOT_LOADS, 1);
 }
--- a/decide/tasks/engine_owner.c
+++ b/decide/tasks/engine_owner.c
@@ -29,7 +29,9 @@
     e->owner = true;
     e->claimed_at = e->now;
     e->next_hold = e->now + (PH_OWNER_HOLD_MS * PH_NS_PER_MS);
-    e->next_snapshot = e->now + e->options.times.snapshot;
+    /* Owners that follow one another quickly take snapshots all the same. */
+    e->next_snapshot =
+        MIN(e->next_snapshot, e->now + (e->options.times.snapshot / 4));
     PhJobEngine_Count(e, PH_COUNTER_TASKS_CLAIMS, 1);
     PhJobEngine_Note(e, PH_NOTE_OWNER_GAINED, e->options.instance,
                      PhJobState_Epoch(e->state));
--- a/decide/tasks/job_apply.c
+++ b/decide/tasks/job_apply.c
@@ -293,10 +293,9 @@
     return change;
 }
 
-/* Applies one entry of the stream. */
+/* Takes the next entry of the stream. */
 bool
-PhJobState_Apply(PhJobState *state, uint64_t place, const PhJobEntry *entry,
-                 GArray *changes)
+PhJobState_Enter(PhJobState *state, uint64_t place, const PhJobEntry *entry)
 {
     Ph_INVARIANT(PH_INVARIANT_TASK_KEPT, place >= state->next,
                  "place=%" G_GUINT64_FORMAT " next=%" G_GUINT64_FORMAT, place,
@@ -307,14 +306,17 @@
         return false;
     }
     renewer->sequence = entry->sequence;
-    for (guint i = 0; i < entry->records->len; i++) {
-        PhApply a = {.state = state,
-                     .place = place,
-                     .instance = entry->instance,
-                     .position = i};
-        PhJobChange change =
-            record_apply(&a, &g_array_index(entry->records, PhJobRecord, i));
-        g_array_append_val(changes, change);
-    }
     return true;
 }
+
+/* Applies one record of the entry that was taken last. */
+PhJobChange
+PhJobState_Apply(PhJobState *state, const PhJobEntry *entry, uint32_t position)
+{
+    PhApply a = {.state = state,
+                 .place = state->next - 1,
+                 .instance = entry->instance,
+                 .position = position};
+    return record_apply(&a,
+                        &g_array_index(entry->records, PhJobRecord, position));
+}
--- a/decide/tasks/job_engine.c
+++ b/decide/tasks/job_engine.c
@@ -16,11 +16,13 @@
     return PhRun_Equal(*(const PhRun *)a, *(const PhRun *)b);
 }
 
-/* Releases an array of records. */
+/* Releases the records of a snapshot. */
 static void
-records_destroy(gpointer records)
+loading_destroy(gpointer value)
 {
-    g_array_free(records, TRUE);
+    PhLoading *loading = value;
+    g_array_free(loading->records, TRUE);
+    g_free(loading);
 }
 
 /* Creates the engine of one instance. */
@@ -32,7 +34,7 @@
     e->options.instance = PhStr_Dup(options->instance);
     e->random = PhRandom_Create(options->seed);
     e->loading = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
-                                       PhStr_KeyDestroy, records_destroy);
+                                       PhStr_KeyDestroy, loading_destroy);
     e->queue = PhJobRecords_Create();
     e->snapshot = PhJobRecords_Create();
     e->waiting = g_array_new(FALSE, FALSE, sizeof(PhWaiting));
--- a/decide/tasks/job_engine_private.h
+++ b/decide/tasks/job_engine_private.h
@@ -49,6 +49,12 @@
     guint position; /* in the queue of records, then in the entry */
 } PhWaiting;
 
+/* What was kept of an instance's snapshot while there is no state. */
+typedef struct PhLoading {
+    uint64_t sequence; /* of the instance's last entry */
+    GArray *records;   /* PhJobRecord */
+} PhLoading;
+
 /* The entry that is being appended. */
 typedef struct PhFlight {
     bool open;
@@ -65,8 +71,9 @@
     PhJobEngineOptions options;
     PhRandom *random;
     PhJobState *state;
-    GHashTable *loading; /* instance to GArray of PhJobRecord */
+    GHashTable *loading; /* PhStr instance to PhLoading */
     uint64_t load_next;  /* place to read from while there is no state */
+    uint64_t load_first; /* earliest place kept when loading began */
     bool stream_lost;
     bool read_open;
     bool caught_up; /* the end was reached once */
--- a/decide/tasks/job_snapshot.c
+++ b/decide/tasks/job_snapshot.c
@@ -100,10 +100,13 @@
     snapshot_bound(state, PH_RECORD_SNAPSHOT_END, id, records);
 }
 
-/* Loads a job without its tasks. */
-static void
+/* Loads a job without its tasks; false when it was loaded before. */
+static bool
 load_job(PhJobState *state, const PhJobRecord *record)
 {
+    if (PhJobState_Job(state, record->as.snapshot_job.number) != NULL) {
+        return false;
+    }
     PhJobSpec spec = PhJobSpec_Copy(&record->as.snapshot_job.spec);
     PhJob *job =
         PhJobState_AddJob(state, record->as.snapshot_job.number, spec);
@@ -115,6 +118,7 @@
         job->cancelled = record->as.snapshot_job.cancelled;
         PhJobState_Finish(state, job);
     }
+    return true;
 }
 
 /* Counts a loaded task and places it if it was placed. */
@@ -193,8 +197,7 @@
         state->next = record->as.snapshot.through;
         return true;
     case PH_RECORD_SNAPSHOT_JOB:
-        load_job(state, record);
-        return true;
+        return load_job(state, record);
     case PH_RECORD_SNAPSHOT_TASKS:
         return load_tasks(state, record);
     case PH_RECORD_SNAPSHOT_WORKER:
--- a/include/peridothill/decide/tasks/job_state.h
+++ b/include/peridothill/decide/tasks/job_state.h
@@ -79,11 +79,14 @@
 PhJobState_Create(void);
 void
 PhJobState_Destroy(PhJobState *state);
-/* Applies one entry; changes are added to `changes`, an array of
- * PhJobChange.  False when the entry was repeated and had no effect. */
+/* Takes the next entry; false when it is repeated, then none of its records
+ * may be applied. */
 bool
-PhJobState_Apply(PhJobState *state, uint64_t place, const PhJobEntry *entry,
-                 GArray *changes);
+PhJobState_Enter(PhJobState *state, uint64_t place, const PhJobEntry *entry);
+/* Applies one record of the entry that was taken last, in order. */
+PhJobChange
+PhJobState_Apply(PhJobState *state, const PhJobEntry *entry,
+                 uint32_t position);
 /* The place of the next entry. */
 uint64_t
 PhJobState_Next(const PhJobState *state);
--- /dev/null
+++ b/tests/tasks/test_recovery.c
@@ -0,0 +1,328 @@
+#include "peridothill/bench/task_world.h"
+#include "tests/table.h"
+
+/* What is done to the data centre, and when. */
+typedef enum PhFaultKind {
+    FAULT_NONE,
+    FAULT_KILL_OWNER,
+    FAULT_KILL_OTHER,
+    FAULT_REPLACE_ALL, /* all instances, one after another */
+    FAULT_RESTART_DEAD,
+    FAULT_PAUSE_OWNER,
+    FAULT_LOG_DOWN,
+    FAULT_LOG_UP,
+    FAULT_CUT_OWNER_LOG,
+    FAULT_MEND_LOG,
+    FAULT_WORKER_RESTART,
+    FAULT_WORKER_FAILS,
+    FAULT_WORKER_CUT, /* from all instances */
+    FAULT_WORKER_CUT_OWNER,
+    FAULT_WORKER_MEND,
+    FAULT_PAUSE_WORKER,
+    FAULT_CANCEL,
+    FAULT_SUBMIT,
+} PhFaultKind;
+
+typedef struct PhFault {
+    int at_s;
+    PhFaultKind kind;
+    int seconds; /* of a pause */
+} PhFault;
+
+/* A run of a data centre of three instances and six workers with 40 tasks of
+ * a minute each. */
+typedef struct PhRecoveryCase {
+    const char *name;
+    double loss;
+    double lost_answers;
+    int retention_s;
+    bool keep_running;     /* no run may lapse */
+    uint64_t refused_most; /* submits that may be refused */
+    int until_s;
+    PhFault faults[12];
+} PhRecoveryCase;
+
+static const PhRecoveryCase recovery_cases[] = {
+    {"nothing happens", 0, 0, 0, true, 0, 300, {{0}}},
+    {"answers lost after appends", 0, 0.3, 0, true, 0, 400, {{0}}},
+    {"messages lost and doubled", 0.1, 0.1, 0, false, 0, 500, {{0}}},
+    {"owner dies, log up", 0, 0, 0, true, 0, 300, {{20, FAULT_KILL_OWNER, 0}}},
+    {"owner dies, log down",
+     0,
+     0,
+     0,
+     true,
+     0,
+     900,
+     {{20, FAULT_LOG_DOWN, 0},
+      {25, FAULT_KILL_OWNER, 0},
+      {300, FAULT_LOG_UP, 0}}},
+    {"two owners die in an outage of an hour",
+     0,
+     0,
+     0,
+     true,
+     0,
+     4200,
+     {{20, FAULT_LOG_DOWN, 0},
+      {60, FAULT_KILL_OWNER, 0},
+      {1800, FAULT_KILL_OTHER, 0},
+      {3620, FAULT_LOG_UP, 0}}},
+    {"owner paused past its right",
+     0,
+     0,
+     0,
+     true,
+     0,
+     300,
+     {{20, FAULT_PAUSE_OWNER, 20}}},
+    {"owner cut off from the log",
+     0,
+     0,
+     0,
+     true,
+     0,
+     400,
+     {{20, FAULT_CUT_OWNER_LOG, 0}, {120, FAULT_MEND_LOG, 0}}},
+    {"all instances replaced",
+     0,
+     0,
+     0,
+     true,
+     0,
+     400,
+     {{20, FAULT_REPLACE_ALL, 0}}},
+    {"replaced after retention passed the start",
+     0,
+     0,
+     300,
+     false,
+     0,
+     1200,
+     {{700, FAULT_REPLACE_ALL, 0}, {720, FAULT_SUBMIT, 0}}},
+    {"worker restarts empty",
+     0,
+     0,
+     0,
+     true,
+     0,
+     400,
+     {{20, FAULT_WORKER_RESTART, 0}}},
+    {"worker fails everything",
+     0,
+     0,
+     0,
+     true,
+     0,
+     600,
+     {{2, FAULT_WORKER_FAILS, 0}}},
+    {"worker cut off and back",
+     0,
+     0,
+     0,
+     false,
+     0,
+     600,
+     {{20, FAULT_WORKER_CUT, 0}, {200, FAULT_WORKER_MEND, 0}}},
+    {"worker cut off from the owner alone",
+     0,
+     0,
+     0,
+     false,
+     0,
+     600,
+     {{20, FAULT_WORKER_CUT_OWNER, 0}, {200, FAULT_WORKER_MEND, 0}}},
+    {"worker paused past its leases",
+     0,
+     0,
+     0,
+     false,
+     0,
+     600,
+     {{20, FAULT_PAUSE_WORKER, 90}}},
+    {"cancel while the owner dies",
+     0,
+     0,
+     0,
+     true,
+     0,
+     300,
+     {{20, FAULT_CANCEL, 0}, {20, FAULT_KILL_OWNER, 0}}},
+    {"submit while the log is down",
+     0,
+     0,
+     0,
+     true,
+     1,
+     300,
+     {{20, FAULT_LOG_DOWN, 0}, {30, FAULT_SUBMIT, 0}, {60, FAULT_LOG_UP, 0}}},
+};
+
+/* Submits the job of a case. */
+static void
+submit(PhTaskWorld *w, uint32_t instance, const char *key, uint32_t count)
+{
+    PhJobSpec spec = {.key = PhStr_FromC(key),
+                      .team = PhStr_LITERAL("routes"),
+                      .class = PH_JOB_BATCH,
+                      .run_ms = 60000,
+                      .size = {1000, 500, 0},
+                      .count = count,
+                      .checkpointable = true};
+    PhTaskWorld_Submit(w, instance, &spec);
+}
+
+/* An instance that is alive, other than `but`. */
+static uint32_t
+other_alive(const PhTaskWorld *w, int but)
+{
+    for (uint32_t i = 0; i < 3; i++) {
+        if ((int)i != but && PhTaskWorld_Alive(w, i)) {
+            return i;
+        }
+    }
+    return 0;
+}
+
+/* Brings about one fault. */
+static void
+fault_do(PhTaskWorld *w, const PhFault *fault)
+{
+    int owner = PhTaskWorld_Owner(w);
+    uint32_t who = owner < 0 ? other_alive(w, -1) : (uint32_t)owner;
+    switch (fault->kind) {
+    case FAULT_NONE:
+        break;
+    case FAULT_KILL_OWNER:
+        PhTaskWorld_Kill(w, who);
+        break;
+    case FAULT_KILL_OTHER:
+        PhTaskWorld_Kill(w, other_alive(w, owner));
+        break;
+    case FAULT_REPLACE_ALL:
+        for (uint32_t i = 0; i < 3; i++) {
+            PhTaskWorld_Replace(w, i);
+            PhTaskWorld_RunUntil(w, PhTaskWorld_Now(w) + (3 * PH_NS_PER_S));
+        }
+        break;
+    case FAULT_RESTART_DEAD:
+        for (uint32_t i = 0; i < 3; i++) {
+            if (!PhTaskWorld_Alive(w, i)) {
+                PhTaskWorld_Replace(w, i);
+            }
+        }
+        break;
+    case FAULT_PAUSE_OWNER:
+        PhTaskWorld_PauseInstance(w, who, fault->seconds * PH_NS_PER_S);
+        break;
+    case FAULT_LOG_DOWN:
+    case FAULT_LOG_UP:
+        PhTaskWorld_Log(w)->outage = fault->kind == FAULT_LOG_DOWN;
+        break;
+    case FAULT_CUT_OWNER_LOG:
+        PhTaskWorld_CutLog(w, who, true);
+        break;
+    case FAULT_MEND_LOG:
+        for (uint32_t i = 0; i < 3; i++) {
+            PhTaskWorld_CutLog(w, i, false);
+        }
+        break;
+    case FAULT_WORKER_RESTART:
+        PhTaskWorld_RestartWorker(w, 1);
+        break;
+    case FAULT_WORKER_FAILS:
+        PhTaskWorld_FailWorker(w, 1, true);
+        break;
+    case FAULT_WORKER_CUT:
+    case FAULT_WORKER_MEND:
+        for (uint32_t i = 0; i < 3; i++) {
+            PhTaskWorld_CutWorker(w, i, 1, fault->kind == FAULT_WORKER_CUT);
+        }
+        break;
+    case FAULT_WORKER_CUT_OWNER:
+        PhTaskWorld_CutWorker(w, who, 1, true);
+        break;
+    case FAULT_PAUSE_WORKER:
+        PhTaskWorld_PauseWorker(w, 1, fault->seconds * PH_NS_PER_S);
+        break;
+    case FAULT_CANCEL:
+        PhTaskWorld_Cancel(w, who, PhStr_LITERAL("second"));
+        break;
+    case FAULT_SUBMIT:
+        submit(w, other_alive(w, -1), "late", 4);
+        break;
+    }
+}
+
+/* Runs one case with one seed. */
+static void
+recovery_run(const PhRecoveryCase *c, uint64_t seed)
+{
+    PhTaskWorldOptions options = {
+        .seed = seed,
+        .instances = 3,
+        .workers = 6,
+        .worker_size = {4000, 4000, 0},
+        .times = PhLeaseTimes_Default(),
+        .retention = c->retention_s * PH_NS_PER_S,
+        .link_delay = PH_NS_PER_MS,
+        .loss = c->loss,
+        .duplicate = c->loss,
+        .lost_answers = c->lost_answers,
+    };
+    if (c->retention_s > 0) {
+        options.times.snapshot = options.retention / 4;
+        options.times.keep = options.retention / 4;
+    }
+    PhTaskWorld *w = PhTaskWorld_Create(&options);
+    PhTaskWorld_RunUntil(w, 3 * PH_NS_PER_S);
+    submit(w, 0, "first", 30);
+    submit(w, 1, "second", 10);
+    for (size_t i = 0; i < G_N_ELEMENTS(c->faults); i++) {
+        PhTaskWorld_RunUntil(w, c->faults[i].at_s * PH_NS_PER_S);
+        fault_do(w, &c->faults[i]);
+        assert_true(PhTaskWorld_Owners(w) <= 1);
+    }
+    PhTaskWorld_RunUntil(w, c->until_s * PH_NS_PER_S);
+    uint64_t lost = 0;
+    uint64_t unfinished = 0;
+    PhTaskWorld_Unfinished(w, &lost, &unfinished);
+    const PhTaskWorldCounts *n = PhTaskWorld_Counts(w);
+    print_message("# seed=%d starts=%d lapsed=%d refused=%d unknown=%d\n",
+                  (int)seed, (int)n->starts, (int)n->lapsed, (int)n->refused,
+                  (int)n->unknown);
+    assert_int_equal(n->doubled, 0);
+    assert_int_equal(n->overcommitted, 0);
+    assert_int_equal(lost, 0);
+    assert_int_equal(unfinished, 0);
+    assert_true(n->refused <= c->refused_most);
+    assert_true(!c->keep_running || n->lapsed == 0);
+    PhTaskWorld_Destroy(w);
+}
+
+/* Runs one case with several seeds. */
+static void
+check_recovery(const PhRecoveryCase *c)
+{
+    for (uint64_t seed = 1; seed <= 3; seed++) {
+        recovery_run(c, seed);
+    }
+}
+
+/* Recovery from faults. */
+static void
+test_recovery(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(recovery_cases, check_recovery);
+}
+
+/* Runs the tests of recovery. */
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_recovery),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
