--- a/include/peridothill/bench/task_world.h
+++ b/include/peridothill/bench/task_world.h
@@ -7,7 +7,7 @@
 #include "peridothill/decide/tasks/job_engine.h"
 #include "peridothill/fakes/fake_log.h"
 #include "peridothill/fakes/fake_net.h"
-#include "peridothill/standin/worker_tasks.h"
+#include "peridothill/standin/worker_runs.h"
 
 enum {
     PH_WORLD_INSTANCES_MAX = 8,
@@ -35,7 +35,7 @@
 typedef struct PhTaskWorldCounts {
     uint64_t accepted;
     uint64_t repeated; /* submits of a known key */
-    uint64_t refused; /* not run */
+    uint64_t refused;  /* not run */
     uint64_t unknown;
     uint64_t starts;  /* of runs on workers */
     uint64_t resumes; /* of them, from a checkpoint */
