--- a/bench/task_world.c
+++ b/bench/task_world.c
@@ -442,7 +442,9 @@
     PhTime now = PhFakeNet_Now(w->net);
     PhWorldMail reply = {.generation = mail->generation, .id = mail->id};
     if (mail->kind == WORLD_APPEND) {
-        PhStr bytes = PhStr_FromBytes(&mail->entry, sizeof(mail->entry));
+        /* The log keeps the address; the world keeps the entry. */
+        uintptr_t address = (uintptr_t)mail->entry;
+        PhStr bytes = PhStr_FromBytes(&address, sizeof(address));
         PhFakeLogAnswer a = PhFakeLog_Append(w->log, now, WORLD_STREAM, bytes);
         reply.kind = WORLD_APPENDED;
         reply.status = a.status;
@@ -463,8 +465,10 @@
     reply.records = g_array_new(FALSE, FALSE, sizeof(PhPlacedEntry));
     for (guint i = 0; i < records->len; i++) {
         const PhFakeRecord *r = &g_array_index(records, PhFakeRecord, i);
-        PhPlacedEntry placed = {.place = r->offset};
-        memcpy(&placed.entry, r->data.data, sizeof(placed.entry));
+        uintptr_t address = 0;
+        memcpy(&address, r->data.data, sizeof(address));
+        PhPlacedEntry placed = {.place = r->offset,
+                                .entry = (const PhJobEntry *)address};
         g_array_append_val(reply.records, placed);
     }
     g_array_free(records, TRUE);
--- a/decide/tasks/engine_schedule.c
+++ b/decide/tasks/engine_schedule.c
@@ -317,8 +317,10 @@
         Ph_INVARIANT(PH_INVARIANT_ONE_PLACE, own && start != NULL,
                      "job=%" G_GUINT64_FORMAT " index=%u", change->run.job,
                      change->run.index);
-        start->placed = true;
-        start_send(e, start);
+        if (start != NULL) {
+            start->placed = true;
+            start_send(e, start);
+        }
         break;
     }
     case PH_CHANGE_ENDED:
--- a/decide/tasks/job_state.c
+++ b/decide/tasks/job_state.c
@@ -99,7 +99,8 @@
     if (job->waiting > 0 || job->placed > 0 || job->tasks == NULL) {
         return;
     }
-    g_clear_pointer(&job->tasks, g_free);
+    g_free(job->tasks);
+    job->tasks = NULL;
     g_queue_push_tail(&state->finished, job);
     if (g_queue_get_length(&state->finished) > PH_JOBS_FINISHED_MAX) {
         PhJob *first = g_queue_pop_head(&state->finished);
