demo: send callers only to instances that are ready

Change: the balancer of the demonstration asks /ready; the window is a setting (limits.key_window), 1 s in the demonstration; refusals are printed by reason.

--- a/codec/settings_key.c
+++ b/codec/settings_key.c
@@ -58,6 +58,10 @@
     KEY("limits", "drain_limit", limits.drain_limit, DURATION, false, 1 * S,
         3600 * S, "30s",
         "Longest time that a stop waits for the requests in flight."),
+    KEY("limits", "key_window", limits.key_window, DURATION, false, 1 * S,
+        3600 * S, "30s",
+        "Time for which an idempotency key is kept; a new deployment refuses "
+        "keyed requests for as long."),
     KEY("log", "level", log.level, LEVEL, false, 0, 0, "info",
         "Least level written: debug, info, warning or error."),
     KEY("log", "format", log.format, FORMAT, false, 0, 0, "logfmt",
--- a/demo/demo.c
+++ b/demo/demo.c
@@ -1,6 +1,5 @@
 #include "peridothill/demo/demo.h"
 
-#include <inttypes.h>
 #include <signal.h>
 
 #include "peridothill/demo/script.h"
@@ -112,18 +111,6 @@
     ev_break(context, EVBREAK_ALL);
 }
 
-/* Prints what the callers saw. */
-static void
-print_counts(const PhLoad *load, FILE *out)
-{
-    PhLoadCounts c = PhLoad_Counts(load);
-    fprintf(out,
-            "callers: sent=%" PRIu64 " answered=%" PRIu64 " not_run=%" PRIu64
-            " unknown=%" PRIu64 " lost=%" PRIu64 " in_flight=%zu\n",
-            c.sent, c.answered, c.not_run, c.unknown, c.lost,
-            PhLoad_InFlight(load));
-}
-
 /* Shows one deployment. */
 static bool
 run_deployment(const PhDeployment *deployment, uint64_t seed,
@@ -152,7 +139,7 @@
                                    .on_end = on_end};
         PhScript_Start(kernel, &options);
         ev_run(loop, 0);
-        print_counts(load, out);
+        PhLoad_Print(load, out);
     }
     else {
         fprintf(out, "cannot start: %.*s\n", PhStr_ARG(PhResult_Message(&r)));
--- a/demo/load.c
+++ b/demo/load.c
@@ -17,6 +17,15 @@
 
 static const PhTime CALLER_DEADLINE = 5 * PH_NS_PER_S;
 
+/* What the callers have seen so far. */
+typedef struct PhLoadCounts {
+    uint64_t sent;
+    uint64_t answered;
+    uint64_t not_run;
+    uint64_t unknown;
+    uint64_t lost; /* no answer from an instance that was ended at once */
+} PhLoadCounts;
+
 /* A caller's request, kept to the end to compare it with the runs. */
 typedef struct PhCallerRequest {
     uint64_t id;
@@ -38,6 +47,7 @@
     size_t in_flight;
     int next_instance;
     PhLoadCounts counts;
+    GHashTable *reasons; /* PhStr reason of refusals to its count */
 };
 
 /* Releases a request. */
@@ -152,6 +162,15 @@
     }
 }
 
+/* Counts the reason of a refusal. */
+static void
+count_reason(PhLoad *l, PhStr reason)
+{
+    size_t count = GPOINTER_TO_SIZE(g_hash_table_lookup(l->reasons, &reason));
+    g_hash_table_insert(l->reasons, PhStr_KeyCreate(reason),
+                        GSIZE_TO_POINTER(count + 1));
+}
+
 /* Takes a refusal, which says what became of the request. */
 static void
 on_refused(PhLoad *l, PhCallerRequest *r, PhStr outcome)
@@ -194,6 +213,9 @@
         return;
     }
     if (outcome.len > 0) {
+        count_reason(l,
+                     PhHttpHeader_Find(reply->headers, reply->header_count,
+                                       PhStr_LITERAL("Peridothill-Reason")));
         on_refused(l, r, outcome);
         return;
     }
@@ -253,6 +275,7 @@
 {
     PhLoad *l = state;
     g_ptr_array_free(l->requests, TRUE);
+    g_hash_table_destroy(l->reasons);
     g_free(l);
 }
 
@@ -264,6 +287,8 @@
     l->world = world;
     l->verdicts = verdicts;
     l->requests = g_ptr_array_new_with_free_func(request_destroy);
+    l->reasons = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
+                                       PhStr_KeyDestroy, NULL);
     PhTaskSpec spec = {.name = PH_SERVICE_LOAD,
                        .mailbox_capacity = MAILBOX_CAPACITY,
                        .state = l,
@@ -294,18 +319,26 @@
     }
 }
 
-/* Gives what the callers have seen. */
-PhLoadCounts
-PhLoad_Counts(const PhLoad *load)
+/* Prints one reason and its count. */
+static void
+print_reason(gpointer key, gpointer value, gpointer out)
 {
-    return load->counts;
+    const PhStr *reason = key;
+    fprintf(out, "refused: reason=%.*s count=%zu\n", PhStr_ARG(*reason),
+            GPOINTER_TO_SIZE(value));
 }
 
-/* Counts the requests without an answer. */
-size_t
-PhLoad_InFlight(const PhLoad *load)
+/* Prints what the callers have seen. */
+void
+PhLoad_Print(const PhLoad *l, FILE *out)
 {
-    return load->in_flight;
+    const PhLoadCounts *c = &l->counts;
+    fprintf(out,
+            "callers: sent=%" PRIu64 " answered=%" PRIu64 " not_run=%" PRIu64
+            " unknown=%" PRIu64 " lost=%" PRIu64 " in_flight=%zu\n",
+            c->sent, c->answered, c->not_run, c->unknown, c->lost,
+            l->in_flight);
+    g_hash_table_foreach(l->reasons, print_reason, out);
 }
 
 /* Checks that no charge ran twice and that what was never sent did not run. */
--- a/demo/script.c
+++ b/demo/script.c
@@ -25,6 +25,7 @@
 typedef enum PhAskKind {
     ASK_PATCH,
     ASK_STATUS,
+    ASK_READY,
     ASK_SUBMIT,
     ASK_JOBS,
 } PhAskKind;
@@ -63,7 +64,8 @@
     fflush(s->options.out);
 }
 
-/* Sends an operator's request to an instance. */
+/* Sends a request to an instance, to its operators' listener or, to ask
+ * whether it is ready, to that of callers. */
 static void
 ask(PhScript *s, PhAskKind kind, int instance, PhStr method, PhStr target,
     PhStr body)
@@ -74,12 +76,14 @@
                  .instance = instance,
                  .least_version = s->version};
     g_hash_table_insert(s->asks, &a->id, a);
+    PhStr address = kind == ASK_READY
+                        ? PhWorld_CallersAddress(s->options.world, instance)
+                        : PhWorld_OperatorsAddress(s->options.world, instance);
     PhHttpMessage m = {
         .tag = PH_HTTP_SEND,
         .as.send = {.id = a->id,
                     .method = PhStr_Dup(method),
-                    .address = PhStr_Dup(
-                        PhWorld_OperatorsAddress(s->options.world, instance)),
+                    .address = PhStr_Dup(address),
                     .target = PhStr_Dup(target),
                     .body = body,
                     .deadline = PhTask_Now(s->self) + OPERATOR_DEADLINE,
@@ -95,13 +99,13 @@
     PhTask_SendTo(s->self, PH_SERVICE_HTTP, PhHttpMessage_Wrap(&m));
 }
 
-/* Finds an instance that takes work, from `first` on; -1 when none does. */
+/* Finds an instance that runs, from `first` on; -1 when none does. */
 static int
-working_instance(const PhScript *s, int first)
+running_instance(const PhScript *s, int first)
 {
     for (int i = 0; i < PH_WORLD_INSTANCES; i++) {
         int index = (first + i) % PH_WORLD_INSTANCES;
-        if (PhWorld_InstanceTakesWork(s->options.world, index)) {
+        if (PhWorld_InstanceRuns(s->options.world, index)) {
             return index;
         }
     }
@@ -112,7 +116,7 @@
 static void
 submit_patch(PhScript *s, const char *changes)
 {
-    int instance = working_instance(s, (int)(s->patches % PH_WORLD_INSTANCES));
+    int instance = running_instance(s, (int)(s->patches % PH_WORLD_INSTANCES));
     PhBuf body = {0};
     s->patches++;
     PhBuf_AppendFormat(&body,
@@ -135,16 +139,18 @@
                        "\"cpu_milli\":4000,\"memory_mb\":2000,"
                        "\"accelerators\":0,\"checkpointable\":true}",
                        s->jobs, tasks);
-    ask(s, ASK_SUBMIT, working_instance(s, 0), PhStr_LITERAL("POST"),
+    ask(s, ASK_SUBMIT, running_instance(s, 0), PhStr_LITERAL("POST"),
         PhStr_LITERAL("/jobs"), PhBuf_Take(&body));
 }
 
-/* Asks every running instance for its status. */
+/* Asks every running instance for its status, and whether it is ready. */
 static void
-poll_status(PhScript *s)
+poll_instances(PhScript *s)
 {
     for (int i = 0; i < PH_WORLD_INSTANCES; i++) {
-        if (PhWorld_InstanceTakesWork(s->options.world, i)) {
+        if (PhWorld_InstanceRuns(s->options.world, i)) {
+            ask(s, ASK_READY, i, PhStr_LITERAL("GET"), PhStr_LITERAL("/ready"),
+                (PhStr){0});
             ask(s, ASK_STATUS, i, PhStr_LITERAL("GET"),
                 PhStr_LITERAL("/status"), (PhStr){0});
         }
@@ -239,6 +245,10 @@
         case ASK_STATUS:
             on_status(s, a, reply);
             break;
+        case ASK_READY:
+            PhWorld_InstanceSetReady(s->options.world, a->instance,
+                                     reply->status == STATUS_OK);
+            break;
         case ASK_SUBMIT:
             progress(s, reply->status < 300 ? "job accepted"
                                             : "job not accepted");
@@ -299,7 +309,7 @@
         submit_job(s, step->as.tasks);
         break;
     case PH_STEP_JOBS_DONE:
-        ask(s, ASK_JOBS, working_instance(s, 0), PhStr_LITERAL("GET"),
+        ask(s, ASK_JOBS, running_instance(s, 0), PhStr_LITERAL("GET"),
             PhStr_LITERAL("/jobs"), (PhStr){0});
         break;
     case PH_STEP_WORKER_FAULT:
@@ -326,7 +336,7 @@
         start_instance(s, step->as.index);
         break;
     case PH_STEP_CHECK_CONFIG:
-        poll_status(s);
+        poll_instances(s);
         break;
     case PH_STEP_END:
         PhLoad_CheckRuns(s->options.load);
@@ -349,7 +359,7 @@
 on_timer(PhScript *s, uint64_t token)
 {
     if (token == POLL_TIMER) {
-        poll_status(s);
+        poll_instances(s);
         check_leaving(s);
         PhTask_SetTimer(s->self, POLL_TIMER,
                         PhTask_Now(s->self) + POLL_INTERVAL);
--- a/demo/world.c
+++ b/demo/world.c
@@ -14,6 +14,8 @@
 
 static const PhTime LIST_POLL = 500 * PH_NS_PER_MS;
 static const PhTime DRAIN_NOTICE = 500 * PH_NS_PER_MS;
+/* Shorter than the default, as the demonstration itself is short. */
+static const PhTime KEY_WINDOW = 1 * PH_NS_PER_S;
 static const PhTime DRAIN_LIMIT = 10 * PH_NS_PER_S;
 /* Time for which the platform keeps records here. */
 static const PhTime LOG_RETENTION = 3600 * PH_NS_PER_S;
@@ -28,6 +30,7 @@
     PhInstancePorts ports;
     PhStr callers_address;
     PhStr operators_address;
+    bool ready;
     bool stopping;
     bool stopped; /* its kernel is destroyed at the next chance */
 } PhWorldInstance;
@@ -71,6 +74,7 @@
     PhStr_Clear(&i->operators_address);
     i->kernel = NULL;
     i->counters = NULL;
+    i->ready = false;
     i->stopping = false;
     i->stopped = false;
 }
@@ -277,6 +281,7 @@
     s->limits.connections = 512;
     s->limits.drain_notice = DRAIN_NOTICE;
     s->limits.drain_limit = DRAIN_LIMIT;
+    s->limits.key_window = KEY_WINDOW;
 }
 
 /* Starts an instance with a new name, as a replacement would be. */
@@ -323,11 +328,19 @@
     }
 }
 
+/* Notes what the check of readiness found. */
+void
+PhWorld_InstanceSetReady(PhWorld *w, int index, bool ready)
+{
+    w->instances[index].ready = ready;
+}
+
 /* Tells whether callers may be sent to the instance. */
 bool
 PhWorld_InstanceTakesWork(const PhWorld *w, int index)
 {
-    return w->instances[index].kernel != NULL && !w->instances[index].stopping;
+    const PhWorldInstance *i = &w->instances[index];
+    return i->kernel != NULL && i->ready && !i->stopping;
 }
 
 /* Tells whether the instance runs. */
--- a/include/peridothill/codec/settings.h
+++ b/include/peridothill/codec/settings.h
@@ -44,6 +44,7 @@
         uint64_t connections;
         PhTime drain_notice;
         PhTime drain_limit;
+        PhTime key_window;
     } limits;
     struct {
         PhLevel level;
--- a/include/peridothill/demo/load.h
+++ b/include/peridothill/demo/load.h
@@ -8,15 +8,6 @@
 
 #define PH_SERVICE_LOAD PhStr_LITERAL("load")
 
-/* What the callers have seen so far. */
-typedef struct PhLoadCounts {
-    uint64_t sent;
-    uint64_t answered;
-    uint64_t not_run;
-    uint64_t unknown;
-    uint64_t lost; /* no answer from an instance that was ended at once */
-} PhLoadCounts;
-
 typedef struct PhLoad PhLoad;
 
 /* Starts the task; the kernel also needs the task "http". */
@@ -28,10 +19,9 @@
 /* Notes that an instance was ended at once: its open requests may be lost. */
 void
 PhLoad_InstanceKilled(PhLoad *load, int index);
-PhLoadCounts
-PhLoad_Counts(const PhLoad *load);
-size_t
-PhLoad_InFlight(const PhLoad *load);
+/* Prints what the callers have seen. */
+void
+PhLoad_Print(const PhLoad *load, FILE *out);
 /* Checks how often each request ran, once nothing is in flight. */
 void
 PhLoad_CheckRuns(PhLoad *load);
--- a/include/peridothill/demo/world.h
+++ b/include/peridothill/demo/world.h
@@ -45,7 +45,10 @@
 /* Begins a graceful stop; the instance is gone once it has ended. */
 void
 PhWorld_InstanceStop(PhWorld *world, int index);
-/* Tells whether the instance runs and was not told to stop. */
+/* What the balancer's check of readiness found. */
+void
+PhWorld_InstanceSetReady(PhWorld *world, int index, bool ready);
+/* Tells whether the instance runs, is ready, and was not told to stop. */
 bool
 PhWorld_InstanceTakesWork(const PhWorld *world, int index);
 bool
--- a/services/instance.c
+++ b/services/instance.c
@@ -128,6 +128,7 @@
                             .data_centre = s->instance.data_centre,
                             .seed = options->seed + 5,
                             .drain_notice = s->limits.drain_notice,
+                            .key_window = s->limits.key_window,
                             .body_limit_bytes = s->limits.request_body,
                             .connection_limit =
                                 (unsigned)s->limits.connections};
