soak: run the configuration with faults at any moment

Nine instances follow the shared log and each other while operators submit, race on one path, and the log is down, slow or loses answers after the effect. A reference applies each record at the moment of its append; the run checks that a version never goes back and has the content of the reference, that 'accepted' names the version of the log, that 'not accepted' is not in the log, and at rest that every instance holds the last version and says so.

--- a/bench/bench_soak.c
+++ b/bench/bench_soak.c
@@ -10,6 +10,7 @@
 };
 
 static const PhSoakArea *const areas[] = {
+    &PhSoak_Config,
     &PhSoak_Members,
 };
 
--- /dev/null
+++ b/bench/soak_config.c
@@ -0,0 +1,618 @@
+/* The configuration over the shared queue and log: instances that follow the
+ * log and each other, and operators that race. */
+#include "soak_config.h"
+
+#include "peridothill/common/invariant.h"
+
+#define MS PH_NS_PER_MS
+#define S PH_NS_PER_S
+
+enum {
+    READERS = 2,
+    APPENDS_PER_SECOND = 150,
+    QUEUE_LIMIT = 64,
+    LOG_APPENDS_PER_SECOND = 300,
+    TEAMS = 12,
+    RACERS = 6,
+};
+
+#define POLL_INTERVAL (500 * MS)
+#define HELLO_INTERVAL (1 * S)
+#define VIEW_INTERVAL (1 * S)
+#define RETENTION (900 * S)
+#define PATCH_DEADLINE (20 * S)
+#define SUBMIT_MEAN (2 * S)
+
+/* What one instance sends another; it owns what it points to. */
+typedef struct PhSoakConfigMail {
+    PhConfigActionKind kind;
+    PhConfigHello hello;
+    uint64_t fetch;
+    GPtrArray *push;
+    PhConfigSnapshot *state;
+    char *from;
+} PhSoakConfigMail;
+
+/* Releases what a message owns. */
+static void
+mail_clear(gpointer data)
+{
+    PhSoakConfigMail *mail = data;
+    if (mail->push != NULL) {
+        g_ptr_array_unref(mail->push);
+    }
+    PhConfigSnapshot_Unref(mail->state);
+    g_free(mail->from);
+}
+
+/* Releases a patch that is kept for the log. */
+static void
+patch_destroy(gpointer data)
+{
+    PhConfigPatch_Clear(data);
+    g_free(data);
+}
+
+/* Releases a snapshot that is kept for the log. */
+static void
+snapshot_destroy(gpointer data)
+{
+    PhConfigSnapshot_Unref(data);
+}
+
+/* Sends what an action holds to the member it names. */
+static void
+node_send(PhSoakConfig *s, uint32_t from, const PhConfigAction *a)
+{
+    for (uint32_t to = 1; to <= SOAK_CONFIG_NODES; to++) {
+        if (s->nodes[to].follower == NULL ||
+            !PhStr_Equal(PhStr_FromC(s->nodes[to].id), a->member)) {
+            continue;
+        }
+        PhSoakConfigMail *mail = g_rc_box_new0(PhSoakConfigMail);
+        mail->kind = a->kind;
+        mail->from = g_strdup(s->nodes[from].id);
+        if (a->kind == PH_CONFIG_ACTION_HELLO) {
+            mail->hello = a->as.hello;
+        }
+        else if (a->kind == PH_CONFIG_ACTION_FETCH) {
+            mail->fetch = a->as.fetch;
+        }
+        else if (a->kind == PH_CONFIG_ACTION_PUSH) {
+            mail->push = g_ptr_array_ref(a->as.push);
+        }
+        else if (a->kind == PH_CONFIG_ACTION_STATE) {
+            mail->state = PhConfigSnapshot_Ref(a->as.snapshot);
+        }
+        PhFakeNet_Send(s->net, from, to, 0, mail);
+        return;
+    }
+}
+
+/* Carries out one action of the follower. */
+static void
+follow_action(PhSoakConfig *s, uint32_t endpoint, const PhConfigAction *a)
+{
+    PhConfigNode *node = &s->nodes[endpoint];
+    PhAppendEvent decided = {.kind = PH_APPEND_EVENT_DECIDED};
+    switch (a->kind) {
+    case PH_CONFIG_ACTION_READ_LOG:
+    case PH_CONFIG_ACTION_READ_SNAPSHOTS:
+        PhSoakConfigLog_Read(s, endpoint, a);
+        break;
+    case PH_CONFIG_ACTION_WRITE_SNAPSHOT:
+        PhSoakConfigLog_WriteSnapshot(s, endpoint, a->as.snapshot);
+        break;
+    case PH_CONFIG_ACTION_HELLO:
+    case PH_CONFIG_ACTION_FETCH:
+    case PH_CONFIG_ACTION_PUSH:
+    case PH_CONFIG_ACTION_STATE:
+        node_send(s, endpoint, a);
+        break;
+    case PH_CONFIG_ACTION_DECIDED:
+        decided.as.decided = a->as.decided;
+        PhSoakConfig_Append(s, endpoint, &decided);
+        break;
+    case PH_CONFIG_ACTION_IN_FORCE:
+        PhSoakReference_CheckInForce(s->reference, node->in_force,
+                                     a->as.in_force);
+        node->in_force = PhConfigState_Version(a->as.in_force);
+        break;
+    case PH_CONFIG_ACTION_NOTE:
+        break;
+    }
+}
+
+/* Tells the appender when the log was heard after its last failure. */
+static void
+log_heard_check(PhSoakConfig *s, uint32_t endpoint)
+{
+    PhConfigNode *node = &s->nodes[endpoint];
+    PhTime at = PhConfigFollower_ConfirmedAt(node->follower);
+    if (at > node->heard_at && at > node->append_failed_at) {
+        node->heard_at = at;
+        PhSoakConfig_Append(
+            s, endpoint, &(PhAppendEvent){.kind = PH_APPEND_EVENT_LOG_HEARD});
+    }
+}
+
+/* Gives an event to the follower and carries out its actions. */
+void
+PhSoakConfig_Follow(PhSoakConfig *s, uint32_t endpoint,
+                    const PhConfigEvent *event)
+{
+    PhConfigNode *node = &s->nodes[endpoint];
+    GArray *actions = PhConfigActions_Create();
+    PhConfigFollower_Handle(node->follower, PhFakeNet_Now(s->net), event,
+                            actions);
+    for (guint i = 0; i < actions->len; i++) {
+        follow_action(s, endpoint, &g_array_index(actions, PhConfigAction, i));
+    }
+    g_array_free(actions, TRUE);
+    log_heard_check(s, endpoint);
+    node->follow_wakes++;
+    PhTime next = PhConfigFollower_NextTick(node->follower);
+    if (next != PH_TIME_NEVER) {
+        PhFakeNet_SetTimer(
+            s->net, endpoint,
+            node->follow_wakes * SOAK_CONFIG_KINDS + SOAK_CONFIG_FOLLOW, next);
+    }
+}
+
+/* Gives an event to the appender and carries out its actions. */
+void
+PhSoakConfig_Append(PhSoakConfig *s, uint32_t endpoint,
+                    const PhAppendEvent *event)
+{
+    PhConfigNode *node = &s->nodes[endpoint];
+    GArray *actions = PhAppendActions_Create();
+    PhConfigAppender_Handle(node->appender, PhFakeNet_Now(s->net), event,
+                            actions);
+    for (guint i = 0; i < actions->len; i++) {
+        const PhAppendAction *a = &g_array_index(actions, PhAppendAction, i);
+        switch (a->kind) {
+        case PH_APPEND_ACTION_APPEND:
+            PhSoakConfigLog_Append(s, endpoint, a);
+            break;
+        case PH_APPEND_ACTION_ANSWER:
+            PhSoakReference_CheckAnswer(s->reference, a->as.answer.id,
+                                        &a->as.answer.result,
+                                        a->as.answer.version);
+            break;
+        }
+    }
+    g_array_free(actions, TRUE);
+    node->append_wakes++;
+    PhTime next = PhConfigAppender_NextTick(node->appender);
+    if (next != PH_TIME_NEVER) {
+        PhFakeNet_SetTimer(
+            s->net, endpoint,
+            node->append_wakes * SOAK_CONFIG_KINDS + SOAK_CONFIG_APPEND, next);
+    }
+}
+
+/* Starts an instance with nothing in an empty place. */
+static void
+node_start(PhSoakConfig *s, uint32_t endpoint)
+{
+    PhConfigNode *node = &s->nodes[endpoint];
+    s->generation++;
+    node->id = g_strdup_printf("c%" G_GUINT64_FORMAT, s->generation);
+    node->random = PhRandom_Create(s->run->seed + s->generation);
+    node->append_failed_at = -1;
+    node->heard_at = -1;
+    node->in_force = 0;
+    node->follower = PhConfigFollower_Create(
+        &(PhConfigFollowerOptions){.random = node->random,
+                                   .poll_interval = POLL_INTERVAL,
+                                   .hello_interval = HELLO_INTERVAL,
+                                   .retention = RETENTION,
+                                   .readers = READERS,
+                                   .now = PhFakeNet_Now(s->net)});
+    node->appender = PhConfigAppender_Create(
+        &(PhConfigAppenderOptions){.random = node->random,
+                                   .appends_per_second = APPENDS_PER_SECOND,
+                                   .queue_limit = QUEUE_LIMIT});
+    PhFakeNet_SetTimer(s->net, endpoint, SOAK_CONFIG_VIEW,
+                       PhFakeNet_Now(s->net));
+}
+
+/* Ends an instance at once. */
+static void
+node_end(PhSoakConfig *s, uint32_t endpoint)
+{
+    PhConfigNode *node = &s->nodes[endpoint];
+    PhFakeNet_Crash(s->net, endpoint);
+    PhConfigFollower_Destroy(g_steal_pointer(&node->follower));
+    PhConfigAppender_Destroy(g_steal_pointer(&node->appender));
+    PhRandom_Destroy(g_steal_pointer(&node->random));
+    g_free(g_steal_pointer(&node->id));
+}
+
+/* Tells an instance which others are alive and not cut off from it. */
+static void
+node_take_view(PhSoakConfig *s, uint32_t endpoint)
+{
+    PhConfigPeer peers[SOAK_CONFIG_NODES];
+    size_t count = 0;
+    uint32_t centre = endpoint % SOAK_CONFIG_CENTRES;
+    for (uint32_t i = 1; i <= SOAK_CONFIG_NODES; i++) {
+        uint32_t other = i % SOAK_CONFIG_CENTRES;
+        if (i != endpoint && s->nodes[i].follower != NULL &&
+            !PhFakeNet_Link(s->net, centre, other)->cut) {
+            peers[count++] =
+                (PhConfigPeer){.member = PhStr_FromC(s->nodes[i].id),
+                               .local = other == centre};
+        }
+    }
+    PhConfigEvent event = {
+        .kind = PH_CONFIG_EVENT_MEMBERS,
+        .as.members = {.self = PhStr_FromC(s->nodes[endpoint].id),
+                       .peers = peers,
+                       .count = count}};
+    PhSoakConfig_Follow(s, endpoint, &event);
+    PhSoakConfig_Append(s, endpoint,
+                        &(PhAppendEvent){.kind = PH_APPEND_EVENT_INSTANCES,
+                                         .as.instances = count + 1});
+    PhFakeNet_SetTimer(s->net, endpoint, SOAK_CONFIG_VIEW,
+                       PhFakeNet_Now(s->net) + VIEW_INTERVAL);
+}
+
+/* Adds a random change, now and then one that is refused. */
+static void
+patch_add_change(PhSoakConfig *s, PhConfigPatch *patch, uint64_t team)
+{
+    char *path =
+        g_strdup_printf("teams.t%" G_GUINT64_FORMAT ".%s", team,
+                        PhRandom_Chance(s->random, 0.05) ? "colour" : "share");
+    char *value =
+        g_strdup_printf("%" G_GUINT64_FORMAT, PhRandom_Below(s->random, 100));
+    bool removal = PhRandom_Chance(s->random, 0.1);
+    PhConfigPatch_Add(
+        patch, removal ? PH_CONFIG_CHANGE_DELETE : PH_CONFIG_CHANGE_SET,
+        PhStr_FromC(path), removal ? (PhStr){0} : PhStr_FromC(value));
+    g_free(path);
+    g_free(value);
+}
+
+/* Submits a patch at a random instance; a `team` of TEAMS picks any. */
+static void
+operator_submit(PhSoakConfig *s, uint64_t team)
+{
+    uint32_t endpoint =
+        1 + (uint32_t)PhRandom_Below(s->random, SOAK_CONFIG_NODES);
+    PhConfigNode *node = &s->nodes[endpoint];
+    if (node->follower == NULL) {
+        return;
+    }
+    char *id = g_strdup_printf("p%" G_GUINT64_FORMAT, ++s->submitted);
+    PhConfigPatch patch = {.id = PhStr_Dup(PhStr_FromC(id)),
+                           .author = PhStr_Dup(PhStr_LITERAL("operator")),
+                           .base = PhConfigState_Version(PhConfigLedger_State(
+                               PhConfigFollower_Ledger(node->follower))),
+                           .strict = PhRandom_Chance(s->random, 0.1)};
+    patch_add_change(s, &patch,
+                     team < TEAMS ? team : PhRandom_Below(s->random, TEAMS));
+    PhAppendEvent event = {
+        .kind = PH_APPEND_EVENT_SUBMIT,
+        .as.submit = {.request = s->submitted,
+                      .patch = &patch,
+                      .deadline = PhFakeNet_Now(s->net) + PATCH_DEADLINE}};
+    PhSoakConfig_Append(s, endpoint, &event);
+    PhConfigPatch_Clear(&patch);
+    g_free(id);
+}
+
+/* Sets the links between data centres. */
+static void
+links_set(PhSoakConfig *s, bool loaded)
+{
+    for (uint32_t a = 0; a < SOAK_CONFIG_CENTRES; a++) {
+        for (uint32_t b = 0; b < SOAK_CONFIG_CENTRES; b++) {
+            PhFakeLink *link = PhFakeNet_Link(s->net, a, b);
+            link->delay_min = a == b ? MS / 4 : 4 * MS;
+            link->delay_extra = (loaded ? 50 : 1) * MS;
+            link->loss = loaded ? 0.2 : 0.02;
+            link->duplicate = 0.01;
+        }
+    }
+}
+
+/* Cuts a data centre off from the others, or mends the links. */
+static void
+partition_set(PhSoakConfig *s, uint32_t centre, bool cut)
+{
+    for (uint32_t other = 0; other < SOAK_CONFIG_CENTRES; other++) {
+        if (other != centre) {
+            PhFakeNet_Link(s->net, centre, other)->cut = cut;
+            PhFakeNet_Link(s->net, other, centre)->cut = cut;
+        }
+    }
+}
+
+/* Begins or ends a fault of instances and links. */
+static void
+fault_set_instance(PhSoakConfig *s, const PhFaultChange *change)
+{
+    bool on = change->kind == PH_FAULT_BEGIN;
+    uint32_t endpoint = 1 + (uint32_t)(change->pick % SOAK_CONFIG_NODES);
+    bool alive = s->nodes[endpoint].follower != NULL;
+    bool restart = change->fault == PH_FAULT_PROCESS_DEATH;
+    if (on && alive) {
+        node_end(s, endpoint);
+    }
+    if (s->nodes[endpoint].follower == NULL && (restart || !on)) {
+        node_start(s, endpoint);
+    }
+}
+
+/* Begins or ends an outage of the log.  Every other one begins while patches
+ * are appended: they take effect, their answers are lost, and nobody can look
+ * for them until the end. */
+static void
+store_down_set(PhSoakConfig *s, bool on, uint64_t pick)
+{
+    PhFakeLogOptions *log = PhFakeLog_Options(s->log);
+    double lost_answers = log->lost_answers;
+    log->lost_answers = on && (pick >> 32 & 1) ? 1 : lost_answers;
+    for (int i = 0; on && i < RACERS; i++) {
+        operator_submit(s, TEAMS);
+    }
+    log->lost_answers = lost_answers;
+    log->outage = on;
+}
+
+/* Begins or ends a fault. */
+static void
+fault_set(PhSoakConfig *s, const PhFaultChange *change)
+{
+    bool on = change->kind == PH_FAULT_BEGIN;
+    uint64_t pick = change->pick;
+    uint32_t endpoint = 1 + (uint32_t)(pick % SOAK_CONFIG_NODES);
+    uint32_t other = 1 + (uint32_t)((endpoint + 3) % SOAK_CONFIG_NODES);
+    uint32_t centre = endpoint % SOAK_CONFIG_CENTRES;
+    PhFakeLogOptions *log = PhFakeLog_Options(s->log);
+    switch (change->fault) {
+    case PH_FAULT_LOAD_SHIFT:
+        links_set(s, on);
+        break;
+    case PH_FAULT_INSTANCE_DEATH:
+    case PH_FAULT_PROCESS_DEATH:
+        fault_set_instance(s, change);
+        break;
+    case PH_FAULT_STORE_DOWN:
+        store_down_set(s, on, pick);
+        break;
+    case PH_FAULT_STORE_SLOW:
+        log->delay_min = on ? 2 * S : 5 * MS;
+        break;
+    case PH_FAULT_LOST_ANSWERS:
+        log->lost_answers = on ? 0.5 : 0;
+        break;
+    case PH_FAULT_PAUSED_HOLDER:
+        if (on) {
+            PhFakeNet_Pause(s->net, endpoint,
+                            PhFakeNet_Now(s->net) + (PhTime)(pick % (20 * S)));
+        }
+        break;
+    case PH_FAULT_RACING_OPERATORS:
+        for (int i = 0; on && i < RACERS; i++) {
+            operator_submit(s, pick % TEAMS);
+        }
+        break;
+    case PH_FAULT_SILENT_CONNECTION:
+        PhFakeNet_Silence(s->net, endpoint, other, on);
+        break;
+    case PH_FAULT_PARTITION:
+        partition_set(s, centre, on);
+        s->cut_off[centre] = on && (pick >> 32 & 1);
+        break;
+    case PH_FAULT_NOISY_TASKS:
+    case PH_FAULT_WRONG_SIZES:
+    case PH_FAULT_IMPOSSIBLE_JOB:
+    case PH_FAULT_CANCEL_WAVE:
+    case PH_FAULT_BAD_WORKER:
+    case PH_FAULT_FLOOD_LEAST_URGENT:
+    case PH_FAULT_FLOOD_MOST_URGENT:
+    case PH_FAULT_COUNT:
+        break;
+    }
+}
+
+/* Checks every instance at rest. */
+static void
+check_settled(PhSoakConfig *s)
+{
+    for (uint32_t i = 1; i <= SOAK_CONFIG_NODES; i++) {
+        PhSoakReference_CheckSettled(s->reference, s->nodes[i].follower,
+                                     PhFakeNet_Now(s->net));
+    }
+    s->run->settled++;
+}
+
+/* Carries out the changes of the plan that are due. */
+static void
+plan_step(PhSoakConfig *s)
+{
+    PhFaultChange change;
+    while (PhFaultPlan_Next(s->plan, PhFakeNet_Now(s->net), &change)) {
+        switch (change.kind) {
+        case PH_FAULT_BEGIN:
+        case PH_FAULT_END:
+            fault_set(s, &change);
+            break;
+        case PH_FAULT_SETTLED:
+            check_settled(s);
+            break;
+        }
+    }
+    PhFakeNet_SetTimer(s->net, SOAK_CONFIG_CONDUCTOR, SOAK_CONFIG_PLAN,
+                       PhFaultPlan_Due(s->plan));
+}
+
+/* Lets the conductor act: faults, or an operator unless rest is near. */
+static void
+conductor_take(PhSoakConfig *s, uint64_t token)
+{
+    if (token == SOAK_CONFIG_PLAN) {
+        plan_step(s);
+        return;
+    }
+    if (PhFaultPlan_Due(s->plan) - PhFakeNet_Now(s->net) > 15 * S ||
+        PhFaultPlan_Active(s->plan) > 0) {
+        operator_submit(s, TEAMS);
+    }
+    PhFakeNet_SetTimer(
+        s->net, SOAK_CONFIG_CONDUCTOR, SOAK_CONFIG_SUBMIT,
+        PhFakeNet_Now(s->net) +
+            (PhTime)PhRandom_Exponential(s->random, (double)SUBMIT_MEAN));
+}
+
+/* Gives a message to the follower of an instance. */
+static void
+mail_take(PhSoakConfig *s, uint32_t endpoint, const PhSoakConfigMail *mail)
+{
+    PhConfigEvent event = {.member = PhStr_FromC(mail->from)};
+    if (mail->kind == PH_CONFIG_ACTION_HELLO) {
+        event.kind = PH_CONFIG_EVENT_HELLO;
+        event.as.hello = mail->hello;
+    }
+    else if (mail->kind == PH_CONFIG_ACTION_FETCH) {
+        event.kind = PH_CONFIG_EVENT_FETCH;
+        event.as.fetch = mail->fetch;
+    }
+    else if (mail->kind == PH_CONFIG_ACTION_PUSH) {
+        event.kind = PH_CONFIG_EVENT_PUSH;
+        event.as.push.records = (PhConfigRecord *const *)mail->push->pdata;
+        event.as.push.count = mail->push->len;
+    }
+    else {
+        event.kind = PH_CONFIG_EVENT_STATE;
+        event.as.state = mail->state;
+    }
+    PhSoakConfig_Follow(s, endpoint, &event);
+}
+
+/* Gives a timer of an instance to whom it concerns. */
+static void
+timer_take(PhSoakConfig *s, uint32_t endpoint, uint64_t token)
+{
+    PhConfigNode *node = &s->nodes[endpoint];
+    uint64_t number = token / SOAK_CONFIG_KINDS;
+    switch (token % SOAK_CONFIG_KINDS) {
+    case SOAK_CONFIG_FOLLOW:
+        if (number == node->follow_wakes) {
+            PhSoakConfig_Follow(
+                s, endpoint, &(PhConfigEvent){.kind = PH_CONFIG_EVENT_TICK});
+        }
+        break;
+    case SOAK_CONFIG_APPEND:
+        if (number == node->append_wakes) {
+            PhSoakConfig_Append(
+                s, endpoint, &(PhAppendEvent){.kind = PH_APPEND_EVENT_TICK});
+        }
+        break;
+    case SOAK_CONFIG_ANSWER:
+        PhSoakConfigLog_Answer(s, endpoint, number);
+        break;
+    case SOAK_CONFIG_VIEW:
+        node_take_view(s, endpoint);
+        break;
+    default:
+        break;
+    }
+}
+
+static const PhFault faults[] = {
+    PH_FAULT_LOAD_SHIFT,        PH_FAULT_INSTANCE_DEATH,
+    PH_FAULT_PROCESS_DEATH,     PH_FAULT_STORE_DOWN,
+    PH_FAULT_STORE_SLOW,        PH_FAULT_LOST_ANSWERS,
+    PH_FAULT_PAUSED_HOLDER,     PH_FAULT_RACING_OPERATORS,
+    PH_FAULT_SILENT_CONNECTION, PH_FAULT_PARTITION,
+};
+
+/* Creates the instances, the log and the queue of a run. */
+static void
+config_create(PhSoakConfig *s)
+{
+    s->net = PhFakeNet_Create(s->run->seed, SOAK_CONFIG_NODES + 1, mail_clear);
+    s->random = PhRandom_Create(s->run->seed);
+    s->log = PhFakeLog_Create(
+        &(PhFakeLogOptions){.seed = s->run->seed,
+                            .retention = RETENTION,
+                            .appends_per_second = LOG_APPENDS_PER_SECOND,
+                            .delay_min = 5 * MS,
+                            .delay_extra = 5 * MS,
+                            .timeout = 3 * S});
+    s->reference = PhSoakReference_Create(s->run->seed);
+    s->patches = g_ptr_array_new_with_free_func(patch_destroy);
+    s->snapshots = g_ptr_array_new_with_free_func(snapshot_destroy);
+    s->answers = g_ptr_array_new_with_free_func(g_free);
+    s->plan = PhFaultPlan_Create(
+        &(PhFaultPlanOptions){.seed = s->run->seed,
+                              .faults = faults,
+                              .fault_count = G_N_ELEMENTS(faults),
+                              .gap = 15 * S,
+                              .length = 20 * S,
+                              .settle = 120 * S});
+    links_set(s, false);
+    for (uint32_t i = 1; i <= SOAK_CONFIG_NODES; i++) {
+        PhFakeNet_SetGroup(s->net, i, i % SOAK_CONFIG_CENTRES);
+        node_start(s, i);
+    }
+    plan_step(s);
+    conductor_take(s, SOAK_CONFIG_SUBMIT);
+}
+
+/* Releases the run. */
+static void
+config_destroy(PhSoakConfig *s)
+{
+    for (uint32_t i = 1; i <= SOAK_CONFIG_NODES; i++) {
+        if (s->nodes[i].follower != NULL) {
+            node_end(s, i);
+        }
+    }
+    PhFaultPlan_Destroy(s->plan);
+    PhFakeNet_Destroy(s->net);
+    PhFakeLog_Destroy(s->log);
+    PhSoakReference_Destroy(s->reference);
+    PhRandom_Destroy(s->random);
+    g_ptr_array_free(s->patches, TRUE);
+    g_ptr_array_free(s->snapshots, TRUE);
+    g_ptr_array_free(s->answers, TRUE);
+}
+
+/* Runs the configuration for the steps of the run. */
+static void
+config_run(PhSoakRun *run)
+{
+    PhSoakConfig s = {.run = run};
+    PhFakeEvent event;
+    config_create(&s);
+    for (uint64_t i = 0; i < run->steps; i++) {
+        if (!PhFakeNet_Next(s.net, PH_TIME_NEVER, &event)) {
+            break;
+        }
+        if (event.to == SOAK_CONFIG_CONDUCTOR) {
+            conductor_take(&s, event.token);
+        }
+        else if (s.nodes[event.to].follower == NULL) {
+            continue;
+        }
+        else if (event.kind == PH_FAKE_MESSAGE) {
+            mail_take(&s, event.to, event.body);
+        }
+        else {
+            timer_take(&s, event.to, event.token);
+        }
+    }
+    run->simulated = PhFakeNet_Now(s.net);
+    PhSoakRun_Add(run, s.plan);
+    config_destroy(&s);
+}
+
+const PhSoakArea PhSoak_Config = {.name = "config",
+                                  .run = config_run,
+                                  .faults = faults,
+                                  .fault_count = G_N_ELEMENTS(faults)};
--- /dev/null
+++ b/bench/soak_config_reference.c
@@ -0,0 +1,105 @@
+#include "peridothill/common/invariant.h"
+#include "soak_config.h"
+
+/* Creates a reference before the first record. */
+PhSoakReference *
+PhSoakReference_Create(uint64_t seed)
+{
+    PhSoakReference *r = g_new0(PhSoakReference, 1);
+    r->seed = seed;
+    r->ledger = PhConfigLedger_Create();
+    r->digests = g_array_new(FALSE, TRUE, sizeof(uint64_t));
+    r->refused = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
+                                       PhStr_KeyDestroy, NULL);
+    uint64_t digest = PhConfigState_Digest(PhConfigLedger_State(r->ledger));
+    g_array_append_val(r->digests, digest);
+    return r;
+}
+
+/* Releases the reference. */
+void
+PhSoakReference_Destroy(PhSoakReference *reference)
+{
+    PhConfigLedger_Destroy(reference->ledger);
+    g_array_free(reference->digests, TRUE);
+    g_hash_table_destroy(reference->refused);
+    g_free(reference);
+}
+
+/* Applies a record; a patch that was said to be not accepted must not come. */
+void
+PhSoakReference_Append(PhSoakReference *reference, uint64_t offset, PhTime now,
+                       const PhConfigPatch *patch)
+{
+    PhConfigPatch copy = PhConfigPatch_Copy(patch);
+    PhConfigRecord *record =
+        PhConfigRecord_Create(offset, now / PH_NS_PER_MS, &copy);
+    Ph_INVARIANT(PH_INVARIANT_NOT_RUN,
+                 !g_hash_table_contains(reference->refused, &patch->id),
+                 "seed=%" G_GUINT64_FORMAT " id=%.*s", reference->seed,
+                 PhStr_ARG(patch->id));
+    PhConfigLedger_Apply(reference->ledger, record);
+    PhConfigRecord_Unref(record);
+    const PhConfigState *state = PhConfigLedger_State(reference->ledger);
+    if (PhConfigState_Version(state) == reference->digests->len) {
+        uint64_t digest = PhConfigState_Digest(state);
+        g_array_append_val(reference->digests, digest);
+    }
+}
+
+/* Checks an answer: "accepted" names the version that the log decides,
+ * "refused" is refused there too, "not accepted" is not in the log. */
+void
+PhSoakReference_CheckAnswer(PhSoakReference *reference, PhStr id,
+                            const PhResult *result, uint64_t version)
+{
+    const PhConfigVerdict *v = PhConfigLedger_Find(reference->ledger, id);
+    if (result->status == PH_STATUS_UNKNOWN) {
+        return;
+    }
+    if (result->status == PH_STATUS_UNAVAILABLE) {
+        Ph_INVARIANT(PH_INVARIANT_NOT_RUN, v == NULL,
+                     "seed=%" G_GUINT64_FORMAT " id=%.*s", reference->seed,
+                     PhStr_ARG(id));
+        g_hash_table_add(reference->refused, PhStr_KeyCreate(id));
+        return;
+    }
+    Ph_INVARIANT(PH_INVARIANT_CONFIG_IN_FORCE,
+                 v != NULL && v->status == result->status &&
+                     v->version == version,
+                 "seed=%" G_GUINT64_FORMAT " id=%.*s status=%d",
+                 reference->seed, PhStr_ARG(id), (int)result->status);
+}
+
+/* Checks that a version does not go back and has the content that the log
+ * gives it. */
+void
+PhSoakReference_CheckInForce(PhSoakReference *reference, uint64_t before,
+                             const PhConfigState *state)
+{
+    uint64_t version = PhConfigState_Version(state);
+    Ph_INVARIANT(PH_INVARIANT_CONFIG_IN_FORCE,
+                 version >= before && version < reference->digests->len &&
+                     g_array_index(reference->digests, uint64_t, version) ==
+                         PhConfigState_Digest(state),
+                 "seed=%" G_GUINT64_FORMAT " version=%" G_GUINT64_FORMAT
+                 " before=%" G_GUINT64_FORMAT,
+                 reference->seed, version, before);
+}
+
+/* Checks that a follower holds the last version and knows it. */
+void
+PhSoakReference_CheckSettled(PhSoakReference *reference,
+                             const PhConfigFollower *follower, PhTime now)
+{
+    const PhConfigState *state =
+        PhConfigLedger_State(PhConfigFollower_Ledger(follower));
+    PhConfigStanding standing = PhConfigFollower_Standing(follower, now);
+    Ph_INVARIANT(PH_INVARIANT_CONFIG_IN_FORCE,
+                 PhConfigState_Version(state) + 1 == reference->digests->len &&
+                     standing == PH_CONFIG_STANDING_IN_FORCE,
+                 "seed=%" G_GUINT64_FORMAT " time=%" G_GINT64_FORMAT
+                 " version=%" G_GUINT64_FORMAT " latest=%u standing=%s",
+                 reference->seed, now, PhConfigState_Version(state),
+                 reference->digests->len - 1, PhConfigStanding_Name(standing));
+}
--- a/include/peridothill/bench/soak.h
+++ b/include/peridothill/bench/soak.h
@@ -84,6 +84,7 @@
 const PhSoakArea *const *
 PhSoakArea_List(size_t *count);
 
+extern const PhSoakArea PhSoak_Config;
 extern const PhSoakArea PhSoak_Members;
 
 #endif
--- a/tests/proof/test_soak.c
+++ b/tests/proof/test_soak.c
@@ -14,6 +14,8 @@
 } PhSoakCase;
 
 static const PhSoakCase soak_cases[] = {
+    {"config 1", &PhSoak_Config, 1, 60000, PH_INVARIANT_CONFIG_IN_FORCE},
+    {"config 2", &PhSoak_Config, 2, 60000, PH_INVARIANT_NOT_RUN},
     {"members 1", &PhSoak_Members, 1, 100000, PH_INVARIANT_MEMBER},
     {"members 2", &PhSoak_Members, 2, 100000, PH_INVARIANT_MEMBER},
     {"members 3", &PhSoak_Members, 3, 100000, PH_INVARIANT_MEMBER},
