--- a/commands/main.c
+++ b/commands/main.c
@@ -54,5 +54,8 @@
         print_usage(stderr);
         return PH_EXIT_USAGE;
     }
+    char *name = g_strdup_printf("peridothill %s", command->name);
+    g_set_prgname(name);
+    g_free(name);
     return command->run(argc - 1, argv + 1);
 }
