kernel: one file each for tasks, the loop and delivery

Change: loop.c binds libev, task.c is what a task may call, kernel.c delivers; they share kernel_internal.h. Behaviour is unchanged.

--- /dev/null
+++ b/kernel/task.c
@@ -0,0 +1,145 @@
+#include "kernel_internal.h"
+
+/* Tells whether the ref identifies no task. */
+bool
+PhTaskRef_IsNone(PhTaskRef ref)
+{
+    return ref.generation == 0;
+}
+
+/* Tells whether both refs identify the same task. */
+bool
+PhTaskRef_Equal(PhTaskRef a, PhTaskRef b)
+{
+    return a.slot == b.slot && a.generation == b.generation;
+}
+
+/* Releases the body of a message. */
+void
+PhMessage_Release(const PhMessage *message)
+{
+    if (message->release != NULL) {
+        message->release(message->body);
+    }
+}
+
+/* Finds the live task of a ref, or gives NULL. */
+PhTask *
+PhTask_Find(const PhKernel *kernel, PhTaskRef ref)
+{
+    if (PhTaskRef_IsNone(ref) || ref.slot >= kernel->tasks->len) {
+        return NULL;
+    }
+    PhTask *task = g_ptr_array_index(kernel->tasks, ref.slot);
+    if (task == NULL || task->ref.generation != ref.generation ||
+        task->ending) {
+        return NULL;
+    }
+    return task;
+}
+
+/* Puts a mail into the mailbox and the task onto the ready queue. */
+void
+PhTask_Post(PhTask *task, PhMail mail)
+{
+    g_queue_push_tail(&task->mailbox, g_memdup2(&mail, sizeof(mail)));
+    if (!task->queued) {
+        task->queued = true;
+        g_queue_push_tail(&task->kernel->ready, task);
+    }
+}
+
+/* Gives the kernel of the task. */
+PhKernel *
+PhTask_Kernel(const PhTask *self)
+{
+    return self->kernel;
+}
+
+/* Gives the ref of the task. */
+PhTaskRef
+PhTask_Ref(const PhTask *self)
+{
+    return self->ref;
+}
+
+/* Gives the name of the task. */
+PhStr
+PhTask_Name(const PhTask *self)
+{
+    return self->spec.name;
+}
+
+/* Reads the clock. */
+PhTime
+PhTask_Now(const PhTask *self)
+{
+    return PhKernel_Now(self->kernel);
+}
+
+/* Reads the wall clock. */
+PhTime
+PhTask_Wall(const PhTask *self)
+{
+    return PhClock_Wall(self->kernel->options.clock);
+}
+
+/* Sends a message from this task. */
+PhStatus
+PhTask_Send(PhTask *self, PhTaskRef to, PhMessage message)
+{
+    return PhKernel_Send(self->kernel, self->ref, to, message);
+}
+
+/* Sends a message to the task with this name. */
+PhStatus
+PhTask_SendTo(PhTask *self, PhStr name, PhMessage message)
+{
+    PhTaskRef to = PhKernel_Lookup(self->kernel, name);
+    if (PhTaskRef_IsNone(to)) {
+        PhMessage_Release(&message);
+        return PH_STATUS_NOT_FOUND;
+    }
+    return PhTask_Send(self, to, message);
+}
+
+/* Sets a timer of this task. */
+void
+PhTask_SetTimer(PhTask *self, uint64_t token, PhTime at)
+{
+    PhTimers_Set(self->kernel->timers, self->ref, token, at);
+}
+
+/* Cancels a timer of this task; a due one may still be in the mailbox. */
+void
+PhTask_CancelTimer(PhTask *self, uint64_t token)
+{
+    PhTimers_Cancel(self->kernel->timers, self->ref, token);
+}
+
+/* Asks to be told when the other task ends. */
+void
+PhTask_Monitor(PhTask *self, PhTaskRef other)
+{
+    PhTask *task = PhTask_Find(self->kernel, other);
+    if (task == NULL) {
+        PhTask_Post(self, (PhMail){.kind = PH_MAIL_ENDED, .as.ended = other});
+        return;
+    }
+    g_array_append_val(task->monitors, self->ref);
+}
+
+/* Ends this task once its handler returns. */
+void
+PhTask_End(PhTask *self)
+{
+    self->ending = true;
+}
+
+/* Writes an event under this task's name. */
+void
+PhTask_Log(PhTask *self, PhEventId id, const PhField *fields, size_t count)
+{
+    PhLog_Write(self->kernel->options.log, id, self->spec.name,
+                PhTask_Now(self), fields, count);
+}
