requests: limit concurrency by worker, hold room back only while nobody urgent waits

Cause: the factor of the adaptive limit was kept for each service. Change: the factor belongs to the worker, fed by latencies as multiples of their service's baseline.

Change: 5 tokens at most and 8% by default.

A fourth fault: the end of a cooldown was asked for as a timer but handled only when a request waited, so an idle instance would have turned in a circle.

--- a/decide/requests/admission.c
+++ b/decide/requests/admission.c
@@ -196,20 +196,38 @@
     return false;
 }
 
+/* Tells whether a service is of the most urgent class. */
+static bool
+service_is_urgent(const PhService *service)
+{
+    return service->policy.service_class == PH_SERVICE_CLASS_LATENCY_CRITICAL;
+}
+
+/* Tells whether an urgent request waits.  While none does, a small part of
+ * the room is held free for the next; while one does, shares alone decide. */
+static bool
+urgent_waits(const PhRequests *r)
+{
+    for (guint i = 0; i < r->services->len; i++) {
+        const PhService *service = g_ptr_array_index(r->services, i);
+        if (service_is_urgent(service) && service->queue.length > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Finds the request to send next; services whose workers are all busy are
  * passed over, so that they hold up no other. */
 PhRequestRecord *
 PhAdmission_Next(PhRequests *r)
 {
     PhService *best = NULL;
+    bool all_room = urgent_waits(r);
     for (guint i = 0; i < r->services->len; i++) {
         PhService *service = g_ptr_array_index(r->services, i);
-        if (g_queue_is_empty(&service->queue)) {
-            continue;
-        }
-        bool urgent =
-            service->policy.service_class == PH_SERVICE_CLASS_LATENCY_CRITICAL;
-        if (PhRouter_HasRoom(r->router, service->pool, urgent, r->now) &&
+        if (service->queue.length > 0 &&
+            PhRouter_HasRoom(r->router, service->pool, all_room) &&
             (best == NULL || service_before(r, service, best))) {
             best = service;
         }
--- a/decide/requests/budget.c
+++ b/decide/requests/budget.c
@@ -4,7 +4,7 @@
 
 enum {
     TOKEN_CENTI = 100,
-    CAP_TOKENS = 50, /* retries that may follow a quiet time at once */
+    CAP_TOKENS = 5, /* retries that may follow a quiet time at once */
 };
 
 /* Counts what may be spent. */
--- a/decide/requests/dispatch.c
+++ b/decide/requests/dispatch.c
@@ -132,7 +132,7 @@
     PhService *service = record->service;
     record->hedged = true;
     PhRequests_SetWake(r, record, record->deadline);
-    if (!PhRouter_HasRoom(r->router, service->pool, false, r->now)) {
+    if (!PhRouter_HasRoom(r->router, service->pool, false)) {
         return;
     }
     uint32_t worker = PhRouter_Pick(r->router, service->pool,
--- a/decide/requests/events.c
+++ b/decide/requests/events.c
@@ -278,6 +278,7 @@
     r->actions = actions;
     g_ptr_array_set_size(r->lent, 0);
     keys_prepare(r);
+    PhRouter_Wake(r->router, now);
     event_decide(r, event);
     timers_run(r);
     PhDispatch_Run(r);
--- a/decide/requests/pick.c
+++ b/decide/requests/pick.c
@@ -47,9 +47,8 @@
 /* Tells whether a worker of the pool is open and the limit allows one more;
  * without the adaptive limit only the workers' connections bound it. */
 bool
-PhRouter_HasRoom(PhRouter *router, uint32_t pool, bool urgent, PhTime now)
+PhRouter_HasRoom(const PhRouter *router, uint32_t pool, bool all_room)
 {
-    PhRouter_Wake(router, now);
     const PhPool *p = router_pool(router, pool);
     if (p->open[SIDE_LOCAL]->len + p->open[SIDE_REMOTE]->len +
             p->open[SIDE_PROBE]->len ==
@@ -59,8 +58,8 @@
     if (!router->options.adaptive_limit) {
         return true;
     }
-    double room = p->slots * p->limit.factor;
-    if (!urgent) {
+    double room = p->slots;
+    if (!all_room) {
         room *= 1.0 - URGENT_RESERVE;
     }
     return p->in_flight < MAX(room, 1.0);
@@ -180,7 +179,6 @@
 PhRouter_Pick(PhRouter *router, uint32_t pool, uint32_t avoid, bool idempotent,
               PhTime now)
 {
-    PhRouter_Wake(router, now);
     PhPool *p = router_pool(router, pool);
     uint32_t probe = probe_choose(p, idempotent);
     if (probe != PH_WORKER_NONE && probe != avoid) {
--- a/decide/requests/policy.c
+++ b/decide/requests/policy.c
@@ -3,7 +3,7 @@
 enum {
     DEFAULT_DEADLINE_MS = 2000,
     DEFAULT_BODY_LIMIT_BYTES = 1024 * 1024,
-    DEFAULT_RETRY_PERCENT = 10,
+    DEFAULT_RETRY_PERCENT = 8,
 };
 
 static const char *const class_names[] = {
--- a/decide/requests/requests.c
+++ b/decide/requests/requests.c
@@ -11,6 +11,7 @@
                               .cooldown = true,
                               .first_byte_timeout = true,
                               .adaptive_limit = true,
+                              .connection_limit = true,
                               .retry_budget = true,
                               .deadline_aware = true};
 }
@@ -36,13 +37,14 @@
     r->options.instance = PhStr_Dup(options->instance);
     r->options.data_centre = PhStr_Dup(options->data_centre);
     r->random = PhRandom_Create(options->seed);
-    r->router = PhRouter_Create(
-        &(PhRouterOptions){.instance = options->instance,
-                           .data_centre = options->data_centre,
-                           .routing = options->tuning.routing,
-                           .cooldown = options->tuning.cooldown,
-                           .adaptive_limit = options->tuning.adaptive_limit,
-                           .random = r->random});
+    r->router = PhRouter_Create(&(PhRouterOptions){
+        .instance = options->instance,
+        .data_centre = options->data_centre,
+        .routing = options->tuning.routing,
+        .cooldown = options->tuning.cooldown,
+        .adaptive_limit = options->tuning.adaptive_limit,
+        .connection_limit = options->tuning.connection_limit,
+        .random = r->random});
     r->services = g_ptr_array_new();
     r->teams = g_ptr_array_new();
     r->records = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
--- a/decide/requests/router.c
+++ b/decide/requests/router.c
@@ -87,7 +87,6 @@
     }
     PhPool *pool = g_new0(PhPool, 1);
     pool->service = PhStr_Dup(service);
-    pool->limit = PhLimit_Make();
     for (int side = 0; side < SIDE_COUNT; side++) {
         pool->open[side] = g_array_new(FALSE, FALSE, sizeof(PhOpenWorker));
     }
@@ -157,7 +156,8 @@
     link->position = POSITION_NONE;
 }
 
-/* Adds the worker's slots to its pools, or takes them off. */
+/* Adds the worker's slots, times its factor, to its pools, or takes them off
+ * as they were added. */
 static void
 worker_count(PhRouter *router, PhRoutedWorker *w, bool counted)
 {
@@ -165,13 +165,12 @@
         return;
     }
     w->counted = counted;
-    double slots = (double)w->slots / MAX(w->sharers, 1U);
+    if (counted) {
+        w->part = w->limit.factor * w->slots / MAX(w->sharers, 1U);
+    }
     for (guint i = 0; i < w->links->len; i++) {
         PhPool *pool = router_pool(router, worker_link(w, i)->pool);
-        pool->slots += counted ? slots : -slots;
-        if (pool->slots < 0.0) {
-            pool->slots = 0.0; /* rounding */
-        }
+        pool->slots += counted ? w->part : -w->part;
     }
 }
 
@@ -285,7 +284,7 @@
     size_t self = own_position(router, ids);
     PhSubsetPart part = PhSubset_Part(w->id, w->connections, ids,
                                       router->instances->len, self);
-    w->cap = part.connections;
+    w->cap = router->options.connection_limit ? part.connections : UINT32_MAX;
     w->sharers = part.sharers;
     g_free(ids);
 }
@@ -310,6 +309,7 @@
     PhRoutedWorker *w = router_worker(router, number);
     w->id = PhStr_Dup(id);
     w->links = g_array_new(FALSE, FALSE, sizeof(PhPoolLink));
+    w->limit = PhLimit_Make();
     g_hash_table_insert(router->indexes, PhStr_KeyCreate(id),
                         GUINT_TO_POINTER(number + 1));
     return number;
@@ -540,6 +540,21 @@
         pool_weight * ((gap < 0.0 ? -gap : gap) - pool->deviation_ns);
 }
 
+/* Learns how far the worker's latencies stand above their baseline. */
+static void
+limit_learn(PhRouter *router, PhRoutedWorker *w, PhPool *pool, PhTime latency,
+            PhTime now)
+{
+    PhBaseline_Observe(&pool->baseline, (double)latency, now);
+    if (pool->baseline.value > 0.0 &&
+        PhLimit_Observe(&w->limit, (double)latency / pool->baseline.value,
+                        now) &&
+        w->counted) {
+        worker_count(router, w, false);
+        worker_count(router, w, true);
+    }
+}
+
 /* Notes that an attempt ended, and what that says about the worker. */
 PhRouterChange
 PhRouter_Done(PhRouter *router, uint32_t worker, uint32_t pool,
@@ -551,7 +566,7 @@
     switch (result) {
     case PH_ATTEMPT_SUCCEEDED:
         latency_learn(router, w, pool, latency, now);
-        PhLimit_Observe(&router_pool(router, pool)->limit, latency, now);
+        limit_learn(router, w, router_pool(router, pool), latency, now);
         if (PhOutlier_Succeeded(&w->outlier)) {
             change = PH_ROUTER_READMITTED;
         }
--- a/decide/requests/router_internal.h
+++ b/decide/requests/router_internal.h
@@ -46,7 +46,9 @@
     uint32_t in_flight;
     bool present;
     bool leaving;
-    bool counted; /* its slots count in its pools */
+    bool counted; /* its slots count in its pools, */
+    double part;  /* as this many */
+    PhLimit limit;
     PhOutlier outlier;
     GArray *links; /* PhPoolLink */
 } PhRoutedWorker;
@@ -57,11 +59,11 @@
     uint32_t workers;         /* in the subset, ejected or not */
     uint32_t ejected;
     uint32_t in_flight; /* on its workers, of any service */
-    double slots;       /* this instance's part of them */
+    double slots;       /* this instance's part of them, times their factors */
     double mean_ns;
     double deviation_ns;
-    uint32_t turn; /* of round robin */
-    PhLimit limit;
+    uint32_t turn;       /* of round robin */
+    PhBaseline baseline; /* of its latencies */
 } PhPool;
 
 struct PhRouter {
@@ -97,8 +99,5 @@
 /* Brings the pools' lists and sums in line with the worker's state. */
 void
 PhRouter_Refresh(PhRouter *router, uint32_t number);
-/* Opens half the workers whose cooldown has passed. */
-void
-PhRouter_Wake(PhRouter *router, PhTime now);
 
 #endif
--- a/include/peridothill/decide/requests/requests.h
+++ b/include/peridothill/decide/requests/requests.h
@@ -22,6 +22,7 @@
     bool cooldown;
     bool first_byte_timeout;
     bool adaptive_limit;
+    bool connection_limit;
     bool retry_budget;
     bool deadline_aware;
 } PhRequestsTuning;
--- a/include/peridothill/decide/requests/router.h
+++ b/include/peridothill/decide/requests/router.h
@@ -31,6 +31,7 @@
     PhRoutingKind routing;
     bool cooldown;
     bool adaptive_limit;
+    bool connection_limit; /* false sends whatever is in flight there */
     PhRandom *random; /* borrowed */
 } PhRouterOptions;
 
@@ -67,9 +68,10 @@
 /* Names the live entry instances, this one included. */
 void
 PhRouter_SetInstances(PhRouter *router, const PhStr *ids, size_t count);
-/* Tells whether the pool could take a request now. */
+/* Tells whether the pool could take a request now: with all its room, or with
+ * a little held back for urgent requests. */
 bool
-PhRouter_HasRoom(PhRouter *router, uint32_t pool, bool urgent, PhTime now);
+PhRouter_HasRoom(const PhRouter *router, uint32_t pool, bool all_room);
 /* Tells whether the pool has any worker, busy or not. */
 bool
 PhRouter_HasWorkers(const PhRouter *router, uint32_t pool);
@@ -99,6 +101,9 @@
 PhRouter_MeanLatency(const PhRouter *router, uint32_t pool);
 PhTime
 PhRouter_TailLatency(const PhRouter *router, uint32_t pool);
+/* Opens half the workers whose cooldown has passed. */
+void
+PhRouter_Wake(PhRouter *router, PhTime now);
 /* When the next cooldown ends, or PH_TIME_NEVER. */
 PhTime
 PhRouter_NextWake(const PhRouter *router);
