--- a/commands/bench.c
+++ b/commands/bench.c
@@ -16,6 +16,7 @@
 static const PhBenchEntry benches[] = {
     {"control", "configuration and membership", PhBench_Control},
     {"kernel", "cost of one message between tasks", PhBench_Kernel},
+    {"requests", "routing, admission and retries", PhBench_Requests},
     {"soak", "randomised runs with faults and invariants", PhBench_Soak},
 };
 
--- a/include/peridothill/bench/bench.h
+++ b/include/peridothill/bench/bench.h
@@ -29,6 +29,8 @@
 PhResult
 PhBench_Kernel(const PhBenchOptions *options);
 PhResult
+PhBench_Requests(const PhBenchOptions *options);
+PhResult
 PhBench_Soak(const PhBenchOptions *options);
 
 /* Parts of the bench "control". */
--- a/include/peridothill/decide/requests/router.h
+++ b/include/peridothill/decide/requests/router.h
@@ -32,7 +32,7 @@
     bool cooldown;
     bool adaptive_limit;
     bool connection_limit; /* false sends whatever is in flight there */
-    PhRandom *random; /* borrowed */
+    PhRandom *random;      /* borrowed */
 } PhRouterOptions;
 
 /* How an attempt at a worker ended. */
--- a/tests/requests/test_requests.c
+++ b/tests/requests/test_requests.c
@@ -415,6 +415,12 @@
                                   " key=k; refuse key-repeated unknown"},
 };
 
+/* Three failures in a row eject a worker; its cooldown takes 500 to 625 ms. */
+#define PH_EJECT                                                              \
+    "workers 2; members A;"                                                   \
+    "arrive PUT /quote budget=9; send first; reply reset; note no-time;"      \
+    "refuse upstream-reset unknown;"
+
 static const PhScriptCase key_cases[] = {
     {"members are not known",
      "arrive POST /booking key=k; refuse key-unclear not-run"},
