bench: measure the slopes of each role

'peridothill bench capacity' runs the engines of the daemon at three sizes each and prints the values, the least-squares line and its largest misfit.

--- /dev/null
+++ b/bench/capacity_requests.c
@@ -0,0 +1,168 @@
+#include <glib.h>
+
+#include "peridothill/bench/capacity.h"
+#include "peridothill/decide/requests/requests.h"
+
+enum {
+    REQUESTS = 40000,
+    IN_FLIGHT = 256,
+    INSTANCES = 7,
+    SLOTS = 8,
+    CONNECTIONS = 60,
+    SERVICES = 20,
+    ID_BYTES = 24,
+    STEP_NS = 20000, /* between two events */
+};
+
+/* Decisions with workers, and the attempts that wait for their reply. */
+typedef struct PhDoor {
+    PhRequests *requests;
+    GArray *actions;
+    GQueue attempts; /* numbers, oldest first */
+    PhTime now;
+    uint64_t next_request;
+    uint64_t answered;
+    uint64_t refused;
+} PhDoor;
+
+/* Gives an event and notes what it leads to. */
+static void
+door_give(PhDoor *d, const PhRequestsEvent *event)
+{
+    d->now += STEP_NS;
+    PhRequests_Handle(d->requests, event, d->now, d->actions);
+    for (guint i = 0; i < d->actions->len; i++) {
+        const PhRequestsAction *a =
+            &g_array_index(d->actions, PhRequestsAction, i);
+        if (a->tag == PH_REQUESTS_SEND) {
+            g_queue_push_tail(&d->attempts,
+                              GSIZE_TO_POINTER(a->as.send.attempt));
+        }
+        d->answered += a->tag == PH_REQUESTS_ANSWER;
+        d->refused += a->tag == PH_REQUESTS_REFUSE;
+    }
+    g_array_set_size(d->actions, 0);
+}
+
+/* Gives the list with this number of workers. */
+static void
+door_list(PhDoor *d, uint32_t count)
+{
+    PhWorkerRow *rows = g_new0(PhWorkerRow, count);
+    char(*ids)[ID_BYTES] = g_malloc((gsize)count * ID_BYTES);
+    for (uint32_t i = 0; i < count; i++) {
+        g_snprintf(ids[i], ID_BYTES, "w%u", i);
+        rows[i] = (PhWorkerRow){.id = PhStr_FromC(ids[i]),
+                                .address = PhStr_LITERAL("10.0.0.1:80"),
+                                .data_centre = PhStr_LITERAL("bacolod"),
+                                .services = PhStr_LITERAL("s0"),
+                                .slots = SLOTS,
+                                .connections = CONNECTIONS};
+    }
+    door_give(d, &(PhRequestsEvent){.tag = PH_REQUESTS_WORKERS,
+                                    .as.workers = {rows, count}});
+    g_free(ids);
+    g_free(rows);
+}
+
+/* Gives the policies and the members. */
+static void
+door_configure(PhDoor *d)
+{
+    PhServicePolicy rows[SERVICES];
+    PhKeyMember members[INSTANCES];
+    char names[SERVICES][ID_BYTES];
+    char ids[INSTANCES][ID_BYTES];
+    for (int i = 0; i < SERVICES; i++) {
+        g_snprintf(names[i], ID_BYTES, "/s%d", i);
+        rows[i] = PhServicePolicy_Default(PhStr_FromC(names[i] + 1));
+        rows[i].prefix = PhStr_FromC(names[i]);
+    }
+    for (int i = 0; i < INSTANCES; i++) {
+        g_snprintf(ids[i], ID_BYTES, "e%d", i);
+        members[i] = (PhKeyMember){.id = PhStr_FromC(ids[i]), .heard = true};
+    }
+    door_give(d, &(PhRequestsEvent){.tag = PH_REQUESTS_POLICIES,
+                                    .as.policies = {1, rows, SERVICES}});
+    door_give(d, &(PhRequestsEvent){.tag = PH_REQUESTS_MEMBERS,
+                                    .as.members = {members, INSTANCES}});
+}
+
+/* Lets a request arrive. */
+static void
+door_arrive(PhDoor *d)
+{
+    door_give(d, &(PhRequestsEvent){
+                     .tag = PH_REQUESTS_ARRIVED,
+                     .as.arrived = {.id = ++d->next_request,
+                                    .method = PhStr_LITERAL("GET"),
+                                    .path = PhStr_LITERAL("/s0/quote")}});
+}
+
+/* Lets the oldest attempt be answered. */
+static void
+door_reply(PhDoor *d)
+{
+    uint64_t attempt = GPOINTER_TO_SIZE(g_queue_pop_head(&d->attempts));
+    door_give(d, &(PhRequestsEvent){
+                     .tag = PH_REQUESTS_REPLIED,
+                     .as.replied = {.attempt = attempt, .status = 200}});
+}
+
+/* Creates decisions with this number of workers. */
+static PhDoor
+door_create(uint64_t seed, uint32_t workers)
+{
+    PhDoor d = {.requests = PhRequests_Create(&(PhRequestsOptions){
+                    .instance = PhStr_LITERAL("e0"),
+                    .data_centre = PhStr_LITERAL("bacolod"),
+                    .seed = seed,
+                    .tuning = PhRequestsTuning_Default()}),
+                .actions = g_array_new(FALSE, FALSE, sizeof(PhRequestsAction)),
+                .attempts = G_QUEUE_INIT};
+    door_configure(&d);
+    door_list(&d, workers);
+    return d;
+}
+
+/* Measures one request, one reading of the list, and memory. */
+void
+PhCapacity_Requests(const PhBenchOptions *options)
+{
+    PhCapacitySeries cpu = {"request_cpu", "ns", "workers", {50, 500, 3200}};
+    PhCapacitySeries list = {"list_cpu", "ns", "workers", {50, 500, 3200}};
+    PhCapacitySeries memory = {
+        "router_memory", "B", "workers", {50, 500, 3200}};
+    PhCapacitySeries flight = {
+        "request_memory", "B", "workers", {50, 500, 3200}};
+    PhCapacitySeries refused = {
+        "request_refused", "requests", "workers", {50, 500, 3200}};
+    for (int i = 0; i < PH_CAPACITY_SIZES; i++) {
+        double heap = PhCapacity_Heap();
+        PhDoor d = door_create(options->seed, cpu.sizes[i]);
+        memory.values[i] = PhCapacity_Heap() - heap;
+        heap = PhCapacity_Heap();
+        for (int k = 0; k < IN_FLIGHT; k++) {
+            door_arrive(&d);
+        }
+        flight.values[i] = (PhCapacity_Heap() - heap) / IN_FLIGHT;
+        int64_t start = PhBench_CpuTime();
+        for (int k = 0; k < REQUESTS && d.attempts.length > 0; k++) {
+            door_reply(&d);
+            door_arrive(&d);
+        }
+        cpu.values[i] = (double)(PhBench_CpuTime() - start) / REQUESTS;
+        refused.values[i] = (double)d.refused;
+        start = PhBench_CpuTime();
+        door_list(&d, cpu.sizes[i]);
+        list.values[i] = (double)(PhBench_CpuTime() - start);
+        g_queue_clear(&d.attempts);
+        g_array_free(d.actions, TRUE);
+        PhRequests_Destroy(d.requests);
+    }
+    PhCapacity_Print(options, &cpu);
+    PhCapacity_Print(options, &flight);
+    PhCapacity_Print(options, &refused);
+    PhCapacity_Print(options, &list);
+    PhCapacity_Print(options, &memory);
+}
--- /dev/null
+++ b/bench/capacity_tasks.c
@@ -0,0 +1,110 @@
+#include <glib.h>
+
+#include "peridothill/bench/capacity.h"
+#include "peridothill/bench/task_world.h"
+#include "peridothill/common/random.h"
+#include "peridothill/decide/tasks/placement.h"
+
+enum {
+    RACK = 8, /* workers in a rack */
+    TASKS_EACH = 22,
+    JOB_TASKS = 110,
+    PLACEMENTS = 100000,
+    ID_BYTES = 24,
+    OWNER_WARM_UP_S = 40,
+    OWNER_SECONDS = 60,
+};
+
+static const PhJobSize worker_size = {64000, 250000, 2};
+static const PhJobSize task_size = {2000, 8000, 0};
+
+/* Measures placements on workers that are about two thirds full. */
+void
+PhCapacity_Placement(const PhBenchOptions *options)
+{
+    PhCapacitySeries cpu = {"placement_cpu", "ns", "workers", {50, 500, 3200}};
+    for (int i = 0; i < PH_CAPACITY_SIZES; i++) {
+        uint32_t n = cpu.sizes[i];
+        PhPlacement *p = PhPlacement_Create(PH_PLACEMENT_INDEXED);
+        PhRandom *random = PhRandom_Create(options->seed);
+        uint32_t held = n * TASKS_EACH;
+        uint32_t *where = g_new(uint32_t, held);
+        for (uint32_t w = 0; w < n; w++) {
+            char rack[ID_BYTES];
+            g_snprintf(rack, sizeof(rack), "r%u", w / RACK);
+            PhPlacement_SetWorker(p, w, worker_size, PhStr_FromC(rack), true);
+        }
+        for (uint32_t t = 0; t < held; t++) {
+            where[t] = PhPlacement_Choose(p, t / JOB_TASKS, task_size);
+            PhPlacement_Commit(p, where[t], t / JOB_TASKS, task_size, true);
+        }
+        int64_t start = PhBench_CpuTime();
+        for (int k = 0; k < PLACEMENTS; k++) {
+            uint32_t t = (uint32_t)PhRandom_Below(random, held);
+            PhPlacement_Release(p, where[t], t / JOB_TASKS, task_size);
+            where[t] = PhPlacement_Choose(p, t / JOB_TASKS, task_size);
+            PhPlacement_Commit(p, where[t], t / JOB_TASKS, task_size, true);
+        }
+        cpu.values[i] = (double)(PhBench_CpuTime() - start) / PLACEMENTS;
+        g_free(where);
+        PhRandom_Destroy(random);
+        PhPlacement_Destroy(p);
+    }
+    PhCapacity_Print(options, &cpu);
+}
+
+/* Submits standing tasks for all workers, in jobs of bounded size. */
+static void
+submit_tasks(PhTaskWorld *world, uint32_t count)
+{
+    for (uint32_t job = 0; job * JOB_TASKS < count; job++) {
+        char key[ID_BYTES];
+        g_snprintf(key, sizeof(key), "job-%u", job);
+        PhJobSpec spec = {.key = PhStr_FromC(key),
+                          .team = PhStr_LITERAL("routes"),
+                          .class = PH_JOB_STANDING,
+                          .size = task_size,
+                          .count = MIN(JOB_TASKS, count - job * JOB_TASKS)};
+        PhTaskWorld_Submit(world, 0, &spec);
+    }
+}
+
+/* Measures one owner with its renewals at rest.  The figures hold the fake
+ * workers, queue and log too, and so are upper bounds. */
+void
+PhCapacity_Owner(const PhBenchOptions *options)
+{
+    PhCapacitySeries cpu = {"owner_cpu", "ns-s", "workers", {50, 150, 460}};
+    PhCapacitySeries mails = {
+        "owner_messages", "1-s", "workers", {50, 150, 460}};
+    PhCapacitySeries memory = {"owner_memory", "B", "workers", {50, 150, 460}};
+    PhCapacitySeries running = {
+        "owner_running", "tasks", "workers", {50, 150, 460}};
+    for (int i = 0; i < PH_CAPACITY_SIZES; i++) {
+        double heap = PhCapacity_Heap();
+        PhTaskWorld *world = PhTaskWorld_Create(
+            &(PhTaskWorldOptions){.seed = options->seed,
+                                  .instances = 1,
+                                  .workers = cpu.sizes[i],
+                                  .worker_size = worker_size,
+                                  .times = PhLeaseTimes_Default(),
+                                  .link_delay = PH_NS_PER_MS});
+        PhTaskWorld_RunUntil(world, 5 * PH_NS_PER_S);
+        submit_tasks(world, cpu.sizes[i] * TASKS_EACH);
+        PhTaskWorld_RunUntil(world, OWNER_WARM_UP_S * PH_NS_PER_S);
+        running.values[i] = (double)PhTaskWorld_Running(world);
+        uint64_t sent = PhFakeNet_Counts(PhTaskWorld_Net(world)).sent;
+        int64_t start = PhBench_CpuTime();
+        PhTaskWorld_RunUntil(world,
+                             (OWNER_WARM_UP_S + OWNER_SECONDS) * PH_NS_PER_S);
+        cpu.values[i] = (double)(PhBench_CpuTime() - start) / OWNER_SECONDS;
+        sent = PhFakeNet_Counts(PhTaskWorld_Net(world)).sent - sent;
+        mails.values[i] = (double)sent / OWNER_SECONDS;
+        memory.values[i] = PhCapacity_Heap() - heap;
+        PhTaskWorld_Destroy(world);
+    }
+    PhCapacity_Print(options, &running);
+    PhCapacity_Print(options, &mails);
+    PhCapacity_Print(options, &cpu);
+    PhCapacity_Print(options, &memory);
+}
--- a/commands/bench.c
+++ b/commands/bench.c
@@ -14,6 +14,8 @@
 
 /* Sorted by name for the binary search. */
 static const PhBenchEntry benches[] = {
+    {"capacity", "slopes of each role, for docs/CAPACITY.md",
+     PhBench_Capacity},
     {"control", "configuration and membership", PhBench_Control},
     {"kernel", "cost of one message between tasks", PhBench_Kernel},
     {"requests", "routing, admission and retries", PhBench_Requests},
--- a/include/peridothill/bench/bench.h
+++ b/include/peridothill/bench/bench.h
@@ -25,6 +25,8 @@
 
 /* The benches, in the order of their names in bench/list.c. */
 PhResult
+PhBench_Capacity(const PhBenchOptions *options);
+PhResult
 PhBench_Control(const PhBenchOptions *options);
 PhResult
 PhBench_Kernel(const PhBenchOptions *options);
