--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -244,6 +244,7 @@
     PhCapacity_Requests(options);
     PhCapacity_Placement(options);
     PhCapacity_Owner(options);
+    PhCapacity_Starts(options);
     capacity_members(options);
     capacity_fleet(options);
     capacity_patches(options);
--- a/bench/capacity_tasks.c
+++ b/bench/capacity_tasks.c
@@ -13,6 +13,10 @@
     ID_BYTES = 24,
     OWNER_WARM_UP_S = 40,
     OWNER_SECONDS = 60,
+    PEERS = 8, /* instances of a data centre */
+    START_WARM_UP_S = 40,
+    START_SECONDS = 40,
+    BATCH_RUN_MS = 20000,
 };
 
 static const PhJobSize worker_size = {64000, 250000, 2};
@@ -108,3 +112,67 @@
     PhCapacity_Print(options, &cpu);
     PhCapacity_Print(options, &memory);
 }
+
+/* Submits the starts of one second. */
+static void
+submit_second(PhTaskWorld *world, uint32_t second, uint32_t count)
+{
+    char key[ID_BYTES];
+    g_snprintf(key, sizeof(key), "batch-%u", second);
+    PhJobSpec spec = {.key = PhStr_FromC(key),
+                      .team = PhStr_LITERAL("routes"),
+                      .class = PH_JOB_BATCH,
+                      .run_ms = BATCH_RUN_MS,
+                      .size = task_size,
+                      .count = count};
+    PhTaskWorld_Submit(world, second % PEERS, &spec);
+}
+
+/* Measures a data centre at its part of the peak of starts: as many tasks end
+ * as start, and eight instances share the renewals. */
+void
+PhCapacity_Starts(const PhBenchOptions *options)
+{
+    static const uint32_t starts[PH_CAPACITY_SIZES] = {5, 15, 40};
+    PhCapacitySeries appends = {
+        "start_appends", "1-s", "workers", {57, 171, 457}};
+    PhCapacitySeries cpu = {"start_cpu", "ns-s", "workers", {57, 171, 457}};
+    PhCapacitySeries mails = {
+        "start_messages", "1-s", "workers", {57, 171, 457}};
+    PhCapacitySeries rate = {"start_rate", "1-s", "workers", {57, 171, 457}};
+    for (int i = 0; i < PH_CAPACITY_SIZES; i++) {
+        PhTaskWorld *world = PhTaskWorld_Create(
+            &(PhTaskWorldOptions){.seed = options->seed,
+                                  .instances = PEERS,
+                                  .workers = cpu.sizes[i],
+                                  .worker_size = worker_size,
+                                  .times = PhLeaseTimes_Default(),
+                                  .link_delay = PH_NS_PER_MS});
+        PhTaskWorld_RunUntil(world, 12 * PH_NS_PER_S);
+        uint32_t second = 12;
+        for (; second < START_WARM_UP_S; second++) {
+            submit_second(world, second, starts[i]);
+            PhTaskWorld_RunUntil(world, (second + 1) * PH_NS_PER_S);
+        }
+        uint64_t sent = PhFakeNet_Counts(PhTaskWorld_Net(world)).sent;
+        uint64_t log = PhTaskWorld_LogCounts(world).appends;
+        uint64_t begun = PhTaskWorld_Counts(world)->starts;
+        int64_t start = PhBench_CpuTime();
+        for (; second < START_WARM_UP_S + START_SECONDS; second++) {
+            submit_second(world, second, starts[i]);
+            PhTaskWorld_RunUntil(world, (second + 1) * PH_NS_PER_S);
+        }
+        cpu.values[i] = (double)(PhBench_CpuTime() - start) / START_SECONDS;
+        sent = PhFakeNet_Counts(PhTaskWorld_Net(world)).sent - sent;
+        log = PhTaskWorld_LogCounts(world).appends - log;
+        begun = PhTaskWorld_Counts(world)->starts - begun;
+        mails.values[i] = (double)sent / START_SECONDS;
+        appends.values[i] = (double)log / START_SECONDS;
+        rate.values[i] = (double)begun / START_SECONDS;
+        PhTaskWorld_Destroy(world);
+    }
+    PhCapacity_Print(options, &rate);
+    PhCapacity_Print(options, &appends);
+    PhCapacity_Print(options, &mails);
+    PhCapacity_Print(options, &cpu);
+}
--- a/bench/task_world.c
+++ b/bench/task_world.c
@@ -656,6 +656,13 @@
     return PhFakeLog_Options(w->log);
 }
 
+/* Tells what the log has done. */
+PhFakeLogCounts
+PhTaskWorld_LogCounts(const PhTaskWorld *w)
+{
+    return PhFakeLog_Counts(w->log);
+}
+
 /* Submits a job. */
 void
 PhTaskWorld_Submit(PhTaskWorld *w, uint32_t instance, const PhJobSpec *spec)
--- a/include/peridothill/bench/capacity.h
+++ b/include/peridothill/bench/capacity.h
@@ -31,5 +31,8 @@
 /* The owner of a data centre with its renewals, by the number of workers. */
 void
 PhCapacity_Owner(const PhBenchOptions *options);
+/* A data centre at the peak of starts, by the number of workers. */
+void
+PhCapacity_Starts(const PhBenchOptions *options);
 
 #endif
--- a/include/peridothill/bench/task_world.h
+++ b/include/peridothill/bench/task_world.h
@@ -60,6 +60,8 @@
 PhTaskWorld_Net(PhTaskWorld *world);
 PhFakeLogOptions *
 PhTaskWorld_Log(PhTaskWorld *world);
+PhFakeLogCounts
+PhTaskWorld_LogCounts(const PhTaskWorld *world);
 /* Lets all that happens by `until` happen; tells how many events. */
 uint64_t
 PhTaskWorld_RunUntil(PhTaskWorld *world, PhTime until);
