--- a/standin/list.c
+++ b/standin/list.c
@@ -1,12 +1,9 @@
 #include "peridothill/codec/list_json.h"
-#include "peridothill/services/listener.h"
 #include "peridothill/standin/standin.h"
+#include "server.h"
 
 enum {
-    MAILBOX_CAPACITY = 16,
     BODY_LIMIT_BYTES = 1024 * 1024,
-    CONNECTION_LIMIT = 256,
-    IDLE_TIMEOUT_S = 60,
     STATUS_OK = 200,
     STATUS_BAD_REQUEST = 400,
     STATUS_NOT_FOUND = 404,
@@ -15,10 +12,8 @@
 
 /* State of the list's task. */
 typedef struct PhListServer {
+    PhServer *server;
     PhStandinListState *shared;
-    PhStr listen;
-    PhListener *listener;
-    PhResult started;
 } PhListServer;
 
 /* Replaces the whole list with the one in the body. */
@@ -54,65 +49,11 @@
     else {
         body = PhListJson_Encode(&s->shared->reading);
     }
-    PhListener_Answer(s->listener, incoming->id, status, NULL, 0, body);
+    PhListener_Answer(s->server->listener, incoming->id, status, NULL, 0,
+                      body);
     PhStr_Clear(&body);
 }
 
-/* Nothing waits for an answer. */
-static void
-on_gone(void *context, uint64_t id)
-{
-    (void)context;
-    (void)id;
-}
-
-/* Opens the listener. */
-static void
-list_start(PhListServer *s, PhTask *self)
-{
-    PhListenerOptions options = {.address = s->listen,
-                                 .body_limit_bytes = BODY_LIMIT_BYTES,
-                                 .connection_limit = CONNECTION_LIMIT,
-                                 .idle_timeout_s = IDLE_TIMEOUT_S,
-                                 .context = s,
-                                 .on_request = on_request,
-                                 .on_gone = on_gone};
-    s->started = PhListener_Create(self, &options, &s->listener);
-}
-
-/* Handles a mail of the list's task. */
-static void
-list_handle(void *state, PhTask *self, const PhMail *mail)
-{
-    PhListServer *s = state;
-    if (s->listener != NULL && PhListener_Handle(s->listener, mail)) {
-        return;
-    }
-    switch (mail->kind) {
-    case PH_MAIL_START:
-        list_start(s, self);
-        break;
-    case PH_MAIL_TIMER:
-    case PH_MAIL_MESSAGE:
-    case PH_MAIL_IO:
-    case PH_MAIL_ENDED:
-        break;
-    case PH_MAIL_STOP:
-        PhTask_End(self);
-        break;
-    }
-}
-
-/* Releases the state of the task. */
-static void
-list_destroy(void *state)
-{
-    PhListServer *s = state;
-    PhListener_Destroy(s->listener);
-    PhStr_Clear(&s->listen);
-    g_free(s);
-}
-
 /* Starts the list's task and tells its port. */
 PhResult
 PhStandinList_Start(PhKernel *kernel, const PhStandinListOptions *options,
@@ -120,21 +61,11 @@
 {
     PhListServer *s = g_new0(PhListServer, 1);
     s->shared = options->state;
-    s->listen = PhStr_Dup(options->listen);
-    PhTaskSpec spec = {.name = options->name,
-                       .mailbox_capacity = MAILBOX_CAPACITY,
-                       .state = s,
-                       .handle = list_handle,
-                       .destroy = list_destroy};
-    PhStatus status = PhKernel_Spawn(kernel, &spec, NULL);
-    if (status != PH_STATUS_OK) {
-        list_destroy(s);
-        return PhResult_Make(status, "cannot start the stand-in %.*s",
-                             PhStr_ARG(options->name));
-    }
-    PhKernel_Drain(kernel, SIZE_MAX);
-    if (PhResult_IsOk(&s->started)) {
-        *port = PhListener_Port(s->listener);
-    }
-    return s->started;
+    PhServerOptions server = {.name = options->name,
+                              .listen = options->listen,
+                              .body_limit_bytes = BODY_LIMIT_BYTES,
+                              .context = s,
+                              .on_request = on_request,
+                              .destroy = g_free};
+    return PhServer_Start(kernel, &server, &s->server, port);
 }
--- a/standin/log.c
+++ b/standin/log.c
@@ -2,14 +2,12 @@
 #include "peridothill/codec/log_json.h"
 #include "peridothill/services/listener.h"
 #include "peridothill/standin/standin.h"
+#include "server.h"
 
 #include <inttypes.h>
 
 enum {
-    MAILBOX_CAPACITY = 16,
     BODY_LIMIT_BYTES = 8 * 1024 * 1024,
-    CONNECTION_LIMIT = 256,
-    IDLE_TIMEOUT_S = 60,
     READ_LIMIT = 1000,
     STATUS_OK = 200,
     STATUS_BAD_REQUEST = 400,
@@ -28,12 +26,9 @@
 
 /* State of the log's task. */
 typedef struct PhLogServer {
-    PhTask *self;
+    PhServer *server;
     PhFakeLog *log;
-    PhStr listen;
-    PhListener *listener;
     GHashTable *delayed; /* PhDelayed by exchange, which is the timer token */
-    PhResult started;
 } PhLogServer;
 
 /* Releases an answer that waits. */
@@ -52,7 +47,7 @@
     PhDelayed *d = g_new(PhDelayed, 1);
     *d = (PhDelayed){.exchange = exchange, .status = status, .body = body};
     g_hash_table_insert(s->delayed, &d->exchange, d);
-    PhTask_SetTimer(s->self, exchange, at);
+    PhTask_SetTimer(s->server->self, exchange, at);
 }
 
 /* Gives the HTTP status of an answer of the log; a lost answer has none. */
@@ -90,7 +85,7 @@
 {
     PhStr *records = NULL;
     size_t count = 0;
-    PhTime now = PhTask_Now(s->self);
+    PhTime now = PhTask_Now(s->server->self);
     PhResult r = PhLogJson_DecodeAppend(incoming->body, &records, &count);
     if (!PhResult_IsOk(&r)) {
         answer_at(s, incoming->id, now, STATUS_BAD_REQUEST, (PhStr){0});
@@ -134,14 +129,14 @@
         query_number(incoming->query, PhStr_LITERAL("limit"), READ_LIMIT);
     GArray *found = g_array_new(FALSE, FALSE, sizeof(PhFakeRecord));
     PhFakeLogAnswer a =
-        PhFakeLog_Read(s->log, PhTask_Now(s->self), stream, from,
+        PhFakeLog_Read(s->log, PhTask_Now(s->server->self), stream, from,
                        (uint32_t)MIN(limit, READ_LIMIT), found);
     PhLogRecords records = {.first = a.first,
                             .next = a.offset,
                             .end = a.end,
                             .records = g_new0(PhLogRecord, found->len),
                             .record_count = found->len};
-    PhTime wall = PhTask_Wall(s->self) - PhTask_Now(s->self);
+    PhTime wall = PhTask_Wall(s->server->self) - PhTask_Now(s->server->self);
     for (guint i = 0; i < found->len; i++) {
         const PhFakeRecord *f = &g_array_index(found, PhFakeRecord, i);
         records.records[i] =
@@ -175,8 +170,8 @@
     PhLogServer *s = context;
     PhStr stream;
     if (!stream_of(incoming->path, &stream)) {
-        PhListener_Answer(s->listener, incoming->id, STATUS_NOT_FOUND, NULL, 0,
-                          (PhStr){0});
+        PhListener_Answer(s->server->listener, incoming->id, STATUS_NOT_FOUND,
+                          NULL, 0, (PhStr){0});
         return;
     }
     if (PhStr_Equal(incoming->method, PhStr_LITERAL("POST"))) {
@@ -197,69 +192,29 @@
 
 /* Gives the answer whose time has come. */
 static void
-on_due(PhLogServer *s, uint64_t exchange)
+on_due(void *context, uint64_t exchange)
 {
+    PhLogServer *s = context;
     const PhDelayed *d = g_hash_table_lookup(s->delayed, &exchange);
     if (d == NULL) {
         return;
     }
     if (d->status == 0) {
-        PhListener_Drop(s->listener, exchange);
+        PhListener_Drop(s->server->listener, exchange);
     }
     else {
-        PhListener_Answer(s->listener, exchange, d->status, NULL, 0, d->body);
+        PhListener_Answer(s->server->listener, exchange, d->status, NULL, 0,
+                          d->body);
     }
     g_hash_table_remove(s->delayed, &exchange);
 }
 
-/* Opens the listener. */
-static void
-log_start(PhLogServer *s, PhTask *self)
-{
-    s->self = self;
-    PhListenerOptions options = {.address = s->listen,
-                                 .body_limit_bytes = BODY_LIMIT_BYTES,
-                                 .connection_limit = CONNECTION_LIMIT,
-                                 .idle_timeout_s = IDLE_TIMEOUT_S,
-                                 .context = s,
-                                 .on_request = on_request,
-                                 .on_gone = on_gone};
-    s->started = PhListener_Create(self, &options, &s->listener);
-}
-
-/* Handles a mail of the log's task. */
-static void
-log_handle(void *state, PhTask *self, const PhMail *mail)
-{
-    PhLogServer *s = state;
-    if (s->listener != NULL && PhListener_Handle(s->listener, mail)) {
-        return;
-    }
-    switch (mail->kind) {
-    case PH_MAIL_START:
-        log_start(s, self);
-        break;
-    case PH_MAIL_TIMER:
-        on_due(s, mail->as.timer);
-        break;
-    case PH_MAIL_MESSAGE:
-    case PH_MAIL_IO:
-    case PH_MAIL_ENDED:
-        break;
-    case PH_MAIL_STOP:
-        PhTask_End(self);
-        break;
-    }
-}
-
 /* Releases the state of the task. */
 static void
 log_destroy(void *state)
 {
     PhLogServer *s = state;
-    PhListener_Destroy(s->listener);
     g_hash_table_destroy(s->delayed);
-    PhStr_Clear(&s->listen);
     g_free(s);
 }
 
@@ -270,23 +225,15 @@
 {
     PhLogServer *s = g_new0(PhLogServer, 1);
     s->log = options->log;
-    s->listen = PhStr_Dup(options->listen);
     s->delayed = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
                                        delayed_destroy);
-    PhTaskSpec spec = {.name = options->name,
-                       .mailbox_capacity = MAILBOX_CAPACITY,
-                       .state = s,
-                       .handle = log_handle,
-                       .destroy = log_destroy};
-    PhStatus status = PhKernel_Spawn(kernel, &spec, NULL);
-    if (status != PH_STATUS_OK) {
-        log_destroy(s);
-        return PhResult_Make(status, "cannot start the stand-in %.*s",
-                             PhStr_ARG(options->name));
-    }
-    PhKernel_Drain(kernel, SIZE_MAX);
-    if (PhResult_IsOk(&s->started)) {
-        *port = PhListener_Port(s->listener);
-    }
-    return s->started;
+    PhServerOptions server = {.name = options->name,
+                              .listen = options->listen,
+                              .body_limit_bytes = BODY_LIMIT_BYTES,
+                              .context = s,
+                              .on_request = on_request,
+                              .on_gone = on_gone,
+                              .on_timer = on_due,
+                              .destroy = log_destroy};
+    return PhServer_Start(kernel, &server, &s->server, port);
 }
--- /dev/null
+++ b/standin/server.c
@@ -0,0 +1,106 @@
+#include "server.h"
+
+enum {
+    MAILBOX_CAPACITY = 16,
+    CONNECTION_LIMIT = 512,
+    IDLE_TIMEOUT_S = 60,
+};
+
+/* Tells the context that a caller has gone, if it wants to know. */
+static void
+on_gone(void *context, uint64_t id)
+{
+    PhServer *s = context;
+    if (s->options.on_gone != NULL) {
+        s->options.on_gone(s->options.context, id);
+    }
+}
+
+/* Passes a request to the context. */
+static void
+on_request(void *context, const PhIncoming *incoming)
+{
+    PhServer *s = context;
+    s->options.on_request(s->options.context, incoming);
+}
+
+/* Opens the listener. */
+static void
+server_open(PhServer *s, PhTask *self)
+{
+    s->self = self;
+    PhListenerOptions options = {.address = s->listen,
+                                 .body_limit_bytes =
+                                     s->options.body_limit_bytes,
+                                 .connection_limit = CONNECTION_LIMIT,
+                                 .idle_timeout_s = IDLE_TIMEOUT_S,
+                                 .context = s,
+                                 .on_request = on_request,
+                                 .on_gone = on_gone};
+    s->started = PhListener_Create(self, &options, &s->listener);
+}
+
+/* Handles a mail of a stand-in's task. */
+static void
+server_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhServer *s = state;
+    if (s->listener != NULL && PhListener_Handle(s->listener, mail)) {
+        return;
+    }
+    switch (mail->kind) {
+    case PH_MAIL_START:
+        server_open(s, self);
+        break;
+    case PH_MAIL_TIMER:
+        if (s->options.on_timer != NULL) {
+            s->options.on_timer(s->options.context, mail->as.timer);
+        }
+        break;
+    case PH_MAIL_MESSAGE:
+    case PH_MAIL_IO:
+    case PH_MAIL_ENDED:
+        break;
+    case PH_MAIL_STOP:
+        PhTask_End(self);
+        break;
+    }
+}
+
+/* Releases the listener, then the context. */
+static void
+server_destroy(void *state)
+{
+    PhServer *s = state;
+    PhListener_Destroy(s->listener);
+    s->options.destroy(s->options.context);
+    PhStr_Clear(&s->listen);
+    g_free(s);
+}
+
+/* Starts a stand-in's task and tells its port. */
+PhResult
+PhServer_Start(PhKernel *kernel, const PhServerOptions *options,
+               PhServer **server, uint16_t *port)
+{
+    PhServer *s = g_new0(PhServer, 1);
+    s->options = *options;
+    s->listen = PhStr_Dup(options->listen);
+    PhTaskSpec spec = {.name = options->name,
+                       .mailbox_capacity = MAILBOX_CAPACITY,
+                       .state = s,
+                       .handle = server_handle,
+                       .destroy = server_destroy};
+    PhStatus status = PhKernel_Spawn(kernel, &spec, NULL);
+    if (status != PH_STATUS_OK) {
+        server_destroy(s);
+        return PhResult_Make(status, "cannot start the stand-in %.*s",
+                             PhStr_ARG(options->name));
+    }
+    *server = s;
+    PhKernel_Drain(kernel, SIZE_MAX);
+    if (PhResult_IsOk(&s->started)) {
+        *port = PhListener_Port(s->listener);
+    }
+    return s->started;
+}
--- /dev/null
+++ b/standin/server.h
@@ -0,0 +1,36 @@
+/* What the tasks of the stand-ins share: a listener and its life. */
+#ifndef PERIDOTHILL_STANDIN_SERVER_H
+#define PERIDOTHILL_STANDIN_SERVER_H
+
+#include "peridothill/kernel/kernel.h"
+#include "peridothill/services/listener.h"
+
+/* `context` is released with `destroy` when the task ends, and at once when
+ * it does not start.  `on_gone` and `on_timer` may be NULL. */
+typedef struct PhServerOptions {
+    PhStr name; /* of the task */
+    PhStr listen;
+    size_t body_limit_bytes;
+    void *context;
+    void (*on_request)(void *context, const PhIncoming *incoming);
+    void (*on_gone)(void *context, uint64_t id);
+    void (*on_timer)(void *context, uint64_t token);
+    void (*destroy)(void *context);
+} PhServerOptions;
+
+/* Known to the context from its task's start to its end. */
+typedef struct PhServer {
+    PhTask *self;
+    PhListener *listener;
+    PhServerOptions options;
+    PhStr listen;
+    PhResult started;
+} PhServer;
+
+/* Starts the task; `server`, a member of the context, and `port` are set
+ * before this returns. */
+PhResult
+PhServer_Start(PhKernel *kernel, const PhServerOptions *options,
+               PhServer **server, uint16_t *port);
+
+#endif
--- a/standin/worker.c
+++ b/standin/worker.c
@@ -1,14 +1,11 @@
 #include <inttypes.h>
 
-#include "peridothill/services/listener.h"
 #include "peridothill/standin/standin.h"
 #include "peridothill/standin/worker_tasks.h"
+#include "server.h"
 
 enum {
-    MAILBOX_CAPACITY = 16,
     BODY_LIMIT_BYTES = 1024 * 1024,
-    CONNECTION_LIMIT = 512,
-    IDLE_TIMEOUT_S = 60,
     STATUS_OK = 200,
     STATUS_FAILED = 500,
 };
@@ -22,15 +19,12 @@
 
 /* State of a worker's task. */
 typedef struct PhWorkerTask {
-    PhTask *self;
+    PhServer *server;
     PhStandinWorkerState *shared;
-    PhStr listen;
-    PhListener *listener;
     PhFakeWorker *slots;
     PhStandinTasks *tasks;
     GHashTable *pending; /* PhPending by number */
     uint64_t next_number;
-    PhResult started;
 } PhWorkerTask;
 
 /* Releases a request in service. */
@@ -82,13 +76,13 @@
 {
     PhStr id = PhHttpHeader_Find(incoming->headers, incoming->header_count,
                                  PhStr_LITERAL("X-Request-Id"));
-    PhTime now = PhTask_Now(w->self);
+    PhTime now = PhTask_Now(w->server->self);
     PhPending *p = g_new0(PhPending, 1);
     p->number = ++w->next_number;
     p->exchange = incoming->id;
     p->answer = answer_text(w, incoming, id, count_run(w, id));
     g_hash_table_insert(w->pending, &p->number, p);
-    PhTask_SetTimer(w->self, p->number,
+    PhTask_SetTimer(w->server->self, p->number,
                     PhFakeWorker_Serve(w->slots, now, NULL));
 }
 
@@ -97,10 +91,10 @@
 command(PhWorkerTask *w, const PhIncoming *incoming)
 {
     PhBuf answer = {0};
-    int status =
-        PhStandinTasks_Handle(w->tasks, PhTask_Now(w->self), incoming->method,
-                              incoming->path, incoming->body, &answer);
-    PhListener_Answer(w->listener, incoming->id, status, NULL, 0,
+    int status = PhStandinTasks_Handle(w->tasks, PhTask_Now(w->server->self),
+                                       incoming->method, incoming->path,
+                                       incoming->body, &answer);
+    PhListener_Answer(w->server->listener, incoming->id, status, NULL, 0,
                       PhBuf_Str(&answer));
     PhBuf_Clear(&answer);
 }
@@ -116,7 +110,7 @@
         return;
     }
     w->shared->requests++;
-    w->shared->last_request = PhTask_Now(w->self);
+    w->shared->last_request = PhTask_Now(w->server->self);
     switch (w->shared->fault) {
     case PH_STANDIN_HEALTHY:
         serve(w, incoming);
@@ -124,88 +118,39 @@
     case PH_STANDIN_SILENT:
         break;
     case PH_STANDIN_FAILS_FAST:
-        PhListener_Answer(w->listener, incoming->id, STATUS_FAILED, NULL, 0,
-                          PhStr_LITERAL("{}"));
+        PhListener_Answer(w->server->listener, incoming->id, STATUS_FAILED,
+                          NULL, 0, PhStr_LITERAL("{}"));
         break;
     case PH_STANDIN_CUTS:
         count_run(w,
                   PhHttpHeader_Find(incoming->headers, incoming->header_count,
                                     PhStr_LITERAL("X-Request-Id")));
-        PhListener_Drop(w->listener, incoming->id);
+        PhListener_Drop(w->server->listener, incoming->id);
         break;
     }
 }
 
-/* A caller that goes away leaves its request in the slot. */
-static void
-on_gone(void *context, uint64_t id)
-{
-    (void)context;
-    (void)id;
-}
-
 /* Answers the request whose service has ended. */
 static void
-on_served(PhWorkerTask *w, uint64_t number)
+on_served(void *context, uint64_t number)
 {
+    PhWorkerTask *w = context;
     const PhPending *p = g_hash_table_lookup(w->pending, &number);
     if (p != NULL) {
-        PhListener_Answer(w->listener, p->exchange, STATUS_OK, NULL, 0,
+        PhListener_Answer(w->server->listener, p->exchange, STATUS_OK, NULL, 0,
                           p->answer);
         g_hash_table_remove(w->pending, &number);
     }
 }
 
-/* Opens the listener. */
-static void
-worker_start(PhWorkerTask *w, PhTask *self)
-{
-    w->self = self;
-    PhListenerOptions options = {.address = w->listen,
-                                 .body_limit_bytes = BODY_LIMIT_BYTES,
-                                 .connection_limit = CONNECTION_LIMIT,
-                                 .idle_timeout_s = IDLE_TIMEOUT_S,
-                                 .context = w,
-                                 .on_request = on_request,
-                                 .on_gone = on_gone};
-    w->started = PhListener_Create(self, &options, &w->listener);
-}
-
-/* Handles a mail of a worker's task. */
-static void
-worker_handle(void *state, PhTask *self, const PhMail *mail)
-{
-    PhWorkerTask *w = state;
-    if (w->listener != NULL && PhListener_Handle(w->listener, mail)) {
-        return;
-    }
-    switch (mail->kind) {
-    case PH_MAIL_START:
-        worker_start(w, self);
-        break;
-    case PH_MAIL_TIMER:
-        on_served(w, mail->as.timer);
-        break;
-    case PH_MAIL_MESSAGE:
-    case PH_MAIL_IO:
-    case PH_MAIL_ENDED:
-        break;
-    case PH_MAIL_STOP:
-        PhTask_End(self);
-        break;
-    }
-}
-
 /* Releases the state of the task. */
 static void
 worker_destroy(void *state)
 {
     PhWorkerTask *w = state;
-    PhListener_Destroy(w->listener);
     g_hash_table_destroy(w->pending);
     PhFakeWorker_Destroy(w->slots);
     PhStandinTasks_Destroy(w->tasks);
-    PhStr_Clear(&w->listen);
     g_free(w);
 }
 
@@ -220,25 +165,16 @@
                                  .service_mean = options->state->service_mean,
                                  .service_fixed = 0.5};
     w->shared = options->state;
-    w->listen = PhStr_Dup(options->listen);
     w->slots = PhFakeWorker_Create(&slots);
     w->tasks = PhStandinTasks_Create(options->seed, options->capacity);
     w->pending = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
                                        pending_destroy);
-    PhTaskSpec spec = {.name = options->name,
-                       .mailbox_capacity = MAILBOX_CAPACITY,
-                       .state = w,
-                       .handle = worker_handle,
-                       .destroy = worker_destroy};
-    PhStatus status = PhKernel_Spawn(kernel, &spec, NULL);
-    if (status != PH_STATUS_OK) {
-        worker_destroy(w);
-        return PhResult_Make(status, "cannot start the stand-in %.*s",
-                             PhStr_ARG(options->name));
-    }
-    PhKernel_Drain(kernel, SIZE_MAX);
-    if (PhResult_IsOk(&w->started)) {
-        *port = PhListener_Port(w->listener);
-    }
-    return w->started;
+    PhServerOptions server = {.name = options->name,
+                              .listen = options->listen,
+                              .body_limit_bytes = BODY_LIMIT_BYTES,
+                              .context = w,
+                              .on_request = on_request,
+                              .on_timer = on_served,
+                              .destroy = worker_destroy};
+    return PhServer_Start(kernel, &server, &w->server, port);
 }
