--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -242,6 +242,7 @@
 PhBench_Capacity(const PhBenchOptions *options)
 {
     PhCapacity_Requests(options);
+    PhCapacity_List(options);
     PhCapacity_Placement(options);
     PhCapacity_Owner(options);
     PhCapacity_Starts(options);
--- a/bench/capacity_requests.c
+++ b/bench/capacity_requests.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 
 #include "peridothill/bench/capacity.h"
+#include "peridothill/codec/list_json.h"
 #include "peridothill/decide/requests/requests.h"
 
 enum {
@@ -166,3 +167,42 @@
     PhCapacity_Print(options, &list);
     PhCapacity_Print(options, &memory);
 }
+
+/* Measures a reading of the platform's list: its body and its decoding. */
+void
+PhCapacity_List(const PhBenchOptions *options)
+{
+    PhCapacitySeries bytes = {"list_bytes", "B", "workers", {50, 500, 3200}};
+    PhCapacitySeries cpu = {
+        "list_decode_cpu", "ns", "workers", {50, 500, 3200}};
+    for (int i = 0; i < PH_CAPACITY_SIZES; i++) {
+        PhListReading reading = {.status = PH_STATUS_OK,
+                                 .entry_count = bytes.sizes[i]};
+        reading.entries = g_new0(PhListEntry, reading.entry_count);
+        for (size_t k = 0; k < reading.entry_count; k++) {
+            char *id = g_strdup_printf("worker-%zu", k);
+            reading.entries[k] = (PhListEntry){
+                .id = PhStr_Dup(PhStr_FromC(id)),
+                .data_centre = PhStr_Dup(PhStr_LITERAL("bacolod")),
+                .rack = PhStr_Dup(PhStr_LITERAL("rack-12")),
+                .address = PhStr_Dup(PhStr_LITERAL("10.11.12.13:8080")),
+                .services = PhStr_Dup(PhStr_LITERAL("booking")),
+                .slots = SLOTS,
+                .connections = CONNECTIONS,
+                .cpu_milli = 64000,
+                .memory_mb = 250000};
+            g_free(id);
+        }
+        PhStr text = PhListJson_Encode(&reading);
+        PhListReading decoded = {0};
+        int64_t start = PhBench_CpuTime();
+        PhListJson_Decode(text, &decoded);
+        cpu.values[i] = (double)(PhBench_CpuTime() - start);
+        bytes.values[i] = (double)text.len;
+        PhListReading_Clear(&decoded);
+        PhListReading_Clear(&reading);
+        PhStr_Clear(&text);
+    }
+    PhCapacity_Print(options, &bytes);
+    PhCapacity_Print(options, &cpu);
+}
--- a/include/peridothill/bench/capacity.h
+++ b/include/peridothill/bench/capacity.h
@@ -25,6 +25,9 @@
 /* The front door and the router, by the number of workers. */
 void
 PhCapacity_Requests(const PhBenchOptions *options);
+/* A reading of the platform's list, by the number of workers. */
+void
+PhCapacity_List(const PhBenchOptions *options);
 /* One placement, by the number of workers. */
 void
 PhCapacity_Placement(const PhBenchOptions *options);
