--- /dev/null
+++ b/services/tasks/tasks_platform.c
@@ -0,0 +1,186 @@
+#include "peridothill/codec/job_record.h"
+#include "services/tasks/tasks_task.h"
+
+enum {
+    CALL_APPEND = 1, /* one of each is under way at most */
+    CALL_READ = 2,
+    READ_LIMIT = 256,
+    CALL_TIMEOUT_MS = 1500,
+};
+
+/* Sends a message to the log; false when it cannot be reached. */
+static bool
+log_send(PhTasksTask *t, const PhLogMessage *m)
+{
+    return PhTask_SendTo(t->self, PH_SERVICE_LOG, PhLogMessage_Wrap(m)) ==
+           PH_STATUS_OK;
+}
+
+/* Appends an entry. */
+void
+PhTasksPlatform_Append(PhTasksTask *t, const PhJobEntry *entry)
+{
+    PhLogMessage m = {
+        .tag = PH_LOG_APPEND,
+        .as.append = {.id = CALL_APPEND,
+                      .stream = PhStr_Dup(t->stream),
+                      .records = g_new0(PhStr, 1),
+                      .record_count = 1,
+                      .deadline = PhTask_Now(t->self) +
+                                  (CALL_TIMEOUT_MS * PH_NS_PER_MS)}};
+    m.as.append.records[0] = PhJobEntry_Encode(entry);
+    if (!log_send(t, &m)) {
+        PhTasksTask_Give(t,
+                         &(PhJobEvent){.kind = PH_JOB_APPENDED,
+                                       .as.appended = PH_STATUS_UNAVAILABLE});
+    }
+}
+
+/* Reads from a place. */
+void
+PhTasksPlatform_Read(PhTasksTask *t, uint64_t from)
+{
+    PhLogMessage m = {
+        .tag = PH_LOG_READ,
+        .as.read = {.id = CALL_READ,
+                    .stream = PhStr_Dup(t->stream),
+                    .from = from,
+                    .limit = READ_LIMIT,
+                    .deadline = PhTask_Now(t->self) +
+                                (CALL_TIMEOUT_MS * PH_NS_PER_MS)}};
+    if (!log_send(t, &m)) {
+        PhJobEvent event = {.kind = PH_JOB_READ};
+        event.as.read.status = PH_STATUS_UNAVAILABLE;
+        PhTasksTask_Give(t, &event);
+    }
+}
+
+/* Decodes what was read; an entry that cannot be read is passed over. */
+static GArray *
+entries_decode(PhTasksTask *t, const PhLogRecords *r)
+{
+    GArray *entries = g_array_new(FALSE, FALSE, sizeof(PhPlacedEntry));
+    for (size_t i = 0; i < r->record_count; i++) {
+        PhJobEntry *entry = g_new0(PhJobEntry, 1);
+        PhResult result = PhJobEntry_Decode(r->records[i].body, entry);
+        if (!PhResult_IsOk(&result)) {
+            PhTask_LOG(t->self, PH_EVENT_TASKS_RECORD_UNREADABLE,
+                       PhField_U64("place", r->records[i].offset),
+                       PhField_STR("reason", PhResult_Message(&result)));
+            g_free(entry);
+            continue;
+        }
+        PhPlacedEntry placed = {.place = r->records[i].offset, .entry = entry};
+        g_array_append_val(entries, placed);
+    }
+    return entries;
+}
+
+/* Hands over what was read. */
+static void
+records_take(PhTasksTask *t, const PhLogRecords *r)
+{
+    GArray *entries = entries_decode(t, r);
+    PhJobEvent event = {.kind = PH_JOB_READ};
+    event.as.read.status = r->status;
+    event.as.read.entries = (const PhPlacedEntry *)entries->data;
+    event.as.read.count = entries->len;
+    event.as.read.next = r->next;
+    event.as.read.first = r->first;
+    event.as.read.at_end = r->next >= r->end;
+    PhTasksTask_Give(t, &event);
+    for (guint i = 0; i < entries->len; i++) {
+        PhJobEntry *entry =
+            (PhJobEntry *)g_array_index(entries, PhPlacedEntry, i).entry;
+        PhJobEntry_Clear(entry);
+        g_free(entry);
+    }
+    g_array_free(entries, TRUE);
+}
+
+/* Takes an answer of the log. */
+void
+PhTasksPlatform_OnLog(PhTasksTask *t, const PhLogMessage *m)
+{
+    switch (m->tag) {
+    case PH_LOG_APPEND:
+    case PH_LOG_READ:
+        break;
+    case PH_LOG_APPENDED:
+        PhTasksTask_Give(t,
+                         &(PhJobEvent){.kind = PH_JOB_APPENDED,
+                                       .as.appended = m->as.appended.status});
+        break;
+    case PH_LOG_RECORDS:
+        records_take(t, &m->as.records);
+        break;
+    }
+}
+
+/* Takes a reading of the list: the workers of this data centre. */
+void
+PhTasksPlatform_OnList(PhTasksTask *t, const PhListReading *reading)
+{
+    if (reading->status != PH_STATUS_OK) {
+        return;
+    }
+    GArray *listed = g_array_new(FALSE, FALSE, sizeof(PhListedWorker));
+    for (size_t i = 0; i < reading->entry_count; i++) {
+        const PhListEntry *e = &reading->entries[i];
+        if (e->role != PH_LIST_WORKER ||
+            !PhStr_Equal(e->data_centre, t->options.data_centre)) {
+            continue;
+        }
+        PhListedWorker worker = {
+            .id = e->id,
+            .rack = e->rack,
+            .size = {e->cpu_milli, e->memory_mb, e->accelerators},
+            .leaving = e->state == PH_LIST_LEAVING};
+        g_array_append_val(listed, worker);
+        g_hash_table_replace(t->addresses, PhStr_KeyCreate(e->id),
+                             PhStr_KeyCreate(e->address));
+    }
+    PhJobEvent event = {.kind = PH_JOB_WORKERS};
+    event.as.workers.workers = (const PhListedWorker *)listed->data;
+    event.as.workers.count = listed->len;
+    PhTasksTask_Give(t, &event);
+    g_array_free(listed, TRUE);
+}
+
+/* Takes a view: the live instances of this data centre. */
+void
+PhTasksPlatform_OnView(PhTasksTask *t, const PhMembersView *view)
+{
+    GArray *ids = g_array_new(FALSE, FALSE, sizeof(PhStr));
+    for (size_t i = 0; i < view->member_count; i++) {
+        const PhMember *m = &view->members[i];
+        bool alive =
+            m->state == PH_MEMBER_ALIVE || m->state == PH_MEMBER_SUSPECT;
+        if (alive && PhStr_Equal(m->data_centre, t->options.data_centre)) {
+            g_array_append_val(ids, m->id);
+        }
+    }
+    PhJobEvent event = {.kind = PH_JOB_MEMBERS};
+    event.as.members.ids = (const PhStr *)ids->data;
+    event.as.members.count = ids->len;
+    PhTasksTask_Give(t, &event);
+    g_array_free(ids, TRUE);
+}
+
+/* Subscribes where it has not yet. */
+void
+PhTasksPlatform_Attach(PhTasksTask *t)
+{
+    if (!t->attached_list) {
+        PhListMessage m = {.tag = PH_LIST_SUBSCRIBE};
+        t->attached_list =
+            PhTask_SendTo(t->self, PH_SERVICE_LIST, PhListMessage_Wrap(&m)) ==
+            PH_STATUS_OK;
+    }
+    if (!t->attached_members) {
+        PhMembersMessage m = {.tag = PH_MEMBERS_SUBSCRIBE};
+        t->attached_members =
+            PhTask_SendTo(t->self, PH_SERVICE_MEMBERS,
+                          PhMembersMessage_Wrap(&m)) == PH_STATUS_OK;
+    }
+}
--- /dev/null
+++ b/services/tasks/tasks_task.h
@@ -0,0 +1,58 @@
+/* State of the task "tasks" and what its files share. */
+#ifndef PERIDOTHILL_SERVICES_TASKS_TASK_H
+#define PERIDOTHILL_SERVICES_TASKS_TASK_H
+
+#include "peridothill/decide/tasks/job_engine.h"
+#include "peridothill/services/interface.h"
+#include "peridothill/services/members.h"
+#include "peridothill/services/platform_list.h"
+#include "peridothill/services/platform_log.h"
+#include "peridothill/services/tasks.h"
+#include "peridothill/services/worker.h"
+
+/* A submit or cancel that waits for the engine. */
+typedef struct PhTasksCall {
+    uint64_t token;
+    PhTaskRef sender;
+    uint64_t id;
+} PhTasksCall;
+
+typedef struct PhTasksTask {
+    PhTask *self;
+    PhTasksOptions options;
+    PhStr stream;
+    PhJobEngine *engine;
+    GHashTable *addresses; /* PhStr worker to PhStr address */
+    GHashTable *calls;     /* PhTasksCall by token */
+    uint64_t next_token;
+    bool attached_list;
+    bool attached_members;
+    bool stopping;
+} PhTasksTask;
+
+/* Gives an event to the engine and does what it wants. */
+void
+PhTasksTask_Give(PhTasksTask *t, const PhJobEvent *event);
+
+/* tasks_platform.c: log, list and members. */
+void
+PhTasksPlatform_Append(PhTasksTask *t, const PhJobEntry *entry);
+void
+PhTasksPlatform_Read(PhTasksTask *t, uint64_t from);
+void
+PhTasksPlatform_OnLog(PhTasksTask *t, const PhLogMessage *m);
+void
+PhTasksPlatform_OnList(PhTasksTask *t, const PhListReading *reading);
+void
+PhTasksPlatform_OnView(PhTasksTask *t, const PhMembersView *view);
+/* Subscribes at those tasks that have started meanwhile. */
+void
+PhTasksPlatform_Attach(PhTasksTask *t);
+
+/* tasks_query.c: submits, cancels and lists. */
+void
+PhTasksQuery_Handle(PhTasksTask *t, PhTaskRef sender, const PhTasksMessage *m);
+void
+PhTasksQuery_Answer(PhTasksTask *t, const PhJobAction *action);
+
+#endif
--- a/standin/worker_tasks.c
+++ b/standin/worker_tasks.c
@@ -1,14 +1,17 @@
 #include "peridothill/standin/worker_tasks.h"
 
-#include <inttypes.h>
+#include "peridothill/codec/worker_command.h"
+#include "peridothill/common/random.h"
+#include "peridothill/standin/worker_runs.h"
 
 enum {
     STATUS_OK = 200,
-    STATUS_NOT_FOUND = 404
+    STATUS_BAD_REQUEST = 400,
+    STATUS_NOT_FOUND = 404,
 };
 
 struct PhStandinTasks {
-    PhFakeWorker *worker;
+    PhWorkerTasks *tasks;
 };
 
 /* Creates a worker without tasks. */
@@ -16,9 +19,13 @@
 PhStandinTasks_Create(uint64_t seed, PhFakeSize capacity)
 {
     PhStandinTasks *t = g_new0(PhStandinTasks, 1);
-    PhFakeWorkerOptions options = {
-        .seed = seed, .slots = 1, .capacity = capacity};
-    t->worker = PhFakeWorker_Create(&options);
+    PhJobSize size = {.cpu_milli = capacity.milli_processors,
+                      .memory_mb = capacity.memory_mb,
+                      .accelerators = capacity.accelerators};
+    PhRandom *random = PhRandom_Create(seed);
+    /* Positive also as a signed number. */
+    t->tasks = PhWorkerTasks_Create((PhRandom_U64(random) >> 1) | 1, size);
+    PhRandom_Destroy(random);
     return t;
 }
 
@@ -29,28 +36,31 @@
     if (tasks == NULL) {
         return;
     }
-    PhFakeWorker_Destroy(tasks->worker);
+    PhWorkerTasks_Destroy(tasks->tasks);
     g_free(tasks);
 }
 
-/* Tells what is committed on the worker. */
+/* Carries out a command, or, for GET /tasks, lists what runs. */
 int
 PhStandinTasks_Handle(PhStandinTasks *tasks, PhTime now, PhStr method,
                       PhStr path, PhStr body, PhBuf *answer)
 {
-    (void)body;
-    if (!PhStr_Equal(method, PhStr_LITERAL("GET")) ||
-        !PhStr_Equal(path, PhStr_LITERAL("/tasks"))) {
-        return STATUS_NOT_FOUND;
+    /* A question without a boot number renews nothing. */
+    PhWorkerCommand command = {.kind = PH_WORKER_RENEW};
+    bool list = PhStr_Equal(method, PhStr_LITERAL("GET")) &&
+                PhStr_Equal(path, PhStr_LITERAL("/tasks"));
+    if (!list) {
+        PhResult result = PhWorkerCommand_Decode(path, body, &command);
+        if (!PhResult_IsOk(&result)) {
+            return result.status == PH_STATUS_NOT_FOUND ? STATUS_NOT_FOUND
+                                                        : STATUS_BAD_REQUEST;
+        }
     }
-    GArray *ended = g_array_new(FALSE, FALSE, sizeof(PhFakeEnded));
-    PhFakeWorker_Advance(tasks->worker, now, ended);
-    g_array_free(ended, TRUE);
-    PhFakeSize size = PhFakeWorker_Committed(tasks->worker);
-    PhBuf_AppendFormat(answer,
-                       "{\"cpu_milli\":%" PRId64 ",\"memory_mb\":%" PRId64
-                       ",\"accelerators\":%" PRId64 "}",
-                       size.milli_processors, size.memory_mb,
-                       size.accelerators);
+    PhWorkerAnswer a =
+        PhWorkerTasks_Command(tasks->tasks, &command, now / PH_NS_PER_MS);
+    PhStr text = PhWorkerAnswer_Encode(&a);
+    PhBuf_Append(answer, text);
+    PhStr_Clear(&text);
+    PhWorkerAnswer_Clear(&a);
     return STATUS_OK;
 }
