--- a/commands/main.c
+++ b/commands/main.c
@@ -13,6 +13,7 @@
     {"serve", "run an entry instance", PhCommand_Serve},
     {"standin", "run stand-ins of the platform", PhCommand_Standin},
     {"status", "show an instance and its peers", PhCommand_Status},
+    {"tasks", "submit, list and cancel jobs", PhCommand_Tasks},
     {"version", "print the version", PhCommand_Version},
 };
 
--- a/include/peridothill/commands.h
+++ b/include/peridothill/commands.h
@@ -34,6 +34,8 @@
 int
 PhCommand_Status(int argc, char **argv);
 int
+PhCommand_Tasks(int argc, char **argv);
+int
 PhCommand_Version(int argc, char **argv);
 
 #endif
--- a/services/instance.c
+++ b/services/instance.c
@@ -8,6 +8,7 @@
 #include "peridothill/services/peers.h"
 #include "peridothill/services/platform_list.h"
 #include "peridothill/services/platform_log.h"
+#include "peridothill/services/tasks.h"
 
 /* Time between two reads of the log by a data centre's reader. */
 static const PhTime CONFIG_POLL = 500 * PH_NS_PER_MS;
@@ -107,6 +108,13 @@
     if (!PhResult_IsOk(&r)) {
         return r;
     }
+    PhTasksOptions tasks = {.data_centre = s->instance.data_centre,
+                            .instance = s->instance.id,
+                            .seed = options->seed + 6};
+    r = started(PhTasks_Start(kernel, &tasks), "tasks");
+    if (!PhResult_IsOk(&r)) {
+        return r;
+    }
     PhOperatorsOptions operators = {.listen = s->operators.listen,
                                     .token_file = s->operators.token_file,
                                     .instance = s->instance.id,
--- a/services/operators/operators_task.c
+++ b/services/operators/operators_task.c
@@ -250,6 +250,9 @@
     if (message->interface == PH_INTERFACE_CONFIG) {
         PhOperatorsConfig_Handle(t, message->body);
     }
+    else if (message->interface == PH_INTERFACE_TASKS) {
+        PhOperatorsJobs_Handle(t, message->body);
+    }
     else if (message->interface == PH_INTERFACE_MEMBERS) {
         const PhMembersMessage *m = message->body;
         if (m->tag == PH_MEMBERS_VIEW) {
--- a/services/operators/operators_task.h
+++ b/services/operators/operators_task.h
@@ -9,6 +9,7 @@
 #include "peridothill/services/listener.h"
 #include "peridothill/services/members.h"
 #include "peridothill/services/operators.h"
+#include "peridothill/services/tasks.h"
 
 enum {
     PH_HTTP_STATUS_OK = 200,
@@ -100,6 +101,19 @@
 void
 PhOperatorsConfig_Handle(PhOperatorsTask *t, const PhConfigMessage *message);
 
+/* route_jobs.c */
+void
+PhOperatorsJobs_Submit(PhOperatorsTask *t, const PhOperatorsCall *call);
+void
+PhOperatorsJobs_List(PhOperatorsTask *t, const PhOperatorsCall *call);
+void
+PhOperatorsJobs_Get(PhOperatorsTask *t, const PhOperatorsCall *call);
+void
+PhOperatorsJobs_Cancel(PhOperatorsTask *t, const PhOperatorsCall *call);
+/* Handles what the task "tasks" answers. */
+void
+PhOperatorsJobs_Handle(PhOperatorsTask *t, const PhTasksMessage *message);
+
 /* route_status.c */
 void
 PhOperatorsStatus_Get(PhOperatorsTask *t, const PhOperatorsCall *call);
