--- a/services/tasks/tasks_platform.c
+++ b/services/tasks/tasks_platform.c
@@ -20,15 +20,13 @@
 void
 PhTasksPlatform_Append(PhTasksTask *t, const PhJobEntry *entry)
 {
-    PhLogMessage m = {
-        .tag = PH_LOG_APPEND,
-        .as.append = {.id = CALL_APPEND,
-                      .stream = PhStr_Dup(t->stream),
-                      .records = g_new0(PhStr, 1),
-                      .record_count = 1,
-                      .deadline = PhTask_Now(t->self) +
-                                  (CALL_TIMEOUT_MS * PH_NS_PER_MS)}};
+    PhLogMessage m = {.tag = PH_LOG_APPEND, .as.append.id = CALL_APPEND};
+    m.as.append.stream = PhStr_Dup(t->stream);
+    m.as.append.record_count = 1;
+    m.as.append.records = g_new0(PhStr, 1);
     m.as.append.records[0] = PhJobEntry_Encode(entry);
+    m.as.append.deadline =
+        PhTask_Now(t->self) + (CALL_TIMEOUT_MS * PH_NS_PER_MS);
     if (!log_send(t, &m)) {
         PhTasksTask_Give(t,
                          &(PhJobEvent){.kind = PH_JOB_APPENDED,
