bench: measure the loss and return of a data centre and of a region

Change: storms of 56 and 400 members, with the time until everybody sees who is left, and the mean and the peak of bytes on the wire in a second.

--- a/bench/bench_control_members.h
+++ b/bench/bench_control_members.h
@@ -29,5 +29,8 @@
 /* Bench of the baseline: every member sends a heartbeat to every other. */
 void
 PhControl_Heartbeats(const PhBenchOptions *options, uint32_t members);
+/* Bench of the loss and return of a data centre and of a region. */
+void
+PhControl_Storms(const PhBenchOptions *options, uint32_t members);
 
 #endif
--- /dev/null
+++ b/bench/bench_control_storm.c
@@ -0,0 +1,152 @@
+#include "bench_control_members.h"
+
+enum {
+    CALM_S = 60,
+    CUT_S = 300,
+    SETTLE_MAX_S = 300,
+};
+
+/* What happens to many members at once. */
+typedef enum PhStorm {
+    STORM_DATA_CENTRE_CRASHES,
+    STORM_DATA_CENTRE_RETURNS,
+    STORM_REGION_IS_CUT,
+    STORM_REGION_HEALS,
+} PhStorm;
+
+/* Names a storm. */
+static const char *
+storm_name(PhStorm storm)
+{
+    switch (storm) {
+    case STORM_DATA_CENTRE_CRASHES:
+        return "data-centre-crash";
+    case STORM_DATA_CENTRE_RETURNS:
+        return "data-centre-return";
+    case STORM_REGION_IS_CUT:
+        return "region-cut";
+    case STORM_REGION_HEALS:
+        return "region-heal";
+    }
+    return "";
+}
+
+/* Cuts the first region off, or heals the cut. */
+static void
+region_cut(PhFakeNet *net, const PhMembersClusterOptions *o, bool cut)
+{
+    for (uint32_t a = 0; a < o->data_centres; a++) {
+        for (uint32_t b = 0; b < o->data_centres; b++) {
+            if ((a % o->regions == 0) != (b % o->regions == 0)) {
+                PhFakeNet_Link(net, a, b)->cut = cut;
+            }
+        }
+    }
+}
+
+/* Crashes or starts all members of the second data centre; the seed is in the
+ * first one. */
+static void
+data_centre_set(PhMembersCluster *c, const PhMembersClusterOptions *o,
+                bool runs)
+{
+    for (uint32_t i = 1; i < o->members; i += o->data_centres) {
+        if (runs) {
+            PhMembersCluster_Start(c, i);
+        }
+        else {
+            PhMembersCluster_Crash(c, i);
+        }
+    }
+}
+
+/* Lets a storm begin. */
+static void
+storm_begin(PhMembersCluster *c, const PhMembersClusterOptions *o,
+            PhStorm storm)
+{
+    PhFakeNet *net = PhMembersCluster_Net(c);
+    switch (storm) {
+    case STORM_DATA_CENTRE_CRASHES:
+    case STORM_DATA_CENTRE_RETURNS:
+        data_centre_set(c, o, storm == STORM_DATA_CENTRE_RETURNS);
+        return;
+    case STORM_REGION_IS_CUT:
+    case STORM_REGION_HEALS:
+        region_cut(net, o, storm == STORM_REGION_IS_CUT);
+        return;
+    }
+}
+
+/* Counts the pairs that see each other alive once a storm has settled. */
+static size_t
+pairs_settled(const PhMembersClusterOptions *o, PhStorm storm)
+{
+    size_t n = o->members;
+    size_t part = 0;
+    for (uint32_t i = 0; i < n; i++) {
+        uint32_t dc = i % o->data_centres;
+        part += storm == STORM_DATA_CENTRE_CRASHES ? dc == 1
+                                                   : dc % o->regions == 0;
+    }
+    switch (storm) {
+    case STORM_DATA_CENTRE_CRASHES:
+        return (n - part) * (n - part - 1);
+    case STORM_REGION_IS_CUT:
+        return part * (part - 1) + (n - part) * (n - part - 1);
+    case STORM_DATA_CENTRE_RETURNS:
+    case STORM_REGION_HEALS:
+        return n * (n - 1);
+    }
+    return 0;
+}
+
+/* Runs one storm until every member sees who is left, and prints the time
+ * and the bytes. */
+static void
+storm_run(const PhBenchOptions *options, const PhMembersClusterOptions *o,
+          PhMembersCluster *c, PhStorm storm)
+{
+    PhFakeNet *net = PhMembersCluster_Net(c);
+    uint64_t first = PhMembersCluster_Counts(c).wire_bytes;
+    uint64_t peak = 0;
+    int s = 0;
+    storm_begin(c, o, storm);
+    while (s < SETTLE_MAX_S &&
+           (s == 0 || PhMembersCluster_Seen(c, PH_MEMBER_ALIVE) !=
+                          pairs_settled(o, storm))) {
+        uint64_t before = PhMembersCluster_Counts(c).wire_bytes;
+        PhMembersCluster_Run(c, PhFakeNet_Now(net) + PH_NS_PER_S);
+        peak = MAX(peak, PhMembersCluster_Counts(c).wire_bytes - before);
+        s++;
+    }
+    uint64_t all = PhMembersCluster_Counts(c).wire_bytes - first;
+    const char *name = storm_name(storm);
+    PhControl_Row(options, "member_storm_settled", o->members, name, s, "s");
+    PhControl_Row(options, "member_storm_peak_wire_bytes", o->members, name,
+                  (double)peak / o->members, "B/s");
+    PhControl_Row(options, "member_storm_mean_wire_bytes", o->members, name,
+                  (double)all / o->members / s, "B/s");
+}
+
+/* Measures what the loss of a data centre and of a region costs. */
+void
+PhControl_Storms(const PhBenchOptions *options, uint32_t members)
+{
+    PhMembersClusterOptions o = PhControl_Options(options, members);
+    o.encode = true;
+    PhMembersCluster *c = PhMembersCluster_Create(&o);
+    PhFakeNet *net = PhMembersCluster_Net(c);
+    PhMembersCluster_StartAll(c);
+    PhMembersCluster_Run(c, CALM_S * PH_NS_PER_S);
+    for (PhStorm storm = STORM_DATA_CENTRE_CRASHES;
+         storm <= STORM_REGION_HEALS; storm++) {
+        PhTime began = PhFakeNet_Now(net);
+        storm_run(options, &o, c, storm);
+        PhTime rest = storm == STORM_REGION_IS_CUT ? CUT_S : CALM_S;
+        PhMembersCluster_Run(c,
+                             MAX(began + rest * PH_NS_PER_S,
+                                 PhFakeNet_Now(net) + CALM_S * PH_NS_PER_S));
+    }
+    PhMembersCluster_Destroy(c);
+}
