members: bound the pings of suspects

Cause: in a storm each member pinged every suspect at once and each second. Change: at most 16 such pings in a probe interval; with more suspects each is asked once, and nobody is dead before it was asked and had time to answer.

--- a/decide/members/members_record.c
+++ b/decide/members/members_record.c
@@ -1,24 +1,41 @@
 #include "peridothill/common/invariant.h"
 #include "state.h"
 
+/* Pings a suspect, with what is thought of it, as far as the pings of this
+ * interval go.  When many are suspects, each is asked once. */
+static void
+suspect_ask(PhMembership *m, PhEntry *e)
+{
+    bool many = m->suspects->len > CONFIRMS_IN_INTERVAL;
+    e->confirm = m->now + m->times.probe_interval;
+    if (m->confirms == 0 || (many && e->asked != 0)) {
+        return;
+    }
+    m->confirms--;
+    if (e->asked == 0) {
+        e->asked = m->now;
+    }
+    PhMembers_SendPing(m, e, ++m->sequence);
+}
+
 /* Starts, or starts again, the suspicion of a live member and asks it. */
 void
 PhMembers_Suspect(PhMembership *m, PhEntry *e, uint64_t incarnation)
 {
     bool first = e->member.state != PH_MEMBER_SUSPECT;
     PhEntry_Change(m, e, PH_MEMBER_SUSPECT, incarnation);
+    e->asked = 0;
     e->suspected = m->now;
-    e->confirm = m->now + m->times.probe_interval;
     e->expires = m->now + m->times.suspicion;
     if (first) {
         g_ptr_array_add(m->suspects, e);
         PhMembers_Report(m, PH_MEMBERSHIP_SUSPECTED, e->member.id);
     }
-    PhMembers_SendPing(m, e, ++m->sequence);
+    suspect_ask(m, e);
 }
 
-/* Ends a suspicion: a member that was heard meanwhile gets another term, any
- * other is dead. */
+/* Ends a suspicion: a member that was heard meanwhile gets another term, one
+ * that could not be asked yet gets the time to answer, any other is dead. */
 static void
 suspicion_end(PhMembership *m, PhEntry *e)
 {
@@ -26,24 +43,27 @@
         PhMembers_Suspect(m, e, e->member.incarnation);
         return;
     }
+    if (e->asked == 0 || m->now - e->asked < m->times.probe_interval) {
+        e->expires = m->now + m->times.probe_interval;
+        return;
+    }
     g_ptr_array_remove_fast(m->suspects, e);
     PhEntry_Change(m, e, PH_MEMBER_DEAD, e->member.incarnation);
     PhMembers_Report(m, PH_MEMBERSHIP_DIED, e->member.id);
 }
 
-/* Pings each suspect once an interval, and ends suspicions that are over. */
+/* Asks suspects again each interval, and ends suspicions that are over. */
 void
 PhMembers_CheckSuspects(PhMembership *m)
 {
     for (guint i = m->suspects->len; i > 0; i--) {
         PhEntry *e = g_ptr_array_index(m->suspects, i - 1);
+        if (m->now >= e->confirm) {
+            suspect_ask(m, e);
+        }
         if (m->now >= e->expires) {
             suspicion_end(m, e);
         }
-        else if (m->now >= e->confirm) {
-            e->confirm = m->now + m->times.probe_interval;
-            PhMembers_SendPing(m, e, ++m->sequence);
-        }
     }
 }
 
--- a/decide/members/membership.c
+++ b/decide/members/membership.c
@@ -98,6 +98,7 @@
     m->near_heard = m->far_heard = m->platform_heard = now;
     m->hearing = (PhMembershipHearing){true, true, true};
     m->probe_due = m->reach_due = m->wake = now;
+    m->confirms = CONFIRMS_IN_INTERVAL;
     add_self(m, options);
     return m;
 }
@@ -132,6 +133,7 @@
     for (guint i = 0; i < m->suspects->len; i++) {
         PhEntry *e = g_ptr_array_index(m->suspects, i);
         e->suspected += by;
+        e->asked += e->asked == 0 ? 0 : by;
         e->confirm += by;
         e->expires += by;
     }
@@ -208,6 +210,7 @@
     PhMembers_CheckSuspects(m);
     if (m->now >= m->probe_due) {
         m->probe_due = m->now + jitter(m, m->times.probe_interval);
+        m->confirms = CONFIRMS_IN_INTERVAL;
         PhMembers_ProbeNext(m);
         PhMembers_Purge(m);
     }
--- a/decide/members/state.h
+++ b/decide/members/state.h
@@ -12,7 +12,8 @@
     FAR_PROBE_EVERY = 5, /* of so many probes one goes to other data centres */
     PUSHED_NEAR = 2,     /* members that new news is pushed to at once */
     PUSHED_FAR = 2,
-    LEAVE_TOLD = 8, /* members that a leaving one tells itself */
+    CONFIRMS_IN_INTERVAL = 16, /* pings of suspects in a probe interval */
+    LEAVE_TOLD = 8,            /* members that a leaving one tells itself */
 };
 
 /* A known member. */
@@ -26,6 +27,7 @@
     uint32_t sends;   /* times its news is still to be sent */
     PhTime heard;     /* last message from itself */
     PhTime told;      /* last ping because it is thought dead */
+    PhTime asked;     /* first ping of the suspicion, or 0 */
     PhTime suspected; /* start of the suspicion */
     PhTime confirm;   /* next ping of the suspicion */
     PhTime expires;   /* end of the suspicion */
@@ -66,6 +68,7 @@
     GPtrArray *candidates; /* PhStr keys */
     uint64_t sequence;
     uint64_t probe_count;
+    int confirms;         /* pings of suspects left in this probe interval */
     uint64_t digest;      /* over live members */
     PhTime differs_since; /* of digests heard; 0 while they agree */
     PhTime probe_due;
