members: send no news to members that are not thought alive

Cause: in a storm most pings go to the dead, and each took eight records along that were thereby used up. Change: such a message carries only what is thought of its receiver.

--- a/decide/members/members_send.c
+++ b/decide/members/members_send.c
@@ -48,14 +48,15 @@
     }
 }
 
-/* Adds news to a message.  What is thought of the receiver goes along
- * whenever that is not "alive", so that it can refute. */
+/* Adds news to a message.  A receiver that is not thought alive gets only what
+ * is thought of it, so that it can refute; news for it would mostly be lost. */
 static void
 news_add(PhMembership *m, const PhEntry *to, PhMemberMessage *message)
 {
     guint left = MIN(g_queue_get_length(&m->news), NEWS_IN_MESSAGE);
     if (to->member.state != PH_MEMBER_ALIVE) {
         record_add(message, &to->member);
+        return;
     }
     for (GList *link = m->news.head; left > 0; left--) {
         GList *next = link->next;
