--- a/tests/proof/test_catalogues.c
+++ b/tests/proof/test_catalogues.c
@@ -106,8 +106,11 @@
     c->add_rows(rows);
     assert_true(g_hash_table_size(rows) > 0);
     for (char **line = lines; *line != NULL; line++) {
+        if (!line_is_row(c, *line)) {
+            continue;
+        }
         char *row = row_cut(*line, c->columns);
-        if (line_is_row(c, *line) && !g_hash_table_remove(rows, row)) {
+        if (!g_hash_table_remove(rows, row)) {
             print_error("%s: not in the code, or twice: %s\n", c->name, row);
             wrong++;
         }
