--- a/bench/members_cluster.c
+++ b/bench/members_cluster.c
@@ -212,7 +212,7 @@
     PhBuf payload = {0};
     PhBuf frame = {0};
     PhBuf none = {0};
-    PhMemberMessage copy;
+    PhMemberMessage copy = {.kind = PH_MEMBER_NEWS};
     PhMemberMessage_Encode(message, &payload);
     PhPeerSession_Send(c->sender, PH_CHANNEL_MEMBERS, PhBuf_Str(&payload),
                        &frame);
