--- a/bench/bench_control_members.h
+++ b/bench/bench_control_members.h
@@ -32,5 +32,8 @@
 /* Bench of the loss and return of a data centre and of a region. */
 void
 PhControl_Storms(const PhBenchOptions *options, uint32_t members);
+/* Bench of the links: 8 instances over real sockets. */
+PhResult
+PhControl_Links(const PhBenchOptions *options);
 
 #endif
