--- a/bench/bench_control_members.c
+++ b/bench/bench_control_members.c
@@ -22,7 +22,7 @@
 
 const uint32_t PhControl_Sizes[CONTROL_SIZES] = {8, 56, 400};
 /* Simulated minutes without failures that fit the time of a bench. */
-static const uint64_t default_minutes[CONTROL_SIZES] = {24 * 60, 60, 20};
+static const uint64_t default_minutes[CONTROL_SIZES] = {1440, 60, 20};
 
 /* A cluster under loss and pauses. */
 typedef struct PhMembersRun {
--- a/decide/members/members_send.c
+++ b/decide/members/members_send.c
@@ -49,7 +49,8 @@
 }
 
 /* Adds news to a message.  A receiver that is not thought alive gets only what
- * is thought of it, so that it can refute; news for it would mostly be lost. */
+ * is thought of it, so that it can refute; news for it would mostly be lost.
+ */
 static void
 news_add(PhMembership *m, const PhEntry *to, PhMemberMessage *message)
 {
