--- a/bench/config_fleet.c
+++ b/bench/config_fleet.c
@@ -90,6 +90,9 @@
 {
     PhConfigFleet *f = g_new0(PhConfigFleet, 1);
     f->options = *options;
+    if (options->appends_per_second == 0) {
+        f->options.appends_per_second = APPENDS_PER_SECOND;
+    }
     f->net =
         PhFakeNet_Create(options->seed, options->instances, message_clear);
     f->log =
@@ -214,10 +217,10 @@
                                               : PH_TIME_NEVER / 4,
         .readers = f->options.readers,
         .now = PhFakeNet_Now(f->net)});
-    x->appender = PhConfigAppender_Create(
-        &(PhConfigAppenderOptions){.random = x->random,
-                                   .appends_per_second = APPENDS_PER_SECOND,
-                                   .queue_limit = QUEUE_LIMIT});
+    x->appender = PhConfigAppender_Create(&(PhConfigAppenderOptions){
+        .random = x->random,
+        .appends_per_second = f->options.appends_per_second,
+        .queue_limit = QUEUE_LIMIT});
 }
 
 /* Starts an instance. */
@@ -281,6 +284,21 @@
     return f->instances[instance].up;
 }
 
+/* Answers a request whose patch was decided before; false when not. */
+static bool
+answer_known(PhConfigFleet *f, const PhFleetInstance *x, uint64_t request,
+             PhStr id)
+{
+    const PhConfigVerdict *v =
+        PhConfigLedger_Find(PhConfigFollower_Ledger(x->follower), id);
+    if (v == NULL || f->answered == NULL) {
+        return false;
+    }
+    PhResult result = PhResult_Make(v->status, "%.*s", PhStr_ARG(v->reason));
+    f->answered(f->context, request, &result, v->version);
+    return true;
+}
+
 /* Submits a patch at an instance. */
 void
 PhConfigFleet_Submit(PhConfigFleet *f, uint32_t instance, uint64_t request,
@@ -299,6 +317,9 @@
                        .base = base,
                        .changes = &change,
                        .change_count = 1};
+    if (answer_known(f, &f->instances[instance], request, p.id)) {
+        return;
+    }
     PhAppendEvent event = {
         .kind = PH_APPEND_EVENT_SUBMIT,
         .as.submit = {.request = request, .patch = &p, .deadline = deadline}};
--- /dev/null
+++ b/commands/config.c
@@ -0,0 +1,225 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "commands/client.h"
+#include "peridothill/codec/json.h"
+#include "peridothill/commands.h"
+
+/* What an action prints of an answer. */
+typedef enum PhConfigView {
+    VIEW_ENTRIES,
+    VIEW_CHANGES,
+    VIEW_HISTORY,
+    VIEW_OUTCOME,
+} PhConfigView;
+
+/* An action, its arguments and what it asks for. */
+typedef struct PhConfigAct {
+    const char *name;
+    int arguments;
+    const char *method;
+    const char *target; /* the arguments take the place of each %s */
+    PhConfigView view;
+    const char *help;
+} PhConfigAct;
+
+static const PhConfigAct acts[] = {
+    {"at", 1, "GET", "/config/at/%s", VIEW_ENTRIES,
+     "at VERSION     a version that is still held"},
+    {"bridge", 0, "POST", "/config/bridge", VIEW_OUTCOME,
+     "bridge         give up records that are past retention unread"},
+    {"diff", 2, "GET", "/config/diff?from=%s&to=%s", VIEW_CHANGES,
+     "diff FROM TO   the changes between two versions"},
+    {"get", 0, "GET", "/config", VIEW_ENTRIES,
+     "get            the version in force"},
+    {"history", 0, "GET", "/config/history", VIEW_HISTORY,
+     "history        the latest patches and their verdicts"},
+};
+
+/* Prints the entries of a version. */
+static void
+entries_print(const json_t *json)
+{
+    const char *path;
+    json_t *value;
+    printf("# version %" G_GINT64_FORMAT " digest %s\n",
+           (gint64)PhJson_GetInt(json, "version", 0),
+           json_string_value(json_object_get(json, "digest")));
+    json_object_foreach(json_object_get(json, "entries"), path, value)
+    {
+        printf("%s=%s\n", path, json_string_value(value));
+    }
+}
+
+/* Prints changes as the arguments of `peridothill patch`. */
+static void
+changes_print(const json_t *json)
+{
+    size_t i;
+    json_t *row;
+    json_array_foreach(json_object_get(json, "changes"), i, row)
+    {
+        const json_t *set = json_object_get(row, "set");
+        if (set != NULL) {
+            printf("set %s=%s\n", json_string_value(set),
+                   json_string_value(json_object_get(row, "value")));
+        }
+        else {
+            printf("delete %s\n",
+                   json_string_value(json_object_get(row, "delete")));
+        }
+    }
+}
+
+/* Prints one outcome. */
+static void
+outcome_print(const json_t *row)
+{
+    const char *author = json_string_value(json_object_get(row, "author"));
+    printf("%-12s version=%" G_GINT64_FORMAT " id=%s author=%s %s\n",
+           json_string_value(json_object_get(row, "outcome")),
+           (gint64)PhJson_GetInt(row, "version", 0),
+           json_string_value(json_object_get(row, "id")),
+           author != NULL ? author : "-",
+           json_string_value(json_object_get(row, "reason")));
+}
+
+/* Prints the latest patches. */
+static void
+history_print(const json_t *json)
+{
+    size_t i;
+    json_t *row;
+    json_array_foreach(json_object_get(json, "patches"), i, row)
+    {
+        outcome_print(row);
+    }
+}
+
+/* Prints an answer in the way of its action. */
+static void
+view_print(PhConfigView view, const json_t *json)
+{
+    switch (view) {
+    case VIEW_ENTRIES:
+        entries_print(json);
+        break;
+    case VIEW_CHANGES:
+        changes_print(json);
+        break;
+    case VIEW_HISTORY:
+        history_print(json);
+        break;
+    case VIEW_OUTCOME:
+        outcome_print(json);
+        break;
+    }
+}
+
+/* Finds an action by its name and the number of its arguments. */
+static const PhConfigAct *
+act_find(int argc, char **argv)
+{
+    for (size_t i = 0; argc >= 2 && i < G_N_ELEMENTS(acts); i++) {
+        if (strcmp(argv[1], acts[i].name) == 0 &&
+            argc - 2 == acts[i].arguments) {
+            return &acts[i];
+        }
+    }
+    return NULL;
+}
+
+/* Puts the arguments into the target of an action. */
+static char *
+target_make(const PhConfigAct *act, char **arguments)
+{
+    GString *target = g_string_new(NULL);
+    const char *rest = act->target;
+    for (int i = 0; i < act->arguments; i++) {
+        const char *gap = strstr(rest, "%s");
+        char *escaped = g_uri_escape_string(arguments[i], NULL, FALSE);
+        g_string_append_len(target, rest, gap - rest);
+        g_string_append(target, escaped);
+        g_free(escaped);
+        rest = gap + 2;
+    }
+    g_string_append(target, rest);
+    return g_string_free(target, FALSE);
+}
+
+/* Asks the instance and prints its answer. */
+static int
+act_run(const PhConfigAct *act, const PhClient *client, char **arguments,
+        bool as_json)
+{
+    json_t *json = NULL;
+    char *target = target_make(act, arguments);
+    PhClientAnswer answer =
+        PhClient_Call(client, act->method, target, (PhStr){0});
+    PhResult parsed = PhJson_Parse(answer.body, &json);
+    bool done = answer.status == 200 && PhResult_IsOk(&parsed);
+    if (!done) {
+        fprintf(stderr, "peridothill config: %.*s\n",
+                PhStr_ARG(answer.status == 0 ? PhResult_Message(&answer.result)
+                                             : answer.body));
+    }
+    else if (as_json) {
+        printf("%.*s\n", PhStr_ARG(answer.body));
+    }
+    else {
+        view_print(act->view, json);
+    }
+    json_decref(json);
+    PhClientAnswer_Clear(&answer);
+    g_free(target);
+    return done ? PH_EXIT_DONE : PH_EXIT_FAILED;
+}
+
+/* Builds the text that --help shows after the options. */
+static char *
+acts_describe(void)
+{
+    GString *text = g_string_new("Actions:\n");
+    for (size_t i = 0; i < G_N_ELEMENTS(acts); i++) {
+        g_string_append_printf(text, "  %s\n", acts[i].help);
+    }
+    return g_string_free(text, FALSE);
+}
+
+/* Reads the configuration of an instance. */
+int
+PhCommand_Config(int argc, char **argv)
+{
+    PhClient client = {0};
+    gboolean as_json = FALSE;
+    GOptionEntry entries[] = {
+        {"json", 'j', 0, G_OPTION_ARG_NONE, &as_json,
+         "Print the JSON of the interface", NULL},
+        {NULL},
+    };
+    GOptionContext *context = g_option_context_new("ACTION [ARGUMENT...]");
+    char *description = acts_describe();
+    GError *error = NULL;
+    int code = PH_EXIT_USAGE;
+    g_option_context_set_description(context, description);
+    g_option_context_add_main_entries(context, entries, NULL);
+    PhClient_AddOptions(&client, context);
+    bool valid = g_option_context_parse(context, &argc, &argv, &error);
+    const PhConfigAct *act = valid ? act_find(argc, argv) : NULL;
+    PhResult opened = PhClient_Open(&client);
+    if (act == NULL || !PhResult_IsOk(&opened)) {
+        fprintf(stderr, "peridothill config: %s%.*s\n",
+                error != NULL ? error->message
+                : act == NULL ? "an action is needed; see --help "
+                              : "",
+                PhStr_ARG(PhResult_Message(&opened)));
+        g_clear_error(&error);
+    }
+    else {
+        code = act_run(act, &client, argv + 2, as_json);
+    }
+    g_option_context_free(context);
+    g_free(description);
+    PhClient_Clear(&client);
+    return code;
+}
--- a/decide/config/config_appender.c
+++ b/decide/config/config_appender.c
@@ -8,7 +8,7 @@
 };
 
 #define PROBE_INTERVAL_NS (8 * PH_NS_PER_S)
-#define CALM_AFTER_NS (10 * PH_NS_PER_S)
+#define CALM_AFTER_NS (30 * PH_NS_PER_S)
 #define RETRY_MIN_NS (500 * PH_NS_PER_MS)
 #define RETRY_MAX_NS (8 * PH_NS_PER_S)
 
@@ -121,12 +121,20 @@
     return (double)a->options.appends_per_second / (double)a->instances;
 }
 
+/* The most tokens that are kept: a burst while the log is well, and a quarter
+ * of a second's share while the instances drain their queues. */
+static double
+tokens_most(const PhConfigAppender *a)
+{
+    return a->paced ? MAX(rate_share(a) / 4, 1.0) : BURST_PATCHES;
+}
+
 /* Adds the tokens of the time that has passed. */
 static void
 tokens_refill(PhConfigAppender *a, PhTime now)
 {
     double passed = (double)(now - a->tokens_at) / (double)PH_NS_PER_S;
-    a->tokens = MIN(a->tokens + passed * rate_share(a), BURST_PATCHES);
+    a->tokens = MIN(a->tokens + passed * rate_share(a), tokens_most(a));
     a->tokens_at = now;
     if (now >= a->calm_at) {
         a->calm_at = PH_TIME_NEVER;
--- a/include/peridothill/bench/bench.h
+++ b/include/peridothill/bench/bench.h
@@ -37,6 +37,8 @@
 
 /* Parts of the bench "control". */
 PhResult
+PhBench_ControlConfig(const PhBenchOptions *options);
+PhResult
 PhBench_ControlMembers(const PhBenchOptions *options);
 
 #endif
--- a/include/peridothill/bench/config_fleet.h
+++ b/include/peridothill/bench/config_fleet.h
@@ -16,6 +16,7 @@
     uint32_t readers;      /* for each data centre */
     double loss;
     PhTime retention;
+    uint32_t appends_per_second; /* shared by all instances; 0: default */
 } PhConfigFleetOptions;
 
 /* What became of one version. */
--- a/include/peridothill/commands.h
+++ b/include/peridothill/commands.h
@@ -24,6 +24,8 @@
 int
 PhCommand_Check(int argc, char **argv);
 int
+PhCommand_Config(int argc, char **argv);
+int
 PhCommand_Patch(int argc, char **argv);
 int
 PhCommand_Demo(int argc, char **argv);
--- a/include/peridothill/services/config.h
+++ b/include/peridothill/services/config.h
@@ -22,6 +22,8 @@
     PH_CONFIG_PAST,      /* from "config": one for each HISTORY */
     PH_CONFIG_REPORT,    /* to "config": ask what is known of the peers */
     PH_CONFIG_REPORTED,  /* from "config": one for each REPORT */
+    PH_CONFIG_BRIDGE,    /* to "config": give up records that are past
+                            retention unread; a VERDICT follows */
 } PhConfigTag;
 
 /* A patch as an operator submits it; strings owned by the message. */
@@ -97,6 +99,7 @@
     uint64_t highest_heard;
     int64_t log_heard_ms_ago; /* negative: never */
     bool reads_log;
+    bool has_gap; /* records that were never seen here are past retention */
     size_t appends_waiting;
     PhConfigPeerRow *peers;
     size_t peer_count;
@@ -115,6 +118,7 @@
         PhConfigPast past;
         uint64_t report; /* request number */
         PhConfigReported reported;
+        uint64_t bridge; /* request number */
     } as;
 } PhConfigMessage;
 
--- a/services/config/config_message.c
+++ b/services/config/config_message.c
@@ -46,6 +46,7 @@
     case PH_CONFIG_GET:
     case PH_CONFIG_HISTORY:
     case PH_CONFIG_REPORT:
+    case PH_CONFIG_BRIDGE:
         break;
     case PH_CONFIG_IN_FORCE:
         PhConfigState_Unref(m->as.in_force);
--- a/services/config/config_query.c
+++ b/services/config/config_query.c
@@ -242,6 +242,7 @@
             .log_heard_ms_ago =
                 age_ms(now, PhConfigFollower_ConfirmedAt(t->follower)),
             .reads_log = PhConfigFollower_ReadsLog(t->follower),
+            .has_gap = PhConfigFollower_HasGap(t->follower),
             .appends_waiting = PhConfigAppender_Waiting(t->appender)}};
     report_peers(t, now, &m.as.reported);
     reply(t, from, &m);
@@ -251,6 +252,21 @@
     PhConfigTask_Act(t, actions);
 }
 
+/* Bridges a gap, and says whether there was one. */
+static void
+bridge(PhConfigTask *t, PhTaskRef from, uint64_t request)
+{
+    bool gap = PhConfigFollower_HasGap(t->follower);
+    PhConfigEvent event = {.kind = PH_CONFIG_EVENT_BRIDGE};
+    PhResult result =
+        gap ? PhResult_Ok()
+            : PhResult_Make(PH_STATUS_NOT_FOUND, "no records are missing");
+    PhConfigTask_Follow(t, &event);
+    verdict_send(t, from, request, (PhStr){0}, &result,
+                 PhConfigState_Version(PhConfigLedger_State(
+                     PhConfigFollower_Ledger(t->follower))));
+}
+
 /* Handles a message of another task. */
 void
 PhConfigQuery_Handle(PhConfigTask *t, PhTaskRef from, const PhConfigMessage *m)
@@ -274,6 +290,9 @@
     case PH_CONFIG_REPORT:
         report(t, from, m->as.report);
         break;
+    case PH_CONFIG_BRIDGE:
+        bridge(t, from, m->as.bridge);
+        break;
     case PH_CONFIG_IN_FORCE:
     case PH_CONFIG_VERDICT:
     case PH_CONFIG_GOT:
--- a/services/operators/operators_task.h
+++ b/services/operators/operators_task.h
@@ -90,6 +90,8 @@
 void
 PhOperatorsConfig_At(PhOperatorsTask *t, const PhOperatorsCall *call);
 void
+PhOperatorsConfig_Bridge(PhOperatorsTask *t, const PhOperatorsCall *call);
+void
 PhOperatorsConfig_Diff(PhOperatorsTask *t, const PhOperatorsCall *call);
 void
 PhOperatorsConfig_History(PhOperatorsTask *t, const PhOperatorsCall *call);
--- a/services/operators/route_config.c
+++ b/services/operators/route_config.c
@@ -120,6 +120,15 @@
     config_ask(t, number, &m);
 }
 
+/* POST /config/bridge: gives up records that are past retention unread. */
+void
+PhOperatorsConfig_Bridge(PhOperatorsTask *t, const PhOperatorsCall *call)
+{
+    uint64_t number = PhOperators_Await(t, call, WAIT_OTHER, QUERY_TIMEOUT_NS);
+    PhConfigMessage m = {.tag = PH_CONFIG_BRIDGE, .as.bridge = number};
+    config_ask(t, number, &m);
+}
+
 /* GET /config/patches/ID: the verdict on a patch. */
 void
 PhOperatorsConfig_Find(PhOperatorsTask *t, const PhOperatorsCall *call)
@@ -295,6 +304,7 @@
     case PH_CONFIG_GET:
     case PH_CONFIG_HISTORY:
     case PH_CONFIG_REPORT:
+    case PH_CONFIG_BRIDGE:
         break;
     }
 }
--- a/services/operators/routes.c
+++ b/services/operators/routes.c
@@ -7,6 +7,7 @@
 static const PhOperatorsRoute routes[] = {
     {"/config", "GET", PhOperatorsConfig_Get},
     {"/config/at/", "GET", PhOperatorsConfig_At},
+    {"/config/bridge", "POST", PhOperatorsConfig_Bridge},
     {"/config/diff", "GET", PhOperatorsConfig_Diff},
     {"/config/history", "GET", PhOperatorsConfig_History},
     {"/config/patches", "POST", PhOperatorsConfig_Patch},
--- a/tests/config/test_operators.c
+++ b/tests/config/test_operators.c
@@ -73,6 +73,8 @@
      "peridothill_config_patches_total{outcome=\"accepted\"} 2"},
     {"refusals counted", "GET", "/metrics", TOKEN, "", 200,
      "peridothill_operators_refused_total{reason=\"token\"} 4"},
+    {"no gap to bridge", "POST", "/config/bridge", TOKEN, "", 404,
+     "no records are missing"},
     {"cannot be drained", "POST", "/drain", TOKEN, "", 501, "drained"},
 };
 
