--- a/tests/config/test_operators.c
+++ b/tests/config/test_operators.c
@@ -13,7 +13,8 @@
 #include "tests/table.h"
 
 enum {
-    CALL_TIMEOUT_S = 10
+    CALL_TIMEOUT_S = 10,
+    ANSWER_LIMIT_BYTES = 1024 * 1024,
 };
 
 #define TOKEN "Bearer 0123456789abcdef"
@@ -119,7 +120,7 @@
                                    .deadline = PhKernel_Now(w->kernel) +
                                                CALL_TIMEOUT_S * PH_NS_PER_S,
                                    .first_byte = PH_TIME_NEVER,
-                                   .answer_limit_bytes = 1024 * 1024}};
+                                   .answer_limit_bytes = ANSWER_LIMIT_BYTES}};
     PhHttpHeader_Add(&m.as.send.headers, &m.as.send.header_count,
                      PhStr_LITERAL("Authorization"),
                      PhStr_FromC(c->authorization));
