commands: print tables of text from one place

Cause: status held a table of its own, and further commands print tables too. Conclusion: tried by hand: the table of instances reads as before.

--- a/commands/status.c
+++ b/commands/status.c
@@ -1,36 +1,10 @@
 #include <stdio.h>
-#include <string.h>
 
 #include "commands/client.h"
+#include "commands/table.h"
 #include "peridothill/codec/json.h"
 #include "peridothill/commands.h"
 
-/* A column of the table of instances. */
-typedef struct PhColumn {
-    const char *title;
-    size_t width;
-} PhColumn;
-
-enum {
-    COLUMNS = 4,
-    CELL_BYTES = 80,
-};
-
-/* The rows of the table, as text. */
-typedef struct PhTable {
-    PhColumn columns[COLUMNS];
-    GPtrArray *cells; /* char *, row by row */
-} PhTable;
-
-/* Appends a cell and widens its column at need. */
-static void
-cell_add(PhTable *table, char *text)
-{
-    PhColumn *column = &table->columns[table->cells->len % COLUMNS];
-    column->width = MAX(column->width, strlen(text));
-    g_ptr_array_add(table->cells, text);
-}
-
 /* Makes the text of a string member. */
 static char *
 text_of(const json_t *json, const char *key)
@@ -55,50 +29,40 @@
                            (gint64)PhJson_GetInt(json, key, 0));
 }
 
-/* Prints the table with a line of titles. */
+/* Adds one instance to the table; takes over the text of its age. */
 static void
-table_print(const PhTable *table)
+instance_add(PhTable *table, PhStr name, const char *where, const json_t *held,
+             char *age)
 {
-    for (size_t i = 0; i < COLUMNS; i++) {
-        printf("%-*s  ", (int)table->columns[i].width,
-               table->columns[i].title);
-    }
-    printf("\n");
-    for (guint i = 0; i < table->cells->len; i++) {
-        printf("%-*s  ", (int)table->columns[i % COLUMNS].width,
-               (const char *)g_ptr_array_index(table->cells, i));
-        if (i % COLUMNS == COLUMNS - 1) {
-            printf("\n");
-        }
-    }
+    PhTable_AddStr(table, name);
+    PhTable_AddFormat(table, "%s", where);
+    PhTable_AddFormat(table, "%" G_GINT64_FORMAT,
+                      (gint64)PhJson_GetInt(held, "version", 0));
+    PhTable_AddFormat(table, "%s", age);
+    g_free(age);
 }
 
 /* Prints the instances and the versions they hold. */
 static void
 peers_print(const json_t *status)
 {
+    static const char *const titles[] = {"INSTANCE", "WHERE", "VERSION",
+                                         "HEARD"};
     size_t i;
     const json_t *row;
     const json_t *config = json_object_get(status, "config");
-    PhTable table = {.columns = {{"INSTANCE", 8},
-                                 {"WHERE", 5},
-                                 {"VERSION", 7},
-                                 {"HEARD", 5}},
-                     .cells = g_ptr_array_new_with_free_func(g_free)};
-    cell_add(&table, text_of(status, "instance"));
-    cell_add(&table, g_strdup("here"));
-    cell_add(&table, number_of(config, "version"));
-    cell_add(&table, g_strdup("now"));
+    PhTable *table = PhTable_Create(titles, G_N_ELEMENTS(titles));
+    instance_add(table, PhJson_GetStr(status, "instance"), "here", config,
+                 g_strdup("now"));
     json_array_foreach(json_object_get(config, "peers"), i, row)
     {
         bool local = json_is_true(json_object_get(row, "local"));
-        cell_add(&table, text_of(row, "member"));
-        cell_add(&table, g_strdup(local ? "local" : "remote"));
-        cell_add(&table, number_of(row, "version"));
-        cell_add(&table, age_of(row, "heard_ms_ago"));
+        instance_add(table, PhJson_GetStr(row, "member"),
+                     local ? "local" : "remote", row,
+                     age_of(row, "heard_ms_ago"));
     }
-    table_print(&table);
-    g_ptr_array_free(table.cells, TRUE);
+    PhTable_Print(table, stdout);
+    PhTable_Destroy(table);
 }
 
 /* Prints one line of the head. */
