requests: bound and age connections, tell a lost connection from a bad worker

Cause: idle connections came on top of those in use; a connection that went silent counted against its worker; a retry could meet the next dead one. Change: the client keeps at most this instance's part of a worker's connections, one of which is left for commands; connections are used for 60 to 90 s and end when bytes stay unacknowledged for 5 s; a first-byte timeout or reset on a used connection closes that connection and does not count against the worker; the retry after it opens a new one.

--- a/bench/requests_fleet.c
+++ b/bench/requests_fleet.c
@@ -59,6 +59,7 @@
         n->idle[w]--;
         n->silent[w] -= silent;
         a->silent = silent && !fresh;
+        a->reused = !fresh;
     }
     n->in_use[w]++;
     uint32_t sum = 0;
@@ -91,9 +92,11 @@
         return;
     }
     a->open = false;
-    PhRequestsEvent event = {
-        .tag = PH_REQUESTS_REPLIED,
-        .as.replied = {.attempt = attempt, .end = end, .status = status}};
+    PhRequestsEvent event = {.tag = PH_REQUESTS_REPLIED,
+                             .as.replied = {.attempt = attempt,
+                                            .end = end,
+                                            .status = status,
+                                            .reused = a->reused}};
     PhFleet_Decide(f, number, &event);
 }
 
--- a/bench/requests_fleet_internal.h
+++ b/bench/requests_fleet_internal.h
@@ -11,6 +11,7 @@
     bool open;      /* the decisions wait for its reply */
     bool connected; /* it still holds its connection */
     bool silent;    /* its connection has gone silent */
+    bool reused;    /* its connection was used before */
 } PhFleetAttempt;
 
 /* An entry instance.  Idle connections to a worker are counted; some of them
--- a/decide/requests/dispatch.c
+++ b/decide/requests/dispatch.c
@@ -36,6 +36,16 @@
                  (unsigned long)record->id);
 }
 
+/* Tells whether an attempt needs a connection that was not used before: one
+ * that must not be repeated by the client, or that a dead connection failed.
+ */
+static bool
+needs_fresh_connection(const PhRequestRecord *record, PhSendCause cause)
+{
+    return !record->idempotent || cause == PH_SEND_RETRY_FIRST_BYTE ||
+           cause == PH_SEND_RETRY_RESET;
+}
+
 /* Sends one attempt of a request to a worker. */
 static void
 attempt_send(PhRequests *r, PhRequestRecord *record, uint32_t worker,
@@ -70,7 +80,8 @@
                            .cause = cause,
                            .deadline = record->deadline,
                            .first_byte = first_byte_deadline(r, record),
-                           .fresh_connection = !record->idempotent}});
+                           .fresh_connection =
+                               needs_fresh_connection(record, cause)}});
 }
 
 /* Tells whether an answer can still be in time.  What is asked for is at most
--- a/decide/requests/reply.c
+++ b/decide/requests/reply.c
@@ -55,6 +55,14 @@
         return reply->status < HTTP_SERVER_ERROR ? PH_ATTEMPT_SUCCEEDED
                                                  : PH_ATTEMPT_FAILED;
     }
+    /* A used connection that failed has been closed; the next attempts open
+     * new ones, and those tell about the worker. */
+    bool connection_lost =
+        reply->reused && (reply->end == PH_ATTEMPT_END_FIRST_BYTE ||
+                          reply->end == PH_ATTEMPT_END_RESET);
+    if (connection_lost) {
+        return PH_ATTEMPT_CANCELLED;
+    }
     if (attempt->overdue || meanings[reply->end].worker_failed) {
         return PH_ATTEMPT_FAILED;
     }
--- a/decide/requests/router.c
+++ b/decide/requests/router.c
@@ -284,7 +284,12 @@
     size_t self = own_position(router, ids);
     PhSubsetPart part = PhSubset_Part(w->id, w->connections, ids,
                                       router->instances->len, self);
-    w->cap = router->options.connection_limit ? part.connections : UINT32_MAX;
+    w->share = part.connections;
+    /* One connection is left for commands to the worker. */
+    w->cap = part.connections > 1 ? part.connections - 1 : part.connections;
+    if (!router->options.connection_limit) {
+        w->cap = UINT32_MAX;
+    }
     w->sharers = part.sharers;
     g_free(ids);
 }
@@ -434,7 +439,7 @@
 uint32_t
 PhRouter_ConnectionCap(const PhRouter *router, uint32_t worker)
 {
-    return router_worker(router, worker)->cap;
+    return router_worker(router, worker)->share;
 }
 
 /* Adds to the requests in flight at a worker, and frees an idle slot that is
--- a/decide/requests/router_internal.h
+++ b/decide/requests/router_internal.h
@@ -41,7 +41,8 @@
     PhStr services;
     uint32_t slots;
     uint32_t connections; /* the worker's limit */
-    uint32_t cap;         /* this instance's part; 0 outside its subset */
+    uint32_t share;       /* this instance's part; 0 outside its subset */
+    uint32_t cap;         /* requests that may use it at a time */
     uint32_t sharers;
     uint32_t in_flight;
     bool present;
--- a/include/peridothill/decide/requests/requests.h
+++ b/include/peridothill/decide/requests/requests.h
@@ -63,6 +63,7 @@
     uint64_t attempt;
     PhAttemptEnd end;
     bool not_sent; /* proved: no byte of the attempt left */
+    bool reused;   /* its connection was used before, and may have been dead */
     int status;
 } PhUpstreamReply;
 
--- a/include/peridothill/services/http.h
+++ b/include/peridothill/services/http.h
@@ -23,6 +23,7 @@
     PhTime first_byte; /* deadline of the first byte, or PH_TIME_NEVER */
     size_t answer_limit_bytes;
     bool fresh_connection; /* never on a connection that was used before */
+    uint32_t connections;  /* most connections to one address; 0 leaves it */
 } PhHttpRequest;
 
 /* What is known about a request that ended. */
@@ -49,6 +50,7 @@
     uint64_t id;
     PhHttpOutcome outcome;
     PhHttpFailure failure;
+    bool reused_connection; /* it went over one that was used before */
     int status;
     PhHttpHeader *headers;
     size_t header_count;
--- a/services/platform/http.c
+++ b/services/platform/http.c
@@ -1,8 +1,11 @@
 #include "peridothill/services/http.h"
 
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 
 #include "peridothill/common/invariant.h"
+#include "peridothill/common/random.h"
 #include "peridothill/services/interface.h"
 
 enum {
@@ -10,6 +13,13 @@
     CURL_TIMER_TOKEN = 0,
     KEEPALIVE_IDLE_S = 15,
     KEEPALIVE_INTERVAL_S = 5,
+    /* Unacknowledged bytes end a connection after this long. */
+    USER_TIMEOUT_MS = 5000,
+    /* Connections are used for this long and a random part more, so that
+     * they do not all close together, and kept idle for this long. */
+    CONNECTION_AGE_S = 60,
+    CONNECTION_AGE_JITTER_S = 30,
+    CONNECTION_IDLE_S = 20,
 };
 
 /* Timers of a transfer: its number, shifted, and which deadline it is. */
@@ -24,6 +34,8 @@
     CURLM *multi;
     GHashTable *transfers; /* PhTransfer by number */
     uint64_t next_number;
+    uint32_t connections; /* limit for each address, 0 for none */
+    PhRandom *random;     /* of the jitter */
 } PhHttp;
 
 /* A request in flight. */
@@ -156,6 +168,9 @@
 {
     PhHttp *http = t->http;
     PhTime now = PhTask_Now(http->self);
+    long opened = 0;
+    curl_easy_getinfo(t->easy, CURLINFO_NUM_CONNECTS, &opened);
+    t->reply.reused_connection = opened == 0 && outcome != PH_HTTP_NOT_SENT;
     t->reply.outcome = outcome;
     t->reply.failure = failure;
     t->reply.body = PhBuf_Take(&t->body_in);
@@ -305,7 +320,45 @@
     g_free(method);
 }
 
-/* Sets the URL, the callbacks and the properties of the connection. */
+/* Bounds how long a silent connection goes unnoticed. */
+static int
+on_socket_options(void *context, curl_socket_t fd, curlsocktype purpose)
+{
+    unsigned timeout_ms = USER_TIMEOUT_MS;
+    (void)context;
+    (void)purpose;
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+               sizeof(timeout_ms));
+    return CURL_SOCKOPT_OK;
+}
+
+/* Sets which connection a transfer may use.  With a fresh connection libcurl
+ * never sends a request again by itself: it does so only when a connection
+ * that was used before turns out to be dead. */
+static void
+set_connection(PhTransfer *t, const PhHttpRequest *r)
+{
+    long age = CONNECTION_AGE_S +
+               (long)PhRandom_Below(t->http->random, CONNECTION_AGE_JITTER_S);
+    curl_easy_setopt(t->easy, CURLOPT_HTTP_VERSION,
+                     (long)CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(t->easy, CURLOPT_TCP_KEEPALIVE, 1L);
+    curl_easy_setopt(t->easy, CURLOPT_TCP_KEEPIDLE, (long)KEEPALIVE_IDLE_S);
+    curl_easy_setopt(t->easy, CURLOPT_TCP_KEEPINTVL,
+                     (long)KEEPALIVE_INTERVAL_S);
+    curl_easy_setopt(t->easy, CURLOPT_SOCKOPTFUNCTION, on_socket_options);
+    curl_easy_setopt(t->easy, CURLOPT_MAXLIFETIME_CONN, age);
+    curl_easy_setopt(t->easy, CURLOPT_MAXAGE_CONN, (long)CONNECTION_IDLE_S);
+    curl_easy_setopt(t->easy, CURLOPT_FRESH_CONNECT,
+                     r->fresh_connection ? 1L : 0L);
+    if (r->connections > 0 && r->connections != t->http->connections) {
+        t->http->connections = r->connections;
+        curl_multi_setopt(t->http->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                          (long)r->connections);
+    }
+}
+
+/* Sets the URL and the callbacks. */
 static void
 set_transfer(PhTransfer *t, const PhHttpRequest *r)
 {
@@ -321,12 +374,6 @@
     curl_easy_setopt(t->easy, CURLOPT_WRITEDATA, t);
     curl_easy_setopt(t->easy, CURLOPT_HEADERFUNCTION, on_header);
     curl_easy_setopt(t->easy, CURLOPT_HEADERDATA, t);
-    curl_easy_setopt(t->easy, CURLOPT_TCP_KEEPALIVE, 1L);
-    curl_easy_setopt(t->easy, CURLOPT_TCP_KEEPIDLE, (long)KEEPALIVE_IDLE_S);
-    curl_easy_setopt(t->easy, CURLOPT_TCP_KEEPINTVL,
-                     (long)KEEPALIVE_INTERVAL_S);
-    curl_easy_setopt(t->easy, CURLOPT_FRESH_CONNECT,
-                     r->fresh_connection ? 1L : 0L);
 }
 
 /* Starts a transfer for a request. */
@@ -343,6 +390,7 @@
     t->easy = curl_easy_init();
     Ph_INVARIANT(PH_INVARIANT_PRECONDITION, t->easy != NULL, "curl");
     set_transfer(t, r);
+    set_connection(t, r);
     set_headers(t, r);
     set_method(t, r);
     g_hash_table_insert(http->transfers, &t->number, t);
@@ -467,6 +515,7 @@
     if (http->multi != NULL) {
         curl_multi_cleanup(http->multi);
     }
+    PhRandom_Destroy(http->random);
     g_free(http);
 }
 
@@ -475,6 +524,7 @@
 PhHttp_Start(PhKernel *kernel)
 {
     PhHttp *http = g_new0(PhHttp, 1);
+    http->random = PhRandom_Create((uint64_t)PhKernel_Now(kernel));
     http->transfers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
                                             transfer_destroy);
     PhTaskSpec spec = {.name = PH_SERVICE_HTTP,
--- a/services/requests/entry_actions.c
+++ b/services/requests/entry_actions.c
@@ -34,10 +34,9 @@
 act_send(PhEntry *entry, const PhSend *send)
 {
     const PhCall *call = g_hash_table_lookup(entry->calls, &send->request);
-    PhStr address = PhRouter_WorkerAddress(PhRequests_Router(entry->requests),
-                                           send->worker);
     PhMessage message =
-        PhCall_Message(call, send, address, PhTask_Now(entry->self));
+        PhCall_Message(call, send, PhRequests_Router(entry->requests),
+                       PhTask_Now(entry->self));
     if (PhTask_SendTo(entry->self, PH_SERVICE_HTTP, message) != PH_STATUS_OK) {
         count(entry, PH_COUNTER_ATTEMPTS_UNDELIVERED);
         g_queue_push_tail(&entry->unsent,
--- a/services/requests/entry_call.c
+++ b/services/requests/entry_call.c
@@ -141,20 +141,23 @@
 
 /* Makes the message to "http" for one attempt. */
 PhMessage
-PhCall_Message(const PhCall *call, const PhSend *send, PhStr address,
+PhCall_Message(const PhCall *call, const PhSend *send, const PhRouter *router,
                PhTime now)
 {
     PhHttpMessage message = {.tag = PH_HTTP_SEND};
     PhHttpRequest *request = &message.as.send;
-    *request = (PhHttpRequest){.id = send->attempt,
-                               .method = PhStr_Dup(call->method),
-                               .address = PhStr_Dup(address),
-                               .target = PhStr_Dup(call->target),
-                               .body = PhStr_Dup(call->body),
-                               .deadline = send->deadline,
-                               .first_byte = send->first_byte,
-                               .answer_limit_bytes = ANSWER_LIMIT_BYTES,
-                               .fresh_connection = send->fresh_connection};
+    PhStr address = PhRouter_WorkerAddress(router, send->worker);
+    *request = (PhHttpRequest){
+        .id = send->attempt,
+        .method = PhStr_Dup(call->method),
+        .address = PhStr_Dup(address),
+        .target = PhStr_Dup(call->target),
+        .body = PhStr_Dup(call->body),
+        .deadline = send->deadline,
+        .first_byte = send->first_byte,
+        .answer_limit_bytes = ANSWER_LIMIT_BYTES,
+        .fresh_connection = send->fresh_connection,
+        .connections = PhRouter_ConnectionCap(router, send->worker)};
     for (size_t i = 0; i < call->header_count; i++) {
         const PhHttpHeader *header = &call->headers[i];
         if (!PhCall_IsHopHeader(header->name) &&
--- a/services/requests/entry_internal.h
+++ b/services/requests/entry_internal.h
@@ -71,7 +71,7 @@
 PhCall_Arrival(const PhCall *call, PhStr path);
 /* Makes the message that sends one attempt of it. */
 PhMessage
-PhCall_Message(const PhCall *call, const PhSend *send, PhStr address,
+PhCall_Message(const PhCall *call, const PhSend *send, const PhRouter *router,
                PhTime now);
 /* Tells whether a header only counts between two hops. */
 bool
--- a/services/requests/entry_mail.c
+++ b/services/requests/entry_mail.c
@@ -136,6 +136,7 @@
         .as.replied = {.attempt = reply->id,
                        .end = PhEntry_AttemptEnd(reply),
                        .not_sent = reply->outcome == PH_HTTP_NOT_SENT,
+                       .reused = reply->reused_connection,
                        .status = reply->status}};
     entry->reply = reply;
     PhEntry_Decide(entry, &event);
