--- /dev/null
+++ b/bench/bench_http.c
@@ -0,0 +1,330 @@
+#include <ev.h>
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+#include "peridothill/bench/bench.h"
+#include "peridothill/services/config.h"
+#include "peridothill/services/entry.h"
+#include "peridothill/services/http.h"
+#include "peridothill/services/interface.h"
+#include "peridothill/services/listener.h"
+#include "peridothill/services/platform_list.h"
+
+enum {
+    CONCURRENCY = 32,
+    CLOSED_REQUESTS = 20000,
+    OPEN_REQUESTS = 10000,
+    WARM_REQUESTS = 500,
+    DEADLINE_S = 5,
+    HTTP_OK = 200,
+};
+
+/* What the client does in a phase: as fast as answers come, or at a rate. */
+typedef struct PhPhase {
+    bool through_entry;
+    PhTime interval; /* between requests; 0 sends on each answer */
+    uint64_t requests;
+} PhPhase;
+
+/* The client, the worker, and what stands in for list and configuration. */
+typedef struct PhHttpBench {
+    struct ev_loop *loop;
+    PhKernel *kernel;
+    PhTask *client;
+    int pace_fd; /* timer of the open loop; the loop's own rounds to 1 ms */
+    PhListener *worker;
+    uint16_t entry_port;
+    PhPhase phase;
+    uint64_t sent;
+    uint64_t ended;
+    uint64_t failed;
+    PhTime started;
+    GArray *latencies; /* PhTime */
+} PhHttpBench;
+
+/* Answers at once. */
+static void
+on_request(void *context, const PhIncoming *incoming)
+{
+    PhHttpBench *b = context;
+    PhListener_Answer(b->worker, incoming->id, HTTP_OK, NULL, 0,
+                      PhStr_LITERAL("ok"));
+}
+
+/* Nothing is kept for a caller that goes away. */
+static void
+on_gone(void *context, uint64_t id)
+{
+    (void)context;
+    (void)id;
+}
+
+/* The worker. */
+static void
+worker_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhHttpBench *b = state;
+    if (mail->kind == PH_MAIL_START) {
+        PhListenerOptions options = {.address = PhStr_LITERAL("127.0.0.1:0"),
+                                     .body_limit_bytes = 1024,
+                                     .connection_limit = 1024,
+                                     .idle_timeout_s = 60,
+                                     .context = b,
+                                     .on_request = on_request,
+                                     .on_gone = on_gone};
+        PhListener_Create(self, &options, &b->worker);
+        return;
+    }
+    PhListener_Handle(b->worker, mail);
+}
+
+/* Gives a reading of the list with the one worker. */
+static void
+list_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhHttpBench *b = state;
+    if (mail->kind != PH_MAIL_MESSAGE) {
+        return;
+    }
+    PhBuf address = {0};
+    PhBuf_AppendFormat(&address, "127.0.0.1:%u", PhListener_Port(b->worker));
+    PhListEntry entry = {.id = PhStr_LITERAL("w1"),
+                         .data_centre = PhStr_LITERAL("a"),
+                         .address = PhBuf_Str(&address),
+                         .services = PhStr_LITERAL("quote"),
+                         .slots = 2 * CONCURRENCY,
+                         .connections = 8 * CONCURRENCY};
+    PhListReading reading = {.entries = &entry, .entry_count = 1};
+    PhListMessage m = {.tag = PH_LIST_READING,
+                       .as.reading = PhListReading_Copy(&reading)};
+    PhTask_Send(self, mail->from, PhListMessage_Wrap(&m));
+    PhBuf_Clear(&address);
+}
+
+/* Gives a configuration with the one service. */
+static void
+config_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    static const PhConfigEntry entries[] = {
+        {{"services.quote.prefix", 21}, {"/quote", 6}, 1}};
+    (void)state;
+    if (mail->kind == PH_MAIL_MESSAGE) {
+        PhConfigMessage m = {.tag = PH_CONFIG_IN_FORCE,
+                             .as.in_force =
+                                 PhConfigState_Create(1, entries, 1)};
+        PhTask_Send(self, mail->from, PhConfigMessage_Wrap(&m));
+    }
+}
+
+/* Sends the next request of the phase. */
+static void
+client_send(PhHttpBench *b)
+{
+    PhBuf address = {0};
+    PhTime now = PhTask_Now(b->client);
+    PhBuf_AppendFormat(&address, "127.0.0.1:%u",
+                       b->phase.through_entry ? b->entry_port
+                                              : PhListener_Port(b->worker));
+    PhHttpMessage m = {
+        .tag = PH_HTTP_SEND,
+        .as.send = {.id = ++b->sent,
+                    .method = PhStr_Dup(PhStr_LITERAL("GET")),
+                    .address = PhBuf_Take(&address),
+                    .target = PhStr_Dup(PhStr_LITERAL("/quote")),
+                    .deadline = now + DEADLINE_S * PH_NS_PER_S,
+                    .first_byte = PH_TIME_NEVER,
+                    .answer_limit_bytes = 1024}};
+    PhTask_SendTo(b->client, PH_SERVICE_HTTP, PhHttpMessage_Wrap(&m));
+}
+
+/* Sets the interval of the open loop; 0 stops it. */
+static void
+pace_set(const PhHttpBench *b, PhTime interval)
+{
+    struct timespec t = {.tv_nsec = interval};
+    struct itimerspec pace = {.it_interval = t, .it_value = t};
+    timerfd_settime(b->pace_fd, 0, &pace, NULL);
+}
+
+/* Starts a phase: a closed loop with its concurrency, or the first of an open
+ * one. */
+static void
+client_start(PhHttpBench *b)
+{
+    b->started = PhTask_Now(b->client);
+    if (b->phase.interval > 0) {
+        pace_set(b, b->phase.interval);
+        return;
+    }
+    for (int i = 0; i < CONCURRENCY; i++) {
+        client_send(b);
+    }
+}
+
+/* Sends what is due in an open loop. */
+static void
+client_due(PhHttpBench *b)
+{
+    uint64_t due = 0;
+    if (read(b->pace_fd, &due, sizeof(due)) != sizeof(due)) {
+        return;
+    }
+    while (due-- > 0 && b->sent < b->phase.requests) {
+        client_send(b);
+    }
+    if (b->sent == b->phase.requests) {
+        pace_set(b, 0);
+    }
+}
+
+/* Takes an answer, and ends the phase with the last one. */
+static void
+client_take(PhHttpBench *b, const PhHttpReply *reply)
+{
+    b->ended++;
+    b->failed +=
+        reply->outcome != PH_HTTP_ANSWERED || reply->status != HTTP_OK;
+    g_array_append_val(b->latencies, reply->whole_after);
+    if (b->ended == b->phase.requests) {
+        ev_break(b->loop, EVBREAK_ALL);
+    }
+    else if (b->phase.interval == 0 && b->sent < b->phase.requests) {
+        client_send(b);
+    }
+}
+
+/* The client. */
+static void
+client_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhHttpBench *b = state;
+    b->client = self;
+    switch (mail->kind) {
+    case PH_MAIL_START:
+        PhTask_Watch(self, b->pace_fd, PH_IO_READ);
+        break;
+    case PH_MAIL_IO:
+        client_due(b);
+        break;
+    case PH_MAIL_MESSAGE:
+        client_take(b, &((PhHttpMessage *)mail->as.message.body)->as.reply);
+        break;
+    case PH_MAIL_TIMER:
+    case PH_MAIL_ENDED:
+    case PH_MAIL_STOP:
+        break;
+    }
+}
+
+/* Orders durations. */
+static gint
+time_compare(gconstpointer a, gconstpointer b)
+{
+    PhTime left = *(const PhTime *)a;
+    PhTime right = *(const PhTime *)b;
+    return (left > right) - (left < right);
+}
+
+/* Gives a quantile of the phase's latencies. */
+static PhTime
+quantile(const PhHttpBench *b, double q)
+{
+    guint at = (guint)(q * (b->latencies->len - 1));
+    return g_array_index(b->latencies, PhTime, at);
+}
+
+/* Runs a phase and gives the time for one request. */
+static PhTime
+phase_run(PhHttpBench *b, bool through_entry, PhTime interval,
+          uint64_t requests)
+{
+    b->phase = (PhPhase){.through_entry = through_entry,
+                         .interval = interval,
+                         .requests = requests};
+    b->sent = 0;
+    b->ended = 0;
+    g_array_set_size(b->latencies, 0);
+    client_start(b);
+    ev_run(b->loop, 0);
+    g_array_sort(b->latencies, time_compare);
+    return (PhTask_Now(b->client) - b->started) / (PhTime)requests;
+}
+
+/* Starts one task of the bench. */
+static void
+spawn(PhHttpBench *b, PhStr name,
+      void (*handle)(void *, PhTask *, const PhMail *))
+{
+    PhTaskSpec spec = {
+        .name = name, .mailbox_capacity = 4096, .state = b, .handle = handle};
+    PhKernel_Spawn(b->kernel, &spec, NULL);
+}
+
+/* Measures both ways, at full and at half load of the longer one. */
+static void
+measure(PhHttpBench *b, const PhBenchOptions *options)
+{
+    uint64_t closed = options->steps ? options->steps : CLOSED_REQUESTS;
+    uint64_t open = options->steps ? options->steps : OPEN_REQUESTS;
+    phase_run(b, false, 0, WARM_REQUESTS);
+    phase_run(b, true, 0, WARM_REQUESTS);
+    PhTime direct = phase_run(b, false, 0, closed);
+    PhTime entry = phase_run(b, true, 0, closed);
+    PhBench_Row(options, "http_full_load_per_request", "direct",
+                (double)direct, "ns");
+    PhBench_Row(options, "http_full_load_per_request", "entry", (double)entry,
+                "ns");
+    phase_run(b, false, 2 * entry, open);
+    PhTime p50 = quantile(b, 0.50);
+    PhTime p99 = quantile(b, 0.99);
+    PhBench_Row(options, "http_half_load_p50", "direct", (double)p50, "ns");
+    PhBench_Row(options, "http_half_load_p99", "direct", (double)p99, "ns");
+    phase_run(b, true, 2 * entry, open);
+    PhTime entry_p50 = quantile(b, 0.50);
+    PhTime entry_p99 = quantile(b, 0.99);
+    PhBench_Row(options, "http_half_load_p50", "entry", (double)entry_p50,
+                "ns");
+    PhBench_Row(options, "http_half_load_p99", "entry", (double)entry_p99,
+                "ns");
+    PhBench_Row(options, "http_half_load_added_p50", "entry",
+                (double)(entry_p50 - p50), "ns");
+    PhBench_Row(options, "http_half_load_added_p99", "entry",
+                (double)(entry_p99 - p99), "ns");
+    PhBench_Row(options, "http_failed", "both", (double)b->failed, "requests");
+}
+
+/* Runs client, entry and worker on one loop, so one core does the work of all
+ * three. */
+PhResult
+PhBench_Http(const PhBenchOptions *options)
+{
+    PhHttpBench b = {.loop = ev_loop_new(0)};
+    b.pace_fd = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK);
+    PhClock *clock = PhClock_Create(PH_CLOCK_REAL);
+    PhCounters *counters = PhCounters_Create();
+    b.latencies = g_array_new(FALSE, FALSE, sizeof(PhTime));
+    b.kernel = PhKernel_Create(&(PhKernelOptions){
+        .clock = clock, .loop = b.loop, .counters = counters});
+    PhHttp_Start(b.kernel);
+    spawn(&b, PhStr_LITERAL("worker"), worker_handle);
+    spawn(&b, PH_SERVICE_LIST, list_handle);
+    spawn(&b, PH_SERVICE_CONFIG, config_handle);
+    spawn(&b, PhStr_LITERAL("client"), client_handle);
+    PhEntryOptions entry = {.listen = PhStr_LITERAL("127.0.0.1:0"),
+                            .instance = PhStr_LITERAL("i1"),
+                            .data_centre = PhStr_LITERAL("a"),
+                            .seed = options->seed};
+    PhResult result = PhEntry_Start(b.kernel, &entry, &b.entry_port);
+    if (PhResult_IsOk(&result)) {
+        PhKernel_Drain(b.kernel, SIZE_MAX);
+        measure(&b, options);
+    }
+    PhListener_Destroy(b.worker);
+    PhKernel_Destroy(b.kernel);
+    PhCounters_Destroy(counters);
+    PhClock_Destroy(clock);
+    ev_loop_destroy(b.loop);
+    g_array_free(b.latencies, TRUE);
+    close(b.pace_fd);
+    return result;
+}
--- a/commands/bench.c
+++ b/commands/bench.c
@@ -17,6 +17,7 @@
     {"capacity", "slopes of each role, for docs/CAPACITY.md",
      PhBench_Capacity},
     {"control", "configuration and membership", PhBench_Control},
+    {"http", "requests through one entry instance", PhBench_Http},
     {"kernel", "cost of one message between tasks", PhBench_Kernel},
     {"requests", "routing, admission and retries", PhBench_Requests},
     {"soak", "randomised runs with faults and invariants", PhBench_Soak},
--- a/include/peridothill/bench/bench.h
+++ b/include/peridothill/bench/bench.h
@@ -29,6 +29,8 @@
 PhResult
 PhBench_Control(const PhBenchOptions *options);
 PhResult
+PhBench_Http(const PhBenchOptions *options);
+PhResult
 PhBench_Kernel(const PhBenchOptions *options);
 PhResult
 PhBench_Requests(const PhBenchOptions *options);
