soak: run requests and tasks with faults at any moment

Requests: five instances, twelve workers, callers of three services, keys that are repeated at other instances, planned stops and deaths. The run knows what each worker carried out and checks that 'not run' is true and stays so, that nothing non-idempotent runs twice by request or by key, that each request gets one answer, that a worker listed as leaving gets nothing, and that a stop leaves nothing open. Tasks: the world of the tests under the same plan, also with run times far from the declared ones.

--- a/bench/bench_soak.c
+++ b/bench/bench_soak.c
@@ -12,6 +12,8 @@
 static const PhSoakArea *const areas[] = {
     &PhSoak_Config,
     &PhSoak_Members,
+    &PhSoak_Requests,
+    &PhSoak_Tasks,
 };
 
 /* Gives all areas. */
--- /dev/null
+++ b/bench/soak_requests.c
@@ -0,0 +1,592 @@
+/* Requests over the shared queue and workers: instances that route, retry,
+ * claim keys from each other, stop and die, under every fault that concerns
+ * callers. */
+#include "soak_requests.h"
+
+#include "peridothill/common/invariant.h"
+
+#define MS PH_NS_PER_MS
+#define S PH_NS_PER_S
+#define VIEW_INTERVAL (1 * S)
+#define SERVICE_MEAN (20 * MS)
+#define ARRIVAL_MEAN (25 * MS)
+#define DEAD_AFTER (5 * S)
+#define DRAIN_NOTICE (1 * S)
+
+enum {
+    SERVICES = 3,
+    SLOTS = 8,
+    CONNECTIONS = 60,
+    FLOOD_FACTOR = 30,
+    LOAD_FACTOR = 3,
+    NOISE_FACTOR = 8,
+    KEYS_RECENT = 40, /* requests back that a key may be repeated from */
+};
+
+/* What one instance asks or tells another about a key. */
+typedef struct PhSoakClaim {
+    PhRequestsEventTag tag;
+    uint64_t request;
+    PhKeyVerdict verdict;
+    char *key;
+    char *from;
+} PhSoakClaim;
+
+/* Releases what a claim on its way owns. */
+static void
+claim_clear(gpointer data)
+{
+    PhSoakClaim *claim = data;
+    g_free(claim->key);
+    g_free(claim->from);
+}
+
+/* Releases a request. */
+static void
+request_destroy(gpointer data)
+{
+    PhSoakRequest *r = data;
+    g_free(r->key);
+    g_free(r);
+}
+
+/* Sends something about a key to the instance that an action names. */
+static void
+claim_send(PhSoakRequests *s, uint32_t from, PhRequestsEventTag tag,
+           const PhClaimAction *action)
+{
+    for (uint32_t to = 1; to <= SOAK_REQUESTS_NODES; to++) {
+        if (!PhStr_Equal(PhStr_FromC(s->nodes[to].id), action->member)) {
+            continue;
+        }
+        PhSoakClaim *claim = g_rc_box_new0(PhSoakClaim);
+        claim->tag = tag;
+        claim->request = action->request;
+        claim->verdict = action->verdict;
+        claim->key = PhStr_ToC(action->key);
+        claim->from = g_strdup(s->nodes[from].id);
+        PhFakeNet_Send(s->net, from, to, 0, claim);
+    }
+}
+
+/* Carries out one action; true once the instance has drained. */
+static bool
+action_do(PhSoakRequests *s, uint32_t node, const PhRequestsAction *a)
+{
+    switch (a->tag) {
+    case PH_REQUESTS_SEND:
+        PhSoakWorkers_Send(s, node, &a->as.send);
+        break;
+    case PH_REQUESTS_ANSWER:
+        PhSoakChecks_Answer(s, node, a->as.answer);
+        break;
+    case PH_REQUESTS_REFUSE:
+        PhSoakChecks_Refuse(s, node, &a->as.refuse);
+        break;
+    case PH_REQUESTS_CANCEL:
+        PhSoakWorkers_Cancel(s, node, a->as.cancel);
+        break;
+    case PH_REQUESTS_CLAIM:
+        claim_send(s, node, PH_REQUESTS_CLAIM_ASKED, &a->as.claim);
+        break;
+    case PH_REQUESTS_CLAIM_ANSWER:
+        claim_send(s, node, PH_REQUESTS_CLAIM_REPLIED, &a->as.claim);
+        break;
+    case PH_REQUESTS_CLAIM_RELEASE:
+        claim_send(s, node, PH_REQUESTS_CLAIM_RELEASED, &a->as.claim);
+        break;
+    case PH_REQUESTS_DRAINED:
+        PhSoakChecks_Drained(s, node);
+        return true;
+    case PH_REQUESTS_QUIESCE:
+    case PH_REQUESTS_NOTE:
+        break;
+    }
+    return false;
+}
+
+/* Ends an instance at once; what it had open is lost to its callers. */
+static void
+node_end(PhSoakRequests *s, uint32_t node)
+{
+    PhSoakEntry *e = &s->nodes[node];
+    PhFakeNet_Crash(s->net, node);
+    PhRequests_Destroy(g_steal_pointer(&e->requests));
+    g_hash_table_remove_all(e->open);
+    e->dead_since = PhFakeNet_Now(s->net);
+}
+
+/* Gives an event to an instance and carries out its actions. */
+static void
+node_give(PhSoakRequests *s, uint32_t node, const PhRequestsEvent *event)
+{
+    PhSoakEntry *e = &s->nodes[node];
+    GArray *actions = g_array_new(FALSE, FALSE, sizeof(PhRequestsAction));
+    bool drained = false;
+    PhRequests_Handle(e->requests, event, PhFakeNet_Now(s->net), actions);
+    for (guint i = 0; i < actions->len; i++) {
+        drained |=
+            action_do(s, node, &g_array_index(actions, PhRequestsAction, i));
+    }
+    g_array_free(actions, TRUE);
+    if (drained) {
+        node_end(s, node);
+        return;
+    }
+    e->wakes++;
+    PhTime next = PhRequests_Next(e->requests);
+    if (next != PH_TIME_NEVER) {
+        PhFakeNet_SetTimer(s->net, node,
+                           e->wakes * SOAK_REQUESTS_KINDS + SOAK_REQUESTS_WAKE,
+                           next);
+    }
+}
+
+/* Gives the services to an instance. */
+static void
+node_configure(PhSoakRequests *s, uint32_t node)
+{
+    PhServicePolicy rows[SERVICES] = {
+        PhServicePolicy_Default(PhStr_LITERAL("quote")),
+        PhServicePolicy_Default(PhStr_LITERAL("booking")),
+        PhServicePolicy_Default(PhStr_LITERAL("report"))};
+    static const char *const prefixes[SERVICES] = {"/quote", "/booking",
+                                                   "/report"};
+    for (int i = 0; i < SERVICES; i++) {
+        rows[i].prefix = PhStr_FromC(prefixes[i]);
+        rows[i].deadline = 2 * S;
+        rows[i].retry_percent = 20;
+    }
+    rows[0].hedge_after = 200 * MS;
+    rows[2].service_class = PH_SERVICE_CLASS_BACKGROUND;
+    node_give(s, node,
+              &(PhRequestsEvent){.tag = PH_REQUESTS_POLICIES,
+                                 .as.policies = {1, rows, SERVICES}});
+}
+
+/* Gives the list of workers to an instance. */
+static void
+node_take_list(PhSoakRequests *s, uint32_t node)
+{
+    static const char *const centres[SOAK_REQUESTS_CENTRES] = {
+        "windhoek-a", "windhoek-b", "okahandja"};
+    PhWorkerRow rows[SOAK_REQUESTS_WORKERS];
+    char ids[SOAK_REQUESTS_WORKERS][8];
+    s->nodes[node].told_leaving = 0;
+    for (uint32_t k = 0; k < SOAK_REQUESTS_WORKERS; k++) {
+        g_snprintf(ids[k], sizeof(ids[k]), "w%u", k);
+        rows[k] = (PhWorkerRow){
+            .id = PhStr_FromC(ids[k]),
+            .address = PhStr_LITERAL("10.0.0.1:80"),
+            .data_centre = PhStr_FromC(centres[k % SOAK_REQUESTS_CENTRES]),
+            .services = PhStr_LITERAL("quote booking report"),
+            .slots = SLOTS,
+            .connections = CONNECTIONS,
+            .leaving = s->workers[k].leaving};
+        s->nodes[node].told_leaving |= (uint32_t)rows[k].leaving << k;
+    }
+    node_give(s, node,
+              &(PhRequestsEvent){.tag = PH_REQUESTS_WORKERS,
+                                 .as.workers = {rows, SOAK_REQUESTS_WORKERS}});
+}
+
+/* Tells whether an instance hears another. */
+static bool
+node_hears(const PhSoakRequests *s, uint32_t node, uint32_t other)
+{
+    const PhSoakEntry *e = &s->nodes[other];
+    bool cut = PhFakeNet_Link(s->net, node % SOAK_REQUESTS_CENTRES,
+                              other % SOAK_REQUESTS_CENTRES)
+                   ->cut;
+    bool dead = e->requests == NULL &&
+                PhFakeNet_Now(s->net) - e->dead_since > DEAD_AFTER;
+    return node == other || (!cut && !dead);
+}
+
+/* Gives the members and, while the store answers, the list. */
+static void
+node_take_view(PhSoakRequests *s, uint32_t node)
+{
+    PhKeyMember rows[SOAK_REQUESTS_NODES];
+    PhFakeNet_SetTimer(s->net, node, SOAK_REQUESTS_VIEW,
+                       PhFakeNet_Now(s->net) + VIEW_INTERVAL);
+    for (uint32_t i = 0; i < SOAK_REQUESTS_NODES; i++) {
+        rows[i] = (PhKeyMember){.id = PhStr_FromC(s->nodes[i + 1].id),
+                                .heard = node_hears(s, node, i + 1)};
+    }
+    if (!s->store_down) {
+        node_take_list(s, node);
+    }
+    if (s->nodes[node].requests != NULL) {
+        node_give(
+            s, node,
+            &(PhRequestsEvent){.tag = PH_REQUESTS_MEMBERS,
+                               .as.members = {rows, SOAK_REQUESTS_NODES}});
+    }
+}
+
+/* Starts an instance in an empty place. */
+static void
+node_start(PhSoakRequests *s, uint32_t node)
+{
+    PhSoakEntry *e = &s->nodes[node];
+    e->generation = ++s->generation;
+    e->requests = PhRequests_Create(
+        &(PhRequestsOptions){.instance = PhStr_FromC(e->id),
+                             .data_centre = PhStr_LITERAL("windhoek-a"),
+                             .seed = s->run->seed + e->generation,
+                             .drain_notice = DRAIN_NOTICE,
+                             .tuning = PhRequestsTuning_Default()});
+    node_configure(s, node);
+    PhFakeNet_SetTimer(s->net, node, SOAK_REQUESTS_VIEW,
+                       PhFakeNet_Now(s->net));
+}
+
+/* Chooses the key of a booking: a new one, or now and then a recent one. */
+static char *
+key_draw(PhSoakRequests *s)
+{
+    uint64_t count = s->requests->len;
+    if (count > KEYS_RECENT && PhRandom_Chance(s->random, 0.3)) {
+        uint64_t back = 1 + PhRandom_Below(s->random, KEYS_RECENT);
+        const PhSoakRequest *r = g_ptr_array_index(s->requests, count - back);
+        return g_strdup(r->key);
+    }
+    return PhRandom_Chance(s->random, 0.8)
+               ? g_strdup_printf("k%" G_GUINT64_FORMAT, count)
+               : NULL;
+}
+
+/* Lets a request of a service arrive at an instance that is ready. */
+static void
+request_arrive(PhSoakRequests *s, uint32_t service)
+{
+    static const char *const paths[SERVICES] = {"/quote/a", "/booking/a",
+                                                "/report/a"};
+    uint32_t node =
+        1 + (uint32_t)PhRandom_Below(s->random, SOAK_REQUESTS_NODES);
+    PhSoakEntry *e = &s->nodes[node];
+    if (e->requests == NULL) {
+        return;
+    }
+    PhSoakRequest *r = g_new0(PhSoakRequest, 1);
+    r->id = s->requests->len + 1;
+    r->node = node;
+    r->idempotent = service != 1;
+    r->arrived = PhFakeNet_Now(s->net);
+    r->key = r->idempotent ? NULL : key_draw(s);
+    g_ptr_array_add(s->requests, r);
+    g_hash_table_insert(e->open, &r->id, r);
+    node_give(
+        s, node,
+        &(PhRequestsEvent){
+            .tag = PH_REQUESTS_ARRIVED,
+            .as.arrived = {.id = r->id,
+                           .method = r->idempotent ? PhStr_LITERAL("GET")
+                                                   : PhStr_LITERAL("POST"),
+                           .path = PhStr_FromC(paths[service]),
+                           .key = r->key != NULL ? PhStr_FromC(r->key)
+                                                 : (PhStr){0}}});
+}
+
+/* Lets the next caller of a service come. */
+static void
+callers_step(PhSoakRequests *s, uint32_t service)
+{
+    double mean = (double)ARRIVAL_MEAN * SERVICES / s->rates[service];
+    request_arrive(s, service);
+    PhFakeNet_SetTimer(s->net, SOAK_REQUESTS_CONDUCTOR,
+                       service * SOAK_REQUESTS_KINDS + SOAK_REQUESTS_ARRIVE,
+                       PhFakeNet_Now(s->net) + 1 +
+                           (PhTime)PhRandom_Exponential(s->random, mean));
+}
+
+/* Cuts the instances of a data centre off from the others, or mends that. */
+static void
+partition_set(PhSoakRequests *s, uint32_t centre, bool cut)
+{
+    for (uint32_t other = 0; other < SOAK_REQUESTS_CENTRES; other++) {
+        if (other != centre) {
+            PhFakeNet_Link(s->net, centre, other)->cut = cut;
+            PhFakeNet_Link(s->net, other, centre)->cut = cut;
+        }
+    }
+}
+
+/* Begins or ends the death of an instance; every other one is a planned
+ * stop, together with that of a worker. */
+static void
+death_set(PhSoakRequests *s, const PhFaultChange *change, uint32_t node)
+{
+    bool on = change->kind == PH_FAULT_BEGIN;
+    bool planned = change->pick >> 32 & 1;
+    bool alive = s->nodes[node].requests != NULL;
+    PhSoakWorker *w = &s->workers[change->pick / SOAK_REQUESTS_NODES %
+                                  SOAK_REQUESTS_WORKERS];
+    w->leaving = on && planned;
+    if (on && alive && planned) {
+        node_give(s, node, &(PhRequestsEvent){.tag = PH_REQUESTS_STOP});
+    }
+    else if (on && alive) {
+        node_end(s, node);
+    }
+    if (!alive && (!on || change->fault == PH_FAULT_PROCESS_DEATH)) {
+        node_start(s, node);
+    }
+}
+
+/* Begins or ends a fault. */
+static void
+fault_set(PhSoakRequests *s, const PhFaultChange *change)
+{
+    bool on = change->kind == PH_FAULT_BEGIN;
+    uint64_t pick = change->pick;
+    uint32_t node = 1 + (uint32_t)(pick % SOAK_REQUESTS_NODES);
+    PhSoakWorker *w =
+        &s->workers[pick / SOAK_REQUESTS_NODES % SOAK_REQUESTS_WORKERS];
+    switch (change->fault) {
+    case PH_FAULT_LOAD_SHIFT:
+        for (int i = 0; i < SERVICES; i++) {
+            s->rates[i] = on ? LOAD_FACTOR : 1;
+        }
+        break;
+    case PH_FAULT_NOISY_TASKS:
+        for (uint32_t k = 0; k < SOAK_REQUESTS_WORKERS; k += 2) {
+            PhFakeWorker_Options(s->workers[k].slots)->interference =
+                on ? NOISE_FACTOR : 1;
+        }
+        break;
+    case PH_FAULT_INSTANCE_DEATH:
+    case PH_FAULT_PROCESS_DEATH:
+        death_set(s, change, node);
+        break;
+    case PH_FAULT_BAD_WORKER:
+        w->fails = on;
+        break;
+    case PH_FAULT_SILENT_CONNECTION:
+        w->hangs = on;
+        break;
+    case PH_FAULT_FLOOD_LEAST_URGENT:
+        s->rates[2] = on ? FLOOD_FACTOR : 1;
+        break;
+    case PH_FAULT_FLOOD_MOST_URGENT:
+        s->rates[0] = on ? FLOOD_FACTOR : 1;
+        break;
+    case PH_FAULT_STORE_DOWN:
+        s->store_down = on;
+        break;
+    case PH_FAULT_LOST_ANSWERS:
+        s->lost_answers = on ? 0.3 : 0;
+        break;
+    case PH_FAULT_PAUSED_HOLDER:
+        if (on) {
+            PhFakeNet_Pause(s->net, node,
+                            PhFakeNet_Now(s->net) + (PhTime)(pick % (5 * S)));
+        }
+        break;
+    case PH_FAULT_PARTITION:
+        partition_set(s, node % SOAK_REQUESTS_CENTRES, on);
+        break;
+    case PH_FAULT_WRONG_SIZES:
+    case PH_FAULT_IMPOSSIBLE_JOB:
+    case PH_FAULT_CANCEL_WAVE:
+    case PH_FAULT_STORE_SLOW:
+    case PH_FAULT_RACING_OPERATORS:
+    case PH_FAULT_COUNT:
+        break;
+    }
+}
+
+/* Carries out the changes of the plan that are due. */
+static void
+plan_step(PhSoakRequests *s)
+{
+    PhFaultChange change;
+    while (PhFaultPlan_Next(s->plan, PhFakeNet_Now(s->net), &change)) {
+        switch (change.kind) {
+        case PH_FAULT_BEGIN:
+        case PH_FAULT_END:
+            fault_set(s, &change);
+            break;
+        case PH_FAULT_SETTLED:
+            PhSoakChecks_Settled(s);
+            break;
+        }
+    }
+    PhFakeNet_SetTimer(s->net, SOAK_REQUESTS_CONDUCTOR, SOAK_REQUESTS_PLAN,
+                       PhFaultPlan_Due(s->plan));
+}
+
+/* Gives a claim or its answer to an instance. */
+static void
+claim_take(PhSoakRequests *s, uint32_t node, const PhSoakClaim *claim)
+{
+    PhRequestsEvent event = {.tag = claim->tag};
+    if (claim->tag == PH_REQUESTS_CLAIM_REPLIED) {
+        event.as.claim_replied = (PhClaimReply){.request = claim->request,
+                                                .verdict = claim->verdict};
+    }
+    else {
+        event.as.claim = (PhClaimAsked){.member = PhStr_FromC(claim->from),
+                                        .key = PhStr_FromC(claim->key),
+                                        .request = claim->request};
+    }
+    node_give(s, node, &event);
+}
+
+/* Gives the reply of an attempt to its instance, once. */
+static void
+reply_take(PhSoakRequests *s, uint32_t node, uint64_t number)
+{
+    PhSoakAttempt *a = g_ptr_array_index(s->attempts, number);
+    if (a->replied || a->generation != s->nodes[node].generation) {
+        return;
+    }
+    a->replied = true;
+    node_give(s, node,
+              &(PhRequestsEvent){.tag = PH_REQUESTS_REPLIED,
+                                 .as.replied = a->reply});
+}
+
+/* Gives one event of the queue to whom it concerns. */
+static void
+event_take(PhSoakRequests *s, const PhFakeEvent *event)
+{
+    uint64_t kind = event->token % SOAK_REQUESTS_KINDS;
+    uint64_t number = event->token / SOAK_REQUESTS_KINDS;
+    if (event->to == SOAK_REQUESTS_CONDUCTOR) {
+        if (kind == SOAK_REQUESTS_EXECUTE) {
+            PhSoakWorkers_Execute(s, number);
+        }
+        else if (kind == SOAK_REQUESTS_ARRIVE) {
+            callers_step(s, (uint32_t)number);
+        }
+        else {
+            plan_step(s);
+        }
+    }
+    else if (s->nodes[event->to].requests == NULL) {
+        return;
+    }
+    else if (event->kind == PH_FAKE_MESSAGE) {
+        claim_take(s, event->to, event->body);
+    }
+    else if (kind == SOAK_REQUESTS_VIEW) {
+        node_take_view(s, event->to);
+    }
+    else if (kind == SOAK_REQUESTS_REPLY) {
+        reply_take(s, event->to, number);
+    }
+    else if (number == s->nodes[event->to].wakes) {
+        node_give(s, event->to, &(PhRequestsEvent){.tag = PH_REQUESTS_TIMER});
+    }
+}
+
+static const PhFault faults[] = {
+    PH_FAULT_LOAD_SHIFT,        PH_FAULT_NOISY_TASKS,
+    PH_FAULT_INSTANCE_DEATH,    PH_FAULT_PROCESS_DEATH,
+    PH_FAULT_BAD_WORKER,        PH_FAULT_FLOOD_LEAST_URGENT,
+    PH_FAULT_FLOOD_MOST_URGENT, PH_FAULT_STORE_DOWN,
+    PH_FAULT_LOST_ANSWERS,      PH_FAULT_PAUSED_HOLDER,
+    PH_FAULT_SILENT_CONNECTION, PH_FAULT_PARTITION,
+};
+
+/* Creates the workers and the instances. */
+static void
+actors_create(PhSoakRequests *s)
+{
+    for (uint32_t k = 0; k < SOAK_REQUESTS_WORKERS; k++) {
+        s->workers[k].slots = PhFakeWorker_Create(
+            &(PhFakeWorkerOptions){.seed = s->run->seed + k,
+                                   .slots = SLOTS,
+                                   .service_mean = SERVICE_MEAN,
+                                   .service_fixed = 0.3});
+    }
+    for (uint32_t i = 1; i <= SOAK_REQUESTS_NODES; i++) {
+        g_snprintf(s->nodes[i].id, sizeof(s->nodes[i].id), "e%u", i);
+        s->nodes[i].open = g_hash_table_new(g_int64_hash, g_int64_equal);
+        PhFakeNet_SetGroup(s->net, i, i % SOAK_REQUESTS_CENTRES);
+    }
+    for (uint32_t a = 0; a < SOAK_REQUESTS_CENTRES; a++) {
+        for (uint32_t b = 0; b < SOAK_REQUESTS_CENTRES; b++) {
+            *PhFakeNet_Link(s->net, a, b) =
+                (PhFakeLink){.delay_min = a == b ? MS / 4 : 4 * MS,
+                             .delay_extra = MS,
+                             .loss = 0.01,
+                             .duplicate = 0.01};
+        }
+    }
+    for (uint32_t i = 1; i <= SOAK_REQUESTS_NODES; i++) {
+        node_start(s, i);
+    }
+}
+
+/* Creates the run. */
+static void
+requests_create(PhSoakRequests *s)
+{
+    s->net =
+        PhFakeNet_Create(s->run->seed, SOAK_REQUESTS_NODES + 1, claim_clear);
+    s->random = PhRandom_Create(s->run->seed);
+    s->requests = g_ptr_array_new_with_free_func(request_destroy);
+    s->attempts = g_ptr_array_new_with_free_func(g_free);
+    s->by_number =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    s->key_runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    s->plan = PhFaultPlan_Create(
+        &(PhFaultPlanOptions){.seed = s->run->seed,
+                              .faults = faults,
+                              .fault_count = G_N_ELEMENTS(faults),
+                              .gap = 5 * S,
+                              .length = 5 * S,
+                              .settle = 40 * S});
+    actors_create(s);
+    plan_step(s);
+    for (uint32_t i = 0; i < SERVICES; i++) {
+        s->rates[i] = 1;
+        callers_step(s, i);
+    }
+}
+
+/* Releases the run. */
+static void
+requests_destroy(PhSoakRequests *s)
+{
+    for (uint32_t i = 1; i <= SOAK_REQUESTS_NODES; i++) {
+        PhRequests_Destroy(s->nodes[i].requests);
+        g_hash_table_destroy(s->nodes[i].open);
+    }
+    for (uint32_t k = 0; k < SOAK_REQUESTS_WORKERS; k++) {
+        PhFakeWorker_Destroy(s->workers[k].slots);
+    }
+    PhFaultPlan_Destroy(s->plan);
+    PhFakeNet_Destroy(s->net);
+    PhRandom_Destroy(s->random);
+    g_ptr_array_free(s->requests, TRUE);
+    g_ptr_array_free(s->attempts, TRUE);
+    g_hash_table_destroy(s->by_number);
+    g_hash_table_destroy(s->key_runs);
+}
+
+/* Runs requests for the steps of the run. */
+static void
+requests_run(PhSoakRun *run)
+{
+    PhSoakRequests s = {.run = run};
+    PhFakeEvent event;
+    requests_create(&s);
+    for (uint64_t i = 0; i < run->steps; i++) {
+        if (!PhFakeNet_Next(s.net, PH_TIME_NEVER, &event)) {
+            break;
+        }
+        event_take(&s, &event);
+    }
+    run->simulated = PhFakeNet_Now(s.net);
+    PhSoakRun_Add(run, s.plan);
+    requests_destroy(&s);
+}
+
+const PhSoakArea PhSoak_Requests = {.name = "requests",
+                                    .run = requests_run,
+                                    .faults = faults,
+                                    .fault_count = G_N_ELEMENTS(faults)};
--- /dev/null
+++ b/bench/soak_tasks.c
@@ -0,0 +1,331 @@
+/* Tasks over the shared fakes: one data centre of engines, workers and the
+ * log, with jobs of every kind and all faults. */
+#include <glib.h>
+
+#include "peridothill/bench/soak.h"
+#include "peridothill/bench/task_world.h"
+#include "peridothill/common/invariant.h"
+#include "peridothill/common/random.h"
+
+#define S PH_NS_PER_S
+
+enum {
+    INSTANCES = 3,
+    WORKERS = 6,
+    STANDING = 6, /* tasks that run all the time */
+    JOB_TASKS_MAX = 6,
+    RUN_MS_MAX = 40000,
+    FLOOD_JOBS = 12,
+    FLOOD_TASKS = 12,
+    SUBMIT_MEAN_S = 10,
+    PAUSE_MAX_S = 40,
+    SHORT_PERCENT = 12,
+    LONG_PERCENT = 400,
+};
+
+#define SETTLE (900 * S)
+
+typedef struct PhSoakTasks {
+    PhSoakRun *run;
+    PhTaskWorld *world;
+    PhFaultPlan *plan;
+    PhRandom *random;
+    PhTime next_submit;
+    uint64_t jobs;
+} PhSoakTasks;
+
+/* Submits a job at a random instance. */
+static void
+job_submit(PhSoakTasks *s, PhJobClass class, uint32_t count, PhJobSize size)
+{
+    char *key = g_strdup_printf("job-%" G_GUINT64_FORMAT, ++s->jobs);
+    PhJobSpec spec = {
+        .key = PhStr_FromC(key),
+        .team = PhStr_LITERAL("routes"),
+        .class = class,
+        .run_ms = class == PH_JOB_STANDING
+                      ? 0
+                      : 1000 + (int64_t)PhRandom_Below(s->random, RUN_MS_MAX),
+        .size = size,
+        .count = count,
+        .checkpointable = true};
+    PhTaskWorld_Submit(s->world,
+                       (uint32_t)PhRandom_Below(s->random, INSTANCES), &spec);
+    g_free(key);
+}
+
+/* Draws the size of a task. */
+static PhJobSize
+size_draw(PhSoakTasks *s)
+{
+    return (PhJobSize){100 + (int64_t)PhRandom_Below(s->random, 900),
+                       100 + (int64_t)PhRandom_Below(s->random, 900),
+                       (int64_t)PhRandom_Below(s->random, 2)};
+}
+
+/* Submits many jobs of one class at once. */
+static void
+flood(PhSoakTasks *s, PhJobClass class)
+{
+    for (int i = 0; i < FLOOD_JOBS; i++) {
+        job_submit(s, class, FLOOD_TASKS, size_draw(s));
+    }
+}
+
+/* Cancels about half of the jobs, but not the first, which is standing. */
+static void
+cancel_wave(PhSoakTasks *s)
+{
+    for (uint64_t i = 2; i <= s->jobs; i++) {
+        if (PhRandom_Chance(s->random, 0.5)) {
+            char *key = g_strdup_printf("job-%" G_GUINT64_FORMAT, i);
+            PhTaskWorld_Cancel(s->world,
+                               (uint32_t)PhRandom_Below(s->random, INSTANCES),
+                               PhStr_FromC(key));
+            g_free(key);
+        }
+    }
+}
+
+/* Cuts an instance off from the log, and from half of the workers. */
+static void
+partition_set(PhSoakTasks *s, uint32_t instance, bool cut)
+{
+    PhTaskWorld_CutLog(s->world, instance, cut);
+    for (uint32_t k = 0; k < WORKERS; k += 2) {
+        PhTaskWorld_CutWorker(s->world, instance, k, cut);
+    }
+}
+
+/* Ends the process of an instance, or sees that one runs again. */
+static void
+instance_set(PhSoakTasks *s, uint32_t instance, bool dead)
+{
+    if (dead) {
+        PhTaskWorld_Kill(s->world, instance);
+    }
+    else if (!PhTaskWorld_Alive(s->world, instance)) {
+        PhTaskWorld_Replace(s->world, instance);
+    }
+}
+
+/* Brings about a fault of jobs. */
+static void
+fault_start_jobs(PhSoakTasks *s, PhFault fault)
+{
+    static const PhJobSize never = {100000, 100000, 100};
+    if (fault == PH_FAULT_IMPOSSIBLE_JOB) {
+        job_submit(s, PH_JOB_URGENT, 1, never);
+    }
+    else if (fault == PH_FAULT_CANCEL_WAVE) {
+        cancel_wave(s);
+    }
+    else {
+        flood(s, fault == PH_FAULT_FLOOD_MOST_URGENT ? PH_JOB_URGENT
+                                                     : PH_JOB_BATCH);
+    }
+}
+
+/* Begins or ends a fault of instances, workers and the log. */
+static void
+fault_set(PhSoakTasks *s, const PhFaultChange *change)
+{
+    bool on = change->kind == PH_FAULT_BEGIN;
+    uint64_t pick = change->pick;
+    uint32_t i = (uint32_t)(pick % INSTANCES);
+    uint32_t k = (uint32_t)(pick / INSTANCES % WORKERS);
+    PhTime pause = (PhTime)(pick % (PAUSE_MAX_S * S));
+    PhFakeLogOptions *log = PhTaskWorld_Log(s->world);
+    switch (change->fault) {
+    case PH_FAULT_INSTANCE_DEATH:
+        instance_set(s, i, on);
+        break;
+    case PH_FAULT_PROCESS_DEATH:
+        if (on) {
+            PhTaskWorld_Replace(s->world, i);
+            PhTaskWorld_RestartWorker(s->world, k);
+        }
+        break;
+    case PH_FAULT_STORE_DOWN:
+        log->outage = on;
+        break;
+    case PH_FAULT_STORE_SLOW:
+        log->delay_min = on ? S : 0;
+        break;
+    case PH_FAULT_LOST_ANSWERS:
+        log->lost_answers = on ? 0.5 : 0;
+        break;
+    case PH_FAULT_PAUSED_HOLDER:
+        if (on) {
+            PhTaskWorld_PauseInstance(s->world, i, pause);
+            PhTaskWorld_PauseWorker(s->world, k, pause / 2);
+        }
+        break;
+    case PH_FAULT_BAD_WORKER:
+        PhTaskWorld_FailWorker(s->world, k, on);
+        break;
+    case PH_FAULT_SILENT_CONNECTION:
+        PhTaskWorld_CutWorker(s->world, i, k, on);
+        break;
+    case PH_FAULT_PARTITION:
+        partition_set(s, i, on);
+        break;
+    case PH_FAULT_WRONG_SIZES:
+        PhTaskWorld_SetRunPercent(s->world, !on              ? 0
+                                            : pick >> 32 & 1 ? LONG_PERCENT
+                                                             : SHORT_PERCENT);
+        break;
+    case PH_FAULT_IMPOSSIBLE_JOB:
+    case PH_FAULT_CANCEL_WAVE:
+    case PH_FAULT_FLOOD_LEAST_URGENT:
+    case PH_FAULT_FLOOD_MOST_URGENT:
+        if (on) {
+            fault_start_jobs(s, change->fault);
+        }
+        break;
+    case PH_FAULT_LOAD_SHIFT:
+    case PH_FAULT_NOISY_TASKS:
+    case PH_FAULT_RACING_OPERATORS:
+    case PH_FAULT_COUNT:
+        break;
+    }
+}
+
+/* Checks what must hold at any moment. */
+static void
+check_always(PhSoakTasks *s)
+{
+    const PhTaskWorldCounts *n = PhTaskWorld_Counts(s->world);
+    Ph_INVARIANT(PH_INVARIANT_ONE_PLACE, n->doubled == 0,
+                 "seed=%" G_GUINT64_FORMAT " time=%" G_GINT64_FORMAT,
+                 s->run->seed, PhTaskWorld_Now(s->world));
+    Ph_INVARIANT(PH_INVARIANT_CAPACITY, n->overcommitted == 0,
+                 "seed=%" G_GUINT64_FORMAT " time=%" G_GINT64_FORMAT,
+                 s->run->seed, PhTaskWorld_Now(s->world));
+    Ph_INVARIANT(PH_INVARIANT_LEASE, PhTaskWorld_Owners(s->world) <= 1,
+                 "seed=%" G_GUINT64_FORMAT " time=%" G_GINT64_FORMAT,
+                 s->run->seed, PhTaskWorld_Now(s->world));
+}
+
+/* Checks at rest that no accepted job is lost, and that the standing tasks
+ * run. */
+static void
+check_settled(PhSoakTasks *s)
+{
+    uint64_t lost = 0;
+    uint64_t unfinished = 0;
+    PhTaskWorld_Unfinished(s->world, &lost, &unfinished);
+    const PhJobEngine *engine = PhTaskWorld_Engine(s->world);
+    const PhJob *standing =
+        engine == NULL ? NULL
+                       : PhJobState_JobOfKey(PhJobEngine_State(engine),
+                                             PhStr_LITERAL("job-1"));
+    Ph_INVARIANT(PH_INVARIANT_TASK_KEPT,
+                 lost == 0 && standing != NULL && standing->placed == STANDING,
+                 "seed=%" G_GUINT64_FORMAT " time=%" G_GINT64_FORMAT
+                 " lost=%" G_GUINT64_FORMAT " placed=%d",
+                 s->run->seed, PhTaskWorld_Now(s->world), lost,
+                 standing == NULL ? -1 : (int)standing->placed);
+    s->run->settled++;
+}
+
+/* Carries out the changes of the plan that are due, and submits jobs. */
+static void
+plan_step(PhSoakTasks *s)
+{
+    PhFaultChange change;
+    PhTime now = PhTaskWorld_Now(s->world);
+    while (PhFaultPlan_Next(s->plan, now, &change)) {
+        switch (change.kind) {
+        case PH_FAULT_BEGIN:
+        case PH_FAULT_END:
+            fault_set(s, &change);
+            break;
+        case PH_FAULT_SETTLED:
+            check_settled(s);
+            break;
+        }
+    }
+    if (now >= s->next_submit) {
+        if (PhFaultPlan_Active(s->plan) > 0) {
+            job_submit(s,
+                       PhRandom_Chance(s->random, 0.2) ? PH_JOB_URGENT
+                                                       : PH_JOB_BATCH,
+                       1 + (uint32_t)PhRandom_Below(s->random, JOB_TASKS_MAX),
+                       size_draw(s));
+        }
+        s->next_submit = now + 1 +
+                         (PhTime)PhRandom_Exponential(
+                             s->random, (double)(SUBMIT_MEAN_S * S));
+    }
+}
+
+static const PhFault faults[] = {
+    PH_FAULT_INSTANCE_DEATH,     PH_FAULT_PROCESS_DEATH,
+    PH_FAULT_WRONG_SIZES,        PH_FAULT_IMPOSSIBLE_JOB,
+    PH_FAULT_CANCEL_WAVE,        PH_FAULT_BAD_WORKER,
+    PH_FAULT_FLOOD_LEAST_URGENT, PH_FAULT_FLOOD_MOST_URGENT,
+    PH_FAULT_STORE_DOWN,         PH_FAULT_STORE_SLOW,
+    PH_FAULT_LOST_ANSWERS,       PH_FAULT_PAUSED_HOLDER,
+    PH_FAULT_SILENT_CONNECTION,  PH_FAULT_PARTITION,
+};
+
+/* Creates the world with its standing tasks. */
+static void
+tasks_create(PhSoakTasks *s)
+{
+    PhTaskWorldOptions options = {.seed = s->run->seed,
+                                  .instances = INSTANCES,
+                                  .workers = WORKERS,
+                                  .worker_size = {4000, 4000, 4},
+                                  .times = PhLeaseTimes_Default(),
+                                  .link_delay = PH_NS_PER_MS,
+                                  .loss = 0.02,
+                                  .duplicate = 0.02,
+                                  .retention = 600 * S};
+    options.times.renew_right = 120 * S;
+    options.times.keep = 20 * S;
+    options.times.snapshot = 30 * S;
+    s->random = PhRandom_Create(s->run->seed + 1000);
+    s->world = PhTaskWorld_Create(&options);
+    PhTaskWorld_RunUntil(s->world, 12 * S);
+    const PhTaskWorldCounts *n = PhTaskWorld_Counts(s->world);
+    while (n->accepted + n->repeated == 0) {
+        s->jobs = 0; /* the same key again */
+        job_submit(s, PH_JOB_STANDING, STANDING, size_draw(s));
+        PhTaskWorld_RunUntil(s->world, PhTaskWorld_Now(s->world) + 2 * S);
+    }
+    s->plan = PhFaultPlan_Create(
+        &(PhFaultPlanOptions){.seed = s->run->seed,
+                              .faults = faults,
+                              .fault_count = G_N_ELEMENTS(faults),
+                              .gap = 15 * S,
+                              .length = 20 * S,
+                              .settle = SETTLE});
+}
+
+/* Runs tasks for the steps of the run. */
+static void
+tasks_run(PhSoakRun *run)
+{
+    PhSoakTasks s = {.run = run};
+    uint64_t steps = 0;
+    tasks_create(&s);
+    while (steps < run->steps) {
+        PhTime now = PhTaskWorld_Now(s.world);
+        PhTime until = MIN(PhFaultPlan_Due(s.plan), now + S);
+        steps += PhTaskWorld_RunUntil(s.world, MAX(until, now));
+        check_always(&s);
+        plan_step(&s);
+    }
+    run->simulated = PhTaskWorld_Now(s.world);
+    PhSoakRun_Add(run, s.plan);
+    PhFaultPlan_Destroy(s.plan);
+    PhTaskWorld_Destroy(s.world);
+    PhRandom_Destroy(s.random);
+}
+
+const PhSoakArea PhSoak_Tasks = {.name = "tasks",
+                                 .run = tasks_run,
+                                 .faults = faults,
+                                 .fault_count = G_N_ELEMENTS(faults)};
--- a/bench/task_world.c
+++ b/bench/task_world.c
@@ -73,6 +73,7 @@
     GHashTable *keys;    /* accepted key to itself */
     GHashTable *tokens;  /* token of a submit to its key */
     uint64_t next_id;
+    uint32_t run_percent; /* actual run times, of the declared ones */
 };
 
 /* Where a task runs. */
@@ -583,10 +584,15 @@
 {
     PhWorldWorker *to = &w->workers[worker];
     PhWorldMail reply = {.kind = WORLD_ANSWER, .generation = mail->generation};
+    PhWorkerCommand command = mail->command;
+    if (command.kind == PH_WORKER_START && w->run_percent > 0) {
+        command.as.start.run_ms =
+            command.as.start.run_ms * w->run_percent / 100;
+    }
     PhWorkerTasks_Advance(to->tasks, worker_clock(w, to));
     held_forget(w, worker);
     reply.answer =
-        PhWorkerTasks_Command(to->tasks, &mail->command, worker_clock(w, to));
+        PhWorkerTasks_Command(to->tasks, &command, worker_clock(w, to));
     worker_check(w, worker);
     mail_send(w, worker_endpoint(w, worker), instance, &reply);
 }
@@ -760,6 +766,13 @@
     PhFakeNet_Link(w->net, PH_WORLD_GROUP_LOG, instance)->cut = cut;
 }
 
+/* Sets how long runs that start from now on take. */
+void
+PhTaskWorld_SetRunPercent(PhTaskWorld *w, uint32_t percent)
+{
+    w->run_percent = percent;
+}
+
 /* Cuts an instance off from a worker. */
 void
 PhTaskWorld_CutWorker(PhTaskWorld *w, uint32_t instance, uint32_t worker,
--- a/include/peridothill/bench/soak.h
+++ b/include/peridothill/bench/soak.h
@@ -86,5 +86,7 @@
 
 extern const PhSoakArea PhSoak_Config;
 extern const PhSoakArea PhSoak_Members;
+extern const PhSoakArea PhSoak_Requests;
+extern const PhSoakArea PhSoak_Tasks;
 
 #endif
--- a/include/peridothill/bench/task_world.h
+++ b/include/peridothill/bench/task_world.h
@@ -90,6 +90,10 @@
 void
 PhTaskWorld_CutWorker(PhTaskWorld *world, uint32_t instance, uint32_t worker,
                       bool cut);
+/* Sets how long runs that start from now on take, in percent of what was
+ * declared; 0 is 100. */
+void
+PhTaskWorld_SetRunPercent(PhTaskWorld *world, uint32_t percent);
 /* The worker comes back empty. */
 void
 PhTaskWorld_RestartWorker(PhTaskWorld *world, uint32_t worker);
--- a/tests/proof/test_soak.c
+++ b/tests/proof/test_soak.c
@@ -16,6 +16,10 @@
 static const PhSoakCase soak_cases[] = {
     {"config 1", &PhSoak_Config, 1, 60000, PH_INVARIANT_CONFIG_IN_FORCE},
     {"config 2", &PhSoak_Config, 2, 60000, PH_INVARIANT_NOT_RUN},
+    {"requests 1", &PhSoak_Requests, 1, 120000, PH_INVARIANT_AT_MOST_ONCE},
+    {"requests 2", &PhSoak_Requests, 2, 120000, PH_INVARIANT_GRACEFUL_STOP},
+    {"tasks 1", &PhSoak_Tasks, 1, 150000, PH_INVARIANT_ONE_PLACE},
+    {"tasks 2", &PhSoak_Tasks, 2, 150000, PH_INVARIANT_RESUME_ONCE},
     {"members 1", &PhSoak_Members, 1, 100000, PH_INVARIANT_MEMBER},
     {"members 2", &PhSoak_Members, 2, 100000, PH_INVARIANT_MEMBER},
     {"members 3", &PhSoak_Members, 3, 100000, PH_INVARIANT_MEMBER},
@@ -43,10 +47,38 @@
     Ph_RUN_TABLE(soak_cases, soak_run);
 }
 
+/* Checks that the runs together begin every fault and check every promise;
+ * the counts of the runs before are part of it. */
+static void
+test_coverage(void **state)
+{
+    (void)state;
+    uint64_t begun[PH_FAULT_COUNT] = {0};
+    size_t count = 0;
+    const PhSoakArea *const *areas = PhSoakArea_List(&count);
+    for (size_t i = 0; i < count; i++) {
+        for (size_t f = 0; f < areas[i]->fault_count; f++) {
+            begun[areas[i]->faults[f]]++;
+        }
+    }
+    for (int f = 0; f < PH_FAULT_COUNT; f++) {
+        print_message("# fault %s\n", PhFault_Label(f));
+        assert_true(begun[f] > 0);
+    }
+    for (int i = PH_INVARIANT_CAPACITY; i <= PH_INVARIANT_CONFIG_IN_FORCE;
+         i++) {
+        print_message("# invariant %s\n", PhInvariant_Label(i));
+        assert_true(PhInvariant_Checks(i) > 0);
+    }
+}
+
 /* Runs the randomised runs. */
 int
 main(void)
 {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(test_soak)};
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_soak),
+        cmocka_unit_test(test_coverage),
+    };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
