instance: look for members at the listed entry instances too

Cause: only the seeds were asked; docs/operators/members.md says that the platform's list is used as well. Change: the port of the own peer listener is given as that of listed ones.

--- a/services/instance.c
+++ b/services/instance.c
@@ -79,6 +79,7 @@
                                 .address = address,
                                 .seeds = s->peers.seeds.items,
                                 .seed_count = s->peers.seeds.count,
+                                .list_port = ports->peers,
                                 .incarnation = options->incarnation,
                                 .seed = options->seed + 2};
     r = started(PhMembers_Start(kernel, &members), "members");
