--- a/decide/members/membership.c
+++ b/decide/members/membership.c
@@ -7,35 +7,9 @@
  * news normally reaches everyone. */
 #define DIFFER_LIMIT (10 * PH_NS_PER_S)
 
-/* Pushes of news are at least so far apart; what comes up meanwhile goes
- * together. */
-#define PUSH_INTERVAL (500 * PH_NS_PER_MS)
-
 /* Unknown senders are asked for their records at least so far apart. */
 #define STRANGER_INTERVAL (200 * PH_NS_PER_MS)
 
-enum {
-    REACH_TRIES = 8, /* draws until one is worth a contact */
-};
-
-/* The times that the daemon uses. */
-PhMembershipTimes
-PhMembershipTimes_Default(void)
-{
-    return (PhMembershipTimes){
-        .probe_interval = PH_NS_PER_S,
-        .probe_timeout = 500 * PH_NS_PER_MS,
-        .indirect_timeout = PH_NS_PER_S,
-        .suspicion = 4 * PH_NS_PER_S,
-        .reach_interval = 10 * PH_NS_PER_S,
-        .hear_near_limit = 8 * PH_NS_PER_S,
-        .hear_far_limit = 30 * PH_NS_PER_S,
-        .platform_limit = 30 * PH_NS_PER_S,
-        .keep_dead = 3600 * PH_NS_PER_S,
-        .pause_limit = 200 * PH_NS_PER_MS,
-    };
-}
-
 /* Releases what an action owns. */
 static void
 action_clear(gpointer data)
@@ -122,108 +96,6 @@
     g_free(membership);
 }
 
-/* Moves every deadline by the time that this process stood still, so that
- * others are not judged by silence that was its own. */
-static void
-shift_deadlines(PhMembership *m, PhTime by)
-{
-    for (guint i = 0; i < m->probes->len; i++) {
-        g_array_index(m->probes, PhProbe, i).deadline += by;
-    }
-    for (guint i = 0; i < m->suspects->len; i++) {
-        PhEntry *e = g_ptr_array_index(m->suspects, i);
-        e->suspected += by;
-        e->asked += e->asked == 0 ? 0 : by;
-        e->confirm += by;
-        e->expires += by;
-    }
-    m->near_heard += by;
-    m->far_heard += by;
-    m->platform_heard += by;
-    PhMembers_Report(m, PH_MEMBERSHIP_PAUSED, (PhStr){0});
-}
-
-/* Notices that this process was paused: it acts late. */
-static void
-check_pause(PhMembership *m)
-{
-    PhTime late = m->now - m->wake;
-    if (late > m->times.pause_limit) {
-        shift_deadlines(m, late);
-    }
-}
-
-/* Spreads an interval by a tenth to each side, so that instances do not act
- * in step. */
-static PhTime
-jitter(PhMembership *m, PhTime interval)
-{
-    return interval * 9 / 10 +
-           (PhTime)PhRandom_Below(m->random, (uint64_t)(interval / 5) + 1);
-}
-
-/* Asks one member or address, by its number among the buried and the
- * candidates, whether it is there; false when there is no use in asking. */
-static bool
-reach(PhMembership *m, size_t pick)
-{
-    size_t dead = g_queue_get_length(&m->buried);
-    if (pick < dead) {
-        PhEntry *e = g_queue_peek_nth(&m->buried, (guint)pick);
-        if (e->member.state != PH_MEMBER_DEAD) {
-            return false;
-        }
-        PhMembers_AskSync(m, e->member.id, e->member.address);
-        return true;
-    }
-    PhStr *address = g_ptr_array_index(m->candidates, pick - dead);
-    if (PhMembers_HasAddress(m, *address)) {
-        return false;
-    }
-    PhMembers_AskSync(m, (PhStr){0}, *address);
-    return true;
-}
-
-/* Contacts a dead member or a listed address that no live member has: this
- * heals partitions and joins groups that started apart. */
-static void
-reach_out(PhMembership *m)
-{
-    size_t total = g_queue_get_length(&m->buried) + m->candidates->len;
-    bool alone = m->near->len + m->far->len == 0;
-    bool reached = total == 0;
-    m->reach_due = m->now + jitter(m, alone ? m->times.probe_interval
-                                            : m->times.reach_interval);
-    for (int i = 0; i < REACH_TRIES && !reached; i++) {
-        reached = reach(m, PhRandom_Below(m->random, total));
-    }
-}
-
-/* Does what is due. */
-static void
-do_due(PhMembership *m)
-{
-    if (m->self->member.state == PH_MEMBER_LEFT) {
-        return;
-    }
-    PhMembers_CheckProbes(m);
-    PhMembers_CheckSuspects(m);
-    if (m->now >= m->probe_due) {
-        m->probe_due = m->now + jitter(m, m->times.probe_interval);
-        m->confirms = CONFIRMS_IN_INTERVAL;
-        PhMembers_ProbeNext(m);
-        PhMembers_Purge(m);
-    }
-    if (m->now >= m->reach_due) {
-        reach_out(m);
-    }
-    if (m->push_wanted && m->now >= m->push_due) {
-        m->push_wanted = false;
-        m->push_due = m->now + PUSH_INTERVAL;
-        PhMembers_PushNews(m);
-    }
-}
-
 /* Notes that a member was heard; one that is thought dead or left, or is not
  * known, is asked for its record and told what is thought of it. */
 static PhEntry *
@@ -381,63 +253,13 @@
     }
 }
 
-/* Keeps one flag of the hearing and reports its change. */
-static void
-flag_set(PhMembership *m, bool *flag, bool hears, PhMembershipReport lost,
-         PhMembershipReport heard)
-{
-    if (*flag == hears) {
-        return;
-    }
-    *flag = hears;
-    m->changed = true;
-    PhMembers_Report(m, hears ? heard : lost, (PhStr){0});
-}
-
-/* Judges each kind of hearing by itself; where nobody is known, nobody is
- * missed. */
-static void
-check_hearing(PhMembership *m)
-{
-    bool near = m->near_known == 0 ||
-                m->now - m->near_heard <= m->times.hear_near_limit;
-    bool far =
-        m->far_known == 0 || m->now - m->far_heard <= m->times.hear_far_limit;
-    bool platform = m->now - m->platform_heard <= m->times.platform_limit;
-    flag_set(m, &m->hearing.own_data_centre, near,
-             PH_MEMBERSHIP_OWN_DATA_CENTRE_LOST,
-             PH_MEMBERSHIP_OWN_DATA_CENTRE_HEARD);
-    flag_set(m, &m->hearing.other_data_centres, far,
-             PH_MEMBERSHIP_OTHER_DATA_CENTRES_LOST,
-             PH_MEMBERSHIP_OTHER_DATA_CENTRES_HEARD);
-    flag_set(m, &m->hearing.platform, platform, PH_MEMBERSHIP_PLATFORM_LOST,
-             PH_MEMBERSHIP_PLATFORM_BACK);
-}
-
-/* Finds the next time at which something is due. */
-static PhTime
-next_due(const PhMembership *m)
-{
-    PhTime at = MIN(m->probe_due, m->reach_due);
-    if (m->push_wanted) {
-        at = MIN(at, m->push_due);
-    }
-    for (guint i = 0; i < m->probes->len; i++) {
-        at = MIN(at, g_array_index(m->probes, PhProbe, i).deadline);
-    }
-    for (guint i = 0; i < m->suspects->len; i++) {
-        const PhEntry *e = g_ptr_array_index(m->suspects, i);
-        at = MIN(at, MIN(e->confirm, e->expires));
-    }
-    return at;
-}
-
 /* Appends the closing actions of an event. */
 static void
 finish(PhMembership *m)
 {
-    PhTime next =
-        m->self->member.state == PH_MEMBER_LEFT ? PH_TIME_NEVER : next_due(m);
+    PhTime next = m->self->member.state == PH_MEMBER_LEFT
+                      ? PH_TIME_NEVER
+                      : PhMembers_NextDue(m);
     Ph_INVARIANT(PH_INVARIANT_MEMBER, next > m->now,
                  "next=%" G_GINT64_FORMAT " now=%" G_GINT64_FORMAT, next,
                  m->now);
@@ -465,10 +287,10 @@
                  m->now);
     m->now = now;
     m->actions = actions;
-    check_pause(m);
+    PhMembers_CheckPause(m);
     take_event(m, event);
-    do_due(m);
-    check_hearing(m);
+    PhMembers_DoDue(m);
+    PhMembers_CheckHearing(m);
     finish(m);
     m->actions = NULL;
     Ph_INVARIANT(PH_INVARIANT_MEMBER,
--- a/decide/members/state.h
+++ b/decide/members/state.h
@@ -135,6 +135,21 @@
 void
 PhMembers_CheckSuspects(PhMembership *m);
 
+/* members_due.c */
+/* Notices that this process was paused, and moves its deadlines. */
+void
+PhMembers_CheckPause(PhMembership *m);
+/* Does what is due now. */
+void
+PhMembers_DoDue(PhMembership *m);
+/* The next time at which something is due. */
+PhTime
+PhMembers_NextDue(const PhMembership *m);
+
+/* members_hearing.c */
+void
+PhMembers_CheckHearing(PhMembership *m);
+
 /* members_probe.c */
 void
 PhMembers_ProbeNext(PhMembership *m);
