demo: watch what runs on the workers

Cause: three promises stayed unproved: nothing looked at the tasks from outside. Change: at each turn the demonstration compares the runs of all workers with their sizes, with each other, and with what was seen before; a worker restarts empty, so that tasks have to resume elsewhere. Conclusion: the whole path is exercised; evictions are not, as only a lost worker makes tasks resume here.

--- a/demo/demo.c
+++ b/demo/demo.c
@@ -61,6 +61,7 @@
      PH_STEP_WORKER_FAULT,
      "worker 2 is well again",
      {.fault = {2, PH_STANDIN_HEALTHY}}},
+    {8800, PH_STEP_WORKER_RESTARTS, "worker 4 restarts empty", {.index = 4}},
     {9000, PH_STEP_LOG_OUTAGE, "the platform's log is down", {.on = true}},
     {9200,
      PH_STEP_PATCH,
--- a/demo/script.c
+++ b/demo/script.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 
 #include "peridothill/codec/json.h"
+#include "peridothill/demo/task_watch.h"
 #include "peridothill/services/http.h"
 #include "peridothill/services/interface.h"
 
@@ -52,7 +53,7 @@
     PhTime began[PH_WORLD_INSTANCES]; /* latest start of each instance */
     uint64_t patches;
     uint64_t jobs;
-    bool jobs_checked;
+    PhTaskWatch *watch;
 } PhScript;
 
 /* Prints one line of progress. */
@@ -135,7 +136,7 @@
     s->jobs++;
     PhBuf_AppendFormat(&body,
                        "{\"key\":\"demo-job-%" PRIu64 "\",\"team\":\"night\","
-                       "\"class\":\"batch\",\"count\":%d,\"run_ms\":1500,"
+                       "\"class\":\"batch\",\"count\":%d,\"run_ms\":12000,"
                        "\"cpu_milli\":4000,\"memory_mb\":2000,"
                        "\"accelerators\":0,\"checkpointable\":true}",
                        s->jobs, tasks);
@@ -217,6 +218,9 @@
         return;
     }
     const json_t *jobs = json_object_get(root, "jobs");
+    if (json_array_size(jobs) < s->jobs) {
+        progress(s, "some jobs are not listed");
+    }
     for (size_t i = 0; i < json_array_size(jobs); i++) {
         const json_t *job = json_array_get(jobs, i);
         char *line = g_strdup_printf(
@@ -276,6 +280,13 @@
     }
 }
 
+/* Restarts a worker, which loses its tasks. */
+static void
+restart_worker(PhScript *s, int index)
+{
+    PhStandinTasks_Restart(PhWorld_Worker(s->options.world, index)->tasks);
+}
+
 /* Starts an instance in the place of one that ended. */
 static void
 start_instance(PhScript *s, int index)
@@ -318,6 +329,9 @@
     case PH_STEP_WORKER_LEAVES:
         PhWorld_WorkerLeave(w, step->as.index, PhTask_Now(s->self));
         break;
+    case PH_STEP_WORKER_RESTARTS:
+        restart_worker(s, step->as.index);
+        break;
     case PH_STEP_LOG_OUTAGE:
         PhFakeLog_Options(PhWorld_Log(w))->outage = step->as.on;
         break;
@@ -361,6 +375,7 @@
     if (token == POLL_TIMER) {
         poll_instances(s);
         check_leaving(s);
+        PhTaskWatch_Observe(s->watch, PhTask_Now(s->self));
         PhTask_SetTimer(s->self, POLL_TIMER,
                         PhTask_Now(s->self) + POLL_INTERVAL);
         return;
@@ -411,6 +426,7 @@
 {
     PhScript *s = state;
     g_hash_table_destroy(s->asks);
+    PhTaskWatch_Destroy(s->watch);
     g_free(s);
 }
 
@@ -420,6 +436,7 @@
 {
     PhScript *s = g_new0(PhScript, 1);
     s->options = *options;
+    s->watch = PhTaskWatch_Create(options->world, options->verdicts);
     s->asks = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     PhTaskSpec spec = {.name = PH_SERVICE_SCRIPT,
                        .mailbox_capacity = MAILBOX_CAPACITY,
--- a/include/peridothill/demo/script.h
+++ b/include/peridothill/demo/script.h
@@ -14,6 +14,7 @@
     PH_STEP_JOBS_DONE,         /* check that the jobs have ended */
     PH_STEP_WORKER_FAULT,      /* `as.fault` */
     PH_STEP_WORKER_LEAVES,     /* `as.index` */
+    PH_STEP_WORKER_RESTARTS,   /* `as.index`: it loses its tasks */
     PH_STEP_LOG_OUTAGE,        /* `as.on` */
     PH_STEP_LOG_LOSES_ANSWERS, /* `as.on` */
     PH_STEP_INSTANCE_KILL,     /* `as.index` */
--- a/include/peridothill/standin/standin.h
+++ b/include/peridothill/standin/standin.h
@@ -7,6 +7,7 @@
 #include "peridothill/fakes/fake_worker.h"
 #include "peridothill/kernel/kernel.h"
 #include "peridothill/services/platform_list.h"
+#include "peridothill/standin/worker_tasks.h"
 
 /* The log.  `log` stays the caller's and must outlive the task. */
 typedef struct PhStandinLogOptions {
@@ -50,7 +51,8 @@
     PhStandinFault fault;
     PhTime service_mean;
     uint32_t slots;
-    GHashTable *runs; /* PhStr request id to the number of its runs */
+    PhStandinTasks *tasks; /* set while the worker runs */
+    GHashTable *runs;      /* PhStr request id to the number of its runs */
     uint64_t requests;
     PhTime leaving_since; /* 0 while it is not leaving */
     PhTime last_request;  /* when the latest request arrived */
--- a/include/peridothill/standin/worker_tasks.h
+++ b/include/peridothill/standin/worker_tasks.h
@@ -5,6 +5,7 @@
 #include "peridothill/common/str.h"
 #include "peridothill/common/time.h"
 #include "peridothill/fakes/fake_worker.h"
+#include "peridothill/standin/worker_runs.h"
 
 typedef struct PhStandinTasks PhStandinTasks;
 
@@ -17,5 +18,13 @@
 int
 PhStandinTasks_Handle(PhStandinTasks *tasks, PhTime now, PhStr method,
                       PhStr path, PhStr body, PhBuf *answer);
+/* The runs held at `now`, PhWorkerRun, until the next call. */
+const GArray *
+PhStandinTasks_Runs(PhStandinTasks *tasks, PhTime now);
+PhJobSize
+PhStandinTasks_Size(const PhStandinTasks *tasks);
+/* Loses all runs and their ends, as a restart of the worker does. */
+void
+PhStandinTasks_Restart(PhStandinTasks *tasks);
 
 #endif
--- a/standin/worker.c
+++ b/standin/worker.c
@@ -1,7 +1,6 @@
 #include <inttypes.h>
 
 #include "peridothill/standin/standin.h"
-#include "peridothill/standin/worker_tasks.h"
 #include "server.h"
 
 enum {
@@ -150,6 +149,7 @@
     PhWorkerTask *w = state;
     g_hash_table_destroy(w->pending);
     PhFakeWorker_Destroy(w->slots);
+    w->shared->tasks = NULL;
     PhStandinTasks_Destroy(w->tasks);
     g_free(w);
 }
@@ -167,6 +167,7 @@
     w->shared = options->state;
     w->slots = PhFakeWorker_Create(&slots);
     w->tasks = PhStandinTasks_Create(options->seed, options->capacity);
+    w->shared->tasks = w->tasks;
     w->pending = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
                                        pending_destroy);
     PhServerOptions server = {.name = options->name,
--- a/standin/worker_tasks.c
+++ b/standin/worker_tasks.c
@@ -2,7 +2,6 @@
 
 #include "peridothill/codec/worker_command.h"
 #include "peridothill/common/random.h"
-#include "peridothill/standin/worker_runs.h"
 
 enum {
     STATUS_OK = 200,
@@ -11,21 +10,30 @@
 };
 
 struct PhStandinTasks {
+    PhJobSize size;
+    PhRandom *boots; /* gives the number of each boot */
     PhWorkerTasks *tasks;
 };
 
+/* Starts the worker empty, under a new boot number. */
+static void
+boot(PhStandinTasks *t)
+{
+    /* Positive also as a signed number. */
+    t->tasks =
+        PhWorkerTasks_Create((PhRandom_U64(t->boots) >> 1) | 1, t->size);
+}
+
 /* Creates a worker without tasks. */
 PhStandinTasks *
 PhStandinTasks_Create(uint64_t seed, PhFakeSize capacity)
 {
     PhStandinTasks *t = g_new0(PhStandinTasks, 1);
-    PhJobSize size = {.cpu_milli = capacity.milli_processors,
-                      .memory_mb = capacity.memory_mb,
-                      .accelerators = capacity.accelerators};
-    PhRandom *random = PhRandom_Create(seed);
-    /* Positive also as a signed number. */
-    t->tasks = PhWorkerTasks_Create((PhRandom_U64(random) >> 1) | 1, size);
-    PhRandom_Destroy(random);
+    t->size = (PhJobSize){.cpu_milli = capacity.milli_processors,
+                          .memory_mb = capacity.memory_mb,
+                          .accelerators = capacity.accelerators};
+    t->boots = PhRandom_Create(seed);
+    boot(t);
     return t;
 }
 
@@ -37,6 +45,7 @@
         return;
     }
     PhWorkerTasks_Destroy(tasks->tasks);
+    PhRandom_Destroy(tasks->boots);
     g_free(tasks);
 }
 
@@ -64,3 +73,26 @@
     PhWorkerAnswer_Clear(&a);
     return STATUS_OK;
 }
+
+/* Gives the runs that are held at `now`. */
+const GArray *
+PhStandinTasks_Runs(PhStandinTasks *tasks, PhTime now)
+{
+    PhWorkerTasks_Advance(tasks->tasks, now / PH_NS_PER_MS);
+    return PhWorkerTasks_Runs(tasks->tasks);
+}
+
+/* Gives the size of the worker. */
+PhJobSize
+PhStandinTasks_Size(const PhStandinTasks *tasks)
+{
+    return tasks->size;
+}
+
+/* Restarts the worker empty. */
+void
+PhStandinTasks_Restart(PhStandinTasks *tasks)
+{
+    PhWorkerTasks_Destroy(tasks->tasks);
+    boot(tasks);
+}
--- /dev/null
+++ b/tests/demo/test_verdict.c
@@ -0,0 +1,64 @@
+#include "peridothill/demo/verdict.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "tests/table.h"
+
+/* Checks of one promise among the others, which all hold. */
+typedef struct PhVerdictCase {
+    const char *name;
+    int held;
+    int broken;
+    bool all;
+    const char *line; /* a part of what is printed */
+} PhVerdictCase;
+
+static const PhVerdictCase verdict_cases[] = {
+    {"held", 3, 0, true, "promise=one-place verdict=held"},
+    {"broken once", 3, 1, false, "promise=one-place verdict=broken"},
+    {"only broken", 0, 1, false, "broken: one-place: task 7"},
+    {"never exercised", 0, 0, false, "promise=one-place verdict=unproved"},
+};
+
+/* Prints the verdicts of one case. */
+static void
+check_verdict(const PhVerdictCase *c)
+{
+    char *text = NULL;
+    size_t len = 0;
+    FILE *out = open_memstream(&text, &len);
+    PhStr about = PhStr_LITERAL("task 7");
+    PhVerdicts *v = PhVerdicts_Create(out);
+    for (int i = 0; i < PH_PROMISES; i++) {
+        if (i != PH_INVARIANT_ONE_PLACE) {
+            PhVerdicts_Check(v, (PhInvariant)i, true, about);
+        }
+    }
+    for (int i = 0; i < c->held + c->broken; i++) {
+        PhVerdicts_Check(v, PH_INVARIANT_ONE_PLACE, i < c->held, about);
+    }
+    assert_int_equal(PhVerdicts_Print(v, out), c->all);
+    PhVerdicts_Destroy(v);
+    fclose(out);
+    assert_non_null(strstr(text, c->line));
+    free(text);
+}
+
+/* Verdicts from checks. */
+static void
+test_verdict(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(verdict_cases, check_verdict);
+}
+
+/* Runs the tests of the verdicts. */
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_verdict),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
