--- a/codec/settings_key.c
+++ b/codec/settings_key.c
@@ -43,7 +43,7 @@
     KEY("platform", "log_address", platform.log_address, ADDRESS, false, 0, 0,
         "127.0.0.1:9000", "IP number and port of the platform's log."),
     KEY("platform", "list_address", platform.list_address, ADDRESS, false, 0,
-        0, "127.0.0.1:9000",
+        0, "127.0.0.1:9001",
         "IP number and port of the platform's list of instances."),
     KEY("platform", "list_poll", platform.list_poll, DURATION, false, 100 * MS,
         60 * S, "1s", "Time between two readings of the list."),
--- a/tests/proof/test_settings.c
+++ b/tests/proof/test_settings.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "peridothill/codec/settings.h"
+#include "peridothill/codec/settings_key.h"
 #include "peridothill/common/random.h"
 #include "tests/table.h"
 
@@ -230,6 +230,38 @@
     PhSettings_Clear(&settings);
 }
 
+/* Checks that the man page names every key with its default. */
+static void
+test_man_page(void **state)
+{
+    (void)state;
+    size_t count = 0;
+    const PhSettingKey *keys = PhSettingKey_List(&count);
+    char *path = g_build_filename(g_getenv("PH_DOCS"), "..", "man",
+                                  "peridothill-settings.5", NULL);
+    char *text = NULL;
+    assert_true(g_file_get_contents(path, &text, NULL, NULL));
+    for (size_t i = 0; i < count; i++) {
+        char *section = g_strdup_printf(".SH SECTION %s\n", keys[i].section);
+        char *name = g_strdup_printf(".B %s\n", keys[i].name);
+        char *initial = g_strdup_printf("Default %s.", keys[i].initial);
+        print_message("# key %s.%s\n", keys[i].section, keys[i].name);
+        const char *at = strstr(text, section);
+        assert_non_null(at);
+        at = strstr(at, name);
+        assert_non_null(at);
+        const char *next = strstr(at, ".TP");
+        const char *found = strstr(at, initial);
+        assert_true(keys[i].required || keys[i].initial[0] == '\0' ||
+                    (found != NULL && (next == NULL || found < next)));
+        g_free(section);
+        g_free(name);
+        g_free(initial);
+    }
+    g_free(text);
+    g_free(path);
+}
+
 /* Parses seeded mutations of the file of defaults: each gives OK, or INVALID
  * with errors that name a line. */
 static void
@@ -274,7 +306,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_errors),    cmocka_unit_test(test_long_lines),
         cmocka_unit_test(test_values),    cmocka_unit_test(test_defaults),
-        cmocka_unit_test(test_mutations),
+        cmocka_unit_test(test_mutations), cmocka_unit_test(test_man_page),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
