config: test one follower and one appender, event by event

Cause: checks that random faults rarely reach were not seen to fail. Conclusion: each check has a case.

--- a/decide/config/config_follower_internal.h
+++ b/decide/config/config_follower_internal.h
@@ -56,7 +56,6 @@
     PhTime read_since;
     PhTime next_read;
     PhTime read_backoff;
-    bool log_failing;
 
     bool snapshots_reading;
     bool snapshot_wanted; /* to recover from */
@@ -144,7 +143,15 @@
 /* Tells whether a peer was heard that holds a state up to `next`. */
 bool
 PhFollowerPeers_HasSource(const PhConfigFollower *f, uint64_t next);
+
+/* The rows of the peers. */
 void
 PhPeerRow_Destroy(gpointer row);
+/* Finds the row of a member, or gives NULL. */
+PhPeerRow *
+PhPeerRow_Find(const PhConfigFollower *f, PhStr member);
+/* Picks one of the peers that are furthest ahead, or gives NULL. */
+PhPeerRow *
+PhPeerRow_PickSource(const PhConfigFollower *f);
 
 #endif
--- a/decide/config/config_follower_log.c
+++ b/decide/config/config_follower_log.c
@@ -101,7 +101,6 @@
     PhTime most =
         PhConfigFollower_ReadsLog(f) ? READ_BACKOFF_MAX_NS : STALE_READ_MAX_NS;
     PhFollower_Note(actions, PH_CONFIG_NOTE_LOG_FAILED);
-    f->log_failing = true;
     f->read_backoff = MIN(f->read_backoff * 2, most);
     f->next_read = now + PhFollower_Jitter(f, f->read_backoff);
 }
@@ -150,7 +149,6 @@
              GArray *actions)
 {
     uint64_t from = PhFollower_Next(f);
-    f->log_failing = false;
     f->gap_end = 0;
     f->read_backoff = f->options.poll_interval;
     f->next_read = now + PhFollower_Jitter(f, f->options.poll_interval);
--- a/decide/config/config_follower_peers.c
+++ b/decide/config/config_follower_peers.c
@@ -6,22 +6,6 @@
     REMOTE_HELLO_PERCENT = 25,
 };
 
-/* Releases a row. */
-void
-PhPeerRow_Destroy(gpointer data)
-{
-    PhPeerRow *row = data;
-    PhStr_Clear(&row->member);
-    g_free(row);
-}
-
-/* Finds the row of a member, or gives NULL. */
-static PhPeerRow *
-row_find(const PhConfigFollower *f, PhStr member)
-{
-    return g_hash_table_lookup(f->by_member, &member);
-}
-
 /* Describes this instance to a peer. */
 static PhConfigHello
 hello_make(const PhConfigFollower *f, PhTime now, bool reply_wanted)
@@ -48,96 +32,6 @@
                                 .as.hello = hello_make(f, now, reply_wanted)});
 }
 
-/* Orders local rows first, and each part by name. */
-static gint
-row_compare(gconstpointer a, gconstpointer b)
-{
-    const PhPeerRow *x = *(PhPeerRow *const *)a;
-    const PhPeerRow *y = *(PhPeerRow *const *)b;
-    if (x->local != y->local) {
-        return x->local ? -1 : 1;
-    }
-    return PhStr_Compare(x->member, y->member);
-}
-
-/* Makes the row of a peer; what was known of it is kept. */
-static PhPeerRow *
-row_create(const PhConfigFollower *f, const PhConfigPeer *peer)
-{
-    const PhPeerRow *old = row_find(f, peer->member);
-    PhPeerRow *row = g_new0(PhPeerRow, 1);
-    row->heard_at = -1;
-    if (old != NULL) {
-        *row = *old;
-    }
-    row->member = PhStr_Dup(peer->member);
-    row->local = peer->local;
-    return row;
-}
-
-/* Takes over a new list of peers. */
-void
-PhFollowerPeers_Members(PhConfigFollower *f, PhTime now,
-                        const PhConfigEvent *event, GArray *actions)
-{
-    GPtrArray *rows = g_ptr_array_new_with_free_func(PhPeerRow_Destroy);
-    (void)now;
-    (void)actions;
-    f->local_count = 1;
-    f->rank = 0;
-    for (size_t i = 0; i < event->as.members.count; i++) {
-        const PhConfigPeer *peer = &event->as.members.peers[i];
-        g_ptr_array_add(rows, row_create(f, peer));
-        f->local_count += peer->local;
-        f->rank += peer->local &&
-                   PhStr_Compare(peer->member, event->as.members.self) < 0;
-    }
-    g_ptr_array_sort(rows, row_compare);
-    g_hash_table_remove_all(f->by_member);
-    g_ptr_array_free(f->peers, TRUE);
-    f->peers = rows;
-    for (guint i = 0; i < rows->len; i++) {
-        PhPeerRow *row = g_ptr_array_index(rows, i);
-        g_hash_table_insert(f->by_member, &row->member, row);
-    }
-}
-
-/* Tells whether a peer holds a state at least up to `next`. */
-bool
-PhFollowerPeers_HasSource(const PhConfigFollower *f, uint64_t next)
-{
-    for (guint i = 0; i < f->peers->len; i++) {
-        const PhPeerRow *row = g_ptr_array_index(f->peers, i);
-        if (row->heard_at >= 0 && !row->recovering && row->digest >= 0 &&
-            row->next >= next) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Picks one of the peers that are furthest ahead, or NULL. */
-static PhPeerRow *
-source_pick(const PhConfigFollower *f)
-{
-    PhPeerRow *best = NULL;
-    uint64_t ties = 0;
-    for (guint i = 0; i < f->peers->len; i++) {
-        PhPeerRow *row = g_ptr_array_index(f->peers, i);
-        if (row->recovering || row->digest < 0 ||
-            row->next <= PhFollower_Next(f)) {
-            continue;
-        }
-        bool tie = best != NULL && row->next == best->next;
-        ties = tie ? ties + 1 : 1;
-        if (best == NULL || row->next > best->next ||
-            (tie && PhRandom_Below(f->options.random, ties) == 0)) {
-            best = row;
-        }
-    }
-    return best;
-}
-
 /* Asks a peer for what is missing. */
 bool
 PhFollowerPeers_CatchUp(PhConfigFollower *f, PhTime now, GArray *actions)
@@ -145,7 +39,7 @@
     if (f->fetch_until != PH_TIME_NEVER) {
         return true;
     }
-    PhPeerRow *row = source_pick(f);
+    PhPeerRow *row = PhPeerRow_PickSource(f);
     if (row == NULL) {
         return false;
     }
@@ -231,8 +125,7 @@
     return g_ptr_array_index(f->peers, index);
 }
 
-/* Sends a hello to a random peer, most often a local one.  A reader that
- * does not reach the log asks another data centre as well. */
+/* Sends a hello to a random peer, most often a local one. */
 static void
 hello_tick(PhConfigFollower *f, PhTime now, GArray *actions)
 {
@@ -247,9 +140,6 @@
     hello_send(f, now,
                row_random(f, remote ? local : 0, remote ? all : local)->member,
                false, actions);
-    if (f->log_failing && PhConfigFollower_ReadsLog(f) && local < all) {
-        hello_send(f, now, row_random(f, local, all)->member, true, actions);
-    }
 }
 
 /* Tells when a hello, a fetch or the recovery has something to do. */
@@ -334,7 +224,7 @@
                       const PhConfigEvent *event, GArray *actions)
 {
     const PhConfigHello *hello = &event->as.hello;
-    PhPeerRow *row = row_find(f, event->member);
+    PhPeerRow *row = PhPeerRow_Find(f, event->member);
     if (row != NULL) {
         row_update(f, row, now, hello, actions);
     }
@@ -463,7 +353,7 @@
                      const PhConfigEvent *event, GArray *actions)
 {
     size_t count = event->as.push.count;
-    PhPeerRow *row = row_find(f, event->member);
+    PhPeerRow *row = PhPeerRow_Find(f, event->member);
     uint64_t from = PhFollower_Next(f);
     fetch_answered(f, row);
     if (row != NULL && count > 0) {
@@ -482,7 +372,7 @@
 PhFollowerPeers_State(PhConfigFollower *f, PhTime now,
                       const PhConfigEvent *event, GArray *actions)
 {
-    fetch_answered(f, row_find(f, event->member));
+    fetch_answered(f, PhPeerRow_Find(f, event->member));
     if (PhFollower_Restore(f, event->as.state, actions)) {
         PhFollower_Note(actions, PH_CONFIG_NOTE_RECOVERED_PEER);
     }
--- a/tests/config/test_config_fleet.c
+++ b/tests/config/test_config_fleet.c
@@ -140,6 +140,7 @@
     STORY_LOST_ANSWERS,
     STORY_OUTAGE,
     STORY_RECORDS_LOST,
+    STORY_HEARS_NO_PEER,
 } PhFleetStory;
 
 /* A story; `notes` names one thing that has to be noticed in it, or -1. */
@@ -171,6 +172,7 @@
      -1},
     {"outage of the log", STORY_OUTAGE, 3600 * SECOND,
      PH_CONFIG_NOTE_LOG_FAILED},
+    {"an instance hears no peer", STORY_HEARS_NO_PEER, 3600 * SECOND, -1},
     {"records expire that nobody read", STORY_RECORDS_LOST, 60 * SECOND,
      PH_CONFIG_NOTE_RETENTION_GAP},
 };
@@ -298,6 +300,43 @@
     PhConfigFleet_Bridge(w->fleet, 0);
 }
 
+/* Lets ten minutes pass; the log holds a snapshot at every moment. */
+static void
+idle(PhFleetWorld *w)
+{
+    run(w, 40 * SECOND);
+    for (int i = 0; i < 560; i++) {
+        GArray *found = g_array_new(FALSE, FALSE, sizeof(PhFakeRecord));
+        PhFakeLogAnswer a = PhFakeLog_Read(
+            PhConfigFleet_Log(w->fleet), PhConfigFleet_Now(w->fleet),
+            PhStr_LITERAL("config.snapshots"), 0, 1, found);
+        assert_true(a.first < a.end);
+        g_array_free(found, TRUE);
+        run(w, SECOND);
+    }
+}
+
+/* An instance that does not read the log, and that no peer reaches, follows
+ * the log by itself. */
+static void
+hears_no_peer(PhFleetWorld *w)
+{
+    PhFakeNet *net = PhConfigFleet_Net(w->fleet);
+    const uint32_t last = INSTANCES - 1;
+    assert_false(
+        PhConfigFollower_ReadsLog(PhConfigFleet_Follower(w->fleet, last)));
+    for (uint32_t i = 0; i < last; i++) {
+        PhFakeNet_Silence(net, i, last, true);
+    }
+    submit_some(w, 10);
+    run(w, 30 * SECOND);
+    assert_int_equal(PhConfigFleet_Version(w->fleet, last),
+                     PhConfigFleet_HighestVersion(w->fleet));
+    for (uint32_t i = 0; i < last; i++) {
+        PhFakeNet_Silence(net, i, last, false);
+    }
+}
+
 /* Plays a story. */
 static void
 story_play(PhFleetWorld *w, PhFleetStory story)
@@ -313,7 +352,7 @@
         break;
     case STORY_START_ALONE:
     case STORY_IDLE_BEYOND_RETENTION:
-        run(w, 600 * SECOND);
+        idle(w);
         PhConfigFleet_CrashAll(w->fleet);
         PhConfigFleet_StartAll(w->fleet);
         break;
@@ -338,6 +377,9 @@
     case STORY_RECORDS_LOST:
         records_lost(w);
         break;
+    case STORY_HEARS_NO_PEER:
+        hears_no_peer(w);
+        break;
     }
 }
 
--- /dev/null
+++ b/tests/config/test_config_follower.c
@@ -0,0 +1,622 @@
+/* One follower, or one appender, given events one by one. */
+#include "peridothill/decide/config/config_follower.h"
+
+#include <string.h>
+
+#include "peridothill/common/invariant.h"
+#include "peridothill/decide/config/config_appender.h"
+#include "tests/table.h"
+
+enum {
+    STEPS = 12,
+    PEERS_MAX = 24,
+    TRACE_BYTES = 64,
+    RETENTION_S = 1000,
+};
+
+/* What a step does. */
+typedef enum PhStepKind {
+    STEP_END,
+    STEP_TIME,       /* a: milliseconds to move on; ticks that come due run */
+    STEP_MEMBERS,    /* a: local peers, b: remote ones */
+    STEP_RECORDS,    /* a: end of the log, b: records that come with it */
+    STEP_EXPIRED,    /* a: first kept record */
+    STEP_FAILED,     /* a read of the log fails */
+    STEP_SNAPSHOTS,  /* a: what the latest covers, 0: there is none */
+    STEP_HELLO,      /* a: next of the peer b, which agrees */
+    STEP_DIFFERS,    /* a: next of the peer b, which holds another content */
+    STEP_FETCH,      /* a: from */
+    STEP_PUSH,       /* a: first offset, b: count */
+    STEP_STATE,      /* a: what it covers */
+    STEP_STATE_OLD,  /* a: what it covers, at version 1 */
+    STEP_STATE_ODD,  /* a: what it covers, with another content */
+    STEP_STATE_LOST, /* a: what it covers, of other patches */
+} PhStepKind;
+
+/* A step and what the follower asks for, one letter for each action: r reads
+ * the log, s the snapshots, w writes one, h hello, f fetch, p push, t state,
+ * d decided, i in force, and a digit for a note. */
+typedef struct PhStep {
+    PhStepKind kind;
+    uint64_t a;
+    uint64_t b;
+    const char *actions;
+} PhStep;
+
+/* Steps of one follower, and the version in force after them. */
+typedef struct PhFollowerCase {
+    const char *name;
+    PhStep steps[STEPS];
+    uint64_t version;
+} PhFollowerCase;
+
+/* A start without peers: the gather finds nobody, the log has five records. */
+#define START                                                                 \
+    {STEP_TIME, 700, 0, "s"}, {STEP_SNAPSHOTS, 0, 0, "r"},                    \
+    {                                                                         \
+        STEP_RECORDS, 5, 5, "dddddi"                                          \
+    }
+
+static const PhFollowerCase follower_cases[] = {
+    {"starts from the log", {START}, 5},
+    {"log ends before what is held", {START, {STEP_RECORDS, 3, 0, "0"}}, 5},
+    {"nothing in force before the end of the log",
+     {{STEP_TIME, 700, 0, "s"},
+      {STEP_SNAPSHOTS, 0, 0, "r"},
+      {STEP_RECORDS, 9, 5, "dddddr"},
+      {STEP_RECORDS, 9, 4, "ddddi"}},
+     9},
+    {"gap without a snapshot",
+     {START, {STEP_EXPIRED, 8, 0, "s"}, {STEP_SNAPSHOTS, 0, 0, "1w"}},
+     5},
+    {"gap with a snapshot",
+     {START, {STEP_EXPIRED, 8, 0, "s"}, {STEP_SNAPSHOTS, 9, 0, "ddddi2r"}},
+     9},
+    {"snapshot that covers less",
+     {START, {STEP_EXPIRED, 8, 0, "s"}, {STEP_SNAPSHOTS, 4, 0, "1"}},
+     5},
+    {"state of an earlier version", {START, {STEP_STATE_OLD, 9, 0, "5"}}, 5},
+    {"state with another content",
+     {START, {STEP_STATE_ODD, 5, 0, ""}, {STEP_STATE_ODD, 6, 0, "5"}},
+     5},
+    {"state that lacks an accepted patch",
+     {START, {STEP_STATE_LOST, 9, 0, "5"}},
+     5},
+    {"state that leads on", {START, {STEP_STATE, 7, 0, "ddi3"}}, 7},
+    {"push with a gap, a copy, and the rest",
+     {START,
+      {STEP_MEMBERS, 1, 0, ""},
+      {STEP_PUSH, 6, 1, "f"},
+      {STEP_PUSH, 3, 2, "f"},
+      {STEP_PUSH, 5, 2, "ddi"}},
+     7},
+    {"push goes down the tree",
+     {START, {STEP_MEMBERS, 10, 0, ""}, {STEP_PUSH, 5, 1, "dippppppp"}},
+     6},
+    {"takes the highest of the peers",
+     {{STEP_MEMBERS, 2, 0, ""},
+      {STEP_TIME, 450, 0, "hhh"},
+      {STEP_HELLO, 3, 0, ""},
+      {STEP_HELLO, 6, 1, ""},
+      {STEP_TIME, 200, 0, "f"},
+      {STEP_STATE, 6, 1, "dddddd3i"}},
+     6},
+    {"peer that does not answer a fetch",
+     {START,
+      {STEP_MEMBERS, 2, 0, ""},
+      {STEP_HELLO, 7, 0, "f"},
+      {STEP_HELLO, 6, 1, ""}},
+     5},
+    {"hello of a peer that lags", {START, {STEP_HELLO, 3, 0, "h"}}, 5},
+    {"hello of a peer that agrees",
+     {START, {STEP_MEMBERS, 1, 0, ""}, {STEP_HELLO, 5, 0, ""}},
+     5},
+    {"one peer differs",
+     {START, {STEP_MEMBERS, 3, 0, ""}, {STEP_DIFFERS, 5, 0, "4"}},
+     5},
+    {"fetch of recent records", {START, {STEP_FETCH, 2, 0, "p"}}, 5},
+    {"fetch of what is not there", {START, {STEP_FETCH, 5, 0, "h"}}, 5},
+    {"states are sent at a bounded rate",
+     {START,
+      {STEP_STATE, 7, 0, "ddi3"},
+      {STEP_FETCH, 0, 0, "t"},
+      {STEP_FETCH, 0, 0, "t"},
+      {STEP_FETCH, 0, 0, "t"},
+      {STEP_FETCH, 0, 0, "t"},
+      {STEP_FETCH, 0, 0, "6"}},
+     7},
+};
+
+/* A follower and its time. */
+typedef struct PhFollowerWorld {
+    PhRandom *random;
+    PhConfigFollower *follower;
+    PhTime now;
+    char trace[TRACE_BYTES];
+    uint64_t in_force;
+} PhFollowerWorld;
+
+/* Makes the record at an offset, which sets a team of its own. */
+static PhConfigRecord *
+record_make(uint64_t offset, const char *value)
+{
+    char id[24];
+    char path[24];
+    g_snprintf(id, sizeof(id), "%c%u", *value == '3' ? 'q' : 'p',
+               (unsigned)offset);
+    g_snprintf(path, sizeof(path), "teams.t%u.share", (unsigned)offset);
+    PhConfigPatch patch = {.id = PhStr_Dup(PhStr_FromC(id)), .base = offset};
+    PhConfigPatch_Add(&patch, PH_CONFIG_CHANGE_SET, PhStr_FromC(path),
+                      PhStr_FromC(value));
+    return PhConfigRecord_Create(offset, 0, &patch);
+}
+
+/* Makes what a ledger holds after `count` records. */
+static PhConfigSnapshot *
+snapshot_make(uint64_t count, const char *value)
+{
+    PhConfigLedger *l = PhConfigLedger_Create();
+    for (uint64_t i = 0; i < count; i++) {
+        PhConfigRecord *record = record_make(i, value);
+        PhConfigLedger_Apply(l, record);
+        PhConfigRecord_Unref(record);
+    }
+    PhConfigSnapshot *snapshot = PhConfigLedger_Snapshot(l);
+    PhConfigLedger_Destroy(l);
+    return snapshot;
+}
+
+/* Gives an event to the follower and traces what it asks for. */
+static void
+give(PhFollowerWorld *w, const PhConfigEvent *event)
+{
+    static const char letters[] = "rswhfptdi";
+    GArray *actions = PhConfigActions_Create();
+    PhConfigFollower_Handle(w->follower, w->now, event, actions);
+    for (guint i = 0; i < actions->len; i++) {
+        const PhConfigAction *a = &g_array_index(actions, PhConfigAction, i);
+        size_t len = strlen(w->trace);
+        assert_true(len < TRACE_BYTES - 1);
+        w->trace[len] = a->kind == PH_CONFIG_ACTION_NOTE
+                            ? (char)('0' + a->as.note)
+                            : letters[a->kind];
+        if (a->kind == PH_CONFIG_ACTION_IN_FORCE) {
+            uint64_t version = PhConfigState_Version(a->as.in_force);
+            assert_true(version >= w->in_force);
+            w->in_force = version;
+        }
+    }
+    g_array_free(actions, TRUE);
+}
+
+/* Gives records as an answer of the log or from a peer. */
+static void
+give_records(PhFollowerWorld *w, PhConfigEvent *event, uint64_t first,
+             uint64_t count)
+{
+    PhConfigRecord *records[PEERS_MAX];
+    for (uint64_t i = 0; i < count; i++) {
+        records[i] = record_make(first + i, "1");
+    }
+    if (event->kind == PH_CONFIG_EVENT_RECORDS) {
+        event->as.records.records = records;
+        event->as.records.count = count;
+    }
+    else {
+        event->as.push.records = records;
+        event->as.push.count = count;
+    }
+    give(w, event);
+    for (uint64_t i = 0; i < count; i++) {
+        PhConfigRecord_Unref(records[i]);
+    }
+}
+
+/* Gives a list of peers: a0, a1 and so on are local, b0, b1 remote. */
+static void
+give_members(PhFollowerWorld *w, uint64_t local, uint64_t remote)
+{
+    char names[PEERS_MAX][8];
+    PhConfigPeer peers[PEERS_MAX];
+    for (uint64_t i = 0; i < local + remote; i++) {
+        g_snprintf(names[i], sizeof(names[i]), "%c%u", i < local ? 'a' : 'b',
+                   (unsigned)(i < local ? i : i - local));
+        peers[i] = (PhConfigPeer){.member = PhStr_FromC(names[i]),
+                                  .local = i < local};
+    }
+    PhConfigEvent event = {.kind = PH_CONFIG_EVENT_MEMBERS,
+                           .as.members = {.self = PhStr_LITERAL("a"),
+                                          .peers = peers,
+                                          .count = local + remote}};
+    give(w, &event);
+}
+
+/* Gives a hello of a peer that holds `next` records. */
+static void
+give_hello(PhFollowerWorld *w, const PhStep *step)
+{
+    char name[] = {'a', (char)('0' + step->b), '\0'};
+    PhConfigSnapshot *s =
+        snapshot_make(step->a, step->kind == STEP_DIFFERS ? "2" : "1");
+    PhConfigEvent event = {
+        .kind = PH_CONFIG_EVENT_HELLO,
+        .member = PhStr_FromC(name),
+        .as.hello = {.next = step->a,
+                     .version = PhConfigState_Version(s->state),
+                     .digest = PhConfigState_Digest(s->state),
+                     .confirmed_ms_ago = 5}};
+    give(w, &event);
+    PhConfigSnapshot_Unref(s);
+}
+
+/* Gives a state of a peer. */
+static void
+give_state(PhFollowerWorld *w, const PhStep *step)
+{
+    bool odd = step->kind == STEP_STATE_ODD;
+    uint64_t count = step->kind == STEP_STATE_OLD ? 1 : odd ? 5 : step->a;
+    bool lost = step->kind == STEP_STATE_LOST;
+    PhConfigSnapshot *s = snapshot_make(count, odd ? "2" : lost ? "3" : "1");
+    s->covers = step->a;
+    PhConfigEvent event = {.kind = PH_CONFIG_EVENT_STATE,
+                           .member = PhStr_LITERAL("a1"),
+                           .as.state = s};
+    give(w, &event);
+    PhConfigSnapshot_Unref(s);
+}
+
+/* Gives the answer to a read of snapshots. */
+static void
+give_snapshots(PhFollowerWorld *w, uint64_t covers)
+{
+    PhConfigSnapshot *s = covers == 0 ? NULL : snapshot_make(covers, "1");
+    PhConfigEvent event = {
+        .kind = PH_CONFIG_EVENT_SNAPSHOTS,
+        .as.snapshots = {.end = covers > 0, .read = covers > 0, .latest = s}};
+    give(w, &event);
+    PhConfigSnapshot_Unref(s);
+}
+
+/* Moves the time on, with the ticks that come due. */
+static void
+pass(PhFollowerWorld *w, uint64_t ms)
+{
+    PhTime until = w->now + (PhTime)ms * PH_NS_PER_MS;
+    PhConfigEvent tick = {.kind = PH_CONFIG_EVENT_TICK};
+    while (PhConfigFollower_NextTick(w->follower) <= until) {
+        w->now = MAX(w->now, PhConfigFollower_NextTick(w->follower));
+        give(w, &tick);
+    }
+    w->now = until;
+}
+
+/* Does one step. */
+static void
+step_run(PhFollowerWorld *w, const PhStep *step)
+{
+    PhConfigEvent event = {.member = PhStr_LITERAL("a0")};
+    switch (step->kind) {
+    case STEP_END:
+        break;
+    case STEP_TIME:
+        pass(w, step->a);
+        break;
+    case STEP_MEMBERS:
+        give_members(w, step->a, step->b);
+        break;
+    case STEP_RECORDS:
+        event.kind = PH_CONFIG_EVENT_RECORDS;
+        event.as.records.end = step->a;
+        give_records(w, &event,
+                     PhConfigLedger_Next(PhConfigFollower_Ledger(w->follower)),
+                     step->b);
+        break;
+    case STEP_EXPIRED:
+    case STEP_FAILED:
+        event.kind = PH_CONFIG_EVENT_RECORDS;
+        event.as.records.status = step->kind == STEP_EXPIRED
+                                      ? PH_STATUS_EXPIRED
+                                      : PH_STATUS_UNAVAILABLE;
+        event.as.records.first = step->a;
+        give_records(w, &event, 0, 0);
+        break;
+    case STEP_SNAPSHOTS:
+        give_snapshots(w, step->a);
+        break;
+    case STEP_HELLO:
+    case STEP_DIFFERS:
+        give_hello(w, step);
+        break;
+    case STEP_FETCH:
+        event.kind = PH_CONFIG_EVENT_FETCH;
+        event.as.fetch = step->a;
+        give(w, &event);
+        break;
+    case STEP_PUSH:
+        event.kind = PH_CONFIG_EVENT_PUSH;
+        give_records(w, &event, step->a, step->b);
+        break;
+    case STEP_STATE:
+    case STEP_STATE_OLD:
+    case STEP_STATE_ODD:
+    case STEP_STATE_LOST:
+        give_state(w, step);
+        break;
+    }
+}
+
+/* Runs the steps of one case. */
+static void
+check_follower(const PhFollowerCase *c)
+{
+    PhFollowerWorld w = {.random = PhRandom_Create(3)};
+    w.follower = PhConfigFollower_Create(
+        &(PhConfigFollowerOptions){.random = w.random,
+                                   .poll_interval = PH_NS_PER_S,
+                                   .hello_interval = PH_NS_PER_S,
+                                   .retention = RETENTION_S * PH_NS_PER_S,
+                                   .readers = 2});
+    for (size_t i = 0; i < STEPS && c->steps[i].kind != STEP_END; i++) {
+        memset(w.trace, 0, sizeof(w.trace));
+        step_run(&w, &c->steps[i]);
+        assert_string_equal(w.trace, c->steps[i].actions);
+    }
+    assert_int_equal(w.in_force, c->version);
+    PhConfigFollower_Destroy(w.follower);
+    PhRandom_Destroy(w.random);
+}
+
+/* Events and what a follower asks for. */
+static void
+test_follower(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(follower_cases, check_follower);
+}
+
+static jmp_buf broken;
+
+/* Returns to the test in place of stopping the process. */
+static void
+on_broken(PhInvariant invariant, const char *values)
+{
+    (void)values;
+    longjmp(broken, (int)invariant + 1);
+}
+
+/* How many peers agree and differ, and whether this instance stops. */
+typedef struct PhDigestCase {
+    const char *name;
+    uint64_t agree;
+    uint64_t differ;
+    bool stops;
+} PhDigestCase;
+
+static const PhDigestCase digest_cases[] = {
+    {"all agree", 4, 0, false},
+    {"one differs", 0, 1, false},
+    {"as many agree as differ", 2, 2, false},
+    {"most differ", 1, 2, true},
+};
+
+/* Gives the hellos of one case to a follower that holds five records. */
+static void
+check_digest(const PhDigestCase *c)
+{
+    PhFollowerWorld *w = g_new0(PhFollowerWorld, 1);
+    w->random = PhRandom_Create(3);
+    w->follower = PhConfigFollower_Create(
+        &(PhConfigFollowerOptions){.random = w->random,
+                                   .poll_interval = PH_NS_PER_S,
+                                   .hello_interval = PH_NS_PER_S,
+                                   .retention = RETENTION_S * PH_NS_PER_S,
+                                   .readers = 2});
+    PhConfigEvent records = {.kind = PH_CONFIG_EVENT_RECORDS,
+                             .as.records.end = 5};
+    give_records(w, &records, 0, 5);
+    give_members(w, 4, 0);
+    PhInvariant_SetHandler(on_broken);
+    volatile bool stopped = true;
+    if (setjmp(broken) == 0) {
+        for (uint64_t i = 0; i < c->agree + c->differ; i++) {
+            PhStep step = {.kind = i < c->agree ? STEP_HELLO : STEP_DIFFERS,
+                           .a = 5,
+                           .b = i};
+            give_hello(w, &step);
+        }
+        stopped = false;
+    }
+    PhInvariant_SetHandler(NULL);
+    assert_int_equal(stopped, c->stops);
+    if (!stopped) {
+        PhConfigFollower_Destroy(w->follower);
+        PhRandom_Destroy(w->random);
+        g_free(w);
+    }
+}
+
+/* Peers with another content of a version. */
+static void
+test_digest(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(digest_cases, check_digest);
+}
+
+/* What the log answers to an append, and what the operator is told at the
+ * deadline, or by the verdict when there is one. */
+typedef struct PhAppendCase {
+    const char *name;
+    bool answered;
+    PhStatus appended;
+    bool decided;
+    PhStatus told;
+} PhAppendCase;
+
+static const PhAppendCase append_cases[] = {
+    {"accepted", true, PH_STATUS_OK, true, PH_STATUS_OK},
+    {"appended, not decided", true, PH_STATUS_OK, false, PH_STATUS_UNKNOWN},
+    {"no answer", false, PH_STATUS_OK, false, PH_STATUS_UNKNOWN},
+    {"answer lost", true, PH_STATUS_UNKNOWN, false, PH_STATUS_UNKNOWN},
+    {"answer lost, then decided", true, PH_STATUS_UNKNOWN, true, PH_STATUS_OK},
+    {"log down", true, PH_STATUS_UNAVAILABLE, false, PH_STATUS_UNAVAILABLE},
+    {"log over its limit", true, PH_STATUS_FULL, false, PH_STATUS_UNAVAILABLE},
+};
+
+/* Gives an event to an appender; tells the status of the last answer, and
+ * adds the patches that are appended to a count. */
+static PhStatus
+append_count(PhConfigAppender *a, PhTime now, const PhAppendEvent *event,
+             size_t *count)
+{
+    PhStatus told = PH_STATUS_GONE;
+    GArray *actions = PhAppendActions_Create();
+    PhConfigAppender_Handle(a, now, event, actions);
+    for (guint i = 0; i < actions->len; i++) {
+        const PhAppendAction *x = &g_array_index(actions, PhAppendAction, i);
+        if (x->kind == PH_APPEND_ACTION_ANSWER) {
+            told = x->as.answer.result.status;
+        }
+        else {
+            *count += x->as.append.count;
+        }
+    }
+    g_array_free(actions, TRUE);
+    return told;
+}
+
+/* Gives an event to an appender. */
+static PhStatus
+append_give(PhConfigAppender *a, PhTime now, const PhAppendEvent *event)
+{
+    size_t count = 0;
+    return append_count(a, now, event, &count);
+}
+
+/* Submits one patch. */
+static void
+check_append(const PhAppendCase *c)
+{
+    PhRandom *random = PhRandom_Create(1);
+    PhConfigAppender *a = PhConfigAppender_Create(&(PhConfigAppenderOptions){
+        .random = random, .appends_per_second = 150, .queue_limit = 4});
+    PhConfigPatch patch = {.id = PhStr_LITERAL("p")};
+    PhAppendEvent event = {
+        .kind = PH_APPEND_EVENT_SUBMIT,
+        .as.submit = {.patch = &patch, .deadline = PH_NS_PER_S / 4}};
+    PhConfigVerdict verdict = {.id = patch.id, .version = 1};
+    assert_int_equal(append_give(a, 0, &event), PH_STATUS_GONE);
+    if (c->answered) {
+        event = (PhAppendEvent){.kind = PH_APPEND_EVENT_APPENDED,
+                                .as.appended = c->appended};
+        assert_int_equal(append_give(a, 1, &event), PH_STATUS_GONE);
+    }
+    event = (PhAppendEvent){.kind = PH_APPEND_EVENT_TICK};
+    if (c->decided) {
+        event = (PhAppendEvent){.kind = PH_APPEND_EVENT_DECIDED,
+                                .as.decided = &verdict};
+    }
+    PhTime at = c->decided ? 2 : PH_NS_PER_S / 4;
+    assert_int_equal(append_give(a, at, &event), c->told);
+    assert_int_equal(PhConfigAppender_Waiting(a), 0);
+    PhConfigAppender_Destroy(a);
+    PhRandom_Destroy(random);
+}
+
+/* Answers that are true. */
+static void
+test_append(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(append_cases, check_append);
+}
+
+/* How many instances share the rate, and how many of 40 patches one of them
+ * appends at once when the log is well, and at most after an outage, once the
+ * patch that it sent alone was taken. */
+typedef struct PhPaceCase {
+    const char *name;
+    size_t instances;
+    size_t well;
+    size_t after_outage;
+} PhPaceCase;
+
+static const PhPaceCase pace_cases[] = {
+    {"one instance", 1, 32, 32},
+    {"8 instances", 8, 32, 5},
+    {"56 instances", 56, 32, 1},
+    {"400 instances", 400, 32, 1},
+};
+
+/* Submits 40 patches at once, and counts what is appended within the second
+ * that follows, none of which is answered. */
+static size_t
+pace_run(PhConfigAppender *a, PhTime now)
+{
+    size_t count = 0;
+    PhConfigPatch patch = {.id = PhStr_LITERAL("p")};
+    PhAppendEvent submit = {
+        .kind = PH_APPEND_EVENT_SUBMIT,
+        .as.submit = {.patch = &patch, .deadline = PH_TIME_NEVER}};
+    PhAppendEvent tick = {.kind = PH_APPEND_EVENT_TICK};
+    for (int i = 0; i < 40; i++) {
+        append_count(a, now, &submit, &count);
+    }
+    for (PhTime t = now; t < now + PH_NS_PER_S; t += PH_NS_PER_S / 100) {
+        append_count(a, t, &tick, &count);
+    }
+    return count;
+}
+
+/* Runs a burst, an outage, and a burst after it. */
+static void
+check_pace(const PhPaceCase *c)
+{
+    PhRandom *random = PhRandom_Create(1);
+    PhConfigAppender *a = PhConfigAppender_Create(&(PhConfigAppenderOptions){
+        .random = random, .appends_per_second = 150, .queue_limit = 4096});
+    PhAppendEvent event = {.kind = PH_APPEND_EVENT_INSTANCES,
+                           .as.instances = c->instances};
+    append_give(a, 0, &event);
+    /* The first patch goes alone, the others wait for its answer. */
+    assert_int_equal(pace_run(a, 0), 1);
+    size_t count = 0;
+    event = (PhAppendEvent){.kind = PH_APPEND_EVENT_APPENDED};
+    append_count(a, PH_NS_PER_S, &event, &count);
+    assert_int_equal(count, c->well);
+    event.as.appended = PH_STATUS_UNAVAILABLE;
+    append_give(a, 2 * PH_NS_PER_S, &event);
+    PhTime probe = PhConfigAppender_NextTick(a);
+    assert_true(probe >= 10 * PH_NS_PER_S);
+    count = 0;
+    event = (PhAppendEvent){.kind = PH_APPEND_EVENT_TICK};
+    append_count(a, probe, &event, &count);
+    assert_int_equal(count, 1);
+    count = 0;
+    event = (PhAppendEvent){.kind = PH_APPEND_EVENT_APPENDED};
+    append_count(a, probe + 1, &event, &count);
+    assert_true(count <= c->after_outage);
+    PhConfigAppender_Destroy(a);
+    PhRandom_Destroy(random);
+}
+
+/* Bursts before and after an outage. */
+static void
+test_pace(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(pace_cases, check_pace);
+}
+
+/* Runs the tests of one follower and one appender. */
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_follower),
+        cmocka_unit_test(test_digest),
+        cmocka_unit_test(test_append),
+        cmocka_unit_test(test_pace),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
