members: test suspicions of many at once

Cause: the bound on pings of suspects had no test. Change: a table of 1, 16 and 100 suspects: how many are asked at once, that a ping of a suspect carries no news, and that nobody dies unasked. Conclusion: no fault found.

--- a/tests/members/test_membership.c
+++ b/tests/members/test_membership.c
@@ -482,6 +482,100 @@
     Ph_RUN_TABLE(random_cases, check_random);
 }
 
+/* How many members are suspected at once, and how many are asked at once. */
+typedef struct PhManyCase {
+    const char *name;
+    guint suspects;
+    int asked;
+} PhManyCase;
+
+static const PhManyCase many_cases[] = {
+    {"one", 1, 1},
+    {"as many as are asked in an interval", 16, 16},
+    {"many more", 100, 16},
+};
+
+/* Notes when suspects are asked and checks that the dead were; tells how many
+ * were asked. */
+static int
+asked_check(const GArray *actions, GHashTable *asked, PhTime now, int *dead)
+{
+    int count = 0;
+    for (guint i = 0; i < actions->len; i++) {
+        const PhMembershipAction *a =
+            &g_array_index(actions, PhMembershipAction, i);
+        if (a->kind == PH_MEMBERSHIP_REPORT &&
+            a->as.report.what == PH_MEMBERSHIP_DIED) {
+            PhTime *at = g_hash_table_lookup(asked, &a->as.report.member);
+            assert_non_null(at);
+            assert_true(now - *at >= PH_NS_PER_S);
+            (*dead)++;
+        }
+        if (a->kind == PH_MEMBERSHIP_SEND &&
+            a->as.send.message.kind == PH_MEMBER_PING) {
+            assert_int_equal(a->as.send.message.record_count, 1);
+            if (!g_hash_table_contains(asked, &a->as.send.member)) {
+                g_hash_table_insert(asked, PhStr_KeyCreate(a->as.send.member),
+                                    g_memdup2(&now, sizeof(now)));
+            }
+            count++;
+        }
+    }
+    return count;
+}
+
+/* Suspects many members at once and lets time pass until all are dead. */
+static void
+check_many(const PhManyCase *c)
+{
+    PhMembership *m = PhMembership_Create(
+        &(PhMembershipOptions){.id = PhStr_LITERAL("self"),
+                               .times = PhMembershipTimes_Default()},
+        0);
+    GArray *actions = PhMembershipActions_Create();
+    GHashTable *asked = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
+                                              PhStr_KeyDestroy, g_free);
+    PhMember *records = g_new0(PhMember, c->suspects);
+    char(*ids)[8] = g_malloc0_n(c->suspects, sizeof(*ids));
+    PhMembershipEvent event = {.kind = PH_MEMBERSHIP_WOKEN};
+    PhMemberMessage news = {.kind = PH_MEMBER_NEWS,
+                            .records = records,
+                            .record_count = c->suspects};
+    int dead = 0;
+    for (guint i = 0; i < c->suspects; i++) {
+        g_snprintf(ids[i], sizeof(ids[i]), "m%u", i);
+        records[i].id = PhStr_FromC(ids[i]);
+        records[i].state = PH_MEMBER_SUSPECT;
+    }
+    PhMembership_Apply(m, &event, 0, actions);
+    g_array_set_size(actions, 0);
+    PhMembership_Apply(
+        m,
+        &(PhMembershipEvent){.kind = PH_MEMBERSHIP_MESSAGE,
+                             .as.message = {PhStr_LITERAL("self"), &news}},
+        0, actions);
+    assert_int_equal(asked_check(actions, asked, 0, &dead), c->asked);
+    for (PhTime now = 0; now < 30 * PH_NS_PER_S; now += PH_NS_PER_S / 10) {
+        g_array_set_size(actions, 0);
+        PhMembership_Apply(m, &event, now, actions);
+        asked_check(actions, asked, now, &dead);
+    }
+    assert_int_equal(dead, c->suspects);
+    g_hash_table_destroy(asked);
+    g_array_free(actions, TRUE);
+    g_free(records);
+    g_free(ids);
+    PhMembership_Destroy(m);
+}
+
+/* Suspicions of many at once. */
+static void
+test_many(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(many_cases, check_many);
+}
+
 /* Runs the tests of membership. */
 int
 main(void)
@@ -490,6 +584,7 @@
         cmocka_unit_test(test_cluster),
         cmocka_unit_test(test_hearing),
         cmocka_unit_test(test_random),
+        cmocka_unit_test(test_many),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
