--- a/bench/members_cluster.c
+++ b/bench/members_cluster.c
@@ -1,9 +1,6 @@
 #include "peridothill/bench/members_cluster.h"
 
-#include "peridothill/codec/member_message.h"
-#include "peridothill/codec/peer_session.h"
-#include "peridothill/common/invariant.h"
-#include "peridothill/services/peers.h"
+#include "members_wire.h"
 
 /* Delays one way. */
 #define DELAY_NEAR (300 * PH_NS_PER_US)
@@ -12,11 +9,6 @@
 #define DELAY_EXTRA (1 * PH_NS_PER_MS)
 
 enum {
-    PACKET_HEAD_BYTES = 52, /* IP and TCP with time stamps */
-    ACKED_PACKET_BYTES = 2 * PACKET_HEAD_BYTES,
-    SETUP_PACKETS = 8, /* SYN, FIN and their acknowledgements */
-    SETUP_FRAMES = 3,  /* greeting, greeting with proof, proof */
-    LINK_IDLE_S = 120,
     NAME_BYTES = 32,
 };
 
@@ -36,11 +28,7 @@
     PhClusterMember *members;
     GHashTable *by_id;      /* id to index + 1 */
     GHashTable *by_address; /* address to index + 1 */
-    GHashTable *links;      /* pair of members to the time last spoken */
-    PhPeerNonces *nonces;
-    PhPeerSession *sender; /* frames go through one pair of sessions */
-    PhPeerSession *receiver;
-    uint64_t setup_bytes;
+    PhMembersWire *wire;
     PhMembersClusterCounts counts;
 };
 
@@ -78,47 +66,6 @@
     }
 }
 
-/* Moves all frames from one buffer through a session. */
-static void
-session_feed(PhPeerSession *session, PhBuf *in, PhBuf *out)
-{
-    while (PhPeerSession_Next(session, in, out).kind != PH_PEER_EVENT_NONE) {
-    }
-}
-
-/* Brings the pair of sessions to the point where payloads flow, and counts
- * the bytes that takes. */
-static void
-sessions_open(PhMembersCluster *c)
-{
-    static const char key[PH_PEER_KEY_BYTES] =
-        "0123456789abcdef0123456789abcde";
-    PhPeerIdentity identity = {.member = c->members[0].id,
-                               .data_centre = c->members[0].data_centre,
-                               .deployment = PhStr_LITERAL("bench"),
-                               .version_min = PH_PEER_VERSION_MIN,
-                               .version_max = PH_PEER_VERSION_MAX,
-                               .keys = {PhStr_FromBytes(key, sizeof(key))},
-                               .key_count = 1};
-    PhBuf there = {0};
-    PhBuf back = {0};
-    c->nonces = PhPeerNonces_Create(2);
-    c->sender = PhPeerSession_Create(&identity, PH_PEER_CONNECTING, c->nonces);
-    c->receiver =
-        PhPeerSession_Create(&identity, PH_PEER_ACCEPTING, c->nonces);
-    PhPeerSession_Start(c->sender, &there);
-    c->setup_bytes = there.len;
-    session_feed(c->receiver, &there, &back);
-    c->setup_bytes += back.len;
-    session_feed(c->sender, &back, &there);
-    c->setup_bytes += there.len;
-    session_feed(c->receiver, &there, &back);
-    c->setup_bytes +=
-        (uint64_t)(SETUP_PACKETS + 2 * SETUP_FRAMES) * PACKET_HEAD_BYTES;
-    PhBuf_Clear(&there);
-    PhBuf_Clear(&back);
-}
-
 /* Creates a cluster in which no member runs yet. */
 PhMembersCluster *
 PhMembersCluster_Create(const PhMembersClusterOptions *options)
@@ -129,8 +76,6 @@
     c->members = g_new0(PhClusterMember, options->members);
     c->by_id = g_hash_table_new(PhStr_KeyHash, PhStr_KeyEqual);
     c->by_address = g_hash_table_new(PhStr_KeyHash, PhStr_KeyEqual);
-    c->links =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     for (uint32_t i = 0; i < options->members; i++) {
         PhClusterMember *m = &c->members[i];
         uint32_t dc = i % options->data_centres;
@@ -143,7 +88,7 @@
         PhFakeNet_SetGroup(c->net, i, dc);
     }
     links_set(c);
-    sessions_open(c);
+    c->wire = PhMembersWire_Create();
     return c;
 }
 
@@ -159,12 +104,9 @@
         PhStr_Clear(&m->address);
     }
     PhFakeNet_Destroy(cluster->net);
-    PhPeerSession_Destroy(cluster->sender);
-    PhPeerSession_Destroy(cluster->receiver);
-    PhPeerNonces_Destroy(cluster->nonces);
+    PhMembersWire_Destroy(cluster->wire);
     g_hash_table_destroy(cluster->by_id);
     g_hash_table_destroy(cluster->by_address);
-    g_hash_table_destroy(cluster->links);
     g_free(cluster->members);
     g_free(cluster);
 }
@@ -180,54 +122,20 @@
 PhMembersClusterCounts
 PhMembersCluster_Counts(const PhMembersCluster *cluster)
 {
-    return cluster->counts;
-}
-
-/* Notes that two members speak; a link that was idle for long, or never
- * there, is set up. */
-static void
-link_use(PhMembersCluster *c, uint32_t a, uint32_t b)
-{
-    gint64 key = ((gint64)MIN(a, b) << 32) | MAX(a, b);
-    PhTime now = PhFakeNet_Now(c->net);
-    PhTime *spoken = g_hash_table_lookup(c->links, &key);
-    if (spoken != NULL && now - *spoken < LINK_IDLE_S * PH_NS_PER_S) {
-        *spoken = now;
-        return;
-    }
-    c->counts.links_opened++;
-    c->counts.wire_bytes += c->setup_bytes;
-    g_hash_table_insert(c->links, g_memdup2(&key, sizeof(key)),
-                        g_memdup2(&now, sizeof(now)));
+    PhMembersClusterCounts counts = cluster->counts;
+    PhMembersWireCounts wire = PhMembersWire_Counts(cluster->wire);
+    counts.frame_bytes = wire.frame_bytes;
+    counts.wire_bytes = wire.wire_bytes;
+    counts.links_opened = wire.links_opened;
+    return counts;
 }
 
-/* Sends a message through the encoding and the frames, as the receiver
- * decodes it, and counts what that costs on the wire: the frame in a packet,
- * and a packet that acknowledges it. */
+/* Sends a message over the wire of the cluster. */
 PhMemberMessage
 PhMembersCluster_Carry(PhMembersCluster *cluster,
                        const PhMemberMessage *message)
 {
-    PhMembersCluster *c = cluster;
-    PhBuf payload = {0};
-    PhBuf frame = {0};
-    PhBuf none = {0};
-    PhMemberMessage copy = {.kind = PH_MEMBER_NEWS};
-    PhMemberMessage_Encode(message, &payload);
-    PhPeerSession_Send(c->sender, PH_CHANNEL_MEMBERS, PhBuf_Str(&payload),
-                       &frame);
-    c->counts.frame_bytes += frame.len;
-    c->counts.wire_bytes += frame.len + ACKED_PACKET_BYTES;
-    PhPeerEvent e = PhPeerSession_Next(c->receiver, &frame, &none);
-    Ph_INVARIANT(PH_INVARIANT_MEMBER,
-                 e.kind == PH_PEER_EVENT_DATA &&
-                     PhMemberMessage_Decode(e.as.data.payload, &copy) ==
-                         PH_STATUS_OK,
-                 "kind=%d", e.kind);
-    PhBuf_Clear(&payload);
-    PhBuf_Clear(&frame);
-    PhBuf_Clear(&none);
-    return copy;
+    return PhMembersWire_Carry(cluster->wire, message);
 }
 
 /* Finds the receiver of a send; false when nobody has the id or address. */
@@ -254,7 +162,7 @@
     PhMemberMessage *body = g_rc_box_new0(PhMemberMessage);
     c->counts.messages++;
     if (c->options.encode) {
-        link_use(c, from, to);
+        PhMembersWire_Use(c->wire, from, to, PhFakeNet_Now(c->net));
         *body = PhMembersCluster_Carry(c, &a->as.send.message);
     }
     else {
@@ -339,8 +247,7 @@
     PhMembersCluster_Apply(cluster, member, &event);
 }
 
-/* Starts all members; each is told of all others at once, in bounded
- * messages. */
+/* Starts all members; each is told of all others at once. */
 void
 PhMembersCluster_StartAll(PhMembersCluster *cluster)
 {
@@ -442,13 +349,8 @@
 double
 PhMembersCluster_Links(const PhMembersCluster *cluster)
 {
-    PhTime now = PhFakeNet_Now(cluster->net);
-    size_t kept = 0;
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, cluster->links);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        kept += now - *(PhTime *)value < LINK_IDLE_S * PH_NS_PER_S;
-    }
-    return 2.0 * (double)kept / cluster->options.members;
+    return 2.0 *
+           (double)PhMembersWire_Links(cluster->wire,
+                                       PhFakeNet_Now(cluster->net)) /
+           cluster->options.members;
 }
--- /dev/null
+++ b/bench/members_wire.c
@@ -0,0 +1,151 @@
+#include "members_wire.h"
+
+#include "peridothill/codec/member_message.h"
+#include "peridothill/codec/peer_session.h"
+#include "peridothill/common/invariant.h"
+#include "peridothill/services/peers.h"
+
+enum {
+    PACKET_HEAD_BYTES = 52, /* IP and TCP with time stamps */
+    ACKED_PACKET_BYTES = 2 * PACKET_HEAD_BYTES,
+    SETUP_PACKETS = 8, /* SYN, FIN and their acknowledgements */
+    SETUP_FRAMES = 3,  /* greeting, greeting with proof, proof */
+    LINK_IDLE_S = 120,
+};
+
+struct PhMembersWire {
+    GHashTable *links; /* pair of members to the time last spoken */
+    PhPeerNonces *nonces;
+    PhPeerSession *sender; /* frames go through one pair of sessions */
+    PhPeerSession *receiver;
+    uint64_t setup_bytes;
+    PhMembersWireCounts counts;
+};
+
+/* Moves all frames from one buffer through a session. */
+static void
+session_feed(PhPeerSession *session, PhBuf *in, PhBuf *out)
+{
+    while (PhPeerSession_Next(session, in, out).kind != PH_PEER_EVENT_NONE) {
+    }
+}
+
+/* Brings the pair of sessions to the point where payloads flow, and counts
+ * the bytes that takes. */
+static void
+sessions_open(PhMembersWire *w)
+{
+    static const char key[PH_PEER_KEY_BYTES] =
+        "0123456789abcdef0123456789abcde";
+    PhPeerIdentity identity = {.member = PhStr_LITERAL("instance-0000"),
+                               .data_centre = PhStr_LITERAL("data-centre-0"),
+                               .deployment = PhStr_LITERAL("bench"),
+                               .version_min = PH_PEER_VERSION_MIN,
+                               .version_max = PH_PEER_VERSION_MAX,
+                               .keys = {PhStr_FromBytes(key, sizeof(key))},
+                               .key_count = 1};
+    PhBuf there = {0};
+    PhBuf back = {0};
+    w->nonces = PhPeerNonces_Create(2);
+    w->sender = PhPeerSession_Create(&identity, PH_PEER_CONNECTING, w->nonces);
+    w->receiver =
+        PhPeerSession_Create(&identity, PH_PEER_ACCEPTING, w->nonces);
+    PhPeerSession_Start(w->sender, &there);
+    w->setup_bytes = there.len;
+    session_feed(w->receiver, &there, &back);
+    w->setup_bytes += back.len;
+    session_feed(w->sender, &back, &there);
+    w->setup_bytes += there.len;
+    session_feed(w->receiver, &there, &back);
+    w->setup_bytes +=
+        (uint64_t)(SETUP_PACKETS + 2 * SETUP_FRAMES) * PACKET_HEAD_BYTES;
+    PhBuf_Clear(&there);
+    PhBuf_Clear(&back);
+}
+
+/* Creates a wire on which no member has spoken. */
+PhMembersWire *
+PhMembersWire_Create(void)
+{
+    PhMembersWire *wire = g_new0(PhMembersWire, 1);
+    wire->links =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    sessions_open(wire);
+    return wire;
+}
+
+/* Releases a wire. */
+void
+PhMembersWire_Destroy(PhMembersWire *wire)
+{
+    PhPeerSession_Destroy(wire->sender);
+    PhPeerSession_Destroy(wire->receiver);
+    PhPeerNonces_Destroy(wire->nonces);
+    g_hash_table_destroy(wire->links);
+    g_free(wire);
+}
+
+/* Gives the sums so far. */
+PhMembersWireCounts
+PhMembersWire_Counts(const PhMembersWire *wire)
+{
+    return wire->counts;
+}
+
+/* Notes that two members speak; a link that was idle for long, or never
+ * there, is set up. */
+void
+PhMembersWire_Use(PhMembersWire *wire, uint32_t a, uint32_t b, PhTime now)
+{
+    gint64 key = ((gint64)MIN(a, b) << 32) | MAX(a, b);
+    PhTime *spoken = g_hash_table_lookup(wire->links, &key);
+    if (spoken != NULL && now - *spoken < LINK_IDLE_S * PH_NS_PER_S) {
+        *spoken = now;
+        return;
+    }
+    wire->counts.links_opened++;
+    wire->counts.wire_bytes += wire->setup_bytes;
+    g_hash_table_insert(wire->links, g_memdup2(&key, sizeof(key)),
+                        g_memdup2(&now, sizeof(now)));
+}
+
+/* Sends a message through the encoding and the frames, as the receiver
+ * decodes it, and counts what that costs on the wire: the frame in a packet,
+ * and a packet that acknowledges it. */
+PhMemberMessage
+PhMembersWire_Carry(PhMembersWire *wire, const PhMemberMessage *message)
+{
+    PhBuf payload = {0};
+    PhBuf frame = {0};
+    PhBuf none = {0};
+    PhMemberMessage copy = {.kind = PH_MEMBER_NEWS};
+    PhMemberMessage_Encode(message, &payload);
+    PhPeerSession_Send(wire->sender, PH_CHANNEL_MEMBERS, PhBuf_Str(&payload),
+                       &frame);
+    wire->counts.frame_bytes += frame.len;
+    wire->counts.wire_bytes += frame.len + ACKED_PACKET_BYTES;
+    PhPeerEvent e = PhPeerSession_Next(wire->receiver, &frame, &none);
+    Ph_INVARIANT(PH_INVARIANT_MEMBER,
+                 e.kind == PH_PEER_EVENT_DATA &&
+                     PhMemberMessage_Decode(e.as.data.payload, &copy) ==
+                         PH_STATUS_OK,
+                 "kind=%d", e.kind);
+    PhBuf_Clear(&payload);
+    PhBuf_Clear(&frame);
+    PhBuf_Clear(&none);
+    return copy;
+}
+
+/* Counts the links that are kept at a time. */
+size_t
+PhMembersWire_Links(const PhMembersWire *wire, PhTime now)
+{
+    size_t kept = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, wire->links);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        kept += now - *(PhTime *)value < LINK_IDLE_S * PH_NS_PER_S;
+    }
+    return kept;
+}
--- /dev/null
+++ b/bench/members_wire.h
@@ -0,0 +1,31 @@
+/* What messages of members cost on the wire, frames and links included. */
+#ifndef PERIDOTHILL_BENCH_MEMBERS_WIRE_H
+#define PERIDOTHILL_BENCH_MEMBERS_WIRE_H
+
+#include "peridothill/common/time.h"
+#include "peridothill/decide/members/message.h"
+
+typedef struct PhMembersWire PhMembersWire;
+
+typedef struct PhMembersWireCounts {
+    uint64_t frame_bytes;
+    uint64_t wire_bytes;
+    uint64_t links_opened;
+} PhMembersWireCounts;
+
+PhMembersWire *
+PhMembersWire_Create(void);
+void
+PhMembersWire_Destroy(PhMembersWire *wire);
+PhMembersWireCounts
+PhMembersWire_Counts(const PhMembersWire *wire);
+/* Notes that two members speak. */
+void
+PhMembersWire_Use(PhMembersWire *wire, uint32_t a, uint32_t b, PhTime now);
+/* Sends a message; gives it as the receiver decodes it. */
+PhMemberMessage
+PhMembersWire_Carry(PhMembersWire *wire, const PhMemberMessage *message);
+size_t
+PhMembersWire_Links(const PhMembersWire *wire, PhTime now);
+
+#endif
