--- a/tests/requests/test_entry.c
+++ b/tests/requests/test_entry.c
@@ -11,9 +11,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "peridothill/codec/key_message.h"
 #include "peridothill/services/config.h"
 #include "peridothill/services/http.h"
 #include "peridothill/services/interface.h"
+#include "peridothill/services/members.h"
+#include "peridothill/services/peers.h"
 #include "peridothill/services/platform_list.h"
 #include "tests/table.h"
 
@@ -58,6 +61,14 @@
                               "\r\nContent-Length: 5\r\n\r\nhello",
 };
 
+/* What the other home of every key answers, if there is one. */
+typedef enum PhOtherHome {
+    OTHER_HOME_UNKNOWN, /* the members are not known */
+    OTHER_HOME_GRANTS,
+    OTHER_HOME_KNOWS_KEY,
+    OTHER_HOME_IS_SILENT,
+} PhOtherHome;
+
 /* A connection of the worker or of a caller. */
 typedef struct PhPeer {
     int fd;
@@ -85,6 +96,7 @@
     PhPeer caller[CALLERS_MAX];
     const char *request;
     bool stop_entry;
+    PhOtherHome other_home;
 } PhWorld;
 
 /* Opens a listening socket on a free port of the loopback. */
@@ -259,6 +271,54 @@
     }
 }
 
+/* Gives a view of two members. */
+static void
+members_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    static PhMember members[] = {
+        {.id = {"i1", 2}, .state = PH_MEMBER_ALIVE},
+        {.id = {"i2", 2}, .state = PH_MEMBER_SUSPECT},
+        {.id = {"i3", 2}, .state = PH_MEMBER_LEFT},
+    };
+    PhWorld *w = state;
+    if (mail->kind == PH_MAIL_MESSAGE && w->other_home != OTHER_HOME_UNKNOWN) {
+        PhMembersView view = {.self = members[0].id,
+                              .members = members,
+                              .member_count = G_N_ELEMENTS(members)};
+        PhMembersMessage m = {.tag = PH_MEMBERS_VIEW,
+                              .as.view = PhMembersView_Copy(&view)};
+        PhTask_Send(self, mail->from, PhMembersMessage_Wrap(&m));
+    }
+}
+
+/* Answers claims as the other home does. */
+static void
+peers_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhWorld *w = state;
+    const PhPeersMessage *got = mail->as.message.body;
+    PhKeyMessage claim;
+    if (mail->kind != PH_MAIL_MESSAGE || got->tag != PH_PEERS_SEND) {
+        return;
+    }
+    assert_true(PhStr_Equal(got->as.send.member, PhStr_LITERAL("i2")));
+    assert_true(PhKeyMessage_Decode(got->as.send.payload, &claim));
+    if (claim.tag == PH_KEY_CLAIM && w->other_home != OTHER_HOME_IS_SILENT) {
+        PhBuf payload = {0};
+        claim.tag = PH_KEY_VERDICT;
+        claim.verdict = w->other_home == OTHER_HOME_GRANTS ? PH_KEY_UNVOUCHED
+                                                           : PH_KEY_REPEATED;
+        PhKeyMessage_Encode(&claim, &payload);
+        PhPeersMessage m = {
+            .tag = PH_PEERS_RECEIVED,
+            .as.received = {.member = PhStr_Dup(PhStr_LITERAL("i2")),
+                            .channel = PH_CHANNEL_KEYS,
+                            .payload = PhBuf_Take(&payload)}};
+        PhTask_Send(self, mail->from, PhPeersMessage_Wrap(&m));
+    }
+    PhStr_Clear(&claim.key);
+}
+
 /* Connects a caller and sends its request. */
 static void
 caller_connect(PhWorld *w, PhTask *self, PhPeer *caller)
@@ -361,11 +421,14 @@
     world_spawn(w, PhStr_LITERAL("worker"), worker_handle);
     world_spawn(w, PH_SERVICE_LIST, list_handle);
     world_spawn(w, PH_SERVICE_CONFIG, config_handle);
+    world_spawn(w, PH_SERVICE_MEMBERS, members_handle);
+    world_spawn(w, PH_SERVICE_PEERS, peers_handle);
     PhEntryOptions options = {.listen = PhStr_LITERAL("127.0.0.1:0"),
                               .instance = PhStr_LITERAL("i1"),
                               .data_centre = PhStr_LITERAL("silay"),
                               .seed = 1,
                               .drain_notice = 50 * PH_NS_PER_MS,
+                              .key_window = PH_NS_PER_MS,
                               .body_limit_bytes = 1000,
                               .idle_timeout_s = 1};
     PhResult started = PhEntry_Start(w->kernel, &options, &w->port);
@@ -409,6 +472,7 @@
     unsigned executed;
     bool unconfigured;
     bool unlisted;
+    PhOtherHome other_home;
 } PhEntryCase;
 
 static const PhEntryCase entry_cases[] = {
@@ -457,6 +521,17 @@
     {"key without known members",
      POST "Idempotency-Key: a\r\nContent-Length: 0\r\n\r\n", WORKER_ANSWERS,
      "503", "Reason: key-unclear", NULL, 0},
+    {"key that the other home grants",
+     POST "Idempotency-Key: a\r\nContent-Length: 0\r\n\r\n", WORKER_ANSWERS,
+     "200", "hello", NULL, 1, .other_home = OTHER_HOME_GRANTS},
+    {"key that the other home knows",
+     POST "Idempotency-Key: a\r\nContent-Length: 0\r\n\r\n", WORKER_ANSWERS,
+     "409", "Reason: key-repeated", NULL, 0,
+     .other_home = OTHER_HOME_KNOWS_KEY},
+    {"key whose other home is silent",
+     POST "Idempotency-Key: a\r\nContent-Length: 0\r\n\r\n", WORKER_ANSWERS,
+     "503", "Reason: key-unclear", NULL, 0,
+     .other_home = OTHER_HOME_IS_SILENT},
     {"two lengths", POST "Content-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
      WORKER_ANSWERS, "400", "", "hello", 0},
     {"length with chunking",
@@ -495,6 +570,23 @@
     return request;
 }
 
+/* Checks that the reason in an answer's text was counted. */
+static void
+check_counted(const PhWorld *w, const char *text)
+{
+    static const char head[] = "Reason: ";
+    if (!g_str_has_prefix(text, head)) {
+        return;
+    }
+    PhBuf out = {0};
+    PhCounters_Render(w->counters, &out);
+    PhBuf_AppendByte(&out, '\0');
+    char *row = g_strdup_printf("reason=\"%s\"} 1\n", text + sizeof(head) - 1);
+    assert_non_null(strstr(out.data, row));
+    g_free(row);
+    PhBuf_Clear(&out);
+}
+
 /* Runs one request. */
 static void
 check_entry(const PhEntryCase *c)
@@ -503,6 +595,7 @@
     PhWorld w = {.action = c->action,
                  .configured = !c->unconfigured,
                  .listed = !c->unlisted,
+                 .other_home = c->other_home,
                  .callers = 1,
                  .request = c->request == NULL ? own : c->request};
     world_run(&w);
@@ -520,6 +613,7 @@
         fail_msg("'%s' in '%s'", c->absent, got);
     }
     assert_int_equal(w.executed, c->executed);
+    check_counted(&w, c->text);
     world_clear(&w);
     g_free(own);
 }
--- a/tests/requests/test_requests.c
+++ b/tests/requests/test_requests.c
@@ -1,3 +1,4 @@
+#include "peridothill/codec/key_message.h"
 #include "peridothill/decide/requests/requests.h"
 
 #include <stdio.h>
@@ -25,9 +26,9 @@
     guint workers;
 } PhFixture;
 
-/* A script: steps separated by ";".  Steps that give events: arrive, reply,
- * late, wait, gone, leave, workers, members, asked, claim, stop.  All others
- * name the next action. */
+/* A script: steps separated by ";".  Steps that give events: arrive, flood,
+ * reply, late, wait, gone, leave, workers, members, configure, asked,
+ * released, verdict, stop.  All others name the next action. */
 typedef struct PhScriptCase {
     const char *name;
     const char *script;
@@ -217,6 +218,12 @@
                         .verdict = (PhKeyVerdict)word_index(
                             verdicts, G_N_ELEMENTS(verdicts), word[1])}});
     }
+    else if (strcmp(w, "flood") == 0) {
+        for (int i = atoi(word[1]); i > 0; i--) {
+            step_arrive(f, (char *[]){"arrive", "GET", "/booking", ""});
+        }
+        f->seen = f->actions->len;
+    }
     else if (strcmp(w, "stop") == 0) {
         give(f, (PhRequestsEvent){.tag = PH_REQUESTS_STOP});
     }
@@ -415,6 +422,43 @@
                                   " key=k; refuse key-repeated unknown"},
 };
 
+/* A request that its worker fails (of five, one of two workers has three), and
+ * one that it answers after 400 ms. */
+#define FAIL                                                                  \
+    "arrive POST /quote; send first fresh; reply reset;"                      \
+    "refuse upstream-reset unknown;"
+#define SLOW                                                                  \
+    "arrive GET /booking; send first; wait 400; reply answered 200; answer;"
+#define FILL                                                                  \
+    "arrive GET /booking; send first; arrive GET /booking; send first;"       \
+    "arrive GET /booking; send first; arrive GET /booking; send first;"       \
+    "arrive GET /booking; send first;"
+
+static const PhScriptCase pressure_cases[] = {
+    {"a worker that fails three times in a row cools down",
+     "workers 2;" FAIL FAIL FAIL FAIL
+     "arrive POST /quote; send first fresh; reply reset; note ejected;"
+     "refuse upstream-reset unknown; wait 700; arrive GET /quote;"
+     "send first; reply answered 200; note readmitted; answer"},
+    {"a failed probe starts the cooldown again",
+     "workers 2;" FAIL FAIL FAIL FAIL
+     "arrive POST /quote; send first fresh; reply reset; note ejected;"
+     "refuse upstream-reset unknown; wait 700; arrive GET /quote;"
+     "send first; reply too-large; refuse upstream-too-large unknown;"
+     "arrive GET /quote; send first; reply answered 500; note ejected;"
+     "answer"},
+    {"a lone worker is never ejected",
+     "workers 1;" FAIL FAIL FAIL FAIL FAIL FAIL "wait 5000"},
+    {"the deadline passes in the queue",
+     "workers 1;" FILL "arrive GET /booking budget=100; wait 100;"
+     "refuse deadline-passed not-run"},
+    {"what would be late is not sent",
+     "workers 1;" SLOW FILL "arrive GET /booking budget=500; wait 300;"
+     "reply answered 200; answer; refuse deadline-too-short not-run"},
+    {"a full queue", "workers 1;" FILL "flood 1024; arrive GET /booking;"
+                     "refuse queue-full not-run; arrive GET /quote"},
+};
+
 static const PhScriptCase key_cases[] = {
     {"members are not known",
      "arrive POST /booking key=k; refuse key-unclear not-run"},
@@ -519,6 +563,56 @@
     Ph_RUN_TABLE(refusal_cases, check_script);
 }
 
+/* Cooldown, deadlines and full queues. */
+static void
+test_pressure(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(pressure_cases, check_script);
+}
+
+/* A payload and whether it can be read. */
+typedef struct PhWireCase {
+    const char *name;
+    PhStr payload;
+    bool valid;
+} PhWireCase;
+
+static const PhWireCase wire_cases[] = {
+    {"claim", {"\x84\x01\x01\x02\x07\x03\xc4\x01k\x04\x00", 11}, true},
+    {"empty", {"", 0}, false},
+    {"cut", {"\x84\x01\x01\x02\x07\x03\xc4\x01", 8}, false},
+    {"unknown tag", {"\x84\x01\x09\x02\x07\x03\xc4\x01k\x04\x00", 11}, false},
+    {"unknown verdict",
+     {"\x84\x01\x02\x02\x07\x03\xc4\x01k\x04\x09", 11},
+     false},
+    {"no key", {"\x83\x01\x01\x02\x07\x04\x00", 7}, false},
+    {"huge count", {"\xdf\xff\xff\xff\xff", 5}, false},
+};
+
+/* Reads one payload, and writes it again. */
+static void
+check_wire(const PhWireCase *c)
+{
+    PhKeyMessage message;
+    PhBuf again = {0};
+    assert_int_equal(PhKeyMessage_Decode(c->payload, &message), c->valid);
+    if (c->valid) {
+        PhKeyMessage_Encode(&message, &again);
+        assert_true(PhStr_Equal(PhBuf_Str(&again), c->payload));
+    }
+    PhStr_Clear(&message.key);
+    PhBuf_Clear(&again);
+}
+
+/* Messages about keys between instances. */
+static void
+test_wire(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(wire_cases, check_wire);
+}
+
 /* Idempotency keys. */
 static void
 test_keys(void **state)
@@ -540,10 +634,9 @@
 main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(test_once),
-        cmocka_unit_test(test_refusals),
-        cmocka_unit_test(test_keys),
-        cmocka_unit_test(test_leaving),
+        cmocka_unit_test(test_once),     cmocka_unit_test(test_refusals),
+        cmocka_unit_test(test_pressure), cmocka_unit_test(test_keys),
+        cmocka_unit_test(test_wire),     cmocka_unit_test(test_leaving),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
