--- /dev/null
+++ b/tests/requests/entry_world.c
@@ -0,0 +1,394 @@
+#include "entry_world.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "peridothill/codec/key_message.h"
+#include "peridothill/services/config.h"
+#include "peridothill/services/http.h"
+#include "peridothill/services/interface.h"
+#include "peridothill/services/members.h"
+#include "peridothill/services/peers.h"
+#include "peridothill/services/platform_list.h"
+#include "tests/table.h"
+
+static const char *const worker_texts[] = {
+    [WORKER_ANSWERS] = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+    [WORKER_CLOSES] = "",
+    [WORKER_RESETS] = "",
+    [WORKER_TRUNCATES] = "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello",
+    [WORKER_SENDS_MORE] = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+                          "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil",
+    [WORKER_IS_SILENT] = "",
+    [WORKER_IS_LATE] = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+    [WORKER_SENDS_TWO_LENGTHS] = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+                                 "Content-Length: 3\r\n\r\nhello",
+    [WORKER_SENDS_CHUNKS_CUT] = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+                                "\r\n\r\n5\r\nhello\r\n",
+    [WORKER_CLAIMS_NOT_RUN] = "HTTP/1.1 500 No\r\nPeridothill-Outcome: not-run"
+                              "\r\nContent-Length: 5\r\n\r\nhello",
+};
+
+/* Opens a listening socket on a free port of the loopback. */
+static int
+listen_loopback(uint16_t *port)
+{
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    struct sockaddr_in a = {.sin_family = AF_INET,
+                            .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t len = sizeof(a);
+    assert_int_equal(bind(fd, (struct sockaddr *)&a, sizeof(a)), 0);
+    assert_int_equal(listen(fd, 64), 0);
+    getsockname(fd, (struct sockaddr *)&a, &len);
+    *port = ntohs(a.sin_port);
+    return fd;
+}
+
+/* Closes a connection of the worker, by a reset when asked. */
+static void
+peer_close(PhWorld *w, int fd, bool reset)
+{
+    struct linger linger = {.l_onoff = reset, .l_linger = 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+    PhTask_Watch(w->worker, fd, 0);
+    g_hash_table_remove(w->peers, GINT_TO_POINTER(fd));
+}
+
+/* Writes the text of an action. */
+static void
+peer_answer(int fd, PhWorkerAction action)
+{
+    const char *text = worker_texts[action];
+    if (*text != '\0') {
+        assert_int_equal(send(fd, text, strlen(text), MSG_NOSIGNAL),
+                         strlen(text));
+    }
+}
+
+/* Executes a whole request. */
+static void
+peer_execute(PhWorld *w, PhPeer *peer)
+{
+    bool get = PhStr_StartsWith(PhBuf_Str(&peer->in), PhStr_LITERAL("GET"));
+    PhWorkerAction action = get ? WORKER_ANSWERS : w->action;
+    PhBuf_Reset(&peer->in);
+    w->executed += !get;
+    if (action == WORKER_IS_LATE) {
+        g_queue_push_tail(&w->late, GINT_TO_POINTER(peer->fd));
+        PhTask_SetTimer(w->worker, 1,
+                        PhTask_Now(w->worker) + LATE_MS * PH_NS_PER_MS);
+        return;
+    }
+    peer_answer(peer->fd, action);
+    if (action != WORKER_ANSWERS && action != WORKER_IS_SILENT &&
+        action != WORKER_SENDS_MORE) {
+        peer_close(w, peer->fd, action == WORKER_RESETS);
+    }
+}
+
+/* Reads what the entry sends to the worker. */
+static void
+peer_ready(PhWorld *w, int fd)
+{
+    char bytes[READ_BYTES];
+    PhPeer *peer = g_hash_table_lookup(w->peers, GINT_TO_POINTER(fd));
+    ssize_t n = recv(fd, bytes, sizeof(bytes), 0);
+    if (n <= 0) {
+        peer_close(w, fd, false);
+        return;
+    }
+    PhBuf_Append(&peer->in, PhStr_FromBytes(bytes, (size_t)n));
+    PhBuf_AppendByte(&peer->in, '\0');
+    peer->in.len--;
+    const char *end = strstr(peer->in.data, "\r\n\r\n");
+    const char *length = strstr(peer->in.data, "Content-Length: ");
+    size_t body = length == NULL ? 0 : (size_t)atoi(length + 16);
+    if (end != NULL &&
+        peer->in.len >= (size_t)(end - peer->in.data) + 4 + body) {
+        peer_execute(w, peer);
+    }
+}
+
+/* Releases a connection. */
+static void
+peer_destroy(gpointer value)
+{
+    PhPeer *peer = value;
+    close(peer->fd);
+    PhBuf_Clear(&peer->in);
+    g_free(peer);
+}
+
+/* Answers what waited for the worker. */
+static void
+worker_late(PhWorld *w)
+{
+    while (!g_queue_is_empty(&w->late)) {
+        int fd = GPOINTER_TO_INT(g_queue_pop_head(&w->late));
+        if (g_hash_table_contains(w->peers, GINT_TO_POINTER(fd))) {
+            peer_answer(fd, WORKER_IS_LATE);
+        }
+    }
+}
+
+/* The scripted worker. */
+static void
+worker_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhWorld *w = state;
+    w->worker = self;
+    if (mail->kind == PH_MAIL_START) {
+        PhTask_Watch(self, w->worker_fd, PH_IO_READ);
+    }
+    else if (mail->kind == PH_MAIL_TIMER) {
+        worker_late(w);
+    }
+    else if (mail->kind == PH_MAIL_IO && mail->as.io.fd == w->worker_fd) {
+        int fd = accept4(w->worker_fd, NULL, NULL, SOCK_NONBLOCK);
+        if (fd < 0) {
+            return;
+        }
+        PhPeer *peer = g_new0(PhPeer, 1);
+        peer->fd = fd;
+        g_hash_table_insert(w->peers, GINT_TO_POINTER(fd), peer);
+        assert_true(g_hash_table_size(w->peers) <= INSTANCE_CONNECTIONS);
+        PhTask_Watch(self, fd, PH_IO_READ);
+    }
+    else if (mail->kind == PH_MAIL_IO) {
+        peer_ready(w, mail->as.io.fd);
+    }
+}
+
+/* Gives a reading of the list with the scripted worker. */
+static void
+list_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhWorld *w = state;
+    if (mail->kind != PH_MAIL_MESSAGE) {
+        return;
+    }
+    PhBuf address = {0};
+    PhBuf_AppendFormat(&address, "127.0.0.1:%u", w->worker_port);
+    PhListEntry entry = {.id = PhStr_LITERAL("w1"),
+                         .data_centre = PhStr_LITERAL("silay"),
+                         .address = PhBuf_Str(&address),
+                         .services = PhStr_LITERAL("booking"),
+                         .slots = 8,
+                         .connections = WORKER_CONNECTIONS};
+    PhListReading reading = {.entries = &entry, .entry_count = w->listed};
+    PhListMessage m = {.tag = PH_LIST_READING,
+                       .as.reading = PhListReading_Copy(&reading)};
+    PhTask_Send(self, mail->from, PhListMessage_Wrap(&m));
+    PhBuf_Clear(&address);
+}
+
+/* Gives a configuration with one service. */
+static void
+config_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    static const PhConfigEntry entries[] = {
+        {{"services.booking.class", 22}, {"nonsense", 8}, 1},
+        {{"services.booking.deadline_ms", 28}, {"2000", 4}, 1},
+        {{"services.booking.prefix", 23}, {"/booking", 8}, 1},
+        {{"services.booking.retry_percent", 30}, {"100", 3}, 1},
+    };
+    PhWorld *w = state;
+    if (mail->kind == PH_MAIL_MESSAGE && w->configured) {
+        PhConfigMessage m = {.tag = PH_CONFIG_IN_FORCE,
+                             .as.in_force = PhConfigState_Create(
+                                 1, entries, G_N_ELEMENTS(entries))};
+        PhTask_Send(self, mail->from, PhConfigMessage_Wrap(&m));
+    }
+}
+
+/* Gives a view of two members. */
+static void
+members_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    static PhMember members[] = {
+        {.id = {"i1", 2}, .state = PH_MEMBER_ALIVE},
+        {.id = {"i2", 2}, .state = PH_MEMBER_SUSPECT},
+        {.id = {"i3", 2}, .state = PH_MEMBER_LEFT},
+    };
+    PhWorld *w = state;
+    if (mail->kind == PH_MAIL_MESSAGE && w->other_home != OTHER_HOME_UNKNOWN) {
+        PhMembersView view = {.self = members[0].id,
+                              .members = members,
+                              .member_count = G_N_ELEMENTS(members)};
+        PhMembersMessage m = {.tag = PH_MEMBERS_VIEW,
+                              .as.view = PhMembersView_Copy(&view)};
+        PhTask_Send(self, mail->from, PhMembersMessage_Wrap(&m));
+    }
+}
+
+/* Answers claims as the other home does. */
+static void
+peers_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhWorld *w = state;
+    const PhPeersMessage *got = mail->as.message.body;
+    PhKeyMessage claim;
+    if (mail->kind != PH_MAIL_MESSAGE || got->tag != PH_PEERS_SEND) {
+        return;
+    }
+    assert_true(PhStr_Equal(got->as.send.member, PhStr_LITERAL("i2")));
+    assert_true(PhKeyMessage_Decode(got->as.send.payload, &claim));
+    if (claim.tag == PH_KEY_CLAIM && w->other_home != OTHER_HOME_IS_SILENT) {
+        PhBuf payload = {0};
+        claim.tag = PH_KEY_VERDICT;
+        claim.verdict = w->other_home == OTHER_HOME_GRANTS ? PH_KEY_UNVOUCHED
+                                                           : PH_KEY_REPEATED;
+        PhKeyMessage_Encode(&claim, &payload);
+        PhPeersMessage m = {
+            .tag = PH_PEERS_RECEIVED,
+            .as.received = {.member = PhStr_Dup(PhStr_LITERAL("i2")),
+                            .channel = PH_CHANNEL_KEYS,
+                            .payload = PhBuf_Take(&payload)}};
+        PhTask_Send(self, mail->from, PhPeersMessage_Wrap(&m));
+    }
+    PhStr_Clear(&claim.key);
+}
+
+/* Connects a caller and sends its request. */
+static void
+caller_connect(PhWorld *w, PhTask *self, PhPeer *caller)
+{
+    struct sockaddr_in a = {.sin_family = AF_INET,
+                            .sin_port = htons(w->port),
+                            .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    caller->fd = socket(AF_INET, SOCK_STREAM, 0);
+    assert_int_equal(connect(caller->fd, (struct sockaddr *)&a, sizeof(a)), 0);
+    fcntl(caller->fd, F_SETFL, O_NONBLOCK);
+    send(caller->fd, w->request, strlen(w->request), MSG_NOSIGNAL);
+    PhTask_Watch(self, caller->fd, PH_IO_READ);
+}
+
+/* Reads an answer; the end of the stream ends the caller.  No caller may see
+ * a reset. */
+static void
+caller_ready(PhWorld *w, PhTask *self, PhPeer *caller)
+{
+    char bytes[READ_BYTES];
+    ssize_t n = recv(caller->fd, bytes, sizeof(bytes), 0);
+    if (n > 0) {
+        PhBuf_Append(&caller->in, PhStr_FromBytes(bytes, (size_t)n));
+        return;
+    }
+    if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return;
+    }
+    assert_int_equal(n, 0);
+    PhTask_Watch(self, caller->fd, 0);
+    w->ended++;
+    if (w->ended == w->callers && !w->stop_entry) {
+        ev_break(w->loop, EVBREAK_ALL);
+    }
+}
+
+/* The callers; they also see the entry end. */
+static void
+callers_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhWorld *w = state;
+    if (mail->kind == PH_MAIL_TIMER) {
+        for (unsigned i = 0; i < w->callers; i++) {
+            caller_connect(w, self, &w->caller[i]);
+        }
+        if (w->stop_entry) {
+            PhTaskRef entry = PhKernel_Lookup(w->kernel, PH_SERVICE_ENTRY);
+            PhTask_Monitor(self, entry);
+            PhKernel_Stop(w->kernel, entry);
+            PhKernel_Stop(w->kernel, entry);
+        }
+    }
+    else if (mail->kind == PH_MAIL_START) {
+        PhTask_SetTimer(self, 1, PhTask_Now(self) + 10 * PH_NS_PER_MS);
+    }
+    else if (mail->kind == PH_MAIL_ENDED) {
+        ev_break(w->loop, EVBREAK_ALL);
+    }
+    for (unsigned i = 0; mail->kind == PH_MAIL_IO && i < w->callers; i++) {
+        if (w->caller[i].fd == mail->as.io.fd) {
+            caller_ready(w, self, &w->caller[i]);
+        }
+    }
+}
+
+/* Starts one task of the world. */
+static void
+world_spawn(PhWorld *w, PhStr name,
+            void (*handle)(void *, PhTask *, const PhMail *))
+{
+    PhTaskSpec spec = {
+        .name = name, .mailbox_capacity = 64, .state = w, .handle = handle};
+    assert_int_equal(PhKernel_Spawn(w->kernel, &spec, NULL), PH_STATUS_OK);
+}
+
+/* Fails a test whose loop does not end. */
+static void
+on_watchdog(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+    (void)timer;
+    (void)revents;
+    print_error("the loop did not end\n");
+    ev_break(loop, EVBREAK_ALL);
+}
+
+/* Builds the world, runs it, and leaves what the callers got. */
+void
+PhWorld_Run(PhWorld *w)
+{
+    ev_timer watchdog;
+    w->loop = ev_loop_new(0);
+    w->clock = PhClock_Create(PH_CLOCK_REAL);
+    w->counters = PhCounters_Create();
+    w->kernel = PhKernel_Create(&(PhKernelOptions){
+        .clock = w->clock, .loop = w->loop, .counters = w->counters});
+    w->peers = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
+                                     peer_destroy);
+    w->worker_fd = listen_loopback(&w->worker_port);
+    assert_int_equal(PhHttp_Start(w->kernel), PH_STATUS_OK);
+    world_spawn(w, PhStr_LITERAL("worker"), worker_handle);
+    world_spawn(w, PH_SERVICE_LIST, list_handle);
+    world_spawn(w, PH_SERVICE_CONFIG, config_handle);
+    world_spawn(w, PH_SERVICE_MEMBERS, members_handle);
+    world_spawn(w, PH_SERVICE_PEERS, peers_handle);
+    PhEntryOptions options = {.listen = PhStr_LITERAL("127.0.0.1:0"),
+                              .instance = PhStr_LITERAL("i1"),
+                              .data_centre = PhStr_LITERAL("silay"),
+                              .seed = 1,
+                              .drain_notice = 50 * PH_NS_PER_MS,
+                              .key_window = PH_NS_PER_MS,
+                              .body_limit_bytes = 1000,
+                              .idle_timeout_s = 1};
+    PhResult started = PhEntry_Start(w->kernel, &options, &w->port);
+    assert_int_equal(started.status, PH_STATUS_OK);
+    world_spawn(w, PhStr_LITERAL("callers"), callers_handle);
+    ev_timer_init(&watchdog, on_watchdog, WATCHDOG_S, 0.0);
+    ev_timer_start(w->loop, &watchdog);
+    ev_run(w->loop, 0);
+    ev_timer_stop(w->loop, &watchdog);
+}
+
+/* Releases the world. */
+void
+PhWorld_Clear(PhWorld *w)
+{
+    PhKernel_Destroy(w->kernel);
+    PhCounters_Destroy(w->counters);
+    PhClock_Destroy(w->clock);
+    g_hash_table_destroy(w->peers);
+    g_queue_clear(&w->late);
+    close(w->worker_fd);
+    for (unsigned i = 0; i < w->callers; i++) {
+        close(w->caller[i].fd);
+        PhBuf_Clear(&w->caller[i].in);
+    }
+    ev_loop_destroy(w->loop);
+}
--- /dev/null
+++ b/tests/requests/script.c
@@ -0,0 +1,325 @@
+#include "script.h"
+
+#include "peridothill/decide/requests/requests.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "tests/table.h"
+
+enum {
+    WORDS = 8,
+    KEY_WINDOW_MS = 1000,
+    NOTICE_MS = 1000,
+};
+
+/* Decisions under test, driven by a script of words. */
+typedef struct PhFixture {
+    PhRequests *requests;
+    GArray *actions;
+    guint seen; /* actions that the script has matched */
+    PhTime now;
+    uint64_t last_request;
+    uint64_t last_attempt;
+    uint32_t last_worker;
+    bool leaving; /* of worker w1 */
+    guint workers;
+} PhFixture;
+
+static const char *const causes[] = {
+    "first",       "retry-connect",   "retry-first-byte",
+    "retry-reset", "retry-truncated", "retry-status",
+    "hedge"};
+static const char *const ends[] = {"answered",  "connect",  "first-byte",
+                                   "deadline",  "reset",    "truncated",
+                                   "too-large", "cancelled"};
+static const char *const notes[] = {"late",      "ejected", "readmitted",
+                                    "no-budget", "no-time", "hedge-won",
+                                    "gone"};
+static const char *const verdicts[] = {"granted", "unvouched", "repeated",
+                                       "unclear"};
+
+/* Finds a word in a list. */
+static int
+word_index(const char *const *list, size_t count, const char *word)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (strcmp(list[i], word) == 0) {
+            return (int)i;
+        }
+    }
+    fail_msg("unknown word '%s'", word);
+    return -1;
+}
+
+/* Hands one event to the decisions. */
+static void
+give(PhFixture *f, PhRequestsEvent event)
+{
+    PhRequests_Handle(f->requests, &event, f->now, f->actions);
+}
+
+/* Puts the policies of three services in force. */
+static void
+give_policies(PhFixture *f)
+{
+    PhServicePolicy rows[] = {
+        PhServicePolicy_Default(PhStr_LITERAL("booking")),
+        PhServicePolicy_Default(PhStr_LITERAL("quote")),
+        PhServicePolicy_Default(PhStr_LITERAL("none")),
+    };
+    rows[0].prefix = PhStr_LITERAL("/booking");
+    rows[0].idempotent_paths = PhStr_LITERAL("/booking/quote /booking/look");
+    rows[0].retry_percent = 100;
+    rows[1].prefix = PhStr_LITERAL("/quote");
+    rows[1].hedge_after = 50 * PH_NS_PER_MS;
+    rows[1].retry_percent = 100;
+    rows[2].prefix = PhStr_LITERAL("/none");
+    rows[2].body_limit_bytes = 10;
+    give(f, (PhRequestsEvent){.tag = PH_REQUESTS_POLICIES,
+                              .as.policies = {1, rows, G_N_ELEMENTS(rows)}});
+}
+
+/* Gives a reading of the list with the fixture's workers. */
+static void
+give_workers(PhFixture *f)
+{
+    PhWorkerRow rows[8];
+    char ids[8][8];
+    for (guint i = 0; i < f->workers; i++) {
+        snprintf(ids[i], sizeof(ids[i]), "w%u", i + 1);
+        rows[i] = (PhWorkerRow){.id = PhStr_FromC(ids[i]),
+                                .address = PhStr_LITERAL("127.0.0.1:1"),
+                                .data_centre = PhStr_LITERAL("silay"),
+                                .services = PhStr_LITERAL("booking quote"),
+                                .slots = 4,
+                                .connections = 60,
+                                .leaving = i == 0 && f->leaving};
+    }
+    give(f, (PhRequestsEvent){.tag = PH_REQUESTS_WORKERS,
+                              .as.workers = {rows, f->workers}});
+}
+
+/* Gives the members, one for each letter; small letters are not heard. */
+static void
+give_members(PhFixture *f, const char *letters)
+{
+    PhKeyMember rows[8];
+    char ids[8];
+    size_t count = strlen(letters);
+    for (size_t i = 0; i < count; i++) {
+        ids[i] = g_ascii_toupper(letters[i]);
+        rows[i] = (PhKeyMember){.id = PhStr_FromBytes(&ids[i], 1),
+                                .heard = g_ascii_isupper(letters[i])};
+    }
+    give(f, (PhRequestsEvent){.tag = PH_REQUESTS_MEMBERS,
+                              .as.members = {rows, count}});
+}
+
+/* Lets a request arrive: method, path and options. */
+static void
+step_arrive(PhFixture *f, char **word)
+{
+    PhArrival a = {.id = ++f->last_request,
+                   .method = PhStr_FromC(word[1]),
+                   .path = PhStr_FromC(word[2])};
+    for (char **w = &word[3]; **w != '\0'; w++) {
+        if (g_str_has_prefix(*w, "key=")) {
+            a.key = PhStr_FromC(*w + 4);
+        }
+        else if (g_str_has_prefix(*w, "budget=")) {
+            a.budget = atoi(*w + 7) * PH_NS_PER_MS;
+        }
+        else if (g_str_has_prefix(*w, "bytes=")) {
+            a.body_bytes = (size_t)atoi(*w + 6);
+        }
+        else {
+            a.malformed = true;
+        }
+    }
+    give(f, (PhRequestsEvent){.tag = PH_REQUESTS_ARRIVED, .as.arrived = a});
+}
+
+/* Ends the attempt that is `back` before the latest. */
+static void
+step_reply(PhFixture *f, char **word, uint64_t back)
+{
+    PhUpstreamReply reply = {
+        .attempt = f->last_attempt - back,
+        .end = (PhAttemptEnd)word_index(ends, G_N_ELEMENTS(ends), word[1])};
+    reply.not_sent = strcmp(word[2], "unsent") == 0;
+    reply.status = atoi(word[2]);
+    give(f,
+         (PhRequestsEvent){.tag = PH_REQUESTS_REPLIED, .as.replied = reply});
+}
+
+/* Advances the time, firing timers as they come due. */
+static void
+step_wait(PhFixture *f, PhTime until)
+{
+    while (PhRequests_Next(f->requests) <= until) {
+        f->now = MAX(f->now, PhRequests_Next(f->requests));
+        give(f, (PhRequestsEvent){.tag = PH_REQUESTS_TIMER});
+    }
+    f->now = until;
+}
+
+/* Carries out a step that gives an event; false when it names an action. */
+static bool
+step_event(PhFixture *f, char **word)
+{
+    const char *w = word[0];
+    PhClaimAsked asked = {.member = PhStr_LITERAL("C"),
+                          .key = PhStr_FromC(word[1]),
+                          .request = 77};
+    if (strcmp(w, "arrive") == 0) {
+        step_arrive(f, word);
+    }
+    else if (strcmp(w, "reply") == 0 || strcmp(w, "late") == 0) {
+        step_reply(f, word, w[0] == 'l');
+    }
+    else if (strcmp(w, "wait") == 0) {
+        step_wait(f, f->now + atoi(word[1]) * PH_NS_PER_MS);
+    }
+    else if (strcmp(w, "gone") == 0) {
+        give(f, (PhRequestsEvent){.tag = PH_REQUESTS_CALLER_GONE,
+                                  .as.caller_gone = f->last_request});
+    }
+    else if (strcmp(w, "leave") == 0 || strcmp(w, "workers") == 0) {
+        f->leaving = w[0] == 'l';
+        f->workers = (guint)atoi(word[1]);
+        give_workers(f);
+    }
+    else if (strcmp(w, "members") == 0) {
+        give_members(f, word[1]);
+    }
+    else if (strcmp(w, "configure") == 0) {
+        give_policies(f);
+    }
+    else if (strcmp(w, "asked") == 0 || strcmp(w, "released") == 0) {
+        give(f,
+             (PhRequestsEvent){.tag = w[0] == 'a' ? PH_REQUESTS_CLAIM_ASKED
+                                                  : PH_REQUESTS_CLAIM_RELEASED,
+                               .as.claim = asked});
+    }
+    else if (strcmp(w, "verdict") == 0) {
+        give(f, (PhRequestsEvent){
+                    .tag = PH_REQUESTS_CLAIM_REPLIED,
+                    .as.claim_replied = {
+                        .request = f->last_request,
+                        .verdict = (PhKeyVerdict)word_index(
+                            verdicts, G_N_ELEMENTS(verdicts), word[1])}});
+    }
+    else if (strcmp(w, "flood") == 0) {
+        for (int i = atoi(word[1]); i > 0; i--) {
+            step_arrive(f, (char *[]){"arrive", "GET", "/booking", ""});
+        }
+        f->seen = f->actions->len;
+    }
+    else if (strcmp(w, "stop") == 0) {
+        give(f, (PhRequestsEvent){.tag = PH_REQUESTS_STOP});
+    }
+    else {
+        return false;
+    }
+    return true;
+}
+
+/* Writes an action in the words of the scripts. */
+static char *
+action_describe(PhFixture *f, const PhRequestsAction *a)
+{
+    switch (a->tag) {
+    case PH_REQUESTS_SEND:
+        f->last_attempt = a->as.send.attempt;
+        f->last_worker = a->as.send.worker;
+        return g_strdup_printf("send %s%s", causes[a->as.send.cause],
+                               a->as.send.fresh_connection ? " fresh" : "");
+    case PH_REQUESTS_ANSWER:
+        return g_strdup("answer");
+    case PH_REQUESTS_REFUSE:
+        return g_strdup_printf("refuse %s %s",
+                               PhRefusal_Info(a->as.refuse.reason)->name,
+                               PhOutcome_Name(a->as.refuse.outcome));
+    case PH_REQUESTS_CANCEL:
+        return g_strdup("cancel");
+    case PH_REQUESTS_CLAIM:
+        return g_strdup_printf("claim %.*s", PhStr_ARG(a->as.claim.member));
+    case PH_REQUESTS_CLAIM_ANSWER:
+        return g_strdup_printf("told %s", verdicts[a->as.claim.verdict]);
+    case PH_REQUESTS_CLAIM_RELEASE:
+        return g_strdup_printf("release %.*s", PhStr_ARG(a->as.claim.member));
+    case PH_REQUESTS_QUIESCE:
+        return g_strdup("quiesce");
+    case PH_REQUESTS_DRAINED:
+        return g_strdup("drained");
+    case PH_REQUESTS_NOTE:
+        return g_strdup_printf("note %s", notes[a->as.note.note]);
+    }
+    return NULL;
+}
+
+/* Checks that the next action is the one that the step names. */
+static void
+step_expect(PhFixture *f, const char *step)
+{
+    if (strcmp(step, "nothing") == 0) {
+        assert_int_equal(f->seen, f->actions->len);
+        return;
+    }
+    if (f->seen == f->actions->len) {
+        fail_msg("expected '%s', no action came", step);
+    }
+    char *got = action_describe(
+        f, &g_array_index(f->actions, PhRequestsAction, f->seen++));
+    assert_string_equal(got, step);
+    g_free(got);
+}
+
+/* Runs one step. */
+static void
+step_run(PhFixture *f, char *step)
+{
+    char *word[WORDS + 1];
+    char *copy = g_strdup(step);
+    char *rest = copy;
+    for (int i = 0; i <= WORDS; i++) {
+        char *next = rest == NULL ? NULL : strsep(&rest, " ");
+        word[i] = next == NULL ? "" : next;
+    }
+    if (!step_event(f, word)) {
+        step_expect(f, step);
+    }
+    g_free(copy);
+}
+
+/* Runs one script against decisions with two workers. */
+void
+PhScript_Check(const PhScriptCase *c)
+{
+    PhFixture f = {.now = PH_NS_PER_S, .workers = 2};
+    f.actions = g_array_new(FALSE, FALSE, sizeof(PhRequestsAction));
+    f.requests = PhRequests_Create(
+        &(PhRequestsOptions){.instance = PhStr_LITERAL("A"),
+                             .data_centre = PhStr_LITERAL("silay"),
+                             .seed = 1,
+                             .drain_notice = NOTICE_MS * PH_NS_PER_MS,
+                             .key_window = KEY_WINDOW_MS * PH_NS_PER_MS,
+                             .tuning = PhRequestsTuning_Default()});
+    if (strncmp(c->script, "bare;", 5) != 0) {
+        give_policies(&f);
+        give_workers(&f);
+    }
+    char **steps = g_strsplit(c->script, ";", -1);
+    for (char **step = steps; *step != NULL; step++) {
+        char *text = g_strstrip(*step);
+        if (strcmp(text, "bare") != 0) {
+            step_run(&f, text);
+        }
+    }
+    step_run(&f, (char[]){"nothing"});
+    g_strfreev(steps);
+    PhRequests_Destroy(f.requests);
+    g_array_free(f.actions, TRUE);
+}
