requests: keep a worker's links beside it, split the router by job

Cause: a decision touched four places in memory for each worker it looked at. Change: the first two links lie in the worker.

--- a/decide/requests/pick.c
+++ b/decide/requests/pick.c
@@ -29,7 +29,7 @@
         }
         g_array_remove_index_fast(router->cooling, i - 1);
         for (guint l = 0;
-             w->present && !w->leaving && w->cap > 0 && l < w->links->len;
+             w->present && !w->leaving && w->cap > 0 && l < w->link_count;
              l++) {
             router_pool(router, worker_link(w, l)->pool)->ejected--;
         }
--- a/decide/requests/router.c
+++ b/decide/requests/router.c
@@ -1,6 +1,5 @@
 #include "router_internal.h"
 
-#include "peridothill/common/invariant.h"
 #include "peridothill/decide/requests/subset.h"
 
 /* Creates a router without workers. */
@@ -25,6 +24,33 @@
     return router;
 }
 
+/* Drops all links of a worker. */
+static void
+links_clear(PhRoutedWorker *w)
+{
+    if (w->links != w->few_links) {
+        g_free(w->links);
+    }
+    w->links = w->few_links;
+    w->link_count = 0;
+}
+
+/* Appends a link; beyond a few they are allocated. */
+static void
+links_add(PhRoutedWorker *w, uint32_t pool)
+{
+    PhPoolLink link = {.pool = pool, .position = POSITION_NONE};
+    uint32_t count = w->link_count + 1;
+    if (count == FEW_LINKS + 1) {
+        w->links = g_memdup2(w->few_links, sizeof(w->few_links));
+    }
+    if (count > FEW_LINKS) {
+        w->links = g_renew(PhPoolLink, w->links, count);
+    }
+    w->links[w->link_count] = link;
+    w->link_count = count;
+}
+
 /* Releases the strings and links of a worker. */
 static void
 worker_clear(PhRoutedWorker *w)
@@ -33,9 +59,7 @@
     PhStr_Clear(&w->address);
     PhStr_Clear(&w->data_centre);
     PhStr_Clear(&w->services);
-    if (w->links != NULL) {
-        g_array_free(w->links, TRUE);
-    }
+    links_clear(w);
     *w = (PhRoutedWorker){0};
 }
 
@@ -96,150 +120,6 @@
     return router->pools->len - 1;
 }
 
-/* Finds the list that the worker belongs on. */
-static PhSide
-worker_side(const PhRouter *router, const PhRoutedWorker *w)
-{
-    if (w->outlier.state == PH_OUTLIER_HALF_OPEN) {
-        return SIDE_PROBE;
-    }
-    return PhStr_Equal(w->data_centre, router->options.data_centre)
-               ? SIDE_LOCAL
-               : SIDE_REMOTE;
-}
-
-/* Tells whether the worker may be chosen now. */
-static bool
-worker_is_open(const PhRoutedWorker *w)
-{
-    if (!w->present || w->leaving || w->in_flight >= w->cap) {
-        return false;
-    }
-    switch (w->outlier.state) {
-    case PH_OUTLIER_CLOSED:
-        return true;
-    case PH_OUTLIER_EJECTED:
-        return false;
-    case PH_OUTLIER_HALF_OPEN:
-        return !w->outlier.probing;
-    }
-    return false;
-}
-
-/* Puts a worker onto the open list of a pool. */
-static void
-link_open(PhRouter *router, uint32_t number, uint32_t index)
-{
-    const PhRoutedWorker *w = router_worker(router, number);
-    PhPoolLink *link = worker_link(w, index);
-    link->side = worker_side(router, w);
-    GArray *open = router_pool(router, link->pool)->open[link->side];
-    PhOpenWorker entry = {.worker = number, .link = index};
-    link->position = open->len;
-    g_array_append_val(open, entry);
-}
-
-/* Takes a worker off the open list; the last of the list fills the gap. */
-static void
-link_close(PhRouter *router, uint32_t number, uint32_t index)
-{
-    const PhRoutedWorker *w = router_worker(router, number);
-    PhPoolLink *link = worker_link(w, index);
-    GArray *open = router_pool(router, link->pool)->open[link->side];
-    uint32_t position = link->position;
-    g_array_remove_index_fast(open, position);
-    if (position < open->len) {
-        PhOpenWorker moved = g_array_index(open, PhOpenWorker, position);
-        worker_link(router_worker(router, moved.worker), moved.link)
-            ->position = position;
-    }
-    link->position = POSITION_NONE;
-}
-
-/* Adds the worker's slots, times its factor, to its pools, or takes them off
- * as they were added. */
-static void
-worker_count(PhRouter *router, PhRoutedWorker *w, bool counted)
-{
-    if (w->counted == counted) {
-        return;
-    }
-    w->counted = counted;
-    if (counted) {
-        w->part = w->limit.factor * w->slots / MAX(w->sharers, 1U);
-    }
-    for (guint i = 0; i < w->links->len; i++) {
-        PhPool *pool = router_pool(router, worker_link(w, i)->pool);
-        pool->slots += counted ? w->part : -w->part;
-    }
-}
-
-/* Brings the open lists and the slots in line with the worker's state. */
-void
-PhRouter_Refresh(PhRouter *router, uint32_t number)
-{
-    PhRoutedWorker *w = router_worker(router, number);
-    worker_count(router, w,
-                 w->present && !w->leaving && w->cap > 0 &&
-                     w->outlier.state != PH_OUTLIER_EJECTED);
-    bool open = worker_is_open(w);
-    for (guint i = 0; i < w->links->len; i++) {
-        PhPoolLink *link = worker_link(w, i);
-        bool listed = link->position != POSITION_NONE;
-        bool right = listed && link->side == worker_side(router, w);
-        if (listed && !(open && right)) {
-            link_close(router, number, i);
-        }
-        if (open && !right) {
-            link_open(router, number, i);
-        }
-    }
-}
-
-/* Adds the worker to the counts of its pools (sign 1) or takes it off. */
-static void
-pools_count(PhRouter *router, const PhRoutedWorker *w, int sign)
-{
-    if (!w->present || w->leaving || w->cap == 0) {
-        return;
-    }
-    bool ejected = w->outlier.state == PH_OUTLIER_EJECTED;
-    for (guint i = 0; i < w->links->len; i++) {
-        PhPool *pool = router_pool(router, worker_link(w, i)->pool);
-        pool->workers += (uint32_t)sign;
-        pool->ejected += ejected ? (uint32_t)sign : 0;
-    }
-}
-
-/* Takes a worker out of every list and sum, before it changes. */
-static void
-worker_detach(PhRouter *router, uint32_t number)
-{
-    PhRoutedWorker *w = router_worker(router, number);
-    pools_count(router, w, -1);
-    worker_count(router, w, false);
-    for (guint i = 0; i < w->links->len; i++) {
-        PhPoolLink *link = worker_link(w, i);
-        router_pool(router, link->pool)->in_flight -= w->in_flight;
-        if (link->position != POSITION_NONE) {
-            link_close(router, number, i);
-        }
-    }
-}
-
-/* Puts a changed worker back. */
-static void
-worker_attach(PhRouter *router, uint32_t number)
-{
-    PhRoutedWorker *w = router_worker(router, number);
-    for (guint i = 0; i < w->links->len; i++) {
-        router_pool(router, worker_link(w, i)->pool)->in_flight +=
-            w->in_flight;
-    }
-    pools_count(router, w, 1);
-    PhRouter_Refresh(router, number);
-}
-
 /* Links the worker to the pool of each service that it serves. */
 static void
 worker_link_services(PhRouter *router, PhRoutedWorker *w, PhStr services)
@@ -249,15 +129,13 @@
     }
     PhStr_Clear(&w->services);
     w->services = PhStr_Dup(services);
-    g_array_set_size(w->links, 0);
+    links_clear(w);
     PhStr rest = services;
     while (rest.len > 0) {
         PhStr name;
         PhStr_Cut(rest, ' ', &name, &rest);
         if (name.len > 0) {
-            PhPoolLink link = {.pool = PhRouter_Pool(router, name),
-                               .position = POSITION_NONE};
-            g_array_append_val(w->links, link);
+            links_add(w, PhRouter_Pool(router, name));
         }
     }
 }
@@ -313,7 +191,7 @@
     }
     PhRoutedWorker *w = router_worker(router, number);
     w->id = PhStr_Dup(id);
-    w->links = g_array_new(FALSE, FALSE, sizeof(PhPoolLink));
+    w->links = w->few_links;
     w->limit = PhLimit_Make();
     g_hash_table_insert(router->indexes, PhStr_KeyCreate(id),
                         GUINT_TO_POINTER(number + 1));
@@ -336,7 +214,7 @@
 {
     uint32_t number = worker_slot(router, row->id);
     PhRoutedWorker *w = router_worker(router, number);
-    worker_detach(router, number);
+    PhRouter_Detach(router, number);
     str_replace(&w->address, row->address);
     str_replace(&w->data_centre, row->data_centre);
     worker_link_services(router, w, row->services);
@@ -345,12 +223,12 @@
     w->present = true;
     w->leaving = row->leaving;
     worker_share(router, w);
-    worker_attach(router, number);
+    PhRouter_Attach(router, number);
 }
 
 /* Frees the slot of a worker that has left the list and is idle. */
-static void
-worker_reclaim(PhRouter *router, uint32_t number)
+void
+PhRouter_Reclaim(PhRouter *router, uint32_t number)
 {
     PhRoutedWorker *w = router_worker(router, number);
     if (w->present || w->in_flight > 0 || PhStr_IsEmpty(w->id)) {
@@ -380,10 +258,10 @@
     for (guint i = 0; i < router->workers->len; i++) {
         PhRoutedWorker *w = router_worker(router, i);
         if (w->present && !g_hash_table_contains(named, GUINT_TO_POINTER(i))) {
-            worker_detach(router, i);
+            PhRouter_Detach(router, i);
             w->present = false;
-            worker_attach(router, i);
-            worker_reclaim(router, i);
+            PhRouter_Attach(router, i);
+            PhRouter_Reclaim(router, i);
         }
     }
     g_hash_table_destroy(named);
@@ -406,9 +284,9 @@
     for (guint i = 0; i < router->workers->len; i++) {
         PhRoutedWorker *w = router_worker(router, i);
         if (w->present) {
-            worker_detach(router, i);
+            PhRouter_Detach(router, i);
             worker_share(router, w);
-            worker_attach(router, i);
+            PhRouter_Attach(router, i);
         }
     }
 }
@@ -442,155 +320,6 @@
     return router_worker(router, worker)->share;
 }
 
-/* Adds to the requests in flight at a worker, and frees an idle slot that is
- * no longer on the list. */
-static void
-worker_in_flight(PhRouter *router, uint32_t number, int by)
-{
-    PhRoutedWorker *w = router_worker(router, number);
-    Ph_INVARIANT(PH_INVARIANT_QUEUE, by > 0 || w->in_flight > 0, "worker=%u",
-                 number);
-    w->in_flight += (uint32_t)by;
-    for (guint i = 0; i < w->links->len; i++) {
-        router_pool(router, worker_link(w, i)->pool)->in_flight +=
-            (uint32_t)by;
-    }
-}
-
-/* Notes that an attempt starts. */
-void
-PhRouter_Sent(PhRouter *router, uint32_t worker)
-{
-    PhRoutedWorker *w = router_worker(router, worker);
-    Ph_INVARIANT(PH_INVARIANT_LEAVING, w->present && !w->leaving,
-                 "worker=%.*s", PhStr_ARG(w->id));
-    Ph_INVARIANT(PH_INVARIANT_QUEUE, w->in_flight < w->cap,
-                 "worker=%.*s in_flight=%u cap=%u", PhStr_ARG(w->id),
-                 w->in_flight, w->cap);
-    worker_in_flight(router, worker, 1);
-    if (w->outlier.state == PH_OUTLIER_HALF_OPEN) {
-        w->outlier.probing = true;
-    }
-    PhRouter_Refresh(router, worker);
-}
-
-/* Tells whether every pool of the worker can do without it. */
-static bool
-ejection_allowed(const PhRouter *router, const PhRoutedWorker *w)
-{
-    enum {
-        MOST_EJECTED_PERCENT = 30
-    };
-    if (!router->options.cooldown || !w->present || w->leaving ||
-        w->cap == 0) {
-        return false;
-    }
-    for (guint i = 0; i < w->links->len; i++) {
-        const PhPool *pool = router_pool(router, worker_link(w, i)->pool);
-        uint32_t most = pool->workers * MOST_EJECTED_PERCENT / 100;
-        if (pool->workers < 2 || pool->ejected >= MAX(most, 1U)) {
-            return false;
-        }
-    }
-    return true;
-}
-
-/* Ejects a worker when its failures call for it and the bound allows. */
-static PhRouterChange
-worker_failed(PhRouter *router, uint32_t number, PhTime now)
-{
-    PhRoutedWorker *w = router_worker(router, number);
-    PhOutlier_Failed(&w->outlier);
-    w->outlier.probing = false;
-    if (!PhOutlier_IsDue(&w->outlier) || !ejection_allowed(router, w)) {
-        return PH_ROUTER_UNCHANGED;
-    }
-    pools_count(router, w, -1);
-    PhOutlier_Eject(&w->outlier, router->options.random, now);
-    pools_count(router, w, 1);
-    g_array_append_val(router->cooling, number);
-    router->next_wake = MIN(router->next_wake, w->outlier.until);
-    return PH_ROUTER_EJECTED;
-}
-
-/* Learns a latency for the pair of worker and pool, and for the pool. */
-static void
-latency_learn(PhRouter *router, PhRoutedWorker *w, uint32_t number,
-              PhTime latency, PhTime now)
-{
-    const double rise = 0.3;
-    const double fall = 0.1;
-    const double pool_weight = 0.02;
-    PhPool *pool = router_pool(router, number);
-    double sample = (double)latency;
-    for (guint i = 0; i < w->links->len; i++) {
-        PhPoolLink *link = worker_link(w, i);
-        if (link->pool == number) {
-            double weight = sample > link->latency_ns ? rise : fall;
-            link->latency_ns =
-                link->latency_ns == 0.0
-                    ? sample
-                    : link->latency_ns + weight * (sample - link->latency_ns);
-            link->sampled_at = now;
-        }
-    }
-    if (pool->mean_ns == 0.0) {
-        pool->mean_ns = sample;
-        pool->deviation_ns = sample / 2.0;
-        return;
-    }
-    double gap = sample - pool->mean_ns;
-    pool->mean_ns += pool_weight * gap;
-    pool->deviation_ns +=
-        pool_weight * ((gap < 0.0 ? -gap : gap) - pool->deviation_ns);
-}
-
-/* Learns how far the worker's latencies stand above their baseline. */
-static void
-limit_learn(PhRouter *router, PhRoutedWorker *w, PhPool *pool, PhTime latency,
-            PhTime now)
-{
-    PhBaseline_Observe(&pool->baseline, (double)latency, now);
-    if (pool->baseline.value > 0.0 &&
-        PhLimit_Observe(&w->limit, (double)latency / pool->baseline.value,
-                        now) &&
-        w->counted) {
-        worker_count(router, w, false);
-        worker_count(router, w, true);
-    }
-}
-
-/* Notes that an attempt ended, and what that says about the worker. */
-PhRouterChange
-PhRouter_Done(PhRouter *router, uint32_t worker, uint32_t pool,
-              PhAttemptResult result, PhTime latency, PhTime now)
-{
-    PhRoutedWorker *w = router_worker(router, worker);
-    PhRouterChange change = PH_ROUTER_UNCHANGED;
-    worker_in_flight(router, worker, -1);
-    switch (result) {
-    case PH_ATTEMPT_SUCCEEDED:
-        latency_learn(router, w, pool, latency, now);
-        limit_learn(router, w, router_pool(router, pool), latency, now);
-        if (PhOutlier_Succeeded(&w->outlier)) {
-            change = PH_ROUTER_READMITTED;
-        }
-        break;
-    case PH_ATTEMPT_FAILED:
-        if (latency > PhRouter_MeanLatency(router, pool)) {
-            latency_learn(router, w, pool, latency, now);
-        }
-        change = worker_failed(router, worker, now);
-        break;
-    case PH_ATTEMPT_CANCELLED:
-        w->outlier.probing = false;
-        break;
-    }
-    PhRouter_Refresh(router, worker);
-    worker_reclaim(router, worker);
-    return change;
-}
-
 /* Gives the mean latency of a pool. */
 PhTime
 PhRouter_MeanLatency(const PhRouter *router, uint32_t pool)
--- a/decide/requests/router_internal.h
+++ b/decide/requests/router_internal.h
@@ -8,7 +8,8 @@
 #include "peridothill/decide/requests/router.h"
 
 enum {
-    POSITION_NONE = UINT32_MAX
+    POSITION_NONE = UINT32_MAX,
+    FEW_LINKS = 2, /* kept in the worker, where the choice reads anyway */
 };
 
 /* Which list of a pool an open worker is on. */
@@ -51,7 +52,9 @@
     double part;  /* as this many */
     PhLimit limit;
     PhOutlier outlier;
-    GArray *links; /* PhPoolLink */
+    uint32_t link_count;
+    PhPoolLink *links; /* `few_links`, or allocated */
+    PhPoolLink few_links[FEW_LINKS];
 } PhRoutedWorker;
 
 typedef struct PhPool {
@@ -94,11 +97,27 @@
 static inline PhPoolLink *
 worker_link(const PhRoutedWorker *worker, uint32_t number)
 {
-    return &g_array_index(worker->links, PhPoolLink, number);
+    return &worker->links[number];
 }
 
-/* Brings the pools' lists and sums in line with the worker's state. */
+/* router_lists.c: pools' lists of open workers and their sums. */
+/* Brings them in line with the worker's state. */
 void
 PhRouter_Refresh(PhRouter *router, uint32_t number);
+/* Takes a worker out of all of them before it changes, and puts it back. */
+void
+PhRouter_Detach(PhRouter *router, uint32_t number);
+void
+PhRouter_Attach(PhRouter *router, uint32_t number);
+/* Adds the worker to the counts of its pools (sign 1) or takes it off. */
+void
+PhRouter_CountPools(PhRouter *router, const PhRoutedWorker *worker, int sign);
+/* Adds the worker's slots, times its factor, to its pools, or takes them off
+ * as they were added. */
+void
+PhRouter_CountSlots(PhRouter *router, PhRoutedWorker *worker, bool counted);
+/* router.c: frees the slot of a worker that has left the list and is idle. */
+void
+PhRouter_Reclaim(PhRouter *router, uint32_t number);
 
 #endif
--- /dev/null
+++ b/decide/requests/router_lists.c
@@ -0,0 +1,145 @@
+#include "router_internal.h"
+
+/* Finds the list that the worker belongs on. */
+static PhSide
+worker_side(const PhRouter *router, const PhRoutedWorker *w)
+{
+    if (w->outlier.state == PH_OUTLIER_HALF_OPEN) {
+        return SIDE_PROBE;
+    }
+    return PhStr_Equal(w->data_centre, router->options.data_centre)
+               ? SIDE_LOCAL
+               : SIDE_REMOTE;
+}
+
+/* Tells whether the worker may be chosen now. */
+static bool
+worker_is_open(const PhRoutedWorker *w)
+{
+    if (!w->present || w->leaving || w->in_flight >= w->cap) {
+        return false;
+    }
+    switch (w->outlier.state) {
+    case PH_OUTLIER_CLOSED:
+        return true;
+    case PH_OUTLIER_EJECTED:
+        return false;
+    case PH_OUTLIER_HALF_OPEN:
+        return !w->outlier.probing;
+    }
+    return false;
+}
+
+/* Puts a worker onto the open list of a pool. */
+static void
+link_open(PhRouter *router, uint32_t number, uint32_t index)
+{
+    const PhRoutedWorker *w = router_worker(router, number);
+    PhPoolLink *link = worker_link(w, index);
+    link->side = worker_side(router, w);
+    GArray *open = router_pool(router, link->pool)->open[link->side];
+    PhOpenWorker entry = {.worker = number, .link = index};
+    link->position = open->len;
+    g_array_append_val(open, entry);
+}
+
+/* Takes a worker off the open list; the last of the list fills the gap. */
+static void
+link_close(PhRouter *router, uint32_t number, uint32_t index)
+{
+    const PhRoutedWorker *w = router_worker(router, number);
+    PhPoolLink *link = worker_link(w, index);
+    GArray *open = router_pool(router, link->pool)->open[link->side];
+    uint32_t position = link->position;
+    g_array_remove_index_fast(open, position);
+    if (position < open->len) {
+        PhOpenWorker moved = g_array_index(open, PhOpenWorker, position);
+        worker_link(router_worker(router, moved.worker), moved.link)
+            ->position = position;
+    }
+    link->position = POSITION_NONE;
+}
+
+/* Adds the worker's slots, times its factor, to its pools, or takes them off
+ * as they were added. */
+void
+PhRouter_CountSlots(PhRouter *router, PhRoutedWorker *w, bool counted)
+{
+    if (w->counted == counted) {
+        return;
+    }
+    w->counted = counted;
+    if (counted) {
+        w->part = w->limit.factor * w->slots / MAX(w->sharers, 1U);
+    }
+    for (guint i = 0; i < w->link_count; i++) {
+        PhPool *pool = router_pool(router, worker_link(w, i)->pool);
+        pool->slots += counted ? w->part : -w->part;
+    }
+}
+
+/* Brings the open lists and the slots in line with the worker's state. */
+void
+PhRouter_Refresh(PhRouter *router, uint32_t number)
+{
+    PhRoutedWorker *w = router_worker(router, number);
+    PhRouter_CountSlots(router, w,
+                        w->present && !w->leaving && w->cap > 0 &&
+                            w->outlier.state != PH_OUTLIER_EJECTED);
+    bool open = worker_is_open(w);
+    for (guint i = 0; i < w->link_count; i++) {
+        PhPoolLink *link = worker_link(w, i);
+        bool listed = link->position != POSITION_NONE;
+        bool right = listed && link->side == worker_side(router, w);
+        if (listed && !(open && right)) {
+            link_close(router, number, i);
+        }
+        if (open && !right) {
+            link_open(router, number, i);
+        }
+    }
+}
+
+/* Adds the worker to the counts of its pools (sign 1) or takes it off. */
+void
+PhRouter_CountPools(PhRouter *router, const PhRoutedWorker *w, int sign)
+{
+    if (!w->present || w->leaving || w->cap == 0) {
+        return;
+    }
+    bool ejected = w->outlier.state == PH_OUTLIER_EJECTED;
+    for (guint i = 0; i < w->link_count; i++) {
+        PhPool *pool = router_pool(router, worker_link(w, i)->pool);
+        pool->workers += (uint32_t)sign;
+        pool->ejected += ejected ? (uint32_t)sign : 0;
+    }
+}
+
+/* Takes a worker out of every list and sum, before it changes. */
+void
+PhRouter_Detach(PhRouter *router, uint32_t number)
+{
+    PhRoutedWorker *w = router_worker(router, number);
+    PhRouter_CountPools(router, w, -1);
+    PhRouter_CountSlots(router, w, false);
+    for (guint i = 0; i < w->link_count; i++) {
+        PhPoolLink *link = worker_link(w, i);
+        router_pool(router, link->pool)->in_flight -= w->in_flight;
+        if (link->position != POSITION_NONE) {
+            link_close(router, number, i);
+        }
+    }
+}
+
+/* Puts a changed worker back. */
+void
+PhRouter_Attach(PhRouter *router, uint32_t number)
+{
+    PhRoutedWorker *w = router_worker(router, number);
+    for (guint i = 0; i < w->link_count; i++) {
+        router_pool(router, worker_link(w, i)->pool)->in_flight +=
+            w->in_flight;
+    }
+    PhRouter_CountPools(router, w, 1);
+    PhRouter_Refresh(router, number);
+}
