--- a/bench/task_world.c
+++ b/bench/task_world.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+#include "peridothill/bench/bench.h"
+#include "peridothill/codec/job_record.h"
+#include "peridothill/codec/worker_command.h"
 #include "peridothill/common/random.h"
 
 #define WORLD_STREAM PhStr_LITERAL("tasks-dc")
@@ -72,6 +75,8 @@
     GHashTable *begun;   /* PhRun to itself */
     GHashTable *keys;    /* accepted key to itself */
     GHashTable *tokens;  /* token of a submit to its key */
+    GHashTable *submits; /* key to the time of its first submit */
+    GArray *start_times; /* PhTime */
     uint64_t next_id;
     uint32_t run_percent; /* actual run times, of the declared ones */
 };
@@ -193,6 +198,15 @@
     }
 }
 
+/* The size of a worker. */
+static PhJobSize
+worker_size(const PhTaskWorld *w, uint32_t worker)
+{
+    PhJobSize size = w->options.worker_size;
+    size.accelerators += w->options.uneven && worker % 8 < 3;
+    return size;
+}
+
 /* Creates the workers. */
 static void
 workers_create(PhTaskWorld *w)
@@ -208,7 +222,7 @@
         worker->rate = rate_draw(w);
         worker->offset_ms = (int64_t)PhRandom_Below(w->random, 1000000) + 1;
         worker->tasks = PhWorkerTasks_Create(PhRandom_U64(w->random) | 1,
-                                             w->options.worker_size);
+                                             worker_size(w, i));
         PhFakeNet_SetGroup(w->net, worker_endpoint(w, i),
                            PH_WORLD_GROUP_WORKERS);
     }
@@ -241,6 +255,9 @@
                                     PhStr_KeyDestroy, NULL);
     w->tokens = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
                                       PhStr_KeyDestroy);
+    w->submits = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
+                                       PhStr_KeyDestroy, g_free);
+    w->start_times = g_array_new(FALSE, FALSE, sizeof(PhTime));
     links_set(w);
     PhFakeNet_SetGroup(w->net, log_endpoint(w), PH_WORLD_GROUP_LOG);
     workers_create(w);
@@ -272,10 +289,28 @@
     g_hash_table_destroy(w->begun);
     g_hash_table_destroy(w->keys);
     g_hash_table_destroy(w->tokens);
+    g_hash_table_destroy(w->submits);
+    g_array_free(w->start_times, TRUE);
     PhRandom_Destroy(w->random);
     g_free(w);
 }
 
+/* Measures and releases the body of a message. */
+static uint64_t
+body_bytes(const PhTaskWorld *w, PhStr body)
+{
+    uint64_t bytes = w->options.measured ? body.len : 0;
+    PhStr_Clear(&body);
+    return bytes;
+}
+
+/* Measures an entry as it would be sent. */
+static uint64_t
+entry_bytes(const PhTaskWorld *w, const PhJobEntry *entry)
+{
+    return w->options.measured ? body_bytes(w, PhJobEntry_Encode(entry)) : 0;
+}
+
 /* Copies an entry; the world keeps it. */
 static PhJobEntry *
 entry_keep(PhTaskWorld *w, const PhJobEntry *entry)
@@ -334,6 +369,7 @@
     case PH_ACTION_APPEND:
         mail.kind = WORLD_APPEND;
         mail.entry = entry_keep(w, action->as.append);
+        w->counts.log_bytes += entry_bytes(w, mail.entry);
         in->append_id = mail.id;
         in->append_at = PhFakeNet_Now(w->net);
         mail_send(w, instance, log_endpoint(w), &mail);
@@ -349,6 +385,10 @@
         mail.kind = WORLD_COMMAND;
         mail.command = action->as.command;
         uint32_t worker = worker_of(action->as.command.worker);
+        w->counts.worker_bytes +=
+            body_bytes(w, w->options.measured
+                              ? PhWorkerCommand_Encode(&action->as.command)
+                              : (PhStr){0});
         mail.command.worker = w->workers[worker].id;
         mail_send(w, instance, worker_endpoint(w, worker), &mail);
         break;
@@ -367,7 +407,11 @@
 {
     PhWorldInstance *in = &w->instances[instance];
     GArray *actions = g_array_new(FALSE, FALSE, sizeof(PhJobAction));
+    int64_t spent = w->options.measured ? PhBench_CpuTime() : 0;
     PhJobEngine_Handle(in->engine, event, instance_clock(w, in), actions);
+    if (w->options.measured) {
+        w->counts.engine_ns += (uint64_t)(PhBench_CpuTime() - spent);
+    }
     for (guint i = 0; i < actions->len; i++) {
         action_do(w, instance, &g_array_index(actions, PhJobAction, i));
     }
@@ -382,7 +426,7 @@
     for (uint32_t i = 0; i < w->options.workers; i++) {
         listed[i].id = w->workers[i].id;
         listed[i].rack = w->workers[i].rack;
-        listed[i].size = w->options.worker_size;
+        listed[i].size = worker_size(w, i);
     }
     PhJobEvent workers = {.kind = PH_JOB_WORKERS,
                           .as.workers = {listed, w->options.workers}};
@@ -506,9 +550,16 @@
         event.as.read.next = mail->next;
         event.as.read.first = mail->first;
         event.as.read.at_end = mail->at_end;
+        for (guint i = 0; i < mail->records->len; i++) {
+            w->counts.log_bytes += entry_bytes(
+                w, g_array_index(mail->records, PhPlacedEntry, i).entry);
+        }
         break;
     case WORLD_ANSWER:
         event.kind = PH_JOB_WORKER_ANSWER;
+        w->counts.worker_bytes += body_bytes(
+            w, w->options.measured ? PhWorkerAnswer_Encode(&mail->answer)
+                                   : (PhStr){0});
         event.as.answer = &mail->answer;
         break;
     case WORLD_APPEND:
@@ -535,6 +586,22 @@
     }
 }
 
+/* Notes how long a task of a job has waited for its first start. */
+static void
+start_time_add(PhTaskWorld *w, uint64_t number)
+{
+    const PhJobEngine *engine = PhTaskWorld_Engine(w);
+    const PhJob *job = engine == NULL
+                           ? NULL
+                           : PhJobState_Job(PhJobEngine_State(engine), number);
+    const PhTime *at =
+        job == NULL ? NULL : g_hash_table_lookup(w->submits, &job->spec.key);
+    if (at != NULL) {
+        PhTime waited = PhFakeNet_Now(w->net) - *at;
+        g_array_append_val(w->start_times, waited);
+    }
+}
+
 /* Notes a run that a worker has begun. */
 static void
 held_add(PhTaskWorld *w, uint32_t worker, const PhWorkerRun *r)
@@ -555,7 +622,9 @@
         held != NULL || g_hash_table_contains(w->begun, &r->run);
     w->counts.starts++;
     w->counts.resumes += r->resumed_from > 0;
-    w->counts.last_start = PhFakeNet_Now(w->net);
+    if (r->run.incarnation == 1) {
+        start_time_add(w, r->run.job);
+    }
     g_hash_table_add(w->begun, g_memdup2(&r->run, sizeof(r->run)));
     PhWorldHeld *now_held = g_new(PhWorldHeld, 1);
     *now_held = (PhWorldHeld){.run = r->run, .worker = worker};
@@ -574,7 +643,7 @@
         sum = PhJobSize_Add(sum, r->size);
         held_add(w, worker, r);
     }
-    w->counts.overcommitted += !PhJobSize_Fits(sum, w->options.worker_size);
+    w->counts.overcommitted += !PhJobSize_Fits(sum, worker_size(w, worker));
 }
 
 /* Lets a worker carry out a command. */
@@ -681,6 +750,11 @@
     event.as.submit.token = ++w->next_id;
     event.as.submit.spec = spec;
     gint64 token = (gint64)event.as.submit.token;
+    if (!g_hash_table_contains(w->submits, &spec->key)) {
+        PhTime now = PhFakeNet_Now(w->net);
+        g_hash_table_insert(w->submits, PhStr_KeyCreate(spec->key),
+                            g_memdup2(&now, sizeof(now)));
+    }
     g_hash_table_insert(w->tokens, g_memdup2(&token, sizeof(token)),
                         PhStr_KeyCreate(spec->key));
     engine_give(w, instance, &event);
@@ -798,7 +872,7 @@
     }
     PhWorkerTasks_Destroy(to->tasks);
     to->tasks = PhWorkerTasks_Create(PhRandom_U64(w->random) | 1,
-                                     w->options.worker_size);
+                                     worker_size(w, worker));
     to->offset_ms = (int64_t)PhRandom_Below(w->random, 1000000) + 1;
 }
 
@@ -892,6 +966,23 @@
     }
 }
 
+/* Orders two times. */
+static gint
+time_compare(gconstpointer a, gconstpointer b)
+{
+    PhTime left = *(const PhTime *)a;
+    PhTime right = *(const PhTime *)b;
+    return (left > right) - (left < right);
+}
+
+/* Gives the start times. */
+const GArray *
+PhTaskWorld_StartTimes(PhTaskWorld *w)
+{
+    g_array_sort(w->start_times, time_compare);
+    return w->start_times;
+}
+
 /* Counts the runs that workers hold. */
 uint64_t
 PhTaskWorld_Running(const PhTaskWorld *w)
--- a/commands/bench.c
+++ b/commands/bench.c
@@ -21,6 +21,7 @@
     {"kernel", "cost of one message between tasks", PhBench_Kernel},
     {"requests", "routing, admission and retries", PhBench_Requests},
     {"soak", "randomised runs with faults and invariants", PhBench_Soak},
+    {"tasks", "leases, recovery and placement of tasks", PhBench_Tasks},
 };
 
 /* Orders a name against a bench for bsearch. */
--- a/include/peridothill/bench/bench.h
+++ b/include/peridothill/bench/bench.h
@@ -42,5 +42,7 @@
 PhBench_ControlConfig(const PhBenchOptions *options);
 PhResult
 PhBench_ControlMembers(const PhBenchOptions *options);
+PhResult
+PhBench_Tasks(const PhBenchOptions *options);
 
 #endif
--- a/include/peridothill/bench/task_world.h
+++ b/include/peridothill/bench/task_world.h
@@ -29,6 +29,8 @@
     double loss;
     double duplicate;
     double lost_answers; /* of appends */
+    bool uneven;         /* three of eight workers have one accelerator more */
+    bool measured;       /* count processor time and bytes of the engines */
 } PhTaskWorldOptions;
 
 /* What was counted; `doubled` and `overcommitted` must stay 0. */
@@ -43,7 +45,9 @@
     uint64_t overcommitted;
     uint64_t lapsed; /* runs that a worker ended for want of renewal */
     uint64_t notes[PH_NOTE_TASK_QUARANTINED + 1];
-    PhTime last_start; /* of any run */
+    uint64_t engine_ns;    /* processor time of all engines, if measured */
+    uint64_t worker_bytes; /* bodies to and from workers, if measured */
+    uint64_t log_bytes;    /* bodies to and from the log, if measured */
 } PhTaskWorldCounts;
 
 typedef struct PhTaskWorld PhTaskWorld;
@@ -115,6 +119,9 @@
 void
 PhTaskWorld_Unfinished(const PhTaskWorld *world, uint64_t *lost,
                        uint64_t *unfinished);
+/* Times from the submit to the start of a first run, PhTime, sorted. */
+const GArray *
+PhTaskWorld_StartTimes(PhTaskWorld *world);
 /* Counts the runs that workers hold. */
 uint64_t
 PhTaskWorld_Running(const PhTaskWorld *world);
--- a/tests/tasks/test_recovery.c
+++ b/tests/tasks/test_recovery.c
@@ -39,14 +39,25 @@
     bool keep_running;     /* no run may lapse */
     uint64_t refused_most; /* submits that may be refused */
     int until_s;
+    int run_s; /* of each task; 0 is a minute */
+    int tasks; /* of the first job; 0 is 30 */
     PhFault faults[12];
 } PhRecoveryCase;
 
 static const PhRecoveryCase recovery_cases[] = {
-    {"nothing happens", 0, 0, 0, true, 0, 300, {{0}}},
-    {"answers lost after appends", 0, 0.3, 0, true, 0, 400, {{0}}},
-    {"messages lost and doubled", 0.1, 0.1, 0, false, 0, 500, {{0}}},
-    {"owner dies, log up", 0, 0, 0, true, 0, 300, {{20, FAULT_KILL_OWNER, 0}}},
+    {"nothing happens", 0, 0, 0, true, 0, 300, 0, 0, {{0}}},
+    {"answers lost after appends", 0, 0.3, 0, true, 0, 400, 0, 0, {{0}}},
+    {"messages lost and doubled", 0.1, 0.1, 0, false, 0, 500, 0, 0, {{0}}},
+    {"owner dies, log up",
+     0,
+     0,
+     0,
+     true,
+     0,
+     300,
+     0,
+     0,
+     {{20, FAULT_KILL_OWNER, 0}}},
     {"owner dies, log down",
      0,
      0,
@@ -54,6 +65,8 @@
      true,
      0,
      900,
+     0,
+     0,
      {{20, FAULT_LOG_DOWN, 0},
       {25, FAULT_KILL_OWNER, 0},
       {300, FAULT_LOG_UP, 0}}},
@@ -64,6 +77,8 @@
      true,
      0,
      4200,
+     0,
+     0,
      {{20, FAULT_LOG_DOWN, 0},
       {60, FAULT_KILL_OWNER, 0},
       {1800, FAULT_KILL_OTHER, 0},
@@ -75,6 +90,8 @@
      true,
      0,
      300,
+     0,
+     0,
      {{20, FAULT_PAUSE_OWNER, 20}}},
     {"owner cut off from the log",
      0,
@@ -83,6 +100,8 @@
      true,
      0,
      400,
+     0,
+     0,
      {{20, FAULT_CUT_OWNER_LOG, 0}, {120, FAULT_MEND_LOG, 0}}},
     {"all instances replaced",
      0,
@@ -91,6 +110,8 @@
      true,
      0,
      400,
+     0,
+     0,
      {{20, FAULT_REPLACE_ALL, 0}}},
     {"replaced after retention passed the start",
      0,
@@ -99,6 +120,8 @@
      false,
      0,
      1200,
+     0,
+     0,
      {{700, FAULT_REPLACE_ALL, 0}, {720, FAULT_SUBMIT, 0}}},
     {"worker restarts empty",
      0,
@@ -107,6 +130,8 @@
      true,
      0,
      400,
+     0,
+     0,
      {{20, FAULT_WORKER_RESTART, 0}}},
     {"worker fails everything",
      0,
@@ -115,6 +140,8 @@
      true,
      0,
      600,
+     0,
+     0,
      {{2, FAULT_WORKER_FAILS, 0}}},
     {"worker cut off and back",
      0,
@@ -123,6 +150,8 @@
      false,
      0,
      600,
+     0,
+     0,
      {{20, FAULT_WORKER_CUT, 0}, {200, FAULT_WORKER_MEND, 0}}},
     {"worker cut off from the owner alone",
      0,
@@ -131,7 +160,19 @@
      false,
      0,
      600,
+     0,
+     0,
      {{20, FAULT_WORKER_CUT_OWNER, 0}, {200, FAULT_WORKER_MEND, 0}}},
+    {"long runs on a worker cut off from the owner alone",
+     0,
+     0,
+     0,
+     false,
+     0,
+     1200,
+     300,
+     9,
+     {{20, FAULT_WORKER_CUT_OWNER, 0}, {500, FAULT_WORKER_MEND, 0}}},
     {"worker paused past its leases",
      0,
      0,
@@ -139,6 +180,8 @@
      false,
      0,
      600,
+     0,
+     0,
      {{20, FAULT_PAUSE_WORKER, 90}}},
     {"cancel while the owner dies",
      0,
@@ -147,6 +190,8 @@
      true,
      0,
      300,
+     0,
+     0,
      {{20, FAULT_CANCEL, 0}, {20, FAULT_KILL_OWNER, 0}}},
     {"submit while the log is down",
      0,
@@ -155,17 +200,20 @@
      true,
      1,
      300,
+     0,
+     0,
      {{20, FAULT_LOG_DOWN, 0}, {30, FAULT_SUBMIT, 0}, {60, FAULT_LOG_UP, 0}}},
 };
 
 /* Submits the job of a case. */
 static void
-submit(PhTaskWorld *w, uint32_t instance, const char *key, uint32_t count)
+submit(PhTaskWorld *w, uint32_t instance, const char *key, uint32_t count,
+       int run_s)
 {
     PhJobSpec spec = {.key = PhStr_FromC(key),
                       .team = PhStr_LITERAL("routes"),
                       .class = PH_JOB_BATCH,
-                      .run_ms = 60000,
+                      .run_ms = INT64_C(1000) * (run_s > 0 ? run_s : 60),
                       .size = {1000, 500, 0},
                       .count = count,
                       .checkpointable = true};
@@ -236,11 +284,16 @@
     case FAULT_WORKER_CUT:
     case FAULT_WORKER_MEND:
         for (uint32_t i = 0; i < 3; i++) {
-            PhTaskWorld_CutWorker(w, i, 1, fault->kind == FAULT_WORKER_CUT);
+            bool cut = fault->kind == FAULT_WORKER_CUT;
+            PhTaskWorld_CutWorker(w, i, 1, cut);
+            PhTaskWorld_CutWorker(w, i, 2, false);
+            PhTaskWorld_CutWorker(w, i, 3, false);
         }
         break;
     case FAULT_WORKER_CUT_OWNER:
-        PhTaskWorld_CutWorker(w, who, 1, true);
+        for (uint32_t i = 1; i <= 3; i++) {
+            PhTaskWorld_CutWorker(w, who, i, true);
+        }
         break;
     case FAULT_PAUSE_WORKER:
         PhTaskWorld_PauseWorker(w, 1, fault->seconds * PH_NS_PER_S);
@@ -249,7 +302,7 @@
         PhTaskWorld_Cancel(w, who, PhStr_LITERAL("second"));
         break;
     case FAULT_SUBMIT:
-        submit(w, other_alive(w, -1), "late", 4);
+        submit(w, other_alive(w, -1), "late", 4, 0);
         break;
     }
 }
@@ -276,8 +329,8 @@
     }
     PhTaskWorld *w = PhTaskWorld_Create(&options);
     PhTaskWorld_RunUntil(w, 3 * PH_NS_PER_S);
-    submit(w, 0, "first", 30);
-    submit(w, 1, "second", 10);
+    submit(w, 0, "first", c->tasks > 0 ? (uint32_t)c->tasks : 30, c->run_s);
+    submit(w, 1, "second", c->tasks > 0 ? 1 : 10, c->run_s);
     for (size_t i = 0; i < G_N_ELEMENTS(c->faults); i++) {
         PhTaskWorld_RunUntil(w, c->faults[i].at_s * PH_NS_PER_S);
         fault_do(w, &c->faults[i]);
