--- a/bench/soak_config.c
+++ b/bench/soak_config.c
@@ -12,15 +12,12 @@
     APPENDS_PER_SECOND = 150,
     QUEUE_LIMIT = 64,
     LOG_APPENDS_PER_SECOND = 300,
-    TEAMS = 12,
-    RACERS = 6,
 };
 
 #define POLL_INTERVAL (500 * MS)
 #define HELLO_INTERVAL (1 * S)
 #define VIEW_INTERVAL (1 * S)
 #define RETENTION (900 * S)
-#define PATCH_DEADLINE (20 * S)
 #define SUBMIT_MEAN (2 * S)
 
 /* What one instance sends another; it owns what it points to. */
@@ -192,8 +189,8 @@
 }
 
 /* Starts an instance with nothing in an empty place. */
-static void
-node_start(PhSoakConfig *s, uint32_t endpoint)
+void
+PhSoakConfig_Start(PhSoakConfig *s, uint32_t endpoint)
 {
     PhConfigNode *node = &s->nodes[endpoint];
     s->generation++;
@@ -218,8 +215,8 @@
 }
 
 /* Ends an instance at once. */
-static void
-node_end(PhSoakConfig *s, uint32_t endpoint)
+void
+PhSoakConfig_End(PhSoakConfig *s, uint32_t endpoint)
 {
     PhConfigNode *node = &s->nodes[endpoint];
     PhFakeNet_Crash(s->net, endpoint);
@@ -258,167 +255,6 @@
                        PhFakeNet_Now(s->net) + VIEW_INTERVAL);
 }
 
-/* Adds a random change, now and then one that is refused. */
-static void
-patch_add_change(PhSoakConfig *s, PhConfigPatch *patch, uint64_t team)
-{
-    char *path =
-        g_strdup_printf("teams.t%" G_GUINT64_FORMAT ".%s", team,
-                        PhRandom_Chance(s->random, 0.05) ? "colour" : "share");
-    char *value =
-        g_strdup_printf("%" G_GUINT64_FORMAT, PhRandom_Below(s->random, 100));
-    bool removal = PhRandom_Chance(s->random, 0.1);
-    PhConfigPatch_Add(
-        patch, removal ? PH_CONFIG_CHANGE_DELETE : PH_CONFIG_CHANGE_SET,
-        PhStr_FromC(path), removal ? (PhStr){0} : PhStr_FromC(value));
-    g_free(path);
-    g_free(value);
-}
-
-/* Submits a patch at a random instance; a `team` of TEAMS picks any. */
-static void
-operator_submit(PhSoakConfig *s, uint64_t team)
-{
-    uint32_t endpoint =
-        1 + (uint32_t)PhRandom_Below(s->random, SOAK_CONFIG_NODES);
-    PhConfigNode *node = &s->nodes[endpoint];
-    if (node->follower == NULL) {
-        return;
-    }
-    char *id = g_strdup_printf("p%" G_GUINT64_FORMAT, ++s->submitted);
-    PhConfigPatch patch = {.id = PhStr_Dup(PhStr_FromC(id)),
-                           .author = PhStr_Dup(PhStr_LITERAL("operator")),
-                           .base = PhConfigState_Version(PhConfigLedger_State(
-                               PhConfigFollower_Ledger(node->follower))),
-                           .strict = PhRandom_Chance(s->random, 0.1)};
-    patch_add_change(s, &patch,
-                     team < TEAMS ? team : PhRandom_Below(s->random, TEAMS));
-    PhAppendEvent event = {
-        .kind = PH_APPEND_EVENT_SUBMIT,
-        .as.submit = {.request = s->submitted,
-                      .patch = &patch,
-                      .deadline = PhFakeNet_Now(s->net) + PATCH_DEADLINE}};
-    PhSoakConfig_Append(s, endpoint, &event);
-    PhConfigPatch_Clear(&patch);
-    g_free(id);
-}
-
-/* Sets the links between data centres. */
-static void
-links_set(PhSoakConfig *s, bool loaded)
-{
-    for (uint32_t a = 0; a < SOAK_CONFIG_CENTRES; a++) {
-        for (uint32_t b = 0; b < SOAK_CONFIG_CENTRES; b++) {
-            PhFakeLink *link = PhFakeNet_Link(s->net, a, b);
-            link->delay_min = a == b ? MS / 4 : 4 * MS;
-            link->delay_extra = (loaded ? 50 : 1) * MS;
-            link->loss = loaded ? 0.2 : 0.02;
-            link->duplicate = 0.01;
-        }
-    }
-}
-
-/* Cuts a data centre off from the others, or mends the links. */
-static void
-partition_set(PhSoakConfig *s, uint32_t centre, bool cut)
-{
-    for (uint32_t other = 0; other < SOAK_CONFIG_CENTRES; other++) {
-        if (other != centre) {
-            PhFakeNet_Link(s->net, centre, other)->cut = cut;
-            PhFakeNet_Link(s->net, other, centre)->cut = cut;
-        }
-    }
-}
-
-/* Begins or ends a fault of instances and links. */
-static void
-fault_set_instance(PhSoakConfig *s, const PhFaultChange *change)
-{
-    bool on = change->kind == PH_FAULT_BEGIN;
-    uint32_t endpoint = 1 + (uint32_t)(change->pick % SOAK_CONFIG_NODES);
-    bool alive = s->nodes[endpoint].follower != NULL;
-    bool restart = change->fault == PH_FAULT_PROCESS_DEATH;
-    if (on && alive) {
-        node_end(s, endpoint);
-    }
-    if (s->nodes[endpoint].follower == NULL && (restart || !on)) {
-        node_start(s, endpoint);
-    }
-}
-
-/* Begins or ends an outage of the log.  Every other one begins while patches
- * are appended: they take effect, their answers are lost, and nobody can look
- * for them until the end. */
-static void
-store_down_set(PhSoakConfig *s, bool on, uint64_t pick)
-{
-    PhFakeLogOptions *log = PhFakeLog_Options(s->log);
-    double lost_answers = log->lost_answers;
-    log->lost_answers = on && (pick >> 32 & 1) ? 1 : lost_answers;
-    for (int i = 0; on && i < RACERS; i++) {
-        operator_submit(s, TEAMS);
-    }
-    log->lost_answers = lost_answers;
-    log->outage = on;
-}
-
-/* Begins or ends a fault. */
-static void
-fault_set(PhSoakConfig *s, const PhFaultChange *change)
-{
-    bool on = change->kind == PH_FAULT_BEGIN;
-    uint64_t pick = change->pick;
-    uint32_t endpoint = 1 + (uint32_t)(pick % SOAK_CONFIG_NODES);
-    uint32_t other = 1 + (uint32_t)((endpoint + 3) % SOAK_CONFIG_NODES);
-    uint32_t centre = endpoint % SOAK_CONFIG_CENTRES;
-    PhFakeLogOptions *log = PhFakeLog_Options(s->log);
-    switch (change->fault) {
-    case PH_FAULT_LOAD_SHIFT:
-        links_set(s, on);
-        break;
-    case PH_FAULT_INSTANCE_DEATH:
-    case PH_FAULT_PROCESS_DEATH:
-        fault_set_instance(s, change);
-        break;
-    case PH_FAULT_STORE_DOWN:
-        store_down_set(s, on, pick);
-        break;
-    case PH_FAULT_STORE_SLOW:
-        log->delay_min = on ? 2 * S : 5 * MS;
-        break;
-    case PH_FAULT_LOST_ANSWERS:
-        log->lost_answers = on ? 0.5 : 0;
-        break;
-    case PH_FAULT_PAUSED_HOLDER:
-        if (on) {
-            PhFakeNet_Pause(s->net, endpoint,
-                            PhFakeNet_Now(s->net) + (PhTime)(pick % (20 * S)));
-        }
-        break;
-    case PH_FAULT_RACING_OPERATORS:
-        for (int i = 0; on && i < RACERS; i++) {
-            operator_submit(s, pick % TEAMS);
-        }
-        break;
-    case PH_FAULT_SILENT_CONNECTION:
-        PhFakeNet_Silence(s->net, endpoint, other, on);
-        break;
-    case PH_FAULT_PARTITION:
-        partition_set(s, centre, on);
-        s->cut_off[centre] = on && (pick >> 32 & 1);
-        break;
-    case PH_FAULT_NOISY_TASKS:
-    case PH_FAULT_WRONG_SIZES:
-    case PH_FAULT_IMPOSSIBLE_JOB:
-    case PH_FAULT_CANCEL_WAVE:
-    case PH_FAULT_BAD_WORKER:
-    case PH_FAULT_FLOOD_LEAST_URGENT:
-    case PH_FAULT_FLOOD_MOST_URGENT:
-    case PH_FAULT_COUNT:
-        break;
-    }
-}
-
 /* Checks every instance at rest. */
 static void
 check_settled(PhSoakConfig *s)
@@ -439,7 +275,7 @@
         switch (change.kind) {
         case PH_FAULT_BEGIN:
         case PH_FAULT_END:
-            fault_set(s, &change);
+            PhSoakConfig_SetFault(s, &change);
             break;
         case PH_FAULT_SETTLED:
             check_settled(s);
@@ -460,7 +296,7 @@
     }
     if (PhFaultPlan_Due(s->plan) - PhFakeNet_Now(s->net) > 15 * S ||
         PhFaultPlan_Active(s->plan) > 0) {
-        operator_submit(s, TEAMS);
+        PhSoakConfig_Submit(s, SOAK_CONFIG_TEAMS);
     }
     PhFakeNet_SetTimer(
         s->net, SOAK_CONFIG_CONDUCTOR, SOAK_CONFIG_SUBMIT,
@@ -555,10 +391,10 @@
                               .gap = 15 * S,
                               .length = 20 * S,
                               .settle = 120 * S});
-    links_set(s, false);
+    PhSoakLinks_Set(s->net, SOAK_CONFIG_CENTRES, 4 * MS, MS, 0.02);
     for (uint32_t i = 1; i <= SOAK_CONFIG_NODES; i++) {
         PhFakeNet_SetGroup(s->net, i, i % SOAK_CONFIG_CENTRES);
-        node_start(s, i);
+        PhSoakConfig_Start(s, i);
     }
     plan_step(s);
     conductor_take(s, SOAK_CONFIG_SUBMIT);
@@ -570,7 +406,7 @@
 {
     for (uint32_t i = 1; i <= SOAK_CONFIG_NODES; i++) {
         if (s->nodes[i].follower != NULL) {
-            node_end(s, i);
+            PhSoakConfig_End(s, i);
         }
     }
     PhFaultPlan_Destroy(s->plan);
--- a/bench/soak_config.h
+++ b/bench/soak_config.h
@@ -15,6 +15,7 @@
     SOAK_CONFIG_CENTRES = 3,
     SOAK_CONFIG_NODES = 9,     /* endpoints 1 to SOAK_CONFIG_NODES */
     SOAK_CONFIG_CONDUCTOR = 0, /* endpoint of the plan and of operators */
+    SOAK_CONFIG_TEAMS = 12,
 };
 
 /* What the whole log decides, applied at the moment of each append. */
@@ -83,6 +84,18 @@
 PhSoakConfig_Append(PhSoakConfig *s, uint32_t endpoint,
                     const PhAppendEvent *event);
 
+/* Starts an instance with nothing in an empty place, or ends one at once. */
+void
+PhSoakConfig_Start(PhSoakConfig *s, uint32_t endpoint);
+void
+PhSoakConfig_End(PhSoakConfig *s, uint32_t endpoint);
+/* Submits a patch at a random instance; SOAK_CONFIG_TEAMS picks any team. */
+void
+PhSoakConfig_Submit(PhSoakConfig *s, uint64_t team);
+/* Begins or ends a fault. */
+void
+PhSoakConfig_SetFault(PhSoakConfig *s, const PhFaultChange *change);
+
 /* Calls of the log; the answer comes back as a timer with this kind. */
 void
 PhSoakConfigLog_Read(PhSoakConfig *s, uint32_t endpoint,
--- a/bench/soak_members.c
+++ b/bench/soak_members.c
@@ -74,21 +74,6 @@
     return endpoint % DATA_CENTRES;
 }
 
-/* Sets every link to the delays and losses of a calm or a loaded time. */
-static void
-links_set(PhSoakMembers *s, bool loaded)
-{
-    for (uint32_t a = 0; a < DATA_CENTRES; a++) {
-        for (uint32_t b = 0; b < DATA_CENTRES; b++) {
-            PhFakeLink *link = PhFakeNet_Link(s->net, a, b);
-            link->delay_min = a == b ? MS / 4 : 3 * MS;
-            link->delay_extra = (loaded ? 20 : 1) * MS;
-            link->loss = loaded ? 0.1 : 0.02;
-            link->duplicate = 0.01;
-        }
-    }
-}
-
 /* Checks what an instance says of the others against what is true. */
 static void
 node_check(PhSoakMembers *s, const PhSoakNode *node)
@@ -295,18 +280,6 @@
                    .as.candidates = {.addresses = addresses, .count = count}});
 }
 
-/* Cuts a data centre off from the others, or mends the links. */
-static void
-partition_set(PhSoakMembers *s, uint32_t centre, bool cut)
-{
-    for (uint32_t other = 0; other < DATA_CENTRES; other++) {
-        if (other != centre) {
-            PhFakeNet_Link(s->net, centre, other)->cut = cut;
-            PhFakeNet_Link(s->net, other, centre)->cut = cut;
-        }
-    }
-}
-
 /* Begins or ends a fault. */
 static void
 fault_set(PhSoakMembers *s, const PhFaultChange *change)
@@ -319,7 +292,8 @@
     bool alive = s->nodes[endpoint].membership != NULL;
     switch (change->fault) {
     case PH_FAULT_LOAD_SHIFT:
-        links_set(s, on);
+        PhSoakLinks_Set(s->net, DATA_CENTRES, 3 * MS, (on ? 20 : 1) * MS,
+                        on ? 0.1 : 0.02);
         break;
     case PH_FAULT_INSTANCE_DEATH:
         if (on && alive) {
@@ -348,7 +322,7 @@
         PhFakeNet_Silence(s->net, endpoint, other, on);
         break;
     case PH_FAULT_PARTITION:
-        partition_set(s, data_centre_of(endpoint), on);
+        PhSoakLinks_Cut(s->net, DATA_CENTRES, data_centre_of(endpoint), on);
         s->cut_off[data_centre_of(endpoint)] = on && (pick >> 32 & 1);
         break;
     case PH_FAULT_NOISY_TASKS:
@@ -437,7 +411,7 @@
                               .gap = 20 * S,
                               .length = 20 * S,
                               .settle = 180 * S});
-    links_set(s, false);
+    PhSoakLinks_Set(s->net, DATA_CENTRES, 3 * MS, MS, 0.02);
     for (uint32_t i = 1; i <= NODES; i++) {
         PhFakeNet_SetGroup(s->net, i, data_centre_of(i));
         node_start(s, i, NULL);
--- a/bench/soak_requests.c
+++ b/bench/soak_requests.c
@@ -14,12 +14,8 @@
 #define DRAIN_NOTICE (1 * S)
 
 enum {
-    SERVICES = 3,
     SLOTS = 8,
     CONNECTIONS = 60,
-    FLOOD_FACTOR = 30,
-    LOAD_FACTOR = 3,
-    NOISE_FACTOR = 8,
     KEYS_RECENT = 40, /* requests back that a key may be repeated from */
 };
 
@@ -106,8 +102,8 @@
 }
 
 /* Ends an instance at once; what it had open is lost to its callers. */
-static void
-node_end(PhSoakRequests *s, uint32_t node)
+void
+PhSoakRequests_End(PhSoakRequests *s, uint32_t node)
 {
     PhSoakEntry *e = &s->nodes[node];
     PhFakeNet_Crash(s->net, node);
@@ -117,8 +113,9 @@
 }
 
 /* Gives an event to an instance and carries out its actions. */
-static void
-node_give(PhSoakRequests *s, uint32_t node, const PhRequestsEvent *event)
+void
+PhSoakRequests_Give(PhSoakRequests *s, uint32_t node,
+                    const PhRequestsEvent *event)
 {
     PhSoakEntry *e = &s->nodes[node];
     GArray *actions = g_array_new(FALSE, FALSE, sizeof(PhRequestsAction));
@@ -130,7 +127,7 @@
     }
     g_array_free(actions, TRUE);
     if (drained) {
-        node_end(s, node);
+        PhSoakRequests_End(s, node);
         return;
     }
     e->wakes++;
@@ -146,22 +143,23 @@
 static void
 node_configure(PhSoakRequests *s, uint32_t node)
 {
-    PhServicePolicy rows[SERVICES] = {
+    PhServicePolicy rows[SOAK_REQUESTS_SERVICES] = {
         PhServicePolicy_Default(PhStr_LITERAL("quote")),
         PhServicePolicy_Default(PhStr_LITERAL("booking")),
         PhServicePolicy_Default(PhStr_LITERAL("report"))};
-    static const char *const prefixes[SERVICES] = {"/quote", "/booking",
-                                                   "/report"};
-    for (int i = 0; i < SERVICES; i++) {
+    static const char *const prefixes[SOAK_REQUESTS_SERVICES] = {
+        "/quote", "/booking", "/report"};
+    for (int i = 0; i < SOAK_REQUESTS_SERVICES; i++) {
         rows[i].prefix = PhStr_FromC(prefixes[i]);
         rows[i].deadline = 2 * S;
         rows[i].retry_percent = 20;
     }
     rows[0].hedge_after = 200 * MS;
     rows[2].service_class = PH_SERVICE_CLASS_BACKGROUND;
-    node_give(s, node,
-              &(PhRequestsEvent){.tag = PH_REQUESTS_POLICIES,
-                                 .as.policies = {1, rows, SERVICES}});
+    PhSoakRequests_Give(
+        s, node,
+        &(PhRequestsEvent){.tag = PH_REQUESTS_POLICIES,
+                           .as.policies = {1, rows, SOAK_REQUESTS_SERVICES}});
 }
 
 /* Gives the list of workers to an instance. */
@@ -185,9 +183,10 @@
             .leaving = s->workers[k].leaving};
         s->nodes[node].told_leaving |= (uint32_t)rows[k].leaving << k;
     }
-    node_give(s, node,
-              &(PhRequestsEvent){.tag = PH_REQUESTS_WORKERS,
-                                 .as.workers = {rows, SOAK_REQUESTS_WORKERS}});
+    PhSoakRequests_Give(
+        s, node,
+        &(PhRequestsEvent){.tag = PH_REQUESTS_WORKERS,
+                           .as.workers = {rows, SOAK_REQUESTS_WORKERS}});
 }
 
 /* Tells whether an instance hears another. */
@@ -218,7 +217,7 @@
         node_take_list(s, node);
     }
     if (s->nodes[node].requests != NULL) {
-        node_give(
+        PhSoakRequests_Give(
             s, node,
             &(PhRequestsEvent){.tag = PH_REQUESTS_MEMBERS,
                                .as.members = {rows, SOAK_REQUESTS_NODES}});
@@ -226,8 +225,8 @@
 }
 
 /* Starts an instance in an empty place. */
-static void
-node_start(PhSoakRequests *s, uint32_t node)
+void
+PhSoakRequests_Start(PhSoakRequests *s, uint32_t node)
 {
     PhSoakEntry *e = &s->nodes[node];
     e->generation = ++s->generation;
@@ -261,8 +260,8 @@
 static void
 request_arrive(PhSoakRequests *s, uint32_t service)
 {
-    static const char *const paths[SERVICES] = {"/quote/a", "/booking/a",
-                                                "/report/a"};
+    static const char *const paths[SOAK_REQUESTS_SERVICES] = {
+        "/quote/a", "/booking/a", "/report/a"};
     uint32_t node =
         1 + (uint32_t)PhRandom_Below(s->random, SOAK_REQUESTS_NODES);
     PhSoakEntry *e = &s->nodes[node];
@@ -277,7 +276,7 @@
     r->key = r->idempotent ? NULL : key_draw(s);
     g_ptr_array_add(s->requests, r);
     g_hash_table_insert(e->open, &r->id, r);
-    node_give(
+    PhSoakRequests_Give(
         s, node,
         &(PhRequestsEvent){
             .tag = PH_REQUESTS_ARRIVED,
@@ -293,7 +292,8 @@
 static void
 callers_step(PhSoakRequests *s, uint32_t service)
 {
-    double mean = (double)ARRIVAL_MEAN * SERVICES / s->rates[service];
+    double mean =
+        (double)ARRIVAL_MEAN * SOAK_REQUESTS_SERVICES / s->rates[service];
     request_arrive(s, service);
     PhFakeNet_SetTimer(s->net, SOAK_REQUESTS_CONDUCTOR,
                        service * SOAK_REQUESTS_KINDS + SOAK_REQUESTS_ARRIVE,
@@ -301,102 +301,6 @@
                            (PhTime)PhRandom_Exponential(s->random, mean));
 }
 
-/* Cuts the instances of a data centre off from the others, or mends that. */
-static void
-partition_set(PhSoakRequests *s, uint32_t centre, bool cut)
-{
-    for (uint32_t other = 0; other < SOAK_REQUESTS_CENTRES; other++) {
-        if (other != centre) {
-            PhFakeNet_Link(s->net, centre, other)->cut = cut;
-            PhFakeNet_Link(s->net, other, centre)->cut = cut;
-        }
-    }
-}
-
-/* Begins or ends the death of an instance; every other one is a planned
- * stop, together with that of a worker. */
-static void
-death_set(PhSoakRequests *s, const PhFaultChange *change, uint32_t node)
-{
-    bool on = change->kind == PH_FAULT_BEGIN;
-    bool planned = change->pick >> 32 & 1;
-    bool alive = s->nodes[node].requests != NULL;
-    PhSoakWorker *w = &s->workers[change->pick / SOAK_REQUESTS_NODES %
-                                  SOAK_REQUESTS_WORKERS];
-    w->leaving = on && planned;
-    if (on && alive && planned) {
-        node_give(s, node, &(PhRequestsEvent){.tag = PH_REQUESTS_STOP});
-    }
-    else if (on && alive) {
-        node_end(s, node);
-    }
-    if (!alive && (!on || change->fault == PH_FAULT_PROCESS_DEATH)) {
-        node_start(s, node);
-    }
-}
-
-/* Begins or ends a fault. */
-static void
-fault_set(PhSoakRequests *s, const PhFaultChange *change)
-{
-    bool on = change->kind == PH_FAULT_BEGIN;
-    uint64_t pick = change->pick;
-    uint32_t node = 1 + (uint32_t)(pick % SOAK_REQUESTS_NODES);
-    PhSoakWorker *w =
-        &s->workers[pick / SOAK_REQUESTS_NODES % SOAK_REQUESTS_WORKERS];
-    switch (change->fault) {
-    case PH_FAULT_LOAD_SHIFT:
-        for (int i = 0; i < SERVICES; i++) {
-            s->rates[i] = on ? LOAD_FACTOR : 1;
-        }
-        break;
-    case PH_FAULT_NOISY_TASKS:
-        for (uint32_t k = 0; k < SOAK_REQUESTS_WORKERS; k += 2) {
-            PhFakeWorker_Options(s->workers[k].slots)->interference =
-                on ? NOISE_FACTOR : 1;
-        }
-        break;
-    case PH_FAULT_INSTANCE_DEATH:
-    case PH_FAULT_PROCESS_DEATH:
-        death_set(s, change, node);
-        break;
-    case PH_FAULT_BAD_WORKER:
-        w->fails = on;
-        break;
-    case PH_FAULT_SILENT_CONNECTION:
-        w->hangs = on;
-        break;
-    case PH_FAULT_FLOOD_LEAST_URGENT:
-        s->rates[2] = on ? FLOOD_FACTOR : 1;
-        break;
-    case PH_FAULT_FLOOD_MOST_URGENT:
-        s->rates[0] = on ? FLOOD_FACTOR : 1;
-        break;
-    case PH_FAULT_STORE_DOWN:
-        s->store_down = on;
-        break;
-    case PH_FAULT_LOST_ANSWERS:
-        s->lost_answers = on ? 0.3 : 0;
-        break;
-    case PH_FAULT_PAUSED_HOLDER:
-        if (on) {
-            PhFakeNet_Pause(s->net, node,
-                            PhFakeNet_Now(s->net) + (PhTime)(pick % (5 * S)));
-        }
-        break;
-    case PH_FAULT_PARTITION:
-        partition_set(s, node % SOAK_REQUESTS_CENTRES, on);
-        break;
-    case PH_FAULT_WRONG_SIZES:
-    case PH_FAULT_IMPOSSIBLE_JOB:
-    case PH_FAULT_CANCEL_WAVE:
-    case PH_FAULT_STORE_SLOW:
-    case PH_FAULT_RACING_OPERATORS:
-    case PH_FAULT_COUNT:
-        break;
-    }
-}
-
 /* Carries out the changes of the plan that are due. */
 static void
 plan_step(PhSoakRequests *s)
@@ -406,7 +310,7 @@
         switch (change.kind) {
         case PH_FAULT_BEGIN:
         case PH_FAULT_END:
-            fault_set(s, &change);
+            PhSoakRequests_SetFault(s, &change);
             break;
         case PH_FAULT_SETTLED:
             PhSoakChecks_Settled(s);
@@ -431,7 +335,7 @@
                                         .key = PhStr_FromC(claim->key),
                                         .request = claim->request};
     }
-    node_give(s, node, &event);
+    PhSoakRequests_Give(s, node, &event);
 }
 
 /* Gives the reply of an attempt to its instance, once. */
@@ -443,9 +347,9 @@
         return;
     }
     a->replied = true;
-    node_give(s, node,
-              &(PhRequestsEvent){.tag = PH_REQUESTS_REPLIED,
-                                 .as.replied = a->reply});
+    PhSoakRequests_Give(s, node,
+                        &(PhRequestsEvent){.tag = PH_REQUESTS_REPLIED,
+                                           .as.replied = a->reply});
 }
 
 /* Gives one event of the queue to whom it concerns. */
@@ -478,7 +382,8 @@
         reply_take(s, event->to, number);
     }
     else if (number == s->nodes[event->to].wakes) {
-        node_give(s, event->to, &(PhRequestsEvent){.tag = PH_REQUESTS_TIMER});
+        PhSoakRequests_Give(s, event->to,
+                            &(PhRequestsEvent){.tag = PH_REQUESTS_TIMER});
     }
 }
 
@@ -507,17 +412,9 @@
         s->nodes[i].open = g_hash_table_new(g_int64_hash, g_int64_equal);
         PhFakeNet_SetGroup(s->net, i, i % SOAK_REQUESTS_CENTRES);
     }
-    for (uint32_t a = 0; a < SOAK_REQUESTS_CENTRES; a++) {
-        for (uint32_t b = 0; b < SOAK_REQUESTS_CENTRES; b++) {
-            *PhFakeNet_Link(s->net, a, b) =
-                (PhFakeLink){.delay_min = a == b ? MS / 4 : 4 * MS,
-                             .delay_extra = MS,
-                             .loss = 0.01,
-                             .duplicate = 0.01};
-        }
-    }
+    PhSoakLinks_Set(s->net, SOAK_REQUESTS_CENTRES, 4 * MS, MS, 0.01);
     for (uint32_t i = 1; i <= SOAK_REQUESTS_NODES; i++) {
-        node_start(s, i);
+        PhSoakRequests_Start(s, i);
     }
 }
 
@@ -542,7 +439,7 @@
                               .settle = 40 * S});
     actors_create(s);
     plan_step(s);
-    for (uint32_t i = 0; i < SERVICES; i++) {
+    for (uint32_t i = 0; i < SOAK_REQUESTS_SERVICES; i++) {
         s->rates[i] = 1;
         callers_step(s, i);
     }
--- a/bench/soak_requests.h
+++ b/bench/soak_requests.h
@@ -14,6 +14,7 @@
     SOAK_REQUESTS_NODES = 5, /* endpoints 1 to SOAK_REQUESTS_NODES */
     SOAK_REQUESTS_WORKERS = 12,
     SOAK_REQUESTS_CENTRES = 3,
+    SOAK_REQUESTS_SERVICES = 3,
     SOAK_REQUESTS_CONDUCTOR = 0, /* endpoint of plan, callers and workers */
 };
 
@@ -77,12 +78,25 @@
     GPtrArray *attempts;   /* PhSoakAttempt, all */
     GHashTable *by_number; /* instance and attempt to PhSoakAttempt */
     GHashTable *key_runs;  /* key to times it ran */
-    double rates[3];       /* factor by service */
+    double rates[SOAK_REQUESTS_SERVICES]; /* factor by service */
     double lost_answers;
     bool store_down;
     uint64_t generation;
 } PhSoakRequests;
 
+/* Starts an instance in an empty place. */
+void
+PhSoakRequests_Start(PhSoakRequests *s, uint32_t node);
+/* Ends an instance at once; what it had open is lost to its callers. */
+void
+PhSoakRequests_End(PhSoakRequests *s, uint32_t node);
+/* Gives an event to an instance and carries out its actions. */
+void
+PhSoakRequests_Give(PhSoakRequests *s, uint32_t node,
+                    const PhRequestsEvent *event);
+/* Begins or ends a fault. */
+void
+PhSoakRequests_SetFault(PhSoakRequests *s, const PhFaultChange *change);
 /* Sends an attempt to a worker and draws how it ends. */
 void
 PhSoakWorkers_Send(PhSoakRequests *s, uint32_t node, const PhSend *send);
--- a/include/peridothill/bench/soak.h
+++ b/include/peridothill/bench/soak.h
@@ -8,6 +8,7 @@
 #include <stdint.h>
 
 #include "peridothill/common/time.h"
+#include "peridothill/fakes/fake_net.h"
 
 typedef enum PhFault {
 #define PH_FAULT(NAME, LABEL) PH_FAULT_##NAME,
@@ -73,6 +74,15 @@
 void
 PhSoakRun_Add(PhSoakRun *run, const PhFaultPlan *plan);
 
+/* Sets the links between data centres: within one 0.25 ms one way, between two
+ * of them `far`, and an exponential of mean `extra` on top. */
+void
+PhSoakLinks_Set(PhFakeNet *net, uint32_t centres, PhTime far, PhTime extra,
+                double loss);
+/* Cuts a data centre off from the others, or mends the links. */
+void
+PhSoakLinks_Cut(PhFakeNet *net, uint32_t centres, uint32_t centre, bool cut);
+
 /* An area with the faults that its run brings about. */
 typedef struct PhSoakArea {
     const char *name;
