--- a/commands/main.c
+++ b/commands/main.c
@@ -8,8 +8,8 @@
 static const PhCommand commands[] = {
     {"bench", "measure decisions and services", PhCommand_Bench},
     {"check", "check a settings file", PhCommand_Check},
-    {"demo", "show both deployments under faults", PhCommand_Demo},
     {"config", "read the configuration", PhCommand_Config},
+    {"demo", "show both deployments under faults", PhCommand_Demo},
     {"patch", "change the configuration", PhCommand_Patch},
     {"serve", "run an entry instance", PhCommand_Serve},
     {"standin", "run stand-ins of the platform", PhCommand_Standin},
