--- a/decide/tasks/engine_owner.c
+++ b/decide/tasks/engine_owner.c
@@ -29,9 +29,8 @@
     e->owner = true;
     e->claimed_at = e->now;
     e->next_hold = e->now + (PH_OWNER_HOLD_MS * PH_NS_PER_MS);
-    /* Owners that follow one another quickly take snapshots all the same. */
-    e->next_snapshot =
-        MIN(e->next_snapshot, e->now + (e->options.times.snapshot / 4));
+    /* The log may go down again before long, and retention go on. */
+    e->next_snapshot = e->now;
     PhJobEngine_Count(e, PH_COUNTER_TASKS_CLAIMS, 1);
     PhJobEngine_Note(e, PH_NOTE_OWNER_GAINED, e->options.instance,
                      PhJobState_Epoch(e->state));
--- a/tests/tasks/test_tasks_random.c
+++ b/tests/tasks/test_tasks_random.c
@@ -12,6 +12,7 @@
 static const PhRandomCase random_cases[] = {
     {"short runs", 1, 12, 300},
     {"long runs", 101, 3, 3600},
+    {"short return of the log near retention", 120, 1, 3600},
 };
 
 /* Runs the seeds of a case. */
