list: ask the platform only for what has changed

Cause: each poll carried and decoded the whole list: 224 bytes and 21.5 us for each worker, 716 KB and 68 ms a second at 3,200 workers. Change: the poll names the version it has (If-None-Match); a 304 renews the last reading without entries, and subscribers get UNCHANGED. A platform without versions is polled as before. A failed poll no longer forgets the last reading, which later subscribers are given.

--- a/include/peridothill/services/platform_list.h
+++ b/include/peridothill/services/platform_list.h
@@ -34,6 +34,7 @@
 typedef enum PhListTag {
     PH_LIST_SUBSCRIBE, /* to "list": send every new reading */
     PH_LIST_READING,   /* from "list" */
+    PH_LIST_UNCHANGED, /* from "list": the last OK reading still stands */
 } PhListTag;
 
 /* A reading that arrived at `read_at`; `status` is UNAVAILABLE, with no
--- a/services/members/members.c
+++ b/services/members/members.c
@@ -222,6 +222,9 @@
             give_candidates(t, self, &m->as.reading);
         }
         return;
+    case PH_LIST_UNCHANGED:
+        apply_kind(t, self, PH_MEMBERSHIP_PLATFORM_HEARD);
+        return;
     case PH_LIST_SUBSCRIBE:
         return;
     }
--- a/services/platform/platform_list.c
+++ b/services/platform/platform_list.c
@@ -8,6 +8,8 @@
     MAILBOX_CAPACITY = 64,
     ANSWER_LIMIT_BYTES = 16 * 1024 * 1024,
     POLL_TIMER = 1,
+    HTTP_OK = 200,
+    HTTP_NOT_MODIFIED = 304,
 };
 
 /* Time the platform has to answer one poll. */
@@ -18,7 +20,8 @@
     PhStr address;
     PhTime poll_interval;
     uint64_t poll_id;
-    PhListReading last;  /* status NOT_FOUND before the first answer */
+    PhListReading last;  /* that was OK; NOT_FOUND before the first */
+    PhStr version;       /* the platform's ETag of `last`, may be empty */
     GArray *subscribers; /* PhTaskRef */
 } PhListTask;
 
@@ -29,6 +32,7 @@
     PhListMessage *m = body;
     switch (m->tag) {
     case PH_LIST_SUBSCRIBE:
+    case PH_LIST_UNCHANGED:
         break;
     case PH_LIST_READING:
         PhListReading_Clear(&m->as.reading);
@@ -82,22 +86,33 @@
     *reading = (PhListReading){0};
 }
 
-/* Sends the last reading to one subscriber. */
+/* Sends a copy of a reading to one subscriber. */
 static void
-send_reading(PhListTask *list, PhTask *self, PhTaskRef to)
+send_reading(PhTask *self, PhTaskRef to, const PhListReading *reading)
 {
     PhListMessage m = {.tag = PH_LIST_READING,
-                       .as.reading = PhListReading_Copy(&list->last)};
+                       .as.reading = PhListReading_Copy(reading)};
     PhTask_Send(self, to, PhListMessage_Wrap(&m));
 }
 
-/* Sends the last reading to all subscribers. */
+/* Sends a copy of a reading to all subscribers. */
 static void
-publish(PhListTask *list, PhTask *self)
+publish(PhListTask *list, PhTask *self, const PhListReading *reading)
 {
     for (guint i = 0; i < list->subscribers->len; i++) {
-        send_reading(list, self,
-                     g_array_index(list->subscribers, PhTaskRef, i));
+        send_reading(self, g_array_index(list->subscribers, PhTaskRef, i),
+                     reading);
+    }
+}
+
+/* Tells all subscribers that the last reading still stands. */
+static void
+publish_unchanged(PhListTask *list, PhTask *self)
+{
+    PhListMessage m = {.tag = PH_LIST_UNCHANGED};
+    for (guint i = 0; i < list->subscribers->len; i++) {
+        PhTask_Send(self, g_array_index(list->subscribers, PhTaskRef, i),
+                    PhListMessage_Wrap(&m));
     }
 }
 
@@ -114,27 +129,52 @@
                                    .deadline = now + POLL_DEADLINE,
                                    .first_byte = PH_TIME_NEVER,
                                    .answer_limit_bytes = ANSWER_LIMIT_BYTES}};
+    if (list->version.len > 0) {
+        PhHttpHeader_Add(&m.as.send.headers, &m.as.send.header_count,
+                         PhStr_LITERAL("If-None-Match"), list->version);
+    }
     PhTask_SendTo(self, PH_SERVICE_HTTP, PhHttpMessage_Wrap(&m));
     PhTask_SetTimer(self, POLL_TIMER, now + list->poll_interval);
 }
 
-/* Takes the platform's answer; a failed one keeps no entries, so that
- * subscribers can tell that the platform is not heard. */
+/* Keeps a new reading, and the version that the platform gave it. */
+static void
+keep_reading(PhListTask *list, PhListReading reading, const PhHttpReply *reply)
+{
+    PhListReading_Clear(&list->last);
+    PhStr_Clear(&list->version);
+    list->last = reading;
+    list->version = PhStr_Dup(PhHttpHeader_Find(
+        reply->headers, reply->header_count, PhStr_LITERAL("ETag")));
+}
+
+/* Takes the platform's answer.  Where it says that nothing has changed, no
+ * entries travel and none are decoded. */
 static void
 on_reply(PhListTask *list, PhTask *self, const PhHttpReply *reply)
 {
+    PhListReading next = {.status = PH_STATUS_UNAVAILABLE};
     if (reply->id != list->poll_id) {
         return;
     }
-    PhListReading next = {.status = PH_STATUS_UNAVAILABLE};
-    if (reply->outcome == PH_HTTP_ANSWERED && reply->status == 200) {
+    if (reply->outcome == PH_HTTP_ANSWERED && list->version.len > 0 &&
+        reply->status == HTTP_NOT_MODIFIED) {
+        list->last.read_at = PhTask_Now(self);
+        publish_unchanged(list, self);
+        return;
+    }
+    if (reply->outcome == PH_HTTP_ANSWERED && reply->status == HTTP_OK) {
         PhResult r = PhListJson_Decode(reply->body, &next);
-        next.status = PhResult_IsOk(&r) ? PH_STATUS_OK : PH_STATUS_UNAVAILABLE;
+        next.status = r.status;
     }
     next.read_at = PhTask_Now(self);
-    PhListReading_Clear(&list->last);
-    list->last = next;
-    publish(list, self);
+    if (next.status == PH_STATUS_OK) {
+        keep_reading(list, next, reply);
+        publish(list, self, &list->last);
+        return;
+    }
+    next.status = PH_STATUS_UNAVAILABLE;
+    publish(list, self, &next);
 }
 
 /* Acts on a message from a subscriber or from "http". */
@@ -157,10 +197,11 @@
         g_array_append_val(list->subscribers, mail->from);
         PhTask_Monitor(self, mail->from);
         if (list->last.status != PH_STATUS_NOT_FOUND) {
-            send_reading(list, self, mail->from);
+            send_reading(self, mail->from, &list->last);
         }
         break;
     case PH_LIST_READING:
+    case PH_LIST_UNCHANGED:
         break;
     }
 }
@@ -208,6 +249,7 @@
 {
     PhListTask *list = state;
     PhStr_Clear(&list->address);
+    PhStr_Clear(&list->version);
     PhListReading_Clear(&list->last);
     g_array_free(list->subscribers, TRUE);
     g_free(list);
--- a/services/requests/entry_mail.c
+++ b/services/requests/entry_mail.c
@@ -50,13 +50,10 @@
     }
 }
 
-/* Takes a reading of the list; without an answer the last one stands. */
+/* Takes the workers of a reading. */
 static void
-take_list(PhEntry *entry, const PhListReading *reading)
+take_reading(PhEntry *entry, const PhListReading *reading)
 {
-    if (reading->status != PH_STATUS_OK) {
-        return;
-    }
     GArray *rows = g_array_new(FALSE, FALSE, sizeof(PhWorkerRow));
     for (size_t i = 0; i < reading->entry_count; i++) {
         const PhListEntry *e = &reading->entries[i];
@@ -78,6 +75,22 @@
     g_array_free(rows, TRUE);
 }
 
+/* Takes word of the list; without an answer the last reading stands. */
+static void
+take_list(PhEntry *entry, const PhListMessage *m)
+{
+    switch (m->tag) {
+    case PH_LIST_READING:
+        if (m->as.reading.status == PH_STATUS_OK) {
+            take_reading(entry, &m->as.reading);
+        }
+        break;
+    case PH_LIST_SUBSCRIBE:
+    case PH_LIST_UNCHANGED:
+        break;
+    }
+}
+
 /* Takes a version of the configuration. */
 static void
 take_config(PhEntry *entry, const PhConfigMessage *message)
@@ -162,7 +175,7 @@
         take_reply(entry, message->body);
         break;
     case PH_INTERFACE_LIST:
-        take_list(entry, &((const PhListMessage *)message->body)->as.reading);
+        take_list(entry, message->body);
         break;
     case PH_INTERFACE_CONFIG:
         take_config(entry, message->body);
--- a/standin/list.c
+++ b/standin/list.c
@@ -1,10 +1,14 @@
+#include <inttypes.h>
+
 #include "peridothill/codec/list_json.h"
 #include "peridothill/standin/standin.h"
 #include "server.h"
 
 enum {
+    VERSION_BYTES = 24,
     BODY_LIMIT_BYTES = 1024 * 1024,
     STATUS_OK = 200,
+    STATUS_NOT_MODIFIED = 304,
     STATUS_BAD_REQUEST = 400,
     STATUS_NOT_FOUND = 404,
     STATUS_UNAVAILABLE = 503,
@@ -30,13 +34,35 @@
     return STATUS_OK;
 }
 
+/* Answers GET /list, with 304 where the caller has this version already. */
+static void
+get_list(PhListServer *s, const PhIncoming *incoming)
+{
+    char version[VERSION_BYTES];
+    PhStr body = PhListJson_Encode(&s->shared->reading);
+    g_snprintf(version, sizeof(version), "\"%016" PRIx64 "\"",
+               PhStr_Hash(body, 0));
+    PhHttpHeader tag = {.name = PhStr_LITERAL("ETag"),
+                        .value = PhStr_FromC(version)};
+    PhStr known = PhHttpHeader_Find(incoming->headers, incoming->header_count,
+                                    PhStr_LITERAL("If-None-Match"));
+    if (PhStr_Equal(known, tag.value)) {
+        PhListener_Answer(s->server->listener, incoming->id,
+                          STATUS_NOT_MODIFIED, &tag, 1, (PhStr){0});
+    }
+    else {
+        PhListener_Answer(s->server->listener, incoming->id, STATUS_OK, &tag,
+                          1, body);
+    }
+    PhStr_Clear(&body);
+}
+
 /* Answers GET /list and PUT /list. */
 static void
 on_request(void *context, const PhIncoming *incoming)
 {
     PhListServer *s = context;
     int status = STATUS_OK;
-    PhStr body = {0};
     if (!PhStr_Equal(incoming->path, PhStr_LITERAL("/list"))) {
         status = STATUS_NOT_FOUND;
     }
@@ -47,11 +73,11 @@
         status = STATUS_UNAVAILABLE;
     }
     else {
-        body = PhListJson_Encode(&s->shared->reading);
+        get_list(s, incoming);
+        return;
     }
     PhListener_Answer(s->server->listener, incoming->id, status, NULL, 0,
-                      body);
-    PhStr_Clear(&body);
+                      (PhStr){0});
 }
 
 /* Starts the list's task and tells its port. */
