--- a/bench/bench_requests.c
+++ b/bench/bench_requests.c
@@ -39,21 +39,13 @@
     return variant;
 }
 
-/* Fills a pool of some size and takes requests through it. */
-static double
-decision_cost(const PhBenchOptions *bench, uint32_t workers,
-              const PhVariant *variant)
+/* Gives decisions one service and a pool of some size. */
+static void
+pool_fill(PhRequests *r, uint32_t workers, GArray *actions)
 {
     enum {
-        ROUNDS = 100000,
         ID_BYTES = 16
     };
-    PhRequests *r = PhRequests_Create(
-        &(PhRequestsOptions){.instance = PhStr_LITERAL("i"),
-                             .data_centre = PhStr_LITERAL("a"),
-                             .seed = bench->seed,
-                             .tuning = variant->tuning});
-    GArray *actions = g_array_new(FALSE, FALSE, sizeof(PhRequestsAction));
     PhWorkerRow *rows = g_new0(PhWorkerRow, workers);
     char(*ids)[ID_BYTES] = g_malloc0_n(workers, ID_BYTES);
     PhServicePolicy p = PhServicePolicy_Default(PhStr_LITERAL("quote"));
@@ -72,27 +64,50 @@
                             .as.workers = {rows, workers}};
     PhRequests_Handle(r, &policies, 1, actions);
     PhRequests_Handle(r, &list, 1, actions);
+    g_free(rows);
+    g_free(ids);
+}
+
+/* Takes one request through its arrival and its answer. */
+static void
+request_pass(PhRequests *r, uint64_t id, PhTime now, GArray *actions)
+{
+    PhRequestsEvent arrived = {
+        .tag = PH_REQUESTS_ARRIVED,
+        .as.arrived = {.id = id,
+                       .method = PhStr_LITERAL("GET"),
+                       .path = PhStr_LITERAL("/quote/1")}};
+    PhRequestsEvent replied = {.tag = PH_REQUESTS_REPLIED,
+                               .as.replied = {.attempt = id,
+                                              .end = PH_ATTEMPT_END_ANSWERED,
+                                              .status = 200}};
+    g_array_set_size(actions, 0);
+    PhRequests_Handle(r, &arrived, now, actions);
+    PhRequests_Handle(r, &replied, now + PH_NS_PER_US, actions);
+}
+
+/* Measures the decisions on one request with a pool of some size. */
+static double
+decision_cost(const PhBenchOptions *bench, uint32_t workers,
+              const PhVariant *variant)
+{
+    enum {
+        ROUNDS = 100000
+    };
+    GArray *actions = g_array_new(FALSE, FALSE, sizeof(PhRequestsAction));
+    PhRequests *r = PhRequests_Create(
+        &(PhRequestsOptions){.instance = PhStr_LITERAL("i"),
+                             .data_centre = PhStr_LITERAL("a"),
+                             .seed = bench->seed,
+                             .tuning = variant->tuning});
+    pool_fill(r, workers, actions);
     int64_t start = PhBench_CpuTime();
     for (uint64_t i = 1; i <= ROUNDS; i++) {
-        PhTime now = (PhTime)i * PH_NS_PER_US;
-        PhRequestsEvent arrived = {
-            .tag = PH_REQUESTS_ARRIVED,
-            .as.arrived = {.id = i,
-                           .method = PhStr_LITERAL("GET"),
-                           .path = PhStr_LITERAL("/quote/1")}};
-        g_array_set_size(actions, 0);
-        PhRequests_Handle(r, &arrived, now, actions);
-        PhRequestsEvent replied = {
-            .tag = PH_REQUESTS_REPLIED,
-            .as.replied = {
-                .attempt = i, .end = PH_ATTEMPT_END_ANSWERED, .status = 200}};
-        PhRequests_Handle(r, &replied, now + PH_NS_PER_US, actions);
+        request_pass(r, i, (PhTime)i * PH_NS_PER_US, actions);
     }
     int64_t spent = PhBench_CpuTime() - start;
     PhRequests_Destroy(r);
     g_array_free(actions, TRUE);
-    g_free(rows);
-    g_free(ids);
     return (double)spent / ROUNDS;
 }
 
--- a/decide/requests/router_internal.h
+++ b/decide/requests/router_internal.h
@@ -82,18 +82,21 @@
     PhTime next_wake;
 };
 
+/* Gives a worker by its number. */
 static inline PhRoutedWorker *
 router_worker(const PhRouter *router, uint32_t number)
 {
     return g_ptr_array_index(router->workers, number);
 }
 
+/* Gives a pool by its number. */
 static inline PhPool *
 router_pool(const PhRouter *router, uint32_t number)
 {
     return g_ptr_array_index(router->pools, number);
 }
 
+/* Gives a worker's membership of a pool by its place. */
 static inline PhPoolLink *
 worker_link(const PhRoutedWorker *worker, uint32_t number)
 {
--- a/tests/requests/script.c
+++ b/tests/requests/script.c
@@ -165,65 +165,120 @@
     f->now = until;
 }
 
+/* Lets many requests arrive, whatever comes of them. */
+static void
+step_flood(PhFixture *f, char **word)
+{
+    for (int i = atoi(word[1]); i > 0; i--) {
+        step_arrive(f, (char *[]){"arrive", "GET", "/booking", ""});
+    }
+    f->seen = f->actions->len;
+}
+
+/* Ends the latest attempt. */
+static void
+step_latest(PhFixture *f, char **word)
+{
+    step_reply(f, word, 0);
+}
+
+/* Ends the attempt before the latest. */
+static void
+step_earlier(PhFixture *f, char **word)
+{
+    step_reply(f, word, 1);
+}
+
+/* Lets time pass. */
+static void
+step_pass(PhFixture *f, char **word)
+{
+    step_wait(f, f->now + atoi(word[1]) * PH_NS_PER_MS);
+}
+
+/* Lets the latest caller go away. */
+static void
+step_gone(PhFixture *f, char **word)
+{
+    (void)word;
+    give(f, (PhRequestsEvent){.tag = PH_REQUESTS_CALLER_GONE,
+                              .as.caller_gone = f->last_request});
+}
+
+/* Gives a list of some workers; with "leave" the first of them leaves. */
+static void
+step_workers(PhFixture *f, char **word)
+{
+    f->leaving = strcmp(word[0], "leave") == 0;
+    f->workers = (guint)atoi(word[1]);
+    give_workers(f);
+}
+
+/* Gives the members. */
+static void
+step_members(PhFixture *f, char **word)
+{
+    give_members(f, word[1]);
+}
+
+/* Gives the claim, or its release, of request 77 of member C. */
+static void
+step_asked(PhFixture *f, char **word)
+{
+    bool asked = strcmp(word[0], "asked") == 0;
+    give(f, (PhRequestsEvent){.tag = asked ? PH_REQUESTS_CLAIM_ASKED
+                                           : PH_REQUESTS_CLAIM_RELEASED,
+                              .as.claim = {.member = PhStr_LITERAL("C"),
+                                           .key = PhStr_FromC(word[1]),
+                                           .request = 77}});
+}
+
+/* Gives the verdict of another home on the latest request's key. */
+static void
+step_verdict(PhFixture *f, char **word)
+{
+    int verdict = word_index(verdicts, G_N_ELEMENTS(verdicts), word[1]);
+    give(f, (PhRequestsEvent){
+                .tag = PH_REQUESTS_CLAIM_REPLIED,
+                .as.claim_replied = {.request = f->last_request,
+                                     .verdict = (PhKeyVerdict)verdict}});
+}
+
+/* Asks for a stop. */
+static void
+step_stop(PhFixture *f, char **word)
+{
+    (void)word;
+    give(f, (PhRequestsEvent){.tag = PH_REQUESTS_STOP});
+}
+
+/* A word of the scripts that gives an event. */
+typedef struct PhStep {
+    const char *word;
+    void (*run)(PhFixture *f, char **word);
+} PhStep;
+
+static const PhStep steps[] = {
+    {"arrive", step_arrive},   {"flood", step_flood},
+    {"reply", step_latest},    {"late", step_earlier},
+    {"wait", step_pass},       {"gone", step_gone},
+    {"leave", step_workers},   {"workers", step_workers},
+    {"members", step_members}, {"asked", step_asked},
+    {"released", step_asked},  {"verdict", step_verdict},
+    {"stop", step_stop},
+};
+
 /* Carries out a step that gives an event; false when it names an action. */
 static bool
 step_event(PhFixture *f, char **word)
 {
-    const char *w = word[0];
-    PhClaimAsked asked = {.member = PhStr_LITERAL("C"),
-                          .key = PhStr_FromC(word[1]),
-                          .request = 77};
-    if (strcmp(w, "arrive") == 0) {
-        step_arrive(f, word);
-    }
-    else if (strcmp(w, "reply") == 0 || strcmp(w, "late") == 0) {
-        step_reply(f, word, w[0] == 'l');
-    }
-    else if (strcmp(w, "wait") == 0) {
-        step_wait(f, f->now + atoi(word[1]) * PH_NS_PER_MS);
-    }
-    else if (strcmp(w, "gone") == 0) {
-        give(f, (PhRequestsEvent){.tag = PH_REQUESTS_CALLER_GONE,
-                                  .as.caller_gone = f->last_request});
-    }
-    else if (strcmp(w, "leave") == 0 || strcmp(w, "workers") == 0) {
-        f->leaving = w[0] == 'l';
-        f->workers = (guint)atoi(word[1]);
-        give_workers(f);
-    }
-    else if (strcmp(w, "members") == 0) {
-        give_members(f, word[1]);
-    }
-    else if (strcmp(w, "configure") == 0) {
-        give_policies(f);
-    }
-    else if (strcmp(w, "asked") == 0 || strcmp(w, "released") == 0) {
-        give(f,
-             (PhRequestsEvent){.tag = w[0] == 'a' ? PH_REQUESTS_CLAIM_ASKED
-                                                  : PH_REQUESTS_CLAIM_RELEASED,
-                               .as.claim = asked});
-    }
-    else if (strcmp(w, "verdict") == 0) {
-        give(f, (PhRequestsEvent){
-                    .tag = PH_REQUESTS_CLAIM_REPLIED,
-                    .as.claim_replied = {
-                        .request = f->last_request,
-                        .verdict = (PhKeyVerdict)word_index(
-                            verdicts, G_N_ELEMENTS(verdicts), word[1])}});
-    }
-    else if (strcmp(w, "flood") == 0) {
-        for (int i = atoi(word[1]); i > 0; i--) {
-            step_arrive(f, (char *[]){"arrive", "GET", "/booking", ""});
+    for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+        if (strcmp(steps[i].word, word[0]) == 0) {
+            steps[i].run(f, word);
+            return true;
         }
-        f->seen = f->actions->len;
-    }
-    else if (strcmp(w, "stop") == 0) {
-        give(f, (PhRequestsEvent){.tag = PH_REQUESTS_STOP});
-    }
-    else {
-        return false;
     }
-    return true;
+    return false;
 }
 
 /* Writes an action in the words of the scripts. */
@@ -311,15 +366,15 @@
         give_policies(&f);
         give_workers(&f);
     }
-    char **steps = g_strsplit(c->script, ";", -1);
-    for (char **step = steps; *step != NULL; step++) {
+    char **texts = g_strsplit(c->script, ";", -1);
+    for (char **step = texts; *step != NULL; step++) {
         char *text = g_strstrip(*step);
         if (strcmp(text, "bare") != 0) {
             step_run(&f, text);
         }
     }
     step_run(&f, (char[]){"nothing"});
-    g_strfreev(steps);
+    g_strfreev(texts);
     PhRequests_Destroy(f.requests);
     g_array_free(f.actions, TRUE);
 }
--- a/tests/requests/script.h
+++ b/tests/requests/script.h
@@ -3,8 +3,8 @@
 #define PERIDOTHILL_TESTS_REQUESTS_SCRIPT_H
 
 /* A script: steps separated by ";".  Steps that give events: arrive, flood,
- * reply, late, wait, gone, leave, workers, members, configure, asked,
- * released, verdict, stop.  All others name the next action. */
+ * reply, late, wait, gone, leave, workers, members, asked, released,
+ * verdict, stop.  All others name the next action. */
 typedef struct PhScriptCase {
     const char *name;
     const char *script;
