--- a/include/peridothill/services/platform_log.h
+++ b/include/peridothill/services/platform_log.h
@@ -78,7 +78,7 @@
     PhLogAdapterKind kind;
     union {
         PhStr address;
-        struct PhMemoryLog *memory;
+        struct PhFakeLog *memory; /* outlives the task */
     } as;
 } PhLogAdapter;
 
--- a/services/tasks/tasks_platform.c
+++ b/services/tasks/tasks_platform.c
@@ -115,16 +115,13 @@
     }
 }
 
-/* Takes a reading of the list: the workers of this data centre. */
-void
-PhTasksPlatform_OnList(PhTasksTask *t, const PhListReading *reading)
+/* Gives the engine the workers of this data centre in the last reading. */
+static void
+workers_give(PhTasksTask *t)
 {
-    if (reading->status != PH_STATUS_OK) {
-        return;
-    }
     GArray *listed = g_array_new(FALSE, FALSE, sizeof(PhListedWorker));
-    for (size_t i = 0; i < reading->entry_count; i++) {
-        const PhListEntry *e = &reading->entries[i];
+    for (size_t i = 0; i < t->reading.entry_count; i++) {
+        const PhListEntry *e = &t->reading.entries[i];
         if (e->role != PH_LIST_WORKER ||
             !PhStr_Equal(e->data_centre, t->options.data_centre)) {
             continue;
@@ -145,6 +142,27 @@
     g_array_free(listed, TRUE);
 }
 
+/* Takes word of the list.  The engine cannot use a reading before it has read
+ * the log, so one that stands is given again each time. */
+void
+PhTasksPlatform_OnList(PhTasksTask *t, const PhListMessage *m)
+{
+    switch (m->tag) {
+    case PH_LIST_READING:
+        if (m->as.reading.status == PH_STATUS_OK) {
+            PhListReading_Clear(&t->reading);
+            t->reading = PhListReading_Copy(&m->as.reading);
+            workers_give(t);
+        }
+        break;
+    case PH_LIST_UNCHANGED:
+        workers_give(t);
+        break;
+    case PH_LIST_SUBSCRIBE:
+        break;
+    }
+}
+
 /* Takes a view: the live instances of this data centre. */
 void
 PhTasksPlatform_OnView(PhTasksTask *t, const PhMembersView *view)
--- a/services/tasks/tasks_service.c
+++ b/services/tasks/tasks_service.c
@@ -141,10 +141,7 @@
         answer_handle(t, body);
     }
     else if (mail->as.message.interface == PH_INTERFACE_LIST) {
-        const PhListMessage *m = body;
-        if (m->tag == PH_LIST_READING) {
-            PhTasksPlatform_OnList(t, &m->as.reading);
-        }
+        PhTasksPlatform_OnList(t, body);
     }
     else if (mail->as.message.interface == PH_INTERFACE_MEMBERS) {
         const PhMembersMessage *m = body;
@@ -188,6 +185,7 @@
     PhTasksTask *t = state;
     PhJobEngine_Destroy(t->engine);
     g_hash_table_destroy(t->addresses);
+    PhListReading_Clear(&t->reading);
     g_hash_table_destroy(t->calls);
     PhStr_Clear(&t->stream);
     PhStr_Clear(&t->options.data_centre);
--- a/services/tasks/tasks_task.h
+++ b/services/tasks/tasks_task.h
@@ -23,6 +23,7 @@
     PhStr stream;
     PhJobEngine *engine;
     GHashTable *addresses; /* PhStr worker to PhStr address */
+    PhListReading reading; /* the last one that was OK */
     GHashTable *calls;     /* PhTasksCall by token */
     uint64_t next_token;
     bool attached_list;
@@ -42,7 +43,7 @@
 void
 PhTasksPlatform_OnLog(PhTasksTask *t, const PhLogMessage *m);
 void
-PhTasksPlatform_OnList(PhTasksTask *t, const PhListReading *reading);
+PhTasksPlatform_OnList(PhTasksTask *t, const PhListMessage *m);
 void
 PhTasksPlatform_OnView(PhTasksTask *t, const PhMembersView *view);
 /* Subscribes at those tasks that have started meanwhile. */
