--- a/tests/tasks/test_tasks_service.c
+++ b/tests/tasks/test_tasks_service.c
@@ -9,7 +9,6 @@
 
 enum {
     MAILBOX_CAPACITY = 64,
-    ANSWER_TIMER = 1,
     LIST_TIMER = 2
 };
 
