requests: keep back headers that a Connection header names

Cause: a caller or a worker could name further headers that only count between two hops; they were passed on. Change: PhCall_HeaderPasses also reads the Connection headers beside a header; requests and answers use it.

--- a/services/requests/entry_answer.c
+++ b/services/requests/entry_answer.c
@@ -75,9 +75,9 @@
 /* Tells whether a worker's header goes on to the caller.  What a refusal says
  * only this program may say. */
 static bool
-header_passes(PhStr name)
+header_passes(const PhHttpReply *reply, PhStr name)
 {
-    return !PhCall_IsHopHeader(name) &&
+    return PhCall_HeaderPasses(reply->headers, reply->header_count, name) &&
            !PhStr_EqualNoCase(name, PH_HEADER_OUTCOME) &&
            !PhStr_EqualNoCase(name, PH_HEADER_REASON);
 }
@@ -92,7 +92,7 @@
     PhHttpHeader *headers = g_new(PhHttpHeader, reply->header_count);
     size_t count = 0;
     for (size_t i = 0; i < reply->header_count; i++) {
-        if (header_passes(reply->headers[i].name)) {
+        if (header_passes(reply, reply->headers[i].name)) {
             headers[count++] = reply->headers[i];
         }
     }
--- a/services/requests/entry_call.c
+++ b/services/requests/entry_call.c
@@ -22,9 +22,9 @@
     "Upgrade",
 };
 
-/* Tells whether a header is one of the hop's own. */
-bool
-PhCall_IsHopHeader(PhStr name)
+/* Tells whether a header always counts between two hops only. */
+static bool
+is_hop_header(PhStr name)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(hop_headers); i++) {
         if (PhStr_EqualNoCase(name, PhStr_FromC(hop_headers[i]))) {
@@ -34,6 +34,36 @@
     return false;
 }
 
+/* Tells whether a list of names, separated by commas, has this one. */
+static bool
+list_names(PhStr list, PhStr name)
+{
+    while (list.len > 0) {
+        PhStr first;
+        PhStr_Cut(list, ',', &first, &list);
+        if (PhStr_EqualNoCase(PhStr_Trim(first), name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Tells whether a header goes on to the next hop. */
+bool
+PhCall_HeaderPasses(const PhHttpHeader *headers, size_t count, PhStr name)
+{
+    if (is_hop_header(name)) {
+        return false;
+    }
+    for (size_t i = 0; i < count; i++) {
+        if (PhStr_EqualNoCase(headers[i].name, PhStr_LITERAL("Connection")) &&
+            list_names(headers[i].value, name)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /* Joins path and query as they stood in the request. */
 static PhStr
 target_join(PhStr path, PhStr query)
@@ -160,7 +190,8 @@
         .connections = PhRouter_ConnectionCap(router, send->worker)};
     for (size_t i = 0; i < call->header_count; i++) {
         const PhHttpHeader *header = &call->headers[i];
-        if (!PhCall_IsHopHeader(header->name) &&
+        if (PhCall_HeaderPasses(call->headers, call->header_count,
+                                header->name) &&
             !PhStr_EqualNoCase(header->name, PH_HEADER_TIMEOUT)) {
             PhHttpHeader_Add(&request->headers, &request->header_count,
                              header->name, header->value);
--- a/services/requests/entry_internal.h
+++ b/services/requests/entry_internal.h
@@ -73,9 +73,10 @@
 PhMessage
 PhCall_Message(const PhCall *call, const PhSend *send, const PhRouter *router,
                PhTime now);
-/* Tells whether a header only counts between two hops. */
+/* Tells whether a header goes on to the next hop: it is not one that only
+ * counts between two hops, nor named by a Connection header beside it. */
 bool
-PhCall_IsHopHeader(PhStr name);
+PhCall_HeaderPasses(const PhHttpHeader *headers, size_t count, PhStr name);
 
 /* entry_answer.c: answers to callers. */
 void
