tasks: give teams what their quotas entitle them to, and lend the rest

Cause: quotas were accepted in the configuration and had no effect. Change: tasks within their team's quota start first, of all classes; what is left over is lent unless an entitled task waits for room; room that an entitled team gives back is held for it for 2 s. The task "tasks" reads the quotas from the configuration in force.

--- a/bench/bench_tasks.c
+++ b/bench/bench_tasks.c
@@ -1,5 +1,6 @@
 #include <malloc.h>
 
+#include "bench_tasks_quota.h"
 #include "peridothill/bench/bench.h"
 #include "peridothill/bench/task_faults.h"
 #include "peridothill/bench/task_world.h"
@@ -272,6 +273,7 @@
         bench_placement(options, PH_PLACEMENT_LEAST_LOADED, "least_loaded",
                         sizes[i]);
     }
+    PhBenchTasks_Quotas(options);
     bench_renewal(options, 2);
     bench_renewal(options, 8);
     return PhResult_Ok();
--- a/bench/task_world.c
+++ b/bench/task_world.c
@@ -805,6 +805,10 @@
                               .policy = w->options.policy},
         instance_clock(w, in));
     PhBuf_Clear(&id);
+    PhJobEvent quotas = {.kind = PH_JOB_QUOTAS};
+    quotas.as.quotas.teams = w->options.quotas;
+    quotas.as.quotas.count = w->options.quota_count;
+    engine_give(w, instance, &quotas);
     PhTime jitter = (PhTime)PhRandom_Below(w->random, PH_NS_PER_S / 10);
     PhFakeNet_SetTimer(w->net, instance, TOKEN_TICK,
                        PhFakeNet_Now(w->net) + jitter);
--- a/decide/tasks/engine_schedule.c
+++ b/decide/tasks/engine_schedule.c
@@ -23,6 +23,23 @@
     e->schedule_wanted = e->schedule_wanted || usable;
 }
 
+/* Commits a task of a job to a worker and to its team. */
+static void
+commit(PhJobEngine *e, uint32_t worker, const PhJob *job, bool starting)
+{
+    PhPlacement_Commit(e->placement, worker, job->number, job->spec.size,
+                       starting);
+    PhQuotas_Commit(e->quotas, job->spec.team, job->number, job->spec.size);
+}
+
+/* Gives back what commit took. */
+static void
+release(PhJobEngine *e, uint32_t worker, uint64_t job, PhJobSize size)
+{
+    PhPlacement_Release(e->placement, worker, job, size);
+    PhQuotas_Release(e->quotas, job, size, e->now);
+}
+
 /* Adds a job to those whose placed tasks are to be stopped. */
 static void
 stopping_add(PhJobEngine *e, const PhJob *job)
@@ -41,13 +58,13 @@
     g_array_set_size(e->stopping, 0);
     PhJobQueue_Clear(e->jobs);
     PhPlacement_Reset(e->placement);
+    PhQuotas_Reset(e->quotas);
     for (uint32_t i = 0; i < PhJobState_WorkerCount(e->state); i++) {
         const PhJobWorker *w = PhJobState_Worker(e->state, i);
         for (guint k = 0; k < w->runs->len; k++) {
             PhRun run = g_array_index(w->runs, PhRun, k);
             const PhJob *job = PhJobState_Job(e->state, run.job);
-            PhPlacement_Commit(e->placement, i, run.job, job->spec.size,
-                               false);
+            commit(e, i, job, false);
         }
     }
     for (PhJob *job = PhJobState_JobFrom(e->state, 0); job != NULL;
@@ -95,18 +112,33 @@
         e, (PhJobAction){.kind = PH_ACTION_COMMAND, .as.command = command});
 }
 
-/* Decides the start of one task of a job; false when no worker has room. */
-static bool
-start_decide(PhJobEngine *e, PhQueuedJob *queued)
+/* What became of the wish to start a task of a job. */
+typedef enum PhStartDecision {
+    START_DECIDED,
+    START_OVER_QUOTA,
+    START_NO_ROOM,
+    START_NEVER_FITS,
+} PhStartDecision;
+
+/* Decides the start of one task of a job; beyond the quota of its team only
+ * when `lending`. */
+static PhStartDecision
+start_decide(PhJobEngine *e, PhQueuedJob *queued, bool lending)
 {
     const PhJob *job = PhJobState_Job(e->state, queued->number);
+    if (!PhQuotas_Entitles(e->quotas, job->spec.team, job->spec.size) &&
+        !(lending && PhQuotas_Lends(e->quotas, job->spec.size,
+                                    PhPlacement_Total(e->placement)))) {
+        queued->reason = "over the quota of the team, nothing to lend";
+        return START_OVER_QUOTA;
+    }
     uint32_t worker =
         PhPlacement_Choose(e->placement, job->number, job->spec.size);
     if (worker == PH_PLACEMENT_NONE) {
-        queued->reason = PhPlacement_EverFits(e->placement, job->spec.size)
-                             ? "no worker has room"
-                             : "larger than every worker";
-        return false;
+        bool ever = PhPlacement_EverFits(e->placement, job->spec.size);
+        queued->reason =
+            ever ? "no worker has room" : "larger than every worker";
+        return ever ? START_NO_ROOM : START_NEVER_FITS;
     }
     uint32_t index = PhJobQueue_Take(e->jobs, queued);
     const PhJobTask *task = &job->tasks[index];
@@ -120,41 +152,79 @@
                  !g_hash_table_contains(e->starts, &start->run),
                  "job=%" G_GUINT64_FORMAT " index=%u", job->number, index);
     g_hash_table_insert(e->starts, &start->run, start);
-    PhPlacement_Commit(e->placement, worker, job->number, job->spec.size,
-                       true);
+    commit(e, worker, job, true);
     PhJobRecord record = {.kind = PH_RECORD_START};
     record.as.start.epoch = PhJobState_Epoch(e->state);
     record.as.start.run = start->run;
     record.as.start.worker =
         PhStr_Dup(PhJobState_Worker(e->state, worker)->id);
     PhJobEngine_Queue(e, record);
-    return true;
+    return START_DECIDED;
+}
+
+/* One walk over the waiting jobs. */
+typedef struct PhSchedulePass {
+    bool lending;
+    uint32_t left;    /* starts that may still be decided */
+    uint32_t misfits; /* jobs without room that were looked at */
+    bool kept_out;    /* one of them may have room later */
+} PhSchedulePass;
+
+/* Starts tasks of one job until something is in the way. */
+static void
+job_schedule(PhJobEngine *e, PhQueuedJob *job, PhSchedulePass *pass)
+{
+    /* The job is gone with its last task. */
+    for (guint tasks = job->indices->len; tasks > 0 && pass->left > 0;
+         tasks--) {
+        switch (start_decide(e, job, pass->lending)) {
+        case START_DECIDED:
+            pass->left--;
+            break;
+        case START_OVER_QUOTA:
+            return;
+        case START_NO_ROOM:
+            pass->misfits++;
+            pass->kept_out = true;
+            return;
+        case START_NEVER_FITS:
+            pass->misfits++;
+            return;
+        }
+    }
 }
 
 /* Walks the waiting jobs in order and starts what fits. */
 static void
-schedule_pass(PhJobEngine *e)
+schedule_pass(PhJobEngine *e, PhSchedulePass *pass)
 {
-    uint32_t left = STARTS_PER_TICK;
-    uint32_t misfits = 0;
     PhQueuedJob *job = PhJobQueue_Next(e->jobs, NULL);
-    e->schedule_wanted = false;
-    while (job != NULL && misfits < MISFITS_PER_PASS) {
+    pass->misfits = 0;
+    while (job != NULL && pass->left > 0 && pass->misfits < MISFITS_PER_PASS) {
         PhQueuedJob *next = PhJobQueue_Next(e->jobs, job);
-        guint tasks = job->indices->len;
-        while (tasks > 0 && left > 0 && start_decide(e, job)) {
-            tasks--;
-            left--;
-        }
-        if (left == 0) {
-            e->schedule_wanted = true;
-            return;
-        }
-        misfits += tasks > 0;
+        job_schedule(e, job, pass);
         job = next;
     }
 }
 
+/* Starts what teams are entitled to; what is left is lent, unless a task
+ * within its team's quota waits for room. */
+static void
+schedule(PhJobEngine *e)
+{
+    PhSchedulePass pass = {.left = STARTS_PER_TICK};
+    e->schedule_wanted = false;
+    PhQuotas_Expire(e->quotas, e->now);
+    schedule_pass(e, &pass);
+    if (!pass.kept_out) {
+        pass.lending = true;
+        schedule_pass(e, &pass);
+    }
+    if (pass.left == 0) {
+        e->schedule_wanted = true;
+    }
+}
+
 /* Sends starts that could not leave when their record was read. */
 static uint32_t
 starts_send(PhJobEngine *e)
@@ -227,7 +297,7 @@
     uint32_t unplaced = starts_send(e);
     stop_tick(e);
     if (e->schedule_wanted && unplaced < STARTS_UNPLACED_MAX && !e->log_down) {
-        schedule_pass(e);
+        schedule(e);
     }
 }
 
@@ -252,7 +322,7 @@
     if (start == NULL) {
         return;
     }
-    PhPlacement_Release(e->placement, start->worker, run.job, start->size);
+    release(e, start->worker, run.job, start->size);
     g_hash_table_remove(e->starts, &run);
     task_requeue(e, run, 0);
     e->schedule_wanted = true;
@@ -288,8 +358,7 @@
     outcome_count(e, change->outcome);
     PhTime delay = PhJobEngine_Blame(e, change);
     g_hash_table_remove(e->starts, &change->run);
-    PhPlacement_Release(e->placement, change->worker, change->run.job,
-                        change->size);
+    release(e, change->worker, change->run.job, change->size);
     task_requeue(e, change->run, delay);
     e->schedule_wanted = true;
 }
--- a/decide/tasks/job_engine.c
+++ b/decide/tasks/job_engine.c
@@ -46,6 +46,7 @@
     e->ending =
         g_hash_table_new_full(PhRun_KeyHash, PhRun_KeyEqual, g_free, NULL);
     e->placement = PhPlacement_Create(options->policy);
+    e->quotas = PhQuotas_Create();
     e->jobs = PhJobQueue_Create();
     e->starts =
         g_hash_table_new_full(PhRun_KeyHash, PhRun_KeyEqual, NULL, g_free);
@@ -74,6 +75,7 @@
     g_ptr_array_free(e->alive, TRUE);
     g_ptr_array_free(e->contacts, TRUE);
     PhPlacement_Destroy(e->placement);
+    PhQuotas_Destroy(e->quotas);
     PhJobQueue_Destroy(e->jobs);
     PhJobState_Destroy(e->state);
     PhRandom_Destroy(e->random);
@@ -176,6 +178,11 @@
         PhJobEngine_OnMembers(e, event->as.members.ids,
                               event->as.members.count);
         break;
+    case PH_JOB_QUOTAS:
+        PhQuotas_Set(e->quotas, event->as.quotas.teams,
+                     event->as.quotas.count);
+        e->schedule_wanted = true;
+        break;
     case PH_JOB_WORKER_ANSWER:
         PhJobEngine_OnAnswer(e, event->as.answer);
         break;
--- a/decide/tasks/job_engine_private.h
+++ b/decide/tasks/job_engine_private.h
@@ -105,6 +105,7 @@
     uint64_t token;
     /* Scheduling. */
     PhPlacement *placement;
+    PhQuotas *quotas;
     PhJobQueue *jobs;
     GHashTable *starts; /* PhRun to PhPendingStart */
     GArray *stopping;   /* numbers of jobs to cancel */
--- /dev/null
+++ b/decide/tasks/quota.c
@@ -0,0 +1,220 @@
+#include "peridothill/decide/tasks/quota.h"
+
+#include <glib.h>
+
+#include "peridothill/common/invariant.h"
+
+/* A team's quota, and the sizes of its tasks that are committed. */
+typedef struct PhTeamUse {
+    PhJobSize quota;
+    PhJobSize used;
+    GQueue holds; /* PhHold, oldest first */
+} PhTeamUse;
+
+/* Room that a team gave back and may want again. */
+typedef struct PhHold {
+    PhJobSize size;
+    PhTime until;
+} PhHold;
+
+/* The tasks of a job that are committed, and whose they are. */
+typedef struct PhJobUse {
+    uint64_t job; /* key */
+    PhTeamUse *team;
+    uint32_t tasks;
+} PhJobUse;
+
+struct PhQuotas {
+    GHashTable *teams; /* PhStr to PhTeamUse */
+    GHashTable *jobs;  /* &job to PhJobUse */
+    PhJobSize used;    /* of all teams */
+    PhJobSize held;
+};
+
+static const PhJobSize no_quota = {PH_QUOTA_NONE, PH_QUOTA_NONE,
+                                   PH_QUOTA_NONE};
+
+/* Releases a team. */
+static void
+team_destroy(gpointer value)
+{
+    PhTeamUse *use = value;
+    g_queue_clear_full(&use->holds, g_free);
+    g_free(use);
+}
+
+/* Creates quotas that limit nobody. */
+PhQuotas *
+PhQuotas_Create(void)
+{
+    PhQuotas *q = g_new0(PhQuotas, 1);
+    q->teams = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
+                                     PhStr_KeyDestroy, team_destroy);
+    q->jobs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    return q;
+}
+
+/* Releases the quotas; NULL is allowed. */
+void
+PhQuotas_Destroy(PhQuotas *quotas)
+{
+    if (quotas == NULL) {
+        return;
+    }
+    g_hash_table_destroy(quotas->jobs);
+    g_hash_table_destroy(quotas->teams);
+    g_free(quotas);
+}
+
+/* Finds or adds a team. */
+static PhTeamUse *
+team_of(PhQuotas *q, PhStr team)
+{
+    PhTeamUse *use = g_hash_table_lookup(q->teams, &team);
+    if (use == NULL) {
+        use = g_new0(PhTeamUse, 1);
+        use->quota = no_quota;
+        g_queue_init(&use->holds);
+        g_hash_table_insert(q->teams, PhStr_KeyCreate(team), use);
+    }
+    return use;
+}
+
+/* Replaces all quotas; what is committed stays. */
+void
+PhQuotas_Set(PhQuotas *quotas, const PhTeamQuota *teams, size_t count)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, quotas->teams);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        ((PhTeamUse *)value)->quota = no_quota;
+    }
+    for (size_t i = 0; i < count; i++) {
+        team_of(quotas, teams[i].team)->quota = teams[i].size;
+    }
+}
+
+/* Forgets all commitments. */
+void
+PhQuotas_Reset(PhQuotas *quotas)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_remove_all(quotas->jobs);
+    g_hash_table_iter_init(&iter, quotas->teams);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        PhTeamUse *use = value;
+        use->used = (PhJobSize){0};
+        g_queue_clear_full(&use->holds, g_free);
+    }
+    quotas->used = (PhJobSize){0};
+    quotas->held = (PhJobSize){0};
+}
+
+/* Ends the oldest hold of a team, if it has one. */
+static void
+hold_end(PhQuotas *q, PhTeamUse *use)
+{
+    PhHold *hold = g_queue_pop_head(&use->holds);
+    if (hold != NULL) {
+        q->held = PhJobSize_Subtract(q->held, hold->size);
+        g_free(hold);
+    }
+}
+
+/* Commits one task. */
+void
+PhQuotas_Commit(PhQuotas *quotas, PhStr team, uint64_t job, PhJobSize size)
+{
+    PhJobUse *use = g_hash_table_lookup(quotas->jobs, &job);
+    if (use == NULL) {
+        use = g_new0(PhJobUse, 1);
+        use->job = job;
+        use->team = team_of(quotas, team);
+        g_hash_table_insert(quotas->jobs, &use->job, use);
+    }
+    use->tasks++;
+    use->team->used = PhJobSize_Add(use->team->used, size);
+    quotas->used = PhJobSize_Add(quotas->used, size);
+    hold_end(quotas, use->team);
+}
+
+/* Tells whether any resource of a team has a quota. */
+static bool
+has_quota(const PhTeamUse *use)
+{
+    return use->quota.cpu_milli != PH_QUOTA_NONE ||
+           use->quota.memory_mb != PH_QUOTA_NONE ||
+           use->quota.accelerators != PH_QUOTA_NONE;
+}
+
+/* Holds the room of a task that a team was entitled to. */
+static void
+hold_begin(PhQuotas *q, PhTeamUse *use, PhJobSize size, PhTime now)
+{
+    PhHold hold = {.size = size,
+                   .until = now + (PH_QUOTA_HOLD_MS * PH_NS_PER_MS)};
+    if (has_quota(use) && PhJobSize_Fits(use->used, use->quota)) {
+        g_queue_push_tail(&use->holds, g_memdup2(&hold, sizeof(hold)));
+        q->held = PhJobSize_Add(q->held, size);
+    }
+}
+
+/* Takes one task back. */
+void
+PhQuotas_Release(PhQuotas *quotas, uint64_t job, PhJobSize size, PhTime now)
+{
+    PhJobUse *use = g_hash_table_lookup(quotas->jobs, &job);
+    Ph_INVARIANT(PH_INVARIANT_PRECONDITION, use != NULL && use->tasks > 0,
+                 "job=%" G_GUINT64_FORMAT, job);
+    hold_begin(quotas, use->team, size, now);
+    use->team->used = PhJobSize_Subtract(use->team->used, size);
+    quotas->used = PhJobSize_Subtract(quotas->used, size);
+    use->tasks--;
+    if (use->tasks == 0) {
+        g_hash_table_remove(quotas->jobs, &job);
+    }
+}
+
+/* Ends the holds that are past their time. */
+void
+PhQuotas_Expire(PhQuotas *quotas, PhTime now)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, quotas->teams);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        PhTeamUse *use = value;
+        const PhHold *oldest = g_queue_peek_head(&use->holds);
+        while (oldest != NULL && oldest->until <= now) {
+            hold_end(quotas, use);
+            oldest = g_queue_peek_head(&use->holds);
+        }
+    }
+}
+
+/* Tells whether there is room to lend. */
+bool
+PhQuotas_Lends(const PhQuotas *quotas, PhJobSize size, PhJobSize total)
+{
+    PhJobSize taken = PhJobSize_Add(quotas->used, quotas->held);
+    return PhJobSize_Fits(PhJobSize_Add(taken, size), total);
+}
+
+/* Tells whether one more task stays within the quota. */
+bool
+PhQuotas_Entitles(const PhQuotas *quotas, PhStr team, PhJobSize size)
+{
+    const PhTeamUse *use = g_hash_table_lookup(quotas->teams, &team);
+    return use == NULL ||
+           PhJobSize_Fits(PhJobSize_Add(use->used, size), use->quota);
+}
+
+/* Gives what the team has committed. */
+PhJobSize
+PhQuotas_Used(const PhQuotas *quotas, PhStr team)
+{
+    const PhTeamUse *use = g_hash_table_lookup(quotas->teams, &team);
+    return use == NULL ? (PhJobSize){0} : use->used;
+}
--- a/include/peridothill/bench/task_world.h
+++ b/include/peridothill/bench/task_world.h
@@ -23,6 +23,8 @@
     PhJobSize worker_size;
     PhLeaseTimes times;
     PhPlacementPolicy policy;
+    const PhTeamQuota *quotas; /* the caller's, outlive the world */
+    size_t quota_count;
     PhTime retention; /* of the log, 0 is for ever */
     PhTime link_delay;
     PhTime tick; /* 0 is PH_JOB_TICK_MS */
--- a/include/peridothill/decide/tasks/job_engine.h
+++ b/include/peridothill/decide/tasks/job_engine.h
@@ -7,6 +7,7 @@
 #include "peridothill/decide/tasks/job_state.h"
 #include "peridothill/decide/tasks/lease.h"
 #include "peridothill/decide/tasks/placement.h"
+#include "peridothill/decide/tasks/quota.h"
 #include "peridothill/decide/tasks/worker_command.h"
 
 enum {
@@ -29,6 +30,7 @@
     PH_JOB_APPENDED, /* answer to PH_ACTION_APPEND */
     PH_JOB_WORKERS,  /* a new reading of the list */
     PH_JOB_MEMBERS,  /* instances of the data centre thought alive */
+    PH_JOB_QUOTAS,   /* the quotas of all teams */
     PH_JOB_WORKER_ANSWER,
     PH_JOB_SUBMIT,
     PH_JOB_CANCEL,
@@ -62,6 +64,10 @@
             const PhStr *ids;
             size_t count;
         } members;
+        struct {
+            const PhTeamQuota *teams;
+            size_t count;
+        } quotas;
         const PhWorkerAnswer *answer;
         struct {
             uint64_t token;
--- a/services/tasks/tasks_platform.c
+++ b/services/tasks/tasks_platform.c
@@ -183,6 +183,37 @@
     g_array_free(ids, TRUE);
 }
 
+/* Reads a quota of a team; one that is not set does not limit. */
+static int64_t
+quota_read(const PhConfigState *state, PhStr team, PhStr resource)
+{
+    uint64_t value = PhConfig_ChildU64(state, PhStr_LITERAL("teams"), team,
+                                       resource, (uint64_t)PH_QUOTA_NONE);
+    return value > (uint64_t)PH_QUOTA_NONE ? PH_QUOTA_NONE : (int64_t)value;
+}
+
+/* Takes the quotas out of the configuration in force. */
+void
+PhTasksPlatform_OnConfig(PhTasksTask *t, const PhConfigState *state)
+{
+    GArray *teams = g_array_new(FALSE, FALSE, sizeof(PhTeamQuota));
+    PhConfigNames names = PhConfigNames_Start(state, PhStr_LITERAL("teams."));
+    PhTeamQuota quota;
+    while (PhConfigNames_Next(&names, &quota.team)) {
+        quota.size = (PhJobSize){
+            quota_read(state, quota.team, PhStr_LITERAL("quota.cpu_milli")),
+            quota_read(state, quota.team, PhStr_LITERAL("quota.memory_mb")),
+            quota_read(state, quota.team,
+                       PhStr_LITERAL("quota.accelerators"))};
+        g_array_append_val(teams, quota);
+    }
+    PhJobEvent event = {.kind = PH_JOB_QUOTAS};
+    event.as.quotas.teams = (const PhTeamQuota *)teams->data;
+    event.as.quotas.count = teams->len;
+    PhTasksTask_Give(t, &event);
+    g_array_free(teams, TRUE);
+}
+
 /* Subscribes where it has not yet. */
 void
 PhTasksPlatform_Attach(PhTasksTask *t)
@@ -193,6 +224,12 @@
             PhTask_SendTo(t->self, PH_SERVICE_LIST, PhListMessage_Wrap(&m)) ==
             PH_STATUS_OK;
     }
+    if (!t->attached_config) {
+        PhConfigMessage m = {.tag = PH_CONFIG_SUBSCRIBE};
+        t->attached_config =
+            PhTask_SendTo(t->self, PH_SERVICE_CONFIG,
+                          PhConfigMessage_Wrap(&m)) == PH_STATUS_OK;
+    }
     if (!t->attached_members) {
         PhMembersMessage m = {.tag = PH_MEMBERS_SUBSCRIBE};
         t->attached_members =
--- a/services/tasks/tasks_service.c
+++ b/services/tasks/tasks_service.c
@@ -140,6 +140,12 @@
     else if (mail->as.message.interface == PH_INTERFACE_WORKER) {
         answer_handle(t, body);
     }
+    else if (mail->as.message.interface == PH_INTERFACE_CONFIG) {
+        const PhConfigMessage *m = body;
+        if (m->tag == PH_CONFIG_IN_FORCE) {
+            PhTasksPlatform_OnConfig(t, m->as.in_force);
+        }
+    }
     else if (mail->as.message.interface == PH_INTERFACE_LIST) {
         PhTasksPlatform_OnList(t, body);
     }
--- a/services/tasks/tasks_task.h
+++ b/services/tasks/tasks_task.h
@@ -3,6 +3,7 @@
 #define PERIDOTHILL_SERVICES_TASKS_TASK_H
 
 #include "peridothill/decide/tasks/job_engine.h"
+#include "peridothill/services/config.h"
 #include "peridothill/services/interface.h"
 #include "peridothill/services/members.h"
 #include "peridothill/services/platform_list.h"
@@ -26,6 +27,7 @@
     PhListReading reading; /* the last one that was OK */
     GHashTable *calls;     /* PhTasksCall by token */
     uint64_t next_token;
+    bool attached_config;
     bool attached_list;
     bool attached_members;
     bool stopping;
@@ -45,6 +47,8 @@
 void
 PhTasksPlatform_OnList(PhTasksTask *t, const PhListMessage *m);
 void
+PhTasksPlatform_OnConfig(PhTasksTask *t, const PhConfigState *state);
+void
 PhTasksPlatform_OnView(PhTasksTask *t, const PhMembersView *view);
 /* Subscribes at those tasks that have started meanwhile. */
 void
--- a/tests/platform/test_platform_log.c
+++ b/tests/platform/test_platform_log.c
@@ -80,13 +80,12 @@
 static void
 call_log(PhTask *self)
 {
-    PhStr *records = g_new(PhStr, 1);
-    records[0] = PhStr_Dup(PhStr_LITERAL("record"));
+    PhStr record = PhStr_Dup(PhStr_LITERAL("record"));
     PhLogMessage append = {
         .tag = PH_LOG_APPEND,
         .as.append = {.id = CALL_ID,
                       .stream = PhStr_Dup(PhStr_LITERAL("s")),
-                      .records = records,
+                      .records = g_memdup2(&record, sizeof(record)),
                       .record_count = 1,
                       .deadline = PH_NS_PER_S}};
     PhTask_SendTo(self, PH_SERVICE_LOG, PhLogMessage_Wrap(&append));
--- /dev/null
+++ b/tests/tasks/test_quota.c
@@ -0,0 +1,161 @@
+#include "peridothill/bench/task_world.h"
+#include "peridothill/decide/tasks/quota.h"
+#include "tests/table.h"
+
+/* Tasks of two teams that are committed, and whether one more of the first
+ * team stays within its quota of 4 processors and 2 accelerators. */
+typedef struct PhEntitledCase {
+    const char *name;
+    uint32_t own;
+    uint32_t other;
+    PhJobSize size; /* of each task */
+    bool limited;
+    bool entitled;
+} PhEntitledCase;
+
+static const PhEntitledCase entitled_cases[] = {
+    {"nothing committed", 0, 0, {1000, 1, 0}, true, true},
+    {"up to the quota", 3, 0, {1000, 1, 0}, true, true},
+    {"over the quota", 4, 0, {1000, 1, 0}, true, false},
+    {"over in one resource", 2, 0, {1, 1, 1}, true, false},
+    {"a resource without a quota", 1, 0, {1, 1000000, 0}, true, true},
+    {"of another team", 1, 9, {1000, 1, 0}, true, true},
+    {"no quota at all", 99, 0, {1000, 1, 1}, false, true},
+};
+
+/* Commits, asks, and takes all back. */
+static void
+check_entitled(const PhEntitledCase *c)
+{
+    PhStr team = PhStr_LITERAL("team");
+    PhStr other = PhStr_LITERAL("other");
+    PhTeamQuota quota = {.team = team, .size = {4000, PH_QUOTA_NONE, 2}};
+    PhQuotas *q = PhQuotas_Create();
+    PhQuotas_Set(q, &quota, c->limited);
+    for (uint32_t i = 0; i < c->own; i++) {
+        PhQuotas_Commit(q, team, 1 + i % 2, c->size);
+    }
+    for (uint32_t i = 0; i < c->other; i++) {
+        PhQuotas_Commit(q, other, 7, c->size);
+    }
+    assert_int_equal(PhQuotas_Entitles(q, team, c->size), c->entitled);
+    for (uint32_t i = 0; i < c->own; i++) {
+        PhQuotas_Release(q, 1 + i % 2, c->size, 0);
+    }
+    assert_int_equal(PhQuotas_Used(q, team).cpu_milli, 0);
+    assert_int_equal(PhQuotas_Used(q, other).cpu_milli,
+                     c->other * c->size.cpu_milli);
+    PhQuotas_Reset(q);
+    assert_int_equal(PhQuotas_Used(q, other).cpu_milli, 0);
+    PhQuotas_Destroy(q);
+}
+
+/* Entitlement of teams. */
+static void
+test_entitled(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(entitled_cases, check_entitled);
+}
+
+/* Jobs of two teams on four workers of four processors, tasks of one
+ * processor: team "a" first, team "b" 20 seconds later. */
+typedef struct PhShareCase {
+    const char *name;
+    int64_t quota_a; /* in tasks; 0 is none */
+    int64_t quota_b;
+    uint32_t tasks_a;
+    uint32_t tasks_b;
+    PhJobClass class_a;
+    uint32_t running_a; /* once both have settled */
+    uint32_t running_b;
+} PhShareCase;
+
+static const PhShareCase share_cases[] = {
+    {"no quotas, first come", 0, 0, 30, 30, PH_JOB_STANDING, 16, 0},
+    {"unused share is lent", 8, 8, 30, 0, PH_JOB_STANDING, 16, 0},
+    {"both within their quotas", 8, 8, 8, 8, PH_JOB_STANDING, 8, 8},
+    {"what is not lent yet is kept", 8, 8, 12, 4, PH_JOB_STANDING, 12, 4},
+    {"lent share comes back as tasks end", 8, 8, 30, 30, PH_JOB_BATCH, 8, 8},
+    {"no quota is no limit", 0, 8, 30, 8, PH_JOB_STANDING, 16, 0},
+};
+
+/* Submits one job. */
+static void
+submit(PhTaskWorld *w, const char *team, PhJobClass class, uint32_t count)
+{
+    PhJobSpec spec = {.key = PhStr_FromC(team),
+                      .team = PhStr_FromC(team),
+                      .class = class,
+                      .run_ms = class == PH_JOB_BATCH ? 40000 : 0,
+                      .size = {1000, 100, 0},
+                      .count = count};
+    if (count > 0) {
+        PhTaskWorld_Submit(w, 0, &spec);
+    }
+}
+
+/* Counts the placed tasks of a team. */
+static uint32_t
+placed(const PhTaskWorld *w, const char *team)
+{
+    const PhJobState *state = PhJobEngine_State(PhTaskWorld_Engine(w));
+    uint32_t count = 0;
+    for (PhJob *job = PhJobState_JobFrom(state, 0); job != NULL;
+         job = PhJobState_JobFrom(state, job->number + 1)) {
+        if (PhStr_Equal(job->spec.team, PhStr_FromC(team))) {
+            count += job->placed;
+        }
+    }
+    return count;
+}
+
+/* Runs one pair of teams. */
+static void
+check_share(const PhShareCase *c)
+{
+    PhTeamQuota quotas[] = {
+        {PhStr_LITERAL("a"),
+         {c->quota_a > 0 ? c->quota_a * 1000 : PH_QUOTA_NONE, PH_QUOTA_NONE,
+          PH_QUOTA_NONE}},
+        {PhStr_LITERAL("b"),
+         {c->quota_b > 0 ? c->quota_b * 1000 : PH_QUOTA_NONE, PH_QUOTA_NONE,
+          PH_QUOTA_NONE}},
+    };
+    PhTaskWorldOptions options = {.seed = 5,
+                                  .instances = 2,
+                                  .workers = 4,
+                                  .worker_size = {4000, 64000, 0},
+                                  .times = PhLeaseTimes_Default(),
+                                  .quotas = quotas,
+                                  .quota_count = G_N_ELEMENTS(quotas),
+                                  .link_delay = PH_NS_PER_MS};
+    PhTaskWorld *w = PhTaskWorld_Create(&options);
+    PhTaskWorld_RunUntil(w, 20 * PH_NS_PER_S);
+    submit(w, "a", c->class_a, c->tasks_a);
+    PhTaskWorld_RunUntil(w, 40 * PH_NS_PER_S);
+    submit(w, "b", PH_JOB_STANDING, c->tasks_b);
+    PhTaskWorld_RunUntil(w, 75 * PH_NS_PER_S);
+    assert_int_equal(placed(w, "a"), c->running_a);
+    assert_int_equal(placed(w, "b"), c->running_b);
+    PhTaskWorld_Destroy(w);
+}
+
+/* Shares of teams in a data centre. */
+static void
+test_share(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(share_cases, check_share);
+}
+
+/* Runs the tests of quotas. */
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_entitled),
+        cmocka_unit_test(test_share),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
