--- a/bench/bench_control_members.h
+++ b/bench/bench_control_members.h
@@ -15,25 +15,20 @@
 
 /* Options of a cluster of the given size: 3 regions, 7 data centres (3 for
  * the smallest) and 2% loss. */
-PhMembersClusterOptions
-PhControl_Options(const PhBenchOptions *options, uint32_t members);
+PhMembersClusterOptions PhControl_Options(const PhBenchOptions *options,
+                                          uint32_t members);
 /* Prints a row of one size; the metric ends in the number of members. */
-void
-PhControl_Row(const PhBenchOptions *options, const char *metric,
-              uint32_t members, const char *policy, double value,
-              const char *unit);
+void PhControl_Row(const PhBenchOptions *options, const char *metric,
+                   uint32_t members, const char *policy, double value,
+                   const char *unit);
 /* Prints p50, p99 and the maximum of times, and how many there are. */
-void
-PhControl_Times(const PhBenchOptions *options, const char *metric,
-                uint32_t members, const char *policy, GArray *times);
+void PhControl_Times(const PhBenchOptions *options, const char *metric,
+                     uint32_t members, const char *policy, GArray *times);
 /* Bench of the baseline: every member sends a heartbeat to every other. */
-void
-PhControl_Heartbeats(const PhBenchOptions *options, uint32_t members);
+void PhControl_Heartbeats(const PhBenchOptions *options, uint32_t members);
 /* Bench of the loss and return of a data centre and of a region. */
-void
-PhControl_Storms(const PhBenchOptions *options, uint32_t members);
+void PhControl_Storms(const PhBenchOptions *options, uint32_t members);
 /* Bench of the links: 8 instances over real sockets. */
-PhResult
-PhControl_Links(const PhBenchOptions *options);
+PhResult PhControl_Links(const PhBenchOptions *options);
 
 #endif
--- a/bench/bench_tasks_quota.h
+++ b/bench/bench_tasks_quota.h
@@ -5,7 +5,6 @@
 #include "peridothill/bench/bench.h"
 
 /* Floods of batch and of urgent tasks, with and without quotas. */
-void
-PhBenchTasks_Quotas(const PhBenchOptions *options);
+void PhBenchTasks_Quotas(const PhBenchOptions *options);
 
 #endif
--- a/bench/config_fleet_internal.h
+++ b/bench/config_fleet_internal.h
@@ -66,33 +66,25 @@
     PhFleetCounts counts;
 };
 
-void
-PhFleetAnswer_Destroy(gpointer answer);
+void PhFleetAnswer_Destroy(gpointer answer);
 /* Give an event to the deciders of an instance and act on what they ask. */
-void
-PhFleetInstance_Append(PhConfigFleet *f, PhFleetInstance *x,
-                       const PhAppendEvent *event);
-void
-PhFleetInstance_Follow(PhConfigFleet *f, PhFleetInstance *x,
-                       const PhConfigEvent *event);
-void
-PhFleetInstance_Answer(PhConfigFleet *f, PhFleetInstance *x, uint64_t token);
-void
-PhFleetInstance_Tick(PhConfigFleet *f, PhFleetInstance *x);
+void PhFleetInstance_Append(PhConfigFleet *f, PhFleetInstance *x,
+                            const PhAppendEvent *event);
+void PhFleetInstance_Follow(PhConfigFleet *f, PhFleetInstance *x,
+                            const PhConfigEvent *event);
+void PhFleetInstance_Answer(PhConfigFleet *f, PhFleetInstance *x,
+                            uint64_t token);
+void PhFleetInstance_Tick(PhConfigFleet *f, PhFleetInstance *x);
 
 /* Reads records or snapshots for an instance. */
-void
-PhFleetLog_Read(PhConfigFleet *f, PhFleetInstance *x,
-                const PhConfigAction *action);
-void
-PhFleetLog_ReadSnapshots(PhConfigFleet *f, PhFleetInstance *x,
-                         const PhConfigAction *action);
-void
-PhFleetLog_WriteSnapshot(PhConfigFleet *f, PhFleetInstance *x,
-                         PhConfigSnapshot *snapshot);
+void PhFleetLog_Read(PhConfigFleet *f, PhFleetInstance *x,
+                     const PhConfigAction *action);
+void PhFleetLog_ReadSnapshots(PhConfigFleet *f, PhFleetInstance *x,
+                              const PhConfigAction *action);
+void PhFleetLog_WriteSnapshot(PhConfigFleet *f, PhFleetInstance *x,
+                              PhConfigSnapshot *snapshot);
 /* Appends a batch of patches for an instance. */
-void
-PhFleetLog_Append(PhConfigFleet *f, PhFleetInstance *x,
-                  const PhAppendAction *action);
+void PhFleetLog_Append(PhConfigFleet *f, PhFleetInstance *x,
+                       const PhAppendAction *action);
 
 #endif
--- a/bench/members_wire.h
+++ b/bench/members_wire.h
@@ -13,19 +13,15 @@
     uint64_t links_opened;
 } PhMembersWireCounts;
 
-PhMembersWire *
-PhMembersWire_Create(void);
-void
-PhMembersWire_Destroy(PhMembersWire *wire);
-PhMembersWireCounts
-PhMembersWire_Counts(const PhMembersWire *wire);
+PhMembersWire *PhMembersWire_Create(void);
+void PhMembersWire_Destroy(PhMembersWire *wire);
+PhMembersWireCounts PhMembersWire_Counts(const PhMembersWire *wire);
 /* Notes that two members speak. */
-void
-PhMembersWire_Use(PhMembersWire *wire, uint32_t a, uint32_t b, PhTime now);
+void PhMembersWire_Use(PhMembersWire *wire, uint32_t a, uint32_t b,
+                       PhTime now);
 /* Sends a message; gives it as the receiver decodes it. */
-PhMemberMessage
-PhMembersWire_Carry(PhMembersWire *wire, const PhMemberMessage *message);
-size_t
-PhMembersWire_Links(const PhMembersWire *wire, PhTime now);
+PhMemberMessage PhMembersWire_Carry(PhMembersWire *wire,
+                                    const PhMemberMessage *message);
+size_t PhMembersWire_Links(const PhMembersWire *wire, PhTime now);
 
 #endif
--- a/bench/requests_fleet_internal.h
+++ b/bench/requests_fleet_internal.h
@@ -46,10 +46,9 @@
 
 /* Gives an event to the decisions of an instance and carries out what they
  * say. */
-void
-PhFleet_Decide(PhFleet *fleet, uint32_t number, const PhRequestsEvent *event);
+void PhFleet_Decide(PhFleet *fleet, uint32_t number,
+                    const PhRequestsEvent *event);
 /* Sets the timer of a service's next caller. */
-void
-PhFleet_ArmCaller(PhFleet *fleet, uint32_t service);
+void PhFleet_ArmCaller(PhFleet *fleet, uint32_t service);
 
 #endif
--- a/bench/soak_config.h
+++ b/bench/soak_config.h
@@ -26,26 +26,21 @@
     GHashTable *refused; /* ids of patches that were "not accepted" */
 } PhSoakReference;
 
-PhSoakReference *
-PhSoakReference_Create(uint64_t seed);
-void
-PhSoakReference_Destroy(PhSoakReference *reference);
+PhSoakReference *PhSoakReference_Create(uint64_t seed);
+void PhSoakReference_Destroy(PhSoakReference *reference);
 /* Takes one record that the log holds now; copies the patch. */
-void
-PhSoakReference_Append(PhSoakReference *reference, uint64_t offset, PhTime now,
-                       const PhConfigPatch *patch);
+void PhSoakReference_Append(PhSoakReference *reference, uint64_t offset,
+                            PhTime now, const PhConfigPatch *patch);
 /* Checks the answer that an operator gets. */
-void
-PhSoakReference_CheckAnswer(PhSoakReference *reference, PhStr id,
-                            const PhResult *result, uint64_t version);
+void PhSoakReference_CheckAnswer(PhSoakReference *reference, PhStr id,
+                                 const PhResult *result, uint64_t version);
 /* Checks a version that comes into force after version `before`. */
-void
-PhSoakReference_CheckInForce(PhSoakReference *reference, uint64_t before,
-                             const PhConfigState *state);
+void PhSoakReference_CheckInForce(PhSoakReference *reference, uint64_t before,
+                                  const PhConfigState *state);
 /* Checks at rest that a follower has caught up. */
-void
-PhSoakReference_CheckSettled(PhSoakReference *reference,
-                             const PhConfigFollower *follower, PhTime now);
+void PhSoakReference_CheckSettled(PhSoakReference *reference,
+                                  const PhConfigFollower *follower,
+                                  PhTime now);
 
 /* An instance, or the empty place of one. */
 typedef struct PhConfigNode {
@@ -77,38 +72,29 @@
 } PhSoakConfig;
 
 /* Gives an event to the follower or the appender of an instance. */
-void
-PhSoakConfig_Follow(PhSoakConfig *s, uint32_t endpoint,
-                    const PhConfigEvent *event);
-void
-PhSoakConfig_Append(PhSoakConfig *s, uint32_t endpoint,
-                    const PhAppendEvent *event);
+void PhSoakConfig_Follow(PhSoakConfig *s, uint32_t endpoint,
+                         const PhConfigEvent *event);
+void PhSoakConfig_Append(PhSoakConfig *s, uint32_t endpoint,
+                         const PhAppendEvent *event);
 
 /* Starts an instance with nothing in an empty place, or ends one at once. */
-void
-PhSoakConfig_Start(PhSoakConfig *s, uint32_t endpoint);
-void
-PhSoakConfig_End(PhSoakConfig *s, uint32_t endpoint);
+void PhSoakConfig_Start(PhSoakConfig *s, uint32_t endpoint);
+void PhSoakConfig_End(PhSoakConfig *s, uint32_t endpoint);
 /* Submits a patch at a random instance; SOAK_CONFIG_TEAMS picks any team. */
-void
-PhSoakConfig_Submit(PhSoakConfig *s, uint64_t team);
+void PhSoakConfig_Submit(PhSoakConfig *s, uint64_t team);
 /* Begins or ends a fault. */
-void
-PhSoakConfig_SetFault(PhSoakConfig *s, const PhFaultChange *change);
+void PhSoakConfig_SetFault(PhSoakConfig *s, const PhFaultChange *change);
 
 /* Calls of the log; the answer comes back as a timer with this kind. */
-void
-PhSoakConfigLog_Read(PhSoakConfig *s, uint32_t endpoint,
-                     const PhConfigAction *action);
-void
-PhSoakConfigLog_WriteSnapshot(PhSoakConfig *s, uint32_t endpoint,
-                              const PhConfigSnapshot *snapshot);
-void
-PhSoakConfigLog_Append(PhSoakConfig *s, uint32_t endpoint,
-                       const PhAppendAction *action);
+void PhSoakConfigLog_Read(PhSoakConfig *s, uint32_t endpoint,
+                          const PhConfigAction *action);
+void PhSoakConfigLog_WriteSnapshot(PhSoakConfig *s, uint32_t endpoint,
+                                   const PhConfigSnapshot *snapshot);
+void PhSoakConfigLog_Append(PhSoakConfig *s, uint32_t endpoint,
+                            const PhAppendAction *action);
 /* Delivers the answer with a number. */
-void
-PhSoakConfigLog_Answer(PhSoakConfig *s, uint32_t endpoint, uint64_t number);
+void PhSoakConfigLog_Answer(PhSoakConfig *s, uint32_t endpoint,
+                            uint64_t number);
 
 /* Kinds of timers, in the low bits of a token. */
 enum {
--- a/bench/soak_requests.h
+++ b/bench/soak_requests.h
@@ -85,34 +85,24 @@
 } PhSoakRequests;
 
 /* Starts an instance in an empty place. */
-void
-PhSoakRequests_Start(PhSoakRequests *s, uint32_t node);
+void PhSoakRequests_Start(PhSoakRequests *s, uint32_t node);
 /* Ends an instance at once; what it had open is lost to its callers. */
-void
-PhSoakRequests_End(PhSoakRequests *s, uint32_t node);
+void PhSoakRequests_End(PhSoakRequests *s, uint32_t node);
 /* Gives an event to an instance and carries out its actions. */
-void
-PhSoakRequests_Give(PhSoakRequests *s, uint32_t node,
-                    const PhRequestsEvent *event);
+void PhSoakRequests_Give(PhSoakRequests *s, uint32_t node,
+                         const PhRequestsEvent *event);
 /* Begins or ends a fault. */
-void
-PhSoakRequests_SetFault(PhSoakRequests *s, const PhFaultChange *change);
+void PhSoakRequests_SetFault(PhSoakRequests *s, const PhFaultChange *change);
 /* Sends an attempt to a worker and draws how it ends. */
-void
-PhSoakWorkers_Send(PhSoakRequests *s, uint32_t node, const PhSend *send);
-void
-PhSoakWorkers_Cancel(PhSoakRequests *s, uint32_t node, uint64_t attempt);
+void PhSoakWorkers_Send(PhSoakRequests *s, uint32_t node, const PhSend *send);
+void PhSoakWorkers_Cancel(PhSoakRequests *s, uint32_t node, uint64_t attempt);
 /* Lets a worker carry out the attempt with a number. */
-void
-PhSoakWorkers_Execute(PhSoakRequests *s, uint64_t number);
+void PhSoakWorkers_Execute(PhSoakRequests *s, uint64_t number);
 /* Checks what an instance tells a caller. */
-void
-PhSoakChecks_Answer(PhSoakRequests *s, uint32_t node, uint64_t request);
-void
-PhSoakChecks_Refuse(PhSoakRequests *s, uint32_t node, const PhRefuse *refuse);
-void
-PhSoakChecks_Drained(PhSoakRequests *s, uint32_t node);
-void
-PhSoakChecks_Settled(PhSoakRequests *s);
+void PhSoakChecks_Answer(PhSoakRequests *s, uint32_t node, uint64_t request);
+void PhSoakChecks_Refuse(PhSoakRequests *s, uint32_t node,
+                         const PhRefuse *refuse);
+void PhSoakChecks_Drained(PhSoakRequests *s, uint32_t node);
+void PhSoakChecks_Settled(PhSoakRequests *s);
 
 #endif
--- a/codec/peer_greeting.h
+++ b/codec/peer_greeting.h
@@ -15,10 +15,9 @@
     PhStr nonce;
 } PhPeerGreeting;
 
-PhStr
-PhPeerGreeting_Encode(const PhPeerIdentity *identity, const uint8_t *nonce);
+PhStr PhPeerGreeting_Encode(const PhPeerIdentity *identity,
+                            const uint8_t *nonce);
 /* False when a field is missing or malformed. */
-bool
-PhPeerGreeting_Read(const msgpack_object *map, PhPeerGreeting *g);
+bool PhPeerGreeting_Read(const msgpack_object *map, PhPeerGreeting *g);
 
 #endif
--- a/commands/client.h
+++ b/commands/client.h
@@ -25,18 +25,13 @@
 } PhClientAnswer;
 
 /* Adds the options of a client to a command line. */
-void
-PhClient_AddOptions(PhClient *client, GOptionContext *context);
+void PhClient_AddOptions(PhClient *client, GOptionContext *context);
 /* Reads settings and token; call once the options are parsed. */
-PhResult
-PhClient_Open(PhClient *client);
-void
-PhClient_Clear(PhClient *client);
+PhResult PhClient_Open(PhClient *client);
+void PhClient_Clear(PhClient *client);
 /* Sends a request and waits for the answer. */
-PhClientAnswer
-PhClient_Call(const PhClient *client, const char *method, const char *target,
-              PhStr body);
-void
-PhClientAnswer_Clear(PhClientAnswer *answer);
+PhClientAnswer PhClient_Call(const PhClient *client, const char *method,
+                             const char *target, PhStr body);
+void PhClientAnswer_Clear(PhClientAnswer *answer);
 
 #endif
--- a/commands/table.h
+++ b/commands/table.h
@@ -10,17 +10,13 @@
 typedef struct PhTable PhTable;
 
 /* Creates a table with a title for each column. */
-PhTable *
-PhTable_Create(const char *const *titles, size_t columns);
-void
-PhTable_Destroy(PhTable *table);
+PhTable *PhTable_Create(const char *const *titles, size_t columns);
+void PhTable_Destroy(PhTable *table);
 /* Adds the next cell, row by row. */
-void
-PhTable_AddStr(PhTable *table, PhStr text);
-void
-PhTable_AddFormat(PhTable *table, const char *format, ...) G_GNUC_PRINTF(2, 3);
+void PhTable_AddStr(PhTable *table, PhStr text);
+void PhTable_AddFormat(PhTable *table, const char *format, ...)
+    G_GNUC_PRINTF(2, 3);
 /* Prints the titles and the rows, columns aligned. */
-void
-PhTable_Print(const PhTable *table, FILE *out);
+void PhTable_Print(const PhTable *table, FILE *out);
 
 #endif
--- a/decide/config/config_follower_internal.h
+++ b/decide/config/config_follower_internal.h
@@ -70,91 +70,64 @@
 };
 
 /* Appends an action whose member, if any, is copied. */
-void
-PhFollower_Add(GArray *actions, PhConfigAction action);
-void
-PhFollower_Note(GArray *actions, PhConfigNote note);
+void PhFollower_Add(GArray *actions, PhConfigAction action);
+void PhFollower_Note(GArray *actions, PhConfigNote note);
 /* A random duration from half to one and a half times `mean`. */
-PhTime
-PhFollower_Jitter(const PhConfigFollower *f, PhTime mean);
+PhTime PhFollower_Jitter(const PhConfigFollower *f, PhTime mean);
 /* The highest offset that the log or a reachable peer is known to hold. */
-uint64_t
-PhFollower_HighestNext(const PhConfigFollower *f);
-uint64_t
-PhFollower_Next(const PhConfigFollower *f);
+uint64_t PhFollower_HighestNext(const PhConfigFollower *f);
+uint64_t PhFollower_Next(const PhConfigFollower *f);
 /* Applies what follows the ledger; tells how many records were new. */
-size_t
-PhFollower_Apply(PhConfigFollower *f, PhConfigRecord *const *records,
-                 size_t count, GArray *actions);
+size_t PhFollower_Apply(PhConfigFollower *f, PhConfigRecord *const *records,
+                        size_t count, GArray *actions);
 /* Replaces the ledger by a later snapshot; false when it is not one. */
-bool
-PhFollower_Restore(PhConfigFollower *f, const PhConfigSnapshot *snapshot,
-                   GArray *actions);
+bool PhFollower_Restore(PhConfigFollower *f, const PhConfigSnapshot *snapshot,
+                        GArray *actions);
 /* Ends the recovery and puts the state in force. */
-void
-PhFollower_Settle(PhConfigFollower *f, GArray *actions);
+void PhFollower_Settle(PhConfigFollower *f, GArray *actions);
 
 /* The part that reads the log. */
-PhTime
-PhFollowerLog_NextTick(const PhConfigFollower *f);
-void
-PhFollowerLog_Tick(PhConfigFollower *f, PhTime now, GArray *actions);
-void
-PhFollowerLog_Start(PhConfigFollower *f, PhTime now, GArray *actions);
-void
-PhFollowerLog_Records(PhConfigFollower *f, PhTime now,
-                      const PhConfigEvent *event, GArray *actions);
-void
-PhFollowerLog_Snapshots(PhConfigFollower *f, PhTime now,
-                        const PhConfigEvent *event, GArray *actions);
+PhTime PhFollowerLog_NextTick(const PhConfigFollower *f);
+void PhFollowerLog_Tick(PhConfigFollower *f, PhTime now, GArray *actions);
+void PhFollowerLog_Start(PhConfigFollower *f, PhTime now, GArray *actions);
+void PhFollowerLog_Records(PhConfigFollower *f, PhTime now,
+                           const PhConfigEvent *event, GArray *actions);
+void PhFollowerLog_Snapshots(PhConfigFollower *f, PhTime now,
+                             const PhConfigEvent *event, GArray *actions);
 /* Writes a snapshot that passes over the records that are gone. */
-void
-PhFollowerLog_Bridge(PhConfigFollower *f, GArray *actions);
-void
-PhFollowerLog_Written(PhConfigFollower *f, PhTime now, PhStatus status,
-                      GArray *actions);
+void PhFollowerLog_Bridge(PhConfigFollower *f, GArray *actions);
+void PhFollowerLog_Written(PhConfigFollower *f, PhTime now, PhStatus status,
+                           GArray *actions);
 
 /* The part that talks to peers. */
-PhTime
-PhFollowerPeers_NextTick(const PhConfigFollower *f);
-void
-PhFollowerPeers_Tick(PhConfigFollower *f, PhTime now, GArray *actions);
-void
-PhFollowerPeers_Members(PhConfigFollower *f, PhTime now,
-                        const PhConfigEvent *event, GArray *actions);
-void
-PhFollowerPeers_Hello(PhConfigFollower *f, PhTime now,
-                      const PhConfigEvent *event, GArray *actions);
-void
-PhFollowerPeers_Fetch(PhConfigFollower *f, PhTime now,
-                      const PhConfigEvent *event, GArray *actions);
-void
-PhFollowerPeers_Push(PhConfigFollower *f, PhTime now,
-                     const PhConfigEvent *event, GArray *actions);
-void
-PhFollowerPeers_State(PhConfigFollower *f, PhTime now,
-                      const PhConfigEvent *event, GArray *actions);
+PhTime PhFollowerPeers_NextTick(const PhConfigFollower *f);
+void PhFollowerPeers_Tick(PhConfigFollower *f, PhTime now, GArray *actions);
+void PhFollowerPeers_Members(PhConfigFollower *f, PhTime now,
+                             const PhConfigEvent *event, GArray *actions);
+void PhFollowerPeers_Hello(PhConfigFollower *f, PhTime now,
+                           const PhConfigEvent *event, GArray *actions);
+void PhFollowerPeers_Fetch(PhConfigFollower *f, PhTime now,
+                           const PhConfigEvent *event, GArray *actions);
+void PhFollowerPeers_Push(PhConfigFollower *f, PhTime now,
+                          const PhConfigEvent *event, GArray *actions);
+void PhFollowerPeers_State(PhConfigFollower *f, PhTime now,
+                           const PhConfigEvent *event, GArray *actions);
 /* Sends the records from `from` on down the tree. */
-void
-PhFollowerPeers_Spread(PhConfigFollower *f, uint64_t from, GArray *actions);
+void PhFollowerPeers_Spread(PhConfigFollower *f, uint64_t from,
+                            GArray *actions);
 /* Tells the tops of the tree and some peers elsewhere of new records. */
-void
-PhFollowerPeers_Announce(PhConfigFollower *f, PhTime now, GArray *actions);
+void PhFollowerPeers_Announce(PhConfigFollower *f, PhTime now,
+                              GArray *actions);
 /* Asks the peer that is furthest ahead, unless an answer is awaited. */
-bool
-PhFollowerPeers_CatchUp(PhConfigFollower *f, PhTime now, GArray *actions);
+bool PhFollowerPeers_CatchUp(PhConfigFollower *f, PhTime now, GArray *actions);
 /* Tells whether a peer was heard that holds a state up to `next`. */
-bool
-PhFollowerPeers_HasSource(const PhConfigFollower *f, uint64_t next);
+bool PhFollowerPeers_HasSource(const PhConfigFollower *f, uint64_t next);
 
 /* The rows of the peers. */
-void
-PhPeerRow_Destroy(gpointer row);
+void PhPeerRow_Destroy(gpointer row);
 /* Finds the row of a member, or gives NULL. */
-PhPeerRow *
-PhPeerRow_Find(const PhConfigFollower *f, PhStr member);
+PhPeerRow *PhPeerRow_Find(const PhConfigFollower *f, PhStr member);
 /* Picks one of the peers that are furthest ahead, or gives NULL. */
-PhPeerRow *
-PhPeerRow_PickSource(const PhConfigFollower *f);
+PhPeerRow *PhPeerRow_PickSource(const PhConfigFollower *f);
 
 #endif
--- a/decide/members/state.h
+++ b/decide/members/state.h
@@ -88,79 +88,53 @@
 };
 
 /* members_table.c */
-PhEntry *
-PhEntry_Find(const PhMembership *m, PhStr id);
-PhEntry *
-PhEntry_Add(PhMembership *m, const PhMember *record);
+PhEntry *PhEntry_Find(const PhMembership *m, PhStr id);
+PhEntry *PhEntry_Add(PhMembership *m, const PhMember *record);
 /* Gives an entry another state and incarnation, and spreads the news. */
-void
-PhEntry_Change(PhMembership *m, PhEntry *e, PhMemberState state,
-               uint64_t incarnation);
-void
-PhEntry_Spread(PhMembership *m, PhEntry *e);
-void
-PhEntry_Destroy(gpointer entry);
+void PhEntry_Change(PhMembership *m, PhEntry *e, PhMemberState state,
+                    uint64_t incarnation);
+void PhEntry_Spread(PhMembership *m, PhEntry *e);
+void PhEntry_Destroy(gpointer entry);
 /* Forgets members that are dead or left for long. */
-void
-PhMembers_Purge(PhMembership *m);
+void PhMembers_Purge(PhMembership *m);
 /* Tells whether a live member has this address. */
-bool
-PhMembers_HasAddress(const PhMembership *m, PhStr address);
+bool PhMembers_HasAddress(const PhMembership *m, PhStr address);
 
 /* members_send.c */
-void
-PhMembers_Report(PhMembership *m, PhMembershipReport what, PhStr member);
+void PhMembers_Report(PhMembership *m, PhMembershipReport what, PhStr member);
 /* Sends to a member with news; takes over what the message owns. */
-void
-PhMembers_Send(PhMembership *m, PhEntry *to, PhMemberMessage message);
-void
-PhMembers_SendPing(PhMembership *m, PhEntry *to, uint64_t sequence);
+void PhMembers_Send(PhMembership *m, PhEntry *to, PhMemberMessage message);
+void PhMembers_SendPing(PhMembership *m, PhEntry *to, uint64_t sequence);
 /* Sends to an address the request for all records. */
-void
-PhMembers_AskSync(PhMembership *m, PhStr member, PhStr address);
-void
-PhMembers_SendSync(PhMembership *m, PhEntry *to);
-void
-PhMembers_TellLeave(PhMembership *m);
+void PhMembers_AskSync(PhMembership *m, PhStr member, PhStr address);
+void PhMembers_SendSync(PhMembership *m, PhEntry *to);
+void PhMembers_TellLeave(PhMembership *m);
 /* Sends the latest news to a few members without waiting for a probe. */
-void
-PhMembers_PushNews(PhMembership *m);
+void PhMembers_PushNews(PhMembership *m);
 
 /* members_record.c */
-void
-PhMembers_MergeRecord(PhMembership *m, const PhMember *record);
-void
-PhMembers_Suspect(PhMembership *m, PhEntry *e, uint64_t incarnation);
+void PhMembers_MergeRecord(PhMembership *m, const PhMember *record);
+void PhMembers_Suspect(PhMembership *m, PhEntry *e, uint64_t incarnation);
 /* Pings suspects again and ends suspicions. */
-void
-PhMembers_CheckSuspects(PhMembership *m);
+void PhMembers_CheckSuspects(PhMembership *m);
 
 /* members_due.c */
 /* Notices that this process was paused, and moves its deadlines. */
-void
-PhMembers_CheckPause(PhMembership *m);
+void PhMembers_CheckPause(PhMembership *m);
 /* Does what is due now. */
-void
-PhMembers_DoDue(PhMembership *m);
+void PhMembers_DoDue(PhMembership *m);
 /* The next time at which something is due. */
-PhTime
-PhMembers_NextDue(const PhMembership *m);
+PhTime PhMembers_NextDue(const PhMembership *m);
 
 /* members_hearing.c */
-void
-PhMembers_CheckHearing(PhMembership *m);
+void PhMembers_CheckHearing(PhMembership *m);
 
 /* members_probe.c */
-void
-PhMembers_ProbeNext(PhMembership *m);
-void
-PhMembers_CheckProbes(PhMembership *m);
-void
-PhMembers_TakeAck(PhMembership *m, uint64_t sequence);
-void
-PhMembers_Relay(PhMembership *m, PhEntry *requester,
-                const PhMemberProbe *probe);
-void
-PhProbe_Clear(gpointer probe);
+void PhMembers_ProbeNext(PhMembership *m);
+void PhMembers_CheckProbes(PhMembership *m);
+void PhMembers_TakeAck(PhMembership *m, uint64_t sequence);
+void PhMembers_Relay(PhMembership *m, PhEntry *requester,
+                     const PhMemberProbe *probe);
+void PhProbe_Clear(gpointer probe);
 
 #endif
--- a/decide/requests/requests_internal.h
+++ b/decide/requests/requests_internal.h
@@ -101,62 +101,40 @@
 };
 
 /* requests.c: the life of records. */
-void
-PhRequests_Note(PhRequests *r, PhRequestsNote note, uint32_t worker);
-void
-PhRequests_SetWake(PhRequests *r, PhRequestRecord *record, PhTime at);
-void
-PhRequests_CancelLive(PhRequests *r, PhRequestRecord *record, bool overdue);
-void
-PhRequests_Emit(PhRequests *r, PhRequestsAction action);
-PhOutcome
-PhRequests_ProveOutcome(const PhRequestRecord *record);
-void
-PhRequests_Refuse(PhRequests *r, PhRequestRecord *record, PhRefusal reason);
-void
-PhRequests_Finish(PhRequests *r, PhRequestRecord *record);
+void PhRequests_Note(PhRequests *r, PhRequestsNote note, uint32_t worker);
+void PhRequests_SetWake(PhRequests *r, PhRequestRecord *record, PhTime at);
+void PhRequests_CancelLive(PhRequests *r, PhRequestRecord *record,
+                           bool overdue);
+void PhRequests_Emit(PhRequests *r, PhRequestsAction action);
+PhOutcome PhRequests_ProveOutcome(const PhRequestRecord *record);
+void PhRequests_Refuse(PhRequests *r, PhRequestRecord *record,
+                       PhRefusal reason);
+void PhRequests_Finish(PhRequests *r, PhRequestRecord *record);
 /* claims.c: idempotency keys. */
-void
-PhClaims_Start(PhRequests *r, PhRequestRecord *record, PhStr key);
-void
-PhClaims_Release(PhRequests *r, const PhRequestRecord *record);
-void
-PhClaims_Replied(PhRequests *r, const PhClaimReply *reply);
-void
-PhClaims_Asked(PhRequests *r, const PhClaimAsked *asked);
-void
-PhClaims_Released(PhRequests *r, const PhClaimAsked *released);
+void PhClaims_Start(PhRequests *r, PhRequestRecord *record, PhStr key);
+void PhClaims_Release(PhRequests *r, const PhRequestRecord *record);
+void PhClaims_Replied(PhRequests *r, const PhClaimReply *reply);
+void PhClaims_Asked(PhRequests *r, const PhClaimAsked *asked);
+void PhClaims_Released(PhRequests *r, const PhClaimAsked *released);
 
 /* events.c */
-void
-PhRequests_Admit(PhRequests *r, PhRequestRecord *record);
+void PhRequests_Admit(PhRequests *r, PhRequestRecord *record);
 
 /* admission.c: who waits, and who is next. */
-bool
-PhAdmission_Enqueue(PhRequests *r, PhRequestRecord *record, bool first);
-void
-PhAdmission_Dequeue(PhRequests *r, PhRequestRecord *record);
-PhTime
-PhAdmission_ExpectedWait(const PhService *service);
-PhRequestRecord *
-PhAdmission_Next(PhRequests *r);
-void
-PhAdmission_Charge(PhRequests *r, PhService *service);
-void
-PhAdmission_SetPolicies(PhRequests *r, const PhPolicyTable *table);
-PhService *
-PhAdmission_Match(const PhRequests *r, PhStr path);
-void
-PhAdmission_Destroy(PhRequests *r);
+bool PhAdmission_Enqueue(PhRequests *r, PhRequestRecord *record, bool first);
+void PhAdmission_Dequeue(PhRequests *r, PhRequestRecord *record);
+PhTime PhAdmission_ExpectedWait(const PhService *service);
+PhRequestRecord *PhAdmission_Next(PhRequests *r);
+void PhAdmission_Charge(PhRequests *r, PhService *service);
+void PhAdmission_SetPolicies(PhRequests *r, const PhPolicyTable *table);
+PhService *PhAdmission_Match(const PhRequests *r, PhStr path);
+void PhAdmission_Destroy(PhRequests *r);
 
 /* dispatch.c: sends what may be sent. */
-void
-PhDispatch_Run(PhRequests *r);
-void
-PhDispatch_Hedge(PhRequests *r, PhRequestRecord *record);
+void PhDispatch_Run(PhRequests *r);
+void PhDispatch_Hedge(PhRequests *r, PhRequestRecord *record);
 
 /* reply.c: ends of attempts. */
-void
-PhReply_Handle(PhRequests *r, const PhUpstreamReply *reply);
+void PhReply_Handle(PhRequests *r, const PhUpstreamReply *reply);
 
 #endif
--- a/decide/requests/router_internal.h
+++ b/decide/requests/router_internal.h
@@ -105,22 +105,18 @@
 
 /* router_lists.c: pools' lists of open workers and their sums. */
 /* Brings them in line with the worker's state. */
-void
-PhRouter_Refresh(PhRouter *router, uint32_t number);
+void PhRouter_Refresh(PhRouter *router, uint32_t number);
 /* Takes a worker out of all of them before it changes, and puts it back. */
-void
-PhRouter_Detach(PhRouter *router, uint32_t number);
-void
-PhRouter_Attach(PhRouter *router, uint32_t number);
+void PhRouter_Detach(PhRouter *router, uint32_t number);
+void PhRouter_Attach(PhRouter *router, uint32_t number);
 /* Adds the worker to the counts of its pools (sign 1) or takes it off. */
-void
-PhRouter_CountPools(PhRouter *router, const PhRoutedWorker *worker, int sign);
+void PhRouter_CountPools(PhRouter *router, const PhRoutedWorker *worker,
+                         int sign);
 /* Adds the worker's slots, times its factor, to its pools, or takes them off
  * as they were added. */
-void
-PhRouter_CountSlots(PhRouter *router, PhRoutedWorker *worker, bool counted);
+void PhRouter_CountSlots(PhRouter *router, PhRoutedWorker *worker,
+                         bool counted);
 /* router.c: frees the slot of a worker that has left the list and is idle. */
-void
-PhRouter_Reclaim(PhRouter *router, uint32_t number);
+void PhRouter_Reclaim(PhRouter *router, uint32_t number);
 
 #endif
--- a/decide/tasks/job_engine_private.h
+++ b/decide/tasks/job_engine_private.h
@@ -116,110 +116,73 @@
 };
 
 /* Hash and equality of PhRun keys. */
-guint
-PhRun_KeyHash(gconstpointer key);
-gboolean
-PhRun_KeyEqual(gconstpointer a, gconstpointer b);
-void
-PhJobEngine_Count(PhJobEngine *e, PhCounter counter, uint64_t amount);
-void
-PhJobEngine_Act(PhJobEngine *e, PhJobAction action);
-void
-PhJobEngine_Note(PhJobEngine *e, PhJobNote note, PhStr subject,
-                 uint64_t number);
+guint PhRun_KeyHash(gconstpointer key);
+gboolean PhRun_KeyEqual(gconstpointer a, gconstpointer b);
+void PhJobEngine_Count(PhJobEngine *e, PhCounter counter, uint64_t amount);
+void PhJobEngine_Act(PhJobEngine *e, PhJobAction action);
+void PhJobEngine_Note(PhJobEngine *e, PhJobNote note, PhStr subject,
+                      uint64_t number);
 /* Queues a record; takes over what it owns. */
-void
-PhJobEngine_Queue(PhJobEngine *e, PhJobRecord record);
+void PhJobEngine_Queue(PhJobEngine *e, PhJobRecord record);
 /* Queues the end of a run unless it is on its way. */
-void
-PhJobEngine_QueueEnd(PhJobEngine *e, PhRunEnd end);
+void PhJobEngine_QueueEnd(PhJobEngine *e, PhRunEnd end);
 
 /* engine_log.c: appending, reading, submits. */
-void
-PhJobEngine_LogTick(PhJobEngine *e);
-void
-PhJobEngine_OnRead(PhJobEngine *e, const PhJobEvent *event);
-void
-PhJobEngine_OnAppended(PhJobEngine *e, PhStatus status);
-void
-PhJobEngine_OnSubmit(PhJobEngine *e, uint64_t token, const PhJobSpec *spec);
-void
-PhJobEngine_OnCancel(PhJobEngine *e, uint64_t token, uint64_t job);
-void
-PhJobEngine_Flush(PhJobEngine *e);
+void PhJobEngine_LogTick(PhJobEngine *e);
+void PhJobEngine_OnRead(PhJobEngine *e, const PhJobEvent *event);
+void PhJobEngine_OnAppended(PhJobEngine *e, PhStatus status);
+void PhJobEngine_OnSubmit(PhJobEngine *e, uint64_t token,
+                          const PhJobSpec *spec);
+void PhJobEngine_OnCancel(PhJobEngine *e, uint64_t token, uint64_t job);
+void PhJobEngine_Flush(PhJobEngine *e);
 
 /* engine_owner.c: claims, rights, snapshots. */
-void
-PhJobEngine_OwnerTick(PhJobEngine *e);
+void PhJobEngine_OwnerTick(PhJobEngine *e);
 /* A record of this instance took effect; it was first sent at `sent`. */
-void
-PhJobEngine_OwnerChange(PhJobEngine *e, const PhJobChange *change, bool own,
-                        PhTime sent);
-void
-PhJobEngine_OwnerForget(PhJobEngine *e);
-bool
-PhJobEngine_MayRenew(const PhJobEngine *e);
+void PhJobEngine_OwnerChange(PhJobEngine *e, const PhJobChange *change,
+                             bool own, PhTime sent);
+void PhJobEngine_OwnerForget(PhJobEngine *e);
+bool PhJobEngine_MayRenew(const PhJobEngine *e);
 
 /* engine_workers.c: questions, renewals, lapses. */
-PhContact *
-PhJobEngine_Contact(const PhJobEngine *e, uint32_t worker);
+PhContact *PhJobEngine_Contact(const PhJobEngine *e, uint32_t worker);
 /* Gives each worker of the state a contact. */
-void
-PhJobEngine_Contacts(PhJobEngine *e);
-void
-PhJobEngine_ContactDestroy(gpointer contact);
+void PhJobEngine_Contacts(PhJobEngine *e);
+void PhJobEngine_ContactDestroy(gpointer contact);
 /* Numbers the contacts anew for another state. */
-void
-PhJobEngine_Renumber(PhJobEngine *e);
-void
-PhJobEngine_WorkersTick(PhJobEngine *e);
-void
-PhJobEngine_OnWorkers(PhJobEngine *e, const PhListedWorker *workers,
-                      size_t count);
-void
-PhJobEngine_OnMembers(PhJobEngine *e, const PhStr *ids, size_t count);
-void
-PhJobEngine_OnAnswer(PhJobEngine *e, const PhWorkerAnswer *answer);
-void
-PhJobEngine_WorkerChange(PhJobEngine *e, const PhJobChange *change);
+void PhJobEngine_Renumber(PhJobEngine *e);
+void PhJobEngine_WorkersTick(PhJobEngine *e);
+void PhJobEngine_OnWorkers(PhJobEngine *e, const PhListedWorker *workers,
+                           size_t count);
+void PhJobEngine_OnMembers(PhJobEngine *e, const PhStr *ids, size_t count);
+void PhJobEngine_OnAnswer(PhJobEngine *e, const PhWorkerAnswer *answer);
+void PhJobEngine_WorkerChange(PhJobEngine *e, const PhJobChange *change);
 /* Chooses anew which workers this instance renews. */
-void
-PhJobEngine_Share(PhJobEngine *e);
-void
-PhJobEngine_Ask(PhJobEngine *e, uint32_t worker);
-void
-PhJobEngine_QuestionsTick(PhJobEngine *e);
+void PhJobEngine_Share(PhJobEngine *e);
+void PhJobEngine_Ask(PhJobEngine *e, uint32_t worker);
+void PhJobEngine_QuestionsTick(PhJobEngine *e);
 /* Reports a worker to the owner, by the log. */
-void
-PhJobEngine_Report(PhJobEngine *e, uint32_t worker);
+void PhJobEngine_Report(PhJobEngine *e, uint32_t worker);
 /* Fills in what all commands to a worker carry. */
-PhWorkerCommand
-PhJobEngine_Command(PhJobEngine *e, const PhContact *c,
-                    PhWorkerCommandKind kind, PhTime valid_until);
+PhWorkerCommand PhJobEngine_Command(PhJobEngine *e, const PhContact *c,
+                                    PhWorkerCommandKind kind,
+                                    PhTime valid_until);
 /* The worker's clock at a time of this instance, or earlier. */
-int64_t
-PhContact_ClockAt(const PhContact *c, PhTime at);
-bool
-PhContact_ClockFresh(const PhContact *c, PhTime now);
+int64_t PhContact_ClockAt(const PhContact *c, PhTime at);
+bool PhContact_ClockFresh(const PhContact *c, PhTime now);
 
 /* engine_schedule.c: what the owner starts and stops. */
-void
-PhJobEngine_ScheduleTick(PhJobEngine *e);
-void
-PhJobEngine_ScheduleChange(PhJobEngine *e, const PhJobChange *change,
-                           bool own);
+void PhJobEngine_ScheduleTick(PhJobEngine *e);
+void PhJobEngine_ScheduleChange(PhJobEngine *e, const PhJobChange *change,
+                                bool own);
 /* Builds queue and commitments anew after a claim. */
-void
-PhJobEngine_ScheduleReset(PhJobEngine *e);
+void PhJobEngine_ScheduleReset(PhJobEngine *e);
 /* Tells the placement whether a worker may be chosen. */
-void
-PhJobEngine_SetUsable(PhJobEngine *e, uint32_t worker);
+void PhJobEngine_SetUsable(PhJobEngine *e, uint32_t worker);
 /* Counts the end of a run for or against its worker and its task; tells how
  * long the task is kept back. */
-PhTime
-PhJobEngine_Blame(PhJobEngine *e, const PhJobChange *change);
+PhTime PhJobEngine_Blame(PhJobEngine *e, const PhJobChange *change);
 /* A start of this owner had no effect. */
-void
-PhJobEngine_StartVoid(PhJobEngine *e, PhRun run);
+void PhJobEngine_StartVoid(PhJobEngine *e, PhRun run);
 
 #endif
--- a/decide/tasks/job_queue.h
+++ b/decide/tasks/job_queue.h
@@ -19,34 +19,25 @@
 
 typedef struct PhJobQueue PhJobQueue;
 
-PhJobQueue *
-PhJobQueue_Create(void);
-void
-PhJobQueue_Destroy(PhJobQueue *queue);
-void
-PhJobQueue_Clear(PhJobQueue *queue);
+PhJobQueue *PhJobQueue_Create(void);
+void PhJobQueue_Destroy(PhJobQueue *queue);
+void PhJobQueue_Clear(PhJobQueue *queue);
 /* Adds a waiting task; not before `at`. */
-void
-PhJobQueue_Add(PhJobQueue *queue, const PhJob *job, uint32_t index, PhTime at);
+void PhJobQueue_Add(PhJobQueue *queue, const PhJob *job, uint32_t index,
+                    PhTime at);
 /* Adds all waiting tasks of a job. */
-void
-PhJobQueue_AddJob(PhJobQueue *queue, const PhJob *job);
+void PhJobQueue_AddJob(PhJobQueue *queue, const PhJob *job);
 /* Moves delayed tasks that are due into the queue; tells whether any was. */
-bool
-PhJobQueue_Wake(PhJobQueue *queue, const PhJobState *state, PhTime now);
+bool PhJobQueue_Wake(PhJobQueue *queue, const PhJobState *state, PhTime now);
 /* Drops a job. */
-void
-PhJobQueue_Remove(PhJobQueue *queue, uint64_t job);
-PhQueuedJob *
-PhJobQueue_Find(const PhJobQueue *queue, uint64_t job);
+void PhJobQueue_Remove(PhJobQueue *queue, uint64_t job);
+PhQueuedJob *PhJobQueue_Find(const PhJobQueue *queue, uint64_t job);
 /* Walks the jobs in order; NULL starts, NULL ends. */
-PhQueuedJob *
-PhJobQueue_Next(const PhJobQueue *queue, const PhQueuedJob *after);
+PhQueuedJob *PhJobQueue_Next(const PhJobQueue *queue,
+                             const PhQueuedJob *after);
 /* Takes one task of a job; the job is dropped with its last one. */
-uint32_t
-PhJobQueue_Take(PhJobQueue *queue, PhQueuedJob *job);
+uint32_t PhJobQueue_Take(PhJobQueue *queue, PhQueuedJob *job);
 /* Counts the jobs that wait. */
-size_t
-PhJobQueue_Length(const PhJobQueue *queue);
+size_t PhJobQueue_Length(const PhJobQueue *queue);
 
 #endif
--- a/decide/tasks/job_state_private.h
+++ b/decide/tasks/job_state_private.h
@@ -19,24 +19,18 @@
 };
 
 /* Adds a job with all its tasks waiting; takes over the spec. */
-PhJob *
-PhJobState_AddJob(PhJobState *state, uint64_t number, PhJobSpec spec);
+PhJob *PhJobState_AddJob(PhJobState *state, uint64_t number, PhJobSpec spec);
 /* Drops the tasks of a job that has none waiting or placed, and the job that
  * finished first when there are too many. */
-void
-PhJobState_Finish(PhJobState *state, PhJob *job);
+void PhJobState_Finish(PhJobState *state, PhJob *job);
 /* Puts a run on a worker, or takes it off. */
-void
-PhJobState_Commit(PhJobState *state, uint32_t worker, PhRun run,
-                  PhJobSize size);
-void
-PhJobState_Release(PhJobState *state, uint32_t worker, PhRun run,
-                   PhJobSize size);
+void PhJobState_Commit(PhJobState *state, uint32_t worker, PhRun run,
+                       PhJobSize size);
+void PhJobState_Release(PhJobState *state, uint32_t worker, PhRun run,
+                        PhJobSize size);
 /* The renewer of an instance, added if it is new. */
-PhJobRenewer *
-PhJobState_AddRenewer(PhJobState *state, PhStr instance);
+PhJobRenewer *PhJobState_AddRenewer(PhJobState *state, PhStr instance);
 /* Forgets the instance that left first when too many have left. */
-void
-PhJobState_PruneRenewers(PhJobState *state);
+void PhJobState_PruneRenewers(PhJobState *state);
 
 #endif
--- a/include/peridothill/bench/bench.h
+++ b/include/peridothill/bench/bench.h
@@ -16,33 +16,22 @@
 } PhBenchOptions;
 
 /* Prints `metric=... policy=... value=... unit=...`. */
-void
-PhBench_Row(const PhBenchOptions *options, const char *metric,
-            const char *policy, double value, const char *unit);
+void PhBench_Row(const PhBenchOptions *options, const char *metric,
+                 const char *policy, double value, const char *unit);
 /* Processor time of this process, in nanoseconds. */
-int64_t
-PhBench_CpuTime(void);
+int64_t PhBench_CpuTime(void);
 
 /* The benches, in the order of their names in bench/list.c. */
-PhResult
-PhBench_Capacity(const PhBenchOptions *options);
-PhResult
-PhBench_Control(const PhBenchOptions *options);
-PhResult
-PhBench_Http(const PhBenchOptions *options);
-PhResult
-PhBench_Kernel(const PhBenchOptions *options);
-PhResult
-PhBench_Requests(const PhBenchOptions *options);
-PhResult
-PhBench_Soak(const PhBenchOptions *options);
+PhResult PhBench_Capacity(const PhBenchOptions *options);
+PhResult PhBench_Control(const PhBenchOptions *options);
+PhResult PhBench_Http(const PhBenchOptions *options);
+PhResult PhBench_Kernel(const PhBenchOptions *options);
+PhResult PhBench_Requests(const PhBenchOptions *options);
+PhResult PhBench_Soak(const PhBenchOptions *options);
 
 /* Parts of the bench "control". */
-PhResult
-PhBench_ControlConfig(const PhBenchOptions *options);
-PhResult
-PhBench_ControlMembers(const PhBenchOptions *options);
-PhResult
-PhBench_Tasks(const PhBenchOptions *options);
+PhResult PhBench_ControlConfig(const PhBenchOptions *options);
+PhResult PhBench_ControlMembers(const PhBenchOptions *options);
+PhResult PhBench_Tasks(const PhBenchOptions *options);
 
 #endif
--- a/include/peridothill/bench/config_fleet.h
+++ b/include/peridothill/bench/config_fleet.h
@@ -44,55 +44,37 @@
                                 const PhResult *result, uint64_t version);
 
 /* No instance runs yet. */
-PhConfigFleet *
-PhConfigFleet_Create(const PhConfigFleetOptions *options);
-void
-PhConfigFleet_Destroy(PhConfigFleet *fleet);
-void
-PhConfigFleet_OnAnswer(PhConfigFleet *fleet, PhFleetAnswered answered,
-                       void *context);
+PhConfigFleet *PhConfigFleet_Create(const PhConfigFleetOptions *options);
+void PhConfigFleet_Destroy(PhConfigFleet *fleet);
+void PhConfigFleet_OnAnswer(PhConfigFleet *fleet, PhFleetAnswered answered,
+                            void *context);
 /* Starts an instance that holds nothing; the others see it at once. */
-void
-PhConfigFleet_Start(PhConfigFleet *fleet, uint32_t instance);
-void
-PhConfigFleet_Crash(PhConfigFleet *fleet, uint32_t instance);
-void
-PhConfigFleet_StartAll(PhConfigFleet *fleet);
-void
-PhConfigFleet_CrashAll(PhConfigFleet *fleet);
+void PhConfigFleet_Start(PhConfigFleet *fleet, uint32_t instance);
+void PhConfigFleet_Crash(PhConfigFleet *fleet, uint32_t instance);
+void PhConfigFleet_StartAll(PhConfigFleet *fleet);
+void PhConfigFleet_CrashAll(PhConfigFleet *fleet);
 /* Cuts a data centre off from the log, or ends that. */
-void
-PhConfigFleet_CutLog(PhConfigFleet *fleet, uint32_t data_centre, bool cut);
-void
-PhConfigFleet_Bridge(PhConfigFleet *fleet, uint32_t instance);
-bool
-PhConfigFleet_IsUp(const PhConfigFleet *fleet, uint32_t instance);
+void PhConfigFleet_CutLog(PhConfigFleet *fleet, uint32_t data_centre,
+                          bool cut);
+void PhConfigFleet_Bridge(PhConfigFleet *fleet, uint32_t instance);
+bool PhConfigFleet_IsUp(const PhConfigFleet *fleet, uint32_t instance);
 /* Submits a patch that sets the share of a team. */
-void
-PhConfigFleet_Submit(PhConfigFleet *fleet, uint32_t instance, uint64_t request,
-                     uint64_t patch, uint64_t base, uint32_t team,
-                     PhTime deadline);
-void
-PhConfigFleet_Run(PhConfigFleet *fleet, PhTime until);
-PhTime
-PhConfigFleet_Now(const PhConfigFleet *fleet);
-PhFakeNet *
-PhConfigFleet_Net(PhConfigFleet *fleet);
-PhFakeLog *
-PhConfigFleet_Log(PhConfigFleet *fleet);
-const PhConfigFollower *
-PhConfigFleet_Follower(const PhConfigFleet *fleet, uint32_t instance);
+void PhConfigFleet_Submit(PhConfigFleet *fleet, uint32_t instance,
+                          uint64_t request, uint64_t patch, uint64_t base,
+                          uint32_t team, PhTime deadline);
+void PhConfigFleet_Run(PhConfigFleet *fleet, PhTime until);
+PhTime PhConfigFleet_Now(const PhConfigFleet *fleet);
+PhFakeNet *PhConfigFleet_Net(PhConfigFleet *fleet);
+PhFakeLog *PhConfigFleet_Log(PhConfigFleet *fleet);
+const PhConfigFollower *PhConfigFleet_Follower(const PhConfigFleet *fleet,
+                                               uint32_t instance);
 /* The version in force; 0 as long as the instance recovers. */
-uint64_t
-PhConfigFleet_Version(const PhConfigFleet *fleet, uint32_t instance);
+uint64_t PhConfigFleet_Version(const PhConfigFleet *fleet, uint32_t instance);
 /* When the instance first had a version in force since its start. */
-PhTime
-PhConfigFleet_UsefulAt(const PhConfigFleet *fleet, uint32_t instance);
-uint64_t
-PhConfigFleet_HighestVersion(const PhConfigFleet *fleet);
-const PhFleetVersion *
-PhConfigFleet_VersionAt(const PhConfigFleet *fleet, uint64_t version);
-PhFleetCounts *
-PhConfigFleet_Counts(PhConfigFleet *fleet);
+PhTime PhConfigFleet_UsefulAt(const PhConfigFleet *fleet, uint32_t instance);
+uint64_t PhConfigFleet_HighestVersion(const PhConfigFleet *fleet);
+const PhFleetVersion *PhConfigFleet_VersionAt(const PhConfigFleet *fleet,
+                                              uint64_t version);
+PhFleetCounts *PhConfigFleet_Counts(PhConfigFleet *fleet);
 
 #endif
--- a/include/peridothill/bench/members_cluster.h
+++ b/include/peridothill/bench/members_cluster.h
@@ -35,47 +35,36 @@
 
 PhMembersCluster *
 PhMembersCluster_Create(const PhMembersClusterOptions *options);
-void
-PhMembersCluster_Destroy(PhMembersCluster *cluster);
-PhFakeNet *
-PhMembersCluster_Net(PhMembersCluster *cluster);
+void PhMembersCluster_Destroy(PhMembersCluster *cluster);
+PhFakeNet *PhMembersCluster_Net(PhMembersCluster *cluster);
 PhMembersClusterCounts
 PhMembersCluster_Counts(const PhMembersCluster *cluster);
 /* Starts a member, or starts it again without what it knew. */
-void
-PhMembersCluster_Start(PhMembersCluster *cluster, uint32_t member);
+void PhMembersCluster_Start(PhMembersCluster *cluster, uint32_t member);
 /* Starts all members with full knowledge of each other. */
-void
-PhMembersCluster_StartAll(PhMembersCluster *cluster);
+void PhMembersCluster_StartAll(PhMembersCluster *cluster);
 /* Ends a member without a word. */
-void
-PhMembersCluster_Crash(PhMembersCluster *cluster, uint32_t member);
+void PhMembersCluster_Crash(PhMembersCluster *cluster, uint32_t member);
 /* Gives an event to a live member. */
-void
-PhMembersCluster_Apply(PhMembersCluster *cluster, uint32_t member,
-                       const PhMembershipEvent *event);
+void PhMembersCluster_Apply(PhMembersCluster *cluster, uint32_t member,
+                            const PhMembershipEvent *event);
 /* Sends a message through the encoding and the frames, and counts its bytes;
  * gives the message as the receiver decodes it. */
-PhMemberMessage
-PhMembersCluster_Carry(PhMembersCluster *cluster,
-                       const PhMemberMessage *message);
+PhMemberMessage PhMembersCluster_Carry(PhMembersCluster *cluster,
+                                       const PhMemberMessage *message);
 /* Runs until a time. */
-void
-PhMembersCluster_Run(PhMembersCluster *cluster, PhTime until);
+void PhMembersCluster_Run(PhMembersCluster *cluster, PhTime until);
 /* NULL when the member does not run. */
-PhMembership *
-PhMembersCluster_Get(const PhMembersCluster *cluster, uint32_t member);
+PhMembership *PhMembersCluster_Get(const PhMembersCluster *cluster,
+                                   uint32_t member);
 /* The number of the member with this id. */
-uint32_t
-PhMembersCluster_Index(const PhMembersCluster *cluster, PhStr id);
-PhStr
-PhMembersCluster_Id(const PhMembersCluster *cluster, uint32_t member);
+uint32_t PhMembersCluster_Index(const PhMembersCluster *cluster, PhStr id);
+PhStr PhMembersCluster_Id(const PhMembersCluster *cluster, uint32_t member);
 /* Counts pairs of members (a, b) where a runs and sees b in this state. */
-size_t
-PhMembersCluster_Seen(const PhMembersCluster *cluster, PhMemberState state);
+size_t PhMembersCluster_Seen(const PhMembersCluster *cluster,
+                             PhMemberState state);
 /* Counts the links a member has spoken over within the idle limit; the
  * average over all. */
-double
-PhMembersCluster_Links(const PhMembersCluster *cluster);
+double PhMembersCluster_Links(const PhMembersCluster *cluster);
 
 #endif
--- a/include/peridothill/bench/requests_fleet.h
+++ b/include/peridothill/bench/requests_fleet.h
@@ -64,32 +64,22 @@
 
 typedef struct PhFleet PhFleet;
 
-PhFleet *
-PhFleet_Create(const PhFleetOptions *options);
-void
-PhFleet_Destroy(PhFleet *fleet);
+PhFleet *PhFleet_Create(const PhFleetOptions *options);
+void PhFleet_Destroy(PhFleet *fleet);
 /* Runs until a time; arrivals go on at the rates in force. */
-void
-PhFleet_Run(PhFleet *fleet, PhTime until);
+void PhFleet_Run(PhFleet *fleet, PhTime until);
 /* Callers of a service from now on. */
-void
-PhFleet_SetRate(PhFleet *fleet, uint32_t service, double rate);
-void
-PhFleet_SetFault(PhFleet *fleet, uint32_t worker, PhFleetFault fault);
+void PhFleet_SetRate(PhFleet *fleet, uint32_t service, double rate);
+void PhFleet_SetFault(PhFleet *fleet, uint32_t worker, PhFleetFault fault);
 /* Slows a worker's service by a factor. */
-void
-PhFleet_SetInterference(PhFleet *fleet, uint32_t worker, double factor);
+void PhFleet_SetInterference(PhFleet *fleet, uint32_t worker, double factor);
 /* Makes a part of the open idle connections silent for good. */
-void
-PhFleet_SilenceConnections(PhFleet *fleet, double part);
+void PhFleet_SilenceConnections(PhFleet *fleet, double part);
 /* Gives a reading of the list in which a worker is leaving or back. */
-void
-PhFleet_SetLeaving(PhFleet *fleet, uint32_t worker, bool leaving);
+void PhFleet_SetLeaving(PhFleet *fleet, uint32_t worker, bool leaving);
 /* All requests, PhFleetRequest in the order of arrival. */
-const GArray *
-PhFleet_Requests(const PhFleet *fleet);
+const GArray *PhFleet_Requests(const PhFleet *fleet);
 /* Most connections that were open to one worker at a time. */
-uint32_t
-PhFleet_MostConnections(const PhFleet *fleet);
+uint32_t PhFleet_MostConnections(const PhFleet *fleet);
 
 #endif
--- a/include/peridothill/bench/requests_measures.h
+++ b/include/peridothill/bench/requests_measures.h
@@ -14,25 +14,21 @@
 
 /* One worker is five times slower at 70% load; deployment 0 has 50 workers and
  * deployment 1 has 65. */
-void
-PhMeasure_SlowWorker(const PhBenchOptions *bench, const PhVariant *variant,
-                     size_t deployment);
+void PhMeasure_SlowWorker(const PhBenchOptions *bench,
+                          const PhVariant *variant, size_t deployment);
 /* One class floods in with five times the capacity. */
-void
-PhMeasure_Flood(const PhBenchOptions *bench, const PhVariant *variant,
-                int flood);
+void PhMeasure_Flood(const PhBenchOptions *bench, const PhVariant *variant,
+                     int flood);
 /* All workers fail for three seconds. */
-void
-PhMeasure_AllFail(const PhBenchOptions *bench, const PhVariant *variant);
+void PhMeasure_AllFail(const PhBenchOptions *bench, const PhVariant *variant);
 /* Three workers fail at once, or hang, for good. */
-void
-PhMeasure_BadWorkers(const PhBenchOptions *bench, const PhVariant *variant,
-                     PhFleetFault fault, const char *suffix);
+void PhMeasure_BadWorkers(const PhBenchOptions *bench,
+                          const PhVariant *variant, PhFleetFault fault,
+                          const char *suffix);
 /* A tenth of the open connections goes silent, three times. */
-void
-PhMeasure_Silent(const PhBenchOptions *bench, const PhVariant *variant);
+void PhMeasure_Silent(const PhBenchOptions *bench, const PhVariant *variant);
 /* Batch work arrives on the workers of a rack and slows their requests. */
-void
-PhMeasure_Neighbour(const PhBenchOptions *bench, const PhVariant *variant);
+void PhMeasure_Neighbour(const PhBenchOptions *bench,
+                         const PhVariant *variant);
 
 #endif
--- a/include/peridothill/bench/soak.h
+++ b/include/peridothill/bench/soak.h
@@ -17,8 +17,7 @@
     PH_FAULT_COUNT,
 } PhFault;
 
-const char *
-PhFault_Label(PhFault fault);
+const char *PhFault_Label(PhFault fault);
 
 /* How faults follow each other. */
 typedef struct PhFaultPlanOptions {
@@ -44,22 +43,16 @@
 
 typedef struct PhFaultPlan PhFaultPlan;
 
-PhFaultPlan *
-PhFaultPlan_Create(const PhFaultPlanOptions *options);
-void
-PhFaultPlan_Destroy(PhFaultPlan *plan);
+PhFaultPlan *PhFaultPlan_Create(const PhFaultPlanOptions *options);
+void PhFaultPlan_Destroy(PhFaultPlan *plan);
 /* When the next change is due. */
-PhTime
-PhFaultPlan_Due(const PhFaultPlan *plan);
+PhTime PhFaultPlan_Due(const PhFaultPlan *plan);
 /* Gives one change that is due; false when none is left. */
-bool
-PhFaultPlan_Next(PhFaultPlan *plan, PhTime now, PhFaultChange *change);
+bool PhFaultPlan_Next(PhFaultPlan *plan, PhTime now, PhFaultChange *change);
 /* Faults that are on. */
-size_t
-PhFaultPlan_Active(const PhFaultPlan *plan);
+size_t PhFaultPlan_Active(const PhFaultPlan *plan);
 /* How often a fault has begun. */
-uint64_t
-PhFaultPlan_Begun(const PhFaultPlan *plan, PhFault fault);
+uint64_t PhFaultPlan_Begun(const PhFaultPlan *plan, PhFault fault);
 
 /* One run of one area: `steps` events from `seed`. */
 typedef struct PhSoakRun {
@@ -71,17 +64,15 @@
 } PhSoakRun;
 
 /* Adds the figures of a plan to those of the run. */
-void
-PhSoakRun_Add(PhSoakRun *run, const PhFaultPlan *plan);
+void PhSoakRun_Add(PhSoakRun *run, const PhFaultPlan *plan);
 
 /* Sets the links between data centres: within one 0.25 ms one way, between two
  * of them `far`, and an exponential of mean `extra` on top. */
-void
-PhSoakLinks_Set(PhFakeNet *net, uint32_t centres, PhTime far, PhTime extra,
-                double loss);
+void PhSoakLinks_Set(PhFakeNet *net, uint32_t centres, PhTime far,
+                     PhTime extra, double loss);
 /* Cuts a data centre off from the others, or mends the links. */
-void
-PhSoakLinks_Cut(PhFakeNet *net, uint32_t centres, uint32_t centre, bool cut);
+void PhSoakLinks_Cut(PhFakeNet *net, uint32_t centres, uint32_t centre,
+                     bool cut);
 
 /* An area with the faults that its run brings about. */
 typedef struct PhSoakArea {
@@ -91,8 +82,7 @@
     size_t fault_count;
 } PhSoakArea;
 
-const PhSoakArea *const *
-PhSoakArea_List(size_t *count);
+const PhSoakArea *const *PhSoakArea_List(size_t *count);
 
 extern const PhSoakArea PhSoak_Config;
 extern const PhSoakArea PhSoak_Members;
--- a/include/peridothill/bench/task_faults.h
+++ b/include/peridothill/bench/task_faults.h
@@ -21,7 +21,6 @@
 
 /* Brings about random faults every few seconds for `duration`, then heals
  * everything and lets it recover. */
-PhTaskFaultsResult
-PhTaskFaults_Run(uint64_t seed, PhTime duration);
+PhTaskFaultsResult PhTaskFaults_Run(uint64_t seed, PhTime duration);
 
 #endif
--- a/include/peridothill/bench/task_world.h
+++ b/include/peridothill/bench/task_world.h
@@ -54,78 +54,53 @@
 
 typedef struct PhTaskWorld PhTaskWorld;
 
-PhTaskWorld *
-PhTaskWorld_Create(const PhTaskWorldOptions *options);
-void
-PhTaskWorld_Destroy(PhTaskWorld *world);
-PhTime
-PhTaskWorld_Now(const PhTaskWorld *world);
-const PhTaskWorldCounts *
-PhTaskWorld_Counts(const PhTaskWorld *world);
-PhFakeNet *
-PhTaskWorld_Net(PhTaskWorld *world);
-PhFakeLogOptions *
-PhTaskWorld_Log(PhTaskWorld *world);
-PhFakeLogCounts
-PhTaskWorld_LogCounts(const PhTaskWorld *world);
+PhTaskWorld *PhTaskWorld_Create(const PhTaskWorldOptions *options);
+void PhTaskWorld_Destroy(PhTaskWorld *world);
+PhTime PhTaskWorld_Now(const PhTaskWorld *world);
+const PhTaskWorldCounts *PhTaskWorld_Counts(const PhTaskWorld *world);
+PhFakeNet *PhTaskWorld_Net(PhTaskWorld *world);
+PhFakeLogOptions *PhTaskWorld_Log(PhTaskWorld *world);
+PhFakeLogCounts PhTaskWorld_LogCounts(const PhTaskWorld *world);
 /* Lets all that happens by `until` happen; tells how many events. */
-uint64_t
-PhTaskWorld_RunUntil(PhTaskWorld *world, PhTime until);
+uint64_t PhTaskWorld_RunUntil(PhTaskWorld *world, PhTime until);
 /* Submits a job at an instance; the outcome is counted. */
-void
-PhTaskWorld_Submit(PhTaskWorld *world, uint32_t instance,
-                   const PhJobSpec *spec);
+void PhTaskWorld_Submit(PhTaskWorld *world, uint32_t instance,
+                        const PhJobSpec *spec);
 /* Cancels the job of a key, as an instance knows it. */
-void
-PhTaskWorld_Cancel(PhTaskWorld *world, uint32_t instance, PhStr key);
+void PhTaskWorld_Cancel(PhTaskWorld *world, uint32_t instance, PhStr key);
 /* Ends the process of an instance, or starts it with empty memory. */
-void
-PhTaskWorld_Kill(PhTaskWorld *world, uint32_t instance);
-void
-PhTaskWorld_Replace(PhTaskWorld *world, uint32_t instance);
-bool
-PhTaskWorld_Alive(const PhTaskWorld *world, uint32_t instance);
-void
-PhTaskWorld_PauseInstance(PhTaskWorld *world, uint32_t instance, PhTime by);
-void
-PhTaskWorld_PauseWorker(PhTaskWorld *world, uint32_t worker, PhTime by);
+void PhTaskWorld_Kill(PhTaskWorld *world, uint32_t instance);
+void PhTaskWorld_Replace(PhTaskWorld *world, uint32_t instance);
+bool PhTaskWorld_Alive(const PhTaskWorld *world, uint32_t instance);
+void PhTaskWorld_PauseInstance(PhTaskWorld *world, uint32_t instance,
+                               PhTime by);
+void PhTaskWorld_PauseWorker(PhTaskWorld *world, uint32_t worker, PhTime by);
 /* Cuts an instance off from the log, both ways, or connects it. */
-void
-PhTaskWorld_CutLog(PhTaskWorld *world, uint32_t instance, bool cut);
+void PhTaskWorld_CutLog(PhTaskWorld *world, uint32_t instance, bool cut);
 /* Cuts an instance off from a worker, both ways, or connects it. */
-void
-PhTaskWorld_CutWorker(PhTaskWorld *world, uint32_t instance, uint32_t worker,
-                      bool cut);
+void PhTaskWorld_CutWorker(PhTaskWorld *world, uint32_t instance,
+                           uint32_t worker, bool cut);
 /* Sets how long runs that start from now on take, in percent of what was
  * declared; 0 is 100. */
-void
-PhTaskWorld_SetRunPercent(PhTaskWorld *world, uint32_t percent);
+void PhTaskWorld_SetRunPercent(PhTaskWorld *world, uint32_t percent);
 /* The worker comes back empty. */
-void
-PhTaskWorld_RestartWorker(PhTaskWorld *world, uint32_t worker);
-void
-PhTaskWorld_FailWorker(PhTaskWorld *world, uint32_t worker, bool failing);
-const PhWorkerTasks *
-PhTaskWorld_Worker(const PhTaskWorld *world, uint32_t worker);
+void PhTaskWorld_RestartWorker(PhTaskWorld *world, uint32_t worker);
+void PhTaskWorld_FailWorker(PhTaskWorld *world, uint32_t worker, bool failing);
+const PhWorkerTasks *PhTaskWorld_Worker(const PhTaskWorld *world,
+                                        uint32_t worker);
 /* The instance that may start tasks now, or -1. */
-int
-PhTaskWorld_Owner(const PhTaskWorld *world);
+int PhTaskWorld_Owner(const PhTaskWorld *world);
 /* Counts instances that may start tasks now. */
-uint32_t
-PhTaskWorld_Owners(const PhTaskWorld *world);
+uint32_t PhTaskWorld_Owners(const PhTaskWorld *world);
 /* Any live instance that has read the stream, or NULL. */
-const PhJobEngine *
-PhTaskWorld_Engine(const PhTaskWorld *world);
+const PhJobEngine *PhTaskWorld_Engine(const PhTaskWorld *world);
 /* Counts accepted jobs whose state is missing, and tasks of jobs that are
  * neither standing nor cancelled and are not done. */
-void
-PhTaskWorld_Unfinished(const PhTaskWorld *world, uint64_t *lost,
-                       uint64_t *unfinished);
+void PhTaskWorld_Unfinished(const PhTaskWorld *world, uint64_t *lost,
+                            uint64_t *unfinished);
 /* Times from the submit to the start of a first run, PhTime, sorted. */
-const GArray *
-PhTaskWorld_StartTimes(PhTaskWorld *world);
+const GArray *PhTaskWorld_StartTimes(PhTaskWorld *world);
 /* Counts the runs that workers hold. */
-uint64_t
-PhTaskWorld_Running(const PhTaskWorld *world);
+uint64_t PhTaskWorld_Running(const PhTaskWorld *world);
 
 #endif
--- a/include/peridothill/codec/bounds.h
+++ b/include/peridothill/codec/bounds.h
@@ -7,7 +7,6 @@
 
 /* Tells whether the bytes hold exactly one value whose counts and lengths all
  * fit the bytes that are there. */
-bool
-PhMsgpack_IsBounded(PhStr bytes);
+bool PhMsgpack_IsBounded(PhStr bytes);
 
 #endif
--- a/include/peridothill/codec/config_peer.h
+++ b/include/peridothill/codec/config_peer.h
@@ -46,14 +46,12 @@
 
 /* Appends a message.  A push takes as many records as fit into one; the
  * result tells how many. */
-size_t
-PhConfigPeerMessage_Encode(const PhConfigPeerMessage *message, PhBuf *out);
+size_t PhConfigPeerMessage_Encode(const PhConfigPeerMessage *message,
+                                  PhBuf *out);
 /* INVALID when the bytes are malformed, NOT_FOUND when the kind is not known
  * here; the message is then empty. */
-PhStatus
-PhConfigPeerMessage_Decode(PhStr bytes, PhConfigPeerMessage *message);
+PhStatus PhConfigPeerMessage_Decode(PhStr bytes, PhConfigPeerMessage *message);
 /* Releases a decoded message. */
-void
-PhConfigPeerMessage_Clear(PhConfigPeerMessage *message);
+void PhConfigPeerMessage_Clear(PhConfigPeerMessage *message);
 
 #endif
--- a/include/peridothill/codec/config_record.h
+++ b/include/peridothill/codec/config_record.h
@@ -12,20 +12,15 @@
 };
 
 /* Makes the JSON of one change, as patches have it. */
-json_t *
-PhConfigChange_ToJson(const PhConfigChange *change);
+json_t *PhConfigChange_ToJson(const PhConfigChange *change);
 /* Encodes as JSON that the caller owns. */
-PhStr
-PhConfigPatch_Encode(const PhConfigPatch *patch);
+PhStr PhConfigPatch_Encode(const PhConfigPatch *patch);
 /* Decodes a patch that then owns its strings; INVALID or TOO_LARGE leaves it
  * empty.  Unknown members are ignored. */
-PhResult
-PhConfigPatch_Decode(PhStr body, PhConfigPatch *patch);
+PhResult PhConfigPatch_Decode(PhStr body, PhConfigPatch *patch);
 
-PhStr
-PhConfigSnapshot_Encode(const PhConfigSnapshot *snapshot);
+PhStr PhConfigSnapshot_Encode(const PhConfigSnapshot *snapshot);
 /* Decodes a snapshot and checks it against its digest. */
-PhResult
-PhConfigSnapshot_Decode(PhStr body, PhConfigSnapshot **snapshot);
+PhResult PhConfigSnapshot_Decode(PhStr body, PhConfigSnapshot **snapshot);
 
 #endif
--- a/include/peridothill/codec/key_message.h
+++ b/include/peridothill/codec/key_message.h
@@ -19,10 +19,8 @@
 } PhKeyMessage;
 
 /* Appends the encoded message. */
-void
-PhKeyMessage_Encode(const PhKeyMessage *message, PhBuf *out);
+void PhKeyMessage_Encode(const PhKeyMessage *message, PhBuf *out);
 /* Reads a message; its key is owned by the caller. */
-bool
-PhKeyMessage_Decode(PhStr payload, PhKeyMessage *message);
+bool PhKeyMessage_Decode(PhStr payload, PhKeyMessage *message);
 
 #endif
--- a/include/peridothill/codec/list_json.h
+++ b/include/peridothill/codec/list_json.h
@@ -7,10 +7,8 @@
 #include "peridothill/services/platform_list.h"
 
 /* Decodes a list; entries with an unknown role or state are left out. */
-PhResult
-PhListJson_Decode(PhStr text, PhListReading *reading);
+PhResult PhListJson_Decode(PhStr text, PhListReading *reading);
 /* Encodes a list; the text is owned by the caller. */
-PhStr
-PhListJson_Encode(const PhListReading *reading);
+PhStr PhListJson_Encode(const PhListReading *reading);
 
 #endif
--- a/include/peridothill/codec/log_json.h
+++ b/include/peridothill/codec/log_json.h
@@ -8,19 +8,14 @@
 #include "peridothill/services/platform_log.h"
 
 /* Encodes the body of an append; records must be UTF-8. */
-PhStr
-PhLogJson_EncodeAppend(const PhStr *records, size_t count);
+PhStr PhLogJson_EncodeAppend(const PhStr *records, size_t count);
 /* Decodes the body of an append into owned records. */
-PhResult
-PhLogJson_DecodeAppend(PhStr text, PhStr **records, size_t *count);
+PhResult PhLogJson_DecodeAppend(PhStr text, PhStr **records, size_t *count);
 /* Encodes what a read answers. */
-PhStr
-PhLogJson_EncodeRecords(const PhLogRecords *records);
+PhStr PhLogJson_EncodeRecords(const PhLogRecords *records);
 /* Decodes what a read answers into owned records. */
-PhResult
-PhLogJson_DecodeRecords(PhStr text, PhLogRecords *records);
+PhResult PhLogJson_DecodeRecords(PhStr text, PhLogRecords *records);
 /* Releases the records of an answer. */
-void
-PhLogRecords_Clear(PhLogRecords *records);
+void PhLogRecords_Clear(PhLogRecords *records);
 
 #endif
--- a/include/peridothill/codec/member_message.h
+++ b/include/peridothill/codec/member_message.h
@@ -10,12 +10,10 @@
     PH_MEMBER_NAME_MAX_BYTES = 64,
 };
 
-void
-PhMemberMessage_Encode(const PhMemberMessage *message, PhBuf *out);
+void PhMemberMessage_Encode(const PhMemberMessage *message, PhBuf *out);
 /* Decodes a message that owns its strings.  INVALID when the bytes are
  * malformed, NOT_FOUND when the kind is not known here; the message is then
  * empty. */
-PhStatus
-PhMemberMessage_Decode(PhStr bytes, PhMemberMessage *message);
+PhStatus PhMemberMessage_Decode(PhStr bytes, PhMemberMessage *message);
 
 #endif
--- a/include/peridothill/codec/peer_session.h
+++ b/include/peridothill/codec/peer_session.h
@@ -36,13 +36,10 @@
 /* Nonces of greetings seen lately, bounded. */
 typedef struct PhPeerNonces PhPeerNonces;
 
-PhPeerNonces *
-PhPeerNonces_Create(size_t capacity);
-void
-PhPeerNonces_Destroy(PhPeerNonces *nonces);
+PhPeerNonces *PhPeerNonces_Create(size_t capacity);
+void PhPeerNonces_Destroy(PhPeerNonces *nonces);
 /* False when the nonce was added before and is still kept. */
-bool
-PhPeerNonces_Add(PhPeerNonces *nonces, PhStr nonce);
+bool PhPeerNonces_Add(PhPeerNonces *nonces, PhStr nonce);
 
 /* How this instance greets.  Borrowed; `keys` holds one or two. */
 typedef struct PhPeerIdentity {
@@ -86,35 +83,24 @@
 
 /* Creates a session; it copies the identity.  `nonces` is shared by the
  * sessions of an instance and outlives them. */
-PhPeerSession *
-PhPeerSession_Create(const PhPeerIdentity *identity, PhPeerRole role,
-                     PhPeerNonces *nonces);
-void
-PhPeerSession_Destroy(PhPeerSession *session);
+PhPeerSession *PhPeerSession_Create(const PhPeerIdentity *identity,
+                                    PhPeerRole role, PhPeerNonces *nonces);
+void PhPeerSession_Destroy(PhPeerSession *session);
 /* Appends what the role sends first. */
-void
-PhPeerSession_Start(PhPeerSession *session, PhBuf *out);
+void PhPeerSession_Start(PhPeerSession *session, PhBuf *out);
 /* Takes one frame from `in` and appends answers to `out`. */
-PhPeerEvent
-PhPeerSession_Next(PhPeerSession *session, PhBuf *in, PhBuf *out);
-bool
-PhPeerSession_IsReady(const PhPeerSession *session);
+PhPeerEvent PhPeerSession_Next(PhPeerSession *session, PhBuf *in, PhBuf *out);
+bool PhPeerSession_IsReady(const PhPeerSession *session);
 /* Append a sealed frame; only once ready.  The content of PhPeerSession_Seal
  * is the encoded frame. */
-void
-PhPeerSession_Seal(PhPeerSession *session, PhStr content, PhBuf *out);
-void
-PhPeerSession_Send(PhPeerSession *session, uint64_t channel, PhStr payload,
-                   PhBuf *out);
-void
-PhPeerSession_Ping(PhPeerSession *session, PhBuf *out);
+void PhPeerSession_Seal(PhPeerSession *session, PhStr content, PhBuf *out);
+void PhPeerSession_Send(PhPeerSession *session, uint64_t channel,
+                        PhStr payload, PhBuf *out);
+void PhPeerSession_Ping(PhPeerSession *session, PhBuf *out);
 /* Who the peer says it is; proved once ready. */
-PhStr
-PhPeerSession_Member(const PhPeerSession *session);
-PhStr
-PhPeerSession_DataCentre(const PhPeerSession *session);
+PhStr PhPeerSession_Member(const PhPeerSession *session);
+PhStr PhPeerSession_DataCentre(const PhPeerSession *session);
 /* The version both sides speak. */
-uint64_t
-PhPeerSession_Version(const PhPeerSession *session);
+uint64_t PhPeerSession_Version(const PhPeerSession *session);
 
 #endif
--- a/include/peridothill/codec/settings.h
+++ b/include/peridothill/codec/settings.h
@@ -54,15 +54,12 @@
 
 /* Parses the text of a file; `file` is the name that errors show.  When the
  * result is not OK, `errors` has gained one line for each error. */
-PhResult
-PhSettings_Parse(PhStr file, PhStr text, PhSettings *settings, PhBuf *errors);
+PhResult PhSettings_Parse(PhStr file, PhStr text, PhSettings *settings,
+                          PhBuf *errors);
 /* Reads and parses a file. */
-PhResult
-PhSettings_Load(PhStr path, PhSettings *settings, PhBuf *errors);
-void
-PhSettings_Clear(PhSettings *settings);
+PhResult PhSettings_Load(PhStr path, PhSettings *settings, PhBuf *errors);
+void PhSettings_Clear(PhSettings *settings);
 /* Appends a complete commented file that holds the defaults. */
-void
-PhSettings_RenderDefaults(PhBuf *out);
+void PhSettings_RenderDefaults(PhBuf *out);
 
 #endif
--- a/include/peridothill/codec/settings_key.h
+++ b/include/peridothill/codec/settings_key.h
@@ -32,13 +32,11 @@
 } PhSettingKey;
 
 /* All keys; those of a section stand together. */
-const PhSettingKey *
-PhSettingKey_List(size_t *count);
+const PhSettingKey *PhSettingKey_List(size_t *count);
 /* Reads a value of the key into `settings`, in place of the earlier one. */
-PhResult
-PhSettingKey_Read(const PhSettingKey *key, PhStr value, PhSettings *settings);
+PhResult PhSettingKey_Read(const PhSettingKey *key, PhStr value,
+                           PhSettings *settings);
 /* Releases what the key holds. */
-void
-PhSettingKey_Clear(const PhSettingKey *key, PhSettings *settings);
+void PhSettingKey_Clear(const PhSettingKey *key, PhSettings *settings);
 
 #endif
--- a/include/peridothill/codec/worker_command.h
+++ b/include/peridothill/codec/worker_command.h
@@ -5,18 +5,14 @@
 #include "peridothill/decide/tasks/worker_command.h"
 
 /* The path that a command is posted to. */
-PhStr
-PhWorkerCommand_Path(PhWorkerCommandKind kind);
+PhStr PhWorkerCommand_Path(PhWorkerCommandKind kind);
 /* Encodes the body of a command; the text is the caller's. */
-PhStr
-PhWorkerCommand_Encode(const PhWorkerCommand *command);
+PhStr PhWorkerCommand_Encode(const PhWorkerCommand *command);
 /* Decodes a command from its path and body. */
-PhResult
-PhWorkerCommand_Decode(PhStr path, PhStr body, PhWorkerCommand *command);
-PhStr
-PhWorkerAnswer_Encode(const PhWorkerAnswer *answer);
+PhResult PhWorkerCommand_Decode(PhStr path, PhStr body,
+                                PhWorkerCommand *command);
+PhStr PhWorkerAnswer_Encode(const PhWorkerAnswer *answer);
 /* Decodes an answer; its lists are the caller's. */
-PhResult
-PhWorkerAnswer_Decode(PhStr body, PhWorkerAnswer *answer);
+PhResult PhWorkerAnswer_Decode(PhStr body, PhWorkerAnswer *answer);
 
 #endif
--- a/include/peridothill/commands.h
+++ b/include/peridothill/commands.h
@@ -19,25 +19,15 @@
     int (*run)(int argc, char **argv);
 } PhCommand;
 
-int
-PhCommand_Bench(int argc, char **argv);
-int
-PhCommand_Check(int argc, char **argv);
-int
-PhCommand_Config(int argc, char **argv);
-int
-PhCommand_Patch(int argc, char **argv);
-int
-PhCommand_Demo(int argc, char **argv);
-int
-PhCommand_Serve(int argc, char **argv);
-int
-PhCommand_Standin(int argc, char **argv);
-int
-PhCommand_Status(int argc, char **argv);
-int
-PhCommand_Tasks(int argc, char **argv);
-int
-PhCommand_Version(int argc, char **argv);
+int PhCommand_Bench(int argc, char **argv);
+int PhCommand_Check(int argc, char **argv);
+int PhCommand_Config(int argc, char **argv);
+int PhCommand_Patch(int argc, char **argv);
+int PhCommand_Demo(int argc, char **argv);
+int PhCommand_Serve(int argc, char **argv);
+int PhCommand_Standin(int argc, char **argv);
+int PhCommand_Status(int argc, char **argv);
+int PhCommand_Tasks(int argc, char **argv);
+int PhCommand_Version(int argc, char **argv);
 
 #endif
--- a/include/peridothill/common/counter.h
+++ b/include/peridothill/common/counter.h
@@ -31,23 +31,16 @@
 
 typedef struct PhCounters PhCounters;
 
-PhCounters *
-PhCounters_Create(void);
-void
-PhCounters_Destroy(PhCounters *counters);
-void
-PhCounters_Add(PhCounters *counters, PhCounter counter, uint64_t amount);
-uint64_t
-PhCounters_Get(const PhCounters *counters, PhCounter counter);
-void
-PhCounters_Observe(PhCounters *counters, PhHistogram histogram,
-                   PhTime duration);
+PhCounters *PhCounters_Create(void);
+void PhCounters_Destroy(PhCounters *counters);
+void PhCounters_Add(PhCounters *counters, PhCounter counter, uint64_t amount);
+uint64_t PhCounters_Get(const PhCounters *counters, PhCounter counter);
+void PhCounters_Observe(PhCounters *counters, PhHistogram histogram,
+                        PhTime duration);
 /* Upper bound of the bucket that holds the quantile, in nanoseconds. */
-PhTime
-PhCounters_Quantile(const PhCounters *counters, PhHistogram histogram,
-                    double quantile);
+PhTime PhCounters_Quantile(const PhCounters *counters, PhHistogram histogram,
+                           double quantile);
 /* Appends every counter in the Prometheus text format. */
-void
-PhCounters_Render(const PhCounters *counters, PhBuf *out);
+void PhCounters_Render(const PhCounters *counters, PhBuf *out);
 
 #endif
--- a/include/peridothill/common/event.h
+++ b/include/peridothill/common/event.h
@@ -25,11 +25,8 @@
     const char *text;
 } PhEventInfo;
 
-const PhEventInfo *
-PhEvent_Find(PhEventId id);
-const PhEventInfo *
-PhEvent_List(int *count);
-const char *
-PhLevel_Name(PhLevel level);
+const PhEventInfo *PhEvent_Find(PhEventId id);
+const PhEventInfo *PhEvent_List(int *count);
+const char *PhLevel_Name(PhLevel level);
 
 #endif
--- a/include/peridothill/common/invariant.h
+++ b/include/peridothill/common/invariant.h
@@ -26,17 +26,12 @@
         }                                                                     \
     } while (0)
 
-void
-PhInvariant_Count(PhInvariant invariant);
-void
-PhInvariant_Fail(PhInvariant invariant, const char *condition,
-                 const char *file, int line, const char *format, ...)
+void PhInvariant_Count(PhInvariant invariant);
+void PhInvariant_Fail(PhInvariant invariant, const char *condition,
+                      const char *file, int line, const char *format, ...)
     G_GNUC_PRINTF(5, 6);
-uint64_t
-PhInvariant_Checks(PhInvariant invariant);
-const char *
-PhInvariant_Label(PhInvariant invariant);
-void
-PhInvariant_SetHandler(PhInvariantHandler handler);
+uint64_t PhInvariant_Checks(PhInvariant invariant);
+const char *PhInvariant_Label(PhInvariant invariant);
+void PhInvariant_SetHandler(PhInvariantHandler handler);
 
 #endif
--- a/include/peridothill/common/log.h
+++ b/include/peridothill/common/log.h
@@ -44,14 +44,11 @@
 typedef struct PhLog PhLog;
 
 /* Writes to `sink`, which stays the caller's.  A NULL log discards. */
-PhLog *
-PhLog_Create(FILE *sink, PhLogFormat format, PhLevel least);
-void
-PhLog_Destroy(PhLog *log);
+PhLog *PhLog_Create(FILE *sink, PhLogFormat format, PhLevel least);
+void PhLog_Destroy(PhLog *log);
 /* Writes one event at time `now` of the named task. */
-void
-PhLog_Write(PhLog *log, PhEventId id, PhStr task, PhTime now,
-            const PhField *fields, size_t count);
+void PhLog_Write(PhLog *log, PhEventId id, PhStr task, PhTime now,
+                 const PhField *fields, size_t count);
 
 /* Writes an event with at least one field. */
 #define PhLog_EMIT(LOG, ID, TASK, NOW, ...)                                   \
--- a/include/peridothill/common/random.h
+++ b/include/peridothill/common/random.h
@@ -7,22 +7,15 @@
 
 typedef struct PhRandom PhRandom;
 
-PhRandom *
-PhRandom_Create(uint64_t seed);
-void
-PhRandom_Destroy(PhRandom *random);
-uint64_t
-PhRandom_U64(PhRandom *random);
+PhRandom *PhRandom_Create(uint64_t seed);
+void PhRandom_Destroy(PhRandom *random);
+uint64_t PhRandom_U64(PhRandom *random);
 /* Uniform in [0, bound); bound is at least 1. */
-uint64_t
-PhRandom_Below(PhRandom *random, uint64_t bound);
+uint64_t PhRandom_Below(PhRandom *random, uint64_t bound);
 /* Uniform in [0, 1). */
-double
-PhRandom_Unit(PhRandom *random);
-bool
-PhRandom_Chance(PhRandom *random, double probability);
+double PhRandom_Unit(PhRandom *random);
+bool PhRandom_Chance(PhRandom *random, double probability);
 /* Exponential with the given mean. */
-double
-PhRandom_Exponential(PhRandom *random, double mean);
+double PhRandom_Exponential(PhRandom *random, double mean);
 
 #endif
--- a/include/peridothill/common/status.h
+++ b/include/peridothill/common/status.h
@@ -37,15 +37,11 @@
     char message[PH_RESULT_MESSAGE_BYTES];
 } PhResult;
 
-const char *
-PhStatus_Name(PhStatus status);
-PhResult
-PhResult_Ok(void);
-PhResult
-PhResult_Make(PhStatus status, const char *format, ...) G_GNUC_PRINTF(2, 3);
-bool
-PhResult_IsOk(const PhResult *result);
-PhStr
-PhResult_Message(const PhResult *result);
+const char *PhStatus_Name(PhStatus status);
+PhResult PhResult_Ok(void);
+PhResult PhResult_Make(PhStatus status, const char *format, ...)
+    G_GNUC_PRINTF(2, 3);
+bool PhResult_IsOk(const PhResult *result);
+PhStr PhResult_Message(const PhResult *result);
 
 #endif
--- a/include/peridothill/decide/config/config_action.h
+++ b/include/peridothill/decide/config/config_action.h
@@ -121,7 +121,6 @@
 } PhConfigAction;
 
 /* Creates an empty list of PhConfigAction; released with g_array_free. */
-GArray *
-PhConfigActions_Create(void);
+GArray *PhConfigActions_Create(void);
 
 #endif
--- a/include/peridothill/decide/config/config_appender.h
+++ b/include/peridothill/decide/config/config_appender.h
@@ -61,23 +61,18 @@
 } PhAppendAction;
 
 /* Creates an empty list of PhAppendAction; released with g_array_free. */
-GArray *
-PhAppendActions_Create(void);
+GArray *PhAppendActions_Create(void);
 
 typedef struct PhConfigAppender PhConfigAppender;
 
 PhConfigAppender *
 PhConfigAppender_Create(const PhConfigAppenderOptions *options);
-void
-PhConfigAppender_Destroy(PhConfigAppender *appender);
-void
-PhConfigAppender_Handle(PhConfigAppender *appender, PhTime now,
-                        const PhAppendEvent *event, GArray *actions);
+void PhConfigAppender_Destroy(PhConfigAppender *appender);
+void PhConfigAppender_Handle(PhConfigAppender *appender, PhTime now,
+                             const PhAppendEvent *event, GArray *actions);
 /* When the next TICK is due. */
-PhTime
-PhConfigAppender_NextTick(const PhConfigAppender *appender);
+PhTime PhConfigAppender_NextTick(const PhConfigAppender *appender);
 /* Patches that have no answer yet. */
-size_t
-PhConfigAppender_Waiting(const PhConfigAppender *appender);
+size_t PhConfigAppender_Waiting(const PhConfigAppender *appender);
 
 #endif
--- a/include/peridothill/decide/config/config_follower.h
+++ b/include/peridothill/decide/config/config_follower.h
@@ -37,41 +37,31 @@
 
 PhConfigFollower *
 PhConfigFollower_Create(const PhConfigFollowerOptions *options);
-void
-PhConfigFollower_Destroy(PhConfigFollower *follower);
+void PhConfigFollower_Destroy(PhConfigFollower *follower);
 /* Handles an event and appends to a list of PhConfigAction. */
-void
-PhConfigFollower_Handle(PhConfigFollower *follower, PhTime now,
-                        const PhConfigEvent *event, GArray *actions);
+void PhConfigFollower_Handle(PhConfigFollower *follower, PhTime now,
+                             const PhConfigEvent *event, GArray *actions);
 /* When the next TICK is due. */
-PhTime
-PhConfigFollower_NextTick(const PhConfigFollower *follower);
+PhTime PhConfigFollower_NextTick(const PhConfigFollower *follower);
 const PhConfigLedger *
 PhConfigFollower_Ledger(const PhConfigFollower *follower);
-PhConfigStanding
-PhConfigFollower_Standing(const PhConfigFollower *follower, PhTime now);
-const char *
-PhConfigStanding_Name(PhConfigStanding standing);
+PhConfigStanding PhConfigFollower_Standing(const PhConfigFollower *follower,
+                                           PhTime now);
+const char *PhConfigStanding_Name(PhConfigStanding standing);
 /* Tells whether this instance is one of the readers of its data centre. */
-bool
-PhConfigFollower_ReadsLog(const PhConfigFollower *follower);
+bool PhConfigFollower_ReadsLog(const PhConfigFollower *follower);
 /* Tells whether records that were never seen here are past retention, so that
  * this instance waits for a peer, a snapshot, or an operator's BRIDGE. */
-bool
-PhConfigFollower_HasGap(const PhConfigFollower *follower);
+bool PhConfigFollower_HasGap(const PhConfigFollower *follower);
 /* When what is held was last known to be all of the log; negative: never. */
-PhTime
-PhConfigFollower_ConfirmedAt(const PhConfigFollower *follower);
+PhTime PhConfigFollower_ConfirmedAt(const PhConfigFollower *follower);
 /* The highest version that was heard of. */
-uint64_t
-PhConfigFollower_HighestHeard(const PhConfigFollower *follower);
-size_t
-PhConfigFollower_PeerCount(const PhConfigFollower *follower);
-PhConfigPeerView
-PhConfigFollower_PeerAt(const PhConfigFollower *follower, size_t index);
+uint64_t PhConfigFollower_HighestHeard(const PhConfigFollower *follower);
+size_t PhConfigFollower_PeerCount(const PhConfigFollower *follower);
+PhConfigPeerView PhConfigFollower_PeerAt(const PhConfigFollower *follower,
+                                         size_t index);
 /* Asks every peer that was not heard at `version` or later for a hello. */
-void
-PhConfigFollower_AskPeers(PhConfigFollower *follower, PhTime now,
-                          uint64_t version, GArray *actions);
+void PhConfigFollower_AskPeers(PhConfigFollower *follower, PhTime now,
+                               uint64_t version, GArray *actions);
 
 #endif
--- a/include/peridothill/decide/config/config_ledger.h
+++ b/include/peridothill/decide/config/config_ledger.h
@@ -37,42 +37,33 @@
 } PhConfigSnapshot;
 
 /* Takes over the state; the lists start empty. */
-PhConfigSnapshot *
-PhConfigSnapshot_Create(uint64_t covers, PhConfigState *state);
-PhConfigSnapshot *
-PhConfigSnapshot_Ref(PhConfigSnapshot *snapshot);
-void
-PhConfigSnapshot_Unref(PhConfigSnapshot *snapshot);
+PhConfigSnapshot *PhConfigSnapshot_Create(uint64_t covers,
+                                          PhConfigState *state);
+PhConfigSnapshot *PhConfigSnapshot_Ref(PhConfigSnapshot *snapshot);
+void PhConfigSnapshot_Unref(PhConfigSnapshot *snapshot);
 
 typedef struct PhConfigLedger PhConfigLedger;
 
 /* Starts at version 0 before offset 0. */
-PhConfigLedger *
-PhConfigLedger_Create(void);
-PhConfigLedger *
-PhConfigLedger_Restore(const PhConfigSnapshot *snapshot);
-void
-PhConfigLedger_Destroy(PhConfigLedger *ledger);
+PhConfigLedger *PhConfigLedger_Create(void);
+PhConfigLedger *PhConfigLedger_Restore(const PhConfigSnapshot *snapshot);
+void PhConfigLedger_Destroy(PhConfigLedger *ledger);
 /* Applies the record at offset PhConfigLedger_Next and gives its verdict,
  * borrowed until the next call; NULL for a record that was unreadable or
  * whose id was decided before. */
-const PhConfigVerdict *
-PhConfigLedger_Apply(PhConfigLedger *ledger, const PhConfigRecord *record);
-uint64_t
-PhConfigLedger_Next(const PhConfigLedger *ledger);
+const PhConfigVerdict *PhConfigLedger_Apply(PhConfigLedger *ledger,
+                                            const PhConfigRecord *record);
+uint64_t PhConfigLedger_Next(const PhConfigLedger *ledger);
 /* The state in force; borrowed. */
-PhConfigState *
-PhConfigLedger_State(const PhConfigLedger *ledger);
+PhConfigState *PhConfigLedger_State(const PhConfigLedger *ledger);
 /* An earlier version that is still held, or NULL; borrowed. */
-PhConfigState *
-PhConfigLedger_StateAt(const PhConfigLedger *ledger, uint64_t version);
+PhConfigState *PhConfigLedger_StateAt(const PhConfigLedger *ledger,
+                                      uint64_t version);
 /* The verdict on a patch id, or NULL; borrowed. */
-const PhConfigVerdict *
-PhConfigLedger_Find(const PhConfigLedger *ledger, PhStr id);
+const PhConfigVerdict *PhConfigLedger_Find(const PhConfigLedger *ledger,
+                                           PhStr id);
 /* The verdicts that are remembered, by offset; borrowed. */
-const GQueue *
-PhConfigLedger_Verdicts(const PhConfigLedger *ledger);
-PhConfigSnapshot *
-PhConfigLedger_Snapshot(const PhConfigLedger *ledger);
+const GQueue *PhConfigLedger_Verdicts(const PhConfigLedger *ledger);
+PhConfigSnapshot *PhConfigLedger_Snapshot(const PhConfigLedger *ledger);
 
 #endif
--- a/include/peridothill/decide/config/config_patch.h
+++ b/include/peridothill/decide/config/config_patch.h
@@ -25,15 +25,12 @@
     size_t change_count;
 } PhConfigPatch;
 
-PhConfigPatch
-PhConfigPatch_Copy(const PhConfigPatch *patch);
+PhConfigPatch PhConfigPatch_Copy(const PhConfigPatch *patch);
 /* Appends a change; the strings are copied. */
-void
-PhConfigPatch_Add(PhConfigPatch *patch, PhConfigChangeKind kind, PhStr path,
-                  PhStr value);
+void PhConfigPatch_Add(PhConfigPatch *patch, PhConfigChangeKind kind,
+                       PhStr path, PhStr value);
 /* Releases a patch that owns its strings. */
-void
-PhConfigPatch_Clear(PhConfigPatch *patch);
+void PhConfigPatch_Clear(PhConfigPatch *patch);
 
 typedef enum PhConfigRecordKind {
     PH_CONFIG_RECORD_PATCH,
@@ -51,13 +48,10 @@
 } PhConfigRecord;
 
 /* Takes over the patch, which is NULL for an unreadable record. */
-PhConfigRecord *
-PhConfigRecord_Create(uint64_t offset, int64_t appended_ms,
-                      PhConfigPatch *patch);
-PhConfigRecord *
-PhConfigRecord_Ref(PhConfigRecord *record);
-void
-PhConfigRecord_Unref(PhConfigRecord *record);
+PhConfigRecord *PhConfigRecord_Create(uint64_t offset, int64_t appended_ms,
+                                      PhConfigPatch *patch);
+PhConfigRecord *PhConfigRecord_Ref(PhConfigRecord *record);
+void PhConfigRecord_Unref(PhConfigRecord *record);
 
 /* What the rule decided on one patch; strings owned. */
 typedef struct PhConfigVerdict {
@@ -70,9 +64,7 @@
     int64_t appended_ms;
 } PhConfigVerdict;
 
-PhConfigVerdict *
-PhConfigVerdict_Copy(const PhConfigVerdict *verdict);
-void
-PhConfigVerdict_Destroy(gpointer verdict);
+PhConfigVerdict *PhConfigVerdict_Copy(const PhConfigVerdict *verdict);
+void PhConfigVerdict_Destroy(gpointer verdict);
 
 #endif
--- a/include/peridothill/decide/config/config_schema.h
+++ b/include/peridothill/decide/config/config_schema.h
@@ -6,10 +6,8 @@
 #include "peridothill/decide/config/config_patch.h"
 
 /* Checks the bounds and forms of a patch; INVALID with "<path>: <reason>". */
-PhResult
-PhConfigSchema_CheckPatch(const PhConfigPatch *patch);
+PhResult PhConfigSchema_CheckPatch(const PhConfigPatch *patch);
 /* Checks that the values of a whole state agree. */
-PhResult
-PhConfigSchema_CheckState(const PhConfigState *state);
+PhResult PhConfigSchema_CheckState(const PhConfigState *state);
 
 #endif
--- a/include/peridothill/decide/config/config_state.h
+++ b/include/peridothill/decide/config/config_state.h
@@ -28,55 +28,44 @@
 } PhConfigEntry;
 
 /* Version 0, with no entries. */
-PhConfigState *
-PhConfigState_CreateEmpty(void);
+PhConfigState *PhConfigState_CreateEmpty(void);
 /* A state made of entries in ascending order of path; they are copied. */
-PhConfigState *
-PhConfigState_Create(uint64_t version, const PhConfigEntry *entries,
-                     size_t count);
+PhConfigState *PhConfigState_Create(uint64_t version,
+                                    const PhConfigEntry *entries,
+                                    size_t count);
 /* The state after the changes, as `version`; the base stays as it is. */
-PhConfigState *
-PhConfigState_Apply(const PhConfigState *base, uint64_t version,
-                    const PhConfigChange *changes, size_t count);
-PhConfigState *
-PhConfigState_Ref(PhConfigState *state);
-void
-PhConfigState_Unref(PhConfigState *state);
+PhConfigState *PhConfigState_Apply(const PhConfigState *base, uint64_t version,
+                                   const PhConfigChange *changes,
+                                   size_t count);
+PhConfigState *PhConfigState_Ref(PhConfigState *state);
+void PhConfigState_Unref(PhConfigState *state);
 
-uint64_t
-PhConfigState_Version(const PhConfigState *state);
+uint64_t PhConfigState_Version(const PhConfigState *state);
 /* Hash of the version and all entries; equal on every instance. */
-uint64_t
-PhConfigState_Digest(const PhConfigState *state);
-size_t
-PhConfigState_Count(const PhConfigState *state);
+uint64_t PhConfigState_Digest(const PhConfigState *state);
+size_t PhConfigState_Count(const PhConfigState *state);
 /* The entry at an index in ascending order of path; borrowed. */
-const PhConfigEntry *
-PhConfigState_At(const PhConfigState *state, size_t index);
+const PhConfigEntry *PhConfigState_At(const PhConfigState *state,
+                                      size_t index);
 /* The entry of a path, or NULL; borrowed. */
-const PhConfigEntry *
-PhConfigState_Find(const PhConfigState *state, PhStr path);
+const PhConfigEntry *PhConfigState_Find(const PhConfigState *state,
+                                        PhStr path);
 /* Changes that lead from one state to the other, in order of path.  The
  * strings are borrowed from `to`, or from `from` for deletions. */
-GArray *
-PhConfigState_Diff(const PhConfigState *from, const PhConfigState *to);
+GArray *PhConfigState_Diff(const PhConfigState *from, const PhConfigState *to);
 
 /* Reads the value of a path; it is borrowed from the state. */
-bool
-PhConfig_Get(const PhConfigState *state, PhStr path, PhStr *value);
+bool PhConfig_Get(const PhConfigState *state, PhStr path, PhStr *value);
 /* Typed readers; the fallback stands in for a value that is missing or does
  * not parse. */
-PhStr
-PhConfig_GetStr(const PhConfigState *state, PhStr path, PhStr fallback);
-uint64_t
-PhConfig_GetU64(const PhConfigState *state, PhStr path, uint64_t fallback);
+PhStr PhConfig_GetStr(const PhConfigState *state, PhStr path, PhStr fallback);
+uint64_t PhConfig_GetU64(const PhConfigState *state, PhStr path,
+                         uint64_t fallback);
 /* The same for the path "<parent>.<name>.<key>". */
-PhStr
-PhConfig_ChildStr(const PhConfigState *state, PhStr parent, PhStr name,
-                  PhStr key, PhStr fallback);
-uint64_t
-PhConfig_ChildU64(const PhConfigState *state, PhStr parent, PhStr name,
-                  PhStr key, uint64_t fallback);
+PhStr PhConfig_ChildStr(const PhConfigState *state, PhStr parent, PhStr name,
+                        PhStr key, PhStr fallback);
+uint64_t PhConfig_ChildU64(const PhConfigState *state, PhStr parent,
+                           PhStr name, PhStr key, uint64_t fallback);
 
 /* Walks the names below a prefix that ends in a dot: "services." gives the
  * name of each service once, in ascending order. */
@@ -86,10 +75,8 @@
     size_t index;
 } PhConfigNames;
 
-PhConfigNames
-PhConfigNames_Start(const PhConfigState *state, PhStr prefix);
+PhConfigNames PhConfigNames_Start(const PhConfigState *state, PhStr prefix);
 /* The next name, borrowed from the state; false at the end. */
-bool
-PhConfigNames_Next(PhConfigNames *names, PhStr *name);
+bool PhConfigNames_Next(PhConfigNames *names, PhStr *name);
 
 #endif
--- a/include/peridothill/decide/members/member.h
+++ b/include/peridothill/decide/members/member.h
@@ -30,11 +30,8 @@
 } PhMember;
 
 /* The name of a state as status pages show it. */
-PhStr
-PhMemberState_Name(PhMemberState state);
-PhMember
-PhMember_Copy(const PhMember *member);
-void
-PhMember_Clear(PhMember *member);
+PhStr PhMemberState_Name(PhMemberState state);
+PhMember PhMember_Copy(const PhMember *member);
+void PhMember_Clear(PhMember *member);
 
 #endif
--- a/include/peridothill/decide/members/membership.h
+++ b/include/peridothill/decide/members/membership.h
@@ -26,8 +26,7 @@
 } PhMembershipTimes;
 
 /* The times that the daemon uses. */
-PhMembershipTimes
-PhMembershipTimes_Default(void);
+PhMembershipTimes PhMembershipTimes_Default(void);
 
 /* Borrowed, and copied by PhMembership_Create. */
 typedef struct PhMembershipOptions {
@@ -109,25 +108,20 @@
 } PhMembershipAction;
 
 /* Creates an empty array of actions that releases its elements. */
-GArray *
-PhMembershipActions_Create(void);
+GArray *PhMembershipActions_Create(void);
 
-PhMembership *
-PhMembership_Create(const PhMembershipOptions *options, PhTime now);
-void
-PhMembership_Destroy(PhMembership *membership);
+PhMembership *PhMembership_Create(const PhMembershipOptions *options,
+                                  PhTime now);
+void PhMembership_Destroy(PhMembership *membership);
 /* Takes one event and appends the actions. */
-void
-PhMembership_Apply(PhMembership *membership, const PhMembershipEvent *event,
-                   PhTime now, GArray *actions);
+void PhMembership_Apply(PhMembership *membership,
+                        const PhMembershipEvent *event, PhTime now,
+                        GArray *actions);
 /* All known members sorted by id, as an array of borrowed PhMember. */
-GArray *
-PhMembership_List(const PhMembership *membership);
+GArray *PhMembership_List(const PhMembership *membership);
 /* The state of a member; DEAD when it is not known. */
-PhMemberState
-PhMembership_State(const PhMembership *membership, PhStr id);
-uint64_t
-PhMembership_Incarnation(const PhMembership *membership);
+PhMemberState PhMembership_State(const PhMembership *membership, PhStr id);
+uint64_t PhMembership_Incarnation(const PhMembership *membership);
 /* What this instance can hear. */
 typedef struct PhMembershipHearing {
     bool own_data_centre;
@@ -135,7 +129,6 @@
     bool platform;
 } PhMembershipHearing;
 
-PhMembershipHearing
-PhMembership_Hearing(const PhMembership *membership);
+PhMembershipHearing PhMembership_Hearing(const PhMembership *membership);
 
 #endif
--- a/include/peridothill/decide/members/message.h
+++ b/include/peridothill/decide/members/message.h
@@ -45,7 +45,6 @@
     size_t record_count;
 } PhMemberMessage;
 
-void
-PhMemberMessage_Clear(PhMemberMessage *message);
+void PhMemberMessage_Clear(PhMemberMessage *message);
 
 #endif
--- a/include/peridothill/decide/requests/budget.h
+++ b/include/peridothill/decide/requests/budget.h
@@ -12,10 +12,8 @@
 } PhBudget;
 
 /* Earns `percent` hundredths of a token for one request. */
-void
-PhBudget_Earn(PhBudget *budget, uint32_t percent);
+void PhBudget_Earn(PhBudget *budget, uint32_t percent);
 /* Spends one token for one retry; false when there is none. */
-bool
-PhBudget_Spend(PhBudget *budget);
+bool PhBudget_Spend(PhBudget *budget);
 
 #endif
--- a/include/peridothill/decide/requests/keys.h
+++ b/include/peridothill/decide/requests/keys.h
@@ -33,30 +33,22 @@
 typedef struct PhKeys PhKeys;
 
 /* `self` is this instance's name among the members. */
-PhKeys *
-PhKeys_Create(PhStr self, PhTime window, PhTime now);
-void
-PhKeys_Destroy(PhKeys *keys);
+PhKeys *PhKeys_Create(PhStr self, PhTime window, PhTime now);
+void PhKeys_Destroy(PhKeys *keys);
 /* Takes the known members that have not left.  Those that are not heard stay
  * homes until more than half of all are heard here: then they are dropped. */
-void
-PhKeys_SetMembers(PhKeys *keys, const PhKeyMember *members, size_t count,
-                  PhTime now);
+void PhKeys_SetMembers(PhKeys *keys, const PhKeyMember *members, size_t count,
+                       PhTime now);
 /* The members that are homes (PhStr *), or NULL before they are known. */
-const GPtrArray *
-PhKeys_Members(const PhKeys *keys);
+const GPtrArray *PhKeys_Members(const PhKeys *keys);
 /* Finds the homes of a key; none before the members are known. */
-PhKeyHomes
-PhKeys_Homes(const PhKeys *keys, PhStr key);
+PhKeyHomes PhKeys_Homes(const PhKeys *keys, PhStr key);
 /* At a home: reserves the key for a request, which `holder` names.  A home
  * vouches when it is as old as the window and has been a home of the key for
  * all that time.  UNCLEAR when this is not a home, or hears no majority. */
-PhKeyVerdict
-PhKeys_Claim(PhKeys *keys, PhStr key, PhStr holder, PhTime now);
+PhKeyVerdict PhKeys_Claim(PhKeys *keys, PhStr key, PhStr holder, PhTime now);
 /* At a home: frees the key when the holder proved that it did not run. */
-void
-PhKeys_Release(PhKeys *keys, PhStr key, PhStr holder);
-size_t
-PhKeys_Count(const PhKeys *keys);
+void PhKeys_Release(PhKeys *keys, PhStr key, PhStr holder);
+size_t PhKeys_Count(const PhKeys *keys);
 
 #endif
--- a/include/peridothill/decide/requests/limit.h
+++ b/include/peridothill/decide/requests/limit.h
@@ -27,13 +27,10 @@
     PhWindow window;
 } PhLimit;
 
-void
-PhBaseline_Observe(PhBaseline *baseline, double sample, PhTime now);
-PhLimit
-PhLimit_Make(void);
+void PhBaseline_Observe(PhBaseline *baseline, double sample, PhTime now);
+PhLimit PhLimit_Make(void);
 /* Takes one latency into account, as a multiple of its baseline; tells whether
  * the factor moved. */
-bool
-PhLimit_Observe(PhLimit *limit, double ratio, PhTime now);
+bool PhLimit_Observe(PhLimit *limit, double ratio, PhTime now);
 
 #endif
--- a/include/peridothill/decide/requests/outlier.h
+++ b/include/peridothill/decide/requests/outlier.h
@@ -24,18 +24,13 @@
 } PhOutlier;
 
 /* Tells whether the failures in a row call for an ejection. */
-bool
-PhOutlier_IsDue(const PhOutlier *outlier);
+bool PhOutlier_IsDue(const PhOutlier *outlier);
 /* Ejects until a jittered time that grows with each ejection in a row. */
-void
-PhOutlier_Eject(PhOutlier *outlier, PhRandom *random, PhTime now);
+void PhOutlier_Eject(PhOutlier *outlier, PhRandom *random, PhTime now);
 /* Opens half when the cooldown has passed; tells whether it did. */
-bool
-PhOutlier_Wake(PhOutlier *outlier, PhTime now);
+bool PhOutlier_Wake(PhOutlier *outlier, PhTime now);
 /* Takes a success into account; tells whether it ended a half-open state. */
-bool
-PhOutlier_Succeeded(PhOutlier *outlier);
-void
-PhOutlier_Failed(PhOutlier *outlier);
+bool PhOutlier_Succeeded(PhOutlier *outlier);
+void PhOutlier_Failed(PhOutlier *outlier);
 
 #endif
--- a/include/peridothill/decide/requests/policy.h
+++ b/include/peridothill/decide/requests/policy.h
@@ -33,21 +33,14 @@
     size_t count;
 } PhPolicyTable;
 
-const char *
-PhServiceClass_Name(PhServiceClass service_class);
-bool
-PhServiceClass_Parse(PhStr text, PhServiceClass *service_class);
-PhServicePolicy
-PhServicePolicy_Default(PhStr name);
-PhServicePolicy
-PhServicePolicy_Copy(const PhServicePolicy *policy);
-void
-PhServicePolicy_Clear(PhServicePolicy *policy);
+const char *PhServiceClass_Name(PhServiceClass service_class);
+bool PhServiceClass_Parse(PhStr text, PhServiceClass *service_class);
+PhServicePolicy PhServicePolicy_Default(PhStr name);
+PhServicePolicy PhServicePolicy_Copy(const PhServicePolicy *policy);
+void PhServicePolicy_Clear(PhServicePolicy *policy);
 /* Tells whether the path is the prefix itself or lies below it. */
-bool
-PhServicePolicy_Covers(const PhServicePolicy *policy, PhStr path);
-bool
-PhServicePolicy_IsIdempotent(const PhServicePolicy *policy, PhStr method,
-                             PhStr path);
+bool PhServicePolicy_Covers(const PhServicePolicy *policy, PhStr path);
+bool PhServicePolicy_IsIdempotent(const PhServicePolicy *policy, PhStr method,
+                                  PhStr path);
 
 #endif
--- a/include/peridothill/decide/requests/refusal.h
+++ b/include/peridothill/decide/requests/refusal.h
@@ -22,9 +22,7 @@
     unsigned retry_after_s; /* 0 gives no Retry-After */
 } PhRefusalInfo;
 
-const PhRefusalInfo *
-PhRefusal_Info(PhRefusal refusal);
-const char *
-PhOutcome_Name(PhOutcome outcome);
+const PhRefusalInfo *PhRefusal_Info(PhRefusal refusal);
+const char *PhOutcome_Name(PhOutcome outcome);
 
 #endif
--- a/include/peridothill/decide/requests/requests.h
+++ b/include/peridothill/decide/requests/requests.h
@@ -192,26 +192,18 @@
 
 typedef struct PhRequests PhRequests;
 
-PhRequestsTuning
-PhRequestsTuning_Default(void);
-PhRequests *
-PhRequests_Create(const PhRequestsOptions *options);
-void
-PhRequests_Destroy(PhRequests *requests);
+PhRequestsTuning PhRequestsTuning_Default(void);
+PhRequests *PhRequests_Create(const PhRequestsOptions *options);
+void PhRequests_Destroy(PhRequests *requests);
 /* Takes one event and appends PhRequestsAction to `actions`. */
-void
-PhRequests_Handle(PhRequests *requests, const PhRequestsEvent *event,
-                  PhTime now, GArray *actions);
+void PhRequests_Handle(PhRequests *requests, const PhRequestsEvent *event,
+                       PhTime now, GArray *actions);
 /* When PH_REQUESTS_TIMER is due next, or PH_TIME_NEVER. */
-PhTime
-PhRequests_Next(const PhRequests *requests);
+PhTime PhRequests_Next(const PhRequests *requests);
 /* Tells whether the balancer should send callers here. */
-bool
-PhRequests_IsReady(const PhRequests *requests);
+bool PhRequests_IsReady(const PhRequests *requests);
 /* Requests that wait for an answer. */
-size_t
-PhRequests_InFlight(const PhRequests *requests);
-const PhRouter *
-PhRequests_Router(const PhRequests *requests);
+size_t PhRequests_InFlight(const PhRequests *requests);
+const PhRouter *PhRequests_Router(const PhRequests *requests);
 
 #endif
--- a/include/peridothill/decide/requests/router.h
+++ b/include/peridothill/decide/requests/router.h
@@ -55,57 +55,41 @@
 
 typedef struct PhRouter PhRouter;
 
-PhRouter *
-PhRouter_Create(const PhRouterOptions *options);
-void
-PhRouter_Destroy(PhRouter *router);
+PhRouter *PhRouter_Create(const PhRouterOptions *options);
+void PhRouter_Destroy(PhRouter *router);
 /* Finds or creates the pool of a service; its number stays valid. */
-uint32_t
-PhRouter_Pool(PhRouter *router, PhStr service);
+uint32_t PhRouter_Pool(PhRouter *router, PhStr service);
 /* Takes a reading of the list in place of the one before. */
-void
-PhRouter_SetWorkers(PhRouter *router, const PhWorkerRow *rows, size_t count);
+void PhRouter_SetWorkers(PhRouter *router, const PhWorkerRow *rows,
+                         size_t count);
 /* Names the live entry instances, this one included. */
-void
-PhRouter_SetInstances(PhRouter *router, const PhStr *ids, size_t count);
+void PhRouter_SetInstances(PhRouter *router, const PhStr *ids, size_t count);
 /* Tells whether the pool could take a request now: with all its room, or with
  * a little held back for urgent requests. */
-bool
-PhRouter_HasRoom(const PhRouter *router, uint32_t pool, bool all_room);
+bool PhRouter_HasRoom(const PhRouter *router, uint32_t pool, bool all_room);
 /* Tells whether the pool has any worker, busy or not. */
-bool
-PhRouter_HasWorkers(const PhRouter *router, uint32_t pool);
+bool PhRouter_HasWorkers(const PhRouter *router, uint32_t pool);
 /* Chooses a worker other than `avoid`, or gives PH_WORKER_NONE. */
-uint32_t
-PhRouter_Pick(PhRouter *router, uint32_t pool, uint32_t avoid, bool idempotent,
-              PhTime now);
+uint32_t PhRouter_Pick(PhRouter *router, uint32_t pool, uint32_t avoid,
+                       bool idempotent, PhTime now);
 /* Notes the start and the end of an attempt. */
-void
-PhRouter_Sent(PhRouter *router, uint32_t worker);
-PhRouterChange
-PhRouter_Done(PhRouter *router, uint32_t worker, uint32_t pool,
-              PhAttemptResult result, PhTime latency, PhTime now);
+void PhRouter_Sent(PhRouter *router, uint32_t worker);
+PhRouterChange PhRouter_Done(PhRouter *router, uint32_t worker, uint32_t pool,
+                             PhAttemptResult result, PhTime latency,
+                             PhTime now);
 /* The worker's id and address, valid while an attempt is in flight there. */
-PhStr
-PhRouter_WorkerId(const PhRouter *router, uint32_t worker);
-PhStr
-PhRouter_WorkerAddress(const PhRouter *router, uint32_t worker);
+PhStr PhRouter_WorkerId(const PhRouter *router, uint32_t worker);
+PhStr PhRouter_WorkerAddress(const PhRouter *router, uint32_t worker);
 /* Connections to the worker that this instance may hold. */
-uint32_t
-PhRouter_ConnectionCap(const PhRouter *router, uint32_t worker);
+uint32_t PhRouter_ConnectionCap(const PhRouter *router, uint32_t worker);
 /* Finds a worker of the list by its id, or gives PH_WORKER_NONE. */
-uint32_t
-PhRouter_FindWorker(const PhRouter *router, PhStr id);
+uint32_t PhRouter_FindWorker(const PhRouter *router, PhStr id);
 /* Mean latency of the pool, and what nearly all answers stay below. */
-PhTime
-PhRouter_MeanLatency(const PhRouter *router, uint32_t pool);
-PhTime
-PhRouter_TailLatency(const PhRouter *router, uint32_t pool);
+PhTime PhRouter_MeanLatency(const PhRouter *router, uint32_t pool);
+PhTime PhRouter_TailLatency(const PhRouter *router, uint32_t pool);
 /* Opens half the workers whose cooldown has passed. */
-void
-PhRouter_Wake(PhRouter *router, PhTime now);
+void PhRouter_Wake(PhRouter *router, PhTime now);
 /* When the next cooldown ends, or PH_TIME_NEVER. */
-PhTime
-PhRouter_NextWake(const PhRouter *router);
+PhTime PhRouter_NextWake(const PhRouter *router);
 
 #endif
--- a/include/peridothill/decide/requests/subset.h
+++ b/include/peridothill/decide/requests/subset.h
@@ -12,12 +12,10 @@
 } PhSubsetPart;
 
 /* Weight of an owner for a name; the greatest weight owns it. */
-uint64_t
-PhSubset_Weight(PhStr name, PhStr owner);
+uint64_t PhSubset_Weight(PhStr name, PhStr owner);
 /* The part of `instances[self]`.  One instance that the others do not know
  * yet still finds room within the limit. */
-PhSubsetPart
-PhSubset_Part(PhStr worker, uint32_t connection_limit, const PhStr *instances,
-              size_t count, size_t self);
+PhSubsetPart PhSubset_Part(PhStr worker, uint32_t connection_limit,
+                           const PhStr *instances, size_t count, size_t self);
 
 #endif
--- a/include/peridothill/decide/tasks/job.h
+++ b/include/peridothill/decide/tasks/job.h
@@ -69,27 +69,17 @@
 } PhJobTaskState;
 
 const char *PhJobClass_Name(PhJobClass class);
-bool
-PhJobClass_Parse(PhStr name, PhJobClass *class);
-const char *
-PhJobTaskState_Name(PhJobTaskState state);
-const char *
-PhRunOutcome_Name(PhRunOutcome outcome);
+bool PhJobClass_Parse(PhStr name, PhJobClass *class);
+const char *PhJobTaskState_Name(PhJobTaskState state);
+const char *PhRunOutcome_Name(PhRunOutcome outcome);
 /* Checks a spec; the message tells what is wrong. */
-PhResult
-PhJobSpec_Check(const PhJobSpec *spec);
-PhJobSpec
-PhJobSpec_Copy(const PhJobSpec *spec);
-void
-PhJobSpec_Clear(PhJobSpec *spec);
+PhResult PhJobSpec_Check(const PhJobSpec *spec);
+PhJobSpec PhJobSpec_Copy(const PhJobSpec *spec);
+void PhJobSpec_Clear(PhJobSpec *spec);
 /* Tells whether `size` fits into `room` on all three resources. */
-bool
-PhJobSize_Fits(PhJobSize size, PhJobSize room);
-PhJobSize
-PhJobSize_Add(PhJobSize a, PhJobSize b);
-PhJobSize
-PhJobSize_Subtract(PhJobSize a, PhJobSize b);
-bool
-PhRun_Equal(PhRun a, PhRun b);
+bool PhJobSize_Fits(PhJobSize size, PhJobSize room);
+PhJobSize PhJobSize_Add(PhJobSize a, PhJobSize b);
+PhJobSize PhJobSize_Subtract(PhJobSize a, PhJobSize b);
+bool PhRun_Equal(PhRun a, PhRun b);
 
 #endif
--- a/include/peridothill/decide/tasks/job_engine.h
+++ b/include/peridothill/decide/tasks/job_engine.h
@@ -134,23 +134,17 @@
 
 typedef struct PhJobEngine PhJobEngine;
 
-PhJobEngine *
-PhJobEngine_Create(const PhJobEngineOptions *options, PhTime now);
-void
-PhJobEngine_Destroy(PhJobEngine *engine);
+PhJobEngine *PhJobEngine_Create(const PhJobEngineOptions *options, PhTime now);
+void PhJobEngine_Destroy(PhJobEngine *engine);
 /* Handles an event; actions are added to `actions`, an array of
  * PhJobAction. */
-void
-PhJobEngine_Handle(PhJobEngine *engine, const PhJobEvent *event, PhTime now,
-                   GArray *actions);
+void PhJobEngine_Handle(PhJobEngine *engine, const PhJobEvent *event,
+                        PhTime now, GArray *actions);
 /* The state as read so far, or NULL before the stream was read. */
-const PhJobState *
-PhJobEngine_State(const PhJobEngine *engine);
+const PhJobState *PhJobEngine_State(const PhJobEngine *engine);
 /* Tells whether this instance may start tasks at `now`. */
-bool
-PhJobEngine_Owns(const PhJobEngine *engine, PhTime now);
+bool PhJobEngine_Owns(const PhJobEngine *engine, PhTime now);
 /* Why a job waits, as the owner sees it; may be empty. */
-PhStr
-PhJobEngine_Reason(const PhJobEngine *engine, uint64_t job);
+PhStr PhJobEngine_Reason(const PhJobEngine *engine, uint64_t job);
 
 #endif
--- a/include/peridothill/decide/tasks/job_record.h
+++ b/include/peridothill/decide/tasks/job_record.h
@@ -112,17 +112,12 @@
     GArray *records; /* PhJobRecord, owned */
 } PhJobEntry;
 
-void
-PhJobRecord_Clear(PhJobRecord *record);
+void PhJobRecord_Clear(PhJobRecord *record);
 /* Copies a record with what it owns. */
-PhJobRecord
-PhJobRecord_Copy(const PhJobRecord *record);
+PhJobRecord PhJobRecord_Copy(const PhJobRecord *record);
 /* An array of PhJobRecord that owns its records. */
-GArray *
-PhJobRecords_Create(void);
-PhJobEntry
-PhJobEntry_Make(PhStr instance, uint64_t sequence);
-void
-PhJobEntry_Clear(PhJobEntry *entry);
+GArray *PhJobRecords_Create(void);
+PhJobEntry PhJobEntry_Make(PhStr instance, uint64_t sequence);
+void PhJobEntry_Clear(PhJobEntry *entry);
 
 #endif
--- a/include/peridothill/decide/tasks/job_state.h
+++ b/include/peridothill/decide/tasks/job_state.h
@@ -75,66 +75,49 @@
 
 typedef struct PhJobState PhJobState;
 
-PhJobState *
-PhJobState_Create(void);
-void
-PhJobState_Destroy(PhJobState *state);
+PhJobState *PhJobState_Create(void);
+void PhJobState_Destroy(PhJobState *state);
 /* Takes the next entry; false when it is repeated, then none of its records
  * may be applied. */
-bool
-PhJobState_Enter(PhJobState *state, uint64_t place, const PhJobEntry *entry);
+bool PhJobState_Enter(PhJobState *state, uint64_t place,
+                      const PhJobEntry *entry);
 /* Applies one record of the entry that was taken last, in order. */
-PhJobChange
-PhJobState_Apply(PhJobState *state, const PhJobEntry *entry,
-                 uint32_t position);
+PhJobChange PhJobState_Apply(PhJobState *state, const PhJobEntry *entry,
+                             uint32_t position);
 /* The place of the next entry. */
-uint64_t
-PhJobState_Next(const PhJobState *state);
+uint64_t PhJobState_Next(const PhJobState *state);
 
-uint64_t
-PhJobState_Epoch(const PhJobState *state);
+uint64_t PhJobState_Epoch(const PhJobState *state);
 /* The owner, empty before the first claim. */
-PhStr
-PhJobState_Owner(const PhJobState *state);
+PhStr PhJobState_Owner(const PhJobState *state);
 /* Place of the owner's last record that took effect, or PH_PLACE_NONE. */
-uint64_t
-PhJobState_OwnerPlace(const PhJobState *state);
+uint64_t PhJobState_OwnerPlace(const PhJobState *state);
 
-PhJob *
-PhJobState_Job(const PhJobState *state, uint64_t number);
-PhJob *
-PhJobState_JobOfKey(const PhJobState *state, PhStr key);
+PhJob *PhJobState_Job(const PhJobState *state, uint64_t number);
+PhJob *PhJobState_JobOfKey(const PhJobState *state, PhStr key);
 /* The first job with a number of at least `number`, or NULL. */
-PhJob *
-PhJobState_JobFrom(const PhJobState *state, uint64_t number);
+PhJob *PhJobState_JobFrom(const PhJobState *state, uint64_t number);
 /* The task of a run if the run is placed, or NULL. */
-const PhJobTask *
-PhJobState_Placed(const PhJobState *state, PhRun run);
+const PhJobTask *PhJobState_Placed(const PhJobState *state, PhRun run);
 
-uint32_t
-PhJobState_WorkerCount(const PhJobState *state);
-const PhJobWorker *
-PhJobState_Worker(const PhJobState *state, uint32_t worker);
+uint32_t PhJobState_WorkerCount(const PhJobState *state);
+const PhJobWorker *PhJobState_Worker(const PhJobState *state, uint32_t worker);
 /* The number of a worker, given one if it is new. */
-uint32_t
-PhJobState_WorkerOf(PhJobState *state, PhStr id);
-uint32_t
-PhJobState_RenewerCount(const PhJobState *state);
-const PhJobRenewer *
-PhJobState_Renewer(const PhJobState *state, uint32_t renewer);
+uint32_t PhJobState_WorkerOf(PhJobState *state, PhStr id);
+uint32_t PhJobState_RenewerCount(const PhJobState *state);
+const PhJobRenewer *PhJobState_Renewer(const PhJobState *state,
+                                       uint32_t renewer);
 /* The renewer of an instance, or NULL. */
-const PhJobRenewer *
-PhJobState_RenewerOf(const PhJobState *state, PhStr instance);
+const PhJobRenewer *PhJobState_RenewerOf(const PhJobState *state,
+                                         PhStr instance);
 
 /* Adds the records of a snapshot to `records`, an array of PhJobRecord. */
-void
-PhJobState_Snapshot(const PhJobState *state, uint64_t id, GArray *records);
+void PhJobState_Snapshot(const PhJobState *state, uint64_t id,
+                         GArray *records);
 /* The state that the records of one snapshot stand for, or NULL when they are
  * not a whole snapshot. */
-PhJobState *
-PhJobState_Load(const GArray *records);
+PhJobState *PhJobState_Load(const GArray *records);
 /* Number of placed runs on all workers. */
-uint64_t
-PhJobState_PlacedCount(const PhJobState *state);
+uint64_t PhJobState_PlacedCount(const PhJobState *state);
 
 #endif
--- a/include/peridothill/decide/tasks/lease.h
+++ b/include/peridothill/decide/tasks/lease.h
@@ -35,11 +35,9 @@
     PhTime snapshot;
 } PhLeaseTimes;
 
-PhLeaseTimes
-PhLeaseTimes_Default(void);
+PhLeaseTimes PhLeaseTimes_Default(void);
 /* How long another clock must be given for `duration` to have passed on any
  * clock within the margins. */
-PhTime
-PhLease_Stretch(PhTime duration);
+PhTime PhLease_Stretch(PhTime duration);
 
 #endif
--- a/include/peridothill/decide/tasks/placement.h
+++ b/include/peridothill/decide/tasks/placement.h
@@ -17,36 +17,27 @@
 
 typedef struct PhPlacement PhPlacement;
 
-PhPlacement *
-PhPlacement_Create(PhPlacementPolicy policy);
-void
-PhPlacement_Destroy(PhPlacement *placement);
+PhPlacement *PhPlacement_Create(PhPlacementPolicy policy);
+void PhPlacement_Destroy(PhPlacement *placement);
 /* Sets size and rack of a worker, numbered by the caller from 0 without large
  * gaps; only a usable one is chosen. */
-void
-PhPlacement_SetWorker(PhPlacement *placement, uint32_t worker, PhJobSize size,
-                      PhStr rack, bool usable);
+void PhPlacement_SetWorker(PhPlacement *placement, uint32_t worker,
+                           PhJobSize size, PhStr rack, bool usable);
 /* Forgets what is committed everywhere. */
-void
-PhPlacement_Reset(PhPlacement *placement);
+void PhPlacement_Reset(PhPlacement *placement);
 /* Takes room for a task of a job.  `checked` asserts that it is there. */
-void
-PhPlacement_Commit(PhPlacement *placement, uint32_t worker, uint64_t job,
-                   PhJobSize size, bool checked);
-void
-PhPlacement_Release(PhPlacement *placement, uint32_t worker, uint64_t job,
-                    PhJobSize size);
+void PhPlacement_Commit(PhPlacement *placement, uint32_t worker, uint64_t job,
+                        PhJobSize size, bool checked);
+void PhPlacement_Release(PhPlacement *placement, uint32_t worker, uint64_t job,
+                         PhJobSize size);
 /* Gives the worker for a task, or PH_PLACEMENT_NONE. */
-uint32_t
-PhPlacement_Choose(PhPlacement *placement, uint64_t job, PhJobSize size);
+uint32_t PhPlacement_Choose(PhPlacement *placement, uint64_t job,
+                            PhJobSize size);
 /* Tells whether some worker, if it were empty, could hold the size. */
-bool
-PhPlacement_EverFits(const PhPlacement *placement, PhJobSize size);
+bool PhPlacement_EverFits(const PhPlacement *placement, PhJobSize size);
 /* What is committed on a worker. */
-PhJobSize
-PhPlacement_Committed(const PhPlacement *placement, uint32_t worker);
+PhJobSize PhPlacement_Committed(const PhPlacement *placement, uint32_t worker);
 /* The sum of the sizes of all usable workers. */
-PhJobSize
-PhPlacement_Total(const PhPlacement *placement);
+PhJobSize PhPlacement_Total(const PhPlacement *placement);
 
 #endif
--- a/include/peridothill/decide/tasks/quota.h
+++ b/include/peridothill/decide/tasks/quota.h
@@ -20,35 +20,27 @@
 
 typedef struct PhQuotas PhQuotas;
 
-PhQuotas *
-PhQuotas_Create(void);
-void
-PhQuotas_Destroy(PhQuotas *quotas);
+PhQuotas *PhQuotas_Create(void);
+void PhQuotas_Destroy(PhQuotas *quotas);
 /* Takes the quotas of all teams; a team that is not named has none. */
-void
-PhQuotas_Set(PhQuotas *quotas, const PhTeamQuota *teams, size_t count);
+void PhQuotas_Set(PhQuotas *quotas, const PhTeamQuota *teams, size_t count);
 /* Forgets what is committed, and keeps the quotas. */
-void
-PhQuotas_Reset(PhQuotas *quotas);
+void PhQuotas_Reset(PhQuotas *quotas);
 /* Commits one task of a job to its team. */
-void
-PhQuotas_Commit(PhQuotas *quotas, PhStr team, uint64_t job, PhJobSize size);
+void PhQuotas_Commit(PhQuotas *quotas, PhStr team, uint64_t job,
+                     PhJobSize size);
 /* Takes one task of a job back.  The room of a team within its quota is held
  * for it from lending for PH_QUOTA_HOLD_MS, or until its next commit. */
-void
-PhQuotas_Release(PhQuotas *quotas, uint64_t job, PhJobSize size, PhTime now);
+void PhQuotas_Release(PhQuotas *quotas, uint64_t job, PhJobSize size,
+                      PhTime now);
 /* Ends the holds that are past their time. */
-void
-PhQuotas_Expire(PhQuotas *quotas, PhTime now);
+void PhQuotas_Expire(PhQuotas *quotas, PhTime now);
 /* Tells whether the team stays within its quota with one more task. */
-bool
-PhQuotas_Entitles(const PhQuotas *quotas, PhStr team, PhJobSize size);
+bool PhQuotas_Entitles(const PhQuotas *quotas, PhStr team, PhJobSize size);
 /* Tells whether `total` has room for one more task beside what is committed
  * and held. */
-bool
-PhQuotas_Lends(const PhQuotas *quotas, PhJobSize size, PhJobSize total);
+bool PhQuotas_Lends(const PhQuotas *quotas, PhJobSize size, PhJobSize total);
 /* What the team has committed. */
-PhJobSize
-PhQuotas_Used(const PhQuotas *quotas, PhStr team);
+PhJobSize PhQuotas_Used(const PhQuotas *quotas, PhStr team);
 
 #endif
--- a/include/peridothill/decide/tasks/worker_command.h
+++ b/include/peridothill/decide/tasks/worker_command.h
@@ -67,12 +67,9 @@
     GArray *ended;   /* PhWorkerEnd, owned, may be NULL */
 } PhWorkerAnswer;
 
-void
-PhWorkerAnswer_Clear(PhWorkerAnswer *answer);
+void PhWorkerAnswer_Clear(PhWorkerAnswer *answer);
 /* What a run adds to a digest, by exclusive or. */
-uint64_t
-PhRun_Digest(PhRun run);
-uint64_t
-PhRuns_Digest(const GArray *runs);
+uint64_t PhRun_Digest(PhRun run);
+uint64_t PhRuns_Digest(const GArray *runs);
 
 #endif
--- a/include/peridothill/demo/demo.h
+++ b/include/peridothill/demo/demo.h
@@ -8,7 +8,6 @@
 
 /* Runs within a minute and prints progress, then one line for each promise.
  * True when all promises held. */
-bool
-PhDemo_Run(uint64_t seed, FILE *out);
+bool PhDemo_Run(uint64_t seed, FILE *out);
 
 #endif
--- a/include/peridothill/demo/load.h
+++ b/include/peridothill/demo/load.h
@@ -11,19 +11,14 @@
 typedef struct PhLoad PhLoad;
 
 /* Starts the task; the kernel also needs the task "http". */
-PhLoad *
-PhLoad_Start(PhKernel *kernel, PhWorld *world, PhVerdicts *verdicts);
+PhLoad *PhLoad_Start(PhKernel *kernel, PhWorld *world, PhVerdicts *verdicts);
 /* Sets the time between two requests; 0 stops sending. */
-void
-PhLoad_SetInterval(PhLoad *load, PhTime interval);
+void PhLoad_SetInterval(PhLoad *load, PhTime interval);
 /* Notes that an instance was ended at once: its open requests may be lost. */
-void
-PhLoad_InstanceKilled(PhLoad *load, int index);
+void PhLoad_InstanceKilled(PhLoad *load, int index);
 /* Prints what the callers have seen. */
-void
-PhLoad_Print(const PhLoad *load, FILE *out);
+void PhLoad_Print(const PhLoad *load, FILE *out);
 /* Checks how often each request ran, once nothing is in flight. */
-void
-PhLoad_CheckRuns(PhLoad *load);
+void PhLoad_CheckRuns(PhLoad *load);
 
 #endif
--- a/include/peridothill/demo/script.h
+++ b/include/peridothill/demo/script.h
@@ -53,7 +53,6 @@
 } PhScriptOptions;
 
 /* Starts the task; its kernel also needs "http" and "load". */
-void
-PhScript_Start(PhKernel *kernel, const PhScriptOptions *options);
+void PhScript_Start(PhKernel *kernel, const PhScriptOptions *options);
 
 #endif
--- a/include/peridothill/demo/verdict.h
+++ b/include/peridothill/demo/verdict.h
@@ -15,16 +15,12 @@
 typedef struct PhVerdicts PhVerdicts;
 
 /* Broken checks are told on `out` as they are seen. */
-PhVerdicts *
-PhVerdicts_Create(FILE *out);
-void
-PhVerdicts_Destroy(PhVerdicts *verdicts);
+PhVerdicts *PhVerdicts_Create(FILE *out);
+void PhVerdicts_Destroy(PhVerdicts *verdicts);
 /* Counts one check of a promise from outside; `about` tells what was seen. */
-void
-PhVerdicts_Check(PhVerdicts *verdicts, PhInvariant promise, bool held,
-                 PhStr about);
+void PhVerdicts_Check(PhVerdicts *verdicts, PhInvariant promise, bool held,
+                      PhStr about);
 /* Prints one line for each promise; true when all of them held. */
-bool
-PhVerdicts_Print(const PhVerdicts *verdicts, FILE *out);
+bool PhVerdicts_Print(const PhVerdicts *verdicts, FILE *out);
 
 #endif
--- a/include/peridothill/demo/world.h
+++ b/include/peridothill/demo/world.h
@@ -27,48 +27,32 @@
 
 typedef struct PhWorld PhWorld;
 
-PhWorld *
-PhWorld_Create(const PhDeployment *deployment, struct ev_loop *loop,
-               PhClock *clock, uint64_t seed);
-void
-PhWorld_Destroy(PhWorld *world);
+PhWorld *PhWorld_Create(const PhDeployment *deployment, struct ev_loop *loop,
+                        PhClock *clock, uint64_t seed);
+void PhWorld_Destroy(PhWorld *world);
 /* Starts the stand-ins, the workers and all instances. */
-PhResult
-PhWorld_Start(PhWorld *world);
+PhResult PhWorld_Start(PhWorld *world);
 
 /* Starts an instance in the place of one that is not running. */
-PhResult
-PhWorld_InstanceStart(PhWorld *world, int index);
+PhResult PhWorld_InstanceStart(PhWorld *world, int index);
 /* Ends an instance at once, as a crash would. */
-void
-PhWorld_InstanceKill(PhWorld *world, int index);
+void PhWorld_InstanceKill(PhWorld *world, int index);
 /* Begins a graceful stop; the instance is gone once it has ended. */
-void
-PhWorld_InstanceStop(PhWorld *world, int index);
+void PhWorld_InstanceStop(PhWorld *world, int index);
 /* What the balancer's check of readiness found. */
-void
-PhWorld_InstanceSetReady(PhWorld *world, int index, bool ready);
+void PhWorld_InstanceSetReady(PhWorld *world, int index, bool ready);
 /* Tells whether the instance runs, is ready, and was not told to stop. */
-bool
-PhWorld_InstanceTakesWork(const PhWorld *world, int index);
-bool
-PhWorld_InstanceRuns(const PhWorld *world, int index);
+bool PhWorld_InstanceTakesWork(const PhWorld *world, int index);
+bool PhWorld_InstanceRuns(const PhWorld *world, int index);
 /* Addresses of a running instance, borrowed. */
-PhStr
-PhWorld_CallersAddress(const PhWorld *world, int index);
-PhStr
-PhWorld_OperatorsAddress(const PhWorld *world, int index);
-PhStr
-PhWorld_Token(const PhWorld *world);
-PhCounters *
-PhWorld_Counters(const PhWorld *world, int index);
+PhStr PhWorld_CallersAddress(const PhWorld *world, int index);
+PhStr PhWorld_OperatorsAddress(const PhWorld *world, int index);
+PhStr PhWorld_Token(const PhWorld *world);
+PhCounters *PhWorld_Counters(const PhWorld *world, int index);
 
-PhFakeLog *
-PhWorld_Log(PhWorld *world);
-PhStandinWorkerState *
-PhWorld_Worker(PhWorld *world, int index);
+PhFakeLog *PhWorld_Log(PhWorld *world);
+PhStandinWorkerState *PhWorld_Worker(PhWorld *world, int index);
 /* Marks a worker as leaving in the platform's list. */
-void
-PhWorld_WorkerLeave(PhWorld *world, int index, PhTime now);
+void PhWorld_WorkerLeave(PhWorld *world, int index, PhTime now);
 
 #endif
--- a/include/peridothill/fakes/fake_log.h
+++ b/include/peridothill/fakes/fake_log.h
@@ -53,19 +53,15 @@
 
 typedef struct PhFakeLog PhFakeLog;
 
-PhFakeLog *
-PhFakeLog_Create(const PhFakeLogOptions *options);
-void
-PhFakeLog_Destroy(PhFakeLog *log);
-PhFakeLogOptions *
-PhFakeLog_Options(PhFakeLog *log);
-PhFakeLogCounts
-PhFakeLog_Counts(const PhFakeLog *log);
-PhFakeLogAnswer
-PhFakeLog_Append(PhFakeLog *log, PhTime now, PhStr stream, PhStr record);
+PhFakeLog *PhFakeLog_Create(const PhFakeLogOptions *options);
+void PhFakeLog_Destroy(PhFakeLog *log);
+PhFakeLogOptions *PhFakeLog_Options(PhFakeLog *log);
+PhFakeLogCounts PhFakeLog_Counts(const PhFakeLog *log);
+PhFakeLogAnswer PhFakeLog_Append(PhFakeLog *log, PhTime now, PhStr stream,
+                                 PhStr record);
 /* Adds up to `most` records from `offset` on to an array of PhFakeRecord. */
-PhFakeLogAnswer
-PhFakeLog_Read(PhFakeLog *log, PhTime now, PhStr stream, uint64_t offset,
-               uint32_t most, GArray *records);
+PhFakeLogAnswer PhFakeLog_Read(PhFakeLog *log, PhTime now, PhStr stream,
+                               uint64_t offset, uint32_t most,
+                               GArray *records);
 
 #endif
--- a/include/peridothill/fakes/fake_net.h
+++ b/include/peridothill/fakes/fake_net.h
@@ -50,41 +50,31 @@
 typedef struct PhFakeNet PhFakeNet;
 
 /* `clear` empties a body before its last reference goes; it may be NULL. */
-PhFakeNet *
-PhFakeNet_Create(uint64_t seed, uint32_t endpoints, GDestroyNotify clear);
-void
-PhFakeNet_Destroy(PhFakeNet *net);
-PhTime
-PhFakeNet_Now(const PhFakeNet *net);
-PhFakeNetCounts
-PhFakeNet_Counts(const PhFakeNet *net);
+PhFakeNet *PhFakeNet_Create(uint64_t seed, uint32_t endpoints,
+                            GDestroyNotify clear);
+void PhFakeNet_Destroy(PhFakeNet *net);
+PhTime PhFakeNet_Now(const PhFakeNet *net);
+PhFakeNetCounts PhFakeNet_Counts(const PhFakeNet *net);
 /* All endpoints start in group 0. */
-void
-PhFakeNet_SetGroup(PhFakeNet *net, uint32_t endpoint, uint32_t group);
+void PhFakeNet_SetGroup(PhFakeNet *net, uint32_t endpoint, uint32_t group);
 /* The link from one group to another, to read or change. */
-PhFakeLink *
-PhFakeNet_Link(PhFakeNet *net, uint32_t from, uint32_t to);
+PhFakeLink *PhFakeNet_Link(PhFakeNet *net, uint32_t from, uint32_t to);
 /* Makes one ordered pair of endpoints silent, as a connection that something
  * between the ends has lost track of. */
-void
-PhFakeNet_Silence(PhFakeNet *net, uint32_t from, uint32_t to, bool silent);
+void PhFakeNet_Silence(PhFakeNet *net, uint32_t from, uint32_t to,
+                       bool silent);
 /* Moves the events that an endpoint has before `until` to that time. */
-void
-PhFakeNet_Pause(PhFakeNet *net, uint32_t endpoint, PhTime until);
+void PhFakeNet_Pause(PhFakeNet *net, uint32_t endpoint, PhTime until);
 /* Drops all that is pending for an endpoint, timers too. */
-void
-PhFakeNet_Crash(PhFakeNet *net, uint32_t endpoint);
+void PhFakeNet_Crash(PhFakeNet *net, uint32_t endpoint);
 /* Sends a message; takes the body, NULL or from g_rc_box_new. */
-void
-PhFakeNet_Send(PhFakeNet *net, uint32_t from, uint32_t to, uint64_t token,
-               void *body);
+void PhFakeNet_Send(PhFakeNet *net, uint32_t from, uint32_t to, uint64_t token,
+                    void *body);
 /* Sets a timer that fires once; several may have one token. */
-void
-PhFakeNet_SetTimer(PhFakeNet *net, uint32_t endpoint, uint64_t token,
-                   PhTime at);
+void PhFakeNet_SetTimer(PhFakeNet *net, uint32_t endpoint, uint64_t token,
+                        PhTime at);
 /* Gives the next event and moves the time to it; without one by `until`,
  * moves the time to `until` and gives false. */
-bool
-PhFakeNet_Next(PhFakeNet *net, PhTime until, PhFakeEvent *event);
+bool PhFakeNet_Next(PhFakeNet *net, PhTime until, PhFakeEvent *event);
 
 #endif
--- a/include/peridothill/fakes/fake_worker.h
+++ b/include/peridothill/fakes/fake_worker.h
@@ -69,36 +69,27 @@
 
 typedef struct PhFakeWorker PhFakeWorker;
 
-PhFakeWorker *
-PhFakeWorker_Create(const PhFakeWorkerOptions *options);
-void
-PhFakeWorker_Destroy(PhFakeWorker *worker);
-PhFakeWorkerOptions *
-PhFakeWorker_Options(PhFakeWorker *worker);
+PhFakeWorker *PhFakeWorker_Create(const PhFakeWorkerOptions *options);
+void PhFakeWorker_Destroy(PhFakeWorker *worker);
+PhFakeWorkerOptions *PhFakeWorker_Options(PhFakeWorker *worker);
 /* Takes a request after those that came before; tells when it ends and, when
  * not NULL, when its service begins. */
-PhTime
-PhFakeWorker_Serve(PhFakeWorker *worker, PhTime now, PhTime *begin);
+PhTime PhFakeWorker_Serve(PhFakeWorker *worker, PhTime now, PhTime *begin);
 /* A start gives EXISTS when this incarnation runs already, CONFLICT when
  * another runs or one not older was seen, EXPIRED when the lease is past, IO
  * on a worker that fails starts, FULL when the declared size does not fit.
  * The others give NOT_FOUND unless this incarnation runs. */
-PhStatus
-PhFakeWorker_Order(PhFakeWorker *worker, PhTime now, const PhFakeOrder *order);
+PhStatus PhFakeWorker_Order(PhFakeWorker *worker, PhTime now,
+                            const PhFakeOrder *order);
 /* Moves the tasks to `now` and adds those that ended since the last call to
  * an array of PhFakeEnded, in the order of their ends. */
-void
-PhFakeWorker_Advance(PhFakeWorker *worker, PhTime now, GArray *ended);
+void PhFakeWorker_Advance(PhFakeWorker *worker, PhTime now, GArray *ended);
 /* The running task, or NULL. */
-const PhFakeTask *
-PhFakeWorker_Find(const PhFakeWorker *worker, uint64_t id);
+const PhFakeTask *PhFakeWorker_Find(const PhFakeWorker *worker, uint64_t id);
 /* Sum of the declared sizes, and the actual use `usage_lag` ago. */
-PhFakeSize
-PhFakeWorker_Committed(const PhFakeWorker *worker);
-PhFakeSize
-PhFakeWorker_Usage(PhFakeWorker *worker, PhTime now);
+PhFakeSize PhFakeWorker_Committed(const PhFakeWorker *worker);
+PhFakeSize PhFakeWorker_Usage(PhFakeWorker *worker, PhTime now);
 /* Comes back empty: no tasks, no requests, no memory of incarnations. */
-void
-PhFakeWorker_Restart(PhFakeWorker *worker, PhTime now);
+void PhFakeWorker_Restart(PhFakeWorker *worker, PhTime now);
 
 #endif
--- a/include/peridothill/kernel/clock.h
+++ b/include/peridothill/kernel/clock.h
@@ -12,20 +12,14 @@
 
 typedef struct PhClock PhClock;
 
-PhClock *
-PhClock_Create(PhClockKind kind);
-void
-PhClock_Destroy(PhClock *clock);
-PhClockKind
-PhClock_Kind(const PhClock *clock);
+PhClock *PhClock_Create(PhClockKind kind);
+void PhClock_Destroy(PhClock *clock);
+PhClockKind PhClock_Kind(const PhClock *clock);
 /* Time since an origin of the clock's own; it never goes back. */
-PhTime
-PhClock_Now(const PhClock *clock);
+PhTime PhClock_Now(const PhClock *clock);
 /* Wall time since the Unix epoch; only for what leaves the machine. */
-PhTime
-PhClock_Wall(const PhClock *clock);
+PhTime PhClock_Wall(const PhClock *clock);
 /* Moves a paused clock forward. */
-void
-PhClock_Advance(PhClock *clock, PhTime by);
+void PhClock_Advance(PhClock *clock, PhTime by);
 
 #endif
--- a/include/peridothill/kernel/kernel.h
+++ b/include/peridothill/kernel/kernel.h
@@ -85,85 +85,60 @@
     PhCounters *counters;
 } PhKernelOptions;
 
-PhKernel *
-PhKernel_Create(const PhKernelOptions *options);
-void
-PhKernel_Destroy(PhKernel *kernel);
-PhTime
-PhKernel_Now(const PhKernel *kernel);
-PhLog *
-PhKernel_Log(const PhKernel *kernel);
-PhCounters *
-PhKernel_Counters(const PhKernel *kernel);
+PhKernel *PhKernel_Create(const PhKernelOptions *options);
+void PhKernel_Destroy(PhKernel *kernel);
+PhTime PhKernel_Now(const PhKernel *kernel);
+PhLog *PhKernel_Log(const PhKernel *kernel);
+PhCounters *PhKernel_Counters(const PhKernel *kernel);
 
 /* Starts a task; EXISTS when the name is taken.  On failure the state stays
  * the caller's. */
-PhStatus
-PhKernel_Spawn(PhKernel *kernel, const PhTaskSpec *spec, PhTaskRef *ref);
+PhStatus PhKernel_Spawn(PhKernel *kernel, const PhTaskSpec *spec,
+                        PhTaskRef *ref);
 /* Finds a live task by name; an ended or unknown one gives the zero ref. */
-PhTaskRef
-PhKernel_Lookup(const PhKernel *kernel, PhStr name);
-bool
-PhTaskRef_IsNone(PhTaskRef ref);
-bool
-PhTaskRef_Equal(PhTaskRef a, PhTaskRef b);
+PhTaskRef PhKernel_Lookup(const PhKernel *kernel, PhStr name);
+bool PhTaskRef_IsNone(PhTaskRef ref);
+bool PhTaskRef_Equal(PhTaskRef a, PhTaskRef b);
 /* Puts a message into a mailbox.  FULL or GONE releases the message at once;
  * FULL is counted. */
-PhStatus
-PhKernel_Send(PhKernel *kernel, PhTaskRef from, PhTaskRef to,
-              PhMessage message);
+PhStatus PhKernel_Send(PhKernel *kernel, PhTaskRef from, PhTaskRef to,
+                       PhMessage message);
 /* Sends PH_MAIL_STOP to one task; it is delivered even to a full mailbox. */
-PhStatus
-PhKernel_Stop(PhKernel *kernel, PhTaskRef ref);
+PhStatus PhKernel_Stop(PhKernel *kernel, PhTaskRef ref);
 /* Counts the live tasks. */
-size_t
-PhKernel_TaskCount(const PhKernel *kernel);
+size_t PhKernel_TaskCount(const PhKernel *kernel);
 
 /* Delivers what is due until every mailbox is empty or `budget` mails were
  * handled; tells how many. */
-size_t
-PhKernel_Drain(PhKernel *kernel, size_t budget);
+size_t PhKernel_Drain(PhKernel *kernel, size_t budget);
 /* For a paused clock: advances to `at`, firing timers in order and draining
  * after each. */
-void
-PhKernel_AdvanceTo(PhKernel *kernel, PhTime at);
+void PhKernel_AdvanceTo(PhKernel *kernel, PhTime at);
 
-PhKernel *
-PhTask_Kernel(const PhTask *self);
-PhTaskRef
-PhTask_Ref(const PhTask *self);
-PhStr
-PhTask_Name(const PhTask *self);
-PhTime
-PhTask_Now(const PhTask *self);
+PhKernel *PhTask_Kernel(const PhTask *self);
+PhTaskRef PhTask_Ref(const PhTask *self);
+PhStr PhTask_Name(const PhTask *self);
+PhTime PhTask_Now(const PhTask *self);
 /* Wall time since the Unix epoch, for what is compared across machines. */
-PhTime
-PhTask_Wall(const PhTask *self);
+PhTime PhTask_Wall(const PhTask *self);
 /* Sends a message from this task. */
-PhStatus
-PhTask_Send(PhTask *self, PhTaskRef to, PhMessage message);
+PhStatus PhTask_Send(PhTask *self, PhTaskRef to, PhMessage message);
 /* Sends to the task with this name; NOT_FOUND releases the message. */
-PhStatus
-PhTask_SendTo(PhTask *self, PhStr name, PhMessage message);
+PhStatus PhTask_SendTo(PhTask *self, PhStr name, PhMessage message);
 /* Sets, or moves, this task's timer with the token.  It fires once. */
-void
-PhTask_SetTimer(PhTask *self, uint64_t token, PhTime at);
-void
-PhTask_CancelTimer(PhTask *self, uint64_t token);
+void PhTask_SetTimer(PhTask *self, uint64_t token, PhTime at);
+void PhTask_CancelTimer(PhTask *self, uint64_t token);
 /* Watches a descriptor for PH_IO_* events; 0 stops watching.  The watch ends
  * before the descriptor is closed. */
-void
-PhTask_Watch(PhTask *self, int fd, int events);
+void PhTask_Watch(PhTask *self, int fd, int events);
 /* Asks for PH_MAIL_ENDED once the other task has ended; at once when it
  * already has. */
-void
-PhTask_Monitor(PhTask *self, PhTaskRef other);
+void PhTask_Monitor(PhTask *self, PhTaskRef other);
 /* Ends this task after the current handler returns. */
-void
-PhTask_End(PhTask *self);
+void PhTask_End(PhTask *self);
 /* Writes an event under this task's name. */
-void
-PhTask_Log(PhTask *self, PhEventId id, const PhField *fields, size_t count);
+void PhTask_Log(PhTask *self, PhEventId id, const PhField *fields,
+                size_t count);
 #define PhTask_LOG(SELF, ID, ...)                                             \
     PhTask_Log((SELF), (ID), (const PhField[]){__VA_ARGS__},                  \
                sizeof((const PhField[]){__VA_ARGS__}) / sizeof(PhField))
--- a/include/peridothill/kernel/timers.h
+++ b/include/peridothill/kernel/timers.h
@@ -12,20 +12,15 @@
     uint64_t token;
 } PhDueTimer;
 
-PhTimers *
-PhTimers_Create(void);
-void
-PhTimers_Destroy(PhTimers *timers);
+PhTimers *PhTimers_Create(void);
+void PhTimers_Destroy(PhTimers *timers);
 /* Sets or moves the timer of an owner and token. */
-void
-PhTimers_Set(PhTimers *timers, PhTaskRef owner, uint64_t token, PhTime at);
-void
-PhTimers_Cancel(PhTimers *timers, PhTaskRef owner, uint64_t token);
+void PhTimers_Set(PhTimers *timers, PhTaskRef owner, uint64_t token,
+                  PhTime at);
+void PhTimers_Cancel(PhTimers *timers, PhTaskRef owner, uint64_t token);
 /* The earliest due time, or PH_TIME_NEVER. */
-PhTime
-PhTimers_Next(const PhTimers *timers);
+PhTime PhTimers_Next(const PhTimers *timers);
 /* Removes one timer that is due at `now`; false when there is none. */
-bool
-PhTimers_Pop(PhTimers *timers, PhTime now, PhDueTimer *due);
+bool PhTimers_Pop(PhTimers *timers, PhTime now, PhDueTimer *due);
 
 #endif
--- a/include/peridothill/services/config.h
+++ b/include/peridothill/services/config.h
@@ -123,8 +123,7 @@
 } PhConfigMessage;
 
 /* Wraps a message body for the kernel; takes over what it owns. */
-PhMessage
-PhConfigMessage_Wrap(const PhConfigMessage *body);
+PhMessage PhConfigMessage_Wrap(const PhConfigMessage *body);
 
 /* Settings of the task "config"; the strings are copied. */
 typedef struct PhConfigOptions {
@@ -136,7 +135,7 @@
 } PhConfigOptions;
 
 /* Starts the task "config". */
-PhStatus
-PhConfigService_Start(PhKernel *kernel, const PhConfigOptions *options);
+PhStatus PhConfigService_Start(PhKernel *kernel,
+                               const PhConfigOptions *options);
 
 #endif
--- a/include/peridothill/services/entry.h
+++ b/include/peridothill/services/entry.h
@@ -27,7 +27,7 @@
 
 /* Starts the task "entry" and delivers the mail that is due.  `port`, when not
  * NULL, is set to the port that callers reach. */
-PhResult
-PhEntry_Start(PhKernel *kernel, const PhEntryOptions *options, uint16_t *port);
+PhResult PhEntry_Start(PhKernel *kernel, const PhEntryOptions *options,
+                       uint16_t *port);
 
 #endif
--- a/include/peridothill/services/http.h
+++ b/include/peridothill/services/http.h
@@ -75,18 +75,14 @@
 } PhHttpMessage;
 
 /* Wraps a message body for the kernel; takes over what it owns. */
-PhMessage
-PhHttpMessage_Wrap(const PhHttpMessage *body);
+PhMessage PhHttpMessage_Wrap(const PhHttpMessage *body);
 /* Appends an owned copy of a header to a request or reply. */
-void
-PhHttpHeader_Add(PhHttpHeader **headers, size_t *count, PhStr name,
-                 PhStr value);
+void PhHttpHeader_Add(PhHttpHeader **headers, size_t *count, PhStr name,
+                      PhStr value);
 /* Finds a header by name, ignoring case; empty when there is none. */
-PhStr
-PhHttpHeader_Find(const PhHttpHeader *headers, size_t count, PhStr name);
+PhStr PhHttpHeader_Find(const PhHttpHeader *headers, size_t count, PhStr name);
 
 /* Starts the task "http". */
-PhStatus
-PhHttp_Start(PhKernel *kernel);
+PhStatus PhHttp_Start(PhKernel *kernel);
 
 #endif
--- a/include/peridothill/services/instance.h
+++ b/include/peridothill/services/instance.h
@@ -25,11 +25,9 @@
 } PhInstancePorts;
 
 /* Starts every service; the message names the one that failed. */
-PhResult
-PhInstance_Start(PhKernel *kernel, const PhInstanceOptions *options,
-                 PhInstancePorts *ports);
+PhResult PhInstance_Start(PhKernel *kernel, const PhInstanceOptions *options,
+                          PhInstancePorts *ports);
 /* Begins the graceful stop. */
-void
-PhInstance_Stop(PhKernel *kernel);
+void PhInstance_Stop(PhKernel *kernel);
 
 #endif
--- a/include/peridothill/services/listener.h
+++ b/include/peridothill/services/listener.h
@@ -34,40 +34,29 @@
     void (*on_gone)(void *context, uint64_t id);
 } PhListenerOptions;
 
-PhResult
-PhListener_Create(PhTask *self, const PhListenerOptions *options,
-                  PhListener **listener);
-void
-PhListener_Destroy(PhListener *listener);
+PhResult PhListener_Create(PhTask *self, const PhListenerOptions *options,
+                           PhListener **listener);
+void PhListener_Destroy(PhListener *listener);
 /* The port that is listened on. */
-uint16_t
-PhListener_Port(const PhListener *listener);
+uint16_t PhListener_Port(const PhListener *listener);
 /* Handles a mail of the owning task; false when it is not the listener's. */
-bool
-PhListener_Handle(PhListener *listener, const PhMail *mail);
+bool PhListener_Handle(PhListener *listener, const PhMail *mail);
 /* Answers a request; an id that has gone is ignored. */
-void
-PhListener_Answer(PhListener *listener, uint64_t id, int status,
-                  const PhHttpHeader *headers, size_t header_count,
-                  PhStr body);
+void PhListener_Answer(PhListener *listener, uint64_t id, int status,
+                       const PhHttpHeader *headers, size_t header_count,
+                       PhStr body);
 /* Closes the connection of a request without an answer. */
-void
-PhListener_Drop(PhListener *listener, uint64_t id);
+void PhListener_Drop(PhListener *listener, uint64_t id);
 /* From now on each answer closes its connection. */
-void
-PhListener_Retire(PhListener *listener);
+void PhListener_Retire(PhListener *listener);
 /* Retires, and closes connections that have no request.  New ones are still
  * accepted: their requests can be refused in words rather than by a reset. */
-void
-PhListener_Quiesce(PhListener *listener);
+void PhListener_Quiesce(PhListener *listener);
 /* Connections that are open, in use or not. */
-size_t
-PhListener_Connections(const PhListener *listener);
+size_t PhListener_Connections(const PhListener *listener);
 /* Requests that wait for an answer. */
-size_t
-PhListener_InFlight(const PhListener *listener);
+size_t PhListener_InFlight(const PhListener *listener);
 /* Reads `key` of a query string; the value is owned by the caller. */
-bool
-PhListener_QueryValue(PhStr query, PhStr key, PhStr *value);
+bool PhListener_QueryValue(PhStr query, PhStr key, PhStr *value);
 
 #endif
--- a/include/peridothill/services/members.h
+++ b/include/peridothill/services/members.h
@@ -34,16 +34,12 @@
 } PhMembersMessage;
 
 /* Wraps a message body for the kernel; takes over what it owns. */
-PhMessage
-PhMembersMessage_Wrap(const PhMembersMessage *body);
+PhMessage PhMembersMessage_Wrap(const PhMembersMessage *body);
 /* Copies a view with its strings. */
-PhMembersView
-PhMembersView_Copy(const PhMembersView *view);
-void
-PhMembersView_Clear(PhMembersView *view);
+PhMembersView PhMembersView_Copy(const PhMembersView *view);
+void PhMembersView_Clear(PhMembersView *view);
 /* Finds a member by id; NULL when it is not known. */
-const PhMember *
-PhMembersView_Find(const PhMembersView *view, PhStr id);
+const PhMember *PhMembersView_Find(const PhMembersView *view, PhStr id);
 
 /* What the task "members" is started with.  The strings are copied. */
 typedef struct PhMembersOptions {
@@ -58,7 +54,6 @@
 } PhMembersOptions;
 
 /* Starts the task "members". */
-PhStatus
-PhMembers_Start(PhKernel *kernel, const PhMembersOptions *options);
+PhStatus PhMembers_Start(PhKernel *kernel, const PhMembersOptions *options);
 
 #endif
--- a/include/peridothill/services/operators.h
+++ b/include/peridothill/services/operators.h
@@ -20,7 +20,7 @@
 } PhOperatorsOptions;
 
 /* Starts the task "operators". */
-PhStatus
-PhOperators_Start(PhKernel *kernel, const PhOperatorsOptions *options);
+PhStatus PhOperators_Start(PhKernel *kernel,
+                           const PhOperatorsOptions *options);
 
 #endif
--- a/include/peridothill/services/peers.h
+++ b/include/peridothill/services/peers.h
@@ -54,8 +54,7 @@
 } PhPeersMessage;
 
 /* Wraps a message body for the kernel; takes over what it owns. */
-PhMessage
-PhPeersMessage_Wrap(const PhPeersMessage *body);
+PhMessage PhPeersMessage_Wrap(const PhPeersMessage *body);
 
 /* What the task "peers" is started with.  The strings are copied.  `keys`
  * holds one or two keys of 32 bytes: the first proves this instance to others,
@@ -71,10 +70,9 @@
 } PhPeersOptions;
 
 /* Reads a key: 64 hexadecimal digits, white space around them ignored. */
-PhResult
-PhPeersKey_Parse(PhStr text, PhStr *key);
+PhResult PhPeersKey_Parse(PhStr text, PhStr *key);
 /* Starts the task "peers"; `port` is set to the one it listens at. */
-PhResult
-PhPeers_Start(PhKernel *kernel, const PhPeersOptions *options, uint16_t *port);
+PhResult PhPeers_Start(PhKernel *kernel, const PhPeersOptions *options,
+                       uint16_t *port);
 
 #endif
--- a/include/peridothill/services/platform_list.h
+++ b/include/peridothill/services/platform_list.h
@@ -54,13 +54,10 @@
 } PhListMessage;
 
 /* Wraps a message body for the kernel; takes over what it owns. */
-PhMessage
-PhListMessage_Wrap(const PhListMessage *body);
+PhMessage PhListMessage_Wrap(const PhListMessage *body);
 /* Copies a reading with its strings. */
-PhListReading
-PhListReading_Copy(const PhListReading *reading);
-void
-PhListReading_Clear(PhListReading *reading);
+PhListReading PhListReading_Copy(const PhListReading *reading);
+void PhListReading_Clear(PhListReading *reading);
 
 typedef struct PhListOptions {
     PhStr address;
@@ -68,7 +65,6 @@
 } PhListOptions;
 
 /* Starts the task "list". */
-PhStatus
-PhPlatformList_Start(PhKernel *kernel, const PhListOptions *options);
+PhStatus PhPlatformList_Start(PhKernel *kernel, const PhListOptions *options);
 
 #endif
--- a/include/peridothill/services/platform_log.h
+++ b/include/peridothill/services/platform_log.h
@@ -65,8 +65,7 @@
 } PhLogMessage;
 
 /* Wraps a message body for the kernel; takes over what it owns. */
-PhMessage
-PhLogMessage_Wrap(const PhLogMessage *body);
+PhMessage PhLogMessage_Wrap(const PhLogMessage *body);
 
 /* Where the log is: over HTTP, or the in-process stand-in of tests. */
 typedef enum PhLogAdapterKind {
@@ -83,7 +82,6 @@
 } PhLogAdapter;
 
 /* Starts the task "log"; the adapter is copied. */
-PhStatus
-PhPlatformLog_Start(PhKernel *kernel, const PhLogAdapter *adapter);
+PhStatus PhPlatformLog_Start(PhKernel *kernel, const PhLogAdapter *adapter);
 
 #endif
--- a/include/peridothill/services/supervisor.h
+++ b/include/peridothill/services/supervisor.h
@@ -15,7 +15,7 @@
 } PhSupervisorOptions;
 
 /* Starts the task; it begins the stop when it is told to stop itself. */
-PhStatus
-PhSupervisor_Start(PhKernel *kernel, const PhSupervisorOptions *options);
+PhStatus PhSupervisor_Start(PhKernel *kernel,
+                            const PhSupervisorOptions *options);
 
 #endif
--- a/include/peridothill/services/tasks.h
+++ b/include/peridothill/services/tasks.h
@@ -89,8 +89,7 @@
 } PhTasksMessage;
 
 /* Wraps a message body for the kernel; takes over what it owns. */
-PhMessage
-PhTasksMessage_Wrap(const PhTasksMessage *body);
+PhMessage PhTasksMessage_Wrap(const PhTasksMessage *body);
 
 /* What `serve` knows about this instance; the strings are copied. */
 typedef struct PhTasksOptions {
@@ -100,7 +99,6 @@
 } PhTasksOptions;
 
 /* Starts the tasks "tasks" and "workers". */
-PhStatus
-PhTasks_Start(PhKernel *kernel, const PhTasksOptions *options);
+PhStatus PhTasks_Start(PhKernel *kernel, const PhTasksOptions *options);
 
 #endif
--- a/include/peridothill/services/worker.h
+++ b/include/peridothill/services/worker.h
@@ -34,11 +34,9 @@
 } PhWorkerMessage;
 
 /* Wraps a message body for the kernel; takes over what it owns. */
-PhMessage
-PhWorkerMessage_Wrap(const PhWorkerMessage *body);
+PhMessage PhWorkerMessage_Wrap(const PhWorkerMessage *body);
 
 /* Starts the task "workers". */
-PhStatus
-PhWorkers_Start(PhKernel *kernel);
+PhStatus PhWorkers_Start(PhKernel *kernel);
 
 #endif
--- a/include/peridothill/standin/standin.h
+++ b/include/peridothill/standin/standin.h
@@ -16,9 +16,9 @@
     PhFakeLog *log;
 } PhStandinLogOptions;
 
-PhResult
-PhStandinLog_Start(PhKernel *kernel, const PhStandinLogOptions *options,
-                   uint16_t *port);
+PhResult PhStandinLog_Start(PhKernel *kernel,
+                            const PhStandinLogOptions *options,
+                            uint16_t *port);
 
 /* What the list tells; the owner changes it between requests. */
 typedef struct PhStandinListState {
@@ -33,9 +33,9 @@
     PhStandinListState *state;
 } PhStandinListOptions;
 
-PhResult
-PhStandinList_Start(PhKernel *kernel, const PhStandinListOptions *options,
-                    uint16_t *port);
+PhResult PhStandinList_Start(PhKernel *kernel,
+                             const PhStandinListOptions *options,
+                             uint16_t *port);
 
 /* How a worker treats the requests that it is sent. */
 typedef enum PhStandinFault {
@@ -58,10 +58,9 @@
     PhTime last_request;  /* when the latest request arrived */
 } PhStandinWorkerState;
 
-PhStandinWorkerState *
-PhStandinWorkerState_Create(PhStr id, uint32_t slots, PhTime service_mean);
-void
-PhStandinWorkerState_Destroy(PhStandinWorkerState *state);
+PhStandinWorkerState *PhStandinWorkerState_Create(PhStr id, uint32_t slots,
+                                                  PhTime service_mean);
+void PhStandinWorkerState_Destroy(PhStandinWorkerState *state);
 
 typedef struct PhStandinWorkerOptions {
     PhStr name;
@@ -71,8 +70,8 @@
     PhStandinWorkerState *state; /* the caller's, outlives the task */
 } PhStandinWorkerOptions;
 
-PhResult
-PhStandinWorker_Start(PhKernel *kernel, const PhStandinWorkerOptions *options,
-                      uint16_t *port);
+PhResult PhStandinWorker_Start(PhKernel *kernel,
+                               const PhStandinWorkerOptions *options,
+                               uint16_t *port);
 
 #endif
--- a/include/peridothill/standin/worker_runs.h
+++ b/include/peridothill/standin/worker_runs.h
@@ -22,31 +22,23 @@
 typedef struct PhWorkerTasks PhWorkerTasks;
 
 /* `boot` differs at each start of the worker. */
-PhWorkerTasks *
-PhWorkerTasks_Create(uint64_t boot, PhJobSize size);
-void
-PhWorkerTasks_Destroy(PhWorkerTasks *tasks);
+PhWorkerTasks *PhWorkerTasks_Create(uint64_t boot, PhJobSize size);
+void PhWorkerTasks_Destroy(PhWorkerTasks *tasks);
 /* Makes every start fail, or no more. */
-void
-PhWorkerTasks_SetFailing(PhWorkerTasks *tasks, bool failing);
+void PhWorkerTasks_SetFailing(PhWorkerTasks *tasks, bool failing);
 /* Moves all runs to `now_ms`; ends those that are done or whose lease has
  * lapsed. */
-void
-PhWorkerTasks_Advance(PhWorkerTasks *tasks, int64_t now_ms);
+void PhWorkerTasks_Advance(PhWorkerTasks *tasks, int64_t now_ms);
 /* Carries out a command; the answer's lists are the caller's. */
-PhWorkerAnswer
-PhWorkerTasks_Command(PhWorkerTasks *tasks, const PhWorkerCommand *command,
-                      int64_t now_ms);
+PhWorkerAnswer PhWorkerTasks_Command(PhWorkerTasks *tasks,
+                                     const PhWorkerCommand *command,
+                                     int64_t now_ms);
 /* The runs held, PhWorkerRun. */
-const GArray *
-PhWorkerTasks_Runs(const PhWorkerTasks *tasks);
+const GArray *PhWorkerTasks_Runs(const PhWorkerTasks *tasks);
 /* The ends not yet acked, PhWorkerEnd. */
-const GArray *
-PhWorkerTasks_Ended(const PhWorkerTasks *tasks);
+const GArray *PhWorkerTasks_Ended(const PhWorkerTasks *tasks);
 /* When the next run ends by itself, or INT64_MAX. */
-int64_t
-PhWorkerTasks_NextEnd(const PhWorkerTasks *tasks);
-uint64_t
-PhWorkerTasks_Boot(const PhWorkerTasks *tasks);
+int64_t PhWorkerTasks_NextEnd(const PhWorkerTasks *tasks);
+uint64_t PhWorkerTasks_Boot(const PhWorkerTasks *tasks);
 
 #endif
--- a/kernel/kernel_internal.h
+++ b/kernel/kernel_internal.h
@@ -39,25 +39,18 @@
 };
 
 /* Finds the live task of a ref, or gives NULL. */
-PhTask *
-PhTask_Find(const PhKernel *kernel, PhTaskRef ref);
+PhTask *PhTask_Find(const PhKernel *kernel, PhTaskRef ref);
 /* Puts a mail into the mailbox, whatever its bound. */
-void
-PhTask_Post(PhTask *task, PhMail mail);
+void PhTask_Post(PhTask *task, PhMail mail);
 /* Releases the body of a message. */
-void
-PhMessage_Release(const PhMessage *message);
+void PhMessage_Release(const PhMessage *message);
 
 /* Connects the kernel with its libev loop, and takes it off again. */
-void
-PhKernelLoop_Attach(PhKernel *kernel);
-void
-PhKernelLoop_Detach(PhKernel *kernel);
+void PhKernelLoop_Attach(PhKernel *kernel);
+void PhKernelLoop_Detach(PhKernel *kernel);
 /* Forgets the readiness that a mail reported, so that it is reported again. */
-void
-PhKernelLoop_TakeReadiness(PhTask *task, const PhMail *mail);
+void PhKernelLoop_TakeReadiness(PhTask *task, const PhMail *mail);
 /* Ends a watch; the destructor of PhTask.watches. */
-void
-PhKernelLoop_DestroyWatch(gpointer watch);
+void PhKernelLoop_DestroyWatch(gpointer watch);
 
 #endif
--- a/services/config/config_task.h
+++ b/services/config/config_task.h
@@ -45,47 +45,33 @@
 } PhConfigTask;
 
 /* Gives an event to the follower or the appender and acts on the answer. */
-void
-PhConfigTask_Follow(PhConfigTask *t, const PhConfigEvent *event);
-void
-PhConfigTask_Append(PhConfigTask *t, const PhAppendEvent *event);
+void PhConfigTask_Follow(PhConfigTask *t, const PhConfigEvent *event);
+void PhConfigTask_Append(PhConfigTask *t, const PhAppendEvent *event);
 /* Acts on the actions of the follower and releases the list. */
-void
-PhConfigTask_Act(PhConfigTask *t, GArray *actions);
+void PhConfigTask_Act(PhConfigTask *t, GArray *actions);
 
 /* The part that talks to the task "log". */
-void
-PhConfigLog_Read(PhConfigTask *t, const PhConfigAction *action);
-void
-PhConfigLog_WriteSnapshot(PhConfigTask *t, const PhConfigSnapshot *snapshot);
-void
-PhConfigLog_Append(PhConfigTask *t, const PhAppendAction *action);
-void
-PhConfigLog_Handle(PhConfigTask *t, const PhLogMessage *message);
+void PhConfigLog_Read(PhConfigTask *t, const PhConfigAction *action);
+void PhConfigLog_WriteSnapshot(PhConfigTask *t,
+                               const PhConfigSnapshot *snapshot);
+void PhConfigLog_Append(PhConfigTask *t, const PhAppendAction *action);
+void PhConfigLog_Handle(PhConfigTask *t, const PhLogMessage *message);
 
 /* The part that talks to the tasks "peers" and "members". */
-void
-PhConfigPeers_Attach(PhConfigTask *t);
-void
-PhConfigPeers_Send(PhConfigTask *t, const PhConfigAction *action);
-void
-PhConfigPeers_Receive(PhConfigTask *t, const PhPeersReceived *received);
-void
-PhConfigPeers_View(PhConfigTask *t, const PhMembersView *view);
-void
-PhConfigAssembly_Clear(PhConfigAssembly *assembly);
+void PhConfigPeers_Attach(PhConfigTask *t);
+void PhConfigPeers_Send(PhConfigTask *t, const PhConfigAction *action);
+void PhConfigPeers_Receive(PhConfigTask *t, const PhPeersReceived *received);
+void PhConfigPeers_View(PhConfigTask *t, const PhMembersView *view);
+void PhConfigAssembly_Clear(PhConfigAssembly *assembly);
 
 /* The part that answers other tasks. */
-void
-PhConfigQuery_Handle(PhConfigTask *t, PhTaskRef from,
-                     const PhConfigMessage *message);
+void PhConfigQuery_Handle(PhConfigTask *t, PhTaskRef from,
+                          const PhConfigMessage *message);
 /* Answers whoever submitted a patch. */
-void
-PhConfigQuery_Answer(PhConfigTask *t, const PhAppendAction *action);
+void PhConfigQuery_Answer(PhConfigTask *t, const PhAppendAction *action);
 /* Sends the state in force to one subscriber, or to all of them. */
-void
-PhConfigQuery_SendState(PhConfigTask *t, PhTaskRef to, PhConfigState *state);
-void
-PhConfigQuery_SendStateToAll(PhConfigTask *t, PhConfigState *state);
+void PhConfigQuery_SendState(PhConfigTask *t, PhTaskRef to,
+                             PhConfigState *state);
+void PhConfigQuery_SendStateToAll(PhConfigTask *t, PhConfigState *state);
 
 #endif
--- a/services/members/members_report.h
+++ b/services/members/members_report.h
@@ -6,7 +6,7 @@
 #include "peridothill/kernel/kernel.h"
 
 /* Counts and logs a report under the name of the task. */
-void
-PhMembers_CountReport(PhTask *self, PhMembershipReport what, PhStr member);
+void PhMembers_CountReport(PhTask *self, PhMembershipReport what,
+                           PhStr member);
 
 #endif
--- a/services/members/peer_link.h
+++ b/services/members/peer_link.h
@@ -33,34 +33,26 @@
 
 /* Starts to connect; NULL when the address is invalid or no socket can be
  * had. */
-PhPeerLink *
-PhPeerLink_Dial(PhStr address, const PhPeerIdentity *identity,
-                PhPeerNonces *nonces, PhTime now);
+PhPeerLink *PhPeerLink_Dial(PhStr address, const PhPeerIdentity *identity,
+                            PhPeerNonces *nonces, PhTime now);
 /* Takes a connection that was accepted. */
-PhPeerLink *
-PhPeerLink_Accept(int fd, const PhPeerIdentity *identity, PhPeerNonces *nonces,
-                  PhTime now);
+PhPeerLink *PhPeerLink_Accept(int fd, const PhPeerIdentity *identity,
+                              PhPeerNonces *nonces, PhTime now);
 /* Closes the socket, which must not be watched any more. */
-void
-PhPeerLink_Destroy(PhPeerLink *link);
+void PhPeerLink_Destroy(PhPeerLink *link);
 /* Queues a payload, or a copy of it until the link is ready.  FULL when
  * there is no room. */
-PhStatus
-PhPeerLink_Send(PhPeerLink *link, const PhPeersSend *send, PhTime now);
+PhStatus PhPeerLink_Send(PhPeerLink *link, const PhPeersSend *send,
+                         PhTime now);
 /* Reads what has arrived into `in`; GONE when the peer has closed, IO on an
  * error. */
-PhStatus
-PhPeerLink_Read(PhPeerLink *link, size_t *bytes);
+PhStatus PhPeerLink_Read(PhPeerLink *link, size_t *bytes);
 /* Writes what the socket takes. */
-PhStatus
-PhPeerLink_Flush(PhPeerLink *link, size_t *bytes);
+PhStatus PhPeerLink_Flush(PhPeerLink *link, size_t *bytes);
 /* Ends the connecting stage once the socket is writable. */
-PhStatus
-PhPeerLink_Connected(PhPeerLink *link);
+PhStatus PhPeerLink_Connected(PhPeerLink *link);
 /* Notes that something was sent, or that the peer was heard. */
-void
-PhPeerLink_Sent(PhPeerLink *link, PhTime now);
-void
-PhPeerLink_Heard(PhPeerLink *link);
+void PhPeerLink_Sent(PhPeerLink *link, PhTime now);
+void PhPeerLink_Heard(PhPeerLink *link);
 
 #endif
--- a/services/members/peers_state.h
+++ b/services/members/peers_state.h
@@ -39,33 +39,26 @@
 } PhLinkEnd;
 
 /* peers_links.c */
-void
-PhPeers_CountOne(PhTask *self, PhCounter counter, uint64_t amount);
+void PhPeers_CountOne(PhTask *self, PhCounter counter, uint64_t amount);
 /* Adds a link to the tables and watches its socket. */
-void
-PhPeers_AddLink(PhPeersTask *p, PhTask *self, PhPeerLink *link);
+void PhPeers_AddLink(PhPeersTask *p, PhTask *self, PhPeerLink *link);
 /* Closes and releases a link; a dialled one that failed is backed off. */
-void
-PhPeers_CloseLink(PhPeersTask *p, PhTask *self, PhPeerLink *link,
-                  PhLinkEnd end);
+void PhPeers_CloseLink(PhPeersTask *p, PhTask *self, PhPeerLink *link,
+                       PhLinkEnd end);
 /* Finds the link for a member or address, or dials; NULL, counted, when
  * there is none to be had. */
-PhPeerLink *
-PhPeers_FindLink(PhPeersTask *p, PhTask *self, const PhPeersSend *send);
+PhPeerLink *PhPeers_FindLink(PhPeersTask *p, PhTask *self,
+                             const PhPeersSend *send);
 /* Writes what is queued and watches for room as long as some is left.  False
  * when the link was closed. */
-bool
-PhPeers_FlushLink(PhPeersTask *p, PhTask *self, PhPeerLink *link);
+bool PhPeers_FlushLink(PhPeersTask *p, PhTask *self, PhPeerLink *link);
 /* Pings, replaces and closes links by their times. */
-void
-PhPeers_CheckLinks(PhPeersTask *p, PhTask *self, PhTime late);
+void PhPeers_CheckLinks(PhPeersTask *p, PhTask *self, PhTime late);
 /* Forgets that an address failed. */
-void
-PhPeers_ClearBackOff(PhPeersTask *p, PhStr address);
+void PhPeers_ClearBackOff(PhPeersTask *p, PhStr address);
 
 /* peers_receive.c */
 /* Takes what a link has read. */
-void
-PhPeers_TakeFrames(PhPeersTask *p, PhTask *self, PhPeerLink *link);
+void PhPeers_TakeFrames(PhPeersTask *p, PhTask *self, PhPeerLink *link);
 
 #endif
--- a/services/operators/operators_task.h
+++ b/services/operators/operators_task.h
@@ -61,73 +61,55 @@
 
 /* Finds the route of a request, or gives NULL; `rest` is what a route with a
  * slash at its end leaves. */
-const PhOperatorsRoute *
-PhOperatorsRoute_Find(PhStr method, PhStr path, PhStr *rest);
+const PhOperatorsRoute *PhOperatorsRoute_Find(PhStr method, PhStr path,
+                                              PhStr *rest);
 
 /* Answers a request with JSON, which is taken over. */
-void
-PhOperators_Answer(PhOperatorsTask *t, uint64_t id, int status, json_t *body);
+void PhOperators_Answer(PhOperatorsTask *t, uint64_t id, int status,
+                        json_t *body);
 /* Answers with {"error": reason}. */
-void
-PhOperators_Refuse(PhOperatorsTask *t, uint64_t id, int status,
-                   const char *reason);
+void PhOperators_Refuse(PhOperatorsTask *t, uint64_t id, int status,
+                        const char *reason);
 /* Notes that the request waits, and gives the number to send along. */
-uint64_t
-PhOperators_Await(PhOperatorsTask *t, const PhOperatorsCall *call, int kind,
-                  PhTime timeout);
+uint64_t PhOperators_Await(PhOperatorsTask *t, const PhOperatorsCall *call,
+                           int kind, PhTime timeout);
 /* Takes a request that waits; false when it was given up. */
-bool
-PhOperators_Resolve(PhOperatorsTask *t, uint64_t number,
-                    PhOperatorsPending *pending);
+bool PhOperators_Resolve(PhOperatorsTask *t, uint64_t number,
+                         PhOperatorsPending *pending);
 /* Sends a request that waits to a task; refuses it when that has no room. */
-void
-PhOperators_Ask(PhOperatorsTask *t, uint64_t number, PhStr service,
-                PhMessage message);
+void PhOperators_Ask(PhOperatorsTask *t, uint64_t number, PhStr service,
+                     PhMessage message);
 
 /* route_config.c */
-void
-PhOperatorsConfig_Get(PhOperatorsTask *t, const PhOperatorsCall *call);
-void
-PhOperatorsConfig_At(PhOperatorsTask *t, const PhOperatorsCall *call);
-void
-PhOperatorsConfig_Bridge(PhOperatorsTask *t, const PhOperatorsCall *call);
-void
-PhOperatorsConfig_Diff(PhOperatorsTask *t, const PhOperatorsCall *call);
-void
-PhOperatorsConfig_History(PhOperatorsTask *t, const PhOperatorsCall *call);
-void
-PhOperatorsConfig_Patch(PhOperatorsTask *t, const PhOperatorsCall *call);
-void
-PhOperatorsConfig_Find(PhOperatorsTask *t, const PhOperatorsCall *call);
+void PhOperatorsConfig_Get(PhOperatorsTask *t, const PhOperatorsCall *call);
+void PhOperatorsConfig_At(PhOperatorsTask *t, const PhOperatorsCall *call);
+void PhOperatorsConfig_Bridge(PhOperatorsTask *t, const PhOperatorsCall *call);
+void PhOperatorsConfig_Diff(PhOperatorsTask *t, const PhOperatorsCall *call);
+void PhOperatorsConfig_History(PhOperatorsTask *t,
+                               const PhOperatorsCall *call);
+void PhOperatorsConfig_Patch(PhOperatorsTask *t, const PhOperatorsCall *call);
+void PhOperatorsConfig_Find(PhOperatorsTask *t, const PhOperatorsCall *call);
 /* Handles what the task "config" answers. */
-void
-PhOperatorsConfig_Handle(PhOperatorsTask *t, const PhConfigMessage *message);
+void PhOperatorsConfig_Handle(PhOperatorsTask *t,
+                              const PhConfigMessage *message);
 
 /* route_jobs.c */
-void
-PhOperatorsJobs_Submit(PhOperatorsTask *t, const PhOperatorsCall *call);
-void
-PhOperatorsJobs_List(PhOperatorsTask *t, const PhOperatorsCall *call);
-void
-PhOperatorsJobs_Get(PhOperatorsTask *t, const PhOperatorsCall *call);
-void
-PhOperatorsJobs_Cancel(PhOperatorsTask *t, const PhOperatorsCall *call);
+void PhOperatorsJobs_Submit(PhOperatorsTask *t, const PhOperatorsCall *call);
+void PhOperatorsJobs_List(PhOperatorsTask *t, const PhOperatorsCall *call);
+void PhOperatorsJobs_Get(PhOperatorsTask *t, const PhOperatorsCall *call);
+void PhOperatorsJobs_Cancel(PhOperatorsTask *t, const PhOperatorsCall *call);
 /* Handles what the task "tasks" answers. */
-void
-PhOperatorsJobs_Handle(PhOperatorsTask *t, const PhTasksMessage *message);
+void PhOperatorsJobs_Handle(PhOperatorsTask *t, const PhTasksMessage *message);
 
 /* route_status.c */
-void
-PhOperatorsStatus_Get(PhOperatorsTask *t, const PhOperatorsCall *call);
-void
-PhOperatorsStatus_Members(PhOperatorsTask *t, const PhOperatorsCall *call);
-void
-PhOperatorsStatus_Metrics(PhOperatorsTask *t, const PhOperatorsCall *call);
-void
-PhOperatorsStatus_Drain(PhOperatorsTask *t, const PhOperatorsCall *call);
+void PhOperatorsStatus_Get(PhOperatorsTask *t, const PhOperatorsCall *call);
+void PhOperatorsStatus_Members(PhOperatorsTask *t,
+                               const PhOperatorsCall *call);
+void PhOperatorsStatus_Metrics(PhOperatorsTask *t,
+                               const PhOperatorsCall *call);
+void PhOperatorsStatus_Drain(PhOperatorsTask *t, const PhOperatorsCall *call);
 /* Answers a status with what the task "config" reported. */
-void
-PhOperatorsStatus_Report(PhOperatorsTask *t, uint64_t id,
-                         const PhConfigReported *reported);
+void PhOperatorsStatus_Report(PhOperatorsTask *t, uint64_t id,
+                              const PhConfigReported *reported);
 
 #endif
--- a/services/platform/http_internal.h
+++ b/services/platform/http_internal.h
@@ -49,18 +49,14 @@
 }
 
 /* http_transfer.c: one request from its start to its reply. */
-void
-PhTransfer_Start(PhHttp *http, PhTaskRef sender, const PhHttpRequest *request);
+void PhTransfer_Start(PhHttp *http, PhTaskRef sender,
+                      const PhHttpRequest *request);
 /* Sends the reply to the sender and releases the transfer. */
-void
-PhTransfer_Finish(PhTransfer *transfer, PhHttpOutcome outcome,
-                  PhHttpFailure failure);
+void PhTransfer_Finish(PhTransfer *transfer, PhHttpOutcome outcome,
+                       PhHttpFailure failure);
 /* Finishes without a whole answer: not sent if that is proved. */
-void
-PhTransfer_Fail(PhTransfer *transfer, PhHttpFailure failure);
-PhHttpFailure
-PhTransfer_FailureOf(const PhTransfer *transfer, CURLcode code);
-void
-PhTransfer_Destroy(gpointer transfer);
+void PhTransfer_Fail(PhTransfer *transfer, PhHttpFailure failure);
+PhHttpFailure PhTransfer_FailureOf(const PhTransfer *transfer, CURLcode code);
+void PhTransfer_Destroy(gpointer transfer);
 
 #endif
--- a/services/platform/listener_internal.h
+++ b/services/platform/listener_internal.h
@@ -44,15 +44,14 @@
 };
 
 /* listener_request.c: callbacks of the library for one request. */
-enum MHD_Result
-PhListener_OnAccess(void *context, struct MHD_Connection *connection,
-                    const char *url, const char *method, const char *version,
-                    const char *data, size_t *data_len, void **slot);
-void
-PhListener_OnCompleted(void *context, struct MHD_Connection *connection,
-                       void **slot, enum MHD_RequestTerminationCode code);
+enum MHD_Result PhListener_OnAccess(void *context,
+                                    struct MHD_Connection *connection,
+                                    const char *url, const char *method,
+                                    const char *version, const char *data,
+                                    size_t *data_len, void **slot);
+void PhListener_OnCompleted(void *context, struct MHD_Connection *connection,
+                            void **slot, enum MHD_RequestTerminationCode code);
 /* Stops watching for the caller's close. */
-void
-PhExchange_Unwatch(PhExchange *exchange);
+void PhExchange_Unwatch(PhExchange *exchange);
 
 #endif
--- a/services/platform/platform_log_task.h
+++ b/services/platform/platform_log_task.h
@@ -22,29 +22,22 @@
 } PhLogTask;
 
 /* Notes a call; it is the task's until it is answered. */
-PhLogCall *
-PhLogTask_AddCall(PhLogTask *log, PhTaskRef sender, PhLogTag tag, uint64_t id,
-                  uint64_t from);
+PhLogCall *PhLogTask_AddCall(PhLogTask *log, PhTaskRef sender, PhLogTag tag,
+                             uint64_t id, uint64_t from);
 /* Sends the answer to the task that called, and forgets the call. */
-void
-PhLogTask_Answer(PhLogTask *log, const PhLogCall *call,
-                 const PhLogMessage *answer);
+void PhLogTask_Answer(PhLogTask *log, const PhLogCall *call,
+                      const PhLogMessage *answer);
 
 /* platform_log_http.c: the log over HTTP. */
-void
-PhLogHttp_Append(PhLogTask *log, PhTaskRef sender, const PhLogAppend *append);
-void
-PhLogHttp_Read(PhLogTask *log, PhTaskRef sender, const PhLogRead *read);
-void
-PhLogHttp_OnMessage(PhLogTask *log, const PhMessage *message);
+void PhLogHttp_Append(PhLogTask *log, PhTaskRef sender,
+                      const PhLogAppend *append);
+void PhLogHttp_Read(PhLogTask *log, PhTaskRef sender, const PhLogRead *read);
+void PhLogHttp_OnMessage(PhLogTask *log, const PhMessage *message);
 
 /* platform_log_memory.c: the log in this process. */
-void
-PhLogMemory_Append(PhLogTask *log, PhTaskRef sender,
-                   const PhLogAppend *append);
-void
-PhLogMemory_Read(PhLogTask *log, PhTaskRef sender, const PhLogRead *read);
-void
-PhLogMemory_OnTimer(PhLogTask *log, uint64_t token);
+void PhLogMemory_Append(PhLogTask *log, PhTaskRef sender,
+                        const PhLogAppend *append);
+void PhLogMemory_Read(PhLogTask *log, PhTaskRef sender, const PhLogRead *read);
+void PhLogMemory_OnTimer(PhLogTask *log, uint64_t token);
 
 #endif
--- a/services/requests/entry_internal.h
+++ b/services/requests/entry_internal.h
@@ -52,55 +52,40 @@
 } PhEntry;
 
 /* entry.c: hands an event to the decisions and carries out the actions. */
-void
-PhEntry_Decide(PhEntry *entry, const PhRequestsEvent *event);
+void PhEntry_Decide(PhEntry *entry, const PhRequestsEvent *event);
 
 /* entry_mail.c: other services.  Subscribes to those that have started. */
-void
-PhEntry_Attach(PhEntry *entry);
-void
-PhEntry_Receive(PhEntry *entry, const PhMessage *message);
+void PhEntry_Attach(PhEntry *entry);
+void PhEntry_Receive(PhEntry *entry, const PhMessage *message);
 
 /* entry_call.c: callers' requests. */
-PhCall *
-PhCall_Create(const PhIncoming *incoming, PhTime now);
-void
-PhCall_Destroy(gpointer call);
+PhCall *PhCall_Create(const PhIncoming *incoming, PhTime now);
+void PhCall_Destroy(gpointer call);
 /* Reads what the decisions need to know of a request. */
-PhArrival
-PhCall_Arrival(const PhCall *call, PhStr path);
+PhArrival PhCall_Arrival(const PhCall *call, PhStr path);
 /* Makes the message that sends one attempt of it. */
-PhMessage
-PhCall_Message(const PhCall *call, const PhSend *send, const PhRouter *router,
-               PhTime now);
+PhMessage PhCall_Message(const PhCall *call, const PhSend *send,
+                         const PhRouter *router, PhTime now);
 /* Tells whether a header goes on to the next hop: it is not one that only
  * counts between two hops, nor named by a Connection header beside it. */
-bool
-PhCall_HeaderPasses(const PhHttpHeader *headers, size_t count, PhStr name);
+bool PhCall_HeaderPasses(const PhHttpHeader *headers, size_t count,
+                         PhStr name);
 
 /* entry_answer.c: answers to callers. */
-void
-PhEntry_Refuse(PhEntry *entry, const PhRefuse *refuse);
-void
-PhEntry_PassOn(PhEntry *entry, uint64_t request);
-void
-PhEntry_AnswerReady(PhEntry *entry, uint64_t id);
-PhAttemptEnd
-PhEntry_AttemptEnd(const PhHttpReply *reply);
+void PhEntry_Refuse(PhEntry *entry, const PhRefuse *refuse);
+void PhEntry_PassOn(PhEntry *entry, uint64_t request);
+void PhEntry_AnswerReady(PhEntry *entry, uint64_t id);
+PhAttemptEnd PhEntry_AttemptEnd(const PhHttpReply *reply);
 
 /* entry_actions.c */
-void
-PhEntry_Act(PhEntry *entry, const PhRequestsAction *action);
+void PhEntry_Act(PhEntry *entry, const PhRequestsAction *action);
 
 /* entry_keys.c: idempotency keys, by way of "peers". */
-void
-PhEntry_SendKey(PhEntry *entry, const PhRequestsAction *action);
-void
-PhEntry_ReceiveKey(PhEntry *entry, PhStr member, PhStr payload);
+void PhEntry_SendKey(PhEntry *entry, const PhRequestsAction *action);
+void PhEntry_ReceiveKey(PhEntry *entry, PhStr member, PhStr payload);
 
 /* entry_policy.c: reads the policies out of the configuration.  The strings
  * borrow from the state. */
-GArray *
-PhEntry_ReadPolicies(PhEntry *entry, const PhConfigState *state);
+GArray *PhEntry_ReadPolicies(PhEntry *entry, const PhConfigState *state);
 
 #endif
--- a/services/tasks/tasks_task.h
+++ b/services/tasks/tasks_task.h
@@ -34,30 +34,21 @@
 } PhTasksTask;
 
 /* Gives an event to the engine and does what it wants. */
-void
-PhTasksTask_Give(PhTasksTask *t, const PhJobEvent *event);
+void PhTasksTask_Give(PhTasksTask *t, const PhJobEvent *event);
 
 /* tasks_platform.c: log, list and members. */
-void
-PhTasksPlatform_Append(PhTasksTask *t, const PhJobEntry *entry);
-void
-PhTasksPlatform_Read(PhTasksTask *t, uint64_t from);
-void
-PhTasksPlatform_OnLog(PhTasksTask *t, const PhLogMessage *m);
-void
-PhTasksPlatform_OnList(PhTasksTask *t, const PhListMessage *m);
-void
-PhTasksPlatform_OnConfig(PhTasksTask *t, const PhConfigState *state);
-void
-PhTasksPlatform_OnView(PhTasksTask *t, const PhMembersView *view);
+void PhTasksPlatform_Append(PhTasksTask *t, const PhJobEntry *entry);
+void PhTasksPlatform_Read(PhTasksTask *t, uint64_t from);
+void PhTasksPlatform_OnLog(PhTasksTask *t, const PhLogMessage *m);
+void PhTasksPlatform_OnList(PhTasksTask *t, const PhListMessage *m);
+void PhTasksPlatform_OnConfig(PhTasksTask *t, const PhConfigState *state);
+void PhTasksPlatform_OnView(PhTasksTask *t, const PhMembersView *view);
 /* Subscribes at those tasks that have started meanwhile. */
-void
-PhTasksPlatform_Attach(PhTasksTask *t);
+void PhTasksPlatform_Attach(PhTasksTask *t);
 
 /* tasks_query.c: submits, cancels and lists. */
-void
-PhTasksQuery_Handle(PhTasksTask *t, PhTaskRef sender, const PhTasksMessage *m);
-void
-PhTasksQuery_Answer(PhTasksTask *t, const PhJobAction *action);
+void PhTasksQuery_Handle(PhTasksTask *t, PhTaskRef sender,
+                         const PhTasksMessage *m);
+void PhTasksQuery_Answer(PhTasksTask *t, const PhJobAction *action);
 
 #endif
--- a/standin/server.h
+++ b/standin/server.h
@@ -29,8 +29,7 @@
 
 /* Starts the task; `server`, a member of the context, and `port` are set
  * before this returns. */
-PhResult
-PhServer_Start(PhKernel *kernel, const PhServerOptions *options,
-               PhServer **server, uint16_t *port);
+PhResult PhServer_Start(PhKernel *kernel, const PhServerOptions *options,
+                        PhServer **server, uint16_t *port);
 
 #endif
--- a/tests/fuzz/fuzz_frames.c
+++ b/tests/fuzz/fuzz_frames.c
@@ -2,8 +2,7 @@
 #include "peridothill/codec/member_message.h"
 #include "peridothill/codec/peer_session.h"
 
-int
-LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 /* Gives the bytes to a session that waits for a greeting. */
 static void
--- a/tests/requests/entry_world.h
+++ b/tests/requests/entry_world.h
@@ -70,9 +70,7 @@
 } PhWorld;
 
 /* Builds the world, runs it, and leaves what the callers got. */
-void
-PhWorld_Run(PhWorld *world);
-void
-PhWorld_Clear(PhWorld *world);
+void PhWorld_Run(PhWorld *world);
+void PhWorld_Clear(PhWorld *world);
 
 #endif
--- a/tests/requests/script.h
+++ b/tests/requests/script.h
@@ -11,7 +11,6 @@
 } PhScriptCase;
 
 /* Runs one script against decisions with two workers. */
-void
-PhScript_Check(const PhScriptCase *script);
+void PhScript_Check(const PhScriptCase *script);
 
 #endif
