bench: one file each for instances, places and faults of the task world

Change: engines and their actions, workers and log, faults, and the world itself have files of their own and share task_world_private.h. Conclusion: behaviour is unchanged.

--- /dev/null
+++ b/bench/task_world_faults.c
@@ -0,0 +1,143 @@
+#include "task_world_private.h"
+
+/* Submits a job. */
+void
+PhTaskWorld_Submit(PhTaskWorld *w, uint32_t instance, const PhJobSpec *spec)
+{
+    if (w->instances[instance].engine == NULL) {
+        w->counts.refused++;
+        return;
+    }
+    PhJobEvent event = {.kind = PH_JOB_SUBMIT};
+    event.as.submit.token = ++w->next_id;
+    event.as.submit.spec = spec;
+    gint64 token = (gint64)event.as.submit.token;
+    if (!g_hash_table_contains(w->submits, &spec->key)) {
+        PhTime now = PhFakeNet_Now(w->net);
+        g_hash_table_insert(w->submits, PhStr_KeyCreate(spec->key),
+                            g_memdup2(&now, sizeof(now)));
+    }
+    g_hash_table_insert(w->tokens, g_memdup2(&token, sizeof(token)),
+                        PhStr_KeyCreate(spec->key));
+    PhTaskWorld_EngineGive(w, instance, &event);
+}
+
+/* Cancels a job. */
+void
+PhTaskWorld_Cancel(PhTaskWorld *w, uint32_t instance, PhStr key)
+{
+    PhJobEngine *engine = w->instances[instance].engine;
+    const PhJobState *state =
+        engine == NULL ? NULL : PhJobEngine_State(engine);
+    const PhJob *job = state == NULL ? NULL : PhJobState_JobOfKey(state, key);
+    if (job == NULL) {
+        return;
+    }
+    PhJobEvent event = {.kind = PH_JOB_CANCEL};
+    event.as.cancel.token = ++w->next_id;
+    event.as.cancel.job = job->number;
+    PhTaskWorld_EngineGive(w, instance, &event);
+}
+
+/* Ends the process of an instance. */
+void
+PhTaskWorld_Kill(PhTaskWorld *w, uint32_t instance)
+{
+    PhWorldInstance *in = &w->instances[instance];
+    PhJobEngine_Destroy(in->engine);
+    in->engine = NULL;
+    in->append_id = 0;
+    in->read_id = 0;
+    PhFakeNet_Crash(w->net, instance);
+}
+
+/* Starts the process of an instance. */
+void
+PhTaskWorld_Replace(PhTaskWorld *w, uint32_t instance)
+{
+    PhWorldInstance *in = &w->instances[instance];
+    PhTaskWorld_Kill(w, instance);
+    in->generation++;
+    PhBuf id = {0};
+    PhBuf_AppendFormat(&id, "i%u/%u", instance, in->generation);
+    in->engine = PhJobEngine_Create(
+        &(PhJobEngineOptions){.instance = PhBuf_Str(&id),
+                              .seed = PhRandom_U64(w->random),
+                              .times = w->options.times,
+                              .policy = w->options.policy},
+        PhTaskWorld_InstanceClock(w, in));
+    PhBuf_Clear(&id);
+    PhJobEvent quotas = {.kind = PH_JOB_QUOTAS};
+    quotas.as.quotas.teams = w->options.quotas;
+    quotas.as.quotas.count = w->options.quota_count;
+    PhTaskWorld_EngineGive(w, instance, &quotas);
+    PhTime jitter = (PhTime)PhRandom_Below(w->random, PH_NS_PER_S / 10);
+    PhFakeNet_SetTimer(w->net, instance, TOKEN_TICK,
+                       PhFakeNet_Now(w->net) + jitter);
+}
+
+/* Pauses an instance. */
+void
+PhTaskWorld_PauseInstance(PhTaskWorld *w, uint32_t instance, PhTime by)
+{
+    PhFakeNet_Pause(w->net, instance, PhFakeNet_Now(w->net) + by);
+}
+
+/* Pauses a worker. */
+void
+PhTaskWorld_PauseWorker(PhTaskWorld *w, uint32_t worker, PhTime by)
+{
+    PhFakeNet_Pause(w->net, PhTaskWorld_WorkerEndpoint(w, worker),
+                    PhFakeNet_Now(w->net) + by);
+}
+
+/* Cuts the link between an instance and the log. */
+void
+PhTaskWorld_CutLog(PhTaskWorld *w, uint32_t instance, bool cut)
+{
+    PhFakeNet_Link(w->net, instance, PH_WORLD_GROUP_LOG)->cut = cut;
+    PhFakeNet_Link(w->net, PH_WORLD_GROUP_LOG, instance)->cut = cut;
+}
+
+/* Sets how long runs that start from now on take. */
+void
+PhTaskWorld_SetRunPercent(PhTaskWorld *w, uint32_t percent)
+{
+    w->run_percent = percent;
+}
+
+/* Cuts an instance off from a worker. */
+void
+PhTaskWorld_CutWorker(PhTaskWorld *w, uint32_t instance, uint32_t worker,
+                      bool cut)
+{
+    uint32_t endpoint = PhTaskWorld_WorkerEndpoint(w, worker);
+    PhFakeNet_Silence(w->net, instance, endpoint, cut);
+    PhFakeNet_Silence(w->net, endpoint, instance, cut);
+}
+
+/* Restarts a worker; what it held has ended. */
+void
+PhTaskWorld_RestartWorker(PhTaskWorld *w, uint32_t worker)
+{
+    PhWorldWorker *to = &w->workers[worker];
+    const GArray *runs = PhWorkerTasks_Runs(to->tasks);
+    for (guint i = 0; i < runs->len; i++) {
+        PhRun run = g_array_index(runs, PhWorkerRun, i).run;
+        const PhWorldHeld *held = g_hash_table_lookup(w->holding, &run);
+        if (held != NULL && held->worker == worker) {
+            g_hash_table_remove(w->holding, &run);
+        }
+    }
+    PhWorkerTasks_Destroy(to->tasks);
+    to->tasks = PhWorkerTasks_Create(PhRandom_U64(w->random) | 1,
+                                     PhTaskWorld_WorkerSize(w, worker));
+    to->offset_ms = (int64_t)PhRandom_Below(w->random, 1000000) + 1;
+}
+
+/* Makes all starts on a worker fail, or no more. */
+void
+PhTaskWorld_FailWorker(PhTaskWorld *w, uint32_t worker, bool failing)
+{
+    PhWorkerTasks_SetFailing(w->workers[worker].tasks, failing);
+}
--- /dev/null
+++ b/bench/task_world_instance.c
@@ -0,0 +1,237 @@
+#include "peridothill/bench/bench.h"
+#include "peridothill/codec/job_record.h"
+#include "peridothill/codec/worker_command.h"
+#include "task_world_private.h"
+
+/* Measures an entry as it would be sent. */
+static uint64_t
+entry_bytes(const PhTaskWorld *w, const PhJobEntry *entry)
+{
+    return w->options.measured
+               ? PhTaskWorld_BodyBytes(w, PhJobEntry_Encode(entry))
+               : 0;
+}
+
+/* Copies an entry; the world keeps it. */
+static PhJobEntry *
+entry_keep(PhTaskWorld *w, const PhJobEntry *entry)
+{
+    PhJobEntry *copy = g_new(PhJobEntry, 1);
+    *copy = PhJobEntry_Make(entry->instance, entry->sequence);
+    for (guint i = 0; i < entry->records->len; i++) {
+        PhJobRecord record =
+            PhJobRecord_Copy(&g_array_index(entry->records, PhJobRecord, i));
+        g_array_append_val(copy->records, record);
+    }
+    g_ptr_array_add(w->entries, copy);
+    return copy;
+}
+
+/* Finds a worker by its id, "w" and its number. */
+static uint32_t
+worker_of(PhStr id)
+{
+    uint64_t number = 0;
+    PhStr_ParseU64(PhStr_Slice(id, 1, id.len - 1), &number);
+    return (uint32_t)number;
+}
+
+/* Counts the answer to a submit. */
+static void
+submit_answered(PhTaskWorld *w, const PhJobAction *action)
+{
+    gint64 token = (gint64)action->as.answer.token;
+    PhStr *key = g_hash_table_lookup(w->tokens, &token);
+    if (action->as.answer.cancel || key == NULL) {
+        return;
+    }
+    PhStatus status = action->as.answer.result.status;
+    if (status == PH_STATUS_OK || status == PH_STATUS_EXISTS) {
+        w->counts.accepted += status == PH_STATUS_OK;
+        w->counts.repeated += status == PH_STATUS_EXISTS;
+        g_hash_table_add(w->keys, PhStr_KeyCreate(*key));
+    }
+    else if (status == PH_STATUS_UNKNOWN) {
+        w->counts.unknown++;
+    }
+    else {
+        w->counts.refused++;
+    }
+    g_hash_table_remove(w->tokens, &token);
+}
+
+/* Does what an engine wants done. */
+static void
+action_do(PhTaskWorld *w, uint32_t instance, const PhJobAction *action)
+{
+    PhWorldInstance *in = &w->instances[instance];
+    PhWorldMail mail = {.generation = in->generation, .id = ++w->next_id};
+    switch (action->kind) {
+    case PH_ACTION_APPEND:
+        mail.kind = WORLD_APPEND;
+        mail.entry = entry_keep(w, action->as.append);
+        w->counts.log_bytes += entry_bytes(w, mail.entry);
+        in->append_id = mail.id;
+        in->append_at = PhFakeNet_Now(w->net);
+        PhTaskWorld_MailSend(w, instance, PhTaskWorld_LogEndpoint(w), &mail);
+        break;
+    case PH_ACTION_READ:
+        mail.kind = WORLD_READ;
+        mail.from = action->as.read;
+        in->read_id = mail.id;
+        in->read_at = PhFakeNet_Now(w->net);
+        PhTaskWorld_MailSend(w, instance, PhTaskWorld_LogEndpoint(w), &mail);
+        break;
+    case PH_ACTION_COMMAND:
+        mail.kind = WORLD_COMMAND;
+        mail.command = action->as.command;
+        uint32_t worker = worker_of(action->as.command.worker);
+        w->counts.worker_bytes += PhTaskWorld_BodyBytes(
+            w, w->options.measured
+                   ? PhWorkerCommand_Encode(&action->as.command)
+                   : (PhStr){0});
+        mail.command.worker = w->workers[worker].id;
+        PhTaskWorld_MailSend(w, instance,
+                             PhTaskWorld_WorkerEndpoint(w, worker), &mail);
+        break;
+    case PH_ACTION_ANSWER:
+        submit_answered(w, action);
+        break;
+    case PH_ACTION_NOTE:
+        w->counts.notes[action->as.note.note]++;
+        break;
+    }
+}
+
+/* Gives an event to an engine and does what it wants. */
+void
+PhTaskWorld_EngineGive(PhTaskWorld *w, uint32_t instance,
+                       const PhJobEvent *event)
+{
+    PhWorldInstance *in = &w->instances[instance];
+    GArray *actions = g_array_new(FALSE, FALSE, sizeof(PhJobAction));
+    int64_t spent = w->options.measured ? PhBench_CpuTime() : 0;
+    PhJobEngine_Handle(in->engine, event, PhTaskWorld_InstanceClock(w, in),
+                       actions);
+    if (w->options.measured) {
+        w->counts.engine_ns += (uint64_t)(PhBench_CpuTime() - spent);
+    }
+    for (guint i = 0; i < actions->len; i++) {
+        action_do(w, instance, &g_array_index(actions, PhJobAction, i));
+    }
+    g_array_free(actions, TRUE);
+}
+
+/* Tells an engine of the workers and of the live instances. */
+static void
+lists_give(PhTaskWorld *w, uint32_t instance)
+{
+    PhListedWorker *listed = g_new0(PhListedWorker, w->options.workers);
+    for (uint32_t i = 0; i < w->options.workers; i++) {
+        listed[i].id = w->workers[i].id;
+        listed[i].rack = w->workers[i].rack;
+        listed[i].size = PhTaskWorld_WorkerSize(w, i);
+    }
+    PhJobEvent workers = {.kind = PH_JOB_WORKERS,
+                          .as.workers = {listed, w->options.workers}};
+    PhTaskWorld_EngineGive(w, instance, &workers);
+    g_free(listed);
+    static const char *const names[PH_WORLD_INSTANCES_MAX] = {
+        "i0", "i1", "i2", "i3", "i4", "i5", "i6", "i7"};
+    PhStr ids[PH_WORLD_INSTANCES_MAX];
+    size_t count = 0;
+    for (uint32_t i = 0; i < w->options.instances; i++) {
+        if (w->instances[i].engine != NULL) {
+            ids[count++] = PhStr_FromC(names[i]);
+        }
+    }
+    PhJobEvent members = {.kind = PH_JOB_MEMBERS, .as.members = {ids, count}};
+    PhTaskWorld_EngineGive(w, instance, &members);
+}
+
+/* Ends what the log left open for too long. */
+static void
+log_timeouts(PhTaskWorld *w, uint32_t instance)
+{
+    PhWorldInstance *in = &w->instances[instance];
+    PhTime limit = PhFakeNet_Now(w->net) - (LOG_TIMEOUT_MS * PH_NS_PER_MS);
+    if (in->append_id != 0 && in->append_at < limit) {
+        in->append_id = 0;
+        PhTaskWorld_EngineGive(
+            w, instance,
+            &(PhJobEvent){.kind = PH_JOB_APPENDED,
+                          .as.appended = PH_STATUS_UNKNOWN});
+    }
+    if (in->read_id != 0 && in->read_at < limit) {
+        in->read_id = 0;
+        PhJobEvent event = {.kind = PH_JOB_READ};
+        event.as.read.status = PH_STATUS_UNAVAILABLE;
+        PhTaskWorld_EngineGive(w, instance, &event);
+    }
+}
+
+/* Lets time pass for an instance. */
+void
+PhTaskWorld_InstanceTick(PhTaskWorld *w, uint32_t instance)
+{
+    PhWorldInstance *in = &w->instances[instance];
+    PhTime now = PhFakeNet_Now(w->net);
+    PhFakeNet_SetTimer(w->net, instance, TOKEN_TICK, now + w->options.tick);
+    log_timeouts(w, instance);
+    if (now >= in->listed_at + (LIST_EVERY_MS * PH_NS_PER_MS)) {
+        in->listed_at = now;
+        lists_give(w, instance);
+    }
+    PhTaskWorld_EngineGive(w, instance, &(PhJobEvent){.kind = PH_JOB_TICK});
+}
+
+/* Gives an instance the answer to what it asked. */
+void
+PhTaskWorld_InstanceReceive(PhTaskWorld *w, uint32_t instance,
+                            const PhWorldMail *mail)
+{
+    PhWorldInstance *in = &w->instances[instance];
+    if (in->engine == NULL || mail->generation != in->generation) {
+        return;
+    }
+    PhJobEvent event = {0};
+    switch (mail->kind) {
+    case WORLD_APPENDED:
+        if (mail->id != in->append_id) {
+            return;
+        }
+        in->append_id = 0;
+        event.kind = PH_JOB_APPENDED;
+        event.as.appended = mail->status;
+        break;
+    case WORLD_RECORDS:
+        if (mail->id != in->read_id) {
+            return;
+        }
+        in->read_id = 0;
+        event.kind = PH_JOB_READ;
+        event.as.read.status = mail->status;
+        event.as.read.entries = (const PhPlacedEntry *)mail->records->data;
+        event.as.read.count = mail->records->len;
+        event.as.read.next = mail->next;
+        event.as.read.first = mail->first;
+        event.as.read.at_end = mail->at_end;
+        for (guint i = 0; i < mail->records->len; i++) {
+            w->counts.log_bytes += entry_bytes(
+                w, g_array_index(mail->records, PhPlacedEntry, i).entry);
+        }
+        break;
+    case WORLD_ANSWER:
+        event.kind = PH_JOB_WORKER_ANSWER;
+        w->counts.worker_bytes += PhTaskWorld_BodyBytes(
+            w, w->options.measured ? PhWorkerAnswer_Encode(&mail->answer)
+                                   : (PhStr){0});
+        event.as.answer = &mail->answer;
+        break;
+    case WORLD_APPEND:
+    case WORLD_READ:
+    case WORLD_COMMAND:
+        return;
+    }
+    PhTaskWorld_EngineGive(w, instance, &event);
+}
--- /dev/null
+++ b/bench/task_world_places.c
@@ -0,0 +1,151 @@
+#include <string.h>
+
+#include "task_world_private.h"
+
+/* Measures and releases the body of a message. */
+uint64_t
+PhTaskWorld_BodyBytes(const PhTaskWorld *w, PhStr body)
+{
+    uint64_t bytes = w->options.measured ? body.len : 0;
+    PhStr_Clear(&body);
+    return bytes;
+}
+
+/* Appends and reads for an instance. */
+void
+PhTaskWorld_LogServe(PhTaskWorld *w, uint32_t instance,
+                     const PhWorldMail *mail)
+{
+    PhTime now = PhFakeNet_Now(w->net);
+    PhWorldMail reply = {.generation = mail->generation, .id = mail->id};
+    if (mail->kind == WORLD_APPEND) {
+        /* The log keeps the address; the world keeps the entry. */
+        uintptr_t address = (uintptr_t)mail->entry;
+        PhStr bytes = PhStr_FromBytes(&address, sizeof(address));
+        PhFakeLogAnswer a = PhFakeLog_Append(w->log, now, WORLD_STREAM, bytes);
+        reply.kind = WORLD_APPENDED;
+        reply.status = a.status;
+        if (a.status == PH_STATUS_UNKNOWN) {
+            return; /* the asker's timeout says so */
+        }
+        PhTaskWorld_MailSend(w, PhTaskWorld_LogEndpoint(w), instance, &reply);
+        return;
+    }
+    GArray *records = g_array_new(FALSE, FALSE, sizeof(PhFakeRecord));
+    PhFakeLogAnswer a = PhFakeLog_Read(w->log, now, WORLD_STREAM, mail->from,
+                                       READ_RECORDS_MAX, records);
+    reply.kind = WORLD_RECORDS;
+    reply.status = a.status;
+    reply.next = a.offset;
+    reply.first = a.first;
+    reply.at_end = records->len < READ_RECORDS_MAX;
+    reply.records = g_array_new(FALSE, FALSE, sizeof(PhPlacedEntry));
+    for (guint i = 0; i < records->len; i++) {
+        const PhFakeRecord *r = &g_array_index(records, PhFakeRecord, i);
+        uintptr_t address = 0;
+        memcpy(&address, r->data.data, sizeof(address));
+        PhPlacedEntry placed = {.place = r->offset,
+                                .entry = (const PhJobEntry *)address};
+        g_array_append_val(reply.records, placed);
+    }
+    g_array_free(records, TRUE);
+    PhTaskWorld_MailSend(w, PhTaskWorld_LogEndpoint(w), instance, &reply);
+}
+
+/* Forgets what a worker held and holds no more. */
+static void
+held_forget(PhTaskWorld *w, uint32_t worker)
+{
+    const GArray *ended = PhWorkerTasks_Ended(w->workers[worker].tasks);
+    for (guint i = 0; i < ended->len; i++) {
+        const PhRunEnd *end = &g_array_index(ended, PhWorkerEnd, i).end;
+        const PhWorldHeld *held = g_hash_table_lookup(w->holding, &end->run);
+        if (held != NULL && held->worker == worker &&
+            PhRun_Equal(held->run, end->run)) {
+            w->counts.lapsed += end->outcome == PH_RUN_LOST;
+            g_hash_table_remove(w->holding, &end->run);
+        }
+    }
+}
+
+/* Notes how long a task of a job has waited for its first start. */
+static void
+start_time_add(PhTaskWorld *w, uint64_t number)
+{
+    const PhJobEngine *engine = PhTaskWorld_Engine(w);
+    const PhJob *job = engine == NULL
+                           ? NULL
+                           : PhJobState_Job(PhJobEngine_State(engine), number);
+    const PhTime *at =
+        job == NULL ? NULL : g_hash_table_lookup(w->submits, &job->spec.key);
+    if (at != NULL) {
+        PhTime waited = PhFakeNet_Now(w->net) - *at;
+        g_array_append_val(w->start_times, waited);
+    }
+}
+
+/* Notes a run that a worker has begun. */
+static void
+held_add(PhTaskWorld *w, uint32_t worker, const PhWorkerRun *r)
+{
+    const PhWorldHeld *held = g_hash_table_lookup(w->holding, &r->run);
+    if (held != NULL && held->worker == worker &&
+        PhRun_Equal(held->run, r->run)) {
+        return;
+    }
+    if (held != NULL && held->worker != worker) {
+        /* A paused worker ends what has lapsed before it goes on. */
+        PhWorldWorker *other = &w->workers[held->worker];
+        PhWorkerTasks_Advance(other->tasks, PhTaskWorld_WorkerClock(w, other));
+        held_forget(w, held->worker);
+        held = g_hash_table_lookup(w->holding, &r->run);
+    }
+    w->counts.doubled +=
+        held != NULL || g_hash_table_contains(w->begun, &r->run);
+    w->counts.starts++;
+    w->counts.resumes += r->resumed_from > 0;
+    if (r->run.incarnation == 1) {
+        start_time_add(w, r->run.job);
+    }
+    g_hash_table_add(w->begun, g_memdup2(&r->run, sizeof(r->run)));
+    PhWorldHeld *now_held = g_new(PhWorldHeld, 1);
+    *now_held = (PhWorldHeld){.run = r->run, .worker = worker};
+    g_hash_table_replace(w->holding, &now_held->run, now_held);
+}
+
+/* Compares what a worker holds with what all others hold. */
+void
+PhTaskWorld_WorkerCheck(PhTaskWorld *w, uint32_t worker)
+{
+    PhJobSize sum = {0};
+    const GArray *runs = PhWorkerTasks_Runs(w->workers[worker].tasks);
+    held_forget(w, worker);
+    for (guint i = 0; i < runs->len; i++) {
+        const PhWorkerRun *r = &g_array_index(runs, PhWorkerRun, i);
+        sum = PhJobSize_Add(sum, r->size);
+        held_add(w, worker, r);
+    }
+    w->counts.overcommitted +=
+        !PhJobSize_Fits(sum, PhTaskWorld_WorkerSize(w, worker));
+}
+
+/* Lets a worker carry out a command. */
+void
+PhTaskWorld_WorkerReceive(PhTaskWorld *w, uint32_t worker, uint32_t instance,
+                          const PhWorldMail *mail)
+{
+    PhWorldWorker *to = &w->workers[worker];
+    PhWorldMail reply = {.kind = WORLD_ANSWER, .generation = mail->generation};
+    PhWorkerCommand command = mail->command;
+    if (command.kind == PH_WORKER_START && w->run_percent > 0) {
+        command.as.start.run_ms =
+            command.as.start.run_ms * w->run_percent / 100;
+    }
+    PhWorkerTasks_Advance(to->tasks, PhTaskWorld_WorkerClock(w, to));
+    held_forget(w, worker);
+    reply.answer = PhWorkerTasks_Command(to->tasks, &command,
+                                         PhTaskWorld_WorkerClock(w, to));
+    PhTaskWorld_WorkerCheck(w, worker);
+    PhTaskWorld_MailSend(w, PhTaskWorld_WorkerEndpoint(w, worker), instance,
+                         &reply);
+}
