--- a/commands/serve.c
+++ b/commands/serve.c
@@ -2,6 +2,7 @@
 #include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "peridothill/commands.h"
 #include "peridothill/services/instance.h"
@@ -152,12 +153,34 @@
     return r;
 }
 
+/* Takes the form of log lines from the command line, if it is given there. */
+static PhResult
+set_log_format(PhServe *s, const char *name)
+{
+    if (name == NULL) {
+        return PhResult_Ok();
+    }
+    if (strcmp(name, "json") == 0) {
+        s->settings.log.format = PH_LOG_FORMAT_JSON;
+        return PhResult_Ok();
+    }
+    if (strcmp(name, "logfmt") == 0) {
+        s->settings.log.format = PH_LOG_FORMAT_LOGFMT;
+        return PhResult_Ok();
+    }
+    return PhResult_Make(PH_STATUS_INVALID,
+                         "--log-format: logfmt or json is needed");
+}
+
 /* Loads, runs and releases an instance. */
 static int
-serve_file(const char *path)
+serve_file(const char *path, const char *log_format)
 {
     PhServe s = {0};
     PhResult r = serve_load(&s, path);
+    if (PhResult_IsOk(&r)) {
+        r = set_log_format(&s, log_format);
+    }
     if (PhResult_IsOk(&r)) {
         r = serve_run(&s);
     }
@@ -176,7 +199,12 @@
 int
 PhCommand_Serve(int argc, char **argv)
 {
-    GOptionEntry entries[] = {{NULL}};
+    char *log_format = NULL;
+    GOptionEntry entries[] = {
+        {"log-format", 0, 0, G_OPTION_ARG_STRING, &log_format,
+         "Form of log lines: logfmt or json (default: from FILE)", "NAME"},
+        {NULL},
+    };
     GOptionContext *context = g_option_context_new("FILE");
     g_option_context_set_summary(
         context, "Runs an entry instance with the settings in FILE until "
@@ -196,8 +224,9 @@
         code = PH_EXIT_FAILED;
     }
     else {
-        code = serve_file(argv[1]);
+        code = serve_file(argv[1], log_format);
     }
     g_option_context_free(context);
+    g_free(log_format);
     return code;
 }
--- a/commands/version.c
+++ b/commands/version.c
@@ -6,8 +6,20 @@
 int
 PhCommand_Version(int argc, char **argv)
 {
-    (void)argc;
-    (void)argv;
-    printf("peridothill %s\n", PH_VERSION);
-    return PH_EXIT_DONE;
+    GOptionContext *context = g_option_context_new(NULL);
+    GError *error = NULL;
+    int code = PH_EXIT_USAGE;
+    if (!g_option_context_parse(context, &argc, &argv, &error)) {
+        fprintf(stderr, "peridothill version: %s\n", error->message);
+        g_error_free(error);
+    }
+    else if (argc != 1) {
+        fprintf(stderr, "peridothill version: no arguments are taken\n");
+    }
+    else {
+        printf("peridothill %s\n", PH_VERSION);
+        code = PH_EXIT_DONE;
+    }
+    g_option_context_free(context);
+    return code;
 }
