requests: vouch for a key only after a window with a majority

A home that was cut off keeps its view, in which it stays a home; after the heal it vouched at once, though the key had been used at the homes of the other side, which were cut off next. Change: a home that does not hear more than half of the members vouches again only a window after it does. Conclusion: test_keys has the order of cuts and was seen failing without the change. A home that is paused through a whole cut does not notice it; ROUTING says so.

--- a/decide/requests/keys.c
+++ b/decide/requests/keys.c
@@ -22,7 +22,7 @@
 struct PhKeys {
     PhStr self;
     PhTime window;
-    PhTime started;
+    PhTime blind_until; /* a use before this may be known elsewhere only */
     GPtrArray *members; /* PhStr keys; NULL before they are known */
     bool majority;      /* more than half of the members are heard */
     GQueue past;        /* PhView, oldest first */
@@ -47,7 +47,7 @@
     PhKeys *keys = g_new0(PhKeys, 1);
     keys->self = PhStr_Dup(self);
     keys->window = window;
-    keys->started = now;
+    keys->blind_until = now;
     g_queue_init(&keys->past);
     keys->table = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual, NULL,
                                         entry_destroy);
@@ -130,7 +130,11 @@
     for (size_t i = 0; i < count; i++) {
         heard += members[i].heard;
     }
-    keys->majority = 2 * heard > count;
+    bool majority = 2 * heard > count;
+    if (!majority || !keys->majority) {
+        keys->blind_until = now;
+    }
+    keys->majority = majority;
     views_expire(keys, now);
     GPtrArray *homes = g_ptr_array_new_with_free_func(PhStr_KeyDestroy);
     for (size_t i = 0; i < count; i++) {
@@ -212,7 +216,7 @@
 static bool
 can_vouch(PhKeys *keys, PhStr key, PhTime now)
 {
-    if (now - keys->started < keys->window) {
+    if (now - keys->blind_until < keys->window) {
         return false;
     }
     views_expire(keys, now);
--- /dev/null
+++ b/tests/requests/test_keys.c
@@ -0,0 +1,118 @@
+#include "peridothill/decide/requests/keys.h"
+
+#include "tests/table.h"
+
+enum {
+    MEMBERS = 3,
+    STEPS_MAX = 5,
+    KEY_BYTES = 16
+};
+
+static const PhTime WINDOW = 30 * PH_NS_PER_S;
+
+/* Which members are heard from a time on; one letter for each. */
+typedef struct PhHeardStep {
+    int at_s;
+    const char *heard;
+} PhHeardStep;
+
+/* What instance "a" hears over time, and its verdict on a new key of which it
+ * is a home among all members. */
+typedef struct PhVouchCase {
+    const char *name;
+    PhHeardStep steps[STEPS_MAX];
+    int claim_s;
+    PhKeyVerdict verdict;
+} PhVouchCase;
+
+static const PhVouchCase vouch_cases[] = {
+    {"just started", {{0, "abc"}}, 10, PH_KEY_UNVOUCHED},
+    {"a window after its start", {{0, "abc"}}, 30, PH_KEY_GRANTED},
+    {"without a majority", {{0, "abc"}, {40, "a"}}, 41, PH_KEY_UNCLEAR},
+    {"a majority that goes on", {{0, "abc"}, {40, "ab"}}, 41, PH_KEY_GRANTED},
+    {"cut off a moment ago",
+     {{0, "abc"}, {40, "a"}, {50, "abc"}},
+     55,
+     PH_KEY_UNVOUCHED},
+    {"cut off until just within the window",
+     {{0, "abc"}, {40, "a"}, {50, "abc"}},
+     79,
+     PH_KEY_UNVOUCHED},
+    {"cut off a window ago",
+     {{0, "abc"}, {40, "a"}, {50, "abc"}},
+     80,
+     PH_KEY_GRANTED},
+    {"cut off twice",
+     {{0, "abc"}, {40, "a"}, {50, "abc"}, {70, "a"}, {75, "ab"}},
+     90,
+     PH_KEY_UNVOUCHED},
+};
+
+/* Gives the instance what it hears. */
+static void
+hear(PhKeys *keys, const char *heard, PhTime now)
+{
+    static const PhStr ids[MEMBERS] = {{"a", 1}, {"b", 1}, {"c", 1}};
+    PhKeyMember members[MEMBERS];
+    for (int i = 0; i < MEMBERS; i++) {
+        members[i] = (PhKeyMember){.id = ids[i], .heard = false};
+        for (const char *c = heard; *c != '\0'; c++) {
+            members[i].heard |= *c == ids[i].data[0];
+        }
+    }
+    PhKeys_SetMembers(keys, members, MEMBERS, now);
+}
+
+/* Finds a key whose homes among all members are "a" and "b". */
+static PhStr
+key_of_a_and_b(const PhKeys *keys, char *text)
+{
+    for (int i = 0;; i++) {
+        g_snprintf(text, KEY_BYTES, "key-%d", i);
+        PhKeyHomes homes = PhKeys_Homes(keys, PhStr_FromC(text));
+        bool a = false;
+        bool b = false;
+        for (size_t k = 0; k < homes.count; k++) {
+            a |= PhStr_Equal(homes.member[k], PhStr_LITERAL("a"));
+            b |= PhStr_Equal(homes.member[k], PhStr_LITERAL("b"));
+        }
+        if (a && b) {
+            return PhStr_FromC(text);
+        }
+    }
+}
+
+/* Claims a key at one instance. */
+static void
+check_vouch(const PhVouchCase *c)
+{
+    char text[KEY_BYTES];
+    PhKeys *keys = PhKeys_Create(PhStr_LITERAL("a"), WINDOW, 0);
+    hear(keys, c->steps[0].heard, 0);
+    PhStr key = key_of_a_and_b(keys, text);
+    for (size_t i = 1; i < STEPS_MAX && c->steps[i].heard != NULL; i++) {
+        hear(keys, c->steps[i].heard, c->steps[i].at_s * PH_NS_PER_S);
+    }
+    assert_int_equal(PhKeys_Claim(keys, key, PhStr_LITERAL("a/1"),
+                                  c->claim_s * PH_NS_PER_S),
+                     c->verdict);
+    PhKeys_Destroy(keys);
+}
+
+/* When a home vouches for a key. */
+static void
+test_vouch(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(vouch_cases, check_vouch);
+}
+
+/* Runs the tests of idempotency keys. */
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_vouch),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
