requests: do not vouch for keys after others took this instance for dead

Cause: a home that is paused through a whole cut does not notice it, keeps its majority, and vouched for keys that had other homes meanwhile. Change: a rise of the own incarnation in the view, with which membership refutes a suspicion or death, counts as being cut off until then. The price: a home does not vouch for a window after a false suspicion, while the other one does.

--- a/decide/requests/keys.c
+++ b/decide/requests/keys.c
@@ -22,12 +22,13 @@
 struct PhKeys {
     PhStr self;
     PhTime window;
-    PhTime blind_until; /* a use before this may be known elsewhere only */
-    GPtrArray *members; /* PhStr keys; NULL before they are known */
-    bool majority;      /* more than half of the members are heard */
-    GQueue past;        /* PhView, oldest first */
-    GHashTable *table;  /* key to PhKeyEntry */
-    GQueue by_age;      /* PhStr keys, oldest first; some already released */
+    uint64_t incarnation; /* own one */
+    PhTime blind_until;   /* a use before this may be known elsewhere only */
+    GPtrArray *members;   /* PhStr keys; NULL before they are known */
+    bool majority;        /* more than half of the members are heard */
+    GQueue past;          /* PhView, oldest first */
+    GHashTable *table;    /* key to PhKeyEntry */
+    GQueue by_age;        /* PhStr keys, oldest first; some already released */
 };
 
 /* Releases an entry. */
@@ -120,6 +121,20 @@
     keys->members = members;
 }
 
+/* Tells whether others took this instance for dead since the last view: its
+ * keys may have had other homes meanwhile, though it heard nothing of it. */
+static bool
+taken_for_dead(PhKeys *keys, const PhKeyMember *members, size_t count)
+{
+    uint64_t before = keys->incarnation;
+    for (size_t i = 0; i < count; i++) {
+        if (PhStr_Equal(members[i].id, keys->self)) {
+            keys->incarnation = members[i].incarnation;
+        }
+    }
+    return keys->incarnation != before;
+}
+
 /* Takes the members.  Two sides of a partition never both hear more than half
  * of the same members, so at most one side drops the other. */
 void
@@ -131,7 +146,8 @@
         heard += members[i].heard;
     }
     bool majority = 2 * heard > count;
-    if (!majority || !keys->majority) {
+    bool dead = taken_for_dead(keys, members, count);
+    if (!majority || !keys->majority || dead) {
         keys->blind_until = now;
     }
     keys->majority = majority;
--- a/include/peridothill/decide/requests/keys.h
+++ b/include/peridothill/decide/requests/keys.h
@@ -24,10 +24,12 @@
     PhStr member[PH_KEY_HOMES]; /* borrowed from the view */
 } PhKeyHomes;
 
-/* A member that has not left, and whether it is heard. */
+/* A member that has not left, and whether it is heard.  A member raises its
+ * incarnation when it learns that others took it for dead. */
 typedef struct PhKeyMember {
     PhStr id;
     bool heard;
+    uint64_t incarnation;
 } PhKeyMember;
 
 typedef struct PhKeys PhKeys;
--- a/tests/requests/test_keys.c
+++ b/tests/requests/test_keys.c
@@ -10,10 +10,12 @@
 
 static const PhTime WINDOW = 30 * PH_NS_PER_S;
 
-/* Which members are heard from a time on; one letter for each. */
+/* Which members are heard from a time on, one letter for each, and the own
+ * incarnation. */
 typedef struct PhHeardStep {
     int at_s;
     const char *heard;
+    uint64_t incarnation;
 } PhHeardStep;
 
 /* What instance "a" hears over time, and its verdict on a new key of which it
@@ -42,6 +44,14 @@
      {{0, "abc"}, {40, "a"}, {50, "abc"}},
      80,
      PH_KEY_GRANTED},
+    {"taken for dead without noticing",
+     {{0, "abc", 1}, {40, "abc", 2}},
+     55,
+     PH_KEY_UNVOUCHED},
+    {"taken for dead a window ago",
+     {{0, "abc", 1}, {40, "abc", 2}},
+     70,
+     PH_KEY_GRANTED},
     {"cut off twice",
      {{0, "abc"}, {40, "a"}, {50, "abc"}, {70, "a"}, {75, "ab"}},
      90,
@@ -50,13 +60,14 @@
 
 /* Gives the instance what it hears. */
 static void
-hear(PhKeys *keys, const char *heard, PhTime now)
+hear(PhKeys *keys, const PhHeardStep *step, PhTime now)
 {
     static const PhStr ids[MEMBERS] = {{"a", 1}, {"b", 1}, {"c", 1}};
     PhKeyMember members[MEMBERS];
     for (int i = 0; i < MEMBERS; i++) {
-        members[i] = (PhKeyMember){.id = ids[i], .heard = false};
-        for (const char *c = heard; *c != '\0'; c++) {
+        members[i] =
+            (PhKeyMember){.id = ids[i], .incarnation = step->incarnation};
+        for (const char *c = step->heard; *c != '\0'; c++) {
             members[i].heard |= *c == ids[i].data[0];
         }
     }
@@ -88,10 +99,10 @@
 {
     char text[KEY_BYTES];
     PhKeys *keys = PhKeys_Create(PhStr_LITERAL("a"), WINDOW, 0);
-    hear(keys, c->steps[0].heard, 0);
+    hear(keys, &c->steps[0], 0);
     PhStr key = key_of_a_and_b(keys, text);
     for (size_t i = 1; i < STEPS_MAX && c->steps[i].heard != NULL; i++) {
-        hear(keys, c->steps[i].heard, c->steps[i].at_s * PH_NS_PER_S);
+        hear(keys, &c->steps[i], c->steps[i].at_s * PH_NS_PER_S);
     }
     assert_int_equal(PhKeys_Claim(keys, key, PhStr_LITERAL("a/1"),
                                   c->claim_s * PH_NS_PER_S),
