--- a/bench/soak_config.c
+++ b/bench/soak_config.c
@@ -419,32 +419,32 @@
     g_ptr_array_free(s->answers, TRUE);
 }
 
+/* Lets one event happen; those of a dead instance are dropped. */
+static void
+event_take(void *context, const PhFakeEvent *event)
+{
+    PhSoakConfig *s = context;
+    if (event->to == SOAK_CONFIG_CONDUCTOR) {
+        conductor_take(s, event->token);
+    }
+    else if (s->nodes[event->to].follower == NULL) {
+        return;
+    }
+    else if (event->kind == PH_FAKE_MESSAGE) {
+        mail_take(s, event->to, event->body);
+    }
+    else {
+        timer_take(s, event->to, event->token);
+    }
+}
+
 /* Runs the configuration for the steps of the run. */
 static void
 config_run(PhSoakRun *run)
 {
     PhSoakConfig s = {.run = run};
-    PhFakeEvent event;
     config_create(&s);
-    for (uint64_t i = 0; i < run->steps; i++) {
-        if (!PhFakeNet_Next(s.net, PH_TIME_NEVER, &event)) {
-            break;
-        }
-        if (event.to == SOAK_CONFIG_CONDUCTOR) {
-            conductor_take(&s, event.token);
-        }
-        else if (s.nodes[event.to].follower == NULL) {
-            continue;
-        }
-        else if (event.kind == PH_FAKE_MESSAGE) {
-            mail_take(&s, event.to, event.body);
-        }
-        else {
-            timer_take(&s, event.to, event.token);
-        }
-    }
-    run->simulated = PhFakeNet_Now(s.net);
-    PhSoakRun_Add(run, s.plan);
+    PhSoakRun_Drive(run, s.net, s.plan, event_take, &s);
     config_destroy(&s);
 }
 
--- a/bench/soak_members.c
+++ b/bench/soak_members.c
@@ -365,8 +365,9 @@
 
 /* Gives one event of the queue to whom it concerns. */
 static void
-event_take(PhSoakMembers *s, const PhFakeEvent *event)
+event_take(void *context, const PhFakeEvent *event)
 {
+    PhSoakMembers *s = context;
     PhSoakNode *node = &s->nodes[event->to];
     if (event->to == CONDUCTOR) {
         plan_step(s);
@@ -439,16 +440,8 @@
 members_run(PhSoakRun *run)
 {
     PhSoakMembers s = {.run = run};
-    PhFakeEvent event;
     members_create(&s);
-    for (uint64_t i = 0; i < run->steps; i++) {
-        if (!PhFakeNet_Next(s.net, PH_TIME_NEVER, &event)) {
-            break;
-        }
-        event_take(&s, &event);
-    }
-    run->simulated = PhFakeNet_Now(s.net);
-    PhSoakRun_Add(run, s.plan);
+    PhSoakRun_Drive(run, s.net, s.plan, event_take, &s);
     members_destroy(&s);
 }
 
--- a/bench/soak_plan.c
+++ b/bench/soak_plan.c
@@ -187,3 +187,20 @@
         run->begun[i] += plan->begun[i];
     }
 }
+
+/* Gives events to the area until the steps are used up. */
+void
+PhSoakRun_Drive(PhSoakRun *run, PhFakeNet *net, const PhFaultPlan *plan,
+                void (*take)(void *context, const PhFakeEvent *event),
+                void *context)
+{
+    PhFakeEvent event;
+    for (uint64_t i = 0; i < run->steps; i++) {
+        if (!PhFakeNet_Next(net, PH_TIME_NEVER, &event)) {
+            break;
+        }
+        take(context, &event);
+    }
+    run->simulated = PhFakeNet_Now(net);
+    PhSoakRun_Add(run, plan);
+}
--- a/bench/soak_requests.c
+++ b/bench/soak_requests.c
@@ -354,8 +354,9 @@
 
 /* Gives one event of the queue to whom it concerns. */
 static void
-event_take(PhSoakRequests *s, const PhFakeEvent *event)
+event_take(void *context, const PhFakeEvent *event)
 {
+    PhSoakRequests *s = context;
     uint64_t kind = event->token % SOAK_REQUESTS_KINDS;
     uint64_t number = event->token / SOAK_REQUESTS_KINDS;
     if (event->to == SOAK_REQUESTS_CONDUCTOR) {
@@ -470,16 +471,8 @@
 requests_run(PhSoakRun *run)
 {
     PhSoakRequests s = {.run = run};
-    PhFakeEvent event;
     requests_create(&s);
-    for (uint64_t i = 0; i < run->steps; i++) {
-        if (!PhFakeNet_Next(s.net, PH_TIME_NEVER, &event)) {
-            break;
-        }
-        event_take(&s, &event);
-    }
-    run->simulated = PhFakeNet_Now(s.net);
-    PhSoakRun_Add(run, s.plan);
+    PhSoakRun_Drive(run, s.net, s.plan, event_take, &s);
     requests_destroy(&s);
 }
 
--- a/include/peridothill/bench/soak.h
+++ b/include/peridothill/bench/soak.h
@@ -63,6 +63,11 @@
     PhTime simulated;
 } PhSoakRun;
 
+/* Gives the events of a network to `take` for the steps of the run, then adds
+ * the figures of its plan. */
+void PhSoakRun_Drive(PhSoakRun *run, PhFakeNet *net, const PhFaultPlan *plan,
+                     void (*take)(void *context, const PhFakeEvent *event),
+                     void *context);
 /* Adds the figures of a plan to those of the run. */
 void PhSoakRun_Add(PhSoakRun *run, const PhFaultPlan *plan);
 
