tidy: drop functions that nobody calls, and look things up once

Cause: a read of the whole change found seven functions without a caller, the addresses of workers entered again at each unchanged poll of the list, the catalogue searched for events of a process without a log, and a page that said that answers close their connections from the start of a stop on. Change: the functions are gone; addresses are entered with a reading; a missing log returns first; the page says what the listener does.

--- a/bench/soak_plan.c
+++ b/bench/soak_plan.c
@@ -172,13 +172,6 @@
     return plan->active_count;
 }
 
-/* Tells how often a fault has begun. */
-uint64_t
-PhFaultPlan_Begun(const PhFaultPlan *plan, PhFault fault)
-{
-    return plan->begun[fault];
-}
-
 /* Adds the faults of a plan to those of the run. */
 void
 PhSoakRun_Add(PhSoakRun *run, const PhFaultPlan *plan)
--- a/bench/task_world.c
+++ b/bench/task_world.c
@@ -291,13 +291,6 @@
     return w->instances[instance].engine != NULL;
 }
 
-/* Gives the tasks of a worker. */
-const PhWorkerTasks *
-PhTaskWorld_Worker(const PhTaskWorld *w, uint32_t worker)
-{
-    return w->workers[worker].tasks;
-}
-
 /* Finds the owner. */
 int
 PhTaskWorld_Owner(const PhTaskWorld *w)
--- a/common/log.c
+++ b/common/log.c
@@ -112,8 +112,11 @@
 PhLog_Write(PhLog *log, PhEventId id, PhStr task, PhTime now,
             const PhField *fields, size_t count)
 {
+    if (log == NULL) {
+        return;
+    }
     const PhEventInfo *info = PhEvent_Find(id);
-    if (log == NULL || info == NULL || info->level < log->least) {
+    if (info == NULL || info->level < log->least) {
         return;
     }
     PhBuf_Reset(&log->line);
--- a/decide/tasks/job_queue.c
+++ b/decide/tasks/job_queue.c
@@ -205,10 +205,3 @@
     }
     return index;
 }
-
-/* Counts the jobs. */
-size_t
-PhJobQueue_Length(const PhJobQueue *queue)
-{
-    return g_hash_table_size(queue->by_job);
-}
--- a/decide/tasks/job_queue.h
+++ b/decide/tasks/job_queue.h
@@ -37,7 +37,5 @@
                              const PhQueuedJob *after);
 /* Takes one task of a job; the job is dropped with its last one. */
 uint32_t PhJobQueue_Take(PhJobQueue *queue, PhQueuedJob *job);
-/* Counts the jobs that wait. */
-size_t PhJobQueue_Length(const PhJobQueue *queue);
 
 #endif
--- a/demo/world.c
+++ b/demo/world.c
@@ -372,13 +372,6 @@
     return PhStr_LITERAL("demo-token");
 }
 
-/* Gives the counters of a running instance. */
-PhCounters *
-PhWorld_Counters(const PhWorld *w, int index)
-{
-    return w->instances[index].counters;
-}
-
 /* Gives the records behind the stand-in log. */
 PhFakeLog *
 PhWorld_Log(PhWorld *w)
--- a/include/peridothill/bench/soak.h
+++ b/include/peridothill/bench/soak.h
@@ -51,8 +51,6 @@
 bool PhFaultPlan_Next(PhFaultPlan *plan, PhTime now, PhFaultChange *change);
 /* Faults that are on. */
 size_t PhFaultPlan_Active(const PhFaultPlan *plan);
-/* How often a fault has begun. */
-uint64_t PhFaultPlan_Begun(const PhFaultPlan *plan, PhFault fault);
 
 /* One run of one area: `steps` events from `seed`. */
 typedef struct PhSoakRun {
--- a/include/peridothill/bench/task_world.h
+++ b/include/peridothill/bench/task_world.h
@@ -86,8 +86,6 @@
 /* The worker comes back empty. */
 void PhTaskWorld_RestartWorker(PhTaskWorld *world, uint32_t worker);
 void PhTaskWorld_FailWorker(PhTaskWorld *world, uint32_t worker, bool failing);
-const PhWorkerTasks *PhTaskWorld_Worker(const PhTaskWorld *world,
-                                        uint32_t worker);
 /* The instance that may start tasks now, or -1. */
 int PhTaskWorld_Owner(const PhTaskWorld *world);
 /* Counts instances that may start tasks now. */
--- a/include/peridothill/demo/world.h
+++ b/include/peridothill/demo/world.h
@@ -48,7 +48,6 @@
 PhStr PhWorld_CallersAddress(const PhWorld *world, int index);
 PhStr PhWorld_OperatorsAddress(const PhWorld *world, int index);
 PhStr PhWorld_Token(const PhWorld *world);
-PhCounters *PhWorld_Counters(const PhWorld *world, int index);
 
 PhFakeLog *PhWorld_Log(PhWorld *world);
 PhStandinWorkerState *PhWorld_Worker(PhWorld *world, int index);
--- a/include/peridothill/services/listener.h
+++ b/include/peridothill/services/listener.h
@@ -47,10 +47,9 @@
                        PhStr body);
 /* Closes the connection of a request without an answer. */
 void PhListener_Drop(PhListener *listener, uint64_t id);
-/* From now on each answer closes its connection. */
-void PhListener_Retire(PhListener *listener);
-/* Retires, and closes connections that have no request.  New ones are still
- * accepted: their requests can be refused in words rather than by a reset. */
+/* Closes connections that have no request, and from now on each one after its
+ * next answer.  New ones are still accepted: their requests can be refused in
+ * words rather than by a reset. */
 void PhListener_Quiesce(PhListener *listener);
 /* Connections that are open, in use or not. */
 size_t PhListener_Connections(const PhListener *listener);
--- a/include/peridothill/standin/worker_runs.h
+++ b/include/peridothill/standin/worker_runs.h
@@ -37,8 +37,5 @@
 const GArray *PhWorkerTasks_Runs(const PhWorkerTasks *tasks);
 /* The ends not yet acked, PhWorkerEnd. */
 const GArray *PhWorkerTasks_Ended(const PhWorkerTasks *tasks);
-/* When the next run ends by itself, or INT64_MAX. */
-int64_t PhWorkerTasks_NextEnd(const PhWorkerTasks *tasks);
-uint64_t PhWorkerTasks_Boot(const PhWorkerTasks *tasks);
 
 #endif
--- a/services/platform/listener.c
+++ b/services/platform/listener.c
@@ -314,13 +314,6 @@
     exchange_resume(x);
 }
 
-/* Closes each connection after its next answer. */
-void
-PhListener_Retire(PhListener *l)
-{
-    l->retired = true;
-}
-
 /* Closes the connections without a request, now and from now on. */
 void
 PhListener_Quiesce(PhListener *l)
--- a/services/tasks/tasks_platform.c
+++ b/services/tasks/tasks_platform.c
@@ -115,6 +115,29 @@
     }
 }
 
+/* Tells whether an entry of the list is a worker of this data centre. */
+static bool
+is_own_worker(const PhTasksTask *t, const PhListEntry *e)
+{
+    return e->role == PH_LIST_WORKER &&
+           PhStr_Equal(e->data_centre, t->options.data_centre);
+}
+
+/* Keeps a reading, and where it says that workers are. */
+static void
+reading_keep(PhTasksTask *t, const PhListReading *reading)
+{
+    PhListReading_Clear(&t->reading);
+    t->reading = PhListReading_Copy(reading);
+    for (size_t i = 0; i < t->reading.entry_count; i++) {
+        const PhListEntry *e = &t->reading.entries[i];
+        if (is_own_worker(t, e)) {
+            g_hash_table_replace(t->addresses, PhStr_KeyCreate(e->id),
+                                 PhStr_KeyCreate(e->address));
+        }
+    }
+}
+
 /* Gives the engine the workers of this data centre in the last reading. */
 static void
 workers_give(PhTasksTask *t)
@@ -122,8 +145,7 @@
     GArray *listed = g_array_new(FALSE, FALSE, sizeof(PhListedWorker));
     for (size_t i = 0; i < t->reading.entry_count; i++) {
         const PhListEntry *e = &t->reading.entries[i];
-        if (e->role != PH_LIST_WORKER ||
-            !PhStr_Equal(e->data_centre, t->options.data_centre)) {
+        if (!is_own_worker(t, e)) {
             continue;
         }
         PhListedWorker worker = {
@@ -132,8 +154,6 @@
             .size = {e->cpu_milli, e->memory_mb, e->accelerators},
             .leaving = e->state == PH_LIST_LEAVING};
         g_array_append_val(listed, worker);
-        g_hash_table_replace(t->addresses, PhStr_KeyCreate(e->id),
-                             PhStr_KeyCreate(e->address));
     }
     PhJobEvent event = {.kind = PH_JOB_WORKERS};
     event.as.workers.workers = (const PhListedWorker *)listed->data;
@@ -150,8 +170,7 @@
     switch (m->tag) {
     case PH_LIST_READING:
         if (m->as.reading.status == PH_STATUS_OK) {
-            PhListReading_Clear(&t->reading);
-            t->reading = PhListReading_Copy(&m->as.reading);
+            reading_keep(t, &m->as.reading);
             workers_give(t);
         }
         break;
--- a/standin/worker_runs.c
+++ b/standin/worker_runs.c
@@ -71,13 +71,6 @@
     return tasks->ended;
 }
 
-/* Gives the boot number. */
-uint64_t
-PhWorkerTasks_Boot(const PhWorkerTasks *tasks)
-{
-    return tasks->boot;
-}
-
 /* Gives a run by its position. */
 static PhWorkerRun *
 run_at(const PhWorkerTasks *tasks, guint i)
@@ -335,15 +328,3 @@
     answer.ended = g_array_copy(tasks->ended);
     return answer;
 }
-
-/* When the next run ends by itself. */
-int64_t
-PhWorkerTasks_NextEnd(const PhWorkerTasks *tasks)
-{
-    int64_t next = INT64_MAX;
-    for (guint i = 0; i < tasks->runs->len; i++) {
-        const PhWorkerRun *r = run_at(tasks, i);
-        next = MIN(next, MIN(r->lease_until_ms, run_done_ms(r)));
-    }
-    return next;
-}
