--- /dev/null
+++ b/codec/schedule_record.c
@@ -0,0 +1,463 @@
+#include "peridothill/codec/schedule_record.h"
+
+#include "peridothill/codec/unpack.h"
+
+enum {
+    /* Fields of a job. */
+    JOB_QUEUE = 1,
+    JOB_SERVICE,
+    JOB_PRIORITY,
+    JOB_ATTEMPTS,
+    JOB_STRETCH_MILLI,
+    JOB_SLACK_MS,
+    JOB_PAYLOAD,
+    JOB_STEPS,
+    JOB_REPETITIONS,
+    JOB_FIRST_DUE_MS,
+    JOB_INTERVAL_MS,
+    /* Fields of a step. */
+    STEP_COUNT = 1,
+    STEP_CPU_MILLI,
+    STEP_MEM_MB,
+    STEP_GPU,
+    STEP_ESTIMATE_MS,
+    STEP_AFTER,
+    STEP_FLAGS,
+    STEP_REQUIRES,
+    STEP_AFFINITY,
+    STEP_IMAGE,
+    STEP_MAX_PER_WORKER,
+    STEP_MAY_MISS,
+    STEP_TAIL_TARGET_MS,
+    /* Flags of a step. */
+    FLAG_SAVES = 1,
+    FLAG_GANG = 2,
+    FLAG_SAME_RACK = 4,
+    FLAG_SPECULATIVE = 8,
+    FLAG_LONG_RUNNING = 16,
+    FLAG_FILLS = 32,
+    /* Fields of a state and of a stage. */
+    STATE_STATE = 1,
+    STAGE_TASKS = 1,
+    STAGE_ALL_DONE,
+    /* Items of a task: a list of the first three, then the worker with its
+     * life, then the checkpoint. */
+    TASK_ITEMS_LEAST = 3,
+    TASK_ITEMS_PLACED = 5,
+    TASK_ITEMS_SAVED = 6,
+    ID_BYTES = 16,
+    TEXT_BYTES_MAX = 65536,
+    MILLI = 1000,
+};
+
+/* Leading characters of the keys. */
+static const char KEY_JOB = 'j';
+static const char KEY_CANCEL = 'c';
+static const char KEY_STATE = 's';
+static const char KEY_STAGE = 't';
+
+/* Writes the steps that a step waits for. */
+static void
+pack_after(msgpack_packer *p, const PhSchedStep *step)
+{
+    msgpack_pack_uint64(p, STEP_AFTER);
+    msgpack_pack_array(p, step->after_count);
+    for (uint32_t i = 0; i < step->after_count; i++) {
+        msgpack_pack_uint32(p, step->after[i]);
+    }
+}
+
+/* Gives the flags of a step. */
+static uint64_t
+step_flags(const PhSchedStep *step)
+{
+    return (step->saves_progress ? FLAG_SAVES : 0) |
+           (step->gang ? FLAG_GANG : 0) |
+           (step->same_rack ? FLAG_SAME_RACK : 0) |
+           (step->speculative ? FLAG_SPECULATIVE : 0) |
+           (step->long_running ? FLAG_LONG_RUNNING : 0) |
+           (step->fills ? FLAG_FILLS : 0);
+}
+
+/* Writes one step. */
+static void
+pack_step(msgpack_packer *p, const PhSchedStep *step)
+{
+    msgpack_pack_map(p, STEP_TAIL_TARGET_MS);
+    PhPack_U64(p, STEP_COUNT, step->count);
+    PhPack_U64(p, STEP_CPU_MILLI, (uint64_t)step->room.cpu_milli);
+    PhPack_U64(p, STEP_MEM_MB, (uint64_t)step->room.mem_mb);
+    PhPack_U64(p, STEP_GPU, (uint64_t)step->room.gpu);
+    PhPack_U64(p, STEP_ESTIMATE_MS, (uint64_t)step->estimate / PH_NS_PER_MS);
+    pack_after(p, step);
+    PhPack_U64(p, STEP_FLAGS, step_flags(step));
+    PhPack_Bytes(p, STEP_REQUIRES, step->requires);
+    PhPack_Bytes(p, STEP_AFFINITY, step->affinity);
+    PhPack_Bytes(p, STEP_IMAGE, step->image);
+    PhPack_U64(p, STEP_MAX_PER_WORKER, step->max_per_worker);
+    PhPack_U64(p, STEP_MAY_MISS, step->may_miss);
+    PhPack_U64(p, STEP_TAIL_TARGET_MS,
+               (uint64_t)step->tail_target / PH_NS_PER_MS);
+}
+
+/* Writes a job. */
+static void
+pack_job(msgpack_packer *p, const PhSchedSpec *spec)
+{
+    msgpack_pack_map(p, JOB_INTERVAL_MS);
+    PhPack_Bytes(p, JOB_QUEUE, spec->terms.queue);
+    PhPack_Bytes(p, JOB_SERVICE, spec->terms.service);
+    PhPack_U64(p, JOB_PRIORITY, (uint64_t)spec->terms.priority);
+    PhPack_U64(p, JOB_ATTEMPTS, spec->terms.max_attempts);
+    PhPack_U64(p, JOB_STRETCH_MILLI, (uint64_t)(spec->terms.stretch * MILLI));
+    PhPack_U64(p, JOB_SLACK_MS, (uint64_t)spec->terms.slack / PH_NS_PER_MS);
+    PhPack_Bytes(p, JOB_PAYLOAD, spec->payload);
+    msgpack_pack_uint64(p, JOB_STEPS);
+    msgpack_pack_array(p, spec->step_count);
+    for (uint32_t i = 0; i < spec->step_count; i++) {
+        pack_step(p, &spec->steps[i]);
+    }
+    PhPack_U64(p, JOB_REPETITIONS, spec->repetitions);
+    PhPack_U64(p, JOB_FIRST_DUE_MS, (uint64_t)spec->first_due_ms);
+    PhPack_U64(p, JOB_INTERVAL_MS, (uint64_t)spec->interval_ms);
+}
+
+/* Writes a string as msgpack bytes. */
+static void
+pack_bytes(msgpack_packer *p, PhStr s)
+{
+    msgpack_pack_bin(p, s.len);
+    msgpack_pack_bin_body(p, s.data == NULL ? "" : s.data, s.len);
+}
+
+/* Writes one task of a stage. */
+static void
+pack_task(msgpack_packer *p, const PhSchedTaskRecord *task)
+{
+    size_t items = TASK_ITEMS_LEAST;
+    if (task->saved.len > 0) {
+        items = TASK_ITEMS_SAVED;
+    }
+    else if (task->worker.len > 0) {
+        items = TASK_ITEMS_PLACED;
+    }
+    msgpack_pack_array(p, items);
+    msgpack_pack_uint32(p, (uint32_t)task->state);
+    msgpack_pack_uint32(p, task->run);
+    msgpack_pack_uint32(p, task->failures);
+    if (items >= TASK_ITEMS_PLACED) {
+        pack_bytes(p, task->worker);
+        msgpack_pack_uint64(p, (uint64_t)task->worker_born_ms);
+    }
+    if (items == TASK_ITEMS_SAVED) {
+        pack_bytes(p, task->saved);
+    }
+}
+
+/* Writes the tasks of a stage; one that is done needs only their number. */
+static void
+pack_stage(msgpack_packer *p, const PhSchedRecord *record)
+{
+    uint32_t count = record->as.stage.task_count;
+    uint32_t done = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        done += record->as.stage.tasks[i].state == PH_SCHED_TASK_DONE;
+    }
+    msgpack_pack_map(p, 1);
+    if (done == count) {
+        PhPack_U64(p, STAGE_ALL_DONE, count);
+        return;
+    }
+    msgpack_pack_uint64(p, STAGE_TASKS);
+    msgpack_pack_array(p, count);
+    for (uint32_t i = 0; i < count; i++) {
+        pack_task(p, &record->as.stage.tasks[i]);
+    }
+}
+
+/* Makes the key of a record. */
+static PhStr
+key_make(char kind, PhStr id, const PhSchedRecord *stage)
+{
+    PhBuf key = {0};
+    PhBuf_AppendByte(&key, kind);
+    PhBuf_Append(&key, id);
+    if (stage != NULL) {
+        PhBuf_AppendFormat(&key, ".%u.%u", stage->as.stage.round,
+                           stage->as.stage.step);
+    }
+    return PhBuf_Take(&key);
+}
+
+/* Encodes a job. */
+PhSchedEncoded
+PhSchedRecord_EncodeJob(const PhSchedSpec *spec)
+{
+    PhBuf out = {0};
+    msgpack_packer p;
+    msgpack_packer_init(&p, &out, PhPack_Write);
+    pack_job(&p, spec);
+    return (PhSchedEncoded){.key = key_make(KEY_JOB, spec->id, NULL),
+                            .value = PhBuf_Take(&out)};
+}
+
+/* Encodes a record. */
+PhSchedEncoded
+PhSchedRecord_Encode(const PhSchedRecord *record)
+{
+    PhBuf out = {0};
+    PhStr key = {0};
+    msgpack_packer p;
+    msgpack_packer_init(&p, &out, PhPack_Write);
+    switch (record->tag) {
+    case PH_SCHED_RECORD_JOB:
+        return PhSchedRecord_EncodeJob(&record->as.job);
+    case PH_SCHED_RECORD_CANCEL:
+        key = key_make(KEY_CANCEL, record->id, NULL);
+        msgpack_pack_map(&p, 0);
+        break;
+    case PH_SCHED_RECORD_STATE:
+        key = key_make(KEY_STATE, record->id, NULL);
+        msgpack_pack_map(&p, 1);
+        PhPack_U64(&p, STATE_STATE, (uint64_t)record->as.state);
+        break;
+    case PH_SCHED_RECORD_STAGE:
+        key = key_make(KEY_STAGE, record->id, record);
+        pack_stage(&p, record);
+        break;
+    }
+    return (PhSchedEncoded){.key = key, .value = PhBuf_Take(&out)};
+}
+
+/* Releases an encoded record. */
+void
+PhSchedEncoded_Clear(PhSchedEncoded *encoded)
+{
+    PhStr_Clear(&encoded->key);
+    PhStr_Clear(&encoded->value);
+}
+
+/* Reads a number, 0 when it is missing. */
+static uint64_t
+get_u64(const msgpack_object *map, uint64_t key)
+{
+    uint64_t value = 0;
+    PhUnpack_U64(PhUnpack_Field(map, key), &value);
+    return value;
+}
+
+/* Reads a string into a copy, empty when it is missing. */
+static PhStr
+get_text(const msgpack_object *map, uint64_t key)
+{
+    PhStr value = {0};
+    if (!PhUnpack_Bytes(PhUnpack_Field(map, key), TEXT_BYTES_MAX, &value) ||
+        value.len == 0) {
+        return (PhStr){0};
+    }
+    return PhStr_Dup(value);
+}
+
+/* Reads the steps that a step waits for. */
+static void
+read_after(const msgpack_object *list, PhSchedStep *step)
+{
+    if (list == NULL || list->type != MSGPACK_OBJECT_ARRAY ||
+        list->via.array.size == 0) {
+        return;
+    }
+    step->after = g_new0(uint32_t, list->via.array.size);
+    for (uint32_t i = 0; i < list->via.array.size; i++) {
+        uint64_t number = 0;
+        PhUnpack_U64(&list->via.array.ptr[i], &number);
+        step->after[step->after_count++] = (uint32_t)number;
+    }
+}
+
+/* Reads one step. */
+static void
+read_step(const msgpack_object *map, PhSchedStep *step)
+{
+    uint64_t flags = get_u64(map, STEP_FLAGS);
+    step->count = (uint32_t)get_u64(map, STEP_COUNT);
+    step->room.cpu_milli = (int64_t)get_u64(map, STEP_CPU_MILLI);
+    step->room.mem_mb = (int64_t)get_u64(map, STEP_MEM_MB);
+    step->room.gpu = (int64_t)get_u64(map, STEP_GPU);
+    step->estimate = (PhTime)get_u64(map, STEP_ESTIMATE_MS) * PH_NS_PER_MS;
+    read_after(PhUnpack_Field(map, STEP_AFTER), step);
+    step->saves_progress = (flags & FLAG_SAVES) != 0;
+    step->gang = (flags & FLAG_GANG) != 0;
+    step->same_rack = (flags & FLAG_SAME_RACK) != 0;
+    step->speculative = (flags & FLAG_SPECULATIVE) != 0;
+    step->long_running = (flags & FLAG_LONG_RUNNING) != 0;
+    step->fills = (flags & FLAG_FILLS) != 0;
+    step->requires = get_text(map, STEP_REQUIRES);
+    step->affinity = get_text(map, STEP_AFFINITY);
+    step->image = get_text(map, STEP_IMAGE);
+    step->max_per_worker = (uint32_t)get_u64(map, STEP_MAX_PER_WORKER);
+    step->may_miss = (uint32_t)get_u64(map, STEP_MAY_MISS);
+    step->tail_target =
+        (PhTime)get_u64(map, STEP_TAIL_TARGET_MS) * PH_NS_PER_MS;
+}
+
+/* Reads a job. */
+static PhResult
+read_job(const msgpack_object *map, PhSchedSpec *spec)
+{
+    const msgpack_object *steps = PhUnpack_Field(map, JOB_STEPS);
+    spec->terms.queue = get_text(map, JOB_QUEUE);
+    spec->terms.service = get_text(map, JOB_SERVICE);
+    spec->terms.priority = (int64_t)get_u64(map, JOB_PRIORITY);
+    spec->terms.max_attempts = (uint32_t)get_u64(map, JOB_ATTEMPTS);
+    spec->terms.stretch = (double)get_u64(map, JOB_STRETCH_MILLI) / MILLI;
+    spec->terms.slack = (PhTime)get_u64(map, JOB_SLACK_MS) * PH_NS_PER_MS;
+    spec->payload = get_text(map, JOB_PAYLOAD);
+    spec->repetitions = (uint32_t)get_u64(map, JOB_REPETITIONS);
+    spec->first_due_ms = (int64_t)get_u64(map, JOB_FIRST_DUE_MS);
+    spec->interval_ms = (int64_t)get_u64(map, JOB_INTERVAL_MS);
+    if (steps == NULL || steps->type != MSGPACK_OBJECT_ARRAY) {
+        return PhResult_Make(PH_STATUS_INVALID, "job without steps");
+    }
+    spec->steps = g_new0(PhSchedStep, MAX(steps->via.array.size, 1));
+    for (uint32_t i = 0; i < steps->via.array.size; i++) {
+        if (steps->via.array.ptr[i].type != MSGPACK_OBJECT_MAP) {
+            return PhResult_Make(PH_STATUS_INVALID, "step %u is no map", i);
+        }
+        read_step(&steps->via.array.ptr[i], &spec->steps[i]);
+        spec->step_count++;
+    }
+    return PhSchedSpec_Check(spec);
+}
+
+/* Reads one task of a stage; false when it is none. */
+static bool
+read_task(const msgpack_object *list, PhSchedTaskRecord *task)
+{
+    uint64_t numbers[TASK_ITEMS_LEAST] = {0};
+    uint64_t born = 0;
+    PhStr text;
+    if (list->type != MSGPACK_OBJECT_ARRAY ||
+        list->via.array.size < TASK_ITEMS_LEAST) {
+        return false;
+    }
+    const msgpack_object *items = list->via.array.ptr;
+    for (uint32_t i = 0; i < TASK_ITEMS_LEAST; i++) {
+        PhUnpack_U64(&items[i], &numbers[i]);
+    }
+    if (numbers[0] > PH_SCHED_TASK_DONE) {
+        return false;
+    }
+    task->state = (PhSchedTaskState)numbers[0];
+    task->run = (uint32_t)numbers[1];
+    task->failures = (uint32_t)numbers[2];
+    if (list->via.array.size >= TASK_ITEMS_PLACED &&
+        PhUnpack_Bytes(&items[3], TEXT_BYTES_MAX, &text) && text.len > 0) {
+        task->worker = PhStr_Dup(text);
+        PhUnpack_U64(&items[4], &born);
+        task->worker_born_ms = (int64_t)born;
+    }
+    if (list->via.array.size >= TASK_ITEMS_SAVED &&
+        PhUnpack_Bytes(&items[TASK_ITEMS_SAVED - 1], TEXT_BYTES_MAX, &text)) {
+        task->saved = PhStr_Dup(text);
+    }
+    bool placed = task->state == PH_SCHED_TASK_ASSIGNED ||
+                  task->state == PH_SCHED_TASK_RUNNING;
+    return placed == (task->worker.len > 0);
+}
+
+/* Reads the tasks of a stage. */
+static PhResult
+read_stage(const msgpack_object *map, PhSchedRecord *record)
+{
+    const msgpack_object *tasks = PhUnpack_Field(map, STAGE_TASKS);
+    uint64_t count = get_u64(map, STAGE_ALL_DONE);
+    if (tasks != NULL && tasks->type == MSGPACK_OBJECT_ARRAY) {
+        count = tasks->via.array.size;
+    }
+    if (count == 0 || count > PH_SCHED_TASKS_MAX) {
+        return PhResult_Make(PH_STATUS_INVALID, "stage without tasks");
+    }
+    record->as.stage.tasks = g_new0(PhSchedTaskRecord, count);
+    record->as.stage.task_count = (uint32_t)count;
+    for (uint32_t i = 0; i < count; i++) {
+        PhSchedTaskRecord *task = &record->as.stage.tasks[i];
+        if (tasks == NULL) {
+            task->state = PH_SCHED_TASK_DONE;
+        }
+        else if (!read_task(&tasks->via.array.ptr[i], task)) {
+            return PhResult_Make(PH_STATUS_INVALID, "task %u malformed", i);
+        }
+    }
+    return PhResult_Ok();
+}
+
+/* Reads the numbers at the end of a stage's key. */
+static bool
+read_stage_key(PhStr rest, PhSchedRecord *record)
+{
+    PhStr round;
+    PhStr step;
+    uint64_t numbers[2];
+    if (rest.len == 0 || rest.data[0] != '.' ||
+        !PhStr_Cut(PhStr_Slice(rest, 1, rest.len), '.', &round, &step) ||
+        !PhStr_ParseU64(round, &numbers[0]) ||
+        !PhStr_ParseU64(step, &numbers[1]) ||
+        numbers[0] >= PH_SCHED_ROUNDS_MAX ||
+        numbers[1] >= PH_SCHED_STEPS_MAX) {
+        return false;
+    }
+    record->as.stage.round = (uint32_t)numbers[0];
+    record->as.stage.step = (uint32_t)numbers[1];
+    return true;
+}
+
+/* Reads the map of a record by the kind of its key. */
+static PhResult
+read_body(char kind, PhStr rest, const msgpack_object *map,
+          PhSchedRecord *record)
+{
+    if (kind == KEY_JOB) {
+        record->tag = PH_SCHED_RECORD_JOB;
+        record->as.job.id = PhStr_Dup(record->id);
+        return read_job(map, &record->as.job);
+    }
+    if (kind == KEY_CANCEL) {
+        record->tag = PH_SCHED_RECORD_CANCEL;
+        return PhResult_Ok();
+    }
+    if (kind == KEY_STATE) {
+        uint64_t state = get_u64(map, STATE_STATE);
+        record->tag = PH_SCHED_RECORD_STATE;
+        record->as.state = (PhSchedJobState)state;
+        return state <= PH_SCHED_JOB_CANCELLED
+                   ? PhResult_Ok()
+                   : PhResult_Make(PH_STATUS_INVALID, "state unknown");
+    }
+    record->tag = PH_SCHED_RECORD_STAGE;
+    if (kind != KEY_STAGE || !read_stage_key(rest, record)) {
+        return PhResult_Make(PH_STATUS_INVALID, "key unknown");
+    }
+    return read_stage(map, record);
+}
+
+/* Decodes a record. */
+PhResult
+PhSchedRecord_Decode(PhStr key, PhStr value, PhSchedRecord *record)
+{
+    PhUnpack unpack;
+    *record = (PhSchedRecord){.tag = PH_SCHED_RECORD_CANCEL};
+    if (key.len < 1 + ID_BYTES) {
+        return PhResult_Make(PH_STATUS_INVALID, "key too short");
+    }
+    PhResult r = PhResult_Make(PH_STATUS_INVALID, "no msgpack map");
+    if (PhUnpack_Open(&unpack, value)) {
+        record->id = PhStr_Dup(PhStr_Slice(key, 1, ID_BYTES));
+        r = read_body(key.data[0], PhStr_Slice(key, 1 + ID_BYTES, key.len),
+                      PhUnpack_Root(&unpack), record);
+    }
+    PhUnpack_Close(&unpack);
+    if (!PhResult_IsOk(&r)) {
+        PhSchedRecord_Clear(record);
+    }
+    return r;
+}
--- a/codec/settings_value.c
+++ b/codec/settings_value.c
@@ -7,6 +7,7 @@
     NAME_BYTES_MAX = 63,
     PATH_BYTES_MAX = 1023,
     PORT_MAX = 65535,
+    SHARE_MOST = 1024, /* cores */
 };
 
 /* A suffix and what a number before it counts. */
@@ -236,6 +237,25 @@
     return PhResult_Ok();
 }
 
+/* Reads a share of a core, or a number of cores. */
+static PhResult
+share_read(PhStr value, double *target)
+{
+    char *text = PhStr_ToC(value);
+    char *end = NULL;
+    double number = g_ascii_strtod(text, &end);
+    bool valid = value.len > 0 && *end == '\0' && number > 0 &&
+                 number <= SHARE_MOST;
+    g_free(text);
+    if (!valid) {
+        return PhResult_Make(PH_STATUS_INVALID,
+                             "a share is a number above 0, up to %d",
+                             SHARE_MOST);
+    }
+    *target = number;
+    return PhResult_Ok();
+}
+
 /* Reads a value into the member of the key. */
 PhResult
 PhSettingKey_Read(const PhSettingKey *key, PhStr value, PhSettings *settings)
@@ -250,6 +270,9 @@
         return address_read(value, 0, member);
     case PH_SETTING_ADDRESS:
         return address_read(value, 1, member);
+    case PH_SETTING_OPTIONAL:
+        return value.len == 0 ? str_set(member, value)
+                              : address_read(value, 1, member);
     case PH_SETTING_ADDRESSES:
         return addresses_read(key, value, member);
     case PH_SETTING_DURATION:
@@ -259,6 +282,8 @@
                            member);
     case PH_SETTING_COUNT:
         return number_read(key, value, NULL, 0, member);
+    case PH_SETTING_SHARE:
+        return share_read(value, member);
     case PH_SETTING_LEVEL:
         return level_read(value, member);
     case PH_SETTING_FORMAT:
@@ -277,6 +302,7 @@
     case PH_SETTING_PATH:
     case PH_SETTING_LISTEN:
     case PH_SETTING_ADDRESS:
+    case PH_SETTING_OPTIONAL:
         PhStr_Clear(member);
         break;
     case PH_SETTING_ADDRESSES:
@@ -285,6 +311,7 @@
     case PH_SETTING_DURATION:
     case PH_SETTING_SIZE:
     case PH_SETTING_COUNT:
+    case PH_SETTING_SHARE:
     case PH_SETTING_LEVEL:
     case PH_SETTING_FORMAT:
         break;
--- a/commands/serve.c
+++ b/commands/serve.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "peridothill/commands.h"
+#include "peridothill/platform/adapter.h"
 #include "peridothill/services/instance.h"
 #include "peridothill/services/peers.h"
 
@@ -139,7 +140,10 @@
                        .on_stopped = on_stopped}};
     randombytes_buf(&options.seed, sizeof(options.seed));
     PhInstancePorts ports = {0};
-    PhResult r = PhInstance_Start(s->kernel, &options, &ports);
+    bool schedules = s->settings.scheduler.store.len > 0;
+    PhResult r =
+        schedules ? PhAdapter_StartInstance(s->kernel, &options, &ports)
+                  : PhInstance_Start(s->kernel, &options, &ports);
     if (PhResult_IsOk(&r)) {
         log_started(log, clock, &s->settings, &ports);
         watch_signals(s);
--- /dev/null
+++ b/decide/schedule/contact.c
@@ -0,0 +1,529 @@
+/* Orders to workers, and what their answers tell. */
+#include "scheduler_private.h"
+
+/* A hold waits this long for an end; where tasks fill beside tasks that serve,
+ * the figures are needed more often. */
+static const PhTime HOLD_WAIT = 1500 * PH_NS_PER_MS;
+static const PhTime HOLD_WAIT_SHARED = 500 * PH_NS_PER_MS;
+/* Ends within this time share one hold. */
+static const PhTime HOLD_GAP = 25 * PH_NS_PER_MS;
+/* Time between two holds while ends wait for the store. */
+static const PhTime HOLD_UNACKED_GAP = 400 * PH_NS_PER_MS;
+/* Time until a hold or an order without an answer is tried again. */
+static const PhTime RETRY = 300 * PH_NS_PER_MS;
+/* Failures in a row after which a worker gets no starts for a while. */
+static const uint32_t FAILURES_MAX = 2;
+static const PhTime FAILURES_COOLDOWN = 6 * PH_NS_PER_S;
+static const PhTime REFUSAL_COOLDOWN = 1 * PH_NS_PER_S;
+
+/* Gives the next hold. */
+static bool
+next_hold(PhScheduler *s, PhTime now, PhSchedAction *action)
+{
+    PhSchedWorker *w = g_queue_pop_head(&s->holds);
+    if (w == NULL) {
+        return false;
+    }
+    *action = (PhSchedAction){.tag = PH_SCHED_ACTION_HOLD,
+                              .worker = w->entry.id,
+                              .born_ms = w->entry.born_ms,
+                              .address = w->entry.address};
+    action->as.hold.last_seen = w->acked;
+    if (!w->fenced || w->failing_since > 0) {
+        return true;
+    }
+    action->as.hold.deadline_ms = PhScheduler_Grant(s, w, now);
+    if (!s->quiet && w->seen == w->acked && w->tasks->len > 0) {
+        bool shared = w->fill_cpu_milli > 0 && w->serving_cpu_milli > 0;
+        action->as.hold.wait = shared ? HOLD_WAIT_SHARED : HOLD_WAIT;
+    }
+    return true;
+}
+
+/* Fills in an order to a placed task. */
+static void
+run_order(const PhSchedTask *task, PhSchedActionTag tag, PhSchedAction *action)
+{
+    const PhSchedWorker *w = task->worker;
+    *action = (PhSchedAction){
+        .tag = tag,
+        .worker = w->entry.id,
+        .born_ms = w->entry.born_ms,
+        .address = w->entry.address,
+        .as.run = {.task = PhSchedTask_Name(task), .run = task->run}};
+}
+
+/* Gives the next start whose record is durable. */
+static bool
+next_start(PhScheduler *s, PhTime now, PhSchedAction *action)
+{
+    for (guint left = s->starts.length; left > 0; left--) {
+        PhSchedTask *task = g_queue_pop_head(&s->starts);
+        if (task->state != PH_SCHED_TASK_ASSIGNED || task->ordering ||
+            task->stopping || task->fence != s->fence) {
+            continue;
+        }
+        if (task->batch > s->durable_batch || task->retry_at > now) {
+            g_queue_push_tail(&s->starts, task);
+            if (task->batch <= s->durable_batch) {
+                PhScheduler_WakeBy(s, task->retry_at);
+            }
+            continue;
+        }
+        task->ordering = true;
+        run_order(task, PH_SCHED_ACTION_START, action);
+        action->as.run.deadline_ms = PhScheduler_Grant(s, task->worker, now);
+        action->as.run.payload = task->stage->job->spec.payload;
+        action->as.run.saved = task->saved;
+        return true;
+    }
+    return false;
+}
+
+/* Gives the next stop.  A stop of a run whose start is on its way waits for
+ * that answer: the two could overtake each other. */
+static bool
+next_stop(PhScheduler *s, PhTime now, PhSchedAction *action)
+{
+    for (guint left = s->stops.length; left > 0; left--) {
+        PhSchedTask *task = g_queue_pop_head(&s->stops);
+        if (task->worker == NULL || !task->stopping || task->stop_sent) {
+            continue;
+        }
+        bool never_sent = task->state == PH_SCHED_TASK_ASSIGNED &&
+                          task->fence == s->fence && !task->ordering &&
+                          !task->uncertain;
+        if (never_sent) {
+            PhScheduler_EndRun(s, task, PH_SCHED_END_STOPPED, (PhStr){0}, now);
+            continue;
+        }
+        if (task->ordering || task->retry_at > now ||
+            PhStr_IsEmpty(task->worker->entry.address)) {
+            g_queue_push_tail(&s->stops, task);
+            PhScheduler_WakeBy(s, MAX(task->retry_at, now + RETRY));
+            continue;
+        }
+        task->stop_sent = true;
+        run_order(task, PH_SCHED_ACTION_STOP, action);
+        return true;
+    }
+    return false;
+}
+
+/* Gives the next stop of a run that no task stands behind.  The name stays
+ * borrowed until the next call. */
+static bool
+next_stray(PhScheduler *s, PhSchedAction *action)
+{
+    PhStray *stray = g_queue_pop_head(&s->strays);
+    if (stray == NULL) {
+        return false;
+    }
+    const PhSchedWorker *w = stray->worker;
+    *action =
+        (PhSchedAction){.tag = PH_SCHED_ACTION_STOP,
+                        .worker = w->entry.id,
+                        .born_ms = w->entry.born_ms,
+                        .address = w->entry.address,
+                        .as.run = {.task = stray->task, .run = stray->run}};
+    const PhSchedJob *job = PhSchedModel_Job(s->model, stray->task.job);
+    bool known = job != NULL;
+    if (known) {
+        action->as.run.task.job = job->spec.id;
+    }
+    PhStr_Clear(&stray->task.job);
+    g_free(stray);
+    return known;
+}
+
+/* Gives the next change of pace. */
+static bool
+next_pace(PhScheduler *s, PhSchedAction *action)
+{
+    PhSchedTask *task;
+    while ((task = g_queue_pop_head(&s->paces)) != NULL) {
+        if (task->state != PH_SCHED_TASK_RUNNING || task->stopping ||
+            task->percent == task->percent_told) {
+            continue;
+        }
+        task->percent_told = task->percent;
+        run_order(task, PH_SCHED_ACTION_PACE, action);
+        action->as.run.percent = task->percent;
+        return true;
+    }
+    return false;
+}
+
+/* Takes the next order. */
+bool
+PhScheduler_NextAction(PhScheduler *s, PhTime now, PhSchedAction *action)
+{
+    if (s->fence == 0) {
+        return false;
+    }
+    return next_pace(s, action) || next_stop(s, now, action) ||
+           next_start(s, now, action) || next_hold(s, now, action) ||
+           (!g_queue_is_empty(&s->strays) && next_stray(s, action));
+}
+
+/* Finds the placed task that an answer is about, or NULL. */
+static PhSchedTask *
+placed_task(PhScheduler *s, const PhSchedTaskName *name, uint32_t run)
+{
+    PhSchedTask *task = PhSchedModel_Task(s->model, name);
+    if (task == NULL || task->worker == NULL || task->run != run) {
+        return NULL;
+    }
+    return task;
+}
+
+/* Notes that the worker has confirmed a run. */
+static void
+task_confirm(PhSchedTask *task, int64_t clock_ms, PhTime now)
+{
+    if (task->state == PH_SCHED_TASK_ASSIGNED) {
+        task->state = PH_SCHED_TASK_RUNNING;
+        task->since = now;
+    }
+    task->uncertain = false;
+    task->confirmed_at = now;
+    task->confirmed_clock = MAX(task->confirmed_clock, clock_ms);
+}
+
+/* Gives up a start that the worker refused; if an earlier order of the run
+ * may still arrive, a stop has to come first. */
+static void
+start_refused(PhScheduler *s, PhSchedTask *task, PhTime now)
+{
+    if (task->uncertain) {
+        PhScheduler_StopTask(s, task);
+        return;
+    }
+    PhScheduler_EndRun(s, task, PH_SCHED_END_STOPPED, (PhStr){0}, now);
+}
+
+/* Puts a start back into its queue. */
+static void
+start_again(PhScheduler *s, PhSchedTask *task, PhTime at)
+{
+    task->retry_at = at;
+    g_queue_push_tail(&s->starts, task);
+    PhScheduler_WakeBy(s, at);
+}
+
+/* Takes in the outcome of a start. */
+bool
+PhScheduler_OnStart(PhScheduler *s, const PhSchedTaskName *name, uint32_t run,
+                    PhSchedOutcome outcome, int64_t clock_ms, PhTime now)
+{
+    PhSchedTask *task = placed_task(s, name, run);
+    if (outcome == PH_SCHED_OUTCOME_FENCED) {
+        return false;
+    }
+    if (task == NULL || !task->ordering) {
+        return true;
+    }
+    PhSchedWorker *w = task->worker;
+    task->ordering = false;
+    switch (outcome) {
+    case PH_SCHED_OUTCOME_DONE:
+    case PH_SCHED_OUTCOME_OLD:
+        task_confirm(task, clock_ms, now);
+        break;
+    case PH_SCHED_OUTCOME_LATE:
+        w->hold_after = now;
+        start_again(s, task, now + RETRY);
+        break;
+    case PH_SCHED_OUTCOME_NO_ROOM:
+        w->cooldown_until = now + REFUSAL_COOLDOWN / 2;
+        start_refused(s, task, now);
+        break;
+    case PH_SCHED_OUTCOME_REFUSED:
+        w->cooldown_until = now + REFUSAL_COOLDOWN;
+        start_refused(s, task, now);
+        break;
+    case PH_SCHED_OUTCOME_OTHER_LIFE:
+        w->hold_after = now;
+        start_again(s, task, now + RETRY);
+        break;
+    case PH_SCHED_OUTCOME_NOT_SENT:
+        w->cooldown_until = now + REFUSAL_COOLDOWN;
+        start_refused(s, task, now);
+        break;
+    case PH_SCHED_OUTCOME_UNKNOWN:
+        task->uncertain = true;
+        w->cooldown_until = now + REFUSAL_COOLDOWN;
+        start_again(s, task, now + RETRY);
+        break;
+    case PH_SCHED_OUTCOME_FENCED:
+        break;
+    }
+    return true;
+}
+
+/* Takes in the outcome of a stop: once it is done, no hold that is younger
+ * lists the run, or it lists its end. */
+bool
+PhScheduler_OnStop(PhScheduler *s, const PhSchedTaskName *name, uint32_t run,
+                   PhSchedOutcome outcome, int64_t clock_ms, PhTime now)
+{
+    if (outcome == PH_SCHED_OUTCOME_FENCED) {
+        return false;
+    }
+    PhSchedTask *task = placed_task(s, name, run);
+    if (task == NULL || !task->stopping) {
+        return true;
+    }
+    switch (outcome) {
+    case PH_SCHED_OUTCOME_DONE:
+    case PH_SCHED_OUTCOME_OLD:
+        task_confirm(task, clock_ms, now);
+        PhScheduler_WakeBy(s, now);
+        break;
+    case PH_SCHED_OUTCOME_FENCED:
+        break;
+    case PH_SCHED_OUTCOME_LATE:
+    case PH_SCHED_OUTCOME_NO_ROOM:
+    case PH_SCHED_OUTCOME_REFUSED:
+    case PH_SCHED_OUTCOME_OTHER_LIFE:
+    case PH_SCHED_OUTCOME_NOT_SENT:
+    case PH_SCHED_OUTCOME_UNKNOWN:
+        task->stop_sent = false;
+        task->retry_at = now + RETRY;
+        g_queue_push_tail(&s->stops, task);
+        PhScheduler_WakeBy(s, task->retry_at);
+        break;
+    }
+    return true;
+}
+
+/* Takes in the outcome of a change of pace. */
+bool
+PhScheduler_OnPace(PhScheduler *s, const PhSchedTaskName *name, uint32_t run,
+                   PhSchedOutcome outcome, int percent)
+{
+    PhSchedTask *task = placed_task(s, name, run);
+    if (task != NULL && outcome != PH_SCHED_OUTCOME_DONE) {
+        /* What it works at is not known: the next change is sent even if it
+         * equals the one before. */
+        task->percent_told = -1;
+    }
+    (void)percent;
+    return outcome != PH_SCHED_OUTCOME_FENCED;
+}
+
+/* Counts failures in a row; a worker that fails what others run gets no
+ * starts for a while. */
+static void
+worker_blame(PhSchedWorker *w, PhSchedEndKind kind, PhTime now)
+{
+    switch (kind) {
+    case PH_SCHED_END_DONE:
+        w->failures_in_a_row = 0;
+        break;
+    case PH_SCHED_END_FAILED:
+        w->failures_in_a_row++;
+        if (w->failures_in_a_row >= FAILURES_MAX) {
+            w->cooldown_until = now + FAILURES_COOLDOWN;
+        }
+        break;
+    case PH_SCHED_END_STOPPED:
+    case PH_SCHED_END_LAPSED:
+    case PH_SCHED_END_BROKEN:
+    case PH_SCHED_END_ALONE:
+        break;
+    }
+}
+
+/* Takes in the ends that were not known; true when there were any. */
+static bool
+take_ends(PhScheduler *s, PhSchedWorker *w, const PhSchedHoldReply *reply,
+          PhTime now)
+{
+    uint64_t before = w->seen;
+    for (size_t i = 0; i < reply->end_count; i++) {
+        const PhSchedEndRow *end = &reply->ends[i];
+        if (end->number <= before) {
+            continue;
+        }
+        w->seen = MAX(w->seen, end->number);
+        worker_blame(w, end->kind, now);
+        PhSchedTask *task = placed_task(s, &end->task, end->run);
+        if (task != NULL && task->worker == w) {
+            PhScheduler_EndRun(s, task, end->kind, end->saved, now);
+        }
+    }
+    w->seen_batch = s->open_batch;
+    return w->seen > before;
+}
+
+/* Orders the stop of a run that must not be there. */
+static void
+stray_add(PhScheduler *s, PhSchedWorker *w, const PhSchedRunRow *row)
+{
+    PhStray *stray = g_new0(PhStray, 1);
+    stray->worker = w;
+    stray->task = row->task;
+    stray->task.job = PhStr_Dup(row->task.job);
+    stray->run = row->run;
+    g_queue_push_tail(&s->strays, stray);
+}
+
+/* Takes in one run that a worker lists. */
+static void
+take_run(PhScheduler *s, PhSchedWorker *w, const PhSchedRunRow *row,
+         int64_t clock_ms, PhTime now)
+{
+    PhSchedTask *task = placed_task(s, &row->task, row->run);
+    if (task == NULL || task->worker != w) {
+        stray_add(s, w, row);
+        return;
+    }
+    task_confirm(task, clock_ms, now);
+    if (row->saved.len > 0 && !PhStr_Equal(row->saved, task->saved)) {
+        PhStr_Clear(&task->saved);
+        task->saved = PhStr_Dup(row->saved);
+    }
+    task->figure = row->figure;
+    task->figure_at = now;
+    if (PhSchedJob_IsOver(task->stage->job)) {
+        PhScheduler_StopTask(s, task);
+    }
+}
+
+/* Ends the runs that the worker neither runs nor lists as ended: their orders
+ * are settled and left nothing. */
+static void
+drop_absent(PhScheduler *s, PhSchedWorker *w, int64_t clock_ms, PhTime now)
+{
+    for (guint i = w->tasks->len; i-- > 0;) {
+        PhSchedTask *task = g_ptr_array_index(w->tasks, i);
+        bool settled =
+            task->fence != s->fence || task->state == PH_SCHED_TASK_RUNNING;
+        if (task->confirmed_at == now || task->ordering || task->uncertain ||
+            !settled || task->confirmed_clock >= clock_ms) {
+            continue;
+        }
+        PhScheduler_EndRun(s, task, PH_SCHED_END_LAPSED, (PhStr){0}, now);
+    }
+}
+
+/* Another life has answered: what ran in the earlier one has ended.  Orders
+ * on their way may still reach the new life, so their tasks move there. */
+static PhSchedWorker *
+life_change(PhScheduler *s, PhSchedWorker *w, int64_t born_ms, PhTime now)
+{
+    PhSchedWorker *next = PhSchedModel_Worker(s->model, w->entry.id, born_ms);
+    if (next->entry.address.len == 0) {
+        PhSchedWorkerEntry copy = {.id = PhStr_Dup(w->entry.id),
+                                   .born_ms = born_ms,
+                                   .address = PhStr_Dup(w->entry.address),
+                                   .data_centre =
+                                       PhStr_Dup(w->entry.data_centre),
+                                   .service = PhStr_Dup(w->entry.service),
+                                   .labels = PhStr_Dup(w->entry.labels),
+                                   .rack = PhStr_Dup(w->entry.rack),
+                                   .capacity = w->entry.capacity,
+                                   .draining = w->entry.draining};
+        PhSchedWorker_SetEntry(next, &copy);
+        next->listed = w->listed;
+        next->fill_percent = 100;
+    }
+    for (guint i = w->tasks->len; i-- > 0;) {
+        PhSchedTask *task = g_ptr_array_index(w->tasks, i);
+        if (task->ordering || task->uncertain) {
+            PhSchedTask held = *task;
+            PhSchedTask_Unplace(task, PH_SCHED_TASK_WAITING);
+            PhSchedTask_Place(task, next);
+            task->ordering = held.ordering;
+            task->uncertain = held.uncertain;
+            task->stopping = held.stopping;
+            task->stop_sent = held.stop_sent;
+            PhScheduler_TouchStage(s, task->stage);
+            continue;
+        }
+        PhScheduler_EndRun(s, task, PH_SCHED_END_LAPSED, (PhStr){0}, now);
+    }
+    w->listed = false;
+    w->dead = true;
+    return next;
+}
+
+/* Notes a hold without an answer. */
+static void
+hold_failed(PhScheduler *s, PhSchedWorker *w, PhTime now)
+{
+    if (w->failing_since == 0) {
+        w->failing_since = now;
+    }
+    w->hold_after = now + RETRY;
+    PhScheduler_WakeBy(s, w->hold_after);
+}
+
+/* Takes in what the worker runs and what has ended there. */
+static void
+take_lists(PhScheduler *s, PhSchedWorker *w, const PhSchedHoldReply *reply,
+           PhTime now)
+{
+    if (reply->clock_ms < w->clock_ms) {
+        return;
+    }
+    if (!w->fenced || w->failing_since > 0) {
+        s->place_due = true;
+    }
+    w->fenced = true;
+    w->failing_since = 0;
+    w->answered_at = now;
+    w->clock_ms = reply->clock_ms;
+    w->clock_at = now;
+    bool ended = take_ends(s, w, reply, now);
+    for (size_t i = 0; i < reply->run_count; i++) {
+        take_run(s, w, &reply->runs[i], reply->clock_ms, now);
+    }
+    drop_absent(s, w, reply->clock_ms, now);
+    PhScheduler_PaceWorker(s, w, now);
+    if (w->seen_batch <= s->durable_batch) {
+        w->acked = w->seen;
+    }
+    PhTime gap = 0;
+    if (w->acked < w->seen) {
+        gap = HOLD_UNACKED_GAP;
+    }
+    else if (ended) {
+        gap = HOLD_GAP;
+    }
+    else if (w->tasks->len == 0 && s->model->active->len == 0) {
+        gap = HOLD_WAIT;
+    }
+    w->hold_after = now + gap;
+}
+
+/* Takes in the answer to a hold. */
+bool
+PhScheduler_OnHold(PhScheduler *s, PhStr worker, int64_t born_ms,
+                   const PhSchedHoldReply *reply, PhTime now)
+{
+    PhSchedWorker *w = PhSchedModel_Worker(s->model, worker, born_ms);
+    w->holding = false;
+    PhScheduler_WakeBy(s, now);
+    switch (reply->outcome) {
+    case PH_SCHED_OUTCOME_FENCED:
+        return false;
+    case PH_SCHED_OUTCOME_DONE:
+        if (reply->born_ms != 0 && born_ms != 0 && reply->born_ms != born_ms) {
+            w = life_change(s, w, reply->born_ms, now);
+        }
+        take_lists(s, w, reply, now);
+        break;
+    case PH_SCHED_OUTCOME_OLD:
+    case PH_SCHED_OUTCOME_LATE:
+    case PH_SCHED_OUTCOME_NO_ROOM:
+    case PH_SCHED_OUTCOME_REFUSED:
+    case PH_SCHED_OUTCOME_OTHER_LIFE:
+    case PH_SCHED_OUTCOME_NOT_SENT:
+    case PH_SCHED_OUTCOME_UNKNOWN:
+        hold_failed(s, w, now);
+        break;
+    }
+    return true;
+}
--- /dev/null
+++ b/decide/schedule/election.c
@@ -0,0 +1,309 @@
+#include "peridothill/decide/schedule/election.h"
+
+#include <glib.h>
+
+/* Renewals: three fit into the time after which others claim. */
+static const PhTime RENEW_EVERY = 700 * PH_NS_PER_MS;
+static const PhTime CLAIM_AFTER = 2200 * PH_NS_PER_MS;
+/* Bound of OLD_OWNER_LIMIT in scheduler.c, less one renewal. */
+static const PhTime GIVE_UP_AFTER = 9 * PH_NS_PER_S;
+static const PhTime READ_WAIT = 1000 * PH_NS_PER_MS;
+static const PhTime RETRY = 200 * PH_NS_PER_MS;
+
+struct PhElection {
+    PhStr holder;
+    PhStr current; /* holder of the newest record */
+    PhTime delay;
+    PhElectionRole role;
+    uint64_t fence;
+    uint64_t next;       /* offset after the newest record seen */
+    bool synced;         /* a read has reached the end of the topic */
+    bool readable;       /* the last read succeeded */
+    bool vacant;         /* nothing was claimed yet, or it was released */
+    PhTime quiet_since;  /* no new record since, while readable */
+    PhTime confirmed_at; /* the newest own record was sent then */
+    PhTime append_sent_at;
+    PhTime append_due;
+    PhTime read_due;
+    bool reading;
+    bool appending;
+    PhElectionEntryKind append_kind;
+    bool must_read; /* an append met a conflict or got no answer */
+    bool stopping;
+    bool released;
+};
+
+/* Creates the election of one instance. */
+PhElection *
+PhElection_Create(PhStr holder, PhTime delay)
+{
+    PhElection *e = g_new0(PhElection, 1);
+    e->holder = PhStr_Dup(holder);
+    e->delay = delay;
+    e->vacant = true;
+    return e;
+}
+
+/* Releases the election; NULL is allowed. */
+void
+PhElection_Destroy(PhElection *e)
+{
+    if (e == NULL) {
+        return;
+    }
+    PhStr_Clear(&e->holder);
+    PhStr_Clear(&e->current);
+    g_free(e);
+}
+
+/* Gives the role of this instance. */
+PhElectionRole
+PhElection_Role(const PhElection *e)
+{
+    return e->role;
+}
+
+/* Gives the fence of the own claim. */
+uint64_t
+PhElection_Fence(const PhElection *e)
+{
+    return e->fence;
+}
+
+/* Gives the holder of the newest record. */
+PhStr
+PhElection_Holder(const PhElection *e)
+{
+    return e->current;
+}
+
+/* Ends the ownership without a release. */
+static void
+step_down(PhElection *e, PhTime now)
+{
+    e->role = PH_ELECTION_FOLLOWER;
+    e->fence = 0;
+    e->quiet_since = now;
+}
+
+/* Gives the time at which a follower claims. */
+static PhTime
+claim_due(const PhElection *e)
+{
+    return e->quiet_since + e->delay + (e->vacant ? 0 : CLAIM_AFTER);
+}
+
+/* Tells whether an append is due, and which. */
+static bool
+append_is_due(const PhElection *e, PhTime now, PhElectionEntryKind *kind)
+{
+    if (e->appending || e->must_read || now < e->append_due) {
+        return false;
+    }
+    switch (e->role) {
+    case PH_ELECTION_OWNER:
+        *kind = e->stopping ? PH_ELECTION_RELEASE : PH_ELECTION_RENEWAL;
+        return true;
+    case PH_ELECTION_FOLLOWER:
+        *kind = PH_ELECTION_CLAIM;
+        return e->synced && e->readable && !e->stopping && now >= claim_due(e);
+    }
+    return false;
+}
+
+/* Tells whether a read is due.  An owner reads only to learn what became of
+ * an append. */
+static bool
+read_is_due(const PhElection *e, PhTime now)
+{
+    return !e->reading && now >= e->read_due &&
+           (e->role == PH_ELECTION_FOLLOWER || e->must_read);
+}
+
+/* Gives the next thing to do. */
+PhElectionAction
+PhElection_Next(PhElection *e, PhTime now)
+{
+    PhElectionAction action = {.tag = PH_ELECTION_NOTHING};
+    PhElectionEntryKind kind;
+    if (e->role == PH_ELECTION_OWNER &&
+        now - e->confirmed_at > GIVE_UP_AFTER) {
+        step_down(e, now);
+    }
+    if (append_is_due(e, now, &kind)) {
+        e->appending = true;
+        e->append_kind = kind;
+        e->append_sent_at = now;
+        action.tag = PH_ELECTION_APPEND;
+        action.as.append.kind = kind;
+        action.as.append.at = e->next;
+    }
+    else if (read_is_due(e, now)) {
+        bool claims_soon = e->synced && claim_due(e) < now + READ_WAIT;
+        e->reading = true;
+        action.tag = PH_ELECTION_READ;
+        action.as.read.from = e->next;
+        if (e->synced && !e->must_read) {
+            action.as.read.wait =
+                claims_soon ? MAX(claim_due(e) - now, 0) : READ_WAIT;
+        }
+    }
+    return action;
+}
+
+/* Gives the time of the next action that no answer brings. */
+PhTime
+PhElection_Due(const PhElection *e)
+{
+    PhTime due = PH_TIME_NEVER;
+    if (e->role == PH_ELECTION_OWNER) {
+        due = e->confirmed_at + GIVE_UP_AFTER + 1;
+        if (!e->appending && !e->must_read) {
+            due = MIN(due, e->append_due);
+        }
+    }
+    if (!e->reading && (e->role == PH_ELECTION_FOLLOWER || e->must_read)) {
+        due = MIN(due, e->read_due);
+    }
+    return due;
+}
+
+/* Becomes the owner by the claim at an offset. */
+static void
+become_owner(PhElection *e, uint64_t offset, PhTime now)
+{
+    e->role = PH_ELECTION_OWNER;
+    e->fence = offset + 1;
+    e->vacant = false;
+    e->confirmed_at = e->append_sent_at;
+    e->append_due = now + RENEW_EVERY;
+}
+
+/* Takes in a record that this life of the instance wrote. */
+static void
+own_entry(PhElection *e, const PhElectionEntry *entry, PhTime now)
+{
+    switch (entry->kind) {
+    case PH_ELECTION_CLAIM:
+        become_owner(e, entry->offset, now);
+        break;
+    case PH_ELECTION_RENEWAL:
+        if (e->role == PH_ELECTION_OWNER) {
+            e->confirmed_at = e->append_sent_at;
+            e->append_due = now + RENEW_EVERY;
+        }
+        break;
+    case PH_ELECTION_RELEASE:
+        step_down(e, now);
+        e->vacant = true;
+        e->released = true;
+        break;
+    }
+}
+
+/* Takes in a record that was read. */
+static void
+entry_apply(PhElection *e, const PhElectionEntry *entry, PhTime now)
+{
+    if (entry->offset < e->next) {
+        return;
+    }
+    e->next = entry->offset + 1;
+    PhStr_Clear(&e->current);
+    e->current = PhStr_Dup(entry->holder);
+    e->quiet_since = now;
+    if (PhStr_Equal(entry->holder, e->holder)) {
+        own_entry(e, entry, now);
+        return;
+    }
+    if (e->role == PH_ELECTION_OWNER) {
+        step_down(e, now);
+    }
+    e->vacant = entry->kind == PH_ELECTION_RELEASE;
+}
+
+/* Takes in a successful read. */
+void
+PhElection_OnRead(PhElection *e, const PhElectionEntry *entries, size_t count,
+                  uint64_t end, PhTime now)
+{
+    e->reading = false;
+    for (size_t i = 0; i < count; i++) {
+        entry_apply(e, &entries[i], now);
+    }
+    if (!e->readable || !e->synced) {
+        e->quiet_since = now;
+    }
+    e->readable = true;
+    e->read_due = now;
+    if (e->next >= end) {
+        e->synced = true;
+        if (!e->appending) {
+            e->must_read = false;
+        }
+    }
+}
+
+/* Takes in a failed read. */
+void
+PhElection_OnReadFailed(PhElection *e, uint64_t first, PhTime now)
+{
+    e->reading = false;
+    if (first > 0) {
+        e->next = MAX(e->next, first);
+        e->read_due = now;
+        return;
+    }
+    e->readable = false;
+    e->read_due = now + RETRY;
+}
+
+/* Takes in that the append took effect. */
+void
+PhElection_OnAppended(PhElection *e, uint64_t end, PhTime now)
+{
+    PhElectionEntry entry = {
+        .offset = end - 1, .kind = e->append_kind, .holder = e->holder};
+    e->appending = false;
+    entry_apply(e, &entry, now);
+}
+
+/* Takes in that the append failed or that its outcome is not known. */
+void
+PhElection_OnAppendFailed(PhElection *e, bool conflict, PhTime now)
+{
+    e->appending = false;
+    e->append_due = now + RETRY;
+    e->must_read = true;
+    if (conflict) {
+        e->read_due = now;
+    }
+}
+
+/* Ends the ownership: a higher fence exists. */
+void
+PhElection_OnDeposed(PhElection *e, PhTime now)
+{
+    if (e->role == PH_ELECTION_OWNER) {
+        step_down(e, now);
+        e->must_read = true;
+    }
+}
+
+/* Releases the ownership before a stop. */
+void
+PhElection_Stop(PhElection *e)
+{
+    e->stopping = true;
+    e->append_due = 0;
+    if (e->role == PH_ELECTION_FOLLOWER) {
+        e->released = true;
+    }
+}
+
+/* Tells whether nothing is left to release. */
+bool
+PhElection_IsReleased(const PhElection *e)
+{
+    return e->released || e->role == PH_ELECTION_FOLLOWER;
+}
--- /dev/null
+++ b/decide/schedule/model.c
@@ -0,0 +1,384 @@
+#include "peridothill/decide/schedule/model.h"
+
+#include "peridothill/common/invariant.h"
+
+/* Releases a job with its tasks. */
+static void
+job_destroy(gpointer value)
+{
+    PhSchedJob *job = value;
+    for (uint32_t k = 0; k < job->round_count; k++) {
+        for (uint32_t i = 0; i < job->spec.step_count; i++) {
+            PhSchedStage *stage = &job->rounds[k].stages[i];
+            for (uint32_t j = 0; j < job->spec.steps[i].count; j++) {
+                PhStr_Clear(&stage->tasks[j].saved);
+            }
+            g_free(stage->tasks);
+        }
+        g_free(job->rounds[k].stages);
+    }
+    g_free(job->rounds);
+    PhSchedSpec_Clear(&job->spec);
+    g_free(job);
+}
+
+/* Releases what an entry owns. */
+void
+PhSchedWorkerEntry_Clear(PhSchedWorkerEntry *entry)
+{
+    PhStr_Clear(&entry->id);
+    PhStr_Clear(&entry->address);
+    PhStr_Clear(&entry->data_centre);
+    PhStr_Clear(&entry->service);
+    PhStr_Clear(&entry->labels);
+    PhStr_Clear(&entry->rack);
+}
+
+/* Releases one life of a worker. */
+static void
+worker_destroy(gpointer value)
+{
+    PhSchedWorker *w = value;
+    PhSchedWorkerEntry_Clear(&w->entry);
+    g_ptr_array_free(w->tasks, TRUE);
+    g_free(w);
+}
+
+/* Creates a model without jobs and workers. */
+PhSchedModel *
+PhSchedModel_Create(void)
+{
+    PhSchedModel *m = g_new0(PhSchedModel, 1);
+    m->jobs = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual, NULL,
+                                    job_destroy);
+    m->workers = g_hash_table_new(PhStr_KeyHash, PhStr_KeyEqual);
+    m->lives = g_ptr_array_new_with_free_func(worker_destroy);
+    m->active = g_ptr_array_new();
+    m->config = PhSchedConfig_Create();
+    return m;
+}
+
+/* Releases the model; NULL is allowed. */
+void
+PhSchedModel_Destroy(PhSchedModel *m)
+{
+    if (m == NULL) {
+        return;
+    }
+    g_hash_table_destroy(m->workers);
+    g_ptr_array_free(m->lives, TRUE);
+    g_ptr_array_free(m->active, TRUE);
+    g_hash_table_destroy(m->jobs);
+    PhSchedConfig_Destroy(m->config);
+    g_free(m);
+}
+
+/* Sets up the stages of one round. */
+static void
+round_open(PhSchedJob *job, uint32_t k)
+{
+    PhSchedRound *round = &job->rounds[k];
+    round->done = 0;
+    round->stages = g_new0(PhSchedStage, job->spec.step_count);
+    for (uint32_t i = 0; i < job->spec.step_count; i++) {
+        PhSchedStage *stage = &round->stages[i];
+        stage->job = job;
+        stage->round = k;
+        stage->number = i;
+        stage->waiting = job->spec.steps[i].count;
+        stage->tasks = g_new0(PhSchedTask, stage->waiting);
+        for (uint32_t j = 0; j < stage->waiting; j++) {
+            stage->tasks[j].stage = stage;
+            stage->tasks[j].index = j;
+        }
+    }
+}
+
+/* Creates the rounds up to a number. */
+void
+PhSchedJob_OpenRounds(PhSchedJob *job, uint32_t count)
+{
+    uint32_t rounds = MAX(job->spec.repetitions, 1);
+    count = MIN(count, rounds);
+    if (job->rounds == NULL) {
+        job->rounds = g_new0(PhSchedRound, rounds);
+    }
+    while (job->round_count < count) {
+        round_open(job, job->round_count);
+        job->round_count++;
+    }
+}
+
+/* Adds a job unless its id is known. */
+PhSchedJob *
+PhSchedModel_AddJob(PhSchedModel *m, PhSchedSpec *spec, PhTime now)
+{
+    PhSchedJob *job = PhSchedModel_Job(m, spec->id);
+    if (job != NULL) {
+        PhSchedSpec_Clear(spec);
+        return job;
+    }
+    job = g_new0(PhSchedJob, 1);
+    job->spec = *spec;
+    *spec = (PhSchedSpec){0};
+    job->accepted_at = now;
+    if (job->spec.repetitions == 0) {
+        PhSchedJob_OpenRounds(job, 1);
+        job->rounds_due = 1;
+    }
+    g_hash_table_insert(m->jobs, &job->spec.id, job);
+    g_ptr_array_add(m->active, job);
+    return job;
+}
+
+/* Finds a job by its id. */
+PhSchedJob *
+PhSchedModel_Job(const PhSchedModel *m, PhStr id)
+{
+    return g_hash_table_lookup(m->jobs, &id);
+}
+
+/* Forgets a job. */
+void
+PhSchedModel_RemoveJob(PhSchedModel *m, PhSchedJob *job)
+{
+    Ph_INVARIANT(PH_INVARIANT_PRECONDITION, job->tasks_placed == 0,
+                 "placed=%u", job->tasks_placed);
+    g_ptr_array_remove_fast(m->active, job);
+    g_hash_table_remove(m->jobs, &job->spec.id);
+}
+
+/* Sets the state of a job. */
+void
+PhSchedModel_SetJobState(PhSchedModel *m, PhSchedJob *job,
+                         PhSchedJobState state)
+{
+    bool was_over = PhSchedJob_IsOver(job);
+    job->state = state;
+    if (!was_over && PhSchedJob_IsOver(job)) {
+        g_ptr_array_remove_fast(m->active, job);
+    }
+}
+
+/* Forgets every job and what is placed. */
+void
+PhSchedModel_ClearJobs(PhSchedModel *m)
+{
+    for (guint i = 0; i < m->lives->len; i++) {
+        PhSchedWorker *w = g_ptr_array_index(m->lives, i);
+        g_ptr_array_set_size(w->tasks, 0);
+        w->used = (PhSchedRoom){0};
+        w->fill_cpu_milli = 0;
+        w->serving_cpu_milli = 0;
+    }
+    g_ptr_array_set_size(m->active, 0);
+    g_hash_table_remove_all(m->jobs);
+}
+
+/* Finds a stage, or NULL. */
+PhSchedStage *
+PhSchedJob_Stage(const PhSchedJob *job, uint32_t round, uint32_t step)
+{
+    if (round >= job->round_count || step >= job->spec.step_count) {
+        return NULL;
+    }
+    return &job->rounds[round].stages[step];
+}
+
+/* Finds a task of a known job. */
+PhSchedTask *
+PhSchedModel_Task(const PhSchedModel *m, const PhSchedTaskName *name)
+{
+    PhSchedJob *job = PhSchedModel_Job(m, name->job);
+    if (job == NULL) {
+        return NULL;
+    }
+    PhSchedStage *stage = PhSchedJob_Stage(job, name->round, name->step);
+    if (stage == NULL || name->index >= job->spec.steps[name->step].count) {
+        return NULL;
+    }
+    return &stage->tasks[name->index];
+}
+
+/* Gives the name of a task; it borrows from the job. */
+PhSchedTaskName
+PhSchedTask_Name(const PhSchedTask *task)
+{
+    return (PhSchedTaskName){.job = task->stage->job->spec.id,
+                             .round = task->stage->round,
+                             .step = task->stage->number,
+                             .index = task->index};
+}
+
+/* Gives the step that a task belongs to. */
+const PhSchedStep *
+PhSchedTask_Step(const PhSchedTask *task)
+{
+    return &task->stage->job->spec.steps[task->stage->number];
+}
+
+/* Tells whether the job has ended. */
+bool
+PhSchedJob_IsOver(const PhSchedJob *job)
+{
+    return job->state >= PH_SCHED_JOB_COMPLETED;
+}
+
+/* Tells whether all steps that a stage waits for are done. */
+bool
+PhSchedStage_IsReady(const PhSchedStage *stage)
+{
+    const PhSchedStep *step = &stage->job->spec.steps[stage->number];
+    const PhSchedRound *round = &stage->job->rounds[stage->round];
+    for (uint32_t i = 0; i < step->after_count; i++) {
+        uint32_t earlier = step->after[i];
+        if (round->stages[earlier].done <
+            stage->job->spec.steps[earlier].count) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Tells whether tasks of the step serve users of their own. */
+bool
+PhSchedStep_Serves(const PhSchedStep *step)
+{
+    return step->tail_target > 0;
+}
+
+/* Finds one life of a worker. */
+static PhSchedWorker *
+life_find(const PhSchedModel *m, PhStr id, int64_t born_ms)
+{
+    for (guint i = 0; i < m->lives->len; i++) {
+        PhSchedWorker *w = g_ptr_array_index(m->lives, i);
+        if (w->entry.born_ms == born_ms && PhStr_Equal(w->entry.id, id)) {
+            return w;
+        }
+    }
+    return NULL;
+}
+
+/* Finds or adds the life of a worker. */
+PhSchedWorker *
+PhSchedModel_Worker(PhSchedModel *m, PhStr id, int64_t born_ms)
+{
+    PhSchedWorker *newest = PhSchedModel_NewestLife(m, id);
+    if (newest != NULL && newest->entry.born_ms == born_ms) {
+        return newest;
+    }
+    PhSchedWorker *w = life_find(m, id, born_ms);
+    if (w != NULL) {
+        return w;
+    }
+    w = g_new0(PhSchedWorker, 1);
+    w->entry.id = PhStr_Dup(id);
+    w->entry.born_ms = born_ms;
+    w->tasks = g_ptr_array_new();
+    g_ptr_array_add(m->lives, w);
+    if (newest == NULL || newest->entry.born_ms < born_ms) {
+        g_hash_table_replace(m->workers, &w->entry.id, w);
+    }
+    return w;
+}
+
+/* Finds the newest life of a worker. */
+PhSchedWorker *
+PhSchedModel_NewestLife(const PhSchedModel *m, PhStr id)
+{
+    return g_hash_table_lookup(m->workers, &id);
+}
+
+/* Replaces what the worker tells of itself.  The id stays in place: the table
+ * of workers refers to it. */
+void
+PhSchedWorker_SetEntry(PhSchedWorker *w, PhSchedWorkerEntry *entry)
+{
+    PhStr id = w->entry.id;
+    w->entry.id = (PhStr){0};
+    PhSchedWorkerEntry_Clear(&w->entry);
+    PhStr_Clear(&entry->id);
+    entry->id = id;
+    w->entry = *entry;
+    *entry = (PhSchedWorkerEntry){0};
+}
+
+/* Releases lives that are dead and hold no task. */
+void
+PhSchedModel_SweepWorkers(PhSchedModel *m)
+{
+    for (guint i = m->lives->len; i-- > 0;) {
+        PhSchedWorker *w = g_ptr_array_index(m->lives, i);
+        if (w->tasks->len > 0 || w->holding || !w->dead || w->listed) {
+            continue;
+        }
+        if (PhSchedModel_NewestLife(m, w->entry.id) == w) {
+            g_hash_table_remove(m->workers, &w->entry.id);
+        }
+        g_ptr_array_remove_index_fast(m->lives, i);
+    }
+}
+
+/* Adds a task's declared room to a worker's books, or takes it off. */
+static void
+books_change(PhSchedWorker *w, const PhSchedStep *step, int64_t sign)
+{
+    w->used.mem_mb += sign * step->room.mem_mb;
+    w->used.gpu += sign * step->room.gpu;
+    if (step->fills) {
+        w->fill_cpu_milli += sign * step->room.cpu_milli;
+    }
+    else {
+        w->used.cpu_milli += sign * step->room.cpu_milli;
+    }
+    if (PhSchedStep_Serves(step)) {
+        w->serving_cpu_milli += sign * step->room.cpu_milli;
+    }
+}
+
+/* Moves a waiting task to a worker's books. */
+void
+PhSchedTask_Place(PhSchedTask *task, PhSchedWorker *worker)
+{
+    Ph_INVARIANT(PH_INVARIANT_PRECONDITION,
+                 task->worker == NULL && task->state == PH_SCHED_TASK_WAITING,
+                 "state=%d", (int)task->state);
+    task->worker = worker;
+    task->state = PH_SCHED_TASK_ASSIGNED;
+    task->stage->waiting--;
+    task->stage->placed++;
+    task->stage->job->tasks_placed++;
+    g_ptr_array_add(worker->tasks, task);
+    books_change(worker, PhSchedTask_Step(task), 1);
+}
+
+/* Takes a placed task off its worker. */
+void
+PhSchedTask_Unplace(PhSchedTask *task, PhSchedTaskState state)
+{
+    Ph_INVARIANT(PH_INVARIANT_PRECONDITION, task->worker != NULL, "state=%d",
+                 (int)task->state);
+    g_ptr_array_remove_fast(task->worker->tasks, task);
+    books_change(task->worker, PhSchedTask_Step(task), -1);
+    task->worker = NULL;
+    task->state = state;
+    task->ordering = false;
+    task->uncertain = false;
+    task->stopping = false;
+    task->stop_sent = false;
+    task->stage->placed--;
+    task->stage->job->tasks_placed--;
+    switch (state) {
+    case PH_SCHED_TASK_WAITING:
+        task->stage->waiting++;
+        break;
+    case PH_SCHED_TASK_DONE:
+        task->stage->done++;
+        break;
+    case PH_SCHED_TASK_ASSIGNED:
+    case PH_SCHED_TASK_RUNNING:
+        Ph_INVARIANT(PH_INVARIANT_PRECONDITION, false, "state=%d", (int)state);
+        break;
+    }
+}
--- /dev/null
+++ b/decide/schedule/placement.c
@@ -0,0 +1,245 @@
+/* Where waiting tasks start: the most urgent first, each on the worker that
+ * keeps the fleet most even. */
+#include "scheduler_private.h"
+
+/* Serving tasks use under half of what they declare on average and swing by
+ * half around it (docs/measures/schedule.md). */
+static const int64_t SERVING_USE_PERCENT = 55;
+/* Below this share at which fillers work, a worker takes no more of them. */
+static const int8_t FILL_PERCENT_LEAST = 60;
+enum {
+    PERCENT = 100
+};
+
+/* A stage with waiting tasks and its place in the order. */
+typedef struct PhCandidate {
+    PhSchedStage *stage;
+    PhTime due; /* objective of the job less what remains to be done */
+} PhCandidate;
+
+/* Orders candidates by priority, then by the time they have left. */
+static gint
+candidate_compare(gconstpointer a, gconstpointer b)
+{
+    const PhCandidate *x = a;
+    const PhCandidate *y = b;
+    int64_t px = x->stage->job->spec.terms.priority;
+    int64_t py = y->stage->job->spec.terms.priority;
+    if (px != py) {
+        return px < py ? -1 : 1;
+    }
+    if (x->due != y->due) {
+        return x->due < y->due ? -1 : 1;
+    }
+    return PhStr_Compare(x->stage->job->spec.id, y->stage->job->spec.id);
+}
+
+/* Gives the time by which the job's objective asks it to be done. */
+static PhTime
+job_due(const PhSchedJob *job)
+{
+    const PhSchedTerms *terms = &job->spec.terms;
+    PhTime chain = PhSchedSpec_Chain(&job->spec);
+    return job->accepted_at + terms->slack +
+           (PhTime)(terms->stretch * (double)chain) - chain;
+}
+
+/* Collects the stages that may start. */
+static GArray *
+candidates_collect(const PhScheduler *s)
+{
+    GArray *list = g_array_new(FALSE, FALSE, sizeof(PhCandidate));
+    for (guint i = 0; i < s->model->active->len; i++) {
+        PhSchedJob *job = g_ptr_array_index(s->model->active, i);
+        PhTime due = job_due(job);
+        for (uint32_t k = 0; k < job->round_count; k++) {
+            if (job->rounds[k].done == job->spec.step_count) {
+                continue;
+            }
+            for (uint32_t j = 0; j < job->spec.step_count; j++) {
+                PhSchedStage *stage = &job->rounds[k].stages[j];
+                if (stage->waiting > 0 && PhSchedStage_IsReady(stage)) {
+                    PhCandidate c = {.stage = stage, .due = due};
+                    g_array_append_val(list, c);
+                }
+            }
+        }
+    }
+    g_array_sort(list, candidate_compare);
+    return list;
+}
+
+/* Tells whether a label stands in the worker's list. */
+static bool
+has_label(const PhSchedWorker *w, PhStr label)
+{
+    PhStr rest = w->entry.labels;
+    while (rest.len > 0) {
+        PhStr head;
+        PhStr_Cut(rest, ',', &head, &rest);
+        if (PhStr_Equal(head, label)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Tells whether a worker may be given starts at all. */
+static bool
+worker_is_usable(const PhSchedWorker *w, PhTime now)
+{
+    return w->listed && !w->dead && w->fenced && !w->entry.draining &&
+           w->failing_since == 0 && w->cooldown_until <= now;
+}
+
+/* Gives the CPU that tasks that fill may still take. */
+static int64_t
+fill_left(const PhSchedWorker *w)
+{
+    int64_t serving = w->serving_cpu_milli * SERVING_USE_PERCENT / PERCENT;
+    int64_t plain = w->used.cpu_milli - w->serving_cpu_milli;
+    return w->entry.capacity.cpu_milli - plain - serving - w->fill_cpu_milli;
+}
+
+/* Counts the tasks of a stage on a worker. */
+static uint32_t
+stage_tasks_on(const PhSchedWorker *w, const PhSchedStage *stage)
+{
+    uint32_t count = 0;
+    for (guint i = 0; i < w->tasks->len; i++) {
+        const PhSchedTask *task = g_ptr_array_index(w->tasks, i);
+        count += task->stage == stage;
+    }
+    return count;
+}
+
+/* Tells whether the declared room of a task fits. */
+static bool
+room_fits(const PhSchedWorker *w, const PhSchedStep *step)
+{
+    const PhSchedRoom *c = &w->entry.capacity;
+    if (w->used.mem_mb + step->room.mem_mb > c->mem_mb ||
+        w->used.gpu + step->room.gpu > c->gpu) {
+        return false;
+    }
+    if (step->fills) {
+        return w->fill_percent >= FILL_PERCENT_LEAST &&
+               fill_left(w) >= step->room.cpu_milli;
+    }
+    return w->used.cpu_milli + step->room.cpu_milli <= c->cpu_milli;
+}
+
+/* Tells whether a task of the stage may start on the worker. */
+static bool
+worker_fits(const PhSchedWorker *w, const PhSchedTask *task)
+{
+    const PhSchedStage *stage = task->stage;
+    const PhSchedStep *step = PhSchedTask_Step(task);
+    if (!PhStr_Equal(w->entry.service, stage->job->spec.terms.service) ||
+        (step->requires.len > 0 && !has_label(w, step->requires)) ||
+        !room_fits(w, step)) {
+        return false;
+    }
+    if (task->failures > 0 &&
+        (w == task->failed_on || w->failures_in_a_row > 0)) {
+        return false;
+    }
+    return step->max_per_worker == 0 ||
+           stage_tasks_on(w, stage) < step->max_per_worker;
+}
+
+/* Rates a worker for a task: the share of its CPU that stays free.  Where the
+ * data is counts most. */
+static double
+worker_score(const PhSchedWorker *w, const PhSchedStep *step)
+{
+    double capacity = (double)MAX(w->entry.capacity.cpu_milli, 1);
+    double left = (double)fill_left(w);
+    if (!step->fills) {
+        left = (double)(w->entry.capacity.cpu_milli - w->used.cpu_milli) +
+               (double)fill_left(w) / 4;
+    }
+    double score = left / capacity;
+    if (step->affinity.len > 0 &&
+        (PhStr_Equal(step->affinity, w->entry.rack) ||
+         has_label(w, step->affinity))) {
+        score += 2;
+    }
+    return score;
+}
+
+/* Finds the best worker for a task, or NULL. */
+static PhSchedWorker *
+worker_pick(const PhScheduler *s, const PhSchedTask *task, PhTime now)
+{
+    const PhSchedStep *step = PhSchedTask_Step(task);
+    PhSchedWorker *best = NULL;
+    double best_score = 0;
+    for (guint i = 0; i < s->model->lives->len; i++) {
+        PhSchedWorker *w = g_ptr_array_index(s->model->lives, i);
+        if (!worker_is_usable(w, now) || !worker_fits(w, task)) {
+            continue;
+        }
+        double score = worker_score(w, step);
+        if (best == NULL || score > best_score) {
+            best = w;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+/* Records the start of a task on a worker. */
+static void
+task_start(PhScheduler *s, PhSchedTask *task, PhSchedWorker *w, PhTime now)
+{
+    PhSchedJob *job = task->stage->job;
+    PhSchedTask_Place(task, w);
+    task->run++;
+    task->since = now;
+    task->fence = s->fence;
+    task->batch = s->open_batch;
+    task->retry_at = 0;
+    task->confirmed_clock = 0;
+    task->confirmed_at = 0;
+    task->percent_told = PERCENT;
+    task->percent = PhSchedTask_Step(task)->fills ? w->fill_percent : PERCENT;
+    PhScheduler_TouchStage(s, task->stage);
+    g_queue_push_tail(&s->starts, task);
+    if (job->state == PH_SCHED_JOB_QUEUED) {
+        PhSchedModel_SetJobState(s->model, job, PH_SCHED_JOB_RUNNING);
+        PhScheduler_TouchJob(s, job);
+    }
+}
+
+/* Places as many tasks of a stage as fit; false when some are left. */
+static bool
+stage_place(PhScheduler *s, PhSchedStage *stage, PhTime now)
+{
+    const PhSchedStep *step = &stage->job->spec.steps[stage->number];
+    for (uint32_t i = 0; i < step->count && stage->waiting > 0; i++) {
+        PhSchedTask *task = &stage->tasks[i];
+        if (task->state != PH_SCHED_TASK_WAITING) {
+            continue;
+        }
+        PhSchedWorker *w = worker_pick(s, task, now);
+        if (w == NULL) {
+            return false;
+        }
+        task_start(s, task, w, now);
+    }
+    return true;
+}
+
+/* Places waiting tasks. */
+void
+PhScheduler_PlaceTasks(PhScheduler *s, PhTime now)
+{
+    GArray *list = candidates_collect(s);
+    bool all = true;
+    for (guint i = 0; i < list->len; i++) {
+        all &= stage_place(s, g_array_index(list, PhCandidate, i).stage, now);
+    }
+    s->place_due = !all;
+    g_array_free(list, TRUE);
+}
--- /dev/null
+++ b/decide/schedule/record.c
@@ -0,0 +1,162 @@
+#include "peridothill/decide/schedule/record.h"
+
+/* Releases what a record owns. */
+void
+PhSchedRecord_Clear(PhSchedRecord *record)
+{
+    switch (record->tag) {
+    case PH_SCHED_RECORD_JOB:
+        PhSchedSpec_Clear(&record->as.job);
+        break;
+    case PH_SCHED_RECORD_CANCEL:
+    case PH_SCHED_RECORD_STATE:
+        break;
+    case PH_SCHED_RECORD_STAGE:
+        for (uint32_t i = 0; i < record->as.stage.task_count; i++) {
+            PhStr_Clear(&record->as.stage.tasks[i].worker);
+            PhStr_Clear(&record->as.stage.tasks[i].saved);
+        }
+        g_free(record->as.stage.tasks);
+        record->as.stage.tasks = NULL;
+        record->as.stage.task_count = 0;
+        break;
+    }
+    PhStr_Clear(&record->id);
+}
+
+/* Describes a stage as it stands. */
+PhSchedRecord
+PhSchedRecord_OfStage(const PhSchedStage *stage)
+{
+    uint32_t count = stage->job->spec.steps[stage->number].count;
+    PhSchedRecord record = {
+        .tag = PH_SCHED_RECORD_STAGE,
+        .id = PhStr_Dup(stage->job->spec.id),
+        .as.stage = {.round = stage->round,
+                     .step = stage->number,
+                     .tasks = g_new0(PhSchedTaskRecord, count),
+                     .task_count = count}};
+    for (uint32_t i = 0; i < count; i++) {
+        const PhSchedTask *task = &stage->tasks[i];
+        PhSchedTaskRecord *r = &record.as.stage.tasks[i];
+        r->state = task->state;
+        r->run = task->run;
+        r->failures = task->failures;
+        if (task->state == PH_SCHED_TASK_DONE) {
+            continue;
+        }
+        r->saved = PhStr_Dup(task->saved);
+        if (task->worker != NULL) {
+            r->worker = PhStr_Dup(task->worker->entry.id);
+            r->worker_born_ms = task->worker->entry.born_ms;
+        }
+    }
+    return record;
+}
+
+/* Sets one task as it was recorded. */
+static void
+task_apply(PhSchedModel *model, PhSchedTask *task, PhSchedTaskRecord *r,
+           PhTime now)
+{
+    if (task->worker != NULL) {
+        PhSchedTask_Unplace(task, PH_SCHED_TASK_WAITING);
+    }
+    if (task->state == PH_SCHED_TASK_DONE) {
+        return;
+    }
+    task->run = r->run;
+    task->failures = r->failures;
+    task->since = now;
+    task->fence = 0;
+    task->percent = 100;
+    task->percent_told = 100;
+    PhStr_Clear(&task->saved);
+    task->saved = r->saved;
+    r->saved = (PhStr){0};
+    switch (r->state) {
+    case PH_SCHED_TASK_WAITING:
+        break;
+    case PH_SCHED_TASK_ASSIGNED:
+    case PH_SCHED_TASK_RUNNING:
+        PhSchedTask_Place(
+            task, PhSchedModel_Worker(model, r->worker, r->worker_born_ms));
+        break;
+    case PH_SCHED_TASK_DONE:
+        task->state = PH_SCHED_TASK_DONE;
+        task->stage->waiting--;
+        task->stage->done++;
+        break;
+    }
+}
+
+/* Applies the tasks of a stage. */
+static PhStatus
+stage_apply(PhSchedModel *model, PhSchedJob *job, PhSchedRecord *record,
+            PhTime now)
+{
+    PhSchedJob_OpenRounds(job, record->as.stage.round + 1);
+    job->rounds_due = MAX(job->rounds_due, record->as.stage.round + 1);
+    PhSchedStage *stage =
+        PhSchedJob_Stage(job, record->as.stage.round, record->as.stage.step);
+    if (stage == NULL ||
+        record->as.stage.task_count != job->spec.steps[stage->number].count) {
+        return PH_STATUS_INVALID;
+    }
+    bool was_done = stage->done == record->as.stage.task_count;
+    for (uint32_t i = 0; i < record->as.stage.task_count; i++) {
+        task_apply(model, &stage->tasks[i], &record->as.stage.tasks[i], now);
+    }
+    if (!was_done && stage->done == record->as.stage.task_count) {
+        PhSchedRound *round = &job->rounds[stage->round];
+        round->done++;
+        job->rounds_done += round->done == job->spec.step_count;
+    }
+    if (job->state == PH_SCHED_JOB_QUEUED) {
+        PhSchedModel_SetJobState(model, job, PH_SCHED_JOB_RUNNING);
+        job->durable_state = PH_SCHED_JOB_RUNNING;
+    }
+    return PH_STATUS_OK;
+}
+
+/* Applies a record to the job that it is about. */
+static PhStatus
+job_apply(PhSchedModel *model, PhSchedJob *job, PhSchedRecord *record,
+          PhTime now)
+{
+    switch (record->tag) {
+    case PH_SCHED_RECORD_JOB:
+        break;
+    case PH_SCHED_RECORD_CANCEL:
+        job->cancel = true;
+        break;
+    case PH_SCHED_RECORD_STATE:
+        if (!PhSchedJob_IsOver(job)) {
+            PhSchedModel_SetJobState(model, job, record->as.state);
+        }
+        job->durable_state = job->state;
+        break;
+    case PH_SCHED_RECORD_STAGE:
+        return stage_apply(model, job, record, now);
+    }
+    return PH_STATUS_OK;
+}
+
+/* Applies a record that was read from the store. */
+PhStatus
+PhSchedModel_Apply(PhSchedModel *model, PhSchedRecord *record, PhTime now)
+{
+    PhStatus status = PH_STATUS_NOT_FOUND;
+    if (record->tag == PH_SCHED_RECORD_JOB) {
+        PhSchedModel_AddJob(model, &record->as.job, now);
+        status = PH_STATUS_OK;
+    }
+    else {
+        PhSchedJob *job = PhSchedModel_Job(model, record->id);
+        if (job != NULL) {
+            status = job_apply(model, job, record, now);
+        }
+    }
+    PhSchedRecord_Clear(record);
+    return status;
+}
--- /dev/null
+++ b/decide/schedule/scheduler_private.h
@@ -0,0 +1,59 @@
+/* What the files of the scheduler share. */
+#ifndef PERIDOTHILL_DECIDE_SCHEDULE_SCHEDULER_PRIVATE_H
+#define PERIDOTHILL_DECIDE_SCHEDULE_SCHEDULER_PRIVATE_H
+
+#include "peridothill/decide/schedule/scheduler.h"
+
+struct PhScheduler {
+    PhSchedulerOptions options;
+    PhSchedModel *model;
+    uint64_t fence; /* 0: not the owner */
+    PhTime owner_since;
+    bool quiet; /* no starts, no waits */
+    uint64_t open_batch;
+    uint64_t durable_batch;
+    GPtrArray *dirty_stages; /* PhSchedStage */
+    GPtrArray *dirty_jobs;   /* PhSchedJob */
+    GQueue starts;           /* PhSchedTask that wait for their batch */
+    GQueue stops;            /* PhSchedTask to stop */
+    GQueue strays;           /* PhStray: runs that must not be there */
+    GQueue paces;            /* PhSchedTask whose pace has changed */
+    GQueue holds;            /* PhSchedWorker whose hold is due */
+    PhTime due;
+    bool place_due; /* something has changed that may allow a start */
+};
+
+/* A run that no task stands behind, to be stopped. */
+typedef struct PhStray {
+    PhSchedWorker *worker;
+    PhSchedTaskName task; /* owns the job's id */
+    uint32_t run;
+} PhStray;
+
+/* Marks a stage or the state of a job as changed in the open batch. */
+void PhScheduler_TouchStage(PhScheduler *scheduler, PhSchedStage *stage);
+void PhScheduler_TouchJob(PhScheduler *scheduler, PhSchedJob *job);
+/* Brings the next decision forward. */
+void PhScheduler_WakeBy(PhScheduler *scheduler, PhTime at);
+
+/* The estimate of the worker's clock, in its milliseconds; never ahead. */
+int64_t PhSchedWorker_Clock(const PhSchedWorker *worker, PhTime now);
+/* Grants a lease from now on and gives its end on the worker's clock. */
+int64_t PhScheduler_Grant(PhScheduler *scheduler, PhSchedWorker *worker,
+                          PhTime now);
+/* Ends the run of a task: it waits again, or is done. */
+void PhScheduler_EndRun(PhScheduler *scheduler, PhSchedTask *task,
+                        PhSchedEndKind kind, PhStr saved, PhTime now);
+/* Ends a job: its placed tasks are stopped. */
+void PhScheduler_EndJob(PhScheduler *scheduler, PhSchedJob *job,
+                        PhSchedJobState state);
+/* Orders a stop of a placed task. */
+void PhScheduler_StopTask(PhScheduler *scheduler, PhSchedTask *task);
+
+/* placement.c: places waiting tasks on workers. */
+void PhScheduler_PlaceTasks(PhScheduler *scheduler, PhTime now);
+/* pacing.c: adjusts the tasks that fill beside tasks that serve. */
+void PhScheduler_PaceWorker(PhScheduler *scheduler, PhSchedWorker *worker,
+                            PhTime now);
+
+#endif
--- /dev/null
+++ b/decide/schedule/spec.c
@@ -0,0 +1,112 @@
+#include "peridothill/decide/schedule/spec.h"
+
+enum {
+    ID_BYTES = 16,
+    MILLI_PER_CORE = 1000,
+};
+
+/* Releases what the specification owns. */
+void
+PhSchedSpec_Clear(PhSchedSpec *spec)
+{
+    for (uint32_t i = 0; i < spec->step_count; i++) {
+        PhSchedStep *step = &spec->steps[i];
+        g_free(step->after);
+        PhStr_Clear(&step->requires);
+        PhStr_Clear(&step->affinity);
+        PhStr_Clear(&step->image);
+    }
+    g_free(spec->steps);
+    PhStr_Clear(&spec->id);
+    PhStr_Clear(&spec->terms.queue);
+    PhStr_Clear(&spec->terms.service);
+    PhStr_Clear(&spec->payload);
+    *spec = (PhSchedSpec){0};
+}
+
+/* Checks one step; it may only wait for earlier ones. */
+static PhResult
+step_check(const PhSchedSpec *spec, uint32_t number)
+{
+    const PhSchedStep *step = &spec->steps[number];
+    if (step->count == 0 || step->count > PH_SCHED_TASKS_MAX) {
+        return PhResult_Make(PH_STATUS_INVALID, "step %u: %u tasks", number,
+                             step->count);
+    }
+    if (step->room.cpu_milli < 0 || step->room.mem_mb < 0 ||
+        step->room.gpu < 0) {
+        return PhResult_Make(PH_STATUS_INVALID, "step %u: negative room",
+                             number);
+    }
+    for (uint32_t i = 0; i < step->after_count; i++) {
+        if (step->after[i] >= number) {
+            return PhResult_Make(PH_STATUS_INVALID,
+                                 "step %u waits for no earlier one", number);
+        }
+    }
+    return PhResult_Ok();
+}
+
+/* Tells whether the id has its fixed form. */
+static bool
+id_is_valid(PhStr id)
+{
+    for (size_t i = 0; i < id.len; i++) {
+        if (!g_ascii_isxdigit(id.data[i])) {
+            return false;
+        }
+    }
+    return id.len == ID_BYTES;
+}
+
+/* Checks the bounds and the order of the steps. */
+PhResult
+PhSchedSpec_Check(const PhSchedSpec *spec)
+{
+    if (!id_is_valid(spec->id)) {
+        return PhResult_Make(PH_STATUS_INVALID, "job id malformed");
+    }
+    if (spec->step_count == 0 || spec->step_count > PH_SCHED_STEPS_MAX ||
+        spec->repetitions > PH_SCHED_ROUNDS_MAX) {
+        return PhResult_Make(PH_STATUS_INVALID, "%u steps, %u repetitions",
+                             spec->step_count, spec->repetitions);
+    }
+    for (uint32_t i = 0; i < spec->step_count; i++) {
+        PhResult r = step_check(spec, i);
+        if (!PhResult_IsOk(&r)) {
+            return r;
+        }
+    }
+    return PhResult_Ok();
+}
+
+/* Gives the length of the longest chain of estimates. */
+PhTime
+PhSchedSpec_Chain(const PhSchedSpec *spec)
+{
+    PhTime ends[PH_SCHED_STEPS_MAX] = {0};
+    PhTime longest = 0;
+    for (uint32_t i = 0; i < spec->step_count; i++) {
+        const PhSchedStep *step = &spec->steps[i];
+        PhTime begin = 0;
+        for (uint32_t j = 0; j < step->after_count; j++) {
+            begin = MAX(begin, ends[step->after[j]]);
+        }
+        ends[i] = begin + step->estimate;
+        longest = MAX(longest, ends[i]);
+    }
+    return longest;
+}
+
+/* Gives the CPU time of all tasks by estimate. */
+double
+PhSchedSpec_Work(const PhSchedSpec *spec)
+{
+    double work = 0;
+    for (uint32_t i = 0; i < spec->step_count; i++) {
+        const PhSchedStep *step = &spec->steps[i];
+        work += (double)step->count * (double)step->estimate *
+                (double)step->room.cpu_milli / MILLI_PER_CORE;
+    }
+    return work;
+}
--- a/include/peridothill/codec/settings.h
+++ b/include/peridothill/codec/settings.h
@@ -39,6 +39,14 @@
         PhStr list_address;
         PhTime list_poll;
     } platform;
+    struct {
+        PhStr store; /* empty: this instance runs no scheduler of jobs */
+        PhStr ready; /* listener of the readiness check */
+        double share;
+        PhTime lease_limit;
+        PhTime pace_lag;
+        PhTime keep_over;
+    } scheduler;
     struct {
         uint64_t request_body; /* bytes */
         uint64_t connections;
--- a/include/peridothill/codec/settings_key.h
+++ b/include/peridothill/codec/settings_key.h
@@ -9,10 +9,12 @@
     PH_SETTING_PATH,      /* PhStr: a file name, may be empty */
     PH_SETTING_LISTEN,    /* PhStr: IP number and port; 0 takes a free port */
     PH_SETTING_ADDRESS,   /* PhStr: IP number and port */
+    PH_SETTING_OPTIONAL,  /* PhStr: IP number and port, or empty */
     PH_SETTING_ADDRESSES, /* PhAddressList: separated by spaces */
     PH_SETTING_DURATION,  /* PhTime, with a unit */
     PH_SETTING_SIZE,      /* uint64_t of bytes, with a unit */
     PH_SETTING_COUNT,     /* uint64_t without a unit */
+    PH_SETTING_SHARE,     /* double, above 0 */
     PH_SETTING_LEVEL,     /* PhLevel */
     PH_SETTING_FORMAT,    /* PhLogFormat */
 } PhSettingKind;
--- /dev/null
+++ b/include/peridothill/decide/schedule/model.h
@@ -0,0 +1,203 @@
+/* What every instance knows of jobs and workers: jobs with their rounds,
+ * stages and tasks, and lives of workers with what is placed on them.  The
+ * model is rebuilt from the records of the store; only the owner adds to it.
+ */
+#ifndef PERIDOTHILL_DECIDE_SCHEDULE_MODEL_H
+#define PERIDOTHILL_DECIDE_SCHEDULE_MODEL_H
+
+#include "peridothill/decide/schedule/queue.h"
+
+typedef enum PhSchedJobState {
+    PH_SCHED_JOB_QUEUED, /* no task has started */
+    PH_SCHED_JOB_RUNNING,
+    PH_SCHED_JOB_COMPLETED,
+    PH_SCHED_JOB_FAILED,
+    PH_SCHED_JOB_CANCELLED,
+} PhSchedJobState;
+
+typedef enum PhSchedTaskState {
+    PH_SCHED_TASK_WAITING,
+    PH_SCHED_TASK_ASSIGNED, /* a start is recorded; no worker confirmed it */
+    PH_SCHED_TASK_RUNNING,  /* the worker has listed or confirmed it */
+    PH_SCHED_TASK_DONE,
+} PhSchedTaskState;
+
+/* How a run ended. */
+typedef enum PhSchedEndKind {
+    PH_SCHED_END_DONE,
+    PH_SCHED_END_FAILED,  /* counts as an attempt */
+    PH_SCHED_END_STOPPED, /* by an order */
+    PH_SCHED_END_LAPSED,  /* its lease ran out */
+    PH_SCHED_END_BROKEN,  /* another member of its gang ended */
+    PH_SCHED_END_ALONE,   /* its gang did not come together */
+} PhSchedEndKind;
+
+typedef struct PhSchedJob PhSchedJob;
+typedef struct PhSchedStage PhSchedStage;
+typedef struct PhSchedWorker PhSchedWorker;
+
+/* A task of a stage.  `run` is the number of its newest start, 0 before the
+ * first. */
+typedef struct PhSchedTask {
+    PhSchedStage *stage;
+    uint32_t index;
+    PhSchedTaskState state;
+    uint32_t run;
+    uint32_t failures;
+    PhSchedWorker *worker;   /* of the newest run, while it may be there */
+    PhStr saved;             /* checkpoint, empty for none */
+    PhTime since;            /* of the state */
+    PhTime confirmed_at;     /* the worker answered the start */
+    int64_t confirmed_clock; /* the worker's clock then, milliseconds */
+    uint64_t batch;      /* records that must be durable before the start */
+    uint64_t fence;      /* of the owner that placed it; 0 if another did */
+    PhTime retry_at;     /* next start or stop order, not before */
+    bool ordering;       /* a start is on its way */
+    bool uncertain;      /* a start of this run got no answer */
+    bool stopping;       /* a stop was ordered or is due */
+    bool stop_sent;      /* and is on its way */
+    int8_t percent;      /* share at which it works, as ordered */
+    int8_t percent_told; /* and as the worker was told */
+    const PhSchedWorker *failed_on; /* worker of the last failed run; only
+                                       compared */
+    int64_t figure; /* last rough figure: tail in ms of a serving task,
+                       else thousandths of a core in use */
+    PhTime figure_at;
+} PhSchedTask;
+
+/* A step within one round of a job. */
+struct PhSchedStage {
+    PhSchedJob *job;
+    uint32_t round;
+    uint32_t number;
+    PhSchedTask *tasks; /* as many as the step counts */
+    uint32_t waiting;
+    uint32_t placed; /* assigned or running */
+    uint32_t done;
+    bool dirty; /* differs from its last record */
+};
+
+typedef struct PhSchedRound {
+    PhSchedStage *stages; /* as many as the job has steps */
+    uint32_t done;        /* stages of which all tasks are done */
+} PhSchedRound;
+
+struct PhSchedJob {
+    PhSchedSpec spec;
+    PhSchedJobState state;
+    PhSchedJobState durable_state; /* as the store has it; shown to clients */
+    uint64_t batch;                /* records that `state` rests on */
+    PhTime accepted_at;            /* on this instance's clock */
+    PhSchedRound *rounds;
+    uint32_t round_count;
+    uint32_t rounds_due; /* rounds whose time has come */
+    uint32_t rounds_done;
+    uint32_t tasks_placed;
+    bool cancel;           /* a client has cancelled it */
+    bool dirty;            /* the state differs from its last record */
+    uint64_t state_offset; /* of the newest record, so that none goes back */
+};
+
+/* A worker as its own entry tells of it.  Strings are owned. */
+typedef struct PhSchedWorkerEntry {
+    PhStr id;
+    int64_t born_ms; /* start of this life, Unix time */
+    PhStr address;
+    PhStr data_centre;
+    PhStr service;
+    PhStr labels; /* separated and enclosed by commas */
+    PhStr rack;
+    PhSchedRoom capacity;
+    bool draining;
+} PhSchedWorkerEntry;
+
+/* One life of a worker. */
+struct PhSchedWorker {
+    PhSchedWorkerEntry entry;
+    bool listed;     /* its entry stands in the list */
+    bool fenced;     /* it has answered to this owner's fence */
+    bool dead;       /* another life has its id, or its leases have lapsed */
+    PhTime lapse_by; /* every lease granted to it has ended by then */
+    PhTime answered_at;
+    PhTime failing_since;  /* first of the failures since the last answer */
+    PhTime cooldown_until; /* no starts before */
+    uint32_t failures_in_a_row;
+    int64_t clock_ms; /* newest reading of its clock */
+    PhTime clock_at;
+    bool holding;              /* a hold is on its way */
+    PhTime hold_after;         /* next hold, not before */
+    uint64_t seen;             /* newest end taken in */
+    uint64_t acked;            /* newest end that may be acknowledged */
+    uint64_t seen_batch;       /* records that `seen` rests on */
+    GPtrArray *tasks;          /* PhSchedTask, not owned */
+    PhSchedRoom used;          /* declared by tasks that do not fill */
+    int64_t fill_cpu_milli;    /* declared by tasks that fill */
+    int64_t serving_cpu_milli; /* declared by serving tasks */
+    int8_t fill_percent;       /* share at which tasks that fill work here */
+    PhTime paced_at;           /* the share last changed */
+};
+
+/* All jobs and workers. */
+typedef struct PhSchedModel {
+    GHashTable *jobs;    /* PhSchedJob by id */
+    GHashTable *workers; /* newest life of each by id */
+    GPtrArray *lives;    /* every PhSchedWorker, owned */
+    GPtrArray *active;   /* PhSchedJob that are not over, not owned */
+    PhSchedConfig *config;
+} PhSchedModel;
+
+/* A name of a task, as orders and lists of runs carry it. */
+typedef struct PhSchedTaskName {
+    PhStr job;
+    uint32_t round;
+    uint32_t step;
+    uint32_t index;
+} PhSchedTaskName;
+
+PhSchedModel *PhSchedModel_Create(void);
+void PhSchedModel_Destroy(PhSchedModel *model);
+/* Adds a job, taking over the specification; an id that is known gives the
+ * job that has it and releases the specification. */
+PhSchedJob *PhSchedModel_AddJob(PhSchedModel *model, PhSchedSpec *spec,
+                                PhTime now);
+PhSchedJob *PhSchedModel_Job(const PhSchedModel *model, PhStr id);
+/* Forgets a job that has no task on a worker. */
+void PhSchedModel_RemoveJob(PhSchedModel *model, PhSchedJob *job);
+/* Forgets every job; workers stay. */
+void PhSchedModel_ClearJobs(PhSchedModel *model);
+/* Finds a task of a known job, or NULL. */
+PhSchedTask *PhSchedModel_Task(const PhSchedModel *model,
+                               const PhSchedTaskName *name);
+PhSchedTaskName PhSchedTask_Name(const PhSchedTask *task);
+const PhSchedStep *PhSchedTask_Step(const PhSchedTask *task);
+/* Creates the rounds up to the number `count`. */
+void PhSchedJob_OpenRounds(PhSchedJob *job, uint32_t count);
+PhSchedStage *PhSchedJob_Stage(const PhSchedJob *job, uint32_t round,
+                               uint32_t step);
+bool PhSchedJob_IsOver(const PhSchedJob *job);
+/* Sets the state of a job; one that is over leaves the active ones. */
+void PhSchedModel_SetJobState(PhSchedModel *model, PhSchedJob *job,
+                              PhSchedJobState state);
+/* Tells whether all steps that a stage waits for are done. */
+bool PhSchedStage_IsReady(const PhSchedStage *stage);
+/* Tells whether a task serves users of its own. */
+bool PhSchedStep_Serves(const PhSchedStep *step);
+
+/* Finds the life of a worker, or adds it; a later life of the same id becomes
+ * the newest. */
+PhSchedWorker *PhSchedModel_Worker(PhSchedModel *model, PhStr id,
+                                   int64_t born_ms);
+/* Finds the newest life, or NULL. */
+PhSchedWorker *PhSchedModel_NewestLife(const PhSchedModel *model, PhStr id);
+/* Replaces what the worker tells of itself; takes over the strings. */
+void PhSchedWorker_SetEntry(PhSchedWorker *worker, PhSchedWorkerEntry *entry);
+void PhSchedWorkerEntry_Clear(PhSchedWorkerEntry *entry);
+/* Releases lives that are dead and hold no task. */
+void PhSchedModel_SweepWorkers(PhSchedModel *model);
+
+/* Moves a task to a worker's books and back; the counts of its stage and of
+ * the worker follow. */
+void PhSchedTask_Place(PhSchedTask *task, PhSchedWorker *worker);
+void PhSchedTask_Unplace(PhSchedTask *task, PhSchedTaskState state);
+
+#endif
--- /dev/null
+++ b/include/peridothill/decide/schedule/record.h
@@ -0,0 +1,50 @@
+/* What the store keeps of jobs: tagged records that every instance applies to
+ * its model. */
+#ifndef PERIDOTHILL_DECIDE_SCHEDULE_RECORD_H
+#define PERIDOTHILL_DECIDE_SCHEDULE_RECORD_H
+
+#include "peridothill/decide/schedule/model.h"
+
+typedef enum PhSchedRecordTag {
+    PH_SCHED_RECORD_JOB,    /* a client's job, accepted */
+    PH_SCHED_RECORD_CANCEL, /* a client cancelled a job */
+    PH_SCHED_RECORD_STATE,  /* the owner's word on a job */
+    PH_SCHED_RECORD_STAGE,  /* the owner's word on the tasks of a stage */
+} PhSchedRecordTag;
+
+/* A task as recorded.  Strings are owned. */
+typedef struct PhSchedTaskRecord {
+    PhSchedTaskState state;
+    uint32_t run;
+    uint32_t failures;
+    PhStr worker; /* empty unless it is placed */
+    int64_t worker_born_ms;
+    PhStr saved;
+} PhSchedTaskRecord;
+
+/* `id` is the job's.  Strings are owned. */
+typedef struct PhSchedRecord {
+    PhSchedRecordTag tag;
+    PhStr id;
+    union {
+        PhSchedSpec job;
+        PhSchedJobState state;
+        struct {
+            uint32_t round;
+            uint32_t step;
+            PhSchedTaskRecord *tasks;
+            uint32_t task_count;
+        } stage;
+    } as;
+} PhSchedRecord;
+
+void PhSchedRecord_Clear(PhSchedRecord *record);
+/* Describes a stage as it stands; the strings are copies. */
+PhSchedRecord PhSchedRecord_OfStage(const PhSchedStage *stage);
+/* Applies a record that was read from the store.  Takes over the parts it
+ * keeps and clears the rest.  NOT_FOUND: the job is not known yet;  INVALID:
+ * the record does not fit the job. */
+PhStatus PhSchedModel_Apply(PhSchedModel *model, PhSchedRecord *record,
+                            PhTime now);
+
+#endif
--- a/include/peridothill/services/interface.h
+++ b/include/peridothill/services/interface.h
@@ -17,6 +17,9 @@
     PH_INTERFACE_MEMBERS,  /* membership (services/members.h) */
     PH_INTERFACE_PEERS,    /* links to peers (services/peers.h) */
     PH_INTERFACE_OPERATORS, /* operators' interface (services/operators.h) */
+    PH_INTERFACE_STORE,     /* the platform's store (services/store.h) */
+    PH_INTERFACE_ORDERS,    /* orders to workers (services/orders.h) */
+    PH_INTERFACE_SCHEDULE,  /* jobs of clients (services/schedule.h) */
 } PhInterface;
 
 /* Names under which services register. */
@@ -31,5 +34,10 @@
 #define PH_SERVICE_MEMBERS PhStr_LITERAL("members")
 #define PH_SERVICE_PEERS PhStr_LITERAL("peers")
 #define PH_SERVICE_OPERATORS PhStr_LITERAL("operators")
+#define PH_SERVICE_STORE PhStr_LITERAL("store")
+#define PH_SERVICE_ORDERS PhStr_LITERAL("orders")
+#define PH_SERVICE_SCHEDULE PhStr_LITERAL("schedule")
+#define PH_SERVICE_FLEET PhStr_LITERAL("fleet")
+#define PH_SERVICE_FRONT PhStr_LITERAL("front")
 
 #endif
--- a/services/requests/entry_mail.c
+++ b/services/requests/entry_mail.c
@@ -192,6 +192,9 @@
     case PH_INTERFACE_TASKS:
     case PH_INTERFACE_WORKER:
     case PH_INTERFACE_OPERATORS:
+    case PH_INTERFACE_STORE:
+    case PH_INTERFACE_ORDERS:
+    case PH_INTERFACE_SCHEDULE:
         break;
     }
 }
--- /dev/null
+++ b/services/schedule/messages.c
@@ -0,0 +1,168 @@
+/* Releases and wraps the messages of the store, the orders and the
+ * scheduler. */
+#include "peridothill/services/interface.h"
+#include "peridothill/services/orders.h"
+#include "peridothill/services/schedule.h"
+#include "peridothill/services/store.h"
+
+/* Releases records and their list. */
+static void
+records_clear(PhStoreRecord *records, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        PhStr_Clear(&records[i].key);
+        PhStr_Clear(&records[i].value);
+    }
+    g_free(records);
+}
+
+/* Releases a message of the store. */
+static void
+store_release(void *body)
+{
+    PhStoreMessage *m = body;
+    switch (m->tag) {
+    case PH_STORE_APPEND:
+        PhStr_Clear(&m->as.append.topic);
+        PhStr_Clear(&m->as.append.producer);
+        records_clear(m->as.append.records, m->as.append.record_count);
+        break;
+    case PH_STORE_READ:
+        PhStr_Clear(&m->as.read.topic);
+        break;
+    case PH_STORE_NEWEST:
+        PhStr_Clear(&m->as.newest.topic);
+        PhStr_Clear(&m->as.newest.after);
+        break;
+    case PH_STORE_REPLY:
+        records_clear(m->as.reply.records, m->as.reply.record_count);
+        break;
+    }
+    g_free(m);
+}
+
+/* Wraps a message of the store. */
+PhMessage
+PhStoreMessage_Wrap(const PhStoreMessage *body)
+{
+    PhStoreMessage *copy = g_new(PhStoreMessage, 1);
+    *copy = *body;
+    return (PhMessage){.interface = PH_INTERFACE_STORE,
+                       .body = copy,
+                       .release = store_release};
+}
+
+/* Tells whether an action is an order to a run. */
+static bool
+action_has_run(PhSchedActionTag tag)
+{
+    return tag != PH_SCHED_ACTION_HOLD;
+}
+
+/* Copies the strings that an action borrows. */
+PhSchedAction
+PhOrder_CopyAction(const PhSchedAction *action)
+{
+    PhSchedAction copy = *action;
+    copy.worker = PhStr_Dup(action->worker);
+    copy.address = PhStr_Dup(action->address);
+    if (action_has_run(action->tag)) {
+        copy.as.run.task.job = PhStr_Dup(action->as.run.task.job);
+        copy.as.run.payload = PhStr_Dup(action->as.run.payload);
+        copy.as.run.saved = PhStr_Dup(action->as.run.saved);
+    }
+    return copy;
+}
+
+/* Releases the rows of a hold's answer. */
+static void
+hold_clear(PhSchedHoldReply *hold)
+{
+    for (size_t i = 0; i < hold->run_count; i++) {
+        PhStr_Clear(&hold->runs[i].task.job);
+        PhStr_Clear(&hold->runs[i].saved);
+    }
+    for (size_t i = 0; i < hold->end_count; i++) {
+        PhStr_Clear(&hold->ends[i].task.job);
+        PhStr_Clear(&hold->ends[i].saved);
+    }
+    g_free(hold->runs);
+    g_free(hold->ends);
+}
+
+/* Releases a message of the orders. */
+static void
+order_release(void *body)
+{
+    PhOrderMessage *m = body;
+    switch (m->tag) {
+    case PH_ORDER_SEND:
+        PhStr_Clear(&m->as.send.action.worker);
+        PhStr_Clear(&m->as.send.action.address);
+        if (action_has_run(m->as.send.action.tag)) {
+            PhStr_Clear(&m->as.send.action.as.run.task.job);
+            PhStr_Clear(&m->as.send.action.as.run.payload);
+            PhStr_Clear(&m->as.send.action.as.run.saved);
+        }
+        break;
+    case PH_ORDER_REPLY:
+        PhStr_Clear(&m->as.reply.worker);
+        PhStr_Clear(&m->as.reply.job);
+        hold_clear(&m->as.reply.hold);
+        break;
+    }
+    g_free(m);
+}
+
+/* Wraps a message of the orders. */
+PhMessage
+PhOrderMessage_Wrap(const PhOrderMessage *body)
+{
+    PhOrderMessage *copy = g_new(PhOrderMessage, 1);
+    *copy = *body;
+    return (PhMessage){.interface = PH_INTERFACE_ORDERS,
+                       .body = copy,
+                       .release = order_release};
+}
+
+/* Releases a message of the scheduler. */
+static void
+schedule_release(void *body)
+{
+    PhScheduleMessage *m = body;
+    switch (m->tag) {
+    case PH_SCHEDULE_SUBMIT:
+    case PH_SCHEDULE_STATE:
+    case PH_SCHEDULE_CANCEL:
+    case PH_SCHEDULE_PENDING:
+    case PH_SCHEDULE_READY:
+        PhStr_Clear(&m->as.call.host);
+        PhStr_Clear(&m->as.call.path);
+        PhSchedSpec_Clear(&m->as.call.spec);
+        break;
+    case PH_SCHEDULE_ANSWER:
+    case PH_SCHEDULE_DRAIN:
+        break;
+    case PH_SCHEDULE_CONFIG:
+        PhSchedConfig_Destroy(m->as.config);
+        break;
+    case PH_SCHEDULE_WORKER:
+        PhSchedWorkerEntry_Clear(&m->as.worker);
+        break;
+    case PH_SCHEDULE_NO_WORKER:
+        PhStr_Clear(&m->as.no_worker);
+        break;
+    }
+    g_free(m);
+}
+
+/* Wraps a message of the scheduler. */
+PhMessage
+PhScheduleMessage_Wrap(const PhScheduleMessage *body)
+{
+    PhScheduleMessage *copy = g_new(PhScheduleMessage, 1);
+    *copy = *body;
+    return (PhMessage){.interface = PH_INTERFACE_SCHEDULE,
+                       .body = copy,
+                       .release = schedule_release};
+}
--- /dev/null
+++ b/services/schedule/schedule_owner.c
@@ -0,0 +1,436 @@
+/* The election of the owner, and the owner's work: records before starts,
+ * orders to workers, their outcomes. */
+#include "peridothill/codec/unpack.h"
+#include "schedule_task.h"
+
+/* A refused or unanswered append of records is repeated after this long. */
+static const PhTime RETRY = 100 * PH_NS_PER_MS;
+/* A look at all that is due comes at most this often. */
+static const PhTime PUMP_PAUSE = 3 * PH_NS_PER_MS;
+
+#define OWNER_KEY PhStr_LITERAL("owner")
+#define OWNER_PRODUCER PhStr_LITERAL("owner")
+
+enum {
+    /* Fields of a record of the election. */
+    ENTRY_KIND = 1,
+    ENTRY_HOLDER,
+    ENTRY_FIELDS = 2,
+    HOLDER_BYTES_MAX = 512,
+    NS_PER_MS = 1000000,
+};
+
+/* Asks for a look at all that may be due. */
+void
+PhScheduleTask_WantPump(PhScheduleTask *t)
+{
+    if (!t->pump_set) {
+        t->pump_set = true;
+        PhTask_SetTimer(t->self, TIMER_PUMP, PhTask_Now(t->self) + PUMP_PAUSE);
+    }
+}
+
+/* Encodes a record of the election. */
+static PhStr
+entry_encode(PhElectionEntryKind kind, PhStr holder)
+{
+    PhBuf out = {0};
+    msgpack_packer p;
+    msgpack_packer_init(&p, &out, PhPack_Write);
+    msgpack_pack_map(&p, ENTRY_FIELDS);
+    PhPack_U64(&p, ENTRY_KIND, (uint64_t)kind);
+    PhPack_Bytes(&p, ENTRY_HOLDER, holder);
+    return PhBuf_Take(&out);
+}
+
+/* Decodes a record of the election; the holder is copied. */
+static bool
+entry_decode(const PhStoreRecord *record, PhElectionEntry *entry)
+{
+    PhUnpack unpack;
+    uint64_t kind = 0;
+    PhStr holder;
+    bool valid =
+        PhUnpack_Open(&unpack, record->value) &&
+        PhUnpack_U64(PhUnpack_Field(PhUnpack_Root(&unpack), ENTRY_KIND),
+                     &kind) &&
+        kind <= PH_ELECTION_RELEASE &&
+        PhUnpack_Bytes(PhUnpack_Field(PhUnpack_Root(&unpack), ENTRY_HOLDER),
+                       HOLDER_BYTES_MAX, &holder);
+    if (valid) {
+        *entry = (PhElectionEntry){.offset = record->offset,
+                                   .kind = (PhElectionEntryKind)kind,
+                                   .holder = PhStr_Dup(holder)};
+    }
+    PhUnpack_Close(&unpack);
+    return valid;
+}
+
+/* Appends a record of the election. */
+static void
+election_append(PhScheduleTask *t, const PhElectionAction *action)
+{
+    PhStoreMessage m = {.tag = PH_STORE_APPEND};
+    PhStoreAppend *a = &m.as.append;
+    a->topic = PhStr_Dup(PH_SCHED_TOPIC_OWNER);
+    a->condition = PH_STORE_AT;
+    a->at = action->as.append.at;
+    a->records = g_new0(PhStoreRecord, 1);
+    a->record_count = 1;
+    a->records[0].key = PhStr_Dup(OWNER_KEY);
+    a->records[0].value = entry_encode(action->as.append.kind, t->producer);
+    PhScheduleTask_Call(t, CALL_ELECTION_APPEND, &m);
+}
+
+/* Reads the records of the election. */
+static void
+election_read(PhScheduleTask *t, const PhElectionAction *action)
+{
+    PhStoreMessage m = {.tag = PH_STORE_READ};
+    m.as.read.topic = PhStr_Dup(PH_SCHED_TOPIC_OWNER);
+    m.as.read.from = action->as.read.from;
+    m.as.read.wait = action->as.read.wait;
+    PhScheduleTask_Call(t, CALL_ELECTION_READ, &m);
+}
+
+/* Does what the election asks for. */
+static void
+pump_election(PhScheduleTask *t)
+{
+    PhTime now = PhTask_Now(t->self);
+    for (;;) {
+        PhElectionAction action = PhElection_Next(t->election, now);
+        switch (action.tag) {
+        case PH_ELECTION_NOTHING:
+            return;
+        case PH_ELECTION_READ:
+            election_read(t, &action);
+            break;
+        case PH_ELECTION_APPEND:
+            election_append(t, &action);
+            break;
+        }
+    }
+}
+
+/* Begins the takeover: from now on no earlier owner writes records. */
+static void
+begin_fencing(PhScheduleTask *t)
+{
+    PhStoreMessage m = {.tag = PH_STORE_APPEND};
+    PhStoreAppend *a = &m.as.append;
+    t->stage = OWNER_FENCING;
+    t->fence = PhElection_Fence(t->election);
+    t->epochs[CALL_FENCE]++;
+    a->topic = PhStr_Dup(PH_SCHED_TOPIC_RUNS);
+    a->condition = PH_STORE_PRODUCER;
+    a->producer = PhStr_Dup(OWNER_PRODUCER);
+    a->epoch = t->fence;
+    a->sequence = 0;
+    PhScheduleTask_Call(t, CALL_FENCE, &m);
+}
+
+/* Drops the batch of records that is on its way. */
+static void
+batch_clear(PhScheduleTask *t)
+{
+    for (guint i = 0; i < t->batch_records->len; i++) {
+        PhSchedEncoded_Clear(
+            &g_array_index(t->batch_records, PhSchedEncoded, i));
+    }
+    g_array_set_size(t->batch_records, 0);
+    t->batch = 0;
+    t->batch_sent = false;
+    t->epochs[CALL_RECORDS]++;
+}
+
+/* Gives up the ownership.  What was decided and not recorded is forgotten:
+ * the model is read anew. */
+static void
+lose_ownership(PhScheduleTask *t)
+{
+    PhTime now = PhTask_Now(t->self);
+    bool active = t->stage == OWNER_ACTIVE;
+    PhTask_LOG(t->self, PH_EVENT_SCHEDULE_OWNER_LOST,
+               PhField_U64("fence", t->fence),
+               PhField_STR("holder", PhElection_Holder(t->election)));
+    t->stage = OWNER_NOT;
+    batch_clear(t);
+    PhScheduler_SetFence(t->scheduler, 0, now);
+    if (active) {
+        PhSchedModel_ClearJobs(PhScheduler_Model(t->scheduler));
+        PhScheduleTopics_Reload(t);
+    }
+}
+
+/* Becomes active once everything that the earlier owner wrote is known. */
+static void
+try_activate(PhScheduleTask *t)
+{
+    PhTime now = PhTask_Now(t->self);
+    if (!t->runs.loaded || t->runs.next < t->fence_end ||
+        t->jobs.fresh_at < t->fence_at) {
+        PhScheduleTopics_Ask(t, CALL_JOBS_READ);
+        PhScheduleTopics_Ask(t, CALL_RUNS_READ);
+        return;
+    }
+    t->stage = OWNER_ACTIVE;
+    t->batch_sequence = 1;
+    PhScheduler_SetFence(t->scheduler, t->fence, now);
+    PhTask_LOG(t->self, PH_EVENT_SCHEDULE_OWNER_GAINED,
+               PhField_U64("fence", t->fence),
+               PhField_I64("after_ms", (now - t->fence_at) / NS_PER_MS));
+}
+
+/* Compares the role in the election with what this instance does. */
+static void
+pump_role(PhScheduleTask *t)
+{
+    bool owner = PhElection_Role(t->election) == PH_ELECTION_OWNER;
+    if (t->stage != OWNER_NOT &&
+        (!owner || PhElection_Fence(t->election) != t->fence)) {
+        lose_ownership(t);
+    }
+    if (owner && t->stage == OWNER_NOT && !t->draining) {
+        begin_fencing(t);
+    }
+    if (t->stage == OWNER_CATCH_UP) {
+        try_activate(t);
+    }
+}
+
+/* Takes in the outcome of the fence. */
+void
+PhScheduleOwner_OnFence(PhScheduleTask *t, const PhStoreReply *reply)
+{
+    if (t->stage != OWNER_FENCING) {
+        return;
+    }
+    switch (reply->outcome) {
+    case PH_STORE_DONE:
+        t->stage = OWNER_CATCH_UP;
+        t->fence_end = reply->end;
+        t->fence_at = PhTask_Now(t->self);
+        PhScheduleTask_WantPump(t);
+        break;
+    case PH_STORE_FENCED:
+        PhElection_OnDeposed(t->election, PhTask_Now(t->self));
+        PhScheduleTask_WantPump(t);
+        break;
+    case PH_STORE_REFUSED:
+    case PH_STORE_CONFLICT:
+    case PH_STORE_SEQUENCE:
+    case PH_STORE_GONE:
+    case PH_STORE_UNKNOWN:
+        PhTask_SetTimer(t->self, TIMER_RECORDS, PhTask_Now(t->self) + RETRY);
+        break;
+    }
+}
+
+/* Takes in the outcome of a call of the election. */
+void
+PhScheduleOwner_OnElection(PhScheduleTask *t, PhStoreCall call,
+                           const PhStoreReply *reply)
+{
+    PhTime now = PhTask_Now(t->self);
+    if (call == CALL_ELECTION_APPEND) {
+        if (reply->outcome == PH_STORE_DONE) {
+            PhElection_OnAppended(t->election, reply->end, now);
+        }
+        else {
+            PhElection_OnAppendFailed(
+                t->election, reply->outcome == PH_STORE_CONFLICT, now);
+        }
+    }
+    else if (reply->outcome == PH_STORE_DONE) {
+        GArray *entries = g_array_new(FALSE, FALSE, sizeof(PhElectionEntry));
+        for (size_t i = 0; i < reply->record_count; i++) {
+            PhElectionEntry entry;
+            if (entry_decode(&reply->records[i], &entry)) {
+                g_array_append_val(entries, entry);
+            }
+        }
+        PhElection_OnRead(t->election, (const PhElectionEntry *)entries->data,
+                          entries->len, reply->end, now);
+        for (guint i = 0; i < entries->len; i++) {
+            PhStr_Clear(&g_array_index(entries, PhElectionEntry, i).holder);
+        }
+        g_array_free(entries, TRUE);
+    }
+    else {
+        bool gone = reply->outcome == PH_STORE_GONE;
+        PhElection_OnReadFailed(t->election, gone ? reply->first : 0, now);
+    }
+    PhScheduleTask_WantPump(t);
+}
+
+/* Encodes the records of what has changed into the next batch. */
+static void
+take_batch(PhScheduleTask *t)
+{
+    GArray *records = g_array_new(FALSE, FALSE, sizeof(PhSchedRecord));
+    t->batch = PhScheduler_TakeBatch(t->scheduler, records);
+    for (guint i = 0; i < records->len; i++) {
+        PhSchedRecord *record = &g_array_index(records, PhSchedRecord, i);
+        PhSchedEncoded e = PhSchedRecord_Encode(record);
+        g_array_append_val(t->batch_records, e);
+        PhSchedRecord_Clear(record);
+    }
+    g_array_free(records, TRUE);
+}
+
+/* Sends the batch of records, or the same one again. */
+void
+PhScheduleOwner_SendRecords(PhScheduleTask *t)
+{
+    if (t->stage == OWNER_FENCING) {
+        begin_fencing(t);
+        return;
+    }
+    if (t->stage != OWNER_ACTIVE || t->batch_sent) {
+        return;
+    }
+    if (t->batch == 0) {
+        take_batch(t);
+    }
+    if (t->batch == 0) {
+        return;
+    }
+    PhStoreMessage m = {.tag = PH_STORE_APPEND};
+    PhStoreAppend *a = &m.as.append;
+    a->topic = PhStr_Dup(PH_SCHED_TOPIC_RUNS);
+    a->condition = PH_STORE_PRODUCER;
+    a->producer = PhStr_Dup(OWNER_PRODUCER);
+    a->epoch = t->fence;
+    a->sequence = t->batch_sequence;
+    a->records = g_new0(PhStoreRecord, t->batch_records->len);
+    a->record_count = t->batch_records->len;
+    for (guint i = 0; i < t->batch_records->len; i++) {
+        const PhSchedEncoded *e =
+            &g_array_index(t->batch_records, PhSchedEncoded, i);
+        a->records[i].key = PhStr_Dup(e->key);
+        a->records[i].value = PhStr_Dup(e->value);
+    }
+    t->batch_sent = true;
+    PhScheduleTask_Call(t, CALL_RECORDS, &m);
+}
+
+/* Shows the states of jobs that have become durable. */
+static void
+show_states(PhScheduleTask *t, uint64_t batch)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, PhScheduler_Model(t->scheduler)->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        PhSchedJob *job = value;
+        if (job->durable_state != job->state && job->batch <= batch) {
+            job->durable_state = job->state;
+        }
+    }
+}
+
+/* Takes in the outcome of a batch of records. */
+void
+PhScheduleOwner_OnRecords(PhScheduleTask *t, const PhStoreReply *reply)
+{
+    if (t->stage != OWNER_ACTIVE || t->batch == 0) {
+        return;
+    }
+    uint64_t batch = t->batch;
+    t->batch_sent = false;
+    switch (reply->outcome) {
+    case PH_STORE_SEQUENCE:
+        PhTask_LOG(t->self, PH_EVENT_SCHEDULE_SEQUENCE,
+                   PhField_U64("sent", t->batch_sequence),
+                   PhField_U64("expected", reply->first));
+        PhElection_OnDeposed(t->election, PhTask_Now(t->self));
+        break;
+    case PH_STORE_DONE:
+        t->batch_sequence++;
+        t->runs.next = MAX(t->runs.next, reply->end);
+        batch_clear(t);
+        PhScheduler_OnDurable(t->scheduler, batch);
+        show_states(t, batch);
+        break;
+    case PH_STORE_FENCED:
+        PhElection_OnDeposed(t->election, PhTask_Now(t->self));
+        break;
+    case PH_STORE_REFUSED:
+    case PH_STORE_CONFLICT:
+    case PH_STORE_GONE:
+    case PH_STORE_UNKNOWN:
+        PhTask_SetTimer(t->self, TIMER_RECORDS, PhTask_Now(t->self) + RETRY);
+        return;
+    }
+    PhScheduleTask_WantPump(t);
+}
+
+/* Takes in the outcome of an order. */
+void
+PhScheduleOwner_OnOrder(PhScheduleTask *t, const PhOrderReply *r)
+{
+    PhTime now = PhTask_Now(t->self);
+    bool still = true;
+    if (t->stage != OWNER_ACTIVE || r->fence != t->fence) {
+        return;
+    }
+    switch (r->tag) {
+    case PH_SCHED_ACTION_HOLD:
+        still = PhScheduler_OnHold(t->scheduler, r->worker, r->born_ms,
+                                   &r->hold, now);
+        break;
+    case PH_SCHED_ACTION_START:
+        still = PhScheduler_OnStart(t->scheduler, &r->task, r->run, r->outcome,
+                                    r->clock_ms, now);
+        break;
+    case PH_SCHED_ACTION_STOP:
+        still = PhScheduler_OnStop(t->scheduler, &r->task, r->run, r->outcome,
+                                   r->clock_ms, now);
+        break;
+    case PH_SCHED_ACTION_PACE:
+        still = PhScheduler_OnPace(t->scheduler, &r->task, r->run, r->outcome,
+                                   r->percent);
+        break;
+    }
+    if (!still) {
+        PhElection_OnDeposed(t->election, now);
+    }
+    PhScheduleTask_WantPump(t);
+}
+
+/* Gives the orders that are due. */
+static void
+pump_orders(PhScheduleTask *t)
+{
+    PhTime now = PhTask_Now(t->self);
+    PhSchedAction action;
+    while (PhScheduler_NextAction(t->scheduler, now, &action)) {
+        PhOrderMessage m = {.tag = PH_ORDER_SEND};
+        m.as.send.fence = t->fence;
+        m.as.send.action = PhOrder_CopyAction(&action);
+        PhTask_SendTo(t->self, PH_SERVICE_ORDERS, PhOrderMessage_Wrap(&m));
+    }
+}
+
+/* Looks at all that may be due. */
+void
+PhScheduleOwner_Pump(PhScheduleTask *t)
+{
+    PhTime now = PhTask_Now(t->self);
+    t->pump_set = false;
+    pump_election(t);
+    pump_role(t);
+    if (t->stage == OWNER_ACTIVE) {
+        PhScheduler_Plan(t->scheduler, now,
+                         PhTask_Wall(t->self) / PH_NS_PER_MS);
+        PhScheduleOwner_SendRecords(t);
+        pump_orders(t);
+        PhSchedModel_SweepWorkers(PhScheduler_Model(t->scheduler));
+    }
+    PhTime due =
+        MIN(PhElection_Due(t->election), PhScheduler_Due(t->scheduler));
+    if (due != PH_TIME_NEVER && !t->pump_set) {
+        PhTask_SetTimer(t->self, TIMER_PUMP, MAX(due, now + PUMP_PAUSE));
+    }
+}
--- /dev/null
+++ b/services/schedule/schedule_task.c
@@ -0,0 +1,251 @@
+#include "schedule_task.h"
+
+enum {
+    MAILBOX_CAPACITY = 16384,
+    CALL_BITS = 8, /* of a store call's id; the rest is its epoch */
+};
+
+/* A stronger instance claims earlier: this long for a tenth of a core, less
+ * for more. */
+static const PhTime CLAIM_DELAY = 400 * PH_NS_PER_MS;
+static const double CLAIM_STRENGTH = 0.1;
+static const PhTime CLAIM_JITTER = 100 * PH_NS_PER_MS;
+
+/* Sends a call to the store. */
+void
+PhScheduleTask_Call(PhScheduleTask *t, PhStoreCall call, PhStoreMessage *m)
+{
+    m->id = t->epochs[call] << CALL_BITS | (uint64_t)call;
+    PhTask_SendTo(t->self, PH_SERVICE_STORE, PhStoreMessage_Wrap(m));
+}
+
+/* Takes in an answer of the store; a stale one is dropped. */
+static void
+on_store(PhScheduleTask *t, const PhStoreReply *reply)
+{
+    PhStoreCall call = (PhStoreCall)(reply->id & ((1U << CALL_BITS) - 1));
+    if (call >= CALL_KINDS || reply->id >> CALL_BITS != t->epochs[call]) {
+        return;
+    }
+    switch (call) {
+    case CALL_ELECTION_READ:
+    case CALL_ELECTION_APPEND:
+        PhScheduleOwner_OnElection(t, call, reply);
+        break;
+    case CALL_JOBS_READ:
+    case CALL_RUNS_READ:
+        PhScheduleTopics_OnReply(t, call, reply);
+        break;
+    case CALL_ACCEPT:
+        PhScheduleAccept_OnReply(t, reply);
+        break;
+    case CALL_FENCE:
+        PhScheduleOwner_OnFence(t, reply);
+        break;
+    case CALL_RECORDS:
+        PhScheduleOwner_OnRecords(t, reply);
+        break;
+    case CALL_KINDS:
+        break;
+    }
+}
+
+/* Puts a configuration in force. */
+static void
+set_config(PhScheduleTask *t, PhScheduleMessage *m)
+{
+    PhSchedModel *model = PhScheduler_Model(t->scheduler);
+    if (m->as.config->version <= model->config->version) {
+        return;
+    }
+    PhSchedConfig_Destroy(model->config);
+    model->config = m->as.config;
+    m->as.config = NULL;
+    PhTask_LOG(t->self, PH_EVENT_SCHEDULE_CONFIG,
+               PhField_U64("version", model->config->version),
+               PhField_U64("queues", model->config->queues->len));
+}
+
+/* Hands over the ownership before a stop. */
+static void
+begin_drain(PhScheduleTask *t)
+{
+    t->draining = true;
+    PhElection_Stop(t->election);
+    PhScheduler_Quiesce(t->scheduler);
+    PhScheduleTask_WantPump(t);
+}
+
+/* Takes in a message of the own interface. */
+static void
+on_schedule(PhScheduleTask *t, PhTaskRef from, PhScheduleMessage *m)
+{
+    switch (m->tag) {
+    case PH_SCHEDULE_SUBMIT:
+    case PH_SCHEDULE_STATE:
+    case PH_SCHEDULE_CANCEL:
+    case PH_SCHEDULE_PENDING:
+    case PH_SCHEDULE_READY:
+        PhScheduleAccept_OnCall(t, from, m->tag, &m->as.call);
+        break;
+    case PH_SCHEDULE_ANSWER:
+        break;
+    case PH_SCHEDULE_CONFIG:
+        set_config(t, m);
+        break;
+    case PH_SCHEDULE_WORKER:
+        PhScheduler_SetWorker(t->scheduler, &m->as.worker,
+                              PhTask_Now(t->self));
+        PhScheduleTask_WantPump(t);
+        break;
+    case PH_SCHEDULE_NO_WORKER:
+        PhScheduler_RemoveWorker(t->scheduler, m->as.no_worker);
+        break;
+    case PH_SCHEDULE_DRAIN:
+        begin_drain(t);
+        break;
+    }
+}
+
+/* Takes in a message. */
+static void
+on_message(PhScheduleTask *t, const PhMail *mail)
+{
+    const PhMessage *m = &mail->as.message;
+    switch ((PhInterface)m->interface) {
+    case PH_INTERFACE_STORE:
+        on_store(t, &((const PhStoreMessage *)m->body)->as.reply);
+        break;
+    case PH_INTERFACE_ORDERS:
+        PhScheduleOwner_OnOrder(t,
+                                &((const PhOrderMessage *)m->body)->as.reply);
+        break;
+    case PH_INTERFACE_SCHEDULE:
+        on_schedule(t, mail->from, m->body);
+        break;
+    case PH_INTERFACE_HTTP:
+    case PH_INTERFACE_LOG:
+    case PH_INTERFACE_LIST:
+    case PH_INTERFACE_REQUEST:
+    case PH_INTERFACE_CONFIG:
+    case PH_INTERFACE_TASKS:
+    case PH_INTERFACE_WORKER:
+    case PH_INTERFACE_MEMBERS:
+    case PH_INTERFACE_PEERS:
+    case PH_INTERFACE_OPERATORS:
+        break;
+    }
+}
+
+/* Acts on a timer. */
+static void
+on_timer(PhScheduleTask *t, uint64_t token)
+{
+    switch ((PhScheduleTimer)token) {
+    case TIMER_PUMP:
+        PhScheduleOwner_Pump(t);
+        break;
+    case TIMER_JOBS:
+        PhScheduleTopics_Ask(t, CALL_JOBS_READ);
+        break;
+    case TIMER_RUNS:
+        PhScheduleTopics_Ask(t, CALL_RUNS_READ);
+        break;
+    case TIMER_ACCEPT:
+        PhScheduleAccept_Flush(t);
+        break;
+    case TIMER_RECORDS:
+        PhScheduleOwner_SendRecords(t);
+        break;
+    case TIMER_DEADLINES:
+        PhScheduleAccept_Expire(t);
+        break;
+    }
+}
+
+/* Handles a mail of the task "schedule". */
+static void
+schedule_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhScheduleTask *t = state;
+    t->self = self;
+    switch (mail->kind) {
+    case PH_MAIL_START:
+        PhScheduleTopics_Ask(t, CALL_JOBS_READ);
+        PhScheduleTask_WantPump(t);
+        break;
+    case PH_MAIL_MESSAGE:
+        on_message(t, mail);
+        break;
+    case PH_MAIL_TIMER:
+        on_timer(t, mail->as.timer);
+        break;
+    case PH_MAIL_STOP:
+        PhTask_End(self);
+        break;
+    case PH_MAIL_IO:
+    case PH_MAIL_ENDED:
+        break;
+    }
+}
+
+/* Releases the state of the task. */
+static void
+schedule_destroy(void *state)
+{
+    PhScheduleTask *t = state;
+    PhSchedRecord *orphan;
+    while ((orphan = g_queue_pop_head(&t->orphans)) != NULL) {
+        PhSchedRecord_Clear(orphan);
+        g_free(orphan);
+    }
+    for (guint i = 0; i < t->batch_records->len; i++) {
+        PhSchedEncoded_Clear(
+            &g_array_index(t->batch_records, PhSchedEncoded, i));
+    }
+    g_array_free(t->batch_records, TRUE);
+    g_queue_clear_full(&t->accepts, PhScheduleAccept_Destroy);
+    g_ptr_array_free(t->accept, TRUE);
+    PhElection_Destroy(t->election);
+    PhScheduler_Destroy(t->scheduler);
+    PhStr_Clear(&t->producer);
+    PhStr_Clear(&t->jobs.page_after);
+    PhStr_Clear(&t->runs.page_after);
+    g_free(t);
+}
+
+/* Gives the delay of this instance's claims. */
+static PhTime
+claim_delay(const PhScheduleOptions *options)
+{
+    double strength = MAX(options->strength, CLAIM_STRENGTH);
+    PhTime jitter =
+        (PhTime)(PhStr_Hash(options->instance, 0) % (uint64_t)CLAIM_JITTER);
+    return (PhTime)((double)CLAIM_DELAY * CLAIM_STRENGTH / strength) + jitter;
+}
+
+/* Starts the task "schedule". */
+PhStatus
+PhSchedule_Start(PhKernel *kernel, const PhScheduleOptions *options)
+{
+    PhScheduleTask *t = g_new0(PhScheduleTask, 1);
+    PhBuf producer = {0};
+    PhBuf_AppendFormat(&producer, "%.*s.%llu", PhStr_ARG(options->instance),
+                       (unsigned long long)options->incarnation);
+    t->options = *options;
+    t->producer = PhBuf_Take(&producer);
+    t->sequence = 1;
+    t->scheduler = PhScheduler_Create(&(PhSchedulerOptions){
+        .lease_limit = options->lease_limit, .pace_lag = options->pace_lag});
+    t->election = PhElection_Create(t->producer, claim_delay(options));
+    t->jobs.name = PH_SCHED_TOPIC_JOBS;
+    t->runs.name = PH_SCHED_TOPIC_RUNS;
+    t->accept = g_ptr_array_new_with_free_func(PhScheduleAccept_Destroy);
+    t->batch_records = g_array_new(FALSE, TRUE, sizeof(PhSchedEncoded));
+    PhTaskSpec spec = {.name = PH_SERVICE_SCHEDULE,
+                       .mailbox_capacity = MAILBOX_CAPACITY,
+                       .state = t,
+                       .handle = schedule_handle,
+                       .destroy = schedule_destroy};
+    return PhKernel_Spawn(kernel, &spec, NULL);
+}
--- /dev/null
+++ b/services/schedule/schedule_task.h
@@ -0,0 +1,126 @@
+/* What the files of the task "schedule" share. */
+#ifndef PERIDOTHILL_SERVICES_SCHEDULE_SCHEDULE_TASK_H
+#define PERIDOTHILL_SERVICES_SCHEDULE_SCHEDULE_TASK_H
+
+#include "peridothill/codec/schedule_record.h"
+#include "peridothill/decide/schedule/election.h"
+#include "peridothill/services/interface.h"
+#include "peridothill/services/orders.h"
+#include "peridothill/services/schedule.h"
+#include "peridothill/services/store.h"
+
+/* Calls to the store; at most one of each kind is on its way. */
+typedef enum PhStoreCall {
+    CALL_ELECTION_READ,
+    CALL_ELECTION_APPEND,
+    CALL_JOBS_READ,
+    CALL_RUNS_READ,
+    CALL_ACCEPT,
+    CALL_FENCE,
+    CALL_RECORDS,
+    CALL_KINDS,
+} PhStoreCall;
+
+typedef enum PhScheduleTimer {
+    TIMER_PUMP = 1,
+    TIMER_JOBS,
+    TIMER_RUNS,
+    TIMER_ACCEPT,
+    TIMER_RECORDS,
+    TIMER_DEADLINES,
+} PhScheduleTimer;
+
+/* How far this instance is on the way to own the jobs. */
+typedef enum PhOwnerStage {
+    OWNER_NOT,      /* another instance is the owner, or none */
+    OWNER_FENCING,  /* keeps the earlier owner from writing records */
+    OWNER_CATCH_UP, /* reads what the earlier owner wrote */
+    OWNER_ACTIVE,   /* gives orders */
+} PhOwnerStage;
+
+/* A topic that is followed. */
+typedef struct PhTopic {
+    PhStr name;
+    bool loaded; /* the newest records have been read */
+    bool asked;  /* a read is on its way */
+    uint64_t next;
+    PhStr page_after; /* owned */
+    uint64_t page_end;
+    PhTime sent_at;
+    PhTime fresh_at; /* everything acknowledged before is known */
+} PhTopic;
+
+/* A client's call that waits for an append. */
+typedef struct PhAccept {
+    PhScheduleTag tag; /* SUBMIT or CANCEL */
+    uint64_t call;
+    PhTaskRef sender;
+    PhTime deadline;
+    bool answered; /* the deadline passed first */
+    PhStr id;
+    PhSchedSpec spec; /* of SUBMIT */
+} PhAccept;
+
+typedef struct PhScheduleTask {
+    PhTask *self;
+    PhScheduleOptions options;
+    PhScheduler *scheduler;
+    PhElection *election;
+    PhTopic jobs;
+    PhTopic runs;
+    GQueue orphans; /* PhSchedRecord whose job is not known yet */
+    bool pump_set;
+    bool draining;
+    uint64_t epochs[CALL_KINDS]; /* calls with an older number are stale */
+    /* Accepting. */
+    PhStr producer;
+    uint64_t sequence;
+    GQueue accepts;    /* PhAccept that wait */
+    GPtrArray *accept; /* PhAccept in the append on its way */
+    bool accept_sent;
+    bool accept_retried; /* an earlier try may have taken effect */
+    /* Owning. */
+    PhOwnerStage stage;
+    uint64_t fence;
+    uint64_t fence_end; /* end of the records when the fence was set */
+    PhTime fence_at;
+    uint64_t batch; /* on its way, 0 for none */
+    uint64_t batch_sequence;
+    GArray *batch_records; /* PhSchedEncoded of it */
+    bool batch_sent;
+} PhScheduleTask;
+
+/* Sends a call to the store; the reply comes with the kind as its id. */
+void PhScheduleTask_Call(PhScheduleTask *task, PhStoreCall call,
+                         PhStoreMessage *message);
+/* Asks for a look at all that may be due, soon. */
+void PhScheduleTask_WantPump(PhScheduleTask *task);
+
+/* schedule_topics.c: following the topics. */
+void PhScheduleTopics_Ask(PhScheduleTask *task, PhStoreCall call);
+void PhScheduleTopics_OnReply(PhScheduleTask *task, PhStoreCall call,
+                              const PhStoreReply *reply);
+bool PhScheduleTopics_IsFresh(const PhScheduleTask *task);
+/* Reads everything anew. */
+void PhScheduleTopics_Reload(PhScheduleTask *task);
+
+/* schedule_accept.c: clients' calls. */
+void PhScheduleAccept_OnCall(PhScheduleTask *task, PhTaskRef sender,
+                             PhScheduleTag tag, PhScheduleCall *call);
+void PhScheduleAccept_Flush(PhScheduleTask *task);
+void PhScheduleAccept_OnReply(PhScheduleTask *task, const PhStoreReply *reply);
+/* Answers the calls whose clients wait no longer. */
+void PhScheduleAccept_Expire(PhScheduleTask *task);
+void PhScheduleAccept_Destroy(gpointer accept);
+
+/* schedule_owner.c: the election and the owner's work. */
+void PhScheduleOwner_Pump(PhScheduleTask *task);
+void PhScheduleOwner_OnElection(PhScheduleTask *task, PhStoreCall call,
+                                const PhStoreReply *reply);
+void PhScheduleOwner_OnFence(PhScheduleTask *task, const PhStoreReply *reply);
+void PhScheduleOwner_OnRecords(PhScheduleTask *task,
+                               const PhStoreReply *reply);
+void PhScheduleOwner_SendRecords(PhScheduleTask *task);
+void PhScheduleOwner_OnOrder(PhScheduleTask *task, const PhOrderReply *reply);
+
+#endif
--- /dev/null
+++ b/services/schedule/schedule_topics.c
@@ -0,0 +1,220 @@
+/* Following the topics of jobs and of their runs. */
+#include "schedule_task.h"
+
+/* Longest wait of a read: what is known is never older. */
+static const PhTime READ_WAIT = 1000 * PH_NS_PER_MS;
+/* Pause between two reads: the owner has to hear of jobs at once, the others
+ * only have to answer for them. */
+static const PhTime OWNER_PAUSE = 8 * PH_NS_PER_MS;
+static const PhTime FOLLOWER_PAUSE = 120 * PH_NS_PER_MS;
+static const PhTime RETRY = 200 * PH_NS_PER_MS;
+/* An answer may have been on its way for this long. */
+static const PhTime ANSWER_DELAY = 500 * PH_NS_PER_MS;
+/* What is known may be this old for an answer that a job does not exist. */
+static const PhTime FRESH_LIMIT = 2400 * PH_NS_PER_MS;
+enum {
+    ORPHANS_MAX = 4096
+};
+
+/* Gives the topic of a call. */
+static PhTopic *
+topic_of(PhScheduleTask *t, PhStoreCall call)
+{
+    return call == CALL_JOBS_READ ? &t->jobs : &t->runs;
+}
+
+/* Tells whether the topic is followed now: runs need the jobs first, and the
+ * owner writes them itself. */
+static bool
+topic_is_wanted(const PhScheduleTask *t, PhStoreCall call)
+{
+    return call == CALL_JOBS_READ ||
+           (t->jobs.loaded && t->stage != OWNER_ACTIVE);
+}
+
+/* Asks the store for what follows in a topic. */
+void
+PhScheduleTopics_Ask(PhScheduleTask *t, PhStoreCall call)
+{
+    PhTopic *topic = topic_of(t, call);
+    PhStoreMessage m = {0};
+    if (topic->asked || !topic_is_wanted(t, call)) {
+        return;
+    }
+    topic->asked = true;
+    topic->sent_at = PhTask_Now(t->self);
+    if (topic->loaded) {
+        m.tag = PH_STORE_READ;
+        m.as.read.topic = PhStr_Dup(topic->name);
+        m.as.read.from = topic->next;
+        m.as.read.wait = t->stage == OWNER_CATCH_UP ? 0 : READ_WAIT;
+    }
+    else {
+        m.tag = PH_STORE_NEWEST;
+        m.as.newest.topic = PhStr_Dup(topic->name);
+        m.as.newest.after = PhStr_Dup(topic->page_after);
+    }
+    PhScheduleTask_Call(t, call, &m);
+}
+
+/* Applies the records whose job has become known. */
+static void
+retry_orphans(PhScheduleTask *t)
+{
+    PhSchedModel *model = PhScheduler_Model(t->scheduler);
+    for (guint left = t->orphans.length; left > 0; left--) {
+        PhSchedRecord *record = g_queue_pop_head(&t->orphans);
+        if (PhSchedModel_Job(model, record->id) == NULL) {
+            g_queue_push_tail(&t->orphans, record);
+            continue;
+        }
+        PhSchedModel_Apply(model, record, PhTask_Now(t->self));
+        g_free(record);
+    }
+}
+
+/* Keeps a record until its job is known. */
+static void
+keep_orphan(PhScheduleTask *t, PhSchedRecord *record)
+{
+    g_queue_push_tail(&t->orphans, g_memdup2(record, sizeof(*record)));
+    if (t->orphans.length > ORPHANS_MAX) {
+        PhSchedRecord *oldest = g_queue_pop_head(&t->orphans);
+        PhSchedRecord_Clear(oldest);
+        g_free(oldest);
+    }
+}
+
+/* Applies one record that was read. */
+static void
+take_record(PhScheduleTask *t, const PhStoreRecord *r)
+{
+    PhSchedModel *model = PhScheduler_Model(t->scheduler);
+    PhSchedRecord record;
+    if (r->value.len == 0) {
+        return;
+    }
+    PhResult result = PhSchedRecord_Decode(r->key, r->value, &record);
+    if (!PhResult_IsOk(&result)) {
+        PhTask_LOG(t->self, PH_EVENT_SCHEDULE_UNREADABLE,
+                   PhField_STR("key", r->key),
+                   PhField_STR("reason", PhResult_Message(&result)));
+        return;
+    }
+    if (record.tag != PH_SCHED_RECORD_JOB &&
+        PhSchedModel_Job(model, record.id) == NULL) {
+        keep_orphan(t, &record);
+        return;
+    }
+    PhSchedModel_Apply(model, &record, PhTask_Now(t->self));
+}
+
+/* Takes in a page of the newest records. */
+static void
+take_page(PhTopic *topic, const PhStoreReply *reply)
+{
+    if (PhStr_IsEmpty(topic->page_after)) {
+        topic->page_end = reply->end;
+    }
+    PhStr_Clear(&topic->page_after);
+    if (reply->more && reply->record_count > 0) {
+        topic->page_after =
+            PhStr_Dup(reply->records[reply->record_count - 1].key);
+        return;
+    }
+    topic->loaded = true;
+    topic->next = topic->page_end;
+}
+
+/* Takes in a successful answer; gives the pause until the next read. */
+static PhTime
+take_answer(PhScheduleTask *t, PhTopic *topic, const PhStoreReply *reply)
+{
+    PhTime now = PhTask_Now(t->self);
+    for (size_t i = 0; i < reply->record_count; i++) {
+        take_record(t, &reply->records[i]);
+    }
+    if (!topic->loaded) {
+        take_page(topic, reply);
+        return 0;
+    }
+    if (reply->record_count > 0) {
+        topic->next = reply->records[reply->record_count - 1].offset + 1;
+    }
+    if (topic->next >= reply->end) {
+        topic->fresh_at = MAX(topic->sent_at, now - ANSWER_DELAY);
+    }
+    if (reply->record_count == 0) {
+        return 0;
+    }
+    return t->stage == OWNER_NOT ? FOLLOWER_PAUSE : OWNER_PAUSE;
+}
+
+/* Takes in an answer and asks on. */
+void
+PhScheduleTopics_OnReply(PhScheduleTask *t, PhStoreCall call,
+                         const PhStoreReply *reply)
+{
+    PhTopic *topic = topic_of(t, call);
+    PhTime pause = RETRY;
+    topic->asked = false;
+    switch (reply->outcome) {
+    case PH_STORE_DONE:
+        pause = take_answer(t, topic, reply);
+        if (call == CALL_JOBS_READ) {
+            retry_orphans(t);
+            PhScheduleTopics_Ask(t, CALL_RUNS_READ);
+        }
+        PhScheduleTask_WantPump(t);
+        break;
+    case PH_STORE_GONE:
+        topic->loaded = false;
+        pause = 0;
+        break;
+    case PH_STORE_REFUSED:
+    case PH_STORE_CONFLICT:
+    case PH_STORE_FENCED:
+    case PH_STORE_SEQUENCE:
+    case PH_STORE_UNKNOWN:
+        break;
+    }
+    if (t->stage == OWNER_CATCH_UP && reply->outcome == PH_STORE_DONE) {
+        pause = MIN(pause, OWNER_PAUSE);
+    }
+    uint64_t timer = call == CALL_JOBS_READ ? TIMER_JOBS : TIMER_RUNS;
+    if (pause == 0) {
+        PhScheduleTopics_Ask(t, call);
+    }
+    else {
+        PhTask_SetTimer(t->self, timer, PhTask_Now(t->self) + pause);
+    }
+}
+
+/* Tells whether an unknown job may be said not to exist. */
+bool
+PhScheduleTopics_IsFresh(const PhScheduleTask *t)
+{
+    return t->jobs.loaded && t->jobs.fresh_at > 0 &&
+           PhTask_Now(t->self) - t->jobs.fresh_at < FRESH_LIMIT;
+}
+
+/* Forgets what was read and reads everything anew. */
+void
+PhScheduleTopics_Reload(PhScheduleTask *t)
+{
+    PhSchedRecord *orphan;
+    while ((orphan = g_queue_pop_head(&t->orphans)) != NULL) {
+        PhSchedRecord_Clear(orphan);
+        g_free(orphan);
+    }
+    t->jobs.loaded = false;
+    t->jobs.fresh_at = 0;
+    t->runs.loaded = false;
+    PhStr_Clear(&t->jobs.page_after);
+    PhStr_Clear(&t->runs.page_after);
+    t->epochs[CALL_JOBS_READ]++;
+    t->epochs[CALL_RUNS_READ]++;
+    t->jobs.asked = false;
+    t->runs.asked = false;
+    PhScheduleTopics_Ask(t, CALL_JOBS_READ);
+}
