schedule: learn interference by pair of images

Change: the load that an image which fills adds to an image that serves is learned per pair (normalised LMS on changes between looks); fillers are placed where the predicted load stays under 0.70 and paced by what each adds; serving tasks gather by image.

--- a/decide/schedule/contact.c
+++ b/decide/schedule/contact.c
@@ -427,7 +427,6 @@
                                    .draining = w->entry.draining};
         PhSchedWorker_SetEntry(next, &copy);
         next->listed = w->listed;
-        next->fill_percent = 100;
     }
     for (guint i = w->tasks->len; i-- > 0;) {
         PhSchedTask *task = g_ptr_array_index(w->tasks, i);
--- /dev/null
+++ b/decide/schedule/interference.h
@@ -0,0 +1,37 @@
+/* What tasks that fill cost the tasks that serve beside them, learned by pair
+ * of images from the workers' rough figures (as in Paragon and Bubble-Up,
+ * docs/RELATED.md).
+ *
+ * The load of a serving task is a number from 0 to 1: its tail is that of an
+ * idle task divided by what is left of 1, as in a queue.  Each share of the
+ * worker's CPU that a filling task uses adds to it, by a factor for the pair
+ * of images; the rest is the task's own. */
+#ifndef PERIDOTHILL_DECIDE_SCHEDULE_INTERFERENCE_H
+#define PERIDOTHILL_DECIDE_SCHEDULE_INTERFERENCE_H
+
+#include "peridothill/decide/schedule/model.h"
+
+typedef struct PhInterference PhInterference;
+
+PhInterference *PhInterference_Create(void);
+void PhInterference_Destroy(PhInterference *interference);
+/* The load that one CPU share of `fill` adds to a task of `serving`. */
+double PhInterference_Factor(const PhInterference *interference, uint32_t fill,
+                             uint32_t serving);
+/* Learns from the figures of a look at a worker at `now`. */
+void PhInterference_Learn(PhInterference *interference, PhSchedWorker *worker,
+                          PhTime now);
+/* Works out anew how much load the serving images on a worker can bear. */
+void PhInterference_Refresh(const PhInterference *interference,
+                            PhSchedWorker *worker);
+/* How much would be left on a worker of the image that can bear least, if a
+ * task of this step filled there; below 0: too much. */
+double PhInterference_HeadroomAfter(const PhInterference *interference,
+                                    const PhSchedWorker *worker,
+                                    const PhSchedStep *step);
+/* Sets the pace of each filling image on a worker so that every serving task
+ * stays within its target. */
+void PhInterference_Pace(const PhInterference *interference,
+                         PhSchedWorker *worker, PhTime now);
+
+#endif
--- a/decide/schedule/model.c
+++ b/decide/schedule/model.c
@@ -41,6 +41,8 @@
     PhSchedWorker *w = value;
     PhSchedWorkerEntry_Clear(&w->entry);
     g_ptr_array_free(w->tasks, TRUE);
+    g_array_free(w->fill_use, TRUE);
+    g_array_free(w->headroom, TRUE);
     g_free(w);
 }
 
@@ -54,6 +56,8 @@
     m->workers = g_hash_table_new(PhStr_KeyHash, PhStr_KeyEqual);
     m->lives = g_ptr_array_new_with_free_func(worker_destroy);
     m->active = g_ptr_array_new();
+    m->images = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
+                                      PhStr_KeyDestroy, NULL);
     m->config = PhSchedConfig_Create();
     return m;
 }
@@ -68,6 +72,7 @@
     g_hash_table_destroy(m->workers);
     g_ptr_array_free(m->lives, TRUE);
     g_ptr_array_free(m->active, TRUE);
+    g_hash_table_destroy(m->images);
     g_hash_table_destroy(m->jobs);
     PhSchedConfig_Destroy(m->config);
     g_free(m);
@@ -109,6 +114,22 @@
     }
 }
 
+/* Gives the number of an image, 0 for none and for those past the bound. */
+static uint32_t
+image_number(PhSchedModel *m, PhStr image)
+{
+    guint known = g_hash_table_size(m->images);
+    if (image.len == 0) {
+        return 0;
+    }
+    gpointer number = g_hash_table_lookup(m->images, &image);
+    if (number == NULL && known + 1 < PH_SCHED_IMAGES_MAX) {
+        number = GUINT_TO_POINTER(known + 1);
+        g_hash_table_insert(m->images, PhStr_KeyCreate(image), number);
+    }
+    return GPOINTER_TO_UINT(number);
+}
+
 /* Adds a job unless its id is known. */
 PhSchedJob *
 PhSchedModel_AddJob(PhSchedModel *m, PhSchedSpec *spec, PhTime now)
@@ -122,6 +143,10 @@
     job->spec = *spec;
     *spec = (PhSchedSpec){0};
     job->accepted_at = now;
+    for (uint32_t i = 0; i < job->spec.step_count; i++) {
+        PhSchedStep *step = &job->spec.steps[i];
+        step->image_number = image_number(m, step->image);
+    }
     if (job->spec.repetitions == 0) {
         PhSchedJob_OpenRounds(job, 1);
         job->rounds_due = 1;
@@ -276,6 +301,8 @@
     w->entry.id = PhStr_Dup(id);
     w->entry.born_ms = born_ms;
     w->tasks = g_ptr_array_new();
+    w->fill_use = g_array_new(FALSE, TRUE, sizeof(PhSchedFillUse));
+    w->headroom = g_array_new(FALSE, TRUE, sizeof(PhSchedHeadroom));
     g_ptr_array_add(m->lives, w);
     if (newest == NULL || newest->entry.born_ms < born_ms) {
         g_hash_table_replace(m->workers, &w->entry.id, w);
--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -5,8 +5,9 @@
 /* Serving tasks use under half of what they declare on average and swing by
  * half around it (docs/measures/schedule.md). */
 static const int64_t SERVING_USE_PERCENT = 55;
-/* Below this share at which fillers work, a worker takes no more of them. */
-static const int8_t FILL_PERCENT_LEAST = 60;
+/* How well an empty worker suits a task that serves, where one on which all
+ * serving tasks have its image has 1. */
+static const double EMPTY_MATCH = 0.5;
 enum {
     PERCENT = 100
 };
@@ -123,8 +124,7 @@
         return false;
     }
     if (step->fills) {
-        return w->fill_percent >= FILL_PERCENT_LEAST &&
-               fill_left(w) >= step->room.cpu_milli;
+        return fill_left(w) >= step->room.cpu_milli;
     }
     return w->used.cpu_milli + step->room.cpu_milli <= c->cpu_milli;
 }
@@ -148,18 +148,36 @@
            stage_tasks_on(w, stage) < step->max_per_worker;
 }
 
-/* Rates a worker for a task: the share of its CPU that stays free.  Where the
- * data is counts most. */
+/* Tells which share of the serving images on a worker are the step's own. */
 static double
-worker_score(const PhSchedWorker *w, const PhSchedStep *step)
+image_match(const PhSchedWorker *w, const PhSchedStep *step)
+{
+    for (guint i = 0; i < w->headroom->len; i++) {
+        if (g_array_index(w->headroom, PhSchedHeadroom, i).image ==
+            step->image_number) {
+            return 1.0 / w->headroom->len;
+        }
+    }
+    return w->headroom->len == 0 ? EMPTY_MATCH : 0;
+}
+
+/* Rates a worker for a task: the share of its CPU that stays free.  Tasks that
+ * serve gather by image, so that what fills beside them has few images to
+ * disturb; where the data is counts most. */
+static double
+worker_score(const PhScheduler *s, const PhSchedWorker *w,
+             const PhSchedStep *step)
 {
     double capacity = (double)MAX(w->entry.capacity.cpu_milli, 1);
-    double left = (double)fill_left(w);
-    if (!step->fills) {
-        left = (double)(w->entry.capacity.cpu_milli - w->used.cpu_milli) +
-               (double)fill_left(w) / 4;
+    double score =
+        (double)(w->entry.capacity.cpu_milli - w->used.cpu_milli) / capacity;
+    if (step->fills) {
+        score = PhInterference_HeadroomAfter(s->interference, w, step) +
+                (double)fill_left(w) / capacity / 4;
+    }
+    else if (PhSchedStep_Serves(step)) {
+        score += image_match(w, step);
     }
-    double score = left / capacity;
     if (step->affinity.len > 0 &&
         (PhStr_Equal(step->affinity, w->entry.rack) ||
          has_label(w, step->affinity))) {
@@ -180,7 +198,11 @@
         if (!worker_is_usable(w, now) || !worker_fits(w, task)) {
             continue;
         }
-        double score = worker_score(w, step);
+        if (step->fills &&
+            PhInterference_HeadroomAfter(s->interference, w, step) < 0) {
+            continue;
+        }
+        double score = worker_score(s, w, step);
         if (best == NULL || score > best_score) {
             best = w;
             best_score = score;
@@ -203,7 +225,9 @@
     task->confirmed_clock = 0;
     task->confirmed_at = 0;
     task->percent_told = PERCENT;
-    task->percent = PhSchedTask_Step(task)->fills ? w->fill_percent : PERCENT;
+    task->percent = PERCENT;
+    task->load_at = 0;
+    PhInterference_Refresh(s->interference, w);
     PhScheduler_TouchStage(s, task->stage);
     g_queue_push_tail(&s->starts, task);
     if (job->state == PH_SCHED_JOB_QUEUED) {
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -22,6 +22,7 @@
     s->options = *options;
     s->model = PhSchedModel_Create();
     s->open_batch = 1;
+    s->interference = PhInterference_Create();
     s->dirty_stages = g_ptr_array_new();
     s->dirty_jobs = g_ptr_array_new();
     return s;
@@ -57,6 +58,7 @@
     orders_clear(s);
     g_ptr_array_free(s->dirty_stages, TRUE);
     g_ptr_array_free(s->dirty_jobs, TRUE);
+    PhInterference_Destroy(s->interference);
     PhSchedModel_Destroy(s->model);
     g_free(s);
 }
@@ -86,7 +88,6 @@
     w->acked = 0;
     w->seen_batch = 0;
     w->cooldown_until = 0;
-    w->fill_percent = 100;
     w->lapse_by = now + OLD_OWNER_LIMIT + LEASE;
     w->failing_since = 0;
     for (guint i = 0; i < w->tasks->len; i++) {
@@ -242,6 +243,9 @@
                         done ? PH_SCHED_TASK_DONE : PH_SCHED_TASK_WAITING);
     task->since = now;
     s->place_due = true;
+    if (step->fills || PhSchedStep_Serves(step)) {
+        PhInterference_Refresh(s->interference, w);
+    }
     PhScheduler_TouchStage(s, stage);
     if (saved.len > 0) {
         PhStr_Clear(&task->saved);
@@ -421,7 +425,6 @@
     }
     bool usable = w->listed && !w->entry.draining;
     if (!w->listed && w->tasks->len == 0 && !w->dead) {
-        w->fill_percent = 100;
         w->lapse_by = now;
     }
     w->listed = true;
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -2,6 +2,7 @@
 #ifndef PERIDOTHILL_DECIDE_SCHEDULE_SCHEDULER_PRIVATE_H
 #define PERIDOTHILL_DECIDE_SCHEDULE_SCHEDULER_PRIVATE_H
 
+#include "interference.h"
 #include "peridothill/decide/schedule/scheduler.h"
 
 struct PhScheduler {
@@ -21,6 +22,7 @@
     GQueue holds;            /* PhSchedWorker whose hold is due */
     PhTime due;
     bool place_due; /* something has changed that may allow a start */
+    PhInterference *interference;
 };
 
 /* A run that no task stands behind, to be stopped. */
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -60,8 +60,12 @@
     int8_t percent_told; /* and as the worker was told */
     const PhSchedWorker *failed_on; /* worker of the last failed run; only
                                        compared */
-    int64_t figure; /* last rough figure: tail in ms of a serving task,
-                       else thousandths of a core in use */
+    double own_load; /* of a serving task: the part of its load that no other
+                        task causes, as learned */
+    double load;     /* at the last look */
+    PhTime load_at;  /* of that look, 0 for none */
+    int64_t figure;  /* last rough figure: tail in ms of a serving task,
+                        else thousandths of a core in use */
     PhTime figure_at;
 } PhSchedTask;
 
@@ -111,6 +115,24 @@
     bool draining;
 } PhSchedWorkerEntry;
 
+/* CPU that tasks of an image which fills use, as a share of the worker's. */
+typedef struct PhSchedFillUse {
+    uint32_t image;
+    double share;      /* as last seen */
+    double full_share; /* if all worked at full pace */
+    int8_t percent;    /* pace of the image here */
+} PhSchedFillUse;
+
+/* Load that tasks of a serving image can still bear on a worker. */
+typedef struct PhSchedHeadroom {
+    uint32_t image;
+    double load;
+} PhSchedHeadroom;
+
+enum {
+    PH_SCHED_IMAGES_MAX = 64 /* told apart; further ones share number 0 */
+};
+
 /* One life of a worker. */
 struct PhSchedWorker {
     PhSchedWorkerEntry entry;
@@ -133,8 +155,8 @@
     PhSchedRoom used;          /* declared by tasks that do not fill */
     int64_t fill_cpu_milli;    /* declared by tasks that fill */
     int64_t serving_cpu_milli; /* declared by serving tasks */
-    int8_t fill_percent;       /* share at which tasks that fill work here */
-    PhTime paced_at;           /* the share last changed */
+    GArray *fill_use;          /* PhSchedFillUse at the last look */
+    GArray *headroom; /* PhSchedHeadroom of each image that serves here */
 };
 
 /* All jobs and workers. */
@@ -143,6 +165,7 @@
     GHashTable *workers; /* newest life of each by id */
     GPtrArray *lives;    /* every PhSchedWorker, owned */
     GPtrArray *active;   /* PhSchedJob that are not over, not owned */
+    GHashTable *images;  /* number of each image, from 1 */
     PhSchedConfig *config;
 } PhSchedModel;
 
--- a/include/peridothill/decide/schedule/spec.h
+++ b/include/peridothill/decide/schedule/spec.h
@@ -38,6 +38,7 @@
     PhStr requires;          /* a label of the worker, empty for any */
     PhStr affinity;          /* rack that holds the data, empty for any */
     PhStr image;             /* tasks of one image behave alike */
+    uint32_t image_number;   /* of the image, given by the model */
     uint32_t max_per_worker; /* 0 for no limit */
     uint32_t may_miss;       /* tasks that may be away at a time */
     PhTime tail_target;      /* of a serving task, 0 for none */
--- a/services/platform/http.c
+++ b/services/platform/http.c
@@ -6,6 +6,9 @@
 enum {
     MAILBOX_CAPACITY = 4096,
     CURL_TIMER_TOKEN = 0,
+    /* Idle connections that are kept: libcurl's own bound follows the number
+     * of transfers and closes connections to workers between two orders. */
+    CONNECTIONS_KEPT = 2048,
 };
 
 /* Ends every transfer that libcurl has finished with. */
@@ -78,6 +81,8 @@
     curl_multi_setopt(http->multi, CURLMOPT_SOCKETDATA, http);
     curl_multi_setopt(http->multi, CURLMOPT_TIMERFUNCTION, on_curl_timer);
     curl_multi_setopt(http->multi, CURLMOPT_TIMERDATA, http);
+    curl_multi_setopt(http->multi, CURLMOPT_MAXCONNECTS,
+                      (long)CONNECTIONS_KEPT);
 }
 
 /* Ends the transfer that the sender started with this id. */
