schedule: move stalled fillers, and order work by what can still be in time

Cause: fillers that met a heavy pair stayed paced at 0 while other workers had room; late plans held up those that could be in time.

--- a/decide/schedule/interference.c
+++ b/decide/schedule/interference.c
@@ -19,7 +19,7 @@
 /* Figures further apart than this are not compared. */
 static const PhTime LEARN_SPAN = 1500 * PH_NS_PER_MS;
 /* Tails during the start of a task tell nothing. */
-static const PhTime WARM_UP = 1500 * PH_NS_PER_MS;
+static const PhTime WARM_UP = 3000 * PH_NS_PER_MS;
 /* Share of a pace that is left when a tail is over its target. */
 static const double OVERSHOOT_CUT = 0.5;
 enum {
--- a/decide/schedule/model.c
+++ b/decide/schedule/model.c
@@ -392,6 +392,7 @@
     task->state = state;
     task->ordering = false;
     task->uncertain = false;
+    task->stalled_since = 0;
     task->stopping = false;
     task->stop_sent = false;
     task->stage->placed--;
--- a/decide/schedule/pacing.c
+++ b/decide/schedule/pacing.c
@@ -1,6 +1,13 @@
 /* Carries out the paces of tasks that fill after a look at their worker. */
 #include "scheduler_private.h"
 
+/* A task that is slowed to this share or less stalls. */
+static const int8_t STALLED_PERCENT = 30;
+/* Stalls shorter than this pass: loads swing within seconds. */
+static const PhTime MOVE_AFTER = 1000 * PH_NS_PER_MS;
+/* A task that saves no progress is only moved when it is this young. */
+static const PhTime MOVE_LOSS_MOST = 2500 * PH_NS_PER_MS;
+
 /* Gives the pace of an image on a worker. */
 static int8_t
 image_pace(const PhSchedWorker *w, uint32_t image)
@@ -15,6 +22,33 @@
     return 100;
 }
 
+/* Notes since when a task that fills has been slowed to little. */
+static void
+note_stall(PhSchedTask *task, PhTime now)
+{
+    if (task->percent > STALLED_PERCENT) {
+        task->stalled_since = 0;
+    }
+    else if (task->stalled_since == 0) {
+        task->stalled_since = now;
+    }
+}
+
+/* Moves a task that fills away from a worker where it is slowed to little, if
+ * another one has room; what it has not saved is lost. */
+static void
+maybe_move(PhScheduler *s, PhSchedTask *task, PhTime now)
+{
+    bool cheap = PhSchedTask_Step(task)->saves_progress ||
+                 now - task->since < MOVE_LOSS_MOST;
+    if (task->stalled_since == 0 || now - task->stalled_since < MOVE_AFTER ||
+        !cheap || task->stopping || task->state != PH_SCHED_TASK_RUNNING ||
+        !PhScheduler_HasBetterPlace(s, task, now)) {
+        return;
+    }
+    PhScheduler_StopTask(s, task);
+}
+
 /* Adjusts the pace on one worker after a look at it. */
 void
 PhScheduler_PaceWorker(PhScheduler *s, PhSchedWorker *w, PhTime now)
@@ -32,6 +66,8 @@
             task->percent != task->percent_told) {
             g_queue_push_tail(&s->paces, task);
         }
+        note_stall(task, now);
+        maybe_move(s, task, now);
     }
     PhInterference_Refresh(s->interference, w);
 }
--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -8,17 +8,30 @@
 /* How well an empty worker suits a task that serves, where one on which all
  * serving tasks have its image has 1. */
 static const double EMPTY_MATCH = 0.5;
+/* A task is moved only to where this much load is left over. */
+static const double MOVE_HEADROOM = 0.10;
 enum {
-    PERCENT = 100
+    PERCENT = 100,
+    LATE_OBJECTIVES = 3, /* until then a late job is still worth something */
 };
 
+/* How a job stands to its objective. */
+typedef enum PhJobHope {
+    HOPE_IN_TIME, /* the rest of its chain still fits */
+    HOPE_LATE,    /* it is worth less, but still something */
+    HOPE_NONE,
+} PhJobHope;
+
 /* A stage with waiting tasks and its place in the order. */
 typedef struct PhCandidate {
     PhSchedStage *stage;
-    PhTime due; /* objective of the job less what remains to be done */
+    PhJobHope hope;
+    PhTime slack; /* objective less what remains of the longest chain */
+    double work;  /* what remains of the job, by estimate */
 } PhCandidate;
 
-/* Orders candidates by priority, then by the time they have left. */
+/* Orders candidates: the jobs that can be in time first, by priority and by
+ * slack; then those with least work left (shortest remaining time first). */
 static gint
 candidate_compare(gconstpointer a, gconstpointer b)
 {
@@ -29,38 +42,77 @@
     if (px != py) {
         return px < py ? -1 : 1;
     }
-    if (x->due != y->due) {
-        return x->due < y->due ? -1 : 1;
+    if (x->hope != y->hope) {
+        return x->hope < y->hope ? -1 : 1;
+    }
+    if (x->hope == HOPE_IN_TIME && x->slack != y->slack) {
+        return x->slack < y->slack ? -1 : 1;
+    }
+    if (x->work != y->work) {
+        return x->work < y->work ? -1 : 1;
     }
     return PhStr_Compare(x->stage->job->spec.id, y->stage->job->spec.id);
 }
 
-/* Gives the time by which the job's objective asks it to be done. */
+/* Gives what remains of the longest chain in a round, by estimate, and adds
+ * up the work that is left. */
 static PhTime
-job_due(const PhSchedJob *job)
+round_remaining(const PhSchedJob *job, uint32_t k, double *work)
 {
+    PhTime ends[PH_SCHED_STEPS_MAX] = {0};
+    PhTime longest = 0;
+    for (uint32_t i = 0; i < job->spec.step_count; i++) {
+        const PhSchedStep *step = &job->spec.steps[i];
+        uint32_t left = step->count - job->rounds[k].stages[i].done;
+        PhTime begin = 0;
+        for (uint32_t j = 0; j < step->after_count; j++) {
+            begin = MAX(begin, ends[step->after[j]]);
+        }
+        ends[i] = begin + (left > 0 ? step->estimate : 0);
+        longest = MAX(longest, ends[i]);
+        *work += (double)left * (double)step->estimate *
+                 (double)step->room.cpu_milli;
+    }
+    return longest;
+}
+
+/* Rates a job against its objective. */
+static PhCandidate
+job_rate(const PhSchedJob *job, uint32_t k, PhTime now)
+{
+    PhCandidate c = {0};
     const PhSchedTerms *terms = &job->spec.terms;
-    PhTime chain = PhSchedSpec_Chain(&job->spec);
-    return job->accepted_at + terms->slack +
-           (PhTime)(terms->stretch * (double)chain) - chain;
+    PhTime objective =
+        terms->slack +
+        (PhTime)(terms->stretch * (double)PhSchedSpec_Chain(&job->spec));
+    PhTime age = now - job->accepted_at;
+    PhTime rest = round_remaining(job, k, &c.work);
+    c.slack = objective - age - rest;
+    if (c.slack >= 0 || job->spec.repetitions > 0) {
+        c.hope = HOPE_IN_TIME;
+    }
+    else {
+        c.hope =
+            age + rest <= LATE_OBJECTIVES * objective ? HOPE_LATE : HOPE_NONE;
+    }
+    return c;
 }
 
 /* Collects the stages that may start. */
 static GArray *
-candidates_collect(const PhScheduler *s)
+candidates_collect(const PhScheduler *s, PhTime now)
 {
     GArray *list = g_array_new(FALSE, FALSE, sizeof(PhCandidate));
     for (guint i = 0; i < s->model->active->len; i++) {
         PhSchedJob *job = g_ptr_array_index(s->model->active, i);
-        PhTime due = job_due(job);
         for (uint32_t k = 0; k < job->round_count; k++) {
             if (job->rounds[k].done == job->spec.step_count) {
                 continue;
             }
+            PhCandidate c = job_rate(job, k, now);
             for (uint32_t j = 0; j < job->spec.step_count; j++) {
-                PhSchedStage *stage = &job->rounds[k].stages[j];
-                if (stage->waiting > 0 && PhSchedStage_IsReady(stage)) {
-                    PhCandidate c = {.stage = stage, .due = due};
+                c.stage = &job->rounds[k].stages[j];
+                if (c.stage->waiting > 0 && PhSchedStage_IsReady(c.stage)) {
                     g_array_append_val(list, c);
                 }
             }
@@ -211,6 +263,23 @@
     return best;
 }
 
+/* Tells whether another worker would let a task work undisturbed. */
+bool
+PhScheduler_HasBetterPlace(const PhScheduler *s, const PhSchedTask *task,
+                           PhTime now)
+{
+    for (guint i = 0; i < s->model->lives->len; i++) {
+        const PhSchedWorker *w = g_ptr_array_index(s->model->lives, i);
+        if (w != task->worker && worker_is_usable(w, now) &&
+            worker_fits(w, task) &&
+            PhInterference_HeadroomAfter(
+                s->interference, w, PhSchedTask_Step(task)) > MOVE_HEADROOM) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Records the start of a task on a worker. */
 static void
 task_start(PhScheduler *s, PhSchedTask *task, PhSchedWorker *w, PhTime now)
@@ -259,7 +328,7 @@
 void
 PhScheduler_PlaceTasks(PhScheduler *s, PhTime now)
 {
-    GArray *list = candidates_collect(s);
+    GArray *list = candidates_collect(s, now);
     bool all = true;
     for (guint i = 0; i < list->len; i++) {
         all &= stage_place(s, g_array_index(list, PhCandidate, i).stage, now);
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -54,6 +54,10 @@
 
 /* placement.c: places waiting tasks on workers. */
 void PhScheduler_PlaceTasks(PhScheduler *scheduler, PhTime now);
+/* Tells whether another worker would let a task that fills work undisturbed,
+ * with room to spare. */
+bool PhScheduler_HasBetterPlace(const PhScheduler *scheduler,
+                                const PhSchedTask *task, PhTime now);
 /* pacing.c: adjusts the tasks that fill beside tasks that serve. */
 void PhScheduler_PaceWorker(PhScheduler *scheduler, PhSchedWorker *worker,
                             PhTime now);
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -67,6 +67,7 @@
     int64_t figure;  /* last rough figure: tail in ms of a serving task,
                         else thousandths of a core in use */
     PhTime figure_at;
+    PhTime stalled_since; /* slowed to little since then, 0 for not */
 } PhSchedTask;
 
 /* A step within one round of a job. */
