serve: read the settings again on SIGHUP; states of jobs on demand

A GET at a follower saw states up to 120 ms old, and the followers' reads were the dearest price.

Change: SIGHUP reloads the log's settings; a follower reads the runs when it is asked, and every 400 ms otherwise; paces rise in steps of 20.

--- a/commands/serve.c
+++ b/commands/serve.c
@@ -18,6 +18,10 @@
     PhKernel *kernel;
     ev_signal terminate;
     ev_signal interrupt;
+    ev_signal hangup;
+    const char *path;
+    PhLog *log;
+    PhClock *clock;
 } PhServe;
 
 /* Reads a whole file that a setting names; an empty name reads nothing. */
@@ -86,6 +90,33 @@
     PhInstance_Stop(s->kernel);
 }
 
+/* Reads the settings file again.  The level and form of log lines change at
+ * once; what else has changed counts from the next start. */
+static void
+on_hangup(struct ev_loop *loop, ev_signal *watcher, int revents)
+{
+    PhServe *s = watcher->data;
+    PhSettings fresh = {0};
+    PhBuf errors = {0};
+    (void)loop;
+    (void)revents;
+    PhResult r = PhSettings_Load(PhStr_FromC(s->path), &fresh, &errors);
+    PhTime now = PhClock_Now(s->clock);
+    if (PhResult_IsOk(&r)) {
+        PhLog_SetLevel(s->log, fresh.log.level);
+        PhLog_SetFormat(s->log, fresh.log.format);
+        PhLog_EMIT(
+            s->log, PH_EVENT_SETTINGS_RELOADED, PH_SERVICE_SUPERVISOR, now,
+            PhField_STR("level", PhStr_FromC(PhLevel_Name(fresh.log.level))));
+    }
+    else {
+        PhLog_EMIT(s->log, PH_EVENT_SETTINGS_INVALID, PH_SERVICE_SUPERVISOR,
+                   now, PhField_STR("errors", PhBuf_Str(&errors)));
+    }
+    PhBuf_Clear(&errors);
+    PhSettings_Clear(&fresh);
+}
+
 /* Leaves the loop once every service has ended. */
 static void
 on_stopped(void *context)
@@ -101,6 +132,9 @@
     signal(SIGPIPE, SIG_IGN);
     ev_signal_init(&s->terminate, on_signal, SIGTERM);
     ev_signal_init(&s->interrupt, on_signal, SIGINT);
+    ev_signal_init(&s->hangup, on_hangup, SIGHUP);
+    s->hangup.data = s;
+    ev_signal_start(s->loop, &s->hangup);
     s->terminate.data = s;
     s->interrupt.data = s;
     ev_signal_start(s->loop, &s->terminate);
@@ -127,6 +161,8 @@
     PhCounters *counters = PhCounters_Create();
     PhLog *log =
         PhLog_Create(stderr, s->settings.log.format, s->settings.log.level);
+    s->log = log;
+    s->clock = clock;
     s->loop = ev_loop_new(EVFLAG_AUTO);
     s->kernel = PhKernel_Create(&(PhKernelOptions){
         .clock = clock, .loop = s->loop, .log = log, .counters = counters});
@@ -141,9 +177,9 @@
     randombytes_buf(&options.seed, sizeof(options.seed));
     PhInstancePorts ports = {0};
     bool schedules = s->settings.scheduler.store.len > 0;
-    PhResult r =
-        schedules ? PhAdapter_StartInstance(s->kernel, &options, &ports)
-                  : PhInstance_Start(s->kernel, &options, &ports);
+    PhResult r = schedules
+                     ? PhAdapter_StartInstance(s->kernel, &options, &ports)
+                     : PhInstance_Start(s->kernel, &options, &ports);
     if (PhResult_IsOk(&r)) {
         log_started(log, clock, &s->settings, &ports);
         watch_signals(s);
@@ -180,7 +216,7 @@
 static int
 serve_file(const char *path, const char *log_format)
 {
-    PhServe s = {0};
+    PhServe s = {.path = path};
     PhResult r = serve_load(&s, path);
     if (PhResult_IsOk(&r)) {
         r = set_log_format(&s, log_format);
--- a/common/log.c
+++ b/common/log.c
@@ -20,6 +20,20 @@
     return log;
 }
 
+/* Changes the least level that is written. */
+void
+PhLog_SetLevel(PhLog *log, PhLevel least)
+{
+    log->least = least;
+}
+
+/* Changes the form of lines. */
+void
+PhLog_SetFormat(PhLog *log, PhLogFormat format)
+{
+    log->format = format;
+}
+
 /* Releases the logger and leaves its sink open; NULL is allowed. */
 void
 PhLog_Destroy(PhLog *log)
--- a/decide/schedule/interference.c
+++ b/decide/schedule/interference.c
@@ -25,6 +25,7 @@
 enum {
     PERCENT = 100,
     PACE_STEP = 10, /* paces are multiples of this */
+    PACE_RISE = 20, /* a smaller rise is not worth an order */
     PACE_LEAST = 5, /* percent; less is none */
 };
 
@@ -329,9 +330,12 @@
     for (guint i = 0; i < count; i++) {
         PhSchedFillUse *u = &g_array_index(w->fill_use, PhSchedFillUse, i);
         int percent = (int)(paces[i] * PERCENT);
-        percent = percent < PACE_STEP ? (percent < PACE_LEAST ? 0 : percent)
-                                      : percent / PACE_STEP * PACE_STEP;
-        u->percent = (int8_t)percent;
+        percent = percent < PACE_LEAST ? 0 : percent;
+        bool rises = percent >= u->percent;
+        if (!rises || percent - u->percent >= PACE_RISE ||
+            percent >= PERCENT) {
+            u->percent = (int8_t)(percent - percent % PACE_STEP);
+        }
     }
     g_free(paces);
 }
--- a/include/peridothill/common/log.h
+++ b/include/peridothill/common/log.h
@@ -46,6 +46,9 @@
 /* Writes to `sink`, which stays the caller's.  A NULL log discards. */
 PhLog *PhLog_Create(FILE *sink, PhLogFormat format, PhLevel least);
 void PhLog_Destroy(PhLog *log);
+/* Change what is written from now on. */
+void PhLog_SetLevel(PhLog *log, PhLevel least);
+void PhLog_SetFormat(PhLog *log, PhLogFormat format);
 /* Writes one event at time `now` of the named task. */
 void PhLog_Write(PhLog *log, PhEventId id, PhStr task, PhTime now,
                  const PhField *fields, size_t count);
--- a/services/schedule/schedule_accept.c
+++ b/services/schedule/schedule_accept.c
@@ -124,7 +124,18 @@
     accept_add(t, sender, PH_SCHEDULE_CANCEL, call, id, NULL);
 }
 
-/* Tells the state of a job. */
+/* Answers with the state of a job as the store has it. */
+static void
+answer_state(PhScheduleTask *t, PhTaskRef sender, uint64_t call,
+             const PhSchedJob *job)
+{
+    PhScheduleAnswer a = {.id = call,
+                          .tag = PH_SCHEDULE_JOB_STATE,
+                          .as.state = job->durable_state};
+    answer(t, sender, a);
+}
+
+/* Tells the state of a job; the newest records are read first. */
 static void
 on_state(PhScheduleTask *t, PhTaskRef sender, const PhScheduleCall *call,
          PhStr id)
@@ -137,10 +148,43 @@
                    fresh ? PH_SCHEDULE_NO_JOB : PH_SCHEDULE_REFUSED);
         return;
     }
-    PhScheduleAnswer a = {.id = call->id,
-                          .tag = PH_SCHEDULE_JOB_STATE,
-                          .as.state = job->durable_state};
-    answer(t, sender, a);
+    if (PhSchedJob_IsOver(job) || PhScheduleTopics_IsCurrent(t)) {
+        answer_state(t, sender, call->id, job);
+        return;
+    }
+    PhStateCall *wait = g_new0(PhStateCall, 1);
+    wait->call = call->id;
+    wait->sender = sender;
+    wait->id = PhStr_Dup(id);
+    g_queue_push_tail(&t->states, wait);
+    PhScheduleTopics_Hurry(t);
+}
+
+/* Releases a call that waits for a state. */
+void
+PhScheduleAccept_DestroyState(gpointer value)
+{
+    PhStateCall *wait = value;
+    PhStr_Clear(&wait->id);
+    g_free(wait);
+}
+
+/* Answers the calls that waited for the newest runs. */
+void
+PhScheduleAccept_AnswerStates(PhScheduleTask *t)
+{
+    PhStateCall *wait;
+    while ((wait = g_queue_pop_head(&t->states)) != NULL) {
+        const PhSchedJob *job =
+            PhSchedModel_Job(PhScheduler_Model(t->scheduler), wait->id);
+        if (job != NULL) {
+            answer_state(t, wait->sender, wait->call, job);
+        }
+        else {
+            answer_tag(t, wait->sender, wait->call, PH_SCHEDULE_REFUSED);
+        }
+        PhScheduleAccept_DestroyState(wait);
+    }
 }
 
 /* Counts the jobs of a queue of which no task has started. */
--- a/services/schedule/schedule_task.c
+++ b/services/schedule/schedule_task.c
@@ -205,6 +205,7 @@
     }
     g_array_free(t->batch_records, TRUE);
     g_queue_clear_full(&t->accepts, PhScheduleAccept_Destroy);
+    g_queue_clear_full(&t->states, PhScheduleAccept_DestroyState);
     g_ptr_array_free(t->accept, TRUE);
     PhElection_Destroy(t->election);
     PhScheduler_Destroy(t->scheduler);
--- a/services/schedule/schedule_task.h
+++ b/services/schedule/schedule_task.h
@@ -61,6 +61,13 @@
     PhSchedSpec spec; /* of SUBMIT */
 } PhAccept;
 
+/* A client that waits for the state of a job. */
+typedef struct PhStateCall {
+    uint64_t call;
+    PhTaskRef sender;
+    PhStr id;
+} PhStateCall;
+
 typedef struct PhScheduleTask {
     PhTask *self;
     PhScheduleOptions options;
@@ -69,6 +76,7 @@
     PhTopic jobs;
     PhTopic runs;
     GQueue orphans; /* PhSchedRecord whose job is not known yet */
+    GQueue states;  /* PhStateCall that wait for the newest runs */
     bool pump_set;
     bool draining;
     uint64_t epochs[CALL_KINDS]; /* calls with an older number are stale */
@@ -100,6 +108,11 @@
 void PhScheduleTopics_Ask(PhScheduleTask *task, PhStoreCall call);
 void PhScheduleTopics_OnReply(PhScheduleTask *task, PhStoreCall call,
                               const PhStoreReply *reply);
+/* Tells whether the state of a job that is not over would be known here: it
+ * is while a read waits for the next record. */
+bool PhScheduleTopics_IsCurrent(const PhScheduleTask *task);
+/* Reads the runs at once instead of after the pause. */
+void PhScheduleTopics_Hurry(PhScheduleTask *task);
 bool PhScheduleTopics_IsFresh(const PhScheduleTask *task);
 /* Reads everything anew. */
 void PhScheduleTopics_Reload(PhScheduleTask *task);
@@ -109,6 +122,9 @@
                              PhScheduleTag tag, PhScheduleCall *call);
 void PhScheduleAccept_Flush(PhScheduleTask *task);
 void PhScheduleAccept_OnReply(PhScheduleTask *task, const PhStoreReply *reply);
+/* Answers the calls that waited for the newest runs. */
+void PhScheduleAccept_AnswerStates(PhScheduleTask *task);
+void PhScheduleAccept_DestroyState(gpointer state);
 /* Answers the calls whose clients wait no longer. */
 void PhScheduleAccept_Expire(PhScheduleTask *task);
 void PhScheduleAccept_Destroy(gpointer accept);
--- a/services/schedule/schedule_topics.c
+++ b/services/schedule/schedule_topics.c
@@ -6,7 +6,7 @@
 /* Pause between two reads: the owner has to hear of jobs at once, the others
  * only have to answer for them. */
 static const PhTime OWNER_PAUSE = 8 * PH_NS_PER_MS;
-static const PhTime FOLLOWER_PAUSE = 120 * PH_NS_PER_MS;
+static const PhTime FOLLOWER_PAUSE = 400 * PH_NS_PER_MS;
 static const PhTime RETRY = 200 * PH_NS_PER_MS;
 /* An answer may have been on its way for this long. */
 static const PhTime ANSWER_DELAY = 500 * PH_NS_PER_MS;
@@ -47,7 +47,8 @@
         m.tag = PH_STORE_READ;
         m.as.read.topic = PhStr_Dup(topic->name);
         m.as.read.from = topic->next;
-        m.as.read.wait = t->stage == OWNER_CATCH_UP ? 0 : READ_WAIT;
+        bool hurry = call == CALL_RUNS_READ && t->states.length > 0;
+        m.as.read.wait = t->stage == OWNER_CATCH_UP || hurry ? 0 : READ_WAIT;
     }
     else {
         m.tag = PH_STORE_NEWEST;
@@ -57,6 +58,20 @@
     PhScheduleTask_Call(t, call, &m);
 }
 
+/* Tells whether the runs are known up to now. */
+bool
+PhScheduleTopics_IsCurrent(const PhScheduleTask *t)
+{
+    return t->stage == OWNER_ACTIVE || t->runs.asked;
+}
+
+/* Reads the runs at once. */
+void
+PhScheduleTopics_Hurry(PhScheduleTask *t)
+{
+    PhScheduleTopics_Ask(t, CALL_RUNS_READ);
+}
+
 /* Applies the records whose job has become known. */
 static void
 retry_orphans(PhScheduleTask *t)
@@ -144,10 +159,10 @@
     if (topic->next >= reply->end) {
         topic->fresh_at = MAX(topic->sent_at, now - ANSWER_DELAY);
     }
-    if (reply->record_count == 0) {
-        return 0;
+    if (t->stage != OWNER_NOT) {
+        return reply->record_count == 0 ? 0 : OWNER_PAUSE;
     }
-    return t->stage == OWNER_NOT ? FOLLOWER_PAUSE : OWNER_PAUSE;
+    return FOLLOWER_PAUSE;
 }
 
 /* Takes in an answer and asks on. */
@@ -178,6 +193,9 @@
     case PH_STORE_UNKNOWN:
         break;
     }
+    if (call == CALL_RUNS_READ) {
+        PhScheduleAccept_AnswerStates(t);
+    }
     if (t->stage == OWNER_CATCH_UP && reply->outcome == PH_STORE_DONE) {
         pause = MIN(pause, OWNER_PAUSE);
     }
