schedule: tell pairs of images that disturb each other from those that do not

Cause: with normalised LMS every pair had a factor of its own noise; fillers beside images they do not disturb were paced and moved as if they did, while those that disturb were placed in the troughs of a swing.

Change: ridge sums by pair, estimates under 0.25 count as nothing, a pair that was not seen is tried with one task; work goes where it disturbs least and where most other work would disturb.

--- a/decide/schedule/interference.c
+++ b/decide/schedule/interference.c
@@ -8,14 +8,36 @@
  * the half second that a figure covers (docs/measures/schedule.md). */
 static const double TARGET_LOAD = 0.78;
 static const double PLANNED_LOAD = 0.70;
-/* Factor of a pair that has not been seen. */
-static const double FACTOR_UNSEEN = 0.5;
+/* Factor of a pair that has not been seen, and the weight of that guess
+ * against what is seen: in squares of a share of CPU. */
+static const double FACTOR_GUESS = 0.30;
+static const double GUESS_WEIGHT = 0.02;
 static const double FACTOR_MOST = 5.0;
+/* Smaller factors are noise: pairs either disturb each other by several times
+ * this or not at all (docs/measures/schedule.md). */
+static const double FACTOR_LEAST = 0.25;
 /* Own load of a task that has not been looked at. */
 static const double OWN_LOAD_UNSEEN = 0.45;
-/* Normalised least mean squares: step, and a floor under the energy. */
-static const double LEARN_STEP = 0.5;
-static const double LEARN_FLOOR = 0.01;
+/* The chance that load which is added to a serving task takes it over its
+ * target at some time of its swing, and the load from which it is certain
+ * (docs/measures/schedule.md). */
+static const double RISK = 0.35;
+static const double CROWDED_LOAD = 0.74;
+/* What fills may add this much to a task that is near its target by itself:
+ * slowing it would gain nothing. */
+static const double TOLERATED_LOAD = 0.05;
+/* A task may be over its target for this long before everything that could
+ * disturb it stops. */
+static const PhTime OVER_MOST = 1500 * PH_NS_PER_MS;
+/* What a pair was seen to do keeps this share at each further look. */
+static const double LEARN_KEPT = 0.97;
+/* Changes of use below this tell nothing. */
+static const double CHANGE_LEAST = 0.03;
+/* An error beyond this comes from elsewhere. */
+static const double ERROR_MOST = 0.5;
+/* A queue that has built up drains slowly: from this load on a decrease tells
+ * nothing. */
+static const double DRAINING_LOAD = 0.88;
 /* Figures further apart than this are not compared. */
 static const PhTime LEARN_SPAN = 1500 * PH_NS_PER_MS;
 /* Tails during the start of a task tell nothing. */
@@ -29,21 +51,23 @@
     PACE_LEAST = 5, /* percent; less is none */
 };
 
+/* Sums over what was seen of a pair: of changes of use times changes of load,
+ * and of squares of changes of use. */
+typedef struct PhPair {
+    double cross;
+    double energy;
+} PhPair;
+
+/* Pairs by filling image, then by serving image. */
 struct PhInterference {
-    double factors[PH_SCHED_IMAGES_MAX][PH_SCHED_IMAGES_MAX];
+    PhPair pairs[PH_SCHED_IMAGES_MAX][PH_SCHED_IMAGES_MAX];
 };
 
 /* Creates a table in which no pair has been seen. */
 PhInterference *
 PhInterference_Create(void)
 {
-    PhInterference *x = g_new0(PhInterference, 1);
-    for (int i = 0; i < PH_SCHED_IMAGES_MAX; i++) {
-        for (int j = 0; j < PH_SCHED_IMAGES_MAX; j++) {
-            x->factors[i][j] = FACTOR_UNSEEN;
-        }
-    }
-    return x;
+    return g_new0(PhInterference, 1);
 }
 
 /* Releases the table; NULL is allowed. */
@@ -53,11 +77,21 @@
     g_free(x);
 }
 
+/* Gives the estimate for a pair: a guess until enough was seen. */
+static double
+pair_estimate(const PhPair *pair)
+{
+    double factor = (pair->cross + GUESS_WEIGHT * FACTOR_GUESS) /
+                    (pair->energy + GUESS_WEIGHT);
+    return CLAMP(factor, 0, FACTOR_MOST);
+}
+
 /* Gives the factor of a pair of images. */
 double
 PhInterference_Factor(const PhInterference *x, uint32_t fill, uint32_t serving)
 {
-    return x->factors[fill][serving];
+    double factor = pair_estimate(&x->pairs[fill][serving]);
+    return factor < FACTOR_LEAST ? 0 : factor;
 }
 
 /* Turns a tail into a load. */
@@ -152,38 +186,60 @@
     return list;
 }
 
-/* Corrects the factors of one serving task by how its load has changed. */
+/* Adds what the change of one serving task's load tells of the pairs: what
+ * the estimates leave unexplained is shared out by the squares of the
+ * changes. */
 static void
 learn_task(PhInterference *x, const PhSchedTask *task, double load,
            const GArray *changes)
 {
     uint32_t serving = PhSchedTask_Step(task)->image_number;
     double error = load - task->load;
-    double energy = LEARN_FLOOR;
+    double energy = 0;
+    if (task->load > DRAINING_LOAD && error < 0) {
+        return;
+    }
     for (guint i = 0; i < changes->len; i++) {
         const PhSchedFillUse *c = &g_array_index(changes, PhSchedFillUse, i);
-        error -= x->factors[c->image][serving] * c->share;
+        error -= pair_estimate(&x->pairs[c->image][serving]) * c->share;
         energy += c->share * c->share;
     }
+    error = CLAMP(error, -ERROR_MOST, ERROR_MOST);
     for (guint i = 0; i < changes->len; i++) {
         const PhSchedFillUse *c = &g_array_index(changes, PhSchedFillUse, i);
-        double *factor = &x->factors[c->image][serving];
-        *factor += LEARN_STEP * error * c->share / energy;
-        *factor = CLAMP(*factor, 0, FACTOR_MOST);
+        PhPair *pair = &x->pairs[c->image][serving];
+        double square = c->share * c->share;
+        if (fabs(c->share) < CHANGE_LEAST) {
+            continue;
+        }
+        double explained = pair_estimate(pair) * c->share;
+        pair->cross = LEARN_KEPT * pair->cross +
+                      c->share * (explained + error * square / energy);
+        pair->energy = LEARN_KEPT * pair->energy + square;
     }
 }
 
-/* Gives the load that tasks that fill add to a serving image. */
+/* Gives the load that tasks that fill add to a serving image, at full pace. */
 static double
-added_load(const PhInterference *x, const GArray *uses, uint32_t serving,
-           bool full)
+added_load(const PhInterference *x, const GArray *uses, uint32_t serving)
 {
     double load = 0;
     for (guint i = 0; i < uses->len; i++) {
         const PhSchedFillUse *use = &g_array_index(uses, PhSchedFillUse, i);
-        double share =
-            full ? use->full_share * use->percent / PERCENT : use->share;
-        load += x->factors[use->image][serving] * share;
+        load +=
+            PhInterference_Factor(x, use->image, serving) * use->full_share;
+    }
+    return load;
+}
+
+/* Gives the load that tasks that fill were seen to add to a serving image. */
+static double
+seen_load(const PhInterference *x, const GArray *uses, uint32_t serving)
+{
+    double load = 0;
+    for (guint i = 0; i < uses->len; i++) {
+        const PhSchedFillUse *use = &g_array_index(uses, PhSchedFillUse, i);
+        load += PhInterference_Factor(x, use->image, serving) * use->share;
     }
     return load;
 }
@@ -204,9 +260,16 @@
         if (task->load_at != 0 && now - task->load_at <= LEARN_SPAN) {
             learn_task(x, task, load, changes);
         }
+        double own = MAX(load - seen_load(x, uses, serving), 0);
         task->load = load;
         task->load_at = now;
-        task->own_load = MAX(load - added_load(x, uses, serving, false), 0);
+        task->own_load = own;
+        if (load <= TARGET_LOAD) {
+            task->over_since = 0;
+        }
+        else if (task->over_since == 0) {
+            task->over_since = now;
+        }
     }
     g_array_free(changes, TRUE);
     g_array_free(w->fill_use, TRUE);
@@ -220,52 +283,91 @@
     return task->load_at == 0 ? OWN_LOAD_UNSEEN : task->own_load;
 }
 
-/* Works out how much load the serving images can bear. */
+/* Gives the mean factor of the filling images that were seen beside a serving
+ * image. */
+static double
+strictness(const PhInterference *x, uint32_t serving)
+{
+    double sum = 0;
+    int seen = 0;
+    for (uint32_t i = 0; i < PH_SCHED_IMAGES_MAX; i++) {
+        if (x->pairs[i][serving].energy > 0) {
+            sum += PhInterference_Factor(x, i, serving);
+            seen++;
+        }
+    }
+    return seen == 0 ? 0 : sum / seen;
+}
+
+/* Gives how much filling images disturb the tasks on a worker, on average. */
+double
+PhInterference_Strictness(const PhSchedWorker *w)
+{
+    double sum = 0;
+    for (guint i = 0; i < w->serving->len; i++) {
+        sum += g_array_index(w->serving, PhSchedServing, i).strictness;
+    }
+    return w->serving->len == 0 ? 0 : sum / w->serving->len;
+}
+
+/* Works out the load that the serving tasks on a worker bear. */
 void
 PhInterference_Refresh(const PhInterference *x, PhSchedWorker *w)
 {
     GArray *uses = uses_collect(w);
-    g_array_set_size(w->headroom, 0);
+    g_array_set_size(w->serving, 0);
     for (guint i = 0; i < w->tasks->len; i++) {
         const PhSchedTask *task = g_ptr_array_index(w->tasks, i);
         const PhSchedStep *step = PhSchedTask_Step(task);
         if (!PhSchedStep_Serves(step)) {
             continue;
         }
-        double left = PLANNED_LOAD - own_load(task) -
-                      added_load(x, uses, step->image_number, true);
-        bool known = false;
-        for (guint j = 0; j < w->headroom->len; j++) {
-            PhSchedHeadroom *h =
-                &g_array_index(w->headroom, PhSchedHeadroom, j);
-            if (h->image == step->image_number) {
-                h->load = MIN(h->load, left);
-                known = true;
-            }
-        }
-        if (!known) {
-            PhSchedHeadroom h = {.image = step->image_number, .load = left};
-            g_array_append_val(w->headroom, h);
-        }
+        PhSchedServing serving = {
+            .image = step->image_number,
+            .load = own_load(task) + added_load(x, uses, step->image_number),
+            .strictness = strictness(x, step->image_number)};
+        g_array_append_val(w->serving, serving);
     }
     g_array_free(uses, TRUE);
 }
 
-/* Gives how much would be left if a task of the step filled on the worker. */
+/* Tells whether tasks that fill with this image are on a worker. */
+static bool
+image_fills_on(const PhSchedWorker *w, uint32_t image)
+{
+    for (guint i = 0; i < w->tasks->len; i++) {
+        const PhSchedStep *step =
+            PhSchedTask_Step(g_ptr_array_index(w->tasks, i));
+        if (step->fills && step->image_number == image) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Gives the expected harm of a task of the step on the worker.  One task of a
+ * pair that was not seen is worth a try: it shows what the pair does. */
 double
-PhInterference_HeadroomAfter(const PhInterference *x, const PhSchedWorker *w,
-                             const PhSchedStep *step)
+PhInterference_Cost(const PhInterference *x, const PhSchedWorker *w,
+                    const PhSchedStep *step)
 {
-    double share = (double)step->room.cpu_milli /
+    double share = (double)MAX(step->room.cpu_milli, 1) /
                    (double)MAX(w->entry.capacity.cpu_milli, 1);
-    double least = PLANNED_LOAD;
-    for (guint i = 0; i < w->headroom->len; i++) {
-        const PhSchedHeadroom *h =
-            &g_array_index(w->headroom, PhSchedHeadroom, i);
-        double factor = x->factors[step->image_number][h->image];
-        least = MIN(least, h->load - factor * share);
+    double harm = 0;
+    bool tried = image_fills_on(w, step->image_number);
+    for (guint i = 0; i < w->serving->len; i++) {
+        const PhSchedServing *s =
+            &g_array_index(w->serving, PhSchedServing, i);
+        bool unseen =
+            x->pairs[step->image_number][s->image].energy < GUESS_WEIGHT;
+        double factor = PhInterference_Factor(x, step->image_number, s->image);
+        bool crowded = s->load + factor * share > CROWDED_LOAD &&
+                       factor * share > TOLERATED_LOAD;
+        if (!unseen || tried || crowded) {
+            harm += factor * (crowded ? 1 : RISK);
+        }
     }
-    return least;
+    return harm;
 }
 
 /* Slows the filling images so far that one serving task stays within its
@@ -275,34 +377,55 @@
          double *paces)
 {
     uint32_t serving = PhSchedTask_Step(task)->image_number;
-    double budget = PLANNED_LOAD - own_load(task);
+    double budget = MAX(PLANNED_LOAD - own_load(task), TOLERATED_LOAD);
     double sum = 0;
     double squares = 0;
     for (guint i = 0; i < w->fill_use->len; i++) {
         const PhSchedFillUse *u =
             &g_array_index(w->fill_use, PhSchedFillUse, i);
-        double added =
-            x->factors[u->image][serving] * u->full_share * paces[i];
+        double added = PhInterference_Factor(x, u->image, serving) *
+                       u->full_share * paces[i];
         sum += added;
         squares += added * added;
     }
-    double excess = sum - MAX(budget, 0);
+    double excess = sum - budget;
     for (guint i = 0; i < w->fill_use->len && excess > 0; i++) {
         const PhSchedFillUse *u =
             &g_array_index(w->fill_use, PhSchedFillUse, i);
-        double added =
-            x->factors[u->image][serving] * u->full_share * paces[i];
+        double added = PhInterference_Factor(x, u->image, serving) *
+                       u->full_share * paces[i];
         /* What adds most gives up most. */
         double cut = MIN(excess * added * added / squares, added);
         paces[i] *= added > 0 ? 1 - cut / added : 1;
     }
 }
 
-/* Tells whether a serving task on the worker is over its target. */
-static bool
-tail_is_over(const PhSchedTask *task, PhTime now)
+/* Slows the filling images at once when a serving task is over its target:
+ * all that disturb it stop if it stays there. */
+static void
+cut_for(const PhInterference *x, PhSchedWorker *w, const PhSchedTask *task,
+        PhTime now, double *paces)
 {
-    return has_tail(task, now) && task->load > TARGET_LOAD;
+    uint32_t serving = PhSchedTask_Step(task)->image_number;
+    if (task->over_since == 0) {
+        return;
+    }
+    bool stays = now - task->over_since >= OVER_MOST;
+    bool caused = seen_load(x, w->fill_use, serving) > TOLERATED_LOAD;
+    for (guint i = 0; i < w->fill_use->len; i++) {
+        const PhSchedFillUse *u =
+            &g_array_index(w->fill_use, PhSchedFillUse, i);
+        if (PhInterference_Factor(x, u->image, serving) <= 0) {
+            continue;
+        }
+        if (stays) {
+            paces[i] = 0;
+        }
+        else if (caused) {
+            paces[i] =
+                MIN(paces[i], OVERSHOOT_CUT * (double)u->percent / PERCENT);
+        }
+    }
 }
 
 /* Sets the pace of each filling image on a worker. */
@@ -320,12 +443,7 @@
             continue;
         }
         pace_for(x, w, task, paces);
-        for (guint j = 0; j < count && tail_is_over(task, now); j++) {
-            const PhSchedFillUse *u =
-                &g_array_index(w->fill_use, PhSchedFillUse, j);
-            paces[j] =
-                MIN(paces[j], OVERSHOOT_CUT * (double)u->percent / PERCENT);
-        }
+        cut_for(x, w, task, now, paces);
     }
     for (guint i = 0; i < count; i++) {
         PhSchedFillUse *u = &g_array_index(w->fill_use, PhSchedFillUse, i);
--- a/decide/schedule/interference.h
+++ b/decide/schedule/interference.h
@@ -21,14 +21,16 @@
 /* Learns from the figures of a look at a worker at `now`. */
 void PhInterference_Learn(PhInterference *interference, PhSchedWorker *worker,
                           PhTime now);
-/* Works out anew how much load the serving images on a worker can bear. */
+/* Works out anew what load the serving tasks on a worker bear. */
 void PhInterference_Refresh(const PhInterference *interference,
                             PhSchedWorker *worker);
-/* How much would be left on a worker of the image that can bear least, if a
- * task of this step filled there; below 0: too much. */
-double PhInterference_HeadroomAfter(const PhInterference *interference,
-                                    const PhSchedWorker *worker,
-                                    const PhSchedStep *step);
+/* The expected harm if a task of this step filled on a worker, for each whole
+ * share of its CPU: serving tasks over their target. */
+double PhInterference_Cost(const PhInterference *interference,
+                           const PhSchedWorker *worker,
+                           const PhSchedStep *step);
+/* How much filling images disturb the tasks on a worker, on average. */
+double PhInterference_Strictness(const PhSchedWorker *worker);
 /* Sets the pace of each filling image on a worker so that every serving task
  * stays within its target. */
 void PhInterference_Pace(const PhInterference *interference,
--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -4,14 +4,21 @@
 
 /* Serving tasks use under half of what they declare on average and swing by
  * half around it (docs/measures/schedule.md). */
-static const int64_t SERVING_USE_PERCENT = 55;
-/* How well an empty worker suits a task that serves, where one on which all
+static const int64_t SERVING_USE_PERCENT = 50;
+/* How well an unused worker suits a task that serves, where one on which all
  * serving tasks have its image has 1. */
-static const double EMPTY_MATCH = 0.5;
-/* A task is moved only to where this much load is left over. */
-static const double MOVE_HEADROOM = 0.10;
+static const double UNUSED_MATCH = 0.5;
+/* Most harm for a whole share of CPU that filling work is worth: what a job
+ * earns by it against what a serving task loses. */
+static const double COST_MOST = 0.4;
+/* Work that disturbs nobody on a worker goes to where most other work would
+ * disturb somebody. */
+static const double STRICTNESS_WEIGHT = 0.5;
+/* A task is moved only to where it does this little harm. */
+static const double MOVE_COST_MOST = 0.1;
 enum {
     PERCENT = 100,
+    FILL_USE_LEAST = 30, /* percent that a slowed task may soon use again */
     LATE_OBJECTIVES = 3, /* until then a late job is still worth something */
 };
 
@@ -145,13 +152,29 @@
            w->failing_since == 0 && w->cooldown_until <= now;
 }
 
+/* Gives the CPU that tasks that fill use at their pace. */
+static int64_t
+fill_use(const PhSchedWorker *w)
+{
+    int64_t use = 0;
+    for (guint i = 0; i < w->tasks->len; i++) {
+        const PhSchedTask *task = g_ptr_array_index(w->tasks, i);
+        const PhSchedStep *step = PhSchedTask_Step(task);
+        if (step->fills) {
+            use += step->room.cpu_milli * MAX(task->percent, FILL_USE_LEAST) /
+                   PERCENT;
+        }
+    }
+    return use;
+}
+
 /* Gives the CPU that tasks that fill may still take. */
 static int64_t
 fill_left(const PhSchedWorker *w)
 {
     int64_t serving = w->serving_cpu_milli * SERVING_USE_PERCENT / PERCENT;
     int64_t plain = w->used.cpu_milli - w->serving_cpu_milli;
-    return w->entry.capacity.cpu_milli - plain - serving - w->fill_cpu_milli;
+    return w->entry.capacity.cpu_milli - plain - serving - fill_use(w);
 }
 
 /* Counts the tasks of a stage on a worker. */
@@ -200,22 +223,23 @@
            stage_tasks_on(w, stage) < step->max_per_worker;
 }
 
-/* Tells which share of the serving images on a worker are the step's own. */
+/* Tells which share of the tasks that serve on a worker have the step's
+ * image: those that serve gather by image, so that work which would disturb
+ * one image finds room beside others. */
 static double
 image_match(const PhSchedWorker *w, const PhSchedStep *step)
 {
-    for (guint i = 0; i < w->headroom->len; i++) {
-        if (g_array_index(w->headroom, PhSchedHeadroom, i).image ==
-            step->image_number) {
-            return 1.0 / w->headroom->len;
-        }
+    guint same = 0;
+    for (guint i = 0; i < w->serving->len; i++) {
+        same += g_array_index(w->serving, PhSchedServing, i).image ==
+                step->image_number;
     }
-    return w->headroom->len == 0 ? EMPTY_MATCH : 0;
+    return w->serving->len == 0 ? UNUSED_MATCH
+                                : (double)same / w->serving->len;
 }
 
-/* Rates a worker for a task: the share of its CPU that stays free.  Tasks that
- * serve gather by image, so that what fills beside them has few images to
- * disturb; where the data is counts most. */
+/* Rates a worker for a task: the share of its CPU that stays free, less the
+ * harm that is expected; where the data is counts most. */
 static double
 worker_score(const PhScheduler *s, const PhSchedWorker *w,
              const PhSchedStep *step)
@@ -224,8 +248,9 @@
     double score =
         (double)(w->entry.capacity.cpu_milli - w->used.cpu_milli) / capacity;
     if (step->fills) {
-        score = PhInterference_HeadroomAfter(s->interference, w, step) +
-                (double)fill_left(w) / capacity / 4;
+        score = (double)fill_left(w) / capacity / 4 -
+                PhInterference_Cost(s->interference, w, step) +
+                STRICTNESS_WEIGHT * PhInterference_Strictness(w);
     }
     else if (PhSchedStep_Serves(step)) {
         score += image_match(w, step);
@@ -251,7 +276,7 @@
             continue;
         }
         if (step->fills &&
-            PhInterference_HeadroomAfter(s->interference, w, step) < 0) {
+            PhInterference_Cost(s->interference, w, step) > COST_MOST) {
             continue;
         }
         double score = worker_score(s, w, step);
@@ -272,8 +297,8 @@
         const PhSchedWorker *w = g_ptr_array_index(s->model->lives, i);
         if (w != task->worker && worker_is_usable(w, now) &&
             worker_fits(w, task) &&
-            PhInterference_HeadroomAfter(
-                s->interference, w, PhSchedTask_Step(task)) > MOVE_HEADROOM) {
+            PhInterference_Cost(s->interference, w, PhSchedTask_Step(task)) <
+                MOVE_COST_MOST) {
             return true;
         }
     }
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -67,6 +67,7 @@
     int64_t figure;  /* last rough figure: tail in ms of a serving task,
                         else thousandths of a core in use */
     PhTime figure_at;
+    PhTime over_since; /* the tail is over its target since then, 0 if not */
     PhTime stalled_since; /* slowed to little since then, 0 for not */
 } PhSchedTask;
 
@@ -124,11 +125,13 @@
     int8_t percent;    /* pace of the image here */
 } PhSchedFillUse;
 
-/* Load that tasks of a serving image can still bear on a worker. */
-typedef struct PhSchedHeadroom {
+/* A task that serves on a worker, and the load that it bears with all that
+ * fills there at full pace. */
+typedef struct PhSchedServing {
     uint32_t image;
     double load;
-} PhSchedHeadroom;
+    double strictness; /* mean factor of the filling images on it */
+} PhSchedServing;
 
 enum {
     PH_SCHED_IMAGES_MAX = 64 /* told apart; further ones share number 0 */
@@ -157,7 +160,7 @@
     int64_t fill_cpu_milli;    /* declared by tasks that fill */
     int64_t serving_cpu_milli; /* declared by serving tasks */
     GArray *fill_use;          /* PhSchedFillUse at the last look */
-    GArray *headroom; /* PhSchedHeadroom of each image that serves here */
+    GArray *serving;  /* PhSchedServing of the tasks that serve here */
 };
 
 /* All jobs and workers. */
