schedule: tails that stay over their target stop all fillers

Now the known ones stop after 1.2 s over the target, all after 1.9 s, and nothing is placed beside them for a second more.

--- a/decide/schedule/interference.c
+++ b/decide/schedule/interference.c
@@ -26,9 +26,13 @@
 /* What fills may add this much to a task that is near its target by itself:
  * slowing it would gain nothing. */
 static const double TOLERATED_LOAD = 0.05;
-/* A task may be over its target for this long before everything that could
- * disturb it stops. */
-static const PhTime OVER_MOST = 1500 * PH_NS_PER_MS;
+/* A task that is over its target for this long stops what is known to disturb
+ * it, and for this long, everything that fills: the platform allows 4 s, and
+ * a queue needs a second or two to drain. */
+static const PhTime OVER_KNOWN = 1200 * PH_NS_PER_MS;
+static const PhTime OVER_ALL = 1900 * PH_NS_PER_MS;
+/* Nothing more is placed there until this long after. */
+static const PhTime OVER_REST = 1000 * PH_NS_PER_MS;
 /* What a pair was seen to do keeps this share at each further look. */
 static const double LEARN_KEPT = 0.97;
 /* Changes of use below this tell nothing. */
@@ -244,6 +248,18 @@
     return load;
 }
 
+/* Notes since when a serving task is over its target. */
+static void
+note_over(PhSchedTask *task, PhTime now)
+{
+    if (task->figure_at != now || load_of(task) <= TARGET_LOAD) {
+        task->over_since = 0;
+    }
+    else if (task->over_since == 0) {
+        task->over_since = now;
+    }
+}
+
 /* Learns from the figures of a look at a worker. */
 void
 PhInterference_Learn(PhInterference *x, PhSchedWorker *w, PhTime now)
@@ -252,6 +268,7 @@
     GArray *changes = changes_collect(w, uses);
     for (guint i = 0; i < w->tasks->len; i++) {
         PhSchedTask *task = g_ptr_array_index(w->tasks, i);
+        note_over(task, now);
         if (!has_tail(task, now)) {
             continue;
         }
@@ -264,12 +281,6 @@
         task->load = load;
         task->load_at = now;
         task->own_load = own;
-        if (load <= TARGET_LOAD) {
-            task->over_since = 0;
-        }
-        else if (task->over_since == 0) {
-            task->over_since = now;
-        }
     }
     g_array_free(changes, TRUE);
     g_array_free(w->fill_use, TRUE);
@@ -410,12 +421,16 @@
     if (task->over_since == 0) {
         return;
     }
-    bool stays = now - task->over_since >= OVER_MOST;
+    bool stays = now - task->over_since >= OVER_KNOWN;
+    bool all = now - task->over_since >= OVER_ALL;
+    if (stays) {
+        w->fill_barred_until = now + OVER_REST;
+    }
     bool caused = seen_load(x, w->fill_use, serving) > TOLERATED_LOAD;
     for (guint i = 0; i < w->fill_use->len; i++) {
         const PhSchedFillUse *u =
             &g_array_index(w->fill_use, PhSchedFillUse, i);
-        if (PhInterference_Factor(x, u->image, serving) <= 0) {
+        if (!all && PhInterference_Factor(x, u->image, serving) <= 0) {
             continue;
         }
         if (stays) {
--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -191,13 +191,16 @@
 
 /* Tells whether the declared room of a task fits. */
 static bool
-room_fits(const PhSchedWorker *w, const PhSchedStep *step)
+room_fits(const PhSchedWorker *w, const PhSchedStep *step, PhTime now)
 {
     const PhSchedRoom *c = &w->entry.capacity;
     if (w->used.mem_mb + step->room.mem_mb > c->mem_mb ||
         w->used.gpu + step->room.gpu > c->gpu) {
         return false;
     }
+    if (step->fills && w->fill_barred_until > now) {
+        return false;
+    }
     if (step->fills) {
         return fill_left(w) >= step->room.cpu_milli;
     }
@@ -206,13 +209,13 @@
 
 /* Tells whether a task of the stage may start on the worker. */
 static bool
-worker_fits(const PhSchedWorker *w, const PhSchedTask *task)
+worker_fits(const PhSchedWorker *w, const PhSchedTask *task, PhTime now)
 {
     const PhSchedStage *stage = task->stage;
     const PhSchedStep *step = PhSchedTask_Step(task);
     if (!PhStr_Equal(w->entry.service, stage->job->spec.terms.service) ||
         (step->requires.len > 0 && !has_label(w, step->requires)) ||
-        !room_fits(w, step)) {
+        !room_fits(w, step, now)) {
         return false;
     }
     if (task->failures > 0 &&
@@ -272,7 +275,7 @@
     double best_score = 0;
     for (guint i = 0; i < s->model->lives->len; i++) {
         PhSchedWorker *w = g_ptr_array_index(s->model->lives, i);
-        if (!worker_is_usable(w, now) || !worker_fits(w, task)) {
+        if (!worker_is_usable(w, now) || !worker_fits(w, task, now)) {
             continue;
         }
         if (step->fills &&
@@ -296,7 +299,7 @@
     for (guint i = 0; i < s->model->lives->len; i++) {
         const PhSchedWorker *w = g_ptr_array_index(s->model->lives, i);
         if (w != task->worker && worker_is_usable(w, now) &&
-            worker_fits(w, task) &&
+            worker_fits(w, task, now) &&
             PhInterference_Cost(s->interference, w, PhSchedTask_Step(task)) <
                 MOVE_COST_MOST) {
             return true;
@@ -321,6 +324,7 @@
     task->percent_told = PERCENT;
     task->percent = PERCENT;
     task->load_at = 0;
+    task->over_since = 0;
     PhInterference_Refresh(s->interference, w);
     PhScheduler_TouchStage(s, task->stage);
     g_queue_push_tail(&s->starts, task);
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -160,7 +160,8 @@
     int64_t fill_cpu_milli;    /* declared by tasks that fill */
     int64_t serving_cpu_milli; /* declared by serving tasks */
     GArray *fill_use;          /* PhSchedFillUse at the last look */
-    GArray *serving;  /* PhSchedServing of the tasks that serve here */
+    PhTime fill_barred_until;  /* a serving task stays over its target */
+    GArray *serving; /* PhSchedServing of the tasks that serve here */
 };
 
 /* All jobs and workers. */
