--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -32,12 +32,14 @@
 /* A stage with waiting tasks and its place in the order. */
 typedef struct PhCandidate {
     PhSchedStage *stage;
+    bool lasts; /* it has no end to be in time for */
     PhJobHope hope;
     PhTime slack; /* objective less what remains of the longest chain */
     double work;  /* what remains of the job, by estimate */
 } PhCandidate;
 
-/* Orders candidates: the jobs that can be in time first, by priority and by
+/* Orders candidates: tasks that last first, they are few and away until they
+ * start; then the jobs that can be in time first, by priority and by
  * slack; then those with least work left (shortest remaining time first). */
 static gint
 candidate_compare(gconstpointer a, gconstpointer b)
@@ -49,6 +51,9 @@
     if (px != py) {
         return px < py ? -1 : 1;
     }
+    if (x->lasts != y->lasts) {
+        return x->lasts ? -1 : 1;
+    }
     if (x->hope != y->hope) {
         return x->hope < y->hope ? -1 : 1;
     }
@@ -119,6 +124,7 @@
             PhCandidate c = job_rate(job, k, now);
             for (uint32_t j = 0; j < job->spec.step_count; j++) {
                 c.stage = &job->rounds[k].stages[j];
+                c.lasts = job->spec.steps[j].long_running;
                 if (c.stage->waiting > 0 && PhSchedStage_IsReady(c.stage)) {
                     g_array_append_val(list, c);
                 }
@@ -241,8 +247,10 @@
                                 : (double)same / w->serving->len;
 }
 
-/* Rates a worker for a task: the share of its CPU that stays free, less the
- * harm that is expected; where the data is counts most. */
+/* Rates a worker for a task.  Tasks that end go where least is free (best
+ * fit), so that room for large ones stays whole; tasks that serve are spread;
+ * tasks that fill go where they do least harm.  Where the data is counts
+ * most. */
 static double
 worker_score(const PhScheduler *s, const PhSchedWorker *w,
              const PhSchedStep *step)
@@ -258,6 +266,9 @@
     else if (PhSchedStep_Serves(step)) {
         score += image_match(w, step);
     }
+    else {
+        score = -score;
+    }
     if (step->affinity.len > 0 &&
         (PhStr_Equal(step->affinity, w->entry.rack) ||
          has_label(w, step->affinity))) {
