schedule: keep what was learned of interference in the store

Change: the sums of the pairs are a record of their own, written every 2 s with a batch that leaves anyway; every instance follows it.

--- a/codec/schedule_record.c
+++ b/codec/schedule_record.c
@@ -40,6 +40,8 @@
     STATE_STATE = 1,
     STAGE_TASKS = 1,
     STAGE_ALL_DONE,
+    PAIRS_ITEMS = 1,
+    PAIR_ITEMS = 4, /* filling and serving image, then the two sums */
     /* Items of a task: a list of the first three, then the worker with its
      * life, then the checkpoint. */
     TASK_ITEMS_LEAST = 3,
@@ -55,6 +57,7 @@
 static const char KEY_CANCEL = 'c';
 static const char KEY_STATE = 's';
 static const char KEY_STAGE = 't';
+static const char KEY_PAIRS = 'p'; /* the whole key */
 
 /* Writes the steps that a step waits for. */
 static void
@@ -175,6 +178,23 @@
     }
 }
 
+/* Writes what was seen of pairs of images. */
+static void
+pack_pairs(msgpack_packer *p, const PhSchedRecord *record)
+{
+    msgpack_pack_map(p, 1);
+    msgpack_pack_uint64(p, PAIRS_ITEMS);
+    msgpack_pack_array(p, record->as.pairs.count);
+    for (uint32_t i = 0; i < record->as.pairs.count; i++) {
+        const PhSchedPairRecord *item = &record->as.pairs.items[i];
+        msgpack_pack_array(p, PAIR_ITEMS);
+        pack_bytes(p, item->fill);
+        pack_bytes(p, item->serving);
+        msgpack_pack_float(p, (float)item->cross);
+        msgpack_pack_float(p, (float)item->energy);
+    }
+}
+
 /* Makes the key of a record. */
 static PhStr
 key_make(char kind, PhStr id, const PhSchedRecord *stage)
@@ -225,6 +245,10 @@
         key = key_make(KEY_STAGE, record->id, record);
         pack_stage(&p, record);
         break;
+    case PH_SCHED_RECORD_PAIRS:
+        key = key_make(KEY_PAIRS, (PhStr){0}, NULL);
+        pack_pairs(&p, record);
+        break;
     }
     return (PhSchedEncoded){.key = key, .value = PhBuf_Take(&out)};
 }
@@ -391,6 +415,50 @@
     return PhResult_Ok();
 }
 
+/* Reads a sum of a pair; false when it is none. */
+static bool
+read_sum(const msgpack_object *value, double *sum)
+{
+    if (value->type != MSGPACK_OBJECT_FLOAT32 &&
+        value->type != MSGPACK_OBJECT_FLOAT64) {
+        return false;
+    }
+    *sum = value->via.f64;
+    return true;
+}
+
+/* Reads what was seen of pairs of images. */
+static PhResult
+read_pairs(const msgpack_object *map, PhSchedRecord *record)
+{
+    const msgpack_object *list = PhUnpack_Field(map, PAIRS_ITEMS);
+    if (list == NULL || list->type != MSGPACK_OBJECT_ARRAY) {
+        return PhResult_Make(PH_STATUS_INVALID, "no list of pairs");
+    }
+    record->as.pairs.items =
+        g_new0(PhSchedPairRecord, MAX(list->via.array.size, 1));
+    for (uint32_t i = 0; i < list->via.array.size; i++) {
+        const msgpack_object *row = &list->via.array.ptr[i];
+        PhSchedPairRecord *item =
+            &record->as.pairs.items[record->as.pairs.count];
+        PhStr fill;
+        PhStr serving;
+        if (row->type != MSGPACK_OBJECT_ARRAY ||
+            row->via.array.size < PAIR_ITEMS ||
+            !PhUnpack_Bytes(&row->via.array.ptr[0], TEXT_BYTES_MAX, &fill) ||
+            !PhUnpack_Bytes(&row->via.array.ptr[1], TEXT_BYTES_MAX,
+                            &serving) ||
+            !read_sum(&row->via.array.ptr[2], &item->cross) ||
+            !read_sum(&row->via.array.ptr[3], &item->energy)) {
+            return PhResult_Make(PH_STATUS_INVALID, "pair %u malformed", i);
+        }
+        item->fill = PhStr_Dup(fill);
+        item->serving = PhStr_Dup(serving);
+        record->as.pairs.count++;
+    }
+    return PhResult_Ok();
+}
+
 /* Reads the numbers at the end of a stage's key. */
 static bool
 read_stage_key(PhStr rest, PhSchedRecord *record)
@@ -433,6 +501,10 @@
                    ? PhResult_Ok()
                    : PhResult_Make(PH_STATUS_INVALID, "state unknown");
     }
+    if (kind == KEY_PAIRS) {
+        record->tag = PH_SCHED_RECORD_PAIRS;
+        return read_pairs(map, record);
+    }
     record->tag = PH_SCHED_RECORD_STAGE;
     if (kind != KEY_STAGE || !read_stage_key(rest, record)) {
         return PhResult_Make(PH_STATUS_INVALID, "key unknown");
@@ -446,7 +518,8 @@
 {
     PhUnpack unpack;
     *record = (PhSchedRecord){.tag = PH_SCHED_RECORD_CANCEL};
-    if (key.len < 1 + ID_BYTES) {
+    bool pairs = key.len == 1 && key.data[0] == KEY_PAIRS;
+    if (!pairs && key.len < 1 + ID_BYTES) {
         return PhResult_Make(PH_STATUS_INVALID, "key too short");
     }
     PhResult r = PhResult_Make(PH_STATUS_INVALID, "no msgpack map");
--- a/decide/schedule/interference.c
+++ b/decide/schedule/interference.c
@@ -98,6 +98,58 @@
     return factor < FACTOR_LEAST ? 0 : factor;
 }
 
+/* Gives the name of each image by its number. */
+static void
+names_collect(const PhSchedModel *model, PhStr *names)
+{
+    GHashTableIter iter;
+    gpointer name;
+    gpointer number;
+    g_hash_table_iter_init(&iter, model->images);
+    while (g_hash_table_iter_next(&iter, &name, &number)) {
+        names[GPOINTER_TO_UINT(number)] = *(const PhStr *)name;
+    }
+}
+
+/* Describes every pair that was seen. */
+PhSchedRecord
+PhInterference_Record(const PhInterference *x, const PhSchedModel *model)
+{
+    PhStr names[PH_SCHED_IMAGES_MAX] = {0};
+    GArray *items = g_array_new(FALSE, TRUE, sizeof(PhSchedPairRecord));
+    names_collect(model, names);
+    for (uint32_t i = 1; i < PH_SCHED_IMAGES_MAX; i++) {
+        for (uint32_t j = 1; j < PH_SCHED_IMAGES_MAX; j++) {
+            const PhPair *pair = &x->pairs[i][j];
+            if (pair->energy > 0) {
+                PhSchedPairRecord item = {.fill = PhStr_Dup(names[i]),
+                                          .serving = PhStr_Dup(names[j]),
+                                          .cross = pair->cross,
+                                          .energy = pair->energy};
+                g_array_append_val(items, item);
+            }
+        }
+    }
+    PhSchedRecord record = {.tag = PH_SCHED_RECORD_PAIRS,
+                            .as.pairs.count = items->len};
+    record.as.pairs.items = (PhSchedPairRecord *)g_array_free(items, FALSE);
+    return record;
+}
+
+/* Takes over what another owner has learned. */
+void
+PhInterference_Apply(PhInterference *x, PhSchedModel *model,
+                     const PhSchedRecord *record)
+{
+    for (uint32_t i = 0; i < record->as.pairs.count; i++) {
+        const PhSchedPairRecord *item = &record->as.pairs.items[i];
+        PhPair *pair = &x->pairs[PhSchedModel_Image(model, item->fill)]
+                                [PhSchedModel_Image(model, item->serving)];
+        pair->cross = item->cross;
+        pair->energy = item->energy;
+    }
+}
+
 /* Turns a tail into a load. */
 static double
 load_of(const PhSchedTask *task)
--- a/decide/schedule/interference.h
+++ b/decide/schedule/interference.h
@@ -9,7 +9,7 @@
 #ifndef PERIDOTHILL_DECIDE_SCHEDULE_INTERFERENCE_H
 #define PERIDOTHILL_DECIDE_SCHEDULE_INTERFERENCE_H
 
-#include "peridothill/decide/schedule/model.h"
+#include "peridothill/decide/schedule/record.h"
 
 typedef struct PhInterference PhInterference;
 
@@ -18,6 +18,12 @@
 /* The load that one CPU share of `fill` adds to a task of `serving`. */
 double PhInterference_Factor(const PhInterference *interference, uint32_t fill,
                              uint32_t serving);
+/* Describes every pair that was seen; the strings are copies. */
+PhSchedRecord PhInterference_Record(const PhInterference *interference,
+                                    const PhSchedModel *model);
+/* Takes over what another owner has learned. */
+void PhInterference_Apply(PhInterference *interference, PhSchedModel *model,
+                          const PhSchedRecord *record);
 /* Learns from the figures of a look at a worker at `now`. */
 void PhInterference_Learn(PhInterference *interference, PhSchedWorker *worker,
                           PhTime now);
--- a/decide/schedule/model.c
+++ b/decide/schedule/model.c
@@ -115,8 +115,8 @@
 }
 
 /* Gives the number of an image, 0 for none and for those past the bound. */
-static uint32_t
-image_number(PhSchedModel *m, PhStr image)
+uint32_t
+PhSchedModel_Image(PhSchedModel *m, PhStr image)
 {
     guint known = g_hash_table_size(m->images);
     if (image.len == 0) {
@@ -145,7 +145,7 @@
     job->accepted_at = now;
     for (uint32_t i = 0; i < job->spec.step_count; i++) {
         PhSchedStep *step = &job->spec.steps[i];
-        step->image_number = image_number(m, step->image);
+        step->image_number = PhSchedModel_Image(m, step->image);
     }
     if (job->spec.repetitions == 0) {
         PhSchedJob_OpenRounds(job, 1);
--- a/decide/schedule/record.c
+++ b/decide/schedule/record.c
@@ -20,6 +20,15 @@
         record->as.stage.tasks = NULL;
         record->as.stage.task_count = 0;
         break;
+    case PH_SCHED_RECORD_PAIRS:
+        for (uint32_t i = 0; i < record->as.pairs.count; i++) {
+            PhStr_Clear(&record->as.pairs.items[i].fill);
+            PhStr_Clear(&record->as.pairs.items[i].serving);
+        }
+        g_free(record->as.pairs.items);
+        record->as.pairs.items = NULL;
+        record->as.pairs.count = 0;
+        break;
     }
     PhStr_Clear(&record->id);
 }
@@ -126,6 +135,7 @@
 {
     switch (record->tag) {
     case PH_SCHED_RECORD_JOB:
+    case PH_SCHED_RECORD_PAIRS:
         break;
     case PH_SCHED_RECORD_CANCEL:
         job->cancel = true;
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -11,6 +11,8 @@
 /* Clocks of workers may be 2% slow. */
 static const int64_t CLOCK_SLOW_PERCENT = 102;
 static const PhTime CLOCK_MARGIN = 100 * PH_NS_PER_MS;
+/* What was learned of interference goes into the records this often. */
+static const PhTime PAIRS_INTERVAL = 2 * PH_NS_PER_S;
 /* Idle time of the planner: rounds that come due, leases that lapse. */
 static const PhTime PLAN_INTERVAL = 250 * PH_NS_PER_MS;
 
@@ -70,6 +72,18 @@
     return scheduler->model;
 }
 
+/* Applies a record that was read from the store. */
+PhStatus
+PhScheduler_Apply(PhScheduler *s, PhSchedRecord *record, PhTime now)
+{
+    if (record->tag != PH_SCHED_RECORD_PAIRS) {
+        return PhSchedModel_Apply(s->model, record, now);
+    }
+    PhInterference_Apply(s->interference, s->model, record);
+    PhSchedRecord_Clear(record);
+    return PH_STATUS_OK;
+}
+
 /* Gives the fence of this owner, 0 when it is not the owner. */
 uint64_t
 PhScheduler_Fence(const PhScheduler *scheduler)
@@ -360,6 +374,10 @@
         return;
     }
     s->due = now + PLAN_INTERVAL;
+    if (now - s->pairs_at >= PAIRS_INTERVAL) {
+        s->pairs_at = now;
+        s->pairs_due = true;
+    }
     plan_jobs(s, wall_ms);
     for (guint i = 0; i < s->model->lives->len; i++) {
         plan_worker(s, g_ptr_array_index(s->model->lives, i), now);
@@ -377,6 +395,12 @@
     if (s->dirty_stages->len == 0 && s->dirty_jobs->len == 0) {
         return 0;
     }
+    if (s->pairs_due) {
+        PhSchedRecord record =
+            PhInterference_Record(s->interference, s->model);
+        s->pairs_due = false;
+        g_array_append_val(records, record);
+    }
     for (guint i = 0; i < s->dirty_stages->len; i++) {
         PhSchedStage *stage = g_ptr_array_index(s->dirty_stages, i);
         PhSchedRecord record = PhSchedRecord_OfStage(stage);
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -23,6 +23,8 @@
     PhTime due;
     bool place_due; /* something has changed that may allow a start */
     PhInterference *interference;
+    PhTime pairs_at; /* what it has learned was last recorded */
+    bool pairs_due;
 };
 
 /* A run that no task stands behind, to be stopped. */
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -184,6 +184,8 @@
 
 PhSchedModel *PhSchedModel_Create(void);
 void PhSchedModel_Destroy(PhSchedModel *model);
+/* Gives the number of an image, 0 for none and for those past the bound. */
+uint32_t PhSchedModel_Image(PhSchedModel *model, PhStr image);
 /* Adds a job, taking over the specification; an id that is known gives the
  * job that has it and releases the specification. */
 PhSchedJob *PhSchedModel_AddJob(PhSchedModel *model, PhSchedSpec *spec,
--- a/include/peridothill/decide/schedule/record.h
+++ b/include/peridothill/decide/schedule/record.h
@@ -10,6 +10,7 @@
     PH_SCHED_RECORD_CANCEL, /* a client cancelled a job */
     PH_SCHED_RECORD_STATE,  /* the owner's word on a job */
     PH_SCHED_RECORD_STAGE,  /* the owner's word on the tasks of a stage */
+    PH_SCHED_RECORD_PAIRS,  /* what the owner has learned of interference */
 } PhSchedRecordTag;
 
 /* A task as recorded.  Strings are owned. */
@@ -22,7 +23,16 @@
     PhStr saved;
 } PhSchedTaskRecord;
 
-/* `id` is the job's.  Strings are owned. */
+/* What was seen of a pair of images; see interference.h.  Strings are
+ * owned. */
+typedef struct PhSchedPairRecord {
+    PhStr fill;
+    PhStr serving;
+    double cross;
+    double energy;
+} PhSchedPairRecord;
+
+/* `id` is the job's, empty for PAIRS.  Strings are owned. */
 typedef struct PhSchedRecord {
     PhSchedRecordTag tag;
     PhStr id;
@@ -35,15 +45,19 @@
             PhSchedTaskRecord *tasks;
             uint32_t task_count;
         } stage;
+        struct {
+            PhSchedPairRecord *items;
+            uint32_t count;
+        } pairs;
     } as;
 } PhSchedRecord;
 
 void PhSchedRecord_Clear(PhSchedRecord *record);
 /* Describes a stage as it stands; the strings are copies. */
 PhSchedRecord PhSchedRecord_OfStage(const PhSchedStage *stage);
-/* Applies a record that was read from the store.  Takes over the parts it
- * keeps and clears the rest.  NOT_FOUND: the job is not known yet;  INVALID:
- * the record does not fit the job. */
+/* Applies a record that was read from the store to the jobs.  Takes over the
+ * parts it keeps and clears the rest.  NOT_FOUND: the job is not known yet;
+ * INVALID: the record does not fit the job. */
 PhStatus PhSchedModel_Apply(PhSchedModel *model, PhSchedRecord *record,
                             PhTime now);
 
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -97,6 +97,9 @@
 void PhScheduler_Destroy(PhScheduler *scheduler);
 PhSchedModel *PhScheduler_Model(PhScheduler *scheduler);
 
+/* Applies a record that was read from the store; see PhSchedModel_Apply. */
+PhStatus PhScheduler_Apply(PhScheduler *scheduler, PhSchedRecord *record,
+                           PhTime now);
 /* Ownership under a fence that no earlier owner had; 0 ends it.  The model
  * has to hold every record that an earlier owner has written. */
 void PhScheduler_SetFence(PhScheduler *scheduler, uint64_t fence, PhTime now);
--- a/services/schedule/schedule_topics.c
+++ b/services/schedule/schedule_topics.c
@@ -83,7 +83,7 @@
             g_queue_push_tail(&t->orphans, record);
             continue;
         }
-        PhSchedModel_Apply(model, record, PhTask_Now(t->self));
+        PhScheduler_Apply(t->scheduler, record, PhTask_Now(t->self));
         g_free(record);
     }
 }
@@ -117,11 +117,12 @@
         return;
     }
     if (record.tag != PH_SCHED_RECORD_JOB &&
+        record.tag != PH_SCHED_RECORD_PAIRS &&
         PhSchedModel_Job(model, record.id) == NULL) {
         keep_orphan(t, &record);
         return;
     }
-    PhSchedModel_Apply(model, &record, PhTask_Now(t->self));
+    PhScheduler_Apply(t->scheduler, &record, PhTask_Now(t->self));
 }
 
 /* Takes in a page of the newest records. */
