--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -324,7 +324,11 @@
 task_start(PhScheduler *s, PhSchedTask *task, PhSchedWorker *w, PhTime now)
 {
     PhSchedJob *job = task->stage->job;
+    PhTime ready_at = MAX(task->since, MAX(job->accepted_at, s->owner_since));
     PhSchedTask_Place(task, w);
+    job->starts++;
+    job->first_start_at = job->first_start_at == 0 ? now : job->first_start_at;
+    job->waited = MAX(job->waited, now - ready_at);
     task->run++;
     task->since = now;
     task->fence = s->fence;
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -229,11 +229,18 @@
 
 /* Ends the job when its last round is done. */
 static void
-stage_done(PhScheduler *s, PhSchedStage *stage)
+stage_done(PhScheduler *s, PhSchedStage *stage, PhTime now)
 {
     PhSchedJob *job = stage->job;
     PhSchedRound *round = &job->rounds[stage->round];
     round->done++;
+    job->ran += stage->longest;
+    for (uint32_t i = stage->number + 1; i < job->spec.step_count; i++) {
+        for (uint32_t j = 0; j < job->spec.steps[i].count; j++) {
+            PhSchedTask *next = &round->stages[i].tasks[j];
+            next->since = next->run == 0 ? now : next->since;
+        }
+    }
     if (round->done < job->spec.step_count) {
         return;
     }
@@ -253,6 +260,9 @@
     const PhSchedStep *step = PhSchedTask_Step(task);
     PhSchedWorker *w = task->worker;
     bool done = kind == PH_SCHED_END_DONE && !step->long_running;
+    if (task->state == PH_SCHED_TASK_RUNNING) {
+        stage->longest = MAX(stage->longest, now - task->since);
+    }
     PhSchedTask_Unplace(task,
                         done ? PH_SCHED_TASK_DONE : PH_SCHED_TASK_WAITING);
     task->since = now;
@@ -267,7 +277,7 @@
     }
     if (done) {
         if (stage->done == step->count) {
-            stage_done(s, stage);
+            stage_done(s, stage, now);
         }
         return;
     }
@@ -275,6 +285,7 @@
         return;
     }
     task->failures++;
+    stage->job->failures++;
     task->failed_on = w;
     uint32_t limit = stage->job->spec.terms.max_attempts;
     if (!step->long_running && limit > 0 && task->failures >= limit &&
--- a/include/peridothill/common/event_list_schedule.h
+++ b/include/peridothill/common/event_list_schedule.h
@@ -8,3 +8,6 @@
 PH_EVENT(7005, SCHEDULE_SEQUENCE, WARNING,
          "store expects another sequence number")
 PH_EVENT(7006, FRONT_FAILED, ERROR, "listener for clients cannot be opened")
+PH_EVENT(7007, SCHEDULE_ACCEPTED, INFO,
+         "job accepted or cancelled, the record is durable")
+PH_EVENT(7008, SCHEDULE_JOB_OVER, INFO, "job is over")
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -80,7 +80,8 @@
     uint32_t waiting;
     uint32_t placed; /* assigned or running */
     uint32_t done;
-    bool dirty; /* differs from its last record */
+    PhTime longest; /* run of a task, from the worker's word to its end */
+    bool dirty;     /* differs from its last record */
 };
 
 typedef struct PhSchedRound {
@@ -99,6 +100,11 @@
     uint32_t rounds_due; /* rounds whose time has come */
     uint32_t rounds_done;
     uint32_t tasks_placed;
+    uint32_t starts;       /* by this owner */
+    uint32_t failures;     /* of runs, seen by this owner */
+    PhTime first_start_at; /* recorded by this owner, 0 for not */
+    PhTime waited;         /* longest time that a ready task waited */
+    PhTime ran;            /* the longest runs of its stages together */
     bool cancel;           /* a client has cancelled it */
     bool dirty;            /* the state differs from its last record */
     uint64_t state_offset; /* of the newest record, so that none goes back */
--- a/services/schedule/schedule_accept.c
+++ b/services/schedule/schedule_accept.c
@@ -311,6 +311,11 @@
 {
     PhSchedModel *model = PhScheduler_Model(t->scheduler);
     PhScheduleAnswerTag tag = PH_SCHEDULE_ACCEPTED;
+    PhTask_LOG(t->self, PH_EVENT_SCHEDULE_ACCEPTED, PhField_STR("job", a->id),
+               PhField_STR("call", a->tag == PH_SCHEDULE_SUBMIT
+                                       ? PhStr_LITERAL("submit")
+                                       : PhStr_LITERAL("cancel")),
+               PhField_U64("sequence", t->sequence - 1));
     if (a->tag == PH_SCHEDULE_SUBMIT) {
         PhSchedModel_AddJob(model, &a->spec, PhTask_Now(t->self));
     }
--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -315,6 +315,33 @@
     PhScheduleTask_Call(t, CALL_RECORDS, &m);
 }
 
+/* Writes the line that tells how a job went. */
+static void
+log_over(PhScheduleTask *t, const PhSchedJob *job)
+{
+    static const PhStr states[] = {{"queued", 6},
+                                   {"running", 7},
+                                   {"completed", 9},
+                                   {"failed", 6},
+                                   {"cancelled", 9}};
+    PhTime now = PhTask_Now(t->self);
+    PhTime first =
+        job->first_start_at == 0 ? -1 : job->first_start_at - job->accepted_at;
+    PhTask_LOG(
+        t->self, PH_EVENT_SCHEDULE_JOB_OVER, PhField_STR("job", job->spec.id),
+        PhField_STR("queue", job->spec.terms.queue),
+        PhField_STR("state", states[job->state]),
+        PhField_I64("age_ms", (now - job->accepted_at) / NS_PER_MS),
+        PhField_I64("first_start_ms", first / NS_PER_MS),
+        PhField_I64("waited_ms", job->waited / NS_PER_MS),
+        PhField_I64("ran_ms", job->ran / NS_PER_MS),
+        PhField_I64("chain_ms", PhSchedSpec_Chain(&job->spec) / NS_PER_MS),
+        PhField_U64("steps", job->spec.step_count),
+        PhField_U64("starts", job->starts),
+        PhField_U64("failures", job->failures),
+        PhField_U64("fence", t->fence));
+}
+
 /* Shows the states of jobs that have become durable. */
 static void
 show_states(PhScheduleTask *t, uint64_t batch)
@@ -326,6 +353,9 @@
         PhSchedJob *job = value;
         if (job->durable_state != job->state && job->batch <= batch) {
             job->durable_state = job->state;
+            if (PhSchedJob_IsOver(job)) {
+                log_over(t, job);
+            }
         }
     }
 }
