http: a client without libcurl for instances that give orders

Cause: an owner on a tenth of a core spends half of it in HTTP requests.

Change: the task http has a second form over http-parser: a connection carries one request at a time and stays watched; no easy handles, no lists of headers, no look at the socket before each use.

--- a/include/peridothill/services/http.h
+++ b/include/peridothill/services/http.h
@@ -82,7 +82,11 @@
 /* Finds a header by name, ignoring case; empty when there is none. */
 PhStr PhHttpHeader_Find(const PhHttpHeader *headers, size_t count, PhStr name);
 
-/* Starts the task "http". */
+/* Starts the task "http" over libcurl. */
 PhStatus PhHttp_Start(PhKernel *kernel);
+/* Starts the task "http" for many small requests to few addresses: the same
+ * interface, without the headers of answers and the deadline of the first
+ * byte. */
+PhStatus PhHttpLean_Start(PhKernel *kernel);
 
 #endif
