schedule: look again as soon as ends are durable

Cause: after an end a worker was not looked at for 400 ms: the next hold was put off until the end was durable, and nothing brought it forward.

--- a/decide/schedule/contact.c
+++ b/decide/schedule/contact.c
@@ -5,8 +5,6 @@
  * the figures are needed more often. */
 static const PhTime HOLD_WAIT = 1500 * PH_NS_PER_MS;
 static const PhTime HOLD_WAIT_SHARED = 500 * PH_NS_PER_MS;
-/* Ends within this time share one hold. */
-static const PhTime HOLD_GAP = 25 * PH_NS_PER_MS;
 /* Time between two holds while ends wait for the store. */
 static const PhTime HOLD_UNACKED_GAP = 400 * PH_NS_PER_MS;
 /* Time until a hold or an order without an answer is tried again. */
@@ -335,8 +333,8 @@
     }
 }
 
-/* Takes in the ends that were not known; true when there were any. */
-static bool
+/* Takes in the ends that were not known. */
+static void
 take_ends(PhScheduler *s, PhSchedWorker *w, const PhSchedHoldReply *reply,
           PhTime now)
 {
@@ -353,8 +351,9 @@
             PhScheduler_EndRun(s, task, end->kind, end->saved, now);
         }
     }
-    w->seen_batch = s->open_batch;
-    return w->seen > before;
+    if (w->seen > before) {
+        w->seen_batch = s->open_batch;
+    }
 }
 
 /* Orders the stop of a run that must not be there. */
@@ -475,7 +474,7 @@
     w->answered_at = now;
     w->clock_ms = reply->clock_ms;
     w->clock_at = now;
-    bool ended = take_ends(s, w, reply, now);
+    take_ends(s, w, reply, now);
     for (size_t i = 0; i < reply->run_count; i++) {
         take_run(s, w, &reply->runs[i], reply->clock_ms, now);
     }
@@ -488,9 +487,6 @@
     if (w->acked < w->seen) {
         gap = HOLD_UNACKED_GAP;
     }
-    else if (ended) {
-        gap = HOLD_GAP;
-    }
     else if (w->tasks->len == 0 && s->model->active->len == 0) {
         gap = HOLD_WAIT;
     }
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -8,6 +8,8 @@
 /* An owner without the store goes on for at most this long, see
  * docs/PLATFORM-DESIGN.md; a successor waits for it and one lease. */
 static const PhTime OLD_OWNER_LIMIT = 10 * PH_NS_PER_S;
+/* Ends within this time share one hold. */
+static const PhTime HOLD_GAP = 10 * PH_NS_PER_MS;
 /* Clocks of workers may be 2% slow. */
 static const int64_t CLOCK_SLOW_PERCENT = 102;
 static const PhTime CLOCK_MARGIN = 100 * PH_NS_PER_MS;
@@ -440,6 +442,7 @@
         PhSchedWorker *w = g_ptr_array_index(s->model->lives, i);
         if (w->acked < w->seen && w->seen_batch <= s->durable_batch) {
             w->acked = w->seen;
+            w->hold_after = MIN(w->hold_after, w->answered_at + HOLD_GAP);
         }
     }
 }
