schedule: compare figures that are a figure's span apart

Cause: with looks every 50 ms consecutive figures share most of their half second, so that changes were small and told little of the pairs.

Change: loads are taken from each look, pairs are learned from looks at least 400 ms apart.

--- a/decide/schedule/interference.c
+++ b/decide/schedule/interference.c
@@ -42,7 +42,9 @@
 /* A queue that has built up drains slowly: from this load on a decrease tells
  * nothing. */
 static const double DRAINING_LOAD = 0.88;
-/* Figures further apart than this are not compared. */
+/* Figures cover half a second: those closer than about that say the same,
+ * and those further apart than this are not compared. */
+static const PhTime LEARN_GAP = 400 * PH_NS_PER_MS;
 static const PhTime LEARN_SPAN = 1500 * PH_NS_PER_MS;
 /* Tails during the start of a task tell nothing. */
 static const PhTime WARM_UP = 3000 * PH_NS_PER_MS;
@@ -218,7 +220,7 @@
 static double
 use_change(const PhSchedWorker *w, const PhSchedFillUse *use)
 {
-    const PhSchedFillUse *before = use_find(w->fill_use, use->image);
+    const PhSchedFillUse *before = use_find(w->base_use, use->image);
     return use->share - (before == NULL ? 0 : before->share);
 }
 
@@ -232,8 +234,8 @@
         use.share = use_change(w, &use);
         g_array_append_val(list, use);
     }
-    for (guint i = 0; i < w->fill_use->len; i++) {
-        PhSchedFillUse use = g_array_index(w->fill_use, PhSchedFillUse, i);
+    for (guint i = 0; i < w->base_use->len; i++) {
+        PhSchedFillUse use = g_array_index(w->base_use, PhSchedFillUse, i);
         if (use_find((GArray *)uses, use.image) == NULL) {
             use.share = -use.share;
             g_array_append_val(list, use);
@@ -250,9 +252,9 @@
            const GArray *changes)
 {
     uint32_t serving = PhSchedTask_Step(task)->image_number;
-    double error = load - task->load;
+    double error = load - task->base_load;
     double energy = 0;
-    if (task->load > DRAINING_LOAD && error < 0) {
+    if (task->base_load > DRAINING_LOAD && error < 0) {
         return;
     }
     for (guint i = 0; i < changes->len; i++) {
@@ -312,27 +314,44 @@
     }
 }
 
-/* Learns from the figures of a look at a worker. */
+/* Learns from one serving task, and starts the next comparison. */
+static void
+learn_from(PhInterference *x, PhSchedTask *task, const GArray *changes,
+           PhTime now)
+{
+    if (task->base_at != 0 && now - task->base_at <= LEARN_SPAN) {
+        learn_task(x, task, task->load, changes);
+    }
+    task->base_load = task->load;
+    task->base_at = now;
+}
+
+/* Learns from the figures of a look at a worker.  Looks that come sooner than
+ * a figure's span after the one before are only used for the loads. */
 void
 PhInterference_Learn(PhInterference *x, PhSchedWorker *w, PhTime now)
 {
     GArray *uses = uses_collect(w);
     GArray *changes = changes_collect(w, uses);
+    bool due = now - w->base_at >= LEARN_GAP;
     for (guint i = 0; i < w->tasks->len; i++) {
         PhSchedTask *task = g_ptr_array_index(w->tasks, i);
         note_over(task, now);
         if (!has_tail(task, now)) {
             continue;
         }
-        double load = load_of(task);
         uint32_t serving = PhSchedTask_Step(task)->image_number;
-        if (task->load_at != 0 && now - task->load_at <= LEARN_SPAN) {
-            learn_task(x, task, load, changes);
-        }
-        double own = MAX(load - seen_load(x, uses, serving), 0);
-        task->load = load;
+        task->load = load_of(task);
         task->load_at = now;
-        task->own_load = own;
+        if (due) {
+            learn_from(x, task, changes, now);
+        }
+        task->own_load = MAX(task->load - seen_load(x, uses, serving), 0);
+    }
+    if (due) {
+        w->base_at = now;
+        g_array_set_size(w->base_use, 0);
+        g_array_append_vals(w->base_use, uses->data, uses->len);
     }
     g_array_free(changes, TRUE);
     g_array_free(w->fill_use, TRUE);
--- a/decide/schedule/model.c
+++ b/decide/schedule/model.c
@@ -42,6 +42,7 @@
     PhSchedWorkerEntry_Clear(&w->entry);
     g_ptr_array_free(w->tasks, TRUE);
     g_array_free(w->fill_use, TRUE);
+    g_array_free(w->base_use, TRUE);
     g_array_free(w->serving, TRUE);
     g_free(w);
 }
@@ -302,6 +303,7 @@
     w->entry.born_ms = born_ms;
     w->tasks = g_ptr_array_new();
     w->fill_use = g_array_new(FALSE, TRUE, sizeof(PhSchedFillUse));
+    w->base_use = g_array_new(FALSE, TRUE, sizeof(PhSchedFillUse));
     w->serving = g_array_new(FALSE, TRUE, sizeof(PhSchedServing));
     g_ptr_array_add(m->lives, w);
     if (newest == NULL || newest->entry.born_ms < born_ms) {
--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -339,6 +339,7 @@
     task->percent_told = PERCENT;
     task->percent = PERCENT;
     task->load_at = 0;
+    task->base_at = 0;
     task->over_since = 0;
     PhInterference_Refresh(s->interference, w);
     PhScheduler_TouchStage(s, task->stage);
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -60,12 +60,14 @@
     int8_t percent_told; /* and as the worker was told */
     const PhSchedWorker *failed_on; /* worker of the last failed run; only
                                        compared */
-    double own_load; /* of a serving task: the part of its load that no other
-                        task causes, as learned */
-    double load;     /* at the last look */
-    PhTime load_at;  /* of that look, 0 for none */
-    int64_t figure;  /* last rough figure: tail in ms of a serving task,
-                        else thousandths of a core in use */
+    double own_load;  /* of a serving task: the part of its load that no other
+                         task causes, as learned */
+    double load;      /* at the last look */
+    double base_load; /* at the look that was last learned from */
+    PhTime base_at;   /* of that look, 0 for none */
+    PhTime load_at;   /* of that look, 0 for none */
+    int64_t figure;   /* last rough figure: tail in ms of a serving task,
+                         else thousandths of a core in use */
     PhTime figure_at;
     PhTime over_since; /* the tail is over its target since then, 0 if not */
     PhTime stalled_since; /* slowed to little since then, 0 for not */
@@ -166,6 +168,8 @@
     int64_t fill_cpu_milli;    /* declared by tasks that fill */
     int64_t serving_cpu_milli; /* declared by serving tasks */
     GArray *fill_use;          /* PhSchedFillUse at the last look */
+    GArray *base_use;          /* and at the look that was last learned from */
+    PhTime base_at;            /* of that look */
     PhTime fill_barred_until;  /* a serving task stays over its target */
     GArray *serving; /* PhSchedServing of the tasks that serve here */
 };
