--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -8,6 +8,10 @@
 /* How well an unused worker suits a task that serves, where one on which all
  * serving tasks have its image has 1. */
 static const double UNUSED_MATCH = 0.5;
+/* A task that has failed goes elsewhere, and rather not to where another one
+ * has just failed; the weights exceed every other part of the rating. */
+static const double FAILED_HERE = 20;
+static const double FAILED_LAST = 5;
 /* Most harm for a whole share of CPU that filling work is worth: what a job
  * earns by it against what a serving task loses. */
 static const double COST_MOST = 0.4;
@@ -224,10 +228,6 @@
         !room_fits(w, step, now)) {
         return false;
     }
-    if (task->failures > 0 &&
-        (w == task->failed_on || w->failures_in_a_row > 0)) {
-        return false;
-    }
     return step->max_per_worker == 0 ||
            stage_tasks_on(w, stage) < step->max_per_worker;
 }
@@ -253,8 +253,9 @@
  * most. */
 static double
 worker_score(const PhScheduler *s, const PhSchedWorker *w,
-             const PhSchedStep *step)
+             const PhSchedTask *task)
 {
+    const PhSchedStep *step = PhSchedTask_Step(task);
     double capacity = (double)MAX(w->entry.capacity.cpu_milli, 1);
     double score =
         (double)(w->entry.capacity.cpu_milli - w->used.cpu_milli) / capacity;
@@ -274,6 +275,10 @@
          has_label(w, step->affinity))) {
         score += 2;
     }
+    if (task->failures > 0) {
+        score -= w == task->failed_on ? FAILED_HERE : 0;
+        score -= w->failures_in_a_row * FAILED_LAST;
+    }
     return score;
 }
 
@@ -293,7 +298,7 @@
             PhInterference_Cost(s->interference, w, step) > COST_MOST) {
             continue;
         }
-        double score = worker_score(s, w, step);
+        double score = worker_score(s, w, task);
         if (best == NULL || score > best_score) {
             best = w;
             best_score = score;
