--- a/codec/schedule_record.c
+++ b/codec/schedule_record.c
@@ -40,6 +40,8 @@
     STATE_STATE = 1,
     STAGE_TASKS = 1,
     STAGE_ALL_DONE,
+    WORKER_BORN_MS = 1,
+    WORKER_SUSPENDED,
     PAIRS_ITEMS = 1,
     PAIR_ITEMS = 4, /* filling and serving image, then the two sums */
     /* Items of a task: a list of the first three, then the worker with its
@@ -57,6 +59,7 @@
 static const char KEY_CANCEL = 'c';
 static const char KEY_STATE = 's';
 static const char KEY_STAGE = 't';
+static const char KEY_WORKER = 'w';
 static const char KEY_PAIRS = 'p'; /* the whole key */
 
 /* Writes the steps that a step waits for. */
@@ -245,6 +248,12 @@
         key = key_make(KEY_STAGE, record->id, record);
         pack_stage(&p, record);
         break;
+    case PH_SCHED_RECORD_WORKER:
+        key = key_make(KEY_WORKER, record->id, NULL);
+        msgpack_pack_map(&p, WORKER_SUSPENDED);
+        PhPack_U64(&p, WORKER_BORN_MS, (uint64_t)record->as.worker.born_ms);
+        PhPack_U64(&p, WORKER_SUSPENDED, record->as.worker.suspended);
+        break;
     case PH_SCHED_RECORD_PAIRS:
         key = key_make(KEY_PAIRS, (PhStr){0}, NULL);
         pack_pairs(&p, record);
@@ -501,6 +510,12 @@
                    ? PhResult_Ok()
                    : PhResult_Make(PH_STATUS_INVALID, "state unknown");
     }
+    if (kind == KEY_WORKER) {
+        record->tag = PH_SCHED_RECORD_WORKER;
+        record->as.worker.born_ms = (int64_t)get_u64(map, WORKER_BORN_MS);
+        record->as.worker.suspended = get_u64(map, WORKER_SUSPENDED) != 0;
+        return PhResult_Ok();
+    }
     if (kind == KEY_PAIRS) {
         record->tag = PH_SCHED_RECORD_PAIRS;
         return read_pairs(map, record);
@@ -518,13 +533,15 @@
 {
     PhUnpack unpack;
     *record = (PhSchedRecord){.tag = PH_SCHED_RECORD_CANCEL};
-    bool pairs = key.len == 1 && key.data[0] == KEY_PAIRS;
-    if (!pairs && key.len < 1 + ID_BYTES) {
+    bool has_job =
+        key.len > 0 && key.data[0] != KEY_PAIRS && key.data[0] != KEY_WORKER;
+    if (key.len == 0 || (has_job && key.len < 1 + ID_BYTES)) {
         return PhResult_Make(PH_STATUS_INVALID, "key too short");
     }
     PhResult r = PhResult_Make(PH_STATUS_INVALID, "no msgpack map");
     if (PhUnpack_Open(&unpack, value)) {
-        record->id = PhStr_Dup(PhStr_Slice(key, 1, ID_BYTES));
+        size_t id_bytes = has_job ? ID_BYTES : key.len;
+        record->id = PhStr_Dup(PhStr_Slice(key, 1, id_bytes));
         r = read_body(key.data[0], PhStr_Slice(key, 1 + ID_BYTES, key.len),
                       PhUnpack_Root(&unpack), record);
     }
--- a/decide/schedule/contact.c
+++ b/decide/schedule/contact.c
@@ -27,7 +27,7 @@
                               .born_ms = w->entry.born_ms,
                               .address = w->entry.address};
     action->as.hold.last_seen = w->acked;
-    if (!w->fenced || w->failing_since > 0) {
+    if (!w->fenced || w->suspended || w->grant_batch > s->durable_batch) {
         return true;
     }
     action->as.hold.deadline_ms = PhScheduler_Grant(s, w, now);
@@ -61,6 +61,11 @@
             task->stopping || task->fence != s->fence) {
             continue;
         }
+        const PhSchedWorker *w = task->worker;
+        if (w->suspended || w->grant_batch > s->durable_batch) {
+            g_queue_push_tail(&s->starts, task);
+            continue;
+        }
         if (task->batch > s->durable_batch || task->retry_at > now) {
             g_queue_push_tail(&s->starts, task);
             if (task->batch <= s->durable_batch) {
@@ -407,11 +412,50 @@
     }
 }
 
-/* Another life has answered: what ran in the earlier one has ended.  Orders
- * on their way may still reach the new life, so their tasks move there. */
+/* Tells whether the answer of a life names the newest run of a task, as
+ * running or as ended. */
+static bool
+reply_names(const PhSchedHoldReply *reply, const PhSchedTask *task)
+{
+    PhSchedTaskName name = PhSchedTask_Name(task);
+    for (size_t i = 0; i < reply->run_count; i++) {
+        if (reply->runs[i].run == task->run &&
+            PhSchedTaskName_Equal(&reply->runs[i].task, &name)) {
+            return true;
+        }
+    }
+    for (size_t i = 0; i < reply->end_count; i++) {
+        if (reply->ends[i].run == task->run &&
+            PhSchedTaskName_Equal(&reply->ends[i].task, &name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Moves a task to another life, with the orders that are on their way. */
+static void
+task_move(PhScheduler *s, PhSchedTask *task, PhSchedWorker *next)
+{
+    PhSchedTask held = *task;
+    PhSchedTask_Unplace(task, PH_SCHED_TASK_WAITING);
+    PhSchedTask_Place(task, next);
+    task->ordering = held.ordering;
+    task->uncertain = held.uncertain;
+    task->stopping = held.stopping;
+    task->stop_sent = held.stop_sent;
+    task->confirmed_clock = 0;
+    PhScheduler_TouchStage(s, task->stage);
+}
+
+/* Another life has answered: what ran in the earlier one has ended.  An order
+ * may have reached the new life under the same id, or may still do so; the
+ * tasks of such orders move there. */
 static PhSchedWorker *
-life_change(PhScheduler *s, PhSchedWorker *w, int64_t born_ms, PhTime now)
+life_change(PhScheduler *s, PhSchedWorker *w, const PhSchedHoldReply *reply,
+            PhTime now)
 {
+    int64_t born_ms = reply->born_ms;
     PhSchedWorker *next = PhSchedModel_Worker(s->model, w->entry.id, born_ms);
     if (next->entry.address.len == 0) {
         PhSchedWorkerEntry copy = {.id = PhStr_Dup(w->entry.id),
@@ -429,15 +473,8 @@
     }
     for (guint i = w->tasks->len; i-- > 0;) {
         PhSchedTask *task = g_ptr_array_index(w->tasks, i);
-        if (task->ordering || task->uncertain) {
-            PhSchedTask held = *task;
-            PhSchedTask_Unplace(task, PH_SCHED_TASK_WAITING);
-            PhSchedTask_Place(task, next);
-            task->ordering = held.ordering;
-            task->uncertain = held.uncertain;
-            task->stopping = held.stopping;
-            task->stop_sent = held.stop_sent;
-            PhScheduler_TouchStage(s, task->stage);
+        if (task->ordering || task->uncertain || reply_names(reply, task)) {
+            task_move(s, task, next);
             continue;
         }
         PhScheduler_EndRun(s, task, PH_SCHED_END_LAPSED, (PhStr){0}, now);
@@ -454,6 +491,9 @@
     if (w->failing_since == 0) {
         w->failing_since = now;
     }
+    if (w->tasks->len > 0) {
+        PhScheduler_SetSuspended(s, w, true, now);
+    }
     w->hold_after = now + RETRY;
     PhScheduler_WakeBy(s, w->hold_after);
 }
@@ -471,6 +511,7 @@
     }
     w->fenced = true;
     w->failing_since = 0;
+    PhScheduler_SetSuspended(s, w, false, now);
     w->answered_at = now;
     w->clock_ms = reply->clock_ms;
     w->clock_at = now;
@@ -506,7 +547,7 @@
         return false;
     case PH_SCHED_OUTCOME_DONE:
         if (reply->born_ms != 0 && born_ms != 0 && reply->born_ms != born_ms) {
-            w = life_change(s, w, reply->born_ms, now);
+            w = life_change(s, w, reply, now);
         }
         take_lists(s, w, reply, now);
         break;
--- a/decide/schedule/model.c
+++ b/decide/schedule/model.c
@@ -236,6 +236,14 @@
                              .index = task->index};
 }
 
+/* Compares two names of tasks. */
+bool
+PhSchedTaskName_Equal(const PhSchedTaskName *a, const PhSchedTaskName *b)
+{
+    return a->index == b->index && a->step == b->step &&
+           a->round == b->round && PhStr_Equal(a->job, b->job);
+}
+
 /* Gives the step that a task belongs to. */
 const PhSchedStep *
 PhSchedTask_Step(const PhSchedTask *task)
--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -158,8 +158,9 @@
 static bool
 worker_is_usable(const PhSchedWorker *w, PhTime now)
 {
-    return w->listed && !w->dead && w->fenced && !w->entry.draining &&
-           w->failing_since == 0 && w->cooldown_until <= now;
+    return w->listed && !w->dead && w->fenced && !w->suspended &&
+           !w->entry.draining && w->failing_since == 0 &&
+           w->cooldown_until <= now;
 }
 
 /* Gives the CPU that tasks that fill use at their pace. */
--- a/decide/schedule/record.c
+++ b/decide/schedule/record.c
@@ -10,6 +10,7 @@
         break;
     case PH_SCHED_RECORD_CANCEL:
     case PH_SCHED_RECORD_STATE:
+    case PH_SCHED_RECORD_WORKER:
         break;
     case PH_SCHED_RECORD_STAGE:
         for (uint32_t i = 0; i < record->as.stage.task_count; i++) {
@@ -135,6 +136,7 @@
 {
     switch (record->tag) {
     case PH_SCHED_RECORD_JOB:
+    case PH_SCHED_RECORD_WORKER:
     case PH_SCHED_RECORD_PAIRS:
         break;
     case PH_SCHED_RECORD_CANCEL:
@@ -152,6 +154,16 @@
     return PH_STATUS_OK;
 }
 
+/* Notes whether leases are granted to a life of a worker. */
+static void
+worker_apply(PhSchedModel *model, const PhSchedRecord *record, PhTime now)
+{
+    PhSchedWorker *w =
+        PhSchedModel_Worker(model, record->id, record->as.worker.born_ms);
+    w->suspended = record->as.worker.suspended;
+    w->suspended_at = now;
+}
+
 /* Applies a record that was read from the store. */
 PhStatus
 PhSchedModel_Apply(PhSchedModel *model, PhSchedRecord *record, PhTime now)
@@ -161,6 +173,10 @@
         PhSchedModel_AddJob(model, &record->as.job, now);
         status = PH_STATUS_OK;
     }
+    else if (record->tag == PH_SCHED_RECORD_WORKER) {
+        worker_apply(model, record, now);
+        status = PH_STATUS_OK;
+    }
     else {
         PhSchedJob *job = PhSchedModel_Job(model, record->id);
         if (job != NULL) {
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -93,9 +93,17 @@
     return scheduler->fence;
 }
 
+/* Gives for how long a lease may last by the owner's clock. */
+static PhTime
+lease_bound(const PhScheduler *s)
+{
+    return MIN(LEASE, s->options.lease_limit) / 100 * CLOCK_SLOW_PERCENT +
+           CLOCK_MARGIN;
+}
+
 /* Ends the orders of an earlier ownership for one life. */
 static void
-worker_reset(PhSchedWorker *w, PhTime now)
+worker_reset(const PhScheduler *s, PhSchedWorker *w, PhTime now)
 {
     w->fenced = false;
     w->holding = false;
@@ -104,7 +112,10 @@
     w->acked = 0;
     w->seen_batch = 0;
     w->cooldown_until = 0;
-    w->lapse_by = now + OLD_OWNER_LIMIT + LEASE;
+    w->dirty = false;
+    w->grant_batch = 0;
+    w->lapse_by = w->suspended ? w->suspended_at + lease_bound(s)
+                               : now + OLD_OWNER_LIMIT + lease_bound(s);
     w->failing_since = 0;
     for (guint i = 0; i < w->tasks->len; i++) {
         PhSchedTask *task = g_ptr_array_index(w->tasks, i);
@@ -128,6 +139,7 @@
     }
     g_ptr_array_set_size(s->dirty_stages, 0);
     g_ptr_array_set_size(s->dirty_jobs, 0);
+    s->dirty_workers = 0;
     s->durable_batch = s->open_batch++;
     s->fence = fence;
     s->quiet = false;
@@ -135,7 +147,7 @@
     s->due = now;
     s->place_due = true;
     for (guint i = 0; i < s->model->lives->len; i++) {
-        worker_reset(g_ptr_array_index(s->model->lives, i), now);
+        worker_reset(s, g_ptr_array_index(s->model->lives, i), now);
     }
 }
 
@@ -167,6 +179,24 @@
     job->batch = s->open_batch;
 }
 
+/* Records whether leases are granted to a worker.  Before the first lease
+ * that follows, the record has to be durable. */
+void
+PhScheduler_SetSuspended(PhScheduler *s, PhSchedWorker *w, bool suspended,
+                         PhTime now)
+{
+    if (w->suspended == suspended) {
+        return;
+    }
+    w->suspended = suspended;
+    w->suspended_at = now;
+    w->grant_batch = s->open_batch;
+    if (!w->dirty) {
+        w->dirty = true;
+        s->dirty_workers++;
+    }
+}
+
 /* Brings the next decision forward. */
 void
 PhScheduler_WakeBy(PhScheduler *s, PhTime at)
@@ -401,13 +431,35 @@
     }
 }
 
+/* Adds the records of workers to which leases are granted again or no
+ * more. */
+static void
+take_workers(PhScheduler *s, GArray *records)
+{
+    for (guint i = 0; i < s->model->lives->len && s->dirty_workers > 0; i++) {
+        PhSchedWorker *w = g_ptr_array_index(s->model->lives, i);
+        if (!w->dirty) {
+            continue;
+        }
+        PhSchedRecord record = {.tag = PH_SCHED_RECORD_WORKER,
+                                .id = PhStr_Dup(w->entry.id),
+                                .as.worker = {.born_ms = w->entry.born_ms,
+                                              .suspended = w->suspended}};
+        w->dirty = false;
+        g_array_append_val(records, record);
+    }
+    s->dirty_workers = 0;
+}
+
 /* Closes the open batch. */
 uint64_t
 PhScheduler_TakeBatch(PhScheduler *s, GArray *records)
 {
-    if (s->dirty_stages->len == 0 && s->dirty_jobs->len == 0) {
+    if (s->dirty_stages->len == 0 && s->dirty_jobs->len == 0 &&
+        s->dirty_workers == 0) {
         return 0;
     }
+    take_workers(s, records);
     if (s->pairs_due) {
         PhSchedRecord record =
             PhInterference_Record(s->interference, s->model);
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -15,6 +15,7 @@
     uint64_t durable_batch;
     GPtrArray *dirty_stages; /* PhSchedStage */
     GPtrArray *dirty_jobs;   /* PhSchedJob */
+    guint dirty_workers;     /* lives of the model that are dirty */
     GQueue starts;           /* PhSchedTask that wait for their batch */
     GQueue stops;            /* PhSchedTask to stop */
     GQueue strays;           /* PhStray: runs that must not be there */
@@ -37,6 +38,9 @@
 /* Marks a stage or the state of a job as changed in the open batch. */
 void PhScheduler_TouchStage(PhScheduler *scheduler, PhSchedStage *stage);
 void PhScheduler_TouchJob(PhScheduler *scheduler, PhSchedJob *job);
+/* Records whether leases are granted to a worker. */
+void PhScheduler_SetSuspended(PhScheduler *scheduler, PhSchedWorker *worker,
+                              bool suspended, PhTime now);
 /* Brings the next decision forward. */
 void PhScheduler_WakeBy(PhScheduler *scheduler, PhTime at);
 
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -148,8 +148,13 @@
 /* One life of a worker. */
 struct PhSchedWorker {
     PhSchedWorkerEntry entry;
-    bool listed;     /* its entry stands in the list */
-    bool fenced;     /* it has answered to this owner's fence */
+    bool listed;    /* its entry stands in the list */
+    bool fenced;    /* it has answered to this owner's fence */
+    bool suspended; /* it does not answer; it is recorded that no lease is
+                       granted to it */
+    bool dirty;     /* `suspended` differs from its last record */
+    uint64_t grant_batch; /* records that must be durable before a lease */
+    PhTime suspended_at;  /* the record was read or written then */
     bool dead;       /* another life has its id, or its leases have lapsed */
     PhTime lapse_by; /* every lease granted to it has ended by then */
     PhTime answered_at;
@@ -209,6 +214,7 @@
 PhSchedTask *PhSchedModel_Task(const PhSchedModel *model,
                                const PhSchedTaskName *name);
 PhSchedTaskName PhSchedTask_Name(const PhSchedTask *task);
+bool PhSchedTaskName_Equal(const PhSchedTaskName *a, const PhSchedTaskName *b);
 const PhSchedStep *PhSchedTask_Step(const PhSchedTask *task);
 /* Creates the rounds up to the number `count`. */
 void PhSchedJob_OpenRounds(PhSchedJob *job, uint32_t count);
--- a/include/peridothill/decide/schedule/record.h
+++ b/include/peridothill/decide/schedule/record.h
@@ -10,6 +10,7 @@
     PH_SCHED_RECORD_CANCEL, /* a client cancelled a job */
     PH_SCHED_RECORD_STATE,  /* the owner's word on a job */
     PH_SCHED_RECORD_STAGE,  /* the owner's word on the tasks of a stage */
+    PH_SCHED_RECORD_WORKER, /* whether the owner grants leases to a worker */
     PH_SCHED_RECORD_PAIRS,  /* what the owner has learned of interference */
 } PhSchedRecordTag;
 
@@ -32,7 +33,7 @@
     double energy;
 } PhSchedPairRecord;
 
-/* `id` is the job's, empty for PAIRS.  Strings are owned. */
+/* `id` is the job's or the worker's, empty for PAIRS.  Strings are owned. */
 typedef struct PhSchedRecord {
     PhSchedRecordTag tag;
     PhStr id;
@@ -45,6 +46,10 @@
             PhSchedTaskRecord *tasks;
             uint32_t task_count;
         } stage;
+        struct {
+            int64_t born_ms;
+            bool suspended; /* no lease is granted from this record on */
+        } worker;
         struct {
             PhSchedPairRecord *items;
             uint32_t count;
--- a/services/schedule/schedule_topics.c
+++ b/services/schedule/schedule_topics.c
@@ -118,6 +118,7 @@
     }
     if (record.tag != PH_SCHED_RECORD_JOB &&
         record.tag != PH_SCHED_RECORD_PAIRS &&
+        record.tag != PH_SCHED_RECORD_WORKER &&
         PhSchedModel_Job(model, record.id) == NULL) {
         keep_orphan(t, &record);
         return;
--- /dev/null
+++ b/tests/schedule/schedule_world.c
@@ -0,0 +1,739 @@
+#include "schedule_world.h"
+
+#include "peridothill/codec/schedule_record.h"
+#include "tests/table.h"
+
+enum {
+    TICK_MS = 5,
+    CAPACITY_MILLI = 8000,
+    TASK_MILLI = 2000,
+    RUN_LEAST_MS = 100,
+    RUN_SPREAD_MS = 900,
+    STOP_MS = 100,
+    STORE_MS = 10,
+    FAULT_EVERY_MS = 4000,
+    FAULT_LASTS_MS = 3000,
+    REST_MS = 30000, /* without faults at the end */
+    STEPS = 2,
+    COUNT = 4,
+};
+
+/* A run on a worker. */
+typedef struct PhFakeRun {
+    char *task;
+    PhSchedTaskName name; /* job borrowed from the world's ids */
+    uint32_t run;
+    PhTime ends_at;
+    bool fails;
+    bool stopping;
+} PhFakeRun;
+
+/* An end that the worker repeats until it is acknowledged. */
+typedef struct PhFakeEnd {
+    uint64_t number;
+    PhSchedTaskName name;
+    uint32_t run;
+    PhSchedEndKind kind;
+} PhFakeEnd;
+
+typedef struct PhFakeWorker {
+    char *id;
+    int64_t born_ms;
+    PhTime born_at;
+    uint64_t fence;
+    int64_t deadline_ms; /* of the lease, on the worker's clock */
+    GArray *runs;        /* PhFakeRun */
+    GArray *ends;        /* PhFakeEnd */
+    GHashTable *highest; /* task to the highest run stopped or ended */
+    uint64_t next_end;
+    PhTime cut_until;
+} PhFakeWorker;
+
+/* Something that happens later. */
+typedef enum PhEventTag {
+    EVENT_ORDER, /* an order arrives at its worker */
+    EVENT_REPLY, /* its outcome arrives at the owner */
+    EVENT_DURABLE,
+} PhEventTag;
+
+typedef struct PhWorldEvent {
+    PhEventTag tag;
+    PhTime at;
+    PhScheduler *owner;
+    uint64_t fence;
+    PhSchedAction action; /* strings owned */
+    PhSchedOutcome outcome;
+    PhSchedHoldReply hold; /* rows owned, names borrowed */
+    int64_t clock_ms;
+    uint64_t batch;
+    int64_t life; /* of the worker when the order left */
+    bool answer;
+} PhWorldEvent;
+
+struct PhWorld {
+    PhWorldOptions options;
+    PhRandom *random;
+    PhTime now;
+    PhScheduler *owner;
+    uint64_t fence;
+    GPtrArray *workers;  /* PhFakeWorker */
+    GPtrArray *events;   /* PhWorldEvent */
+    GPtrArray *ids;      /* char *, of jobs */
+    GArray *log;         /* PhSchedEncoded */
+    GHashTable *started; /* "task/run" of durable starts */
+    GHashTable *used;    /* "task/run" that ran */
+    PhTime outage_until;
+    PhTime next_fault;
+    uint64_t pending_batch;
+    unsigned starts;
+    unsigned takeovers;
+    unsigned added;
+};
+
+/* Gives the text of a task's name. */
+static char *
+task_text(const PhSchedTaskName *n)
+{
+    return g_strdup_printf("%.*s.%u.%u.%u", PhStr_ARG(n->job), n->round,
+                           n->step, n->index);
+}
+
+/* Gives the world's own copy of a job's id, which lasts. */
+static PhStr
+id_lasting(PhWorld *w, PhStr id)
+{
+    for (guint i = 0; i < w->ids->len; i++) {
+        PhStr known = PhStr_FromC(g_ptr_array_index(w->ids, i));
+        if (PhStr_Equal(known, id)) {
+            return known;
+        }
+    }
+    assert_true(false);
+    return (PhStr){0};
+}
+
+/* Reads a worker's clock. */
+static int64_t
+worker_clock(const PhWorld *w, const PhFakeWorker *f)
+{
+    return 1000 + (w->now - f->born_at) / PH_NS_PER_MS;
+}
+
+/* Starts a life of a worker. */
+static void
+worker_reset(PhWorld *w, PhFakeWorker *f)
+{
+    f->born_ms += 1000;
+    f->born_at = w->now;
+    f->fence = 0;
+    f->deadline_ms = 0;
+    f->next_end = 0;
+    for (guint i = 0; i < f->runs->len; i++) {
+        g_free(g_array_index(f->runs, PhFakeRun, i).task);
+    }
+    g_array_set_size(f->runs, 0);
+    g_array_set_size(f->ends, 0);
+    g_hash_table_remove_all(f->highest);
+}
+
+/* Adds a worker. */
+static void
+worker_add(PhWorld *w, unsigned number)
+{
+    PhFakeWorker *f = g_new0(PhFakeWorker, 1);
+    f->id = g_strdup_printf("worker-%u", number);
+    f->runs = g_array_new(FALSE, TRUE, sizeof(PhFakeRun));
+    f->ends = g_array_new(FALSE, TRUE, sizeof(PhFakeEnd));
+    f->highest = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    worker_reset(w, f);
+    g_ptr_array_add(w->workers, f);
+}
+
+/* Releases a worker. */
+static void
+worker_destroy(gpointer value)
+{
+    PhFakeWorker *f = value;
+    for (guint i = 0; i < f->runs->len; i++) {
+        g_free(g_array_index(f->runs, PhFakeRun, i).task);
+    }
+    g_array_free(f->runs, TRUE);
+    g_array_free(f->ends, TRUE);
+    g_hash_table_destroy(f->highest);
+    g_free(f->id);
+    g_free(f);
+}
+
+/* Releases an event. */
+static void
+event_destroy(gpointer value)
+{
+    PhWorldEvent *e = value;
+    PhStr_Clear(&e->action.worker);
+    g_free(e->hold.runs);
+    g_free(e->hold.ends);
+    g_free(e);
+}
+
+/* Tells the owner of every worker. */
+static void
+list_workers(PhWorld *w)
+{
+    for (guint i = 0; i < w->workers->len; i++) {
+        const PhFakeWorker *f = g_ptr_array_index(w->workers, i);
+        PhSchedWorkerEntry entry = {
+            .id = PhStr_Dup(PhStr_FromC(f->id)),
+            .born_ms = f->born_ms,
+            .address = PhStr_Dup(PhStr_FromC(f->id)),
+            .service = PhStr_Dup(PhStr_LITERAL("service")),
+            .capacity = {.cpu_milli = CAPACITY_MILLI, .mem_mb = 1024}};
+        PhScheduler_SetWorker(w->owner, &entry, w->now);
+    }
+}
+
+/* Creates the scheduler of a new owner from what is durable. */
+static void
+owner_create(PhWorld *w)
+{
+    w->owner = PhScheduler_Create(
+        &(PhSchedulerOptions){.lease_limit = 10 * PH_NS_PER_S});
+    for (guint i = 0; i < w->log->len; i++) {
+        const PhSchedEncoded *e = &g_array_index(w->log, PhSchedEncoded, i);
+        PhSchedRecord record;
+        PhResult r = PhSchedRecord_Decode(e->key, e->value, &record);
+        assert_true(PhResult_IsOk(&r));
+        assert_int_equal(PhScheduler_Apply(w->owner, &record, w->now),
+                         PH_STATUS_OK);
+    }
+    list_workers(w);
+    PhScheduler_SetFence(w->owner, ++w->fence, w->now);
+    w->pending_batch = 0;
+}
+
+/* Adds a job to the log and to the owner's model. */
+static void
+job_add(PhWorld *w)
+{
+    bool lasts = w->options.long_running;
+    char *id = g_strdup_printf("%016x", ++w->added);
+    g_ptr_array_add(w->ids, id);
+    PhSchedSpec spec = {.id = PhStr_Dup(PhStr_FromC(id)),
+                        .step_count = lasts ? 1 : STEPS,
+                        .payload = PhStr_Dup(PhStr_LITERAL("payload"))};
+    spec.terms.queue = PhStr_Dup(PhStr_LITERAL("queue"));
+    spec.terms.service = PhStr_Dup(PhStr_LITERAL("service"));
+    spec.terms.stretch = 2;
+    spec.steps = g_new0(PhSchedStep, STEPS);
+    for (uint32_t i = 0; i < spec.step_count; i++) {
+        spec.steps[i].count = COUNT;
+        spec.steps[i].room.cpu_milli = TASK_MILLI;
+        spec.steps[i].estimate = PH_NS_PER_S;
+        spec.steps[i].long_running = lasts;
+        if (i > 0) {
+            spec.steps[i].after = g_new0(uint32_t, 1);
+            spec.steps[i].after[0] = i - 1;
+            spec.steps[i].after_count = 1;
+        }
+    }
+    PhSchedEncoded e = PhSchedRecord_EncodeJob(&spec);
+    g_array_append_val(w->log, e);
+    PhSchedModel_AddJob(PhScheduler_Model(w->owner), &spec, w->now);
+}
+
+/* Creates a world with its first owner. */
+PhWorld *
+PhWorld_Create(const PhWorldOptions *options)
+{
+    PhWorld *w = g_new0(PhWorld, 1);
+    w->options = *options;
+    w->random = PhRandom_Create(options->seed);
+    w->now = PH_NS_PER_S;
+    w->workers = g_ptr_array_new_with_free_func(worker_destroy);
+    w->events = g_ptr_array_new_with_free_func(event_destroy);
+    w->ids = g_ptr_array_new_with_free_func(g_free);
+    w->log = g_array_new(FALSE, TRUE, sizeof(PhSchedEncoded));
+    w->started = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    w->used = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    w->next_fault = w->now + FAULT_EVERY_MS * PH_NS_PER_MS;
+    for (unsigned i = 0; i < options->workers; i++) {
+        worker_add(w, i);
+    }
+    owner_create(w);
+    return w;
+}
+
+/* Releases the world. */
+void
+PhWorld_Destroy(PhWorld *w)
+{
+    PhScheduler_Destroy(w->owner);
+    g_ptr_array_free(w->events, TRUE);
+    g_ptr_array_free(w->workers, TRUE);
+    for (guint i = 0; i < w->log->len; i++) {
+        PhSchedEncoded_Clear(&g_array_index(w->log, PhSchedEncoded, i));
+    }
+    g_array_free(w->log, TRUE);
+    g_ptr_array_free(w->ids, TRUE);
+    g_hash_table_destroy(w->started);
+    g_hash_table_destroy(w->used);
+    PhRandom_Destroy(w->random);
+    g_free(w);
+}
+
+/* Tells whether a fault of a kind happens now. */
+static bool
+chance(PhWorld *w, unsigned fault, double probability)
+{
+    return (w->options.faults & fault) != 0 &&
+           PhRandom_Chance(w->random, probability);
+}
+
+/* Checks that a task runs nowhere else, and that its run number is new. */
+static void
+check_start(PhWorld *w, const PhSchedRunOrder *order, const char *task)
+{
+    char *key = g_strdup_printf("%s/%u", task, order->run);
+    assert_true(g_hash_table_contains(w->started, key));
+    assert_false(g_hash_table_contains(w->used, key));
+    g_hash_table_add(w->used, key);
+    for (guint i = 0; i < w->workers->len; i++) {
+        const PhFakeWorker *f = g_ptr_array_index(w->workers, i);
+        int64_t room = 0;
+        for (guint j = 0; j < f->runs->len; j++) {
+            assert_string_not_equal(g_array_index(f->runs, PhFakeRun, j).task,
+                                    task);
+            room += TASK_MILLI;
+        }
+        assert_true(room <= CAPACITY_MILLI);
+    }
+}
+
+/* Carries out a start. */
+static PhSchedOutcome
+worker_start(PhWorld *w, PhFakeWorker *f, const PhSchedAction *action)
+{
+    const PhSchedRunOrder *order = &action->as.run;
+    char *task = task_text(&order->task);
+    uint32_t highest = GPOINTER_TO_UINT(g_hash_table_lookup(f->highest, task));
+    PhSchedOutcome outcome = PH_SCHED_OUTCOME_DONE;
+    for (guint i = 0; i < f->runs->len; i++) {
+        const PhFakeRun *run = &g_array_index(f->runs, PhFakeRun, i);
+        if (strcmp(run->task, task) == 0 && run->run == order->run) {
+            g_free(task);
+            return PH_SCHED_OUTCOME_DONE;
+        }
+    }
+    if (order->run <= highest) {
+        outcome = PH_SCHED_OUTCOME_OLD;
+    }
+    else if (order->deadline_ms < worker_clock(w, f)) {
+        outcome = PH_SCHED_OUTCOME_LATE;
+    }
+    else if ((f->runs->len + 1) * TASK_MILLI > CAPACITY_MILLI) {
+        outcome = PH_SCHED_OUTCOME_NO_ROOM;
+    }
+    else if (chance(w, FAULT_REFUSALS, 0.1)) {
+        outcome = PH_SCHED_OUTCOME_REFUSED;
+    }
+    else {
+        check_start(w, order, task);
+        PhFakeRun run = {.task = g_strdup(task),
+                         .name = order->task,
+                         .run = order->run,
+                         .fails = chance(w, FAULT_FAILURES, 0.1)};
+        run.name.job = id_lasting(w, order->task.job);
+        run.ends_at =
+            w->options.long_running
+                ? PH_TIME_NEVER
+                : w->now + (PhTime)(RUN_LEAST_MS +
+                                    PhRandom_Below(w->random, RUN_SPREAD_MS)) *
+                               PH_NS_PER_MS;
+        f->deadline_ms = MAX(f->deadline_ms, order->deadline_ms);
+        g_array_append_val(f->runs, run);
+        w->starts++;
+    }
+    g_free(task);
+    return outcome;
+}
+
+/* Carries out a stop. */
+static void
+worker_stop(PhWorld *w, PhFakeWorker *f, const PhSchedRunOrder *order)
+{
+    char *task = task_text(&order->task);
+    uint32_t highest = GPOINTER_TO_UINT(g_hash_table_lookup(f->highest, task));
+    for (guint i = 0; i < f->runs->len; i++) {
+        PhFakeRun *run = &g_array_index(f->runs, PhFakeRun, i);
+        if (strcmp(run->task, task) == 0 && run->run == order->run) {
+            run->stopping = true;
+            run->ends_at = MIN(run->ends_at, w->now + STOP_MS * PH_NS_PER_MS);
+        }
+    }
+    g_hash_table_replace(f->highest, task,
+                         GUINT_TO_POINTER(MAX(highest, order->run)));
+}
+
+/* Answers a hold. */
+static void
+worker_hold(PhWorld *w, PhFakeWorker *f, const PhSchedAction *action,
+            PhSchedHoldReply *hold)
+{
+    uint64_t seen = action->as.hold.last_seen;
+    f->deadline_ms = MAX(f->deadline_ms, action->as.hold.deadline_ms);
+    assert_true(seen <= f->next_end);
+    while (f->ends->len > 0 &&
+           g_array_index(f->ends, PhFakeEnd, 0).number <= seen) {
+        g_array_remove_index(f->ends, 0);
+    }
+    hold->born_ms = f->born_ms;
+    hold->clock_ms = worker_clock(w, f);
+    hold->runs = g_new0(PhSchedRunRow, f->runs->len + 1);
+    hold->ends = g_new0(PhSchedEndRow, f->ends->len + 1);
+    for (guint i = 0; i < f->runs->len; i++) {
+        const PhFakeRun *run = &g_array_index(f->runs, PhFakeRun, i);
+        hold->runs[hold->run_count++] =
+            (PhSchedRunRow){.task = run->name, .run = run->run, .figure = -1};
+    }
+    for (guint i = 0; i < f->ends->len; i++) {
+        const PhFakeEnd *end = &g_array_index(f->ends, PhFakeEnd, i);
+        hold->ends[hold->end_count++] = (PhSchedEndRow){.number = end->number,
+                                                        .task = end->name,
+                                                        .run = end->run,
+                                                        .kind = end->kind};
+    }
+}
+
+/* Finds a worker by its id. */
+static PhFakeWorker *
+worker_find(PhWorld *w, PhStr id)
+{
+    for (guint i = 0; i < w->workers->len; i++) {
+        PhFakeWorker *f = g_ptr_array_index(w->workers, i);
+        if (PhStr_Equal(PhStr_FromC(f->id), id)) {
+            return f;
+        }
+    }
+    assert_true(false);
+    return NULL;
+}
+
+/* Carries out an order that has arrived. */
+static void
+order_arrive(PhWorld *w, PhWorldEvent *e)
+{
+    PhFakeWorker *f = worker_find(w, e->action.worker);
+    e->outcome = PH_SCHED_OUTCOME_DONE;
+    if (e->life != f->born_ms) {
+        e->outcome = PH_SCHED_OUTCOME_UNKNOWN;
+    }
+    else if (e->fence < f->fence) {
+        e->outcome = PH_SCHED_OUTCOME_FENCED;
+    }
+    else {
+        f->fence = e->fence;
+        switch (e->action.tag) {
+        case PH_SCHED_ACTION_HOLD:
+            worker_hold(w, f, &e->action, &e->hold);
+            break;
+        case PH_SCHED_ACTION_START:
+            e->outcome = worker_start(w, f, &e->action);
+            break;
+        case PH_SCHED_ACTION_STOP:
+            worker_stop(w, f, &e->action.as.run);
+            break;
+        case PH_SCHED_ACTION_PACE:
+            break;
+        }
+    }
+    e->clock_ms = worker_clock(w, f);
+    e->hold.outcome = e->outcome;
+    if (e->answer && f->cut_until > w->now) {
+        e->outcome = PH_SCHED_OUTCOME_UNKNOWN;
+        e->hold.outcome = PH_SCHED_OUTCOME_UNKNOWN;
+    }
+}
+
+/* Gives an outcome to the owner, if it still is the one that asked. */
+static void
+reply_arrive(PhWorld *w, PhWorldEvent *e)
+{
+    if (e->owner != w->owner || e->fence != w->fence) {
+        return;
+    }
+    const PhSchedRunOrder *run = &e->action.as.run;
+    bool still = true;
+    switch (e->action.tag) {
+    case PH_SCHED_ACTION_HOLD:
+        still = PhScheduler_OnHold(w->owner, e->action.worker,
+                                   e->action.born_ms, &e->hold, w->now);
+        break;
+    case PH_SCHED_ACTION_START:
+        still = PhScheduler_OnStart(w->owner, &run->task, run->run, e->outcome,
+                                    e->clock_ms, w->now);
+        break;
+    case PH_SCHED_ACTION_STOP:
+        still = PhScheduler_OnStop(w->owner, &run->task, run->run, e->outcome,
+                                   e->clock_ms, w->now);
+        break;
+    case PH_SCHED_ACTION_PACE:
+        break;
+    }
+    assert_true(still);
+}
+
+/* Sends an order: how long it takes and whether it is answered is drawn. */
+static void
+order_send(PhWorld *w, const PhSchedAction *action)
+{
+    PhWorldEvent *e = g_new0(PhWorldEvent, 1);
+    PhFakeWorker *f = worker_find(w, action->worker);
+    e->tag = EVENT_ORDER;
+    e->owner = w->owner;
+    e->fence = w->fence;
+    e->life = f->born_ms;
+    e->action = *action;
+    e->action.worker = PhStr_Dup(action->worker);
+    if (action->tag != PH_SCHED_ACTION_HOLD) {
+        e->action.as.run.task.job = id_lasting(w, action->as.run.task.job);
+    }
+    e->answer = !chance(w, FAULT_LOST_ANSWERS, 0.1);
+    e->at = w->now + (PhTime)PhRandom_Below(w->random, 10) * PH_NS_PER_MS;
+    if (chance(w, FAULT_LATE_ORDERS, 0.05)) {
+        e->at +=
+            (PhTime)(2000 + PhRandom_Below(w->random, 4000)) * PH_NS_PER_MS;
+        e->answer = false;
+    }
+    if (f->cut_until > w->now) {
+        e->answer = false;
+        e->at = f->cut_until;
+    }
+    g_ptr_array_add(w->events, e);
+    if (!e->answer) {
+        PhWorldEvent *lost = g_new0(PhWorldEvent, 1);
+        *lost = *e;
+        lost->tag = EVENT_REPLY;
+        lost->action.worker = PhStr_Dup(action->worker);
+        lost->at = w->now + PH_NS_PER_S;
+        lost->outcome = PH_SCHED_OUTCOME_UNKNOWN;
+        lost->hold.outcome = PH_SCHED_OUTCOME_UNKNOWN;
+        g_ptr_array_add(w->events, lost);
+    }
+}
+
+/* Notes the starts that a record makes durable. */
+static void
+note_starts(PhWorld *w, const PhSchedEncoded *encoded)
+{
+    PhSchedRecord record;
+    PhResult r = PhSchedRecord_Decode(encoded->key, encoded->value, &record);
+    assert_true(PhResult_IsOk(&r));
+    if (record.tag == PH_SCHED_RECORD_STAGE) {
+        for (uint32_t i = 0; i < record.as.stage.task_count; i++) {
+            g_hash_table_add(
+                w->started,
+                g_strdup_printf("%.*s.%u.%u.%u/%u", PhStr_ARG(record.id),
+                                record.as.stage.round, record.as.stage.step, i,
+                                record.as.stage.tasks[i].run));
+        }
+    }
+    PhSchedRecord_Clear(&record);
+}
+
+/* Appends what has changed to the log.  An outage keeps it back; the append
+ * of an owner that is replaced meanwhile is fenced. */
+static void
+records_send(PhWorld *w)
+{
+    if (w->pending_batch != 0 || w->outage_until > w->now) {
+        return;
+    }
+    GArray *records = g_array_new(FALSE, TRUE, sizeof(PhSchedRecord));
+    uint64_t batch = PhScheduler_TakeBatch(w->owner, records);
+    for (guint i = 0; i < records->len; i++) {
+        PhSchedRecord *record = &g_array_index(records, PhSchedRecord, i);
+        PhSchedEncoded e = PhSchedRecord_Encode(record);
+        note_starts(w, &e);
+        g_array_append_val(w->log, e);
+        PhSchedRecord_Clear(record);
+    }
+    g_array_free(records, TRUE);
+    if (batch != 0) {
+        PhWorldEvent *e = g_new0(PhWorldEvent, 1);
+        e->tag = EVENT_DURABLE;
+        e->owner = w->owner;
+        e->fence = w->fence;
+        e->batch = batch;
+        e->at = w->now + STORE_MS * PH_NS_PER_MS;
+        w->pending_batch = batch;
+        g_ptr_array_add(w->events, e);
+    }
+}
+
+/* Lets an event happen; true when it is over. */
+static bool
+event_happen(PhWorld *w, PhWorldEvent *e)
+{
+    switch (e->tag) {
+    case EVENT_ORDER:
+        order_arrive(w, e);
+        e->tag = EVENT_REPLY;
+        e->at = w->now + (PhTime)PhRandom_Below(w->random, 10) * PH_NS_PER_MS;
+        return !e->answer;
+    case EVENT_REPLY:
+        reply_arrive(w, e);
+        return true;
+    case EVENT_DURABLE:
+        if (e->owner == w->owner && e->fence == w->fence) {
+            w->pending_batch = 0;
+            PhScheduler_OnDurable(w->owner, e->batch);
+        }
+        return true;
+    }
+    return true;
+}
+
+/* Lets everything that is due happen. */
+static void
+events_happen(PhWorld *w)
+{
+    for (guint i = 0; i < w->events->len;) {
+        PhWorldEvent *e = g_ptr_array_index(w->events, i);
+        if (e->at > w->now || !event_happen(w, e)) {
+            i++;
+            continue;
+        }
+        g_ptr_array_remove_index(w->events, i);
+    }
+}
+
+/* Ends the runs that are over, and all when the lease has run out. */
+static void
+worker_tick(PhWorld *w, PhFakeWorker *f)
+{
+    bool lapsed = f->runs->len > 0 && worker_clock(w, f) > f->deadline_ms;
+    for (guint i = f->runs->len; i-- > 0;) {
+        PhFakeRun *run = &g_array_index(f->runs, PhFakeRun, i);
+        if (run->ends_at > w->now && !lapsed) {
+            continue;
+        }
+        PhFakeEnd end = {.number = ++f->next_end,
+                         .name = run->name,
+                         .run = run->run,
+                         .kind = PH_SCHED_END_DONE};
+        if (lapsed) {
+            end.kind = PH_SCHED_END_LAPSED;
+        }
+        else if (run->stopping) {
+            end.kind = PH_SCHED_END_STOPPED;
+        }
+        else if (run->fails) {
+            end.kind = PH_SCHED_END_FAILED;
+        }
+        uint32_t highest =
+            GPOINTER_TO_UINT(g_hash_table_lookup(f->highest, run->task));
+        g_hash_table_replace(f->highest, g_strdup(run->task),
+                             GUINT_TO_POINTER(MAX(highest, run->run)));
+        g_array_append_val(f->ends, end);
+        g_free(run->task);
+        g_array_remove_index(f->runs, i);
+    }
+}
+
+/* Strikes with one of the faults that are drawn. */
+static void
+fault_strike(PhWorld *w)
+{
+    PhTime lasts = FAULT_LASTS_MS * PH_NS_PER_MS;
+    PhFakeWorker *f = g_ptr_array_index(
+        w->workers, PhRandom_Below(w->random, w->workers->len));
+    w->next_fault = w->now + FAULT_EVERY_MS * PH_NS_PER_MS;
+    if (chance(w, FAULT_CUTS, 0.5)) {
+        f->cut_until = w->now + lasts;
+    }
+    if (chance(w, FAULT_REBIRTHS, 0.5)) {
+        worker_reset(w, f);
+        list_workers(w);
+    }
+    if (chance(w, FAULT_STORE_OUTAGE, 0.5)) {
+        w->outage_until = w->now + lasts;
+    }
+    if (chance(w, FAULT_TAKEOVERS, 0.5)) {
+        w->takeovers++;
+        PhScheduler_Destroy(w->owner);
+        owner_create(w);
+    }
+}
+
+/* Cancels tasks that last, so that their jobs end. */
+static void
+cancel_some(PhWorld *w)
+{
+    if (!w->options.long_running || !PhRandom_Chance(w->random, 0.002)) {
+        return;
+    }
+    GPtrArray *active = PhScheduler_Model(w->owner)->active;
+    if (active->len > 0) {
+        PhSchedJob *job = g_ptr_array_index(active, 0);
+        PhSchedRecord cancel = {.tag = PH_SCHED_RECORD_CANCEL,
+                                .id = job->spec.id};
+        PhSchedEncoded e = PhSchedRecord_Encode(&cancel);
+        g_array_append_val(w->log, e);
+        job->cancel = true;
+    }
+}
+
+/* Plays one tick. */
+static void
+world_tick(PhWorld *w, bool faults)
+{
+    PhSchedAction action;
+    w->now += TICK_MS * PH_NS_PER_MS;
+    if (!faults) {
+        w->options.faults = 0;
+    }
+    if (w->now >= w->next_fault) {
+        fault_strike(w);
+    }
+    for (guint i = 0; i < w->workers->len; i++) {
+        worker_tick(w, g_ptr_array_index(w->workers, i));
+    }
+    events_happen(w);
+    if (w->added < w->options.jobs && PhRandom_Chance(w->random, 0.05)) {
+        job_add(w);
+    }
+    cancel_some(w);
+    PhScheduler_Plan(w->owner, w->now, w->now / PH_NS_PER_MS);
+    records_send(w);
+    while (PhScheduler_NextAction(w->owner, w->now, &action)) {
+        order_send(w, &action);
+    }
+}
+
+/* Plays until every job is over. */
+bool
+PhWorld_Run(PhWorld *w, PhTime limit)
+{
+    PhTime end = w->now + limit;
+    while (w->now < end) {
+        world_tick(w, w->now < end - REST_MS * PH_NS_PER_MS);
+        if (w->added == w->options.jobs &&
+            PhScheduler_Model(w->owner)->active->len == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Counts the runs that were started. */
+unsigned
+PhWorld_Starts(const PhWorld *w)
+{
+    return w->starts;
+}
+
+/* Counts the takeovers. */
+unsigned
+PhWorld_Takeovers(const PhWorld *w)
+{
+    return w->takeovers;
+}
--- /dev/null
+++ b/tests/schedule/test_election.c
@@ -0,0 +1,240 @@
+/* The election of the owner: scripted reads and appends on a given clock. */
+#include "peridothill/decide/schedule/election.h"
+
+#include "tests/table.h"
+
+#define SELF PhStr_LITERAL("self")
+#define OTHER PhStr_LITERAL("other")
+
+enum {
+    STEPS_MAX = 12,
+    DELAY_MS = 100,
+    ASKS_READ = 1,
+    ASKS_CLAIM = 2,
+    ASKS_RENEWAL = 4,
+    ASKS_RELEASE = 8,
+};
+
+/* What happens at a step. */
+typedef enum PhStepOp {
+    STEP_END, /* of the script */
+    STEP_LOOK,
+    STEP_READ_NOTHING, /* the topic ends at `number` */
+    STEP_READ_OTHER,   /* a record of another at `number` */
+    STEP_READ_RELEASE, /* the other's release at `number` */
+    STEP_READ_OWN,     /* an own claim at `number` */
+    STEP_READ_FAILS,
+    STEP_APPENDED, /* the topic ends at `number` */
+    STEP_CONFLICT,
+    STEP_UNKNOWN,
+    STEP_DEPOSED,
+    STEP_STOP,
+} PhStepOp;
+
+/* A step at a time, what is asked for after it, and the fence (0: not the
+ * owner). */
+typedef struct PhElectionStep {
+    int64_t at_ms;
+    PhStepOp op;
+    uint64_t number;
+    unsigned asks;
+    uint64_t fence;
+} PhElectionStep;
+
+typedef struct PhElectionCase {
+    const char *name;
+    PhElectionStep steps[STEPS_MAX];
+} PhElectionCase;
+
+static const PhElectionCase election_cases[] = {
+    {"the first instance claims after its delay",
+     {{0, STEP_LOOK, 0, ASKS_READ, 0},
+      {10, STEP_READ_NOTHING, 0, ASKS_READ, 0},
+      {110, STEP_LOOK, 0, ASKS_CLAIM, 0},
+      {120, STEP_APPENDED, 1, 0, 1},
+      {821, STEP_LOOK, 0, ASKS_RENEWAL, 1},
+      {830, STEP_APPENDED, 2, 0, 1}}},
+    {"renewals of another keep it from claiming",
+     {{0, STEP_LOOK, 0, ASKS_READ, 0},
+      {10, STEP_READ_OTHER, 0, ASKS_READ, 0},
+      {700, STEP_READ_OTHER, 1, ASKS_READ, 0},
+      {1400, STEP_READ_OTHER, 2, ASKS_READ, 0},
+      {3600, STEP_LOOK, 0, 0, 0}}},
+    {"claims after the silence of another",
+     {{0, STEP_LOOK, 0, ASKS_READ, 0},
+      {10, STEP_READ_OTHER, 4, ASKS_READ, 0},
+      {1010, STEP_READ_NOTHING, 5, ASKS_READ, 0},
+      {2300, STEP_READ_NOTHING, 5, ASKS_READ, 0},
+      {2311, STEP_LOOK, 0, ASKS_CLAIM, 0},
+      {2320, STEP_APPENDED, 6, 0, 6}}},
+    {"an outage of the store is no silence",
+     {{0, STEP_LOOK, 0, ASKS_READ, 0},
+      {10, STEP_READ_OTHER, 0, ASKS_READ, 0},
+      {1500, STEP_READ_FAILS, 0, 0, 0},
+      {1800, STEP_LOOK, 0, ASKS_READ, 0},
+      {6000, STEP_READ_FAILS, 0, 0, 0},
+      {6300, STEP_LOOK, 0, ASKS_READ, 0},
+      {6400, STEP_READ_NOTHING, 1, ASKS_READ, 0},
+      {8000, STEP_READ_NOTHING, 1, ASKS_READ, 0},
+      {8701, STEP_LOOK, 0, ASKS_CLAIM, 0}}},
+    {"a conflict is looked into before another claim",
+     {{0, STEP_LOOK, 0, ASKS_READ, 0},
+      {10, STEP_READ_NOTHING, 0, ASKS_READ, 0},
+      {110, STEP_LOOK, 0, ASKS_CLAIM, 0},
+      {120, STEP_CONFLICT, 0, 0, 0},
+      {130, STEP_READ_OTHER, 0, ASKS_READ, 0},
+      {500, STEP_LOOK, 0, 0, 0}}},
+    {"a claim without an answer is found in the topic",
+     {{0, STEP_LOOK, 0, ASKS_READ, 0},
+      {10, STEP_READ_NOTHING, 0, ASKS_READ, 0},
+      {110, STEP_LOOK, 0, ASKS_CLAIM, 0},
+      {1600, STEP_UNKNOWN, 0, 0, 0},
+      {1700, STEP_READ_OWN, 0, 0, 1}}},
+    {"a renewal that conflicts with another's claim ends the ownership",
+     {{0, STEP_LOOK, 0, ASKS_READ, 0},
+      {10, STEP_READ_NOTHING, 0, ASKS_READ, 0},
+      {110, STEP_LOOK, 0, ASKS_CLAIM, 0},
+      {120, STEP_APPENDED, 1, 0, 1},
+      {130, STEP_READ_NOTHING, 1, 0, 1},
+      {821, STEP_LOOK, 0, ASKS_RENEWAL, 1},
+      {830, STEP_CONFLICT, 0, ASKS_READ, 1},
+      {840, STEP_READ_OTHER, 1, ASKS_READ, 0}}},
+    {"an owner without the store gives up after 9 s",
+     {{0, STEP_LOOK, 0, ASKS_READ, 0},
+      {10, STEP_READ_NOTHING, 0, ASKS_READ, 0},
+      {110, STEP_LOOK, 0, ASKS_CLAIM, 0},
+      {120, STEP_APPENDED, 1, 0, 1},
+      {821, STEP_LOOK, 0, ASKS_RENEWAL, 1},
+      {2400, STEP_UNKNOWN, 0, 0, 1},
+      {9000, STEP_READ_FAILS, 0, 0, 1},
+      {9111, STEP_LOOK, 0, 0, 0}}},
+    {"a release is followed after the delay alone",
+     {{0, STEP_LOOK, 0, ASKS_READ, 0},
+      {10, STEP_READ_RELEASE, 7, ASKS_READ, 0},
+      {111, STEP_LOOK, 0, ASKS_CLAIM, 0},
+      {120, STEP_APPENDED, 9, 0, 9}}},
+    {"a higher fence ends the ownership at once",
+     {{0, STEP_LOOK, 0, ASKS_READ, 0},
+      {10, STEP_READ_NOTHING, 0, ASKS_READ, 0},
+      {110, STEP_LOOK, 0, ASKS_CLAIM, 0},
+      {120, STEP_APPENDED, 1, 0, 1},
+      {200, STEP_DEPOSED, 0, 0, 0}}},
+    {"an owner that stops releases, and claims no more",
+     {{0, STEP_LOOK, 0, ASKS_READ, 0},
+      {10, STEP_READ_NOTHING, 0, ASKS_READ, 0},
+      {110, STEP_LOOK, 0, ASKS_CLAIM, 0},
+      {120, STEP_APPENDED, 1, 0, 1},
+      {200, STEP_STOP, 0, ASKS_RELEASE, 1},
+      {210, STEP_APPENDED, 2, 0, 0},
+      {9000, STEP_LOOK, 0, 0, 0}}},
+};
+
+/* Gives a read with at most one record. */
+static void
+read_one(PhElection *e, const PhElectionStep *s, PhElectionEntryKind kind,
+         PhStr holder)
+{
+    PhElectionEntry entry = {
+        .offset = s->number, .kind = kind, .holder = holder};
+    PhElection_OnRead(e, &entry, 1, s->number + 1, s->at_ms * PH_NS_PER_MS);
+}
+
+/* Lets a step happen. */
+static void
+step_apply(PhElection *e, const PhElectionStep *s)
+{
+    PhTime now = s->at_ms * PH_NS_PER_MS;
+    switch (s->op) {
+    case STEP_END:
+    case STEP_LOOK:
+        break;
+    case STEP_READ_NOTHING:
+        PhElection_OnRead(e, NULL, 0, s->number, now);
+        break;
+    case STEP_READ_OTHER:
+        read_one(e, s, PH_ELECTION_RENEWAL, OTHER);
+        break;
+    case STEP_READ_RELEASE:
+        read_one(e, s, PH_ELECTION_RELEASE, OTHER);
+        break;
+    case STEP_READ_OWN:
+        read_one(e, s, PH_ELECTION_CLAIM, SELF);
+        break;
+    case STEP_READ_FAILS:
+        PhElection_OnReadFailed(e, 0, now);
+        break;
+    case STEP_APPENDED:
+        PhElection_OnAppended(e, s->number, now);
+        break;
+    case STEP_CONFLICT:
+        PhElection_OnAppendFailed(e, true, now);
+        break;
+    case STEP_UNKNOWN:
+        PhElection_OnAppendFailed(e, false, now);
+        break;
+    case STEP_DEPOSED:
+        PhElection_OnDeposed(e, now);
+        break;
+    case STEP_STOP:
+        PhElection_Stop(e);
+        break;
+    }
+}
+
+/* Collects what is asked for now. */
+static unsigned
+asks_collect(PhElection *e, PhTime now)
+{
+    static const unsigned appends[] = {ASKS_CLAIM, ASKS_RENEWAL, ASKS_RELEASE};
+    unsigned asks = 0;
+    for (;;) {
+        PhElectionAction a = PhElection_Next(e, now);
+        switch (a.tag) {
+        case PH_ELECTION_NOTHING:
+            return asks;
+        case PH_ELECTION_READ:
+            asks |= ASKS_READ;
+            break;
+        case PH_ELECTION_APPEND:
+            asks |= appends[a.as.append.kind];
+            break;
+        }
+    }
+}
+
+/* Plays one script. */
+static void
+election_run(const PhElectionCase *c)
+{
+    PhElection *e = PhElection_Create(SELF, DELAY_MS * PH_NS_PER_MS);
+    for (size_t i = 0; i < STEPS_MAX; i++) {
+        const PhElectionStep *s = &c->steps[i];
+        if (s->op == STEP_END) {
+            break;
+        }
+        step_apply(e, s);
+        unsigned asks = asks_collect(e, s->at_ms * PH_NS_PER_MS);
+        print_message("#   step %zu at %lld ms\n", i, (long long)s->at_ms);
+        assert_int_equal(asks, s->asks);
+        assert_int_equal(PhElection_Fence(e), s->fence);
+        assert_int_equal(PhElection_Role(e) == PH_ELECTION_OWNER,
+                         s->fence != 0);
+    }
+    PhElection_Destroy(e);
+}
+
+/* Every script. */
+static void
+test_election(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(election_cases, election_run);
+}
+
+/* Runs the tests. */
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {cmocka_unit_test(test_election)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/schedule/test_schedule_codec.c
@@ -0,0 +1,264 @@
+/* Records of the store and documents of the platform: what is read, and what
+ * is refused. */
+#include "peridothill/codec/schedule_record.h"
+#include "peridothill/platform/adapter.h"
+#include "tests/table.h"
+
+#define TEXT(S)                                                               \
+    {                                                                         \
+        (S), sizeof(S) - 1                                                    \
+    }
+
+/* A submission's body, and whether it is one. */
+typedef struct PhJobCase {
+    const char *name;
+    PhStr text;
+    bool valid;
+    uint32_t steps;
+    uint32_t tasks; /* of the first step */
+} PhJobCase;
+
+static const PhJobCase job_cases[] = {
+    {"a plain step",
+     TEXT("{\"spec\":\"x\",\"steps\":[{\"count\":4,\"cpu\":500}]}"), true, 1,
+     4},
+    {"every field",
+     TEXT("{\"spec\":\"x\",\"steps\":[{\"count\":2,\"cpu\":500,\"memMb\":9,"
+          "\"gpu\":1,\"estimateMs\":900,\"affinity\":\"r1-3\","
+          "\"savesProgress\":true,\"requires\":\"a\",\"maxPerServer\":1,"
+          "\"speculative\":true,\"image\":\"i\",\"targetMs\":18,"
+          "\"mayMiss\":1},{\"count\":1,\"after\":[0],\"fills\":true}],"
+          "\"repetitions\":3,\"startTimeMs\":1700000000000,"
+          "\"intervalMs\":1000}"),
+     true, 2, 2},
+    {"no JSON", TEXT("{"), false, 0, 0},
+    {"no steps", TEXT("{\"spec\":\"x\",\"steps\":[]}"), false, 0, 0},
+    {"a step that is no object", TEXT("{\"steps\":[7]}"), false, 0, 0},
+    {"a count that is text", TEXT("{\"steps\":[{\"count\":\"4\"}]}"), false, 0,
+     0},
+    {"a negative room", TEXT("{\"steps\":[{\"count\":1,\"cpu\":-1}]}"), false,
+     0, 0},
+    {"after that is no number",
+     TEXT("{\"steps\":[{\"count\":1,\"after\":[\"0\"]}]}"), false, 0, 0},
+};
+
+/* Reads one body, and brings it through the store's form and back. */
+static void
+job_run(const PhJobCase *c)
+{
+    PhSchedSpec spec;
+    PhResult r = PhWire_DecodeJob(c->text, &spec);
+    assert_int_equal(PhResult_IsOk(&r), c->valid);
+    if (!c->valid) {
+        return;
+    }
+    assert_int_equal(spec.step_count, c->steps);
+    spec.id = PhStr_Dup(PhStr_LITERAL("0123456789abcdef"));
+    spec.terms.queue = PhStr_Dup(PhStr_LITERAL("queue"));
+    spec.terms.service = PhStr_Dup(PhStr_LITERAL("service"));
+    PhSchedEncoded e = PhSchedRecord_EncodeJob(&spec);
+    PhSchedRecord record;
+    r = PhSchedRecord_Decode(e.key, e.value, &record);
+    assert_true(PhResult_IsOk(&r));
+    assert_int_equal(record.tag, PH_SCHED_RECORD_JOB);
+    const PhSchedStep *first = &record.as.job.steps[0];
+    assert_int_equal(first->count, c->tasks);
+    assert_int_equal(first->room.cpu_milli, spec.steps[0].room.cpu_milli);
+    assert_int_equal(first->estimate, spec.steps[0].estimate);
+    assert_int_equal(first->tail_target, spec.steps[0].tail_target);
+    assert_int_equal(first->speculative, spec.steps[0].speculative);
+    assert_true(PhStr_Equal(first->image, spec.steps[0].image));
+    assert_true(PhStr_Equal(record.as.job.payload, spec.payload));
+    assert_int_equal(record.as.job.repetitions, spec.repetitions);
+    /* Every shorter value is refused, and read within its bounds. */
+    for (size_t len = 0; len < e.value.len; len++) {
+        PhSchedRecord cut;
+        r = PhSchedRecord_Decode(e.key, PhStr_Slice(e.value, 0, len), &cut);
+        assert_false(PhResult_IsOk(&r));
+    }
+    PhSchedRecord_Clear(&record);
+    PhSchedEncoded_Clear(&e);
+    PhSchedSpec_Clear(&spec);
+}
+
+/* Submissions. */
+static void
+test_jobs(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(job_cases, job_run);
+}
+
+/* A worker's entry, and whether it names a worker to use. */
+typedef struct PhEntryCase {
+    const char *name;
+    PhStr text;
+    bool valid;
+    bool draining;
+} PhEntryCase;
+
+static const PhEntryCase entry_cases[] = {
+    {"ready",
+     TEXT("{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"ready\","
+          "\"capacity\":{\"cpu\":16000,\"memMb\":10},"
+          "\"labels\":[\"a\",\"r1-3\"],\"born\":5}"),
+     true, false},
+    {"draining",
+     TEXT("{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+          "\"state\":\"draining\",\"capacity\":{\"cpu\":1}}"),
+     true, true},
+    {"a state that is not known",
+     TEXT("{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"gone\","
+          "\"capacity\":{\"cpu\":1}}"),
+     false, false},
+    {"no address",
+     TEXT("{\"service\":\"s\",\"state\":\"ready\",\"capacity\":{\"cpu\":1}}"),
+     false, false},
+    {"a room that is text",
+     TEXT("{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"ready\","
+          "\"capacity\":{\"cpu\":\"1\"}}"),
+     false, false},
+    {"bytes that are no JSON", TEXT("\xff\x00\x01"), false, false},
+};
+
+/* Reads one entry. */
+static void
+entry_run(const PhEntryCase *c)
+{
+    PhSchedWorkerEntry entry;
+    PhResult r = PhWire_DecodeWorker(PhStr_LITERAL("i-1"), c->text, &entry);
+    assert_int_equal(PhResult_IsOk(&r), c->valid);
+    if (c->valid) {
+        assert_int_equal(entry.draining, c->draining);
+        PhSchedWorkerEntry_Clear(&entry);
+    }
+}
+
+/* Entries of workers. */
+static void
+test_entries(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(entry_cases, entry_run);
+}
+
+/* The answer to a hold or a start, and what it means. */
+typedef struct PhAnswerCase {
+    const char *name;
+    PhSchedActionTag tag;
+    int status;
+    PhStr text;
+    PhSchedOutcome outcome;
+    size_t runs;
+    size_t ends;
+} PhAnswerCase;
+
+static const PhAnswerCase answer_cases[] = {
+    {"lists of a hold", PH_SCHED_ACTION_HOLD, 200,
+     TEXT("{\"clockMs\":9,\"running\":[[\"5c0e7a21d94b36f8.0.1.17\",2,\"c\","
+          "41,7]],\"endedRuns\":[[58,\"5c0e7a21d94b36f8.0.1.9\",1,\"done\","
+          "\"\"]]}"),
+     PH_SCHED_OUTCOME_DONE, 1, 1},
+    {"rows that are malformed are passed over", PH_SCHED_ACTION_HOLD, 200,
+     TEXT("{\"clockMs\":9,\"running\":[7,[\"x\",1,\"\",1]],"
+          "\"endedRuns\":[[1,\"a.0.0.0\",1,\"melted\",\"\"]]}"),
+     PH_SCHED_OUTCOME_DONE, 0, 0},
+    {"a higher fence", PH_SCHED_ACTION_START, 409,
+     TEXT("{\"clockMs\":9,\"reason\":\"fence\"}"), PH_SCHED_OUTCOME_FENCED, 0,
+     0},
+    {"no room", PH_SCHED_ACTION_START, 409,
+     TEXT("{\"clockMs\":9,\"reason\":\"room\"}"), PH_SCHED_OUTCOME_NO_ROOM, 0,
+     0},
+    {"an old run", PH_SCHED_ACTION_START, 409,
+     TEXT("{\"clockMs\":9,\"reason\":\"old\"}"), PH_SCHED_OUTCOME_OLD, 0, 0},
+    {"a deadline that has passed", PH_SCHED_ACTION_START, 409,
+     TEXT("{\"clockMs\":9,\"reason\":\"late\"}"), PH_SCHED_OUTCOME_LATE, 0, 0},
+    {"another life", PH_SCHED_ACTION_START, 421, TEXT(""),
+     PH_SCHED_OUTCOME_OTHER_LIFE, 0, 0},
+    {"an unwell worker", PH_SCHED_ACTION_START, 503, TEXT(""),
+     PH_SCHED_OUTCOME_REFUSED, 0, 0},
+    {"a body that is no JSON", PH_SCHED_ACTION_START, 200, TEXT("<"),
+     PH_SCHED_OUTCOME_UNKNOWN, 0, 0},
+};
+
+/* Reads one answer. */
+static void
+answer_run(const PhAnswerCase *c)
+{
+    PhOrderReply reply = {.tag = c->tag};
+    PhWire_DecodeOrderReply(c->status, c->text, &reply);
+    assert_int_equal(reply.outcome, c->outcome);
+    assert_int_equal(reply.hold.run_count, c->runs);
+    assert_int_equal(reply.hold.end_count, c->ends);
+    PhOrderMessage m = {.tag = PH_ORDER_REPLY, .as.reply = reply};
+    PhMessage wrapped = PhOrderMessage_Wrap(&m);
+    wrapped.release(wrapped.body);
+}
+
+/* Answers of workers. */
+static void
+test_answers(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(answer_cases, answer_run);
+}
+
+/* A client's host and path, and the queue they name. */
+typedef struct PhQueueCase {
+    const char *name;
+    PhStr host;
+    PhStr path;
+    const char *queue; /* NULL for none */
+    const char *rest;
+} PhQueueCase;
+
+static const PhQueueCase queue_cases[] = {
+    {"a prefix", TEXT("a.example"), TEXT("/p/0123"), "short", "0123"},
+    {"the longest prefix", TEXT("a.example"), TEXT("/p/q/0123"), "long",
+     "0123"},
+    {"a host with a port", TEXT("A.example:80"), TEXT("/p/1"), "short", "1"},
+    {"another host", TEXT("b.example"), TEXT("/p/1"), NULL, NULL},
+    {"no prefix", TEXT("a.example"), TEXT("/x/1"), NULL, NULL},
+};
+
+/* Looks up one queue. */
+static void
+queue_run(const PhQueueCase *c)
+{
+    static const PhStr text = TEXT(
+        "{\"version\":3,\"routes\":[{\"name\":\"short\",\"host\":"
+        "\"a.example\",\"pathPrefix\":\"/p/\",\"service\":\"s\",\"stretch\":"
+        "1.5},{\"name\":\"long\",\"host\":\"a.example\",\"pathPrefix\":"
+        "\"/p/q/\",\"service\":\"s\"}],\"services\":[{\"name\":\"s\","
+        "\"enforcesCapacity\":true}]}");
+    PhSchedConfig *config = NULL;
+    PhStr rest = {0};
+    PhResult r = PhWire_DecodeConfig(text, &config);
+    assert_true(PhResult_IsOk(&r));
+    const PhSchedQueue *queue =
+        PhSchedConfig_Match(config, c->host, c->path, &rest);
+    assert_int_equal(queue != NULL, c->queue != NULL);
+    if (queue != NULL) {
+        assert_true(PhStr_Equal(queue->terms.queue, PhStr_FromC(c->queue)));
+        assert_true(PhStr_Equal(rest, PhStr_FromC(c->rest)));
+    }
+    PhSchedConfig_Destroy(config);
+}
+
+/* Queues. */
+static void
+test_queues(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(queue_cases, queue_run);
+}
+
+/* Runs the tests. */
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_jobs), cmocka_unit_test(test_entries),
+        cmocka_unit_test(test_answers), cmocka_unit_test(test_queues)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
