standin: the platform's store and workers; the whole path as processes

A life that is not listed and has not answered the new owner now counts as lapsed one lease after the earlier owner fell silent. What remains: an earlier owner that is alive, cut off from the store and still in touch with a worker which neither the store nor the new owner reaches.

--- a/commands/standin.c
+++ b/commands/standin.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 
 #include "peridothill/commands.h"
+#include "peridothill/standin/platform.h"
 #include "peridothill/standin/standin.h"
 
 enum {
@@ -24,6 +25,8 @@
     char *list;
     char *data_centre;
     char *services;
+    char *store;
+    gint run_ms;
     gint workers;
     gint64 seed;
 } PhStandinArguments;
@@ -34,6 +37,7 @@
     struct ev_loop *loop;
     PhKernel *kernel;
     PhFakeLog *log;
+    PhStandinStoreState *store;
     PhStandinListState list;
     GPtrArray *workers; /* PhStandinWorkerState */
 } PhStandins;
@@ -78,6 +82,45 @@
     return r;
 }
 
+/* Puts the configuration of one queue into the metadata store. */
+static void
+queue_put(PhStandins *s)
+{
+    PhBuf text = {0};
+    PhBuf_AppendFormat(
+        &text,
+        "{\"version\":1,\"routes\":[{\"name\":\"queue\",\"host\":"
+        "\"jobs.example\",\"pathPrefix\":\"/jobs/\",\"service\":\"%s\","
+        "\"maxAttempts\":3,\"stretch\":2.0,\"targetCompletionMs\":1000}],"
+        "\"services\":[{\"name\":\"%s\",\"enforcesCapacity\":true}]}",
+        s->arguments->services, s->arguments->services);
+    PhStandinStoreState_Put(s->store, PhStr_LITERAL("keyed.op"),
+                            PhStr_LITERAL("config"), PhBuf_Str(&text));
+    PhBuf_Clear(&text);
+}
+
+/* Starts the metadata store and workers that run tasks. */
+static PhResult
+platform_start(PhStandins *s)
+{
+    uint16_t port;
+    PhResult r = PhStandinStore_Start(
+        s->kernel, PhStr_FromC(s->arguments->store), s->store, &port);
+    queue_put(s);
+    for (int i = 0; i < s->arguments->workers && PhResult_IsOk(&r); i++) {
+        PhBuf id = {0};
+        PhBuf_AppendFormat(&id, "i-%d", i);
+        PhStandinRunnerOptions options = {
+            .id = PhBuf_Str(&id),
+            .service = PhStr_FromC(s->arguments->services),
+            .run_time = s->arguments->run_ms * PH_NS_PER_MS,
+            .store = s->store};
+        r = PhStandinRunner_Start(s->kernel, &options);
+        PhBuf_Clear(&id);
+    }
+    return r;
+}
+
 /* Starts the log, the list and the workers. */
 static PhResult
 standins_start(PhStandins *s)
@@ -147,7 +190,9 @@
     s.list.reading.entries = g_new0(PhListEntry, WORKERS_MAX);
     s.kernel = PhKernel_Create(&(PhKernelOptions){
         .clock = clock, .loop = s.loop, .counters = counters});
-    PhResult r = standins_start(&s);
+    s.store = PhStandinStoreState_Create();
+    PhResult r =
+        arguments->store != NULL ? platform_start(&s) : standins_start(&s);
     if (PhResult_IsOk(&r)) {
         standins_serve(&s);
     }
@@ -159,6 +204,7 @@
     PhListReading_Clear(&s.list.reading);
     g_ptr_array_free(s.workers, TRUE);
     PhFakeLog_Destroy(s.log);
+    PhStandinStoreState_Destroy(s.store);
     PhCounters_Destroy(counters);
     PhClock_Destroy(clock);
     ev_loop_destroy(s.loop);
@@ -169,12 +215,18 @@
 int
 PhCommand_Standin(int argc, char **argv)
 {
-    PhStandinArguments a = {.workers = 2, .seed = 1};
+    PhStandinArguments a = {.workers = 2, .seed = 1, .run_ms = 300};
     GOptionEntry entries[] = {
         {"log", 0, 0, G_OPTION_ARG_STRING, &a.log,
          "Address of the log (default 127.0.0.1:9000)", "IP:PORT"},
         {"list", 0, 0, G_OPTION_ARG_STRING, &a.list,
          "Address of the list (default 127.0.0.1:9001)", "IP:PORT"},
+        {"store", 0, 0, G_OPTION_ARG_STRING, &a.store,
+         "Address of a metadata store; then it and workers that run tasks are "
+         "all that starts",
+         "IP:PORT"},
+        {"run-ms", 0, 0, G_OPTION_ARG_INT, &a.run_ms,
+         "Run time of a task beside --store (default 300)", "MS"},
         {"workers", 0, 0, G_OPTION_ARG_INT, &a.workers,
          "Number of workers (default 2)", "N"},
         {"data-centre", 0, 0, G_OPTION_ARG_STRING, &a.data_centre,
@@ -210,6 +262,7 @@
     }
     g_free(a.log);
     g_free(a.list);
+    g_free(a.store);
     g_free(a.data_centre);
     g_free(a.services);
     g_option_context_free(context);
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -8,6 +8,9 @@
 /* An owner without the store goes on for at most this long, see
  * docs/PLATFORM-DESIGN.md; a successor waits for it and one lease. */
 static const PhTime OLD_OWNER_LIMIT = 10 * PH_NS_PER_S;
+/* A claim comes this long after the last word of the earlier owner; see
+ * election.c. */
+static const PhTime OWNER_SILENCE = 2200 * PH_NS_PER_MS;
 /* Ends within this time share one hold. */
 static const PhTime HOLD_GAP = 10 * PH_NS_PER_MS;
 /* Clocks of workers may be 2% slow. */
@@ -326,6 +329,19 @@
     }
 }
 
+/* Gives the time by which every lease of a life has ended.  A life that is
+ * not listed and has not answered this owner was silent towards the store
+ * too: the earlier owner is taken to be gone since before the takeover. */
+static PhTime
+lapse_time(const PhScheduler *s, const PhSchedWorker *w)
+{
+    if (w->listed || w->fenced) {
+        return w->lapse_by;
+    }
+    PhTime since = MAX(w->unlisted_at, s->owner_since);
+    return MIN(w->lapse_by, since + lease_bound(s) - OWNER_SILENCE);
+}
+
 /* Treats every run of a life as ended: its leases have lapsed, or the worker
  * has started anew. */
 static void
@@ -346,7 +362,8 @@
         return;
     }
     bool newest = PhSchedModel_NewestLife(s->model, w->entry.id) == w;
-    if (now >= w->lapse_by && w->tasks->len > 0 &&
+    PhTime lapse = lapse_time(s, w);
+    if (now >= lapse && w->tasks->len > 0 &&
         (!w->listed || !newest || w->failing_since > 0)) {
         worker_lost(s, w, now);
         w->dead = !w->listed || !newest;
@@ -357,7 +374,7 @@
         return;
     }
     if (w->tasks->len > 0) {
-        PhScheduler_WakeBy(s, w->lapse_by);
+        PhScheduler_WakeBy(s, lapse);
     }
     if (!newest || w->holding || PhStr_IsEmpty(w->entry.address)) {
         return;
@@ -528,10 +545,12 @@
 
 /* Notes that the entry of a worker has gone. */
 void
-PhScheduler_RemoveWorker(PhScheduler *s, PhStr id)
+PhScheduler_RemoveWorker(PhScheduler *s, PhStr id, PhTime now)
 {
     PhSchedWorker *w = PhSchedModel_NewestLife(s->model, id);
-    if (w != NULL) {
+    if (w != NULL && w->listed) {
         w->listed = false;
+        w->unlisted_at = now;
+        PhScheduler_WakeBy(s, now);
     }
 }
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -148,11 +148,12 @@
 /* One life of a worker. */
 struct PhSchedWorker {
     PhSchedWorkerEntry entry;
-    bool listed;    /* its entry stands in the list */
-    bool fenced;    /* it has answered to this owner's fence */
-    bool suspended; /* it does not answer; it is recorded that no lease is
-                       granted to it */
-    bool dirty;     /* `suspended` differs from its last record */
+    bool listed;        /* its entry stands in the list */
+    PhTime unlisted_at; /* the entry went then */
+    bool fenced;        /* it has answered to this owner's fence */
+    bool suspended;     /* it does not answer; it is recorded that no lease is
+                           granted to it */
+    bool dirty;         /* `suspended` differs from its last record */
     uint64_t grant_batch; /* records that must be durable before a lease */
     PhTime suspended_at;  /* the record was read or written then */
     bool dead;       /* another life has its id, or its leases have lapsed */
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -137,6 +137,6 @@
  * gone. */
 void PhScheduler_SetWorker(PhScheduler *scheduler, PhSchedWorkerEntry *entry,
                            PhTime now);
-void PhScheduler_RemoveWorker(PhScheduler *scheduler, PhStr id);
+void PhScheduler_RemoveWorker(PhScheduler *scheduler, PhStr id, PhTime now);
 
 #endif
--- a/services/schedule/schedule_task.c
+++ b/services/schedule/schedule_task.c
@@ -99,7 +99,8 @@
         PhScheduleTask_WantPump(t);
         break;
     case PH_SCHEDULE_NO_WORKER:
-        PhScheduler_RemoveWorker(t->scheduler, m->as.no_worker);
+        PhScheduler_RemoveWorker(t->scheduler, m->as.no_worker,
+                                 PhTask_Now(t->self));
         break;
     case PH_SCHEDULE_DRAIN:
         begin_drain(t);
--- /dev/null
+++ b/standin/runner.c
@@ -0,0 +1,334 @@
+/* Stand-in of a worker of the platform: starts, stops and holds runs under a
+ * lease, and keeps their ends until they are acknowledged. */
+#include <inttypes.h>
+
+#include "peridothill/codec/json.h"
+#include "peridothill/standin/platform.h"
+#include "server.h"
+
+enum {
+    STATUS_OK = 200,
+    STATUS_BAD_REQUEST = 400,
+    STATUS_NOT_FOUND = 404,
+    STATUS_CONFLICT = 409,
+    BODY_LIMIT_BYTES = 64 * 1024,
+    TICK_TOKEN = 1,
+    TICK_MS = 5,
+    CPU_MILLI = 64000,
+    MEM_MB = 256000,
+};
+
+/* A run. */
+typedef struct PhRunnerRun {
+    PhStr task;
+    int64_t run;
+    PhTime ends_at;
+    bool stopping;
+} PhRunnerRun;
+
+/* An end that was not acknowledged. */
+typedef struct PhRunnerEnd {
+    int64_t number;
+    PhStr task;
+    int64_t run;
+    const char *how;
+} PhRunnerEnd;
+
+typedef struct PhRunner {
+    PhServer *server;
+    PhStr id;
+    PhTime run_time;
+    int64_t fence;
+    int64_t deadline_ms;
+    int64_t next_end;
+    GArray *runs;        /* PhRunnerRun */
+    GArray *ends;        /* PhRunnerEnd */
+    GHashTable *highest; /* task to the highest run stopped or ended */
+    uint64_t waiting;    /* a hold that waits for an end, 0 for none */
+    PhTime wait_until;
+} PhRunner;
+
+/* Reads the worker's clock. */
+static int64_t
+clock_ms(const PhRunner *r)
+{
+    return PhTask_Now(r->server->self) / PH_NS_PER_MS;
+}
+
+/* Answers with a reason, or without one. */
+static void
+answer(PhRunner *r, uint64_t id, int status, const char *reason)
+{
+    PhBuf body = {0};
+    PhBuf_AppendFormat(&body, "{\"clockMs\":%" PRId64, clock_ms(r));
+    if (reason != NULL) {
+        PhBuf_AppendFormat(&body, ",\"reason\":\"%s\"", reason);
+    }
+    PhBuf_AppendByte(&body, '}');
+    PhListener_Answer(r->server->listener, id, status, NULL, 0,
+                      PhBuf_Str(&body));
+    PhBuf_Clear(&body);
+}
+
+/* Answers a hold with both lists. */
+static void
+answer_lists(PhRunner *r, uint64_t id)
+{
+    PhBuf body = {0};
+    PhBuf_AppendFormat(&body, "{\"clockMs\":%" PRId64 ",\"running\":[",
+                       clock_ms(r));
+    for (guint i = 0; i < r->runs->len; i++) {
+        const PhRunnerRun *run = &g_array_index(r->runs, PhRunnerRun, i);
+        PhBuf_AppendFormat(&body, "%s[\"%.*s\",%" PRId64 ",\"\",100,0]",
+                           i > 0 ? "," : "", PhStr_ARG(run->task), run->run);
+    }
+    PhBuf_Append(&body, PhStr_LITERAL("],\"endedRuns\":["));
+    for (guint i = 0; i < r->ends->len; i++) {
+        const PhRunnerEnd *end = &g_array_index(r->ends, PhRunnerEnd, i);
+        PhBuf_AppendFormat(&body,
+                           "%s[%" PRId64 ",\"%.*s\",%" PRId64 ",\"%s\",\"\"]",
+                           i > 0 ? "," : "", end->number, PhStr_ARG(end->task),
+                           end->run, end->how);
+    }
+    PhBuf_Append(&body, PhStr_LITERAL("]}"));
+    PhListener_Answer(r->server->listener, id, STATUS_OK, NULL, 0,
+                      PhBuf_Str(&body));
+    PhBuf_Clear(&body);
+}
+
+/* Notes the highest run of a task that was stopped or has ended. */
+static void
+note_highest(PhRunner *r, PhStr task, int64_t run)
+{
+    gpointer known = g_hash_table_lookup(r->highest, &task);
+    if (GPOINTER_TO_INT(known) < run) {
+        g_hash_table_replace(r->highest, PhStr_KeyCreate(task),
+                             GINT_TO_POINTER((gint)run));
+    }
+}
+
+/* Ends what is over, or everything when the lease has run out. */
+static void
+runs_end(PhRunner *r)
+{
+    PhTime now = PhTask_Now(r->server->self);
+    bool lapsed = clock_ms(r) > r->deadline_ms;
+    for (guint i = r->runs->len; i-- > 0;) {
+        PhRunnerRun *run = &g_array_index(r->runs, PhRunnerRun, i);
+        if (run->ends_at > now && !lapsed) {
+            continue;
+        }
+        PhRunnerEnd end = {.number = ++r->next_end,
+                           .task = run->task,
+                           .run = run->run,
+                           .how = run->stopping ? "stopped" : "done"};
+        end.how = lapsed ? "lapsed" : end.how;
+        note_highest(r, run->task, run->run);
+        g_array_append_val(r->ends, end);
+        g_array_remove_index(r->runs, i);
+    }
+}
+
+/* Ends runs and answers the hold that waits, if there is something to tell. */
+static void
+tick(PhRunner *r)
+{
+    PhTime now = PhTask_Now(r->server->self);
+    runs_end(r);
+    if (r->waiting != 0 && (r->ends->len > 0 || now >= r->wait_until)) {
+        uint64_t id = r->waiting;
+        r->waiting = 0;
+        answer_lists(r, id);
+    }
+    PhTask_SetTimer(r->server->self, TICK_TOKEN, now + TICK_MS * PH_NS_PER_MS);
+}
+
+/* Carries out a start. */
+static void
+on_start(PhRunner *r, uint64_t id, const json_t *body)
+{
+    PhStr task = PhJson_GetStr(body, "task");
+    int64_t run = PhJson_GetInt(body, "run", 0);
+    int64_t deadline_ms = PhJson_GetInt(body, "deadlineMs", 0);
+    for (guint i = 0; i < r->runs->len; i++) {
+        const PhRunnerRun *known = &g_array_index(r->runs, PhRunnerRun, i);
+        if (PhStr_Equal(known->task, task) && known->run == run) {
+            answer(r, id, STATUS_OK, NULL);
+            return;
+        }
+    }
+    if (run <= GPOINTER_TO_INT(g_hash_table_lookup(r->highest, &task))) {
+        answer(r, id, STATUS_CONFLICT, "old");
+        return;
+    }
+    if (deadline_ms < clock_ms(r)) {
+        answer(r, id, STATUS_CONFLICT, "late");
+        return;
+    }
+    PhRunnerRun fresh = {.task = PhStr_Dup(task),
+                         .run = run,
+                         .ends_at = PhTask_Now(r->server->self) + r->run_time};
+    r->deadline_ms = MAX(r->deadline_ms, deadline_ms);
+    g_array_append_val(r->runs, fresh);
+    answer(r, id, STATUS_OK, NULL);
+}
+
+/* Carries out a stop. */
+static void
+on_stop(PhRunner *r, uint64_t id, const json_t *body)
+{
+    PhStr task = PhJson_GetStr(body, "task");
+    int64_t run = PhJson_GetInt(body, "run", 0);
+    for (guint i = 0; i < r->runs->len; i++) {
+        PhRunnerRun *known = &g_array_index(r->runs, PhRunnerRun, i);
+        if (PhStr_Equal(known->task, task) && known->run == run) {
+            known->stopping = true;
+            known->ends_at = PhTask_Now(r->server->self);
+        }
+    }
+    note_highest(r, task, run);
+    answer(r, id, STATUS_OK, NULL);
+}
+
+/* Carries out a hold. */
+static void
+on_hold(PhRunner *r, uint64_t id, const json_t *body)
+{
+    int64_t seen = PhJson_GetInt(body, "lastSeen", 0);
+    int64_t wait_ms = PhJson_GetInt(body, "waitMs", 0);
+    r->deadline_ms = MAX(r->deadline_ms, PhJson_GetInt(body, "deadlineMs", 0));
+    while (r->ends->len > 0 &&
+           g_array_index(r->ends, PhRunnerEnd, 0).number <= seen) {
+        PhStr_Clear(&g_array_index(r->ends, PhRunnerEnd, 0).task);
+        g_array_remove_index(r->ends, 0);
+    }
+    if (wait_ms == 0 || r->ends->len > 0 || r->waiting != 0) {
+        answer_lists(r, id);
+        return;
+    }
+    r->waiting = id;
+    r->wait_until = PhTask_Now(r->server->self) + wait_ms * PH_NS_PER_MS;
+}
+
+/* Carries out an order with its fence checked. */
+static void
+on_order(PhRunner *r, const PhIncoming *in, const json_t *body)
+{
+    int64_t fence = PhJson_GetInt(body, "fence", 0);
+    if (fence < r->fence) {
+        answer(r, in->id, STATUS_CONFLICT, "fence");
+        return;
+    }
+    r->fence = fence;
+    if (PhStr_Equal(in->path, PhStr_LITERAL("/api/run-start"))) {
+        on_start(r, in->id, body);
+    }
+    else if (PhStr_Equal(in->path, PhStr_LITERAL("/api/run-stop"))) {
+        on_stop(r, in->id, body);
+    }
+    else if (PhStr_Equal(in->path, PhStr_LITERAL("/api/hold"))) {
+        on_hold(r, in->id, body);
+    }
+    else if (PhStr_Equal(in->path, PhStr_LITERAL("/api/pace"))) {
+        answer(r, in->id, STATUS_OK, NULL);
+    }
+    else {
+        answer(r, in->id, STATUS_NOT_FOUND, NULL);
+    }
+}
+
+/* Takes an order. */
+static void
+on_request(void *context, const PhIncoming *in)
+{
+    PhRunner *r = context;
+    json_t *body;
+    PhResult parsed = PhJson_Parse(in->body, &body);
+    if (!PhResult_IsOk(&parsed)) {
+        answer(r, in->id, STATUS_BAD_REQUEST, NULL);
+        return;
+    }
+    runs_end(r);
+    on_order(r, in, body);
+    json_decref(body);
+}
+
+/* Forgets a hold whose caller has gone. */
+static void
+on_gone(void *context, uint64_t id)
+{
+    PhRunner *r = context;
+    if (r->waiting == id) {
+        r->waiting = 0;
+    }
+}
+
+/* Looks at what has ended. */
+static void
+on_timer(void *context, uint64_t token)
+{
+    (void)token;
+    tick(context);
+}
+
+/* Releases the worker. */
+static void
+runner_destroy(void *context)
+{
+    PhRunner *r = context;
+    for (guint i = 0; i < r->runs->len; i++) {
+        PhStr_Clear(&g_array_index(r->runs, PhRunnerRun, i).task);
+    }
+    for (guint i = 0; i < r->ends->len; i++) {
+        PhStr_Clear(&g_array_index(r->ends, PhRunnerEnd, i).task);
+    }
+    g_array_free(r->runs, TRUE);
+    g_array_free(r->ends, TRUE);
+    g_hash_table_destroy(r->highest);
+    PhStr_Clear(&r->id);
+    g_free(r);
+}
+
+/* Enters the worker into the store. */
+static void
+enter(const PhRunner *r, const PhStandinRunnerOptions *options, uint16_t port)
+{
+    PhBuf entry = {0};
+    PhBuf_AppendFormat(
+        &entry,
+        "{\"service\":\"%.*s\",\"address\":\"127.0.0.1:%u\","
+        "\"state\":\"ready\",\"zone\":\"bacolod\",\"capacity\":{\"cpu\":%d,"
+        "\"memMb\":%d,\"gpu\":0},\"labels\":[\"a\",\"r1-1\"],\"seq\":1}",
+        PhStr_ARG(options->service), port, CPU_MILLI, MEM_MB);
+    PhStandinStoreState_Put(options->store, PhStr_LITERAL("keyed.servers"),
+                            r->id, PhBuf_Str(&entry));
+    PhBuf_Clear(&entry);
+}
+
+/* Starts a worker. */
+PhResult
+PhStandinRunner_Start(PhKernel *kernel, const PhStandinRunnerOptions *options)
+{
+    PhRunner *r = g_new0(PhRunner, 1);
+    uint16_t port = 0;
+    r->id = PhStr_Dup(options->id);
+    r->run_time = options->run_time;
+    r->runs = g_array_new(FALSE, TRUE, sizeof(PhRunnerRun));
+    r->ends = g_array_new(FALSE, TRUE, sizeof(PhRunnerEnd));
+    r->highest = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
+                                       PhStr_KeyDestroy, NULL);
+    PhServerOptions server = {.name = options->id,
+                              .listen = PhStr_LITERAL("127.0.0.1:0"),
+                              .body_limit_bytes = BODY_LIMIT_BYTES,
+                              .context = r,
+                              .on_request = on_request,
+                              .on_gone = on_gone,
+                              .on_timer = on_timer,
+                              .destroy = runner_destroy};
+    PhResult result = PhServer_Start(kernel, &server, &r->server, &port);
+    if (PhResult_IsOk(&result)) {
+        enter(r, options, port);
+        tick(r);
+    }
+    return result;
+}
--- /dev/null
+++ b/standin/store.c
@@ -0,0 +1,455 @@
+/* Stand-in of the platform's metadata store: keyed topics of one partition,
+ * appends with conditions and producers, reads that wait, the newest record of
+ * each key. */
+#include <inttypes.h>
+
+#include "peridothill/codec/json.h"
+#include "peridothill/standin/platform.h"
+#include "server.h"
+
+enum {
+    STATUS_OK = 200,
+    STATUS_BAD_REQUEST = 400,
+    STATUS_NOT_FOUND = 404,
+    STATUS_CONFLICT = 409,
+    STATUS_CONDITION = 412,
+    STATUS_UNAVAILABLE = 503,
+    BODY_LIMIT_BYTES = 4 * 1024 * 1024,
+    LENGTH_BYTES = 4,
+    OFFSET_BYTES = 8,
+    BITS_PER_BYTE = 8,
+    TICK_TOKEN = 1,
+    TICK_MS = 5,
+};
+
+/* A record with its key, as it was appended. */
+typedef struct PhStoredRecord {
+    PhStr data; /* length of the key, key, value */
+    PhStr key;  /* within it */
+} PhStoredRecord;
+
+/* What is known of a producer. */
+typedef struct PhStoredProducer {
+    uint64_t epoch;
+    uint64_t sequence; /* last one */
+    bool any;          /* the next sequence number may be any */
+} PhStoredProducer;
+
+typedef struct PhStoredTopic {
+    GArray *records;       /* PhStoredRecord */
+    GHashTable *producers; /* PhStoredProducer by name */
+} PhStoredTopic;
+
+/* A read that waits for a record. */
+typedef struct PhWaitingRead {
+    uint64_t id;
+    PhStoredTopic *topic;
+    uint64_t from;
+    PhTime until;
+} PhWaitingRead;
+
+typedef struct PhStandinStore {
+    PhServer *server;
+    PhStandinStoreState *state;
+    GArray *waiting; /* PhWaitingRead */
+} PhStandinStore;
+
+struct PhStandinStoreState {
+    PhStandinStoreFault fault;
+    GHashTable *topics; /* PhStoredTopic by name */
+};
+
+/* Releases a topic. */
+static void
+topic_destroy(gpointer value)
+{
+    PhStoredTopic *topic = value;
+    for (guint i = 0; i < topic->records->len; i++) {
+        PhStr_Clear(&g_array_index(topic->records, PhStoredRecord, i).data);
+    }
+    g_array_free(topic->records, TRUE);
+    g_hash_table_destroy(topic->producers);
+    g_free(topic);
+}
+
+/* Creates a store without records. */
+PhStandinStoreState *
+PhStandinStoreState_Create(void)
+{
+    PhStandinStoreState *s = g_new0(PhStandinStoreState, 1);
+    s->topics = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
+                                      PhStr_KeyDestroy, topic_destroy);
+    return s;
+}
+
+/* Releases the store; NULL is allowed. */
+void
+PhStandinStoreState_Destroy(PhStandinStoreState *s)
+{
+    if (s != NULL) {
+        g_hash_table_destroy(s->topics);
+        g_free(s);
+    }
+}
+
+/* Sets how calls are treated from now on. */
+void
+PhStandinStoreState_SetFault(PhStandinStoreState *s, PhStandinStoreFault fault)
+{
+    s->fault = fault;
+}
+
+/* Finds or creates a topic. */
+static PhStoredTopic *
+topic_find(PhStandinStoreState *s, PhStr name)
+{
+    PhStoredTopic *topic = g_hash_table_lookup(s->topics, &name);
+    if (topic == NULL) {
+        topic = g_new0(PhStoredTopic, 1);
+        topic->records = g_array_new(FALSE, TRUE, sizeof(PhStoredRecord));
+        topic->producers = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
+                                                 PhStr_KeyDestroy, g_free);
+        g_hash_table_insert(s->topics, PhStr_KeyCreate(name), topic);
+    }
+    return topic;
+}
+
+/* Adds a record that holds the length of its key, the key and the value. */
+static void
+topic_add(PhStoredTopic *topic, PhStr data)
+{
+    PhStoredRecord record = {.data = PhStr_Dup(data)};
+    record.key =
+        PhStr_Slice(record.data, 1, data.len > 0 ? (uint8_t)data.data[0] : 0);
+    g_array_append_val(topic->records, record);
+}
+
+/* Writes a record on behalf of the operator or a worker. */
+void
+PhStandinStoreState_Put(PhStandinStoreState *s, PhStr topic, PhStr key,
+                        PhStr value)
+{
+    PhBuf data = {0};
+    PhBuf_AppendByte(&data, (char)key.len);
+    PhBuf_Append(&data, key);
+    PhBuf_Append(&data, value);
+    topic_add(topic_find(s, topic), PhBuf_Str(&data));
+    PhBuf_Clear(&data);
+}
+
+/* Appends a big-endian number. */
+static void
+append_number(PhBuf *out, uint64_t value, int bytes)
+{
+    for (int i = bytes - 1; i >= 0; i--) {
+        PhBuf_AppendByte(out, (char)(value >> (i * BITS_PER_BYTE)));
+    }
+}
+
+/* Answers with a body. */
+static void
+answer(PhStandinStore *s, uint64_t id, int status, PhBuf *body)
+{
+    PhListener_Answer(s->server->listener, id, status, NULL, 0,
+                      PhBuf_Str(body));
+    PhBuf_Clear(body);
+}
+
+/* Answers a call with the end of a topic and a reason. */
+static void
+answer_end(PhStandinStore *s, uint64_t id, int status,
+           const PhStoredTopic *topic, uint64_t offset, const char *reason)
+{
+    PhBuf body = {0};
+    PhBuf_AppendFormat(&body, "{\"offset\":%" PRIu64 ",\"end\":%u", offset,
+                       topic->records->len);
+    if (reason != NULL) {
+        PhBuf_AppendFormat(&body, ",\"reason\":\"%s\"", reason);
+    }
+    PhBuf_AppendByte(&body, '}');
+    answer(s, id, status, &body);
+}
+
+/* Answers a read with all records from an offset. */
+static void
+answer_read(PhStandinStore *s, uint64_t id, const PhStoredTopic *topic,
+            uint64_t from)
+{
+    PhBuf body = {0};
+    append_number(&body, topic->records->len, OFFSET_BYTES);
+    append_number(&body, 0, OFFSET_BYTES);
+    for (guint i = (guint)from; i < topic->records->len; i++) {
+        PhStr data = g_array_index(topic->records, PhStoredRecord, i).data;
+        append_number(&body, data.len, LENGTH_BYTES);
+        PhBuf_Append(&body, data);
+    }
+    answer(s, id, STATUS_OK, &body);
+}
+
+/* Answers the reads for which there is a record, or whose time is up. */
+static void
+waiting_answer(PhStandinStore *s)
+{
+    PhTime now = PhTask_Now(s->server->self);
+    for (guint i = s->waiting->len; i-- > 0;) {
+        PhWaitingRead read = g_array_index(s->waiting, PhWaitingRead, i);
+        if (read.topic->records->len > read.from || now >= read.until) {
+            g_array_remove_index_fast(s->waiting, i);
+            answer_read(s, read.id, read.topic, read.from);
+        }
+    }
+    if (s->waiting->len > 0) {
+        PhTask_SetTimer(s->server->self, TICK_TOKEN,
+                        now + TICK_MS * PH_NS_PER_MS);
+    }
+}
+
+/* Reads a number of the query. */
+static bool
+query_number(PhStr query, const char *key, uint64_t *number)
+{
+    PhStr value;
+    if (!PhListener_QueryValue(query, PhStr_FromC(key), &value)) {
+        return false;
+    }
+    bool valid = PhStr_ParseU64(value, number);
+    PhStr_Clear(&value);
+    return valid;
+}
+
+/* Checks a producer's epoch and sequence: NULL, or the reason of a refusal.
+ * `repeated` tells of an append that was done before. */
+static const char *
+producer_check(PhStoredTopic *topic, PhStr name, uint64_t epoch,
+               uint64_t sequence, bool empty, bool *repeated)
+{
+    PhStoredProducer *p = g_hash_table_lookup(topic->producers, &name);
+    if (p == NULL) {
+        p = g_new0(PhStoredProducer, 1);
+        p->any = true;
+        g_hash_table_insert(topic->producers, PhStr_KeyCreate(name), p);
+    }
+    if (epoch < p->epoch) {
+        return "fenced";
+    }
+    p->any |= epoch > p->epoch;
+    p->epoch = epoch;
+    if (empty) {
+        return NULL;
+    }
+    *repeated = !p->any && sequence == p->sequence;
+    if (!p->any && !*repeated && sequence != p->sequence + 1) {
+        return "seq";
+    }
+    p->any = false;
+    p->sequence = sequence;
+    return NULL;
+}
+
+/* Adds the records of an append's body. */
+static void
+append_records(PhStoredTopic *topic, PhStr body)
+{
+    while (body.len >= LENGTH_BYTES) {
+        size_t len = 0;
+        for (int i = 0; i < LENGTH_BYTES; i++) {
+            len = len << BITS_PER_BYTE | (uint8_t)body.data[i];
+        }
+        topic_add(topic, PhStr_Slice(body, LENGTH_BYTES, len));
+        body = PhStr_Slice(body, LENGTH_BYTES + len, body.len);
+    }
+}
+
+/* Carries out an append. */
+static void
+on_append(PhStandinStore *s, const PhIncoming *in, PhStoredTopic *topic)
+{
+    uint64_t at;
+    uint64_t epoch = 0;
+    uint64_t sequence = 0;
+    uint64_t offset = topic->records->len;
+    PhStr producer;
+    bool repeated = false;
+    if (query_number(in->query, "at", &at) && at != offset) {
+        answer_end(s, in->id, STATUS_CONDITION, topic, offset, NULL);
+        return;
+    }
+    if (PhListener_QueryValue(in->query, PhStr_LITERAL("producer"),
+                              &producer)) {
+        query_number(in->query, "epoch", &epoch);
+        query_number(in->query, "seq", &sequence);
+        const char *reason = producer_check(topic, producer, epoch, sequence,
+                                            in->body.len == 0, &repeated);
+        PhStr_Clear(&producer);
+        if (reason != NULL) {
+            answer_end(s, in->id, STATUS_CONFLICT, topic, offset, reason);
+            return;
+        }
+    }
+    if (!repeated) {
+        append_records(topic, in->body);
+    }
+    if (s->state->fault == PH_STANDIN_STORE_LOSES_ANSWERS) {
+        PhListener_Drop(s->server->listener, in->id);
+    }
+    else {
+        answer_end(s, in->id, STATUS_OK, topic, offset, NULL);
+    }
+    waiting_answer(s);
+}
+
+/* Carries out a read. */
+static void
+on_read(PhStandinStore *s, const PhIncoming *in, PhStoredTopic *topic)
+{
+    uint64_t from = 0;
+    uint64_t wait_ms = 0;
+    query_number(in->query, "from", &from);
+    query_number(in->query, "waitMs", &wait_ms);
+    PhWaitingRead read = {.id = in->id,
+                          .topic = topic,
+                          .from = from,
+                          .until = PhTask_Now(s->server->self) +
+                                   (PhTime)wait_ms * PH_NS_PER_MS};
+    g_array_append_val(s->waiting, read);
+    waiting_answer(s);
+}
+
+/* Tells whether a record is the newest of its key and has a value. */
+static bool
+is_newest(const PhStoredTopic *topic, guint index)
+{
+    const PhStoredRecord *r =
+        &g_array_index(topic->records, PhStoredRecord, index);
+    for (guint i = index + 1; i < topic->records->len; i++) {
+        if (PhStr_Equal(g_array_index(topic->records, PhStoredRecord, i).key,
+                        r->key)) {
+            return false;
+        }
+    }
+    return r->data.len > 1 + r->key.len;
+}
+
+/* Answers with the newest record of each key, in one page. */
+static void
+on_newest(PhStandinStore *s, const PhIncoming *in, const PhStoredTopic *topic)
+{
+    json_t *root = json_object();
+    json_t *items = json_array();
+    for (guint i = 0; i < topic->records->len; i++) {
+        const PhStoredRecord *r =
+            &g_array_index(topic->records, PhStoredRecord, i);
+        if (!is_newest(topic, i)) {
+            continue;
+        }
+        PhStr value = PhStr_Slice(r->data, 1 + r->key.len, r->data.len);
+        char *text = g_base64_encode((const guchar *)value.data, value.len);
+        json_t *item = json_object();
+        json_object_set_new(item, "key", PhJson_String(r->key));
+        json_object_set_new(item, "value", json_string(text));
+        json_object_set_new(item, "offset", json_integer(i));
+        json_array_append_new(items, item);
+        g_free(text);
+    }
+    json_object_set_new(root, "items", items);
+    json_object_set_new(root, "hasMore", json_false());
+    json_object_set_new(root, "end", json_integer(topic->records->len));
+    PhStr text = PhJson_Write(root);
+    PhListener_Answer(s->server->listener, in->id, STATUS_OK, NULL, 0, text);
+    PhStr_Clear(&text);
+    json_decref(root);
+}
+
+/* Refuses or loses a call as the fault says; true when it did. */
+static bool
+fault_strikes(PhStandinStore *s, uint64_t id)
+{
+    PhBuf nothing = {0};
+    switch (s->state->fault) {
+    case PH_STANDIN_STORE_DOWN:
+        answer(s, id, STATUS_UNAVAILABLE, &nothing);
+        return true;
+    case PH_STANDIN_STORE_HEALTHY:
+    case PH_STANDIN_STORE_LOSES_ANSWERS:
+        break;
+    }
+    return false;
+}
+
+/* Takes a call. */
+static void
+on_request(void *context, const PhIncoming *in)
+{
+    PhStandinStore *s = context;
+    PhStr name;
+    PhBuf nothing = {0};
+    if (fault_strikes(s, in->id)) {
+        return;
+    }
+    if (!PhListener_QueryValue(in->query, PhStr_LITERAL("topic"), &name)) {
+        answer(s, in->id, STATUS_BAD_REQUEST, &nothing);
+        return;
+    }
+    PhStoredTopic *topic = topic_find(s->state, name);
+    PhStr_Clear(&name);
+    if (PhStr_Equal(in->path, PhStr_LITERAL("/api/log-append"))) {
+        on_append(s, in, topic);
+    }
+    else if (PhStr_Equal(in->path, PhStr_LITERAL("/api/log-read"))) {
+        on_read(s, in, topic);
+    }
+    else if (PhStr_Equal(in->path, PhStr_LITERAL("/api/log-newest"))) {
+        on_newest(s, in, topic);
+    }
+    else {
+        answer(s, in->id, STATUS_NOT_FOUND, &nothing);
+    }
+}
+
+/* Forgets a read whose caller has gone. */
+static void
+on_gone(void *context, uint64_t id)
+{
+    PhStandinStore *s = context;
+    for (guint i = s->waiting->len; i-- > 0;) {
+        if (g_array_index(s->waiting, PhWaitingRead, i).id == id) {
+            g_array_remove_index_fast(s->waiting, i);
+        }
+    }
+}
+
+/* Looks at the waiting reads again. */
+static void
+on_timer(void *context, uint64_t token)
+{
+    (void)token;
+    waiting_answer(context);
+}
+
+/* Releases the stand-in; its state stays the caller's. */
+static void
+store_destroy(void *context)
+{
+    PhStandinStore *s = context;
+    g_array_free(s->waiting, TRUE);
+    g_free(s);
+}
+
+/* Starts the stand-in. */
+PhResult
+PhStandinStore_Start(PhKernel *kernel, PhStr listen,
+                     PhStandinStoreState *state, uint16_t *port)
+{
+    PhStandinStore *s = g_new0(PhStandinStore, 1);
+    s->state = state;
+    s->waiting = g_array_new(FALSE, TRUE, sizeof(PhWaitingRead));
+    PhServerOptions options = {.name = PhStr_LITERAL("standin-store"),
+                               .listen = listen,
+                               .body_limit_bytes = BODY_LIMIT_BYTES,
+                               .context = s,
+                               .on_request = on_request,
+                               .on_gone = on_gone,
+                               .on_timer = on_timer,
+                               .destroy = store_destroy};
+    return PhServer_Start(kernel, &options, &s->server, port);
+}
