log: lines for each decision and change of belief, bounded and never waiting

Cause: a failed request could not be followed: starts, ends, refusals, silent workers and the store's outages left no line, and a reader that stopped reading would have stopped the process.

--- a/codec/settings_value.c
+++ b/codec/settings_value.c
@@ -244,8 +244,8 @@
     char *text = PhStr_ToC(value);
     char *end = NULL;
     double number = g_ascii_strtod(text, &end);
-    bool valid = value.len > 0 && *end == '\0' && number > 0 &&
-                 number <= SHARE_MOST;
+    bool valid =
+        value.len > 0 && *end == '\0' && number > 0 && number <= SHARE_MOST;
     g_free(text);
     if (!valid) {
         return PhResult_Make(PH_STATUS_INVALID,
--- a/commands/serve.c
+++ b/commands/serve.c
@@ -1,8 +1,10 @@
 #include <ev.h>
+#include <fcntl.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "peridothill/commands.h"
 #include "peridothill/platform/adapter.h"
@@ -160,7 +162,10 @@
     PhClock *clock = PhClock_Create(PH_CLOCK_REAL);
     PhCounters *counters = PhCounters_Create();
     PhLog *log =
-        PhLog_Create(stderr, s->settings.log.format, s->settings.log.level);
+        PhLog_Create(stdout, s->settings.log.format, s->settings.log.level);
+    PhLog_SetWall(log, PhClock_Wall(clock) - PhClock_Now(clock));
+    /* A reader that stops reading must not stop the process. */
+    fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
     s->log = log;
     s->clock = clock;
     s->loop = ev_loop_new(EVFLAG_AUTO);
--- a/common/log.c
+++ b/common/log.c
@@ -1,12 +1,36 @@
 #include "peridothill/common/log.h"
 
+#include <errno.h>
 #include <inttypes.h>
+#include <unistd.h>
+
+enum {
+    /* Lines that a reader has not taken yet; more are left out. */
+    PENDING_BYTES_MAX = 64 * 1024,
+};
+
+/* Lines of one event: this many at once, and so many a second after.  Errors
+ * are never left out. */
+static const double BUCKET_BURST = 400;
+static const double BUCKET_PER_S = 200;
+
+/* How often an event may still be written. */
+typedef struct PhBucket {
+    double tokens;
+    PhTime at;
+    uint64_t left_out;
+    bool used; /* the first line is always written */
+} PhBucket;
 
 struct PhLog {
     FILE *sink;
     PhLogFormat format;
     PhLevel least;
+    PhTime wall_offset; /* added to a line's time, 0 for no wall time */
     PhBuf line;
+    PhBuf pending;
+    uint64_t dropped;    /* lines that the reader was too slow for */
+    GHashTable *buckets; /* PhBucket by event */
 };
 
 /* Creates a logger that drops events below the level `least`. */
@@ -17,6 +41,8 @@
     log->sink = sink;
     log->format = format;
     log->least = least;
+    log->buckets =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     return log;
 }
 
@@ -27,6 +53,13 @@
     log->least = least;
 }
 
+/* Adds the wall time to each line. */
+void
+PhLog_SetWall(PhLog *log, PhTime offset)
+{
+    log->wall_offset = offset;
+}
+
 /* Changes the form of lines. */
 void
 PhLog_SetFormat(PhLog *log, PhLogFormat format)
@@ -42,6 +75,8 @@
         return;
     }
     PhBuf_Clear(&log->line);
+    PhBuf_Clear(&log->pending);
+    g_hash_table_destroy(log->buckets);
     g_free(log);
 }
 
@@ -117,20 +152,102 @@
                            (int)info->id, PhLevel_Name(info->level), seconds);
         break;
     }
+    if (log->wall_offset != 0) {
+        append_field(log, &PhField_I64("at_ms", (log->wall_offset + now) /
+                                                    PH_NS_PER_MS));
+    }
     append_field(log, &PhField_STR("task", task));
     append_field(log, &PhField_STR("text", PhStr_FromC(info->text)));
 }
 
-/* Writes one line for the event; a NULL log or a low level writes none. */
+/* Takes a token of the event; false when the line is left out. */
+static bool
+bucket_take(PhLog *log, const PhEventInfo *info, PhTime now,
+            uint64_t *left_out)
+{
+    gpointer key = GINT_TO_POINTER((int)info->id);
+    PhBucket *b = g_hash_table_lookup(log->buckets, key);
+    if (b == NULL) {
+        b = g_new0(PhBucket, 1);
+        b->tokens = BUCKET_BURST;
+        b->at = now;
+        g_hash_table_insert(log->buckets, key, b);
+    }
+    b->tokens += (double)(now - b->at) / PH_NS_PER_S * BUCKET_PER_S;
+    b->tokens = MIN(b->tokens, BUCKET_BURST);
+    b->at = now;
+    if (b->tokens < 1 && b->used && info->level < PH_LEVEL_ERROR) {
+        b->left_out++;
+        return false;
+    }
+    b->tokens = MAX(b->tokens - 1, 0);
+    b->used = true;
+    *left_out = b->left_out;
+    b->left_out = 0;
+    return true;
+}
+
+/* Gives the reader what it takes without waiting; the rest stays pending. */
+static void
+pending_write(PhLog *log, int fd)
+{
+    while (log->pending.len > 0) {
+        ssize_t n = write(fd, log->pending.data, log->pending.len);
+        if (n < 0 && errno == EINTR) {
+            continue;
+        }
+        if (n <= 0) {
+            return;
+        }
+        PhBuf_Consume(&log->pending, (size_t)n);
+    }
+}
+
+/* Writes the line that was put together. */
+static void
+line_write(PhLog *log)
+{
+    int fd = fileno(log->sink);
+    if (fd < 0) {
+        fwrite(log->line.data, 1, log->line.len, log->sink);
+        fflush(log->sink);
+        return;
+    }
+    pending_write(log, fd);
+    if (log->pending.len + log->line.len > PENDING_BYTES_MAX) {
+        log->dropped++;
+        return;
+    }
+    PhBuf_Append(&log->pending, PhBuf_Str(&log->line));
+    pending_write(log, fd);
+}
+
+/* Appends what was left out since the last line of the event, and in all. */
+static void
+append_losses(PhLog *log, uint64_t left_out)
+{
+    if (left_out > 0) {
+        append_field(log, &PhField_U64("left_out", left_out));
+    }
+    if (log->dropped > 0 && log->pending.len == 0) {
+        append_field(log, &PhField_U64("dropped", log->dropped));
+        log->dropped = 0;
+    }
+}
+
+/* Writes one line for the event; a NULL log or a low level writes none.  A
+ * reader that does not read costs lines, never time. */
 void
 PhLog_Write(PhLog *log, PhEventId id, PhStr task, PhTime now,
             const PhField *fields, size_t count)
 {
+    uint64_t left_out = 0;
     if (log == NULL) {
         return;
     }
     const PhEventInfo *info = PhEvent_Find(id);
-    if (info == NULL || info->level < log->least) {
+    if (info == NULL || info->level < log->least ||
+        !bucket_take(log, info, now, &left_out)) {
         return;
     }
     PhBuf_Reset(&log->line);
@@ -138,10 +255,10 @@
     for (size_t i = 0; i < count; i++) {
         append_field(log, &fields[i]);
     }
+    append_losses(log, left_out);
     if (log->format == PH_LOG_FORMAT_JSON) {
         PhBuf_AppendByte(&log->line, '}');
     }
     PhBuf_AppendByte(&log->line, '\n');
-    fwrite(log->line.data, 1, log->line.len, log->sink);
-    fflush(log->sink);
+    line_write(log);
 }
--- a/decide/schedule/contact.c
+++ b/decide/schedule/contact.c
@@ -353,6 +353,13 @@
         worker_blame(w, end->kind, now);
         PhSchedTask *task = placed_task(s, &end->task, end->run);
         if (task != NULL && task->worker == w) {
+            PhSchedNote note = {.tag = PH_SCHED_NOTE_ENDED, .worker = w};
+            note.as.ended.task = PhSchedTask_Name(task);
+            note.as.ended.run = end->run;
+            note.as.ended.kind = end->kind;
+            note.as.ended.ran = now - task->since;
+            note.as.ended.failures = task->failures;
+            g_array_append_val(s->notes, note);
             PhScheduler_EndRun(s, task, end->kind, end->saved, now);
         }
     }
--- a/decide/schedule/interference.c
+++ b/decide/schedule/interference.c
@@ -538,7 +538,7 @@
         bool rises = percent >= u->percent;
         if (!rises || percent - u->percent >= PACE_RISE ||
             percent >= PERCENT) {
-            u->percent = (int8_t)(percent - percent % PACE_STEP);
+            u->percent = percent - percent % PACE_STEP;
         }
     }
     g_free(paces);
--- a/decide/schedule/pacing.c
+++ b/decide/schedule/pacing.c
@@ -2,14 +2,14 @@
 #include "scheduler_private.h"
 
 /* A task that is slowed to this share or less stalls. */
-static const int8_t STALLED_PERCENT = 30;
+static const int STALLED_PERCENT = 30;
 /* Stalls shorter than this pass: loads swing within seconds. */
 static const PhTime MOVE_AFTER = 1000 * PH_NS_PER_MS;
 /* A task that saves no progress is only moved when it is this young. */
 static const PhTime MOVE_LOSS_MOST = 2500 * PH_NS_PER_MS;
 
 /* Gives the pace of an image on a worker. */
-static int8_t
+static int
 image_pace(const PhSchedWorker *w, uint32_t image)
 {
     for (guint i = 0; i < w->fill_use->len; i++) {
--- a/decide/schedule/record.c
+++ b/decide/schedule/record.c
@@ -39,13 +39,12 @@
 PhSchedRecord_OfStage(const PhSchedStage *stage)
 {
     uint32_t count = stage->job->spec.steps[stage->number].count;
-    PhSchedRecord record = {
-        .tag = PH_SCHED_RECORD_STAGE,
-        .id = PhStr_Dup(stage->job->spec.id),
-        .as.stage = {.round = stage->round,
-                     .step = stage->number,
-                     .tasks = g_new0(PhSchedTaskRecord, count),
-                     .task_count = count}};
+    PhSchedRecord record = {.tag = PH_SCHED_RECORD_STAGE,
+                            .id = PhStr_Dup(stage->job->spec.id),
+                            .as.stage = {.round = stage->round,
+                                         .step = stage->number,
+                                         .task_count = count}};
+    record.as.stage.tasks = g_new0(PhSchedTaskRecord, count);
     for (uint32_t i = 0; i < count; i++) {
         const PhSchedTask *task = &stage->tasks[i];
         PhSchedTaskRecord *r = &record.as.stage.tasks[i];
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -30,6 +30,7 @@
     s->model = PhSchedModel_Create();
     s->open_batch = 1;
     s->interference = PhInterference_Create();
+    s->notes = g_array_new(FALSE, TRUE, sizeof(PhSchedNote));
     s->dirty_stages = g_ptr_array_new();
     s->dirty_jobs = g_ptr_array_new();
     return s;
@@ -66,10 +67,26 @@
     g_ptr_array_free(s->dirty_stages, TRUE);
     g_ptr_array_free(s->dirty_jobs, TRUE);
     PhInterference_Destroy(s->interference);
+    g_array_free(s->notes, TRUE);
     PhSchedModel_Destroy(s->model);
     g_free(s);
 }
 
+/* Gives the notes since the last clearing. */
+const PhSchedNote *
+PhScheduler_Notes(const PhScheduler *s, size_t *count)
+{
+    *count = s->notes->len;
+    return (const PhSchedNote *)s->notes->data;
+}
+
+/* Forgets the notes. */
+void
+PhScheduler_ClearNotes(PhScheduler *s)
+{
+    g_array_set_size(s->notes, 0);
+}
+
 /* Gives the model. */
 PhSchedModel *
 PhScheduler_Model(PhScheduler *scheduler)
@@ -191,6 +208,10 @@
     if (w->suspended == suspended) {
         return;
     }
+    PhSchedNote note = {.tag = suspended ? PH_SCHED_NOTE_SUSPENDED
+                                         : PH_SCHED_NOTE_RESUMED,
+                        .worker = w};
+    g_array_append_val(s->notes, note);
     w->suspended = suspended;
     w->suspended_at = now;
     w->grant_batch = s->open_batch;
@@ -347,6 +368,9 @@
 static void
 worker_lost(PhScheduler *s, PhSchedWorker *w, PhTime now)
 {
+    PhSchedNote note = {
+        .tag = PH_SCHED_NOTE_LOST, .worker = w, .as.lost = w->tasks->len};
+    g_array_append_val(s->notes, note);
     w->dead = true;
     while (w->tasks->len > 0) {
         PhScheduler_EndRun(s, g_ptr_array_index(w->tasks, 0),
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -24,6 +24,7 @@
     PhTime due;
     bool place_due; /* something has changed that may allow a start */
     PhInterference *interference;
+    GArray *notes;   /* PhSchedNote */
     PhTime pairs_at; /* what it has learned was last recorded */
     bool pairs_due;
 };
--- a/include/peridothill/common/counter_list.h
+++ b/include/peridothill/common/counter_list.h
@@ -4,4 +4,5 @@
 #include "peridothill/common/counter_list_members.h"
 #include "peridothill/common/counter_list_platform.h"
 #include "peridothill/common/counter_list_requests.h"
+#include "peridothill/common/counter_list_schedule.h"
 #include "peridothill/common/counter_list_tasks.h"
--- /dev/null
+++ b/include/peridothill/common/counter_list_schedule.h
@@ -0,0 +1,21 @@
+/* Counters of the scheduler of jobs. */
+PH_COUNTER(SCHEDULE_ACCEPTED, "peridothill_schedule_accepted_total", "",
+           "Jobs accepted and cancellations acknowledged")
+PH_COUNTER(SCHEDULE_REFUSED, "peridothill_schedule_refused_total", "",
+           "Calls refused, each with a line that says why")
+PH_COUNTER(SCHEDULE_STARTS, "peridothill_schedule_starts_total", "",
+           "Starts ordered")
+PH_COUNTER(SCHEDULE_STOPS, "peridothill_schedule_stops_total", "",
+           "Stops ordered")
+PH_COUNTER(SCHEDULE_PACES, "peridothill_schedule_paces_total", "",
+           "Changes of pace ordered")
+PH_COUNTER(SCHEDULE_ORDERS_FAILED, "peridothill_schedule_orders_failed_total",
+           "", "Orders that were not done or not answered")
+PH_COUNTER(SCHEDULE_ENDS, "peridothill_schedule_ends_total", "",
+           "Ends of runs taken in, but for failures")
+PH_COUNTER(SCHEDULE_ENDS_FAILED, "peridothill_schedule_ends_failed_total", "",
+           "Ends of runs that failed")
+PH_COUNTER(SCHEDULE_WORKERS_LOST, "peridothill_schedule_workers_lost_total",
+           "", "Workers whose leases have lapsed")
+PH_COUNTER(SCHEDULE_JOBS_OVER, "peridothill_schedule_jobs_over_total", "",
+           "Jobs that are over")
--- a/include/peridothill/common/event_list_schedule.h
+++ b/include/peridothill/common/event_list_schedule.h
@@ -11,3 +11,18 @@
 PH_EVENT(7007, SCHEDULE_ACCEPTED, INFO,
          "job accepted or cancelled, the record is durable")
 PH_EVENT(7008, SCHEDULE_JOB_OVER, INFO, "job is over")
+PH_EVENT(7010, SCHEDULE_START, INFO, "start ordered, its record is durable")
+PH_EVENT(7011, SCHEDULE_STOP, INFO, "stop ordered")
+PH_EVENT(7012, SCHEDULE_PACE, INFO, "pace ordered")
+PH_EVENT(7013, SCHEDULE_ORDER_FAILED, INFO,
+         "order not done, or its outcome is not known")
+PH_EVENT(7014, SCHEDULE_ENDED, INFO, "end of a run taken in")
+PH_EVENT(7015, SCHEDULE_WORKER_SUSPENDED, WARNING,
+         "worker does not answer, no lease is granted to it")
+PH_EVENT(7016, SCHEDULE_WORKER_RESUMED, INFO, "worker answers again")
+PH_EVENT(7017, SCHEDULE_WORKER_LOST, WARNING,
+         "leases of a worker have lapsed, its tasks wait again")
+PH_EVENT(7018, SCHEDULE_STORE_LOST, WARNING, "store does not answer")
+PH_EVENT(7019, SCHEDULE_STORE_BACK, INFO, "store answers again")
+PH_EVENT(7020, SCHEDULE_NOT_KNOWN, WARNING,
+         "client told that the outcome is not known")
--- a/include/peridothill/common/log.h
+++ b/include/peridothill/common/log.h
@@ -43,12 +43,17 @@
 
 typedef struct PhLog PhLog;
 
-/* Writes to `sink`, which stays the caller's.  A NULL log discards. */
+/* Writes to `sink`, which stays the caller's.  A NULL log discards.  A sink
+ * with a descriptor is written to directly: when the descriptor does not
+ * block, lines wait in a bounded buffer.  Each event has a bounded rate; the
+ * next line tells how many were left out. */
 PhLog *PhLog_Create(FILE *sink, PhLogFormat format, PhLevel least);
 void PhLog_Destroy(PhLog *log);
 /* Change what is written from now on. */
 void PhLog_SetLevel(PhLog *log, PhLevel least);
 void PhLog_SetFormat(PhLog *log, PhLogFormat format);
+/* Adds the wall time to each line: the time of a line plus `offset`. */
+void PhLog_SetWall(PhLog *log, PhTime offset);
 /* Writes one event at time `now` of the named task. */
 void PhLog_Write(PhLog *log, PhEventId id, PhStr task, PhTime now,
                  const PhField *fields, size_t count);
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -49,15 +49,15 @@
     PhTime since;            /* of the state */
     PhTime confirmed_at;     /* the worker answered the start */
     int64_t confirmed_clock; /* the worker's clock then, milliseconds */
-    uint64_t batch;      /* records that must be durable before the start */
-    uint64_t fence;      /* of the owner that placed it; 0 if another did */
-    PhTime retry_at;     /* next start or stop order, not before */
-    bool ordering;       /* a start is on its way */
-    bool uncertain;      /* a start of this run got no answer */
-    bool stopping;       /* a stop was ordered or is due */
-    bool stop_sent;      /* and is on its way */
-    int8_t percent;      /* share at which it works, as ordered */
-    int8_t percent_told; /* and as the worker was told */
+    uint64_t batch;   /* records that must be durable before the start */
+    uint64_t fence;   /* of the owner that placed it; 0 if another did */
+    PhTime retry_at;  /* next start or stop order, not before */
+    bool ordering;    /* a start is on its way */
+    bool uncertain;   /* a start of this run got no answer */
+    bool stopping;    /* a stop was ordered or is due */
+    bool stop_sent;   /* and is on its way */
+    int percent;      /* share at which it works, as ordered */
+    int percent_told; /* and as the worker was told */
     const PhSchedWorker *failed_on; /* worker of the last failed run; only
                                        compared */
     double own_load;  /* of a serving task: the part of its load that no other
@@ -130,7 +130,7 @@
     uint32_t image;
     double share;      /* as last seen */
     double full_share; /* if all worked at full pace */
-    int8_t percent;    /* pace of the image here */
+    int percent;       /* pace of the image here */
 } PhSchedFillUse;
 
 /* A task that serves on a worker, and the load that it bears with all that
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -93,6 +93,30 @@
     size_t end_count;
 } PhSchedHoldReply;
 
+/* What the scheduler has come to believe, for the log. */
+typedef enum PhSchedNoteTag {
+    PH_SCHED_NOTE_ENDED,     /* an end was taken in */
+    PH_SCHED_NOTE_SUSPENDED, /* a worker does not answer: no leases */
+    PH_SCHED_NOTE_RESUMED,   /* it answers again */
+    PH_SCHED_NOTE_LOST,      /* its leases have lapsed, or it was born anew */
+} PhSchedNoteTag;
+
+/* Strings are borrowed until the model next changes. */
+typedef struct PhSchedNote {
+    PhSchedNoteTag tag;
+    const PhSchedWorker *worker;
+    union {
+        struct {
+            PhSchedTaskName task;
+            uint32_t run;
+            PhSchedEndKind kind;
+            PhTime ran;
+            uint32_t failures;
+        } ended;
+        guint lost; /* runs */
+    } as;
+} PhSchedNote;
+
 PhScheduler *PhScheduler_Create(const PhSchedulerOptions *options);
 void PhScheduler_Destroy(PhScheduler *scheduler);
 PhSchedModel *PhScheduler_Model(PhScheduler *scheduler);
@@ -115,6 +139,11 @@
 /* Time of the next decision that no event brings. */
 PhTime PhScheduler_Due(const PhScheduler *scheduler);
 
+/* Notes since the last call of PhScheduler_ClearNotes. */
+const PhSchedNote *PhScheduler_Notes(const PhScheduler *scheduler,
+                                     size_t *count);
+void PhScheduler_ClearNotes(PhScheduler *scheduler);
+
 /* Closes the open batch: records of all that has changed, as PhSchedRecord.
  * Gives the number of the batch, or 0 when nothing has changed. */
 uint64_t PhScheduler_TakeBatch(PhScheduler *scheduler, GArray *records);
--- a/services/schedule/schedule_accept.c
+++ b/services/schedule/schedule_accept.c
@@ -44,6 +44,35 @@
     answer(t, to, a);
 }
 
+/* Refuses a call, and says why in the log. */
+static void
+refuse(PhScheduleTask *t, PhTaskRef to, uint64_t call, PhStr id,
+       const char *reason)
+{
+    PhTime now = PhTask_Now(t->self);
+    PhCounters_Add(PhKernel_Counters(PhTask_Kernel(t->self)),
+                   PH_COUNTER_SCHEDULE_REFUSED, 1);
+    PhTask_LOG(
+        t->self, PH_EVENT_SCHEDULE_REFUSED, PhField_STR("job", id),
+        PhField_STR("reason", PhStr_FromC(reason)),
+        PhField_I64("read_age_ms", (now - t->jobs.fresh_at) / PH_NS_PER_MS),
+        PhField_U64("version",
+                    PhScheduler_Model(t->scheduler)->config->version));
+    answer_tag(t, to, call, PH_SCHEDULE_REFUSED);
+}
+
+/* Answers a call on a job that is not known here: it does not exist, or what
+ * is known is too old to say so. */
+static void
+answer_unknown(PhScheduleTask *t, PhTaskRef to, uint64_t call, PhStr id)
+{
+    if (PhScheduleTopics_IsFresh(t)) {
+        answer_tag(t, to, call, PH_SCHEDULE_NO_JOB);
+        return;
+    }
+    refuse(t, to, call, id, "store not read lately");
+}
+
 /* Puts a call into the queue of the next append. */
 static void
 accept_add(PhScheduleTask *t, PhTaskRef sender, PhScheduleTag tag,
@@ -95,9 +124,7 @@
         answer_tag(t, sender, call->id, PH_SCHEDULE_INVALID);
     }
     else if (!spec_is_supported(spec, queue)) {
-        PhTask_LOG(t->self, PH_EVENT_SCHEDULE_REFUSED, PhField_STR("job", id),
-                   PhField_STR("reason", PhStr_LITERAL("not supported")));
-        answer_tag(t, sender, call->id, PH_SCHEDULE_REFUSED);
+        refuse(t, sender, call->id, id, "asks for what is not built");
     }
     else {
         accept_add(t, sender, PH_SCHEDULE_SUBMIT, call, id, spec);
@@ -112,9 +139,7 @@
     const PhSchedJob *job =
         PhSchedModel_Job(PhScheduler_Model(t->scheduler), id);
     if (job == NULL) {
-        bool fresh = PhScheduleTopics_IsFresh(t);
-        answer_tag(t, sender, call->id,
-                   fresh ? PH_SCHEDULE_NO_JOB : PH_SCHEDULE_REFUSED);
+        answer_unknown(t, sender, call->id, id);
         return;
     }
     if (job->cancel || PhSchedJob_IsOver(job)) {
@@ -143,9 +168,7 @@
     const PhSchedJob *job =
         PhSchedModel_Job(PhScheduler_Model(t->scheduler), id);
     if (job == NULL) {
-        bool fresh = PhScheduleTopics_IsFresh(t);
-        answer_tag(t, sender, call->id,
-                   fresh ? PH_SCHEDULE_NO_JOB : PH_SCHEDULE_REFUSED);
+        answer_unknown(t, sender, call->id, id);
         return;
     }
     if (PhSchedJob_IsOver(job) || PhScheduleTopics_IsCurrent(t)) {
@@ -226,7 +249,7 @@
     const PhSchedModel *model = PhScheduler_Model(t->scheduler);
     PhStr rest = {0};
     if (model->config->version == 0) {
-        answer_tag(t, sender, call->id, PH_SCHEDULE_REFUSED);
+        refuse(t, sender, call->id, call->path, "no configuration yet");
         return;
     }
     const PhSchedQueue *queue =
@@ -290,17 +313,18 @@
     if (t->accept->len == 0) {
         return;
     }
-    PhStoreAppend append = {.topic = PhStr_Dup(PH_SCHED_TOPIC_JOBS),
-                            .records = g_new0(PhStoreRecord, t->accept->len),
-                            .record_count = t->accept->len,
-                            .condition = PH_STORE_PRODUCER,
-                            .producer = PhStr_Dup(t->producer),
-                            .epoch = ACCEPT_EPOCH,
-                            .sequence = t->sequence};
+    PhStoreMessage m = {.tag = PH_STORE_APPEND};
+    PhStoreAppend *append = &m.as.append;
+    append->topic = PhStr_Dup(PH_SCHED_TOPIC_JOBS);
+    append->records = g_new0(PhStoreRecord, t->accept->len);
+    append->record_count = t->accept->len;
+    append->condition = PH_STORE_PRODUCER;
+    append->producer = PhStr_Dup(t->producer);
+    append->epoch = ACCEPT_EPOCH;
+    append->sequence = t->sequence;
     for (guint i = 0; i < t->accept->len; i++) {
-        append.records[i] = accept_record(g_ptr_array_index(t->accept, i));
+        append->records[i] = accept_record(g_ptr_array_index(t->accept, i));
     }
-    PhStoreMessage m = {.tag = PH_STORE_APPEND, .as.append = append};
     t->accept_sent = true;
     PhScheduleTask_Call(t, CALL_ACCEPT, &m);
 }
@@ -311,6 +335,8 @@
 {
     PhSchedModel *model = PhScheduler_Model(t->scheduler);
     PhScheduleAnswerTag tag = PH_SCHEDULE_ACCEPTED;
+    PhCounters_Add(PhKernel_Counters(PhTask_Kernel(t->self)),
+                   PH_COUNTER_SCHEDULE_ACCEPTED, 1);
     PhTask_LOG(t->self, PH_EVENT_SCHEDULE_ACCEPTED, PhField_STR("job", a->id),
                PhField_STR("call", a->tag == PH_SCHEDULE_SUBMIT
                                        ? PhStr_LITERAL("submit")
@@ -341,7 +367,7 @@
             accept_done(t, a);
         }
         else if (!a->answered) {
-            answer_tag(t, a->sender, a->call, PH_SCHEDULE_REFUSED);
+            refuse(t, a->sender, a->call, a->id, "store refused the record");
         }
     }
     g_ptr_array_set_size(t->accept, 0);
@@ -397,6 +423,9 @@
         PhAccept *a = g_ptr_array_index(t->accept, i);
         if (!a->answered && a->deadline <= now) {
             a->answered = true;
+            PhTask_LOG(t->self, PH_EVENT_SCHEDULE_NOT_KNOWN,
+                       PhField_STR("job", a->id),
+                       PhField_U64("sequence", t->sequence));
             answer_tag(t, a->sender, a->call, PH_SCHEDULE_NOT_KNOWN);
         }
         else if (!a->answered) {
@@ -416,7 +445,7 @@
     for (guint left = t->accepts.length; left > 0; left--) {
         PhAccept *a = g_queue_pop_head(&t->accepts);
         if (a->deadline <= now) {
-            answer_tag(t, a->sender, a->call, PH_SCHEDULE_REFUSED);
+            refuse(t, a->sender, a->call, a->id, "store too slow");
             PhScheduleAccept_Destroy(a);
             continue;
         }
--- a/services/schedule/schedule_task.h
+++ b/services/schedule/schedule_task.h
@@ -78,6 +78,8 @@
     GQueue orphans; /* PhSchedRecord whose job is not known yet */
     GQueue states;  /* PhStateCall that wait for the newest runs */
     bool pump_set;
+    bool store_answers; /* the last read succeeded */
+    PhTime store_changed_at;
     bool draining;
     uint64_t epochs[CALL_KINDS]; /* calls with an older number are stale */
     /* Accepting. */
--- a/services/schedule/schedule_topics.c
+++ b/services/schedule/schedule_topics.c
@@ -167,6 +167,22 @@
     return FOLLOWER_PAUSE;
 }
 
+/* Notes whether the store answers, and writes each change. */
+static void
+note_store(PhScheduleTask *t, bool answers)
+{
+    PhTime now = PhTask_Now(t->self);
+    if (answers == t->store_answers) {
+        return;
+    }
+    t->store_answers = answers;
+    PhTask_LOG(
+        t->self,
+        answers ? PH_EVENT_SCHEDULE_STORE_BACK : PH_EVENT_SCHEDULE_STORE_LOST,
+        PhField_I64("after_ms", (now - t->store_changed_at) / PH_NS_PER_MS));
+    t->store_changed_at = now;
+}
+
 /* Takes in an answer and asks on. */
 void
 PhScheduleTopics_OnReply(PhScheduleTask *t, PhStoreCall call,
@@ -175,6 +191,8 @@
     PhTopic *topic = topic_of(t, call);
     PhTime pause = RETRY;
     topic->asked = false;
+    note_store(t, reply->outcome == PH_STORE_DONE ||
+                      reply->outcome == PH_STORE_GONE);
     switch (reply->outcome) {
     case PH_STORE_DONE:
         pause = take_answer(t, topic, reply);
--- a/services/supervisor.c
+++ b/services/supervisor.c
@@ -11,10 +11,10 @@
 /* The order in which services stop: those that take work first, those that
  * the others speak through last. */
 static const PhStr stop_order[] = {
-    {"entry", 5},  {"front", 5},   {"schedule", 8}, {"fleet", 5},
-    {"orders", 6}, {"store", 5},   {"tasks", 5},    {"workers", 7},
-    {"operators", 9}, {"config", 6}, {"members", 7}, {"peers", 5},
-    {"list", 4},   {"log", 3},     {"http", 4},
+    {"entry", 5},     {"front", 5},  {"schedule", 8}, {"fleet", 5},
+    {"orders", 6},    {"store", 5},  {"tasks", 5},    {"workers", 7},
+    {"operators", 9}, {"config", 6}, {"members", 7},  {"peers", 5},
+    {"list", 4},      {"log", 3},    {"http", 4},
 };
 
 /* State of the task "supervisor". */
--- a/tests/schedule/test_interference.c
+++ b/tests/schedule/test_interference.c
@@ -10,6 +10,7 @@
     CAPACITY_MILLI = 64000,
     FILL_MILLI = 16000,
     TARGET_MS = 18,
+    OVER_MS = 36,
     LOOK_MS = 500,
     ROUNDS = 60, /* of a fill coming and going */
     LOOKS_EACH = 3,
@@ -18,11 +19,11 @@
 /* True factor of a pair, and what is expected of the estimate. */
 typedef struct PhPairCase {
     const char *name;
-    double factor;     /* load that a whole share adds */
-    double swing;      /* amplitude of the own load */
-    bool disturbs;     /* the estimate has to tell */
-    int8_t least_pace; /* after a look while it fills */
-    int8_t most_pace;
+    double factor;  /* load that a whole share adds */
+    double swing;   /* amplitude of the own load */
+    bool disturbs;  /* the estimate has to tell */
+    int least_pace; /* after a look while it fills */
+    int most_pace;
 } PhPairCase;
 
 static const PhPairCase pair_cases[] = {
@@ -133,8 +134,7 @@
         PhInterference_Cost(x, bed.worker, PhSchedTask_Step(bed.filling)) > 0,
         c->disturbs);
     assert_int_equal(bed.worker->fill_use->len, 1);
-    int8_t pace =
-        g_array_index(bed.worker->fill_use, PhSchedFillUse, 0).percent;
+    int pace = g_array_index(bed.worker->fill_use, PhSchedFillUse, 0).percent;
     assert_in_range(pace, c->least_pace, c->most_pace);
     bed_close(&bed);
     PhInterference_Destroy(x);
@@ -180,14 +180,13 @@
     }
     for (int64_t ms = 0; ms <= c->over_ms; ms += LOOK_MS) {
         bed.now += LOOK_MS * PH_NS_PER_MS;
-        bed.serving->figure = 2 * TARGET_MS;
+        bed.serving->figure = OVER_MS;
         bed.serving->figure_at = bed.now;
         bed.filling->figure_at = bed.now;
         PhInterference_Learn(x, bed.worker, bed.now);
         PhInterference_Pace(x, bed.worker, bed.now);
     }
-    int8_t pace =
-        g_array_index(bed.worker->fill_use, PhSchedFillUse, 0).percent;
+    int pace = g_array_index(bed.worker->fill_use, PhSchedFillUse, 0).percent;
     assert_int_equal(pace == 0, c->stops);
     assert_int_equal(bed.worker->fill_barred_until > bed.now, c->stops);
     bed_close(&bed);
