schedule: an owner does not take in owners' records

Change: an owner refuses records that only owners write; at the takeover the answer to a read on its way is dropped. The simulated fleet reads each record back at once (test_schedule failed on it before).

--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -94,10 +94,32 @@
     return scheduler->model;
 }
 
-/* Applies a record that was read from the store. */
+/* Tells whether only owners write records of this kind. */
+static bool
+is_owners(PhSchedRecordTag tag)
+{
+    switch (tag) {
+    case PH_SCHED_RECORD_JOB:
+    case PH_SCHED_RECORD_CANCEL:
+        return false;
+    case PH_SCHED_RECORD_STATE:
+    case PH_SCHED_RECORD_STAGE:
+    case PH_SCHED_RECORD_WORKER:
+    case PH_SCHED_RECORD_PAIRS:
+        break;
+    }
+    return true;
+}
+
+/* Applies a record that was read from the store.  An owner's model is ahead
+ * of its records. */
 PhStatus
 PhScheduler_Apply(PhScheduler *s, PhSchedRecord *record, PhTime now)
 {
+    if (s->fence != 0 && is_owners(record->tag)) {
+        PhSchedRecord_Clear(record);
+        return PH_STATUS_CONFLICT;
+    }
     if (record->tag != PH_SCHED_RECORD_PAIRS) {
         return PhSchedModel_Apply(s->model, record, now);
     }
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -121,7 +121,8 @@
 void PhScheduler_Destroy(PhScheduler *scheduler);
 PhSchedModel *PhScheduler_Model(PhScheduler *scheduler);
 
-/* Applies a record that was read from the store; see PhSchedModel_Apply. */
+/* Applies a record that was read from the store; see PhSchedModel_Apply.
+ * CONFLICT: an owner wrote it, and this is the owner, who knows better. */
 PhStatus PhScheduler_Apply(PhScheduler *scheduler, PhSchedRecord *record,
                            PhTime now);
 /* Ownership under a fence that no earlier owner had; 0 ends it.  The model
--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -175,6 +175,9 @@
         return;
     }
     t->stage = OWNER_ACTIVE;
+    /* The answer to a read that is on its way no longer counts. */
+    t->epochs[CALL_RUNS_READ]++;
+    t->runs.asked = false;
     t->batch_sequence = 1;
     PhScheduler_SetFence(t->scheduler, t->fence, now);
     PhTask_LOG(t->self, PH_EVENT_SCHEDULE_OWNER_GAINED,
--- a/tests/schedule/schedule_world.c
+++ b/tests/schedule/schedule_world.c
@@ -520,6 +520,17 @@
     }
 }
 
+/* Reads an owner's record back at once, as a read that was on its way when it
+ * took over may do: it must change nothing. */
+static void
+read_back(PhWorld *w, const PhSchedEncoded *encoded)
+{
+    PhSchedRecord record;
+    PhResult r = PhSchedRecord_Decode(encoded->key, encoded->value, &record);
+    assert_true(PhResult_IsOk(&r));
+    PhScheduler_Apply(w->owner, &record, w->now);
+}
+
 /* Notes the starts that a record makes durable. */
 static void
 note_starts(PhWorld *w, const PhSchedEncoded *encoded)
@@ -553,6 +564,7 @@
         PhSchedRecord *record = &g_array_index(records, PhSchedRecord, i);
         PhSchedEncoded e = PhSchedRecord_Encode(record);
         note_starts(w, &e);
+        read_back(w, &e);
         g_array_append_val(w->log, e);
         PhSchedRecord_Clear(record);
     }
