schedule: only workers that were leaving are given up early after a takeover

A zone was cut off with the owner in it: the owner went on with the workers of its zone while another took over outside, and the tasks were started again 0.5 s after the cut had healed.

Change: the rule holds for workers that were leaving before; all others are waited for as before (the earlier owner's limit and one lease).

--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -372,13 +372,14 @@
     }
 }
 
-/* Gives the time by which every lease of a life has ended.  A life that is
- * not listed and has not answered this owner was silent towards the store
- * too: the earlier owner is taken to be gone since before the takeover. */
+/* Gives the time by which every lease of a life has ended.  A life that was
+ * leaving, is no longer listed and has not answered this owner has left.  One
+ * that was not leaving may be cut off together with the earlier owner, which
+ * then goes on granting leases to it. */
 static PhTime
 lapse_time(const PhScheduler *s, const PhSchedWorker *w)
 {
-    if (w->listed || w->fenced) {
+    if (w->listed || w->fenced || !w->entry.draining) {
         return w->lapse_by;
     }
     PhTime since = MAX(w->unlisted_at, s->owner_since);
