--- a/commands/main.c
+++ b/commands/main.c
@@ -10,6 +10,7 @@
     {"check", "check a settings file", PhCommand_Check},
     {"config", "read the configuration", PhCommand_Config},
     {"demo", "show both deployments under faults", PhCommand_Demo},
+    {"explain", "Tell the story of one job from the logs", PhCommand_Explain},
     {"patch", "change the configuration", PhCommand_Patch},
     {"serve", "run an entry instance", PhCommand_Serve},
     {"standin", "run stand-ins of the platform", PhCommand_Standin},
--- a/include/peridothill/commands.h
+++ b/include/peridothill/commands.h
@@ -24,6 +24,7 @@
 int PhCommand_Config(int argc, char **argv);
 int PhCommand_Patch(int argc, char **argv);
 int PhCommand_Demo(int argc, char **argv);
+int PhCommand_Explain(int argc, char **argv);
 int PhCommand_Serve(int argc, char **argv);
 int PhCommand_Standin(int argc, char **argv);
 int PhCommand_Status(int argc, char **argv);
