schedule: pack serving tasks by image; followers read workers less often

Cause: tasks that serve were spread, so that every worker had a little room left and none enough for a large task; calls to the store were the dearest price on the grown sites, most of them followers reading entries of workers.

--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -266,7 +266,7 @@
                 STRICTNESS_WEIGHT * PhInterference_Strictness(w);
     }
     else if (PhSchedStep_Serves(step)) {
-        score += image_match(w, step);
+        score = image_match(w, step) - score / 2;
     }
     else {
         score = -score;
--- a/include/peridothill/services/schedule.h
+++ b/include/peridothill/services/schedule.h
@@ -18,6 +18,7 @@
     PH_SCHEDULE_WORKER,    /* to "schedule": a worker's entry was read */
     PH_SCHEDULE_NO_WORKER, /* to "schedule": a worker's entry has gone */
     PH_SCHEDULE_DRAIN,     /* to "schedule": hand over, this process stops */
+    PH_SCHEDULE_OWNER,     /* to "fleet": whether this instance gives orders */
 } PhScheduleTag;
 
 /* A client's call.  Strings are owned. */
@@ -61,6 +62,7 @@
         PhSchedConfig *config; /* owned */
         PhSchedWorkerEntry worker;
         PhStr no_worker;
+        bool owner;
     } as;
 } PhScheduleMessage;
 
--- a/services/schedule/messages.c
+++ b/services/schedule/messages.c
@@ -142,6 +142,7 @@
         break;
     case PH_SCHEDULE_ANSWER:
     case PH_SCHEDULE_DRAIN:
+    case PH_SCHEDULE_OWNER:
         break;
     case PH_SCHEDULE_CONFIG:
         PhSchedConfig_Destroy(m->as.config);
--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -113,12 +113,21 @@
     }
 }
 
+/* Tells "fleet" whether this instance gives orders. */
+static void
+tell_fleet(PhScheduleTask *t, bool owner)
+{
+    PhScheduleMessage m = {.tag = PH_SCHEDULE_OWNER, .as.owner = owner};
+    PhTask_SendTo(t->self, PH_SERVICE_FLEET, PhScheduleMessage_Wrap(&m));
+}
+
 /* Begins the takeover: from now on no earlier owner writes records. */
 static void
 begin_fencing(PhScheduleTask *t)
 {
     PhStoreMessage m = {.tag = PH_STORE_APPEND};
     PhStoreAppend *a = &m.as.append;
+    tell_fleet(t, true);
     t->stage = OWNER_FENCING;
     t->fence = PhElection_Fence(t->election);
     t->epochs[CALL_FENCE]++;
@@ -155,6 +164,7 @@
                PhField_U64("fence", t->fence),
                PhField_STR("holder", PhElection_Holder(t->election)));
     t->stage = OWNER_NOT;
+    tell_fleet(t, false);
     batch_clear(t);
     PhScheduler_SetFence(t->scheduler, 0, now);
     if (active) {
--- a/services/schedule/schedule_task.c
+++ b/services/schedule/schedule_task.c
@@ -89,6 +89,7 @@
         PhScheduleAccept_OnCall(t, from, m->tag, &m->as.call);
         break;
     case PH_SCHEDULE_ANSWER:
+    case PH_SCHEDULE_OWNER:
         break;
     case PH_SCHEDULE_CONFIG:
         set_config(t, m);
