--- a/tests/schedule/schedule_world.c
+++ b/tests/schedule/schedule_world.c
@@ -13,6 +13,7 @@
     STORE_MS = 10,
     FAULT_EVERY_MS = 4000,
     FAULT_LASTS_MS = 3000,
+    ROUND_MS = 700,  /* between two repetitions */
     REST_MS = 30000, /* without faults at the end */
     STEPS = 2,
     COUNT = 4,
@@ -223,6 +224,9 @@
     spec.terms.queue = PhStr_Dup(PhStr_LITERAL("queue"));
     spec.terms.service = PhStr_Dup(PhStr_LITERAL("service"));
     spec.terms.stretch = 2;
+    spec.repetitions = w->options.rounds;
+    spec.first_due_ms = w->now / PH_NS_PER_MS + ROUND_MS;
+    spec.interval_ms = ROUND_MS;
     spec.steps = g_new0(PhSchedStep, STEPS);
     for (uint32_t i = 0; i < spec.step_count; i++) {
         spec.steps[i].count = COUNT;
@@ -308,6 +312,19 @@
     }
 }
 
+/* Checks that a round has come due before its tasks start. */
+static void
+check_due(const PhWorld *w, const PhSchedRunOrder *order)
+{
+    const PhSchedJob *job =
+        PhSchedModel_Job(PhScheduler_Model(w->owner), order->task.job);
+    if (w->options.rounds > 0 && job != NULL) {
+        int64_t due = job->spec.first_due_ms +
+                      (int64_t)order->task.round * job->spec.interval_ms;
+        assert_true(w->now / PH_NS_PER_MS >= due);
+    }
+}
+
 /* Carries out a start. */
 static PhSchedOutcome
 worker_start(PhWorld *w, PhFakeWorker *f, const PhSchedAction *action)
@@ -337,6 +354,7 @@
     }
     else {
         check_start(w, order, task);
+        check_due(w, order);
         PhFakeRun run = {.task = g_strdup(task),
                          .name = order->task,
                          .run = order->run,
