schedule: gangs

Cause: jobs with gangs were refused, although deployments of the kinds that are described use them.

Change: decide/schedule/gang.c; the simulated fleet knows gangs (waiting for the others, broken, alone) and the cases play them with every fault.

--- a/decide/schedule/contact.c
+++ b/decide/schedule/contact.c
@@ -202,6 +202,10 @@
         PhScheduler_StopTask(s, task);
         return;
     }
+    if (PhSchedTask_Step(task)->gang && !task->stopping) {
+        PhScheduler_ReplaceMember(s, task, now);
+        return;
+    }
     PhScheduler_EndRun(s, task, PH_SCHED_END_STOPPED, (PhStr){0}, now);
 }
 
--- /dev/null
+++ b/decide/schedule/gang.c
@@ -0,0 +1,142 @@
+/* Gangs: tasks that work only together.  They are placed all or none, share
+ * one run number and one checkpoint, and end together. */
+#include "scheduler_private.h"
+
+/* Takes the newest checkpoint of any member for all, and one run number. */
+static void
+gang_align(PhSchedStage *stage, uint32_t count)
+{
+    const PhSchedTask *newest = NULL;
+    uint32_t run = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        const PhSchedTask *task = &stage->tasks[i];
+        run = MAX(run, task->run);
+        if (task->saved.len > 0 &&
+            (newest == NULL || task->figure_at > newest->figure_at)) {
+            newest = task;
+        }
+    }
+    PhStr saved = newest == NULL ? (PhStr){0} : PhStr_Dup(newest->saved);
+    for (uint32_t i = 0; i < count; i++) {
+        stage->tasks[i].run = run;
+        PhStr_Clear(&stage->tasks[i].saved);
+        stage->tasks[i].saved = saved.len == 0 ? (PhStr){0} : PhStr_Dup(saved);
+    }
+    PhStr_Clear(&saved);
+}
+
+/* Finds a worker for every member, within a rack if one is named; false when
+ * they do not all fit.  The books are as before afterwards. */
+static bool
+gang_pick(PhScheduler *s, PhSchedStage *stage, uint32_t count, PhStr rack,
+          PhTime now, PhSchedWorker **picks)
+{
+    uint32_t placed = 0;
+    for (; placed < count; placed++) {
+        PhSchedTask *task = &stage->tasks[placed];
+        picks[placed] = PhScheduler_PickWorker(s, task, rack, now);
+        if (picks[placed] == NULL) {
+            break;
+        }
+        PhSchedTask_Place(task, picks[placed]);
+    }
+    for (uint32_t i = 0; i < placed; i++) {
+        PhSchedTask_Unplace(&stage->tasks[i], PH_SCHED_TASK_WAITING);
+    }
+    return placed == count;
+}
+
+/* Finds workers for every member in one rack, the first that has room. */
+static bool
+gang_pick_rack(PhScheduler *s, PhSchedStage *stage, uint32_t count, PhTime now,
+               PhSchedWorker **picks)
+{
+    GHashTable *tried = g_hash_table_new(PhStr_KeyHash, PhStr_KeyEqual);
+    bool found = false;
+    for (guint i = 0; i < s->model->lives->len && !found; i++) {
+        const PhSchedWorker *w = g_ptr_array_index(s->model->lives, i);
+        if (w->entry.rack.len > 0 &&
+            g_hash_table_add(tried, (gpointer)&w->entry.rack)) {
+            found = gang_pick(s, stage, count, w->entry.rack, now, picks);
+        }
+    }
+    g_hash_table_destroy(tried);
+    return found;
+}
+
+/* Places a whole gang, or nothing. */
+bool
+PhScheduler_PlaceGang(PhScheduler *s, PhSchedStage *stage, PhTime now)
+{
+    const PhSchedStep *step = &stage->job->spec.steps[stage->number];
+    if (stage->waiting != step->count) {
+        return false;
+    }
+    PhSchedWorker **picks = g_new0(PhSchedWorker *, step->count);
+    bool found = (step->same_rack &&
+                  gang_pick_rack(s, stage, step->count, now, picks)) ||
+                 gang_pick(s, stage, step->count, (PhStr){0}, now, picks);
+    if (found) {
+        gang_align(stage, step->count);
+        for (uint32_t i = 0; i < step->count; i++) {
+            PhScheduler_StartTask(s, &stage->tasks[i], picks[i], now);
+        }
+    }
+    g_free(picks);
+    return found;
+}
+
+/* Stops every member that is placed. */
+static void
+gang_stop(PhScheduler *s, PhSchedStage *stage, uint32_t count)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        PhScheduler_StopTask(s, &stage->tasks[i]);
+    }
+}
+
+/* A member's start was refused for certain: the same run starts elsewhere
+ * while the others wait for it, or they are stopped. */
+void
+PhScheduler_ReplaceMember(PhScheduler *s, PhSchedTask *task, PhTime now)
+{
+    PhSchedStage *stage = task->stage;
+    const PhSchedStep *step = PhSchedTask_Step(task);
+    PhSchedTask_Unplace(task, PH_SCHED_TASK_WAITING);
+    PhScheduler_TouchStage(s, stage);
+    PhSchedWorker *w = PhSchedJob_IsOver(stage->job)
+                           ? NULL
+                           : PhScheduler_PickWorker(s, task, (PhStr){0}, now);
+    if (w == NULL) {
+        gang_stop(s, stage, step->count);
+        return;
+    }
+    task->run--;
+    PhScheduler_StartTask(s, task, w, now);
+}
+
+/* Takes in what the end of one member means for the others. */
+void
+PhScheduler_EndGang(PhScheduler *s, PhSchedTask *task, PhSchedEndKind kind)
+{
+    PhSchedStage *stage = task->stage;
+    const PhSchedStep *step = PhSchedTask_Step(task);
+    if (kind != PH_SCHED_END_DONE || step->long_running) {
+        for (uint32_t i = 0; i < step->count; i++) {
+            stage->tasks[i].failures = task->failures;
+        }
+        gang_stop(s, stage, step->count);
+        return;
+    }
+    for (uint32_t i = 0; i < step->count; i++) {
+        PhSchedTask *other = &stage->tasks[i];
+        if (other->worker != NULL) {
+            PhSchedTask_Unplace(other, PH_SCHED_TASK_DONE);
+        }
+        else if (other->state == PH_SCHED_TASK_WAITING) {
+            other->state = PH_SCHED_TASK_DONE;
+            stage->waiting--;
+            stage->done++;
+        }
+    }
+}
--- a/decide/schedule/pacing.c
+++ b/decide/schedule/pacing.c
@@ -42,7 +42,8 @@
     bool cheap = PhSchedTask_Step(task)->saves_progress ||
                  now - task->since < MOVE_LOSS_MOST;
     if (task->stalled_since == 0 || now - task->stalled_since < MOVE_AFTER ||
-        !cheap || task->stopping || task->state != PH_SCHED_TASK_RUNNING ||
+        !cheap || PhSchedTask_Step(task)->gang || task->stopping ||
+        task->state != PH_SCHED_TASK_RUNNING ||
         !PhScheduler_HasBetterPlace(s, task, now)) {
         return;
     }
--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -284,15 +284,17 @@
 }
 
 /* Finds the best worker for a task, or NULL. */
-static PhSchedWorker *
-worker_pick(const PhScheduler *s, const PhSchedTask *task, PhTime now)
+PhSchedWorker *
+PhScheduler_PickWorker(const PhScheduler *s, const PhSchedTask *task,
+                       PhStr rack, PhTime now)
 {
     const PhSchedStep *step = PhSchedTask_Step(task);
     PhSchedWorker *best = NULL;
     double best_score = 0;
     for (guint i = 0; i < s->model->lives->len; i++) {
         PhSchedWorker *w = g_ptr_array_index(s->model->lives, i);
-        if (!worker_is_usable(w, now) || !worker_fits(w, task, now)) {
+        if (!worker_is_usable(w, now) || !worker_fits(w, task, now) ||
+            (rack.len > 0 && !PhStr_Equal(rack, w->entry.rack))) {
             continue;
         }
         if (step->fills &&
@@ -326,8 +328,9 @@
 }
 
 /* Records the start of a task on a worker. */
-static void
-task_start(PhScheduler *s, PhSchedTask *task, PhSchedWorker *w, PhTime now)
+void
+PhScheduler_StartTask(PhScheduler *s, PhSchedTask *task, PhSchedWorker *w,
+                      PhTime now)
 {
     PhSchedJob *job = task->stage->job;
     PhTime ready_at = MAX(task->since, MAX(job->accepted_at, s->owner_since));
@@ -361,16 +364,19 @@
 stage_place(PhScheduler *s, PhSchedStage *stage, PhTime now)
 {
     const PhSchedStep *step = &stage->job->spec.steps[stage->number];
+    if (step->gang) {
+        return PhScheduler_PlaceGang(s, stage, now);
+    }
     for (uint32_t i = 0; i < step->count && stage->waiting > 0; i++) {
         PhSchedTask *task = &stage->tasks[i];
         if (task->state != PH_SCHED_TASK_WAITING) {
             continue;
         }
-        PhSchedWorker *w = worker_pick(s, task, now);
+        PhSchedWorker *w = PhScheduler_PickWorker(s, task, (PhStr){0}, now);
         if (w == NULL) {
             return false;
         }
-        task_start(s, task, w, now);
+        PhScheduler_StartTask(s, task, w, now);
     }
     return true;
 }
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -353,16 +353,20 @@
         PhStr_Clear(&task->saved);
         task->saved = PhStr_Dup(saved);
     }
+    bool failed = kind == PH_SCHED_END_FAILED;
+    task->failures += failed;
+    if (step->gang) {
+        PhScheduler_EndGang(s, task, kind);
+    }
     if (done) {
         if (stage->done == step->count) {
             stage_done(s, stage, now);
         }
         return;
     }
-    if (kind != PH_SCHED_END_FAILED) {
+    if (!failed) {
         return;
     }
-    task->failures++;
     stage->job->failures++;
     task->failed_on = w;
     uint32_t limit = stage->job->spec.terms.max_attempts;
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -59,6 +59,20 @@
 /* Orders a stop of a placed task. */
 void PhScheduler_StopTask(PhScheduler *scheduler, PhSchedTask *task);
 
+/* gang.c: places a whole gang or nothing; false when it has to wait. */
+bool PhScheduler_PlaceGang(PhScheduler *scheduler, PhSchedStage *stage,
+                           PhTime now);
+void PhScheduler_ReplaceMember(PhScheduler *scheduler, PhSchedTask *task,
+                               PhTime now);
+void PhScheduler_EndGang(PhScheduler *scheduler, PhSchedTask *task,
+                         PhSchedEndKind kind);
+/* Finds the best worker for a task, in a rack if one is named, or NULL. */
+PhSchedWorker *PhScheduler_PickWorker(const PhScheduler *scheduler,
+                                      const PhSchedTask *task, PhStr rack,
+                                      PhTime now);
+/* Records the start of a task on a worker. */
+void PhScheduler_StartTask(PhScheduler *scheduler, PhSchedTask *task,
+                           PhSchedWorker *worker, PhTime now);
 /* placement.c: places waiting tasks on workers. */
 void PhScheduler_PlaceTasks(PhScheduler *scheduler, PhTime now);
 /* Tells whether another worker would let a task that fills work undisturbed,
--- /dev/null
+++ b/services/platform/address.c
@@ -0,0 +1,24 @@
+#include "address.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+/* Reads "IP:port" into a socket address. */
+bool
+PhAddress_Parse(PhStr text, struct sockaddr_in *address)
+{
+    PhStr host;
+    PhStr port_text;
+    uint64_t port;
+    char host_c[INET_ADDRSTRLEN];
+    if (!PhStr_Cut(text, ':', &host, &port_text) ||
+        !PhStr_ParseU64(port_text, &port) || port > UINT16_MAX ||
+        host.len >= sizeof(host_c)) {
+        return false;
+    }
+    memcpy(host_c, host.data, host.len);
+    host_c[host.len] = '\0';
+    *address = (struct sockaddr_in){.sin_family = AF_INET,
+                                    .sin_port = htons((uint16_t)port)};
+    return inet_pton(AF_INET, host_c, &address->sin_addr) == 1;
+}
--- a/services/platform/http_lean.c
+++ b/services/platform/http_lean.c
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "address.h"
 #include "peridothill/services/http.h"
 #include "peridothill/services/interface.h"
 
@@ -273,26 +274,6 @@
     }
 }
 
-/* Reads "IP:port" into a socket address. */
-static bool
-parse_address(PhStr text, struct sockaddr_in *address)
-{
-    PhStr host;
-    PhStr port_text;
-    uint64_t port;
-    char host_c[INET_ADDRSTRLEN];
-    if (!PhStr_Cut(text, ':', &host, &port_text) ||
-        !PhStr_ParseU64(port_text, &port) || port > UINT16_MAX ||
-        host.len >= sizeof(host_c)) {
-        return false;
-    }
-    memcpy(host_c, host.data, host.len);
-    host_c[host.len] = '\0';
-    *address = (struct sockaddr_in){.sin_family = AF_INET,
-                                    .sin_port = htons((uint16_t)port)};
-    return inet_pton(AF_INET, host_c, &address->sin_addr) == 1;
-}
-
 /* Opens a connection; NULL when that fails at once. */
 static PhCall *
 call_open(PhHttpLean *http, PhTarget *target)
@@ -300,7 +281,7 @@
     struct sockaddr_in address;
     int one = 1;
     unsigned timeout_ms = USER_TIMEOUT_MS;
-    if (!parse_address(target->address, &address)) {
+    if (!PhAddress_Parse(target->address, &address)) {
         return NULL;
     }
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
--- a/services/platform/listener.c
+++ b/services/platform/listener.c
@@ -1,3 +1,4 @@
+#include "address.h"
 #include "listener_internal.h"
 
 #include <arpa/inet.h>
@@ -24,26 +25,6 @@
     return (uint64_t)(uintptr_t)l + 1;
 }
 
-/* Reads "IP:port" into a socket address. */
-static bool
-parse_address(PhStr text, struct sockaddr_in *address)
-{
-    PhStr host;
-    PhStr port_text;
-    uint64_t port;
-    char host_c[INET_ADDRSTRLEN];
-    if (!PhStr_Cut(text, ':', &host, &port_text) ||
-        !PhStr_ParseU64(port_text, &port) || port > UINT16_MAX ||
-        host.len >= sizeof(host_c)) {
-        return false;
-    }
-    memcpy(host_c, host.data, host.len);
-    host_c[host.len] = '\0';
-    *address = (struct sockaddr_in){.sin_family = AF_INET,
-                                    .sin_port = htons((uint16_t)port)};
-    return inet_pton(AF_INET, host_c, &address->sin_addr) == 1;
-}
-
 /* Leaves targets as they were sent; what is routed is what is passed on. */
 static size_t
 keep_escaped(void *context, struct MHD_Connection *connection, char *text)
@@ -113,7 +94,7 @@
                   PhListener **listener)
 {
     struct sockaddr_in address;
-    if (!parse_address(options->address, &address)) {
+    if (!PhAddress_Parse(options->address, &address)) {
         return PhResult_Make(PH_STATUS_INVALID, "not an IP:port address: %.*s",
                              PhStr_ARG(options->address));
     }
--- a/services/schedule/schedule_accept.c
+++ b/services/schedule/schedule_accept.c
@@ -93,18 +93,6 @@
     PhScheduleAccept_Flush(t);
 }
 
-/* Tells whether the job asks for something that is not built. */
-static bool
-spec_is_supported(const PhSchedSpec *spec, const PhSchedQueue *queue)
-{
-    for (uint32_t i = 0; i < spec->step_count; i++) {
-        if (spec->steps[i].gang) {
-            return false;
-        }
-    }
-    return !queue->needs_advice;
-}
-
 /* Takes in a submission. */
 static void
 on_submit(PhScheduleTask *t, PhTaskRef sender, PhScheduleCall *call,
@@ -123,7 +111,7 @@
     if (!PhResult_IsOk(&r)) {
         answer_tag(t, sender, call->id, PH_SCHEDULE_INVALID);
     }
-    else if (!spec_is_supported(spec, queue)) {
+    else if (queue->needs_advice) {
         refuse(t, sender, call->id, id, "asks for what is not built");
     }
     else {
--- a/tests/schedule/schedule_world.c
+++ b/tests/schedule/schedule_world.c
@@ -9,6 +9,7 @@
     TASK_MILLI = 2000,
     RUN_LEAST_MS = 100,
     RUN_SPREAD_MS = 900,
+    GANG_WAIT_MS = 3000,
     STOP_MS = 100,
     STORE_MS = 10,
     FAULT_EVERY_MS = 4000,
@@ -27,6 +28,8 @@
     PhTime ends_at;
     bool fails;
     bool stopping;
+    bool broken;     /* another member of its gang ended */
+    PhTime alone_at; /* it waits for its gang until then, 0 when it works */
 } PhFakeRun;
 
 /* An end that the worker repeats until it is acknowledged. */
@@ -86,6 +89,7 @@
     PhTime outage_until;
     PhTime next_fault;
     uint64_t pending_batch;
+    bool faulty; /* there have been faults */
     unsigned starts;
     unsigned takeovers;
     unsigned added;
@@ -233,6 +237,7 @@
         spec.steps[i].room.cpu_milli = TASK_MILLI;
         spec.steps[i].estimate = PH_NS_PER_S;
         spec.steps[i].long_running = lasts;
+        spec.steps[i].gang = w->options.gang;
         if (i > 0) {
             spec.steps[i].after = g_new0(uint32_t, 1);
             spec.steps[i].after[0] = i - 1;
@@ -366,6 +371,10 @@
                 : w->now + (PhTime)(RUN_LEAST_MS +
                                     PhRandom_Below(w->random, RUN_SPREAD_MS)) *
                                PH_NS_PER_MS;
+        if (w->options.gang) {
+            run.ends_at = PH_TIME_NEVER;
+            run.alone_at = w->now + GANG_WAIT_MS * PH_NS_PER_MS;
+        }
         f->deadline_ms = MAX(f->deadline_ms, order->deadline_ms);
         g_array_append_val(f->runs, run);
         w->starts++;
@@ -636,6 +645,72 @@
     }
 }
 
+/* Calls a function for each run of the same gang and run number. */
+static unsigned
+gang_each(PhWorld *w, const PhFakeRun *of,
+          void (*visit)(PhWorld *world, PhFakeRun *run, const PhFakeRun *of))
+{
+    unsigned count = 0;
+    for (guint i = 0; i < w->workers->len; i++) {
+        PhFakeWorker *f = g_ptr_array_index(w->workers, i);
+        for (guint j = 0; j < f->runs->len; j++) {
+            PhFakeRun *run = &g_array_index(f->runs, PhFakeRun, j);
+            if (run->run == of->run && run->name.round == of->name.round &&
+                run->name.step == of->name.step &&
+                PhStr_Equal(run->name.job, of->name.job)) {
+                count++;
+                if (visit != NULL) {
+                    visit(w, run, of);
+                }
+            }
+        }
+    }
+    return count;
+}
+
+/* Lets a member work: the gang is whole. */
+static void
+gang_work(PhWorld *w, PhFakeRun *run, const PhFakeRun *of)
+{
+    (void)of;
+    run->alone_at = 0;
+    run->ends_at = w->now + RUN_LEAST_MS * PH_NS_PER_MS;
+}
+
+/* Breaks a member off: another one has ended. */
+static void
+gang_break(PhWorld *w, PhFakeRun *run, const PhFakeRun *of)
+{
+    if (run != of && run->ends_at > w->now) {
+        run->broken = true;
+        run->ends_at = w->now;
+    }
+}
+
+/* Lets whole gangs work, and breaks those of which a member ends badly. */
+static void
+gangs_tick(PhWorld *w)
+{
+    for (guint i = 0; i < w->workers->len; i++) {
+        PhFakeWorker *f = g_ptr_array_index(w->workers, i);
+        bool lapsed = worker_clock(w, f) > f->deadline_ms;
+        for (guint j = 0; j < f->runs->len; j++) {
+            PhFakeRun run = g_array_index(f->runs, PhFakeRun, j);
+            PhFakeRun *own = &g_array_index(f->runs, PhFakeRun, j);
+            if (run.alone_at != 0 && gang_each(w, own, NULL) == COUNT) {
+                gang_each(w, own, gang_work);
+            }
+            else if (lapsed ||
+                     (run.ends_at <= w->now && (run.stopping || run.fails))) {
+                gang_each(w, own, gang_break);
+            }
+            if (own->alone_at != 0 && own->alone_at <= w->now) {
+                own->ends_at = w->now;
+            }
+        }
+    }
+}
+
 /* Ends the runs that are over, and all when the lease has run out. */
 static void
 worker_tick(PhWorld *w, PhFakeWorker *f)
@@ -656,6 +731,13 @@
         else if (run->stopping) {
             end.kind = PH_SCHED_END_STOPPED;
         }
+        else if (run->broken) {
+            end.kind = PH_SCHED_END_BROKEN;
+        }
+        else if (run->alone_at != 0) {
+            end.kind = PH_SCHED_END_ALONE;
+            assert_true(w->faulty);
+        }
         else if (run->fails) {
             end.kind = PH_SCHED_END_FAILED;
         }
@@ -724,6 +806,10 @@
     if (w->now >= w->next_fault) {
         fault_strike(w);
     }
+    w->faulty |= w->options.faults != 0;
+    if (w->options.gang) {
+        gangs_tick(w);
+    }
     for (guint i = 0; i < w->workers->len; i++) {
         worker_tick(w, g_ptr_array_index(w->workers, i));
     }
--- a/tests/schedule/schedule_world.h
+++ b/tests/schedule/schedule_world.h
@@ -24,6 +24,7 @@
     unsigned faults;
     unsigned workers;
     unsigned jobs;
+    bool gang;         /* the tasks of a step work only together */
     unsigned rounds;   /* repetitions of each job, 0 for once */
     bool long_running; /* each job has tasks that last, and is cancelled */
 } PhWorldOptions;
