--- a/codec/settings_key.c
+++ b/codec/settings_key.c
@@ -59,8 +59,6 @@
         1 * S, 600 * S, "10s", "Longest lease that workers grant."),
     KEY("scheduler", "pace_lag", scheduler.pace_lag, DURATION, false, 0,
         60 * S, "100ms", "Time until a change of pace shows on a worker."),
-    KEY("scheduler", "keep_over", scheduler.keep_over, DURATION, false, 1 * S,
-        86400 * S, "120s", "Time for which jobs that are over are known."),
     KEY("limits", "request_body", limits.request_body, SIZE, false, KB,
         64 * MB, "1MB", "Largest body of a caller's request."),
     KEY("limits", "connections", limits.connections, COUNT, false, 1,
--- a/include/peridothill/codec/settings.h
+++ b/include/peridothill/codec/settings.h
@@ -45,7 +45,6 @@
         double share;
         PhTime lease_limit;
         PhTime pace_lag;
-        PhTime keep_over;
     } scheduler;
     struct {
         uint64_t request_body; /* bytes */
--- a/include/peridothill/services/schedule.h
+++ b/include/peridothill/services/schedule.h
@@ -76,7 +76,6 @@
     double strength; /* share of a core; stronger instances own first */
     PhTime lease_limit;
     PhTime pace_lag;
-    PhTime keep_over; /* jobs that are over are known for this long */
 } PhScheduleOptions;
 
 PhStatus PhSchedule_Start(PhKernel *kernel, const PhScheduleOptions *options);
