--- a/commands/standin.c
+++ b/commands/standin.c
@@ -82,23 +82,6 @@
     return r;
 }
 
-/* Puts the configuration of one queue into the metadata store. */
-static void
-queue_put(PhStandins *s)
-{
-    PhBuf text = {0};
-    PhBuf_AppendFormat(
-        &text,
-        "{\"version\":1,\"routes\":[{\"name\":\"queue\",\"host\":"
-        "\"jobs.example\",\"pathPrefix\":\"/jobs/\",\"service\":\"%s\","
-        "\"maxAttempts\":3,\"stretch\":2.0,\"targetCompletionMs\":1000}],"
-        "\"services\":[{\"name\":\"%s\",\"enforcesCapacity\":true}]}",
-        s->arguments->services, s->arguments->services);
-    PhStandinStoreState_Put(s->store, PhStr_LITERAL("keyed.op"),
-                            PhStr_LITERAL("config"), PhBuf_Str(&text));
-    PhBuf_Clear(&text);
-}
-
 /* Starts the metadata store and workers that run tasks. */
 static PhResult
 platform_start(PhStandins *s)
@@ -106,7 +89,8 @@
     uint16_t port;
     PhResult r = PhStandinStore_Start(
         s->kernel, PhStr_FromC(s->arguments->store), s->store, &port);
-    queue_put(s);
+    PhStandinStoreState_PutQueue(s->store,
+                                 PhStr_FromC(s->arguments->services));
     for (int i = 0; i < s->arguments->workers && PhResult_IsOk(&r); i++) {
         PhBuf id = {0};
         PhBuf_AppendFormat(&id, "i-%d", i);
--- a/decide/schedule/contact.c
+++ b/decide/schedule/contact.c
@@ -307,7 +307,7 @@
 /* Takes in the outcome of a change of pace. */
 bool
 PhScheduler_OnPace(PhScheduler *s, const PhSchedTaskName *name, uint32_t run,
-                   PhSchedOutcome outcome, int percent)
+                   PhSchedOutcome outcome)
 {
     PhSchedTask *task = placed_task(s, name, run);
     if (task != NULL && outcome != PH_SCHED_OUTCOME_DONE) {
@@ -315,7 +315,6 @@
          * equals the one before. */
         task->percent_told = -1;
     }
-    (void)percent;
     return outcome != PH_SCHED_OUTCOME_FENCED;
 }
 
--- a/decide/schedule/election.c
+++ b/decide/schedule/election.c
@@ -30,7 +30,6 @@
     PhElectionEntryKind append_kind;
     bool must_read; /* an append met a conflict or got no answer */
     bool stopping;
-    bool released;
 };
 
 /* Creates the election of one instance. */
@@ -196,7 +195,6 @@
     case PH_ELECTION_RELEASE:
         step_down(e, now);
         e->vacant = true;
-        e->released = true;
         break;
     }
 }
@@ -296,14 +294,4 @@
 {
     e->stopping = true;
     e->append_due = 0;
-    if (e->role == PH_ELECTION_FOLLOWER) {
-        e->released = true;
-    }
-}
-
-/* Tells whether nothing is left to release. */
-bool
-PhElection_IsReleased(const PhElection *e)
-{
-    return e->released || e->role == PH_ELECTION_FOLLOWER;
 }
--- /dev/null
+++ b/decide/schedule/leases.c
@@ -0,0 +1,174 @@
+/* Leases of workers: what is granted, on record or not, and when all that was
+ * granted has ended. */
+#include "scheduler_private.h"
+
+/* Leases are this long: a crash of the owner, its detection and the takeover
+ * take under 4 s, and a renewal comes every 1.5 s at the latest. */
+static const PhTime LEASE = 6 * PH_NS_PER_S;
+/* An owner without the store goes on for at most this long, see
+ * docs/PLATFORM-DESIGN.md; a successor waits for it and one lease. */
+static const PhTime OLD_OWNER_LIMIT = 10 * PH_NS_PER_S;
+/* Clocks of workers may be 2% slow. */
+static const int64_t CLOCK_SLOW_PERCENT = 102;
+/* A claim comes this long after the last word of the earlier owner; see
+ * election.c. */
+static const PhTime OWNER_SILENCE = 2200 * PH_NS_PER_MS;
+static const PhTime CLOCK_MARGIN = 100 * PH_NS_PER_MS;
+
+/* Gives for how long a lease may last by the owner's clock. */
+static PhTime
+lease_bound(const PhScheduler *s)
+{
+    return MIN(LEASE, s->options.lease_limit) / 100 * CLOCK_SLOW_PERCENT +
+           CLOCK_MARGIN;
+}
+
+/* Ends the orders of an earlier ownership for one life. */
+void
+PhScheduler_ResetWorker(const PhScheduler *s, PhSchedWorker *w, PhTime now)
+{
+    w->fenced = false;
+    w->holding = false;
+    w->hold_after = now;
+    w->seen = 0;
+    w->acked = 0;
+    w->seen_batch = 0;
+    w->cooldown_until = 0;
+    w->dirty = false;
+    w->grant_batch = 0;
+    w->lapse_by = w->suspended ? w->suspended_at + lease_bound(s)
+                               : now + OLD_OWNER_LIMIT + lease_bound(s);
+    w->failing_since = 0;
+    for (guint i = 0; i < w->tasks->len; i++) {
+        PhSchedTask *task = g_ptr_array_index(w->tasks, i);
+        task->fence = 0;
+        task->ordering = false;
+        task->stopping = false;
+        task->stop_sent = false;
+    }
+}
+
+/* Records whether leases are granted to a worker.  Before the first lease
+ * that follows, the record has to be durable. */
+void
+PhScheduler_SetSuspended(PhScheduler *s, PhSchedWorker *w, bool suspended,
+                         PhTime now)
+{
+    if (w->suspended == suspended) {
+        return;
+    }
+    PhSchedNote note = {.tag = suspended ? PH_SCHED_NOTE_SUSPENDED
+                                         : PH_SCHED_NOTE_RESUMED,
+                        .worker = w};
+    g_array_append_val(s->notes, note);
+    w->suspended = suspended;
+    w->suspended_at = now;
+    w->grant_batch = s->open_batch;
+    if (!w->dirty) {
+        w->dirty = true;
+        s->dirty_workers++;
+    }
+}
+
+/* Estimates the worker's clock; slow clocks make it a lower bound only at the
+ * reading itself, so 2% is taken off what has passed since. */
+int64_t
+PhSchedWorker_Clock(const PhSchedWorker *w, PhTime now)
+{
+    return w->clock_ms + (now - w->clock_at) / PH_NS_PER_MS;
+}
+
+/* Grants a lease from now on. */
+int64_t
+PhScheduler_Grant(PhScheduler *s, PhSchedWorker *w, PhTime now)
+{
+    PhTime lease = MIN(LEASE, s->options.lease_limit);
+    int64_t end_ms = PhSchedWorker_Clock(w, now) + lease / PH_NS_PER_MS;
+    PhTime left = (end_ms - w->clock_ms) * PH_NS_PER_MS;
+    PhTime lapse =
+        w->clock_at + left / 100 * CLOCK_SLOW_PERCENT + CLOCK_MARGIN;
+    w->lapse_by = MAX(w->lapse_by, lapse);
+    return end_ms;
+}
+
+/* Gives the time by which every lease of a life has ended.  A life that was
+ * leaving, is no longer listed and has not answered this owner has left.  One
+ * that was not leaving may be cut off together with the earlier owner, which
+ * then goes on granting leases to it. */
+static PhTime
+lapse_time(const PhScheduler *s, const PhSchedWorker *w)
+{
+    if (w->listed || w->fenced || !w->entry.draining) {
+        return w->lapse_by;
+    }
+    PhTime since = MAX(w->unlisted_at, s->owner_since);
+    return MIN(w->lapse_by, since + lease_bound(s) - OWNER_SILENCE);
+}
+
+/* Treats every run of a life as ended: its leases have lapsed, or the worker
+ * has started anew. */
+static void
+worker_lost(PhScheduler *s, PhSchedWorker *w, PhTime now)
+{
+    PhSchedNote note = {
+        .tag = PH_SCHED_NOTE_LOST, .worker = w, .as.lost = w->tasks->len};
+    g_array_append_val(s->notes, note);
+    w->dead = true;
+    while (w->tasks->len > 0) {
+        PhScheduler_EndRun(s, g_ptr_array_index(w->tasks, 0),
+                           PH_SCHED_END_LAPSED, (PhStr){0}, now);
+    }
+}
+
+/* Plans the hold of one life, and notices when its leases have lapsed. */
+void
+PhScheduler_PlanWorker(PhScheduler *s, PhSchedWorker *w, PhTime now)
+{
+    if (w->dead) {
+        return;
+    }
+    bool newest = PhSchedModel_NewestLife(s->model, w->entry.id) == w;
+    PhTime lapse = lapse_time(s, w);
+    if (now >= lapse && w->tasks->len > 0 &&
+        (!w->listed || !newest || w->failing_since > 0)) {
+        worker_lost(s, w, now);
+        w->dead = !w->listed || !newest;
+        return;
+    }
+    if (!w->listed && w->tasks->len == 0) {
+        w->dead = true;
+        return;
+    }
+    if (w->tasks->len > 0) {
+        PhScheduler_WakeBy(s, lapse);
+    }
+    if (!newest || w->holding || PhStr_IsEmpty(w->entry.address)) {
+        return;
+    }
+    if (w->hold_after > now) {
+        PhScheduler_WakeBy(s, w->hold_after);
+        return;
+    }
+    w->holding = true;
+    g_queue_push_tail(&s->holds, w);
+}
+
+/* Adds the records of workers to which leases are granted again or no
+ * more. */
+void
+PhScheduler_TakeWorkers(PhScheduler *s, GArray *records)
+{
+    for (guint i = 0; i < s->model->lives->len && s->dirty_workers > 0; i++) {
+        PhSchedWorker *w = g_ptr_array_index(s->model->lives, i);
+        if (!w->dirty) {
+            continue;
+        }
+        PhSchedRecord record = {.tag = PH_SCHED_RECORD_WORKER,
+                                .id = PhStr_Dup(w->entry.id),
+                                .as.worker = {.born_ms = w->entry.born_ms,
+                                              .suspended = w->suspended}};
+        w->dirty = false;
+        g_array_append_val(records, record);
+    }
+    s->dirty_workers = 0;
+}
--- a/decide/schedule/model.c
+++ b/decide/schedule/model.c
@@ -164,16 +164,6 @@
     return g_hash_table_lookup(m->jobs, &id);
 }
 
-/* Forgets a job. */
-void
-PhSchedModel_RemoveJob(PhSchedModel *m, PhSchedJob *job)
-{
-    Ph_INVARIANT(PH_INVARIANT_PRECONDITION, job->tasks_placed == 0,
-                 "placed=%u", job->tasks_placed);
-    g_ptr_array_remove_fast(m->active, job);
-    g_hash_table_remove(m->jobs, &job->spec.id);
-}
-
 /* Sets the state of a job. */
 void
 PhSchedModel_SetJobState(PhSchedModel *m, PhSchedJob *job,
--- a/decide/schedule/queue.c
+++ b/decide/schedule/queue.c
@@ -73,17 +73,3 @@
     }
     return best;
 }
-
-/* Finds a queue by its name. */
-const PhSchedQueue *
-PhSchedConfig_Queue(const PhSchedConfig *config, PhStr name)
-{
-    for (guint i = 0; i < config->queues->len; i++) {
-        const PhSchedQueue *q =
-            &g_array_index(config->queues, PhSchedQueue, i);
-        if (PhStr_Equal(q->terms.queue, name)) {
-            return q;
-        }
-    }
-    return NULL;
-}
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -2,20 +2,8 @@
 
 #include "peridothill/common/invariant.h"
 
-/* Leases are this long: a crash of the owner, its detection and the takeover
- * take under 4 s, and a renewal comes every 1.5 s at the latest. */
-static const PhTime LEASE = 6 * PH_NS_PER_S;
-/* An owner without the store goes on for at most this long, see
- * docs/PLATFORM-DESIGN.md; a successor waits for it and one lease. */
-static const PhTime OLD_OWNER_LIMIT = 10 * PH_NS_PER_S;
-/* A claim comes this long after the last word of the earlier owner; see
- * election.c. */
-static const PhTime OWNER_SILENCE = 2200 * PH_NS_PER_MS;
 /* Ends within this time share one hold. */
 static const PhTime HOLD_GAP = 10 * PH_NS_PER_MS;
-/* Clocks of workers may be 2% slow. */
-static const int64_t CLOCK_SLOW_PERCENT = 102;
-static const PhTime CLOCK_MARGIN = 100 * PH_NS_PER_MS;
 /* What was learned of interference goes into the records this often. */
 static const PhTime PAIRS_INTERVAL = 2 * PH_NS_PER_S;
 /* Idle time of the planner: rounds that come due, leases that lapse. */
@@ -128,46 +116,6 @@
     return PH_STATUS_OK;
 }
 
-/* Gives the fence of this owner, 0 when it is not the owner. */
-uint64_t
-PhScheduler_Fence(const PhScheduler *scheduler)
-{
-    return scheduler->fence;
-}
-
-/* Gives for how long a lease may last by the owner's clock. */
-static PhTime
-lease_bound(const PhScheduler *s)
-{
-    return MIN(LEASE, s->options.lease_limit) / 100 * CLOCK_SLOW_PERCENT +
-           CLOCK_MARGIN;
-}
-
-/* Ends the orders of an earlier ownership for one life. */
-static void
-worker_reset(const PhScheduler *s, PhSchedWorker *w, PhTime now)
-{
-    w->fenced = false;
-    w->holding = false;
-    w->hold_after = now;
-    w->seen = 0;
-    w->acked = 0;
-    w->seen_batch = 0;
-    w->cooldown_until = 0;
-    w->dirty = false;
-    w->grant_batch = 0;
-    w->lapse_by = w->suspended ? w->suspended_at + lease_bound(s)
-                               : now + OLD_OWNER_LIMIT + lease_bound(s);
-    w->failing_since = 0;
-    for (guint i = 0; i < w->tasks->len; i++) {
-        PhSchedTask *task = g_ptr_array_index(w->tasks, i);
-        task->fence = 0;
-        task->ordering = false;
-        task->stopping = false;
-        task->stop_sent = false;
-    }
-}
-
 /* Takes over, or gives up, the ownership. */
 void
 PhScheduler_SetFence(PhScheduler *s, uint64_t fence, PhTime now)
@@ -189,7 +137,7 @@
     s->due = now;
     s->place_due = true;
     for (guint i = 0; i < s->model->lives->len; i++) {
-        worker_reset(s, g_ptr_array_index(s->model->lives, i), now);
+        PhScheduler_ResetWorker(s, g_ptr_array_index(s->model->lives, i), now);
     }
 }
 
@@ -221,28 +169,6 @@
     job->batch = s->open_batch;
 }
 
-/* Records whether leases are granted to a worker.  Before the first lease
- * that follows, the record has to be durable. */
-void
-PhScheduler_SetSuspended(PhScheduler *s, PhSchedWorker *w, bool suspended,
-                         PhTime now)
-{
-    if (w->suspended == suspended) {
-        return;
-    }
-    PhSchedNote note = {.tag = suspended ? PH_SCHED_NOTE_SUSPENDED
-                                         : PH_SCHED_NOTE_RESUMED,
-                        .worker = w};
-    g_array_append_val(s->notes, note);
-    w->suspended = suspended;
-    w->suspended_at = now;
-    w->grant_batch = s->open_batch;
-    if (!w->dirty) {
-        w->dirty = true;
-        s->dirty_workers++;
-    }
-}
-
 /* Brings the next decision forward. */
 void
 PhScheduler_WakeBy(PhScheduler *s, PhTime at)
@@ -257,27 +183,6 @@
     return s->fence == 0 ? PH_TIME_NEVER : s->due;
 }
 
-/* Estimates the worker's clock; slow clocks make it a lower bound only at the
- * reading itself, so 2% is taken off what has passed since. */
-int64_t
-PhSchedWorker_Clock(const PhSchedWorker *w, PhTime now)
-{
-    return w->clock_ms + (now - w->clock_at) / PH_NS_PER_MS;
-}
-
-/* Grants a lease from now on. */
-int64_t
-PhScheduler_Grant(PhScheduler *s, PhSchedWorker *w, PhTime now)
-{
-    PhTime lease = MIN(LEASE, s->options.lease_limit);
-    int64_t end_ms = PhSchedWorker_Clock(w, now) + lease / PH_NS_PER_MS;
-    PhTime left = (end_ms - w->clock_ms) * PH_NS_PER_MS;
-    PhTime lapse =
-        w->clock_at + left / 100 * CLOCK_SLOW_PERCENT + CLOCK_MARGIN;
-    w->lapse_by = MAX(w->lapse_by, lapse);
-    return end_ms;
-}
-
 /* Orders a stop of a placed task. */
 void
 PhScheduler_StopTask(PhScheduler *s, PhSchedTask *task)
@@ -376,68 +281,6 @@
     }
 }
 
-/* Gives the time by which every lease of a life has ended.  A life that was
- * leaving, is no longer listed and has not answered this owner has left.  One
- * that was not leaving may be cut off together with the earlier owner, which
- * then goes on granting leases to it. */
-static PhTime
-lapse_time(const PhScheduler *s, const PhSchedWorker *w)
-{
-    if (w->listed || w->fenced || !w->entry.draining) {
-        return w->lapse_by;
-    }
-    PhTime since = MAX(w->unlisted_at, s->owner_since);
-    return MIN(w->lapse_by, since + lease_bound(s) - OWNER_SILENCE);
-}
-
-/* Treats every run of a life as ended: its leases have lapsed, or the worker
- * has started anew. */
-static void
-worker_lost(PhScheduler *s, PhSchedWorker *w, PhTime now)
-{
-    PhSchedNote note = {
-        .tag = PH_SCHED_NOTE_LOST, .worker = w, .as.lost = w->tasks->len};
-    g_array_append_val(s->notes, note);
-    w->dead = true;
-    while (w->tasks->len > 0) {
-        PhScheduler_EndRun(s, g_ptr_array_index(w->tasks, 0),
-                           PH_SCHED_END_LAPSED, (PhStr){0}, now);
-    }
-}
-
-/* Plans the hold of one life, and notices when its leases have lapsed. */
-static void
-plan_worker(PhScheduler *s, PhSchedWorker *w, PhTime now)
-{
-    if (w->dead) {
-        return;
-    }
-    bool newest = PhSchedModel_NewestLife(s->model, w->entry.id) == w;
-    PhTime lapse = lapse_time(s, w);
-    if (now >= lapse && w->tasks->len > 0 &&
-        (!w->listed || !newest || w->failing_since > 0)) {
-        worker_lost(s, w, now);
-        w->dead = !w->listed || !newest;
-        return;
-    }
-    if (!w->listed && w->tasks->len == 0) {
-        w->dead = true;
-        return;
-    }
-    if (w->tasks->len > 0) {
-        PhScheduler_WakeBy(s, lapse);
-    }
-    if (!newest || w->holding || PhStr_IsEmpty(w->entry.address)) {
-        return;
-    }
-    if (w->hold_after > now) {
-        PhScheduler_WakeBy(s, w->hold_after);
-        return;
-    }
-    w->holding = true;
-    g_queue_push_tail(&s->holds, w);
-}
-
 /* Opens the rounds of a job that have come due. */
 static void
 plan_rounds(PhScheduler *s, PhSchedJob *job, int64_t wall_ms)
@@ -491,7 +334,7 @@
     }
     plan_jobs(s, wall_ms);
     for (guint i = 0; i < s->model->lives->len; i++) {
-        plan_worker(s, g_ptr_array_index(s->model->lives, i), now);
+        PhScheduler_PlanWorker(s, g_ptr_array_index(s->model->lives, i), now);
     }
     if (s->place_due && !s->quiet) {
         s->place_due = false;
@@ -499,26 +342,6 @@
     }
 }
 
-/* Adds the records of workers to which leases are granted again or no
- * more. */
-static void
-take_workers(PhScheduler *s, GArray *records)
-{
-    for (guint i = 0; i < s->model->lives->len && s->dirty_workers > 0; i++) {
-        PhSchedWorker *w = g_ptr_array_index(s->model->lives, i);
-        if (!w->dirty) {
-            continue;
-        }
-        PhSchedRecord record = {.tag = PH_SCHED_RECORD_WORKER,
-                                .id = PhStr_Dup(w->entry.id),
-                                .as.worker = {.born_ms = w->entry.born_ms,
-                                              .suspended = w->suspended}};
-        w->dirty = false;
-        g_array_append_val(records, record);
-    }
-    s->dirty_workers = 0;
-}
-
 /* Closes the open batch. */
 uint64_t
 PhScheduler_TakeBatch(PhScheduler *s, GArray *records)
@@ -527,7 +350,7 @@
         s->dirty_workers == 0) {
         return 0;
     }
-    take_workers(s, records);
+    PhScheduler_TakeWorkers(s, records);
     if (s->pairs_due) {
         PhSchedRecord record =
             PhInterference_Record(s->interference, s->model);
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -59,6 +59,13 @@
 /* Orders a stop of a placed task. */
 void PhScheduler_StopTask(PhScheduler *scheduler, PhSchedTask *task);
 
+/* leases.c: what a takeover leaves of a life, when it is due to be held or
+ * has lapsed, and the records of workers that changed. */
+void PhScheduler_ResetWorker(const PhScheduler *scheduler,
+                             PhSchedWorker *worker, PhTime now);
+void PhScheduler_PlanWorker(PhScheduler *scheduler, PhSchedWorker *worker,
+                            PhTime now);
+void PhScheduler_TakeWorkers(PhScheduler *scheduler, GArray *records);
 /* gang.c: places a whole gang or nothing; false when it has to wait. */
 bool PhScheduler_PlaceGang(PhScheduler *scheduler, PhSchedStage *stage,
                            PhTime now);
--- a/decide/schedule/spec.c
+++ b/decide/schedule/spec.c
@@ -2,7 +2,6 @@
 
 enum {
     ID_BYTES = 16,
-    MILLI_PER_CORE = 1000,
 };
 
 /* Releases what the specification owns. */
@@ -97,16 +96,3 @@
     }
     return longest;
 }
-
-/* Gives the CPU time of all tasks by estimate. */
-double
-PhSchedSpec_Work(const PhSchedSpec *spec)
-{
-    double work = 0;
-    for (uint32_t i = 0; i < spec->step_count; i++) {
-        const PhSchedStep *step = &spec->steps[i];
-        work += (double)step->count * (double)step->estimate *
-                (double)step->room.cpu_milli / MILLI_PER_CORE;
-    }
-    return work;
-}
--- a/include/peridothill/decide/schedule/election.h
+++ b/include/peridothill/decide/schedule/election.h
@@ -82,7 +82,5 @@
 void PhElection_OnDeposed(PhElection *election, PhTime now);
 /* The instance stops: an owner releases, nobody claims any more. */
 void PhElection_Stop(PhElection *election);
-/* True once nothing is left to release. */
-bool PhElection_IsReleased(const PhElection *election);
 
 #endif
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -109,7 +109,6 @@
     PhTime ran;            /* the longest runs of its stages together */
     bool cancel;           /* a client has cancelled it */
     bool dirty;            /* the state differs from its last record */
-    uint64_t state_offset; /* of the newest record, so that none goes back */
 };
 
 /* A worker as its own entry tells of it.  Strings are owned. */
@@ -207,8 +206,6 @@
 PhSchedJob *PhSchedModel_AddJob(PhSchedModel *model, PhSchedSpec *spec,
                                 PhTime now);
 PhSchedJob *PhSchedModel_Job(const PhSchedModel *model, PhStr id);
-/* Forgets a job that has no task on a worker. */
-void PhSchedModel_RemoveJob(PhSchedModel *model, PhSchedJob *job);
 /* Forgets every job; workers stay. */
 void PhSchedModel_ClearJobs(PhSchedModel *model);
 /* Finds a task of a known job, or NULL. */
--- a/include/peridothill/decide/schedule/queue.h
+++ b/include/peridothill/decide/schedule/queue.h
@@ -33,8 +33,5 @@
  * gets what follows the prefix.  NULL when there is none. */
 const PhSchedQueue *PhSchedConfig_Match(const PhSchedConfig *config,
                                         PhStr host, PhStr path, PhStr *rest);
-/* Finds a queue by its name, or NULL. */
-const PhSchedQueue *PhSchedConfig_Queue(const PhSchedConfig *config,
-                                        PhStr name);
 
 #endif
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -128,7 +128,6 @@
 /* Ownership under a fence that no earlier owner had; 0 ends it.  The model
  * has to hold every record that an earlier owner has written. */
 void PhScheduler_SetFence(PhScheduler *scheduler, uint64_t fence, PhTime now);
-uint64_t PhScheduler_Fence(const PhScheduler *scheduler);
 /* Before a stop: no new starts and no waiting holds. */
 void PhScheduler_Quiesce(PhScheduler *scheduler);
 
@@ -161,7 +160,7 @@
                         uint32_t run, PhSchedOutcome outcome, int64_t clock_ms,
                         PhTime now);
 bool PhScheduler_OnPace(PhScheduler *scheduler, const PhSchedTaskName *name,
-                        uint32_t run, PhSchedOutcome outcome, int percent);
+                        uint32_t run, PhSchedOutcome outcome);
 
 /* What instances learn from the list of workers: an entry, or that it has
  * gone. */
--- a/include/peridothill/decide/schedule/spec.h
+++ b/include/peridothill/decide/schedule/spec.h
@@ -72,7 +72,5 @@
 PhResult PhSchedSpec_Check(const PhSchedSpec *spec);
 /* Length of the longest chain of estimates. */
 PhTime PhSchedSpec_Chain(const PhSchedSpec *spec);
-/* CPU time that all tasks ask for by estimate, in core nanoseconds. */
-double PhSchedSpec_Work(const PhSchedSpec *spec);
 
 #endif
--- a/include/peridothill/standin/platform.h
+++ b/include/peridothill/standin/platform.h
@@ -22,6 +22,10 @@
 void PhStandinStoreState_Put(PhStandinStoreState *state, PhStr topic,
                              PhStr key, PhStr value);
 
+/* Puts a configuration with one queue into the store: host "jobs.example",
+ * prefix "/jobs/", run by the workers of a service. */
+void PhStandinStoreState_PutQueue(PhStandinStoreState *state, PhStr service);
+
 /* Starts the store; `state` stays the caller's and must outlive the task. */
 PhResult PhStandinStore_Start(PhKernel *kernel, PhStr listen,
                               PhStandinStoreState *state, uint16_t *port);
--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -544,8 +544,7 @@
                                    r->clock_ms, now);
         break;
     case PH_SCHED_ACTION_PACE:
-        still = PhScheduler_OnPace(t->scheduler, &r->task, r->run, r->outcome,
-                                   r->percent);
+        still = PhScheduler_OnPace(t->scheduler, &r->task, r->run, r->outcome);
         break;
     }
     log_notes(t);
--- a/standin/store.c
+++ b/standin/store.c
@@ -137,6 +137,24 @@
     PhBuf_Clear(&data);
 }
 
+/* Puts a configuration with one queue into the store. */
+void
+PhStandinStoreState_PutQueue(PhStandinStoreState *s, PhStr service)
+{
+    PhBuf text = {0};
+    PhBuf_AppendFormat(
+        &text,
+        "{\"version\":1,\"routes\":[{\"name\":\"queue\",\"host\":"
+        "\"jobs.example\",\"pathPrefix\":\"/jobs/\",\"service\":"
+        "\"%.*s\",\"maxAttempts\":3,\"stretch\":2.0,"
+        "\"targetCompletionMs\":1000}],\"services\":[{\"name\":\"%.*s\","
+        "\"enforcesCapacity\":true}]}",
+        PhStr_ARG(service), PhStr_ARG(service));
+    PhStandinStoreState_Put(s, PhStr_LITERAL("keyed.op"),
+                            PhStr_LITERAL("config"), PhBuf_Str(&text));
+    PhBuf_Clear(&text);
+}
+
 /* Appends a big-endian number. */
 static void
 append_number(PhBuf *out, uint64_t value, int bytes)
