schedule: that a worker is leaving goes on record; stray stops leave no queue

The record of a worker now says that it was leaving. The reading of the change found that a stray run of an unknown job ended the round of orders and left others behind, with a worker that could be released meanwhile.

--- a/codec/schedule_record.c
+++ b/codec/schedule_record.c
@@ -42,6 +42,7 @@
     STAGE_ALL_DONE,
     WORKER_BORN_MS = 1,
     WORKER_SUSPENDED,
+    WORKER_LEAVING,
     PAIRS_ITEMS = 1,
     PAIR_ITEMS = 4, /* filling and serving image, then the two sums */
     /* Items of a task: a list of the first three, then the worker with its
@@ -250,9 +251,10 @@
         break;
     case PH_SCHED_RECORD_WORKER:
         key = key_make(KEY_WORKER, record->id, NULL);
-        msgpack_pack_map(&p, WORKER_SUSPENDED);
+        msgpack_pack_map(&p, WORKER_LEAVING);
         PhPack_U64(&p, WORKER_BORN_MS, (uint64_t)record->as.worker.born_ms);
         PhPack_U64(&p, WORKER_SUSPENDED, record->as.worker.suspended);
+        PhPack_U64(&p, WORKER_LEAVING, record->as.worker.leaving);
         break;
     case PH_SCHED_RECORD_PAIRS:
         key = key_make(KEY_PAIRS, (PhStr){0}, NULL);
@@ -514,6 +516,7 @@
         record->tag = PH_SCHED_RECORD_WORKER;
         record->as.worker.born_ms = (int64_t)get_u64(map, WORKER_BORN_MS);
         record->as.worker.suspended = get_u64(map, WORKER_SUSPENDED) != 0;
+        record->as.worker.leaving = get_u64(map, WORKER_LEAVING) != 0;
         return PhResult_Ok();
     }
     if (kind == KEY_PAIRS) {
--- a/decide/schedule/contact.c
+++ b/decide/schedule/contact.c
@@ -113,30 +113,29 @@
     return false;
 }
 
-/* Gives the next stop of a run that no task stands behind.  The name stays
- * borrowed until the next call. */
+/* Gives the next stop of a run that no task stands behind; a run of a job that
+ * is not known is left to its lease. */
 static bool
 next_stray(PhScheduler *s, PhSchedAction *action)
 {
-    PhStray *stray = g_queue_pop_head(&s->strays);
-    if (stray == NULL) {
-        return false;
+    PhStray *stray;
+    const PhSchedJob *job = NULL;
+    while (job == NULL && (stray = g_queue_pop_head(&s->strays)) != NULL) {
+        const PhSchedWorker *w = stray->worker;
+        job = PhSchedModel_Job(s->model, stray->task.job);
+        if (job != NULL) {
+            *action = (PhSchedAction){
+                .tag = PH_SCHED_ACTION_STOP,
+                .worker = w->entry.id,
+                .born_ms = w->entry.born_ms,
+                .address = w->entry.address,
+                .as.run = {.task = stray->task, .run = stray->run}};
+            action->as.run.task.job = job->spec.id;
+        }
+        PhStr_Clear(&stray->task.job);
+        g_free(stray);
     }
-    const PhSchedWorker *w = stray->worker;
-    *action =
-        (PhSchedAction){.tag = PH_SCHED_ACTION_STOP,
-                        .worker = w->entry.id,
-                        .born_ms = w->entry.born_ms,
-                        .address = w->entry.address,
-                        .as.run = {.task = stray->task, .run = stray->run}};
-    const PhSchedJob *job = PhSchedModel_Job(s->model, stray->task.job);
-    bool known = job != NULL;
-    if (known) {
-        action->as.run.task.job = job->spec.id;
-    }
-    PhStr_Clear(&stray->task.job);
-    g_free(stray);
-    return known;
+    return job != NULL;
 }
 
 /* Gives the next change of pace. */
@@ -166,7 +165,7 @@
     }
     return next_pace(s, action) || next_stop(s, now, action) ||
            next_start(s, now, action) || next_hold(s, now, action) ||
-           (!g_queue_is_empty(&s->strays) && next_stray(s, action));
+           next_stray(s, action);
 }
 
 /* Finds the placed task that an answer is about, or NULL. */
--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -48,6 +48,16 @@
     }
 }
 
+/* Marks what is on record of a worker as changed. */
+void
+PhScheduler_TouchWorker(PhScheduler *s, PhSchedWorker *w)
+{
+    if (!w->dirty) {
+        w->dirty = true;
+        s->dirty_workers++;
+    }
+}
+
 /* Records whether leases are granted to a worker.  Before the first lease
  * that follows, the record has to be durable. */
 void
@@ -64,10 +74,7 @@
     w->suspended = suspended;
     w->suspended_at = now;
     w->grant_batch = s->open_batch;
-    if (!w->dirty) {
-        w->dirty = true;
-        s->dirty_workers++;
-    }
+    PhScheduler_TouchWorker(s, w);
 }
 
 /* Estimates the worker's clock; slow clocks make it a lower bound only at the
@@ -166,7 +173,8 @@
         PhSchedRecord record = {.tag = PH_SCHED_RECORD_WORKER,
                                 .id = PhStr_Dup(w->entry.id),
                                 .as.worker = {.born_ms = w->entry.born_ms,
-                                              .suspended = w->suspended}};
+                                              .suspended = w->suspended,
+                                              .leaving = w->entry.draining}};
         w->dirty = false;
         g_array_append_val(records, record);
     }
--- a/decide/schedule/record.c
+++ b/decide/schedule/record.c
@@ -161,6 +161,7 @@
         PhSchedModel_Worker(model, record->id, record->as.worker.born_ms);
     w->suspended = record->as.worker.suspended;
     w->suspended_at = now;
+    w->entry.draining |= record->as.worker.leaving;
 }
 
 /* Applies a record that was read from the store. */
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -405,12 +405,16 @@
         earlier->listed = false;
     }
     bool usable = w->listed && !w->entry.draining;
+    bool left = entry->draining && !w->entry.draining && w->tasks->len > 0;
     if (!w->listed && w->tasks->len == 0 && !w->dead) {
         w->lapse_by = now;
     }
     w->listed = true;
     w->dead = false;
     PhSchedWorker_SetEntry(w, entry);
+    if (s->fence != 0 && left) {
+        PhScheduler_TouchWorker(s, w);
+    }
     if (s->fence != 0 && usable != !w->entry.draining) {
         s->place_due = true;
         PhScheduler_WakeBy(s, now);
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -39,6 +39,8 @@
 /* Marks a stage or the state of a job as changed in the open batch. */
 void PhScheduler_TouchStage(PhScheduler *scheduler, PhSchedStage *stage);
 void PhScheduler_TouchJob(PhScheduler *scheduler, PhSchedJob *job);
+/* Marks what is on record of a worker as changed. */
+void PhScheduler_TouchWorker(PhScheduler *scheduler, PhSchedWorker *worker);
 /* Records whether leases are granted to a worker. */
 void PhScheduler_SetSuspended(PhScheduler *scheduler, PhSchedWorker *worker,
                               bool suspended, PhTime now);
--- a/include/peridothill/decide/schedule/record.h
+++ b/include/peridothill/decide/schedule/record.h
@@ -49,6 +49,7 @@
         struct {
             int64_t born_ms;
             bool suspended; /* no lease is granted from this record on */
+            bool leaving;   /* it has said that it is about to leave */
         } worker;
         struct {
             PhSchedPairRecord *items;
--- a/services/schedule/schedule_task.c
+++ b/services/schedule/schedule_task.c
@@ -235,7 +235,6 @@
     PhBuf producer = {0};
     PhBuf_AppendFormat(&producer, "%.*s.%llu", PhStr_ARG(options->instance),
                        (unsigned long long)options->incarnation);
-    t->options = *options;
     t->producer = PhBuf_Take(&producer);
     t->sequence = 1;
     t->scheduler = PhScheduler_Create(&(PhSchedulerOptions){
--- a/services/schedule/schedule_task.h
+++ b/services/schedule/schedule_task.h
@@ -70,7 +70,6 @@
 
 typedef struct PhScheduleTask {
     PhTask *self;
-    PhScheduleOptions options;
     PhScheduler *scheduler;
     PhElection *election;
     PhTopic jobs;
