--- a/tests/schedule/test_schedule_codec.c
+++ b/tests/schedule/test_schedule_codec.c
@@ -89,6 +89,56 @@
     Ph_RUN_TABLE(job_cases, job_run);
 }
 
+/* What is on record of a worker, and what a successor that was never told of
+ * it by the list takes from it. */
+typedef struct PhWorkerRecordCase {
+    const char *name;
+    bool suspended;
+    bool leaving;
+} PhWorkerRecordCase;
+
+static const PhWorkerRecordCase worker_record_cases[] = {
+    {"leases are granted", false, false},
+    {"silent", true, false},
+    {"leaving", false, true},
+    {"leaving and silent", true, true},
+};
+
+/* Brings one record through the store's form into a model. */
+static void
+worker_record_run(const PhWorkerRecordCase *c)
+{
+    PhSchedRecord record = {.tag = PH_SCHED_RECORD_WORKER,
+                            .id = PhStr_LITERAL("i-1"),
+                            .as.worker = {.born_ms = 7,
+                                          .suspended = c->suspended,
+                                          .leaving = c->leaving}};
+    PhSchedEncoded e = PhSchedRecord_Encode(&record);
+    PhSchedRecord read;
+    PhResult r = PhSchedRecord_Decode(e.key, e.value, &read);
+    assert_true(PhResult_IsOk(&r));
+    PhSchedModel *model = PhSchedModel_Create();
+    assert_int_equal(PhSchedModel_Apply(model, &read, PH_NS_PER_S),
+                     PH_STATUS_OK);
+    const PhSchedWorker *w =
+        PhSchedModel_NewestLife(model, PhStr_LITERAL("i-1"));
+    assert_non_null(w);
+    assert_int_equal(w->entry.born_ms, 7);
+    assert_int_equal(w->suspended, c->suspended);
+    assert_int_equal(w->entry.draining, c->leaving);
+    assert_false(w->listed);
+    PhSchedModel_Destroy(model);
+    PhSchedEncoded_Clear(&e);
+}
+
+/* Records of workers. */
+static void
+test_worker_records(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(worker_record_cases, worker_record_run);
+}
+
 /* A worker's entry, and whether it names a worker to use. */
 typedef struct PhEntryCase {
     const char *name;
@@ -258,7 +308,8 @@
 main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(test_jobs), cmocka_unit_test(test_entries),
-        cmocka_unit_test(test_answers), cmocka_unit_test(test_queues)};
+        cmocka_unit_test(test_jobs), cmocka_unit_test(test_worker_records),
+        cmocka_unit_test(test_entries), cmocka_unit_test(test_answers),
+        cmocka_unit_test(test_queues)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
