schedule: an answer to the new owner bounds the leases of the earlier one

Change: with the first answer to its fence an owner knows that every lease ends within one lease from then. test_silence failed on it before.

--- a/decide/schedule/contact.c
+++ b/decide/schedule/contact.c
@@ -518,6 +518,11 @@
     if (!w->fenced || w->failing_since > 0) {
         s->place_due = true;
     }
+    if (!w->fenced) {
+        /* From now on no earlier owner grants it a lease. */
+        PhTime lapse = now + PhScheduler_LeaseBound(s);
+        w->lapse_by = MIN(w->lapse_by, lapse);
+    }
     w->fenced = true;
     w->failing_since = 0;
     PhScheduler_SetSuspended(s, w, false, now);
--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -16,8 +16,8 @@
 static const PhTime CLOCK_MARGIN = 100 * PH_NS_PER_MS;
 
 /* Gives for how long a lease may last by the owner's clock. */
-static PhTime
-lease_bound(const PhScheduler *s)
+PhTime
+PhScheduler_LeaseBound(const PhScheduler *s)
 {
     return MIN(LEASE, s->options.lease_limit) / 100 * CLOCK_SLOW_PERCENT +
            CLOCK_MARGIN;
@@ -36,8 +36,9 @@
     w->cooldown_until = 0;
     w->dirty = false;
     w->grant_batch = 0;
-    w->lapse_by = w->suspended ? w->suspended_at + lease_bound(s)
-                               : now + OLD_OWNER_LIMIT + lease_bound(s);
+    w->lapse_by = w->suspended
+                      ? w->suspended_at + PhScheduler_LeaseBound(s)
+                      : now + OLD_OWNER_LIMIT + PhScheduler_LeaseBound(s);
     w->failing_since = 0;
     for (guint i = 0; i < w->tasks->len; i++) {
         PhSchedTask *task = g_ptr_array_index(w->tasks, i);
@@ -109,7 +110,7 @@
         return w->lapse_by;
     }
     PhTime since = MAX(w->unlisted_at, s->owner_since);
-    return MIN(w->lapse_by, since + lease_bound(s) - OWNER_SILENCE);
+    return MIN(w->lapse_by, since + PhScheduler_LeaseBound(s) - OWNER_SILENCE);
 }
 
 /* Treats every run of a life as ended: its leases have lapsed, or the worker
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -61,6 +61,8 @@
 /* Orders a stop of a placed task. */
 void PhScheduler_StopTask(PhScheduler *scheduler, PhSchedTask *task);
 
+/* For how long a lease may last by the owner's clock. */
+PhTime PhScheduler_LeaseBound(const PhScheduler *scheduler);
 /* leases.c: what a takeover leaves of a life, when it is due to be held or
  * has lapsed, and the records of workers that changed. */
 void PhScheduler_ResetWorker(const PhScheduler *scheduler,
--- a/tests/schedule/test_schedule.c
+++ b/tests/schedule/test_schedule.c
@@ -76,6 +76,71 @@
     }
 }
 
+/* A worker with a run that falls silent after a takeover, whether it had
+ * answered the new owner before, and whether its run is given up 8 s after the
+ * takeover: one lease of 6 s after its last answer, or only when the earlier
+ * owner can no longer grant one. */
+typedef struct PhSilenceCase {
+    const char *name;
+    bool answered;
+    bool given_up;
+} PhSilenceCase;
+
+static const PhSilenceCase silence_cases[] = {
+    {"it had answered the new owner", true, true},
+    {"it never answered the new owner", false, false},
+};
+
+/* Lets a record, a takeover, an answer and silence follow each other. */
+static void
+silence_run(const PhSilenceCase *c)
+{
+    PhScheduler *s = PhScheduler_Create(
+        &(PhSchedulerOptions){.lease_limit = 10 * PH_NS_PER_S});
+    PhSchedModel *model = PhScheduler_Model(s);
+    PhSchedSpec spec = {.id = PhStr_Dup(PhStr_LITERAL("00000000000000aa")),
+                        .step_count = 1};
+    spec.steps = g_new0(PhSchedStep, 1);
+    spec.steps[0].count = 1;
+    spec.steps[0].long_running = true;
+    PhSchedJob *job = PhSchedModel_AddJob(model, &spec, 0);
+    PhSchedTask *task = &PhSchedJob_Stage(job, 0, 0)->tasks[0];
+    PhSchedWorkerEntry entry = {.id = PhStr_Dup(PhStr_LITERAL("worker")),
+                                .born_ms = 1,
+                                .address = PhStr_Dup(PhStr_LITERAL("a:1"))};
+    PhTime now = 100 * PH_NS_PER_S;
+    PhScheduler_SetWorker(s, &entry, now);
+    task->run = 1;
+    PhSchedTask_Place(task,
+                      PhSchedModel_Worker(model, PhStr_LITERAL("worker"), 1));
+    PhScheduler_SetFence(s, 7, now);
+    PhSchedRunRow row = {.task = PhSchedTask_Name(task), .run = 1};
+    PhSchedHoldReply reply = {.outcome = PH_SCHED_OUTCOME_DONE,
+                              .clock_ms = 5000,
+                              .born_ms = 1,
+                              .runs = &row,
+                              .run_count = 1};
+    PhSchedHoldReply silence = {.outcome = PH_SCHED_OUTCOME_UNKNOWN};
+    PhScheduler_Plan(s, now, 0);
+    PhScheduler_OnHold(s, PhStr_LITERAL("worker"), 1,
+                       c->answered ? &reply : &silence, now);
+    PhScheduler_RemoveWorker(s, PhStr_LITERAL("worker"), now);
+    now += PH_NS_PER_S;
+    PhScheduler_OnHold(s, PhStr_LITERAL("worker"), 1, &silence, now);
+    now += 7 * PH_NS_PER_S;
+    PhScheduler_Plan(s, now, 0);
+    assert_int_equal(task->worker == NULL, c->given_up);
+    PhScheduler_Destroy(s);
+}
+
+/* Silence after a takeover. */
+static void
+test_silence(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(silence_cases, silence_run);
+}
+
 /* Every case. */
 static void
 test_schedule(void **state)
@@ -88,6 +153,7 @@
 int
 main(void)
 {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(test_schedule)};
+    const struct CMUnitTest tests[] = {cmocka_unit_test(test_silence),
+                                       cmocka_unit_test(test_schedule)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
