--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -78,8 +78,8 @@
     PhScheduler_TouchWorker(s, w);
 }
 
-/* Estimates the worker's clock; slow clocks make it a lower bound only at the
- * reading itself, so 2% is taken off what has passed since. */
+/* Estimates the worker's clock from its last reading.  A slow clock may be
+ * behind the estimate; who waits for a lease to end allows for that. */
 int64_t
 PhSchedWorker_Clock(const PhSchedWorker *w, PhTime now)
 {
