kernel: a task that cannot be started has its state released

Change: the kernel releases the state itself. The copies go. test_kernel holds that the state is released once.

--- a/include/peridothill/kernel/kernel.h
+++ b/include/peridothill/kernel/kernel.h
@@ -67,8 +67,8 @@
     } as;
 } PhMail;
 
-/* What a task is made of.  `destroy` releases the state when the task ends or
- * the kernel is destroyed. */
+/* What a task is made of.  `destroy` releases the state when the task ends,
+ * the kernel is destroyed or the task cannot be started. */
 typedef struct PhTaskSpec {
     PhStr name;
     size_t mailbox_capacity;
@@ -91,8 +91,8 @@
 PhLog *PhKernel_Log(const PhKernel *kernel);
 PhCounters *PhKernel_Counters(const PhKernel *kernel);
 
-/* Starts a task; EXISTS when the name is taken.  On failure the state stays
- * the caller's. */
+/* Starts a task; EXISTS when the name is taken.  The state is the kernel's
+ * from the call on, whatever it returns. */
 PhStatus PhKernel_Spawn(PhKernel *kernel, const PhTaskSpec *spec,
                         PhTaskRef *ref);
 /* Finds a live task by name; an ended or unknown one gives the zero ref. */
--- a/kernel/kernel.c
+++ b/kernel/kernel.c
@@ -148,11 +148,15 @@
     return (PhTaskRef){.slot = slot, .generation = *generation};
 }
 
-/* Starts a task under a name that no live task has. */
+/* Starts a task under a name that no live task has.  The state is the
+ * kernel's from here on: it is released as well if the name is taken. */
 PhStatus
 PhKernel_Spawn(PhKernel *kernel, const PhTaskSpec *spec, PhTaskRef *ref)
 {
     if (!PhTaskRef_IsNone(PhRegistry_Find(kernel->registry, spec->name))) {
+        if (spec->destroy != NULL) {
+            spec->destroy(spec->state);
+        }
         return PH_STATUS_EXISTS;
     }
     PhTask *task = g_new0(PhTask, 1);
--- a/services/config/config_service.c
+++ b/services/config/config_service.c
@@ -331,9 +331,5 @@
                        .state = t,
                        .handle = config_handle,
                        .destroy = config_destroy};
-    PhStatus status = PhKernel_Spawn(kernel, &spec, NULL);
-    if (status != PH_STATUS_OK) {
-        config_destroy(t);
-    }
-    return status;
+    return PhKernel_Spawn(kernel, &spec, NULL);
 }
--- a/services/members/members.c
+++ b/services/members/members.c
@@ -419,9 +419,5 @@
                        .state = t,
                        .handle = members_handle,
                        .destroy = members_destroy};
-    PhStatus status = PhKernel_Spawn(kernel, &spec, NULL);
-    if (status != PH_STATUS_OK) {
-        members_destroy(t);
-    }
-    return status;
+    return PhKernel_Spawn(kernel, &spec, NULL);
 }
--- a/services/members/peers.c
+++ b/services/members/peers.c
@@ -338,7 +338,6 @@
                        .destroy = peers_destroy};
     PhStatus status = PhKernel_Spawn(kernel, &spec, NULL);
     if (status != PH_STATUS_OK) {
-        peers_destroy(p);
         return PhResult_Make(status, "peers: the name is taken");
     }
     return PhResult_Ok();
--- a/services/operators/operators_task.c
+++ b/services/operators/operators_task.c
@@ -328,9 +328,5 @@
                        .state = t,
                        .handle = operators_handle,
                        .destroy = operators_destroy};
-    PhStatus status = PhKernel_Spawn(kernel, &spec, NULL);
-    if (status != PH_STATUS_OK) {
-        operators_destroy(t);
-    }
-    return status;
+    return PhKernel_Spawn(kernel, &spec, NULL);
 }
--- a/services/platform/http.c
+++ b/services/platform/http.c
@@ -216,9 +216,5 @@
                        .state = http,
                        .handle = http_handle,
                        .destroy = http_destroy};
-    PhStatus status = PhKernel_Spawn(kernel, &spec, NULL);
-    if (status != PH_STATUS_OK) {
-        http_destroy(http);
-    }
-    return status;
+    return PhKernel_Spawn(kernel, &spec, NULL);
 }
--- a/services/platform/http_lean.c
+++ b/services/platform/http_lean.c
@@ -487,9 +487,5 @@
                        .state = http,
                        .handle = lean_handle,
                        .destroy = lean_destroy};
-    PhStatus status = PhKernel_Spawn(kernel, &spec, NULL);
-    if (status != PH_STATUS_OK) {
-        lean_destroy(http);
-    }
-    return status;
+    return PhKernel_Spawn(kernel, &spec, NULL);
 }
--- a/services/platform/platform_list.c
+++ b/services/platform/platform_list.c
@@ -269,9 +269,5 @@
                        .state = list,
                        .handle = list_handle,
                        .destroy = list_destroy};
-    PhStatus status = PhKernel_Spawn(kernel, &spec, NULL);
-    if (status != PH_STATUS_OK) {
-        list_destroy(list);
-    }
-    return status;
+    return PhKernel_Spawn(kernel, &spec, NULL);
 }
--- a/services/platform/platform_log.c
+++ b/services/platform/platform_log.c
@@ -182,9 +182,5 @@
                        .state = log,
                        .handle = log_handle,
                        .destroy = log_destroy};
-    PhStatus status = PhKernel_Spawn(kernel, &spec, NULL);
-    if (status != PH_STATUS_OK) {
-        log_destroy(log);
-    }
-    return status;
+    return PhKernel_Spawn(kernel, &spec, NULL);
 }
--- a/services/requests/entry.c
+++ b/services/requests/entry.c
@@ -245,7 +245,6 @@
                        .destroy = entry_destroy};
     PhStatus status = PhKernel_Spawn(kernel, &spec, NULL);
     if (status != PH_STATUS_OK) {
-        entry_destroy(entry);
         return PhResult_Make(status, "task entry");
     }
     PhKernel_Drain(kernel, SIZE_MAX);
--- a/services/supervisor.c
+++ b/services/supervisor.c
@@ -104,9 +104,5 @@
                        .state = s,
                        .handle = supervisor_handle,
                        .destroy = g_free};
-    PhStatus status = PhKernel_Spawn(kernel, &spec, NULL);
-    if (status != PH_STATUS_OK) {
-        g_free(s);
-    }
-    return status;
+    return PhKernel_Spawn(kernel, &spec, NULL);
 }
--- a/services/tasks/tasks_service.c
+++ b/services/tasks/tasks_service.c
@@ -231,9 +231,5 @@
                        .state = t,
                        .handle = tasks_handle,
                        .destroy = tasks_destroy};
-    status = PhKernel_Spawn(kernel, &spec, NULL);
-    if (status != PH_STATUS_OK) {
-        tasks_destroy(t);
-    }
-    return status;
+    return PhKernel_Spawn(kernel, &spec, NULL);
 }
--- a/services/tasks/workers_task.c
+++ b/services/tasks/workers_task.c
@@ -180,9 +180,5 @@
                        .state = t,
                        .handle = workers_handle,
                        .destroy = workers_destroy};
-    PhStatus status = PhKernel_Spawn(kernel, &spec, NULL);
-    if (status != PH_STATUS_OK) {
-        workers_destroy(t);
-    }
-    return status;
+    return PhKernel_Spawn(kernel, &spec, NULL);
 }
--- a/standin/server.c
+++ b/standin/server.c
@@ -93,7 +93,6 @@
                        .destroy = server_destroy};
     PhStatus status = PhKernel_Spawn(kernel, &spec, NULL);
     if (status != PH_STATUS_OK) {
-        server_destroy(s);
         return PhResult_Make(status, "cannot start the stand-in %.*s",
                              PhStr_ARG(options->name));
     }
--- a/tests/common/test_kernel.c
+++ b/tests/common/test_kernel.c
@@ -266,17 +266,22 @@
     Ph_RUN_TABLE(timer_cases, check_timer);
 }
 
-/* A name is taken while its task lives. */
+/* A name is taken while its task lives; the state of the task that could not
+ * be started is released. */
 static void
 test_name_taken(void **state)
 {
     PhFixture f = fixture_create(NULL);
     PhRecorder r = {0};
+    int released = 0;
     (void)state;
     recorder_spawn(&f, &r, "same", 1);
     PhTaskSpec spec = {.name = PhStr_LITERAL("same"),
-                       .handle = recorder_handle};
+                       .state = &released,
+                       .handle = recorder_handle,
+                       .destroy = release_counted};
     assert_int_equal(PhKernel_Spawn(f.kernel, &spec, NULL), PH_STATUS_EXISTS);
+    assert_int_equal(released, 1);
     assert_int_equal(PhKernel_TaskCount(f.kernel), 1);
     fixture_destroy(&f);
 }
