--- a/include/peridothill/kernel/kernel.h
+++ b/include/peridothill/kernel/kernel.h
@@ -37,6 +37,11 @@
     void (*release)(void *body);
 } PhMessage;
 
+/* Makes a message of a copy of `size` bytes of a body; `release` has to free
+ * the copy with g_free. */
+PhMessage PhMessage_Copy(uint32_t interface, const void *body, size_t size,
+                         void (*release)(void *body));
+
 typedef enum PhMailKind {
     PH_MAIL_START,   /* first mail of every task */
     PH_MAIL_MESSAGE, /* from another task; released after the handler */
--- a/kernel/task.c
+++ b/kernel/task.c
@@ -14,6 +14,16 @@
     return a.slot == b.slot && a.generation == b.generation;
 }
 
+/* Makes a message of a copy of a body. */
+PhMessage
+PhMessage_Copy(uint32_t interface, const void *body, size_t size,
+               void (*release)(void *body))
+{
+    return (PhMessage){.interface = interface,
+                       .body = g_memdup2(body, size),
+                       .release = release};
+}
+
 /* Releases the body of a message. */
 void
 PhMessage_Release(const PhMessage *message)
--- a/services/config/config_message.c
+++ b/services/config/config_message.c
@@ -78,7 +78,6 @@
 PhMessage
 PhConfigMessage_Wrap(const PhConfigMessage *body)
 {
-    return (PhMessage){.interface = PH_INTERFACE_CONFIG,
-                       .body = g_memdup2(body, sizeof(*body)),
-                       .release = message_release};
+    return PhMessage_Copy(PH_INTERFACE_CONFIG, body, sizeof(*body),
+                          message_release);
 }
--- a/services/members/members_message.c
+++ b/services/members/members_message.c
@@ -23,9 +23,8 @@
 PhMessage
 PhMembersMessage_Wrap(const PhMembersMessage *body)
 {
-    return (PhMessage){.interface = PH_INTERFACE_MEMBERS,
-                       .body = g_memdup2(body, sizeof(*body)),
-                       .release = message_release};
+    return PhMessage_Copy(PH_INTERFACE_MEMBERS, body, sizeof(*body),
+                          message_release);
 }
 
 /* Copies a view with its strings. */
--- a/services/members/peers_message.c
+++ b/services/members/peers_message.c
@@ -27,7 +27,6 @@
 PhMessage
 PhPeersMessage_Wrap(const PhPeersMessage *body)
 {
-    return (PhMessage){.interface = PH_INTERFACE_PEERS,
-                       .body = g_memdup2(body, sizeof(*body)),
-                       .release = message_release};
+    return PhMessage_Copy(PH_INTERFACE_PEERS, body, sizeof(*body),
+                          message_release);
 }
--- a/services/platform/http_message.c
+++ b/services/platform/http_message.c
@@ -40,11 +40,8 @@
 PhMessage
 PhHttpMessage_Wrap(const PhHttpMessage *body)
 {
-    PhHttpMessage *copy = g_new(PhHttpMessage, 1);
-    *copy = *body;
-    return (PhMessage){.interface = PH_INTERFACE_HTTP,
-                       .body = copy,
-                       .release = message_release};
+    return PhMessage_Copy(PH_INTERFACE_HTTP, body, sizeof(*body),
+                          message_release);
 }
 
 /* Appends a copy of a header. */
--- a/services/platform/platform_list.c
+++ b/services/platform/platform_list.c
@@ -45,11 +45,8 @@
 PhMessage
 PhListMessage_Wrap(const PhListMessage *body)
 {
-    PhListMessage *copy = g_new(PhListMessage, 1);
-    *copy = *body;
-    return (PhMessage){.interface = PH_INTERFACE_LIST,
-                       .body = copy,
-                       .release = message_release};
+    return PhMessage_Copy(PH_INTERFACE_LIST, body, sizeof(*body),
+                          message_release);
 }
 
 /* Copies a reading with its strings. */
--- a/services/platform/platform_log.c
+++ b/services/platform/platform_log.c
@@ -35,11 +35,8 @@
 PhMessage
 PhLogMessage_Wrap(const PhLogMessage *body)
 {
-    PhLogMessage *copy = g_new(PhLogMessage, 1);
-    *copy = *body;
-    return (PhMessage){.interface = PH_INTERFACE_LOG,
-                       .body = copy,
-                       .release = message_release};
+    return PhMessage_Copy(PH_INTERFACE_LOG, body, sizeof(*body),
+                          message_release);
 }
 
 /* Releases a call, and the records of an answer that was not sent. */
--- a/services/schedule/messages.c
+++ b/services/schedule/messages.c
@@ -45,11 +45,8 @@
 PhMessage
 PhStoreMessage_Wrap(const PhStoreMessage *body)
 {
-    PhStoreMessage *copy = g_new(PhStoreMessage, 1);
-    *copy = *body;
-    return (PhMessage){.interface = PH_INTERFACE_STORE,
-                       .body = copy,
-                       .release = store_release};
+    return PhMessage_Copy(PH_INTERFACE_STORE, body, sizeof(*body),
+                          store_release);
 }
 
 /* Tells whether an action is an order to a run. */
@@ -118,11 +115,8 @@
 PhMessage
 PhOrderMessage_Wrap(const PhOrderMessage *body)
 {
-    PhOrderMessage *copy = g_new(PhOrderMessage, 1);
-    *copy = *body;
-    return (PhMessage){.interface = PH_INTERFACE_ORDERS,
-                       .body = copy,
-                       .release = order_release};
+    return PhMessage_Copy(PH_INTERFACE_ORDERS, body, sizeof(*body),
+                          order_release);
 }
 
 /* Releases a message of the scheduler. */
@@ -161,9 +155,6 @@
 PhMessage
 PhScheduleMessage_Wrap(const PhScheduleMessage *body)
 {
-    PhScheduleMessage *copy = g_new(PhScheduleMessage, 1);
-    *copy = *body;
-    return (PhMessage){.interface = PH_INTERFACE_SCHEDULE,
-                       .body = copy,
-                       .release = schedule_release};
+    return PhMessage_Copy(PH_INTERFACE_SCHEDULE, body, sizeof(*body),
+                          schedule_release);
 }
--- a/services/tasks/tasks_message.c
+++ b/services/tasks/tasks_message.c
@@ -38,7 +38,6 @@
 PhMessage
 PhTasksMessage_Wrap(const PhTasksMessage *body)
 {
-    return (PhMessage){.interface = PH_INTERFACE_TASKS,
-                       .body = g_memdup2(body, sizeof(*body)),
-                       .release = message_destroy};
+    return PhMessage_Copy(PH_INTERFACE_TASKS, body, sizeof(*body),
+                          message_destroy);
 }
--- a/services/tasks/workers_task.c
+++ b/services/tasks/workers_task.c
@@ -47,9 +47,8 @@
 PhMessage
 PhWorkerMessage_Wrap(const PhWorkerMessage *body)
 {
-    return (PhMessage){.interface = PH_INTERFACE_WORKER,
-                       .body = g_memdup2(body, sizeof(*body)),
-                       .release = message_release};
+    return PhMessage_Copy(PH_INTERFACE_WORKER, body, sizeof(*body),
+                          message_release);
 }
 
 /* Releases a call. */
