common: one function quotes strings for JSON

The log's is kept, as PhBuf_AppendQuoted: it escapes DEL too, which JSON readers take for the same string. test_common has its cases.

--- a/common/log.c
+++ b/common/log.c
@@ -80,34 +80,13 @@
     g_free(log);
 }
 
-/* Appends a quoted string with JSON escapes; bytes beyond ASCII pass. */
-static void
-append_quoted(PhBuf *out, PhStr s)
-{
-    PhBuf_AppendByte(out, '"');
-    for (size_t i = 0; i < s.len; i++) {
-        unsigned char c = (unsigned char)s.data[i];
-        if (c == '"' || c == '\\') {
-            PhBuf_AppendByte(out, '\\');
-            PhBuf_AppendByte(out, (char)c);
-        }
-        else if (c < 0x20 || c == 0x7f) {
-            PhBuf_AppendFormat(out, "\\u%04x", c);
-        }
-        else {
-            PhBuf_AppendByte(out, (char)c);
-        }
-    }
-    PhBuf_AppendByte(out, '"');
-}
-
 /* Appends the value of a field. */
 static void
 append_value(PhBuf *out, const PhField *field)
 {
     switch (field->kind) {
     case PH_FIELD_STR:
-        append_quoted(out, field->value.str);
+        PhBuf_AppendQuoted(out, field->value.str);
         return;
     case PH_FIELD_I64:
         PhBuf_AppendFormat(out, "%" PRId64, field->value.i64);
--- a/common/str.c
+++ b/common/str.c
@@ -6,6 +6,11 @@
 #include <strings.h>
 #include <xxhash.h>
 
+enum {
+    ASCII_SPACE = 0x20,
+    ASCII_DEL = 0x7f,
+};
+
 /* Views a C string without its terminating NUL; NULL gives the empty
  * string. */
 PhStr
@@ -265,6 +270,26 @@
     g_free(text);
 }
 
+/* Appends a quoted string with JSON escapes.  Control characters and DEL,
+ * which terminals act on, are escaped; bytes beyond ASCII pass. */
+void
+PhBuf_AppendQuoted(PhBuf *buf, PhStr s)
+{
+    PhBuf_AppendByte(buf, '"');
+    for (size_t i = 0; i < s.len; i++) {
+        unsigned char c = (unsigned char)s.data[i];
+        if (c < ASCII_SPACE || c == ASCII_DEL) {
+            PhBuf_AppendFormat(buf, "\\u%04x", c);
+            continue;
+        }
+        if (c == '"' || c == '\\') {
+            PhBuf_AppendByte(buf, '\\');
+        }
+        PhBuf_AppendByte(buf, (char)c);
+    }
+    PhBuf_AppendByte(buf, '"');
+}
+
 /* Drops `count` bytes from the front. */
 void
 PhBuf_Consume(PhBuf *buf, size_t count)
--- a/include/peridothill/common/str.h
+++ b/include/peridothill/common/str.h
@@ -55,6 +55,8 @@
 void PhBuf_AppendByte(PhBuf *buf, char byte);
 void PhBuf_AppendFormat(PhBuf *buf, const char *format, ...)
     G_GNUC_PRINTF(2, 3);
+/* Appends a string as JSON writes it, with quotes and escapes. */
+void PhBuf_AppendQuoted(PhBuf *buf, PhStr s);
 void PhBuf_Consume(PhBuf *buf, size_t count);
 void PhBuf_Reset(PhBuf *buf);
 void PhBuf_Clear(PhBuf *buf);
--- a/tests/common/test_common.c
+++ b/tests/common/test_common.c
@@ -138,6 +138,40 @@
     Ph_RUN_TABLE(cut_cases, check_cut);
 }
 
+/* A string and how JSON writes it. */
+typedef struct PhQuotedCase {
+    const char *name;
+    PhStr text;
+    const char *quoted;
+} PhQuotedCase;
+
+static const PhQuotedCase quoted_cases[] = {
+    {"empty", {"", 0}, "\"\""},
+    {"plain", {"a b", 3}, "\"a b\""},
+    {"quote and backslash", {"\"\\", 2}, "\"\\\"\\\\\""},
+    {"control characters", {"\n\x1f\x7f", 3}, "\"\\u000a\\u001f\\u007f\""},
+    {"NUL", {"\0", 1}, "\"\\u0000\""},
+    {"beyond ASCII", {"\xc3\xa9", 2}, "\"\xc3\xa9\""},
+};
+
+/* Quotes one string. */
+static void
+check_quoted(const PhQuotedCase *c)
+{
+    PhBuf buf = {0};
+    PhBuf_AppendQuoted(&buf, c->text);
+    assert_true(PhStr_Equal(PhBuf_Str(&buf), PhStr_FromC(c->quoted)));
+    PhBuf_Clear(&buf);
+}
+
+/* Quoting with JSON escapes. */
+static void
+test_quoted(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(quoted_cases, check_quoted);
+}
+
 /* A length of message and what the bound leaves of it. */
 typedef struct PhResultCase {
     const char *name;
@@ -336,11 +370,11 @@
 main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(test_str),      cmocka_unit_test(test_number),
-        cmocka_unit_test(test_cut),      cmocka_unit_test(test_result),
-        cmocka_unit_test(test_log),      cmocka_unit_test(test_event_numbers),
-        cmocka_unit_test(test_quantile), cmocka_unit_test(test_invariant),
-        cmocka_unit_test(test_random),
+        cmocka_unit_test(test_str),           cmocka_unit_test(test_number),
+        cmocka_unit_test(test_cut),           cmocka_unit_test(test_quoted),
+        cmocka_unit_test(test_result),        cmocka_unit_test(test_log),
+        cmocka_unit_test(test_event_numbers), cmocka_unit_test(test_quantile),
+        cmocka_unit_test(test_invariant),     cmocka_unit_test(test_random),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
