schedule: rate a worker once, share what was written twice

- PickWorker computed the harm of a filling task twice for each worker it looked at; worker_score is given it.
- interference: one sum gives the seen and the full load; pacing.c's search for a pace is PhInterference_Percent.
- contact: one function begins an action, outcomes with the same answer share a case, a stray run has one destructor.
- leases: the length of a lease and what a slow clock makes of it stand once; the worker's clock is used in leases.c only.

Behaviour is unchanged.

--- a/decide/schedule/contact.c
+++ b/decide/schedule/contact.c
@@ -14,6 +14,16 @@
 static const PhTime FAILURES_COOLDOWN = 6 * PH_NS_PER_S;
 static const PhTime REFUSAL_COOLDOWN = 1 * PH_NS_PER_S;
 
+/* Begins an action on a life of a worker. */
+static PhSchedAction
+action_on(const PhSchedWorker *w, PhSchedActionTag tag)
+{
+    return (PhSchedAction){.tag = tag,
+                           .worker = w->entry.id,
+                           .born_ms = w->entry.born_ms,
+                           .address = w->entry.address};
+}
+
 /* Gives the next hold. */
 static bool
 next_hold(PhScheduler *s, PhTime now, PhSchedAction *action)
@@ -22,10 +32,7 @@
     if (w == NULL) {
         return false;
     }
-    *action = (PhSchedAction){.tag = PH_SCHED_ACTION_HOLD,
-                              .worker = w->entry.id,
-                              .born_ms = w->entry.born_ms,
-                              .address = w->entry.address};
+    *action = action_on(w, PH_SCHED_ACTION_HOLD);
     action->as.hold.last_seen = w->acked;
     if (!w->fenced || w->suspended || w->grant_batch > s->durable_batch) {
         return true;
@@ -42,13 +49,9 @@
 static void
 run_order(const PhSchedTask *task, PhSchedActionTag tag, PhSchedAction *action)
 {
-    const PhSchedWorker *w = task->worker;
-    *action = (PhSchedAction){
-        .tag = tag,
-        .worker = w->entry.id,
-        .born_ms = w->entry.born_ms,
-        .address = w->entry.address,
-        .as.run = {.task = PhSchedTask_Name(task), .run = task->run}};
+    *action = action_on(task->worker, tag);
+    action->as.run.task = PhSchedTask_Name(task);
+    action->as.run.run = task->run;
 }
 
 /* Gives the next start whose record is durable. */
@@ -113,6 +116,15 @@
     return false;
 }
 
+/* Releases a stray run. */
+void
+PhStray_Destroy(gpointer value)
+{
+    PhStray *stray = value;
+    PhStr_Clear(&stray->task.job);
+    g_free(stray);
+}
+
 /* Gives the next stop of a run that no task stands behind; a run of a job that
  * is not known is left to its lease. */
 static bool
@@ -121,19 +133,14 @@
     PhStray *stray;
     const PhSchedJob *job = NULL;
     while (job == NULL && (stray = g_queue_pop_head(&s->strays)) != NULL) {
-        const PhSchedWorker *w = stray->worker;
         job = PhSchedModel_Job(s->model, stray->task.job);
         if (job != NULL) {
-            *action = (PhSchedAction){
-                .tag = PH_SCHED_ACTION_STOP,
-                .worker = w->entry.id,
-                .born_ms = w->entry.born_ms,
-                .address = w->entry.address,
-                .as.run = {.task = stray->task, .run = stray->run}};
+            *action = action_on(stray->worker, PH_SCHED_ACTION_STOP);
+            action->as.run.task = stray->task;
             action->as.run.task.job = job->spec.id;
+            action->as.run.run = stray->run;
         }
-        PhStr_Clear(&stray->task.job);
-        g_free(stray);
+        PhStray_Destroy(stray);
     }
     return job != NULL;
 }
@@ -237,6 +244,7 @@
         task_confirm(task, clock_ms, now);
         break;
     case PH_SCHED_OUTCOME_LATE:
+    case PH_SCHED_OUTCOME_OTHER_LIFE:
         w->hold_after = now;
         start_again(s, task, now + RETRY);
         break;
@@ -245,13 +253,6 @@
         start_refused(s, task, now);
         break;
     case PH_SCHED_OUTCOME_REFUSED:
-        w->cooldown_until = now + REFUSAL_COOLDOWN;
-        start_refused(s, task, now);
-        break;
-    case PH_SCHED_OUTCOME_OTHER_LIFE:
-        w->hold_after = now;
-        start_again(s, task, now + RETRY);
-        break;
     case PH_SCHED_OUTCOME_NOT_SENT:
         w->cooldown_until = now + REFUSAL_COOLDOWN;
         start_refused(s, task, now);
--- a/decide/schedule/interference.c
+++ b/decide/schedule/interference.c
@@ -185,6 +185,14 @@
     return NULL;
 }
 
+/* Gives the pace of an image on a worker. */
+int
+PhInterference_Percent(const PhSchedWorker *w, uint32_t image)
+{
+    const PhSchedFillUse *use = use_find(w->fill_use, image);
+    return use == NULL ? PERCENT : use->percent;
+}
+
 /* Adds up the use of each filling image on a worker. */
 static GArray *
 uses_collect(const PhSchedWorker *w)
@@ -199,13 +207,9 @@
         }
         PhSchedFillUse *use = use_find(list, step->image_number);
         if (use == NULL) {
-            PhSchedFillUse fresh = {.image = step->image_number,
-                                    .percent = PERCENT};
-            const PhSchedFillUse *before =
-                use_find(w->fill_use, step->image_number);
-            if (before != NULL) {
-                fresh.percent = before->percent;
-            }
+            PhSchedFillUse fresh = {
+                .image = step->image_number,
+                .percent = PhInterference_Percent(w, step->image_number)};
             g_array_append_val(list, fresh);
             use = &g_array_index(list, PhSchedFillUse, list->len - 1);
         }
@@ -277,27 +281,22 @@
     }
 }
 
-/* Gives the load that tasks that fill add to a serving image, at full pace. */
-static double
-added_load(const PhInterference *x, const GArray *uses, uint32_t serving)
-{
-    double load = 0;
-    for (guint i = 0; i < uses->len; i++) {
-        const PhSchedFillUse *use = &g_array_index(uses, PhSchedFillUse, i);
-        load +=
-            PhInterference_Factor(x, use->image, serving) * use->full_share;
-    }
-    return load;
-}
+/* Load that the tasks that fill on a worker add to a serving image. */
+typedef struct PhFillLoad {
+    double seen; /* by what they were seen to use */
+    double full; /* at full pace */
+} PhFillLoad;
 
-/* Gives the load that tasks that fill were seen to add to a serving image. */
-static double
-seen_load(const PhInterference *x, const GArray *uses, uint32_t serving)
+/* Adds up the load that tasks that fill add to a serving image. */
+static PhFillLoad
+fill_load(const PhInterference *x, const GArray *uses, uint32_t serving)
 {
-    double load = 0;
+    PhFillLoad load = {0};
     for (guint i = 0; i < uses->len; i++) {
         const PhSchedFillUse *use = &g_array_index(uses, PhSchedFillUse, i);
-        load += PhInterference_Factor(x, use->image, serving) * use->share;
+        double factor = PhInterference_Factor(x, use->image, serving);
+        load.seen += factor * use->share;
+        load.full += factor * use->full_share;
     }
     return load;
 }
@@ -346,7 +345,7 @@
         if (due) {
             learn_from(x, task, changes, now);
         }
-        task->own_load = MAX(task->load - seen_load(x, uses, serving), 0);
+        task->own_load = MAX(task->load - fill_load(x, uses, serving).seen, 0);
     }
     if (due) {
         w->base_at = now;
@@ -406,7 +405,8 @@
         }
         PhSchedServing serving = {
             .image = step->image_number,
-            .load = own_load(task) + added_load(x, uses, step->image_number),
+            .load =
+                own_load(task) + fill_load(x, uses, step->image_number).full,
             .strictness = strictness(x, step->image_number)};
         g_array_append_val(w->serving, serving);
     }
@@ -497,7 +497,7 @@
     if (stays) {
         w->fill_barred_until = now + OVER_REST;
     }
-    bool caused = seen_load(x, w->fill_use, serving) > TOLERATED_LOAD;
+    bool caused = fill_load(x, w->fill_use, serving).seen > TOLERATED_LOAD;
     for (guint i = 0; i < w->fill_use->len; i++) {
         const PhSchedFillUse *u =
             &g_array_index(w->fill_use, PhSchedFillUse, i);
--- a/decide/schedule/interference.h
+++ b/decide/schedule/interference.h
@@ -41,5 +41,7 @@
  * stays within its target. */
 void PhInterference_Pace(const PhInterference *interference,
                          PhSchedWorker *worker, PhTime now);
+/* The pace of a filling image on a worker, in percent of full pace. */
+int PhInterference_Percent(const PhSchedWorker *worker, uint32_t image);
 
 #endif
--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -14,13 +14,29 @@
  * election.c. */
 static const PhTime OWNER_SILENCE = 2200 * PH_NS_PER_MS;
 static const PhTime CLOCK_MARGIN = 100 * PH_NS_PER_MS;
+enum {
+    PERCENT = 100
+};
+
+/* Gives the length of a lease by the worker's clock. */
+static PhTime
+lease_length(const PhScheduler *s)
+{
+    return MIN(LEASE, s->options.lease_limit);
+}
+
+/* Gives for how long a time by a worker's clock may last by the owner's. */
+static PhTime
+slow_bound(PhTime span)
+{
+    return span / PERCENT * CLOCK_SLOW_PERCENT + CLOCK_MARGIN;
+}
 
 /* Gives for how long a lease may last by the owner's clock. */
 PhTime
 PhScheduler_LeaseBound(const PhScheduler *s)
 {
-    return MIN(LEASE, s->options.lease_limit) / 100 * CLOCK_SLOW_PERCENT +
-           CLOCK_MARGIN;
+    return slow_bound(lease_length(s));
 }
 
 /* Ends the orders of an earlier ownership for one life. */
@@ -80,8 +96,8 @@
 
 /* Estimates the worker's clock from its last reading.  A slow clock may be
  * behind the estimate; who waits for a lease to end allows for that. */
-int64_t
-PhSchedWorker_Clock(const PhSchedWorker *w, PhTime now)
+static int64_t
+worker_clock(const PhSchedWorker *w, PhTime now)
 {
     return w->clock_ms + (now - w->clock_at) / PH_NS_PER_MS;
 }
@@ -90,12 +106,9 @@
 int64_t
 PhScheduler_Grant(PhScheduler *s, PhSchedWorker *w, PhTime now)
 {
-    PhTime lease = MIN(LEASE, s->options.lease_limit);
-    int64_t end_ms = PhSchedWorker_Clock(w, now) + lease / PH_NS_PER_MS;
+    int64_t end_ms = worker_clock(w, now) + lease_length(s) / PH_NS_PER_MS;
     PhTime left = (end_ms - w->clock_ms) * PH_NS_PER_MS;
-    PhTime lapse =
-        w->clock_at + left / 100 * CLOCK_SLOW_PERCENT + CLOCK_MARGIN;
-    w->lapse_by = MAX(w->lapse_by, lapse);
+    w->lapse_by = MAX(w->lapse_by, w->clock_at + slow_bound(left));
     return end_ms;
 }
 
--- a/decide/schedule/pacing.c
+++ b/decide/schedule/pacing.c
@@ -8,20 +8,6 @@
 /* A task that saves no progress is only moved when it is this young. */
 static const PhTime MOVE_LOSS_MOST = 2500 * PH_NS_PER_MS;
 
-/* Gives the pace of an image on a worker. */
-static int
-image_pace(const PhSchedWorker *w, uint32_t image)
-{
-    for (guint i = 0; i < w->fill_use->len; i++) {
-        const PhSchedFillUse *u =
-            &g_array_index(w->fill_use, PhSchedFillUse, i);
-        if (u->image == image) {
-            return u->percent;
-        }
-    }
-    return 100;
-}
-
 /* Notes since when a task that fills has been slowed to little. */
 static void
 note_stall(PhSchedTask *task, PhTime now)
@@ -62,7 +48,7 @@
         if (!step->fills) {
             continue;
         }
-        task->percent = image_pace(w, step->image_number);
+        task->percent = PhInterference_Percent(w, step->image_number);
         if (task->state == PH_SCHED_TASK_RUNNING &&
             task->percent != task->percent_told) {
             g_queue_push_tail(&s->paces, task);
--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -248,21 +248,19 @@
                                 : (double)same / w->serving->len;
 }
 
-/* Rates a worker for a task.  Tasks that end go where least is free (best
- * fit), so that room for large ones stays whole; tasks that serve are spread;
- * tasks that fill go where they do least harm.  Where the data is counts
- * most. */
+/* Rates a worker for a task; `cost` is the harm of one that fills.  Tasks that
+ * end go where least is free (best fit), so that room for large ones stays
+ * whole; tasks that serve are spread; tasks that fill go where they do least
+ * harm.  Where the data is counts most. */
 static double
-worker_score(const PhScheduler *s, const PhSchedWorker *w,
-             const PhSchedTask *task)
+worker_score(const PhSchedWorker *w, const PhSchedTask *task, double cost)
 {
     const PhSchedStep *step = PhSchedTask_Step(task);
     double capacity = (double)MAX(w->entry.capacity.cpu_milli, 1);
     double score =
         (double)(w->entry.capacity.cpu_milli - w->used.cpu_milli) / capacity;
     if (step->fills) {
-        score = (double)fill_left(w) / capacity / 4 -
-                PhInterference_Cost(s->interference, w, step) +
+        score = (double)fill_left(w) / capacity / 4 - cost +
                 STRICTNESS_WEIGHT * PhInterference_Strictness(w);
     }
     else if (PhSchedStep_Serves(step)) {
@@ -297,11 +295,12 @@
             (rack.len > 0 && !PhStr_Equal(rack, w->entry.rack))) {
             continue;
         }
-        if (step->fills &&
-            PhInterference_Cost(s->interference, w, step) > COST_MOST) {
+        double cost =
+            step->fills ? PhInterference_Cost(s->interference, w, step) : 0;
+        if (cost > COST_MOST) {
             continue;
         }
-        double score = worker_score(s, w, task);
+        double score = worker_score(w, task, cost);
         if (best == NULL || score > best_score) {
             best = w;
             best_score = score;
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -24,15 +24,6 @@
     return s;
 }
 
-/* Releases a stray run. */
-static void
-stray_destroy(gpointer value)
-{
-    PhStray *stray = value;
-    PhStr_Clear(&stray->task.job);
-    g_free(stray);
-}
-
 /* Empties the queues of orders. */
 static void
 orders_clear(PhScheduler *s)
@@ -41,7 +32,7 @@
     g_queue_clear(&s->stops);
     g_queue_clear(&s->paces);
     g_queue_clear(&s->holds);
-    g_queue_clear_full(&s->strays, stray_destroy);
+    g_queue_clear_full(&s->strays, PhStray_Destroy);
 }
 
 /* Releases the scheduler and its model; NULL is allowed. */
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -36,6 +36,9 @@
     uint32_t run;
 } PhStray;
 
+/* Releases a PhStray. */
+void PhStray_Destroy(gpointer stray);
+
 /* Marks a stage or the state of a job as changed in the open batch. */
 void PhScheduler_TouchStage(PhScheduler *scheduler, PhSchedStage *stage);
 void PhScheduler_TouchJob(PhScheduler *scheduler, PhSchedJob *job);
@@ -47,8 +50,6 @@
 /* Brings the next decision forward. */
 void PhScheduler_WakeBy(PhScheduler *scheduler, PhTime at);
 
-/* The estimate of the worker's clock, in its milliseconds; never ahead. */
-int64_t PhSchedWorker_Clock(const PhSchedWorker *worker, PhTime now);
 /* Grants a lease from now on and gives its end on the worker's clock. */
 int64_t PhScheduler_Grant(PhScheduler *scheduler, PhSchedWorker *worker,
                           PhTime now);
