schedule: only jobs with a new state are looked at when records are durable

Change: the scheduler keeps the jobs whose state is not durable yet and shows them in OnDurable; that a job is over is one of its notes. The lines of the log move to schedule_log.c.

--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -21,6 +21,7 @@
     s->notes = g_array_new(FALSE, TRUE, sizeof(PhSchedNote));
     s->dirty_stages = g_ptr_array_new();
     s->dirty_jobs = g_ptr_array_new();
+    s->undurable = g_ptr_array_new();
     return s;
 }
 
@@ -45,6 +46,7 @@
     orders_clear(s);
     g_ptr_array_free(s->dirty_stages, TRUE);
     g_ptr_array_free(s->dirty_jobs, TRUE);
+    g_ptr_array_free(s->undurable, TRUE);
     PhInterference_Destroy(s->interference);
     g_array_free(s->notes, TRUE);
     PhSchedModel_Destroy(s->model);
@@ -118,8 +120,12 @@
     for (guint i = 0; i < s->dirty_jobs->len; i++) {
         ((PhSchedJob *)g_ptr_array_index(s->dirty_jobs, i))->dirty = false;
     }
+    for (guint i = 0; i < s->undurable->len; i++) {
+        ((PhSchedJob *)g_ptr_array_index(s->undurable, i))->undurable = false;
+    }
     g_ptr_array_set_size(s->dirty_stages, 0);
     g_ptr_array_set_size(s->dirty_jobs, 0);
+    g_ptr_array_set_size(s->undurable, 0);
     s->dirty_workers = 0;
     s->durable_batch = s->open_batch++;
     s->fence = fence;
@@ -157,6 +163,10 @@
         job->dirty = true;
         g_ptr_array_add(s->dirty_jobs, job);
     }
+    if (!job->undurable) {
+        job->undurable = true;
+        g_ptr_array_add(s->undurable, job);
+    }
     job->batch = s->open_batch;
 }
 
@@ -367,11 +377,32 @@
     return s->open_batch++;
 }
 
-/* Notes which records are durable; ends may be acknowledged up to there. */
+/* Shows the states of jobs that have become durable. */
+static void
+show_states(PhScheduler *s)
+{
+    for (guint i = s->undurable->len; i-- > 0;) {
+        PhSchedJob *job = g_ptr_array_index(s->undurable, i);
+        if (job->batch > s->durable_batch) {
+            continue;
+        }
+        job->undurable = false;
+        job->durable_state = job->state;
+        g_ptr_array_remove_index_fast(s->undurable, i);
+        if (PhSchedJob_IsOver(job)) {
+            PhSchedNote note = {.tag = PH_SCHED_NOTE_OVER, .as.over = job};
+            g_array_append_val(s->notes, note);
+        }
+    }
+}
+
+/* Notes which records are durable: clients may see states, and workers forget
+ * ends, up to there. */
 void
 PhScheduler_OnDurable(PhScheduler *s, uint64_t batch)
 {
     s->durable_batch = MAX(s->durable_batch, batch);
+    show_states(s);
     for (guint i = 0; i < s->model->lives->len; i++) {
         PhSchedWorker *w = g_ptr_array_index(s->model->lives, i);
         if (w->acked < w->seen && w->seen_batch <= s->durable_batch) {
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -15,6 +15,7 @@
     uint64_t durable_batch;
     GPtrArray *dirty_stages; /* PhSchedStage */
     GPtrArray *dirty_jobs;   /* PhSchedJob */
+    GPtrArray *undurable;    /* PhSchedJob with a state that is not durable */
     guint dirty_workers;     /* lives of the model that are dirty */
     GQueue starts;           /* PhSchedTask that wait for their batch */
     GQueue stops;            /* PhSchedTask to stop */
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -109,6 +109,7 @@
     PhTime ran;            /* the longest runs of its stages together */
     bool cancel;           /* a client has cancelled it */
     bool dirty;            /* the state differs from its last record */
+    bool undurable;        /* a record of the state is not durable yet */
 };
 
 /* A worker as its own entry tells of it.  Strings are owned. */
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -96,6 +96,7 @@
 /* What the scheduler has come to believe, for the log. */
 typedef enum PhSchedNoteTag {
     PH_SCHED_NOTE_ENDED,     /* an end was taken in */
+    PH_SCHED_NOTE_OVER,      /* the last state of a job is durable */
     PH_SCHED_NOTE_SUSPENDED, /* a worker does not answer: no leases */
     PH_SCHED_NOTE_RESUMED,   /* it answers again */
     PH_SCHED_NOTE_LOST,      /* its leases have lapsed, or it was born anew */
@@ -104,7 +105,7 @@
 /* Strings are borrowed until the model next changes. */
 typedef struct PhSchedNote {
     PhSchedNoteTag tag;
-    const PhSchedWorker *worker;
+    const PhSchedWorker *worker; /* NULL for OVER */
     union {
         struct {
             PhSchedTaskName task;
@@ -113,6 +114,7 @@
             PhTime ran;
             uint32_t failures;
         } ended;
+        const PhSchedJob *over;
         guint lost; /* runs */
     } as;
 } PhSchedNote;
@@ -147,7 +149,7 @@
 /* Closes the open batch: records of all that has changed, as PhSchedRecord.
  * Gives the number of the batch, or 0 when nothing has changed. */
 uint64_t PhScheduler_TakeBatch(PhScheduler *scheduler, GArray *records);
-/* The records up to this batch are durable. */
+/* The records up to this batch are durable: the states in them are shown. */
 void PhScheduler_OnDurable(PhScheduler *scheduler, uint64_t batch);
 
 /* Outcomes of orders; false when another owner has a higher fence. */
--- /dev/null
+++ b/services/schedule/schedule_log.c
@@ -0,0 +1,144 @@
+/* The lines of the owner's work: orders, ends, what it has come to believe. */
+#include "schedule_task.h"
+
+/* Gives the text of a task's name; it is owned by the caller. */
+static PhStr
+task_text(const PhSchedTaskName *task)
+{
+    PhBuf text = {0};
+    PhBuf_AppendFormat(&text, "%.*s.%u.%u.%u", PhStr_ARG(task->job),
+                       task->round, task->step, task->index);
+    return PhBuf_Take(&text);
+}
+
+/* Writes the line of an order to a run. */
+void
+PhScheduleLog_Order(PhScheduleTask *t, const PhSchedAction *a)
+{
+    static const PhEventId events[] = {
+        [PH_SCHED_ACTION_START] = PH_EVENT_SCHEDULE_START,
+        [PH_SCHED_ACTION_STOP] = PH_EVENT_SCHEDULE_STOP,
+        [PH_SCHED_ACTION_PACE] = PH_EVENT_SCHEDULE_PACE,
+    };
+    static const PhCounter counters[] = {
+        [PH_SCHED_ACTION_START] = PH_COUNTER_SCHEDULE_STARTS,
+        [PH_SCHED_ACTION_STOP] = PH_COUNTER_SCHEDULE_STOPS,
+        [PH_SCHED_ACTION_PACE] = PH_COUNTER_SCHEDULE_PACES,
+    };
+    if (a->tag == PH_SCHED_ACTION_HOLD) {
+        return;
+    }
+    PhStr task = task_text(&a->as.run.task);
+    PhCounters_Add(PhKernel_Counters(PhTask_Kernel(t->self)), counters[a->tag],
+                   1);
+    PhTask_LOG(t->self, events[a->tag], PhField_STR("run", task),
+               PhField_U64("number", a->as.run.run),
+               PhField_STR("worker", a->worker),
+               PhField_I64("percent", a->as.run.percent),
+               PhField_U64("fence", t->fence));
+    PhStr_Clear(&task);
+}
+
+/* Writes the line that tells how a job went. */
+static void
+log_over(PhScheduleTask *t, const PhSchedJob *job)
+{
+    static const PhStr states[] = {{"queued", 6},
+                                   {"running", 7},
+                                   {"completed", 9},
+                                   {"failed", 6},
+                                   {"cancelled", 9}};
+    PhTime now = PhTask_Now(t->self);
+    PhTime first =
+        job->first_start_at == 0 ? -1 : job->first_start_at - job->accepted_at;
+    PhTask_LOG(
+        t->self, PH_EVENT_SCHEDULE_JOB_OVER, PhField_STR("job", job->spec.id),
+        PhField_STR("queue", job->spec.terms.queue),
+        PhField_STR("state", states[job->state]),
+        PhField_I64("age_ms", (now - job->accepted_at) / PH_NS_PER_MS),
+        PhField_I64("first_start_ms", first / PH_NS_PER_MS),
+        PhField_I64("waited_ms", job->waited / PH_NS_PER_MS),
+        PhField_I64("ran_ms", job->ran / PH_NS_PER_MS),
+        PhField_I64("chain_ms", PhSchedSpec_Chain(&job->spec) / PH_NS_PER_MS),
+        PhField_U64("steps", job->spec.step_count),
+        PhField_U64("starts", job->starts),
+        PhField_U64("failures", job->failures),
+        PhField_U64("fence", t->fence));
+}
+
+/* Writes the line of an end that was taken in. */
+static void
+log_end(PhScheduleTask *t, const PhSchedNote *note)
+{
+    static const PhStr kinds[] = {{"done", 4},   {"failed", 6}, {"stopped", 7},
+                                  {"lapsed", 6}, {"broken", 6}, {"alone", 5}};
+    PhStr task = task_text(&note->as.ended.task);
+    PhCounters_Add(PhKernel_Counters(PhTask_Kernel(t->self)),
+                   note->as.ended.kind == PH_SCHED_END_FAILED
+                       ? PH_COUNTER_SCHEDULE_ENDS_FAILED
+                       : PH_COUNTER_SCHEDULE_ENDS,
+                   1);
+    PhTask_LOG(t->self, PH_EVENT_SCHEDULE_ENDED, PhField_STR("run", task),
+               PhField_U64("number", note->as.ended.run),
+               PhField_STR("worker", note->worker->entry.id),
+               PhField_STR("how", kinds[note->as.ended.kind]),
+               PhField_I64("ran_ms", note->as.ended.ran / PH_NS_PER_MS),
+               PhField_U64("failures", note->as.ended.failures));
+    PhStr_Clear(&task);
+}
+
+/* Writes what the scheduler has come to believe. */
+void
+PhScheduleLog_Notes(PhScheduleTask *t)
+{
+    size_t count;
+    const PhSchedNote *notes = PhScheduler_Notes(t->scheduler, &count);
+    for (size_t i = 0; i < count; i++) {
+        const PhSchedWorker *w = notes[i].worker;
+        switch (notes[i].tag) {
+        case PH_SCHED_NOTE_ENDED:
+            log_end(t, &notes[i]);
+            break;
+        case PH_SCHED_NOTE_OVER:
+            log_over(t, notes[i].as.over);
+            break;
+        case PH_SCHED_NOTE_SUSPENDED:
+            PhTask_LOG(t->self, PH_EVENT_SCHEDULE_WORKER_SUSPENDED,
+                       PhField_STR("worker", w->entry.id),
+                       PhField_U64("tasks", w->tasks->len));
+            break;
+        case PH_SCHED_NOTE_RESUMED:
+            PhTask_LOG(t->self, PH_EVENT_SCHEDULE_WORKER_RESUMED,
+                       PhField_STR("worker", w->entry.id),
+                       PhField_U64("tasks", w->tasks->len));
+            break;
+        case PH_SCHED_NOTE_LOST:
+            PhCounters_Add(PhKernel_Counters(PhTask_Kernel(t->self)),
+                           PH_COUNTER_SCHEDULE_WORKERS_LOST, 1);
+            PhTask_LOG(t->self, PH_EVENT_SCHEDULE_WORKER_LOST,
+                       PhField_STR("worker", w->entry.id),
+                       PhField_I64("born_ms", w->entry.born_ms),
+                       PhField_U64("runs", notes[i].as.lost));
+            break;
+        }
+    }
+    PhScheduler_ClearNotes(t->scheduler);
+}
+
+/* Writes the line of an order that was not done. */
+void
+PhScheduleLog_Refused(PhScheduleTask *t, const PhOrderReply *r)
+{
+    static const PhStr outcomes[] = {
+        {"done", 4},        {"fenced", 6},   {"old", 3},
+        {"late", 4},        {"no room", 7},  {"refused", 7},
+        {"other life", 10}, {"not sent", 8}, {"no answer", 9}};
+    PhStr task = task_text(&r->task);
+    PhCounters_Add(PhKernel_Counters(PhTask_Kernel(t->self)),
+                   PH_COUNTER_SCHEDULE_ORDERS_FAILED, 1);
+    PhTask_LOG(t->self, PH_EVENT_SCHEDULE_ORDER_FAILED,
+               PhField_STR("run", task), PhField_U64("number", r->run),
+               PhField_STR("worker", r->worker),
+               PhField_STR("outcome", outcomes[r->outcome]));
+    PhStr_Clear(&task);
+}
--- a/services/schedule/schedule_task.h
+++ b/services/schedule/schedule_task.h
@@ -140,4 +140,10 @@
 void PhScheduleOwner_SendRecords(PhScheduleTask *task);
 void PhScheduleOwner_OnOrder(PhScheduleTask *task, const PhOrderReply *reply);
 
+/* schedule_log.c: the line of an order to a run, of one that was not done, and
+ * the lines of the scheduler's notes, which it forgets. */
+void PhScheduleLog_Order(PhScheduleTask *task, const PhSchedAction *action);
+void PhScheduleLog_Refused(PhScheduleTask *task, const PhOrderReply *reply);
+void PhScheduleLog_Notes(PhScheduleTask *task);
+
 #endif
