store: one cursor follows a topic

The owner's two appends begin in one function; orphans and the batch on its way are released in one place each.

--- a/include/peridothill/services/store.h
+++ b/include/peridothill/services/store.h
@@ -88,4 +88,22 @@
 /* Wraps a message body for the kernel; takes over what it owns. */
 PhMessage PhStoreMessage_Wrap(const PhStoreMessage *body);
 
+/* How far a topic has been followed: the newest record of each key first, in
+ * pages, then what is appended. */
+typedef struct PhStoreCursor {
+    PhStr topic;      /* borrowed */
+    bool loaded;      /* the newest records have been read */
+    uint64_t next;    /* offset of the next read */
+    PhStr page_after; /* owned; empty before the first page */
+    uint64_t page_end;
+} PhStoreCursor;
+
+/* The call that reads on; `wait` is that of a read of what is appended. */
+PhStoreMessage PhStoreCursor_Ask(const PhStoreCursor *cursor, PhTime wait);
+/* Moves on past the records of a DONE reply; true when it was the last page of
+ * the newest records. */
+bool PhStoreCursor_Advance(PhStoreCursor *cursor, const PhStoreReply *reply);
+/* Starts again with the newest records; also releases what is owned. */
+void PhStoreCursor_Reset(PhStoreCursor *cursor);
+
 #endif
--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -120,27 +120,34 @@
     PhTask_SendTo(t->self, PH_SERVICE_FLEET, PhScheduleMessage_Wrap(&m));
 }
 
+/* Begins an append to the records of runs, in the owner's sequence. */
+static PhStoreMessage
+owner_append(const PhScheduleTask *t, uint64_t sequence)
+{
+    return (PhStoreMessage){
+        .tag = PH_STORE_APPEND,
+        .as.append = {.topic = PhStr_Dup(PH_SCHED_TOPIC_RUNS),
+                      .condition = PH_STORE_PRODUCER,
+                      .producer = PhStr_Dup(OWNER_PRODUCER),
+                      .epoch = t->fence,
+                      .sequence = sequence}};
+}
+
 /* Begins the takeover: from now on no earlier owner writes records. */
 static void
 begin_fencing(PhScheduleTask *t)
 {
-    PhStoreMessage m = {.tag = PH_STORE_APPEND};
-    PhStoreAppend *a = &m.as.append;
     tell_fleet(t, true);
     t->stage = OWNER_FENCING;
     t->fence = PhElection_Fence(t->election);
     t->epochs[CALL_FENCE]++;
-    a->topic = PhStr_Dup(PH_SCHED_TOPIC_RUNS);
-    a->condition = PH_STORE_PRODUCER;
-    a->producer = PhStr_Dup(OWNER_PRODUCER);
-    a->epoch = t->fence;
-    a->sequence = 0;
+    PhStoreMessage m = owner_append(t, 0);
     PhScheduleTask_Call(t, CALL_FENCE, &m);
 }
 
 /* Drops the batch of records that is on its way. */
-static void
-batch_clear(PhScheduleTask *t)
+void
+PhScheduleOwner_ClearBatch(PhScheduleTask *t)
 {
     for (guint i = 0; i < t->batch_records->len; i++) {
         PhSchedEncoded_Clear(
@@ -164,7 +171,7 @@
                PhField_STR("holder", PhElection_Holder(t->election)));
     t->stage = OWNER_NOT;
     tell_fleet(t, false);
-    batch_clear(t);
+    PhScheduleOwner_ClearBatch(t);
     PhScheduler_SetFence(t->scheduler, 0, now);
     if (active) {
         PhSchedModel_ClearJobs(PhScheduler_Model(t->scheduler));
@@ -177,7 +184,7 @@
 try_activate(PhScheduleTask *t)
 {
     PhTime now = PhTask_Now(t->self);
-    if (!t->runs.loaded || t->runs.next < t->fence_end ||
+    if (!t->runs.cursor.loaded || t->runs.cursor.next < t->fence_end ||
         t->jobs.fresh_at < t->fence_at) {
         PhScheduleTopics_Ask(t, CALL_JOBS_READ);
         PhScheduleTopics_Ask(t, CALL_RUNS_READ);
@@ -308,13 +315,8 @@
     if (t->batch == 0) {
         return;
     }
-    PhStoreMessage m = {.tag = PH_STORE_APPEND};
+    PhStoreMessage m = owner_append(t, t->batch_sequence);
     PhStoreAppend *a = &m.as.append;
-    a->topic = PhStr_Dup(PH_SCHED_TOPIC_RUNS);
-    a->condition = PH_STORE_PRODUCER;
-    a->producer = PhStr_Dup(OWNER_PRODUCER);
-    a->epoch = t->fence;
-    a->sequence = t->batch_sequence;
     a->records = g_new0(PhStoreRecord, t->batch_records->len);
     a->record_count = t->batch_records->len;
     for (guint i = 0; i < t->batch_records->len; i++) {
@@ -345,8 +347,8 @@
         break;
     case PH_STORE_DONE:
         t->batch_sequence++;
-        t->runs.next = MAX(t->runs.next, reply->end);
-        batch_clear(t);
+        t->runs.cursor.next = MAX(t->runs.cursor.next, reply->end);
+        PhScheduleOwner_ClearBatch(t);
         PhScheduler_OnDurable(t->scheduler, batch);
         PhScheduleLog_Notes(t);
         break;
--- a/services/schedule/schedule_task.c
+++ b/services/schedule/schedule_task.c
@@ -196,15 +196,8 @@
 schedule_destroy(void *state)
 {
     PhScheduleTask *t = state;
-    PhSchedRecord *orphan;
-    while ((orphan = g_queue_pop_head(&t->orphans)) != NULL) {
-        PhSchedRecord_Clear(orphan);
-        g_free(orphan);
-    }
-    for (guint i = 0; i < t->batch_records->len; i++) {
-        PhSchedEncoded_Clear(
-            &g_array_index(t->batch_records, PhSchedEncoded, i));
-    }
+    PhScheduleTopics_Clear(t);
+    PhScheduleOwner_ClearBatch(t);
     g_array_free(t->batch_records, TRUE);
     g_queue_clear_full(&t->accepts, PhScheduleAccept_Destroy);
     g_queue_clear_full(&t->states, PhScheduleAccept_DestroyState);
@@ -212,8 +205,6 @@
     PhElection_Destroy(t->election);
     PhScheduler_Destroy(t->scheduler);
     PhStr_Clear(&t->producer);
-    PhStr_Clear(&t->jobs.page_after);
-    PhStr_Clear(&t->runs.page_after);
     g_free(t);
 }
 
@@ -240,8 +231,8 @@
     t->scheduler = PhScheduler_Create(&(PhSchedulerOptions){
         .lease_limit = options->lease_limit, .pace_lag = options->pace_lag});
     t->election = PhElection_Create(t->producer, claim_delay(options));
-    t->jobs.name = PH_SCHED_TOPIC_JOBS;
-    t->runs.name = PH_SCHED_TOPIC_RUNS;
+    t->jobs.cursor.topic = PH_SCHED_TOPIC_JOBS;
+    t->runs.cursor.topic = PH_SCHED_TOPIC_RUNS;
     t->accept = g_ptr_array_new_with_free_func(PhScheduleAccept_Destroy);
     t->batch_records = g_array_new(FALSE, TRUE, sizeof(PhSchedEncoded));
     PhTaskSpec spec = {.name = PH_SERVICE_SCHEDULE,
--- a/services/schedule/schedule_task.h
+++ b/services/schedule/schedule_task.h
@@ -40,12 +40,8 @@
 
 /* A topic that is followed. */
 typedef struct PhTopic {
-    PhStr name;
-    bool loaded; /* the newest records have been read */
-    bool asked;  /* a read is on its way */
-    uint64_t next;
-    PhStr page_after; /* owned */
-    uint64_t page_end;
+    PhStoreCursor cursor;
+    bool asked; /* a read is on its way */
     PhTime sent_at;
     PhTime fresh_at; /* everything acknowledged before is known */
 } PhTopic;
@@ -117,6 +113,8 @@
 bool PhScheduleTopics_IsFresh(const PhScheduleTask *task);
 /* Reads everything anew. */
 void PhScheduleTopics_Reload(PhScheduleTask *task);
+/* Releases what the topics own. */
+void PhScheduleTopics_Clear(PhScheduleTask *task);
 
 /* schedule_accept.c: clients' calls. */
 void PhScheduleAccept_OnCall(PhScheduleTask *task, PhTaskRef sender,
@@ -138,6 +136,8 @@
 void PhScheduleOwner_OnRecords(PhScheduleTask *task,
                                const PhStoreReply *reply);
 void PhScheduleOwner_SendRecords(PhScheduleTask *task);
+/* Drops the batch of records that is on its way. */
+void PhScheduleOwner_ClearBatch(PhScheduleTask *task);
 void PhScheduleOwner_OnOrder(PhScheduleTask *task, const PhOrderReply *reply);
 
 /* schedule_log.c: the line of an order to a run, of one that was not done, and
--- a/services/schedule/schedule_topics.c
+++ b/services/schedule/schedule_topics.c
@@ -29,7 +29,7 @@
 topic_is_wanted(const PhScheduleTask *t, PhStoreCall call)
 {
     return call == CALL_JOBS_READ ||
-           (t->jobs.loaded && t->stage != OWNER_ACTIVE);
+           (t->jobs.cursor.loaded && t->stage != OWNER_ACTIVE);
 }
 
 /* Asks the store for what follows in a topic. */
@@ -37,24 +37,14 @@
 PhScheduleTopics_Ask(PhScheduleTask *t, PhStoreCall call)
 {
     PhTopic *topic = topic_of(t, call);
-    PhStoreMessage m = {0};
     if (topic->asked || !topic_is_wanted(t, call)) {
         return;
     }
     topic->asked = true;
     topic->sent_at = PhTask_Now(t->self);
-    if (topic->loaded) {
-        m.tag = PH_STORE_READ;
-        m.as.read.topic = PhStr_Dup(topic->name);
-        m.as.read.from = topic->next;
-        bool hurry = call == CALL_RUNS_READ && t->states.length > 0;
-        m.as.read.wait = t->stage == OWNER_CATCH_UP || hurry ? 0 : READ_WAIT;
-    }
-    else {
-        m.tag = PH_STORE_NEWEST;
-        m.as.newest.topic = PhStr_Dup(topic->name);
-        m.as.newest.after = PhStr_Dup(topic->page_after);
-    }
+    bool hurry = call == CALL_RUNS_READ && t->states.length > 0;
+    PhTime wait = t->stage == OWNER_CATCH_UP || hurry ? 0 : READ_WAIT;
+    PhStoreMessage m = PhStoreCursor_Ask(&topic->cursor, wait);
     PhScheduleTask_Call(t, call, &m);
 }
 
@@ -88,15 +78,21 @@
     }
 }
 
+/* Releases a record that was kept. */
+static void
+orphan_destroy(gpointer value)
+{
+    PhSchedRecord_Clear(value);
+    g_free(value);
+}
+
 /* Keeps a record until its job is known. */
 static void
 keep_orphan(PhScheduleTask *t, PhSchedRecord *record)
 {
     g_queue_push_tail(&t->orphans, g_memdup2(record, sizeof(*record)));
     if (t->orphans.length > ORPHANS_MAX) {
-        PhSchedRecord *oldest = g_queue_pop_head(&t->orphans);
-        PhSchedRecord_Clear(oldest);
-        g_free(oldest);
+        orphan_destroy(g_queue_pop_head(&t->orphans));
     }
 }
 
@@ -126,23 +122,6 @@
     PhScheduler_Apply(t->scheduler, &record, PhTask_Now(t->self));
 }
 
-/* Takes in a page of the newest records. */
-static void
-take_page(PhTopic *topic, const PhStoreReply *reply)
-{
-    if (PhStr_IsEmpty(topic->page_after)) {
-        topic->page_end = reply->end;
-    }
-    PhStr_Clear(&topic->page_after);
-    if (reply->more && reply->record_count > 0) {
-        topic->page_after =
-            PhStr_Dup(reply->records[reply->record_count - 1].key);
-        return;
-    }
-    topic->loaded = true;
-    topic->next = topic->page_end;
-}
-
 /* Takes in a successful answer; gives the pause until the next read. */
 static PhTime
 take_answer(PhScheduleTask *t, PhTopic *topic, const PhStoreReply *reply)
@@ -151,14 +130,12 @@
     for (size_t i = 0; i < reply->record_count; i++) {
         take_record(t, &reply->records[i]);
     }
-    if (!topic->loaded) {
-        take_page(topic, reply);
+    bool paging = !topic->cursor.loaded;
+    PhStoreCursor_Advance(&topic->cursor, reply);
+    if (paging) {
         return 0;
     }
-    if (reply->record_count > 0) {
-        topic->next = reply->records[reply->record_count - 1].offset + 1;
-    }
-    if (topic->next >= reply->end) {
+    if (topic->cursor.next >= reply->end) {
         topic->fresh_at = MAX(topic->sent_at, now - ANSWER_DELAY);
     }
     if (t->stage != OWNER_NOT) {
@@ -203,7 +180,7 @@
         PhScheduleTask_WantPump(t);
         break;
     case PH_STORE_GONE:
-        topic->loaded = false;
+        PhStoreCursor_Reset(&topic->cursor);
         pause = 0;
         break;
     case PH_STORE_REFUSED:
@@ -232,24 +209,25 @@
 bool
 PhScheduleTopics_IsFresh(const PhScheduleTask *t)
 {
-    return t->jobs.loaded && t->jobs.fresh_at > 0 &&
+    return t->jobs.cursor.loaded && t->jobs.fresh_at > 0 &&
            PhTask_Now(t->self) - t->jobs.fresh_at < FRESH_LIMIT;
 }
 
+/* Releases what the topics own. */
+void
+PhScheduleTopics_Clear(PhScheduleTask *t)
+{
+    g_queue_clear_full(&t->orphans, orphan_destroy);
+    PhStoreCursor_Reset(&t->jobs.cursor);
+    PhStoreCursor_Reset(&t->runs.cursor);
+}
+
 /* Forgets what was read and reads everything anew. */
 void
 PhScheduleTopics_Reload(PhScheduleTask *t)
 {
-    PhSchedRecord *orphan;
-    while ((orphan = g_queue_pop_head(&t->orphans)) != NULL) {
-        PhSchedRecord_Clear(orphan);
-        g_free(orphan);
-    }
-    t->jobs.loaded = false;
+    PhScheduleTopics_Clear(t);
     t->jobs.fresh_at = 0;
-    t->runs.loaded = false;
-    PhStr_Clear(&t->jobs.page_after);
-    PhStr_Clear(&t->runs.page_after);
     t->epochs[CALL_JOBS_READ]++;
     t->epochs[CALL_RUNS_READ]++;
     t->jobs.asked = false;
