--- a/commands/bench.c
+++ b/commands/bench.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "commands/options.h"
 #include "peridothill/bench/bench.h"
 #include "peridothill/commands.h"
 
@@ -76,25 +77,25 @@
          "Steps to run (default: the bench's own)", "N"},
         {NULL},
     };
-    GOptionContext *context = g_option_context_new("NAME");
-    char *description = bench_describe();
-    g_option_context_set_description(context, description);
-    g_option_context_add_main_entries(context, entries, NULL);
-    GError *error = NULL;
+    char *details = bench_describe();
+    PhOptions options = {.command = "bench",
+                         .arguments = "NAME",
+                         .details = details,
+                         .entries = entries,
+                         .least = 1,
+                         .most = 1,
+                         .needed = "one NAME is needed"};
     int code = PH_EXIT_USAGE;
-    if (!g_option_context_parse(context, &argc, &argv, &error)) {
-        fprintf(stderr, "peridothill bench: %s\n", error->message);
-        g_error_free(error);
+    bool valid = PhOptions_Parse(&options, &argc, argv);
+    if (valid && (seed < 0 || steps < 0)) {
+        fprintf(stderr, "peridothill bench: a seed and a number of steps are "
+                        "not negative\n");
     }
-    else if (argc != 2 || seed < 0 || steps < 0) {
-        fprintf(stderr, "peridothill bench: one NAME is needed; see --help\n");
-    }
-    else {
-        PhBenchOptions options = {
+    else if (valid) {
+        PhBenchOptions bench = {
             .seed = (uint64_t)seed, .steps = (uint64_t)steps, .out = stdout};
-        code = bench_run(argv[1], &options);
+        code = bench_run(argv[1], &bench);
     }
-    g_free(description);
-    g_option_context_free(context);
+    g_free(details);
     return code;
 }
--- a/commands/check.c
+++ b/commands/check.c
@@ -1,5 +1,6 @@
 #include <stdio.h>
 
+#include "commands/options.h"
 #include "peridothill/codec/settings.h"
 #include "peridothill/commands.h"
 
@@ -41,25 +42,18 @@
          "Print a complete commented file", NULL},
         {NULL},
     };
-    GOptionContext *context = g_option_context_new("[FILE]");
-    g_option_context_set_summary(context, "Checks a settings file.");
-    g_option_context_add_main_entries(context, entries, NULL);
-    GError *error = NULL;
-    int code = PH_EXIT_USAGE;
-    if (!g_option_context_parse(context, &argc, &argv, &error)) {
-        fprintf(stderr, "peridothill check: %s\n", error->message);
-        g_error_free(error);
+    PhOptions options = {.command = "check",
+                         .arguments = "[FILE]",
+                         .summary = "Checks a settings file.",
+                         .entries = entries,
+                         .most = 1,
+                         .needed = "FILE or --defaults is needed"};
+    if (!PhOptions_Parse(&options, &argc, argv)) {
+        return PH_EXIT_USAGE;
     }
-    else if (defaults && argc == 1) {
-        code = check_print_defaults();
+    if (defaults != (argc == 1)) {
+        fprintf(stderr, "peridothill check: %s; see --help\n", options.needed);
+        return PH_EXIT_USAGE;
     }
-    else if (!defaults && argc == 2) {
-        code = check_file(argv[1]);
-    }
-    else {
-        fprintf(stderr, "peridothill check: FILE or --defaults is needed; see "
-                        "--help\n");
-    }
-    g_option_context_free(context);
-    return code;
+    return defaults ? check_print_defaults() : check_file(argv[1]);
 }
--- a/commands/client.c
+++ b/commands/client.c
@@ -7,6 +7,7 @@
 enum {
     CALL_TIMEOUT_MS = 15000,
     CONNECT_TIMEOUT_MS = 3000,
+    MS_PER_S = 1000,
 };
 
 #define DEFAULT_ADDRESS "127.0.0.1:8081"
@@ -56,6 +57,7 @@
 {
     char *data;
     gsize len;
+    client->loop = ev_loop_new(EVFLAG_AUTO);
     if (client->settings != NULL) {
         PhResult result = settings_read(client);
         if (!PhResult_IsOk(&result)) {
@@ -85,6 +87,9 @@
     g_free(client->address);
     g_free(client->token_file);
     PhStr_Clear(&client->token);
+    if (client->loop != NULL) {
+        ev_loop_destroy(client->loop);
+    }
 }
 
 /* Appends what libcurl received to a buffer. */
@@ -161,6 +166,34 @@
     return answer;
 }
 
+/* Leaves the loop: the time is over. */
+static void
+on_waited(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+    (void)timer;
+    (void)revents;
+    ev_break(loop, EVBREAK_ALL);
+}
+
+/* Waits in the loop before another call. */
+void
+PhClient_Wait(const PhClient *client, int64_t ms)
+{
+    ev_timer timer;
+    ev_now_update(client->loop);
+    ev_timer_init(&timer, on_waited, (double)ms / MS_PER_S, 0);
+    ev_timer_start(client->loop, &timer);
+    ev_run(client->loop, 0);
+}
+
+/* Gives why a call has failed. */
+PhStr
+PhClientAnswer_Reason(const PhClientAnswer *answer)
+{
+    return answer->status == 0 ? PhResult_Message(&answer->result)
+                               : answer->body;
+}
+
 /* Releases an answer. */
 void
 PhClientAnswer_Clear(PhClientAnswer *answer)
--- a/commands/client.h
+++ b/commands/client.h
@@ -1,7 +1,9 @@
-/* A blocking HTTP client for the commands that ask a running instance. */
+/* An HTTP client, one call at a time, for the commands that ask a running
+ * instance. */
 #ifndef PERIDOTHILL_COMMANDS_CLIENT_H
 #define PERIDOTHILL_COMMANDS_CLIENT_H
 
+#include <ev.h>
 #include <glib.h>
 
 #include "peridothill/common/status.h"
@@ -14,6 +16,7 @@
     char *address;  /* IP number and port */
     char *token_file;
     PhStr token;
+    struct ev_loop *loop; /* for waits; from PhClient_Open on */
 } PhClient;
 
 /* An answer; the body is owned. */
@@ -32,6 +35,10 @@
 /* Sends a request and waits for the answer. */
 PhClientAnswer PhClient_Call(const PhClient *client, const char *method,
                              const char *target, PhStr body);
+/* Waits in the loop before another call. */
+void PhClient_Wait(const PhClient *client, int64_t ms);
+/* Why a call has failed: what the instance says, or why no answer came. */
+PhStr PhClientAnswer_Reason(const PhClientAnswer *answer);
 void PhClientAnswer_Clear(PhClientAnswer *answer);
 
 #endif
--- a/commands/config.c
+++ b/commands/config.c
@@ -1,7 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "commands/client.h"
+#include "commands/options.h"
 #include "peridothill/codec/json.h"
 #include "peridothill/commands.h"
 
@@ -160,8 +160,7 @@
     bool done = answer.status == 200 && PhResult_IsOk(&parsed);
     if (!done) {
         fprintf(stderr, "peridothill config: %.*s\n",
-                PhStr_ARG(answer.status == 0 ? PhResult_Message(&answer.result)
-                                             : answer.body));
+                PhStr_ARG(PhClientAnswer_Reason(&answer)));
     }
     else if (as_json) {
         printf("%.*s\n", PhStr_ARG(answer.body));
@@ -197,29 +196,26 @@
          "Print the JSON of the interface", NULL},
         {NULL},
     };
-    GOptionContext *context = g_option_context_new("ACTION [ARGUMENT...]");
-    char *description = acts_describe();
-    GError *error = NULL;
+    char *details = acts_describe();
+    PhOptions options = {.command = "config",
+                         .arguments = "ACTION [ARGUMENT...]",
+                         .details = details,
+                         .entries = entries,
+                         .client = &client,
+                         .least = 1,
+                         .most = PH_ARGUMENTS_ANY,
+                         .needed = "an action is needed"};
     int code = PH_EXIT_USAGE;
-    g_option_context_set_description(context, description);
-    g_option_context_add_main_entries(context, entries, NULL);
-    PhClient_AddOptions(&client, context);
-    bool valid = g_option_context_parse(context, &argc, &argv, &error);
+    bool valid = PhOptions_Parse(&options, &argc, argv);
     const PhConfigAct *act = valid ? act_find(argc, argv) : NULL;
-    PhResult opened = PhClient_Open(&client);
-    if (act == NULL || !PhResult_IsOk(&opened)) {
-        fprintf(stderr, "peridothill config: %s%.*s\n",
-                error != NULL ? error->message
-                : act == NULL ? "an action is needed; see --help "
-                              : "",
-                PhStr_ARG(PhResult_Message(&opened)));
-        g_clear_error(&error);
-    }
-    else {
+    if (act != NULL) {
         code = act_run(act, &client, argv + 2, as_json);
     }
-    g_option_context_free(context);
-    g_free(description);
+    else if (valid) {
+        fprintf(stderr, "peridothill config: %s; see --help\n",
+                options.needed);
+    }
+    g_free(details);
     PhClient_Clear(&client);
     return code;
 }
--- a/commands/demo.c
+++ b/commands/demo.c
@@ -1,5 +1,6 @@
 #include <stdio.h>
 
+#include "commands/options.h"
 #include "peridothill/commands.h"
 #include "peridothill/demo/demo.h"
 
@@ -13,27 +14,21 @@
          "Seed of the random numbers (default 1)", "N"},
         {NULL},
     };
-    GOptionContext *context = g_option_context_new(NULL);
-    g_option_context_set_summary(
-        context,
-        "Starts stand-ins of the platform, three entry instances and six\n"
-        "workers in this process, breaks things one at a time, and prints a\n"
-        "verdict for each promise. Exits 0 only if all of them held.");
-    g_option_context_add_main_entries(context, entries, NULL);
-    GError *error = NULL;
-    int code = PH_EXIT_USAGE;
-    if (!g_option_context_parse(context, &argc, &argv, &error)) {
-        fprintf(stderr, "peridothill demo: %s\n", error->message);
-        g_error_free(error);
+    PhOptions options = {
+        .command = "demo",
+        .summary =
+            "Starts stand-ins of the platform, three entry instances and six\n"
+            "workers in this process, breaks things one at a time, and prints "
+            "a\n"
+            "verdict for each promise. Exits 0 only if all of them held.",
+        .entries = entries,
+        .needed = "no arguments are taken"};
+    if (!PhOptions_Parse(&options, &argc, argv)) {
+        return PH_EXIT_USAGE;
     }
-    else if (argc != 1 || seed < 0) {
-        fprintf(stderr, "peridothill demo: no arguments are taken; see "
-                        "--help\n");
+    if (seed < 0) {
+        fprintf(stderr, "peridothill demo: a seed is not negative\n");
+        return PH_EXIT_USAGE;
     }
-    else {
-        code =
-            PhDemo_Run((uint64_t)seed, stdout) ? PH_EXIT_DONE : PH_EXIT_FAILED;
-    }
-    g_option_context_free(context);
-    return code;
+    return PhDemo_Run((uint64_t)seed, stdout) ? PH_EXIT_DONE : PH_EXIT_FAILED;
 }
--- a/commands/explain.c
+++ b/commands/explain.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "commands/options.h"
 #include "peridothill/commands.h"
 
 /* A line that names the job, with what orders it. */
@@ -121,24 +122,18 @@
 int
 PhCommand_Explain(int argc, char **argv)
 {
-    GOptionContext *context = g_option_context_new("ID [FILE...]");
-    g_option_context_set_summary(
-        context,
-        "Prints the lines that name the job or run ID, from log files "
-        "of any number of instances or from standard input, in the "
-        "order of their wall time.");
-    GError *error = NULL;
-    int code = PH_EXIT_USAGE;
-    if (!g_option_context_parse(context, &argc, &argv, &error)) {
-        fprintf(stderr, "peridothill explain: %s\n", error->message);
-        g_error_free(error);
+    PhOptions options = {
+        .command = "explain",
+        .arguments = "ID [FILE...]",
+        .summary =
+            "Prints the lines that name the job or run ID, from log files "
+            "of any number of instances or from standard input, in the "
+            "order of their wall time.",
+        .least = 1,
+        .most = PH_ARGUMENTS_ANY,
+        .needed = "ID is needed"};
+    if (!PhOptions_Parse(&options, &argc, argv)) {
+        return PH_EXIT_USAGE;
     }
-    else if (argc < 2) {
-        fprintf(stderr, "peridothill explain: ID is needed; see --help\n");
-    }
-    else {
-        code = explain(argv[1], argv + 2);
-    }
-    g_option_context_free(context);
-    return code;
+    return explain(argv[1], argv + 2);
 }
--- /dev/null
+++ b/commands/options.c
@@ -0,0 +1,50 @@
+#include "commands/options.h"
+
+#include <stdio.h>
+
+/* Takes the options out of the command line. */
+static bool
+options_take(const PhOptions *o, int *argc, char **argv)
+{
+    GOptionContext *context = g_option_context_new(o->arguments);
+    GError *error = NULL;
+    g_option_context_set_summary(context, o->summary);
+    g_option_context_set_description(context, o->details);
+    if (o->entries != NULL) {
+        g_option_context_add_main_entries(context, o->entries, NULL);
+    }
+    if (o->client != NULL) {
+        PhClient_AddOptions(o->client, context);
+    }
+    bool valid = g_option_context_parse(context, argc, &argv, &error);
+    g_option_context_free(context);
+    if (!valid) {
+        fprintf(stderr, "peridothill %s: %s\n", o->command, error->message);
+        g_error_free(error);
+    }
+    return valid;
+}
+
+/* Takes the options out of the command line, counts the arguments and opens
+ * the client. */
+bool
+PhOptions_Parse(const PhOptions *o, int *argc, char **argv)
+{
+    if (!options_take(o, argc, argv)) {
+        return false;
+    }
+    if (*argc - 1 < o->least || *argc - 1 > o->most) {
+        fprintf(stderr, "peridothill %s: %s; see --help\n", o->command,
+                o->needed);
+        return false;
+    }
+    if (o->client == NULL) {
+        return true;
+    }
+    PhResult opened = PhClient_Open(o->client);
+    if (!PhResult_IsOk(&opened)) {
+        fprintf(stderr, "peridothill %s: %.*s\n", o->command,
+                PhStr_ARG(PhResult_Message(&opened)));
+    }
+    return PhResult_IsOk(&opened);
+}
--- a/commands/patch.c
+++ b/commands/patch.c
@@ -2,7 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "commands/client.h"
+#include "commands/options.h"
 #include "peridothill/codec/config_record.h"
 #include "peridothill/codec/json.h"
 #include "peridothill/commands.h"
@@ -90,10 +90,10 @@
 
 /* Waits before another try, longer each time. */
 static void
-backoff(gint64 *delay_ms)
+backoff(const PhClient *client, gint64 *delay_ms)
 {
     gint64 jitter = randombytes_uniform((uint32_t)*delay_ms + 1);
-    g_usleep((gulong)(*delay_ms / 2 + jitter) * 1000UL);
+    PhClient_Wait(client, *delay_ms / 2 + jitter);
     *delay_ms = MIN(*delay_ms * 2, RETRY_MAX_MS);
 }
 
@@ -116,7 +116,7 @@
         if (decided || g_get_monotonic_time() >= until) {
             break;
         }
-        backoff(&delay_ms);
+        backoff(&c->client, &delay_ms);
     }
     if (o->unsure && strcmp(o->word, "not-accepted") == 0) {
         g_strlcpy(o->word, "unknown", sizeof(o->word));
@@ -152,8 +152,7 @@
     c->base = PhResult_IsOk(&parsed) ? PhJson_GetInt(json, "version", -1) : -1;
     if (c->base < 0) {
         fprintf(stderr, "peridothill patch: no version to start from: %.*s\n",
-                PhStr_ARG(answer.status == 0 ? PhResult_Message(&answer.result)
-                                             : answer.body));
+                PhStr_ARG(PhClientAnswer_Reason(&answer)));
     }
     json_decref(json);
     PhClientAnswer_Clear(&answer);
@@ -204,7 +203,7 @@
         if (read && behind->len == 0) {
             break;
         }
-        g_usleep(SPREAD_POLL_MS * 1000UL);
+        PhClient_Wait(&c->client, SPREAD_POLL_MS);
     } while (g_get_monotonic_time() < until);
     printf("in force on %zu instances\n", holding);
     if (behind->len > 0) {
@@ -257,12 +256,6 @@
 {
     PhPatchOutcome o = {0};
     bool look_up = c->patch.change_count == 0;
-    PhResult opened = PhClient_Open(&c->client);
-    if (!PhResult_IsOk(&opened)) {
-        fprintf(stderr, "peridothill patch: %.*s\n",
-                PhStr_ARG(PhResult_Message(&opened)));
-        return PH_EXIT_USAGE;
-    }
     patch_fill(c);
     if (look_up) {
         ask(c, &o);
@@ -299,20 +292,16 @@
          "Seconds to try for a verdict, and then to wait (default 20)", "S"},
         {NULL},
     };
-    GOptionContext *context =
-        g_option_context_new("[set PATH=VALUE | delete PATH]...");
-    GError *error = NULL;
-    g_option_context_add_main_entries(context, entries, NULL);
-    PhClient_AddOptions(&c->client, context);
-    bool valid = g_option_context_parse(context, &argc, &argv, &error);
-    g_option_context_free(context);
-    if (!valid) {
-        fprintf(stderr, "peridothill patch: %s\n", error->message);
-        g_error_free(error);
+    PhOptions options = {.command = "patch",
+                         .arguments = "[set PATH=VALUE | delete PATH]...",
+                         .entries = entries,
+                         .client = &c->client,
+                         .most = PH_ARGUMENTS_ANY};
+    if (!PhOptions_Parse(&options, &argc, argv)) {
         return false;
     }
-    valid = changes_parse(argc, argv, &c->patch) &&
-            (c->patch.change_count > 0 || c->id != NULL);
+    bool valid = changes_parse(argc, argv, &c->patch) &&
+                 (c->patch.change_count > 0 || c->id != NULL);
     if (!valid) {
         fprintf(stderr, "peridothill patch: 'set PATH=VALUE' or 'delete PATH' "
                         "is needed; see --help\n");
--- a/commands/serve.c
+++ b/commands/serve.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "commands/options.h"
 #include "peridothill/commands.h"
 #include "peridothill/platform/adapter.h"
 #include "peridothill/services/instance.h"
@@ -250,28 +251,24 @@
          "Form of log lines: logfmt or json (default: from FILE)", "NAME"},
         {NULL},
     };
-    GOptionContext *context = g_option_context_new("FILE");
-    g_option_context_set_summary(
-        context, "Runs an entry instance with the settings in FILE until "
-                 "SIGTERM stops it gracefully.");
-    g_option_context_add_main_entries(context, entries, NULL);
-    GError *error = NULL;
+    PhOptions options = {
+        .command = "serve",
+        .arguments = "FILE",
+        .summary = "Runs an entry instance with the settings in FILE until "
+                   "SIGTERM stops it gracefully.",
+        .entries = entries,
+        .least = 1,
+        .most = 1,
+        .needed = "FILE is needed"};
     int code = PH_EXIT_USAGE;
-    if (!g_option_context_parse(context, &argc, &argv, &error)) {
-        fprintf(stderr, "peridothill serve: %s\n", error->message);
-        g_error_free(error);
-    }
-    else if (argc != 2) {
-        fprintf(stderr, "peridothill serve: FILE is needed; see --help\n");
-    }
-    else if (sodium_init() < 0) {
+    bool valid = PhOptions_Parse(&options, &argc, argv);
+    if (valid && sodium_init() < 0) {
         fprintf(stderr, "peridothill serve: libsodium does not start\n");
         code = PH_EXIT_FAILED;
     }
-    else {
+    else if (valid) {
         code = serve_file(argv[1], log_format);
     }
-    g_option_context_free(context);
     g_free(log_format);
     return code;
 }
--- a/commands/standin.c
+++ b/commands/standin.c
@@ -2,6 +2,7 @@
 #include <signal.h>
 #include <stdio.h>
 
+#include "commands/options.h"
 #include "peridothill/commands.h"
 #include "peridothill/standin/platform.h"
 #include "peridothill/standin/standin.h"
@@ -221,23 +222,18 @@
          "Seed of the random numbers (default 1)", "N"},
         {NULL},
     };
-    GOptionContext *context = g_option_context_new(NULL);
-    g_option_context_set_summary(
-        context, "Runs stand-ins of the platform's log, list and workers.");
-    g_option_context_add_main_entries(context, entries, NULL);
-    GError *error = NULL;
+    PhOptions options = {
+        .command = "standin",
+        .summary = "Runs stand-ins of the platform's log, list and workers.",
+        .entries = entries,
+        .needed = "no arguments are taken"};
     int code = PH_EXIT_USAGE;
-    if (!g_option_context_parse(context, &argc, &argv, &error)) {
-        fprintf(stderr, "peridothill standin: %s\n", error->message);
-        g_error_free(error);
-    }
-    else if (argc != 1 || a.workers < 0 || a.workers > WORKERS_MAX) {
-        fprintf(stderr,
-                "peridothill standin: up to %d workers and no other "
-                "arguments; see --help\n",
+    bool valid = PhOptions_Parse(&options, &argc, argv);
+    if (valid && (a.workers < 0 || a.workers > WORKERS_MAX)) {
+        fprintf(stderr, "peridothill standin: up to %d workers are run\n",
                 WORKERS_MAX);
     }
-    else {
+    else if (valid) {
         a.log = a.log ? a.log : g_strdup("127.0.0.1:9000");
         a.list = a.list ? a.list : g_strdup("127.0.0.1:9001");
         a.data_centre = a.data_centre ? a.data_centre : g_strdup("bacolod");
@@ -249,6 +245,5 @@
     g_free(a.store);
     g_free(a.data_centre);
     g_free(a.services);
-    g_option_context_free(context);
     return code;
 }
--- a/commands/status.c
+++ b/commands/status.c
@@ -1,6 +1,6 @@
 #include <stdio.h>
 
-#include "commands/client.h"
+#include "commands/options.h"
 #include "commands/table.h"
 #include "peridothill/codec/json.h"
 #include "peridothill/commands.h"
@@ -117,9 +117,7 @@
     json_t *json;
     if (answer->status != 200) {
         fprintf(stderr, "peridothill status: %.*s\n",
-                PhStr_ARG(answer->status == 0
-                              ? PhResult_Message(&answer->result)
-                              : answer->body));
+                PhStr_ARG(PhClientAnswer_Reason(answer)));
         return PH_EXIT_FAILED;
     }
     if (as_json) {
@@ -148,29 +146,17 @@
          "Print the JSON of the interface", NULL},
         {NULL},
     };
-    GOptionContext *context = g_option_context_new(NULL);
-    GError *error = NULL;
+    PhOptions options = {.command = "status",
+                         .entries = entries,
+                         .client = &client,
+                         .needed = "no arguments are taken"};
     int code = PH_EXIT_USAGE;
-    g_option_context_add_main_entries(context, entries, NULL);
-    PhClient_AddOptions(&client, context);
-    bool valid =
-        g_option_context_parse(context, &argc, &argv, &error) && argc == 1;
-    PhResult opened = valid ? PhClient_Open(&client) : PhResult_Ok();
-    if (!valid || !PhResult_IsOk(&opened)) {
-        fprintf(stderr, "peridothill status: %s%.*s\n",
-                error != NULL ? error->message
-                : valid       ? ""
-                              : "no arguments are taken",
-                PhStr_ARG(PhResult_Message(&opened)));
-        g_clear_error(&error);
-    }
-    else {
+    if (PhOptions_Parse(&options, &argc, argv)) {
         PhClientAnswer answer =
             PhClient_Call(&client, "GET", "/status", (PhStr){0});
         code = answer_print(&answer, as_json);
         PhClientAnswer_Clear(&answer);
     }
-    g_option_context_free(context);
     PhClient_Clear(&client);
     return code;
 }
--- a/commands/tasks.c
+++ b/commands/tasks.c
@@ -1,7 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "commands/client.h"
+#include "commands/options.h"
 #include "peridothill/codec/json.h"
 #include "peridothill/commands.h"
 
@@ -9,6 +9,8 @@
     HTTP_OK = 200
 };
 
+#define WHAT_IS_NEEDED "submit, list or cancel NUMBER is needed"
+
 /* What the command line asks for. */
 typedef struct PhTasksCommand {
     PhClient client;
@@ -69,8 +71,7 @@
     int code = PH_EXIT_FAILED;
     if (answer.status != HTTP_OK) {
         fprintf(stderr, "peridothill tasks: %.*s\n",
-                PhStr_ARG(answer.status == 0 ? PhResult_Message(&answer.result)
-                                             : answer.body));
+                PhStr_ARG(PhClientAnswer_Reason(&answer)));
     }
     else if (c->as_json) {
         printf("%.*s\n", PhStr_ARG(answer.body));
@@ -151,8 +152,7 @@
     if (argc == 3 && strcmp(argv[1], "cancel") == 0) {
         return job_cancel(c, argv[2]);
     }
-    fprintf(stderr, "peridothill tasks: submit, list or cancel NUMBER is "
-                    "needed; see --help\n");
+    fprintf(stderr, "peridothill tasks: " WHAT_IS_NEEDED "; see --help\n");
     return PH_EXIT_USAGE;
 }
 
@@ -189,31 +189,21 @@
          "The tasks can resume from a checkpoint", NULL},
         {NULL},
     };
-    GOptionContext *context =
-        g_option_context_new("submit|list|cancel [NUMBER]");
-    GError *error = NULL;
+    PhOptions options = {.command = "tasks",
+                         .arguments = "submit|list|cancel [NUMBER]",
+                         .entries = entries,
+                         .client = &c.client,
+                         .least = 1,
+                         .most = 2,
+                         .needed = WHAT_IS_NEEDED};
     int code = PH_EXIT_USAGE;
-    g_option_context_add_main_entries(context, entries, NULL);
-    PhClient_AddOptions(&c.client, context);
-    if (!g_option_context_parse(context, &argc, &argv, &error)) {
-        fprintf(stderr, "peridothill tasks: %s\n", error->message);
-        g_clear_error(&error);
-    }
-    else {
-        PhResult opened = PhClient_Open(&c.client);
-        if (PhResult_IsOk(&opened)) {
-            code = command_run(&c, argc, argv);
-        }
-        else {
-            fprintf(stderr, "peridothill tasks: %.*s\n",
-                    PhStr_ARG(PhResult_Message(&opened)));
-        }
+    if (PhOptions_Parse(&options, &argc, argv)) {
+        code = command_run(&c, argc, argv);
     }
     g_free(c.key);
     g_free(c.team);
     g_free(c.class);
     g_free(c.hint);
-    g_option_context_free(context);
     PhClient_Clear(&c.client);
     return code;
 }
