schedule: say what the loss of a worker rests on

The owner drops 16 workers that are suspended on record and three whose return was not on record yet, and grants them leases again; its successor counts their leases from records that are 13 to 14 s old. No decision changes.

--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -145,7 +145,10 @@
 worker_lost(PhScheduler *s, PhSchedWorker *w, PhTime now)
 {
     PhSchedNote note = {
-        .tag = PH_SCHED_NOTE_LOST, .worker = w, .as.lost = w->tasks->len};
+        .tag = PH_SCHED_NOTE_LOST,
+        .worker = w,
+        .as.lost = {.runs = w->tasks->len,
+                    .suspended = w->suspended ? now - w->suspended_at : -1}};
     g_array_append_val(s->notes, note);
     w->dead = true;
     while (w->tasks->len > 0) {
@@ -207,3 +210,16 @@
     }
     s->dirty_workers = 0;
 }
+
+/* Drops lives of workers that have gone. */
+void
+PhScheduler_ForgetWorkers(PhScheduler *s)
+{
+    guint known = s->forgotten->len;
+    PhSchedModel_SweepWorkers(s->model, s->forgotten);
+    for (guint i = known; i < s->forgotten->len; i++) {
+        PhSchedNote note = {.tag = PH_SCHED_NOTE_FORGOTTEN,
+                            .worker = g_ptr_array_index(s->forgotten, i)};
+        g_array_append_val(s->notes, note);
+    }
+}
--- a/decide/schedule/model.c
+++ b/decide/schedule/model.c
@@ -37,8 +37,8 @@
 }
 
 /* Releases one life of a worker. */
-static void
-worker_destroy(gpointer value)
+void
+PhSchedWorker_Destroy(gpointer value)
 {
     PhSchedWorker *w = value;
     PhSchedWorkerEntry_Clear(&w->entry);
@@ -56,7 +56,7 @@
     m->jobs = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual, NULL,
                                     job_destroy);
     m->workers = g_hash_table_new(PhStr_KeyHash, PhStr_KeyEqual);
-    m->lives = g_ptr_array_new_with_free_func(worker_destroy);
+    m->lives = g_ptr_array_new_with_free_func(PhSchedWorker_Destroy);
     m->active = g_ptr_array_new();
     m->images = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
                                       PhStr_KeyDestroy, NULL);
@@ -338,9 +338,9 @@
     *entry = (PhSchedWorkerEntry){0};
 }
 
-/* Releases lives that are dead and hold no task. */
+/* Moves lives that are dead and hold no task out of the model. */
 void
-PhSchedModel_SweepWorkers(PhSchedModel *m)
+PhSchedModel_SweepWorkers(PhSchedModel *m, GPtrArray *swept)
 {
     for (guint i = m->lives->len; i-- > 0;) {
         PhSchedWorker *w = g_ptr_array_index(m->lives, i);
@@ -350,7 +350,7 @@
         if (PhSchedModel_NewestLife(m, w->entry.id) == w) {
             g_hash_table_remove(m->workers, &w->entry.id);
         }
-        g_ptr_array_remove_index_fast(m->lives, i);
+        g_ptr_array_add(swept, g_ptr_array_steal_index_fast(m->lives, i));
     }
 }
 
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -19,6 +19,7 @@
     s->open_batch = 1;
     s->interference = PhInterference_Create();
     s->notes = g_array_new(FALSE, TRUE, sizeof(PhSchedNote));
+    s->forgotten = g_ptr_array_new_with_free_func(PhSchedWorker_Destroy);
     s->dirty_stages = g_ptr_array_new();
     s->dirty_jobs = g_ptr_array_new();
     s->undurable = g_ptr_array_new();
@@ -49,6 +50,7 @@
     g_ptr_array_free(s->undurable, TRUE);
     PhInterference_Destroy(s->interference);
     g_array_free(s->notes, TRUE);
+    g_ptr_array_free(s->forgotten, TRUE);
     PhSchedModel_Destroy(s->model);
     g_free(s);
 }
@@ -66,6 +68,7 @@
 PhScheduler_ClearNotes(PhScheduler *s)
 {
     g_array_set_size(s->notes, 0);
+    g_ptr_array_set_size(s->forgotten, 0);
 }
 
 /* Gives the model. */
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -26,8 +26,9 @@
     bool place_due;     /* something has changed that may allow a start */
     PhTime place_after; /* waiting tasks are not tried before */
     PhInterference *interference;
-    GArray *notes;   /* PhSchedNote */
-    PhTime pairs_at; /* what it has learned was last recorded */
+    GArray *notes;        /* PhSchedNote */
+    GPtrArray *forgotten; /* PhSchedWorker of notes, owned */
+    PhTime pairs_at;      /* what it has learned was last recorded */
     bool pairs_due;
 };
 
--- a/include/peridothill/common/event_list_schedule.h
+++ b/include/peridothill/common/event_list_schedule.h
@@ -32,3 +32,5 @@
          "links to other instances cannot be opened")
 PH_EVENT(7023, SCHEDULE_OWNER_SILENT, INFO,
          "calls given to the owner are taken back")
+PH_EVENT(7024, SCHEDULE_WORKER_FORGOTTEN, INFO,
+         "worker has gone, nothing is kept of it")
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -100,6 +100,7 @@
     PH_SCHED_NOTE_SUSPENDED, /* a worker does not answer: no leases */
     PH_SCHED_NOTE_RESUMED,   /* it answers again */
     PH_SCHED_NOTE_LOST,      /* its leases have lapsed, or it was born anew */
+    PH_SCHED_NOTE_FORGOTTEN, /* it has gone and left the model */
 } PhSchedNoteTag;
 
 /* Strings are borrowed until the model next changes. */
@@ -115,7 +116,10 @@
             uint32_t failures;
         } ended;
         const PhSchedJob *over;
-        guint lost; /* runs */
+        struct {
+            guint runs;
+            PhTime suspended; /* for how long, -1 if it was not */
+        } lost;
     } as;
 } PhSchedNote;
 
@@ -141,6 +145,9 @@
 /* Time of the next decision that no event brings. */
 PhTime PhScheduler_Due(const PhScheduler *scheduler);
 
+/* Drops lives of workers that have gone. */
+void PhScheduler_ForgetWorkers(PhScheduler *scheduler);
+
 /* Notes since the last call of PhScheduler_ClearNotes. */
 const PhSchedNote *PhScheduler_Notes(const PhScheduler *scheduler,
                                      size_t *count);
--- a/services/schedule/schedule_log.c
+++ b/services/schedule/schedule_log.c
@@ -87,6 +87,44 @@
     PhStr_Clear(&task);
 }
 
+/* Writes the line of a takeover, with what an earlier owner has recorded of
+ * the workers. */
+void
+PhScheduleLog_Gained(PhScheduleTask *t)
+{
+    const GPtrArray *lives = PhScheduler_Model(t->scheduler)->lives;
+    uint64_t suspended = 0;
+    for (guint i = 0; i < lives->len; i++) {
+        const PhSchedWorker *w = g_ptr_array_index(lives, i);
+        suspended += w->suspended;
+    }
+    PhTime after = PhTask_Now(t->self) - t->fence_at;
+    PhTask_LOG(t->self, PH_EVENT_SCHEDULE_OWNER_GAINED,
+               PhField_U64("fence", t->fence),
+               PhField_I64("after_ms", after / PH_NS_PER_MS),
+               PhField_U64("workers", lives->len),
+               PhField_U64("suspended", suspended));
+}
+
+/* Writes the line of a worker whose leases have lapsed, and what that rests
+ * on. */
+static void
+log_lost(PhScheduleTask *t, const PhSchedNote *note)
+{
+    const PhSchedWorker *w = note->worker;
+    PhTime suspended = note->as.lost.suspended;
+    PhCounters_Add(PhKernel_Counters(PhTask_Kernel(t->self)),
+                   PH_COUNTER_SCHEDULE_WORKERS_LOST, 1);
+    PhTask_LOG(t->self, PH_EVENT_SCHEDULE_WORKER_LOST,
+               PhField_STR("worker", w->entry.id),
+               PhField_I64("born_ms", w->entry.born_ms),
+               PhField_U64("runs", note->as.lost.runs),
+               PhField_I64("suspended_ms",
+                           suspended < 0 ? -1 : suspended / PH_NS_PER_MS),
+               PhField_U64("answered", w->fenced),
+               PhField_U64("listed", w->listed));
+}
+
 /* Writes what the scheduler has come to believe. */
 void
 PhScheduleLog_Notes(PhScheduleTask *t)
@@ -113,12 +151,14 @@
                        PhField_U64("tasks", w->tasks->len));
             break;
         case PH_SCHED_NOTE_LOST:
-            PhCounters_Add(PhKernel_Counters(PhTask_Kernel(t->self)),
-                           PH_COUNTER_SCHEDULE_WORKERS_LOST, 1);
-            PhTask_LOG(t->self, PH_EVENT_SCHEDULE_WORKER_LOST,
+            log_lost(t, &notes[i]);
+            break;
+        case PH_SCHED_NOTE_FORGOTTEN:
+            PhTask_LOG(t->self, PH_EVENT_SCHEDULE_WORKER_FORGOTTEN,
                        PhField_STR("worker", w->entry.id),
                        PhField_I64("born_ms", w->entry.born_ms),
-                       PhField_U64("runs", notes[i].as.lost));
+                       PhField_U64("suspended", w->suspended),
+                       PhField_U64("unrecorded", w->dirty));
             break;
         }
     }
--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -232,9 +232,7 @@
     t->runs.asked = false;
     t->batch_sequence = 1;
     PhScheduler_SetFence(t->scheduler, t->fence, now);
-    PhTask_LOG(t->self, PH_EVENT_SCHEDULE_OWNER_GAINED,
-               PhField_U64("fence", t->fence),
-               PhField_I64("after_ms", (now - t->fence_at) / PH_NS_PER_MS));
+    PhScheduleLog_Gained(t);
 }
 
 /* Compares the role in the election with what this instance does. */
@@ -475,7 +473,8 @@
         PhScheduleLog_Notes(t);
         PhScheduleOwner_SendRecords(t);
         pump_orders(t);
-        PhSchedModel_SweepWorkers(PhScheduler_Model(t->scheduler));
+        PhScheduler_ForgetWorkers(t->scheduler);
+        PhScheduleLog_Notes(t);
     }
     PhTime due =
         MIN(PhElection_Due(t->election), PhScheduler_Due(t->scheduler));
--- a/services/schedule/schedule_task.h
+++ b/services/schedule/schedule_task.h
@@ -208,8 +208,9 @@
  * changed. */
 void PhScheduleOwner_TellRole(PhScheduleTask *task);
 
-/* schedule_log.c: the line of an order to a run, of one that was not done, and
- * the lines of the scheduler's notes, which it forgets. */
+/* schedule_log.c: the line of a takeover, of an order to a run, of one that
+ * was not done, and the lines of the scheduler's notes, which it forgets. */
+void PhScheduleLog_Gained(PhScheduleTask *task);
 void PhScheduleLog_Order(PhScheduleTask *task, const PhSchedAction *action);
 void PhScheduleLog_Refused(PhScheduleTask *task, const PhOrderReply *reply);
 void PhScheduleLog_Notes(PhScheduleTask *task);
