schedule: a life given up by an earlier ownership counts again

Callers could see tasks that last and never run again (LOST) when an instance that had been the owner became it again.

Cause: that the leases of a worker had lapsed was decided, the life marked as dead, and the ownership ended before the records of its runs were durable. The records that were read anew placed the tasks on that life, and the mark stayed: a dead life is not looked at again, so its tasks never ended.

The mark is forgotten with everything else that an owner did not record.

--- a/decide/schedule/model.c
+++ b/decide/schedule/model.c
@@ -182,8 +182,8 @@
     }
 }
 
-/* Forgets what records say: every job, what is placed, and which workers are
- * suspended or leave. */
+/* Forgets what records say, and what was made of them: every job, what is
+ * placed, and which workers are suspended, leave or have lapsed. */
 void
 PhSchedModel_ClearRecords(PhSchedModel *m)
 {
@@ -195,6 +195,7 @@
         w->serving_cpu_milli = 0;
         w->suspended = false;
         w->suspended_at = 0;
+        w->dead = false;
         w->leaving_at = 0;
     }
     g_ptr_array_set_size(m->active, 0);
--- a/tests/schedule/test_owners.c
+++ b/tests/schedule/test_owners.c
@@ -89,6 +89,7 @@
 
 static const PhDrawnCase drawn_cases[] = {
     {"drawn faults", 1, 30},
+    {"workers that drain are cut off", 429, 429},
 };
 
 /* Plays the seeds of one case. */
