platform: a number out of range is told before it is converted

A real number such as 1e300 was converted to a whole one first and compared with its bound after: that conversion is undefined. On this machine it gave a number that the bound refused, so that callers saw nothing; nothing says that it has to.

Cause: get_number and row_number took the double for an int64_t.

--- a/codec/json.c
+++ b/codec/json.c
@@ -71,3 +71,22 @@
     *number = (uint64_t)json_integer_value(value);
     return true;
 }
+
+/* Reads a number from 0 to a bound, without the part behind the point.  What
+ * is out of bounds is told before it is converted: a conversion of a real
+ * number that does not fit is undefined. */
+bool
+PhJson_ReadNumber(const json_t *value, int64_t most, int64_t *number)
+{
+    double real = json_real_value(value);
+    if (json_is_real(value) && real >= 0 && real < (double)most + 1) {
+        *number = (int64_t)real;
+        return true;
+    }
+    if (!json_is_integer(value) || json_integer_value(value) < 0 ||
+        json_integer_value(value) > most) {
+        return false;
+    }
+    *number = json_integer_value(value);
+    return true;
+}
--- /dev/null
+++ b/tests/platform/test_odd_entries.c
@@ -0,0 +1,404 @@
+/* Entries that another writer has left among those of the workers: they name
+ * no worker, and what stands beside them is followed. */
+#include <string.h>
+
+#include "peridothill/codec/json.h"
+#include "peridothill/platform/adapter.h"
+#include "peridothill/services/http.h"
+#include "peridothill/services/interface.h"
+#include "tests/table.h"
+
+enum {
+    MAILBOX_CAPACITY = 64,
+    OFFSET_BYTES = 8,
+    LENGTH_BYTES = 4,
+    BITS_PER_BYTE = 8,
+    PAGE_RECORDS = 3,
+    DEEP = 100000,    /* more than any parser goes down */
+    LESS_DEEP = 1500, /* what the parser still takes */
+    LONG = 200000,    /* bytes of a long text */
+    DECIMAL = 10,
+};
+
+/* Once and again the interval between two reads of the entries. */
+static const PhTime READS = 1 * PH_NS_PER_S;
+
+#define TEXT(S)                                                               \
+    {                                                                         \
+        (S), sizeof(S) - 1                                                    \
+    }
+/* An entry with other values in some fields; a later part ends the entry. */
+#define ADDRESS "\"address\":\"10.0.0.1:80\","
+#define SERVICE "\"service\":\"s\","
+#define STATE "\"state\":\"ready\","
+#define ZONE "\"zone\":\"z\","
+#define BORN "\"born\":5,"
+#define LABELS "\"labels\":[\"a\",\"r1-3\"],"
+#define CAPACITY "\"capacity\":{\"cpu\":16000,\"memMb\":10,\"gpu\":0}"
+#define WITH_CAPACITY(C)                                                      \
+    TEXT("{" ADDRESS SERVICE STATE ZONE BORN LABELS "\"capacity\":" C "}")
+#define WITH_CPU(N) WITH_CAPACITY("{\"cpu\":" N ",\"memMb\":10,\"gpu\":0}")
+#define WITH_BORN(B)                                                          \
+    TEXT("{" ADDRESS SERVICE STATE ZONE LABELS "\"born\":" B "," CAPACITY "}")
+#define WITH_STATE(S)                                                         \
+    TEXT("{" ADDRESS SERVICE ZONE BORN LABELS "\"state\":" S "," CAPACITY "}")
+#define WITH_SERVICE(S)                                                       \
+    TEXT("{" ADDRESS STATE ZONE BORN LABELS "\"service\":" S "," CAPACITY "}")
+#define GOOD "{" ADDRESS SERVICE STATE ZONE BORN LABELS CAPACITY "}"
+
+static const PhStr good = TEXT(GOOD);
+
+/* An entry: `head`, then `repeat` many times, then `tail`; under a key of its
+ * own, or under one of another worker as well. */
+typedef struct PhOddCase {
+    const char *name;
+    PhStr head;
+    const char *repeat;
+    size_t times;
+    PhStr tail;
+    PhStr key;
+    bool known; /* it is no odd one */
+} PhOddCase;
+
+static const PhOddCase odd_cases[] = {
+    {"a good one", TEXT(GOOD), .known = true},
+    {"a whole number that is written as a real one", WITH_CPU("16000.0"),
+     .known = true},
+    {"a field that is not known, of any kind",
+     TEXT("{\"x\":[[1e300]],\"seq\":1e300," ADDRESS SERVICE STATE ZONE BORN
+              LABELS CAPACITY "}"),
+     .known = true},
+    {"many labels",
+     TEXT("{" ADDRESS SERVICE STATE ZONE BORN CAPACITY ",\"labels\":[\"a\""),
+     ",\"b\"", LONG / 4, TEXT("]}"), .known = true},
+    /* Nesting. */
+    {"deep lists, never closed", TEXT(""), "[", DEEP},
+    {"deep objects, never closed", TEXT(""), "{\"a\":", DEEP},
+    {"deep lists in the labels",
+     TEXT("{" ADDRESS SERVICE STATE ZONE BORN CAPACITY ",\"labels\":"), "[",
+     DEEP},
+    {"deep objects in the capacity",
+     TEXT("{" ADDRESS SERVICE STATE ZONE BORN LABELS "\"capacity\":"),
+     "{\"cpu\":", DEEP},
+    {"deep lists in a field that is not known",
+     TEXT("{" ADDRESS SERVICE STATE ZONE BORN LABELS CAPACITY ",\"x\":"), "[",
+     DEEP},
+    {"lists as deep as the parser goes", TEXT(""), "[", LESS_DEEP},
+    {"closing brackets", TEXT(""), "]", DEEP},
+    /* Numbers. */
+    {"a room of 1e400", WITH_CPU("1e400")},
+    {"a room of 1e300", WITH_CPU("1e300")},
+    {"a room of -1e300", WITH_CPU("-1e300")},
+    {"a room of 2^31", WITH_CPU("2147483648")},
+    {"a room of 2^63", WITH_CPU("9223372036854775808")},
+    {"a room of 2^63 - 1", WITH_CPU("9223372036854775807")},
+    {"a room of -1", WITH_CPU("-1")},
+    {"a room of 0", WITH_CPU("0")},
+    {"a room of NaN", WITH_CPU("NaN")},
+    {"a room that is text", WITH_CPU("\"16000\"")},
+    {"memory of 1e300",
+     WITH_CAPACITY("{\"cpu\":1,\"memMb\":1e300,\"gpu\":0}")},
+    {"accelerators below 0",
+     WITH_CAPACITY("{\"cpu\":1,\"memMb\":1,\"gpu\":-1}")},
+    {"no room", WITH_CAPACITY("{}")},
+    {"a capacity that is a list", WITH_CAPACITY("[16000,10,0]")},
+    {"a capacity that is a number", WITH_CAPACITY("16000")},
+    {"no capacity", TEXT("{" ADDRESS SERVICE STATE ZONE LABELS "\"born\":5}")},
+    {"born at 2^63", WITH_BORN("9223372036854775808")},
+    /* Other fields. */
+    {"a state that is not known", WITH_STATE("\"melted\"")},
+    {"a state that is a number", WITH_STATE("1")},
+    {"no state", TEXT("{" ADDRESS SERVICE ZONE BORN LABELS CAPACITY "}")},
+    {"a service that is a number", WITH_SERVICE("1")},
+    {"an empty service", WITH_SERVICE("\"\"")},
+    {"no service", TEXT("{" ADDRESS STATE ZONE BORN LABELS CAPACITY "}")},
+    /* Bytes that can't be read. */
+    {"no JSON", TEXT("\xff\x00\x01")},
+    {"a text that is no UTF-8", WITH_SERVICE("\"\xff\"")},
+    {"half of a surrogate pair", WITH_SERVICE("\"\\ud800\"")},
+    {"a NUL in the name of a field", TEXT("{\"a\\u0000b\":1," SERVICE "}")},
+    {"a field twice",
+     TEXT("{" BORN ADDRESS SERVICE STATE ZONE BORN LABELS CAPACITY "}")},
+    {"half an entry", TEXT("{" ADDRESS SERVICE "\"state\":\"rea")},
+    {"something behind the entry", TEXT(GOOD "x")},
+    {"nothing", TEXT("null")},
+    {"a number", TEXT("1e300")},
+    {"a text", TEXT("\"ready\"")},
+    {"a list", TEXT("[" GOOD "]")},
+    {"NUL bytes", TEXT("\0\0\0")},
+    /* Keys. */
+    {"a key of 255 bytes", TEXT(GOOD), .known = true,
+     .key = TEXT("0123456789abcdef0123456789abcdef0123456789abcdef0123456789a"
+                 "bcdef0123456789abcdef0123456789abcdef0123456789abcdef012345"
+                 "6789abcdef0123456789abcdef0123456789abcdef0123456789abcdef0"
+                 "123456789abcdef0123456789abcdef0123456789abcdef0123456789ab"
+                 "cdef0123456789abcde")},
+};
+
+/* What "schedule" was told. */
+typedef struct PhKnown {
+    GHashTable *now;  /* ids of workers that it may use */
+    GHashTable *ever; /* and of those that it was given at all */
+} PhKnown;
+
+/* The platform's store: two pages of the newest entries and two reads. */
+typedef struct PhStoreScript {
+    PhStr pages[2];
+    PhStr after;    /* the key that the second page follows */
+    PhStr reads[2]; /* first the one from the end of the page */
+    uint64_t froms[2];
+    uint64_t asked; /* where the newest read began */
+} PhStoreScript;
+
+/* Appends a big-endian number. */
+static void
+append_number(PhBuf *out, uint64_t value, int bytes)
+{
+    for (int i = bytes - 1; i >= 0; i--) {
+        PhBuf_AppendByte(out, (char)(value >> (i * BITS_PER_BYTE)));
+    }
+}
+
+/* Begins the answer to a read. */
+static PhBuf
+read_begin(uint64_t end)
+{
+    PhBuf out = {0};
+    append_number(&out, end, OFFSET_BYTES);
+    append_number(&out, 0, OFFSET_BYTES);
+    return out;
+}
+
+/* Appends a record to the answer to a read. */
+static void
+read_add(PhBuf *out, PhStr key, PhStr value)
+{
+    append_number(out, 1 + key.len + value.len, LENGTH_BYTES);
+    PhBuf_AppendByte(out, (char)key.len);
+    PhBuf_Append(out, key);
+    PhBuf_Append(out, value);
+}
+
+/* Appends a record to a page of the newest ones. */
+static void
+page_add(json_t *items, PhStr key, PhStr value)
+{
+    char *text = g_base64_encode((const guchar *)value.data, value.len);
+    json_t *item = json_object();
+    json_object_set_new(item, "key", PhJson_String(key));
+    json_object_set_new(item, "value", json_string(text));
+    json_object_set_new(item, "offset", json_integer(0));
+    json_array_append_new(items, item);
+    g_free(text);
+}
+
+/* Makes the page of the newest ones. */
+static PhStr
+page_make(json_t *items, bool more)
+{
+    json_t *root = json_object();
+    json_object_set_new(root, "items", items);
+    json_object_set_new(root, "hasMore", json_boolean(more));
+    json_object_set_new(root, "end", json_integer(PAGE_RECORDS));
+    PhStr page = PhJson_Write(root);
+    json_decref(root);
+    return page;
+}
+
+/* Gives the page that a call asks for. */
+static PhStr
+page_of(const PhStoreScript *s, const char *target)
+{
+    const char *after = strstr(target, "after=");
+    if (after == NULL) {
+        return s->pages[0];
+    }
+    GBytes *key =
+        g_uri_unescape_bytes(after + strlen("after="), -1, NULL, NULL);
+    assert_non_null(key);
+    assert_true(
+        PhStr_Equal(s->after, PhStr_FromBytes(g_bytes_get_data(key, NULL),
+                                              g_bytes_get_size(key))));
+    g_bytes_unref(key);
+    return s->pages[1];
+}
+
+/* Answers a call of "store"; reads of the configuration wait. */
+static void
+http_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhStoreScript *s = state;
+    if (mail->kind != PH_MAIL_MESSAGE) {
+        return;
+    }
+    const PhHttpMessage *m = mail->as.message.body;
+    char *target = PhStr_ToC(m->as.send.target);
+    const char *from = strstr(target, "from=");
+    PhBuf none = read_begin(0);
+    PhStr body = PhBuf_Str(&none);
+    if (strstr(target, "servers") == NULL) {
+        PhBuf_Clear(&none);
+        g_free(target);
+        return;
+    }
+    if (from != NULL) {
+        s->asked = g_ascii_strtoull(from + strlen("from="), NULL, DECIMAL);
+        for (size_t i = 0; i < G_N_ELEMENTS(s->reads); i++) {
+            body = s->asked == s->froms[i] ? s->reads[i] : body;
+        }
+    }
+    else {
+        body = page_of(s, target);
+    }
+    PhHttpMessage reply = {.tag = PH_HTTP_REPLY,
+                           .as.reply = {.id = m->as.send.id,
+                                        .outcome = PH_HTTP_ANSWERED,
+                                        .status = 200,
+                                        .body = PhStr_Dup(body)}};
+    PhBuf_Clear(&none);
+    g_free(target);
+    PhTask_Send(self, mail->from, PhHttpMessage_Wrap(&reply));
+}
+
+/* Asks for the entries as an owner does, and notes what it is told. */
+static void
+schedule_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhKnown *known = state;
+    if (mail->kind == PH_MAIL_START) {
+        PhScheduleMessage m = {.tag = PH_SCHEDULE_ROLE,
+                               .as.role = PH_SCHEDULE_ROLE_OWNER};
+        PhTask_SendTo(self, PH_SERVICE_FLEET, PhScheduleMessage_Wrap(&m));
+        return;
+    }
+    const PhScheduleMessage *m = mail->as.message.body;
+    if (m->tag == PH_SCHEDULE_WORKER) {
+        g_hash_table_add(known->now, PhStr_KeyCreate(m->as.worker.id));
+        g_hash_table_add(known->ever, PhStr_KeyCreate(m->as.worker.id));
+    }
+    else if (m->tag == PH_SCHEDULE_NO_WORKER) {
+        g_hash_table_remove(known->now, &m->as.no_worker);
+    }
+}
+
+/* Spawns a task of the test. */
+static void
+spawn(PhKernel *kernel, PhStr name, void *state,
+      void (*handle)(void *, PhTask *, const PhMail *))
+{
+    PhTaskSpec spec = {.name = name,
+                       .mailbox_capacity = MAILBOX_CAPACITY,
+                       .state = state,
+                       .handle = handle};
+    assert_int_equal(PhKernel_Spawn(kernel, &spec, NULL), PH_STATUS_OK);
+}
+
+/* Follows the entries of a store for a while. */
+static PhKnown
+follow(PhStoreScript *script)
+{
+    PhKnown known;
+    PhClock *clock = PhClock_Create(PH_CLOCK_PAUSED);
+    PhCounters *counters = PhCounters_Create();
+    PhKernel *kernel = PhKernel_Create(
+        &(PhKernelOptions){.clock = clock, .counters = counters});
+    known.now = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
+                                      PhStr_KeyDestroy, NULL);
+    known.ever = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
+                                       PhStr_KeyDestroy, NULL);
+    spawn(kernel, PH_SERVICE_HTTP, script, http_handle);
+    assert_int_equal(PhStoreTask_Start(kernel, PhStr_LITERAL("127.0.0.1:1")),
+                     PH_STATUS_OK);
+    assert_int_equal(PhFleetTask_Start(kernel), PH_STATUS_OK);
+    spawn(kernel, PH_SERVICE_SCHEDULE, &known, schedule_handle);
+    PhKernel_AdvanceTo(kernel, READS);
+    PhKernel_Destroy(kernel);
+    PhCounters_Destroy(counters);
+    PhClock_Destroy(clock);
+    return known;
+}
+
+/* Tells whether a worker may be used. */
+static bool
+is_known(const PhKnown *known, const char *id)
+{
+    PhStr key = PhStr_FromC(id);
+    return g_hash_table_contains(known->now, &key);
+}
+
+/* Releases what was told. */
+static void
+known_clear(PhKnown *known)
+{
+    g_hash_table_destroy(known->now);
+    g_hash_table_destroy(known->ever);
+}
+
+/* Makes the entry of a case. */
+static PhStr
+odd_make(const PhOddCase *c)
+{
+    PhBuf out = {0};
+    PhBuf_Append(&out, c->head);
+    for (size_t i = 0; i < c->times; i++) {
+        PhBuf_Append(&out, PhStr_FromC(c->repeat));
+    }
+    PhBuf_Append(&out, c->tail);
+    return PhBuf_Take(&out);
+}
+
+/* Puts an odd entry beside good ones, first at the end of a page and then into
+ * a read; there it also takes the place of good ones, one of which comes
+ * back. */
+static void
+odd_run(const PhOddCase *c)
+{
+    json_t *items[] = {json_array(), json_array()};
+    PhStr odd = odd_make(c);
+    PhStr key = c->key.data == NULL ? PhStr_LITERAL("i-odd") : c->key;
+    PhStoreScript script = {.after = key, .froms = {3, 8}};
+    PhBuf first = read_begin(8);
+    PhBuf second = read_begin(9);
+    page_add(items[0], PhStr_LITERAL("i-a"), good);
+    page_add(items[0], key, odd);
+    page_add(items[1], PhStr_LITERAL("i-b"), good);
+    script.pages[0] = page_make(items[0], true);
+    script.pages[1] = page_make(items[1], false);
+    read_add(&first, PhStr_LITERAL("i-c"), good);
+    read_add(&first, key, odd);
+    read_add(&first, PhStr_LITERAL("i-a"), odd);
+    read_add(&first, PhStr_LITERAL("i-b"), odd);
+    read_add(&first, PhStr_LITERAL("i-d"), good);
+    read_add(&second, PhStr_LITERAL("i-b"), good);
+    script.reads[0] = PhBuf_Str(&first);
+    script.reads[1] = PhBuf_Str(&second);
+    PhKnown known = follow(&script);
+    assert_int_equal(script.asked, 9);
+    assert_int_equal(g_hash_table_contains(known.ever, &key), c->known);
+    assert_int_equal(is_known(&known, "i-a"), c->known || c->key.data != NULL);
+    assert_true(is_known(&known, "i-b"));
+    assert_true(is_known(&known, "i-c"));
+    assert_true(is_known(&known, "i-d"));
+    known_clear(&known);
+    PhBuf_Clear(&first);
+    PhBuf_Clear(&second);
+    PhStr_Clear(&script.pages[0]);
+    PhStr_Clear(&script.pages[1]);
+    PhStr_Clear(&odd);
+}
+
+/* Odd entries. */
+static void
+test_odd_entries(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(odd_cases, odd_run);
+}
+
+/* Runs the tests. */
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {cmocka_unit_test(test_odd_entries)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/schedule/test_schedule_service.c
+++ b/tests/schedule/test_schedule_service.c
@@ -51,10 +51,74 @@
     Ph_RUN_TABLE(fault_cases, fault_run);
 }
 
+/* An entry that stands among those of the workers; `deep` brackets follow. */
+typedef struct PhOddCase {
+    const char *name;
+    PhStr key;
+    const char *text;
+    size_t deep;
+} PhOddCase;
+
+#define TEXT(S)                                                               \
+    {                                                                         \
+        (S), sizeof(S) - 1                                                    \
+    }
+#define ENTRY(SERVICE, PORT, CPU)                                             \
+    "{\"service\":\"" SERVICE "\",\"address\":\"127.0.0.1:" PORT "\","        \
+    "\"state\":\"ready\",\"zone\":\"bacolod\",\"labels\":[],\"born\":1,"      \
+    "\"capacity\":{\"cpu\":" CPU ",\"memMb\":64000,\"gpu\":0}}"
+
+static const PhOddCase odd_cases[] = {
+    {"deeply nested", TEXT("i-0"), "{\"labels\":", 100000},
+    {"a number that is too large", TEXT("i-0"), ENTRY("service", "1", "1e300"),
+     0},
+    {"a port out of range", TEXT("i-0"), ENTRY("service", "99999", "64000"),
+     0},
+    {"port 0", TEXT("i-0"), ENTRY("service", "0", "64000"), 0},
+    {"a header in the key", TEXT("i-0\r\nX: y"),
+     ENTRY("service", "1", "64000"), 0},
+    {"a port where nobody listens", TEXT("i-0"),
+     ENTRY("service", "1", "64000"), 0},
+    {"a service that is not known", TEXT("i-0"), ENTRY("other", "1", "64000"),
+     0},
+};
+
+/* Puts an odd entry beside the worker's; a job completes all the same. */
+static void
+odd_run(const PhOddCase *c)
+{
+    PhPlatformBed bed;
+    PhBuf value = {0};
+    PhPlatformBed_Open(&bed, 1, false);
+    PhBuf_Append(&value, PhStr_FromC(c->text));
+    for (size_t i = 0; i < c->deep; i++) {
+        PhBuf_AppendByte(&value, '[');
+    }
+    PhStandinStoreState_Put(bed.store, PhStr_LITERAL("keyed.servers"), c->key,
+                            PhBuf_Str(&value));
+    PhBuf_Clear(&value);
+    assert_true(PhPlatformBed_CallUntil(&bed, 0, "POST", ID, JOB, 200, ""));
+    assert_true(
+        PhPlatformBed_CallUntil(&bed, 0, "GET", ID, "", 200, "completed"));
+    assert_int_equal(
+        PhCounters_Get(bed.instances[0].counters, PH_COUNTER_SCHEDULE_STARTS),
+        2);
+    PhPlatformBed_Close(&bed);
+}
+
+/* Every odd entry. */
+static void
+test_odd_entries(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(odd_cases, odd_run);
+}
+
 /* Runs the tests. */
 int
 main(void)
 {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(test_faults)};
+    const struct CMUnitTest tests[] = {cmocka_unit_test(test_faults),
+                                       cmocka_unit_test(test_odd_entries)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
