codec: tasks of a stage that are no list are refused

An instance that read such a record of the topic of runs could end by itself: a segmentation fault. Only what another writer leaves there can be such.

Cause: the number of tasks was taken from the second field when the first was no list, and the first was read as a list all the same.

test_odd_documents, rows "tasks that are a text" and "a number": misaligned reads and a segmentation fault before, refused after.

--- a/codec/schedule_record.c
+++ b/codec/schedule_record.c
@@ -407,8 +407,9 @@
 {
     const msgpack_object *tasks = PhUnpack_Field(map, STAGE_TASKS);
     uint64_t count = get_u64(map, STAGE_ALL_DONE);
-    if (tasks != NULL && tasks->type == MSGPACK_OBJECT_ARRAY) {
-        count = tasks->via.array.size;
+    if (tasks != NULL) {
+        bool listed = tasks->type == MSGPACK_OBJECT_ARRAY;
+        count = listed ? tasks->via.array.size : 0;
     }
     if (count == 0 || count > PH_SCHED_TASKS_MAX) {
         return PhResult_Make(PH_STATUS_INVALID, "stage without tasks");
