codec: times of records are bounded

A record of a job with a time past all time overflowed a signed number, which is undefined. Our own records never hold more than 2^31 ms.

get_time bounds what it reads before it multiplies.

test_odd_documents, rows "an estimate" and "a slack past all time": signed integer overflow in read_step and read_job under the sanitizers before, none after.

--- a/codec/schedule_record.c
+++ b/codec/schedule_record.c
@@ -52,6 +52,7 @@
     TASK_ITEMS_SAVED = 6,
     ID_BYTES = 16,
     TEXT_BYTES_MAX = 65536,
+    TIME_MS_MAX = INT32_MAX,
     MILLI = 1000,
 };
 
@@ -282,6 +283,13 @@
     return value;
 }
 
+/* Reads a time that is written in milliseconds, up to a bound. */
+static PhTime
+get_time(const msgpack_object *map, uint64_t key)
+{
+    return (PhTime)MIN(get_u64(map, key), TIME_MS_MAX) * PH_NS_PER_MS;
+}
+
 /* Reads a string into a copy, empty when it is missing. */
 static PhStr
 get_text(const msgpack_object *map, uint64_t key)
@@ -319,7 +327,7 @@
     step->room.cpu_milli = (int64_t)get_u64(map, STEP_CPU_MILLI);
     step->room.mem_mb = (int64_t)get_u64(map, STEP_MEM_MB);
     step->room.gpu = (int64_t)get_u64(map, STEP_GPU);
-    step->estimate = (PhTime)get_u64(map, STEP_ESTIMATE_MS) * PH_NS_PER_MS;
+    step->estimate = get_time(map, STEP_ESTIMATE_MS);
     read_after(PhUnpack_Field(map, STEP_AFTER), step);
     step->saves_progress = (flags & FLAG_SAVES) != 0;
     step->gang = (flags & FLAG_GANG) != 0;
@@ -332,8 +340,7 @@
     step->image = get_text(map, STEP_IMAGE);
     step->max_per_worker = (uint32_t)get_u64(map, STEP_MAX_PER_WORKER);
     step->may_miss = (uint32_t)get_u64(map, STEP_MAY_MISS);
-    step->tail_target =
-        (PhTime)get_u64(map, STEP_TAIL_TARGET_MS) * PH_NS_PER_MS;
+    step->tail_target = get_time(map, STEP_TAIL_TARGET_MS);
 }
 
 /* Reads a job. */
@@ -346,7 +353,7 @@
     spec->terms.priority = (int64_t)get_u64(map, JOB_PRIORITY);
     spec->terms.max_attempts = (uint32_t)get_u64(map, JOB_ATTEMPTS);
     spec->terms.stretch = (double)get_u64(map, JOB_STRETCH_MILLI) / MILLI;
-    spec->terms.slack = (PhTime)get_u64(map, JOB_SLACK_MS) * PH_NS_PER_MS;
+    spec->terms.slack = get_time(map, JOB_SLACK_MS);
     spec->payload = get_text(map, JOB_PAYLOAD);
     spec->repetitions = (uint32_t)get_u64(map, JOB_REPETITIONS);
     spec->first_due_ms = (int64_t)get_u64(map, JOB_FIRST_DUE_MS);
