codec: an estimate that is not finite is refused

What is known of pairs of images is read from a record; one with NaN or an infinite variance was taken as it was. Only another writer leaves such a record there; what followed from one was not tried.

test_odd_documents, row "a pair that is no number": accepted before, refused after.

--- a/codec/schedule_record.c
+++ b/codec/schedule_record.c
@@ -1,5 +1,7 @@
 #include "peridothill/codec/schedule_record.h"
 
+#include <math.h>
+
 #include "peridothill/codec/unpack.h"
 
 enum {
@@ -435,7 +437,7 @@
     return PhResult_Ok();
 }
 
-/* Reads a part of an estimate; false when it is none. */
+/* Reads a part of an estimate, which is finite; false when it is none. */
 static bool
 read_estimate(const msgpack_object *value, double *part)
 {
@@ -444,7 +446,7 @@
         return false;
     }
     *part = value->via.f64;
-    return true;
+    return isfinite(*part);
 }
 
 /* Reads what was seen of pairs of images. */
--- a/tests/platform/test_odd_documents.c
+++ b/tests/platform/test_odd_documents.c
@@ -110,6 +110,12 @@
      TEXT("\x81\2\xcf\0\0\0\1\0\0\0\0"), .key = "t" ID ".0.0"},
     {"a round of 20 digits", DOCUMENT_RECORD, TEXT("\x81\2\1"),
      .key = "t" ID ".99999999999999999999.0"},
+    {"a pair that is no number", DOCUMENT_RECORD,
+     TEXT("\x81\1\x91\x95\xa1"
+          "a\xa1"
+          "b\xcb\x7f\xf8\0\0\0\0\0\0\xcb\x7f\xf0\0\0\0\0\0\0\xce\xff\xff\xff"
+          "\xff"),
+     .key = "p"},
     {"a worker born at 2^64 - 1", DOCUMENT_RECORD,
      TEXT("\x81\1\xcf\xff\xff\xff\xff\xff\xff\xff\xff"), .key = "wi-1",
      .valid = true},
