platform: an address that no order can be sent to names no worker

No process ended and no task was started there (test_schedule_service, before and after). With a NUL in the host the socket's address ended there, and the whole text, line ends included, went into the header Host of each order.

Cause: the decoder wanted any text, and the socket's address was parsed at each order, from a C string.

--- a/services/platform/address.h
+++ b/include/peridothill/services/address.h
@@ -1,6 +1,6 @@
 /* Addresses of sockets. */
-#ifndef PERIDOTHILL_SERVICES_PLATFORM_ADDRESS_H
-#define PERIDOTHILL_SERVICES_PLATFORM_ADDRESS_H
+#ifndef PERIDOTHILL_SERVICES_ADDRESS_H
+#define PERIDOTHILL_SERVICES_ADDRESS_H
 
 #include <netinet/in.h>
 #include <stdbool.h>
--- a/services/platform/address.c
+++ b/services/platform/address.c
@@ -1,8 +1,12 @@
-#include "address.h"
+#include "peridothill/services/address.h"
 
 #include <arpa/inet.h>
 #include <string.h>
 
+enum {
+    PORT_DIGITS_MAX = 5
+};
+
 /* Reads "IP:port" into a socket address. */
 bool
 PhAddress_Parse(PhStr text, struct sockaddr_in *address)
@@ -10,14 +14,14 @@
     PhStr host;
     PhStr port_text;
     uint64_t port;
-    char host_c[INET_ADDRSTRLEN];
+    char host_c[INET_ADDRSTRLEN] = {0};
     if (!PhStr_Cut(text, ':', &host, &port_text) ||
-        !PhStr_ParseU64(port_text, &port) || port > UINT16_MAX ||
-        host.len >= sizeof(host_c)) {
+        port_text.len > PORT_DIGITS_MAX || !PhStr_ParseU64(port_text, &port) ||
+        port > UINT16_MAX || host.len == 0 || host.len >= sizeof(host_c) ||
+        memchr(host.data, '\0', host.len) != NULL) {
         return false;
     }
     memcpy(host_c, host.data, host.len);
-    host_c[host.len] = '\0';
     *address = (struct sockaddr_in){.sin_family = AF_INET,
                                     .sin_port = htons((uint16_t)port)};
     return inet_pton(AF_INET, host_c, &address->sin_addr) == 1;
--- a/services/platform/http_lean.c
+++ b/services/platform/http_lean.c
@@ -11,7 +11,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "address.h"
+#include "peridothill/services/address.h"
 #include "peridothill/services/http.h"
 #include "peridothill/services/interface.h"
 
--- a/services/platform/listener.c
+++ b/services/platform/listener.c
@@ -1,4 +1,3 @@
-#include "address.h"
 #include "listener_internal.h"
 
 #include <arpa/inet.h>
@@ -6,6 +5,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "peridothill/services/address.h"
+
 enum {
     SWEEP_INTERVAL_MS = 500,
     STATUS_BAD_REQUEST = 400,
--- a/tests/platform/test_odd_entries.c
+++ b/tests/platform/test_odd_entries.c
@@ -35,6 +35,8 @@
 #define BORN "\"born\":5,"
 #define LABELS "\"labels\":[\"a\",\"r1-3\"],"
 #define CAPACITY "\"capacity\":{\"cpu\":16000,\"memMb\":10,\"gpu\":0}"
+#define WITH_ADDRESS(A)                                                       \
+    TEXT("{" SERVICE STATE ZONE BORN LABELS "\"address\":" A "," CAPACITY "}")
 #define WITH_CAPACITY(C)                                                      \
     TEXT("{" ADDRESS SERVICE STATE ZONE BORN LABELS "\"capacity\":" C "}")
 #define WITH_CPU(N) WITH_CAPACITY("{\"cpu\":" N ",\"memMb\":10,\"gpu\":0}")
@@ -105,6 +107,40 @@
     {"a capacity that is a number", WITH_CAPACITY("16000")},
     {"no capacity", TEXT("{" ADDRESS SERVICE STATE ZONE LABELS "\"born\":5}")},
     {"born at 2^63", WITH_BORN("9223372036854775808")},
+    /* Addresses. */
+    {"port 0", WITH_ADDRESS("\"10.0.0.1:0\"")},
+    {"port 65536", WITH_ADDRESS("\"10.0.0.1:65536\"")},
+    {"port 99999", WITH_ADDRESS("\"10.0.0.1:99999\"")},
+    {"port -1", WITH_ADDRESS("\"10.0.0.1:-1\"")},
+    {"a port of 40 digits",
+     WITH_ADDRESS("\"10.0.0.1:1000000000000000000000000000000000000080\"")},
+    {"a port that is text", WITH_ADDRESS("\"10.0.0.1:abc\"")},
+    {"a port with text behind", WITH_ADDRESS("\"10.0.0.1:80x\"")},
+    {"an empty port", WITH_ADDRESS("\"10.0.0.1:\"")},
+    {"no port", WITH_ADDRESS("\"10.0.0.1\"")},
+    {"no host", WITH_ADDRESS("\":80\"")},
+    {"a host that is a name", WITH_ADDRESS("\"worker:80\"")},
+    {"a host out of range", WITH_ADDRESS("\"10.0.0.256:80\"")},
+    {"brackets", WITH_ADDRESS("\"[::1]:80\"")},
+    {"two ports", WITH_ADDRESS("\"10.0.0.1:80:80\"")},
+    {"a space before", WITH_ADDRESS("\" 10.0.0.1:80\"")},
+    {"a space behind", WITH_ADDRESS("\"10.0.0.1:80 \"")},
+    {"a NUL in the host", WITH_ADDRESS("\"10.0.0.1\\u0000:80\"")},
+    {"a header behind a NUL in the host",
+     WITH_ADDRESS("\"9.9.9.9\\u0000\\r\\nX:80\"")},
+    {"a header behind the port", WITH_ADDRESS("\"10.0.0.1:80\\r\\nX: y\"")},
+    {"a path behind the port", WITH_ADDRESS("\"10.0.0.1:80/x\"")},
+    {"an empty address", WITH_ADDRESS("\"\"")},
+    {"an address that is a number", WITH_ADDRESS("80")},
+    {"an address that is nothing", WITH_ADDRESS("null")},
+    {"a long address",
+     TEXT("{" SERVICE STATE ZONE BORN LABELS CAPACITY ",\"address\":\""), "1",
+     LONG, TEXT(":80\"}")},
+    {"a port of many digits",
+     TEXT("{" SERVICE STATE ZONE BORN LABELS CAPACITY
+          ",\"address\":\"10.0.0.1:"),
+     "0", LONG, TEXT("80\"}")},
+    {"no address", TEXT("{" SERVICE STATE ZONE BORN LABELS CAPACITY "}")},
     /* Other fields. */
     {"a state that is not known", WITH_STATE("\"melted\"")},
     {"a state that is a number", WITH_STATE("1")},
