platform: an id that cannot stand in a header names no worker

The key of an entry is the worker's id and goes into a header of each order. The store takes keys with line ends and NUL bytes (tried on a scratch copy: 200); it refuses empty ones and those that are no UTF-8 (400). So another writer could add headers, or a whole request, to what an instance sends to any address.

--- a/tests/platform/test_odd_entries.c
+++ b/tests/platform/test_odd_entries.c
@@ -162,13 +162,17 @@
     {"a text", TEXT("\"ready\"")},
     {"a list", TEXT("[" GOOD "]")},
     {"NUL bytes", TEXT("\0\0\0")},
-    /* Keys. */
+    /* Keys, which go into a header of each order. */
     {"a key of 255 bytes", TEXT(GOOD), .known = true,
      .key = TEXT("0123456789abcdef0123456789abcdef0123456789abcdef0123456789a"
                  "bcdef0123456789abcdef0123456789abcdef0123456789abcdef012345"
                  "6789abcdef0123456789abcdef0123456789abcdef0123456789abcdef0"
                  "123456789abcdef0123456789abcdef0123456789abcdef0123456789ab"
                  "cdef0123456789abcde")},
+    {"a key with a header", TEXT(GOOD), .key = TEXT("i-1\r\nX: y")},
+    {"a key with a NUL", TEXT(GOOD), .key = TEXT("i-1\0")},
+    {"a key with a space", TEXT(GOOD), .key = TEXT("i 1")},
+    {"a key that is no ASCII", TEXT(GOOD), .key = TEXT("\xc3\xa4")},
 };
 
 /* What "schedule" was told. */
