platform: an entry without zone or labels names no worker

An entry whose zone or labels were missing, or of another type, was used as that of a worker without them; in the place of a true one it took its labels away until the worker wrote again.

Test rows changed: "ready" and "draining" in test_schedule_codec lacked fields that a true entry has; they get them and are still to be used.

test_odd_entries, six rows: given to "schedule" before, none after.

--- a/tests/platform/test_odd_entries.c
+++ b/tests/platform/test_odd_entries.c
@@ -42,10 +42,14 @@
 #define WITH_CPU(N) WITH_CAPACITY("{\"cpu\":" N ",\"memMb\":10,\"gpu\":0}")
 #define WITH_BORN(B)                                                          \
     TEXT("{" ADDRESS SERVICE STATE ZONE LABELS "\"born\":" B "," CAPACITY "}")
+#define WITH_LABELS(L)                                                        \
+    TEXT("{" ADDRESS SERVICE STATE ZONE BORN "\"labels\":" L "," CAPACITY "}")
 #define WITH_STATE(S)                                                         \
     TEXT("{" ADDRESS SERVICE ZONE BORN LABELS "\"state\":" S "," CAPACITY "}")
 #define WITH_SERVICE(S)                                                       \
     TEXT("{" ADDRESS STATE ZONE BORN LABELS "\"service\":" S "," CAPACITY "}")
+#define WITH_ZONE(Z)                                                          \
+    TEXT("{" ADDRESS SERVICE STATE BORN LABELS "\"zone\":" Z "," CAPACITY "}")
 #define GOOD "{" ADDRESS SERVICE STATE ZONE BORN LABELS CAPACITY "}"
 
 static const PhStr good = TEXT(GOOD);
@@ -148,6 +152,12 @@
     {"a service that is a number", WITH_SERVICE("1")},
     {"an empty service", WITH_SERVICE("\"\"")},
     {"no service", TEXT("{" ADDRESS STATE ZONE BORN LABELS CAPACITY "}")},
+    {"a zone that is a list", WITH_ZONE("[\"z\"]")},
+    {"no zone", TEXT("{" ADDRESS SERVICE STATE BORN LABELS CAPACITY "}")},
+    {"labels that are a text", WITH_LABELS("\"a\"")},
+    {"labels that are numbers", WITH_LABELS("[1,2]")},
+    {"a label that is a list", WITH_LABELS("[\"a\",[\"r1-3\"]]")},
+    {"no labels", TEXT("{" ADDRESS SERVICE STATE ZONE BORN CAPACITY "}")},
     /* Bytes that can't be read. */
     {"no JSON", TEXT("\xff\x00\x01")},
     {"a text that is no UTF-8", WITH_SERVICE("\"\xff\"")},
--- a/tests/schedule/test_schedule_codec.c
+++ b/tests/schedule/test_schedule_codec.c
@@ -194,12 +194,13 @@
 static const PhEntryCase entry_cases[] = {
     {"ready",
      TEXT("{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"ready\","
-          "\"capacity\":{\"cpu\":16000,\"memMb\":10},"
+          "\"zone\":\"z\",\"capacity\":{\"cpu\":16000,\"memMb\":10},"
           "\"labels\":[\"a\",\"r1-3\"],\"born\":5}"),
      true, false},
     {"draining",
      TEXT("{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
-          "\"state\":\"draining\",\"capacity\":{\"cpu\":1}}"),
+          "\"state\":\"draining\",\"zone\":\"z\",\"labels\":[],"
+          "\"capacity\":{\"cpu\":1}}"),
      true, true},
     {"a state that is not known",
      TEXT("{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"gone\","
