--- a/standin/runner.c
+++ b/standin/runner.c
@@ -298,7 +298,8 @@
         &entry,
         "{\"service\":\"%.*s\",\"address\":\"127.0.0.1:%u\","
         "\"state\":\"ready\",\"zone\":\"bacolod\",\"capacity\":{\"cpu\":%d,"
-        "\"memMb\":%d,\"gpu\":0},\"labels\":[\"a\",\"r1-1\"],\"seq\":1}",
+        "\"memMb\":%d,\"gpu\":0},\"labels\":[\"a\",\"r1-1\"],\"born\":1,"
+        "\"seq\":1}",
         PhStr_ARG(options->service), port, CPU_MILLI, MEM_MB);
     PhStandinStoreState_Put(options->store, PhStr_LITERAL("keyed.servers"),
                             r->id, PhBuf_Str(&entry));
