platform: a malformed record does not hold up a read

A record too short for its key was left out of the answer of "store". When it was the last, the next read began at it again; on the topic of the configuration without a pause. Another record behind it ended that.

--- a/tests/platform/test_odd_entries.c
+++ b/tests/platform/test_odd_entries.c
@@ -453,10 +453,63 @@
     Ph_RUN_TABLE(odd_cases, odd_run);
 }
 
+/* Records as they stand in a read, the last of them a good entry or not, and
+ * where the next read begins. */
+typedef struct PhFrameCase {
+    const char *name;
+    PhStr frames;
+    uint64_t next;
+} PhFrameCase;
+
+static const PhFrameCase frame_cases[] = {
+    {"no record", TEXT(""), 3},
+    {"an entry that can't be read", TEXT("\0\0\0\4\2abX"), 4},
+    {"an empty key", TEXT("\0\0\0\2\0X"), 4},
+    {"an empty value", TEXT("\0\0\0\2\1a"), 4},
+    {"neither key nor value", TEXT("\0\0\0\1\0"), 4},
+    {"no room for the length of a key", TEXT("\0\0\0\0"), 4},
+    {"a key that is longer than its record", TEXT("\0\0\0\2\5X"), 4},
+    {"two of them", TEXT("\0\0\0\0\0\0\0\2\5X"), 5},
+    {"one between others", TEXT("\0\0\0\2\1a\0\0\0\0\0\0\0\2\1b"), 6},
+    {"half a record at the end", TEXT("\0\0\0\2\1a\0\0\0\5\1b"), 4},
+    {"half a length at the end", TEXT("\0\0\0\2\1a\0\0"), 4},
+    {"a record of 4 GB", TEXT("\0\0\0\2\1a\xff\xff\xff\xff\1"), 4},
+};
+
+/* Reads the records and then a good entry. */
+static void
+frame_run(const PhFrameCase *c)
+{
+    PhStoreScript script = {.froms = {3, c->next}};
+    PhBuf first = read_begin(c->next);
+    PhBuf second = read_begin(c->next + 1);
+    PhBuf_Append(&first, c->frames);
+    read_add(&second, PhStr_LITERAL("i-a"), good);
+    script.pages[0] = page_make(json_array(), false);
+    script.reads[c->next == 3] = PhBuf_Str(&first);
+    script.reads[1] = PhBuf_Str(&second);
+    PhKnown known = follow(&script);
+    assert_int_equal(script.asked, c->next + 1);
+    assert_true(is_known(&known, "i-a"));
+    known_clear(&known);
+    PhBuf_Clear(&first);
+    PhBuf_Clear(&second);
+    PhStr_Clear(&script.pages[0]);
+}
+
+/* Odd records of a read. */
+static void
+test_frames(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(frame_cases, frame_run);
+}
+
 /* Runs the tests. */
 int
 main(void)
 {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(test_odd_entries)};
+    const struct CMUnitTest tests[] = {cmocka_unit_test(test_odd_entries),
+                                       cmocka_unit_test(test_frames)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
