platform: an entry that names no worker is logged

Operators could not tell why a worker that stands in the store is not used: the entry was dropped without a word.

test_odd_entries looks for the line in each row; there was none before.

--- a/tests/platform/test_odd_entries.c
+++ b/tests/platform/test_odd_entries.c
@@ -197,6 +197,7 @@
 typedef struct PhKnown {
     GHashTable *now;  /* ids of workers that it may use */
     GHashTable *ever; /* and of those that it was given at all */
+    char *log;        /* of the other tasks, owned */
 } PhKnown;
 
 /* The platform's store: two pages of the newest entries and two reads. */
@@ -358,8 +359,11 @@
     PhKnown known;
     PhClock *clock = PhClock_Create(PH_CLOCK_PAUSED);
     PhCounters *counters = PhCounters_Create();
+    size_t len;
+    FILE *sink = open_memstream(&known.log, &len);
+    PhLog *log = PhLog_Create(sink, PH_LOG_FORMAT_LOGFMT, PH_LEVEL_WARNING);
     PhKernel *kernel = PhKernel_Create(
-        &(PhKernelOptions){.clock = clock, .counters = counters});
+        &(PhKernelOptions){.clock = clock, .counters = counters, .log = log});
     known.now = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
                                       PhStr_KeyDestroy, NULL);
     known.ever = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
@@ -371,6 +375,8 @@
     spawn(kernel, PH_SERVICE_SCHEDULE, &known, schedule_handle);
     PhKernel_AdvanceTo(kernel, READS);
     PhKernel_Destroy(kernel);
+    PhLog_Destroy(log);
+    fclose(sink);
     PhCounters_Destroy(counters);
     PhClock_Destroy(clock);
     return known;
@@ -390,6 +396,7 @@
 {
     g_hash_table_destroy(known->now);
     g_hash_table_destroy(known->ever);
+    free(known->log);
 }
 
 /* Makes the entry of a case. */
@@ -433,6 +440,7 @@
     PhKnown known = follow(&script);
     assert_int_equal(script.asked, 9);
     assert_int_equal(g_hash_table_contains(known.ever, &key), c->known);
+    assert_int_equal(strstr(known.log, "event=7003 ") == NULL, c->known);
     assert_int_equal(is_known(&known, "i-a"), c->known || c->key.data != NULL);
     assert_true(is_known(&known, "i-b"));
     assert_true(is_known(&known, "i-c"));
