schedule: the tasks of a job are bounded in all

A submission of 1 KB could end the owner, and then each of its successors, since it was accepted: 64 steps of 4,096 tasks, and rounds that are all due at once. The allocation that fails ends the process.

Cause: steps, tasks of a step and rounds are bounded each for itself, and their product is 1.1 billion tasks of 176 bytes. The scheduler alone took 45 MB for one round, 450 MB for 10, and was ended by GLib at 4,096 (bounded to 2 GB).

PhSchedSpec_Check, which submissions and records both pass, bounds the product at 65,536 tasks, 12 MB. A job above it is refused, and a record of one passed over.

test_odd_documents, rows of 17 steps and of 4096 rounds of 17 tasks: accepted before, refused after; those at the bound are accepted.

--- a/decide/schedule/spec.c
+++ b/decide/schedule/spec.c
@@ -70,11 +70,16 @@
         return PhResult_Make(PH_STATUS_INVALID, "%u steps, %u repetitions",
                              spec->step_count, spec->repetitions);
     }
+    uint64_t tasks = 0;
     for (uint32_t i = 0; i < spec->step_count; i++) {
         PhResult r = step_check(spec, i);
         if (!PhResult_IsOk(&r)) {
             return r;
         }
+        tasks += spec->steps[i].count;
+    }
+    if (tasks * MAX(spec->repetitions, 1) > PH_SCHED_JOB_TASKS_MAX) {
+        return PhResult_Make(PH_STATUS_INVALID, "too many tasks");
     }
     return PhResult_Ok();
 }
--- a/include/peridothill/decide/schedule/spec.h
+++ b/include/peridothill/decide/schedule/spec.h
@@ -11,9 +11,10 @@
 #include "peridothill/common/time.h"
 
 enum {
-    PH_SCHED_STEPS_MAX = 64,    /* of one job */
-    PH_SCHED_TASKS_MAX = 4096,  /* of one step */
-    PH_SCHED_ROUNDS_MAX = 4096, /* repetitions of one job */
+    PH_SCHED_STEPS_MAX = 64,        /* of one job */
+    PH_SCHED_TASKS_MAX = 4096,      /* of one step */
+    PH_SCHED_ROUNDS_MAX = 4096,     /* repetitions of one job */
+    PH_SCHED_JOB_TASKS_MAX = 65536, /* of all its rounds, 12 MB */
 };
 
 /* What a task asks for, or a worker offers. */
--- a/tests/platform/test_odd_documents.c
+++ b/tests/platform/test_odd_documents.c
@@ -44,6 +44,16 @@
 
 static const PhDocumentCase document_cases[] = {
     {"a job", DOCUMENT_JOB, STEP("\"cpu\":1"), .valid = true},
+    {"16 steps of 4096 tasks", DOCUMENT_JOB,
+     TEXT("{\"steps\":[{\"count\":4096}"), ",{\"count\":4096}", 15, TEXT("]}"),
+     .valid = true},
+    {"17 steps of 4096 tasks", DOCUMENT_JOB,
+     TEXT("{\"steps\":[{\"count\":4096}"), ",{\"count\":4096}", 16,
+     TEXT("]}")},
+    {"4096 rounds of 16 tasks", DOCUMENT_JOB,
+     TEXT("{\"steps\":[{\"count\":16}],\"repetitions\":4096}"), .valid = true},
+    {"4096 rounds of 17 tasks", DOCUMENT_JOB,
+     TEXT("{\"steps\":[{\"count\":17}],\"repetitions\":4096}")},
     {"a job of deep lists", DOCUMENT_JOB, TEXT(""), "[", DEEP},
     {"a job with deep steps", DOCUMENT_JOB, TEXT("{\"steps\":"), "[", DEEP},
     {"a job with deep objects", DOCUMENT_JOB, TEXT(""), "{\"steps\":", DEEP},
@@ -179,6 +189,10 @@
     switch (c->kind) {
     case DOCUMENT_JOB:
         r = PhWire_DecodeJob(text, &spec);
+        if (PhResult_IsOk(&r)) {
+            spec.id = PhStr_Dup(PhStr_LITERAL(ID));
+            r = PhSchedSpec_Check(&spec);
+        }
         PhSchedSpec_Clear(&spec);
         break;
     case DOCUMENT_CONFIG:
