--- a/codec/schedule_record.c
+++ b/codec/schedule_record.c
@@ -1,5 +1,7 @@
 #include "peridothill/codec/schedule_record.h"
 
+#include <math.h>
+
 #include "peridothill/codec/unpack.h"
 
 enum {
@@ -54,6 +56,7 @@
     TASK_ITEMS_SAVED = 6,
     ID_BYTES = 16,
     TEXT_BYTES_MAX = 65536,
+    TIME_MS_MAX = INT32_MAX,
     MILLI = 1000,
 };
 
@@ -292,6 +295,13 @@
     return value;
 }
 
+/* Reads a time that is written in milliseconds, up to a bound. */
+static PhTime
+get_time(const msgpack_object *map, uint64_t key)
+{
+    return (PhTime)MIN(get_u64(map, key), TIME_MS_MAX) * PH_NS_PER_MS;
+}
+
 /* Reads a string into a copy, empty when it is missing. */
 static PhStr
 get_text(const msgpack_object *map, uint64_t key)
@@ -329,7 +339,7 @@
     step->room.cpu_milli = (int64_t)get_u64(map, STEP_CPU_MILLI);
     step->room.mem_mb = (int64_t)get_u64(map, STEP_MEM_MB);
     step->room.gpu = (int64_t)get_u64(map, STEP_GPU);
-    step->estimate = (PhTime)get_u64(map, STEP_ESTIMATE_MS) * PH_NS_PER_MS;
+    step->estimate = get_time(map, STEP_ESTIMATE_MS);
     read_after(PhUnpack_Field(map, STEP_AFTER), step);
     step->saves_progress = (flags & FLAG_SAVES) != 0;
     step->gang = (flags & FLAG_GANG) != 0;
@@ -342,8 +352,7 @@
     step->image = get_text(map, STEP_IMAGE);
     step->max_per_worker = (uint32_t)get_u64(map, STEP_MAX_PER_WORKER);
     step->may_miss = (uint32_t)get_u64(map, STEP_MAY_MISS);
-    step->tail_target =
-        (PhTime)get_u64(map, STEP_TAIL_TARGET_MS) * PH_NS_PER_MS;
+    step->tail_target = get_time(map, STEP_TAIL_TARGET_MS);
 }
 
 /* Reads a job. */
@@ -356,7 +365,7 @@
     spec->terms.priority = (int64_t)get_u64(map, JOB_PRIORITY);
     spec->terms.max_attempts = (uint32_t)get_u64(map, JOB_ATTEMPTS);
     spec->terms.stretch = (double)get_u64(map, JOB_STRETCH_MILLI) / MILLI;
-    spec->terms.slack = (PhTime)get_u64(map, JOB_SLACK_MS) * PH_NS_PER_MS;
+    spec->terms.slack = get_time(map, JOB_SLACK_MS);
     spec->payload = get_text(map, JOB_PAYLOAD);
     spec->repetitions = (uint32_t)get_u64(map, JOB_REPETITIONS);
     spec->first_due_ms = (int64_t)get_u64(map, JOB_FIRST_DUE_MS);
@@ -417,8 +426,9 @@
 {
     const msgpack_object *tasks = PhUnpack_Field(map, STAGE_TASKS);
     uint64_t count = get_u64(map, STAGE_ALL_DONE);
-    if (tasks != NULL && tasks->type == MSGPACK_OBJECT_ARRAY) {
-        count = tasks->via.array.size;
+    if (tasks != NULL) {
+        bool listed = tasks->type == MSGPACK_OBJECT_ARRAY;
+        count = listed ? tasks->via.array.size : 0;
     }
     if (count == 0 || count > PH_SCHED_TASKS_MAX) {
         return PhResult_Make(PH_STATUS_INVALID, "stage without tasks");
@@ -437,7 +447,7 @@
     return PhResult_Ok();
 }
 
-/* Reads a part of an estimate; false when it is none. */
+/* Reads a part of an estimate, which is finite; false when it is none. */
 static bool
 read_estimate(const msgpack_object *value, double *part)
 {
@@ -446,7 +456,7 @@
         return false;
     }
     *part = value->via.f64;
-    return true;
+    return isfinite(*part);
 }
 
 /* Reads what was seen of pairs of images. */
