schedule: a life that was hidden by a later one is known again

Callers could see a lasting task lost (LOST) after another writer had left an entry with a later birth under a worker's id.

Cause: that entry makes a life which never answers; the answer to its first hold names the true one. The life that never was is dropped then, and with it the id from the table of newest lives, though the true life is still there. It is found by its birth and never becomes the newest again, so it gets no hold, and its leases lapse.

When the newest life is dropped, the one before it takes its place.

test_schedule, row "a later life that was never there": not held in 10 s before, held after.

--- a/decide/schedule/model.c
+++ b/decide/schedule/model.c
@@ -343,13 +343,25 @@
     *entry = (PhSchedWorkerEntry){0};
 }
 
-/* Takes a life out of the model. */
+/* Takes a life out of the model; the one before it becomes the newest. */
 PhSchedWorker *
 PhSchedModel_TakeLife(PhSchedModel *m, guint index)
 {
     PhSchedWorker *w = g_ptr_array_steal_index_fast(m->lives, index);
-    if (PhSchedModel_NewestLife(m, w->entry.id) == w) {
-        g_hash_table_remove(m->workers, &w->entry.id);
+    if (PhSchedModel_NewestLife(m, w->entry.id) != w) {
+        return w;
+    }
+    g_hash_table_remove(m->workers, &w->entry.id);
+    PhSchedWorker *newest = NULL;
+    for (guint i = 0; i < m->lives->len; i++) {
+        PhSchedWorker *x = g_ptr_array_index(m->lives, i);
+        if (PhStr_Equal(x->entry.id, w->entry.id) &&
+            (newest == NULL || x->entry.born_ms > newest->entry.born_ms)) {
+            newest = x;
+        }
+    }
+    if (newest != NULL) {
+        g_hash_table_insert(m->workers, &newest->entry.id, newest);
     }
     return w;
 }
--- a/tests/schedule/test_schedule.c
+++ b/tests/schedule/test_schedule.c
@@ -129,6 +129,81 @@
     Ph_RUN_TABLE(silence_cases, silence_run);
 }
 
+/* An entry that names another life than the one that answers, and which life
+ * is held afterwards.  Guards against a worker that is never held again after
+ * an odd entry under its id. */
+typedef struct PhReplacedCase {
+    const char *name;
+    int64_t entry_born_ms;
+    int64_t answers_born_ms;
+    int64_t held_born_ms;
+} PhReplacedCase;
+
+static const PhReplacedCase replaced_cases[] = {
+    {"the same life", 1, 1, 1},
+    {"a later life that answers", 2, 2, 2},
+    {"a later life that was never there", 2, 1, 1},
+};
+
+/* Tells whether a life of the worker is held, and answers all orders; what is
+ * placed there runs. */
+static bool
+is_held(PhScheduler *s, const PhSchedTask *task, const PhReplacedCase *c,
+        PhTime now)
+{
+    PhSchedAction action;
+    bool held = false;
+    PhScheduler_Plan(s, now, 0);
+    while (PhScheduler_NextAction(s, now, &action)) {
+        PhSchedRunRow row = {.task = PhSchedTask_Name(task), .run = task->run};
+        PhSchedHoldReply reply = {.outcome = PH_SCHED_OUTCOME_DONE,
+                                  .clock_ms = now / PH_NS_PER_MS,
+                                  .born_ms = c->answers_born_ms,
+                                  .runs = &row,
+                                  .run_count = task->worker != NULL};
+        if (action.tag == PH_SCHED_ACTION_HOLD) {
+            held |= action.born_ms == c->held_born_ms;
+            PhScheduler_OnHold(s, PH_SINGLE_WORKER, action.born_ms, &reply,
+                               now);
+        }
+    }
+    PhScheduler_ForgetWorkers(s);
+    PhScheduler_ClearNotes(s);
+    return held;
+}
+
+/* Lets an entry come between those of the true life. */
+static void
+replaced_run(const PhReplacedCase *c)
+{
+    PhScheduler *s = PhScheduler_Create(
+        &(PhSchedulerOptions){.lease_limit = 10 * PH_NS_PER_S});
+    PhTime now = 100 * PH_NS_PER_S;
+    PhSingle_ShowWorker(s, false, now);
+    PhSchedTask *task = PhSingle_AddRun(s);
+    PhScheduler_SetFence(s, 7, now);
+    PhSchedWorkerEntry entry = {.id = PhStr_Dup(PH_SINGLE_WORKER),
+                                .born_ms = c->entry_born_ms,
+                                .address = PhStr_Dup(PhStr_LITERAL("a:1"))};
+    PhScheduler_SetWorker(s, &entry, now);
+    bool held = false;
+    for (int i = 0; i < 5; i++) {
+        now += 2 * PH_NS_PER_S;
+        PhSingle_ShowWorker(s, false, now);
+        held = is_held(s, task, c, now);
+    }
+    assert_true(held);
+    PhScheduler_Destroy(s);
+}
+
+/* Entries that name another life. */
+static void
+test_replaced(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(replaced_cases, replaced_run);
+}
+
 /* A worker without tasks, and whether a job waits that does not fit there. */
 typedef struct PhIdleCase {
     const char *name;
@@ -194,8 +269,8 @@
 int
 main(void)
 {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(test_silence),
-                                       cmocka_unit_test(test_idle),
-                                       cmocka_unit_test(test_schedule)};
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_silence), cmocka_unit_test(test_replaced),
+        cmocka_unit_test(test_idle), cmocka_unit_test(test_schedule)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
