tests: orders that take their time, get no answer, or are carried out late

The world of owners gave every order and its answer in the moment that it was sent, so an order was never on its way while something else changed. With PhOwnersWorld_SetDelays it takes up to 60 ms each way, a hold waits for an end, and an order without an answer is given up after 1.2 s.

New faults: a worker that comes back as another life under its id, with its clock, its fence and its numbers anew; orders that are carried out and not answered; orders that are carried out 2 to 12 s late, also with leases that count from then; appends of the store that are done and not answered; a machine that is suspended, whose clock stands still. An order that was sent to an earlier life is lost. The draws of the faults that there were are as before.

--- a/tests/schedule/owners_host.c
+++ b/tests/schedule/owners_host.c
@@ -93,6 +93,13 @@
     return NULL;
 }
 
+/* Gives the id of a job in memory that lasts. */
+PhStr
+PhHostTasks_JobId(const PhHostTasks *t, PhStr id)
+{
+    return PhStr_FromC(job_find(t, id)->id);
+}
+
 /* Begins the life of a worker. */
 void
 PhHost_Open(PhHost *h, int number)
@@ -127,7 +134,8 @@
 static int64_t
 host_clock(const PhHost *h, PhTime now)
 {
-    return CLOCK_START_MS + now / PH_NS_PER_MS * h->slow_percent / PERCENT;
+    PhTime lived = now - h->born_at;
+    return CLOCK_START_MS + lived / PH_NS_PER_MS * h->slow_percent / PERCENT;
 }
 
 /* Gives the text under which the highest run of a task is kept. */
@@ -159,6 +167,21 @@
     g_array_set_size(h->ends, 0);
 }
 
+/* Begins another life under the same id. */
+void
+PhHost_Rebirth(PhHost *h, PhTime now)
+{
+    h->alive = true;
+    h->reborn = false;
+    h->draining = false;
+    h->born_ms = now / PH_NS_PER_MS;
+    h->born_at = now;
+    h->fence = 0;
+    h->deadline_ms = 0;
+    h->end_number = 0;
+    g_hash_table_remove_all(h->highest);
+}
+
 /* Ends a run and lists its end. */
 static void
 run_end(PhHost *h, PhHostTasks *t, guint i, PhSchedEndKind kind)
--- a/tests/schedule/owners_host.h
+++ b/tests/schedule/owners_host.h
@@ -33,6 +33,9 @@
     bool draining;
     bool listed;
     PhTime entry_at; /* it last wrote its entry */
+    int64_t entry_born_ms;
+    bool reborn; /* it comes back under its id once it may */
+    PhTime born_at;
     int64_t slow_percent;
     uint64_t fence;
     int64_t deadline_ms;
@@ -56,10 +59,15 @@
 
 void PhHost_Open(PhHost *host, int number);
 void PhHost_Close(PhHost *host);
+/* Gives the id of a job in memory that lasts as long as the tasks. */
+PhStr PhHostTasks_JobId(const PhHostTasks *tasks, PhStr id);
 /* Gives the number of a worker by its id. */
 int PhHost_Number(PhStr id);
 /* Ends the life. */
 void PhHost_Exit(PhHost *host);
+/* Begins another life under the same id: it knows nothing of before, and its
+ * clock starts anew. */
+void PhHost_Rebirth(PhHost *host, PhTime now);
 /* Ends what is over, and everything when the lease is. */
 void PhHost_Tick(PhHost *host, PhHostTasks *tasks, PhTime now);
 /* Carries out an order; a worker that has gone does not answer. */
--- a/tests/schedule/owners_world.c
+++ b/tests/schedule/owners_world.c
@@ -18,8 +18,13 @@
     LASTING_MILLI = 2000,
     BRIEF_MILLI = 500,
     JOB_TASKS = 4,
-    JOB_GAP_MS = 1000, /* between two jobs of brief tasks */
-    LEAVING_MOST = 2,  /* workers that may leave */
+    JOB_GAP_MS = 1000,        /* between two jobs of brief tasks */
+    LEAVING_MOST = 2,         /* workers that may leave */
+    DELAY_MOST_MS = 60,       /* of an order or its answer */
+    ANSWER_TIMEOUT_MS = 1200, /* of an order without an answer */
+    REBORN_MOST_MS = 4000,
+    LATE_LEAST_MS = 2000,
+    LATE_SPREAD_MS = 10000,
 };
 
 static const PhTime START = 100 * PH_NS_PER_S;
@@ -34,8 +39,27 @@
     guint read;   /* records of the log that it knows */
     bool reading; /* the owner topic, until the next tick */
     uint64_t read_from;
+    PhTime behind;  /* its clock stood still for this long */
+    uint64_t batch; /* records that have no answer yet, 0 for none */
 } PhMember;
 
+/* An order on its way. */
+typedef struct PhFlight {
+    int member;
+    int host;
+    uint64_t fence;
+    PhSchedAction action;
+    int64_t born_ms;    /* of the life that it has reached */
+    PhTime run_at;      /* PH_TIME_NEVER: it is lost, or was carried out */
+    PhTime answer_at;   /* PH_TIME_NEVER: it was answered */
+    PhTime waits_until; /* a hold that has arrived and waits for an end */
+    PhTime given_up_at; /* without an answer by then the outcome is unknown */
+    bool mute;          /* the answer is lost */
+    PhTime grants_from; /* its lease counts from its arrival, not from then;
+                           0 for not */
+    PhHostReply reply;
+} PhFlight;
+
 struct PhOwnersWorld {
     PhTime now;
     PhMember members[PH_OWNERS_INSTANCES];
@@ -49,8 +73,17 @@
     int64_t brief_at;    /* the next job of brief tasks is submitted */
     int64_t brief_until; /* and none from then on */
     unsigned takeovers;
+    PhRandom *delays; /* NULL: orders and answers take no time */
+    GArray *flights;  /* PhFlight */
 };
 
+/* Reads the clock of an instance. */
+static PhTime
+member_now(const PhOwnersWorld *w, const PhMember *m)
+{
+    return w->now - m->behind;
+}
+
 /* Gives the time since the start, in milliseconds. */
 static int64_t
 elapsed(const PhOwnersWorld *w)
@@ -130,17 +163,17 @@
 {
     PhStr id = PhStr_FromC(h->id);
     if (!h->listed) {
-        PhScheduler_RemoveWorker(m->scheduler, id, w->now);
+        PhScheduler_RemoveWorker(m->scheduler, id, member_now(w, m));
         return;
     }
     PhSchedWorkerEntry entry = {
         .id = PhStr_Dup(id),
-        .born_ms = h->born_ms,
+        .born_ms = h->entry_born_ms,
         .address = PhStr_Dup(id),
         .service = PhStr_Dup(PhStr_LITERAL("service")),
         .capacity = {.cpu_milli = CORES_MILLI, .mem_mb = 1},
         .draining = h->draining};
-    PhScheduler_SetWorker(m->scheduler, &entry, w->now);
+    PhScheduler_SetWorker(m->scheduler, &entry, member_now(w, m));
 }
 
 /* Creates a world. */
@@ -151,6 +184,7 @@
     w->now = START;
     w->log = g_array_new(FALSE, TRUE, sizeof(PhSchedEncoded));
     w->elections = g_array_new(FALSE, TRUE, sizeof(PhElectionEntry));
+    w->flights = g_array_new(FALSE, TRUE, sizeof(PhFlight));
     PhHostTasks_Open(&w->tasks);
     for (unsigned i = 0; i * JOB_TASKS < lasting; i++) {
         job_add(w, PhHostTasks_AddJob(&w->tasks, JOB_TASKS, true), true,
@@ -188,10 +222,22 @@
     }
     g_array_free(w->log, TRUE);
     g_array_free(w->elections, TRUE);
+    for (guint i = 0; i < w->flights->len; i++) {
+        PhHostReply_Clear(&g_array_index(w->flights, PhFlight, i).reply);
+    }
+    g_array_free(w->flights, TRUE);
+    PhRandom_Destroy(w->delays);
     PhHostTasks_Close(&w->tasks);
     g_free(w);
 }
 
+/* Lets orders and their answers take their time. */
+void
+PhOwnersWorld_SetDelays(PhOwnersWorld *w, uint64_t seed)
+{
+    w->delays = PhRandom_Create(seed);
+}
+
 /* Adds a fault. */
 void
 PhOwnersWorld_AddFault(PhOwnersWorld *w, const PhOwnersFault *fault)
@@ -208,27 +254,54 @@
     return some | 1U << PhRandom_Below(random, (uint64_t)count);
 }
 
+/* Draws one of the kinds of fault. */
+static PhOwnersFaultKind
+draw_kind(PhRandom *random, unsigned kinds)
+{
+    uint64_t count = 0;
+    for (unsigned kind = 0; kind < PH_OWNERS_KINDS; kind++) {
+        count += kinds >> kind & 1U;
+    }
+    uint64_t left = PhRandom_Below(random, count);
+    unsigned kind = 0;
+    while ((kinds >> kind & 1U) == 0 || left > 0) {
+        left -= kinds >> kind & 1U;
+        kind++;
+    }
+    return (PhOwnersFaultKind)kind;
+}
+
 /* Draws faults. */
 void
-PhOwnersWorld_DrawFaults(PhOwnersWorld *w, uint64_t seed, unsigned count)
+PhOwnersWorld_DrawFaults(PhOwnersWorld *w, uint64_t seed, unsigned count,
+                         unsigned kinds)
 {
     PhRandom *random = PhRandom_Create(seed);
     unsigned left = 0;
     int64_t at = FAULT_FIRST_MS;
     for (unsigned i = 0; i < count; i++) {
         PhOwnersFault f = {
-            .kind = (PhOwnersFaultKind)PhRandom_Below(random, PH_OWNERS_KINDS),
+            .kind = draw_kind(random, kinds),
             .at = at,
             .lasts = FAULT_LEAST_MS +
                      (int64_t)PhRandom_Below(random, FAULT_SPREAD_MS),
             .workers = draw_some(random, PH_OWNERS_WORKERS),
             .owner = PhRandom_Chance(random, 0.5)};
-        if (!f.owner || f.kind == PH_OWNERS_NO_CALLS) {
+        bool calls =
+            f.kind == PH_OWNERS_NO_CALLS || f.kind == PH_OWNERS_NO_ANSWERS ||
+            f.kind == PH_OWNERS_LATE || f.kind == PH_OWNERS_LATE_GRANTS;
+        if (!f.owner || calls) {
             f.instances = draw_some(random, PH_OWNERS_INSTANCES);
         }
-        if (f.kind == PH_OWNERS_FREEZE) {
+        if (f.kind == PH_OWNERS_FREEZE || f.kind == PH_OWNERS_SUSPEND ||
+            f.kind == PH_OWNERS_MUTE_STORE) {
             f.workers = 0;
         }
+        if (f.kind == PH_OWNERS_REBORN) {
+            f.instances = 0;
+            f.owner = false;
+            f.lasts = f.lasts % REBORN_MOST_MS + TICK_MS;
+        }
         if (f.kind == PH_OWNERS_LEAVE) {
             f.workers = 1U << PhRandom_Below(random, LEAVING_MOST);
             f.workers &= ~left;
@@ -281,13 +354,23 @@
         PhHost *h = &w->hosts[i];
         bool leaves = is_struck(w, 1U << PH_OWNERS_LEAVE, -1, i);
         bool reached = h->alive && !lacks_store(w, -1, i);
+        bool away = is_struck(w, 1U << PH_OWNERS_REBORN, -1, i);
         if (h->draining && !leaves && h->alive) {
             PhHost_Exit(h);
         }
+        if (away && h->alive && !h->draining) {
+            PhHost_Exit(h);
+            h->reborn = true;
+        }
+        if (!away && h->reborn) {
+            PhHost_Rebirth(h, w->now);
+            reached = !lacks_store(w, -1, i);
+        }
         PhHost_Tick(h, &w->tasks, w->now);
         if (reached) {
             h->draining |= leaves;
             h->entry_at = w->now;
+            h->entry_born_ms = h->born_ms;
         }
         h->listed = h->alive
                         ? w->now - h->entry_at < ENTRY_LASTS_MS * PH_NS_PER_MS
@@ -306,30 +389,45 @@
         PhSchedRecord record;
         PhResult r = PhSchedRecord_Decode(e->key, e->value, &record);
         assert_true(PhResult_IsOk(&r));
-        PhScheduler_Apply(m->scheduler, &record, w->now);
+        PhScheduler_Apply(m->scheduler, &record, member_now(w, m));
     }
 }
 
-/* Appends what an owner has changed, unless a later one keeps it from
- * that. */
+/* Tells whether appends of an instance get no answer. */
+static bool
+is_mute(const PhOwnersWorld *w, const PhMember *m)
+{
+    return is_struck(w, 1U << PH_OWNERS_MUTE_STORE, (int)(m - w->members), -1);
+}
+
+/* Appends what an owner has changed, unless a later one keeps it from that.
+ * The next append waits for the answer to the one before. */
 static void
 log_append(PhOwnersWorld *w, PhMember *m)
 {
+    if (is_mute(w, m) && m->batch != 0) {
+        return;
+    }
     if (m->fence < w->store_epoch) {
-        PhElection_OnDeposed(m->election, w->now);
+        if (!is_mute(w, m)) {
+            PhElection_OnDeposed(m->election, member_now(w, m));
+        }
         return;
     }
-    GArray *records = g_array_new(FALSE, TRUE, sizeof(PhSchedRecord));
-    uint64_t batch = PhScheduler_TakeBatch(m->scheduler, records);
-    for (guint i = 0; i < records->len; i++) {
-        PhSchedRecord *record = &g_array_index(records, PhSchedRecord, i);
-        PhSchedEncoded e = PhSchedRecord_Encode(record);
-        g_array_append_val(w->log, e);
-        PhSchedRecord_Clear(record);
+    if (m->batch == 0) {
+        GArray *records = g_array_new(FALSE, TRUE, sizeof(PhSchedRecord));
+        m->batch = PhScheduler_TakeBatch(m->scheduler, records);
+        for (guint i = 0; i < records->len; i++) {
+            PhSchedRecord *record = &g_array_index(records, PhSchedRecord, i);
+            PhSchedEncoded e = PhSchedRecord_Encode(record);
+            g_array_append_val(w->log, e);
+            PhSchedRecord_Clear(record);
+        }
+        g_array_free(records, TRUE);
     }
-    g_array_free(records, TRUE);
-    if (batch != 0) {
-        PhScheduler_OnDurable(m->scheduler, batch);
+    if (m->batch != 0 && !is_mute(w, m)) {
+        PhScheduler_OnDurable(m->scheduler, m->batch);
+        m->batch = 0;
     }
 }
 
@@ -340,20 +438,26 @@
 {
     bool fits = a->as.append.at == w->elections->len;
     if (!reached || !fits) {
-        PhElection_OnAppendFailed(m->election, reached, w->now);
+        PhElection_OnAppendFailed(m->election, reached && !is_mute(w, m),
+                                  member_now(w, m));
         return;
     }
     PhElectionEntry entry = {.offset = w->elections->len,
                              .kind = a->as.append.kind,
                              .holder = PhStr_FromC(m->name)};
     g_array_append_val(w->elections, entry);
-    PhElection_OnAppended(m->election, w->elections->len, w->now);
+    if (is_mute(w, m)) {
+        PhElection_OnAppendFailed(m->election, false, member_now(w, m));
+        return;
+    }
+    PhElection_OnAppended(m->election, w->elections->len, member_now(w, m));
 }
 
 /* Carries the election on. */
 static void
 election_tick(PhOwnersWorld *w, PhMember *m, bool reached)
 {
+    PhTime now = member_now(w, m);
     if (m->reading) {
         m->reading = false;
         guint count = w->elections->len - (guint)m->read_from;
@@ -361,14 +465,14 @@
             (const PhElectionEntry *)w->elections->data + m->read_from;
         if (reached) {
             PhElection_OnRead(m->election, entries, count, w->elections->len,
-                              w->now);
+                              now);
         }
         else {
-            PhElection_OnReadFailed(m->election, 0, w->now);
+            PhElection_OnReadFailed(m->election, 0, now);
         }
     }
     for (;;) {
-        PhElectionAction a = PhElection_Next(m->election, w->now);
+        PhElectionAction a = PhElection_Next(m->election, now);
         switch (a.tag) {
         case PH_ELECTION_NOTHING:
             return;
@@ -391,7 +495,8 @@
     uint64_t fence = PhElection_Fence(m->election);
     if (m->active && (!owner || fence != m->fence)) {
         m->active = false;
-        PhScheduler_SetFence(m->scheduler, 0, w->now);
+        m->batch = 0;
+        PhScheduler_SetFence(m->scheduler, 0, member_now(w, m));
         m->read = 0;
     }
     if (reached) {
@@ -402,7 +507,7 @@
         m->active = true;
         m->fence = fence;
         w->takeovers++;
-        PhScheduler_SetFence(m->scheduler, fence, w->now);
+        PhScheduler_SetFence(m->scheduler, fence, member_now(w, m));
     }
 }
 
@@ -413,42 +518,206 @@
 {
     const PhSchedRunOrder *run = &a->as.run;
     PhSchedOutcome outcome = reply->hold.outcome;
+    PhTime now = member_now(w, m);
     switch (a->tag) {
     case PH_SCHED_ACTION_HOLD:
         return PhScheduler_OnHold(m->scheduler, a->worker, a->born_ms,
-                                  &reply->hold, w->now);
+                                  &reply->hold, now);
     case PH_SCHED_ACTION_START:
         return PhScheduler_OnStart(m->scheduler, &run->task, run->run, outcome,
-                                   reply->hold.clock_ms, w->now);
+                                   reply->hold.clock_ms, now);
     case PH_SCHED_ACTION_STOP:
         return PhScheduler_OnStop(m->scheduler, &run->task, run->run, outcome,
-                                  reply->hold.clock_ms, w->now);
+                                  reply->hold.clock_ms, now);
     case PH_SCHED_ACTION_PACE:
         break;
     }
     return true;
 }
 
-/* Carries out the orders of an owner. */
+/* Tells whether a fault of a kind strikes the orders of an instance to a
+ * worker. */
+static bool
+is_between(const PhOwnersWorld *w, PhOwnersFaultKind kind, int member,
+           int host)
+{
+    for (unsigned i = 0; i < w->fault_count; i++) {
+        const PhOwnersFault *f = &w->faults[i];
+        if (f->kind == kind && fault_acts(w, f) &&
+            (f->instances >> member & 1U) != 0 &&
+            (f->workers >> host & 1U) != 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Draws a time in milliseconds, or gives none. */
+static PhTime
+delay(PhOwnersWorld *w, int64_t most_ms)
+{
+    return w->delays == NULL
+               ? 0
+               : (PhTime)PhRandom_Below(w->delays, (uint64_t)most_ms) *
+                     PH_NS_PER_MS;
+}
+
+/* Sends an order. */
+static void
+order_send(PhOwnersWorld *w, int member, const PhSchedAction *a)
+{
+    int host = PhHost_Number(a->worker);
+    bool cut = is_cut(w, member, host);
+    bool grants = is_between(w, PH_OWNERS_LATE_GRANTS, member, host);
+    bool late = grants || is_between(w, PH_OWNERS_LATE, member, host);
+    bool mute = is_between(w, PH_OWNERS_NO_ANSWERS, member, host);
+    PhFlight f = {.member = member,
+                  .host = host,
+                  .fence = w->members[member].fence,
+                  .action = *a,
+                  .born_ms = w->hosts[host].born_ms,
+                  .run_at = w->now + delay(w, DELAY_MOST_MS),
+                  .mute = cut || late || mute,
+                  .reply.hold.outcome = PH_SCHED_OUTCOME_UNKNOWN};
+    PhTime wait = a->tag == PH_SCHED_ACTION_HOLD ? a->as.hold.wait : 0;
+    f.answer_at = f.run_at + delay(w, DELAY_MOST_MS);
+    f.given_up_at = w->now + wait + ANSWER_TIMEOUT_MS * PH_NS_PER_MS;
+    if (f.mute && w->delays != NULL) {
+        f.answer_at = f.given_up_at;
+    }
+    else if (w->delays != NULL && wait > 0) {
+        f.answer_at = f.given_up_at;
+        f.waits_until = f.run_at + wait;
+    }
+    if (cut) {
+        f.run_at = PH_TIME_NEVER;
+    }
+    else if (late) {
+        f.run_at =
+            w->now + LATE_LEAST_MS * PH_NS_PER_MS + delay(w, LATE_SPREAD_MS);
+        f.grants_from = grants ? w->now : 0;
+    }
+    f.action.worker = PhStr_FromC(w->hosts[host].id);
+    if (a->tag != PH_SCHED_ACTION_HOLD) {
+        f.action.as.run.task.job =
+            PhHostTasks_JobId(&w->tasks, a->as.run.task.job);
+        f.action.as.run.payload = (PhStr){0};
+        f.action.as.run.saved = (PhStr){0};
+    }
+    g_array_append_val(w->flights, f);
+}
+
+/* Lets the lease of an order count from its arrival. */
+static void
+flight_shift(const PhOwnersWorld *w, PhFlight *f)
+{
+    int64_t *deadline_ms = f->action.tag == PH_SCHED_ACTION_HOLD
+                               ? &f->action.as.hold.deadline_ms
+                               : &f->action.as.run.deadline_ms;
+    if (f->grants_from != 0 && *deadline_ms > 0) {
+        *deadline_ms += (w->now - f->grants_from) / PH_NS_PER_MS;
+    }
+}
+
+/* Lets an order reach its worker; one that was sent to an earlier life is
+ * lost. */
+static void
+flight_run(PhOwnersWorld *w, PhFlight *f)
+{
+    PhHost *h = &w->hosts[f->host];
+    PhHostReply reply = {.hold.outcome = PH_SCHED_OUTCOME_UNKNOWN};
+    f->run_at = PH_TIME_NEVER;
+    if (h->born_ms != f->born_ms || !h->alive) {
+        f->answer_at = w->delays == NULL ? w->now : f->given_up_at;
+        f->waits_until = 0;
+        return;
+    }
+    flight_shift(w, f);
+    PhHost_Call(h, &w->tasks, f->fence, &f->action, w->now, &reply);
+    if (f->mute) {
+        PhHostReply_Clear(&reply);
+        return;
+    }
+    f->reply = reply;
+}
+
+/* Answers a hold that has waited for an end. */
+static void
+flight_wait(PhOwnersWorld *w, PhFlight *f)
+{
+    PhHost *h = &w->hosts[f->host];
+    bool there = h->alive && h->born_ms == f->born_ms;
+    if (there && h->ends->len == 0 && w->now < f->waits_until) {
+        return;
+    }
+    f->waits_until = 0;
+    PhHostReply_Clear(&f->reply);
+    f->reply = (PhHostReply){.hold.outcome = PH_SCHED_OUTCOME_UNKNOWN};
+    if (there && !is_cut(w, f->member, f->host)) {
+        f->action.as.hold.deadline_ms = 0;
+        f->action.as.hold.last_seen = 0;
+        PhHost_Call(h, &w->tasks, f->fence, &f->action, w->now, &f->reply);
+        f->answer_at = w->now + delay(w, DELAY_MOST_MS);
+    }
+}
+
+/* Gives an answer to the owner that waits for it. */
+static void
+flight_answer(PhOwnersWorld *w, PhFlight *f)
+{
+    PhMember *m = &w->members[f->member];
+    f->answer_at = PH_TIME_NEVER;
+    if (m->active && m->fence == f->fence &&
+        !order_answer(w, m, &f->action, &f->reply)) {
+        PhElection_OnDeposed(m->election, member_now(w, m));
+    }
+    PhHostReply_Clear(&f->reply);
+    f->reply = (PhHostReply){0};
+}
+
+/* Tells whether an instance does nothing. */
+static bool
+is_frozen(const PhOwnersWorld *w, int member)
+{
+    return is_struck(w, 1U << PH_OWNERS_FREEZE | 1U << PH_OWNERS_SUSPEND,
+                     member, -1);
+}
+
+/* Carries on the orders that are on their way. */
+static void
+flights_tick(PhOwnersWorld *w)
+{
+    for (guint i = 0; i < w->flights->len; i++) {
+        PhFlight *f = &g_array_index(w->flights, PhFlight, i);
+        if (f->run_at <= w->now) {
+            flight_run(w, f);
+        }
+        else if (f->run_at == PH_TIME_NEVER && f->waits_until != 0) {
+            flight_wait(w, f);
+        }
+        if (f->answer_at <= w->now && !is_frozen(w, f->member)) {
+            flight_answer(w, f);
+        }
+    }
+    for (guint i = w->flights->len; i-- > 0;) {
+        const PhFlight *f = &g_array_index(w->flights, PhFlight, i);
+        if (f->run_at == PH_TIME_NEVER && f->answer_at == PH_TIME_NEVER) {
+            g_array_remove_index(w->flights, i);
+        }
+    }
+}
+
+/* Gives the orders of an owner. */
 static void
 orders_tick(PhOwnersWorld *w, int member)
 {
     PhMember *m = &w->members[member];
     PhSchedAction a;
-    PhScheduler_Plan(m->scheduler, w->now, 0);
-    while (PhScheduler_NextAction(m->scheduler, w->now, &a)) {
-        PhHostReply reply = {.hold.outcome = PH_SCHED_OUTCOME_UNKNOWN};
-        int host = PhHost_Number(a.worker);
-        if (!is_cut(w, member, host)) {
-            PhHost_Call(&w->hosts[host], &w->tasks, m->fence, &a, w->now,
-                        &reply);
-        }
-        a.worker = PhStr_FromC(w->hosts[host].id);
-        bool still = order_answer(w, m, &a, &reply);
-        PhHostReply_Clear(&reply);
-        if (!still) {
-            PhElection_OnDeposed(m->election, w->now);
-            return;
+    PhScheduler_Plan(m->scheduler, member_now(w, m), 0);
+    while (PhScheduler_NextAction(m->scheduler, member_now(w, m), &a)) {
+        order_send(w, member, &a);
+        if (w->delays == NULL) {
+            flights_tick(w);
         }
     }
     PhScheduler_ForgetWorkers(m->scheduler);
@@ -461,7 +730,10 @@
 {
     PhMember *m = &w->members[member];
     bool reached = !lacks_store(w, member, -1);
-    if (is_struck(w, 1U << PH_OWNERS_FREEZE, member, -1)) {
+    if (is_struck(w, 1U << PH_OWNERS_SUSPEND, member, -1)) {
+        m->behind += TICK_MS * PH_NS_PER_MS;
+    }
+    if (is_frozen(w, member)) {
         return;
     }
     election_tick(w, m, reached);
@@ -486,6 +758,7 @@
         jobs_arrive(w);
         faults_begin(w);
         hosts_tick(w);
+        flights_tick(w);
         for (int i = 0; i < PH_OWNERS_INSTANCES; i++) {
             member_tick(w, i);
         }
--- a/tests/schedule/owners_world.h
+++ b/tests/schedule/owners_world.h
@@ -22,6 +22,15 @@
     PH_OWNERS_ZONE_CUT, /* those named reach only each other */
     PH_OWNERS_FREEZE,   /* the instances do nothing */
     PH_OWNERS_LEAVE,    /* the workers drain, and exit at the end of it */
+    PH_OWNERS_REBORN,   /* the workers are away, and come back as another life
+                           under the same id */
+    PH_OWNERS_NO_ANSWERS, /* orders are carried out, and get no answer */
+    PH_OWNERS_LATE,       /* orders get no answer and are carried out 2 to 12 s
+                             later */
+    PH_OWNERS_LATE_GRANTS, /* so, and their leases count from then */
+    PH_OWNERS_MUTE_STORE,  /* appends are done, and get no answer */
+    PH_OWNERS_SUSPEND,     /* the instances do nothing and their clocks stand
+                              still */
     PH_OWNERS_KINDS,
 } PhOwnersFaultKind;
 
@@ -43,10 +52,13 @@
  * milliseconds. */
 PhOwnersWorld *PhOwnersWorld_Create(unsigned lasting, int64_t brief_until);
 void PhOwnersWorld_Destroy(PhOwnersWorld *world);
+/* Lets orders and their answers take their time. */
+void PhOwnersWorld_SetDelays(PhOwnersWorld *world, uint64_t seed);
 void PhOwnersWorld_AddFault(PhOwnersWorld *world, const PhOwnersFault *fault);
-/* Adds `count` faults, drawn by a seed, one every few seconds. */
+/* Adds `count` faults of the kinds whose bits are set, drawn by a seed, one
+ * every few seconds. */
 void PhOwnersWorld_DrawFaults(PhOwnersWorld *world, uint64_t seed,
-                              unsigned count);
+                              unsigned count, unsigned kinds);
 /* Plays until a time in milliseconds. */
 void PhOwnersWorld_Run(PhOwnersWorld *world, int64_t until);
 /* Starts while another run of the task was there, or after its acknowledged
--- a/tests/schedule/test_owners.c
+++ b/tests/schedule/test_owners.c
@@ -85,11 +85,28 @@
     const char *name;
     uint64_t first;
     uint64_t last;
+    unsigned kinds; /* of the faults, by their bits */
+    bool delays;    /* orders and answers take their time */
 } PhDrawnCase;
 
+#define CUTS                                                                  \
+    (1U << PH_OWNERS_NO_STORE | 1U << PH_OWNERS_NO_CALLS |                    \
+     1U << PH_OWNERS_ZONE_CUT | 1U << PH_OWNERS_FREEZE |                      \
+     1U << PH_OWNERS_LEAVE)
+
 static const PhDrawnCase drawn_cases[] = {
-    {"drawn faults", 1, 30},
-    {"workers that drain are cut off", 429, 429},
+    {"drawn faults", 1, 30, CUTS, false},
+    {"workers that drain are cut off", 429, 429, CUTS, false},
+};
+
+#define SILENCE                                                               \
+    (1U << PH_OWNERS_NO_STORE | 1U << PH_OWNERS_NO_CALLS |                    \
+     1U << PH_OWNERS_ZONE_CUT | 1U << PH_OWNERS_FREEZE |                      \
+     1U << PH_OWNERS_NO_ANSWERS | 1U << PH_OWNERS_LATE |                      \
+     1U << PH_OWNERS_MUTE_STORE)
+
+static const PhDrawnCase silence_cases[] = {
+    {"answers of workers and of the store are lost", 1, 20, SILENCE, true},
 };
 
 /* Plays the seeds of one case. */
@@ -99,7 +116,10 @@
     unsigned broken = 0;
     for (uint64_t seed = c->first; seed <= c->last; seed++) {
         PhOwnersWorld *w = PhOwnersWorld_Create(LASTING, DRAWN_MS);
-        PhOwnersWorld_DrawFaults(w, seed, DRAWN_FAULTS);
+        if (c->delays) {
+            PhOwnersWorld_SetDelays(w, seed);
+        }
+        PhOwnersWorld_DrawFaults(w, seed, DRAWN_FAULTS, c->kinds);
         PhOwnersWorld_Run(w, DRAWN_MS + REST_MS);
         unsigned doubles = PhOwnersWorld_Doubles(w);
         bool served = PhOwnersWorld_IsServed(w);
@@ -122,11 +142,21 @@
     Ph_RUN_TABLE(drawn_cases, drawn_run);
 }
 
+/* Faults that are drawn, of orders and appends that are done and not
+ * answered, or done late. */
+static void
+test_silence(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(silence_cases, drawn_run);
+}
+
 /* Runs the tests. */
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {cmocka_unit_test(test_owners),
-                                       cmocka_unit_test(test_drawn)};
+                                       cmocka_unit_test(test_drawn),
+                                       cmocka_unit_test(test_silence)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
