tests: an earlier owner that does not know that workers drain

The third owner takes the leases of workers that leave to be short since the record of it, 3 s; the first owner, cut off from the store before they said so, renews with 6 s until the third one is heard of.

--- a/tests/schedule/test_owners.c
+++ b/tests/schedule/test_owners.c
@@ -14,7 +14,7 @@
 
 typedef struct PhOwnersCase {
     const char *name;
-    PhOwnersFault faults[4];
+    PhOwnersFault faults[5];
     int64_t until; /* the last fault is over by then */
 } PhOwnersCase;
 
@@ -46,6 +46,17 @@
      45000},
 };
 
+/* What an owner takes for the bound of leases that another one granted. */
+static const PhOwnersCase bound_cases[] = {
+    {"an earlier owner does not know that workers drain",
+     {{PH_OWNERS_NO_STORE, 5000, 11000, .owner = true},
+      {PH_OWNERS_LEAVE, 5100, 40000, .workers = 3},
+      {PH_OWNERS_NO_CALLS, 5000, 11000, .instances = 2, .workers = 15},
+      {PH_OWNERS_FREEZE, 7800, 8000, .instances = 2},
+      {PH_OWNERS_NO_CALLS, 10400, 8000, .instances = 4, .workers = 3}},
+     46000},
+};
+
 /* Plays one case; true when the promises are kept. */
 static bool
 owners_play(const PhOwnersCase *c)
@@ -80,6 +91,14 @@
     Ph_RUN_TABLE(owners_cases, owners_run);
 }
 
+/* Leases of an earlier owner that last longer than those of this one. */
+static void
+test_bounds(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(bound_cases, owners_run);
+}
+
 /* Seeds of drawn faults. */
 typedef struct PhDrawnCase {
     const char *name;
@@ -155,8 +174,8 @@
 int
 main(void)
 {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(test_owners),
-                                       cmocka_unit_test(test_drawn),
-                                       cmocka_unit_test(test_silence)};
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_owners), cmocka_unit_test(test_bounds),
+        cmocka_unit_test(test_drawn), cmocka_unit_test(test_silence)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
