tests: owners that stand still, with their clocks or without

The time of an instance is CLOCK_MONOTONIC, which does not count while a machine is suspended. An owner that wakes takes its last renewal to be that much younger, and grants leases until 9 s of its own time have passed; the 10 s that its successor counts from its takeover do not cover that.

--- a/tests/schedule/test_owners.c
+++ b/tests/schedule/test_owners.c
@@ -57,6 +57,18 @@
      46000},
 };
 
+/* Clocks of instances that stand still. */
+static const PhOwnersCase suspend_cases[] = {
+    {"a frozen owner that is cut off",
+     {{PH_OWNERS_ZONE_CUT, 5000, 25000, .workers = MOST, .owner = true},
+      {PH_OWNERS_FREEZE, 5100, 5300, .instances = 1}},
+     30000},
+    {"an owner that is cut off and whose machine is suspended",
+     {{PH_OWNERS_ZONE_CUT, 5000, 25000, .workers = MOST, .owner = true},
+      {PH_OWNERS_SUSPEND, 5100, 5300, .instances = 1}},
+     30000},
+};
+
 /* Plays one case; true when the promises are kept. */
 static bool
 owners_play(const PhOwnersCase *c)
@@ -99,6 +111,14 @@
     Ph_RUN_TABLE(bound_cases, owners_run);
 }
 
+/* Owners that stand still, with their clocks or without. */
+static void
+test_suspend(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(suspend_cases, owners_run);
+}
+
 /* Seeds of drawn faults. */
 typedef struct PhDrawnCase {
     const char *name;
@@ -176,6 +196,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_owners), cmocka_unit_test(test_bounds),
-        cmocka_unit_test(test_drawn), cmocka_unit_test(test_silence)};
+        cmocka_unit_test(test_suspend), cmocka_unit_test(test_drawn),
+        cmocka_unit_test(test_silence)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
