tests: workers that come back under their id

Seen in the traces: the list names the new life before the old one's hold is given up, so the start of a run on the old life is sent again, to the same address and id, and the new life carries it out; its deadline, on the clock of the old life, becomes the longest lease, 10 s. The run stays placed on the old life. The answers of the new life name it: as a run it is a stray, as an end `done` it is passed over and then acknowledged. When the leases of the old life have lapsed, the task starts again.

--- a/tests/schedule/test_owners.c
+++ b/tests/schedule/test_owners.c
@@ -148,6 +148,10 @@
     {"answers of workers and of the store are lost", 1, 20, SILENCE, true},
 };
 
+static const PhDrawnCase reborn_cases[] = {
+    {"workers come back under their id", 1, 60, 1U << PH_OWNERS_REBORN, true},
+};
+
 /* Plays the seeds of one case. */
 static void
 drawn_run(const PhDrawnCase *c)
@@ -190,13 +194,21 @@
     Ph_RUN_TABLE(silence_cases, drawn_run);
 }
 
+/* Workers that come back under their id. */
+static void
+test_reborn(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(reborn_cases, drawn_run);
+}
+
 /* Runs the tests. */
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(test_owners), cmocka_unit_test(test_bounds),
+        cmocka_unit_test(test_owners),  cmocka_unit_test(test_bounds),
         cmocka_unit_test(test_suspend), cmocka_unit_test(test_drawn),
-        cmocka_unit_test(test_silence)};
+        cmocka_unit_test(test_silence), cmocka_unit_test(test_reborn)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
