tests: late orders whose leases count from their arrival

An order without an answer counts towards the bound of the leases of its worker with the end that it names. Carried out 2 to 12 s later, with a lease that counts from then, it lasts up to 12 s longer.

--- a/tests/schedule/test_owners.c
+++ b/tests/schedule/test_owners.c
@@ -152,6 +152,11 @@
     {"workers come back under their id", 1, 60, 1U << PH_OWNERS_REBORN, true},
 };
 
+static const PhDrawnCase late_grants_cases[] = {
+    {"leases count from the arrival of a late order", 1, 20,
+     1U << PH_OWNERS_LATE_GRANTS | 1U << PH_OWNERS_NO_CALLS, true},
+};
+
 /* Plays the seeds of one case. */
 static void
 drawn_run(const PhDrawnCase *c)
@@ -202,13 +207,22 @@
     Ph_RUN_TABLE(reborn_cases, drawn_run);
 }
 
+/* Late orders whose leases count from their arrival, and cuts. */
+static void
+test_late_grants(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(late_grants_cases, drawn_run);
+}
+
 /* Runs the tests. */
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(test_owners),  cmocka_unit_test(test_bounds),
-        cmocka_unit_test(test_suspend), cmocka_unit_test(test_drawn),
-        cmocka_unit_test(test_silence), cmocka_unit_test(test_reborn)};
+        cmocka_unit_test(test_owners),     cmocka_unit_test(test_bounds),
+        cmocka_unit_test(test_suspend),    cmocka_unit_test(test_drawn),
+        cmocka_unit_test(test_silence),    cmocka_unit_test(test_reborn),
+        cmocka_unit_test(test_late_grants)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
