tests: renewers that cannot read the log

An instance renews the leases of its share of the workers for two hours after its last KEEP, whether it reads the log or not. Ends of runs that it has never heard of are taken for ends that the log has (ends_take), and its next question tells the worker to forget them. The owner asks that worker every 20 s only, finds the run absent, records it as lost and starts the task again.

--- /dev/null
+++ b/tests/tasks/test_stale_renewers.c
@@ -0,0 +1,106 @@
+/* Instances that renew workers while they cannot read the log: what they do
+ * not know of must not be lost. */
+#include "peridothill/bench/task_world.h"
+#include "tests/table.h"
+
+enum {
+    INSTANCES = 3,
+    WORKERS = 6,
+    LONG_S = 400,
+    BRIEF_S = 4,
+    BRIEF_JOBS = 30,
+    BRIEF_TASKS = 6, /* of each job */
+    BRIEF_GAP_S = 3,
+    FIRST_S = 20,
+    UNTIL_S = 600,
+    SEEDS = 3,
+};
+
+typedef struct PhStaleCase {
+    const char *name;
+    bool cut; /* all but the owner, from the log */
+} PhStaleCase;
+
+static const PhStaleCase stale_cases[] = {
+    {"all read the log", false},
+    {"all but the owner are cut off from the log", true},
+};
+
+/* Submits tasks of a size of their own. */
+static void
+submit(PhTaskWorld *w, uint32_t instance, const char *key, int64_t cpu_milli,
+       uint32_t count, int run_s)
+{
+    PhJobSpec spec = {.key = PhStr_FromC(key),
+                      .team = PhStr_LITERAL("routes"),
+                      .class = PH_JOB_BATCH,
+                      .run_ms = INT64_C(1000) * run_s,
+                      .size = {cpu_milli, 200, 0},
+                      .count = count};
+    PhTaskWorld_Submit(w, instance, &spec);
+}
+
+/* Runs one case with one seed: every task starts once. */
+static void
+stale_run(const PhStaleCase *c, uint64_t seed)
+{
+    PhTaskWorldOptions options = {.seed = seed,
+                                  .instances = INSTANCES,
+                                  .workers = WORKERS,
+                                  .worker_size = {4000, 4000, 0},
+                                  .times = PhLeaseTimes_Default(),
+                                  .link_delay = PH_NS_PER_MS};
+    PhTaskWorld *w = PhTaskWorld_Create(&options);
+    PhTaskWorld_RunUntil(w, 3 * PH_NS_PER_S);
+    submit(w, 0, "long", 3000, WORKERS, LONG_S);
+    PhTaskWorld_RunUntil(w, FIRST_S * PH_NS_PER_S);
+    int owner = PhTaskWorld_Owner(w);
+    assert_true(owner >= 0);
+    for (uint32_t i = 0; i < INSTANCES; i++) {
+        PhTaskWorld_CutLog(w, i, c->cut && (int)i != owner);
+    }
+    for (int i = 0; i < BRIEF_JOBS; i++) {
+        char key[16];
+        g_snprintf(key, sizeof(key), "brief-%d", i);
+        submit(w, (uint32_t)owner, key, 900, BRIEF_TASKS, BRIEF_S);
+        PhTaskWorld_RunUntil(w,
+                             PhTaskWorld_Now(w) + BRIEF_GAP_S * PH_NS_PER_S);
+    }
+    for (uint32_t i = 0; i < INSTANCES; i++) {
+        PhTaskWorld_CutLog(w, i, false);
+    }
+    PhTaskWorld_RunUntil(w, UNTIL_S * PH_NS_PER_S);
+    const PhTaskWorldCounts *n = PhTaskWorld_Counts(w);
+    uint64_t tasks = WORKERS + BRIEF_JOBS * BRIEF_TASKS;
+    print_message("# seed=%d tasks=%d starts=%d lapsed=%d\n", (int)seed,
+                  (int)tasks, (int)n->starts, (int)n->lapsed);
+    assert_int_equal(n->doubled, 0);
+    assert_int_equal(n->lapsed, 0);
+    assert_int_equal(n->starts, tasks);
+    PhTaskWorld_Destroy(w);
+}
+
+/* Runs one case with several seeds. */
+static void
+check_stale(const PhStaleCase *c)
+{
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        stale_run(c, seed);
+    }
+}
+
+/* Renewers whose knowledge is old. */
+static void
+test_stale(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(stale_cases, check_stale);
+}
+
+/* Runs the tests. */
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {cmocka_unit_test(test_stale)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
