tests: a start that moves to another life without a record

Fails: seed 177, 8 starts beside a run or after an acknowledged end.

When another life answers for a worker, starts on their way move to it (task_move). The record of the move belongs to the open batch, but the start still waits for the batch of the earlier placement only, and is sent to the new life at once; here by an owner that has lost the store. Its successor has the task on the old life, gives it up there, and passes over what the new life says of it.

--- a/tests/schedule/test_owners.c
+++ b/tests/schedule/test_owners.c
@@ -157,6 +157,15 @@
      1U << PH_OWNERS_LATE_GRANTS | 1U << PH_OWNERS_NO_CALLS, true},
 };
 
+#define MOVES                                                                 \
+    (1U << PH_OWNERS_NO_STORE | 1U << PH_OWNERS_NO_CALLS |                    \
+     1U << PH_OWNERS_ZONE_CUT | 1U << PH_OWNERS_FREEZE |                      \
+     1U << PH_OWNERS_REBORN | 1U << PH_OWNERS_NO_ANSWERS)
+
+static const PhDrawnCase moved_cases[] = {
+    {"a start moves to another life without a record", 177, 177, MOVES, true},
+};
+
 /* Plays the seeds of one case. */
 static void
 drawn_run(const PhDrawnCase *c)
@@ -215,14 +224,22 @@
     Ph_RUN_TABLE(late_grants_cases, drawn_run);
 }
 
+/* Starts that are sent again to the life that has replaced theirs. */
+static void
+test_moved(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(moved_cases, drawn_run);
+}
+
 /* Runs the tests. */
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(test_owners),     cmocka_unit_test(test_bounds),
-        cmocka_unit_test(test_suspend),    cmocka_unit_test(test_drawn),
-        cmocka_unit_test(test_silence),    cmocka_unit_test(test_reborn),
-        cmocka_unit_test(test_late_grants)};
+        cmocka_unit_test(test_owners),      cmocka_unit_test(test_bounds),
+        cmocka_unit_test(test_suspend),     cmocka_unit_test(test_drawn),
+        cmocka_unit_test(test_silence),     cmocka_unit_test(test_reborn),
+        cmocka_unit_test(test_late_grants), cmocka_unit_test(test_moved)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
