tasks: an end is acknowledged when the log says that the run is over

Callers of the product's own interface could see tasks run again after they had ended: a renewer that cannot read the log asks workers on, for up to 2 h, and acknowledged every end whose run was not placed in its state. A run that started after its last read is not placed there either; its end was forgotten by the worker before the owner had heard of it, and the owner started it anew.

Cause: that a run is not placed was taken to mean that the log has its end.

PhJobState_IsOver tells the two apart: a run is over when its job is, or its task has a later incarnation, or the same and is not placed; a run of which the state knows less is left to those who read the log.

--- a/decide/tasks/engine_workers.c
+++ b/decide/tasks/engine_workers.c
@@ -176,6 +176,10 @@
             PhJobEngine_QueueEnd(e, end->end);
             all_logged = false;
         }
+        else if (!PhJobState_IsOver(e->state, end->end.run)) {
+            /* This instance lags behind the log. */
+            all_logged = false;
+        }
         else if (all_logged) {
             c->acked = MAX(c->acked, end->number);
         }
--- a/decide/tasks/job_state.c
+++ b/decide/tasks/job_state.c
@@ -208,6 +208,26 @@
                : NULL;
 }
 
+/* Tells whether the log says that a run is over. */
+bool
+PhJobState_IsOver(const PhJobState *state, PhRun run)
+{
+    const PhJob *job = PhJobState_Job(state, run.job);
+    if (job == NULL) {
+        return run.job < PhJobState_Next(state);
+    }
+    if (job->tasks == NULL) {
+        return true;
+    }
+    if (run.index >= job->spec.count) {
+        return false;
+    }
+    const PhJobTask *task = &job->tasks[run.index];
+    return task->incarnation > run.incarnation ||
+           (task->incarnation == run.incarnation &&
+            task->state != PH_JOB_TASK_PLACED);
+}
+
 /* Counts the workers that have a number. */
 uint32_t
 PhJobState_WorkerCount(const PhJobState *state)
--- a/include/peridothill/decide/tasks/job_state.h
+++ b/include/peridothill/decide/tasks/job_state.h
@@ -99,6 +99,9 @@
 PhJob *PhJobState_JobFrom(const PhJobState *state, uint64_t number);
 /* The task of a run if the run is placed, or NULL. */
 const PhJobTask *PhJobState_Placed(const PhJobState *state, PhRun run);
+/* Tells whether the log says that a run is over.  A run that is neither placed
+ * nor over starts in records that were not read yet. */
+bool PhJobState_IsOver(const PhJobState *state, PhRun run);
 
 uint32_t PhJobState_WorkerCount(const PhJobState *state);
 const PhJobWorker *PhJobState_Worker(const PhJobState *state, uint32_t worker);
