schedule: an answer of a worker is not taken for more than it lists

Callers could see a task run again after its end was acknowledged (TWICE).

An end of a job that the owner had not read yet, though the job's records are there, was passed over and counted as seen; when the job was read, its run was not listed any more and started again.

An end of an unknown job, and those after it, now wait until the job is known: they are not acknowledged, and the worker lists them again. While ends wait, or a full page says that there may be more, a run that is not named stays.

Both were suspected by the review. test_early_ends: "the job is read a little later" and the two rows on runs that are not named failed before, pass after.

--- a/decide/schedule/contact.c
+++ b/decide/schedule/contact.c
@@ -354,30 +354,45 @@
     }
 }
 
-/* Takes in the ends that were not known. */
+/* Takes in the end of a placed run. */
+static void
+take_end(PhScheduler *s, PhSchedWorker *w, const PhSchedEndRow *end,
+         PhTime now)
+{
+    worker_blame(w, end->kind, now);
+    PhSchedTask *task = placed_task(s, &end->task, end->run);
+    if (task == NULL || task->worker != w) {
+        return;
+    }
+    PhSchedNote note = {.tag = PH_SCHED_NOTE_ENDED, .worker = w};
+    note.as.ended.task = PhSchedTask_Name(task);
+    note.as.ended.run = end->run;
+    note.as.ended.kind = end->kind;
+    note.as.ended.ran = now - task->since;
+    note.as.ended.failures = task->failures;
+    g_array_append_val(s->notes, note);
+    PhScheduler_EndRun(s, task, end->kind, end->saved, now);
+}
+
+/* Takes in the ends that were not known, up to one of a job that was not read
+ * yet: the worker lists that one and those after it again. */
 static void
 take_ends(PhScheduler *s, PhSchedWorker *w, const PhSchedHoldReply *reply,
           PhTime now)
 {
     uint64_t before = w->seen;
-    for (size_t i = 0; i < reply->end_count; i++) {
+    w->ends_wait = false;
+    for (size_t i = 0; i < reply->end_count && !w->ends_wait; i++) {
         const PhSchedEndRow *end = &reply->ends[i];
         if (end->number <= before) {
             continue;
         }
-        w->seen = MAX(w->seen, end->number);
-        worker_blame(w, end->kind, now);
-        PhSchedTask *task = placed_task(s, &end->task, end->run);
-        if (task != NULL && task->worker == w) {
-            PhSchedNote note = {.tag = PH_SCHED_NOTE_ENDED, .worker = w};
-            note.as.ended.task = PhSchedTask_Name(task);
-            note.as.ended.run = end->run;
-            note.as.ended.kind = end->kind;
-            note.as.ended.ran = now - task->since;
-            note.as.ended.failures = task->failures;
-            g_array_append_val(s->notes, note);
-            PhScheduler_EndRun(s, task, end->kind, end->saved, now);
+        if (PhSchedModel_Job(s->model, end->task.job) == NULL) {
+            w->ends_wait = true;
+            continue;
         }
+        w->seen = MAX(w->seen, end->number);
+        take_end(s, w, end, now);
     }
     if (w->seen > before) {
         w->seen_batch = s->open_batch;
@@ -575,13 +590,15 @@
     for (size_t i = 0; i < reply->run_count; i++) {
         take_run(s, w, &reply->runs[i], reply->clock_ms, now);
     }
-    drop_absent(s, w, reply->clock_ms, now);
+    if (!w->ends_wait && !reply->more) {
+        drop_absent(s, w, reply->clock_ms, now);
+    }
     PhScheduler_PaceWorker(s, w, now);
     if (w->seen_batch <= s->durable_batch) {
         w->acked = w->seen;
     }
     PhTime gap = 0;
-    if (w->acked < w->seen) {
+    if (w->acked < w->seen || w->ends_wait) {
         gap = HOLD_UNACKED_GAP;
     }
     else if (w->tasks->len == 0) {
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -175,6 +175,7 @@
     uint64_t seen;             /* newest end taken in */
     uint64_t acked;            /* newest end that may be acknowledged */
     uint64_t seen_batch;       /* records that `seen` rests on */
+    bool ends_wait;            /* it lists an end of a job that is not known */
     GPtrArray *tasks;          /* PhSchedTask, not owned */
     PhSchedRoom used;          /* declared by tasks that do not fill */
     int64_t fill_cpu_milli;    /* declared by tasks that fill */
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -95,6 +95,7 @@
     size_t run_count;
     PhSchedEndRow *ends;
     size_t end_count;
+    bool more; /* there may be further ends, to be listed next */
 } PhSchedHoldReply;
 
 /* What the scheduler has come to believe, for the log. */
--- /dev/null
+++ b/tests/schedule/test_early_ends.c
@@ -0,0 +1,172 @@
+/* Ends of a job that the owner does not know yet, though its records are
+ * there.  Guards against a task that runs again after its end was acknowledged
+ * unseen (TWICE). */
+#include "single_task.h"
+#include "tests/table.h"
+
+enum {
+    END = 5, /* its number at the worker */
+};
+
+static const PhTime TAKEOVER = 100 * PH_NS_PER_S;
+
+/* When the job becomes known after the takeover, and what a hold acknowledges
+ * before that and in the end. */
+typedef struct PhEarlyEndCase {
+    const char *name;
+    int64_t known_ms; /* -1 for before the takeover */
+    uint64_t before;
+} PhEarlyEndCase;
+
+static const PhEarlyEndCase early_end_cases[] = {
+    {"the job is known", -1, END},
+    {"the job is read a little later", 1000, 0},
+};
+
+/* Adds the job, with a plain task. */
+static PhSchedTask *
+job_add(PhSchedModel *m)
+{
+    return PhSingle_AddJob(m, PH_SINGLE_JOB,
+                           (PhSchedStep){.count = 1, .room.cpu_milli = 1000});
+}
+
+/* Reads the record of its run on the worker. */
+static void
+read_stage(PhScheduler *s)
+{
+    PhSchedModel *other = PhSchedModel_Create();
+    PhSchedTask *task = job_add(other);
+    task->run = 1;
+    PhSchedTask_Place(task, PhSchedModel_Worker(other, PH_SINGLE_WORKER, 1));
+    PhSchedRecord record = PhSchedRecord_OfStage(task->stage);
+    PhScheduler_Apply(s, &record, TAKEOVER);
+    PhSchedModel_Destroy(other);
+}
+
+/* Makes what has changed durable. */
+static void
+record_all(PhScheduler *s)
+{
+    GArray *records = g_array_new(FALSE, TRUE, sizeof(PhSchedRecord));
+    uint64_t batch = PhScheduler_TakeBatch(s, records);
+    for (guint i = 0; i < records->len; i++) {
+        PhSchedRecord_Clear(&g_array_index(records, PhSchedRecord, i));
+    }
+    g_array_free(records, TRUE);
+    PhScheduler_OnDurable(s, batch);
+}
+
+/* Lets the worker list the end until a time; gives what the last hold
+ * acknowledged. */
+static uint64_t
+list_end(PhScheduler *s, PhTime *now, PhTime until)
+{
+    uint64_t seen = 0;
+    for (; *now < until; *now += 100 * PH_NS_PER_MS) {
+        PhSchedAction action;
+        PhScheduler_Plan(s, *now, 0);
+        while (PhScheduler_NextAction(s, *now, &action)) {
+            PhSchedEndRow end = {.number = END,
+                                 .task = {.job = PH_SINGLE_JOB},
+                                 .run = 1,
+                                 .kind = PH_SCHED_END_DONE};
+            assert_int_equal(action.tag, PH_SCHED_ACTION_HOLD);
+            seen = action.as.hold.last_seen;
+            PhSchedHoldReply reply = {.outcome = PH_SCHED_OUTCOME_DONE,
+                                      .clock_ms = *now / PH_NS_PER_MS,
+                                      .born_ms = 1,
+                                      .ends = &end,
+                                      .end_count = seen < END};
+            PhScheduler_OnHold(s, PH_SINGLE_WORKER, 1, &reply, *now);
+        }
+        record_all(s);
+    }
+    return seen;
+}
+
+/* Plays one case. */
+static void
+early_end_run(const PhEarlyEndCase *c)
+{
+    PhScheduler *s = PhScheduler_Create(
+        &(PhSchedulerOptions){.lease_limit = 10 * PH_NS_PER_S});
+    PhTime now = TAKEOVER;
+    PhTime known = TAKEOVER + c->known_ms * PH_NS_PER_MS;
+    PhSingle_ShowWorker(s, false, now);
+    if (c->known_ms < 0) {
+        job_add(PhScheduler_Model(s));
+    }
+    read_stage(s);
+    PhScheduler_SetFence(s, 7, now);
+    assert_int_equal(list_end(s, &now, MAX(known, now + PH_NS_PER_S)),
+                     c->before);
+    PhSchedTask *task = job_add(PhScheduler_Model(s));
+    assert_int_equal(list_end(s, &now, now + PH_NS_PER_S), END);
+    assert_int_equal(task->state, PH_SCHED_TASK_DONE);
+    PhScheduler_Destroy(s);
+}
+
+/* Every case. */
+static void
+test_early_ends(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(early_end_cases, early_end_run);
+}
+
+/* A run that an answer does not name, what else it says, and whether the run
+ * has ended then. */
+typedef struct PhAbsentCase {
+    const char *name;
+    bool unknown; /* it lists an end of a job that is not known */
+    bool more;
+    bool ended;
+} PhAbsentCase;
+
+static const PhAbsentCase absent_cases[] = {
+    {"nothing else", false, false, true},
+    {"its end may stand behind one that waits", true, false, false},
+    {"its end may be on the next page", false, true, false},
+};
+
+/* Lets the worker answer without naming the run. */
+static void
+absent_run(const PhAbsentCase *c)
+{
+    PhScheduler *s = PhScheduler_Create(
+        &(PhSchedulerOptions){.lease_limit = 10 * PH_NS_PER_S});
+    PhSingle_ShowWorker(s, false, TAKEOVER);
+    PhSchedTask *task = PhSingle_AddRun(s);
+    PhScheduler_SetFence(s, 7, TAKEOVER);
+    PhScheduler_Plan(s, TAKEOVER, 0);
+    PhSchedEndRow end = {.number = END,
+                         .task = {.job = PhStr_LITERAL("00000000000000bb")},
+                         .run = 1};
+    PhSchedHoldReply reply = {.outcome = PH_SCHED_OUTCOME_DONE,
+                              .clock_ms = 5000,
+                              .born_ms = 1,
+                              .ends = &end,
+                              .end_count = c->unknown,
+                              .more = c->more};
+    PhScheduler_OnHold(s, PH_SINGLE_WORKER, 1, &reply, TAKEOVER);
+    assert_int_equal(task->worker == NULL, c->ended);
+    PhScheduler_Destroy(s);
+}
+
+/* Runs that are not named. */
+static void
+test_absent(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(absent_cases, absent_run);
+}
+
+/* Runs the tests. */
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {cmocka_unit_test(test_early_ends),
+                                       cmocka_unit_test(test_absent)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
