--- a/decide/schedule/contact.c
+++ b/decide/schedule/contact.c
@@ -450,106 +450,6 @@
     }
 }
 
-/* Tells whether the answer of a life names the newest run of a task, as
- * running or as ended. */
-static bool
-reply_names(const PhSchedHoldReply *reply, const PhSchedTask *task)
-{
-    PhSchedTaskName name = PhSchedTask_Name(task);
-    for (size_t i = 0; i < reply->run_count; i++) {
-        if (reply->runs[i].run == task->run &&
-            PhSchedTaskName_Equal(&reply->runs[i].task, &name)) {
-            return true;
-        }
-    }
-    for (size_t i = 0; i < reply->end_count; i++) {
-        if (reply->ends[i].run == task->run &&
-            PhSchedTaskName_Equal(&reply->ends[i].task, &name)) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Moves a task to another life, with the orders that are on their way. */
-static void
-task_move(PhScheduler *s, PhSchedTask *task, PhSchedWorker *next)
-{
-    PhSchedTask held = *task;
-    PhSchedTask_Unplace(task, PH_SCHED_TASK_WAITING);
-    PhSchedTask_Place(task, next);
-    task->ordering = held.ordering;
-    task->uncertain = held.uncertain;
-    task->stopping = held.stopping;
-    task->stop_sent = held.stop_sent;
-    task->confirmed_clock = 0;
-    PhScheduler_TouchStage(s, task->stage);
-}
-
-/* A later life has answered: what ran in an earlier one has ended.  An order
- * may have reached the later life under the same id, or may still do so; the
- * tasks of such orders move there, and are stopped unless they run there: the
- * run may have been in the earlier life, and its number is not used again. */
-static void
-life_end(PhScheduler *s, PhSchedWorker *w, PhSchedWorker *next,
-         const PhSchedHoldReply *reply, PhTime now)
-{
-    for (guint i = w->tasks->len; i-- > 0;) {
-        PhSchedTask *task = g_ptr_array_index(w->tasks, i);
-        bool named = reply_names(reply, task);
-        if (named || task->ordering || task->uncertain) {
-            task_move(s, task, next);
-            if (!named) {
-                PhScheduler_StopTask(s, task);
-            }
-            continue;
-        }
-        PhScheduler_EndRun(s, task, PH_SCHED_END_LAPSED, (PhStr){0}, now);
-    }
-    w->listed = false;
-    w->dead = true;
-}
-
-/* Ends every life before one that has answered. */
-static void
-earlier_lives_end(PhScheduler *s, PhSchedWorker *w,
-                  const PhSchedHoldReply *reply, PhTime now)
-{
-    for (guint i = 0; i < s->model->lives->len; i++) {
-        PhSchedWorker *x = g_ptr_array_index(s->model->lives, i);
-        if (x->entry.born_ms < w->entry.born_ms &&
-            PhStr_Equal(x->entry.id, w->entry.id)) {
-            life_end(s, x, w, reply, now);
-        }
-    }
-}
-
-/* Another life has answered than the one that was asked. */
-static PhSchedWorker *
-life_change(PhScheduler *s, PhSchedWorker *w, const PhSchedHoldReply *reply,
-            PhTime now)
-{
-    int64_t born_ms = reply->born_ms;
-    PhSchedWorker *next = PhSchedModel_Worker(s->model, w->entry.id, born_ms);
-    if (next->entry.address.len == 0) {
-        PhSchedWorkerEntry copy = {.id = PhStr_Dup(w->entry.id),
-                                   .born_ms = born_ms,
-                                   .address = PhStr_Dup(w->entry.address),
-                                   .data_centre =
-                                       PhStr_Dup(w->entry.data_centre),
-                                   .service = PhStr_Dup(w->entry.service),
-                                   .labels = PhStr_Dup(w->entry.labels),
-                                   .rack = PhStr_Dup(w->entry.rack),
-                                   .capacity = w->entry.capacity,
-                                   .draining = w->entry.draining};
-        PhSchedWorker_SetEntry(next, &copy);
-        next->listed = w->listed;
-        PhScheduler_InheritLeases(s, next, now);
-    }
-    life_end(s, w, next, reply, now);
-    return next;
-}
-
 /* Notes a hold without an answer. */
 static void
 hold_failed(PhScheduler *s, PhSchedWorker *w, PhTime now)
@@ -578,7 +478,7 @@
     if (!w->fenced) {
         /* From now on no earlier owner grants it a lease. */
         w->lapse_by = MIN(w->lapse_by, PhScheduler_GrantedBy(s, w, now));
-        earlier_lives_end(s, w, reply, now);
+        PhScheduler_EndEarlierLives(s, w, reply, now);
     }
     w->fenced = true;
     w->failing_since = 0;
@@ -620,7 +520,7 @@
         return false;
     case PH_SCHED_OUTCOME_DONE:
         if (reply->born_ms != 0 && born_ms != 0 && reply->born_ms != born_ms) {
-            w = life_change(s, w, reply, now);
+            w = PhScheduler_ChangeLife(s, w, reply, now);
         }
         take_lists(s, w, reply, now);
         break;
--- /dev/null
+++ b/decide/schedule/lives.c
@@ -0,0 +1,102 @@
+/* Lives of workers that replace one another under the same id. */
+#include "scheduler_private.h"
+
+/* Tells whether the answer of a life names the newest run of a task, as
+ * running or as ended. */
+static bool
+reply_names(const PhSchedHoldReply *reply, const PhSchedTask *task)
+{
+    PhSchedTaskName name = PhSchedTask_Name(task);
+    for (size_t i = 0; i < reply->run_count; i++) {
+        if (reply->runs[i].run == task->run &&
+            PhSchedTaskName_Equal(&reply->runs[i].task, &name)) {
+            return true;
+        }
+    }
+    for (size_t i = 0; i < reply->end_count; i++) {
+        if (reply->ends[i].run == task->run &&
+            PhSchedTaskName_Equal(&reply->ends[i].task, &name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Moves a task to another life, with the orders that are on their way. */
+static void
+task_move(PhScheduler *s, PhSchedTask *task, PhSchedWorker *next)
+{
+    PhSchedTask held = *task;
+    PhSchedTask_Unplace(task, PH_SCHED_TASK_WAITING);
+    PhSchedTask_Place(task, next);
+    task->ordering = held.ordering;
+    task->uncertain = held.uncertain;
+    task->stopping = held.stopping;
+    task->stop_sent = held.stop_sent;
+    task->confirmed_clock = 0;
+    PhScheduler_TouchStage(s, task->stage);
+}
+
+/* A later life has answered: what ran in an earlier one has ended.  An order
+ * may have reached the later life under the same id, or may still do so; the
+ * tasks of such orders move there, and are stopped unless they run there: the
+ * run may have been in the earlier life, and its number is not used again. */
+static void
+life_end(PhScheduler *s, PhSchedWorker *w, PhSchedWorker *next,
+         const PhSchedHoldReply *reply, PhTime now)
+{
+    for (guint i = w->tasks->len; i-- > 0;) {
+        PhSchedTask *task = g_ptr_array_index(w->tasks, i);
+        bool named = reply_names(reply, task);
+        if (named || task->ordering || task->uncertain) {
+            task_move(s, task, next);
+            if (!named) {
+                PhScheduler_StopTask(s, task);
+            }
+            continue;
+        }
+        PhScheduler_EndRun(s, task, PH_SCHED_END_LAPSED, (PhStr){0}, now);
+    }
+    w->listed = false;
+    w->dead = true;
+}
+
+/* Ends every life before one that has answered. */
+void
+PhScheduler_EndEarlierLives(PhScheduler *s, PhSchedWorker *w,
+                            const PhSchedHoldReply *reply, PhTime now)
+{
+    for (guint i = 0; i < s->model->lives->len; i++) {
+        PhSchedWorker *x = g_ptr_array_index(s->model->lives, i);
+        if (x->entry.born_ms < w->entry.born_ms &&
+            PhStr_Equal(x->entry.id, w->entry.id)) {
+            life_end(s, x, w, reply, now);
+        }
+    }
+}
+
+/* Another life has answered than the one that was asked. */
+PhSchedWorker *
+PhScheduler_ChangeLife(PhScheduler *s, PhSchedWorker *w,
+                       const PhSchedHoldReply *reply, PhTime now)
+{
+    int64_t born_ms = reply->born_ms;
+    PhSchedWorker *next = PhSchedModel_Worker(s->model, w->entry.id, born_ms);
+    if (next->entry.address.len == 0) {
+        PhSchedWorkerEntry copy = {.id = PhStr_Dup(w->entry.id),
+                                   .born_ms = born_ms,
+                                   .address = PhStr_Dup(w->entry.address),
+                                   .data_centre =
+                                       PhStr_Dup(w->entry.data_centre),
+                                   .service = PhStr_Dup(w->entry.service),
+                                   .labels = PhStr_Dup(w->entry.labels),
+                                   .rack = PhStr_Dup(w->entry.rack),
+                                   .capacity = w->entry.capacity,
+                                   .draining = w->entry.draining};
+        PhSchedWorker_SetEntry(next, &copy);
+        next->listed = w->listed;
+        PhScheduler_InheritLeases(s, next, now);
+    }
+    life_end(s, w, next, reply, now);
+    return next;
+}
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -83,6 +83,14 @@
 void PhScheduler_PlanWorker(PhScheduler *scheduler, PhSchedWorker *worker,
                             PhTime now);
 void PhScheduler_TakeWorkers(PhScheduler *scheduler, GArray *records);
+/* lives.c: another life has answered than the one that was asked; gives it. */
+PhSchedWorker *PhScheduler_ChangeLife(PhScheduler *scheduler,
+                                      PhSchedWorker *worker,
+                                      const PhSchedHoldReply *reply,
+                                      PhTime now);
+/* Ends every life before one that has answered. */
+void PhScheduler_EndEarlierLives(PhScheduler *scheduler, PhSchedWorker *worker,
+                                 const PhSchedHoldReply *reply, PhTime now);
 /* gang.c: places a whole gang or nothing; false when it has to wait. */
 bool PhScheduler_PlaceGang(PhScheduler *scheduler, PhSchedStage *stage,
                            PhTime now);
