tests: a filling task that an earlier owner slowed to nothing

Cause, traced with a trial that wrote out every stage that waits: one filling task of an earlier step is listed as running by its worker, answers are fresh, and it makes no progress: it had been started, and slowed to 0, by the owner before the processes were killed. The pace is not on record, and the successor takes it for 100%, so that no order follows.

--- /dev/null
+++ b/tests/schedule/test_inherited_pace.c
@@ -0,0 +1,85 @@
+/* The pace of a task that an earlier owner has ordered is not on record.
+ * Guards against a filling task that stands still for good after a takeover,
+ * and with it everything that waits for it (LOST). */
+#include "single_task.h"
+#include "tests/table.h"
+
+static const PhTime TAKEOVER = 100 * PH_NS_PER_S;
+
+/* What a filling task uses when it is first listed, in thousandths of a core,
+ * and whether it is told to work. */
+typedef struct PhPaceCase {
+    const char *name;
+    int64_t figure;
+    bool told;
+} PhPaceCase;
+
+static const PhPaceCase pace_cases[] = {
+    {"it works", 1000, false},
+    {"it stands still", 0, true},
+};
+
+/* Lets the worker list the task for some seconds; tells whether it is told to
+ * work at full pace. */
+static bool
+is_told(PhScheduler *s, const PhSchedTask *task, int64_t figure)
+{
+    bool told = false;
+    for (PhTime now = TAKEOVER; now < TAKEOVER + 5 * PH_NS_PER_S;
+         now += 100 * PH_NS_PER_MS) {
+        PhSchedAction action;
+        PhScheduler_Plan(s, now, 0);
+        while (PhScheduler_NextAction(s, now, &action)) {
+            PhSchedRunRow row = {.task = PhSchedTask_Name(task),
+                                 .run = task->run,
+                                 .figure = figure};
+            PhSchedHoldReply reply = {.outcome = PH_SCHED_OUTCOME_DONE,
+                                      .clock_ms = now / PH_NS_PER_MS,
+                                      .born_ms = 1,
+                                      .runs = &row,
+                                      .run_count = 1};
+            if (action.tag == PH_SCHED_ACTION_HOLD) {
+                PhScheduler_OnHold(s, PH_SINGLE_WORKER, 1, &reply, now);
+            }
+            told |= action.tag == PH_SCHED_ACTION_PACE &&
+                    action.as.run.percent == 100;
+        }
+    }
+    return told;
+}
+
+/* Takes over a filling task that runs. */
+static void
+pace_run(const PhPaceCase *c)
+{
+    PhScheduler *s = PhScheduler_Create(
+        &(PhSchedulerOptions){.lease_limit = 10 * PH_NS_PER_S});
+    PhSchedModel *m = PhScheduler_Model(s);
+    PhSingle_ShowWorker(s, false, TAKEOVER);
+    PhSchedTask *task = PhSingle_AddJob(
+        m, PH_SINGLE_JOB,
+        (PhSchedStep){.count = 1, .fills = true, .room.cpu_milli = 1000});
+    task->run = 1;
+    task->percent = 100;
+    task->percent_told = 100;
+    PhSchedTask_Place(task, PhSchedModel_Worker(m, PH_SINGLE_WORKER, 1));
+    PhScheduler_SetFence(s, 7, TAKEOVER);
+    assert_int_equal(is_told(s, task, c->figure), c->told);
+    PhScheduler_Destroy(s);
+}
+
+/* Every case. */
+static void
+test_inherited_pace(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(pace_cases, pace_run);
+}
+
+/* Runs the tests. */
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {cmocka_unit_test(test_inherited_pace)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
