--- a/decide/schedule/contact.c
+++ b/decide/schedule/contact.c
@@ -56,15 +56,8 @@
     action->as.run.run = task->run;
 }
 
-/* Tells whether a later life has the worker's id: orders would reach that
- * one. */
-static bool
-is_hidden(const PhScheduler *s, const PhSchedWorker *w)
-{
-    return PhSchedModel_NewestLife(s->model, w->entry.id) != w;
-}
-
-/* Gives the next start whose record is durable. */
+/* Gives the next start whose record is durable.  Where a later life has the
+ * worker's id, orders would reach that one, and wait. */
 static bool
 next_start(PhScheduler *s, PhTime now, PhSchedAction *action)
 {
@@ -75,7 +68,8 @@
             continue;
         }
         const PhSchedWorker *w = task->worker;
-        if (!PhScheduler_MayGrant(s, w, now) || is_hidden(s, w)) {
+        if (!PhScheduler_MayGrant(s, w, now) ||
+            !PhSchedModel_IsNewest(s->model, w)) {
             g_queue_push_tail(&s->starts, task);
             continue;
         }
@@ -114,7 +108,7 @@
             continue;
         }
         if (task->ordering || task->retry_at > now ||
-            is_hidden(s, task->worker) ||
+            !PhSchedModel_IsNewest(s->model, task->worker) ||
             PhStr_IsEmpty(task->worker->entry.address)) {
             g_queue_push_tail(&s->stops, task);
             PhScheduler_WakeBy(s, MAX(task->retry_at, now + RETRY));
--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -207,7 +207,7 @@
 void
 PhScheduler_PlanWorker(PhScheduler *s, PhSchedWorker *w, PhTime now)
 {
-    bool newest = PhSchedModel_NewestLife(s->model, w->entry.id) == w;
+    bool newest = PhSchedModel_IsNewest(s->model, w);
     if (newest && w->suspended && w->tasks->len == 0) {
         /* It may be forgotten, and granted leases when it comes back: the
          * record must not outlast this. */
@@ -272,7 +272,7 @@
     if (w->tasks->len > 0 || w->holding || !w->dead || w->listed) {
         return false;
     }
-    return PhSchedModel_NewestLife(s->model, w->entry.id) != w ||
+    return !PhSchedModel_IsNewest(s->model, w) ||
            (!w->suspended && !w->dirty && w->grant_batch <= s->durable_batch);
 }
 
--- a/decide/schedule/model.c
+++ b/decide/schedule/model.c
@@ -329,6 +329,13 @@
     return g_hash_table_lookup(m->workers, &id);
 }
 
+/* Tells whether no later life has the worker's id. */
+bool
+PhSchedModel_IsNewest(const PhSchedModel *m, const PhSchedWorker *w)
+{
+    return PhSchedModel_NewestLife(m, w->entry.id) == w;
+}
+
 /* Replaces what the worker tells of itself.  The id stays in place: the table
  * of workers refers to it. */
 void
@@ -348,7 +355,7 @@
 PhSchedModel_TakeLife(PhSchedModel *m, guint index)
 {
     PhSchedWorker *w = g_ptr_array_steal_index_fast(m->lives, index);
-    if (PhSchedModel_NewestLife(m, w->entry.id) != w) {
+    if (!PhSchedModel_IsNewest(m, w)) {
         return w;
     }
     g_hash_table_remove(m->workers, &w->entry.id);
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -467,7 +467,6 @@
     PhSchedWorker *w = PhSchedModel_NewestLife(s->model, id);
     if (w != NULL && w->listed) {
         w->listed = false;
-        w->unlisted_at = now;
         PhScheduler_WakeBy(s, now);
     }
 }
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -151,7 +151,6 @@
 struct PhSchedWorker {
     PhSchedWorkerEntry entry;
     bool listed;        /* its entry stands in the list */
-    PhTime unlisted_at; /* the entry went then */
     bool leaving;       /* it has said that it is about to leave */
     PhTime leaving_at;  /* the record of that was read then, 0 for not */
     bool fenced;        /* it has answered to this owner's fence */
@@ -245,6 +244,9 @@
                                    int64_t born_ms);
 /* Finds the newest life, or NULL. */
 PhSchedWorker *PhSchedModel_NewestLife(const PhSchedModel *model, PhStr id);
+/* Tells whether no later life has the worker's id. */
+bool PhSchedModel_IsNewest(const PhSchedModel *model,
+                           const PhSchedWorker *worker);
 /* Replaces what the worker tells of itself; takes over the strings. */
 void PhSchedWorker_SetEntry(PhSchedWorker *worker, PhSchedWorkerEntry *entry);
 void PhSchedWorkerEntry_Clear(PhSchedWorkerEntry *entry);
