--- a/tests/platform/test_odd_documents.c
+++ b/tests/platform/test_odd_documents.c
@@ -1,5 +1,6 @@
 /* What others write, beside the entries of workers, deeply nested or with
  * numbers out of range: it is refused or read within its bounds. */
+#include "odd_text.h"
 #include "peridothill/codec/list_json.h"
 #include "peridothill/codec/schedule_record.h"
 #include "peridothill/platform/adapter.h"
@@ -140,19 +141,6 @@
           "\"live\",\"slots\":9223372036854775808}]}")},
 };
 
-/* Makes the document of a case. */
-static PhStr
-document_make(const PhDocumentCase *c)
-{
-    PhBuf out = {0};
-    PhBuf_Append(&out, c->head);
-    for (size_t i = 0; i < c->times; i++) {
-        PhBuf_Append(&out, PhStr_FromC(c->repeat));
-    }
-    PhBuf_Append(&out, c->tail);
-    return PhBuf_Take(&out);
-}
-
 /* Reads an answer to a hold; true when it was one. */
 static bool
 read_hold(PhStr text)
@@ -215,7 +203,7 @@
 static void
 document_run(const PhDocumentCase *c)
 {
-    PhStr text = document_make(c);
+    PhStr text = PhOddText_Make(c->head, c->repeat, c->times, c->tail);
     assert_int_equal(read_document(c, text), c->valid);
     PhStr_Clear(&text);
 }
--- a/tests/platform/test_odd_entries.c
+++ b/tests/platform/test_odd_entries.c
@@ -2,6 +2,7 @@
  * no worker, and what stands beside them is followed. */
 #include <string.h>
 
+#include "odd_text.h"
 #include "peridothill/codec/json.h"
 #include "peridothill/platform/adapter.h"
 #include "peridothill/services/http.h"
@@ -399,19 +400,6 @@
     free(known->log);
 }
 
-/* Makes the entry of a case. */
-static PhStr
-odd_make(const PhOddCase *c)
-{
-    PhBuf out = {0};
-    PhBuf_Append(&out, c->head);
-    for (size_t i = 0; i < c->times; i++) {
-        PhBuf_Append(&out, PhStr_FromC(c->repeat));
-    }
-    PhBuf_Append(&out, c->tail);
-    return PhBuf_Take(&out);
-}
-
 /* Puts an odd entry beside good ones, first at the end of a page and then into
  * a read; there it also takes the place of good ones, one of which comes
  * back. */
@@ -419,7 +407,7 @@
 odd_run(const PhOddCase *c)
 {
     json_t *items[] = {json_array(), json_array()};
-    PhStr odd = odd_make(c);
+    PhStr odd = PhOddText_Make(c->head, c->repeat, c->times, c->tail);
     PhStr key = c->key.data == NULL ? PhStr_LITERAL("i-odd") : c->key;
     PhStoreScript script = {.after = key, .froms = {3, 8}};
     PhBuf first = read_begin(8);
