--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -150,13 +150,13 @@
 /* One life of a worker. */
 struct PhSchedWorker {
     PhSchedWorkerEntry entry;
-    bool listed;        /* its entry stands in the list */
-    bool leaving;       /* it has said that it is about to leave */
-    PhTime leaving_at;  /* the record of that was read then, 0 for not */
-    bool fenced;        /* it has answered to this owner's fence */
-    bool suspended;     /* it does not answer; it is recorded that no lease is
-                           granted to it */
-    bool dirty;         /* `suspended` differs from its last record */
+    bool listed;       /* its entry stands in the list */
+    bool leaving;      /* it has said that it is about to leave */
+    PhTime leaving_at; /* the record of that was read then, 0 for not */
+    bool fenced;       /* it has answered to this owner's fence */
+    bool suspended;    /* it does not answer; it is recorded that no lease is
+                          granted to it */
+    bool dirty;        /* `suspended` differs from its last record */
     uint64_t grant_batch; /* records that must be durable before a lease */
     PhTime suspended_at;  /* the record was read or written then */
     PhTime lapse;         /* as recorded then, 0 for not known */
