schedule: log runs that are over without a reported end

Change: event 7025 with the reason, the age of the newest start without an answer, and what is left of the leases by the owner's account. All such ends go through PhScheduler_ReleaseRun. No decision changes.

--- a/decide/schedule/incarnations.c
+++ b/decide/schedule/incarnations.c
@@ -56,8 +56,7 @@
             }
             continue;
         }
-        PhScheduler_EndRun(s, task, PH_SCHED_END_LEASE_EXPIRED, (PhStr){0},
-                           now);
+        PhScheduler_ReleaseRun(s, task, PH_SCHED_RELEASE_REPLACED, now);
     }
     w->listed = false;
     w->dead = true;
--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -198,8 +198,8 @@
     g_array_append_val(s->events, event);
     w->dead = true;
     while (w->tasks->len > 0) {
-        PhScheduler_EndRun(s, g_ptr_array_index(w->tasks, 0),
-                           PH_SCHED_END_LEASE_EXPIRED, (PhStr){0}, now);
+        PhScheduler_ReleaseRun(s, g_ptr_array_index(w->tasks, 0),
+                               PH_SCHED_RELEASE_LOST, now);
     }
 }
 
--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -82,6 +82,8 @@
     task->fence = s->fence;
     task->batch = s->open_batch;
     task->retry_at = 0;
+    task->start_sent_at = 0;
+    task->unanswered_start_at = 0;
     task->confirmed_clock_ms = 0;
     task->confirmed_at = 0;
     task->percent_sent = PERCENT;
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -285,6 +285,38 @@
     }
 }
 
+static PhSchedEndKind
+release_kind(PhSchedRelease reason)
+{
+    switch (reason) {
+    case PH_SCHED_RELEASE_NOT_SENT:
+    case PH_SCHED_RELEASE_REFUSED:
+        return PH_SCHED_END_STOPPED;
+    case PH_SCHED_RELEASE_MISSING:
+    case PH_SCHED_RELEASE_LOST:
+    case PH_SCHED_RELEASE_REPLACED:
+        break;
+    }
+    return PH_SCHED_END_LEASE_EXPIRED;
+}
+
+void
+PhScheduler_ReleaseRun(PhScheduler *s, PhSchedTask *task,
+                       PhSchedRelease reason, PhTime now)
+{
+    PhTime unanswered_at = task->unanswered_start_at;
+    PhSchedEvent event = {.tag = PH_SCHED_EVENT_RUN_RELEASED,
+                          .worker = task->worker};
+    event.as.released.task = PhSchedTask_Name(task);
+    event.as.released.run = task->run;
+    event.as.released.reason = reason;
+    event.as.released.unanswered =
+        unanswered_at == 0 ? -1 : now - unanswered_at;
+    event.as.released.lease_left = task->worker->leases_end_by - now;
+    g_array_append_val(s->events, event);
+    PhScheduler_EndRun(s, task, release_kind(reason), (PhStr){0}, now);
+}
+
 /* Opens the rounds that have come due. */
 static void
 plan_rounds(PhScheduler *s, PhSchedJob *job, int64_t wall_ms)
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -65,6 +65,9 @@
 void PhScheduler_EndRun(PhScheduler *scheduler, PhSchedTask *task,
                         PhSchedEndKind kind, PhStr last_checkpoint,
                         PhTime now);
+/* Ends a run for which no end was reported. */
+void PhScheduler_ReleaseRun(PhScheduler *scheduler, PhSchedTask *task,
+                            PhSchedRelease reason, PhTime now);
 /* Sets the final state of a job and stops its placed tasks. */
 void PhScheduler_EndJob(PhScheduler *scheduler, PhSchedJob *job,
                         PhSchedJobState state);
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -83,6 +83,7 @@
             continue;
         }
         task->start_in_flight = true;
+        task->start_sent_at = now;
         run_order_init(task, PH_SCHED_ACTION_START, action);
         action->as.run.deadline_ms = PhScheduler_Grant(s, task->worker, now);
         action->as.run.payload = task->stage->job->spec.payload;
@@ -106,7 +107,7 @@
                           task->fence == s->fence && !task->start_in_flight &&
                           !task->start_unconfirmed;
         if (never_sent) {
-            PhScheduler_EndRun(s, task, PH_SCHED_END_STOPPED, (PhStr){0}, now);
+            PhScheduler_ReleaseRun(s, task, PH_SCHED_RELEASE_NOT_SENT, now);
             continue;
         }
         if (task->start_in_flight || task->retry_at > now ||
@@ -219,7 +220,7 @@
         PhScheduler_ReplaceMember(s, task, now);
         return;
     }
-    PhScheduler_EndRun(s, task, PH_SCHED_END_STOPPED, (PhStr){0}, now);
+    PhScheduler_ReleaseRun(s, task, PH_SCHED_RELEASE_REFUSED, now);
 }
 
 static void
@@ -266,6 +267,7 @@
         break;
     case PH_SCHED_OUTCOME_UNKNOWN:
         task->start_unconfirmed = true;
+        task->unanswered_start_at = task->start_sent_at;
         w->cooldown_until = now + REFUSAL_COOLDOWN;
         start_requeue(s, task, now + RETRY_INTERVAL);
         break;
@@ -439,8 +441,7 @@
             task->confirmed_clock_ms >= clock_ms) {
             continue;
         }
-        PhScheduler_EndRun(s, task, PH_SCHED_END_LEASE_EXPIRED, (PhStr){0},
-                           now);
+        PhScheduler_ReleaseRun(s, task, PH_SCHED_RELEASE_MISSING, now);
     }
 }
 
--- a/include/peridothill/common/event_list_schedule.h
+++ b/include/peridothill/common/event_list_schedule.h
@@ -35,3 +35,5 @@
          "owner does not answer, forwarded calls are handled locally")
 PH_EVENT(7024, SCHEDULE_WORKER_FORGOTTEN, INFO,
          "worker removed from the model")
+PH_EVENT(7025, SCHEDULE_RELEASED, INFO,
+         "run is over without a reported end, its task is queued again")
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -112,8 +112,18 @@
                                  */
     PH_SCHED_EVENT_WORKER_REMOVED, /* a dead worker was removed from the model
                                     */
+    PH_SCHED_EVENT_RUN_RELEASED,   /* a run is over without a reported end */
 } PhSchedEventTag;
 
+/* Evidence that a run is over although no end of it was reported. */
+typedef enum PhSchedRelease {
+    PH_SCHED_RELEASE_NOT_SENT, /* no start was sent */
+    PH_SCHED_RELEASE_REFUSED,  /* the worker did not execute the start */
+    PH_SCHED_RELEASE_MISSING,  /* the worker does not report the run */
+    PH_SCHED_RELEASE_LOST,     /* the worker's leases have expired */
+    PH_SCHED_RELEASE_REPLACED, /* a later incarnation of the worker answered */
+} PhSchedRelease;
+
 /* Strings are borrowed until the model next changes. */
 typedef struct PhSchedEvent {
     PhSchedEventTag tag;
@@ -126,6 +136,15 @@
             PhTime run_time;
             uint32_t failures;
         } ended;
+        struct {
+            PhSchedTaskName task;
+            uint32_t run;
+            PhSchedRelease reason;
+            PhTime unanswered; /* age of the newest start without an answer,
+                                  -1 for none */
+            PhTime lease_left; /* of the worker's leases, as far as granted by
+                                  this owner */
+        } released;
         const PhSchedJob *over;
         struct {
             guint runs;
--- a/services/schedule/schedule_log.c
+++ b/services/schedule/schedule_log.c
@@ -86,6 +86,30 @@
     PhStr_Clear(&task);
 }
 
+/* Logs a run that is over without a reported end, with the evidence. */
+static void
+log_run_released(PhScheduleTask *t, const PhSchedEvent *note)
+{
+    static const PhStr reasons[] = {
+        [PH_SCHED_RELEASE_NOT_SENT] = {"not sent", 8},
+        [PH_SCHED_RELEASE_REFUSED] = {"refused", 7},
+        [PH_SCHED_RELEASE_MISSING] = {"missing", 7},
+        [PH_SCHED_RELEASE_LOST] = {"lost", 4},
+        [PH_SCHED_RELEASE_REPLACED] = {"replaced", 8},
+    };
+    PhTime unanswered = note->as.released.unanswered;
+    PhStr task = format_task(&note->as.released.task);
+    PhTask_LOG(
+        t->self, PH_EVENT_SCHEDULE_RELEASED, PhField_STR("run", task),
+        PhField_U64("number", note->as.released.run),
+        PhField_STR("worker", note->worker->entry.id),
+        PhField_STR("reason", reasons[note->as.released.reason]),
+        PhField_I64("unanswered_ms",
+                    unanswered < 0 ? -1 : unanswered / PH_NS_PER_MS),
+        PhField_I64("lease_ms", note->as.released.lease_left / PH_NS_PER_MS));
+    PhStr_Clear(&task);
+}
+
 /* Logs a takeover with the state of the workers as recorded by earlier
  * owners. */
 void
@@ -158,6 +182,9 @@
                        PhField_U64("suspended", w->suspended),
                        PhField_U64("unrecorded", w->dirty));
             break;
+        case PH_SCHED_EVENT_RUN_RELEASED:
+            log_run_released(t, &notes[i]);
+            break;
         }
     }
     PhScheduler_ClearEvents(t->scheduler);
