--- /dev/null
+++ b/tests/schedule/test_unanswered_starts.c
@@ -0,0 +1,177 @@
+/* Starts without an answer: they may be executed seconds later, after newer
+ * orders. */
+#include "single_task.h"
+#include "tests/table.h"
+
+enum {
+    RUN = 1,
+    FENCE = 7,
+};
+
+static const PhTime NOW = 100 * PH_NS_PER_S;
+static const PhTime RETRY_AFTER = 500 * PH_NS_PER_MS;
+
+/* A scheduler that owns one worker and one task, whose start is sent. */
+typedef struct PhStartFixture {
+    PhScheduler *scheduler;
+    PhSchedTask *task;
+    PhTime now;
+} PhStartFixture;
+
+static void
+record_all(PhScheduler *s)
+{
+    GArray *records = g_array_new(FALSE, TRUE, sizeof(PhSchedRecord));
+    uint64_t batch = PhScheduler_TakeBatch(s, records);
+    for (guint i = 0; i < records->len; i++) {
+        PhSchedRecord_Clear(&g_array_index(records, PhSchedRecord, i));
+    }
+    g_array_free(records, TRUE);
+    PhScheduler_OnDurable(s, batch);
+}
+
+/* Returns how many orders of one kind are sent within a moment. */
+static unsigned
+orders_sent(PhStartFixture *f, PhSchedActionTag tag)
+{
+    unsigned count = 0;
+    for (int i = 0; i < 3; i++) {
+        PhSchedAction action;
+        PhScheduler_Plan(f->scheduler, f->now, 0);
+        record_all(f->scheduler);
+        while (PhScheduler_NextAction(f->scheduler, f->now, &action)) {
+            count += action.tag == tag;
+        }
+        f->now += 10 * PH_NS_PER_MS;
+    }
+    return count;
+}
+
+static void
+hold_answer(PhStartFixture *f, bool lists_run)
+{
+    PhSchedRunRow row = {.task = {.job = PH_SINGLE_JOB}, .run = RUN};
+    PhSchedHoldReply reply = {.outcome = PH_SCHED_OUTCOME_DONE,
+                              .clock_ms = f->now / PH_NS_PER_MS,
+                              .born_ms = 1,
+                              .runs = &row,
+                              .run_count = lists_run};
+    PhScheduler_OnHold(f->scheduler, PH_SINGLE_WORKER, 1, &reply, f->now);
+}
+
+static void
+start_answer(PhStartFixture *f, PhSchedOutcome outcome)
+{
+    PhSchedTaskName name = {.job = PH_SINGLE_JOB};
+    PhScheduler_OnStart(f->scheduler, &name, RUN, outcome,
+                        f->now / PH_NS_PER_MS, f->now);
+}
+
+static void
+fixture_open(PhStartFixture *f)
+{
+    PhScheduler *s = PhScheduler_Create(
+        &(PhSchedulerOptions){.lease_limit = 10 * PH_NS_PER_S});
+    *f = (PhStartFixture){.scheduler = s, .now = NOW};
+    PhSingle_ShowWorker(s, false, NOW);
+    f->task = PhSingle_AddJob(PhScheduler_Model(s), PH_SINGLE_JOB,
+                              (PhSchedStep){.count = 1, .long_running = true});
+    PhScheduler_SetFence(s, FENCE, NOW);
+    assert_int_equal(orders_sent(f, PH_SCHED_ACTION_HOLD), 1);
+    hold_answer(f, false);
+    assert_int_equal(orders_sent(f, PH_SCHED_ACTION_START), 1);
+}
+
+static void
+fixture_close(PhStartFixture *f)
+{
+    PhScheduler_Destroy(f->scheduler);
+}
+
+/* The worker lists the run while the second start is in flight, or does not;
+ * then that start has an outcome.  `starts` counts the starts of the task that
+ * follow at once, under this or a new number. */
+typedef struct PhRetryCase {
+    const char *name;
+    PhSchedOutcome first;
+    bool listed;
+    PhSchedOutcome second;
+    bool placed; /* the task keeps its run */
+    unsigned starts;
+} PhRetryCase;
+
+static const PhRetryCase retry_cases[] = {
+    {"the run is listed, the repeated start was not sent",
+     PH_SCHED_OUTCOME_UNKNOWN, true, PH_SCHED_OUTCOME_NOT_SENT, true, 0},
+    {"the run is listed, the repeated start is refused",
+     PH_SCHED_OUTCOME_UNKNOWN, true, PH_SCHED_OUTCOME_REFUSED, true, 0},
+    {"the run is listed, the repeated start finds no capacity",
+     PH_SCHED_OUTCOME_UNKNOWN, true, PH_SCHED_OUTCOME_NO_CAPACITY, true, 0},
+    {"the run is listed, the repeated start names another incarnation",
+     PH_SCHED_OUTCOME_UNKNOWN, true, PH_SCHED_OUTCOME_OTHER_INCARNATION, true,
+     0},
+    {"the run is listed, the repeated start has no answer",
+     PH_SCHED_OUTCOME_UNKNOWN, true, PH_SCHED_OUTCOME_UNKNOWN, true, 0},
+    {"the run is not listed, the repeated start was not sent",
+     PH_SCHED_OUTCOME_UNKNOWN, false, PH_SCHED_OUTCOME_NOT_SENT, true, 0},
+    {"the run is not listed, the repeated start is refused",
+     PH_SCHED_OUTCOME_UNKNOWN, false, PH_SCHED_OUTCOME_REFUSED, true, 0},
+    {"no start was executed", PH_SCHED_OUTCOME_DEADLINE_PASSED, false,
+     PH_SCHED_OUTCOME_NOT_SENT, false, 0},
+};
+
+static void
+retry_run(const PhRetryCase *c)
+{
+    PhStartFixture f;
+    fixture_open(&f);
+    start_answer(&f, c->first);
+    f.now += RETRY_AFTER;
+    assert_int_equal(orders_sent(&f, PH_SCHED_ACTION_START), 1);
+    if (c->listed) {
+        hold_answer(&f, true);
+    }
+    start_answer(&f, c->second);
+    assert_int_equal(f.task->worker != NULL, c->placed);
+    f.now += RETRY_AFTER;
+    assert_int_equal(orders_sent(&f, PH_SCHED_ACTION_START), c->starts);
+    fixture_close(&f);
+}
+
+/* Guards against a second run of a task: a repeated start that was not
+ * executed must not end the run that an earlier start began. */
+static void
+test_refused_repetition(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(retry_cases, retry_run);
+}
+
+/* Guards against a task that never starts again: a run that the worker has
+ * listed and lists no more is over, also if a later start of it has no
+ * answer. */
+static void
+test_unlisted_after_repetition(void **state)
+{
+    (void)state;
+    PhStartFixture f;
+    fixture_open(&f);
+    start_answer(&f, PH_SCHED_OUTCOME_UNKNOWN);
+    f.now += RETRY_AFTER;
+    assert_int_equal(orders_sent(&f, PH_SCHED_ACTION_START), 1);
+    hold_answer(&f, true);
+    start_answer(&f, PH_SCHED_OUTCOME_UNKNOWN);
+    f.now += RETRY_AFTER;
+    hold_answer(&f, false);
+    assert_null(f.task->worker);
+    fixture_close(&f);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_refused_repetition),
+        cmocka_unit_test(test_unlisted_after_repetition)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
