schedule: withdraw starts that have become forbidden

Cause: a start without an answer was sent again until it was answered, whatever had changed since the task was assigned: the worker leaves, or is of another service by now. Only the end of the job stopped it.

Change: starts.c decides in one place whether the start of an assigned task may be sent, waits or is withdrawn, and what settles one that may have been executed: its answer while it is in flight, else a stop, which a worker remembers for a run that has not begun; a start that was never sent releases the task at once. Event 7026 names the reason. A released run wakes the owner, so that the task need not wait for the next periodic plan.

Ruled out: refusing only at the next repetition (a start that is never sent again may still be executed late); waiting for the lease (3 s for a worker that leaves, while a stop takes one round trip).

--- a/decide/schedule/fit.c
+++ b/decide/schedule/fit.c
@@ -86,14 +86,21 @@
     return w->used.cpu_milli + step->resources.cpu_milli <= c->cpu_milli;
 }
 
+bool
+PhScheduler_IsEligible(const PhSchedWorker *w, const PhSchedTask *task)
+{
+    const PhSchedStep *step = PhSchedTask_Step(task);
+    return PhStr_Equal(w->entry.service,
+                       task->stage->job->spec.terms.service) &&
+           (step->requires.len == 0 || has_label(w, step->requires));
+}
+
 static bool
 worker_fits(const PhSchedWorker *w, const PhSchedTask *task, PhTime now)
 {
     const PhSchedStage *stage = task->stage;
     const PhSchedStep *step = PhSchedTask_Step(task);
-    if (!PhStr_Equal(w->entry.service, stage->job->spec.terms.service) ||
-        (step->requires.len > 0 && !has_label(w, step->requires)) ||
-        !resources_fit(w, step, now)) {
+    if (!PhScheduler_IsEligible(w, task) || !resources_fit(w, step, now)) {
         return false;
     }
     return step->max_per_worker == 0 ||
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -304,17 +304,16 @@
 PhScheduler_ReleaseRun(PhScheduler *s, PhSchedTask *task,
                        PhSchedRelease reason, PhTime now)
 {
-    PhTime unanswered_at = task->unanswered_start_at;
     PhSchedEvent event = {.tag = PH_SCHED_EVENT_RUN_RELEASED,
                           .worker = task->worker};
     event.as.released.task = PhSchedTask_Name(task);
     event.as.released.run = task->run;
     event.as.released.reason = reason;
-    event.as.released.unanswered =
-        unanswered_at == 0 ? -1 : now - unanswered_at;
+    event.as.released.unanswered = PhSchedTask_UnansweredFor(task, now);
     event.as.released.lease_left = task->worker->leases_end_by - now;
     g_array_append_val(s->events, event);
     PhScheduler_EndRun(s, task, release_kind(reason), (PhStr){0}, now);
+    PhScheduler_WakeBy(s, now);
 }
 
 /* Opens the rounds that have come due. */
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -98,6 +98,38 @@
                                         PhSchedWorker *worker,
                                         const PhSchedHoldReply *reply,
                                         PhTime now);
+/* What excludes that a start of a run is executed from now on, in this
+ * incarnation of the worker. */
+typedef enum PhStartSettlement {
+    PH_START_SETTLED,           /* none was sent, or none was executed */
+    PH_START_SETTLED_BY_ANSWER, /* one is in flight */
+    PH_START_SETTLED_BY_STOP,   /* the worker refuses a run that was stopped
+                                   before it began */
+} PhStartSettlement;
+
+typedef enum PhStartVerdictTag {
+    PH_START_DISCARD, /* no start is due any more */
+    PH_START_SEND,
+    PH_START_WAIT,
+    PH_START_WITHDRAW,
+} PhStartVerdictTag;
+
+typedef struct PhStartVerdict {
+    PhStartVerdictTag tag;
+    union {
+        PhTime until;             /* WAIT: PH_TIME_NEVER if an event decides */
+        PhStartObstacle obstacle; /* WITHDRAW */
+    } as;
+} PhStartVerdict;
+
+/* starts.c: age of the newest start of the run without an answer, -1 for none.
+ */
+PhTime PhSchedTask_UnansweredFor(const PhSchedTask *task, PhTime now);
+PhStartObstacle PhScheduler_StartObstacle(const PhSchedTask *task);
+PhStartSettlement PhScheduler_StartSettlement(const PhScheduler *scheduler,
+                                              const PhSchedTask *task);
+PhStartVerdict PhScheduler_JudgeStart(const PhScheduler *scheduler,
+                                      const PhSchedTask *task, PhTime now);
 /* gang.c: places a whole gang or nothing; false if it has to wait. */
 bool PhScheduler_PlaceGang(PhScheduler *scheduler, PhSchedStage *stage,
                            PhTime now);
@@ -128,6 +160,10 @@
                                       PhTime now);
 /* fit.c: reports whether a worker may be given starts at all. */
 bool PhScheduler_IsUsable(const PhSchedWorker *worker, PhTime now);
+/* Reports whether a worker is of the task's service and has the label that its
+ * step requires. */
+bool PhScheduler_IsEligible(const PhSchedWorker *worker,
+                            const PhSchedTask *task);
 /* Rates a usable worker for a task, higher is better; false if the task must
  * not start there. */
 bool PhScheduler_RateWorker(const PhScheduler *scheduler,
--- /dev/null
+++ b/decide/schedule/starts.c
@@ -0,0 +1,67 @@
+/* Whether the start of an assigned task may still be sent, and what settles a
+ * start that may have been executed or may yet be. */
+#include "scheduler_private.h"
+
+PhTime
+PhSchedTask_UnansweredFor(const PhSchedTask *task, PhTime now)
+{
+    return task->unanswered_start_at == 0 ? -1
+                                          : now - task->unanswered_start_at;
+}
+
+PhStartObstacle
+PhScheduler_StartObstacle(const PhSchedTask *task)
+{
+    const PhSchedWorker *w = task->worker;
+    if (PhSchedJob_IsOver(task->stage->job)) {
+        return PH_START_JOB_ENDED;
+    }
+    if (w->entry.draining) {
+        return PH_START_WORKER_LEAVES;
+    }
+    /* The entry of an incarnation that only records name has no address. */
+    if (!PhStr_IsEmpty(w->entry.address) && !PhScheduler_IsEligible(w, task)) {
+        return PH_START_WORKER_UNSUITABLE;
+    }
+    return PH_START_ALLOWED;
+}
+
+PhStartSettlement
+PhScheduler_StartSettlement(const PhScheduler *s, const PhSchedTask *task)
+{
+    if (task->start_in_flight) {
+        return PH_START_SETTLED_BY_ANSWER;
+    }
+    bool unsent = task->state == PH_SCHED_TASK_ASSIGNED &&
+                  task->fence == s->fence && !task->start_unconfirmed;
+    return unsent ? PH_START_SETTLED : PH_START_SETTLED_BY_STOP;
+}
+
+PhStartVerdict
+PhScheduler_JudgeStart(const PhScheduler *s, const PhSchedTask *task,
+                       PhTime now)
+{
+    const PhSchedWorker *w = task->worker;
+    if (task->state != PH_SCHED_TASK_ASSIGNED || task->start_in_flight ||
+        task->stopping || task->fence != s->fence) {
+        return (PhStartVerdict){.tag = PH_START_DISCARD};
+    }
+    PhStartObstacle obstacle = PhScheduler_StartObstacle(task);
+    if (obstacle != PH_START_ALLOWED) {
+        return (PhStartVerdict){.tag = PH_START_WITHDRAW,
+                                .as.obstacle = obstacle};
+    }
+    PhStartVerdict wait = {.tag = PH_START_WAIT, .as.until = PH_TIME_NEVER};
+    /* An order for an earlier incarnation would reach the newest one under the
+     * same id. */
+    if (!PhScheduler_MayGrant(s, w, now) ||
+        !PhSchedModel_IsNewest(s->model, w) ||
+        task->batch > s->durable_batch) {
+        return wait;
+    }
+    if (task->retry_at > now) {
+        wait.as.until = task->retry_at;
+        return wait;
+    }
+    return (PhStartVerdict){.tag = PH_START_SEND};
+}
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -58,37 +58,74 @@
     action->as.run.run = task->run;
 }
 
-/* Takes the next start whose record is durable.  If a later incarnation has
- * the worker's id, the order would reach that one, so it is kept back. */
+/* Takes a start back that must not be sent again, or was not executed.  If an
+ * earlier start of the run may still be executed, a stop has to come first. */
+static void
+start_withdraw(PhScheduler *s, PhSchedTask *task, PhSchedRelease reason,
+               PhTime now)
+{
+    switch (PhScheduler_StartSettlement(s, task)) {
+    case PH_START_SETTLED_BY_ANSWER:
+        break;
+    case PH_START_SETTLED_BY_STOP:
+        PhScheduler_StopTask(s, task);
+        break;
+    case PH_START_SETTLED:
+        if (PhSchedTask_Step(task)->gang && !task->stopping) {
+            PhScheduler_ReplaceMember(s, task, now);
+            break;
+        }
+        PhScheduler_ReleaseRun(s, task, reason, now);
+        break;
+    }
+}
+
+static void
+withdrawal_report(PhScheduler *s, const PhSchedTask *task,
+                  PhStartObstacle obstacle, PhTime now)
+{
+    PhSchedEvent event = {.tag = PH_SCHED_EVENT_START_WITHDRAWN,
+                          .worker = task->worker};
+    event.as.withdrawn.task = PhSchedTask_Name(task);
+    event.as.withdrawn.run = task->run;
+    event.as.withdrawn.obstacle = obstacle;
+    event.as.withdrawn.unanswered = PhSchedTask_UnansweredFor(task, now);
+    g_array_append_val(s->events, event);
+}
+
+static void
+start_send(PhScheduler *s, PhSchedTask *task, PhTime now,
+           PhSchedAction *action)
+{
+    task->start_in_flight = true;
+    task->start_sent_at = now;
+    run_order_init(task, PH_SCHED_ACTION_START, action);
+    action->as.run.deadline_ms = PhScheduler_Grant(s, task->worker, now);
+    action->as.run.payload = task->stage->job->spec.payload;
+    action->as.run.last_checkpoint = task->last_checkpoint;
+}
+
 static bool
 next_start(PhScheduler *s, PhTime now, PhSchedAction *action)
 {
     for (guint left = s->starts.length; left > 0; left--) {
         PhSchedTask *task = g_queue_pop_head(&s->starts);
-        if (task->state != PH_SCHED_TASK_ASSIGNED || task->start_in_flight ||
-            task->stopping || task->fence != s->fence) {
-            continue;
-        }
-        const PhSchedWorker *w = task->worker;
-        if (!PhScheduler_MayGrant(s, w, now) ||
-            !PhSchedModel_IsNewest(s->model, w)) {
+        PhStartVerdict verdict = PhScheduler_JudgeStart(s, task, now);
+        switch (verdict.tag) {
+        case PH_START_DISCARD:
+            break;
+        case PH_START_SEND:
+            start_send(s, task, now, action);
+            return true;
+        case PH_START_WAIT:
             g_queue_push_tail(&s->starts, task);
-            continue;
+            PhScheduler_WakeBy(s, verdict.as.until);
+            break;
+        case PH_START_WITHDRAW:
+            withdrawal_report(s, task, verdict.as.obstacle, now);
+            start_withdraw(s, task, PH_SCHED_RELEASE_NOT_SENT, now);
+            break;
         }
-        if (task->batch > s->durable_batch || task->retry_at > now) {
-            g_queue_push_tail(&s->starts, task);
-            if (task->batch <= s->durable_batch) {
-                PhScheduler_WakeBy(s, task->retry_at);
-            }
-            continue;
-        }
-        task->start_in_flight = true;
-        task->start_sent_at = now;
-        run_order_init(task, PH_SCHED_ACTION_START, action);
-        action->as.run.deadline_ms = PhScheduler_Grant(s, task->worker, now);
-        action->as.run.payload = task->stage->job->spec.payload;
-        action->as.run.last_checkpoint = task->last_checkpoint;
-        return true;
     }
     return false;
 }
@@ -103,14 +140,12 @@
         if (task->worker == NULL || !task->stopping || task->stop_in_flight) {
             continue;
         }
-        bool never_sent = task->state == PH_SCHED_TASK_ASSIGNED &&
-                          task->fence == s->fence && !task->start_in_flight &&
-                          !task->start_unconfirmed;
-        if (never_sent) {
+        PhStartSettlement settlement = PhScheduler_StartSettlement(s, task);
+        if (settlement == PH_START_SETTLED) {
             PhScheduler_ReleaseRun(s, task, PH_SCHED_RELEASE_NOT_SENT, now);
             continue;
         }
-        if (task->start_in_flight || task->retry_at > now ||
+        if (settlement == PH_START_SETTLED_BY_ANSWER || task->retry_at > now ||
             !PhSchedModel_IsNewest(s->model, task->worker) ||
             PhStr_IsEmpty(task->worker->entry.address)) {
             g_queue_push_tail(&s->stops, task);
@@ -207,22 +242,6 @@
     task->confirmed_clock_ms = MAX(task->confirmed_clock_ms, clock_ms);
 }
 
-/* Releases a task whose start was refused.  If an earlier start of the run may
- * still arrive, a stop has to come first. */
-static void
-start_refused(PhScheduler *s, PhSchedTask *task, PhTime now)
-{
-    if (task->start_unconfirmed) {
-        PhScheduler_StopTask(s, task);
-        return;
-    }
-    if (PhSchedTask_Step(task)->gang && !task->stopping) {
-        PhScheduler_ReplaceMember(s, task, now);
-        return;
-    }
-    PhScheduler_ReleaseRun(s, task, PH_SCHED_RELEASE_REFUSED, now);
-}
-
 static void
 start_requeue(PhScheduler *s, PhSchedTask *task, PhTime at)
 {
@@ -266,12 +285,12 @@
         break;
     case PH_SCHED_OUTCOME_NO_CAPACITY:
         w->cooldown_until = now + REFUSAL_COOLDOWN / 2;
-        start_refused(s, task, now);
+        start_withdraw(s, task, PH_SCHED_RELEASE_REFUSED, now);
         break;
     case PH_SCHED_OUTCOME_REFUSED:
     case PH_SCHED_OUTCOME_NOT_SENT:
         w->cooldown_until = now + REFUSAL_COOLDOWN;
-        start_refused(s, task, now);
+        start_withdraw(s, task, PH_SCHED_RELEASE_REFUSED, now);
         break;
     case PH_SCHED_OUTCOME_UNKNOWN:
         task->start_unconfirmed = true;
--- a/include/peridothill/common/event_list_schedule.h
+++ b/include/peridothill/common/event_list_schedule.h
@@ -37,3 +37,4 @@
          "worker removed from the model")
 PH_EVENT(7025, SCHEDULE_RELEASED, INFO,
          "run is over without a reported end, its task is queued again")
+PH_EVENT(7026, SCHEDULE_WITHDRAWN, INFO, "start must not be sent any more")
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -110,11 +110,21 @@
     PH_SCHED_EVENT_WORKER_RESUMED,   /* a suspended worker answers again */
     PH_SCHED_EVENT_WORKER_LOST, /* a worker's leases expired, or it restarted
                                  */
-    PH_SCHED_EVENT_WORKER_REMOVED, /* a dead worker was removed from the model
-                                    */
-    PH_SCHED_EVENT_RUN_RELEASED,   /* a run is over without a reported end */
+    PH_SCHED_EVENT_WORKER_REMOVED,  /* a dead worker was removed from the model
+                                     */
+    PH_SCHED_EVENT_RUN_RELEASED,    /* a run is over without a reported end */
+    PH_SCHED_EVENT_START_WITHDRAWN, /* an assigned task must not start any more
+                                     */
 } PhSchedEventTag;
 
+/* Why the start of an assigned task must not be sent. */
+typedef enum PhStartObstacle {
+    PH_START_ALLOWED,
+    PH_START_JOB_ENDED,
+    PH_START_WORKER_LEAVES,
+    PH_START_WORKER_UNSUITABLE, /* of another service, or without the label */
+} PhStartObstacle;
+
 /* Evidence that a run is over although no end of it was reported. */
 typedef enum PhSchedRelease {
     PH_SCHED_RELEASE_NOT_SENT, /* no start was sent */
@@ -145,6 +155,12 @@
             PhTime lease_left; /* of the worker's leases, as far as granted by
                                   this owner */
         } released;
+        struct {
+            PhSchedTaskName task;
+            uint32_t run;
+            PhStartObstacle obstacle;
+            PhTime unanswered; /* as for `released` */
+        } withdrawn;
         const PhSchedJob *over;
         struct {
             guint runs;
--- a/services/schedule/schedule_log.c
+++ b/services/schedule/schedule_log.c
@@ -12,6 +12,13 @@
     return PhBuf_Take(&text);
 }
 
+/* -1 stands for none. */
+static int64_t
+age_ms(PhTime age)
+{
+    return age < 0 ? -1 : age / PH_NS_PER_MS;
+}
+
 void
 PhScheduleLog_Order(PhScheduleTask *t, const PhSchedAction *a)
 {
@@ -86,6 +93,26 @@
     PhStr_Clear(&task);
 }
 
+/* Logs that the start of an assigned task must not be sent any more. */
+static void
+log_start_withdrawn(PhScheduleTask *t, const PhSchedEvent *note)
+{
+    static const PhStr obstacles[] = {
+        [PH_START_ALLOWED] = {"none", 4},
+        [PH_START_JOB_ENDED] = {"job ended", 9},
+        [PH_START_WORKER_LEAVES] = {"worker leaves", 13},
+        [PH_START_WORKER_UNSUITABLE] = {"worker unsuitable", 17},
+    };
+    PhStr task = format_task(&note->as.withdrawn.task);
+    PhTask_LOG(
+        t->self, PH_EVENT_SCHEDULE_WITHDRAWN, PhField_STR("run", task),
+        PhField_U64("number", note->as.withdrawn.run),
+        PhField_STR("worker", note->worker->entry.id),
+        PhField_STR("reason", obstacles[note->as.withdrawn.obstacle]),
+        PhField_I64("unanswered_ms", age_ms(note->as.withdrawn.unanswered)));
+    PhStr_Clear(&task);
+}
+
 /* Logs a run that is over without a reported end, with the evidence. */
 static void
 log_run_released(PhScheduleTask *t, const PhSchedEvent *note)
@@ -97,15 +124,13 @@
         [PH_SCHED_RELEASE_LOST] = {"lost", 4},
         [PH_SCHED_RELEASE_REPLACED] = {"replaced", 8},
     };
-    PhTime unanswered = note->as.released.unanswered;
     PhStr task = format_task(&note->as.released.task);
     PhTask_LOG(
         t->self, PH_EVENT_SCHEDULE_RELEASED, PhField_STR("run", task),
         PhField_U64("number", note->as.released.run),
         PhField_STR("worker", note->worker->entry.id),
         PhField_STR("reason", reasons[note->as.released.reason]),
-        PhField_I64("unanswered_ms",
-                    unanswered < 0 ? -1 : unanswered / PH_NS_PER_MS),
+        PhField_I64("unanswered_ms", age_ms(note->as.released.unanswered)),
         PhField_I64("lease_ms", note->as.released.lease_left / PH_NS_PER_MS));
     PhStr_Clear(&task);
 }
@@ -135,15 +160,13 @@
 log_worker_lost(PhScheduleTask *t, const PhSchedEvent *note)
 {
     const PhSchedWorker *w = note->worker;
-    PhTime suspended = note->as.lost.suspended;
     PhCounters_Add(PhKernel_Counters(PhTask_Kernel(t->self)),
                    PH_COUNTER_SCHEDULE_WORKERS_LOST, 1);
     PhTask_LOG(t->self, PH_EVENT_SCHEDULE_WORKER_LOST,
                PhField_STR("worker", w->entry.id),
                PhField_I64("born_ms", w->entry.born_ms),
                PhField_U64("runs", note->as.lost.runs),
-               PhField_I64("suspended_ms",
-                           suspended < 0 ? -1 : suspended / PH_NS_PER_MS),
+               PhField_I64("suspended_ms", age_ms(note->as.lost.suspended)),
                PhField_U64("answered", w->fenced),
                PhField_U64("listed", w->listed));
 }
@@ -185,6 +208,9 @@
         case PH_SCHED_EVENT_RUN_RELEASED:
             log_run_released(t, &notes[i]);
             break;
+        case PH_SCHED_EVENT_START_WITHDRAWN:
+            log_start_withdrawn(t, &notes[i]);
+            break;
         }
     }
     PhScheduler_ClearEvents(t->scheduler);
--- a/tests/schedule/test_unanswered_starts.c
+++ b/tests/schedule/test_unanswered_starts.c
@@ -30,21 +30,32 @@
     PhScheduler_OnDurable(s, batch);
 }
 
-/* Returns how many orders of one kind are sent within a moment. */
-static unsigned
-orders_sent(PhStartFixture *f, PhSchedActionTag tag)
+/* Number of orders by PhSchedActionTag. */
+typedef struct PhOrdersSent {
+    unsigned count[PH_SCHED_ACTION_PACE + 1];
+} PhOrdersSent;
+
+/* Takes the orders of a moment; none is answered. */
+static PhOrdersSent
+orders_send(PhStartFixture *f)
 {
-    unsigned count = 0;
+    PhOrdersSent sent = {0};
     for (int i = 0; i < 3; i++) {
         PhSchedAction action;
         PhScheduler_Plan(f->scheduler, f->now, 0);
         record_all(f->scheduler);
         while (PhScheduler_NextAction(f->scheduler, f->now, &action)) {
-            count += action.tag == tag;
+            sent.count[action.tag]++;
         }
         f->now += 10 * PH_NS_PER_MS;
     }
-    return count;
+    return sent;
+}
+
+static unsigned
+orders_sent(PhStartFixture *f, PhSchedActionTag tag)
+{
+    return orders_send(f).count[tag];
 }
 
 static void
@@ -67,8 +78,9 @@
                         f->now / PH_NS_PER_MS, f->now);
 }
 
+/* Assigns the task, and sends its start unless its record is to be awaited. */
 static void
-fixture_open(PhStartFixture *f)
+fixture_open(PhStartFixture *f, bool send)
 {
     PhScheduler *s = PhScheduler_Create(
         &(PhSchedulerOptions){.lease_limit = 10 * PH_NS_PER_S});
@@ -79,7 +91,13 @@
     PhScheduler_SetFence(s, FENCE, NOW);
     assert_int_equal(orders_sent(f, PH_SCHED_ACTION_HOLD), 1);
     hold_answer(f, false);
-    assert_int_equal(orders_sent(f, PH_SCHED_ACTION_START), 1);
+    if (send) {
+        assert_int_equal(orders_sent(f, PH_SCHED_ACTION_START), 1);
+        return;
+    }
+    f->now += RETRY_AFTER;
+    PhScheduler_Plan(f->scheduler, f->now, 0);
+    assert_non_null(f->task->worker);
 }
 
 static void
@@ -124,7 +142,7 @@
 retry_run(const PhRetryCase *c)
 {
     PhStartFixture f;
-    fixture_open(&f);
+    fixture_open(&f, true);
     start_answer(&f, c->first);
     f.now += RETRY_AFTER;
     assert_int_equal(orders_sent(&f, PH_SCHED_ACTION_START), 1);
@@ -155,7 +173,7 @@
 {
     (void)state;
     PhStartFixture f;
-    fixture_open(&f);
+    fixture_open(&f, true);
     start_answer(&f, PH_SCHED_OUTCOME_UNKNOWN);
     f.now += RETRY_AFTER;
     assert_int_equal(orders_sent(&f, PH_SCHED_ACTION_START), 1);
@@ -167,11 +185,98 @@
     fixture_close(&f);
 }
 
+typedef enum PhStartSent {
+    START_UNSENT,
+    START_IN_FLIGHT,
+    START_UNANSWERED,
+} PhStartSent;
+
+/* What forbids the start after the task was assigned, how far the start had
+ * got by then, and what follows: stops, and whether the task keeps its run
+ * until one is answered.  In no case is the start sent again. */
+typedef struct PhObstacleCase {
+    const char *name;
+    PhStartObstacle obstacle;
+    PhStartSent sent;
+    unsigned stops;
+    bool placed;
+} PhObstacleCase;
+
+static const PhObstacleCase obstacle_cases[] = {
+    {"the worker leaves, nothing was sent", PH_START_WORKER_LEAVES,
+     START_UNSENT, 0, false},
+    {"the worker leaves, a start is in flight", PH_START_WORKER_LEAVES,
+     START_IN_FLIGHT, 0, true},
+    {"the worker leaves, a start has no answer", PH_START_WORKER_LEAVES,
+     START_UNANSWERED, 1, true},
+    {"the job is cancelled, nothing was sent", PH_START_JOB_ENDED,
+     START_UNSENT, 0, false},
+    {"the job is cancelled, a start is in flight", PH_START_JOB_ENDED,
+     START_IN_FLIGHT, 0, true},
+    {"the job is cancelled, a start has no answer", PH_START_JOB_ENDED,
+     START_UNANSWERED, 1, true},
+    {"the worker changes its service, nothing was sent",
+     PH_START_WORKER_UNSUITABLE, START_UNSENT, 0, false},
+    {"the worker changes its service, a start is in flight",
+     PH_START_WORKER_UNSUITABLE, START_IN_FLIGHT, 0, true},
+    {"the worker changes its service, a start has no answer",
+     PH_START_WORKER_UNSUITABLE, START_UNANSWERED, 1, true},
+};
+
+static void
+obstacle_apply(PhStartFixture *f, PhStartObstacle obstacle)
+{
+    PhSchedWorkerEntry entry = {.id = PhStr_Dup(PH_SINGLE_WORKER),
+                                .born_ms = 1,
+                                .address = PhStr_Dup(PhStr_LITERAL("a:1"))};
+    switch (obstacle) {
+    case PH_START_ALLOWED:
+        break;
+    case PH_START_JOB_ENDED:
+        f->task->stage->job->cancel = true;
+        break;
+    case PH_START_WORKER_LEAVES:
+        entry.draining = true;
+        break;
+    case PH_START_WORKER_UNSUITABLE:
+        entry.service = PhStr_Dup(PhStr_LITERAL("other"));
+        break;
+    }
+    PhScheduler_SetWorker(f->scheduler, &entry, f->now);
+}
+
+static void
+obstacle_run(const PhObstacleCase *c)
+{
+    PhStartFixture f;
+    fixture_open(&f, c->sent != START_UNSENT);
+    if (c->sent == START_UNANSWERED) {
+        start_answer(&f, PH_SCHED_OUTCOME_UNKNOWN);
+    }
+    obstacle_apply(&f, c->obstacle);
+    f.now += RETRY_AFTER;
+    PhOrdersSent sent = orders_send(&f);
+    assert_int_equal(sent.count[PH_SCHED_ACTION_START], 0);
+    assert_int_equal(sent.count[PH_SCHED_ACTION_STOP], c->stops);
+    assert_int_equal(f.task->worker != NULL, c->placed);
+    fixture_close(&f);
+}
+
+/* Guards against starts on a worker that leaves, and against other starts that
+ * became forbidden after the task was assigned. */
+static void
+test_obstacles(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(obstacle_cases, obstacle_run);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_refused_repetition),
-        cmocka_unit_test(test_unlisted_after_repetition)};
+        cmocka_unit_test(test_unlisted_after_repetition),
+        cmocka_unit_test(test_obstacles)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
