schedule: later incarnations do not know what an earlier one accepted

Callers would see: TWICE, a second run in a later incarnation of a worker under the same id.

Cause: evidence of one incarnation was taken to hold for the next one. A run that a repeated start had begun was released when a later incarnation answered, although the first, unanswered start may yet be executed there; the answer to a stop of the earlier incarnation, or to a start, was applied to the task after it had moved; and a stop that the earlier one had accepted was not sent again.

Change: a task moves to the later incarnation, and is stopped there, as long as any start of its run may arrive (12 s after it was sent); outcomes carry the incarnation that the order was meant for, and one of an earlier incarnation settles nothing.

Ruled out: Peridothill-Expect-Instance, which names the id and so admits a later incarnation under it; a deadline on the worker's clock, which starts anew with each incarnation, below every deadline of an earlier one.

Test: test_later_incarnation and test_stop_of_incarnation failed before in their fourth and first row.

--- a/bench/schedule_fleet.c
+++ b/bench/schedule_fleet.c
@@ -203,9 +203,11 @@
 order_apply(PhScheduleFleet *f, const PhSchedAction *a)
 {
     PhFleetWorker *w = g_hash_table_lookup(f->by_id, &a->worker);
-    PhSchedTaskName name = a->as.run.task;
-    uint32_t run = a->as.run.run;
-    int64_t clock_ms = f->now / PH_NS_PER_MS;
+    PhSchedRunReply reply = {.task = a->as.run.task,
+                             .run = a->as.run.run,
+                             .born_ms = a->born_ms,
+                             .outcome = PH_SCHED_OUTCOME_DONE,
+                             .clock_ms = f->now / PH_NS_PER_MS};
     int64_t begin;
     switch (a->tag) {
     case PH_SCHED_ACTION_HOLD:
@@ -220,17 +222,16 @@
     case PH_SCHED_ACTION_START:
         order_start(f, w, &a->as.run);
         begin = PhBench_CpuTimeNs();
-        PhScheduler_OnStart(f->scheduler, &name, run, PH_SCHED_OUTCOME_DONE,
-                            clock_ms, f->now);
+        PhScheduler_OnStart(f->scheduler, &reply, f->now);
         cost_add(f, PH_SCHEDULE_COST_ORDERS, begin);
         return;
     case PH_SCHED_ACTION_STOP:
         order_stop(f, w, &a->as.run);
-        PhScheduler_OnStop(f->scheduler, &name, run, PH_SCHED_OUTCOME_DONE,
-                           clock_ms, f->now);
+        PhScheduler_OnStop(f->scheduler, &reply, f->now);
         return;
     case PH_SCHED_ACTION_PACE:
-        PhScheduler_OnPace(f->scheduler, &name, run, PH_SCHED_OUTCOME_DONE);
+        PhScheduler_OnPace(f->scheduler, &reply.task, reply.run,
+                           reply.outcome);
         return;
     }
 }
--- a/decide/schedule/incarnations.c
+++ b/decide/schedule/incarnations.c
@@ -22,19 +22,23 @@
     return false;
 }
 
-/* Moves a task to another incarnation, with its orders in flight. */
+/* Moves a task to another incarnation, which may execute the starts that were
+ * sent to the earlier one.  A stop that the earlier one accepted does not
+ * count there. */
 static void
-task_move(PhScheduler *s, PhSchedTask *task, PhSchedWorker *next)
+task_move(PhScheduler *s, PhSchedTask *task, PhSchedWorker *next, bool stop)
 {
     PhSchedTask held = *task;
     PhSchedTask_Unplace(task, PH_SCHED_TASK_WAITING);
     PhSchedTask_Place(task, next);
     task->start_in_flight = held.start_in_flight;
-    task->start_unconfirmed = held.start_unconfirmed;
-    task->stopping = held.stopping;
-    task->stop_in_flight = held.stop_in_flight;
+    task->start_unconfirmed =
+        held.start_in_flight || held.unanswered_start_at != 0;
     task->confirmed_clock_ms = 0;
     PhScheduler_MarkStageDirty(s, task->stage);
+    if (stop || held.stopping) {
+        PhScheduler_StopTask(s, task);
+    }
 }
 
 /* A later incarnation has replied, so the runs of this one have ended.  An
@@ -49,11 +53,8 @@
     for (guint i = w->tasks->len; i-- > 0;) {
         PhSchedTask *task = g_ptr_array_index(w->tasks, i);
         bool named = reply_names(reply, task);
-        if (named || task->start_in_flight || task->start_unconfirmed) {
-            task_move(s, task, next);
-            if (!named) {
-                PhScheduler_StopTask(s, task);
-            }
+        if (named || PhSchedTask_StartMayArrive(task, now)) {
+            task_move(s, task, next, !named);
             continue;
         }
         PhScheduler_ReleaseRun(s, task, PH_SCHED_RELEASE_REPLACED, now);
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -5,6 +5,11 @@
 #include "interference.h"
 #include "peridothill/decide/schedule/scheduler.h"
 
+enum {
+    PH_LATE_ORDER_MS = 12000, /* an order may be executed this long after it
+                                 was sent */
+};
+
 struct PhScheduler {
     PhSchedulerOptions options;
     PhSchedModel *model;
@@ -125,6 +130,10 @@
 /* starts.c: age of the newest start of the run without an answer, -1 for none.
  */
 PhTime PhSchedTask_UnansweredFor(const PhSchedTask *task, PhTime now);
+/* Reports whether a start of the run may yet be executed, if not by the
+ * incarnation of the worker that it names, by a later one under the same id.
+ */
+bool PhSchedTask_StartMayArrive(const PhSchedTask *task, PhTime now);
 PhStartObstacle PhScheduler_StartObstacle(const PhSchedTask *task);
 PhStartSettlement PhScheduler_StartSettlement(const PhScheduler *scheduler,
                                               const PhSchedTask *task);
--- a/decide/schedule/starts.c
+++ b/decide/schedule/starts.c
@@ -9,6 +9,14 @@
                                           : now - task->unanswered_start_at;
 }
 
+bool
+PhSchedTask_StartMayArrive(const PhSchedTask *task, PhTime now)
+{
+    PhTime age = PhSchedTask_UnansweredFor(task, now);
+    return task->start_in_flight ||
+           (age >= 0 && age <= PH_LATE_ORDER_MS * PH_NS_PER_MS);
+}
+
 PhStartObstacle
 PhScheduler_StartObstacle(const PhSchedTask *task)
 {
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -250,18 +250,29 @@
     PhScheduler_WakeBy(s, at);
 }
 
+/* Returns the outcome of a start for the incarnation that the task is placed
+ * on.  An order for an earlier one may have been answered by either. */
+static PhSchedOutcome
+start_outcome(const PhSchedTask *task, const PhSchedRunReply *reply)
+{
+    bool sent = reply->outcome != PH_SCHED_OUTCOME_NOT_SENT;
+    return sent && reply->born_ms != task->worker->entry.born_ms
+               ? PH_SCHED_OUTCOME_UNKNOWN
+               : reply->outcome;
+}
+
 bool
-PhScheduler_OnStart(PhScheduler *s, const PhSchedTaskName *name, uint32_t run,
-                    PhSchedOutcome outcome, int64_t clock_ms, PhTime now)
+PhScheduler_OnStart(PhScheduler *s, const PhSchedRunReply *reply, PhTime now)
 {
-    PhSchedTask *task = placed_task(s, name, run);
-    if (outcome == PH_SCHED_OUTCOME_FENCED) {
+    PhSchedTask *task = placed_task(s, &reply->task, reply->run);
+    if (reply->outcome == PH_SCHED_OUTCOME_FENCED) {
         return false;
     }
     if (task == NULL || !task->start_in_flight) {
         return true;
     }
     PhSchedWorker *w = task->worker;
+    PhSchedOutcome outcome = start_outcome(task, reply);
     task->start_in_flight = false;
     if (outcome == PH_SCHED_OUTCOME_UNKNOWN) {
         task->unanswered_start_at = task->start_sent_at;
@@ -274,7 +285,7 @@
     switch (outcome) {
     case PH_SCHED_OUTCOME_DONE:
     case PH_SCHED_OUTCOME_STALE_RUN:
-        run_confirm(task, clock_ms, now);
+        run_confirm(task, reply->clock_ms, now);
         w->next_hold_at = MIN(w->next_hold_at, now);
         PhScheduler_WakeBy(s, now);
         break;
@@ -306,20 +317,20 @@
 /* An executed stop does not release the task: the reply to a later hold lists
  * the run as ended or omits it, and that releases the task. */
 bool
-PhScheduler_OnStop(PhScheduler *s, const PhSchedTaskName *name, uint32_t run,
-                   PhSchedOutcome outcome, int64_t clock_ms, PhTime now)
+PhScheduler_OnStop(PhScheduler *s, const PhSchedRunReply *reply, PhTime now)
 {
-    if (outcome == PH_SCHED_OUTCOME_FENCED) {
+    if (reply->outcome == PH_SCHED_OUTCOME_FENCED) {
         return false;
     }
-    PhSchedTask *task = placed_task(s, name, run);
-    if (task == NULL || !task->stopping) {
+    PhSchedTask *task = placed_task(s, &reply->task, reply->run);
+    if (task == NULL || !task->stopping ||
+        task->worker->entry.born_ms != reply->born_ms) {
         return true;
     }
-    switch (outcome) {
+    switch (reply->outcome) {
     case PH_SCHED_OUTCOME_DONE:
     case PH_SCHED_OUTCOME_STALE_RUN:
-        run_confirm(task, clock_ms, now);
+        run_confirm(task, reply->clock_ms, now);
         PhScheduler_WakeBy(s, now);
         break;
     case PH_SCHED_OUTCOME_FENCED:
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -101,6 +101,15 @@
     bool more; /* the next reply may report further ends */
 } PhSchedHoldReply;
 
+/* The outcome of a start or a stop. */
+typedef struct PhSchedRunReply {
+    PhSchedTaskName task;
+    uint32_t run;
+    int64_t born_ms; /* incarnation that the order was meant for */
+    PhSchedOutcome outcome;
+    int64_t clock_ms; /* the worker's clock */
+} PhSchedRunReply;
+
 /* Changes that are reported to the log. */
 typedef enum PhSchedEventTag {
     PH_SCHED_EVENT_RUN_ENDED,        /* the end of a run was applied */
@@ -217,11 +226,9 @@
 /* Outcomes of orders.  Return false if another owner has a higher fence. */
 bool PhScheduler_OnHold(PhScheduler *scheduler, PhStr worker, int64_t born_ms,
                         const PhSchedHoldReply *reply, PhTime now);
-bool PhScheduler_OnStart(PhScheduler *scheduler, const PhSchedTaskName *name,
-                         uint32_t run, PhSchedOutcome outcome,
-                         int64_t clock_ms, PhTime now);
-bool PhScheduler_OnStop(PhScheduler *scheduler, const PhSchedTaskName *name,
-                        uint32_t run, PhSchedOutcome outcome, int64_t clock_ms,
+bool PhScheduler_OnStart(PhScheduler *scheduler, const PhSchedRunReply *reply,
+                         PhTime now);
+bool PhScheduler_OnStop(PhScheduler *scheduler, const PhSchedRunReply *reply,
                         PhTime now);
 bool PhScheduler_OnPace(PhScheduler *scheduler, const PhSchedTaskName *name,
                         uint32_t run, PhSchedOutcome outcome);
--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -402,6 +402,11 @@
 PhScheduleOwner_OnOrder(PhScheduleTask *t, const PhOrderReply *r)
 {
     PhTime now = PhTask_Now(t->self);
+    PhSchedRunReply run = {.task = r->task,
+                           .run = r->run,
+                           .born_ms = r->born_ms,
+                           .outcome = r->outcome,
+                           .clock_ms = r->clock_ms};
     bool is_owner = true;
     if (t->stage != OWNER_ACTIVE || r->fence != t->fence) {
         return;
@@ -412,12 +417,10 @@
                                       &r->hold, now);
         break;
     case PH_SCHED_ACTION_START:
-        is_owner = PhScheduler_OnStart(t->scheduler, &r->task, r->run,
-                                       r->outcome, r->clock_ms, now);
+        is_owner = PhScheduler_OnStart(t->scheduler, &run, now);
         break;
     case PH_SCHED_ACTION_STOP:
-        is_owner = PhScheduler_OnStop(t->scheduler, &r->task, r->run,
-                                      r->outcome, r->clock_ms, now);
+        is_owner = PhScheduler_OnStop(t->scheduler, &run, now);
         break;
     case PH_SCHED_ACTION_PACE:
         is_owner =
--- a/tests/schedule/owners_orders.c
+++ b/tests/schedule/owners_orders.c
@@ -16,19 +16,20 @@
 order_complete(PhOwnersSim *w, PhSimInstance *m, const PhSchedAction *a,
                PhSimReply *reply)
 {
-    const PhSchedRunOrder *run = &a->as.run;
-    PhSchedOutcome outcome = reply->hold.outcome;
+    PhSchedRunReply run = {.task = a->as.run.task,
+                           .run = a->as.run.run,
+                           .born_ms = a->born_ms,
+                           .outcome = reply->hold.outcome,
+                           .clock_ms = reply->hold.clock_ms};
     PhTime now = w->now;
     switch (a->tag) {
     case PH_SCHED_ACTION_HOLD:
         return PhScheduler_OnHold(m->scheduler, a->worker, a->born_ms,
                                   &reply->hold, now);
     case PH_SCHED_ACTION_START:
-        return PhScheduler_OnStart(m->scheduler, &run->task, run->run, outcome,
-                                   reply->hold.clock_ms, now);
+        return PhScheduler_OnStart(m->scheduler, &run, now);
     case PH_SCHED_ACTION_STOP:
-        return PhScheduler_OnStop(m->scheduler, &run->task, run->run, outcome,
-                                  reply->hold.clock_ms, now);
+        return PhScheduler_OnStop(m->scheduler, &run, now);
     case PH_SCHED_ACTION_PACE:
         break;
     }
--- a/tests/schedule/schedule_sim.c
+++ b/tests/schedule/schedule_sim.c
@@ -227,7 +227,12 @@
     if (e->owner != sim->owner || e->fence != sim->fence) {
         return;
     }
-    const PhSchedRunOrder *run = &e->action.as.run;
+    const PhSchedRunOrder *order = &e->action.as.run;
+    PhSchedRunReply run = {.task = order->task,
+                           .run = order->run,
+                           .born_ms = e->action.born_ms,
+                           .outcome = e->outcome,
+                           .clock_ms = e->clock_ms};
     bool is_owner = true;
     switch (e->action.tag) {
     case PH_SCHED_ACTION_HOLD:
@@ -235,12 +240,10 @@
                                       e->action.born_ms, &e->hold, sim->now);
         break;
     case PH_SCHED_ACTION_START:
-        is_owner = PhScheduler_OnStart(sim->owner, &run->task, run->run,
-                                       e->outcome, e->clock_ms, sim->now);
+        is_owner = PhScheduler_OnStart(sim->owner, &run, sim->now);
         break;
     case PH_SCHED_ACTION_STOP:
-        is_owner = PhScheduler_OnStop(sim->owner, &run->task, run->run,
-                                      e->outcome, e->clock_ms, sim->now);
+        is_owner = PhScheduler_OnStop(sim->owner, &run, sim->now);
         break;
     case PH_SCHED_ACTION_PACE:
         break;
--- a/tests/schedule/test_unanswered_starts.c
+++ b/tests/schedule/test_unanswered_starts.c
@@ -73,9 +73,12 @@
 static void
 start_answer(PhStartFixture *f, PhSchedOutcome outcome)
 {
-    PhSchedTaskName name = {.job = PH_SINGLE_JOB};
-    PhScheduler_OnStart(f->scheduler, &name, RUN, outcome,
-                        f->now / PH_NS_PER_MS, f->now);
+    PhSchedRunReply reply = {.task = {.job = PH_SINGLE_JOB},
+                             .run = RUN,
+                             .born_ms = 1,
+                             .outcome = outcome,
+                             .clock_ms = f->now / PH_NS_PER_MS};
+    PhScheduler_OnStart(f->scheduler, &reply, f->now);
 }
 
 /* Assigns the task, and sends its start unless its record is to be awaited. */
@@ -271,12 +274,136 @@
     Ph_RUN_TABLE(obstacle_cases, obstacle_run);
 }
 
+/* What the earlier incarnation answered before a later one answers under its
+ * id without the run, and whether a stop has to reach the later one. */
+typedef struct PhLaterCase {
+    const char *name;
+    PhSchedOutcome first;  /* of the first start */
+    bool repeated;         /* a second start is sent */
+    PhSchedOutcome second; /* its outcome, UNKNOWN: still in flight */
+    int64_t after_ms;      /* from then to the later incarnation's answer */
+    unsigned stops;
+} PhLaterCase;
+
+static const PhLaterCase later_cases[] = {
+    {"every start was answered", PH_SCHED_OUTCOME_DONE, false, 0, 1000, 0},
+    {"a start is in flight", PH_SCHED_OUTCOME_UNKNOWN, true,
+     PH_SCHED_OUTCOME_UNKNOWN, 0, 0},
+    {"the first start has no answer", PH_SCHED_OUTCOME_UNKNOWN, false, 0, 1000,
+     1},
+    {"the first start has no answer, its repetition began the run",
+     PH_SCHED_OUTCOME_UNKNOWN, true, PH_SCHED_OUTCOME_DONE, 1000, 1},
+    {"the same, and the first start can no longer be executed",
+     PH_SCHED_OUTCOME_UNKNOWN, true, PH_SCHED_OUTCOME_DONE, 13000, 0},
+};
+
+static void
+later_incarnation_answer(PhStartFixture *f)
+{
+    PhSchedHoldReply reply = {
+        .outcome = PH_SCHED_OUTCOME_DONE, .clock_ms = 1, .born_ms = 2};
+    PhScheduler_OnHold(f->scheduler, PH_SINGLE_WORKER, 1, &reply, f->now);
+}
+
+static void
+later_run(const PhLaterCase *c)
+{
+    PhStartFixture f;
+    fixture_open(&f, true);
+    start_answer(&f, c->first);
+    bool in_flight = c->repeated && c->second == PH_SCHED_OUTCOME_UNKNOWN;
+    if (c->repeated) {
+        f.now += RETRY_AFTER;
+        assert_int_equal(orders_sent(&f, PH_SCHED_ACTION_START), 1);
+    }
+    if (c->repeated && !in_flight) {
+        start_answer(&f, c->second);
+    }
+    f.now += c->after_ms * PH_NS_PER_MS;
+    later_incarnation_answer(&f);
+    PhOrdersSent sent = orders_send(&f);
+    assert_int_equal(sent.count[PH_SCHED_ACTION_STOP], c->stops);
+    /* Released at once, it starts again under a new number. */
+    assert_int_equal(f.task->run, c->stops > 0 || in_flight ? RUN : RUN + 1);
+    if (in_flight) {
+        start_answer(&f, PH_SCHED_OUTCOME_DONE);
+        f.now += RETRY_AFTER;
+        assert_int_equal(orders_sent(&f, PH_SCHED_ACTION_STOP), 1);
+        assert_int_equal(f.task->run, RUN);
+    }
+    fixture_close(&f);
+}
+
+/* Guards against a second run in a later incarnation of a worker, which
+ * executes a start that the earlier one left unanswered. */
+static void
+test_later_incarnation(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(later_cases, later_run);
+}
+
+static void
+stop_answer(PhStartFixture *f, int64_t born_ms)
+{
+    PhSchedRunReply reply = {.task = {.job = PH_SINGLE_JOB},
+                             .run = RUN,
+                             .born_ms = born_ms,
+                             .outcome = PH_SCHED_OUTCOME_DONE,
+                             .clock_ms = 1};
+    PhScheduler_OnStop(f->scheduler, &reply, f->now);
+}
+
+/* The incarnation that a stop was meant for, and whether its answer settles
+ * the starts at the later incarnation. */
+typedef struct PhStopCase {
+    const char *name;
+    int64_t born_ms;
+    bool settled;
+} PhStopCase;
+
+static const PhStopCase stop_cases[] = {
+    {"the stop was for the earlier incarnation", 1, false},
+    {"the stop was for the later incarnation", 2, true},
+};
+
+static void
+stop_run(const PhStopCase *c)
+{
+    PhStartFixture f;
+    fixture_open(&f, true);
+    start_answer(&f, PH_SCHED_OUTCOME_UNKNOWN);
+    obstacle_apply(&f, PH_START_WORKER_LEAVES);
+    f.now += RETRY_AFTER;
+    assert_int_equal(orders_sent(&f, PH_SCHED_ACTION_STOP), 1);
+    later_incarnation_answer(&f);
+    assert_int_equal(orders_sent(&f, PH_SCHED_ACTION_STOP), 1);
+    stop_answer(&f, c->born_ms);
+    f.now += RETRY_AFTER;
+    PhSchedHoldReply reply = {
+        .outcome = PH_SCHED_OUTCOME_DONE, .clock_ms = 500, .born_ms = 2};
+    PhScheduler_OnHold(f.scheduler, PH_SINGLE_WORKER, 2, &reply, f.now);
+    assert_int_equal(f.task->worker == NULL, c->settled);
+    fixture_close(&f);
+}
+
+/* Guards against a stop that one incarnation accepted and that is taken for
+ * one that a later incarnation knows. */
+static void
+test_stop_of_incarnation(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(stop_cases, stop_run);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_refused_repetition),
         cmocka_unit_test(test_unlisted_after_repetition),
-        cmocka_unit_test(test_obstacles)};
+        cmocka_unit_test(test_obstacles),
+        cmocka_unit_test(test_later_incarnation),
+        cmocka_unit_test(test_stop_of_incarnation)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
