schedule: after five starts without an answer, the task is tried elsewhere

Callers would see: a task that waits without end on a worker that answers holds but no starts, or answers them with a status that says nothing.

Cause: a start without an answer was repeated until the worker left, was lost or answered one.

Test: test_repetitions failed before with nine starts and no stop.

--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -82,6 +82,7 @@
     task->fence = s->fence;
     task->batch = s->open_batch;
     task->retry_at = 0;
+    task->starts_sent = 0;
     task->start_sent_at = 0;
     task->unanswered_start_at = 0;
     task->confirmed_clock_ms = 0;
--- a/decide/schedule/starts.c
+++ b/decide/schedule/starts.c
@@ -2,6 +2,9 @@
  * start that may have been executed or may yet be. */
 #include "scheduler_private.h"
 
+/* The task is tried elsewhere after this many starts without an answer. */
+static const unsigned STARTS_MAX = 5;
+
 PhTime
 PhSchedTask_UnansweredFor(const PhSchedTask *task, PhTime now)
 {
@@ -31,6 +34,9 @@
     if (!PhStr_IsEmpty(w->entry.address) && !PhScheduler_IsEligible(w, task)) {
         return PH_START_WORKER_UNSUITABLE;
     }
+    if (task->start_unconfirmed && task->starts_sent >= STARTS_MAX) {
+        return PH_START_UNANSWERED;
+    }
     return PH_START_ALLOWED;
 }
 
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -98,6 +98,7 @@
            PhSchedAction *action)
 {
     task->start_in_flight = true;
+    task->starts_sent++;
     task->start_sent_at = now;
     run_order_init(task, PH_SCHED_ACTION_START, action);
     action->as.run.deadline_ms = PhScheduler_Grant(s, task->worker, now);
@@ -276,6 +277,7 @@
     task->start_in_flight = false;
     if (outcome == PH_SCHED_OUTCOME_UNKNOWN) {
         task->unanswered_start_at = task->start_sent_at;
+        w->cooldown_until = now + REFUSAL_COOLDOWN;
     }
     if (task->state == PH_SCHED_TASK_RUNNING) {
         /* An earlier start began the run, and the worker has listed it since
@@ -305,7 +307,6 @@
         break;
     case PH_SCHED_OUTCOME_UNKNOWN:
         task->start_unconfirmed = true;
-        w->cooldown_until = now + REFUSAL_COOLDOWN;
         start_requeue(s, task, now + RETRY_INTERVAL);
         break;
     case PH_SCHED_OUTCOME_FENCED:
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -54,6 +54,7 @@
         batch; /* batch of records that must be durable before the start */
     uint64_t fence;  /* of the owner that placed it; 0 for an earlier owner */
     PhTime retry_at; /* earliest time of the next start or stop */
+    unsigned starts_sent;       /* start orders of this run */
     PhTime start_sent_at;       /* newest start order of this run */
     PhTime unanswered_start_at; /* newest one without an answer, 0 for none */
     bool start_in_flight;
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -132,6 +132,7 @@
     PH_START_JOB_ENDED,
     PH_START_WORKER_LEAVES,
     PH_START_WORKER_UNSUITABLE, /* of another service, or without the label */
+    PH_START_UNANSWERED,        /* several starts in a row had no answer */
 } PhStartObstacle;
 
 /* Evidence that a run is over although no end of it was reported. */
--- a/services/schedule/schedule_log.c
+++ b/services/schedule/schedule_log.c
@@ -102,6 +102,7 @@
         [PH_START_JOB_ENDED] = {"job ended", 9},
         [PH_START_WORKER_LEAVES] = {"worker leaves", 13},
         [PH_START_WORKER_UNSUITABLE] = {"worker unsuitable", 17},
+        [PH_START_UNANSWERED] = {"no answers", 10},
     };
     PhStr task = format_task(&note->as.withdrawn.task);
     PhTask_LOG(
--- a/tests/schedule/test_unanswered_starts.c
+++ b/tests/schedule/test_unanswered_starts.c
@@ -6,6 +6,8 @@
 enum {
     RUN = 1,
     FENCE = 7,
+    STARTS = 5, /* sent without an answer */
+    REPETITIONS = 8,
 };
 
 static const PhTime NOW = 100 * PH_NS_PER_S;
@@ -119,26 +121,40 @@
     PhSchedOutcome second;
     bool placed; /* the task keeps its run */
     unsigned starts;
+    unsigned stops;
 } PhRetryCase;
 
 static const PhRetryCase retry_cases[] = {
     {"the run is listed, the repeated start was not sent",
-     PH_SCHED_OUTCOME_UNKNOWN, true, PH_SCHED_OUTCOME_NOT_SENT, true, 0},
+     PH_SCHED_OUTCOME_UNKNOWN, true, PH_SCHED_OUTCOME_NOT_SENT, true, 0, 0},
     {"the run is listed, the repeated start is refused",
-     PH_SCHED_OUTCOME_UNKNOWN, true, PH_SCHED_OUTCOME_REFUSED, true, 0},
+     PH_SCHED_OUTCOME_UNKNOWN, true, PH_SCHED_OUTCOME_REFUSED, true, 0, 0},
     {"the run is listed, the repeated start finds no capacity",
-     PH_SCHED_OUTCOME_UNKNOWN, true, PH_SCHED_OUTCOME_NO_CAPACITY, true, 0},
+     PH_SCHED_OUTCOME_UNKNOWN, true, PH_SCHED_OUTCOME_NO_CAPACITY, true, 0, 0},
+    {"the run is listed, the repeated start is answered",
+     PH_SCHED_OUTCOME_UNKNOWN, true, PH_SCHED_OUTCOME_DONE, true, 0, 0},
+    {"the run is listed, its number is refused as old",
+     PH_SCHED_OUTCOME_UNKNOWN, true, PH_SCHED_OUTCOME_STALE_RUN, true, 0, 0},
+    {"the run is listed, the deadline of the repeated start has passed",
+     PH_SCHED_OUTCOME_UNKNOWN, true, PH_SCHED_OUTCOME_DEADLINE_PASSED, true, 0,
+     0},
     {"the run is listed, the repeated start names another incarnation",
      PH_SCHED_OUTCOME_UNKNOWN, true, PH_SCHED_OUTCOME_OTHER_INCARNATION, true,
-     0},
+     0, 0},
     {"the run is listed, the repeated start has no answer",
-     PH_SCHED_OUTCOME_UNKNOWN, true, PH_SCHED_OUTCOME_UNKNOWN, true, 0},
+     PH_SCHED_OUTCOME_UNKNOWN, true, PH_SCHED_OUTCOME_UNKNOWN, true, 0, 0},
     {"the run is not listed, the repeated start was not sent",
-     PH_SCHED_OUTCOME_UNKNOWN, false, PH_SCHED_OUTCOME_NOT_SENT, true, 0},
+     PH_SCHED_OUTCOME_UNKNOWN, false, PH_SCHED_OUTCOME_NOT_SENT, true, 0, 1},
     {"the run is not listed, the repeated start is refused",
-     PH_SCHED_OUTCOME_UNKNOWN, false, PH_SCHED_OUTCOME_REFUSED, true, 0},
+     PH_SCHED_OUTCOME_UNKNOWN, false, PH_SCHED_OUTCOME_REFUSED, true, 0, 1},
+    {"the run is not listed, the repeated start finds no capacity",
+     PH_SCHED_OUTCOME_UNKNOWN, false, PH_SCHED_OUTCOME_NO_CAPACITY, true, 0,
+     1},
+    {"the run is not listed, the repeated start names another incarnation",
+     PH_SCHED_OUTCOME_UNKNOWN, false, PH_SCHED_OUTCOME_OTHER_INCARNATION, true,
+     1, 0},
     {"no start was executed", PH_SCHED_OUTCOME_DEADLINE_PASSED, false,
-     PH_SCHED_OUTCOME_NOT_SENT, false, 0},
+     PH_SCHED_OUTCOME_NOT_SENT, false, 0, 0},
 };
 
 static void
@@ -155,7 +171,9 @@
     start_answer(&f, c->second);
     assert_int_equal(f.task->worker != NULL, c->placed);
     f.now += RETRY_AFTER;
-    assert_int_equal(orders_sent(&f, PH_SCHED_ACTION_START), c->starts);
+    PhOrdersSent sent = orders_send(&f);
+    assert_int_equal(sent.count[PH_SCHED_ACTION_START], c->starts);
+    assert_int_equal(sent.count[PH_SCHED_ACTION_STOP], c->stops);
     fixture_close(&f);
 }
 
@@ -188,6 +206,29 @@
     fixture_close(&f);
 }
 
+/* Guards against a task that waits without end on a worker that answers holds
+ * but no starts. */
+static void
+test_repetitions(void **state)
+{
+    (void)state;
+    PhStartFixture f;
+    unsigned starts = 1;
+    unsigned stops = 0;
+    fixture_open(&f, true);
+    for (int i = 0; i < REPETITIONS; i++) {
+        start_answer(&f, PH_SCHED_OUTCOME_UNKNOWN);
+        f.now += RETRY_AFTER;
+        hold_answer(&f, false);
+        PhOrdersSent sent = orders_send(&f);
+        starts += sent.count[PH_SCHED_ACTION_START];
+        stops += sent.count[PH_SCHED_ACTION_STOP];
+    }
+    assert_int_equal(starts, STARTS);
+    assert_int_equal(stops, 1);
+    fixture_close(&f);
+}
+
 typedef enum PhStartSent {
     START_UNSENT,
     START_IN_FLIGHT,
@@ -234,6 +275,7 @@
                                 .address = PhStr_Dup(PhStr_LITERAL("a:1"))};
     switch (obstacle) {
     case PH_START_ALLOWED:
+    case PH_START_UNANSWERED:
         break;
     case PH_START_JOB_ENDED:
         f->task->stage->job->cancel = true;
@@ -402,6 +444,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_refused_repetition),
         cmocka_unit_test(test_unlisted_after_repetition),
+        cmocka_unit_test(test_repetitions),
         cmocka_unit_test(test_obstacles),
         cmocka_unit_test(test_later_incarnation),
         cmocka_unit_test(test_stop_of_incarnation)};
