--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -98,7 +98,7 @@
     size_t run_count;
     PhSchedEndRow *ends;
     size_t end_count;
-    bool more; /* the next reply may report further ends */
+    bool more; /* runs or ends may be missing from the lists */
 } PhSchedHoldReply;
 
 /* The outcome of a start or a stop. */
--- a/tests/schedule/test_schedule_codec.c
+++ b/tests/schedule/test_schedule_codec.c
@@ -255,6 +255,7 @@
     PhSchedOutcome outcome;
     size_t runs;
     size_t ends;
+    bool more; /* runs may be missing from the list */
 } PhAnswerCase;
 
 static const PhAnswerCase answer_cases[] = {
@@ -266,7 +267,11 @@
     {"malformed rows are skipped", PH_SCHED_ACTION_HOLD, 200,
      TEXT("{\"clockMs\":9,\"running\":[7,[\"x\",1,\"\",1]],"
           "\"endedRuns\":[[1,\"a.0.0.0\",1,\"melted\",\"\"]]}"),
-     PH_SCHED_OUTCOME_DONE, 0, 0},
+     PH_SCHED_OUTCOME_DONE, 0, 0, true},
+    {"a malformed end leaves the list of runs whole", PH_SCHED_ACTION_HOLD,
+     200,
+     TEXT("{\"clockMs\":9,\"endedRuns\":[[1,\"a.0.0.0\",1,\"melted\",\"\"]]}"),
+     PH_SCHED_OUTCOME_DONE, 0, 0, false},
     {"a higher fence", PH_SCHED_ACTION_START, 409,
      TEXT("{\"clockMs\":9,\"reason\":\"fence\"}"), PH_SCHED_OUTCOME_FENCED, 0,
      0},
@@ -303,6 +308,7 @@
     assert_int_equal(reply.outcome, c->outcome);
     assert_int_equal(reply.hold.run_count, c->runs);
     assert_int_equal(reply.hold.end_count, c->ends);
+    assert_int_equal(reply.hold.more, c->more);
     PhOrderMessage m = {.tag = PH_ORDER_REPLY, .as.reply = reply};
     PhMessage wrapped = PhOrderMessage_Wrap(&m);
     wrapped.release(wrapped.body);
