election: an entry that is read back counts from its first append

Callers would see: TWICE, after a change of owner.

Cause: an append without an answer is sent again at the same offset. When the owner then reads its own entry there, the time of the newest append counted as the time that confirms the ownership, although an earlier one may have written it. Followers count from when they read the entry, 9.1 s after which they take the owner for gone, while it could go on 0.8 s longer, against a margin of 0.1 s, and grant leases past its successor's account.

Change: an entry that is read counts from the first append at its offset; one whose append was answered from that append.

Test: the row "a renewal that is read back counts from the first append that may have written it" of test_election failed before: still the owner 9.001 s after that append.

--- a/decide/schedule/election.c
+++ b/decide/schedule/election.c
@@ -38,6 +38,8 @@
     PhTime quiet_since;  /* no new entry since, while readable */
     PhTime confirmed_at; /* the newest own entry was sent */
     PhTime append_sent_at;
+    PhTime append_first_sent_at; /* first append at the same offset */
+    uint64_t append_at;
     PhTime append_due;
     PhTime read_due;
     bool reading;
@@ -221,6 +223,10 @@
     if (append_is_due(e, now, &kind)) {
         e->appending = true;
         e->append_kind = kind;
+        if (e->append_first_sent_at == 0 || e->append_at != e->next) {
+            e->append_first_sent_at = now;
+        }
+        e->append_at = e->next;
         e->append_sent_at = now;
         action.tag = PH_ELECTION_APPEND;
         action.as.append.kind = kind;
@@ -259,26 +265,28 @@
 }
 
 static void
-become_owner(PhElection *e, uint64_t offset, PhTime now)
+become_owner(PhElection *e, uint64_t offset, PhTime sent_at, PhTime now)
 {
     e->role = PH_ELECTION_OWNER;
     e->fence = offset + 1;
     e->vacant = false;
-    e->confirmed_at = e->append_sent_at;
+    e->confirmed_at = sent_at;
     e->append_due = now + RENEW_INTERVAL;
 }
 
-/* Applies an entry that this incarnation wrote. */
+/* Applies an entry that this incarnation wrote by an append that was sent at
+ * `sent_at` or later. */
 static void
-own_entry_apply(PhElection *e, const PhElectionEntry *entry, PhTime now)
+own_entry_apply(PhElection *e, const PhElectionEntry *entry, PhTime sent_at,
+                PhTime now)
 {
     switch (entry->kind) {
     case PH_ELECTION_CLAIM:
-        become_owner(e, entry->offset, now);
+        become_owner(e, entry->offset, sent_at, now);
         break;
     case PH_ELECTION_RENEWAL:
         if (e->role == PH_ELECTION_OWNER) {
-            e->confirmed_at = e->append_sent_at;
+            e->confirmed_at = sent_at;
             e->append_due = now + RENEW_INTERVAL;
         }
         break;
@@ -329,7 +337,8 @@
 }
 
 static void
-entry_apply(PhElection *e, const PhElectionEntry *entry, PhTime now)
+entry_apply(PhElection *e, const PhElectionEntry *entry, PhTime sent_at,
+            PhTime now)
 {
     if (entry->offset < e->next) {
         return;
@@ -344,7 +353,7 @@
         entry->address.len > 0 ? PhStr_Dup(entry->address) : (PhStr){0};
     e->quiet_since = now;
     if (PhStr_Equal(entry->holder, e->holder)) {
-        own_entry_apply(e, entry, now);
+        own_entry_apply(e, entry, sent_at, now);
         return;
     }
     if (e->role == PH_ELECTION_OWNER) {
@@ -362,7 +371,8 @@
         add_unknown_holder(e, now);
     }
     for (size_t i = 0; i < count; i++) {
-        entry_apply(e, &entries[i], now);
+        /* Any of the appends at this offset may have written it. */
+        entry_apply(e, &entries[i], e->append_first_sent_at, now);
     }
     if (!e->readable || !e->synced) {
         e->quiet_since = now;
@@ -399,7 +409,7 @@
                              .holder = e->holder,
                              .address = e->address};
     e->appending = false;
-    entry_apply(e, &entry, now);
+    entry_apply(e, &entry, e->append_sent_at, now);
 }
 
 void
--- a/tests/schedule/test_election.c
+++ b/tests/schedule/test_election.c
@@ -9,7 +9,7 @@
 #define OTHER PhStr_LITERAL("other.100")
 
 enum {
-    STEPS_MAX = 12,
+    STEPS_MAX = 16,
     DELAY_MS = 100,
     ACTION_READ = 1,
     ACTION_CLAIM = 2,
@@ -24,6 +24,7 @@
     STEP_READ_OTHER,        /* another holder's renewal at `number` */
     STEP_READ_RELEASE,      /* another holder's release at `number` */
     STEP_READ_OWN,          /* this instance's claim at `number` */
+    STEP_READ_OWN_RENEWAL,  /* this instance's renewal at `number` */
     STEP_READ_EARLIER_SELF, /* renewal of this instance's earlier incarnation
                              */
     STEP_READ_FAILS,
@@ -119,6 +120,23 @@
       {821, STEP_NONE, 0, ACTION_RENEWAL, 1},
       {830, STEP_CONFLICT, 0, ACTION_READ, 1},
       {840, STEP_READ_OTHER, 1, ACTION_READ, 0}}},
+    {"a renewal that is read back counts from the first append that may have "
+     "written it",
+     {{0, STEP_NONE, 0, ACTION_READ, 0},
+      {10, STEP_READ_EMPTY, 0, ACTION_READ, 0},
+      {110, STEP_NONE, 0, ACTION_CLAIM, 0},
+      {120, STEP_APPENDED, 1, 0, 1},
+      {130, STEP_READ_EMPTY, 1, 0, 1},
+      {821, STEP_NONE, 0, ACTION_RENEWAL, 1},
+      {2300, STEP_UNKNOWN, 0, ACTION_READ, 1},
+      {2310, STEP_READ_EMPTY, 1, 0, 1},
+      {2500, STEP_NONE, 0, ACTION_RENEWAL, 1},
+      {2600, STEP_CONFLICT, 0, ACTION_READ, 1},
+      {2610, STEP_READ_OWN_RENEWAL, 1, 0, 1},
+      {3310, STEP_NONE, 0, ACTION_RENEWAL, 1},
+      {4800, STEP_UNKNOWN, 0, ACTION_READ, 1},
+      {9821, STEP_NONE, 0, 0, 1},
+      {9822, STEP_NONE, 0, 0, 0}}},
     {"an owner that cannot reach the store gives up after 9 s",
      {{0, STEP_NONE, 0, ACTION_READ, 0},
       {10, STEP_READ_EMPTY, 0, ACTION_READ, 0},
@@ -204,6 +222,9 @@
     case STEP_READ_OWN:
         read_one(e, s, PH_ELECTION_CLAIM, SELF);
         break;
+    case STEP_READ_OWN_RENEWAL:
+        read_one(e, s, PH_ELECTION_RENEWAL, SELF);
+        break;
     case STEP_READ_EARLIER_SELF:
         read_one(e, s, PH_ELECTION_RENEWAL, EARLIER_SELF);
         break;
