tests: the platform fixture keeps its ports bound until they are used

Instances were configured with ports from a socket that had been closed again. An instance opens its link port only after the first claim, 0.75 s of its clock later. If another process gets the port in between, the instance goes on without links, and the row "the owner accepts calls forwarded by the other" fails with "0 != 0x2" or "the other takes over from a destroyed owner" with "0 != 0x1". These are the messages of the entry test_schedule_pair in KNOWN-RED.txt, which has a second cause, the real clock.

The socket stays bound with SO_REUSEADDR and never listens: the instance may bind the same port, and the system gives it to nobody else.

--- a/tests/schedule/platform_fixture.c
+++ b/tests/schedule/platform_fixture.c
@@ -15,16 +15,21 @@
     CALLS_MAX = 400,      /* attempts of PhPlatformFixture_CallUntil */
 };
 
+/* Keeps a socket bound to the port, so that no other process gets it before
+ * the instance listens on it. */
 static uint16_t
-free_port(void)
+port_reserve(PhPlatformFixture *fixture)
 {
     struct sockaddr_in a = {.sin_family = AF_INET,
                             .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
     socklen_t len = sizeof(a);
+    int one = 1;
     int fd = socket(AF_INET, SOCK_STREAM, 0);
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
     assert_int_equal(bind(fd, (struct sockaddr *)&a, len), 0);
     assert_int_equal(getsockname(fd, (struct sockaddr *)&a, &len), 0);
-    close(fd);
+    assert_true(fixture->reserved_count < PH_FIXTURE_PORTS_MAX);
+    fixture->reserved[fixture->reserved_count++] = fd;
     return ntohs(a.sin_port);
 }
 
@@ -66,7 +71,7 @@
     PhBuf text = {0};
     PhBuf errors = {0};
     PhInstancePorts ports;
-    x->port = free_port();
+    x->port = port_reserve(fixture);
     x->counters = PhCounters_Create();
     x->kernel = PhKernel_Create(&(PhKernelOptions){.clock = fixture->clock,
                                                    .loop = fixture->loop,
@@ -78,7 +83,8 @@
                        "ready = 127.0.0.1:0\nshare = %s\n",
                        i + 1, x->port, store_port, i == 0 ? "1" : "0.1");
     if (links) {
-        PhBuf_AppendFormat(&text, "link = 127.0.0.1:%u\n", free_port());
+        PhBuf_AppendFormat(&text, "link = 127.0.0.1:%u\n",
+                           port_reserve(fixture));
     }
     PhResult r = PhSettings_Parse(PhStr_LITERAL("test"), PhBuf_Str(&text),
                                   &x->settings, &errors);
@@ -120,6 +126,9 @@
         PhSettings_Clear(&fixture->instances[i].settings);
         PhCounters_Destroy(fixture->instances[i].counters);
     }
+    for (size_t i = 0; i < fixture->reserved_count; i++) {
+        close(fixture->reserved[i]);
+    }
     PhKernel_Destroy(fixture->platform);
     PhStandinStoreState_Destroy(fixture->store);
     PhCounters_Destroy(fixture->counters);
--- a/tests/schedule/platform_fixture.h
+++ b/tests/schedule/platform_fixture.h
@@ -9,7 +9,8 @@
 
 enum {
     PH_FIXTURE_INSTANCES_MAX = 2,
-    PH_FIXTURE_TEXT_BYTES = 4096, /* of a response */
+    PH_FIXTURE_PORTS_MAX = 2 * PH_FIXTURE_INSTANCES_MAX, /* clients, link */
+    PH_FIXTURE_TEXT_BYTES = 4096,                        /* of a response */
 };
 
 /* Instance 0 has the largest CPU share, so it becomes the owner. */
@@ -28,6 +29,8 @@
     PhKernel *platform;
     PhFixtureInstance instances[PH_FIXTURE_INSTANCES_MAX];
     size_t instance_count;
+    int reserved[PH_FIXTURE_PORTS_MAX]; /* sockets bound to ports in use */
+    size_t reserved_count;
 } PhPlatformFixture;
 
 /* `links`: whether the instances have links to each other. */
