tests: run the platform fixture on the paused clock

The rows of test_schedule_pair need the instance with the larger share to claim first. It does so 360 ms earlier, apart from a jitter below 100 ms each; on the real clock a process that stands still for longer than what is left of that makes both claims due at once, and the other instance may win.

Each run of the fixture now advances a paused clock by 5 ms, runs the event loop for 1 ms of real time, so that the loopback delivers, and then for at least 32 iterations. A stop of any length costs no time of the clock. SETTLE_STEPS counts the same 2 s as before. No check is dropped; the rows now also say which instance starts the tasks, so the rows without links show the owner, too.

--- a/tests/schedule/platform_fixture.c
+++ b/tests/schedule/platform_fixture.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "peridothill/platform/adapter.h"
+#include "tests/paused_loop.h"
 #include "tests/table.h"
 
 enum {
@@ -39,7 +40,7 @@
 {
     uint16_t port;
     fixture->loop = ev_loop_new(EVFLAG_AUTO);
-    fixture->clock = PhClock_Create(PH_CLOCK_REAL);
+    fixture->clock = PhPausedLoop_CreateClock();
     fixture->counters = PhCounters_Create();
     fixture->platform =
         PhKernel_Create(&(PhKernelOptions){.clock = fixture->clock,
@@ -136,22 +137,10 @@
     ev_loop_destroy(fixture->loop);
 }
 
-static void
-on_tick(struct ev_loop *loop, ev_timer *timer, int revents)
-{
-    (void)timer;
-    (void)revents;
-    ev_break(loop, EVBREAK_ALL);
-}
-
 void
 PhPlatformFixture_Run(PhPlatformFixture *fixture)
 {
-    ev_timer tick;
-    ev_timer_init(&tick, on_tick, 0.005, 0.0);
-    ev_timer_start(fixture->loop, &tick);
-    ev_run(fixture->loop, 0);
-    ev_timer_stop(fixture->loop, &tick);
+    PhPausedLoop_Step(fixture->loop, fixture->clock);
 }
 
 int
--- a/tests/schedule/platform_fixture.h
+++ b/tests/schedule/platform_fixture.h
@@ -1,5 +1,5 @@
-/* Fixture of the platform's stand-ins and some instances on one event loop,
- * with clients' calls over sockets. */
+/* Fixture of the platform's stand-ins and some instances on one event loop and
+ * one paused clock, with clients' calls over sockets. */
 #ifndef PERIDOTHILL_TESTS_SCHEDULE_PLATFORM_FIXTURE_H
 #define PERIDOTHILL_TESTS_SCHEDULE_PLATFORM_FIXTURE_H
 
@@ -39,7 +39,7 @@
 void PhPlatformFixture_Close(PhPlatformFixture *fixture);
 /* Destroys an instance without a shutdown. */
 void PhPlatformFixture_Kill(PhPlatformFixture *fixture, size_t instance);
-/* Runs the event loop for 5 ms. */
+/* Advances the clock by PH_PAUSED_STEP_MS and runs the event loop. */
 void PhPlatformFixture_Run(PhPlatformFixture *fixture);
 /* Calls an instance and returns the status, 0 without a response.  `text`
  * receives the response. */
--- a/tests/schedule/test_schedule_pair.c
+++ b/tests/schedule/test_schedule_pair.c
@@ -13,11 +13,12 @@
 enum {
     OWNER = 0, /* has the larger CPU share */
     OTHER = 1,
-    SETTLE_RUNS = 400, /* loop runs until both instances know the owner */
+    SETTLE_STEPS = 400, /* until both instances know the owner */
 };
 
 /* Whether the owner is destroyed after the first job, whether each job is
- * submitted twice, and which instance accepts the two jobs. */
+ * submitted twice, and which instance accepts the two jobs and starts their
+ * four tasks. */
 typedef struct PhPairCase {
     const char *name;
     bool links;
@@ -25,18 +26,21 @@
     bool submit_twice;
     uint64_t accepted_by_owner; /* jobs accepted by the owner */
     uint64_t accepted_by_other;
+    uint64_t started_by_owner; /* tasks started by the owner */
+    uint64_t started_by_other;
 } PhPairCase;
 
 static const PhPairCase pair_cases[] = {
     {"the owner accepts calls forwarded by the other", true, false, false, 2,
-     0},
+     0, 4, 0},
     {"without links each instance accepts its own calls", false, false, false,
-     0, 2},
-    {"the other takes over from a destroyed owner", true, true, false, 1, 1},
-    {"the other takes over without links", false, true, false, 0, 2},
-    {"a job submitted twice is accepted once", true, false, true, 2, 0},
+     0, 2, 4, 0},
+    {"the other takes over from a destroyed owner", true, true, false, 1, 1, 2,
+     2},
+    {"the other takes over without links", false, true, false, 0, 2, 2, 2},
+    {"a job submitted twice is accepted once", true, false, true, 2, 0, 4, 0},
     {"a job submitted twice without links is accepted once", false, false,
-     true, 0, 2},
+     true, 0, 2, 4, 0},
 };
 
 /* Submits a job to the other instance `times` times and waits for its end. */
@@ -59,7 +63,7 @@
     PhPlatformFixture_Open(&fixture, PH_FIXTURE_INSTANCES_MAX, c->links);
     assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "GET", ID_A, "",
                                             410, ""));
-    for (int i = 0; i < SETTLE_RUNS; i++) {
+    for (int i = 0; i < SETTLE_STEPS; i++) {
         PhPlatformFixture_Run(&fixture);
     }
     submit_and_wait(&fixture, ID_A, times);
@@ -69,12 +73,16 @@
     submit_and_wait(&fixture, ID_B, times);
     assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "GET", ID_A, "",
                                             200, "completed"));
-    assert_int_equal(PhCounters_Get(fixture.instances[OWNER].counters,
-                                    PH_COUNTER_SCHEDULE_ACCEPTED),
+    const PhCounters *owner = fixture.instances[OWNER].counters;
+    const PhCounters *other = fixture.instances[OTHER].counters;
+    assert_int_equal(PhCounters_Get(owner, PH_COUNTER_SCHEDULE_ACCEPTED),
                      c->accepted_by_owner);
-    assert_int_equal(PhCounters_Get(fixture.instances[OTHER].counters,
-                                    PH_COUNTER_SCHEDULE_ACCEPTED),
+    assert_int_equal(PhCounters_Get(other, PH_COUNTER_SCHEDULE_ACCEPTED),
                      c->accepted_by_other);
+    assert_int_equal(PhCounters_Get(owner, PH_COUNTER_SCHEDULE_STARTS),
+                     c->started_by_owner);
+    assert_int_equal(PhCounters_Get(other, PH_COUNTER_SCHEDULE_STARTS),
+                     c->started_by_other);
     PhPlatformFixture_Close(&fixture);
 }
 
