tests: run test_http on the paused clock

The rows "no first byte by its deadline" and "no answer by the deadline" set deadlines 30 and 60 ms ahead on the real clock and expect the server to have had the request. A process that stands still before it has sent the request fails it as not sent.

The test now advances the clock in steps until the row is over; the checks are the same.

--- a/tests/platform/test_http.c
+++ b/tests/platform/test_http.c
@@ -6,6 +6,7 @@
 #include "peridothill/codec/log_json.h"
 #include "peridothill/services/interface.h"
 #include "peridothill/services/listener.h"
+#include "tests/paused_loop.h"
 #include "tests/table.h"
 
 enum {
@@ -63,7 +64,6 @@
     const PhHttpCase *c;
     PhTask *self;
     PhListener *listener;
-    struct ev_loop *loop;
     bool done;
     bool disconnected;
     size_t served;
@@ -71,14 +71,12 @@
     PhStr body;
 } PhEchoServer;
 
-/* Ends the loop once the reply has arrived and, for an unanswered request, the
+/* Reports whether the reply has arrived and, for an unanswered request, the
  * server has seen the caller disconnect. */
-static void
-loop_end_if_done(PhEchoServer *e)
+static bool
+is_over(const PhEchoServer *e)
 {
-    if (e->done && (e->c->action != SERVER_IS_SILENT || e->disconnected)) {
-        ev_break(e->loop, EVBREAK_ALL);
-    }
+    return e->done && (e->c->action != SERVER_IS_SILENT || e->disconnected);
 }
 
 /* Echoes the body of the request. */
@@ -130,7 +128,6 @@
     PhEchoServer *e = context;
     (void)id;
     e->disconnected = true;
-    loop_end_if_done(e);
 }
 
 static void
@@ -175,7 +172,6 @@
         assert_int_equal(reply->body.len, e->c->body_bytes);
     }
     e->done = true;
-    loop_end_if_done(e);
 }
 
 static void
@@ -222,11 +218,11 @@
 check_http(const PhHttpCase *c)
 {
     struct ev_loop *loop = ev_loop_new(0);
-    PhClock *clock = PhClock_Create(PH_CLOCK_REAL);
+    PhClock *clock = PhPausedLoop_CreateClock();
     PhCounters *counters = PhCounters_Create();
     PhKernel *kernel = PhKernel_Create(&(PhKernelOptions){
         .clock = clock, .loop = loop, .counters = counters});
-    PhEchoServer e = {.c = c, .loop = loop};
+    PhEchoServer e = {.c = c};
     assert_int_equal(PhHttp_Start(kernel), PH_STATUS_OK);
     PhTaskSpec spec = {.name = PhStr_LITERAL("echo"),
                        .mailbox_capacity = 16,
@@ -234,7 +230,9 @@
                        .handle = echo_handle,
                        .destroy = echo_destroy};
     assert_int_equal(PhKernel_Spawn(kernel, &spec, NULL), PH_STATUS_OK);
-    ev_run(loop, 0);
+    while (!is_over(&e)) {
+        PhPausedLoop_Step(loop, clock);
+    }
     assert_int_equal(e.served,
                      c->action != SERVER_IS_ABSENT && c->status != 413);
     PhKernel_Destroy(kernel);
