tests: run test_entry on the paused clock

Rows such as "silent worker" give a request 60 ms of the real clock and expect the worker to have had it, and the drain rows expect answers within the limits of the stop. A process that stands still in between fails them.

The fixture now advances the clock in steps until every caller is served or the entry has ended. The watchdog counts 20 s of that clock; its expiry used to be printed only and now fails the row. The other checks are the same.

--- a/tests/requests/entry_fixture.c
+++ b/tests/requests/entry_fixture.c
@@ -16,6 +16,7 @@
 #include "peridothill/services/members.h"
 #include "peridothill/services/peers.h"
 #include "peridothill/services/platform_list.h"
+#include "tests/paused_loop.h"
 #include "tests/table.h"
 
 static const char *const worker_texts[] = {
@@ -283,13 +284,11 @@
     assert_int_equal(n, 0);
     PhTask_Watch(self, caller->fd, 0);
     f->ended++;
-    if (f->ended == f->callers && !f->stop_entry) {
-        ev_break(f->loop, EVBREAK_ALL);
-    }
+    f->over = f->over || (f->ended == f->callers && !f->stop_entry);
 }
 
 /* Handles the mail of the task that plays all callers.  With `stop_entry` it
- * also stops the entry task, and ends the loop once that task has ended. */
+ * also stops the entry task, and the run is over once that task has ended. */
 static void
 callers_handle(void *state, PhTask *self, const PhMail *mail)
 {
@@ -310,7 +309,7 @@
         PhTask_SetTimer(self, 1, PhTask_Now(self) + 10 * PH_NS_PER_MS);
     }
     else if (mail->kind == PH_MAIL_ENDED) {
-        ev_break(f->loop, EVBREAK_ALL);
+        f->over = true;
     }
     for (unsigned i = 0; mail->kind == PH_MAIL_IO && i < f->callers; i++) {
         if (f->caller[i].fd == mail->as.io.fd) {
@@ -328,21 +327,11 @@
     assert_int_equal(PhKernel_Spawn(f->kernel, &spec, NULL), PH_STATUS_OK);
 }
 
-static void
-on_watchdog(struct ev_loop *loop, ev_timer *timer, int revents)
-{
-    (void)timer;
-    (void)revents;
-    print_error("the event loop did not end within the watchdog time-out\n");
-    ev_break(loop, EVBREAK_ALL);
-}
-
 void
 PhEntryFixture_Run(PhEntryFixture *f)
 {
-    ev_timer watchdog;
     f->loop = ev_loop_new(0);
-    f->clock = PhClock_Create(PH_CLOCK_REAL);
+    f->clock = PhPausedLoop_CreateClock();
     f->counters = PhCounters_Create();
     f->kernel = PhKernel_Create(&(PhKernelOptions){
         .clock = f->clock, .loop = f->loop, .counters = f->counters});
@@ -366,10 +355,11 @@
     PhResult started = PhEntry_Start(f->kernel, &options, &f->port);
     assert_int_equal(started.status, PH_STATUS_OK);
     fixture_spawn(f, PhStr_LITERAL("callers"), callers_handle);
-    ev_timer_init(&watchdog, on_watchdog, WATCHDOG_S, 0.0);
-    ev_timer_start(f->loop, &watchdog);
-    ev_run(f->loop, 0);
-    ev_timer_stop(f->loop, &watchdog);
+    PhTime end = PhClock_Now(f->clock) + WATCHDOG_S * PH_NS_PER_S;
+    while (!f->over && PhClock_Now(f->clock) < end) {
+        PhPausedLoop_Step(f->loop, f->clock);
+    }
+    assert_true(f->over);
 }
 
 void
--- a/tests/requests/entry_fixture.h
+++ b/tests/requests/entry_fixture.h
@@ -10,7 +10,7 @@
 enum {
     CALLERS_MAX = 16,
     ANSWER_DELAY_MS = 150,
-    WATCHDOG_S = 20,
+    WATCHDOG_S = 20, /* of the paused clock */
     READ_BYTES = 4096,
     WORKER_CONNECTIONS = 8,
     /* A single instance leaves capacity for one that it does not know yet. */
@@ -62,6 +62,7 @@
     unsigned executed; /* requests other than GET */
     unsigned callers;
     unsigned ended;
+    bool over; /* every caller is served, or the entry has ended */
     PhPeer caller[CALLERS_MAX];
     const char *request;
     bool stop_entry;
