tests: run test_operators on the paused clock

Each request of the test has a deadline 10 s ahead on the real clock; a process that stands still for longer gets no answer.

The test now advances the clock in steps until the answer arrives; the checks are the same.

--- a/tests/config/test_operators.c
+++ b/tests/config/test_operators.c
@@ -10,6 +10,7 @@
 #include "peridothill/services/interface.h"
 #include "peridothill/services/platform_log.h"
 #include "peridothill/standin/standin.h"
+#include "tests/paused_loop.h"
 #include "tests/table.h"
 
 enum {
@@ -89,11 +90,12 @@
     PhFakeLog *log;
     uint16_t port;
     PhTaskRef caller;
+    bool answered;
     int status; /* of the last answer; 0: none */
     PhStr body;
 } PhOperatorsFixture;
 
-/* Stores the answer and ends the loop. */
+/* Stores the answer. */
 static void
 caller_handle(void *state, PhTask *self, const PhMail *mail)
 {
@@ -103,11 +105,11 @@
         const PhHttpMessage *m = mail->as.message.body;
         f->status = m->as.reply.status;
         f->body = PhStr_Dup(m->as.reply.body);
-        ev_break(f->loop, EVBREAK_ALL);
+        f->answered = true;
     }
 }
 
-/* Sends a request and runs the loop until the answer arrives. */
+/* Sends a request and advances the clock until the answer arrives. */
 static void
 call(PhOperatorsFixture *f, const PhStepCase *c)
 {
@@ -128,9 +130,12 @@
     PhKernel_Send(f->kernel, f->caller,
                   PhKernel_Lookup(f->kernel, PH_SERVICE_HTTP),
                   PhHttpMessage_Wrap(&m));
+    f->answered = false;
     f->status = 0;
     PhStr_Clear(&f->body);
-    ev_run(f->loop, 0);
+    while (!f->answered) {
+        PhPausedLoop_Step(f->loop, f->clock);
+    }
 }
 
 static void
@@ -192,7 +197,7 @@
 {
     char *token_file = NULL;
     PhOperatorsFixture f = {.loop = ev_loop_new(EVFLAG_AUTO),
-                            .clock = PhClock_Create(PH_CLOCK_REAL),
+                            .clock = PhPausedLoop_CreateClock(),
                             .counters = PhCounters_Create(),
                             .log = PhFakeLog_Create(&(PhFakeLogOptions){0})};
     (void)state;
