--- a/tests/schedule/platform_fixture.h
+++ b/tests/schedule/platform_fixture.h
@@ -1,5 +1,5 @@
-/* Fixture of the platform's stand-ins and some instances on one event loop,
- * with clients' calls over sockets. */
+/* Fixture of the platform's stand-ins and some instances on one event loop and
+ * one paused clock, with clients' calls over sockets. */
 #ifndef PERIDOTHILL_TESTS_SCHEDULE_PLATFORM_FIXTURE_H
 #define PERIDOTHILL_TESTS_SCHEDULE_PLATFORM_FIXTURE_H
 
@@ -9,7 +9,8 @@
 
 enum {
     PH_FIXTURE_INSTANCES_MAX = 2,
-    PH_FIXTURE_TEXT_BYTES = 4096, /* of a response */
+    PH_FIXTURE_PORTS_MAX = 2 * PH_FIXTURE_INSTANCES_MAX, /* clients, link */
+    PH_FIXTURE_TEXT_BYTES = 4096,                        /* of a response */
 };
 
 /* Instance 0 has the largest CPU share, so it becomes the owner. */
@@ -28,6 +29,8 @@
     PhKernel *platform;
     PhFixtureInstance instances[PH_FIXTURE_INSTANCES_MAX];
     size_t instance_count;
+    int reserved[PH_FIXTURE_PORTS_MAX]; /* sockets bound to ports in use */
+    size_t reserved_count;
 } PhPlatformFixture;
 
 /* `links`: whether the instances have links to each other. */
@@ -36,7 +39,7 @@
 void PhPlatformFixture_Close(PhPlatformFixture *fixture);
 /* Destroys an instance without a shutdown. */
 void PhPlatformFixture_Kill(PhPlatformFixture *fixture, size_t instance);
-/* Runs the event loop for 5 ms. */
+/* Advances the clock by PH_PAUSED_STEP_MS and runs the event loop. */
 void PhPlatformFixture_Run(PhPlatformFixture *fixture);
 /* Calls an instance and returns the status, 0 without a response.  `text`
  * receives the response. */
