schedule: a new owner orders the pace of the fill tasks it inherits

Cause: a pace is not on record. A successor took each run for working at full pace, and as that was also the pace it wanted, it ordered nothing.

The pace of an inherited run is now unknown (PH_SCHED_PACE_UNKNOWN), both where records are applied and where an ownership begins, so the first sample of its worker leads to an order. That sample came with the reply to a hold that carried the new fence, so no order of an earlier owner can follow.

--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -114,6 +114,7 @@
         task->start_in_flight = false;
         task->stopping = false;
         task->stop_in_flight = false;
+        task->percent_sent = PH_SCHED_PACE_UNKNOWN;
     }
 }
 
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -317,9 +317,8 @@
 {
     PhSchedTask *task = placed_task(s, name, run);
     if (task != NULL && outcome != PH_SCHED_OUTCOME_DONE) {
-        /* The actual pace is unknown: the next change is sent even if it
-         * equals the previous one. */
-        task->percent_sent = -1;
+        /* Ordered again after the next sample. */
+        task->percent_sent = PH_SCHED_PACE_UNKNOWN;
     }
     return outcome != PH_SCHED_OUTCOME_FENCED;
 }
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -37,6 +37,11 @@
 typedef struct PhSchedStage PhSchedStage;
 typedef struct PhSchedWorker PhSchedWorker;
 
+/* Value of percent_sent while the pace at the worker is not known. */
+enum {
+    PH_SCHED_PACE_UNKNOWN = -1,
+};
+
 /* A task of a stage.  Each start has a run number; `run` is that of the newest
  * start, 0 before the first. */
 typedef struct PhSchedTask {
@@ -58,8 +63,8 @@
     bool start_unconfirmed; /* a start of this run may still take effect */
     bool stopping;          /* a stop is queued or has been sent */
     bool stop_in_flight;
-    int percent;      /* pace: share of full speed */
-    int percent_sent; /* pace last sent to the worker, -1 for unknown */
+    int percent;                    /* pace: share of full speed */
+    int percent_sent;               /* pace last sent to the worker */
     const PhSchedWorker *failed_on; /* worker of the last failed run; only
                                        compared, never dereferenced */
     double load_error; /* serving task, newest sample: load less prediction */
