schedule: a pace is ordered again until no earlier one can overtake it

What callers would see: a fill task that stands still for good, or one that runs at full pace beside a serving task over its target, though its owner ordered otherwise and had an answer.

Cause: of one owner's orders the last one answered was taken for the pace at the worker. The fence does not order them among themselves: one without an answer may be executed seconds later, after newer ones, and two on the way at the same time may overtake each other though both are answered.

An order now settles the pace only if, when it is sent, no other one is on the way and the time in which an unanswered one may still be executed is over (12 s, LATE_ORDER_TIME of leases.c, which moves to the private header). Until then the same pace is ordered every second, with the samples of the worker. A repeat without an answer extends that time.

Ruled out: one order at a time, since the reaction to a serving task over its target would wait up to 1.2 s for a lost answer, and it does not help against one executed after that. Orders that failed otherwise were already repeated after the next sample; rows cover them now.

--- a/bench/schedule_fleet.c
+++ b/bench/schedule_fleet.c
@@ -230,7 +230,8 @@
                            clock_ms, f->now);
         return;
     case PH_SCHED_ACTION_PACE:
-        PhScheduler_OnPace(f->scheduler, &name, run, PH_SCHED_OUTCOME_DONE);
+        PhScheduler_OnPace(f->scheduler, &name, run, PH_SCHED_OUTCOME_DONE,
+                           f->now);
         return;
     }
 }
--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -16,8 +16,6 @@
 /* An owner without the store continues for at most this long, see
  * docs/PLATFORM-DESIGN.md; a successor waits for this and one lease. */
 static const PhTime OLD_OWNER_LIMIT = 10 * PH_NS_PER_S;
-/* An order may be executed up to this long after it was sent. */
-static const PhTime LATE_ORDER_TIME = 12 * PH_NS_PER_S;
 /* Workers' clocks may be 2% slow. */
 static const int64_t CLOCK_SLOW_PERCENT = 102;
 static const PhTime CLOCK_MARGIN = 100 * PH_NS_PER_MS;
@@ -53,8 +51,8 @@
 void
 PhScheduler_InheritLeases(const PhScheduler *s, PhSchedWorker *w, PhTime now)
 {
-    w->inherited_leases_end_by =
-        now + LATE_ORDER_TIME + slow_clock_bound(s->options.lease_limit);
+    w->inherited_leases_end_by = now + PhScheduler_LATE_ORDER_TIME +
+                                 slow_clock_bound(s->options.lease_limit);
 }
 
 /* Once it is recorded that the worker leaves, owners grant short leases only:
@@ -114,7 +112,7 @@
         task->start_in_flight = false;
         task->stopping = false;
         task->stop_in_flight = false;
-        task->percent_sent = PH_SCHED_PACE_UNKNOWN;
+        PhSchedTask_ResetPace(task, PH_SCHED_PACE_UNKNOWN);
     }
 }
 
--- a/decide/schedule/model.c
+++ b/decide/schedule/model.c
@@ -382,6 +382,16 @@
     worker_account(worker, PhSchedTask_Step(task), 1);
 }
 
+void
+PhSchedTask_ResetPace(PhSchedTask *task, int percent_sent)
+{
+    task->percent_sent = percent_sent;
+    task->pace_sent_at = 0;
+    task->late_pace_until = 0;
+    task->paces_in_flight = 0;
+    task->pace_overtakable = false;
+}
+
 void
 PhSchedTask_Unplace(PhSchedTask *task, PhSchedTaskState state)
 {
--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -84,7 +84,7 @@
     task->retry_at = 0;
     task->confirmed_clock_ms = 0;
     task->confirmed_at = 0;
-    task->percent_sent = PERCENT;
+    PhSchedTask_ResetPace(task, PERCENT);
     task->percent = PERCENT;
     task->over_target_since = 0;
     task->within_target_since = 0;
--- a/decide/schedule/record.c
+++ b/decide/schedule/record.c
@@ -76,7 +76,7 @@
     task->since = now;
     task->fence = 0;
     task->percent = 100;
-    task->percent_sent = PH_SCHED_PACE_UNKNOWN;
+    PhSchedTask_ResetPace(task, PH_SCHED_PACE_UNKNOWN);
     PhStr_Clear(&task->last_checkpoint);
     task->last_checkpoint = r->last_checkpoint;
     r->last_checkpoint = (PhStr){0};
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -5,6 +5,9 @@
 #include "interference.h"
 #include "peridothill/decide/schedule/scheduler.h"
 
+/* An order may be executed up to this long after it was sent. */
+#define PhScheduler_LATE_ORDER_TIME (12 * PH_NS_PER_S)
+
 struct PhScheduler {
     PhSchedulerOptions options;
     PhSchedModel *model;
@@ -152,5 +155,13 @@
 /* pacing.c: adjusts the pace of a worker's backfill tasks after a sample. */
 void PhScheduler_PaceWorker(PhScheduler *scheduler, PhSchedWorker *worker,
                             PhTime now);
+/* Reports whether the pace of a task has to be ordered: it changes, or the
+ * worker may not run the task at the pace last sent. */
+bool PhScheduler_IsPaceDue(const PhSchedTask *task, PhTime now);
+/* Notes that the pace of a task is being sent. */
+void PhScheduler_SendPace(PhSchedTask *task, PhTime now);
+/* Notes the outcome of one of its pace orders, not always the last one. */
+void PhScheduler_CompletePace(PhSchedTask *task, PhSchedOutcome outcome,
+                              PhTime now);
 
 #endif
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -152,15 +152,14 @@
 }
 
 static bool
-next_pace(PhScheduler *s, PhSchedAction *action)
+next_pace(PhScheduler *s, PhTime now, PhSchedAction *action)
 {
     PhSchedTask *task;
     while ((task = g_queue_pop_head(&s->paces)) != NULL) {
-        if (task->state != PH_SCHED_TASK_RUNNING || task->stopping ||
-            task->percent == task->percent_sent) {
+        if (!PhScheduler_IsPaceDue(task, now)) {
             continue;
         }
-        task->percent_sent = task->percent;
+        PhScheduler_SendPace(task, now);
         run_order_init(task, PH_SCHED_ACTION_PACE, action);
         action->as.run.percent = task->percent;
         return true;
@@ -174,7 +173,7 @@
     if (s->fence == 0) {
         return false;
     }
-    return next_pace(s, action) || next_stop(s, now, action) ||
+    return next_pace(s, now, action) || next_stop(s, now, action) ||
            next_start(s, now, action) || next_hold(s, now, action) ||
            next_orphan(s, action);
 }
@@ -313,12 +312,11 @@
 
 bool
 PhScheduler_OnPace(PhScheduler *s, const PhSchedTaskName *name, uint32_t run,
-                   PhSchedOutcome outcome)
+                   PhSchedOutcome outcome, PhTime now)
 {
     PhSchedTask *task = placed_task(s, name, run);
-    if (task != NULL && outcome != PH_SCHED_OUTCOME_DONE) {
-        /* Ordered again after the next sample. */
-        task->percent_sent = PH_SCHED_PACE_UNKNOWN;
+    if (task != NULL) {
+        PhScheduler_CompletePace(task, outcome, now);
     }
     return outcome != PH_SCHED_OUTCOME_FENCED;
 }
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -63,8 +63,12 @@
     bool start_unconfirmed; /* a start of this run may still take effect */
     bool stopping;          /* a stop is queued or has been sent */
     bool stop_in_flight;
-    int percent;                    /* pace: share of full speed */
-    int percent_sent;               /* pace last sent to the worker */
+    int percent;      /* pace: share of full speed */
+    int percent_sent; /* pace last sent to the worker */
+    PhTime pace_sent_at;
+    PhTime late_pace_until; /* an unanswered pace may take effect until then */
+    uint32_t paces_in_flight;
+    bool pace_overtakable; /* an earlier one may take effect after that pace */
     const PhSchedWorker *failed_on; /* worker of the last failed run; only
                                        compared, never dereferenced */
     double load_error; /* serving task, newest sample: load less prediction */
@@ -277,5 +281,8 @@
  * the worker follow. */
 void PhSchedTask_Place(PhSchedTask *task, PhSchedWorker *worker);
 void PhSchedTask_Unplace(PhSchedTask *task, PhSchedTaskState state);
+/* Sets the pace that the worker is known to run the task at, or
+ * PH_SCHED_PACE_UNKNOWN, with no order under way. */
+void PhSchedTask_ResetPace(PhSchedTask *task, int percent_sent);
 
 #endif
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -189,7 +189,7 @@
                         uint32_t run, PhSchedOutcome outcome, int64_t clock_ms,
                         PhTime now);
 bool PhScheduler_OnPace(PhScheduler *scheduler, const PhSchedTaskName *name,
-                        uint32_t run, PhSchedOutcome outcome);
+                        uint32_t run, PhSchedOutcome outcome, PhTime now);
 
 /* Changes of the list of workers: a new or changed entry, which is taken over,
  * or a removed one. */
--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -420,8 +420,8 @@
                                       r->outcome, r->clock_ms, now);
         break;
     case PH_SCHED_ACTION_PACE:
-        is_owner =
-            PhScheduler_OnPace(t->scheduler, &r->task, r->run, r->outcome);
+        is_owner = PhScheduler_OnPace(t->scheduler, &r->task, r->run,
+                                      r->outcome, now);
         break;
     }
     PhScheduleLog_Notes(t);
--- a/tests/schedule/test_inherited_pace.c
+++ b/tests/schedule/test_inherited_pace.c
@@ -65,7 +65,7 @@
             if (action.tag == PH_SCHED_ACTION_PACE) {
                 assert_int_equal(action.as.run.percent, 100);
                 orders++;
-                PhScheduler_OnPace(s, &name, 1, PH_SCHED_OUTCOME_DONE);
+                PhScheduler_OnPace(s, &name, 1, PH_SCHED_OUTCOME_DONE, now);
             }
         }
     }
