--- a/bench/schedule_fleet.c
+++ b/bench/schedule_fleet.c
@@ -230,8 +230,8 @@
         PhScheduler_OnStop(f->scheduler, &reply, f->now);
         return;
     case PH_SCHED_ACTION_PACE:
-        PhScheduler_OnPace(f->scheduler, &reply.task, reply.run,
-                           reply.outcome);
+        PhScheduler_OnPace(f->scheduler, &reply.task, reply.run, reply.outcome,
+                           f->now);
         return;
     }
 }
--- a/decide/schedule/incarnations.c
+++ b/decide/schedule/incarnations.c
@@ -35,6 +35,7 @@
     task->start_unconfirmed =
         held.start_in_flight || held.unanswered_start_at != 0;
     task->confirmed_clock_ms = 0;
+    PhSchedTask_ResetPace(task, PH_SCHED_PACE_UNKNOWN);
     PhScheduler_MarkStageDirty(s, task->stage);
     if (stop || held.stopping) {
         PhScheduler_StopTask(s, task);
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -232,7 +232,7 @@
 bool PhScheduler_OnStop(PhScheduler *scheduler, const PhSchedRunReply *reply,
                         PhTime now);
 bool PhScheduler_OnPace(PhScheduler *scheduler, const PhSchedTaskName *name,
-                        uint32_t run, PhSchedOutcome outcome);
+                        uint32_t run, PhSchedOutcome outcome, PhTime now);
 
 /* Changes of the list of workers: a new or changed entry, which is taken over,
  * or a removed one. */
--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -423,8 +423,8 @@
         is_owner = PhScheduler_OnStop(t->scheduler, &run, now);
         break;
     case PH_SCHED_ACTION_PACE:
-        is_owner =
-            PhScheduler_OnPace(t->scheduler, &r->task, r->run, r->outcome);
+        is_owner = PhScheduler_OnPace(t->scheduler, &r->task, r->run,
+                                      r->outcome, now);
         break;
     }
     PhScheduleLog_Notes(t);
