schedule: a job waits until a worker reports a start

A queue's `pending` left out jobs of which no task had started, and their state was `running`.

Cause: a job became `running` when a task was placed, before the order was sent. A reader of the records did the same with the record of the placement. If the worker never carries the order out (its answer is missing, or it is cut off or starts again), nobody counted the job as waiting, however fresh the store was read: the model had an intention where it needed a report. The owner that is cut off from the store matters only because such starts stay open longer around a change of owner.

Ruled out: the age of what is known. The asked instance handled no call by itself in the second before, so the new owner answered, which had read all records.

Change: what a worker reports makes the job `running`: a start that is answered with success, a listed run, or a listed end, also of another run of that job. A stop, or a refusal because the run was stopped there, shows no start. The record of a stage says `running` of a task only in that case, and other instances take it from there and from the record of the job's state. Placement is due for queued jobs that have no task placed, as before.

--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -91,10 +91,6 @@
     PhInterference_Refresh(s->interference, w, now);
     PhScheduler_MarkStageDirty(s, task->stage);
     g_queue_push_tail(&s->starts, task);
-    if (job->state == PH_SCHED_JOB_QUEUED) {
-        PhSchedModel_SetJobState(s->model, job, PH_SCHED_JOB_RUNNING);
-        PhScheduler_MarkJobDirty(s, job);
-    }
 }
 
 static void
--- a/decide/schedule/record.c
+++ b/decide/schedule/record.c
@@ -43,10 +43,15 @@
                                          .step = stage->number,
                                          .task_count = count}};
     record.as.stage.tasks = g_new0(PhSchedTaskRecord, count);
+    bool begun = stage->job->state != PH_SCHED_JOB_QUEUED;
     for (uint32_t i = 0; i < count; i++) {
         const PhSchedTask *task = &stage->tasks[i];
         PhSchedTaskRecord *r = &record.as.stage.tasks[i];
         r->state = task->state;
+        if (task->state == PH_SCHED_TASK_RUNNING && !begun) {
+            /* The worker knows the run, but has not begun it. */
+            r->state = PH_SCHED_TASK_ASSIGNED;
+        }
         r->run = task->run;
         r->failures = task->failures;
         if (task->state == PH_SCHED_TASK_DONE) {
@@ -96,6 +101,13 @@
     }
 }
 
+/* Reports whether a worker has begun a run of the recorded task. */
+static bool
+task_has_begun(const PhSchedTaskRecord *r)
+{
+    return r->state == PH_SCHED_TASK_RUNNING || r->state == PH_SCHED_TASK_DONE;
+}
+
 static PhStatus
 stage_apply(PhSchedModel *model, PhSchedJob *job, PhSchedRecord *record,
             PhTime now)
@@ -109,7 +121,9 @@
         return PH_STATUS_INVALID;
     }
     bool was_done = stage->done == record->as.stage.task_count;
+    bool begun = false;
     for (uint32_t i = 0; i < record->as.stage.task_count; i++) {
+        begun |= task_has_begun(&record->as.stage.tasks[i]);
         task_apply(model, &stage->tasks[i], &record->as.stage.tasks[i], now);
     }
     if (!was_done && stage->done == record->as.stage.task_count) {
@@ -117,7 +131,7 @@
         round->done++;
         job->rounds_done += round->done == job->spec.step_count;
     }
-    if (job->state == PH_SCHED_JOB_QUEUED) {
+    if (begun && job->state == PH_SCHED_JOB_QUEUED) {
         PhSchedModel_SetJobState(model, job, PH_SCHED_JOB_RUNNING);
         job->durable_state = PH_SCHED_JOB_RUNNING;
     }
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -316,7 +316,8 @@
             continue;
         }
         plan_rounds(s, job, wall_ms);
-        s->placement_due |= job->state == PH_SCHED_JOB_QUEUED;
+        s->placement_due |=
+            job->state == PH_SCHED_JOB_QUEUED && job->tasks_placed == 0;
         if (job->rounds_done == MAX(job->spec.repetitions, 1)) {
             PhScheduler_EndJob(s, job, PH_SCHED_JOB_COMPLETED);
         }
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -206,6 +206,18 @@
     task->confirmed_clock_ms = MAX(task->confirmed_clock_ms, clock_ms);
 }
 
+/* Notes that a worker has begun a run of this job.  An order that was not
+ * answered, or a run that was stopped before it began, does not show that. */
+static void
+job_note_begin(PhScheduler *s, PhStr id)
+{
+    PhSchedJob *job = PhSchedModel_Job(s->model, id);
+    if (job != NULL && job->state == PH_SCHED_JOB_QUEUED) {
+        PhSchedModel_SetJobState(s->model, job, PH_SCHED_JOB_RUNNING);
+        PhScheduler_MarkJobDirty(s, job);
+    }
+}
+
 /* Releases a task whose start was refused.  If an earlier start of the run may
  * still arrive, a stop has to come first. */
 static void
@@ -246,6 +258,9 @@
     switch (outcome) {
     case PH_SCHED_OUTCOME_DONE:
     case PH_SCHED_OUTCOME_STALE_RUN:
+        if (outcome == PH_SCHED_OUTCOME_DONE) {
+            job_note_begin(s, name->job);
+        }
         run_confirm(task, clock_ms, now);
         w->next_hold_at = MIN(w->next_hold_at, now);
         PhScheduler_WakeBy(s, now);
@@ -352,6 +367,7 @@
           PhTime now)
 {
     worker_count_end(w, end->kind, now);
+    job_note_begin(s, end->task.job);
     PhSchedTask *task = placed_task(s, &end->task, end->run);
     if (task == NULL || task->worker != w) {
         return;
@@ -407,6 +423,7 @@
           int64_t clock_ms, PhTime now)
 {
     PhSchedTask *task = placed_task(s, &row->task, row->run);
+    job_note_begin(s, row->task.job);
     if (task == NULL || task->worker != w) {
         orphan_add(s, w, row);
         return;
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -9,7 +9,7 @@
 #include "peridothill/decide/schedule/queue.h"
 
 typedef enum PhSchedJobState {
-    PH_SCHED_JOB_QUEUED, /* no task has started */
+    PH_SCHED_JOB_QUEUED, /* no worker has reported the start of a task */
     PH_SCHED_JOB_RUNNING,
     PH_SCHED_JOB_COMPLETED,
     PH_SCHED_JOB_FAILED,
--- a/include/peridothill/standin/platform.h
+++ b/include/peridothill/standin/platform.h
@@ -36,6 +36,9 @@
     PhStr service;
     PhTime run_time;            /* of each task */
     PhStandinStoreState *store; /* receives the worker's entry */
+    /* While it is true, starts are neither executed nor answered.  Borrowed;
+     * NULL: never. */
+    const bool *ignores_starts;
 } PhStandinRunnerOptions;
 
 /* Starts a worker on a free port and stores its entry. */
--- a/standin/runner.c
+++ b/standin/runner.c
@@ -37,6 +37,7 @@
     PhServer *server;
     PhStr id;
     PhTime run_time;
+    const bool *ignores_starts; /* borrowed, may be NULL */
     int64_t fence;
     int64_t deadline_ms;
     int64_t next_end;
@@ -149,6 +150,9 @@
     PhStr task = PhJson_GetStr(body, "task");
     int64_t run = PhJson_GetInt(body, "run", 0);
     int64_t deadline_ms = PhJson_GetInt(body, "deadlineMs", 0);
+    if (r->ignores_starts != NULL && *r->ignores_starts) {
+        return;
+    }
     for (guint i = 0; i < r->runs->len; i++) {
         const PhRunnerRun *known = &g_array_index(r->runs, PhRunnerRun, i);
         if (PhStr_Equal(known->task, task) && known->run == run) {
@@ -308,6 +312,7 @@
     uint16_t port = 0;
     r->id = PhStr_Dup(options->id);
     r->run_time = options->run_time;
+    r->ignores_starts = options->ignores_starts;
     r->runs = g_array_new(FALSE, TRUE, sizeof(PhRunnerRun));
     r->ends = g_array_new(FALSE, TRUE, sizeof(PhRunnerEnd));
     r->highest = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
--- a/tests/schedule/platform_fixture.c
+++ b/tests/schedule/platform_fixture.c
@@ -51,7 +51,9 @@
         &(PhStandinRunnerOptions){.id = PhStr_LITERAL("i-1"),
                                   .service = PhStr_LITERAL("service"),
                                   .run_time = 20 * PH_NS_PER_MS,
-                                  .store = fixture->store});
+                                  .store = fixture->store,
+                                  .ignores_starts =
+                                      &fixture->worker_ignores_starts});
     assert_true(PhResult_IsOk(&r));
     return port;
 }
--- a/tests/schedule/platform_fixture.h
+++ b/tests/schedule/platform_fixture.h
@@ -25,6 +25,7 @@
     PhClock *clock;
     PhCounters *counters; /* of the stand-ins */
     PhStandinStoreState *store;
+    bool worker_ignores_starts;
     PhKernel *platform;
     PhFixtureInstance instances[PH_FIXTURE_INSTANCES_MAX];
     size_t instance_count;
--- a/tests/schedule/test_early_records.c
+++ b/tests/schedule/test_early_records.c
@@ -13,7 +13,8 @@
 };
 
 /* The order of arrivals: 1 and 2 are records of a stage with one and two
- * placed tasks, s a record of the cancelled state, r the job as read, a the
+ * running tasks, n is one with two tasks whose starts are not confirmed, s a
+ * record of the cancelled state, r the job as read, a the
  * job as accepted by this instance, o another job; c clears the model. */
 typedef struct PhOrderCase {
     const char *name;
@@ -31,6 +32,10 @@
     {"accepted here after all records", "12a", 2, PH_SCHED_JOB_RUNNING},
     {"another job in between", "1o2r", 2, PH_SCHED_JOB_RUNNING},
     {"state and stage before the job", "12sr", 2, PH_SCHED_JOB_CANCELLED},
+    {"starts that are not confirmed", "rn", 2, PH_SCHED_JOB_QUEUED},
+    {"starts that are not confirmed, before the job", "nr", 2,
+     PH_SCHED_JOB_QUEUED},
+    {"confirmed later", "rn2", 2, PH_SCHED_JOB_RUNNING},
     {"clearing the model drops early records", "2cr", 0, PH_SCHED_JOB_QUEUED},
 };
 
@@ -41,9 +46,9 @@
                          (PhSchedStep){.count = TASKS, .long_running = true});
 }
 
-/* A stage whose first `placed` tasks run. */
+/* A stage whose first `placed` tasks are in `state`. */
 static PhSchedRecord
-stage_record(uint32_t placed)
+stage_record(uint32_t placed, PhSchedTaskState state)
 {
     PhSchedRecord r = {.tag = PH_SCHED_RECORD_STAGE,
                        .id = PhStr_Dup(JOB),
@@ -51,7 +56,7 @@
     r.as.stage.tasks = g_new0(PhSchedTaskRecord, TASKS);
     for (uint32_t i = 0; i < placed; i++) {
         r.as.stage.tasks[i] =
-            (PhSchedTaskRecord){.state = PH_SCHED_TASK_RUNNING,
+            (PhSchedTaskRecord){.state = state,
                                 .run = 1,
                                 .worker = PhStr_Dup(PhStr_LITERAL("worker")),
                                 .worker_born_ms = 1};
@@ -86,7 +91,11 @@
     switch (arrival) {
     case '1':
     case '2':
-        apply(m, stage_record((uint32_t)(arrival - '0')));
+        apply(m,
+              stage_record((uint32_t)(arrival - '0'), PH_SCHED_TASK_RUNNING));
+        break;
+    case 'n':
+        apply(m, stage_record(TASKS, PH_SCHED_TASK_ASSIGNED));
         break;
     case 's':
         apply(m, (PhSchedRecord){.tag = PH_SCHED_RECORD_STATE,
@@ -138,11 +147,14 @@
     PhSchedModel *m = PhSchedModel_Create();
     (void)state;
     for (int i = 0; i < PH_SCHED_DEFERRED_MAX; i++) {
-        assert_int_equal(apply(m, stage_record(1)), PH_STATUS_NOT_FOUND);
+        assert_int_equal(apply(m, stage_record(1, PH_SCHED_TASK_RUNNING)),
+                         PH_STATUS_NOT_FOUND);
     }
-    assert_int_equal(apply(m, stage_record(2)), PH_STATUS_FULL);
+    assert_int_equal(apply(m, stage_record(2, PH_SCHED_TASK_RUNNING)),
+                     PH_STATUS_FULL);
     PhSchedModel_ClearRecords(m);
-    assert_int_equal(apply(m, stage_record(2)), PH_STATUS_NOT_FOUND);
+    assert_int_equal(apply(m, stage_record(2, PH_SCHED_TASK_RUNNING)),
+                     PH_STATUS_NOT_FOUND);
     PhSchedModel_Destroy(m);
 }
 
--- a/tests/schedule/test_schedule_service.c
+++ b/tests/schedule/test_schedule_service.c
@@ -1,7 +1,8 @@
 /* An instance with the platform's stand-ins, over sockets.  Guards against
  * telling a client that a job was accepted or refused although the outcome is
- * unknown, while the store is down or loses replies, and against an unusual
- * record of a worker in the store that keeps jobs from running. */
+ * unknown, while the store is down or loses replies, against an unusual record
+ * of a worker in the store that keeps jobs from running, and against a count
+ * of pending jobs that omits one whose start orders were not answered. */
 #include "platform_fixture.h"
 #include "tests/table.h"
 
@@ -122,10 +123,57 @@
     Ph_RUN_TABLE(odd_cases, odd_run);
 }
 
+/* Whether the worker executes the starts of a job, and what clients are told
+ * once both starts were ordered and all that is known is on record. */
+typedef struct PhPendingCase {
+    const char *name;
+    bool ignores_starts;
+    const char *pending;
+    const char *state;
+} PhPendingCase;
+
+static const PhPendingCase pending_cases[] = {
+    {"starts are executed", false, "{\"pending\":0}", "completed"},
+    {"starts are not answered", true, "{\"pending\":1}", "queued"},
+};
+
+static void
+pending_run(const PhPendingCase *c)
+{
+    PhPlatformFixture fixture;
+    PhPlatformFixture_Open(&fixture, 1, false);
+    fixture.worker_ignores_starts = c->ignores_starts;
+    assert_true(
+        PhPlatformFixture_CallUntil(&fixture, 0, "POST", ID, JOB, 200, ""));
+    while (PhCounters_Get(fixture.instances[0].counters,
+                          PH_COUNTER_SCHEDULE_STARTS) < 2) {
+        PhPlatformFixture_Run(&fixture);
+    }
+    assert_true(PhPlatformFixture_CallUntil(&fixture, 0, "GET", ID, "", 200,
+                                            c->state));
+    assert_true(PhPlatformFixture_CallUntil(&fixture, 0, "GET", "", "", 200,
+                                            c->pending));
+    fixture.worker_ignores_starts = false;
+    assert_true(PhPlatformFixture_CallUntil(&fixture, 0, "GET", ID, "", 200,
+                                            "completed"));
+    assert_true(PhPlatformFixture_CallUntil(&fixture, 0, "GET", "", "", 200,
+                                            "{\"pending\":0}"));
+    PhPlatformFixture_Close(&fixture);
+}
+
+/* A job is pending until a worker has started one of its tasks. */
+static void
+test_pending(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(pending_cases, pending_run);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {cmocka_unit_test(test_faults),
-                                       cmocka_unit_test(test_odd_entries)};
+                                       cmocka_unit_test(test_odd_entries),
+                                       cmocka_unit_test(test_pending)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
