schedule: answers need runs that were read recently

Callers could see: a `pending` or a state `queued` or `running` of any age from an instance that does not reach the owner and cannot read the topic of runs, and after a start a count of all jobs whose runs had not been loaded.

Cause: what an instance knows of a job comes from two topics, and only the age of the jobs was checked, for 410 and for `pending`. A state counted as current while a read of the runs was in flight, however long ago the last one had succeeded, and a waiting call was answered after a read that had failed. A call could also wait for a read that was not sent, since the jobs were not loaded yet.

Change: the same rule for both topics. Knowledge is fresh if the topic was read to its end within 2.4 s; of the runs, the owner's own model is the source. 410 needs fresh jobs, the state of an unfinished job fresh runs, and `pending` both. Calls are forwarded to the owner first, as before; here, a state that is not fresh is read once, unless a read is already out or none can be sent, and everything else is answered 503 at once. Final states are answered always.

Test: test_unread_runs in test_schedule_pair: reads of the runs are refused (new in the stand-in), and an instance without links that is not the owner is asked. Before, both rows, run one by one, got no 503 in 400 calls over more than 4 s.

--- a/include/peridothill/standin/platform.h
+++ b/include/peridothill/standin/platform.h
@@ -19,6 +19,9 @@
 void PhStandinStoreState_Destroy(PhStandinStoreState *state);
 void PhStandinStoreState_SetFault(PhStandinStoreState *state,
                                   PhStandinStoreFault fault);
+/* While set, reads of a topic are answered with 503. */
+void PhStandinStoreState_RefuseReads(PhStandinStoreState *state, PhStr topic,
+                                     bool refuse);
 /* Appends a record to a keyed topic directly, as operators and workers do. */
 void PhStandinStoreState_Put(PhStandinStoreState *state, PhStr topic,
                              PhStr key, PhStr value);
--- a/services/schedule/schedule_calls.c
+++ b/services/schedule/schedule_calls.c
@@ -10,6 +10,9 @@
 static const PhTime ANSWER_MARGIN = 150 * PH_NS_PER_MS;
 /* The readiness check fails if the store has not answered for this long. */
 static const PhTime READY_STORE_AGE_MAX = 2400 * PH_NS_PER_MS;
+/* Reasons of refusals. */
+static const char JOBS_UNREAD[] = "jobs not read from the store recently";
+static const char RUNS_UNREAD[] = "runs not read from the store recently";
 enum {
     ID_BYTES = 16,
 };
@@ -60,12 +63,11 @@
 static void
 answer_unknown(PhScheduleTask *t, PhOrigin *origin, PhStr id)
 {
-    if (PhScheduleTopics_IsFresh(t)) {
+    if (PhScheduleTopics_AreJobsFresh(t)) {
         PhScheduleCalls_AnswerTag(t, origin, PH_SCHEDULE_NO_JOB);
         return;
     }
-    PhScheduleCalls_Refuse(t, origin, id,
-                           "jobs not read from the store recently");
+    PhScheduleCalls_Refuse(t, origin, id, JOBS_UNREAD);
 }
 
 void
@@ -132,9 +134,12 @@
         answer_state(t, &call->origin, job);
         return;
     }
+    if (!PhScheduleTopics_ReadRunsNow(t)) {
+        PhScheduleCalls_Refuse(t, &call->origin, call->subject, RUNS_UNREAD);
+        return;
+    }
     g_queue_push_tail(&t->state_calls, g_memdup2(call, sizeof(*call)));
     *call = (PhClientCall){0};
-    PhScheduleTopics_ReadRunsNow(t);
 }
 
 void
@@ -151,24 +156,30 @@
     while ((call = g_queue_pop_head(&t->state_calls)) != NULL) {
         const PhSchedJob *job =
             PhSchedModel_Job(PhScheduler_Model(t->scheduler), call->subject);
-        if (job != NULL) {
+        if (job != NULL &&
+            (PhSchedJob_IsOver(job) || PhScheduleTopics_AreRunsFresh(t))) {
             answer_state(t, &call->origin, job);
         }
         else {
-            PhScheduleCalls_AnswerTag(t, &call->origin, PH_SCHEDULE_REFUSED);
+            PhScheduleCalls_Refuse(t, &call->origin, call->subject,
+                                   RUNS_UNREAD);
         }
         PhScheduleCalls_DestroyState(call);
     }
 }
 
-/* Counts the jobs of a queue that no task of has started yet. */
+/* Counts the jobs of a queue of which no task has started yet. */
 static void
 count_pending(PhScheduleTask *t, PhClientCall *call)
 {
     const PhSchedModel *model = PhScheduler_Model(t->scheduler);
     PhScheduleAnswer a = {.tag = PH_SCHEDULE_PENDING_COUNT};
-    if (!PhScheduleTopics_IsFresh(t)) {
-        PhScheduleCalls_AnswerTag(t, &call->origin, PH_SCHEDULE_REFUSED);
+    if (!PhScheduleTopics_AreJobsFresh(t)) {
+        PhScheduleCalls_Refuse(t, &call->origin, call->subject, JOBS_UNREAD);
+        return;
+    }
+    if (!PhScheduleTopics_AreRunsFresh(t)) {
+        PhScheduleCalls_Refuse(t, &call->origin, call->subject, RUNS_UNREAD);
         return;
     }
     a.as.pending = 0;
--- a/services/schedule/schedule_task.h
+++ b/services/schedule/schedule_task.h
@@ -136,13 +136,17 @@
 /* Whether this instance follows the topics: the owner and its standbys do, and
  * instances without contact to an owner. */
 bool PhScheduleTopics_AreFollowed(const PhScheduleTask *task);
-/* Whether the known state of an unfinished job is the latest: it is while a
- * read waits for the next record. */
+/* Whether the known state of an unfinished job is the latest: it is at the
+ * owner, and while a read of fresh runs waits for the next record. */
 bool PhScheduleTopics_IsCurrent(const PhScheduleTask *task);
-/* Reads the runs without waiting for the read interval. */
-void PhScheduleTopics_ReadRunsNow(PhScheduleTask *task);
+/* Reads the runs without waiting for the read interval; false if no read could
+ * be sent. */
+bool PhScheduleTopics_ReadRunsNow(PhScheduleTask *task);
 /* Whether the jobs were read recently enough to say that one doesn't exist. */
-bool PhScheduleTopics_IsFresh(const PhScheduleTask *task);
+bool PhScheduleTopics_AreJobsFresh(const PhScheduleTask *task);
+/* Whether the runs are known well enough to say that a job has not begun or
+ * not ended: at the owner, or after a recent read. */
+bool PhScheduleTopics_AreRunsFresh(const PhScheduleTask *task);
 /* Records whether the store answered, and logs each change. */
 void PhScheduleTopics_SetStoreAnswers(PhScheduleTask *task, bool answers);
 /* Reads both topics again from the first page. */
--- a/services/schedule/schedule_topics.c
+++ b/services/schedule/schedule_topics.c
@@ -13,8 +13,8 @@
 static const PhTime RETRY_DELAY = 200 * PH_NS_PER_MS;
 /* Longest assumed delay of a reply. */
 static const PhTime REPLY_DELAY_MAX = 500 * PH_NS_PER_MS;
-/* Jobs read longer ago than this don't support the answer that a job doesn't
- * exist. */
+/* A topic read longer ago than this supports no answer: neither that a job
+ * doesn't exist nor that no task of it has started. */
 static const PhTime FRESH_AGE_MAX = 2400 * PH_NS_PER_MS;
 
 static PhTopic *
@@ -57,16 +57,40 @@
     PhScheduleTask_Call(t, call, &m);
 }
 
+static bool
+topic_is_fresh(const PhScheduleTask *t, const PhTopic *topic)
+{
+    return topic->cursor.loaded && topic->fresh_at > 0 &&
+           PhTask_Now(t->self) - topic->fresh_at < FRESH_AGE_MAX;
+}
+
+bool
+PhScheduleTopics_AreJobsFresh(const PhScheduleTask *t)
+{
+    return topic_is_fresh(t, &t->jobs);
+}
+
+bool
+PhScheduleTopics_AreRunsFresh(const PhScheduleTask *t)
+{
+    return t->stage == OWNER_ACTIVE || topic_is_fresh(t, &t->runs);
+}
+
 bool
 PhScheduleTopics_IsCurrent(const PhScheduleTask *t)
 {
-    return t->stage == OWNER_ACTIVE || t->runs.read_in_flight;
+    return t->stage == OWNER_ACTIVE ||
+           (t->runs.read_in_flight && PhScheduleTopics_AreRunsFresh(t));
 }
 
-void
+bool
 PhScheduleTopics_ReadRunsNow(PhScheduleTask *t)
 {
+    if (t->runs.read_in_flight) {
+        return false;
+    }
     PhScheduleTopics_Read(t, CALL_RUNS_READ);
+    return t->runs.read_in_flight;
 }
 
 static void
@@ -190,13 +214,6 @@
     }
 }
 
-bool
-PhScheduleTopics_IsFresh(const PhScheduleTask *t)
-{
-    return t->jobs.cursor.loaded && t->jobs.fresh_at > 0 &&
-           PhTask_Now(t->self) - t->jobs.fresh_at < FRESH_AGE_MAX;
-}
-
 void
 PhScheduleTopics_Clear(PhScheduleTask *t)
 {
@@ -209,6 +226,7 @@
 {
     PhScheduleTopics_Clear(t);
     t->jobs.fresh_at = 0;
+    t->runs.fresh_at = 0;
     t->epochs[CALL_JOBS_READ]++;
     t->epochs[CALL_RUNS_READ]++;
     t->jobs.read_in_flight = false;
--- a/standin/store.c
+++ b/standin/store.c
@@ -37,6 +37,7 @@
 typedef struct PhStoredTopic {
     GArray *records;       /* PhStoredRecord */
     GHashTable *producers; /* PhStoredProducer by name */
+    bool refuses_reads;
 } PhStoredTopic;
 
 /* A long-polling read. */
@@ -109,6 +110,13 @@
     return topic;
 }
 
+void
+PhStandinStoreState_RefuseReads(PhStandinStoreState *s, PhStr topic,
+                                bool refuse)
+{
+    topic_find(s, topic)->refuses_reads = refuse;
+}
+
 /* `data`: key length, key, value. */
 static void
 topic_add(PhStoredTopic *topic, PhStr data)
@@ -401,6 +409,9 @@
     if (PhStr_Equal(in->path, PhStr_LITERAL("/api/log-append"))) {
         on_append(s, in, topic);
     }
+    else if (topic->refuses_reads) {
+        answer(s, in->id, STATUS_UNAVAILABLE, &empty);
+    }
     else if (PhStr_Equal(in->path, PhStr_LITERAL("/api/log-read"))) {
         on_read(s, in, topic);
     }
--- a/tests/schedule/test_schedule_pair.c
+++ b/tests/schedule/test_schedule_pair.c
@@ -1,6 +1,6 @@
 /* Two instances over sockets, with or without links.  Guards against calls
- * that are not forwarded to the owner, jobs accepted twice, and a survivor
- * that does not take over. */
+ * that are not forwarded to the owner, jobs accepted twice, a survivor that
+ * does not take over, and answers from runs that were read long ago. */
 #include <string.h>
 
 #include "platform_fixture.h"
@@ -8,6 +8,7 @@
 
 #define ID_A "00000000000000a1"
 #define ID_B "00000000000000b2"
+#define RUNS PhStr_LITERAL("keyed.runs")
 #define JOB "{\"spec\":\"x\",\"steps\":[{\"count\":2,\"cpu\":500}]}"
 
 enum {
@@ -86,9 +87,68 @@
     Ph_RUN_TABLE(pair_cases, pair_run);
 }
 
+/* A call on a queue or an unfinished job, and the answer of an instance that
+ * is not the owner. */
+typedef struct PhUnreadCase {
+    const char *name;
+    const char *job; /* empty: count of pending jobs */
+    const char *known;
+} PhUnreadCase;
+
+static const PhUnreadCase unread_cases[] = {
+    {"pending jobs", "", "{\"pending\":1}"},
+    {"state of a job", ID_A, "queued"},
+};
+
+/* Returns an instance that is not the owner, after the owner has ordered the
+ * starts of the job. */
+static size_t
+wait_for_starts(PhPlatformFixture *fixture)
+{
+    for (;;) {
+        for (size_t i = 0; i < PH_FIXTURE_INSTANCES_MAX; i++) {
+            if (PhCounters_Get(fixture->instances[i].counters,
+                               PH_COUNTER_SCHEDULE_STARTS) > 0) {
+                return PH_FIXTURE_INSTANCES_MAX - 1 - i;
+            }
+        }
+        PhPlatformFixture_Run(fixture);
+    }
+}
+
+static void
+unread_run(const PhUnreadCase *c)
+{
+    PhPlatformFixture fixture;
+    PhPlatformFixture_Open(&fixture, PH_FIXTURE_INSTANCES_MAX, false);
+    fixture.worker_ignores_starts = true;
+    assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "POST", ID_A, JOB,
+                                            200, ""));
+    size_t reader = wait_for_starts(&fixture);
+    assert_true(PhPlatformFixture_CallUntil(&fixture, reader, "GET", c->job,
+                                            "", 200, c->known));
+    PhStandinStoreState_RefuseReads(fixture.store, RUNS, true);
+    assert_true(PhPlatformFixture_CallUntil(&fixture, reader, "GET", c->job,
+                                            "", 503, ""));
+    PhStandinStoreState_RefuseReads(fixture.store, RUNS, false);
+    assert_true(PhPlatformFixture_CallUntil(&fixture, reader, "GET", c->job,
+                                            "", 200, c->known));
+    PhPlatformFixture_Close(&fixture);
+}
+
+/* An instance that cannot read the runs refuses calls that depend on them, and
+ * answers again as soon as it can. */
+static void
+test_unread_runs(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(unread_cases, unread_run);
+}
+
 int
 main(void)
 {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(test_pairs)};
+    const struct CMUnitTest tests[] = {cmocka_unit_test(test_pairs),
+                                       cmocka_unit_test(test_unread_runs)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
