listener: close the longest idle connection for a caller that waits

Cause: an entry with `limits.connections` open connections accepts nobody, though all of them may be idle, until one has been idle for 60 s.

Change: at the limit the listening socket is watched; when a caller waits, the connection that has been idle for longest is closed, unless bytes of its next request have arrived. One with a request is never closed. libmicrohttpd accepts again only in the run after a close, so that run is scheduled.

test_entry, "idle connections at the limit", before: "the event loop did not end within the watchdog time-out", "0x4 != 0xc", 4 of 12 callers answered; after: 5 rows pass, in 3 of 3 runs.

--- a/codec/settings_key.c
+++ b/codec/settings_key.c
@@ -68,7 +68,9 @@
     KEY("limits", "request_body", limits.request_body, SIZE, false, KB,
         64 * MB, "1MB", "Largest body of a caller's request."),
     KEY("limits", "connections", limits.connections, COUNT, false, 1,
-        CONNECTIONS_MAX, "1024", "Open connections from callers."),
+        CONNECTIONS_MAX, "1024",
+        "Open connections from callers; at the limit the longest idle one "
+        "is closed for another caller."),
     KEY("limits", "drain_notice", limits.drain_notice, DURATION, false, 0,
         60 * S, "3s",
         "Time in which the balancer notices a stop; requests are still "
--- a/include/peridothill/services/listener.h
+++ b/include/peridothill/services/listener.h
@@ -24,8 +24,9 @@
 typedef struct PhListenerOptions {
     PhStr address; /* "127.0.0.1:8080"; port 0 selects a free one */
     size_t body_limit_bytes;
-    unsigned connection_limit;
-    unsigned idle_timeout_s; /* also limits the time to receive a request */
+    unsigned connection_limit; /* above it, callers wait until a connection
+                                  closes; the longest idle one is closed */
+    unsigned idle_timeout_s;   /* also limits the time to receive a request */
     void *context;
     /* A complete request was received. */
     void (*on_request)(void *context, const PhIncoming *incoming);
--- a/services/platform/listener.c
+++ b/services/platform/listener.c
@@ -34,6 +34,47 @@
     return strlen(text);
 }
 
+static bool
+limit_is_reached(const PhListener *l)
+{
+    return g_hash_table_size(l->connections) >= l->options.connection_limit;
+}
+
+/* libmicrohttpd does not watch for callers while the limit is reached. */
+static void
+callers_watch(PhListener *l)
+{
+    if (limit_is_reached(l)) {
+        PhTask_Watch(l->self, l->listen_fd, PH_IO_READ);
+    }
+}
+
+void
+PhConnection_SetIdle(PhListener *l, PhConnection *c, bool idle)
+{
+    if (c->idle != NULL) {
+        g_queue_delete_link(&l->idle, c->idle);
+        c->idle = NULL;
+    }
+    if (idle) {
+        g_queue_push_tail(&l->idle, c);
+        c->idle = l->idle.tail;
+        callers_watch(l);
+    }
+}
+
+static void
+connection_remove(PhListener *l, gpointer key)
+{
+    PhConnection_SetIdle(l, g_hash_table_lookup(l->connections, key), false);
+    if (limit_is_reached(l)) {
+        PhTask_Watch(l->self, l->listen_fd, 0);
+        l->makes_room = false;
+        l->accepts_again = true;
+    }
+    g_hash_table_remove(l->connections, key);
+}
+
 static void
 on_connection(void *context, struct MHD_Connection *connection, void **slot,
               enum MHD_ConnectionNotificationCode code)
@@ -44,13 +85,14 @@
     gpointer key = GINT_TO_POINTER(info->connect_fd);
     (void)slot;
     if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
-        g_hash_table_remove(l->connections, key);
+        connection_remove(l, key);
         return;
     }
     PhConnection *caller = g_new0(PhConnection, 1);
     caller->fd = info->connect_fd;
     caller->last_progress_at = PhTask_Now(l->self);
     g_hash_table_insert(l->connections, key, caller);
+    callers_watch(l);
     if (g_hash_table_size(l->connections) == 1) {
         PhTask_SetTimer(l->self, sweep_token(l),
                         caller->last_progress_at +
@@ -72,12 +114,17 @@
         MHD_OPTION_UNESCAPE_CALLBACK, unescape_nothing, NULL, MHD_OPTION_END);
 }
 
+/* libmicrohttpd accepts again only in the run after a connection closed. */
 static void
 timer_set(PhListener *l)
 {
     MHD_UNSIGNED_LONG_LONG wait_ms;
     uint64_t token = run_token(l);
-    if (MHD_get_timeout(l->daemon, &wait_ms) == MHD_YES) {
+    if (l->accepts_again) {
+        l->accepts_again = false;
+        PhTask_SetTimer(l->self, token, PhTask_Now(l->self));
+    }
+    else if (MHD_get_timeout(l->daemon, &wait_ms) == MHD_YES) {
         PhTask_SetTimer(l->self, token,
                         PhTask_Now(l->self) + (PhTime)wait_ms * PH_NS_PER_MS);
     }
@@ -113,6 +160,8 @@
     }
     l->epoll_fd =
         MHD_get_daemon_info(l->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
+    l->listen_fd =
+        MHD_get_daemon_info(l->daemon, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd;
     l->port = MHD_get_daemon_info(l->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
     PhTask_Watch(self, l->epoll_fd, PH_IO_READ);
     *listener = l;
@@ -143,10 +192,12 @@
         PhTask_CancelTimer(l->self, run_token(l));
         PhTask_CancelTimer(l->self, sweep_token(l));
         PhTask_Watch(l->self, l->epoll_fd, 0);
+        PhTask_Watch(l->self, l->listen_fd, 0);
         MHD_stop_daemon(l->daemon);
     }
     g_hash_table_destroy(l->exchanges);
     g_hash_table_destroy(l->by_fd);
+    g_queue_clear(&l->idle);
     g_hash_table_destroy(l->connections);
     g_free(l);
 }
@@ -217,6 +268,33 @@
     }
 }
 
+static bool
+has_unread_bytes(int fd)
+{
+    char byte;
+    return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* Closes the connection that has been idle for the longest time, so that the
+ * caller that waits is accepted. Without an idle one it waits for the next
+ * answer. */
+static void
+callers_ready(PhListener *l)
+{
+    PhTask_Watch(l->self, l->listen_fd, 0);
+    if (l->makes_room || !limit_is_reached(l)) {
+        return;
+    }
+    for (GList *at = l->idle.head; at != NULL; at = at->next) {
+        const PhConnection *caller = at->data;
+        if (!has_unread_bytes(caller->fd)) {
+            l->makes_room = true;
+            shutdown(caller->fd, SHUT_RDWR);
+            return;
+        }
+    }
+}
+
 bool
 PhListener_Handle(PhListener *l, const PhMail *mail)
 {
@@ -237,6 +315,10 @@
         timer_set(l);
         return true;
     }
+    if (mail->as.io.fd == l->listen_fd) {
+        callers_ready(l);
+        return true;
+    }
     PhExchange *x =
         g_hash_table_lookup(l->by_fd, GINT_TO_POINTER(mail->as.io.fd));
     if (x == NULL) {
--- a/services/platform/listener_internal.h
+++ b/services/platform/listener_internal.h
@@ -10,6 +10,7 @@
     int fd;
     bool busy; /* its request was delivered and is not answered yet */
     PhTime last_progress_at; /* opened, headers received or answered */
+    GList *idle;             /* its link in PhListener.idle, or NULL */
 } PhConnection;
 
 /* A request from its headers to its response. */
@@ -33,13 +34,18 @@
     PhListenerOptions options;
     struct MHD_Daemon *daemon;
     int epoll_fd;
+    int listen_fd; /* watched while the connection limit is reached */
     uint16_t port;
     uint64_t next_id;
-    GHashTable *exchanges;     /* unanswered PhExchange by id */
-    GHashTable *by_fd;         /* PhExchange by watched file descriptor */
-    GHashTable *connections;   /* PhConnection by file descriptor */
+    GHashTable *exchanges;   /* unanswered PhExchange by id */
+    GHashTable *by_fd;       /* PhExchange by watched file descriptor */
+    GHashTable *connections; /* PhConnection by file descriptor */
+    GQueue idle; /* answered PhConnection without a next request, oldest
+                    first */
     bool close_after_response; /* every response closes its connection */
     bool quiescing;            /* connections without a request are closed */
+    bool makes_room;    /* an idle connection was shut down at the limit */
+    bool accepts_again; /* a connection closed while the limit was reached */
 };
 
 /* listener_request.c: libmicrohttpd callbacks for one request. */
@@ -50,6 +56,8 @@
                                     size_t *data_len, void **slot);
 void PhListener_OnCompleted(void *context, struct MHD_Connection *connection,
                             void **slot, enum MHD_RequestTerminationCode code);
+void PhConnection_SetIdle(PhListener *listener, PhConnection *connection,
+                          bool idle);
 /* Stops watching for a disconnect of the caller. */
 void PhExchange_Unwatch(PhExchange *exchange);
 
--- a/services/platform/listener_request.c
+++ b/services/platform/listener_request.c
@@ -169,6 +169,7 @@
     x->caller =
         g_hash_table_lookup(l->connections, GINT_TO_POINTER(info->connect_fd));
     x->caller->last_progress_at = PhTask_Now(l->self);
+    PhConnection_SetIdle(l, x->caller, false);
     *slot = x;
     return MHD_YES;
 }
@@ -248,6 +249,7 @@
     uint64_t id = x->id;
     x->caller->busy = false;
     x->caller->last_progress_at = PhTask_Now(l->self);
+    PhConnection_SetIdle(l, x->caller, true);
     exchange_destroy(x);
     *slot = NULL;
     if (unanswered) {
--- a/tests/requests/entry_fixture.c
+++ b/tests/requests/entry_fixture.c
@@ -267,6 +267,15 @@
     PhTask_Watch(self, caller->fd, PH_IO_READ);
 }
 
+static void
+caller_end(PhEntryFixture *f)
+{
+    f->ended++;
+    if (f->ended == f->callers && !f->stop_entry) {
+        ev_break(f->loop, EVBREAK_ALL);
+    }
+}
+
 /* No caller may see a reset. */
 static void
 caller_ready(PhEntryFixture *f, PhTask *self, PhPeer *caller)
@@ -275,6 +284,9 @@
     ssize_t n = recv(caller->fd, bytes, sizeof(bytes), 0);
     if (n > 0) {
         PhBuf_Append(&caller->in, PhStr_FromBytes(bytes, (size_t)n));
+        if (f->callers_stay) {
+            caller_end(f);
+        }
         return;
     }
     if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
@@ -282,9 +294,8 @@
     }
     assert_int_equal(n, 0);
     PhTask_Watch(self, caller->fd, 0);
-    f->ended++;
-    if (f->ended == f->callers && !f->stop_entry) {
-        ev_break(f->loop, EVBREAK_ALL);
+    if (!f->callers_stay) {
+        caller_end(f);
     }
 }
 
@@ -355,14 +366,16 @@
     fixture_spawn(f, PH_SERVICE_CONFIG, config_handle);
     fixture_spawn(f, PH_SERVICE_MEMBERS, members_handle);
     fixture_spawn(f, PH_SERVICE_PEERS, peers_handle);
-    PhEntryOptions options = {.listen = PhStr_LITERAL("127.0.0.1:0"),
-                              .instance = PhStr_LITERAL("i1"),
-                              .data_centre = PhStr_LITERAL("silay"),
-                              .seed = 1,
-                              .drain_notice = 50 * PH_NS_PER_MS,
-                              .key_window = PH_NS_PER_MS,
-                              .body_limit_bytes = 1000,
-                              .idle_timeout_s = 1};
+    PhEntryOptions options = {
+        .listen = PhStr_LITERAL("127.0.0.1:0"),
+        .instance = PhStr_LITERAL("i1"),
+        .data_centre = PhStr_LITERAL("silay"),
+        .seed = 1,
+        .drain_notice = 50 * PH_NS_PER_MS,
+        .key_window = PH_NS_PER_MS,
+        .body_limit_bytes = 1000,
+        .connection_limit = f->connection_limit,
+        .idle_timeout_s = f->idle_timeout_s == 0 ? 1 : f->idle_timeout_s};
     PhResult started = PhEntry_Start(f->kernel, &options, &f->port);
     assert_int_equal(started.status, PH_STATUS_OK);
     fixture_spawn(f, PhStr_LITERAL("callers"), callers_handle);
--- a/tests/requests/entry_fixture.h
+++ b/tests/requests/entry_fixture.h
@@ -65,6 +65,9 @@
     PhPeer caller[CALLERS_MAX];
     const char *request;
     bool stop_entry;
+    unsigned connection_limit; /* of the entry; 0 selects its default */
+    unsigned idle_timeout_s;   /* of the entry; 0 selects 1 s */
+    bool callers_stay; /* callers keep connections open once answered */
     PhOtherReplica other_replica;
 } PhEntryFixture;
 
--- a/tests/requests/test_entry.c
+++ b/tests/requests/test_entry.c
@@ -237,12 +237,75 @@
     Ph_RUN_TABLE(drain_cases, check_drain);
 }
 
+/* More callers than connections. Each keeps its connection open after the
+ * answer, and the entry's idle timeout is above the watchdog's time. */
+typedef struct PhLimitCase {
+    const char *name;
+    unsigned callers;
+    unsigned connection_limit;
+    const char *request;
+    PhWorkerAction action;
+    const char *status;
+} PhLimitCase;
+
+static const PhLimitCase limit_cases[] = {
+    {"idle connections at the limit", 12, 4,
+     "GET /booking HTTP/1.1\r\nHost: h\r\n\r\n", WORKER_ANSWERS, "200"},
+    {"requests in flight at the limit", 12, 4,
+     "PUT /booking HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab",
+     WORKER_ANSWERS_LATE, "200"},
+    {"refusals at the limit", 12, 4, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n",
+     WORKER_ANSWERS, "404"},
+    {"one connection", 6, 1, "GET /booking HTTP/1.1\r\nHost: h\r\n\r\n",
+     WORKER_ANSWERS, "200"},
+    {"callers within the limit", 4, 8,
+     "GET /booking HTTP/1.1\r\nHost: h\r\n\r\n", WORKER_ANSWERS, "200"},
+};
+
+static void
+check_limit(const PhLimitCase *c)
+{
+    PhEntryFixture f = {.action = c->action,
+                        .configured = true,
+                        .listed = true,
+                        .callers = c->callers,
+                        .request = c->request,
+                        .connection_limit = c->connection_limit,
+                        .idle_timeout_s = 2 * WATCHDOG_S,
+                        .callers_stay = true};
+    unsigned closed = 0;
+    PhEntryFixture_Run(&f);
+    assert_int_equal(f.ended, c->callers);
+    for (unsigned i = 0; i < c->callers; i++) {
+        char byte;
+        PhBuf_AppendByte(&f.caller[i].in, '\0');
+        assert_true(g_str_has_prefix(f.caller[i].in.data, "HTTP/1.1 "));
+        assert_memory_equal(f.caller[i].in.data + 9, c->status, 3);
+        closed += recv(f.caller[i].fd, &byte, 1, 0) == 0;
+    }
+    unsigned above_limit = c->callers > c->connection_limit
+                               ? c->callers - c->connection_limit
+                               : 0;
+    assert_int_equal(closed, above_limit);
+    PhEntryFixture_Clear(&f);
+}
+
+/* Guards against callers that wait behind idle connections, and against the
+ * close of more connections than there are callers waiting. */
+static void
+test_connection_limit(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(limit_cases, check_limit);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_entry),
         cmocka_unit_test(test_drain),
+        cmocka_unit_test(test_connection_limit),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
