demo: callers close their connection after the answer

The callers and the operators' polls open a connection for each call and leave it open; libcurl keeps up to 2,048 of them, and its search for closed ones polls every socket and starts again after each that it finds: when an instance with 500 of them is killed, hundreds of thousands of polls in one call. A profile of such a play shows sock_poll and libcurl's loops over connections on top.

Change: these calls say `Connection: close`, as callers that use a connection once do. That idle connections do not lock callers out is covered by test_entry.

No test of its own: the play of the demonstration is the test.

--- a/demo/load.c
+++ b/demo/load.c
@@ -95,6 +95,8 @@
     PhHttpRequest *send = &m.as.send;
     PhHttpHeader_Add(&send->headers, &send->header_count,
                      PhStr_LITERAL("X-Request-Id"), r->key);
+    PhHttpHeader_Add(&send->headers, &send->header_count,
+                     PhStr_LITERAL("Connection"), PhStr_LITERAL("close"));
     if (r->charge) {
         PhHttpHeader_Add(&send->headers, &send->header_count,
                          PhStr_LITERAL("Idempotency-Key"), r->key);
--- a/demo/script.c
+++ b/demo/script.c
@@ -92,6 +92,8 @@
                        PhStr_ARG(PhDemoCluster_Token(s->options.cluster)));
     PhHttpHeader_Add(&m.as.send.headers, &m.as.send.header_count,
                      PhStr_LITERAL("Authorization"), PhBuf_Str(&bearer));
+    PhHttpHeader_Add(&m.as.send.headers, &m.as.send.header_count,
+                     PhStr_LITERAL("Connection"), PhStr_LITERAL("close"));
     PhBuf_Clear(&bearer);
     PhTask_SendTo(s->self, PH_SERVICE_HTTP, PhHttpMessage_Wrap(&m));
 }
