--- a/include/peridothill/common/counter_list_schedule.h
+++ b/include/peridothill/common/counter_list_schedule.h
@@ -8,7 +8,7 @@
 PH_COUNTER(SCHEDULE_STOPS, "peridothill_schedule_stops_total", "",
            "Stops ordered")
 PH_COUNTER(SCHEDULE_PACES, "peridothill_schedule_paces_total", "",
-           "Changes of pace ordered")
+           "Pace orders sent, with repetitions")
 PH_COUNTER(SCHEDULE_ORDERS_FAILED, "peridothill_schedule_orders_failed_total",
            "", "Orders that were not done or not answered")
 PH_COUNTER(SCHEDULE_ENDS, "peridothill_schedule_ends_total", "",
