--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -103,8 +103,8 @@
                                         PhSchedWorker *worker,
                                         const PhSchedHoldReply *reply,
                                         PhTime now);
-/* What excludes that a start of a run is executed from now on, in this
- * incarnation of the worker. */
+/* starts.c: what excludes that a start of a run is executed from now on, in
+ * this incarnation of the worker. */
 typedef enum PhStartSettlement {
     PH_START_SETTLED,           /* none was sent, or none was executed */
     PH_START_SETTLED_BY_ANSWER, /* one is in flight */
@@ -127,14 +127,12 @@
     } as;
 } PhStartVerdict;
 
-/* starts.c: age of the newest start of the run without an answer, -1 for none.
- */
+/* Age of the newest start of the run without an answer, -1 for none. */
 PhTime PhSchedTask_UnansweredFor(const PhSchedTask *task, PhTime now);
 /* Reports whether a start of the run may yet be executed, if not by the
  * incarnation of the worker that it names, by a later one under the same id.
  */
 bool PhSchedTask_StartMayArrive(const PhSchedTask *task, PhTime now);
-PhStartObstacle PhScheduler_StartObstacle(const PhSchedTask *task);
 PhStartSettlement PhScheduler_StartSettlement(const PhScheduler *scheduler,
                                               const PhSchedTask *task);
 PhStartVerdict PhScheduler_JudgeStart(const PhScheduler *scheduler,
--- a/decide/schedule/starts.c
+++ b/decide/schedule/starts.c
@@ -20,8 +20,8 @@
            (age >= 0 && age <= PH_LATE_ORDER_MS * PH_NS_PER_MS);
 }
 
-PhStartObstacle
-PhScheduler_StartObstacle(const PhSchedTask *task)
+static PhStartObstacle
+start_obstacle(const PhSchedTask *task)
 {
     const PhSchedWorker *w = task->worker;
     if (PhSchedJob_IsOver(task->stage->job)) {
@@ -60,7 +60,7 @@
         task->stopping || task->fence != s->fence) {
         return (PhStartVerdict){.tag = PH_START_DISCARD};
     }
-    PhStartObstacle obstacle = PhScheduler_StartObstacle(task);
+    PhStartObstacle obstacle = start_obstacle(task);
     if (obstacle != PH_START_ALLOWED) {
         return (PhStartVerdict){.tag = PH_START_WITHDRAW,
                                 .as.obstacle = obstacle};
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -58,7 +58,7 @@
     action->as.run.run = task->run;
 }
 
-/* Takes a start back that must not be sent again, or was not executed.  If an
+/* Releases a task that must not start, or whose start was not executed.  If an
  * earlier start of the run may still be executed, a stop has to come first. */
 static void
 start_withdraw(PhScheduler *s, PhSchedTask *task, PhSchedRelease reason,
@@ -106,6 +106,8 @@
     action->as.run.last_checkpoint = task->last_checkpoint;
 }
 
+/* Takes the next start that may be sent, and withdraws those that must not be
+ * sent any more. */
 static bool
 next_start(PhScheduler *s, PhTime now, PhSchedAction *action)
 {
