--- a/tests/schedule/single_task.c
+++ b/tests/schedule/single_task.c
@@ -37,3 +37,15 @@
     PhSchedTask_Place(task, PhSchedModel_Worker(model, PH_SINGLE_WORKER, 1));
     return task;
 }
+
+void
+PhSingle_RecordAll(PhScheduler *s)
+{
+    GArray *records = g_array_new(FALSE, TRUE, sizeof(PhSchedRecord));
+    uint64_t batch = PhScheduler_TakeBatch(s, records);
+    for (guint i = 0; i < records->len; i++) {
+        PhSchedRecord_Clear(&g_array_index(records, PhSchedRecord, i));
+    }
+    g_array_free(records, TRUE);
+    PhScheduler_OnDurable(s, batch);
+}
--- a/tests/schedule/single_task.h
+++ b/tests/schedule/single_task.h
@@ -17,5 +17,7 @@
 void PhSingle_ShowWorker(PhScheduler *scheduler, bool draining, PhTime now);
 /* Adds a job with a long-running task, whose run 1 is placed on the worker. */
 PhSchedTask *PhSingle_AddRun(PhScheduler *scheduler);
+/* Makes all pending changes durable. */
+void PhSingle_RecordAll(PhScheduler *scheduler);
 
 #endif
--- a/tests/schedule/test_early_ends.c
+++ b/tests/schedule/test_early_ends.c
@@ -44,19 +44,6 @@
     PhSchedModel_Destroy(other);
 }
 
-/* Makes all pending changes durable. */
-static void
-record_all(PhScheduler *s)
-{
-    GArray *records = g_array_new(FALSE, TRUE, sizeof(PhSchedRecord));
-    uint64_t batch = PhScheduler_TakeBatch(s, records);
-    for (guint i = 0; i < records->len; i++) {
-        PhSchedRecord_Clear(&g_array_index(records, PhSchedRecord, i));
-    }
-    g_array_free(records, TRUE);
-    PhScheduler_OnDurable(s, batch);
-}
-
 /* Answers holds until a time, listing the end until it is acknowledged.
  * Returns what the last hold acknowledged. */
 static uint64_t
@@ -80,7 +67,7 @@
                                       .end_count = seen < END};
             PhScheduler_OnHold(s, PH_SINGLE_WORKER, 1, &reply, *now);
         }
-        record_all(s);
+        PhSingle_RecordAll(s);
     }
     return seen;
 }
--- a/tests/schedule/test_unanswered_starts.c
+++ b/tests/schedule/test_unanswered_starts.c
@@ -20,18 +20,6 @@
     PhTime now;
 } PhStartFixture;
 
-static void
-record_all(PhScheduler *s)
-{
-    GArray *records = g_array_new(FALSE, TRUE, sizeof(PhSchedRecord));
-    uint64_t batch = PhScheduler_TakeBatch(s, records);
-    for (guint i = 0; i < records->len; i++) {
-        PhSchedRecord_Clear(&g_array_index(records, PhSchedRecord, i));
-    }
-    g_array_free(records, TRUE);
-    PhScheduler_OnDurable(s, batch);
-}
-
 /* Number of orders by PhSchedActionTag. */
 typedef struct PhOrdersSent {
     unsigned count[PH_SCHED_ACTION_PACE + 1];
@@ -45,7 +33,7 @@
     for (int i = 0; i < 3; i++) {
         PhSchedAction action;
         PhScheduler_Plan(f->scheduler, f->now, 0);
-        record_all(f->scheduler);
+        PhSingle_RecordAll(f->scheduler);
         while (PhScheduler_NextAction(f->scheduler, f->now, &action)) {
             sent.count[action.tag]++;
         }
