--- a/tests/platform/test_list.c
+++ b/tests/platform/test_list.c
@@ -4,6 +4,7 @@
 
 #include "peridothill/services/http.h"
 #include "peridothill/services/interface.h"
+#include "scripted_task.h"
 #include "tests/table.h"
 
 enum {
@@ -178,17 +179,6 @@
     }
 }
 
-static void
-spawn(PhKernel *kernel, PhStr name, void *state,
-      void (*handle)(void *, PhTask *, const PhMail *))
-{
-    PhTaskSpec spec = {.name = name,
-                       .mailbox_capacity = MAILBOX_CAPACITY,
-                       .state = state,
-                       .handle = handle};
-    assert_int_equal(PhKernel_Spawn(kernel, &spec, NULL), PH_STATUS_OK);
-}
-
 static void
 check_list(const PhListCase *c)
 {
@@ -201,11 +191,14 @@
         &(PhKernelOptions){.clock = clock, .counters = counters});
     PhListOptions options = {.address = PhStr_LITERAL("127.0.0.1:1"),
                              .poll_interval = PH_NS_PER_S};
-    spawn(kernel, PH_SERVICE_HTTP, &platform, platform_handle);
+    PhScriptedTask_Spawn(kernel, PH_SERVICE_HTTP, MAILBOX_CAPACITY, &platform,
+                         platform_handle);
     assert_int_equal(PhPlatformList_Start(kernel, &options), PH_STATUS_OK);
-    spawn(kernel, PhStr_LITERAL("subscriber"), trace, subscriber_handle);
+    PhScriptedTask_Spawn(kernel, PhStr_LITERAL("subscriber"), MAILBOX_CAPACITY,
+                         trace, subscriber_handle);
     PhKernel_AdvanceTo(kernel, (PhTime)(c->polls - 1) * PH_NS_PER_S);
-    spawn(kernel, PhStr_LITERAL("late"), late, subscriber_handle);
+    PhScriptedTask_Spawn(kernel, PhStr_LITERAL("late"), MAILBOX_CAPACITY, late,
+                         subscriber_handle);
     PhKernel_Drain(kernel, SIZE_MAX);
     assert_string_equal(trace, c->trace);
     assert_string_equal(platform.etags, c->etags);
--- a/tests/platform/test_malformed_entries.c
+++ b/tests/platform/test_malformed_entries.c
@@ -7,6 +7,7 @@
 #include "peridothill/services/http.h"
 #include "peridothill/services/interface.h"
 #include "repeated_text.h"
+#include "scripted_task.h"
 #include "tests/table.h"
 
 enum {
@@ -342,17 +343,6 @@
     }
 }
 
-static void
-spawn(PhKernel *kernel, PhStr name, void *state,
-      void (*handle)(void *, PhTask *, const PhMail *))
-{
-    PhTaskSpec spec = {.name = name,
-                       .mailbox_capacity = MAILBOX_CAPACITY,
-                       .state = state,
-                       .handle = handle};
-    assert_int_equal(PhKernel_Spawn(kernel, &spec, NULL), PH_STATUS_OK);
-}
-
 /* Runs the store and fleet tasks against the scripted store. */
 static PhReceivedWorkers
 store_script_run(PhStoreScript *script)
@@ -369,11 +359,13 @@
                                             PhStr_KeyDestroy, NULL);
     workers.received = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
                                              PhStr_KeyDestroy, NULL);
-    spawn(kernel, PH_SERVICE_HTTP, script, http_handle);
+    PhScriptedTask_Spawn(kernel, PH_SERVICE_HTTP, MAILBOX_CAPACITY, script,
+                         http_handle);
     assert_int_equal(PhStoreTask_Start(kernel, PhStr_LITERAL("127.0.0.1:1")),
                      PH_STATUS_OK);
     assert_int_equal(PhFleetTask_Start(kernel), PH_STATUS_OK);
-    spawn(kernel, PH_SERVICE_SCHEDULE, &workers, schedule_handle);
+    PhScriptedTask_Spawn(kernel, PH_SERVICE_SCHEDULE, MAILBOX_CAPACITY,
+                         &workers, schedule_handle);
     PhKernel_AdvanceTo(kernel, FOLLOW_TIME);
     PhKernel_Destroy(kernel);
     PhLog_Destroy(log);
--- a/tests/platform/test_store_outcomes.c
+++ b/tests/platform/test_store_outcomes.c
@@ -5,6 +5,7 @@
 #include "peridothill/services/http.h"
 #include "peridothill/services/interface.h"
 #include "peridothill/services/store.h"
+#include "scripted_task.h"
 #include "tests/table.h"
 
 enum {
@@ -83,17 +84,6 @@
     }
 }
 
-static void
-spawn(PhKernel *kernel, PhStr name, void *state,
-      void (*handle)(void *, PhTask *, const PhMail *))
-{
-    PhTaskSpec spec = {.name = name,
-                       .mailbox_capacity = MAILBOX_CAPACITY,
-                       .state = state,
-                       .handle = handle};
-    assert_int_equal(PhKernel_Spawn(kernel, &spec, NULL), PH_STATUS_OK);
-}
-
 static void
 status_run(const PhStatusCase *c)
 {
@@ -102,10 +92,12 @@
     PhCounters *counters = PhCounters_Create();
     PhKernel *kernel = PhKernel_Create(
         &(PhKernelOptions){.clock = clock, .counters = counters});
-    spawn(kernel, PH_SERVICE_HTTP, (void *)c, http_handle);
+    PhScriptedTask_Spawn(kernel, PH_SERVICE_HTTP, MAILBOX_CAPACITY, (void *)c,
+                         http_handle);
     assert_int_equal(PhStoreTask_Start(kernel, PhStr_LITERAL("127.0.0.1:1")),
                      PH_STATUS_OK);
-    spawn(kernel, PhStr_LITERAL("caller"), &caller, caller_handle);
+    PhScriptedTask_Spawn(kernel, PhStr_LITERAL("caller"), MAILBOX_CAPACITY,
+                         &caller, caller_handle);
     PhKernel_AdvanceTo(kernel, DURATION);
     PhKernel_Destroy(kernel);
     PhCounters_Destroy(counters);
