--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -100,10 +100,13 @@
     w->cooldown_until = 0;
     w->dirty = false;
     w->grant_batch = 0;
-    w->leases_end_by =
-        PhScheduler_EarlierLeasesEnd(s, w, now + OLD_OWNER_LIMIT);
+    w->leases = (PhLeaseBound){
+        .until = PhScheduler_EarlierLeasesEnd(s, w, now + OLD_OWNER_LIMIT),
+        .evidence = PH_LEASE_EVIDENCE_EARLIER_OWNERS};
     if (w->suspended && w->lease_expiry_bound > 0) {
-        w->leases_end_by = w->suspended_at + w->lease_expiry_bound;
+        w->leases =
+            (PhLeaseBound){.until = w->suspended_at + w->lease_expiry_bound,
+                           .evidence = PH_LEASE_EVIDENCE_RECORD};
     }
     w->failing_since = 0;
     for (guint i = 0; i < w->tasks->len; i++) {
@@ -125,19 +128,28 @@
     }
 }
 
-/* Time by which every lease of an incarnation has expired.  Until the worker
- * has accepted this owner's fence, the bound shrinks as more becomes known of
+/* When every lease of an incarnation has expired.  Until the worker has
+ * accepted this owner's fence, the bound shrinks as more becomes known of
  * earlier owners. */
-static PhTime
-leases_end_time(const PhScheduler *s, const PhSchedWorker *w)
+static PhLeaseBound
+leases_end(const PhScheduler *s, const PhSchedWorker *w)
 {
-    PhTime latest_expiry = w->leases_end_by;
+    PhLeaseBound bound = w->leases;
     if (!w->fenced) {
         PhTime limit = s->owner_since + OLD_OWNER_LIMIT;
-        latest_expiry =
-            MIN(latest_expiry, PhScheduler_EarlierLeasesEnd(s, w, limit));
+        PhTime earlier = PhScheduler_EarlierLeasesEnd(s, w, limit);
+        if (earlier < bound.until) {
+            bound =
+                (PhLeaseBound){.until = earlier,
+                               .evidence = PH_LEASE_EVIDENCE_EARLIER_OWNERS};
+        }
+    }
+    if (w->inherited_leases_end_by > bound.until) {
+        bound =
+            (PhLeaseBound){.until = w->inherited_leases_end_by,
+                           .evidence = PH_LEASE_EVIDENCE_EARLIER_INCARNATION};
     }
-    return MAX(latest_expiry, w->inherited_leases_end_by);
+    return bound;
 }
 
 /* Changes and records whether leases are granted.  The record has to be
@@ -147,7 +159,7 @@
 {
     w->suspended = suspended;
     w->suspended_at = now;
-    w->lease_expiry_bound = MAX(leases_end_time(s, w) - now, PH_NS_PER_MS);
+    w->lease_expiry_bound = MAX(leases_end(s, w).until - now, PH_NS_PER_MS);
     w->grant_batch = s->open_batch;
     PhScheduler_MarkWorkerDirty(s, w);
 }
@@ -162,6 +174,9 @@
     PhSchedEvent event = {.tag = suspended ? PH_SCHED_EVENT_WORKER_SUSPENDED
                                            : PH_SCHED_EVENT_WORKER_RESUMED,
                           .worker = w};
+    PhLeaseBound bound = leases_end(s, w);
+    event.as.suspended.lease_left = bound.until - now;
+    event.as.suspended.evidence = bound.evidence;
     g_array_append_val(s->events, event);
     suspension_change(s, w, suspended, now);
 }
@@ -180,20 +195,22 @@
     int64_t end_ms =
         worker_clock(w, now) + lease_length(s, w->leaving) / PH_NS_PER_MS;
     PhTime left = (end_ms - w->clock_ms) * PH_NS_PER_MS;
-    w->leases_end_by =
-        MAX(w->leases_end_by, w->clock_at + slow_clock_bound(left));
+    w->leases.until =
+        MAX(w->leases.until, w->clock_at + slow_clock_bound(left));
     return end_ms;
 }
 
 /* Ends every run of an incarnation whose leases have expired. */
 static void
-worker_lost(PhScheduler *s, PhSchedWorker *w, PhTime now)
+worker_lost(PhScheduler *s, PhSchedWorker *w, PhLeaseEvidence evidence,
+            PhTime now)
 {
     PhSchedEvent event = {
         .tag = PH_SCHED_EVENT_WORKER_LOST,
         .worker = w,
         .as.lost = {.runs = w->tasks->len,
-                    .suspended = w->suspended ? now - w->suspended_at : -1}};
+                    .suspended = w->suspended ? now - w->suspended_at : -1,
+                    .evidence = evidence}};
     g_array_append_val(s->events, event);
     w->dead = true;
     while (w->tasks->len > 0) {
@@ -214,10 +231,10 @@
     if (w->dead) {
         return;
     }
-    PhTime latest_expiry = leases_end_time(s, w);
-    if (now >= latest_expiry && w->tasks->len > 0 &&
+    PhLeaseBound bound = leases_end(s, w);
+    if (now >= bound.until && w->tasks->len > 0 &&
         (!w->listed || !newest || w->failing_since > 0)) {
-        worker_lost(s, w, now);
+        worker_lost(s, w, bound.evidence, now);
         w->dead = !w->listed || !newest;
         return;
     }
@@ -226,7 +243,7 @@
         return;
     }
     if (w->tasks->len > 0) {
-        PhScheduler_WakeBy(s, latest_expiry);
+        PhScheduler_WakeBy(s, bound.until);
     }
     if (!newest || w->hold_in_flight || PhStr_IsEmpty(w->entry.address)) {
         return;
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -310,7 +310,7 @@
     event.as.released.run = task->run;
     event.as.released.reason = reason;
     event.as.released.unanswered = PhSchedTask_UnansweredFor(task, now);
-    event.as.released.lease_left = task->worker->leases_end_by - now;
+    event.as.released.lease_left = task->worker->leases.until - now;
     g_array_append_val(s->events, event);
     PhScheduler_EndRun(s, task, release_kind(reason), (PhStr){0}, now);
     PhScheduler_WakeBy(s, now);
@@ -462,7 +462,7 @@
     bool usable = w->listed && !w->entry.draining;
     bool left = entry->draining && !w->entry.draining && w->tasks->len > 0;
     if (!w->listed && w->tasks->len == 0 && !w->dead) {
-        w->leases_end_by = now;
+        w->leases = (PhLeaseBound){.until = now};
     }
     w->listed = true;
     w->dead = false;
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -524,8 +524,10 @@
     }
     if (!w->fenced) {
         /* The worker now rejects leases from earlier owners. */
-        w->leases_end_by =
-            MIN(w->leases_end_by, PhScheduler_EarlierLeasesEnd(s, w, now));
+        w->leases = (PhLeaseBound){
+            .until =
+                MIN(w->leases.until, PhScheduler_EarlierLeasesEnd(s, w, now)),
+            .evidence = PH_LEASE_EVIDENCE_GRANTS};
         PhScheduler_EndEarlierIncarnations(s, w, reply, now);
     }
     w->fenced = true;
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -164,6 +164,23 @@
     PH_SCHED_IMAGES_MAX = 64 /* distinguished; further ones share number 0 */
 };
 
+/* What shows when the last lease of a worker ends. */
+typedef enum PhLeaseEvidence {
+    PH_LEASE_EVIDENCE_GRANTS, /* the worker has answered this owner, whose
+                                 grants are known */
+    PH_LEASE_EVIDENCE_RECORD, /* an owner has recorded it */
+    PH_LEASE_EVIDENCE_EARLIER_OWNERS, /* the last possible order of any earlier
+                                         owner */
+    PH_LEASE_EVIDENCE_EARLIER_INCARNATION, /* the last possible order meant for
+                                              an earlier incarnation */
+} PhLeaseEvidence;
+
+/* Upper bound of the time at which the last lease of a worker ends. */
+typedef struct PhLeaseBound {
+    PhTime until;
+    PhLeaseEvidence evidence;
+} PhLeaseBound;
+
 /* One incarnation of a worker. */
 struct PhSchedWorker {
     PhSchedWorkerEntry entry;
@@ -178,8 +195,8 @@
     /* All leases end this long after suspended_at; 0: unknown. */
     PhTime lease_expiry_bound;
     bool dead; /* replaced by another incarnation, or its leases expired */
-    PhTime leases_end_by;           /* upper bound, by this owner's clock */
-    PhTime inherited_leases_end_by; /* the same for orders meant for an earlier
+    PhLeaseBound leases;            /* by this owner's clock */
+    PhTime inherited_leases_end_by; /* of orders meant for an earlier
                                        incarnation */
     PhTime answered_at;
     PhTime failing_since;  /* first failure since the last answer, 0: none */
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -172,9 +172,14 @@
             PhTime unanswered; /* as for `released` */
         } withdrawn;
         const PhSchedJob *over;
+        struct {
+            PhTime lease_left; /* longest time that a lease may still last */
+            PhLeaseEvidence evidence;
+        } suspended;
         struct {
             guint runs;
             PhTime suspended; /* duration, -1 if it was not suspended */
+            PhLeaseEvidence evidence;
         } lost;
     } as;
 } PhSchedEvent;
--- a/services/schedule/schedule_log.c
+++ b/services/schedule/schedule_log.c
@@ -148,12 +148,44 @@
         const PhSchedWorker *w = g_ptr_array_index(incarnations, i);
         suspended += w->suspended;
     }
-    PhTime after = PhTask_Now(t->self) - t->fence_at;
+    PhTime now = PhTask_Now(t->self);
+    PhTime last_order =
+        PhPredecessors_LastOrder(PhElection_Predecessors(t->election));
     PhTask_LOG(t->self, PH_EVENT_SCHEDULE_OWNER_GAINED,
                PhField_U64("fence", t->fence),
-               PhField_I64("after_ms", after / PH_NS_PER_MS),
+               PhField_I64("after_ms", (now - t->fence_at) / PH_NS_PER_MS),
                PhField_U64("workers", incarnations->len),
-               PhField_U64("suspended", suspended));
+               PhField_U64("suspended", suspended),
+               PhField_I64("earlier_ms", (last_order - now) / PH_NS_PER_MS));
+}
+
+static PhStr
+evidence_name(PhLeaseEvidence evidence)
+{
+    switch (evidence) {
+    case PH_LEASE_EVIDENCE_GRANTS:
+        return PhStr_LITERAL("grants");
+    case PH_LEASE_EVIDENCE_RECORD:
+        return PhStr_LITERAL("record");
+    case PH_LEASE_EVIDENCE_EARLIER_OWNERS:
+        return PhStr_LITERAL("earlier owners");
+    case PH_LEASE_EVIDENCE_EARLIER_INCARNATION:
+        break;
+    }
+    return PhStr_LITERAL("earlier incarnation");
+}
+
+static void
+log_worker_suspended(PhScheduleTask *t, const PhSchedEvent *note)
+{
+    const PhSchedWorker *w = note->worker;
+    PhTime left = note->as.suspended.lease_left;
+    PhTask_LOG(
+        t->self, PH_EVENT_SCHEDULE_WORKER_SUSPENDED,
+        PhField_STR("worker", w->entry.id),
+        PhField_U64("tasks", w->tasks->len),
+        PhField_I64("lease_ms", left / PH_NS_PER_MS),
+        PhField_STR("evidence", evidence_name(note->as.suspended.evidence)));
 }
 
 /* Logs a worker whose leases have expired, with the evidence for it. */
@@ -169,7 +201,8 @@
                PhField_U64("runs", note->as.lost.runs),
                PhField_I64("suspended_ms", age_ms(note->as.lost.suspended)),
                PhField_U64("answered", w->fenced),
-               PhField_U64("listed", w->listed));
+               PhField_U64("listed", w->listed),
+               PhField_STR("evidence", evidence_name(note->as.lost.evidence)));
 }
 
 void
@@ -187,9 +220,7 @@
             log_job_over(t, notes[i].as.over);
             break;
         case PH_SCHED_EVENT_WORKER_SUSPENDED:
-            PhTask_LOG(t->self, PH_EVENT_SCHEDULE_WORKER_SUSPENDED,
-                       PhField_STR("worker", w->entry.id),
-                       PhField_U64("tasks", w->tasks->len));
+            log_worker_suspended(t, &notes[i]);
             break;
         case PH_SCHED_EVENT_WORKER_RESUMED:
             PhTask_LOG(t->self, PH_EVENT_SCHEDULE_WORKER_RESUMED,
