--- a/tests/schedule/owners_faults.c
+++ b/tests/schedule/owners_faults.c
@@ -11,6 +11,7 @@
     FAULT_SPREAD_MS = 9000,
     DRAINING_MAX = 2, /* workers that may drain */
     RESTART_MAX_MS = 4000,
+    STOP_MS = PH_OWNERS_NOTICE_MS + 1000,
 };
 
 int64_t
@@ -158,9 +159,12 @@
         }
         if (f.kind == PH_OWNERS_SUSPEND ||
             f.kind == PH_OWNERS_STORE_REPLIES_LOST ||
-            f.kind == PH_OWNERS_CRASH) {
+            f.kind == PH_OWNERS_CRASH || f.kind == PH_OWNERS_STOP) {
             f.workers = 0;
         }
+        if (f.kind == PH_OWNERS_STOP) {
+            f.duration_ms = STOP_MS;
+        }
         if (f.kind == PH_OWNERS_RESTART) {
             f.instances = 0;
             f.owner = false;
--- a/tests/schedule/owners_sim.c
+++ b/tests/schedule/owners_sim.c
@@ -321,19 +321,33 @@
     }
 }
 
+/* Asks an instance to stop.  Returns whether it has exited since. */
+static bool
+instance_stop(PhOwnersSim *w, PhSimInstance *m)
+{
+    if (m->stop_at == 0) {
+        m->stop_at = w->now;
+        PhElection_Stop(m->election);
+        PhScheduler_Quiesce(m->scheduler);
+    }
+    return w->now - m->stop_at >= PH_OWNERS_NOTICE_MS * PH_NS_PER_MS;
+}
+
 static void
 instance_tick(PhOwnersSim *w, int instance)
 {
     PhSimInstance *m = &w->instances[instance];
     bool store_reachable = !PhOwnersSim_IsStoreUnreachable(w, instance, -1);
-    bool crashed =
-        PhOwnersSim_IsAffected(w, 1U << PH_OWNERS_CRASH, instance, -1);
-    if (m->down && !crashed) {
+    bool down = PhOwnersSim_IsAffected(w, 1U << PH_OWNERS_CRASH, instance, -1);
+    if (PhOwnersSim_IsAffected(w, 1U << PH_OWNERS_STOP, instance, -1)) {
+        down |= m->down || instance_stop(w, m);
+    }
+    if (m->down && !down) {
         instance_close(m);
         instance_open(m, instance);
     }
-    m->down = crashed;
-    if (crashed || PhOwnersSim_IsSuspended(w, instance)) {
+    m->down = down;
+    if (down || PhOwnersSim_IsSuspended(w, instance)) {
         return;
     }
     election_tick(w, m, store_reachable);
--- a/tests/schedule/owners_sim.h
+++ b/tests/schedule/owners_sim.h
@@ -13,6 +13,7 @@
     PH_OWNERS_INSTANCES = 3,
     PH_OWNERS_WORKERS = 4,
     PH_OWNERS_FAULTS_MAX = 64,
+    PH_OWNERS_NOTICE_MS = 2500,
 };
 
 typedef enum PhOwnersFaultKind {
@@ -30,6 +31,8 @@
                               are lost */
     PH_OWNERS_STORE_REPLIES_LOST, /* appends take effect, their replies are
                                      lost */
+    PH_OWNERS_STOP, /* the instances are asked to stop, exit after
+                       PH_OWNERS_NOTICE_MS, and restart at the end */
     PH_OWNERS_FAULT_KINDS,
 } PhOwnersFaultKind;
 
--- a/tests/schedule/owners_sim_private.h
+++ b/tests/schedule/owners_sim_private.h
@@ -25,6 +25,7 @@
                             tick */
     uint64_t read_from;
     bool down;
+    PhTime stop_at; /* it was asked to stop; 0: no */
     uint64_t batch; /* current batch without a reply, 0 for none */
 } PhSimInstance;
 
--- a/tests/schedule/test_owners.c
+++ b/tests/schedule/test_owners.c
@@ -179,6 +179,7 @@
      1U << PH_OWNERS_SUSPEND | 1U << PH_OWNERS_RESTART |                      \
      1U << PH_OWNERS_REPLIES_LOST)
 
+#define UNPLANNED_KINDS ((1U << PH_OWNERS_STOP) - 1)
 #define ALL_KINDS ((1U << PH_OWNERS_FAULT_KINDS) - 1)
 
 static const PhRandomCase restart_cases[] = {
@@ -189,7 +190,8 @@
     {"the same, from an earlier owner", 330, 330, RESTART_KINDS, true},
     {"the same, and the previous incarnation has been removed", 340, 340,
      RESTART_KINDS, true},
-    {"all kinds of faults", 755, 765, ALL_KINDS, true},
+    {"all kinds of faults but planned stops", 755, 765, UNPLANNED_KINDS, true},
+    {"all kinds of faults", 1, 30, ALL_KINDS, true},
 };
 
 static const PhRandomCase repeated_start_cases[] = {
