--- /dev/null
+++ b/codec/election_entry.c
@@ -0,0 +1,61 @@
+#include "peridothill/codec/election_entry.h"
+
+#include "peridothill/codec/unpack.h"
+
+enum {
+    FIELD_KIND = 1,
+    FIELD_HOLDER,
+    FIELD_ADDRESS,
+    FIELD_KEY,
+    FIELD_COUNT = 4,
+    HOLDER_BYTES_MAX = 512,
+    KEY_BYTES_MAX = 64,
+};
+
+PhStr
+PhElectionEntry_Encode(const PhElectionEntry *entry, PhStr key)
+{
+    PhBuf out = {0};
+    msgpack_packer p;
+    msgpack_packer_init(&p, &out, PhPack_Write);
+    msgpack_pack_map(&p, FIELD_COUNT);
+    PhPack_U64(&p, FIELD_KIND, (uint64_t)entry->kind);
+    PhPack_Bytes(&p, FIELD_HOLDER, entry->holder);
+    PhPack_Bytes(&p, FIELD_ADDRESS, entry->address);
+    PhPack_Bytes(&p, FIELD_KEY, key);
+    return PhBuf_Take(&out);
+}
+
+/* Returns a copy of an optional text, empty if it is missing or too long. */
+static PhStr
+text_copy(const msgpack_object *value, size_t max_bytes)
+{
+    PhStr text = {0};
+    return PhUnpack_Bytes(value, max_bytes, &text) && text.len > 0
+               ? PhStr_Dup(text)
+               : (PhStr){0};
+}
+
+bool
+PhElectionEntry_Decode(PhStr value, PhElectionEntry *entry, PhStr *key)
+{
+    PhUnpack unpack;
+    uint64_t kind = 0;
+    PhStr holder;
+    bool valid = PhUnpack_Open(&unpack, value);
+    const msgpack_object *root = PhUnpack_Root(&unpack);
+    valid = valid && PhUnpack_U64(PhUnpack_Field(root, FIELD_KIND), &kind) &&
+            kind <= PH_ELECTION_RELEASE &&
+            PhUnpack_Bytes(PhUnpack_Field(root, FIELD_HOLDER),
+                           HOLDER_BYTES_MAX, &holder);
+    if (valid) {
+        *entry = (PhElectionEntry){
+            .kind = (PhElectionEntryKind)kind,
+            .holder = PhStr_Dup(holder),
+            .address = text_copy(PhUnpack_Field(root, FIELD_ADDRESS),
+                                 HOLDER_BYTES_MAX)};
+        *key = text_copy(PhUnpack_Field(root, FIELD_KEY), KEY_BYTES_MAX);
+    }
+    PhUnpack_Close(&unpack);
+    return valid;
+}
--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -1,6 +1,6 @@
 /* Ownership election and the owner's main loop.  A change is recorded durably
  * before the order that depends on it is sent. */
-#include "peridothill/codec/unpack.h"
+#include "peridothill/codec/election_entry.h"
 #include "schedule_task.h"
 
 /* Delay before a refused or unanswered append is repeated. */
@@ -14,18 +14,6 @@
 #define OWNER_KEY PhStr_LITERAL("owner")
 #define OWNER_PRODUCER PhStr_LITERAL("owner")
 
-enum {
-    /* Fields of an election record: kind, holder, the holder's link address,
-     * and the link key shared by all instances. */
-    FIELD_KIND = 1,
-    FIELD_HOLDER,
-    FIELD_ADDRESS,
-    FIELD_KEY,
-    FIELD_COUNT = 4,
-    HOLDER_BYTES_MAX = 512,
-    KEY_BYTES_MAX = 64,
-};
-
 void
 PhScheduleTask_RequestUpdate(PhScheduleTask *t)
 {
@@ -36,51 +24,20 @@
     }
 }
 
-static PhStr
-entry_encode(const PhScheduleTask *t, PhElectionEntryKind kind, PhStr key)
-{
-    PhBuf out = {0};
-    msgpack_packer p;
-    msgpack_packer_init(&p, &out, PhPack_Write);
-    msgpack_pack_map(&p, FIELD_COUNT);
-    PhPack_U64(&p, FIELD_KIND, (uint64_t)kind);
-    PhPack_Bytes(&p, FIELD_HOLDER, t->producer);
-    PhPack_Bytes(&p, FIELD_ADDRESS, t->options.link);
-    PhPack_Bytes(&p, FIELD_KEY, key);
-    return PhBuf_Take(&out);
-}
-
 /* Decodes an election record and starts the links with its key.  Holder and
  * address of `entry` are owned by the caller. */
 static bool
 entry_decode(PhScheduleTask *t, const PhStoreRecord *record,
              PhElectionEntry *entry)
 {
-    PhUnpack unpack;
-    uint64_t kind = 0;
-    PhStr holder;
-    PhStr address = {0};
     PhStr key = {0};
-    bool valid =
-        PhUnpack_Open(&unpack, record->value) &&
-        PhUnpack_U64(PhUnpack_Field(PhUnpack_Root(&unpack), FIELD_KIND),
-                     &kind) &&
-        kind <= PH_ELECTION_RELEASE &&
-        PhUnpack_Bytes(PhUnpack_Field(PhUnpack_Root(&unpack), FIELD_HOLDER),
-                       HOLDER_BYTES_MAX, &holder);
-    if (valid) {
-        const msgpack_object *root = PhUnpack_Root(&unpack);
-        PhUnpack_Bytes(PhUnpack_Field(root, FIELD_ADDRESS), HOLDER_BYTES_MAX,
-                       &address);
-        PhUnpack_Bytes(PhUnpack_Field(root, FIELD_KEY), KEY_BYTES_MAX, &key);
-        PhScheduleLink_SetKey(t, key);
-        *entry = (PhElectionEntry){.offset = record->offset,
-                                   .kind = (PhElectionEntryKind)kind,
-                                   .holder = PhStr_Dup(holder),
-                                   .address = PhStr_Dup(address)};
-    }
-    PhUnpack_Close(&unpack);
-    return valid;
+    if (!PhElectionEntry_Decode(record->value, entry, &key)) {
+        return false;
+    }
+    entry->offset = record->offset;
+    PhScheduleLink_SetKey(t, key);
+    PhStr_Clear(&key);
+    return true;
 }
 
 static void
@@ -94,9 +51,11 @@
     a->records = g_new0(PhStoreRecord, 1);
     a->record_count = 1;
     a->records[0].key = PhStr_Dup(OWNER_KEY);
-    a->records[0].value =
-        entry_encode(t, action->as.append.kind,
-                     t->link_key.len > 0 ? t->link_key : t->claim_key);
+    PhElectionEntry entry = {.kind = action->as.append.kind,
+                             .holder = t->producer,
+                             .address = t->options.link};
+    a->records[0].value = PhElectionEntry_Encode(
+        &entry, t->link_key.len > 0 ? t->link_key : t->claim_key);
     PhScheduleTask_Call(t, CALL_ELECTION_APPEND, &m);
 }
 
