election: entries state until when earlier owners may give orders

What callers saw: after a rolling restart, lasting tasks of workers that had left stayed without a run for 13 to 15 s (LOST), with capacity for them.

Cause: an instance that has just started has missed the entries before, and took it that anybody may still be the owner, for 9.1 s from its start; as the next owner it waits for that and one lease of 6.2 s before it starts the tasks of a silent worker again. In a rolling restart most successors have just started.

Change: each entry states when the last order of all owners before its holder is given at the latest, counted from when it was sent. Whoever reads the entry later counts from then on, which is on the safe side, and needs to have seen none of the entries before. Entries without the field (of the version before) state nothing.

--- a/codec/election_entry.c
+++ b/codec/election_entry.c
@@ -7,22 +7,33 @@
     FIELD_HOLDER,
     FIELD_ADDRESS,
     FIELD_KEY,
-    FIELD_COUNT = 4,
+    FIELD_EARLIER_MS,
     HOLDER_BYTES_MAX = 512,
     KEY_BYTES_MAX = 64,
+    EARLIER_MS_MAX = 3600 * 1000,
 };
 
+/* Rounds up, so that no order appears to be earlier than it is. */
+static int64_t
+ceil_ms(PhTime time)
+{
+    return time / PH_NS_PER_MS + (time % PH_NS_PER_MS > 0);
+}
+
 PhStr
 PhElectionEntry_Encode(const PhElectionEntry *entry, PhStr key)
 {
     PhBuf out = {0};
     msgpack_packer p;
     msgpack_packer_init(&p, &out, PhPack_Write);
-    msgpack_pack_map(&p, FIELD_COUNT);
+    msgpack_pack_map(&p, entry->states_earlier ? FIELD_EARLIER_MS : FIELD_KEY);
     PhPack_U64(&p, FIELD_KIND, (uint64_t)entry->kind);
     PhPack_Bytes(&p, FIELD_HOLDER, entry->holder);
     PhPack_Bytes(&p, FIELD_ADDRESS, entry->address);
     PhPack_Bytes(&p, FIELD_KEY, key);
+    if (entry->states_earlier) {
+        PhPack_I64(&p, FIELD_EARLIER_MS, ceil_ms(entry->earlier));
+    }
     return PhBuf_Take(&out);
 }
 
@@ -48,10 +59,17 @@
             kind <= PH_ELECTION_RELEASE &&
             PhUnpack_Bytes(PhUnpack_Field(root, FIELD_HOLDER),
                            HOLDER_BYTES_MAX, &holder);
+    int64_t earlier_ms = 0;
+    bool states_earlier =
+        valid &&
+        PhUnpack_I64(PhUnpack_Field(root, FIELD_EARLIER_MS), &earlier_ms) &&
+        earlier_ms >= -EARLIER_MS_MAX && earlier_ms <= EARLIER_MS_MAX;
     if (valid) {
         *entry = (PhElectionEntry){
             .kind = (PhElectionEntryKind)kind,
             .holder = PhStr_Dup(holder),
+            .states_earlier = states_earlier,
+            .earlier = states_earlier ? earlier_ms * PH_NS_PER_MS : 0,
             .address = text_copy(PhUnpack_Field(root, FIELD_ADDRESS),
                                  HOLDER_BYTES_MAX)};
         *key = text_copy(PhUnpack_Field(root, FIELD_KEY), KEY_BYTES_MAX);
--- a/codec/unpack.c
+++ b/codec/unpack.c
@@ -51,6 +51,18 @@
     return true;
 }
 
+bool
+PhUnpack_I64(const msgpack_object *value, int64_t *out)
+{
+    if (value == NULL || (value->type != MSGPACK_OBJECT_NEGATIVE_INTEGER &&
+                          (value->type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+                           value->via.u64 > INT64_MAX))) {
+        return false;
+    }
+    *out = value->via.i64;
+    return true;
+}
+
 /* Accepts both the str and the bin type. */
 bool
 PhUnpack_Bytes(const msgpack_object *value, size_t max_bytes, PhStr *out)
@@ -77,6 +89,13 @@
     msgpack_pack_uint64(packer, value);
 }
 
+void
+PhPack_I64(msgpack_packer *packer, uint64_t key, int64_t value)
+{
+    msgpack_pack_uint64(packer, key);
+    msgpack_pack_int64(packer, value);
+}
+
 void
 PhPack_Bytes(msgpack_packer *packer, uint64_t key, PhStr value)
 {
--- a/decide/schedule/election.c
+++ b/decide/schedule/election.c
@@ -16,6 +16,8 @@
 static const PhTime RETRY_INTERVAL = 200 * PH_NS_PER_MS;
 /* After contact with the owner, the topic is not read for this long. */
 static const PhTime READ_DEFERRAL = 1000 * PH_NS_PER_MS;
+/* Orders longer ago than this are stated as that long ago. */
+static const PhTime EARLIER_AGE_MAX = 60 * PH_NS_PER_S;
 
 struct PhElection {
     PhStr holder; /* this incarnation */
@@ -211,6 +213,19 @@
     return !e->reading && now >= e->read_due && (follows || e->must_read);
 }
 
+/* Time from now until the last possible order of the owners before the holder
+ * of an entry of this kind.  A claim replaces the newest writer. */
+static PhTime
+earlier_orders_left(const PhElection *e, PhElectionEntryKind kind, PhTime now)
+{
+    PhTime last = PhPredecessors_LastOrder(e->predecessors);
+    if (kind == PH_ELECTION_CLAIM && e->newest_writer_may_own &&
+        !PhStr_Equal(e->newest_writer, e->holder)) {
+        last = MAX(last, e->newest_read_at + OWNERSHIP_BOUND);
+    }
+    return MAX(last - now, -EARLIER_AGE_MAX);
+}
+
 PhElectionAction
 PhElection_Next(PhElection *e, PhTime now)
 {
@@ -231,6 +246,7 @@
         action.tag = PH_ELECTION_APPEND;
         action.as.append.kind = kind;
         action.as.append.at = e->next;
+        action.as.append.earlier = earlier_orders_left(e, kind, now);
     }
     else if (read_is_due(e, now)) {
         bool claims_soon = e->synced && claim_due(e) < now + READ_WAIT;
@@ -345,6 +361,9 @@
     }
     e->next = entry->offset + 1;
     track_replaced(e, entry, now);
+    if (entry->states_earlier) {
+        PhPredecessors_Limit(e->predecessors, now + entry->earlier);
+    }
     e->newest_read_at = now;
     PhStr_Clear(&e->newest_writer);
     PhStr_Clear(&e->newest_writer_address);
--- a/decide/schedule/predecessors.c
+++ b/decide/schedule/predecessors.c
@@ -78,6 +78,15 @@
     }
 }
 
+void
+PhPredecessors_Limit(PhPredecessors *p, PhTime until)
+{
+    for (guint i = 0; i < p->all->len; i++) {
+        PhPredecessor *x = &g_array_index(p->all, PhPredecessor, i);
+        x->until = MIN(x->until, until);
+    }
+}
+
 PhTime
 PhPredecessors_LastOrder(const PhPredecessors *p)
 {
--- a/include/peridothill/codec/unpack.h
+++ b/include/peridothill/codec/unpack.h
@@ -24,10 +24,12 @@
 /* Return false if the value is missing (NULL), of another type or out of
  * bounds.  Bytes are borrowed from the map. */
 bool PhUnpack_U64(const msgpack_object *value, uint64_t *out);
+bool PhUnpack_I64(const msgpack_object *value, int64_t *out);
 bool PhUnpack_Bytes(const msgpack_object *value, size_t max_bytes, PhStr *out);
 
 /* Append an integer key and its value. */
 void PhPack_U64(msgpack_packer *packer, uint64_t key, uint64_t value);
+void PhPack_I64(msgpack_packer *packer, uint64_t key, int64_t value);
 void PhPack_Bytes(msgpack_packer *packer, uint64_t key, PhStr value);
 /* A msgpack_packer_write that appends to the PhBuf at `data`. */
 int PhPack_Write(void *data, const char *bytes, size_t len);
--- a/include/peridothill/decide/schedule/election.h
+++ b/include/peridothill/decide/schedule/election.h
@@ -23,12 +23,16 @@
 
 /* An entry of the topic.  `holder` is one incarnation of an instance,
  * INSTANCE.START; `address` is where other instances reach it, empty for none.
- * Both are borrowed. */
+ * Both are borrowed.  `earlier` is when the last order of all owners before
+ * the holder is given at the latest, from the time at which the entry was
+ * sent, negative if that has passed. */
 typedef struct PhElectionEntry {
     uint64_t offset;
     PhElectionEntryKind kind;
     PhStr holder;
     PhStr address;
+    bool states_earlier;
+    PhTime earlier;
 } PhElectionEntry;
 
 typedef enum PhElectionActionTag {
@@ -47,7 +51,8 @@
         } read;
         struct {
             PhElectionEntryKind kind;
-            uint64_t at; /* offset at which the topic has to end */
+            uint64_t at;    /* offset at which the topic has to end */
+            PhTime earlier; /* of the entry */
         } append;
     } as;
 } PhElectionAction;
--- a/include/peridothill/decide/schedule/predecessors.h
+++ b/include/peridothill/decide/schedule/predecessors.h
@@ -21,6 +21,8 @@
 /* No incarnation of the instance that is listed gives orders after `now`. */
 void PhPredecessors_End(PhPredecessors *predecessors, PhStr instance,
                         PhTime now);
+/* None of those added so far gives orders after `until`. */
+void PhPredecessors_Limit(PhPredecessors *predecessors, PhTime until);
 /* Time of the last possible order of any of them, 0 for none. */
 PhTime PhPredecessors_LastOrder(const PhPredecessors *predecessors);
 /* The same for those that had been replaced by the time `recorded`: they do
--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -53,7 +53,9 @@
     a->records[0].key = PhStr_Dup(OWNER_KEY);
     PhElectionEntry entry = {.kind = action->as.append.kind,
                              .holder = t->producer,
-                             .address = t->options.link};
+                             .address = t->options.link,
+                             .states_earlier = true,
+                             .earlier = action->as.append.earlier};
     a->records[0].value = PhElectionEntry_Encode(
         &entry, t->link_key.len > 0 ? t->link_key : t->claim_key);
     PhScheduleTask_Call(t, CALL_ELECTION_APPEND, &m);
--- a/tests/schedule/test_schedule_codec.c
+++ b/tests/schedule/test_schedule_codec.c
@@ -1,5 +1,6 @@
 /* Codecs of the store's records and the platform's documents: what is decoded,
  * and which errors are detected. */
+#include "peridothill/codec/election_entry.h"
 #include "peridothill/codec/schedule_record.h"
 #include "peridothill/platform/adapter.h"
 #include "tests/table.h"
@@ -371,10 +372,70 @@
     Ph_RUN_TABLE(queue_cases, queue_run);
 }
 
+/* An entry of the owner topic, and what is read back. */
+typedef struct PhElectionCase {
+    const char *name;
+    PhElectionEntry entry;
+    PhStr key;
+    PhTime earlier; /* as read */
+} PhElectionCase;
+
+static const PhElectionCase election_cases[] = {
+    {"without a statement",
+     {.kind = PH_ELECTION_CLAIM, .holder = TEXT("a.1")},
+     TEXT(""),
+     0},
+    {"earlier owners may go on",
+     {.kind = PH_ELECTION_RENEWAL,
+      .holder = TEXT("a.1"),
+      .address = TEXT("10.0.0.1:7"),
+      .states_earlier = true,
+      .earlier = 9100 * PH_NS_PER_MS + 1},
+     TEXT("key"),
+     9101 * PH_NS_PER_MS},
+    {"earlier owners have ended",
+     {.kind = PH_ELECTION_RELEASE,
+      .holder = TEXT("a.1"),
+      .states_earlier = true,
+      .earlier = -1500 * PH_NS_PER_MS - 1},
+     TEXT(""),
+     -1500 * PH_NS_PER_MS},
+};
+
+static void
+election_run(const PhElectionCase *c)
+{
+    PhElectionEntry entry;
+    PhStr key;
+    PhStr value = PhElectionEntry_Encode(&c->entry, c->key);
+    assert_true(PhElectionEntry_Decode(value, &entry, &key));
+    assert_int_equal(entry.kind, c->entry.kind);
+    assert_true(PhStr_Equal(entry.holder, c->entry.holder));
+    assert_true(PhStr_Equal(entry.address, c->entry.address));
+    assert_true(PhStr_Equal(key, c->key));
+    assert_int_equal(entry.states_earlier, c->entry.states_earlier);
+    assert_int_equal(entry.earlier, c->earlier);
+    PhStr_Clear(&entry.holder);
+    PhStr_Clear(&entry.address);
+    PhStr_Clear(&key);
+    assert_false(PhElectionEntry_Decode(PhStr_Slice(value, 0, value.len - 1),
+                                        &entry, &key));
+    PhStr_Clear(&value);
+}
+
+/* Guards against a statement that ends the orders of others too early. */
+static void
+test_election_entries(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(election_cases, election_run);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {cmocka_unit_test(test_jobs),
+                                       cmocka_unit_test(test_election_entries),
                                        cmocka_unit_test(test_job_values),
                                        cmocka_unit_test(test_worker_records),
                                        cmocka_unit_test(test_entries),
