election: an owner gives no orders once it sends its release

What callers saw: lasting tasks of workers that leave around a planned stop of the owner waited up to 15 s (LOST).

Cause: an owner that stops went on giving orders until it knew that its release had taken effect, so its successor could not rely on the release and waited for the limit of an owner that is cut off (9.1 s), unless a greeting of the old instance came first.

Change: an owner steps down as it sends the release, and repeats it without being the owner. The release then ends its orders for whoever reads it. It also no longer waits up to 0.7 s behind a renewal in flight. A release that does not state the orders before comes from the version before, and bounds nothing, as until now.

The bound of statements covers an earlier incarnation of the same instance, which earlier_orders_left had left out for releases.

--- a/decide/schedule/election.c
+++ b/decide/schedule/election.c
@@ -175,6 +175,15 @@
            PhElection_IsNewestWriter(e, PhHolder_Instance(e->holder));
 }
 
+/* Reports whether this instance has to append the release of an ownership: its
+ * own when it stops, or that of its earlier incarnation. */
+static bool
+owes_release(const PhElection *e)
+{
+    bool own = PhStr_Equal(e->newest_writer, e->holder) && !e->vacant;
+    return (own && e->stopping) || held_by_earlier_incarnation(e);
+}
+
 static PhTime
 claim_due(const PhElection *e)
 {
@@ -193,7 +202,7 @@
         *kind = e->stopping ? PH_ELECTION_RELEASE : PH_ELECTION_RENEWAL;
         return true;
     case PH_ELECTION_FOLLOWER:
-        if (held_by_earlier_incarnation(e)) {
+        if (owes_release(e)) {
             *kind = PH_ELECTION_RELEASE;
             return e->synced && e->readable && now >= e->reads_deferred_until;
         }
@@ -213,15 +222,18 @@
     return !e->reading && now >= e->read_due && (follows || e->must_read);
 }
 
-/* Time from now until the last possible order of the owners before the holder
- * of an entry of this kind.  A claim replaces the newest writer. */
+/* Time from now until the last possible order of the owners before this
+ * instance's next entry.  The newest writer has ended if it is an earlier
+ * incarnation of this instance. */
 static PhTime
-earlier_orders_left(const PhElection *e, PhElectionEntryKind kind, PhTime now)
+earlier_orders_left(const PhElection *e, PhTime now)
 {
     PhTime last = PhPredecessors_LastOrder(e->predecessors);
-    if (kind == PH_ELECTION_CLAIM && e->newest_writer_may_own &&
+    if (e->newest_writer_may_own &&
         !PhStr_Equal(e->newest_writer, e->holder)) {
-        last = MAX(last, e->newest_read_at + OWNERSHIP_BOUND);
+        last = MAX(last, held_by_earlier_incarnation(e)
+                             ? now
+                             : e->newest_read_at + OWNERSHIP_BOUND);
     }
     return MAX(last - now, -EARLIER_AGE_MAX);
 }
@@ -246,7 +258,12 @@
         action.tag = PH_ELECTION_APPEND;
         action.as.append.kind = kind;
         action.as.append.at = e->next;
-        action.as.append.earlier = earlier_orders_left(e, kind, now);
+        action.as.append.earlier = earlier_orders_left(e, now);
+        if (kind == PH_ELECTION_RELEASE) {
+            /* Whoever reads the release relies on there being no orders after
+             * it, whether or not its outcome becomes known here. */
+            step_down(e, now);
+        }
     }
     else if (read_is_due(e, now)) {
         bool claims_soon = e->synced && claim_due(e) < now + READ_WAIT;
@@ -280,6 +297,13 @@
     return due;
 }
 
+/* A release that is due does not wait for the interval. */
+static void
+renewal_schedule(PhElection *e, PhTime now)
+{
+    e->append_due = e->stopping ? now : now + RENEW_INTERVAL;
+}
+
 static void
 become_owner(PhElection *e, uint64_t offset, PhTime sent_at, PhTime now)
 {
@@ -287,7 +311,7 @@
     e->fence = offset + 1;
     e->vacant = false;
     e->confirmed_at = sent_at;
-    e->append_due = now + RENEW_INTERVAL;
+    renewal_schedule(e, now);
 }
 
 /* Applies an entry that this incarnation wrote by an append that was sent at
@@ -303,7 +327,7 @@
     case PH_ELECTION_RENEWAL:
         if (e->role == PH_ELECTION_OWNER) {
             e->confirmed_at = sent_at;
-            e->append_due = now + RENEW_INTERVAL;
+            renewal_schedule(e, now);
         }
         break;
     case PH_ELECTION_RELEASE:
@@ -313,6 +337,19 @@
     }
 }
 
+/* Adds the holder of a release to the predecessors.  One that does not state
+ * the orders before comes from a version that went on until it knew the
+ * outcome. */
+static void
+track_released(PhElection *e, const PhElectionEntry *entry, PhTime now)
+{
+    if (entry->states_earlier && e->newest_writer_may_own &&
+        !PhStr_Equal(entry->holder, e->holder)) {
+        PhPredecessors_Add(e->predecessors, entry->holder, now, now, now);
+        e->newest_writer_may_own = false;
+    }
+}
+
 /* Adds the previous holder to the predecessors when another one writes, unless
  * it has given up itself or was an earlier incarnation of the same instance.
  */
@@ -329,15 +366,20 @@
         PhPredecessors_Add(e->predecessors, e->newest_writer, now, now, now);
         e->newest_writer_may_own = false;
     }
-    if (entry->kind == PH_ELECTION_RELEASE) {
-        return;
-    }
-    if (!same && e->newest_writer_may_own &&
+    bool released = entry->kind == PH_ELECTION_RELEASE;
+    if (!released && !same && e->newest_writer_may_own &&
         !PhStr_Equal(e->newest_writer, e->holder)) {
         PhPredecessors_Add(e->predecessors, e->newest_writer, now,
                            e->newest_read_at,
                            e->newest_read_at + OWNERSHIP_BOUND);
     }
+    if (entry->states_earlier) {
+        PhPredecessors_Limit(e->predecessors, now + entry->earlier);
+    }
+    if (released) {
+        track_released(e, entry, now);
+        return;
+    }
     e->newest_writer_may_own = true;
     if (entry->kind == PH_ELECTION_CLAIM) {
         e->newest_fence = entry->offset + 1;
@@ -361,9 +403,6 @@
     }
     e->next = entry->offset + 1;
     track_replaced(e, entry, now);
-    if (entry->states_earlier) {
-        PhPredecessors_Limit(e->predecessors, now + entry->earlier);
-    }
     e->newest_read_at = now;
     PhStr_Clear(&e->newest_writer);
     PhStr_Clear(&e->newest_writer_address);
--- a/tests/schedule/test_predecessors.c
+++ b/tests/schedule/test_predecessors.c
@@ -22,6 +22,7 @@
     OP_CLAIM_STATES,   /* the record states that all earlier orders were given
                           by EARLIER_MS after it was sent */
     OP_RENEWAL_STATES, /* the same for a renewal */
+    OP_RELEASE_STATES, /* the same for a release */
 } PhHolderOp;
 
 /* A record or message at a time.  Claims are read as appended by the
@@ -73,7 +74,14 @@
       {5500, OP_CLAIM, "self.100", 2}},
      3000,
      3000},
-    {"a release that its sender may not know to have succeeded",
+    {"a release, before which its sender has given its last order",
+     {{1000, OP_CLAIM, "a.1", 0},
+      {3000, OP_RELEASE_STATES, "a.1", 1},
+      {5500, OP_CLAIM, "self.100", 2}},
+     3000,
+     3000},
+    {"a release by the version before, which goes on until it knows the "
+     "outcome",
      {{1000, OP_CLAIM, "a.1", 0},
       {3000, OP_RELEASE, "a.1", 1},
       {5500, OP_CLAIM, "self.100", 2}},
@@ -134,8 +142,7 @@
     PhElectionEntry entry = {.offset = s->number,
                              .kind = kind,
                              .holder = PhStr_FromC(s->who),
-                             .states_earlier = s->op == OP_CLAIM_STATES ||
-                                               s->op == OP_RENEWAL_STATES,
+                             .states_earlier = s->op >= OP_CLAIM_STATES,
                              .earlier = EARLIER_MS * PH_NS_PER_MS};
     PhElection_OnRead(e, &entry, 1, s->number + 1, now);
 }
@@ -156,6 +163,7 @@
         record_read(e, s, PH_ELECTION_RENEWAL, now);
         break;
     case OP_RELEASE:
+    case OP_RELEASE_STATES:
         record_read(e, s, PH_ELECTION_RELEASE, now);
         break;
     case OP_HELLO:
