schedule: owners record the bound of workers that never answered them

Cause: only a failed hold put the bound of a worker's leases on record. A worker whose entry is gone cannot be asked, so no owner ever recorded what it knew, and each successor counted a lease from the release of the last one.

Change: a worker that has not answered a new owner within a second is suspended on record, whether or not it can be asked. An owner that stops records the bounds of all silent workers, and is released once that is durable, 0.3 s later at most. The bound of a worker that leaves is never above that of any other.

--- a/decide/schedule/election.c
+++ b/decide/schedule/election.c
@@ -493,6 +493,8 @@
 void
 PhElection_Stop(PhElection *e)
 {
-    e->stopping = true;
-    e->append_due = 0;
+    if (!e->stopping) {
+        e->stopping = true;
+        e->append_due = 0;
+    }
 }
--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -22,6 +22,9 @@
 /* A reader counts the bound of a record from when it reads it, so that of a
  * suspended worker is recorded again this often. */
 static const PhTime BOUND_RECORD_INTERVAL = 1 * PH_NS_PER_S;
+/* A worker that has not answered a new owner for this long is suspended, also
+ * if it cannot be asked because its entry is gone. */
+static const PhTime FIRST_ANSWER_LIMIT = 1 * PH_NS_PER_S;
 enum {
     PERCENT = 100
 };
@@ -67,8 +70,9 @@
 {
     const PhPredecessors *p = s->options.predecessors;
     PhTime last = p == NULL ? limit : PhPredecessors_LastOrder(p);
+    PhTime any_end = MIN(last, limit) + lease_bound(s, false);
     if (w->leaving_at == 0) {
-        return MIN(last, limit) + lease_bound(s, false);
+        return any_end;
     }
     PhTime last_unaware = 0;
     if (p != NULL) {
@@ -77,8 +81,9 @@
             p, w->leaving_at, LEAVING_CONFIRMED_AGE_BOUND);
     }
     PhTime last_long_grant = MAX(w->leaving_at, MIN(last_unaware, limit));
-    return MAX(last_long_grant + lease_bound(s, false),
-               MIN(last, limit) + lease_bound(s, true));
+    PhTime end = MAX(last_long_grant + lease_bound(s, false),
+                     MIN(last, limit) + lease_bound(s, true));
+    return MIN(end, any_end);
 }
 
 bool
@@ -255,6 +260,9 @@
     }
     if (w->tasks->len > 0) {
         PhScheduler_WakeBy(s, bound.until);
+        if (!w->fenced && now - s->owner_since >= FIRST_ANSWER_LIMIT) {
+            PhScheduler_SetSuspended(s, w, true, now);
+        }
         if (w->suspended && now - w->bound_at >= BOUND_RECORD_INTERVAL) {
             bound_record(s, w, now);
         }
@@ -270,6 +278,25 @@
     g_queue_push_tail(&s->holds, w);
 }
 
+/* A successor would count all leases from the release of this owner, also
+ * those of workers that have not answered it for a while, or never. */
+void
+PhScheduler_RecordBounds(PhScheduler *s, PhTime now)
+{
+    for (guint i = 0; i < s->model->incarnations->len; i++) {
+        PhSchedWorker *w = g_ptr_array_index(s->model->incarnations, i);
+        if (w->dead || w->tasks->len == 0) {
+            continue;
+        }
+        if (w->suspended) {
+            bound_record(s, w, now);
+        }
+        else if (!w->fenced || w->failing_since > 0) {
+            PhScheduler_SetSuspended(s, w, true, now);
+        }
+    }
+}
+
 void
 PhScheduler_TakeWorkerRecords(PhScheduler *s, GArray *records)
 {
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -148,12 +148,30 @@
     s->confirmed_at = at;
 }
 
+/* Reports whether the open batch has records. */
+static bool
+has_changes(const PhScheduler *s)
+{
+    return s->dirty_stages->len > 0 || s->dirty_jobs->len > 0 ||
+           s->dirty_workers > 0;
+}
+
 void
-PhScheduler_Quiesce(PhScheduler *s)
+PhScheduler_Quiesce(PhScheduler *s, PhTime now)
 {
+    if (s->fence != 0 && !s->quiesced) {
+        PhScheduler_RecordBounds(s, now);
+        s->quiesce_batch = has_changes(s) ? s->open_batch : s->open_batch - 1;
+    }
     s->quiesced = true;
 }
 
+bool
+PhScheduler_IsHandedOver(const PhScheduler *s)
+{
+    return s->fence == 0 || s->quiesce_batch <= s->durable_batch;
+}
+
 void
 PhScheduler_MarkStageDirty(PhScheduler *s, PhSchedStage *stage)
 {
@@ -379,8 +397,7 @@
 uint64_t
 PhScheduler_TakeBatch(PhScheduler *s, GArray *records)
 {
-    if (s->dirty_stages->len == 0 && s->dirty_jobs->len == 0 &&
-        s->dirty_workers == 0) {
+    if (!has_changes(s)) {
         return 0;
     }
     PhScheduler_TakeWorkerRecords(s, records);
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -17,6 +17,7 @@
     PhTime owner_since;
     PhTime confirmed_at; /* last confirmation of the ownership, 0: unknown */
     bool quiesced;       /* no new starts, and holds do not wait */
+    uint64_t quiesce_batch; /* newest batch of records at that time */
     uint64_t open_batch;
     uint64_t durable_batch;
     GPtrArray *dirty_stages;        /* PhSchedStage */
@@ -90,6 +91,9 @@
  */
 void PhScheduler_PlanWorker(PhScheduler *scheduler, PhSchedWorker *worker,
                             PhTime now);
+/* Before a release: records how much longer the leases of silent workers may
+ * last. */
+void PhScheduler_RecordBounds(PhScheduler *scheduler, PhTime now);
 /* Appends the records of workers that changed. */
 void PhScheduler_TakeWorkerRecords(PhScheduler *scheduler, GArray *records);
 /* incarnations.c: handles a reply from another incarnation than the one
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -201,8 +201,11 @@
 /* The ownership was last confirmed at `at`.  Without a call, no decision
  * depends on it. */
 void PhScheduler_Confirm(PhScheduler *scheduler, PhTime at);
-/* Before a shutdown: no new starts, and holds do not wait. */
-void PhScheduler_Quiesce(PhScheduler *scheduler);
+/* Before a release: no new starts, holds do not wait, and what a successor
+ * needs is recorded. */
+void PhScheduler_Quiesce(PhScheduler *scheduler, PhTime now);
+/* Reports whether that is durable. */
+bool PhScheduler_IsHandedOver(const PhScheduler *scheduler);
 
 /* Makes the decisions that are due.  `wall_ms` is Unix time, for jobs with
  * start times. */
--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -8,6 +8,8 @@
 /* Extra claim delay of an instance that does not follow the topics: it has to
  * load 1 to 3 MB first. */
 static const PhTime CATCH_UP_TIME = 700 * PH_NS_PER_MS;
+/* A release waits this long at most for the records that it relies on. */
+static const PhTime HANDOVER_LIMIT = 300 * PH_NS_PER_MS;
 /* Shortest interval between two updates. */
 static const PhTime UPDATE_INTERVAL_MIN = 3 * PH_NS_PER_MS;
 
@@ -413,11 +415,27 @@
     }
 }
 
+/* Releases the ownership once what a successor needs is on record. */
+static void
+update_release(PhScheduleTask *t)
+{
+    PhTime limit = t->drain_began_at + HANDOVER_LIMIT;
+    if (!t->draining) {
+        return;
+    }
+    if (t->stage == OWNER_ACTIVE && PhTask_Now(t->self) < limit &&
+        !PhScheduler_IsHandedOver(t->scheduler)) {
+        return;
+    }
+    PhElection_Stop(t->election);
+}
+
 void
 PhScheduleOwner_Update(PhScheduleTask *t)
 {
     PhTime now = PhTask_Now(t->self);
     t->update_pending = false;
+    update_release(t);
     PhElection_SetExtraDelay(
         t->election, PhScheduleTopics_AreFollowed(t) ? 0 : CATCH_UP_TIME);
     update_election(t);
--- a/services/schedule/schedule_task.c
+++ b/services/schedule/schedule_task.c
@@ -71,9 +71,9 @@
 begin_drain(PhScheduleTask *t)
 {
     t->draining = true;
+    t->drain_began_at = PhTask_Now(t->self);
     PhScheduleLink_DismissAll(t);
-    PhElection_Stop(t->election);
-    PhScheduler_Quiesce(t->scheduler);
+    PhScheduler_Quiesce(t->scheduler, t->drain_began_at);
     PhScheduleTask_RequestUpdate(t);
 }
 
--- a/services/schedule/schedule_task.h
+++ b/services/schedule/schedule_task.h
@@ -94,6 +94,7 @@
     PhTime store_changed_at;
     PhTime store_read_at; /* time of the last successful call */
     bool draining;
+    PhTime drain_began_at;
     uint64_t epochs[CALL_KINDS]; /* replies to an older epoch are ignored */
     /* Acceptance of clients' calls. */
     PhStr producer;
--- a/tests/schedule/owners_sim.c
+++ b/tests/schedule/owners_sim.c
@@ -11,6 +11,7 @@
     SHORT_TASK_CPU_MILLI = 500,
     JOB_TASKS = 4,
     JOB_INTERVAL_MS = 1000, /* between two jobs of short tasks */
+    HANDOVER_MS = 300,      /* longest wait of a release for its records */
 };
 
 static void
@@ -329,8 +330,11 @@
 {
     if (m->stop_at == 0) {
         m->stop_at = w->now;
+        PhScheduler_Quiesce(m->scheduler, w->now);
+    }
+    if (PhScheduler_IsHandedOver(m->scheduler) ||
+        w->now - m->stop_at >= HANDOVER_MS * PH_NS_PER_MS) {
         PhElection_Stop(m->election);
-        PhScheduler_Quiesce(m->scheduler);
     }
     return w->now - m->stop_at >= PH_OWNERS_NOTICE_MS * PH_NS_PER_MS;
 }
--- a/tests/schedule/test_recorded_bounds.c
+++ b/tests/schedule/test_recorded_bounds.c
@@ -21,6 +21,9 @@
     int64_t takeovers[OWNERS_MAX]; /* of the next owners, which read the
                                       records then; 0 ends the list */
     int64_t expired;               /* the run no longer counts at this time */
+    bool gone;    /* the first owner does not notice, and its successors do not
+                     find the worker's entry */
+    bool planned; /* owners are released */
 } PhBoundCase;
 
 static const PhBoundCase bound_cases[] = {
@@ -31,6 +34,15 @@
      {8000},
      8000 + 2 * STEP_MS},
     {"owners that follow each other", {1900, 3100, 4700, 5900}, GAP_MAX_MS},
+    {"a worker that none of the successors can ask",
+     {300, 1700, 3100, 4500},
+     GAP_MAX_MS,
+     .gone = true},
+    {"the same, and each successor is released within a second",
+     {300, 1200, 2100, 3000},
+     300 + LEASE_MS + 1000,
+     .gone = true,
+     .planned = true},
 };
 
 /* The record of the worker as the store holds it. */
@@ -59,12 +71,15 @@
     PhScheduler_OnDurable(s, batch);
 }
 
-/* Creates an owner that has read the records just now. */
+/* Creates an owner that has read the records and the release of the owner
+ * before just now. */
 static PhScheduler *
-owner_open(const PhStoredWorker *stored, uint64_t fence, PhTime now)
+owner_open(const PhStoredWorker *stored, uint64_t fence, bool listed,
+           PhPredecessors *earlier, PhTime now)
 {
-    PhScheduler *s = PhScheduler_Create(
-        &(PhSchedulerOptions){.lease_limit = 10 * PH_NS_PER_S});
+    PhScheduler *s = PhScheduler_Create(&(PhSchedulerOptions){
+        .lease_limit = 10 * PH_NS_PER_S, .predecessors = earlier});
+    PhPredecessors_Add(earlier, PhStr_LITERAL("owner.1"), now, now, now);
     if (stored->known) {
         PhSchedRecord record = {
             .tag = PH_SCHED_RECORD_WORKER,
@@ -74,7 +89,9 @@
                           .lease_expiry_bound = stored->lease_expiry_bound}};
         PhScheduler_Apply(s, &record, now);
     }
-    PhSingle_ShowWorker(s, false, now);
+    if (listed) {
+        PhSingle_ShowWorker(s, false, now);
+    }
     PhSingle_AddRun(s);
     PhScheduler_SetFence(s, fence, now);
     return s;
@@ -102,9 +119,10 @@
     return PhSchedModel_Task(PhScheduler_Model(s), &name)->worker != NULL;
 }
 
-/* The first owner is answered once, and grants a lease. */
+/* The first owner is answered once, and grants a lease.  Its next hold has no
+ * answer, which it may notice. */
 static void
-first_answer(PhScheduler *s)
+first_answer(PhScheduler *s, bool notices)
 {
     PhSchedRunRow row = {.task = {.job = PH_SINGLE_JOB}, .run = 1};
     PhSchedHoldReply reply = {.outcome = PH_SCHED_OUTCOME_DONE,
@@ -120,24 +138,38 @@
     assert_true(PhScheduler_NextAction(s, START, &action));
     assert_true(action.as.hold.deadline_ms > 0);
     PhSchedHoldReply silence = {.outcome = PH_SCHED_OUTCOME_UNKNOWN};
-    PhScheduler_OnHold(s, PH_SINGLE_WORKER, 1, &silence, START);
+    if (notices) {
+        PhScheduler_OnHold(s, PH_SINGLE_WORKER, 1, &silence, START);
+    }
+}
+
+static void
+owner_close(PhScheduler *s, PhStoredWorker *stored, bool planned, PhTime now)
+{
+    if (planned) {
+        PhScheduler_Quiesce(s, now);
+        records_store(s, stored);
+        assert_true(PhScheduler_IsHandedOver(s));
+    }
+    PhScheduler_Destroy(s);
 }
 
 static void
 bound_run(const PhBoundCase *c)
 {
     PhStoredWorker stored = {0};
-    PhScheduler *s = owner_open(&stored, 1, START);
+    PhPredecessors *earlier = PhPredecessors_Create();
+    PhScheduler *s = owner_open(&stored, 1, true, earlier, START);
     unsigned next = 0;
     int64_t expired = 0;
-    first_answer(s);
+    first_answer(s, !c->gone);
     records_store(s, &stored);
     for (int64_t ms = STEP_MS; expired == 0; ms += STEP_MS) {
         PhTime now = START + ms * PH_NS_PER_MS;
         if (next < OWNERS_MAX && c->takeovers[next] > 0 &&
             ms >= c->takeovers[next]) {
-            PhScheduler_Destroy(s);
-            s = owner_open(&stored, ++next + 1, now);
+            owner_close(s, &stored, c->planned, now);
+            s = owner_open(&stored, ++next + 1, !c->gone, earlier, now);
         }
         owner_tick(s, &stored, now);
         expired = run_counts(s) ? 0 : ms;
@@ -145,6 +177,7 @@
     print_message("#   expired after %d ms\n", (int)expired);
     assert_in_range(expired, LEASE_MS, c->expired + STEP_MS);
     PhScheduler_Destroy(s);
+    PhPredecessors_Destroy(earlier);
 }
 
 /* Guards against a wait for leases that starts again with each owner, and
