schedule: a stopping owner hands over to an instance that is ready

A stopping standby also kept its place.

A stopping owner goes on until a successor has said that it follows the records, 1.5 s at most, records what it knows of silent workers (0.3 s at most), and names the successor in its release, which claims at once; the others leave it 0.5 s. An instance that is taking over finishes first. Hellos say how long their sender has been up, whether it could take over and whether it stops. The successor is chosen among those with much CPU: instances that have started after the owner come first, since planned work that restarts the instances in turn has passed them. Versions without these fields are never ready and claim after their delay as before. When owners are killed or cut off, nothing changes.

--- a/codec/election_entry.c
+++ b/codec/election_entry.c
@@ -8,6 +8,7 @@
     FIELD_ADDRESS,
     FIELD_KEY,
     FIELD_EARLIER_MS,
+    FIELD_SUCCESSOR,
     HOLDER_BYTES_MAX = 512,
     KEY_BYTES_MAX = 64,
     EARLIER_MS_MAX = 3600 * 1000,
@@ -26,7 +27,8 @@
     PhBuf out = {0};
     msgpack_packer p;
     msgpack_packer_init(&p, &out, PhPack_Write);
-    msgpack_pack_map(&p, entry->states_earlier ? FIELD_EARLIER_MS : FIELD_KEY);
+    msgpack_pack_map(&p, (size_t)FIELD_KEY + entry->states_earlier +
+                             (entry->successor.len > 0));
     PhPack_U64(&p, FIELD_KIND, (uint64_t)entry->kind);
     PhPack_Bytes(&p, FIELD_HOLDER, entry->holder);
     PhPack_Bytes(&p, FIELD_ADDRESS, entry->address);
@@ -34,9 +36,20 @@
     if (entry->states_earlier) {
         PhPack_I64(&p, FIELD_EARLIER_MS, ceil_ms(entry->earlier));
     }
+    if (entry->successor.len > 0) {
+        PhPack_Bytes(&p, FIELD_SUCCESSOR, entry->successor);
+    }
     return PhBuf_Take(&out);
 }
 
+void
+PhElectionEntry_Clear(PhElectionEntry *entry)
+{
+    PhStr_Clear(&entry->holder);
+    PhStr_Clear(&entry->address);
+    PhStr_Clear(&entry->successor);
+}
+
 /* Returns a copy of an optional text, empty if it is missing or too long. */
 static PhStr
 text_copy(const msgpack_object *value, size_t max_bytes)
@@ -71,7 +84,9 @@
             .states_earlier = states_earlier,
             .earlier = states_earlier ? earlier_ms * PH_NS_PER_MS : 0,
             .address = text_copy(PhUnpack_Field(root, FIELD_ADDRESS),
-                                 HOLDER_BYTES_MAX)};
+                                 HOLDER_BYTES_MAX),
+            .successor = text_copy(PhUnpack_Field(root, FIELD_SUCCESSOR),
+                                   HOLDER_BYTES_MAX)};
         *key = text_copy(PhUnpack_Field(root, FIELD_KEY), KEY_BYTES_MAX);
     }
     PhUnpack_Close(&unpack);
--- a/codec/schedule_link.c
+++ b/codec/schedule_link.c
@@ -15,8 +15,11 @@
     FIELD_OUTCOME,
     FIELD_VALUE,
     FIELD_FENCE,
+    FIELD_UPTIME_MS,
+    FIELD_READY,
+    FIELD_LEAVING,
     /* Field counts of the maps. */
-    HELLO_FIELDS = 3,
+    HELLO_FIELDS = 6,
     WELCOME_FIELDS = 2,
     DISMISS_FIELDS = 1,
     ASK_FIELDS = 6,
@@ -43,6 +46,9 @@
         map_begin(&p, m->tag, HELLO_FIELDS);
         PhPack_U64(&p, FIELD_CPU_MILLI, m->as.hello.cpu_milli);
         PhPack_U64(&p, FIELD_FENCE, m->as.hello.fence);
+        PhPack_U64(&p, FIELD_UPTIME_MS, m->as.hello.uptime_ms);
+        PhPack_U64(&p, FIELD_READY, m->as.hello.ready);
+        PhPack_U64(&p, FIELD_LEAVING, m->as.hello.leaving);
         break;
     case PH_LINK_WELCOME:
         map_begin(&p, m->tag, WELCOME_FIELDS);
@@ -102,16 +108,29 @@
            PhUnpack_U64(PhUnpack_Field(map, FIELD_VALUE), &m->as.answer.value);
 }
 
+/* The version before sends no more than its CPU and the fence. */
+static bool
+hello_read(const msgpack_object *map, PhLinkMessage *m)
+{
+    uint64_t ready = 0;
+    uint64_t leaving = 0;
+    PhUnpack_U64(PhUnpack_Field(map, FIELD_UPTIME_MS), &m->as.hello.uptime_ms);
+    PhUnpack_U64(PhUnpack_Field(map, FIELD_READY), &ready);
+    PhUnpack_U64(PhUnpack_Field(map, FIELD_LEAVING), &leaving);
+    m->as.hello.ready = ready != 0;
+    m->as.hello.leaving = leaving != 0;
+    return PhUnpack_U64(PhUnpack_Field(map, FIELD_CPU_MILLI),
+                        &m->as.hello.cpu_milli) &&
+           PhUnpack_U64(PhUnpack_Field(map, FIELD_FENCE), &m->as.hello.fence);
+}
+
 static bool
 fields_read(const msgpack_object *map, PhLinkMessage *m)
 {
     uint64_t standby = 0;
     switch (m->tag) {
     case PH_LINK_HELLO:
-        return PhUnpack_U64(PhUnpack_Field(map, FIELD_CPU_MILLI),
-                            &m->as.hello.cpu_milli) &&
-               PhUnpack_U64(PhUnpack_Field(map, FIELD_FENCE),
-                            &m->as.hello.fence);
+        return hello_read(map, m);
     case PH_LINK_WELCOME:
         if (!PhUnpack_U64(PhUnpack_Field(map, FIELD_STANDBY), &standby)) {
             return false;
--- a/decide/schedule/election.c
+++ b/decide/schedule/election.c
@@ -16,6 +16,9 @@
 static const PhTime RETRY_INTERVAL = 200 * PH_NS_PER_MS;
 /* After contact with the owner, the topic is not read for this long. */
 static const PhTime READ_DEFERRAL = 1000 * PH_NS_PER_MS;
+/* Before the others, an instance that a release names has this time to claim.
+ */
+static const PhTime SUCCESSOR_HEAD_START = 500 * PH_NS_PER_MS;
 /* Orders longer ago than this are stated as that long ago. */
 static const PhTime EARLIER_AGE_MAX = 60 * PH_NS_PER_S;
 
@@ -37,6 +40,8 @@
     bool synced;         /* a read has reached the end of the topic */
     bool readable;       /* the last read succeeded */
     bool vacant;         /* no claim yet, or the last one was released */
+    PhStr successor;     /* named by the newest entry, empty for none */
+    PhStr own_successor; /* named by the own release */
     PhTime quiet_since;  /* no new entry since, while readable */
     PhTime confirmed_at; /* the newest own entry was sent */
     PhTime append_sent_at;
@@ -74,6 +79,8 @@
     PhStr_Clear(&e->address);
     PhStr_Clear(&e->newest_writer);
     PhStr_Clear(&e->newest_writer_address);
+    PhStr_Clear(&e->successor);
+    PhStr_Clear(&e->own_successor);
     PhPredecessors_Destroy(e->predecessors);
     g_free(e);
 }
@@ -187,8 +194,16 @@
 static PhTime
 claim_due(const PhElection *e)
 {
-    return e->quiet_since + e->delay + e->extra_delay +
-           (e->vacant ? 0 : CLAIM_AFTER);
+    PhTime due = e->quiet_since + e->delay + e->extra_delay;
+    if (!e->vacant) {
+        return due + CLAIM_AFTER;
+    }
+    if (PhStr_IsEmpty(e->successor)) {
+        return due;
+    }
+    return PhStr_Equal(e->successor, PhHolder_Instance(e->holder))
+               ? e->quiet_since
+               : due + SUCCESSOR_HEAD_START;
 }
 
 static bool
@@ -259,6 +274,7 @@
         action.as.append.kind = kind;
         action.as.append.at = e->next;
         action.as.append.earlier = earlier_orders_left(e, now);
+        action.as.append.successor = e->own_successor;
         if (kind == PH_ELECTION_RELEASE) {
             /* Whoever reads the release relies on there being no orders after
              * it, whether or not its outcome becomes known here. */
@@ -409,6 +425,9 @@
     e->newest_writer = PhStr_Dup(entry->holder);
     e->newest_writer_address =
         entry->address.len > 0 ? PhStr_Dup(entry->address) : (PhStr){0};
+    PhStr_Clear(&e->successor);
+    e->successor =
+        entry->successor.len > 0 ? PhStr_Dup(entry->successor) : (PhStr){0};
     e->quiet_since = now;
     if (PhStr_Equal(entry->holder, e->holder)) {
         own_entry_apply(e, entry, sent_at, now);
@@ -491,10 +510,12 @@
 }
 
 void
-PhElection_Stop(PhElection *e)
+PhElection_Stop(PhElection *e, PhStr successor)
 {
     if (!e->stopping) {
         e->stopping = true;
         e->append_due = 0;
+        e->own_successor =
+            successor.len > 0 ? PhStr_Dup(successor) : (PhStr){0};
     }
 }
--- a/decide/schedule/owner_link.c
+++ b/decide/schedule/owner_link.c
@@ -84,6 +84,12 @@
     return true;
 }
 
+void
+PhOwnerLink_HastenHello(PhOwnerLink *link, PhTime now)
+{
+    link->next_hello_at = MIN(link->next_hello_at, now);
+}
+
 PhTime
 PhOwnerLink_Due(const PhOwnerLink *link, PhTime now)
 {
--- a/include/peridothill/codec/election_entry.h
+++ b/include/peridothill/codec/election_entry.h
@@ -6,6 +6,8 @@
 
 /* `key` is that of the links between the instances, empty for none. */
 PhStr PhElectionEntry_Encode(const PhElectionEntry *entry, PhStr key);
+/* Releases the strings of a decoded entry. */
+void PhElectionEntry_Clear(PhElectionEntry *entry);
 /* Sets everything but the offset.  The strings of the entry and the key are
  * owned by the caller.  Returns false, with nothing to release, for a
  * malformed value. */
--- a/include/peridothill/codec/schedule_link.h
+++ b/include/peridothill/codec/schedule_link.h
@@ -31,6 +31,9 @@
         struct {
             uint64_t cpu_milli; /* CPU of the sender in milli-cores */
             uint64_t fence;     /* of the newest claim it knows, 0 for none */
+            uint64_t uptime_ms;
+            bool ready;   /* it follows the records, and could take over */
+            bool leaving; /* it stops */
         } hello;
         struct {
             bool standby; /* read the store, to take over without delay */
--- a/include/peridothill/decide/schedule/election.h
+++ b/include/peridothill/decide/schedule/election.h
@@ -23,7 +23,8 @@
 
 /* An entry of the topic.  `holder` is one incarnation of an instance,
  * INSTANCE.START; `address` is where other instances reach it, empty for none.
- * Both are borrowed.  `earlier` is when the last order of all owners before
+ * A release may name the instance that shall claim first, `successor`.  They
+ * are borrowed.  `earlier` is when the last order of all owners before
  * the holder is given at the latest, from the time at which the entry was
  * sent, negative if that has passed. */
 typedef struct PhElectionEntry {
@@ -31,6 +32,7 @@
     PhElectionEntryKind kind;
     PhStr holder;
     PhStr address;
+    PhStr successor;
     bool states_earlier;
     PhTime earlier;
 } PhElectionEntry;
@@ -53,6 +55,7 @@
             PhElectionEntryKind kind;
             uint64_t at;    /* offset at which the topic has to end */
             PhTime earlier; /* of the entry */
+            PhStr successor;
         } append;
     } as;
 } PhElectionAction;
@@ -112,7 +115,8 @@
                                PhTime now);
 /* An order was rejected because of another owner's higher fence. */
 void PhElection_OnDeposed(PhElection *election, PhTime now);
-/* Before a shutdown: an owner releases, a follower does not claim any more. */
-void PhElection_Stop(PhElection *election);
+/* Before a shutdown: an owner releases, a follower does not claim any more.
+ * `successor` is the instance that shall claim first, empty for any. */
+void PhElection_Stop(PhElection *election, PhStr successor);
 
 #endif
--- a/include/peridothill/decide/schedule/owner_link.h
+++ b/include/peridothill/decide/schedule/owner_link.h
@@ -44,6 +44,8 @@
  * and whether this instance shall be a standby.  None is due while the link is
  * not enabled or no owner is known. */
 bool PhOwnerLink_TakeHello(PhOwnerLink *link, PhTime now);
+/* The next hello is due now: it has news for the owner. */
+void PhOwnerLink_HastenHello(PhOwnerLink *link, PhTime now);
 /* Time at which the next hello is due or one of the answers above changes. */
 PhTime PhOwnerLink_Due(const PhOwnerLink *link, PhTime now);
 
@@ -56,11 +58,32 @@
 
 PhStandbys *PhStandbys_Create(void);
 void PhStandbys_Destroy(PhStandbys *standbys);
+/* What a hello says of its sender. */
+typedef struct PhHello {
+    uint64_t cpu_milli;
+    PhTime uptime;
+    bool ready;   /* it follows the records, and could take over */
+    bool leaving; /* it stops */
+} PhHello;
+
 /* Handles a hello; returns whether the instance shall be a standby.  Standbys
- * are the instances with most CPU (`cpu_milli`), in different data centres if
- * possible. */
+ * are the instances with most CPU, in different data centres if possible. */
 bool PhStandbys_OnHello(PhStandbys *standbys, PhStr instance,
-                        PhStr data_centre, uint64_t cpu_milli, PhTime now);
+                        PhStr data_centre, const PhHello *hello, PhTime now);
+
+/* The instance that shall take over from an owner; empty if none is known. */
+typedef struct PhSuccessor {
+    PhStr instance; /* borrowed until the next call */
+    bool ready;
+    bool is_new; /* it was no standby before */
+} PhSuccessor;
+
+/* Chooses the successor of an owner that has been up for `uptime`, and makes
+ * it a standby.  Among those with much CPU, instances that have started after
+ * the owner come first, since planned work that restarts the instances in turn
+ * has passed them, then those that are ready. */
+PhSuccessor PhStandbys_ChooseSuccessor(PhStandbys *standbys, PhTime uptime,
+                                       PhTime now);
 /* Instances that have sent a hello recently, as PhStr that are borrowed until
  * the next call; the array is owned by the caller. */
 GArray *PhStandbys_Instances(const PhStandbys *standbys, PhTime now);
--- a/services/schedule/schedule_link.c
+++ b/services/schedule/schedule_link.c
@@ -9,6 +9,7 @@
     KEY_BYTES = 32,
     MILLI = 1000,
     SPEC_BYTES_MAX = 48 * 1024, /* fits into a frame of the peer protocol */
+    UPTIME_MS_MAX = INT32_MAX,
 };
 
 /* Prepares the links.  They start once the shared key is known; without a link
@@ -212,11 +213,20 @@
     bool owner = t->stage != OWNER_INACTIVE;
     PhOwnerLink_SetOwner(
         &t->link, owner ? (PhStr){0} : PhElection_Address(t->election), now);
+    bool ready = PhScheduleTopics_AreLoaded(t);
+    if (ready != t->announced_ready) {
+        PhOwnerLink_HastenHello(&t->link, now);
+    }
     if (PhOwnerLink_TakeHello(&t->link, now)) {
+        t->announced_ready = ready;
         PhLinkMessage m = {
             .tag = PH_LINK_HELLO,
             .as.hello = {.cpu_milli = (uint64_t)(t->options.cpu_share * MILLI),
-                         .fence = PhElection_OwnerFence(t->election)}};
+                         .fence = PhElection_OwnerFence(t->election),
+                         .uptime_ms =
+                             (uint64_t)((now - t->started_at) / PH_NS_PER_MS),
+                         .ready = ready,
+                         .leaving = t->draining}};
         link_send(t, (PhStr){0}, t->link.address, &m);
     }
     if (!PhOwnerLink_IsUp(&t->link, now)) {
@@ -236,14 +246,22 @@
 on_hello(PhScheduleTask *t, PhStr instance, PhStr data_centre,
          const PhLinkMessage *hello)
 {
+    PhTime now = PhTask_Now(t->self);
     PhLinkMessage m = {.tag = PH_LINK_NOT_OWNER};
-    PhElection_OnHello(t->election, instance, hello->as.hello.fence,
-                       PhTask_Now(t->self));
-    if (t->stage == OWNER_ACTIVE && !t->draining) {
+    PhElection_OnHello(t->election, instance, hello->as.hello.fence, now);
+    if (t->stage == OWNER_ACTIVE) {
+        PhHello h = {
+            .cpu_milli = hello->as.hello.cpu_milli,
+            .uptime = (PhTime)MIN(hello->as.hello.uptime_ms, UPTIME_MS_MAX) *
+                      PH_NS_PER_MS,
+            .ready = hello->as.hello.ready,
+            .leaving = hello->as.hello.leaving};
         m.tag = PH_LINK_WELCOME;
         m.as.welcome.standby =
-            PhStandbys_OnHello(t->standbys, instance, data_centre,
-                               hello->as.hello.cpu_milli, PhTask_Now(t->self));
+            PhStandbys_OnHello(t->standbys, instance, data_centre, &h, now);
+    }
+    if (t->draining) {
+        PhScheduleTask_RequestUpdate(t);
     }
     link_send(t, instance, (PhStr){0}, &m);
 }
@@ -286,6 +304,20 @@
     g_array_free(all, TRUE);
 }
 
+PhSuccessor
+PhScheduleLink_ChooseSuccessor(PhScheduleTask *t)
+{
+    PhTime now = PhTask_Now(t->self);
+    PhSuccessor chosen =
+        PhStandbys_ChooseSuccessor(t->standbys, now - t->started_at, now);
+    if (chosen.is_new) {
+        PhLinkMessage m = {.tag = PH_LINK_WELCOME,
+                           .as.welcome = {.standby = true}};
+        link_send(t, chosen.instance, (PhStr){0}, &m);
+    }
+    return chosen;
+}
+
 /* Decodes the job of a forwarded submission.  Answers the call and returns
  * false if it is malformed. */
 static bool
@@ -313,7 +345,7 @@
         .deadline =
             PhTask_Now(t->self) + (PhTime)m->as.ask.wait_ms * PH_NS_PER_MS,
         .subject = PhStr_Dup(m->as.ask.subject)};
-    if (t->stage != OWNER_ACTIVE || t->draining) {
+    if (t->stage != OWNER_ACTIVE) {
         PhScheduleCalls_AnswerTag(t, &call.origin, PH_SCHEDULE_NOT_OWNER);
     }
     else if (call.tag != PH_SCHEDULE_SUBMIT || ask_read_job(t, m, &call)) {
--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -8,8 +8,6 @@
 /* Extra claim delay of an instance that does not follow the topics: it has to
  * load 1 to 3 MB first. */
 static const PhTime CATCH_UP_TIME = 700 * PH_NS_PER_MS;
-/* A release waits this long at most for the records that it relies on. */
-static const PhTime HANDOVER_LIMIT = 300 * PH_NS_PER_MS;
 /* Shortest interval between two updates. */
 static const PhTime UPDATE_INTERVAL_MIN = 3 * PH_NS_PER_MS;
 
@@ -26,8 +24,8 @@
     }
 }
 
-/* Decodes an election record and starts the links with its key.  Holder and
- * address of `entry` are owned by the caller. */
+/* Decodes an election record and starts the links with its key.  The strings
+ * of `entry` are owned by the caller. */
 static bool
 entry_decode(PhScheduleTask *t, const PhStoreRecord *record,
              PhElectionEntry *entry)
@@ -56,6 +54,7 @@
     PhElectionEntry entry = {.kind = action->as.append.kind,
                              .holder = t->producer,
                              .address = t->options.link,
+                             .successor = action->as.append.successor,
                              .states_earlier = true,
                              .earlier = action->as.append.earlier};
     a->records[0].value = PhElectionEntry_Encode(
@@ -267,8 +266,7 @@
         PhElection_OnRead(t->election, (const PhElectionEntry *)entries->data,
                           entries->len, reply->end, now);
         for (guint i = 0; i < entries->len; i++) {
-            PhStr_Clear(&g_array_index(entries, PhElectionEntry, i).holder);
-            PhStr_Clear(&g_array_index(entries, PhElectionEntry, i).address);
+            PhElectionEntry_Clear(&g_array_index(entries, PhElectionEntry, i));
         }
         g_array_free(entries, TRUE);
     }
@@ -415,19 +413,50 @@
     }
 }
 
-/* Releases the ownership once what a successor needs is on record. */
-static void
-update_release(PhScheduleTask *t)
+static PhOwnership
+ownership(const PhScheduleTask *t)
 {
-    PhTime limit = t->drain_began_at + HANDOVER_LIMIT;
-    if (!t->draining) {
-        return;
+    switch (t->stage) {
+    case OWNER_INACTIVE:
+        break;
+    case OWNER_FENCING:
+    case OWNER_CATCH_UP:
+        return PH_OWNERSHIP_TAKEOVER;
+    case OWNER_ACTIVE:
+        return PH_OWNERSHIP_ACTIVE;
     }
-    if (t->stage == OWNER_ACTIVE && PhTask_Now(t->self) < limit &&
-        !PhScheduler_IsHandedOver(t->scheduler)) {
-        return;
+    return PH_OWNERSHIP_NONE;
+}
+
+/* Hands the ownership over to a successor while this instance stops. */
+static void
+update_handover(PhScheduleTask *t)
+{
+    PhTime now = PhTask_Now(t->self);
+    PhSuccessor successor = {0};
+    PhHandoverInput input = {.ownership = ownership(t),
+                             .recorded =
+                                 PhScheduler_IsHandedOver(t->scheduler)};
+    if (input.ownership == PH_OWNERSHIP_ACTIVE) {
+        successor = PhScheduleLink_ChooseSuccessor(t);
+        input.successor_ready = successor.ready;
+    }
+    PhHandoverTag before = t->handover.tag;
+    PhHandoverTag stage = PhHandover_Update(&t->handover, &input, now);
+    switch (stage) {
+    case PH_HANDOVER_NONE:
+    case PH_HANDOVER_PREPARE:
+        break;
+    case PH_HANDOVER_RECORD:
+        if (stage != before) {
+            PhScheduler_Quiesce(t->scheduler, now);
+        }
+        break;
+    case PH_HANDOVER_RELEASE:
+        PhElection_Stop(t->election,
+                        successor.ready ? successor.instance : (PhStr){0});
+        break;
     }
-    PhElection_Stop(t->election);
 }
 
 void
@@ -435,7 +464,9 @@
 {
     PhTime now = PhTask_Now(t->self);
     t->update_pending = false;
-    update_release(t);
+    if (t->draining) {
+        update_handover(t);
+    }
     PhElection_SetExtraDelay(
         t->election, PhScheduleTopics_AreFollowed(t) ? 0 : CATCH_UP_TIME);
     update_election(t);
@@ -452,7 +483,8 @@
         PhScheduleLog_Notes(t);
     }
     PhTime due =
-        MIN(PhElection_Due(t->election), PhScheduler_Due(t->scheduler));
+        MIN(PhHandover_Due(&t->handover),
+            MIN(PhElection_Due(t->election), PhScheduler_Due(t->scheduler)));
     if (due != PH_TIME_NEVER && !t->update_pending) {
         PhTask_SetTimer(t->self, TIMER_UPDATE,
                         MAX(due, now + UPDATE_INTERVAL_MIN));
--- a/services/schedule/schedule_task.c
+++ b/services/schedule/schedule_task.c
@@ -66,14 +66,12 @@
                PhField_U64("queues", model->config->queues->len));
 }
 
-/* Releases ownership before the process stops. */
+/* Hands ownership over before the process stops. */
 static void
 begin_drain(PhScheduleTask *t)
 {
     t->draining = true;
-    t->drain_began_at = PhTask_Now(t->self);
-    PhScheduleLink_DismissAll(t);
-    PhScheduler_Quiesce(t->scheduler, t->drain_began_at);
+    PhHandover_Begin(&t->handover, PhTask_Now(t->self));
     PhScheduleTask_RequestUpdate(t);
 }
 
@@ -186,7 +184,8 @@
     t->self = self;
     switch (mail->kind) {
     case PH_MAIL_START:
-        PhOwnerLink_Init(&t->link, t->options.link.len > 0, PhTask_Now(self));
+        t->started_at = PhTask_Now(self);
+        PhOwnerLink_Init(&t->link, t->options.link.len > 0, t->started_at);
         PhScheduleOwner_PublishRole(t);
         PhScheduleTask_RequestUpdate(t);
         break;
--- a/services/schedule/schedule_task.h
+++ b/services/schedule/schedule_task.h
@@ -5,6 +5,7 @@
 #include "peridothill/codec/schedule_link.h"
 #include "peridothill/codec/schedule_record.h"
 #include "peridothill/decide/schedule/election.h"
+#include "peridothill/decide/schedule/handover.h"
 #include "peridothill/decide/schedule/owner_link.h"
 #include "peridothill/services/interface.h"
 #include "peridothill/services/orders.h"
@@ -94,7 +95,8 @@
     PhTime store_changed_at;
     PhTime store_read_at; /* time of the last successful call */
     bool draining;
-    PhTime drain_began_at;
+    PhTime started_at;
+    PhHandover handover;
     uint64_t epochs[CALL_KINDS]; /* replies to an older epoch are ignored */
     /* Acceptance of clients' calls. */
     PhStr producer;
@@ -121,6 +123,7 @@
     PhStandbys *standbys;
     GHashTable *forwarded_calls; /* PhForwardedCall by number */
     uint64_t last_forwarded;
+    bool announced_ready; /* the last hello said that it could take over */
 } PhScheduleTask;
 
 /* Sends a call to the store.  The reply's id carries the kind and its
@@ -140,6 +143,8 @@
 /* Whether the known state of an unfinished job is the latest: it is at the
  * owner, and while a read of fresh runs waits for the next record. */
 bool PhScheduleTopics_IsCurrent(const PhScheduleTask *task);
+/* Whether this instance could take over without loading the topics first. */
+bool PhScheduleTopics_AreLoaded(const PhScheduleTask *task);
 /* Reads the runs without waiting for the read interval; false if no read could
  * be sent. */
 bool PhScheduleTopics_ReadRunsNow(PhScheduleTask *task);
@@ -203,6 +208,8 @@
 /* Tells all instances that sent a hello that this one is no longer the
  * owner. */
 void PhScheduleLink_DismissAll(PhScheduleTask *task);
+/* Chooses the instance that shall take over, and has it read the records. */
+PhSuccessor PhScheduleLink_ChooseSuccessor(PhScheduleTask *task);
 
 /* schedule_owner.c: ownership election, records and orders. */
 void PhScheduleOwner_Update(PhScheduleTask *task);
--- a/services/schedule/schedule_topics.c
+++ b/services/schedule/schedule_topics.c
@@ -83,6 +83,13 @@
            (t->runs.read_in_flight && PhScheduleTopics_AreRunsFresh(t));
 }
 
+bool
+PhScheduleTopics_AreLoaded(const PhScheduleTask *t)
+{
+    return PhScheduleTopics_AreFollowed(t) && topic_is_fresh(t, &t->jobs) &&
+           topic_is_fresh(t, &t->runs);
+}
+
 bool
 PhScheduleTopics_ReadRunsNow(PhScheduleTask *t)
 {
--- a/tests/schedule/owners_sim.c
+++ b/tests/schedule/owners_sim.c
@@ -334,7 +334,7 @@
     }
     if (PhScheduler_IsHandedOver(m->scheduler) ||
         w->now - m->stop_at >= HANDOVER_MS * PH_NS_PER_MS) {
-        PhElection_Stop(m->election);
+        PhElection_Stop(m->election, (PhStr){0});
     }
     return w->now - m->stop_at >= PH_OWNERS_NOTICE_MS * PH_NS_PER_MS;
 }
--- a/tests/schedule/test_election.c
+++ b/tests/schedule/test_election.c
@@ -20,11 +20,13 @@
 typedef enum PhStepOp {
     STEP_END, /* end of the script */
     STEP_NONE,
-    STEP_READ_EMPTY,        /* empty read; the topic ends at `number` */
-    STEP_READ_OTHER,        /* another holder's renewal at `number` */
-    STEP_READ_RELEASE,      /* another holder's release at `number` */
-    STEP_READ_OWN,          /* this instance's claim at `number` */
-    STEP_READ_OWN_RENEWAL,  /* this instance's renewal at `number` */
+    STEP_READ_EMPTY,            /* empty read; the topic ends at `number` */
+    STEP_READ_OTHER,            /* another holder's renewal at `number` */
+    STEP_READ_RELEASE,          /* another holder's release at `number` */
+    STEP_READ_RELEASE_TO_SELF,  /* the same, and it names this instance */
+    STEP_READ_RELEASE_TO_OTHER, /* the same, and it names another one */
+    STEP_READ_OWN,              /* this instance's claim at `number` */
+    STEP_READ_OWN_RENEWAL,      /* this instance's renewal at `number` */
     STEP_READ_EARLIER_SELF, /* renewal of this instance's earlier incarnation
                              */
     STEP_READ_FAILS,
@@ -151,6 +153,22 @@
       {10, STEP_READ_RELEASE, 7, ACTION_READ, 0},
       {111, STEP_NONE, 0, ACTION_CLAIM, 0},
       {120, STEP_APPENDED, 9, 0, 9}}},
+    {"claims at once after a release that names it",
+     {{0, STEP_NONE, 0, ACTION_READ, 0},
+      {10, STEP_READ_RELEASE_TO_SELF, 7, ACTION_READ | ACTION_CLAIM, 0},
+      {20, STEP_APPENDED, 9, 0, 9}}},
+    {"leaves precedence to the instance that a release names",
+     {{0, STEP_NONE, 0, ACTION_READ, 0},
+      {10, STEP_READ_RELEASE_TO_OTHER, 7, ACTION_READ, 0},
+      {300, STEP_READ_EMPTY, 8, ACTION_READ, 0},
+      {609, STEP_NONE, 0, 0, 0},
+      {611, STEP_NONE, 0, ACTION_CLAIM, 0}}},
+    {"a later claim ends the precedence",
+     {{0, STEP_NONE, 0, ACTION_READ, 0},
+      {10, STEP_READ_RELEASE_TO_OTHER, 7, ACTION_READ, 0},
+      {50, STEP_READ_OTHER, 8, ACTION_READ, 0},
+      {100, STEP_READ_RELEASE, 9, ACTION_READ, 0},
+      {201, STEP_NONE, 0, ACTION_CLAIM, 0}}},
     {"a restarted owner releases its earlier ownership",
      {{0, STEP_NONE, 0, ACTION_READ, 0},
       {10, STEP_READ_EARLIER_SELF, 7, ACTION_READ | ACTION_RELEASE, 0},
@@ -225,6 +243,16 @@
     PhElection_OnRead(e, &entry, 1, s->number + 1, s->at_ms * PH_NS_PER_MS);
 }
 
+static void
+read_release(PhElection *e, const PhElectionStep *s, PhStr successor)
+{
+    PhElectionEntry entry = {.offset = s->number,
+                             .kind = PH_ELECTION_RELEASE,
+                             .holder = OTHER,
+                             .successor = successor};
+    PhElection_OnRead(e, &entry, 1, s->number + 1, s->at_ms * PH_NS_PER_MS);
+}
+
 static void
 step_apply(PhElection *e, const PhElectionStep *s)
 {
@@ -242,6 +270,12 @@
     case STEP_READ_RELEASE:
         read_one(e, s, PH_ELECTION_RELEASE, OTHER);
         break;
+    case STEP_READ_RELEASE_TO_SELF:
+        read_release(e, s, PhStr_LITERAL("self"));
+        break;
+    case STEP_READ_RELEASE_TO_OTHER:
+        read_release(e, s, PhStr_LITERAL("third"));
+        break;
     case STEP_READ_OWN:
         read_one(e, s, PH_ELECTION_CLAIM, SELF);
         break;
@@ -267,7 +301,7 @@
         PhElection_OnDeposed(e, now);
         break;
     case STEP_STOP:
-        PhElection_Stop(e);
+        PhElection_Stop(e, (PhStr){0});
         break;
     case STEP_SEEN_ON_LINK:
         PhElection_OnOwnerContact(e, now);
--- a/tests/schedule/test_owner_link.c
+++ b/tests/schedule/test_owner_link.c
@@ -172,9 +172,10 @@
         for (size_t i = 0; i < INSTANCES_MAX && c->instances[i].id != NULL;
              i++) {
             const PhStandbyInstance *g = &c->instances[i];
-            bool follows = PhStandbys_OnHello(
-                s, PhStr_FromC(g->id), PhStr_FromC(g->data_centre),
-                g->cpu_milli, now += PH_NS_PER_MS);
+            PhHello hello = {.cpu_milli = g->cpu_milli};
+            bool follows = PhStandbys_OnHello(s, PhStr_FromC(g->id),
+                                              PhStr_FromC(g->data_centre),
+                                              &hello, now += PH_NS_PER_MS);
             if (round == 2) {
                 print_message("#   %s\n", g->id);
                 assert_int_equal(follows, g->follows);
@@ -186,8 +187,9 @@
     g_array_free(all, TRUE);
     /* All other instances have disappeared: the last one is a standby. */
     now += 10 * PH_NS_PER_S;
+    PhHello hello = {.cpu_milli = 100};
     assert_true(PhStandbys_OnHello(s, PhStr_LITERAL("last"),
-                                   PhStr_LITERAL("x"), 100, now));
+                                   PhStr_LITERAL("x"), &hello, now));
     all = PhStandbys_Instances(s, now);
     assert_int_equal(all->len, 1);
     g_array_free(all, TRUE);
@@ -203,6 +205,106 @@
     Ph_RUN_TABLE(standby_cases, standby_run);
 }
 
+/* An instance that has sent a hello, at `age_ms` before the choice. */
+typedef struct PhCandidate {
+    const char *id;
+    uint64_t cpu_milli;
+    int64_t uptime_ms;
+    bool ready;
+    bool leaving;
+    int64_t age_ms;
+} PhCandidate;
+
+typedef struct PhSuccessorCase {
+    const char *name;
+    PhCandidate candidates[INSTANCES_MAX]; /* the first three are standbys */
+    const char
+        *chosen; /* by an owner that has been up for 60 s; empty: none */
+    bool ready;
+    bool is_new;
+} PhSuccessorCase;
+
+static const PhSuccessorCase successor_cases[] = {
+    {"no other instance", {{0}}, "", false, false},
+    {"a standby that is ready",
+     {{"a", 100, 60000, false}, {"b", 100, 60000, true}},
+     "b",
+     true,
+     false},
+    {"one that stops does not take over",
+     {{"a", 100, 60000, true, .leaving = true}, {"b", 100, 60000, false}},
+     "b",
+     false,
+     false},
+    {"nor one that has been silent",
+     {{"a", 100, 60000, true, .age_ms = 1300}, {"b", 100, 60000, true}},
+     "b",
+     true,
+     false},
+    {"one that was restarted comes before one that is ready",
+     {{"a", 100, 60000, true}, {"b", 100, 4000, false}},
+     "b",
+     false,
+     false},
+    {"of those that were restarted, one that is ready",
+     {{"a", 100, 3000, false},
+      {"b", 100, 9000, true},
+      {"c", 100, 2000, false}},
+     "b",
+     true,
+     false},
+    {"instances that started together with the owner are equal",
+     {{"a", 100, 59500, false}, {"b", 100, 60400, true}},
+     "b",
+     true,
+     false},
+    {"a weak one does not, though it was restarted",
+     {{"a", 100, 3000, true}, {"b", 500, 60000, false}},
+     "b",
+     false,
+     false},
+    {"one that is no standby becomes one",
+     {{"a", 100, 60000, true},
+      {"b", 100, 60000, true},
+      {"c", 100, 60000, true},
+      {"d", 100, 4000, false}},
+     "d",
+     false,
+     true},
+};
+
+static void
+successor_run(const PhSuccessorCase *c)
+{
+    PhStandbys *s = PhStandbys_Create();
+    PhTime now = 100 * PH_NS_PER_S;
+    for (size_t i = 0; i < INSTANCES_MAX && c->candidates[i].id != NULL; i++) {
+        const PhCandidate *x = &c->candidates[i];
+        PhHello hello = {.cpu_milli = x->cpu_milli,
+                         .uptime = x->uptime_ms * PH_NS_PER_MS,
+                         .ready = x->ready,
+                         .leaving = x->leaving};
+        PhStandbys_OnHello(s, PhStr_FromC(x->id), PhStr_LITERAL("x"), &hello,
+                           now - x->age_ms * PH_NS_PER_MS);
+    }
+    PhSuccessor chosen = PhStandbys_ChooseSuccessor(s, 60 * PH_NS_PER_S, now);
+    assert_true(PhStr_Equal(chosen.instance, PhStr_FromC(c->chosen)));
+    assert_int_equal(chosen.ready, c->ready);
+    assert_int_equal(chosen.is_new, c->is_new);
+    chosen = PhStandbys_ChooseSuccessor(s, 60 * PH_NS_PER_S, now);
+    assert_false(chosen.is_new);
+    PhStandbys_Destroy(s);
+}
+
+/* Guards against an ownership that goes to an instance which stops next, or
+ * which has to read the records first. */
+static void
+test_successors(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(successor_cases, successor_run);
+}
+
 typedef struct PhMessageCase {
     const char *name;
     PhLinkMessage message;
@@ -211,6 +313,11 @@
 static const PhMessageCase message_cases[] = {
     {"hello",
      {.tag = PH_LINK_HELLO, .as.hello = {.cpu_milli = 120, .fence = 7}}},
+    {"hello of an instance that could take over",
+     {.tag = PH_LINK_HELLO,
+      .as.hello = {.cpu_milli = 120, .uptime_ms = 4000, .ready = true}}},
+    {"hello of an instance that stops",
+     {.tag = PH_LINK_HELLO, .as.hello = {.cpu_milli = 120, .leaving = true}}},
     {"welcome", {.tag = PH_LINK_WELCOME}},
     {"welcome, standby", {.tag = PH_LINK_WELCOME, .as.welcome.standby = true}},
     {"dismiss", {.tag = PH_LINK_NOT_OWNER}},
@@ -260,8 +367,8 @@
 int
 main(void)
 {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(test_links),
-                                       cmocka_unit_test(test_standbys),
-                                       cmocka_unit_test(test_messages)};
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_links), cmocka_unit_test(test_standbys),
+        cmocka_unit_test(test_successors), cmocka_unit_test(test_messages)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/schedule/test_schedule_codec.c
+++ b/tests/schedule/test_schedule_codec.c
@@ -396,6 +396,7 @@
     {"earlier owners have ended",
      {.kind = PH_ELECTION_RELEASE,
       .holder = TEXT("a.1"),
+      .successor = TEXT("b"),
       .states_earlier = true,
       .earlier = -1500 * PH_NS_PER_MS - 1},
      TEXT(""),
@@ -415,8 +416,8 @@
     assert_true(PhStr_Equal(key, c->key));
     assert_int_equal(entry.states_earlier, c->entry.states_earlier);
     assert_int_equal(entry.earlier, c->earlier);
-    PhStr_Clear(&entry.holder);
-    PhStr_Clear(&entry.address);
+    assert_true(PhStr_Equal(entry.successor, c->entry.successor));
+    PhElectionEntry_Clear(&entry);
     PhStr_Clear(&key);
     assert_false(PhElectionEntry_Decode(PhStr_Slice(value, 0, value.len - 1),
                                         &entry, &key));
