--- a/include/peridothill/common/event_list_schedule.h
+++ b/include/peridothill/common/event_list_schedule.h
@@ -38,3 +38,4 @@
 PH_EVENT(7025, SCHEDULE_RELEASED, INFO,
          "run is over without a reported end, its task is queued again")
 PH_EVENT(7026, SCHEDULE_WITHDRAWN, INFO, "start must not be sent any more")
+PH_EVENT(7030, SCHEDULE_HANDOVER, INFO, "ownership is handed over")
--- a/services/schedule/schedule_log.c
+++ b/services/schedule/schedule_log.c
@@ -159,6 +159,17 @@
                PhField_I64("earlier_ms", (last_order - now) / PH_NS_PER_MS));
 }
 
+void
+PhScheduleLog_Handover(PhScheduleTask *t, PhStr successor, bool recorded)
+{
+    PhTime after = PhTask_Now(t->self) - t->stop_began_at;
+    PhTask_LOG(t->self, PH_EVENT_SCHEDULE_HANDOVER,
+               PhField_U64("fence", t->fence),
+               PhField_STR("successor", successor),
+               PhField_I64("after_ms", after / PH_NS_PER_MS),
+               PhField_U64("recorded", recorded));
+}
+
 static PhStr
 evidence_name(PhLeaseEvidence evidence)
 {
--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -453,8 +453,13 @@
         }
         break;
     case PH_HANDOVER_RELEASE:
-        PhElection_Stop(t->election,
-                        successor.ready ? successor.instance : (PhStr){0});
+        if (!successor.ready) {
+            successor.instance = (PhStr){0};
+        }
+        if (stage != before && input.ownership == PH_OWNERSHIP_ACTIVE) {
+            PhScheduleLog_Handover(t, successor.instance, input.recorded);
+        }
+        PhElection_Stop(t->election, successor.instance);
         break;
     }
 }
--- a/services/schedule/schedule_task.c
+++ b/services/schedule/schedule_task.c
@@ -71,7 +71,8 @@
 begin_drain(PhScheduleTask *t)
 {
     t->draining = true;
-    PhHandover_Begin(&t->handover, PhTask_Now(t->self));
+    t->stop_began_at = PhTask_Now(t->self);
+    PhHandover_Begin(&t->handover, t->stop_began_at);
     PhScheduleTask_RequestUpdate(t);
 }
 
--- a/services/schedule/schedule_task.h
+++ b/services/schedule/schedule_task.h
@@ -96,6 +96,7 @@
     PhTime store_read_at; /* time of the last successful call */
     bool draining;
     PhTime started_at;
+    PhTime stop_began_at; /* `draining` since then */
     PhHandover handover;
     uint64_t epochs[CALL_KINDS]; /* replies to an older epoch are ignored */
     /* Acceptance of clients' calls. */
@@ -228,6 +229,8 @@
 /* schedule_log.c: log lines of the owner.  PhScheduleLog_Notes also clears the
  * scheduler's notes. */
 void PhScheduleLog_OwnerGained(PhScheduleTask *task);
+void PhScheduleLog_Handover(PhScheduleTask *task, PhStr successor,
+                            bool recorded);
 void PhScheduleLog_Order(PhScheduleTask *task, const PhSchedAction *action);
 void PhScheduleLog_OrderFailed(PhScheduleTask *task,
                                const PhOrderReply *reply);
