schedule: lasting tasks move off workers that leave, where there is room

What callers saw: each lasting task of a worker that leaves, though that is announced 4 s ahead, was down for a lease of 3 s and more.

Cause: its run went on until the worker had gone, and was then waited for.

Change: 1.2 s before the worker may be gone (remainingMs of its entry), a lasting task for which another worker has room is stopped, with the room reserved there until its end is reported, and starts there.

--- a/decide/schedule/model.c
+++ b/decide/schedule/model.c
@@ -382,6 +382,23 @@
     worker_account(worker, PhSchedTask_Step(task), 1);
 }
 
+void
+PhSchedTask_Reserve(PhSchedTask *task, PhSchedWorker *worker, PhTime until)
+{
+    Ph_INVARIANT(PH_INVARIANT_PRECONDITION, task->reserved == NULL, "run=%u",
+                 (unsigned)task->run);
+    task->reserved = worker;
+    task->reserved_until = until;
+    worker_account(worker, PhSchedTask_Step(task), 1);
+}
+
+void
+PhSchedTask_Unreserve(PhSchedTask *task)
+{
+    worker_account(task->reserved, PhSchedTask_Step(task), -1);
+    task->reserved = NULL;
+}
+
 void
 PhSchedTask_ResetPace(PhSchedTask *task, int percent_sent)
 {
--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -222,11 +222,30 @@
     return true;
 }
 
+/* Places the waiting tasks that have room reserved for them. */
+static void
+stage_place_reserved(PhScheduler *s, PhSchedStage *stage, PhTime now)
+{
+    const PhSchedStep *step = &stage->job->spec.steps[stage->number];
+    for (uint32_t i = 0; i < step->count && stage->waiting > 0; i++) {
+        PhSchedTask *task = &stage->tasks[i];
+        if (task->state == PH_SCHED_TASK_WAITING && task->reserved != NULL) {
+            PhScheduler_PlaceReserved(s, task, now);
+        }
+    }
+}
+
 /* Returns false if some tasks did not fit. */
 static bool
 stage_place(PhScheduler *s, PhPlacementPass *pass, PhSchedStage *stage,
             PhTime now)
 {
+    if (s->reservations->len > 0) {
+        stage_place_reserved(s, stage, now);
+    }
+    if (stage->waiting == 0) {
+        return true;
+    }
     if (is_known_shortage(pass, stage)) {
         return false;
     }
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -20,6 +20,7 @@
     s->interference = PhInterference_Create();
     s->events = g_array_new(FALSE, TRUE, sizeof(PhSchedEvent));
     s->removed_workers = g_ptr_array_new_with_free_func(PhSchedWorker_Destroy);
+    s->reservations = g_ptr_array_new();
     s->dirty_stages = g_ptr_array_new();
     s->dirty_jobs = g_ptr_array_new();
     s->awaiting_durability = g_ptr_array_new();
@@ -44,6 +45,7 @@
         return;
     }
     orders_clear(s);
+    g_ptr_array_free(s->reservations, TRUE);
     g_ptr_array_free(s->dirty_stages, TRUE);
     g_ptr_array_free(s->dirty_jobs, TRUE);
     g_ptr_array_free(s->awaiting_durability, TRUE);
@@ -106,6 +108,13 @@
     return PH_STATUS_OK;
 }
 
+static void
+task_unreserve(gpointer task, gpointer data)
+{
+    (void)data;
+    PhSchedTask_Unreserve(task);
+}
+
 void
 PhScheduler_SetFence(PhScheduler *s, uint64_t fence, PhTime now)
 {
@@ -122,6 +131,8 @@
         ((PhSchedJob *)g_ptr_array_index(s->awaiting_durability, i))
             ->awaiting_durability = false;
     }
+    g_ptr_array_foreach(s->reservations, task_unreserve, NULL);
+    g_ptr_array_set_size(s->reservations, 0);
     g_ptr_array_set_size(s->dirty_stages, 0);
     g_ptr_array_set_size(s->dirty_jobs, 0);
     g_ptr_array_set_size(s->awaiting_durability, 0);
@@ -389,6 +400,7 @@
         PhScheduler_PlanWorker(s, g_ptr_array_index(s->model->incarnations, i),
                                now);
     }
+    PhScheduler_Evacuate(s, now);
     if (s->placement_due && !s->quiesced) {
         PhScheduler_PlaceTasks(s, now);
     }
@@ -483,6 +495,12 @@
     }
     w->listed = true;
     w->dead = false;
+    if (entry->draining) {
+        PhTime leaves_by = now + entry->remaining;
+        w->leaves_by = w->leaving && w->leaves_by > 0
+                           ? MIN(w->leaves_by, leaves_by)
+                           : leaves_by;
+    }
     w->leaving |= entry->draining;
     PhSchedWorker_SetEntry(w, entry);
     if (s->fence != 0 && left) {
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -35,6 +35,7 @@
     PhInterference *interference;
     GArray *events;             /* PhSchedEvent */
     GPtrArray *removed_workers; /* PhSchedWorker that events refer to, owned */
+    GPtrArray *reservations;    /* PhSchedTask with room reserved elsewhere */
     PhTime pairs_recorded_at;   /* interference factors were last recorded */
     bool pairs_due;
 };
@@ -199,6 +200,12 @@
 /* The same for any other worker than the task's own. */
 bool PhScheduler_HasBetterWorker(const PhScheduler *scheduler,
                                  const PhSchedTask *task, PhTime now);
+/* evacuation.c: moves lasting tasks off workers that are about to leave. */
+void PhScheduler_Evacuate(PhScheduler *scheduler, PhTime now);
+/* Places a waiting task where room is reserved for it; false, without a
+ * reservation, if it no longer suits the worker. */
+bool PhScheduler_PlaceReserved(PhScheduler *scheduler, PhSchedTask *task,
+                               PhTime now);
 /* pacing.c: adjusts the pace of a worker's backfill tasks after a sample. */
 void PhScheduler_PaceWorker(PhScheduler *scheduler, PhSchedWorker *worker,
                             PhTime now);
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -50,7 +50,10 @@
     PhSchedTaskState state;
     uint32_t run;
     uint32_t failures;
-    PhSchedWorker *worker;      /* of the newest run, NULL unless placed */
+    PhSchedWorker *worker;   /* of the newest run, NULL unless placed */
+    PhSchedWorker *reserved; /* its resources are reserved there for the
+                                next run, NULL: nowhere */
+    PhTime reserved_until;
     PhStr last_checkpoint;      /* newest checkpoint, empty for none */
     PhTime since;               /* last change of the state */
     PhTime confirmed_at;        /* the worker last confirmed the run */
@@ -138,6 +141,7 @@
     PhStr rack;
     PhSchedResources capacity;
     bool draining;
+    PhTime remaining; /* shortest time until a draining worker leaves */
 } PhSchedWorkerEntry;
 
 /* CPU use of the backfill tasks of one image, as shares of the worker's CPU.
@@ -184,15 +188,17 @@
 /* One incarnation of a worker. */
 struct PhSchedWorker {
     PhSchedWorkerEntry entry;
-    bool listed;          /* its entry is in the list of workers */
-    bool leaving;         /* it has announced that it leaves */
-    PhTime leaving_at;    /* the record of that was read, 0 for none */
-    bool fenced;          /* it has accepted this owner's fence */
-    bool suspended;       /* unreachable; recorded, and no lease is granted */
-    bool dirty;           /* `suspended` differs from its last record */
-    uint64_t grant_batch; /* batch that must be durable before a lease */
-    PhTime suspended_at;  /* the first record of that was read or written */
-    PhTime bound_at;      /* the newest one was */
+    bool listed;       /* its entry is in the list of workers */
+    bool leaving;      /* it has announced that it leaves */
+    PhTime leaving_at; /* the record of that was read, 0 for none */
+    PhTime leaves_by;  /* earliest time at which a draining worker leaves */
+    PhTime evacuation_due; /* no attempt to move its tasks before */
+    bool fenced;           /* it has accepted this owner's fence */
+    bool suspended;        /* unreachable; recorded, and no lease is granted */
+    bool dirty;            /* `suspended` differs from its last record */
+    uint64_t grant_batch;  /* batch that must be durable before a lease */
+    PhTime suspended_at;   /* the first record of that was read or written */
+    PhTime bound_at;       /* the newest one was */
     /* All leases end this long after bound_at; 0: unknown. */
     PhTime lease_expiry_bound;
     bool dead; /* replaced by another incarnation, or its leases expired */
@@ -302,6 +308,10 @@
  * the worker follow. */
 void PhSchedTask_Place(PhSchedTask *task, PhSchedWorker *worker);
 void PhSchedTask_Unplace(PhSchedTask *task, PhSchedTaskState state);
+/* Reserves the resources of a placed task on another worker, or ends that. */
+void PhSchedTask_Reserve(PhSchedTask *task, PhSchedWorker *worker,
+                         PhTime until);
+void PhSchedTask_Unreserve(PhSchedTask *task);
 /* Sets the pace that the worker is known to run the task at, or
  * PH_SCHED_PACE_UNKNOWN, with no order under way. */
 void PhSchedTask_ResetPace(PhSchedTask *task, int percent_sent);
--- a/tests/schedule/owners_sim.c
+++ b/tests/schedule/owners_sim.c
@@ -12,6 +12,8 @@
     JOB_TASKS = 4,
     JOB_INTERVAL_MS = 1000, /* between two jobs of short tasks */
     HANDOVER_MS = 300,      /* longest wait of a release for its records */
+    /* Draining workers leave long before, with runs that were not moved. */
+    STATED_REMAINING_MS = 600000,
 };
 
 static void
@@ -45,7 +47,8 @@
         .address = PhStr_Dup(id),
         .service = PhStr_Dup(PhStr_LITERAL("service")),
         .capacity = {.cpu_milli = CAPACITY_CPU_MILLI, .mem_mb = 1},
-        .draining = h->draining};
+        .draining = h->draining,
+        .remaining = STATED_REMAINING_MS * PH_NS_PER_MS};
     PhScheduler_SetWorker(m->scheduler, &entry, w->now);
 }
 
