schedule: the log tells why tasks that are to last wait

Their ends are an event of their own now (7027), with a limit of its own. Once a second, the task that is to last and has waited longest, for 3 s or more, is logged (7028): the workers counted by what comes first of all that forbids the start there, and those that would have room beside lasting tasks alone. The checks in fit.c say what forbids a start instead of whether one is forbidden; the decisions stay the same.

--- a/decide/schedule/fit.c
+++ b/decide/schedule/fit.c
@@ -39,12 +39,24 @@
     return false;
 }
 
+/* Whether a worker may be given starts at all. */
+static PhFit
+worker_judge(const PhSchedWorker *w, PhTime now)
+{
+    if (!w->listed || w->dead || !w->fenced || w->suspended ||
+        w->failing_since != 0) {
+        return PH_FIT_SILENT;
+    }
+    if (w->entry.draining) {
+        return PH_FIT_LEAVES;
+    }
+    return w->cooldown_until > now ? PH_FIT_COOLDOWN : PH_FIT_YES;
+}
+
 bool
 PhScheduler_IsUsable(const PhSchedWorker *w, PhTime now)
 {
-    return w->listed && !w->dead && w->fenced && !w->suspended &&
-           !w->entry.draining && w->failing_since == 0 &&
-           w->cooldown_until <= now;
+    return worker_judge(w, now) == PH_FIT_YES;
 }
 
 /* CPU left for backfill tasks in milli-cores.  Plain tasks count with their
@@ -68,22 +80,23 @@
     return count;
 }
 
-/* Reports whether the declared resources of a task fit. */
-static bool
-resources_fit(const PhSchedWorker *w, const PhSchedStep *step, PhTime now)
+/* Whether the declared resources of a task fit. */
+static PhFit
+resources_judge(const PhSchedWorker *w, const PhSchedStep *step, PhTime now)
 {
     const PhSchedResources *c = &w->entry.capacity;
-    if (w->used.mem_mb + step->resources.mem_mb > c->mem_mb ||
-        w->used.gpu + step->resources.gpu > c->gpu) {
-        return false;
+    if (w->used.mem_mb + step->resources.mem_mb > c->mem_mb) {
+        return PH_FIT_MEMORY;
     }
-    if (step->fills && w->backfill_blocked_until > now) {
-        return false;
+    if (w->used.gpu + step->resources.gpu > c->gpu) {
+        return PH_FIT_GPU;
     }
-    if (step->fills) {
-        return backfill_cpu_left(w) >= step->resources.cpu_milli;
+    if (step->fills && w->backfill_blocked_until > now) {
+        return PH_FIT_BLOCKED;
     }
-    return w->used.cpu_milli + step->resources.cpu_milli <= c->cpu_milli;
+    int64_t left =
+        step->fills ? backfill_cpu_left(w) : c->cpu_milli - w->used.cpu_milli;
+    return left >= step->resources.cpu_milli ? PH_FIT_YES : PH_FIT_CPU;
 }
 
 bool
@@ -95,16 +108,20 @@
            (step->requires.len == 0 || has_label(w, step->requires));
 }
 
-static bool
-worker_fits(const PhSchedWorker *w, const PhSchedTask *task, PhTime now)
+/* Whether a task fits on a usable worker. */
+static PhFit
+task_judge(const PhSchedWorker *w, const PhSchedTask *task, PhTime now)
 {
-    const PhSchedStage *stage = task->stage;
     const PhSchedStep *step = PhSchedTask_Step(task);
-    if (!PhScheduler_IsEligible(w, task) || !resources_fit(w, step, now)) {
-        return false;
+    if (!PhScheduler_IsEligible(w, task)) {
+        return PH_FIT_SERVICE;
     }
-    return step->max_per_worker == 0 ||
-           stage_tasks_on(w, stage) < step->max_per_worker;
+    PhFit fit = resources_judge(w, step, now);
+    if (fit == PH_FIT_YES && step->max_per_worker > 0 &&
+        stage_tasks_on(w, task->stage) >= step->max_per_worker) {
+        return PH_FIT_LIMIT;
+    }
+    return fit;
 }
 
 /* Share of the worker's serving tasks with the step's image.  Serving tasks
@@ -159,7 +176,7 @@
                        const PhSchedTask *task, PhTime now, double *score)
 {
     const PhSchedStep *step = PhSchedTask_Step(task);
-    if (!worker_fits(w, task, now)) {
+    if (task_judge(w, task, now) != PH_FIT_YES) {
         return false;
     }
     double cost =
@@ -172,7 +189,24 @@
 PhScheduler_IsInterferenceFree(const PhScheduler *s, const PhSchedWorker *w,
                                const PhSchedTask *task, PhTime now)
 {
-    return PhScheduler_IsUsable(w, now) && worker_fits(w, task, now) &&
+    return PhScheduler_IsUsable(w, now) &&
+           task_judge(w, task, now) == PH_FIT_YES &&
            PhInterference_Cost(s->interference, w, PhSchedTask_Step(task)) <
                MOVE_COST_MAX;
 }
+
+PhFit
+PhScheduler_JudgeFit(const PhScheduler *s, const PhSchedWorker *w,
+                     const PhSchedTask *task, PhTime now)
+{
+    PhFit fit = worker_judge(w, now);
+    double score;
+    if (fit == PH_FIT_YES) {
+        fit = task_judge(w, task, now);
+    }
+    if (fit == PH_FIT_YES &&
+        !PhScheduler_RateWorker(s, w, task, now, &score)) {
+        fit = PH_FIT_COST;
+    }
+    return fit;
+}
--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -72,7 +72,7 @@
                       PhTime now)
 {
     PhSchedJob *job = task->stage->job;
-    PhTime ready_at = MAX(task->since, MAX(job->accepted_at, s->owner_since));
+    PhTime ready_at = PhScheduler_WaitsSince(s, task);
     PhSchedTask_Place(task, w);
     job->starts++;
     job->first_start_at = job->first_start_at == 0 ? now : job->first_start_at;
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -392,6 +392,7 @@
     if (s->placement_due && !s->quiesced) {
         PhScheduler_PlaceTasks(s, now);
     }
+    PhScheduler_ReportWaits(s, now);
 }
 
 uint64_t
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -32,6 +32,7 @@
     PhTime due;
     bool placement_due;       /* a change may allow a start */
     PhTime next_placement_at; /* no placement before */
+    PhTime waits_due_at;      /* long waits are reported next */
     PhInterference *interference;
     GArray *events;             /* PhSchedEvent */
     GPtrArray *removed_workers; /* PhSchedWorker that events refer to, owned */
@@ -171,6 +172,10 @@
                                       PhTime now);
 /* fit.c: reports whether a worker may be given starts at all. */
 bool PhScheduler_IsUsable(const PhSchedWorker *worker, PhTime now);
+/* Whether a task may start on a worker now. */
+PhFit PhScheduler_JudgeFit(const PhScheduler *scheduler,
+                           const PhSchedWorker *worker,
+                           const PhSchedTask *task, PhTime now);
 /* Reports whether a worker is of the task's service and has the label that its
  * step requires. */
 bool PhScheduler_IsEligible(const PhSchedWorker *worker,
@@ -194,6 +199,11 @@
 /* Places a task on a worker, records and queues its start. */
 void PhScheduler_StartTask(PhScheduler *scheduler, PhSchedTask *task,
                            PhSchedWorker *worker, PhTime now);
+/* waits.c: since when a waiting task could have started. */
+PhTime PhScheduler_WaitsSince(const PhScheduler *scheduler,
+                              const PhSchedTask *task);
+/* Reports why tasks that are to last wait for long. */
+void PhScheduler_ReportWaits(PhScheduler *scheduler, PhTime now);
 /* Places waiting tasks on workers. */
 void PhScheduler_PlaceTasks(PhScheduler *scheduler, PhTime now);
 /* The same for any other worker than the task's own. */
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -417,6 +417,7 @@
     event.as.ended.kind = end->kind;
     event.as.ended.run_time = now - task->since;
     event.as.ended.failures = task->failures;
+    event.as.ended.long_running = PhSchedTask_Step(task)->long_running;
     g_array_append_val(s->events, event);
     PhScheduler_EndRun(s, task, end->kind, end->last_checkpoint, now);
 }
--- a/include/peridothill/common/event_list_schedule.h
+++ b/include/peridothill/common/event_list_schedule.h
@@ -38,3 +38,6 @@
 PH_EVENT(7025, SCHEDULE_RELEASED, INFO,
          "run is over without a reported end, its task is queued again")
 PH_EVENT(7026, SCHEDULE_WITHDRAWN, INFO, "start must not be sent any more")
+PH_EVENT(7027, SCHEDULE_LASTING_ENDED, INFO, "run that is to last ended")
+PH_EVENT(7028, SCHEDULE_LASTING_WAITS, INFO,
+         "task that is to last has waited for long")
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -124,6 +124,7 @@
     PH_SCHED_EVENT_RUN_RELEASED,    /* a run is over without a reported end */
     PH_SCHED_EVENT_START_WITHDRAWN, /* an assigned task must not start any more
                                      */
+    PH_SCHED_EVENT_TASK_WAITS, /* a task that is to last has waited for long */
 } PhSchedEventTag;
 
 /* Why the start of an assigned task must not be sent. */
@@ -144,10 +145,27 @@
     PH_SCHED_RELEASE_REPLACED, /* a later incarnation of the worker answered */
 } PhSchedRelease;
 
+/* Whether a task may start on a worker, or what comes first of all that
+ * forbids it. */
+typedef enum PhFit {
+    PH_FIT_YES,
+    PH_FIT_SILENT, /* not listed, or it does not answer */
+    PH_FIT_LEAVES,
+    PH_FIT_COOLDOWN, /* after failures or refusals */
+    PH_FIT_SERVICE,  /* of another service, or without the label */
+    PH_FIT_MEMORY,
+    PH_FIT_GPU,
+    PH_FIT_CPU,
+    PH_FIT_BLOCKED, /* a serving task stays over its target */
+    PH_FIT_LIMIT,   /* as many tasks of the step are there as may be */
+    PH_FIT_COST,    /* it would disturb serving tasks too much */
+    PH_FIT_COUNT,
+} PhFit;
+
 /* Strings are borrowed until the model next changes. */
 typedef struct PhSchedEvent {
     PhSchedEventTag tag;
-    const PhSchedWorker *worker; /* NULL for JOB_ENDED */
+    const PhSchedWorker *worker; /* NULL for JOB_ENDED and TASK_WAITS */
     union {
         struct {
             PhSchedTaskName task;
@@ -155,6 +173,7 @@
             PhSchedEndKind kind;
             PhTime run_time;
             uint32_t failures;
+            bool long_running;
         } ended;
         struct {
             PhSchedTaskName task;
@@ -181,6 +200,17 @@
             PhTime suspended; /* duration, -1 if it was not suspended */
             PhLeaseEvidence evidence;
         } lost;
+        struct {
+            PhSchedTaskName task;
+            uint32_t run; /* the last one */
+            uint32_t failures;
+            PhTime waited;
+            uint32_t long_waits; /* of all tasks that are to last */
+            PhSchedResources resources;
+            uint32_t workers[PH_FIT_COUNT];
+            uint32_t beside_lasting; /* usable workers that would have room if
+                                        only lasting tasks were there */
+        } waits;
     } as;
 } PhSchedEvent;
 
--- a/services/schedule/schedule_log.c
+++ b/services/schedule/schedule_log.c
@@ -84,7 +84,10 @@
                        ? PH_COUNTER_SCHEDULE_ENDS_FAILED
                        : PH_COUNTER_SCHEDULE_ENDS,
                    1);
-    PhTask_LOG(t->self, PH_EVENT_SCHEDULE_ENDED, PhField_STR("run", task),
+    PhEventId event = note->as.ended.long_running
+                          ? PH_EVENT_SCHEDULE_LASTING_ENDED
+                          : PH_EVENT_SCHEDULE_ENDED;
+    PhTask_LOG(t->self, event, PhField_STR("run", task),
                PhField_U64("number", note->as.ended.run),
                PhField_STR("worker", note->worker->entry.id),
                PhField_STR("how", kinds[note->as.ended.kind]),
@@ -93,6 +96,36 @@
     PhStr_Clear(&task);
 }
 
+/* Logs why a task that is to last has waited for long. */
+static void
+log_task_waits(PhScheduleTask *t, const PhSchedEvent *note)
+{
+    PhStr task = format_task(&note->as.waits.task);
+    const PhSchedResources *asked = &note->as.waits.resources;
+    const uint32_t *workers = note->as.waits.workers;
+    PhTask_LOG(t->self, PH_EVENT_SCHEDULE_LASTING_WAITS,
+               PhField_STR("run", task),
+               PhField_U64("number", note->as.waits.run),
+               PhField_I64("waited_ms", note->as.waits.waited / PH_NS_PER_MS),
+               PhField_U64("long_waits", note->as.waits.long_waits),
+               PhField_U64("failures", note->as.waits.failures),
+               PhField_I64("cpu_milli", asked->cpu_milli),
+               PhField_I64("mem_mb", asked->mem_mb),
+               PhField_U64("fits", workers[PH_FIT_YES]),
+               PhField_U64("silent", workers[PH_FIT_SILENT]),
+               PhField_U64("leaves", workers[PH_FIT_LEAVES]),
+               PhField_U64("cooldown", workers[PH_FIT_COOLDOWN]),
+               PhField_U64("other_service", workers[PH_FIT_SERVICE]),
+               PhField_U64("memory", workers[PH_FIT_MEMORY]),
+               PhField_U64("gpu", workers[PH_FIT_GPU]),
+               PhField_U64("cpu", workers[PH_FIT_CPU]),
+               PhField_U64("blocked", workers[PH_FIT_BLOCKED]),
+               PhField_U64("limit", workers[PH_FIT_LIMIT]),
+               PhField_U64("cost", workers[PH_FIT_COST]),
+               PhField_U64("beside_lasting", note->as.waits.beside_lasting));
+    PhStr_Clear(&task);
+}
+
 /* Logs that the start of an assigned task must not be sent any more. */
 static void
 log_start_withdrawn(PhScheduleTask *t, const PhSchedEvent *note)
@@ -243,6 +276,9 @@
         case PH_SCHED_EVENT_START_WITHDRAWN:
             log_start_withdrawn(t, &notes[i]);
             break;
+        case PH_SCHED_EVENT_TASK_WAITS:
+            log_task_waits(t, &notes[i]);
+            break;
         }
     }
     PhScheduler_ClearEvents(t->scheduler);
