schedule: a lasting task whose run has ended starts before those that never ran

Cause: lasting tasks were ordered like all others, by whether their job can still meet its objective, by work and by id. They have no end, so after the slack every job of them has missed its objective, and one that was handed in just now goes first. A failed task thus gave its room to one that had never run, and waited behind all of those, also for the room that others left. Where the worker had two failures in a row, its room stayed empty for 6 s, and went to another task then.

The change: lasting tasks that have run before are candidates of their own. They go before lasting tasks that have never run, also before those of their own step, the one that is down for longest first. So the room that a run leaves is taken by its own task in the same pass, or after the cooldown. Priorities of queues go first as before.

--- a/decide/schedule/order.c
+++ b/decide/schedule/order.c
@@ -7,9 +7,12 @@
 };
 
 /* Sorts by priority.  Long-running tasks come next: they are few, and down
- * until they start.  Then come jobs that can meet their objective, and among
- * equals those with the least remaining work (shortest remaining processing
- * time first), which lets most jobs meet it during a burst. */
+ * until they start.  Those of them that have run before come first, so that
+ * the room of one that fails is not given to another, and the one that is down
+ * for longest before the others.  Then come jobs that can meet their
+ * objective, and among equals those with the least remaining work (shortest
+ * remaining processing time first), which lets most jobs meet it during a
+ * burst. */
 static gint
 candidate_compare(gconstpointer a, gconstpointer b)
 {
@@ -20,8 +23,11 @@
     if (px != py) {
         return px < py ? -1 : 1;
     }
-    if (x->long_running != y->long_running) {
-        return x->long_running ? -1 : 1;
+    if (x->tag != y->tag) {
+        return x->tag < y->tag ? -1 : 1;
+    }
+    if (x->interrupted_at != y->interrupted_at) {
+        return x->interrupted_at < y->interrupted_at ? -1 : 1;
     }
     if (x->objective_status != y->objective_status) {
         return x->objective_status < y->objective_status ? -1 : 1;
@@ -75,8 +81,36 @@
     return c;
 }
 
+/* Adds the tasks of a long-running stage that have run before and those that
+ * have never run; a gang is one candidate. */
 static void
-round_collect(GArray *list, PhSchedJob *job, uint32_t k, PhTime now)
+lasting_collect(GArray *list, const PhScheduler *s, PhCandidate c)
+{
+    const PhSchedStep *step = &c.stage->job->spec.steps[c.stage->number];
+    PhCandidate again = c;
+    uint32_t interrupted = 0;
+    again.tag = PH_CANDIDATE_INTERRUPTED;
+    again.interrupted_at = PH_TIME_NEVER;
+    for (uint32_t i = 0; i < step->count; i++) {
+        const PhSchedTask *task = &c.stage->tasks[i];
+        if (task->state == PH_SCHED_TASK_WAITING && task->run > 0) {
+            PhTime since = PhScheduler_WaitsSince(s, task);
+            again.interrupted_at = MIN(again.interrupted_at, since);
+            interrupted++;
+        }
+    }
+    if (interrupted > 0) {
+        g_array_append_val(list, again);
+    }
+    if (interrupted == 0 || (interrupted < c.stage->waiting && !step->gang)) {
+        c.tag = PH_CANDIDATE_LASTING;
+        g_array_append_val(list, c);
+    }
+}
+
+static void
+round_collect(GArray *list, const PhScheduler *s, PhSchedJob *job, uint32_t k,
+              PhTime now)
 {
     PhCandidate c = {0};
     for (uint32_t j = 0; j < job->spec.step_count; j++) {
@@ -88,8 +122,13 @@
             c = job_rate(job, k, now);
         }
         c.stage = stage;
-        c.long_running = job->spec.steps[j].long_running;
-        g_array_append_val(list, c);
+        c.tag = PH_CANDIDATE_ENDING;
+        if (job->spec.steps[j].long_running) {
+            lasting_collect(list, s, c);
+        }
+        else {
+            g_array_append_val(list, c);
+        }
     }
 }
 
@@ -101,7 +140,7 @@
         PhSchedJob *job = g_ptr_array_index(s->model->active, i);
         for (uint32_t k = 0; k < job->round_count; k++) {
             if (job->rounds[k].done < job->spec.step_count) {
-                round_collect(list, job, k, now);
+                round_collect(list, s, job, k, now);
             }
         }
     }
--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -173,18 +173,47 @@
     return most > UNFIT;
 }
 
+/* How the tasks of a candidate are placed. */
+typedef enum PhPlacing {
+    PLACING_NONE, /* it does not wait, or is not of the candidate */
+    PLACING_ALONE,
+    PLACING_WITH_OTHERS,
+} PhPlacing;
+
+/* Tasks without failures are placed with others: the workers suit all of them
+ * alike. */
+static PhPlacing
+task_placing(const PhSchedTask *task, PhCandidateTag tag)
+{
+    if (task->state != PH_SCHED_TASK_WAITING) {
+        return PLACING_NONE;
+    }
+    PhPlacing placing =
+        task->failures > 0 ? PLACING_ALONE : PLACING_WITH_OTHERS;
+    switch (tag) {
+    case PH_CANDIDATE_INTERRUPTED:
+        return task->run > 0 ? placing : PLACING_NONE;
+    case PH_CANDIDATE_LASTING:
+        return task->run == 0 ? placing : PLACING_NONE;
+    case PH_CANDIDATE_ENDING:
+        break;
+    }
+    return placing;
+}
+
 /* Places the waiting tasks without failures.  The workers are rated once, and
  * after each start only the worker that got it. */
 static bool
-stage_place_new(PhScheduler *s, PhPlacementPass *pass, PhSchedStage *stage,
+stage_place_new(PhScheduler *s, PhPlacementPass *pass, const PhCandidate *c,
                 PhTime now)
 {
+    PhSchedStage *stage = c->stage;
     const PhSchedStep *step = &stage->job->spec.steps[stage->number];
     bool rated = false;
     guint best = 0;
     for (uint32_t i = 0; i < step->count && stage->waiting > 0; i++) {
         PhSchedTask *task = &stage->tasks[i];
-        if (task->state != PH_SCHED_TASK_WAITING || task->failures > 0) {
+        if (task_placing(task, c->tag) != PLACING_WITH_OTHERS) {
             continue;
         }
         for (guint j = 0; j < pass->workers->len && !rated; j++) {
@@ -205,16 +234,19 @@
 /* Rates the workers again for each failed task, since the rating depends on
  * where it failed. */
 static bool
-stage_place_failed(PhScheduler *s, PhSchedStage *stage, PhTime now)
+stage_place_failed(PhScheduler *s, PhPlacementPass *pass, const PhCandidate *c,
+                   PhTime now)
 {
+    PhSchedStage *stage = c->stage;
     const PhSchedStep *step = &stage->job->spec.steps[stage->number];
     for (uint32_t i = 0; i < step->count && stage->waiting > 0; i++) {
         PhSchedTask *task = &stage->tasks[i];
-        if (task->state != PH_SCHED_TASK_WAITING || task->failures == 0) {
+        if (task_placing(task, c->tag) != PLACING_ALONE) {
             continue;
         }
         PhSchedWorker *w = PhScheduler_PickWorker(s, task, (PhStr){0}, now);
         if (w == NULL) {
+            shortage_record(pass, stage);
             return false;
         }
         PhScheduler_StartTask(s, task, w, now);
@@ -224,17 +256,18 @@
 
 /* Returns false if some tasks did not fit. */
 static bool
-stage_place(PhScheduler *s, PhPlacementPass *pass, PhSchedStage *stage,
-            PhTime now)
+candidate_place(PhScheduler *s, PhPlacementPass *pass, const PhCandidate *c,
+                PhTime now)
 {
+    PhSchedStage *stage = c->stage;
     if (is_known_shortage(pass, stage)) {
         return false;
     }
     if (stage->job->spec.steps[stage->number].gang) {
         return PhScheduler_PlaceGang(s, stage, now);
     }
-    return stage_place_failed(s, stage, now) &&
-           stage_place_new(s, pass, stage, now);
+    return stage_place_failed(s, pass, c, now) &&
+           stage_place_new(s, pass, c, now);
 }
 
 void
@@ -249,8 +282,8 @@
     bool all = true;
     pass_begin(&pass, s, now);
     for (guint i = 0; i < list->len; i++) {
-        PhSchedStage *stage = g_array_index(list, PhCandidate, i).stage;
-        all &= stage_place(s, &pass, stage, now);
+        all &= candidate_place(s, &pass, &g_array_index(list, PhCandidate, i),
+                               now);
     }
     pass_end(&pass);
     g_array_free(list, TRUE);
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -158,10 +158,18 @@
     PH_OBJECTIVE_MISSED,
 } PhObjectiveStatus;
 
-/* A stage with waiting tasks and its sort key. */
+/* Which waiting tasks of a stage a candidate stands for. */
+typedef enum PhCandidateTag {
+    PH_CANDIDATE_INTERRUPTED, /* long-running ones that have run before */
+    PH_CANDIDATE_LASTING,     /* long-running ones that have never run */
+    PH_CANDIDATE_ENDING,      /* all of a stage that comes to an end */
+} PhCandidateTag;
+
+/* Waiting tasks of a stage and their sort key. */
 typedef struct PhCandidate {
     PhSchedStage *stage;
-    bool long_running; /* no completion time, hence no objective */
+    PhCandidateTag tag;
+    PhTime interrupted_at; /* INTERRUPTED: the earliest end of a run, else 0 */
     PhObjectiveStatus objective_status;
     double work; /* estimated remaining work of the job: time x milli-cores */
 } PhCandidate;
