--- a/tests/scripts/test_play_days.py
+++ b/tests/scripts/test_play_days.py
@@ -55,7 +55,7 @@
     ("a report without rules", [NO_RULES], 0, 1),
 ]
 
-OPTIONS = [[], ["--jobs", "3"], ["--logs", "logs"]]
+OPTIONS = [[], ["--jobs", "3", "--logs", "logs"]]
 
 REFUSED = [
     # name, arguments after the site, the variables, the status
