listener: a stop closes no connection that may be sending a request

Cause: at the end of the notice, and each 500 ms after it, the listener shut down the write side of every connection without a delivered request. It went on reading, so that a request that was on its way, unread, or read in part was read whole and passed on, and its answer failed with EPIPE.

Change: both directions are shut down, and only of connections that have no bytes of a request, read or unread, and were not used for 500 ms; a request line that was read marks its connection. What the listener still finds on a connection that it has shut down it does not take.

The table in test_listener failed before in seven of its twelve rows: a request on its way was read (1 instead of 0), and six that had arrived in whole or part, or whose connection was opened a moment ago, were not answered.

Conclusion: whatever is read whole can be answered. A request that crosses the close is reset unread, which HTTP/1.1 cannot rule out.

--- a/services/platform/listener.c
+++ b/services/platform/listener.c
@@ -111,6 +111,7 @@
         MHD_OPTION_CONNECTION_TIMEOUT, l->options.idle_timeout_s,
         MHD_OPTION_NOTIFY_COMPLETED, PhListener_OnCompleted, l,
         MHD_OPTION_NOTIFY_CONNECTION, on_connection, l,
+        MHD_OPTION_URI_LOG_CALLBACK, PhListener_OnRequestLine, l,
         MHD_OPTION_UNESCAPE_CALLBACK, unescape_nothing, NULL, MHD_OPTION_END);
 }
 
@@ -244,22 +245,44 @@
     exchange_resume(x);
 }
 
+static bool
+has_unread_bytes(int fd)
+{
+    char byte;
+    return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* Reports whether a connection has no part of a request. While quiescing, one
+ * that was used a moment ago is left to the next sweep, since its caller may
+ * be sending. */
+static bool
+is_to_be_closed(const PhListener *l, const PhConnection *caller, PhTime now)
+{
+    PhTime silent = now - caller->last_progress_at;
+    if (silent >= l->options.idle_timeout_s * PH_NS_PER_S) {
+        return !caller->busy;
+    }
+    return l->quiescing && silent >= SWEEP_INTERVAL_MS * PH_NS_PER_MS &&
+           !caller->begun && !has_unread_bytes(caller->fd);
+}
+
 /* Closes connections whose next request does not arrive completely in time,
  * even if it trickles in; while quiescing, all connections without a request.
- * libmicrohttpd then reads the end of the stream and cleans up. */
+ * libmicrohttpd then reads the end of the stream and cleans up. Both
+ * directions are shut down, so that no request is read which cannot be
+ * answered. */
 static void
 connections_sweep(PhListener *l)
 {
     GHashTableIter iter;
     gpointer value;
-    PhTime limit = l->options.idle_timeout_s * PH_NS_PER_S;
     PhTime now = PhTask_Now(l->self);
     g_hash_table_iter_init(&iter, l->connections);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const PhConnection *caller = value;
-        if (!caller->busy &&
-            (l->quiescing || now - caller->last_progress_at >= limit)) {
-            shutdown(caller->fd, l->quiescing ? SHUT_WR : SHUT_RDWR);
+        PhConnection *caller = value;
+        if (is_to_be_closed(l, caller, now)) {
+            caller->closing = true;
+            shutdown(caller->fd, SHUT_RDWR);
         }
     }
     if (g_hash_table_size(l->connections) > 0) {
@@ -268,13 +291,6 @@
     }
 }
 
-static bool
-has_unread_bytes(int fd)
-{
-    char byte;
-    return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 /* Closes the connection that has been idle for the longest time, so that the
  * caller that waits is accepted. Without an idle one it waits for the next
  * answer. */
@@ -286,9 +302,10 @@
         return;
     }
     for (GList *at = l->idle.head; at != NULL; at = at->next) {
-        const PhConnection *caller = at->data;
+        PhConnection *caller = at->data;
         if (!has_unread_bytes(caller->fd)) {
             l->makes_room = true;
+            caller->closing = true;
             shutdown(caller->fd, SHUT_RDWR);
             return;
         }
--- a/services/platform/listener_internal.h
+++ b/services/platform/listener_internal.h
@@ -8,7 +8,9 @@
 
 typedef struct PhConnection {
     int fd;
-    bool busy; /* its request was delivered and is not answered yet */
+    bool begun;   /* the first line of its request was read */
+    bool busy;    /* its request was delivered and is not answered yet */
+    bool closing; /* was shut down */
     PhTime last_progress_at; /* opened, headers received or answered */
     GList *idle;             /* its link in PhListener.idle, or NULL */
 } PhConnection;
@@ -49,6 +51,8 @@
 };
 
 /* listener_request.c: libmicrohttpd callbacks for one request. */
+void *PhListener_OnRequestLine(void *context, const char *uri,
+                               struct MHD_Connection *connection);
 enum MHD_Result PhListener_OnAccess(void *context,
                                     struct MHD_Connection *connection,
                                     const char *url, const char *method,
--- a/services/platform/listener_request.c
+++ b/services/platform/listener_request.c
@@ -152,22 +152,43 @@
     return status;
 }
 
+static PhConnection *
+caller_find(const PhListener *l, struct MHD_Connection *connection)
+{
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    return g_hash_table_lookup(l->connections,
+                               GINT_TO_POINTER(info->connect_fd));
+}
+
+void *
+PhListener_OnRequestLine(void *context, const char *uri,
+                         struct MHD_Connection *connection)
+{
+    (void)uri;
+    caller_find(context, connection)->begun = true;
+    return NULL;
+}
+
+/* A request on a connection that was shut down cannot be answered, and is not
+ * taken. */
 static enum MHD_Result
 exchange_begin(PhListener *l, struct MHD_Connection *connection, void **slot)
 {
+    PhConnection *caller = caller_find(l, connection);
+    if (caller->closing) {
+        return MHD_NO;
+    }
     int refusal = headers_refusal(l, connection);
     if (refusal != 0) {
         return respond_refusal(connection, refusal);
     }
-    const union MHD_ConnectionInfo *info =
-        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     PhExchange *x = g_new0(PhExchange, 1);
     x->listener = l;
     x->connection = connection;
     x->id = ++l->next_id;
     x->fd = -1;
-    x->caller =
-        g_hash_table_lookup(l->connections, GINT_TO_POINTER(info->connect_fd));
+    x->caller = caller;
     x->caller->last_progress_at = PhTask_Now(l->self);
     PhConnection_SetIdle(l, x->caller, false);
     *slot = x;
@@ -247,6 +268,7 @@
     }
     bool unanswered = g_hash_table_remove(l->exchanges, &x->id);
     uint64_t id = x->id;
+    x->caller->begun = false;
     x->caller->busy = false;
     x->caller->last_progress_at = PhTask_Now(l->self);
     PhConnection_SetIdle(l, x->caller, true);
--- /dev/null
+++ b/tests/platform/test_listener.c
@@ -0,0 +1,309 @@
+#include "peridothill/services/listener.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "tests/paused_loop.h"
+#include "tests/table.h"
+
+enum {
+    STEPS_MAX = 10,
+    RUN_STEPS = 10,
+    SWEEP_STEPS = 110, /* longer than between two sweeps of the listener */
+    REPLY_BYTES = 1024,
+};
+
+static const char LINE[] = "POST /a HTTP/1.1\r\n";
+static const char HEADERS[] = "Host: a\r\nContent-Length: 4\r\n\r\nbo";
+static const char BODY[] = "dy";
+
+/* What a caller and the owner of the listener do, one after the other.  The
+ * event loop runs only where a step says so. */
+typedef enum PhStopStep {
+    STEP_NONE,
+    STEP_OPEN,
+    STEP_SEND_LINE,
+    STEP_SEND_HEADERS,
+    STEP_SEND_BODY,
+    STEP_SEND_ALL,
+    STEP_RUN,
+    STEP_RUN_PAST_SWEEP,
+    STEP_QUIESCE,
+    STEP_ANSWER,
+} PhStopStep;
+
+/* How a caller's connection ends. */
+typedef enum PhStopEnd {
+    END_CLOSED,   /* or reset, without an answer */
+    END_ANSWERED, /* then closed */
+} PhStopEnd;
+
+typedef struct PhStopCase {
+    const char *name;
+    PhStopStep steps[STEPS_MAX];
+    bool read; /* the whole request was delivered */
+    PhStopEnd end;
+} PhStopCase;
+
+static const PhStopCase stop_cases[] = {
+    {"idle connection",
+     {STEP_OPEN, STEP_RUN_PAST_SWEEP, STEP_QUIESCE, STEP_RUN},
+     false,
+     END_CLOSED},
+    {"request on its way as the connection is closed",
+     {STEP_OPEN, STEP_RUN_PAST_SWEEP, STEP_QUIESCE, STEP_SEND_ALL, STEP_RUN,
+      STEP_ANSWER},
+     false,
+     END_CLOSED},
+    {"connection opened a moment ago",
+     {STEP_OPEN, STEP_RUN, STEP_QUIESCE, STEP_RUN, STEP_SEND_ALL, STEP_RUN,
+      STEP_ANSWER},
+     true,
+     END_ANSWERED},
+    {"request arrived and not read yet",
+     {STEP_OPEN, STEP_RUN_PAST_SWEEP, STEP_SEND_ALL, STEP_QUIESCE, STEP_RUN,
+      STEP_ANSWER},
+     true,
+     END_ANSWERED},
+    {"first line arrived and not read yet",
+     {STEP_OPEN, STEP_RUN_PAST_SWEEP, STEP_SEND_LINE, STEP_QUIESCE,
+      STEP_SEND_HEADERS, STEP_SEND_BODY, STEP_RUN, STEP_ANSWER},
+     true,
+     END_ANSWERED},
+    {"first line read",
+     {STEP_OPEN, STEP_RUN_PAST_SWEEP, STEP_SEND_LINE, STEP_RUN, STEP_QUIESCE,
+      STEP_SEND_HEADERS, STEP_SEND_BODY, STEP_RUN, STEP_ANSWER},
+     true,
+     END_ANSWERED},
+    {"headers read",
+     {STEP_OPEN, STEP_RUN_PAST_SWEEP, STEP_SEND_LINE, STEP_SEND_HEADERS,
+      STEP_RUN, STEP_QUIESCE, STEP_SEND_BODY, STEP_RUN, STEP_ANSWER},
+     true,
+     END_ANSWERED},
+    {"headers read, the rest after a sweep",
+     {STEP_OPEN, STEP_SEND_LINE, STEP_SEND_HEADERS, STEP_QUIESCE,
+      STEP_RUN_PAST_SWEEP, STEP_SEND_BODY, STEP_RUN, STEP_ANSWER},
+     true,
+     END_ANSWERED},
+    {"request read",
+     {STEP_OPEN, STEP_SEND_ALL, STEP_RUN, STEP_QUIESCE, STEP_RUN, STEP_ANSWER},
+     true,
+     END_ANSWERED},
+    {"request answered and not sent yet",
+     {STEP_OPEN, STEP_SEND_ALL, STEP_RUN, STEP_ANSWER, STEP_QUIESCE,
+      STEP_RUN_PAST_SWEEP, STEP_RUN_PAST_SWEEP},
+     true,
+     END_ANSWERED},
+    {"caller that connects during the stop",
+     {STEP_QUIESCE, STEP_OPEN, STEP_RUN, STEP_SEND_ALL, STEP_RUN, STEP_ANSWER},
+     true,
+     END_ANSWERED},
+    {"silent caller that connects during the stop",
+     {STEP_QUIESCE, STEP_OPEN, STEP_RUN, STEP_RUN_PAST_SWEEP,
+      STEP_RUN_PAST_SWEEP},
+     false,
+     END_CLOSED},
+};
+
+/* A task with a listener, and its only caller. */
+typedef struct PhStopServer {
+    PhTask *self;
+    PhListener *listener;
+    uint64_t waiting; /* id of the request to answer, or 0 */
+    size_t read;
+    int fd;
+    char reply[REPLY_BYTES];
+    size_t reply_len;
+    bool closed;
+} PhStopServer;
+
+static void
+on_request(void *context, const PhIncoming *incoming)
+{
+    PhStopServer *s = context;
+    assert_true(PhStr_Equal(incoming->body, PhStr_LITERAL("body")));
+    s->waiting = incoming->id;
+    s->read++;
+}
+
+static void
+on_client_disconnect(void *context, uint64_t id)
+{
+    (void)context;
+    (void)id;
+}
+
+static void
+server_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhStopServer *s = state;
+    s->self = self;
+    if (mail->kind == PH_MAIL_START) {
+        PhListenerOptions options = {.address = PhStr_LITERAL("127.0.0.1:0"),
+                                     .body_limit_bytes = 100,
+                                     .connection_limit = 8,
+                                     .idle_timeout_s = 60,
+                                     .context = s,
+                                     .on_request = on_request,
+                                     .on_client_disconnect =
+                                         on_client_disconnect};
+        PhResult r = PhListener_Create(self, &options, &s->listener);
+        assert_int_equal(r.status, PH_STATUS_OK);
+        return;
+    }
+    PhListener_Handle(s->listener, mail);
+}
+
+static void
+server_destroy(void *state)
+{
+    PhListener_Destroy(((PhStopServer *)state)->listener);
+}
+
+static void
+caller_open(PhStopServer *s)
+{
+    struct sockaddr_in a = {.sin_family = AF_INET,
+                            .sin_port = htons(PhListener_Port(s->listener)),
+                            .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    s->fd = socket(AF_INET, SOCK_STREAM, 0);
+    assert_int_equal(connect(s->fd, (struct sockaddr *)&a, sizeof(a)), 0);
+}
+
+/* A connection that the listener has closed may refuse the bytes. */
+static void
+caller_send(const PhStopServer *s, const char *text)
+{
+    (void)!send(s->fd, text, strlen(text), MSG_NOSIGNAL);
+}
+
+/* Reads what has arrived.  Like callers in practice, it closes its side at the
+ * end of the stream. */
+static void
+caller_read(PhStopServer *s)
+{
+    ssize_t n = 1;
+    while (s->fd >= 0 && n > 0) {
+        n = recv(s->fd, s->reply + s->reply_len, REPLY_BYTES - s->reply_len,
+                 MSG_DONTWAIT);
+        s->reply_len += (size_t)MAX(n, 0);
+    }
+    if (s->fd >= 0 && (n == 0 || (errno != EAGAIN && errno != EINTR))) {
+        s->closed = true;
+        close(s->fd);
+        s->fd = -1;
+    }
+}
+
+static void
+loop_run(PhStopServer *s, struct ev_loop *loop, PhClock *clock, int steps)
+{
+    for (int i = 0; i < steps; i++) {
+        PhPausedLoop_Step(loop, clock);
+        if (s->fd >= 0) {
+            caller_read(s);
+        }
+    }
+}
+
+static void
+step_take(PhStopServer *s, PhStopStep step, struct ev_loop *loop,
+          PhClock *clock)
+{
+    switch (step) {
+    case STEP_NONE:
+        break;
+    case STEP_OPEN:
+        caller_open(s);
+        break;
+    case STEP_SEND_LINE:
+        caller_send(s, LINE);
+        break;
+    case STEP_SEND_HEADERS:
+        caller_send(s, HEADERS);
+        break;
+    case STEP_SEND_BODY:
+        caller_send(s, BODY);
+        break;
+    case STEP_SEND_ALL:
+        caller_send(s, LINE);
+        caller_send(s, HEADERS);
+        caller_send(s, BODY);
+        break;
+    case STEP_RUN:
+        loop_run(s, loop, clock, RUN_STEPS);
+        break;
+    case STEP_RUN_PAST_SWEEP:
+        loop_run(s, loop, clock, SWEEP_STEPS);
+        break;
+    case STEP_QUIESCE:
+        PhListener_Quiesce(s->listener);
+        break;
+    case STEP_ANSWER:
+        PhListener_Answer(s->listener, s->waiting, 200, NULL, 0,
+                          PhStr_LITERAL("done"));
+        break;
+    }
+}
+
+static void
+check_end(const PhStopServer *s, const PhStopCase *c)
+{
+    bool answered = strstr(s->reply, "HTTP/1.1 200") != NULL &&
+                    strstr(s->reply, "done") != NULL;
+    assert_int_equal(s->read, c->read);
+    assert_true(s->closed);
+    assert_int_equal(answered, c->end == END_ANSWERED);
+    assert_int_equal(PhListener_Connections(s->listener), 0);
+}
+
+static void
+check_stop(const PhStopCase *c)
+{
+    struct ev_loop *loop = ev_loop_new(0);
+    PhClock *clock = PhPausedLoop_CreateClock();
+    PhCounters *counters = PhCounters_Create();
+    PhKernel *kernel = PhKernel_Create(&(PhKernelOptions){
+        .clock = clock, .loop = loop, .counters = counters});
+    PhStopServer s = {.fd = -1};
+    PhTaskSpec spec = {.name = PhStr_LITERAL("server"),
+                       .mailbox_capacity = 16,
+                       .state = &s,
+                       .handle = server_handle,
+                       .destroy = server_destroy};
+    assert_int_equal(PhKernel_Spawn(kernel, &spec, NULL), PH_STATUS_OK);
+    loop_run(&s, loop, clock, 1);
+    for (size_t i = 0; i < STEPS_MAX; i++) {
+        step_take(&s, c->steps[i], loop, clock);
+    }
+    loop_run(&s, loop, clock, RUN_STEPS);
+    check_end(&s, c);
+    if (s.fd >= 0) {
+        close(s.fd);
+    }
+    PhKernel_Destroy(kernel);
+    PhCounters_Destroy(counters);
+    PhClock_Destroy(clock);
+    ev_loop_destroy(loop);
+}
+
+/* Guards against requests that are read whole and not answered during a
+ * stop. */
+static void
+test_stop(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(stop_cases, check_stop);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_stop),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
