front: connections close after an answer from SIGTERM on

What callers saw: until the end of the notice a stopping instance kept the connections of busy callers open and then closed them all at once, just as the next requests were being sent on them.

Cause: "Connection: close" was sent only after the notice.

Change: the front has the listener close every connection after its next answer from SIGTERM on, so that the connections left at the end of the notice were not used for 2.5 s or are new. Callers that connect again before the balancer has noticed are answered as before.

Tried and left out: to hold idle connections until 4 s after SIGTERM.

The row "request during the notice" of test_front failed before: the connection stayed open. The caller of test_listener has become a file of its own.

--- a/include/peridothill/services/listener.h
+++ b/include/peridothill/services/listener.h
@@ -49,10 +49,12 @@
                        PhStr body);
 /* Closes the connection of a request without answering it. */
 void PhListener_Drop(PhListener *listener, uint64_t id);
-/* Closes every connection after its next answer, and connections on which no
- * part of a request has arrived once they were not used for half a second. New
- * connections are still accepted, so that their requests are
- * refused by a response rather than a reset. */
+/* Closes every connection after its next answer from now on. */
+void PhListener_CloseAfterAnswers(PhListener *listener);
+/* The same, and closes connections on which no part of a request has arrived
+ * once they were not used for half a second. New connections are still
+ * accepted, so that their requests are refused by a response rather than a
+ * reset. */
 void PhListener_Quiesce(PhListener *listener);
 /* Number of open connections, idle ones included. */
 size_t PhListener_Connections(const PhListener *listener);
--- a/services/platform/listener.c
+++ b/services/platform/listener.c
@@ -392,9 +392,15 @@
 }
 
 void
-PhListener_Quiesce(PhListener *l)
+PhListener_CloseAfterAnswers(PhListener *l)
 {
     l->close_after_response = true;
+}
+
+void
+PhListener_Quiesce(PhListener *l)
+{
+    PhListener_CloseAfterAnswers(l);
     l->quiescing = true;
     connections_sweep(l);
 }
--- /dev/null
+++ b/tests/platform/test_front.c
@@ -0,0 +1,253 @@
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "peridothill/platform/adapter.h"
+#include "peridothill/services/interface.h"
+#include "peridothill/services/schedule.h"
+#include "raw_caller.h"
+#include "scripted_task.h"
+#include "tests/paused_loop.h"
+#include "tests/table.h"
+
+enum {
+    STEPS_MAX = 12,
+    RUN_STEPS = 5,
+    NOTICE_MS = 600,
+    LIMIT_MS = 600,
+    FD_MAX = 256,
+    MAILBOX_CAPACITY = 16,
+};
+
+static const char HEADERS[] =
+    "DELETE /a/0123456789abcdef HTTP/1.1\r\nHost: a\r\n";
+static const char END_OF_HEADERS[] = "\r\n";
+
+/* What the caller, the scheduler and the supervisor do, one after the other.
+ */
+typedef enum PhFrontStep {
+    STEP_NONE,
+    STEP_OPEN,
+    STEP_SEND_HEADERS,
+    STEP_SEND_END,
+    STEP_RUN,
+    STEP_STOP,
+    STEP_PASS_NOTICE,
+    STEP_PASS_LIMIT,
+    STEP_ANSWER,
+} PhFrontStep;
+
+typedef struct PhFrontCase {
+    const char *name;
+    PhFrontStep steps[STEPS_MAX];
+    size_t passed_on;   /* requests that reached the scheduler */
+    const char *answer; /* its first line, or NULL */
+    bool closed;        /* the front has closed the connection */
+    bool ended;         /* the front has ended */
+} PhFrontCase;
+
+static const PhFrontCase front_cases[] = {
+    {"no stop",
+     {STEP_OPEN, STEP_SEND_HEADERS, STEP_SEND_END, STEP_RUN, STEP_ANSWER,
+      STEP_RUN},
+     1,
+     "HTTP/1.1 200 ",
+     false,
+     false},
+    {"request during the notice",
+     {STEP_OPEN, STEP_RUN, STEP_STOP, STEP_SEND_HEADERS, STEP_SEND_END,
+      STEP_RUN, STEP_ANSWER, STEP_RUN},
+     1,
+     "HTTP/1.1 200 ",
+     true,
+     false},
+    {"idle connection during the notice",
+     {STEP_OPEN, STEP_RUN, STEP_STOP, STEP_RUN},
+     0,
+     NULL,
+     false,
+     false},
+    {"idle connection after the notice",
+     {STEP_OPEN, STEP_RUN, STEP_STOP, STEP_PASS_NOTICE, STEP_RUN},
+     0,
+     NULL,
+     true,
+     true},
+    {"answer after the notice",
+     {STEP_OPEN, STEP_SEND_HEADERS, STEP_SEND_END, STEP_RUN, STEP_STOP,
+      STEP_PASS_NOTICE, STEP_ANSWER, STEP_RUN},
+     1,
+     "HTTP/1.1 200 ",
+     true,
+     true},
+    {"rest of the request never sent",
+     {STEP_OPEN, STEP_SEND_HEADERS, STEP_RUN, STEP_STOP, STEP_PASS_NOTICE,
+      STEP_PASS_LIMIT, STEP_PASS_LIMIT},
+     0,
+     NULL,
+     true,
+     true},
+};
+
+/* The front, the scheduler it passes calls to, and its only caller. */
+typedef struct PhFrontRig {
+    struct ev_loop *loop;
+    PhClock *clock;
+    PhKernel *kernel;
+    PhTask *schedule;
+    PhTaskRef asker;
+    uint64_t asked;
+    size_t passed_on;
+    PhRawCaller caller;
+} PhFrontRig;
+
+static void
+schedule_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhFrontRig *r = state;
+    r->schedule = self;
+    if (mail->kind != PH_MAIL_MESSAGE) {
+        return;
+    }
+    const PhScheduleMessage *m = mail->as.message.body;
+    if (m->tag == PH_SCHEDULE_CANCEL) {
+        r->passed_on++;
+        r->asker = mail->from;
+        r->asked = m->as.call.id;
+    }
+}
+
+static void
+schedule_answer(PhFrontRig *r)
+{
+    PhScheduleMessage m = {
+        .tag = PH_SCHEDULE_ANSWER,
+        .as.answer = {.id = r->asked, .tag = PH_SCHEDULE_CANCELLED}};
+    PhTask_Send(r->schedule, r->asker, PhScheduleMessage_Wrap(&m));
+}
+
+/* The port of the listener that was opened first, which is for clients. */
+static uint16_t
+clients_port(void)
+{
+    for (int fd = 0; fd < FD_MAX; fd++) {
+        int listens = 0;
+        struct sockaddr_in a = {0};
+        socklen_t len = sizeof(listens);
+        if (getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &len) == 0 &&
+            listens) {
+            len = sizeof(a);
+            assert_int_equal(getsockname(fd, (struct sockaddr *)&a, &len), 0);
+            return ntohs(a.sin_port);
+        }
+    }
+    fail_msg("nothing listens");
+    return 0;
+}
+
+static void
+rig_run(PhFrontRig *r, int steps)
+{
+    for (int i = 0; i < steps; i++) {
+        PhPausedLoop_Step(r->loop, r->clock);
+        PhRawCaller_Read(&r->caller);
+    }
+}
+
+static void
+step_take(PhFrontRig *r, PhFrontStep step)
+{
+    switch (step) {
+    case STEP_NONE:
+        break;
+    case STEP_OPEN:
+        PhRawCaller_Open(&r->caller, clients_port());
+        break;
+    case STEP_SEND_HEADERS:
+        PhRawCaller_Send(&r->caller, HEADERS);
+        break;
+    case STEP_SEND_END:
+        PhRawCaller_Send(&r->caller, END_OF_HEADERS);
+        break;
+    case STEP_RUN:
+        rig_run(r, RUN_STEPS);
+        break;
+    case STEP_STOP:
+        PhKernel_Stop(r->kernel, PhKernel_Lookup(r->kernel, PH_SERVICE_FRONT));
+        break;
+    case STEP_PASS_NOTICE:
+        rig_run(r, NOTICE_MS / PH_PAUSED_STEP_MS + 1);
+        break;
+    case STEP_PASS_LIMIT:
+        rig_run(r, LIMIT_MS / PH_PAUSED_STEP_MS + 1);
+        break;
+    case STEP_ANSWER:
+        schedule_answer(r);
+        break;
+    }
+}
+
+static void
+check_outcome(const PhFrontRig *r, const PhFrontCase *c)
+{
+    assert_int_equal(r->passed_on, c->passed_on);
+    assert_int_equal(r->caller.closed, c->closed);
+    if (c->answer == NULL) {
+        assert_int_equal(r->caller.reply_len, 0);
+    }
+    else {
+        assert_ptr_equal(strstr(r->caller.reply, c->answer), r->caller.reply);
+    }
+    assert_int_equal(
+        PhTaskRef_IsNone(PhKernel_Lookup(r->kernel, PH_SERVICE_FRONT)),
+        c->ended);
+}
+
+static void
+check_front(const PhFrontCase *c)
+{
+    PhFrontRig r = {.caller.fd = -1};
+    r.loop = ev_loop_new(0);
+    r.clock = PhPausedLoop_CreateClock();
+    PhCounters *counters = PhCounters_Create();
+    r.kernel = PhKernel_Create(&(PhKernelOptions){
+        .clock = r.clock, .loop = r.loop, .counters = counters});
+    PhScriptedTask_Spawn(r.kernel, PH_SERVICE_SCHEDULE, MAILBOX_CAPACITY, &r,
+                         schedule_handle);
+    PhFrontOptions options = {.listen = PhStr_LITERAL("127.0.0.1:0"),
+                              .ready = PhStr_LITERAL("127.0.0.1:0"),
+                              .body_limit_bytes = 100,
+                              .connection_limit = 8,
+                              .drain_notice = NOTICE_MS * PH_NS_PER_MS,
+                              .drain_limit = LIMIT_MS * PH_NS_PER_MS};
+    PhResult started = PhFront_Start(r.kernel, &options);
+    assert_true(PhResult_IsOk(&started));
+    rig_run(&r, 1);
+    for (size_t i = 0; i < STEPS_MAX; i++) {
+        step_take(&r, c->steps[i]);
+    }
+    rig_run(&r, RUN_STEPS);
+    check_outcome(&r, c);
+    PhRawCaller_Close(&r.caller);
+    PhKernel_Destroy(r.kernel);
+    PhCounters_Destroy(counters);
+    PhClock_Destroy(r.clock);
+    ev_loop_destroy(r.loop);
+}
+
+/* Guards against stops that leave a request without an answer. */
+static void
+test_front(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(front_cases, check_front);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_front),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/platform/test_listener.c
+++ b/tests/platform/test_listener.c
@@ -1,11 +1,8 @@
 #include "peridothill/services/listener.h"
 
-#include <arpa/inet.h>
-#include <errno.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
+#include "raw_caller.h"
 #include "tests/paused_loop.h"
 #include "tests/table.h"
 
@@ -13,7 +10,6 @@
     STEPS_MAX = 10,
     RUN_STEPS = 10,
     SWEEP_STEPS = 110, /* longer than between two sweeps of the listener */
-    REPLY_BYTES = 1024,
 };
 
 static const char LINE[] = "POST /a HTTP/1.1\r\n";
@@ -31,6 +27,7 @@
     STEP_SEND_ALL,
     STEP_RUN,
     STEP_RUN_PAST_SWEEP,
+    STEP_CLOSE_AFTER_ANSWERS,
     STEP_QUIESCE,
     STEP_ANSWER,
 } PhStopStep;
@@ -101,6 +98,11 @@
      {STEP_QUIESCE, STEP_OPEN, STEP_RUN, STEP_SEND_ALL, STEP_RUN, STEP_ANSWER},
      true,
      END_ANSWERED},
+    {"request before idle connections are closed",
+     {STEP_OPEN, STEP_RUN, STEP_CLOSE_AFTER_ANSWERS, STEP_RUN_PAST_SWEEP,
+      STEP_SEND_ALL, STEP_RUN, STEP_ANSWER},
+     true,
+     END_ANSWERED},
     {"silent caller that connects during the stop",
      {STEP_QUIESCE, STEP_OPEN, STEP_RUN, STEP_RUN_PAST_SWEEP,
       STEP_RUN_PAST_SWEEP},
@@ -114,10 +116,7 @@
     PhListener *listener;
     uint64_t waiting; /* id of the request to answer, or 0 */
     size_t read;
-    int fd;
-    char reply[REPLY_BYTES];
-    size_t reply_len;
-    bool closed;
+    PhRawCaller caller;
 } PhStopServer;
 
 static void
@@ -163,49 +162,12 @@
     PhListener_Destroy(((PhStopServer *)state)->listener);
 }
 
-static void
-caller_open(PhStopServer *s)
-{
-    struct sockaddr_in a = {.sin_family = AF_INET,
-                            .sin_port = htons(PhListener_Port(s->listener)),
-                            .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    s->fd = socket(AF_INET, SOCK_STREAM, 0);
-    assert_int_equal(connect(s->fd, (struct sockaddr *)&a, sizeof(a)), 0);
-}
-
-/* A connection that the listener has closed may refuse the bytes. */
-static void
-caller_send(const PhStopServer *s, const char *text)
-{
-    (void)!send(s->fd, text, strlen(text), MSG_NOSIGNAL);
-}
-
-/* Reads what has arrived.  Like callers in practice, it closes its side at the
- * end of the stream. */
-static void
-caller_read(PhStopServer *s)
-{
-    ssize_t n = 1;
-    while (s->fd >= 0 && n > 0) {
-        n = recv(s->fd, s->reply + s->reply_len, REPLY_BYTES - s->reply_len,
-                 MSG_DONTWAIT);
-        s->reply_len += (size_t)MAX(n, 0);
-    }
-    if (s->fd >= 0 && (n == 0 || (errno != EAGAIN && errno != EINTR))) {
-        s->closed = true;
-        close(s->fd);
-        s->fd = -1;
-    }
-}
-
 static void
 loop_run(PhStopServer *s, struct ev_loop *loop, PhClock *clock, int steps)
 {
     for (int i = 0; i < steps; i++) {
         PhPausedLoop_Step(loop, clock);
-        if (s->fd >= 0) {
-            caller_read(s);
-        }
+        PhRawCaller_Read(&s->caller);
     }
 }
 
@@ -217,21 +179,21 @@
     case STEP_NONE:
         break;
     case STEP_OPEN:
-        caller_open(s);
+        PhRawCaller_Open(&s->caller, PhListener_Port(s->listener));
         break;
     case STEP_SEND_LINE:
-        caller_send(s, LINE);
+        PhRawCaller_Send(&s->caller, LINE);
         break;
     case STEP_SEND_HEADERS:
-        caller_send(s, HEADERS);
+        PhRawCaller_Send(&s->caller, HEADERS);
         break;
     case STEP_SEND_BODY:
-        caller_send(s, BODY);
+        PhRawCaller_Send(&s->caller, BODY);
         break;
     case STEP_SEND_ALL:
-        caller_send(s, LINE);
-        caller_send(s, HEADERS);
-        caller_send(s, BODY);
+        PhRawCaller_Send(&s->caller, LINE);
+        PhRawCaller_Send(&s->caller, HEADERS);
+        PhRawCaller_Send(&s->caller, BODY);
         break;
     case STEP_RUN:
         loop_run(s, loop, clock, RUN_STEPS);
@@ -239,6 +201,9 @@
     case STEP_RUN_PAST_SWEEP:
         loop_run(s, loop, clock, SWEEP_STEPS);
         break;
+    case STEP_CLOSE_AFTER_ANSWERS:
+        PhListener_CloseAfterAnswers(s->listener);
+        break;
     case STEP_QUIESCE:
         PhListener_Quiesce(s->listener);
         break;
@@ -252,10 +217,10 @@
 static void
 check_end(const PhStopServer *s, const PhStopCase *c)
 {
-    bool answered = strstr(s->reply, "HTTP/1.1 200") != NULL &&
-                    strstr(s->reply, "done") != NULL;
+    bool answered = strstr(s->caller.reply, "HTTP/1.1 200") != NULL &&
+                    strstr(s->caller.reply, "done") != NULL;
     assert_int_equal(s->read, c->read);
-    assert_true(s->closed);
+    assert_true(s->caller.closed);
     assert_int_equal(answered, c->end == END_ANSWERED);
     assert_int_equal(PhListener_Connections(s->listener), 0);
 }
@@ -268,7 +233,7 @@
     PhCounters *counters = PhCounters_Create();
     PhKernel *kernel = PhKernel_Create(&(PhKernelOptions){
         .clock = clock, .loop = loop, .counters = counters});
-    PhStopServer s = {.fd = -1};
+    PhStopServer s = {.caller.fd = -1};
     PhTaskSpec spec = {.name = PhStr_LITERAL("server"),
                        .mailbox_capacity = 16,
                        .state = &s,
@@ -281,9 +246,7 @@
     }
     loop_run(&s, loop, clock, RUN_STEPS);
     check_end(&s, c);
-    if (s.fd >= 0) {
-        close(s.fd);
-    }
+    PhRawCaller_Close(&s.caller);
     PhKernel_Destroy(kernel);
     PhCounters_Destroy(counters);
     PhClock_Destroy(clock);
