--- a/include/peridothill/services/listener.h
+++ b/include/peridothill/services/listener.h
@@ -49,6 +49,8 @@
                        PhStr body);
 /* Closes the connection of a request without answering it. */
 void PhListener_Drop(PhListener *listener, uint64_t id);
+/* Answers all requests that wait for an answer with an empty body. */
+void PhListener_AnswerRest(PhListener *listener, int status);
 /* Closes every connection after its next answer from now on. */
 void PhListener_CloseAfterAnswers(PhListener *listener);
 /* The same, and closes connections on which no part of a request has arrived
--- a/services/platform/listener.c
+++ b/services/platform/listener.c
@@ -391,6 +391,17 @@
     exchange_resume(x);
 }
 
+void
+PhListener_AnswerRest(PhListener *l, int status)
+{
+    GList *rest = g_hash_table_get_values(l->exchanges);
+    for (const GList *at = rest; at != NULL; at = at->next) {
+        PhListener_Answer(l, ((const PhExchange *)at->data)->id, status, NULL,
+                          0, (PhStr){0});
+    }
+    g_list_free(rest);
+}
+
 void
 PhListener_CloseAfterAnswers(PhListener *l)
 {
