leases: a record says that orders for an earlier incarnation extend leases

What callers would see: a task runs twice (TWICE).

Cause: an owner that knows that a worker restarted under its id counts 22.3 s for orders meant for the earlier incarnation, and its record of the silent worker contains them. A successor took the smaller of that bound and one lease from the last order of earlier owners, which says nothing of such orders. If it had not seen the earlier incarnation itself, as after its own start, it gave up the runs 6.2 s after the release.

Change: the record states whether such orders determine the bound. The reader then counts them itself, whatever it knows of earlier owners.

Not covered: a worker that answers its owner has no such record, so a successor that does not know of its earlier incarnation still counts one lease.

--- a/codec/schedule_record.c
+++ b/codec/schedule_record.c
@@ -46,7 +46,8 @@
     WORKER_SUSPENDED,
     WORKER_LEAVING,
     WORKER_LEASE_EXPIRY_BOUND_MS,
-    LEASE_EXPIRY_BOUND_MAX_MS = 60000, /* owners write at most 17 s */
+    WORKER_BOUND_INHERITED,
+    LEASE_EXPIRY_BOUND_MAX_MS = 60000, /* owners write at most 23 s */
     PAIRS_ITEMS = 1,
     PAIR_ITEMS = 5, /* backfill and serving image, factor, variance, filter */
     /* Items of a task: state, run and failures, then the worker and its
@@ -255,12 +256,13 @@
         break;
     case PH_SCHED_RECORD_WORKER:
         key = key_make(KEY_WORKER, record->id, NULL);
-        msgpack_pack_map(&p, WORKER_LEASE_EXPIRY_BOUND_MS);
+        msgpack_pack_map(&p, WORKER_BOUND_INHERITED);
         PhPack_U64(&p, WORKER_BORN_MS, (uint64_t)record->as.worker.born_ms);
         PhPack_U64(&p, WORKER_SUSPENDED, record->as.worker.suspended);
         PhPack_U64(&p, WORKER_LEAVING, record->as.worker.leaving);
         PhPack_U64(&p, WORKER_LEASE_EXPIRY_BOUND_MS,
                    whole_ms(record->as.worker.lease_expiry_bound));
+        PhPack_U64(&p, WORKER_BOUND_INHERITED, record->as.worker.inherited);
         break;
     case PH_SCHED_RECORD_PAIRS:
         key = key_make(KEY_PAIRS, (PhStr){0}, NULL);
@@ -533,6 +535,8 @@
             (PhTime)MIN(get_u64(map, WORKER_LEASE_EXPIRY_BOUND_MS),
                         LEASE_EXPIRY_BOUND_MAX_MS) *
             PH_NS_PER_MS;
+        record->as.worker.inherited =
+            get_u64(map, WORKER_BOUND_INHERITED) != 0;
         return PhResult_Ok();
     }
     if (kind == KEY_PAIRS) {
--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -164,8 +164,10 @@
 static void
 bound_record(PhScheduler *s, PhSchedWorker *w, PhTime now)
 {
+    PhTime until = leases_end(s, w).until;
     w->bound_at = now;
-    w->lease_expiry_bound = MAX(leases_end(s, w).until - now, PH_NS_PER_MS);
+    w->lease_expiry_bound = MAX(until - now, PH_NS_PER_MS);
+    w->bound_inherited = w->inherited_leases_end_by >= until;
     PhScheduler_MarkWorkerDirty(s, w);
 }
 
@@ -312,6 +314,7 @@
             .as.worker = {.born_ms = w->entry.born_ms,
                           .suspended = w->suspended,
                           .lease_expiry_bound = w->lease_expiry_bound,
+                          .inherited = w->bound_inherited,
                           .leaving = w->entry.draining}};
         w->dirty = false;
         g_array_append_val(records, record);
--- a/decide/schedule/record.c
+++ b/decide/schedule/record.c
@@ -173,6 +173,11 @@
     w->suspended = record->as.worker.suspended;
     w->bound_at = now;
     w->lease_expiry_bound = record->as.worker.lease_expiry_bound;
+    if (w->suspended && record->as.worker.inherited) {
+        /* Whoever reads this may not know of the earlier incarnation. */
+        w->inherited_leases_end_by =
+            MAX(w->inherited_leases_end_by, now + w->lease_expiry_bound);
+    }
     w->entry.draining |= record->as.worker.leaving;
     w->leaving |= record->as.worker.leaving;
     if (record->as.worker.leaving && w->leaving_at == 0) {
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -195,6 +195,7 @@
     PhTime bound_at;      /* the newest one was */
     /* All leases end this long after bound_at; 0: unknown. */
     PhTime lease_expiry_bound;
+    bool bound_inherited; /* by orders meant for an earlier incarnation */
     bool dead; /* replaced by another incarnation, or its leases expired */
     PhLeaseBound leases;            /* by this owner's clock */
     PhTime inherited_leases_end_by; /* of orders meant for an earlier
--- a/include/peridothill/decide/schedule/record.h
+++ b/include/peridothill/decide/schedule/record.h
@@ -53,7 +53,9 @@
             /* All leases, also of earlier owners, end within this time of the
              * record; 0: unknown. */
             PhTime lease_expiry_bound;
-            bool leaving; /* it has announced that it leaves */
+            bool inherited; /* that covers orders meant for an earlier
+                               incarnation */
+            bool leaving;   /* it has announced that it leaves */
         } worker;
         struct {
             PhSchedPairRecord *items;
--- a/tests/schedule/test_schedule_codec.c
+++ b/tests/schedule/test_schedule_codec.c
@@ -144,6 +144,8 @@
     bool leaving;
     PhTime lease_expiry_bound; /* as recorded */
     PhTime read;
+    bool inherited;
+    PhTime inherited_until; /* read 1 s after the start */
 } PhWorkerRecordCase;
 
 static const PhWorkerRecordCase worker_record_cases[] = {
@@ -154,6 +156,10 @@
      60 * PH_NS_PER_S},
     {"draining", false, true, 0, 0},
     {"draining and suspended", true, true, 3 * PH_NS_PER_S, 3 * PH_NS_PER_S},
+    {"suspended, with orders meant for an earlier incarnation", true, false,
+     20 * PH_NS_PER_S, 20 * PH_NS_PER_S, true, 21 * PH_NS_PER_S},
+    {"leases are granted again after that", false, false, 20 * PH_NS_PER_S,
+     20 * PH_NS_PER_S, true, 0},
 };
 
 /* Encodes and decodes a record and applies it to a model. */
@@ -166,6 +172,7 @@
         .as.worker = {.born_ms = 7,
                       .suspended = c->suspended,
                       .lease_expiry_bound = c->lease_expiry_bound,
+                      .inherited = c->inherited,
                       .leaving = c->leaving}};
     PhSchedEncoded e = PhSchedRecord_Encode(&record);
     PhSchedRecord read;
@@ -180,6 +187,7 @@
     assert_int_equal(w->entry.born_ms, 7);
     assert_int_equal(w->suspended, c->suspended);
     assert_int_equal(w->lease_expiry_bound, c->read);
+    assert_int_equal(w->inherited_leases_end_by, c->inherited_until);
     assert_int_equal(w->entry.draining, c->leaving);
     assert_false(w->listed);
     PhSchedModel_Destroy(model);
