schedule: an entry that comes after records of its incarnation inherits leases

What callers would see: a task runs twice (TWICE).

Cause: an incarnation inherited the leases of orders meant for the earlier one only if its entry was the first to name it. An instance that had read a run on it before, as one that follows the topics may, took it for the newest incarnation already, counted no such orders, and kept the earlier one as listed for good.

Change: the first entry of an incarnation settles all earlier ones, whoever named it first.

--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -461,20 +461,37 @@
     }
 }
 
+/* Handles the first entry of an incarnation.  Records may have named it
+ * before, so it may be the newest one already. */
+static void
+replace_earlier(PhScheduler *s, PhSchedWorker *w, PhTime now)
+{
+    for (guint i = 0; i < s->model->incarnations->len; i++) {
+        PhSchedWorker *x = g_ptr_array_index(s->model->incarnations, i);
+        if (x->entry.born_ms >= w->entry.born_ms ||
+            !PhStr_Equal(x->entry.id, w->entry.id)) {
+            continue;
+        }
+        x->listed = false;
+        if (w->inherited_leases_end_by == 0) {
+            PhScheduler_InheritLeases(s, w, now);
+        }
+    }
+}
+
 void
 PhScheduler_SetWorker(PhScheduler *s, PhSchedWorkerEntry *entry, PhTime now)
 {
-    PhSchedWorker *earlier =
+    const PhSchedWorker *newest =
         PhSchedModel_NewestIncarnation(s->model, entry->id);
-    if (earlier != NULL && earlier->entry.born_ms > entry->born_ms) {
+    if (newest != NULL && newest->entry.born_ms > entry->born_ms) {
         PhSchedWorkerEntry_Clear(entry);
         return;
     }
     PhSchedWorker *w =
         PhSchedModel_Worker(s->model, entry->id, entry->born_ms);
-    if (earlier != NULL && earlier != w) {
-        earlier->listed = false;
-        PhScheduler_InheritLeases(s, w, now);
+    if (!w->listed) {
+        replace_earlier(s, w, now);
     }
     bool usable = w->listed && !w->entry.draining;
     bool left = entry->draining && !w->entry.draining && w->tasks->len > 0;
--- a/tests/schedule/test_inherited_leases.c
+++ b/tests/schedule/test_inherited_leases.c
@@ -24,6 +24,7 @@
     const char *name;
     int64_t takeovers[OWNERS_MAX];
     bool listed; /* the successors find the worker's entry */
+    bool late;   /* owners read the records before the worker's newest entry */
 } PhInheritedCase;
 
 static const PhInheritedCase inherited_cases[] = {
@@ -32,6 +33,11 @@
     {"a successor without the worker's entry", {1500}, false},
     {"a successor of an owner that is released at once", {200}, false},
     {"owners that follow each other", {1500, 3000, 4500, 6000}, false},
+    {"an owner that read of the run before the worker's entry",
+     {0},
+     true,
+     .late = true},
+    {"the same, and a successor", {1500}, true, .late = true},
 };
 
 /* Shows the entry of an incarnation to an owner. */
@@ -68,8 +74,9 @@
  * record of the worker, and knows the worker's entries. */
 static PhScheduler *
 owner_open(PhSchedEncoded stored, uint64_t fence, PhPredecessors *earlier,
-           bool listed, PhTime now)
+           const PhInheritedCase *c, PhTime now)
 {
+    bool listed = fence == 1 || c->listed;
     PhScheduler *s = PhScheduler_Create(&(PhSchedulerOptions){
         .lease_limit = 10 * PH_NS_PER_S, .predecessors = earlier});
     PhPredecessors_Add(earlier, PhStr_LITERAL("owner.1"), now, now, now);
@@ -82,7 +89,7 @@
     if (fence == 1) {
         worker_show(s, FIRST_INCARNATION, now);
     }
-    if (listed) {
+    if (listed && !c->late) {
         worker_show(s, INCARNATION, now);
     }
     PhSchedModel *model = PhScheduler_Model(s);
@@ -91,6 +98,9 @@
     task->run = 1;
     PhSchedTask_Place(
         task, PhSchedModel_Worker(model, PH_SINGLE_WORKER, INCARNATION));
+    if (listed && c->late) {
+        worker_show(s, INCARNATION, now);
+    }
     PhScheduler_SetFence(s, fence, now);
     return s;
 }
@@ -121,7 +131,7 @@
 {
     PhSchedEncoded stored = {0};
     PhPredecessors *earlier = PhPredecessors_Create();
-    PhScheduler *s = owner_open(stored, 1, earlier, true, START);
+    PhScheduler *s = owner_open(stored, 1, earlier, c, START);
     unsigned next = 0;
     int64_t expired = 0;
     for (int64_t ms = STEP_MS; expired == 0; ms += STEP_MS) {
@@ -131,7 +141,7 @@
             PhScheduler_Quiesce(s, now);
             stored = records_store(s, stored);
             PhScheduler_Destroy(s);
-            s = owner_open(stored, ++next + 1, earlier, c->listed, now);
+            s = owner_open(stored, ++next + 1, earlier, c, now);
         }
         PhScheduler_Plan(s, now, 0);
         holds_fail(s, now);
