schedule: leases count from the time at which the ownership was checked

Cause: send_orders read the clock again after the election had been checked. A process that is suspended between the two would grant leases from a time at which it is not the owner any more, beyond the bound that its successor counts (TWICE).

Change: the orders of an update use the time of its start. test_schedule_pair and test_schedule_service pass.

--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -399,10 +399,11 @@
     PhScheduleTask_RequestUpdate(t);
 }
 
+/* Leases count from `now`, at which the ownership was checked: the process may
+ * have been suspended since. */
 static void
-send_orders(PhScheduleTask *t)
+send_orders(PhScheduleTask *t, PhTime now)
 {
-    PhTime now = PhTask_Now(t->self);
     PhSchedAction action;
     while (PhScheduler_NextAction(t->scheduler, now, &action)) {
         PhOrderMessage m = {.tag = PH_ORDER_SEND};
@@ -483,7 +484,7 @@
                          PhTask_Wall(t->self) / PH_NS_PER_MS);
         PhScheduleLog_Notes(t);
         PhScheduleOwner_SendRecords(t);
-        send_orders(t);
+        send_orders(t, now);
         PhScheduler_RemoveDeadWorkers(t->scheduler);
         PhScheduleLog_Notes(t);
     }
