--- a/commands/standin.c
+++ b/commands/standin.c
@@ -1,4 +1,5 @@
 #include <ev.h>
+#include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
 
@@ -26,6 +27,9 @@
     char *data_centre;
     char *services;
     char *store;
+    char *worker;
+    char *listen;
+    gint clock_percent;
     gint run_ms;
     gint workers;
     gint64 seed;
@@ -34,6 +38,7 @@
 typedef struct PhStandins {
     const PhStandinArguments *arguments;
     struct ev_loop *loop;
+    PhClock *clock;
     PhKernel *kernel;
     PhFakeLog *log;
     PhStandinStoreState *store;
@@ -104,6 +109,29 @@
     return r;
 }
 
+/* Starts one worker that runs tasks and reports them on standard output; its
+ * entry is left to whoever started it. */
+static PhResult
+single_worker_start(PhStandins *s)
+{
+    int64_t born_ms = PhClock_Wall(s->clock) / PH_NS_PER_MS;
+    PhStandinRunnerOptions options = {
+        .id = PhStr_FromC(s->arguments->worker),
+        .service = PhStr_FromC(s->arguments->services),
+        .listen = PhStr_FromC(s->arguments->listen),
+        .run_time = s->arguments->run_ms * PH_NS_PER_MS,
+        .born_ms = born_ms,
+        .clock_percent = s->arguments->clock_percent,
+        .events = stdout};
+    PhResult r = PhStandinRunner_Start(s->kernel, &options);
+    if (PhResult_IsOk(&r)) {
+        printf("%" PRId64 " born %s %" PRId64 "\n",
+               PhClock_Now(s->clock) / PH_NS_PER_MS, s->arguments->worker,
+               born_ms);
+    }
+    return r;
+}
+
 static PhResult
 standins_start(PhStandins *s)
 {
@@ -144,8 +172,11 @@
     ev_signal_init(&interrupt, on_signal, SIGINT);
     ev_signal_start(s->loop, &terminate);
     ev_signal_start(s->loop, &interrupt);
-    printf("stand-ins: log %s, list %s, %u workers in %s\n", s->arguments->log,
-           s->arguments->list, s->workers->len, s->arguments->data_centre);
+    if (s->arguments->worker == NULL) {
+        printf("stand-ins: log %s, list %s, %u workers in %s\n",
+               s->arguments->log, s->arguments->list, s->workers->len,
+               s->arguments->data_centre);
+    }
     fflush(stdout);
     ev_run(s->loop, 0);
 }
@@ -163,6 +194,7 @@
     PhClock *clock = PhClock_Create(PH_CLOCK_REAL);
     PhCounters *counters = PhCounters_Create();
     PhStandins s = {.arguments = arguments,
+                    .clock = clock,
                     .loop = ev_loop_new(EVFLAG_AUTO),
                     .log = PhFakeLog_Create(&log_options),
                     .workers = g_ptr_array_new_with_free_func(worker_release)};
@@ -170,8 +202,9 @@
     s.kernel = PhKernel_Create(&(PhKernelOptions){
         .clock = clock, .loop = s.loop, .counters = counters});
     s.store = PhStandinStoreState_Create();
-    PhResult r =
-        arguments->store != NULL ? platform_start(&s) : standins_start(&s);
+    PhResult r = arguments->worker != NULL  ? single_worker_start(&s)
+                 : arguments->store != NULL ? platform_start(&s)
+                                            : standins_start(&s);
     if (PhResult_IsOk(&r)) {
         standins_serve(&s);
     }
@@ -204,8 +237,14 @@
          "that "
          "run tasks",
          "IP:PORT"},
+        {"worker", 0, 0, G_OPTION_ARG_STRING, &a.worker,
+         "Starts only one worker that runs tasks, with this id", "ID"},
+        {"listen", 0, 0, G_OPTION_ARG_STRING, &a.listen,
+         "Address of --worker (default a free port)", "IP:PORT"},
+        {"clock-percent", 0, 0, G_OPTION_ARG_INT, &a.clock_percent,
+         "Speed of the clock of --worker (default 100)", "PERCENT"},
         {"run-ms", 0, 0, G_OPTION_ARG_INT, &a.run_ms,
-         "Run time of a task with --store (default 300)", "MS"},
+         "Run time of a task with --store or --worker (default 300)", "MS"},
         {"workers", 0, 0, G_OPTION_ARG_INT, &a.workers,
          "Number of workers (default 2)", "N"},
         {"data-centre", 0, 0, G_OPTION_ARG_STRING, &a.data_centre,
@@ -238,6 +277,8 @@
     g_free(a.log);
     g_free(a.list);
     g_free(a.store);
+    g_free(a.worker);
+    g_free(a.listen);
     g_free(a.data_centre);
     g_free(a.services);
     return code;
--- a/include/peridothill/standin/platform.h
+++ b/include/peridothill/standin/platform.h
@@ -3,6 +3,8 @@
 #ifndef PERIDOTHILL_STANDIN_PLATFORM_H
 #define PERIDOTHILL_STANDIN_PLATFORM_H
 
+#include <stdio.h>
+
 #include "peridothill/kernel/kernel.h"
 
 /* Injected fault of the store. */
@@ -37,14 +39,20 @@
 typedef struct PhStandinRunnerOptions {
     PhStr id;
     PhStr service;
-    PhTime run_time;            /* of each task */
-    PhStandinStoreState *store; /* receives the worker's entry */
+    PhStr listen;               /* empty: a free port of the loopback */
+    PhTime run_time;            /* of a task whose spec is not "lasting" */
+    PhStandinStoreState *store; /* receives the worker's entry; NULL: none */
+    int64_t born_ms;            /* start of this incarnation, 0 for 1 */
+    int clock_percent;          /* speed of the clock of leases, 0 for 100 */
+    /* Receives a line for each start, end and acknowledged end, see
+     * docs/PROOF.md; borrowed, NULL: none. */
+    FILE *events;
     /* While it is true, starts are neither executed nor answered.  Borrowed;
      * NULL: never. */
     const bool *ignores_starts;
 } PhStandinRunnerOptions;
 
-/* Starts a worker on a free port and stores its entry. */
+/* Starts a worker and stores its entry. */
 PhResult PhStandinRunner_Start(PhKernel *kernel,
                                const PhStandinRunnerOptions *options);
 
--- a/services/platform/http_minimal.c
+++ b/services/platform/http_minimal.c
@@ -300,16 +300,22 @@
     return c;
 }
 
+/* A header "Host" of the request goes before its address. */
 static void
 request_format(PhHttpConnection *c, const PhHttpRequest *r)
 {
+    PhStr host =
+        PhHttpHeader_Find(r->headers, r->header_count, PhStr_LITERAL("Host"));
     PhBuf_Reset(&c->out);
     PhBuf_Append(&c->out, r->method);
     PhBuf_AppendByte(&c->out, ' ');
     PhBuf_Append(&c->out, r->target);
     PhBuf_Append(&c->out, PhStr_LITERAL(" HTTP/1.1\r\nHost: "));
-    PhBuf_Append(&c->out, r->address);
+    PhBuf_Append(&c->out, host.len > 0 ? host : r->address);
     for (size_t i = 0; i < r->header_count; i++) {
+        if (PhStr_EqualNoCase(r->headers[i].name, PhStr_LITERAL("Host"))) {
+            continue;
+        }
         PhBuf_Append(&c->out, PhStr_LITERAL("\r\n"));
         PhBuf_Append(&c->out, r->headers[i].name);
         PhBuf_Append(&c->out, PhStr_LITERAL(": "));
--- a/standin/runner.c
+++ b/standin/runner.c
@@ -1,6 +1,7 @@
 /* Stand-in for a worker of the platform: executes orders to runs under a
  * lease, and keeps ends until they are acknowledged. */
 #include <inttypes.h>
+#include <string.h>
 
 #include "peridothill/codec/json.h"
 #include "peridothill/standin/platform.h"
@@ -11,13 +12,19 @@
     STATUS_BAD_REQUEST = 400,
     STATUS_NOT_FOUND = 404,
     STATUS_CONFLICT = 409,
+    STATUS_OTHER_INSTANCE = 421,
     BODY_LIMIT_BYTES = 64 * 1024,
     TICK_TOKEN = 1,
     TICK_MS = 5,
     CPU_MILLI = 64000,
     MEM_MB = 256000,
+    PERCENT = 100,
+    LEASE_MAX_MS = 10000,
 };
 
+/* Header with the id of the worker that an order is meant for. */
+#define EXPECTED PhStr_LITERAL("Peridothill-Expect-Instance")
+
 typedef struct PhRunnerRun {
     PhStr task;
     int64_t run;
@@ -31,6 +38,7 @@
     PhStr task;
     int64_t run;
     const char *how;
+    bool lease_expired; /* afterwards, before it was acknowledged */
 } PhRunnerEnd;
 
 typedef struct PhRunner {
@@ -38,6 +46,10 @@
     PhStr id;
     PhTime run_time;
     const bool *ignores_starts; /* borrowed, may be NULL */
+    FILE *events;               /* borrowed, may be NULL */
+    int64_t born_ms;
+    int clock_percent;
+    PhTime started_at;
     int64_t fence;
     int64_t deadline_ms;
     int64_t next_end;
@@ -48,11 +60,32 @@
     PhTime wait_until;
 } PhRunner;
 
-/* The worker's clock. */
+/* The worker's clock; it begins with the kernel's and may be slower. */
 static int64_t
 clock_ms(const PhRunner *r)
 {
-    return PhTask_Now(r->server->self) / PH_NS_PER_MS;
+    PhTime age = PhTask_Now(r->server->self) - r->started_at;
+    return (r->started_at + age / PERCENT * r->clock_percent) / PH_NS_PER_MS;
+}
+
+/* Time by the kernel's clock at which the worker's clock shows `ms`. */
+static PhTime
+time_of_clock(const PhRunner *r, int64_t ms)
+{
+    return r->started_at +
+           (ms * PH_NS_PER_MS - r->started_at) / r->clock_percent * PERCENT;
+}
+
+/* Writes a line: time in ms, what happened, task, run. */
+static void
+event_write(const PhRunner *r, PhTime at, const char *what, PhStr task,
+            int64_t run)
+{
+    if (r->events != NULL) {
+        fprintf(r->events, "%" PRId64 " %s %.*s %" PRId64 "\n",
+                at / PH_NS_PER_MS, what, PhStr_ARG(task), run);
+        fflush(r->events);
+    }
 }
 
 /* `reason` may be NULL. */
@@ -90,7 +123,7 @@
                            i > 0 ? "," : "", end->number, PhStr_ARG(end->task),
                            end->run, end->how);
     }
-    PhBuf_Append(&body, PhStr_LITERAL("]}"));
+    PhBuf_AppendFormat(&body, "],\"born\":%" PRId64 "}", r->born_ms);
     PhListener_Answer(r->server->listener, id, STATUS_OK, NULL, 0,
                       PhBuf_Str(&body));
     PhBuf_Clear(&body);
@@ -113,6 +146,9 @@
 {
     PhTime now = PhTask_Now(r->server->self);
     bool lease_expired = clock_ms(r) > r->deadline_ms;
+    for (guint i = 0; i < r->ends->len && lease_expired; i++) {
+        g_array_index(r->ends, PhRunnerEnd, i).lease_expired = true;
+    }
     for (guint i = r->runs->len; i-- > 0;) {
         PhRunnerRun *run = &g_array_index(r->runs, PhRunnerRun, i);
         if (run->ends_at > now && !lease_expired) {
@@ -122,7 +158,15 @@
                            .task = run->task,
                            .run = run->run,
                            .how = run->stopping ? "stopped" : "done"};
-        end.how = lease_expired ? "lapsed" : end.how;
+        /* A run that was due before the lease expired is done, also when the
+         * worker was suspended in between. */
+        PhTime lapse = time_of_clock(r, r->deadline_ms);
+        if (lease_expired && run->ends_at > lapse) {
+            end.how = "lapsed";
+        }
+        end.lease_expired = lease_expired;
+        event_write(r, MIN(run->ends_at, lease_expired ? lapse : now), end.how,
+                    run->task, run->run);
         record_highest(r, run->task, run->run);
         g_array_append_val(r->ends, end);
         g_array_remove_index(r->runs, i);
@@ -144,12 +188,23 @@
     PhTask_SetTimer(r->server->self, TICK_TOKEN, now + TICK_MS * PH_NS_PER_MS);
 }
 
+/* Never shortens the lease; a longer one than allowed is cut. */
+static void
+lease_extend(PhRunner *r, int64_t deadline_ms)
+{
+    int64_t latest = clock_ms(r) + LEASE_MAX_MS;
+    r->deadline_ms = MAX(r->deadline_ms, MIN(deadline_ms, latest));
+}
+
 static void
 on_start(PhRunner *r, uint64_t id, const json_t *body)
 {
     PhStr task = PhJson_GetStr(body, "task");
     int64_t run = PhJson_GetInt(body, "run", 0);
     int64_t deadline_ms = PhJson_GetInt(body, "deadlineMs", 0);
+    bool lasting =
+        PhStr_Equal(PhJson_GetStr(body, "spec"), PhStr_LITERAL("lasting"));
+    PhTime now = PhTask_Now(r->server->self);
     if (r->ignores_starts != NULL && *r->ignores_starts) {
         return;
     }
@@ -171,9 +226,10 @@
     PhRunnerRun new_run = {.task = PhStr_Dup(task),
                            .run = run,
                            .ends_at =
-                               PhTask_Now(r->server->self) + r->run_time};
-    r->deadline_ms = MAX(r->deadline_ms, deadline_ms);
+                               lasting ? PH_TIME_NEVER : now + r->run_time};
+    lease_extend(r, deadline_ms);
     g_array_append_val(r->runs, new_run);
+    event_write(r, now, "start", task, run);
     answer(r, id, STATUS_OK, NULL);
 }
 
@@ -199,10 +255,15 @@
 {
     int64_t seen = PhJson_GetInt(body, "lastSeen", 0);
     int64_t wait_ms = PhJson_GetInt(body, "waitMs", 0);
-    r->deadline_ms = MAX(r->deadline_ms, PhJson_GetInt(body, "deadlineMs", 0));
+    lease_extend(r, PhJson_GetInt(body, "deadlineMs", 0));
     while (r->ends->len > 0 &&
            g_array_index(r->ends, PhRunnerEnd, 0).number <= seen) {
-        PhStr_Clear(&g_array_index(r->ends, PhRunnerEnd, 0).task);
+        PhRunnerEnd *end = &g_array_index(r->ends, PhRunnerEnd, 0);
+        if (strcmp(end->how, "done") == 0 && !end->lease_expired) {
+            event_write(r, PhTask_Now(r->server->self), "noted", end->task,
+                        end->run);
+        }
+        PhStr_Clear(&end->task);
         g_array_remove_index(r->ends, 0);
     }
     if (wait_ms == 0 || r->ends->len > 0 || r->waiting_hold != 0) {
@@ -245,6 +306,11 @@
 {
     PhRunner *r = context;
     json_t *body;
+    PhStr worker = PhHttpHeader_Find(in->headers, in->header_count, EXPECTED);
+    if (worker.len > 0 && !PhStr_Equal(worker, r->id)) {
+        answer(r, in->id, STATUS_OTHER_INSTANCE, NULL);
+        return;
+    }
     PhResult parsed = PhJson_Parse(in->body, &body);
     if (!PhResult_IsOk(&parsed)) {
         answer(r, in->id, STATUS_BAD_REQUEST, NULL);
@@ -297,9 +363,9 @@
         &entry,
         "{\"service\":\"%.*s\",\"address\":\"127.0.0.1:%u\","
         "\"state\":\"ready\",\"zone\":\"bacolod\",\"capacity\":{\"cpu\":%d,"
-        "\"memMb\":%d,\"gpu\":0},\"labels\":[\"a\",\"r1-1\"],\"born\":1,"
-        "\"seq\":1}",
-        PhStr_ARG(options->service), port, CPU_MILLI, MEM_MB);
+        "\"memMb\":%d,\"gpu\":0},\"labels\":[\"a\",\"r1-1\"],"
+        "\"born\":%" PRId64 ",\"seq\":1}",
+        PhStr_ARG(options->service), port, CPU_MILLI, MEM_MB, r->born_ms);
     PhStandinStoreState_Put(options->store, PhStr_LITERAL("keyed.servers"),
                             r->id, PhBuf_Str(&entry));
     PhBuf_Clear(&entry);
@@ -313,12 +379,19 @@
     r->id = PhStr_Dup(options->id);
     r->run_time = options->run_time;
     r->ignores_starts = options->ignores_starts;
+    r->events = options->events;
+    r->born_ms = options->born_ms != 0 ? options->born_ms : 1;
+    r->clock_percent =
+        options->clock_percent != 0 ? options->clock_percent : PERCENT;
+    r->started_at = PhKernel_Now(kernel);
     r->runs = g_array_new(FALSE, TRUE, sizeof(PhRunnerRun));
     r->ends = g_array_new(FALSE, TRUE, sizeof(PhRunnerEnd));
     r->highest = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
                                        PhStr_KeyDestroy, NULL);
     PhServerOptions server = {.name = options->id,
-                              .listen = PhStr_LITERAL("127.0.0.1:0"),
+                              .listen = options->listen.len > 0
+                                            ? options->listen
+                                            : PhStr_LITERAL("127.0.0.1:0"),
                               .body_limit_bytes = BODY_LIMIT_BYTES,
                               .context = r,
                               .on_request = on_request,
@@ -327,7 +400,9 @@
                               .destroy = runner_destroy};
     PhResult result = PhServer_Start(kernel, &server, &r->server, &port);
     if (PhResult_IsOk(&result)) {
-        store_entry(r, options, port);
+        if (options->store != NULL) {
+            store_entry(r, options, port);
+        }
         tick(r);
     }
     return result;
