soak: find the instance of a connection by the socket's inode alone

Change: one query by netlink names the inode. More series of faults, workers that leave serve up to 8 s.

--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -11,7 +11,7 @@
     PARTIES = PH_SOAK_INSTANCES_MAX + PH_SOAK_WORKERS_MAX,
     /* A worker serves for this long after it has said that it leaves. */
     DRAIN_MS = 2000,
-    DRAIN_MORE_MS = 3000,
+    DRAIN_MORE_MS = 6000,
     /* A process that was asked to stop is killed after `graceS`. */
     GRACE_MS = 6000,
     /* A tick this late shows that the machine is too busy for time bounds. */
--- a/tests/soak/owner.c
+++ b/tests/soak/owner.c
@@ -1,9 +1,14 @@
 /* Which process has the other end of a loopback connection, by what the
- * kernel tells under /proc of processes that the soak has started. */
+ * system tells of its sockets and, under /proc, of processes that the soak has
+ * started. */
+#include <arpa/inet.h>
 #include <dirent.h>
-#include <inttypes.h>
-#include <stdio.h>
+#include <linux/inet_diag.h>
+#include <linux/netlink.h>
+#include <linux/sock_diag.h>
+#include <netinet/in.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "soak.h"
@@ -12,28 +17,43 @@
     TEXT_BYTES = 512
 };
 
-/* Inode of the socket of a connection, 0 if there is none. */
+/* Inode of the socket of a loopback connection, 0 if there is none. */
 static unsigned long
 find_inode(uint16_t from, uint16_t port)
 {
-    char line[TEXT_BYTES];
-    unsigned long found = 0;
-    FILE *f = fopen("/proc/net/tcp", "r");
-    while (f != NULL && found == 0 && fgets(line, sizeof(line), f) != NULL) {
-        unsigned local;
-        unsigned remote;
-        unsigned long inode;
-        if (sscanf(line,
-                   "%*d: %*x:%x %*x:%x %*x %*x:%*x %*x:%*x %*x %*d %*d %lu",
-                   &local, &remote, &inode) == 3 &&
-            local == from && remote == port) {
-            found = inode;
-        }
+    struct {
+        struct nlmsghdr header;
+        struct inet_diag_req_v2 body;
+    } query = {.header = {.nlmsg_len = sizeof(query),
+                          .nlmsg_type = SOCK_DIAG_BY_FAMILY,
+                          .nlmsg_flags = NLM_F_REQUEST},
+               .body = {.sdiag_family = AF_INET,
+                        .sdiag_protocol = IPPROTO_TCP,
+                        .idiag_states = UINT32_MAX}};
+    struct {
+        struct nlmsghdr header;
+        struct inet_diag_msg body;
+        char more[TEXT_BYTES];
+    } answer;
+    struct inet_diag_sockid *id = &query.body.id;
+    int fd = socket(AF_NETLINK, SOCK_DGRAM | SOCK_CLOEXEC, NETLINK_SOCK_DIAG);
+    unsigned long inode = 0;
+    id->idiag_sport = htons(from);
+    id->idiag_dport = htons(port);
+    id->idiag_src[0] = htonl(INADDR_LOOPBACK);
+    id->idiag_dst[0] = htonl(INADDR_LOOPBACK);
+    id->idiag_cookie[0] = INET_DIAG_NOCOOKIE;
+    id->idiag_cookie[1] = INET_DIAG_NOCOOKIE;
+    if (send(fd, &query, sizeof(query), 0) == (ssize_t)sizeof(query) &&
+        recv(fd, &answer, sizeof(answer), 0) >=
+            (ssize_t)(sizeof(answer.header) + sizeof(answer.body)) &&
+        answer.header.nlmsg_type == SOCK_DIAG_BY_FAMILY) {
+        inode = answer.body.idiag_inode;
     }
-    if (f != NULL) {
-        fclose(f);
+    if (fd >= 0) {
+        close(fd);
     }
-    return found;
+    return inode;
 }
 
 static bool
--- a/tests/soak/schedule.c
+++ b/tests/soak/schedule.c
@@ -10,7 +10,8 @@
     WARM_UP_MS = 4000,
     /* A third of the blocks has planned work only. */
     CALM_BLOCKS_IN = 3,
-    FAULT_SERIES_MAX = 4,
+    FAULT_SERIES_MIN = 2,
+    FAULT_SERIES_MORE = 5,
     FAULTS_IN_SERIES_MAX = 3,
     FAULT_MS_MIN = 300,
     FAULT_MS_MAX = 6000,
@@ -134,7 +135,8 @@
 static void
 draw_faults(PhDraw *d, int64_t from_ms, int64_t until_ms)
 {
-    uint64_t series = 1 + PhRandom_Below(d->random, FAULT_SERIES_MAX);
+    uint64_t series =
+        FAULT_SERIES_MIN + PhRandom_Below(d->random, FAULT_SERIES_MORE);
     for (uint64_t i = 0; i < series; i++) {
         PhSoakActKind kind = (PhSoakActKind)between(d, PH_SOAK_KILL_INSTANCE,
                                                     PH_SOAK_ACT_KINDS);
