soak: the first seconds of the draws have planned work only

Change: no fault in the first 6 s of the draws; acts are numbered; a failed connect closes the relay.

--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -5,7 +5,6 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -247,7 +246,7 @@
 static void
 door_accept(PhProxy *p, const PhDoor *door)
 {
-    struct sockaddr_in a;
+    struct sockaddr_in a = {0};
     socklen_t len = sizeof(a);
     int fd = accept4(door->fd, (struct sockaddr *)&a, &len,
                      SOCK_NONBLOCK | SOCK_CLOEXEC);
@@ -271,7 +270,13 @@
     r->fds[SIDE_CLIENT] = fd;
     r->fds[SIDE_SERVER] = socket_open();
     a = loopback(door->target_port);
-    connect(r->fds[SIDE_SERVER], (struct sockaddr *)&a, sizeof(a));
+    if (connect(r->fds[SIDE_SERVER], (struct sockaddr *)&a, sizeof(a)) != 0 &&
+        errno != EINPROGRESS) {
+        close(r->fds[SIDE_SERVER]);
+        close(fd);
+        g_free(r);
+        return;
+    }
     for (int side = 0; side < SIDES; side++) {
         g_queue_init(&r->chunks[side]);
         g_hash_table_insert(p->relays, GINT_TO_POINTER(r->fds[side]), r);
@@ -350,8 +355,7 @@
         return;
     }
     for (guint i = 0; i < p->acts->len; i++) {
-        if (memcmp(&g_array_index(p->acts, PhSoakAct, i), act, sizeof(*act)) ==
-            0) {
+        if (g_array_index(p->acts, PhSoakAct, i).number == act->number) {
             g_array_remove_index_fast(p->acts, i);
             return;
         }
--- a/tests/soak/schedule.c
+++ b/tests/soak/schedule.c
@@ -7,6 +7,7 @@
 
 enum {
     BLOCK_MS = 15000,
+    PLANNED_FIRST_MS = 6000, /* without faults, whatever is drawn */
     WARM_UP_MS = 4000,
     /* A third of the blocks has planned work only. */
     CALM_BLOCKS_IN = 3,
@@ -170,10 +171,15 @@
         draw_roll(&d, at, until);
         draw_leaves(&d, at, until);
         if ((uint64_t)block % CALM_BLOCKS_IN != calm) {
-            draw_faults(&d, at, until);
+            draw_faults(
+                &d, block == 0 ? MIN(at + PLANNED_FIRST_MS, until - 1) : at,
+                until);
         }
     }
     g_array_sort(d.acts, compare_times);
+    for (guint i = 0; i < d.acts->len; i++) {
+        g_array_index(d.acts, PhSoakAct, i).number = i;
+    }
     PhRandom_Destroy(d.random);
     return d.acts;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -82,6 +82,7 @@
 /* `instances` and `workers` are bit masks.  An act of a link concerns those
  * of the instances with the workers and, if `store` is set, the store. */
 typedef struct PhSoakAct {
+    uint32_t number; /* within the schedule */
     PhSoakActKind kind;
     int64_t at_ms;
     int64_t duration_ms;
