--- a/tests/soak/schedule.c
+++ b/tests/soak/schedule.c
@@ -23,6 +23,7 @@
     LEAVE_GAP_MS_MIN = 1500,
     LEAVE_GAP_MS_MAX = 5000,
     MASK_WORKERS_MAX = 3,
+    NEAR_MS = 2000,
 };
 
 typedef struct PhDraw {
@@ -79,9 +80,31 @@
     }
 }
 
+/* Workers whose leaving is drawn near a time. */
+static uint64_t
+leavers_near(const PhDraw *d, int64_t at_ms)
+{
+    uint64_t workers = 0;
+    for (guint i = 0; i < d->acts->len; i++) {
+        const PhSoakAct *a = &g_array_index(d->acts, PhSoakAct, i);
+        if (a->kind == PH_SOAK_LEAVE_WORKER && a->at_ms > at_ms - NEAR_MS &&
+            a->at_ms < at_ms + NEAR_MS) {
+            workers |= a->workers;
+        }
+    }
+    return workers;
+}
+
+/* Half of the faults of links meet workers that leave, if there are any. */
 static void
 draw_link(PhDraw *d, PhSoakAct *act)
 {
+    uint64_t leavers = leavers_near(d, act->at_ms);
+    if (leavers != 0 && PhRandom_Chance(d->random, 0.5)) {
+        act->instances = UINT64_MAX;
+        act->workers = leavers;
+        return;
+    }
     act->instances = PhRandom_Chance(d->random, 0.5)
                          ? one_of(d, d->plan->instances)
                          : UINT64_MAX;
