listener: a request that has arrived is answered before the connection closes

Cause: once it quiesces, the listener shuts down each connection without a request that it knows of, also one whose next request waits in the socket.

Change: a connection with unread bytes stays until they are answered or prove to be no whole request.

--- a/services/platform/listener.c
+++ b/services/platform/listener.c
@@ -244,8 +244,16 @@
     exchange_resume(x);
 }
 
+static bool
+has_unread_bytes(int fd)
+{
+    char byte;
+    return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 /* Closes connections whose next request does not arrive completely in time,
- * even if it trickles in; while quiescing, all connections without a request.
+ * even if it trickles in; while quiescing, all connections without a request,
+ * except that one which has arrived in the meantime is answered first.
  * libmicrohttpd then reads the end of the stream and cleans up. */
 static void
 connections_sweep(PhListener *l)
@@ -257,8 +265,9 @@
     g_hash_table_iter_init(&iter, l->connections);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const PhConnection *caller = value;
+        bool leaves = l->quiescing && !has_unread_bytes(caller->fd);
         if (!caller->busy &&
-            (l->quiescing || now - caller->last_progress_at >= limit)) {
+            (leaves || now - caller->last_progress_at >= limit)) {
             shutdown(caller->fd, l->quiescing ? SHUT_WR : SHUT_RDWR);
         }
     }
@@ -268,13 +277,6 @@
     }
 }
 
-static bool
-has_unread_bytes(int fd)
-{
-    char byte;
-    return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 /* Closes the connection that has been idle for the longest time, so that the
  * caller that waits is accepted. Without an idle one it waits for the next
  * answer. */
