soak: links of workers that leave fall silent before they say so

Change: in blocks with faults four in ten of the workers that leave have silent links for 3 to 6 s around that.

--- a/tests/soak/schedule.c
+++ b/tests/soak/schedule.c
@@ -24,8 +24,13 @@
     LEAVE_GAP_MS_MAX = 5000,
     MASK_WORKERS_MAX = 3,
     NEAR_MS = 2000,
+    LEAD_MS_MAX = 1500,
+    SILENT_MS_MIN = 3000,
+    SILENT_MS_MAX = 6000,
 };
 
+static const double CHANCE_SILENT_LEAVER = 0.4;
+
 typedef struct PhDraw {
     const PhSoakPlan *plan;
     PhRandom *random;
@@ -155,10 +160,34 @@
     g_array_append_val(d->acts, act);
 }
 
+/* Orders without answers to workers that leave: their links are silent from
+ * before they say so until some seconds later. */
+static void
+draw_silent_leavers(PhDraw *d, int64_t from_ms, int64_t until_ms)
+{
+    for (guint i = 0, count = d->acts->len; i < count; i++) {
+        PhSoakAct leave = g_array_index(d->acts, PhSoakAct, i);
+        if (leave.kind != PH_SOAK_LEAVE_WORKER || leave.at_ms < from_ms ||
+            !PhRandom_Chance(d->random, CHANCE_SILENT_LEAVER)) {
+            continue;
+        }
+        int64_t at_ms = leave.at_ms - between(d, FAULT_MS_MIN, LEAD_MS_MAX);
+        PhSoakAct act = {.kind = PH_SOAK_LINK_SILENT,
+                         .at_ms = MAX(at_ms, from_ms),
+                         .duration_ms =
+                             between(d, SILENT_MS_MIN, SILENT_MS_MAX),
+                         .instances = UINT64_MAX,
+                         .workers = leave.workers};
+        act.duration_ms = MAX(MIN(act.duration_ms, until_ms - act.at_ms), 1);
+        g_array_append_val(d->acts, act);
+    }
+}
+
 /* Some series, each of one kind of fault. */
 static void
 draw_faults(PhDraw *d, int64_t from_ms, int64_t until_ms)
 {
+    draw_silent_leavers(d, from_ms, until_ms);
     uint64_t series =
         FAULT_SERIES_MIN + PhRandom_Below(d->random, FAULT_SERIES_MORE);
     for (uint64_t i = 0; i < series; i++) {
