schedule: of the lasting tasks that wait, one that has run before is reported

It names the longest wait of those now, if there is one, and says how many there are (`interrupted`). A table in test_lasting_waits.

--- a/decide/schedule/waits.c
+++ b/decide/schedule/waits.c
@@ -1,8 +1,8 @@
 /* Tells why tasks that are to last wait. */
 #include "scheduler_private.h"
 
-/* Shorter waits are not reported, and of all others only the longest, once
- * in each interval. */
+/* Shorter waits are not reported, and of all others one in each interval: the
+ * longest of the tasks that have run before, else of all. */
 static const PhTime REPORTED_WAIT = 3 * PH_NS_PER_S;
 static const PhTime REPORT_INTERVAL = 1 * PH_NS_PER_S;
 
@@ -13,14 +13,29 @@
                MAX(task->stage->job->accepted_at, s->owner_since));
 }
 
-/* The waiting lasting task that has waited longest so far, and how many have
- * waited long enough to be reported. */
+/* The waiting lasting task to report, and how many have waited long enough. */
 typedef struct PhLongestWait {
     const PhSchedTask *task;
     PhTime since;
     uint32_t long_waits;
+    uint32_t interrupted; /* of these, tasks that have run before */
 } PhLongestWait;
 
+static void
+wait_add(PhLongestWait *longest, const PhSchedTask *task, PhTime since)
+{
+    bool interrupted = task->run > 0;
+    bool first =
+        longest->task == NULL || (interrupted && longest->interrupted == 0) ||
+        (interrupted == (longest->interrupted > 0) && since < longest->since);
+    longest->long_waits++;
+    longest->interrupted += interrupted;
+    if (first) {
+        longest->task = task;
+        longest->since = since;
+    }
+}
+
 static void
 stage_search(const PhScheduler *s, const PhSchedStage *stage, PhTime now,
              PhLongestWait *longest)
@@ -33,14 +48,9 @@
     for (uint32_t i = 0; i < step->count; i++) {
         const PhSchedTask *task = &stage->tasks[i];
         PhTime since = PhScheduler_WaitsSince(s, task);
-        if (task->state != PH_SCHED_TASK_WAITING ||
-            now - since < REPORTED_WAIT) {
-            continue;
-        }
-        longest->long_waits++;
-        if (longest->task == NULL || since < longest->since) {
-            longest->task = task;
-            longest->since = since;
+        if (task->state == PH_SCHED_TASK_WAITING &&
+            now - since >= REPORTED_WAIT) {
+            wait_add(longest, task, since);
         }
     }
 }
@@ -96,6 +106,7 @@
     event.as.waits.failures = longest.task->failures;
     event.as.waits.waited = now - longest.since;
     event.as.waits.long_waits = longest.long_waits;
+    event.as.waits.interrupted = longest.interrupted;
     event.as.waits.resources = PhSchedTask_Step(longest.task)->resources;
     for (guint i = 0; i < s->model->incarnations->len; i++) {
         const PhSchedWorker *w = g_ptr_array_index(s->model->incarnations, i);
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -205,7 +205,8 @@
             uint32_t run; /* the last one */
             uint32_t failures;
             PhTime waited;
-            uint32_t long_waits; /* of all tasks that are to last */
+            uint32_t long_waits;  /* of all tasks that are to last */
+            uint32_t interrupted; /* of these, tasks that have run before */
             PhSchedResources resources;
             uint32_t workers[PH_FIT_COUNT];
             uint32_t beside_lasting; /* usable workers that would have room if
--- a/services/schedule/schedule_log.c
+++ b/services/schedule/schedule_log.c
@@ -108,6 +108,7 @@
                PhField_U64("number", note->as.waits.run),
                PhField_I64("waited_ms", note->as.waits.waited / PH_NS_PER_MS),
                PhField_U64("long_waits", note->as.waits.long_waits),
+               PhField_U64("interrupted", note->as.waits.interrupted),
                PhField_U64("failures", note->as.waits.failures),
                PhField_I64("cpu_milli", asked->cpu_milli),
                PhField_I64("mem_mb", asked->mem_mb),
--- a/tests/schedule/test_lasting_waits.c
+++ b/tests/schedule/test_lasting_waits.c
@@ -303,6 +303,52 @@
     Ph_RUN_TABLE(reason_cases, reason_run);
 }
 
+/* Tasks that wait, and the one that is reported. */
+typedef struct PhReportedCase {
+    const char *name;
+    bool ran[2]; /* the tasks have run before */
+    int64_t since_s[2];
+    uint32_t interrupted;
+    uint32_t reported;
+} PhReportedCase;
+
+static const PhReportedCase reported_cases[] = {
+    {"neither has run", {false, false}, {110, 105}, 0, 1},
+    {"both have run", {true, true}, {105, 110}, 2, 0},
+    {"the first has run", {true, false}, {110, 105}, 1, 0},
+    {"the second has run", {false, true}, {105, 110}, 1, 1},
+};
+
+static void
+reported_run(const PhReportedCase *c)
+{
+    PhScheduler *s = scheduler_create();
+    PhSchedStep step = lasting_step();
+    size_t count;
+    step.count = 2;
+    PhSchedTask *tasks = job_add(s, PH_SINGLE_JOB, step, 0, 0);
+    PhScheduler_SetFence(s, FENCE, TAKEOVER);
+    for (size_t i = 0; i < 2; i++) {
+        tasks[i].run = c->ran[i];
+        tasks[i].since = c->since_s[i] * PH_NS_PER_S;
+    }
+    PhScheduler_Plan(s, END, 0);
+    const PhSchedEvent *events = PhScheduler_Events(s, &count);
+    assert_int_equal(count, 1);
+    assert_int_equal(events[0].tag, PH_SCHED_EVENT_TASK_WAITS);
+    assert_int_equal(events[0].as.waits.task.index, c->reported);
+    assert_int_equal(events[0].as.waits.long_waits, 2);
+    assert_int_equal(events[0].as.waits.interrupted, c->interrupted);
+    PhScheduler_Destroy(s);
+}
+
+static void
+test_reported(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(reported_cases, reported_run);
+}
+
 int
 main(void)
 {
@@ -310,6 +356,7 @@
         cmocka_unit_test(test_next_start),
         cmocka_unit_test(test_interrupted_first),
         cmocka_unit_test(test_reasons),
+        cmocka_unit_test(test_reported),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
