soak: short tasks are spread over workers

Change: the first step of a short job has four tasks on different workers; the links of workers that leave are silent for 2.6 to 4 s from shortly before.

--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -20,7 +20,7 @@
     STATUS_GONE = 410,
     LASTING_JOBS_FIRST = 8,
     LASTING_TASKS = 3,
-    PLAIN_TASKS = 5,
+    PLAIN_TASKS = 6,
     FINAL_MS = 8000,
     FINAL_CALLS_PER_TICK = 8,
     /* Calls begin once the instances have had time to start. */
@@ -98,9 +98,9 @@
             ? PhStr_LITERAL("{\"spec\":\"lasting\",\"steps\":[{\"count\":3,"
                             "\"cpu\":500,\"maxPerServer\":1,"
                             "\"longRunning\":true}]}")
-            : PhStr_LITERAL("{\"spec\":\"work\",\"steps\":[{\"count\":3,"
-                            "\"cpu\":500},{\"count\":2,\"cpu\":500,"
-                            "\"after\":[0]}]}"));
+            : PhStr_LITERAL("{\"spec\":\"work\",\"steps\":[{\"count\":4,"
+                            "\"cpu\":500,\"maxPerServer\":1},{\"count\":2,"
+                            "\"cpu\":500,\"after\":[0]}]}"));
 }
 
 static const char *
--- a/tests/soak/schedule.c
+++ b/tests/soak/schedule.c
@@ -24,12 +24,12 @@
     LEAVE_GAP_MS_MAX = 5000,
     MASK_WORKERS_MAX = 3,
     NEAR_MS = 2000,
-    LEAD_MS_MAX = 1500,
-    SILENT_MS_MIN = 3000,
-    SILENT_MS_MAX = 6000,
+    LEAD_MS_MAX = 900,
+    SILENT_MS_MIN = 2600,
+    SILENT_MS_MAX = 4000,
 };
 
-static const double CHANCE_SILENT_LEAVER = 0.4;
+static const double CHANCE_SILENT_LEAVER = 0.5;
 
 typedef struct PhDraw {
     const PhSoakPlan *plan;
