--- a/tests/soak/processes.c
+++ b/tests/soak/processes.c
@@ -122,7 +122,8 @@
     return a;
 }
 
-/* In the new process, which ends with the soak. */
+/* In the new process, which ends with the soak.  In a session of its own it
+ * gets no SIGHUP when it is paused while the soak's shell ends. */
 static void
 child_exec(char **arguments, int out, int log, pid_t parent)
 {
@@ -130,6 +131,7 @@
     if (getppid() != parent) {
         _exit(EXIT_NOT_STARTED);
     }
+    setsid();
     dup2(out, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
     execv(arguments[0], arguments);
