--- a/tests/soak/checks.c
+++ b/tests/soak/checks.c
@@ -5,7 +5,7 @@
 #include <stdio.h>
 #include <sys/wait.h>
 
-#include "soak.h"
+#include "seen.h"
 
 enum {
     PRINTED_MAX = 5, /* violations of one check that are printed */
@@ -23,74 +23,23 @@
 static const PhTime GRACE = 6 * PH_NS_PER_S;
 static const PhTime SCAN_STEP = 250 * PH_NS_PER_MS;
 
-/* A run; `end` is PH_TIME_NEVER while it goes on. */
-typedef struct PhSeenRun {
-    uint32_t worker;
-    uint32_t job;
-    uint32_t task;
-    uint32_t run;
-    PhTime start;
-    PhTime end;
-    PhTime noted; /* 0: never */
-    bool done;
-} PhSeenRun;
-
-typedef struct PhSeenJob {
-    PhTime submitted;
-    PhTime accepted;  /* 0: not */
-    PhTime cancel;    /* first send, 0: not */
-    PhTime cancelled; /* 0: not */
-    PhTime begun;     /* first start, PH_TIME_NEVER: none */
-    PhTime completed; /* all tasks done, PH_TIME_NEVER: not */
-    uint32_t tasks;
-    bool lasting;
-    bool asked;
-    PhSoakState final;
-} PhSeenJob;
-
-typedef struct PhSeen {
-    const PhSoakPlan *plan;
-    const GArray *notes;
-    GArray *runs; /* PhSeenRun, by job, task and start */
-    GArray *jobs; /* PhSeenJob */
-    PhTime finish;
-} PhSeen;
-
 /* Outcome of one check. */
-typedef struct PhVerdictOfSoak {
+typedef struct PhSoakVerdict {
     const char *name;
     uint64_t checked;
     uint64_t violations;
-} PhVerdictOfSoak;
-
-static const PhSoakNote *
-note_at(const PhSeen *s, guint i)
-{
-    return &g_array_index(s->notes, PhSoakNote, i);
-}
-
-static PhSeenJob *
-job_at(const PhSeen *s, uint32_t i)
-{
-    return &g_array_index(s->jobs, PhSeenJob, i);
-}
-
-static PhSeenRun *
-run_at(const PhSeen *s, guint i)
-{
-    return &g_array_index(s->runs, PhSeenRun, i);
-}
+} PhSoakVerdict;
 
 /* Milliseconds since the first note. */
 static int64_t
 since_start(const PhSeen *s, PhTime at)
 {
-    return (at - note_at(s, 0)->at) / PH_NS_PER_MS;
+    return (at - PhSeen_Note(s, 0)->at) / PH_NS_PER_MS;
 }
 
 /* Counts a violation; returns true if it is to be printed. */
 static bool
-violation_count(PhVerdictOfSoak *v)
+violation_count(PhSoakVerdict *v)
 {
     v->violations++;
     return v->violations <= PRINTED_MAX;
@@ -127,7 +76,7 @@
 is_calm(const PhSeen *s, PhTime from, PhTime until, bool core_only)
 {
     for (guint i = 0; i < s->notes->len; i++) {
-        const PhSoakNote *n = note_at(s, i);
+        const PhSoakNote *n = PhSeen_Note(s, i);
         if (n->tag == PH_SOAK_NOTE_SLOW && n->at <= until &&
             n->as.slow_until >= from) {
             return false;
@@ -148,7 +97,7 @@
 {
     PhSoakParty party = {.kind = PH_SOAK_WORKER, .index = worker};
     for (guint i = 0; i < s->notes->len; i++) {
-        const PhSoakNote *n = note_at(s, i);
+        const PhSoakNote *n = PhSeen_Note(s, i);
         if (n->tag == PH_SOAK_NOTE_ACT &&
             n->as.act.act.kind == PH_SOAK_LINK_LATE && n->at <= at &&
             n->as.act.until + LATE_MAX >= at &&
@@ -159,14 +108,6 @@
     return false;
 }
 
-/* Reports whether a run is the first of its task in the order of runs. */
-static bool
-is_first(const PhSeen *s, guint i)
-{
-    return i == 0 || run_at(s, i)->job != run_at(s, i - 1)->job ||
-           run_at(s, i)->task != run_at(s, i - 1)->task;
-}
-
 static void
 run_print(const PhSeen *s, const char *what, const PhSeenRun *r)
 {
@@ -178,18 +119,18 @@
 }
 
 static void
-check_one_place(const PhSeen *s, PhVerdictOfSoak *v)
+check_one_place(const PhSeen *s, PhSoakVerdict *v)
 {
     PhTime busy_until = 0;
     guint holder = 0;
     for (guint i = 0; i < s->runs->len; i++) {
-        const PhSeenRun *r = run_at(s, i);
-        if (is_first(s, i)) {
+        const PhSeenRun *r = PhSeen_Run(s, i);
+        if (PhSeen_IsFirstRun(s, i)) {
             busy_until = 0;
         }
         v->checked++;
         if (r->start < busy_until && violation_count(v)) {
-            run_print(s, "runs already:", run_at(s, holder));
+            run_print(s, "runs already:", PhSeen_Run(s, holder));
             run_print(s, "second start:", r);
         }
         if (r->end > busy_until) {
@@ -200,15 +141,15 @@
 }
 
 static void
-check_noted(const PhSeen *s, PhVerdictOfSoak *v)
+check_noted(const PhSeen *s, PhSoakVerdict *v)
 {
     PhTime noted = 0;
     guint by = 0;
     for (guint i = 0; i < s->runs->len; i++) {
-        const PhSeenRun *r = run_at(s, i);
-        noted = is_first(s, i) ? 0 : noted;
+        const PhSeenRun *r = PhSeen_Run(s, i);
+        noted = PhSeen_IsFirstRun(s, i) ? 0 : noted;
         if (noted != 0 && r->start > noted && violation_count(v)) {
-            run_print(s, "noted end:", run_at(s, by));
+            run_print(s, "noted end:", PhSeen_Run(s, by));
             run_print(s, "start after it:", r);
         }
         if (r->noted != 0 && noted == 0) {
@@ -221,19 +162,19 @@
 
 /* Checks the starts on one worker from its leaving to its exit. */
 static void
-leaving_check(const PhSeen *s, PhVerdictOfSoak *v, guint from)
+leaving_check(const PhSeen *s, PhSoakVerdict *v, guint from)
 {
-    const PhSoakNote *leaving = note_at(s, from);
+    const PhSoakNote *leaving = PhSeen_Note(s, from);
     PhTime exit = PH_TIME_NEVER;
     for (guint i = from; i < s->notes->len && exit == PH_TIME_NEVER; i++) {
-        const PhSoakNote *n = note_at(s, i);
+        const PhSoakNote *n = PhSeen_Note(s, i);
         if (n->tag == PH_SOAK_NOTE_EXIT && n->party.kind == PH_SOAK_WORKER &&
             n->party.index == leaving->party.index) {
             exit = n->at;
         }
     }
     for (guint i = 0; i < s->runs->len; i++) {
-        const PhSeenRun *r = run_at(s, i);
+        const PhSeenRun *r = PhSeen_Run(s, i);
         if (r->worker == leaving->party.index &&
             r->start > leaving->at + DRAIN && r->start < exit &&
             !may_be_late(s, r->worker, r->start) &&
@@ -247,10 +188,10 @@
 }
 
 static void
-check_leaving(const PhSeen *s, PhVerdictOfSoak *v)
+check_leaving(const PhSeen *s, PhSoakVerdict *v)
 {
     for (guint i = 0; i < s->notes->len; i++) {
-        if (note_at(s, i)->tag == PH_SOAK_NOTE_LEAVING) {
+        if (PhSeen_Note(s, i)->tag == PH_SOAK_NOTE_LEAVING) {
             v->checked++;
             leaving_check(s, v, i);
         }
@@ -258,14 +199,14 @@
 }
 
 static void
-check_cancelled(const PhSeen *s, PhVerdictOfSoak *v)
+check_cancelled(const PhSeen *s, PhSoakVerdict *v)
 {
     for (guint i = 0; i < s->jobs->len; i++) {
-        v->checked += job_at(s, i)->cancelled != 0;
+        v->checked += PhSeen_Job(s, i)->cancelled != 0;
     }
     for (guint i = 0; i < s->runs->len; i++) {
-        const PhSeenRun *r = run_at(s, i);
-        PhTime cancelled = job_at(s, r->job)->cancelled;
+        const PhSeenRun *r = PhSeen_Run(s, i);
+        PhTime cancelled = PhSeen_Job(s, r->job)->cancelled;
         if (cancelled != 0 && r->start > cancelled + CANCEL &&
             !may_be_late(s, r->worker, r->start) &&
             is_calm(s, r->start - CONTACT, r->start, true) &&
@@ -293,10 +234,10 @@
 }
 
 static void
-check_accepted(const PhSeen *s, PhVerdictOfSoak *v)
+check_accepted(const PhSeen *s, PhSoakVerdict *v)
 {
     for (guint i = 0; i < s->jobs->len; i++) {
-        const PhSeenJob *j = job_at(s, i);
+        const PhSeenJob *j = PhSeen_Job(s, i);
         if (j->accepted == 0) {
             continue;
         }
@@ -311,7 +252,7 @@
 static bool
 state_is_wrong(const PhSeen *s, const PhSoakNote *n)
 {
-    const PhSeenJob *j = job_at(s, n->job);
+    const PhSeenJob *j = PhSeen_Job(s, n->job);
     switch (n->as.state) {
     case PH_SOAK_STATE_COMPLETED:
         return j->completed > n->at;
@@ -332,10 +273,10 @@
 }
 
 static void
-check_states(const PhSeen *s, PhVerdictOfSoak *v)
+check_states(const PhSeen *s, PhSoakVerdict *v)
 {
     for (guint i = 0; i < s->notes->len; i++) {
-        const PhSoakNote *n = note_at(s, i);
+        const PhSoakNote *n = PhSeen_Note(s, i);
         if (n->tag != PH_SOAK_NOTE_STATE && n->tag != PH_SOAK_NOTE_FINAL) {
             continue;
         }
@@ -350,12 +291,12 @@
 }
 
 static void
-pending_check(const PhSeen *s, PhVerdictOfSoak *v, const PhSoakNote *n)
+pending_check(const PhSeen *s, PhSoakVerdict *v, const PhSoakNote *n)
 {
     uint64_t least = 0;
     uint64_t most = 0;
     for (guint i = 0; i < s->jobs->len; i++) {
-        const PhSeenJob *j = job_at(s, i);
+        const PhSeenJob *j = PhSeen_Job(s, i);
         bool waits = j->accepted != 0 &&
                      j->accepted + PENDING_LAG < n->sent_at &&
                      j->begun > n->at && j->cancel == 0;
@@ -376,10 +317,10 @@
 }
 
 static void
-check_pending(const PhSeen *s, PhVerdictOfSoak *v)
+check_pending(const PhSeen *s, PhSoakVerdict *v)
 {
     for (guint i = 0; i < s->notes->len; i++) {
-        const PhSoakNote *n = note_at(s, i);
+        const PhSoakNote *n = PhSeen_Note(s, i);
         if (n->tag == PH_SOAK_NOTE_PENDING &&
             is_calm(s, n->sent_at - LASTING_CALM, n->at, false)) {
             pending_check(s, v, n);
@@ -392,7 +333,7 @@
 stop_find(const PhSeen *s, const PhSoakNote *call)
 {
     for (guint i = 0; i < s->notes->len; i++) {
-        const PhSoakNote *n = note_at(s, i);
+        const PhSoakNote *n = PhSeen_Note(s, i);
         if (n->tag == PH_SOAK_NOTE_STOP &&
             n->party.index == call->party.index && n->at <= call->at &&
             call->sent_at <= n->at + GRACE) {
@@ -403,10 +344,10 @@
 }
 
 static void
-check_cut(const PhSeen *s, PhVerdictOfSoak *v)
+check_cut(const PhSeen *s, PhSoakVerdict *v)
 {
     for (guint i = 0; i < s->notes->len; i++) {
-        const PhSoakNote *n = note_at(s, i);
+        const PhSoakNote *n = PhSeen_Note(s, i);
         if (n->tag != PH_SOAK_NOTE_CALL || stop_find(s, n) == NULL ||
             !is_calm(s, n->sent_at - CONTACT, n->at, false)) {
             continue;
@@ -423,8 +364,8 @@
 
 /* Checks a span in which a lasting task did not run. */
 static void
-away_check(const PhSeen *s, PhVerdictOfSoak *v, const PhSeenRun *r,
-           PhTime from, PhTime until)
+away_check(const PhSeen *s, PhSoakVerdict *v, const PhSeenRun *r, PhTime from,
+           PhTime until)
 {
     v->checked++;
     for (PhTime t = from + LASTING_AWAY; t <= until; t += SCAN_STEP) {
@@ -440,15 +381,15 @@
 }
 
 static void
-check_lasting(const PhSeen *s, PhVerdictOfSoak *v)
+check_lasting(const PhSeen *s, PhSoakVerdict *v)
 {
     for (guint i = 0; i < s->runs->len; i++) {
-        const PhSeenRun *r = run_at(s, i);
-        const PhSeenJob *j = job_at(s, r->job);
-        bool last = i + 1 == s->runs->len || is_first(s, i + 1);
-        PhTime until = last ? s->finish : run_at(s, i + 1)->start;
+        const PhSeenRun *r = PhSeen_Run(s, i);
+        const PhSeenJob *j = PhSeen_Job(s, r->job);
+        bool last = i + 1 == s->runs->len || PhSeen_IsFirstRun(s, i + 1);
+        PhTime until = last ? s->finish : PhSeen_Run(s, i + 1)->start;
         until = j->cancel != 0 ? MIN(until, j->cancel) : until;
-        if (j->lasting && j->accepted != 0 && is_first(s, i)) {
+        if (j->lasting && j->accepted != 0 && PhSeen_IsFirstRun(s, i)) {
             away_check(s, v, r, j->accepted, r->start);
         }
         if (j->lasting && j->accepted != 0 && r->end < until) {
@@ -459,15 +400,15 @@
 
 /* Every lasting task has a run at the end. */
 static void
-check_settled(const PhSeen *s, PhVerdictOfSoak *v)
+check_settled(const PhSeen *s, PhSoakVerdict *v)
 {
     uint32_t *running = g_new0(uint32_t, s->jobs->len + 1);
     for (guint i = 0; i < s->runs->len; i++) {
-        const PhSeenRun *r = run_at(s, i);
+        const PhSeenRun *r = PhSeen_Run(s, i);
         running[r->job] += r->start <= s->finish && r->end > s->finish;
     }
     for (guint i = 0; i < s->jobs->len; i++) {
-        const PhSeenJob *j = job_at(s, i);
+        const PhSeenJob *j = PhSeen_Job(s, i);
         if (!j->lasting || j->accepted == 0 || j->cancel != 0) {
             continue;
         }
@@ -481,10 +422,10 @@
 }
 
 static void
-check_stops(const PhSeen *s, PhVerdictOfSoak *v)
+check_stops(const PhSeen *s, PhSoakVerdict *v)
 {
     for (guint i = 0; i < s->notes->len; i++) {
-        const PhSoakNote *n = note_at(s, i);
+        const PhSoakNote *n = PhSeen_Note(s, i);
         bool instance =
             n->tag == PH_SOAK_NOTE_EXIT && n->party.kind == PH_SOAK_INSTANCE;
         bool own = n->tag == PH_SOAK_NOTE_EXIT && n->sent_at == 0;
@@ -506,166 +447,13 @@
     }
 }
 
-static PhSeenJob *
-job_find(PhSeen *s, uint32_t i)
-{
-    while (s->jobs->len <= i) {
-        PhSeenJob j = {.begun = PH_TIME_NEVER, .completed = PH_TIME_NEVER};
-        g_array_append_val(s->jobs, j);
-    }
-    return job_at(s, i);
-}
-
-/* The newest run of a task on a worker, or NULL. */
-static PhSeenRun *
-run_find(const PhSeen *s, const PhSoakNote *n)
-{
-    for (guint i = s->runs->len; i-- > 0;) {
-        PhSeenRun *r = run_at(s, i);
-        if (r->worker == n->party.index && r->job == n->job &&
-            r->task == n->as.run.task && r->run == n->as.run.run) {
-            return r;
-        }
-    }
-    return NULL;
-}
-
-static void
-run_read(PhSeen *s, const PhSoakNote *n)
-{
-    PhSeenRun *r = run_find(s, n);
-    PhSeenJob *j = job_find(s, n->job);
-    switch (n->as.run.event) {
-    case PH_SOAK_RUN_START: {
-        PhSeenRun run = {.worker = n->party.index,
-                         .job = n->job,
-                         .task = n->as.run.task,
-                         .run = n->as.run.run,
-                         .start = n->at,
-                         .end = PH_TIME_NEVER};
-        g_array_append_val(s->runs, run);
-        j->begun = MIN(j->begun, n->at);
-        break;
-    }
-    case PH_SOAK_RUN_DONE:
-    case PH_SOAK_RUN_OVER:
-        if (r != NULL) {
-            r->end = n->at;
-            r->done = n->as.run.event == PH_SOAK_RUN_DONE;
-        }
-        break;
-    case PH_SOAK_RUN_NOTED:
-        if (r != NULL) {
-            r->noted = n->at;
-        }
-        break;
-    }
-}
-
-/* What still ran on a worker ended with it. */
-static void
-exit_read(PhSeen *s, const PhSoakNote *n)
-{
-    for (guint i = 0; i < s->runs->len; i++) {
-        PhSeenRun *r = run_at(s, i);
-        if (n->party.kind == PH_SOAK_WORKER && r->worker == n->party.index &&
-            r->end == PH_TIME_NEVER) {
-            r->end = n->sent_at != 0 ? n->sent_at : n->at;
-        }
-    }
-}
-
-static void
-note_read(PhSeen *s, const PhSoakNote *n)
-{
-    PhSeenJob *j;
-    switch (n->tag) {
-    case PH_SOAK_NOTE_RUN:
-        run_read(s, n);
-        break;
-    case PH_SOAK_NOTE_EXIT:
-        exit_read(s, n);
-        break;
-    case PH_SOAK_NOTE_SUBMIT:
-        j = job_find(s, n->job);
-        j->submitted = n->at;
-        j->lasting = n->as.submit.lasting;
-        j->tasks = n->as.submit.tasks;
-        break;
-    case PH_SOAK_NOTE_ACCEPTED:
-        j = job_find(s, n->job);
-        j->accepted = j->accepted != 0 ? j->accepted : n->at;
-        break;
-    case PH_SOAK_NOTE_CANCEL:
-        job_find(s, n->job)->cancel = n->at;
-        break;
-    case PH_SOAK_NOTE_CANCELLED:
-        job_find(s, n->job)->cancelled = n->at;
-        break;
-    case PH_SOAK_NOTE_FINAL:
-        j = job_find(s, n->job);
-        j->asked = true;
-        j->final = n->as.state;
-        s->finish = MIN(s->finish, n->sent_at);
-        break;
-    case PH_SOAK_NOTE_ACT:
-    case PH_SOAK_NOTE_SLOW:
-    case PH_SOAK_NOTE_STOP:
-    case PH_SOAK_NOTE_LEAVING:
-    case PH_SOAK_NOTE_STATE:
-    case PH_SOAK_NOTE_PENDING:
-    case PH_SOAK_NOTE_CALL:
-        break;
-    }
-}
-
-static gint
-compare_runs(gconstpointer a, gconstpointer b)
-{
-    const PhSeenRun *x = a;
-    const PhSeenRun *y = b;
-    if (x->job != y->job) {
-        return x->job < y->job ? -1 : 1;
-    }
-    if (x->task != y->task) {
-        return x->task < y->task ? -1 : 1;
-    }
-    return (x->start > y->start) - (x->start < y->start);
-}
-
-/* A job is completed once all its tasks are done. */
-static void
-completions_find(PhSeen *s)
-{
-    uint32_t *done = g_new0(uint32_t, s->jobs->len + 1);
-    PhTime *last = g_new0(PhTime, s->jobs->len + 1);
-    bool counted = false;
-    for (guint i = 0; i < s->runs->len; i++) {
-        const PhSeenRun *r = run_at(s, i);
-        counted = !is_first(s, i) && counted;
-        if (r->done && !counted) {
-            counted = true;
-            done[r->job]++;
-            last[r->job] = MAX(last[r->job], r->end);
-        }
-    }
-    for (guint i = 0; i < s->jobs->len; i++) {
-        PhSeenJob *j = job_at(s, i);
-        if (j->tasks > 0 && done[i] >= j->tasks) {
-            j->completed = last[i];
-        }
-    }
-    g_free(done);
-    g_free(last);
-}
-
 static void
 acts_count(const PhSeen *s)
 {
     unsigned counts[PH_SOAK_ACT_KINDS] = {0};
     unsigned slow = 0;
     for (guint i = 0; i < s->notes->len; i++) {
-        const PhSoakNote *n = note_at(s, i);
+        const PhSoakNote *n = PhSeen_Note(s, i);
         slow += n->tag == PH_SOAK_NOTE_SLOW;
         if (n->tag == PH_SOAK_NOTE_ACT) {
             counts[n->as.act.act.kind]++;
@@ -684,7 +472,7 @@
 {
     static const struct {
         const char *name;
-        void (*run)(const PhSeen *s, PhVerdictOfSoak *v);
+        void (*run)(const PhSeen *s, PhSoakVerdict *v);
     } checks[] = {
         {"one-place", check_one_place},
         {"no-start-after-noted-end", check_noted},
@@ -698,20 +486,12 @@
         {"lasting-settled", check_settled},
         {"exits", check_stops},
     };
-    PhSeen s = {.plan = plan,
-                .notes = notes,
-                .runs = g_array_new(FALSE, TRUE, sizeof(PhSeenRun)),
-                .jobs = g_array_new(FALSE, TRUE, sizeof(PhSeenJob)),
-                .finish = PH_TIME_NEVER};
+    PhSeen s;
     bool held = true;
-    for (guint i = 0; i < notes->len; i++) {
-        note_read(&s, note_at(&s, i));
-    }
-    g_array_sort(s.runs, compare_runs);
-    completions_find(&s);
+    PhSeen_Read(&s, plan, notes);
     acts_count(&s);
     for (size_t i = 0; i < G_N_ELEMENTS(checks); i++) {
-        PhVerdictOfSoak v = {.name = checks[i].name};
+        PhSoakVerdict v = {.name = checks[i].name};
         checks[i].run(&s, &v);
         held &= v.violations == 0 && v.checked > 0;
         printf("check=%s verdict=%s checked=%" PRIu64 " violations=%" PRIu64
@@ -722,7 +502,6 @@
                                 : "held",
                v.checked, v.violations);
     }
-    g_array_free(s.runs, TRUE);
-    g_array_free(s.jobs, TRUE);
+    PhSeen_Clear(&s);
     return held;
 }
