--- a/tests/schedule/owners_sim.c
+++ b/tests/schedule/owners_sim.c
@@ -12,7 +12,8 @@
     JOB_TASKS = 4,
     JOB_INTERVAL_MS = 1000, /* between two jobs of short tasks */
     HANDOVER_MS = 300,      /* longest wait of a release for its records */
-    /* Draining workers leave long before, with runs that were not moved. */
+    /* Draining workers leave long before, with runs that were not moved,
+     * unless their drains are announced. */
     STATED_REMAINING_MS = 600000,
 };
 
@@ -48,7 +49,8 @@
         .service = PhStr_Dup(PhStr_LITERAL("service")),
         .capacity = {.cpu_milli = CAPACITY_CPU_MILLI, .mem_mb = 1},
         .draining = h->draining,
-        .remaining = STATED_REMAINING_MS * PH_NS_PER_MS};
+        .remaining =
+            w->drains_announced ? 0 : STATED_REMAINING_MS * PH_NS_PER_MS};
     PhScheduler_SetWorker(m->scheduler, &entry, w->now);
 }
 
@@ -126,6 +128,12 @@
     w->delays = PhRandom_Create(seed);
 }
 
+void
+PhOwnersSim_AnnounceDrains(PhOwnersSim *w)
+{
+    w->drains_announced = true;
+}
+
 /* Submits a job of short tasks at each interval. */
 static void
 submit_jobs(PhOwnersSim *w)
--- a/tests/schedule/owners_sim.h
+++ b/tests/schedule/owners_sim.h
@@ -55,6 +55,9 @@
 void PhOwnersSim_Destroy(PhOwnersSim *sim);
 /* Delays orders and replies by random times; they take none by default. */
 void PhOwnersSim_SetDelays(PhOwnersSim *sim, uint64_t seed);
+/* Workers that drain state that they may leave at any time, so that their
+ * lasting tasks are moved. */
+void PhOwnersSim_AnnounceDrains(PhOwnersSim *sim);
 void PhOwnersSim_AddFault(PhOwnersSim *sim, const PhOwnersFault *fault);
 /* Adds `count` random faults of the kinds in the bit mask, one every few
  * seconds. */
--- a/tests/schedule/owners_sim_private.h
+++ b/tests/schedule/owners_sim_private.h
@@ -57,6 +57,7 @@
     int64_t next_short_ms;  /* submission of the next job of short tasks */
     int64_t short_until_ms; /* end of submissions */
     unsigned takeovers;
+    bool drains_announced;
     PhRandom *delays; /* NULL: no delays */
     GArray *orders;   /* PhSimOrder */
 };
--- a/tests/schedule/test_owners.c
+++ b/tests/schedule/test_owners.c
@@ -148,6 +148,7 @@
     uint64_t last;
     unsigned kinds; /* bit mask of fault kinds */
     bool delays;    /* orders and replies are delayed */
+    bool moves;     /* lasting tasks move off draining workers */
 } PhRandomCase;
 
 #define UNREACHABLE_KINDS                                                     \
@@ -192,6 +193,8 @@
      RESTART_KINDS, true},
     {"all kinds of faults but planned stops", 755, 765, UNPLANNED_KINDS, true},
     {"all kinds of faults", 1, 30, ALL_KINDS, true},
+    {"all kinds of faults, and tasks move off draining workers", 1, 30,
+     ALL_KINDS, true, true},
 };
 
 static const PhRandomCase repeated_start_cases[] = {
@@ -208,6 +211,9 @@
         if (c->delays) {
             PhOwnersSim_SetDelays(sim, seed);
         }
+        if (c->moves) {
+            PhOwnersSim_AnnounceDrains(sim);
+        }
         PhOwnersSim_DrawFaults(sim, seed, RANDOM_FAULTS, c->kinds);
         PhOwnersSim_Run(sim, RANDOM_FAULTS_MS + FAULT_FREE_MS);
         unsigned duplicates = PhOwnersSim_DuplicateStarts(sim);
