schedule: an instance that stops tells the owner at once

Cause: hellos go out every 0.5 s.

Change: an instance that is asked to stop sends its next hello, which says so, at once.

--- a/services/schedule/schedule_task.c
+++ b/services/schedule/schedule_task.c
@@ -73,6 +73,8 @@
     t->draining = true;
     t->stop_began_at = PhTask_Now(t->self);
     PhHandover_Begin(&t->handover, t->stop_began_at);
+    /* The owner must not choose this instance as its successor any more. */
+    PhOwnerLink_HastenHello(&t->link, t->stop_began_at);
     PhScheduleTask_RequestUpdate(t);
 }
 
--- a/tests/schedule/test_owner_link.c
+++ b/tests/schedule/test_owner_link.c
@@ -11,8 +11,8 @@
 };
 
 /* Events: '.' none, 'o' the owner's address is known, 'n' it is not, 'w'
- * welcome, 's' welcome as a standby, 'd' dismissal.  The flags are the
- * expected state after the event. */
+ * welcome, 's' welcome as a standby, 'd' dismissal, 'h' this instance has news
+ * for the owner.  The flags are the expected state after the event. */
 typedef struct PhLinkStep {
     int64_t at_ms;
     char event;
@@ -64,6 +64,13 @@
       {500, 'd', false, false, false},
       {3999, '.', true, false, false},
       {4000, '.', false, false, true}}},
+    {"an instance that stops says so at once",
+     true,
+     {{100, 'o', true, false, false},
+      {110, 's', false, true, true},
+      {200, 'h', true, true, true},
+      {699, '.', false, true, true},
+      {700, '.', true, true, true}}},
     {"no hello without an owner",
      true,
      {{100, 'o', true, false, false},
@@ -94,6 +101,9 @@
         case 'd':
             PhOwnerLink_OnNotOwner(&x, now);
             break;
+        case 'h':
+            PhOwnerLink_HastenHello(&x, now);
+            break;
         case '.':
             break;
         default:
