tests: test_quiesce uses the raw caller of test_listener

It had a connection, a sender and a reader of its own, as test_listener and test_front had before they shared raw_caller.c.

--- a/tests/platform/test_quiesce.c
+++ b/tests/platform/test_quiesce.c
@@ -1,17 +1,13 @@
 /* What happens to open connections when a listener quiesces. */
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "peridothill/services/listener.h"
+#include "raw_caller.h"
 #include "tests/paused_loop.h"
 #include "tests/table.h"
 
 enum {
-    STEPS = 100,
-    TEXT_BYTES = 4096
+    STEPS = 100
 };
 
 /* `unread` has reached the socket but not the process when the listener
@@ -75,42 +71,18 @@
     PhListener_Destroy(((PhQuietServer *)state)->listener);
 }
 
-static int
-client_connect(uint16_t port)
-{
-    struct sockaddr_in a = {.sin_family = AF_INET,
-                            .sin_port = htons(port),
-                            .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    assert_int_equal(connect(fd, (struct sockaddr *)&a, sizeof(a)), 0);
-    return fd;
-}
-
-static void
-client_send(int fd, const char *text)
-{
-    ssize_t len = (ssize_t)strlen(text);
-    assert_int_equal(send(fd, text, (size_t)len, MSG_NOSIGNAL), len);
-}
-
-/* Counts the answers that arrive until the end of the stream. */
+/* Counts the answers that arrive until the end of the stream, `most` at the
+ * most. */
 static size_t
-client_read(struct ev_loop *loop, PhClock *clock, int fd, size_t most,
-            bool *ended)
+answers_read(struct ev_loop *loop, PhClock *clock, PhRawCaller *caller,
+             size_t most)
 {
-    char text[TEXT_BYTES];
-    size_t len = 0;
     size_t answers = 0;
-    *ended = false;
-    for (int i = 0; i < STEPS && !*ended && answers < most; i++) {
+    for (int i = 0; i < STEPS && !caller->closed && answers < most; i++) {
         PhPausedLoop_Step(loop, clock);
-        ssize_t got =
-            recv(fd, text + len, sizeof(text) - 1 - len, MSG_DONTWAIT);
-        *ended = got == 0;
-        len += got > 0 ? (size_t)got : 0;
-        text[len] = '\0';
+        PhRawCaller_Read(caller);
         answers = 0;
-        for (const char *at = text; (at = strstr(at, "here")); at++) {
+        for (const char *at = caller->reply; (at = strstr(at, "here")); at++) {
             answers++;
         }
     }
@@ -131,18 +103,17 @@
                        .state = &s,
                        .handle = server_handle,
                        .destroy = server_destroy};
-    bool ended;
+    PhRawCaller caller = {.fd = -1};
     assert_int_equal(PhKernel_Spawn(kernel, &spec, NULL), PH_STATUS_OK);
     PhKernel_Drain(kernel, SIZE_MAX);
-    int fd = client_connect(PhListener_Port(s.listener));
-    client_send(fd, REQUEST);
-    assert_int_equal(client_read(loop, clock, fd, 1, &ended), 1);
-    client_send(fd, c->unread);
+    PhRawCaller_Open(&caller, PhListener_Port(s.listener));
+    PhRawCaller_Send(&caller, REQUEST);
+    assert_int_equal(answers_read(loop, clock, &caller, 1), 1);
+    PhRawCaller_Send(&caller, c->unread);
     PhListener_Quiesce(s.listener);
-    assert_int_equal(1 + client_read(loop, clock, fd, SIZE_MAX, &ended),
-                     c->answers);
-    assert_true(ended);
-    close(fd);
+    assert_int_equal(answers_read(loop, clock, &caller, SIZE_MAX), c->answers);
+    assert_true(caller.closed);
+    PhRawCaller_Close(&caller);
     PhKernel_Destroy(kernel);
     PhCounters_Destroy(counters);
     PhClock_Destroy(clock);
