schedule: a placement with reserved room returns nothing

Its only caller ignored the result. The earliest leave of a worker is set by draining entries alone, so that whether it leaves needs no second check.

--- a/decide/schedule/evacuation.c
+++ b/decide/schedule/evacuation.c
@@ -87,7 +87,7 @@
     }
 }
 
-bool
+void
 PhScheduler_PlaceReserved(PhScheduler *s, PhSchedTask *task, PhTime now)
 {
     PhSchedWorker *w = task->reserved;
@@ -98,10 +98,8 @@
             break;
         }
     }
-    if (!PhScheduler_IsUsable(w, now) ||
-        !PhScheduler_RateWorker(s, w, task, now, &score)) {
-        return false;
+    if (PhScheduler_IsUsable(w, now) &&
+        PhScheduler_RateWorker(s, w, task, now, &score)) {
+        PhScheduler_StartTask(s, task, w, now);
     }
-    PhScheduler_StartTask(s, task, w, now);
-    return true;
 }
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -515,9 +515,8 @@
     w->dead = false;
     if (entry->draining) {
         PhTime leaves_by = now + entry->remaining;
-        w->leaves_by = w->leaving && w->leaves_by > 0
-                           ? MIN(w->leaves_by, leaves_by)
-                           : leaves_by;
+        w->leaves_by =
+            w->leaves_by > 0 ? MIN(w->leaves_by, leaves_by) : leaves_by;
     }
     w->leaving |= entry->draining;
     PhSchedWorker_SetEntry(w, entry);
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -220,9 +220,9 @@
                                  const PhSchedTask *task, PhTime now);
 /* evacuation.c: moves lasting tasks off workers that are about to leave. */
 void PhScheduler_Evacuate(PhScheduler *scheduler, PhTime now);
-/* Places a waiting task where room is reserved for it; false, without a
- * reservation, if it no longer suits the worker. */
-bool PhScheduler_PlaceReserved(PhScheduler *scheduler, PhSchedTask *task,
+/* Ends the reservation of a waiting task, and places it there unless it no
+ * longer suits the worker. */
+void PhScheduler_PlaceReserved(PhScheduler *scheduler, PhSchedTask *task,
                                PhTime now);
 /* pacing.c: adjusts the pace of a worker's backfill tasks after a sample. */
 void PhScheduler_PaceWorker(PhScheduler *scheduler, PhSchedWorker *worker,
