tests: a simulated order is answered once

An order that came late to an incarnation that had stopped was answered a second time, after its time-out, with an empty reply, which reads as executed. No worker does that.

The check is as strict as before: every order is delivered as it was, and none is answered less than once.

--- a/tests/schedule/owners_orders.c
+++ b/tests/schedule/owners_orders.c
@@ -99,7 +99,9 @@
     PhSimReply reply = {.hold.outcome = PH_SCHED_OUTCOME_UNKNOWN};
     f->deliver_at = PH_TIME_NEVER;
     if (h->born_ms != f->born_ms || !h->alive) {
-        f->reply_at = w->delays == NULL ? w->now : f->times_out_at;
+        if (f->reply_at != PH_TIME_NEVER) {
+            f->reply_at = w->delays == NULL ? w->now : f->times_out_at;
+        }
         f->hold_until = 0;
         return;
     }
