schedule: logs whether a later incarnation may have executed a start

7025 said why a run was given up, not whether its start could have reached another incarnation of the worker than the one it named. A process executes orders only on connections that it accepted while it ran: so a start is bound to an incarnation if its connection was established before the newest sign of life of that one. The http task reports when a connection was established, the scheduler keeps that of the newest start of a run and the time at which an incarnation has last answered a hold, and 7025 says unbound=1 where the start is later than that.

No decision depends on it yet.

--- a/decide/schedule/incarnations.c
+++ b/decide/schedule/incarnations.c
@@ -34,6 +34,7 @@
     task->start_in_flight = held.start_in_flight;
     task->start_unconfirmed =
         held.start_in_flight || held.unanswered_start_at != 0;
+    task->start_connected_at = held.start_connected_at;
     task->confirmed_clock_ms = 0;
     PhSchedTask_ResetPace(task, PH_SCHED_PACE_UNKNOWN);
     PhScheduler_MarkStageDirty(s, task->stage);
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -340,6 +340,7 @@
     event.as.released.reason = reason;
     event.as.released.unanswered = PhSchedTask_UnansweredFor(task, now);
     event.as.released.lease_left = task->worker->leases.until - now;
+    event.as.released.start_unbound = PhSchedTask_StartIsUnbound(task);
     g_array_append_val(s->events, event);
     PhScheduler_EndRun(s, task, release_kind(reason), (PhStr){0}, now);
     PhScheduler_WakeBy(s, now);
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -139,6 +139,9 @@
  * incarnation of the worker that it names, by a later one under the same id.
  */
 bool PhSchedTask_StartMayArrive(const PhSchedTask *task, PhTime now);
+/* Reports whether a later incarnation under the worker's id may have executed
+ * a start of the run, or may yet do so, without the owner knowing of it. */
+bool PhSchedTask_StartIsUnbound(const PhSchedTask *task);
 PhStartSettlement PhScheduler_StartSettlement(const PhScheduler *scheduler,
                                               const PhSchedTask *task);
 PhStartVerdict PhScheduler_JudgeStart(const PhScheduler *scheduler,
--- a/decide/schedule/starts.c
+++ b/decide/schedule/starts.c
@@ -20,6 +20,15 @@
            (age >= 0 && age <= PH_LATE_ORDER_MS * PH_NS_PER_MS);
 }
 
+/* A process can execute only orders on connections that it accepted while it
+ * ran. */
+bool
+PhSchedTask_StartIsUnbound(const PhSchedTask *task)
+{
+    return task->start_in_flight ||
+           task->start_connected_at > task->worker->alive_at;
+}
+
 static PhStartObstacle
 start_obstacle(const PhSchedTask *task)
 {
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -34,6 +34,7 @@
         return false;
     }
     *action = action_on(w, PH_SCHED_ACTION_HOLD);
+    w->hold_sent_at = now;
     action->as.hold.last_seen = w->last_end_acked;
     if (!w->fenced || w->suspended || w->grant_batch > s->durable_batch) {
         return true;
@@ -288,6 +289,8 @@
     PhSchedWorker *w = task->worker;
     PhSchedOutcome outcome = start_outcome(task, reply);
     task->start_in_flight = false;
+    task->start_connected_at =
+        MAX(task->start_connected_at, reply->connected_at);
     if (outcome == PH_SCHED_OUTCOME_UNKNOWN) {
         task->unanswered_start_at = task->start_sent_at;
         w->cooldown_until = now + REFUSAL_COOLDOWN;
@@ -563,6 +566,7 @@
                    const PhSchedHoldReply *reply, PhTime now)
 {
     PhSchedWorker *w = PhSchedModel_Worker(s->model, worker, born_ms);
+    PhTime alive_at = MAX(w->hold_sent_at, reply->connected_at);
     w->hold_in_flight = false;
     PhScheduler_WakeBy(s, now);
     switch (reply->outcome) {
@@ -572,6 +576,7 @@
         if (reply->born_ms != 0 && born_ms != 0 && reply->born_ms != born_ms) {
             w = PhScheduler_SwitchIncarnation(s, w, reply, now);
         }
+        w->alive_at = MAX(w->alive_at, alive_at);
         reply_apply(s, w, reply, now);
         break;
     case PH_SCHED_OUTCOME_STALE_RUN:
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -67,6 +67,8 @@
     PhTime unanswered_start_at; /* newest one without an answer, 0 for none */
     bool start_in_flight;
     bool start_unconfirmed; /* a start of this run may still take effect */
+    PhTime start_connected_at; /* newest connection that carried a start of
+                                  this run, 0 for none */
     bool stopping;          /* a stop is queued or has been sent */
     bool stop_in_flight;
     int percent;      /* pace: share of full speed */
@@ -213,6 +215,8 @@
     int64_t clock_ms; /* newest reading of its clock */
     PhTime clock_at;
     bool hold_in_flight;
+    PhTime hold_sent_at;
+    PhTime alive_at; /* this incarnation is known to have run then */
     PhTime next_hold_at;
     uint64_t last_end_seen;  /* newest end that was applied */
     uint64_t last_end_acked; /* newest end that may be acknowledged */
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -94,6 +94,8 @@
     PhSchedOutcome outcome;
     int64_t clock_ms; /* the worker's clock */
     int64_t born_ms;  /* incarnation that answered; 0: not stated */
+    PhTime connected_at; /* its connection was established; 0: early enough
+                            to be that of the incarnation addressed */
     PhSchedRunRow *runs;
     size_t run_count;
     PhSchedEndRow *ends;
@@ -108,6 +110,7 @@
     int64_t born_ms; /* incarnation that the order was meant for */
     PhSchedOutcome outcome;
     int64_t clock_ms; /* the worker's clock */
+    PhTime connected_at; /* as in PhSchedHoldReply */
 } PhSchedRunReply;
 
 /* Changes that are reported to the log. */
@@ -183,6 +186,8 @@
                                   -1 for none */
             PhTime lease_left; /* of the worker's leases, as far as granted by
                                   this owner */
+            bool start_unbound; /* a later incarnation may have executed a
+                                   start of the run */
         } released;
         struct {
             PhSchedTaskName task;
--- a/include/peridothill/services/http.h
+++ b/include/peridothill/services/http.h
@@ -52,6 +52,7 @@
     PhHttpOutcome outcome;
     PhHttpFailure failure;
     bool reused_connection; /* the connection had been used before */
+    PhTime connected_at;    /* it was established; 0 if that is not known */
     int status;
     PhHttpHeader *headers;
     size_t header_count;
@@ -88,7 +89,7 @@
 PhStatus PhHttp_Start(PhKernel *kernel);
 /* Starts the task "http" for many small requests to few addresses. Same
  * interface, but replies carry no headers and the first-byte deadline is
- * ignored. */
+ * ignored.  It alone knows when connections were established. */
 PhStatus PhHttpMinimal_Start(PhKernel *kernel);
 
 #endif
--- a/include/peridothill/services/orders.h
+++ b/include/peridothill/services/orders.h
@@ -24,6 +24,7 @@
     int percent;
     PhSchedOutcome outcome;
     int64_t clock_ms;
+    PhTime connected_at; /* as in PhSchedRunReply */
     PhSchedHoldReply hold;
 } PhOrderReply;
 
--- a/services/platform/http_minimal.c
+++ b/services/platform/http_minimal.c
@@ -51,6 +51,7 @@
     PhTaskRef sender;
     PhTime started;
     PhTime idle_since;
+    PhTime connected_at; /* 0 before it is established */
     PhBuf out;
     size_t sent;
     PhBuf in;
@@ -111,6 +112,7 @@
                          .outcome = outcome,
                          .failure = failure,
                          .reused_connection = c->reused,
+                         .connected_at = c->connected_at,
                          .status = (int)c->parser.status_code,
                          .first_byte_after = after,
                          .completed_after = after};
@@ -236,6 +238,9 @@
             connection_watch(c, PH_IO_READ | PH_IO_WRITE);
             return true;
         }
+        if (c->connected_at == 0) {
+            c->connected_at = PhTask_Now(c->http->self);
+        }
         c->sent += (size_t)n;
     }
     connection_watch(c, PH_IO_READ);
--- a/services/schedule/schedule_log.c
+++ b/services/schedule/schedule_log.c
@@ -166,7 +166,8 @@
         PhField_STR("worker", note->worker->entry.id),
         PhField_STR("reason", reasons[note->as.released.reason]),
         PhField_I64("unanswered_ms", age_ms(note->as.released.unanswered)),
-        PhField_I64("lease_ms", note->as.released.lease_left / PH_NS_PER_MS));
+        PhField_I64("lease_ms", note->as.released.lease_left / PH_NS_PER_MS),
+        PhField_U64("unbound", note->as.released.start_unbound));
     PhStr_Clear(&task);
 }
 
--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -367,7 +367,8 @@
                            .run = r->run,
                            .born_ms = r->born_ms,
                            .outcome = r->outcome,
-                           .clock_ms = r->clock_ms};
+                           .clock_ms = r->clock_ms,
+                           .connected_at = r->connected_at};
     bool is_owner = true;
     if (t->stage != OWNER_ACTIVE || r->fence != t->fence) {
         return;
--- a/tests/schedule/owners_orders.c
+++ b/tests/schedule/owners_orders.c
@@ -20,7 +20,8 @@
                            .run = a->as.run.run,
                            .born_ms = a->born_ms,
                            .outcome = reply->hold.outcome,
-                           .clock_ms = reply->hold.clock_ms};
+                           .clock_ms = reply->hold.clock_ms,
+                           .connected_at = reply->hold.connected_at};
     PhTime now = w->now;
     switch (a->tag) {
     case PH_SCHED_ACTION_HOLD:
@@ -46,6 +47,19 @@
                      PH_NS_PER_MS;
 }
 
+/* Returns when the connection that an order uses was established.  The one to
+ * an earlier incarnation has ended with it. */
+static PhTime
+connection_use(PhOwnersSim *w, int instance, int worker)
+{
+    PhSimConnection *c = &w->connections[instance][worker];
+    if (c->born_ms != w->workers[worker].born_ms) {
+        *c = (PhSimConnection){.born_ms = w->workers[worker].born_ms,
+                               .since = w->now};
+    }
+    return c->since;
+}
+
 static void
 order_send(PhOwnersSim *w, int instance, const PhSchedAction *a)
 {
@@ -60,6 +74,7 @@
                     .fence = w->instances[instance].fence,
                     .action = *a,
                     .born_ms = w->workers[worker].born_ms,
+                    .connected_at = connection_use(w, instance, worker),
                     .deliver_at = w->now + draw_delay(w, DELAY_MAX_MS),
                     .reply_lost = partitioned || late || no_reply,
                     .reply.hold.outcome = PH_SCHED_OUTCOME_UNKNOWN};
@@ -140,6 +155,7 @@
 {
     PhSimInstance *m = &w->instances[f->instance];
     f->reply_at = PH_TIME_NEVER;
+    f->reply.hold.connected_at = f->connected_at;
     if (m->active && m->fence == f->fence &&
         !order_complete(w, m, &f->action, &f->reply)) {
         PhElection_OnDeposed(m->election, w->now);
--- a/tests/schedule/owners_sim_private.h
+++ b/tests/schedule/owners_sim_private.h
@@ -29,6 +29,12 @@
     uint64_t batch; /* current batch without a reply, 0 for none */
 } PhSimInstance;
 
+/* The connection of an instance to a worker's process; it ends with that. */
+typedef struct PhSimConnection {
+    int64_t born_ms; /* 0: none yet */
+    PhTime since;
+} PhSimConnection;
+
 /* An order in flight. */
 typedef struct PhSimOrder {
     int instance;
@@ -36,6 +42,7 @@
     uint64_t fence;
     PhSchedAction action;
     int64_t born_ms;     /* incarnation of the worker when it was sent */
+    PhTime connected_at; /* its connection was established */
     PhTime deliver_at;   /* PH_TIME_NEVER: it is lost or delivered */
     PhTime reply_at;     /* PH_TIME_NEVER: it is answered */
     PhTime hold_until;   /* wait of a delivered hold; 0: none */
@@ -58,6 +65,7 @@
     int64_t short_until_ms; /* end of submissions */
     unsigned takeovers;
     bool drains_announced;
+    PhSimConnection connections[PH_OWNERS_INSTANCES][PH_OWNERS_WORKERS];
     PhRandom *delays; /* NULL: no delays */
     GArray *orders;   /* PhSimOrder */
 };
