schedule: a run that a later incarnation may have is kept until its lease ends

Callers saw a task run twice: a worker that had restarted under its id executed a start that was meant for its earlier incarnation.

A start that is bound to the incarnation cannot be executed by a later one, and its run is given up as before. Any other is kept until an order of that time, executed as late as possible, can no longer hold a lease: 22.3 s, or until the worker answers.

Ways weighed. Peridothill-Expect-Instance names the id, which the incarnations share. A stop, a run number and a fence are known only to the incarnation that was told, and this one is never heard of. A deadline cannot be refused as late by a clock that has just begun. Asking the worker before each start costs a round trip and a look for each.

test_unbound_orders failed before: 6.4 s instead of 22 s for both starts on a later connection.

--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -160,11 +160,31 @@
     return bound;
 }
 
+/* When the lease of a run has expired, given that of its worker's leases.  A
+ * later incarnation that has executed a start of it may have been granted the
+ * longest lease there is, by orders that are executed late. */
+static PhTime
+run_lease_end(const PhScheduler *s, const PhSchedTask *task, PhTime until)
+{
+    if (task->fence != s->fence || !PhSchedTask_StartIsUnbound(task)) {
+        return until;
+    }
+    PhTime last_executed =
+        task->worker->granted_at + PH_LATE_ORDER_MS * PH_NS_PER_MS;
+    return MAX(until,
+               last_executed + slow_clock_bound(s->options.lease_limit));
+}
+
 /* Records how much longer the leases of a worker may last. */
 static void
 bound_record(PhScheduler *s, PhSchedWorker *w, PhTime now)
 {
-    PhTime until = leases_end(s, w).until;
+    PhTime leases_until = leases_end(s, w).until;
+    PhTime until = leases_until;
+    for (guint i = 0; i < w->tasks->len; i++) {
+        until = MAX(until, run_lease_end(s, g_ptr_array_index(w->tasks, i),
+                                         leases_until));
+    }
     w->bound_at = now;
     w->lease_expiry_bound = MAX(until - now, PH_NS_PER_MS);
     w->bound_inherited = w->inherited_leases_end_by >= until;
@@ -213,28 +233,38 @@
     int64_t end_ms =
         worker_clock(w, now) + lease_length(s, w->leaving) / PH_NS_PER_MS;
     PhTime left = (end_ms - w->clock_ms) * PH_NS_PER_MS;
+    w->granted_at = now;
     w->leases.until =
         MAX(w->leases.until, w->clock_at + slow_clock_bound(left));
     return end_ms;
 }
 
-/* Ends every run of an incarnation whose leases have expired. */
+/* Ends the runs of an incarnation whose leases have expired, all but those that
+ * a later one may have. */
 static void
-worker_lost(PhScheduler *s, PhSchedWorker *w, PhLeaseEvidence evidence,
-            PhTime now)
+worker_lost(PhScheduler *s, PhSchedWorker *w, PhLeaseBound bound, PhTime now)
 {
+    guint before = w->tasks->len;
+    for (guint i = w->tasks->len; i-- > 0;) {
+        PhSchedTask *task = g_ptr_array_index(w->tasks, i);
+        PhTime end = run_lease_end(s, task, bound.until);
+        if (now >= end) {
+            PhScheduler_ReleaseRun(s, task, PH_SCHED_RELEASE_LOST, now);
+        }
+        else {
+            PhScheduler_WakeBy(s, end);
+        }
+    }
+    if (w->tasks->len == before) {
+        return;
+    }
     PhSchedEvent event = {
         .tag = PH_SCHED_EVENT_WORKER_LOST,
         .worker = w,
-        .as.lost = {.runs = w->tasks->len,
+        .as.lost = {.runs = before - w->tasks->len,
                     .suspended = w->suspended ? now - w->suspended_at : -1,
-                    .evidence = evidence}};
+                    .evidence = bound.evidence}};
     g_array_append_val(s->events, event);
-    w->dead = true;
-    while (w->tasks->len > 0) {
-        PhScheduler_ReleaseRun(s, g_ptr_array_index(w->tasks, 0),
-                               PH_SCHED_RELEASE_LOST, now);
-    }
 }
 
 void
@@ -252,16 +282,20 @@
     PhLeaseBound bound = leases_end(s, w);
     if (now >= bound.until && w->tasks->len > 0 &&
         (!w->listed || !newest || w->failing_since > 0)) {
-        worker_lost(s, w, bound.evidence, now);
-        w->dead = !w->listed || !newest;
-        return;
+        worker_lost(s, w, bound, now);
+        w->dead = w->tasks->len == 0 && (!w->listed || !newest);
+        if (w->tasks->len == 0) {
+            return;
+        }
     }
     if (!w->listed && w->tasks->len == 0) {
         w->dead = true;
         return;
     }
     if (w->tasks->len > 0) {
-        PhScheduler_WakeBy(s, bound.until);
+        if (now < bound.until) {
+            PhScheduler_WakeBy(s, bound.until);
+        }
         if (!w->fenced && now - s->owner_since >= FIRST_ANSWER_LIMIT) {
             PhScheduler_SetSuspended(s, w, true, now);
         }
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -216,7 +216,8 @@
     PhTime clock_at;
     bool hold_in_flight;
     PhTime hold_sent_at;
-    PhTime alive_at; /* this incarnation is known to have run then */
+    PhTime alive_at;   /* this incarnation is known to have run then */
+    PhTime granted_at; /* newest order with a lease */
     PhTime next_hold_at;
     uint64_t last_end_seen;  /* newest end that was applied */
     uint64_t last_end_acked; /* newest end that may be acknowledged */
--- /dev/null
+++ b/tests/schedule/test_unbound_orders.c
@@ -0,0 +1,171 @@
+/* Orders that a later incarnation of a worker may have executed, since their
+ * connections were established after the last sign of the one they name. */
+#include "single_task.h"
+#include "tests/table.h"
+
+enum {
+    RUN = 1,
+    FENCE = 7,
+    BORN_MS = 1,
+};
+
+static const PhTime NOW = 100 * PH_NS_PER_S;
+static const PhTime STEP = 100 * PH_NS_PER_MS;
+/* The worker's last sign of life. */
+static const PhTime ANSWERED_AT = NOW + PH_NS_PER_S;
+static const PhTime NEVER_LOST = 60 * PH_NS_PER_S;
+
+typedef struct PhUnboundFixture {
+    PhScheduler *scheduler;
+    PhSchedTask *task;
+    PhTime now;
+} PhUnboundFixture;
+
+/* Takes the next order of a kind that is sent within a second; all others get
+ * no answer. */
+static PhSchedAction
+order_take(PhUnboundFixture *f, PhSchedActionTag tag)
+{
+    PhTime until = f->now + PH_NS_PER_S;
+    PhSchedAction action;
+    for (; f->now <= until; f->now += STEP) {
+        PhScheduler_Plan(f->scheduler, f->now, 0);
+        PhSingle_RecordAll(f->scheduler);
+        while (PhScheduler_NextAction(f->scheduler, f->now, &action)) {
+            if (action.tag == tag) {
+                return action;
+            }
+        }
+    }
+    assert_true(false);
+    return action;
+}
+
+/* Completes a hold; an answer lists the run or nothing. */
+static void
+hold_complete(PhUnboundFixture *f, PhSchedOutcome outcome, PhTime connected_at,
+              bool lists_run)
+{
+    PhSchedRunRow row = {.task = {.job = PH_SINGLE_JOB}, .run = RUN};
+    PhSchedHoldReply reply = {.outcome = outcome,
+                              .clock_ms = f->now / PH_NS_PER_MS,
+                              .born_ms = BORN_MS,
+                              .connected_at = connected_at,
+                              .runs = &row,
+                              .run_count = lists_run};
+    PhScheduler_OnHold(f->scheduler, PH_SINGLE_WORKER, BORN_MS, &reply,
+                       f->now);
+}
+
+static void
+fixture_open(PhUnboundFixture *f)
+{
+    PhScheduler *s = PhScheduler_Create(
+        &(PhSchedulerOptions){.lease_limit = 10 * PH_NS_PER_S});
+    *f = (PhUnboundFixture){.scheduler = s, .now = NOW};
+    PhSingle_ShowWorker(s, false, NOW);
+    PhScheduler_SetFence(s, FENCE, NOW);
+    order_take(f, PH_SCHED_ACTION_HOLD);
+    f->now = ANSWERED_AT;
+    hold_complete(f, PH_SCHED_OUTCOME_DONE, NOW, false);
+}
+
+static void
+fixture_close(PhUnboundFixture *f)
+{
+    PhScheduler_Destroy(f->scheduler);
+}
+
+/* The start of a task, after which the worker falls silent, and how long the
+ * task keeps its run. */
+typedef struct PhUnboundCase {
+    const char *name;
+    PhSchedOutcome outcome;
+    PhTime connected; /* after the connection of the worker's last answer */
+    bool answers_later;
+    PhTime least;
+    PhTime most;
+} PhUnboundCase;
+
+/* The lease, and the longest lease there is from an order that is executed as
+ * late as possible. */
+#define LEASE_LEAST (6 * PH_NS_PER_S)
+#define LEASE_MOST (8 * PH_NS_PER_S)
+#define LATE_LEAST (22 * PH_NS_PER_S)
+#define LATE_MOST (25 * PH_NS_PER_S)
+
+static const PhUnboundCase unbound_cases[] = {
+    {"unanswered, on the connection of an answer", PH_SCHED_OUTCOME_UNKNOWN, 0,
+     false, LEASE_LEAST, LEASE_MOST},
+    {"answered, on the connection of an answer", PH_SCHED_OUTCOME_DONE, 0,
+     false, LEASE_LEAST, LEASE_MOST},
+    {"unanswered, on a later connection", PH_SCHED_OUTCOME_UNKNOWN,
+     2 * PH_NS_PER_S, false, LATE_LEAST, LATE_MOST},
+    {"answered, on a later connection", PH_SCHED_OUTCOME_DONE, 2 * PH_NS_PER_S,
+     false, LATE_LEAST, LATE_MOST},
+    {"unanswered, on a later connection, and the worker answers once more",
+     PH_SCHED_OUTCOME_UNKNOWN, 2 * PH_NS_PER_S, true, LEASE_LEAST, LEASE_MOST},
+};
+
+/* Leaves all orders without an answer; returns when the run is over. */
+static PhTime
+run_outlast(PhUnboundFixture *f)
+{
+    PhTime until = f->now + NEVER_LOST;
+    for (; f->now < until && f->task->worker != NULL; f->now += STEP) {
+        PhSchedAction action;
+        PhScheduler_Plan(f->scheduler, f->now, 0);
+        PhSingle_RecordAll(f->scheduler);
+        while (PhScheduler_NextAction(f->scheduler, f->now, &action)) {
+            if (action.tag == PH_SCHED_ACTION_HOLD) {
+                hold_complete(f, PH_SCHED_OUTCOME_UNKNOWN, 0, false);
+            }
+        }
+    }
+    return f->now;
+}
+
+static void
+unbound_run(const PhUnboundCase *c)
+{
+    PhUnboundFixture f;
+    fixture_open(&f);
+    PhTime connected_at = NOW + c->connected;
+    f.task = PhSingle_AddJob(PhScheduler_Model(f.scheduler), PH_SINGLE_JOB,
+                             (PhSchedStep){.count = 1, .long_running = true});
+    f.now = ANSWERED_AT + 2 * PH_NS_PER_S;
+    order_take(&f, PH_SCHED_ACTION_START);
+    PhTime sent_at = f.now;
+    PhSchedRunReply reply = {.task = {.job = PH_SINGLE_JOB},
+                             .run = RUN,
+                             .born_ms = BORN_MS,
+                             .outcome = c->outcome,
+                             .clock_ms = f.now / PH_NS_PER_MS,
+                             .connected_at = connected_at};
+    PhScheduler_OnStart(f.scheduler, &reply, f.now);
+    /* The hold that was queued before is answered by nobody. */
+    hold_complete(&f, PH_SCHED_OUTCOME_UNKNOWN, 0, false);
+    if (c->answers_later) {
+        order_take(&f, PH_SCHED_ACTION_HOLD);
+        hold_complete(&f, PH_SCHED_OUTCOME_DONE, connected_at, true);
+    }
+    PhTime kept = run_outlast(&f) - sent_at;
+    fixture_close(&f);
+    assert_in_range(kept, c->least, c->most);
+}
+
+/* Guards against a second run of a task while a later incarnation of the
+ * worker, which the owner has never heard of, executes its start. */
+static void
+test_unbound_starts(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(unbound_cases, unbound_run);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {cmocka_unit_test(test_unbound_starts)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
