schedule: ends are acknowledged only to the incarnation that reported them

Callers saw a task start again after it was done. A worker numbers its ends from 1 in each incarnation.

A hold now acknowledges ends only if there are new ones, and is sent only on a connection that was established before the newest sign of life of their incarnation, which a later one cannot have accepted. Where none is idle nothing is sent, and the next hold asks without an acknowledgement first: its answer proves a connection. All other holds carry lastSeen 0, on any connection.

Weighed: a fence that rises with each incarnation protects only after the first contact, and an end can be lost before that; an acknowledgement right after an answer leaves the time of a restart open.

--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -26,6 +26,18 @@
                            .address = w->entry.address};
 }
 
+/* Each incarnation numbers its ends from 1, so that an acknowledgement is sent
+ * only on a connection that a later one cannot have accepted. */
+static void
+acks_add(PhSchedWorker *w, PhSchedAction *action)
+{
+    bool due = w->last_end_acked > w->acks_answered && !w->acks_deferred;
+    w->acks_deferred = false;
+    w->acks_in_flight = due ? w->last_end_acked : 0;
+    action->as.hold.last_seen = w->acks_in_flight;
+    action->as.hold.connected_by = due ? w->alive_at : 0;
+}
+
 static bool
 next_hold(PhScheduler *s, PhTime now, PhSchedAction *action)
 {
@@ -35,7 +47,7 @@
     }
     *action = action_on(w, PH_SCHED_ACTION_HOLD);
     w->hold_sent_at = now;
-    action->as.hold.last_seen = w->last_end_acked;
+    acks_add(w, action);
     if (!w->fenced || w->suspended || w->grant_batch > s->durable_batch) {
         return true;
     }
@@ -516,6 +528,16 @@
     PhScheduler_WakeBy(s, w->next_hold_at);
 }
 
+/* No connection is known to be the incarnation's own: it is queried without an
+ * acknowledgement first. */
+static void
+acks_defer(PhScheduler *s, PhSchedWorker *w, PhTime now)
+{
+    w->acks_deferred = true;
+    w->next_hold_at = now;
+    PhScheduler_WakeBy(s, now);
+}
+
 static void
 reply_apply(PhScheduler *s, PhSchedWorker *w, const PhSchedHoldReply *reply,
             PhTime now)
@@ -567,7 +589,9 @@
 {
     PhSchedWorker *w = PhSchedModel_Worker(s->model, worker, born_ms);
     PhTime alive_at = MAX(w->hold_sent_at, reply->connected_at);
+    uint64_t acked = w->acks_in_flight;
     w->hold_in_flight = false;
+    w->acks_in_flight = 0;
     PhScheduler_WakeBy(s, now);
     switch (reply->outcome) {
     case PH_SCHED_OUTCOME_FENCED:
@@ -575,16 +599,24 @@
     case PH_SCHED_OUTCOME_DONE:
         if (reply->born_ms != 0 && born_ms != 0 && reply->born_ms != born_ms) {
             w = PhScheduler_SwitchIncarnation(s, w, reply, now);
+            acked = 0;
         }
         w->alive_at = MAX(w->alive_at, alive_at);
+        w->acks_answered = MAX(w->acks_answered, acked);
         reply_apply(s, w, reply, now);
         break;
+    case PH_SCHED_OUTCOME_NOT_SENT:
+        if (acked > 0) {
+            acks_defer(s, w, now);
+            break;
+        }
+        hold_failed(s, w, now);
+        break;
     case PH_SCHED_OUTCOME_STALE_RUN:
     case PH_SCHED_OUTCOME_DEADLINE_PASSED:
     case PH_SCHED_OUTCOME_NO_CAPACITY:
     case PH_SCHED_OUTCOME_REFUSED:
     case PH_SCHED_OUTCOME_OTHER_INCARNATION:
-    case PH_SCHED_OUTCOME_NOT_SENT:
     case PH_SCHED_OUTCOME_UNKNOWN:
         hold_failed(s, w, now);
         break;
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -221,6 +221,9 @@
     PhTime next_hold_at;
     uint64_t last_end_seen;  /* newest end that was applied */
     uint64_t last_end_acked; /* newest end that may be acknowledged */
+    uint64_t acks_in_flight; /* newest end that a hold acknowledges, 0: none */
+    uint64_t acks_answered;  /* newest end that the worker has forgotten */
+    bool acks_deferred;      /* no connection is known to be its own */
     uint64_t last_end_batch; /* batch that records last_end_seen */
     bool ends_blocked;       /* it reports the end of an unknown job */
     GPtrArray *tasks;        /* PhSchedTask, not owned */
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -51,6 +51,8 @@
             int64_t deadline_ms; /* of the lease, on the worker's clock; 0: no
                                     lease, query only */
             PhTime wait;         /* the worker waits this long for an end */
+            PhTime connected_by; /* sent only on a connection that was
+                                    established by then; 0: on any */
         } hold;
         PhSchedRunOrder run; /* of START, STOP and PACE */
     } as;
--- a/include/peridothill/services/http.h
+++ b/include/peridothill/services/http.h
@@ -23,6 +23,8 @@
     PhTime first_byte; /* deadline for the first byte, or PH_TIME_NEVER */
     size_t answer_limit_bytes;
     bool fresh_connection; /* do not reuse a connection */
+    PhTime connected_by;   /* reuse one that was established by then, and send
+                              nothing if there is none; 0: any connection */
     uint32_t connections;  /* limit of connections per address; 0 keeps the
                               current limit */
 } PhHttpRequest;
@@ -45,6 +47,7 @@
     PH_HTTP_FAILURE_TOO_LARGE,
     PH_HTTP_FAILURE_CANCELLED,
     PH_HTTP_FAILURE_FULL,
+    PH_HTTP_FAILURE_NO_CONNECTION, /* none as old as the request asks for */
 } PhHttpFailure;
 
 typedef struct PhHttpReply {
--- a/services/platform/http_minimal.c
+++ b/services/platform/http_minimal.c
@@ -333,22 +333,48 @@
     PhBuf_Append(&c->out, r->body);
 }
 
+/* Takes an idle connection that the request may reuse.  The one used last is
+ * the least likely to be stale. */
+static PhHttpConnection *
+connection_take(PhTarget *target, const PhHttpRequest *r)
+{
+    if (r->fresh_connection) {
+        return NULL;
+    }
+    for (GList *l = target->idle.tail; l != NULL; l = l->prev) {
+        PhHttpConnection *c = l->data;
+        if (r->connected_by == 0 || c->connected_at <= r->connected_by) {
+            g_queue_delete_link(&target->idle, l);
+            return c;
+        }
+    }
+    return NULL;
+}
+
+static void
+request_refuse(PhHttpMinimal *http, PhTaskRef sender, uint64_t id,
+               PhHttpFailure failure)
+{
+    PhHttpReply reply = {
+        .id = id, .outcome = PH_HTTP_NOT_SENT, .failure = failure};
+    reply_send(http, sender, &reply);
+}
+
 static void
 request_start(PhHttpMinimal *http, PhTaskRef sender, const PhHttpRequest *r)
 {
     PhTarget *target = target_find(http, r->address);
-    /* The connection used last is the least likely to be stale. */
-    PhHttpConnection *c =
-        r->fresh_connection ? NULL : g_queue_pop_tail(&target->idle);
+    PhHttpConnection *c = connection_take(target, r);
     bool reused = c != NULL;
+    if (!reused && r->connected_by != 0) {
+        request_refuse(http, sender, r->id, PH_HTTP_FAILURE_NO_CONNECTION);
+        return;
+    }
     if (c == NULL) {
         c = connection_open(http, target);
     }
     if (c == NULL) {
-        PhHttpReply reply = {.id = r->id,
-                             .outcome = PH_HTTP_NOT_SENT,
-                             .failure = PH_HTTP_FAILURE_CONNECT};
-        reply_send(http, sender, &reply);
+        request_refuse(http, sender, r->id, PH_HTTP_FAILURE_CONNECT);
         return;
     }
     c->number = ++http->next_number;
--- a/services/requests/entry_answer.c
+++ b/services/requests/entry_answer.c
@@ -126,6 +126,7 @@
     }
     switch (reply->failure) {
     case PH_HTTP_FAILURE_CONNECT:
+    case PH_HTTP_FAILURE_NO_CONNECTION:
         return PH_ATTEMPT_END_CONNECT;
     case PH_HTTP_FAILURE_FIRST_BYTE:
         return PH_ATTEMPT_END_FIRST_BYTE;
--- a/tests/schedule/owners_orders.c
+++ b/tests/schedule/owners_orders.c
@@ -95,6 +95,13 @@
         f.deliver_at = w->now + LATE_MIN_MS * PH_NS_PER_MS +
                        draw_delay(w, LATE_SPREAD_MS);
     }
+    if (a->tag == PH_SCHED_ACTION_HOLD && a->as.hold.connected_by > 0 &&
+        f.connected_at > a->as.hold.connected_by) {
+        f.reply.hold.outcome = PH_SCHED_OUTCOME_NOT_SENT;
+        f.deliver_at = PH_TIME_NEVER;
+        f.reply_at = w->now;
+        f.hold_until = 0;
+    }
     f.action.worker = PhStr_FromC(w->workers[worker].id);
     if (a->tag != PH_SCHED_ACTION_HOLD) {
         f.action.as.run.task.job =
--- a/tests/schedule/test_reborn_late.c
+++ b/tests/schedule/test_reborn_late.c
@@ -1,7 +1,6 @@
 /* Workers that restart under their id while replies are lost or orders are
- * late.  Guards against tasks that run twice at a time: an unanswered start
- * may run in a later incarnation that its owner never learns of, with the
- * longest possible lease. */
+ * late.  Guards against tasks that run twice, since a later incarnation
+ * executes starts and acknowledgements that were meant for an earlier one. */
 #include "owners_sim.h"
 #include "tests/table.h"
 
@@ -26,6 +25,12 @@
 static const PhRestartCase restart_cases[] = {
     {"seed 195", 195},
     {"seed 225", 225},
+    {"seed 1021", 1021},
+    {"seed 1057", 1057},
+    {"seed 40391", 40391},
+    {"seed 40419", 40419},
+    {"seed 40424", 40424},
+    {"seed 41091", 41091},
 };
 
 static void
