schedule: inherited runs are kept while a later incarnation may hold a lease

Callers saw a task start again after it was done. A worker had restarted under its id, and executed a start that an owner of that time had meant for the earlier incarnation.

A record of one incarnation says nothing of another. Runs that an earlier owner has started, or this one unbound, are now kept until the newest incarnation under the id has answered or can hold no lease. Only workers that have restarted under their id are affected.

--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -164,18 +164,28 @@
 }
 
 /* When the lease of a run has expired, given that of its worker's leases.  A
- * later incarnation that has executed a start of it may have been granted the
- * longest lease there is, by orders that are executed late. */
+ * later incarnation may have executed a start of it, if this owner has sent
+ * one that was not bound to the worker, or an earlier owner may have.  It may
+ * have been granted the longest lease there is, by orders that are executed
+ * late. */
 static PhTime
 run_lease_end(const PhScheduler *s, const PhSchedTask *task, PhTime until)
 {
-    if (task->fence != s->fence || !PhSchedTask_StartIsUnbound(task)) {
+    const PhSchedWorker *w = task->worker;
+    const PhSchedWorker *newest =
+        PhSchedModel_NewestIncarnation(s->model, w->entry.id);
+    bool own = task->fence == s->fence;
+    if (own && !PhSchedTask_StartIsUnbound(task)) {
         return until;
     }
-    PhTime last_executed =
-        task->worker->granted_at + PH_LATE_ORDER_MS * PH_NS_PER_MS;
-    return MAX(until,
-               last_executed + slow_clock_bound(s->options.lease_limit));
+    if (own) {
+        until = MAX(until, w->granted_at + PH_LATE_ORDER_MS * PH_NS_PER_MS +
+                               slow_clock_bound(s->options.lease_limit));
+    }
+    if (newest != NULL && newest != w) {
+        until = MAX(until, leases_end(s, newest).until);
+    }
+    return until;
 }
 
 /* Records how much longer the leases of a worker may last. */
@@ -242,8 +252,8 @@
     return end_ms;
 }
 
-/* Ends the runs of an incarnation whose leases have expired, all but those that
- * a later one may have. */
+/* Ends the runs of an incarnation whose leases have expired, all but those
+ * that a later one may have. */
 static void
 worker_lost(PhScheduler *s, PhSchedWorker *w, PhLeaseBound bound, PhTime now)
 {
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -66,10 +66,10 @@
     PhTime start_sent_at;       /* newest start order of this run */
     PhTime unanswered_start_at; /* newest one without an answer, 0 for none */
     bool start_in_flight;
-    bool start_unconfirmed; /* a start of this run may still take effect */
+    bool start_unconfirmed;    /* a start of this run may still take effect */
     PhTime start_connected_at; /* newest connection that carried a start of
                                   this run, 0 for none */
-    bool stopping;          /* a stop is queued or has been sent */
+    bool stopping;             /* a stop is queued or has been sent */
     bool stop_in_flight;
     int percent;      /* pace: share of full speed */
     int percent_sent; /* pace last sent to the worker */
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -94,8 +94,8 @@
 /* The reply to a hold.  Runs and ends are set only if the outcome is DONE. */
 typedef struct PhSchedHoldReply {
     PhSchedOutcome outcome;
-    int64_t clock_ms; /* the worker's clock */
-    int64_t born_ms;  /* incarnation that answered; 0: not stated */
+    int64_t clock_ms;    /* the worker's clock */
+    int64_t born_ms;     /* incarnation that answered; 0: not stated */
     PhTime connected_at; /* its connection was established; 0: early enough
                             to be that of the incarnation addressed */
     PhSchedRunRow *runs;
@@ -111,7 +111,7 @@
     uint32_t run;
     int64_t born_ms; /* incarnation that the order was meant for */
     PhSchedOutcome outcome;
-    int64_t clock_ms; /* the worker's clock */
+    int64_t clock_ms;    /* the worker's clock */
     PhTime connected_at; /* as in PhSchedHoldReply */
 } PhSchedRunReply;
 
@@ -184,10 +184,10 @@
             PhSchedTaskName task;
             uint32_t run;
             PhSchedRelease reason;
-            PhTime unanswered; /* age of the newest start without an answer,
-                                  -1 for none */
-            PhTime lease_left; /* of the worker's leases, as far as granted by
-                                  this owner */
+            PhTime unanswered;  /* age of the newest start without an answer,
+                                   -1 for none */
+            PhTime lease_left;  /* of the worker's leases, as far as granted by
+                                   this owner */
             bool start_unbound; /* a later incarnation may have executed a
                                    start of the run */
         } released;
--- a/tests/platform/test_http_connections.c
+++ b/tests/platform/test_http_connections.c
@@ -53,8 +53,7 @@
 request_send(PhAgeServer *a, uint64_t id, PhTime connected_by)
 {
     PhBuf address = {0};
-    PhBuf_AppendFormat(&address, "127.0.0.1:%u",
-                       PhListener_Port(a->listener));
+    PhBuf_AppendFormat(&address, "127.0.0.1:%u", PhListener_Port(a->listener));
     PhHttpMessage m = {
         .tag = PH_HTTP_SEND,
         .as.send = {.id = id,
@@ -179,6 +178,7 @@
 int
 main(void)
 {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(test_http_connections)};
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_http_connections)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/schedule/test_owners.c
+++ b/tests/schedule/test_owners.c
@@ -195,6 +195,11 @@
     {"all kinds of faults", 1, 30, ALL_KINDS, true},
     {"all kinds of faults, and tasks move off draining workers", 1, 30,
      ALL_KINDS, true, true},
+    {"a later incarnation executes a start", 3037, 3037, ALL_KINDS, true},
+    {"it executes an acknowledgement", 2928, 2928, ALL_KINDS, true},
+    {"the same, and tasks move off draining workers", 21243, 21243, ALL_KINDS,
+     true, true},
+    {"the same, another seed", 40981, 40981, ALL_KINDS, true, true},
 };
 
 static const PhRandomCase repeated_start_cases[] = {
--- a/tests/schedule/test_reborn_late.c
+++ b/tests/schedule/test_reborn_late.c
@@ -23,14 +23,9 @@
 } PhRestartCase;
 
 static const PhRestartCase restart_cases[] = {
-    {"seed 195", 195},
-    {"seed 225", 225},
-    {"seed 1021", 1021},
-    {"seed 1057", 1057},
-    {"seed 40391", 40391},
-    {"seed 40419", 40419},
-    {"seed 40424", 40424},
-    {"seed 41091", 41091},
+    {"seed 195", 195},     {"seed 225", 225},     {"seed 1021", 1021},
+    {"seed 1057", 1057},   {"seed 1168", 1168},   {"seed 40391", 40391},
+    {"seed 40419", 40419}, {"seed 40424", 40424}, {"seed 41091", 41091},
 };
 
 static void
--- a/tests/schedule/test_unbound_orders.c
+++ b/tests/schedule/test_unbound_orders.c
@@ -169,9 +169,8 @@
 static void
 end_list(PhUnboundFixture *f, bool ended)
 {
-    PhSchedEndRow end = {.number = END,
-                         .task = {.job = PH_SINGLE_JOB},
-                         .run = RUN};
+    PhSchedEndRow end = {
+        .number = END, .task = {.job = PH_SINGLE_JOB}, .run = RUN};
     PhSchedHoldReply reply = {.outcome = PH_SCHED_OUTCOME_DONE,
                               .clock_ms = f->now / PH_NS_PER_MS,
                               .born_ms = BORN_MS,
