schedule: holds are in a file of their own

What renews leases and reads the reports of workers moves to holds.c, unchanged but for the names of what both files use.

--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -8,6 +8,7 @@
 enum {
     PH_LATE_ORDER_MS = 12000, /* an order may be executed this long after it
                                  was sent */
+    PH_ORDER_RETRY_MS = 300,  /* until one without an answer is sent again */
 };
 
 struct PhScheduler {
@@ -98,6 +99,16 @@
 void PhScheduler_RecordBounds(PhScheduler *scheduler, PhTime now);
 /* Appends the records of workers that changed. */
 void PhScheduler_TakeWorkerRecords(PhScheduler *scheduler, GArray *records);
+/* worker_orders.c: an order to an incarnation, and the effects of replies. */
+PhSchedAction PhSchedAction_For(const PhSchedWorker *worker,
+                                PhSchedActionTag tag);
+PhSchedTask *PhScheduler_PlacedTask(PhScheduler *scheduler,
+                                    const PhSchedTaskName *name, uint32_t run);
+void PhSchedTask_ConfirmRun(PhSchedTask *task, int64_t clock_ms, PhTime now);
+void PhScheduler_NoteJobBegins(PhScheduler *scheduler, PhStr id);
+/* holds.c: takes the next hold that is due. */
+bool PhScheduler_NextHold(PhScheduler *scheduler, PhTime now,
+                          PhSchedAction *action);
 /* incarnations.c: handles a reply from another incarnation than the one
  * addressed; returns the one that replied. */
 PhSchedWorker *PhScheduler_SwitchIncarnation(PhScheduler *scheduler,
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -1,24 +1,10 @@
 /* Orders to workers and the handling of their replies. */
 #include "scheduler_private.h"
 
-/* A worker waits this long for a run to end before it answers a hold.  Workers
- * that run serving and backfill tasks answer sooner, since pacing needs their
- * samples. */
-static const PhTime HOLD_WAIT = 1500 * PH_NS_PER_MS;
-static const PhTime HOLD_WAIT_SHARED = 500 * PH_NS_PER_MS;
-/* Time between two holds while reported ends of runs are not yet recorded
- * durably, or belong to a job that is not known yet. */
-static const PhTime HOLD_UNACKED_INTERVAL = 400 * PH_NS_PER_MS;
-/* Time until an order without an answer is sent again. */
-static const PhTime RETRY_INTERVAL = 300 * PH_NS_PER_MS;
-/* After this many failed runs in a row a worker gets no starts for
- * FAILURES_COOLDOWN. */
-static const uint32_t CONSECUTIVE_FAILURES_MAX = 2;
-static const PhTime FAILURES_COOLDOWN = 6 * PH_NS_PER_S;
 static const PhTime REFUSAL_COOLDOWN = 1 * PH_NS_PER_S;
 
-static PhSchedAction
-action_on(const PhSchedWorker *w, PhSchedActionTag tag)
+PhSchedAction
+PhSchedAction_For(const PhSchedWorker *w, PhSchedActionTag tag)
 {
     return (PhSchedAction){.tag = tag,
                            .worker = w->entry.id,
@@ -26,47 +12,11 @@
                            .address = w->entry.address};
 }
 
-/* Each incarnation numbers its ends from 1, so that an acknowledgement is sent
- * only on a connection that a later one cannot have accepted. */
-static void
-acks_add(PhSchedWorker *w, PhSchedAction *action)
-{
-    bool due = w->last_end_acked > w->acks_answered && !w->acks_deferred;
-    w->acks_deferred = false;
-    w->acks_in_flight = due ? w->last_end_acked : 0;
-    action->as.hold.last_seen = w->acks_in_flight;
-    action->as.hold.connected_by = due ? w->alive_at : 0;
-}
-
-static bool
-next_hold(PhScheduler *s, PhTime now, PhSchedAction *action)
-{
-    PhSchedWorker *w = g_queue_pop_head(&s->holds);
-    if (w == NULL) {
-        return false;
-    }
-    *action = action_on(w, PH_SCHED_ACTION_HOLD);
-    w->hold_sent_at = now;
-    acks_add(w, action);
-    if (!w->fenced || w->suspended || w->grant_batch > s->durable_batch) {
-        return true;
-    }
-    if (PhScheduler_MayGrant(s, w, now)) {
-        action->as.hold.deadline_ms = PhScheduler_Grant(s, w, now);
-    }
-    if (!s->quiesced && w->last_end_seen == w->last_end_acked &&
-        w->tasks->len > 0) {
-        bool shared = w->backfill_cpu_milli > 0 && w->serving_cpu_milli > 0;
-        action->as.hold.wait = shared ? HOLD_WAIT_SHARED : HOLD_WAIT;
-    }
-    return true;
-}
-
 static void
 run_order_init(const PhSchedTask *task, PhSchedActionTag tag,
                PhSchedAction *action)
 {
-    *action = action_on(task->worker, tag);
+    *action = PhSchedAction_For(task->worker, tag);
     action->as.run.task = PhSchedTask_Name(task);
     action->as.run.run = task->run;
 }
@@ -165,7 +115,8 @@
             !PhSchedModel_IsNewest(s->model, task->worker) ||
             PhStr_IsEmpty(task->worker->entry.address)) {
             g_queue_push_tail(&s->stops, task);
-            PhScheduler_WakeBy(s, MAX(task->retry_at, now + RETRY_INTERVAL));
+            PhScheduler_WakeBy(s, MAX(task->retry_at,
+                                      now + PH_ORDER_RETRY_MS * PH_NS_PER_MS));
             continue;
         }
         task->stop_in_flight = true;
@@ -193,7 +144,7 @@
     while (job == NULL && (orphan = g_queue_pop_head(&s->orphans)) != NULL) {
         job = PhSchedModel_Job(s->model, orphan->task.job);
         if (job != NULL) {
-            *action = action_on(orphan->worker, PH_SCHED_ACTION_STOP);
+            *action = PhSchedAction_For(orphan->worker, PH_SCHED_ACTION_STOP);
             action->as.run.task = orphan->task;
             action->as.run.task.job = job->spec.id;
             action->as.run.run = orphan->run;
@@ -226,14 +177,15 @@
         return false;
     }
     return next_pace(s, now, action) || next_stop(s, now, action) ||
-           next_start(s, now, action) || next_hold(s, now, action) ||
-           next_orphan(s, action);
+           next_start(s, now, action) ||
+           PhScheduler_NextHold(s, now, action) || next_orphan(s, action);
 }
 
 /* Returns the task if it is placed with this run, or NULL if it was removed,
  * is not placed or has another run. */
-static PhSchedTask *
-placed_task(PhScheduler *s, const PhSchedTaskName *name, uint32_t run)
+PhSchedTask *
+PhScheduler_PlacedTask(PhScheduler *s, const PhSchedTaskName *name,
+                       uint32_t run)
 {
     PhSchedTask *task = PhSchedModel_Task(s->model, name);
     if (task == NULL || task->worker == NULL || task->run != run) {
@@ -245,8 +197,8 @@
 /* Notes that the worker knows the run, so that a late start of it has no
  * effect.  An assigned task becomes a running one, also after an executed
  * stop: end_missing_runs() ends a run of this owner only in that state. */
-static void
-run_confirm(PhSchedTask *task, int64_t clock_ms, PhTime now)
+void
+PhSchedTask_ConfirmRun(PhSchedTask *task, int64_t clock_ms, PhTime now)
 {
     if (task->state == PH_SCHED_TASK_ASSIGNED) {
         task->state = PH_SCHED_TASK_RUNNING;
@@ -259,8 +211,8 @@
 
 /* Notes that a worker has begun a run of this job.  An order that was not
  * answered, or a run that was stopped before it began, does not show that. */
-static void
-job_note_begin(PhScheduler *s, PhStr id)
+void
+PhScheduler_NoteJobBegins(PhScheduler *s, PhStr id)
 {
     PhSchedJob *job = PhSchedModel_Job(s->model, id);
     if (job != NULL && job->state == PH_SCHED_JOB_QUEUED) {
@@ -291,7 +243,7 @@
 bool
 PhScheduler_OnStart(PhScheduler *s, const PhSchedRunReply *reply, PhTime now)
 {
-    PhSchedTask *task = placed_task(s, &reply->task, reply->run);
+    PhSchedTask *task = PhScheduler_PlacedTask(s, &reply->task, reply->run);
     if (reply->outcome == PH_SCHED_OUTCOME_FENCED) {
         return false;
     }
@@ -316,16 +268,16 @@
     case PH_SCHED_OUTCOME_DONE:
     case PH_SCHED_OUTCOME_STALE_RUN:
         if (outcome == PH_SCHED_OUTCOME_DONE) {
-            job_note_begin(s, reply->task.job);
+            PhScheduler_NoteJobBegins(s, reply->task.job);
         }
-        run_confirm(task, reply->clock_ms, now);
+        PhSchedTask_ConfirmRun(task, reply->clock_ms, now);
         w->next_hold_at = MIN(w->next_hold_at, now);
         PhScheduler_WakeBy(s, now);
         break;
     case PH_SCHED_OUTCOME_DEADLINE_PASSED:
     case PH_SCHED_OUTCOME_OTHER_INCARNATION:
         w->next_hold_at = now;
-        start_requeue(s, task, now + RETRY_INTERVAL);
+        start_requeue(s, task, now + PH_ORDER_RETRY_MS * PH_NS_PER_MS);
         break;
     case PH_SCHED_OUTCOME_NO_CAPACITY:
         w->cooldown_until = now + REFUSAL_COOLDOWN / 2;
@@ -338,7 +290,7 @@
         break;
     case PH_SCHED_OUTCOME_UNKNOWN:
         task->start_unconfirmed = true;
-        start_requeue(s, task, now + RETRY_INTERVAL);
+        start_requeue(s, task, now + PH_ORDER_RETRY_MS * PH_NS_PER_MS);
         break;
     case PH_SCHED_OUTCOME_FENCED:
         break;
@@ -354,7 +306,7 @@
     if (reply->outcome == PH_SCHED_OUTCOME_FENCED) {
         return false;
     }
-    PhSchedTask *task = placed_task(s, &reply->task, reply->run);
+    PhSchedTask *task = PhScheduler_PlacedTask(s, &reply->task, reply->run);
     if (task == NULL || !task->stopping ||
         task->worker->entry.born_ms != reply->born_ms) {
         return true;
@@ -362,7 +314,7 @@
     switch (reply->outcome) {
     case PH_SCHED_OUTCOME_DONE:
     case PH_SCHED_OUTCOME_STALE_RUN:
-        run_confirm(task, reply->clock_ms, now);
+        PhSchedTask_ConfirmRun(task, reply->clock_ms, now);
         PhScheduler_WakeBy(s, now);
         break;
     case PH_SCHED_OUTCOME_FENCED:
@@ -374,7 +326,7 @@
     case PH_SCHED_OUTCOME_NOT_SENT:
     case PH_SCHED_OUTCOME_UNKNOWN:
         task->stop_in_flight = false;
-        task->retry_at = now + RETRY_INTERVAL;
+        task->retry_at = now + PH_ORDER_RETRY_MS * PH_NS_PER_MS;
         g_queue_push_tail(&s->stops, task);
         PhScheduler_WakeBy(s, task->retry_at);
         break;
@@ -386,240 +338,9 @@
 PhScheduler_OnPace(PhScheduler *s, const PhSchedTaskName *name, uint32_t run,
                    PhSchedOutcome outcome, PhTime now)
 {
-    PhSchedTask *task = placed_task(s, name, run);
+    PhSchedTask *task = PhScheduler_PlacedTask(s, name, run);
     if (task != NULL) {
         PhScheduler_CompletePace(task, outcome, now);
     }
     return outcome != PH_SCHED_OUTCOME_FENCED;
 }
-
-/* Counts consecutive failures, so that a broken worker gets no starts for a
- * while. */
-static void
-worker_count_end(PhSchedWorker *w, PhSchedEndKind kind, PhTime now)
-{
-    switch (kind) {
-    case PH_SCHED_END_DONE:
-        w->consecutive_failures = 0;
-        break;
-    case PH_SCHED_END_FAILED:
-        w->consecutive_failures++;
-        if (w->consecutive_failures >= CONSECUTIVE_FAILURES_MAX) {
-            w->cooldown_until = now + FAILURES_COOLDOWN;
-        }
-        break;
-    case PH_SCHED_END_STOPPED:
-    case PH_SCHED_END_LEASE_EXPIRED:
-    case PH_SCHED_END_GANG_BROKEN:
-    case PH_SCHED_END_GANG_INCOMPLETE:
-        break;
-    }
-}
-
-static void
-end_apply(PhScheduler *s, PhSchedWorker *w, const PhSchedEndRow *end,
-          PhTime now)
-{
-    worker_count_end(w, end->kind, now);
-    job_note_begin(s, end->task.job);
-    PhSchedTask *task = placed_task(s, &end->task, end->run);
-    if (task == NULL || task->worker != w) {
-        return;
-    }
-    PhSchedEvent event = {.tag = PH_SCHED_EVENT_RUN_ENDED, .worker = w};
-    event.as.ended.task = PhSchedTask_Name(task);
-    event.as.ended.run = end->run;
-    event.as.ended.kind = end->kind;
-    event.as.ended.run_time = now - task->since;
-    event.as.ended.failures = task->failures;
-    event.as.ended.long_running = PhSchedTask_Step(task)->long_running;
-    g_array_append_val(s->events, event);
-    PhScheduler_EndRun(s, task, end->kind, end->last_checkpoint, now);
-}
-
-/* Applies the reported ends of runs that are new, up to the first one of an
- * unknown job: the worker reports that one and those after it again. */
-static void
-ends_apply(PhScheduler *s, PhSchedWorker *w, const PhSchedHoldReply *reply,
-           PhTime now)
-{
-    uint64_t before = w->last_end_seen;
-    w->ends_blocked = false;
-    for (size_t i = 0; i < reply->end_count && !w->ends_blocked; i++) {
-        const PhSchedEndRow *end = &reply->ends[i];
-        if (end->number <= before) {
-            continue;
-        }
-        if (PhSchedModel_Job(s->model, end->task.job) == NULL) {
-            w->ends_blocked = true;
-            continue;
-        }
-        w->last_end_seen = MAX(w->last_end_seen, end->number);
-        end_apply(s, w, end, now);
-    }
-    if (w->last_end_seen > before) {
-        w->last_end_batch = s->open_batch;
-    }
-}
-
-static void
-orphan_add(PhScheduler *s, PhSchedWorker *w, const PhSchedRunRow *row)
-{
-    PhOrphanRun *orphan = g_new0(PhOrphanRun, 1);
-    orphan->worker = w;
-    orphan->task = row->task;
-    orphan->task.job = PhStr_Dup(row->task.job);
-    orphan->run = row->run;
-    g_queue_push_tail(&s->orphans, orphan);
-}
-
-static void
-run_apply(PhScheduler *s, PhSchedWorker *w, const PhSchedRunRow *row,
-          int64_t clock_ms, PhTime now)
-{
-    PhSchedTask *task = placed_task(s, &row->task, row->run);
-    job_note_begin(s, row->task.job);
-    if (task == NULL || task->worker != w) {
-        orphan_add(s, w, row);
-        return;
-    }
-    run_confirm(task, clock_ms, now);
-    if (row->last_checkpoint.len > 0 &&
-        !PhStr_Equal(row->last_checkpoint, task->last_checkpoint)) {
-        PhStr_Clear(&task->last_checkpoint);
-        task->last_checkpoint = PhStr_Dup(row->last_checkpoint);
-    }
-    task->usage_sample = row->usage_sample;
-    task->usage_sampled_at = now;
-    if (PhSchedJob_IsOver(task->stage->job)) {
-        PhScheduler_StopTask(s, task);
-    }
-}
-
-/* Ends the runs that the worker reports neither as running nor as ended.  Runs
- * with an order in flight are kept. */
-static void
-end_missing_runs(PhScheduler *s, PhSchedWorker *w, int64_t clock_ms,
-                 PhTime now)
-{
-    for (guint i = w->tasks->len; i-- > 0;) {
-        PhSchedTask *task = g_ptr_array_index(w->tasks, i);
-        bool settled =
-            task->fence != s->fence || task->state == PH_SCHED_TASK_RUNNING;
-        if (task->confirmed_at == now || task->start_in_flight ||
-            task->start_unconfirmed || !settled ||
-            task->confirmed_clock_ms >= clock_ms) {
-            continue;
-        }
-        PhScheduler_ReleaseRun(s, task, PH_SCHED_RELEASE_MISSING, now);
-    }
-}
-
-static void
-hold_failed(PhScheduler *s, PhSchedWorker *w, PhTime now)
-{
-    if (w->failing_since == 0) {
-        w->failing_since = now;
-    }
-    if (w->tasks->len > 0) {
-        PhScheduler_SetSuspended(s, w, true, now);
-    }
-    w->next_hold_at = now + RETRY_INTERVAL;
-    PhScheduler_WakeBy(s, w->next_hold_at);
-}
-
-/* No connection is known to be the incarnation's own: it is queried without an
- * acknowledgement first. */
-static void
-acks_defer(PhScheduler *s, PhSchedWorker *w, PhTime now)
-{
-    w->acks_deferred = true;
-    w->next_hold_at = now;
-    PhScheduler_WakeBy(s, now);
-}
-
-static void
-reply_apply(PhScheduler *s, PhSchedWorker *w, const PhSchedHoldReply *reply,
-            PhTime now)
-{
-    if (reply->clock_ms < w->clock_ms) {
-        return;
-    }
-    if (!w->fenced || w->failing_since > 0) {
-        s->placement_due = true;
-    }
-    if (!w->fenced) {
-        /* The worker now rejects leases from earlier owners. */
-        w->leases = (PhLeaseBound){
-            .until =
-                MIN(w->leases.until, PhScheduler_EarlierLeasesEnd(s, w, now)),
-            .evidence = PH_LEASE_EVIDENCE_GRANTS};
-        PhScheduler_EndEarlierIncarnations(s, w, reply, now);
-    }
-    w->fenced = true;
-    w->failing_since = 0;
-    PhScheduler_SetSuspended(s, w, false, now);
-    w->answered_at = now;
-    w->clock_ms = reply->clock_ms;
-    w->clock_at = now;
-    ends_apply(s, w, reply, now);
-    for (size_t i = 0; i < reply->run_count; i++) {
-        run_apply(s, w, &reply->runs[i], reply->clock_ms, now);
-    }
-    if (!w->ends_blocked && !reply->more) {
-        end_missing_runs(s, w, reply->clock_ms, now);
-    }
-    PhScheduler_PaceWorker(s, w, now);
-    if (w->last_end_batch <= s->durable_batch) {
-        w->last_end_acked = w->last_end_seen;
-    }
-    PhTime gap = 0;
-    if (w->last_end_acked < w->last_end_seen || w->ends_blocked) {
-        gap = HOLD_UNACKED_INTERVAL;
-    }
-    else if (w->tasks->len == 0) {
-        gap = HOLD_WAIT;
-    }
-    w->next_hold_at = now + gap;
-}
-
-bool
-PhScheduler_OnHold(PhScheduler *s, PhStr worker, int64_t born_ms,
-                   const PhSchedHoldReply *reply, PhTime now)
-{
-    PhSchedWorker *w = PhSchedModel_Worker(s->model, worker, born_ms);
-    PhTime alive_at = MAX(w->hold_sent_at, reply->connected_at);
-    uint64_t acked = w->acks_in_flight;
-    w->hold_in_flight = false;
-    w->acks_in_flight = 0;
-    PhScheduler_WakeBy(s, now);
-    switch (reply->outcome) {
-    case PH_SCHED_OUTCOME_FENCED:
-        return false;
-    case PH_SCHED_OUTCOME_DONE:
-        if (reply->born_ms != 0 && born_ms != 0 && reply->born_ms != born_ms) {
-            w = PhScheduler_SwitchIncarnation(s, w, reply, now);
-            acked = 0;
-        }
-        w->alive_at = MAX(w->alive_at, alive_at);
-        w->acks_answered = MAX(w->acks_answered, acked);
-        reply_apply(s, w, reply, now);
-        break;
-    case PH_SCHED_OUTCOME_NOT_SENT:
-        if (acked > 0) {
-            acks_defer(s, w, now);
-            break;
-        }
-        hold_failed(s, w, now);
-        break;
-    case PH_SCHED_OUTCOME_STALE_RUN:
-    case PH_SCHED_OUTCOME_DEADLINE_PASSED:
-    case PH_SCHED_OUTCOME_NO_CAPACITY:
-    case PH_SCHED_OUTCOME_REFUSED:
-    case PH_SCHED_OUTCOME_OTHER_INCARNATION:
-    case PH_SCHED_OUTCOME_UNKNOWN:
-        hold_failed(s, w, now);
-        break;
-    }
-    return true;
-}
