schedule: leases are granted by holds only to the incarnation they are meant for

The deadline, on the clock of the earlier incarnation, counted as the longest lease there is.

A hold that grants a lease is now sent on a bound connection only, as one that acknowledges ends. Where none is idle, a hold without effect comes first. Starts go on any connection, since a start that had to wait for such a hold would be later by a round trip; what they may grant is counted.

--- a/decide/schedule/holds.c
+++ b/decide/schedule/holds.c
@@ -14,16 +14,22 @@
 static const uint32_t CONSECUTIVE_FAILURES_MAX = 2;
 static const PhTime FAILURES_COOLDOWN = 6 * PH_NS_PER_S;
 
-/* Each incarnation numbers its ends from 1, so that an acknowledgement is sent
- * only on a connection that a later one cannot have accepted. */
+/* Adds what is to be granted and acknowledged.  Each incarnation has its own
+ * clock and numbers its ends from 1, so that such a hold is sent only on a
+ * connection that a later one cannot have accepted. */
 static void
-acks_add(PhSchedWorker *w, PhSchedAction *action)
+hold_fill(PhScheduler *s, PhSchedWorker *w, PhTime now, PhSchedAction *action)
 {
-    bool due = w->last_end_acked > w->acks_answered && !w->acks_deferred;
-    w->acks_deferred = false;
-    w->acks_in_flight = due ? w->last_end_acked : 0;
-    action->as.hold.last_seen = w->acks_in_flight;
-    action->as.hold.connected_by = due ? w->alive_at : 0;
+    w->acks_in_flight = 0;
+    if (w->last_end_acked > w->acks_answered) {
+        w->acks_in_flight = w->last_end_acked;
+        action->as.hold.last_seen = w->last_end_acked;
+        action->as.hold.connected_by = w->alive_at;
+    }
+    if (w->fenced && PhScheduler_MayGrant(s, w, now)) {
+        action->as.hold.deadline_ms = PhScheduler_Grant(s, w, now);
+        action->as.hold.connected_by = w->alive_at;
+    }
 }
 
 bool
@@ -34,13 +40,17 @@
         return false;
     }
     *action = PhSchedAction_For(w, PH_SCHED_ACTION_HOLD);
+    bool query = w->query_due;
+    w->query_due = false;
     w->hold_sent_at = now;
-    acks_add(w, action);
-    if (!w->fenced || w->suspended || w->grant_batch > s->durable_batch) {
+    w->hold_bound = false;
+    if (query) {
         return true;
     }
-    if (PhScheduler_MayGrant(s, w, now)) {
-        action->as.hold.deadline_ms = PhScheduler_Grant(s, w, now);
+    hold_fill(s, w, now, action);
+    w->hold_bound = action->as.hold.connected_by > 0;
+    if (!w->fenced || w->suspended || w->grant_batch > s->durable_batch) {
+        return true;
     }
     if (!s->quiesced && w->last_end_seen == w->last_end_acked &&
         w->tasks->len > 0) {
@@ -185,12 +195,12 @@
     PhScheduler_WakeBy(s, w->next_hold_at);
 }
 
-/* No connection is known to be the incarnation's own: it is queried without an
- * acknowledgement first. */
+/* No idle connection is known to be the incarnation's own: a hold without
+ * effect comes first, whose answer proves one. */
 static void
-acks_defer(PhScheduler *s, PhSchedWorker *w, PhTime now)
+hold_defer(PhScheduler *s, PhSchedWorker *w, PhTime now)
 {
-    w->acks_deferred = true;
+    w->query_due = true;
     w->next_hold_at = now;
     PhScheduler_WakeBy(s, now);
 }
@@ -263,8 +273,8 @@
         reply_apply(s, w, reply, now);
         break;
     case PH_SCHED_OUTCOME_NOT_SENT:
-        if (acked > 0) {
-            acks_defer(s, w, now);
+        if (w->hold_bound) {
+            hold_defer(s, w, now);
             break;
         }
         hold_failed(s, w, now);
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -216,6 +216,9 @@
     PhTime clock_at;
     bool hold_in_flight;
     PhTime hold_sent_at;
+    bool hold_bound;   /* sent only on a connection known to be its own */
+    bool query_due;    /* there was none: the next hold grants and acknowledges
+                          nothing */
     PhTime alive_at;   /* this incarnation is known to have run then */
     PhTime granted_at; /* newest order with a lease */
     PhTime next_hold_at;
@@ -223,7 +226,6 @@
     uint64_t last_end_acked; /* newest end that may be acknowledged */
     uint64_t acks_in_flight; /* newest end that a hold acknowledges, 0: none */
     uint64_t acks_answered;  /* newest end that the worker has forgotten */
-    bool acks_deferred;      /* no connection is known to be its own */
     uint64_t last_end_batch; /* batch that records last_end_seen */
     bool ends_blocked;       /* it reports the end of an unknown job */
     GPtrArray *tasks;        /* PhSchedTask, not owned */
--- a/tests/schedule/test_unbound_orders.c
+++ b/tests/schedule/test_unbound_orders.c
@@ -181,24 +181,35 @@
                        f->now);
 }
 
-/* How a hold that acknowledges an end is answered, and what the next ones
- * acknowledge. */
-typedef struct PhAckCase {
+/* How a hold that acknowledges an end is answered, what the next ones
+ * acknowledge, and whether the next one may be sent on any connection. */
+typedef struct PhHoldCase {
     const char *name;
     PhSchedOutcome outcome;
     uint64_t next; /* by the next hold, which is answered */
     uint64_t last; /* by the one after that */
-} PhAckCase;
+    bool query;
+} PhHoldCase;
 
-static const PhAckCase ack_cases[] = {
-    {"answered", PH_SCHED_OUTCOME_DONE, 0, 0},
+static const PhHoldCase hold_cases[] = {
+    {"answered", PH_SCHED_OUTCOME_DONE, 0, 0, false},
     {"no connection is the incarnation's own", PH_SCHED_OUTCOME_NOT_SENT, 0,
-     END},
-    {"no answer", PH_SCHED_OUTCOME_UNKNOWN, END, 0},
+     END, true},
+    {"no answer", PH_SCHED_OUTCOME_UNKNOWN, END, 0, false},
 };
 
+/* A hold that grants a lease or acknowledges ends names the newest sign of
+ * life of the incarnation. */
 static void
-ack_run(const PhAckCase *c)
+check_bound(const PhSchedAction *hold, PhTime alive_at)
+{
+    bool has_effect =
+        hold->as.hold.deadline_ms > 0 || hold->as.hold.last_seen > 0;
+    assert_int_equal(hold->as.hold.connected_by, has_effect ? alive_at : 0);
+}
+
+static void
+hold_run(const PhHoldCase *c)
 {
     PhUnboundFixture f;
     fixture_open(&f);
@@ -207,12 +218,13 @@
     f.now += 2 * PH_NS_PER_S;
     PhSchedAction hold = order_take(&f, PH_SCHED_ACTION_HOLD);
     assert_int_equal(hold.as.hold.last_seen, 0);
-    assert_int_equal(hold.as.hold.connected_by, 0);
+    assert_true(hold.as.hold.deadline_ms > 0);
+    check_bound(&hold, NOW);
     PhTime alive_at = f.now;
     end_list(&f, true);
     hold = order_take(&f, PH_SCHED_ACTION_HOLD);
     assert_int_equal(hold.as.hold.last_seen, END);
-    assert_int_equal(hold.as.hold.connected_by, alive_at);
+    check_bound(&hold, alive_at);
     if (c->outcome == PH_SCHED_OUTCOME_DONE) {
         end_list(&f, false);
     }
@@ -222,6 +234,8 @@
     f.now += 2 * PH_NS_PER_S;
     hold = order_take(&f, PH_SCHED_ACTION_HOLD);
     assert_int_equal(hold.as.hold.last_seen, c->next);
+    assert_int_equal(hold.as.hold.connected_by == 0, c->query);
+    assert_int_equal(hold.as.hold.deadline_ms == 0, c->query);
     end_list(&f, false);
     f.now += 2 * PH_NS_PER_S;
     hold = order_take(&f, PH_SCHED_ACTION_HOLD);
@@ -229,19 +243,20 @@
     fixture_close(&f);
 }
 
-/* Guards against a later incarnation that forgets ends nobody has seen, since
- * it executes an acknowledgement of the earlier one's. */
+/* Guards against a later incarnation that forgets ends nobody has seen, or is
+ * granted a lease, since it executes a hold that was meant for an earlier
+ * one. */
 static void
-test_unbound_acks(void **state)
+test_bound_holds(void **state)
 {
     (void)state;
-    Ph_RUN_TABLE(ack_cases, ack_run);
+    Ph_RUN_TABLE(hold_cases, hold_run);
 }
 
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {cmocka_unit_test(test_unbound_starts),
-                                       cmocka_unit_test(test_unbound_acks)};
+                                       cmocka_unit_test(test_bound_holds)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
