schedule: a cancellation relies on durable ends only

A DELETE for a job that had ended was acknowledged without a record, also while the end was known to the owner alone. If the owner was replaced before that end was on record, and the workers could not repeat it (restarted, left), its successor started the tasks of the cancelled job again.

Without a durable end the cancellation is recorded like any other, so that it is refused (503) or of unknown outcome (504) if that is not possible.

test_cancelled_ends (test_schedule_service), on the code before: case the end is not on record, nor can the cancellation be 0xc8 != 0x1f7, test_schedule_service.c:210 and passes now.

--- a/services/schedule/schedule_calls.c
+++ b/services/schedule/schedule_calls.c
@@ -89,6 +89,8 @@
     PhScheduleAccept_Add(t, call);
 }
 
+/* The answer relies on durable records only: a later owner may not know an end
+ * that is not on record, and would start the tasks again. */
 static void
 cancel(PhScheduleTask *t, PhClientCall *call)
 {
@@ -98,7 +100,7 @@
         answer_unknown(t, &call->origin, call->subject);
         return;
     }
-    if (job->cancel || PhSchedJob_IsOver(job)) {
+    if (job->cancel || job->durable_state >= PH_SCHED_JOB_COMPLETED) {
         PhScheduleCalls_AnswerTag(t, &call->origin, PH_SCHEDULE_CANCELLED);
         return;
     }
--- a/tests/schedule/test_schedule_service.c
+++ b/tests/schedule/test_schedule_service.c
@@ -1,8 +1,9 @@
 /* An instance with the platform's stand-ins, over sockets.  Guards against
  * telling a client that a job was accepted or refused although the outcome is
  * unknown, while the store is down or loses replies, against an unusual record
- * of a worker in the store that keeps jobs from running, and against a count
- * of pending jobs that omits one whose start orders were not answered. */
+ * of a worker in the store that keeps jobs from running, against a count of
+ * pending jobs that omits one whose start orders were not answered, and
+ * against a cancellation that is acknowledged without a record. */
 #include "platform_fixture.h"
 #include "tests/table.h"
 
@@ -169,11 +170,68 @@
     Ph_RUN_TABLE(pending_cases, pending_run);
 }
 
+enum {
+    ENDS_STEPS = 100, /* until the owner knows that the runs have ended */
+};
+
+/* Whether the store records that the job has ended, and the answer to its
+ * cancellation. */
+typedef struct PhEndedCase {
+    const char *name;
+    PhStandinStoreFault fault;
+    int status;
+} PhEndedCase;
+
+static const PhEndedCase ended_cases[] = {
+    {"the end is on record", PH_STANDIN_STORE_HEALTHY, 200},
+    {"the end is not on record, nor can the cancellation be",
+     PH_STANDIN_STORE_DOWN, 503},
+    {"the end is not on record, the cancellation may be",
+     PH_STANDIN_STORE_LOSES_ANSWERS, 504},
+};
+
+/* Cancels a job whose runs have ended since the fault began. */
+static void
+ended_run(const PhEndedCase *c)
+{
+    PhPlatformFixture fixture;
+    char text[PH_FIXTURE_TEXT_BYTES];
+    PhPlatformFixture_Open(&fixture, 1, false);
+    assert_true(
+        PhPlatformFixture_CallUntil(&fixture, 0, "POST", ID, JOB, 200, ""));
+    while (PhCounters_Get(fixture.instances[0].counters,
+                          PH_COUNTER_SCHEDULE_STARTS) < 2) {
+        PhPlatformFixture_Run(&fixture);
+    }
+    PhStandinStoreState_SetFault(fixture.store, c->fault);
+    for (int i = 0; i < ENDS_STEPS; i++) {
+        PhPlatformFixture_Run(&fixture);
+    }
+    assert_int_equal(
+        PhPlatformFixture_Call(&fixture, 0, "DELETE", ID, "", text),
+        c->status);
+    PhStandinStoreState_SetFault(fixture.store, PH_STANDIN_STORE_HEALTHY);
+    assert_true(PhPlatformFixture_CallUntil(&fixture, 0, "GET", ID, "", 200,
+                                            "completed"));
+    assert_int_equal(
+        PhPlatformFixture_Call(&fixture, 0, "DELETE", ID, "", text), 200);
+    PhPlatformFixture_Close(&fixture);
+}
+
+/* Guards against a cancellation that is acknowledged because of an end that
+ * the next owner may not know: it would start the tasks again. */
+static void
+test_cancelled_ends(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(ended_cases, ended_run);
+}
+
 int
 main(void)
 {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(test_faults),
-                                       cmocka_unit_test(test_odd_entries),
-                                       cmocka_unit_test(test_pending)};
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_faults), cmocka_unit_test(test_odd_entries),
+        cmocka_unit_test(test_pending), cmocka_unit_test(test_cancelled_ends)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
