schedule: a cancellation looks for an unknown job before it says 410

Cause: an instance that had stood still for 6.8 s, until 20.81 s, took the jobs as just read (its log: queue counts refused for the runs only, read_age_ms=1) and did not know the job; any other view of up to 2.4 s ago has the same effect. The client does not ask again after 410. Which instance gave that answer is inferred: 410 has no log line, all others refused the calls on this job with 503 for unread jobs.

A DELETE for a job that is not known now waits for a read of the jobs that is sent after the call, and does not wait for a record itself. 410 if the read reached the end of the topic without the job, 503 if it failed, or 504 if the owner may have recorded the cancellation. One read, and one waiting read sent again, for such a call.

--- a/services/schedule/schedule_calls.c
+++ b/services/schedule/schedule_calls.c
@@ -92,19 +92,77 @@
 /* The answer relies on durable records only: a later owner may not know an end
  * that is not on record, and would start the tasks again. */
 static void
+cancel_known(PhScheduleTask *t, PhClientCall *call, const PhSchedJob *job)
+{
+    if (job->cancel || job->durable_state >= PH_SCHED_JOB_COMPLETED) {
+        PhScheduleCalls_AnswerTag(t, &call->origin, PH_SCHEDULE_CANCELLED);
+        return;
+    }
+    PhScheduleAccept_Add(t, call);
+}
+
+/* Refuses a CANCEL call whose job is not known.  If the owner may have
+ * accepted it, the answer is that the outcome is unknown. */
+static void
+cancel_refuse(PhScheduleTask *t, PhClientCall *call)
+{
+    if (call->outcome_unknown) {
+        PhScheduleCalls_AnswerTag(t, &call->origin,
+                                  PH_SCHEDULE_OUTCOME_UNKNOWN);
+        return;
+    }
+    PhScheduleCalls_Refuse(t, &call->origin, call->subject, JOBS_UNREAD);
+}
+
+/* A client that is told that the job doesn't exist does not cancel it again,
+ * so an unknown job is looked for by a read of the jobs first. */
+static void
 cancel(PhScheduleTask *t, PhClientCall *call)
 {
     const PhSchedJob *job =
         PhSchedModel_Job(PhScheduler_Model(t->scheduler), call->subject);
-    if (job == NULL) {
-        answer_unknown(t, &call->origin, call->subject);
+    if (job != NULL) {
+        cancel_known(t, call, job);
         return;
     }
-    if (job->cancel || job->durable_state >= PH_SCHED_JOB_COMPLETED) {
-        PhScheduleCalls_AnswerTag(t, &call->origin, PH_SCHEDULE_CANCELLED);
+    call->jobs_read = PhScheduleTopics_ReadJobsNow(t);
+    if (call->jobs_read == 0) {
+        cancel_refuse(t, call);
         return;
     }
-    PhScheduleAccept_Add(t, call);
+    g_queue_push_tail(&t->cancel_calls, g_memdup2(call, sizeof(*call)));
+    *call = (PhClientCall){0};
+}
+
+/* Handles a CANCEL call after a read of the jobs. */
+static void
+cancel_after_read(PhScheduleTask *t, PhClientCall *call, bool to_end)
+{
+    const PhSchedJob *job =
+        PhSchedModel_Job(PhScheduler_Model(t->scheduler), call->subject);
+    if (job != NULL) {
+        cancel_known(t, call, job);
+    }
+    else if (to_end) {
+        PhScheduleCalls_AnswerTag(t, &call->origin, PH_SCHEDULE_NO_JOB);
+    }
+    else {
+        cancel_refuse(t, call);
+    }
+}
+
+void
+PhScheduleCalls_HandleCancels(PhScheduleTask *t, uint64_t number, bool to_end)
+{
+    for (guint left = t->cancel_calls.length; left > 0; left--) {
+        PhClientCall *call = g_queue_pop_head(&t->cancel_calls);
+        if (call->jobs_read > number) {
+            g_queue_push_tail(&t->cancel_calls, call);
+            continue;
+        }
+        cancel_after_read(t, call, to_end);
+        PhScheduleCalls_DestroyQueued(call);
+    }
 }
 
 /* Answers with the durable state, which a later owner will know too. */
@@ -145,7 +203,7 @@
 }
 
 void
-PhScheduleCalls_DestroyState(gpointer call)
+PhScheduleCalls_DestroyQueued(gpointer call)
 {
     PhClientCall_Clear(call);
     g_free(call);
@@ -166,7 +224,7 @@
             PhScheduleCalls_Refuse(t, &call->origin, call->subject,
                                    RUNS_UNREAD);
         }
-        PhScheduleCalls_DestroyState(call);
+        PhScheduleCalls_DestroyQueued(call);
     }
 }
 
--- a/services/schedule/schedule_task.c
+++ b/services/schedule/schedule_task.c
@@ -216,7 +216,8 @@
     PhScheduleOwner_ClearBatch(t);
     g_array_free(t->batch_records, TRUE);
     g_queue_clear_full(&t->accept_queue, PhScheduleAccept_Destroy);
-    g_queue_clear_full(&t->state_calls, PhScheduleCalls_DestroyState);
+    g_queue_clear_full(&t->state_calls, PhScheduleCalls_DestroyQueued);
+    g_queue_clear_full(&t->cancel_calls, PhScheduleCalls_DestroyQueued);
     g_ptr_array_free(t->accept_batch, TRUE);
     PhScheduler_Destroy(t->scheduler);
     PhElection_Destroy(t->election);
--- a/services/schedule/schedule_task.h
+++ b/services/schedule/schedule_task.h
@@ -46,6 +46,8 @@
 typedef struct PhTopic {
     PhStoreCursor cursor;
     bool read_in_flight;
+    bool read_waits;     /* the read in flight waits for a record */
+    uint64_t reads_sent; /* number of the newest read */
     PhTime sent_at;
     PhTime fresh_at; /* every earlier record has been read */
 } PhTopic;
@@ -68,6 +70,8 @@
     PhSchedSpec spec;     /* of SUBMIT */
     bool outcome_unknown; /* the owner may have acted on it; must not be
                              refused */
+    uint64_t jobs_read;   /* of a queued CANCEL: the first read of the jobs
+                             that was sent after the call */
 } PhClientCall;
 
 /* A SUBMIT or CANCEL whose record is not durable yet. */
@@ -88,8 +92,10 @@
     PhElection *election;
     PhTopic jobs;
     PhTopic runs;
-    bool reload_due;    /* a record did not fit into the model */
-    GQueue state_calls; /* PhClientCall; wait for the next read of runs */
+    bool reload_due;     /* a record did not fit into the model */
+    GQueue state_calls;  /* PhClientCall; wait for the next read of runs */
+    GQueue cancel_calls; /* PhClientCall for unknown jobs; wait for a read of
+                            the jobs */
     bool update_pending;
     bool store_answers; /* the last call succeeded */
     PhTime store_changed_at;
@@ -149,6 +155,9 @@
 /* Reads the runs without waiting for the read interval; false if no read could
  * be sent. */
 bool PhScheduleTopics_ReadRunsNow(PhScheduleTask *task);
+/* Reads the jobs without waiting for a record.  Returns the number of the
+ * first read that was sent after this call, 0 if none could be. */
+uint64_t PhScheduleTopics_ReadJobsNow(PhScheduleTask *task);
 /* Whether the jobs were read recently enough to say that one doesn't exist. */
 bool PhScheduleTopics_AreJobsFresh(const PhScheduleTask *task);
 /* Whether the runs are known well enough to say that a job has not begun or
@@ -177,7 +186,11 @@
                             const char *reason);
 /* Answers the queued STATE calls after a read of the runs. */
 void PhScheduleCalls_AnswerStates(PhScheduleTask *task);
-void PhScheduleCalls_DestroyState(gpointer call);
+/* Handles the queued CANCEL calls that waited for a read of the jobs up to
+ * this number.  `to_end`: it succeeded and left no record unread. */
+void PhScheduleCalls_HandleCancels(PhScheduleTask *task, uint64_t number,
+                                   bool to_end);
+void PhScheduleCalls_DestroyQueued(gpointer call);
 
 /* schedule_accept.c: durable records of clients' calls. */
 /* Takes ownership of the call's contents. */
--- a/services/schedule/schedule_topics.c
+++ b/services/schedule/schedule_topics.c
@@ -50,9 +50,13 @@
         return;
     }
     topic->read_in_flight = true;
+    topic->reads_sent++;
     topic->sent_at = PhTask_Now(t->self);
-    bool hurry = call == CALL_RUNS_READ && t->state_calls.length > 0;
-    PhTime wait = t->stage == OWNER_CATCH_UP || hurry ? 0 : READ_WAIT;
+    const GQueue *calls =
+        call == CALL_RUNS_READ ? &t->state_calls : &t->cancel_calls;
+    bool hurry = t->stage == OWNER_CATCH_UP || calls->length > 0;
+    PhTime wait = hurry ? 0 : READ_WAIT;
+    topic->read_waits = !hurry;
     PhStoreMessage m = PhStoreCursor_NextCall(&topic->cursor, wait);
     PhScheduleTask_Call(t, call, &m);
 }
@@ -100,6 +104,23 @@
     return t->runs.read_in_flight;
 }
 
+uint64_t
+PhScheduleTopics_ReadJobsNow(PhScheduleTask *t)
+{
+    PhTopic *topic = &t->jobs;
+    if (!topic_is_followed(t, CALL_JOBS_READ)) {
+        return 0;
+    }
+    uint64_t number = topic->reads_sent + 1;
+    if (topic->read_in_flight && topic->read_waits) {
+        /* Its reply may come a second later and is ignored. */
+        t->epochs[CALL_JOBS_READ]++;
+        topic->read_in_flight = false;
+    }
+    PhScheduleTopics_Read(t, CALL_JOBS_READ);
+    return number;
+}
+
 static void
 apply_record(PhScheduleTask *t, const PhStoreRecord *r)
 {
@@ -205,6 +226,12 @@
     if (call == CALL_RUNS_READ) {
         PhScheduleCalls_AnswerStates(t);
     }
+    else {
+        bool to_end = reply->outcome == PH_STORE_DONE &&
+                      topic->cursor.loaded && topic->cursor.next >= reply->end;
+        PhScheduleCalls_HandleCancels(t, topic->reads_sent, to_end);
+        delay = t->cancel_calls.length > 0 ? 0 : delay;
+    }
     if (t->stage == OWNER_CATCH_UP && reply->outcome == PH_STORE_DONE) {
         delay = MIN(delay, OWNER_READ_INTERVAL);
     }
@@ -238,6 +265,7 @@
     t->epochs[CALL_RUNS_READ]++;
     t->jobs.read_in_flight = false;
     t->runs.read_in_flight = false;
+    PhScheduleCalls_HandleCancels(t, UINT64_MAX, false);
     t->reload_due = false;
     PhScheduleTopics_Read(t, CALL_JOBS_READ);
 }
--- a/tests/schedule/test_schedule_pair.c
+++ b/tests/schedule/test_schedule_pair.c
@@ -1,6 +1,6 @@
 /* Two instances over sockets, with or without links.  Guards against calls
  * that are not forwarded to the owner, jobs accepted twice, a survivor that
- * does not take over, and answers from runs that were read long ago. */
+ * does not take over, and answers from records that were read long ago. */
 #include <string.h>
 
 #include "platform_fixture.h"
@@ -8,13 +8,15 @@
 
 #define ID_A "00000000000000a1"
 #define ID_B "00000000000000b2"
+#define JOBS PhStr_LITERAL("keyed.jobs")
 #define RUNS PhStr_LITERAL("keyed.runs")
 #define JOB "{\"spec\":\"x\",\"steps\":[{\"count\":2,\"cpu\":500}]}"
 
 enum {
     OWNER = 0, /* has the larger CPU share */
     OTHER = 1,
-    SETTLE_STEPS = 400, /* until both instances know the owner */
+    SETTLE_STEPS = 400,    /* until both instances know the owner */
+    LAST_READ_STEPS = 220, /* a read waits for a record 1 s at most */
 };
 
 /* Whether the owner is destroyed after the first job, whether each job is
@@ -153,10 +155,69 @@
     Ph_RUN_TABLE(unread_cases, unread_run);
 }
 
+/* Whether the job was accepted by one instance after the other had read the
+ * jobs for the last time, and the answers of the other to its cancellation
+ * while it cannot read them and later. */
+typedef struct PhUnreadCancelCase {
+    const char *name;
+    bool accepted;
+    int status;
+    int later;
+} PhUnreadCancelCase;
+
+static const PhUnreadCancelCase unread_cancel_cases[] = {
+    {"accepted since the last read", true, 503, 200},
+    {"never accepted", false, 503, 410},
+};
+
+/* The last read is recent, but older than the job. */
+static void
+unread_cancel_run(const PhUnreadCancelCase *c)
+{
+    PhPlatformFixture fixture;
+    char text[PH_FIXTURE_TEXT_BYTES];
+    PhPlatformFixture_Open(&fixture, PH_FIXTURE_INSTANCES_MAX, false);
+    fixture.worker_ignores_starts = true;
+    for (size_t i = 0; i < PH_FIXTURE_INSTANCES_MAX; i++) {
+        assert_true(PhPlatformFixture_CallUntil(&fixture, i, "GET", ID_A, "",
+                                                410, ""));
+    }
+    PhStandinStoreState_RefuseReads(fixture.store, JOBS, true);
+    for (int i = 0; i < LAST_READ_STEPS; i++) {
+        PhPlatformFixture_Run(&fixture);
+    }
+    if (c->accepted) {
+        assert_int_equal(
+            PhPlatformFixture_Call(&fixture, OWNER, "POST", ID_A, JOB, text),
+            200);
+    }
+    assert_int_equal(
+        PhPlatformFixture_Call(&fixture, OTHER, "DELETE", ID_A, "", text),
+        c->status);
+    PhStandinStoreState_RefuseReads(fixture.store, JOBS, false);
+    assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "DELETE", ID_A,
+                                            "", c->later, ""));
+    if (c->accepted) {
+        assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "GET", ID_A,
+                                                "", 200, "cancelled"));
+    }
+    PhPlatformFixture_Close(&fixture);
+}
+
+/* Guards against a client that is told that the job to cancel does not exist,
+ * while it is accepted and runs. */
+static void
+test_unread_cancels(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(unread_cancel_cases, unread_cancel_run);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {cmocka_unit_test(test_pairs),
-                                       cmocka_unit_test(test_unread_runs)};
+                                       cmocka_unit_test(test_unread_runs),
+                                       cmocka_unit_test(test_unread_cancels)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
