schedule: a read counts from when it was sent

What callers saw: an instance that had stood still, or whose store was slow, answered from old reads: 410 for accepted jobs, and counts of pending jobs.

Cause: a reply was assumed to be 0.5 s old at most. It may have waited in the socket of a process that stands still, or left a slow store long before.

A reply now tells of all records up to when its read was sent; if it brings no record, up to the end of the wait, since the store answers as soon as there is one. A successor may need one more read before it becomes active, without a wait.

--- a/services/schedule/schedule_task.h
+++ b/services/schedule/schedule_task.h
@@ -46,7 +46,7 @@
 typedef struct PhTopic {
     PhStoreCursor cursor;
     bool read_in_flight;
-    bool read_waits;     /* the read in flight waits for a record */
+    PhTime wait;         /* of the newest read, for a record */
     uint64_t reads_sent; /* number of the newest read */
     PhTime sent_at;
     PhTime fresh_at; /* every earlier record has been read */
--- a/services/schedule/schedule_topics.c
+++ b/services/schedule/schedule_topics.c
@@ -11,8 +11,6 @@
 /* Instances other than the owner only answer calls on jobs. */
 static const PhTime FOLLOWER_READ_INTERVAL = 400 * PH_NS_PER_MS;
 static const PhTime RETRY_DELAY = 200 * PH_NS_PER_MS;
-/* Longest assumed delay of a reply. */
-static const PhTime REPLY_DELAY_MAX = 500 * PH_NS_PER_MS;
 /* A topic read longer ago than this supports no answer: neither that a job
  * doesn't exist nor that no task of it has started. */
 static const PhTime FRESH_AGE_MAX = 2400 * PH_NS_PER_MS;
@@ -56,7 +54,7 @@
         call == CALL_RUNS_READ ? &t->state_calls : &t->cancel_calls;
     bool hurry = t->stage == OWNER_CATCH_UP || calls->length > 0;
     PhTime wait = hurry ? 0 : READ_WAIT;
-    topic->read_waits = !hurry;
+    topic->wait = wait;
     PhStoreMessage m = PhStoreCursor_NextCall(&topic->cursor, wait);
     PhScheduleTask_Call(t, call, &m);
 }
@@ -112,7 +110,7 @@
         return 0;
     }
     uint64_t number = topic->reads_sent + 1;
-    if (topic->read_in_flight && topic->read_waits) {
+    if (topic->read_in_flight && topic->wait > 0) {
         /* Its reply may come a second later and is ignored. */
         t->epochs[CALL_JOBS_READ]++;
         topic->read_in_flight = false;
@@ -141,6 +139,16 @@
     }
 }
 
+/* Returns the time up to which a reply to the newest read tells of all
+ * records. It may have been on its way, or waited for this process, for any
+ * time since. A reply without records was sent when the wait was over. */
+static PhTime
+reply_covers(const PhTopic *topic, const PhStoreReply *reply, PhTime now)
+{
+    PhTime waited = reply->record_count == 0 ? topic->wait : 0;
+    return MIN(topic->sent_at + waited, now);
+}
+
 /* Applies the records of a reply.  Returns the delay until the next read. */
 static PhTime
 apply_reply(PhScheduleTask *t, PhTopic *topic, const PhStoreReply *reply)
@@ -155,7 +163,7 @@
         return 0;
     }
     if (topic->cursor.next >= reply->end) {
-        topic->fresh_at = MAX(topic->sent_at, now - REPLY_DELAY_MAX);
+        topic->fresh_at = reply_covers(topic, reply, now);
     }
     if (t->stage == OWNER_INACTIVE) {
         return FOLLOWER_READ_INTERVAL;
--- a/tests/paused_loop.c
+++ b/tests/paused_loop.c
@@ -24,10 +24,9 @@
 }
 
 void
-PhPausedLoop_Step(struct ev_loop *loop, PhClock *clock)
+PhPausedLoop_Run(struct ev_loop *loop)
 {
     ev_timer tick;
-    PhClock_Advance(clock, PH_PAUSED_STEP_MS * PH_NS_PER_MS);
     ev_timer_init(&tick, on_tick, DELIVERY_S, 0.0);
     ev_timer_start(loop, &tick);
     ev_run(loop, 0);
@@ -37,3 +36,10 @@
         ev_run(loop, EVRUN_NOWAIT);
     }
 }
+
+void
+PhPausedLoop_Step(struct ev_loop *loop, PhClock *clock)
+{
+    PhClock_Advance(clock, PH_PAUSED_STEP_MS * PH_NS_PER_MS);
+    PhPausedLoop_Run(loop);
+}
--- a/tests/paused_loop.h
+++ b/tests/paused_loop.h
@@ -18,5 +18,7 @@
 /* Advances the clock by one step, then runs the event loop for long enough
  * that what was sent over the loopback arrives. */
 void PhPausedLoop_Step(struct ev_loop *loop, PhClock *clock);
+/* The same without the clock. */
+void PhPausedLoop_Run(struct ev_loop *loop);
 
 #endif
--- a/tests/schedule/platform_fixture.c
+++ b/tests/schedule/platform_fixture.c
@@ -76,9 +76,9 @@
     PhInstancePorts ports;
     x->port = port_reserve(fixture);
     x->counters = PhCounters_Create();
-    x->kernel = PhKernel_Create(&(PhKernelOptions){.clock = fixture->clock,
-                                                   .loop = fixture->loop,
-                                                   .counters = x->counters});
+    x->loop = ev_loop_new(EVFLAG_AUTO);
+    x->kernel = PhKernel_Create(&(PhKernelOptions){
+        .clock = fixture->clock, .loop = x->loop, .counters = x->counters});
     PhBuf_AppendFormat(&text,
                        "[instance]\nid = entry-%zu\ndata_centre = bacolod\n"
                        "deployment = test\n[callers]\nlisten = "
@@ -126,6 +126,7 @@
         if (fixture->instances[i].kernel != NULL) {
             PhPlatformFixture_Kill(fixture, i);
         }
+        ev_loop_destroy(fixture->instances[i].loop);
         PhSettings_Clear(&fixture->instances[i].settings);
         PhCounters_Destroy(fixture->instances[i].counters);
     }
@@ -143,6 +144,12 @@
 PhPlatformFixture_Run(PhPlatformFixture *fixture)
 {
     PhPausedLoop_Step(fixture->loop, fixture->clock);
+    for (size_t i = 0; i < fixture->instance_count; i++) {
+        const PhFixtureInstance *x = &fixture->instances[i];
+        if (x->kernel != NULL && !x->stands_still) {
+            PhPausedLoop_Run(x->loop);
+        }
+    }
 }
 
 int
--- a/tests/schedule/platform_fixture.h
+++ b/tests/schedule/platform_fixture.h
@@ -1,5 +1,5 @@
-/* Fixture of the platform's stand-ins and some instances on one event loop and
- * one paused clock, with clients' calls over sockets. */
+/* Fixture of the platform's stand-ins and some instances, each with an event
+ * loop, on one paused clock, with clients' calls over sockets. */
 #ifndef PERIDOTHILL_TESTS_SCHEDULE_PLATFORM_FIXTURE_H
 #define PERIDOTHILL_TESTS_SCHEDULE_PLATFORM_FIXTURE_H
 
@@ -15,6 +15,8 @@
 
 /* Instance 0 has the largest CPU share, so it becomes the owner. */
 typedef struct PhFixtureInstance {
+    struct ev_loop *loop;
+    bool stands_still; /* its event loop does not run */
     PhKernel *kernel;
     PhCounters *counters;
     PhSettings settings;
@@ -22,7 +24,7 @@
 } PhFixtureInstance;
 
 typedef struct PhPlatformFixture {
-    struct ev_loop *loop;
+    struct ev_loop *loop; /* of the stand-ins */
     PhClock *clock;
     PhCounters *counters; /* of the stand-ins */
     PhStandinStoreState *store;
@@ -40,7 +42,7 @@
 void PhPlatformFixture_Close(PhPlatformFixture *fixture);
 /* Destroys an instance without a shutdown. */
 void PhPlatformFixture_Kill(PhPlatformFixture *fixture, size_t instance);
-/* Advances the clock by PH_PAUSED_STEP_MS and runs the event loop. */
+/* Advances the clock by PH_PAUSED_STEP_MS and runs the event loops. */
 void PhPlatformFixture_Run(PhPlatformFixture *fixture);
 /* Calls an instance and returns the status, 0 without a response.  `text`
  * receives the response. */
--- a/tests/schedule/test_schedule_pair.c
+++ b/tests/schedule/test_schedule_pair.c
@@ -17,6 +17,11 @@
     OTHER = 1,
     SETTLE_STEPS = 400,    /* until both instances know the owner */
     LAST_READ_STEPS = 220, /* a read waits for a record 1 s at most */
+    RETRY_STEPS = 50,      /* a refused read is repeated after 200 ms */
+    /* Until shortly before the read's deadline, and then until shortly before
+     * a reply handled at that time would be too old. */
+    STANDSTILL_STEPS = 260,
+    AGE_STEPS = 330,
 };
 
 /* Whether the owner is destroyed after the first job, whether each job is
@@ -213,11 +218,77 @@
     Ph_RUN_TABLE(unread_cancel_cases, unread_cancel_run);
 }
 
+/* A call that an instance answers from what it has read, and the answer once
+ * it has read the jobs that were accepted while it stood still. */
+typedef struct PhStandstillCase {
+    const char *name;
+    const char *job; /* empty: count of pending jobs */
+    const char *known;
+} PhStandstillCase;
+
+static const PhStandstillCase standstill_cases[] = {
+    {"pending jobs", "", "{\"pending\":2}"},
+    {"state of a job", ID_A, "queued"},
+};
+
+static void
+run_steps(PhPlatformFixture *fixture, int count)
+{
+    for (int i = 0; i < count; i++) {
+        PhPlatformFixture_Run(fixture);
+    }
+}
+
+/* The reply to the last read of the jobs names the job that was accepted
+ * first.  It arrives while the instance stands still, and is handled in time,
+ * but long after it was sent. */
+static void
+standstill_run(const PhStandstillCase *c)
+{
+    PhPlatformFixture fixture;
+    char text[PH_FIXTURE_TEXT_BYTES];
+    PhPlatformFixture_Open(&fixture, PH_FIXTURE_INSTANCES_MAX, false);
+    fixture.worker_ignores_starts = true;
+    for (size_t i = 0; i < PH_FIXTURE_INSTANCES_MAX; i++) {
+        assert_true(PhPlatformFixture_CallUntil(&fixture, i, "GET", "", "",
+                                                200, "{\"pending\":0}"));
+    }
+    PhStandinStoreState_RefuseReads(fixture.store, JOBS, true);
+    run_steps(&fixture, LAST_READ_STEPS);
+    PhStandinStoreState_RefuseReads(fixture.store, JOBS, false);
+    run_steps(&fixture, RETRY_STEPS);
+    fixture.instances[OTHER].stands_still = true;
+    assert_int_equal(
+        PhPlatformFixture_Call(&fixture, OWNER, "POST", ID_B, JOB, text), 200);
+    assert_int_equal(
+        PhPlatformFixture_Call(&fixture, OWNER, "POST", ID_A, JOB, text), 200);
+    run_steps(&fixture, STANDSTILL_STEPS);
+    PhStandinStoreState_RefuseReads(fixture.store, JOBS, true);
+    fixture.instances[OTHER].stands_still = false;
+    run_steps(&fixture, AGE_STEPS);
+    assert_int_equal(
+        PhPlatformFixture_Call(&fixture, OTHER, "GET", c->job, "", text), 503);
+    PhStandinStoreState_RefuseReads(fixture.store, JOBS, false);
+    assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "GET", c->job, "",
+                                            200, c->known));
+    PhPlatformFixture_Close(&fixture);
+}
+
+/* Guards against answers from a reply of the store that was old when it was
+ * handled. */
+static void
+test_standstill(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(standstill_cases, standstill_run);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {cmocka_unit_test(test_pairs),
                                        cmocka_unit_test(test_unread_runs),
-                                       cmocka_unit_test(test_unread_cancels)};
+                                       cmocka_unit_test(test_unread_cancels),
+                                       cmocka_unit_test(test_standstill)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
