--- a/services/schedule/schedule_topics.c
+++ b/services/schedule/schedule_topics.c
@@ -11,8 +11,6 @@
 /* Instances other than the owner only answer calls on jobs. */
 static const PhTime FOLLOWER_READ_INTERVAL = 400 * PH_NS_PER_MS;
 static const PhTime RETRY_DELAY = 200 * PH_NS_PER_MS;
-/* Longest assumed delay of a reply. */
-static const PhTime REPLY_DELAY_MAX = 500 * PH_NS_PER_MS;
 /* A topic read longer ago than this supports no answer: neither that a job
  * doesn't exist nor that no task of it has started. */
 static const PhTime FRESH_AGE_MAX = 2400 * PH_NS_PER_MS;
@@ -50,9 +48,13 @@
         return;
     }
     topic->read_in_flight = true;
+    topic->reads_sent++;
     topic->sent_at = PhTask_Now(t->self);
-    bool hurry = call == CALL_RUNS_READ && t->state_calls.length > 0;
-    PhTime wait = t->stage == OWNER_CATCH_UP || hurry ? 0 : READ_WAIT;
+    const GQueue *calls =
+        call == CALL_RUNS_READ ? &t->state_calls : &t->cancel_calls;
+    bool hurry = t->stage == OWNER_CATCH_UP || calls->length > 0;
+    PhTime wait = hurry ? 0 : READ_WAIT;
+    topic->wait = wait;
     PhStoreMessage m = PhStoreCursor_NextCall(&topic->cursor, wait);
     PhScheduleTask_Call(t, call, &m);
 }
@@ -100,6 +102,23 @@
     return t->runs.read_in_flight;
 }
 
+uint64_t
+PhScheduleTopics_ReadJobsNow(PhScheduleTask *t)
+{
+    PhTopic *topic = &t->jobs;
+    if (!topic_is_followed(t, CALL_JOBS_READ)) {
+        return 0;
+    }
+    uint64_t number = topic->reads_sent + 1;
+    if (topic->read_in_flight && topic->wait > 0) {
+        /* Its reply may come a second later and is ignored. */
+        t->epochs[CALL_JOBS_READ]++;
+        topic->read_in_flight = false;
+    }
+    PhScheduleTopics_Read(t, CALL_JOBS_READ);
+    return number;
+}
+
 static void
 apply_record(PhScheduleTask *t, const PhStoreRecord *r)
 {
@@ -120,6 +139,16 @@
     }
 }
 
+/* Returns the time up to which a reply to the newest read tells of all
+ * records. It may have been on its way, or waited for this process, for any
+ * time since. A reply without records was sent when the wait was over. */
+static PhTime
+reply_covers(const PhTopic *topic, const PhStoreReply *reply, PhTime now)
+{
+    PhTime waited = reply->record_count == 0 ? topic->wait : 0;
+    return MIN(topic->sent_at + waited, now);
+}
+
 /* Applies the records of a reply.  Returns the delay until the next read. */
 static PhTime
 apply_reply(PhScheduleTask *t, PhTopic *topic, const PhStoreReply *reply)
@@ -134,7 +163,7 @@
         return 0;
     }
     if (topic->cursor.next >= reply->end) {
-        topic->fresh_at = MAX(topic->sent_at, now - REPLY_DELAY_MAX);
+        topic->fresh_at = reply_covers(topic, reply, now);
     }
     if (t->stage == OWNER_INACTIVE) {
         return FOLLOWER_READ_INTERVAL;
@@ -205,6 +234,12 @@
     if (call == CALL_RUNS_READ) {
         PhScheduleCalls_AnswerStates(t);
     }
+    else {
+        bool to_end = reply->outcome == PH_STORE_DONE &&
+                      topic->cursor.loaded && topic->cursor.next >= reply->end;
+        PhScheduleCalls_HandleCancels(t, topic->reads_sent, to_end);
+        delay = t->cancel_calls.length > 0 ? 0 : delay;
+    }
     if (t->stage == OWNER_CATCH_UP && reply->outcome == PH_STORE_DONE) {
         delay = MIN(delay, OWNER_READ_INTERVAL);
     }
@@ -238,6 +273,7 @@
     t->epochs[CALL_RUNS_READ]++;
     t->jobs.read_in_flight = false;
     t->runs.read_in_flight = false;
+    PhScheduleCalls_HandleCancels(t, UINT64_MAX, false);
     t->reload_due = false;
     PhScheduleTopics_Read(t, CALL_JOBS_READ);
 }
--- a/tests/schedule/test_schedule_pair.c
+++ b/tests/schedule/test_schedule_pair.c
@@ -1,6 +1,6 @@
 /* Two instances over sockets, with or without links.  Guards against calls
  * that are not forwarded to the owner, jobs accepted twice, a survivor that
- * does not take over, and answers from runs that were read long ago. */
+ * does not take over, and answers from records that were read long ago. */
 #include <string.h>
 
 #include "platform_fixture.h"
@@ -8,13 +8,20 @@
 
 #define ID_A "00000000000000a1"
 #define ID_B "00000000000000b2"
+#define JOBS PhStr_LITERAL("keyed.jobs")
 #define RUNS PhStr_LITERAL("keyed.runs")
 #define JOB "{\"spec\":\"x\",\"steps\":[{\"count\":2,\"cpu\":500}]}"
 
 enum {
     OWNER = 0, /* has the larger CPU share */
     OTHER = 1,
-    SETTLE_STEPS = 400, /* until both instances know the owner */
+    SETTLE_STEPS = 400,    /* until both instances know the owner */
+    LAST_READ_STEPS = 220, /* a read waits for a record 1 s at most */
+    RETRY_STEPS = 50,      /* a refused read is repeated after 200 ms */
+    /* Until shortly before the read's deadline, and then until shortly before
+     * a reply handled at that time would be too old. */
+    STANDSTILL_STEPS = 260,
+    AGE_STEPS = 330,
 };
 
 /* Whether the owner is destroyed after the first job, whether each job is
@@ -153,10 +160,135 @@
     Ph_RUN_TABLE(unread_cases, unread_run);
 }
 
+/* Whether the job was accepted by one instance after the other had read the
+ * jobs for the last time, and the answers of the other to its cancellation
+ * while it cannot read them and later. */
+typedef struct PhUnreadCancelCase {
+    const char *name;
+    bool accepted;
+    int status;
+    int later;
+} PhUnreadCancelCase;
+
+static const PhUnreadCancelCase unread_cancel_cases[] = {
+    {"accepted since the last read", true, 503, 200},
+    {"never accepted", false, 503, 410},
+};
+
+/* The last read is recent, but older than the job. */
+static void
+unread_cancel_run(const PhUnreadCancelCase *c)
+{
+    PhPlatformFixture fixture;
+    char text[PH_FIXTURE_TEXT_BYTES];
+    PhPlatformFixture_Open(&fixture, PH_FIXTURE_INSTANCES_MAX, false);
+    fixture.worker_ignores_starts = true;
+    for (size_t i = 0; i < PH_FIXTURE_INSTANCES_MAX; i++) {
+        assert_true(PhPlatformFixture_CallUntil(&fixture, i, "GET", ID_A, "",
+                                                410, ""));
+    }
+    PhStandinStoreState_RefuseReads(fixture.store, JOBS, true);
+    for (int i = 0; i < LAST_READ_STEPS; i++) {
+        PhPlatformFixture_Run(&fixture);
+    }
+    if (c->accepted) {
+        assert_int_equal(
+            PhPlatformFixture_Call(&fixture, OWNER, "POST", ID_A, JOB, text),
+            200);
+    }
+    assert_int_equal(
+        PhPlatformFixture_Call(&fixture, OTHER, "DELETE", ID_A, "", text),
+        c->status);
+    PhStandinStoreState_RefuseReads(fixture.store, JOBS, false);
+    assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "DELETE", ID_A,
+                                            "", c->later, ""));
+    if (c->accepted) {
+        assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "GET", ID_A,
+                                                "", 200, "cancelled"));
+    }
+    PhPlatformFixture_Close(&fixture);
+}
+
+/* Guards against a client that is told that the job to cancel does not exist,
+ * while it is accepted and runs. */
+static void
+test_unread_cancels(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(unread_cancel_cases, unread_cancel_run);
+}
+
+/* A call that an instance answers from what it has read, and the answer once
+ * it has read the jobs that were accepted while it stood still. */
+typedef struct PhStandstillCase {
+    const char *name;
+    const char *job; /* empty: count of pending jobs */
+    const char *known;
+} PhStandstillCase;
+
+static const PhStandstillCase standstill_cases[] = {
+    {"pending jobs", "", "{\"pending\":2}"},
+    {"state of a job", ID_A, "queued"},
+};
+
+static void
+run_steps(PhPlatformFixture *fixture, int count)
+{
+    for (int i = 0; i < count; i++) {
+        PhPlatformFixture_Run(fixture);
+    }
+}
+
+/* The reply to the last read of the jobs names the job that was accepted
+ * first.  It arrives while the instance stands still, and is handled in time,
+ * but long after it was sent. */
+static void
+standstill_run(const PhStandstillCase *c)
+{
+    PhPlatformFixture fixture;
+    char text[PH_FIXTURE_TEXT_BYTES];
+    PhPlatformFixture_Open(&fixture, PH_FIXTURE_INSTANCES_MAX, false);
+    fixture.worker_ignores_starts = true;
+    for (size_t i = 0; i < PH_FIXTURE_INSTANCES_MAX; i++) {
+        assert_true(PhPlatformFixture_CallUntil(&fixture, i, "GET", "", "",
+                                                200, "{\"pending\":0}"));
+    }
+    PhStandinStoreState_RefuseReads(fixture.store, JOBS, true);
+    run_steps(&fixture, LAST_READ_STEPS);
+    PhStandinStoreState_RefuseReads(fixture.store, JOBS, false);
+    run_steps(&fixture, RETRY_STEPS);
+    fixture.instances[OTHER].stands_still = true;
+    assert_int_equal(
+        PhPlatformFixture_Call(&fixture, OWNER, "POST", ID_B, JOB, text), 200);
+    assert_int_equal(
+        PhPlatformFixture_Call(&fixture, OWNER, "POST", ID_A, JOB, text), 200);
+    run_steps(&fixture, STANDSTILL_STEPS);
+    PhStandinStoreState_RefuseReads(fixture.store, JOBS, true);
+    fixture.instances[OTHER].stands_still = false;
+    run_steps(&fixture, AGE_STEPS);
+    assert_int_equal(
+        PhPlatformFixture_Call(&fixture, OTHER, "GET", c->job, "", text), 503);
+    PhStandinStoreState_RefuseReads(fixture.store, JOBS, false);
+    assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "GET", c->job, "",
+                                            200, c->known));
+    PhPlatformFixture_Close(&fixture);
+}
+
+/* Guards against answers from a reply of the store that was old when it was
+ * handled. */
+static void
+test_standstill(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(standstill_cases, standstill_run);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {cmocka_unit_test(test_pairs),
-                                       cmocka_unit_test(test_unread_runs)};
+                                       cmocka_unit_test(test_unread_runs),
+                                       cmocka_unit_test(test_unread_cancels),
+                                       cmocka_unit_test(test_standstill)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
