--- a/tests/schedule/owners_faults.c
+++ b/tests/schedule/owners_faults.c
@@ -12,6 +12,12 @@
     DRAINING_MAX = 2, /* workers that may drain */
     RESTART_MAX_MS = 4000,
     STOP_MS = PH_OWNERS_NOTICE_MS + 1000,
+    LONG_TASKS = 4,
+    SHORT_UNTIL_MS = 30000,
+    DOWN_AT_MS = 5000, /* the worker stops */
+    UNSEEN_MS = 40000,
+    END_MS = 90000,
+    ALL_INSTANCES = (1 << PH_OWNERS_INSTANCES) - 1,
 };
 
 int64_t
@@ -200,3 +206,30 @@
         }
     }
 }
+
+bool
+PhOwnersSim_HoldsAfter(const PhOwnerEnd *end)
+{
+    PhOwnersSim *w = PhOwnersSim_Create(LONG_TASKS, SHORT_UNTIL_MS);
+    int64_t notice_ms = end->kind == PH_OWNERS_STOP ? 1000 : 0;
+    int64_t gone_ms = end->at_ms + notice_ms;
+    const PhOwnersFault faults[] = {
+        {PH_OWNERS_RESTART, DOWN_AT_MS, end->up_ms - DOWN_AT_MS,
+         .workers = end->workers},
+        {PH_OWNERS_STORE_UNREACHABLE, DOWN_AT_MS, UNSEEN_MS,
+         .workers = end->workers},
+        {PH_OWNERS_ORDERS_LATE, end->up_ms, gone_ms + 100 - end->up_ms,
+         .instances = ALL_INSTANCES, .workers = end->workers},
+        {PH_OWNERS_WORKERS_UNREACHABLE, gone_ms + 60, UNSEEN_MS,
+         .instances = ALL_INSTANCES, .workers = end->workers},
+        {end->kind, end->at_ms, end->away_ms, .owner = true}};
+    PhOwnersSim_SetDelays(w, end->seed);
+    for (size_t i = 0; i < sizeof(faults) / sizeof(faults[0]); i++) {
+        PhOwnersSim_AddFault(w, &faults[i]);
+    }
+    PhOwnersSim_Run(w, END_MS);
+    bool holds =
+        PhOwnersSim_DuplicateStarts(w) == 0 && PhOwnersSim_IsSettled(w);
+    PhOwnersSim_Destroy(w);
+    return holds;
+}
--- a/tests/schedule/owners_sim.h
+++ b/tests/schedule/owners_sim.h
@@ -47,6 +47,17 @@
     bool owner;
 } PhOwnersFault;
 
+/* A worker restarts under its id and executes late starts of the owner; from
+ * then on nobody can reach or list it.  The owner ends and returns. */
+typedef struct PhOwnerEnd {
+    uint64_t seed;          /* of the delays */
+    PhOwnersFaultKind kind; /* CRASH or STOP */
+    int64_t up_ms;          /* the worker runs again */
+    int64_t at_ms;          /* the owner ends */
+    int64_t away_ms;
+    unsigned workers;
+} PhOwnerEnd;
+
 typedef struct PhOwnersSim PhOwnersSim;
 
 /* Creates `long_tasks` long-running tasks at the start, and jobs of short
@@ -65,6 +76,8 @@
                             unsigned kinds);
 /* Runs until a time since the start. */
 void PhOwnersSim_Run(PhOwnersSim *sim, int64_t until_ms);
+/* Runs this alone.  Returns whether no task ran twice and all are settled. */
+bool PhOwnersSim_HoldsAfter(const PhOwnerEnd *end);
 /* Number of starts of a task while it had another run, or after its
  * acknowledged end. */
 unsigned PhOwnersSim_DuplicateStarts(const PhOwnersSim *sim);
