schedule: a list from before an unbound start does not end its run

Found by the review, by reading. A start that went on a connection of a later incarnation was answered; then an older list arrived, the last one of the earlier incarnation or the first one of the later, in which the run is missing. It was taken to be over and the task started elsewhere, since the clocks of two incarnations were compared. Such a run is kept until a list from after the start, or moves to the later incarnation and is stopped there.

--- a/decide/schedule/holds.c
+++ b/decide/schedule/holds.c
@@ -174,8 +174,8 @@
         bool settled =
             task->fence != s->fence || task->state == PH_SCHED_TASK_RUNNING;
         if (task->confirmed_at == now || task->start_in_flight ||
-            task->start_unconfirmed || !settled ||
-            task->confirmed_clock_ms >= clock_ms) {
+            task->start_unconfirmed || PhSchedTask_StartIsUnbound(task) ||
+            !settled || task->confirmed_clock_ms >= clock_ms) {
             continue;
         }
         PhScheduler_ReleaseRun(s, task, PH_SCHED_RELEASE_MISSING, now);
--- a/decide/schedule/incarnations.c
+++ b/decide/schedule/incarnations.c
@@ -55,7 +55,8 @@
     for (guint i = w->tasks->len; i-- > 0;) {
         PhSchedTask *task = g_ptr_array_index(w->tasks, i);
         bool named = reply_names(reply, task);
-        if (named || PhSchedTask_StartMayArrive(task, now)) {
+        if (named || PhSchedTask_StartMayArrive(task, now) ||
+            PhSchedTask_StartIsUnbound(task)) {
             task_move(s, task, next, !named);
             continue;
         }
