schedule: workers that close their connections are granted leases

A worker that closes each connection after its answer has none, so that it was queried without a pause (500 times a second at 2 ms round trip) and never granted a lease. If there is none after an answered query either, the hold now goes on any connection.

An order whose connection is of unknown age counts as unbound.

--- a/decide/schedule/holds.c
+++ b/decide/schedule/holds.c
@@ -40,15 +40,23 @@
         return false;
     }
     *action = PhSchedAction_For(w, PH_SCHED_ACTION_HOLD);
-    bool query = w->query_due;
-    w->query_due = false;
     w->hold_sent_at = now;
     w->hold_bound = false;
-    if (query) {
+    switch (w->next_hold) {
+    case PH_HOLD_QUERY:
+        w->next_hold = PH_HOLD_AFTER_QUERY;
         return true;
+    case PH_HOLD_BOUND:
+    case PH_HOLD_AFTER_QUERY:
+        hold_fill(s, w, now, action);
+        w->hold_bound = action->as.hold.connected_by > 0;
+        break;
+    case PH_HOLD_ANYWAY:
+        hold_fill(s, w, now, action);
+        action->as.hold.connected_by = 0;
+        w->next_hold = PH_HOLD_BOUND;
+        break;
     }
-    hold_fill(s, w, now, action);
-    w->hold_bound = action->as.hold.connected_by > 0;
     if (!w->fenced || w->suspended || w->grant_batch > s->durable_batch) {
         return true;
     }
@@ -185,6 +193,7 @@
 static void
 hold_failed(PhScheduler *s, PhSchedWorker *w, PhTime now)
 {
+    w->next_hold = PH_HOLD_BOUND;
     if (w->failing_since == 0) {
         w->failing_since = now;
     }
@@ -196,11 +205,13 @@
 }
 
 /* No idle connection is known to be the incarnation's own: a hold without
- * effect comes first, whose answer proves one. */
+ * effect comes first, whose answer proves one.  A worker that closes its
+ * connections has none even then, and is sent the hold on any. */
 static void
 hold_defer(PhScheduler *s, PhSchedWorker *w, PhTime now)
 {
-    w->query_due = true;
+    w->next_hold =
+        w->next_hold == PH_HOLD_AFTER_QUERY ? PH_HOLD_ANYWAY : PH_HOLD_QUERY;
     w->next_hold_at = now;
     PhScheduler_WakeBy(s, now);
 }
@@ -270,6 +281,9 @@
         }
         w->alive_at = MAX(w->alive_at, alive_at);
         w->acks_answered = MAX(w->acks_answered, acked);
+        if (w->hold_bound) {
+            w->next_hold = PH_HOLD_BOUND;
+        }
         reply_apply(s, w, reply, now);
         break;
     case PH_SCHED_OUTCOME_NOT_SENT:
--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -106,7 +106,7 @@
     w->last_end_acked = 0;
     w->acks_in_flight = 0;
     w->acks_answered = 0;
-    w->query_due = false;
+    w->next_hold = PH_HOLD_BOUND;
     w->last_end_batch = 0;
     w->cooldown_until = 0;
     w->dirty = false;
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -187,6 +187,15 @@
     PhLeaseEvidence evidence;
 } PhLeaseBound;
 
+/* On which connection the next hold is sent, and to what effect. */
+typedef enum PhHoldPlan {
+    PH_HOLD_BOUND,       /* on one that is known to be the incarnation's own */
+    PH_HOLD_QUERY,       /* there was none: on any, granting and acknowledging
+                            nothing */
+    PH_HOLD_AFTER_QUERY, /* as BOUND */
+    PH_HOLD_ANYWAY,      /* there was none again: on any */
+} PhHoldPlan;
+
 /* One incarnation of a worker. */
 struct PhSchedWorker {
     PhSchedWorkerEntry entry;
@@ -216,9 +225,8 @@
     PhTime clock_at;
     bool hold_in_flight;
     PhTime hold_sent_at;
-    bool hold_bound;   /* sent only on a connection known to be its own */
-    bool query_due;    /* there was none: the next hold grants and acknowledges
-                          nothing */
+    bool hold_bound; /* sent only on a connection known to be its own */
+    PhHoldPlan next_hold;
     PhTime alive_at;   /* this incarnation is known to have run then */
     PhTime granted_at; /* newest order with a lease */
     PhTime next_hold_at;
--- a/tests/schedule/test_early_ends.c
+++ b/tests/schedule/test_early_ends.c
@@ -58,6 +58,7 @@
                                  .run = 1,
                                  .kind = PH_SCHED_END_DONE};
             assert_int_equal(action.tag, PH_SCHED_ACTION_HOLD);
+            assert_in_range(action.as.hold.last_seen, 0, END);
             seen = MAX(seen, action.as.hold.last_seen);
             PhSchedHoldReply reply = {.outcome = PH_SCHED_OUTCOME_DONE,
                                       .clock_ms = *now / PH_NS_PER_MS,
--- a/tests/schedule/test_owners.c
+++ b/tests/schedule/test_owners.c
@@ -200,6 +200,9 @@
     {"the same, and tasks move off draining workers", 21243, 21243, ALL_KINDS,
      true, true},
     {"the same, another seed", 40981, 40981, ALL_KINDS, true, true},
+    {"the same, a third one", 21471, 21471, ALL_KINDS, true, true},
+    {"the same, a fourth one", 21825, 21825, ALL_KINDS, true, true},
+    {"late orders to a worker that has stopped", 127, 127, ALL_KINDS, true},
 };
 
 static const PhRandomCase repeated_start_cases[] = {
--- a/tests/schedule/test_unbound_orders.c
+++ b/tests/schedule/test_unbound_orders.c
@@ -253,10 +253,116 @@
     Ph_RUN_TABLE(hold_cases, hold_run);
 }
 
+/* The answer to a hold that was sent before a start, and comes after the
+ * answer to that, which a later incarnation may have given. */
+typedef struct PhOvertakenCase {
+    const char *name;
+    int64_t born_ms;  /* incarnation that answers the hold */
+    int64_t clock_ms; /* its clock */
+} PhOvertakenCase;
+
+static const PhOvertakenCase overtaken_cases[] = {
+    {"the last answer of the earlier incarnation", BORN_MS, 200000},
+    {"a list of the later one from before the start", BORN_MS + 1, 90},
+};
+
+static void
+overtaken_run(const PhOvertakenCase *c)
+{
+    PhUnboundFixture f;
+    fixture_open(&f);
+    f.now += 2 * PH_NS_PER_S;
+    order_take(&f, PH_SCHED_ACTION_HOLD);
+    f.task = PhSingle_AddJob(PhScheduler_Model(f.scheduler), PH_SINGLE_JOB,
+                             (PhSchedStep){.count = 1, .long_running = true});
+    f.now += STEP;
+    order_take(&f, PH_SCHED_ACTION_START);
+    PhSchedRunReply started = {.task = {.job = PH_SINGLE_JOB},
+                               .run = RUN,
+                               .born_ms = BORN_MS,
+                               .outcome = PH_SCHED_OUTCOME_DONE,
+                               .clock_ms = 100,
+                               .connected_at = f.now};
+    f.now += PH_NS_PER_MS;
+    PhScheduler_OnStart(f.scheduler, &started, f.now);
+    PhSchedHoldReply reply = {.outcome = PH_SCHED_OUTCOME_DONE,
+                              .clock_ms = c->clock_ms,
+                              .born_ms = c->born_ms,
+                              .connected_at = NOW};
+    f.now += PH_NS_PER_MS;
+    PhScheduler_OnHold(f.scheduler, PH_SINGLE_WORKER, BORN_MS, &reply, f.now);
+    assert_non_null(f.task->worker);
+    fixture_close(&f);
+}
+
+/* Guards against giving up a run that a later incarnation has confirmed, on a
+ * list from before it. */
+static void
+test_overtaken_holds(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(overtaken_cases, overtaken_run);
+}
+
+/* Guards against a worker that closes each connection and is queried without a
+ * pause, while it is granted no lease and its ends stay. */
+static void
+test_unkept_connections(void **state)
+{
+    (void)state;
+    PhUnboundFixture f;
+    fixture_open(&f);
+    PhSingle_AddRun(f.scheduler);
+    PhStr other = PhStr_LITERAL("00000000000000bb");
+    PhSingle_AddJob(PhScheduler_Model(f.scheduler), other,
+                    (PhSchedStep){.count = 1, .resources.gpu = 1});
+    unsigned looks = 0;
+    unsigned grants = 0;
+    uint64_t acked = 0;
+    PhTime until = f.now + 10 * PH_NS_PER_S;
+    for (; f.now < until; f.now += 2 * PH_NS_PER_MS) {
+        PhSchedAction action;
+        PhScheduler_Plan(f.scheduler, f.now, 0);
+        PhSingle_RecordAll(f.scheduler);
+        while (PhScheduler_NextAction(f.scheduler, f.now, &action)) {
+            assert_int_equal(action.tag, PH_SCHED_ACTION_HOLD);
+            bool refused = action.as.hold.connected_by > 0;
+            if (!refused) {
+                looks++;
+                grants += action.as.hold.deadline_ms > 0;
+                acked = MAX(acked, action.as.hold.last_seen);
+                f.now += acked < END ? 0 : action.as.hold.wait;
+            }
+            PhSchedRunRow row = {.task = {.job = PH_SINGLE_JOB}, .run = RUN};
+            PhSchedEndRow end = {
+                .number = END, .task = {.job = other}, .run = RUN};
+            PhSchedHoldReply reply = {.outcome =
+                                          refused ? PH_SCHED_OUTCOME_NOT_SENT
+                                                  : PH_SCHED_OUTCOME_DONE,
+                                      .clock_ms = f.now / PH_NS_PER_MS,
+                                      .born_ms = BORN_MS,
+                                      .connected_at = f.now,
+                                      .runs = &row,
+                                      .run_count = !refused,
+                                      .ends = &end,
+                                      .end_count = !refused && acked < END};
+            PhScheduler_OnHold(f.scheduler, PH_SINGLE_WORKER, BORN_MS, &reply,
+                               f.now);
+        }
+    }
+    fixture_close(&f);
+    assert_in_range(looks, 1, 60);
+    assert_in_range(grants, 5, looks);
+    assert_int_equal(acked, END);
+}
+
 int
 main(void)
 {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(test_unbound_starts),
-                                       cmocka_unit_test(test_bound_holds)};
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_unbound_starts),
+        cmocka_unit_test(test_bound_holds),
+        cmocka_unit_test(test_overtaken_holds),
+        cmocka_unit_test(test_unkept_connections)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
