schedule: lasting tasks try a worker that cools down after 1 s

Change: a cooldown after failures is 1 s for lasting tasks, which have no limit of attempts, and stays 6 s for others. Workers that cool down come behind all others. What did not fit is noted for lasting and other tasks apart.

Test: test_cooldown, which failed before: # case lasting, two failures # started at 6000 ms [ ERROR ] --- 0x1770 != 0x3e8

--- a/decide/schedule/fit.c
+++ b/decide/schedule/fit.c
@@ -8,6 +8,12 @@
  * failures.  The penalties exceed every other part of the rating. */
 static const double FAILED_HERE_PENALTY = 20;
 static const double RECENT_FAILURE_PENALTY = 5;
+/* Time without starts after several failed runs in a row.  Lasting tasks have
+ * no limit of attempts and are down while they wait, so they try the worker
+ * sooner, if they find no other. */
+static const PhTime FAILURES_COOLDOWN = 6 * PH_NS_PER_S;
+static const PhTime LASTING_FAILURES_COOLDOWN = 1 * PH_NS_PER_S;
+static const double COOLDOWN_PENALTY = 10;
 /* Backfill tasks are placed where they are expected to push fewer than this
  * many serving tasks over their target: one of those outweighs one and a half
  * backfill tasks (VIOLATION_WEIGHT in interference.c). */
@@ -108,11 +114,23 @@
            (step->requires.len == 0 || has_label(w, step->requires));
 }
 
+/* Reports whether runs have failed on the worker within a time. */
+static bool
+failed_within(const PhSchedWorker *w, PhTime limit, PhTime now)
+{
+    return w->failed_at > 0 && now - w->failed_at < limit;
+}
+
 /* Whether a task fits on a usable worker. */
 static PhFit
 task_judge(const PhSchedWorker *w, const PhSchedTask *task, PhTime now)
 {
     const PhSchedStep *step = PhSchedTask_Step(task);
+    PhTime cooldown =
+        step->long_running ? LASTING_FAILURES_COOLDOWN : FAILURES_COOLDOWN;
+    if (failed_within(w, cooldown, now)) {
+        return PH_FIT_COOLDOWN;
+    }
     if (!PhScheduler_IsEligible(w, task)) {
         return PH_FIT_SERVICE;
     }
@@ -182,6 +200,9 @@
     double cost =
         step->fills ? PhInterference_Cost(s->interference, w, step) : 0;
     *score = worker_score(w, task, cost);
+    if (failed_within(w, FAILURES_COOLDOWN, now)) {
+        *score -= COOLDOWN_PENALTY;
+    }
     return cost <= COST_MAX;
 }
 
--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -21,12 +21,17 @@
     PhSchedResources resources;
 } PhShortage;
 
+typedef struct PhShortages {
+    PhShortage plain;                         /* tasks that are not backfill */
+    PhShortage backfill[PH_SCHED_IMAGES_MAX]; /* by image */
+} PhShortages;
+
 /* One pass over the waiting tasks. */
 typedef struct PhPlacementPass {
     GPtrArray *workers; /* PhSchedWorker that are usable */
     double *scores;     /* of each worker for the current stage, or UNFIT */
-    PhShortage plain;   /* of all tasks that are not backfill */
-    PhShortage backfill[PH_SCHED_IMAGES_MAX]; /* by image */
+    PhShortages ending;
+    PhShortages lasting; /* these may start where others must not */
 } PhPlacementPass;
 
 static const double UNFIT = -HUGE_VAL;
@@ -119,7 +124,8 @@
 static PhShortage *
 shortage_of(PhPlacementPass *pass, const PhSchedStep *step)
 {
-    return step->fills ? &pass->backfill[step->image_number] : &pass->plain;
+    PhShortages *known = step->long_running ? &pass->lasting : &pass->ending;
+    return step->fills ? &known->backfill[step->image_number] : &known->plain;
 }
 
 /* Reports whether a stage requests no less than a request that did not fit. */
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -11,10 +11,8 @@
 static const PhTime HOLD_UNACKED_INTERVAL = 400 * PH_NS_PER_MS;
 /* Time until an order without an answer is sent again. */
 static const PhTime RETRY_INTERVAL = 300 * PH_NS_PER_MS;
-/* After this many failed runs in a row a worker gets no starts for
- * FAILURES_COOLDOWN. */
+/* After this many failed runs in a row a worker gets no starts for a while. */
 static const uint32_t CONSECUTIVE_FAILURES_MAX = 2;
-static const PhTime FAILURES_COOLDOWN = 6 * PH_NS_PER_S;
 static const PhTime REFUSAL_COOLDOWN = 1 * PH_NS_PER_S;
 
 static PhSchedAction
@@ -390,7 +388,7 @@
     case PH_SCHED_END_FAILED:
         w->consecutive_failures++;
         if (w->consecutive_failures >= CONSECUTIVE_FAILURES_MAX) {
-            w->cooldown_until = now + FAILURES_COOLDOWN;
+            w->failed_at = now;
         }
         break;
     case PH_SCHED_END_STOPPED:
