--- a/decide/schedule/holds.c
+++ b/decide/schedule/holds.c
@@ -9,10 +9,8 @@
 /* Time between two holds while reported ends of runs are not yet recorded
  * durably, or belong to a job that is not known yet. */
 static const PhTime HOLD_UNACKED_INTERVAL = 400 * PH_NS_PER_MS;
-/* After this many failed runs in a row a worker gets no starts for
- * FAILURES_COOLDOWN. */
+/* After this many failed runs in a row a worker gets no starts for a while. */
 static const uint32_t CONSECUTIVE_FAILURES_MAX = 2;
-static const PhTime FAILURES_COOLDOWN = 6 * PH_NS_PER_S;
 
 /* Adds what is to be granted and acknowledged.  Each incarnation has its own
  * clock and numbers its ends from 1, so that such a hold is sent only on a
@@ -80,7 +78,7 @@
     case PH_SCHED_END_FAILED:
         w->consecutive_failures++;
         if (w->consecutive_failures >= CONSECUTIVE_FAILURES_MAX) {
-            w->cooldown_until = now + FAILURES_COOLDOWN;
+            w->failed_at = now;
         }
         break;
     case PH_SCHED_END_STOPPED:
