schedule: an owner is released once all that it has noted is durable

Cause: a release waited for the batch that was open when the owner began to hand over. What it noted after that was not waited for. An end that is noted and not durable is lost with the ownership. The worker repeats it to the next owner, unless it has left by then; that owner then waits for its leases.

Test: test_last_records, the scheduler and PhHandover alone, appends that take 20 to 90 ms. On: # case an end while the last one is recorded # released at 15 ms, 2 ends noted, 1 durable [ ERROR ] --- 0x1 != 0x2

Change: PhScheduler_IsHandedOver is true once nothing noted is left to record. While an owner hands over, replies of workers that stay are left to the next owner; those of workers that leave are noted, since they may have gone before it asks them. After 0.15 s nothing is noted, nor ordered, so that two appends of 75 ms fit into the 0.3 s of a handover. Holds before a release come 50 ms apart instead of one after the other.

--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -9,6 +9,9 @@
 /* Upper bound between two plans: rounds come due and leases expire without an
  * event. */
 static const PhTime PLAN_INTERVAL = 250 * PH_NS_PER_MS;
+/* Before a release changes are noted for this long at most.  Two more appends
+ * take the rest of the 0.3 s that a handover has for its records. */
+static const PhTime CLOSE_DELAY = 150 * PH_NS_PER_MS;
 
 PhScheduler *
 PhScheduler_Create(const PhSchedulerOptions *options)
@@ -170,17 +173,35 @@
 void
 PhScheduler_Quiesce(PhScheduler *s, PhTime now)
 {
-    if (s->fence != 0 && !s->quiesced) {
+    if (s->quiesced) {
+        return;
+    }
+    if (s->fence != 0) {
         PhScheduler_RecordBounds(s, now);
-        s->quiesce_batch = has_changes(s) ? s->open_batch : s->open_batch - 1;
     }
     s->quiesced = true;
+    s->closes_at = now + CLOSE_DELAY;
+}
+
+bool
+PhScheduler_IsClosed(const PhScheduler *s, PhTime now)
+{
+    return s->quiesced && now >= s->closes_at;
+}
+
+/* A worker that leaves may have gone before the next owner asks it. */
+bool
+PhScheduler_IsClosedFor(const PhScheduler *s, const PhSchedWorker *w,
+                        PhTime now)
+{
+    return s->quiesced && (!w->entry.draining || now >= s->closes_at);
 }
 
 bool
 PhScheduler_IsHandedOver(const PhScheduler *s)
 {
-    return s->fence == 0 || s->quiesce_batch <= s->durable_batch;
+    return s->fence == 0 ||
+           (!has_changes(s) && s->durable_batch + 1 == s->open_batch);
 }
 
 void
@@ -390,6 +411,10 @@
     if (s->fence == 0) {
         return;
     }
+    if (PhScheduler_IsClosed(s, now)) {
+        s->due = PH_TIME_NEVER;
+        return;
+    }
     s->due = now + PLAN_INTERVAL;
     if (now - s->pairs_recorded_at >= PAIRS_INTERVAL) {
         s->pairs_recorded_at = now;
@@ -520,7 +545,7 @@
     }
     w->leaving |= entry->draining;
     PhSchedWorker_SetEntry(w, entry);
-    if (s->fence != 0 && left) {
+    if (s->fence != 0 && left && !PhScheduler_IsClosed(s, now)) {
         PhScheduler_MarkWorkerDirty(s, w);
     }
     if (s->fence != 0 && usable != !w->entry.draining) {
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -17,7 +17,7 @@
     PhTime owner_since;
     PhTime confirmed_at; /* last confirmation of the ownership, 0: unknown */
     bool quiesced;       /* no new starts, and holds do not wait */
-    uint64_t quiesce_batch; /* newest batch of records at that time */
+    PhTime closes_at;    /* quiesced: nothing is noted from then on */
     uint64_t open_batch;
     uint64_t durable_batch;
     GPtrArray *dirty_stages;        /* PhSchedStage */
@@ -58,6 +58,11 @@
 /* Records whether leases are granted to a worker. */
 void PhScheduler_SetSuspended(PhScheduler *scheduler, PhSchedWorker *worker,
                               bool suspended, PhTime now);
+/* Reports whether a release is so close that nothing more is noted. */
+bool PhScheduler_IsClosed(const PhScheduler *scheduler, PhTime now);
+/* Reports whether what a worker says is left to the next owner. */
+bool PhScheduler_IsClosedFor(const PhScheduler *scheduler,
+                             const PhSchedWorker *worker, PhTime now);
 /* Makes the next decision due by `at`. */
 void PhScheduler_WakeBy(PhScheduler *scheduler, PhTime at);
 
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -9,6 +9,8 @@
 /* Time between two holds while reported ends of runs are not yet recorded
  * durably, or belong to a job that is not known yet. */
 static const PhTime HOLD_UNACKED_INTERVAL = 400 * PH_NS_PER_MS;
+/* Time between two holds before a release, which do not wait. */
+static const PhTime HOLD_QUIESCED_INTERVAL = 50 * PH_NS_PER_MS;
 /* Time until an order without an answer is sent again. */
 static const PhTime RETRY_INTERVAL = 300 * PH_NS_PER_MS;
 /* After this many failed runs in a row a worker gets no starts for
@@ -209,7 +211,7 @@
 bool
 PhScheduler_NextAction(PhScheduler *s, PhTime now, PhSchedAction *action)
 {
-    if (s->fence == 0) {
+    if (s->fence == 0 || PhScheduler_IsClosed(s, now)) {
         return false;
     }
     return next_pace(s, now, action) || next_stop(s, now, action) ||
@@ -282,7 +284,8 @@
     if (reply->outcome == PH_SCHED_OUTCOME_FENCED) {
         return false;
     }
-    if (task == NULL || !task->start_in_flight) {
+    if (task == NULL || !task->start_in_flight ||
+        PhScheduler_IsClosedFor(s, task->worker, now)) {
         return true;
     }
     PhSchedWorker *w = task->worker;
@@ -555,6 +558,9 @@
     else if (w->tasks->len == 0) {
         gap = HOLD_WAIT;
     }
+    else if (s->quiesced) {
+        gap = HOLD_QUIESCED_INTERVAL;
+    }
     w->next_hold_at = now + gap;
 }
 
@@ -563,6 +569,9 @@
                    const PhSchedHoldReply *reply, PhTime now)
 {
     PhSchedWorker *w = PhSchedModel_Worker(s->model, worker, born_ms);
+    if (PhScheduler_IsClosedFor(s, w, now)) {
+        return reply->outcome != PH_SCHED_OUTCOME_FENCED;
+    }
     w->hold_in_flight = false;
     PhScheduler_WakeBy(s, now);
     switch (reply->outcome) {
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -233,9 +233,10 @@
  * depends on it. */
 void PhScheduler_Confirm(PhScheduler *scheduler, PhTime at);
 /* Before a release: no new starts, holds do not wait, and what a successor
- * needs is recorded. */
+ * needs is recorded.  Workers that leave are listened to for 0.15 s more at
+ * most; what others report is left to the next owner, whom they tell again. */
 void PhScheduler_Quiesce(PhScheduler *scheduler, PhTime now);
-/* Reports whether that is durable. */
+/* Reports whether all that was noted is durable. */
 bool PhScheduler_IsHandedOver(const PhScheduler *scheduler);
 
 /* Makes the decisions that are due.  `wall_ms` is Unix time, for jobs with
