--- a/decide/schedule/holds.c
+++ b/decide/schedule/holds.c
@@ -9,6 +9,8 @@
 /* Time between two holds while reported ends of runs are not yet recorded
  * durably, or belong to a job that is not known yet. */
 static const PhTime HOLD_UNACKED_INTERVAL = 400 * PH_NS_PER_MS;
+/* Time between two holds before a release, which do not wait. */
+static const PhTime HOLD_QUIESCED_INTERVAL = 50 * PH_NS_PER_MS;
 /* After this many failed runs in a row a worker gets no starts for a while. */
 static const uint32_t CONSECUTIVE_FAILURES_MAX = 2;
 
@@ -256,6 +258,9 @@
     else if (w->tasks->len == 0) {
         gap = HOLD_WAIT;
     }
+    else if (s->quiesced) {
+        gap = HOLD_QUIESCED_INTERVAL;
+    }
     w->next_hold_at = now + gap;
 }
 
@@ -264,6 +269,9 @@
                    const PhSchedHoldReply *reply, PhTime now)
 {
     PhSchedWorker *w = PhSchedModel_Worker(s->model, worker, born_ms);
+    if (PhScheduler_IsClosedFor(s, w, now)) {
+        return reply->outcome != PH_SCHED_OUTCOME_FENCED;
+    }
     PhTime alive_at = MAX(w->hold_sent_at, reply->connected_at);
     uint64_t acked = w->acks_in_flight;
     w->hold_in_flight = false;
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -173,7 +173,7 @@
 bool
 PhScheduler_NextAction(PhScheduler *s, PhTime now, PhSchedAction *action)
 {
-    if (s->fence == 0) {
+    if (s->fence == 0 || PhScheduler_IsClosed(s, now)) {
         return false;
     }
     return next_pace(s, now, action) || next_stop(s, now, action) ||
@@ -247,7 +247,8 @@
     if (reply->outcome == PH_SCHED_OUTCOME_FENCED) {
         return false;
     }
-    if (task == NULL || !task->start_in_flight) {
+    if (task == NULL || !task->start_in_flight ||
+        PhScheduler_IsClosedFor(s, task->worker, now)) {
         return true;
     }
     PhSchedWorker *w = task->worker;
