--- a/tests/scripts/test_draw_days.py
+++ b/tests/scripts/test_draw_days.py
@@ -40,6 +40,10 @@
     ("a seed that is no number", ["--seed", "x", "--count", "1"]),
     ("faults, no seed", ["--faults", "--count", "1"]),
     ("faults, no days", ["--faults", "--seed", "1", "--count", "0"]),
+    ("an unknown kind is left out",
+     ["--faults", "--without", "srv_flop", "--seed", "1", "--count", "1"]),
+    ("a kind of planned work is left out",
+     ["--without", "srv_flap", "--seed", "1", "--count", "1"]),
 ]
 
 # Kind and variant, then the range of each field; at comes with all of them.
@@ -282,6 +286,18 @@
             any(abs(work["at"] - entry["at"]) <= 4.0
                 for entry in day["faults"]) for work in day["plan"]))
 
+    def test_kinds_are_left_out(self):
+        kinds = ["srv_flap", "srv_lying_health"]
+        option = ["--faults"] + [word for kind in kinds
+                                 for word in ("--without", kind)]
+        whole, rest = draw(1, 40, ["--faults"]), draw(1, 40, option)
+        self.assertEqual(set(whole), set(rest))
+        for name, text in whole.items():
+            kept = [line for line in text.decode().splitlines()[1:]
+                    if not any(f'"{kind}"' in line for kind in kinds)]
+            with self.subTest(name):
+                self.assertEqual(kept, rest[name].decode().splitlines()[1:])
+
     def test_a_third_of_the_days_of_faults_is_closed(self):
         days = [tomllib.loads(text.decode())
                 for text in draw(1, 300, ["--faults"]).values()]
