schedule: measures how long lasting tasks are without a run

Logs had the ends (7027) and the long waits (7028), not the pause itself. 7030 states it when the next run is confirmed, and the histogram peridothill_schedule_lasting_gap_seconds counts it on the metrics address. It begins at the reported end of the run before, at the worker's last word of it if its leases expired, or at the takeover, since an owner does not know what was before.

No decision depends on it.

--- a/decide/schedule/holds.c
+++ b/decide/schedule/holds.c
@@ -158,7 +158,7 @@
         orphan_add(s, w, row);
         return;
     }
-    PhSchedTask_ConfirmRun(task, clock_ms, now);
+    PhScheduler_ConfirmRun(s, task, clock_ms, now);
     if (row->last_checkpoint.len > 0 &&
         !PhStr_Equal(row->last_checkpoint, task->last_checkpoint)) {
         PhStr_Clear(&task->last_checkpoint);
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -299,6 +299,8 @@
     bool done = kind == PH_SCHED_END_DONE && !step->long_running;
     if (task->state == PH_SCHED_TASK_RUNNING) {
         stage->longest_run = MAX(stage->longest_run, now - task->since);
+        task->ran_until =
+            kind == PH_SCHED_END_LEASE_EXPIRED ? task->confirmed_at : now;
     }
     PhSchedTask_Unplace(task,
                         done ? PH_SCHED_TASK_DONE : PH_SCHED_TASK_WAITING);
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -109,7 +109,8 @@
                                 PhSchedActionTag tag);
 PhSchedTask *PhScheduler_PlacedTask(PhScheduler *scheduler,
                                     const PhSchedTaskName *name, uint32_t run);
-void PhSchedTask_ConfirmRun(PhSchedTask *task, int64_t clock_ms, PhTime now);
+void PhScheduler_ConfirmRun(PhScheduler *scheduler, PhSchedTask *task,
+                            int64_t clock_ms, PhTime now);
 void PhScheduler_NoteJobBegins(PhScheduler *scheduler, PhStr id);
 /* holds.c: takes the next hold that is due. */
 bool PhScheduler_NextHold(PhScheduler *scheduler, PhTime now,
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -194,13 +194,32 @@
     return task;
 }
 
+/* Reports how long a task that is to last was without a run.  What was before
+ * this ownership is not known. */
+static void
+resumption_report(PhScheduler *s, const PhSchedTask *task, PhTime now)
+{
+    if (task->run <= 1 || task->fence != s->fence ||
+        !PhSchedTask_Step(task)->long_running) {
+        return;
+    }
+    PhSchedEvent event = {.tag = PH_SCHED_EVENT_RUN_RESUMED,
+                          .worker = task->worker};
+    event.as.resumed.task = PhSchedTask_Name(task);
+    event.as.resumed.run = task->run;
+    event.as.resumed.gap = now - MAX(task->ran_until, s->owner_since);
+    g_array_append_val(s->events, event);
+}
+
 /* Notes that the worker knows the run, so that a late start of it has no
  * effect.  An assigned task becomes a running one, also after an executed
  * stop: end_missing_runs() ends a run of this owner only in that state. */
 void
-PhSchedTask_ConfirmRun(PhSchedTask *task, int64_t clock_ms, PhTime now)
+PhScheduler_ConfirmRun(PhScheduler *s, PhSchedTask *task, int64_t clock_ms,
+                       PhTime now)
 {
     if (task->state == PH_SCHED_TASK_ASSIGNED) {
+        resumption_report(s, task, now);
         task->state = PH_SCHED_TASK_RUNNING;
         task->since = now;
     }
@@ -271,7 +290,7 @@
         if (outcome == PH_SCHED_OUTCOME_DONE) {
             PhScheduler_NoteJobBegins(s, reply->task.job);
         }
-        PhSchedTask_ConfirmRun(task, reply->clock_ms, now);
+        PhScheduler_ConfirmRun(s, task, reply->clock_ms, now);
         w->next_hold_at = MIN(w->next_hold_at, now);
         PhScheduler_WakeBy(s, now);
         break;
@@ -315,7 +334,7 @@
     switch (reply->outcome) {
     case PH_SCHED_OUTCOME_DONE:
     case PH_SCHED_OUTCOME_STALE_RUN:
-        PhSchedTask_ConfirmRun(task, reply->clock_ms, now);
+        PhScheduler_ConfirmRun(s, task, reply->clock_ms, now);
         PhScheduler_WakeBy(s, now);
         break;
     case PH_SCHED_OUTCOME_FENCED:
--- a/include/peridothill/common/event_list_schedule.h
+++ b/include/peridothill/common/event_list_schedule.h
@@ -42,3 +42,5 @@
 PH_EVENT(7028, SCHEDULE_LASTING_WAITS, INFO,
          "task that is to last has waited for long")
 PH_EVENT(7029, SCHEDULE_HANDOVER, INFO, "ownership is handed over")
+PH_EVENT(7030, SCHEDULE_LASTING_RESUMED, INFO,
+         "task that is to last runs again")
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -57,6 +57,7 @@
     PhStr last_checkpoint;      /* newest checkpoint, empty for none */
     PhTime since;               /* last change of the state */
     PhTime confirmed_at;        /* the worker last confirmed the run */
+    PhTime ran_until;           /* end of the run before, 0: unknown */
     int64_t confirmed_clock_ms; /* worker's clock at that time */
     uint64_t
         batch; /* batch of records that must be durable before the start */
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -130,6 +130,7 @@
     PH_SCHED_EVENT_START_WITHDRAWN, /* an assigned task must not start any more
                                      */
     PH_SCHED_EVENT_TASK_WAITS, /* a task that is to last has waited for long */
+    PH_SCHED_EVENT_RUN_RESUMED, /* one that had run before runs again */
 } PhSchedEventTag;
 
 /* Why the start of an assigned task must not be sent. */
@@ -197,6 +198,11 @@
             PhStartObstacle obstacle;
             PhTime unanswered; /* as for `released` */
         } withdrawn;
+        struct {
+            PhSchedTaskName task;
+            uint32_t run;
+            PhTime gap; /* without a run, as far as this owner knows */
+        } resumed;
         const PhSchedJob *over;
         struct {
             PhTime lease_left; /* longest time that a lease may still last */
--- a/services/schedule/schedule_log.c
+++ b/services/schedule/schedule_log.c
@@ -127,6 +127,22 @@
     PhStr_Clear(&task);
 }
 
+/* Logs and counts how long a task that is to last was without a run. */
+static void
+log_run_resumed(PhScheduleTask *t, const PhSchedEvent *note)
+{
+    PhStr task = format_task(&note->as.resumed.task);
+    PhTime gap = note->as.resumed.gap;
+    PhCounters_Observe(PhKernel_Counters(PhTask_Kernel(t->self)),
+                       PH_HISTOGRAM_SCHEDULE_LASTING_GAP, gap);
+    PhTask_LOG(t->self, PH_EVENT_SCHEDULE_LASTING_RESUMED,
+               PhField_STR("run", task),
+               PhField_U64("number", note->as.resumed.run),
+               PhField_STR("worker", note->worker->entry.id),
+               PhField_I64("gap_ms", gap / PH_NS_PER_MS));
+    PhStr_Clear(&task);
+}
+
 /* Logs that the start of an assigned task must not be sent any more. */
 static void
 log_start_withdrawn(PhScheduleTask *t, const PhSchedEvent *note)
@@ -292,6 +308,9 @@
         case PH_SCHED_EVENT_TASK_WAITS:
             log_task_waits(t, &notes[i]);
             break;
+        case PH_SCHED_EVENT_RUN_RESUMED:
+            log_run_resumed(t, &notes[i]);
+            break;
         }
     }
     PhScheduler_ClearEvents(t->scheduler);
