schedule: a stopping owner records silent workers only

A worker that answered, with a start in flight or on a new connection, was recorded as one whose leases an earlier incarnation may have for 22 s, at each of a dozen handovers; it then left, and its lasting tasks waited for that: 7015 at 25.501 s, gone soon after, 7017 at 49.060 s with evidence="earlier incarnation".

The bound of a worker that is silent anyway stays on record as inherited.

--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -329,21 +329,8 @@
     g_queue_push_tail(&s->holds, w);
 }
 
-/* Reports whether a later incarnation may have a run of the worker. */
-static bool
-has_unbound_run(const PhSchedWorker *w)
-{
-    for (guint i = 0; i < w->tasks->len; i++) {
-        if (PhSchedTask_StartIsUnbound(g_ptr_array_index(w->tasks, i))) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* A successor would count all leases from the release of this owner, also
- * those of workers that have not answered it for a while, or never, and of
- * those whose runs may be a later incarnation's. */
+ * those of workers that have not answered it for a while, or never. */
 void
 PhScheduler_RecordBounds(PhScheduler *s, PhTime now)
 {
@@ -355,7 +342,7 @@
         if (w->suspended) {
             bound_record(s, w, now);
         }
-        else if (!w->fenced || w->failing_since > 0 || has_unbound_run(w)) {
+        else if (!w->fenced || w->failing_since > 0) {
             PhScheduler_SetSuspended(s, w, true, now);
         }
     }
