tests: no offset is applied to an empty topic of the simulation

The undefined-behaviour sanitizer reports it in the output of test_owner_ends, which is known red and therefore printed: the first read of the owner topic finds no entries and an array without memory.

--- a/tests/schedule/owners_sim.c
+++ b/tests/schedule/owners_sim.c
@@ -266,7 +266,9 @@
         m->read_in_flight = false;
         guint count = w->elections->len - (guint)m->read_from;
         const PhElectionEntry *entries =
-            (const PhElectionEntry *)w->elections->data + m->read_from;
+            count == 0 ? NULL
+                       : &g_array_index(w->elections, PhElectionEntry,
+                                        (guint)m->read_from);
         if (store_reachable) {
             PhElection_OnRead(m->election, entries, count, w->elections->len,
                               now);
