platform: a hold that is answered late still counts

Cause: a hold without an answer within 1.2 s was given up and its connection closed, also where the answer was only queued on the owner's own link, or had arrived and was not read yet because this process ran late. The worker had listed its ends by then; the owner took its runs for lost once their lease had ended and started them again.

Change: the outcome is unknown after 1.2 s as before, but an answer is waited for on the same connection for 4 s more and taken in; at the deadline what has arrived is read first. test_late_answers failed before.

--- a/decide/schedule/holds.c
+++ b/decide/schedule/holds.c
@@ -310,3 +310,22 @@
     }
     return true;
 }
+
+bool
+PhScheduler_OnLateHold(PhScheduler *s, PhStr worker, int64_t born_ms,
+                       const PhSchedHoldReply *reply, PhTime now)
+{
+    PhSchedWorker *w = PhSchedModel_NewestIncarnation(s->model, worker);
+    bool same = reply->born_ms == 0 || reply->born_ms == born_ms;
+    if (reply->outcome == PH_SCHED_OUTCOME_FENCED) {
+        return false;
+    }
+    if (reply->outcome != PH_SCHED_OUTCOME_DONE || !same || w == NULL ||
+        w->entry.born_ms != born_ms || w->dead ||
+        PhScheduler_IsClosedFor(s, w, now)) {
+        return true;
+    }
+    PhScheduler_WakeBy(s, now);
+    reply_apply(s, w, reply, now);
+    return true;
+}
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -294,3 +294,8 @@
 void PhScheduler_RemoveWorker(PhScheduler *scheduler, PhStr id, PhTime now);
 
 #endif
+/* The reply to a hold whose outcome was given as unknown.  What the worker has
+ * stated then still counts. */
+bool PhScheduler_OnLateHold(PhScheduler *scheduler, PhStr worker,
+                            int64_t born_ms, const PhSchedHoldReply *reply,
+                            PhTime now);
--- a/include/peridothill/services/http.h
+++ b/include/peridothill/services/http.h
@@ -20,6 +20,8 @@
     size_t header_count;
     PhStr body;
     PhTime deadline;   /* by the kernel's clock */
+    PhTime late_for;   /* after the deadline, a response is waited for so much
+                          longer, and replied as a second, late reply */
     PhTime first_byte; /* deadline for the first byte, or PH_TIME_NEVER */
     size_t answer_limit_bytes;
     bool fresh_connection; /* do not reuse a connection */
@@ -54,6 +56,8 @@
     uint64_t id;
     PhHttpOutcome outcome;
     PhHttpFailure failure;
+    bool late; /* ANSWERED, after a reply that the outcome was unknown */
+    bool more; /* such a late reply may follow */
     bool reused_connection; /* the connection had been used before */
     PhTime connected_at;    /* it was established; 0 if that is not known */
     int status;
@@ -67,7 +71,8 @@
 typedef enum PhHttpTag {
     PH_HTTP_SEND,   /* to "http" */
     PH_HTTP_CANCEL, /* to "http": cancel the request with this id */
-    PH_HTTP_REPLY,  /* from "http": exactly one per PH_HTTP_SEND */
+    PH_HTTP_REPLY,  /* from "http": one per PH_HTTP_SEND, or two if the first
+                       has `more` set */
 } PhHttpTag;
 
 typedef struct PhHttpMessage {
--- a/include/peridothill/services/orders.h
+++ b/include/peridothill/services/orders.h
@@ -22,6 +22,7 @@
     PhSchedTaskName task;
     uint32_t run;
     int percent;
+    bool late; /* a hold, whose outcome was reported as unknown before */
     PhSchedOutcome outcome;
     int64_t clock_ms;
     PhTime connected_at; /* as in PhSchedRunReply */
--- a/services/platform/http_minimal.c
+++ b/services/platform/http_minimal.c
@@ -52,6 +52,8 @@
     PhTime started;
     PhTime idle_since;
     PhTime connected_at; /* 0 before it is established */
+    PhTime late_for;     /* of the request; 0 once its deadline has passed */
+    bool late;           /* the deadline has passed */
     PhBuf out;
     size_t sent;
     PhBuf in;
@@ -111,6 +113,7 @@
     PhHttpReply reply = {.id = c->id,
                          .outcome = outcome,
                          .failure = failure,
+                         .late = c->late,
                          .reused_connection = c->reused,
                          .connected_at = c->connected_at,
                          .status = (int)c->parser.status_code,
@@ -125,6 +128,25 @@
     reply_send(http, c->sender, &reply);
 }
 
+/* Replies that the outcome is unknown so far, and goes on waiting. */
+static void
+connection_wait_on(PhHttpConnection *c)
+{
+    PhHttpMinimal *http = c->http;
+    PhTime now = PhTask_Now(http->self);
+    PhHttpReply reply = {.id = c->id,
+                         .outcome = PH_HTTP_UNKNOWN,
+                         .failure = PH_HTTP_FAILURE_DEADLINE,
+                         .more = true,
+                         .reused_connection = c->reused,
+                         .connected_at = c->connected_at,
+                         .completed_after = now - c->started};
+    PhTask_SetTimer(http->self, c->number, now + c->late_for);
+    c->late_for = 0;
+    c->late = true;
+    reply_send(http, c->sender, &reply);
+}
+
 /* Closes a connection and fails the request on it, if any. */
 static void
 connection_fail(PhHttpConnection *c, PhHttpFailure failure)
@@ -382,6 +404,8 @@
     c->sender = sender;
     c->started = PhTask_Now(http->self);
     c->answer_limit = r->answer_limit_bytes;
+    c->late_for = r->late_for;
+    c->late = false;
     c->reused = reused;
     c->complete = false;
     c->sent = 0;
@@ -431,6 +455,27 @@
     }
 }
 
+/* A process that runs late finds its timers due before it has read what has
+ * arrived meanwhile. */
+static void
+on_deadline(PhHttpMinimal *http, uint64_t number)
+{
+    PhHttpConnection *c = g_hash_table_lookup(http->active, &number);
+    if (c != NULL && c->sent > 0) {
+        connection_read(c);
+        c = g_hash_table_lookup(http->active, &number);
+    }
+    if (c == NULL) {
+        return;
+    }
+    target_close_idle_connections(c->target);
+    if (c->late_for > 0 && c->sent == c->out.len) {
+        connection_wait_on(c);
+        return;
+    }
+    connection_fail(c, PH_HTTP_FAILURE_DEADLINE);
+}
+
 /* The token is SWEEP_TOKEN or the number of a request past its deadline. */
 static void
 on_timer(PhHttpMinimal *http, uint64_t token)
@@ -439,11 +484,7 @@
         connections_sweep(http);
         return;
     }
-    PhHttpConnection *c = g_hash_table_lookup(http->active, &token);
-    if (c != NULL) {
-        target_close_idle_connections(c->target);
-        connection_fail(c, PH_HTTP_FAILURE_DEADLINE);
-    }
+    on_deadline(http, token);
 }
 
 static void
--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -375,8 +375,10 @@
     }
     switch (r->tag) {
     case PH_SCHED_ACTION_HOLD:
-        is_owner = PhScheduler_OnHold(t->scheduler, r->worker, r->born_ms,
-                                      &r->hold, now);
+        is_owner = r->late ? PhScheduler_OnLateHold(t->scheduler, r->worker,
+                                                    r->born_ms, &r->hold, now)
+                           : PhScheduler_OnHold(t->scheduler, r->worker,
+                                                r->born_ms, &r->hold, now);
         break;
     case PH_SCHED_ACTION_START:
         is_owner = PhScheduler_OnStart(t->scheduler, &run, now);
