schedule: starts are limited by the delay of their answers

Cause: an owner sent every start at once. Renewals of leases queued behind them on the same link, runs ended with their leases and started again, which was more work: 1,159 of 4,553 runs lapsed, ten owners in 66 s.

Change: PhOrderWindow limits the starts that are outstanding, by the delay from order to answer (as TCP Vegas and LEDBAT do), and placement stops at it, so that the order of work is decided when a start can be sent. Renewals go before stops, these before starts and paces, looks at idle workers last. A submission whose tasks would wait more than 3 s for order capacity is refused at once with a Retry-After of the measured backlog; lasting tasks go first and are accepted. 7031 to 7033 tell when, with the inputs.

The simulation of owners has links that carry so many starts a second, in order; test_overload failed before (nothing settled, and starts again after ends that had been listed), test_order_window is a table of loads.

--- a/decide/schedule/holds.c
+++ b/decide/schedule/holds.c
@@ -33,9 +33,10 @@
 }
 
 bool
-PhScheduler_NextHold(PhScheduler *s, PhTime now, PhSchedAction *action)
+PhScheduler_NextHold(PhScheduler *s, GQueue *due, PhTime now,
+                     PhSchedAction *action)
 {
-    PhSchedWorker *w = g_queue_pop_head(&s->holds);
+    PhSchedWorker *w = g_queue_pop_head(due);
     if (w == NULL) {
         return false;
     }
--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -326,7 +326,7 @@
         return;
     }
     w->hold_in_flight = true;
-    g_queue_push_tail(&s->holds, w);
+    g_queue_push_tail(w->tasks->len > 0 ? &s->renewals : &s->looks, w);
 }
 
 /* A successor would count all leases from the release of this owner, also
--- /dev/null
+++ b/decide/schedule/order_window.c
@@ -0,0 +1,125 @@
+#include "peridothill/decide/schedule/order_window.h"
+
+#include <math.h>
+
+#include <glib.h>
+
+static const double LIMIT_FIRST = 8;
+static const double LIMIT_MIN = 4;
+static const double LIMIT_MAX = 8192;
+/* Longest delay at which the limit does not shrink.  Renewals wait as long,
+ * and have 1.2 s before they count as unanswered. */
+static const PhTime DELAY_TARGET = 250 * PH_NS_PER_MS;
+static const double SHRINK_FACTOR = 0.7;
+/* Weight of a new delay in the smoothed one. */
+static const double DELAY_WEIGHT = 0.1;
+/* A task had to wait this recently. */
+static const PhTime LIMITED_AGE = 1 * PH_NS_PER_S;
+/* Time constant of the rate of answers. */
+static const double RATE_SPAN_S = 1;
+/* The rate says little below this; assumed instead. */
+static const double RATE_MIN = 4;
+enum {
+    LASTING_SHARE = 2, /* tasks that are to last have so many times the room */
+};
+
+void
+PhOrderWindow_Init(PhOrderWindow *w)
+{
+    *w = (PhOrderWindow){.limit = LIMIT_FIRST, .probing = true};
+}
+
+static uint32_t
+room(const PhOrderWindow *w, double limit, uint32_t queued)
+{
+    double used = (double)w->outstanding + queued;
+    return used >= limit ? 0 : (uint32_t)ceil(limit - used);
+}
+
+uint32_t
+PhOrderWindow_Room(const PhOrderWindow *w, uint32_t queued)
+{
+    return room(w, w->limit, queued);
+}
+
+uint32_t
+PhOrderWindow_LastingRoom(const PhOrderWindow *w, uint32_t queued)
+{
+    return room(w, LASTING_SHARE * w->limit, queued);
+}
+
+void
+PhOrderWindow_OnLimited(PhOrderWindow *w, PhTime now)
+{
+    w->limited_at = now;
+}
+
+void
+PhOrderWindow_OnSent(PhOrderWindow *w)
+{
+    w->outstanding++;
+}
+
+static double
+seconds(PhTime span)
+{
+    return (double)span / (double)PH_NS_PER_S;
+}
+
+/* Decays the rate to `now`. */
+static double
+rate_at(const PhOrderWindow *w, PhTime now)
+{
+    return w->rate * exp(-seconds(MAX(now - w->rated_at, 0)) / RATE_SPAN_S);
+}
+
+/* Shrinks at most once in each delay, since the effect shows only then.  Grows
+ * by one for each answer until the first time that it was too high, then by
+ * one for as many answers as it admits. */
+static void
+limit_adapt(PhOrderWindow *w, PhTime delay, PhTime now)
+{
+    if (w->delay > DELAY_TARGET) {
+        if (now - w->shrunk_at > w->delay) {
+            w->limit = MAX(LIMIT_MIN, w->limit * SHRINK_FACTOR);
+            w->shrunk_at = now;
+            w->probing = false;
+        }
+        return;
+    }
+    if (delay > DELAY_TARGET || now - w->limited_at > LIMITED_AGE ||
+        w->limited_at == 0) {
+        return;
+    }
+    w->limit = MIN(LIMIT_MAX, w->limit + (w->probing ? 1 : 1 / w->limit));
+}
+
+void
+PhOrderWindow_OnAnswer(PhOrderWindow *w, PhTime delay, PhTime now)
+{
+    w->outstanding -= w->outstanding > 0;
+    w->rate = rate_at(w, now) + 1 / RATE_SPAN_S;
+    w->rated_at = now;
+    if (delay < 0) {
+        return;
+    }
+    w->delay += (PhTime)(DELAY_WEIGHT * (double)(delay - w->delay));
+    limit_adapt(w, delay, now);
+}
+
+bool
+PhOrderWindow_IsOverloaded(const PhOrderWindow *w, PhTime now)
+{
+    return !w->probing && w->limited_at > 0 &&
+           now - w->limited_at <= LIMITED_AGE;
+}
+
+PhTime
+PhOrderWindow_WaitFor(const PhOrderWindow *w, uint32_t tasks, PhTime now)
+{
+    if (!PhOrderWindow_IsOverloaded(w, now)) {
+        return 0;
+    }
+    double rate = MAX(rate_at(w, now), RATE_MIN);
+    return (PhTime)(tasks / rate * (double)PH_NS_PER_S);
+}
--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -207,6 +207,20 @@
     return placing;
 }
 
+/* Reports whether the order path takes another start of the candidate. */
+static bool
+has_order_room(const PhScheduler *s, const PhCandidate *c)
+{
+    switch (c->tag) {
+    case PH_CANDIDATE_INTERRUPTED:
+    case PH_CANDIDATE_LASTING:
+        return PhOrderWindow_LastingRoom(&s->window, s->starts.length) > 0;
+    case PH_CANDIDATE_ENDING:
+        break;
+    }
+    return PhOrderWindow_Room(&s->window, s->starts.length) > 0;
+}
+
 /* Places the waiting tasks without failures.  The workers are rated once, and
  * after each start only the worker that got it. */
 static bool
@@ -222,6 +236,10 @@
         if (task_placing(task, c->tag) != PLACING_WITH_OTHERS) {
             continue;
         }
+        if (!has_order_room(s, c)) {
+            PhOrderWindow_OnLimited(&s->window, now);
+            return false;
+        }
         for (guint j = 0; j < pass->workers->len && !rated; j++) {
             score_set(pass, s, task, j, now);
         }
@@ -250,6 +268,10 @@
         if (task_placing(task, c->tag) != PLACING_ALONE) {
             continue;
         }
+        if (!has_order_room(s, c)) {
+            PhOrderWindow_OnLimited(&s->window, now);
+            return false;
+        }
         PhSchedWorker *w = PhScheduler_PickWorker(s, task, (PhStr){0}, now);
         if (w == NULL) {
             shortage_record(pass, stage);
@@ -289,6 +311,10 @@
         return false;
     }
     if (stage->job->spec.steps[stage->number].gang) {
+        if (!has_order_room(s, c)) {
+            PhOrderWindow_OnLimited(&s->window, now);
+            return false;
+        }
         return PhScheduler_PlaceGang(s, stage, now);
     }
     return stage_place_failed(s, pass, c, now) &&
@@ -312,6 +338,7 @@
     }
     pass_end(&pass);
     g_array_free(list, TRUE);
+    PhScheduler_UpdateOverload(s, now);
     s->placement_due = !all;
     if (!all) {
         s->next_placement_at = now + PLACE_RETRY_INTERVAL;
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -18,6 +18,7 @@
 {
     PhScheduler *s = g_new0(PhScheduler, 1);
     s->options = *options;
+    PhOrderWindow_Init(&s->window);
     s->model = PhSchedModel_Create();
     s->open_batch = 1;
     s->interference = PhInterference_Create();
@@ -36,7 +37,8 @@
     g_queue_clear(&s->starts);
     g_queue_clear(&s->stops);
     g_queue_clear(&s->paces);
-    g_queue_clear(&s->holds);
+    g_queue_clear(&s->renewals);
+    g_queue_clear(&s->looks);
     g_queue_clear_full(&s->orphans, PhOrphanRun_Destroy);
 }
 
@@ -144,6 +146,9 @@
         PhSchedModel_ClearRecords(s->model);
     }
     s->durable_batch = s->open_batch++;
+    PhOrderWindow_Init(&s->window);
+    s->backlog = 0;
+    s->overloaded = false;
     s->fence = fence;
     s->quiesced = false;
     s->owner_since = now;
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -3,6 +3,7 @@
 #define PERIDOTHILL_DECIDE_SCHEDULE_SCHEDULER_PRIVATE_H
 
 #include "interference.h"
+#include "peridothill/decide/schedule/order_window.h"
 #include "peridothill/decide/schedule/scheduler.h"
 
 enum {
@@ -29,7 +30,12 @@
     GQueue stops;                   /* PhSchedTask to stop */
     GQueue orphans;                 /* PhOrphanRun to stop */
     GQueue paces;                   /* PhSchedTask whose pace changed */
-    GQueue holds;                   /* PhSchedWorker whose hold is due */
+    GQueue renewals;                /* PhSchedWorker with runs, hold due */
+    GQueue looks;                   /* PhSchedWorker without runs, hold due */
+    PhOrderWindow window;           /* of starts */
+    uint32_t backlog; /* overload: tasks of accepted jobs that have no run, by
+                         the last placement and what was admitted since */
+    bool overloaded;  /* as last reported */
     PhTime due;
     bool placement_due;       /* a change may allow a start */
     PhTime next_placement_at; /* no placement before */
@@ -112,8 +118,9 @@
 void PhScheduler_ConfirmRun(PhScheduler *scheduler, PhSchedTask *task,
                             int64_t clock_ms, PhTime now);
 void PhScheduler_NoteJobBegins(PhScheduler *scheduler, PhStr id);
-/* holds.c: takes the next hold that is due. */
-bool PhScheduler_NextHold(PhScheduler *scheduler, PhTime now,
+/* holds.c: takes the next hold of `due`, one of the queues of the scheduler.
+ */
+bool PhScheduler_NextHold(PhScheduler *scheduler, GQueue *due, PhTime now,
                           PhSchedAction *action);
 /* incarnations.c: handles a reply from another incarnation than the one
  * addressed; returns the one that replied. */
@@ -163,6 +170,9 @@
                                               const PhSchedTask *task);
 PhStartVerdict PhScheduler_JudgeStart(const PhScheduler *scheduler,
                                       const PhSchedTask *task, PhTime now);
+/* admission.c: counts the backlog after a placement, and reports the beginning
+ * and the end of an overload. */
+void PhScheduler_UpdateOverload(PhScheduler *scheduler, PhTime now);
 /* gang.c: places a whole gang or nothing; false if it has to wait. */
 bool PhScheduler_PlaceGang(PhScheduler *scheduler, PhSchedStage *stage,
                            PhTime now);
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -62,6 +62,7 @@
 start_send(PhScheduler *s, PhSchedTask *task, PhTime now,
            PhSchedAction *action)
 {
+    PhOrderWindow_OnSent(&s->window);
     task->start_in_flight = true;
     task->starts_sent++;
     task->start_sent_at = now;
@@ -172,15 +173,18 @@
     return false;
 }
 
+/* What keeps runs alive and makes ends durable goes first: all orders share
+ * one link. */
 bool
 PhScheduler_NextAction(PhScheduler *s, PhTime now, PhSchedAction *action)
 {
     if (s->fence == 0 || PhScheduler_IsClosed(s, now)) {
         return false;
     }
-    return next_pace(s, now, action) || next_stop(s, now, action) ||
-           next_start(s, now, action) ||
-           PhScheduler_NextHold(s, now, action) || next_orphan(s, action);
+    return PhScheduler_NextHold(s, &s->renewals, now, action) ||
+           next_stop(s, now, action) || next_start(s, now, action) ||
+           next_pace(s, now, action) || next_orphan(s, action) ||
+           PhScheduler_NextHold(s, &s->looks, now, action);
 }
 
 /* Returns the task if it is placed with this run, or NULL if it was removed,
@@ -276,11 +280,17 @@
 PhScheduler_OnStart(PhScheduler *s, const PhSchedRunReply *reply, PhTime now)
 {
     PhSchedTask *task = PhScheduler_PlacedTask(s, &reply->task, reply->run);
+    bool expected = task != NULL && task->start_in_flight;
+    PhOrderWindow_OnAnswer(&s->window,
+                           expected ? now - task->start_sent_at : -1, now);
+    if (s->backlog > 0) {
+        s->placement_due = true;
+        PhScheduler_WakeBy(s, now);
+    }
     if (reply->outcome == PH_SCHED_OUTCOME_FENCED) {
         return false;
     }
-    if (task == NULL || !task->start_in_flight ||
-        PhScheduler_IsClosedFor(s, task->worker, now)) {
+    if (!expected || PhScheduler_IsClosedFor(s, task->worker, now)) {
         return true;
     }
     PhSchedWorker *w = task->worker;
--- a/include/peridothill/codec/schedule_link.h
+++ b/include/peridothill/codec/schedule_link.h
@@ -48,7 +48,8 @@
         struct {
             uint64_t number;
             uint64_t outcome; /* a PhScheduleAnswerTag */
-            uint64_t value;   /* a state or a count, depending on outcome */
+            uint64_t value;   /* a state, a count or milliseconds, depending on
+                                 outcome */
         } answer;
     } as;
 } PhLinkMessage;
--- a/include/peridothill/common/counter_list_schedule.h
+++ b/include/peridothill/common/counter_list_schedule.h
@@ -19,3 +19,5 @@
            "", "Workers whose leases have lapsed")
 PH_COUNTER(SCHEDULE_JOBS_OVER, "peridothill_schedule_jobs_over_total", "",
            "Jobs that are over")
+PH_COUNTER(SCHEDULE_SHED, "peridothill_schedule_shed_total", "",
+           "Submissions refused for want of order capacity")
--- a/include/peridothill/common/event_list_schedule.h
+++ b/include/peridothill/common/event_list_schedule.h
@@ -44,3 +44,10 @@
 PH_EVENT(7029, SCHEDULE_HANDOVER, INFO, "ownership is handed over")
 PH_EVENT(7030, SCHEDULE_LASTING_RESUMED, INFO,
          "task that is to last runs again")
+PH_EVENT(7031, SCHEDULE_OVERLOAD_BEGAN, WARNING,
+         "tasks wait for order capacity")
+PH_EVENT(7032, SCHEDULE_OVERLOAD_ENDED, INFO,
+         "no task waits for order capacity any more")
+PH_EVENT(
+    7033, SCHEDULE_SHED, INFO,
+    "submission refused, its tasks would wait too long for order capacity")
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -131,6 +131,8 @@
                                      */
     PH_SCHED_EVENT_TASK_WAITS, /* a task that is to last has waited for long */
     PH_SCHED_EVENT_RUN_RESUMED, /* one that had run before runs again */
+    PH_SCHED_EVENT_OVERLOAD,    /* tasks begin or cease to wait for order
+                                   capacity */
 } PhSchedEventTag;
 
 /* Why the start of an assigned task must not be sent. */
@@ -171,7 +173,8 @@
 /* Strings are borrowed until the model next changes. */
 typedef struct PhSchedEvent {
     PhSchedEventTag tag;
-    const PhSchedWorker *worker; /* NULL for JOB_ENDED and TASK_WAITS */
+    const PhSchedWorker *worker; /* NULL for JOB_ENDED, TASK_WAITS and OVERLOAD
+                                  */
     union {
         struct {
             PhSchedTaskName task;
@@ -225,6 +228,14 @@
             uint32_t beside_lasting; /* usable workers that would have room if
                                         only lasting tasks were there */
         } waits;
+        struct {
+            bool began;
+            uint32_t limit; /* starts that may be outstanding */
+            uint32_t outstanding;
+            PhTime delay;     /* of starts, smoothed */
+            uint32_t backlog; /* waiting tasks */
+            PhTime wait;      /* expected, of the last of them */
+        } overload;
     } as;
 } PhSchedEvent;
 
@@ -264,6 +275,27 @@
 /* Removes dead incarnations of workers from the model. */
 void PhScheduler_RemoveDeadWorkers(PhScheduler *scheduler);
 
+/* Whether a submission is accepted, see PhScheduler_Admit. */
+typedef struct PhAdmission {
+    bool accepted;
+    PhTime retry_after; /* unless it is accepted */
+} PhAdmission;
+
+/* Decides on a new submission: one whose tasks would wait too long for order
+ * capacity is refused.  Jobs with tasks that are to last are accepted, since
+ * these go first.  Accepts everything unless this is the owner. */
+PhAdmission PhScheduler_Admit(PhScheduler *scheduler, const PhSchedSpec *spec,
+                              PhTime now);
+/* The limit of outstanding starts, for metrics. */
+typedef struct PhOrderLoad {
+    uint32_t limit;
+    uint32_t outstanding;
+    uint32_t backlog; /* overload: tasks without a run */
+    PhTime delay;     /* of starts, smoothed */
+} PhOrderLoad;
+
+PhOrderLoad PhScheduler_OrderLoad(const PhScheduler *scheduler);
+
 /* Events since the last call of PhScheduler_ClearEvents. */
 const PhSchedEvent *PhScheduler_Events(const PhScheduler *scheduler,
                                        size_t *count);
@@ -280,6 +312,11 @@
 /* Outcomes of orders.  Return false if another owner has a higher fence. */
 bool PhScheduler_OnHold(PhScheduler *scheduler, PhStr worker, int64_t born_ms,
                         const PhSchedHoldReply *reply, PhTime now);
+/* The reply to a hold whose outcome was given as unknown.  What the worker has
+ * stated then still counts. */
+bool PhScheduler_OnLateHold(PhScheduler *scheduler, PhStr worker,
+                            int64_t born_ms, const PhSchedHoldReply *reply,
+                            PhTime now);
 bool PhScheduler_OnStart(PhScheduler *scheduler, const PhSchedRunReply *reply,
                          PhTime now);
 bool PhScheduler_OnStop(PhScheduler *scheduler, const PhSchedRunReply *reply,
@@ -294,8 +331,3 @@
 void PhScheduler_RemoveWorker(PhScheduler *scheduler, PhStr id, PhTime now);
 
 #endif
-/* The reply to a hold whose outcome was given as unknown.  What the worker has
- * stated then still counts. */
-bool PhScheduler_OnLateHold(PhScheduler *scheduler, PhStr worker,
-                            int64_t born_ms, const PhSchedHoldReply *reply,
-                            PhTime now);
--- a/include/peridothill/services/schedule.h
+++ b/include/peridothill/services/schedule.h
@@ -40,7 +40,8 @@
     PH_SCHEDULE_CANCELLED,
     PH_SCHEDULE_PENDING_COUNT,
     PH_SCHEDULE_READINESS,
-    PH_SCHEDULE_NOT_OWNER, /* between instances only: try another one */
+    PH_SCHEDULE_NOT_OWNER,  /* between instances only: try another one */
+    PH_SCHEDULE_OVERLOADED, /* refused: it would wait too long to start */
 } PhScheduleAnswerTag;
 
 /* What an instance does besides answering clients. */
@@ -54,7 +55,7 @@
     uint64_t id;
     PhScheduleAnswerTag tag;
     union {
-        PhTime retry_after; /* of REFUSED */
+        PhTime retry_after; /* of REFUSED and OVERLOADED */
         PhSchedJobState state;
         uint64_t pending; /* of COUNT */
         bool ready;
--- a/services/schedule/schedule_accept.c
+++ b/services/schedule/schedule_accept.c
@@ -43,6 +43,29 @@
     PhScheduleAccept_Flush(t);
 }
 
+static bool
+is_submission_of(const PhPendingAccept *a, PhStr id)
+{
+    return a->call.tag == PH_SCHEDULE_SUBMIT &&
+           PhStr_Equal(a->call.subject, id);
+}
+
+bool
+PhScheduleAccept_IsPending(const PhScheduleTask *t, PhStr id)
+{
+    for (guint i = 0; i < t->accept_batch->len; i++) {
+        if (is_submission_of(g_ptr_array_index(t->accept_batch, i), id)) {
+            return true;
+        }
+    }
+    for (const GList *l = t->accept_queue.head; l != NULL; l = l->next) {
+        if (is_submission_of(l->data, id)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static PhStoreRecord
 accept_record(const PhPendingAccept *a)
 {
--- a/services/schedule/schedule_calls.c
+++ b/services/schedule/schedule_calls.c
@@ -78,6 +78,25 @@
     PhSchedSpec_Clear(&call->spec);
 }
 
+/* Refuses a submission that would wait too long for order capacity. */
+static void
+refuse_overload(PhScheduleTask *t, PhClientCall *call, PhTime retry_after)
+{
+    PhOrderLoad load = PhScheduler_OrderLoad(t->scheduler);
+    PhCounters_Add(PhKernel_Counters(PhTask_Kernel(t->self)),
+                   PH_COUNTER_SCHEDULE_SHED, 1);
+    PhTask_LOG(
+        t->self, PH_EVENT_SCHEDULE_SHED, PhField_STR("job", call->subject),
+        PhField_I64("retry_after_ms", retry_after / PH_NS_PER_MS),
+        PhField_U64("backlog", load.backlog), PhField_U64("limit", load.limit),
+        PhField_I64("delay_ms", load.delay / PH_NS_PER_MS));
+    PhScheduleCalls_Answer(t, &call->origin,
+                           (PhScheduleAnswer){.tag = PH_SCHEDULE_OVERLOADED,
+                                              .as.retry_after = retry_after});
+}
+
+/* A submission that is known, or may have been accepted before, is never
+ * refused. */
 static void
 submit(PhScheduleTask *t, PhClientCall *call)
 {
@@ -86,6 +105,15 @@
         PhScheduleCalls_AnswerTag(t, &call->origin, PH_SCHEDULE_ACCEPTED);
         return;
     }
+    if (!call->outcome_unknown &&
+        !PhScheduleAccept_IsPending(t, call->subject)) {
+        PhAdmission admission =
+            PhScheduler_Admit(t->scheduler, &call->spec, PhTask_Now(t->self));
+        if (!admission.accepted) {
+            refuse_overload(t, call, admission.retry_after);
+            return;
+        }
+    }
     PhScheduleAccept_Add(t, call);
 }
 
--- a/services/schedule/schedule_link.c
+++ b/services/schedule/schedule_link.c
@@ -10,6 +10,7 @@
     MILLI = 1000,
     SPEC_BYTES_MAX = 48 * 1024, /* fits into a frame of the peer protocol */
     UPTIME_MS_MAX = INT32_MAX,
+    RETRY_AFTER_MS_MAX = 60 * 1000,
 };
 
 /* Prepares the links.  They start once the shared key is known; without a link
@@ -367,6 +368,9 @@
     else if (a->tag == PH_SCHEDULE_PENDING_COUNT) {
         m.as.answer.value = a->as.pending;
     }
+    else if (a->tag == PH_SCHEDULE_OVERLOADED) {
+        m.as.answer.value = (uint64_t)(a->as.retry_after / PH_NS_PER_MS);
+    }
     link_send(t, instance, (PhStr){0}, &m);
 }
 
@@ -388,6 +392,10 @@
     case PH_SCHEDULE_PENDING_COUNT:
         a.as.pending = value;
         break;
+    case PH_SCHEDULE_OVERLOADED:
+        a.as.retry_after =
+            (PhTime)MIN(value, RETRY_AFTER_MS_MAX) * PH_NS_PER_MS;
+        break;
     case PH_SCHEDULE_ACCEPTED:
     case PH_SCHEDULE_INVALID:
     case PH_SCHEDULE_NO_QUEUE:
@@ -405,7 +413,7 @@
 {
     PhForwardedCall *f =
         g_hash_table_lookup(t->forwarded_calls, &m->as.answer.number);
-    if (f == NULL || m->as.answer.outcome > PH_SCHEDULE_NOT_OWNER) {
+    if (f == NULL || m->as.answer.outcome > PH_SCHEDULE_OVERLOADED) {
         return;
     }
     g_hash_table_steal(t->forwarded_calls, &f->number);
--- a/services/schedule/schedule_log.c
+++ b/services/schedule/schedule_log.c
@@ -143,6 +143,20 @@
     PhStr_Clear(&task);
 }
 
+/* Logs that tasks begin or cease to wait for order capacity. */
+static void
+log_overload(PhScheduleTask *t, const PhSchedEvent *note)
+{
+    PhEventId event = note->as.overload.began
+                          ? PH_EVENT_SCHEDULE_OVERLOAD_BEGAN
+                          : PH_EVENT_SCHEDULE_OVERLOAD_ENDED;
+    PhTask_LOG(t->self, event, PhField_U64("limit", note->as.overload.limit),
+               PhField_U64("outstanding", note->as.overload.outstanding),
+               PhField_I64("delay_ms", note->as.overload.delay / PH_NS_PER_MS),
+               PhField_U64("backlog", note->as.overload.backlog),
+               PhField_I64("wait_ms", note->as.overload.wait / PH_NS_PER_MS));
+}
+
 /* Logs that the start of an assigned task must not be sent any more. */
 static void
 log_start_withdrawn(PhScheduleTask *t, const PhSchedEvent *note)
@@ -311,6 +325,9 @@
         case PH_SCHED_EVENT_RUN_RESUMED:
             log_run_resumed(t, &notes[i]);
             break;
+        case PH_SCHED_EVENT_OVERLOAD:
+            log_overload(t, &notes[i]);
+            break;
         }
     }
     PhScheduler_ClearEvents(t->scheduler);
--- a/services/schedule/schedule_task.h
+++ b/services/schedule/schedule_task.h
@@ -195,6 +195,8 @@
 /* schedule_accept.c: durable records of clients' calls. */
 /* Takes ownership of the call's contents. */
 void PhScheduleAccept_Add(PhScheduleTask *task, PhClientCall *call);
+/* Whether a submission of this job waits for its record to be durable. */
+bool PhScheduleAccept_IsPending(const PhScheduleTask *task, PhStr id);
 void PhScheduleAccept_Flush(PhScheduleTask *task);
 void PhScheduleAccept_OnReply(PhScheduleTask *task, const PhStoreReply *reply);
 /* Answers calls whose deadline has passed. */
--- a/tests/schedule/owners_orders.c
+++ b/tests/schedule/owners_orders.c
@@ -8,14 +8,17 @@
     REPLY_TIMEOUT_MS = 1200, /* of an order without a reply */
     LATE_MIN_MS = 2000,
     LATE_SPREAD_MS = 10000,
+    LATE_HOLD_MS = 4000, /* replies to holds that are not later still count */
+    LIGHT_ORDERS = 10, /* orders other than starts that take as long as one */
 };
 
 /* Passes the outcome of an order to its owner.  Returns false if the owner has
  * been replaced. */
 static bool
-order_complete(PhOwnersSim *w, PhSimInstance *m, const PhSchedAction *a,
+order_complete(PhOwnersSim *w, PhSimInstance *m, const PhSimOrder *f,
                PhSimReply *reply)
 {
+    const PhSchedAction *a = &f->action;
     PhSchedRunReply run = {.task = a->as.run.task,
                            .run = a->as.run.run,
                            .born_ms = a->born_ms,
@@ -25,8 +28,12 @@
     PhTime now = w->now;
     switch (a->tag) {
     case PH_SCHED_ACTION_HOLD:
-        return PhScheduler_OnHold(m->scheduler, a->worker, a->born_ms,
-                                  &reply->hold, now);
+        if (f->late && reply->hold.outcome != PH_SCHED_OUTCOME_UNKNOWN) {
+            return PhScheduler_OnLateHold(m->scheduler, a->worker, a->born_ms,
+                                          &reply->hold, now);
+        }
+        return f->late || PhScheduler_OnHold(m->scheduler, a->worker,
+                                             a->born_ms, &reply->hold, now);
     case PH_SCHED_ACTION_START:
         return PhScheduler_OnStart(m->scheduler, &run, now);
     case PH_SCHED_ACTION_STOP:
@@ -60,6 +67,33 @@
     return c->since;
 }
 
+/* Returns how long an order waits for the orders before it on the link of its
+ * instance, and takes itself. */
+static PhTime
+link_use(PhOwnersSim *w, int instance, PhSchedActionTag tag)
+{
+    PhTime *free_at = &w->link_free_at[instance];
+    PhTime cost = tag == PH_SCHED_ACTION_START ? w->start_cost
+                                               : w->start_cost / LIGHT_ORDERS;
+    *free_at = MAX(*free_at, w->now) + cost;
+    return *free_at - w->now;
+}
+
+/* The reply comes at `at`, after the outcome was given as unknown.  Those to
+ * holds count until LATE_HOLD_MS. */
+static void
+reply_delay(PhSimOrder *f, PhTime at)
+{
+    PhTime late_by = at - f->times_out_at;
+    f->reply_at = f->times_out_at;
+    if (f->action.tag == PH_SCHED_ACTION_HOLD &&
+        late_by <= LATE_HOLD_MS * PH_NS_PER_MS) {
+        f->late_by = late_by;
+        return;
+    }
+    f->reply_lost = true;
+}
+
 static void
 order_send(PhOwnersSim *w, int instance, const PhSchedAction *a)
 {
@@ -75,7 +109,8 @@
                     .action = *a,
                     .born_ms = w->workers[worker].born_ms,
                     .connected_at = connection_use(w, instance, worker),
-                    .deliver_at = w->now + draw_delay(w, DELAY_MAX_MS),
+                    .deliver_at = w->now + link_use(w, instance, a->tag) +
+                                  draw_delay(w, DELAY_MAX_MS),
                     .reply_lost = partitioned || late || no_reply,
                     .reply.hold.outcome = PH_SCHED_OUTCOME_UNKNOWN};
     PhTime wait = a->tag == PH_SCHED_ACTION_HOLD ? a->as.hold.wait : 0;
@@ -88,6 +123,9 @@
         f.reply_at = f.times_out_at;
         f.hold_until = f.deliver_at + wait;
     }
+    if (f.reply_at > f.times_out_at) {
+        reply_delay(&f, f.reply_at);
+    }
     if (partitioned) {
         f.deliver_at = PH_TIME_NEVER;
     }
@@ -152,7 +190,12 @@
         f->action.as.hold.last_seen = 0;
         PhSimWorker_Execute(h, &w->tasks, f->fence, &f->action, w->now,
                             &f->reply);
-        f->reply_at = w->now + draw_delay(w, DELAY_MAX_MS);
+        PhTime at = w->now + draw_delay(w, DELAY_MAX_MS);
+        if (f->late || at <= f->times_out_at) {
+            f->reply_at = at;
+            return;
+        }
+        reply_delay(f, at);
     }
 }
 
@@ -163,8 +206,17 @@
     PhSimInstance *m = &w->instances[f->instance];
     f->reply_at = PH_TIME_NEVER;
     f->reply.hold.connected_at = f->connected_at;
-    if (m->active && m->fence == f->fence &&
-        !order_complete(w, m, &f->action, &f->reply)) {
+    bool current = m->active && m->fence == f->fence;
+    if (f->late_by > 0 && !f->late) {
+        PhSimReply unknown = {.hold.outcome = PH_SCHED_OUTCOME_UNKNOWN};
+        f->reply_at = w->now + f->late_by;
+        if (current) {
+            order_complete(w, m, f, &unknown);
+        }
+        f->late = true;
+        return;
+    }
+    if (current && !order_complete(w, m, f, &f->reply)) {
         PhElection_OnDeposed(m->election, w->now);
     }
     PhSimReply_Clear(&f->reply);
--- a/tests/schedule/owners_sim.c
+++ b/tests/schedule/owners_sim.c
@@ -90,6 +90,7 @@
                 JOB_TASKS);
     }
     w->short_until_ms = short_until_ms;
+    w->short_interval_ms = JOB_INTERVAL_MS;
     for (int i = 0; i < PH_OWNERS_WORKERS; i++) {
         PhSimWorker_Open(&w->workers[i], i);
     }
@@ -134,17 +135,28 @@
     w->drains_announced = true;
 }
 
+void
+PhOwnersSim_LimitLinks(PhOwnersSim *w, unsigned starts_per_s)
+{
+    w->start_cost = PH_NS_PER_S / starts_per_s;
+}
+
+void
+PhOwnersSim_SetInterval(PhOwnersSim *w, int64_t interval_ms)
+{
+    w->short_interval_ms = interval_ms;
+}
+
 /* Submits a job of short tasks at each interval. */
 static void
 submit_jobs(PhOwnersSim *w)
 {
-    if (PhOwnersSim_ElapsedMs(w) < w->next_short_ms ||
-        PhOwnersSim_ElapsedMs(w) >= w->short_until_ms) {
-        return;
+    while (PhOwnersSim_ElapsedMs(w) >= w->next_short_ms &&
+           w->next_short_ms < w->short_until_ms) {
+        job_add(w, PhSimTasks_AddJob(&w->tasks, JOB_TASKS, false), false,
+                JOB_TASKS);
+        w->next_short_ms += w->short_interval_ms;
     }
-    job_add(w, PhSimTasks_AddJob(&w->tasks, JOB_TASKS, false), false,
-            JOB_TASKS);
-    w->next_short_ms += JOB_INTERVAL_MS;
 }
 
 /* Advances the workers, applies drains and restarts, and updates the
@@ -405,6 +417,12 @@
     return w->tasks.duplicate_starts;
 }
 
+unsigned
+PhOwnersSim_RepeatedStarts(const PhOwnersSim *w)
+{
+    return w->tasks.repeated_starts;
+}
+
 bool
 PhOwnersSim_IsSettled(const PhOwnersSim *w)
 {
--- a/tests/schedule/owners_sim.h
+++ b/tests/schedule/owners_sim.h
@@ -66,6 +66,12 @@
 void PhOwnersSim_Destroy(PhOwnersSim *sim);
 /* Delays orders and replies by random times; they take none by default. */
 void PhOwnersSim_SetDelays(PhOwnersSim *sim, uint64_t seed);
+/* Each instance has a link that carries so many starts a second, one after the
+ * other, and other orders in a tenth of the time.  Replies that come too late
+ * are lost, while the orders are executed.  Needs delays. */
+void PhOwnersSim_LimitLinks(PhOwnersSim *sim, unsigned starts_per_s);
+/* Jobs of short tasks are submitted at this interval, 1 s by default. */
+void PhOwnersSim_SetInterval(PhOwnersSim *sim, int64_t interval_ms);
 /* Workers that drain state that they may leave at any time, so that their
  * lasting tasks are moved. */
 void PhOwnersSim_AnnounceDrains(PhOwnersSim *sim);
@@ -81,6 +87,9 @@
 /* Number of starts of a task while it had another run, or after its
  * acknowledged end. */
 unsigned PhOwnersSim_DuplicateStarts(const PhOwnersSim *sim);
+/* Number of starts of a task after an end of it had been listed to an owner
+ * for 0.1 s, also if the reply did not reach the owner. */
+unsigned PhOwnersSim_RepeatedStarts(const PhOwnersSim *sim);
 /* Whether every short task is done and every long-running one has one run. */
 bool PhOwnersSim_IsSettled(const PhOwnersSim *sim);
 /* Longest time in milliseconds that a long-running task was without a run. */
--- a/tests/schedule/owners_sim_private.h
+++ b/tests/schedule/owners_sim_private.h
@@ -48,6 +48,8 @@
     PhTime hold_until;   /* wait of a delivered hold; 0: none */
     PhTime times_out_at; /* the outcome is unknown without a reply by then */
     bool reply_lost;
+    bool late;      /* its outcome has been given as unknown */
+    PhTime late_by; /* a hold: its reply comes so long after the time-out */
     PhSimReply reply;
 } PhSimOrder;
 
@@ -63,6 +65,9 @@
     unsigned fault_count;
     int64_t next_short_ms;  /* submission of the next job of short tasks */
     int64_t short_until_ms; /* end of submissions */
+    int64_t short_interval_ms;
+    PhTime start_cost; /* time that a start takes on a link, 0: none */
+    PhTime link_free_at[PH_OWNERS_INSTANCES];
     unsigned takeovers;
     bool drains_announced;
     PhSimConnection connections[PH_OWNERS_INSTANCES][PH_OWNERS_WORKERS];
--- a/tests/schedule/owners_worker.c
+++ b/tests/schedule/owners_worker.c
@@ -3,6 +3,7 @@
 #include "tests/table.h"
 
 enum {
+    LISTED_MS = 100, /* an end listed earlier counts as known to the owner */
     SHORT_TASK_MS = 2500, /* run time of a short task */
     LEASE_MAX_MS = 10000,
     CLOCK_START_MS = 1000,
@@ -254,8 +255,12 @@
 /* Counts a start as a duplicate if the task runs already or its end has been
  * acknowledged. */
 static void
-count_start(PhSimTasks *t, PhSimTask *task)
+count_start(PhSimTasks *t, PhSimTask *task, PhTime now)
 {
+    if (task->listed_at > 0 &&
+        now - task->listed_at > LISTED_MS * PH_NS_PER_MS) {
+        t->repeated_starts++;
+    }
     if (task->running > 0 || task->acknowledged) {
         t->duplicate_starts++;
     }
@@ -282,7 +287,7 @@
     if (found < h->runs->len) {
         return PH_SCHED_OUTCOME_DONE;
     }
-    count_start(t, &job->tasks[o->task.index]);
+    count_start(t, &job->tasks[o->task.index], now);
     PhSimRun run = {
         .job = job,
         .index = o->task.index,
@@ -352,6 +357,11 @@
     }
     for (guint i = 0; i < h->ends->len; i++) {
         const PhSimEnd *end = &g_array_index(h->ends, PhSimEnd, i);
+        PhSimTask *task = &end->job->tasks[end->index];
+        if (end->kind == PH_SCHED_END_DONE && !end->lease_expired &&
+            task->listed_at == 0) {
+            task->listed_at = now;
+        }
         reply->ends[reply->end_count++] =
             (PhSchedEndRow){.number = end->number,
                             .task = task_name(end->job, end->index),
--- a/tests/schedule/owners_worker.h
+++ b/tests/schedule/owners_worker.h
@@ -10,6 +10,7 @@
     uint64_t started;  /* event number of the last start */
     uint64_t done;     /* event number of the last end `done`, 0 for none */
     bool acknowledged; /* the end `done` was acknowledged */
+    PhTime listed_at;  /* the end `done` was first listed, 0 for never */
     PhTime ran_at;     /* last time that it had a run, 0 for never */
 } PhSimTask;
 
@@ -24,6 +25,7 @@
     GPtrArray *jobs; /* PhSimJob */
     uint64_t events; /* number of starts and ends so far */
     unsigned duplicate_starts;
+    unsigned repeated_starts; /* after an end `done` that was listed */
     PhTime longest_gap; /* longest time without a run of a long-running task */
 } PhSimTasks;
 
--- /dev/null
+++ b/tests/schedule/test_order_window.c
@@ -0,0 +1,139 @@
+/* The limit of outstanding starts against a queue that takes so many a second.
+ * Guards against a limit that lets the queue grow until renewals of leases
+ * come too late, and against one that leaves capacity unused. */
+#include "peridothill/decide/schedule/order_window.h"
+
+#include <glib.h>
+
+#include "tests/table.h"
+
+enum {
+    TICK_MS = 5,
+    ROUND_TRIP_MS = 10, /* of a start that does not queue */
+    SETTLE_MS = 10000,  /* until the limit is judged */
+    RUN_MS = 45000,
+    DELAY_MAX_MS = 600, /* longest delay once the limit has settled */
+    USED_MIN_PERCENT = 75,
+    PERCENT = 100,
+};
+
+typedef struct PhLoadCase {
+    const char *name;
+    unsigned carried; /* starts a second that the queue takes */
+    unsigned load;    /* percent of that, on demand */
+    unsigned burst;   /* the same from 12 s to 18 s */
+    unsigned lost;    /* percent of starts whose outcome stays unknown */
+    bool overloaded;  /* at the end */
+} PhLoadCase;
+
+static const PhLoadCase load_cases[] = {
+    {"half of what is carried", 60, 50, 50, 0, false},
+    {"just below what is carried", 60, 90, 90, 0, false},
+    {"twice", 60, 200, 200, 0, true},
+    {"four times", 60, 400, 400, 0, true},
+    {"twice, of a slow queue", 12, 200, 200, 0, true},
+    {"twice, of a fast queue", 1500, 200, 200, 0, true},
+    {"a burst, then half again", 60, 50, 260, 0, false},
+    {"half, and one in ten unknown", 60, 50, 50, 10, false},
+};
+
+/* A start in the queue. */
+typedef struct PhQueued {
+    int64_t sent_ms;
+    int64_t answered_ms;
+    bool lost;
+} PhQueued;
+
+typedef struct PhLoadRun {
+    PhOrderWindow window;
+    GQueue queue; /* PhQueued */
+    double free_ms;
+    double waiting; /* starts on demand */
+    unsigned sent;
+    unsigned answered; /* after SETTLE_MS */
+    int64_t worst_ms;  /* longest delay after SETTLE_MS */
+} PhLoadRun;
+
+static PhTime
+at(int64_t ms)
+{
+    return 100 * PH_NS_PER_S + ms * PH_NS_PER_MS;
+}
+
+static void
+answers_take(PhLoadRun *r, int64_t ms)
+{
+    PhQueued *q;
+    while ((q = g_queue_peek_head(&r->queue)) != NULL &&
+           q->answered_ms <= ms) {
+        g_queue_pop_head(&r->queue);
+        PhTime delay = (ms - q->sent_ms) * PH_NS_PER_MS;
+        PhOrderWindow_OnAnswer(&r->window, delay, at(ms));
+        if (ms > SETTLE_MS && !q->lost) {
+            r->worst_ms = MAX(r->worst_ms, ms - q->sent_ms);
+            r->answered++;
+        }
+        g_free(q);
+    }
+}
+
+static void
+starts_send(PhLoadRun *r, const PhLoadCase *c, int64_t ms)
+{
+    while (r->waiting >= 1) {
+        if (PhOrderWindow_Room(&r->window, 0) == 0) {
+            PhOrderWindow_OnLimited(&r->window, at(ms));
+            return;
+        }
+        r->waiting -= 1;
+        r->free_ms = MAX(r->free_ms, (double)ms) + 1000.0 / c->carried;
+        PhQueued *q = g_new0(PhQueued, 1);
+        q->sent_ms = ms;
+        q->answered_ms = (int64_t)r->free_ms + ROUND_TRIP_MS;
+        q->lost = ++r->sent % PERCENT < c->lost;
+        g_queue_push_tail(&r->queue, q);
+        PhOrderWindow_OnSent(&r->window);
+    }
+}
+
+static void
+load_run(const PhLoadCase *c)
+{
+    PhLoadRun r = {0};
+    PhOrderWindow_Init(&r.window);
+    for (int64_t ms = 0; ms < RUN_MS; ms += TICK_MS) {
+        bool burst = ms >= 12000 && ms < 18000;
+        double load = (double)(burst ? c->burst : c->load) / PERCENT;
+        r.waiting += load * c->carried * TICK_MS / 1000;
+        answers_take(&r, ms);
+        starts_send(&r, c, ms);
+    }
+    double possible = (double)(RUN_MS - SETTLE_MS) / 1000 * c->carried *
+                      MIN(MAX(c->load, 1), PERCENT) / PERCENT;
+    print_message("#   limit %.0f, longest delay %d ms, %u of %.0f answered\n",
+                  r.window.limit, (int)r.worst_ms, r.answered, possible);
+    assert_true(r.worst_ms <= DELAY_MAX_MS);
+    assert_true(r.answered * PERCENT >=
+                possible * USED_MIN_PERCENT * (PERCENT - c->lost) / PERCENT);
+    assert_int_equal(PhOrderWindow_IsOverloaded(&r.window, at(RUN_MS)),
+                     c->overloaded);
+    if (c->overloaded) {
+        PhTime wait = PhOrderWindow_WaitFor(&r.window, c->carried, at(RUN_MS));
+        assert_in_range(wait, PH_NS_PER_S / 2, 2 * PH_NS_PER_S);
+    }
+    g_queue_clear_full(&r.queue, g_free);
+}
+
+static void
+test_loads(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(load_cases, load_run);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {cmocka_unit_test(test_loads)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/schedule/test_owners.c
+++ b/tests/schedule/test_owners.c
@@ -12,6 +12,10 @@
     GAP_MAX_MS = 9000, /* a long-running task runs again within this time */
     RANDOM_FAULTS = 20,
     RANDOM_FAULTS_MS = 120000,
+    OVERLOAD_MS = 30000,
+    OVERLOAD_FAULTS = 5,
+    /* The backlog of four times the load, and 40 s more. */
+    OVERLOAD_DRAINED_MS = 4 * OVERLOAD_MS + FAULT_FREE_MS,
 };
 
 typedef struct PhOwnersCase {
@@ -180,6 +184,7 @@
      1U << PH_OWNERS_SUSPEND | 1U << PH_OWNERS_RESTART |                      \
      1U << PH_OWNERS_REPLIES_LOST)
 
+#define UNSTABLE_KINDS (RESTART_KINDS | 1U << PH_OWNERS_ORDERS_LATE)
 #define UNPLANNED_KINDS ((1U << PH_OWNERS_STOP) - 1)
 #define ALL_KINDS ((1U << PH_OWNERS_FAULT_KINDS) - 1)
 
@@ -273,6 +278,66 @@
     Ph_RUN_TABLE(repeated_start_cases, random_run);
 }
 
+/* More to order than the link of an owner carries. */
+typedef struct PhOverloadCase {
+    const char *name;
+    unsigned starts_per_s; /* that a link carries */
+    int64_t interval_ms;   /* between jobs of 4 tasks */
+    uint64_t first;        /* seeds */
+    uint64_t last;
+    unsigned kinds; /* bit mask of fault kinds */
+} PhOverloadCase;
+
+static const PhOverloadCase overload_cases[] = {
+    {"half of what a link carries", 8, 1000, 1, 5, 0},
+    {"twice of what a link carries", 8, 250, 1, 5, 0},
+    {"four times of what a link carries", 8, 125, 1, 5, 0},
+    {"twice, and unreachable instances and workers", 8, 250, 1, 10,
+     UNREACHABLE_KINDS & ~(1U << PH_OWNERS_DRAIN)},
+    {"twice, and late orders, lost replies and restarts", 8, 250, 1, 10,
+     UNSTABLE_KINDS},
+};
+
+static void
+overload_run(const PhOverloadCase *c)
+{
+    unsigned failed_seeds = 0;
+    for (uint64_t seed = c->first; seed <= c->last; seed++) {
+        PhOwnersSim *sim = PhOwnersSim_Create(LONG_TASKS, OVERLOAD_MS);
+        PhOwnersSim_SetDelays(sim, seed);
+        PhOwnersSim_LimitLinks(sim, c->starts_per_s);
+        PhOwnersSim_SetInterval(sim, c->interval_ms);
+        if (c->kinds != 0) {
+            PhOwnersSim_DrawFaults(sim, seed, OVERLOAD_FAULTS, c->kinds);
+        }
+        PhOwnersSim_Run(sim, OVERLOAD_MS);
+        PhOwnersSim_Run(sim, OVERLOAD_DRAINED_MS);
+        unsigned duplicates = PhOwnersSim_DuplicateStarts(sim);
+        bool settled = PhOwnersSim_IsSettled(sim);
+        int64_t gap = PhOwnersSim_LongestGap(sim);
+        unsigned repeated = PhOwnersSim_RepeatedStarts(sim);
+        if (duplicates > 0 || !settled ||
+            (c->kinds == 0 && (gap > GAP_MAX_MS || repeated > 0))) {
+            print_message("#   seed %u: %u duplicate starts, %u repeated, "
+                          "settled %d, gap %d ms, %u takeovers\n",
+                          (unsigned)seed, duplicates, repeated, settled,
+                          (int)gap, PhOwnersSim_Takeovers(sim));
+            failed_seeds++;
+        }
+        PhOwnersSim_Destroy(sim);
+    }
+    assert_int_equal(failed_seeds, 0);
+}
+
+/* Guards against an owner whose renewals wait behind its starts, so that runs
+ * end with their leases and start again. */
+static void
+test_overload(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(overload_cases, overload_run);
+}
+
 int
 main(void)
 {
@@ -282,6 +347,7 @@
                                        cmocka_unit_test(test_random_faults),
                                        cmocka_unit_test(test_lost_replies),
                                        cmocka_unit_test(test_restarts),
+                                       cmocka_unit_test(test_overload),
                                        cmocka_unit_test(test_repeated_starts)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
