platform: an answer of the store that still arrives is not given up

Cause: after all instances lost power nobody became the owner again. A page of the newest records has up to 1 MB, which takes 4 s on a link of 2 Mbit/s; the call timed out after 1.5 s and was repeated from its beginning, without end.

Change: a request with a stall limit goes on past its deadline while no longer than that passes between two parts of the answer, 30 s at most.

--- a/include/peridothill/services/http.h
+++ b/include/peridothill/services/http.h
@@ -19,10 +19,12 @@
     PhHttpHeader *headers;
     size_t header_count;
     PhStr body;
-    PhTime deadline;   /* by the kernel's clock */
-    PhTime late_for;   /* after the deadline, a response is waited for so much
-                          longer, and replied as a second, late reply */
-    PhTime first_byte; /* deadline for the first byte, or PH_TIME_NEVER */
+    PhTime deadline;    /* by the kernel's clock */
+    PhTime stall_limit; /* the deadline is put off while no longer than this
+                           passes between parts of the response; 0: never */
+    PhTime late_for;    /* after the deadline, a response is waited for so much
+                           longer, and replied as a second, late reply */
+    PhTime first_byte;  /* deadline for the first byte, or PH_TIME_NEVER */
     size_t answer_limit_bytes;
     bool fresh_connection; /* do not reuse a connection */
     PhTime connected_by;   /* reuse one that was established by then, and send
--- a/services/platform/http_minimal.c
+++ b/services/platform/http_minimal.c
@@ -26,6 +26,9 @@
     SWEEP_TOKEN = 0, /* request numbers start at 1 */
 };
 
+/* Longest time of a response that does not stall. */
+static const PhTime RESPONSE_TIME_MAX = 30 * PH_NS_PER_S;
+
 /* The connections to one address. */
 typedef struct PhTarget {
     PhStr address;
@@ -52,6 +55,8 @@
     PhTime started;
     PhTime idle_since;
     PhTime connected_at; /* 0 before it is established */
+    PhTime stall_limit;  /* of the request */
+    PhTime received_at;  /* newest part of the response, 0 before the first */
     PhTime late_for;     /* of the request; 0 once its deadline has passed */
     bool late;           /* the deadline has passed */
     PhBuf out;
@@ -282,6 +287,7 @@
         return;
     }
     size_t len = (size_t)n;
+    c->received_at = PhTask_Now(c->http->self);
     http_parser_execute(&c->parser, &parser_settings, c->http->buffer, len);
     enum http_errno error = HTTP_PARSER_ERRNO(&c->parser);
     if (c->complete) {
@@ -404,6 +410,8 @@
     c->sender = sender;
     c->started = PhTask_Now(http->self);
     c->answer_limit = r->answer_limit_bytes;
+    c->stall_limit = r->stall_limit;
+    c->received_at = 0;
     c->late_for = r->late_for;
     c->late = false;
     c->reused = reused;
@@ -455,6 +463,20 @@
     }
 }
 
+/* A long response on a narrow link takes its time.  Returns false if it has
+ * not begun, or has stalled. */
+static bool
+deadline_put_off(PhHttpConnection *c)
+{
+    PhTime now = PhTask_Now(c->http->self);
+    if (c->received_at == 0 || now - c->received_at >= c->stall_limit ||
+        now - c->started >= RESPONSE_TIME_MAX) {
+        return false;
+    }
+    PhTask_SetTimer(c->http->self, c->number, c->received_at + c->stall_limit);
+    return true;
+}
+
 /* A process that runs late finds its timers due before it has read what has
  * arrived meanwhile. */
 static void
@@ -465,7 +487,7 @@
         connection_read(c);
         c = g_hash_table_lookup(http->active, &number);
     }
-    if (c == NULL) {
+    if (c == NULL || deadline_put_off(c)) {
         return;
     }
     target_close_idle_connections(c->target);
