--- a/codec/schedule_link.c
+++ b/codec/schedule_link.c
@@ -1,5 +1,7 @@
 #include "peridothill/codec/schedule_link.h"
 
+#include <glib.h>
+
 #include "peridothill/codec/unpack.h"
 
 /* Keys of the map. */
@@ -18,12 +20,21 @@
     FIELD_UPTIME_MS,
     FIELD_READY,
     FIELD_LEAVING,
+    FIELD_HELLO,
+    FIELD_ROWS,
     /* Field counts of the maps. */
-    HELLO_FIELDS = 6,
+    HELLO_FIELDS = 7,
     WELCOME_FIELDS = 2,
     DISMISS_FIELDS = 1,
     ASK_FIELDS = 6,
     ANSWER_FIELDS = 4,
+    ORDERS_FIELDS = 4,
+    OUTCOMES_FIELDS = 2,
+    /* Items of a row. */
+    ORDER_ITEMS = 11,
+    OUTCOME_ITEMS = 5,
+    ROWS_MAX = 4096,
+    TEXT_BYTES_MAX = 4096,
     SUBJECT_BYTES_MAX = 256,
     RECORD_BYTES_MAX = 60 * 1024, /* fits into a peer frame */
 };
@@ -35,6 +46,49 @@
     PhPack_U64(p, FIELD_TAG, tag);
 }
 
+static void
+pack_bytes(msgpack_packer *p, PhStr bytes)
+{
+    msgpack_pack_bin(p, bytes.len);
+    msgpack_pack_bin_body(p, bytes.data == NULL ? "" : bytes.data, bytes.len);
+}
+
+static void
+order_pack(msgpack_packer *p, const PhLinkOrder *o)
+{
+    msgpack_pack_array(p, ORDER_ITEMS);
+    msgpack_pack_uint64(p, o->number);
+    pack_bytes(p, o->worker);
+    pack_bytes(p, o->address);
+    pack_bytes(p, o->job);
+    msgpack_pack_uint64(p, o->round);
+    msgpack_pack_uint64(p, o->step);
+    msgpack_pack_uint64(p, o->index);
+    msgpack_pack_uint64(p, o->run);
+    msgpack_pack_int64(p, o->deadline_ms);
+    pack_bytes(p, o->last_checkpoint);
+    pack_bytes(p, o->payload);
+}
+
+static void
+outcome_pack(msgpack_packer *p, const PhLinkOutcome *o)
+{
+    msgpack_pack_array(p, OUTCOME_ITEMS);
+    msgpack_pack_uint64(p, o->number);
+    msgpack_pack_uint64(p, o->outcome);
+    msgpack_pack_int64(p, o->clock_ms);
+    msgpack_pack_uint64(p, o->connected);
+    msgpack_pack_uint64(p, o->connection_age_ms);
+}
+
+/* Begins the array of rows of a message. */
+static void
+rows_begin(msgpack_packer *p, size_t count)
+{
+    msgpack_pack_uint64(p, FIELD_ROWS);
+    msgpack_pack_array(p, count);
+}
+
 PhStr
 PhLinkMessage_Encode(const PhLinkMessage *m)
 {
@@ -49,6 +103,7 @@
         PhPack_U64(&p, FIELD_UPTIME_MS, m->as.hello.uptime_ms);
         PhPack_U64(&p, FIELD_READY, m->as.hello.ready);
         PhPack_U64(&p, FIELD_LEAVING, m->as.hello.leaving);
+        PhPack_U64(&p, FIELD_NUMBER, m->as.hello.number);
         break;
     case PH_LINK_WELCOME:
         map_begin(&p, m->tag, WELCOME_FIELDS);
@@ -71,6 +126,22 @@
         PhPack_U64(&p, FIELD_OUTCOME, m->as.answer.outcome);
         PhPack_U64(&p, FIELD_VALUE, m->as.answer.value);
         break;
+    case PH_LINK_ORDERS:
+        map_begin(&p, m->tag, ORDERS_FIELDS);
+        PhPack_U64(&p, FIELD_FENCE, m->as.orders.fence);
+        PhPack_U64(&p, FIELD_HELLO, m->as.orders.hello);
+        rows_begin(&p, m->as.orders.row_count);
+        for (size_t i = 0; i < m->as.orders.row_count; i++) {
+            order_pack(&p, &m->as.orders.rows[i]);
+        }
+        break;
+    case PH_LINK_OUTCOMES:
+        map_begin(&p, m->tag, OUTCOMES_FIELDS);
+        rows_begin(&p, m->as.outcomes.row_count);
+        for (size_t i = 0; i < m->as.outcomes.row_count; i++) {
+            outcome_pack(&p, &m->as.outcomes.rows[i]);
+        }
+        break;
     }
     return PhBuf_Take(&out);
 }
@@ -117,6 +188,7 @@
     PhUnpack_U64(PhUnpack_Field(map, FIELD_UPTIME_MS), &m->as.hello.uptime_ms);
     PhUnpack_U64(PhUnpack_Field(map, FIELD_READY), &ready);
     PhUnpack_U64(PhUnpack_Field(map, FIELD_LEAVING), &leaving);
+    PhUnpack_U64(PhUnpack_Field(map, FIELD_NUMBER), &m->as.hello.number);
     m->as.hello.ready = ready != 0;
     m->as.hello.leaving = leaving != 0;
     return PhUnpack_U64(PhUnpack_Field(map, FIELD_CPU_MILLI),
@@ -124,6 +196,105 @@
            PhUnpack_U64(PhUnpack_Field(map, FIELD_FENCE), &m->as.hello.fence);
 }
 
+/* Returns the array of rows, NULL if it is malformed. */
+static const msgpack_object_array *
+rows_read(const msgpack_object *map)
+{
+    const msgpack_object *value = PhUnpack_Field(map, FIELD_ROWS);
+    return value != NULL && value->type == MSGPACK_OBJECT_ARRAY &&
+                   value->via.array.size <= ROWS_MAX
+               ? &value->via.array
+               : NULL;
+}
+
+/* Returns the items of a row, NULL if it has another number of them. */
+static const msgpack_object *
+row_items(const msgpack_object *row, uint32_t count)
+{
+    return row->type == MSGPACK_OBJECT_ARRAY && row->via.array.size == count
+               ? row->via.array.ptr
+               : NULL;
+}
+
+static bool
+order_read(const msgpack_object *row, PhLinkOrder *o)
+{
+    const msgpack_object *item = row_items(row, ORDER_ITEMS);
+    PhLinkOrder read = {0};
+    if (item == NULL || !PhUnpack_U64(&item[0], &read.number) ||
+        !PhUnpack_Bytes(&item[1], TEXT_BYTES_MAX, &read.worker) ||
+        !PhUnpack_Bytes(&item[2], TEXT_BYTES_MAX, &read.address) ||
+        !PhUnpack_Bytes(&item[3], SUBJECT_BYTES_MAX, &read.job) ||
+        !PhUnpack_U64(&item[4], &read.round) || read.round > UINT32_MAX ||
+        !PhUnpack_U64(&item[5], &read.step) || read.step > UINT32_MAX ||
+        !PhUnpack_U64(&item[6], &read.index) || read.index > UINT32_MAX ||
+        !PhUnpack_U64(&item[7], &read.run) || read.run > UINT32_MAX ||
+        !PhUnpack_I64(&item[8], &read.deadline_ms) ||
+        !PhUnpack_Bytes(&item[9], TEXT_BYTES_MAX, &read.last_checkpoint) ||
+        !PhUnpack_Bytes(&item[10], RECORD_BYTES_MAX, &read.payload)) {
+        return false;
+    }
+    *o = read;
+    o->worker = PhStr_Dup(read.worker);
+    o->address = PhStr_Dup(read.address);
+    o->job = PhStr_Dup(read.job);
+    o->last_checkpoint = PhStr_Dup(read.last_checkpoint);
+    o->payload = PhStr_Dup(read.payload);
+    return true;
+}
+
+static bool
+outcome_read(const msgpack_object *row, PhLinkOutcome *o)
+{
+    const msgpack_object *item = row_items(row, OUTCOME_ITEMS);
+    uint64_t connected = 0;
+    if (item == NULL || !PhUnpack_U64(&item[0], &o->number) ||
+        !PhUnpack_U64(&item[1], &o->outcome) ||
+        !PhUnpack_I64(&item[2], &o->clock_ms) ||
+        !PhUnpack_U64(&item[3], &connected) ||
+        !PhUnpack_U64(&item[4], &o->connection_age_ms)) {
+        return false;
+    }
+    o->connected = connected != 0;
+    return true;
+}
+
+static bool
+orders_read(const msgpack_object *map, PhLinkMessage *m)
+{
+    const msgpack_object_array *rows = rows_read(map);
+    if (rows == NULL ||
+        !PhUnpack_U64(PhUnpack_Field(map, FIELD_FENCE), &m->as.orders.fence) ||
+        !PhUnpack_U64(PhUnpack_Field(map, FIELD_HELLO), &m->as.orders.hello)) {
+        return false;
+    }
+    m->as.orders.rows = g_new0(PhLinkOrder, MAX(rows->size, 1));
+    for (uint32_t i = 0; i < rows->size; i++) {
+        if (!order_read(&rows->ptr[i], &m->as.orders.rows[i])) {
+            return false;
+        }
+        m->as.orders.row_count++;
+    }
+    return true;
+}
+
+static bool
+outcomes_read(const msgpack_object *map, PhLinkMessage *m)
+{
+    const msgpack_object_array *rows = rows_read(map);
+    if (rows == NULL) {
+        return false;
+    }
+    m->as.outcomes.rows = g_new0(PhLinkOutcome, MAX(rows->size, 1));
+    for (uint32_t i = 0; i < rows->size; i++) {
+        if (!outcome_read(&rows->ptr[i], &m->as.outcomes.rows[i])) {
+            return false;
+        }
+        m->as.outcomes.row_count++;
+    }
+    return true;
+}
+
 static bool
 fields_read(const msgpack_object *map, PhLinkMessage *m)
 {
@@ -143,6 +314,10 @@
         return ask_read(map, m);
     case PH_LINK_ANSWER:
         return answer_read(map, m);
+    case PH_LINK_ORDERS:
+        return orders_read(map, m);
+    case PH_LINK_OUTCOMES:
+        return outcomes_read(map, m);
     }
     return false;
 }
@@ -157,20 +332,51 @@
         PhUnpack_Open(&unpack, payload) &&
         PhUnpack_U64(PhUnpack_Field(PhUnpack_Root(&unpack), FIELD_TAG),
                      &tag) &&
-        tag >= PH_LINK_HELLO && tag <= PH_LINK_ANSWER;
+        tag >= PH_LINK_HELLO && tag <= PH_LINK_OUTCOMES;
     if (valid) {
         m->tag = (PhLinkTag)tag;
         valid = fields_read(PhUnpack_Root(&unpack), m);
     }
     PhUnpack_Close(&unpack);
+    if (!valid) {
+        PhLinkMessage_Clear(m);
+    }
     return valid;
 }
 
+static void
+orders_clear(PhLinkMessage *m)
+{
+    for (size_t i = 0; i < m->as.orders.row_count; i++) {
+        PhLinkOrder *o = &m->as.orders.rows[i];
+        PhStr_Clear(&o->worker);
+        PhStr_Clear(&o->address);
+        PhStr_Clear(&o->job);
+        PhStr_Clear(&o->last_checkpoint);
+        PhStr_Clear(&o->payload);
+    }
+    g_free(m->as.orders.rows);
+}
+
 void
 PhLinkMessage_Clear(PhLinkMessage *m)
 {
-    if (m->tag == PH_LINK_ASK) {
+    switch (m->tag) {
+    case PH_LINK_ASK:
         PhStr_Clear(&m->as.ask.subject);
         PhStr_Clear(&m->as.ask.record);
+        break;
+    case PH_LINK_ORDERS:
+        orders_clear(m);
+        break;
+    case PH_LINK_OUTCOMES:
+        g_free(m->as.outcomes.rows);
+        break;
+    case PH_LINK_HELLO:
+    case PH_LINK_WELCOME:
+    case PH_LINK_NOT_OWNER:
+    case PH_LINK_ANSWER:
+        break;
     }
+    *m = (PhLinkMessage){0};
 }
--- a/codec/settings_key.c
+++ b/codec/settings_key.c
@@ -65,6 +65,10 @@
         1 * S, 600 * S, "10s", "Longest lease that workers grant."),
     KEY("scheduler", "pace_lag", scheduler.pace_lag, DURATION, false, 0,
         60 * S, "100ms", "Time until a change of pace shows on a worker."),
+    KEY("scheduler", "dispatch_delay", scheduler.dispatch_delay, DURATION,
+        false, 0, 60 * S, "80ms",
+        "Average delay of starts above which other instances send them, until "
+        "it has been shorter for a minute; 0s: always."),
     KEY("limits", "request_body", limits.request_body, SIZE, false, KB,
         64 * MB, "1MB", "Largest body of a caller's request."),
     KEY("limits", "connections", limits.connections, COUNT, false, 1,
--- a/decide/schedule/admission.c
+++ b/decide/schedule/admission.c
@@ -46,6 +46,12 @@
     return (PhAdmission){.accepted = true};
 }
 
+bool
+PhScheduler_IsPressed(const PhScheduler *s, PhTime now)
+{
+    return PhOrderWindow_IsPressed(&s->window, now);
+}
+
 PhOrderLoad
 PhScheduler_OrderLoad(const PhScheduler *s)
 {
--- a/decide/schedule/order_window.c
+++ b/decide/schedule/order_window.c
@@ -11,6 +11,11 @@
  * and have 1.2 s before they count as unanswered. */
 static const PhTime DELAY_TARGET = 250 * PH_NS_PER_MS;
 static const double SHRINK_FACTOR = 0.7;
+static const PhTime PRESSED_TIME = 60 * PH_NS_PER_S;
+/* For so long after the delay was too long, waiting tasks count as overload.
+ */
+static const PhTime CONGESTED_AGE = 10 * PH_NS_PER_S;
+static const double FAST_GROWTH = 0.25;
 /* Weight of a new delay in the smoothed one. */
 static const double DELAY_WEIGHT = 0.1;
 /* A task had to wait this recently. */
@@ -20,13 +25,22 @@
 /* The rate says little below this; assumed instead. */
 static const double RATE_MIN = 4;
 enum {
+    /* Starts are recorded while those before them are under way. */
+    QUEUE_FACTOR = 3,
     LASTING_SHARE = 2, /* tasks that are to last have so many times the room */
 };
 
 void
-PhOrderWindow_Init(PhOrderWindow *w)
+PhOrderWindow_Init(PhOrderWindow *w, PhTime pressed_delay)
 {
-    *w = (PhOrderWindow){.limit = LIMIT_FIRST, .probing = true};
+    *w = (PhOrderWindow){
+        .limit = LIMIT_FIRST, .probing = true, .pressed_delay = pressed_delay};
+}
+
+bool
+PhOrderWindow_MaySend(const PhOrderWindow *w)
+{
+    return (double)w->outstanding < w->limit;
 }
 
 static uint32_t
@@ -39,13 +53,13 @@
 uint32_t
 PhOrderWindow_Room(const PhOrderWindow *w, uint32_t queued)
 {
-    return room(w, w->limit, queued);
+    return room(w, QUEUE_FACTOR * w->limit, queued);
 }
 
 uint32_t
 PhOrderWindow_LastingRoom(const PhOrderWindow *w, uint32_t queued)
 {
-    return room(w, LASTING_SHARE * w->limit, queued);
+    return room(w, LASTING_SHARE * QUEUE_FACTOR * w->limit, queued);
 }
 
 void
@@ -74,11 +88,12 @@
 }
 
 /* Shrinks at most once in each delay, since the effect shows only then.  Grows
- * by one for each answer until the first time that it was too high, then by
- * one for as many answers as it admits. */
+ * by a share of one for each answer while there is hardly a queue, else by one
+ * for as many answers as it admits. */
 static void
 limit_adapt(PhOrderWindow *w, PhTime delay, PhTime now)
 {
+    w->congested_at = w->delay > DELAY_TARGET / 2 ? now : w->congested_at;
     if (w->delay > DELAY_TARGET) {
         if (now - w->shrunk_at > w->delay) {
             w->limit = MAX(LIMIT_MIN, w->limit * SHRINK_FACTOR);
@@ -91,29 +106,42 @@
         w->limited_at == 0) {
         return;
     }
-    w->limit = MIN(LIMIT_MAX, w->limit + (w->probing ? 1 : 1 / w->limit));
+    double step = w->delay < DELAY_TARGET / 2 ? FAST_GROWTH : 1 / w->limit;
+    w->limit = MIN(LIMIT_MAX, w->limit + (w->probing ? 1 : step));
 }
 
 void
-PhOrderWindow_OnAnswer(PhOrderWindow *w, PhTime delay, PhTime now)
+PhOrderWindow_OnAnswer(PhOrderWindow *w, PhTime delay, bool answered,
+                       PhTime now)
 {
     w->outstanding -= w->outstanding > 0;
+    if (!answered) {
+        return;
+    }
     w->rate = rate_at(w, now) + 1 / RATE_SPAN_S;
     w->rated_at = now;
     if (delay < 0) {
         return;
     }
     w->delay += (PhTime)(DELAY_WEIGHT * (double)(delay - w->delay));
+    w->pressed_at = w->delay > w->pressed_delay ? now : w->pressed_at;
     limit_adapt(w, delay, now);
 }
 
 bool
 PhOrderWindow_IsOverloaded(const PhOrderWindow *w, PhTime now)
 {
-    return !w->probing && w->limited_at > 0 &&
+    return w->congested_at > 0 && now - w->congested_at <= CONGESTED_AGE &&
            now - w->limited_at <= LIMITED_AGE;
 }
 
+bool
+PhOrderWindow_IsPressed(const PhOrderWindow *w, PhTime now)
+{
+    return w->pressed_delay == 0 ||
+           (w->pressed_at > 0 && now - w->pressed_at <= PRESSED_TIME);
+}
+
 PhTime
 PhOrderWindow_WaitFor(const PhOrderWindow *w, uint32_t tasks, PhTime now)
 {
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -18,7 +18,7 @@
 {
     PhScheduler *s = g_new0(PhScheduler, 1);
     s->options = *options;
-    PhOrderWindow_Init(&s->window);
+    PhOrderWindow_Init(&s->window, s->options.dispatch_delay);
     s->model = PhSchedModel_Create();
     s->open_batch = 1;
     s->interference = PhInterference_Create();
@@ -146,7 +146,7 @@
         PhSchedModel_ClearRecords(s->model);
     }
     s->durable_batch = s->open_batch++;
-    PhOrderWindow_Init(&s->window);
+    PhOrderWindow_Init(&s->window, s->options.dispatch_delay);
     s->backlog = 0;
     s->overloaded = false;
     s->fence = fence;
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -3,13 +3,15 @@
 #define PERIDOTHILL_DECIDE_SCHEDULE_SCHEDULER_PRIVATE_H
 
 #include "interference.h"
+#include "peridothill/decide/schedule/dispatchers.h"
 #include "peridothill/decide/schedule/order_window.h"
 #include "peridothill/decide/schedule/scheduler.h"
 
 enum {
-    PH_LATE_ORDER_MS = 12000, /* an order may be executed this long after it
-                                 was sent */
-    PH_ORDER_RETRY_MS = 300,  /* until one without an answer is sent again */
+    PH_LATE_ORDER_MS = 12000 + PH_RELAY_AGE_MS, /* an order may be executed
+                                                   this long after it was
+                                                   sent */
+    PH_ORDER_RETRY_MS = 300, /* until one without an answer is sent again */
 };
 
 struct PhScheduler {
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -77,7 +77,8 @@
 static bool
 next_start(PhScheduler *s, PhTime now, PhSchedAction *action)
 {
-    for (guint left = s->starts.length; left > 0; left--) {
+    for (guint left = s->starts.length;
+         left > 0 && PhOrderWindow_MaySend(&s->window); left--) {
         PhSchedTask *task = g_queue_pop_head(&s->starts);
         PhStartVerdict verdict = PhScheduler_JudgeStart(s, task, now);
         switch (verdict.tag) {
@@ -282,7 +283,8 @@
     PhSchedTask *task = PhScheduler_PlacedTask(s, &reply->task, reply->run);
     bool expected = task != NULL && task->start_in_flight;
     PhOrderWindow_OnAnswer(&s->window,
-                           expected ? now - task->start_sent_at : -1, now);
+                           expected ? now - task->start_sent_at : -1,
+                           reply->outcome != PH_SCHED_OUTCOME_UNKNOWN, now);
     if (s->backlog > 0) {
         s->placement_due = true;
         PhScheduler_WakeBy(s, now);
@@ -298,7 +300,7 @@
     task->start_in_flight = false;
     task->start_connected_at =
         MAX(task->start_connected_at, reply->connected_at);
-    if (reply->born_ms == w->entry.born_ms &&
+    if (!reply->relayed && reply->born_ms == w->entry.born_ms &&
         reading_is_own(w, reply->clock_ms, now)) {
         w->alive_at = MAX(w->alive_at, reply->connected_at);
     }
--- a/include/peridothill/codec/schedule_link.h
+++ b/include/peridothill/codec/schedule_link.h
@@ -15,6 +15,8 @@
     PH_LINK_NOT_OWNER, /* answer of an instance that is not the owner */
     PH_LINK_ASK,       /* a client's call, forwarded to the owner */
     PH_LINK_ANSWER,    /* the owner's answer to a call */
+    PH_LINK_ORDERS,    /* the owner has another instance send starts */
+    PH_LINK_OUTCOMES,  /* their outcomes */
 } PhLinkTag;
 
 /* Calls of a client.  Wire values: append only. */
@@ -25,6 +27,30 @@
     PH_LINK_PENDING,
 } PhLinkCall;
 
+/* A start that another instance is to send. */
+typedef struct PhLinkOrder {
+    uint64_t number; /* chosen by the owner, returned with the outcome */
+    PhStr worker;
+    PhStr address;
+    PhStr job;
+    uint64_t round;
+    uint64_t step;
+    uint64_t index;
+    uint64_t run;
+    int64_t deadline_ms; /* on the worker's clock */
+    PhStr last_checkpoint;
+    PhStr payload; /* empty: as of an earlier start of the job */
+} PhLinkOrder;
+
+typedef struct PhLinkOutcome {
+    uint64_t number;
+    uint64_t outcome; /* a PhSchedOutcome */
+    int64_t clock_ms; /* the worker's clock, 0: not stated */
+    bool connected;
+    uint64_t connection_age_ms; /* rounded down; of the connection that carried
+                                   it */
+} PhLinkOutcome;
+
 typedef struct PhLinkMessage {
     PhLinkTag tag;
     union {
@@ -32,8 +58,9 @@
             uint64_t cpu_milli; /* CPU of the sender in milli-cores */
             uint64_t fence;     /* of the newest claim it knows, 0 for none */
             uint64_t uptime_ms;
-            bool ready;   /* it follows the records, and could take over */
-            bool leaving; /* it stops */
+            uint64_t number; /* of its hellos, from 1; 0: cannot dispatch */
+            bool ready;      /* it follows the records, and could take over */
+            bool leaving;    /* it stops */
         } hello;
         struct {
             bool standby; /* read the store, to take over without delay */
@@ -51,6 +78,16 @@
             uint64_t value;   /* a state, a count or milliseconds, depending on
                                  outcome */
         } answer;
+        struct {
+            uint64_t fence;
+            uint64_t hello; /* number of the newest hello of the receiver */
+            PhLinkOrder *rows;
+            size_t row_count;
+        } orders;
+        struct {
+            PhLinkOutcome *rows;
+            size_t row_count;
+        } outcomes;
     } as;
 } PhLinkMessage;
 
--- a/include/peridothill/common/event_list_schedule.h
+++ b/include/peridothill/common/event_list_schedule.h
@@ -51,3 +51,5 @@
 PH_EVENT(
     7033, SCHEDULE_SHED, INFO,
     "submission refused, its tasks would wait too long for order capacity")
+PH_EVENT(7034, SCHEDULE_DISPATCHER_SILENT, WARNING,
+         "dispatcher has not told the outcome of a start in time")
--- a/include/peridothill/decide/schedule/order_window.h
+++ b/include/peridothill/decide/schedule/order_window.h
@@ -19,15 +19,22 @@
     uint32_t outstanding; /* starts without an outcome */
     bool probing;         /* the limit has never been too high */
     PhTime delay;         /* smoothed, from order to answer */
+    PhTime congested_at;  /* last time that it was too long, 0: never */
+    PhTime pressed_delay;
+    PhTime pressed_at; /* last time that it was longer than that, 0: never */
     PhTime shrunk_at;
     PhTime limited_at; /* last time that a task had to wait, 0: never */
     double rate;       /* answers a second, smoothed */
     PhTime rated_at;   /* time of the newest answer */
 } PhOrderWindow;
 
-void PhOrderWindow_Init(PhOrderWindow *window);
-/* Number of further starts that may be queued, given how many are queued
- * already. */
+/* Answers that take longer than `pressed_delay` on average show that other
+ * instances should send the starts; 0: they always should. */
+void PhOrderWindow_Init(PhOrderWindow *window, PhTime pressed_delay);
+/* Reports whether another start may be sent. */
+bool PhOrderWindow_MaySend(const PhOrderWindow *window);
+/* Number of further tasks that may be placed, given how many starts are queued
+ * until their records are durable or they may be sent. */
 uint32_t PhOrderWindow_Room(const PhOrderWindow *window, uint32_t queued);
 /* The same for tasks that are to last: they are few, and down while they wait.
  */
@@ -36,9 +43,15 @@
 /* A task has to wait for room. */
 void PhOrderWindow_OnLimited(PhOrderWindow *window, PhTime now);
 void PhOrderWindow_OnSent(PhOrderWindow *window);
-/* A start has an outcome.  `delay` is the time since it was sent, -1 if that
- * is not known. */
-void PhOrderWindow_OnAnswer(PhOrderWindow *window, PhTime delay, PhTime now);
+/* A start has an outcome, or none in time unless `answered`.  `delay` is the
+ * time since it was sent, -1 if that is not known.  A start without an answer
+ * says nothing of the queue: the worker may have gone, and of starts that
+ * queue the first ones are answered, late. */
+void PhOrderWindow_OnAnswer(PhOrderWindow *window, PhTime delay, bool answered,
+                            PhTime now);
+/* Reports whether other instances should send the starts: their delay was too
+ * long in the last minute. */
+bool PhOrderWindow_IsPressed(const PhOrderWindow *window, PhTime now);
 /* Reports whether tasks wait for order capacity. */
 bool PhOrderWindow_IsOverloaded(const PhOrderWindow *window, PhTime now);
 /* Expected time until so many waiting tasks have started; 0 unless overloaded.
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -14,8 +14,10 @@
 typedef struct PhScheduler PhScheduler;
 
 typedef struct PhSchedulerOptions {
-    PhTime lease_limit; /* longest lease that workers accept */
-    PhTime pace_lag;    /* from a pace order until samples show its effect */
+    PhTime lease_limit;    /* longest lease that workers accept */
+    PhTime dispatch_delay; /* starts that take longer on average are to be sent
+                              by other instances; 0: all */
+    PhTime pace_lag; /* from a pace order until samples show its effect */
     /* Earlier owners; borrowed as long as the scheduler exists.  NULL: they
      * are unknown. */
     const PhPredecessors *predecessors;
@@ -113,6 +115,8 @@
     PhSchedOutcome outcome;
     int64_t clock_ms;    /* the worker's clock */
     PhTime connected_at; /* as in PhSchedHoldReply */
+    bool relayed; /* another instance sent it: `connected_at` is the latest
+                     possible time */
 } PhSchedRunReply;
 
 /* Changes that are reported to the log. */
@@ -294,6 +298,8 @@
     PhTime delay;     /* of starts, smoothed */
 } PhOrderLoad;
 
+/* Reports whether other instances should send the starts of this owner. */
+bool PhScheduler_IsPressed(const PhScheduler *scheduler, PhTime now);
 PhOrderLoad PhScheduler_OrderLoad(const PhScheduler *scheduler);
 
 /* Events since the last call of PhScheduler_ClearEvents. */
--- a/include/peridothill/services/orders.h
+++ b/include/peridothill/services/orders.h
@@ -8,6 +8,8 @@
 /* Owns the strings of its action. */
 typedef struct PhOrder {
     uint64_t fence;
+    uint64_t relay; /* number of a start that another instance has this one
+                       send, 0 for an own order */
     PhSchedAction action;
 } PhOrder;
 
@@ -15,6 +17,7 @@
  * their strings. */
 typedef struct PhOrderReply {
     uint64_t fence; /* of the order */
+    uint64_t relay; /* of the order */
     PhSchedActionTag tag;
     PhStr worker;
     int64_t born_ms;
@@ -26,6 +29,7 @@
     PhSchedOutcome outcome;
     int64_t clock_ms;
     PhTime connected_at; /* as in PhSchedRunReply */
+    bool relayed;        /* the same */
     PhSchedHoldReply hold;
 } PhOrderReply;
 
@@ -46,5 +50,7 @@
 PhMessage PhOrderMessage_Wrap(const PhOrderMessage *body);
 /* Returns an action that owns copies of its strings. */
 PhSchedAction PhOrder_CopyAction(const PhSchedAction *action);
+/* Releases the strings of an order. */
+void PhOrder_Clear(PhOrder *order);
 
 #endif
--- a/include/peridothill/services/schedule.h
+++ b/include/peridothill/services/schedule.h
@@ -84,6 +84,7 @@
     double cpu_share; /* in cores; more cores make an earlier claim */
     PhTime lease_limit;
     PhTime pace_lag;
+    PhTime dispatch_delay; /* starts that take longer are sent by others */
     PhStr link; /* address for links from other instances; empty: no links */
     PhStr data_centre;
     PhStr deployment;
--- a/services/schedule/messages.c
+++ b/services/schedule/messages.c
@@ -68,6 +68,19 @@
     return copy;
 }
 
+void
+PhOrder_Clear(PhOrder *order)
+{
+    PhSchedAction *a = &order->action;
+    PhStr_Clear(&a->worker);
+    PhStr_Clear(&a->address);
+    if (action_has_run(a->tag)) {
+        PhStr_Clear(&a->as.run.task.job);
+        PhStr_Clear(&a->as.run.payload);
+        PhStr_Clear(&a->as.run.last_checkpoint);
+    }
+}
+
 static void
 hold_reply_clear(PhSchedHoldReply *hold)
 {
@@ -89,13 +102,7 @@
     PhOrderMessage *m = body;
     switch (m->tag) {
     case PH_ORDER_SEND:
-        PhStr_Clear(&m->as.send.action.worker);
-        PhStr_Clear(&m->as.send.action.address);
-        if (action_has_run(m->as.send.action.tag)) {
-            PhStr_Clear(&m->as.send.action.as.run.task.job);
-            PhStr_Clear(&m->as.send.action.as.run.payload);
-            PhStr_Clear(&m->as.send.action.as.run.last_checkpoint);
-        }
+        PhOrder_Clear(&m->as.send);
         break;
     case PH_ORDER_REPLY:
         PhStr_Clear(&m->as.reply.worker);
--- a/services/schedule/schedule_link.c
+++ b/services/schedule/schedule_link.c
@@ -85,6 +85,12 @@
     PhTask_SendTo(t->self, PH_SERVICE_PEERS, PhPeersMessage_Wrap(&m));
 }
 
+void
+PhScheduleLink_Send(PhScheduleTask *t, PhStr instance, const PhLinkMessage *m)
+{
+    link_send(t, instance, (PhStr){0}, m);
+}
+
 static const PhScheduleTag schedule_tags[] = {
     [PH_LINK_SUBMIT] = PH_SCHEDULE_SUBMIT,
     [PH_LINK_CANCEL] = PH_SCHEDULE_CANCEL,
@@ -118,6 +124,9 @@
             return false;
         }
     }
+    if (call->tag == PH_SCHEDULE_SUBMIT) {
+        PhScheduleDispatch_KeepPayload(t, call->subject, call->spec.payload);
+    }
     PhForwardedCall *f = g_new0(PhForwardedCall, 1);
     f->number = ++t->last_forwarded;
     f->call = *call;
@@ -226,6 +235,7 @@
                          .fence = PhElection_OwnerFence(t->election),
                          .uptime_ms =
                              (uint64_t)((now - t->started_at) / PH_NS_PER_MS),
+                         .number = PhScheduleDispatch_NumberHello(t),
                          .ready = ready,
                          .leaving = t->draining}};
         link_send(t, (PhStr){0}, t->link.address, &m);
@@ -257,6 +267,7 @@
                       PH_NS_PER_MS,
             .ready = hello->as.hello.ready,
             .leaving = hello->as.hello.leaving};
+        PhScheduleDispatch_OnHello(t, instance, hello);
         m.tag = PH_LINK_WELCOME;
         m.as.welcome.standby =
             PhStandbys_OnHello(t->standbys, instance, data_centre, &h, now);
@@ -350,6 +361,9 @@
         PhScheduleCalls_AnswerTag(t, &call.origin, PH_SCHEDULE_NOT_OWNER);
     }
     else if (call.tag != PH_SCHEDULE_SUBMIT || ask_read_job(t, m, &call)) {
+        if (call.tag == PH_SCHEDULE_SUBMIT) {
+            PhScheduleDispatch_OnForwarded(t, call.subject, instance);
+        }
         PhScheduleCalls_HandleLocally(t, &call);
     }
     PhClientCall_Clear(&call);
@@ -451,6 +465,12 @@
     case PH_LINK_ANSWER:
         on_answer(t, &m);
         break;
+    case PH_LINK_ORDERS:
+        PhScheduleDispatch_OnOrders(t, instance, &m);
+        break;
+    case PH_LINK_OUTCOMES:
+        PhScheduleDispatch_OnOutcomes(t, instance, &m);
+        break;
     }
     PhLinkMessage_Clear(&m);
 }
--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -165,6 +165,7 @@
     PhScheduleOwner_PublishRole(t);
     PhScheduleLink_DismissAll(t);
     PhScheduleOwner_ClearBatch(t);
+    PhScheduleDispatch_Reset(t);
     PhScheduler_SetFence(t->scheduler, 0, now);
     if (active) {
         PhScheduleTopics_Reload(t);
@@ -368,7 +369,8 @@
                            .born_ms = r->born_ms,
                            .outcome = r->outcome,
                            .clock_ms = r->clock_ms,
-                           .connected_at = r->connected_at};
+                           .connected_at = r->connected_at,
+                           .relayed = r->relayed};
     bool is_owner = true;
     if (t->stage != OWNER_ACTIVE || r->fence != t->fence) {
         return;
@@ -409,12 +411,16 @@
 {
     PhSchedAction action;
     while (PhScheduler_NextAction(t->scheduler, now, &action)) {
+        PhScheduleLog_Order(t, &action);
+        if (PhScheduleDispatch_Send(t, &action, now)) {
+            continue;
+        }
         PhOrderMessage m = {.tag = PH_ORDER_SEND};
         m.as.send.fence = t->fence;
         m.as.send.action = PhOrder_CopyAction(&action);
-        PhScheduleLog_Order(t, &action);
         PhTask_SendTo(t->self, PH_SERVICE_ORDERS, PhOrderMessage_Wrap(&m));
     }
+    PhScheduleDispatch_Flush(t);
 }
 
 static PhOwnership
@@ -482,6 +488,7 @@
     update_ownership(t);
     PhScheduleLink_Update(t);
     if (t->stage == OWNER_ACTIVE) {
+        PhScheduleDispatch_Expire(t);
         PhScheduler_Confirm(t->scheduler, PhElection_ConfirmedAt(t->election));
         PhScheduler_Plan(t->scheduler, now,
                          PhTask_Wall(t->self) / PH_NS_PER_MS);
--- a/services/schedule/schedule_task.c
+++ b/services/schedule/schedule_task.c
@@ -120,6 +120,16 @@
     }
 }
 
+static void
+on_order(PhScheduleTask *t, const PhOrderReply *reply)
+{
+    if (reply->relay != 0) {
+        PhScheduleDispatch_OnReply(t, reply);
+        return;
+    }
+    PhScheduleOwner_OnOrder(t, reply);
+}
+
 static void
 on_message(PhScheduleTask *t, const PhMail *mail)
 {
@@ -129,8 +139,7 @@
         on_store(t, &((const PhStoreMessage *)m->body)->as.reply);
         break;
     case PH_INTERFACE_ORDERS:
-        PhScheduleOwner_OnOrder(t,
-                                &((const PhOrderMessage *)m->body)->as.reply);
+        on_order(t, &((const PhOrderMessage *)m->body)->as.reply);
         break;
     case PH_INTERFACE_SCHEDULE:
         on_schedule(t, mail->from, m->body);
@@ -177,6 +186,9 @@
         PhScheduleLink_Update(t);
         PhScheduleTask_RequestUpdate(t);
         break;
+    case TIMER_OUTCOMES:
+        PhScheduleDispatch_SendOutcomes(t);
+        break;
     }
 }
 
@@ -213,6 +225,7 @@
     PhScheduleTask *t = state;
     PhScheduleTopics_Clear(t);
     PhScheduleLink_Clear(t);
+    PhScheduleDispatch_Destroy(t->dispatch);
     PhScheduleOwner_ClearBatch(t);
     g_array_free(t->batch_records, TRUE);
     g_queue_clear_full(&t->accept_queue, PhScheduleAccept_Destroy);
@@ -251,11 +264,13 @@
     t->scheduler = PhScheduler_Create(&(PhSchedulerOptions){
         .lease_limit = options->lease_limit,
         .pace_lag = options->pace_lag,
+        .dispatch_delay = options->dispatch_delay,
         .predecessors = PhElection_Predecessors(t->election)});
     t->forwarded_calls =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
                               PhScheduleLink_DestroyForwardedCall);
     PhScheduleLink_Open(t, options);
+    t->dispatch = PhScheduleDispatch_Create();
     t->jobs.cursor.topic = PH_SCHED_TOPIC_JOBS;
     t->runs.cursor.topic = PH_SCHED_TOPIC_RUNS;
     t->accept_batch = g_ptr_array_new_with_free_func(PhScheduleAccept_Destroy);
--- a/services/schedule/schedule_task.h
+++ b/services/schedule/schedule_task.h
@@ -4,6 +4,7 @@
 
 #include "peridothill/codec/schedule_link.h"
 #include "peridothill/codec/schedule_record.h"
+#include "peridothill/decide/schedule/dispatchers.h"
 #include "peridothill/decide/schedule/election.h"
 #include "peridothill/decide/schedule/handover.h"
 #include "peridothill/decide/schedule/owner_link.h"
@@ -32,6 +33,7 @@
     TIMER_RECORDS,
     TIMER_DEADLINES,
     TIMER_LINK,
+    TIMER_OUTCOMES,
 } PhScheduleTimer;
 
 /* Stages of taking over ownership of the jobs. */
@@ -86,6 +88,8 @@
     PhClientCall call;
 } PhForwardedCall;
 
+typedef struct PhScheduleDispatch PhScheduleDispatch;
+
 typedef struct PhScheduleTask {
     PhTask *self;
     PhScheduler *scheduler;
@@ -131,6 +135,7 @@
     GHashTable *forwarded_calls; /* PhForwardedCall by number */
     uint64_t last_forwarded;
     bool announced_ready; /* the last hello said that it could take over */
+    PhScheduleDispatch *dispatch;
 } PhScheduleTask;
 
 /* Sends a call to the store.  The reply's id carries the kind and its
@@ -227,6 +232,42 @@
 /* Chooses the instance that shall take over, and has it read the records. */
 PhSuccessor PhScheduleLink_ChooseSuccessor(PhScheduleTask *task);
 
+/* schedule_link.c: sends a message to another instance. */
+void PhScheduleLink_Send(PhScheduleTask *task, PhStr instance,
+                         const PhLinkMessage *message);
+
+/* schedule_dispatch.c: starts that another instance sends for the owner. */
+PhScheduleDispatch *PhScheduleDispatch_Create(void);
+/* Accepts NULL. */
+void PhScheduleDispatch_Destroy(PhScheduleDispatch *dispatch);
+/* Owner: has a start sent by a dispatcher; false if it is to be sent here. */
+bool PhScheduleDispatch_Send(PhScheduleTask *task, const PhSchedAction *action,
+                             PhTime now);
+/* Owner: sends what was collected. */
+void PhScheduleDispatch_Flush(PhScheduleTask *task);
+/* Owner: the outcome of starts without one in time is unknown. */
+void PhScheduleDispatch_Expire(PhScheduleTask *task);
+/* Owner: the ownership has ended. */
+void PhScheduleDispatch_Reset(PhScheduleTask *task);
+void PhScheduleDispatch_OnHello(PhScheduleTask *task, PhStr instance,
+                                const PhLinkMessage *hello);
+void PhScheduleDispatch_OnOutcomes(PhScheduleTask *task, PhStr instance,
+                                   const PhLinkMessage *outcomes);
+/* Owner: this instance has forwarded the job, and has its specification. */
+void PhScheduleDispatch_OnForwarded(PhScheduleTask *task, PhStr job,
+                                    PhStr instance);
+/* Dispatcher: keeps the specification of a job that is forwarded. */
+void PhScheduleDispatch_KeepPayload(PhScheduleTask *task, PhStr job,
+                                    PhStr payload);
+/* Dispatcher: returns the number of the hello that is being sent. */
+uint64_t PhScheduleDispatch_NumberHello(PhScheduleTask *task);
+void PhScheduleDispatch_OnOrders(PhScheduleTask *task, PhStr instance,
+                                 const PhLinkMessage *orders);
+void PhScheduleDispatch_OnReply(PhScheduleTask *task,
+                                const PhOrderReply *reply);
+/* Dispatcher: sends the outcomes that were collected. */
+void PhScheduleDispatch_SendOutcomes(PhScheduleTask *task);
+
 /* schedule_owner.c: ownership election, records and orders. */
 void PhScheduleOwner_Update(PhScheduleTask *task);
 void PhScheduleOwner_OnElection(PhScheduleTask *task, PhStoreCall call,
--- a/tests/schedule/owners_orders.c
+++ b/tests/schedule/owners_orders.c
@@ -8,6 +8,8 @@
     REPLY_TIMEOUT_MS = 1200, /* of an order without a reply */
     LATE_MIN_MS = 2000,
     LATE_SPREAD_MS = 10000,
+    RELAY_DELAY_MAX_MS = 1500, /* of a start at its dispatcher */
+    RELAY_TIMEOUT_MS = 1600,
     LATE_HOLD_MS = 4000, /* replies to holds that are not later still count */
     LIGHT_ORDERS = 10, /* orders other than starts that take as long as one */
 };
@@ -24,8 +26,12 @@
                            .born_ms = a->born_ms,
                            .outcome = reply->hold.outcome,
                            .clock_ms = reply->hold.clock_ms,
-                           .connected_at = reply->hold.connected_at};
+                           .connected_at = reply->hold.connected_at,
+                           .relayed = f->relayed};
     PhTime now = w->now;
+    if (f->relayed) {
+        run.connected_at = now; /* an upper bound is all that is known */
+    }
     switch (a->tag) {
     case PH_SCHED_ACTION_HOLD:
         if (f->late && reply->hold.outcome != PH_SCHED_OUTCOME_UNKNOWN) {
@@ -94,6 +100,16 @@
     f->reply_lost = true;
 }
 
+/* Has a dispatcher send a start: it is under way for longer, and a partition
+ * of the owner from the worker does not matter. */
+static void
+start_relay(PhOwnersSim *w, PhSimOrder *f)
+{
+    f->relayed = true;
+    f->deliver_at += draw_delay(w, RELAY_DELAY_MAX_MS);
+    f->times_out_at = w->now + RELAY_TIMEOUT_MS * PH_NS_PER_MS;
+}
+
 static void
 order_send(PhOwnersSim *w, int instance, const PhSchedAction *a)
 {
@@ -114,8 +130,14 @@
                     .reply_lost = partitioned || late || no_reply,
                     .reply.hold.outcome = PH_SCHED_OUTCOME_UNKNOWN};
     PhTime wait = a->tag == PH_SCHED_ACTION_HOLD ? a->as.hold.wait : 0;
-    f.reply_at = f.deliver_at + draw_delay(w, DELAY_MAX_MS);
     f.times_out_at = w->now + wait + REPLY_TIMEOUT_MS * PH_NS_PER_MS;
+    if (w->relays && a->tag == PH_SCHED_ACTION_START &&
+        PhRandom_Below(w->delays, 2) == 0) {
+        start_relay(w, &f);
+        partitioned = false;
+        f.reply_lost = late || no_reply;
+    }
+    f.reply_at = f.deliver_at + draw_delay(w, DELAY_MAX_MS);
     if (f.reply_lost && w->delays != NULL) {
         f.reply_at = f.times_out_at;
     }
--- a/tests/schedule/owners_sim.c
+++ b/tests/schedule/owners_sim.c
@@ -141,6 +141,12 @@
     w->start_cost = PH_NS_PER_S / starts_per_s;
 }
 
+void
+PhOwnersSim_RelayStarts(PhOwnersSim *w)
+{
+    w->relays = true;
+}
+
 void
 PhOwnersSim_SetInterval(PhOwnersSim *w, int64_t interval_ms)
 {
--- a/tests/schedule/owners_sim.h
+++ b/tests/schedule/owners_sim.h
@@ -70,6 +70,8 @@
  * other, and other orders in a tenth of the time.  Replies that come too late
  * are lost, while the orders are executed.  Needs delays. */
 void PhOwnersSim_LimitLinks(PhOwnersSim *sim, unsigned starts_per_s);
+/* Dispatchers send one start in two, up to 1.5 s later.  Needs delays. */
+void PhOwnersSim_RelayStarts(PhOwnersSim *sim);
 /* Jobs of short tasks are submitted at this interval, 1 s by default. */
 void PhOwnersSim_SetInterval(PhOwnersSim *sim, int64_t interval_ms);
 /* Workers that drain state that they may leave at any time, so that their
--- a/tests/schedule/owners_sim_private.h
+++ b/tests/schedule/owners_sim_private.h
@@ -48,6 +48,7 @@
     PhTime hold_until;   /* wait of a delivered hold; 0: none */
     PhTime times_out_at; /* the outcome is unknown without a reply by then */
     bool reply_lost;
+    bool relayed;   /* a dispatcher sends it */
     bool late;      /* its outcome has been given as unknown */
     PhTime late_by; /* a hold: its reply comes so long after the time-out */
     PhSimReply reply;
@@ -70,6 +71,7 @@
     PhTime link_free_at[PH_OWNERS_INSTANCES];
     unsigned takeovers;
     bool drains_announced;
+    bool relays; /* dispatchers send one start in two */
     PhSimConnection connections[PH_OWNERS_INSTANCES][PH_OWNERS_WORKERS];
     PhRandom *delays; /* NULL: no delays */
     GArray *orders;   /* PhSimOrder */
--- a/tests/schedule/platform_fixture.c
+++ b/tests/schedule/platform_fixture.c
@@ -85,6 +85,9 @@
                        "127.0.0.1:%u\n[scheduler]\nstore = 127.0.0.1:%u\n"
                        "ready = 127.0.0.1:0\nshare = %s\n",
                        i + 1, x->port, store_port, i == 0 ? "1" : "0.1");
+    if (fixture->dispatches) {
+        PhBuf_Append(&text, PhStr_LITERAL("dispatch_delay = 0s\n"));
+    }
     if (links) {
         PhBuf_AppendFormat(&text, "link = 127.0.0.1:%u\n",
                            port_reserve(fixture));
@@ -101,15 +104,29 @@
     PhBuf_Clear(&errors);
 }
 
+static void
+instances_open(PhPlatformFixture *fixture, bool links)
+{
+    uint16_t store_port = platform_open(fixture);
+    for (size_t i = 0; i < fixture->instance_count; i++) {
+        instance_open(fixture, i, store_port, links);
+    }
+}
+
 void
 PhPlatformFixture_Open(PhPlatformFixture *fixture, size_t instances,
                        bool links)
 {
     *fixture = (PhPlatformFixture){.instance_count = instances};
-    uint16_t store_port = platform_open(fixture);
-    for (size_t i = 0; i < instances; i++) {
-        instance_open(fixture, i, store_port, links);
-    }
+    instances_open(fixture, links);
+}
+
+void
+PhPlatformFixture_OpenDispatching(PhPlatformFixture *fixture, size_t instances)
+{
+    *fixture =
+        (PhPlatformFixture){.instance_count = instances, .dispatches = true};
+    instances_open(fixture, true);
 }
 
 void
--- a/tests/schedule/platform_fixture.h
+++ b/tests/schedule/platform_fixture.h
@@ -29,6 +29,7 @@
     PhCounters *counters; /* of the stand-ins */
     PhStandinStoreState *store;
     bool worker_ignores_starts;
+    bool dispatches; /* the owner has the other instances send its starts */
     PhKernel *platform;
     PhFixtureInstance instances[PH_FIXTURE_INSTANCES_MAX];
     size_t instance_count;
@@ -39,6 +40,9 @@
 /* `links`: whether the instances have links to each other. */
 void PhPlatformFixture_Open(PhPlatformFixture *fixture, size_t instances,
                             bool links);
+/* The same with links; the owner has the other instances send its starts. */
+void PhPlatformFixture_OpenDispatching(PhPlatformFixture *fixture,
+                                       size_t instances);
 void PhPlatformFixture_Close(PhPlatformFixture *fixture);
 /* Destroys an instance without a shutdown. */
 void PhPlatformFixture_Kill(PhPlatformFixture *fixture, size_t instance);
--- a/tests/schedule/test_order_window.c
+++ b/tests/schedule/test_order_window.c
@@ -10,7 +10,8 @@
 enum {
     TICK_MS = 5,
     ROUND_TRIP_MS = 10, /* of a start that does not queue */
-    SETTLE_MS = 10000,  /* until the limit is judged */
+    PRESSED_MS = 80,
+    SETTLE_MS = 10000, /* until the limit is judged */
     RUN_MS = 45000,
     DELAY_MAX_MS = 600, /* longest delay once the limit has settled */
     USED_MIN_PERCENT = 75,
@@ -23,18 +24,19 @@
     unsigned load;    /* percent of that, on demand */
     unsigned burst;   /* the same from 12 s to 18 s */
     unsigned lost;    /* percent of starts whose outcome stays unknown */
+    bool pressed;     /* others should send starts, at the end */
     bool overloaded;  /* at the end */
 } PhLoadCase;
 
 static const PhLoadCase load_cases[] = {
-    {"half of what is carried", 60, 50, 50, 0, false},
-    {"just below what is carried", 60, 90, 90, 0, false},
-    {"twice", 60, 200, 200, 0, true},
-    {"four times", 60, 400, 400, 0, true},
-    {"twice, of a slow queue", 12, 200, 200, 0, true},
-    {"twice, of a fast queue", 1500, 200, 200, 0, true},
-    {"a burst, then half again", 60, 50, 260, 0, false},
-    {"half, and one in ten unknown", 60, 50, 50, 10, false},
+    {"half of what is carried", 60, 50, 50, 0, false, false},
+    {"just below what is carried", 60, 90, 90, 0, false, false},
+    {"twice", 60, 200, 200, 0, true, true},
+    {"four times", 60, 400, 400, 0, true, true},
+    {"twice, of a slow queue", 12, 200, 200, 0, true, true},
+    {"twice, of a fast queue", 1500, 200, 200, 0, true, true},
+    {"a burst, then half again", 60, 50, 260, 0, true, false},
+    {"half, and one in ten unknown", 60, 50, 50, 10, false, false},
 };
 
 /* A start in the queue. */
@@ -68,7 +70,7 @@
            q->answered_ms <= ms) {
         g_queue_pop_head(&r->queue);
         PhTime delay = (ms - q->sent_ms) * PH_NS_PER_MS;
-        PhOrderWindow_OnAnswer(&r->window, delay, at(ms));
+        PhOrderWindow_OnAnswer(&r->window, delay, !q->lost, at(ms));
         if (ms > SETTLE_MS && !q->lost) {
             r->worst_ms = MAX(r->worst_ms, ms - q->sent_ms);
             r->answered++;
@@ -81,7 +83,7 @@
 starts_send(PhLoadRun *r, const PhLoadCase *c, int64_t ms)
 {
     while (r->waiting >= 1) {
-        if (PhOrderWindow_Room(&r->window, 0) == 0) {
+        if (!PhOrderWindow_MaySend(&r->window)) {
             PhOrderWindow_OnLimited(&r->window, at(ms));
             return;
         }
@@ -100,7 +102,7 @@
 load_run(const PhLoadCase *c)
 {
     PhLoadRun r = {0};
-    PhOrderWindow_Init(&r.window);
+    PhOrderWindow_Init(&r.window, PRESSED_MS * PH_NS_PER_MS);
     for (int64_t ms = 0; ms < RUN_MS; ms += TICK_MS) {
         bool burst = ms >= 12000 && ms < 18000;
         double load = (double)(burst ? c->burst : c->load) / PERCENT;
@@ -117,6 +119,8 @@
                 possible * USED_MIN_PERCENT * (PERCENT - c->lost) / PERCENT);
     assert_int_equal(PhOrderWindow_IsOverloaded(&r.window, at(RUN_MS)),
                      c->overloaded);
+    assert_int_equal(PhOrderWindow_IsPressed(&r.window, at(RUN_MS)),
+                     c->pressed);
     if (c->overloaded) {
         PhTime wait = PhOrderWindow_WaitFor(&r.window, c->carried, at(RUN_MS));
         assert_in_range(wait, PH_NS_PER_S / 2, 2 * PH_NS_PER_S);
--- a/tests/schedule/test_owner_link.c
+++ b/tests/schedule/test_owner_link.c
@@ -320,7 +320,41 @@
     PhLinkMessage message;
 } PhMessageCase;
 
+static PhLinkOrder order_rows[] = {
+    {.number = 1,
+     .worker = {"i-1", 3},
+     .address = {"10.0.0.1:80", 11},
+     .job = {"00000000000000a1", 16},
+     .round = 2,
+     .step = 1,
+     .index = 39,
+     .run = 3,
+     .deadline_ms = 486000,
+     .last_checkpoint = {"saved", 5},
+     .payload = {"specification", 13}},
+    {.number = 2, .worker = {"i-2", 3}, .job = {"00000000000000a1", 16}},
+};
+
+static PhLinkOutcome outcome_rows[] = {
+    {.number = 1,
+     .outcome = 3,
+     .clock_ms = 482113,
+     .connected = true,
+     .connection_age_ms = 1500},
+    {.number = 1ULL << 40, .outcome = 8},
+};
+
 static const PhMessageCase message_cases[] = {
+    {"orders",
+     {.tag = PH_LINK_ORDERS,
+      .as.orders =
+          {.fence = 7, .hello = 12, .rows = order_rows, .row_count = 2}}},
+    {"no order", {.tag = PH_LINK_ORDERS, .as.orders = {.fence = 7}}},
+    {"outcomes",
+     {.tag = PH_LINK_OUTCOMES,
+      .as.outcomes = {.rows = outcome_rows, .row_count = 2}}},
+    {"hello with its number",
+     {.tag = PH_LINK_HELLO, .as.hello = {.cpu_milli = 120, .number = 9}}},
     {"hello",
      {.tag = PH_LINK_HELLO, .as.hello = {.cpu_milli = 120, .fence = 7}}},
     {"hello of an instance that could take over",
--- a/tests/schedule/test_owners.c
+++ b/tests/schedule/test_owners.c
@@ -153,6 +153,7 @@
     unsigned kinds; /* bit mask of fault kinds */
     bool delays;    /* orders and replies are delayed */
     bool moves;     /* lasting tasks move off draining workers */
+    bool relays;    /* dispatchers send one start in two */
 } PhRandomCase;
 
 #define UNREACHABLE_KINDS                                                     \
@@ -215,6 +216,15 @@
      RESTART_KINDS, true},
 };
 
+static const PhRandomCase relay_cases[] = {
+    {"no faults", 1, 5, 0, true, false, true},
+    {"all kinds of faults but planned stops", 1, 20, UNPLANNED_KINDS, true,
+     false, true},
+    {"all kinds of faults", 1, 20, ALL_KINDS, true, false, true},
+    {"all kinds of faults, and tasks move off draining workers", 1, 20,
+     ALL_KINDS, true, true, true},
+};
+
 static void
 random_run(const PhRandomCase *c)
 {
@@ -227,7 +237,12 @@
         if (c->moves) {
             PhOwnersSim_AnnounceDrains(sim);
         }
-        PhOwnersSim_DrawFaults(sim, seed, RANDOM_FAULTS, c->kinds);
+        if (c->relays) {
+            PhOwnersSim_RelayStarts(sim);
+        }
+        if (c->kinds != 0) {
+            PhOwnersSim_DrawFaults(sim, seed, RANDOM_FAULTS, c->kinds);
+        }
         PhOwnersSim_Run(sim, RANDOM_FAULTS_MS + FAULT_FREE_MS);
         unsigned duplicates = PhOwnersSim_DuplicateStarts(sim);
         bool settled = PhOwnersSim_IsSettled(sim);
@@ -269,6 +284,15 @@
     Ph_RUN_TABLE(restart_cases, random_run);
 }
 
+/* Guards against starts that are executed late because a dispatcher sends
+ * them, and against a connection of theirs that counts as proven. */
+static void
+test_relays(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(relay_cases, random_run);
+}
+
 /* Guards against a start that is repeated to a worker's next incarnation
  * without a new record. */
 static void
@@ -348,6 +372,7 @@
                                        cmocka_unit_test(test_lost_replies),
                                        cmocka_unit_test(test_restarts),
                                        cmocka_unit_test(test_overload),
+                                       cmocka_unit_test(test_relays),
                                        cmocka_unit_test(test_repeated_starts)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/schedule/test_schedule_pair.c
+++ b/tests/schedule/test_schedule_pair.c
@@ -102,6 +102,68 @@
     Ph_RUN_TABLE(pair_cases, pair_run);
 }
 
+/* What becomes of the dispatcher before the second of two jobs, each of two
+ * tasks, and how many starts it was given. */
+typedef enum PhDispatcherFate {
+    FATE_NONE,
+    FATE_DIES,
+    FATE_STANDS_STILL, /* longer than a start may be under way */
+} PhDispatcherFate;
+
+typedef struct PhDispatchedCase {
+    const char *name;
+    PhDispatcherFate fate;
+    uint64_t relayed_min;
+    uint64_t relayed_max;
+} PhDispatchedCase;
+
+static const PhDispatchedCase dispatched_cases[] = {
+    {"the other instance sends the starts", FATE_NONE, 4, 4},
+    {"the dispatcher dies", FATE_DIES, 2, 4},
+    {"the dispatcher stands still", FATE_STANDS_STILL, 2, 4},
+};
+
+static void
+dispatched_run(const PhDispatchedCase *c)
+{
+    PhPlatformFixture fixture;
+    PhPlatformFixture_OpenDispatching(&fixture, PH_FIXTURE_INSTANCES_MAX);
+    assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "GET", ID_A, "",
+                                            410, ""));
+    for (int i = 0; i < SETTLE_STEPS; i++) {
+        PhPlatformFixture_Run(&fixture);
+    }
+    submit_and_wait(&fixture, ID_A, 1);
+    switch (c->fate) {
+    case FATE_NONE:
+        break;
+    case FATE_DIES:
+        PhPlatformFixture_Kill(&fixture, OTHER);
+        break;
+    case FATE_STANDS_STILL:
+        fixture.instances[OTHER].stands_still = true;
+        break;
+    }
+    assert_true(PhPlatformFixture_CallUntil(&fixture, OWNER, "POST", ID_B, JOB,
+                                            200, ""));
+    assert_true(PhPlatformFixture_CallUntil(&fixture, OWNER, "GET", ID_B, "",
+                                            200, "completed"));
+    const PhCounters *owner = fixture.instances[OWNER].counters;
+    assert_int_equal(PhCounters_Get(owner, PH_COUNTER_SCHEDULE_ACCEPTED), 2);
+    assert_in_range(PhCounters_Get(owner, PH_COUNTER_SCHEDULE_RELAYED),
+                    c->relayed_min, c->relayed_max);
+    PhPlatformFixture_Close(&fixture);
+}
+
+/* Guards against starts that are lost with the instance that was to send
+ * them. */
+static void
+test_dispatched(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(dispatched_cases, dispatched_run);
+}
+
 /* A call on a queue or an unfinished job, and the answer of an instance that
  * is not the owner. */
 typedef struct PhUnreadCase {
@@ -287,6 +349,7 @@
 main(void)
 {
     const struct CMUnitTest tests[] = {cmocka_unit_test(test_pairs),
+                                       cmocka_unit_test(test_dispatched),
                                        cmocka_unit_test(test_unread_runs),
                                        cmocka_unit_test(test_unread_cancels),
                                        cmocka_unit_test(test_standstill)};
