platform: an instance has a limited number of connections to a worker

Cause: a worker takes 64 connections. 16 dispatchers and two owners in a row kept idle ones open for 30 s and opened one for each start that was under way; a new one was reset at once, so that stops failed in 20 ms, for ever: 643 in 12 s. Tasks whose starts had no answer waited for those stops.

Idle connections are closed after 10 s.

Beside it: right after a takeover the rate of answers says little, and 87 s were expected for a backlog of 2 s; the queue's own estimate (Little's law) counts until then.

--- a/decide/schedule/order_window.c
+++ b/decide/schedule/order_window.c
@@ -22,8 +22,8 @@
 static const PhTime LIMITED_AGE = 1 * PH_NS_PER_S;
 /* Time constant of the rate of answers. */
 static const double RATE_SPAN_S = 1;
-/* The rate says little below this; assumed instead. */
-static const double RATE_MIN = 4;
+/* Highest rate that is assumed without answers. */
+static const double RATE_GUESS_MAX = 100;
 enum {
     /* Starts are recorded while those before them are under way. */
     QUEUE_FACTOR = 3,
@@ -148,6 +148,9 @@
     if (!PhOrderWindow_IsOverloaded(w, now)) {
         return 0;
     }
-    double rate = MAX(rate_at(w, now), RATE_MIN);
+    /* The rate lags after a takeover; by Little's law the queue has another
+     * estimate. */
+    double queue_rate = w->limit / seconds(MAX(w->delay, PH_NS_PER_MS));
+    double rate = MAX(rate_at(w, now), MIN(queue_rate, RATE_GUESS_MAX));
     return (PhTime)(tasks / rate * (double)PH_NS_PER_S);
 }
--- a/include/peridothill/services/http.h
+++ b/include/peridothill/services/http.h
@@ -29,8 +29,8 @@
     bool fresh_connection; /* do not reuse a connection */
     PhTime connected_by;   /* reuse one that was established by then, and send
                               nothing if there is none; 0: any connection */
-    uint32_t connections;  /* limit of connections per address; 0 keeps the
-                              current limit */
+    uint32_t connections;  /* limit of connections per address, beyond which
+                              the request waits; 0 keeps the current limit */
 } PhHttpRequest;
 
 /* What is known about a finished request. */
--- a/services/platform/http_minimal.c
+++ b/services/platform/http_minimal.c
@@ -21,7 +21,7 @@
     /* A connection with unacknowledged bytes is closed after this long. */
     USER_TIMEOUT_MS = 5000,
     /* Idle connections are closed after this long. */
-    MAX_IDLE_S = 30,
+    MAX_IDLE_S = 10,
     SWEEP_INTERVAL_S = 5,
     SWEEP_TOKEN = 0, /* request numbers start at 1 */
 };
@@ -32,15 +32,39 @@
 /* The connections to one address. */
 typedef struct PhTarget {
     PhStr address;
-    GQueue idle; /* idle PhHttpConnection */
+    GQueue idle;     /* idle PhHttpConnection */
+    GQueue waiting;  /* PhWaitingRequest, until a connection is free */
+    uint32_t active; /* connections in use */
 } PhTarget;
 
+/* A request that is ready to be sent. */
+typedef struct PhReadyRequest {
+    uint64_t number;
+    uint64_t id;
+    PhTaskRef sender;
+    PhTime started;
+    PhTime deadline;
+    PhTime stall_limit;
+    PhTime late_for;
+    size_t answer_limit;
+    PhBuf out;
+} PhReadyRequest;
+
+/* A request that waits since its target has as many connections as it may. */
+typedef struct PhWaitingRequest {
+    PhReadyRequest ready;
+    PhTarget *target;
+    uint32_t connections; /* limit */
+} PhWaitingRequest;
+
 typedef struct PhHttpMinimal {
     PhTask *self;
     uint64_t next_number;
     GHashTable *active;  /* PhHttpConnection in use, by number */
+    GHashTable *waiting; /* PhWaitingRequest by number */
     GHashTable *by_fd;   /* owns every PhHttpConnection */
     GHashTable *targets; /* PhTarget by address */
+    GQueue resumed;      /* PhTarget with a free connection */
     char *buffer;        /* receive buffer */
 } PhHttpMinimal;
 
@@ -76,9 +100,18 @@
     PhTarget *target = value;
     PhStr_Clear(&target->address);
     g_queue_clear(&target->idle);
+    g_queue_clear(&target->waiting);
     g_free(target);
 }
 
+static void
+waiting_destroy(gpointer value)
+{
+    PhWaitingRequest *w = value;
+    PhBuf_Clear(&w->ready.out);
+    g_free(w);
+}
+
 static PhTarget *
 target_find(PhHttpMinimal *http, PhStr address)
 {
@@ -129,10 +162,22 @@
     }
     PhTask_CancelTimer(http->self, c->number);
     g_hash_table_remove(http->active, &c->number);
+    c->target->active--;
     c->number = 0;
     reply_send(http, c->sender, &reply);
 }
 
+/* Has the waiting requests of a target sent after the current mail, since
+ * their connections may fail at once. */
+static void
+target_schedule(PhHttpMinimal *http, PhTarget *target)
+{
+    if (target->waiting.length > 0 &&
+        g_queue_find(&http->resumed, target) == NULL) {
+        g_queue_push_tail(&http->resumed, target);
+    }
+}
+
 /* Replies that the outcome is unknown so far, and goes on waiting. */
 static void
 connection_wait_on(PhHttpConnection *c)
@@ -157,6 +202,7 @@
 connection_fail(PhHttpConnection *c, PhHttpFailure failure)
 {
     PhHttpMinimal *http = c->http;
+    PhTarget *target = c->target;
     if (c->number != 0) {
         connection_finish(c, c->sent > 0 ? PH_HTTP_UNKNOWN : PH_HTTP_NOT_SENT,
                           failure);
@@ -165,6 +211,7 @@
         g_queue_remove(&c->target->idle, c);
     }
     g_hash_table_remove(http->by_fd, GINT_TO_POINTER(c->fd));
+    target_schedule(http, target);
 }
 
 /* After one connection timed out, idle ones to the same address are closed, so
@@ -231,6 +278,7 @@
 static void
 connection_release(PhHttpConnection *c)
 {
+    target_schedule(c->http, c->target);
     if (!http_should_keep_alive(&c->parser)) {
         g_hash_table_remove(c->http->by_fd, GINT_TO_POINTER(c->fd));
         return;
@@ -335,30 +383,29 @@
 
 /* A header "Host" of the request goes before its address. */
 static void
-request_format(PhHttpConnection *c, const PhHttpRequest *r)
+request_format(PhBuf *out, const PhHttpRequest *r)
 {
     PhStr host =
         PhHttpHeader_Find(r->headers, r->header_count, PhStr_LITERAL("Host"));
-    PhBuf_Reset(&c->out);
-    PhBuf_Append(&c->out, r->method);
-    PhBuf_AppendByte(&c->out, ' ');
-    PhBuf_Append(&c->out, r->target);
-    PhBuf_Append(&c->out, PhStr_LITERAL(" HTTP/1.1\r\nHost: "));
-    PhBuf_Append(&c->out, host.len > 0 ? host : r->address);
+    PhBuf_Append(out, r->method);
+    PhBuf_AppendByte(out, ' ');
+    PhBuf_Append(out, r->target);
+    PhBuf_Append(out, PhStr_LITERAL(" HTTP/1.1\r\nHost: "));
+    PhBuf_Append(out, host.len > 0 ? host : r->address);
     for (size_t i = 0; i < r->header_count; i++) {
         if (PhStr_EqualNoCase(r->headers[i].name, PhStr_LITERAL("Host"))) {
             continue;
         }
-        PhBuf_Append(&c->out, PhStr_LITERAL("\r\n"));
-        PhBuf_Append(&c->out, r->headers[i].name);
-        PhBuf_Append(&c->out, PhStr_LITERAL(": "));
-        PhBuf_Append(&c->out, r->headers[i].value);
+        PhBuf_Append(out, PhStr_LITERAL("\r\n"));
+        PhBuf_Append(out, r->headers[i].name);
+        PhBuf_Append(out, PhStr_LITERAL(": "));
+        PhBuf_Append(out, r->headers[i].value);
     }
     if (r->body.len > 0 || PhStr_Equal(r->method, PhStr_LITERAL("POST"))) {
-        PhBuf_AppendFormat(&c->out, "\r\nContent-Length: %zu", r->body.len);
+        PhBuf_AppendFormat(out, "\r\nContent-Length: %zu", r->body.len);
     }
-    PhBuf_Append(&c->out, PhStr_LITERAL("\r\n\r\n"));
-    PhBuf_Append(&c->out, r->body);
+    PhBuf_Append(out, PhStr_LITERAL("\r\n\r\n"));
+    PhBuf_Append(out, r->body);
 }
 
 /* Takes an idle connection that the request may reuse.  The one used last is
@@ -388,6 +435,83 @@
     reply_send(http, sender, &reply);
 }
 
+/* Sends a request on a connection that is free, and takes over its bytes. */
+static void
+request_begin(PhHttpConnection *c, PhReadyRequest *ready, bool reused)
+{
+    PhHttpMinimal *http = c->http;
+    c->number = ready->number;
+    c->id = ready->id;
+    c->sender = ready->sender;
+    c->started = ready->started;
+    c->answer_limit = ready->answer_limit;
+    c->stall_limit = ready->stall_limit;
+    c->received_at = 0;
+    c->late_for = ready->late_for;
+    c->late = false;
+    c->reused = reused;
+    c->complete = false;
+    c->sent = 0;
+    PhBuf_Reset(&c->in);
+    PhBuf_Clear(&c->out);
+    c->out = ready->out;
+    ready->out = (PhBuf){0};
+    http_parser_init(&c->parser, HTTP_RESPONSE);
+    c->parser.data = c;
+    c->target->active++;
+    g_hash_table_insert(http->active, &c->number, c);
+    PhTask_SetTimer(http->self, c->number, ready->deadline);
+    if (!connection_write(c)) {
+        connection_fail(c, PH_HTTP_FAILURE_RESET);
+    }
+}
+
+/* Sends the waiting requests for which a connection is free. */
+static void
+target_resume(PhHttpMinimal *http, PhTarget *target)
+{
+    PhWaitingRequest *w;
+    while ((w = g_queue_peek_head(&target->waiting)) != NULL &&
+           target->active < w->connections) {
+        PhHttpConnection *c = g_queue_pop_tail(&target->idle);
+        bool reused = c != NULL;
+        g_queue_pop_head(&target->waiting);
+        c = reused ? c : connection_open(http, target);
+        if (c == NULL) {
+            PhTask_CancelTimer(http->self, w->ready.number);
+            request_refuse(http, w->ready.sender, w->ready.id,
+                           PH_HTTP_FAILURE_CONNECT);
+        }
+        else {
+            request_begin(c, &w->ready, reused);
+        }
+        g_hash_table_remove(http->waiting, &w->ready.number);
+    }
+}
+
+/* Sends the waiting requests of the targets that have a free connection. */
+static void
+targets_resume(PhHttpMinimal *http)
+{
+    PhTarget *target;
+    while ((target = g_queue_pop_head(&http->resumed)) != NULL) {
+        target_resume(http, target);
+    }
+}
+
+static void
+request_wait(PhHttpMinimal *http, PhTarget *target, PhReadyRequest *ready,
+             uint32_t connections)
+{
+    PhWaitingRequest *w = g_new0(PhWaitingRequest, 1);
+    w->ready = *ready;
+    w->target = target;
+    w->connections = connections;
+    g_hash_table_insert(http->waiting, &w->ready.number, w);
+    g_queue_push_tail(&target->waiting, w);
+    PhTask_SetTimer(http->self, w->ready.number, w->ready.deadline);
+}
+
 static void
 request_start(PhHttpMinimal *http, PhTaskRef sender, const PhHttpRequest *r)
 {
@@ -398,34 +522,26 @@
         request_refuse(http, sender, r->id, PH_HTTP_FAILURE_NO_CONNECTION);
         return;
     }
-    if (c == NULL) {
-        c = connection_open(http, target);
+    PhReadyRequest ready = {.number = ++http->next_number,
+                            .id = r->id,
+                            .sender = sender,
+                            .started = PhTask_Now(http->self),
+                            .deadline = r->deadline,
+                            .stall_limit = r->stall_limit,
+                            .late_for = r->late_for,
+                            .answer_limit = r->answer_limit_bytes};
+    request_format(&ready.out, r);
+    if (!reused && r->connections > 0 && target->active >= r->connections) {
+        request_wait(http, target, &ready, r->connections);
+        return;
     }
+    c = reused ? c : connection_open(http, target);
     if (c == NULL) {
+        PhBuf_Clear(&ready.out);
         request_refuse(http, sender, r->id, PH_HTTP_FAILURE_CONNECT);
         return;
     }
-    c->number = ++http->next_number;
-    c->id = r->id;
-    c->sender = sender;
-    c->started = PhTask_Now(http->self);
-    c->answer_limit = r->answer_limit_bytes;
-    c->stall_limit = r->stall_limit;
-    c->received_at = 0;
-    c->late_for = r->late_for;
-    c->late = false;
-    c->reused = reused;
-    c->complete = false;
-    c->sent = 0;
-    PhBuf_Reset(&c->in);
-    http_parser_init(&c->parser, HTTP_RESPONSE);
-    c->parser.data = c;
-    request_format(c, r);
-    g_hash_table_insert(http->active, &c->number, c);
-    PhTask_SetTimer(http->self, c->number, r->deadline);
-    if (!connection_write(c)) {
-        connection_fail(c, PH_HTTP_FAILURE_RESET);
-    }
+    request_begin(c, &ready, reused);
 }
 
 /* Ids are chosen by the senders, so they are unique only per sender. */
@@ -463,6 +579,16 @@
     }
 }
 
+/* No connection was free by the deadline: nothing was sent. */
+static void
+waiting_expire(PhHttpMinimal *http, PhWaitingRequest *w)
+{
+    g_queue_remove(&w->target->waiting, w);
+    request_refuse(http, w->ready.sender, w->ready.id,
+                   PH_HTTP_FAILURE_DEADLINE);
+    g_hash_table_remove(http->waiting, &w->ready.number);
+}
+
 /* A long response on a narrow link takes its time.  Returns false if it has
  * not begun, or has stalled. */
 static bool
@@ -482,6 +608,11 @@
 static void
 on_deadline(PhHttpMinimal *http, uint64_t number)
 {
+    PhWaitingRequest *w = g_hash_table_lookup(http->waiting, &number);
+    if (w != NULL) {
+        waiting_expire(http, w);
+        return;
+    }
     PhHttpConnection *c = g_hash_table_lookup(http->active, &number);
     if (c != NULL && c->sent > 0) {
         connection_read(c);
@@ -550,12 +681,15 @@
         PhTask_End(self);
         break;
     }
+    targets_resume(http);
 }
 
 static void
 http_destroy(void *state)
 {
     PhHttpMinimal *http = state;
+    g_queue_clear(&http->resumed);
+    g_hash_table_destroy(http->waiting);
     g_hash_table_destroy(http->active);
     g_hash_table_destroy(http->by_fd);
     g_hash_table_destroy(http->targets);
@@ -569,6 +703,8 @@
     PhHttpMinimal *http = g_new0(PhHttpMinimal, 1);
     http->buffer = g_malloc(READ_BYTES);
     http->active = g_hash_table_new(g_int64_hash, g_int64_equal);
+    http->waiting = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+                                          waiting_destroy);
     http->by_fd = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
                                         connection_destroy);
     http->targets = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual, NULL,
--- a/tests/platform/test_http_connections.c
+++ b/tests/platform/test_http_connections.c
@@ -21,23 +21,31 @@
 typedef struct PhConnectionCase {
     const char *name;
     PhAge age;
-    bool busy; /* the first request is not answered yet */
+    bool busy;      /* the first request is not answered yet */
+    uint32_t limit; /* of connections, 0 for none */
+    bool freed;     /* the first request is answered then */
     PhHttpOutcome outcome;
     PhHttpFailure failure;
     bool reused;
 } PhConnectionCase;
 
 static const PhConnectionCase connection_cases[] = {
-    {"any, one is idle", AGE_ANY, false, PH_HTTP_ANSWERED,
+    {"any, one is idle", AGE_ANY, false, 0, false, PH_HTTP_ANSWERED,
      PH_HTTP_FAILURE_NONE, true},
-    {"any, none is idle", AGE_ANY, true, PH_HTTP_ANSWERED,
+    {"any, none is idle", AGE_ANY, true, 0, false, PH_HTTP_ANSWERED,
      PH_HTTP_FAILURE_NONE, false},
-    {"as old, and idle", AGE_OF_FIRST, false, PH_HTTP_ANSWERED,
+    {"as old, and idle", AGE_OF_FIRST, false, 0, false, PH_HTTP_ANSWERED,
      PH_HTTP_FAILURE_NONE, true},
-    {"as old, and in use", AGE_OF_FIRST, true, PH_HTTP_NOT_SENT,
+    {"as old, and in use", AGE_OF_FIRST, true, 0, false, PH_HTTP_NOT_SENT,
      PH_HTTP_FAILURE_NO_CONNECTION, false},
-    {"older", AGE_OLDER, false, PH_HTTP_NOT_SENT,
+    {"older", AGE_OLDER, false, 0, false, PH_HTTP_NOT_SENT,
      PH_HTTP_FAILURE_NO_CONNECTION, false},
+    {"any, with one connection more", AGE_ANY, true, 2, false,
+     PH_HTTP_ANSWERED, PH_HTTP_FAILURE_NONE, false},
+    {"any, with no connection more, and one gets free", AGE_ANY, true, 1, true,
+     PH_HTTP_ANSWERED, PH_HTTP_FAILURE_NONE, true},
+    {"any, with no connection more, and none gets free", AGE_ANY, true, 1,
+     false, PH_HTTP_NOT_SENT, PH_HTTP_FAILURE_DEADLINE, false},
 };
 
 /* A task that runs a server and sends two requests to it. */
@@ -60,9 +68,11 @@
                     .method = PhStr_Dup(PhStr_LITERAL("GET")),
                     .address = PhBuf_Take(&address),
                     .target = PhStr_Dup(PhStr_LITERAL("/")),
-                    .deadline = PhTask_Now(a->self) + 20 * PH_NS_PER_S,
+                    .deadline = PhTask_Now(a->self) +
+                                (id == FIRST ? 20 : 10) * PH_NS_PER_S,
                     .first_byte = PH_TIME_NEVER,
                     .answer_limit_bytes = 100,
+                    .connections = a->c->limit,
                     .connected_by = connected_by}};
     PhTask_SendTo(a->self, PH_SERVICE_HTTP, PhHttpMessage_Wrap(&m));
 }
@@ -88,7 +98,9 @@
     if (a->c->busy && a->held == 0) {
         a->held = incoming->id;
         request_send(a, SECOND, connected_by(a, PhTask_Now(a->self)));
-        return;
+        if (!a->c->freed) {
+            return;
+        }
     }
     PhListener_Answer(a->listener, incoming->id, 200, NULL, 0, (PhStr){0});
 }
