schedule: weak instances read the store one after the other

Cause: when the owner was cut off with its data centre, all 147 instances had no owner after 3.5 s and read both topics at once, some 10 MB each from a store that reads 80 MB a second for all.

Change: instances below 0.1 of a core start to read up to 20 s later, by a hash of their name; standbys and the instance that claims read at once.

--- a/decide/schedule/dispatchers.c
+++ b/decide/schedule/dispatchers.c
@@ -270,14 +270,17 @@
     }
 }
 
-void
+bool
 PhDispatchers_OnTimeout(PhDispatchers *d, PhStr instance, PhTime now)
 {
     PhDispatcher *x = g_hash_table_lookup(d->all, &instance);
-    if (x != NULL) {
-        x->outstanding -= x->outstanding > 0;
-        x->shunned_until = now + SHUNNED_TIME;
+    if (x == NULL) {
+        return false;
     }
+    bool first = now >= x->shunned_until;
+    x->outstanding -= x->outstanding > 0;
+    x->shunned_until = now + SHUNNED_TIME;
+    return first;
 }
 
 void
--- a/decide/schedule/owner_link.c
+++ b/decide/schedule/owner_link.c
@@ -13,10 +13,13 @@
 static const PhTime STANDBY_TIME = 15 * PH_NS_PER_S;
 
 void
-PhOwnerLink_Init(PhOwnerLink *link, bool enabled, PhTime now)
+PhOwnerLink_Init(PhOwnerLink *link, bool enabled, PhTime read_delay,
+                 PhTime now)
 {
-    *link =
-        (PhOwnerLink){.enabled = enabled, .since = now, .next_hello_at = now};
+    *link = (PhOwnerLink){.enabled = enabled,
+                          .read_delay = read_delay,
+                          .since = now,
+                          .next_hello_at = now};
 }
 
 void
@@ -63,7 +66,8 @@
 static PhTime
 read_store_time(const PhOwnerLink *link)
 {
-    return MAX(link->answered_at, link->since) + READ_STORE_AFTER;
+    return MAX(link->answered_at, link->since) + READ_STORE_AFTER +
+           link->read_delay;
 }
 
 bool
--- a/include/peridothill/decide/schedule/dispatchers.h
+++ b/include/peridothill/decide/schedule/dispatchers.h
@@ -42,8 +42,9 @@
                              PhStr instance);
 /* A start has an outcome. */
 void PhDispatchers_OnOutcome(PhDispatchers *dispatchers, PhStr instance);
-/* It has none in time: the instance gets no starts for a while. */
-void PhDispatchers_OnTimeout(PhDispatchers *dispatchers, PhStr instance,
+/* It has none in time: the instance gets no starts for a while.  Returns
+ * whether it got some until now. */
+bool PhDispatchers_OnTimeout(PhDispatchers *dispatchers, PhStr instance,
                              PhTime now);
 /* The dispatcher did not have the specification. */
 void PhDispatchers_ForgetJob(PhDispatchers *dispatchers, PhStr job);
--- a/include/peridothill/decide/schedule/owner_link.h
+++ b/include/peridothill/decide/schedule/owner_link.h
@@ -20,12 +20,16 @@
     PhStr address;        /* of the owner's link, owned; empty: unknown */
     PhTime since;         /* start of this view, or loss of the last owner */
     PhTime answered_at;   /* last answer of the owner, 0 for none */
+    PhTime read_delay;    /* this instance reads the store so much later */
     PhTime standby_until; /* this instance is a standby until then */
     PhTime next_hello_at;
 } PhOwnerLink;
 
-/* Without `enabled`, no hello is sent and this instance reads the store. */
-void PhOwnerLink_Init(PhOwnerLink *link, bool enabled, PhTime now);
+/* Without `enabled`, no hello is sent and this instance reads the store.
+ * Without an owner, instances start to do so one after the other by their
+ * `read_delay`: all at once, none of them would come to the end. */
+void PhOwnerLink_Init(PhOwnerLink *link, bool enabled, PhTime read_delay,
+                      PhTime now);
 void PhOwnerLink_Clear(PhOwnerLink *link);
 /* An empty address stands for no owner. */
 void PhOwnerLink_SetOwner(PhOwnerLink *link, PhStr address, PhTime now);
--- a/services/schedule/schedule_dispatch.c
+++ b/services/schedule/schedule_dispatch.c
@@ -278,10 +278,11 @@
         if (now - r->sent_at < RELAY_TIMEOUT) {
             return;
         }
-        PhDispatchers_OnTimeout(d->dispatchers, r->instance, now);
-        PhTask_LOG(t->self, PH_EVENT_SCHEDULE_DISPATCHER_SILENT,
-                   PhField_STR("instance", r->instance),
-                   PhField_STR("job", r->order.action.as.run.task.job));
+        if (PhDispatchers_OnTimeout(d->dispatchers, r->instance, now)) {
+            PhTask_LOG(t->self, PH_EVENT_SCHEDULE_DISPATCHER_SILENT,
+                       PhField_STR("instance", r->instance),
+                       PhField_STR("job", r->order.action.as.run.task.job));
+        }
         relayed_finish(t, r,
                        &(PhOrderReply){.outcome = PH_SCHED_OUTCOME_UNKNOWN,
                                        .connected_at = now});
--- a/services/schedule/schedule_task.c
+++ b/services/schedule/schedule_task.c
@@ -11,6 +11,8 @@
 static const PhTime CLAIM_DELAY = 400 * PH_NS_PER_MS;
 static const double CLAIM_CPU_SHARE = 0.1;
 static const PhTime CLAIM_JITTER = 100 * PH_NS_PER_MS;
+/* Instances below CLAIM_CPU_SHARE read the store within this time. */
+static const PhTime READ_DELAY_MAX = 20 * PH_NS_PER_S;
 
 void
 PhScheduleTask_Call(PhScheduleTask *t, PhStoreCall call, PhStoreMessage *m)
@@ -192,6 +194,16 @@
     }
 }
 
+/* Instances with little CPU are many, and not the first to take over. */
+static PhTime
+read_delay(const PhScheduleOptions *options)
+{
+    uint64_t hash = PhStr_Hash(options->instance, 0);
+    return options->cpu_share >= CLAIM_CPU_SHARE
+               ? 0
+               : (PhTime)(hash % (uint64_t)READ_DELAY_MAX);
+}
+
 static void
 schedule_handle(void *state, PhTask *self, const PhMail *mail)
 {
@@ -200,7 +212,8 @@
     switch (mail->kind) {
     case PH_MAIL_START:
         t->started_at = PhTask_Now(self);
-        PhOwnerLink_Init(&t->link, t->options.link.len > 0, t->started_at);
+        PhOwnerLink_Init(&t->link, t->options.link.len > 0,
+                         read_delay(&t->options), t->started_at);
         PhScheduleOwner_PublishRole(t);
         PhScheduleTask_RequestUpdate(t);
         break;
--- a/tests/schedule/test_owner_link.c
+++ b/tests/schedule/test_owner_link.c
@@ -25,6 +25,7 @@
     const char *name;
     bool enabled;
     PhLinkStep steps[STEPS_MAX];
+    int64_t read_delay_ms;
 } PhLinkCase;
 
 static const PhLinkCase link_cases[] = {
@@ -52,6 +53,17 @@
      {{100, 'o', true, false, false},
       {3499, '.', true, false, false},
       {3500, '.', false, false, true}}},
+    {"one of many instances follows later",
+     true,
+     {{100, 'o', true, false, false},
+      {3500, '.', true, false, false},
+      {10499, '.', true, false, false},
+      {10500, '.', false, false, true}},
+     7000},
+    {"one of many instances follows at once as a standby",
+     true,
+     {{100, 'o', true, false, false}, {110, 's', false, true, true}},
+     7000},
     {"a standby follows at once",
      true,
      {{100, 'o', true, false, false},
@@ -83,7 +95,7 @@
 link_run(const PhLinkCase *c)
 {
     PhOwnerLink x;
-    PhOwnerLink_Init(&x, c->enabled, 0);
+    PhOwnerLink_Init(&x, c->enabled, c->read_delay_ms * PH_NS_PER_MS, 0);
     for (size_t i = 0; i < STEPS_MAX; i++) {
         const PhLinkStep *s = &c->steps[i];
         PhTime now = s->at_ms * PH_NS_PER_MS;
