schedule: one kind of batch for dispatched rows; tests: one fixture for http

Starts for a dispatcher and outcomes for an owner were collected by two copies of the same code, and three tests set up the same kernel.

--- a/services/schedule/schedule_dispatch.c
+++ b/services/schedule/schedule_dispatch.c
@@ -28,13 +28,15 @@
     PhOrder order; /* owned */
 } PhRelayedStart;
 
-/* Starts for one dispatcher that are not sent yet; as owner. */
-typedef struct PhStartBatch {
+/* Rows for one instance that are not sent yet: starts for a dispatcher, or
+ * outcomes for an owner. */
+typedef struct PhRowBatch {
     PhStr instance;
-    uint64_t hello;
-    GArray *rows; /* PhLinkOrder, strings borrowed from PhRelayedStart */
-    size_t bytes;
-} PhStartBatch;
+    GArray *rows; /* PhLinkOrder with strings borrowed from PhRelayedStart, or
+                     PhLinkOutcome */
+    uint64_t hello; /* starts: newest hello of the dispatcher */
+    size_t bytes;   /* starts */
+} PhRowBatch;
 
 /* A start that this instance sends for an owner. */
 typedef struct PhDispatchedStart {
@@ -43,25 +45,19 @@
     PhStr instance;
 } PhDispatchedStart;
 
-/* Outcomes for one owner that are not sent yet. */
-typedef struct PhOutcomeBatch {
-    PhStr instance;
-    GArray *rows; /* PhLinkOutcome */
-} PhOutcomeBatch;
-
 struct PhScheduleDispatch {
     /* As owner. */
     PhDispatchers *dispatchers;
     uint64_t last_number;
     uint64_t oldest;     /* no relayed start has a lower number */
     GHashTable *relayed; /* PhRelayedStart by number */
-    GHashTable *batches; /* PhStartBatch by instance */
+    GHashTable *batches; /* PhRowBatch of starts, by instance */
     /* As dispatcher. */
     uint64_t hello;
     PhTime hello_sent_at[HELLOS];
     uint64_t last_relay;
     GHashTable *dispatched;   /* PhDispatchedStart by relay number */
-    GHashTable *outcomes;     /* PhOutcomeBatch by instance */
+    GHashTable *outcomes;     /* PhRowBatch of outcomes, by instance */
     GHashTable *payloads;     /* PhStr by job */
     GHashTable *old_payloads; /* the generation before */
 };
@@ -76,9 +72,9 @@
 }
 
 static void
-start_batch_destroy(gpointer value)
+batch_destroy(gpointer value)
 {
-    PhStartBatch *b = value;
+    PhRowBatch *b = value;
     PhStr_Clear(&b->instance);
     g_array_free(b->rows, TRUE);
     g_free(b);
@@ -92,15 +88,6 @@
     g_free(s);
 }
 
-static void
-outcome_batch_destroy(gpointer value)
-{
-    PhOutcomeBatch *b = value;
-    PhStr_Clear(&b->instance);
-    g_array_free(b->rows, TRUE);
-    g_free(b);
-}
-
 static GHashTable *
 payloads_create(void)
 {
@@ -117,11 +104,11 @@
     d->relayed = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
                                        relayed_destroy);
     d->batches = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual, NULL,
-                                       start_batch_destroy);
+                                       batch_destroy);
     d->dispatched = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
                                           dispatched_destroy);
     d->outcomes = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual, NULL,
-                                        outcome_batch_destroy);
+                                        batch_destroy);
     d->payloads = payloads_create();
     d->old_payloads = payloads_create();
     return d;
@@ -144,7 +131,7 @@
 }
 
 static void
-batch_send(PhScheduleTask *t, PhStartBatch *b)
+batch_send(PhScheduleTask *t, PhRowBatch *b)
 {
     PhLinkMessage m = {
         .tag = PH_LINK_ORDERS,
@@ -159,15 +146,15 @@
     b->bytes = 0;
 }
 
-static PhStartBatch *
-batch_find(PhScheduleDispatch *d, PhStr instance)
+static PhRowBatch *
+batch_find(GHashTable *batches, PhStr instance, guint row_bytes)
 {
-    PhStartBatch *b = g_hash_table_lookup(d->batches, &instance);
+    PhRowBatch *b = g_hash_table_lookup(batches, &instance);
     if (b == NULL) {
-        b = g_new0(PhStartBatch, 1);
+        b = g_new0(PhRowBatch, 1);
         b->instance = PhStr_Dup(instance);
-        b->rows = g_array_new(FALSE, TRUE, sizeof(PhLinkOrder));
-        g_hash_table_insert(d->batches, &b->instance, b);
+        b->rows = g_array_new(FALSE, TRUE, row_bytes);
+        g_hash_table_insert(batches, &b->instance, b);
     }
     return b;
 }
@@ -210,7 +197,7 @@
     r->sent_at = now;
     r->order = (PhOrder){.fence = t->fence, .action = PhOrder_CopyAction(a)};
     g_hash_table_insert(d->relayed, &r->number, r);
-    PhStartBatch *b = batch_find(d, to.instance);
+    PhRowBatch *b = batch_find(d->batches, to.instance, sizeof(PhLinkOrder));
     PhLinkOrder row = order_row(r, to.has_payload);
     size_t bytes = ROW_BYTES + row.payload.len;
     if (b->bytes + bytes > BATCH_BYTES_MAX) {
@@ -398,14 +385,8 @@
 static void
 outcome_add(PhScheduleTask *t, PhStr instance, const PhLinkOutcome *outcome)
 {
-    GHashTable *all = t->dispatch->outcomes;
-    PhOutcomeBatch *b = g_hash_table_lookup(all, &instance);
-    if (b == NULL) {
-        b = g_new0(PhOutcomeBatch, 1);
-        b->instance = PhStr_Dup(instance);
-        b->rows = g_array_new(FALSE, FALSE, sizeof(PhLinkOutcome));
-        g_hash_table_insert(all, &b->instance, b);
-    }
+    PhRowBatch *b =
+        batch_find(t->dispatch->outcomes, instance, sizeof(PhLinkOutcome));
     if (b->rows->len == 0) {
         PhTask_SetTimer(t->self, TIMER_OUTCOMES,
                         PhTask_Now(t->self) + OUTCOMES_DELAY);
@@ -488,7 +469,7 @@
     gpointer value;
     g_hash_table_iter_init(&iter, t->dispatch->outcomes);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        PhOutcomeBatch *b = value;
+        PhRowBatch *b = value;
         PhLinkMessage m = {
             .tag = PH_LINK_OUTCOMES,
             .as.outcomes = {.rows = (PhLinkOutcome *)(gpointer)b->rows->data,
--- a/tests/platform/test_http_connections.c
+++ b/tests/platform/test_http_connections.c
@@ -1,14 +1,15 @@
 /* Requests that are sent only on a connection of a certain age. */
 #include "peridothill/services/http.h"
 
+#include "http_task.h"
 #include "peridothill/services/interface.h"
 #include "peridothill/services/listener.h"
-#include "tests/paused_loop.h"
 #include "tests/table.h"
 
 enum {
     FIRST = 1, /* ids of the requests */
     SECOND = 2,
+    UNTIL_MS = 30000, /* the second reply has come by then */
 };
 
 /* Which connection the second request asks for. */
@@ -156,26 +157,15 @@
 static void
 connection_run(const PhConnectionCase *c)
 {
-    struct ev_loop *loop = ev_loop_new(0);
-    PhClock *clock = PhPausedLoop_CreateClock();
-    PhCounters *counters = PhCounters_Create();
-    PhKernel *kernel = PhKernel_Create(&(PhKernelOptions){
-        .clock = clock, .loop = loop, .counters = counters});
+    PhClock *clock;
     PhAgeServer a = {.c = c};
-    assert_int_equal(PhHttpMinimal_Start(kernel), PH_STATUS_OK);
     PhTaskSpec spec = {.name = PhStr_LITERAL("server"),
                        .mailbox_capacity = 16,
                        .state = &a,
                        .handle = server_handle,
                        .destroy = server_destroy};
-    assert_int_equal(PhKernel_Spawn(kernel, &spec, NULL), PH_STATUS_OK);
-    while (!a.done) {
-        PhPausedLoop_Step(loop, clock);
-    }
-    PhKernel_Destroy(kernel);
-    PhCounters_Destroy(counters);
-    PhClock_Destroy(clock);
-    ev_loop_destroy(loop);
+    PhHttpTask_Run(&spec, &clock, &a.done, UNTIL_MS);
+    assert_true(a.done);
 }
 
 /* Guards against an order that reaches a later process on a connection that
--- a/tests/platform/test_late_answers.c
+++ b/tests/platform/test_late_answers.c
@@ -3,9 +3,9 @@
  * this process read it late. */
 #include "peridothill/services/http.h"
 
+#include "http_task.h"
 #include "peridothill/services/interface.h"
 #include "peridothill/services/listener.h"
-#include "tests/paused_loop.h"
 #include "tests/table.h"
 
 enum {
@@ -144,32 +144,20 @@
 static void
 answer_run(const PhAnswerCase *c)
 {
-    struct ev_loop *loop = ev_loop_new(0);
-    PhClock *clock = PhPausedLoop_CreateClock();
-    PhCounters *counters = PhCounters_Create();
-    PhKernel *kernel = PhKernel_Create(&(PhKernelOptions){
-        .clock = clock, .loop = loop, .counters = counters});
-    PhLateServer s = {.c = c, .clock = clock};
-    assert_int_equal(PhHttpMinimal_Start(kernel), PH_STATUS_OK);
+    bool done = false;
+    PhLateServer s = {.c = c};
     PhTaskSpec spec = {.name = PhStr_LITERAL("server"),
                        .mailbox_capacity = 16,
                        .state = &s,
                        .handle = server_handle,
                        .destroy = server_destroy};
-    assert_int_equal(PhKernel_Spawn(kernel, &spec, NULL), PH_STATUS_OK);
-    for (int i = 0; i * PH_PAUSED_STEP_MS < UNTIL_MS; i++) {
-        PhPausedLoop_Step(loop, clock);
-    }
+    PhHttpTask_Run(&spec, &s.clock, &done, UNTIL_MS);
     assert_int_equal(s.reply_count, c->reply_count);
     for (unsigned i = 0; i < c->reply_count; i++) {
         assert_int_equal(s.replies[i].outcome, c->replies[i].outcome);
         assert_int_equal(s.replies[i].late, c->replies[i].late);
         assert_int_equal(s.replies[i].more, c->replies[i].more);
     }
-    PhKernel_Destroy(kernel);
-    PhCounters_Destroy(counters);
-    PhClock_Destroy(clock);
-    ev_loop_destroy(loop);
 }
 
 static void
--- a/tests/platform/test_slow_answers.c
+++ b/tests/platform/test_slow_answers.c
@@ -9,8 +9,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "http_task.h"
 #include "peridothill/services/interface.h"
-#include "tests/paused_loop.h"
 #include "tests/table.h"
 
 enum {
@@ -150,27 +150,15 @@
 static void
 slow_run(const PhSlowCase *c)
 {
-    struct ev_loop *loop = ev_loop_new(0);
-    PhClock *clock = PhPausedLoop_CreateClock();
-    PhCounters *counters = PhCounters_Create();
-    PhKernel *kernel = PhKernel_Create(&(PhKernelOptions){
-        .clock = clock, .loop = loop, .counters = counters});
+    PhClock *clock;
     PhSlowServer s = {.c = c, .fd = -1};
-    assert_int_equal(PhHttpMinimal_Start(kernel), PH_STATUS_OK);
     PhTaskSpec spec = {.name = PhStr_LITERAL("server"),
                        .mailbox_capacity = 16,
                        .state = &s,
                        .handle = server_handle,
                        .destroy = server_destroy};
-    assert_int_equal(PhKernel_Spawn(kernel, &spec, NULL), PH_STATUS_OK);
-    for (int i = 0; i * PH_PAUSED_STEP_MS < UNTIL_MS; i++) {
-        PhPausedLoop_Step(loop, clock);
-    }
+    PhHttpTask_Run(&spec, &clock, &s.done, UNTIL_MS);
     assert_true(s.done);
-    PhKernel_Destroy(kernel);
-    PhCounters_Destroy(counters);
-    PhClock_Destroy(clock);
-    ev_loop_destroy(loop);
 }
 
 static void
