--- a/decide/schedule/order_window.c
+++ b/decide/schedule/order_window.c
@@ -136,7 +136,10 @@
         return;
     }
     w->delay += (PhTime)(DELAY_WEIGHT * (double)(delay - w->delay));
-    w->pressed_at = w->delay > w->pressed_delay ? now : w->pressed_at;
+    if (w->delay > w->pressed_delay && w->limited_at > 0 &&
+        now - w->limited_at <= LIMITED_AGE) {
+        w->pressed_at = now;
+    }
     limit_adapt(w, delay, now);
 }
 
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -70,6 +70,7 @@
     action->as.run.deadline_ms = PhScheduler_Grant(s, task->worker, now);
     action->as.run.payload = task->stage->job->spec.payload;
     action->as.run.last_checkpoint = task->last_checkpoint;
+    action->as.run.long_running = PhSchedTask_Step(task)->long_running;
 }
 
 /* Takes the next start that may be sent, and withdraws those that must not be
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -37,6 +37,7 @@
     int64_t deadline_ms; /* of the lease, on the worker's clock; starts only */
     PhStr payload;       /* borrowed; starts only */
     PhStr last_checkpoint; /* borrowed; starts only */
+    bool long_running;     /* starts only */
     int percent;           /* pace only */
 } PhSchedRunOrder;
 
--- a/services/schedule/schedule_dispatch.c
+++ b/services/schedule/schedule_dispatch.c
@@ -13,11 +13,13 @@
 static const PhTime RELAY_AGE_MAX = PH_RELAY_AGE_MS * PH_NS_PER_MS;
 /* Outcomes that come within this time share a message. */
 static const PhTime OUTCOMES_DELAY = 5 * PH_NS_PER_MS;
+static const PhTime LASTING_INTERVAL = 100 * PH_NS_PER_MS;
 enum {
     BATCH_BYTES_MAX = 40 * 1024, /* fits into a frame of the peer protocol */
     ROW_BYTES = 160,             /* of an order without its specification */
     HELLOS = 16,                 /* whose times are remembered */
     PAYLOADS_MAX = 256,          /* of each generation */
+    LASTING_STARTS_MAX = 4,      /* sent by the owner in LASTING_INTERVAL */
 };
 
 /* A start that a dispatcher was given; as owner. */
@@ -49,7 +51,9 @@
 struct PhScheduleDispatch {
     /* As owner. */
     PhDispatchers *dispatchers;
-    bool relays; /* dispatchers send the starts */
+    bool relays;            /* dispatchers send the starts */
+    PhTime lasting_since;   /* of `lasting_count` */
+    unsigned lasting_count; /* starts of tasks that are to last */
     uint64_t last_number;
     uint64_t oldest;     /* no relayed start has a lower number */
     GHashTable *relayed; /* PhRelayedStart by number */
@@ -188,12 +192,27 @@
     PhScheduler_SetRelays(t->scheduler, d->relays);
 }
 
+/* Reports whether the owner sends the start of a task that is to last, which
+ * it does with a few at a time.  A relayed start does not prove the
+ * incarnation of its worker: if that is lost soon after, the task waits far
+ * longer than for a lease. */
+static bool
+lasting_start_is_own(PhScheduleDispatch *d, PhTime now)
+{
+    if (now - d->lasting_since >= LASTING_INTERVAL) {
+        d->lasting_since = now;
+        d->lasting_count = 0;
+    }
+    return d->lasting_count++ < LASTING_STARTS_MAX;
+}
+
 bool
 PhScheduleDispatch_Send(PhScheduleTask *t, const PhSchedAction *a, PhTime now)
 {
     PhScheduleDispatch *d = t->dispatch;
     if (a->tag != PH_SCHED_ACTION_START || !d->relays ||
-        a->as.run.payload.len > BATCH_BYTES_MAX / 2) {
+        a->as.run.payload.len > BATCH_BYTES_MAX / 2 ||
+        (a->as.run.long_running && lasting_start_is_own(d, now))) {
         return false;
     }
     PhDispatch to =
--- a/tests/schedule/test_schedule_pair.c
+++ b/tests/schedule/test_schedule_pair.c
@@ -10,6 +10,9 @@
 #define ID_B "00000000000000b2"
 #define JOBS PhStr_LITERAL("keyed.jobs")
 #define RUNS PhStr_LITERAL("keyed.runs")
+#define LASTING_JOB                                                           \
+    "{\"spec\":\"x\",\"steps\":[{\"count\":2,\"cpu\":500,\"longRunning\":"    \
+    "true}]}"
 #define JOB "{\"spec\":\"x\",\"steps\":[{\"count\":2,\"cpu\":500}]}"
 
 enum {
@@ -112,15 +115,19 @@
 
 typedef struct PhDispatchedCase {
     const char *name;
+    const char *job;   /* the second one */
+    const char *state; /* that it reaches */
     PhDispatcherFate fate;
     uint64_t relayed_min;
     uint64_t relayed_max;
 } PhDispatchedCase;
 
 static const PhDispatchedCase dispatched_cases[] = {
-    {"the other instance sends the starts", FATE_NONE, 4, 4},
-    {"the dispatcher dies", FATE_DIES, 2, 4},
-    {"the dispatcher stands still", FATE_STANDS_STILL, 2, 4},
+    {"the other instance sends the starts", JOB, "completed", FATE_NONE, 4, 4},
+    {"the owner sends those of tasks that are to last", LASTING_JOB, "running",
+     FATE_NONE, 2, 2},
+    {"the dispatcher dies", JOB, "completed", FATE_DIES, 2, 4},
+    {"the dispatcher stands still", JOB, "completed", FATE_STANDS_STILL, 2, 4},
 };
 
 static void
@@ -144,10 +151,10 @@
         fixture.instances[OTHER].stands_still = true;
         break;
     }
-    assert_true(PhPlatformFixture_CallUntil(&fixture, OWNER, "POST", ID_B, JOB,
-                                            200, ""));
+    assert_true(PhPlatformFixture_CallUntil(&fixture, OWNER, "POST", ID_B,
+                                            c->job, 200, ""));
     assert_true(PhPlatformFixture_CallUntil(&fixture, OWNER, "GET", ID_B, "",
-                                            200, "completed"));
+                                            200, c->state));
     const PhCounters *owner = fixture.instances[OWNER].counters;
     assert_int_equal(PhCounters_Get(owner, PH_COUNTER_SCHEDULE_ACCEPTED), 2);
     assert_in_range(PhCounters_Get(owner, PH_COUNTER_SCHEDULE_RELAYED),
