--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -56,11 +56,14 @@
         self.began = time.monotonic()
         self.file = open(path, "w")
         self.rows = []
+        self.left_out = set()  # kinds of rows
 
     def now(self):
         return time.monotonic() - self.began
 
     def add(self, kind, *words):
+        if kind in self.left_out:
+            return
         row = (self.now(), kind) + words
         self.rows.append(row)
         self.file.write("%9.3f %s\n" % (row[0], " ".join(str(w) for w in row[1:])))
@@ -339,7 +342,7 @@
 
 class Worker:
     """A worker.  What a task does is told by its specification, a JSON text:
-    ms (of work), gang (members), lasts, fails (the share of its runs).
+    ms (of work), gang (members), lasts, fails (the share of its runs), tick (ms, of its steps).
     `hook(worker, path, body)` returns None, ("silent",): not done and not
     answered, ("late", s): done after s and not answered, ("lost",), or
     ("status", n)."""
@@ -457,12 +460,13 @@
                 await asyncio.sleep(0.01)
             run.started = True
         fails = random.random() < spec.get("fails", 0)
+        tick = spec.get("tick", 50)
         await asyncio.sleep(0.02)
         run.percent = 100 if spec.get("lasts") else 0
         while spec.get("lasts") or run.done_ms < spec["ms"]:
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(tick / 1000)
             before = run.done_ms // self.SAVE_MS
-            run.done_ms += 50
+            run.done_ms += tick
             if spec.get("saves") and run.done_ms // self.SAVE_MS > before:
                 run.saved = "%08x%08x" % (run.done_ms, random.getrandbits(32))
                 self.record.add("saved", run.name, run.number, run.saved)
