--- a/review/1/play.py
+++ b/review/1/play.py
@@ -12,6 +12,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
 import standins
 
+RECORD = os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt")
 BEFORE = "00000000000000a0"
 AFTER = "00000000000000b0"
 VISIBLE_S = 3.0
@@ -100,4 +101,4 @@
     return []
 
 
-sys.exit(standins.main(play))
+sys.exit(standins.main(play, RECORD))
--- a/review/2/play.py
+++ b/review/2/play.py
@@ -10,6 +10,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
 import standins
 
+RECORD = os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt")
 LASTING = "00000000000000a1"
 TASK = "00000000000000b2"
 BEAT_S = 1.5
@@ -104,4 +105,4 @@
     return broken
 
 
-sys.exit(standins.main(play))
+sys.exit(standins.main(play, RECORD))
--- a/review/3/play.py
+++ b/review/3/play.py
@@ -10,6 +10,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
 import standins
 
+RECORD = os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt")
 LASTING = "00000000000000a1"
 SHORT = "00000000000000b2"
 DOWN_S = 3.0  # the worker's machine is down for so long
@@ -102,4 +103,4 @@
     return broken
 
 
-sys.exit(standins.main(play))
+sys.exit(standins.main(play, RECORD))
--- a/review/5/play.py
+++ b/review/5/play.py
@@ -10,6 +10,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
 import standins
 
+RECORD = os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt")
 LASTING = "00000000000000a1"
 CANCEL_S = 3.0
 STOP_S = 0.4
@@ -71,4 +72,4 @@
     return broken
 
 
-sys.exit(standins.main(play))
+sys.exit(standins.main(play, RECORD))
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -706,9 +706,8 @@
 class World:
     """A small deployment: the store, workers and instances."""
 
-    def __init__(self, folder):
-        self.folder = folder
-        self.record = Record(os.path.join(folder, "record.txt"))
+    def __init__(self, record):
+        self.record = record
         self.work = tempfile.mkdtemp(prefix="peridothill-review-")
         self.store = Store()
         self.gangs = Gangs()
@@ -765,36 +764,41 @@
         os.rmdir(self.work)
 
 
-def main(play):
+def main(play, record_path):
     """Runs `play(world, trouble)`, which returns a list of what broke the
-    rule, or None if the case could not run.  TROUBLE=0 leaves the disruption
-    out."""
-    folder = os.path.dirname(os.path.abspath(sys.argv[0]))
+    rule, or None if the case could not run.  What was sent, answered and run
+    is written to `record_path`.  TROUBLE=0 leaves the disruption out.  Returns
+    1 if the rule was broken, 0 if it held, 2 if the case could not run, which
+    includes an error of the case itself."""
+    record = Record(record_path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     if not os.access(PROGRAM, os.X_OK):
+        record.add("case", "the program is not built")
         print("the program is not built")
         return 2
 
     async def whole():
-        world = World(folder)
+        world = World(record)
         try:
             return await asyncio.wait_for(play(world, trouble), 115)
         except asyncio.TimeoutError:
-            world.record.add("case", "took too long")
+            record.add("case", "took too long")
             return None
         finally:
-            keep = os.environ.get("KEEP_LOGS")
-            if keep:
-                os.makedirs(keep, exist_ok=True)
-                for i in world.instances:
-                    os.link(os.path.join(world.work, i.id + ".log"),
-                            os.path.join(keep, "%s.%d.log" % (i.id, os.getpid())))
             await world.stop()
-    broken = asyncio.run(whole())
+
+    try:
+        broken = asyncio.run(whole())
+    except Exception as error:  # not a finding
+        record.add("case", "error", repr(error))
+        broken = None
     if broken is None:
+        record.add("case", "could not run")
         print("the case could not run")
         return 2
     for line in broken:
+        record.add("broken", line)
         print("broken: " + line)
+    record.add("case", len(broken), "broken")
     print("%d broken" % len(broken))
     return 1 if broken else 0
