schedule: tasks of a worker that has left are queued again at once

Change: an entry carries the earliest time at which it was written. One that its draining worker has written within two report intervals of the deletion cannot have expired, which takes three, so the worker has left and everything on it has ended. Entries that cannot be read, that are missing when all are read anew, or whose time is not known show nothing, as before. The interval comes with the settings (report_interval).

--- a/codec/settings_key.c
+++ b/codec/settings_key.c
@@ -65,6 +65,10 @@
         1 * S, 600 * S, "10s", "Longest lease that workers grant."),
     KEY("scheduler", "pace_lag", scheduler.pace_lag, DURATION, false, 0,
         60 * S, "100ms", "Time until a change of pace shows on a worker."),
+    KEY("scheduler", "report_interval", scheduler.report_interval, DURATION,
+        false, 0, 60 * S, "0s",
+        "Interval at which workers write their entries, which expire after "
+        "three; 0s: unknown, so that a deleted entry shows nothing."),
     KEY("scheduler", "dispatch_delay", scheduler.dispatch_delay, DURATION,
         false, 0, 60 * S, "80ms",
         "Average delay of starts above which other instances send them, until "
--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -26,7 +26,10 @@
  * if it cannot be asked because its entry is gone. */
 static const PhTime FIRST_ANSWER_LIMIT = 1 * PH_NS_PER_S;
 enum {
-    PERCENT = 100
+    PERCENT = 100,
+    /* An entry expires once it has not been written for three intervals.  One
+     * that was deleted sooner was deleted by its worker. */
+    REPORTS_UNTIL_SILENT = 2,
 };
 
 /* On the worker's clock. */
@@ -98,6 +101,20 @@
     return MIN(end, any_end);
 }
 
+/* An entry does not tell why it was deleted.  A worker deletes it when it
+ * leaves, which ends everything that runs there; otherwise it has expired, and
+ * the worker may go on out of reach. */
+void
+PhScheduler_NoteDeparture(const PhScheduler *s, PhSchedWorker *w, PhTime now)
+{
+    PhTime limit = REPORTS_UNTIL_SILENT * s->options.report_interval;
+    bool expired =
+        w->entry.written_after == 0 || now - w->entry.written_after >= limit;
+    if (w->entry.draining && !expired) {
+        w->left_at = now;
+    }
+}
+
 bool
 PhScheduler_MayGrant(const PhScheduler *s, const PhSchedWorker *w, PhTime now)
 {
@@ -158,6 +175,10 @@
 leases_end(const PhScheduler *s, const PhSchedWorker *w)
 {
     PhLeaseBound bound = w->leases;
+    if (w->left_at > 0) {
+        return (PhLeaseBound){.until = w->left_at,
+                              .evidence = PH_LEASE_EVIDENCE_LEFT};
+    }
     if (!w->fenced) {
         PhTime limit = s->owner_since + OLD_OWNER_LIMIT;
         PhTime earlier = PhScheduler_EarlierLeasesEnd(s, w, limit);
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -544,6 +544,7 @@
     }
     w->listed = true;
     w->dead = false;
+    w->left_at = 0;
     if (entry->draining) {
         PhTime leaves_by = now + entry->remaining;
         w->leaves_by =
@@ -561,11 +562,21 @@
 }
 
 void
-PhScheduler_RemoveWorker(PhScheduler *s, PhStr id, PhTime now)
+PhScheduler_RemoveWorker(PhScheduler *s, PhStr id, PhWorkerRemoval removal,
+                         PhTime now)
 {
     PhSchedWorker *w = PhSchedModel_NewestIncarnation(s->model, id);
-    if (w != NULL && w->listed) {
-        w->listed = false;
-        PhScheduler_WakeBy(s, now);
+    if (w == NULL || !w->listed) {
+        return;
+    }
+    w->listed = false;
+    PhScheduler_WakeBy(s, now);
+    switch (removal) {
+    case PH_REMOVAL_DELETED:
+        PhScheduler_NoteDeparture(s, w, now);
+        break;
+    case PH_REMOVAL_UNREADABLE:
+    case PH_REMOVAL_MISSING:
+        break;
     }
 }
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -82,6 +82,10 @@
 void PhScheduler_InheritLeases(const PhScheduler *scheduler,
                                PhSchedWorker *worker,
                                const PhSchedWorker *earlier, PhTime now);
+/* Notes that the entry of a worker was deleted, if that shows that the worker
+ * has left. */
+void PhScheduler_NoteDeparture(const PhScheduler *scheduler,
+                               PhSchedWorker *worker, PhTime now);
 bool PhScheduler_MayGrant(const PhScheduler *scheduler,
                           const PhSchedWorker *worker, PhTime now);
 /* Grants a lease from `now`; returns its end on the worker's clock in ms. */
--- a/include/peridothill/codec/settings.h
+++ b/include/peridothill/codec/settings.h
@@ -45,6 +45,7 @@
         double share;
         PhTime lease_limit;
         PhTime pace_lag;
+        PhTime report_interval;
         PhTime dispatch_delay;
     } scheduler;
     struct {
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -147,6 +147,7 @@
     PhSchedResources capacity;
     bool draining;
     PhTime remaining; /* shortest time until a draining worker leaves */
+    PhTime written_after; /* the entry was written after this, 0: unknown */
 } PhSchedWorkerEntry;
 
 /* CPU use of the backfill tasks of one image, as shares of the worker's CPU.
@@ -183,6 +184,7 @@
                                          owner */
     PH_LEASE_EVIDENCE_EARLIER_INCARNATION, /* the last possible order meant for
                                               an earlier incarnation */
+    PH_LEASE_EVIDENCE_LEFT, /* the worker deleted its entry when it left */
 } PhLeaseEvidence;
 
 /* Upper bound of the time at which the last lease of a worker ends. */
@@ -198,6 +200,7 @@
     bool leaving;      /* it has announced that it leaves */
     PhTime leaving_at; /* the record of that was read, 0 for none */
     PhTime leaves_by;  /* earliest time at which a draining worker leaves */
+    PhTime left_at;    /* it has left, and ended everything it ran; 0: no */
     PhTime evacuation_due; /* no attempt to move its tasks before */
     bool fenced;           /* it has accepted this owner's fence */
     bool suspended;        /* unreachable; recorded, and no lease is granted */
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -13,11 +13,20 @@
 
 typedef struct PhScheduler PhScheduler;
 
+/* Why a worker's entry is not in the list any more. */
+typedef enum PhWorkerRemoval {
+    PH_REMOVAL_DELETED,
+    PH_REMOVAL_UNREADABLE, /* it was replaced by one that cannot be read */
+    PH_REMOVAL_MISSING,    /* all entries were read, and it is not there */
+} PhWorkerRemoval;
+
 typedef struct PhSchedulerOptions {
     PhTime lease_limit;    /* longest lease that workers accept */
     PhTime dispatch_delay; /* starts that take longer on average are to be sent
                               by other instances; 0: all */
     PhTime pace_lag; /* from a pace order until samples show its effect */
+    PhTime report_interval; /* workers write their entries about this often;
+                               0: unknown */
     /* Earlier owners; borrowed as long as the scheduler exists.  NULL: they
      * are unknown. */
     const PhPredecessors *predecessors;
@@ -341,9 +350,11 @@
                         uint32_t run, PhSchedOutcome outcome, PhTime now);
 
 /* Changes of the list of workers: a new or changed entry, which is taken over,
- * or a removed one. */
+ * or a removed one.  An entry is deleted when its worker leaves, and once it
+ * has not been written for three report intervals. */
 void PhScheduler_SetWorker(PhScheduler *scheduler, PhSchedWorkerEntry *entry,
                            PhTime now);
-void PhScheduler_RemoveWorker(PhScheduler *scheduler, PhStr id, PhTime now);
+void PhScheduler_RemoveWorker(PhScheduler *scheduler, PhStr id,
+                              PhWorkerRemoval removal, PhTime now);
 
 #endif
--- a/include/peridothill/services/schedule.h
+++ b/include/peridothill/services/schedule.h
@@ -64,6 +64,12 @@
     } as;
 } PhScheduleAnswer;
 
+/* The id is owned. */
+typedef struct PhRemovedWorker {
+    PhStr id;
+    PhWorkerRemoval removal;
+} PhRemovedWorker;
+
 typedef struct PhScheduleMessage {
     PhScheduleTag tag;
     union {
@@ -71,7 +77,7 @@
         PhScheduleAnswer answer;
         PhSchedConfig *config; /* owned */
         PhSchedWorkerEntry worker;
-        PhStr removed_worker;
+        PhRemovedWorker removed_worker;
         PhScheduleRole role;
     } as;
 } PhScheduleMessage;
@@ -86,6 +92,7 @@
     double cpu_share; /* in cores; more cores make an earlier claim */
     PhTime lease_limit;
     PhTime pace_lag;
+    PhTime report_interval; /* of worker entries, 0: unknown */
     PhTime dispatch_delay; /* starts that take longer are sent by others */
     PhStr link; /* address for links from other instances; empty: no links */
     PhStr data_centre;
--- a/services/schedule/messages.c
+++ b/services/schedule/messages.c
@@ -145,7 +145,7 @@
         PhSchedWorkerEntry_Clear(&m->as.worker);
         break;
     case PH_SCHEDULE_WORKER_REMOVED:
-        PhStr_Clear(&m->as.removed_worker);
+        PhStr_Clear(&m->as.removed_worker.id);
         break;
     }
     g_free(m);
--- a/services/schedule/schedule_log.c
+++ b/services/schedule/schedule_log.c
@@ -246,9 +246,11 @@
     case PH_LEASE_EVIDENCE_EARLIER_OWNERS:
         return PhStr_LITERAL("earlier owners");
     case PH_LEASE_EVIDENCE_EARLIER_INCARNATION:
+        return PhStr_LITERAL("earlier incarnation");
+    case PH_LEASE_EVIDENCE_LEFT:
         break;
     }
-    return PhStr_LITERAL("earlier incarnation");
+    return PhStr_LITERAL("left");
 }
 
 static void
--- a/services/schedule/schedule_task.c
+++ b/services/schedule/schedule_task.c
@@ -103,7 +103,8 @@
         PhScheduleTask_RequestUpdate(t);
         break;
     case PH_SCHEDULE_WORKER_REMOVED:
-        PhScheduler_RemoveWorker(t->scheduler, m->as.removed_worker,
+        PhScheduler_RemoveWorker(t->scheduler, m->as.removed_worker.id,
+                                 m->as.removed_worker.removal,
                                  PhTask_Now(t->self));
         break;
     case PH_SCHEDULE_DRAIN:
@@ -279,6 +280,7 @@
     t->scheduler = PhScheduler_Create(&(PhSchedulerOptions){
         .lease_limit = options->lease_limit,
         .pace_lag = options->pace_lag,
+        .report_interval = options->report_interval,
         .dispatch_delay = options->dispatch_delay,
         .predecessors = PhElection_Predecessors(t->election)});
     t->forwarded_calls =
--- a/tests/platform/test_malformed_entries.c
+++ b/tests/platform/test_malformed_entries.c
@@ -339,7 +339,7 @@
         g_hash_table_add(workers->received, PhStr_KeyCreate(m->as.worker.id));
     }
     else if (m->tag == PH_SCHEDULE_WORKER_REMOVED) {
-        g_hash_table_remove(workers->current, &m->as.removed_worker);
+        g_hash_table_remove(workers->current, &m->as.removed_worker.id);
     }
 }
 
--- a/tests/schedule/owners_sim.c
+++ b/tests/schedule/owners_sim.c
@@ -5,6 +5,7 @@
 
 enum {
     CLAIM_DELAY_STEP_MS = 150,
+    REPORT_INTERVAL_MS = 1000,
     ENTRY_LIFETIME_MS = 3000, /* lifetime of an entry that is not renewed */
     CAPACITY_CPU_MILLI = 8000,
     LONG_TASK_CPU_MILLI = 2000,
@@ -39,7 +40,7 @@
 {
     PhStr id = PhStr_FromC(h->id);
     if (!h->listed) {
-        PhScheduler_RemoveWorker(m->scheduler, id, w->now);
+        PhScheduler_RemoveWorker(m->scheduler, id, PH_REMOVAL_DELETED, w->now);
         return;
     }
     PhSchedWorkerEntry entry = {
@@ -49,6 +50,7 @@
         .service = PhStr_Dup(PhStr_LITERAL("service")),
         .capacity = {.cpu_milli = CAPACITY_CPU_MILLI, .mem_mb = 1},
         .draining = h->draining,
+        .written_after = h->entry_at,
         .remaining =
             w->drains_announced ? 0 : STATED_REMAINING_MS * PH_NS_PER_MS};
     PhScheduler_SetWorker(m->scheduler, &entry, w->now);
@@ -67,6 +69,7 @@
     m->bindings = PhBindings_Create();
     m->scheduler = PhScheduler_Create(&(PhSchedulerOptions){
         .lease_limit = 10 * PH_NS_PER_S,
+        .report_interval = REPORT_INTERVAL_MS * PH_NS_PER_MS,
         .predecessors = PhElection_Predecessors(m->election)});
 }
 
@@ -181,6 +184,7 @@
             PhOwnersSim_IsAffected(w, 1U << PH_OWNERS_RESTART, -1, i);
         if (h->draining && !drains && h->alive) {
             PhSimWorker_Stop(h);
+            h->listed = h->listed && !store_reachable;
         }
         if (is_restarting && h->alive && !h->draining) {
             PhSimWorker_Stop(h);
--- a/tests/schedule/test_schedule.c
+++ b/tests/schedule/test_schedule.c
@@ -110,7 +110,7 @@
     PhScheduler_Plan(s, now, 0);
     PhScheduler_OnHold(s, PH_SINGLE_WORKER, 1, c->answered ? &reply : &silence,
                        now);
-    PhScheduler_RemoveWorker(s, PH_SINGLE_WORKER, now);
+    PhScheduler_RemoveWorker(s, PH_SINGLE_WORKER, PH_REMOVAL_MISSING, now);
     now += PH_NS_PER_S;
     PhScheduler_OnHold(s, PH_SINGLE_WORKER, 1, &silence, now);
     now += 7 * PH_NS_PER_S;
