schedule: a takeover keeps the order of interrupted tasks

What callers saw: on a service without room a lasting task that had lost its run waits longer than ones that lost theirs seconds later.

Cause: an owner counts each wait from its own takeover at the earliest, also for the order, so that with rolling restarts all tasks that are down have waited equally long, and the small ones go first.

Change: the order goes by when the record of the end was read, and a record that repeats that a task waits does not begin its wait anew.

test_order_after_takeover: its second row failed before.

--- a/decide/schedule/record.c
+++ b/decide/schedule/record.c
@@ -70,6 +70,8 @@
 task_apply(PhSchedModel *model, PhSchedTask *task, PhSchedTaskRecord *r,
            PhTime now)
 {
+    bool waits_on = task->state == PH_SCHED_TASK_WAITING &&
+                    r->state == PH_SCHED_TASK_WAITING && task->run == r->run;
     if (task->worker != NULL) {
         PhSchedTask_Unplace(task, PH_SCHED_TASK_WAITING);
     }
@@ -78,7 +80,7 @@
     }
     task->run = r->run;
     task->failures = r->failures;
-    task->since = now;
+    task->since = waits_on && r->run > 0 ? task->since : now;
     task->fence = 0;
     task->percent = 100;
     PhSchedTask_ResetPace(task, PH_SCHED_PACE_UNKNOWN);
--- a/tests/schedule/test_lasting_waits.c
+++ b/tests/schedule/test_lasting_waits.c
@@ -201,6 +201,90 @@
     Ph_RUN_TABLE(room_cases, room_run);
 }
 
+enum {
+    RECORDS_MAX = 3,
+};
+
+/* A record of the task of one of two jobs, read before the takeover. */
+typedef struct PhReadRecord {
+    unsigned job;
+    int64_t at_s; /* 0: none */
+    PhSchedTaskState state;
+    uint32_t run;
+} PhReadRecord;
+
+/* Which of two interrupted tasks a later owner starts first. */
+typedef struct PhTakeoverCase {
+    const char *name;
+    PhReadRecord records[RECORDS_MAX];
+    unsigned first;
+} PhTakeoverCase;
+
+static const PhTakeoverCase takeover_cases[] = {
+    {"the first was interrupted first",
+     {{0, 80, PH_SCHED_TASK_WAITING, 1}, {1, 90, PH_SCHED_TASK_WAITING, 1}},
+     0},
+    {"the second was interrupted first",
+     {{1, 80, PH_SCHED_TASK_WAITING, 1}, {0, 90, PH_SCHED_TASK_WAITING, 1}},
+     1},
+    {"it is recorded again",
+     {{1, 80, PH_SCHED_TASK_WAITING, 1},
+      {0, 90, PH_SCHED_TASK_WAITING, 1},
+      {1, 95, PH_SCHED_TASK_WAITING, 1}},
+     1},
+    {"it was interrupted again",
+     {{1, 80, PH_SCHED_TASK_WAITING, 1},
+      {0, 90, PH_SCHED_TASK_WAITING, 1},
+      {1, 95, PH_SCHED_TASK_WAITING, 2}},
+     0},
+};
+
+static void
+record_read(PhScheduler *s, PhStr id, const PhReadRecord *r)
+{
+    PhSchedRecord record = {
+        .tag = PH_SCHED_RECORD_STAGE,
+        .id = PhStr_Dup(id),
+        .as.stage = {.tasks = g_new0(PhSchedTaskRecord, 1), .task_count = 1}};
+    record.as.stage.tasks[0].state = r->state;
+    record.as.stage.tasks[0].run = r->run;
+    assert_int_equal(PhScheduler_Apply(s, &record, r->at_s * PH_NS_PER_S),
+                     PH_STATUS_OK);
+}
+
+static void
+takeover_run(const PhTakeoverCase *c)
+{
+    PhScheduler *s = scheduler_create();
+    PhSchedStep step = lasting_step();
+    PhStr ids[] = {PH_SINGLE_JOB, OTHER_JOB};
+    PhSchedTask *tasks[2];
+    show_worker(s, 1, false);
+    for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
+        tasks[i] = job_add(s, ids[i], step, 0, 0);
+    }
+    for (size_t i = 0; i < RECORDS_MAX && c->records[i].at_s > 0; i++) {
+        record_read(s, ids[c->records[i].job], &c->records[i]);
+    }
+    PhScheduler_SetFence(s, FENCE, TAKEOVER);
+    PhSchedHoldReply reply = {
+        .outcome = PH_SCHED_OUTCOME_DONE, .clock_ms = 5000, .born_ms = 1};
+    PhScheduler_OnHold(s, PH_SINGLE_WORKER, 1, &reply, END);
+    PhScheduler_Plan(s, END, 0);
+    assert_true(tasks[c->first]->worker != NULL);
+    assert_true(tasks[1 - c->first]->worker == NULL);
+    PhScheduler_Destroy(s);
+}
+
+/* Guards against tasks that lose their place to later ones whenever the owner
+ * changes. */
+static void
+test_order_after_takeover(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(takeover_cases, takeover_run);
+}
+
 /* What keeps a lasting task from the only worker, and the reason that is
  * reported. */
 typedef struct PhReasonCase {
@@ -355,6 +439,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_next_start),
         cmocka_unit_test(test_interrupted_first),
+        cmocka_unit_test(test_order_after_takeover),
         cmocka_unit_test(test_reasons),
         cmocka_unit_test(test_reported),
     };
