schedule: room goes to lasting tasks that are down before ones that move

Cause: moves off workers that leave are decided before placement, so they take the room of a worker that has just started or answered first.

Change: a task is moved to a worker only if no interrupted task would fit there.

test_evacuation, "one that is down goes first" failed before.

--- a/decide/schedule/evacuation.c
+++ b/decide/schedule/evacuation.c
@@ -44,6 +44,45 @@
     }
 }
 
+/* Returns a task of the stage that has run before and waits without room
+ * reserved for it, or NULL. */
+static const PhSchedTask *
+stage_interrupted(const PhSchedStage *stage)
+{
+    const PhSchedStep *step = &stage->job->spec.steps[stage->number];
+    for (uint32_t i = 0; i < step->count && stage->waiting > 0; i++) {
+        const PhSchedTask *task = &stage->tasks[i];
+        if (task->state == PH_SCHED_TASK_WAITING && task->run > 0 &&
+            task->reserved == NULL) {
+            return task;
+        }
+    }
+    return NULL;
+}
+
+/* Whether a lasting task that is down would fit on the worker.  It goes before
+ * one that still runs. */
+static bool
+is_awaited(const PhScheduler *s, const PhSchedWorker *w, PhTime now)
+{
+    for (guint i = 0; i < s->model->active->len; i++) {
+        const PhSchedJob *job = g_ptr_array_index(s->model->active, i);
+        for (uint32_t j = 0; j < job->spec.step_count; j++) {
+            for (uint32_t k = 0;
+                 k < job->round_count && job->spec.steps[j].long_running;
+                 k++) {
+                const PhSchedTask *task =
+                    stage_interrupted(&job->rounds[k].stages[j]);
+                if (task != NULL &&
+                    PhScheduler_JudgeFit(s, w, task, now) == PH_FIT_YES) {
+                    return true;
+                }
+            }
+        }
+    }
+    return false;
+}
+
 /* Returns false if some tasks have no room elsewhere. */
 static bool
 worker_evacuate(PhScheduler *s, PhSchedWorker *w, PhTime now)
@@ -55,7 +94,7 @@
             continue;
         }
         PhSchedWorker *next = PhScheduler_PickWorker(s, task, (PhStr){0}, now);
-        if (next == NULL) {
+        if (next == NULL || is_awaited(s, next, now)) {
             all = false;
             continue;
         }
--- a/tests/schedule/test_evacuation.c
+++ b/tests/schedule/test_evacuation.c
@@ -29,6 +29,7 @@
     int64_t stopped_at_ms; /* expected */
     int64_t started_at_ms; /* expected, on the other worker */
     bool gang;
+    bool down; /* a lasting task of the same size is down */
 } PhEvacuationCase;
 
 static const PhEvacuationCase evacuation_cases[] = {
@@ -41,6 +42,10 @@
      NEVER_MS},
     {"members of a gang stay", 4500, 2000, 0, NEVER_MS, false, 200, NEVER_MS,
      NEVER_MS, true},
+    {"one that is down goes first", 4500, 6000, 7000, 3800, false, 200,
+     NEVER_MS, NEVER_MS, false, true},
+    {"room for one that is down as well", 4500, 3000, 7000, 3800, false, 200,
+     3900, 4100, false, true},
 };
 
 static void
@@ -94,6 +99,19 @@
                     (PhSchedStep){.count = 1, .resources = resources});
 }
 
+/* Adds a lasting task that has lost its run. */
+static PhSchedTask *
+down_add(PhSchedModel *model, int64_t cpu_milli)
+{
+    PhSchedTask *task =
+        PhSingle_AddJob(model, PhStr_LITERAL("00000000000000cc"),
+                        (PhSchedStep){.count = 1,
+                                      .long_running = true,
+                                      .resources = {.cpu_milli = cpu_milli}});
+    task->run = 1;
+    return task;
+}
+
 static void
 orders_execute(PhScheduler *s, const PhSchedTask *task, PhEvacuationLog *log,
                int64_t ms)
@@ -138,6 +156,7 @@
     PhSchedWorker *other = PhSchedModel_Worker(model, OTHER, 1);
     PhSchedTask_Place(task, PhSchedModel_Worker(model, PH_SINGLE_WORKER, 1));
     other->used.cpu_milli += c->other_used;
+    PhSchedTask *down = c->down ? down_add(model, c->cpu_milli) : NULL;
     PhScheduler_SetFence(s, 7, START);
     orders_execute(s, task, &log, 0);
     worker_show(s, PH_SINGLE_WORKER, "r1", c->remaining_ms * PH_NS_PER_MS,
@@ -163,6 +182,7 @@
                   (int)log.stopped_at_ms, (int)log.started_at_ms);
     assert_int_equal(log.stopped_at_ms, c->stopped_at_ms);
     assert_int_equal(log.started_at_ms, c->started_at_ms);
+    assert_true(down == NULL || down->worker == other);
     PhScheduler_Destroy(s);
 }
 
