schedule: a release records the leases of workers that leave

What callers saw: a lasting task whose worker leaves shortly after the owner has changed is without a run for up to 6 s more than its lease lasts.

That a worker leaves is on record, not since when, and owners have mostly just started during rolling restarts.

Change: before its release an owner records how long the leases of leaving workers last, as it does for silent ones, and grants them no more. The successor records that it does before its first grant.

The bound of 300 ms stays.

--- a/decide/schedule/holds.c
+++ b/decide/schedule/holds.c
@@ -219,7 +219,9 @@
     }
     w->fenced = true;
     w->failing_since = 0;
-    PhScheduler_SetSuspended(s, w, false, now);
+    if (!s->quiesced || !w->entry.draining) {
+        PhScheduler_SetSuspended(s, w, false, now);
+    }
     w->answered_at = now;
     w->clock_ms = reply->clock_ms;
     w->clock_at = now;
--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -387,7 +387,9 @@
 }
 
 /* A successor would count all leases from the release of this owner, also
- * those of workers that have not answered it for a while, or never. */
+ * those of workers that have not answered it for a while, or never, and longer
+ * ones than it has granted to those that leave, unless it has known for a
+ * while that they do. */
 void
 PhScheduler_RecordBounds(PhScheduler *s, PhTime now)
 {
@@ -402,6 +404,9 @@
         else if (!w->fenced || w->failing_since > 0) {
             PhScheduler_SetSuspended(s, w, true, now);
         }
+        else if (w->entry.draining) {
+            suspension_change(s, w, true, now);
+        }
     }
 }
 
--- a/tests/schedule/test_last_records.c
+++ b/tests/schedule/test_last_records.c
@@ -30,8 +30,9 @@
 } PhLastRecordsCase;
 
 static const PhLastRecordsCase last_records_cases[] = {
-    {"nothing to record", {0}, 0, 20, false, 1, 0},
-    {"an end before", {-5}, 0, 20, false, 15, 1},
+    {"nothing to record", {0}, 0, 20, false, 1, 0, true},
+    {"the leases of a worker that leaves", {0}, 0, 20, false, 20, 0},
+    {"an end before", {-5}, 0, 20, false, 35, 1},
     {"an end while the last one is recorded", {-5, 8}, 0, 20, false, 35, 2},
     {"an end at the release", {-5, 15}, 0, 20, false, 35, 2},
     {"ends one after the other", {-5, 8, 28, 45}, 0, 20, false, 75, 4},
--- a/tests/schedule/test_recorded_bounds.c
+++ b/tests/schedule/test_recorded_bounds.c
@@ -5,12 +5,16 @@
 #include "tests/table.h"
 
 static const PhTime START = 100 * PH_NS_PER_S;
+/* The first owner has known for so long that the worker leaves. */
+static const PhTime KNOWN_LEAVE = 10 * PH_NS_PER_S;
 
 enum {
     OWNERS_MAX = 4,
     STEP_MS = 100,
-    /* Leases of 6 s by a clock that is 2% slow. */
+    /* Leases of 6 s, and of 3 s for workers that leave, by a clock that is 2%
+     * slow. */
     LEASE_MS = 6220,
+    LEAVING_LEASE_MS = 3160,
     GAP_MAX_MS = 9000, /* a long-running task runs again within this time */
 };
 
@@ -24,6 +28,7 @@
     bool gone;    /* the first owner does not notice, and its successors do not
                      find the worker's entry */
     bool planned; /* owners are released */
+    bool leaves;  /* the worker has said so */
 } PhBoundCase;
 
 static const PhBoundCase bound_cases[] = {
@@ -43,12 +48,25 @@
      300 + LEASE_MS + 1000,
      .gone = true,
      .planned = true},
+    {"a worker that leaves, and a successor that reads so late",
+     {300},
+     300 + LEAVING_LEASE_MS + 1000,
+     .gone = true,
+     .planned = true,
+     .leaves = true},
+    {"a worker that leaves, and each successor reads so late",
+     {300, 1200, 2100, 3000},
+     300 + LEAVING_LEASE_MS + 1000,
+     .gone = true,
+     .planned = true,
+     .leaves = true},
 };
 
 /* The record of the worker as the store holds it. */
 typedef struct PhStoredWorker {
     bool known;
     bool suspended;
+    bool leaving;
     PhTime lease_expiry_bound;
 } PhStoredWorker;
 
@@ -62,6 +80,7 @@
         if (r->tag == PH_SCHED_RECORD_WORKER) {
             *stored = (PhStoredWorker){.known = true,
                                        .suspended = r->as.worker.suspended,
+                                       .leaving = r->as.worker.leaving,
                                        .lease_expiry_bound =
                                            r->as.worker.lease_expiry_bound};
         }
@@ -71,11 +90,11 @@
     PhScheduler_OnDurable(s, batch);
 }
 
-/* Creates an owner that has read the records and the release of the owner
- * before just now. */
+/* Creates an owner that has read the release of the owner before just now, and
+ * the records at `read_at`. */
 static PhScheduler *
 owner_open(const PhStoredWorker *stored, uint64_t fence, bool listed,
-           PhPredecessors *earlier, PhTime now)
+           bool leaves, PhPredecessors *earlier, PhTime read_at, PhTime now)
 {
     PhScheduler *s = PhScheduler_Create(&(PhSchedulerOptions){
         .lease_limit = 10 * PH_NS_PER_S, .predecessors = earlier});
@@ -86,11 +105,12 @@
             .id = PhStr_Dup(PH_SINGLE_WORKER),
             .as.worker = {.born_ms = 1,
                           .suspended = stored->suspended,
+                          .leaving = stored->leaving,
                           .lease_expiry_bound = stored->lease_expiry_bound}};
-        PhScheduler_Apply(s, &record, now);
+        PhScheduler_Apply(s, &record, read_at);
     }
     if (listed) {
-        PhSingle_ShowWorker(s, false, now);
+        PhSingle_ShowWorker(s, leaves, now);
     }
     PhSingle_AddRun(s);
     PhScheduler_SetFence(s, fence, now);
@@ -157,9 +177,10 @@
 static void
 bound_run(const PhBoundCase *c)
 {
-    PhStoredWorker stored = {0};
+    PhStoredWorker stored = {.known = c->leaves, .leaving = c->leaves};
     PhPredecessors *earlier = PhPredecessors_Create();
-    PhScheduler *s = owner_open(&stored, 1, true, earlier, START);
+    PhScheduler *s = owner_open(&stored, 1, true, c->leaves, earlier,
+                                START - KNOWN_LEAVE, START);
     unsigned next = 0;
     int64_t expired = 0;
     first_answer(s, !c->gone);
@@ -169,13 +190,15 @@
         if (next < OWNERS_MAX && c->takeovers[next] > 0 &&
             ms >= c->takeovers[next]) {
             owner_close(s, &stored, c->planned, now);
-            s = owner_open(&stored, ++next + 1, !c->gone, earlier, now);
+            s = owner_open(&stored, ++next + 1, !c->gone, c->leaves, earlier,
+                           now, now);
         }
         owner_tick(s, &stored, now);
         expired = run_counts(s) ? 0 : ms;
     }
     print_message("#   expired after %d ms\n", (int)expired);
-    assert_in_range(expired, LEASE_MS, c->expired + STEP_MS);
+    assert_in_range(expired, c->leaves ? LEAVING_LEASE_MS : LEASE_MS,
+                    c->expired + STEP_MS);
     PhScheduler_Destroy(s);
     PhPredecessors_Destroy(earlier);
 }
