schedule: workers of a cordoned data centre get no starts

Cause: nothing could keep starts away from a data centre whose workers go on; the platform's operators can ask for that.

Change: PhScheduler_SetCordon; the model keeps the set beside the entries of workers, so that it outlasts a change of the owner, and flags each worker, of later entries and incarnations too. A cordoned worker is not usable (fit.c): no placement, move, reservation or gang. A start that was placed and not sent is withdrawn as for a worker that leaves (starts.c).

--- a/decide/schedule/fit.c
+++ b/decide/schedule/fit.c
@@ -56,6 +56,9 @@
     if (w->entry.draining) {
         return PH_FIT_LEAVES;
     }
+    if (w->cordoned) {
+        return PH_FIT_CORDONED;
+    }
     return w->cooldown_until > now ? PH_FIT_COOLDOWN : PH_FIT_YES;
 }
 
--- a/decide/schedule/incarnations.c
+++ b/decide/schedule/incarnations.c
@@ -97,7 +97,7 @@
                                    .rack = PhStr_Dup(w->entry.rack),
                                    .capacity = w->entry.capacity,
                                    .draining = w->entry.draining};
-        PhSchedWorker_SetEntry(next, &copy);
+        PhSchedModel_SetEntry(s->model, next, &copy);
         next->listed = w->listed;
         PhScheduler_InheritLeases(s, next, w, now);
     }
--- a/decide/schedule/model.c
+++ b/decide/schedule/model.c
@@ -70,6 +70,8 @@
     m->cancelled = ids_create();
     m->old_cancelled = ids_create();
     m->config = PhSchedConfig_Create();
+    m->cordons = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
+                                       PhStr_KeyDestroy, NULL);
     return m;
 }
 
@@ -89,6 +91,7 @@
     g_hash_table_destroy(m->old_cancelled);
     g_hash_table_destroy(m->jobs);
     PhSchedConfig_Destroy(m->config);
+    g_hash_table_destroy(m->cordons);
     g_free(m);
 }
 
@@ -349,7 +352,8 @@
 
 /* The id is not replaced: the table of workers refers to it as its key. */
 void
-PhSchedWorker_SetEntry(PhSchedWorker *w, PhSchedWorkerEntry *entry)
+PhSchedModel_SetEntry(const PhSchedModel *m, PhSchedWorker *w,
+                      PhSchedWorkerEntry *entry)
 {
     PhStr id = w->entry.id;
     w->entry.id = (PhStr){0};
@@ -358,6 +362,24 @@
     entry->id = id;
     w->entry = *entry;
     *entry = (PhSchedWorkerEntry){0};
+    w->cordoned = g_hash_table_contains(m->cordons, &w->entry.data_centre);
+}
+
+void
+PhSchedModel_SetCordon(PhSchedModel *m, PhStr data_centre, bool cordoned)
+{
+    if (cordoned) {
+        g_hash_table_add(m->cordons, PhStr_KeyCreate(data_centre));
+    }
+    else {
+        g_hash_table_remove(m->cordons, &data_centre);
+    }
+    for (guint i = 0; i < m->incarnations->len; i++) {
+        PhSchedWorker *w = g_ptr_array_index(m->incarnations, i);
+        if (PhStr_Equal(w->entry.data_centre, data_centre)) {
+            w->cordoned = cordoned;
+        }
+    }
 }
 
 PhSchedWorker *
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -550,7 +550,7 @@
             w->leaves_by > 0 ? MIN(w->leaves_by, leaves_by) : leaves_by;
     }
     w->leaving |= entry->draining;
-    PhSchedWorker_SetEntry(w, entry);
+    PhSchedModel_SetEntry(s->model, w, entry);
     if (s->fence != 0 && left && !PhScheduler_IsClosed(s, now)) {
         PhScheduler_MarkWorkerDirty(s, w);
     }
@@ -569,3 +569,11 @@
         PhScheduler_WakeBy(s, now);
     }
 }
+
+void
+PhScheduler_SetCordon(PhScheduler *s, PhStr data_centre, bool cordoned,
+                      PhTime now)
+{
+    PhSchedModel_SetCordon(s->model, data_centre, cordoned);
+    PhScheduler_WakeBy(s, now);
+}
--- a/decide/schedule/starts.c
+++ b/decide/schedule/starts.c
@@ -41,6 +41,9 @@
     if (w->entry.draining) {
         return PH_START_WORKER_LEAVES;
     }
+    if (w->cordoned) {
+        return PH_START_WORKER_CORDONED;
+    }
     /* The entry of an incarnation that only records name has no address. */
     if (!PhStr_IsEmpty(w->entry.address) && !PhScheduler_IsEligible(w, task)) {
         return PH_START_WORKER_UNSUITABLE;
--- a/include/peridothill/common/event_list_schedule.h
+++ b/include/peridothill/common/event_list_schedule.h
@@ -53,3 +53,7 @@
     "submission refused, its tasks would wait too long for order capacity")
 PH_EVENT(7034, SCHEDULE_DISPATCHER_SILENT, WARNING,
          "dispatcher has not told the outcome of a start in time")
+PH_EVENT(7035, SCHEDULE_CORDON_BEGAN, INFO,
+         "data centre cordoned, its workers get no starts")
+PH_EVENT(7036, SCHEDULE_CORDON_ENDED, INFO,
+         "data centre not cordoned any more, its workers get starts again")
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -208,9 +208,10 @@
     /* All leases end this long after bound_at; 0: unknown. */
     PhTime lease_expiry_bound;
     bool bound_inherited; /* by orders meant for an earlier incarnation */
-    bool unbound; /* it closes its connections, so that orders to it may reach
-                     a later incarnation; recorded */
-    bool dead;    /* replaced by another incarnation, or its leases expired */
+    bool unbound;  /* it closes its connections, so that orders to it may reach
+                      a later incarnation; recorded */
+    bool dead;     /* replaced by another incarnation, or its leases expired */
+    bool cordoned; /* its data centre is: it gets no starts */
     PhLeaseBound leases;            /* by this owner's clock */
     PhTime inherited_leases_end_by; /* of orders meant for an earlier
                                        incarnation */
@@ -257,6 +258,7 @@
                               were not known */
     GHashTable *old_cancelled; /* the generation before */
     PhSchedConfig *config;
+    GHashTable *cordons; /* set of the data centres that are cordoned */
 } PhSchedModel;
 
 /* Identifies a task in orders and in lists of runs. */
@@ -315,7 +317,12 @@
 bool PhSchedModel_IsNewest(const PhSchedModel *model,
                            const PhSchedWorker *worker);
 /* Replaces the advertised entry; takes over its strings and empties it. */
-void PhSchedWorker_SetEntry(PhSchedWorker *worker, PhSchedWorkerEntry *entry);
+void PhSchedModel_SetEntry(const PhSchedModel *model, PhSchedWorker *worker,
+                           PhSchedWorkerEntry *entry);
+/* Cordons a data centre or ends that, for all its workers, those that are
+ * listed later too. */
+void PhSchedModel_SetCordon(PhSchedModel *model, PhStr data_centre,
+                            bool cordoned);
 void PhSchedWorkerEntry_Clear(PhSchedWorkerEntry *entry);
 /* Removes an incarnation without tasks by its index in `incarnations`; the
  * caller owns it.  The latest earlier incarnation becomes the newest of its
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -149,6 +149,7 @@
     PH_START_ALLOWED,
     PH_START_JOB_ENDED,
     PH_START_WORKER_LEAVES,
+    PH_START_WORKER_CORDONED,   /* its data centre is */
     PH_START_WORKER_UNSUITABLE, /* of another service, or without the label */
     PH_START_UNANSWERED,        /* several starts in a row had no answer */
 } PhStartObstacle;
@@ -168,6 +169,7 @@
     PH_FIT_YES,
     PH_FIT_SILENT, /* not listed, or it does not answer */
     PH_FIT_LEAVES,
+    PH_FIT_CORDONED, /* its data centre is */
     PH_FIT_COOLDOWN, /* after failures or refusals */
     PH_FIT_SERVICE,  /* of another service, or without the label */
     PH_FIT_MEMORY,
@@ -345,5 +347,10 @@
 void PhScheduler_SetWorker(PhScheduler *scheduler, PhSchedWorkerEntry *entry,
                            PhTime now);
 void PhScheduler_RemoveWorker(PhScheduler *scheduler, PhStr id, PhTime now);
+/* Cordons a data centre or ends that.  Its workers get no starts meanwhile:
+ * those that were not sent are withdrawn.  What runs there goes on, and is
+ * still renewed, paced and stopped. */
+void PhScheduler_SetCordon(PhScheduler *scheduler, PhStr data_centre,
+                           bool cordoned, PhTime now);
 
 #endif
--- a/include/peridothill/services/schedule.h
+++ b/include/peridothill/services/schedule.h
@@ -16,8 +16,9 @@
     PH_SCHEDULE_CONFIG,  /* to "schedule": new configuration */
     PH_SCHEDULE_WORKER,  /* to "schedule": new or changed worker entry */
     PH_SCHEDULE_WORKER_REMOVED, /* to "schedule": worker entry deleted */
-    PH_SCHEDULE_DRAIN, /* to "schedule": release ownership before a stop */
-    PH_SCHEDULE_ROLE,  /* to "fleet": sets how often worker entries are read */
+    PH_SCHEDULE_CORDON, /* to "schedule": start of a cordon, or its end */
+    PH_SCHEDULE_DRAIN,  /* to "schedule": release ownership before a stop */
+    PH_SCHEDULE_ROLE, /* to "fleet": sets how often worker entries are read */
 } PhScheduleTag;
 
 /* Strings are owned. */
@@ -64,6 +65,12 @@
     } as;
 } PhScheduleAnswer;
 
+/* Whether the workers of a data centre get no starts. */
+typedef struct PhScheduleCordon {
+    PhStr data_centre;
+    bool cordoned;
+} PhScheduleCordon;
+
 typedef struct PhScheduleMessage {
     PhScheduleTag tag;
     union {
@@ -72,6 +79,7 @@
         PhSchedConfig *config; /* owned */
         PhSchedWorkerEntry worker;
         PhStr removed_worker;
+        PhScheduleCordon cordon;
         PhScheduleRole role;
     } as;
 } PhScheduleMessage;
--- a/services/schedule/messages.c
+++ b/services/schedule/messages.c
@@ -147,6 +147,9 @@
     case PH_SCHEDULE_WORKER_REMOVED:
         PhStr_Clear(&m->as.removed_worker);
         break;
+    case PH_SCHEDULE_CORDON:
+        PhStr_Clear(&m->as.cordon.data_centre);
+        break;
     }
     g_free(m);
 }
--- a/services/schedule/schedule_calls.c
+++ b/services/schedule/schedule_calls.c
@@ -315,6 +315,7 @@
     case PH_SCHEDULE_CONFIG:
     case PH_SCHEDULE_WORKER:
     case PH_SCHEDULE_WORKER_REMOVED:
+    case PH_SCHEDULE_CORDON:
     case PH_SCHEDULE_DRAIN:
     case PH_SCHEDULE_ROLE:
         break;
--- a/services/schedule/schedule_log.c
+++ b/services/schedule/schedule_log.c
@@ -115,6 +115,7 @@
                PhField_U64("fits", workers[PH_FIT_YES]),
                PhField_U64("silent", workers[PH_FIT_SILENT]),
                PhField_U64("leaves", workers[PH_FIT_LEAVES]),
+               PhField_U64("cordoned", workers[PH_FIT_CORDONED]),
                PhField_U64("cooldown", workers[PH_FIT_COOLDOWN]),
                PhField_U64("other_service", workers[PH_FIT_SERVICE]),
                PhField_U64("memory", workers[PH_FIT_MEMORY]),
@@ -165,6 +166,7 @@
         [PH_START_ALLOWED] = {"none", 4},
         [PH_START_JOB_ENDED] = {"job ended", 9},
         [PH_START_WORKER_LEAVES] = {"worker leaves", 13},
+        [PH_START_WORKER_CORDONED] = {"worker cordoned", 15},
         [PH_START_WORKER_UNSUITABLE] = {"worker unsuitable", 17},
         [PH_START_UNANSWERED] = {"no answers", 10},
     };
--- a/services/schedule/schedule_task.c
+++ b/services/schedule/schedule_task.c
@@ -68,6 +68,18 @@
                PhField_U64("queues", model->config->queues->len));
 }
 
+static void
+set_cordon(PhScheduleTask *t, const PhScheduleCordon *cordon)
+{
+    PhScheduler_SetCordon(t->scheduler, cordon->data_centre, cordon->cordoned,
+                          PhTask_Now(t->self));
+    PhTask_LOG(t->self,
+               cordon->cordoned ? PH_EVENT_SCHEDULE_CORDON_BEGAN
+                                : PH_EVENT_SCHEDULE_CORDON_ENDED,
+               PhField_STR("data_centre", cordon->data_centre));
+    PhScheduleTask_RequestUpdate(t);
+}
+
 /* Hands ownership over before the process stops. */
 static void
 begin_drain(PhScheduleTask *t)
@@ -106,6 +118,9 @@
         PhScheduler_RemoveWorker(t->scheduler, m->as.removed_worker,
                                  PhTask_Now(t->self));
         break;
+    case PH_SCHEDULE_CORDON:
+        set_cordon(t, &m->as.cordon);
+        break;
     case PH_SCHEDULE_DRAIN:
         begin_drain(t);
         break;
--- a/tests/schedule/test_evacuation.c
+++ b/tests/schedule/test_evacuation.c
@@ -29,6 +29,7 @@
     int64_t stopped_at_ms; /* expected */
     int64_t started_at_ms; /* expected, on the other worker */
     bool gang;
+    int64_t cordoned_at_ms; /* the other worker is; 0: it is not */
 } PhEvacuationCase;
 
 static const PhEvacuationCase evacuation_cases[] = {
@@ -41,6 +42,10 @@
      NEVER_MS},
     {"members of a gang stay", 4500, 2000, 0, NEVER_MS, false, 200, NEVER_MS,
      NEVER_MS, true},
+    {"the other worker is cordoned", 4500, 2000, 0, NEVER_MS, false, 200,
+     NEVER_MS, NEVER_MS, .cordoned_at_ms = 3000},
+    {"the other worker is cordoned meanwhile", 4500, 2000, 0, NEVER_MS, false,
+     200, 3300, NEVER_MS, .cordoned_at_ms = 3400},
 };
 
 static void
@@ -50,6 +55,7 @@
     PhSchedWorkerEntry entry = {.id = PhStr_Dup(id),
                                 .born_ms = 1,
                                 .address = PhStr_Dup(PhStr_LITERAL("a:1")),
+                                .data_centre = PhStr_Dup(id),
                                 .rack = PhStr_Dup(PhStr_FromC(rack)),
                                 .capacity = {.cpu_milli = CAPACITY_MILLI},
                                 .draining = remaining > 0,
@@ -147,6 +153,9 @@
         if (ms == c->freed_at_ms) {
             other->used.cpu_milli -= c->other_used;
         }
+        if (c->cordoned_at_ms > 0 && ms == c->cordoned_at_ms) {
+            PhScheduler_SetCordon(s, OTHER, true, now);
+        }
         if (c->other_cools_down && log.stopped_at_ms >= 0) {
             other->cooldown_until = PH_TIME_NEVER;
         }
--- a/tests/schedule/test_lasting_waits.c
+++ b/tests/schedule/test_lasting_waits.c
@@ -5,6 +5,7 @@
 #include "tests/table.h"
 
 #define OTHER_JOB PhStr_LITERAL("00000000000000ab")
+#define DATA_CENTRE PhStr_LITERAL("bacolod")
 #define SMALLER_ID PhStr_LITERAL("00000000000000a9")
 
 enum {
@@ -33,6 +34,7 @@
         .id = PhStr_Dup(PH_SINGLE_WORKER),
         .born_ms = 1,
         .address = PhStr_Dup(PhStr_LITERAL("a:1")),
+        .data_centre = PhStr_Dup(DATA_CENTRE),
         .capacity = {.cpu_milli = rooms * CPU_MILLI, .mem_mb = rooms * MEM_MB},
         .draining = draining};
     PhScheduler_SetWorker(s, &entry, TAKEOVER);
@@ -215,11 +217,16 @@
     bool long_running; /* the other task there */
     PhFit reason;
     uint32_t beside_lasting;
+    bool cordoned;
 } PhReasonCase;
 
 static const PhReasonCase reason_cases[] = {
     {"no answer", false, false, false, 1, 1, false, 0, true, PH_FIT_SILENT, 0},
     {"leaves", true, true, false, 1, 1, false, 0, true, PH_FIT_LEAVES, 0},
+    {"cordoned", true, false, false, 1, 1, false, 0, true, PH_FIT_CORDONED, 0,
+     .cordoned = true},
+    {"cordoned, and cools down", true, false, true, 1, 1, false, 0, true,
+     PH_FIT_CORDONED, 0, .cordoned = true},
     {"cools down", true, false, true, 1, 1, false, 0, true, PH_FIT_COOLDOWN,
      0},
     {"memory", true, false, false, 1, MEM_MB + 1, false, 0, true,
@@ -285,6 +292,7 @@
         PhSchedModel_Worker(PhScheduler_Model(s), PH_SINGLE_WORKER, 1);
     w->fenced = c->answers;
     w->cooldown_until = c->cooldown ? PH_TIME_NEVER : 0;
+    PhScheduler_SetCordon(s, DATA_CENTRE, c->cordoned, TAKEOVER);
     for (int64_t ms = 0; ms <= 5000; ms += 250) {
         PhTime now = TAKEOVER + ms * PH_NS_PER_MS;
         PhScheduler_Plan(s, now, 0);
--- a/tests/schedule/test_unanswered_starts.c
+++ b/tests/schedule/test_unanswered_starts.c
@@ -3,6 +3,8 @@
 #include "single_task.h"
 #include "tests/table.h"
 
+#define DATA_CENTRE PhStr_LITERAL("bacolod")
+
 enum {
     RUN = 1,
     FENCE = 7,
@@ -251,6 +253,12 @@
      START_IN_FLIGHT, 0, true},
     {"the worker leaves, a start has no answer", PH_START_WORKER_LEAVES,
      START_UNANSWERED, 1, true},
+    {"the worker is cordoned, nothing was sent", PH_START_WORKER_CORDONED,
+     START_UNSENT, 0, false},
+    {"the worker is cordoned, a start is in flight", PH_START_WORKER_CORDONED,
+     START_IN_FLIGHT, 0, true},
+    {"the worker is cordoned, a start has no answer", PH_START_WORKER_CORDONED,
+     START_UNANSWERED, 1, true},
     {"the job is cancelled, nothing was sent", PH_START_JOB_ENDED,
      START_UNSENT, 0, false},
     {"the job is cancelled, a start is in flight", PH_START_JOB_ENDED,
@@ -281,6 +289,10 @@
     case PH_START_WORKER_LEAVES:
         entry.draining = true;
         break;
+    case PH_START_WORKER_CORDONED:
+        entry.data_centre = PhStr_Dup(DATA_CENTRE);
+        PhScheduler_SetCordon(f->scheduler, DATA_CENTRE, true, f->now);
+        break;
     case PH_START_WORKER_UNSUITABLE:
         entry.service = PhStr_Dup(PhStr_LITERAL("other"));
         break;
