--- a/tests/platform/test_malformed_entries.c
+++ b/tests/platform/test_malformed_entries.c
@@ -282,8 +282,8 @@
     return s->pages[1];
 }
 
-/* Stand-in for "http" that answers the task "store". Reads of the
- * configuration get no reply. */
+/* Stand-in for "http" that answers the task "store". The operators have no
+ * records, and none comes later. */
 static void
 http_handle(void *state, PhTask *self, const PhMail *mail)
 {
@@ -296,12 +296,18 @@
     const char *from = strstr(target, "from=");
     PhBuf none = read_begin(0);
     PhStr body = PhBuf_Str(&none);
-    if (strstr(target, "servers") == NULL) {
+    bool entries = strstr(target, "servers") != NULL;
+    PhStr no_records = page_make(json_array(), false);
+    if (!entries && from != NULL) {
+        PhStr_Clear(&no_records);
         PhBuf_Clear(&none);
         g_free(target);
         return;
     }
-    if (from != NULL) {
+    if (!entries) {
+        body = no_records;
+    }
+    else if (from != NULL) {
         s->last_read_from =
             g_ascii_strtoull(from + strlen("from="), NULL, DECIMAL);
         for (size_t i = 0; i < G_N_ELEMENTS(s->reads); i++) {
@@ -317,6 +323,7 @@
                                         .outcome = PH_HTTP_ANSWERED,
                                         .status = 200,
                                         .body = PhStr_Dup(body)}};
+    PhStr_Clear(&no_records);
     PhBuf_Clear(&none);
     g_free(target);
     PhTask_Send(self, mail->from, PhHttpMessage_Wrap(&reply));
--- a/tests/schedule/test_schedule_service.c
+++ b/tests/schedule/test_schedule_service.c
@@ -2,8 +2,9 @@
  * telling a client that a job was accepted or refused although the outcome is
  * unknown, while the store is down or loses replies, against an unusual record
  * of a worker in the store that keeps jobs from running, against a count of
- * pending jobs that omits one whose start orders were not answered, and
- * against a cancellation that is acknowledged without a record. */
+ * pending jobs that omits one whose start orders were not answered, against a
+ * cancellation that is acknowledged without a record, and against starts in a
+ * data centre that is evacuated. */
 #include "platform_fixture.h"
 #include "tests/table.h"
 
@@ -268,12 +269,78 @@
     Ph_RUN_TABLE(connections_cases, connections_run);
 }
 
+enum {
+    EVACUATED_STEPS = 1000, /* in which the tasks would have started */
+};
+
+/* The operators' record from before the job is accepted, and whether the tasks
+ * wait until it is removed. */
+typedef struct PhEvacuatedCase {
+    const char *name;
+    PhStr key;
+    bool takeover; /* the owner is killed meanwhile */
+    bool waits;
+} PhEvacuatedCase;
+
+static const PhEvacuatedCase evacuated_cases[] = {
+    {"the data centre of the worker", TEXT("evacuate/bacolod"), false, true},
+    {"the same, and another owner", TEXT("evacuate/bacolod"), true, true},
+    {"another data centre", TEXT("evacuate/silay"), false, false},
+};
+
+static uint64_t
+starts_sum(const PhPlatformFixture *fixture)
+{
+    uint64_t sum = 0;
+    for (size_t i = 0; i < fixture->instance_count; i++) {
+        sum += PhCounters_Get(fixture->instances[i].counters,
+                              PH_COUNTER_SCHEDULE_STARTS);
+    }
+    return sum;
+}
+
+static void
+evacuated_run(const PhEvacuatedCase *c)
+{
+    PhPlatformFixture fixture;
+    size_t instance = c->takeover ? 1 : 0;
+    PhPlatformFixture_Open(&fixture, 2, false);
+    PhStandinStoreState_Put(fixture.store, PhStr_LITERAL("keyed.op"), c->key,
+                            PhStr_LITERAL("{}"));
+    assert_true(
+        PhPlatformFixture_CallUntil(&fixture, 0, "POST", ID, JOB, 200, ""));
+    if (c->takeover) {
+        PhPlatformFixture_Kill(&fixture, 0);
+    }
+    for (int i = 0; i < EVACUATED_STEPS; i++) {
+        PhPlatformFixture_Run(&fixture);
+    }
+    assert_int_equal(starts_sum(&fixture), c->waits ? 0 : 2);
+    PhStandinStoreState_Put(fixture.store, PhStr_LITERAL("keyed.op"), c->key,
+                            (PhStr){0});
+    assert_true(PhPlatformFixture_CallUntil(&fixture, instance, "GET", ID, "",
+                                            200, "completed"));
+    assert_int_equal(starts_sum(&fixture), 2);
+    PhPlatformFixture_Close(&fixture);
+}
+
+/* Guards against starts in an evacuated data centre, by this owner or the
+ * next, and against tasks that wait there for ever. */
+static void
+test_evacuated(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(evacuated_cases, evacuated_run);
+}
+
 int
 main(void)
 {
-    const struct CMUnitTest tests[] = {
-        cmocka_unit_test(test_faults), cmocka_unit_test(test_odd_entries),
-        cmocka_unit_test(test_pending), cmocka_unit_test(test_cancelled_ends),
-        cmocka_unit_test(test_connections)};
+    const struct CMUnitTest tests[] = {cmocka_unit_test(test_faults),
+                                       cmocka_unit_test(test_odd_entries),
+                                       cmocka_unit_test(test_pending),
+                                       cmocka_unit_test(test_cancelled_ends),
+                                       cmocka_unit_test(test_connections),
+                                       cmocka_unit_test(test_evacuated)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
