test_schedule: cordons among the faults of the simulation

The data centre of every other worker is cordoned and opened at random, also across takeovers; no start may be sent there meanwhile, and all jobs end.

--- a/tests/schedule/schedule_sim.c
+++ b/tests/schedule/schedule_sim.c
@@ -13,6 +13,9 @@
     STEPS = 2,
 };
 
+#define CORDONED PhStr_LITERAL("bacolod")
+#define OPEN PhStr_LITERAL("silay")
+
 typedef enum PhEventTag {
     EVENT_ORDER, /* delivery of an order */
     EVENT_REPLY, /* delivery of its outcome */
@@ -63,6 +66,18 @@
     g_free(e);
 }
 
+static PhStr
+data_centre_of(const PhSchedSim *sim, PhStr worker)
+{
+    for (guint i = 0; i < sim->workers->len; i += 2) {
+        const PhSchedSimWorker *w = g_ptr_array_index(sim->workers, i);
+        if (PhStr_Equal(PhStr_FromC(w->id), worker)) {
+            return CORDONED;
+        }
+    }
+    return OPEN;
+}
+
 /* Passes all worker entries to the owner. */
 static void
 send_worker_entries(PhSchedSim *sim)
@@ -73,6 +88,7 @@
             .id = PhStr_Dup(PhStr_FromC(w->id)),
             .born_ms = w->born_ms,
             .address = PhStr_Dup(PhStr_FromC(w->id)),
+            .data_centre = PhStr_Dup(data_centre_of(sim, PhStr_FromC(w->id))),
             .service = PhStr_Dup(PhStr_LITERAL("service")),
             .capacity = {.cpu_milli = PH_SCHED_SIM_CAPACITY_MILLI,
                          .mem_mb = 1024}};
@@ -94,6 +110,7 @@
         assert_int_equal(PhScheduler_Apply(sim->owner, &record, sim->now),
                          PH_STATUS_OK);
     }
+    PhScheduler_SetCordon(sim->owner, CORDONED, sim->cordoned, sim->now);
     send_worker_entries(sim);
     PhScheduler_SetFence(sim->owner, ++sim->fence, sim->now);
     sim->pending_batch = 0;
@@ -255,6 +272,8 @@
 static void
 order_send(PhSchedSim *sim, const PhSchedAction *action)
 {
+    assert_false(action->tag == PH_SCHED_ACTION_START && sim->cordoned &&
+                 PhStr_Equal(data_centre_of(sim, action->worker), CORDONED));
     PhSchedSimEvent *e = g_new0(PhSchedSimEvent, 1);
     PhSchedSimWorker *w = worker_find(sim, action->worker);
     e->tag = EVENT_ORDER;
@@ -407,6 +426,11 @@
     if (PhSchedSim_Chance(sim, FAULT_STORE_OUTAGE, 0.5)) {
         sim->outage_until = sim->now + duration;
     }
+    bool cordoned = PhSchedSim_Chance(sim, FAULT_CORDONS, 0.5);
+    if (cordoned != sim->cordoned) {
+        sim->cordoned = cordoned;
+        PhScheduler_SetCordon(sim->owner, CORDONED, cordoned, sim->now);
+    }
     if (PhSchedSim_Chance(sim, FAULT_TAKEOVERS, 0.5)) {
         sim->takeovers++;
         PhScheduler_Destroy(sim->owner);
--- a/tests/schedule/schedule_sim.h
+++ b/tests/schedule/schedule_sim.h
@@ -12,12 +12,14 @@
     FAULT_REPLIES_LOST = 1, /* one reply in ten is lost */
     FAULT_ORDERS_LATE =
         2, /* one order in twenty is 2 to 6 s late and gets no reply */
-    FAULT_REFUSALS = 4,      /* one start in ten is refused */
-    FAULT_FAILURES = 8,      /* one run in ten fails */
-    FAULT_RESTARTS = 16,     /* workers restart under their id */
-    FAULT_UNREACHABLE = 32,  /* workers are unreachable for 3 s */
-    FAULT_TAKEOVERS = 64,    /* another owner takes over */
-    FAULT_STORE_OUTAGE = 128 /* no append for 3 s */
+    FAULT_REFUSALS = 4,       /* one start in ten is refused */
+    FAULT_FAILURES = 8,       /* one run in ten fails */
+    FAULT_RESTARTS = 16,      /* workers restart under their id */
+    FAULT_UNREACHABLE = 32,   /* workers are unreachable for 3 s */
+    FAULT_TAKEOVERS = 64,     /* another owner takes over */
+    FAULT_STORE_OUTAGE = 128, /* no append for 3 s */
+    FAULT_CORDONS = 256 /* a data centre with half of the workers is cordoned
+                         */
 };
 
 typedef struct PhSchedSimOptions {
--- a/tests/schedule/schedule_sim_private.h
+++ b/tests/schedule/schedule_sim_private.h
@@ -57,7 +57,8 @@
     PhTime outage_until;
     PhTime next_fault;
     uint64_t pending_batch;
-    bool faulty; /* faults have been injected */
+    bool faulty;   /* faults have been injected */
+    bool cordoned; /* the data centre of every other worker is */
     unsigned starts;
     unsigned takeovers;
     unsigned added;
--- a/tests/schedule/test_schedule.c
+++ b/tests/schedule/test_schedule.c
@@ -1,6 +1,7 @@
 /* The scheduler against a simulated fleet with faults.  Guards against tasks
  * that run twice at a time, reused run numbers, starts before their record is
- * durable, overcommitted workers, and jobs that do not end. */
+ * durable, overcommitted workers, starts in a cordoned data centre, and jobs
+ * that do not end. */
 #include "schedule_sim.h"
 #include "single_task.h"
 #include "tests/table.h"
@@ -58,6 +59,16 @@
     {"long-running tasks, all faults",
      {.workers = 6, .jobs = 5, .faults = 255, .long_running = true},
      10},
+    {"a data centre is cordoned",
+     {.workers = 4, .jobs = 40, .faults = FAULT_CORDONS},
+     5},
+    {"gangs, all faults and cordons",
+     {.workers = 8, .jobs = 30, .gang = true, .faults = 511},
+     10},
+    {"all faults and cordons", {.workers = 6, .jobs = 60, .faults = 511}, 20},
+    {"long-running tasks, all faults and cordons",
+     {.workers = 6, .jobs = 5, .faults = 511, .long_running = true},
+     10},
 };
 
 static void
