--- a/include/peridothill/services/schedule.h
+++ b/include/peridothill/services/schedule.h
@@ -16,8 +16,9 @@
     PH_SCHEDULE_CONFIG,  /* to "schedule": new configuration */
     PH_SCHEDULE_WORKER,  /* to "schedule": new or changed worker entry */
     PH_SCHEDULE_WORKER_REMOVED, /* to "schedule": worker entry deleted */
-    PH_SCHEDULE_DRAIN, /* to "schedule": release ownership before a stop */
-    PH_SCHEDULE_ROLE,  /* to "fleet": sets how often worker entries are read */
+    PH_SCHEDULE_CORDON, /* to "schedule": start of a cordon, or its end */
+    PH_SCHEDULE_DRAIN,  /* to "schedule": release ownership before a stop */
+    PH_SCHEDULE_ROLE, /* to "fleet": sets how often worker entries are read */
 } PhScheduleTag;
 
 /* Strings are owned. */
@@ -70,6 +71,12 @@
     PhWorkerRemoval removal;
 } PhRemovedWorker;
 
+/* Whether the workers of a data centre get no starts. */
+typedef struct PhScheduleCordon {
+    PhStr data_centre;
+    bool cordoned;
+} PhScheduleCordon;
+
 typedef struct PhScheduleMessage {
     PhScheduleTag tag;
     union {
@@ -78,6 +85,7 @@
         PhSchedConfig *config; /* owned */
         PhSchedWorkerEntry worker;
         PhRemovedWorker removed_worker;
+        PhScheduleCordon cordon;
         PhScheduleRole role;
     } as;
 } PhScheduleMessage;
@@ -93,7 +101,7 @@
     PhTime lease_limit;
     PhTime pace_lag;
     PhTime report_interval; /* of worker entries, 0: unknown */
-    PhTime dispatch_delay; /* starts that take longer are sent by others */
+    PhTime dispatch_delay;  /* starts that take longer are sent by others */
     PhStr link; /* address for links from other instances; empty: no links */
     PhStr data_centre;
     PhStr deployment;
--- a/tests/platform/test_entry_times.c
+++ b/tests/platform/test_entry_times.c
@@ -139,7 +139,8 @@
     return m;
 }
 
-/* Answers the reads of the entries; those of the configuration wait. */
+/* Answers the reads of the entries.  The operators have no records, and none
+ * comes later. */
 static void
 store_handle(void *state, PhTask *self, const PhMail *mail)
 {
@@ -154,8 +155,15 @@
     const PhStoreMessage *m = mail->as.message.body;
     PhStr topic =
         m->tag == PH_STORE_NEWEST ? m->as.newest.topic : m->as.read.topic;
-    if (!PhStr_Equal(topic, PhStr_LITERAL("servers")) ||
-        store->calls == REPLIES_MAX) {
+    if (!PhStr_Equal(topic, PhStr_LITERAL("servers"))) {
+        PhStoreMessage none = {
+            .tag = PH_STORE_REPLY, .id = m->id, .as.reply = {.id = m->id}};
+        if (m->tag == PH_STORE_NEWEST) {
+            PhTask_Send(self, mail->from, PhStoreMessage_Wrap(&none));
+        }
+        return;
+    }
+    if (store->calls == REPLIES_MAX) {
         return;
     }
     const PhReplyRow *row = &store->c->replies[store->calls];
