tests: the rule on lasting tasks, checked in the simulation of owners

The simulated workers had no capacity that binds, and nothing checked whether a lasting task without a run had room.

owners_rooms draws, from a seed: workers of different sizes that reject what does not fit, in CPU or memory; lasting tasks of 12 to 33% of a worker, some of them serving ones, tasks with an end, backfill tasks; workers that announce that they leave and go one after the other, while new ones start under new ids and are listed later; overlapping rolling restarts, in which an instance hands over as the product does (PhHandover) and starts again some seconds later.

room_watch looks at the workers every 20 ms. A lasting task that has run, has had no run for 6 s, and then has room twice over for 3 s on workers that are up, listed and do not drain is counted: `lasting` for one worker all the time, which the test asserts on; printed only are the counts for some worker at each moment, for two workers together, and for the latter looked at every 0.5 s.

--- a/tests/schedule/owners_orders.c
+++ b/tests/schedule/owners_orders.c
@@ -42,7 +42,8 @@
     case PH_SCHED_ACTION_STOP:
         return PhScheduler_OnStop(m->scheduler, &run, now);
     case PH_SCHED_ACTION_PACE:
-        break;
+        return PhScheduler_OnPace(m->scheduler, &run.task, run.run,
+                                  run.outcome, now);
     }
     return true;
 }
--- a/tests/schedule/owners_sim.c
+++ b/tests/schedule/owners_sim.c
@@ -6,28 +6,44 @@
 enum {
     CLAIM_DELAY_STEP_MS = 150,
     ENTRY_LIFETIME_MS = 3000, /* lifetime of an entry that is not renewed */
-    CAPACITY_CPU_MILLI = 8000,
     LONG_TASK_CPU_MILLI = 2000,
     SHORT_TASK_CPU_MILLI = 500,
+    SHORT_TASK_MS = 2500, /* run time of a short task */
     JOB_TASKS = 4,
+    IMAGE_SIZE = 24,
     JOB_INTERVAL_MS = 1000, /* between two jobs of short tasks */
     HANDOVER_MS = 300,      /* longest wait of a release for its records */
+    CATCH_UP_MS = 400,      /* until a new instance has read the records */
     /* Draining workers leave long before, with runs that were not moved,
      * unless their drains are announced. */
     STATED_REMAINING_MS = 600000,
 };
 
-static void
-job_add(PhOwnersSim *w, const char *id, bool long_running, unsigned count)
+static const PhSimTaskKind LONG_TASK = {
+    .long_running = true, .resources = {.cpu_milli = LONG_TASK_CPU_MILLI}};
+static const PhSimTaskKind SHORT_TASK = {
+    .resources = {.cpu_milli = SHORT_TASK_CPU_MILLI},
+    .run_time = SHORT_TASK_MS * PH_NS_PER_MS};
+
+void
+PhOwnersSim_AddJob(PhOwnersSim *w, unsigned count, const PhSimTaskKind *kind)
 {
+    const char *id = PhSimTasks_AddJob(&w->tasks, count, kind);
     PhSchedSpec spec = {.id = PhStr_Dup(PhStr_FromC(id)), .step_count = 1};
     spec.terms.service = PhStr_Dup(PhStr_LITERAL("service"));
     spec.terms.stretch = 2;
     spec.steps = g_new0(PhSchedStep, 1);
     spec.steps[0].count = count;
-    spec.steps[0].resources.cpu_milli =
-        long_running ? LONG_TASK_CPU_MILLI : SHORT_TASK_CPU_MILLI;
-    spec.steps[0].long_running = long_running;
+    spec.steps[0].resources = kind->resources;
+    spec.steps[0].long_running = kind->long_running;
+    spec.steps[0].fills = kind->fills;
+    spec.steps[0].estimate = kind->estimate;
+    spec.steps[0].tail_latency_target = kind->tail_latency_target;
+    if (kind->image > 0) {
+        char image[IMAGE_SIZE];
+        g_snprintf(image, sizeof(image), "image-%u", kind->image);
+        spec.steps[0].image = PhStr_Dup(PhStr_FromC(image));
+    }
     PhSchedEncoded e = PhSchedRecord_EncodeJob(&spec);
     g_array_append_val(w->log, e);
     PhSchedSpec_Clear(&spec);
@@ -47,10 +63,13 @@
         .born_ms = h->entry_born_ms,
         .address = PhStr_Dup(id),
         .service = PhStr_Dup(PhStr_LITERAL("service")),
-        .capacity = {.cpu_milli = CAPACITY_CPU_MILLI, .mem_mb = 1},
+        .capacity = h->capacity,
         .draining = h->draining,
         .remaining =
             w->drains_announced ? 0 : STATED_REMAINING_MS * PH_NS_PER_MS};
+    if (w->rooms != NULL) {
+        entry.remaining = PhSimRooms_Remaining(w, (int)(h - w->workers));
+    }
     PhScheduler_SetWorker(m->scheduler, &entry, w->now);
 }
 
@@ -88,11 +107,11 @@
     w->orders = g_array_new(FALSE, TRUE, sizeof(PhSimOrder));
     PhSimTasks_Open(&w->tasks);
     for (unsigned i = 0; i * JOB_TASKS < long_tasks; i++) {
-        job_add(w, PhSimTasks_AddJob(&w->tasks, JOB_TASKS, true), true,
-                JOB_TASKS);
+        PhOwnersSim_AddJob(w, JOB_TASKS, &LONG_TASK);
     }
     w->short_until_ms = short_until_ms;
     w->short_interval_ms = JOB_INTERVAL_MS;
+    w->worker_count = PH_OWNERS_WORKERS;
     for (int i = 0; i < PH_OWNERS_WORKERS; i++) {
         PhSimWorker_Open(&w->workers[i], i);
     }
@@ -108,7 +127,8 @@
     for (int i = 0; i < PH_OWNERS_INSTANCES; i++) {
         instance_close(&w->instances[i]);
     }
-    for (int i = 0; i < PH_OWNERS_WORKERS; i++) {
+    PhSimRooms_Destroy(w->rooms);
+    for (int i = 0; i < w->worker_count; i++) {
         PhSimWorker_Close(&w->workers[i]);
     }
     for (guint i = 0; i < w->log->len; i++) {
@@ -161,8 +181,7 @@
 {
     while (PhOwnersSim_ElapsedMs(w) >= w->next_short_ms &&
            w->next_short_ms < w->short_until_ms) {
-        job_add(w, PhSimTasks_AddJob(&w->tasks, JOB_TASKS, false), false,
-                JOB_TASKS);
+        PhOwnersSim_AddJob(w, JOB_TASKS, &SHORT_TASK);
         w->next_short_ms += w->short_interval_ms;
     }
 }
@@ -172,7 +191,11 @@
 static void
 workers_tick(PhOwnersSim *w)
 {
-    for (int i = 0; i < PH_OWNERS_WORKERS; i++) {
+    for (int i = 0; i < w->worker_count; i++) {
+        if (w->rooms != NULL) {
+            PhSimRooms_TickWorker(w, i);
+            continue;
+        }
         PhSimWorker *h = &w->workers[i];
         bool drains = PhOwnersSim_IsAffected(w, 1U << PH_OWNERS_DRAIN, -1, i);
         bool store_reachable =
@@ -357,16 +380,90 @@
     }
 }
 
+int
+PhOwnersSim_Owner(const PhOwnersSim *w)
+{
+    for (int i = 0; i < PH_OWNERS_INSTANCES; i++) {
+        const PhSimInstance *m = &w->instances[i];
+        if (m->active && !m->down && m->fence == w->store_epoch) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+/* Whether an instance has read the records, which takes time in simulations
+ * with rooms only. */
+static bool
+has_caught_up(const PhOwnersSim *w, const PhSimInstance *m)
+{
+    return w->rooms == NULL || m->opened_at == 0 ||
+           w->now - m->opened_at >= CATCH_UP_MS * PH_NS_PER_MS;
+}
+
+/* Returns the instance to name in a release, the newest one that is ready; -1
+ * for none. */
+static int
+choose_successor(const PhOwnersSim *w, const PhSimInstance *m)
+{
+    int best = -1;
+    for (int i = 0; i < PH_OWNERS_INSTANCES; i++) {
+        const PhSimInstance *x = &w->instances[i];
+        bool may_succeed =
+            x != m && !x->down && x->stop_at == 0 && has_caught_up(w, x) &&
+            !PhOwnersSim_ArePartitioned(w, i, (int)(m - w->instances));
+        if (may_succeed &&
+            (best < 0 || x->opened_at > w->instances[best].opened_at)) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+/* Hands over as the instances do it, with a successor that is ready. */
+static void
+hand_over(PhOwnersSim *w, PhSimInstance *m)
+{
+    int successor = choose_successor(w, m);
+    bool owner = PhElection_Role(m->election) == PH_ELECTION_OWNER;
+    PhHandoverInput input = {.ownership = m->active ? PH_OWNERSHIP_ACTIVE
+                                          : owner   ? PH_OWNERSHIP_TAKEOVER
+                                                    : PH_OWNERSHIP_NONE,
+                             .successor_ready = successor >= 0,
+                             .recorded =
+                                 PhScheduler_IsHandedOver(m->scheduler)};
+    char name[sizeof(m->name)];
+    g_snprintf(name, sizeof(name), "instance-%d", successor);
+    PhHandover_Begin(&m->handover, w->now);
+    switch (PhHandover_Update(&m->handover, &input, w->now)) {
+    case PH_HANDOVER_NONE:
+    case PH_HANDOVER_PREPARE:
+        break;
+    case PH_HANDOVER_RECORD:
+        PhScheduler_Quiesce(m->scheduler, w->now);
+        break;
+    case PH_HANDOVER_RELEASE:
+        PhElection_Stop(m->election,
+                        successor >= 0 ? PhStr_FromC(name) : (PhStr){0});
+        break;
+    }
+}
+
 /* Asks an instance to stop.  Returns whether it has exited since. */
 static bool
 instance_stop(PhOwnersSim *w, PhSimInstance *m)
 {
     if (m->stop_at == 0) {
         m->stop_at = w->now;
-        PhScheduler_Quiesce(m->scheduler, w->now);
+        if (w->rooms == NULL) {
+            PhScheduler_Quiesce(m->scheduler, w->now);
+        }
+    }
+    if (w->rooms != NULL) {
+        hand_over(w, m);
     }
-    if (PhScheduler_IsHandedOver(m->scheduler) ||
-        w->now - m->stop_at >= HANDOVER_MS * PH_NS_PER_MS) {
+    else if (PhScheduler_IsHandedOver(m->scheduler) ||
+             w->now - m->stop_at >= HANDOVER_MS * PH_NS_PER_MS) {
         PhElection_Stop(m->election, (PhStr){0});
     }
     return w->now - m->stop_at >= PH_OWNERS_NOTICE_MS * PH_NS_PER_MS;
@@ -376,7 +473,8 @@
 instance_tick(PhOwnersSim *w, int instance)
 {
     PhSimInstance *m = &w->instances[instance];
-    bool store_reachable = !PhOwnersSim_IsStoreUnreachable(w, instance, -1);
+    bool store_reachable = !PhOwnersSim_IsStoreUnreachable(w, instance, -1) &&
+                           has_caught_up(w, m);
     bool down = PhOwnersSim_IsAffected(w, 1U << PH_OWNERS_CRASH, instance, -1);
     if (PhOwnersSim_IsAffected(w, 1U << PH_OWNERS_STOP, instance, -1)) {
         down |= m->down || instance_stop(w, m);
@@ -384,6 +482,7 @@
     if (m->down && !down) {
         instance_close(m);
         instance_open(m, instance);
+        m->opened_at = w->now;
     }
     m->down = down;
     if (down || PhOwnersSim_IsSuspended(w, instance)) {
@@ -392,7 +491,7 @@
     election_tick(w, m, store_reachable);
     send_hello(w, instance);
     ownership_tick(w, m, store_reachable);
-    for (int i = 0; i < PH_OWNERS_WORKERS && store_reachable; i++) {
+    for (int i = 0; i < w->worker_count && store_reachable; i++) {
         entry_update(w, m, &w->workers[i]);
     }
     if (m->active && store_reachable) {
@@ -409,6 +508,9 @@
     while (PhOwnersSim_ElapsedMs(w) < until_ms) {
         w->now += PH_OWNERS_TICK_MS * PH_NS_PER_MS;
         submit_jobs(w);
+        if (w->rooms != NULL) {
+            PhSimRooms_SubmitJobs(w);
+        }
         PhOwnersSim_BeginFaults(w);
         workers_tick(w);
         PhSimTasks_Tick(&w->tasks, w->now);
@@ -416,6 +518,9 @@
         for (int i = 0; i < PH_OWNERS_INSTANCES; i++) {
             instance_tick(w, i);
         }
+        if (w->rooms != NULL) {
+            PhSimRooms_Check(w);
+        }
     }
 }
 
--- a/tests/schedule/owners_sim.h
+++ b/tests/schedule/owners_sim.h
@@ -11,7 +11,8 @@
 
 enum {
     PH_OWNERS_INSTANCES = 3,
-    PH_OWNERS_WORKERS = 4,
+    PH_OWNERS_WORKERS = 4, /* unless others are drawn, see owners_rooms.h */
+    PH_OWNERS_WORKERS_MAX = 32,
     PH_OWNERS_FAULTS_MAX = 64,
     PH_OWNERS_NOTICE_MS = 2500,
 };
--- a/tests/schedule/owners_sim_private.h
+++ b/tests/schedule/owners_sim_private.h
@@ -7,11 +7,14 @@
 #include "peridothill/common/random.h"
 #include "peridothill/decide/schedule/bindings.h"
 #include "peridothill/decide/schedule/election.h"
+#include "peridothill/decide/schedule/handover.h"
 
 enum {
     PH_OWNERS_TICK_MS = 20,
 };
 
+typedef struct PhSimRooms PhSimRooms;
+
 #define PH_OWNERS_START (100 * PH_NS_PER_S)
 
 typedef struct PhSimInstance {
@@ -27,8 +30,10 @@
                             tick */
     uint64_t read_from;
     bool down;
-    PhTime stop_at; /* it was asked to stop; 0: no */
-    uint64_t batch; /* current batch without a reply, 0 for none */
+    PhTime opened_at;
+    PhTime stop_at;      /* it was asked to stop; 0: no */
+    PhHandover handover; /* with rooms only */
+    uint64_t batch;      /* current batch without a reply, 0 for none */
 } PhSimInstance;
 
 /* The connection of an instance to a worker's process; it ends with that. */
@@ -61,7 +66,9 @@
 struct PhOwnersSim {
     PhTime now;
     PhSimInstance instances[PH_OWNERS_INSTANCES];
-    PhSimWorker workers[PH_OWNERS_WORKERS];
+    PhSimWorker workers[PH_OWNERS_WORKERS_MAX];
+    int worker_count;
+    PhSimRooms *rooms; /* NULL: the same workers all the time */
     PhSimTasks tasks;
     GArray *log;          /* PhSchedEncoded */
     GArray *elections;    /* PhElectionEntry */
@@ -76,11 +83,27 @@
     unsigned takeovers;
     bool drains_announced;
     bool relays; /* dispatchers send one start in two */
-    PhSimConnection connections[PH_OWNERS_INSTANCES][PH_OWNERS_WORKERS];
+    PhSimConnection connections[PH_OWNERS_INSTANCES][PH_OWNERS_WORKERS_MAX];
     PhRandom *delays; /* NULL: no delays */
     GArray *orders;   /* PhSimOrder */
 };
 
+/* owners_sim.c: submits a job, and finds the instance that is the owner, -1
+ * for none. */
+void PhOwnersSim_AddJob(PhOwnersSim *sim, unsigned count,
+                        const PhSimTaskKind *kind);
+int PhOwnersSim_Owner(const PhOwnersSim *sim);
+
+/* owners_rooms.c: submits the jobs that are due, and starts, drains, lists and
+ * ends a worker. */
+void PhSimRooms_Destroy(PhSimRooms *rooms);
+void PhSimRooms_SubmitJobs(PhOwnersSim *sim);
+void PhSimRooms_TickWorker(PhOwnersSim *sim, int worker);
+/* What a draining worker states as the least time until it leaves. */
+PhTime PhSimRooms_Remaining(const PhOwnersSim *sim, int worker);
+/* Checks the rule, see room_watch.h. */
+void PhSimRooms_Check(PhOwnersSim *sim);
+
 /* owners_faults.c: milliseconds since the start, and the effects of the active
  * faults.  An instance or worker of -1 stands for none. */
 int64_t PhOwnersSim_ElapsedMs(const PhOwnersSim *sim);
--- a/tests/schedule/owners_worker.c
+++ b/tests/schedule/owners_worker.c
@@ -4,12 +4,14 @@
 
 enum {
     LISTED_MS = 100, /* an end listed earlier counts as known to the owner */
-    SHORT_TASK_MS = 2500, /* run time of a short task */
     LEASE_MAX_MS = 10000,
     CLOCK_START_MS = 1000,
     PERCENT = 100,
+    DECIMAL = 10,
     SLOW_PERCENT = 98,     /* speed of every other worker's clock */
     WORKER_PREFIX_LEN = 7, /* length of "worker-" */
+    CAPACITY_CPU_MILLI = 8000,
+    FAILS_WITHIN_MS = 20000, /* of its start, a lasting run that fails */
 };
 
 typedef struct PhSimRun {
@@ -17,6 +19,7 @@
     uint32_t index;
     uint32_t run;
     PhTime ends_at; /* 0: never */
+    PhSchedEndKind ends_as;
 } PhSimRun;
 
 typedef struct PhSimEnd {
@@ -46,14 +49,15 @@
 PhSimTasks_Close(PhSimTasks *t)
 {
     g_ptr_array_free(t->jobs, TRUE);
+    PhRandom_Destroy(t->random);
 }
 
 const char *
-PhSimTasks_AddJob(PhSimTasks *t, unsigned count, bool long_running)
+PhSimTasks_AddJob(PhSimTasks *t, unsigned count, const PhSimTaskKind *kind)
 {
     PhSimJob *job = g_new0(PhSimJob, 1);
     g_snprintf(job->id, sizeof(job->id), "%016x", t->jobs->len + 1);
-    job->long_running = long_running;
+    job->kind = *kind;
     job->count = count;
     job->tasks = g_new0(PhSimTask, count);
     g_ptr_array_add(t->jobs, job);
@@ -65,7 +69,7 @@
 {
     for (guint i = 0; i < t->jobs->len; i++) {
         const PhSimJob *job = g_ptr_array_index(t->jobs, i);
-        for (unsigned k = 0; k < job->count && job->long_running; k++) {
+        for (unsigned k = 0; k < job->count && job->kind.long_running; k++) {
             PhSimTask *task = &job->tasks[k];
             if (task->ran_at > 0) {
                 t->longest_gap = MAX(t->longest_gap, now - task->ran_at);
@@ -83,8 +87,8 @@
     for (guint i = 0; i < t->jobs->len; i++) {
         const PhSimJob *job = g_ptr_array_index(t->jobs, i);
         for (unsigned k = 0; k < job->count; k++) {
-            if (job->long_running ? job->tasks[k].running != 1
-                                  : job->tasks[k].done == 0) {
+            if (job->kind.long_running ? job->tasks[k].running != 1
+                                       : job->tasks[k].done == 0) {
                 return false;
             }
         }
@@ -114,10 +118,11 @@
 void
 PhSimWorker_Open(PhSimWorker *h, int number)
 {
-    *h = (PhSimWorker){.born_ms = 1,
-                       .alive = true,
-                       .slow_percent =
-                           number % 2 == 0 ? SLOW_PERCENT : PERCENT};
+    *h = (PhSimWorker){
+        .born_ms = 1,
+        .alive = true,
+        .slow_percent = number % 2 == 0 ? SLOW_PERCENT : PERCENT,
+        .capacity = {.cpu_milli = CAPACITY_CPU_MILLI, .mem_mb = 1}};
     g_snprintf(h->id, sizeof(h->id), "worker-%d", number);
     h->runs = g_array_new(FALSE, TRUE, sizeof(PhSimRun));
     h->ends = g_array_new(FALSE, TRUE, sizeof(PhSimEnd));
@@ -135,8 +140,26 @@
 int
 PhSimWorker_Number(PhStr id)
 {
-    assert_int_equal(id.len, WORKER_PREFIX_LEN + 1);
-    return id.data[WORKER_PREFIX_LEN] - '0';
+    int number = 0;
+    assert_true(id.len > WORKER_PREFIX_LEN);
+    for (size_t i = WORKER_PREFIX_LEN; i < id.len; i++) {
+        assert_true(g_ascii_isdigit(id.data[i]));
+        number = number * DECIMAL + (id.data[i] - '0');
+    }
+    return number;
+}
+
+PhSchedResources
+PhSimWorker_Free(const PhSimWorker *h)
+{
+    PhSchedResources left = h->capacity;
+    for (guint i = 0; i < h->runs->len; i++) {
+        const PhSimTaskKind *kind =
+            &g_array_index(h->runs, PhSimRun, i).job->kind;
+        left.cpu_milli -= kind->fills ? 0 : kind->resources.cpu_milli;
+        left.mem_mb -= kind->resources.mem_mb;
+    }
+    return left;
 }
 
 static int64_t
@@ -224,7 +247,7 @@
     for (guint i = h->runs->len; i-- > 0;) {
         const PhSimRun *run = &g_array_index(h->runs, PhSimRun, i);
         if (run->ends_at != 0 && now >= run->ends_at) {
-            run_end(h, t, i, PH_SCHED_END_DONE);
+            run_end(h, t, i, run->ends_as);
         }
     }
     if (worker_clock(h, now) > h->deadline_ms) {
@@ -268,6 +291,33 @@
     task->running++;
 }
 
+static bool
+has_room(const PhSimWorker *h, const PhSimTaskKind *kind)
+{
+    PhSchedResources left = PhSimWorker_Free(h);
+    return !h->guards_capacity ||
+           ((kind->fills || left.cpu_milli >= kind->resources.cpu_milli) &&
+            left.mem_mb >= kind->resources.mem_mb);
+}
+
+/* Draws when a run that begins now ends, and how. */
+static PhSimRun
+run_draw(PhSimTasks *t, PhSimJob *job, PhTime now)
+{
+    PhSimRun run = {.job = job, .ends_as = PH_SCHED_END_DONE};
+    if (!job->kind.long_running) {
+        run.ends_at = now + job->kind.run_time;
+    }
+    else if (t->random != NULL &&
+             PhRandom_Chance(t->random, t->failure_share)) {
+        run.ends_as = PH_SCHED_END_FAILED;
+        run.ends_at =
+            now +
+            (PhTime)PhRandom_Below(t->random, FAILS_WITHIN_MS) * PH_NS_PER_MS;
+    }
+    return run;
+}
+
 static PhSchedOutcome
 worker_start(PhSimWorker *h, PhSimTasks *t, const PhSchedRunOrder *o,
              PhTime now)
@@ -287,24 +337,34 @@
     if (found < h->runs->len) {
         return PH_SCHED_OUTCOME_DONE;
     }
+    if (!has_room(h, &job->kind)) {
+        return PH_SCHED_OUTCOME_NO_CAPACITY;
+    }
     count_start(t, &job->tasks[o->task.index], now);
-    PhSimRun run = {
-        .job = job,
-        .index = o->task.index,
-        .run = o->run,
-        .ends_at = job->long_running ? 0 : now + SHORT_TASK_MS * PH_NS_PER_MS};
+    PhSimRun run = run_draw(t, job, now);
+    run.index = o->task.index;
+    run.run = o->run;
     g_array_append_val(h->runs, run);
     return PH_SCHED_OUTCOME_DONE;
 }
 
 static void
-worker_stop(PhSimWorker *h, PhSimTasks *t, const PhSchedRunOrder *o)
+worker_stop(PhSimWorker *h, PhSimTasks *t, const PhSchedRunOrder *o,
+            PhTime now)
 {
     PhSimJob *job = job_find(t, o->task.job);
     guint found = run_find(h, job, o->task.index);
     if (found < h->runs->len &&
         g_array_index(h->runs, PhSimRun, found).run <= o->run) {
-        run_end(h, t, found, PH_SCHED_END_STOPPED);
+        PhSimRun *run = &g_array_index(h->runs, PhSimRun, found);
+        PhTime ends_at = now + h->stop_time;
+        if (h->stop_time == 0) {
+            run_end(h, t, found, PH_SCHED_END_STOPPED);
+        }
+        else if (run->ends_at == 0 || run->ends_at > ends_at) {
+            run->ends_at = ends_at;
+            run->ends_as = PH_SCHED_END_STOPPED;
+        }
         return;
     }
     char *text = task_key(job, o->task.index);
@@ -338,6 +398,18 @@
     return (PhSchedTaskName){.job = PhStr_FromC(job->id), .index = index};
 }
 
+/* Serving tasks are at half their target, and others use what they have
+ * declared. */
+static int64_t
+usage_sample(const PhSimTaskKind *kind)
+{
+    if (!kind->fills && kind->tail_latency_target == 0) {
+        return 0;
+    }
+    return kind->fills ? kind->resources.cpu_milli
+                       : kind->tail_latency_target / 2 / PH_NS_PER_MS;
+}
+
 static void
 worker_hold(PhSimWorker *h, PhSimTasks *t, const PhSchedAction *a, PhTime now,
             PhSchedHoldReply *reply)
@@ -353,7 +425,8 @@
         reply->runs[reply->run_count++] =
             (PhSchedRunRow){.task = task_name(run->job, run->index),
                             .run = run->run,
-                            .percent = PERCENT};
+                            .percent = PERCENT,
+                            .usage_sample = usage_sample(&run->job->kind)};
     }
     for (guint i = 0; i < h->ends->len; i++) {
         const PhSimEnd *end = &g_array_index(h->ends, PhSimEnd, i);
@@ -393,7 +466,7 @@
         reply->hold.outcome = worker_start(h, t, &a->as.run, now);
         break;
     case PH_SCHED_ACTION_STOP:
-        worker_stop(h, t, &a->as.run);
+        worker_stop(h, t, &a->as.run, now);
         break;
     case PH_SCHED_ACTION_PACE:
         break;
--- a/tests/schedule/owners_worker.h
+++ b/tests/schedule/owners_worker.h
@@ -3,6 +3,7 @@
 #ifndef PERIDOTHILL_TESTS_OWNERS_WORKER_H
 #define PERIDOTHILL_TESTS_OWNERS_WORKER_H
 
+#include "peridothill/common/random.h"
 #include "peridothill/decide/schedule/scheduler.h"
 
 typedef struct PhSimTask {
@@ -14,9 +15,20 @@
     PhTime ran_at;     /* last time that it had a run, 0 for never */
 } PhSimTask;
 
+/* What the tasks of a job are like. */
+typedef struct PhSimTaskKind {
+    bool long_running;
+    bool fills; /* backfill tasks */
+    PhSchedResources resources;
+    PhTime run_time;            /* unless they are to last */
+    PhTime estimate;            /* of that, by the client */
+    PhTime tail_latency_target; /* 0: not serving tasks */
+    unsigned image;             /* 0: none */
+} PhSimTaskKind;
+
 typedef struct PhSimJob {
     char id[17];
-    bool long_running;
+    PhSimTaskKind kind;
     PhSimTask *tasks;
     unsigned count;
 } PhSimJob;
@@ -27,6 +39,9 @@
     unsigned duplicate_starts;
     unsigned repeated_starts; /* after an end `done` that was listed */
     PhTime longest_gap; /* longest time without a run of a long-running task */
+    /* Runs that are to last fail with this probability, at random times. */
+    double failure_share;
+    PhRandom *random; /* of these; NULL: none fails */
 } PhSimTasks;
 
 /* A worker, possibly with a slow clock. */
@@ -41,6 +56,9 @@
     bool restarting; /* it restarts under its id when the fault ends */
     PhTime started_at;
     int64_t slow_percent;
+    PhSchedResources capacity;
+    bool guards_capacity; /* starts that do not fit are rejected */
+    PhTime stop_time;     /* from a stop to the end of the run */
     uint64_t fence;
     int64_t deadline_ms;
     GArray *runs; /* PhSimRun */
@@ -58,7 +76,7 @@
 void PhSimTasks_Close(PhSimTasks *tasks);
 /* Adds a job and returns its id. */
 const char *PhSimTasks_AddJob(PhSimTasks *tasks, unsigned count,
-                              bool long_running);
+                              const PhSimTaskKind *kind);
 /* Updates `ran_at` and `longest_gap`. */
 void PhSimTasks_Tick(PhSimTasks *tasks, PhTime now);
 /* Whether every short task is done and every long-running one has one run. */
@@ -68,6 +86,9 @@
 void PhSimWorker_Close(PhSimWorker *worker);
 /* Returns a copy of a job's id that is valid until PhSimTasks_Close. */
 PhStr PhSimTasks_JobId(const PhSimTasks *tasks, PhStr id);
+/* Returns what the runs leave of the capacity.  The CPU of backfill tasks does
+ * not count. */
+PhSchedResources PhSimWorker_Free(const PhSimWorker *worker);
 /* Parses the number in a worker's id. */
 int PhSimWorker_Number(PhStr id);
 /* Stops the worker without a notice; its runs and ends are lost. */
