schedule: instances that stop may still take over

What callers saw: with several rolling restarts at a time nobody schedules for 4 to 8 s, and lasting tasks that lose their run then are missing (LOST).

Change: one that has read the records may claim for 1.5 s more, after those that do not stop, at once if it is named, and then hands over as any stopping owner.

--- a/decide/schedule/handover.c
+++ b/decide/schedule/handover.c
@@ -26,6 +26,7 @@
         switch (in->ownership) {
         case PH_OWNERSHIP_NONE:
             return PH_HANDOVER_RELEASE;
+        case PH_OWNERSHIP_CANDIDATE:
         case PH_OWNERSHIP_TAKEOVER:
             return over ? PH_HANDOVER_RELEASE : h->tag;
         case PH_OWNERSHIP_ACTIVE:
--- a/include/peridothill/decide/schedule/handover.h
+++ b/include/peridothill/decide/schedule/handover.h
@@ -1,6 +1,8 @@
 /* Planned end of an ownership: an owner that stops goes on until a successor
  * has read the records, records what the successor needs, and is released.
- * Instances that are not the owner are released at once. */
+ * Instances that are not the owner are released at once, but those that could
+ * take over stay available: the successor that a release names may be asked to
+ * stop before it claims, and the others may have to read the records first. */
 #ifndef PERIDOTHILL_DECIDE_SCHEDULE_HANDOVER_H
 #define PERIDOTHILL_DECIDE_SCHEDULE_HANDOVER_H
 
@@ -22,6 +24,7 @@
 
 typedef enum PhOwnership {
     PH_OWNERSHIP_NONE,
+    PH_OWNERSHIP_CANDIDATE, /* not the owner, but the records are read */
     PH_OWNERSHIP_TAKEOVER, /* the records are being read */
     PH_OWNERSHIP_ACTIVE,
 } PhOwnership;
--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -8,6 +8,8 @@
 /* Extra claim delay of an instance that does not follow the topics: it has to
  * load 1 to 3 MB first. */
 static const PhTime CATCH_UP_TIME = 700 * PH_NS_PER_MS;
+/* Before an instance that stops claims, others have this time more. */
+static const PhTime STOPPING_CLAIM_DELAY = 300 * PH_NS_PER_MS;
 /* Shortest interval between two updates. */
 static const PhTime UPDATE_INTERVAL_MIN = 3 * PH_NS_PER_MS;
 
@@ -201,7 +203,9 @@
         (!owner || PhElection_Fence(t->election) != t->fence)) {
         lose_ownership(t);
     }
-    if (owner && t->stage == OWNER_INACTIVE && !t->draining) {
+    bool may_take_over =
+        !t->draining || t->handover.tag == PH_HANDOVER_PREPARE;
+    if (owner && t->stage == OWNER_INACTIVE && may_take_over) {
         begin_fencing(t);
     }
     if (t->stage == OWNER_CATCH_UP) {
@@ -440,6 +444,12 @@
 {
     switch (t->stage) {
     case OWNER_INACTIVE:
+        if (PhElection_Role(t->election) == PH_ELECTION_OWNER) {
+            return PH_OWNERSHIP_TAKEOVER;
+        }
+        if (PhScheduleTopics_AreLoaded(t)) {
+            return PH_OWNERSHIP_CANDIDATE;
+        }
         break;
     case OWNER_FENCING:
     case OWNER_CATCH_UP:
@@ -486,6 +496,17 @@
     }
 }
 
+/* Instances that have read the records claim first, and of these the ones that
+ * do not stop. */
+static PhTime
+extra_claim_delay(const PhScheduleTask *t)
+{
+    if (!PhScheduleTopics_AreFollowed(t)) {
+        return CATCH_UP_TIME;
+    }
+    return t->draining ? STOPPING_CLAIM_DELAY : 0;
+}
+
 void
 PhScheduleOwner_Update(PhScheduleTask *t)
 {
@@ -494,8 +515,7 @@
     if (t->draining) {
         update_handover(t);
     }
-    PhElection_SetExtraDelay(
-        t->election, PhScheduleTopics_AreFollowed(t) ? 0 : CATCH_UP_TIME);
+    PhElection_SetExtraDelay(t->election, extra_claim_delay(t));
     update_election(t);
     update_ownership(t);
     PhScheduleLink_Update(t);
--- a/tests/schedule/owners_sim.c
+++ b/tests/schedule/owners_sim.c
@@ -430,12 +430,13 @@
 {
     int successor = choose_successor(w, m);
     bool owner = PhElection_Role(m->election) == PH_ELECTION_OWNER;
-    PhHandoverInput input = {.ownership = m->active ? PH_OWNERSHIP_ACTIVE
-                                          : owner   ? PH_OWNERSHIP_TAKEOVER
-                                                    : PH_OWNERSHIP_NONE,
-                             .successor_ready = successor >= 0,
-                             .recorded =
-                                 PhScheduler_IsHandedOver(m->scheduler)};
+    PhHandoverInput input = {
+        .ownership = m->active             ? PH_OWNERSHIP_ACTIVE
+                     : owner               ? PH_OWNERSHIP_TAKEOVER
+                     : has_caught_up(w, m) ? PH_OWNERSHIP_CANDIDATE
+                                           : PH_OWNERSHIP_NONE,
+        .successor_ready = successor >= 0,
+        .recorded = PhScheduler_IsHandedOver(m->scheduler)};
     char name[sizeof(m->name)];
     g_snprintf(name, sizeof(name), "instance-%d", successor);
     PhHandover_Begin(&m->handover, w->now);
--- a/tests/schedule/test_handover.c
+++ b/tests/schedule/test_handover.c
@@ -25,6 +25,10 @@
     {                                                                         \
         PH_OWNERSHIP_NONE                                                     \
     }
+#define CANDIDATE                                                             \
+    {                                                                         \
+        PH_OWNERSHIP_CANDIDATE                                                \
+    }
 #define TAKEOVER                                                              \
     {                                                                         \
         PH_OWNERSHIP_TAKEOVER                                                 \
@@ -44,6 +48,22 @@
 
 static const PhHandoverCase handover_cases[] = {
     {"not the owner", {{0, NONE, PH_HANDOVER_RELEASE}}},
+    {"not the owner, and nobody needs it",
+     {{0, CANDIDATE, PH_HANDOVER_PREPARE},
+      {1499, CANDIDATE, PH_HANDOVER_PREPARE},
+      {1500, CANDIDATE, PH_HANDOVER_RELEASE}}},
+    {"it takes over, and hands over",
+     {{0, CANDIDATE, PH_HANDOVER_PREPARE},
+      {600, TAKEOVER, PH_HANDOVER_PREPARE},
+      {700, ACTIVE, PH_HANDOVER_PREPARE},
+      {800, READY, PH_HANDOVER_RECORD},
+      {810, RECORDED, PH_HANDOVER_RELEASE}}},
+    {"it takes over late",
+     {{0, CANDIDATE, PH_HANDOVER_PREPARE},
+      {1400, TAKEOVER, PH_HANDOVER_PREPARE},
+      {1499, ACTIVE, PH_HANDOVER_PREPARE},
+      {1500, ACTIVE, PH_HANDOVER_RECORD},
+      {1800, ACTIVE, PH_HANDOVER_RELEASE}}},
     {"a successor is ready",
      {{0, READY, PH_HANDOVER_RECORD},
       {10, READY, PH_HANDOVER_RECORD},
