tests: bound holds, and those that share a query with a start

Rows with a hold that grants a lease and acknowledges ends, alone and beside a start. Every hold request is now checked: a query carries neither grant nor acknowledgement, the ordered hold both. The check that requests are limited in their connections stands for starts and their queries; holds are not limited, which is now checked as well.

--- a/tests/platform/test_bound_orders.c
+++ b/tests/platform/test_bound_orders.c
@@ -1,6 +1,8 @@
 /* Orders that are bound to one incarnation of a worker.  Guards against a
  * start, a lease or an acknowledgement that reaches a later incarnation, which
  * is known by the same id. */
+#include <glib.h>
+
 #include "peridothill/platform/adapter.h"
 #include "peridothill/services/http.h"
 #include "peridothill/services/interface.h"
@@ -40,12 +42,14 @@
 
 #define QUERY TEXT("/api/hold")
 #define START TEXT("/api/run-start")
+#define HOLD TEXT("/api/hold")
 
 typedef struct PhBoundCase {
     const char *name;
-    unsigned starts; /* ordered at the same time */
+    unsigned orders; /* given at the same time: starts */
     PhExpected requests[REQUESTS_MAX];
     PhSchedOutcome outcomes[ORDERS_MAX];
+    bool hold; /* the first order is a hold that grants and acknowledges */
 } PhBoundCase;
 
 static const PhBoundCase bound_cases[] = {
@@ -105,6 +109,48 @@
      {{QUERY, false, 200, LIST("8")}},
      {PH_SCHED_OUTCOME_OTHER_INCARNATION, PH_SCHED_OUTCOME_OTHER_INCARNATION,
       PH_SCHED_OUTCOME_OTHER_INCARNATION}},
+    {"a hold: the incarnation answers a query",
+     1,
+     {{QUERY, false, 200, OWN}, {HOLD, true, 200, OWN}},
+     {PH_SCHED_OUTCOME_DONE},
+     .hold = true},
+    {"a hold: a later incarnation answers the query",
+     1,
+     {{QUERY, false, 200, LIST("8")}},
+     {PH_SCHED_OUTCOME_OTHER_INCARNATION},
+     .hold = true},
+    {"a hold: nobody answers the query",
+     1,
+     {{QUERY, false, 0, .failure = PH_HTTP_FAILURE_DEADLINE}},
+     {PH_SCHED_OUTCOME_NOT_SENT},
+     .hold = true},
+    {"a hold: the worker closes its connections",
+     1,
+     {{QUERY, false, 200, OWN, .closes = true},
+      {HOLD, true, 0, .failure = PH_HTTP_FAILURE_NO_CONNECTION},
+      {QUERY, false, 200, OWN, .closes = true}},
+     {PH_SCHED_OUTCOME_UNBOUND},
+     .hold = true},
+    {"a hold: the connection is in use by then",
+     1,
+     {{QUERY, false, 200, OWN},
+      {HOLD, true, 0, .failure = PH_HTTP_FAILURE_NO_CONNECTION},
+      {QUERY, false, 200, OWN},
+      {HOLD, true, 200, OWN}},
+     {PH_SCHED_OUTCOME_DONE},
+     .hold = true},
+    {"a hold and a start share a query",
+     2,
+     {{QUERY, false, 200, OWN},
+      {HOLD, true, 200, OWN},
+      {START, true, 200, DONE}},
+     {PH_SCHED_OUTCOME_DONE, PH_SCHED_OUTCOME_DONE},
+     .hold = true},
+    {"a hold and a start share a query that a later incarnation answers",
+     2,
+     {{QUERY, false, 200, LIST("8")}},
+     {PH_SCHED_OUTCOME_OTHER_INCARNATION, PH_SCHED_OUTCOME_OTHER_INCARNATION},
+     .hold = true},
 };
 
 typedef struct PhScript {
@@ -114,6 +160,25 @@
     unsigned queries; /* replies to them */
 } PhScript;
 
+static bool
+body_has(const PhHttpRequest *r, const char *text)
+{
+    return g_strstr_len(r->body.data, (gssize)r->body.len, text) != NULL;
+}
+
+/* Only a hold that was ordered grants a lease and acknowledges ends, and it
+ * alone is not limited in its connections. */
+static void
+request_check(const PhBoundCase *c, const PhHttpRequest *r, bool bound)
+{
+    if (PhStr_Equal(r->target, PhStr_LITERAL("/api/hold"))) {
+        assert_int_equal(body_has(r, "\"deadlineMs\":6000"), bound);
+        assert_int_equal(body_has(r, "\"lastSeen\":4"), bound);
+    }
+    bool is_start = PhStr_Equal(r->target, PhStr_LITERAL("/api/run-start"));
+    assert_int_equal(r->connections > 0, is_start || !c->hold);
+}
+
 /* Plays the connections to the worker. */
 static void
 http_handle(void *state, PhTask *self, const PhMail *mail)
@@ -127,7 +192,7 @@
     const PhExpected *e = &s->c->requests[s->requests++];
     assert_true(PhStr_Equal(m->as.send.target, e->path));
     assert_int_equal(m->as.send.connected_by > 0, e->bound);
-    assert_true(m->as.send.connections > 0); /* limited, as for starts */
+    request_check(s->c, &m->as.send, e->bound);
     bool sent = e->failure != PH_HTTP_FAILURE_NO_CONNECTION;
     PhHttpOutcome failed = sent ? PH_HTTP_UNKNOWN : PH_HTTP_NOT_SENT;
     PhHttpMessage reply = {
@@ -142,6 +207,27 @@
     PhTask_Send(self, mail->from, PhHttpMessage_Wrap(&reply));
 }
 
+static void
+order_send(PhTask *self, const PhSchedAction *a)
+{
+    PhOrderMessage m = {
+        .tag = PH_ORDER_SEND,
+        .as.send = {.fence = FENCE, .action = PhOrder_CopyAction(a)}};
+    PhTask_SendTo(self, PH_SERVICE_ORDERS, PhOrderMessage_Wrap(&m));
+}
+
+static void
+hold_send(PhTask *self)
+{
+    PhSchedAction a = {.tag = PH_SCHED_ACTION_HOLD,
+                       .worker = PhStr_LITERAL("i-1"),
+                       .born_ms = BORN_MS,
+                       .address = PhStr_LITERAL("127.0.0.1:1"),
+                       .bound = true,
+                       .as.hold = {.deadline_ms = 6000, .last_seen = 4}};
+    order_send(self, &a);
+}
+
 static void
 start_send(PhTask *self, uint32_t index)
 {
@@ -155,20 +241,22 @@
             .task = {.job = PhStr_LITERAL("00000000000000a1"), .index = index},
             .run = 1,
             .deadline_ms = 6000}};
-    PhOrderMessage m = {
-        .tag = PH_ORDER_SEND,
-        .as.send = {.fence = FENCE, .action = PhOrder_CopyAction(&a)}};
-    PhTask_SendTo(self, PH_SERVICE_ORDERS, PhOrderMessage_Wrap(&m));
+    order_send(self, &a);
 }
 
-/* Orders the starts, and compares their outcomes. */
+/* Gives the orders, and compares their outcomes. */
 static void
 owner_handle(void *state, PhTask *self, const PhMail *mail)
 {
     PhScript *s = state;
     if (mail->kind == PH_MAIL_START) {
-        for (uint32_t i = 0; i < s->c->starts; i++) {
-            start_send(self, i);
+        for (uint32_t i = 0; i < s->c->orders; i++) {
+            if (i == 0 && s->c->hold) {
+                hold_send(self);
+            }
+            else {
+                start_send(self, i);
+            }
         }
         return;
     }
@@ -181,8 +269,10 @@
         s->queries++;
         return;
     }
-    assert_true(s->outcomes < s->c->starts);
-    assert_int_equal(m->as.reply.tag, PH_SCHED_ACTION_START);
+    assert_true(s->outcomes < s->c->orders);
+    assert_int_equal(m->as.reply.tag, s->c->hold && s->outcomes == 0
+                                          ? PH_SCHED_ACTION_HOLD
+                                          : PH_SCHED_ACTION_START);
     assert_int_equal(m->as.reply.outcome, s->c->outcomes[s->outcomes++]);
 }
 
@@ -205,7 +295,7 @@
     PhKernel_Destroy(kernel);
     PhCounters_Destroy(counters);
     PhClock_Destroy(clock);
-    assert_int_equal(script.outcomes, c->starts);
+    assert_int_equal(script.outcomes, c->orders);
     assert_int_equal(script.queries, queries);
     assert_true(script.requests == REQUESTS_MAX ||
                 c->requests[script.requests].path.len == 0);
