schedule: a dispatcher passes on the ends that a worker lists to it

A worker that left before the next one had its task started again: a start may reach a worker 2.7 s after it was ordered (1.5 s at the dispatcher, 1.2 s for a connection), and workers may leave 2 s after their notice.

The dispatcher now sends the ends to the owner (PH_LINK_ENDS), which notes those of the newest incarnation, once it has answered this owner; it notes nothing else of the answer.

The simulated worker marked an end as listed when a hold arrived that was answered only later, with another list, and not at all if the worker had gone by then; it is marked when the list is answered. A row of messages in test_owner_link.

The step between the two tasks has no test of its own.

--- a/codec/schedule_link.c
+++ b/codec/schedule_link.c
@@ -23,6 +23,8 @@
     FIELD_HELLO,
     FIELD_ROWS,
     FIELD_HELLO_NUMBER,
+    FIELD_WORKER,
+    FIELD_BORN_MS,
     /* Field counts of the maps. */
     HELLO_FIELDS = 7,
     WELCOME_FIELDS = 2,
@@ -31,9 +33,11 @@
     ANSWER_FIELDS = 4,
     ORDERS_FIELDS = 4,
     OUTCOMES_FIELDS = 2,
+    ENDS_FIELDS = 4,
     /* Items of a row. */
     ORDER_ITEMS = 12,
     OUTCOME_ITEMS = 4,
+    END_ITEMS = 8,
     ROWS_MAX = 4096,
     TEXT_BYTES_MAX = 4096,
     SUBJECT_BYTES_MAX = 256,
@@ -82,6 +86,20 @@
     msgpack_pack_uint64(p, o->took_ms);
 }
 
+static void
+end_pack(msgpack_packer *p, const PhLinkEnd *e)
+{
+    msgpack_pack_array(p, END_ITEMS);
+    msgpack_pack_uint64(p, e->number);
+    pack_bytes(p, e->job);
+    msgpack_pack_uint64(p, e->round);
+    msgpack_pack_uint64(p, e->step);
+    msgpack_pack_uint64(p, e->index);
+    msgpack_pack_uint64(p, e->run);
+    msgpack_pack_uint64(p, e->kind);
+    pack_bytes(p, e->last_checkpoint);
+}
+
 /* Begins the array of rows of a message. */
 static void
 rows_begin(msgpack_packer *p, size_t count)
@@ -143,6 +161,16 @@
             outcome_pack(&p, &m->as.outcomes.rows[i]);
         }
         break;
+    case PH_LINK_ENDS:
+        map_begin(&p, m->tag, ENDS_FIELDS);
+        PhPack_Bytes(&p, FIELD_WORKER, m->as.ends.worker);
+        msgpack_pack_uint64(&p, FIELD_BORN_MS);
+        msgpack_pack_int64(&p, m->as.ends.born_ms);
+        rows_begin(&p, m->as.ends.row_count);
+        for (size_t i = 0; i < m->as.ends.row_count; i++) {
+            end_pack(&p, &m->as.ends.rows[i]);
+        }
+        break;
     }
     return PhBuf_Take(&out);
 }
@@ -293,6 +321,50 @@
     return true;
 }
 
+static bool
+end_read(const msgpack_object *row, PhLinkEnd *e)
+{
+    const msgpack_object *item = row_items(row, END_ITEMS);
+    PhLinkEnd read = {0};
+    if (item == NULL || !PhUnpack_U64(&item[0], &read.number) ||
+        !PhUnpack_Bytes(&item[1], SUBJECT_BYTES_MAX, &read.job) ||
+        !PhUnpack_U64(&item[2], &read.round) || read.round > UINT32_MAX ||
+        !PhUnpack_U64(&item[3], &read.step) || read.step > UINT32_MAX ||
+        !PhUnpack_U64(&item[4], &read.index) || read.index > UINT32_MAX ||
+        !PhUnpack_U64(&item[5], &read.run) || read.run > UINT32_MAX ||
+        !PhUnpack_U64(&item[6], &read.kind) ||
+        !PhUnpack_Bytes(&item[7], TEXT_BYTES_MAX, &read.last_checkpoint)) {
+        return false;
+    }
+    *e = read;
+    e->job = PhStr_Dup(read.job);
+    e->last_checkpoint = PhStr_Dup(read.last_checkpoint);
+    return true;
+}
+
+static bool
+ends_read(const msgpack_object *map, PhLinkMessage *m)
+{
+    const msgpack_object_array *rows = rows_read(map);
+    const msgpack_object *born_ms = PhUnpack_Field(map, FIELD_BORN_MS);
+    PhStr worker;
+    if (rows == NULL || born_ms == NULL ||
+        !PhUnpack_I64(born_ms, &m->as.ends.born_ms) ||
+        !PhUnpack_Bytes(PhUnpack_Field(map, FIELD_WORKER), TEXT_BYTES_MAX,
+                        &worker)) {
+        return false;
+    }
+    m->as.ends.worker = PhStr_Dup(worker);
+    m->as.ends.rows = g_new0(PhLinkEnd, MAX(rows->size, 1));
+    for (uint32_t i = 0; i < rows->size; i++) {
+        if (!end_read(&rows->ptr[i], &m->as.ends.rows[i])) {
+            return false;
+        }
+        m->as.ends.row_count++;
+    }
+    return true;
+}
+
 static bool
 fields_read(const msgpack_object *map, PhLinkMessage *m)
 {
@@ -316,6 +388,8 @@
         return orders_read(map, m);
     case PH_LINK_OUTCOMES:
         return outcomes_read(map, m);
+    case PH_LINK_ENDS:
+        return ends_read(map, m);
     }
     return false;
 }
@@ -330,7 +404,7 @@
         PhUnpack_Open(&unpack, payload) &&
         PhUnpack_U64(PhUnpack_Field(PhUnpack_Root(&unpack), FIELD_TAG),
                      &tag) &&
-        tag >= PH_LINK_HELLO && tag <= PH_LINK_OUTCOMES;
+        tag >= PH_LINK_HELLO && tag <= PH_LINK_ENDS;
     if (valid) {
         m->tag = (PhLinkTag)tag;
         valid = fields_read(PhUnpack_Root(&unpack), m);
@@ -356,6 +430,17 @@
     g_free(m->as.orders.rows);
 }
 
+static void
+ends_clear(PhLinkMessage *m)
+{
+    for (size_t i = 0; i < m->as.ends.row_count; i++) {
+        PhStr_Clear(&m->as.ends.rows[i].job);
+        PhStr_Clear(&m->as.ends.rows[i].last_checkpoint);
+    }
+    PhStr_Clear(&m->as.ends.worker);
+    g_free(m->as.ends.rows);
+}
+
 void
 PhLinkMessage_Clear(PhLinkMessage *m)
 {
@@ -370,6 +455,9 @@
     case PH_LINK_OUTCOMES:
         g_free(m->as.outcomes.rows);
         break;
+    case PH_LINK_ENDS:
+        ends_clear(m);
+        break;
     case PH_LINK_HELLO:
     case PH_LINK_WELCOME:
     case PH_LINK_NOT_OWNER:
--- a/decide/schedule/holds.c
+++ b/decide/schedule/holds.c
@@ -337,3 +337,17 @@
     }
     return reply->outcome != PH_SCHED_OUTCOME_FENCED;
 }
+
+void
+PhScheduler_OnRelayedEnds(PhScheduler *s, PhStr worker, int64_t born_ms,
+                          PhSchedEndRow *ends, size_t end_count, PhTime now)
+{
+    PhSchedHoldReply reply = {.outcome = PH_SCHED_OUTCOME_DONE,
+                              .ends = ends,
+                              .end_count = end_count};
+    PhSchedWorker *w = extra_hold_worker(s, worker, born_ms, &reply, now);
+    if (w != NULL && w->fenced) {
+        ends_apply(s, w, &reply, now);
+        PhScheduler_WakeBy(s, now);
+    }
+}
--- a/include/peridothill/codec/schedule_link.h
+++ b/include/peridothill/codec/schedule_link.h
@@ -17,6 +17,7 @@
     PH_LINK_ANSWER,    /* the owner's answer to a call */
     PH_LINK_ORDERS,    /* the owner has another instance send starts */
     PH_LINK_OUTCOMES,  /* their outcomes */
+    PH_LINK_ENDS,      /* ends that a worker listed to the other instance */
 } PhLinkTag;
 
 /* Calls of a client.  Wire values: append only. */
@@ -51,6 +52,18 @@
     uint64_t took_ms; /* from the arrival of the order to this message */
 } PhLinkOutcome;
 
+/* A run that has ended. */
+typedef struct PhLinkEnd {
+    uint64_t number; /* of the end, by the worker's count */
+    PhStr job;
+    uint64_t round;
+    uint64_t step;
+    uint64_t index;
+    uint64_t run;
+    uint64_t kind; /* a PhSchedEndKind */
+    PhStr last_checkpoint;
+} PhLinkEnd;
+
 typedef struct PhLinkMessage {
     PhLinkTag tag;
     union {
@@ -89,6 +102,12 @@
             PhLinkOutcome *rows;
             size_t row_count;
         } outcomes;
+        struct {
+            PhStr worker;
+            int64_t born_ms; /* the incarnation that listed them */
+            PhLinkEnd *rows;
+            size_t row_count;
+        } ends;
     } as;
 } PhLinkMessage;
 
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -333,6 +333,10 @@
 /* The reply to a query that was sent for a bound order. */
 bool PhScheduler_OnQuery(PhScheduler *scheduler, PhStr worker, int64_t born_ms,
                          const PhSchedHoldReply *reply, PhTime now);
+/* Ends that a worker has listed to a dispatcher, which had sent it a query. */
+void PhScheduler_OnRelayedEnds(PhScheduler *scheduler, PhStr worker,
+                               int64_t born_ms, PhSchedEndRow *ends,
+                               size_t end_count, PhTime now);
 bool PhScheduler_OnStart(PhScheduler *scheduler, const PhSchedRunReply *reply,
                          PhTime now);
 bool PhScheduler_OnStop(PhScheduler *scheduler, const PhSchedRunReply *reply,
--- a/services/schedule/schedule_dispatch.c
+++ b/services/schedule/schedule_dispatch.c
@@ -358,6 +358,36 @@
     }
 }
 
+void
+PhScheduleDispatch_OnEnds(PhScheduleTask *t, const PhLinkMessage *m)
+{
+    if (t->stage != OWNER_ACTIVE) {
+        return;
+    }
+    PhSchedEndRow *ends = g_new0(PhSchedEndRow, m->as.ends.row_count + 1);
+    size_t count = 0;
+    for (size_t i = 0; i < m->as.ends.row_count; i++) {
+        const PhLinkEnd *e = &m->as.ends.rows[i];
+        if (e->kind > PH_SCHED_END_GANG_INCOMPLETE) {
+            break;
+        }
+        ends[count++] = (PhSchedEndRow){.number = e->number,
+                                        .task = {.job = e->job,
+                                                 .round = (uint32_t)e->round,
+                                                 .step = (uint32_t)e->step,
+                                                 .index = (uint32_t)e->index},
+                                        .run = (uint32_t)e->run,
+                                        .kind = (PhSchedEndKind)e->kind,
+                                        .last_checkpoint = e->last_checkpoint};
+    }
+    PhScheduler_OnRelayedEnds(t->scheduler, m->as.ends.worker,
+                              m->as.ends.born_ms, ends, count,
+                              PhTask_Now(t->self));
+    PhScheduleLog_Notes(t);
+    PhScheduleTask_RequestUpdate(t);
+    g_free(ends);
+}
+
 uint64_t
 PhScheduleDispatch_NumberHello(PhScheduleTask *t)
 {
@@ -491,6 +521,49 @@
     g_hash_table_remove(t->dispatch->dispatched, &reply->relay);
 }
 
+static PhLinkEnd
+end_row(const PhSchedEndRow *e)
+{
+    return (PhLinkEnd){.number = e->number,
+                       .job = e->task.job,
+                       .round = e->task.round,
+                       .step = e->task.step,
+                       .index = e->task.index,
+                       .run = e->run,
+                       .kind = e->kind,
+                       .last_checkpoint = e->last_checkpoint};
+}
+
+/* An end counts once it has been listed, to whomever.  The worker may leave
+ * before the owner's next hold. */
+void
+PhScheduleDispatch_OnQuery(PhScheduleTask *t, const PhOrderReply *reply)
+{
+    const PhSchedHoldReply *hold = &reply->hold;
+    const PhDispatchedStart *s =
+        g_hash_table_lookup(t->dispatch->dispatched, &reply->relay);
+    if (s == NULL || reply->outcome != PH_SCHED_OUTCOME_DONE ||
+        hold->end_count == 0) {
+        return;
+    }
+    PhLinkEnd *rows = g_new0(PhLinkEnd, hold->end_count);
+    size_t count = 0;
+    size_t bytes = 0;
+    while (count < hold->end_count && bytes < BATCH_BYTES_MAX) {
+        rows[count] = end_row(&hold->ends[count]);
+        bytes += ROW_BYTES + rows[count].last_checkpoint.len;
+        count++;
+    }
+    int64_t born_ms = hold->born_ms != 0 ? hold->born_ms : reply->born_ms;
+    PhLinkMessage m = {.tag = PH_LINK_ENDS,
+                       .as.ends = {.worker = reply->worker,
+                                   .born_ms = born_ms,
+                                   .rows = rows,
+                                   .row_count = count}};
+    PhScheduleLink_Send(t, s->instance, &m);
+    g_free(rows);
+}
+
 void
 PhScheduleDispatch_SendOutcomes(PhScheduleTask *t)
 {
--- a/services/schedule/schedule_link.c
+++ b/services/schedule/schedule_link.c
@@ -482,6 +482,9 @@
     case PH_LINK_OUTCOMES:
         PhScheduleDispatch_OnOutcomes(t, instance, &m);
         break;
+    case PH_LINK_ENDS:
+        PhScheduleDispatch_OnEnds(t, &m);
+        break;
     }
     PhLinkMessage_Clear(&m);
 }
--- a/services/schedule/schedule_task.c
+++ b/services/schedule/schedule_task.c
@@ -126,7 +126,10 @@
 on_order(PhScheduleTask *t, const PhOrderReply *reply)
 {
     if (reply->relay != 0) {
-        if (!reply->query) {
+        if (reply->query) {
+            PhScheduleDispatch_OnQuery(t, reply);
+        }
+        else {
             PhScheduleDispatch_OnReply(t, reply);
         }
         return;
--- a/services/schedule/schedule_task.h
+++ b/services/schedule/schedule_task.h
@@ -259,6 +259,9 @@
                                 const PhLinkMessage *hello);
 void PhScheduleDispatch_OnOutcomes(PhScheduleTask *task, PhStr instance,
                                    const PhLinkMessage *outcomes);
+/* Owner: ends that a worker has listed to a dispatcher. */
+void PhScheduleDispatch_OnEnds(PhScheduleTask *task,
+                               const PhLinkMessage *ends);
 /* Owner: this instance has forwarded the job, and has its specification. */
 void PhScheduleDispatch_OnForwarded(PhScheduleTask *task, PhStr job,
                                     PhStr instance);
@@ -271,6 +274,9 @@
                                  const PhLinkMessage *orders);
 void PhScheduleDispatch_OnReply(PhScheduleTask *task,
                                 const PhOrderReply *reply);
+/* Dispatcher: passes on the ends in the answer to a query. */
+void PhScheduleDispatch_OnQuery(PhScheduleTask *task,
+                                const PhOrderReply *reply);
 /* Dispatcher: sends the outcomes that were collected. */
 void PhScheduleDispatch_SendOutcomes(PhScheduleTask *task);
 
--- a/tests/schedule/owners_orders.c
+++ b/tests/schedule/owners_orders.c
@@ -9,6 +9,7 @@
     LATE_MIN_MS = 2000,
     LATE_SPREAD_MS = 10000,
     RELAY_DELAY_MAX_MS = 1500, /* of a start at its dispatcher */
+    RELAY_BIND_MAX_MS = 1200,  /* longer, if it has no connection */
     RELAY_TIMEOUT_MS = 1600,
     LATE_HOLD_MS = 4000, /* replies to holds that are not later still count */
     LIGHT_ORDERS = 10, /* orders other than starts that take as long as one */
@@ -108,6 +109,23 @@
     f->reply_lost = true;
 }
 
+/* A dispatcher without a connection sends a query first, and passes on the
+ * ends in the answer. */
+static void
+relay_query(PhOwnersSim *w, PhSimOrder *f)
+{
+    PhSimOrder query = *f;
+    f->deliver_at += draw_delay(w, RELAY_BIND_MAX_MS);
+    query.deliver_at = f->deliver_at;
+    query.reply_at = query.deliver_at + draw_delay(w, DELAY_MAX_MS);
+    query.reply_lost = false;
+    query.action =
+        (PhSchedAction){.tag = PH_SCHED_ACTION_HOLD,
+                        .worker = PhStr_FromC(w->workers[f->worker].id),
+                        .born_ms = f->action.born_ms};
+    g_array_append_val(w->orders, query);
+}
+
 /* Has a dispatcher send a start: it is under way for longer, and a partition
  * of the owner from the worker does not matter. */
 static void
@@ -116,6 +134,9 @@
     f->relayed = true;
     f->query = f->born_ms != f->action.born_ms;
     f->deliver_at += draw_delay(w, RELAY_DELAY_MAX_MS);
+    if (w->relays_query && !f->query) {
+        relay_query(w, f);
+    }
     f->times_out_at = w->now + RELAY_TIMEOUT_MS * PH_NS_PER_MS;
 }
 
@@ -192,9 +213,14 @@
         f->hold_until = 0;
         return;
     }
-    PhSchedAction query = {.tag = PH_SCHED_ACTION_HOLD};
-    PhSimWorker_Execute(h, &w->tasks, f->fence, f->query ? &query : &f->action,
-                        w->now, &reply);
+    PhSchedAction action = f->action;
+    if (f->query) {
+        action = (PhSchedAction){.tag = PH_SCHED_ACTION_HOLD};
+    }
+    else if (action.tag == PH_SCHED_ACTION_HOLD && f->hold_until == 0) {
+        action.as.hold.wait = 0; /* answered now */
+    }
+    PhSimWorker_Execute(h, &w->tasks, f->fence, &action, w->now, &reply);
     if (f->reply_lost) {
         PhSimReply_Clear(&reply);
         return;
@@ -217,6 +243,7 @@
     if (running && !PhOwnersSim_IsUnreachable(w, f->instance, f->worker)) {
         f->action.as.hold.deadline_ms = 0;
         f->action.as.hold.last_seen = 0;
+        f->action.as.hold.wait = 0;
         PhSimWorker_Execute(h, &w->tasks, f->fence, &f->action, w->now,
                             &f->reply);
         PhTime at = w->now + draw_delay(w, DELAY_MAX_MS);
@@ -230,7 +257,7 @@
 
 /* Handles the outcome of a query: the order that waits for it is sent if the
  * incarnation that it names has answered.  Returns false if the owner has been
- * replaced.  The list of a relayed query stays with the dispatcher. */
+ * replaced.  What a dispatcher learns of a later incarnation stays there. */
 static bool
 query_complete(PhOwnersSim *w, PhSimInstance *m, const PhSimOrder *f)
 {
@@ -274,6 +301,16 @@
     f->reply_at = PH_TIME_NEVER;
     f->reply.hold.connected_at = f->connected_at;
     bool current = m->active && m->fence == f->fence;
+    if (f->relayed && f->action.tag == PH_SCHED_ACTION_HOLD) {
+        if (current) {
+            PhScheduler_OnRelayedEnds(
+                m->scheduler, f->action.worker, f->reply.hold.born_ms,
+                f->reply.hold.ends, f->reply.hold.end_count, w->now);
+        }
+        PhSimReply_Clear(&f->reply);
+        f->reply = (PhSimReply){0};
+        return;
+    }
     if (current) {
         answer_note(m, f);
     }
--- a/tests/schedule/owners_sim.c
+++ b/tests/schedule/owners_sim.c
@@ -149,6 +149,12 @@
     w->relays = true;
 }
 
+void
+PhOwnersSim_QueryForRelays(PhOwnersSim *w)
+{
+    w->relays_query = true;
+}
+
 void
 PhOwnersSim_SetInterval(PhOwnersSim *w, int64_t interval_ms)
 {
--- a/tests/schedule/owners_sim.h
+++ b/tests/schedule/owners_sim.h
@@ -72,6 +72,8 @@
 void PhOwnersSim_LimitLinks(PhOwnersSim *sim, unsigned starts_per_s);
 /* Dispatchers send one start in two, up to 1.5 s later.  Needs delays. */
 void PhOwnersSim_RelayStarts(PhOwnersSim *sim);
+/* Dispatchers have no connections, so that a query goes before each start. */
+void PhOwnersSim_QueryForRelays(PhOwnersSim *sim);
 /* Jobs of short tasks are submitted at this interval, 1 s by default. */
 void PhOwnersSim_SetInterval(PhOwnersSim *sim, int64_t interval_ms);
 /* Workers that drain state that they may leave at any time, so that their
--- a/tests/schedule/owners_sim_private.h
+++ b/tests/schedule/owners_sim_private.h
@@ -75,7 +75,8 @@
     PhTime link_free_at[PH_OWNERS_INSTANCES];
     unsigned takeovers;
     bool drains_announced;
-    bool relays; /* dispatchers send one start in two */
+    bool relays;       /* dispatchers send one start in two */
+    bool relays_query; /* a query goes before each of these */
     PhSimConnection connections[PH_OWNERS_INSTANCES][PH_OWNERS_WORKERS];
     PhRandom *delays; /* NULL: no delays */
     GArray *orders;   /* PhSimOrder */
--- a/tests/schedule/owners_worker.c
+++ b/tests/schedule/owners_worker.c
@@ -338,6 +338,7 @@
     return (PhSchedTaskName){.job = PhStr_FromC(job->id), .index = index};
 }
 
+/* A hold that waits is answered later, with what is listed then. */
 static void
 worker_hold(PhSimWorker *h, PhSimTasks *t, const PhSchedAction *a, PhTime now,
             PhSchedHoldReply *reply)
@@ -359,7 +360,7 @@
         const PhSimEnd *end = &g_array_index(h->ends, PhSimEnd, i);
         PhSimTask *task = &end->job->tasks[end->index];
         if (end->kind == PH_SCHED_END_DONE && !end->lease_expired &&
-            task->listed_at == 0) {
+            task->listed_at == 0 && a->as.hold.wait == 0) {
             task->listed_at = now;
         }
         reply->ends[reply->end_count++] =
--- a/tests/schedule/test_owner_link.c
+++ b/tests/schedule/test_owner_link.c
@@ -353,6 +353,18 @@
     {.number = 1ULL << 40, .outcome = 8},
 };
 
+static PhLinkEnd end_rows[] = {
+    {.number = 58,
+     .job = {"00000000000000a1", 16},
+     .round = 2,
+     .step = 1,
+     .index = 39,
+     .run = 3,
+     .kind = 1,
+     .last_checkpoint = {"saved", 5}},
+    {.number = 1ULL << 40, .job = {"00000000000000a2", 16}, .run = 1},
+};
+
 static const PhMessageCase message_cases[] = {
     {"orders",
      {.tag = PH_LINK_ORDERS,
@@ -362,6 +374,12 @@
     {"outcomes",
      {.tag = PH_LINK_OUTCOMES,
       .as.outcomes = {.rows = outcome_rows, .row_count = 2}}},
+    {"ends",
+     {.tag = PH_LINK_ENDS,
+      .as.ends = {.worker = {"i-1", 3},
+                  .born_ms = 1796553036072,
+                  .rows = end_rows,
+                  .row_count = 2}}},
     {"hello with its number",
      {.tag = PH_LINK_HELLO, .as.hello = {.cpu_milli = 120, .number = 9}}},
     {"hello",
