--- a/tests/schedule/owners_worker.c
+++ b/tests/schedule/owners_worker.c
@@ -410,6 +410,7 @@
                        : kind->tail_latency_target / 2 / PH_NS_PER_MS;
 }
 
+/* A hold that waits is answered later, with what is listed then. */
 static void
 worker_hold(PhSimWorker *h, PhSimTasks *t, const PhSchedAction *a, PhTime now,
             PhSchedHoldReply *reply)
@@ -432,7 +433,7 @@
         const PhSimEnd *end = &g_array_index(h->ends, PhSimEnd, i);
         PhSimTask *task = &end->job->tasks[end->index];
         if (end->kind == PH_SCHED_END_DONE && !end->lease_expired &&
-            task->listed_at == 0) {
+            task->listed_at == 0 && a->as.hold.wait == 0) {
             task->listed_at = now;
         }
         reply->ends[reply->end_count++] =
