schedule: a worker has left once its last answer is in

An entry is deleted when its worker has left, while an answer of the worker may still be on its way to the owner, on a slow link for seconds, and list ends. Tasks of the worker are queued again only once the hold under way has been answered or has failed, as it does at once when the worker closes its connections. Without it an end could be listed, and its task started again (by reading).

test_departures, "left, and an answer is under way" failed before.

--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -175,7 +175,8 @@
 leases_end(const PhScheduler *s, const PhSchedWorker *w)
 {
     PhLeaseBound bound = w->leases;
-    if (w->left_at > 0) {
+    /* An answer that is under way may list ends. */
+    if (w->left_at > 0 && !w->hold_in_flight) {
         return (PhLeaseBound){.until = w->left_at,
                               .evidence = PH_LEASE_EVIDENCE_LEFT};
     }
--- a/tests/schedule/test_leaving.c
+++ b/tests/schedule/test_leaving.c
@@ -102,6 +102,7 @@
 enum {
     REPORT_INTERVAL_MS = 1000,
     LEASE_MS = 3000,
+    WAIT_MS = 500,
     NEVER_WRITTEN = -1,
 };
 
@@ -115,6 +116,7 @@
     int64_t report_interval_ms;
     bool returns; /* the entry is there again at once */
     bool left;    /* expected: the runs are given up at once */
+    bool waits;   /* a hold is under way then, for WAIT_MS */
 } PhDepartureCase;
 
 static const PhDepartureCase departure_cases[] = {
@@ -133,6 +135,8 @@
      REPORT_INTERVAL_MS, false, false},
     {"unknown report interval", true, 1500, PH_REMOVAL_DELETED, 0, false,
      false},
+    {"left, and an answer is under way", true, 1500, PH_REMOVAL_DELETED,
+     REPORT_INTERVAL_MS, false, true, true},
     {"back at once", true, 1500, PH_REMOVAL_DELETED, REPORT_INTERVAL_MS, true,
      false},
 };
@@ -175,7 +179,15 @@
     if (c->returns) {
         entry_show(s, c, TAKEOVER);
     }
-    assert_int_equal(counts_after(s, task, 0), !c->left);
+    PhTime failed_at = TAKEOVER;
+    if (c->waits) {
+        assert_true(counts_after(s, task, 0));
+        assert_true(counts_after(s, task, WAIT_MS));
+        failed_at += WAIT_MS * PH_NS_PER_MS;
+    }
+    PhSchedHoldReply silence = {.outcome = PH_SCHED_OUTCOME_UNKNOWN};
+    PhScheduler_OnHold(s, PH_SINGLE_WORKER, 1, &silence, failed_at);
+    assert_int_equal(counts_after(s, task, c->waits ? WAIT_MS : 0), !c->left);
     assert_int_equal(counts_after(s, task, LEASE_MS), !c->left);
     PhScheduler_Destroy(s);
 }
--- a/tests/schedule/test_relayed_ends.c
+++ b/tests/schedule/test_relayed_ends.c
@@ -101,7 +101,7 @@
     PhSingle_RecordAll(s);
     now += PH_NS_PER_S;
     assert_int_equal(next_ack(s, now), c->acked);
-    PhScheduler_RemoveWorker(s, PH_SINGLE_WORKER, now);
+    PhScheduler_RemoveWorker(s, PH_SINGLE_WORKER, PH_REMOVAL_MISSING, now);
     PhScheduler_Plan(s, now + LOST_MS * PH_NS_PER_MS, 0);
     assert_int_equal(task->state == PH_SCHED_TASK_DONE, c->done);
     PhScheduler_Destroy(s);
