--- a/tests/schedule/owners_sim.c
+++ b/tests/schedule/owners_sim.c
@@ -288,11 +288,18 @@
             w->now);
         return;
     }
+    /* Without rooms, entries still take the name of a later incarnation. */
+    const char *name = w->rooms == NULL ? m->name : g_intern_string(m->name);
     PhElectionEntry entry = {.offset = w->elections->len,
                              .kind = a->as.append.kind,
-                             .holder = PhStr_FromC(m->name),
+                             .holder = PhStr_FromC(name),
                              .states_earlier = true,
                              .earlier = a->as.append.earlier};
+    if (a->as.append.successor.len > 0) {
+        char *successor = PhStr_ToC(a->as.append.successor);
+        entry.successor = PhStr_FromC(g_intern_string(successor));
+        g_free(successor);
+    }
     g_array_append_val(w->elections, entry);
     if (loses_store_replies(w, m)) {
         PhElection_OnAppendFailed(m->election, false, w->now);
