schedule: an owner records leaves that were announced before it took over

What callers saw: LOST where the owner after the next takes over: a leave that was listed while nobody, or another instance, owned the jobs was on record nowhere, so that successors counted leases of 6 s where 3 s were granted.

Cause: a leave is recorded when its entry changes while the instance is the owner. Change: at a takeover the leaves of workers with tasks that no record has are recorded as well.

--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -156,8 +156,13 @@
     s->placement_due = true;
     s->next_placement_at = now;
     for (guint i = 0; i < s->model->incarnations->len; i++) {
-        PhScheduler_ResetWorker(
-            s, g_ptr_array_index(s->model->incarnations, i), now);
+        PhSchedWorker *w = g_ptr_array_index(s->model->incarnations, i);
+        PhScheduler_ResetWorker(s, w, now);
+        if (fence != 0 && w->entry.draining && w->leaving_at == 0 &&
+            w->tasks->len > 0) {
+            /* No owner has recorded yet that it leaves. */
+            PhScheduler_MarkWorkerDirty(s, w);
+        }
     }
 }
 
