schedule: a gang that is down blocks no moves

A lasting gang without room kept all lasting tasks of leaving workers from moving to workers on which one of its members alone would fit, although gangs start as a whole.

test_evacuation, "room for one of a gang that is down" (by the review) failed before: never stopped instead of at 3300 ms.

--- a/decide/schedule/evacuation.c
+++ b/decide/schedule/evacuation.c
@@ -45,12 +45,13 @@
 }
 
 /* Returns a task of the stage that has run before and waits without room
- * reserved for it, or NULL. */
+ * reserved for it, or NULL.  Room for one member starts no gang. */
 static const PhSchedTask *
 stage_interrupted(const PhSchedStage *stage)
 {
     const PhSchedStep *step = &stage->job->spec.steps[stage->number];
-    for (uint32_t i = 0; i < step->count && stage->waiting > 0; i++) {
+    uint32_t count = step->gang ? 0 : step->count;
+    for (uint32_t i = 0; i < count && stage->waiting > 0; i++) {
         const PhSchedTask *task = &stage->tasks[i];
         if (task->state == PH_SCHED_TASK_WAITING && task->run > 0 &&
             task->reserved == NULL) {
