tests: a gang that is down keeps lasting tasks on workers that leave

Fails: a lasting task whose worker leaves is not moved although there is room, while a lasting gang is down of which one member alone would fit there. The gang itself has no room (two members of 6 cores, one worker with 8), so that the room stays empty and the task is lost with its worker: never stopped instead of at 3300 ms.

is_awaited() judges one member by itself, but PhScheduler_PlaceGang() starts all or none. New row of test_evacuation, the other rows are unchanged.

--- a/tests/schedule/test_evacuation.c
+++ b/tests/schedule/test_evacuation.c
@@ -30,6 +30,7 @@
     int64_t started_at_ms; /* expected, on the other worker */
     bool gang;
     bool down; /* a lasting task of the same size is down */
+    bool pair; /* it is one of a gang of two, both down */
 } PhEvacuationCase;
 
 static const PhEvacuationCase evacuation_cases[] = {
@@ -46,6 +47,8 @@
      NEVER_MS, NEVER_MS, false, true},
     {"room for one that is down as well", 4500, 3000, 7000, 3800, false, 200,
      3900, 4100, false, true},
+    {"room for one of a gang that is down", 4500, 6000, 0, NEVER_MS, false,
+     200, 3300, 3500, .pair = true},
 };
 
 static void
@@ -99,16 +102,19 @@
                     (PhSchedStep){.count = 1, .resources = resources});
 }
 
-/* Adds a lasting task that has lost its run. */
+/* Adds a lasting task that has lost its run, or a gang of two of them. */
 static PhSchedTask *
-down_add(PhSchedModel *model, int64_t cpu_milli)
+down_add(PhSchedModel *model, int64_t cpu_milli, bool pair)
 {
     PhSchedTask *task =
         PhSingle_AddJob(model, PhStr_LITERAL("00000000000000cc"),
-                        (PhSchedStep){.count = 1,
+                        (PhSchedStep){.count = pair ? 2 : 1,
                                       .long_running = true,
+                                      .gang = pair,
                                       .resources = {.cpu_milli = cpu_milli}});
-    task->run = 1;
+    for (uint32_t i = 0; i <= (uint32_t)pair; i++) {
+        task->stage->tasks[i].run = 1;
+    }
     return task;
 }
 
@@ -156,7 +162,8 @@
     PhSchedWorker *other = PhSchedModel_Worker(model, OTHER, 1);
     PhSchedTask_Place(task, PhSchedModel_Worker(model, PH_SINGLE_WORKER, 1));
     other->used.cpu_milli += c->other_used;
-    PhSchedTask *down = c->down ? down_add(model, c->cpu_milli) : NULL;
+    PhSchedTask *down =
+        c->down || c->pair ? down_add(model, c->cpu_milli, c->pair) : NULL;
     PhScheduler_SetFence(s, 7, START);
     orders_execute(s, task, &log, 0);
     worker_show(s, PH_SINGLE_WORKER, "r1", c->remaining_ms * PH_NS_PER_MS,
@@ -182,7 +189,8 @@
                   (int)log.stopped_at_ms, (int)log.started_at_ms);
     assert_int_equal(log.stopped_at_ms, c->stopped_at_ms);
     assert_int_equal(log.started_at_ms, c->started_at_ms);
-    assert_true(down == NULL || down->worker == other);
+    assert_true(!c->down || down->worker == other);
+    assert_true(!c->pair || down->worker == NULL);
     PhScheduler_Destroy(s);
 }
 
