tests: a role change must not send a second read of the worker entries

Fails in its second row: the timer of the next read has expired while the mail of the new role is still to be handled, which happens where a drain has used up its 1024 mails. set_role() sees no read in flight and sets the timer again, and the timer sends a read without a look at read_in_flight: 4 reads instead of 3.

Both begin at the same offset, so that the second reply repeats what the first one brought, with a current_at that is too late. An entry that was written and has expired within one reply (a store that answers after three intervals) then counts as deleted 0.7 s after it was written, and its worker as having left.

--- a/tests/platform/test_entry_times.c
+++ b/tests/platform/test_entry_times.c
@@ -13,9 +13,12 @@
     REPLIES_MAX = 4,
     START_MS = 1000, /* the entries are first read */
     LATE_MS = 2000,  /* delay of a reply that comes late */
+    FIRST_READS = 2, /* a page of all entries, and what follows */
 };
 
 static const PhTime FOLLOW_TIME = 8 * PH_NS_PER_S;
+/* A standby reads the entries again 2 s after it has read them first. */
+static const PhTime NEXT_READ = 3 * PH_NS_PER_S;
 
 #define ENTRY                                                                 \
     "{\"address\":\"10.0.0.1:80\",\"service\":\"s\",\"state\":\"draining\","  \
@@ -238,9 +241,97 @@
     Ph_RUN_TABLE(entry_time_cases, entry_time_run);
 }
 
+/* Stand-in for "store" that answers the first reads of the entries, with none,
+ * and counts the others. */
+static void
+counting_store_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhEntryStore *store = state;
+    if (mail->kind != PH_MAIL_MESSAGE) {
+        return;
+    }
+    const PhStoreMessage *m = mail->as.message.body;
+    PhStr topic =
+        m->tag == PH_STORE_NEWEST ? m->as.newest.topic : m->as.read.topic;
+    if (!PhStr_Equal(topic, PhStr_LITERAL("servers"))) {
+        return;
+    }
+    store->calls++;
+    if (store->calls <= FIRST_READS) {
+        PhStoreMessage reply =
+            reply_make(store, m->id, &(PhReplyRow){.news = NEWS_NONE});
+        PhTask_Send(self, mail->from, PhStoreMessage_Wrap(&reply));
+    }
+}
+
+/* Stand-in for "schedule" that is a standby, and the owner just before the
+ * next read of the entries is due. */
+static void
+role_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhScheduleMessage m = {.tag = PH_SCHEDULE_ROLE,
+                           .as.role = PH_SCHEDULE_ROLE_STANDBY};
+    (void)state;
+    if (mail->kind == PH_MAIL_START) {
+        PhTask_SetTimer(self, PH_SCHEDULE_ROLE_STANDBY,
+                        START_MS * PH_NS_PER_MS);
+        PhTask_SetTimer(self, PH_SCHEDULE_ROLE_OWNER, NEXT_READ - 1);
+    }
+    else if (mail->kind == PH_MAIL_TIMER) {
+        m.as.role = (PhScheduleRole)mail->as.timer;
+        PhTask_SendTo(self, PH_SERVICE_FLEET, PhScheduleMessage_Wrap(&m));
+    }
+}
+
+/* So many mails are handled before the next read is due. */
+typedef struct PhRoleCase {
+    const char *name;
+    size_t mails;
+} PhRoleCase;
+
+static const PhRoleCase role_cases[] = {
+    {"the role changes before the read is due", SIZE_MAX},
+    {"the change is handled once the read is due", 1},
+};
+
+static void
+role_run(const PhRoleCase *c)
+{
+    PhEntryStore store = {0};
+    int unused = 0;
+    PhClock *clock = PhClock_Create(PH_CLOCK_PAUSED);
+    PhCounters *counters = PhCounters_Create();
+    PhKernel *kernel = PhKernel_Create(
+        &(PhKernelOptions){.clock = clock, .counters = counters});
+    PhScriptedTask_Spawn(kernel, PH_SERVICE_STORE, MAILBOX_CAPACITY, &store,
+                         counting_store_handle);
+    assert_int_equal(PhFleetTask_Start(kernel), PH_STATUS_OK);
+    PhScriptedTask_Spawn(kernel, PH_SERVICE_SCHEDULE, MAILBOX_CAPACITY,
+                         &unused, role_handle);
+    PhKernel_AdvanceTo(kernel, NEXT_READ - 2);
+    PhClock_Advance(clock, 1);
+    PhKernel_Drain(kernel, c->mails);
+    PhClock_Advance(clock, 1);
+    PhKernel_AdvanceTo(kernel, NEXT_READ);
+    PhKernel_Destroy(kernel);
+    PhCounters_Destroy(counters);
+    PhClock_Destroy(clock);
+    assert_int_equal(store.calls, FIRST_READS + 1);
+}
+
+/* Guards against two reads at a time: the second reply repeats the entries of
+ * the first one, and shows them as newer than they are. */
+static void
+test_one_read(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(role_cases, role_run);
+}
+
 int
 main(void)
 {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(test_entry_times)};
+    const struct CMUnitTest tests[] = {cmocka_unit_test(test_entry_times),
+                                       cmocka_unit_test(test_one_read)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
