--- a/decide/schedule/order.c
+++ b/decide/schedule/order.c
@@ -92,7 +92,7 @@
 /* Adds the tasks of a long-running stage that have run before and those that
  * have never run; a gang is one candidate. */
 static void
-lasting_collect(GArray *list, const PhScheduler *s, PhCandidate c)
+lasting_collect(GArray *list, PhCandidate c)
 {
     const PhSchedStep *step = &c.stage->job->spec.steps[c.stage->number];
     PhCandidate again = c;
@@ -117,8 +117,7 @@
 }
 
 static void
-round_collect(GArray *list, const PhScheduler *s, PhSchedJob *job, uint32_t k,
-              PhTime now)
+round_collect(GArray *list, PhSchedJob *job, uint32_t k, PhTime now)
 {
     PhCandidate c = {0};
     for (uint32_t j = 0; j < job->spec.step_count; j++) {
@@ -132,7 +131,7 @@
         c.stage = stage;
         c.tag = PH_CANDIDATE_ENDING;
         if (job->spec.steps[j].long_running) {
-            lasting_collect(list, s, c);
+            lasting_collect(list, c);
         }
         else {
             g_array_append_val(list, c);
@@ -148,7 +147,7 @@
         PhSchedJob *job = g_ptr_array_index(s->model->active, i);
         for (uint32_t k = 0; k < job->round_count; k++) {
             if (job->rounds[k].done < job->spec.step_count) {
-                round_collect(list, s, job, k, now);
+                round_collect(list, job, k, now);
             }
         }
     }
--- a/include/peridothill/decide/schedule/handover.h
+++ b/include/peridothill/decide/schedule/handover.h
@@ -25,7 +25,7 @@
 typedef enum PhOwnership {
     PH_OWNERSHIP_NONE,
     PH_OWNERSHIP_CANDIDATE, /* not the owner, but the records are read */
-    PH_OWNERSHIP_TAKEOVER, /* the records are being read */
+    PH_OWNERSHIP_TAKEOVER,  /* the records are being read */
     PH_OWNERSHIP_ACTIVE,
 } PhOwnership;
 
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -146,7 +146,7 @@
     PhStr rack;
     PhSchedResources capacity;
     bool draining;
-    PhTime remaining; /* shortest time until a draining worker leaves */
+    PhTime remaining;     /* shortest time until a draining worker leaves */
     PhTime written_after; /* the entry was written after this, 0: unknown */
 } PhSchedWorkerEntry;
 
