codec: one function packs a value without a key

Three files had their own, and schedule_link.c uses it for one kind of row more since ends are passed on. PhPack_Item of unpack.c serves all of them and PhPack_Bytes.

All 102 unit tests (gcc): 101 pass, test_room_while_stopped is known red.

--- a/codec/member_message.c
+++ b/codec/member_message.c
@@ -64,12 +64,6 @@
     return true;
 }
 
-static void
-pack_bytes(msgpack_packer *packer, PhStr s)
-{
-    msgpack_pack_bin_with_body(packer, s.data, s.len);
-}
-
 static void
 records_encode(msgpack_packer *packer, const PhMemberMessage *message)
 {
@@ -78,9 +72,9 @@
     for (size_t i = 0; i < message->record_count; i++) {
         const PhMember *r = &message->records[i];
         msgpack_pack_array(packer, RECORD_FIELDS);
-        pack_bytes(packer, r->id);
-        pack_bytes(packer, r->data_centre);
-        pack_bytes(packer, r->address);
+        PhPack_Item(packer, r->id);
+        PhPack_Item(packer, r->data_centre);
+        PhPack_Item(packer, r->address);
         msgpack_pack_uint64(packer, state_encode(r->state));
         msgpack_pack_uint64(packer, r->incarnation);
         msgpack_pack_uint64(packer, r->draining ? 1 : 0);
--- a/codec/schedule_link.c
+++ b/codec/schedule_link.c
@@ -51,28 +51,21 @@
     PhPack_U64(p, FIELD_TAG, tag);
 }
 
-static void
-pack_bytes(msgpack_packer *p, PhStr bytes)
-{
-    msgpack_pack_bin(p, bytes.len);
-    msgpack_pack_bin_body(p, bytes.data == NULL ? "" : bytes.data, bytes.len);
-}
-
 static void
 order_pack(msgpack_packer *p, const PhLinkOrder *o)
 {
     msgpack_pack_array(p, ORDER_ITEMS);
     msgpack_pack_uint64(p, o->number);
-    pack_bytes(p, o->worker);
-    pack_bytes(p, o->address);
-    pack_bytes(p, o->job);
+    PhPack_Item(p, o->worker);
+    PhPack_Item(p, o->address);
+    PhPack_Item(p, o->job);
     msgpack_pack_uint64(p, o->round);
     msgpack_pack_uint64(p, o->step);
     msgpack_pack_uint64(p, o->index);
     msgpack_pack_uint64(p, o->run);
     msgpack_pack_int64(p, o->deadline_ms);
-    pack_bytes(p, o->last_checkpoint);
-    pack_bytes(p, o->payload);
+    PhPack_Item(p, o->last_checkpoint);
+    PhPack_Item(p, o->payload);
     msgpack_pack_int64(p, o->born_ms);
 }
 
@@ -91,13 +84,13 @@
 {
     msgpack_pack_array(p, END_ITEMS);
     msgpack_pack_uint64(p, e->number);
-    pack_bytes(p, e->job);
+    PhPack_Item(p, e->job);
     msgpack_pack_uint64(p, e->round);
     msgpack_pack_uint64(p, e->step);
     msgpack_pack_uint64(p, e->index);
     msgpack_pack_uint64(p, e->run);
     msgpack_pack_uint64(p, e->kind);
-    pack_bytes(p, e->last_checkpoint);
+    PhPack_Item(p, e->last_checkpoint);
 }
 
 /* Begins the array of rows of a message. */
--- a/codec/schedule_record.c
+++ b/codec/schedule_record.c
@@ -132,13 +132,6 @@
     PhPack_U64(p, JOB_INTERVAL_MS, (uint64_t)spec->interval_ms);
 }
 
-static void
-pack_bytes(msgpack_packer *p, PhStr s)
-{
-    msgpack_pack_bin(p, s.len);
-    msgpack_pack_bin_body(p, s.data == NULL ? "" : s.data, s.len);
-}
-
 static void
 pack_task(msgpack_packer *p, const PhSchedTaskRecord *task)
 {
@@ -154,11 +147,11 @@
     msgpack_pack_uint32(p, task->run);
     msgpack_pack_uint32(p, task->failures);
     if (items >= TASK_ITEMS_PLACED) {
-        pack_bytes(p, task->worker);
+        PhPack_Item(p, task->worker);
         msgpack_pack_uint64(p, (uint64_t)task->worker_born_ms);
     }
     if (items == TASK_ITEMS_SAVED) {
-        pack_bytes(p, task->last_checkpoint);
+        PhPack_Item(p, task->last_checkpoint);
     }
 }
 
@@ -192,8 +185,8 @@
     for (uint32_t i = 0; i < record->as.pairs.count; i++) {
         const PhSchedPairRecord *item = &record->as.pairs.items[i];
         msgpack_pack_array(p, PAIR_ITEMS);
-        pack_bytes(p, item->backfill);
-        pack_bytes(p, item->serving);
+        PhPack_Item(p, item->backfill);
+        PhPack_Item(p, item->serving);
         msgpack_pack_float(p, (float)item->factor);
         msgpack_pack_float(p, (float)item->variance);
         msgpack_pack_uint32(p, item->filter);
--- a/codec/unpack.c
+++ b/codec/unpack.c
@@ -100,7 +100,15 @@
 PhPack_Bytes(msgpack_packer *packer, uint64_t key, PhStr value)
 {
     msgpack_pack_uint64(packer, key);
-    msgpack_pack_bin_with_body(packer, value.data, value.len);
+    PhPack_Item(packer, value);
+}
+
+void
+PhPack_Item(msgpack_packer *packer, PhStr value)
+{
+    msgpack_pack_bin(packer, value.len);
+    msgpack_pack_bin_body(packer, value.data == NULL ? "" : value.data,
+                          value.len);
 }
 
 int
--- a/include/peridothill/codec/unpack.h
+++ b/include/peridothill/codec/unpack.h
@@ -31,6 +31,8 @@
 void PhPack_U64(msgpack_packer *packer, uint64_t key, uint64_t value);
 void PhPack_I64(msgpack_packer *packer, uint64_t key, int64_t value);
 void PhPack_Bytes(msgpack_packer *packer, uint64_t key, PhStr value);
+/* Appends a value without a key, as an item of an array. */
+void PhPack_Item(msgpack_packer *packer, PhStr value);
 /* A msgpack_packer_write that appends to the PhBuf at `data`. */
 int PhPack_Write(void *data, const char *bytes, size_t len);
 
