schedule: one account of since when a task waits, plainer search for one that is down

order.c repeated a part of PhScheduler_WaitsSince; both call PhSchedTask_WaitsSince now. In evacuation.c the condition on the step stood in the head of a loop over rounds; it is where the step is looked at.

--- a/decide/schedule/evacuation.c
+++ b/decide/schedule/evacuation.c
@@ -44,14 +44,16 @@
     }
 }
 
-/* Returns a task of the stage that has run before and waits without room
- * reserved for it, or NULL.  Room for one member starts no gang. */
+/* Returns a lasting task of the stage that has run before and waits without
+ * room reserved for it, or NULL.  Room for one member starts no gang. */
 static const PhSchedTask *
 stage_interrupted(const PhSchedStage *stage)
 {
     const PhSchedStep *step = &stage->job->spec.steps[stage->number];
-    uint32_t count = step->gang ? 0 : step->count;
-    for (uint32_t i = 0; i < count && stage->waiting > 0; i++) {
+    if (!step->long_running || step->gang || stage->waiting == 0) {
+        return NULL;
+    }
+    for (uint32_t i = 0; i < step->count; i++) {
         const PhSchedTask *task = &stage->tasks[i];
         if (task->state == PH_SCHED_TASK_WAITING && task->run > 0 &&
             task->reserved == NULL) {
@@ -68,10 +70,8 @@
 {
     for (guint i = 0; i < s->model->active->len; i++) {
         const PhSchedJob *job = g_ptr_array_index(s->model->active, i);
-        for (uint32_t j = 0; j < job->spec.step_count; j++) {
-            for (uint32_t k = 0;
-                 k < job->round_count && job->spec.steps[j].long_running;
-                 k++) {
+        for (uint32_t k = 0; k < job->round_count; k++) {
+            for (uint32_t j = 0; j < job->spec.step_count; j++) {
                 const PhSchedTask *task =
                     stage_interrupted(&job->rounds[k].stages[j]);
                 if (task != NULL &&
--- a/decide/schedule/order.c
+++ b/decide/schedule/order.c
@@ -81,14 +81,6 @@
     return c;
 }
 
-/* When the run of a waiting task ended.  After an earlier owner's run this is
- * when the record of its end was read, which may precede this ownership. */
-static PhTime
-interrupted_at(const PhSchedTask *task)
-{
-    return MAX(task->since, task->stage->job->accepted_at);
-}
-
 /* Adds the tasks of a long-running stage that have run before and those that
  * have never run; a gang is one candidate. */
 static void
@@ -103,7 +95,7 @@
         const PhSchedTask *task = &c.stage->tasks[i];
         if (task->state == PH_SCHED_TASK_WAITING && task->run > 0) {
             again.interrupted_at =
-                MIN(again.interrupted_at, interrupted_at(task));
+                MIN(again.interrupted_at, PhSchedTask_WaitsSince(task));
             interrupted++;
         }
     }
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -247,7 +247,10 @@
 /* Places a task on a worker, records and queues its start. */
 void PhScheduler_StartTask(PhScheduler *scheduler, PhSchedTask *task,
                            PhSchedWorker *worker, PhTime now);
-/* waits.c: since when a waiting task could have started. */
+/* waits.c: since when a task waits.  After an earlier owner's run this is when
+ * the record of its end was read, which may precede this ownership. */
+PhTime PhSchedTask_WaitsSince(const PhSchedTask *task);
+/* Since when a waiting task could have been started by this owner. */
 PhTime PhScheduler_WaitsSince(const PhScheduler *scheduler,
                               const PhSchedTask *task);
 /* Reports why tasks that are to last wait for long. */
--- a/decide/schedule/waits.c
+++ b/decide/schedule/waits.c
@@ -6,11 +6,16 @@
 static const PhTime REPORTED_WAIT = 3 * PH_NS_PER_S;
 static const PhTime REPORT_INTERVAL = 1 * PH_NS_PER_S;
 
+PhTime
+PhSchedTask_WaitsSince(const PhSchedTask *task)
+{
+    return MAX(task->since, task->stage->job->accepted_at);
+}
+
 PhTime
 PhScheduler_WaitsSince(const PhScheduler *s, const PhSchedTask *task)
 {
-    return MAX(task->since,
-               MAX(task->stage->job->accepted_at, s->owner_since));
+    return MAX(PhSchedTask_WaitsSince(task), s->owner_since);
 }
 
 /* The waiting lasting task to report, and how many have waited long enough. */
