schedule: the log says what holds back a task that may run

7037 names, once a second, the task that has had no run for longest by what the owner knows, from 3 s on, what it waits for, and how many wait for what. The search is one pass over the tasks of active jobs a second.

test_reported of test_lasting_waits expected one event in all; it now expects the two, and checks what the second one says. test_held_tasks has a row for each cause but a stop.

--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -231,6 +231,14 @@
     return until;
 }
 
+PhLeaseBound
+PhScheduler_RunLeaseBound(const PhScheduler *s, const PhSchedTask *task)
+{
+    PhLeaseBound bound = leases_end(s, task->worker);
+    bound.until = run_lease_end(s, task, bound.until);
+    return bound;
+}
+
 /* Records how much longer the leases of a worker may last. */
 static void
 bound_record(PhScheduler *s, PhSchedWorker *w, PhTime now)
--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -207,18 +207,19 @@
     return placing;
 }
 
-/* Reports whether the order path takes another start of the candidate. */
+bool
+PhScheduler_HasOrderRoom(const PhScheduler *s, bool long_running)
+{
+    uint32_t room =
+        long_running ? PhOrderWindow_LastingRoom(&s->window, s->starts.length)
+                     : PhOrderWindow_Room(&s->window, s->starts.length);
+    return room > 0;
+}
+
 static bool
 has_order_room(const PhScheduler *s, const PhCandidate *c)
 {
-    switch (c->tag) {
-    case PH_CANDIDATE_INTERRUPTED:
-    case PH_CANDIDATE_LASTING:
-        return PhOrderWindow_LastingRoom(&s->window, s->starts.length) > 0;
-    case PH_CANDIDATE_ENDING:
-        break;
-    }
-    return PhOrderWindow_Room(&s->window, s->starts.length) > 0;
+    return PhScheduler_HasOrderRoom(s, c->tag != PH_CANDIDATE_ENDING);
 }
 
 /* Places the waiting tasks without failures.  The workers are rated once, and
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -443,6 +443,7 @@
         PhScheduler_PlaceTasks(s, now);
     }
     PhScheduler_ReportWaits(s, now);
+    PhScheduler_ReportHeld(s, now);
 }
 
 uint64_t
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -42,6 +42,7 @@
     bool placement_due;       /* a change may allow a start */
     PhTime next_placement_at; /* no placement before */
     PhTime waits_due_at;      /* long waits are reported next */
+    PhTime held_due_at;       /* tasks that are held for long are */
     PhInterference *interference;
     GArray *events;             /* PhSchedEvent */
     GPtrArray *removed_workers; /* PhSchedWorker that events refer to, owned */
@@ -111,6 +112,9 @@
 /* Discards the order state of an earlier ownership for one incarnation. */
 void PhScheduler_ResetWorker(const PhScheduler *scheduler,
                              PhSchedWorker *worker, PhTime now);
+/* When the lease of a placed task has expired at the latest. */
+PhLeaseBound PhScheduler_RunLeaseBound(const PhScheduler *scheduler,
+                                       const PhSchedTask *task);
 /* Queues the hold of an incarnation, or ends its runs when its leases expired.
  */
 void PhScheduler_PlanWorker(PhScheduler *scheduler, PhSchedWorker *worker,
@@ -255,6 +259,11 @@
                               const PhSchedTask *task);
 /* Reports why tasks that are to last wait for long. */
 void PhScheduler_ReportWaits(PhScheduler *scheduler, PhTime now);
+/* held.c: reports what holds tasks back that may run. */
+void PhScheduler_ReportHeld(PhScheduler *scheduler, PhTime now);
+/* Reports whether the order path takes another start: of a task that is to
+ * last, or of one that comes to an end. */
+bool PhScheduler_HasOrderRoom(const PhScheduler *scheduler, bool long_running);
 /* Places waiting tasks on workers. */
 void PhScheduler_PlaceTasks(PhScheduler *scheduler, PhTime now);
 /* The same for any other worker than the task's own. */
--- a/include/peridothill/common/event_list_schedule.h
+++ b/include/peridothill/common/event_list_schedule.h
@@ -57,3 +57,5 @@
          "data centre cordoned, its workers get no starts")
 PH_EVENT(7036, SCHEDULE_CORDON_ENDED, INFO,
          "data centre not cordoned any more, its workers get starts again")
+PH_EVENT(7037, SCHEDULE_TASK_HELD, INFO,
+         "task that may run has had no run for long")
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -151,6 +151,8 @@
     PH_SCHED_EVENT_RUN_RESUMED, /* one that had run before runs again */
     PH_SCHED_EVENT_OVERLOAD,    /* tasks begin or cease to wait for order
                                    capacity */
+    PH_SCHED_EVENT_TASK_HELD,   /* a task that may run has had no run for long
+                                 */
 } PhSchedEventTag;
 
 /* Why the start of an assigned task must not be sent. */
@@ -190,11 +192,23 @@
     PH_FIT_COUNT,
 } PhFit;
 
+/* What a task that may run waits for. */
+typedef enum PhTaskHold {
+    PH_TASK_HOLD_NONE,   /* it runs, or its turn has not come */
+    PH_TASK_HOLD_WORKER, /* a worker with room, or order capacity */
+    PH_TASK_HOLD_RECORD, /* the record of its start, which is to be durable */
+    PH_TASK_HOLD_START,  /* its start is queued, or has no outcome yet */
+    PH_TASK_HOLD_STOP,   /* a stop of its run */
+    PH_TASK_HOLD_LEASE,  /* the leases of a worker that does not answer */
+    PH_TASK_HOLD_REPORT, /* a report of its run, from a worker that answers */
+    PH_TASK_HOLD_COUNT,
+} PhTaskHold;
+
 /* Strings are borrowed until the model next changes. */
 typedef struct PhSchedEvent {
     PhSchedEventTag tag;
-    const PhSchedWorker *worker; /* NULL for JOB_ENDED, TASK_WAITS and OVERLOAD
-                                  */
+    const PhSchedWorker *worker; /* NULL for JOB_ENDED, TASK_WAITS, OVERLOAD
+                                    and a held task without a worker */
     union {
         struct {
             PhSchedTaskName task;
@@ -256,6 +270,17 @@
             uint32_t backlog; /* waiting tasks */
             PhTime wait;      /* expected, of the last of them */
         } overload;
+        struct {
+            PhSchedTaskName task;
+            uint32_t run; /* the last one */
+            bool long_running;
+            PhTime held;
+            PhTaskHold hold;
+            PhLeaseBound lease; /* LEASE: when it ends */
+            uint32_t fits;      /* WORKER: workers where it may start */
+            bool order_room;    /* WORKER: the order path takes its start */
+            uint32_t holds[PH_TASK_HOLD_COUNT]; /* all tasks held for long */
+        } held;
     } as;
 } PhSchedEvent;
 
--- a/services/schedule/schedule_log.c
+++ b/services/schedule/schedule_log.c
@@ -255,6 +255,49 @@
     return PhStr_LITERAL("left");
 }
 
+/* Logs what holds back the task that has been without a run for longest. */
+static void
+log_task_held(PhScheduleTask *t, const PhSchedEvent *note)
+{
+    static const PhStr names[] = {
+        [PH_TASK_HOLD_NONE] = {"nothing", 7},
+        [PH_TASK_HOLD_WORKER] = {"worker", 6},
+        [PH_TASK_HOLD_RECORD] = {"record", 6},
+        [PH_TASK_HOLD_START] = {"start", 5},
+        [PH_TASK_HOLD_STOP] = {"stop", 4},
+        [PH_TASK_HOLD_LEASE] = {"lease", 5},
+        [PH_TASK_HOLD_REPORT] = {"report", 6},
+    };
+    PhStr task = format_task(&note->as.held.task);
+    const uint32_t *holds = note->as.held.holds;
+    bool leased = note->as.held.hold == PH_TASK_HOLD_LEASE;
+    PhOrderLoad load = PhScheduler_OrderLoad(t->scheduler);
+    PhTime left = note->as.held.lease.until - PhTask_Now(t->self);
+    PhTask_LOG(t->self, PH_EVENT_SCHEDULE_TASK_HELD, PhField_STR("run", task),
+               PhField_U64("number", note->as.held.run),
+               PhField_U64("lasting", note->as.held.long_running),
+               PhField_I64("held_ms", note->as.held.held / PH_NS_PER_MS),
+               PhField_STR("by", names[note->as.held.hold]),
+               PhField_STR("holder", note->worker != NULL
+                                         ? note->worker->entry.id
+                                         : PhStr_LITERAL("none")),
+               PhField_U64("fits", note->as.held.fits),
+               PhField_U64("order_room", note->as.held.order_room),
+               PhField_I64("lease_ms", leased ? left / PH_NS_PER_MS : -1),
+               PhField_STR("evidence",
+                           leased ? evidence_name(note->as.held.lease.evidence)
+                                  : PhStr_LITERAL("none")),
+               PhField_U64("limit", load.limit),
+               PhField_U64("outstanding", load.outstanding),
+               PhField_U64("workers", holds[PH_TASK_HOLD_WORKER]),
+               PhField_U64("records", holds[PH_TASK_HOLD_RECORD]),
+               PhField_U64("starts", holds[PH_TASK_HOLD_START]),
+               PhField_U64("stops", holds[PH_TASK_HOLD_STOP]),
+               PhField_U64("leases", holds[PH_TASK_HOLD_LEASE]),
+               PhField_U64("reports", holds[PH_TASK_HOLD_REPORT]));
+    PhStr_Clear(&task);
+}
+
 static void
 log_worker_suspended(PhScheduleTask *t, const PhSchedEvent *note)
 {
@@ -332,6 +375,9 @@
         case PH_SCHED_EVENT_OVERLOAD:
             log_overload(t, &notes[i]);
             break;
+        case PH_SCHED_EVENT_TASK_HELD:
+            log_task_held(t, &notes[i]);
+            break;
         }
     }
     PhScheduler_ClearEvents(t->scheduler);
--- /dev/null
+++ b/tests/schedule/test_held_tasks.c
@@ -0,0 +1,165 @@
+/* What the log says of a task that may run and has had no run for long. */
+#include "single_task.h"
+#include "tests/table.h"
+
+#define UNKNOWN_JOB PhStr_LITERAL("00000000000000ff")
+
+enum {
+    CPU_MILLI = 1000,
+    FENCE = 7,
+    LATER_S = 4,
+};
+
+static const PhTime TAKEOVER = 100 * PH_NS_PER_S;
+
+/* How far the start of the task has come. */
+typedef enum PhProgress {
+    PROGRESS_WAITING,   /* no worker has room */
+    PROGRESS_INHERITED, /* an earlier owner placed it */
+    PROGRESS_PLACED,    /* the record of its start is not durable */
+    PROGRESS_SENT,      /* its start is not answered */
+    PROGRESS_RUNS,
+    PROGRESS_BLOCKED, /* it runs, and its worker lists the end of another job
+                         that is not known */
+} PhProgress;
+
+typedef struct PhHeldCase {
+    const char *name;
+    PhProgress progress;
+    bool long_running;
+    bool answers; /* the worker, again at the end */
+    PhTaskHold hold;
+} PhHeldCase;
+
+static const PhHeldCase held_cases[] = {
+    {"no worker has room", PROGRESS_WAITING, false, true, PH_TASK_HOLD_WORKER},
+    {"no worker has room for one that is to last", PROGRESS_WAITING, true,
+     true, PH_TASK_HOLD_WORKER},
+    {"the worker of an earlier owner does not answer", PROGRESS_INHERITED,
+     false, false, PH_TASK_HOLD_LEASE},
+    {"the same, of one that is to last", PROGRESS_INHERITED, true, false,
+     PH_TASK_HOLD_LEASE},
+    {"the record is not durable", PROGRESS_PLACED, false, true,
+     PH_TASK_HOLD_RECORD},
+    {"the start is not answered", PROGRESS_SENT, false, true,
+     PH_TASK_HOLD_START},
+    {"the worker reports no runs", PROGRESS_BLOCKED, false, true,
+     PH_TASK_HOLD_REPORT},
+    {"it runs", PROGRESS_RUNS, false, true, PH_TASK_HOLD_NONE},
+    {"one that is to last runs", PROGRESS_RUNS, true, true, PH_TASK_HOLD_NONE},
+};
+
+static void
+worker_show(PhScheduler *s, bool has_room)
+{
+    PhSchedWorkerEntry entry = {.id = PhStr_Dup(PH_SINGLE_WORKER),
+                                .born_ms = 1,
+                                .address = PhStr_Dup(PhStr_LITERAL("a:1"))};
+    entry.capacity.cpu_milli = has_room ? CPU_MILLI : CPU_MILLI / 2;
+    PhScheduler_SetWorker(s, &entry, TAKEOVER);
+}
+
+/* The worker answers a hold. */
+static void
+worker_answer(PhScheduler *s, const PhSchedTask *task, PhProgress progress,
+              PhTime now)
+{
+    PhSchedRunRow run = {.task = PhSchedTask_Name(task), .run = task->run};
+    PhSchedEndRow end = {.number = 1, .task = {.job = UNKNOWN_JOB}, .run = 1};
+    PhSchedHoldReply reply = {.outcome = PH_SCHED_OUTCOME_DONE,
+                              .clock_ms = 5000 + now / PH_NS_PER_MS,
+                              .born_ms = 1,
+                              .runs = &run,
+                              .run_count = progress == PROGRESS_RUNS,
+                              .ends = &end,
+                              .end_count = progress == PROGRESS_BLOCKED};
+    PhScheduler_OnHold(s, PH_SINGLE_WORKER, 1, &reply, now);
+}
+
+/* Sends the start that is due. */
+static void
+start_send(PhScheduler *s, const PhSchedTask *task, bool answered)
+{
+    PhSchedAction action;
+    PhSingle_RecordAll(s);
+    while (PhScheduler_NextAction(s, TAKEOVER, &action)) {
+        if (answered && action.tag == PH_SCHED_ACTION_START) {
+            PhSchedRunReply reply = {.task = PhSchedTask_Name(task),
+                                     .run = task->run,
+                                     .born_ms = 1,
+                                     .outcome = PH_SCHED_OUTCOME_DONE,
+                                     .clock_ms = 5000};
+            PhScheduler_OnStart(s, &reply, TAKEOVER);
+        }
+    }
+}
+
+/* Returns what the newest event says of the task, NONE without an event. */
+static PhTaskHold
+reported_hold(const PhScheduler *s, const PhSchedTask *task)
+{
+    size_t count;
+    PhTaskHold hold = PH_TASK_HOLD_NONE;
+    const PhSchedEvent *events = PhScheduler_Events(s, &count);
+    for (size_t i = 0; i < count; i++) {
+        if (events[i].tag != PH_SCHED_EVENT_TASK_HELD) {
+            continue;
+        }
+        PhSchedTaskName name = PhSchedTask_Name(task);
+        hold = events[i].as.held.hold;
+        assert_true(PhSchedTaskName_Equal(&events[i].as.held.task, &name));
+        assert_true(events[i].as.held.held >= (LATER_S - 1) * PH_NS_PER_S);
+        assert_int_equal(events[i].as.held.holds[hold], 1);
+    }
+    return hold;
+}
+
+static void
+held_run(const PhHeldCase *c)
+{
+    PhScheduler *s = PhScheduler_Create(
+        &(PhSchedulerOptions){.lease_limit = 10 * PH_NS_PER_S});
+    PhTime later = TAKEOVER + LATER_S * PH_NS_PER_S;
+    PhSchedTask *task =
+        PhSingle_AddJob(PhScheduler_Model(s), PH_SINGLE_JOB,
+                        (PhSchedStep){.count = 1,
+                                      .long_running = c->long_running,
+                                      .resources.cpu_milli = CPU_MILLI});
+    worker_show(s, c->progress != PROGRESS_WAITING);
+    if (c->progress == PROGRESS_INHERITED) {
+        task->run = 1;
+        PhSchedTask_Place(task, PhSchedModel_Worker(PhScheduler_Model(s),
+                                                    PH_SINGLE_WORKER, 1));
+    }
+    PhScheduler_SetFence(s, FENCE, TAKEOVER);
+    if (c->answers) {
+        worker_answer(s, task, PROGRESS_WAITING, TAKEOVER);
+    }
+    PhScheduler_Plan(s, TAKEOVER, 0);
+    if (c->progress >= PROGRESS_SENT) {
+        start_send(s, task, c->progress > PROGRESS_SENT);
+    }
+    if (c->answers) {
+        worker_answer(s, task, c->progress, later);
+    }
+    PhScheduler_ClearEvents(s);
+    PhScheduler_Plan(s, later, 0);
+    assert_int_equal(reported_hold(s, task), c->hold);
+    PhScheduler_Destroy(s);
+}
+
+/* Guards against a task that is not run at the end of a day (LOST) without a
+ * line in the log that says what it waited for. */
+static void
+test_held_tasks(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(held_cases, held_run);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {cmocka_unit_test(test_held_tasks)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/schedule/test_lasting_waits.c
+++ b/tests/schedule/test_lasting_waits.c
@@ -426,11 +426,16 @@
     }
     PhScheduler_Plan(s, END, 0);
     const PhSchedEvent *events = PhScheduler_Events(s, &count);
-    assert_int_equal(count, 1);
+    assert_int_equal(count, 2);
     assert_int_equal(events[0].tag, PH_SCHED_EVENT_TASK_WAITS);
     assert_int_equal(events[0].as.waits.task.index, c->reported);
     assert_int_equal(events[0].as.waits.long_waits, 2);
     assert_int_equal(events[0].as.waits.interrupted, c->interrupted);
+    /* Of all tasks, also those that come to an end. */
+    assert_int_equal(events[1].tag, PH_SCHED_EVENT_TASK_HELD);
+    assert_int_equal(events[1].as.held.task.index,
+                     c->since_s[1] < c->since_s[0]);
+    assert_int_equal(events[1].as.held.holds[PH_TASK_HOLD_WORKER], 2);
     PhScheduler_Destroy(s);
 }
 
