schedule: a start without a connection is no answer

Cause: the owner limits its outstanding starts by the delay of their answers, and leaves out those without an answer, which come from workers that are away.

Change: only an answer of the worker counts.

--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -295,13 +295,37 @@
                : delay;
 }
 
+/* Whether the worker has answered a start.  One for which no connection is
+ * found says as little of the order path as one without an answer: its worker
+ * is away. */
+static bool
+is_answer(PhSchedOutcome outcome)
+{
+    switch (outcome) {
+    case PH_SCHED_OUTCOME_DONE:
+    case PH_SCHED_OUTCOME_FENCED:
+    case PH_SCHED_OUTCOME_STALE_RUN:
+    case PH_SCHED_OUTCOME_DEADLINE_PASSED:
+    case PH_SCHED_OUTCOME_NO_CAPACITY:
+    case PH_SCHED_OUTCOME_REFUSED:
+    case PH_SCHED_OUTCOME_OTHER_INCARNATION:
+        return true;
+    case PH_SCHED_OUTCOME_NOT_SENT:
+    case PH_SCHED_OUTCOME_UNKNOWN:
+    case PH_SCHED_OUTCOME_UNBOUND:
+    case PH_SCHED_OUTCOME_COUNT:
+        break;
+    }
+    return false;
+}
+
 bool
 PhScheduler_OnStart(PhScheduler *s, const PhSchedRunReply *reply, PhTime now)
 {
     PhSchedTask *task = PhScheduler_PlacedTask(s, &reply->task, reply->run);
     bool expected = task != NULL && task->start_in_flight;
     PhOrderWindow_OnAnswer(&s->window, start_delay(task, reply, now),
-                           reply->outcome != PH_SCHED_OUTCOME_UNKNOWN, now);
+                           is_answer(reply->outcome), now);
     if (s->backlog > 0) {
         s->placement_due = true;
         PhScheduler_WakeBy(s, now);
