schedule: the wait for a connection of a worker is no delay of the order path

Cause: a start that is bound to its incarnation waits for a connection that the worker has accepted, which a query proves. If the worker leaves the query unanswered, or the first dispatcher finds no connection, that takes 1.2 s and more, and the start is then sent and answered within milliseconds. The limit of outstanding starts counted the whole time as the owner's delay, and shrank to 4 while some of the workers did not answer.

Change: "orders" states how long an order waited for a connection, also at the dispatcher that did not send it, and the limit leaves that out.

Evidence: test_order_capacity, "a connection is found late" (limit 4 if the wait counts, as in "the order path is slow").

--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -281,8 +281,9 @@
            w->clock_ms > reachable_ms;
 }
 
-/* Time from order to answer as far as this instance makes it, -1 if it is not
- * known. */
+/* Time from order to answer as far as the order path makes it, -1 if it is not
+ * known.  The time until a connection of the worker is found depends on
+ * whether the worker answers queries. */
 static PhTime
 start_delay(const PhSchedTask *task, const PhSchedRunReply *reply, PhTime now)
 {
@@ -290,9 +291,9 @@
         return -1;
     }
     PhTime delay = now - task->start_sent_at;
-    return reply->relayed
-               ? PhOrderWindow_RelayedDelay(delay, reply->at_dispatcher)
-               : delay;
+    return reply->relayed ? PhOrderWindow_RelayedDelay(
+                                delay, reply->at_dispatcher, reply->waited)
+                          : MAX(delay - reply->waited, 0);
 }
 
 /* Whether the worker has answered a start.  One for which no connection is
--- a/include/peridothill/codec/schedule_link.h
+++ b/include/peridothill/codec/schedule_link.h
@@ -47,9 +47,10 @@
 
 typedef struct PhLinkOutcome {
     uint64_t number;
-    uint64_t outcome; /* a PhSchedOutcome */
-    int64_t clock_ms; /* the worker's clock, 0: not stated */
-    uint64_t took_ms; /* from the arrival of the order to this message */
+    uint64_t outcome;   /* a PhSchedOutcome */
+    int64_t clock_ms;   /* the worker's clock, 0: not stated */
+    uint64_t took_ms;   /* from the arrival of the order to this message */
+    uint64_t waited_ms; /* of it, for a connection of the worker */
 } PhLinkOutcome;
 
 /* A run that has ended. */
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -131,6 +131,7 @@
     bool relayed;        /* another instance sent it, and `connected_at` is not
                             known */
     PhTime at_dispatcher; /* relayed: time that the other instance took */
+    PhTime waited; /* for a connection of the worker, which may be away */
 } PhSchedRunReply;
 
 /* Changes that are reported to the log. */
--- a/include/peridothill/services/orders.h
+++ b/include/peridothill/services/orders.h
@@ -10,6 +10,7 @@
     uint64_t fence;
     uint64_t relay; /* number of a start that another instance has this one
                        send, 0 for an own order */
+    PhTime waited;  /* before it came here, for a connection elsewhere */
     PhSchedAction action;
 } PhOrder;
 
@@ -33,6 +34,7 @@
     PhTime connected_at; /* as in PhSchedRunReply */
     bool relayed;        /* the same */
     PhTime at_dispatcher;
+    PhTime waited; /* the same */
     PhSchedHoldReply hold;
 } PhOrderReply;
 
--- a/services/schedule/schedule_dispatch.c
+++ b/services/schedule/schedule_dispatch.c
@@ -277,6 +277,7 @@
 relayed_send_here(PhScheduleTask *t, PhRelayedStart *r)
 {
     PhOrderMessage m = {.tag = PH_ORDER_SEND, .as.send = r->order};
+    m.as.send.waited = PhTask_Now(t->self) - r->sent_at;
     g_hash_table_steal(t->dispatch->relayed, &r->number);
     r->order = (PhOrder){0};
     PhTask_SendTo(t->self, PH_SERVICE_ORDERS, PhOrderMessage_Wrap(&m));
@@ -342,10 +343,12 @@
         return;
     }
     PhTime took = (PhTime)MIN(o->took_ms, INT32_MAX) * PH_NS_PER_MS;
+    PhTime waited = (PhTime)MIN(o->waited_ms, INT32_MAX) * PH_NS_PER_MS;
     relayed_finish(t, r,
                    &(PhOrderReply){.outcome = (PhSchedOutcome)o->outcome,
                                    .clock_ms = o->clock_ms,
-                                   .at_dispatcher = took});
+                                   .at_dispatcher = took,
+                                   .waited = MIN(waited, took)});
 }
 
 void
@@ -514,10 +517,12 @@
     }
     PhTime took = now - s->received_at + OUTCOMES_DELAY;
     outcome_add(t, s->instance,
-                &(PhLinkOutcome){.number = s->number,
-                                 .outcome = (uint64_t)reply->outcome,
-                                 .clock_ms = reply->clock_ms,
-                                 .took_ms = (uint64_t)(took / PH_NS_PER_MS)});
+                &(PhLinkOutcome){
+                    .number = s->number,
+                    .outcome = (uint64_t)reply->outcome,
+                    .clock_ms = reply->clock_ms,
+                    .took_ms = (uint64_t)(took / PH_NS_PER_MS),
+                    .waited_ms = (uint64_t)(reply->waited / PH_NS_PER_MS)});
     g_hash_table_remove(t->dispatch->dispatched, &reply->relay);
 }
 
--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -388,7 +388,8 @@
                            .clock_ms = r->clock_ms,
                            .connected_at = r->connected_at,
                            .relayed = r->relayed,
-                           .at_dispatcher = r->at_dispatcher};
+                           .at_dispatcher = r->at_dispatcher,
+                           .waited = r->waited};
     bool is_owner = true;
     if (t->stage != OWNER_ACTIVE || r->fence != t->fence) {
         return;
--- a/tests/schedule/test_order_capacity.c
+++ b/tests/schedule/test_order_capacity.c
@@ -20,15 +20,17 @@
     const char *name;
     PhSchedOutcome outcome; /* of a start to a worker that is away */
     int64_t delay_ms;       /* until that outcome is known */
+    int64_t waited_ms;      /* of it, for a connection */
     bool shrinks;           /* the limit of outstanding starts does */
 } PhCapacityCase;
 
 static const PhCapacityCase capacity_cases[] = {
-    {"all answer at once", PH_SCHED_OUTCOME_DONE, QUICK_MS, false},
-    {"no answer", PH_SCHED_OUTCOME_UNKNOWN, 1200, false},
-    {"no connection is found", PH_SCHED_OUTCOME_NOT_SENT, 1200, false},
-    {"no connection is kept", PH_SCHED_OUTCOME_UNBOUND, 1200, false},
-    {"the order path is slow", PH_SCHED_OUTCOME_DONE, 1200, true},
+    {"all answer at once", PH_SCHED_OUTCOME_DONE, QUICK_MS, 0, false},
+    {"no answer", PH_SCHED_OUTCOME_UNKNOWN, 1200, 0, false},
+    {"no connection is found", PH_SCHED_OUTCOME_NOT_SENT, 1200, 0, false},
+    {"no connection is kept", PH_SCHED_OUTCOME_UNBOUND, 1200, 0, false},
+    {"a connection is found late", PH_SCHED_OUTCOME_DONE, 1200, 1195, false},
+    {"the order path is slow", PH_SCHED_OUTCOME_DONE, 1200, 0, true},
 };
 
 /* Starts that were sent in one round. */
@@ -79,12 +81,13 @@
 
 /* Reports the outcomes of one kind of starts. */
 static void
-starts_answer(PhScheduler *s, PhSentStarts *sent, bool away,
-              PhSchedOutcome outcome, PhTime now)
+starts_answer(PhScheduler *s, const PhCapacityCase *c, PhSentStarts *sent,
+              bool away, PhTime now)
 {
     for (unsigned i = 0; i < sent->count; i++) {
         PhSchedRunReply *reply = &sent->replies[i];
-        reply->outcome = outcome;
+        reply->outcome = away ? c->outcome : PH_SCHED_OUTCOME_DONE;
+        reply->waited = away ? c->waited_ms * PH_NS_PER_MS : 0;
         if ((i % AWAY_EVERY == 0) == away) {
             PhScheduler_OnStart(s, reply, now);
         }
@@ -102,10 +105,8 @@
         PhTime now = TAKEOVER + round * ROUND_MS * PH_NS_PER_MS;
         worker_answer(s, now);
         starts_send(s, sent, now);
-        starts_answer(s, sent, false, PH_SCHED_OUTCOME_DONE,
-                      now + QUICK_MS * PH_NS_PER_MS);
-        starts_answer(s, sent, true, c->outcome,
-                      now + c->delay_ms * PH_NS_PER_MS);
+        starts_answer(s, c, sent, false, now + QUICK_MS * PH_NS_PER_MS);
+        starts_answer(s, c, sent, true, now + c->delay_ms * PH_NS_PER_MS);
         PhScheduler_ClearEvents(s);
     }
     uint32_t limit = PhScheduler_OrderLoad(s).limit;
