schedule: records of bounded size, batches in several appends

Cause: the owner wrote all tasks of a step into one record, and all records of a batch into one append. The store takes 262,144 bytes a record and 2,097,152 an append; it refuses more with 413. The owner repeated such an append for ever, and since starts, ends and states wait for it, all work stopped.

Change: a step of more than 256 tasks is recorded in parts of 256 under keys of their own, `t` + id.round.step.first; a part states the number of tasks of the step. Key and bytes of narrower steps stay as they were, and records of wide steps by earlier versions are read. A batch is sent in as many appends as `[scheduler] append_bytes` needs, each with the next sequence number of the owner; the scheduler is told that it is durable after the last one. An append is repeated as it is. Long checkpoints and learned pairs that would make a record too large are left out. The stand-in of the store refuses what is too large. The tasks of a stage are encoded in a file of their own.

Why it works: parts have no task in common and each keeps its key, so their order does not matter; a step counts as done when all its tasks are. All parts of a stage go into one append, since another owner would find a part of a gang otherwise. The first appends of a batch alone are harmless: no order that depends on the batch was sent, its ends were not acknowledged, so that workers list them again, and workers that are recorded as silent are waited for as before. States of jobs go before stages now, as they do by key: a job that failed for good would be tried once more if only its last stage was stored, while nothing is started for a job that has ended.

What callers saw: no submission was started or ended any more, those that had ended stayed `running`, and readiness was 200.

Not measured: a mixed set of versions. Earlier versions do not read parts, so an owner of one would take the tasks of a step of more than 256 tasks for waiting.

--- a/codec/schedule_record.c
+++ b/codec/schedule_record.c
@@ -3,6 +3,7 @@
 #include <math.h>
 
 #include "peridothill/codec/unpack.h"
+#include "schedule_stage.h"
 
 enum {
     /* Fields of a job. */
@@ -38,10 +39,8 @@
     FLAG_SPECULATIVE = 8,
     FLAG_LONG_RUNNING = 16,
     FLAG_FILLS = 32,
-    /* Fields of a state and of a stage. */
+    /* Fields of a state and of a worker. */
     STATE_STATE = 1,
-    STAGE_TASKS = 1,
-    STAGE_ALL_DONE,
     WORKER_BORN_MS = 1,
     WORKER_SUSPENDED,
     WORKER_LEAVING,
@@ -51,13 +50,8 @@
     LEASE_EXPIRY_BOUND_MAX_MS = 60000, /* owners write at most 23 s */
     PAIRS_ITEMS = 1,
     PAIR_ITEMS = 5, /* backfill and serving image, factor, variance, filter */
-    /* Items of a task: state, run and failures, then the worker and its
-     * incarnation, then the checkpoint. */
-    TASK_ITEMS_MIN = 3,
-    TASK_ITEMS_PLACED = 5,
-    TASK_ITEMS_SAVED = 6,
     ID_BYTES = 16,
-    TEXT_BYTES_MAX = 65536,
+    TEXT_BYTES_MAX = PH_SCHED_TEXT_BYTES_MAX,
     TIME_MS_MAX = INT32_MAX,
     MILLI = 1000,
 };
@@ -132,50 +126,6 @@
     PhPack_U64(p, JOB_INTERVAL_MS, (uint64_t)spec->interval_ms);
 }
 
-static void
-pack_task(msgpack_packer *p, const PhSchedTaskRecord *task)
-{
-    size_t items = TASK_ITEMS_MIN;
-    if (task->last_checkpoint.len > 0) {
-        items = TASK_ITEMS_SAVED;
-    }
-    else if (task->worker.len > 0) {
-        items = TASK_ITEMS_PLACED;
-    }
-    msgpack_pack_array(p, items);
-    msgpack_pack_uint32(p, (uint32_t)task->state);
-    msgpack_pack_uint32(p, task->run);
-    msgpack_pack_uint32(p, task->failures);
-    if (items >= TASK_ITEMS_PLACED) {
-        PhPack_Item(p, task->worker);
-        msgpack_pack_uint64(p, (uint64_t)task->worker_born_ms);
-    }
-    if (items == TASK_ITEMS_SAVED) {
-        PhPack_Item(p, task->last_checkpoint);
-    }
-}
-
-/* If all tasks are done, only their number is written. */
-static void
-pack_stage(msgpack_packer *p, const PhSchedRecord *record)
-{
-    uint32_t count = record->as.stage.task_count;
-    uint32_t done = 0;
-    for (uint32_t i = 0; i < count; i++) {
-        done += record->as.stage.tasks[i].state == PH_SCHED_TASK_DONE;
-    }
-    msgpack_pack_map(p, 1);
-    if (done == count) {
-        PhPack_U64(p, STAGE_ALL_DONE, count);
-        return;
-    }
-    msgpack_pack_uint64(p, STAGE_TASKS);
-    msgpack_pack_array(p, count);
-    for (uint32_t i = 0; i < count; i++) {
-        pack_task(p, &record->as.stage.tasks[i]);
-    }
-}
-
 static void
 pack_pairs(msgpack_packer *p, const PhSchedRecord *record)
 {
@@ -201,8 +151,7 @@
     PhBuf_AppendByte(&key, kind);
     PhBuf_Append(&key, id);
     if (stage != NULL) {
-        PhBuf_AppendFormat(&key, ".%u.%u", stage->as.stage.round,
-                           stage->as.stage.step);
+        PhSchedStageRecord_AppendKey(&key, stage);
     }
     return PhBuf_Take(&key);
 }
@@ -246,7 +195,7 @@
         break;
     case PH_SCHED_RECORD_STAGE:
         key = key_make(KEY_STAGE, record->id, record);
-        pack_stage(&p, record);
+        PhSchedStageRecord_Pack(&p, record);
         break;
     case PH_SCHED_RECORD_WORKER:
         key = key_make(KEY_WORKER, record->id, NULL);
@@ -264,7 +213,11 @@
         pack_pairs(&p, record);
         break;
     }
-    return (PhSchedEncoded){.key = key, .value = PhBuf_Take(&out)};
+    return (PhSchedEncoded){.key = key,
+                            .value = PhBuf_Take(&out),
+                            .continues =
+                                record->tag == PH_SCHED_RECORD_STAGE &&
+                                record->as.stage.first > 0};
 }
 
 void
@@ -369,69 +322,6 @@
     return PhSchedSpec_Check(spec);
 }
 
-/* Returns false for a malformed task. */
-static bool
-read_task(const msgpack_object *list, PhSchedTaskRecord *task)
-{
-    uint64_t numbers[TASK_ITEMS_MIN] = {0};
-    uint64_t born = 0;
-    PhStr text;
-    if (list->type != MSGPACK_OBJECT_ARRAY ||
-        list->via.array.size < TASK_ITEMS_MIN) {
-        return false;
-    }
-    const msgpack_object *items = list->via.array.ptr;
-    for (uint32_t i = 0; i < TASK_ITEMS_MIN; i++) {
-        PhUnpack_U64(&items[i], &numbers[i]);
-    }
-    if (numbers[0] > PH_SCHED_TASK_DONE) {
-        return false;
-    }
-    task->state = (PhSchedTaskState)numbers[0];
-    task->run = (uint32_t)numbers[1];
-    task->failures = (uint32_t)numbers[2];
-    if (list->via.array.size >= TASK_ITEMS_PLACED &&
-        PhUnpack_Bytes(&items[3], TEXT_BYTES_MAX, &text) && text.len > 0) {
-        task->worker = PhStr_Dup(text);
-        PhUnpack_U64(&items[4], &born);
-        task->worker_born_ms = (int64_t)born;
-    }
-    if (list->via.array.size >= TASK_ITEMS_SAVED &&
-        PhUnpack_Bytes(&items[TASK_ITEMS_SAVED - 1], TEXT_BYTES_MAX, &text)) {
-        task->last_checkpoint = PhStr_Dup(text);
-    }
-    bool placed = task->state == PH_SCHED_TASK_ASSIGNED ||
-                  task->state == PH_SCHED_TASK_RUNNING;
-    return placed == (task->worker.len > 0);
-}
-
-static PhResult
-read_stage(const msgpack_object *map, PhSchedRecord *record)
-{
-    const msgpack_object *tasks = PhUnpack_Field(map, STAGE_TASKS);
-    uint64_t count = get_u64(map, STAGE_ALL_DONE);
-    if (tasks != NULL) {
-        bool listed = tasks->type == MSGPACK_OBJECT_ARRAY;
-        count = listed ? tasks->via.array.size : 0;
-    }
-    if (count == 0 || count > PH_SCHED_TASKS_MAX) {
-        return PhResult_Make(PH_STATUS_INVALID,
-                             "stage: no tasks, or too many");
-    }
-    record->as.stage.tasks = g_new0(PhSchedTaskRecord, count);
-    record->as.stage.task_count = (uint32_t)count;
-    for (uint32_t i = 0; i < count; i++) {
-        PhSchedTaskRecord *task = &record->as.stage.tasks[i];
-        if (tasks == NULL) {
-            task->state = PH_SCHED_TASK_DONE;
-        }
-        else if (!read_task(&tasks->via.array.ptr[i], task)) {
-            return PhResult_Make(PH_STATUS_INVALID, "malformed task %u", i);
-        }
-    }
-    return PhResult_Ok();
-}
-
 /* Reads a finite number; returns false for anything else. */
 static bool
 read_estimate(const msgpack_object *value, double *part)
@@ -480,25 +370,6 @@
     return PhResult_Ok();
 }
 
-static bool
-read_stage_key(PhStr rest, PhSchedRecord *record)
-{
-    PhStr round;
-    PhStr step;
-    uint64_t numbers[2];
-    if (rest.len == 0 || rest.data[0] != '.' ||
-        !PhStr_Cut(PhStr_Slice(rest, 1, rest.len), '.', &round, &step) ||
-        !PhStr_ParseU64(round, &numbers[0]) ||
-        !PhStr_ParseU64(step, &numbers[1]) ||
-        numbers[0] >= PH_SCHED_ROUNDS_MAX ||
-        numbers[1] >= PH_SCHED_STEPS_MAX) {
-        return false;
-    }
-    record->as.stage.round = (uint32_t)numbers[0];
-    record->as.stage.step = (uint32_t)numbers[1];
-    return true;
-}
-
 /* Reads the value of a record by the kind of its key. */
 static PhResult
 read_body(char kind, PhStr rest, const msgpack_object *map,
@@ -540,11 +411,10 @@
         return read_pairs(map, record);
     }
     record->tag = PH_SCHED_RECORD_STAGE;
-    if (kind != KEY_STAGE || !read_stage_key(rest, record)) {
-        return PhResult_Make(PH_STATUS_INVALID,
-                             "unknown kind of key or malformed key");
+    if (kind != KEY_STAGE) {
+        return PhResult_Make(PH_STATUS_INVALID, "unknown kind of key");
     }
-    return read_stage(map, record);
+    return PhSchedStageRecord_Read(rest, map, record);
 }
 
 PhResult
--- a/codec/settings_key.c
+++ b/codec/settings_key.c
@@ -73,6 +73,10 @@
         false, 0, 60 * S, "80ms",
         "Average delay of starts above which other instances send them, until "
         "it has been shorter for a minute; 0s: always."),
+    KEY("scheduler", "record_bytes", scheduler.record_bytes, COUNT, false, KB,
+        64 * MB, "262144", "Bytes of the largest record in the store."),
+    KEY("scheduler", "append_bytes", scheduler.append_bytes, COUNT, false, KB,
+        64 * MB, "2097152", "Bytes of the largest append to the store."),
     KEY("limits", "request_body", limits.request_body, SIZE, false, KB,
         64 * MB, "1MB", "Largest body of a caller's request."),
     KEY("limits", "connections", limits.connections, COUNT, false, 1,
--- a/decide/schedule/record.c
+++ b/decide/schedule/record.c
@@ -34,18 +34,21 @@
 }
 
 PhSchedRecord
-PhSchedRecord_OfStage(const PhSchedStage *stage)
+PhSchedRecord_OfStage(const PhSchedStage *stage, uint32_t first)
 {
-    uint32_t count = stage->job->spec.steps[stage->number].count;
+    uint32_t all = stage->job->spec.steps[stage->number].count;
+    uint32_t count = MIN(all - first, PH_SCHED_PART_TASKS);
     PhSchedRecord record = {.tag = PH_SCHED_RECORD_STAGE,
                             .id = PhStr_Dup(stage->job->spec.id),
                             .as.stage = {.round = stage->round,
                                          .step = stage->number,
+                                         .first = first,
+                                         .part_of = count < all ? all : 0,
                                          .task_count = count}};
     record.as.stage.tasks = g_new0(PhSchedTaskRecord, count);
     bool begun = stage->job->state != PH_SCHED_JOB_QUEUED;
     for (uint32_t i = 0; i < count; i++) {
-        const PhSchedTask *task = &stage->tasks[i];
+        const PhSchedTask *task = &stage->tasks[first + i];
         PhSchedTaskRecord *r = &record.as.stage.tasks[i];
         r->state = task->state;
         if (task->state == PH_SCHED_TASK_RUNNING && !begun) {
@@ -66,6 +69,16 @@
     return record;
 }
 
+void
+PhSchedStage_AddRecords(const PhSchedStage *stage, GArray *records)
+{
+    uint32_t all = stage->job->spec.steps[stage->number].count;
+    for (uint32_t first = 0; first < all; first += PH_SCHED_PART_TASKS) {
+        PhSchedRecord record = PhSchedRecord_OfStage(stage, first);
+        g_array_append_val(records, record);
+    }
+}
+
 static void
 task_apply(PhSchedModel *model, PhSchedTask *task, PhSchedTaskRecord *r,
            PhTime now)
@@ -110,6 +123,19 @@
     return r->state == PH_SCHED_TASK_RUNNING || r->state == PH_SCHED_TASK_DONE;
 }
 
+static bool
+fits_stage(const PhSchedRecord *record, const PhSchedStage *stage)
+{
+    uint32_t all = stage->job->spec.steps[stage->number].count;
+    uint32_t count = record->as.stage.task_count;
+    uint32_t first = record->as.stage.first;
+    if (record->as.stage.part_of == 0) {
+        return first == 0 && count == all;
+    }
+    return record->as.stage.part_of == all && first <= all &&
+           count <= all - first;
+}
+
 static PhStatus
 stage_apply(PhSchedModel *model, PhSchedJob *job, PhSchedRecord *record,
             PhTime now)
@@ -118,17 +144,18 @@
     job->rounds_due = MAX(job->rounds_due, record->as.stage.round + 1);
     PhSchedStage *stage =
         PhSchedJob_Stage(job, record->as.stage.round, record->as.stage.step);
-    if (stage == NULL ||
-        record->as.stage.task_count != job->spec.steps[stage->number].count) {
+    if (stage == NULL || !fits_stage(record, stage)) {
         return PH_STATUS_INVALID;
     }
-    bool was_done = stage->done == record->as.stage.task_count;
+    uint32_t all = job->spec.steps[stage->number].count;
+    bool was_done = stage->done == all;
     bool begun = false;
     for (uint32_t i = 0; i < record->as.stage.task_count; i++) {
-        begun |= task_has_begun(&record->as.stage.tasks[i]);
-        task_apply(model, &stage->tasks[i], &record->as.stage.tasks[i], now);
+        PhSchedTaskRecord *r = &record->as.stage.tasks[i];
+        begun |= task_has_begun(r);
+        task_apply(model, &stage->tasks[record->as.stage.first + i], r, now);
     }
-    if (!was_done && stage->done == record->as.stage.task_count) {
+    if (!was_done && stage->done == all) {
         PhSchedRound *round = &job->rounds[stage->round];
         round->done++;
         job->rounds_done += round->done == job->spec.step_count;
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -458,12 +458,6 @@
         s->pairs_due = false;
         g_array_append_val(records, record);
     }
-    for (guint i = 0; i < s->dirty_stages->len; i++) {
-        PhSchedStage *stage = g_ptr_array_index(s->dirty_stages, i);
-        PhSchedRecord record = PhSchedRecord_OfStage(stage);
-        stage->dirty = false;
-        g_array_append_val(records, record);
-    }
     for (guint i = 0; i < s->dirty_jobs->len; i++) {
         PhSchedJob *job = g_ptr_array_index(s->dirty_jobs, i);
         PhSchedRecord record = {.tag = PH_SCHED_RECORD_STATE,
@@ -472,6 +466,11 @@
         job->dirty = false;
         g_array_append_val(records, record);
     }
+    for (guint i = 0; i < s->dirty_stages->len; i++) {
+        PhSchedStage *stage = g_ptr_array_index(s->dirty_stages, i);
+        stage->dirty = false;
+        PhSchedStage_AddRecords(stage, records);
+    }
     g_ptr_array_set_size(s->dirty_stages, 0);
     g_ptr_array_set_size(s->dirty_jobs, 0);
     return s->open_batch++;
--- a/include/peridothill/codec/schedule_record.h
+++ b/include/peridothill/codec/schedule_record.h
@@ -15,9 +15,17 @@
 typedef struct PhSchedEncoded {
     PhStr key;
     PhStr value;
+    bool continues; /* a further part of the stage of the record before */
 } PhSchedEncoded;
 
 PhSchedEncoded PhSchedRecord_Encode(const PhSchedRecord *record);
+/* Encodes a record of at most `limit` bytes, see PhSchedEncoded_Bytes.  If it
+ * is larger, what can be learned again is left out: long checkpoints of the
+ * tasks of a stage, and pairs beyond the limit. */
+PhSchedEncoded PhSchedRecord_EncodeWithin(const PhSchedRecord *record,
+                                          size_t limit);
+/* Size of a record in the store: the length of its key, key and value. */
+size_t PhSchedEncoded_Bytes(const PhSchedEncoded *encoded);
 /* Encodes a job without copying it into a record. */
 PhSchedEncoded PhSchedRecord_EncodeJob(const PhSchedSpec *spec);
 void PhSchedEncoded_Clear(PhSchedEncoded *encoded);
--- a/include/peridothill/codec/settings.h
+++ b/include/peridothill/codec/settings.h
@@ -47,6 +47,8 @@
         PhTime pace_lag;
         PhTime report_interval;
         PhTime dispatch_delay;
+        uint64_t record_bytes; /* largest record that the store takes */
+        uint64_t append_bytes; /* largest append that the store takes */
     } scheduler;
     struct {
         uint64_t request_body; /* bytes */
--- a/include/peridothill/decide/schedule/record.h
+++ b/include/peridothill/decide/schedule/record.h
@@ -8,7 +8,7 @@
     PH_SCHED_RECORD_JOB,    /* a client's job, accepted */
     PH_SCHED_RECORD_CANCEL, /* a client cancelled a job, which may follow */
     PH_SCHED_RECORD_STATE,  /* state of a job, by the owner */
-    PH_SCHED_RECORD_STAGE,  /* tasks of a stage, by the owner */
+    PH_SCHED_RECORD_STAGE,  /* tasks of a stage or part of it, by the owner */
     PH_SCHED_RECORD_WORKER, /* whether the owner grants leases to a worker */
     PH_SCHED_RECORD_PAIRS,  /* interference factors learned by the owner */
 } PhSchedRecordTag;
@@ -44,6 +44,9 @@
         struct {
             uint32_t round;
             uint32_t step;
+            uint32_t first;   /* task that tasks[0] describes */
+            uint32_t part_of; /* tasks of the stage, if the record holds only
+                                 a part of them; else 0 */
             PhSchedTaskRecord *tasks;
             uint32_t task_count;
         } stage;
@@ -66,9 +69,14 @@
 } PhSchedRecord;
 
 void PhSchedRecord_Clear(PhSchedRecord *record);
-/* Describes the current state of a stage; the strings are copies. */
-PhSchedRecord PhSchedRecord_OfStage(const PhSchedStage *stage);
+/* Describes the current state of the tasks of a stage from `first` on,
+ * PH_SCHED_PART_TASKS at most; the strings are copies.  `first` is a multiple
+ * of that number, so that each part keeps its key. */
+PhSchedRecord PhSchedRecord_OfStage(const PhSchedStage *stage, uint32_t first);
+/* Appends the records of all parts of a stage, one after the other. */
+void PhSchedStage_AddRecords(const PhSchedStage *stage, GArray *records);
 enum {
+    PH_SCHED_PART_TASKS = 256,   /* of a stage in one record */
     PH_SCHED_DEFERRED_MAX = 8192 /* deferred records of unknown jobs: 2 MB */
 };
 
--- a/include/peridothill/services/schedule.h
+++ b/include/peridothill/services/schedule.h
@@ -102,6 +102,8 @@
     PhTime pace_lag;
     PhTime report_interval; /* of worker entries, 0: unknown */
     PhTime dispatch_delay;  /* starts that take longer are sent by others */
+    size_t record_bytes;    /* largest record that the store takes */
+    size_t append_bytes;    /* largest append that the store takes */
     PhStr link; /* address for links from other instances; empty: no links */
     PhStr data_centre;
     PhStr deployment;
--- a/include/peridothill/services/store.h
+++ b/include/peridothill/services/store.h
@@ -20,6 +20,10 @@
     PH_STORE_PRODUCER, /* only in sequence; fences off lower epochs */
 } PhStoreCondition;
 
+enum {
+    PH_STORE_LENGTH_BYTES = 4, /* in an append, before each record */
+};
+
 /* Appends all records atomically.  An append without records only sets the
  * producer's epoch. */
 typedef struct PhStoreAppend {
--- a/include/peridothill/standin/platform.h
+++ b/include/peridothill/standin/platform.h
@@ -27,6 +27,12 @@
 /* While set, appends to a topic have no effect; the connection is closed. */
 void PhStandinStoreState_LoseAppends(PhStandinStoreState *state, PhStr topic,
                                      bool lose);
+/* Appends over these sizes are answered with 413; by default the limits are
+ * those of the users' store. */
+void PhStandinStoreState_SetLimits(PhStandinStoreState *state,
+                                   size_t record_bytes, size_t append_bytes);
+/* Number of appends that were answered with 413. */
+unsigned PhStandinStoreState_TooLarge(const PhStandinStoreState *state);
 /* Appends a record to a keyed topic directly, as operators and workers do. */
 void PhStandinStoreState_Put(PhStandinStoreState *state, PhStr topic,
                              PhStr key, PhStr value);
--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -14,7 +14,6 @@
 static const PhTime UPDATE_INTERVAL_MIN = 3 * PH_NS_PER_MS;
 
 #define OWNER_KEY PhStr_LITERAL("owner")
-#define OWNER_PRODUCER PhStr_LITERAL("owner")
 
 void
 PhScheduleTask_RequestUpdate(PhScheduleTask *t)
@@ -114,19 +113,6 @@
     }
 }
 
-/* Builds an append to the topic of runs in the owner's producer sequence. */
-static PhStoreMessage
-owner_append(const PhScheduleTask *t, uint64_t sequence)
-{
-    return (PhStoreMessage){
-        .tag = PH_STORE_APPEND,
-        .as.append = {.topic = PhStr_Dup(PH_SCHED_TOPIC_RUNS),
-                      .condition = PH_STORE_PRODUCER,
-                      .producer = PhStr_Dup(OWNER_PRODUCER),
-                      .epoch = t->fence,
-                      .sequence = sequence}};
-}
-
 /* Starts the takeover.  Once the fence is set, earlier owners can no longer
  * write records. */
 static void
@@ -136,21 +122,16 @@
     PhScheduleOwner_PublishRole(t);
     t->fence = PhElection_Fence(t->election);
     t->epochs[CALL_FENCE]++;
-    PhStoreMessage m = owner_append(t, 0);
+    PhStoreMessage m = PhScheduleRecords_Append(t, 0);
     PhScheduleTask_Call(t, CALL_FENCE, &m);
 }
 
 void
-PhScheduleOwner_ClearBatch(PhScheduleTask *t)
+PhScheduleOwner_RetryFence(PhScheduleTask *t)
 {
-    for (guint i = 0; i < t->batch_records->len; i++) {
-        PhSchedEncoded_Clear(
-            &g_array_index(t->batch_records, PhSchedEncoded, i));
+    if (t->stage == OWNER_FENCING) {
+        begin_fencing(t);
     }
-    g_array_set_size(t->batch_records, 0);
-    t->batch = 0;
-    t->batch_in_flight = false;
-    t->epochs[CALL_RECORDS]++;
 }
 
 /* Gives up ownership.  The model is loaded again, because it may contain
@@ -166,7 +147,7 @@
     t->stage = OWNER_INACTIVE;
     PhScheduleOwner_PublishRole(t);
     PhScheduleLink_DismissAll(t);
-    PhScheduleOwner_ClearBatch(t);
+    PhScheduleRecords_Clear(t);
     PhScheduleDispatch_Reset(t);
     PhScheduler_SetFence(t->scheduler, 0, now);
     if (active) {
@@ -282,88 +263,6 @@
     PhScheduleTask_RequestUpdate(t);
 }
 
-/* Encodes the scheduler's pending changes as the next batch. */
-static void
-take_batch(PhScheduleTask *t)
-{
-    GArray *records = g_array_new(FALSE, FALSE, sizeof(PhSchedRecord));
-    t->batch = PhScheduler_TakeBatch(t->scheduler, records);
-    for (guint i = 0; i < records->len; i++) {
-        PhSchedRecord *record = &g_array_index(records, PhSchedRecord, i);
-        PhSchedEncoded e = PhSchedRecord_Encode(record);
-        g_array_append_val(t->batch_records, e);
-        PhSchedRecord_Clear(record);
-    }
-    g_array_free(records, TRUE);
-}
-
-/* Repeats the fence or the current batch, or sends the next batch. */
-void
-PhScheduleOwner_SendRecords(PhScheduleTask *t)
-{
-    if (t->stage == OWNER_FENCING) {
-        begin_fencing(t);
-        return;
-    }
-    if (t->stage != OWNER_ACTIVE || t->batch_in_flight) {
-        return;
-    }
-    if (t->batch == 0) {
-        take_batch(t);
-    }
-    if (t->batch == 0) {
-        return;
-    }
-    PhStoreMessage m = owner_append(t, t->batch_sequence);
-    PhStoreAppend *a = &m.as.append;
-    a->records = g_new0(PhStoreRecord, t->batch_records->len);
-    a->record_count = t->batch_records->len;
-    for (guint i = 0; i < t->batch_records->len; i++) {
-        const PhSchedEncoded *e =
-            &g_array_index(t->batch_records, PhSchedEncoded, i);
-        a->records[i].key = PhStr_Dup(e->key);
-        a->records[i].value = PhStr_Dup(e->value);
-    }
-    t->batch_in_flight = true;
-    PhScheduleTask_Call(t, CALL_RECORDS, &m);
-}
-
-void
-PhScheduleOwner_OnRecords(PhScheduleTask *t, const PhStoreReply *reply)
-{
-    if (t->stage != OWNER_ACTIVE || t->batch == 0) {
-        return;
-    }
-    uint64_t batch = t->batch;
-    t->batch_in_flight = false;
-    switch (reply->outcome) {
-    case PH_STORE_SEQUENCE:
-        PhTask_LOG(t->self, PH_EVENT_SCHEDULE_SEQUENCE,
-                   PhField_U64("sent", t->batch_sequence),
-                   PhField_U64("expected", reply->first));
-        PhElection_OnDeposed(t->election, PhTask_Now(t->self));
-        break;
-    case PH_STORE_DONE:
-        t->batch_sequence++;
-        t->runs.cursor.next = MAX(t->runs.cursor.next, reply->end);
-        PhScheduleOwner_ClearBatch(t);
-        PhScheduler_OnDurable(t->scheduler, batch);
-        PhScheduleLog_Notes(t);
-        break;
-    case PH_STORE_FENCED:
-        PhElection_OnDeposed(t->election, PhTask_Now(t->self));
-        break;
-    case PH_STORE_REFUSED:
-    case PH_STORE_CONFLICT:
-    case PH_STORE_GONE:
-    case PH_STORE_UNKNOWN:
-        PhTask_SetTimer(t->self, TIMER_RECORDS,
-                        PhTask_Now(t->self) + RETRY_DELAY);
-        return;
-    }
-    PhScheduleTask_RequestUpdate(t);
-}
-
 static bool
 on_hold(PhScheduleTask *t, const PhOrderReply *r, PhTime now)
 {
@@ -525,7 +424,7 @@
         PhScheduler_Plan(t->scheduler, now,
                          PhTask_Wall(t->self) / PH_NS_PER_MS);
         PhScheduleLog_Notes(t);
-        PhScheduleOwner_SendRecords(t);
+        PhScheduleRecords_Send(t);
         send_orders(t, now);
         PhScheduler_RemoveDeadWorkers(t->scheduler);
         PhScheduleLog_Notes(t);
--- a/services/schedule/schedule_task.c
+++ b/services/schedule/schedule_task.c
@@ -45,7 +45,7 @@
         PhScheduleOwner_OnFence(t, reply);
         break;
     case CALL_RECORDS:
-        PhScheduleOwner_OnRecords(t, reply);
+        PhScheduleRecords_OnReply(t, reply);
         break;
     case CALL_KINDS:
         break;
@@ -200,7 +200,8 @@
         PhScheduleAccept_Flush(t);
         break;
     case TIMER_RECORDS:
-        PhScheduleOwner_SendRecords(t);
+        PhScheduleOwner_RetryFence(t);
+        PhScheduleRecords_Send(t);
         break;
     case TIMER_DEADLINES:
         PhScheduleAccept_Expire(t);
@@ -260,7 +261,7 @@
     PhScheduleTopics_Clear(t);
     PhScheduleLink_Clear(t);
     PhScheduleDispatch_Destroy(t->dispatch);
-    PhScheduleOwner_ClearBatch(t);
+    PhScheduleRecords_Clear(t);
     g_array_free(t->batch_records, TRUE);
     g_queue_clear_full(&t->accept_queue, PhScheduleAccept_Destroy);
     g_queue_clear_full(&t->state_calls, PhScheduleCalls_DestroyQueued);
--- a/services/schedule/schedule_task.h
+++ b/services/schedule/schedule_task.h
@@ -79,6 +79,7 @@
 /* A SUBMIT or CANCEL whose record is not durable yet. */
 typedef struct PhPendingAccept {
     PhClientCall call;
+    PhSchedEncoded record; /* owned */
     bool answered; /* the deadline passed while the append was in flight */
 } PhPendingAccept;
 
@@ -121,9 +122,11 @@
     uint64_t fence;
     uint64_t fence_end; /* end offset of the runs when the fence was set */
     PhTime fence_at;
-    uint64_t batch; /* current batch, 0 for none */
-    uint64_t batch_sequence;
-    GArray *batch_records; /* PhSchedEncoded */
+    uint64_t batch;          /* current batch, 0 for none */
+    uint64_t batch_sequence; /* of the current append */
+    GArray *batch_records;   /* PhSchedEncoded */
+    guint batch_durable;     /* records that earlier appends have stored */
+    guint batch_end;         /* end of the records of the current append */
     bool batch_in_flight;
     PhScheduleRole role; /* as last sent to "fleet" */
     /* Links to other instances. */
@@ -285,15 +288,23 @@
 void PhScheduleOwner_OnElection(PhScheduleTask *task, PhStoreCall call,
                                 const PhStoreReply *reply);
 void PhScheduleOwner_OnFence(PhScheduleTask *task, const PhStoreReply *reply);
-void PhScheduleOwner_OnRecords(PhScheduleTask *task,
-                               const PhStoreReply *reply);
-void PhScheduleOwner_SendRecords(PhScheduleTask *task);
-/* Drops the current batch of records and ignores its reply. */
-void PhScheduleOwner_ClearBatch(PhScheduleTask *task);
+/* Repeats the append that sets the fence, if its outcome is not known. */
+void PhScheduleOwner_RetryFence(PhScheduleTask *task);
 void PhScheduleOwner_OnOrder(PhScheduleTask *task, const PhOrderReply *reply);
 /* Sends the role to "fleet" if it has changed. */
 void PhScheduleOwner_PublishRole(PhScheduleTask *task);
 
+/* schedule_records.c: the owner's records. */
+/* Builds an append without records in the owner's producer sequence. */
+PhStoreMessage PhScheduleRecords_Append(const PhScheduleTask *task,
+                                        uint64_t sequence);
+/* Repeats the current append, or sends the next one. */
+void PhScheduleRecords_Send(PhScheduleTask *task);
+void PhScheduleRecords_OnReply(PhScheduleTask *task,
+                               const PhStoreReply *reply);
+/* Drops the current batch of records and ignores its reply. */
+void PhScheduleRecords_Clear(PhScheduleTask *task);
+
 /* schedule_log.c: log lines of the owner.  PhScheduleLog_Notes also clears the
  * scheduler's notes. */
 void PhScheduleLog_OwnerGained(PhScheduleTask *task);
--- a/standin/store.c
+++ b/standin/store.c
@@ -14,8 +14,11 @@
     STATUS_NOT_FOUND = 404,
     STATUS_CONFLICT = 409,
     STATUS_CONDITION = 412,
+    STATUS_TOO_LARGE = 413,
     STATUS_UNAVAILABLE = 503,
     BODY_LIMIT_BYTES = 4 * 1024 * 1024,
+    RECORD_LIMIT_BYTES = 256 * 1024,
+    APPEND_LIMIT_BYTES = 2 * 1024 * 1024,
     LENGTH_BYTES = 4,
     OFFSET_BYTES = 8,
     BITS_PER_BYTE = 8,
@@ -58,6 +61,9 @@
 struct PhStandinStoreState {
     PhStandinStoreFault fault;
     GHashTable *topics; /* PhStoredTopic by name */
+    size_t record_bytes;
+    size_t append_bytes;
+    unsigned too_large; /* appends refused for their size */
 };
 
 static void
@@ -76,6 +82,8 @@
 PhStandinStoreState_Create(void)
 {
     PhStandinStoreState *s = g_new0(PhStandinStoreState, 1);
+    s->record_bytes = RECORD_LIMIT_BYTES;
+    s->append_bytes = APPEND_LIMIT_BYTES;
     s->topics = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
                                       PhStr_KeyDestroy, topic_destroy);
     return s;
@@ -97,6 +105,20 @@
     s->fault = fault;
 }
 
+void
+PhStandinStoreState_SetLimits(PhStandinStoreState *s, size_t record_bytes,
+                              size_t append_bytes)
+{
+    s->record_bytes = record_bytes;
+    s->append_bytes = append_bytes;
+}
+
+unsigned
+PhStandinStoreState_TooLarge(const PhStandinStoreState *s)
+{
+    return s->too_large;
+}
+
 static PhStoredTopic *
 topic_find(PhStandinStoreState *s, PhStr name)
 {
@@ -271,16 +293,39 @@
     return NULL;
 }
 
+/* Takes the next record off the body of an append; false at its end. */
+static bool
+take_record(PhStr *body, PhStr *record)
+{
+    size_t len = 0;
+    if (body->len < LENGTH_BYTES) {
+        return false;
+    }
+    for (int i = 0; i < LENGTH_BYTES; i++) {
+        len = len << BITS_PER_BYTE | (uint8_t)body->data[i];
+    }
+    *record = PhStr_Slice(*body, LENGTH_BYTES, len);
+    *body = PhStr_Slice(*body, LENGTH_BYTES + len, body->len);
+    return true;
+}
+
+static bool
+is_too_large(const PhStandinStoreState *s, PhStr body)
+{
+    bool too_large = body.len > s->append_bytes;
+    PhStr record;
+    while (take_record(&body, &record)) {
+        too_large |= record.len > s->record_bytes;
+    }
+    return too_large;
+}
+
 static void
 append_records(PhStoredTopic *topic, PhStr body)
 {
-    while (body.len >= LENGTH_BYTES) {
-        size_t len = 0;
-        for (int i = 0; i < LENGTH_BYTES; i++) {
-            len = len << BITS_PER_BYTE | (uint8_t)body.data[i];
-        }
-        topic_add(topic, PhStr_Slice(body, LENGTH_BYTES, len));
-        body = PhStr_Slice(body, LENGTH_BYTES + len, body.len);
+    PhStr record;
+    while (take_record(&body, &record)) {
+        topic_add(topic, record);
     }
 }
 
@@ -297,6 +342,12 @@
         PhListener_Drop(s->server->listener, in->id);
         return;
     }
+    if (is_too_large(s->state, in->body)) {
+        PhBuf empty = {0};
+        s->state->too_large++;
+        answer(s, in->id, STATUS_TOO_LARGE, &empty);
+        return;
+    }
     if (query_number(in->query, "at", &at) && at != offset) {
         answer_end(s, in->id, STATUS_CONDITION, topic, offset, NULL);
         return;
--- a/tests/schedule/platform_fixture.c
+++ b/tests/schedule/platform_fixture.c
@@ -100,6 +100,10 @@
     if (fixture->dispatches) {
         PhBuf_Append(&text, PhStr_LITERAL("dispatch_delay = 0s\n"));
     }
+    if (fixture->record_bytes > 0) {
+        PhBuf_AppendFormat(&text, "record_bytes = %zu\nappend_bytes = %zu\n",
+                           fixture->record_bytes, fixture->append_bytes);
+    }
     if (links) {
         PhBuf_AppendFormat(&text, "link = 127.0.0.1:%u\n",
                            port_reserve(fixture));
@@ -137,6 +141,17 @@
     instances_open(fixture, true);
 }
 
+void
+PhPlatformFixture_OpenLimited(PhPlatformFixture *fixture, size_t instances,
+                              size_t record_bytes, size_t append_bytes)
+{
+    *fixture = (PhPlatformFixture){.instance_count = instances,
+                                   .record_bytes = record_bytes,
+                                   .append_bytes = append_bytes};
+    instances_open(fixture, false);
+    PhStandinStoreState_SetLimits(fixture->store, record_bytes, append_bytes);
+}
+
 void
 PhPlatformFixture_Kill(PhPlatformFixture *fixture, size_t instance)
 {
--- a/tests/schedule/platform_fixture.h
+++ b/tests/schedule/platform_fixture.h
@@ -31,6 +31,8 @@
     PhStandinStoreState *store;
     bool worker_ignores_starts;
     bool worker_closes_connections; /* stays so once it is set */
+    size_t record_bytes;            /* limits of the store, 0: the default */
+    size_t append_bytes;
     bool dispatches; /* the owner has the other instances send its starts */
     PhKernel *platform;
     PhFixtureInstance instances[PH_FIXTURE_INSTANCES_MAX];
@@ -45,6 +47,11 @@
 /* The same with links; the owner has the other instances send its starts. */
 void PhPlatformFixture_OpenDispatching(PhPlatformFixture *fixture,
                                        size_t instances);
+/* The same without links; the store takes records and appends up to these
+ * sizes. */
+void PhPlatformFixture_OpenLimited(PhPlatformFixture *fixture,
+                                   size_t instances, size_t record_bytes,
+                                   size_t append_bytes);
 void PhPlatformFixture_Close(PhPlatformFixture *fixture);
 /* Destroys an instance without a shutdown. */
 void PhPlatformFixture_Kill(PhPlatformFixture *fixture, size_t instance);
--- a/tests/schedule/schedule_sim.c
+++ b/tests/schedule/schedule_sim.c
@@ -333,7 +333,8 @@
             g_hash_table_add(
                 sim->started,
                 g_strdup_printf("%.*s.%u.%u.%u/%u", PhStr_ARG(record.id),
-                                record.as.stage.round, record.as.stage.step, i,
+                                record.as.stage.round, record.as.stage.step,
+                                record.as.stage.first + i,
                                 record.as.stage.tasks[i].run));
         }
     }
--- a/tests/schedule/test_early_ends.c
+++ b/tests/schedule/test_early_ends.c
@@ -39,7 +39,7 @@
     PhSchedTask *task = job_add(other);
     task->run = 1;
     PhSchedTask_Place(task, PhSchedModel_Worker(other, PH_SINGLE_WORKER, 1));
-    PhSchedRecord record = PhSchedRecord_OfStage(task->stage);
+    PhSchedRecord record = PhSchedRecord_OfStage(task->stage, 0);
     PhScheduler_Apply(s, &record, TAKEOVER);
     PhSchedModel_Destroy(other);
 }
--- /dev/null
+++ b/tests/schedule/test_store_limits.c
@@ -0,0 +1,109 @@
+/* Limits of the store on the size of a record and of an append.  Guards
+ * against an append that the store refuses for its size and that is repeated
+ * for ever, so that no work goes on, and against submissions that are refused
+ * because of the size of another one. */
+#include <string.h>
+
+#include "platform_fixture.h"
+#include "tests/table.h"
+
+#define LATER_ID "00000000000000ff"
+#define LATER_JOB "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":10}]}"
+
+enum {
+    JOBS_MAX = 8,
+    ID_BYTES = 17, /* with the terminator */
+};
+
+static void
+id_make(char *id, unsigned number)
+{
+    snprintf(id, ID_BYTES, "%016x", number + 1);
+}
+
+static uint64_t
+starts_sum(const PhPlatformFixture *fixture)
+{
+    uint64_t sum = 0;
+    for (size_t i = 0; i < fixture->instance_count; i++) {
+        sum += PhCounters_Get(fixture->instances[i].counters,
+                              PH_COUNTER_SCHEDULE_STARTS);
+    }
+    return sum;
+}
+
+/* Jobs of one step each that are submitted at once, and the limits of the
+ * store. */
+typedef struct PhWideCase {
+    const char *name;
+    unsigned jobs;
+    unsigned tasks; /* of each job */
+    size_t record_bytes;
+    size_t append_bytes;
+    bool takeover; /* the owner is killed once all jobs have ended */
+} PhWideCase;
+
+static const PhWideCase wide_cases[] = {
+    {"one record holds a step, one append all", 2, 100, 4096, 12288, false},
+    {"a step is larger than a record", 1, 600, 4096, 12288, false},
+    {"the same, read by another owner", 1, 600, 4096, 12288, true},
+    {"a batch is larger than an append", 8, 150, 4096, 4608, false},
+    {"both, read by another owner", 2, 600, 4096, 9216, true},
+};
+
+static void
+wide_run(const PhWideCase *c)
+{
+    PhPlatformFixture fixture;
+    char id[ID_BYTES];
+    char text[PH_FIXTURE_TEXT_BYTES];
+    char job[PH_FIXTURE_TEXT_BYTES];
+    int connections[JOBS_MAX] = {0};
+    PhPlatformFixture_OpenLimited(&fixture, 2, c->record_bytes,
+                                  c->append_bytes);
+    snprintf(job, sizeof(job),
+             "{\"spec\":\"x\",\"steps\":[{\"count\":%u,\"cpu\":10}]}",
+             c->tasks);
+    assert_true(
+        PhPlatformFixture_CallUntil(&fixture, 0, "GET", "", "", 200, ""));
+    for (unsigned i = 0; i < c->jobs; i++) {
+        id_make(id, i);
+        connections[i] = PhPlatformFixture_Send(&fixture, 0, "POST", id, job);
+    }
+    for (unsigned i = 0; i < c->jobs; i++) {
+        assert_int_equal(
+            PhPlatformFixture_Receive(&fixture, connections[i], text), 200);
+    }
+    for (unsigned i = 0; i < c->jobs; i++) {
+        id_make(id, i);
+        assert_true(PhPlatformFixture_CallUntil(&fixture, 0, "GET", id, "",
+                                                200, "completed"));
+    }
+    assert_int_equal(PhStandinStoreState_TooLarge(fixture.store), 0);
+    assert_int_equal(starts_sum(&fixture), (uint64_t)c->jobs * c->tasks);
+    size_t instance = c->takeover ? 1 : 0;
+    if (c->takeover) {
+        PhPlatformFixture_Kill(&fixture, 0);
+    }
+    assert_true(PhPlatformFixture_CallUntil(&fixture, instance, "POST",
+                                            LATER_ID, LATER_JOB, 200, ""));
+    assert_true(PhPlatformFixture_CallUntil(&fixture, instance, "GET",
+                                            LATER_ID, "", 200, "completed"));
+    assert_int_equal(starts_sum(&fixture), (uint64_t)c->jobs * c->tasks + 1);
+    PhPlatformFixture_Close(&fixture);
+}
+
+/* Wide steps and large batches are recorded, and work goes on. */
+static void
+test_wide_steps(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(wide_cases, wide_run);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {cmocka_unit_test(test_wide_steps)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
