--- a/tests/schedule/owners_faults.c
+++ b/tests/schedule/owners_faults.c
@@ -118,6 +118,17 @@
     w->faults[w->fault_count++] = *fault;
 }
 
+int64_t
+PhOwnersSim_CalmFrom(const PhOwnersSim *w)
+{
+    int64_t at_ms = w->short_until_ms;
+    for (unsigned i = 0; i < w->fault_count; i++) {
+        const PhOwnersFault *f = &w->faults[i];
+        at_ms = MAX(at_ms, f->at_ms + f->duration_ms);
+    }
+    return at_ms;
+}
+
 /* Draws a non-empty set of `count` workers or instances, as a mask. */
 static unsigned
 draw_set(PhRandom *random, int count)
--- a/tests/schedule/owners_sim.c
+++ b/tests/schedule/owners_sim.c
@@ -1,6 +1,7 @@
 #include "owners_sim_private.h"
 
 #include "peridothill/codec/schedule_record.h"
+#include "rest_watch.h"
 #include "tests/table.h"
 
 enum {
@@ -131,6 +132,7 @@
         instance_close(&w->instances[i]);
     }
     PhSimRooms_Destroy(w->rooms);
+    PhRestWatch_Destroy(w->rest);
     for (int i = 0; i < w->worker_count; i++) {
         PhSimWorker_Close(&w->workers[i]);
     }
@@ -539,6 +541,9 @@
         if (w->rooms != NULL) {
             PhSimRooms_Check(w);
         }
+        if (w->rest != NULL) {
+            PhRestWatch_Tick(w->rest, w);
+        }
     }
 }
 
--- a/tests/schedule/owners_sim.h
+++ b/tests/schedule/owners_sim.h
@@ -99,6 +99,8 @@
 bool PhOwnersSim_IsSettled(const PhOwnersSim *sim);
 /* Longest time in milliseconds that a long-running task was without a run. */
 int64_t PhOwnersSim_LongestGap(const PhOwnersSim *sim);
+/* Milliseconds from the start to the end of all faults and submissions. */
+int64_t PhOwnersSim_CalmFrom(const PhOwnersSim *sim);
 /* Number of times that an instance became the owner. */
 unsigned PhOwnersSim_Takeovers(const PhOwnersSim *sim);
 
--- a/tests/schedule/owners_sim_private.h
+++ b/tests/schedule/owners_sim_private.h
@@ -14,6 +14,7 @@
 };
 
 typedef struct PhSimRooms PhSimRooms;
+struct PhRestWatch;
 
 #define PH_OWNERS_START (100 * PH_NS_PER_S)
 
@@ -68,7 +69,8 @@
     PhSimInstance instances[PH_OWNERS_INSTANCES];
     PhSimWorker workers[PH_OWNERS_WORKERS_MAX];
     int worker_count;
-    PhSimRooms *rooms; /* NULL: the same workers all the time */
+    PhSimRooms *rooms;        /* NULL: the same workers all the time */
+    struct PhRestWatch *rest; /* NULL: the rule at rest is not checked */
     PhSimTasks tasks;
     GArray *log;          /* PhSchedEncoded */
     GArray *elections;    /* PhElectionEntry */
--- a/tests/schedule/owners_worker.c
+++ b/tests/schedule/owners_worker.c
@@ -162,6 +162,20 @@
     return left;
 }
 
+bool
+PhSimWorker_ListsDone(const PhSimWorker *h, const PhSimJob *job,
+                      uint32_t index)
+{
+    for (guint i = 0; i < h->ends->len && h->alive; i++) {
+        const PhSimEnd *end = &g_array_index(h->ends, PhSimEnd, i);
+        if (end->job == job && end->index == index &&
+            end->kind == PH_SCHED_END_DONE && !end->lease_expired) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static int64_t
 worker_clock(const PhSimWorker *h, PhTime now)
 {
@@ -289,6 +303,7 @@
     }
     task->started = ++t->events;
     task->running++;
+    task->starts++;
 }
 
 static bool
--- a/tests/schedule/owners_worker.h
+++ b/tests/schedule/owners_worker.h
@@ -8,6 +8,7 @@
 
 typedef struct PhSimTask {
     unsigned running;  /* current runs on all workers */
+    unsigned starts;   /* so far */
     uint64_t started;  /* event number of the last start */
     uint64_t done;     /* event number of the last end `done`, 0 for none */
     bool acknowledged; /* the end `done` was acknowledged */
@@ -26,8 +27,11 @@
     unsigned image;             /* 0: none */
 } PhSimTaskKind;
 
+/* One step of a job.  The steps of a job are adjacent. */
 typedef struct PhSimJob {
     char id[17];
+    uint32_t step;
+    struct PhSimJob *before; /* the step that it waits for, NULL: none */
     PhSimTaskKind kind;
     PhSimTask *tasks;
     unsigned count;
@@ -89,6 +93,9 @@
 /* Returns what the runs leave of the capacity.  The CPU of backfill tasks does
  * not count. */
 PhSchedResources PhSimWorker_Free(const PhSimWorker *worker);
+/* Whether it lists an end `done` of a task, from before its lease expired. */
+bool PhSimWorker_ListsDone(const PhSimWorker *worker, const PhSimJob *job,
+                           uint32_t index);
 /* Parses the number in a worker's id. */
 int PhSimWorker_Number(PhStr id);
 /* Stops the worker without a notice; its runs and ends are lost. */
--- /dev/null
+++ b/tests/schedule/rest_watch.c
@@ -0,0 +1,307 @@
+#include "rest_watch.h"
+
+#include "owners_sim_private.h"
+#include "task_view.h"
+
+static const PhTime LASTING_DOWN_LIMIT = 6 * PH_NS_PER_S;
+enum {
+    TWICE = 2,
+};
+
+/* A job or a lasting task that waits, until it runs again. */
+typedef struct PhRestWait {
+    PhTime since;      /* it last ran, or was due */
+    PhTime room_since; /* there has been room all the time; 0: none now */
+    bool counted;
+    char state[PH_TASK_VIEW_SIZE]; /* newest line of the timeline */
+    GString *timeline;
+} PhRestWait;
+
+struct PhRestWatch {
+    GHashTable *waits; /* PhRestWait by PhSimTask, or by the PhSimJob of the
+                          first step */
+    PhTime calm_from;
+    PhRestFigures figures;
+};
+
+static void
+wait_destroy(gpointer value)
+{
+    PhRestWait *wait = value;
+    g_string_free(wait->timeline, TRUE);
+    g_free(wait);
+}
+
+void
+PhOwnersSim_WatchRest(PhOwnersSim *sim)
+{
+    PhRestWatch *watch = g_new0(PhRestWatch, 1);
+    watch->waits = g_hash_table_new_full(NULL, NULL, NULL, wait_destroy);
+    watch->calm_from =
+        PH_OWNERS_START + PhOwnersSim_CalmFrom(sim) * PH_NS_PER_MS;
+    watch->figures.timeline = g_string_new(NULL);
+    sim->rest = watch;
+}
+
+void
+PhRestWatch_Destroy(PhRestWatch *watch)
+{
+    if (watch != NULL) {
+        g_hash_table_destroy(watch->waits);
+        g_string_free(watch->figures.timeline, TRUE);
+        g_free(watch);
+    }
+}
+
+const PhRestFigures *
+PhOwnersSim_RestFigures(const PhOwnersSim *sim)
+{
+    return &sim->rest->figures;
+}
+
+unsigned
+PhRestFigures_Found(const PhRestFigures *f)
+{
+    return f->idle_jobs + f->lasting_tasks + f->kept_tasks + f->false_ends;
+}
+
+/* Whether a task has ended `done`, and the end is either known to the owner or
+ * still listed by its worker. */
+static bool
+task_is_done(const PhOwnersSim *sim, const PhSimJob *job, unsigned index)
+{
+    const PhSimTask *task = &job->tasks[index];
+    if (task->done == 0 || task->acknowledged) {
+        return task->done != 0;
+    }
+    const PhSchedTask *known = PhTaskView_Task(sim, job, index);
+    if (known != NULL && known->state == PH_SCHED_TASK_DONE) {
+        return true;
+    }
+    for (int i = 0; i < sim->worker_count; i++) {
+        if (PhSimWorker_ListsDone(&sim->workers[i], job, index)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+step_is_done(const PhOwnersSim *sim, const PhSimJob *job)
+{
+    for (unsigned i = 0; i < job->count; i++) {
+        if (!task_is_done(sim, job, i)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Whether there is room for a task twice over, on all workers together; for a
+ * gang, all its members count.  Sets the worker that has the most. */
+static bool
+has_room(const PhOwnersSim *sim, const PhSimJob *job, int *room)
+{
+    int64_t total = 0;
+    int64_t most = 0;
+    *room = -1;
+    for (int i = 0; i < sim->worker_count; i++) {
+        const PhSimWorker *h = &sim->workers[i];
+        int64_t count = PhTaskView_CountRoom(h, h->draining, &job->kind);
+        total += count;
+        if (count > most) {
+            most = count;
+            *room = i;
+        }
+    }
+    return total >= TWICE;
+}
+
+static PhRestWait *
+wait_begin(PhRestWatch *watch, const void *key, PhTime since)
+{
+    PhRestWait *wait = g_hash_table_lookup(watch->waits, key);
+    if (wait == NULL) {
+        wait = g_new0(PhRestWait, 1);
+        wait->since = since;
+        wait->timeline = g_string_new(NULL);
+        g_hash_table_insert(watch->waits, (gpointer)key, wait);
+    }
+    return wait;
+}
+
+/* Ends a wait; its timeline is kept if it was counted. */
+static void
+wait_end(PhRestWatch *watch, const PhOwnersSim *sim, const void *key)
+{
+    PhRestWait *wait = g_hash_table_lookup(watch->waits, key);
+    if (wait != NULL && wait->counted) {
+        g_string_append_printf(
+            watch->figures.timeline, "%s#     +%.2f s over\n",
+            wait->timeline->str,
+            PhTaskView_Seconds(sim->now - watch->calm_from));
+    }
+    g_hash_table_remove(watch->waits, key);
+}
+
+void
+PhOwnersSim_EndWatch(PhOwnersSim *sim)
+{
+    GHashTableIter it;
+    gpointer value;
+    g_hash_table_iter_init(&it, sim->rest->waits);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const PhRestWait *wait = value;
+        if (wait->counted) {
+            g_string_append_printf(
+                sim->rest->figures.timeline, "%s#     +%.2f s still waits\n",
+                wait->timeline->str,
+                PhTaskView_Seconds(sim->now - sim->rest->calm_from));
+        }
+    }
+}
+
+/* Adds what has changed since the newest line. */
+static void
+timeline_add(PhRestWatch *watch, PhRestWait *wait, const PhOwnersSim *sim,
+             const PhSimJob *job, unsigned index, int room)
+{
+    char state[PH_TASK_VIEW_SIZE];
+    PhTaskView_Write(state, sim, job, index, room);
+    if (wait->timeline->len == 0) {
+        g_string_append_printf(
+            wait->timeline,
+            "#   task %u of step %u of job %s%s, waits since %+.2f s of the "
+            "calm at %.2f s, run %u times, done %d:\n",
+            index, job->step, job->id,
+            job->kind.long_running ? " is to last" : "",
+            PhTaskView_Seconds(wait->since - watch->calm_from),
+            PhTaskView_Seconds(watch->calm_from - PH_OWNERS_START),
+            job->tasks[index].starts, job->tasks[index].done != 0);
+    }
+    if (strcmp(state, wait->state) != 0) {
+        g_strlcpy(wait->state, state, PH_TASK_VIEW_SIZE);
+        g_string_append_printf(wait->timeline, "#     +%.2f s %s\n",
+                               PhTaskView_Seconds(sim->now - watch->calm_from),
+                               state);
+        PhTaskView_AddLeases(wait->timeline, sim, job, index);
+    }
+}
+
+/* Counts a wait that is too long. */
+static void
+wait_check(PhRestWatch *watch, PhRestWait *wait, const PhOwnersSim *sim,
+           bool room, unsigned *counter)
+{
+    PhTime limit = PH_REST_WAIT_MS * PH_NS_PER_MS;
+    PhTime asked_at = watch->calm_from + PH_REST_ASKED_MS * PH_NS_PER_MS;
+    wait->room_since = !room                   ? 0
+                       : wait->room_since == 0 ? sim->now
+                                               : wait->room_since;
+    if (!room || sim->now - wait->room_since < limit) {
+        return;
+    }
+    watch->figures.rest_from = sim->now - watch->calm_from;
+    if (!wait->counted &&
+        sim->now - MAX(wait->room_since, asked_at) >= limit) {
+        wait->counted = true;
+        ++*counter;
+        g_string_append_printf(
+            wait->timeline, "#     +%.2f s counted\n",
+            PhTaskView_Seconds(sim->now - watch->calm_from));
+    }
+}
+
+/* A task that is to last, and does not run. */
+static void
+lasting_tick(PhRestWatch *watch, const PhOwnersSim *sim, const PhSimJob *job,
+             unsigned index)
+{
+    const PhSimTask *task = &job->tasks[index];
+    if (task->running > 0) {
+        wait_end(watch, sim, task);
+        return;
+    }
+    int room;
+    PhRestWait *wait =
+        wait_begin(watch, task, task->ran_at > 0 ? task->ran_at : sim->now);
+    bool has = has_room(sim, job, &room) &&
+               sim->now - wait->since >= LASTING_DOWN_LIMIT;
+    timeline_add(watch, wait, sim, job, index, room);
+    wait_check(watch, wait, sim, has, &watch->figures.lasting_tasks);
+}
+
+static bool
+step_runs(const PhSimJob *job)
+{
+    for (unsigned i = 0; i < job->count; i++) {
+        if (job->tasks[i].running > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns the first task of a step that may run now, or -1. */
+static int
+find_due(const PhOwnersSim *sim, const PhSimJob *job)
+{
+    if (job->before != NULL && !step_is_done(sim, job->before)) {
+        return -1;
+    }
+    for (unsigned i = 0; i < job->count; i++) {
+        if (!task_is_done(sim, job, i)) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+/* A job of which nothing runs.  `first` is the number of its first step, `end`
+ * that after its last. */
+static void
+job_tick(PhRestWatch *watch, const PhOwnersSim *sim, guint first, guint end)
+{
+    const PhSimJob *key = g_ptr_array_index(sim->tasks.jobs, first);
+    bool runs = false;
+    for (guint i = first; i < end; i++) {
+        runs |= step_runs(g_ptr_array_index(sim->tasks.jobs, i));
+    }
+    for (guint i = first; i < end && !runs; i++) {
+        const PhSimJob *job = g_ptr_array_index(sim->tasks.jobs, i);
+        int due = find_due(sim, job);
+        if (due >= 0) {
+            int room;
+            PhRestWait *wait = wait_begin(watch, key, sim->now);
+            bool has = has_room(sim, job, &room);
+            timeline_add(watch, wait, sim, job, (unsigned)due, room);
+            wait_check(watch, wait, sim, has, &watch->figures.idle_jobs);
+            return;
+        }
+    }
+    wait_end(watch, sim, key);
+}
+
+void
+PhRestWatch_Tick(PhRestWatch *watch, const PhOwnersSim *sim)
+{
+    const GPtrArray *jobs = sim->tasks.jobs;
+    if (sim->now < watch->calm_from) {
+        return;
+    }
+    for (guint i = 0; i < jobs->len;) {
+        guint first = i++;
+        while (i < jobs->len &&
+               ((const PhSimJob *)g_ptr_array_index(jobs, i))->step > 0) {
+            i++;
+        }
+        job_tick(watch, sim, first, i);
+        for (guint n = first; n < i; n++) {
+            const PhSimJob *job = g_ptr_array_index(jobs, n);
+            for (unsigned k = 0; k < job->count && job->kind.long_running;
+                 k++) {
+                lasting_tick(watch, sim, job, k);
+            }
+        }
+    }
+}
