tests/schedule: chains, failures, cancellations, gangs and saved state at rest

The simulation of owners had jobs of one step with tasks that end or last. Its jobs now have steps in a chain; runs with an end may fail, with four attempts; jobs are cancelled by a record; members of a gang work once all are present, wait 3 s for each other and end together; saved state is listed and taken up again. owners_jobs.c draws such jobs while the faults last, and asks the owner whether it accepts them, as instances do. rest_watch.c asks besides that tasks of cancelled jobs are gone after cancel_ms and the stop's grace, and that no job is shown as over without cause.

Waits of 3 s that end before they count come from the cool-down of 6 s after failed runs on all workers at once.

--- a/tests/schedule/owners_sim.h
+++ b/tests/schedule/owners_sim.h
@@ -48,6 +48,15 @@
     bool owner;
 } PhOwnersFault;
 
+/* What drawn jobs have. */
+typedef enum PhOwnersJobTrait {
+    PH_OWNERS_CHAINS = 1 << 0,   /* up to three steps that follow each other */
+    PH_OWNERS_FAILURES = 1 << 1, /* runs that fail */
+    PH_OWNERS_CANCELS = 1 << 2,  /* some are cancelled */
+    PH_OWNERS_GANGS = 1 << 3,
+    PH_OWNERS_SAVES = 1 << 4, /* saved state */
+} PhOwnersJobTrait;
+
 /* A worker restarts under its id and executes late starts of the owner; from
  * then on nobody can reach or list it.  The owner ends and returns. */
 typedef struct PhOwnerEnd {
@@ -80,6 +89,10 @@
 /* Workers that drain state that they may leave at any time, so that their
  * lasting tasks are moved. */
 void PhOwnersSim_AnnounceDrains(PhOwnersSim *sim);
+/* Submits jobs with these traits, drawn from a seed, until a time.  For
+ * simulations without rooms. */
+void PhOwnersSim_DrawJobs(PhOwnersSim *sim, uint64_t seed, unsigned traits,
+                          int64_t until_ms);
 void PhOwnersSim_AddFault(PhOwnersSim *sim, const PhOwnersFault *fault);
 /* Adds `count` random faults of the kinds in the bit mask, one every few
  * seconds. */
--- a/tests/schedule/rest_case.h
+++ b/tests/schedule/rest_case.h
@@ -11,6 +11,8 @@
     uint64_t last;
     unsigned faults;  /* drawn, of these kinds */
     unsigned kinds;   /* bit mask of PhOwnersFaultKind */
+    unsigned traits;  /* bit mask of PhOwnersJobTrait, of drawn jobs; 0:
+                         there are equal jobs of one step */
     bool moves;       /* tasks move off draining workers */
     bool relays;      /* dispatchers send one start in two */
     unsigned closing; /* the kind by which all instances end at the end, as
--- a/tests/schedule/rest_watch.h
+++ b/tests/schedule/rest_watch.h
@@ -1,8 +1,9 @@
 /* The rule at the end of a day, once faults and submissions are over: no job
  * has, for 3 s, a task whose turn has come, room for it twice over, and
- * nothing that runs.  The same holds for each task that is to last, from 6 s
- * after its last run.  A task of a cancelled job is gone.  Judged by what the
- * workers run, whatever the owners know of it.
+ * nothing that runs, with under half of the capacity in use.  The same holds
+ * for each task that is to last, from 6 s after its last run.  A task of a
+ * cancelled job is gone.  Judged by what the workers run, whatever the owners
+ * know of it.
  *
  * The users ask 14 s after the end of the traffic, so that a wait counts if
  * its 3 s lie after that. */
--- a/tests/schedule/task_view.c
+++ b/tests/schedule/task_view.c
@@ -34,6 +34,7 @@
            : w->entry.draining           ? "draining"
            : w->cooldown_until > now     ? "in cooldown"
            : full                        ? "full"
+           : w->failed_at > 0            ? "free, runs failed in a row"
            : w->consecutive_failures > 0 ? "free, after failures"
                                          : "free";
 }
--- a/tests/schedule/test_rest.c
+++ b/tests/schedule/test_rest.c
@@ -8,6 +8,9 @@
 #include <stdlib.h>
 
 #define ALL_KINDS ((1U << PH_OWNERS_FAULT_KINDS) - 1)
+#define ALL_TRAITS                                                            \
+    (PH_OWNERS_CHAINS | PH_OWNERS_FAILURES | PH_OWNERS_CANCELS |              \
+     PH_OWNERS_GANGS | PH_OWNERS_SAVES)
 
 static const PhRestCase rest_cases[] = {
     {"no faults", 1, 5, 0, 0},
@@ -22,6 +25,23 @@
      .closing = 1U << PH_OWNERS_STOP},
     {"links carry 8 starts a second", 1, 20, 8, ALL_KINDS, .moves = true,
      .starts_per_s = 8},
+    {"chains", 1, 10, 12, ALL_KINDS, PH_OWNERS_CHAINS, .moves = true},
+    {"runs that fail", 1, 10, 12, ALL_KINDS, PH_OWNERS_FAILURES,
+     .moves = true},
+    {"cancellations", 1, 10, 12, ALL_KINDS, PH_OWNERS_CANCELS, .moves = true},
+    {"gangs", 1, 10, 12, ALL_KINDS, PH_OWNERS_GANGS, .moves = true},
+    {"saved state", 1, 10, 12, ALL_KINDS, PH_OWNERS_SAVES, .moves = true},
+    {"all traits", 1, 20, 12, ALL_KINDS, ALL_TRAITS, .moves = true},
+    {"all traits, and dispatchers", 1, 20, 12, ALL_KINDS, ALL_TRAITS,
+     .moves = true, .relays = true},
+    {"all traits, and all instances crash at the end", 1, 20, 8, ALL_KINDS,
+     ALL_TRAITS, .moves = true, .closing = 1U << PH_OWNERS_CRASH},
+    {"all traits, and all instances stop at the end", 1, 20, 8, ALL_KINDS,
+     ALL_TRAITS, .moves = true, .relays = true,
+     .closing = 1U << PH_OWNERS_STOP},
+    {"all traits, drains without announcements", 1, 20, 12, ALL_KINDS,
+     ALL_TRAITS},
+    {"all traits, no faults", 1, 10, 0, 0, ALL_TRAITS},
 };
 
 /* Guards against jobs and lasting tasks that wait beside room for them (LOST),
