schedule: submissions are answered by their own size

Cause: up to 64 submissions were put into one append without regard to the size that the store takes, and a submission whose record alone is larger was put among them. The store answers 413 to all of them. If the outcome of an earlier attempt was unknown, the append was repeated for ever, and no call on a job of this instance was recorded any more.

Change: a record is encoded when the call is queued. An append takes as many of the queued calls as fit.

Why it works: what is sent always fits, so a refusal is never due to the size, and a repetition ends once the store answers. 400 is right also for a submission that was forwarded before: no instance can have stored it.

What callers saw: 503 for submissions that were in order, 504 for as long as the append was repeated.

Failing before, each case alone: test_store_limits (test_submissions), 5 of 6 cases, 503 or 504 instead of 200 or 400; the sixth is the one without a limit exceeded. After: 6 of 6. All 104 unit tests (gcc): 103 pass, test_room_while_stopped is known red.

--- a/services/schedule/schedule_accept.c
+++ b/services/schedule/schedule_accept.c
@@ -16,6 +16,7 @@
 {
     PhPendingAccept *a = value;
     PhClientCall_Clear(&a->call);
+    PhSchedEncoded_Clear(&a->record);
     g_free(a);
 }
 
@@ -32,11 +33,39 @@
     PhScheduleCalls_Refuse(t, &a->call.origin, a->call.subject, reason);
 }
 
+static PhSchedEncoded
+call_encode(const PhClientCall *call)
+{
+    PhSchedRecord cancel = {.tag = PH_SCHED_RECORD_CANCEL,
+                            .id = call->subject};
+    return call->tag == PH_SCHEDULE_SUBMIT
+               ? PhSchedRecord_EncodeJob(&call->spec)
+               : PhSchedRecord_Encode(&cancel);
+}
+
+static bool
+record_fits(const PhScheduleTask *t, const PhSchedEncoded *record)
+{
+    size_t bytes = PhSchedEncoded_Bytes(record);
+    return bytes <= t->options.record_bytes &&
+           PH_STORE_LENGTH_BYTES + bytes <= t->options.append_bytes;
+}
+
+/* A record that the store does not take is never sent, so that it delays no
+ * other call; no instance can have accepted the call. */
 void
 PhScheduleAccept_Add(PhScheduleTask *t, PhClientCall *call)
 {
+    PhSchedEncoded record = call_encode(call);
+    if (!record_fits(t, &record)) {
+        PhScheduleCalls_RefuseInvalid(t, &call->origin, call->subject,
+                                      "record larger than the store takes");
+        PhSchedEncoded_Clear(&record);
+        return;
+    }
     PhPendingAccept *a = g_new0(PhPendingAccept, 1);
     a->call = *call;
+    a->record = record;
     *call = (PhClientCall){0};
     g_queue_push_tail(&t->accept_queue, a);
     PhScheduleAccept_Expire(t);
@@ -66,15 +95,20 @@
     return false;
 }
 
-static PhStoreRecord
-accept_record(const PhPendingAccept *a)
+/* Moves the calls of the next append from the queue. */
+static void
+take_batch(PhScheduleTask *t)
 {
-    PhSchedRecord cancel = {.tag = PH_SCHED_RECORD_CANCEL,
-                            .id = a->call.subject};
-    PhSchedEncoded e = a->call.tag == PH_SCHEDULE_SUBMIT
-                           ? PhSchedRecord_EncodeJob(&a->call.spec)
-                           : PhSchedRecord_Encode(&cancel);
-    return (PhStoreRecord){.key = e.key, .value = e.value};
+    PhPendingAccept *a;
+    size_t bytes = 0;
+    while ((a = g_queue_peek_head(&t->accept_queue)) != NULL &&
+           t->accept_batch->len < ACCEPT_RECORDS_MAX) {
+        bytes += PH_STORE_LENGTH_BYTES + PhSchedEncoded_Bytes(&a->record);
+        if (bytes > t->options.append_bytes) {
+            return;
+        }
+        g_ptr_array_add(t->accept_batch, g_queue_pop_head(&t->accept_queue));
+    }
 }
 
 /* Repeats the current append, or sends the next one. */
@@ -85,11 +119,7 @@
         return;
     }
     if (t->accept_batch->len == 0) {
-        while (t->accept_queue.length > 0 &&
-               t->accept_batch->len < ACCEPT_RECORDS_MAX) {
-            g_ptr_array_add(t->accept_batch,
-                            g_queue_pop_head(&t->accept_queue));
-        }
+        take_batch(t);
     }
     if (t->accept_batch->len == 0) {
         return;
@@ -104,8 +134,10 @@
     append->epoch = ACCEPT_EPOCH;
     append->sequence = t->sequence;
     for (guint i = 0; i < t->accept_batch->len; i++) {
+        const PhPendingAccept *a = g_ptr_array_index(t->accept_batch, i);
         append->records[i] =
-            accept_record(g_ptr_array_index(t->accept_batch, i));
+            (PhStoreRecord){.key = PhStr_Dup(a->record.key),
+                            .value = PhStr_Dup(a->record.value)};
     }
     t->accept_in_flight = true;
     PhScheduleTask_Call(t, CALL_ACCEPT, &m);
--- a/services/schedule/schedule_calls.c
+++ b/services/schedule/schedule_calls.c
@@ -66,6 +66,13 @@
     refuse(t, origin, id, reason, PH_SCHEDULE_REFUSED);
 }
 
+void
+PhScheduleCalls_RefuseInvalid(PhScheduleTask *t, PhOrigin *origin, PhStr id,
+                              const char *reason)
+{
+    refuse(t, origin, id, reason, PH_SCHEDULE_INVALID);
+}
+
 /* Answers a call on an unknown job.  It is refused if the job may exist soon,
  * or the jobs have not been read recently enough to say that it doesn't. */
 static void
--- a/services/schedule/schedule_task.h
+++ b/services/schedule/schedule_task.h
@@ -192,6 +192,9 @@
 /* Refuses a call and logs the reason. */
 void PhScheduleCalls_Refuse(PhScheduleTask *task, PhOrigin *origin, PhStr id,
                             const char *reason);
+/* The same for a call that is refused however often it is repeated. */
+void PhScheduleCalls_RefuseInvalid(PhScheduleTask *task, PhOrigin *origin,
+                                   PhStr id, const char *reason);
 /* Answers the queued STATE calls after a read of the runs. */
 void PhScheduleCalls_AnswerStates(PhScheduleTask *task);
 /* Handles the queued CANCEL calls that waited for a read of the jobs up to
