--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -98,7 +98,7 @@
     task->within_target_since = 0;
     PhInterference_Refresh(s->interference, w, now);
     PhScheduler_MarkStageDirty(s, task->stage);
-    g_queue_push_tail(&s->starts, task);
+    PhScheduler_QueueStart(s, task);
 }
 
 static void
@@ -210,9 +210,10 @@
 bool
 PhScheduler_HasOrderRoom(const PhScheduler *s, bool long_running)
 {
-    uint32_t room =
-        long_running ? PhOrderWindow_LastingRoom(&s->window, s->starts.length)
-                     : PhOrderWindow_Room(&s->window, s->starts.length);
+    guint queued = s->restarts.length + s->starts.length;
+    uint32_t room = long_running
+                        ? PhOrderWindow_LastingRoom(&s->window, queued)
+                        : PhOrderWindow_Room(&s->window, queued);
     return room > 0;
 }
 
