schedule: starts at a silent worker hold back no others

Cause (found by the review): the room for starts counts all that are queued, also those whose worker has not answered for 1.2 s and more. They wait until its leases have ended, 6 to 10 s, and meanwhile nothing is started on other workers. A start that was never sent waits like that too, although nothing of its run can exist.

Change: starts that wait for an answer of their worker do not count; one of which nothing was sent is withdrawn when its worker is suspended (7026, reason `worker silent`), and its task is placed elsewhere.

What remains: eight starts without an answer take all slots of a new owner, and a repetition takes one like a first start.

--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -207,10 +207,26 @@
     return placing;
 }
 
+/* Counts the starts of a queue that wait for an answer of their worker: it is
+ * silent, or has not answered one before.  They are no reason to start nothing
+ * elsewhere. */
+static uint32_t
+count_parked(const GQueue *queue)
+{
+    uint32_t count = 0;
+    for (const GList *l = queue->head; l != NULL; l = l->next) {
+        const PhSchedTask *task = l->data;
+        count += task->worker != NULL &&
+                 (task->worker->suspended || task->start_unconfirmed);
+    }
+    return count;
+}
+
 bool
 PhScheduler_HasOrderRoom(const PhScheduler *s, bool long_running)
 {
-    guint queued = s->restarts.length + s->starts.length;
+    uint32_t queued = s->restarts.length + s->starts.length;
+    queued -= MIN(s->parked, queued);
     uint32_t room = long_running
                         ? PhOrderWindow_LastingRoom(&s->window, queued)
                         : PhOrderWindow_Room(&s->window, queued);
@@ -333,6 +349,7 @@
     PhPlacementPass pass;
     GArray *list = PhScheduler_CollectCandidates(s, now);
     bool all = true;
+    s->parked = count_parked(&s->restarts) + count_parked(&s->starts);
     pass_begin(&pass, s, now);
     for (guint i = 0; i < list->len; i++) {
         all &= candidate_place(s, &pass, &g_array_index(list, PhCandidate, i),
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -37,6 +37,8 @@
     GQueue renewals;                /* PhSchedWorker with runs, hold due */
     GQueue looks;                   /* PhSchedWorker without runs, hold due */
     PhOrderWindow window;           /* of starts */
+    uint32_t parked;  /* starts that wait for an answer of their worker, by the
+                         last placement */
     uint32_t backlog; /* overload: tasks of accepted jobs that have no run, by
                          the last placement and what was admitted since */
     bool overloaded;  /* as last reported */
--- a/decide/schedule/starts.c
+++ b/decide/schedule/starts.c
@@ -48,6 +48,9 @@
     if (!PhStr_IsEmpty(w->entry.address) && !PhScheduler_IsEligible(w, task)) {
         return PH_START_WORKER_UNSUITABLE;
     }
+    if (w->suspended && task->starts_sent == 0) {
+        return PH_START_WORKER_SILENT;
+    }
     if (task->start_unconfirmed && task->starts_sent >= STARTS_MAX) {
         return PH_START_UNANSWERED;
     }
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -164,6 +164,7 @@
     PH_START_WORKER_LEAVES,
     PH_START_WORKER_CORDONED,   /* its data centre is */
     PH_START_WORKER_UNSUITABLE, /* of another service, or without the label */
+    PH_START_WORKER_SILENT,     /* no start was sent, and it does not answer */
     PH_START_UNANSWERED,        /* several starts in a row had no answer */
 } PhStartObstacle;
 
--- a/services/schedule/schedule_log.c
+++ b/services/schedule/schedule_log.c
@@ -168,6 +168,7 @@
         [PH_START_WORKER_LEAVES] = {"worker leaves", 13},
         [PH_START_WORKER_CORDONED] = {"worker cordoned", 15},
         [PH_START_WORKER_UNSUITABLE] = {"worker unsuitable", 17},
+        [PH_START_WORKER_SILENT] = {"worker silent", 13},
         [PH_START_UNANSWERED] = {"no answers", 10},
     };
     PhStr task = format_task(&note->as.withdrawn.task);
--- a/tests/schedule/test_unanswered_starts.c
+++ b/tests/schedule/test_unanswered_starts.c
@@ -271,6 +271,12 @@
      PH_START_WORKER_UNSUITABLE, START_IN_FLIGHT, 0, true},
     {"the worker changes its service, a start has no answer",
      PH_START_WORKER_UNSUITABLE, START_UNANSWERED, 1, true},
+    {"the worker is silent, nothing was sent", PH_START_WORKER_SILENT,
+     START_UNSENT, 0, false},
+    {"the worker is silent, a start is in flight", PH_START_WORKER_SILENT,
+     START_IN_FLIGHT, 0, true},
+    {"the worker is silent, a start has no answer", PH_START_WORKER_SILENT,
+     START_UNANSWERED, 0, true},
 };
 
 static void
@@ -296,6 +302,11 @@
     case PH_START_WORKER_UNSUITABLE:
         entry.service = PhStr_Dup(PhStr_LITERAL("other"));
         break;
+    case PH_START_WORKER_SILENT:
+        PhScheduler_OnHold(
+            f->scheduler, PH_SINGLE_WORKER, 1,
+            &(PhSchedHoldReply){.outcome = PH_SCHED_OUTCOME_UNKNOWN}, f->now);
+        break;
     }
     PhScheduler_SetWorker(f->scheduler, &entry, f->now);
 }
