codec: a specification of more than 64 KB is read again

Cause: a submission is bounded by its record and by the body limit, but the specification in a record was read up to 65,536 bytes and was empty beyond. The owner that accepted it runs the tasks with their specification, a successor would start them without (UNASKED).

Change: it is read whole, since the record bounds it. test_payloads failed for 65,537 bytes before, and holds up to 250,000.

--- a/codec/schedule_record.c
+++ b/codec/schedule_record.c
@@ -243,18 +243,24 @@
     return (PhTime)MIN(get_u64(map, key), TIME_MS_MAX) * PH_NS_PER_MS;
 }
 
-/* Returns a copy, empty for a missing field. */
+/* Returns a copy, empty for a missing field or one of more bytes. */
 static PhStr
-get_text(const msgpack_object *map, uint64_t key)
+get_bytes(const msgpack_object *map, uint64_t key, size_t bytes_max)
 {
     PhStr value = {0};
-    if (!PhUnpack_Bytes(PhUnpack_Field(map, key), TEXT_BYTES_MAX, &value) ||
+    if (!PhUnpack_Bytes(PhUnpack_Field(map, key), bytes_max, &value) ||
         value.len == 0) {
         return (PhStr){0};
     }
     return PhStr_Dup(value);
 }
 
+static PhStr
+get_text(const msgpack_object *map, uint64_t key)
+{
+    return get_bytes(map, key, TEXT_BYTES_MAX);
+}
+
 static void
 read_after(const msgpack_object *list, PhSchedStep *step)
 {
@@ -304,7 +310,8 @@
     spec->terms.max_attempts = (uint32_t)get_u64(map, JOB_ATTEMPTS);
     spec->terms.stretch = (double)get_u64(map, JOB_STRETCH_MILLI) / MILLI;
     spec->terms.slack = get_time(map, JOB_SLACK_MS);
-    spec->payload = get_text(map, JOB_PAYLOAD);
+    /* Whatever was accepted has to be read again; the record bounds it. */
+    spec->payload = get_bytes(map, JOB_PAYLOAD, SIZE_MAX);
     spec->repetitions = (uint32_t)get_u64(map, JOB_REPETITIONS);
     spec->first_due_ms = (int64_t)get_u64(map, JOB_FIRST_DUE_MS);
     spec->interval_ms = (int64_t)get_u64(map, JOB_INTERVAL_MS);
--- a/tests/schedule/test_schedule_codec.c
+++ b/tests/schedule/test_schedule_codec.c
@@ -440,6 +440,45 @@
     Ph_RUN_TABLE(election_cases, election_run);
 }
 
+typedef struct PhPayloadCase {
+    const char *name;
+    size_t bytes;
+} PhPayloadCase;
+
+static const PhPayloadCase payload_cases[] = {
+    {"short", 1},
+    {"64 KB", 65536},
+    {"more", 65537},
+    {"near the largest record", 250000},
+};
+
+static void
+payload_run(const PhPayloadCase *c)
+{
+    char *text = g_strnfill(c->bytes, 'x');
+    PhSchedSpec spec = {.id = PhStr_LITERAL("0123456789abcdef"),
+                        .payload = PhStr_FromBytes(text, c->bytes),
+                        .steps = &(PhSchedStep){.count = 1},
+                        .step_count = 1};
+    PhSchedEncoded e = PhSchedRecord_EncodeJob(&spec);
+    PhSchedRecord record;
+    PhResult r = PhSchedRecord_Decode(e.key, e.value, &record);
+    assert_true(PhResult_IsOk(&r));
+    assert_true(PhStr_Equal(record.as.job.payload, spec.payload));
+    PhSchedRecord_Clear(&record);
+    PhSchedEncoded_Clear(&e);
+    g_free(text);
+}
+
+/* Guards against a successor that starts tasks without their specification,
+ * since that is longer than it reads (UNASKED). */
+static void
+test_payloads(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(payload_cases, payload_run);
+}
+
 int
 main(void)
 {
@@ -449,6 +488,7 @@
                                        cmocka_unit_test(test_worker_records),
                                        cmocka_unit_test(test_entries),
                                        cmocka_unit_test(test_answers),
+                                       cmocka_unit_test(test_payloads),
                                        cmocka_unit_test(test_queues)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
