--- a/tests/schedule/owners_jobs.c
+++ b/tests/schedule/owners_jobs.c
@@ -159,9 +159,11 @@
         cancel_at =
             w->now + (PhTime)draw_below(d, CANCEL_SPREAD_MS) * PH_NS_PER_MS;
     }
-    for (PhSimJob *job = last; job != NULL; job = job->before) {
+    PhSimJob *job = last;
+    do {
         job->cancel_at = cancel_at;
-    }
+        job = job->before;
+    } while (job != NULL);
     if (!job_submit(w, last)) {
         PhSimTasks_DropJob(&w->tasks);
     }
