tests/schedule: waits after failed runs on all workers at once (known red)

Two failed runs in a row keep a worker from tasks with an end for 6 s. Where that holds for every worker that may be used, all jobs wait beside free workers: longer than the 3 s of LOST, also 14 s after the faults.

--- a/tests/schedule/owners_jobs.c
+++ b/tests/schedule/owners_jobs.c
@@ -17,6 +17,7 @@
 
 static const double FAILURE_SHARE = 0.15;
 static const double GANG_SHARE = 0.35;
+static const double HOPELESS_SHARE = 0.1;
 static const double SAVES_SHARE = 0.5;
 static const double CANCEL_SHARE = 0.3;
 static const double LASTING_SHARE = 0.15;
@@ -114,6 +115,7 @@
                           .estimate = run_ms * PH_NS_PER_MS,
                           .max_attempts = ATTEMPTS_MAX};
     kind.gang = draw_trait(d, PH_OWNERS_GANGS, GANG_SHARE);
+    kind.hopeless = draw_trait(d, PH_OWNERS_HOPELESS, HOPELESS_SHARE);
     kind.saves_progress = draw_trait(d, PH_OWNERS_SAVES, SAVES_SHARE);
     return kind;
 }
@@ -157,9 +159,11 @@
         cancel_at =
             w->now + (PhTime)draw_below(d, CANCEL_SPREAD_MS) * PH_NS_PER_MS;
     }
-    for (PhSimJob *job = last; job != NULL; job = job->before) {
+    PhSimJob *job = last;
+    do {
         job->cancel_at = cancel_at;
-    }
+        job = job->before;
+    } while (job != NULL);
     if (!job_submit(w, last)) {
         PhSimTasks_DropJob(&w->tasks);
     }
--- a/tests/schedule/owners_sim.h
+++ b/tests/schedule/owners_sim.h
@@ -54,7 +54,8 @@
     PH_OWNERS_FAILURES = 1 << 1, /* runs that fail */
     PH_OWNERS_CANCELS = 1 << 2,  /* some are cancelled */
     PH_OWNERS_GANGS = 1 << 3,
-    PH_OWNERS_SAVES = 1 << 4, /* saved state */
+    PH_OWNERS_SAVES = 1 << 4,    /* saved state */
+    PH_OWNERS_HOPELESS = 1 << 5, /* with FAILURES: all runs of some fail */
 } PhOwnersJobTrait;
 
 /* A worker restarts under its id and executes late starts of the owner; from
--- a/tests/schedule/owners_worker.c
+++ b/tests/schedule/owners_worker.c
@@ -374,7 +374,8 @@
     run->works_from = now;
     run->ends_as = PH_SCHED_END_DONE;
     run->ends_at = kind->long_running ? 0 : now + MAX(left, PH_NS_PER_MS);
-    if (t->random != NULL && share > 0 && PhRandom_Chance(t->random, share)) {
+    if (t->random != NULL && share > 0 &&
+        (PhRandom_Chance(t->random, share) || kind->hopeless)) {
         PhTime within = kind->long_running ? FAILS_WITHIN_MS * PH_NS_PER_MS
                                            : MAX(left, PH_NS_PER_MS);
         run->ends_as = PH_SCHED_END_FAILED;
--- a/tests/schedule/owners_worker.h
+++ b/tests/schedule/owners_worker.h
@@ -24,6 +24,7 @@
     bool fills; /* backfill tasks */
     bool gang;
     bool saves_progress;
+    bool hopeless;         /* every run fails */
     unsigned max_attempts; /* failed runs that fail the job; 0: no limit */
     PhSchedResources resources;
     PhTime run_time;            /* unless they are to last */
--- a/tests/schedule/test_rest.c
+++ b/tests/schedule/test_rest.c
@@ -42,6 +42,9 @@
     {"all traits, drains without announcements", 1, 20, 12, ALL_KINDS,
      ALL_TRAITS},
     {"all traits, no faults", 1, 10, 0, 0, ALL_TRAITS},
+    {"hopeless jobs", 1, 10, 0, 0, PH_OWNERS_FAILURES | PH_OWNERS_HOPELESS},
+    {"hopeless jobs and faults", 1, 10, 12, ALL_KINDS,
+     ALL_TRAITS | PH_OWNERS_HOPELESS, .moves = true},
 };
 
 /* Guards against jobs and lasting tasks that wait beside room for them (LOST),
