--- a/tests/schedule/test_silent_workers.c
+++ b/tests/schedule/test_silent_workers.c
@@ -10,6 +10,7 @@
 enum {
     FENCE = 7,
     TASKS = 60,
+    FREE_ROOMS = 2 * TASKS,
     CPU_MILLI = 1000,
     STEP_MS = 50,
     TIMEOUT_MS = 1200, /* of a start or a hold without an answer */
@@ -123,7 +124,7 @@
     unsigned started = 0;
     unsigned kept = 0;
     worker_show(s, SILENT, c->rooms);
-    worker_show(s, FREE, 2 * TASKS);
+    worker_show(s, FREE, FREE_ROOMS);
     PhScheduler_SetFence(s, FENCE, TAKEOVER);
     hold_answer(s, SILENT, true, TAKEOVER);
     hold_answer(s, FREE, true, TAKEOVER);
