--- a/decide/schedule/holds.c
+++ b/decide/schedule/holds.c
@@ -21,12 +21,14 @@
 hold_fill(PhScheduler *s, PhSchedWorker *w, PhTime now, PhSchedAction *action)
 {
     w->acks_in_flight = 0;
+    w->hold_grants = false;
     if (w->last_end_acked > w->acks_answered) {
         w->acks_in_flight = w->last_end_acked;
         action->as.hold.last_seen = w->last_end_acked;
         action->bound = !w->unbound;
     }
     if (w->fenced && PhScheduler_MayGrant(s, w, now)) {
+        w->hold_grants = true;
         action->as.hold.deadline_ms = PhScheduler_Grant(s, w, now);
         action->bound = !w->unbound;
     }
@@ -179,6 +181,7 @@
 static void
 hold_failed(PhScheduler *s, PhSchedWorker *w, PhTime now)
 {
+    w->unanswered_holds++;
     if (w->failing_since == 0) {
         w->failing_since = now;
     }
@@ -218,11 +221,13 @@
         PhScheduler_EndEarlierIncarnations(s, w, reply, now);
     }
     w->fenced = true;
+    w->unanswered_holds = 0;
     w->failing_since = 0;
     if (!s->quiesced || !w->entry.draining) {
         PhScheduler_SetSuspended(s, w, false, now);
     }
     w->answered_at = now;
+    w->heard_at = now;
     w->clock_ms = reply->clock_ms;
     w->clock_at = now;
     ends_apply(s, w, reply, now);
@@ -266,6 +271,7 @@
     }
     PhTime alive_at = MAX(w->hold_sent_at, reply->connected_at);
     uint64_t acked = w->acks_in_flight;
+    bool granted = w->hold_grants;
     w->hold_in_flight = false;
     w->acks_in_flight = 0;
     PhScheduler_WakeBy(s, now);
@@ -276,9 +282,12 @@
         if (is_of_other(reply, born_ms)) {
             w = PhScheduler_SwitchIncarnation(s, w, reply, now);
             acked = 0;
+            granted = false;
         }
         w->alive_at = MAX(w->alive_at, alive_at);
         w->acks_answered = MAX(w->acks_answered, acked);
+        w->renewed_at =
+            granted ? MAX(w->renewed_at, w->hold_sent_at) : w->renewed_at;
         reply_apply(s, w, reply, now);
         break;
     case PH_SCHED_OUTCOME_UNBOUND:
--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -149,6 +149,9 @@
                            .evidence = PH_LEASE_EVIDENCE_RECORD};
     }
     w->failing_since = 0;
+    w->heard_at = 0;
+    w->unanswered_holds = 0;
+    w->renewed_at = 0;
     for (guint i = 0; i < w->tasks->len; i++) {
         PhSchedTask *task = g_ptr_array_index(w->tasks, i);
         task->fence = 0;
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -219,6 +219,9 @@
     PhTime inherited_leases_end_by; /* of orders meant for an earlier
                                        incarnation */
     PhTime answered_at;
+    PhTime heard_at;           /* newest answer to any order of this owner, 0:
+                                  none */
+    uint32_t unanswered_holds; /* in a row */
     PhTime failing_since;  /* first failure since the last answer, 0: none */
     PhTime cooldown_until; /* no starts before */
     PhTime failed_at; /* newest of several failed runs in a row, 0: none */
@@ -229,6 +232,8 @@
     PhTime hold_sent_at;
     PhTime alive_at;   /* this incarnation is known to have run then */
     PhTime granted_at; /* newest order with a lease */
+    PhTime renewed_at; /* newest one that was answered, 0: none */
+    bool hold_grants;  /* the hold in flight has a lease */
     PhTime next_hold_at;
     uint64_t last_end_seen;  /* newest end that was applied */
     uint64_t last_end_acked; /* newest end that may be acknowledged */
--- a/services/schedule/schedule_log.c
+++ b/services/schedule/schedule_log.c
@@ -299,6 +299,13 @@
     PhStr_Clear(&task);
 }
 
+/* Time since a moment, -1 if there was none. */
+static int64_t
+since_ms(const PhScheduleTask *t, PhTime at)
+{
+    return at == 0 ? -1 : (PhTask_Now(t->self) - at) / PH_NS_PER_MS;
+}
+
 static void
 log_worker_suspended(PhScheduleTask *t, const PhSchedEvent *note)
 {
@@ -309,7 +316,11 @@
         PhField_STR("worker", w->entry.id),
         PhField_U64("tasks", w->tasks->len),
         PhField_I64("lease_ms", left / PH_NS_PER_MS),
-        PhField_STR("evidence", evidence_name(note->as.suspended.evidence)));
+        PhField_STR("evidence", evidence_name(note->as.suspended.evidence)),
+        PhField_I64("heard_ms", since_ms(t, w->heard_at)),
+        PhField_U64("holds", w->unanswered_holds),
+        PhField_I64("granted_ms", since_ms(t, w->granted_at)),
+        PhField_I64("renewed_ms", since_ms(t, w->renewed_at)));
 }
 
 /* Logs a worker whose leases have expired, with the evidence for it. */
@@ -326,7 +337,11 @@
                PhField_I64("suspended_ms", age_ms(note->as.lost.suspended)),
                PhField_U64("answered", w->fenced),
                PhField_U64("listed", w->listed),
-               PhField_STR("evidence", evidence_name(note->as.lost.evidence)));
+               PhField_STR("evidence", evidence_name(note->as.lost.evidence)),
+               PhField_I64("heard_ms", since_ms(t, w->heard_at)),
+               PhField_U64("holds", w->unanswered_holds),
+               PhField_I64("granted_ms", since_ms(t, w->granted_at)),
+               PhField_I64("renewed_ms", since_ms(t, w->renewed_at)));
 }
 
 void
