schedule: a lost answer does not take a worker for silent

Cause: one hold without an answer suspended its worker, which then needed two answered holds with a durable record between them to get a lease again; what it answered meanwhile did not count.

What is believed of a worker and what bounds its leases are kept apart now. An answer to any order of this owner is a sign of life. A worker that has left a hold unanswered gets no new lease until it answers, as before, but the newest one again with each hold, with its own deadline, which changes no bound; it is suspended after 0.8 s without any answer. The first lease after that does not wait for its answer. While a lease waits for its record, holds do not follow each other at once.

--- a/decide/schedule/holds.c
+++ b/decide/schedule/holds.c
@@ -11,6 +11,20 @@
 static const PhTime HOLD_UNACKED_INTERVAL = 400 * PH_NS_PER_MS;
 /* Time between two holds before a release, which do not wait. */
 static const PhTime HOLD_QUIESCED_INTERVAL = 50 * PH_NS_PER_MS;
+/* Time between two holds while a worker has no lease because its record is
+ * not durable yet. */
+static const PhTime HOLD_UNRECORDED_INTERVAL = 200 * PH_NS_PER_MS;
+/* A worker that has left all orders without an answer for this long gets no
+ * leases until it answers.  Workers leave single orders unanswered, too. */
+static const PhTime SILENCE_LIMIT = 800 * PH_NS_PER_MS;
+/* A worker that has answered another order since, this recently, is not
+ * silent. */
+static const PhTime ANSWER_AGE = 800 * PH_NS_PER_MS;
+/* Time between a hold without an answer and the next one: the longer a worker
+ * has been silent, the longer. */
+static const PhTime HOLD_RETRY_MIN = 100 * PH_NS_PER_MS;
+static const PhTime HOLD_RETRY_MAX = 1 * PH_NS_PER_S;
+static const int HOLD_RETRY_SHARE = 4;
 /* After this many failed runs in a row a worker gets no starts for a while. */
 static const uint32_t CONSECUTIVE_FAILURES_MAX = 2;
 
@@ -21,15 +35,20 @@
 hold_fill(PhScheduler *s, PhSchedWorker *w, PhTime now, PhSchedAction *action)
 {
     w->acks_in_flight = 0;
-    w->hold_grants = false;
+    w->hold_lease_at = 0;
     if (w->last_end_acked > w->acks_answered) {
         w->acks_in_flight = w->last_end_acked;
         action->as.hold.last_seen = w->last_end_acked;
         action->bound = !w->unbound;
     }
-    if (w->fenced && PhScheduler_MayGrant(s, w, now)) {
-        w->hold_grants = true;
-        action->as.hold.deadline_ms = PhScheduler_Grant(s, w, now);
+    if (w->fenced) {
+        /* The order with the newest lease may not have been executed. */
+        action->as.hold.deadline_ms = PhScheduler_MayGrant(s, w, now)
+                                          ? PhScheduler_Grant(s, w, now)
+                                          : PhScheduler_GrantedLease(w, now);
+    }
+    if (action->as.hold.deadline_ms > 0) {
+        w->hold_lease_at = w->granted_at;
         action->bound = !w->unbound;
     }
 }
@@ -48,7 +67,11 @@
     if (!w->fenced || w->suspended || w->grant_batch > s->durable_batch) {
         return true;
     }
-    if (!s->quiesced && w->last_end_seen == w->last_end_acked &&
+    /* The next grant may have no answer either: it is not to wait for one. */
+    bool recovers = w->failing_since > 0 ||
+                    (w->hold_lease_at > 0 && w->hold_failed_at > 0 &&
+                     w->renewed_at <= w->hold_failed_at);
+    if (!recovers && !s->quiesced && w->last_end_seen == w->last_end_acked &&
         w->tasks->len > 0) {
         bool shared = w->backfill_cpu_milli > 0 && w->serving_cpu_milli > 0;
         action->as.hold.wait = shared ? HOLD_WAIT_SHARED : HOLD_WAIT;
@@ -182,16 +205,37 @@
 hold_failed(PhScheduler *s, PhSchedWorker *w, PhTime now)
 {
     w->unanswered_holds++;
-    if (w->failing_since == 0) {
+    w->hold_failed_at = now;
+    bool answers = w->answered_other_at > w->hold_sent_at &&
+                   now - w->answered_other_at <= ANSWER_AGE;
+    if (w->failing_since == 0 && !answers) {
         w->failing_since = now;
     }
-    if (w->tasks->len > 0) {
+    PhTime silence = w->failing_since == 0 ? 0 : now - w->failing_since;
+    if (w->tasks->len > 0 && silence >= SILENCE_LIMIT) {
         PhScheduler_SetSuspended(s, w, true, now);
     }
-    w->next_hold_at = now + PH_ORDER_RETRY_MS * PH_NS_PER_MS;
+    w->next_hold_at = now + CLAMP(silence / HOLD_RETRY_SHARE, HOLD_RETRY_MIN,
+                                  HOLD_RETRY_MAX);
     PhScheduler_WakeBy(s, w->next_hold_at);
 }
 
+/* Notes an answer to an order other than a hold: a worker that answers it has
+ * left the hold unanswered, and is not silent. */
+void
+PhScheduler_NoteAnswer(PhScheduler *s, PhSchedWorker *w, PhTime now)
+{
+    w->heard_at = now;
+    w->answered_other_at = now;
+    if (w->failing_since == 0) {
+        return;
+    }
+    s->placement_due |= !w->suspended;
+    w->failing_since = 0;
+    w->next_hold_at = MIN(w->next_hold_at, now);
+    PhScheduler_WakeBy(s, now);
+}
+
 /* The worker closes its connections, so that holds are sent on any.  A
  * successor has to know it before. */
 static void
@@ -251,6 +295,9 @@
     else if (s->quiesced) {
         gap = HOLD_QUIESCED_INTERVAL;
     }
+    else if (w->grant_batch > s->durable_batch) {
+        gap = HOLD_UNRECORDED_INTERVAL;
+    }
     w->next_hold_at = now + gap;
 }
 
@@ -271,7 +318,7 @@
     }
     PhTime alive_at = MAX(w->hold_sent_at, reply->connected_at);
     uint64_t acked = w->acks_in_flight;
-    bool granted = w->hold_grants;
+    PhTime lease_at = w->hold_lease_at;
     w->hold_in_flight = false;
     w->acks_in_flight = 0;
     PhScheduler_WakeBy(s, now);
@@ -282,12 +329,11 @@
         if (is_of_other(reply, born_ms)) {
             w = PhScheduler_SwitchIncarnation(s, w, reply, now);
             acked = 0;
-            granted = false;
+            lease_at = 0;
         }
         w->alive_at = MAX(w->alive_at, alive_at);
         w->acks_answered = MAX(w->acks_answered, acked);
-        w->renewed_at =
-            granted ? MAX(w->renewed_at, w->hold_sent_at) : w->renewed_at;
+        w->renewed_at = MAX(w->renewed_at, lease_at);
         reply_apply(s, w, reply, now);
         break;
     case PH_SCHED_OUTCOME_UNBOUND:
@@ -328,6 +374,7 @@
     bool same = reply->born_ms == 0 || reply->born_ms == born_ms;
     if (w != NULL && same) {
         PhScheduler_WakeBy(s, now);
+        w->answered_other_at = now;
         reply_apply(s, w, reply, now);
     }
     return reply->outcome != PH_SCHED_OUTCOME_FENCED;
@@ -344,6 +391,7 @@
             w = PhScheduler_SwitchIncarnation(s, w, reply, now);
         }
         w->alive_at = MAX(w->alive_at, reply->connected_at);
+        w->answered_other_at = now;
         reply_apply(s, w, reply, now);
     }
     return reply->outcome != PH_SCHED_OUTCOME_FENCED;
--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -118,7 +118,8 @@
 bool
 PhScheduler_MayGrant(const PhScheduler *s, const PhSchedWorker *w, PhTime now)
 {
-    if (w->suspended || w->grant_batch > s->durable_batch) {
+    if (w->suspended || w->grant_batch > s->durable_batch ||
+        w->failing_since > 0) {
         return false;
     }
     return !w->leaving || s->confirmed_at == 0 ||
@@ -150,7 +151,10 @@
     }
     w->failing_since = 0;
     w->heard_at = 0;
+    w->answered_other_at = 0;
     w->unanswered_holds = 0;
+    w->hold_failed_at = 0;
+    w->lease_end_ms = 0;
     w->renewed_at = 0;
     for (guint i = 0; i < w->tasks->len; i++) {
         PhSchedTask *task = g_ptr_array_index(w->tasks, i);
@@ -312,11 +316,21 @@
         worker_clock(w, now) + lease_length(s, w->leaving) / PH_NS_PER_MS;
     PhTime left = (end_ms - w->clock_ms) * PH_NS_PER_MS;
     w->granted_at = now;
+    w->lease_end_ms = end_ms;
     w->leases.until =
         MAX(w->leases.until, w->clock_at + slow_clock_bound(left));
     return end_ms;
 }
 
+/* An order that is not bound counts as a new grant: a later incarnation may
+ * execute it. */
+int64_t
+PhScheduler_GrantedLease(const PhSchedWorker *w, PhTime now)
+{
+    bool counts = !w->unbound && w->lease_end_ms > worker_clock(w, now);
+    return counts ? w->lease_end_ms : 0;
+}
+
 /* Ends the runs of an incarnation whose leases have expired, all but those
  * that a later one may have. */
 static void
--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -217,7 +217,8 @@
     for (const GList *l = queue->head; l != NULL; l = l->next) {
         const PhSchedTask *task = l->data;
         count += task->worker != NULL &&
-                 (task->worker->suspended || task->start_unconfirmed);
+                 (task->worker->suspended || task->worker->failing_since > 0 ||
+                  task->start_unconfirmed);
     }
     return count;
 }
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -501,13 +501,19 @@
 void
 PhScheduler_OnDurable(PhScheduler *s, uint64_t batch)
 {
+    uint64_t before = s->durable_batch;
     s->durable_batch = MAX(s->durable_batch, batch);
     publish_states(s);
     for (guint i = 0; i < s->model->incarnations->len; i++) {
         PhSchedWorker *w = g_ptr_array_index(s->model->incarnations, i);
-        if (w->last_end_acked < w->last_end_seen &&
-            w->last_end_batch <= s->durable_batch) {
+        bool acks = w->last_end_acked < w->last_end_seen &&
+                    w->last_end_batch <= s->durable_batch;
+        bool grants = w->grant_batch > before &&
+                      w->grant_batch <= s->durable_batch && !w->suspended;
+        if (acks) {
             w->last_end_acked = w->last_end_seen;
+        }
+        if (acks || grants) {
             w->next_hold_at = MIN(w->next_hold_at, w->answered_at + HOLD_GAP);
         }
     }
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -11,7 +11,8 @@
     PH_LATE_ORDER_MS = 12000 + PH_RELAY_AGE_MS, /* an order may be executed
                                                    this long after it was
                                                    sent */
-    PH_ORDER_RETRY_MS = 300, /* until one without an answer is sent again */
+    PH_ORDER_RETRY_MS = 300,  /* until one without an answer is sent again */
+    PH_ORDER_REPEAT_MS = 100, /* the same, to a worker that answers others */
 };
 
 struct PhScheduler {
@@ -96,6 +97,9 @@
 /* Grants a lease from `now`; returns its end on the worker's clock in ms. */
 int64_t PhScheduler_Grant(PhScheduler *scheduler, PhSchedWorker *worker,
                           PhTime now);
+/* Returns the end of the newest lease that was granted, 0 if it has expired.
+ * To grant it once more does not change when all leases have expired. */
+int64_t PhScheduler_GrantedLease(const PhSchedWorker *worker, PhTime now);
 /* Ends the run of a task, which becomes WAITING or DONE. */
 void PhScheduler_EndRun(PhScheduler *scheduler, PhSchedTask *task,
                         PhSchedEndKind kind, PhStr last_checkpoint,
@@ -136,7 +140,10 @@
 void PhScheduler_ConfirmRun(PhScheduler *scheduler, PhSchedTask *task,
                             int64_t clock_ms, PhTime now);
 void PhScheduler_NoteJobBegins(PhScheduler *scheduler, PhStr id);
-/* holds.c: takes the next hold of `due`, one of the queues of the scheduler.
+/* holds.c: notes that a worker has answered another order than a hold. */
+void PhScheduler_NoteAnswer(PhScheduler *scheduler, PhSchedWorker *worker,
+                            PhTime now);
+/* Takes the next hold of `due`, one of the queues of the scheduler.
  */
 bool PhScheduler_NextHold(PhScheduler *scheduler, GQueue *due, PhTime now,
                           PhSchedAction *action);
--- a/decide/schedule/starts.c
+++ b/decide/schedule/starts.c
@@ -48,7 +48,7 @@
     if (!PhStr_IsEmpty(w->entry.address) && !PhScheduler_IsEligible(w, task)) {
         return PH_START_WORKER_UNSUITABLE;
     }
-    if (w->suspended && task->starts_sent == 0) {
+    if ((w->suspended || w->failing_since > 0) && task->starts_sent == 0) {
         return PH_START_WORKER_SILENT;
     }
     if (task->start_unconfirmed && task->starts_sent >= STARTS_MAX) {
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -128,7 +128,7 @@
         }
         task->stop_in_flight = true;
         run_order_init(task, PH_SCHED_ACTION_STOP, action);
-        return true;
+            return true;
     }
     return false;
 }
@@ -272,6 +272,28 @@
                : reply->outcome;
 }
 
+/* Whether the worker has answered an order that was meant for it. */
+static bool
+is_answer(PhSchedOutcome outcome)
+{
+    switch (outcome) {
+    case PH_SCHED_OUTCOME_DONE:
+    case PH_SCHED_OUTCOME_STALE_RUN:
+    case PH_SCHED_OUTCOME_DEADLINE_PASSED:
+    case PH_SCHED_OUTCOME_NO_CAPACITY:
+    case PH_SCHED_OUTCOME_REFUSED:
+        return true;
+    case PH_SCHED_OUTCOME_FENCED:
+    case PH_SCHED_OUTCOME_OTHER_INCARNATION:
+    case PH_SCHED_OUTCOME_NOT_SENT:
+    case PH_SCHED_OUTCOME_UNKNOWN:
+    case PH_SCHED_OUTCOME_UNBOUND:
+    case PH_SCHED_OUTCOME_COUNT:
+        break;
+    }
+    return false;
+}
+
 /* Reports whether a reading is from the clock of this incarnation: the clock
  * of a later one has begun anew since the newest sign of life. */
 static bool
@@ -303,23 +325,36 @@
 static bool
 shows_delay(const PhSchedRunReply *reply)
 {
-    switch (reply->outcome) {
-    case PH_SCHED_OUTCOME_DONE:
-    case PH_SCHED_OUTCOME_FENCED:
-    case PH_SCHED_OUTCOME_STALE_RUN:
-    case PH_SCHED_OUTCOME_DEADLINE_PASSED:
-    case PH_SCHED_OUTCOME_NO_CAPACITY:
-    case PH_SCHED_OUTCOME_REFUSED:
-    case PH_SCHED_OUTCOME_OTHER_INCARNATION:
-        return true;
-    case PH_SCHED_OUTCOME_NOT_SENT:
-        return reply->silence == 0;
-    case PH_SCHED_OUTCOME_UNKNOWN:
-    case PH_SCHED_OUTCOME_UNBOUND:
-    case PH_SCHED_OUTCOME_COUNT:
-        break;
+    bool queued =
+        reply->outcome == PH_SCHED_OUTCOME_NOT_SENT && reply->silence == 0;
+    return queued || is_answer(reply->outcome) ||
+           reply->outcome == PH_SCHED_OUTCOME_FENCED ||
+           reply->outcome == PH_SCHED_OUTCOME_OTHER_INCARNATION;
+}
+
+/* Time before an order without an answer is repeated.  A worker that has
+ * answered another one since is not silent. */
+static PhTime
+retry_delay(const PhSchedWorker *w, PhTime sent_at)
+{
+    int64_t ms =
+        w->heard_at > sent_at ? PH_ORDER_REPEAT_MS : PH_ORDER_RETRY_MS;
+    return ms * PH_NS_PER_MS;
+}
+
+/* Notes that the run of a start has begun, or had before. */
+static void
+start_confirm(PhScheduler *s, PhSchedTask *task, const PhSchedRunReply *reply,
+              PhTime now)
+{
+    PhSchedWorker *w = task->worker;
+    if (reply->outcome == PH_SCHED_OUTCOME_DONE) {
+        PhScheduler_NoteJobBegins(s, reply->task.job);
     }
-    return false;
+    PhScheduler_ConfirmRun(s, task, reply->clock_ms, now);
+    w->renewed_at = MAX(w->renewed_at, task->start_sent_at);
+    w->next_hold_at = MIN(w->next_hold_at, now);
+    PhScheduler_WakeBy(s, now);
 }
 
 bool
@@ -348,9 +383,14 @@
         reading_is_own(w, reply->clock_ms, now)) {
         w->alive_at = MAX(w->alive_at, reply->connected_at);
     }
+    if (is_answer(outcome)) {
+        PhScheduler_NoteAnswer(s, w, now);
+    }
     if (outcome == PH_SCHED_OUTCOME_UNKNOWN) {
         task->unanswered_start_at = task->start_sent_at;
-        w->cooldown_until = now + REFUSAL_COOLDOWN;
+        if (w->heard_at < task->start_sent_at) {
+            w->cooldown_until = now + REFUSAL_COOLDOWN;
+        }
     }
     if (task->state == PH_SCHED_TASK_RUNNING) {
         /* An earlier start began the run, and the worker has listed it since
@@ -360,12 +400,7 @@
     switch (outcome) {
     case PH_SCHED_OUTCOME_DONE:
     case PH_SCHED_OUTCOME_STALE_RUN:
-        if (outcome == PH_SCHED_OUTCOME_DONE) {
-            PhScheduler_NoteJobBegins(s, reply->task.job);
-        }
-        PhScheduler_ConfirmRun(s, task, reply->clock_ms, now);
-        w->next_hold_at = MIN(w->next_hold_at, now);
-        PhScheduler_WakeBy(s, now);
+        start_confirm(s, task, reply, now);
         break;
     case PH_SCHED_OUTCOME_DEADLINE_PASSED:
     case PH_SCHED_OUTCOME_OTHER_INCARNATION:
@@ -383,7 +418,7 @@
         break;
     case PH_SCHED_OUTCOME_UNKNOWN:
         task->start_unconfirmed = true;
-        start_requeue(s, task, now + PH_ORDER_RETRY_MS * PH_NS_PER_MS);
+        start_requeue(s, task, now + retry_delay(w, task->start_sent_at));
         break;
     case PH_SCHED_OUTCOME_UNBOUND:
         PhScheduler_SetUnbound(s, w);
@@ -409,6 +444,9 @@
         task->worker->entry.born_ms != reply->born_ms) {
         return true;
     }
+    if (is_answer(reply->outcome)) {
+        PhScheduler_NoteAnswer(s, task->worker, now);
+    }
     switch (reply->outcome) {
     case PH_SCHED_OUTCOME_DONE:
     case PH_SCHED_OUTCOME_STALE_RUN:
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -221,8 +221,12 @@
     PhTime answered_at;
     PhTime heard_at;           /* newest answer to any order of this owner, 0:
                                   none */
+    PhTime answered_other_at;  /* newest answer to an order other than the hold
+                                  that is due, 0: none */
     uint32_t unanswered_holds; /* in a row */
-    PhTime failing_since;  /* first failure since the last answer, 0: none */
+    PhTime hold_failed_at;     /* the newest of them, 0: none so far */
+    PhTime failing_since;  /* first hold without an answer since the worker was
+                              last heard of, 0: none */
     PhTime cooldown_until; /* no starts before */
     PhTime failed_at; /* newest of several failed runs in a row, 0: none */
     uint32_t consecutive_failures;
@@ -230,10 +234,12 @@
     PhTime clock_at;
     bool hold_in_flight;
     PhTime hold_sent_at;
-    PhTime alive_at;   /* this incarnation is known to have run then */
-    PhTime granted_at; /* newest order with a lease */
-    PhTime renewed_at; /* newest one that was answered, 0: none */
-    bool hold_grants;  /* the hold in flight has a lease */
+    PhTime alive_at;      /* this incarnation is known to have run then */
+    PhTime granted_at;    /* newest order with a lease */
+    int64_t lease_end_ms; /* of that lease, on its clock; 0: none */
+    PhTime renewed_at;    /* the same, of those that were answered; 0: none */
+    PhTime hold_lease_at; /* the lease of the hold in flight was granted first,
+                             0: it has none */
     PhTime next_hold_at;
     uint64_t last_end_seen;  /* newest end that was applied */
     uint64_t last_end_acked; /* newest end that may be acknowledged */
