schedule: orders are repeated after a time-out that follows the delay

An order without an answer was repeated after 1.2 s, whatever answers took.

Holds, starts and stops now carry a time-out of four times the smoothed delay of starts, 0.4 to 1.2 s. The outcome is reported as unknown then, and an answer still counts until 1.2 s, of holds until 4 s: that a run has begun is taken note of, and the delay is measured, so that an owner which is slow itself repeats less. Queries that find a connection for a bound order are repeated within the 1.2 s for which it may wait, and the time up to the last one that had no answer is no delay. Paces and relayed starts keep one outcome.

--- a/decide/schedule/holds.c
+++ b/decide/schedule/holds.c
@@ -62,6 +62,7 @@
         return false;
     }
     *action = PhSchedAction_For(w, PH_SCHED_ACTION_HOLD);
+    action->timeout = PhOrderWindow_Timeout(&s->window);
     w->hold_sent_at = now;
     hold_fill(s, w, now, action);
     if (!w->fenced || w->suspended || w->grant_batch > s->durable_batch) {
--- a/decide/schedule/order_window.c
+++ b/decide/schedule/order_window.c
@@ -18,6 +18,11 @@
  */
 static const PhTime CONGESTED_AGE = 10 * PH_NS_PER_S;
 static const double FAST_GROWTH = 0.25;
+/* Bounds of the time after which an order is repeated.  Workers answer within
+ * milliseconds. */
+static const PhTime TIMEOUT_MIN = 400 * PH_NS_PER_MS;
+static const PhTime TIMEOUT_MAX = 1200 * PH_NS_PER_MS;
+static const int TIMEOUT_FACTOR = 4; /* times the smoothed delay */
 /* Weight of a new delay in the smoothed one. */
 static const double DELAY_WEIGHT = 0.1;
 /* A task had to wait this recently. */
@@ -122,6 +127,17 @@
     w->limit = MIN(LIMIT_MAX, w->limit + (w->probing ? 1 : step));
 }
 
+static void
+delay_sample(PhOrderWindow *w, PhTime delay, PhTime now)
+{
+    w->delay += (PhTime)(DELAY_WEIGHT * (double)(delay - w->delay));
+    if (w->delay > w->pressed_delay && w->limited_at > 0 &&
+        now - w->limited_at <= LIMITED_AGE) {
+        w->pressed_at = now;
+    }
+    limit_adapt(w, delay, now);
+}
+
 void
 PhOrderWindow_OnAnswer(PhOrderWindow *w, PhTime delay, bool answered,
                        PhTime now)
@@ -132,15 +148,21 @@
     }
     w->rate = rate_at(w, now) + 1 / RATE_SPAN_S;
     w->rated_at = now;
-    if (delay < 0) {
-        return;
+    if (delay >= 0) {
+        delay_sample(w, delay, now);
     }
-    w->delay += (PhTime)(DELAY_WEIGHT * (double)(delay - w->delay));
-    if (w->delay > w->pressed_delay && w->limited_at > 0 &&
-        now - w->limited_at <= LIMITED_AGE) {
-        w->pressed_at = now;
-    }
-    limit_adapt(w, delay, now);
+}
+
+void
+PhOrderWindow_OnLateAnswer(PhOrderWindow *w, PhTime delay, PhTime now)
+{
+    delay_sample(w, delay, now);
+}
+
+PhTime
+PhOrderWindow_Timeout(const PhOrderWindow *w)
+{
+    return CLAMP(TIMEOUT_FACTOR * w->delay, TIMEOUT_MIN, TIMEOUT_MAX);
 }
 
 PhTime
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -67,6 +67,7 @@
     task->starts_sent++;
     task->start_sent_at = now;
     run_order_init(task, PH_SCHED_ACTION_START, action);
+    action->timeout = PhOrderWindow_Timeout(&s->window);
     action->bound = !task->worker->unbound;
     task->start_unbound |= !action->bound;
     action->as.run.deadline_ms = PhScheduler_Grant(s, task->worker, now);
@@ -128,7 +129,8 @@
         }
         task->stop_in_flight = true;
         run_order_init(task, PH_SCHED_ACTION_STOP, action);
-            return true;
+        action->timeout = PhOrderWindow_Timeout(&s->window);
+        return true;
     }
     return false;
 }
@@ -357,11 +359,40 @@
     PhScheduler_WakeBy(s, now);
 }
 
+/* Applies the answer to a start whose outcome was given as unknown.  Only that
+ * the run has begun still counts: otherwise it is being repeated. */
+static bool
+late_start_apply(PhScheduler *s, PhSchedTask *task,
+                 const PhSchedRunReply *reply, PhTime now)
+{
+    if (reply->outcome == PH_SCHED_OUTCOME_FENCED) {
+        return false;
+    }
+    if (task == NULL || reply->born_ms != task->worker->entry.born_ms ||
+        PhScheduler_IsClosedFor(s, task->worker, now)) {
+        return true;
+    }
+    if (task->unanswered_start_at > 0 && is_answer(reply->outcome)) {
+        PhTime delay = now - task->unanswered_start_at - reply->silence;
+        PhOrderWindow_OnLateAnswer(&s->window, MAX(delay, 0), now);
+        PhScheduler_NoteAnswer(s, task->worker, now);
+    }
+    if (task->state == PH_SCHED_TASK_ASSIGNED &&
+        (reply->outcome == PH_SCHED_OUTCOME_DONE ||
+         reply->outcome == PH_SCHED_OUTCOME_STALE_RUN)) {
+        start_confirm(s, task, reply, now);
+    }
+    return true;
+}
+
 bool
 PhScheduler_OnStart(PhScheduler *s, const PhSchedRunReply *reply, PhTime now)
 {
     PhSchedTask *task = PhScheduler_PlacedTask(s, &reply->task, reply->run);
     bool expected = task != NULL && task->start_in_flight;
+    if (reply->late) {
+        return late_start_apply(s, task, reply, now);
+    }
     PhOrderWindow_OnAnswer(&s->window, start_delay(task, reply, now),
                            shows_delay(reply), now);
     if (s->backlog > 0) {
@@ -463,6 +494,9 @@
     case PH_SCHED_OUTCOME_UNKNOWN:
     case PH_SCHED_OUTCOME_UNBOUND:
     case PH_SCHED_OUTCOME_COUNT:
+        if (reply->late) {
+            break;
+        }
         task->stop_in_flight = false;
         task->retry_at = now + PH_ORDER_RETRY_MS * PH_NS_PER_MS;
         g_queue_push_tail(&s->stops, task);
--- a/include/peridothill/decide/schedule/order_window.h
+++ b/include/peridothill/decide/schedule/order_window.h
@@ -53,6 +53,13 @@
  * queue the first ones are answered, late. */
 void PhOrderWindow_OnAnswer(PhOrderWindow *window, PhTime delay, bool answered,
                             PhTime now);
+/* The answer to a start whose outcome was given as unknown.  Without it, an
+ * owner would take its own queue for the silence of workers. */
+void PhOrderWindow_OnLateAnswer(PhOrderWindow *window, PhTime delay,
+                                PhTime now);
+/* Time after which an order without an answer is repeated: a few times what
+ * answers take at present, as TCP sets its retransmission timer. */
+PhTime PhOrderWindow_Timeout(const PhOrderWindow *window);
 /* The delay of a start that a dispatcher sent, given how long that took of it:
  * starts that queue there delay no renewal of the owner, unless they do so for
  * long. */
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -57,8 +57,10 @@
     PhStr worker;
     int64_t born_ms;
     PhStr address;
-    bool bound; /* sent only on a connection of that incarnation; see
-                   bindings.h */
+    bool bound;     /* sent only on a connection of that incarnation; see
+                       bindings.h */
+    PhTime timeout; /* the outcome is unknown without an answer by then, beside
+                       the wait of a hold; 0: the longest one */
     union {
         struct {
             uint64_t last_seen;  /* newest end that is acknowledged */
@@ -128,8 +130,10 @@
     PhSchedOutcome outcome;
     int64_t clock_ms;    /* the worker's clock */
     PhTime connected_at; /* as in PhSchedHoldReply */
-    bool relayed;        /* another instance sent it, and `connected_at` is not
-                            known */
+    bool late; /* the outcome was reported as unknown before; it is an answer
+                  to one of the starts or stops of this run */
+    bool relayed; /* another instance sent it, and `connected_at` is not
+                     known */
     PhTime at_dispatcher; /* relayed: time that the other instance took */
     PhTime silence; /* time until the worker was found not to answer, here or
                        at a dispatcher; 0: it was not */
--- a/include/peridothill/services/orders.h
+++ b/include/peridothill/services/orders.h
@@ -26,7 +26,7 @@
     PhSchedTaskName task;
     uint32_t run;
     int percent;
-    bool late;  /* a hold, whose outcome was reported as unknown before */
+    bool late;  /* the outcome was reported as unknown before */
     bool query; /* a hold that nobody has asked for, sent to find a connection
                    for a bound order */
     PhSchedOutcome outcome;
--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -286,6 +286,7 @@
                            .outcome = r->outcome,
                            .clock_ms = r->clock_ms,
                            .connected_at = r->connected_at,
+                           .late = r->late,
                            .relayed = r->relayed,
                            .at_dispatcher = r->at_dispatcher,
                            .silence = r->silence};
--- a/tests/schedule/owners_orders.c
+++ b/tests/schedule/owners_orders.c
@@ -5,7 +5,7 @@
 
 enum {
     DELAY_MAX_MS = 60,       /* of an order or its reply */
-    REPLY_TIMEOUT_MS = 1200, /* of an order without a reply */
+    REPLY_TIMEOUT_MS = 1200, /* of an order without a reply, at most */
     LATE_MIN_MS = 2000,
     LATE_SPREAD_MS = 10000,
     RELAY_DELAY_MAX_MS = 1500, /* of a start at its dispatcher */
@@ -28,6 +28,7 @@
                            .outcome = reply->hold.outcome,
                            .clock_ms = reply->hold.clock_ms,
                            .connected_at = reply->hold.connected_at,
+                           .late = f->late,
                            .relayed = f->relayed};
     PhTime now = w->now;
     switch (a->tag) {
@@ -95,15 +96,32 @@
     return *free_at - w->now;
 }
 
-/* The reply comes at `at`, after the outcome was given as unknown.  Those to
- * holds count until LATE_HOLD_MS. */
+/* How long after the outcome was given as unknown a reply still counts. */
+static PhTime
+late_limit(const PhSimOrder *f)
+{
+    PhTime rest = f->action.timeout == 0
+                      ? 0
+                      : REPLY_TIMEOUT_MS * PH_NS_PER_MS - f->action.timeout;
+    switch (f->action.tag) {
+    case PH_SCHED_ACTION_HOLD:
+        return f->query ? 0 : LATE_HOLD_MS * PH_NS_PER_MS;
+    case PH_SCHED_ACTION_START:
+    case PH_SCHED_ACTION_STOP:
+        return f->relayed || f->query ? 0 : rest;
+    case PH_SCHED_ACTION_PACE:
+        break;
+    }
+    return 0;
+}
+
+/* The reply comes at `at`, after the outcome was given as unknown. */
 static void
 reply_delay(PhSimOrder *f, PhTime at)
 {
     PhTime late_by = at - f->times_out_at;
     f->reply_at = f->times_out_at;
-    if (f->action.tag == PH_SCHED_ACTION_HOLD && !f->query &&
-        late_by <= LATE_HOLD_MS * PH_NS_PER_MS) {
+    if (late_by <= late_limit(f)) {
         f->late_by = late_by;
         return;
     }
@@ -184,7 +202,9 @@
                     .reply.hold.outcome = PH_SCHED_OUTCOME_UNKNOWN};
     bool waits = a->tag == PH_SCHED_ACTION_HOLD && !f.query;
     PhTime wait = waits ? a->as.hold.wait : 0;
-    f.times_out_at = w->now + wait + REPLY_TIMEOUT_MS * PH_NS_PER_MS;
+    f.times_out_at =
+        w->now + wait +
+        (a->timeout > 0 ? a->timeout : REPLY_TIMEOUT_MS * PH_NS_PER_MS);
     if (w->relays && a->tag == PH_SCHED_ACTION_START &&
         PhRandom_Below(w->delays, 2) == 0) {
         start_relay(w, &f);
--- a/tests/schedule/test_order_window.c
+++ b/tests/schedule/test_order_window.c
@@ -17,6 +17,7 @@
     USED_MIN_PERCENT = 75,
     PERCENT = 100,
     HIGH_LIMIT = 400,
+    ANSWER_MS = 1200, /* later answers do not count */
 };
 
 typedef struct PhLoadCase {
@@ -28,6 +29,8 @@
     int64_t relay_ms; /* 0, or time that each start waits at a dispatcher */
     bool pressed;     /* others should send starts, at the end */
     bool overloaded;  /* at the end */
+    bool repeats;     /* starts without an answer by the time-out are sent once
+                         more */
 } PhLoadCase;
 
 static const PhLoadCase load_cases[] = {
@@ -41,12 +44,23 @@
     {"relayed, and each waits at its dispatcher", 300, 50, 50, 0, 250, true,
      false},
     {"half, and one in ten unknown", 60, 50, 50, 10, 0, false, false},
+    {"half, repeated", 60, 50, 50, 0, 0, false, false, .repeats = true},
+    {"half, and one in ten unknown, repeated", 60, 50, 50, 10, 0, false, false,
+     .repeats = true},
+    {"twice, repeated", 60, 200, 200, 0, 0, true, true, .repeats = true},
+    {"four times, repeated", 60, 400, 400, 0, 0, true, true, .repeats = true},
+    {"twice, of a slow queue, repeated", 12, 200, 200, 0, 0, true, true,
+     .repeats = true},
+    {"a burst, then half again, repeated", 60, 50, 260, 0, 0, true, false,
+     .repeats = true},
 };
 
 /* A start in the queue. */
 typedef struct PhQueued {
     int64_t sent_ms;
     int64_t answered_ms;
+    int64_t given_up_ms;
+    bool given_up;
     bool lost;
 } PhQueued;
 
@@ -66,6 +80,32 @@
     return 100 * PH_NS_PER_S + ms * PH_NS_PER_MS;
 }
 
+/* Takes the outcome of starts without an answer for unknown, and repeats
+ * them. */
+static void
+starts_give_up(PhLoadRun *r, int64_t ms)
+{
+    for (GList *l = r->queue.head; l != NULL; l = l->next) {
+        PhQueued *q = l->data;
+        if (!q->given_up && q->given_up_ms <= ms) {
+            q->given_up = true;
+            r->waiting += 1;
+            PhOrderWindow_OnAnswer(&r->window, -1, false, at(ms));
+        }
+    }
+}
+
+static void
+answer_take(PhLoadRun *r, const PhQueued *q, PhTime delay, int64_t ms)
+{
+    if (!q->given_up) {
+        PhOrderWindow_OnAnswer(&r->window, delay, !q->lost, at(ms));
+    }
+    else if (!q->lost && ms - q->sent_ms <= ANSWER_MS) {
+        PhOrderWindow_OnLateAnswer(&r->window, delay, at(ms));
+    }
+}
+
 static void
 answers_take(PhLoadRun *r, const PhLoadCase *c, int64_t ms)
 {
@@ -78,7 +118,7 @@
             delay =
                 PhOrderWindow_RelayedDelay(delay, c->relay_ms * PH_NS_PER_MS);
         }
-        PhOrderWindow_OnAnswer(&r->window, delay, !q->lost, at(ms));
+        answer_take(r, q, delay, ms);
         if (ms > SETTLE_MS && !q->lost) {
             r->worst_ms = MAX(r->worst_ms, ms - q->sent_ms);
             r->answered++;
@@ -100,6 +140,7 @@
         PhQueued *q = g_new0(PhQueued, 1);
         q->sent_ms = ms;
         q->answered_ms = (int64_t)r->free_ms + ROUND_TRIP_MS + c->relay_ms;
+        q->given_up_ms = ms + PhOrderWindow_Timeout(&r->window) / PH_NS_PER_MS;
         q->lost = ++r->sent % PERCENT < c->lost;
         g_queue_push_tail(&r->queue, q);
         PhOrderWindow_OnSent(&r->window);
@@ -116,6 +157,9 @@
         double load = (double)(burst ? c->burst : c->load) / PERCENT;
         r.waiting += load * c->carried * TICK_MS / 1000;
         answers_take(&r, c, ms);
+        if (c->repeats) {
+            starts_give_up(&r, ms);
+        }
         starts_send(&r, c, ms);
     }
     double possible = (double)(RUN_MS - SETTLE_MS) / 1000 * c->carried *
@@ -143,6 +187,46 @@
     Ph_RUN_TABLE(load_cases, load_run);
 }
 
+typedef struct PhTimeoutCase {
+    const char *name;
+    int64_t delay_ms; /* of all starts */
+    bool late;        /* they are answered after the time-out */
+    int64_t timeout_ms;
+} PhTimeoutCase;
+
+static const PhTimeoutCase timeout_cases[] = {
+    {"workers answer at once", 8, false, 400},
+    {"orders queue for a while", 200, false, 800},
+    {"the same, and answers are late", 200, true, 800},
+    {"orders queue for long", 900, true, 1200},
+};
+
+static void
+timeout_run(const PhTimeoutCase *c)
+{
+    PhOrderWindow w;
+    PhOrderWindow_Init(&w, PRESSED_MS * PH_NS_PER_MS);
+    for (int i = 0; i < PERCENT; i++) {
+        PhTime delay = c->delay_ms * PH_NS_PER_MS;
+        PhOrderWindow_OnSent(&w);
+        PhOrderWindow_OnAnswer(&w, delay, !c->late, at(i));
+        if (c->late) {
+            PhOrderWindow_OnLateAnswer(&w, delay, at(i));
+        }
+    }
+    assert_in_range(PhOrderWindow_Timeout(&w) / PH_NS_PER_MS,
+                    c->timeout_ms - 1, c->timeout_ms);
+}
+
+/* Guards against an owner that repeats orders because it is slow itself, and
+ * against one that waits long for an answer that is lost. */
+static void
+test_timeouts(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(timeout_cases, timeout_run);
+}
+
 typedef struct PhRelayCase {
     const char *name;
     int64_t delay_ms; /* from order to answer */
@@ -210,8 +294,8 @@
 int
 main(void)
 {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(test_loads),
-                                       cmocka_unit_test(test_relayed),
-                                       cmocka_unit_test(test_paths)};
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_loads), cmocka_unit_test(test_timeouts),
+        cmocka_unit_test(test_relayed), cmocka_unit_test(test_paths)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/schedule/test_unanswered_starts.c
+++ b/tests/schedule/test_unanswered_starts.c
@@ -337,6 +337,67 @@
     Ph_RUN_TABLE(obstacle_cases, obstacle_run);
 }
 
+/* An answer to the first start comes after its outcome was given as unknown.
+ * The task is repeated unless the answer shows that its run has begun. */
+typedef struct PhLateCase {
+    const char *name;
+    PhSchedOutcome late;
+    bool in_flight; /* the repetition is, and is not sent in the end */
+    bool owner;     /* this instance still is */
+    bool begun;
+} PhLateCase;
+
+static const PhLateCase late_cases[] = {
+    {"the run has begun", PH_SCHED_OUTCOME_DONE, false, true, true},
+    {"its number is refused as old", PH_SCHED_OUTCOME_STALE_RUN, false, true,
+     true},
+    {"the run has begun, and the start is being repeated",
+     PH_SCHED_OUTCOME_DONE, true, true, true},
+    {"there was no capacity", PH_SCHED_OUTCOME_NO_CAPACITY, false, true,
+     false},
+    {"the lease had ended", PH_SCHED_OUTCOME_DEADLINE_PASSED, false, true,
+     false},
+    {"there is another owner", PH_SCHED_OUTCOME_FENCED, false, false, false},
+};
+
+static void
+late_run(const PhLateCase *c)
+{
+    PhStartFixture f;
+    fixture_open(&f, true);
+    start_answer(&f, PH_SCHED_OUTCOME_UNKNOWN);
+    f.now += RETRY_AFTER;
+    if (c->in_flight) {
+        assert_int_equal(orders_sent(&f, PH_SCHED_ACTION_START), 1);
+    }
+    PhSchedRunReply reply = {.task = {.job = PH_SINGLE_JOB},
+                             .run = RUN,
+                             .born_ms = 1,
+                             .outcome = c->late,
+                             .late = true,
+                             .clock_ms = f.now / PH_NS_PER_MS};
+    assert_int_equal(PhScheduler_OnStart(f.scheduler, &reply, f.now),
+                     c->owner);
+    if (c->in_flight) {
+        start_answer(&f, PH_SCHED_OUTCOME_NOT_SENT);
+    }
+    assert_int_equal(f.task->state == PH_SCHED_TASK_RUNNING, c->begun);
+    assert_int_equal(f.task->run, RUN);
+    if (c->owner) {
+        assert_int_equal(orders_sent(&f, PH_SCHED_ACTION_START), !c->begun);
+    }
+    fixture_close(&f);
+}
+
+/* Guards against a run that is begun a second time, or taken for begun, by an
+ * answer that comes late. */
+static void
+test_late_answers(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(late_cases, late_run);
+}
+
 /* What the earlier incarnation answered before a later one answers under its
  * id without the run, and whether a stop has to reach the later one. */
 typedef struct PhLaterCase {
@@ -473,6 +534,7 @@
         cmocka_unit_test(test_unlisted_after_repetition),
         cmocka_unit_test(test_repetitions),
         cmocka_unit_test(test_obstacles),
+        cmocka_unit_test(test_late_answers),
         cmocka_unit_test(test_later_incarnation),
         cmocka_unit_test(test_stop_of_incarnation)};
     return cmocka_run_group_tests(tests, NULL, NULL);
