--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -67,6 +67,7 @@
     task->starts_sent++;
     task->start_sent_at = now;
     run_order_init(task, PH_SCHED_ACTION_START, action);
+    action->timeout = PhOrderWindow_Timeout(&s->window);
     action->bound = !task->worker->unbound;
     task->start_unbound |= !action->bound;
     action->as.run.deadline_ms = PhScheduler_Grant(s, task->worker, now);
@@ -128,6 +129,7 @@
         }
         task->stop_in_flight = true;
         run_order_init(task, PH_SCHED_ACTION_STOP, action);
+        action->timeout = PhOrderWindow_Timeout(&s->window);
         return true;
     }
     return false;
@@ -272,6 +274,28 @@
                : reply->outcome;
 }
 
+/* Whether the worker has answered an order that was meant for it. */
+static bool
+is_answer(PhSchedOutcome outcome)
+{
+    switch (outcome) {
+    case PH_SCHED_OUTCOME_DONE:
+    case PH_SCHED_OUTCOME_STALE_RUN:
+    case PH_SCHED_OUTCOME_DEADLINE_PASSED:
+    case PH_SCHED_OUTCOME_NO_CAPACITY:
+    case PH_SCHED_OUTCOME_REFUSED:
+        return true;
+    case PH_SCHED_OUTCOME_FENCED:
+    case PH_SCHED_OUTCOME_OTHER_INCARNATION:
+    case PH_SCHED_OUTCOME_NOT_SENT:
+    case PH_SCHED_OUTCOME_UNKNOWN:
+    case PH_SCHED_OUTCOME_UNBOUND:
+    case PH_SCHED_OUTCOME_COUNT:
+        break;
+    }
+    return false;
+}
+
 /* Reports whether a reading is from the clock of this incarnation: the clock
  * of a later one has begun anew since the newest sign of life. */
 static bool
@@ -303,23 +327,62 @@
 static bool
 shows_delay(const PhSchedRunReply *reply)
 {
-    switch (reply->outcome) {
-    case PH_SCHED_OUTCOME_DONE:
-    case PH_SCHED_OUTCOME_FENCED:
-    case PH_SCHED_OUTCOME_STALE_RUN:
-    case PH_SCHED_OUTCOME_DEADLINE_PASSED:
-    case PH_SCHED_OUTCOME_NO_CAPACITY:
-    case PH_SCHED_OUTCOME_REFUSED:
-    case PH_SCHED_OUTCOME_OTHER_INCARNATION:
+    bool queued =
+        reply->outcome == PH_SCHED_OUTCOME_NOT_SENT && reply->silence == 0;
+    return queued || is_answer(reply->outcome) ||
+           reply->outcome == PH_SCHED_OUTCOME_FENCED ||
+           reply->outcome == PH_SCHED_OUTCOME_OTHER_INCARNATION;
+}
+
+/* Time before an order without an answer is repeated.  A worker that has
+ * answered another one since is not silent. */
+static PhTime
+retry_delay(const PhSchedWorker *w, PhTime sent_at)
+{
+    int64_t ms =
+        w->heard_at > sent_at ? PH_ORDER_REPEAT_MS : PH_ORDER_RETRY_MS;
+    return ms * PH_NS_PER_MS;
+}
+
+/* Notes that the run of a start has begun, or had before. */
+static void
+start_confirm(PhScheduler *s, PhSchedTask *task, const PhSchedRunReply *reply,
+              PhTime now)
+{
+    PhSchedWorker *w = task->worker;
+    if (reply->outcome == PH_SCHED_OUTCOME_DONE) {
+        PhScheduler_NoteJobBegins(s, reply->task.job);
+    }
+    PhScheduler_ConfirmRun(s, task, reply->clock_ms, now);
+    w->renewed_at = MAX(w->renewed_at, task->start_sent_at);
+    w->next_hold_at = MIN(w->next_hold_at, now);
+    PhScheduler_WakeBy(s, now);
+}
+
+/* Applies the answer to a start whose outcome was given as unknown.  Only that
+ * the run has begun still counts: otherwise it is being repeated. */
+static bool
+late_start_apply(PhScheduler *s, PhSchedTask *task,
+                 const PhSchedRunReply *reply, PhTime now)
+{
+    if (reply->outcome == PH_SCHED_OUTCOME_FENCED) {
+        return false;
+    }
+    if (task == NULL || reply->born_ms != task->worker->entry.born_ms ||
+        PhScheduler_IsClosedFor(s, task->worker, now)) {
         return true;
-    case PH_SCHED_OUTCOME_NOT_SENT:
-        return reply->silence == 0;
-    case PH_SCHED_OUTCOME_UNKNOWN:
-    case PH_SCHED_OUTCOME_UNBOUND:
-    case PH_SCHED_OUTCOME_COUNT:
-        break;
     }
-    return false;
+    if (task->unanswered_start_at > 0 && is_answer(reply->outcome)) {
+        PhTime delay = now - task->unanswered_start_at - reply->silence;
+        PhOrderWindow_OnLateAnswer(&s->window, MAX(delay, 0), now);
+        PhScheduler_NoteAnswer(s, task->worker, now);
+    }
+    if (task->state == PH_SCHED_TASK_ASSIGNED &&
+        (reply->outcome == PH_SCHED_OUTCOME_DONE ||
+         reply->outcome == PH_SCHED_OUTCOME_STALE_RUN)) {
+        start_confirm(s, task, reply, now);
+    }
+    return true;
 }
 
 bool
@@ -327,6 +390,9 @@
 {
     PhSchedTask *task = PhScheduler_PlacedTask(s, &reply->task, reply->run);
     bool expected = task != NULL && task->start_in_flight;
+    if (reply->late) {
+        return late_start_apply(s, task, reply, now);
+    }
     PhOrderWindow_OnAnswer(&s->window, start_delay(task, reply, now),
                            shows_delay(reply), now);
     if (s->backlog > 0) {
@@ -348,9 +414,14 @@
         reading_is_own(w, reply->clock_ms, now)) {
         w->alive_at = MAX(w->alive_at, reply->connected_at);
     }
+    if (is_answer(outcome)) {
+        PhScheduler_NoteAnswer(s, w, now);
+    }
     if (outcome == PH_SCHED_OUTCOME_UNKNOWN) {
         task->unanswered_start_at = task->start_sent_at;
-        w->cooldown_until = now + REFUSAL_COOLDOWN;
+        if (w->heard_at < task->start_sent_at) {
+            w->cooldown_until = now + REFUSAL_COOLDOWN;
+        }
     }
     if (task->state == PH_SCHED_TASK_RUNNING) {
         /* An earlier start began the run, and the worker has listed it since
@@ -360,12 +431,7 @@
     switch (outcome) {
     case PH_SCHED_OUTCOME_DONE:
     case PH_SCHED_OUTCOME_STALE_RUN:
-        if (outcome == PH_SCHED_OUTCOME_DONE) {
-            PhScheduler_NoteJobBegins(s, reply->task.job);
-        }
-        PhScheduler_ConfirmRun(s, task, reply->clock_ms, now);
-        w->next_hold_at = MIN(w->next_hold_at, now);
-        PhScheduler_WakeBy(s, now);
+        start_confirm(s, task, reply, now);
         break;
     case PH_SCHED_OUTCOME_DEADLINE_PASSED:
     case PH_SCHED_OUTCOME_OTHER_INCARNATION:
@@ -383,7 +449,7 @@
         break;
     case PH_SCHED_OUTCOME_UNKNOWN:
         task->start_unconfirmed = true;
-        start_requeue(s, task, now + PH_ORDER_RETRY_MS * PH_NS_PER_MS);
+        start_requeue(s, task, now + retry_delay(w, task->start_sent_at));
         break;
     case PH_SCHED_OUTCOME_UNBOUND:
         PhScheduler_SetUnbound(s, w);
@@ -409,6 +475,9 @@
         task->worker->entry.born_ms != reply->born_ms) {
         return true;
     }
+    if (is_answer(reply->outcome)) {
+        PhScheduler_NoteAnswer(s, task->worker, now);
+    }
     switch (reply->outcome) {
     case PH_SCHED_OUTCOME_DONE:
     case PH_SCHED_OUTCOME_STALE_RUN:
@@ -425,6 +494,9 @@
     case PH_SCHED_OUTCOME_UNKNOWN:
     case PH_SCHED_OUTCOME_UNBOUND:
     case PH_SCHED_OUTCOME_COUNT:
+        if (reply->late) {
+            break;
+        }
         task->stop_in_flight = false;
         task->retry_at = now + PH_ORDER_RETRY_MS * PH_NS_PER_MS;
         g_queue_push_tail(&s->stops, task);
