tests/schedule: a share of the orders stays without an answer in the simulation

Cause: the simulation of owners knows of time spans in which all orders to a worker have no answer, not of a share that is lost independently of the others and lasts to the end.

PhOwnersSim_LoseOrders() loses a share of the orders of some kinds, queries among the holds; they are executed 2 to 12 s later or never. order_fate() decides what happens to an order. Meanwhile each connection carries one order at a time, and is closed by one without an answer, so that bound orders wait for queries. The workers count leases that expire with runs, and those of them although the owner had an answer to an order from within the length of a lease. The watch at rest can look from any time on.

--- a/tests/schedule/owners_faults.c
+++ b/tests/schedule/owners_faults.c
@@ -118,6 +118,19 @@
     w->faults[w->fault_count++] = *fault;
 }
 
+void
+PhOwnersSim_LoseOrders(PhOwnersSim *w, const PhOwnersLosses *losses)
+{
+    w->losses = *losses;
+}
+
+bool
+PhOwnersSim_LosesOrders(const PhOwnersSim *w)
+{
+    return w->losses.share > 0 &&
+           PhOwnersSim_ElapsedMs(w) >= w->losses.from_ms;
+}
+
 int64_t
 PhOwnersSim_CalmFrom(const PhOwnersSim *w)
 {
--- a/tests/schedule/owners_orders.c
+++ b/tests/schedule/owners_orders.c
@@ -15,6 +15,14 @@
     LIGHT_ORDERS = 10, /* orders other than starts that take as long as one */
 };
 
+/* What happens to an order. */
+typedef enum PhSimFate {
+    PH_SIM_FATE_ANSWERED,
+    PH_SIM_FATE_UNANSWERED, /* executed at once */
+    PH_SIM_FATE_LATE,       /* executed later, without an answer */
+    PH_SIM_FATE_NEVER,
+} PhSimFate;
+
 /* Passes the outcome of an order to its owner.  Returns false if the owner has
  * been replaced. */
 static bool
@@ -30,6 +38,11 @@
                            .connected_at = reply->hold.connected_at,
                            .relayed = f->relayed};
     PhTime now = w->now;
+    if (reply->hold.outcome == PH_SCHED_OUTCOME_DONE &&
+        (a->tag == PH_SCHED_ACTION_HOLD || a->tag == PH_SCHED_ACTION_START)) {
+        PhSimWorker_NoteAnswer(&w->workers[f->worker], f->fence, f->sent_at,
+                               now);
+    }
     switch (a->tag) {
     case PH_SCHED_ACTION_HOLD:
         if (f->late && reply->hold.outcome != PH_SCHED_OUTCOME_UNKNOWN) {
@@ -60,27 +73,55 @@
 }
 
 /* Returns when the connection that an order uses was established.  The one to
- * an earlier incarnation has ended with it. */
+ * an earlier incarnation has ended with it.  While orders are lost, an idle
+ * one is taken, if there is one from before `connected_by` that one. */
 static PhTime
-connection_use(PhOwnersSim *w, int instance, int worker)
+connection_use(PhOwnersSim *w, int instance, int worker, PhTime connected_by)
 {
     PhSimConnection *c = &w->connections[instance][worker];
     if (c->born_ms != w->workers[worker].born_ms) {
         *c = (PhSimConnection){.born_ms = w->workers[worker].born_ms,
                                .since = w->now};
     }
-    return c->since;
+    if (!PhOwnersSim_LosesOrders(w)) {
+        return c->since;
+    }
+    if (c->idle_count == 0) {
+        return w->now;
+    }
+    unsigned used = c->idle_count - 1;
+    for (unsigned i = c->idle_count; i-- > 0;) {
+        if (c->idle[i] <= connected_by) {
+            used = i;
+            break;
+        }
+    }
+    PhTime since = c->idle[used];
+    c->idle[used] = c->idle[--c->idle_count];
+    return since;
 }
 
-/* Whether the connection is known to be that of the incarnation which the
- * order names, or the order may be sent on any. */
-static bool
-connection_suits(PhOwnersSim *w, int instance, int worker,
-                 const PhSchedAction *a)
+/* A connection is idle once its order has been answered. */
+static void
+connection_release(PhOwnersSim *w, const PhSimOrder *f)
 {
-    PhTime alive_at = PhBindings_AliveAt(w->instances[instance].bindings,
-                                         a->worker, a->born_ms);
-    return !a->bound || connection_use(w, instance, worker) <= alive_at;
+    PhSimConnection *c = &w->connections[f->instance][f->worker];
+    bool answered = f->reply.hold.outcome != PH_SCHED_OUTCOME_UNKNOWN &&
+                    (f->late || f->late_by == 0);
+    if (PhOwnersSim_LosesOrders(w) && answered && c->born_ms == f->born_ms &&
+        c->idle_count < PH_OWNERS_IDLE_MAX) {
+        c->idle[c->idle_count++] = f->connected_at;
+    }
+}
+
+/* Returns the newest sign of life of the incarnation that an order names: it
+ * may be sent on connections from before. */
+static PhTime
+connected_by(const PhOwnersSim *w, int instance, const PhSchedAction *a)
+{
+    return a->bound ? PhBindings_AliveAt(w->instances[instance].bindings,
+                                         a->worker, a->born_ms)
+                    : PH_TIME_NEVER;
 }
 
 /* Returns how long an order waits for the orders before it on the link of its
@@ -161,26 +202,46 @@
     return copy;
 }
 
+/* Draws only while orders are lost. */
+static PhSimFate
+order_fate(PhOwnersSim *w, const PhSimOrder *f)
+{
+    const PhOwnersLosses *l = &w->losses;
+    PhSchedActionTag tag = f->query ? PH_SCHED_ACTION_HOLD : f->action.tag;
+    if (!f->relayed && PhOwnersSim_IsUnreachable(w, f->instance, f->worker)) {
+        return PH_SIM_FATE_NEVER;
+    }
+    if (PhOwnersSim_AreOrdersAffected(w, PH_OWNERS_ORDERS_LATE, f->instance,
+                                      f->worker)) {
+        return PH_SIM_FATE_LATE;
+    }
+    if (PhOwnersSim_AreOrdersAffected(w, PH_OWNERS_REPLIES_LOST, f->instance,
+                                      f->worker)) {
+        return PH_SIM_FATE_UNANSWERED;
+    }
+    if (PhOwnersSim_LosesOrders(w) && (l->orders >> tag & 1U) != 0 &&
+        PhRandom_Chance(w->delays, l->share)) {
+        return l->late ? PH_SIM_FATE_LATE : PH_SIM_FATE_NEVER;
+    }
+    return PH_SIM_FATE_ANSWERED;
+}
+
 static void
 order_send(PhOwnersSim *w, int instance, const PhSchedAction *a)
 {
     int worker = PhSimWorker_Number(a->worker);
-    bool partitioned = PhOwnersSim_IsUnreachable(w, instance, worker);
-    bool late = PhOwnersSim_AreOrdersAffected(w, PH_OWNERS_ORDERS_LATE,
-                                              instance, worker);
-    bool no_reply = PhOwnersSim_AreOrdersAffected(w, PH_OWNERS_REPLIES_LOST,
-                                                  instance, worker);
+    PhTime alive_at = connected_by(w, instance, a);
+    PhTime connected_at = connection_use(w, instance, worker, alive_at);
     PhSimOrder f = {.instance = instance,
                     .worker = worker,
                     .fence = w->instances[instance].fence,
                     .action = *a,
                     .born_ms = w->workers[worker].born_ms,
-                    .connected_at = connection_use(w, instance, worker),
-                    .query = !connection_suits(w, instance, worker, a),
+                    .connected_at = connected_at,
+                    .query = connected_at > alive_at,
                     .sent_at = w->now,
                     .deliver_at = w->now + link_use(w, instance, a->tag) +
                                   draw_delay(w, DELAY_MAX_MS),
-                    .reply_lost = partitioned || late || no_reply,
                     .reply.hold.outcome = PH_SCHED_OUTCOME_UNKNOWN};
     bool waits = a->tag == PH_SCHED_ACTION_HOLD && !f.query;
     PhTime wait = waits ? a->as.hold.wait : 0;
@@ -188,9 +249,9 @@
     if (w->relays && a->tag == PH_SCHED_ACTION_START &&
         PhRandom_Below(w->delays, 2) == 0) {
         start_relay(w, &f);
-        partitioned = false;
-        f.reply_lost = late || no_reply;
     }
+    PhSimFate fate = order_fate(w, &f);
+    f.reply_lost = fate != PH_SIM_FATE_ANSWERED;
     f.reply_at = f.deliver_at + draw_delay(w, DELAY_MAX_MS);
     if (f.reply_lost && w->delays != NULL) {
         f.reply_at = f.times_out_at;
@@ -202,12 +263,17 @@
     if (f.reply_at > f.times_out_at) {
         reply_delay(&f, f.reply_at);
     }
-    if (partitioned) {
-        f.deliver_at = PH_TIME_NEVER;
-    }
-    else if (late) {
+    switch (fate) {
+    case PH_SIM_FATE_ANSWERED:
+    case PH_SIM_FATE_UNANSWERED:
+        break;
+    case PH_SIM_FATE_LATE:
         f.deliver_at = w->now + LATE_MIN_MS * PH_NS_PER_MS +
                        draw_delay(w, LATE_SPREAD_MS);
+        break;
+    case PH_SIM_FATE_NEVER:
+        f.deliver_at = PH_TIME_NEVER;
+        break;
     }
     f.action.worker = PhStr_FromC(w->workers[worker].id);
     if (a->tag != PH_SCHED_ACTION_HOLD) {
@@ -335,6 +401,7 @@
     }
     if (current) {
         answer_note(m, f);
+        connection_release(w, f);
     }
     if (f->query) {
         /* Another order may be added, which moves them. */
--- a/tests/schedule/owners_sim.c
+++ b/tests/schedule/owners_sim.c
@@ -537,6 +537,30 @@
     return w->tasks.repeated_starts;
 }
 
+unsigned
+PhOwnersSim_Lapses(const PhOwnersSim *w)
+{
+    return w->tasks.lapses;
+}
+
+unsigned
+PhOwnersSim_FalseLapses(const PhOwnersSim *w)
+{
+    return w->tasks.false_lapses;
+}
+
+unsigned
+PhOwnersSim_LapsedLasting(const PhOwnersSim *w)
+{
+    return w->tasks.lapsed_lasting;
+}
+
+unsigned
+PhOwnersSim_WorkerCount(const PhOwnersSim *w)
+{
+    return (unsigned)w->worker_count;
+}
+
 bool
 PhOwnersSim_IsSettled(const PhOwnersSim *w)
 {
--- a/tests/schedule/owners_sim.h
+++ b/tests/schedule/owners_sim.h
@@ -48,6 +48,15 @@
     bool owner;
 } PhOwnersFault;
 
+/* A share of the orders has no answer from a time on, each order independently
+ * of the others.  Queries count as holds. */
+typedef struct PhOwnersLosses {
+    double share;
+    unsigned orders; /* bit mask of PhSchedActionTag */
+    bool late;       /* they are executed 2 to 12 s later; otherwise never */
+    int64_t from_ms;
+} PhOwnersLosses;
+
 /* What drawn jobs have. */
 typedef enum PhOwnersJobTrait {
     PH_OWNERS_CHAINS = 1 << 0,   /* up to three steps that follow each other */
@@ -95,6 +104,9 @@
 void PhOwnersSim_DrawJobs(PhOwnersSim *sim, uint64_t seed, unsigned traits,
                           int64_t until_ms);
 void PhOwnersSim_AddFault(PhOwnersSim *sim, const PhOwnersFault *fault);
+/* Loses orders until the end.  A connection whose order has no answer is
+ * closed.  Needs delays. */
+void PhOwnersSim_LoseOrders(PhOwnersSim *sim, const PhOwnersLosses *losses);
 /* Adds `count` random faults of the kinds in the bit mask, one every few
  * seconds. */
 void PhOwnersSim_DrawFaults(PhOwnersSim *sim, uint64_t seed, unsigned count,
@@ -109,6 +121,14 @@
 /* Number of starts of a task after an end of it had been listed to an owner
  * for 0.1 s, also if the reply did not reach the owner. */
 unsigned PhOwnersSim_RepeatedStarts(const PhOwnersSim *sim);
+/* Number of leases that expired with runs, and of those of them whose worker
+ * had answered an order that the owner had sent within the length of a lease;
+ * number of runs that ended so and were to last. */
+unsigned PhOwnersSim_Lapses(const PhOwnersSim *sim);
+unsigned PhOwnersSim_FalseLapses(const PhOwnersSim *sim);
+unsigned PhOwnersSim_LapsedLasting(const PhOwnersSim *sim);
+/* Number of workers, with those that have left. */
+unsigned PhOwnersSim_WorkerCount(const PhOwnersSim *sim);
 /* Whether every short task is done and every long-running one has one run. */
 bool PhOwnersSim_IsSettled(const PhOwnersSim *sim);
 /* Longest time in milliseconds that a long-running task was without a run. */
--- a/tests/schedule/owners_sim_private.h
+++ b/tests/schedule/owners_sim_private.h
@@ -11,6 +11,7 @@
 
 enum {
     PH_OWNERS_TICK_MS = 20,
+    PH_OWNERS_IDLE_MAX = 8, /* connections of an instance to a worker */
 };
 
 typedef struct PhSimRooms PhSimRooms;
@@ -38,10 +39,14 @@
     uint64_t batch;      /* current batch without a reply, 0 for none */
 } PhSimInstance;
 
-/* The connection of an instance to a worker's process; it ends with that. */
+/* The connections of an instance to a worker's process; they end with that.
+ * While orders are lost each carries one at a time, and one without an answer
+ * closes it; otherwise one connection carries all. */
 typedef struct PhSimConnection {
     int64_t born_ms; /* 0: none yet */
     PhTime since;
+    PhTime idle[PH_OWNERS_IDLE_MAX]; /* since when each is established */
+    unsigned idle_count;
 } PhSimConnection;
 
 /* An order in flight. */
@@ -79,6 +84,7 @@
     uint64_t store_epoch; /* fence of the log */
     PhOwnersFault faults[PH_OWNERS_FAULTS_MAX];
     unsigned fault_count;
+    PhOwnersLosses losses;
     int64_t next_short_ms;  /* submission of the next job of short tasks */
     int64_t short_until_ms; /* end of submissions */
     int64_t short_interval_ms;
@@ -130,6 +136,8 @@
 bool PhOwnersSim_AreOrdersAffected(const PhOwnersSim *sim,
                                    PhOwnersFaultKind kind, int instance,
                                    int worker);
+/* Whether orders are lost by now. */
+bool PhOwnersSim_LosesOrders(const PhOwnersSim *sim);
 /* Adds the current owner to the faults that begin now and affect it. */
 void PhOwnersSim_BeginFaults(PhOwnersSim *sim);
 
--- a/tests/schedule/owners_worker.c
+++ b/tests/schedule/owners_worker.c
@@ -9,6 +9,9 @@
     SAVED_SIZE = 24,
     LISTED_MS = 100, /* an end listed earlier counts as known to the owner */
     LEASE_MAX_MS = 10000,
+    LEASE_MS = 6000, /* that owners grant to workers that stay */
+    WAY_MS = 250,    /* of a query, an order and its answer */
+    HEARD_MS = 1000, /* after a worker's first answer, an owner can grant */
     CLOCK_START_MS = 1000,
     PERCENT = 100,
     DECIMAL = 10,
@@ -246,6 +249,8 @@
     h->born_ms = now / PH_NS_PER_MS;
     h->started_at = now;
     h->fence = 0;
+    h->heard_fence = 0;
+    h->answered_at = 0;
     h->deadline_ms = 0;
     h->end_number = 0;
     g_hash_table_remove_all(h->highest);
@@ -291,14 +296,34 @@
     g_array_append_val(h->ends, end);
 }
 
+void
+PhSimWorker_NoteAnswer(PhSimWorker *h, uint64_t fence, PhTime sent_at,
+                       PhTime now)
+{
+    if (h->heard_fence != fence) {
+        h->heard_fence = fence;
+        h->heard_since = now;
+    }
+    if (sent_at - h->heard_since >= HEARD_MS * PH_NS_PER_MS) {
+        h->answered_at = MAX(h->answered_at, sent_at);
+    }
+}
+
 /* The lease has expired: ends all runs. */
 static void
 lease_expire(PhSimWorker *h, PhSimTasks *t, PhTime now)
 {
+    bool answers = h->answered_at > 0 &&
+                   now - h->answered_at < (LEASE_MS - WAY_MS) * PH_NS_PER_MS;
+    t->lapses += h->runs->len > 0;
+    t->false_lapses += answers && h->runs->len > 0;
     for (guint i = 0; i < h->ends->len; i++) {
         g_array_index(h->ends, PhSimEnd, i).lease_expired = true;
     }
     while (h->runs->len > 0) {
+        const PhSimRun *last =
+            &g_array_index(h->runs, PhSimRun, h->runs->len - 1);
+        t->lapsed_lasting += last->job->kind.long_running;
         PhSimWorker_EndRun(h, t, h->runs->len - 1, PH_SCHED_END_LEASE_EXPIRED,
                            now);
     }
--- a/tests/schedule/owners_worker.h
+++ b/tests/schedule/owners_worker.h
@@ -63,6 +63,9 @@
     uint64_t events; /* number of starts and ends so far */
     unsigned duplicate_starts;
     unsigned repeated_starts; /* after an end `done` that was listed */
+    unsigned lapses;          /* leases that expired with runs */
+    unsigned false_lapses;    /* of these, of workers that had answered */
+    unsigned lapsed_lasting;  /* runs that are to last among these */
     PhTime longest_gap; /* longest time without a run of a long-running task */
     /* Runs that are to last fail with this probability, at random times. */
     double failure_share;
@@ -86,6 +89,9 @@
     bool guards_capacity; /* starts that do not fit are rejected */
     PhTime stop_time;     /* from a stop to the end of the run */
     uint64_t fence;
+    uint64_t heard_fence; /* of the owner that it answers */
+    PhTime heard_since;
+    PhTime answered_at; /* newest order that it has answered was sent */
     int64_t deadline_ms;
     GArray *runs; /* PhSimRun */
     GArray *ends; /* PhSimEnd */
@@ -145,6 +151,10 @@
 void PhSimWorker_Execute(PhSimWorker *worker, PhSimTasks *tasks,
                          uint64_t fence, const PhSchedAction *action,
                          PhTime now, PhSimReply *reply);
+/* Notes that the owner has received the answer to an order that extends, or
+ * could have extended, the lease. */
+void PhSimWorker_NoteAnswer(PhSimWorker *worker, uint64_t fence,
+                            PhTime sent_at, PhTime now);
 void PhSimReply_Clear(PhSimReply *reply);
 
 #endif
--- a/tests/schedule/rest_watch.c
+++ b/tests/schedule/rest_watch.c
@@ -25,6 +25,7 @@
     GHashTable *waits; /* PhRestWait by PhSimTask, or by the PhSimJob of the
                           first step */
     PhTime calm_from;
+    PhTime asked_at; /* waits from then on count */
     PhRestFigures figures;
 };
 
@@ -36,17 +37,30 @@
     g_free(wait);
 }
 
-void
-PhOwnersSim_WatchRest(PhOwnersSim *sim)
+static void
+watch_begin(PhOwnersSim *sim, int64_t from_ms, int64_t asked_ms)
 {
     PhRestWatch *watch = g_new0(PhRestWatch, 1);
     watch->waits = g_hash_table_new_full(NULL, NULL, NULL, wait_destroy);
-    watch->calm_from =
-        PH_OWNERS_START + PhOwnersSim_CalmFrom(sim) * PH_NS_PER_MS;
+    watch->calm_from = PH_OWNERS_START + from_ms * PH_NS_PER_MS;
+    watch->asked_at = PH_OWNERS_START + asked_ms * PH_NS_PER_MS;
     watch->figures.timeline = g_string_new(NULL);
     sim->rest = watch;
 }
 
+void
+PhOwnersSim_WatchRest(PhOwnersSim *sim)
+{
+    int64_t calm_ms = PhOwnersSim_CalmFrom(sim);
+    watch_begin(sim, calm_ms, calm_ms + PH_REST_ASKED_MS);
+}
+
+void
+PhOwnersSim_WatchWaits(PhOwnersSim *sim, int64_t from_ms)
+{
+    watch_begin(sim, from_ms, from_ms);
+}
+
 void
 PhRestWatch_Destroy(PhRestWatch *watch)
 {
@@ -240,7 +254,6 @@
            bool room, unsigned *counter)
 {
     PhTime limit = PH_REST_WAIT_MS * PH_NS_PER_MS;
-    PhTime asked_at = watch->calm_from + PH_REST_ASKED_MS * PH_NS_PER_MS;
     wait->room_since = !room                   ? 0
                        : wait->room_since == 0 ? sim->now
                                                : wait->room_since;
@@ -249,7 +262,7 @@
     }
     watch->figures.rest_from = sim->now - watch->calm_from;
     if (!wait->counted &&
-        sim->now - MAX(wait->room_since, asked_at) >= limit) {
+        sim->now - MAX(wait->room_since, watch->asked_at) >= limit) {
         wait->counted = true;
         ++*counter;
         wait_note(watch, wait, sim);
--- a/tests/schedule/rest_watch.h
+++ b/tests/schedule/rest_watch.h
@@ -35,6 +35,8 @@
 
 /* Checks the rule for the rest of the simulation. */
 void PhOwnersSim_WatchRest(struct PhOwnersSim *sim);
+/* Checks it from a time on, whatever goes on then. */
+void PhOwnersSim_WatchWaits(struct PhOwnersSim *sim, int64_t from_ms);
 /* Adds the timelines of the waits that are not over. */
 void PhOwnersSim_EndWatch(struct PhOwnersSim *sim);
 /* Borrowed from the simulation. */
