schedule: the lease after a lost one is sent again soon

While a worker has answered an order in the last 1.2 s, a hold that renews its lease has a third of the time-out, and the next one follows at once; until its leases have ended, holds of a worker that does not answer are 0.4 s apart instead of ever longer. A worker that has answered another order in that time is not taken for silent, so that leases and starts go on if its holds alone are lost. A start that finds no connection puts no worker into cool-down that has been heard of since it was sent. Answers to orders that are not bound count only if the clock shows that they are from this incarnation.

The simulation repeats queries and tells the silence behind them, and the fake of test_answering_workers takes the time-outs of orders, as the order task does.

--- a/decide/schedule/holds.c
+++ b/decide/schedule/holds.c
@@ -17,14 +17,16 @@
 /* A worker that has left all orders without an answer for this long gets no
  * leases until it answers.  Workers leave single orders unanswered, too. */
 static const PhTime SILENCE_LIMIT = 800 * PH_NS_PER_MS;
-/* A worker that has answered another order since, this recently, is not
- * silent. */
-static const PhTime ANSWER_AGE = 800 * PH_NS_PER_MS;
-/* Time between a hold without an answer and the next one: the longer a worker
- * has been silent, the longer. */
-static const PhTime HOLD_RETRY_MIN = 100 * PH_NS_PER_MS;
-static const PhTime HOLD_RETRY_MAX = 1 * PH_NS_PER_S;
-static const int HOLD_RETRY_SHARE = 4;
+/* A worker that has answered an order this recently is likely to answer. */
+static const PhTime ANSWER_AGE = 1200 * PH_NS_PER_MS;
+/* The holds that follow an answer, until the new lease is answered, have this
+ * share of the time-out: that lease may be the last one to come in time. */
+static const int RENEWAL_TIMEOUT_SHARE = 3;
+/* Time from a hold without an answer to the next one, while leases last and
+ * afterwards, and least time between the two, which may fail at once. */
+static const PhTime HOLD_RETRY = 50 * PH_NS_PER_MS;
+static const PhTime HOLD_RETRY_LOST = 1 * PH_NS_PER_S;
+static const PhTime HOLD_RETRY_APART = 400 * PH_NS_PER_MS;
 /* After this many failed runs in a row a worker gets no starts for a while. */
 static const uint32_t CONSECUTIVE_FAILURES_MAX = 2;
 
@@ -53,6 +55,13 @@
     }
 }
 
+/* Whether the worker has answered an order lately. */
+static bool
+likely_answers(const PhSchedWorker *w, PhTime now)
+{
+    return w->heard_at > 0 && now - w->heard_at <= ANSWER_AGE;
+}
+
 bool
 PhScheduler_NextHold(PhScheduler *s, GQueue *due, PhTime now,
                      PhSchedAction *action)
@@ -72,7 +81,11 @@
     bool recovers = w->failing_since > 0 ||
                     (w->hold_lease_at > 0 && w->hold_failed_at > 0 &&
                      w->renewed_at <= w->hold_failed_at);
-    if (!recovers && !s->quiesced && w->last_end_seen == w->last_end_acked &&
+    if (recovers) {
+        action->timeout /= likely_answers(w, now) ? RENEWAL_TIMEOUT_SHARE : 1;
+        return true;
+    }
+    if (!s->quiesced && w->last_end_seen == w->last_end_acked &&
         w->tasks->len > 0) {
         bool shared = w->backfill_cpu_milli > 0 && w->serving_cpu_milli > 0;
         action->as.hold.wait = shared ? HOLD_WAIT_SHARED : HOLD_WAIT;
@@ -207,8 +220,8 @@
 {
     w->unanswered_holds++;
     w->hold_failed_at = now;
-    bool answers = w->answered_other_at > w->hold_sent_at &&
-                   now - w->answered_other_at <= ANSWER_AGE;
+    bool answers =
+        w->answered_other_at > 0 && now - w->answered_other_at <= ANSWER_AGE;
     if (w->failing_since == 0 && !answers) {
         w->failing_since = now;
     }
@@ -216,8 +229,12 @@
     if (w->tasks->len > 0 && silence >= SILENCE_LIMIT) {
         PhScheduler_SetSuspended(s, w, true, now);
     }
-    w->next_hold_at = now + CLAMP(silence / HOLD_RETRY_SHARE, HOLD_RETRY_MIN,
-                                  HOLD_RETRY_MAX);
+    PhTime apart = likely_answers(w, now)
+                       ? HOLD_RETRY_APART / RENEWAL_TIMEOUT_SHARE
+                       : HOLD_RETRY_APART;
+    w->next_hold_at = now < w->leases.until
+                          ? MAX(now + HOLD_RETRY, w->hold_sent_at + apart)
+                          : now + HOLD_RETRY_LOST;
     PhScheduler_WakeBy(s, w->next_hold_at);
 }
 
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -375,7 +375,9 @@
     if (task->unanswered_start_at > 0 && is_answer(reply->outcome)) {
         PhTime delay = now - task->unanswered_start_at - reply->silence;
         PhOrderWindow_OnLateAnswer(&s->window, MAX(delay, 0), now);
-        PhScheduler_NoteAnswer(s, task->worker, now);
+        if (!task->start_unbound) {
+            PhScheduler_NoteAnswer(s, task->worker, now);
+        }
     }
     if (task->state == PH_SCHED_TASK_ASSIGNED &&
         (reply->outcome == PH_SCHED_OUTCOME_DONE ||
@@ -410,11 +412,11 @@
     task->start_in_flight = false;
     task->start_connected_at =
         MAX(task->start_connected_at, reply->connected_at);
-    if (!reply->relayed && reply->born_ms == w->entry.born_ms &&
-        reading_is_own(w, reply->clock_ms, now)) {
+    bool own = reading_is_own(w, reply->clock_ms, now);
+    if (!reply->relayed && reply->born_ms == w->entry.born_ms && own) {
         w->alive_at = MAX(w->alive_at, reply->connected_at);
     }
-    if (is_answer(outcome)) {
+    if (is_answer(outcome) && (own || !task->start_unbound)) {
         PhScheduler_NoteAnswer(s, w, now);
     }
     if (outcome == PH_SCHED_OUTCOME_UNKNOWN) {
@@ -444,7 +446,10 @@
         break;
     case PH_SCHED_OUTCOME_REFUSED:
     case PH_SCHED_OUTCOME_NOT_SENT:
-        w->cooldown_until = now + REFUSAL_COOLDOWN;
+        if (outcome == PH_SCHED_OUTCOME_REFUSED ||
+            w->heard_at < task->start_sent_at) {
+            w->cooldown_until = now + REFUSAL_COOLDOWN;
+        }
         start_withdraw(s, task, PH_SCHED_RELEASE_REFUSED, now);
         break;
     case PH_SCHED_OUTCOME_UNKNOWN:
@@ -475,7 +480,7 @@
         task->worker->entry.born_ms != reply->born_ms) {
         return true;
     }
-    if (is_answer(reply->outcome)) {
+    if (is_answer(reply->outcome) && !task->worker->unbound) {
         PhScheduler_NoteAnswer(s, task->worker, now);
     }
     switch (reply->outcome) {
--- a/tests/schedule/owners_orders.c
+++ b/tests/schedule/owners_orders.c
@@ -8,6 +8,7 @@
     REPLY_TIMEOUT_MS = 1200, /* of an order without a reply, at most */
     LATE_MIN_MS = 2000,
     LATE_SPREAD_MS = 10000,
+    BIND_LIMIT_MS = 1200,      /* wait of an order for a connection */
     RELAY_DELAY_MAX_MS = 1500, /* of a start at its dispatcher */
     RELAY_BIND_MAX_MS = 1200,  /* longer, if it has no connection */
     RELAY_TIMEOUT_MS = 1600,
@@ -37,7 +38,8 @@
                            .clock_ms = reply->hold.clock_ms,
                            .connected_at = reply->hold.connected_at,
                            .late = f->late,
-                           .relayed = f->relayed};
+                           .relayed = f->relayed,
+                           .silence = f->silence};
     PhTime now = w->now;
     if (reply->hold.outcome == PH_SCHED_OUTCOME_DONE &&
         (a->tag == PH_SCHED_ACTION_HOLD || a->tag == PH_SCHED_ACTION_START)) {
@@ -244,8 +246,11 @@
     return PH_SIM_FATE_ANSWERED;
 }
 
+/* `began_at`: the order was given, which has waited for a connection since,
+ * for `silence` of that behind queries without an answer. */
 static void
-order_send(PhOwnersSim *w, int instance, const PhSchedAction *a)
+order_send_since(PhOwnersSim *w, int instance, const PhSchedAction *a,
+                 PhTime began_at, PhTime silence)
 {
     int worker = PhSimWorker_Number(a->worker);
     PhTime alive_at = connected_by(w, instance, a);
@@ -257,6 +262,8 @@
                     .born_ms = w->workers[worker].born_ms,
                     .connected_at = connected_at,
                     .query = connected_at > alive_at,
+                    .began_at = began_at,
+                    .silence = silence,
                     .sent_at = w->now,
                     .deliver_at = w->now + link_use(w, instance, a->tag) +
                                   draw_delay(w, DELAY_MAX_MS),
@@ -306,6 +313,12 @@
     g_array_append_val(w->orders, f);
 }
 
+static void
+order_send(PhOwnersSim *w, int instance, const PhSchedAction *a)
+{
+    order_send_since(w, instance, a, w->now, 0);
+}
+
 /* Delivers an order to its worker.  An order to an earlier incarnation is
  * lost. */
 static void
@@ -381,11 +394,16 @@
     }
     else if (hold->outcome == PH_SCHED_OUTCOME_DONE) {
         if (hold->born_ms == a->born_ms) {
-            order_send(w, f->instance, a);
+            order_send_since(w, f->instance, a, f->began_at, f->silence);
             return true;
         }
         reply.hold.outcome = PH_SCHED_OUTCOME_OTHER_INCARNATION;
     }
+    else if (!f->relayed && a->timeout > 0 && w->delays != NULL &&
+             w->now - f->began_at < BIND_LIMIT_MS * PH_NS_PER_MS) {
+        order_send_since(w, f->instance, a, f->began_at, w->now - f->began_at);
+        return true;
+    }
     return order_complete(w, m, f, &reply);
 }
 
--- a/tests/schedule/owners_sim_private.h
+++ b/tests/schedule/owners_sim_private.h
@@ -58,6 +58,8 @@
     int64_t born_ms;     /* incarnation of the worker when it was sent */
     PhTime connected_at; /* its connection was established */
     bool query;          /* a query goes first, for want of a connection */
+    PhTime began_at;     /* it was given, and may have waited since */
+    PhTime silence;      /* as in PhSchedRunReply */
     PhTime sent_at;
     PhTime deliver_at;   /* PH_TIME_NEVER: it is lost or delivered */
     PhTime reply_at;     /* PH_TIME_NEVER: it is answered */
--- a/tests/schedule/test_answering_workers.c
+++ b/tests/schedule/test_answering_workers.c
@@ -14,7 +14,7 @@
     CPU_MILLI = 1000,
     STEP_MS = 20,
     WAY_MS = 20,           /* from an order to its answer */
-    TIMEOUT_MS = 1200,     /* of an order without an answer */
+    TIMEOUT_MS = 1200,     /* of an order without an answer, at most */
     LATE_HOLD_MS = 2000,   /* from a time-out to a late answer */
     LEASE_MS = 6000 - 100, /* less what an answer takes to tell the clock */
     STARTS_EVERY_MS = 1000,
@@ -157,9 +157,10 @@
         order_execute(p, a);
     }
     if (!o.answered) {
-        o.due = p->now + wait + TIMEOUT_MS * PH_NS_PER_MS;
+        PhTime timed_out = p->now + wait + TIMEOUT_MS * PH_NS_PER_MS;
+        o.due = a->timeout > 0 ? p->now + wait + a->timeout : timed_out;
         o.late_due = is_hold && c->lost == LOST_HOLDS_LATE
-                         ? o.due + LATE_HOLD_MS * PH_NS_PER_MS
+                         ? timed_out + LATE_HOLD_MS * PH_NS_PER_MS
                          : 0;
     }
     assert_true(p->order_count < ORDERS_MAX);
