election: the renewal after an unanswered one is due from when that was sent

Cause: the answer to a renewal is lost, and a read finds the entry 1.5 s later. The next renewal was due 0.7 s after the read, so that others saw 2.2 s between two entries. That is when a follower claims, plus its delay of 40 to 500 ms: an owner that runs 100 ms late lost its ownership with one answer.

Change: the interval counts from when the entry that was read may have been written. Answered renewals follow each other as before.

--- a/decide/schedule/election.c
+++ b/decide/schedule/election.c
@@ -313,37 +313,38 @@
     return due;
 }
 
-/* A release that is due does not wait for the interval. */
+/* Own entries follow each other by RENEW_INTERVAL, counted from `seen_at`.  A
+ * release that is due does not wait for that. */
 static void
-renewal_schedule(PhElection *e, PhTime now)
+renewal_schedule(PhElection *e, PhTime seen_at, PhTime now)
 {
-    e->append_due = e->stopping ? now : now + RENEW_INTERVAL;
+    e->append_due = e->stopping ? now : seen_at + RENEW_INTERVAL;
 }
 
 static void
-become_owner(PhElection *e, uint64_t offset, PhTime sent_at, PhTime now)
+become_owner(PhElection *e, uint64_t offset, PhTime sent_at)
 {
     e->role = PH_ELECTION_OWNER;
     e->fence = offset + 1;
     e->vacant = false;
     e->confirmed_at = sent_at;
-    renewal_schedule(e, now);
 }
 
 /* Applies an entry that this incarnation wrote by an append that was sent at
- * `sent_at` or later. */
+ * `sent_at` or later.  Others may have seen it from `seen_at` on. */
 static void
 own_entry_apply(PhElection *e, const PhElectionEntry *entry, PhTime sent_at,
-                PhTime now)
+                PhTime seen_at, PhTime now)
 {
     switch (entry->kind) {
     case PH_ELECTION_CLAIM:
-        become_owner(e, entry->offset, sent_at, now);
+        become_owner(e, entry->offset, sent_at);
+        renewal_schedule(e, seen_at, now);
         break;
     case PH_ELECTION_RENEWAL:
         if (e->role == PH_ELECTION_OWNER) {
             e->confirmed_at = sent_at;
-            renewal_schedule(e, now);
+            renewal_schedule(e, seen_at, now);
         }
         break;
     case PH_ELECTION_RELEASE:
@@ -412,7 +413,7 @@
 
 static void
 entry_apply(PhElection *e, const PhElectionEntry *entry, PhTime sent_at,
-            PhTime now)
+            PhTime seen_at, PhTime now)
 {
     if (entry->offset < e->next) {
         return;
@@ -430,7 +431,7 @@
         entry->successor.len > 0 ? PhStr_Dup(entry->successor) : (PhStr){0};
     e->quiet_since = now;
     if (PhStr_Equal(entry->holder, e->holder)) {
-        own_entry_apply(e, entry, sent_at, now);
+        own_entry_apply(e, entry, sent_at, seen_at, now);
         return;
     }
     if (e->role == PH_ELECTION_OWNER) {
@@ -449,7 +450,8 @@
     }
     for (size_t i = 0; i < count; i++) {
         /* Any of the appends at this offset may have written it. */
-        entry_apply(e, &entries[i], e->append_first_sent_at, now);
+        entry_apply(e, &entries[i], e->append_first_sent_at,
+                    e->append_first_sent_at, now);
     }
     if (!e->readable || !e->synced) {
         e->quiet_since = now;
@@ -486,7 +488,7 @@
                              .holder = e->holder,
                              .address = e->address};
     e->appending = false;
-    entry_apply(e, &entry, e->append_sent_at, now);
+    entry_apply(e, &entry, e->append_sent_at, now, now);
 }
 
 void
