dispatchers: the silence of a worker is not taken for that of its dispatcher

Cause: a dispatcher may take 2.4 s for a start, 1.2 s until it has a connection and 1.2 s until the worker counts as silent, and the owner waits 1.6 s for the outcome. One start without it barred the dispatcher for 3 s, also while hellos and other outcomes came from it; once the last one is barred the limit of outstanding starts begins anew at 8.

Change: a dispatcher is barred if nothing has come from it since the start was sent, or if three starts in a row have no outcome: hellos also come from an instance that no start reaches (a link that is cut one way). An outcome after the time-out counts as a sign of life. The start itself is unknown after 1.6 s as before.

test_dispatchers: with the old rule "a start is not answered, but hellos come" failed, no instance was usable; now it passes, with three more cases.

--- a/decide/schedule/dispatchers.c
+++ b/decide/schedule/dispatchers.c
@@ -14,6 +14,8 @@
     OUTSTANDING_SPREAD_MIN = 16, /* fewer are no reason to do so */
     STRENGTH_FACTOR = 2, /* instances with less CPU than the strongest by this
                             factor do not dispatch */
+    /* Hellos also come from an instance that no start reaches. */
+    UNANSWERED_MAX = 3,
 };
 
 typedef struct PhDispatcher {
@@ -21,7 +23,10 @@
     uint64_t number; /* of its newest hello */
     uint64_t cpu_milli;
     uint32_t outstanding;
+    uint32_t unanswered; /* starts that timed out with no outcome of any start
+                            since they were sent */
     PhTime hello_at;
+    PhTime outcome_at; /* newest one */
     PhTime shunned_until;
     bool leaving;
     bool chosen; /* one of PH_DISPATCHERS_MAX */
@@ -268,23 +273,42 @@
 }
 
 void
-PhDispatchers_OnOutcome(PhDispatchers *d, PhStr instance)
+PhDispatchers_OnLateOutcome(PhDispatchers *d, PhStr instance, PhTime now)
 {
     PhDispatcher *x = g_hash_table_lookup(d->all, &instance);
-    if (x != NULL && x->outstanding > 0) {
-        x->outstanding--;
+    if (x != NULL) {
+        x->unanswered = 0;
+        x->outcome_at = now;
+    }
+}
+
+void
+PhDispatchers_OnOutcome(PhDispatchers *d, PhStr instance, PhTime now)
+{
+    PhDispatcher *x = g_hash_table_lookup(d->all, &instance);
+    if (x != NULL) {
+        x->outstanding -= x->outstanding > 0;
+        PhDispatchers_OnLateOutcome(d, instance, now);
     }
 }
 
 bool
-PhDispatchers_OnTimeout(PhDispatchers *d, PhStr instance, PhTime now)
+PhDispatchers_OnTimeout(PhDispatchers *d, PhStr instance, PhTime sent_at,
+                        PhTime now)
 {
     PhDispatcher *x = g_hash_table_lookup(d->all, &instance);
     if (x == NULL) {
         return false;
     }
-    bool first = now >= x->shunned_until;
     x->outstanding -= x->outstanding > 0;
+    if (x->outcome_at >= sent_at) {
+        return false;
+    }
+    x->unanswered++;
+    if (x->hello_at >= sent_at && x->unanswered < UNANSWERED_MAX) {
+        return false;
+    }
+    bool first = now >= x->shunned_until;
     x->shunned_until = now + SHUNNED_TIME;
     return first;
 }
@@ -305,6 +329,8 @@
     g_hash_table_remove_all(d->old_jobs);
     g_hash_table_iter_init(&iter, d->all);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        ((PhDispatcher *)value)->outstanding = 0;
+        PhDispatcher *x = value;
+        x->outstanding = 0;
+        x->unanswered = 0;
     }
 }
--- a/include/peridothill/decide/schedule/dispatchers.h
+++ b/include/peridothill/decide/schedule/dispatchers.h
@@ -42,11 +42,17 @@
 void PhDispatchers_OnPayload(PhDispatchers *dispatchers, PhStr job,
                              PhStr instance);
 /* A start has an outcome. */
-void PhDispatchers_OnOutcome(PhDispatchers *dispatchers, PhStr instance);
-/* It has none in time: the instance gets no starts for a while.  Returns
- * whether it got some until now. */
-bool PhDispatchers_OnTimeout(PhDispatchers *dispatchers, PhStr instance,
+void PhDispatchers_OnOutcome(PhDispatchers *dispatchers, PhStr instance,
                              PhTime now);
+/* A start has an outcome after its time-out. */
+void PhDispatchers_OnLateOutcome(PhDispatchers *dispatchers, PhStr instance,
+                                 PhTime now);
+/* A start has none in time, which may be due to its worker.  The instance gets
+ * no starts for a while if nothing has come from it since this one was sent,
+ * or no outcome of any start several times in a row.  Returns whether it got
+ * some until now. */
+bool PhDispatchers_OnTimeout(PhDispatchers *dispatchers, PhStr instance,
+                             PhTime sent_at, PhTime now);
 /* The dispatcher did not have the specification. */
 void PhDispatchers_ForgetJob(PhDispatchers *dispatchers, PhStr job);
 /* Forgets the outstanding starts and all jobs: the ownership has changed. */
--- a/services/schedule/schedule_dispatch.c
+++ b/services/schedule/schedule_dispatch.c
@@ -298,7 +298,8 @@
         if (now - r->sent_at < RELAY_TIMEOUT) {
             return;
         }
-        if (PhDispatchers_OnTimeout(d->dispatchers, r->instance, now)) {
+        if (PhDispatchers_OnTimeout(d->dispatchers, r->instance, r->sent_at,
+                                    now)) {
             PhTask_LOG(t->self, PH_EVENT_SCHEDULE_DISPATCHER_SILENT,
                        PhField_STR("instance", r->instance),
                        PhField_STR("job", r->order.action.as.run.task.job));
@@ -332,11 +333,16 @@
 {
     PhScheduleDispatch *d = t->dispatch;
     PhRelayedStart *r = g_hash_table_lookup(d->relayed, &o->number);
-    if (r == NULL || !PhStr_Equal(r->instance, instance) ||
+    PhTime now = PhTask_Now(t->self);
+    if (r == NULL) {
+        PhDispatchers_OnLateOutcome(d->dispatchers, instance, now);
+        return;
+    }
+    if (!PhStr_Equal(r->instance, instance) ||
         o->outcome >= PH_SCHED_OUTCOME_COUNT) {
         return;
     }
-    PhDispatchers_OnOutcome(d->dispatchers, instance);
+    PhDispatchers_OnOutcome(d->dispatchers, instance, now);
     if (o->outcome == PH_SCHED_OUTCOME_NOT_SENT) {
         PhDispatchers_ForgetJob(d->dispatchers,
                                 r->order.action.as.run.task.job);
--- a/tests/schedule/test_dispatchers.c
+++ b/tests/schedule/test_dispatchers.c
@@ -18,7 +18,8 @@
     STEP_PAYLOAD,  /* `instance` has the specification of `job` */
     STEP_TAKE,     /* `times` starts of `job` go to `instance` */
     STEP_OUTCOMES, /* of `times` starts */
-    STEP_TIMEOUT,
+    STEP_LATE,     /* outcome of a start after its time-out */
+    STEP_TIMEOUT,  /* of the start that was sent `times` milliseconds ago */
     STEP_FORGET,
     STEP_RESET,
     STEP_PASS, /* `times` milliseconds */
@@ -84,12 +85,55 @@
       {STEP_TAKE, "a", "x", 1}}},
     {"an instance that does not answer is left out for a while",
      {{STEP_HELLO, "a", .times = 1, .cpu = 100},
+      {STEP_PASS, .times = 1},
       {STEP_TAKE, "a", "x", 1},
-      {STEP_TIMEOUT, "a"},
+      {STEP_PASS, .times = 1000},
+      {STEP_TIMEOUT, "a", .times = 1000},
       {STEP_TAKE, "", "x", 1},
       {STEP_PASS, .times = 3000},
       {STEP_HELLO, "a", .times = 2, .cpu = 100},
       {STEP_TAKE, "a", "x", 1, .payload = true}}},
+    {"a start is not answered, but hellos come",
+     {{STEP_HELLO, "a", .times = 1, .cpu = 100},
+      {STEP_TAKE, "a", "x", 1},
+      {STEP_PASS, .times = 1000},
+      {STEP_HELLO, "a", .times = 2, .cpu = 100},
+      {STEP_PASS, .times = 600},
+      {STEP_TIMEOUT, "a", .times = 1600},
+      {STEP_TAKE, "a", "x", 1, .payload = true}}},
+    {"starts are not answered, but others are",
+     {{STEP_HELLO, "a", .times = 1, .cpu = 100},
+      {STEP_TAKE, "a", "x", 1},
+      {STEP_TAKE, "a", "x", 3, .payload = true},
+      {STEP_PASS, .times = 1000},
+      {STEP_OUTCOMES, "a", .times = 1},
+      {STEP_PASS, .times = 100},
+      {STEP_TIMEOUT, "a", .times = 1100},
+      {STEP_TIMEOUT, "a", .times = 1100},
+      {STEP_TIMEOUT, "a", .times = 1100},
+      {STEP_TAKE, "a", "x", 1, .payload = true}}},
+    {"hellos come from an instance that no start reaches",
+     {{STEP_HELLO, "a", .times = 1, .cpu = 100},
+      {STEP_TAKE, "a", "x", 1},
+      {STEP_TAKE, "a", "x", 2, .payload = true},
+      {STEP_PASS, .times = 1000},
+      {STEP_HELLO, "a", .times = 2, .cpu = 100},
+      {STEP_TIMEOUT, "a", .times = 1000},
+      {STEP_TIMEOUT, "a", .times = 1000},
+      {STEP_TAKE, "a", "x", 1, .payload = true},
+      {STEP_TIMEOUT, "a", .times = 1000},
+      {STEP_TAKE, "", "x", 1}}},
+    {"outcomes come after the time-out",
+     {{STEP_HELLO, "a", .times = 1, .cpu = 100},
+      {STEP_TAKE, "a", "x", 1},
+      {STEP_TAKE, "a", "x", 2, .payload = true},
+      {STEP_PASS, .times = 1000},
+      {STEP_HELLO, "a", .times = 2, .cpu = 100},
+      {STEP_TIMEOUT, "a", .times = 1000},
+      {STEP_TIMEOUT, "a", .times = 1000},
+      {STEP_LATE, "a"},
+      {STEP_TIMEOUT, "a", .times = 1000},
+      {STEP_TAKE, "a", "x", 1, .payload = true}}},
     {"it did not have the specification any more",
      {{STEP_HELLO, "a", .times = 1, .cpu = 100},
       {STEP_TAKE, "a", "x", 1},
@@ -132,11 +176,15 @@
         break;
     case STEP_OUTCOMES:
         for (unsigned i = 0; i < step->times; i++) {
-            PhDispatchers_OnOutcome(d, instance);
+            PhDispatchers_OnOutcome(d, instance, *now);
         }
         break;
+    case STEP_LATE:
+        PhDispatchers_OnLateOutcome(d, instance, *now);
+        break;
     case STEP_TIMEOUT:
-        PhDispatchers_OnTimeout(d, instance, *now);
+        PhDispatchers_OnTimeout(
+            d, instance, *now - (PhTime)step->times * PH_NS_PER_MS, *now);
         break;
     case STEP_FORGET:
         PhDispatchers_ForgetJob(d, PhStr_FromC(step->job));
