dispatchers: a specification is not forgotten because a worker is silent

Cause: a start that a dispatcher has not sent made the owner forget which instances have the specification of its job, also when the dispatcher had found no connection to the worker. With a share of unanswered orders the next starts of the job carried 3 KB instead of 160 bytes, to each dispatcher anew.

Change: only a start that was not sent for another reason than silence does so. The outcome tells it already (`took_ms`).

test_dispatchers: "it has found no connection to the worker" failed with the old rule, the specification was sent again.

--- a/decide/schedule/dispatchers.c
+++ b/decide/schedule/dispatchers.c
@@ -314,8 +314,11 @@
 }
 
 void
-PhDispatchers_ForgetJob(PhDispatchers *d, PhStr job)
+PhDispatchers_OnNotSent(PhDispatchers *d, PhStr job, bool silent)
 {
+    if (silent) {
+        return;
+    }
     g_hash_table_remove(d->jobs, &job);
     g_hash_table_remove(d->old_jobs, &job);
 }
--- a/include/peridothill/decide/schedule/dispatchers.h
+++ b/include/peridothill/decide/schedule/dispatchers.h
@@ -53,8 +53,10 @@
  * some until now. */
 bool PhDispatchers_OnTimeout(PhDispatchers *dispatchers, PhStr instance,
                              PhTime sent_at, PhTime now);
-/* The dispatcher did not have the specification. */
-void PhDispatchers_ForgetJob(PhDispatchers *dispatchers, PhStr job);
+/* A start was not sent.  If not for the silence of its worker, the dispatcher
+ * may not have had the specification. */
+void PhDispatchers_OnNotSent(PhDispatchers *dispatchers, PhStr job,
+                             bool silent);
 /* Forgets the outstanding starts and all jobs: the ownership has changed. */
 void PhDispatchers_Reset(PhDispatchers *dispatchers);
 
--- a/services/schedule/schedule_dispatch.c
+++ b/services/schedule/schedule_dispatch.c
@@ -344,9 +344,10 @@
     }
     PhDispatchers_OnOutcome(d->dispatchers, instance, now);
     if (o->outcome == PH_SCHED_OUTCOME_NOT_SENT) {
-        PhDispatchers_ForgetJob(d->dispatchers,
-                                r->order.action.as.run.task.job);
-        relayed_send_here(t, r, o->took_ms > 0);
+        bool silent = o->took_ms > 0;
+        PhDispatchers_OnNotSent(d->dispatchers,
+                                r->order.action.as.run.task.job, silent);
+        relayed_send_here(t, r, silent);
         return;
     }
     PhTime took = (PhTime)MIN(o->took_ms, INT32_MAX) * PH_NS_PER_MS;
--- a/tests/schedule/test_dispatchers.c
+++ b/tests/schedule/test_dispatchers.c
@@ -20,7 +20,7 @@
     STEP_OUTCOMES, /* of `times` starts */
     STEP_LATE,     /* outcome of a start after its time-out */
     STEP_TIMEOUT,  /* of the start that was sent `times` milliseconds ago */
-    STEP_FORGET,
+    STEP_NOT_SENT, /* a start of `job`, after silence of `times` ms */
     STEP_RESET,
     STEP_PASS, /* `times` milliseconds */
 } PhStepTag;
@@ -137,8 +137,13 @@
     {"it did not have the specification any more",
      {{STEP_HELLO, "a", .times = 1, .cpu = 100},
       {STEP_TAKE, "a", "x", 1},
-      {STEP_FORGET, .job = "x"},
+      {STEP_NOT_SENT, .job = "x"},
       {STEP_TAKE, "a", "x", 1}}},
+    {"it has found no connection to the worker",
+     {{STEP_HELLO, "a", .times = 1, .cpu = 100},
+      {STEP_TAKE, "a", "x", 1},
+      {STEP_NOT_SENT, .job = "x", .times = 1200},
+      {STEP_TAKE, "a", "x", 1, .payload = true}}},
     {"another ownership",
      {{STEP_HELLO, "a", .times = 1, .cpu = 100},
       {STEP_TAKE, "a", "x", 1},
@@ -186,8 +191,8 @@
         PhDispatchers_OnTimeout(
             d, instance, *now - (PhTime)step->times * PH_NS_PER_MS, *now);
         break;
-    case STEP_FORGET:
-        PhDispatchers_ForgetJob(d, PhStr_FromC(step->job));
+    case STEP_NOT_SENT:
+        PhDispatchers_OnNotSent(d, PhStr_FromC(step->job), step->times > 0);
         break;
     case STEP_RESET:
         PhDispatchers_Reset(d);
