owner_link: an instance that stood still does not take the owner for silent

Cause: 1.2 s after the owner's last answer calls are no longer forwarded, and those under way are handled locally or answered 504. An instance that stood still for that long had sent no hello that could be answered.

Change: the first hello since the last answer is 0.7 s old as well. For an instance that has not stood still this is the same time.

--- a/decide/schedule/owner_link.c
+++ b/decide/schedule/owner_link.c
@@ -2,8 +2,10 @@
 
 /* Interval of hellos; the owner answers within milliseconds. */
 static const PhTime HELLO_INTERVAL = 500 * PH_NS_PER_MS;
-/* After two unanswered hellos calls are no longer forwarded. */
+/* After two unanswered hellos calls are no longer forwarded.  The first of
+ * them was sent this long ago: an instance that stood still has sent none. */
 static const PhTime STALE_AFTER = 1200 * PH_NS_PER_MS;
+static const PhTime HELLO_TIMEOUT = 700 * PH_NS_PER_MS;
 /* A successor is elected within about 3 s: CLAIM_AFTER (election.c), the delay
  * of its instance and an append.  An instance without an answer from one by
  * then reads the store itself. */
@@ -35,6 +37,7 @@
         link->since = now;
     }
     link->answered_at = 0;
+    link->hello_sent_at = 0;
 }
 
 void
@@ -53,13 +56,24 @@
 PhOwnerLink_OnWelcome(PhOwnerLink *link, bool standby, PhTime now)
 {
     link->answered_at = now;
+    link->hello_sent_at = 0;
     link->standby_until = standby ? now + STANDBY_TIME : 0;
 }
 
+/* Time from which the owner is taken for silent. */
+static PhTime
+stale_time(const PhOwnerLink *link)
+{
+    PhTime hello = link->hello_sent_at;
+    return hello == 0
+               ? PH_TIME_NEVER
+               : MAX(link->answered_at + STALE_AFTER, hello + HELLO_TIMEOUT);
+}
+
 bool
 PhOwnerLink_IsUp(const PhOwnerLink *link, PhTime now)
 {
-    return link->answered_at != 0 && now - link->answered_at < STALE_AFTER;
+    return link->answered_at != 0 && now < stale_time(link);
 }
 
 /* Time from which this instance reads the store although it is no standby. */
@@ -85,6 +99,7 @@
         return false;
     }
     link->next_hello_at = now + HELLO_INTERVAL;
+    link->hello_sent_at = link->hello_sent_at == 0 ? now : link->hello_sent_at;
     return true;
 }
 
@@ -105,7 +120,7 @@
         due = link->next_hello_at;
     }
     if (PhOwnerLink_IsUp(link, now)) {
-        due = MIN(due, link->answered_at + STALE_AFTER);
+        due = MIN(due, stale_time(link));
     }
     if (now < read_store_time(link)) {
         due = MIN(due, read_store_time(link));
--- a/include/peridothill/decide/schedule/owner_link.h
+++ b/include/peridothill/decide/schedule/owner_link.h
@@ -20,6 +20,7 @@
     PhStr address;        /* of the owner's link, owned; empty: unknown */
     PhTime since;         /* start of this view, or loss of the last owner */
     PhTime answered_at;   /* last answer of the owner, 0 for none */
+    PhTime hello_sent_at; /* the first hello since then, 0 for none */
     PhTime read_delay;    /* this instance reads the store so much later */
     PhTime standby_until; /* this instance is a standby until then */
     PhTime next_hello_at;
