schedule: the time-out of orders follows holds too, and is long at first

Answers to holds, in time or late, are samples now, without the time that a hold waited behind queries without an answer; until there is one the time-out is the longest. Further findings: a leaving worker whose ownership can't be confirmed was asked without a pause after one lost answer (test_lost_holds, its last row, fails before: no wait); answers to relayed starts keep a worker that the owner can't reach, and do not count any more; a late answer is none to the newest start. Orders of dispatchers have a time-out of 0.4 s, so that they may query three times before they give up, and tell the owner sooner.

--- a/decide/schedule/holds.c
+++ b/decide/schedule/holds.c
@@ -73,14 +73,16 @@
     *action = PhSchedAction_For(w, PH_SCHED_ACTION_HOLD);
     action->timeout = PhOrderWindow_Timeout(&s->window);
     w->hold_sent_at = now;
+    w->hold_due_at = now;
     hold_fill(s, w, now, action);
     if (!w->fenced || w->suspended || w->grant_batch > s->durable_batch) {
         return true;
     }
     /* The next grant may have no answer either: it is not to wait for one. */
-    bool recovers = w->failing_since > 0 ||
-                    (w->hold_lease_at > 0 && w->hold_failed_at > 0 &&
-                     w->renewed_at <= w->hold_failed_at);
+    bool granted = w->hold_lease_at == now;
+    bool recovers =
+        w->failing_since > 0 || (granted && w->hold_failed_at > 0 &&
+                                 w->renewed_at <= w->hold_failed_at);
     if (recovers) {
         action->timeout /= likely_answers(w, now) ? RENEWAL_TIMEOUT_SHARE : 1;
         return true;
@@ -89,6 +91,7 @@
         w->tasks->len > 0) {
         bool shared = w->backfill_cpu_milli > 0 && w->serving_cpu_milli > 0;
         action->as.hold.wait = shared ? HOLD_WAIT_SHARED : HOLD_WAIT;
+        w->hold_due_at = now + action->as.hold.wait;
     }
     return true;
 }
@@ -351,6 +354,10 @@
         }
         w->alive_at = MAX(w->alive_at, alive_at);
         w->acks_answered = MAX(w->acks_answered, acked);
+        if (now >= w->hold_due_at) {
+            PhTime delay = now - w->hold_due_at - reply->silence;
+            PhOrderWindow_OnHoldAnswer(&s->window, MAX(delay, 0));
+        }
         w->renewed_at = MAX(w->renewed_at, lease_at);
         reply_apply(s, w, reply, now);
         break;
@@ -392,6 +399,10 @@
     bool same = reply->born_ms == 0 || reply->born_ms == born_ms;
     if (w != NULL && same) {
         PhScheduler_WakeBy(s, now);
+        /* The answer to this hold or an earlier one. */
+        PhOrderWindow_OnHoldAnswer(&s->window,
+                                   now - w->hold_failed_at +
+                                       PhOrderWindow_Timeout(&s->window));
         w->answered_other_at = now;
         reply_apply(s, w, reply, now);
     }
--- a/decide/schedule/order_window.c
+++ b/decide/schedule/order_window.c
@@ -130,6 +130,7 @@
 static void
 delay_sample(PhOrderWindow *w, PhTime delay, PhTime now)
 {
+    w->sampled = true;
     w->delay += (PhTime)(DELAY_WEIGHT * (double)(delay - w->delay));
     if (w->delay > w->pressed_delay && w->limited_at > 0 &&
         now - w->limited_at <= LIMITED_AGE) {
@@ -159,10 +160,20 @@
     delay_sample(w, delay, now);
 }
 
+void
+PhOrderWindow_OnHoldAnswer(PhOrderWindow *w, PhTime delay)
+{
+    PhTime sample = MIN(delay, TIMEOUT_MAX / TIMEOUT_FACTOR);
+    w->sampled = true;
+    w->hold_delay += (PhTime)(DELAY_WEIGHT * (double)(sample - w->hold_delay));
+}
+
 PhTime
 PhOrderWindow_Timeout(const PhOrderWindow *w)
 {
-    return CLAMP(TIMEOUT_FACTOR * w->delay, TIMEOUT_MIN, TIMEOUT_MAX);
+    PhTime delay = MAX(w->delay, w->hold_delay);
+    return w->sampled ? CLAMP(TIMEOUT_FACTOR * delay, TIMEOUT_MIN, TIMEOUT_MAX)
+                      : TIMEOUT_MAX;
 }
 
 PhTime
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -354,7 +354,6 @@
         PhScheduler_NoteJobBegins(s, reply->task.job);
     }
     PhScheduler_ConfirmRun(s, task, reply->clock_ms, now);
-    w->renewed_at = MAX(w->renewed_at, task->start_sent_at);
     w->next_hold_at = MIN(w->next_hold_at, now);
     PhScheduler_WakeBy(s, now);
 }
@@ -416,7 +415,8 @@
     if (!reply->relayed && reply->born_ms == w->entry.born_ms && own) {
         w->alive_at = MAX(w->alive_at, reply->connected_at);
     }
-    if (is_answer(outcome) && (own || !task->start_unbound)) {
+    if (is_answer(outcome) && !reply->relayed &&
+        (own || !task->start_unbound)) {
         PhScheduler_NoteAnswer(s, w, now);
     }
     if (outcome == PH_SCHED_OUTCOME_UNKNOWN) {
@@ -433,6 +433,7 @@
     switch (outcome) {
     case PH_SCHED_OUTCOME_DONE:
     case PH_SCHED_OUTCOME_STALE_RUN:
+        w->renewed_at = MAX(w->renewed_at, task->start_sent_at);
         start_confirm(s, task, reply, now);
         break;
     case PH_SCHED_OUTCOME_DEADLINE_PASSED:
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -234,6 +234,7 @@
     PhTime clock_at;
     bool hold_in_flight;
     PhTime hold_sent_at;
+    PhTime hold_due_at;   /* its wait is over */
     PhTime alive_at;      /* this incarnation is known to have run then */
     PhTime granted_at;    /* newest order with a lease */
     int64_t lease_end_ms; /* of that lease, on its clock; 0: none */
--- a/include/peridothill/decide/schedule/order_window.h
+++ b/include/peridothill/decide/schedule/order_window.h
@@ -20,6 +20,8 @@
     bool relayed;         /* starts go through dispatchers */
     bool probing;         /* the limit has never been too high */
     PhTime delay;         /* smoothed, from order to answer */
+    PhTime hold_delay;    /* the same of holds, beside their waits */
+    bool sampled;         /* one of the two is known */
     PhTime congested_at;  /* last time that it was too long, 0: never */
     PhTime pressed_delay;
     PhTime pressed_at; /* last time that it was longer than that, 0: never */
@@ -57,8 +59,11 @@
  * owner would take its own queue for the silence of workers. */
 void PhOrderWindow_OnLateAnswer(PhOrderWindow *window, PhTime delay,
                                 PhTime now);
+/* A hold was answered, so long after its wait. */
+void PhOrderWindow_OnHoldAnswer(PhOrderWindow *window, PhTime delay);
 /* Time after which an order without an answer is repeated: a few times what
- * answers take at present, as TCP sets its retransmission timer. */
+ * answers take at present, as TCP sets its retransmission timer, and the
+ * longest time until that is known. */
 PhTime PhOrderWindow_Timeout(const PhOrderWindow *window);
 /* The delay of a start that a dispatcher sent, given how long that took of it:
  * starts that queue there delay no renewal of the owner, unless they do so for
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -119,7 +119,9 @@
     size_t run_count;
     PhSchedEndRow *ends;
     size_t end_count;
-    bool more; /* runs or ends may be missing from the lists */
+    bool more;      /* runs or ends may be missing from the lists */
+    PhTime silence; /* the hold has waited so long behind queries without an
+                       answer */
 } PhSchedHoldReply;
 
 /* The outcome of a start or a stop. */
--- a/services/schedule/schedule_dispatch.c
+++ b/services/schedule/schedule_dispatch.c
@@ -10,6 +10,9 @@
 /* A start without an outcome by then has an unknown one: the time-out of an
  * order, and the way there and back. */
 static const PhTime RELAY_TIMEOUT = 1600 * PH_NS_PER_MS;
+/* An order of a dispatcher without an answer by then has an unknown outcome.
+ */
+static const PhTime RELAYED_ORDER_TIMEOUT = 400 * PH_NS_PER_MS;
 static const PhTime RELAY_AGE_MAX = PH_RELAY_AGE_MS * PH_NS_PER_MS;
 /* Outcomes that come within this time share a message. */
 static const PhTime OUTCOMES_DELAY = 5 * PH_NS_PER_MS;
@@ -477,6 +480,7 @@
                        .born_ms = o->born_ms,
                        .address = o->address,
                        .bound = true,
+                       .timeout = RELAYED_ORDER_TIMEOUT,
                        .as.run = {.task = {.job = o->job,
                                            .round = (uint32_t)o->round,
                                            .step = (uint32_t)o->step,
--- a/tests/schedule/owners_orders.c
+++ b/tests/schedule/owners_orders.c
@@ -41,6 +41,7 @@
                            .relayed = f->relayed,
                            .silence = f->silence};
     PhTime now = w->now;
+    reply->hold.silence = f->silence;
     if (reply->hold.outcome == PH_SCHED_OUTCOME_DONE &&
         (a->tag == PH_SCHED_ACTION_HOLD || a->tag == PH_SCHED_ACTION_START)) {
         PhSimWorker_NoteAnswer(&w->workers[f->worker], f->fence, f->sent_at,
