schedule: a batch holds only the parts of a wide step that have changed

Change: a stage knows which of its parts are described by their newest record. Placing and releasing a task, and what a gang's end changes of its other members, outdate the part; reading or taking its record makes it current. All parts are written with the first change, so that the store holds all parts of a stage or none and none has to be guessed. A wide stage that a version without parts has recorded as a whole counts as not recorded, so that all parts replace that record.

Whether a record goes into one append with the one before is now stated by the record: its number does not tell it any more, since a batch may begin a stage with a later part.

Checkpoints that are reported between changes are recorded with the next change in the same part, no longer with any of the step. A new owner still learns them from the worker.

--- a/codec/schedule_record.c
+++ b/codec/schedule_record.c
@@ -217,7 +217,7 @@
                             .value = PhBuf_Take(&out),
                             .continues =
                                 record->tag == PH_SCHED_RECORD_STAGE &&
-                                record->as.stage.first > 0};
+                                record->as.stage.continues};
 }
 
 void
--- a/decide/schedule/gang.c
+++ b/decide/schedule/gang.c
@@ -123,6 +123,7 @@
     if (kind != PH_SCHED_END_DONE || step->long_running) {
         for (uint32_t i = 0; i < step->count; i++) {
             stage->tasks[i].failures = task->failures;
+            PhSchedTask_OutdateRecord(&stage->tasks[i]);
         }
         gang_stop(s, stage, step->count);
         return;
@@ -134,6 +135,7 @@
         }
         else if (other->state == PH_SCHED_TASK_WAITING) {
             other->state = PH_SCHED_TASK_DONE;
+            PhSchedTask_OutdateRecord(other);
             stage->waiting--;
             stage->done++;
         }
--- a/decide/schedule/model.c
+++ b/decide/schedule/model.c
@@ -428,6 +428,7 @@
     Ph_INVARIANT(PH_INVARIANT_PRECONDITION,
                  task->worker == NULL && task->state == PH_SCHED_TASK_WAITING,
                  "state=%d", (int)task->state);
+    PhSchedTask_OutdateRecord(task);
     task->worker = worker;
     task->state = PH_SCHED_TASK_ASSIGNED;
     task->stage->waiting--;
@@ -469,6 +470,7 @@
 {
     Ph_INVARIANT(PH_INVARIANT_PRECONDITION, task->worker != NULL, "state=%d",
                  (int)task->state);
+    PhSchedTask_OutdateRecord(task);
     g_ptr_array_remove_fast(task->worker->tasks, task);
     worker_account(task->worker, PhSchedTask_Step(task), -1);
     task->worker = NULL;
--- a/decide/schedule/record.c
+++ b/decide/schedule/record.c
@@ -1,5 +1,7 @@
 #include "peridothill/decide/schedule/record.h"
 
+#include <limits.h>
+
 void
 PhSchedRecord_Clear(PhSchedRecord *record)
 {
@@ -33,11 +35,33 @@
     PhStr_Clear(&record->id);
 }
 
+/* The bit of a part in PhSchedStage.recorded_parts, by one of its tasks. */
+static uint32_t
+part_bit(uint32_t task)
+{
+    G_STATIC_ASSERT(PH_SCHED_TASKS_MAX / PH_SCHED_PART_TASKS <=
+                    CHAR_BIT * sizeof(uint32_t));
+    return (uint32_t)1 << task / PH_SCHED_PART_TASKS;
+}
+
+void
+PhSchedTask_OutdateRecord(const PhSchedTask *task)
+{
+    task->stage->recorded_parts &= ~part_bit(task->index);
+}
+
+static uint32_t
+part_count(const PhSchedStage *stage, uint32_t first)
+{
+    uint32_t all = stage->job->spec.steps[stage->number].count;
+    return MIN(all - first, PH_SCHED_PART_TASKS);
+}
+
 PhSchedRecord
 PhSchedRecord_OfStage(const PhSchedStage *stage, uint32_t first)
 {
     uint32_t all = stage->job->spec.steps[stage->number].count;
-    uint32_t count = MIN(all - first, PH_SCHED_PART_TASKS);
+    uint32_t count = part_count(stage, first);
     PhSchedRecord record = {.tag = PH_SCHED_RECORD_STAGE,
                             .id = PhStr_Dup(stage->job->spec.id),
                             .as.stage = {.round = stage->round,
@@ -70,12 +94,19 @@
 }
 
 void
-PhSchedStage_AddRecords(const PhSchedStage *stage, GArray *records)
+PhSchedStage_TakeRecords(PhSchedStage *stage, GArray *records)
 {
     uint32_t all = stage->job->spec.steps[stage->number].count;
+    bool continues = false;
     for (uint32_t first = 0; first < all; first += PH_SCHED_PART_TASKS) {
+        if ((stage->recorded_parts & part_bit(first)) != 0) {
+            continue;
+        }
         PhSchedRecord record = PhSchedRecord_OfStage(stage, first);
+        record.as.stage.continues = continues;
         g_array_append_val(records, record);
+        stage->recorded_parts |= part_bit(first);
+        continues = true;
     }
 }
 
@@ -136,6 +167,20 @@
            count <= all - first;
 }
 
+/* A wide stage that an earlier version has recorded as a whole is described by
+ * no part, so that all of them have to replace that record. */
+static void
+part_note(PhSchedStage *stage, const PhSchedRecord *record)
+{
+    uint32_t first = record->as.stage.first;
+    if (first % PH_SCHED_PART_TASKS == 0 &&
+        record->as.stage.task_count == part_count(stage, first)) {
+        stage->recorded_parts |= part_bit(first);
+        return;
+    }
+    stage->recorded_parts = 0;
+}
+
 static PhStatus
 stage_apply(PhSchedModel *model, PhSchedJob *job, PhSchedRecord *record,
             PhTime now)
@@ -155,6 +200,7 @@
         begun |= task_has_begun(r);
         task_apply(model, &stage->tasks[record->as.stage.first + i], r, now);
     }
+    part_note(stage, record);
     if (!was_done && stage->done == all) {
         PhSchedRound *round = &job->rounds[stage->round];
         round->done++;
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -471,7 +471,7 @@
     for (guint i = 0; i < s->dirty_stages->len; i++) {
         PhSchedStage *stage = g_ptr_array_index(s->dirty_stages, i);
         stage->dirty = false;
-        PhSchedStage_AddRecords(stage, records);
+        PhSchedStage_TakeRecords(stage, records);
     }
     g_ptr_array_set_size(s->dirty_stages, 0);
     g_ptr_array_set_size(s->dirty_jobs, 0);
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -103,10 +103,12 @@
     uint32_t waiting;
     uint32_t placed; /* assigned or running */
     uint32_t done;
-    PhTime longest_run; /* of its tasks, from confirmation to end */
-    PhSchedLoad *load;  /* base load of each serving task, NULL before the
-                           first sample; owned */
-    bool dirty;         /* differs from its last record */
+    PhTime longest_run;      /* of its tasks, from confirmation to end */
+    PhSchedLoad *load;       /* base load of each serving task, NULL before the
+                                first sample; owned */
+    bool dirty;              /* differs from its last record */
+    uint32_t recorded_parts; /* a bit for each part, see record.h: its newest
+                                record describes it */
 };
 
 typedef struct PhSchedRound {
--- a/include/peridothill/decide/schedule/record.h
+++ b/include/peridothill/decide/schedule/record.h
@@ -47,6 +47,7 @@
             uint32_t first;   /* task that tasks[0] describes */
             uint32_t part_of; /* tasks of the stage, if the record holds only
                                  a part of them; else 0 */
+            bool continues;   /* the record before is of the same stage */
             PhSchedTaskRecord *tasks;
             uint32_t task_count;
         } stage;
@@ -73,8 +74,12 @@
  * PH_SCHED_PART_TASKS at most; the strings are copies.  `first` is a multiple
  * of that number, so that each part keeps its key. */
 PhSchedRecord PhSchedRecord_OfStage(const PhSchedStage *stage, uint32_t first);
-/* Appends the records of all parts of a stage, one after the other. */
-void PhSchedStage_AddRecords(const PhSchedStage *stage, GArray *records);
+/* Appends the records of the parts of a stage that have changed, one after the
+ * other.  They count as recorded from then on.  In the store are all parts of
+ * a stage or none, so that none is missing that has never changed. */
+void PhSchedStage_TakeRecords(PhSchedStage *stage, GArray *records);
+/* Notes that the newest record of the task's part does not describe it. */
+void PhSchedTask_OutdateRecord(const PhSchedTask *task);
 enum {
     PH_SCHED_PART_TASKS = 256,   /* of a stage in one record */
     PH_SCHED_DEFERRED_MAX = 8192 /* deferred records of unknown jobs: 2 MB */
--- a/tests/schedule/test_stage_parts.c
+++ b/tests/schedule/test_stage_parts.c
@@ -321,7 +321,7 @@
         PhSchedTask_Place(&tasks[i], PhSchedModel_Worker(m, id, 1));
     }
     GArray *records = g_array_new(FALSE, TRUE, sizeof(PhSchedRecord));
-    PhSchedStage_AddRecords(tasks[0].stage, records);
+    PhSchedStage_TakeRecords(tasks[0].stage, records);
     assert_int_equal(records->len, c->records);
     uint32_t seen = 0;
     for (guint i = 0; i < records->len; i++) {
