schedule: a worker cools down for its own failures, and until a run is done there

A task that can never be done fails on one worker after the other and counted against each of them.

Change: a failure of a task that has failed elsewhere before does not count against the worker, unless the task is to last and may have run well in between. A run that is done ends the cooldown if it began after the first of the failed ones: earlier ones say nothing of a worker that fails all it starts from some time on. Times and bounds are the same. Ends of runs that are not placed on the worker any more do not count.

--- a/decide/schedule/fit.c
+++ b/decide/schedule/fit.c
@@ -14,6 +14,7 @@
 static const PhTime FAILURES_COOLDOWN = 6 * PH_NS_PER_S;
 static const PhTime LASTING_FAILURES_COOLDOWN = 1 * PH_NS_PER_S;
 static const double COOLDOWN_PENALTY = 10;
+static const uint32_t CONSECUTIVE_FAILURES_MAX = 2;
 /* Backfill tasks are placed where they are expected to push fewer than this
  * many serving tasks over their target: one of those outweighs one and a half
  * backfill tasks (VIOLATION_WEIGHT in interference.c). */
@@ -45,6 +46,47 @@
     return false;
 }
 
+/* Whether a failed run may be the fault of its worker: a task that has failed
+ * elsewhere before is likely to fail anywhere.  One that is to last may have
+ * run well in between. */
+static bool
+failure_blames(const PhSchedTask *task)
+{
+    return PhSchedTask_Step(task)->long_running || task->failures == 0 ||
+           task->failed_on == task->worker;
+}
+
+void
+PhScheduler_CountEnd(const PhSchedTask *task, PhSchedEndKind kind, PhTime now)
+{
+    PhSchedWorker *w = task->worker;
+    switch (kind) {
+    case PH_SCHED_END_DONE:
+        w->consecutive_failures = 0;
+        if (task->since >= w->failing_from) {
+            w->failed_at = 0;
+        }
+        break;
+    case PH_SCHED_END_FAILED:
+        if (!failure_blames(task)) {
+            break;
+        }
+        if (w->consecutive_failures == 0) {
+            w->failing_from = task->since;
+        }
+        w->consecutive_failures++;
+        if (w->consecutive_failures >= CONSECUTIVE_FAILURES_MAX) {
+            w->failed_at = now;
+        }
+        break;
+    case PH_SCHED_END_STOPPED:
+    case PH_SCHED_END_LEASE_EXPIRED:
+    case PH_SCHED_END_GANG_BROKEN:
+    case PH_SCHED_END_GANG_INCOMPLETE:
+        break;
+    }
+}
+
 /* Whether a worker may be given starts at all. */
 static PhFit
 worker_judge(const PhSchedWorker *w, PhTime now)
--- a/decide/schedule/holds.c
+++ b/decide/schedule/holds.c
@@ -11,8 +11,6 @@
 static const PhTime HOLD_UNACKED_INTERVAL = 400 * PH_NS_PER_MS;
 /* Time between two holds before a release, which do not wait. */
 static const PhTime HOLD_QUIESCED_INTERVAL = 50 * PH_NS_PER_MS;
-/* After this many failed runs in a row a worker gets no starts for a while. */
-static const uint32_t CONSECUTIVE_FAILURES_MAX = 2;
 
 /* Adds what is to be granted and acknowledged.  Each incarnation has its own
  * clock and numbers its ends from 1, so that such a hold must not reach a
@@ -54,39 +52,16 @@
     return true;
 }
 
-/* Counts consecutive failures, so that a broken worker gets no starts for a
- * while. */
-static void
-worker_count_end(PhSchedWorker *w, PhSchedEndKind kind, PhTime now)
-{
-    switch (kind) {
-    case PH_SCHED_END_DONE:
-        w->consecutive_failures = 0;
-        break;
-    case PH_SCHED_END_FAILED:
-        w->consecutive_failures++;
-        if (w->consecutive_failures >= CONSECUTIVE_FAILURES_MAX) {
-            w->failed_at = now;
-        }
-        break;
-    case PH_SCHED_END_STOPPED:
-    case PH_SCHED_END_LEASE_EXPIRED:
-    case PH_SCHED_END_GANG_BROKEN:
-    case PH_SCHED_END_GANG_INCOMPLETE:
-        break;
-    }
-}
-
 static void
 end_apply(PhScheduler *s, PhSchedWorker *w, const PhSchedEndRow *end,
           PhTime now)
 {
-    worker_count_end(w, end->kind, now);
     PhScheduler_NoteJobBegins(s, end->task.job);
     PhSchedTask *task = PhScheduler_PlacedTask(s, &end->task, end->run);
     if (task == NULL || task->worker != w) {
         return;
     }
+    PhScheduler_CountEnd(task, end->kind, now);
     PhSchedEvent event = {.tag = PH_SCHED_EVENT_RUN_ENDED, .worker = w};
     event.as.ended.task = PhSchedTask_Name(task);
     event.as.ended.run = end->run;
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -228,7 +228,12 @@
  * The array is owned by the caller. */
 GArray *PhScheduler_CollectCandidates(const PhScheduler *scheduler,
                                       PhTime now);
-/* fit.c: reports whether a worker may be given starts at all. */
+/* fit.c: counts the end of a placed task's run.  A worker on which several
+ * have failed in a row gets no starts for a while, or until one is done that
+ * began after them. */
+void PhScheduler_CountEnd(const PhSchedTask *task, PhSchedEndKind kind,
+                          PhTime now);
+/* Reports whether a worker may be given starts at all. */
 bool PhScheduler_IsUsable(const PhSchedWorker *worker, PhTime now);
 /* Whether a task may start on a worker now. */
 PhFit PhScheduler_JudgeFit(const PhScheduler *scheduler,
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -223,7 +223,8 @@
     PhTime answered_at;
     PhTime failing_since;  /* first failure since the last answer, 0: none */
     PhTime cooldown_until; /* no starts before */
-    PhTime failed_at; /* newest of several failed runs in a row, 0: none */
+    PhTime failed_at;    /* newest of several failed runs in a row, 0: none */
+    PhTime failing_from; /* the first of them began */
     uint32_t consecutive_failures;
     int64_t clock_ms; /* newest reading of its clock */
     PhTime clock_at;
--- a/tests/schedule/test_cooldown.c
+++ b/tests/schedule/test_cooldown.c
@@ -1,6 +1,7 @@
 /* Starts on a worker on which several runs in a row have failed.  Guards
  * against lasting tasks that wait for the end of its cooldown while no other
- * worker has room. */
+ * worker has room, and against a cooldown for the faults of tasks, or of a
+ * worker that has shown since that it works. */
 #include "single_task.h"
 #include "tests/table.h"
 
@@ -12,6 +13,7 @@
     CPU_MILLI = 1000,
     FENCE = 7,
     FAILURES_MAX = 3,
+    ENDING_TASKS, /* one more, which is done */
     STEP_MS = 50,
     UNTIL_MS = 8000,
 };
@@ -30,6 +32,10 @@
     bool urgent; /* a smaller task of a higher priority waits as well */
     int64_t started_ms;
     bool started_on_other;
+    unsigned failed_elsewhere; /* so many of the failing tasks had, before */
+    bool failing_lasts;        /* those tasks are to last */
+    int64_t done_ms;           /* a run beside them is done, 0: none is */
+    bool done_began_before;    /* it began before they did */
 } PhCooldownCase;
 
 static const PhCooldownCase cooldown_cases[] = {
@@ -50,6 +56,20 @@
     {"ending, two failures", false, false, 2, -1, 0, -1, false, 6000, false},
     {"ending, other room before", false, false, 2, -1, 0, 5000, false, 5000,
      true},
+    {"ending, one had failed elsewhere", false, false, 2, -1, 0, -1, false, 0,
+     false, 1},
+    {"ending, two of three had", false, false, 3, -1, 0, -1, false, 0, false,
+     2},
+    {"ending, one of three had", false, false, 3, -1, 0, -1, false, 6000,
+     false, 1},
+    {"ending, lasting ones had", false, false, 2, -1, 0, -1, false, 6000,
+     false, 2, true},
+    {"ending, a later run is done", false, false, 2, -1, 0, -1, false, 500,
+     false, .done_ms = 500},
+    {"ending, an earlier run is done", false, false, 2, -1, 0, -1, false, 6000,
+     false, .done_ms = 500, .done_began_before = true},
+    {"lasting, a later run is done", true, false, 2, -1, 0, -1, false, 500,
+     false, .done_ms = 500},
 };
 
 static PhSchedWorker *
@@ -63,34 +83,47 @@
     return PhSchedModel_Worker(PhScheduler_Model(s), id, 1);
 }
 
-/* The worker answers a hold and lists the failed end of one more run, if there
- * is a task. */
+/* The worker answers a hold and lists one more end, if there is a task. */
 static void
-worker_answer(PhScheduler *s, PhStr id, const PhSchedTask *failed, PhTime now)
+worker_answer(PhScheduler *s, PhStr id, const PhSchedTask *ended, PhTime now)
 {
     PhSchedEndRow end = {.run = 1, .kind = PH_SCHED_END_FAILED};
     PhSchedHoldReply reply = {.outcome = PH_SCHED_OUTCOME_DONE,
                               .clock_ms = now / PH_NS_PER_MS,
                               .born_ms = 1,
                               .more = true};
-    if (failed != NULL) {
-        end.number = failed->index + 1;
-        end.task = PhSchedTask_Name(failed);
+    if (ended != NULL) {
+        end.number = ended->index + 1;
+        end.task = PhSchedTask_Name(ended);
+        end.kind = ended->index < FAILURES_MAX ? PH_SCHED_END_FAILED
+                                               : PH_SCHED_END_DONE;
         reply.ends = &end;
         reply.end_count = 1;
     }
     PhScheduler_OnHold(s, id, 1, &reply, now);
 }
 
+/* Adds the tasks whose runs fail, and one whose run is done. */
 static PhSchedTask *
-failing_add(PhScheduler *s, PhSchedWorker *w)
+ending_add(PhScheduler *s, const PhCooldownCase *c, PhSchedWorker *w,
+           const PhSchedWorker *other)
 {
-    PhSchedTask *tasks = PhSingle_AddJob(PhScheduler_Model(s), FAILING_JOB,
-                                         (PhSchedStep){.count = FAILURES_MAX});
-    for (unsigned i = 0; i < FAILURES_MAX; i++) {
+    PhSchedTask *tasks =
+        PhSingle_AddJob(PhScheduler_Model(s), FAILING_JOB,
+                        (PhSchedStep){.count = ENDING_TASKS,
+                                      .long_running = c->failing_lasts});
+    for (unsigned i = 0; i < ENDING_TASKS; i++) {
         tasks[i].run = 1;
+        tasks[i].since = START;
         PhSchedTask_Place(&tasks[i], w);
     }
+    for (unsigned i = 0; i < c->failed_elsewhere; i++) {
+        tasks[i].failures = 1;
+        tasks[i].failed_on = other;
+    }
+    if (c->done_began_before) {
+        tasks[FAILURES_MAX].since--;
+    }
     return tasks;
 }
 
@@ -111,7 +144,7 @@
         &(PhSchedulerOptions){.lease_limit = 10 * PH_NS_PER_S});
     PhSchedWorker *w = worker_show(s, PH_SINGLE_WORKER);
     PhSchedWorker *other = worker_show(s, OTHER);
-    PhSchedTask *failing = failing_add(s, w);
+    PhSchedTask *ending = ending_add(s, c, w, other);
     PhSchedTask *task =
         PhSingle_AddJob(PhScheduler_Model(s), PH_SINGLE_JOB,
                         (PhSchedStep){.count = 1,
@@ -127,7 +160,7 @@
     worker_answer(s, OTHER, NULL, START);
     worker_answer(s, PH_SINGLE_WORKER, NULL, START);
     for (unsigned i = 0; i < c->failures; i++) {
-        worker_answer(s, PH_SINGLE_WORKER, &failing[i], START);
+        worker_answer(s, PH_SINGLE_WORKER, &ending[i], START);
     }
     if (c->refused_until_ms > 0) {
         w->cooldown_until = START + c->refused_until_ms * PH_NS_PER_MS;
@@ -135,7 +168,10 @@
     for (int64_t ms = 0; ms <= UNTIL_MS && started_ms < 0; ms += STEP_MS) {
         PhTime now = START + ms * PH_NS_PER_MS;
         if (ms == c->fails_again_ms) {
-            worker_answer(s, PH_SINGLE_WORKER, &failing[c->failures], now);
+            worker_answer(s, PH_SINGLE_WORKER, &ending[c->failures], now);
+        }
+        if (ms > 0 && ms == c->done_ms) {
+            worker_answer(s, PH_SINGLE_WORKER, &ending[FAILURES_MAX], now);
         }
         if (ms == c->other_freed_ms) {
             other->used.cpu_milli -= CPU_MILLI;
