--- a/tests/platform/test_store_outcomes.c
+++ b/tests/platform/test_store_outcomes.c
@@ -85,24 +85,32 @@
     }
 }
 
+/* Runs the store's task between two scripted ones. */
 static void
-status_run(const PhStatusCase *c)
+store_run(void (*http)(void *, PhTask *, const PhMail *), void *http_state,
+          void (*caller)(void *, PhTask *, const PhMail *), void *caller_state)
 {
-    PhCaller caller = {0};
     PhClock *clock = PhClock_Create(PH_CLOCK_PAUSED);
     PhCounters *counters = PhCounters_Create();
     PhKernel *kernel = PhKernel_Create(
         &(PhKernelOptions){.clock = clock, .counters = counters});
-    PhScriptedTask_Spawn(kernel, PH_SERVICE_HTTP, MAILBOX_CAPACITY, (void *)c,
-                         http_handle);
+    PhScriptedTask_Spawn(kernel, PH_SERVICE_HTTP, MAILBOX_CAPACITY, http_state,
+                         http);
     assert_int_equal(PhStoreTask_Start(kernel, PhStr_LITERAL("127.0.0.1:1")),
                      PH_STATUS_OK);
     PhScriptedTask_Spawn(kernel, PhStr_LITERAL("caller"), MAILBOX_CAPACITY,
-                         &caller, caller_handle);
+                         caller_state, caller);
     PhKernel_AdvanceTo(kernel, DURATION);
     PhKernel_Destroy(kernel);
     PhCounters_Destroy(counters);
     PhClock_Destroy(clock);
+}
+
+static void
+status_run(const PhStatusCase *c)
+{
+    PhCaller caller = {0};
+    store_run(http_handle, (void *)c, caller_handle, &caller);
     assert_true(caller.replied);
     assert_int_equal(caller.outcome, c->outcome);
 }
@@ -129,63 +137,48 @@
     {"several were not", 4, 1500},
 };
 
-/* A task that is the store's caller and its connections. */
+/* The state of the caller and of its connections. */
 typedef struct PhAppender {
     const PhAppendCase *c;
     unsigned sent;
     PhTime timeout;
 } PhAppender;
 
+/* Notes the time-out of the newest append. */
 static void
-append_send(PhTask *self)
-{
-    PhStoreMessage m = {.tag = PH_STORE_APPEND};
-    m.as.append.topic = PhStr_Dup(PhStr_LITERAL("runs"));
-    PhTask_SendTo(self, PH_SERVICE_STORE, PhStoreMessage_Wrap(&m));
-}
-
-static void
-appender_handle(void *state, PhTask *self, const PhMail *mail)
+silence_handle(void *state, PhTask *self, const PhMail *mail)
 {
     PhAppender *a = state;
-    if (mail->kind == PH_MAIL_START) {
-        append_send(self);
-        return;
-    }
     if (mail->kind != PH_MAIL_MESSAGE) {
         return;
     }
-    const PhMessage *m = &mail->as.message;
-    if (m->interface == PH_INTERFACE_STORE) {
-        append_send(self);
-        return;
-    }
-    const PhHttpRequest *r = &((const PhHttpMessage *)m->body)->as.send;
-    a->timeout = r->deadline - PhTask_Now(self);
+    const PhHttpMessage *m = mail->as.message.body;
+    a->timeout = m->as.send.deadline - PhTask_Now(self);
     if (a->sent++ < a->c->unanswered) {
         PhHttpMessage reply = {
             .tag = PH_HTTP_REPLY,
-            .as.reply = {.id = r->id, .outcome = PH_HTTP_UNKNOWN}};
+            .as.reply = {.id = m->as.send.id, .outcome = PH_HTTP_UNKNOWN}};
         PhTask_Send(self, mail->from, PhHttpMessage_Wrap(&reply));
     }
 }
 
+/* Appends again after each outcome. */
+static void
+appender_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    (void)state;
+    if (mail->kind == PH_MAIL_START || mail->kind == PH_MAIL_MESSAGE) {
+        PhStoreMessage m = {.tag = PH_STORE_APPEND};
+        m.as.append.topic = PhStr_Dup(PhStr_LITERAL("runs"));
+        PhTask_SendTo(self, PH_SERVICE_STORE, PhStoreMessage_Wrap(&m));
+    }
+}
+
 static void
 append_run(const PhAppendCase *c)
 {
     PhAppender appender = {.c = c};
-    PhClock *clock = PhClock_Create(PH_CLOCK_PAUSED);
-    PhCounters *counters = PhCounters_Create();
-    PhKernel *kernel = PhKernel_Create(
-        &(PhKernelOptions){.clock = clock, .counters = counters});
-    assert_int_equal(PhStoreTask_Start(kernel, PhStr_LITERAL("127.0.0.1:1")),
-                     PH_STATUS_OK);
-    PhScriptedTask_Spawn(kernel, PH_SERVICE_HTTP, MAILBOX_CAPACITY, &appender,
-                         appender_handle);
-    PhKernel_AdvanceTo(kernel, DURATION);
-    PhKernel_Destroy(kernel);
-    PhCounters_Destroy(counters);
-    PhClock_Destroy(clock);
+    store_run(silence_handle, &appender, appender_handle, NULL);
     assert_int_equal(appender.sent, c->unanswered + 1);
     assert_int_equal(appender.timeout, c->timeout_ms * PH_NS_PER_MS);
 }
