--- a/decide/schedule/holds.c
+++ b/decide/schedule/holds.c
@@ -17,16 +17,16 @@
 /* A worker that has left all orders without an answer for this long gets no
  * leases until it answers.  Workers leave single orders unanswered, too. */
 static const PhTime SILENCE_LIMIT = 800 * PH_NS_PER_MS;
-/* A worker that has answered another order since, this recently, is not
- * silent. */
-static const PhTime ANSWER_AGE = 800 * PH_NS_PER_MS;
-/* Time between a hold without an answer and the next one: the longer a worker
- * has been silent, the longer. */
-static const PhTime HOLD_RETRY_MIN = 100 * PH_NS_PER_MS;
-static const PhTime HOLD_RETRY_MAX = 1 * PH_NS_PER_S;
-static const int HOLD_RETRY_SHARE = 4;
-/* After this many failed runs in a row a worker gets no starts for a while. */
-static const uint32_t CONSECUTIVE_FAILURES_MAX = 2;
+/* A worker that has answered an order this recently is likely to answer. */
+static const PhTime ANSWER_AGE = 1200 * PH_NS_PER_MS;
+/* The holds that follow an answer, until the new lease is answered, have this
+ * share of the time-out: that lease may be the last one to come in time. */
+static const int RENEWAL_TIMEOUT_SHARE = 3;
+/* Time from a hold without an answer to the next one, while leases last and
+ * afterwards, and least time between the two, which may fail at once. */
+static const PhTime HOLD_RETRY = 50 * PH_NS_PER_MS;
+static const PhTime HOLD_RETRY_LOST = 1 * PH_NS_PER_S;
+static const PhTime HOLD_RETRY_APART = 400 * PH_NS_PER_MS;
 
 /* Adds what is to be granted and acknowledged.  Each incarnation has its own
  * clock and numbers its ends from 1, so that such a hold must not reach a
@@ -53,6 +53,13 @@
     }
 }
 
+/* Whether the worker has answered an order lately. */
+static bool
+likely_answers(const PhSchedWorker *w, PhTime now)
+{
+    return w->heard_at > 0 && now - w->heard_at <= ANSWER_AGE;
+}
+
 bool
 PhScheduler_NextHold(PhScheduler *s, GQueue *due, PhTime now,
                      PhSchedAction *action)
@@ -64,55 +71,39 @@
     *action = PhSchedAction_For(w, PH_SCHED_ACTION_HOLD);
     action->timeout = PhOrderWindow_Timeout(&s->window);
     w->hold_sent_at = now;
+    w->hold_due_at = now;
     hold_fill(s, w, now, action);
     if (!w->fenced || w->suspended || w->grant_batch > s->durable_batch) {
         return true;
     }
     /* The next grant may have no answer either: it is not to wait for one. */
-    bool recovers = w->failing_since > 0 ||
-                    (w->hold_lease_at > 0 && w->hold_failed_at > 0 &&
-                     w->renewed_at <= w->hold_failed_at);
-    if (!recovers && !s->quiesced && w->last_end_seen == w->last_end_acked &&
+    bool granted = w->hold_lease_at == now;
+    bool recovers =
+        w->failing_since > 0 || (granted && w->hold_failed_at > 0 &&
+                                 w->renewed_at <= w->hold_failed_at);
+    if (recovers) {
+        action->timeout /= likely_answers(w, now) ? RENEWAL_TIMEOUT_SHARE : 1;
+        return true;
+    }
+    if (!s->quiesced && w->last_end_seen == w->last_end_acked &&
         w->tasks->len > 0) {
         bool shared = w->backfill_cpu_milli > 0 && w->serving_cpu_milli > 0;
         action->as.hold.wait = shared ? HOLD_WAIT_SHARED : HOLD_WAIT;
+        w->hold_due_at = now + action->as.hold.wait;
     }
     return true;
 }
 
-/* Counts consecutive failures, so that a broken worker gets no starts for a
- * while. */
-static void
-worker_count_end(PhSchedWorker *w, PhSchedEndKind kind, PhTime now)
-{
-    switch (kind) {
-    case PH_SCHED_END_DONE:
-        w->consecutive_failures = 0;
-        break;
-    case PH_SCHED_END_FAILED:
-        w->consecutive_failures++;
-        if (w->consecutive_failures >= CONSECUTIVE_FAILURES_MAX) {
-            w->failed_at = now;
-        }
-        break;
-    case PH_SCHED_END_STOPPED:
-    case PH_SCHED_END_LEASE_EXPIRED:
-    case PH_SCHED_END_GANG_BROKEN:
-    case PH_SCHED_END_GANG_INCOMPLETE:
-        break;
-    }
-}
-
 static void
 end_apply(PhScheduler *s, PhSchedWorker *w, const PhSchedEndRow *end,
           PhTime now)
 {
-    worker_count_end(w, end->kind, now);
     PhScheduler_NoteJobBegins(s, end->task.job);
     PhSchedTask *task = PhScheduler_PlacedTask(s, &end->task, end->run);
     if (task == NULL || task->worker != w) {
         return;
     }
+    PhScheduler_CountEnd(task, end->kind, now);
     PhSchedEvent event = {.tag = PH_SCHED_EVENT_RUN_ENDED, .worker = w};
     event.as.ended.task = PhSchedTask_Name(task);
     event.as.ended.run = end->run;
@@ -207,8 +198,8 @@
 {
     w->unanswered_holds++;
     w->hold_failed_at = now;
-    bool answers = w->answered_other_at > w->hold_sent_at &&
-                   now - w->answered_other_at <= ANSWER_AGE;
+    bool answers =
+        w->answered_other_at > 0 && now - w->answered_other_at <= ANSWER_AGE;
     if (w->failing_since == 0 && !answers) {
         w->failing_since = now;
     }
@@ -216,8 +207,12 @@
     if (w->tasks->len > 0 && silence >= SILENCE_LIMIT) {
         PhScheduler_SetSuspended(s, w, true, now);
     }
-    w->next_hold_at = now + CLAMP(silence / HOLD_RETRY_SHARE, HOLD_RETRY_MIN,
-                                  HOLD_RETRY_MAX);
+    PhTime apart = likely_answers(w, now)
+                       ? HOLD_RETRY_APART / RENEWAL_TIMEOUT_SHARE
+                       : HOLD_RETRY_APART;
+    w->next_hold_at = now < w->leases.until
+                          ? MAX(now + HOLD_RETRY, w->hold_sent_at + apart)
+                          : now + HOLD_RETRY_LOST;
     PhScheduler_WakeBy(s, w->next_hold_at);
 }
 
@@ -334,6 +329,10 @@
         }
         w->alive_at = MAX(w->alive_at, alive_at);
         w->acks_answered = MAX(w->acks_answered, acked);
+        if (now >= w->hold_due_at) {
+            PhTime delay = now - w->hold_due_at - reply->silence;
+            PhOrderWindow_OnHoldAnswer(&s->window, MAX(delay, 0));
+        }
         w->renewed_at = MAX(w->renewed_at, lease_at);
         reply_apply(s, w, reply, now);
         break;
@@ -375,6 +374,10 @@
     bool same = reply->born_ms == 0 || reply->born_ms == born_ms;
     if (w != NULL && same) {
         PhScheduler_WakeBy(s, now);
+        /* The answer to this hold or an earlier one. */
+        PhOrderWindow_OnHoldAnswer(&s->window,
+                                   now - w->hold_failed_at +
+                                       PhOrderWindow_Timeout(&s->window));
         w->answered_other_at = now;
         reply_apply(s, w, reply, now);
     }
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -354,7 +354,6 @@
         PhScheduler_NoteJobBegins(s, reply->task.job);
     }
     PhScheduler_ConfirmRun(s, task, reply->clock_ms, now);
-    w->renewed_at = MAX(w->renewed_at, task->start_sent_at);
     w->next_hold_at = MIN(w->next_hold_at, now);
     PhScheduler_WakeBy(s, now);
 }
@@ -375,7 +374,9 @@
     if (task->unanswered_start_at > 0 && is_answer(reply->outcome)) {
         PhTime delay = now - task->unanswered_start_at - reply->silence;
         PhOrderWindow_OnLateAnswer(&s->window, MAX(delay, 0), now);
-        PhScheduler_NoteAnswer(s, task->worker, now);
+        if (!task->start_unbound) {
+            PhScheduler_NoteAnswer(s, task->worker, now);
+        }
     }
     if (task->state == PH_SCHED_TASK_ASSIGNED &&
         (reply->outcome == PH_SCHED_OUTCOME_DONE ||
@@ -410,11 +411,12 @@
     task->start_in_flight = false;
     task->start_connected_at =
         MAX(task->start_connected_at, reply->connected_at);
-    if (!reply->relayed && reply->born_ms == w->entry.born_ms &&
-        reading_is_own(w, reply->clock_ms, now)) {
+    bool own = reading_is_own(w, reply->clock_ms, now);
+    if (!reply->relayed && reply->born_ms == w->entry.born_ms && own) {
         w->alive_at = MAX(w->alive_at, reply->connected_at);
     }
-    if (is_answer(outcome)) {
+    if (is_answer(outcome) && !reply->relayed &&
+        (own || !task->start_unbound)) {
         PhScheduler_NoteAnswer(s, w, now);
     }
     if (outcome == PH_SCHED_OUTCOME_UNKNOWN) {
@@ -431,6 +433,7 @@
     switch (outcome) {
     case PH_SCHED_OUTCOME_DONE:
     case PH_SCHED_OUTCOME_STALE_RUN:
+        w->renewed_at = MAX(w->renewed_at, task->start_sent_at);
         start_confirm(s, task, reply, now);
         break;
     case PH_SCHED_OUTCOME_DEADLINE_PASSED:
@@ -444,7 +447,10 @@
         break;
     case PH_SCHED_OUTCOME_REFUSED:
     case PH_SCHED_OUTCOME_NOT_SENT:
-        w->cooldown_until = now + REFUSAL_COOLDOWN;
+        if (outcome == PH_SCHED_OUTCOME_REFUSED ||
+            w->heard_at < task->start_sent_at) {
+            w->cooldown_until = now + REFUSAL_COOLDOWN;
+        }
         start_withdraw(s, task, PH_SCHED_RELEASE_REFUSED, now);
         break;
     case PH_SCHED_OUTCOME_UNKNOWN:
@@ -475,7 +481,7 @@
         task->worker->entry.born_ms != reply->born_ms) {
         return true;
     }
-    if (is_answer(reply->outcome)) {
+    if (is_answer(reply->outcome) && !task->worker->unbound) {
         PhScheduler_NoteAnswer(s, task->worker, now);
     }
     switch (reply->outcome) {
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -103,10 +103,12 @@
     uint32_t waiting;
     uint32_t placed; /* assigned or running */
     uint32_t done;
-    PhTime longest_run; /* of its tasks, from confirmation to end */
-    PhSchedLoad *load;  /* base load of each serving task, NULL before the
-                           first sample; owned */
-    bool dirty;         /* differs from its last record */
+    PhTime longest_run;      /* of its tasks, from confirmation to end */
+    PhSchedLoad *load;       /* base load of each serving task, NULL before the
+                                first sample; owned */
+    bool dirty;              /* differs from its last record */
+    uint32_t recorded_parts; /* a bit for each part, see record.h: its newest
+                                record describes it */
 };
 
 typedef struct PhSchedRound {
@@ -228,12 +230,14 @@
     PhTime failing_since;  /* first hold without an answer since the worker was
                               last heard of, 0: none */
     PhTime cooldown_until; /* no starts before */
-    PhTime failed_at; /* newest of several failed runs in a row, 0: none */
+    PhTime failed_at;    /* newest of several failed runs in a row, 0: none */
+    PhTime failing_from; /* the first of them began */
     uint32_t consecutive_failures;
     int64_t clock_ms; /* newest reading of its clock */
     PhTime clock_at;
     bool hold_in_flight;
     PhTime hold_sent_at;
+    PhTime hold_due_at;   /* its wait is over */
     PhTime alive_at;      /* this incarnation is known to have run then */
     PhTime granted_at;    /* newest order with a lease */
     int64_t lease_end_ms; /* of that lease, on its clock; 0: none */
--- a/services/schedule/schedule_dispatch.c
+++ b/services/schedule/schedule_dispatch.c
@@ -10,6 +10,9 @@
 /* A start without an outcome by then has an unknown one: the time-out of an
  * order, and the way there and back. */
 static const PhTime RELAY_TIMEOUT = 1600 * PH_NS_PER_MS;
+/* An order of a dispatcher without an answer by then has an unknown outcome.
+ */
+static const PhTime RELAYED_ORDER_TIMEOUT = 400 * PH_NS_PER_MS;
 static const PhTime RELAY_AGE_MAX = PH_RELAY_AGE_MS * PH_NS_PER_MS;
 /* Outcomes that come within this time share a message. */
 static const PhTime OUTCOMES_DELAY = 5 * PH_NS_PER_MS;
@@ -298,7 +301,8 @@
         if (now - r->sent_at < RELAY_TIMEOUT) {
             return;
         }
-        if (PhDispatchers_OnTimeout(d->dispatchers, r->instance, now)) {
+        if (PhDispatchers_OnTimeout(d->dispatchers, r->instance, r->sent_at,
+                                    now)) {
             PhTask_LOG(t->self, PH_EVENT_SCHEDULE_DISPATCHER_SILENT,
                        PhField_STR("instance", r->instance),
                        PhField_STR("job", r->order.action.as.run.task.job));
@@ -332,15 +336,21 @@
 {
     PhScheduleDispatch *d = t->dispatch;
     PhRelayedStart *r = g_hash_table_lookup(d->relayed, &o->number);
-    if (r == NULL || !PhStr_Equal(r->instance, instance) ||
+    PhTime now = PhTask_Now(t->self);
+    if (r == NULL) {
+        PhDispatchers_OnLateOutcome(d->dispatchers, instance, now);
+        return;
+    }
+    if (!PhStr_Equal(r->instance, instance) ||
         o->outcome >= PH_SCHED_OUTCOME_COUNT) {
         return;
     }
-    PhDispatchers_OnOutcome(d->dispatchers, instance);
+    PhDispatchers_OnOutcome(d->dispatchers, instance, now);
     if (o->outcome == PH_SCHED_OUTCOME_NOT_SENT) {
-        PhDispatchers_ForgetJob(d->dispatchers,
-                                r->order.action.as.run.task.job);
-        relayed_send_here(t, r, o->took_ms > 0);
+        bool silent = o->took_ms > 0;
+        PhDispatchers_OnNotSent(d->dispatchers,
+                                r->order.action.as.run.task.job, silent);
+        relayed_send_here(t, r, silent);
         return;
     }
     PhTime took = (PhTime)MIN(o->took_ms, INT32_MAX) * PH_NS_PER_MS;
@@ -470,6 +480,7 @@
                        .born_ms = o->born_ms,
                        .address = o->address,
                        .bound = true,
+                       .timeout = RELAYED_ORDER_TIMEOUT,
                        .as.run = {.task = {.job = o->job,
                                            .round = (uint32_t)o->round,
                                            .step = (uint32_t)o->step,
--- a/tests/schedule/owners_orders.c
+++ b/tests/schedule/owners_orders.c
@@ -8,6 +8,7 @@
     REPLY_TIMEOUT_MS = 1200, /* of an order without a reply, at most */
     LATE_MIN_MS = 2000,
     LATE_SPREAD_MS = 10000,
+    BIND_LIMIT_MS = 1200,      /* wait of an order for a connection */
     RELAY_DELAY_MAX_MS = 1500, /* of a start at its dispatcher */
     RELAY_BIND_MAX_MS = 1200,  /* longer, if it has no connection */
     RELAY_TIMEOUT_MS = 1600,
@@ -15,6 +16,14 @@
     LIGHT_ORDERS = 10, /* orders other than starts that take as long as one */
 };
 
+/* What happens to an order. */
+typedef enum PhSimFate {
+    PH_SIM_FATE_ANSWERED,
+    PH_SIM_FATE_UNANSWERED, /* executed at once */
+    PH_SIM_FATE_LATE,       /* executed later, without an answer */
+    PH_SIM_FATE_NEVER,
+} PhSimFate;
+
 /* Passes the outcome of an order to its owner.  Returns false if the owner has
  * been replaced. */
 static bool
@@ -29,8 +38,15 @@
                            .clock_ms = reply->hold.clock_ms,
                            .connected_at = reply->hold.connected_at,
                            .late = f->late,
-                           .relayed = f->relayed};
+                           .relayed = f->relayed,
+                           .silence = f->silence};
     PhTime now = w->now;
+    reply->hold.silence = f->silence;
+    if (reply->hold.outcome == PH_SCHED_OUTCOME_DONE &&
+        (a->tag == PH_SCHED_ACTION_HOLD || a->tag == PH_SCHED_ACTION_START)) {
+        PhSimWorker_NoteAnswer(&w->workers[f->worker], f->fence, f->sent_at,
+                               now);
+    }
     switch (a->tag) {
     case PH_SCHED_ACTION_HOLD:
         if (f->late && reply->hold.outcome != PH_SCHED_OUTCOME_UNKNOWN) {
@@ -61,27 +77,55 @@
 }
 
 /* Returns when the connection that an order uses was established.  The one to
- * an earlier incarnation has ended with it. */
+ * an earlier incarnation has ended with it.  While orders are lost, an idle
+ * one is taken, if there is one from before `connected_by` that one. */
 static PhTime
-connection_use(PhOwnersSim *w, int instance, int worker)
+connection_use(PhOwnersSim *w, int instance, int worker, PhTime connected_by)
 {
     PhSimConnection *c = &w->connections[instance][worker];
     if (c->born_ms != w->workers[worker].born_ms) {
         *c = (PhSimConnection){.born_ms = w->workers[worker].born_ms,
                                .since = w->now};
     }
-    return c->since;
+    if (!PhOwnersSim_LosesOrders(w)) {
+        return c->since;
+    }
+    if (c->idle_count == 0) {
+        return w->now;
+    }
+    unsigned used = c->idle_count - 1;
+    for (unsigned i = c->idle_count; i-- > 0;) {
+        if (c->idle[i] <= connected_by) {
+            used = i;
+            break;
+        }
+    }
+    PhTime since = c->idle[used];
+    c->idle[used] = c->idle[--c->idle_count];
+    return since;
 }
 
-/* Whether the connection is known to be that of the incarnation which the
- * order names, or the order may be sent on any. */
-static bool
-connection_suits(PhOwnersSim *w, int instance, int worker,
-                 const PhSchedAction *a)
+/* A connection is idle once its order has been answered. */
+static void
+connection_release(PhOwnersSim *w, const PhSimOrder *f)
 {
-    PhTime alive_at = PhBindings_AliveAt(w->instances[instance].bindings,
-                                         a->worker, a->born_ms);
-    return !a->bound || connection_use(w, instance, worker) <= alive_at;
+    PhSimConnection *c = &w->connections[f->instance][f->worker];
+    bool answered = f->reply.hold.outcome != PH_SCHED_OUTCOME_UNKNOWN &&
+                    (f->late || f->late_by == 0);
+    if (PhOwnersSim_LosesOrders(w) && answered && c->born_ms == f->born_ms &&
+        c->idle_count < PH_OWNERS_IDLE_MAX) {
+        c->idle[c->idle_count++] = f->connected_at;
+    }
+}
+
+/* Returns the newest sign of life of the incarnation that an order names: it
+ * may be sent on connections from before. */
+static PhTime
+connected_by(const PhOwnersSim *w, int instance, const PhSchedAction *a)
+{
+    return a->bound ? PhBindings_AliveAt(w->instances[instance].bindings,
+                                         a->worker, a->born_ms)
+                    : PH_TIME_NEVER;
 }
 
 /* Returns how long an order waits for the orders before it on the link of its
@@ -179,26 +223,51 @@
     return copy;
 }
 
+/* Draws only while orders are lost. */
+static PhSimFate
+order_fate(PhOwnersSim *w, const PhSimOrder *f)
+{
+    const PhOwnersLosses *l = &w->losses;
+    PhSchedActionTag tag = f->query ? PH_SCHED_ACTION_HOLD : f->action.tag;
+    if (!f->relayed && PhOwnersSim_IsUnreachable(w, f->instance, f->worker)) {
+        return PH_SIM_FATE_NEVER;
+    }
+    if (PhOwnersSim_AreOrdersAffected(w, PH_OWNERS_ORDERS_LATE, f->instance,
+                                      f->worker)) {
+        return PH_SIM_FATE_LATE;
+    }
+    if (PhOwnersSim_AreOrdersAffected(w, PH_OWNERS_REPLIES_LOST, f->instance,
+                                      f->worker)) {
+        return PH_SIM_FATE_UNANSWERED;
+    }
+    if (PhOwnersSim_LosesOrders(w) && (l->orders >> tag & 1U) != 0 &&
+        PhRandom_Chance(w->delays, l->share)) {
+        return l->late ? PH_SIM_FATE_LATE : PH_SIM_FATE_NEVER;
+    }
+    return PH_SIM_FATE_ANSWERED;
+}
+
+/* `began_at`: the order was given, which has waited for a connection since,
+ * for `silence` of that behind queries without an answer. */
 static void
-order_send(PhOwnersSim *w, int instance, const PhSchedAction *a)
+order_send_since(PhOwnersSim *w, int instance, const PhSchedAction *a,
+                 PhTime began_at, PhTime silence)
 {
     int worker = PhSimWorker_Number(a->worker);
-    bool partitioned = PhOwnersSim_IsUnreachable(w, instance, worker);
-    bool late = PhOwnersSim_AreOrdersAffected(w, PH_OWNERS_ORDERS_LATE,
-                                              instance, worker);
-    bool no_reply = PhOwnersSim_AreOrdersAffected(w, PH_OWNERS_REPLIES_LOST,
-                                                  instance, worker);
+    PhTime alive_at = connected_by(w, instance, a);
+    PhTime connected_at = connection_use(w, instance, worker, alive_at);
     PhSimOrder f = {.instance = instance,
                     .worker = worker,
                     .fence = w->instances[instance].fence,
                     .action = *a,
                     .born_ms = w->workers[worker].born_ms,
-                    .connected_at = connection_use(w, instance, worker),
-                    .query = !connection_suits(w, instance, worker, a),
+                    .connected_at = connected_at,
+                    .query = connected_at > alive_at,
+                    .began_at = began_at,
+                    .silence = silence,
                     .sent_at = w->now,
                     .deliver_at = w->now + link_use(w, instance, a->tag) +
                                   draw_delay(w, DELAY_MAX_MS),
-                    .reply_lost = partitioned || late || no_reply,
                     .reply.hold.outcome = PH_SCHED_OUTCOME_UNKNOWN};
     bool waits = a->tag == PH_SCHED_ACTION_HOLD && !f.query;
     PhTime wait = waits ? a->as.hold.wait : 0;
@@ -208,9 +277,9 @@
     if (w->relays && a->tag == PH_SCHED_ACTION_START &&
         PhRandom_Below(w->delays, 2) == 0) {
         start_relay(w, &f);
-        partitioned = false;
-        f.reply_lost = late || no_reply;
     }
+    PhSimFate fate = order_fate(w, &f);
+    f.reply_lost = fate != PH_SIM_FATE_ANSWERED;
     f.reply_at = f.deliver_at + draw_delay(w, DELAY_MAX_MS);
     if (f.reply_lost && w->delays != NULL) {
         f.reply_at = f.times_out_at;
@@ -222,12 +291,17 @@
     if (f.reply_at > f.times_out_at) {
         reply_delay(&f, f.reply_at);
     }
-    if (partitioned) {
-        f.deliver_at = PH_TIME_NEVER;
-    }
-    else if (late) {
+    switch (fate) {
+    case PH_SIM_FATE_ANSWERED:
+    case PH_SIM_FATE_UNANSWERED:
+        break;
+    case PH_SIM_FATE_LATE:
         f.deliver_at = w->now + LATE_MIN_MS * PH_NS_PER_MS +
                        draw_delay(w, LATE_SPREAD_MS);
+        break;
+    case PH_SIM_FATE_NEVER:
+        f.deliver_at = PH_TIME_NEVER;
+        break;
     }
     f.action.worker = PhStr_FromC(w->workers[worker].id);
     if (a->tag != PH_SCHED_ACTION_HOLD) {
@@ -240,6 +314,12 @@
     g_array_append_val(w->orders, f);
 }
 
+static void
+order_send(PhOwnersSim *w, int instance, const PhSchedAction *a)
+{
+    order_send_since(w, instance, a, w->now, 0);
+}
+
 /* Delivers an order to its worker.  An order to an earlier incarnation is
  * lost. */
 static void
@@ -315,11 +395,16 @@
     }
     else if (hold->outcome == PH_SCHED_OUTCOME_DONE) {
         if (hold->born_ms == a->born_ms) {
-            order_send(w, f->instance, a);
+            order_send_since(w, f->instance, a, f->began_at, f->silence);
             return true;
         }
         reply.hold.outcome = PH_SCHED_OUTCOME_OTHER_INCARNATION;
     }
+    else if (!f->relayed && a->timeout > 0 && w->delays != NULL &&
+             w->now - f->began_at < BIND_LIMIT_MS * PH_NS_PER_MS) {
+        order_send_since(w, f->instance, a, f->began_at, w->now - f->began_at);
+        return true;
+    }
     return order_complete(w, m, f, &reply);
 }
 
@@ -355,6 +440,7 @@
     }
     if (current) {
         answer_note(m, f);
+        connection_release(w, f);
     }
     if (f->query) {
         /* Another order may be added, which moves them. */
