--- a/decide/schedule/holds.c
+++ b/decide/schedule/holds.c
@@ -11,6 +11,8 @@
 static const PhTime HOLD_UNACKED_INTERVAL = 400 * PH_NS_PER_MS;
 /* Time between two holds before a release, which do not wait. */
 static const PhTime HOLD_QUIESCED_INTERVAL = 50 * PH_NS_PER_MS;
+/* Ends that become durable within this time share one hold. */
+static const PhTime HOLD_GAP = 10 * PH_NS_PER_MS;
 /* Time between two holds while a worker has no lease because its record is
  * not durable yet. */
 static const PhTime HOLD_UNRECORDED_INTERVAL = 200 * PH_NS_PER_MS;
@@ -28,29 +30,31 @@
 static const PhTime HOLD_RETRY_LOST = 1 * PH_NS_PER_S;
 static const PhTime HOLD_RETRY_APART = 400 * PH_NS_PER_MS;
 
+/* The end of the lease that a hold carries, 0 for none.  Without a new one it
+ * is the newest that was sent, which the worker may not have got. */
+static int64_t
+hold_lease(PhScheduler *s, PhSchedWorker *w, PhTime now)
+{
+    if (!w->fenced) {
+        return 0;
+    }
+    return PhScheduler_MayGrant(s, w, now) ? PhScheduler_Grant(s, w, now)
+                                           : PhScheduler_GrantedLease(w, now);
+}
+
 /* Adds what is to be granted and acknowledged.  Each incarnation has its own
  * clock and numbers its ends from 1, so that such a hold must not reach a
  * later one. */
 static void
 hold_fill(PhScheduler *s, PhSchedWorker *w, PhTime now, PhSchedAction *action)
 {
-    w->acks_in_flight = 0;
-    w->hold_lease_at = 0;
-    if (w->last_end_acked > w->acks_answered) {
-        w->acks_in_flight = w->last_end_acked;
-        action->as.hold.last_seen = w->last_end_acked;
-        action->bound = !w->unbound;
-    }
-    if (w->fenced) {
-        /* The order with the newest lease may not have been executed. */
-        action->as.hold.deadline_ms = PhScheduler_MayGrant(s, w, now)
-                                          ? PhScheduler_Grant(s, w, now)
-                                          : PhScheduler_GrantedLease(w, now);
-    }
-    if (action->as.hold.deadline_ms > 0) {
-        w->hold_lease_at = w->granted_at;
-        action->bound = !w->unbound;
-    }
+    int64_t lease_end_ms = hold_lease(s, w, now);
+    bool acks = w->last_end_acked > w->acks_answered;
+    w->acks_in_flight = acks ? w->last_end_acked : 0;
+    w->hold_lease_at = lease_end_ms > 0 ? w->granted_at : 0;
+    action->as.hold.last_seen = w->acks_in_flight;
+    action->as.hold.deadline_ms = lease_end_ms;
+    action->bound = !w->unbound && (acks || lease_end_ms > 0);
 }
 
 /* Whether the worker has answered an order lately. */
@@ -414,3 +418,19 @@
         PhScheduler_WakeBy(s, now);
     }
 }
+
+void
+PhScheduler_OnWorkerDurable(const PhScheduler *s, PhSchedWorker *w,
+                            uint64_t before)
+{
+    bool acks = w->last_end_acked < w->last_end_seen &&
+                w->last_end_batch <= s->durable_batch;
+    bool grants = w->grant_batch > before &&
+                  w->grant_batch <= s->durable_batch && !w->suspended;
+    if (acks) {
+        w->last_end_acked = w->last_end_seen;
+    }
+    if (acks || grants) {
+        w->next_hold_at = MIN(w->next_hold_at, w->answered_at + HOLD_GAP);
+    }
+}
--- a/decide/schedule/order_window.c
+++ b/decide/schedule/order_window.c
@@ -8,7 +8,7 @@
 static const double LIMIT_MIN = 4;
 static const double LIMIT_MAX = 8192;
 /* Longest delay at which the limit does not shrink.  Renewals wait as long,
- * and have 1.2 s before they count as unanswered. */
+ * and their time-out is as many times longer as TIMEOUT_FACTOR says. */
 static const PhTime DELAY_TARGET = 250 * PH_NS_PER_MS;
 /* Time that a start may wait at its dispatcher. */
 static const PhTime RELAY_QUEUE = 300 * PH_NS_PER_MS;
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -2,8 +2,6 @@
 
 #include "peridothill/common/invariant.h"
 
-/* Ends that become durable within this time share one hold. */
-static const PhTime HOLD_GAP = 10 * PH_NS_PER_MS;
 /* Interference factors are recorded at most this often. */
 static const PhTime PAIRS_INTERVAL = 2 * PH_NS_PER_S;
 /* Upper bound between two plans: rounds come due and leases expire without an
@@ -506,16 +504,7 @@
     publish_states(s);
     for (guint i = 0; i < s->model->incarnations->len; i++) {
         PhSchedWorker *w = g_ptr_array_index(s->model->incarnations, i);
-        bool acks = w->last_end_acked < w->last_end_seen &&
-                    w->last_end_batch <= s->durable_batch;
-        bool grants = w->grant_batch > before &&
-                      w->grant_batch <= s->durable_batch && !w->suspended;
-        if (acks) {
-            w->last_end_acked = w->last_end_seen;
-        }
-        if (acks || grants) {
-            w->next_hold_at = MIN(w->next_hold_at, w->answered_at + HOLD_GAP);
-        }
+        PhScheduler_OnWorkerDurable(s, w, before);
     }
 }
 
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -11,8 +11,10 @@
     PH_LATE_ORDER_MS = 12000 + PH_RELAY_AGE_MS, /* an order may be executed
                                                    this long after it was
                                                    sent */
-    PH_ORDER_RETRY_MS = 300,  /* until one without an answer is sent again */
-    PH_ORDER_REPEAT_MS = 100, /* the same, to a worker that answers others */
+    /* Until an order without an answer is sent again, to a worker that is
+     * silent or that has answered others. */
+    PH_ORDER_RETRY_MS = 300,
+    PH_ORDER_RETRY_ANSWERING_MS = 100,
 };
 
 struct PhScheduler {
@@ -143,8 +145,11 @@
 /* holds.c: notes that a worker has answered another order than a hold. */
 void PhScheduler_NoteAnswer(PhScheduler *scheduler, PhSchedWorker *worker,
                             PhTime now);
-/* Takes the next hold of `due`, one of the queues of the scheduler.
- */
+/* More batches than `before` are durable: ends may be acknowledged to a
+ * worker, or leases be granted. */
+void PhScheduler_OnWorkerDurable(const PhScheduler *scheduler,
+                                 PhSchedWorker *worker, uint64_t before);
+/* Takes the next hold of `due`, one of the queues of the scheduler. */
 bool PhScheduler_NextHold(PhScheduler *scheduler, GQueue *due, PhTime now,
                           PhSchedAction *action);
 /* incarnations.c: handles a reply from another incarnation than the one
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -339,8 +339,8 @@
 static PhTime
 retry_delay(const PhSchedWorker *w, PhTime sent_at)
 {
-    int64_t ms =
-        w->heard_at > sent_at ? PH_ORDER_REPEAT_MS : PH_ORDER_RETRY_MS;
+    int64_t ms = w->heard_at > sent_at ? PH_ORDER_RETRY_ANSWERING_MS
+                                       : PH_ORDER_RETRY_MS;
     return ms * PH_NS_PER_MS;
 }
 
@@ -386,6 +386,29 @@
     return true;
 }
 
+/* Notes what the outcome of a start says of its worker. */
+static void
+start_note_worker(PhScheduler *s, PhSchedTask *task,
+                  const PhSchedRunReply *reply, PhSchedOutcome outcome,
+                  PhTime now)
+{
+    PhSchedWorker *w = task->worker;
+    bool own = reading_is_own(w, reply->clock_ms, now);
+    if (!reply->relayed && reply->born_ms == w->entry.born_ms && own) {
+        w->alive_at = MAX(w->alive_at, reply->connected_at);
+    }
+    if (is_answer(outcome) && !reply->relayed &&
+        (own || !task->start_unbound)) {
+        PhScheduler_NoteAnswer(s, w, now);
+    }
+    if (outcome == PH_SCHED_OUTCOME_UNKNOWN) {
+        task->unanswered_start_at = task->start_sent_at;
+        if (w->heard_at < task->start_sent_at) {
+            w->cooldown_until = now + REFUSAL_COOLDOWN;
+        }
+    }
+}
+
 bool
 PhScheduler_OnStart(PhScheduler *s, const PhSchedRunReply *reply, PhTime now)
 {
@@ -411,20 +434,7 @@
     task->start_in_flight = false;
     task->start_connected_at =
         MAX(task->start_connected_at, reply->connected_at);
-    bool own = reading_is_own(w, reply->clock_ms, now);
-    if (!reply->relayed && reply->born_ms == w->entry.born_ms && own) {
-        w->alive_at = MAX(w->alive_at, reply->connected_at);
-    }
-    if (is_answer(outcome) && !reply->relayed &&
-        (own || !task->start_unbound)) {
-        PhScheduler_NoteAnswer(s, w, now);
-    }
-    if (outcome == PH_SCHED_OUTCOME_UNKNOWN) {
-        task->unanswered_start_at = task->start_sent_at;
-        if (w->heard_at < task->start_sent_at) {
-            w->cooldown_until = now + REFUSAL_COOLDOWN;
-        }
-    }
+    start_note_worker(s, task, reply, outcome, now);
     if (task->state == PH_SCHED_TASK_RUNNING) {
         /* An earlier start began the run, and the worker has listed it since
          * this one was sent. */
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -220,16 +220,15 @@
     PhLeaseBound leases;            /* by this owner's clock */
     PhTime inherited_leases_end_by; /* of orders meant for an earlier
                                        incarnation */
-    PhTime answered_at;
+    PhTime answered_at;             /* newest answer to a hold, 0: none */
     PhTime heard_at;           /* newest answer to any order of this owner, 0:
                                   none */
-    PhTime answered_other_at;  /* newest answer to an order other than the hold
-                                  that is due, 0: none */
+    PhTime answered_other_at;  /* the same without the holds that were due:
+                                  queries, late answers, starts, stops */
     uint32_t unanswered_holds; /* in a row */
-    PhTime hold_failed_at;     /* the newest of them, 0: none so far */
-    PhTime failing_since;  /* first hold without an answer since the worker was
-                              last heard of, 0: none */
-    PhTime cooldown_until; /* no starts before */
+    PhTime hold_failed_at;     /* the newest one without an answer, 0: none */
+    PhTime failing_since;      /* the first one since heard_at, 0: none */
+    PhTime cooldown_until;     /* no starts before */
     PhTime failed_at;    /* newest of several failed runs in a row, 0: none */
     PhTime failing_from; /* the first of them began */
     uint32_t consecutive_failures;
@@ -239,11 +238,12 @@
     PhTime hold_sent_at;
     PhTime hold_due_at;   /* its wait is over */
     PhTime alive_at;      /* this incarnation is known to have run then */
-    PhTime granted_at;    /* newest order with a lease */
-    int64_t lease_end_ms; /* of that lease, on its clock; 0: none */
-    PhTime renewed_at;    /* the same, of those that were answered; 0: none */
-    PhTime hold_lease_at; /* the lease of the hold in flight was granted first,
-                             0: it has none */
+    PhTime granted_at;    /* the newest lease was, with its first order */
+    int64_t lease_end_ms; /* its end on the worker's clock, 0: none */
+    PhTime renewed_at;    /* the newest lease whose order was answered was
+                             granted, 0: none */
+    PhTime hold_lease_at; /* that of the hold in flight was granted, 0: it has
+                             none */
     PhTime next_hold_at;
     uint64_t last_end_seen;  /* newest end that was applied */
     uint64_t last_end_acked; /* newest end that may be acknowledged */
--- a/tests/schedule/loss_case.c
+++ b/tests/schedule/loss_case.c
@@ -6,6 +6,7 @@
 #include "timeline.h"
 
 #include <math.h>
+#include <stdlib.h>
 
 enum {
     LONG_TASKS = 4,
@@ -208,8 +209,8 @@
         .idle = count_allowed(jobs * share_idle(failing))};
 }
 
-bool
-PhLossCase_Holds(const PhLossCase *c, bool verbose)
+static bool
+case_holds(const PhLossCase *c, bool verbose)
 {
     PhLossFigures f = {0};
     for (uint64_t seed = c->first; seed <= c->last; seed++) {
@@ -228,3 +229,23 @@
                   f.idle, allowed.idle, f.false_ends, f.duplicates);
     return holds;
 }
+
+bool
+PhLossCase_HoldAll(const PhLossCase *cases, size_t count)
+{
+    bool hold = true;
+    for (size_t i = 0; i < count; i++) {
+        print_message("# case %s\n", cases[i].name);
+        hold &= case_holds(&cases[i], false);
+    }
+    return hold;
+}
+
+int
+PhLossCase_Replay(const PhLossCase *cases, char **argv)
+{
+    PhLossCase c = cases[strtoul(argv[1], NULL, 10)];
+    c.first = strtoull(argv[2], NULL, 10);
+    c.last = strtoull(argv[3], NULL, 10);
+    return case_holds(&c, true) ? 0 : 1;
+}
--- a/tests/schedule/loss_case.h
+++ b/tests/schedule/loss_case.h
@@ -41,8 +41,11 @@
     PhLossScene scene;
 } PhLossCase;
 
-/* Returns whether what is found with the seeds of a case is allowed.  Prints
- * it; `verbose`: with the timelines of tasks that wait. */
-bool PhLossCase_Holds(const PhLossCase *c, bool verbose);
+/* Returns whether what is found with the seeds of each case is allowed.
+ * Prints it. */
+bool PhLossCase_HoldAll(const PhLossCase *cases, size_t count);
+/* Runs one case with other seeds, as the arguments CASE FIRST LAST of a test
+ * say, and prints the timelines of tasks that wait.  Returns the exit code. */
+int PhLossCase_Replay(const PhLossCase *cases, char **argv);
 
 #endif
--- a/tests/schedule/test_lost_answers.c
+++ b/tests/schedule/test_lost_answers.c
@@ -3,8 +3,6 @@
 #include "loss_case.h"
 #include "tests/table.h"
 
-#include <stdlib.h>
-
 static const PhLossCase loss_cases[] = {
     {"all orders are answered", 1, 10, {0}},
     {"0.1 of the holds, never executed", 1, 12, {0.1, PH_LOSS_HOLDS}},
@@ -60,24 +58,14 @@
 static void
 test_lost_answers(void **state)
 {
-    unsigned failed = 0;
     (void)state;
-    for (size_t i = 0; i < sizeof(loss_cases) / sizeof(loss_cases[0]); i++) {
-        print_message("# case %s\n", loss_cases[i].name);
-        failed += !PhLossCase_Holds(&loss_cases[i], false);
-    }
-    assert_int_equal(failed, 0);
+    assert_true(PhLossCase_HoldAll(loss_cases, G_N_ELEMENTS(loss_cases)));
 }
 
 int
 main(int argc, char **argv)
 {
     const struct CMUnitTest tests[] = {cmocka_unit_test(test_lost_answers)};
-    if (argc == 4) {
-        PhLossCase c = loss_cases[strtoul(argv[1], NULL, 10)];
-        c.first = strtoull(argv[2], NULL, 10);
-        c.last = strtoull(argv[3], NULL, 10);
-        return PhLossCase_Holds(&c, true) ? 0 : 1;
-    }
-    return cmocka_run_group_tests(tests, NULL, NULL);
+    return argc == 4 ? PhLossCase_Replay(loss_cases, argv)
+                     : cmocka_run_group_tests(tests, NULL, NULL);
 }
