--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,5 +6,5 @@
 cd "$(dirname "$0")/.."
 test -f target/build.ninja || meson setup target --buildtype=release
 ninja -C target commands/peridothill
-python3 -m py_compile review/standins2.py review/[678]/run.py
-rm -rf review/__pycache__ review/[678]/__pycache__
+python3 -m py_compile review/standins2.py review/[6-9]/run.py review/10/run.py
+rm -rf review/__pycache__ review/[6-9]/__pycache__ review/10/__pycache__
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -226,7 +226,8 @@
             elif run.gang:
                 self.fleet.gang_step(self, run, now)
             elif now - run.arrived >= run.work_s:
-                self.end(run, "failed" if self.fails else "done")
+                hopeless = run.task.rsplit(".", 1)[0] in self.fleet.hopeless
+                self.end(run, "failed" if self.fails or hopeless else "done")
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
@@ -329,6 +330,7 @@
         self.workers = []
         self.orders = {}
         self.enforces = True
+        self.hopeless = set()     # steps of which each task fails
         self.starts = 0
         self.expiry = None
         self.on_start = None
@@ -455,11 +457,14 @@
             how = "failed" if w.fails else "broken" if failed else "done"
             w.end(other, how)
 
-    async def submit(self, front, ident, steps, work_s):
-        """Sends a submission until it is accepted; True once it is."""
+    async def submit(self, front, ident, steps, work_s, last_s=None):
+        """Sends a submission until it is accepted; True once it is.  `work_s`
+        is the time that each task works, `last_s` that of the last step."""
         for number, step in enumerate(steps):
+            last = last_s is not None and number == len(steps) - 1
             self.orders[f"{ident}.0.{number}"] = (
-                step.get("cpu", 0), step.get("memMb", 0), work_s,
+                step.get("cpu", 0), step.get("memMb", 0),
+                last_s if last else work_s,
                 step["count"] if step.get("gang") else 0)
         body = json.dumps({"spec": "work", "steps": steps}).encode()
         for _ in range(4):
