review: run.sh reads TROUBLE and names its record; errors end with 2

The shared stand-ins read the one and wrote the other; an error that they did not expect ended a script with 1, as a finding does.

--- a/review/9/run.py
+++ b/review/9/run.py
@@ -7,7 +7,6 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import standins2  # noqa: E402
 
-FOLDER = pathlib.Path(__file__).resolve().parent
 CAPACITY = {"cpu": 64000, "memMb": 256000, "gpu": 0}
 ROUTE = {"name": "plans", "host": standins2.HOST, "pathPrefix": "/jobs/",
          "kind": "non_idempotent", "timeoutMs": 3000,
@@ -106,4 +105,4 @@
     return list(broken.values())
 
 
-standins2.main(FOLDER, play)
+standins2.main(play)
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -6,6 +6,7 @@
 that are listed until they are seen, rooms, gangs.  Nothing is started outside
 loopback addresses.
 """
+import argparse
 import asyncio
 import json
 import os
@@ -21,7 +22,18 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PROGRAM = ROOT / "target" / "commands" / "peridothill"
-TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
+
+def parse_options():
+    """What run.sh passes on: TROUBLE, and the file of the record."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--trouble", choices=("0", "1"), required=True)
+    parser.add_argument("--record", type=pathlib.Path, required=True)
+    return parser.parse_args()
+
+
+OPTIONS = parse_options()
+TROUBLE = OPTIONS.trouble == "1"
 HOST = "jobs.example"
 HEARTBEAT_S = 1.5
 MAX_HOLD_MS = 10000
@@ -36,9 +48,9 @@
 class Record:
     """record.txt: what was sent, answered and run."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.began = time.monotonic()
-        self.file = open(pathlib.Path(folder) / "record.txt", "w")
+        self.file = open(path, "w")
 
     def write(self, text):
         self.file.write(f"{time.monotonic() - self.began:8.3f} {text}\n")
@@ -322,8 +334,8 @@
 class Fleet:
     """The whole deployment of a script."""
 
-    def __init__(self, folder):
-        self.record = Record(folder)
+    def __init__(self):
+        self.record = Record(OPTIONS.record)
         self.note = self.record.write
         self.work = tempfile.mkdtemp(prefix="review-")
         self.processes = {}
@@ -518,11 +530,11 @@
         shutil.rmtree(self.work, ignore_errors=True)
 
 
-def main(folder, play):
+def main(play):
     """Plays a case: 1 if the rule was broken, 0 if it held, 2 if it couldn't
     run."""
     async def whole():
-        fleet = Fleet(folder)
+        fleet = Fleet()
         try:
             if not PROGRAM.exists():
                 raise CannotRun("the program is not built")
@@ -531,7 +543,7 @@
                 fleet.note(f"BROKEN {line}")
             fleet.note(f"result: {'broken' if broken else 'held'}")
             return 1 if broken else 0
-        except (CannotRun, asyncio.TimeoutError, OSError) as error:
+        except Exception as error:  # an error of the case is no finding
             fleet.note(f"could not run: {error!r}")
             return 2
         finally:
