schedule: the log says which workers are barred by failed runs

Cause: 7037 named the task that was held for longest and how many workers would take it, but not why the others didn't.

Change: 7037 has `silent`, `cooldown` (a start was refused or not answered), `doubted` (runs have failed there in a row) and `step_limit` beside `fits`; 7028 has `doubted`. A worker of another service counts as that before anything else. The lines come once a second, as before.

--- a/decide/schedule/fit.c
+++ b/decide/schedule/fit.c
@@ -173,12 +173,12 @@
     const PhSchedStep *step = PhSchedTask_Step(task);
     PhTime cooldown =
         step->long_running ? LASTING_FAILURES_COOLDOWN : FAILURES_COOLDOWN;
-    if (failed_within(w, cooldown, now)) {
-        return PH_FIT_COOLDOWN;
-    }
     if (!PhScheduler_IsEligible(w, task)) {
         return PH_FIT_SERVICE;
     }
+    if (failed_within(w, cooldown, now)) {
+        return PH_FIT_DOUBTED;
+    }
     PhFit fit = resources_judge(w, step, now);
     if (fit == PH_FIT_YES && step->max_per_worker > 0 &&
         stage_tasks_on(w, task->stage) >= step->max_per_worker) {
@@ -276,3 +276,13 @@
     }
     return fit;
 }
+
+void
+PhScheduler_CountFits(const PhScheduler *s, const PhSchedTask *task,
+                      PhTime now, uint32_t *workers)
+{
+    for (guint i = 0; i < s->model->incarnations->len; i++) {
+        const PhSchedWorker *w = g_ptr_array_index(s->model->incarnations, i);
+        workers[PhScheduler_JudgeFit(s, w, task, now)]++;
+    }
+}
--- a/decide/schedule/held.c
+++ b/decide/schedule/held.c
@@ -104,17 +104,6 @@
     return held;
 }
 
-static uint32_t
-count_fits(const PhScheduler *s, const PhSchedTask *task, PhTime now)
-{
-    uint32_t fits = 0;
-    for (guint i = 0; i < s->model->incarnations->len; i++) {
-        const PhSchedWorker *w = g_ptr_array_index(s->model->incarnations, i);
-        fits += PhScheduler_JudgeFit(s, w, task, now) == PH_FIT_YES;
-    }
-    return fits;
-}
-
 void
 PhScheduler_ReportHeld(PhScheduler *s, PhTime now)
 {
@@ -136,7 +125,7 @@
     event.as.held.hold = task_hold(s, task);
     memcpy(event.as.held.holds, held.holds, sizeof(held.holds));
     if (task->worker == NULL) {
-        event.as.held.fits = count_fits(s, task, now);
+        PhScheduler_CountFits(s, task, now, event.as.held.workers);
         event.as.held.order_room =
             PhScheduler_HasOrderRoom(s, event.as.held.long_running);
     }
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -251,6 +251,10 @@
 PhFit PhScheduler_JudgeFit(const PhScheduler *scheduler,
                            const PhSchedWorker *worker,
                            const PhSchedTask *task, PhTime now);
+/* Adds the number of workers of each fit to an array of PH_FIT_COUNT. */
+void PhScheduler_CountFits(const PhScheduler *scheduler,
+                           const PhSchedTask *task, PhTime now,
+                           uint32_t *workers);
 /* Reports whether a worker is of the task's service and has the label that its
  * step requires. */
 bool PhScheduler_IsEligible(const PhSchedWorker *worker,
--- a/decide/schedule/waits.c
+++ b/decide/schedule/waits.c
@@ -113,10 +113,9 @@
     event.as.waits.long_waits = longest.long_waits;
     event.as.waits.interrupted = longest.interrupted;
     event.as.waits.resources = PhSchedTask_Step(longest.task)->resources;
+    PhScheduler_CountFits(s, longest.task, now, event.as.waits.workers);
     for (guint i = 0; i < s->model->incarnations->len; i++) {
         const PhSchedWorker *w = g_ptr_array_index(s->model->incarnations, i);
-        PhFit fit = PhScheduler_JudgeFit(s, w, longest.task, now);
-        event.as.waits.workers[fit]++;
         event.as.waits.beside_lasting +=
             PhScheduler_IsUsable(w, now) &&
             PhScheduler_IsEligible(w, longest.task) &&
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -190,7 +190,8 @@
     PH_FIT_SILENT, /* not listed, or it does not answer */
     PH_FIT_LEAVES,
     PH_FIT_CORDONED, /* its data centre is */
-    PH_FIT_COOLDOWN, /* after failures or refusals */
+    PH_FIT_COOLDOWN, /* it has refused a start, or not answered one */
+    PH_FIT_DOUBTED,  /* runs have failed there in a row */
     PH_FIT_SERVICE,  /* of another service, or without the label */
     PH_FIT_MEMORY,
     PH_FIT_GPU,
@@ -285,9 +286,9 @@
             bool long_running;
             PhTime held;
             PhTaskHold hold;
-            PhLeaseBound lease; /* LEASE: when it ends */
-            uint32_t fits;      /* WORKER: workers where it may start */
-            bool order_room;    /* WORKER: the order path takes its start */
+            PhLeaseBound lease;             /* LEASE: when it ends */
+            uint32_t workers[PH_FIT_COUNT]; /* WORKER */
+            bool order_room; /* WORKER: the order path takes its start */
             uint32_t holds[PH_TASK_HOLD_COUNT]; /* all tasks held for long */
         } held;
     } as;
--- a/services/schedule/schedule_log.c
+++ b/services/schedule/schedule_log.c
@@ -117,6 +117,7 @@
                PhField_U64("leaves", workers[PH_FIT_LEAVES]),
                PhField_U64("cordoned", workers[PH_FIT_CORDONED]),
                PhField_U64("cooldown", workers[PH_FIT_COOLDOWN]),
+               PhField_U64("doubted", workers[PH_FIT_DOUBTED]),
                PhField_U64("other_service", workers[PH_FIT_SERVICE]),
                PhField_U64("memory", workers[PH_FIT_MEMORY]),
                PhField_U64("gpu", workers[PH_FIT_GPU]),
@@ -271,6 +272,7 @@
     };
     PhStr task = format_task(&note->as.held.task);
     const uint32_t *holds = note->as.held.holds;
+    const uint32_t *workers = note->as.held.workers;
     bool leased = note->as.held.hold == PH_TASK_HOLD_LEASE;
     PhOrderLoad load = PhScheduler_OrderLoad(t->scheduler);
     PhTime left = note->as.held.lease.until - PhTask_Now(t->self);
@@ -282,7 +284,11 @@
                PhField_STR("holder", note->worker != NULL
                                          ? note->worker->entry.id
                                          : PhStr_LITERAL("none")),
-               PhField_U64("fits", note->as.held.fits),
+               PhField_U64("fits", workers[PH_FIT_YES]),
+               PhField_U64("silent", workers[PH_FIT_SILENT]),
+               PhField_U64("cooldown", workers[PH_FIT_COOLDOWN]),
+               PhField_U64("doubted", workers[PH_FIT_DOUBTED]),
+               PhField_U64("step_limit", workers[PH_FIT_LIMIT]),
                PhField_U64("order_room", note->as.held.order_room),
                PhField_I64("lease_ms", leased ? left / PH_NS_PER_MS : -1),
                PhField_STR("evidence",
--- a/tests/schedule/test_held_tasks.c
+++ b/tests/schedule/test_held_tasks.c
@@ -3,11 +3,13 @@
 #include "tests/table.h"
 
 #define UNKNOWN_JOB PhStr_LITERAL("00000000000000ff")
+#define FAILING_JOB PhStr_LITERAL("00000000000000ab")
 
 enum {
     CPU_MILLI = 1000,
     FENCE = 7,
     LATER_S = 4,
+    FAILURES = 2,
 };
 
 static const PhTime TAKEOVER = 100 * PH_NS_PER_S;
@@ -15,6 +17,7 @@
 /* How far the start of the task has come. */
 typedef enum PhProgress {
     PROGRESS_WAITING,   /* no worker has room */
+    PROGRESS_DOUBTED,   /* the same, until all runs on the worker fail */
     PROGRESS_INHERITED, /* an earlier owner placed it */
     PROGRESS_PLACED,    /* the record of its start is not durable */
     PROGRESS_SENT,      /* its start is not answered */
@@ -29,12 +32,18 @@
     bool long_running;
     bool answers; /* the worker, again at the end */
     PhTaskHold hold;
+    PhFit fit; /* WORKER: why it does not start there */
 } PhHeldCase;
 
 static const PhHeldCase held_cases[] = {
-    {"no worker has room", PROGRESS_WAITING, false, true, PH_TASK_HOLD_WORKER},
+    {"no worker has room", PROGRESS_WAITING, false, true, PH_TASK_HOLD_WORKER,
+     PH_FIT_CPU},
     {"no worker has room for one that is to last", PROGRESS_WAITING, true,
-     true, PH_TASK_HOLD_WORKER},
+     true, PH_TASK_HOLD_WORKER, PH_FIT_CPU},
+    {"runs have failed on the worker", PROGRESS_DOUBTED, false, true,
+     PH_TASK_HOLD_WORKER, PH_FIT_DOUBTED},
+    {"the same, and one that is to last", PROGRESS_DOUBTED, true, true,
+     PH_TASK_HOLD_WORKER, PH_FIT_DOUBTED},
     {"the worker of an earlier owner does not answer", PROGRESS_INHERITED,
      false, false, PH_TASK_HOLD_LEASE},
     {"the same, of one that is to last", PROGRESS_INHERITED, true, false,
@@ -59,6 +68,42 @@
     PhScheduler_SetWorker(s, &entry, TAKEOVER);
 }
 
+/* Adds tasks whose runs take all the room of the worker. */
+static PhSchedTask *
+failing_add(PhScheduler *s)
+{
+    PhSchedModel *model = PhScheduler_Model(s);
+    PhSchedTask *tasks = PhSingle_AddJob(
+        model, FAILING_JOB,
+        (PhSchedStep){.count = FAILURES,
+                      .resources.cpu_milli = CPU_MILLI / FAILURES});
+    for (unsigned i = 0; i < FAILURES; i++) {
+        tasks[i].run = 1;
+        PhSchedTask_Place(&tasks[i],
+                          PhSchedModel_Worker(model, PH_SINGLE_WORKER, 1));
+    }
+    return tasks;
+}
+
+/* They all fail. */
+static void
+failing_end(PhScheduler *s, const PhSchedTask *tasks, PhTime now)
+{
+    PhSchedEndRow ends[FAILURES];
+    PhSchedHoldReply reply = {.outcome = PH_SCHED_OUTCOME_DONE,
+                              .clock_ms = 5000 + now / PH_NS_PER_MS,
+                              .born_ms = 1,
+                              .ends = ends,
+                              .end_count = FAILURES};
+    for (unsigned i = 0; i < FAILURES; i++) {
+        ends[i] = (PhSchedEndRow){.number = i + 1,
+                                  .task = PhSchedTask_Name(&tasks[i]),
+                                  .run = 1,
+                                  .kind = PH_SCHED_END_FAILED};
+    }
+    PhScheduler_OnHold(s, PH_SINGLE_WORKER, 1, &reply, now);
+}
+
 /* The worker answers a hold. */
 static void
 worker_answer(PhScheduler *s, const PhSchedTask *task, PhProgress progress,
@@ -72,7 +117,8 @@
                               .runs = &run,
                               .run_count = progress == PROGRESS_RUNS,
                               .ends = &end,
-                              .end_count = progress == PROGRESS_BLOCKED};
+                              .end_count = progress == PROGRESS_BLOCKED,
+                              .more = progress == PROGRESS_DOUBTED};
     PhScheduler_OnHold(s, PH_SINGLE_WORKER, 1, &reply, now);
 }
 
@@ -94,9 +140,10 @@
     }
 }
 
-/* Returns what the newest event says of the task, NONE without an event. */
+/* Returns what the newest event says of the task, NONE without an event, and
+ * checks that it gives the worker's fit. */
 static PhTaskHold
-reported_hold(const PhScheduler *s, const PhSchedTask *task)
+reported_hold(const PhScheduler *s, const PhSchedTask *task, PhFit fit)
 {
     size_t count;
     PhTaskHold hold = PH_TASK_HOLD_NONE;
@@ -110,6 +157,8 @@
         assert_true(PhSchedTaskName_Equal(&events[i].as.held.task, &name));
         assert_true(events[i].as.held.held >= (LATER_S - 1) * PH_NS_PER_S);
         assert_int_equal(events[i].as.held.holds[hold], 1);
+        assert_int_equal(events[i].as.held.workers[fit],
+                         hold == PH_TASK_HOLD_WORKER);
     }
     return hold;
 }
@@ -126,6 +175,8 @@
                                       .long_running = c->long_running,
                                       .resources.cpu_milli = CPU_MILLI});
     worker_show(s, c->progress != PROGRESS_WAITING);
+    PhSchedTask *failing =
+        c->progress == PROGRESS_DOUBTED ? failing_add(s) : NULL;
     if (c->progress == PROGRESS_INHERITED) {
         task->run = 1;
         PhSchedTask_Place(task, PhSchedModel_Worker(PhScheduler_Model(s),
@@ -133,18 +184,21 @@
     }
     PhScheduler_SetFence(s, FENCE, TAKEOVER);
     if (c->answers) {
-        worker_answer(s, task, PROGRESS_WAITING, TAKEOVER);
+        worker_answer(s, task, MIN(c->progress, PROGRESS_DOUBTED), TAKEOVER);
     }
     PhScheduler_Plan(s, TAKEOVER, 0);
     if (c->progress >= PROGRESS_SENT) {
         start_send(s, task, c->progress > PROGRESS_SENT);
     }
-    if (c->answers) {
+    if (failing != NULL) {
+        failing_end(s, failing, later);
+    }
+    else if (c->answers) {
         worker_answer(s, task, c->progress, later);
     }
     PhScheduler_ClearEvents(s);
     PhScheduler_Plan(s, later, 0);
-    assert_int_equal(reported_hold(s, task), c->hold);
+    assert_int_equal(reported_hold(s, task, c->fit), c->hold);
     PhScheduler_Destroy(s);
 }
 
