schedule: a step that fails everywhere does not bar all workers

Cause: each first failure of a task counted against its worker, and two in a row barred the worker for 6 s, whatever else had failed. One step that can never be done, with two tasks on each worker, barred them all at once, and nothing looked whether others were left.

Change, in failures.c: a worker on which two runs have failed in a row is in doubt. A step that has failed on three workers, with none of its tasks done or under way, is at fault itself and counts once. Where most workers that suit a task are in doubt, its tasks are at fault, and the doubt bars none of them for more than 1 s. While under half of the capacity that suits the task is in use, a worker in doubt gets a start after 1 s, and one a second from then on. Otherwise the 6 s stay, and after them the worker gets one start a second until a run is done, not all that it has room for. An owner no longer begins with counts of an earlier one.

Why it works: the rule asks for less than half of the capacity in use. Then either most workers are in doubt or there is spare room, and both pauses are 1 s.

--- a/decide/schedule/fit.c
+++ b/decide/schedule/fit.c
@@ -8,13 +8,7 @@
  * failures.  The penalties exceed every other part of the rating. */
 static const double FAILED_HERE_PENALTY = 20;
 static const double RECENT_FAILURE_PENALTY = 5;
-/* Time without starts after several failed runs in a row.  Lasting tasks have
- * no limit of attempts and are down while they wait, so they try the worker
- * sooner, if they find no other. */
-static const PhTime FAILURES_COOLDOWN = 6 * PH_NS_PER_S;
-static const PhTime LASTING_FAILURES_COOLDOWN = 1 * PH_NS_PER_S;
-static const double COOLDOWN_PENALTY = 10;
-static const uint32_t CONSECUTIVE_FAILURES_MAX = 2;
+static const double DOUBT_PENALTY = 10;
 /* Backfill tasks are placed where they are expected to push fewer than this
  * many serving tasks over their target: one of those outweighs one and a half
  * backfill tasks (VIOLATION_WEIGHT in interference.c). */
@@ -46,47 +40,6 @@
     return false;
 }
 
-/* Whether a failed run may be the fault of its worker: a task that has failed
- * elsewhere before is likely to fail anywhere.  One that is to last may have
- * run well in between. */
-static bool
-failure_blames(const PhSchedTask *task)
-{
-    return PhSchedTask_Step(task)->long_running || task->failures == 0 ||
-           task->failed_on == task->worker;
-}
-
-void
-PhScheduler_CountEnd(const PhSchedTask *task, PhSchedEndKind kind, PhTime now)
-{
-    PhSchedWorker *w = task->worker;
-    switch (kind) {
-    case PH_SCHED_END_DONE:
-        w->consecutive_failures = 0;
-        if (task->since >= w->failing_from) {
-            w->failed_at = 0;
-        }
-        break;
-    case PH_SCHED_END_FAILED:
-        if (!failure_blames(task)) {
-            break;
-        }
-        if (w->consecutive_failures == 0) {
-            w->failing_from = task->since;
-        }
-        w->consecutive_failures++;
-        if (w->consecutive_failures >= CONSECUTIVE_FAILURES_MAX) {
-            w->failed_at = now;
-        }
-        break;
-    case PH_SCHED_END_STOPPED:
-    case PH_SCHED_END_LEASE_EXPIRED:
-    case PH_SCHED_END_GANG_BROKEN:
-    case PH_SCHED_END_GANG_INCOMPLETE:
-        break;
-    }
-}
-
 /* Whether a worker may be given starts at all. */
 static PhFit
 worker_judge(const PhSchedWorker *w, PhTime now)
@@ -159,24 +112,15 @@
            (step->requires.len == 0 || has_label(w, step->requires));
 }
 
-/* Reports whether runs have failed on the worker within a time. */
-static bool
-failed_within(const PhSchedWorker *w, PhTime limit, PhTime now)
-{
-    return w->failed_at > 0 && now - w->failed_at < limit;
-}
-
 /* Whether a task fits on a usable worker. */
 static PhFit
 task_judge(const PhSchedWorker *w, const PhSchedTask *task, PhTime now)
 {
     const PhSchedStep *step = PhSchedTask_Step(task);
-    PhTime cooldown =
-        step->long_running ? LASTING_FAILURES_COOLDOWN : FAILURES_COOLDOWN;
     if (!PhScheduler_IsEligible(w, task)) {
         return PH_FIT_SERVICE;
     }
-    if (failed_within(w, cooldown, now)) {
+    if (PhScheduler_IsBarred(w, task, now)) {
         return PH_FIT_DOUBTED;
     }
     PhFit fit = resources_judge(w, step, now);
@@ -229,7 +173,7 @@
     }
     if (task->failures > 0) {
         score -= w == task->failed_on ? FAILED_HERE_PENALTY : 0;
-        score -= w->consecutive_failures * RECENT_FAILURE_PENALTY;
+        score -= w->failures->len * RECENT_FAILURE_PENALTY;
     }
     return score;
 }
@@ -245,8 +189,8 @@
     double cost =
         step->fills ? PhInterference_Cost(s->interference, w, step) : 0;
     *score = worker_score(w, task, cost);
-    if (failed_within(w, FAILURES_COOLDOWN, now)) {
-        *score -= COOLDOWN_PENALTY;
+    if (PhSchedWorker_Doubt(w, now) != PH_DOUBT_NONE) {
+        *score -= DOUBT_PENALTY;
     }
     return cost <= COST_MAX;
 }
--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -138,7 +138,7 @@
     w->acks_answered = 0;
     w->last_end_batch = 0;
     w->cooldown_until = 0;
-    w->failed_at = 0;
+    g_array_set_size(w->failures, 0);
     w->dirty = false;
     w->grant_batch = 0;
     w->leases = (PhLeaseBound){
--- a/decide/schedule/model.c
+++ b/decide/schedule/model.c
@@ -42,6 +42,7 @@
     g_ptr_array_free(w->tasks, TRUE);
     g_array_free(w->backfill_use, TRUE);
     g_array_free(w->serving, TRUE);
+    g_array_free(w->failures, TRUE);
     g_free(w);
 }
 
@@ -213,6 +214,7 @@
     for (guint i = 0; i < m->incarnations->len; i++) {
         PhSchedWorker *w = g_ptr_array_index(m->incarnations, i);
         g_ptr_array_set_size(w->tasks, 0);
+        g_array_set_size(w->failures, 0);
         w->used = (PhSchedResources){0};
         w->backfill_cpu_milli = 0;
         w->serving_cpu_milli = 0;
@@ -330,6 +332,7 @@
     w->entry.born_ms = born_ms;
     w->tasks = g_ptr_array_new();
     w->backfill_use = g_array_new(FALSE, TRUE, sizeof(PhSchedBackfillUse));
+    w->failures = g_array_new(FALSE, TRUE, sizeof(PhSchedFailure));
     w->serving = g_array_new(FALSE, TRUE, sizeof(PhSchedServing));
     g_ptr_array_add(m->incarnations, w);
     if (newest == NULL || newest->entry.born_ms < born_ms) {
--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -30,6 +30,7 @@
 typedef struct PhPlacementPass {
     GPtrArray *workers; /* PhSchedWorker that are usable */
     double *scores;     /* of each worker for the current stage, or UNFIT */
+    bool doubts;        /* some of the workers are in doubt */
     PhShortages ending;
     PhShortages lasting; /* these may start where others must not */
 } PhPlacementPass;
@@ -79,6 +80,7 @@
     PhSchedJob *job = task->stage->job;
     PhTime ready_at = PhScheduler_WaitsSince(s, task);
     PhSchedTask_Place(task, w);
+    w->started_at = now;
     job->starts++;
     job->first_start_at = job->first_start_at == 0 ? now : job->first_start_at;
     job->max_wait = MAX(job->max_wait, now - ready_at);
@@ -109,6 +111,7 @@
         PhSchedWorker *w = g_ptr_array_index(s->model->incarnations, i);
         if (PhScheduler_IsUsable(w, now)) {
             g_ptr_array_add(pass->workers, w);
+            pass->doubts |= PhSchedWorker_Doubt(w, now) != PH_DOUBT_NONE;
         }
     }
     pass->scores = g_new(double, MAX(pass->workers->len, 1));
@@ -329,6 +332,9 @@
     if (is_known_shortage(pass, stage)) {
         return false;
     }
+    if (pass->doubts) {
+        PhScheduler_SetTrust(s, stage, now);
+    }
     if (stage->job->spec.steps[stage->number].gang) {
         if (!has_order_room(s, c)) {
             PhOrderWindow_OnLimited(&s->window, now);
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -240,12 +240,26 @@
  * The array is owned by the caller. */
 GArray *PhScheduler_CollectCandidates(const PhScheduler *scheduler,
                                       PhTime now);
-/* fit.c: counts the end of a placed task's run.  A worker on which several
- * have failed in a row gets no starts for a while, or until one is done that
- * began after them. */
+/* failures.c: what the failed runs on a worker say about it. */
+typedef enum PhDoubt {
+    PH_DOUBT_NONE,
+    PH_DOUBT_LIKELY, /* several have failed in a row */
+    PH_DOUBT_PROVEN, /* other workers have done the same steps */
+} PhDoubt;
+
+PhDoubt PhSchedWorker_Doubt(const PhSchedWorker *worker, PhTime now);
+/* Counts the end of a placed task's run.  A worker on which several have
+ * failed in a row is in doubt until one is done that began after them. */
 void PhScheduler_CountEnd(const PhSchedTask *task, PhSchedEndKind kind,
                           PhTime now);
-/* Reports whether a worker may be given starts at all. */
+/* Reports whether a worker in doubt gets no start of the task now.  It gets
+ * one from time to time, to try it. */
+bool PhScheduler_IsBarred(const PhSchedWorker *worker, const PhSchedTask *task,
+                          PhTime now);
+/* Before a stage is placed: sets how far workers in doubt are trusted. */
+void PhScheduler_SetTrust(const PhScheduler *scheduler, PhSchedStage *stage,
+                          PhTime now);
+/* fit.c: reports whether a worker may be given starts at all. */
 bool PhScheduler_IsUsable(const PhSchedWorker *worker, PhTime now);
 /* Whether a task may start on a worker now. */
 PhFit PhScheduler_JudgeFit(const PhScheduler *scheduler,
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -37,6 +37,10 @@
 typedef struct PhSchedStage PhSchedStage;
 typedef struct PhSchedWorker PhSchedWorker;
 
+enum {
+    PH_SCHED_FAILED_ON_MAX = 3, /* workers remembered of a stage */
+};
+
 /* Value of percent_sent while the pace at the worker is not known. */
 enum {
     PH_SCHED_PACE_UNKNOWN = -1,
@@ -94,6 +98,14 @@
     PhTime stalled_since;       /* pace is near zero; 0: no */
 } PhSchedTask;
 
+/* How far workers on which runs have failed are trusted with tasks. */
+typedef enum PhTrust {
+    PH_TRUST_NORMAL,       /* none for a while, then one from time to time */
+    PH_TRUST_SPARE_ROOM,   /* under half of the capacity is in use */
+    PH_TRUST_MOST_DOUBTED, /* runs have failed on most workers: more likely the
+                              tasks are at fault */
+} PhTrust;
+
 /* A step within one round of a job. */
 struct PhSchedStage {
     PhSchedJob *job;
@@ -103,9 +115,13 @@
     uint32_t waiting;
     uint32_t placed; /* assigned or running */
     uint32_t done;
-    PhTime longest_run;      /* of its tasks, from confirmation to end */
-    PhSchedLoad *load;       /* base load of each serving task, NULL before the
-                                first sample; owned */
+    PhTime longest_run; /* of its tasks, from confirmation to end */
+    PhSchedLoad *load;  /* base load of each serving task, NULL before the
+                           first sample; owned */
+    /* Workers on which runs have failed; only compared, never dereferenced. */
+    const PhSchedWorker *failed_on[PH_SCHED_FAILED_ON_MAX];
+    uint32_t failed_on_count;
+    PhTrust trust;           /* at the newest placement */
     bool dirty;              /* differs from its last record */
     uint32_t recorded_parts; /* a bit for each part, see record.h: its newest
                                 record describes it */
@@ -195,6 +211,12 @@
     PhLeaseEvidence evidence;
 } PhLeaseBound;
 
+/* Failed runs of one stage on a worker. */
+typedef struct PhSchedFailure {
+    const PhSchedStage *stage;
+    uint32_t runs;
+} PhSchedFailure;
+
 /* One incarnation of a worker. */
 struct PhSchedWorker {
     PhSchedWorkerEntry entry;
@@ -229,10 +251,12 @@
     PhTime hold_failed_at;     /* the newest one without an answer, 0: none */
     PhTime failing_since;      /* the first one since heard_at, 0: none */
     PhTime cooldown_until;     /* no starts before */
-    PhTime failed_at;    /* newest of several failed runs in a row, 0: none */
-    PhTime failing_from; /* the first of them began */
-    uint32_t consecutive_failures;
-    int64_t clock_ms; /* newest reading of its clock */
+    GArray *failures;          /* PhSchedFailure: runs that failed in a row */
+    PhTime failing_from;       /* the first of them began */
+    PhTime failed_at;          /* the newest ended, 0: none has */
+    PhTime doubted_at;         /* they began to speak against the worker */
+    PhTime started_at;         /* newest start by this owner */
+    int64_t clock_ms;          /* newest reading of its clock */
     PhTime clock_at;
     bool hold_in_flight;
     PhTime hold_sent_at;
--- a/tests/schedule/task_view.c
+++ b/tests/schedule/task_view.c
@@ -26,17 +26,16 @@
     const PhSchedResources *c = &w->entry.capacity;
     bool full = w->used.cpu_milli + kind->resources.cpu_milli > c->cpu_milli ||
                 w->used.mem_mb + kind->resources.mem_mb > c->mem_mb;
-    return w->dead                       ? "dead"
-           : !w->listed                  ? "not listed"
-           : !w->fenced                  ? "not held"
-           : w->suspended                ? "suspended"
-           : w->failing_since != 0       ? "failing"
-           : w->entry.draining           ? "draining"
-           : w->cooldown_until > now     ? "in cooldown"
-           : full                        ? "full"
-           : w->failed_at > 0            ? "free, runs failed in a row"
-           : w->consecutive_failures > 0 ? "free, after failures"
-                                         : "free";
+    return w->dead                   ? "dead"
+           : !w->listed              ? "not listed"
+           : !w->fenced              ? "not held"
+           : w->suspended            ? "suspended"
+           : w->failing_since != 0   ? "failing"
+           : w->entry.draining       ? "draining"
+           : w->cooldown_until > now ? "in cooldown"
+           : full                    ? "full"
+           : w->failures->len > 0    ? "free, runs failed in a row"
+                                     : "free";
 }
 
 static const char *
--- a/tests/schedule/test_cooldown.c
+++ b/tests/schedule/test_cooldown.c
@@ -36,6 +36,8 @@
     bool failing_lasts;        /* those tasks are to last */
     int64_t done_ms;           /* a run beside them is done, 0: none is */
     bool done_began_before;    /* it began before they did */
+    int64_t tried_ms;          /* the worker got a start, 0: none */
+    int64_t other_used_milli;  /* by tasks on the other, 0: all it has */
 } PhCooldownCase;
 
 static const PhCooldownCase cooldown_cases[] = {
@@ -68,6 +70,16 @@
      false, .done_ms = 500},
     {"ending, an earlier run is done", false, false, 2, -1, 0, -1, false, 6000,
      false, .done_ms = 500, .done_began_before = true},
+    {"ending, tried lately", false, false, 2, -1, 0, -1, false, 6500, false,
+     .tried_ms = 5500},
+    {"ending, little is in use", false, false, 2, -1, 0, -1, false, 1000,
+     false, .other_used_milli = 100},
+    {"ending, little is in use, fails again", false, false, 2, 750, 0, -1,
+     false, 1750, false, .other_used_milli = 100},
+    {"ending, little is in use, tried lately", false, false, 2, -1, 0, -1,
+     false, 1500, false, .other_used_milli = 100, .tried_ms = 500},
+    {"ending, little is in use, other room before", false, false, 2, -1, 0,
+     500, false, 500, true, .other_used_milli = 100},
     {"lasting, a later run is done", true, false, 2, -1, 0, -1, false, 500,
      false, .done_ms = 500},
 };
@@ -155,7 +167,9 @@
     if (c->urgent) {
         urgent_add(s);
     }
-    other->used.cpu_milli += CPU_MILLI;
+    int64_t other_used =
+        c->other_used_milli > 0 ? c->other_used_milli : CPU_MILLI;
+    other->used.cpu_milli += other_used;
     PhScheduler_SetFence(s, FENCE, START);
     worker_answer(s, OTHER, NULL, START);
     worker_answer(s, PH_SINGLE_WORKER, NULL, START);
@@ -165,6 +179,9 @@
     if (c->refused_until_ms > 0) {
         w->cooldown_until = START + c->refused_until_ms * PH_NS_PER_MS;
     }
+    if (c->tried_ms > 0) {
+        w->started_at = START + c->tried_ms * PH_NS_PER_MS;
+    }
     for (int64_t ms = 0; ms <= UNTIL_MS && started_ms < 0; ms += STEP_MS) {
         PhTime now = START + ms * PH_NS_PER_MS;
         if (ms == c->fails_again_ms) {
@@ -174,7 +191,7 @@
             worker_answer(s, PH_SINGLE_WORKER, &ending[FAILURES_MAX], now);
         }
         if (ms == c->other_freed_ms) {
-            other->used.cpu_milli -= CPU_MILLI;
+            other->used.cpu_milli -= other_used;
         }
         PhScheduler_Plan(s, now, 0);
         started_ms = task->worker == NULL ? -1 : ms;
--- a/tests/schedule/test_lasting_waits.c
+++ b/tests/schedule/test_lasting_waits.c
@@ -130,7 +130,12 @@
         other->run = 1;
         other->since = c->ended_s * PH_NS_PER_S;
     }
-    task->worker->consecutive_failures = c->failed_before;
+    if (c->failed_before > 0) {
+        PhSchedFailure failure = {.stage = task->stage,
+                                  .runs = c->failed_before};
+        g_array_append_val(task->worker->failures, failure);
+        task->worker->failed_at = END;
+    }
     answer(s, PhSchedTask_Name(task), c->kind);
     PhScheduler_Plan(s, END, 0);
     assert_int_equal(task->worker == NULL && other->worker == NULL,
--- a/tests/schedule/test_rest_failures.c
+++ b/tests/schedule/test_rest_failures.c
@@ -1,6 +1,6 @@
 /* Jobs at rest after the faults while runs fail: workers on which two runs in
- * a row have failed get no starts of tasks with an end for 6 s, which may be
- * all workers at once. */
+ * a row have failed get no starts of tasks with an end for 6 s, unless most
+ * workers are among them or there is room to spare. */
 #include "owners_sim.h"
 #include "rest_case.h"
 #include "tests/table.h"
