tasks: at most half of the workers are in quarantine

What callers see: when jobs fail wherever they run, each worker fails three in a row of different jobs, and all of them go into quarantine for a minute and more; nothing starts meanwhile, urgent work either.

Change: a worker is not put into quarantine if fewer than half would stay open. Its count stays one short, so that the next failure asks again.

--- a/decide/tasks/engine_quarantine.c
+++ b/decide/tasks/engine_quarantine.c
@@ -9,6 +9,22 @@
     TASK_BACKOFF_DOUBLINGS_MAX = 9,
 };
 
+/* Whether another worker may be put into quarantine: half of them stay open,
+ * since where most fail their tasks are more likely to be at fault. */
+static bool
+quarantine_has_room(PhJobEngine *e)
+{
+    uint32_t listed = 0;
+    uint32_t quarantined = 0;
+    for (uint32_t i = 0; i < PhJobState_WorkerCount(e->state); i++) {
+        const PhWorkerView *v = PhJobEngine_WorkerView(e, i);
+        bool counts = v->listed && !v->leaving;
+        listed += counts;
+        quarantined += counts && e->now < v->quarantined_until;
+    }
+    return quarantined + 1 <= listed / 2;
+}
+
 /* Counts a failure against the worker unless it is likely the job's own fault:
  * the job has completed tasks elsewhere, or a different job failed here
  * before. */
@@ -27,6 +43,10 @@
     if (v->failures < WORKER_FAILURES_TO_QUARANTINE) {
         return;
     }
+    if (e->now >= v->quarantined_until && !quarantine_has_room(e)) {
+        v->failures = WORKER_FAILURES_TO_QUARANTINE - 1;
+        return;
+    }
     uint32_t doublings = MIN(v->failures - WORKER_FAILURES_TO_QUARANTINE,
                              WORKER_QUARANTINE_DOUBLINGS_MAX);
     v->quarantined_until =
