schedule: a call that waits at a takeover is answered

Cause: a GET whose answer needs a read of the runs waits for the reply. A new owner has read them, so it ignored the reply to the read in flight, and reads no runs afterwards; nothing looked at the calls again. A reload of all records drops that read likewise.

Change: who drops the read answers the calls that wait for it by what is known then: the owner knows the state, after a reload the answer is 503.

The reload is not shown by a test: the drop is one function for both.

--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -167,11 +167,9 @@
         return;
     }
     t->stage = OWNER_ACTIVE;
-    /* Ignore the reply to a read that is in flight. */
-    t->epochs[CALL_RUNS_READ]++;
-    t->runs.read_in_flight = false;
     t->batch_sequence = 1;
     PhScheduler_SetFence(t->scheduler, t->fence, now);
+    PhScheduleTopics_DropRunsRead(t);
     PhScheduleLog_OwnerGained(t);
 }
 
--- a/services/schedule/schedule_task.h
+++ b/services/schedule/schedule_task.h
@@ -173,6 +173,8 @@
 bool PhScheduleTopics_AreRunsFresh(const PhScheduleTask *task);
 /* Records whether the store answered, and logs each change. */
 void PhScheduleTopics_SetStoreAnswers(PhScheduleTask *task, bool answers);
+/* Ignores the reply to a read of the runs that is in flight. */
+void PhScheduleTopics_DropRunsRead(PhScheduleTask *task);
 /* Reads both topics again from the first page. */
 void PhScheduleTopics_Reload(PhScheduleTask *task);
 void PhScheduleTopics_Clear(PhScheduleTask *task);
--- a/services/schedule/schedule_topics.c
+++ b/services/schedule/schedule_topics.c
@@ -265,6 +265,15 @@
     PhStoreCursor_Reset(&t->runs.cursor);
 }
 
+/* The calls that wait for the reply are answered by what is known now. */
+void
+PhScheduleTopics_DropRunsRead(PhScheduleTask *t)
+{
+    t->epochs[CALL_RUNS_READ]++;
+    t->runs.read_in_flight = false;
+    PhScheduleCalls_AnswerStates(t);
+}
+
 void
 PhScheduleTopics_Reload(PhScheduleTask *t)
 {
@@ -272,9 +281,8 @@
     t->jobs.fresh_at = 0;
     t->runs.fresh_at = 0;
     t->epochs[CALL_JOBS_READ]++;
-    t->epochs[CALL_RUNS_READ]++;
     t->jobs.read_in_flight = false;
-    t->runs.read_in_flight = false;
+    PhScheduleTopics_DropRunsRead(t);
     PhScheduleCalls_HandleCancels(t, UINT64_MAX, false);
     t->reload_due = false;
     PhScheduleTopics_Read(t, CALL_JOBS_READ);
