schedule: a run of a gang counts as one attempt

Cause: each member's end `failed` added one to its count, and the sum was copied to all members, so that a run in which as many members fail as maxAttempts says used up all attempts. PROTOCOL.md: "a task, or a gang, has failed `maxAttempts` times"; the members of a gang share a run.

Change: a member counts its own failures, at most one in a run, and the members get the highest count when the gang is placed again. Nothing new is recorded, so that an owner which takes over between two ends of a run counts alike.

test_changed_parts, "gang, failed": the end changes one part of the records now instead of all three, since it changes no other member.

--- a/decide/schedule/gang.c
+++ b/decide/schedule/gang.c
@@ -2,15 +2,19 @@
  * all or none, share one run number and one checkpoint, and end together. */
 #include "scheduler_private.h"
 
-/* Gives all members the newest checkpoint and a common run number. */
+/* Gives all members the newest checkpoint, a common run number, and the number
+ * of the gang's failed runs.  Those that fail in a run each count it for
+ * themselves, which the next owner learns from their records. */
 static void
 gang_align(PhSchedStage *stage, uint32_t count)
 {
     const PhSchedTask *newest = NULL;
     uint32_t run = 0;
+    uint32_t failures = 0;
     for (uint32_t i = 0; i < count; i++) {
         const PhSchedTask *task = &stage->tasks[i];
         run = MAX(run, task->run);
+        failures = MAX(failures, task->failures);
         if (task->last_checkpoint.len > 0 &&
             (newest == NULL ||
              task->usage_sampled_at > newest->usage_sampled_at)) {
@@ -21,6 +25,7 @@
         newest == NULL ? (PhStr){0} : PhStr_Dup(newest->last_checkpoint);
     for (uint32_t i = 0; i < count; i++) {
         stage->tasks[i].run = run;
+        stage->tasks[i].failures = failures;
         PhStr_Clear(&stage->tasks[i].last_checkpoint);
         stage->tasks[i].last_checkpoint =
             last_checkpoint.len == 0 ? (PhStr){0} : PhStr_Dup(last_checkpoint);
@@ -121,10 +126,6 @@
     PhSchedStage *stage = task->stage;
     const PhSchedStep *step = PhSchedTask_Step(task);
     if (kind != PH_SCHED_END_DONE || step->long_running) {
-        for (uint32_t i = 0; i < step->count; i++) {
-            stage->tasks[i].failures = task->failures;
-            PhSchedTask_OutdateRecord(&stage->tasks[i]);
-        }
         gang_stop(s, stage, step->count);
         return;
     }
--- a/tests/schedule/owners_worker.c
+++ b/tests/schedule/owners_worker.c
@@ -84,13 +84,12 @@
 PhSimJob_HasFailed(const PhSimJob *job)
 {
     unsigned most = 0;
-    unsigned sum = 0;
     for (unsigned i = 0; i < job->count; i++) {
         most = MAX(most, job->tasks[i].failures);
-        sum += job->tasks[i].failures;
     }
     return job->kind.max_attempts > 0 && !job->kind.long_running &&
-           (job->kind.gang ? sum : most) >= job->kind.max_attempts;
+           (job->kind.gang ? job->failed_runs : most) >=
+               job->kind.max_attempts;
 }
 
 void
@@ -288,7 +287,11 @@
                     .saved =
                         run_saved(&run, kind == PH_SCHED_END_STOPPED, now)};
     t->events++;
-    run.job->tasks[run.index].failures += kind == PH_SCHED_END_FAILED;
+    if (kind == PH_SCHED_END_FAILED) {
+        run.job->tasks[run.index].failures++;
+        run.job->failed_runs += run.job->failed_run != run.run;
+        run.job->failed_run = run.run;
+    }
     if (kind == PH_SCHED_END_DONE) {
         run.job->tasks[run.index].done = t->events;
     }
--- a/tests/schedule/owners_worker.h
+++ b/tests/schedule/owners_worker.h
@@ -42,6 +42,8 @@
     PhSimTask *tasks;
     unsigned count;
     uint32_t gang_run;   /* run of which all members were present, 0: none */
+    uint32_t failed_run; /* newest run in which a task failed, 0: none */
+    unsigned failed_runs;
     PhTime cancel_at;    /* 0: never */
     PhTime cancelled_at; /* 0: it has not been */
 } PhSimJob;
--- a/tests/schedule/test_changed_parts.c
+++ b/tests/schedule/test_changed_parts.c
@@ -69,7 +69,7 @@
     {"gang, done", {300, NONE, NONE}, " abc", NONE, "", .gang = true},
     {"gang, failed",
      {300, NONE, NONE},
-     " abc",
+     " b",
      NONE,
      "",
      .gang = true,
