schedule: no start on a reborn worker before its own entry is read

Cause: when a worker's answer shows a later incarnation, its entry was taken to be that of the one before, labels, service and capacity included, until its own was read. PROTOCOL.md: "A new boot may be of a different kind, even at the same address"; RULES.md (ROUTE) has no time bound.

Change: such a worker is held and asked as before, but gets no start until its own entry is read.

test_unanswered_starts (test_later_incarnation) expected that a released task starts again on the later incarnation at once; it now expects none before the entry and that start after it.

--- a/decide/schedule/fit.c
+++ b/decide/schedule/fit.c
@@ -44,8 +44,8 @@
 static PhFit
 worker_judge(const PhSchedWorker *w, PhTime now)
 {
-    if (!w->listed || w->dead || !w->fenced || w->suspended ||
-        w->failing_since != 0) {
+    if (!w->listed || w->entry_copied || w->dead || !w->fenced ||
+        w->suspended || w->failing_since != 0) {
         return PH_FIT_SILENT;
     }
     if (w->entry.draining) {
--- a/decide/schedule/incarnations.c
+++ b/decide/schedule/incarnations.c
@@ -99,6 +99,7 @@
                                    .draining = w->entry.draining};
         PhSchedModel_SetEntry(s->model, next, &copy);
         next->listed = w->listed;
+        next->entry_copied = true;
         PhScheduler_InheritLeases(s, next, w, now);
     }
     incarnation_end(s, w, next, reply, now);
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -538,7 +538,7 @@
     if (!w->listed) {
         replace_earlier(s, w, now);
     }
-    bool usable = w->listed && !w->entry.draining;
+    bool usable = w->listed && !w->entry_copied && !w->entry.draining;
     bool left = entry->draining && !w->entry.draining && w->tasks->len > 0;
     if (!w->listed && w->tasks->len == 0 && !w->dead) {
         w->leases = (PhLeaseBound){.until = now};
@@ -553,6 +553,7 @@
     }
     w->leaving |= entry->draining;
     PhSchedModel_SetEntry(s->model, w, entry);
+    w->entry_copied = false;
     if (s->fence != 0 && left && !PhScheduler_IsClosed(s, now)) {
         PhScheduler_MarkWorkerDirty(s, w);
     }
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -221,6 +221,8 @@
 struct PhSchedWorker {
     PhSchedWorkerEntry entry;
     bool listed;       /* its entry is in the list of workers */
+    bool entry_copied; /* its own has not been read yet: this is that of the
+                          incarnation before, which may be of another kind */
     bool leaving;      /* it has announced that it leaves */
     PhTime leaving_at; /* the record of that was read, 0 for none */
     PhTime leaves_by;  /* earliest time at which a draining worker leaves */
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -187,7 +187,7 @@
  * forbids it. */
 typedef enum PhFit {
     PH_FIT_YES,
-    PH_FIT_SILENT, /* not listed, or it does not answer */
+    PH_FIT_SILENT, /* its entry is not known, or it does not answer */
     PH_FIT_LEAVES,
     PH_FIT_CORDONED, /* its data centre is */
     PH_FIT_COOLDOWN, /* it has refused a start, or not answered one */
--- a/tests/schedule/test_unanswered_starts.c
+++ b/tests/schedule/test_unanswered_starts.c
@@ -434,6 +434,16 @@
     PhScheduler_OnHold(f->scheduler, PH_SINGLE_WORKER, 1, &reply, f->now);
 }
 
+/* The entry of the later incarnation is read. */
+static void
+later_incarnation_show(PhStartFixture *f)
+{
+    PhSchedWorkerEntry entry = {.id = PhStr_Dup(PH_SINGLE_WORKER),
+                                .born_ms = 2,
+                                .address = PhStr_Dup(PhStr_LITERAL("a:1"))};
+    PhScheduler_SetWorker(f->scheduler, &entry, f->now);
+}
+
 static void
 later_run(const PhLaterCase *c)
 {
@@ -453,6 +463,9 @@
     later_incarnation_answer(&f);
     PhOrdersSent sent = orders_send(&f);
     assert_int_equal(sent.count[PH_SCHED_ACTION_STOP], c->stops);
+    assert_int_equal(f.task->run, RUN);
+    later_incarnation_show(&f);
+    orders_send(&f);
     /* Released at once, it starts again under a new number. */
     assert_int_equal(f.task->run, c->stops > 0 || in_flight ? RUN : RUN + 1);
     if (in_flight) {
