settings, links: room_reserve, claim_after, contact_limit; what a welcome says of the owner

Change: the settings exist, default to 0 and reach the scheduler, which does not use them yet. A welcome says whether the owner refuses long-running jobs and whether the store answers it; a welcome of an earlier version says neither. No behaviour changes.

--- a/codec/schedule_link.c
+++ b/codec/schedule_link.c
@@ -25,9 +25,11 @@
     FIELD_HELLO_NUMBER,
     FIELD_WORKER,
     FIELD_BORN_MS,
+    FIELD_LASTING_CLOSED,
+    FIELD_STORE_SILENT,
     /* Field counts of the maps. */
     HELLO_FIELDS = 7,
-    WELCOME_FIELDS = 2,
+    WELCOME_FIELDS = 4,
     DISMISS_FIELDS = 1,
     ASK_FIELDS = 6,
     ANSWER_FIELDS = 4,
@@ -120,6 +122,8 @@
     case PH_LINK_WELCOME:
         map_begin(&p, m->tag, WELCOME_FIELDS);
         PhPack_U64(&p, FIELD_STANDBY, m->as.welcome.standby);
+        PhPack_U64(&p, FIELD_LASTING_CLOSED, m->as.welcome.lasting_closed);
+        PhPack_U64(&p, FIELD_STORE_SILENT, m->as.welcome.store_silent);
         break;
     case PH_LINK_NOT_OWNER:
         map_begin(&p, m->tag, DISMISS_FIELDS);
@@ -358,19 +362,33 @@
     return true;
 }
 
+/* Earlier versions say neither whether long-running jobs are refused nor
+ * whether the store answers the owner. */
 static bool
-fields_read(const msgpack_object *map, PhLinkMessage *m)
+welcome_read(const msgpack_object *map, PhLinkMessage *m)
 {
     uint64_t standby = 0;
+    uint64_t closed = 0;
+    uint64_t silent = 0;
+    PhUnpack_U64(PhUnpack_Field(map, FIELD_LASTING_CLOSED), &closed);
+    PhUnpack_U64(PhUnpack_Field(map, FIELD_STORE_SILENT), &silent);
+    if (!PhUnpack_U64(PhUnpack_Field(map, FIELD_STANDBY), &standby)) {
+        return false;
+    }
+    m->as.welcome.standby = standby != 0;
+    m->as.welcome.lasting_closed = closed != 0;
+    m->as.welcome.store_silent = silent != 0;
+    return true;
+}
+
+static bool
+fields_read(const msgpack_object *map, PhLinkMessage *m)
+{
     switch (m->tag) {
     case PH_LINK_HELLO:
         return hello_read(map, m);
     case PH_LINK_WELCOME:
-        if (!PhUnpack_U64(PhUnpack_Field(map, FIELD_STANDBY), &standby)) {
-            return false;
-        }
-        m->as.welcome.standby = standby != 0;
-        return true;
+        return welcome_read(map, m);
     case PH_LINK_NOT_OWNER:
         return true;
     case PH_LINK_ASK:
--- a/codec/settings_key.c
+++ b/codec/settings_key.c
@@ -14,6 +14,7 @@
 #define MB (1024 * KB)
 
 enum {
+    ROOM_RESERVE_MAX_PERCENT = 50,
     SEEDS_MAX = 32,
     CONNECTIONS_MAX = 65536,
 };
@@ -73,6 +74,19 @@
         false, 0, 60 * S, "80ms",
         "Average delay of starts above which other instances send them, until "
         "it has been shorter for a minute; 0s: always."),
+    KEY("scheduler", "room_reserve", scheduler.room_reserve, COUNT, false, 0,
+        ROOM_RESERVE_MAX_PERCENT, "0",
+        "Largest share of the workers' CPU, in percent, that new long-running "
+        "jobs leave for jobs that end; 0: no job is refused for want of "
+        "room."),
+    KEY("scheduler", "claim_after", scheduler.claim_after, DURATION, false, 0,
+        60 * S, "0s",
+        "Wait after which a task claims the worker on which it fits first; "
+        "0s: never."),
+    KEY("scheduler", "contact_limit", scheduler.contact_limit, DURATION, false,
+        0, 60 * S, "0s",
+        "Silence of the store after which calls that need it are refused at "
+        "once; 0s: they wait until their deadline."),
     KEY("scheduler", "record_bytes", scheduler.record_bytes, COUNT, false, KB,
         64 * MB, "262144", "Bytes of the largest record in the store."),
     KEY("scheduler", "append_bytes", scheduler.append_bytes, COUNT, false, KB,
--- a/include/peridothill/codec/schedule_link.h
+++ b/include/peridothill/codec/schedule_link.h
@@ -80,6 +80,8 @@
         } hello;
         struct {
             bool standby; /* read the store, to take over without delay */
+            bool lasting_closed; /* the owner refuses long-running jobs */
+            bool store_silent;   /* the store does not answer the owner */
         } welcome;
         struct {
             uint64_t number; /* chosen by the sender, returned in the answer */
--- a/include/peridothill/codec/settings.h
+++ b/include/peridothill/codec/settings.h
@@ -47,6 +47,9 @@
         PhTime pace_lag;
         PhTime report_interval;
         PhTime dispatch_delay;
+        uint64_t room_reserve; /* percent of the workers' CPU */
+        PhTime claim_after;    /* 0: tasks claim no worker */
+        PhTime contact_limit;  /* 0: calls wait for a silent store */
         uint64_t record_bytes; /* largest record that the store takes */
         uint64_t append_bytes; /* largest append that the store takes */
     } scheduler;
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -27,6 +27,11 @@
     PhTime pace_lag; /* from a pace order until samples show its effect */
     PhTime report_interval; /* workers write their entries about this often;
                                0: unknown */
+    uint64_t room_reserve_percent; /* largest share of the workers' CPU that
+                                      new long-running jobs leave for jobs
+                                      that end; 0: no job is refused for want
+                                      of room */
+    PhTime claim_after; /* wait after which a task claims a worker; 0: never */
     /* Earlier owners; borrowed as long as the scheduler exists.  NULL: they
      * are unknown. */
     const PhPredecessors *predecessors;
--- a/include/peridothill/services/schedule.h
+++ b/include/peridothill/services/schedule.h
@@ -102,6 +102,10 @@
     PhTime pace_lag;
     PhTime report_interval; /* of worker entries, 0: unknown */
     PhTime dispatch_delay;  /* starts that take longer are sent by others */
+    uint64_t room_reserve;  /* percent, see PhSchedulerOptions */
+    PhTime claim_after;     /* the same */
+    PhTime contact_limit;   /* silence after which the store counts as out of
+                               reach, 0: never */
     size_t record_bytes;    /* largest record that the store takes */
     size_t append_bytes;    /* largest append that the store takes */
     PhStr link; /* address for links from other instances; empty: no links */
--- a/services/schedule/schedule_task.c
+++ b/services/schedule/schedule_task.c
@@ -301,6 +301,8 @@
         .pace_lag = options->pace_lag,
         .report_interval = options->report_interval,
         .dispatch_delay = options->dispatch_delay,
+        .room_reserve_percent = options->room_reserve,
+        .claim_after = options->claim_after,
         .predecessors = PhElection_Predecessors(t->election)});
     t->forwarded_calls =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
