schedule: admission of jobs by room

Change: with room_reserve the owner refuses a long-running job while it would take the room that urgent jobs have needed of late, and a job that would end too late to be of value. The welcome tells other instances, which keep to it without contact, and the next owner goes on with it.

--- a/decide/schedule/admission.c
+++ b/decide/schedule/admission.c
@@ -1,5 +1,5 @@
-/* Admission of submissions while the owner has more to order than it can
- * send (load shedding): what could not be started in time is refused at once,
+/* Admission of submissions (load shedding): what could not be started in time,
+ * or would take the room of what is worth more to callers, is refused at once,
  * and what was accepted is carried through. */
 #include "scheduler_private.h"
 
@@ -28,22 +28,120 @@
     return count;
 }
 
-PhAdmission
-PhScheduler_Admit(PhScheduler *s, const PhSchedSpec *spec, PhTime now)
+/* Whether a job would wait too long for order capacity. */
+static PhAdmission
+admit_by_orders(PhScheduler *s, const PhSchedSpec *spec, PhTime now)
 {
-    if (s->fence == 0 || is_lasting(spec)) {
-        return (PhAdmission){.accepted = true};
-    }
     PhTime wait = PhOrderWindow_WaitFor(&s->window, s->backlog, now);
     if (wait > WAIT_MAX) {
-        return (PhAdmission){.retry_after =
+        return (PhAdmission){.tag = PH_ADMISSION_ORDERS,
+                             .retry_after =
                                  MAX(wait - WAIT_MAX, RETRY_AFTER_MIN)};
     }
     /* Counted until the next placement finds what of it waits. */
     if (PhOrderWindow_IsOverloaded(&s->window, now)) {
         s->backlog += task_count(spec);
     }
-    return (PhAdmission){.accepted = true};
+    return (PhAdmission){.tag = PH_ADMISSION_ACCEPTED};
+}
+
+static PhAdmission
+refuse_lasting(const PhScheduler *s, const PhRoom *room,
+               const PhSchedSpec *spec, double need)
+{
+    PhAdmission a = {.tag = PH_ADMISSION_ROOM};
+    a.retry_after = PhRoom_RetryAfter(0, (uint32_t)PhStr_Hash(spec->id, 0));
+    a.as.room.need = need;
+    if (room != NULL) {
+        a.as.room.capacity = room->sample.capacity;
+        a.as.room.lasting = room->sample.lasting;
+        a.as.room.reserve =
+            PhRoom_Reserve(room, s->options.room_reserve_percent);
+    }
+    return a;
+}
+
+/* Whether a long-running job leaves the room that urgent jobs need.  Without
+ * an estimate only the word of the owner before counts. */
+static PhAdmission
+admit_lasting(PhScheduler *s, const PhSchedSpec *spec, PhTime now)
+{
+    PhAdmission accepted = {.tag = PH_ADMISSION_ACCEPTED};
+    double need = PhSchedSpec_LastingNeed(spec);
+    PhRoom *room = PhScheduler_Room(s, spec->terms.service);
+    if (need == 0) {
+        return accepted;
+    }
+    if (room == NULL) {
+        return now < s->closed_until ? refuse_lasting(s, room, spec, need)
+                                     : accepted;
+    }
+    PhScheduler_MeasureRoom(s, spec->terms.service, now);
+    bool below =
+        room->closed && PhScheduler_IsBelowShare(s, &spec->terms, need);
+    if (!PhRoom_AdmitLasting(room, need, below,
+                             s->options.room_reserve_percent)) {
+        return refuse_lasting(s, room, spec, need);
+    }
+    PhScheduler_NoteAdmitted(s, spec, now);
+    return accepted;
+}
+
+/* Whether a job would end while it is of value.  Backfill tasks wait for other
+ * room than declared CPU, of which there is no estimate. */
+static PhAdmission
+admit_in_time(PhScheduler *s, const PhRoom *room, const PhSchedSpec *spec,
+              PhTime now)
+{
+    PhAdmission a = {.tag = PH_ADMISSION_ACCEPTED};
+    if (spec->repetitions > 0 || spec->steps[0].fills) {
+        return a;
+    }
+    PhTime wait = PhRoom_WaitFor(room, PhScheduler_WorkBefore(s, spec, now));
+    PhTime rest = PhSchedSpec_CriticalPath(spec);
+    PhTime limit = PhSchedSpec_ValueLimit(spec);
+    PhTime late = PhRoom_LateBy(room, wait, rest, limit);
+    if (late == 0) {
+        PhScheduler_NoteExpectedWait(s, spec->id, wait);
+        return a;
+    }
+    a.tag = PH_ADMISSION_TOO_LATE;
+    a.retry_after = PhRoom_RetryAfter(late, (uint32_t)PhStr_Hash(spec->id, 0));
+    a.as.late.wait = wait;
+    a.as.late.rest = rest;
+    a.as.late.limit = limit;
+    return a;
+}
+
+PhAdmission
+PhScheduler_Admit(PhScheduler *s, const PhSchedSpec *spec, PhTime now)
+{
+    PhAdmission accepted = {.tag = PH_ADMISSION_ACCEPTED};
+    if (s->fence == 0) {
+        return accepted;
+    }
+    if (is_lasting(spec)) {
+        return admit_lasting(s, spec, now);
+    }
+    const PhRoom *room = PhScheduler_Room(s, spec->terms.service);
+    PhAdmission a = admit_by_orders(s, spec, now);
+    return a.tag != PH_ADMISSION_ACCEPTED || room == NULL
+               ? a
+               : admit_in_time(s, room, spec, now);
+}
+
+bool
+PhScheduler_IsLastingClosed(const PhScheduler *s, PhTime now)
+{
+    if (now < s->closed_until) {
+        return true;
+    }
+    for (guint i = 0; i < s->rooms->len; i++) {
+        if (g_array_index(s->rooms, PhServiceRoom, i).room.closed) {
+            return true;
+        }
+    }
+    return false;
 }
 
 void
--- a/decide/schedule/order.c
+++ b/decide/schedule/order.c
@@ -18,8 +18,8 @@
 {
     const PhCandidate *x = a;
     const PhCandidate *y = b;
-    int64_t px = x->stage->job->spec.terms.priority;
-    int64_t py = y->stage->job->spec.terms.priority;
+    int64_t px = x->spec->terms.priority;
+    int64_t py = y->spec->terms.priority;
     if (px != py) {
         return px < py ? -1 : 1;
     }
@@ -35,7 +35,13 @@
     if (x->work != y->work) {
         return x->work < y->work ? -1 : 1;
     }
-    return PhStr_Compare(x->stage->job->spec.id, y->stage->job->spec.id);
+    return PhStr_Compare(x->spec->id, y->spec->id);
+}
+
+bool
+PhCandidate_Precedes(const PhCandidate *a, const PhCandidate *b)
+{
+    return candidate_compare(a, b) < 0;
 }
 
 /* Returns the remaining critical path of a round by the estimates, and adds
@@ -60,27 +66,58 @@
     return longest;
 }
 
+static PhTime
+objective(const PhSchedSpec *spec)
+{
+    return spec->terms.slack +
+           (PhTime)(spec->terms.stretch *
+                    (double)PhSchedSpec_CriticalPath(spec));
+}
+
+PhTime
+PhSchedSpec_ValueLimit(const PhSchedSpec *spec)
+{
+    return LATE_OBJECTIVE_FACTOR * objective(spec);
+}
+
 static PhCandidate
 job_rate(const PhSchedJob *job, uint32_t k, PhTime now)
 {
-    PhCandidate c = {0};
-    const PhSchedTerms *terms = &job->spec.terms;
-    PhTime objective =
-        terms->slack + (PhTime)(terms->stretch *
-                                (double)PhSchedSpec_CriticalPath(&job->spec));
+    PhCandidate c = {.spec = &job->spec};
+    PhTime limit = objective(&job->spec);
     PhTime age = now - job->accepted_at;
     PhTime rest = round_remaining(job, k, &c.work);
-    if (age + rest <= objective || job->spec.repetitions > 0) {
+    if (age + rest <= limit || job->spec.repetitions > 0) {
         c.objective_status = PH_OBJECTIVE_ON_TIME;
     }
     else {
-        c.objective_status = age + rest <= LATE_OBJECTIVE_FACTOR * objective
+        c.objective_status = age + rest <= LATE_OBJECTIVE_FACTOR * limit
                                  ? PH_OBJECTIVE_LATE
                                  : PH_OBJECTIVE_MISSED;
     }
     return c;
 }
 
+PhObjectiveStatus
+PhSchedJob_ObjectiveStatus(const PhSchedJob *job, uint32_t k, PhTime now)
+{
+    return job_rate(job, k, now).objective_status;
+}
+
+PhCandidate
+PhCandidate_ForNew(const PhSchedSpec *spec)
+{
+    PhCandidate c = {.spec = spec,
+                     .tag = PH_CANDIDATE_ENDING,
+                     .objective_status = PH_OBJECTIVE_ON_TIME};
+    for (uint32_t i = 0; i < spec->step_count; i++) {
+        const PhSchedStep *step = &spec->steps[i];
+        c.work += (double)step->count * (double)step->estimate *
+                  (double)step->resources.cpu_milli;
+    }
+    return c;
+}
+
 /* Adds the tasks of a long-running stage that have run before and those that
  * have never run; a gang is one candidate. */
 static void
--- a/decide/schedule/owner_link.c
+++ b/decide/schedule/owner_link.c
@@ -13,6 +13,9 @@
 /* A standby keeps reading the store this long after the owner's last answer.
  */
 static const PhTime STANDBY_TIME = 15 * PH_NS_PER_S;
+/* For so long an instance without contact relies on the owner's word that
+ * long-running jobs are refused. */
+static const PhTime CLOSED_TIME = 15 * PH_NS_PER_S;
 
 void
 PhOwnerLink_Init(PhOwnerLink *link, bool enabled, PhTime read_delay,
@@ -53,11 +56,19 @@
 }
 
 void
-PhOwnerLink_OnWelcome(PhOwnerLink *link, bool standby, PhTime now)
+PhOwnerLink_OnWelcome(PhOwnerLink *link, const PhWelcome *welcome, PhTime now)
 {
     link->answered_at = now;
     link->hello_sent_at = 0;
-    link->standby_until = standby ? now + STANDBY_TIME : 0;
+    link->standby_until = welcome->standby ? now + STANDBY_TIME : 0;
+    link->lasting_closed_at = welcome->lasting_closed ? now : 0;
+}
+
+bool
+PhOwnerLink_IsLastingClosed(const PhOwnerLink *link, PhTime now)
+{
+    return link->lasting_closed_at != 0 &&
+           now - link->lasting_closed_at < CLOSED_TIME;
 }
 
 /* Time from which the owner is taken for silent. */
--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -82,7 +82,10 @@
     PhSchedTask_Place(task, w);
     w->started_at = now;
     job->starts++;
-    job->first_start_at = job->first_start_at == 0 ? now : job->first_start_at;
+    if (job->first_start_at == 0) {
+        job->first_start_at = now;
+        PhScheduler_NoteFirstStart(s, job, now);
+    }
     job->max_wait = MAX(job->max_wait, now - ready_at);
     task->run++;
     task->since = now;
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -11,6 +11,12 @@
  * take the rest of the 0.3 s that a handover has for its records. */
 static const PhTime CLOSE_DELAY = 150 * PH_NS_PER_MS;
 
+static void
+service_room_clear(gpointer value)
+{
+    PhStr_Clear(&((PhServiceRoom *)value)->service);
+}
+
 PhScheduler *
 PhScheduler_Create(const PhSchedulerOptions *options)
 {
@@ -23,6 +29,12 @@
     s->events = g_array_new(FALSE, TRUE, sizeof(PhSchedEvent));
     s->removed_workers = g_ptr_array_new_with_free_func(PhSchedWorker_Destroy);
     s->reservations = g_ptr_array_new();
+    s->rooms = g_array_new(FALSE, TRUE, sizeof(PhServiceRoom));
+    g_array_set_clear_func(s->rooms, service_room_clear);
+    s->expected_waits = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
+                                              PhStr_KeyDestroy, g_free);
+    s->admitted = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
+                                        PhStr_KeyDestroy, PhAdmitted_Destroy);
     s->dirty_stages = g_ptr_array_new();
     s->dirty_jobs = g_ptr_array_new();
     s->awaiting_durability = g_ptr_array_new();
@@ -50,6 +62,9 @@
     }
     orders_clear(s);
     g_ptr_array_free(s->reservations, TRUE);
+    g_array_free(s->rooms, TRUE);
+    g_hash_table_destroy(s->expected_waits);
+    g_hash_table_destroy(s->admitted);
     g_ptr_array_free(s->dirty_stages, TRUE);
     g_ptr_array_free(s->dirty_jobs, TRUE);
     g_ptr_array_free(s->awaiting_durability, TRUE);
@@ -137,6 +152,11 @@
     }
     g_ptr_array_foreach(s->reservations, task_unreserve, NULL);
     g_ptr_array_set_size(s->reservations, 0);
+    g_array_set_size(s->rooms, 0);
+    g_hash_table_remove_all(s->expected_waits);
+    g_hash_table_remove_all(s->admitted);
+    s->closed_until = 0;
+    s->rooms_due_at = now;
     g_ptr_array_set_size(s->dirty_stages, 0);
     g_ptr_array_set_size(s->dirty_jobs, 0);
     g_ptr_array_set_size(s->awaiting_durability, 0);
@@ -441,6 +461,7 @@
     if (s->placement_due && !s->quiesced) {
         PhScheduler_PlaceTasks(s, now);
     }
+    PhScheduler_UpdateRoom(s, now);
     PhScheduler_ReportWaits(s, now);
     PhScheduler_ReportHeld(s, now);
 }
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -5,6 +5,7 @@
 #include "interference.h"
 #include "peridothill/decide/schedule/dispatchers.h"
 #include "peridothill/decide/schedule/order_window.h"
+#include "peridothill/decide/schedule/room.h"
 #include "peridothill/decide/schedule/scheduler.h"
 
 enum {
@@ -45,6 +46,14 @@
     uint32_t backlog; /* overload: tasks of accepted jobs that have no run, by
                          the last placement and what was admitted since */
     bool overloaded;  /* as last reported */
+    GArray *rooms;    /* PhServiceRoom, empty unless jobs are refused for want
+                         of room */
+    PhTime rooms_due_at;
+    GHashTable *expected_waits; /* PhTime by id of an accepted job */
+    GHashTable *admitted; /* PhAdmitted by id: long-running jobs that the model
+                             does not contain yet */
+    PhTime closed_until; /* an earlier owner refused long-running jobs: so does
+                            this one until then */
     PhTime due;
     bool placement_due;       /* a change may allow a start */
     PhTime next_placement_at; /* no placement before */
@@ -58,6 +67,22 @@
     bool pairs_due;
 };
 
+/* The room of a service; owns its name. */
+typedef struct PhServiceRoom {
+    PhStr service;
+    PhRoom room;
+    bool reported_closed;
+} PhServiceRoom;
+
+/* A long-running job that was accepted: its record may not be durable yet. */
+typedef struct PhAdmitted {
+    PhStr service; /* owned */
+    double need;   /* milli-cores */
+    PhTime at;
+} PhAdmitted;
+
+void PhAdmitted_Destroy(gpointer admitted);
+
 /* A run that a worker reports and no placed task matches; it is stopped. */
 typedef struct PhOrphanRun {
     PhSchedWorker *worker;
@@ -204,6 +229,31 @@
 /* admission.c: counts the backlog after a placement, and reports the beginning
  * and the end of an overload. */
 void PhScheduler_UpdateOverload(PhScheduler *scheduler, PhTime now);
+/* room_sample.c: measures what each service has room for, if jobs are refused
+ * for want of it. */
+void PhScheduler_UpdateRoom(PhScheduler *scheduler, PhTime now);
+/* Measures the room of a service now. */
+void PhScheduler_MeasureRoom(PhScheduler *scheduler, PhStr service,
+                             PhTime now);
+/* Counts a long-running job that is accepted until the model contains it. */
+void PhScheduler_NoteAdmitted(PhScheduler *scheduler, const PhSchedSpec *spec,
+                              PhTime now);
+/* The estimate for a service, or NULL if there is none yet. */
+PhRoom *PhScheduler_Room(const PhScheduler *scheduler, PhStr service);
+/* Reports whether a queue holds less than an equal share of what long-running
+ * jobs hold in its service, `need` included. */
+bool PhScheduler_IsBelowShare(const PhScheduler *scheduler,
+                              const PhSchedTerms *terms, double need);
+/* Work that is placed before a new job, and that of the tasks that run, in
+ * milli-cores x ns. */
+double PhScheduler_WorkBefore(const PhScheduler *scheduler,
+                              const PhSchedSpec *spec, PhTime now);
+/* Remembers the expected wait of a job that is accepted, and compares it with
+ * the actual one at its first start. */
+void PhScheduler_NoteExpectedWait(PhScheduler *scheduler, PhStr id,
+                                  PhTime wait);
+void PhScheduler_NoteFirstStart(PhScheduler *scheduler, const PhSchedJob *job,
+                                PhTime now);
 /* gang.c: places a whole gang or nothing; false if it has to wait. */
 bool PhScheduler_PlaceGang(PhScheduler *scheduler, PhSchedStage *stage,
                            PhTime now);
@@ -229,7 +279,8 @@
 
 /* Waiting tasks of a stage and their sort key. */
 typedef struct PhCandidate {
-    PhSchedStage *stage;
+    const PhSchedSpec *spec; /* of its job */
+    PhSchedStage *stage;     /* NULL for a job that is not accepted yet */
     PhCandidateTag tag;
     PhTime interrupted_at; /* INTERRUPTED: the earliest end of a run, else 0 */
     PhObjectiveStatus objective_status;
@@ -240,6 +291,14 @@
  * The array is owned by the caller. */
 GArray *PhScheduler_CollectCandidates(const PhScheduler *scheduler,
                                       PhTime now);
+/* The candidate of a job that would be accepted now. */
+PhCandidate PhCandidate_ForNew(const PhSchedSpec *spec);
+/* Reports whether `a` is placed before `b`. */
+bool PhCandidate_Precedes(const PhCandidate *a, const PhCandidate *b);
+PhObjectiveStatus PhSchedJob_ObjectiveStatus(const PhSchedJob *job,
+                                             uint32_t round, PhTime now);
+/* Time from its acceptance until which a job has value. */
+PhTime PhSchedSpec_ValueLimit(const PhSchedSpec *spec);
 /* failures.c: what the failed runs on a worker say about it. */
 typedef enum PhDoubt {
     PH_DOUBT_NONE,
--- a/decide/schedule/spec.c
+++ b/decide/schedule/spec.c
@@ -100,3 +100,16 @@
     }
     return longest;
 }
+
+double
+PhSchedSpec_LastingNeed(const PhSchedSpec *spec)
+{
+    double need = 0;
+    for (uint32_t i = 0; i < spec->step_count; i++) {
+        const PhSchedStep *step = &spec->steps[i];
+        if (step->long_running && !step->fills) {
+            need += (double)step->count * (double)step->resources.cpu_milli;
+        }
+    }
+    return need;
+}
--- a/include/peridothill/common/counter_list_schedule.h
+++ b/include/peridothill/common/counter_list_schedule.h
@@ -21,6 +21,10 @@
            "Jobs that are over")
 PH_COUNTER(SCHEDULE_SHED, "peridothill_schedule_shed_total", "",
            "Submissions refused for want of order capacity")
+PH_COUNTER(SCHEDULE_NO_ROOM, "peridothill_schedule_no_room_total", "",
+           "Long-running submissions refused for want of room")
+PH_COUNTER(SCHEDULE_TOO_LATE, "peridothill_schedule_too_late_total", "",
+           "Submissions refused that would end too late")
 PH_COUNTER(SCHEDULE_QUERIES, "peridothill_schedule_queries_total", "",
            "Holds sent to find a connection of an incarnation")
 PH_COUNTER(SCHEDULE_RELAYED, "peridothill_schedule_relayed_total", "",
--- a/include/peridothill/common/event_list_schedule.h
+++ b/include/peridothill/common/event_list_schedule.h
@@ -59,3 +59,9 @@
          "data centre not cordoned any more, its workers get starts again")
 PH_EVENT(7037, SCHEDULE_TASK_HELD, INFO,
          "task that may run has had no run for long")
+PH_EVENT(7038, SCHEDULE_NO_ROOM, INFO,
+         "submission refused, urgent jobs need the room that it would hold")
+PH_EVENT(7039, SCHEDULE_ROOM_STATE, INFO,
+         "long-running jobs are refused for want of room, or no longer")
+PH_EVENT(7043, SCHEDULE_TOO_LATE, INFO,
+         "submission refused, it would end too late to be of value")
--- a/include/peridothill/decide/schedule/owner_link.h
+++ b/include/peridothill/decide/schedule/owner_link.h
@@ -24,6 +24,8 @@
     PhTime read_delay;    /* this instance reads the store so much later */
     PhTime standby_until; /* this instance is a standby until then */
     PhTime next_hello_at;
+    PhTime lasting_closed_at; /* the owner has last said that it refuses
+                                 long-running jobs; 0: it does not */
 } PhOwnerLink;
 
 /* Without `enabled`, no hello is sent and this instance reads the store.
@@ -34,8 +36,18 @@
 void PhOwnerLink_Clear(PhOwnerLink *link);
 /* An empty address stands for no owner. */
 void PhOwnerLink_SetOwner(PhOwnerLink *link, PhStr address, PhTime now);
+/* What the owner answers to a hello. */
+typedef struct PhWelcome {
+    bool standby;        /* this instance shall be a standby */
+    bool lasting_closed; /* the owner refuses long-running jobs */
+} PhWelcome;
+
 /* The owner has answered a hello. */
-void PhOwnerLink_OnWelcome(PhOwnerLink *link, bool standby, PhTime now);
+void PhOwnerLink_OnWelcome(PhOwnerLink *link, const PhWelcome *welcome,
+                           PhTime now);
+/* Reports whether the owner has said recently that it refuses long-running
+ * jobs. */
+bool PhOwnerLink_IsLastingClosed(const PhOwnerLink *link, PhTime now);
 /* The instance at the address is not the owner: calls are no longer forwarded,
  * but hellos to the address go on.  If it had answered as the owner, the time
  * until this instance reads the store starts again. */
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -166,6 +166,8 @@
                                    capacity */
     PH_SCHED_EVENT_TASK_HELD,   /* a task that may run has had no run for long
                                  */
+    PH_SCHED_EVENT_ROOM,        /* long-running jobs are refused for want of
+                                   room from now on, or no longer */
 } PhSchedEventTag;
 
 /* Why the start of an assigned task must not be sent. */
@@ -222,8 +224,8 @@
 /* Strings are borrowed until the model next changes. */
 typedef struct PhSchedEvent {
     PhSchedEventTag tag;
-    const PhSchedWorker *worker; /* NULL for JOB_ENDED, TASK_WAITS, OVERLOAD
-                                    and a held task without a worker */
+    const PhSchedWorker *worker; /* NULL for JOB_ENDED, TASK_WAITS, OVERLOAD,
+                                    ROOM and a held task without a worker */
     union {
         struct {
             PhSchedTaskName task;
@@ -285,6 +287,13 @@
             uint32_t backlog; /* waiting tasks */
             PhTime wait;      /* expected, of the last of them */
         } overload;
+        struct {
+            PhStr service;
+            bool closed;
+            double capacity; /* all in milli-cores */
+            double lasting;
+            double reserve;
+        } room;
         struct {
             PhSchedTaskName task;
             uint32_t run; /* the last one */
@@ -335,17 +344,46 @@
 /* Removes dead incarnations of workers from the model. */
 void PhScheduler_RemoveDeadWorkers(PhScheduler *scheduler);
 
-/* Whether a submission is accepted, see PhScheduler_Admit. */
+typedef enum PhAdmissionTag {
+    PH_ADMISSION_ACCEPTED,
+    PH_ADMISSION_ORDERS,   /* its tasks would wait too long for order capacity
+                            */
+    PH_ADMISSION_ROOM,     /* it would hold room that urgent jobs need */
+    PH_ADMISSION_TOO_LATE, /* it would end too late to be of value */
+} PhAdmissionTag;
+
+/* What decided on a submission, and when a refused one may return. */
 typedef struct PhAdmission {
-    bool accepted;
+    PhAdmissionTag tag;
     PhTime retry_after; /* unless it is accepted */
+    union {
+        struct {
+            double capacity; /* all in milli-cores */
+            double lasting;  /* held by long-running tasks */
+            double reserve;  /* left for urgent jobs */
+            double need;
+        } room;
+        struct {
+            PhTime wait;  /* expected, for room */
+            PhTime rest;  /* critical path */
+            PhTime limit; /* latest end with value */
+        } late;
+    } as;
 } PhAdmission;
 
-/* Decides on a new submission: one whose tasks would wait too long for order
- * capacity is refused.  Jobs with tasks that are to last are accepted, since
- * these go first.  Accepts everything unless this is the owner. */
+/* Decides on a new submission.  Jobs whose tasks would wait too long for order
+ * capacity are refused, unless they have tasks that are to last: these go
+ * first.  With `room_reserve_percent`, long-running jobs leave room for urgent
+ * ones, and jobs that would end too late are refused.  Accepts everything
+ * unless this is the owner. */
 PhAdmission PhScheduler_Admit(PhScheduler *scheduler, const PhSchedSpec *spec,
                               PhTime now);
+/* Reports whether long-running jobs of any service are refused for want of
+ * room. */
+bool PhScheduler_IsLastingClosed(const PhScheduler *scheduler, PhTime now);
+/* The owner before this one refused long-running jobs: so does this one until
+ * it has an estimate of its own. */
+void PhScheduler_InheritLastingClosed(PhScheduler *scheduler, PhTime now);
 /* The limit of outstanding starts, for metrics. */
 typedef struct PhOrderLoad {
     uint32_t limit;
--- a/include/peridothill/decide/schedule/spec.h
+++ b/include/peridothill/decide/schedule/spec.h
@@ -74,5 +74,8 @@
 PhResult PhSchedSpec_Check(const PhSchedSpec *spec);
 /* Length of the critical path by the estimates. */
 PhTime PhSchedSpec_CriticalPath(const PhSchedSpec *spec);
+/* Declared CPU, in milli-cores, of the long-running tasks of the job that do
+ * not fill: it takes that much without an end. */
+double PhSchedSpec_LastingNeed(const PhSchedSpec *spec);
 
 #endif
--- a/services/schedule/schedule_calls.c
+++ b/services/schedule/schedule_calls.c
@@ -98,21 +98,63 @@
     PhSchedSpec_Clear(&call->spec);
 }
 
-/* Refuses a submission that would wait too long for order capacity. */
+/* Logs and counts why a submission is refused. */
 static void
-refuse_overload(PhScheduleTask *t, PhClientCall *call, PhTime retry_after)
+log_refused(PhScheduleTask *t, PhStr job, const PhAdmission *a)
 {
+    PhCounters *counters = PhKernel_Counters(PhTask_Kernel(t->self));
     PhOrderLoad load = PhScheduler_OrderLoad(t->scheduler);
-    PhCounters_Add(PhKernel_Counters(PhTask_Kernel(t->self)),
-                   PH_COUNTER_SCHEDULE_SHED, 1);
-    PhTask_LOG(
-        t->self, PH_EVENT_SCHEDULE_SHED, PhField_STR("job", call->subject),
-        PhField_I64("retry_after_ms", retry_after / PH_NS_PER_MS),
-        PhField_U64("backlog", load.backlog), PhField_U64("limit", load.limit),
-        PhField_I64("delay_ms", load.delay / PH_NS_PER_MS));
-    PhScheduleCalls_Answer(t, &call->origin,
-                           (PhScheduleAnswer){.tag = PH_SCHEDULE_OVERLOADED,
-                                              .as.retry_after = retry_after});
+    int64_t retry_ms = a->retry_after / PH_NS_PER_MS;
+    switch (a->tag) {
+    case PH_ADMISSION_ACCEPTED:
+        break;
+    case PH_ADMISSION_ORDERS:
+        PhCounters_Add(counters, PH_COUNTER_SCHEDULE_SHED, 1);
+        PhTask_LOG(t->self, PH_EVENT_SCHEDULE_SHED, PhField_STR("job", job),
+                   PhField_I64("retry_after_ms", retry_ms),
+                   PhField_U64("backlog", load.backlog),
+                   PhField_U64("limit", load.limit),
+                   PhField_I64("delay_ms", load.delay / PH_NS_PER_MS));
+        break;
+    case PH_ADMISSION_ROOM:
+        PhCounters_Add(counters, PH_COUNTER_SCHEDULE_NO_ROOM, 1);
+        PhTask_LOG(t->self, PH_EVENT_SCHEDULE_NO_ROOM, PhField_STR("job", job),
+                   PhField_I64("retry_after_ms", retry_ms),
+                   PhField_I64("capacity_milli", (int64_t)a->as.room.capacity),
+                   PhField_I64("lasting_milli", (int64_t)a->as.room.lasting),
+                   PhField_I64("reserve_milli", (int64_t)a->as.room.reserve),
+                   PhField_I64("need_milli", (int64_t)a->as.room.need));
+        break;
+    case PH_ADMISSION_TOO_LATE:
+        PhCounters_Add(counters, PH_COUNTER_SCHEDULE_TOO_LATE, 1);
+        PhTask_LOG(t->self, PH_EVENT_SCHEDULE_TOO_LATE,
+                   PhField_STR("job", job),
+                   PhField_I64("retry_after_ms", retry_ms),
+                   PhField_I64("wait_ms", a->as.late.wait / PH_NS_PER_MS),
+                   PhField_I64("rest_ms", a->as.late.rest / PH_NS_PER_MS),
+                   PhField_I64("limit_ms", a->as.late.limit / PH_NS_PER_MS));
+        break;
+    }
+}
+
+static void
+refuse_admission(PhScheduleTask *t, PhClientCall *call, const PhAdmission *a)
+{
+    log_refused(t, call->subject, a);
+    PhScheduleCalls_Answer(
+        t, &call->origin,
+        (PhScheduleAnswer){.tag = PH_SCHEDULE_OVERLOADED,
+                           .as.retry_after = a->retry_after});
+}
+
+/* Without contact to the owner, this instance accepts calls itself, but keeps
+ * to what the owner last said of long-running jobs. */
+static bool
+owner_refuses(const PhScheduleTask *t, const PhClientCall *call)
+{
+    return t->stage == OWNER_INACTIVE &&
+           PhSchedSpec_LastingNeed(&call->spec) > 0 &&
+           PhOwnerLink_IsLastingClosed(&t->link, PhTask_Now(t->self));
 }
 
 /* A submission that is known, or may have been accepted before, is never
@@ -127,10 +169,16 @@
     }
     if (!call->outcome_unknown &&
         !PhScheduleAccept_IsPending(t, call->subject)) {
+        if (owner_refuses(t, call)) {
+            PhScheduleCalls_Refuse(
+                t, &call->origin, call->subject,
+                "owner refuses long-running jobs and is not reachable");
+            return;
+        }
         PhAdmission admission =
             PhScheduler_Admit(t->scheduler, &call->spec, PhTask_Now(t->self));
-        if (!admission.accepted) {
-            refuse_overload(t, call, admission.retry_after);
+        if (admission.tag != PH_ADMISSION_ACCEPTED) {
+            refuse_admission(t, call, &admission);
             return;
         }
     }
--- a/services/schedule/schedule_link.c
+++ b/services/schedule/schedule_link.c
@@ -278,6 +278,8 @@
             .leaving = hello->as.hello.leaving};
         PhScheduleDispatch_OnHello(t, instance, hello);
         m.tag = PH_LINK_WELCOME;
+        m.as.welcome.lasting_closed =
+            PhScheduler_IsLastingClosed(t->scheduler, now);
         m.as.welcome.standby =
             PhStandbys_OnHello(t->standbys, instance, data_centre, &h, now);
     }
@@ -288,15 +290,15 @@
 }
 
 static void
-on_welcome(PhScheduleTask *t, PhStr instance, bool standby)
+on_welcome(PhScheduleTask *t, PhStr instance, const PhWelcome *welcome)
 {
     PhTime now = PhTask_Now(t->self);
     if (t->stage != OWNER_INACTIVE ||
         !PhElection_IsNewestWriter(t->election, instance)) {
         return;
     }
-    PhOwnerLink_OnWelcome(&t->link, standby, now);
-    if (!standby) {
+    PhOwnerLink_OnWelcome(&t->link, welcome, now);
+    if (!welcome->standby) {
         PhElection_OnOwnerContact(t->election, now);
     }
     PhScheduleLink_Update(t);
@@ -465,7 +467,10 @@
         on_hello(t, instance, data_centre, &m);
         break;
     case PH_LINK_WELCOME:
-        on_welcome(t, instance, m.as.welcome.standby);
+        on_welcome(
+            t, instance,
+            &(PhWelcome){.standby = m.as.welcome.standby,
+                         .lasting_closed = m.as.welcome.lasting_closed});
         break;
     case PH_LINK_NOT_OWNER:
         on_dismiss(t, instance);
--- a/services/schedule/schedule_log.c
+++ b/services/schedule/schedule_log.c
@@ -159,6 +159,17 @@
                PhField_I64("wait_ms", note->as.overload.wait / PH_NS_PER_MS));
 }
 
+static void
+log_room(PhScheduleTask *t, const PhSchedEvent *note)
+{
+    PhTask_LOG(t->self, PH_EVENT_SCHEDULE_ROOM_STATE,
+               PhField_STR("service", note->as.room.service),
+               PhField_U64("closed", note->as.room.closed),
+               PhField_I64("capacity_milli", (int64_t)note->as.room.capacity),
+               PhField_I64("lasting_milli", (int64_t)note->as.room.lasting),
+               PhField_I64("reserve_milli", (int64_t)note->as.room.reserve));
+}
+
 /* Logs that the start of an assigned task must not be sent any more. */
 static void
 log_start_withdrawn(PhScheduleTask *t, const PhSchedEvent *note)
@@ -397,6 +408,9 @@
         case PH_SCHED_EVENT_OVERLOAD:
             log_overload(t, &notes[i]);
             break;
+        case PH_SCHED_EVENT_ROOM:
+            log_room(t, &notes[i]);
+            break;
         case PH_SCHED_EVENT_TASK_HELD:
             log_task_held(t, &notes[i]);
             break;
--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -169,6 +169,9 @@
     t->stage = OWNER_ACTIVE;
     t->batch_sequence = 1;
     PhScheduler_SetFence(t->scheduler, t->fence, now);
+    if (PhOwnerLink_IsLastingClosed(&t->link, now)) {
+        PhScheduler_InheritLastingClosed(t->scheduler, now);
+    }
     PhScheduleTopics_DropRunsRead(t);
     PhScheduleLog_OwnerGained(t);
 }
--- a/tests/schedule/owners_jobs.c
+++ b/tests/schedule/owners_jobs.c
@@ -89,8 +89,8 @@
     PhSchedSpec spec = job_describe(last);
     bool accepted =
         owner < 0 ||
-        PhScheduler_Admit(w->instances[owner].scheduler, &spec, w->now)
-            .accepted;
+        PhScheduler_Admit(w->instances[owner].scheduler, &spec, w->now).tag ==
+            PH_ADMISSION_ACCEPTED;
     if (accepted) {
         PhSchedEncoded e = PhSchedRecord_EncodeJob(&spec);
         g_array_append_val(w->log, e);
--- a/tests/schedule/test_owner_link.c
+++ b/tests/schedule/test_owner_link.c
@@ -131,7 +131,8 @@
             break;
         case 'w':
         case 's':
-            PhOwnerLink_OnWelcome(&x, s->event == 's', now);
+            PhOwnerLink_OnWelcome(&x, &(PhWelcome){.standby = s->event == 's'},
+                                  now);
             break;
         case 'd':
             PhOwnerLink_OnNotOwner(&x, now);
