schedule: admission by room after its review

Change: such an instance refuses only with jobs read recently; the state is kept at a planned handover and by an owner that is deposed; the mean need is bounded; a queue's share is one of the room, not of what is held; without a usable sample the estimate is dropped. test_room has a row for each.

--- a/decide/schedule/admission.c
+++ b/decide/schedule/admission.c
@@ -30,7 +30,7 @@
 
 /* Whether a job would wait too long for order capacity. */
 static PhAdmission
-admit_by_orders(PhScheduler *s, const PhSchedSpec *spec, PhTime now)
+admit_by_orders(const PhScheduler *s, PhTime now)
 {
     PhTime wait = PhOrderWindow_WaitFor(&s->window, s->backlog, now);
     if (wait > WAIT_MAX) {
@@ -38,10 +38,6 @@
                              .retry_after =
                                  MAX(wait - WAIT_MAX, RETRY_AFTER_MIN)};
     }
-    /* Counted until the next placement finds what of it waits. */
-    if (PhOrderWindow_IsOverloaded(&s->window, now)) {
-        s->backlog += task_count(spec);
-    }
     return (PhAdmission){.tag = PH_ADMISSION_ACCEPTED};
 }
 
@@ -62,7 +58,7 @@
 }
 
 /* Whether a long-running job leaves the room that urgent jobs need.  Without
- * an estimate only the word of the owner before counts. */
+ * an estimate only what the previous owner reported counts. */
 static PhAdmission
 admit_lasting(PhScheduler *s, const PhSchedSpec *spec, PhTime now)
 {
@@ -76,9 +72,8 @@
         return now < s->closed_until ? refuse_lasting(s, room, spec, need)
                                      : accepted;
     }
-    PhScheduler_MeasureRoom(s, spec->terms.service, now);
     bool below =
-        room->closed && PhScheduler_IsBelowShare(s, &spec->terms, need);
+        room->closed && PhScheduler_IsBelowShare(s, room, &spec->terms, need);
     if (!PhRoom_AdmitLasting(room, need, below,
                              s->options.room_reserve_percent)) {
         return refuse_lasting(s, room, spec, need);
@@ -124,24 +119,29 @@
         return admit_lasting(s, spec, now);
     }
     const PhRoom *room = PhScheduler_Room(s, spec->terms.service);
-    PhAdmission a = admit_by_orders(s, spec, now);
-    return a.tag != PH_ADMISSION_ACCEPTED || room == NULL
-               ? a
-               : admit_in_time(s, room, spec, now);
+    PhAdmission a = admit_by_orders(s, now);
+    if (a.tag == PH_ADMISSION_ACCEPTED && room != NULL) {
+        a = admit_in_time(s, room, spec, now);
+    }
+    /* Counted until the next placement finds what of it waits. */
+    if (a.tag == PH_ADMISSION_ACCEPTED &&
+        PhOrderWindow_IsOverloaded(&s->window, now)) {
+        s->backlog += task_count(spec);
+    }
+    return a;
 }
 
 bool
 PhScheduler_IsLastingClosed(const PhScheduler *s, PhTime now)
 {
-    if (now < s->closed_until) {
-        return true;
-    }
+    guint closed = 0;
+    guint known = 0;
     for (guint i = 0; i < s->rooms->len; i++) {
-        if (g_array_index(s->rooms, PhServiceRoom, i).room.closed) {
-            return true;
-        }
+        const PhRoom *room = &g_array_index(s->rooms, PhServiceRoom, i).room;
+        known += room->sampled_at != 0;
+        closed += room->sampled_at != 0 && room->closed;
     }
-    return false;
+    return now < s->closed_until || (known > 0 && closed == known);
 }
 
 void
--- a/decide/schedule/order.c
+++ b/decide/schedule/order.c
@@ -169,7 +169,7 @@
 }
 
 GArray *
-PhScheduler_CollectCandidates(const PhScheduler *s, PhTime now)
+PhScheduler_CollectUnsorted(const PhScheduler *s, PhTime now)
 {
     GArray *list = g_array_new(FALSE, FALSE, sizeof(PhCandidate));
     for (guint i = 0; i < s->model->active->len; i++) {
@@ -180,6 +180,13 @@
             }
         }
     }
+    return list;
+}
+
+GArray *
+PhScheduler_CollectCandidates(const PhScheduler *s, PhTime now)
+{
+    GArray *list = PhScheduler_CollectUnsorted(s, now);
     g_array_sort(list, candidate_compare);
     return list;
 }
--- a/decide/schedule/owner_link.c
+++ b/decide/schedule/owner_link.c
@@ -13,7 +13,7 @@
 /* A standby keeps reading the store this long after the owner's last answer.
  */
 static const PhTime STANDBY_TIME = 15 * PH_NS_PER_S;
-/* For so long an instance without contact relies on the owner's word that
+/* For so long an instance without contact relies on a welcome that said that
  * long-running jobs are refused. */
 static const PhTime CLOSED_TIME = 15 * PH_NS_PER_S;
 
@@ -61,7 +61,13 @@
     link->answered_at = now;
     link->hello_sent_at = 0;
     link->standby_until = welcome->standby ? now + STANDBY_TIME : 0;
-    link->lasting_closed_at = welcome->lasting_closed ? now : 0;
+    PhOwnerLink_SetLastingClosed(link, welcome->lasting_closed, now);
+}
+
+void
+PhOwnerLink_SetLastingClosed(PhOwnerLink *link, bool closed, PhTime now)
+{
+    link->lasting_closed_at = closed ? now : 0;
 }
 
 bool
--- a/decide/schedule/room.c
+++ b/decide/schedule/room.c
@@ -15,14 +15,16 @@
 static const double FRAGMENTED_SHARE = 0.02;
 /* Once closed, the room opens with this share of the capacity more. */
 static const double REOPEN_SHARE = 0.01;
-/* Weight of a new need in the mean one. */
+/* Weight of a new need in the mean one, and the share of the capacity that
+ * counts at most: one very large job must not close the room. */
 static const double NEED_WEIGHT = 0.2;
+static const double NEED_SHARE_MAX = 0.02;
 /* Weight and bounds of a new ratio of waits.  Estimates of clients are off by
  * up to a factor of two either way. */
 static const double RATIO_WEIGHT = 0.1;
 static const double RATIO_MIN = 0.25;
 static const double RATIO_MAX = 2;
-/* Shorter expected waits tell nothing about the ratio. */
+/* Shorter expected waits are not used for the ratio. */
 static const PhTime LEARNED_WAIT_MIN = 200 * PH_NS_PER_MS;
 static const PhTime RETRY_AFTER_MIN = 1 * PH_NS_PER_S;
 static const PhTime RETRY_AFTER_MAX = 10 * PH_NS_PER_S;
@@ -31,6 +33,14 @@
     SPREAD_STEPS = 2, /* Retry-After has whole seconds */
 };
 
+/* Without a usable sample nothing is refused. */
+void
+PhRoom_Reset(PhRoom *room)
+{
+    room->sampled_at = 0;
+    room->closed = false;
+}
+
 void
 PhRoom_Init(PhRoom *room)
 {
@@ -80,19 +90,28 @@
     state_update(room, reserve_percent);
 }
 
+/* Only accepted jobs count, so that one that is repeated counts once. */
+static void
+need_learn(PhRoom *room, double need)
+{
+    double sample = MIN(need, NEED_SHARE_MAX * room->sample.capacity);
+    room->mean_need =
+        room->mean_need == 0
+            ? sample
+            : room->mean_need + NEED_WEIGHT * (sample - room->mean_need);
+}
+
 bool
 PhRoom_AdmitLasting(PhRoom *room, double need, bool below_share,
                     uint64_t reserve_percent)
 {
-    room->mean_need =
-        room->mean_need == 0
-            ? need
-            : room->mean_need + NEED_WEIGHT * (need - room->mean_need);
-    state_update(room, reserve_percent);
-    if (room->closed && !below_share) {
+    bool fits = need <= room->sample.capacity - room->sample.lasting;
+    if (!fits || (room->closed && !below_share)) {
         return false;
     }
+    need_learn(room, need);
     room->sample.lasting += need;
+    state_update(room, reserve_percent);
     return true;
 }
 
@@ -109,7 +128,7 @@
 PhRoom_LateBy(const PhRoom *room, PhTime wait, PhTime rest, PhTime limit)
 {
     PhTime end = (PhTime)((double)wait * room->wait_ratio) + rest;
-    return wait > 0 ? MAX(end - limit, 0) : 0;
+    return wait > 0 && limit > 0 ? MAX(end - limit, 0) : 0;
 }
 
 void
--- a/decide/schedule/room_sample.c
+++ b/decide/schedule/room_sample.c
@@ -8,7 +8,7 @@
 /* A job whose record is not durable by then was not accepted. */
 static const PhTime ADMITTED_TIME = 3 * PH_NS_PER_S;
 enum {
-    EXPECTED_WAITS_MAX = 4096, /* remembered; the rest teaches nothing */
+    EXPECTED_WAITS_MAX = 4096, /* remembered */
 };
 
 static PhServiceRoom *
@@ -54,32 +54,42 @@
     return r == NULL || r->room.sampled_at == 0 ? NULL : &r->room;
 }
 
-/* Adds the tasks of a round that take declared CPU now or wait for it.  A job
- * that has missed its objective by far waits behind all others and adds only
- * what runs. */
+/* Long-running tasks hold their CPU from when the job is accepted, also while
+ * an earlier step runs.  Of a job that has missed its objective by far, which
+ * waits behind all others, only what runs counts. */
 static void
 round_add(const PhSchedJob *job, uint32_t k, bool urgent, PhTime now,
           PhRoomSample *sample)
 {
-    PhObjectiveStatus status = PH_OBJECTIVE_ON_TIME;
-    if (urgent && job->rounds[k].done < job->spec.step_count) {
-        status = PhSchedJob_ObjectiveStatus(job, k, now);
-    }
+    bool waits = urgent && PhSchedJob_ObjectiveStatus(job, k, now) !=
+                               PH_OBJECTIVE_MISSED;
     for (uint32_t i = 0; i < job->spec.step_count; i++) {
         const PhSchedStep *step = &job->spec.steps[i];
         const PhSchedStage *stage = &job->rounds[k].stages[i];
-        bool waits = stage->waiting > 0 && PhSchedStage_IsReady(stage) &&
-                     status != PH_OBJECTIVE_MISSED;
-        uint32_t tasks = stage->placed + (waits ? stage->waiting : 0);
-        double cpu = (double)tasks * (double)step->resources.cpu_milli;
+        double cpu = (double)step->resources.cpu_milli;
         if (step->fills) {
             continue;
         }
         if (step->long_running) {
-            sample->lasting += cpu;
+            sample->lasting += (double)(stage->placed + stage->waiting) * cpu;
         }
         else if (urgent) {
-            sample->urgent += cpu;
+            bool ready = waits && PhSchedStage_IsReady(stage);
+            sample->urgent +=
+                (double)(stage->placed + (ready ? stage->waiting : 0)) * cpu;
+        }
+    }
+}
+
+static void
+job_add(const PhSchedJob *job, bool urgent, PhTime now, PhRoomSample *sample)
+{
+    if (job->round_count == 0) {
+        sample->lasting += PhSchedSpec_LastingNeed(&job->spec);
+    }
+    for (uint32_t k = 0; k < job->round_count; k++) {
+        if (job->rounds[k].done < job->spec.step_count) {
+            round_add(job, k, urgent, now, sample);
         }
     }
 }
@@ -119,7 +129,9 @@
 void
 PhAdmitted_Destroy(gpointer admitted)
 {
-    PhStr_Clear(&((PhAdmitted *)admitted)->service);
+    PhAdmitted *a = admitted;
+    PhStr_Clear(&a->service);
+    PhStr_Clear(&a->queue);
     g_free(admitted);
 }
 
@@ -128,6 +140,7 @@
 {
     PhAdmitted *a = g_new0(PhAdmitted, 1);
     a->service = PhStr_Dup(spec->terms.service);
+    a->queue = PhStr_Dup(spec->terms.queue);
     a->need = PhSchedSpec_LastingNeed(spec);
     a->at = now;
     g_hash_table_replace(s->admitted, PhStr_KeyCreate(spec->id), a);
@@ -163,11 +176,8 @@
     int64_t priority = urgent_priority(s, service);
     for (guint i = 0; i < s->model->active->len; i++) {
         const PhSchedJob *job = g_ptr_array_index(s->model->active, i);
-        for (uint32_t k = 0; k < job->round_count &&
-                             PhStr_Equal(job->spec.terms.service, service);
-             k++) {
-            round_add(job, k, job->spec.terms.priority <= priority, now,
-                      &sample);
+        if (PhStr_Equal(job->spec.terms.service, service)) {
+            job_add(job, job->spec.terms.priority <= priority, now, &sample);
         }
     }
     for (guint i = 0; i < s->model->incarnations->len; i++) {
@@ -213,36 +223,26 @@
     }
 }
 
-static void
-room_measure(PhScheduler *s, PhServiceRoom *r, PhTime now)
-{
-    PhRoomSample sample = measure(s, r->service, now);
-    if (sample.capacity > 0) {
-        PhRoom_Sample(&r->room, &sample, s->options.room_reserve_percent, now);
-        report(s, r);
-    }
-}
-
-void
-PhScheduler_MeasureRoom(PhScheduler *s, PhStr service, PhTime now)
-{
-    PhServiceRoom *r = service_room(s, service);
-    if (r != NULL && r->room.sampled_at != 0) {
-        room_measure(s, r, now);
-    }
-}
-
 void
 PhScheduler_UpdateRoom(PhScheduler *s, PhTime now)
 {
-    if (s->options.room_reserve_percent == 0 || now < s->rooms_due_at ||
-        !is_usable(s, now)) {
+    if (s->options.room_reserve_percent == 0 || now < s->rooms_due_at) {
         return;
     }
     s->rooms_due_at = now + SAMPLE_INTERVAL;
     services_add(s);
+    bool usable = is_usable(s, now);
     for (guint i = 0; i < s->rooms->len; i++) {
-        room_measure(s, &g_array_index(s->rooms, PhServiceRoom, i), now);
+        PhServiceRoom *r = &g_array_index(s->rooms, PhServiceRoom, i);
+        PhRoomSample sample = measure(s, r->service, now);
+        if (usable && sample.capacity > 0) {
+            PhRoom_Sample(&r->room, &sample, s->options.room_reserve_percent,
+                          now);
+        }
+        else {
+            PhRoom_Reset(&r->room);
+        }
+        report(s, r);
     }
 }
 
@@ -252,27 +252,48 @@
     s->closed_until = now + SETTLE_TIME;
 }
 
+/* What the long-running jobs of a queue hold, and the queues that have such
+ * jobs in a service. */
+typedef struct PhQueueShare {
+    const PhSchedTerms *terms;
+    GHashTable *queues; /* set of PhStr, borrowed */
+    double own;
+} PhQueueShare;
+
+static void
+share_add(PhQueueShare *share, PhStr service, const PhStr *queue, double need)
+{
+    if (need > 0 && PhStr_Equal(service, share->terms->service)) {
+        g_hash_table_add(share->queues, (gpointer)queue);
+        share->own += PhStr_Equal(*queue, share->terms->queue) ? need : 0;
+    }
+}
+
 bool
-PhScheduler_IsBelowShare(const PhScheduler *s, const PhSchedTerms *terms,
-                         double need)
+PhScheduler_IsBelowShare(const PhScheduler *s, const PhRoom *room,
+                         const PhSchedTerms *terms, double need)
 {
-    GHashTable *queues = g_hash_table_new(PhStr_KeyHash, PhStr_KeyEqual);
-    double all = need;
-    double own = need;
-    g_hash_table_add(queues, (gpointer)&terms->queue);
+    PhQueueShare share = {.terms = terms,
+                          .queues =
+                              g_hash_table_new(PhStr_KeyHash, PhStr_KeyEqual)};
+    share_add(&share, terms->service, &terms->queue, need);
     for (guint i = 0; i < s->model->active->len; i++) {
         const PhSchedJob *job = g_ptr_array_index(s->model->active, i);
-        const PhSchedTerms *other = &job->spec.terms;
-        double held = PhSchedSpec_LastingNeed(&job->spec);
-        if (held > 0 && PhStr_Equal(other->service, terms->service)) {
-            g_hash_table_add(queues, (gpointer)&other->queue);
-            all += held;
-            own += PhStr_Equal(other->queue, terms->queue) ? held : 0;
-        }
+        share_add(&share, job->spec.terms.service, &job->spec.terms.queue,
+                  PhSchedSpec_LastingNeed(&job->spec));
     }
-    guint count = g_hash_table_size(queues);
-    g_hash_table_destroy(queues);
-    return own * count < all;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, s->admitted);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const PhAdmitted *a = value;
+        share_add(&share, a->service, &a->queue, a->need);
+    }
+    double all = room->sample.capacity -
+                 PhRoom_Reserve(room, s->options.room_reserve_percent);
+    guint count = g_hash_table_size(share.queues);
+    g_hash_table_destroy(share.queues);
+    return count > 1 && share.own * count < all;
 }
 
 double
@@ -280,7 +301,7 @@
                        PhTime now)
 {
     PhCandidate own = PhCandidate_ForNew(spec);
-    GArray *list = PhScheduler_CollectCandidates(s, now);
+    GArray *list = PhScheduler_CollectUnsorted(s, now);
     double waiting = 0;
     double running = 0;
     for (guint i = 0; i < list->len; i++) {
@@ -304,10 +325,13 @@
 void
 PhScheduler_NoteExpectedWait(PhScheduler *s, PhStr id, PhTime wait)
 {
-    if (wait == 0 ||
-        g_hash_table_size(s->expected_waits) >= EXPECTED_WAITS_MAX) {
+    if (wait == 0) {
         return;
     }
+    /* Jobs that are cancelled before they start are not removed one by one. */
+    if (g_hash_table_size(s->expected_waits) >= EXPECTED_WAITS_MAX) {
+        g_hash_table_remove_all(s->expected_waits);
+    }
     PhTime *value = g_new(PhTime, 1);
     *value = wait;
     g_hash_table_insert(s->expected_waits, PhStr_KeyCreate(id), value);
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -76,8 +76,9 @@
 
 /* A long-running job that was accepted: its record may not be durable yet. */
 typedef struct PhAdmitted {
-    PhStr service; /* owned */
-    double need;   /* milli-cores */
+    PhStr service; /* owned, as the next */
+    PhStr queue;
+    double need; /* milli-cores */
     PhTime at;
 } PhAdmitted;
 
@@ -232,17 +233,14 @@
 /* room_sample.c: measures what each service has room for, if jobs are refused
  * for want of it. */
 void PhScheduler_UpdateRoom(PhScheduler *scheduler, PhTime now);
-/* Measures the room of a service now. */
-void PhScheduler_MeasureRoom(PhScheduler *scheduler, PhStr service,
-                             PhTime now);
 /* Counts a long-running job that is accepted until the model contains it. */
 void PhScheduler_NoteAdmitted(PhScheduler *scheduler, const PhSchedSpec *spec,
                               PhTime now);
 /* The estimate for a service, or NULL if there is none yet. */
 PhRoom *PhScheduler_Room(const PhScheduler *scheduler, PhStr service);
-/* Reports whether a queue holds less than an equal share of what long-running
- * jobs hold in its service, `need` included. */
-bool PhScheduler_IsBelowShare(const PhScheduler *scheduler,
+/* Reports whether the long-running jobs of a queue hold, `need` included, less
+ * than an equal share of the room of their service. */
+bool PhScheduler_IsBelowShare(const PhScheduler *scheduler, const PhRoom *room,
                               const PhSchedTerms *terms, double need);
 /* Work that is placed before a new job, and that of the tasks that run, in
  * milli-cores x ns. */
@@ -291,6 +289,8 @@
  * The array is owned by the caller. */
 GArray *PhScheduler_CollectCandidates(const PhScheduler *scheduler,
                                       PhTime now);
+/* The same in no particular order. */
+GArray *PhScheduler_CollectUnsorted(const PhScheduler *scheduler, PhTime now);
 /* The candidate of a job that would be accepted now. */
 PhCandidate PhCandidate_ForNew(const PhSchedSpec *spec);
 /* Reports whether `a` is placed before `b`. */
--- a/include/peridothill/decide/schedule/owner_link.h
+++ b/include/peridothill/decide/schedule/owner_link.h
@@ -45,8 +45,10 @@
 /* The owner has answered a hello. */
 void PhOwnerLink_OnWelcome(PhOwnerLink *link, const PhWelcome *welcome,
                            PhTime now);
-/* Reports whether the owner has said recently that it refuses long-running
- * jobs. */
+/* Notes whether the owner refuses long-running jobs: by its welcome, or by an
+ * ownership of this instance that ends. */
+void PhOwnerLink_SetLastingClosed(PhOwnerLink *link, bool closed, PhTime now);
+/* Reports whether that was so less than 15 s ago, at the newest note. */
 bool PhOwnerLink_IsLastingClosed(const PhOwnerLink *link, PhTime now);
 /* The instance at the address is not the owner: calls are no longer forwarded,
  * but hellos to the address go on.  If it had answered as the owner, the time
--- a/include/peridothill/decide/schedule/room.h
+++ b/include/peridothill/decide/schedule/room.h
@@ -21,12 +21,15 @@
     PhRoomSample sample;
     PhTime sampled_at; /* 0: there is no sample */
     double demand;     /* decaying maximum of the urgent tasks */
-    double mean_need;  /* of a long-running job; 0 before the first one */
+    double mean_need;  /* of an accepted long-running job; 0 before the first
+                          one */
     bool closed;       /* long-running jobs are refused */
     double wait_ratio; /* actual to expected wait of accepted jobs */
 } PhRoom;
 
 void PhRoom_Init(PhRoom *room);
+/* The sample is out of date; what was learned is kept. */
+void PhRoom_Reset(PhRoom *room);
 /* Takes a sample; `reserve_percent` of the capacity at most is left for urgent
  * jobs. */
 void PhRoom_Sample(PhRoom *room, const PhRoomSample *sample,
@@ -34,14 +37,15 @@
 /* What long-running jobs have to leave free. */
 double PhRoom_Reserve(const PhRoom *room, uint64_t reserve_percent);
 /* Decides on a long-running job.  While the room is closed only a queue that
- * holds less than its share gets one more. */
+ * holds less than its share gets one more; a job that needs more than all that
+ * is left is always refused. */
 bool PhRoom_AdmitLasting(PhRoom *room, double need, bool below_share,
                          uint64_t reserve_percent);
 /* Expected wait of a job behind `work`. */
 PhTime PhRoom_WaitFor(const PhRoom *room, double work);
 /* Time by which a job that ends would miss `limit`, its latest end with value,
  * after an expected wait and the rest of its critical path; 0: it would not,
- * or it does not wait. */
+ * it does not wait, or it has no limit. */
 PhTime PhRoom_LateBy(const PhRoom *room, PhTime wait, PhTime rest,
                      PhTime limit);
 /* An accepted job with an expected wait has started. */
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -378,11 +378,11 @@
  * unless this is the owner. */
 PhAdmission PhScheduler_Admit(PhScheduler *scheduler, const PhSchedSpec *spec,
                               PhTime now);
-/* Reports whether long-running jobs of any service are refused for want of
+/* Reports whether long-running jobs of all services are refused for want of
  * room. */
 bool PhScheduler_IsLastingClosed(const PhScheduler *scheduler, PhTime now);
-/* The owner before this one refused long-running jobs: so does this one until
- * it has an estimate of its own. */
+/* The previous owner refused long-running jobs: so does this one until it has
+ * an estimate of its own. */
 void PhScheduler_InheritLastingClosed(PhScheduler *scheduler, PhTime now);
 /* The limit of outstanding starts, for metrics. */
 typedef struct PhOrderLoad {
--- a/services/schedule/schedule_calls.c
+++ b/services/schedule/schedule_calls.c
@@ -147,14 +147,18 @@
                            .as.retry_after = a->retry_after});
 }
 
-/* Without contact to the owner, this instance accepts calls itself, but keeps
- * to what the owner last said of long-running jobs. */
+/* Without contact to the owner this instance accepts calls itself, but keeps
+ * to what the newest welcome said of long-running jobs.  Only with jobs read
+ * recently is it known that the owner has not accepted this one. */
 static bool
 owner_refuses(const PhScheduleTask *t, const PhClientCall *call)
 {
-    return t->stage == OWNER_INACTIVE &&
+    PhTime now = PhTask_Now(t->self);
+    return t->options.room_reserve > 0 && t->stage != OWNER_ACTIVE &&
+           !PhOwnerLink_IsUp(&t->link, now) &&
            PhSchedSpec_LastingNeed(&call->spec) > 0 &&
-           PhOwnerLink_IsLastingClosed(&t->link, PhTask_Now(t->self));
+           PhOwnerLink_IsLastingClosed(&t->link, now) &&
+           PhScheduleTopics_AreJobsFresh(t);
 }
 
 /* A submission that is known, or may have been accepted before, is never
--- a/services/schedule/schedule_link.c
+++ b/services/schedule/schedule_link.c
@@ -334,8 +334,11 @@
     PhSuccessor chosen =
         PhStandbys_ChooseSuccessor(t->standbys, now - t->started_at, now);
     if (chosen.is_new) {
-        PhLinkMessage m = {.tag = PH_LINK_WELCOME,
-                           .as.welcome = {.standby = true}};
+        PhLinkMessage m = {
+            .tag = PH_LINK_WELCOME,
+            .as.welcome = {.standby = true,
+                           .lasting_closed = PhScheduler_IsLastingClosed(
+                               t->scheduler, now)}};
         link_send(t, chosen.instance, (PhStr){0}, &m);
     }
     return chosen;
--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -149,6 +149,10 @@
     PhScheduleLink_DismissAll(t);
     PhScheduleRecords_Clear(t);
     PhScheduleDispatch_Reset(t);
+    if (active) {
+        PhOwnerLink_SetLastingClosed(
+            &t->link, PhScheduler_IsLastingClosed(t->scheduler, now), now);
+    }
     PhScheduler_SetFence(t->scheduler, 0, now);
     if (active) {
         PhScheduleTopics_Reload(t);
--- a/tests/schedule/test_room.c
+++ b/tests/schedule/test_room.c
@@ -3,6 +3,7 @@
  * refusals without an estimate. */
 #include <math.h>
 
+#include "peridothill/decide/schedule/owner_link.h"
 #include "peridothill/decide/schedule/room.h"
 #include "single_task.h"
 #include "tests/table.h"
@@ -255,15 +256,24 @@
     Ph_RUN_TABLE(lateness_cases, lateness_run);
 }
 
+/* Traits of an owner's state, as flags. */
+enum {
+    OWNER_HEARD = 1,          /* its worker has answered */
+    OWNER_INHERITS = 2,       /* the owner before refused long-running jobs */
+    OWNER_OTHER_QUEUE = 4,    /* others than the job's queue hold the room */
+    OWNER_CORDONED = 8,       /* its worker's data centre is */
+    OWNER_BEHIND_A_STEP = 16, /* what is held waits for an earlier step */
+};
+
 /* A job that comes to an owner with 16 cores in one worker. */
 typedef struct PhOwnerCase {
     const char *name;
     uint64_t reserve_percent;
     int64_t owner_for_ms;
-    bool heard;
-    bool inherits_closed;
-    unsigned lasting; /* tasks of one core that are accepted before */
-    unsigned urgent;  /* the same, of jobs of 20 tasks that take 2 s */
+    unsigned traits;
+    unsigned lasting;  /* tasks of one core that are held */
+    unsigned admitted; /* the same, accepted a moment before */
+    unsigned urgent;   /* tasks of one core, of jobs of 20 that take 2 s */
     int64_t urgent_age_ms;
     PhSchedStep step; /* of the new job */
     PhAdmissionTag tag;
@@ -279,45 +289,78 @@
     }
 
 static const PhOwnerCase owner_cases[] = {
-    {"room is left", 12, 5000, true, false, 4, 0, 0, NEW_LASTING,
+    {"room is left", 12, 5000, OWNER_HEARD, 4, 0, 0, 0, NEW_LASTING,
      PH_ADMISSION_ACCEPTED},
-    {"no room", 12, 5000, true, false, 16, 0, 0, NEW_LASTING,
+    {"no room", 12, 5000, OWNER_HEARD, 16, 0, 0, 0, NEW_LASTING,
      PH_ADMISSION_ROOM},
-    {"no room, no setting", 0, 5000, true, false, 16, 0, 0, NEW_LASTING,
+    {"no room, no setting", 0, 5000, OWNER_HEARD, 16, 0, 0, 0, NEW_LASTING,
+     PH_ADMISSION_ACCEPTED},
+    {"no room, a new owner", 12, 1000, OWNER_HEARD, 16, 0, 0, 0, NEW_LASTING,
      PH_ADMISSION_ACCEPTED},
-    {"no room, a new owner", 12, 1000, true, false, 16, 0, 0, NEW_LASTING,
+    {"no room, a new owner after one that refused", 12, 1000,
+     OWNER_HEARD | OWNER_INHERITS, 16, 0, 0, 0, NEW_LASTING,
+     PH_ADMISSION_ROOM},
+    {"no room, workers not heard", 12, 5000, 0, 16, 0, 0, 0, NEW_LASTING,
+     PH_ADMISSION_ACCEPTED},
+    {"no worker is left that counts", 12, 5000, OWNER_HEARD | OWNER_CORDONED,
+     16, 0, 0, 0, NEW_LASTING, PH_ADMISSION_ACCEPTED},
+    {"no room with jobs accepted a moment before", 12, 5000, OWNER_HEARD, 10,
+     6, 0, 0, NEW_LASTING, PH_ADMISSION_ROOM},
+    {"no room with tasks whose turn has not come", 12, 5000,
+     OWNER_HEARD | OWNER_BEHIND_A_STEP, 16, 0, 0, 0, NEW_LASTING,
+     PH_ADMISSION_ROOM},
+    {"urgent jobs need the room", 12, 5000, OWNER_HEARD, 14, 0, 20, 0,
+     NEW_LASTING, PH_ADMISSION_ROOM},
+    {"urgent jobs need it, the queue is below its share", 12, 5000,
+     OWNER_HEARD | OWNER_OTHER_QUEUE, 14, 0, 20, 0, NEW_LASTING,
      PH_ADMISSION_ACCEPTED},
-    {"no room, a new owner after one that refused", 12, 1000, true, true, 16,
-     0, 0, NEW_LASTING, PH_ADMISSION_ROOM},
-    {"no room, workers not heard", 12, 5000, false, false, 16, 0, 0,
-     NEW_LASTING, PH_ADMISSION_ACCEPTED},
+    {"a job larger than what is left",
+     12,
+     5000,
+     OWNER_HEARD,
+     4,
+     0,
+     0,
+     0,
+     {.count = 13, .resources.cpu_milli = 1000, .long_running = true},
+     PH_ADMISSION_ROOM},
     {"no room, a long-running job that fills",
      12,
      5000,
-     true,
-     false,
+     OWNER_HEARD,
      16,
      0,
      0,
+     0,
      {.count = 1,
       .resources.cpu_milli = 1000,
       .long_running = true,
       .fills = true},
      PH_ADMISSION_ACCEPTED},
-    {"urgent job, nothing waits", 12, 5000, true, false, 12, 0, 0, NEW_URGENT,
-     PH_ADMISSION_ACCEPTED},
-    {"urgent job behind a long queue", 12, 5000, true, false, 12, 400, 0,
+    {"urgent job, nothing waits", 12, 5000, OWNER_HEARD, 12, 0, 0, 0,
+     NEW_URGENT, PH_ADMISSION_ACCEPTED},
+    {"urgent job behind a long queue", 12, 5000, OWNER_HEARD, 12, 0, 400, 0,
      NEW_URGENT, PH_ADMISSION_TOO_LATE},
-    {"urgent job behind a long queue, no setting", 0, 5000, true, false, 12,
+    {"urgent job behind a long queue, no setting", 0, 5000, OWNER_HEARD, 12, 0,
      400, 0, NEW_URGENT, PH_ADMISSION_ACCEPTED},
-    {"all that waits is late already and goes last", 12, 5000, true, false, 12,
-     400, 60000, NEW_URGENT, PH_ADMISSION_ACCEPTED},
-    {"backfill job behind a long queue",
+    {"all that waits is late already and goes last", 12, 5000, OWNER_HEARD, 12,
+     0, 400, 60000, NEW_URGENT, PH_ADMISSION_ACCEPTED},
+    {"a job without an estimate",
      12,
      5000,
-     true,
-     false,
+     OWNER_HEARD,
      12,
+     0,
+     400,
+     0,
+     {.count = 50, .resources.cpu_milli = 1000},
+     PH_ADMISSION_ACCEPTED},
+    {"burst of backfill jobs over urgent ones",
+     12,
+     5000,
+     OWNER_HEARD,
+     12,
+     0,
      400,
      0,
      {.count = 50,
@@ -330,23 +373,42 @@
 static const PhTime OWNER_SINCE = 100 * PH_NS_PER_S;
 
 static PhSchedSpec
-spec_make(unsigned number, PhSchedStep step)
+spec_make(unsigned number, const char *queue, PhSchedStep step)
 {
     char id[17];
     g_snprintf(id, sizeof(id), "%016x", number);
     PhSchedSpec spec = PhSingle_Spec(PhStr_FromC(id), step);
     spec.terms.stretch = 1.5;
+    spec.terms.queue = PhStr_Dup(PhStr_FromC(queue));
     return spec;
 }
 
+/* Puts a step of one task, which has not begun, before the step of a job. */
 static void
-jobs_add(PhSchedModel *model, unsigned tasks, unsigned each, PhSchedStep step,
-         PhTime at)
+step_prepend(PhSchedSpec *spec)
+{
+    PhSchedStep *steps = g_new0(PhSchedStep, 2);
+    steps[0] = (PhSchedStep){.count = 1, .resources.cpu_milli = 100000};
+    steps[1] = spec->steps[0];
+    steps[1].after = g_new0(uint32_t, 1);
+    steps[1].after_count = 1;
+    g_free(spec->steps);
+    spec->steps = steps;
+    spec->step_count = 2;
+}
+
+static void
+jobs_add(PhSchedModel *model, const PhOwnerCase *c, unsigned tasks,
+         unsigned each, PhSchedStep step, PhTime at)
 {
     static unsigned number;
+    const char *queue = (c->traits & OWNER_OTHER_QUEUE) != 0 ? "other" : "own";
     for (unsigned i = 0; i < tasks; i += each) {
         step.count = each;
-        PhSchedSpec spec = spec_make(++number, step);
+        PhSchedSpec spec = spec_make(++number, queue, step);
+        if (step.long_running && (c->traits & OWNER_BEHIND_A_STEP) != 0) {
+            step_prepend(&spec);
+        }
         PhSchedModel_AddJob(model, &spec, at);
     }
 }
@@ -355,11 +417,34 @@
 queue_add(PhSchedModel *model, const PhSchedSpec *spec)
 {
     PhSchedQueue queue = {0};
-    queue.terms.queue = PhStr_Dup(PhStr_LITERAL("queue"));
+    queue.terms.queue = PhStr_Dup(spec->terms.queue);
     queue.terms.service = PhStr_Dup(spec->terms.service);
     g_array_append_val(model->config->queues, queue);
 }
 
+static void
+worker_prepare(PhScheduler *s, const PhOwnerCase *c)
+{
+    PhSchedWorker *w =
+        g_ptr_array_index(PhScheduler_Model(s)->incarnations, 0);
+    w->entry.capacity.cpu_milli = 16000;
+    w->fenced = (c->traits & OWNER_HEARD) != 0;
+    w->cordoned = (c->traits & OWNER_CORDONED) != 0;
+}
+
+/* Jobs that are accepted and not in the model yet. */
+static void
+jobs_admit(PhScheduler *s, const PhOwnerCase *c, PhTime now)
+{
+    for (unsigned i = 0; i < c->admitted; i++) {
+        PhSchedSpec spec =
+            spec_make(UINT16_MAX - 1 - i, "own", (PhSchedStep)NEW_LASTING);
+        assert_int_equal(PhScheduler_Admit(s, &spec, now).tag,
+                         PH_ADMISSION_ACCEPTED);
+        PhSchedSpec_Clear(&spec);
+    }
+}
+
 static void
 owner_run(const PhOwnerCase *c)
 {
@@ -368,23 +453,22 @@
                               .room_reserve_percent = c->reserve_percent});
     PhSchedModel *model = PhScheduler_Model(s);
     PhTime now = OWNER_SINCE + c->owner_for_ms * PH_NS_PER_MS;
-    PhSchedSpec spec = spec_make(UINT16_MAX, c->step);
-    PhSchedStep lasting = NEW_LASTING;
-    PhSchedStep urgent = NEW_URGENT;
+    PhSchedSpec spec = spec_make(UINT16_MAX, "own", c->step);
     queue_add(model, &spec);
     PhSingle_ShowWorker(s, false, OWNER_SINCE);
     PhScheduler_SetFence(s, 7, OWNER_SINCE);
-    PhSchedWorker *w = g_ptr_array_index(model->incarnations, 0);
-    w->entry.capacity.cpu_milli = 16000;
-    w->fenced = c->heard;
-    if (c->inherits_closed) {
+    worker_prepare(s, c);
+    if ((c->traits & OWNER_INHERITS) != 0) {
         PhScheduler_InheritLastingClosed(s, OWNER_SINCE);
     }
-    jobs_add(model, c->lasting, 1, lasting, now);
-    jobs_add(model, c->urgent, 20, urgent,
+    jobs_add(model, c, c->lasting, 1, (PhSchedStep)NEW_LASTING, now);
+    jobs_add(model, c, c->urgent, 20, (PhSchedStep)NEW_URGENT,
              now - c->urgent_age_ms * PH_NS_PER_MS);
     PhScheduler_Plan(s, now, 0);
-    PhAdmission a = PhScheduler_Admit(s, &spec, now);
+    jobs_admit(s, c, now);
+    /* The next sample contains them too. */
+    PhScheduler_Plan(s, now + PH_NS_PER_S, 0);
+    PhAdmission a = PhScheduler_Admit(s, &spec, now + PH_NS_PER_S);
     assert_int_equal(a.tag, c->tag);
     assert_int_equal(a.retry_after >= PH_NS_PER_S,
                      c->tag != PH_ADMISSION_ACCEPTED);
@@ -399,14 +483,50 @@
     Ph_RUN_TABLE(owner_cases, owner_run);
 }
 
+/* What an instance without contact goes by, some time after a welcome. */
+typedef struct PhWelcomeCase {
+    const char *name;
+    bool closed;
+    int64_t age_ms;
+    bool refuses;
+} PhWelcomeCase;
+
+static const PhWelcomeCase welcome_cases[] = {
+    {"open", false, 0, false},
+    {"closed", true, 0, true},
+    {"closed, 14.9 s ago", true, 14900, true},
+    {"closed, 15 s ago", true, 15000, false},
+};
+
+static void
+welcome_run(const PhWelcomeCase *c)
+{
+    PhOwnerLink link;
+    PhOwnerLink_Init(&link, true, 0, OWNER_SINCE);
+    PhWelcome before = {.lasting_closed = !c->closed};
+    PhWelcome newest = {.lasting_closed = c->closed};
+    PhOwnerLink_OnWelcome(&link, &before, OWNER_SINCE);
+    PhOwnerLink_OnWelcome(&link, &newest, OWNER_SINCE);
+    assert_int_equal(PhOwnerLink_IsLastingClosed(
+                         &link, OWNER_SINCE + c->age_ms * PH_NS_PER_MS),
+                     c->refuses);
+    PhOwnerLink_Clear(&link);
+}
+
+static void
+test_welcomes(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(welcome_cases, welcome_run);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(test_loads),
-        cmocka_unit_test(test_hysteresis),
-        cmocka_unit_test(test_lateness),
-        cmocka_unit_test(test_owner),
+        cmocka_unit_test(test_loads),    cmocka_unit_test(test_hysteresis),
+        cmocka_unit_test(test_lateness), cmocka_unit_test(test_owner),
+        cmocka_unit_test(test_welcomes),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
