--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -149,6 +149,10 @@
     PhScheduleLink_DismissAll(t);
     PhScheduleRecords_Clear(t);
     PhScheduleDispatch_Reset(t);
+    if (active) {
+        PhOwnerLink_SetLastingClosed(
+            &t->link, PhScheduler_IsLastingClosed(t->scheduler, now), now);
+    }
     PhScheduler_SetFence(t->scheduler, 0, now);
     if (active) {
         PhScheduleTopics_Reload(t);
@@ -169,6 +173,9 @@
     t->stage = OWNER_ACTIVE;
     t->batch_sequence = 1;
     PhScheduler_SetFence(t->scheduler, t->fence, now);
+    if (PhOwnerLink_IsLastingClosed(&t->link, now)) {
+        PhScheduler_InheritLastingClosed(t->scheduler, now);
+    }
     PhScheduleTopics_DropRunsRead(t);
     PhScheduleLog_OwnerGained(t);
 }
