schedule: long-running jobs that the owner refused wait for the next one

Cause: an instance without contact to the owner must not refuse a job that the owner may have accepted, and accepted all: in one takeover of 1.3 s five long-running jobs came in, with 400 of the 900 cores that were left for urgent jobs. The next owner had no estimate for 3 s either.

--- a/decide/schedule/room_sample.c
+++ b/decide/schedule/room_sample.c
@@ -3,8 +3,9 @@
 #include "scheduler_private.h"
 
 static const PhTime SAMPLE_INTERVAL = 250 * PH_NS_PER_MS;
-/* An owner that has just taken over does not know yet what runs. */
-static const PhTime SETTLE_TIME = 3 * PH_NS_PER_S;
+/* An owner that has just taken over places what its predecessor had left, and
+ * hears of ends, for some 0.5 s. */
+static const PhTime SETTLE_TIME = 1 * PH_NS_PER_S;
 /* A job whose record is not durable by then was not accepted. */
 static const PhTime ADMITTED_TIME = 3 * PH_NS_PER_S;
 enum {
--- a/services/schedule/schedule_calls.c
+++ b/services/schedule/schedule_calls.c
@@ -147,18 +147,56 @@
                            .as.retry_after = a->retry_after});
 }
 
-/* Without contact to the owner this instance accepts calls itself, but keeps
- * to what the newest welcome said of long-running jobs.  Only with jobs read
- * recently is it known that the owner has not accepted this one. */
-static bool
-owner_refuses(const PhScheduleTask *t, const PhClientCall *call)
+/* What an instance without contact to the owner does with a submission. */
+typedef enum PhLastingVerdict {
+    PH_LASTING_DECIDE, /* as with any other */
+    PH_LASTING_WAIT,   /* for an owner, which knows what it has accepted */
+    PH_LASTING_REFUSE,
+} PhLastingVerdict;
+
+/* Long-running jobs that the newest welcome refused are not accepted here
+ * without need.  Only with jobs read recently is it known that the owner has
+ * not accepted this one. */
+static PhLastingVerdict
+lasting_judge(const PhScheduleTask *t, const PhClientCall *call)
 {
     PhTime now = PhTask_Now(t->self);
-    return t->options.room_reserve > 0 && t->stage != OWNER_ACTIVE &&
-           !PhOwnerLink_IsUp(&t->link, now) &&
-           PhSchedSpec_LastingNeed(&call->spec) > 0 &&
-           PhOwnerLink_IsLastingClosed(&t->link, now) &&
-           PhScheduleTopics_AreJobsFresh(t);
+    if (t->options.room_reserve == 0 || t->stage == OWNER_ACTIVE ||
+        PhOwnerLink_IsUp(&t->link, now) ||
+        PhSchedSpec_LastingNeed(&call->spec) == 0 ||
+        !PhOwnerLink_IsLastingClosed(&t->link, now)) {
+        return PH_LASTING_DECIDE;
+    }
+    if (PhScheduleTopics_AreJobsFresh(t)) {
+        return PH_LASTING_REFUSE;
+    }
+    return call->waited ? PH_LASTING_DECIDE : PH_LASTING_WAIT;
+}
+
+/* Refuses a submission, or has it wait for an owner; returns false if it is to
+ * be accepted. */
+static bool
+submission_defer(PhScheduleTask *t, PhClientCall *call)
+{
+    switch (lasting_judge(t, call)) {
+    case PH_LASTING_WAIT:
+        PhScheduleWaiting_Add(t, call);
+        return true;
+    case PH_LASTING_REFUSE:
+        PhScheduleCalls_Refuse(
+            t, &call->origin, call->subject,
+            "owner refuses long-running jobs and is not reachable");
+        return true;
+    case PH_LASTING_DECIDE:
+        break;
+    }
+    PhAdmission admission =
+        PhScheduler_Admit(t->scheduler, &call->spec, PhTask_Now(t->self));
+    if (admission.tag == PH_ADMISSION_ACCEPTED) {
+        return false;
+    }
+    refuse_admission(t, call, &admission);
+    return true;
 }
 
 /* A submission that is known, or may have been accepted before, is never
@@ -172,19 +210,9 @@
         return;
     }
     if (!call->outcome_unknown &&
-        !PhScheduleAccept_IsPending(t, call->subject)) {
-        if (owner_refuses(t, call)) {
-            PhScheduleCalls_Refuse(
-                t, &call->origin, call->subject,
-                "owner refuses long-running jobs and is not reachable");
-            return;
-        }
-        PhAdmission admission =
-            PhScheduler_Admit(t->scheduler, &call->spec, PhTask_Now(t->self));
-        if (admission.tag != PH_ADMISSION_ACCEPTED) {
-            refuse_admission(t, call, &admission);
-            return;
-        }
+        !PhScheduleAccept_IsPending(t, call->subject) &&
+        submission_defer(t, call)) {
+        return;
     }
     PhScheduleAccept_Add(t, call);
 }
--- a/services/schedule/schedule_link.c
+++ b/services/schedule/schedule_link.c
@@ -253,6 +253,7 @@
         forwarded_calls_handle_locally(t);
     }
     g_hash_table_foreach_remove(t->forwarded_calls, forwarded_call_expire, t);
+    PhScheduleWaiting_Update(t);
     PhScheduleOwner_PublishRole(t);
     PhTime due = MIN(PhOwnerLink_Due(&t->link, now), forwarded_calls_due(t));
     if (due != PH_TIME_NEVER) {
--- a/services/schedule/schedule_task.c
+++ b/services/schedule/schedule_task.c
@@ -210,6 +210,9 @@
         PhScheduleLink_Update(t);
         PhScheduleTask_RequestUpdate(t);
         break;
+    case TIMER_WAITING:
+        PhScheduleWaiting_Update(t);
+        break;
     case TIMER_OUTCOMES:
         PhScheduleDispatch_SendOutcomes(t);
         break;
@@ -266,6 +269,7 @@
     g_queue_clear_full(&t->accept_queue, PhScheduleAccept_Destroy);
     g_queue_clear_full(&t->state_calls, PhScheduleCalls_DestroyQueued);
     g_queue_clear_full(&t->cancel_calls, PhScheduleCalls_DestroyQueued);
+    g_queue_clear_full(&t->waiting_calls, PhScheduleWaiting_Destroy);
     g_ptr_array_free(t->accept_batch, TRUE);
     PhScheduler_Destroy(t->scheduler);
     PhElection_Destroy(t->election);
--- a/services/schedule/schedule_task.h
+++ b/services/schedule/schedule_task.h
@@ -34,6 +34,7 @@
     TIMER_DEADLINES,
     TIMER_LINK,
     TIMER_OUTCOMES,
+    TIMER_WAITING,
 } PhScheduleTimer;
 
 /* Stages of taking over ownership of the jobs. */
@@ -72,6 +73,7 @@
     PhSchedSpec spec;     /* of SUBMIT */
     bool outcome_unknown; /* the owner may have acted on it; must not be
                              refused */
+    bool waited;          /* of SUBMIT: it has waited for an owner */
     uint64_t jobs_read;   /* of a queued CANCEL: the first read of the jobs
                              that was sent after the call */
 } PhClientCall;
@@ -97,10 +99,11 @@
     PhElection *election;
     PhTopic jobs;
     PhTopic runs;
-    bool reload_due;     /* a record did not fit into the model */
-    GQueue state_calls;  /* PhClientCall; wait for the next read of runs */
-    GQueue cancel_calls; /* PhClientCall for unknown jobs; wait for a read of
-                            the jobs */
+    bool reload_due;      /* a record did not fit into the model */
+    GQueue state_calls;   /* PhClientCall; wait for the next read of runs */
+    GQueue cancel_calls;  /* PhClientCall for unknown jobs; wait for a read of
+                             the jobs */
+    GQueue waiting_calls; /* PhWaitingCall; see schedule_waiting.c */
     bool update_pending;
     bool store_answers; /* the last call succeeded */
     PhTime store_changed_at;
@@ -205,6 +208,14 @@
                                    bool to_end);
 void PhScheduleCalls_DestroyQueued(gpointer call);
 
+/* schedule_waiting.c: submissions that wait for an owner. */
+/* Takes ownership of the call's contents. */
+void PhScheduleWaiting_Add(PhScheduleTask *task, PhClientCall *call);
+/* Forwards the calls to an owner that is found, and handles those here that
+ * have waited long enough. */
+void PhScheduleWaiting_Update(PhScheduleTask *task);
+void PhScheduleWaiting_Destroy(gpointer waiting);
+
 /* schedule_accept.c: durable records of clients' calls. */
 /* Takes ownership of the call's contents. */
 void PhScheduleAccept_Add(PhScheduleTask *task, PhClientCall *call);
