schedule: a stage does not claim the same worker twice in a row

Cause: a task that runs far beyond its estimate is expected to end in 0.25 s at all times, so its worker looked best again after each claim of 3 s.

Change: the worker whose claim has run out is not claimed again by the stage unless no other fits. test_claims has rows for that, for small tasks beside a longer one, for ends at the same time and for gangs.

Measured: two workers, one with a task 20 s late: the large task starts after 4.20 s; a mutant without the change does not meet the bound of 4.8 s.

Conclusion: claims end in time where the estimates of one task are wrong.

--- a/decide/schedule/claims.c
+++ b/decide/schedule/claims.c
@@ -216,7 +216,7 @@
 
 /* The expected time moves with the tasks on the worker.  What other tasks are
  * measured by only gets earlier, since each that starts ends a little later
- * than expected: a steady flow of them would put the claimant off for ever. */
+ * than expected, by its start: a flow of them would put the claimant off. */
 static void
 claim_refresh(PhScheduler *s, PhSchedWorker *w, PhTime now)
 {
@@ -260,6 +260,9 @@
 {
     for (guint i = s->claims->len; i-- > 0;) {
         PhSchedWorker *w = g_ptr_array_index(s->claims, i);
+        if (w->claim.stage != NULL && now >= w->claim.until) {
+            w->claim.stage->claim_failed_on = w;
+        }
         if (claim_is_over(s, w, now)) {
             claim_end(s, w);
         }
@@ -382,6 +385,7 @@
 {
     return w != task->failed_on &&
            PhSchedWorker_Doubt(w, now) == PH_DOUBT_NONE &&
+           w != task->stage->claim_failed_on &&
            PhScheduler_IsEligible(w, task) &&
            !PhSchedTask_IsAtWorkerLimit(task, w);
 }
@@ -513,6 +517,7 @@
         searches++;
         if (w == NULL) {
             task->stage->claim_retry_at = now + RETRY_INTERVAL;
+            task->stage->claim_failed_on = NULL;
             continue;
         }
         claim_make(s, task, w);
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -127,7 +127,9 @@
                                 record describes it */
     PhSchedWorker *claimed;  /* its waiting tasks have claimed that worker,
                                 NULL: none */
-    PhTime claim_retry_at;   /* no claim before: its tasks would fit nowhere */
+    const PhSchedWorker *claim_failed_on; /* did not get free in time; only
+                                             compared, never dereferenced */
+    PhTime claim_retry_at; /* no claim before: its tasks would fit nowhere */
 };
 
 typedef struct PhSchedRound {
--- a/tests/schedule/test_claims.c
+++ b/tests/schedule/test_claims.c
@@ -49,22 +49,38 @@
     bool interrupted;   /* the big tasks have run before */
     int64_t priority;   /* of the big jobs */
     int64_t small_priority;
-    bool hopeless; /* the big jobs are beyond their objective */
+    bool hopeless;              /* the big jobs are beyond their objective */
+    const PhSchedStep *earlier; /* a job that comes before all others */
+    int64_t overrun_ms;         /* by which its task exceeds its estimate */
 } PhClaimCase;
 
 static const PhSchedStep big = {
     .count = 1, .resources = {7000, 10, 0}, .estimate = PH_NS_PER_S};
+static const PhSchedStep whole = {
+    .count = 1, .resources = {8000, 10, 0}, .estimate = PH_NS_PER_S};
 static const PhSchedStep big_lasting = {
     .count = 1, .resources = {7000, 10, 0}, .long_running = true};
 static const PhSchedStep big_memory = {
     .count = 1, .resources = {1000, 90, 0}, .estimate = PH_NS_PER_S};
+static const PhSchedStep big_gang = {.count = 1,
+                                     .resources = {7000, 10, 0},
+                                     .estimate = PH_NS_PER_S,
+                                     .gang = true};
 static const PhSchedStep small = {.count = 1, .resources = {1000, 1, 0}};
+static const PhSchedStep tiny = {.count = 2, .resources = {250, 1, 0}};
+static const PhSchedStep pair = {.count = 2, .resources = {1000, 1, 0}};
+static const PhSchedStep lengthy = {
+    .count = 1, .resources = {2000, 1, 0}, .estimate = 3 * PH_NS_PER_S};
+static const PhSchedStep overrunning = {
+    .count = 1, .resources = {8000, 1, 0}, .estimate = PH_NS_PER_S};
 static const PhSchedStep wide = {.count = 2, .resources = {6000, 1, 0}};
 static const PhSchedStep fills = {
     .count = 1, .resources = {1000, 12, 0}, .fills = true};
 
 /* A claimant waits for claim_after, then for the tasks that are there: one run
- * if they end as estimated.  0.5 s are for the search and the start. */
+ * if they end as estimated.  0.5 s are for the search and the start.  Beside
+ * the longer task, which ends at 3.04 s, it may be later by the start of
+ * another and two passes. */
 static const PhClaimCase claim_cases[] = {
     {"steady small tasks, the code before", 0, 1, 1, &big, &small, 800, 800,
      80, CLAIM_UNDISTURBED, 9000, NEVER_MS, 0, 0},
@@ -78,6 +94,13 @@
      CLAIM_UNDISTURBED, 9000, NEVER_MS, 0, 0},
     {"overdue tasks", 500, 1, 1, &big, &small, 400, 1200, 120,
      CLAIM_UNDISTURBED, 500, 2600, 1, 1},
+    {"small tasks beside a longer one", 500, 1, 1, &whole, &tiny, 400, 400, 20,
+     CLAIM_UNDISTURBED, 500, 2120, 1, 1, .earlier = &lengthy},
+    {"two tasks end at once", 500, 1, 1, &big, &pair, 800, 800, 160,
+     CLAIM_UNDISTURBED, 500, 1800, 1, 1},
+    {"a task overruns for long, and another worker is there", 500, 2, 1, &big,
+     &small, 800, 800, 80, CLAIM_UNDISTURBED, 500, 4800, 2, 1,
+     .earlier = &overrunning, .overrun_ms = 20000},
     {"tasks without estimates", 500, 1, 1, &big, &small, 0, 800, 80,
      CLAIM_UNDISTURBED, 9000, NEVER_MS, 0, 0},
     {"the claimed worker is silent", 500, 2, 1, &big, &small, 800, 800, 40,
@@ -97,6 +120,8 @@
      800, 80, CLAIM_UNDISTURBED, 500, 1800, 1, 1, .small_priority = 2},
     {"lasting, interrupted", 500, 1, 1, &big_lasting, &small, 800, 800, 80,
      CLAIM_UNDISTURBED, 500, 1800, 1, 1, .interrupted = true},
+    {"a gang", 500, 1, 1, &big_gang, &small, 800, 800, 80, CLAIM_UNDISTURBED,
+     9000, NEVER_MS, 0, 0},
     {"lasting, has never run", 500, 1, 1, &big_lasting, &small, 800, 800, 80,
      CLAIM_UNDISTURBED, 9000, NEVER_MS, 0, 0},
     {"low priority", 500, 1, 1, &big, &small, 800, 800, 80, CLAIM_UNDISTURBED,
@@ -120,6 +145,7 @@
     uint64_t ends[WORKERS_MAX]; /* reported by each */
     GArray *reports;
     PhSchedTask *big[BIG_JOBS_MAX];
+    PhSchedTask *earlier;
     uint64_t jobs;
     PhSchedWorker *disturbed;
     PhTime disturbed_at;
@@ -170,6 +196,9 @@
         job_add(sim, step, sim->c->small_priority, SLACK_MS * PH_NS_PER_MS,
                 now);
     }
+    if (ms == 0 && c->earlier != NULL) {
+        sim->earlier = job_add(sim, *c->earlier, 0, PH_NS_PER_S, now);
+    }
     for (unsigned i = 0; ms == BIG_AT_MS && i < c->big_jobs; i++) {
         sim->big[i] = job_add(sim, *c->big, c->priority,
                               c->hopeless ? 0 : SLACK_MS * PH_NS_PER_MS,
@@ -189,6 +218,19 @@
     return i;
 }
 
+static PhTime
+run_time(const PhClaimSim *sim, const PhSchedTask *task)
+{
+    const PhClaimCase *c = sim->c;
+    const PhSchedStep *step =
+        &task->stage->job->spec.steps[task->stage->number];
+    int64_t more_ms = task == sim->earlier
+                          ? c->overrun_ms
+                          : c->small_run_ms - c->small_estimate_ms;
+    return step->long_running ? SLACK_MS * PH_NS_PER_MS
+                              : step->estimate + more_ms * PH_NS_PER_MS;
+}
+
 static void
 report_apply(PhClaimSim *sim, const PhClaimReport *r, PhTime now)
 {
@@ -206,7 +248,7 @@
                                  .clock_ms = now / PH_NS_PER_MS};
         PhClaimReport end = *r;
         end.ends = true;
-        end.at = now + sim->c->small_run_ms * PH_NS_PER_MS;
+        end.at = now + run_time(sim, task);
         PhScheduler_OnStart(sim->s, &reply, now);
         g_array_append_val(sim->reports, end);
         return;
@@ -286,8 +328,9 @@
         }
     }
     PhScheduler_ClearEvents(sim->s);
-    for (unsigned i = 0; i < sim->c->workers; i++) {
-        PhSchedWorker *w = sim->workers[i];
+    const GPtrArray *workers = PhScheduler_Model(sim->s)->incarnations;
+    for (guint i = 0; i < workers->len; i++) {
+        PhSchedWorker *w = g_ptr_array_index(workers, i);
         claimed += w->claim.stage != NULL;
         if (w->claim.stage != NULL && sim->disturbed_at == 0) {
             sim->disturbed_at = now + 100 * PH_NS_PER_MS;
@@ -304,7 +347,7 @@
 static void
 worker_disturb(PhClaimSim *sim, PhTime now)
 {
-    if (sim->disturbed_at != now) {
+    if (sim->disturbed == NULL || sim->disturbed_at != now) {
         return;
     }
     PhStr id = sim->disturbed->entry.id;
