--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -1,6 +1,7 @@
 #include "scheduler_private.h"
 
 #include "peridothill/common/invariant.h"
+#include "peridothill/decide/schedule/claims.h"
 
 /* Interference factors are recorded at most this often. */
 static const PhTime PAIRS_INTERVAL = 2 * PH_NS_PER_S;
@@ -35,6 +36,8 @@
                                               PhStr_KeyDestroy, g_free);
     s->admitted = g_hash_table_new_full(PhStr_KeyHash, PhStr_KeyEqual,
                                         PhStr_KeyDestroy, PhAdmitted_Destroy);
+    s->claims = g_ptr_array_new();
+    s->claim_ends = g_array_new(FALSE, FALSE, sizeof(PhClaimEnd));
     s->dirty_stages = g_ptr_array_new();
     s->dirty_jobs = g_ptr_array_new();
     s->awaiting_durability = g_ptr_array_new();
@@ -65,6 +68,8 @@
     g_array_free(s->rooms, TRUE);
     g_hash_table_destroy(s->expected_waits);
     g_hash_table_destroy(s->admitted);
+    g_ptr_array_free(s->claims, TRUE);
+    g_array_free(s->claim_ends, TRUE);
     g_ptr_array_free(s->dirty_stages, TRUE);
     g_ptr_array_free(s->dirty_jobs, TRUE);
     g_ptr_array_free(s->awaiting_durability, TRUE);
@@ -157,6 +162,8 @@
     g_hash_table_remove_all(s->admitted);
     s->closed_until = 0;
     s->rooms_due_at = now;
+    PhScheduler_EndClaims(s);
+    s->next_claim_at = now;
     g_ptr_array_set_size(s->dirty_stages, 0);
     g_ptr_array_set_size(s->dirty_jobs, 0);
     g_ptr_array_set_size(s->awaiting_durability, 0);
--- a/include/peridothill/common/event_list_schedule.h
+++ b/include/peridothill/common/event_list_schedule.h
@@ -65,3 +65,5 @@
          "long-running jobs are refused for want of room, or no longer")
 PH_EVENT(7043, SCHEDULE_TOO_LATE, INFO,
          "submission refused, it would end too late to be of value")
+PH_EVENT(7040, SCHEDULE_CLAIM, INFO,
+         "task that has waited for long claims a worker")
