election: earlier claim by two signs

Cause: an owner that is gone is replaced after 2.2 s without a record. Change: if that is enabled, a standby whose hellos have no answer claims after 1.5 s without a record, shown by a read that ended then. An owner that goes on renewing while it does not answer is only cut off and is not doubted again. PhOwnerLink counts the observed time without an answer to hellos. Measured: rows of test_election for both signs, either alone, and off. Conclusion: off until PhElection_EnableEarlyClaims is called.

--- a/decide/schedule/election.c
+++ b/decide/schedule/election.c
@@ -5,6 +5,9 @@
 /* Three renewals fit into the time after which others claim. */
 static const PhTime RENEW_INTERVAL = 700 * PH_NS_PER_MS;
 static const PhTime CLAIM_AFTER = 2200 * PH_NS_PER_MS;
+/* The same while the owner does not answer hellos either: two renewals and
+ * 100 ms. */
+static const PhTime EARLY_CLAIM_AFTER = 1500 * PH_NS_PER_MS;
 /* An owner whose newest confirmed entry is older than this steps down: one
  * second, more than one renewal, before OLD_OWNER_LIMIT (leases.c). */
 static const PhTime GIVE_UP_AFTER = 9 * PH_NS_PER_S;
@@ -54,6 +57,10 @@
     PhElectionEntryKind append_kind;
     bool must_read; /* an append had a conflict or no answer */
     bool stopping;
+    bool claims_early; /* two signs together make an earlier claim */
+    bool owner_silent; /* the owner does not answer hellos */
+    bool owner_renews; /* it has written an entry since it fell silent */
+    PhTime read_at;    /* the last read succeeded */
 };
 
 PhElection *
@@ -128,6 +135,25 @@
     e->reads_deferred_until = MIN(e->reads_deferred_until, now);
 }
 
+void
+PhElection_EnableEarlyClaims(PhElection *e)
+{
+    e->claims_early = true;
+}
+
+void
+PhElection_SetOwnerSilent(PhElection *e, bool silent)
+{
+    e->owner_renews = e->owner_renews && silent;
+    e->owner_silent = silent;
+}
+
+uint64_t
+PhElection_TopicEnd(const PhElection *e)
+{
+    return e->next;
+}
+
 uint64_t
 PhElection_OwnerFence(const PhElection *e)
 {
@@ -191,10 +217,24 @@
     return (own && e->stopping) || held_by_earlier_incarnation(e);
 }
 
+/* Both signs count: the owner does not answer hellos, and the topic was still
+ * without a new entry in a read that ended late enough.  An owner that goes on
+ * renewing while it does not answer is only cut off from this instance. */
+static bool
+owner_is_doubted(const PhElection *e)
+{
+    return e->claims_early && !e->vacant && e->owner_silent &&
+           !e->owner_renews &&
+           e->read_at >= e->quiet_since + EARLY_CLAIM_AFTER;
+}
+
 static PhTime
 claim_due(const PhElection *e)
 {
     PhTime due = e->quiet_since + e->delay + e->extra_delay;
+    if (owner_is_doubted(e)) {
+        return due + EARLY_CLAIM_AFTER;
+    }
     if (!e->vacant) {
         return due + CLAIM_AFTER;
     }
@@ -206,6 +246,14 @@
                : due + SUCCESSOR_HEAD_START;
 }
 
+/* Reports whether a follower claims as soon as its time has come. */
+static bool
+may_claim(const PhElection *e)
+{
+    return e->role == PH_ELECTION_FOLLOWER && !e->appending && !e->must_read &&
+           !owes_release(e) && e->synced && e->readable && !e->stopping;
+}
+
 static bool
 append_is_due(const PhElection *e, PhTime now, PhElectionEntryKind *kind)
 {
@@ -222,12 +270,22 @@
             return e->synced && e->readable && now >= e->reads_deferred_until;
         }
         *kind = PH_ELECTION_CLAIM;
-        return e->synced && e->readable && !e->stopping &&
-               now >= e->reads_deferred_until && now >= claim_due(e);
+        return may_claim(e) && now >= e->reads_deferred_until &&
+               now >= claim_due(e);
     }
     return false;
 }
 
+/* Time at which a read that waits for an entry has to end, so that a claim can
+ * rely on it. */
+static PhTime
+read_end(const PhElection *e, PhTime now)
+{
+    PhTime early = e->quiet_since + EARLY_CLAIM_AFTER + e->delay;
+    bool may_claim_early = e->claims_early && !e->vacant && early > now;
+    return may_claim_early ? MIN(claim_due(e), early) : claim_due(e);
+}
+
 /* An owner reads only to learn the outcome of an append. */
 static bool
 read_is_due(const PhElection *e, PhTime now)
@@ -282,13 +340,14 @@
         }
     }
     else if (read_is_due(e, now)) {
-        bool claims_soon = e->synced && claim_due(e) < now + READ_WAIT;
+        PhTime end = read_end(e, now);
+        bool claims_soon = e->synced && end < now + READ_WAIT;
         e->reading = true;
         action.tag = PH_ELECTION_READ;
         action.as.read.from = e->next;
         if (e->synced && !e->must_read) {
             action.as.read.wait =
-                claims_soon ? MAX(claim_due(e) - now, 0) : READ_WAIT;
+                claims_soon ? MAX(end - now, 0) : READ_WAIT;
         }
     }
     return action;
@@ -310,6 +369,10 @@
     else if (!e->reading && e->role == PH_ELECTION_FOLLOWER) {
         due = MIN(due, MAX(e->read_due, e->reads_deferred_until));
     }
+    if (may_claim(e) && owner_is_doubted(e)) {
+        PhTime claim = MAX(claim_due(e), e->reads_deferred_until);
+        due = MIN(due, MAX(claim, e->append_due));
+    }
     return due;
 }
 
@@ -419,6 +482,7 @@
         return;
     }
     e->next = entry->offset + 1;
+    e->owner_renews = e->owner_silent;
     track_replaced(e, entry, now);
     e->newest_read_at = now;
     PhStr_Clear(&e->newest_writer);
@@ -457,6 +521,7 @@
         e->quiet_since = now;
     }
     e->readable = true;
+    e->read_at = now;
     e->read_due = now;
     if (e->next >= end) {
         e->synced = true;
--- a/decide/schedule/owner_link.c
+++ b/decide/schedule/owner_link.c
@@ -6,6 +6,9 @@
  * them was sent this long ago: an instance that stood still has sent none. */
 static const PhTime STALE_AFTER = 1200 * PH_NS_PER_MS;
 static const PhTime HELLO_TIMEOUT = 700 * PH_NS_PER_MS;
+/* An answer that takes longer than this is overdue: regions are 0.1 s apart at
+ * most, and a lost packet is sent again after 0.2 s. */
+static const PhTime HELLO_LATE = 300 * PH_NS_PER_MS;
 /* A successor is elected within about 3 s: CLAIM_AFTER (election.c), the delay
  * of its instance and an append.  An instance without an answer from one by
  * then reads the store itself. */
@@ -38,6 +41,7 @@
     }
     link->answered_at = 0;
     link->hello_sent_at = 0;
+    link->silent_for = 0;
 }
 
 void
@@ -57,6 +61,7 @@
 {
     link->answered_at = now;
     link->hello_sent_at = 0;
+    link->silent_for = 0;
     link->standby_until = standby ? now + STANDBY_TIME : 0;
 }
 
@@ -76,6 +81,25 @@
     return link->answered_at != 0 && now < stale_time(link);
 }
 
+void
+PhOwnerLink_Observe(PhOwnerLink *link, PhTime time)
+{
+    bool waits = link->answered_at != 0 && link->hello_sent_at != 0;
+    link->silent_for = waits ? link->silent_for + time : 0;
+}
+
+bool
+PhOwnerLink_IsSilent(const PhOwnerLink *link)
+{
+    return link->silent_for >= HELLO_TIMEOUT;
+}
+
+bool
+PhOwnerLink_IsLate(const PhOwnerLink *link)
+{
+    return link->silent_for >= HELLO_LATE;
+}
+
 /* Time from which this instance reads the store although it is no standby. */
 static PhTime
 read_store_time(const PhOwnerLink *link)
--- a/decide/schedule/standbys.c
+++ b/decide/schedule/standbys.c
@@ -146,6 +146,13 @@
     return x->is_standby;
 }
 
+bool
+PhStandbys_IsStandby(const PhStandbys *s, PhStr instance)
+{
+    const PhStandby *x = g_hash_table_lookup(s->all, &instance);
+    return x != NULL && x->is_standby;
+}
+
 /* What divides the candidates: a successor has at least this CPU, and has
  * preferably started after this time. */
 typedef struct PhSuccessorBounds {
--- a/include/peridothill/decide/schedule/election.h
+++ b/include/peridothill/decide/schedule/election.h
@@ -4,7 +4,8 @@
  * offset of a claim plus one is the owner's fence.
  *
  * A follower claims when the topic has been readable and without a new entry
- * for CLAIM_AFTER, or after a release.  An instance that finds an earlier
+ * for CLAIM_AFTER, or after a release.  If that is enabled, a standby claims
+ * after EARLY_CLAIM_AFTER if the owner does not answer its hellos either.  An instance that finds an earlier
  * incarnation of itself as the owner appends the release for it.  An owner
  * whose renewals are not confirmed for GIVE_UP_AFTER stops giving orders. */
 #ifndef PERIDOTHILL_DECIDE_SCHEDULE_ELECTION_H
@@ -98,6 +99,12 @@
 void PhElection_OnOwnerContact(PhElection *election, PhTime now);
 /* The owner may have changed: the topic is read immediately. */
 void PhElection_OnOwnerSuspected(PhElection *election, PhTime now);
+/* Two signs together make an earlier claim from now on. */
+void PhElection_EnableEarlyClaims(PhElection *election);
+/* Whether the owner leaves the hellos of this standby without an answer. */
+void PhElection_SetOwnerSilent(PhElection *election, bool silent);
+/* The offset after the newest entry seen. */
+uint64_t PhElection_TopicEnd(const PhElection *election);
 PhElectionAction PhElection_Next(PhElection *election, PhTime now);
 /* Time of the next action if no reply comes earlier. */
 PhTime PhElection_Due(const PhElection *election);
--- a/include/peridothill/decide/schedule/owner_link.h
+++ b/include/peridothill/decide/schedule/owner_link.h
@@ -21,6 +21,7 @@
     PhTime since;         /* start of this view, or loss of the last owner */
     PhTime answered_at;   /* last answer of the owner, 0 for none */
     PhTime hello_sent_at; /* the first hello since then, 0 for none */
+    PhTime silent_for;    /* observed time that it has had no answer */
     PhTime read_delay;    /* this instance reads the store so much later */
     PhTime standby_until; /* this instance is a standby until then */
     PhTime next_hello_at;
@@ -42,6 +43,14 @@
 void PhOwnerLink_OnNotOwner(PhOwnerLink *link, PhTime now);
 /* Reports whether calls can be forwarded to the owner. */
 bool PhOwnerLink_IsUp(const PhOwnerLink *link, PhTime now);
+/* Time was observed; of a time in which this instance stood still, only the
+ * part that counts. */
+void PhOwnerLink_Observe(PhOwnerLink *link, PhTime time);
+/* Reports whether an owner that has answered before leaves hellos without an
+ * answer, by the time observed. */
+bool PhOwnerLink_IsSilent(const PhOwnerLink *link);
+/* Reports whether the answer to a hello is overdue, by the time observed. */
+bool PhOwnerLink_IsLate(const PhOwnerLink *link);
 /* Reports whether this instance has to read the store. */
 bool PhOwnerLink_MustReadStore(const PhOwnerLink *link, PhTime now);
 /* Reports whether a hello is due, and if so schedules the next one.  A hello
@@ -76,6 +85,9 @@
 bool PhStandbys_OnHello(PhStandbys *standbys, PhStr instance,
                         PhStr data_centre, const PhHello *hello, PhTime now);
 
+/* Reports whether the instance was told to be a standby. */
+bool PhStandbys_IsStandby(const PhStandbys *standbys, PhStr instance);
+
 /* The instance that shall take over from an owner; empty if none is known. */
 typedef struct PhSuccessor {
     PhStr instance; /* borrowed until the next call */
--- a/tests/schedule/test_election.c
+++ b/tests/schedule/test_election.c
@@ -37,6 +37,8 @@
     STEP_STOP,
     STEP_SEEN_ON_LINK, /* the owner was seen over a link */
     STEP_LINK_DOUBT,   /* the owner has said that it is not the owner */
+    STEP_SILENT,       /* the owner does not answer hellos */
+    STEP_ANSWERS,      /* it does again */
 } PhStepOp;
 
 /* A step, the actions requested after it, and the fence; 0: not the owner. */
@@ -51,6 +53,7 @@
 typedef struct PhElectionCase {
     const char *name;
     PhElectionStep steps[STEPS_MAX];
+    bool claims_early;
 } PhElectionCase;
 
 static const PhElectionCase election_cases[] = {
@@ -245,6 +248,75 @@
       {830, STEP_STOP, 0, 0, 1},
       {840, STEP_APPENDED, 2, ACTION_RELEASE | ACTION_READ, 0},
       {850, STEP_APPENDED, 3, 0, 0}}},
+    {"no answer to hellos and no renewal: claims after 1.5 s",
+     {{0, STEP_NONE, 0, ACTION_READ, 0},
+      {10, STEP_READ_OTHER, 0, ACTION_READ, 0},
+      {800, STEP_SILENT, 0, 0, 0},
+      {1010, STEP_READ_EMPTY, 1, ACTION_READ, 0},
+      {1609, STEP_NONE, 0, 0, 0},
+      {1610, STEP_READ_EMPTY, 1, ACTION_READ | ACTION_CLAIM, 0},
+      {1620, STEP_APPENDED, 2, 0, 2}},
+     true},
+    {"the same without early claims",
+     {{0, STEP_NONE, 0, ACTION_READ, 0},
+      {10, STEP_READ_OTHER, 0, ACTION_READ, 0},
+      {800, STEP_SILENT, 0, 0, 0},
+      {1010, STEP_READ_EMPTY, 1, ACTION_READ, 0},
+      {1610, STEP_READ_EMPTY, 1, ACTION_READ, 0},
+      {2309, STEP_NONE, 0, 0, 0},
+      {2310, STEP_NONE, 0, ACTION_CLAIM, 0}},
+     false},
+    {"no renewal, but hellos are answered",
+     {{0, STEP_NONE, 0, ACTION_READ, 0},
+      {10, STEP_READ_OTHER, 0, ACTION_READ, 0},
+      {1010, STEP_READ_EMPTY, 1, ACTION_READ, 0},
+      {1610, STEP_READ_EMPTY, 1, ACTION_READ, 0},
+      {2309, STEP_NONE, 0, 0, 0},
+      {2310, STEP_NONE, 0, ACTION_CLAIM, 0}},
+     true},
+    {"no answer to hellos comes after the read that showed no renewal",
+     {{0, STEP_NONE, 0, ACTION_READ, 0},
+      {10, STEP_READ_OTHER, 0, ACTION_READ, 0},
+      {1010, STEP_READ_EMPTY, 1, ACTION_READ, 0},
+      {1610, STEP_READ_EMPTY, 1, ACTION_READ, 0},
+      {1700, STEP_SILENT, 0, ACTION_CLAIM, 0}},
+     true},
+    {"no answer to hellos, but an answer before 1.5 s",
+     {{0, STEP_NONE, 0, ACTION_READ, 0},
+      {10, STEP_READ_OTHER, 0, ACTION_READ, 0},
+      {800, STEP_SILENT, 0, 0, 0},
+      {1010, STEP_READ_EMPTY, 1, ACTION_READ, 0},
+      {1500, STEP_ANSWERS, 0, 0, 0},
+      {1610, STEP_READ_EMPTY, 1, ACTION_READ, 0},
+      {2309, STEP_NONE, 0, 0, 0}},
+     true},
+    {"no answer to hellos, but renewals: only the link is down",
+     {{0, STEP_NONE, 0, ACTION_READ, 0},
+      {10, STEP_READ_OTHER, 0, ACTION_READ, 0},
+      {700, STEP_READ_OTHER, 1, ACTION_READ, 0},
+      {800, STEP_SILENT, 0, 0, 0},
+      {1400, STEP_READ_OTHER, 2, ACTION_READ, 0},
+      {2400, STEP_READ_EMPTY, 3, ACTION_READ, 0},
+      {3000, STEP_READ_EMPTY, 3, ACTION_READ, 0},
+      {3699, STEP_NONE, 0, 0, 0},
+      {3700, STEP_NONE, 0, ACTION_CLAIM, 0}},
+     true},
+    {"the store does not answer reads: no claim by the old answer",
+     {{0, STEP_NONE, 0, ACTION_READ, 0},
+      {10, STEP_READ_OTHER, 0, ACTION_READ, 0},
+      {800, STEP_SILENT, 0, 0, 0},
+      {1010, STEP_READ_EMPTY, 1, ACTION_READ, 0},
+      {2200, STEP_NONE, 0, 0, 0},
+      {2300, STEP_READ_FAILS, 0, 0, 0},
+      {5000, STEP_NONE, 0, ACTION_READ, 0}},
+     true},
+    {"this instance stood still, and the owner has renewed meanwhile",
+     {{0, STEP_NONE, 0, ACTION_READ, 0},
+      {10, STEP_READ_OTHER, 0, ACTION_READ, 0},
+      {2200, STEP_SILENT, 0, 0, 0},
+      {2205, STEP_READ_OTHER, 1, ACTION_READ, 0},
+      {3205, STEP_READ_EMPTY, 2, ACTION_READ, 0}},
+     true},
 };
 
 static void
@@ -322,6 +394,12 @@
     case STEP_LINK_DOUBT:
         PhElection_OnOwnerSuspected(e, now);
         break;
+    case STEP_SILENT:
+        PhElection_SetOwnerSilent(e, true);
+        break;
+    case STEP_ANSWERS:
+        PhElection_SetOwnerSilent(e, false);
+        break;
     }
 }
 
@@ -351,6 +429,9 @@
 {
     PhElection *e =
         PhElection_Create(SELF, (PhStr){0}, DELAY_MS * PH_NS_PER_MS);
+    if (c->claims_early) {
+        PhElection_EnableEarlyClaims(e);
+    }
     for (size_t i = 0; i < STEPS_MAX; i++) {
         const PhElectionStep *s = &c->steps[i];
         if (s->op == STEP_END) {
