schedule: calls without contact are refused at once

Cause: with the store out of reach, calls waited until their deadline and were refused or answered 504 then; calls without time were forwarded and answered 504; a data centre cut off with the owner stayed ready for up to 9 s. Change: with [scheduler] contact_limit, "schedule" follows its calls to the store, refuses what was never sent, probes, and tells the front, whose answers close their connections meanwhile. The owner's welcome says that it has lost the store; it is sent to all instances at once. A standby claims earlier, and a new owner does not wait for a read of the jobs that waits for a record. Conclusion: without the setting nothing changes.

--- a/decide/schedule/call_path.c
+++ b/decide/schedule/call_path.c
@@ -14,9 +14,9 @@
 static PhCallPath
 path_refuse(PhCallRefusal reason)
 {
-    return (PhCallPath){.tag = PH_CALL_REFUSE,
-                        .as.refuse = {.reason = reason,
-                                      .retry_after = RETRY_AFTER}};
+    return (PhCallPath){
+        .tag = PH_CALL_REFUSE,
+        .as.refuse = {.reason = reason, .retry_after = RETRY_AFTER}};
 }
 
 /* The way of a call that is not forwarded.  One that changes nothing is
@@ -46,8 +46,8 @@
         return (PhCallPath){.tag = PH_CALL_LOCAL};
     }
     if (!in->limited) {
-        return (PhCallPath){.tag =
-                                reaches_owner ? PH_CALL_FORWARD : PH_CALL_LOCAL};
+        return (PhCallPath){.tag = reaches_owner ? PH_CALL_FORWARD
+                                                 : PH_CALL_LOCAL};
     }
     if (in->left <= ANSWER_TIME) {
         return path_refuse(PH_CALL_TOO_LATE);
--- a/decide/schedule/election.c
+++ b/decide/schedule/election.c
@@ -346,8 +346,7 @@
         action.tag = PH_ELECTION_READ;
         action.as.read.from = e->next;
         if (e->synced && !e->must_read) {
-            action.as.read.wait =
-                claims_soon ? MAX(end - now, 0) : READ_WAIT;
+            action.as.read.wait = claims_soon ? MAX(end - now, 0) : READ_WAIT;
         }
     }
     return action;
--- a/include/peridothill/common/counter_list_schedule.h
+++ b/include/peridothill/common/counter_list_schedule.h
@@ -25,3 +25,5 @@
            "Holds sent to find a connection of an incarnation")
 PH_COUNTER(SCHEDULE_RELAYED, "peridothill_schedule_relayed_total", "",
            "Starts that another instance was given to send")
+PH_COUNTER(SCHEDULE_NO_CONTACT, "peridothill_schedule_no_contact_total", "",
+           "Calls refused at once for want of contact or of time")
--- a/include/peridothill/common/event_list_schedule.h
+++ b/include/peridothill/common/event_list_schedule.h
@@ -59,3 +59,6 @@
          "data centre not cordoned any more, its workers get starts again")
 PH_EVENT(7037, SCHEDULE_TASK_HELD, INFO,
          "task that may run has had no run for long")
+PH_EVENT(7041, SCHEDULE_CONTACT_LOST, WARNING,
+         "store out of reach, calls that need it are refused at once")
+PH_EVENT(7042, SCHEDULE_CONTACT_BACK, INFO, "store is reached again")
--- a/include/peridothill/decide/schedule/election.h
+++ b/include/peridothill/decide/schedule/election.h
@@ -5,9 +5,10 @@
  *
  * A follower claims when the topic has been readable and without a new entry
  * for CLAIM_AFTER, or after a release.  If that is enabled, a standby claims
- * after EARLY_CLAIM_AFTER if the owner does not answer its hellos either.  An instance that finds an earlier
- * incarnation of itself as the owner appends the release for it.  An owner
- * whose renewals are not confirmed for GIVE_UP_AFTER stops giving orders. */
+ * after EARLY_CLAIM_AFTER if the owner does not answer its hellos either.  An
+ * instance that finds an earlier incarnation of itself as the owner appends
+ * the release for it.  An owner whose renewals are not confirmed for
+ * GIVE_UP_AFTER stops giving orders. */
 #ifndef PERIDOTHILL_DECIDE_SCHEDULE_ELECTION_H
 #define PERIDOTHILL_DECIDE_SCHEDULE_ELECTION_H
 
--- a/include/peridothill/services/listener.h
+++ b/include/peridothill/services/listener.h
@@ -53,10 +53,13 @@
 void PhListener_AnswerRest(PhListener *listener, int status);
 /* Closes every connection after its next answer from now on. */
 void PhListener_CloseAfterAnswers(PhListener *listener);
-/* The same, and closes connections on which no part of a request has arrived
- * once they were not used for half a second. New connections are still
- * accepted, so that their requests are refused by a response rather than a
- * reset. */
+/* Closes connections after their next answers, or keeps them again; does not
+ * take back PhListener_CloseAfterAnswers. */
+void PhListener_SetClosing(PhListener *listener, bool closing);
+/* Closes connections after their answers for good, and those on which no part
+ * of a request has arrived once they were not used for half a second. New
+ * connections are still accepted, so that their requests are refused by a
+ * response rather than a reset. */
 void PhListener_Quiesce(PhListener *listener);
 /* Number of open connections, idle ones included. */
 size_t PhListener_Connections(const PhListener *listener);
--- a/include/peridothill/services/schedule.h
+++ b/include/peridothill/services/schedule.h
@@ -19,6 +19,8 @@
     PH_SCHEDULE_CORDON, /* to "schedule": start of a cordon, or its end */
     PH_SCHEDULE_DRAIN,  /* to "schedule": release ownership before a stop */
     PH_SCHEDULE_ROLE, /* to "fleet": sets how often worker entries are read */
+    PH_SCHEDULE_CONTACT, /* to "front": whether this instance reaches the store
+                            or an owner that does */
 } PhScheduleTag;
 
 /* Strings are owned. */
@@ -87,6 +89,7 @@
         PhRemovedWorker removed_worker;
         PhScheduleCordon cordon;
         PhScheduleRole role;
+        bool contact;
     } as;
 } PhScheduleMessage;
 
--- a/include/peridothill/services/store.h
+++ b/include/peridothill/services/store.h
@@ -4,6 +4,7 @@
 #ifndef PERIDOTHILL_SERVICES_STORE_H
 #define PERIDOTHILL_SERVICES_STORE_H
 
+#include "peridothill/decide/schedule/store_contact.h"
 #include "peridothill/kernel/kernel.h"
 
 /* A record of a keyed topic; an empty value deletes the key.  Strings are
@@ -63,8 +64,9 @@
 typedef struct PhStoreReply {
     uint64_t id;
     PhStoreOutcome outcome;
-    uint64_t first; /* GONE: oldest offset kept; SEQUENCE: expected number */
-    uint64_t end;   /* end offset of the topic */
+    PhStoreSign sign; /* what the call says of the contact with the store */
+    uint64_t first;   /* GONE: oldest offset kept; SEQUENCE: expected number */
+    uint64_t end;     /* end offset of the topic */
     PhStoreRecord *records;
     size_t record_count;
     bool more; /* of NEWEST: there are more pages */
--- a/include/peridothill/standin/platform.h
+++ b/include/peridothill/standin/platform.h
@@ -13,6 +13,7 @@
     PH_STANDIN_STORE_DOWN,          /* answers 503 without any effect */
     PH_STANDIN_STORE_LOSES_ANSWERS, /* appends take effect, the connection is
                                        closed */
+    PH_STANDIN_STORE_SILENT,        /* neither answers nor has an effect */
 } PhStandinStoreFault;
 
 typedef struct PhStandinStoreState PhStandinStoreState;
--- a/services/platform/listener.c
+++ b/services/platform/listener.c
@@ -372,7 +372,7 @@
                                                   MHD_RESPMEM_MUST_COPY);
     x->status = status;
     response_add_headers(x->response, headers, header_count);
-    if (l->close_after_response) {
+    if (l->close_after_response || l->close_for_now) {
         MHD_add_response_header(x->response, "Connection", "close");
     }
     exchange_resume(x);
@@ -408,6 +408,12 @@
     l->close_after_response = true;
 }
 
+void
+PhListener_SetClosing(PhListener *l, bool closing)
+{
+    l->close_for_now = closing;
+}
+
 void
 PhListener_Quiesce(PhListener *l)
 {
--- a/services/platform/listener_internal.h
+++ b/services/platform/listener_internal.h
@@ -45,6 +45,7 @@
     GQueue idle; /* answered PhConnection without a next request, oldest
                     first */
     bool close_after_response; /* every response closes its connection */
+    bool close_for_now;        /* the same until further notice */
     bool quiescing;            /* connections without a request are closed */
     bool makes_room;    /* an idle connection was shut down at the limit */
     bool accepts_again; /* a connection closed while the limit was reached */
--- a/services/schedule/messages.c
+++ b/services/schedule/messages.c
@@ -137,6 +137,7 @@
     case PH_SCHEDULE_ANSWER:
     case PH_SCHEDULE_DRAIN:
     case PH_SCHEDULE_ROLE:
+    case PH_SCHEDULE_CONTACT:
         break;
     case PH_SCHEDULE_CONFIG:
         PhSchedConfig_Destroy(m->as.config);
--- a/services/schedule/schedule_accept.c
+++ b/services/schedule/schedule_accept.c
@@ -95,6 +95,38 @@
     return false;
 }
 
+/* Whether another submission of the same job is in the current append, so that
+ * the job may run. */
+static bool
+may_run(const PhScheduleTask *t, const PhPendingAccept *a)
+{
+    if (t->options.contact_limit == 0 || a->call.tag != PH_SCHEDULE_SUBMIT) {
+        return false;
+    }
+    for (guint i = 0; i < t->accept_batch->len; i++) {
+        if (is_submission_of(g_ptr_array_index(t->accept_batch, i),
+                             a->call.subject)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+PhScheduleAccept_RefuseUnsent(PhScheduleTask *t)
+{
+    for (guint left = t->accept_queue.length; left > 0; left--) {
+        PhPendingAccept *a = g_queue_pop_head(&t->accept_queue);
+        if (a->call.outcome_unknown || may_run(t, a)) {
+            g_queue_push_tail(&t->accept_queue, a);
+            continue;
+        }
+        PhScheduleCalls_RefuseAtOnce(t, &a->call.origin, a->call.subject,
+                                     PH_CALL_NO_CONTACT);
+        PhScheduleAccept_Destroy(a);
+    }
+}
+
 /* Moves the calls of the next append from the queue. */
 static void
 take_batch(PhScheduleTask *t)
@@ -261,6 +293,7 @@
     for (guint left = t->accept_queue.length; left > 0; left--) {
         PhPendingAccept *a = g_queue_pop_head(&t->accept_queue);
         if (a->call.deadline <= now) {
+            a->call.outcome_unknown |= may_run(t, a);
             accept_refuse(t, a,
                           "record not sent to the store before the deadline");
             PhScheduleAccept_Destroy(a);
--- a/services/schedule/schedule_calls.c
+++ b/services/schedule/schedule_calls.c
@@ -6,8 +6,6 @@
 /* Retry-After of a refusal: an election takes 3 s, and most refusals pass
  * sooner. */
 static const PhTime RETRY_AFTER = 1 * PH_NS_PER_S;
-/* Time before the client's deadline at which a call expires. */
-static const PhTime ANSWER_MARGIN = 150 * PH_NS_PER_MS;
 /* The readiness check fails if the store has not answered for this long. */
 static const PhTime READY_STORE_AGE_MAX = 2400 * PH_NS_PER_MS;
 /* Reasons of refusals. */
@@ -73,6 +71,37 @@
     refuse(t, origin, id, reason, PH_SCHEDULE_INVALID);
 }
 
+void
+PhScheduleCalls_RefuseAtOnce(PhScheduleTask *t, PhOrigin *origin, PhStr id,
+                             PhCallRefusal refusal)
+{
+    static const char *const reasons[] = {
+        [PH_CALL_TOO_LATE] = "too little time left",
+        [PH_CALL_NO_CONTACT] = "store out of reach",
+    };
+    PhCounters_Add(PhKernel_Counters(PhTask_Kernel(t->self)),
+                   PH_COUNTER_SCHEDULE_NO_CONTACT, 1);
+    refuse(t, origin, id, reasons[refusal], PH_SCHEDULE_REFUSED);
+}
+
+/* Refuses a call that would have to wait for the store, if that is out of
+ * reach or there is no time left. */
+static bool
+refuse_to_wait(PhScheduleTask *t, PhClientCall *call)
+{
+    PhCallPath path = PhScheduleContact_Path(t, call, false);
+    switch (path.tag) {
+    case PH_CALL_FORWARD:
+    case PH_CALL_LOCAL:
+        return false;
+    case PH_CALL_REFUSE:
+        PhScheduleCalls_RefuseAtOnce(t, &call->origin, call->subject,
+                                     path.as.refuse.reason);
+        return true;
+    }
+    return false;
+}
+
 /* Answers a call on an unknown job.  It is refused if the job may exist soon,
  * or the jobs have not been read recently enough to say that it doesn't. */
 static void
@@ -127,6 +156,9 @@
     }
     if (!call->outcome_unknown &&
         !PhScheduleAccept_IsPending(t, call->subject)) {
+        if (refuse_to_wait(t, call)) {
+            return;
+        }
         PhAdmission admission =
             PhScheduler_Admit(t->scheduler, &call->spec, PhTask_Now(t->self));
         if (!admission.accepted) {
@@ -146,6 +178,9 @@
         PhScheduleCalls_AnswerTag(t, &call->origin, PH_SCHEDULE_CANCELLED);
         return;
     }
+    if (refuse_to_wait(t, call)) {
+        return;
+    }
     PhScheduleAccept_Add(t, call);
 }
 
@@ -175,6 +210,9 @@
         cancel_known(t, call, job);
         return;
     }
+    if (refuse_to_wait(t, call)) {
+        return;
+    }
     call->jobs_read = PhScheduleTopics_ReadJobsNow(t);
     if (call->jobs_read == 0) {
         cancel_refuse(t, call);
@@ -244,6 +282,9 @@
         answer_state(t, &call->origin, job);
         return;
     }
+    if (refuse_to_wait(t, call)) {
+        return;
+    }
     if (!PhScheduleTopics_ReadRunsNow(t)) {
         PhScheduleCalls_Refuse(t, &call->origin, call->subject, RUNS_UNREAD);
         return;
@@ -278,6 +319,27 @@
     }
 }
 
+void
+PhScheduleCalls_RefuseWaiting(PhScheduleTask *t)
+{
+    PhClientCall *call;
+    while ((call = g_queue_pop_head(&t->state_calls)) != NULL) {
+        PhScheduleCalls_RefuseAtOnce(t, &call->origin, call->subject,
+                                     PH_CALL_NO_CONTACT);
+        PhScheduleCalls_DestroyQueued(call);
+    }
+    for (guint left = t->cancel_calls.length; left > 0; left--) {
+        call = g_queue_pop_head(&t->cancel_calls);
+        if (call->outcome_unknown) {
+            g_queue_push_tail(&t->cancel_calls, call);
+            continue;
+        }
+        PhScheduleCalls_RefuseAtOnce(t, &call->origin, call->subject,
+                                     PH_CALL_NO_CONTACT);
+        PhScheduleCalls_DestroyQueued(call);
+    }
+}
+
 /* Counts the jobs of a queue of which no task has started yet. */
 static void
 count_pending(PhScheduleTask *t, PhClientCall *call)
@@ -325,6 +387,7 @@
     case PH_SCHEDULE_CORDON:
     case PH_SCHEDULE_DRAIN:
     case PH_SCHEDULE_ROLE:
+    case PH_SCHEDULE_CONTACT:
         break;
     }
     PhClientCall_Clear(call);
@@ -340,8 +403,10 @@
     PhScheduleAnswer a = {.tag = PH_SCHEDULE_READINESS};
     bool reads =
         t->store_read_at != 0 && now - t->store_read_at < READY_STORE_AGE_MAX;
-    a.as.ready = !t->draining && model->config->version > 0 &&
-                 (reads || PhOwnerLink_IsUp(&t->link, now));
+    bool reaches = t->options.contact_limit > 0
+                       ? PhScheduleContact_Suffices(t)
+                       : reads || PhOwnerLink_IsUp(&t->link, now);
+    a.as.ready = !t->draining && model->config->version > 0 && reaches;
     PhScheduleCalls_Answer(t, origin, a);
 }
 
@@ -396,14 +461,16 @@
     }
     PhClientCall call = {.tag = tag,
                          .origin = *origin,
-                         .deadline = m->deadline - ANSWER_MARGIN,
+                         .deadline = m->deadline - PhCallPath_AnswerTime(),
                          .subject =
                              PhStr_Dup(counts ? queue->terms.queue : rest),
                          .spec = m->spec};
     m->spec = (PhSchedSpec){0};
-    if (!PhScheduleLink_Forward(t, &call)) {
-        PhScheduleCalls_HandleLocally(t, &call);
+    PhCallPath path = PhScheduleContact_Path(t, &call, true);
+    if (path.tag == PH_CALL_FORWARD && PhScheduleLink_Forward(t, &call)) {
+        return;
     }
+    PhScheduleCalls_HandleLocally(t, &call);
 }
 
 void
--- a/services/schedule/schedule_link.c
+++ b/services/schedule/schedule_link.c
@@ -260,6 +260,28 @@
     }
 }
 
+static PhLinkMessage
+make_welcome(const PhScheduleTask *t, bool standby)
+{
+    return (PhLinkMessage){
+        .tag = PH_LINK_WELCOME,
+        .as.welcome = {.standby = standby,
+                       .store_silent = PhScheduleContact_IsLost(t)}};
+}
+
+void
+PhScheduleLink_WelcomeAll(PhScheduleTask *t)
+{
+    GArray *all = PhStandbys_Instances(t->standbys, PhTask_Now(t->self));
+    for (guint i = 0; i < all->len; i++) {
+        PhStr instance = g_array_index(all, PhStr, i);
+        PhLinkMessage m =
+            make_welcome(t, PhStandbys_IsStandby(t->standbys, instance));
+        link_send(t, instance, (PhStr){0}, &m);
+    }
+    g_array_free(all, TRUE);
+}
+
 /* Answers a hello with a welcome, or with a dismissal if this instance is not
  * the active owner. */
 static void
@@ -277,9 +299,8 @@
             .ready = hello->as.hello.ready,
             .leaving = hello->as.hello.leaving};
         PhScheduleDispatch_OnHello(t, instance, hello);
-        m.tag = PH_LINK_WELCOME;
-        m.as.welcome.standby =
-            PhStandbys_OnHello(t->standbys, instance, data_centre, &h, now);
+        m = make_welcome(t, PhStandbys_OnHello(t->standbys, instance,
+                                               data_centre, &h, now));
     }
     if (t->draining) {
         PhScheduleTask_RequestUpdate(t);
@@ -287,19 +308,28 @@
     link_send(t, instance, (PhStr){0}, &m);
 }
 
+/* An owner that has lost the store may be replaced, so the topic is read. */
 static void
-on_welcome(PhScheduleTask *t, PhStr instance, bool standby)
+on_welcome(PhScheduleTask *t, PhStr instance, const PhLinkMessage *m)
 {
+    bool standby = m->as.welcome.standby;
     PhTime now = PhTask_Now(t->self);
     if (t->stage != OWNER_INACTIVE ||
         !PhElection_IsNewestWriter(t->election, instance)) {
         return;
     }
     PhOwnerLink_OnWelcome(&t->link, standby, now);
-    if (!standby) {
+    t->owner_store_silent =
+        t->options.contact_limit > 0 && m->as.welcome.store_silent;
+    if (t->owner_store_silent) {
+        PhElection_OnOwnerSuspected(t->election, now);
+        PhScheduleTask_RequestUpdate(t);
+    }
+    else if (!standby) {
         PhElection_OnOwnerContact(t->election, now);
     }
     PhScheduleLink_Update(t);
+    PhScheduleContact_Update(t);
 }
 
 static void
@@ -332,8 +362,7 @@
     PhSuccessor chosen =
         PhStandbys_ChooseSuccessor(t->standbys, now - t->started_at, now);
     if (chosen.is_new) {
-        PhLinkMessage m = {.tag = PH_LINK_WELCOME,
-                           .as.welcome = {.standby = true}};
+        PhLinkMessage m = make_welcome(t, true);
         link_send(t, chosen.instance, (PhStr){0}, &m);
     }
     return chosen;
@@ -465,7 +494,7 @@
         on_hello(t, instance, data_centre, &m);
         break;
     case PH_LINK_WELCOME:
-        on_welcome(t, instance, m.as.welcome.standby);
+        on_welcome(t, instance, &m);
         break;
     case PH_LINK_NOT_OWNER:
         on_dismiss(t, instance);
--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -203,6 +203,10 @@
         t->stage = OWNER_CATCH_UP;
         t->fence_end = reply->end;
         t->fence_at = PhTask_Now(t->self);
+        if (t->options.contact_limit > 0) {
+            /* A read in flight may wait for a record for 1 s more. */
+            PhScheduleTopics_ReadJobsNow(t);
+        }
         PhScheduleTask_RequestUpdate(t);
         break;
     case PH_STORE_FENCED:
--- a/services/schedule/schedule_task.c
+++ b/services/schedule/schedule_task.c
@@ -18,6 +18,7 @@
 PhScheduleTask_Call(PhScheduleTask *t, PhStoreCall call, PhStoreMessage *m)
 {
     m->id = t->epochs[call] << CALL_BITS | (uint64_t)call;
+    PhScheduleContact_OnSent(t, call, m);
     PhTask_SendTo(t->self, PH_SERVICE_STORE, PhStoreMessage_Wrap(m));
 }
 
@@ -26,7 +27,11 @@
 on_store(PhScheduleTask *t, const PhStoreReply *reply)
 {
     PhStoreCall call = (PhStoreCall)(reply->id & ((1U << CALL_BITS) - 1));
-    if (call >= CALL_KINDS || reply->id >> CALL_BITS != t->epochs[call]) {
+    if (call >= CALL_KINDS) {
+        return;
+    }
+    PhScheduleContact_OnReply(t, call, reply);
+    if (reply->id >> CALL_BITS != t->epochs[call]) {
         return;
     }
     switch (call) {
@@ -47,6 +52,7 @@
     case CALL_RECORDS:
         PhScheduleRecords_OnReply(t, reply);
         break;
+    case CALL_PROBE:
     case CALL_KINDS:
         break;
     }
@@ -105,6 +111,7 @@
         break;
     case PH_SCHEDULE_ANSWER:
     case PH_SCHEDULE_ROLE:
+    case PH_SCHEDULE_CONTACT:
         break;
     case PH_SCHEDULE_CONFIG:
         set_config(t, m);
@@ -213,6 +220,9 @@
     case TIMER_OUTCOMES:
         PhScheduleDispatch_SendOutcomes(t);
         break;
+    case TIMER_CONTACT:
+        PhScheduleContact_OnTick(t);
+        break;
     }
 }
 
@@ -236,6 +246,7 @@
         t->started_at = PhTask_Now(self);
         PhOwnerLink_Init(&t->link, t->options.link.len > 0,
                          read_delay(&t->options), t->started_at);
+        PhScheduleContact_Start(t);
         PhScheduleOwner_PublishRole(t);
         PhScheduleTask_RequestUpdate(t);
         break;
--- a/services/schedule/schedule_task.h
+++ b/services/schedule/schedule_task.h
@@ -4,6 +4,7 @@
 
 #include "peridothill/codec/schedule_link.h"
 #include "peridothill/codec/schedule_record.h"
+#include "peridothill/decide/schedule/call_path.h"
 #include "peridothill/decide/schedule/dispatchers.h"
 #include "peridothill/decide/schedule/election.h"
 #include "peridothill/decide/schedule/handover.h"
@@ -13,7 +14,8 @@
 #include "peridothill/services/schedule.h"
 #include "peridothill/services/store.h"
 
-/* Calls to the store; at most one of each kind is in flight. */
+/* Calls to the store; at most one of each kind is in flight, but for probes
+ * without an answer, whose replies say only that the store answers. */
 typedef enum PhStoreCall {
     CALL_ELECTION_READ,
     CALL_ELECTION_APPEND,
@@ -22,6 +24,7 @@
     CALL_ACCEPT,
     CALL_FENCE,
     CALL_RECORDS,
+    CALL_PROBE,
     CALL_KINDS,
 } PhStoreCall;
 
@@ -34,6 +37,7 @@
     TIMER_DEADLINES,
     TIMER_LINK,
     TIMER_OUTCOMES,
+    TIMER_CONTACT,
 } PhScheduleTimer;
 
 /* Stages of taking over ownership of the jobs. */
@@ -105,6 +109,17 @@
     bool store_answers; /* the last call succeeded */
     PhTime store_changed_at;
     PhTime store_read_at; /* time of the last successful call */
+    /* Contact with the store and the owner, if a limit of silence is set. */
+    PhStoreContact contact;
+    bool contact_lost; /* as last logged */
+    PhTime contact_changed_at;
+    uint64_t contact_refused; /* calls that were refused before that */
+    bool contact_announced;   /* the front was told something */
+    bool announced_contact;   /* what it was told last */
+    bool owner_store_silent;  /* by the owner's last welcome */
+    bool owner_silent;        /* as last told to the election */
+    bool probe_in_flight;
+    PhTime probed_at;
     bool draining;
     PhTime started_at;
     PhTime stop_began_at; /* `draining` since then */
@@ -204,6 +219,11 @@
 void PhScheduleCalls_HandleCancels(PhScheduleTask *task, uint64_t number,
                                    bool to_end);
 void PhScheduleCalls_DestroyQueued(gpointer call);
+/* Refuses the queued calls that wait for a read and have had no effect. */
+void PhScheduleCalls_RefuseWaiting(PhScheduleTask *task);
+/* Refuses a call at once for want of contact or of time. */
+void PhScheduleCalls_RefuseAtOnce(PhScheduleTask *task, PhOrigin *origin,
+                                  PhStr id, PhCallRefusal refusal);
 
 /* schedule_accept.c: durable records of clients' calls. */
 /* Takes ownership of the call's contents. */
@@ -215,6 +235,26 @@
 /* Answers calls whose deadline has passed. */
 void PhScheduleAccept_Expire(PhScheduleTask *task);
 void PhScheduleAccept_Destroy(gpointer accept);
+/* Refuses the calls whose records were never sent, unless they, or another
+ * submission of the job, may have had an effect. */
+void PhScheduleAccept_RefuseUnsent(PhScheduleTask *task);
+
+/* schedule_contact.c: contact with the store and the owner. */
+void PhScheduleContact_Start(PhScheduleTask *task);
+void PhScheduleContact_OnTick(PhScheduleTask *task);
+void PhScheduleContact_OnSent(PhScheduleTask *task, PhStoreCall call,
+                              const PhStoreMessage *message);
+void PhScheduleContact_OnReply(PhScheduleTask *task, PhStoreCall call,
+                               const PhStoreReply *reply);
+/* Logs and announces a change. */
+void PhScheduleContact_Update(PhScheduleTask *task);
+/* Whether the store is out of reach; never without a limit of silence. */
+bool PhScheduleContact_IsLost(const PhScheduleTask *task);
+/* Whether this instance reaches the store, or an owner that does. */
+bool PhScheduleContact_Suffices(const PhScheduleTask *task);
+/* The way of a call that needs the owner or the store. */
+PhCallPath PhScheduleContact_Path(const PhScheduleTask *task,
+                                  const PhClientCall *call, bool may_forward);
 
 /* schedule_link.c: links between the owner and the other instances. */
 void PhScheduleLink_Open(PhScheduleTask *task,
@@ -237,6 +277,8 @@
 /* Tells all instances that sent a hello that this one is no longer the
  * owner. */
 void PhScheduleLink_DismissAll(PhScheduleTask *task);
+/* Tells them whether this owner has lost the store. */
+void PhScheduleLink_WelcomeAll(PhScheduleTask *task);
 /* Chooses the instance that shall take over, and has it read the records. */
 PhSuccessor PhScheduleLink_ChooseSuccessor(PhScheduleTask *task);
 
--- a/standin/store.c
+++ b/standin/store.c
@@ -239,7 +239,8 @@
 answer_waiting_reads(PhStandinStore *s)
 {
     PhTime now = PhTask_Now(s->server->self);
-    for (guint i = s->waiting_reads->len; i-- > 0;) {
+    bool silent = s->state->fault == PH_STANDIN_STORE_SILENT;
+    for (guint i = silent ? 0 : s->waiting_reads->len; i-- > 0;) {
         PhWaitingRead read = g_array_index(s->waiting_reads, PhWaitingRead, i);
         if (read.topic->records->len > read.from || now >= read.until) {
             g_array_remove_index_fast(s->waiting_reads, i);
@@ -437,7 +438,8 @@
     json_decref(root);
 }
 
-/* Returns true if the call was refused because of the fault. */
+/* Returns true if the call was refused, or is never answered, because of the
+ * fault. */
 static bool
 refuse_by_fault(PhStandinStore *s, uint64_t id)
 {
@@ -446,6 +448,8 @@
     case PH_STANDIN_STORE_DOWN:
         answer(s, id, STATUS_UNAVAILABLE, &empty);
         return true;
+    case PH_STANDIN_STORE_SILENT:
+        return true;
     case PH_STANDIN_STORE_HEALTHY:
     case PH_STANDIN_STORE_LOSES_ANSWERS:
         break;
--- a/tests/platform/test_front.c
+++ b/tests/platform/test_front.c
@@ -35,6 +35,8 @@
     STEP_PASS_NOTICE,
     STEP_PASS_LIMIT,
     STEP_ANSWER,
+    STEP_CONTACT_LOST,
+    STEP_CONTACT_BACK,
 } PhFrontStep;
 
 typedef struct PhFrontCase {
@@ -94,6 +96,27 @@
      "HTTP/1.1 503 ",
      true,
      true},
+    {"answer while the instance has no contact",
+     {STEP_OPEN, STEP_RUN, STEP_CONTACT_LOST, STEP_SEND_HEADERS, STEP_SEND_END,
+      STEP_RUN, STEP_ANSWER, STEP_RUN},
+     1,
+     "HTTP/1.1 200 ",
+     true,
+     false},
+    {"answer after the contact is back",
+     {STEP_OPEN, STEP_RUN, STEP_CONTACT_LOST, STEP_RUN, STEP_CONTACT_BACK,
+      STEP_SEND_HEADERS, STEP_SEND_END, STEP_RUN, STEP_ANSWER, STEP_RUN},
+     1,
+     "HTTP/1.1 200 ",
+     false,
+     false},
+    {"the contact comes back during a stop",
+     {STEP_OPEN, STEP_RUN, STEP_CONTACT_LOST, STEP_STOP, STEP_CONTACT_BACK,
+      STEP_SEND_HEADERS, STEP_SEND_END, STEP_RUN, STEP_ANSWER, STEP_RUN},
+     1,
+     "HTTP/1.1 200 ",
+     true,
+     false},
     {"rest of the request never sent",
      {STEP_OPEN, STEP_SEND_HEADERS, STEP_RUN, STEP_STOP, STEP_PASS_NOTICE,
       STEP_PASS_LIMIT, STEP_PASS_LIMIT},
@@ -140,6 +163,13 @@
     PhTask_Send(r->schedule, r->asker, PhScheduleMessage_Wrap(&m));
 }
 
+static void
+schedule_tell_contact(PhFrontRig *r, bool contact)
+{
+    PhScheduleMessage m = {.tag = PH_SCHEDULE_CONTACT, .as.contact = contact};
+    PhTask_SendTo(r->schedule, PH_SERVICE_FRONT, PhScheduleMessage_Wrap(&m));
+}
+
 /* The port of the listener that was opened first, which is for clients. */
 static uint16_t
 clients_port(void)
@@ -198,6 +228,10 @@
     case STEP_ANSWER:
         schedule_answer(r);
         break;
+    case STEP_CONTACT_LOST:
+    case STEP_CONTACT_BACK:
+        schedule_tell_contact(r, step == STEP_CONTACT_BACK);
+        break;
     }
 }
 
--- a/tests/schedule/platform_fixture.c
+++ b/tests/schedule/platform_fixture.c
@@ -89,14 +89,20 @@
     PhBuf text = {0};
     PhBuf errors = {0};
     x->port = port_reserve(fixture);
+    x->ready_port = port_reserve(fixture);
     x->counters = PhCounters_Create();
     x->loop = ev_loop_new(EVFLAG_AUTO);
     PhBuf_AppendFormat(&text,
                        "[instance]\nid = entry-%zu\ndata_centre = bacolod\n"
                        "deployment = test\n[callers]\nlisten = "
                        "127.0.0.1:%u\n[scheduler]\nstore = 127.0.0.1:%u\n"
-                       "ready = 127.0.0.1:0\nshare = %s\n",
-                       i + 1, x->port, store_port, i == 0 ? "1" : "0.1");
+                       "ready = 127.0.0.1:%u\nshare = %s\n",
+                       i + 1, x->port, store_port, x->ready_port,
+                       i == 0 ? "1" : "0.1");
+    if (fixture->contact_limit_ms > 0) {
+        PhBuf_AppendFormat(&text, "contact_limit = %ums\n",
+                           fixture->contact_limit_ms);
+    }
     if (fixture->dispatches) {
         PhBuf_Append(&text, PhStr_LITERAL("dispatch_delay = 0s\n"));
     }
@@ -152,6 +158,15 @@
     PhStandinStoreState_SetLimits(fixture->store, record_bytes, append_bytes);
 }
 
+void
+PhPlatformFixture_OpenWithContact(PhPlatformFixture *fixture, size_t instances,
+                                  bool links, unsigned contact_limit_ms)
+{
+    *fixture = (PhPlatformFixture){.instance_count = instances,
+                                   .contact_limit_ms = contact_limit_ms};
+    instances_open(fixture, links);
+}
+
 void
 PhPlatformFixture_Kill(PhPlatformFixture *fixture, size_t instance)
 {
@@ -199,27 +214,49 @@
     }
 }
 
-int
-PhPlatformFixture_Send(PhPlatformFixture *fixture, size_t instance,
-                       const char *method, const char *job, const char *body)
+/* Sends a request to a port and returns the connection. */
+static int
+request_send(uint16_t port, const char *request, int size)
 {
     struct sockaddr_in a = {.sin_family = AF_INET,
-                            .sin_port =
-                                htons(fixture->instances[instance].port),
+                            .sin_port = htons(port),
                             .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    char request[PH_FIXTURE_TEXT_BYTES];
     int fd = socket(AF_INET, SOCK_STREAM, 0);
     assert_int_equal(connect(fd, (struct sockaddr *)&a, sizeof(a)), 0);
-    int size = snprintf(request, sizeof(request),
-                        "%s /jobs/%s HTTP/1.1\r\nHost: "
-                        "jobs.example\r\nConnection: close\r\n"
-                        "Content-Length: %zu\r\n\r\n%s",
-                        method, job, strlen(body), body);
     assert_int_equal(send(fd, request, (size_t)size, 0), size);
     fcntl(fd, F_SETFL, O_NONBLOCK);
     return fd;
 }
 
+int
+PhPlatformFixture_Send(PhPlatformFixture *fixture, size_t instance,
+                       const char *method, const char *job, const char *body)
+{
+    char request[PH_FIXTURE_TEXT_BYTES];
+    char deadline[PH_FIXTURE_TEXT_BYTES] = "";
+    if (fixture->deadline_ms > 0) {
+        snprintf(deadline, sizeof(deadline),
+                 "Peridothill-Request-Deadline: %u\r\n", fixture->deadline_ms);
+    }
+    int size = snprintf(request, sizeof(request),
+                        "%s /jobs/%s HTTP/1.1\r\nHost: "
+                        "jobs.example\r\nConnection: close\r\n%s"
+                        "Content-Length: %zu\r\n\r\n%s",
+                        method, job, deadline, strlen(body), body);
+    return request_send(fixture->instances[instance].port, request, size);
+}
+
+int
+PhPlatformFixture_CheckReady(PhPlatformFixture *fixture, size_t instance)
+{
+    static const char request[] = "GET /api/ready HTTP/1.1\r\nHost: a\r\n"
+                                  "Connection: close\r\n\r\n";
+    char text[PH_FIXTURE_TEXT_BYTES];
+    int fd = request_send(fixture->instances[instance].ready_port, request,
+                          sizeof(request) - 1);
+    return PhPlatformFixture_Receive(fixture, fd, text);
+}
+
 int
 PhPlatformFixture_Receive(PhPlatformFixture *fixture, int fd, char *text)
 {
--- a/tests/schedule/platform_fixture.h
+++ b/tests/schedule/platform_fixture.h
@@ -9,8 +9,9 @@
 
 enum {
     PH_FIXTURE_INSTANCES_MAX = 2,
-    PH_FIXTURE_PORTS_MAX = 2 * PH_FIXTURE_INSTANCES_MAX, /* clients, link */
-    PH_FIXTURE_TEXT_BYTES = 4096,                        /* of a response */
+    PH_FIXTURE_PORTS_MAX =
+        3 * PH_FIXTURE_INSTANCES_MAX, /* clients, link, readiness checks */
+    PH_FIXTURE_TEXT_BYTES = 4096,     /* of a response */
 };
 
 /* Instance 0 has the largest CPU share, so it becomes the owner. */
@@ -21,6 +22,7 @@
     PhCounters *counters;
     PhSettings settings;
     uint16_t port; /* of the client listener */
+    uint16_t ready_port;
     uint64_t incarnation;
 } PhFixtureInstance;
 
@@ -33,6 +35,8 @@
     bool worker_closes_connections; /* stays so once it is set */
     size_t record_bytes;            /* limits of the store, 0: the default */
     size_t append_bytes;
+    unsigned contact_limit_ms;
+    unsigned deadline_ms; /* stated with each call, 0: none */
     bool dispatches; /* the owner has the other instances send its starts */
     PhKernel *platform;
     PhFixtureInstance instances[PH_FIXTURE_INSTANCES_MAX];
@@ -52,6 +56,10 @@
 void PhPlatformFixture_OpenLimited(PhPlatformFixture *fixture,
                                    size_t instances, size_t record_bytes,
                                    size_t append_bytes);
+/* Like PhPlatformFixture_Open, with a limit for the silence of the store. */
+void PhPlatformFixture_OpenWithContact(PhPlatformFixture *fixture,
+                                       size_t instances, bool links,
+                                       unsigned contact_limit_ms);
 void PhPlatformFixture_Close(PhPlatformFixture *fixture);
 /* Destroys an instance without a shutdown. */
 void PhPlatformFixture_Kill(PhPlatformFixture *fixture, size_t instance);
@@ -67,6 +75,8 @@
  * without a response.  `text` receives the response. */
 int PhPlatformFixture_Receive(PhPlatformFixture *fixture, int connection,
                               char *text);
+/* Status of a readiness check. */
+int PhPlatformFixture_CheckReady(PhPlatformFixture *fixture, size_t instance);
 /* Both of them. */
 int PhPlatformFixture_Call(PhPlatformFixture *fixture, size_t instance,
                            const char *method, const char *job,
--- a/tests/schedule/test_schedule_pair.c
+++ b/tests/schedule/test_schedule_pair.c
@@ -1,6 +1,8 @@
 /* Two instances over sockets, with or without links.  Guards against calls
  * that are not forwarded to the owner, jobs accepted twice, a survivor that
- * does not take over, and answers from records that were read long ago. */
+ * does not take over, answers from records that were read long ago, calls that
+ * are forwarded without time for an answer, and instances that stay in
+ * rotation although neither they nor the owner reach the store. */
 #include <string.h>
 #include <unistd.h>
 
@@ -30,6 +32,10 @@
      * a reply handled at that time would be too old. */
     STANDSTILL_STEPS = 260,
     AGE_STEPS = 330,
+    CONTACT_LIMIT_MS = 600,
+    LATE_MS = 100,            /* less than an answer takes */
+    NO_CONTACT_STEPS = 340,   /* 1.7 s: a read waits for 1 s, and the limit */
+    CONTACT_BACK_STEPS = 120, /* a probe, and a hello every 0.5 s */
 };
 
 /* Whether the owner is destroyed after the first job, whether each job is
@@ -44,6 +50,7 @@
     uint64_t accepted_by_other;
     uint64_t started_by_owner; /* tasks started by the owner */
     uint64_t started_by_other;
+    unsigned contact_limit_ms;
 } PhPairCase;
 
 static const PhPairCase pair_cases[] = {
@@ -57,6 +64,10 @@
     {"a job submitted twice is accepted once", true, false, true, 2, 0, 4, 0},
     {"a job submitted twice without links is accepted once", false, false,
      true, 0, 2, 4, 0},
+    {"the owner accepts, with a limit of silence", true, false, false, 2, 0, 4,
+     0, CONTACT_LIMIT_MS},
+    {"the other takes over, with a limit of silence", true, true, false, 1, 1,
+     2, 2, CONTACT_LIMIT_MS},
 };
 
 /* Submits a job to the other instance `times` times and waits for its end. */
@@ -76,7 +87,8 @@
 {
     PhPlatformFixture fixture;
     int times = c->submit_twice ? 2 : 1;
-    PhPlatformFixture_Open(&fixture, PH_FIXTURE_INSTANCES_MAX, c->links);
+    PhPlatformFixture_OpenWithContact(&fixture, PH_FIXTURE_INSTANCES_MAX,
+                                      c->links, c->contact_limit_ms);
     assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "GET", ID_A, "",
                                             410, ""));
     for (int i = 0; i < SETTLE_STEPS; i++) {
@@ -536,6 +548,112 @@
     Ph_RUN_TABLE(restarted_cases, restarted_run);
 }
 
+/* A call whose client waits for LATE_MS more, and its answer. */
+typedef struct PhLateCase {
+    const char *name;
+    unsigned contact_limit_ms;
+    const char *method;
+    int status;
+} PhLateCase;
+
+static const PhLateCase late_cases[] = {
+    {"a submission", CONTACT_LIMIT_MS, "POST", 503},
+    {"a cancellation", CONTACT_LIMIT_MS, "DELETE", 503},
+    {"a state, which the standby knows", CONTACT_LIMIT_MS, "GET", 410},
+    {"a submission, no limit of silence", 0, "POST", 504},
+};
+
+/* The job of a call that was refused is not known afterwards. */
+static void
+late_run(const PhLateCase *c)
+{
+    PhPlatformFixture fixture;
+    char text[PH_FIXTURE_TEXT_BYTES];
+    PhPlatformFixture_OpenWithContact(&fixture, PH_FIXTURE_INSTANCES_MAX, true,
+                                      c->contact_limit_ms);
+    assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "GET", ID_A, "",
+                                            410, ""));
+    run_steps(&fixture, SETTLE_STEPS);
+    fixture.deadline_ms = LATE_MS;
+    assert_int_equal(
+        PhPlatformFixture_Call(&fixture, OTHER, c->method, ID_A, JOB, text),
+        c->status);
+    fixture.deadline_ms = 0;
+    run_steps(&fixture, SETTLE_STEPS);
+    if (c->status == 503) {
+        assert_int_equal(
+            PhPlatformFixture_Call(&fixture, OTHER, "GET", ID_A, "", text),
+            410);
+    }
+    PhPlatformFixture_Close(&fixture);
+}
+
+/* Guards against calls that are forwarded although their answer cannot come in
+ * time, so that their clients are told that the outcome is unknown. */
+static void
+test_late(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(late_cases, late_run);
+}
+
+/* Readiness of both instances while the store is silent. */
+typedef struct PhSilentCase {
+    const char *name;
+    unsigned contact_limit_ms;
+    int ready;
+    int status; /* of a submission to the other instance */
+} PhSilentCase;
+
+static const PhSilentCase silent_cases[] = {
+    {"with a limit", CONTACT_LIMIT_MS, 503, 503},
+    {"without", 0, 200, 504},
+};
+
+static void
+check_ready(PhPlatformFixture *fixture, int ready)
+{
+    for (size_t i = 0; i < PH_FIXTURE_INSTANCES_MAX; i++) {
+        assert_int_equal(PhPlatformFixture_CheckReady(fixture, i), ready);
+    }
+}
+
+static void
+silent_run(const PhSilentCase *c)
+{
+    PhPlatformFixture fixture;
+    char text[PH_FIXTURE_TEXT_BYTES];
+    PhPlatformFixture_OpenWithContact(&fixture, PH_FIXTURE_INSTANCES_MAX, true,
+                                      c->contact_limit_ms);
+    assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "GET", ID_A, "",
+                                            410, ""));
+    run_steps(&fixture, SETTLE_STEPS);
+    check_ready(&fixture, 200);
+    PhStandinStoreState_SetFault(fixture.store, PH_STANDIN_STORE_SILENT);
+    run_steps(&fixture, NO_CONTACT_STEPS);
+    check_ready(&fixture, c->ready);
+    assert_int_equal(
+        PhPlatformFixture_Call(&fixture, OTHER, "POST", ID_A, JOB, text),
+        c->status);
+    PhStandinStoreState_SetFault(fixture.store, PH_STANDIN_STORE_HEALTHY);
+    run_steps(&fixture, CONTACT_BACK_STEPS);
+    check_ready(&fixture, 200);
+    submit_and_wait(&fixture, ID_B, 1);
+    const PhCounters *owner = fixture.instances[OWNER].counters;
+    assert_int_equal(PhCounters_Get(owner, PH_COUNTER_SCHEDULE_STARTS),
+                     c->status == 503 ? TASKS : 2 * TASKS);
+    PhPlatformFixture_Close(&fixture);
+}
+
+/* Guards against instances that stay in rotation although neither they nor the
+ * owner reach the store, and against a change of the owner for that. */
+static void
+test_silent_store(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(silent_cases, silent_run);
+}
+
 int
 main(void)
 {
@@ -546,6 +664,8 @@
         cmocka_unit_test(test_unread_cancels),
         cmocka_unit_test(test_cancels_under_way),
         cmocka_unit_test(test_standstill),
-        cmocka_unit_test(test_restarted_callers)};
+        cmocka_unit_test(test_restarted_callers),
+        cmocka_unit_test(test_late),
+        cmocka_unit_test(test_silent_store)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/schedule/test_schedule_service.c
+++ b/tests/schedule/test_schedule_service.c
@@ -3,8 +3,9 @@
  * unknown, while the store is down or loses replies, against an unusual record
  * of a worker in the store that keeps jobs from running, against a count of
  * pending jobs that omits one whose start orders were not answered, against a
- * cancellation that is acknowledged without a record, and against starts in a
- * data centre that is evacuated. */
+ * cancellation that is acknowledged without a record, against starts in a data
+ * centre that is evacuated, and against calls that wait for a store that is
+ * out of reach. */
 #include "platform_fixture.h"
 #include "tests/table.h"
 
@@ -333,6 +334,125 @@
     Ph_RUN_TABLE(evacuated_cases, evacuated_run);
 }
 
+#define QUEUED_ID "00000000000000b2"
+#define FRESH_ID "00000000000000c3"
+#define LATER_ID "00000000000000d4"
+
+enum {
+    CONTACT_LIMIT_MS = 600,
+    SETTLED_STEPS = 100,
+    APART_STEPS = 20,
+    LOST_STEPS = 140, /* 0.7 s: the limit and an interval of observation */
+    BACK_STEPS = 50,  /* 0.25 s: a probe every 0.2 s */
+    AT_ONCE_MS = 100,
+};
+
+/* What becomes of a submission that was sent to a store under a fault, of one
+ * that waits behind it, and of one after 0.8 s, and whether the latter two are
+ * answered at once; the readiness then; and the answer to the first if the
+ * store is healthy again. */
+typedef struct PhContactCase {
+    const char *name;
+    unsigned limit_ms;
+    PhStandinStoreFault fault;
+    int sent;
+    int queued;
+    int fresh;
+    bool at_once;
+    int ready;
+} PhContactCase;
+
+static const PhContactCase contact_cases[] = {
+    {"no fault", CONTACT_LIMIT_MS, PH_STANDIN_STORE_HEALTHY, 200, 200, 200,
+     true, 200},
+    {"the store is silent", CONTACT_LIMIT_MS, PH_STANDIN_STORE_SILENT, 200,
+     503, 503, true, 503},
+    {"the store is silent, no limit", 0, PH_STANDIN_STORE_SILENT, 504, 503,
+     503, false, 200},
+    {"the store is down", CONTACT_LIMIT_MS, PH_STANDIN_STORE_DOWN, 503, 503,
+     503, true, 503},
+    {"the store is down, no limit", 0, PH_STANDIN_STORE_DOWN, 503, 503, 503,
+     true, 200},
+};
+
+static void
+run_steps(PhPlatformFixture *fixture, int count)
+{
+    for (int i = 0; i < count; i++) {
+        PhPlatformFixture_Run(fixture);
+    }
+}
+
+static int64_t
+clock_ms(const PhPlatformFixture *fixture)
+{
+    return PhClock_Now(fixture->clock) / PH_NS_PER_MS;
+}
+
+/* Without a fault, the first three submissions are accepted. */
+static void
+check_jobs(PhPlatformFixture *fixture, const PhContactCase *c)
+{
+    const char *accepted = "completed";
+    const char *const ids[] = {QUEUED_ID, FRESH_ID};
+    const int statuses[] = {c->queued, c->fresh};
+    for (size_t i = 0; i < 2; i++) {
+        assert_true(PhPlatformFixture_CallUntil(
+            fixture, 0, "GET", ids[i], "", statuses[i] == 200 ? 200 : 410,
+            statuses[i] == 200 ? accepted : ""));
+    }
+    assert_true(PhPlatformFixture_CallUntil(fixture, 0, "GET", LATER_ID, "",
+                                            200, accepted));
+}
+
+static void
+contact_run(const PhContactCase *c)
+{
+    PhPlatformFixture fixture;
+    char text[PH_FIXTURE_TEXT_BYTES];
+    PhPlatformFixture_OpenWithContact(&fixture, 1, false, c->limit_ms);
+    assert_true(
+        PhPlatformFixture_CallUntil(&fixture, 0, "GET", ID, "", 410, ""));
+    run_steps(&fixture, SETTLED_STEPS);
+    assert_int_equal(PhPlatformFixture_CheckReady(&fixture, 0), 200);
+    PhStandinStoreState_SetFault(fixture.store, c->fault);
+    int sent = PhPlatformFixture_Send(&fixture, 0, "POST", ID, JOB);
+    run_steps(&fixture, APART_STEPS);
+    int queued = PhPlatformFixture_Send(&fixture, 0, "POST", QUEUED_ID, JOB);
+    run_steps(&fixture, LOST_STEPS);
+    assert_int_equal(PhPlatformFixture_CheckReady(&fixture, 0), c->ready);
+    int64_t begin = clock_ms(&fixture);
+    assert_int_equal(PhPlatformFixture_Receive(&fixture, queued, text),
+                     c->queued);
+    assert_int_equal(
+        PhPlatformFixture_Call(&fixture, 0, "POST", FRESH_ID, JOB, text),
+        c->fresh);
+    assert_int_equal(clock_ms(&fixture) - begin <= AT_ONCE_MS, c->at_once);
+    PhStandinStoreState_SetFault(fixture.store, PH_STANDIN_STORE_HEALTHY);
+    run_steps(&fixture, BACK_STEPS);
+    assert_int_equal(PhPlatformFixture_CheckReady(&fixture, 0), 200);
+    if (c->limit_ms > 0) {
+        assert_int_equal(
+            PhPlatformFixture_Call(&fixture, 0, "POST", LATER_ID, JOB, text),
+            200);
+    }
+    assert_true(PhPlatformFixture_CallUntil(&fixture, 0, "POST", LATER_ID, JOB,
+                                            200, ""));
+    assert_int_equal(PhPlatformFixture_Receive(&fixture, sent, text), c->sent);
+    check_jobs(&fixture, c);
+    PhPlatformFixture_Close(&fixture);
+}
+
+/* Guards against calls that wait for a store that is out of reach, against a
+ * readiness check that says otherwise, and against calls that are refused
+ * after it is back. */
+static void
+test_contact(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(contact_cases, contact_run);
+}
+
 int
 main(void)
 {
@@ -341,6 +461,7 @@
                                        cmocka_unit_test(test_pending),
                                        cmocka_unit_test(test_cancelled_ends),
                                        cmocka_unit_test(test_connections),
-                                       cmocka_unit_test(test_evacuated)};
+                                       cmocka_unit_test(test_evacuated),
+                                       cmocka_unit_test(test_contact)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/schedule/test_store_contact.c
+++ b/tests/schedule/test_store_contact.c
@@ -178,12 +178,12 @@
         case OP_LARGE:
             earlier[s->kind] = newest[s->kind];
             newest[s->kind] = id++;
-            PhStoreContact_OnSent(
-                &x, s->kind, newest[s->kind],
-                s->op == OP_LARGE ? 0
-                : s->value < 0    ? PH_TIME_NEVER
-                                  : s->value * PH_NS_PER_MS,
-                s->op == OP_LARGE ? (size_t)s->value : 0, now);
+            PhStoreContact_OnSent(&x, s->kind, newest[s->kind],
+                                  s->op == OP_LARGE ? 0
+                                  : s->value < 0    ? PH_TIME_NEVER
+                                                    : s->value * PH_NS_PER_MS,
+                                  s->op == OP_LARGE ? (size_t)s->value : 0,
+                                  now);
             break;
         case OP_ANSWER:
             PhStoreContact_OnEnd(&x, s->kind, newest[s->kind],
