schedule: probes while the owner's answer is late, refusals carry their time

Cause: a standby that is cut off knew its own contact only when a read that waits for 1 s was over; a GET whose owner fell silent waited for a lost store. Only calls that change something count as unknown outcomes. A reply without an answer is never a sign that the store answers. Measured: test_schedule_service, test_schedule_pair, test_waiting_calls (with rows for a limit), test_owner_link and test_store_outcomes pass.

--- a/decide/schedule/call_path.c
+++ b/decide/schedule/call_path.c
@@ -11,8 +11,8 @@
     return ANSWER_TIME;
 }
 
-static PhCallPath
-path_refuse(PhCallRefusal reason)
+PhCallPath
+PhCallPath_Refuse(PhCallRefusal reason)
 {
     return (PhCallPath){
         .tag = PH_CALL_REFUSE,
@@ -29,11 +29,11 @@
     case PH_CONTACT_REACHED:
         return local;
     case PH_CONTACT_UNPROVEN:
-        return in->changes ? path_refuse(PH_CALL_NO_CONTACT) : local;
+        return in->changes ? PhCallPath_Refuse(PH_CALL_NO_CONTACT) : local;
     case PH_CONTACT_LOST:
         break;
     }
-    return path_refuse(PH_CALL_NO_CONTACT);
+    return PhCallPath_Refuse(PH_CALL_NO_CONTACT);
 }
 
 /* An owner that has lost the store still answers calls that change nothing, by
@@ -50,7 +50,7 @@
                                                  : PH_CALL_LOCAL};
     }
     if (in->left <= ANSWER_TIME) {
-        return path_refuse(PH_CALL_TOO_LATE);
+        return PhCallPath_Refuse(PH_CALL_TOO_LATE);
     }
     if (reaches_owner && !(in->changes && in->owner_silent)) {
         return (PhCallPath){.tag = PH_CALL_FORWARD};
--- a/include/peridothill/decide/schedule/call_path.h
+++ b/include/peridothill/decide/schedule/call_path.h
@@ -41,6 +41,7 @@
 /* Time that an answer needs to reach the client; a call with less left is not
  * sent. */
 PhTime PhCallPath_AnswerTime(void);
+PhCallPath PhCallPath_Refuse(PhCallRefusal reason);
 PhCallPath PhCallPath_Choose(const PhCallPathInput *input);
 
 #endif
--- a/services/schedule/schedule_accept.c
+++ b/services/schedule/schedule_accept.c
@@ -121,8 +121,8 @@
             g_queue_push_tail(&t->accept_queue, a);
             continue;
         }
-        PhScheduleCalls_RefuseAtOnce(t, &a->call.origin, a->call.subject,
-                                     PH_CALL_NO_CONTACT);
+        PhScheduleCalls_RefuseAtOnce(t, &a->call,
+                                     PhCallPath_Refuse(PH_CALL_NO_CONTACT));
         PhScheduleAccept_Destroy(a);
     }
 }
--- a/services/schedule/schedule_calls.c
+++ b/services/schedule/schedule_calls.c
@@ -40,10 +40,9 @@
     PhScheduleCalls_Answer(t, origin, a);
 }
 
-/* Refuses a call with a tag that says so, and logs the reason. */
+/* Logs why a call is refused. */
 static void
-refuse(PhScheduleTask *t, PhOrigin *origin, PhStr id, const char *reason,
-       PhScheduleAnswerTag tag)
+log_refusal(PhScheduleTask *t, PhStr id, const char *reason)
 {
     PhTime now = PhTask_Now(t->self);
     PhCounters_Add(PhKernel_Counters(PhTask_Kernel(t->self)),
@@ -54,6 +53,14 @@
         PhField_I64("read_age_ms", (now - t->store_read_at) / PH_NS_PER_MS),
         PhField_U64("version",
                     PhScheduler_Model(t->scheduler)->config->version));
+}
+
+/* Refuses a call with a tag that says so, and logs the reason. */
+static void
+refuse(PhScheduleTask *t, PhOrigin *origin, PhStr id, const char *reason,
+       PhScheduleAnswerTag tag)
+{
+    log_refusal(t, id, reason);
     PhScheduleCalls_AnswerTag(t, origin, tag);
 }
 
@@ -72,8 +79,8 @@
 }
 
 void
-PhScheduleCalls_RefuseAtOnce(PhScheduleTask *t, PhOrigin *origin, PhStr id,
-                             PhCallRefusal refusal)
+PhScheduleCalls_RefuseAtOnce(PhScheduleTask *t, PhClientCall *call,
+                             PhCallPath refusal)
 {
     static const char *const reasons[] = {
         [PH_CALL_TOO_LATE] = "too little time left",
@@ -81,7 +88,11 @@
     };
     PhCounters_Add(PhKernel_Counters(PhTask_Kernel(t->self)),
                    PH_COUNTER_SCHEDULE_NO_CONTACT, 1);
-    refuse(t, origin, id, reasons[refusal], PH_SCHEDULE_REFUSED);
+    log_refusal(t, call->subject, reasons[refusal.as.refuse.reason]);
+    PhScheduleCalls_Answer(
+        t, &call->origin,
+        (PhScheduleAnswer){.tag = PH_SCHEDULE_REFUSED,
+                           .as.retry_after = refusal.as.refuse.retry_after});
 }
 
 /* Refuses a call that would have to wait for the store, if that is out of
@@ -95,8 +106,7 @@
     case PH_CALL_LOCAL:
         return false;
     case PH_CALL_REFUSE:
-        PhScheduleCalls_RefuseAtOnce(t, &call->origin, call->subject,
-                                     path.as.refuse.reason);
+        PhScheduleCalls_RefuseAtOnce(t, call, path);
         return true;
     }
     return false;
@@ -324,8 +334,8 @@
 {
     PhClientCall *call;
     while ((call = g_queue_pop_head(&t->state_calls)) != NULL) {
-        PhScheduleCalls_RefuseAtOnce(t, &call->origin, call->subject,
-                                     PH_CALL_NO_CONTACT);
+        PhScheduleCalls_RefuseAtOnce(t, call,
+                                     PhCallPath_Refuse(PH_CALL_NO_CONTACT));
         PhScheduleCalls_DestroyQueued(call);
     }
     for (guint left = t->cancel_calls.length; left > 0; left--) {
@@ -334,8 +344,8 @@
             g_queue_push_tail(&t->cancel_calls, call);
             continue;
         }
-        PhScheduleCalls_RefuseAtOnce(t, &call->origin, call->subject,
-                                     PH_CALL_NO_CONTACT);
+        PhScheduleCalls_RefuseAtOnce(t, call,
+                                     PhCallPath_Refuse(PH_CALL_NO_CONTACT));
         PhScheduleCalls_DestroyQueued(call);
     }
 }
--- a/services/schedule/schedule_contact.c
+++ b/services/schedule/schedule_contact.c
@@ -11,6 +11,11 @@
 /* The contact of an instance that reads the store is younger than this: a read
  * waits for 1 s. */
 static const PhTime PROBE_AGE = 1200 * PH_NS_PER_MS;
+/* The same while the owner's answer is late: if this instance is cut off, it
+ * has to know when it takes the owner for silent. */
+static const PhTime PROBE_AGE_LATE = 300 * PH_NS_PER_MS;
+/* Shortest time between two log lines of a loss. */
+static const PhTime LOG_INTERVAL = 1 * PH_NS_PER_S;
 
 G_STATIC_ASSERT((int)CALL_KINDS <= (int)PH_CONTACT_CALLS_MAX);
 
@@ -48,11 +53,12 @@
                        bool may_forward)
 {
     PhTime now = PhTask_Now(t->self);
+    bool changes =
+        call->tag == PH_SCHEDULE_SUBMIT || call->tag == PH_SCHEDULE_CANCEL;
     PhCallPathInput input = {
         .limited = is_limited(t),
-        .changes =
-            call->tag == PH_SCHEDULE_SUBMIT || call->tag == PH_SCHEDULE_CANCEL,
-        .outcome_unknown = call->outcome_unknown,
+        .changes = changes,
+        .outcome_unknown = changes && call->outcome_unknown,
         .owner = t->stage != OWNER_INACTIVE,
         .link_up = may_forward && PhOwnerLink_IsUp(&t->link, now),
         .owner_silent = t->owner_store_silent,
@@ -72,12 +78,17 @@
 on_lost(PhScheduleTask *t)
 {
     PhTime now = PhTask_Now(t->self);
-    t->contact_changed_at = now;
-    t->contact_refused = refused_count(t);
-    PhTask_LOG(t->self, PH_EVENT_SCHEDULE_CONTACT_LOST,
-               PhField_I64("silent_ms", t->contact.silent_for / PH_NS_PER_MS),
-               PhField_U64("unreachable", t->contact.unreachable),
-               PhField_U64("link", PhOwnerLink_IsUp(&t->link, now)));
+    t->contact_logged = t->contact_changed_at == 0 ||
+                        now - t->contact_changed_at >= LOG_INTERVAL;
+    if (t->contact_logged) {
+        t->contact_changed_at = now;
+        t->contact_refused = refused_count(t);
+        PhTask_LOG(
+            t->self, PH_EVENT_SCHEDULE_CONTACT_LOST,
+            PhField_I64("silent_ms", t->contact.silent_for / PH_NS_PER_MS),
+            PhField_U64("unreachable", t->contact.unreachable),
+            PhField_U64("link", PhOwnerLink_IsUp(&t->link, now)));
+    }
     PhScheduleAccept_RefuseUnsent(t);
     PhScheduleCalls_RefuseWaiting(t);
 }
@@ -86,12 +97,29 @@
 on_back(PhScheduleTask *t)
 {
     PhTime now = PhTask_Now(t->self);
+    if (!t->contact_logged) {
+        return;
+    }
     PhTask_LOG(
         t->self, PH_EVENT_SCHEDULE_CONTACT_BACK,
         PhField_I64("after_ms", (now - t->contact_changed_at) / PH_NS_PER_MS),
         PhField_U64("refused", refused_count(t) - t->contact_refused));
 }
 
+/* Reads the topic of the owner, without a wait: its end is known, so that the
+ * answer is short. */
+static void
+probe_send(PhScheduleTask *t)
+{
+    PhStoreMessage m = {.tag = PH_STORE_READ};
+    m.as.read.topic = PhStr_Dup(PH_SCHED_TOPIC_OWNER);
+    m.as.read.from = PhElection_TopicEnd(t->election);
+    t->probe_in_flight = true;
+    t->probed_at = PhTask_Now(t->self);
+    t->epochs[CALL_PROBE]++;
+    PhScheduleTask_Call(t, CALL_PROBE, &m);
+}
+
 /* An instance that has just started tells nothing before its first contact. */
 static void
 tell_front(PhScheduleTask *t)
@@ -118,6 +146,7 @@
         t->contact_lost = lost;
         if (lost) {
             on_lost(t);
+            probe_send(t);
         }
         else {
             on_back(t);
@@ -188,23 +217,13 @@
     if (PhScheduleContact_IsLost(t)) {
         return true;
     }
-    bool doubts_owner = !owner_serves(t) || PhOwnerLink_IsLate(&t->link);
-    return t->stage == OWNER_INACTIVE && doubts_owner &&
-           t->contact.age >= PROBE_AGE;
-}
-
-/* Reads the topic of the owner, without a wait: its end is known, so that the
- * answer is short. */
-static void
-probe_send(PhScheduleTask *t)
-{
-    PhStoreMessage m = {.tag = PH_STORE_READ};
-    m.as.read.topic = PhStr_Dup(PH_SCHED_TOPIC_OWNER);
-    m.as.read.from = PhElection_TopicEnd(t->election);
-    t->probe_in_flight = true;
-    t->probed_at = PhTask_Now(t->self);
-    t->epochs[CALL_PROBE]++;
-    PhScheduleTask_Call(t, CALL_PROBE, &m);
+    if (t->stage != OWNER_INACTIVE) {
+        return false;
+    }
+    if (PhOwnerLink_IsLate(&t->link)) {
+        return t->contact.age >= PROBE_AGE_LATE;
+    }
+    return !owner_serves(t) && t->contact.age >= PROBE_AGE;
 }
 
 /* A standby tells the election whether the owner answers it. */
--- a/services/schedule/schedule_task.h
+++ b/services/schedule/schedule_task.h
@@ -111,7 +111,8 @@
     PhTime store_read_at; /* time of the last successful call */
     /* Contact with the store and the owner, if a limit of silence is set. */
     PhStoreContact contact;
-    bool contact_lost; /* as last logged */
+    bool contact_lost;
+    bool contact_logged; /* the last loss was */
     PhTime contact_changed_at;
     uint64_t contact_refused; /* calls that were refused before that */
     bool contact_announced;   /* the front was told something */
@@ -222,8 +223,8 @@
 /* Refuses the queued calls that wait for a read and have had no effect. */
 void PhScheduleCalls_RefuseWaiting(PhScheduleTask *task);
 /* Refuses a call at once for want of contact or of time. */
-void PhScheduleCalls_RefuseAtOnce(PhScheduleTask *task, PhOrigin *origin,
-                                  PhStr id, PhCallRefusal refusal);
+void PhScheduleCalls_RefuseAtOnce(PhScheduleTask *task, PhClientCall *call,
+                                  PhCallPath refusal);
 
 /* schedule_accept.c: durable records of clients' calls. */
 /* Takes ownership of the call's contents. */
--- a/tests/platform/test_store_outcomes.c
+++ b/tests/platform/test_store_outcomes.c
@@ -20,6 +20,7 @@
     int status;
     PhStr body;
     PhStoreOutcome outcome;
+    PhStoreSign sign;
 } PhStatusCase;
 
 #define TEXT(S)                                                               \
@@ -28,18 +29,24 @@
     }
 
 static const PhStatusCase status_cases[] = {
-    {"appended", 200, TEXT("{\"offset\":4,\"end\":5}"), PH_STORE_DONE},
+    {"appended", 200, TEXT("{\"offset\":4,\"end\":5}"), PH_STORE_DONE,
+     PH_STORE_ANSWERS},
     {"appended, but the answer is unreadable", 200, TEXT("<"),
-     PH_STORE_UNKNOWN},
-    {"malformed", 400, TEXT(""), PH_STORE_REFUSED},
-    {"a lower epoch", 409, TEXT("{\"reason\":\"fenced\"}"), PH_STORE_FENCED},
-    {"another offset", 412, TEXT("{\"end\":5}"), PH_STORE_CONFLICT},
-    {"too many calls", 429, TEXT(""), PH_STORE_REFUSED},
-    {"an error that may follow the append", 500, TEXT(""), PH_STORE_UNKNOWN},
-    {"a broken gateway", 502, TEXT(""), PH_STORE_UNKNOWN},
-    {"unavailable", 503, TEXT(""), PH_STORE_REFUSED},
-    {"a time-out on the way", 504, TEXT(""), PH_STORE_UNKNOWN},
-    {"full", 507, TEXT(""), PH_STORE_REFUSED},
+     PH_STORE_UNKNOWN, PH_STORE_ANSWERS},
+    {"malformed", 400, TEXT(""), PH_STORE_REFUSED, PH_STORE_ANSWERS},
+    {"a lower epoch", 409, TEXT("{\"reason\":\"fenced\"}"), PH_STORE_FENCED,
+     PH_STORE_ANSWERS},
+    {"another offset", 412, TEXT("{\"end\":5}"), PH_STORE_CONFLICT,
+     PH_STORE_ANSWERS},
+    {"too many calls", 429, TEXT(""), PH_STORE_REFUSED, PH_STORE_ANSWERS},
+    {"an error that may follow the append", 500, TEXT(""), PH_STORE_UNKNOWN,
+     PH_STORE_UNREACHABLE},
+    {"a broken gateway", 502, TEXT(""), PH_STORE_UNKNOWN,
+     PH_STORE_UNREACHABLE},
+    {"unavailable", 503, TEXT(""), PH_STORE_REFUSED, PH_STORE_UNREACHABLE},
+    {"a time-out on the way", 504, TEXT(""), PH_STORE_UNKNOWN,
+     PH_STORE_UNREACHABLE},
+    {"full", 507, TEXT(""), PH_STORE_REFUSED, PH_STORE_ANSWERS},
 };
 
 /* Answers every request with the status of the case. */
@@ -62,6 +69,7 @@
 typedef struct PhCaller {
     bool replied;
     PhStoreOutcome outcome;
+    PhStoreSign sign;
 } PhCaller;
 
 /* Appends one record and keeps the outcome. */
@@ -82,6 +90,7 @@
         const PhStoreMessage *m = mail->as.message.body;
         caller->replied = true;
         caller->outcome = m->as.reply.outcome;
+        caller->sign = m->as.reply.sign;
     }
 }
 
@@ -113,6 +122,7 @@
     store_run(http_handle, (void *)c, caller_handle, &caller);
     assert_true(caller.replied);
     assert_int_equal(caller.outcome, c->outcome);
+    assert_int_equal(caller.sign, c->sign);
 }
 
 /* Guards against an append that is taken for refused although it may have been
--- a/tests/schedule/test_owner_link.c
+++ b/tests/schedule/test_owner_link.c
@@ -164,6 +164,68 @@
     Ph_RUN_TABLE(link_cases, link_run);
 }
 
+/* Time that an instance observes after its hello at 0, and what it takes the
+ * owner for then.  Events as above. */
+typedef struct PhSilenceCase {
+    const char *name;
+    const char *before; /* events before that hello */
+    int64_t observed_ms;
+    char event; /* after that */
+    bool late;
+    bool silent;
+} PhSilenceCase;
+
+static const PhSilenceCase silence_cases[] = {
+    {"the answer is on its way", "ow", 299, '.', false, false},
+    {"it is late", "ow", 300, '.', true, false},
+    {"it does not come", "ow", 700, '.', true, true},
+    {"it comes then", "ow", 700, 'w', false, false},
+    {"that instance is not the owner", "ow", 700, 'd', false, false},
+    {"the owner has never answered", "o", 2000, '.', false, false},
+};
+
+static void
+silence_event(PhOwnerLink *x, char event)
+{
+    switch (event) {
+    case 'o':
+        PhOwnerLink_SetOwner(x, ADDRESS, 1);
+        break;
+    case 'w':
+        PhOwnerLink_OnWelcome(x, true, 1);
+        break;
+    case 'd':
+        PhOwnerLink_OnNotOwner(x, 1);
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+silence_run(const PhSilenceCase *c)
+{
+    PhOwnerLink x;
+    PhOwnerLink_Init(&x, true, 0, 1);
+    for (const char *event = c->before; *event != '\0'; event++) {
+        silence_event(&x, *event);
+    }
+    assert_true(PhOwnerLink_TakeHello(&x, 1));
+    PhOwnerLink_Observe(&x, c->observed_ms * PH_NS_PER_MS);
+    silence_event(&x, c->event);
+    assert_int_equal(PhOwnerLink_IsLate(&x), c->late);
+    assert_int_equal(PhOwnerLink_IsSilent(&x), c->silent);
+}
+
+/* Guards against an owner that is replaced although it answers, and against a
+ * link that never worked and counts as a sign. */
+static void
+test_silence(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(silence_cases, silence_run);
+}
+
 enum {
     INSTANCES_MAX = 6
 };
@@ -466,7 +528,8 @@
 main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(test_links), cmocka_unit_test(test_standbys),
-        cmocka_unit_test(test_successors), cmocka_unit_test(test_messages)};
+        cmocka_unit_test(test_links), cmocka_unit_test(test_silence),
+        cmocka_unit_test(test_standbys), cmocka_unit_test(test_successors),
+        cmocka_unit_test(test_messages)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/schedule/test_schedule_service.c
+++ b/tests/schedule/test_schedule_service.c
@@ -453,15 +453,44 @@
     Ph_RUN_TABLE(contact_cases, contact_run);
 }
 
+enum {
+    STANDSTILL_STEPS = 600, /* 3 s: longer than the limit and a read */
+};
+
+/* Guards against calls that are refused because the process stood still: what
+ * it could not receive says nothing of the store. */
+static void
+test_contact_after_standstill(void **state)
+{
+    PhPlatformFixture fixture;
+    char text[PH_FIXTURE_TEXT_BYTES];
+    (void)state;
+    PhPlatformFixture_OpenWithContact(&fixture, 1, false, CONTACT_LIMIT_MS);
+    assert_true(
+        PhPlatformFixture_CallUntil(&fixture, 0, "GET", ID, "", 410, ""));
+    run_steps(&fixture, SETTLED_STEPS);
+    fixture.instances[0].stands_still = true;
+    run_steps(&fixture, STANDSTILL_STEPS);
+    int call = PhPlatformFixture_Send(&fixture, 0, "POST", ID, JOB);
+    fixture.instances[0].stands_still = false;
+    assert_int_equal(PhPlatformFixture_Receive(&fixture, call, text), 200);
+    assert_int_equal(PhCounters_Get(fixture.instances[0].counters,
+                                    PH_COUNTER_SCHEDULE_NO_CONTACT),
+                     0);
+    PhPlatformFixture_Close(&fixture);
+}
+
 int
 main(void)
 {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(test_faults),
-                                       cmocka_unit_test(test_odd_entries),
-                                       cmocka_unit_test(test_pending),
-                                       cmocka_unit_test(test_cancelled_ends),
-                                       cmocka_unit_test(test_connections),
-                                       cmocka_unit_test(test_evacuated),
-                                       cmocka_unit_test(test_contact)};
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_faults),
+        cmocka_unit_test(test_odd_entries),
+        cmocka_unit_test(test_pending),
+        cmocka_unit_test(test_cancelled_ends),
+        cmocka_unit_test(test_connections),
+        cmocka_unit_test(test_evacuated),
+        cmocka_unit_test(test_contact),
+        cmocka_unit_test(test_contact_after_standstill)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/schedule/test_waiting_calls.c
+++ b/tests/schedule/test_waiting_calls.c
@@ -15,6 +15,7 @@
     CALLS = 250,
     STANDSTILL_CALLS = 120, /* sent until the instance runs on */
     STEPS_APART = 4,        /* between two calls */
+    CONTACT_LIMIT_MS = 600,
     STATUS_OK = 200,
     STATUS_UNAVAILABLE = 503,
 };
@@ -31,6 +32,7 @@
     bool links;
     PhOwnerFate fate;
     size_t asked; /* instance */
+    unsigned contact_limit_ms;
 } PhWaitingCase;
 
 static const PhWaitingCase waiting_cases[] = {
@@ -45,6 +47,12 @@
     {"the owner restarts", false, FATE_RESTARTS, OTHER},
     {"the owner restarts, with links", true, FATE_RESTARTS, OTHER},
     {"the owner restarts and is asked", true, FATE_RESTARTS, OWNER},
+    {"the owner dies, with a limit of silence", true, FATE_DIES, OTHER,
+     CONTACT_LIMIT_MS},
+    {"the owner stands still, with a limit of silence", true,
+     FATE_STANDS_STILL, OTHER, CONTACT_LIMIT_MS},
+    {"the same and is asked", true, FATE_STANDS_STILL, OWNER,
+     CONTACT_LIMIT_MS},
 };
 
 static void
@@ -74,7 +82,8 @@
     char text[PH_FIXTURE_TEXT_BYTES];
     int calls[CALLS];
     unsigned unanswered = 0;
-    PhPlatformFixture_Open(&fixture, PH_FIXTURE_INSTANCES_MAX, c->links);
+    PhPlatformFixture_OpenWithContact(&fixture, PH_FIXTURE_INSTANCES_MAX,
+                                      c->links, c->contact_limit_ms);
     assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "POST", ID, JOB,
                                             200, ""));
     for (int i = 0; i < SETTLE_STEPS; i++) {
