tests: the store is out of reach of the owner alone

Cause: the calls of other instances have to go on when only the owner loses the store, and no test had that fault. Change: the stand-in of the store serves one caller on a port of its own, with a fault of its own; rows of test_schedule_pair. Measured: test_schedule_pair passes: the other instance accepts, the owner refuses and is not ready, the refused job does not run after the takeover. Conclusion: no change of the product.

--- a/include/peridothill/standin/platform.h
+++ b/include/peridothill/standin/platform.h
@@ -46,6 +46,14 @@
 PhResult PhStandinStore_Start(PhKernel *kernel, PhStr listen,
                               PhStandinStoreState *state, uint16_t *port);
 
+/* Starts a task of this name that serves the same store on a port of its own,
+ * for one caller.  Unless it is healthy, `fault` counts there; it is borrowed,
+ * as is the name. */
+PhResult PhStandinStore_StartAnother(PhKernel *kernel, PhStr name,
+                                     PhStr listen, PhStandinStoreState *state,
+                                     const PhStandinStoreFault *fault,
+                                     uint16_t *port);
+
 typedef struct PhStandinRunnerOptions {
     PhStr id;
     PhStr service;
--- a/standin/store.c
+++ b/standin/store.c
@@ -55,7 +55,8 @@
 typedef struct PhStandinStore {
     PhServer *server;
     PhStandinStoreState *state;
-    GArray *waiting_reads; /* PhWaitingRead */
+    const PhStandinStoreFault *fault; /* of this listener, or NULL */
+    GArray *waiting_reads;            /* PhWaitingRead */
 } PhStandinStore;
 
 struct PhStandinStoreState {
@@ -185,6 +186,14 @@
     PhBuf_Clear(&text);
 }
 
+static PhStandinStoreFault
+store_fault(const PhStandinStore *s)
+{
+    return s->fault != NULL && *s->fault != PH_STANDIN_STORE_HEALTHY
+               ? *s->fault
+               : s->state->fault;
+}
+
 /* Big-endian. */
 static void
 append_number(PhBuf *out, uint64_t value, int bytes)
@@ -239,7 +248,7 @@
 answer_waiting_reads(PhStandinStore *s)
 {
     PhTime now = PhTask_Now(s->server->self);
-    bool silent = s->state->fault == PH_STANDIN_STORE_SILENT;
+    bool silent = store_fault(s) == PH_STANDIN_STORE_SILENT;
     for (guint i = silent ? 0 : s->waiting_reads->len; i-- > 0;) {
         PhWaitingRead read = g_array_index(s->waiting_reads, PhWaitingRead, i);
         if (read.topic->records->len > read.from || now >= read.until) {
@@ -368,7 +377,7 @@
     if (!repeated) {
         append_records(topic, in->body);
     }
-    if (s->state->fault == PH_STANDIN_STORE_LOSES_ANSWERS) {
+    if (store_fault(s) == PH_STANDIN_STORE_LOSES_ANSWERS) {
         PhListener_Drop(s->server->listener, in->id);
     }
     else {
@@ -444,7 +453,7 @@
 refuse_by_fault(PhStandinStore *s, uint64_t id)
 {
     PhBuf empty = {0};
-    switch (s->state->fault) {
+    switch (store_fault(s)) {
     case PH_STANDIN_STORE_DOWN:
         answer(s, id, STATUS_UNAVAILABLE, &empty);
         return true;
@@ -517,13 +526,15 @@
 }
 
 PhResult
-PhStandinStore_Start(PhKernel *kernel, PhStr listen,
-                     PhStandinStoreState *state, uint16_t *port)
+PhStandinStore_StartAnother(PhKernel *kernel, PhStr name, PhStr listen,
+                            PhStandinStoreState *state,
+                            const PhStandinStoreFault *fault, uint16_t *port)
 {
     PhStandinStore *s = g_new0(PhStandinStore, 1);
     s->state = state;
+    s->fault = fault;
     s->waiting_reads = g_array_new(FALSE, TRUE, sizeof(PhWaitingRead));
-    PhServerOptions options = {.name = PhStr_LITERAL("standin-store"),
+    PhServerOptions options = {.name = name,
                                .listen = listen,
                                .body_limit_bytes = BODY_LIMIT_BYTES,
                                .context = s,
@@ -533,3 +544,11 @@
                                .destroy = store_destroy};
     return PhServer_Start(kernel, &options, &s->server, port);
 }
+
+PhResult
+PhStandinStore_Start(PhKernel *kernel, PhStr listen,
+                     PhStandinStoreState *state, uint16_t *port)
+{
+    return PhStandinStore_StartAnother(kernel, PhStr_LITERAL("standin-store"),
+                                       listen, state, NULL, port);
+}
--- a/tests/schedule/platform_fixture.c
+++ b/tests/schedule/platform_fixture.c
@@ -126,8 +126,14 @@
 instances_open(PhPlatformFixture *fixture, bool links)
 {
     uint16_t store_port = platform_open(fixture);
+    uint16_t first_port;
+    PhResult r = PhStandinStore_StartAnother(
+        fixture->platform, PhStr_LITERAL("standin-store-first"),
+        PhStr_LITERAL("127.0.0.1:0"), fixture->store, &fixture->first_fault,
+        &first_port);
+    assert_true(PhResult_IsOk(&r));
     for (size_t i = 0; i < fixture->instance_count; i++) {
-        instance_open(fixture, i, store_port, links);
+        instance_open(fixture, i, i == 0 ? first_port : store_port, links);
     }
 }
 
--- a/tests/schedule/platform_fixture.h
+++ b/tests/schedule/platform_fixture.h
@@ -36,7 +36,9 @@
     size_t record_bytes;            /* limits of the store, 0: the default */
     size_t append_bytes;
     unsigned contact_limit_ms;
-    unsigned deadline_ms; /* stated with each call, 0: none */
+    PhStandinStoreFault first_fault; /* for the first instance only, which has
+                                        a port of the store to itself */
+    unsigned deadline_ms;            /* stated with each call, 0: none */
     bool dispatches; /* the owner has the other instances send its starts */
     PhKernel *platform;
     PhFixtureInstance instances[PH_FIXTURE_INSTANCES_MAX];
--- a/tests/schedule/test_schedule_pair.c
+++ b/tests/schedule/test_schedule_pair.c
@@ -34,6 +34,7 @@
     AGE_STEPS = 330,
     CONTACT_LIMIT_MS = 600,
     LATE_MS = 100,            /* less than an answer takes */
+    OWNER_LOST_STEPS = 300,   /* 1.5 s: a renewal every 0.7 s, and the limit */
     NO_CONTACT_STEPS = 340,   /* 1.7 s: a read waits for 1 s, and the limit */
     CONTACT_BACK_STEPS = 120, /* a probe, and a hello every 0.5 s */
 };
@@ -654,6 +655,72 @@
     Ph_RUN_TABLE(silent_cases, silent_run);
 }
 
+/* A fault of the store for the owner alone, and whether the other instance,
+ * which reaches the store, then accepts a submission at once. */
+typedef struct PhOwnerStoreCase {
+    const char *name;
+    PhStandinStoreFault fault;
+    unsigned contact_limit_ms;
+    int status;       /* of that submission */
+    int owner_status; /* of one to the owner */
+    int owner_ready;
+} PhOwnerStoreCase;
+
+static const PhOwnerStoreCase owner_store_cases[] = {
+    {"silent", PH_STANDIN_STORE_SILENT, CONTACT_LIMIT_MS, 200, 503, 503},
+    {"down", PH_STANDIN_STORE_DOWN, CONTACT_LIMIT_MS, 200, 503, 503},
+    {"down, no limit", PH_STANDIN_STORE_DOWN, 0, 200, 503, 200},
+};
+
+/* A call that the owner had forwarded to it just before is either accepted or
+ * of unknown outcome; the owner is replaced, and all accepted jobs end. */
+static void
+owner_store_run(const PhOwnerStoreCase *c)
+{
+    PhPlatformFixture fixture;
+    char text[PH_FIXTURE_TEXT_BYTES];
+    PhPlatformFixture_OpenWithContact(&fixture, PH_FIXTURE_INSTANCES_MAX, true,
+                                      c->contact_limit_ms);
+    assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "GET", ID_A, "",
+                                            410, ""));
+    run_steps(&fixture, SETTLE_STEPS);
+    fixture.first_fault = c->fault;
+    int before = PhPlatformFixture_Send(&fixture, OTHER, "POST", ID_A, JOB);
+    run_steps(&fixture, OWNER_LOST_STEPS);
+    assert_int_equal(PhPlatformFixture_CheckReady(&fixture, OWNER),
+                     c->owner_ready);
+    assert_int_equal(PhPlatformFixture_CheckReady(&fixture, OTHER), 200);
+    assert_int_equal(
+        PhPlatformFixture_Call(&fixture, OTHER, "POST", ID_B, JOB, text),
+        c->status);
+    assert_int_equal(
+        PhPlatformFixture_Call(&fixture, OWNER, "POST", ID_C, JOB, text),
+        c->owner_status);
+    int status = PhPlatformFixture_Receive(&fixture, before, text);
+    assert_true(status == 200 || status == 504);
+    assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "GET", ID_B, "",
+                                            200, "completed"));
+    if (status == 200) {
+        assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "GET", ID_A,
+                                                "", 200, "completed"));
+    }
+    assert_int_equal(
+        PhPlatformFixture_Call(&fixture, OTHER, "GET", ID_C, "", text), 410);
+    fixture.first_fault = PH_STANDIN_STORE_HEALTHY;
+    run_steps(&fixture, SETTLE_STEPS);
+    check_ready(&fixture, 200);
+    PhPlatformFixture_Close(&fixture);
+}
+
+/* Guards against calls that are refused because the owner alone has lost the
+ * store, and against a job that runs although it was refused. */
+static void
+test_owner_store(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(owner_store_cases, owner_store_run);
+}
+
 int
 main(void)
 {
@@ -666,6 +733,7 @@
         cmocka_unit_test(test_standstill),
         cmocka_unit_test(test_restarted_callers),
         cmocka_unit_test(test_late),
-        cmocka_unit_test(test_silent_store)};
+        cmocka_unit_test(test_silent_store),
+        cmocka_unit_test(test_owner_store)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
