tests: test_owner_link releases its links

Cause: the address sanitizer reports a leak in the rows on silence. Change: they are cleared. Conclusion: no change of the product.

--- a/tests/schedule/test_owner_link.c
+++ b/tests/schedule/test_owner_link.c
@@ -215,6 +215,7 @@
     silence_event(&x, c->event);
     assert_int_equal(PhOwnerLink_IsLate(&x), c->late);
     assert_int_equal(PhOwnerLink_IsSilent(&x), c->silent);
+    PhOwnerLink_Clear(&x);
 }
 
 /* Guards against an owner that is replaced although it answers, and against a
