--- a/include/peridothill/common/counter_list_schedule.h
+++ b/include/peridothill/common/counter_list_schedule.h
@@ -31,3 +31,5 @@
            "Starts that another instance was given to send")
 PH_COUNTER(SCHEDULE_CLAIMS, "peridothill_schedule_claims_total", "",
            "Workers claimed for a task that had waited for long")
+PH_COUNTER(SCHEDULE_NO_CONTACT, "peridothill_schedule_no_contact_total", "",
+           "Calls refused at once for want of contact or of time")
--- a/include/peridothill/common/event_list_schedule.h
+++ b/include/peridothill/common/event_list_schedule.h
@@ -67,3 +67,6 @@
          "submission refused, it would end too late to be of value")
 PH_EVENT(7040, SCHEDULE_CLAIM, INFO,
          "task that has waited for long claims a worker")
+PH_EVENT(7041, SCHEDULE_CONTACT_LOST, WARNING,
+         "store out of reach, calls that need it are refused at once")
+PH_EVENT(7042, SCHEDULE_CONTACT_BACK, INFO, "store is reached again")
--- a/services/schedule/schedule_calls.c
+++ b/services/schedule/schedule_calls.c
@@ -6,8 +6,6 @@
 /* Retry-After of a refusal: an election takes 3 s, and most refusals pass
  * sooner. */
 static const PhTime RETRY_AFTER = 1 * PH_NS_PER_S;
-/* Time before the client's deadline at which a call expires. */
-static const PhTime ANSWER_MARGIN = 150 * PH_NS_PER_MS;
 /* The readiness check fails if the store has not answered for this long. */
 static const PhTime READY_STORE_AGE_MAX = 2400 * PH_NS_PER_MS;
 /* Reasons of refusals. */
@@ -42,10 +40,9 @@
     PhScheduleCalls_Answer(t, origin, a);
 }
 
-/* Refuses a call with a tag that says so, and logs the reason. */
+/* Logs why a call is refused. */
 static void
-refuse(PhScheduleTask *t, PhOrigin *origin, PhStr id, const char *reason,
-       PhScheduleAnswerTag tag)
+log_refusal(PhScheduleTask *t, PhStr id, const char *reason)
 {
     PhTime now = PhTask_Now(t->self);
     PhCounters_Add(PhKernel_Counters(PhTask_Kernel(t->self)),
@@ -56,6 +53,14 @@
         PhField_I64("read_age_ms", (now - t->store_read_at) / PH_NS_PER_MS),
         PhField_U64("version",
                     PhScheduler_Model(t->scheduler)->config->version));
+}
+
+/* Refuses a call with a tag that says so, and logs the reason. */
+static void
+refuse(PhScheduleTask *t, PhOrigin *origin, PhStr id, const char *reason,
+       PhScheduleAnswerTag tag)
+{
+    log_refusal(t, id, reason);
     PhScheduleCalls_AnswerTag(t, origin, tag);
 }
 
@@ -73,6 +78,40 @@
     refuse(t, origin, id, reason, PH_SCHEDULE_INVALID);
 }
 
+void
+PhScheduleCalls_RefuseAtOnce(PhScheduleTask *t, PhClientCall *call,
+                             PhCallPath refusal)
+{
+    static const char *const reasons[] = {
+        [PH_CALL_TOO_LATE] = "too little time left",
+        [PH_CALL_NO_CONTACT] = "store out of reach",
+    };
+    PhCounters_Add(PhKernel_Counters(PhTask_Kernel(t->self)),
+                   PH_COUNTER_SCHEDULE_NO_CONTACT, 1);
+    log_refusal(t, call->subject, reasons[refusal.as.refuse.reason]);
+    PhScheduleCalls_Answer(
+        t, &call->origin,
+        (PhScheduleAnswer){.tag = PH_SCHEDULE_REFUSED,
+                           .as.retry_after = refusal.as.refuse.retry_after});
+}
+
+/* Refuses a call that would have to wait for the store, if that is out of
+ * reach or there is no time left. */
+static bool
+refuse_to_wait(PhScheduleTask *t, PhClientCall *call)
+{
+    PhCallPath path = PhScheduleContact_Path(t, call, false);
+    switch (path.tag) {
+    case PH_CALL_FORWARD:
+    case PH_CALL_LOCAL:
+        return false;
+    case PH_CALL_REFUSE:
+        PhScheduleCalls_RefuseAtOnce(t, call, path);
+        return true;
+    }
+    return false;
+}
+
 /* Answers a call on an unknown job.  It is refused if the job may exist soon,
  * or the jobs have not been read recently enough to say that it doesn't. */
 static void
@@ -178,6 +217,9 @@
 static bool
 submission_defer(PhScheduleTask *t, PhClientCall *call)
 {
+    if (refuse_to_wait(t, call)) {
+        return true;
+    }
     switch (lasting_judge(t, call)) {
     case PH_LASTING_WAIT:
         PhScheduleWaiting_Add(t, call);
@@ -226,6 +268,9 @@
         PhScheduleCalls_AnswerTag(t, &call->origin, PH_SCHEDULE_CANCELLED);
         return;
     }
+    if (refuse_to_wait(t, call)) {
+        return;
+    }
     PhScheduleAccept_Add(t, call);
 }
 
@@ -255,6 +300,9 @@
         cancel_known(t, call, job);
         return;
     }
+    if (refuse_to_wait(t, call)) {
+        return;
+    }
     call->jobs_read = PhScheduleTopics_ReadJobsNow(t);
     if (call->jobs_read == 0) {
         cancel_refuse(t, call);
@@ -324,6 +372,9 @@
         answer_state(t, &call->origin, job);
         return;
     }
+    if (refuse_to_wait(t, call)) {
+        return;
+    }
     if (!PhScheduleTopics_ReadRunsNow(t)) {
         PhScheduleCalls_Refuse(t, &call->origin, call->subject, RUNS_UNREAD);
         return;
@@ -358,6 +409,27 @@
     }
 }
 
+void
+PhScheduleCalls_RefuseWaiting(PhScheduleTask *t)
+{
+    PhClientCall *call;
+    while ((call = g_queue_pop_head(&t->state_calls)) != NULL) {
+        PhScheduleCalls_RefuseAtOnce(t, call,
+                                     PhCallPath_Refuse(PH_CALL_NO_CONTACT));
+        PhScheduleCalls_DestroyQueued(call);
+    }
+    for (guint left = t->cancel_calls.length; left > 0; left--) {
+        call = g_queue_pop_head(&t->cancel_calls);
+        if (call->outcome_unknown) {
+            g_queue_push_tail(&t->cancel_calls, call);
+            continue;
+        }
+        PhScheduleCalls_RefuseAtOnce(t, call,
+                                     PhCallPath_Refuse(PH_CALL_NO_CONTACT));
+        PhScheduleCalls_DestroyQueued(call);
+    }
+}
+
 /* Counts the jobs of a queue of which no task has started yet. */
 static void
 count_pending(PhScheduleTask *t, PhClientCall *call)
@@ -405,6 +477,7 @@
     case PH_SCHEDULE_CORDON:
     case PH_SCHEDULE_DRAIN:
     case PH_SCHEDULE_ROLE:
+    case PH_SCHEDULE_CONTACT:
         break;
     }
     PhClientCall_Clear(call);
@@ -420,8 +493,10 @@
     PhScheduleAnswer a = {.tag = PH_SCHEDULE_READINESS};
     bool reads =
         t->store_read_at != 0 && now - t->store_read_at < READY_STORE_AGE_MAX;
-    a.as.ready = !t->draining && model->config->version > 0 &&
-                 (reads || PhOwnerLink_IsUp(&t->link, now));
+    bool reaches = t->options.contact_limit > 0
+                       ? PhScheduleContact_Suffices(t)
+                       : reads || PhOwnerLink_IsUp(&t->link, now);
+    a.as.ready = !t->draining && model->config->version > 0 && reaches;
     PhScheduleCalls_Answer(t, origin, a);
 }
 
@@ -476,14 +551,16 @@
     }
     PhClientCall call = {.tag = tag,
                          .origin = *origin,
-                         .deadline = m->deadline - ANSWER_MARGIN,
+                         .deadline = m->deadline - PhCallPath_AnswerTime(),
                          .subject =
                              PhStr_Dup(counts ? queue->terms.queue : rest),
                          .spec = m->spec};
     m->spec = (PhSchedSpec){0};
-    if (!PhScheduleLink_Forward(t, &call)) {
-        PhScheduleCalls_HandleLocally(t, &call);
+    PhCallPath path = PhScheduleContact_Path(t, &call, true);
+    if (path.tag == PH_CALL_FORWARD && PhScheduleLink_Forward(t, &call)) {
+        return;
     }
+    PhScheduleCalls_HandleLocally(t, &call);
 }
 
 void
