platform: configurations decode with the limits that they state, and with every fault

Cause: a configuration is checked only by the instances that read it, which stop at its first malformed route and skip the limits and time-outs.

Change: PhSchedDocument holds a configuration as it is written. The newest page of a topic is decoded in wire_store.c, for use without the task "store".

--- a/include/peridothill/platform/adapter.h
+++ b/include/peridothill/platform/adapter.h
@@ -3,6 +3,7 @@
 #ifndef PERIDOTHILL_PLATFORM_ADAPTER_H
 #define PERIDOTHILL_PLATFORM_ADAPTER_H
 
+#include "peridothill/decide/schedule/config_document.h"
 #include "peridothill/kernel/kernel.h"
 #include "peridothill/services/instance.h"
 #include "peridothill/services/orders.h"
@@ -38,6 +39,20 @@
 PhResult PhWire_DecodeJob(PhStr text, PhSchedSpec *spec);
 /* The configuration is owned by the caller, NULL on errors. */
 PhResult PhWire_DecodeConfig(PhStr text, PhSchedConfig **config);
+/* Decodes a configuration with the limits that it states to clients, to check
+ * it: what does not decode is among its faults.  The caller owns it. */
+PhSchedDocument *PhWire_DecodeDocument(PhStr text);
+/* The path of an entry in a configuration, owned by the caller, and the name
+ * of a field. */
+PhStr PhWire_EntryPath(const PhSchedEntry *entry);
+const char *PhWire_FieldName(PhSchedField field);
+/* The target of a read of one page of the operators' records in the store,
+ * owned by the caller; `after` is empty for the first page. */
+PhStr PhWire_OperatorsTarget(PhStr after);
+/* Decodes such a page.  `config` receives the newest configuration if the page
+ * has it, `next` what to pass as `after` for the next page, empty after the
+ * last one; the caller owns both. */
+PhResult PhWire_DecodeOperatorsPage(PhStr text, PhStr *config, PhStr *next);
 /* Decodes the entry of the worker `id`; the caller clears it. */
 PhResult PhWire_DecodeWorker(PhStr id, PhStr text, PhSchedWorkerEntry *entry);
 /* Encodes the body of an order; `path` is a literal. */
--- a/tests/platform/test_malformed_documents.c
+++ b/tests/platform/test_malformed_documents.c
@@ -90,6 +90,12 @@
     {"priority of 1e300", DOCUMENT_CONFIG,
      TEXT("{\"version\":1,\"routes\":[{\"host\":\"h\",\"pathPrefix\":\"/\","
           "\"priority\":1e300}]}")},
+    {"configuration: fields that instances ignore", DOCUMENT_CONFIG,
+     TEXT("{\"version\":1,\"routes\":[{\"host\":\"h\",\"pathPrefix\":\"/\","
+          "\"name\":1,\"service\":[],\"stretch\":\"x\",\"advice\":1,"
+          "\"timeoutMs\":-1}],\"services\":[7,{\"name\":1}],\"limits\":{"
+          "\"maxBodyBytes\":-1}}"),
+     .valid = true},
     {"list of runs", DOCUMENT_HOLD, RUN("2,\"c\",41,7"), .valid = true},
     {"runs: nested lists", DOCUMENT_HOLD, TEXT("{\"running\":"), "[",
      NESTING_BEYOND_LIMIT},
