config: `config check` checks a configuration before it is sent

Cause: operators learn of a fault in a configuration from refused calls.

Exit status 0 without errors, 1 with errors, 2 for wrong usage or what cannot be read. The other actions are unchanged. A client without a token sends no Authorization header any more, so that the store gets none; the operators' interface refuses both alike.

Measured: test_config_command passes: files, a stand-in of the store with a configuration, one without, and none.

Conclusion: no instance is involved, and nothing is written.

--- a/commands/client.c
+++ b/commands/client.c
@@ -97,10 +97,15 @@
     return size * count;
 }
 
+/* Without a token the request has no credentials, so that calls to the
+ * platform's store carry none. */
 static struct curl_slist *
 headers_make(const PhClient *client)
 {
     PhBuf buf = {0};
+    if (client->token.len == 0) {
+        return curl_slist_append(NULL, "Content-Type: application/json");
+    }
     PhBuf_AppendFormat(&buf, "Authorization: Bearer %.*s",
                        PhStr_ARG(client->token));
     char *line = PhStr_ToC(PhBuf_Str(&buf));
--- a/commands/config.c
+++ b/commands/config.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "commands/config_check.h"
 #include "commands/options.h"
 #include "peridothill/codec/json.h"
 #include "peridothill/commands.h"
@@ -172,21 +173,40 @@
 static char *
 subcommands_describe(void)
 {
-    GString *text = g_string_new("Actions:\n");
+    GString *text = g_string_new(
+        "Actions:\n"
+        "  check FILE     check a configuration of the platform's "
+        "operators\n");
     for (size_t i = 0; i < G_N_ELEMENTS(subcommands); i++) {
         g_string_append_printf(text, "  %s\n", subcommands[i].help);
     }
     return g_string_free(text, FALSE);
 }
 
+/* Whether the arguments are those of the action "check", which sends no
+ * request to an instance. */
+static bool
+check_is_valid(int argc, char **argv, const PhConfigCheckOptions *check)
+{
+    return argc == 3 && strcmp(argv[1], "check") == 0 &&
+           (check->against == NULL || check->from == NULL);
+}
+
 int
 PhCommand_Config(int argc, char **argv)
 {
     PhClient client = {0};
     gboolean as_json = FALSE;
+    char *against = NULL;
+    char *from = NULL;
     GOptionEntry entries[] = {
         {"json", 'j', 0, G_OPTION_ARG_NONE, &as_json, "Print the JSON answer",
          NULL},
+        {"against", 0, 0, G_OPTION_ARG_FILENAME, &against,
+         "For check: file with the version in force", "FILE"},
+        {"from", 0, 0, G_OPTION_ARG_STRING, &from,
+         "For check: address of the store that has the version in force",
+         "IP:PORT"},
         {NULL},
     };
     char *details = subcommands_describe();
@@ -201,16 +221,25 @@
                              "an action with its arguments is required"};
     int code = PH_EXIT_USAGE;
     bool valid = PhOptions_Parse(&options, &argc, argv);
+    PhConfigCheckOptions check = {
+        .against = against, .from = from, .as_json = as_json};
     const PhConfigSubcommand *subcommand =
-        valid ? subcommand_find(argc, argv) : NULL;
+        valid && against == NULL && from == NULL ? subcommand_find(argc, argv)
+                                                 : NULL;
     if (subcommand != NULL) {
         code = subcommand_run(subcommand, &client, argv + 2, as_json);
     }
+    else if (valid && check_is_valid(argc, argv, &check)) {
+        check.path = argv[2];
+        code = PhConfigCheck_Run(&check);
+    }
     else if (valid) {
         fprintf(stderr, "peridothill config: %s; see --help\n",
                 options.usage_error);
     }
     g_free(details);
+    g_free(against);
+    g_free(from);
     PhClient_Clear(&client);
     return code;
 }
