tests: rows for what a check of a configuration could lose unnoticed

Cause: of 20 changes to decide/schedule/config_check.c, made one at a time, 5 passed the table: whole branches of ids, an idle time that is not stated, two queues of one name in both versions, a longer prefix given twice, and the order of prefixes.

Change: a row for each, and one more for the order.

--- a/tests/schedule/test_config_check.c
+++ b/tests/schedule/test_config_check.c
@@ -93,9 +93,9 @@
         QUEUE("9", P "9"), QUEUE("a", P "a"), QUEUE("b", P "b"),              \
         QUEUE("c", P "c"), QUEUE("d", P "d"), QUEUE("e", P "e"),              \
         QUEUE("f", P "f")
-#define CAPITALS(P)                                                           \
+#define CAPITALS(P, F)                                                        \
     QUEUE("A", P "A"), QUEUE("B", P "B"), QUEUE("C", P "C"),                  \
-        QUEUE("D", P "D"), QUEUE("E", P "E"), QUEUE("F", P "F")
+        QUEUE("D", P "D"), QUEUE("E", P "E"), QUEUE("F", P F)
 
 static const PhCheckCase check_cases[] = {
     {"nothing to find", .document = DOCUMENT(QUEUE("q", "/q/"))},
@@ -180,11 +180,28 @@
      1,
      {{PH_SCHED_FINDING_IDS_TAKEN, PH_SCHED_ENTRY_QUEUE, 0, 16}}},
     {"all ids taken",
-     .document = DOCUMENT(QUEUE("q", "/q/"), DIGITS("/q/"), CAPITALS("/q/")),
+     .document =
+         DOCUMENT(QUEUE("q", "/q/"), DIGITS("/q/"), CAPITALS("/q/", "F")),
      1,
      {ROW(IDS_ALL_TAKEN, 0)}},
+    {"all ids taken but some that begin with one character",
+     .document =
+         DOCUMENT(QUEUE("q", "/q/"), DIGITS("/q/"), CAPITALS("/q/", "F0")),
+     1,
+     {{PH_SCHED_FINDING_IDS_TAKEN, PH_SCHED_ENTRY_QUEUE, 0, 22}}},
+    {"all ids taken, some by two longer prefixes, in another order",
+     .document = DOCUMENT(QUEUE("x", "/q/a0"), QUEUE("q", "/q/"),
+                          DIGITS("/q/"), CAPITALS("/q/", "F")),
+     2,
+     {ROW(IDS_ALL_TAKEN, 1), ROW(IDS_TAKEN, 12)}},
+    {"a longer prefix given twice",
+     .document =
+         DOCUMENT(QUEUE("q", "/q/"), QUEUE("r", "/q/a"), QUEUE("t", "/q/a")),
+     2,
+     {ROW(PREFIX_TWICE, 2), ROW(IDS_TAKEN, 0)}},
     {"all ids that begin with one character taken",
-     .document = DOCUMENT(QUEUE("q", "/q/"), DIGITS("/q/a"), CAPITALS("/q/a")),
+     .document =
+         DOCUMENT(QUEUE("q", "/q/"), DIGITS("/q/a"), CAPITALS("/q/a", "F")),
      1,
      {{PH_SCHED_FINDING_IDS_TAKEN, PH_SCHED_ENTRY_QUEUE, 0, 22}}},
     {"stretch below 0",
@@ -227,6 +244,8 @@
      {LIMIT(HEADER_TIME_ABOVE_IDLE)}},
     {"as much",
      .document = {1, {QUEUE("q", "/q/")}, {{"s"}}, {1, 1, 3000, 3000}}},
+    {"time for headers, and none stated for an idle connection",
+     .document = {1, {QUEUE("q", "/q/")}, {{"s"}}, {1, 1, 3000, NOT_STATED}}},
     {"more bytes of headers than of bodies",
      .document = {1, {QUEUE("q", "/q/")}, {{"s"}}, {16384, 4096, 9, 9}}},
     {"errors, then warnings, then differences, each in written order",
@@ -267,6 +286,12 @@
      .document =
          {2, {QUEUE("r", "/r/"), QUEUE("q", "/q/")}, {{"s", true}}, STATED},
      .in_force = DOCUMENT(QUEUE("q", "/q/"), QUEUE("r", "/r/"))},
+    {"two queues of one name in both",
+     .in_force = DOCUMENT(QUEUE("q", "/q/"), QUEUE("q", "/r/")),
+     .document =
+         {2, {QUEUE("q", "/q/"), QUEUE("q", "/r/")}, {{"s", true}}, STATED},
+     1,
+     {ROW(NAME_TWICE, 1)}},
     {"a queue renamed",
      .in_force = DOCUMENT(QUEUE("q", "/q/")),
      .document = {2, {QUEUE("r", "/q/")}, {{"s", true}}, STATED},
