--- a/decide/schedule/config_check.c
+++ b/decide/schedule/config_check.c
@@ -226,9 +226,9 @@
                             .entry = entry,
                             .as.taken.longer = PhSchedDocument_Entry(
                                 c->document, PH_SCHED_ENTRY_QUEUE, i)};
-        if (first_twin(c->document, i) == i &&
-            ids_taken(queue, PhSchedDocument_Queue(c->document, i),
-                      &f.as.taken.begin)) {
+        if (ids_taken(queue, PhSchedDocument_Queue(c->document, i),
+                      &f.as.taken.begin) &&
+            first_twin(c->document, i) == i) {
             g_array_append_val(taken, f);
         }
     }
