--- a/codec/settings_key.c
+++ b/codec/settings_key.c
@@ -12,6 +12,7 @@
 #define S PH_NS_PER_S
 #define KB UINT64_C(1024)
 #define MB (1024 * KB)
+#define MEMORY_MAX (1024 * 1024 * MB)
 
 enum {
     ROOM_RESERVE_MAX_PERCENT = 50,
@@ -108,6 +109,20 @@
         3600 * S, "30s",
         "Time for which an idempotency key is kept; a new deployment refuses "
         "keyed requests for as long."),
+    KEY("limits", "memory", limits.memory, SIZE, false, 0, MEMORY_MAX, "0KB",
+        "Memory of the machine; 0KB: not known."),
+    KEY("limits", "receive_budget", limits.receive_budget, SIZE, false, 0,
+        MEMORY_MAX, "0KB",
+        "Bytes of all requests that are received or wait for an answer; 0KB: "
+        "a quarter of memory, or 64MB."),
+    KEY("limits", "header_time", limits.header_time, DURATION, false, 3 * S,
+        60 * S, "10s", "Longest time to receive the headers of a request."),
+    KEY("limits", "json_values", limits.json_values, COUNT, false, KB, MB,
+        "16384", "JSON values in the largest document of a client."),
+    KEY("limits", "active_tasks", limits.active_tasks, COUNT, false, KB,
+        16 * MB, "262144",
+        "Tasks of all jobs that have not ended; beyond it new jobs are "
+        "refused."),
     KEY("log", "level", log.level, LEVEL, false, 0, 0, "info",
         "Least level written: debug, info, warning or error."),
     KEY("log", "format", log.format, FORMAT, false, 0, 0, "logfmt",
--- a/include/peridothill/codec/settings.h
+++ b/include/peridothill/codec/settings.h
@@ -59,6 +59,11 @@
         PhTime drain_notice;
         PhTime drain_limit;
         PhTime key_window;
+        uint64_t memory;         /* bytes, 0: not known */
+        uint64_t receive_budget; /* bytes, 0: derived from `memory` */
+        PhTime header_time;
+        uint64_t json_values;
+        uint64_t active_tasks;
     } limits;
     struct {
         PhLevel level;
