tests/crowd: a missing program is reported without a null pointer

Cause: the linter finds that the path of the program may be null where the check before it does not end the function. Change: the start returns then. The crowd and the bounds are as they were.

--- a/tests/crowd/crowd_processes.c
+++ b/tests/crowd/crowd_processes.c
@@ -83,7 +83,10 @@
 PhCrowdProcesses_Start(PhCrowdProcesses *p, const char *limits)
 {
     char *program = getenv("PH_PROGRAM");
-    assert_non_null(program);
+    if (program == NULL) {
+        fail_msg("PH_PROGRAM is not set");
+        return;
+    }
     p->folder = g_dir_make_tmp("peridothill-crowd-XXXXXX", NULL);
     for (int i = 0; i < PH_CROWD_LISTENERS; i++) {
         p->ports[i] = port_find();
