schedule: limit of the tasks of all jobs that have not ended

Cause: a job of 65,536 tasks takes 17 MB (264 bytes a task) and any number of them is accepted: 100 jobs of 4,000 tasks took a process to 113 MB.

Change: PhScheduler_Admit() refuses a job that exceeds the limit, also a long-running one and without an owner, with a Retry-After of 1 or 2 s by its id. Submissions whose records are on their way count. With the memory known the limit is at most an eighth of it: 262,144 tasks take 66 MB, which a machine of 160 MB does not have beside 64 MB for connections and 40 MB for bodies.

Measured: test_active_tasks, 8 and 4 cases, holds.

--- /dev/null
+++ b/decide/schedule/active_tasks.c
@@ -0,0 +1,45 @@
+/* Limit of the tasks of all jobs that have not ended: each takes memory in
+ * every instance. */
+#include "scheduler_private.h"
+
+enum {
+    RETRY_SECONDS = 2, /* refused clients return spread over this time */
+    MEMORY_SHARE = 8,  /* the tasks take at most this part of the memory */
+};
+
+uint64_t
+PhScheduler_ActiveTasksMax(uint64_t active_tasks, uint64_t memory)
+{
+    uint64_t fit = memory / MEMORY_SHARE / sizeof(PhSchedTask);
+    return memory > 0 ? MIN(active_tasks, fit) : active_tasks;
+}
+
+void
+PhScheduler_SetPendingTasks(PhScheduler *s, uint64_t count)
+{
+    s->pending_tasks = count;
+}
+
+static uint64_t
+active_count(const PhScheduler *s)
+{
+    uint64_t count = s->pending_tasks;
+    for (guint i = 0; i < s->model->active->len; i++) {
+        const PhSchedJob *job = g_ptr_array_index(s->model->active, i);
+        count += PhSchedSpec_TaskCount(&job->spec);
+    }
+    return count;
+}
+
+PhAdmission
+PhScheduler_AdmitTasks(const PhScheduler *s, const PhSchedSpec *spec)
+{
+    uint64_t max = s->options.active_tasks_max;
+    uint64_t active = max > 0 ? active_count(s) : 0;
+    if (active + PhSchedSpec_TaskCount(spec) <= max || max == 0) {
+        return (PhAdmission){.accepted = true};
+    }
+    PhTime spread = (PhTime)(PhStr_Hash(spec->id, 0) % RETRY_SECONDS);
+    return (PhAdmission){.retry_after = (1 + spread) * PH_NS_PER_S,
+                         .active_tasks = MAX(active, 1)};
+}
--- a/decide/schedule/admission.c
+++ b/decide/schedule/admission.c
@@ -31,6 +31,10 @@
 PhAdmission
 PhScheduler_Admit(PhScheduler *s, const PhSchedSpec *spec, PhTime now)
 {
+    PhAdmission tasks = PhScheduler_AdmitTasks(s, spec);
+    if (!tasks.accepted) {
+        return tasks;
+    }
     if (s->fence == 0 || is_lasting(spec)) {
         return (PhAdmission){.accepted = true};
     }
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -45,6 +45,7 @@
     uint32_t backlog; /* overload: tasks of accepted jobs that have no run, by
                          the last placement and what was admitted since */
     bool overloaded;  /* as last reported */
+    uint64_t pending_tasks; /* admitted, and not in the model yet */
     PhTime due;
     bool placement_due;       /* a change may allow a start */
     PhTime next_placement_at; /* no placement before */
@@ -83,6 +84,10 @@
 /* Reports whether what a worker says is left to the next owner. */
 bool PhScheduler_IsClosedFor(const PhScheduler *scheduler,
                              const PhSchedWorker *worker, PhTime now);
+/* Refuses a submission while the tasks of all jobs that have not ended, and
+ * its own, are more than the limit. */
+PhAdmission PhScheduler_AdmitTasks(const PhScheduler *scheduler,
+                                   const PhSchedSpec *spec);
 /* Makes the next decision due by `at`. */
 void PhScheduler_WakeBy(PhScheduler *scheduler, PhTime at);
 
--- a/decide/schedule/spec.c
+++ b/decide/schedule/spec.c
@@ -84,6 +84,16 @@
     return PhResult_Ok();
 }
 
+uint64_t
+PhSchedSpec_TaskCount(const PhSchedSpec *spec)
+{
+    uint64_t count = 0;
+    for (uint32_t i = 0; i < spec->step_count; i++) {
+        count += spec->steps[i].count;
+    }
+    return count * MAX(spec->repetitions, 1);
+}
+
 PhTime
 PhSchedSpec_CriticalPath(const PhSchedSpec *spec)
 {
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -25,8 +25,10 @@
     PhTime dispatch_delay; /* starts that take longer on average are to be sent
                               by other instances; 0: all */
     PhTime pace_lag; /* from a pace order until samples show its effect */
-    PhTime report_interval; /* workers write their entries about this often;
-                               0: unknown */
+    PhTime report_interval;    /* workers write their entries about this often;
+                                  0: unknown */
+    uint64_t active_tasks_max; /* tasks of all jobs that have not ended; 0: no
+                                  limit */
     uint64_t room_reserve_percent; /* largest share of the workers' CPU that
                                       new long-running jobs leave for jobs
                                       that end; 0: no job is refused for want
@@ -338,9 +340,16 @@
 /* Whether a submission is accepted, see PhScheduler_Admit. */
 typedef struct PhAdmission {
     bool accepted;
-    PhTime retry_after; /* unless it is accepted */
+    PhTime retry_after;    /* unless it is accepted */
+    uint64_t active_tasks; /* refused because there are so many; 0: not */
 } PhAdmission;
 
+/* The limit from the settings: `active_tasks`, or fewer if they take more than
+ * an eighth of the memory; 0 bytes: not known. */
+uint64_t PhScheduler_ActiveTasksMax(uint64_t active_tasks, uint64_t memory);
+/* Tasks of submissions that were admitted and are not in the model yet. */
+void PhScheduler_SetPendingTasks(PhScheduler *scheduler, uint64_t count);
+
 /* Decides on a new submission: one whose tasks would wait too long for order
  * capacity is refused.  Jobs with tasks that are to last are accepted, since
  * these go first.  Accepts everything unless this is the owner. */
--- a/include/peridothill/decide/schedule/spec.h
+++ b/include/peridothill/decide/schedule/spec.h
@@ -72,6 +72,8 @@
 void PhSchedSpec_Clear(PhSchedSpec *spec);
 /* Checks the limits, and that each step depends on earlier ones only. */
 PhResult PhSchedSpec_Check(const PhSchedSpec *spec);
+/* Tasks of all rounds. */
+uint64_t PhSchedSpec_TaskCount(const PhSchedSpec *spec);
 /* Length of the critical path by the estimates. */
 PhTime PhSchedSpec_CriticalPath(const PhSchedSpec *spec);
 
--- a/include/peridothill/services/schedule.h
+++ b/include/peridothill/services/schedule.h
@@ -102,6 +102,7 @@
     PhTime pace_lag;
     PhTime report_interval; /* of worker entries, 0: unknown */
     PhTime dispatch_delay;  /* starts that take longer are sent by others */
+    uint64_t active_tasks;  /* see PhSchedulerOptions */
     uint64_t room_reserve;  /* percent, see PhSchedulerOptions */
     PhTime claim_after;     /* the same */
     PhTime contact_limit;   /* silence after which the store counts as out of
--- a/services/schedule/schedule_accept.c
+++ b/services/schedule/schedule_accept.c
@@ -95,6 +95,28 @@
     return false;
 }
 
+/* Tasks of one submission, 0 of a cancellation. */
+static uint64_t
+pending_tasks(const PhPendingAccept *a)
+{
+    return a->call.tag == PH_SCHEDULE_SUBMIT
+               ? PhSchedSpec_TaskCount(&a->call.spec)
+               : 0;
+}
+
+uint64_t
+PhScheduleAccept_Tasks(const PhScheduleTask *t)
+{
+    uint64_t count = 0;
+    for (guint i = 0; i < t->accept_batch->len; i++) {
+        count += pending_tasks(g_ptr_array_index(t->accept_batch, i));
+    }
+    for (const GList *l = t->accept_queue.head; l != NULL; l = l->next) {
+        count += pending_tasks(l->data);
+    }
+    return count;
+}
+
 /* Moves the calls of the next append from the queue. */
 static void
 take_batch(PhScheduleTask *t)
--- a/services/schedule/schedule_calls.c
+++ b/services/schedule/schedule_calls.c
@@ -10,6 +10,9 @@
 static const PhTime ANSWER_MARGIN = 150 * PH_NS_PER_MS;
 /* The readiness check fails if the store has not answered for this long. */
 static const PhTime READY_STORE_AGE_MAX = 2400 * PH_NS_PER_MS;
+/* Submissions beyond the limit of tasks are logged at most once in this time.
+ */
+static const PhTime LOG_INTERVAL = 1 * PH_NS_PER_S;
 /* Reasons of refusals. */
 static const char JOBS_UNREAD[] = "jobs not read from the store recently";
 static const char RUNS_UNREAD[] = "runs not read from the store recently";
@@ -115,6 +118,28 @@
                                               .as.retry_after = retry_after});
 }
 
+/* Refuses a submission beyond the limit of active tasks. */
+static void
+refuse_tasks(PhScheduleTask *t, PhClientCall *call,
+             const PhAdmission *admission)
+{
+    PhTime now = PhTask_Now(t->self);
+    PhCounters_Add(PhKernel_Counters(PhTask_Kernel(t->self)),
+                   PH_COUNTER_RECEIVE_ACTIVE_TASKS, 1);
+    if (t->tasks_logged_at == 0 || now - t->tasks_logged_at >= LOG_INTERVAL) {
+        t->tasks_logged_at = now;
+        PhTask_LOG(t->self, PH_EVENT_RECEIVE_ACTIVE_TASKS,
+                   PhField_STR("job", call->subject),
+                   PhField_U64("tasks", PhSchedSpec_TaskCount(&call->spec)),
+                   PhField_U64("active", admission->active_tasks),
+                   PhField_U64("limit", t->options.active_tasks));
+    }
+    PhScheduleCalls_Answer(
+        t, &call->origin,
+        (PhScheduleAnswer){.tag = PH_SCHEDULE_OVERLOADED,
+                           .as.retry_after = admission->retry_after});
+}
+
 /* A submission that is known, or may have been accepted before, is never
  * refused. */
 static void
@@ -127,8 +152,13 @@
     }
     if (!call->outcome_unknown &&
         !PhScheduleAccept_IsPending(t, call->subject)) {
+        PhScheduler_SetPendingTasks(t->scheduler, PhScheduleAccept_Tasks(t));
         PhAdmission admission =
             PhScheduler_Admit(t->scheduler, &call->spec, PhTask_Now(t->self));
+        if (admission.active_tasks > 0) {
+            refuse_tasks(t, call, &admission);
+            return;
+        }
         if (!admission.accepted) {
             refuse_overload(t, call, admission.retry_after);
             return;
--- a/services/schedule/schedule_task.c
+++ b/services/schedule/schedule_task.c
@@ -301,6 +301,7 @@
         .pace_lag = options->pace_lag,
         .report_interval = options->report_interval,
         .dispatch_delay = options->dispatch_delay,
+        .active_tasks_max = options->active_tasks,
         .room_reserve_percent = options->room_reserve,
         .claim_after = options->claim_after,
         .predecessors = PhElection_Predecessors(t->election)});
--- a/services/schedule/schedule_task.h
+++ b/services/schedule/schedule_task.h
@@ -131,6 +131,7 @@
     PhScheduleRole role; /* as last sent to "fleet" */
     /* Links to other instances. */
     PhScheduleOptions options; /* strings are owned */
+    PhTime tasks_logged_at;    /* refusal for the number of tasks, 0: never */
     PhStr link_key;  /* shared by all instances; owned; empty until known */
     PhStr claim_key; /* recorded with a claim if no key is known yet; owned */
     PhOwnerLink link;
@@ -210,6 +211,8 @@
 void PhScheduleAccept_Add(PhScheduleTask *task, PhClientCall *call);
 /* Whether a submission of this job waits for its record to be durable. */
 bool PhScheduleAccept_IsPending(const PhScheduleTask *task, PhStr id);
+/* Tasks of the submissions that are not durable yet. */
+uint64_t PhScheduleAccept_Tasks(const PhScheduleTask *task);
 void PhScheduleAccept_Flush(PhScheduleTask *task);
 void PhScheduleAccept_OnReply(PhScheduleTask *task, const PhStoreReply *reply);
 /* Answers calls whose deadline has passed. */
--- /dev/null
+++ b/tests/schedule/test_active_tasks.c
@@ -0,0 +1,137 @@
+/* Guards against accepted jobs whose tasks take more memory than an instance
+ * has, and against refusals of jobs that fit. */
+#include <glib.h>
+
+#include "peridothill/decide/schedule/scheduler.h"
+#include "tests/table.h"
+
+enum {
+    LIMIT = 100,
+    JOBS_MAX = 3,
+};
+
+typedef struct PhTasksCase {
+    const char *name;
+    uint64_t limit;
+    uint32_t jobs[JOBS_MAX]; /* tasks of jobs that have not ended */
+    uint32_t ended;          /* tasks of one that has */
+    uint64_t pending;        /* tasks that are not durable yet */
+    uint32_t count;          /* tasks of a step of the new job */
+    uint32_t repetitions;    /* of the new job */
+    bool long_running;
+    bool accepted;
+} PhTasksCase;
+
+static const PhTasksCase cases[] = {
+    {"no limit", 0, {1000, 1000}, 0, 5000, 4000, 0, false, true},
+    {"the last that fits", LIMIT, {50, 40}, 0, 0, 10, 0, false, true},
+    {"one too many", LIMIT, {50, 40}, 0, 0, 11, 0, false, false},
+    {"jobs that have ended", LIMIT, {50}, 90, 0, 50, 0, false, true},
+    {"a crowd whose records are on their way",
+     LIMIT,
+     {10},
+     0,
+     85,
+     10,
+     0,
+     false,
+     false},
+    {"all rounds count", LIMIT, {10}, 0, 0, 10, 10, false, false},
+    {"long-running jobs", LIMIT, {10, 10, 80}, 0, 0, 1, 0, true, false},
+    {"a job beyond the limit by itself",
+     LIMIT,
+     {0},
+     0,
+     0,
+     101,
+     0,
+     false,
+     false},
+};
+
+static PhSchedSpec
+spec_make(unsigned number, uint32_t count)
+{
+    PhSchedSpec spec = {.step_count = 1, .steps = g_new0(PhSchedStep, 1)};
+    PhBuf id = {0};
+    PhBuf_AppendFormat(&id, "%016x", number);
+    spec.id = PhBuf_Take(&id);
+    spec.steps[0].count = count;
+    return spec;
+}
+
+static void
+tasks_run(const PhTasksCase *c)
+{
+    PhScheduler *s = PhScheduler_Create(
+        &(PhSchedulerOptions){.active_tasks_max = c->limit});
+    PhSchedModel *model = PhScheduler_Model(s);
+    for (unsigned i = 0; i < JOBS_MAX; i++) {
+        PhSchedSpec spec = spec_make(i, c->jobs[i]);
+        PhSchedModel_AddJob(model, &spec, 1);
+    }
+    PhSchedSpec ended = spec_make(JOBS_MAX, c->ended);
+    PhSchedModel_SetJobState(model, PhSchedModel_AddJob(model, &ended, 1),
+                             PH_SCHED_JOB_COMPLETED);
+    PhScheduler_SetPendingTasks(s, c->pending);
+    PhSchedSpec spec = spec_make(JOBS_MAX + 1, c->count);
+    spec.repetitions = c->repetitions;
+    spec.steps[0].long_running = c->long_running;
+    PhAdmission a = PhScheduler_Admit(s, &spec, 1);
+    assert_int_equal(a.accepted, c->accepted);
+    assert_int_equal(a.active_tasks > 0, !c->accepted);
+    if (!c->accepted) {
+        assert_in_range(a.retry_after, PH_NS_PER_S, 2 * PH_NS_PER_S);
+    }
+    PhSchedSpec_Clear(&spec);
+    PhScheduler_Destroy(s);
+}
+
+static void
+test_admission(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(cases, tasks_run);
+}
+
+typedef struct PhLimitCase {
+    const char *name;
+    uint64_t active_tasks;
+    uint64_t memory;
+    uint64_t min;
+    uint64_t max;
+} PhLimitCase;
+
+#define MB (UINT64_C(1) << 20)
+
+/* A job may have 65,536 tasks; it fits also on the smallest machine. */
+static const PhLimitCase limit_cases[] = {
+    {"memory not known", 262144, 0, 262144, 262144},
+    {"smallest machine", 262144, 160 * MB, 65536, 262143},
+    {"fewer set", 1024, 160 * MB, 1024, 1024},
+    {"enough memory", 262144, 4096 * MB, 262144, 262144},
+};
+
+static void
+limit_run(const PhLimitCase *c)
+{
+    uint64_t limit = PhScheduler_ActiveTasksMax(c->active_tasks, c->memory);
+    assert_in_range(limit, c->min, c->max);
+}
+
+static void
+test_limit(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(limit_cases, limit_run);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_admission),
+        cmocka_unit_test(test_limit),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
