peers: connections without the key do not keep peers out

Cause: 64 accepted links may be in the handshake, for 5 s each. Connections that send nothing occupy all of them, and peers are turned away meanwhile.

Change: at the limit the oldest handshake that is over 1 s old is closed for the next connection; a peer needs two round trips, 0.5 s. Bytes were bounded already: a greeting has at most 512, and one read takes 16 KB.

Conclusion: more than 64 new connections in a second still keep peers out.

--- a/services/members/peers.c
+++ b/services/members/peers.c
@@ -17,6 +17,8 @@
 };
 
 #define TICK_INTERVAL_NS PH_NS_PER_S
+/* Peers complete the handshake in this time; two round trips take 0.5 s. */
+#define HANDSHAKE_USUAL_NS PH_NS_PER_S
 /* A stopping task keeps running for this long to send what other tasks send at
  * shutdown. */
 #define STOP_LINGER_NS (500 * PH_NS_PER_MS)
@@ -39,6 +41,31 @@
     return PhResult_Ok();
 }
 
+/* Closes the accepted link that has been in the handshake for the longest
+ * time, unless a peer may still complete it.  Connections without the key must
+ * not keep peers out.  Returns false if there is none. */
+static bool
+handshake_end(PhPeersTask *p, PhTask *self)
+{
+    PhPeerLink *oldest = NULL;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, p->links);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        PhPeerLink *link = value;
+        if (link->stage != PH_LINK_READY && PhStr_IsEmpty(link->address) &&
+            (oldest == NULL || link->opened_at < oldest->opened_at)) {
+            oldest = link;
+        }
+    }
+    if (oldest == NULL ||
+        PhTask_Now(self) - oldest->opened_at < HANDSHAKE_USUAL_NS) {
+        return false;
+    }
+    PhPeers_CloseLink(p, self, oldest, PH_LINK_END_HANDSHAKE);
+    return true;
+}
+
 /* Accepts all pending connections within the limits. */
 static void
 accept_all(PhPeersTask *p, PhTask *self)
@@ -54,6 +81,9 @@
             link->stage != PH_LINK_READY && PhStr_IsEmpty(link->address);
     }
     while ((fd = PhPeerSocket_Accept(p->listen_fd)) >= 0) {
+        if (handshakes >= HANDSHAKES_MAX && handshake_end(p, self)) {
+            handshakes--;
+        }
         if (handshakes >= HANDSHAKES_MAX ||
             g_hash_table_size(p->links) >= LINKS_MAX) {
             PhPeers_Count(self, PH_COUNTER_PEER_CLOSE_LIMIT, 1);
