listeners: one budget for all that is received, limits of headers and JSON values

Cause: nothing bounds what all connections hold together; a body beyond the limit was kept up to four times the limit; headers had the idle time of 60 s; 256 KB of JSON were decoded to 50 MB.

Change: all listeners of a process share one PhReceiveBudget, by default a quarter of [limits] memory, or 64 MB. Bodies count while they arrive and until the answer, and answers until they are sent; a body is freed once its request was delivered. A body beyond request_body is not kept. Headers have header_time from their first line. At the limit of connections one that was silent for as long is closed (readiness listener: 1 s). A submission with more than json_values values is answered 413 and not parsed. Memory is returned to the system once after a quarter of the budget was held.

A chunked request whose body the budget had taken would have been delivered empty when its end arrived; it is not delivered (test_end_after_close fails without the check).

Changes to tests: PhWire_DecodeJob() has a limit of values, UINT64_MAX in test_malformed_documents and test_schedule_codec.

--- a/codec/json.c
+++ b/codec/json.c
@@ -1,5 +1,7 @@
 #include "peridothill/codec/json.h"
 
+#include <inttypes.h>
+
 PhResult
 PhJson_Parse(PhStr text, json_t **value)
 {
@@ -14,6 +16,49 @@
     return PhResult_Ok();
 }
 
+/* Returns the position after a string that begins at `i`. */
+static size_t
+string_skip(PhStr text, size_t i)
+{
+    for (i++; i < text.len && text.data[i] != '"'; i++) {
+        i += text.data[i] == '\\';
+    }
+    return i + 1;
+}
+
+uint64_t
+PhJson_CountValues(PhStr text)
+{
+    uint64_t count = 1;
+    bool opened = false; /* the last character began an array or object */
+    size_t i = 0;
+    while (i < text.len) {
+        char c = text.data[i];
+        if (g_ascii_isspace(c)) {
+            i++;
+            continue;
+        }
+        bool closes = c == ']' || c == '}';
+        count += c == ',' || (opened && !closes);
+        opened = c == '[' || c == '{';
+        i = c == '"' ? string_skip(text, i) : i + 1;
+    }
+    return count;
+}
+
+PhResult
+PhJson_ParseLimited(PhStr text, uint64_t max_values, json_t **value)
+{
+    uint64_t count = PhJson_CountValues(text);
+    if (count > max_values) {
+        *value = NULL;
+        return PhResult_Make(PH_STATUS_TOO_LARGE,
+                             "JSON: %" PRIu64 " values, at most %" PRIu64,
+                             count, max_values);
+    }
+    return PhJson_Parse(text, value);
+}
+
 PhStr
 PhJson_Write(const json_t *value)
 {
--- a/commands/serve.c
+++ b/commands/serve.c
@@ -156,6 +156,15 @@
                PhField_U64("peers_port", ports->peers));
 }
 
+/* The largest body fits into any budget. */
+static PhReceiveBudget *
+receive_budget_create(const PhSettings *s)
+{
+    uint64_t bytes =
+        PhReceiveBudget_Derive(s->limits.receive_budget, s->limits.memory);
+    return PhReceiveBudget_Create(MAX(bytes, s->limits.request_body));
+}
+
 static PhResult
 serve_run(PhServe *s)
 {
@@ -179,6 +188,7 @@
         .supervisor = {.drain_limit = s->settings.limits.drain_limit,
                        .context = s,
                        .on_stopped = on_stopped}};
+    options.receive_budget = receive_budget_create(&s->settings);
     randombytes_buf(&options.seed, sizeof(options.seed));
     PhInstancePorts ports = {0};
     bool schedules = s->settings.scheduler.store.len > 0;
@@ -191,6 +201,7 @@
         ev_run(s->loop, 0);
     }
     PhKernel_Destroy(s->kernel);
+    PhReceiveBudget_Destroy(options.receive_budget);
     ev_loop_destroy(s->loop);
     PhLog_Destroy(log);
     PhCounters_Destroy(counters);
--- a/include/peridothill/codec/json.h
+++ b/include/peridothill/codec/json.h
@@ -10,6 +10,12 @@
 /* Parses one JSON value of any type, to be released with json_decref; rejects
  * duplicate keys. */
 PhResult PhJson_Parse(PhStr text, json_t **value);
+/* The same for a document of an untrusted sender; TOO_LARGE, without parsing
+ * it, if it has more than `max_values` values. */
+PhResult PhJson_ParseLimited(PhStr text, uint64_t max_values, json_t **value);
+/* Number of values in a document, names of members not counted.  Exact if it
+ * is valid. */
+uint64_t PhJson_CountValues(PhStr text);
 /* Serialises compactly with sorted keys.  The caller owns the text. */
 PhStr PhJson_Write(const json_t *value);
 /* Returns NULL if the bytes are not valid UTF-8. */
--- a/include/peridothill/platform/adapter.h
+++ b/include/peridothill/platform/adapter.h
@@ -5,6 +5,7 @@
 
 #include "peridothill/kernel/kernel.h"
 #include "peridothill/services/instance.h"
+#include "peridothill/services/listener.h"
 #include "peridothill/services/orders.h"
 #include "peridothill/services/schedule.h"
 
@@ -21,8 +22,10 @@
     PhStr ready;  /* address for the readiness check and metrics */
     size_t body_limit_bytes;
     unsigned connection_limit;
-    PhTime drain_notice; /* time for the load balancer to notice a stop */
-    PhTime drain_limit;  /* then the longest wait for connections to close */
+    PhReceiveLimits receive;
+    uint64_t json_values; /* largest number of them in a submission */
+    PhTime drain_notice;  /* time for the load balancer to notice a stop */
+    PhTime drain_limit;   /* then the longest wait for connections to close */
 } PhFrontOptions;
 
 /* Starts "front", the HTTP front end for clients.  IO: an address cannot be
@@ -34,8 +37,9 @@
                                  const PhInstanceOptions *options,
                                  PhInstancePorts *ports);
 
-/* Decodes the body of a submission; id and terms stay empty. */
-PhResult PhWire_DecodeJob(PhStr text, PhSchedSpec *spec);
+/* Decodes the body of a submission; id and terms stay empty.  TOO_LARGE if it
+ * has more than `max_values` JSON values. */
+PhResult PhWire_DecodeJob(PhStr text, uint64_t max_values, PhSchedSpec *spec);
 /* The configuration is owned by the caller, NULL on errors. */
 PhResult PhWire_DecodeConfig(PhStr text, PhSchedConfig **config);
 /* Decodes the entry of the worker `id`; the caller clears it. */
--- a/include/peridothill/services/entry.h
+++ b/include/peridothill/services/entry.h
@@ -5,6 +5,7 @@
 #define PERIDOTHILL_SERVICES_ENTRY_H
 
 #include "peridothill/kernel/kernel.h"
+#include "peridothill/services/listener.h"
 
 /* Headers exchanged with callers and workers. */
 #define PH_HEADER_OUTCOME PhStr_LITERAL("Peridothill-Outcome")
@@ -24,6 +25,7 @@
     size_t body_limit_bytes;
     unsigned connection_limit;
     unsigned idle_timeout_s;
+    PhReceiveLimits receive;
 } PhEntryOptions;
 
 /* Starts the task "entry" and delivers pending mail. `port`, if not NULL, is
--- a/include/peridothill/services/instance.h
+++ b/include/peridothill/services/instance.h
@@ -4,6 +4,7 @@
 
 #include "peridothill/codec/settings.h"
 #include "peridothill/kernel/kernel.h"
+#include "peridothill/services/listener.h"
 #include "peridothill/services/supervisor.h"
 
 /* All members are borrowed; the settings must outlive the kernel.  `keys`
@@ -15,6 +16,7 @@
     uint64_t seed;
     uint64_t incarnation; /* increases with each start of the instance */
     PhSupervisorOptions supervisor;
+    PhReceiveBudget *receive_budget; /* NULL: none; outlives the kernel */
 } PhInstanceOptions;
 
 /* The ports that the listeners are bound to. */
@@ -24,6 +26,8 @@
     uint16_t peers;
 } PhInstancePorts;
 
+/* The limits of every listener of the instance. */
+PhReceiveLimits PhInstance_ReceiveLimits(const PhInstanceOptions *options);
 /* Starts every service; the message of a failure names the service. */
 PhResult PhInstance_Start(PhKernel *kernel, const PhInstanceOptions *options,
                           PhInstancePorts *ports);
--- a/include/peridothill/services/listener.h
+++ b/include/peridothill/services/listener.h
@@ -4,6 +4,7 @@
 #ifndef PERIDOTHILL_SERVICES_LISTENER_H
 #define PERIDOTHILL_SERVICES_LISTENER_H
 
+#include "peridothill/decide/requests/receive_budget.h"
 #include "peridothill/kernel/kernel.h"
 #include "peridothill/services/http.h"
 
@@ -21,12 +22,23 @@
     size_t header_count;
 } PhIncoming;
 
+/* Limits on what is received.  Zero stands for "no such limit". */
+typedef struct PhReceiveLimits {
+    PhReceiveBudget *budget; /* of all listeners of the process, which share
+                                its thread; borrowed until they are destroyed
+                              */
+    PhTime header_time;      /* to receive the headers of a request; a
+                                connection that has sent none for as long is
+                                closed for another caller */
+} PhReceiveLimits;
+
 typedef struct PhListenerOptions {
     PhStr address; /* "127.0.0.1:8080"; port 0 selects a free one */
     size_t body_limit_bytes;
     unsigned connection_limit; /* above it, callers wait until a connection
                                   closes; the longest idle one is closed */
     unsigned idle_timeout_s;   /* also limits the time to receive a request */
+    PhReceiveLimits receive;
     void *context;
     /* A complete request was received. */
     void (*on_request)(void *context, const PhIncoming *incoming);
--- a/include/peridothill/services/operators.h
+++ b/include/peridothill/services/operators.h
@@ -5,6 +5,7 @@
 #define PERIDOTHILL_SERVICES_OPERATORS_H
 
 #include "peridothill/kernel/kernel.h"
+#include "peridothill/services/listener.h"
 
 /* Settings of the task.  The strings are copied. */
 typedef struct PhOperatorsOptions {
@@ -16,6 +17,7 @@
      * draining. */
     void (*drain)(void *context);
     void *drain_context;
+    PhReceiveLimits receive;
     /* Receives the port of the listener unless NULL. */
     uint16_t *port;
 } PhOperatorsOptions;
--- a/services/instance.c
+++ b/services/instance.c
@@ -25,6 +25,14 @@
     SEED_OFFSET_TASKS = 6,
 };
 
+PhReceiveLimits
+PhInstance_ReceiveLimits(const PhInstanceOptions *options)
+{
+    return (PhReceiveLimits){.budget = options->receive_budget,
+                             .header_time =
+                                 options->settings->limits.header_time};
+}
+
 static PhResult
 start_result(PhStatus status, const char *name)
 {
@@ -132,6 +140,8 @@
                                     .data_centre = s->instance.data_centre,
                                     .drain = on_drain_request,
                                     .drain_context = kernel,
+                                    .receive =
+                                        PhInstance_ReceiveLimits(options),
                                     .port = &ports->operators};
     return start_result(PhOperators_Start(kernel, &operators), "operators");
 }
@@ -149,6 +159,7 @@
                             .drain_notice = s->limits.drain_notice,
                             .key_window = s->limits.key_window,
                             .body_limit_bytes = s->limits.request_body,
+                            .receive = PhInstance_ReceiveLimits(options),
                             .connection_limit =
                                 (unsigned)s->limits.connections};
     return PhEntry_Start(kernel, &entry, &ports->callers);
--- a/services/operators/operators_task.c
+++ b/services/operators/operators_task.c
@@ -208,6 +208,7 @@
                                  .body_limit_bytes = BODY_LIMIT_BYTES,
                                  .connection_limit = CONNECTION_LIMIT,
                                  .idle_timeout_s = IDLE_TIMEOUT_S,
+                                 .receive = t->options.receive,
                                  .context = t,
                                  .on_request = on_request,
                                  .on_client_disconnect = on_disconnect};
--- a/services/platform/listener.c
+++ b/services/platform/listener.c
@@ -9,6 +9,9 @@
 
 enum {
     SWEEP_INTERVAL_MS = 500,
+    /* For the headers of a connection.  Those stated to clients have 16 KB, in
+     * up to 200 lines, each with a record of libmicrohttpd. */
+    HEADER_MEMORY_BYTES = 32 * 1024,
     STATUS_BAD_REQUEST = 400,
 };
 
@@ -63,10 +66,54 @@
     }
 }
 
+/* No request has begun on it before. */
+static void
+connection_set_silent(PhListener *l, PhConnection *c, bool silent)
+{
+    if (silent) {
+        g_queue_push_tail(&l->silent, c);
+        c->silent = l->silent.tail;
+    }
+    else if (c->silent != NULL) {
+        g_queue_delete_link(&l->silent, c->silent);
+        c->silent = NULL;
+    }
+}
+
+void
+PhConnection_SetBegun(PhConnection *c)
+{
+    c->begun = true;
+    c->in_headers = true;
+    c->begun_at = PhTask_Now(c->listener->self);
+    connection_set_silent(c->listener, c, false);
+}
+
+static void
+connection_add(PhListener *l, int fd)
+{
+    PhConnection *c = g_new0(PhConnection, 1);
+    c->listener = l;
+    c->fd = fd;
+    c->last_progress_at = PhTask_Now(l->self);
+    c->receiver.fd = fd;
+    c->receiver.progress_at = c->last_progress_at;
+    if (l->options.receive.budget != NULL) {
+        PhReceiveBudget_Add(l->options.receive.budget, &c->receiver);
+    }
+    connection_set_silent(l, c, true);
+    g_hash_table_insert(l->connections, GINT_TO_POINTER(fd), c);
+}
+
 static void
 connection_remove(PhListener *l, gpointer key)
 {
-    PhConnection_SetIdle(l, g_hash_table_lookup(l->connections, key), false);
+    PhConnection *c = g_hash_table_lookup(l->connections, key);
+    PhConnection_SetIdle(l, c, false);
+    connection_set_silent(l, c, false);
+    if (l->options.receive.budget != NULL) {
+        PhReceiveBudget_Remove(l->options.receive.budget, &c->receiver);
+    }
     if (limit_is_reached(l)) {
         PhTask_Watch(l->self, l->listen_fd, 0);
         l->makes_room = false;
@@ -88,14 +135,11 @@
         connection_remove(l, key);
         return;
     }
-    PhConnection *caller = g_new0(PhConnection, 1);
-    caller->fd = info->connect_fd;
-    caller->last_progress_at = PhTask_Now(l->self);
-    g_hash_table_insert(l->connections, key, caller);
+    connection_add(l, info->connect_fd);
     callers_watch(l);
     if (g_hash_table_size(l->connections) == 1) {
         PhTask_SetTimer(l->self, sweep_token(l),
-                        caller->last_progress_at +
+                        PhTask_Now(l->self) +
                             SWEEP_INTERVAL_MS * PH_NS_PER_MS);
     }
 }
@@ -107,6 +151,7 @@
     return MHD_start_daemon(
         flags, 0, NULL, NULL, PhListener_OnAccess, l, MHD_OPTION_SOCK_ADDR,
         address, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)HEADER_MEMORY_BYTES,
         MHD_OPTION_CONNECTION_LIMIT, l->options.connection_limit,
         MHD_OPTION_CONNECTION_TIMEOUT, l->options.idle_timeout_s,
         MHD_OPTION_NOTIFY_COMPLETED, PhListener_OnCompleted, l,
@@ -199,6 +244,7 @@
     g_hash_table_destroy(l->exchanges);
     g_hash_table_destroy(l->by_fd);
     g_queue_clear(&l->idle);
+    g_queue_clear(&l->silent);
     g_hash_table_destroy(l->connections);
     g_free(l);
 }
@@ -266,6 +312,30 @@
            !caller->begun && !has_unread_bytes(caller->fd);
 }
 
+/* Reports whether the caller has closed its side before the end of its
+ * request.  libmicrohttpd misses that if the end of the stream arrives
+ * together with the last bytes: its epoll is edge-triggered, and it takes a
+ * short read for the last one. */
+static bool
+has_left(const PhConnection *caller, PhTime now)
+{
+    char byte;
+    PhTime moved_at = MAX(caller->last_progress_at,
+                          MAX(caller->begun_at, caller->receiver.progress_at));
+    return !caller->busy && !caller->closing &&
+           (caller->begun || caller->silent != NULL) &&
+           now - moved_at >= SWEEP_INTERVAL_MS * PH_NS_PER_MS &&
+           recv(caller->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+static bool
+headers_are_late(const PhListener *l, const PhConnection *caller, PhTime now)
+{
+    PhTime limit = l->options.receive.header_time;
+    return limit > 0 && caller->in_headers && !caller->closing &&
+           now - caller->begun_at >= limit;
+}
+
 /* Closes connections whose next request does not arrive completely in time,
  * even if it trickles in; while quiescing, all connections without a request.
  * libmicrohttpd then reads the end of the stream and cleans up. Both
@@ -280,20 +350,43 @@
     g_hash_table_iter_init(&iter, l->connections);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         PhConnection *caller = value;
-        if (is_to_be_closed(l, caller, now)) {
+        if (is_to_be_closed(l, caller, now) || has_left(caller, now)) {
             caller->closing = true;
             shutdown(caller->fd, SHUT_RDWR);
         }
+        else if (headers_are_late(l, caller, now)) {
+            PhConnection_CloseSlowHeaders(caller);
+        }
     }
-    if (g_hash_table_size(l->connections) > 0) {
+    callers_watch(l);
+    if (PhListener_ReturnMemory(l) || g_hash_table_size(l->connections) > 0) {
         PhTask_SetTimer(l->self, sweep_token(l),
                         now + SWEEP_INTERVAL_MS * PH_NS_PER_MS);
     }
 }
 
-/* Closes the connection that has been idle for the longest time, so that the
- * caller that waits is accepted. Without an idle one it waits for the next
- * answer. */
+/* Returns the oldest connection that has sent no request for longer than its
+ * headers may take, NULL if there is none. */
+static PhConnection *
+silent_find(const PhListener *l)
+{
+    PhTime limit = l->options.receive.header_time;
+    PhTime now = PhTask_Now(l->self);
+    for (GList *at = l->silent.head; limit > 0 && at != NULL; at = at->next) {
+        PhConnection *caller = at->data;
+        if (now - caller->last_progress_at < limit) {
+            return NULL;
+        }
+        if (!caller->closing && !has_unread_bytes(caller->fd)) {
+            return caller;
+        }
+    }
+    return NULL;
+}
+
+/* Closes a connection that has sent nothing for long, or else the one that has
+ * been idle for the longest time, so that the caller that waits is accepted.
+ * Without one it waits for the next answer or sweep. */
 static void
 callers_ready(PhListener *l)
 {
@@ -301,6 +394,12 @@
     if (l->makes_room || !limit_is_reached(l)) {
         return;
     }
+    PhConnection *silent = silent_find(l);
+    if (silent != NULL) {
+        l->makes_room = true;
+        PhConnection_CloseSlowHeaders(silent);
+        return;
+    }
     for (GList *at = l->idle.head; at != NULL; at = at->next) {
         PhConnection *caller = at->data;
         if (!has_unread_bytes(caller->fd)) {
@@ -375,6 +474,10 @@
     if (l->close_after_response) {
         MHD_add_response_header(x->response, "Connection", "close");
     }
+    PhConnection_Hold(x->caller, PH_RECEIVER_ANSWERING, body.len);
+    if (!PhConnection_Reserve(x->caller, 0)) {
+        shutdown(x->caller->fd, SHUT_RDWR);
+    }
     exchange_resume(x);
 }
 
--- a/services/platform/listener_internal.h
+++ b/services/platform/listener_internal.h
@@ -7,12 +7,18 @@
 #include "peridothill/services/listener.h"
 
 typedef struct PhConnection {
+    PhReceiver receiver; /* its part of the budget */
+    PhListener *listener;
+    struct PhExchange *exchange; /* its request, NULL before its headers */
     int fd;
-    bool begun;   /* the first line of its request was read */
+    bool begun;      /* the first line of its request was read */
+    bool in_headers; /* and the headers were not */
+    PhTime begun_at;
     bool busy;    /* its request was delivered and is not answered yet */
     bool closing; /* was shut down */
     PhTime last_progress_at; /* opened, headers received or answered */
     GList *idle;             /* its link in PhListener.idle, or NULL */
+    GList *silent;           /* its link in PhListener.silent, or NULL */
 } PhConnection;
 
 /* A request from its headers to its response. */
@@ -21,6 +27,7 @@
     struct MHD_Connection *connection;
     uint64_t id;
     PhBuf body;
+    uint64_t received; /* bytes of the body, stored or not */
     bool too_large;
     bool delivered;
     bool suspended;
@@ -42,8 +49,14 @@
     GHashTable *exchanges;   /* unanswered PhExchange by id */
     GHashTable *by_fd;       /* PhExchange by watched file descriptor */
     GHashTable *connections; /* PhConnection by file descriptor */
-    GQueue idle; /* answered PhConnection without a next request, oldest
-                    first */
+    GQueue idle;   /* answered PhConnection without a next request, oldest
+                      first */
+    GQueue silent; /* PhConnection on which no request has begun yet, oldest
+                      first */
+    PhTime budget_logged_at; /* 0: never */
+    PhTime headers_logged_at;
+    uint64_t budget_closed; /* since then */
+    uint64_t headers_closed;
     bool close_after_response; /* every response closes its connection */
     bool quiescing;            /* connections without a request are closed */
     bool makes_room;    /* an idle connection was shut down at the limit */
@@ -62,6 +75,18 @@
                             void **slot, enum MHD_RequestTerminationCode code);
 void PhConnection_SetIdle(PhListener *listener, PhConnection *connection,
                           bool idle);
+void PhConnection_SetBegun(PhConnection *connection);
+/* listener_budget.c: the connection now holds so many bytes. */
+void PhConnection_Hold(PhConnection *connection, PhReceiverStage stage,
+                       size_t bytes);
+/* Closes connections until this one may hold `extra` bytes more.  Returns
+ * false if it is itself to be closed. */
+bool PhConnection_Reserve(PhConnection *connection, size_t extra);
+/* Shuts a connection down because its headers take too long. */
+void PhConnection_CloseSlowHeaders(PhConnection *connection);
+/* Returns memory to the system after much was held.  Returns true if that is
+ * still to come. */
+bool PhListener_ReturnMemory(const PhListener *listener);
 /* Stops watching for a disconnect of the caller. */
 void PhExchange_Unwatch(PhExchange *exchange);
 
--- a/services/platform/listener_request.c
+++ b/services/platform/listener_request.c
@@ -81,23 +81,54 @@
                            .header_count = headers->len};
     x->delivered = true;
     x->caller->busy = true;
+    PhConnection_Hold(x->caller, PH_RECEIVER_WAITING, x->body.capacity);
     g_hash_table_insert(l->exchanges, &x->id, x);
     l->options.on_request(l->options.context, &incoming);
     g_array_free(headers, TRUE);
+    /* The owner has taken what it needs; it counts until the answer. */
+    PhBuf_Clear(&x->body);
+}
+
+/* Makes room for `len` bytes of the body, at most the limit of bodies in all.
+ * Returns false if the budget of the process has none. */
+static bool
+body_reserve(PhExchange *x, size_t len)
+{
+    size_t need = x->body.len + len;
+    if (need <= x->body.capacity) {
+        return true;
+    }
+    size_t capacity = MAX(need, x->body.capacity * 2);
+    capacity = MAX(need, MIN(capacity, x->listener->options.body_limit_bytes));
+    if (!PhConnection_Reserve(x->caller, capacity - x->body.capacity)) {
+        return false;
+    }
+    x->body.data = g_realloc(x->body.data, capacity);
+    x->body.capacity = capacity;
+    return true;
 }
 
-/* Appends a part of the body. Returns false to close the connection. */
+/* Appends a part of the body. A body beyond the limit is read and not kept.
+ * Returns false to close the connection. */
 static bool
 body_append(PhExchange *x, const char *data, size_t len)
 {
     size_t limit = x->listener->options.body_limit_bytes;
-    if (x->body.len + len > limit) {
+    x->received += len;
+    if (x->received > limit * OVERSIZE_FACTOR || x->caller->receiver.closing) {
+        return false;
+    }
+    if (x->received > limit) {
         x->too_large = true;
+        PhBuf_Clear(&x->body);
     }
-    if (x->body.len + len > limit * OVERSIZE_FACTOR) {
+    else if (body_reserve(x, len)) {
+        PhBuf_Append(&x->body, PhStr_FromBytes(data, len));
+    }
+    else {
         return false;
     }
-    PhBuf_Append(&x->body, PhStr_FromBytes(data, len));
+    PhConnection_Hold(x->caller, PH_RECEIVER_RECEIVING, x->body.capacity);
     return true;
 }
 
@@ -166,7 +197,7 @@
                          struct MHD_Connection *connection)
 {
     (void)uri;
-    caller_find(context, connection)->begun = true;
+    PhConnection_SetBegun(caller_find(context, connection));
     return NULL;
 }
 
@@ -176,7 +207,8 @@
 exchange_begin(PhListener *l, struct MHD_Connection *connection, void **slot)
 {
     PhConnection *caller = caller_find(l, connection);
-    if (caller->closing) {
+    caller->in_headers = false;
+    if (caller->closing || caller->receiver.closing) {
         return MHD_NO;
     }
     int refusal = headers_refusal(l, connection);
@@ -189,6 +221,7 @@
     x->id = ++l->next_id;
     x->fd = -1;
     x->caller = caller;
+    caller->exchange = x;
     x->caller->last_progress_at = PhTask_Now(l->self);
     PhConnection_SetIdle(l, x->caller, false);
     *slot = x;
@@ -231,6 +264,10 @@
         *data_len = 0;
         return taken ? MHD_YES : MHD_NO;
     }
+    /* The budget has taken the body of a request that was not delivered. */
+    if (!x->delivered && x->caller->receiver.closing) {
+        return MHD_NO;
+    }
     if (x->too_large) {
         return respond_refusal(connection, STATUS_TOO_LARGE);
     }
@@ -270,6 +307,8 @@
     uint64_t id = x->id;
     x->caller->begun = false;
     x->caller->busy = false;
+    x->caller->exchange = NULL;
+    PhConnection_Hold(x->caller, PH_RECEIVER_RECEIVING, 0);
     x->caller->last_progress_at = PhTask_Now(l->self);
     PhConnection_SetIdle(l, x->caller, true);
     exchange_destroy(x);
--- a/services/requests/entry.c
+++ b/services/requests/entry.c
@@ -125,6 +125,7 @@
                                  .body_limit_bytes = o->body_limit_bytes,
                                  .connection_limit = o->connection_limit,
                                  .idle_timeout_s = o->idle_timeout_s,
+                                 .receive = o->receive,
                                  .context = entry,
                                  .on_request = on_request,
                                  .on_client_disconnect = on_client_disconnect};
--- a/tests/platform/test_malformed_documents.c
+++ b/tests/platform/test_malformed_documents.c
@@ -182,7 +182,7 @@
     PhResult r = PhResult_Ok();
     switch (c->kind) {
     case DOCUMENT_JOB:
-        r = PhWire_DecodeJob(text, &spec);
+        r = PhWire_DecodeJob(text, UINT64_MAX, &spec);
         if (PhResult_IsOk(&r)) {
             spec.id = PhStr_Dup(PhStr_LITERAL(ID));
             r = PhSchedSpec_Check(&spec);
--- /dev/null
+++ b/tests/platform/test_receive_limits.c
@@ -0,0 +1,290 @@
+/* Guards against limits on what is received that clients within the stated
+ * limits meet, and against slow headers that keep a connection. */
+#include <string.h>
+
+#include "peridothill/codec/json.h"
+#include "peridothill/services/listener.h"
+#include "raw_caller.h"
+#include "tests/paused_loop.h"
+#include "tests/table.h"
+
+enum {
+    BODY_LIMIT_BYTES = 256 * 1024,
+    HEADERS_BYTES = 16384, /* stated to clients */
+    PIECE_BYTES = 4096,
+    RUN_STEPS = 20,
+    WAIT_STEPS = 900, /* beyond header_time */
+};
+
+typedef struct PhReceiveCase {
+    const char *name;
+    size_t header_lines; /* of equal length, HEADERS_BYTES in all */
+    size_t body;         /* bytes */
+    uint64_t budget;     /* 0: none */
+    bool pauses;         /* in the headers, for longer than header_time */
+    int status;          /* 0: closed without an answer */
+} PhReceiveCase;
+
+static const PhReceiveCase receive_cases[] = {
+    {"largest headers, few lines", 4, 4, 0, false, 200},
+    {"largest headers, many lines", 200, 4, 0, false, 200},
+    {"largest headers and body, budget of that size", 200, BODY_LIMIT_BYTES,
+     BODY_LIMIT_BYTES, false, 200},
+    {"body beyond the budget", 4, BODY_LIMIT_BYTES, BODY_LIMIT_BYTES - 1,
+     false, 0},
+    {"headers that take too long", 4, 4, 0, true, 0},
+};
+
+typedef struct PhReceiveServer {
+    PhTask *self;
+    PhListener *listener;
+    PhReceiveBudget *budget;
+    size_t body; /* bytes of the last request */
+    size_t requests;
+    PhRawCaller caller;
+} PhReceiveServer;
+
+static void
+on_request(void *context, const PhIncoming *incoming)
+{
+    PhReceiveServer *s = context;
+    s->body = incoming->body.len;
+    s->requests++;
+    PhListener_Answer(s->listener, incoming->id, 200, NULL, 0, (PhStr){0});
+}
+
+static void
+on_client_disconnect(void *context, uint64_t id)
+{
+    (void)context;
+    (void)id;
+}
+
+static void
+server_handle(void *state, PhTask *self, const PhMail *mail)
+{
+    PhReceiveServer *s = state;
+    s->self = self;
+    if (mail->kind == PH_MAIL_START) {
+        PhListenerOptions options = {
+            .address = PhStr_LITERAL("127.0.0.1:0"),
+            .body_limit_bytes = BODY_LIMIT_BYTES,
+            .connection_limit = 8,
+            .idle_timeout_s = 60,
+            .receive = {.budget = s->budget, .header_time = 3 * PH_NS_PER_S},
+            .context = s,
+            .on_request = on_request,
+            .on_client_disconnect = on_client_disconnect};
+        PhResult r = PhListener_Create(self, &options, &s->listener);
+        assert_int_equal(r.status, PH_STATUS_OK);
+        return;
+    }
+    PhListener_Handle(s->listener, mail);
+}
+
+static void
+server_destroy(void *state)
+{
+    PhListener_Destroy(((PhReceiveServer *)state)->listener);
+}
+
+static void
+loop_run(PhReceiveServer *s, struct ev_loop *loop, PhClock *clock, int steps)
+{
+    for (int i = 0; i < steps; i++) {
+        PhPausedLoop_Step(loop, clock);
+        PhRawCaller_Read(&s->caller);
+    }
+}
+
+/* The headers of a case; all of it takes HEADERS_BYTES. */
+static char *
+headers_make(const PhReceiveCase *c)
+{
+    GString *text = g_string_new("POST /a HTTP/1.1\r\nHost: a\r\n");
+    g_string_append_printf(text, "Content-Length: %zu\r\n", c->body);
+    size_t left = HEADERS_BYTES - text->len - 2;
+    for (size_t i = c->header_lines; i > 0; i--) {
+        size_t line = left / i;
+        size_t before = text->len;
+        g_string_append_printf(text, "X-%zu: ", i);
+        while (text->len < before + line - 2) {
+            g_string_append_c(text, 'x');
+        }
+        g_string_append(text, "\r\n");
+        left -= line;
+    }
+    g_string_append(text, "\r\n");
+    assert_int_equal(text->len, HEADERS_BYTES);
+    return g_string_free(text, FALSE);
+}
+
+/* Sends in pieces, between which the listener reads. */
+static void
+text_send(PhReceiveServer *s, const char *text, struct ev_loop *loop,
+          PhClock *clock)
+{
+    char piece[PIECE_BYTES + 1];
+    while (*text != '\0' && s->caller.fd >= 0) {
+        g_strlcpy(piece, text, sizeof(piece));
+        PhRawCaller_Send(&s->caller, piece);
+        loop_run(s, loop, clock, 2);
+        text += strlen(piece);
+    }
+}
+
+static void
+request_play(PhReceiveServer *s, const PhReceiveCase *c, struct ev_loop *loop,
+             PhClock *clock)
+{
+    char *headers = headers_make(c);
+    char *body = g_strnfill(c->body, 'b');
+    char *rest = headers + HEADERS_BYTES / 2;
+    char *first = g_strndup(headers, HEADERS_BYTES / 2);
+    PhRawCaller_Open(&s->caller, PhListener_Port(s->listener));
+    text_send(s, first, loop, clock);
+    loop_run(s, loop, clock, c->pauses ? WAIT_STEPS : 1);
+    text_send(s, rest, loop, clock);
+    text_send(s, body, loop, clock);
+    loop_run(s, loop, clock, RUN_STEPS);
+    g_free(first);
+    g_free(headers);
+    g_free(body);
+}
+
+static void
+receive_run(const PhReceiveCase *c)
+{
+    struct ev_loop *loop = ev_loop_new(0);
+    PhClock *clock = PhPausedLoop_CreateClock();
+    PhCounters *counters = PhCounters_Create();
+    PhKernel *kernel = PhKernel_Create(&(PhKernelOptions){
+        .clock = clock, .loop = loop, .counters = counters});
+    PhReceiveServer s = {.caller.fd = -1};
+    if (c->budget > 0) {
+        s.budget = PhReceiveBudget_Create(c->budget);
+    }
+    PhTaskSpec spec = {.name = PhStr_LITERAL("server"),
+                       .mailbox_capacity = 16,
+                       .state = &s,
+                       .handle = server_handle,
+                       .destroy = server_destroy};
+    assert_int_equal(PhKernel_Spawn(kernel, &spec, NULL), PH_STATUS_OK);
+    loop_run(&s, loop, clock, 1);
+    request_play(&s, c, loop, clock);
+    assert_int_equal(strstr(s.caller.reply, "HTTP/1.1 200") != NULL,
+                     c->status == 200);
+    assert_int_equal(s.caller.reply_len > 0, c->status != 0);
+    assert_int_equal(s.body, c->status == 200 ? c->body : 0);
+    assert_int_equal(s.caller.closed, c->status == 0);
+    PhRawCaller_Close(&s.caller);
+    loop_run(&s, loop, clock, RUN_STEPS);
+    assert_int_equal(PhListener_Connections(s.listener), 0);
+    if (s.budget != NULL) {
+        assert_int_equal(PhReceiveBudget_Used(s.budget), 0);
+    }
+    PhKernel_Destroy(kernel);
+    PhReceiveBudget_Destroy(s.budget);
+    PhCounters_Destroy(counters);
+    PhClock_Destroy(clock);
+    ev_loop_destroy(loop);
+}
+
+static void
+test_receive(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(receive_cases, receive_run);
+}
+
+/* Guards against a request that is delivered although the budget has taken
+ * its body: only its end arrives after that. */
+static void
+test_end_after_close(void **state)
+{
+    struct ev_loop *loop = ev_loop_new(0);
+    PhClock *clock = PhPausedLoop_CreateClock();
+    PhCounters *counters = PhCounters_Create();
+    PhKernel *kernel = PhKernel_Create(&(PhKernelOptions){
+        .clock = clock, .loop = loop, .counters = counters});
+    PhReceiveServer s = {.caller.fd = -1, .budget = PhReceiveBudget_Create(5)};
+    PhRawCaller other = {.fd = -1};
+    PhTaskSpec spec = {.name = PhStr_LITERAL("server"),
+                       .mailbox_capacity = 16,
+                       .state = &s,
+                       .handle = server_handle,
+                       .destroy = server_destroy};
+    (void)state;
+    assert_int_equal(PhKernel_Spawn(kernel, &spec, NULL), PH_STATUS_OK);
+    loop_run(&s, loop, clock, 1);
+    PhRawCaller_Open(&s.caller, PhListener_Port(s.listener));
+    PhRawCaller_Open(&other, PhListener_Port(s.listener));
+    PhRawCaller_Send(&s.caller, "POST /a HTTP/1.1\r\nHost: a\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n"
+                                "4\r\nbody\r\n");
+    PhRawCaller_Send(&other, "POST /b HTTP/1.1\r\nHost: a\r\n"
+                             "Content-Length: 3\r\n\r\n");
+    loop_run(&s, loop, clock, RUN_STEPS);
+    assert_int_equal(s.requests, 0);
+    PhRawCaller_Send(&other, "new"); /* read first */
+    PhRawCaller_Send(&s.caller, "0\r\n\r\n");
+    loop_run(&s, loop, clock, RUN_STEPS);
+    assert_int_equal(s.requests, 1);
+    assert_int_equal(s.body, 3);
+    assert_true(s.caller.closed);
+    assert_int_equal(
+        PhCounters_Get(counters, PH_COUNTER_RECEIVE_BUDGET_CLOSED), 1);
+    PhRawCaller_Close(&other);
+    PhKernel_Destroy(kernel);
+    PhReceiveBudget_Destroy(s.budget);
+    PhCounters_Destroy(counters);
+    PhClock_Destroy(clock);
+    ev_loop_destroy(loop);
+}
+
+typedef struct PhValuesCase {
+    const char *name;
+    PhStr text;
+    uint64_t values;
+} PhValuesCase;
+
+static const PhValuesCase values_cases[] = {
+    {"number", PhStr_LITERAL("1"), 1},
+    {"empty object", PhStr_LITERAL(" { } "), 1},
+    {"members", PhStr_LITERAL("{\"a\":1,\"b\":[]}"), 3},
+    {"objects in an array", PhStr_LITERAL("[{},{}, {}]"), 4},
+    {"nested", PhStr_LITERAL("[[[1]]]"), 4},
+    {"characters in strings", PhStr_LITERAL("[\"[,{\\\"\\\\\",\"],\"]"), 3},
+    {"string without an end", PhStr_LITERAL("[\"a\\"), 2},
+};
+
+static void
+values_run(const PhValuesCase *c)
+{
+    json_t *value;
+    assert_int_equal(PhJson_CountValues(c->text), c->values);
+    PhResult r = PhJson_ParseLimited(c->text, c->values - 1, &value);
+    assert_int_equal(r.status, PH_STATUS_TOO_LARGE);
+    assert_null(value);
+    r = PhJson_ParseLimited(c->text, c->values, &value);
+    assert_int_not_equal(r.status, PH_STATUS_TOO_LARGE);
+    json_decref(value);
+}
+
+static void
+test_values(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(values_cases, values_run);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_receive),
+        cmocka_unit_test(test_end_after_close),
+        cmocka_unit_test(test_values),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/schedule/test_schedule_codec.c
+++ b/tests/schedule/test_schedule_codec.c
@@ -48,7 +48,7 @@
 job_run(const PhJobCase *c)
 {
     PhSchedSpec spec;
-    PhResult r = PhWire_DecodeJob(c->text, &spec);
+    PhResult r = PhWire_DecodeJob(c->text, UINT64_MAX, &spec);
     assert_int_equal(PhResult_IsOk(&r), c->valid);
     if (!c->valid) {
         return;
