soak: instances know their memory

Cause: the soak is to run with the receive budget derived from memory, as the deploy template sets it. Change: memory = 160MB in its settings.

--- a/tests/soak/processes.c
+++ b/tests/soak/processes.c
@@ -79,7 +79,7 @@
         "deployment = platform\n[callers]\nlisten = 127.0.0.1:%u\n"
         "[scheduler]\nstore = 127.0.0.1:%u\nready = 127.0.0.1:%u\n"
         "link = 127.0.0.1:%u\nlease_limit = 10000ms\n"
-        "[limits]\ndrain_notice = 2500ms\ndrain_limit = 5s\n"
+        "[limits]\ndrain_notice = 2500ms\ndrain_limit = 5s\nmemory = 160MB\n"
         "[log]\nlevel = info\n",
         i, plan->callers_ports[i], plan->store_proxy_ports[i],
         plan->ready_ports[i], plan->link_ports[i]);
