--- a/decide/schedule/admission.c
+++ b/decide/schedule/admission.c
@@ -112,6 +112,10 @@
 PhScheduler_Admit(PhScheduler *s, const PhSchedSpec *spec, PhTime now)
 {
     PhAdmission accepted = {.tag = PH_ADMISSION_ACCEPTED};
+    PhAdmission tasks = PhScheduler_AdmitTasks(s, spec);
+    if (tasks.tag != PH_ADMISSION_ACCEPTED) {
+        return tasks;
+    }
     if (s->fence == 0) {
         return accepted;
     }
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -25,8 +25,10 @@
     PhTime dispatch_delay; /* starts that take longer on average are to be sent
                               by other instances; 0: all */
     PhTime pace_lag; /* from a pace order until samples show its effect */
-    PhTime report_interval; /* workers write their entries about this often;
-                               0: unknown */
+    PhTime report_interval;    /* workers write their entries about this often;
+                                  0: unknown */
+    uint64_t active_tasks_max; /* tasks of all jobs that have not ended; 0: no
+                                  limit */
     uint64_t room_reserve_percent; /* largest share of the workers' CPU that
                                       new long-running jobs leave for jobs
                                       that end; 0: no job is refused for want
@@ -361,6 +363,8 @@
                             */
     PH_ADMISSION_ROOM,     /* it would hold room that urgent jobs need */
     PH_ADMISSION_TOO_LATE, /* it would end too late to be of value */
+    PH_ADMISSION_TASKS,    /* the jobs that have not ended have too many tasks
+                            */
 } PhAdmissionTag;
 
 /* What decided on a submission, and when a refused one may return. */
@@ -379,14 +383,21 @@
             PhTime rest;  /* critical path */
             PhTime limit; /* latest end with value */
         } late;
+        uint64_t active_tasks;
     } as;
 } PhAdmission;
 
+/* The limit from the settings: `active_tasks`, or fewer if they take more than
+ * an eighth of the memory; 0 bytes: not known. */
+uint64_t PhScheduler_ActiveTasksMax(uint64_t active_tasks, uint64_t memory);
+/* Tasks of submissions that were admitted and are not in the model yet. */
+void PhScheduler_SetPendingTasks(PhScheduler *scheduler, uint64_t count);
+
 /* Decides on a new submission.  Jobs whose tasks would wait too long for order
  * capacity are refused, unless they have tasks that are to last: these go
  * first.  With `room_reserve_percent`, long-running jobs leave room for urgent
  * ones, and jobs that would end too late are refused.  Accepts everything
- * unless this is the owner. */
+ * but what exceeds the limit of tasks unless this is the owner. */
 PhAdmission PhScheduler_Admit(PhScheduler *scheduler, const PhSchedSpec *spec,
                               PhTime now);
 /* Reports whether long-running jobs of all services are refused for want of
--- a/services/schedule/schedule_calls.c
+++ b/services/schedule/schedule_calls.c
@@ -8,6 +8,9 @@
 static const PhTime RETRY_AFTER = 1 * PH_NS_PER_S;
 /* The readiness check fails if the store has not answered for this long. */
 static const PhTime READY_STORE_AGE_MAX = 2400 * PH_NS_PER_MS;
+/* Submissions beyond the limit of tasks are logged at most once in this time.
+ */
+static const PhTime LOG_INTERVAL = 1 * PH_NS_PER_S;
 /* Reasons of refusals. */
 static const char JOBS_UNREAD[] = "jobs not read from the store recently";
 static const char RUNS_UNREAD[] = "runs not read from the store recently";
@@ -137,10 +140,27 @@
     PhSchedSpec_Clear(&call->spec);
 }
 
+/* Clients that are refused for the number of tasks may be many. */
+static void
+log_tasks(PhScheduleTask *t, const PhClientCall *call, uint64_t active)
+{
+    PhTime now = PhTask_Now(t->self);
+    if (t->tasks_logged_at != 0 && now - t->tasks_logged_at < LOG_INTERVAL) {
+        return;
+    }
+    t->tasks_logged_at = now;
+    PhTask_LOG(t->self, PH_EVENT_RECEIVE_ACTIVE_TASKS,
+               PhField_STR("job", call->subject),
+               PhField_U64("tasks", PhSchedSpec_TaskCount(&call->spec)),
+               PhField_U64("active", active),
+               PhField_U64("limit", t->options.active_tasks));
+}
+
 /* Logs and counts why a submission is refused. */
 static void
-log_refused(PhScheduleTask *t, PhStr job, const PhAdmission *a)
+log_refused(PhScheduleTask *t, const PhClientCall *call, const PhAdmission *a)
 {
+    PhStr job = call->subject;
     PhCounters *counters = PhKernel_Counters(PhTask_Kernel(t->self));
     PhOrderLoad load = PhScheduler_OrderLoad(t->scheduler);
     int64_t retry_ms = a->retry_after / PH_NS_PER_MS;
@@ -173,13 +193,17 @@
                    PhField_I64("rest_ms", a->as.late.rest / PH_NS_PER_MS),
                    PhField_I64("limit_ms", a->as.late.limit / PH_NS_PER_MS));
         break;
+    case PH_ADMISSION_TASKS:
+        PhCounters_Add(counters, PH_COUNTER_RECEIVE_ACTIVE_TASKS, 1);
+        log_tasks(t, call, a->as.active_tasks);
+        break;
     }
 }
 
 static void
 refuse_admission(PhScheduleTask *t, PhClientCall *call, const PhAdmission *a)
 {
-    log_refused(t, call->subject, a);
+    log_refused(t, call, a);
     PhScheduleCalls_Answer(
         t, &call->origin,
         (PhScheduleAnswer){.tag = PH_SCHEDULE_OVERLOADED,
@@ -232,6 +256,7 @@
     case PH_LASTING_DECIDE:
         break;
     }
+    PhScheduler_SetPendingTasks(t->scheduler, PhScheduleAccept_Tasks(t));
     PhAdmission admission =
         PhScheduler_Admit(t->scheduler, &call->spec, PhTask_Now(t->self));
     if (admission.tag == PH_ADMISSION_ACCEPTED) {
