schedule: claims last until their promised time, and what may use them is checked again

Cause: a review of claims on workers found that - a claim ended after 3 s whatever the expected time, so that a claimant that was due later never started and its worker counted as failed; - an overdue task was always expected to end in 250 ms, so that claims went back and forth between two workers whose tasks overran; - interrupted long-running tasks of any priority could start beside a claim, although placement sorts by priority first; - a claim in force was checked for less than a new one; - gangs that were a known shortage were tried on all workers in every pass, and every skipped stage was rated on all claimed workers; - passes without a claimant searched wide stages for one each time.

Change: a claim ends 2 s after the time at which its claimant was expected to fit; a worker that is due later than 10 s is not claimed. An overdue task is expected to need as much time again as it is overdue, one that is being stopped as much as since its first stop order. Priority comes first beside a claim and among claimants. Doubt, worker limit, failed runs, priority and objective end a claim in force. Gangs that are a known shortage are skipped unless interrupted. The last request that did not fit on the claimed workers is kept apart, with its run time; a larger known shortage no longer replaces a smaller one. A wide stage that ends is not searched at each start, and the next search for claims is 0.1 s after each pass that looked for claimants.

--- a/decide/schedule/claims.c
+++ b/decide/schedule/claims.c
@@ -6,12 +6,19 @@
 
 #include <stdlib.h>
 
-/* A task that runs for longer than its estimate is expected to end so much
- * later than now, and so is one that is being stopped. */
-static const PhTime OVERDUE_TIME = 250 * PH_NS_PER_MS;
-/* A claim on a worker whose tasks don't end as expected is given up then, and
- * a worker is chosen anew. */
-static const PhTime CLAIM_TIME = 3 * PH_NS_PER_S;
+/* A task that runs for longer than its estimate is expected to need as much
+ * time again as it is overdue, at least this.  With a fixed time, workers
+ * whose tasks never end would always seem to be free first. */
+static const PhTime OVERDUE_MIN = 250 * PH_NS_PER_MS;
+/* A worker that is expected to be free later than that is not claimed: few may
+ * be claimed, and tasks of 5 to 11 cores waited for 9 to 20 s without claims.
+ */
+static const PhTime DUE_MAX = 10 * PH_NS_PER_S;
+/* A claim is given up when its claimant has not started this long after the
+ * time at which it was expected to fit, and another worker is chosen.  Covers
+ * the starts of the tasks on the worker and estimates that are a little short.
+ */
+static const PhTime CLAIM_GRACE = 2 * PH_NS_PER_S;
 /* Limits the CPU time of the choice, which looks at every placed task. */
 static const PhTime SEARCH_INTERVAL = 100 * PH_NS_PER_MS;
 /* Until a worker is searched again for tasks of a stage that fit nowhere. */
@@ -27,14 +34,17 @@
 PhClaim_ExpectedEnd(const PhSchedTask *task, PhTime now)
 {
     const PhSchedStep *step = PhSchedTask_Step(task);
+    PhTime end;
     if (task->stopping) {
-        return now + OVERDUE_TIME;
+        end = task->stop_sent_at == 0 ? now : task->stop_sent_at;
     }
-    if (step->long_running || step->estimate == 0) {
+    else if (step->long_running || step->estimate == 0) {
         return PH_TIME_NEVER;
     }
-    PhTime end = task->since + step->estimate;
-    return end > now ? end : now + OVERDUE_TIME;
+    else {
+        end = task->since + step->estimate;
+    }
+    return end > now ? end : now + MAX(OVERDUE_MIN, now - end);
 }
 
 /* What a task takes of its worker; the CPU of backfill tasks is not counted.
@@ -128,19 +138,26 @@
     return resources_fit(need, &left);
 }
 
-/* Interrupted long-running tasks go before everything.  Without an estimate
- * nobody knows how long a task would stand in the way.  The members of a gang
- * are chosen together, and each of them would count on the same spare room. */
+/* Whether a task is placed before the claimant: its own stage, and interrupted
+ * long-running tasks of no lower priority. */
+static bool
+goes_before(const PhSchedTask *task, const PhSchedStage *claiming)
+{
+    return is_claimant(task) && (task->stage == claiming ||
+                                 (PhSchedTask_Step(task)->long_running &&
+                                  task->stage->job->spec.terms.priority <=
+                                      claiming->job->spec.terms.priority));
+}
+
+/* Without an estimate nobody knows how long a task would stand in the way.
+ * The members of a gang are chosen together, and each of them would count on
+ * the same spare room. */
 bool
 PhClaim_Admits(const PhSchedWorker *w, const PhSchedTask *task, PhTime now)
 {
     const PhSchedClaim *claim = &w->claim;
     const PhSchedStep *step = PhSchedTask_Step(task);
-    if (is_claimant(task) &&
-        (step->long_running || task->stage == claim->stage)) {
-        return true;
-    }
-    if (ends_before(step, claim, now)) {
+    if (goes_before(task, claim->stage) || ends_before(step, claim, now)) {
         return true;
     }
     if (step->gang ||
@@ -229,15 +246,17 @@
 }
 
 /* The first waiting task that a stage may claim a worker for and that has
- * waited since `latest`, or NULL. */
+ * waited since `latest`, or NULL.  With `w`, only one that has not failed
+ * there. */
 static PhSchedTask *
-stage_claimant(const PhScheduler *s, const PhSchedStage *stage, PhTime latest)
+stage_claimant(const PhScheduler *s, const PhSchedStage *stage,
+               const PhSchedWorker *w, PhTime latest)
 {
     uint32_t count = stage->job->spec.steps[stage->number].count;
     for (uint32_t i = 0; i < count && stage->waiting > 0; i++) {
         PhSchedTask *task = &stage->tasks[i];
         if (task->state == PH_SCHED_TASK_WAITING && is_claimant(task) &&
-            task->reserved == NULL &&
+            task->reserved == NULL && (w == NULL || task->failed_on != w) &&
             PhScheduler_WaitsSince(s, task) <= latest) {
             return task;
         }
@@ -245,14 +264,49 @@
     return NULL;
 }
 
+/* Whether a stage has a task that may use its claim.  All waiting tasks of a
+ * stage that ends may, and no search of a wide stage is needed. */
+static bool
+has_claimant(const PhScheduler *s, const PhSchedStage *stage, PhTime now)
+{
+    bool lasts = stage->job->spec.steps[stage->number].long_running;
+    return stage->waiting > 0 &&
+           (!lasts || stage_claimant(s, stage, NULL, now) != NULL);
+}
+
+/* Whether the tasks of a stage that end may claim a worker. */
+static bool
+is_claiming_job(const PhSchedJob *job, PhObjectiveStatus status)
+{
+    return job->spec.terms.priority == 0 && status != PH_OBJECTIVE_MISSED;
+}
+
+/* Whether room is all that a task lacks on a usable worker. */
+static bool
+is_claimable(const PhSchedWorker *w, const PhSchedTask *task, PhTime now)
+{
+    return w != task->failed_on &&
+           PhSchedWorker_Doubt(w, now) == PH_DOUBT_NONE &&
+           w != task->stage->claim_failed_on &&
+           PhScheduler_IsEligible(w, task) &&
+           !PhSchedTask_IsAtWorkerLimit(task, w);
+}
+
 static bool
 claim_is_over(const PhScheduler *s, const PhSchedWorker *w, PhTime now)
 {
     const PhSchedStage *stage = w->claim.stage;
-    return stage == NULL || now >= w->claim.until ||
-           PhSchedJob_IsOver(stage->job) || !PhScheduler_IsUsable(w, now) ||
-           !PhScheduler_IsEligible(w, &stage->tasks[0]) ||
-           stage_claimant(s, stage, now) == NULL;
+    if (stage->waiting == 0 || now >= w->claim.until ||
+        PhSchedJob_IsOver(stage->job) || !PhScheduler_IsUsable(w, now)) {
+        return true;
+    }
+    const PhSchedTask *task = stage_claimant(s, stage, w, now);
+    if (task == NULL || !is_claimable(w, task, now)) {
+        return true;
+    }
+    return !PhSchedTask_Step(task)->long_running &&
+           !is_claiming_job(stage->job, PhSchedJob_ObjectiveStatus(
+                                            stage->job, stage->round, now));
 }
 
 void
@@ -260,10 +314,11 @@
 {
     for (guint i = s->claims->len; i-- > 0;) {
         PhSchedWorker *w = g_ptr_array_index(s->claims, i);
-        if (w->claim.stage != NULL && now >= w->claim.until) {
-            w->claim.stage->claim_failed_on = w;
+        PhSchedStage *stage = w->claim.stage;
+        if (stage != NULL && now >= w->claim.until) {
+            stage->claim_failed_on = w;
         }
-        if (claim_is_over(s, w, now)) {
+        if (stage == NULL || claim_is_over(s, w, now)) {
             claim_end(s, w);
         }
         else {
@@ -297,7 +352,7 @@
     PhSchedWorker *claimed = task->stage->claimed;
     bool claimant = !step->long_running || task->run > 1;
     if (claimed != NULL && claimant &&
-        (claimed == w || stage_claimant(s, task->stage, now) == NULL)) {
+        (claimed == w || !has_claimant(s, task->stage, now))) {
         claim_end(s, claimed);
     }
     if (w->claim.stage == NULL) {
@@ -332,13 +387,12 @@
     case PH_CANDIDATE_LASTING:
         return NULL;
     case PH_CANDIDATE_ENDING:
-        if (stage->job->spec.terms.priority != 0 ||
-            c->objective_status == PH_OBJECTIVE_MISSED) {
+        if (!is_claiming_job(stage->job, c->objective_status)) {
             return NULL;
         }
         break;
     }
-    return stage_claimant(s, stage, now - s->options.claim_after);
+    return stage_claimant(s, stage, NULL, now - s->options.claim_after);
 }
 
 /* The expected ends on a worker that is not claimed. */
@@ -379,17 +433,6 @@
     resources_raise(&search->attainable, &sum);
 }
 
-/* Whether room is all that a task lacks on a usable worker. */
-static bool
-is_claimable(const PhSchedWorker *w, const PhSchedTask *task, PhTime now)
-{
-    return w != task->failed_on &&
-           PhSchedWorker_Doubt(w, now) == PH_DOUBT_NONE &&
-           w != task->stage->claim_failed_on &&
-           PhScheduler_IsEligible(w, task) &&
-           !PhSchedTask_IsAtWorkerLimit(task, w);
-}
-
 /* Finds the worker on which the task is expected to fit first, or NULL.  Of
  * several the one with the least free CPU is taken, as in placement. */
 static PhSchedWorker *
@@ -409,6 +452,9 @@
         PhClaimRoom room =
             room_of(f->worker, s->claim_ends, f->first, f->count);
         PhTime due = PhClaimRoom_FitsFrom(&room, need, now);
+        if (due > now + DUE_MAX) {
+            continue;
+        }
         bool better = due < best_due || (best != NULL && due == best_due &&
                                          room.free.cpu_milli < best_free);
         if (better && is_claimable(f->worker, task, now)) {
@@ -431,14 +477,19 @@
     return MAX(cpu, MAX(mem, gpu));
 }
 
-/* Interrupted long-running tasks come first, then those that need most of a
- * worker: small ones fit wherever a task ends, and wait because others go
- * before them. */
+/* As in placement, priority comes first and then interrupted long-running
+ * tasks.  Of the others those that need most of a worker do: small ones fit
+ * wherever a task ends, and wait because others go before them. */
 static gint
 claimant_compare(gconstpointer a, gconstpointer b, gpointer data)
 {
     const PhSchedTask *x = *(PhSchedTask *const *)a;
     const PhSchedTask *y = *(PhSchedTask *const *)b;
+    int64_t px = x->stage->job->spec.terms.priority;
+    int64_t py = y->stage->job->spec.terms.priority;
+    if (px != py) {
+        return px < py ? -1 : 1;
+    }
     bool lasts = PhSchedTask_Step(x)->long_running;
     if (lasts != PhSchedTask_Step(y)->long_running) {
         return lasts ? -1 : 1;
@@ -483,8 +534,8 @@
 claim_begin(PhScheduler *s, PhSchedWorker *w, PhTime now)
 {
     PhSchedClaim *claim = &w->claim;
-    claim->until = now + CLAIM_TIME;
     claim->promised = claim_forecast(s, w, now);
+    claim->until = claim->promised + CLAIM_GRACE;
     claim->spare = resources_less(&w->entry.capacity, &w->used);
     for (guint i = 0; i < s->claim_ends->len; i++) {
         const PhClaimEnd *end = &g_array_index(s->claim_ends, PhClaimEnd, i);
@@ -530,9 +581,12 @@
 PhScheduler_MakeClaims(PhScheduler *s, const GPtrArray *workers,
                        GPtrArray *claimants, PhTime now)
 {
+    s->next_claim_at = now + SEARCH_INTERVAL;
+    if (claimants->len == 0) {
+        return;
+    }
     PhClaimSearch search = {
         .forecasts = g_array_new(FALSE, FALSE, sizeof(PhClaimForecast))};
-    s->next_claim_at = now + SEARCH_INTERVAL;
     g_array_set_size(s->claim_ends, 0);
     for (guint i = 0; i < workers->len; i++) {
         PhSchedWorker *w = g_ptr_array_index(workers, i);
--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -162,6 +162,7 @@
         task->start_in_flight = false;
         task->stopping = false;
         task->stop_in_flight = false;
+        task->stop_sent_at = 0;
         PhSchedTask_ResetPace(task, PH_SCHED_PACE_UNKNOWN);
     }
 }
--- a/decide/schedule/model.c
+++ b/decide/schedule/model.c
@@ -486,6 +486,7 @@
     task->stalled_since = 0;
     task->stopping = false;
     task->stop_in_flight = false;
+    task->stop_sent_at = 0;
     task->stage->placed--;
     task->stage->job->tasks_placed--;
     switch (state) {
--- a/decide/schedule/placement.c
+++ b/decide/schedule/placement.c
@@ -17,11 +17,14 @@
 /* The last request for which no worker was found in this pass.  Requests of
  * the same service for at least as much of every resource are skipped, since
  * free capacity only shrinks during a pass.  They are still tried on claimed
- * workers, where more than the room decides. */
+ * workers, where the expected end of a task counts too: the last request that
+ * did not fit on these is kept apart. */
 typedef struct PhShortage {
     bool known;
     PhStr service; /* borrowed */
     PhSchedResources resources;
+    PhTime run_time; /* on claimed workers: estimate, or PH_TIME_NEVER */
+    guint claims;    /* the same: in force then; one that ends frees room */
 } PhShortage;
 
 typedef struct PhShortages {
@@ -38,7 +41,9 @@
     GPtrArray *claimants; /* PhSchedTask without room that may claim a worker;
                              NULL: no claim is due */
     PhShortages ending;
-    PhShortages lasting; /* these may start where others must not */
+    PhShortages lasting;        /* these may start where others must not */
+    PhShortages ending_claimed; /* the same on the claimed workers */
+    PhShortages lasting_claimed;
 } PhPlacementPass;
 
 static const double UNFIT = -HUGE_VAL;
@@ -155,18 +160,16 @@
 }
 
 static PhShortage *
-shortage_of(PhPlacementPass *pass, const PhSchedStep *step)
+shortage_of(PhShortages *known, const PhSchedStep *step)
 {
-    PhShortages *known = step->long_running ? &pass->lasting : &pass->ending;
     return step->fills ? &known->backfill[step->image_number] : &known->plain;
 }
 
 /* Reports whether a stage requests no less than a request that did not fit. */
 static bool
-is_known_shortage(PhPlacementPass *pass, const PhSchedStage *stage)
+shortage_covers(const PhShortage *shortage, const PhSchedStage *stage)
 {
     const PhSchedStep *step = &stage->job->spec.steps[stage->number];
-    const PhShortage *shortage = shortage_of(pass, step);
     return shortage->known &&
            PhStr_Equal(shortage->service, stage->job->spec.terms.service) &&
            step->resources.cpu_milli >= shortage->resources.cpu_milli &&
@@ -174,16 +177,66 @@
            step->resources.gpu >= shortage->resources.gpu;
 }
 
-/* Skips stages that may have failed for another reason than resources. */
+static bool
+is_known_shortage(PhPlacementPass *pass, const PhSchedStage *stage)
+{
+    const PhSchedStep *step = &stage->job->spec.steps[stage->number];
+    return shortage_covers(
+        shortage_of(step->long_running ? &pass->lasting : &pass->ending, step),
+        stage);
+}
+
+static PhShortage *
+claimed_shortage_of(PhPlacementPass *pass, const PhSchedStep *step)
+{
+    return shortage_of(step->long_running ? &pass->lasting_claimed
+                                          : &pass->ending_claimed,
+                       step);
+}
+
+static PhTime
+run_time(const PhSchedStep *step)
+{
+    return step->long_running || step->estimate == 0 ? PH_TIME_NEVER
+                                                     : step->estimate;
+}
+
+/* The same for the claimed workers, where claimants and interrupted tasks may
+ * start although others may not. */
+static bool
+is_known_claimed_shortage(PhPlacementPass *pass, const PhScheduler *s,
+                          const PhCandidate *c)
+{
+    const PhSchedStage *stage = c->stage;
+    const PhSchedStep *step = &stage->job->spec.steps[stage->number];
+    const PhShortage *shortage = claimed_shortage_of(pass, step);
+    return c->tag != PH_CANDIDATE_INTERRUPTED && stage->claimed == NULL &&
+           shortage_covers(shortage, stage) &&
+           run_time(step) >= shortage->run_time &&
+           shortage->claims == s->claims->len;
+}
+
+/* A stage did not fit on any of the first `count` workers.  Skips stages that
+ * may have failed for another reason than resources. */
 static void
-shortage_record(PhPlacementPass *pass, const PhSchedStage *stage)
+shortage_record(PhPlacementPass *pass, const PhScheduler *s,
+                const PhSchedStage *stage, guint count)
 {
     const PhSchedStep *step = &stage->job->spec.steps[stage->number];
-    if (step->requires.len == 0 && step->max_per_worker == 0) {
-        *shortage_of(pass, step) =
-            (PhShortage){.known = true,
-                         .service = stage->job->spec.terms.service,
-                         .resources = step->resources};
+    if (step->requires.len > 0 || step->max_per_worker > 0) {
+        return;
+    }
+    PhShortage shortage = {.known = true,
+                           .service = stage->job->spec.terms.service,
+                           .resources = step->resources,
+                           .run_time = run_time(step),
+                           .claims = s->claims->len};
+    if (count == pass->workers->len && !is_known_shortage(pass, stage)) {
+        *shortage_of(step->long_running ? &pass->lasting : &pass->ending,
+                     step) = shortage;
+    }
+    if (pass->claimed > 0) {
+        *claimed_shortage_of(pass, step) = shortage;
     }
 }
 
@@ -298,9 +351,7 @@
         }
         rated = true;
         if (!score_best(pass, count, &best)) {
-            if (count == pass->workers->len) {
-                shortage_record(pass, stage);
-            }
+            shortage_record(pass, s, stage, count);
             return false;
         }
         PhScheduler_StartTask(s, task, g_ptr_array_index(pass->workers, best),
@@ -347,9 +398,7 @@
         }
         PhSchedWorker *w = pass_pick(s, pass, task, count, now);
         if (w == NULL) {
-            if (count == pass->workers->len) {
-                shortage_record(pass, stage);
-            }
+            shortage_record(pass, s, stage, count);
             return false;
         }
         PhScheduler_StartTask(s, task, w, now);
@@ -370,16 +419,37 @@
     }
 }
 
+/* A waiting task of a candidate, or NULL. */
+static const PhSchedTask *
+candidate_task(const PhCandidate *c)
+{
+    const PhSchedStep *step = &c->stage->job->spec.steps[c->stage->number];
+    for (uint32_t i = 0; i < step->count; i++) {
+        if (task_placing(&c->stage->tasks[i], c->tag) != PLACING_NONE) {
+            return &c->stage->tasks[i];
+        }
+    }
+    return NULL;
+}
+
 /* Whether tasks of a candidate may start on any worker that was claimed when
  * the pass began, as far as the claims decide: only then are these workers
- * rated. */
+ * rated.  Gangs that do not fit elsewhere are not tried, since each try rates
+ * all workers for each member. */
 static bool
-is_admitted(const PhPlacementPass *pass, const PhCandidate *c, PhTime now)
+is_admitted(PhPlacementPass *pass, const PhScheduler *s, const PhCandidate *c,
+            PhTime now)
 {
-    for (guint i = 0; i < pass->claimed; i++) {
+    const PhSchedStep *step = &c->stage->job->spec.steps[c->stage->number];
+    if (pass->claimed == 0 ||
+        (step->gang && c->tag != PH_CANDIDATE_INTERRUPTED) ||
+        is_known_claimed_shortage(pass, s, c)) {
+        return false;
+    }
+    const PhSchedTask *task = candidate_task(c);
+    for (guint i = 0; task != NULL && i < pass->claimed; i++) {
         const PhSchedWorker *w = g_ptr_array_index(pass->workers, i);
-        if (w->claim.stage == NULL || c->tag == PH_CANDIDATE_INTERRUPTED ||
-            PhClaim_Admits(w, &c->stage->tasks[0], now)) {
+        if (w->claim.stage == NULL || PhClaim_Admits(w, task, now)) {
             return true;
         }
     }
@@ -400,7 +470,7 @@
         return true;
     }
     if (is_known_shortage(pass, stage)) {
-        if (!is_admitted(pass, c, now) || !has_order_room(s, c)) {
+        if (!is_admitted(pass, s, c, now) || !has_order_room(s, c)) {
             return false;
         }
         count = pass->claimed;
@@ -454,7 +524,7 @@
         all &= candidate_place(s, &pass, &g_array_index(list, PhCandidate, i),
                                now);
     }
-    if (pass.claimants != NULL && pass.claimants->len > 0) {
+    if (pass.claimants != NULL) {
         PhScheduler_MakeClaims(s, pass.workers, pass.claimants, now);
     }
     pass_end(&pass);
--- a/decide/schedule/worker_orders.c
+++ b/decide/schedule/worker_orders.c
@@ -128,6 +128,8 @@
             continue;
         }
         task->stop_in_flight = true;
+        task->stop_sent_at =
+            task->stop_sent_at == 0 ? now : task->stop_sent_at;
         run_order_init(task, PH_SCHED_ACTION_STOP, action);
         action->timeout = PhOrderWindow_Timeout(&s->window);
         return true;
--- a/include/peridothill/decide/schedule/claims.h
+++ b/include/peridothill/decide/schedule/claims.h
@@ -1,5 +1,5 @@
-/* Claims on workers: a task that has waited for long although its turn has
- * come claims the worker on which it is expected to fit first.  Until it
+/* Claims on workers: a task that has waited for claim_after although its turn
+ * has come claims the worker on which it is expected to fit first.  Until it
  * starts there, others start on that worker only if they are expected to end
  * before, or fit beside it (EASY backfilling). */
 #ifndef PERIDOTHILL_DECIDE_SCHEDULE_CLAIMS_H
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -78,8 +78,9 @@
                                   this run, 0 for none */
     bool stopping;             /* a stop is queued or has been sent */
     bool stop_in_flight;
-    int percent;      /* pace: share of full speed */
-    int percent_sent; /* pace last sent to the worker */
+    PhTime stop_sent_at; /* first stop order of this run, 0: none */
+    int percent;         /* pace: share of full speed */
+    int percent_sent;    /* pace last sent to the worker */
     PhTime pace_sent_at;
     PhTime late_pace_until; /* an unanswered pace may take effect until then */
     uint32_t paces_in_flight;
