config check: bounds reads and faults, and makes an unlisted service a warning

Cause: a review of the check found that the read of the store had no end (the time-out was per page, a repeated page was asked for again), that answers and faults had no bound, that a malformed route was reported three times, and that a service missing from the list `services` was an error, although instances do not read that list. Failed writes to standard output gave exit status 0, and options of an instance were accepted without a use.

Change: - The read has one deadline of 15 s and 64 pages at most, and refuses a page whose last key is the one asked for, or that others follow without a key. - Answers to commands end at 16 MB. - service-unknown is a warning; service-missing is the error for a queue without a service. - PhSchedDocument_AddFault keeps 100 faults and counts the others, which malformed-not-shown reports. A route that is no object has one fault.

Instances accept and refuse the same documents; only the message for a route that is no object differs ("routes[1]: not an object").

Conclusion: the check ends and its memory is bounded, whatever the store sends.

--- a/commands/client.c
+++ b/commands/client.c
@@ -8,6 +8,8 @@
     CALL_TIMEOUT_MS = 15000,
     CONNECT_TIMEOUT_MS = 3000,
     MS_PER_S = 1000,
+    /* Keeps an answer without an end from filling the memory. */
+    ANSWER_BYTES_MAX = 16 << 20,
 };
 
 #define DEFAULT_ADDRESS "127.0.0.1:8081"
@@ -89,11 +91,16 @@
     }
 }
 
-/* Write callback of libcurl; `out` is a PhBuf. */
+/* Write callback of libcurl; `out` is a PhBuf.  Returning 0 ends the call with
+ * CURLE_WRITE_ERROR. */
 static size_t
 on_body(char *data, size_t size, size_t count, void *out)
 {
-    PhBuf_Append(out, PhStr_FromBytes(data, size * count));
+    PhBuf *buf = out;
+    if (size * count > ANSWER_BYTES_MAX - buf->len) {
+        return 0;
+    }
+    PhBuf_Append(buf, PhStr_FromBytes(data, size * count));
     return size * count;
 }
 
@@ -116,13 +123,16 @@
 }
 
 static void
-options_set(CURL *curl, const char *method, const char *url, PhBuf *out)
+options_set(CURL *curl, const PhClient *client, const char *method,
+            const char *url, PhBuf *out)
 {
+    long timeout_ms =
+        client->timeout_ms > 0 ? (long)client->timeout_ms : CALL_TIMEOUT_MS;
     curl_easy_setopt(curl, CURLOPT_URL, url);
     curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
     curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
     curl_easy_setopt(curl, CURLOPT_WRITEDATA, out);
-    curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)CALL_TIMEOUT_MS);
+    curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, timeout_ms);
     curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS,
                      (long)CONNECT_TIMEOUT_MS);
     curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
@@ -140,7 +150,7 @@
     CURL *curl = curl_easy_init();
     char *url = g_strdup_printf("http://%s%s", client->address, target);
     struct curl_slist *headers = headers_make(client);
-    options_set(curl, method, url, &out);
+    options_set(curl, client, method, url, &out);
     curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
     if (body.len > 0) {
         curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE, (long)body.len);
@@ -154,9 +164,10 @@
         curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &answer.status);
     }
     else {
-        answer.result =
-            PhResult_Make(PH_STATUS_UNAVAILABLE, "%s: %s", client->address,
-                          curl_easy_strerror(code));
+        answer.result = PhResult_Make(
+            PH_STATUS_UNAVAILABLE, "%s: %s", client->address,
+            code == CURLE_WRITE_ERROR ? "the answer exceeds 16 MB"
+                                      : curl_easy_strerror(code));
     }
     answer.body = PhBuf_Take(&out);
     curl_slist_free_all(headers);
--- a/commands/client.h
+++ b/commands/client.h
@@ -15,6 +15,7 @@
     char *address;  /* IP address and port */
     char *token_file;
     PhStr token;
+    int64_t timeout_ms;   /* of a call; 0: 15 s */
     struct ev_loop *loop; /* for PhClient_Wait; created by PhClient_Open */
 } PhClient;
 
--- a/commands/config.c
+++ b/commands/config.c
@@ -184,12 +184,15 @@
 }
 
 /* Whether the arguments are those of the action "check", which sends no
- * request to an instance. */
+ * request to an instance and so has no use for its address and token. */
 static bool
-check_is_valid(int argc, char **argv, const PhConfigCheckOptions *check)
+check_is_valid(int argc, char **argv, const PhConfigCheckOptions *check,
+               const PhClient *client)
 {
     return argc == 3 && strcmp(argv[1], "check") == 0 &&
-           (check->against == NULL || check->from == NULL);
+           (check->against == NULL || check->from == NULL) &&
+           client->address == NULL && client->token_file == NULL &&
+           client->settings == NULL;
 }
 
 int
@@ -215,6 +218,7 @@
                          .details = details,
                          .entries = entries,
                          .client = &client,
+                         .opens_later = true,
                          .min_arguments = 1,
                          .max_arguments = PH_ARGUMENTS_ANY,
                          .usage_error =
@@ -227,12 +231,18 @@
         valid && against == NULL && from == NULL ? subcommand_find(argc, argv)
                                                  : NULL;
     if (subcommand != NULL) {
-        code = subcommand_run(subcommand, &client, argv + 2, as_json);
+        if (PhOptions_OpenClient(&options)) {
+            code = subcommand_run(subcommand, &client, argv + 2, as_json);
+        }
     }
-    else if (valid && check_is_valid(argc, argv, &check)) {
+    else if (valid && check_is_valid(argc, argv, &check, &client)) {
         check.path = argv[2];
         code = PhConfigCheck_Run(&check);
     }
+    else if (valid && argc > 1 && strcmp(argv[1], "check") == 0) {
+        fprintf(stderr, "peridothill config: check takes one file, --json, "
+                        "and one of --against and --from; see --help\n");
+    }
     else if (valid) {
         fprintf(stderr, "peridothill config: %s; see --help\n",
                 options.usage_error);
--- a/commands/config_check.c
+++ b/commands/config_check.c
@@ -6,6 +6,10 @@
 
 enum {
     STATUS_OK = 200,
+    MS_PER_S = 1000,
+    READ_TIMEOUT_MS = 15000, /* of all pages together */
+    /* The operators' topic has a handful of keys, which fill one page. */
+    PAGES_MAX = 64,
 };
 
 static PhResult
@@ -45,20 +49,46 @@
     return r;
 }
 
-/* Reads the newest configuration.  NOT_FOUND: the store has none. */
+/* Reads pages until one has the configuration or none follows. */
 static PhResult
-store_read(const char *address, PhStr *text)
+pages_read(PhClient *store, PhStr *text)
 {
-    PhClient store = {.address = g_strdup(address)};
     PhStr after = {0};
-    PhResult r;
-    do {
+    PhResult r = PhResult_Ok();
+    gint64 deadline = g_get_monotonic_time() +
+                      READ_TIMEOUT_MS * (G_TIME_SPAN_SECOND / MS_PER_S);
+    for (int pages = 0; text->len == 0; pages++) {
         PhStr next = {0};
-        r = page_read(&store, after, text, &next);
+        store->timeout_ms = (deadline - g_get_monotonic_time()) /
+                            (G_TIME_SPAN_SECOND / MS_PER_S);
+        if (pages == PAGES_MAX || store->timeout_ms <= 0) {
+            r = PhResult_Make(PH_STATUS_UNAVAILABLE,
+                              "%s: no configuration within %d pages and %d ms",
+                              store->address, PAGES_MAX, READ_TIMEOUT_MS);
+            break;
+        }
+        r = page_read(store, after, text, &next);
+        if (PhResult_IsOk(&r) && next.len > 0 && PhStr_Equal(next, after)) {
+            r = PhResult_Make(PH_STATUS_INVALID,
+                              "%s: a page does not go on after its key",
+                              store->address);
+        }
         PhStr_Clear(&after);
         after = next;
-    } while (PhResult_IsOk(&r) && after.len > 0 && text->len == 0);
+        if (!PhResult_IsOk(&r) || after.len == 0) {
+            break;
+        }
+    }
     PhStr_Clear(&after);
+    return r;
+}
+
+/* Reads the newest configuration.  NOT_FOUND: the store has none. */
+static PhResult
+store_read(const char *address, PhStr *text)
+{
+    PhClient store = {.address = g_strdup(address)};
+    PhResult r = pages_read(&store, text);
     PhClient_Clear(&store);
     if (PhResult_IsOk(&r) && text->len == 0) {
         return PhResult_Make(PH_STATUS_NOT_FOUND,
@@ -68,19 +98,20 @@
     return r;
 }
 
-/* The version in force has to decode: nothing can be compared with it
- * otherwise. */
+/* INVALID: instances refuse the version in force, so that there is nothing to
+ * compare with.  Fields that they refuse are the first ones decoded. */
 static PhResult
 in_force_decode(PhStr text, PhSchedDocument **in_force)
 {
     PhSchedDocument *document = PhWire_DecodeDocument(text);
-    for (guint i = 0; i < document->faults->len; i++) {
+    for (guint i = 0; document->refused && i < document->faults->len; i++) {
         const PhSchedFault *fault =
             &g_array_index(document->faults, PhSchedFault, i);
         if (fault->refused) {
             PhResult r = PhResult_Make(
-                PH_STATUS_INVALID, "version in force: %.*s: %.*s",
-                PhStr_ARG(fault->path), PhStr_ARG(fault->reason));
+                PH_STATUS_INVALID, "version in force: %.*s%s%.*s",
+                PhStr_ARG(fault->path), fault->path.len > 0 ? ": " : "",
+                PhStr_ARG(fault->reason));
             PhSchedDocument_Destroy(document);
             return r;
         }
@@ -89,28 +120,30 @@
     return PhResult_Ok();
 }
 
-/* `in_force` stays NULL if there is none to compare with. */
+static void
+message_print(const PhResult *r, const char *end)
+{
+    fprintf(stderr, "peridothill config check: %.*s%s\n",
+            PhStr_ARG(PhResult_Message(r)), end);
+}
+
+/* Reads the version in force.  `found` is false if there is none to compare
+ * with. */
 static PhResult
-in_force_read(const PhConfigCheckOptions *o, PhSchedDocument **in_force)
+in_force_read(const PhConfigCheckOptions *o, PhStr *text, bool *found)
 {
-    PhStr text = {0};
     PhResult r = PhResult_Ok();
+    *found = false;
     if (o->against != NULL) {
-        r = file_read(o->against, &text);
+        r = file_read(o->against, text);
+        *found = PhResult_IsOk(&r);
     }
     else if (o->from != NULL) {
-        r = store_read(o->from, &text);
+        r = store_read(o->from, text);
+        *found = PhResult_IsOk(&r);
     }
-    else {
-        return r;
-    }
-    if (PhResult_IsOk(&r)) {
-        r = in_force_decode(text, in_force);
-    }
-    PhStr_Clear(&text);
     if (r.status == PH_STATUS_NOT_FOUND) {
-        fprintf(stderr, "peridothill config check: %.*s\n",
-                PhStr_ARG(PhResult_Message(&r)));
+        message_print(&r, "");
         r = PhResult_Ok();
     }
     return r;
@@ -133,27 +166,53 @@
     return valid;
 }
 
+/* Checks the document; `in_force_text` is NULL if there is none.  Returns the
+ * exit code. */
+static int
+texts_check(const PhConfigCheckOptions *o, PhStr text,
+            const PhStr *in_force_text)
+{
+    PhSchedDocument *in_force = NULL;
+    PhSchedDocument *document = PhWire_DecodeDocument(text);
+    PhResult r = PhResult_Ok();
+    if (in_force_text != NULL) {
+        r = in_force_decode(*in_force_text, &in_force);
+    }
+    if (!PhResult_IsOk(&r)) {
+        message_print(&r, "; there is nothing to compare with");
+    }
+    bool valid = findings_report(o, document, in_force);
+    PhSchedDocument_Destroy(document);
+    PhSchedDocument_Destroy(in_force);
+    if (fflush(stdout) != 0 || ferror(stdout)) {
+        fprintf(stderr, "peridothill config check: cannot write the "
+                        "findings\n");
+        return PH_EXIT_USAGE;
+    }
+    if (!PhResult_IsOk(&r)) {
+        return PH_EXIT_USAGE;
+    }
+    return valid ? PH_EXIT_DONE : PH_EXIT_FAILED;
+}
+
 int
 PhConfigCheck_Run(const PhConfigCheckOptions *o)
 {
     PhStr text = {0};
-    PhSchedDocument *in_force = NULL;
+    PhStr in_force = {0};
+    bool found = false;
     int code = PH_EXIT_USAGE;
     PhResult r = file_read(o->path, &text);
     if (PhResult_IsOk(&r)) {
-        r = in_force_read(o, &in_force);
+        r = in_force_read(o, &in_force, &found);
     }
     if (PhResult_IsOk(&r)) {
-        PhSchedDocument *document = PhWire_DecodeDocument(text);
-        code = findings_report(o, document, in_force) ? PH_EXIT_DONE
-                                                      : PH_EXIT_FAILED;
-        PhSchedDocument_Destroy(document);
+        code = texts_check(o, text, found ? &in_force : NULL);
     }
     else {
-        fprintf(stderr, "peridothill config check: %.*s\n",
-                PhStr_ARG(PhResult_Message(&r)));
+        message_print(&r, "");
     }
     PhStr_Clear(&text);
-    PhSchedDocument_Destroy(in_force);
+    PhStr_Clear(&in_force);
     return code;
 }
--- a/commands/config_findings.c
+++ b/commands/config_findings.c
@@ -25,12 +25,16 @@
     switch (kind) {
     case PH_SCHED_FINDING_MALFORMED:
         return "malformed";
+    case PH_SCHED_FINDING_MALFORMED_NOT_SHOWN:
+        return "malformed-not-shown";
     case PH_SCHED_FINDING_VERSION_NOT_ABOVE:
         return "version-not-above";
     case PH_SCHED_FINDING_NAME_MISSING:
         return "name-missing";
     case PH_SCHED_FINDING_NAME_TWICE:
         return "name-twice";
+    case PH_SCHED_FINDING_SERVICE_MISSING:
+        return "service-missing";
     case PH_SCHED_FINDING_SERVICE_UNKNOWN:
         return "service-unknown";
     case PH_SCHED_FINDING_SERVICE_UNUSED:
@@ -156,6 +160,10 @@
     case PH_SCHED_FINDING_MALFORMED:
         malformed_append(out, f->as.malformed);
         break;
+    case PH_SCHED_FINDING_MALFORMED_NOT_SHOWN:
+        PhBuf_AppendFormat(out, "malformed: %" PRIu32 " more not shown",
+                           f->as.not_shown);
+        break;
     case PH_SCHED_FINDING_VERSION_NOT_ABOVE:
         PhBuf_AppendFormat(out,
                            "version %" PRIu64 " is not above version %" PRIu64
@@ -169,10 +177,14 @@
         PhBuf_Append(out, PhStr_LITERAL("has the name of "));
         entry_append(out, &f->as.other);
         break;
+    case PH_SCHED_FINDING_SERVICE_MISSING:
+        PhBuf_Append(out, PhStr_LITERAL("names no service"));
+        break;
     case PH_SCHED_FINDING_SERVICE_UNKNOWN:
         PhBuf_Append(out, PhStr_LITERAL("service "));
         PhBuf_AppendQuoted(out, f->as.service);
-        PhBuf_Append(out, PhStr_LITERAL(" does not exist"));
+        PhBuf_Append(out, PhStr_LITERAL(" is not in the list of "
+                                        "services"));
         break;
     case PH_SCHED_FINDING_SERVICE_UNUSED:
         PhBuf_Append(out, PhStr_LITERAL("no queue names this service"));
@@ -276,7 +288,7 @@
                 PhStr_ARG(PhBuf_Str(&line)));
         PhBuf_Clear(&line);
     }
-    fprintf(out, "%u errors, %u warnings, %u differences\n",
+    fprintf(out, "errors: %u, warnings: %u, differences: %u\n",
             PhFindings_Count(findings, PH_SCHED_SEVERITY_ERROR),
             PhFindings_Count(findings, PH_SCHED_SEVERITY_WARNING),
             PhFindings_Count(findings, PH_SCHED_SEVERITY_DIFFERENCE));
@@ -321,8 +333,12 @@
         json_object_set_new(row, "before", value_json(&f->as.changed.before));
         json_object_set_new(row, "after", value_json(&f->as.changed.after));
         break;
+    case PH_SCHED_FINDING_MALFORMED_NOT_SHOWN:
+        json_object_set_new(row, "count", json_integer(f->as.not_shown));
+        break;
     case PH_SCHED_FINDING_VERSION_NOT_ABOVE:
     case PH_SCHED_FINDING_NAME_MISSING:
+    case PH_SCHED_FINDING_SERVICE_MISSING:
     case PH_SCHED_FINDING_SERVICE_UNUSED:
     case PH_SCHED_FINDING_HOST_WITH_PORT:
     case PH_SCHED_FINDING_PREFIX_WITHOUT_SLASH:
--- a/commands/options.c
+++ b/commands/options.c
@@ -35,9 +35,12 @@
                 o->usage_error);
         return false;
     }
-    if (o->client == NULL) {
-        return true;
-    }
+    return o->client == NULL || o->opens_later || PhOptions_OpenClient(o);
+}
+
+bool
+PhOptions_OpenClient(const PhOptions *o)
+{
     PhResult opened = PhClient_Open(o->client);
     if (!PhResult_IsOk(&opened)) {
         fprintf(stderr, "peridothill %s: %.*s\n", o->command,
--- a/commands/options.h
+++ b/commands/options.h
@@ -19,6 +19,7 @@
     const char *details;   /* --help text after the options */
     const GOptionEntry *entries;
     PhClient *client;  /* adds its options and is opened; or NULL */
+    bool opens_later;  /* the client is opened by PhOptions_OpenClient */
     int min_arguments; /* number of arguments, at least */
     int max_arguments;
     const char *usage_error; /* message if their number is wrong */
@@ -27,5 +28,7 @@
 /* Removes the options from the command line; argv[0] stays.  Returns false
  * after printing an error to standard error. */
 bool PhOptions_Parse(const PhOptions *options, int *argc, char **argv);
+/* Returns false after printing an error to standard error. */
+bool PhOptions_OpenClient(const PhOptions *options);
 
 #endif
--- a/decide/schedule/config_check.c
+++ b/decide/schedule/config_check.c
@@ -21,10 +21,11 @@
 {
     switch (kind) {
     case PH_SCHED_FINDING_MALFORMED:
+    case PH_SCHED_FINDING_MALFORMED_NOT_SHOWN:
     case PH_SCHED_FINDING_VERSION_NOT_ABOVE:
     case PH_SCHED_FINDING_NAME_MISSING:
     case PH_SCHED_FINDING_NAME_TWICE:
-    case PH_SCHED_FINDING_SERVICE_UNKNOWN:
+    case PH_SCHED_FINDING_SERVICE_MISSING:
     case PH_SCHED_FINDING_PREFIX_TWICE:
     case PH_SCHED_FINDING_HOST_WITH_PORT:
     case PH_SCHED_FINDING_PREFIX_WITHOUT_SLASH:
@@ -34,6 +35,7 @@
     case PH_SCHED_FINDING_ZERO:
     case PH_SCHED_FINDING_HEADER_TIME_ABOVE_IDLE:
         return PH_SCHED_SEVERITY_ERROR;
+    case PH_SCHED_FINDING_SERVICE_UNKNOWN:
     case PH_SCHED_FINDING_SERVICE_UNUSED:
     case PH_SCHED_FINDING_IDS_TAKEN:
     case PH_SCHED_FINDING_STRETCH_BELOW_ONE:
@@ -66,15 +68,18 @@
 static bool
 check_faults(PhCheck *c)
 {
-    bool refused = false;
     for (guint i = 0; i < c->document->faults->len; i++) {
         const PhSchedFault *fault =
             &g_array_index(c->document->faults, PhSchedFault, i);
-        refused |= fault->refused;
         finding_add(c, (PhSchedFinding){.kind = PH_SCHED_FINDING_MALFORMED,
                                         .as.malformed = fault});
     }
-    return refused;
+    if (c->document->faults_dropped > 0) {
+        finding_add(
+            c, (PhSchedFinding){.kind = PH_SCHED_FINDING_MALFORMED_NOT_SHOWN,
+                                .as.not_shown = c->document->faults_dropped});
+    }
+    return c->document->refused;
 }
 
 /* Instances ignore a version that is not above the one in force. */
@@ -111,9 +116,15 @@
     }
 }
 
+/* A task runs on workers whose entry names the service of its queue.  The
+ * document's list of services decides nothing. */
 static void
 check_service_of(PhCheck *c, PhSchedEntry entry, PhStr name)
 {
+    if (name.len == 0) {
+        finding_mark(c, PH_SCHED_FINDING_SERVICE_MISSING, entry);
+        return;
+    }
     for (guint i = 0; i < c->document->config->services->len; i++) {
         if (PhStr_Equal(PhSchedDocument_Service(c->document, i)->name, name)) {
             return;
@@ -126,7 +137,7 @@
 
 /* Returns the first queue with the host and prefix of queue `index`. */
 static uint32_t
-first_twin(const PhSchedDocument *d, uint32_t index)
+first_with_same_prefix(const PhSchedDocument *d, uint32_t index)
 {
     const PhSchedQueue *queue = PhSchedDocument_Queue(d, index);
     for (uint32_t i = 0; i < index; i++) {
@@ -144,7 +155,7 @@
 check_match(PhCheck *c, PhSchedEntry entry, const PhSchedQueue *queue)
 {
     guint before = c->findings->len;
-    uint32_t twin = first_twin(c->document, entry.index);
+    uint32_t first = first_with_same_prefix(c->document, entry.index);
     if (memchr(queue->host.data, ':', queue->host.len) != NULL) {
         finding_mark(c, PH_SCHED_FINDING_HOST_WITH_PORT, entry);
     }
@@ -154,11 +165,11 @@
     if (memchr(queue->prefix.data, '?', queue->prefix.len) != NULL) {
         finding_mark(c, PH_SCHED_FINDING_PREFIX_WITH_QUERY, entry);
     }
-    if (twin != entry.index) {
+    if (first != entry.index) {
         finding_add(c, (PhSchedFinding){.kind = PH_SCHED_FINDING_PREFIX_TWICE,
                                         .entry = entry,
                                         .as.other = PhSchedDocument_Entry(
-                                            c->document, entry.kind, twin)});
+                                            c->document, entry.kind, first)});
     }
     return c->findings->len > before;
 }
@@ -228,7 +239,7 @@
                                 c->document, PH_SCHED_ENTRY_QUEUE, i)};
         if (ids_taken(queue, PhSchedDocument_Queue(c->document, i),
                       &f.as.taken.begin) &&
-            first_twin(c->document, i) == i) {
+            first_with_same_prefix(c->document, i) == i) {
             g_array_append_val(taken, f);
         }
     }
--- a/decide/schedule/config_document.c
+++ b/decide/schedule/config_document.c
@@ -40,6 +40,11 @@
 PhSchedDocument_AddFault(PhSchedDocument *document, PhStr path, PhStr reason,
                          bool refused)
 {
+    document->refused |= refused;
+    if (document->faults->len >= PH_SCHED_FAULTS_MAX) {
+        document->faults_dropped++;
+        return;
+    }
     PhSchedFault fault = {.path = PhStr_Dup(path),
                           .reason = PhStr_Dup(reason),
                           .refused = refused};
--- a/include/peridothill/decide/schedule/config_check.h
+++ b/include/peridothill/decide/schedule/config_check.h
@@ -7,18 +7,23 @@
 #include "peridothill/decide/schedule/config_document.h"
 
 typedef enum PhSchedSeverity {
-    PH_SCHED_SEVERITY_ERROR,      /* calls fail, or a limit that is stated to
-                                     clients does not hold */
+    PH_SCHED_SEVERITY_ERROR,      /* instances do not read a field as written,
+                                     an entry cannot be told from another or
+                                     names no service, calls fail, or a limit
+                                     stated to clients does not hold */
     PH_SCHED_SEVERITY_WARNING,    /* allowed, but rarely intended */
     PH_SCHED_SEVERITY_DIFFERENCE, /* from the version in force */
 } PhSchedSeverity;
 
 typedef enum PhSchedFindingKind {
     PH_SCHED_FINDING_MALFORMED,
+    PH_SCHED_FINDING_MALFORMED_NOT_SHOWN, /* beyond PH_SCHED_FAULTS_MAX */
     PH_SCHED_FINDING_VERSION_NOT_ABOVE,
     PH_SCHED_FINDING_NAME_MISSING,
     PH_SCHED_FINDING_NAME_TWICE,
-    PH_SCHED_FINDING_SERVICE_UNKNOWN,
+    PH_SCHED_FINDING_SERVICE_MISSING,
+    PH_SCHED_FINDING_SERVICE_UNKNOWN, /* not in the list of services, which
+                                         instances do not read */
     PH_SCHED_FINDING_SERVICE_UNUSED,
     PH_SCHED_FINDING_PREFIX_TWICE,
     PH_SCHED_FINDING_HOST_WITH_PORT,
@@ -45,6 +50,7 @@
     PhSchedEntry entry;
     union {
         const PhSchedFault *malformed;
+        uint32_t not_shown; /* number of malformed fields */
         struct {
             uint64_t version;
             uint64_t in_force;
--- a/include/peridothill/decide/schedule/config_document.h
+++ b/include/peridothill/decide/schedule/config_document.h
@@ -5,6 +5,12 @@
 
 #include "peridothill/decide/schedule/queue.h"
 
+enum {
+    /* Faults that are kept of a document.  A file that is no configuration has
+     * one for each of its values. */
+    PH_SCHED_FAULTS_MAX = 100
+};
+
 /* For a number or time that the document does not state. */
 #define PH_SCHED_NOT_STATED ((int64_t)-1)
 
@@ -28,7 +34,9 @@
     PhSchedConfig *config;
     GArray *call_timeouts; /* PhTime of each queue, or PH_SCHED_NOT_STATED */
     PhSchedLimits limits;
-    GArray *faults; /* PhSchedFault */
+    GArray *faults;          /* PhSchedFault; PH_SCHED_FAULTS_MAX at most */
+    uint32_t faults_dropped; /* beyond them */
+    bool refused;            /* instances refuse the document */
 } PhSchedDocument;
 
 /* The part of a document that a finding is about. */
@@ -87,7 +95,8 @@
 /* Creates a document without queues, services and limits. */
 PhSchedDocument *PhSchedDocument_Create(void);
 void PhSchedDocument_Destroy(PhSchedDocument *document);
-/* Copies both strings. */
+/* Copies both strings.  Only counts the fault if there are
+ * PH_SCHED_FAULTS_MAX already. */
 void PhSchedDocument_AddFault(PhSchedDocument *document, PhStr path,
                               PhStr reason, bool refused);
 const PhSchedQueue *PhSchedDocument_Queue(const PhSchedDocument *document,
--- a/include/peridothill/platform/adapter.h
+++ b/include/peridothill/platform/adapter.h
@@ -51,7 +51,8 @@
 PhStr PhWire_OperatorsTarget(PhStr after);
 /* Decodes such a page.  `config` receives the newest configuration if the page
  * has it, `next` what to pass as `after` for the next page, empty after the
- * last one; the caller owns both. */
+ * last one; the caller owns both.  INVALID: no page, or one without a last key
+ * that others follow. */
 PhResult PhWire_DecodeOperatorsPage(PhStr text, PhStr *config, PhStr *next);
 /* Decodes the entry of the worker `id`; the caller clears it. */
 PhResult PhWire_DecodeWorker(PhStr id, PhStr text, PhSchedWorkerEntry *entry);
--- a/tests/platform/test_malformed_documents.c
+++ b/tests/platform/test_malformed_documents.c
@@ -96,6 +96,18 @@
           "\"timeoutMs\":-1}],\"services\":[7,{\"name\":1}],\"limits\":{"
           "\"maxBodyBytes\":-1}}"),
      .valid = true},
+    {"configuration: 150 routes that are no objects", DOCUMENT_CONFIG,
+     TEXT("{\"version\":1,\"routes\":[7"), ",7", 149, TEXT("]}")},
+    {"configuration: services without an end, and a refused route",
+     DOCUMENT_CONFIG,
+     TEXT("{\"version\":1,\"routes\":[{\"host\":1}],\"services\":[7"), ",7",
+     149, TEXT("]}")},
+    {"configuration: 150 ignored services", DOCUMENT_CONFIG,
+     TEXT("{\"version\":1,\"routes\":[],\"services\":[7"), ",7", 149,
+     TEXT("]}"), .valid = true},
+    {"configuration: null limits and services", DOCUMENT_CONFIG,
+     TEXT("{\"version\":1,\"routes\":[],\"services\":null,\"limits\":null}"),
+     .valid = true},
     {"list of runs", DOCUMENT_HOLD, RUN("2,\"c\",41,7"), .valid = true},
     {"runs: nested lists", DOCUMENT_HOLD, TEXT("{\"running\":"), "[",
      NESTING_BEYOND_LIMIT},
@@ -179,6 +191,20 @@
     return PhResult_IsOk(&r);
 }
 
+/* The check of a configuration refuses what instances refuse. */
+static void
+check_document_agrees(PhStr text, bool accepted)
+{
+    PhSchedDocument *document = PhWire_DecodeDocument(text);
+    bool refused = false;
+    for (guint i = 0; i < document->faults->len; i++) {
+        refused |= g_array_index(document->faults, PhSchedFault, i).refused;
+    }
+    assert_int_equal(refused, !accepted);
+    assert_int_equal(document->refused, !accepted);
+    PhSchedDocument_Destroy(document);
+}
+
 static bool
 read_document(const PhDocumentCase *c, PhStr text)
 {
@@ -198,6 +224,7 @@
     case DOCUMENT_CONFIG:
         r = PhWire_DecodeConfig(text, &config);
         PhSchedConfig_Destroy(config);
+        check_document_agrees(text, PhResult_IsOk(&r));
         break;
     case DOCUMENT_HOLD:
         return read_hold(text);
