election: an empty read is evidence up to the end of its wait only

Cause: an early claim relied on an empty read up to the time at which its answer was received. An answer that was on its way for long, or waited for this process, says nothing of the time since the store sent it, so that a renewal in that time was overlooked.

Change: a read tells of all entries up to the time at which it was sent plus its wait, at most until now; one with entries, up to when it was sent. If the time of an early claim has passed without such a read, the next one does not wait. The comment on `claims_early` says what it means.

Conclusion: without early claims nothing changes.

--- a/decide/schedule/election.c
+++ b/decide/schedule/election.c
@@ -57,10 +57,12 @@
     PhElectionEntryKind append_kind;
     bool must_read; /* an append had a conflict or no answer */
     bool stopping;
-    bool claims_early; /* two signs together make an earlier claim */
+    bool claims_early; /* a claim may come early if both signs hold */
     bool owner_silent; /* the owner does not answer hellos */
     bool owner_renews; /* it has written an entry since it fell silent */
-    PhTime read_at;    /* the last read succeeded */
+    PhTime read_sent_at;
+    PhTime read_wait;
+    PhTime read_at; /* the last read tells of all entries up to then */
 };
 
 PhElection *
@@ -217,6 +219,14 @@
     return (own && e->stopping) || held_by_earlier_incarnation(e);
 }
 
+/* Reports whether the topic was still without a new entry long enough after
+ * the last one for an early claim. */
+static bool
+has_late_read(const PhElection *e)
+{
+    return e->read_at >= e->quiet_since + EARLY_CLAIM_AFTER;
+}
+
 /* Both signs count: the owner does not answer hellos, and the topic was still
  * without a new entry in a read that ended late enough.  An owner that goes on
  * renewing while it does not answer is only cut off from this instance. */
@@ -224,8 +234,7 @@
 owner_is_doubted(const PhElection *e)
 {
     return e->claims_early && !e->vacant && e->owner_silent &&
-           !e->owner_renews &&
-           e->read_at >= e->quiet_since + EARLY_CLAIM_AFTER;
+           !e->owner_renews && has_late_read(e);
 }
 
 static PhTime
@@ -282,8 +291,8 @@
 read_end(const PhElection *e, PhTime now)
 {
     PhTime early = e->quiet_since + EARLY_CLAIM_AFTER + e->delay;
-    bool may_claim_early = e->claims_early && !e->vacant && early > now;
-    return may_claim_early ? MIN(claim_due(e), early) : claim_due(e);
+    bool may_claim_early = e->claims_early && !e->vacant && !has_late_read(e);
+    return may_claim_early ? MIN(claim_due(e), MAX(early, now)) : claim_due(e);
 }
 
 /* An owner reads only to learn the outcome of an append. */
@@ -348,6 +357,8 @@
         if (e->synced && !e->must_read) {
             action.as.read.wait = claims_soon ? MAX(end - now, 0) : READ_WAIT;
         }
+        e->read_sent_at = now;
+        e->read_wait = action.as.read.wait;
     }
     return action;
 }
@@ -520,7 +531,10 @@
         e->quiet_since = now;
     }
     e->readable = true;
-    e->read_at = now;
+    /* The answer may have been on its way since the wait ended, or since the
+     * read was sent if it has entries. */
+    e->read_at =
+        count > 0 ? e->read_sent_at : MIN(e->read_sent_at + e->read_wait, now);
     e->read_due = now;
     if (e->next >= end) {
         e->synced = true;
