schedule: no false answers while the owner has lost the store

Cause, as found in a review: - An owner without the store answered 410 for a job that another instance had just accepted with 200. So did an owner that had the store back and had not read the jobs again. - Calls to the store between two ticks took their time from the silence of the owner, which was then noticed late or never. - Instances that are no standbys refused POST and DELETE at each change of owner, since their contact was unproven. - A submission was refused with 503 although another one of the same job was in the queue with more time, or forwarded. - One failed call meant "lost" until a probe was answered, up to ten times a second, each time with the whole queue refused. - Some refused GETs were not counted, and their reason was not the true one.

Change: - While it has lost the store, an instance refuses a GET of an unknown job. While the owner has, GETs are answered by an instance that follows the jobs, and 410 needs a read of the jobs that was sent after the call; so it does after a loss. - The tick has a capped step of its own. - Unproven contact: calls are handled here, with a probe at once on a dismissal, a welcome with store_silent or a refusal by the owner. - PhScheduleAccept_MayRun: the batch, the queue and the forwarded calls. - After an undelivered call the store is lost only when a call that was sent later fails too; a probe is sent at once. The welcome says so only after one tick. - GETs that are refused pass through RefuseAtOnce. - PhStoreContact_State without a limit is "reached". - Names and texts: owner_store_silent, the counter's help text, call_path.c.

Conclusion: with contact_limit 0 the paths are as before.

--- a/decide/schedule/call_path.c
+++ b/decide/schedule/call_path.c
@@ -19,25 +19,33 @@
         .as.refuse = {.reason = reason, .retry_after = RETRY_AFTER}};
 }
 
-/* The way of a call that is not forwarded.  One that changes nothing is
- * refused only where it would wait for a store that is lost. */
+/* The way of a call that is not forwarded.  A contact that is not proven need
+ * not be lost: an instance that relied on the owner has sent no call to the
+ * store for long, and refusing would turn each change of owner into an
+ * outage. */
 static PhCallPath
 path_without_owner(const PhCallPathInput *in)
 {
-    PhCallPath local = {.tag = PH_CALL_LOCAL};
     switch (in->contact) {
     case PH_CONTACT_REACHED:
-        return local;
     case PH_CONTACT_UNPROVEN:
-        return in->changes ? PhCallPath_Refuse(PH_CALL_NO_CONTACT) : local;
+        return (PhCallPath){.tag = PH_CALL_LOCAL};
     case PH_CONTACT_LOST:
         break;
     }
     return PhCallPath_Refuse(PH_CALL_NO_CONTACT);
 }
 
-/* An owner that has lost the store still answers calls that change nothing, by
- * what it knows. */
+/* Reports whether the owner serves the call.  Without the store, it answers
+ * calls that change nothing from memory; it does not know the jobs that other
+ * instances have accepted since. */
+static bool
+owner_serves(const PhCallPathInput *in)
+{
+    return !in->owner && in->link_up &&
+           !(in->owner_store_silent && (in->changes || in->answered_here));
+}
+
 PhCallPath
 PhCallPath_Choose(const PhCallPathInput *in)
 {
@@ -52,7 +60,7 @@
     if (in->left <= ANSWER_TIME) {
         return PhCallPath_Refuse(PH_CALL_TOO_LATE);
     }
-    if (reaches_owner && !(in->changes && in->owner_silent)) {
+    if (owner_serves(in)) {
         return (PhCallPath){.tag = PH_CALL_FORWARD};
     }
     return path_without_owner(in);
--- a/decide/schedule/store_contact.c
+++ b/decide/schedule/store_contact.c
@@ -13,7 +13,8 @@
 void
 PhStoreContact_Init(PhStoreContact *c, PhTime limit, PhTime now)
 {
-    *c = (PhStoreContact){.limit = limit, .observed_at = now};
+    *c =
+        (PhStoreContact){.limit = limit, .observed_at = now, .ticked_at = now};
 }
 
 static PhTime
@@ -28,16 +29,30 @@
     return due;
 }
 
-PhTime
+static PhTime
+step_since(PhTime then, PhTime now)
+{
+    return MIN(MAX(now - then, 0), STEP_MAX);
+}
+
+void
 PhStoreContact_Observe(PhStoreContact *c, PhTime now)
 {
-    PhTime step = MIN(MAX(now - c->observed_at, 0), STEP_MAX);
+    PhTime step = step_since(c->observed_at, now);
     PhTime due = c->timed_out ? c->observed_at : earliest_due(c);
     if (due < now) {
         c->silent_for += MIN(step, now - due);
     }
     c->age += step;
     c->observed_at = now;
+}
+
+PhTime
+PhStoreContact_Tick(PhStoreContact *c, PhTime now)
+{
+    PhTime step = step_since(c->ticked_at, now);
+    PhStoreContact_Observe(c, now);
+    c->ticked_at = now;
     return step;
 }
 
@@ -50,6 +65,7 @@
         .in_flight = true,
         .id = id,
         .sent_at = now,
+        .number = ++c->sent,
         .due = wait == PH_TIME_NEVER ? PH_TIME_NEVER
                                      : now + wait + (PhTime)bytes * BYTE_TIME};
 }
@@ -67,6 +83,20 @@
     }
 }
 
+/* One reset or refusal may concern one call alone, and all calls of a
+ * connection fail with it.  So only a call that was sent after the first
+ * failure shows that the store is out of reach. */
+static void
+on_failure(PhStoreContact *c, const PhContactCall *x)
+{
+    if (!c->failed) {
+        c->failed = true;
+        c->sent_before_failure = c->sent;
+        return;
+    }
+    c->unreachable |= x->number > c->sent_before_failure;
+}
+
 void
 PhStoreContact_OnEnd(PhStoreContact *c, unsigned kind, uint64_t id,
                      PhStoreSign sign, PhTime now)
@@ -83,13 +113,16 @@
         c->age = 0;
         c->proven = true;
         c->timed_out = false;
+        c->failed = false;
         c->unreachable = false;
         break;
     case PH_STORE_IS_SILENT:
         c->timed_out |= tracked;
         break;
     case PH_STORE_UNREACHABLE:
-        c->unreachable |= tracked;
+        if (tracked) {
+            on_failure(c, x);
+        }
         break;
     }
     if (tracked) {
@@ -100,6 +133,9 @@
 PhContactState
 PhStoreContact_State(const PhStoreContact *c)
 {
+    if (c->limit == 0) {
+        return PH_CONTACT_REACHED;
+    }
     if (c->unreachable || c->silent_for >= c->limit) {
         return PH_CONTACT_LOST;
     }
--- a/include/peridothill/common/counter_list_schedule.h
+++ b/include/peridothill/common/counter_list_schedule.h
@@ -32,4 +32,5 @@
 PH_COUNTER(SCHEDULE_CLAIMS, "peridothill_schedule_claims_total", "",
            "Workers claimed for a task that had waited for long")
 PH_COUNTER(SCHEDULE_NO_CONTACT, "peridothill_schedule_no_contact_total", "",
-           "Calls refused at once for want of contact or of time")
+           "Calls refused at once because the store was out of reach or too "
+           "little time was left")
--- a/include/peridothill/decide/schedule/call_path.h
+++ b/include/peridothill/decide/schedule/call_path.h
@@ -28,12 +28,14 @@
 } PhCallPath;
 
 typedef struct PhCallPathInput {
-    bool limited;           /* a limit of silence is set */
-    bool changes;           /* its effect needs a record in the store */
-    bool outcome_unknown;   /* it may have had an effect */
-    bool owner;             /* this instance owns the jobs */
-    bool link_up;           /* the owner can be reached */
-    bool owner_silent;      /* the owner has said that it has lost the store */
+    bool limited;         /* a limit of silence is set */
+    bool changes;         /* its effect needs a record in the store */
+    bool outcome_unknown; /* it may have had an effect */
+    bool owner;           /* this instance owns the jobs */
+    bool link_up;         /* the owner can be reached */
+    bool
+        owner_store_silent; /* the owner has said that it has lost the store */
+    bool answered_here;     /* the records read here suffice for an answer */
     PhContactState contact; /* of this instance with the store */
     PhTime left;            /* until the client stops waiting */
 } PhCallPathInput;
--- a/services/schedule/schedule_accept.c
+++ b/services/schedule/schedule_accept.c
@@ -95,21 +95,51 @@
     return false;
 }
 
-/* Whether another submission of the same job is in the current append, so that
- * the job may run. */
 static bool
-may_run(const PhScheduleTask *t, const PhPendingAccept *a)
+is_forwarded(const PhScheduleTask *t, PhStr id)
 {
-    if (t->options.contact_limit == 0 || a->call.tag != PH_SCHEDULE_SUBMIT) {
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, t->forwarded_calls);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const PhClientCall *x = &((const PhForwardedCall *)value)->call;
+        if (x->tag == PH_SCHEDULE_SUBMIT && PhStr_Equal(x->subject, id)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether another submission of the same job may still take effect, so that
+ * this one must not be refused: it is in the current append, was forwarded, or
+ * is in the queue and kept.  An entry is kept for good if its outcome is
+ * unknown, and others until `kept_from`: those with a later deadline. */
+static bool
+may_run(const PhScheduleTask *t, const PhClientCall *call, PhTime kept_from)
+{
+    if (t->options.contact_limit == 0 || call->tag != PH_SCHEDULE_SUBMIT) {
         return false;
     }
     for (guint i = 0; i < t->accept_batch->len; i++) {
         if (is_submission_of(g_ptr_array_index(t->accept_batch, i),
-                             a->call.subject)) {
+                             call->subject)) {
             return true;
         }
     }
-    return false;
+    for (const GList *l = t->accept_queue.head; l != NULL; l = l->next) {
+        const PhPendingAccept *a = l->data;
+        if (&a->call != call && is_submission_of(a, call->subject) &&
+            (a->call.outcome_unknown || a->call.deadline > kept_from)) {
+            return true;
+        }
+    }
+    return is_forwarded(t, call->subject);
+}
+
+bool
+PhScheduleAccept_MayRun(const PhScheduleTask *t, const PhClientCall *call)
+{
+    return may_run(t, call, PhTask_Now(t->self));
 }
 
 void
@@ -117,7 +147,7 @@
 {
     for (guint left = t->accept_queue.length; left > 0; left--) {
         PhPendingAccept *a = g_queue_pop_head(&t->accept_queue);
-        if (a->call.outcome_unknown || may_run(t, a)) {
+        if (a->call.outcome_unknown || may_run(t, &a->call, PH_TIME_NEVER)) {
             g_queue_push_tail(&t->accept_queue, a);
             continue;
         }
@@ -293,7 +323,7 @@
     for (guint left = t->accept_queue.length; left > 0; left--) {
         PhPendingAccept *a = g_queue_pop_head(&t->accept_queue);
         if (a->call.deadline <= now) {
-            a->call.outcome_unknown |= may_run(t, a);
+            a->call.outcome_unknown |= may_run(t, &a->call, now);
             accept_refuse(t, a,
                           "record not sent to the store before the deadline");
             PhScheduleAccept_Destroy(a);
--- a/services/schedule/schedule_calls.c
+++ b/services/schedule/schedule_calls.c
@@ -112,21 +112,66 @@
     return false;
 }
 
+bool
+PhScheduleCalls_KnowsState(const PhScheduleTask *t, PhStr id)
+{
+    return PhScheduleTopics_AreFollowed(t) &&
+           (PhScheduleTopics_AreJobsFresh(t) ||
+            PhSchedModel_Job(PhScheduler_Model(t->scheduler), id) != NULL);
+}
+
+/* Has a call on an unknown job wait for a read of the jobs.  Returns false if
+ * none could be sent. */
+static bool
+look_for_job(PhScheduleTask *t, PhClientCall *call)
+{
+    call->jobs_read = PhScheduleTopics_ReadJobsNow(t);
+    if (call->jobs_read == 0) {
+        return false;
+    }
+    g_queue_push_tail(&t->look_calls, g_memdup2(call, sizeof(*call)));
+    *call = (PhClientCall){0};
+    return true;
+}
+
+/* Whether another instance may have accepted a job itself since the jobs were
+ * read here: it does so while the owner has lost the store. */
+static bool
+accepted_elsewhere(const PhScheduleTask *t, const PhClientCall *call)
+{
+    bool owner_lacks_store = t->owner_store_silent || call->owner_refused;
+    return t->options.contact_limit > 0 &&
+           ((t->stage != OWNER_ACTIVE && owner_lacks_store) ||
+            t->jobs.fresh_at < t->contact_back_at);
+}
+
 /* Answers a call on an unknown job.  It is refused if the job may exist soon,
  * or the jobs have not been read recently enough to say that it doesn't. */
 static void
-answer_unknown(PhScheduleTask *t, PhOrigin *origin, PhStr id)
+answer_unknown(PhScheduleTask *t, PhClientCall *call)
 {
+    PhStr id = call->subject;
     if (PhScheduleAccept_IsPending(t, id)) {
-        refuse(t, origin, id, "job on its way to the store",
+        refuse(t, &call->origin, id, "job on its way to the store",
                PH_SCHEDULE_UNDER_WAY);
         return;
     }
-    if (PhScheduleTopics_AreJobsFresh(t)) {
-        PhScheduleCalls_AnswerTag(t, origin, PH_SCHEDULE_NO_JOB);
+    if (PhScheduleContact_IsLost(t)) {
+        PhScheduleCalls_RefuseAtOnce(t, call,
+                                     PhCallPath_Refuse(PH_CALL_NO_CONTACT));
+        return;
+    }
+    if (!PhScheduleTopics_AreJobsFresh(t)) {
+        PhScheduleCalls_Refuse(t, &call->origin, id, JOBS_UNREAD);
         return;
     }
-    PhScheduleCalls_Refuse(t, origin, id, JOBS_UNREAD);
+    if (!accepted_elsewhere(t, call)) {
+        PhScheduleCalls_AnswerTag(t, &call->origin, PH_SCHEDULE_NO_JOB);
+        return;
+    }
+    if (!refuse_to_wait(t, call) && !look_for_job(t, call)) {
+        PhScheduleCalls_Refuse(t, &call->origin, id, JOBS_UNREAD);
+    }
 }
 
 void
@@ -253,7 +298,7 @@
     }
     if (!call->outcome_unknown &&
         !PhScheduleAccept_IsPending(t, call->subject) &&
-        submission_defer(t, call)) {
+        !PhScheduleAccept_MayRun(t, call) && submission_defer(t, call)) {
         return;
     }
     PhScheduleAccept_Add(t, call);
@@ -303,13 +348,9 @@
     if (refuse_to_wait(t, call)) {
         return;
     }
-    call->jobs_read = PhScheduleTopics_ReadJobsNow(t);
-    if (call->jobs_read == 0) {
+    if (!look_for_job(t, call)) {
         cancel_refuse(t, call);
-        return;
     }
-    g_queue_push_tail(&t->cancel_calls, g_memdup2(call, sizeof(*call)));
-    *call = (PhClientCall){0};
 }
 
 /* Handles a CANCEL call after a read of the jobs. */
@@ -329,20 +370,6 @@
     }
 }
 
-void
-PhScheduleCalls_HandleCancels(PhScheduleTask *t, uint64_t number, bool to_end)
-{
-    for (guint left = t->cancel_calls.length; left > 0; left--) {
-        PhClientCall *call = g_queue_pop_head(&t->cancel_calls);
-        if (call->jobs_read > number) {
-            g_queue_push_tail(&t->cancel_calls, call);
-            continue;
-        }
-        cancel_after_read(t, call, to_end);
-        PhScheduleCalls_DestroyQueued(call);
-    }
-}
-
 /* Answers with the durable state, which a later owner will know too. */
 static void
 answer_state(PhScheduleTask *t, PhOrigin *origin, const PhSchedJob *job)
@@ -360,12 +387,15 @@
     const PhSchedJob *job =
         PhSchedModel_Job(PhScheduler_Model(t->scheduler), call->subject);
     if (!PhScheduleTopics_AreFollowed(t)) {
+        if (refuse_to_wait(t, call)) {
+            return;
+        }
         PhScheduleCalls_Refuse(t, &call->origin, call->subject,
                                "topics not followed and owner not reachable");
         return;
     }
     if (job == NULL) {
-        answer_unknown(t, &call->origin, call->subject);
+        answer_unknown(t, call);
         return;
     }
     if (PhSchedJob_IsOver(job) || PhScheduleTopics_IsCurrent(t)) {
@@ -383,6 +413,47 @@
     *call = (PhClientCall){0};
 }
 
+/* Handles a STATE call after a read of the jobs. */
+static void
+state_after_read(PhScheduleTask *t, PhClientCall *call, bool to_end)
+{
+    if (PhSchedModel_Job(PhScheduler_Model(t->scheduler), call->subject) !=
+        NULL) {
+        query_state(t, call);
+    }
+    else if (to_end && !PhScheduleAccept_IsPending(t, call->subject)) {
+        PhScheduleCalls_AnswerTag(t, &call->origin, PH_SCHEDULE_NO_JOB);
+    }
+    else {
+        PhScheduleCalls_Refuse(t, &call->origin, call->subject, JOBS_UNREAD);
+    }
+}
+
+static void
+handle_after_read(PhScheduleTask *t, PhClientCall *call, bool to_end)
+{
+    if (call->tag == PH_SCHEDULE_CANCEL) {
+        cancel_after_read(t, call, to_end);
+    }
+    else {
+        state_after_read(t, call, to_end);
+    }
+}
+
+void
+PhScheduleCalls_HandleLooks(PhScheduleTask *t, uint64_t number, bool to_end)
+{
+    for (guint left = t->look_calls.length; left > 0; left--) {
+        PhClientCall *call = g_queue_pop_head(&t->look_calls);
+        if (call->jobs_read > number) {
+            g_queue_push_tail(&t->look_calls, call);
+            continue;
+        }
+        handle_after_read(t, call, to_end);
+        PhScheduleCalls_DestroyQueued(call);
+    }
+}
+
 void
 PhScheduleCalls_DestroyQueued(gpointer call)
 {
@@ -418,10 +489,10 @@
                                      PhCallPath_Refuse(PH_CALL_NO_CONTACT));
         PhScheduleCalls_DestroyQueued(call);
     }
-    for (guint left = t->cancel_calls.length; left > 0; left--) {
-        call = g_queue_pop_head(&t->cancel_calls);
+    for (guint left = t->look_calls.length; left > 0; left--) {
+        call = g_queue_pop_head(&t->look_calls);
         if (call->outcome_unknown) {
-            g_queue_push_tail(&t->cancel_calls, call);
+            g_queue_push_tail(&t->look_calls, call);
             continue;
         }
         PhScheduleCalls_RefuseAtOnce(t, call,
@@ -436,7 +507,12 @@
 {
     const PhSchedModel *model = PhScheduler_Model(t->scheduler);
     PhScheduleAnswer a = {.tag = PH_SCHEDULE_PENDING_COUNT};
-    if (!PhScheduleTopics_AreJobsFresh(t)) {
+    bool jobs_fresh = PhScheduleTopics_AreJobsFresh(t);
+    if ((!jobs_fresh || !PhScheduleTopics_AreRunsFresh(t)) &&
+        refuse_to_wait(t, call)) {
+        return;
+    }
+    if (!jobs_fresh) {
         PhScheduleCalls_Refuse(t, &call->origin, call->subject, JOBS_UNREAD);
         return;
     }
--- a/services/schedule/schedule_contact.c
+++ b/services/schedule/schedule_contact.c
@@ -61,7 +61,10 @@
         .outcome_unknown = changes && call->outcome_unknown,
         .owner = t->stage != OWNER_INACTIVE,
         .link_up = may_forward && PhOwnerLink_IsUp(&t->link, now),
-        .owner_silent = t->owner_store_silent,
+        .owner_store_silent = t->owner_store_silent,
+        .answered_here = call->tag == PH_SCHEDULE_STATE &&
+                         !PhScheduleContact_IsLost(t) &&
+                         PhScheduleCalls_KnowsState(t, call->subject),
         .contact = PhStoreContact_State(&t->contact),
         .left = call->deadline + PhCallPath_AnswerTime() - now};
     return PhCallPath_Choose(&input);
@@ -97,6 +100,7 @@
 on_back(PhScheduleTask *t)
 {
     PhTime now = PhTask_Now(t->self);
+    t->contact_back_at = now;
     if (!t->contact_logged) {
         return;
     }
@@ -135,6 +139,23 @@
     PhTask_SendTo(t->self, PH_SERVICE_FRONT, PhScheduleMessage_Wrap(&m));
 }
 
+/* Tells the other instances whether this one, as the owner, has lost the
+ * store.  A loss that ends within a tick is not worth a change of the way that
+ * their calls take. */
+static void
+announce_loss(PhScheduleTask *t)
+{
+    bool lasts =
+        t->contact_lost && PhTask_Now(t->self) - t->contact_lost_at >= TICK;
+    if (lasts == t->loss_announced) {
+        return;
+    }
+    t->loss_announced = lasts;
+    if (t->stage == OWNER_ACTIVE) {
+        PhScheduleLink_WelcomeAll(t);
+    }
+}
+
 void
 PhScheduleContact_Update(PhScheduleTask *t)
 {
@@ -145,16 +166,15 @@
     if (lost != t->contact_lost) {
         t->contact_lost = lost;
         if (lost) {
+            t->contact_lost_at = PhTask_Now(t->self);
             on_lost(t);
             probe_send(t);
         }
         else {
             on_back(t);
         }
-        if (t->stage == OWNER_ACTIVE) {
-            PhScheduleLink_WelcomeAll(t);
-        }
     }
+    announce_loss(t);
     tell_front(t);
 }
 
@@ -197,14 +217,27 @@
 PhScheduleContact_OnReply(PhScheduleTask *t, PhStoreCall call,
                           const PhStoreReply *reply)
 {
+    bool failed = t->contact.failed;
     PhStoreContact_OnEnd(&t->contact, call, reply->id, reply->sign,
                          PhTask_Now(t->self));
     if (call == CALL_PROBE && reply->id == t->contact.calls[CALL_PROBE].id) {
         t->probe_in_flight = false;
     }
+    if (is_limited(t) && t->contact.failed && !failed) {
+        probe_send(t);
+    }
     PhScheduleContact_Update(t);
 }
 
+void
+PhScheduleContact_ProbeUnproven(PhScheduleTask *t)
+{
+    if (is_limited(t) && !t->probe_in_flight &&
+        PhStoreContact_State(&t->contact) == PH_CONTACT_UNPROVEN) {
+        probe_send(t);
+    }
+}
+
 /* Whether it has to be found out that the store is back, or that it is reached
  * although the owner may be not. */
 static bool
@@ -214,7 +247,7 @@
     if (t->probe_in_flight && now - t->probed_at < PROBE_INTERVAL) {
         return false;
     }
-    if (PhScheduleContact_IsLost(t)) {
+    if (t->contact.failed || PhScheduleContact_IsLost(t)) {
         return true;
     }
     if (t->stage != OWNER_INACTIVE) {
@@ -244,7 +277,7 @@
 PhScheduleContact_OnTick(PhScheduleTask *t)
 {
     PhTime now = PhTask_Now(t->self);
-    PhOwnerLink_Observe(&t->link, PhStoreContact_Observe(&t->contact, now));
+    PhOwnerLink_Observe(&t->link, PhStoreContact_Tick(&t->contact, now));
     tell_election(t);
     PhScheduleContact_Update(t);
     if (probe_is_due(t)) {
--- a/services/schedule/schedule_link.c
+++ b/services/schedule/schedule_link.c
@@ -269,7 +269,7 @@
         .as.welcome = {.standby = standby,
                        .lasting_closed = PhScheduler_IsLastingClosed(
                            t->scheduler, PhTask_Now(t->self)),
-                       .store_silent = PhScheduleContact_IsLost(t)}};
+                       .store_silent = t->loss_announced}};
 }
 
 void
@@ -327,6 +327,7 @@
     t->owner_store_silent =
         t->options.contact_limit > 0 && m->as.welcome.store_silent;
     if (t->owner_store_silent) {
+        PhScheduleContact_ProbeUnproven(t);
         PhElection_OnOwnerSuspected(t->election, now);
         PhScheduleTask_RequestUpdate(t);
     }
@@ -345,6 +346,7 @@
     }
     PhOwnerLink_OnNotOwner(&t->link, PhTask_Now(t->self));
     PhElection_OnOwnerSuspected(t->election, PhTask_Now(t->self));
+    PhScheduleContact_ProbeUnproven(t);
     forwarded_calls_handle_locally(t);
     PhScheduleTask_RequestUpdate(t);
 }
@@ -442,6 +444,8 @@
     switch (outcome) {
     case PH_SCHEDULE_REFUSED:
     case PH_SCHEDULE_NOT_OWNER:
+        f->call.owner_refused = true;
+        PhScheduleContact_ProbeUnproven(t);
         forwarded_call_handle_locally(t, f, false);
         return;
     case PH_SCHEDULE_JOB_STATE:
--- a/services/schedule/schedule_task.c
+++ b/services/schedule/schedule_task.c
@@ -279,7 +279,7 @@
     g_array_free(t->batch_records, TRUE);
     g_queue_clear_full(&t->accept_queue, PhScheduleAccept_Destroy);
     g_queue_clear_full(&t->state_calls, PhScheduleCalls_DestroyQueued);
-    g_queue_clear_full(&t->cancel_calls, PhScheduleCalls_DestroyQueued);
+    g_queue_clear_full(&t->look_calls, PhScheduleCalls_DestroyQueued);
     g_queue_clear_full(&t->waiting_calls, PhScheduleWaiting_Destroy);
     g_ptr_array_free(t->accept_batch, TRUE);
     PhScheduler_Destroy(t->scheduler);
--- a/services/schedule/schedule_task.h
+++ b/services/schedule/schedule_task.h
@@ -78,8 +78,9 @@
     bool outcome_unknown; /* the owner may have acted on it; must not be
                              refused */
     bool waited;          /* of SUBMIT: it has waited for an owner */
-    uint64_t jobs_read;   /* of a queued CANCEL: the first read of the jobs
-                             that was sent after the call */
+    bool owner_refused;   /* the owner could not answer it */
+    uint64_t jobs_read;   /* of a call in `look_calls`: the first read of the
+                             jobs that was sent after the call */
 } PhClientCall;
 
 /* A SUBMIT or CANCEL whose record is not durable yet. */
@@ -105,8 +106,8 @@
     PhTopic runs;
     bool reload_due;      /* a record did not fit into the model */
     GQueue state_calls;   /* PhClientCall; wait for the next read of runs */
-    GQueue cancel_calls;  /* PhClientCall for unknown jobs; wait for a read of
-                             the jobs */
+    GQueue look_calls;    /* PhClientCall, CANCEL or STATE, for unknown jobs;
+                             wait for a read of the jobs */
     GQueue waiting_calls; /* PhWaitingCall; see schedule_waiting.c */
     bool update_pending;
     bool store_answers; /* the last call succeeded */
@@ -115,7 +116,10 @@
     /* Contact with the store and the owner, if a limit of silence is set. */
     PhStoreContact contact;
     bool contact_lost;
-    bool contact_logged; /* the last loss was */
+    PhTime contact_lost_at; /* the last loss began */
+    PhTime contact_back_at; /* it ended; 0: none yet */
+    bool loss_announced;    /* to the other instances */
+    bool contact_logged;    /* the last loss was */
     PhTime contact_changed_at;
     uint64_t contact_refused; /* calls that were refused before that */
     bool contact_announced;   /* the front was told something */
@@ -218,10 +222,13 @@
                                    PhStr id, const char *reason);
 /* Answers the queued STATE calls after a read of the runs. */
 void PhScheduleCalls_AnswerStates(PhScheduleTask *task);
-/* Handles the queued CANCEL calls that waited for a read of the jobs up to
- * this number.  `to_end`: it succeeded and left no record unread. */
-void PhScheduleCalls_HandleCancels(PhScheduleTask *task, uint64_t number,
-                                   bool to_end);
+/* Handles the queued calls on unknown jobs that waited for a read of the jobs
+ * up to this number.  `to_end`: it succeeded and left no record unread. */
+void PhScheduleCalls_HandleLooks(PhScheduleTask *task, uint64_t number,
+                                 bool to_end);
+/* Whether this instance can say for itself what state a job is in, or that
+ * there is none. */
+bool PhScheduleCalls_KnowsState(const PhScheduleTask *task, PhStr id);
 void PhScheduleCalls_DestroyQueued(gpointer call);
 /* Refuses the queued calls that wait for a read and have had no effect. */
 void PhScheduleCalls_RefuseWaiting(PhScheduleTask *task);
@@ -242,6 +249,10 @@
 void PhScheduleAccept_Add(PhScheduleTask *task, PhClientCall *call);
 /* Whether a submission of this job waits for its record to be durable. */
 bool PhScheduleAccept_IsPending(const PhScheduleTask *task, PhStr id);
+/* Whether another submission of the job of this call may still take effect, by
+ * what this instance has sent or forwarded. */
+bool PhScheduleAccept_MayRun(const PhScheduleTask *task,
+                             const PhClientCall *call);
 void PhScheduleAccept_Flush(PhScheduleTask *task);
 void PhScheduleAccept_OnReply(PhScheduleTask *task, const PhStoreReply *reply);
 /* Answers calls whose deadline has passed. */
@@ -258,6 +269,9 @@
                               const PhStoreMessage *message);
 void PhScheduleContact_OnReply(PhScheduleTask *task, PhStoreCall call,
                                const PhStoreReply *reply);
+/* Finds out whether the store is reached if nothing is known of that: this
+ * instance has relied on an owner that does not serve it any more. */
+void PhScheduleContact_ProbeUnproven(PhScheduleTask *task);
 /* Logs and announces a change. */
 void PhScheduleContact_Update(PhScheduleTask *task);
 /* Whether the store is out of reach; never without a limit of silence. */
--- a/services/schedule/schedule_topics.c
+++ b/services/schedule/schedule_topics.c
@@ -59,7 +59,7 @@
     topic->reads_sent++;
     topic->sent_at = PhTask_Now(t->self);
     const GQueue *calls =
-        call == CALL_RUNS_READ ? &t->state_calls : &t->cancel_calls;
+        call == CALL_RUNS_READ ? &t->state_calls : &t->look_calls;
     bool hurry = t->stage == OWNER_CATCH_UP || calls->length > 0 ||
                  !topic_is_fresh(t, topic);
     PhTime wait = hurry ? 0 : READ_WAIT;
@@ -239,8 +239,8 @@
     else {
         bool to_end = reply->outcome == PH_STORE_DONE &&
                       topic->cursor.loaded && topic->cursor.next >= reply->end;
-        PhScheduleCalls_HandleCancels(t, topic->reads_sent, to_end);
-        delay = t->cancel_calls.length > 0 ? 0 : delay;
+        PhScheduleCalls_HandleLooks(t, topic->reads_sent, to_end);
+        delay = t->look_calls.length > 0 ? 0 : delay;
     }
     if (t->stage == OWNER_CATCH_UP && reply->outcome == PH_STORE_DONE) {
         delay = MIN(delay, OWNER_READ_INTERVAL);
@@ -283,7 +283,7 @@
     t->epochs[CALL_JOBS_READ]++;
     t->jobs.read_in_flight = false;
     PhScheduleTopics_DropRunsRead(t);
-    PhScheduleCalls_HandleCancels(t, UINT64_MAX, false);
+    PhScheduleCalls_HandleLooks(t, UINT64_MAX, false);
     t->reload_due = false;
     PhScheduleTopics_Read(t, CALL_JOBS_READ);
 }
