--- a/tests/schedule/platform_fixture.h
+++ b/tests/schedule/platform_fixture.h
@@ -8,10 +8,11 @@
 #include "peridothill/standin/platform.h"
 
 enum {
-    PH_FIXTURE_INSTANCES_MAX = 2,
+    PH_FIXTURE_INSTANCES_MAX = 2, /* of most tests */
+    PH_FIXTURE_CAPACITY = 5,      /* an owner, its standbys and one more */
     PH_FIXTURE_PORTS_MAX =
-        3 * PH_FIXTURE_INSTANCES_MAX, /* clients, link, readiness checks */
-    PH_FIXTURE_TEXT_BYTES = 4096,     /* of a response */
+        3 * PH_FIXTURE_CAPACITY,  /* clients, link, readiness checks */
+    PH_FIXTURE_TEXT_BYTES = 4096, /* of a response */
 };
 
 /* Instance 0 has the largest CPU share, so it becomes the owner. */
@@ -41,7 +42,7 @@
     unsigned deadline_ms;            /* stated with each call, 0: none */
     bool dispatches; /* the owner has the other instances send its starts */
     PhKernel *platform;
-    PhFixtureInstance instances[PH_FIXTURE_INSTANCES_MAX];
+    PhFixtureInstance instances[PH_FIXTURE_CAPACITY];
     size_t instance_count;
     int reserved[PH_FIXTURE_PORTS_MAX]; /* sockets bound to ports in use */
     size_t reserved_count;
