schedule: only the owner refuses jobs for the number of active tasks

Cause: an instance that was not the owner refused by its own model, which lags: 503 for a job that another one may have accepted. A job of 65,536 tasks, which is legal, was refused by an owner without any job if the limit was lower, and a memory under 2 KB gave a limit of 0, which stands for none.

Change: without ownership no job is refused for its tasks. A job is accepted whenever no task is active. The limit that follows from the memory is at least the 65,536 tasks of one job.

--- a/decide/schedule/active_tasks.c
+++ b/decide/schedule/active_tasks.c
@@ -1,5 +1,6 @@
 /* Limit of the tasks of all jobs that have not ended: each takes memory in
- * every instance. */
+ * every instance.  Only the owner refuses for it: the model of another one
+ * lags, and the job may have been accepted elsewhere. */
 #include "scheduler_private.h"
 
 enum {
@@ -11,6 +12,7 @@
 PhScheduler_ActiveTasksMax(uint64_t active_tasks, uint64_t memory)
 {
     uint64_t fit = memory / MEMORY_SHARE / sizeof(PhSchedTask);
+    fit = MAX(fit, PH_SCHED_JOB_TASKS_MAX);
     return memory > 0 ? MIN(active_tasks, fit) : active_tasks;
 }
 
@@ -36,7 +38,7 @@
 {
     uint64_t max = s->options.active_tasks_max;
     uint64_t active = max > 0 ? active_count(s) : 0;
-    if (active + PhSchedSpec_TaskCount(spec) <= max || max == 0) {
+    if (active == 0 || active + PhSchedSpec_TaskCount(spec) <= max) {
         return (PhAdmission){.tag = PH_ADMISSION_ACCEPTED};
     }
     PhTime spread = (PhTime)(PhStr_Hash(spec->id, 0) % RETRY_SECONDS);
--- a/decide/schedule/admission.c
+++ b/decide/schedule/admission.c
@@ -112,13 +112,13 @@
 PhScheduler_Admit(PhScheduler *s, const PhSchedSpec *spec, PhTime now)
 {
     PhAdmission accepted = {.tag = PH_ADMISSION_ACCEPTED};
+    if (s->fence == 0) {
+        return accepted;
+    }
     PhAdmission tasks = PhScheduler_AdmitTasks(s, spec);
     if (tasks.tag != PH_ADMISSION_ACCEPTED) {
         return tasks;
     }
-    if (s->fence == 0) {
-        return accepted;
-    }
     if (is_lasting(spec)) {
         return admit_lasting(s, spec, now);
     }
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -388,7 +388,8 @@
 } PhAdmission;
 
 /* The limit from the settings: `active_tasks`, or fewer if they take more than
- * an eighth of the memory; 0 bytes: not known. */
+ * an eighth of the memory, but at least the tasks of one job; 0 tasks: no limit,
+ * 0 bytes: not known. */
 uint64_t PhScheduler_ActiveTasksMax(uint64_t active_tasks, uint64_t memory);
 /* Tasks of submissions that were admitted and are not in the model yet. */
 void PhScheduler_SetPendingTasks(PhScheduler *scheduler, uint64_t count);
