requests: the sender has progress before the receive budget decides

Cause: a sender was judged by its silence before the bytes it had just sent, so that a client that went on sending was closed instead of one that did not.

Change: the decision sets the time of the sender's progress first.

--- a/decide/requests/receive_budget.c
+++ b/decide/requests/receive_budget.c
@@ -128,6 +128,8 @@
     if (sender->closing) {
         return (PhReceiveDecision){.tag = PH_RECEIVE_CLOSE_SENDER};
     }
+    /* It has just sent bytes, or is about to be answered. */
+    sender->progress_at = now;
     if (b->used + extra <= b->limit) {
         return (PhReceiveDecision){.tag = PH_RECEIVE_STORE};
     }
--- a/include/peridothill/decide/requests/receive_budget.h
+++ b/include/peridothill/decide/requests/receive_budget.h
@@ -60,7 +60,8 @@
 void PhReceiveBudget_Set(PhReceiveBudget *budget, PhReceiver *receiver,
                          PhReceiverStage stage, size_t bytes, PhTime now);
 
-/* Decides what happens before `sender` holds `extra` bytes more.  The
+/* Decides what happens before `sender` holds `extra` bytes more, which is
+ * progress.  The
  * connection with the largest product of bytes and time since its last
  * progress is closed first; on a tie, the one with more bytes.  A receiver
  * that is chosen is marked as closing. */
