crowd: the id of an ended instance is not signalled again

Cause: the check whether the instance lives waits for it once it has ended; the end of the row then signalled the same id, which may belong to another process.

Change: the id is forgotten once it was waited for.

--- a/tests/crowd/crowd.h
+++ b/tests/crowd/crowd.h
@@ -35,7 +35,8 @@
 void PhCrowdProcesses_Start(PhCrowdProcesses *processes, const char *limits);
 /* Ends both, also after a failed check. */
 void PhCrowdProcesses_Stop(PhCrowdProcesses *processes);
-bool PhCrowdProcesses_IsAlive(const PhCrowdProcesses *processes);
+/* Forgets the instance if it has ended. */
+bool PhCrowdProcesses_IsAlive(PhCrowdProcesses *processes);
 PhCrowdUse PhCrowdProcesses_Use(const PhCrowdProcesses *processes);
 /* Makes one call on a connection of its own.  Returns the status of the
  * answer, 0 without one. */
--- a/tests/crowd/crowd_processes.c
+++ b/tests/crowd/crowd_processes.c
@@ -134,10 +134,14 @@
     *p = (PhCrowdProcesses){0};
 }
 
+/* Once it was waited for, its id may be that of another process. */
 bool
-PhCrowdProcesses_IsAlive(const PhCrowdProcesses *p)
+PhCrowdProcesses_IsAlive(PhCrowdProcesses *p)
 {
-    return waitpid(p->instance, NULL, WNOHANG) == 0;
+    if (p->instance > 0 && waitpid(p->instance, NULL, WNOHANG) != 0) {
+        p->instance = 0;
+    }
+    return p->instance > 0;
 }
 
 static uint64_t
