listener: connections that do not get on make room at the limit

Cause: a crowd with one byte of a body of 100, or one that reads no answers, held all connections of a listener for the idle time of 60 s, also the 64 of readiness.

Change: at the limit the connection whose request or answer got on least recently, longer than header_time ago, is closed for a caller that waits; never one whose request waits for its answer, nor one with unread bytes. An answer counts from its begin. A request of a connection that was shut down is not taken.

Tests: four rows of test_crowd: one byte of a body and answers that are not read, 300 connections to clients (limit 256) and 100 to readiness (limit 64).

--- a/include/peridothill/services/listener.h
+++ b/include/peridothill/services/listener.h
@@ -27,9 +27,12 @@
     PhReceiveBudget *budget; /* of all listeners of the process, which share
                                 its thread; borrowed until they are destroyed
                               */
-    PhTime header_time;      /* to receive the headers of a request; a
-                                connection that has sent none for as long is
-                                closed for another caller */
+    PhTime header_time;      /* to receive the headers of a request; at the
+                                limit of connections, one whose request or
+                                answer made no progress for as long is closed
+                                for another caller */
+    PhTime silent_time;      /* the same for one that has sent no request;
+                                0: header_time */
 } PhReceiveLimits;
 
 typedef struct PhListenerOptions {
--- a/services/platform/listener.c
+++ b/services/platform/listener.c
@@ -122,6 +122,19 @@
     g_hash_table_remove(l->connections, key);
 }
 
+/* A sweep that is due is not put off: short connections would do so without
+ * end. */
+static void
+sweep_schedule(PhListener *l)
+{
+    if (!l->sweep_is_due) {
+        l->sweep_is_due = true;
+        PhTask_SetTimer(l->self, sweep_token(l),
+                        PhTask_Now(l->self) +
+                            SWEEP_INTERVAL_MS * PH_NS_PER_MS);
+    }
+}
+
 static void
 on_connection(void *context, struct MHD_Connection *connection, void **slot,
               enum MHD_ConnectionNotificationCode code)
@@ -137,11 +150,7 @@
     }
     connection_add(l, info->connect_fd);
     callers_watch(l);
-    if (g_hash_table_size(l->connections) == 1) {
-        PhTask_SetTimer(l->self, sweep_token(l),
-                        PhTask_Now(l->self) +
-                            SWEEP_INTERVAL_MS * PH_NS_PER_MS);
-    }
+    sweep_schedule(l);
 }
 
 static struct MHD_Daemon *
@@ -312,6 +321,14 @@
            !caller->begun && !has_unread_bytes(caller->fd);
 }
 
+/* The last time at which the caller or its answer got on. */
+static PhTime
+progress_time(const PhConnection *caller)
+{
+    return MAX(caller->last_progress_at,
+               MAX(caller->begun_at, caller->receiver.progress_at));
+}
+
 /* Reports whether the caller has closed its side before the end of its
  * request.  libmicrohttpd misses that if the end of the stream arrives
  * together with the last bytes: its epoll is edge-triggered, and it takes a
@@ -320,11 +337,9 @@
 has_left(const PhConnection *caller, PhTime now)
 {
     char byte;
-    PhTime moved_at = MAX(caller->last_progress_at,
-                          MAX(caller->begun_at, caller->receiver.progress_at));
     return !caller->busy && !caller->closing &&
            (caller->begun || caller->silent != NULL) &&
-           now - moved_at >= SWEEP_INTERVAL_MS * PH_NS_PER_MS &&
+           now - progress_time(caller) >= SWEEP_INTERVAL_MS * PH_NS_PER_MS &&
            recv(caller->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
@@ -355,22 +370,23 @@
             shutdown(caller->fd, SHUT_RDWR);
         }
         else if (headers_are_late(l, caller, now)) {
-            PhConnection_CloseSlowHeaders(caller);
+            PhConnection_CloseSlow(caller);
         }
     }
     callers_watch(l);
     if (PhListener_ReturnMemory(l) || g_hash_table_size(l->connections) > 0) {
-        PhTask_SetTimer(l->self, sweep_token(l),
-                        now + SWEEP_INTERVAL_MS * PH_NS_PER_MS);
+        sweep_schedule(l);
     }
 }
 
-/* Returns the oldest connection that has sent no request for longer than its
- * headers may take, NULL if there is none. */
+/* Returns the oldest connection that has sent no request for too long, NULL if
+ * there is none. */
 static PhConnection *
 silent_find(const PhListener *l)
 {
-    PhTime limit = l->options.receive.header_time;
+    const PhReceiveLimits *limits = &l->options.receive;
+    PhTime limit =
+        limits->silent_time > 0 ? limits->silent_time : limits->header_time;
     PhTime now = PhTask_Now(l->self);
     for (GList *at = l->silent.head; limit > 0 && at != NULL; at = at->next) {
         PhConnection *caller = at->data;
@@ -384,8 +400,44 @@
     return NULL;
 }
 
-/* Closes a connection that has sent nothing for long, or else the one that has
- * been idle for the longest time, so that the caller that waits is accepted.
+/* Reports whether a request that is being received, or an answer that is being
+ * sent, got on so long ago that its connection is closed for another caller.
+ * A request that waits for its answer may have run. */
+static bool
+is_stalled(const PhConnection *caller, PhTime before)
+{
+    return caller->begun && !caller->in_headers &&
+           !PhConnection_IsClosing(caller) &&
+           caller->receiver.stage != PH_RECEIVER_WAITING &&
+           progress_time(caller) <= before &&
+           (caller->receiver.stage == PH_RECEIVER_ANSWERING ||
+            !has_unread_bytes(caller->fd));
+}
+
+/* Returns the stalled connection with the oldest progress, NULL if there is
+ * none. */
+static PhConnection *
+stalled_find(const PhListener *l)
+{
+    GHashTableIter iter;
+    gpointer value;
+    PhConnection *oldest = NULL;
+    PhTime limit = l->options.receive.header_time;
+    PhTime before = PhTask_Now(l->self) - limit;
+    g_hash_table_iter_init(&iter, l->connections);
+    while (limit > 0 && g_hash_table_iter_next(&iter, NULL, &value)) {
+        PhConnection *caller = value;
+        if (is_stalled(caller, before)) {
+            oldest = caller;
+            before = progress_time(caller) - 1;
+        }
+    }
+    return oldest;
+}
+
+/* Closes a connection that has sent nothing for long, or one whose request or
+ * answer does not get on, or else the one that has been idle for the longest
+ * time, so that the caller that waits is accepted.
  * Without one it waits for the next answer or sweep. */
 static void
 callers_ready(PhListener *l)
@@ -394,10 +446,13 @@
     if (l->makes_room || !limit_is_reached(l)) {
         return;
     }
-    PhConnection *silent = silent_find(l);
-    if (silent != NULL) {
+    PhConnection *slow = silent_find(l);
+    if (slow == NULL) {
+        slow = stalled_find(l);
+    }
+    if (slow != NULL) {
         l->makes_room = true;
-        PhConnection_CloseSlowHeaders(silent);
+        PhConnection_CloseSlow(slow);
         return;
     }
     for (GList *at = l->idle.head; at != NULL; at = at->next) {
@@ -420,6 +475,7 @@
         return true;
     }
     if (mail->kind == PH_MAIL_TIMER && mail->as.timer == sweep_token(l)) {
+        l->sweep_is_due = false;
         connections_sweep(l);
         return true;
     }
--- a/services/platform/listener_budget.c
+++ b/services/platform/listener_budget.c
@@ -47,7 +47,11 @@
     if (l->options.receive.budget != NULL) {
         PhReceiveBudget_Set(l->options.receive.budget, &c->receiver, stage,
                             bytes, PhTask_Now(l->self));
+        return;
     }
+    c->receiver.stage = stage;
+    c->receiver.bytes = bytes;
+    c->receiver.progress_at = PhTask_Now(l->self);
 }
 
 /* libmicrohttpd then reads the end of the stream and cleans up.  The body of a
@@ -89,8 +93,14 @@
     return true;
 }
 
+bool
+PhConnection_IsClosing(const PhConnection *c)
+{
+    return c->closing || c->receiver.closing;
+}
+
 void
-PhConnection_CloseSlowHeaders(PhConnection *c)
+PhConnection_CloseSlow(PhConnection *c)
 {
     PhListener *l = c->listener;
     count(l, PH_COUNTER_RECEIVE_HEADERS_CLOSED);
--- a/services/platform/listener_internal.h
+++ b/services/platform/listener_internal.h
@@ -7,7 +7,7 @@
 #include "peridothill/services/listener.h"
 
 typedef struct PhConnection {
-    PhReceiver receiver; /* its part of the budget */
+    PhReceiver receiver; /* its part of the budget; kept without one too */
     PhListener *listener;
     struct PhExchange *exchange; /* its request, NULL before its headers */
     int fd;
@@ -60,7 +60,8 @@
     bool close_after_response; /* every response closes its connection */
     bool close_for_now;        /* the same until further notice */
     bool quiescing;            /* connections without a request are closed */
-    bool makes_room;    /* an idle connection was shut down at the limit */
+    bool sweep_is_due;         /* its timer is set */
+    bool makes_room;           /* a connection was shut down at the limit */
     bool accepts_again; /* a connection closed while the limit was reached */
 };
 
@@ -83,8 +84,11 @@
 /* Closes connections until this one may hold `extra` bytes more.  Returns
  * false if it is itself to be closed. */
 bool PhConnection_Reserve(PhConnection *connection, size_t extra);
-/* Shuts a connection down because its headers take too long. */
-void PhConnection_CloseSlowHeaders(PhConnection *connection);
+/* Shuts a connection down because its headers take too long, or because it
+ * makes no progress while other callers wait. */
+void PhConnection_CloseSlow(PhConnection *connection);
+/* Reports whether it was shut down, so that its request is not taken. */
+bool PhConnection_IsClosing(const PhConnection *connection);
 /* Returns memory to the system after much was held.  Returns true if that is
  * still to come. */
 bool PhListener_ReturnMemory(const PhListener *listener);
--- a/services/platform/listener_request.c
+++ b/services/platform/listener_request.c
@@ -115,7 +115,8 @@
 {
     size_t limit = x->listener->options.body_limit_bytes;
     x->received += len;
-    if (x->received > limit * OVERSIZE_FACTOR || x->caller->receiver.closing) {
+    if (x->received > limit * OVERSIZE_FACTOR ||
+        PhConnection_IsClosing(x->caller)) {
         return false;
     }
     if (x->received > limit) {
@@ -208,7 +209,7 @@
 {
     PhConnection *caller = caller_find(l, connection);
     caller->in_headers = false;
-    if (caller->closing || caller->receiver.closing) {
+    if (PhConnection_IsClosing(caller)) {
         return MHD_NO;
     }
     int refusal = headers_refusal(l, connection);
@@ -264,8 +265,9 @@
         *data_len = 0;
         return taken ? MHD_YES : MHD_NO;
     }
-    /* The budget has taken the body of a request that was not delivered. */
-    if (!x->delivered && x->caller->receiver.closing) {
+    /* The budget may have taken the body of a request that was not
+     * delivered. */
+    if (!x->delivered && PhConnection_IsClosing(x->caller)) {
         return MHD_NO;
     }
     if (x->too_large) {
--- a/tests/crowd/test_crowd.c
+++ b/tests/crowd/test_crowd.c
@@ -89,6 +89,15 @@
     return s;
 }
 
+/* The first byte of a small body. */
+static GString *
+text_one_byte(unsigned index)
+{
+    GString *s = g_string_new(NULL);
+    g_string_printf(s, POST "Content-Length: 100\r\n\r\n{", index + 1);
+    return s;
+}
+
 static void
 append_chunks(GString *s, unsigned count, size_t bytes)
 {
@@ -276,6 +285,14 @@
     {"readiness: connections that send nothing", {PH_CROWD_READY, 100}},
     {"readiness: answers that are never read",
      {PH_CROWD_READY, 60, text_metrics, true, .never_reads = true}},
+    {"one byte of a body",
+     {PH_CROWD_CLIENTS, 300, text_one_byte, .same_text = true}},
+    {"readiness: one byte of a body",
+     {PH_CROWD_READY, 100, text_one_byte, .same_text = true}},
+    {"answers that are never read, beyond the limit",
+     {PH_CROWD_CLIENTS, 300, text_calls, true, .never_reads = true}},
+    {"readiness: answers that are never read, beyond the limit",
+     {PH_CROWD_READY, 100, text_metrics, true, .never_reads = true}},
     {"links: connections that send nothing", {PH_CROWD_LINK, 200}},
     {"links: frames that never end",
      {PH_CROWD_LINK, 200, text_frame, true, .bytewise = 100}},
