settings: limits on what is received hold only where they are set

Cause: without any setting there was a budget of 64 MB, headers had 10 s, a job 16,384 values and all jobs 262,144 tasks, so that earlier deployments were served differently.

Change: there is no budget unless memory or receive_budget is set; header_time, json_values and active_tasks are 0 by default, which stands for no limit, and otherwise have the range they had.

--- a/codec/settings_key.c
+++ b/codec/settings_key.c
@@ -8,6 +8,15 @@
         .min = (MIN_VALUE), .max = (MAX_VALUE), .initial = (INITIAL),         \
         .doc = (DOC)                                                          \
     }
+/* Off by default, or within the range. */
+#define KEY_OR_OFF(SECTION, NAME, MEMBER, KIND, MIN_VALUE, MAX_VALUE,         \
+                   INITIAL, DOC)                                              \
+    {                                                                         \
+        .section = (SECTION), .name = (NAME), .kind = PH_SETTING_##KIND,      \
+        .offset = offsetof(PhSettings, MEMBER), .min = (MIN_VALUE),           \
+        .max = (MAX_VALUE), .zero_is_off = true, .initial = (INITIAL),        \
+        .doc = (DOC)                                                          \
+    }
 #define MS PH_NS_PER_MS
 #define S PH_NS_PER_S
 #define KB UINT64_C(1024)
@@ -113,16 +122,19 @@
         "Memory of the machine; 0KB: not known."),
     KEY("limits", "receive_budget", limits.receive_budget, SIZE, false, 0,
         MEMORY_MAX, "0KB",
-        "Bytes of all requests that are received or wait for an answer; 0KB: "
-        "a quarter of memory, or 64MB."),
-    KEY("limits", "header_time", limits.header_time, DURATION, false, 3 * S,
-        60 * S, "10s", "Longest time to receive the headers of a request."),
-    KEY("limits", "json_values", limits.json_values, COUNT, false, KB, MB,
-        "16384", "JSON values in the largest document of a client."),
-    KEY("limits", "active_tasks", limits.active_tasks, COUNT, false, KB,
-        16 * MB, "262144",
-        "Tasks of all jobs that have not ended; beyond it new jobs are "
-        "refused."),
+        "Bytes of all requests that are received and answers that are sent; "
+        "0KB: a quarter of memory, or no limit if that is not known."),
+    KEY_OR_OFF("limits", "header_time", limits.header_time, DURATION, 3 * S,
+               60 * S, "0s",
+               "Longest time to receive the headers of a request; 0s: no "
+               "limit."),
+    KEY_OR_OFF("limits", "json_values", limits.json_values, COUNT, KB, MB, "0",
+               "JSON values in the largest document of a client; 0: no "
+               "limit."),
+    KEY_OR_OFF("limits", "active_tasks", limits.active_tasks, COUNT, KB,
+               16 * MB, "0",
+               "Tasks of all jobs that have not ended, beyond which new jobs "
+               "are refused; 0: no limit."),
     KEY("log", "level", log.level, LEVEL, false, 0, 0, "info",
         "Least level written: debug, info, warning or error."),
     KEY("log", "format", log.format, FORMAT, false, 0, 0, "logfmt",
--- a/codec/settings_value.c
+++ b/codec/settings_value.c
@@ -181,8 +181,10 @@
                              unit_count > 0 ? units[1].suffix : "");
     }
     uint64_t number = 0;
-    bool fits = PhStr_ParseU64(PhStr_Slice(value, 0, digits), &number) &&
-                number <= key->max / scale && number * scale >= key->min;
+    bool fits =
+        PhStr_ParseU64(PhStr_Slice(value, 0, digits), &number) &&
+        number <= key->max / scale &&
+        (number * scale >= key->min || (number == 0 && key->zero_is_off));
     if (!fits) {
         return PhResult_Make(PH_STATUS_INVALID, "'%.*s' is out of range",
                              PhStr_ARG(value));
--- a/commands/serve.c
+++ b/commands/serve.c
@@ -156,13 +156,16 @@
                PhField_U64("peers_port", ports->peers));
 }
 
-/* The largest body fits into any budget. */
+/* The largest body fits into any budget.  Without a limit in the settings
+ * there is none. */
 static PhReceiveBudget *
 receive_budget_create(const PhSettings *s)
 {
     uint64_t bytes =
         PhReceiveBudget_Derive(s->limits.receive_budget, s->limits.memory);
-    return PhReceiveBudget_Create(MAX(bytes, s->limits.request_body));
+    return bytes == 0
+               ? NULL
+               : PhReceiveBudget_Create(MAX(bytes, s->limits.request_body));
 }
 
 static PhResult
--- a/decide/requests/receive_budget.c
+++ b/decide/requests/receive_budget.c
@@ -2,9 +2,6 @@
 
 #include <glib.h>
 
-/* Budget of a process whose machine's memory is not known. */
-static const uint64_t DEFAULT_BYTES = UINT64_C(64) * 1024 * 1024;
-
 enum {
     MEMORY_SHARE = 4, /* the budget is this part of the memory */
     /* Memory is returned once this part of the budget was held, so that
@@ -26,10 +23,7 @@
 uint64_t
 PhReceiveBudget_Derive(uint64_t receive_budget, uint64_t memory)
 {
-    if (receive_budget > 0) {
-        return receive_budget;
-    }
-    return memory > 0 ? memory / MEMORY_SHARE : DEFAULT_BYTES;
+    return receive_budget > 0 ? receive_budget : memory / MEMORY_SHARE;
 }
 
 PhReceiveBudget *
--- a/include/peridothill/codec/settings.h
+++ b/include/peridothill/codec/settings.h
@@ -60,8 +60,8 @@
         PhTime drain_limit;
         PhTime key_window;
         uint64_t memory;         /* bytes, 0: not known */
-        uint64_t receive_budget; /* bytes, 0: derived from `memory` */
-        PhTime header_time;
+        uint64_t receive_budget; /* bytes, 0: from `memory`, or none */
+        PhTime header_time;      /* 0: no limit, as in the next two */
         uint64_t json_values;
         uint64_t active_tasks;
     } limits;
--- a/include/peridothill/codec/settings_key.h
+++ b/include/peridothill/codec/settings_key.h
@@ -29,6 +29,7 @@
     size_t offset;
     uint64_t min;
     uint64_t max;
+    bool zero_is_off;    /* 0 is in range too */
     const char *initial; /* default, or an example for a required key */
     const char *doc;
 } PhSettingKey;
--- a/include/peridothill/decide/requests/receive_budget.h
+++ b/include/peridothill/decide/requests/receive_budget.h
@@ -23,7 +23,7 @@
  * which only reads the members. */
 typedef struct PhReceiver {
     PhReceiverStage stage;
-    size_t bytes;       /* held for its request or answer */
+    size_t bytes;       /* held by the listener for its request or answer */
     PhTime progress_at; /* last bytes that arrived, or begin of the stage */
     bool closing;       /* was chosen; it counts no more */
     int fd;             /* for the one who closes it */
@@ -43,7 +43,8 @@
     } as;
 } PhReceiveDecision;
 
-/* The budget in bytes from the settings; 0 stands for "not set" in both. */
+/* The budget in bytes from the settings; 0 stands for "not set" in both, and
+ * for no budget. */
 uint64_t PhReceiveBudget_Derive(uint64_t receive_budget, uint64_t memory);
 
 PhReceiveBudget *PhReceiveBudget_Create(uint64_t limit);
--- a/include/peridothill/platform/adapter.h
+++ b/include/peridothill/platform/adapter.h
@@ -24,7 +24,7 @@
     size_t body_limit_bytes;
     unsigned connection_limit;
     PhReceiveLimits receive;
-    uint64_t json_values; /* largest number of them in a submission */
+    uint64_t json_values; /* most of them in a submission, 0: no limit */
     PhTime drain_notice;  /* time for the load balancer to notice a stop */
     PhTime drain_limit;   /* then the longest wait for connections to close */
 } PhFrontOptions;
--- a/tests/proof/test_settings.c
+++ b/tests/proof/test_settings.c
@@ -46,6 +46,16 @@
      "f:8: connections: '0' is out of range\n"
      "f:9: drain_notice: a number with the unit ms or s is needed\n"
      "f:10: unknown key 'conections' in [limits]\n"},
+    {"limits that may be off, within their range or 0",
+     PhStr_LITERAL(REQUIRED "[limits]\nheader_time = 0s\njson_values = 0\n"
+                            "active_tasks = 0\n"),
+     ""},
+    {"limits that may be off, below their range",
+     PhStr_LITERAL(REQUIRED "[limits]\nheader_time = 1s\njson_values = 1\n"
+                            "active_tasks = 1023\n"),
+     "f:6: header_time: '1s' is out of range\n"
+     "f:7: json_values: '1' is out of range\n"
+     "f:8: active_tasks: '1023' is out of range\n"},
     {"unknown section without keys", PhStr_LITERAL(REQUIRED "[bogus]\n"),
      "f:5: unknown section [bogus]\n"},
     {"repeated key", PhStr_LITERAL(REQUIRED "id = e-2\n"),
--- a/tests/soak/processes.c
+++ b/tests/soak/processes.c
@@ -81,6 +81,7 @@
         "link = 127.0.0.1:%u\nlease_limit = 10000ms\n"
         "room_reserve = 12\nclaim_after = 500ms\ncontact_limit = 600ms\n"
         "[limits]\ndrain_notice = 2500ms\ndrain_limit = 5s\nmemory = 160MB\n"
+        "header_time = 10s\njson_values = 16384\nactive_tasks = 262144\n"
         "[log]\nlevel = info\n",
         i, plan->callers_ports[i], plan->store_proxy_ports[i],
         plan->ready_ports[i], plan->link_ports[i]);
