schedule: running sum of the active tasks

Cause: each submission scanned all jobs that have not ended and their steps.

Change: the model keeps the sum, which changes with the list of active jobs.

Tests: test_active_tasks compares it with a recount after each step: jobs with rounds, known jobs, ends, repeated ends, and records read again.

Measured: test_active_tasks, test_room and test_settings pass.

--- a/decide/schedule/active_tasks.c
+++ b/decide/schedule/active_tasks.c
@@ -22,23 +22,13 @@
     s->pending_tasks = count;
 }
 
-static uint64_t
-active_count(const PhScheduler *s)
-{
-    uint64_t count = s->pending_tasks;
-    for (guint i = 0; i < s->model->active->len; i++) {
-        const PhSchedJob *job = g_ptr_array_index(s->model->active, i);
-        count += PhSchedSpec_TaskCount(&job->spec);
-    }
-    return count;
-}
-
 PhAdmission
 PhScheduler_AdmitTasks(const PhScheduler *s, const PhSchedSpec *spec)
 {
     uint64_t max = s->options.active_tasks_max;
-    uint64_t active = max > 0 ? active_count(s) : 0;
-    if (active == 0 || active + PhSchedSpec_TaskCount(spec) <= max) {
+    uint64_t active = s->model->active_tasks + s->pending_tasks;
+    if (max == 0 || active == 0 ||
+        active + PhSchedSpec_TaskCount(spec) <= max) {
         return (PhAdmission){.tag = PH_ADMISSION_ACCEPTED};
     }
     PhTime spread = (PhTime)(PhStr_Hash(spec->id, 0) % RETRY_SECONDS);
--- a/decide/schedule/model.c
+++ b/decide/schedule/model.c
@@ -169,6 +169,7 @@
                   g_hash_table_contains(m->old_cancelled, &job->spec.id);
     g_hash_table_insert(m->jobs, &job->spec.id, job);
     g_ptr_array_add(m->active, job);
+    m->active_tasks += PhSchedSpec_TaskCount(&job->spec);
     PhSchedModel_ApplyDeferred(m, job, now);
     return job;
 }
@@ -203,6 +204,7 @@
     job->state = state;
     if (!was_over && PhSchedJob_IsOver(job)) {
         g_ptr_array_remove_fast(m->active, job);
+        m->active_tasks -= PhSchedSpec_TaskCount(&job->spec);
     }
 }
 
@@ -226,6 +228,7 @@
         w->unbound = false;
     }
     g_ptr_array_set_size(m->active, 0);
+    m->active_tasks = 0;
     g_hash_table_remove_all(m->deferred);
     m->deferred_count = 0;
     g_hash_table_remove_all(m->cancelled);
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -311,6 +311,7 @@
     GHashTable *workers;     /* newest incarnation of each by id */
     GPtrArray *incarnations; /* every PhSchedWorker, owned */
     GPtrArray *active;       /* PhSchedJob that have not ended, not owned */
+    uint64_t active_tasks;   /* of these, in all their rounds */
     GHashTable *images;      /* number of each image, from 1 */
     GHashTable *deferred;  /* GQueue of the records of each unknown job, by its
                               id; see record.h */
--- a/tests/schedule/test_active_tasks.c
+++ b/tests/schedule/test_active_tasks.c
@@ -8,6 +8,7 @@
 enum {
     LIMIT = 100,
     JOBS_MAX = 3,
+    SUM_STEPS_MAX = 5,
 };
 
 typedef struct PhTasksCase {
@@ -124,6 +125,102 @@
     Ph_RUN_TABLE(cases, tasks_run);
 }
 
+typedef enum PhSumTag {
+    SUM_ADD,     /* a job; one that is known is not added again */
+    SUM_RUNNING, /* state of a job, as the next two */
+    SUM_FAILED,
+    SUM_COMPLETED,
+    SUM_CLEAR, /* all records */
+} PhSumTag;
+
+typedef struct PhSumStep {
+    PhSumTag tag;
+    unsigned job;
+    uint32_t count;
+    uint32_t repetitions;
+} PhSumStep;
+
+typedef struct PhSumCase {
+    const char *name;
+    PhSumStep steps[SUM_STEPS_MAX];
+    size_t step_count;
+    uint64_t sum; /* afterwards */
+} PhSumCase;
+
+static const PhSumCase sum_cases[] = {
+    {"jobs and rounds", {{SUM_ADD, 1, 5, 0}, {SUM_ADD, 2, 7, 3}}, 2, 26},
+    {"a known job", {{SUM_ADD, 1, 5, 0}, {SUM_ADD, 1, 5, 0}}, 2, 5},
+    {"an end, and its record once more",
+     {{SUM_ADD, 1, 5, 0},
+      {SUM_ADD, 2, 7, 0},
+      {SUM_RUNNING, 1},
+      {SUM_COMPLETED, 1},
+      {SUM_COMPLETED, 1}},
+     5,
+     7},
+    {"another end after the end",
+     {{SUM_ADD, 1, 5, 0}, {SUM_FAILED, 1}, {SUM_COMPLETED, 1}},
+     3,
+     0},
+    {"records read again after a new start",
+     {{SUM_ADD, 1, 5, 0}, {SUM_ADD, 2, 7, 0}, {SUM_CLEAR}, {SUM_ADD, 2, 7, 0}},
+     4,
+     7},
+};
+
+static void
+sum_step(PhSchedModel *model, const PhSumStep *step)
+{
+    PhSchedSpec spec = spec_make(step->job, step->count);
+    PhSchedJob *job = PhSchedModel_Job(model, spec.id);
+    spec.repetitions = step->repetitions;
+    switch (step->tag) {
+    case SUM_ADD:
+        PhSchedModel_AddJob(model, &spec, 1);
+        break;
+    case SUM_RUNNING:
+        PhSchedModel_SetJobState(model, job, PH_SCHED_JOB_RUNNING);
+        break;
+    case SUM_FAILED:
+        PhSchedModel_SetJobState(model, job, PH_SCHED_JOB_FAILED);
+        break;
+    case SUM_COMPLETED:
+        PhSchedModel_SetJobState(model, job, PH_SCHED_JOB_COMPLETED);
+        break;
+    case SUM_CLEAR:
+        PhSchedModel_ClearRecords(model);
+        break;
+    }
+    PhSchedSpec_Clear(&spec);
+}
+
+/* Guards against a sum that departs from the jobs, so that jobs are refused
+ * for tasks that have ended. */
+static void
+sum_run(const PhSumCase *c)
+{
+    PhScheduler *s = PhScheduler_Create(&(PhSchedulerOptions){0});
+    PhSchedModel *model = PhScheduler_Model(s);
+    for (size_t i = 0; i < c->step_count; i++) {
+        uint64_t recount = 0;
+        sum_step(model, &c->steps[i]);
+        for (guint k = 0; k < model->active->len; k++) {
+            const PhSchedJob *job = g_ptr_array_index(model->active, k);
+            recount += PhSchedSpec_TaskCount(&job->spec);
+        }
+        assert_int_equal(model->active_tasks, recount);
+    }
+    assert_int_equal(model->active_tasks, c->sum);
+    PhScheduler_Destroy(s);
+}
+
+static void
+test_sum(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(sum_cases, sum_run);
+}
+
 typedef struct PhLimitCase {
     const char *name;
     uint64_t active_tasks;
@@ -163,6 +260,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_admission),
+        cmocka_unit_test(test_sum),
         cmocka_unit_test(test_limit),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
