--- a/codec/settings_key.c
+++ b/codec/settings_key.c
@@ -21,7 +21,7 @@
 #define S PH_NS_PER_S
 #define KB UINT64_C(1024)
 #define MB (1024 * KB)
-#define MEMORY_MAX (1024 * 1024 * MB)
+#define MEMORY_MAX (KB * KB * MB)
 
 enum {
     ROOM_RESERVE_MAX_PERCENT = 50,
