--- a/include/peridothill/decide/requests/receive_budget.h
+++ b/include/peridothill/decide/requests/receive_budget.h
@@ -23,7 +23,7 @@
  * which only reads the members. */
 typedef struct PhReceiver {
     PhReceiverStage stage;
-    size_t bytes;       /* held for its request or answer */
+    size_t bytes;       /* held by the listener for its request or answer */
     PhTime progress_at; /* last bytes that arrived, or begin of the stage */
     bool closing;       /* was chosen; it counts no more */
     int fd;             /* for the one who closes it */
@@ -43,7 +43,8 @@
     } as;
 } PhReceiveDecision;
 
-/* The budget in bytes from the settings; 0 stands for "not set" in both. */
+/* The budget in bytes from the settings; 0 stands for "not set" in both, and
+ * for no budget. */
 uint64_t PhReceiveBudget_Derive(uint64_t receive_budget, uint64_t memory);
 
 PhReceiveBudget *PhReceiveBudget_Create(uint64_t limit);
@@ -60,7 +61,8 @@
 void PhReceiveBudget_Set(PhReceiveBudget *budget, PhReceiver *receiver,
                          PhReceiverStage stage, size_t bytes, PhTime now);
 
-/* Decides what happens before `sender` holds `extra` bytes more.  The
+/* Decides what happens before `sender` holds `extra` bytes more, which is
+ * progress.  The
  * connection with the largest product of bytes and time since its last
  * progress is closed first; on a tie, the one with more bytes.  A receiver
  * that is chosen is marked as closing. */
