--- a/decide/schedule/active_tasks.c
+++ b/decide/schedule/active_tasks.c
@@ -1,6 +1,6 @@
 /* Limit of the tasks of all jobs that have not ended: each takes memory in
- * every instance.  Only the owner refuses for it: the model of another one
- * lags, and the job may have been accepted elsewhere. */
+ * every instance.  The owner refuses for it, and an instance that has read the
+ * jobs recently: else the job may have been accepted elsewhere. */
 #include "scheduler_private.h"
 
 enum {
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -115,10 +115,6 @@
 /* Reports whether what a worker says is left to the next owner. */
 bool PhScheduler_IsClosedFor(const PhScheduler *scheduler,
                              const PhSchedWorker *worker, PhTime now);
-/* Refuses a submission while the tasks of all jobs that have not ended, and
- * its own, are more than the limit. */
-PhAdmission PhScheduler_AdmitTasks(const PhScheduler *scheduler,
-                                   const PhSchedSpec *spec);
 /* Makes the next decision due by `at`. */
 void PhScheduler_WakeBy(PhScheduler *scheduler, PhTime at);
 
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -388,8 +388,8 @@
 } PhAdmission;
 
 /* The limit from the settings: `active_tasks`, or fewer if they take more than
- * an eighth of the memory, but at least the tasks of one job; 0 tasks: no limit,
- * 0 bytes: not known. */
+ * an eighth of the memory, but at least the tasks of one job; 0 tasks: no
+ * limit, 0 bytes: not known. */
 uint64_t PhScheduler_ActiveTasksMax(uint64_t active_tasks, uint64_t memory);
 /* Tasks of submissions that were admitted and are not in the model yet. */
 void PhScheduler_SetPendingTasks(PhScheduler *scheduler, uint64_t count);
@@ -401,6 +401,11 @@
  * but what exceeds the limit of tasks unless this is the owner. */
 PhAdmission PhScheduler_Admit(PhScheduler *scheduler, const PhSchedSpec *spec,
                               PhTime now);
+/* Refuses a submission if it and all jobs that have not ended have more tasks
+ * than the limit.  Part of the decision above; for an instance that is not the
+ * owner and has read the jobs recently it is the whole of it. */
+PhAdmission PhScheduler_AdmitTasks(const PhScheduler *scheduler,
+                                   const PhSchedSpec *spec);
 /* Reports whether long-running jobs of all services are refused for want of
  * room. */
 bool PhScheduler_IsLastingClosed(const PhScheduler *scheduler, PhTime now);
--- a/services/schedule/schedule_calls.c
+++ b/services/schedule/schedule_calls.c
@@ -281,6 +281,18 @@
     return call->waited ? PH_LASTING_DECIDE : PH_LASTING_WAIT;
 }
 
+/* An instance that is not the owner refuses for the number of tasks only, and
+ * only with jobs read recently. */
+static PhAdmission
+submission_admit(PhScheduleTask *t, const PhClientCall *call)
+{
+    PhScheduler_SetPendingTasks(t->scheduler, PhScheduleAccept_Tasks(t));
+    if (t->stage != OWNER_ACTIVE && PhScheduleTopics_AreJobsFresh(t)) {
+        return PhScheduler_AdmitTasks(t->scheduler, &call->spec);
+    }
+    return PhScheduler_Admit(t->scheduler, &call->spec, PhTask_Now(t->self));
+}
+
 /* Refuses a submission, or has it wait for an owner; returns false if it is to
  * be accepted. */
 static bool
@@ -301,9 +313,7 @@
     case PH_LASTING_DECIDE:
         break;
     }
-    PhScheduler_SetPendingTasks(t->scheduler, PhScheduleAccept_Tasks(t));
-    PhAdmission admission =
-        PhScheduler_Admit(t->scheduler, &call->spec, PhTask_Now(t->self));
+    PhAdmission admission = submission_admit(t, call);
     if (admission.tag == PH_ADMISSION_ACCEPTED) {
         return false;
     }
