--- a/services/schedule/schedule_task.h
+++ b/services/schedule/schedule_task.h
@@ -233,10 +233,16 @@
 void PhScheduleCalls_DestroyQueued(gpointer call);
 /* Refuses the queued calls that wait for a read and have had no effect. */
 void PhScheduleCalls_RefuseWaiting(PhScheduleTask *task);
+/* Refuses a call that would have to wait for the store, if that is out of
+ * reach or there is no time left; false if it need not wait. */
+bool PhScheduleCalls_RefuseToWait(PhScheduleTask *task, PhClientCall *call);
 /* Refuses a call at once for want of contact or of time. */
 void PhScheduleCalls_RefuseAtOnce(PhScheduleTask *task, PhClientCall *call,
                                   PhCallPath refusal);
 
+/* schedule_submit.c: decides on a submission in this instance. */
+void PhScheduleSubmit_Handle(PhScheduleTask *task, PhClientCall *call);
+
 /* schedule_waiting.c: submissions that wait for an owner. */
 /* Takes ownership of the call's contents. */
 void PhScheduleWaiting_Add(PhScheduleTask *task, PhClientCall *call);
--- a/tests/schedule/platform_fixture.c
+++ b/tests/schedule/platform_fixture.c
@@ -103,6 +103,10 @@
         PhBuf_AppendFormat(&text, "contact_limit = %ums\n",
                            fixture->contact_limit_ms);
     }
+    if (fixture->room_reserve > 0) {
+        PhBuf_AppendFormat(&text, "room_reserve = %u\n",
+                           fixture->room_reserve);
+    }
     if (fixture->dispatches) {
         PhBuf_Append(&text, PhStr_LITERAL("dispatch_delay = 0s\n"));
     }
@@ -173,6 +177,17 @@
     instances_open(fixture, links);
 }
 
+void
+PhPlatformFixture_OpenWithRoom(PhPlatformFixture *fixture, size_t instances,
+                               unsigned contact_limit_ms,
+                               unsigned room_reserve)
+{
+    *fixture = (PhPlatformFixture){.instance_count = instances,
+                                   .contact_limit_ms = contact_limit_ms,
+                                   .room_reserve = room_reserve};
+    instances_open(fixture, true);
+}
+
 void
 PhPlatformFixture_Kill(PhPlatformFixture *fixture, size_t instance)
 {
@@ -306,3 +321,34 @@
     }
     return false;
 }
+
+void
+PhPlatformFixture_RunSteps(PhPlatformFixture *fixture, int count)
+{
+    for (int i = 0; i < count; i++) {
+        PhPlatformFixture_Run(fixture);
+    }
+}
+
+uint64_t
+PhPlatformFixture_CounterSum(const PhPlatformFixture *fixture,
+                             PhCounter counter)
+{
+    uint64_t sum = 0;
+    for (size_t i = 0; i < PH_FIXTURE_INSTANCES_MAX; i++) {
+        sum += PhCounters_Get(fixture->instances[i].counters, counter);
+    }
+    return sum;
+}
+
+void
+PhPlatformFixture_RunJob(PhPlatformFixture *fixture, size_t instance,
+                         const char *id, const char *job, int times)
+{
+    for (int i = 0; i < times; i++) {
+        assert_true(PhPlatformFixture_CallUntil(fixture, instance, "POST", id,
+                                                job, 200, ""));
+    }
+    assert_true(PhPlatformFixture_CallUntil(fixture, instance, "GET", id, "",
+                                            200, "completed"));
+}
--- a/tests/schedule/platform_fixture.h
+++ b/tests/schedule/platform_fixture.h
@@ -36,6 +36,7 @@
     bool worker_closes_connections; /* stays so once it is set */
     size_t record_bytes;            /* limits of the store, 0: the default */
     size_t append_bytes;
+    unsigned room_reserve; /* percent */
     unsigned contact_limit_ms;
     PhStandinStoreFault first_fault; /* for the first instance only, which has
                                         a port of the store to itself */
@@ -64,6 +65,11 @@
                                        size_t instances, bool links,
                                        unsigned contact_limit_ms);
 void PhPlatformFixture_Close(PhPlatformFixture *fixture);
+/* With links, and with a reserve of room in percent. */
+void PhPlatformFixture_OpenWithRoom(PhPlatformFixture *fixture,
+                                    size_t instances,
+                                    unsigned contact_limit_ms,
+                                    unsigned room_reserve);
 /* Destroys an instance without a shutdown. */
 void PhPlatformFixture_Kill(PhPlatformFixture *fixture, size_t instance);
 /* The same, then starts it again under its id and at its addresses. */
@@ -91,4 +97,14 @@
                                  const char *body, int status,
                                  const char *want);
 
+/* Runs the loop `count` times. */
+void PhPlatformFixture_RunSteps(PhPlatformFixture *fixture, int count);
+/* The sum of a counter over the instances. */
+uint64_t PhPlatformFixture_CounterSum(const PhPlatformFixture *fixture,
+                                      PhCounter counter);
+
+/* Submits a job to an instance `times` times and waits for its end. */
+void PhPlatformFixture_RunJob(PhPlatformFixture *fixture, size_t instance,
+                              const char *id, const char *job, int times);
+
 #endif
