tests/crowd: jobs with large specifications

Cause: a crowd may send whole, valid jobs whose specification takes nearly the largest body; accepted jobs keep it in memory.

Change: a row of 200 such jobs, within the bounds that are there.

Measured on the code as it stands: fails, see the log of the test: memory beside the crowd beyond 32 MB.

--- a/tests/crowd/test_crowd.c
+++ b/tests/crowd/test_crowd.c
@@ -41,6 +41,7 @@
     OBJECTS = 87000, /* "{}," */
     DEPTH = 2000,
     STEPS = 4000,
+    SPECIFICATION_REST = 12000, /* a record in the store has to hold it */
     STATUS_OK = 200,
     TRIES = 100,
     UNANSWERED_MAX = 8, /* calls of 3 s each: several times header_time */
@@ -250,6 +251,18 @@
     return s;
 }
 
+/* A valid job whose specification takes nearly the whole body. */
+static GString *
+text_specification(unsigned index)
+{
+    GString *body = g_string_new("{\"spec\":\"");
+    append_bytes(body, SENT_BYTES - SPECIFICATION_REST);
+    g_string_append(body, "\",\"steps\":[{\"count\":1,\"cpu\":500}]}");
+    GString *s = text_of_body(index, body);
+    g_string_free(body, TRUE);
+    return s;
+}
+
 typedef struct PhCrowdCase {
     const char *name;
     PhCrowdPlan plan;
@@ -278,6 +291,8 @@
     {"thousands of steps",
      {PH_CROWD_CLIENTS, 100, text_steps, .same_text = true}},
     {"jobs with thousands of tasks", {PH_CROWD_CLIENTS, 100, text_tasks}},
+    {"jobs with large specifications",
+     {PH_CROWD_CLIENTS, 200, text_specification}},
     {"readiness: declared length",
      {PH_CROWD_READY, 100, text_declared, .same_text = true}},
     {"readiness: headers that never end",
