schedule: large payloads count in the limit of tasks

Cause: an accepted job keeps its payload in memory, four times while its record is on the way to the store; 200 whole, valid jobs of 250 KB took 40 MB beside a bound of 32.

Change: what a payload has beyond 4,000 bytes, which is all that clients are told to send, counts in tasks of 256 bytes, four times until its record is durable; the payload of a job that has ended is freed.

--- a/decide/schedule/active_tasks.c
+++ b/decide/schedule/active_tasks.c
@@ -27,8 +27,7 @@
 {
     uint64_t max = s->options.active_tasks_max;
     uint64_t active = s->model->active_tasks + s->pending_tasks;
-    if (max == 0 || active == 0 ||
-        active + PhSchedSpec_TaskCount(spec) <= max) {
+    if (max == 0 || active == 0 || active + PhSchedSpec_Weight(spec) <= max) {
         return (PhAdmission){.tag = PH_ADMISSION_ACCEPTED};
     }
     PhTime spread = (PhTime)(PhStr_Hash(spec->id, 0) % RETRY_SECONDS);
--- a/decide/schedule/model.c
+++ b/decide/schedule/model.c
@@ -169,7 +169,7 @@
                   g_hash_table_contains(m->old_cancelled, &job->spec.id);
     g_hash_table_insert(m->jobs, &job->spec.id, job);
     g_ptr_array_add(m->active, job);
-    m->active_tasks += PhSchedSpec_TaskCount(&job->spec);
+    m->active_tasks += PhSchedSpec_Weight(&job->spec);
     PhSchedModel_ApplyDeferred(m, job, now);
     return job;
 }
@@ -204,7 +204,9 @@
     job->state = state;
     if (!was_over && PhSchedJob_IsOver(job)) {
         g_ptr_array_remove_fast(m->active, job);
-        m->active_tasks -= PhSchedSpec_TaskCount(&job->spec);
+        m->active_tasks -= PhSchedSpec_Weight(&job->spec);
+        /* No start is sent any more, and the job itself stays. */
+        PhStr_Clear(&job->spec.payload);
     }
 }
 
--- a/decide/schedule/spec.c
+++ b/decide/schedule/spec.c
@@ -2,6 +2,8 @@
 
 enum {
     ID_BYTES = 16,
+    PAYLOAD_BYTES = 4000, /* clients send no longer specification */
+    TASK_BYTES = 256,     /* about the size of a task in the model */
 };
 
 void
@@ -94,6 +96,15 @@
     return count * MAX(spec->repetitions, 1);
 }
 
+uint64_t
+PhSchedSpec_Weight(const PhSchedSpec *spec)
+{
+    size_t excess = spec->payload.len > PAYLOAD_BYTES
+                        ? spec->payload.len - PAYLOAD_BYTES
+                        : 0;
+    return PhSchedSpec_TaskCount(spec) + excess / TASK_BYTES;
+}
+
 PhTime
 PhSchedSpec_CriticalPath(const PhSchedSpec *spec)
 {
--- a/include/peridothill/decide/schedule/spec.h
+++ b/include/peridothill/decide/schedule/spec.h
@@ -74,6 +74,9 @@
 PhResult PhSchedSpec_Check(const PhSchedSpec *spec);
 /* Tasks of all rounds. */
 uint64_t PhSchedSpec_TaskCount(const PhSchedSpec *spec);
+/* The memory that the job takes, in tasks: its tasks, and its payload as far
+ * as that exceeds what clients are told to send. */
+uint64_t PhSchedSpec_Weight(const PhSchedSpec *spec);
 /* Length of the critical path by the estimates. */
 PhTime PhSchedSpec_CriticalPath(const PhSchedSpec *spec);
 /* Declared CPU, in milli-cores, of the long-running tasks of the job that do
--- a/services/schedule/schedule_accept.c
+++ b/services/schedule/schedule_accept.c
@@ -8,6 +8,7 @@
 static const PhTime RETRY_DELAY = 100 * PH_NS_PER_MS;
 enum {
     ACCEPT_RECORDS_MAX = 64, /* per append */
+    PAYLOAD_COPIES = 4,
     ACCEPT_EPOCH = 1, /* each producer name is used by one process only */
 };
 
@@ -157,13 +158,18 @@
     }
 }
 
-/* Tasks of one submission, 0 of a cancellation. */
+/* The memory of one submission in tasks, 0 of a cancellation.  On its way to
+ * the store its payload is held several times: in the call, the record, the
+ * append and the request. */
 static uint64_t
 pending_tasks(const PhPendingAccept *a)
 {
-    return a->call.tag == PH_SCHEDULE_SUBMIT
-               ? PhSchedSpec_TaskCount(&a->call.spec)
-               : 0;
+    if (a->call.tag != PH_SCHEDULE_SUBMIT) {
+        return 0;
+    }
+    uint64_t tasks = PhSchedSpec_TaskCount(&a->call.spec);
+    uint64_t payload = PhSchedSpec_Weight(&a->call.spec) - tasks;
+    return tasks + payload * PAYLOAD_COPIES;
 }
 
 uint64_t
