--- a/services/platform/listener_internal.h
+++ b/services/platform/listener_internal.h
@@ -1,4 +1,4 @@
-/* Declarations shared by listener.c and listener_request.c. */
+/* Declarations shared by the files of the listener. */
 #ifndef PERIDOTHILL_SERVICES_PLATFORM_LISTENER_INTERNAL_H
 #define PERIDOTHILL_SERVICES_PLATFORM_LISTENER_INTERNAL_H
 
@@ -65,6 +65,19 @@
     bool accepts_again; /* a connection closed while the limit was reached */
 };
 
+/* The timers of a listener. The kernel's token is the listener's address plus
+ * this value. */
+typedef enum PhListenerTimer {
+    LISTENER_TIMER_RUN,   /* of libmicrohttpd */
+    LISTENER_TIMER_SWEEP, /* of connections */
+} PhListenerTimer;
+
+static inline uint64_t
+timer_token(const PhListener *listener, PhListenerTimer which)
+{
+    return (uint64_t)(uintptr_t)listener + (uint64_t)which;
+}
+
 /* listener_request.c: libmicrohttpd callbacks for one request. */
 void *PhListener_OnRequestLine(void *context, const char *uri,
                                struct MHD_Connection *connection);
@@ -75,9 +88,31 @@
                                     size_t *data_len, void **slot);
 void PhListener_OnCompleted(void *context, struct MHD_Connection *connection,
                             void **slot, enum MHD_RequestTerminationCode code);
+/* Stops watching for a disconnect of the caller. */
+void PhExchange_Unwatch(PhExchange *exchange);
+
+/* listener_connections.c: libmicrohttpd callback for an opened or closed
+ * connection. */
+void PhListener_OnConnection(void *context, struct MHD_Connection *connection,
+                             void **slot,
+                             enum MHD_ConnectionNotificationCode code);
+/* The connection waits for its next request, or no longer. */
 void PhConnection_SetIdle(PhListener *listener, PhConnection *connection,
                           bool idle);
+/* The first line of a request was read. */
 void PhConnection_SetBegun(PhConnection *connection);
+/* Closes connections whose next request does not arrive completely in time,
+ * even if it trickles in; while quiescing, all connections without a
+ * request. */
+void PhListener_Sweep(PhListener *listener);
+/* The same when the sweep's timer has expired. */
+void PhListener_OnSweepTimer(PhListener *listener);
+/* At the connection limit, closes a connection that has sent nothing for long,
+ * or one whose request or answer does not get on, or else the one that has
+ * been idle for the longest time, so that the caller that waits is accepted.
+ * Without one it waits for the next answer or sweep. */
+void PhListener_MakeRoom(PhListener *listener);
+
 /* listener_budget.c: the connection now holds so many bytes. */
 void PhConnection_Hold(PhConnection *connection, PhReceiverStage stage,
                        size_t bytes);
@@ -92,7 +127,5 @@
 /* Returns memory to the system after much was held.  Returns true if that is
  * still to come. */
 bool PhListener_ReturnMemory(const PhListener *listener);
-/* Stops watching for a disconnect of the caller. */
-void PhExchange_Unwatch(PhExchange *exchange);
 
 #endif
