listener: one function looks at the next byte of a connection

Change: PhConnection_Peek() has it, for the caller that leaves, unread bytes and the end of the stream. The watched descriptor of a request is that of its connection, so the same socket is read. The behaviour is unchanged.

--- a/services/platform/listener.c
+++ b/services/platform/listener.c
@@ -154,8 +154,7 @@
 static void
 caller_ready(PhListener *l, PhExchange *x)
 {
-    char byte;
-    ssize_t n = recv(x->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    ssize_t n = PhConnection_Peek(x->caller);
     if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
         return;
     }
--- a/services/platform/listener_connections.c
+++ b/services/platform/listener_connections.c
@@ -125,11 +125,17 @@
     sweep_schedule(l);
 }
 
-static bool
-has_unread_bytes(int fd)
+ssize_t
+PhConnection_Peek(const PhConnection *c)
 {
     char byte;
-    return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    return recv(c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+}
+
+static bool
+has_unread_bytes(const PhConnection *c)
+{
+    return PhConnection_Peek(c) > 0;
 }
 
 /* Reports whether a connection has no part of a request. While quiescing, one
@@ -143,7 +149,7 @@
         return !caller->busy;
     }
     return l->quiescing && silent >= SWEEP_INTERVAL_MS * PH_NS_PER_MS &&
-           !caller->begun && !has_unread_bytes(caller->fd);
+           !caller->begun && !has_unread_bytes(caller);
 }
 
 /* The last time at which the caller or its answer got on. */
@@ -161,11 +167,10 @@
 static bool
 has_left(const PhConnection *caller, PhTime now)
 {
-    char byte;
     return !caller->busy && !caller->closing &&
            (caller->begun || caller->silent != NULL) &&
            now - progress_time(caller) >= SWEEP_INTERVAL_MS * PH_NS_PER_MS &&
-           recv(caller->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+           PhConnection_Peek(caller) == 0;
 }
 
 static bool
@@ -223,7 +228,7 @@
         if (now - caller->last_progress_at < limit) {
             return NULL;
         }
-        if (!caller->closing && !has_unread_bytes(caller->fd)) {
+        if (!caller->closing && !has_unread_bytes(caller)) {
             return caller;
         }
     }
@@ -241,7 +246,7 @@
            caller->receiver.stage != PH_RECEIVER_WAITING &&
            progress_time(caller) <= before &&
            (caller->receiver.stage == PH_RECEIVER_ANSWERING ||
-            !has_unread_bytes(caller->fd));
+            !has_unread_bytes(caller));
 }
 
 /* Returns the stalled connection with the oldest progress, NULL if there is
@@ -283,7 +288,7 @@
     }
     for (GList *at = l->idle.head; at != NULL; at = at->next) {
         PhConnection *caller = at->data;
-        if (!has_unread_bytes(caller->fd)) {
+        if (!has_unread_bytes(caller)) {
             l->makes_room = true;
             caller->closing = true;
             shutdown(caller->fd, SHUT_RDWR);
--- a/services/platform/listener_internal.h
+++ b/services/platform/listener_internal.h
@@ -101,6 +101,9 @@
                           bool idle);
 /* The first line of a request was read. */
 void PhConnection_SetBegun(PhConnection *connection);
+/* Returns what recv does for the next byte, which stays unread: 0 at the end
+ * of the stream. */
+ssize_t PhConnection_Peek(const PhConnection *connection);
 /* Closes connections whose next request does not arrive completely in time,
  * even if it trickles in; while quiescing, all connections without a
  * request. */
