kernel: events that are logged at most once a second

Cause: the listener and the front end each had the same test on the time of the last line, with a constant of their own for the same second.

Lines, fields and interval are as before. services/schedule/schedule_submit.c has a third copy, which is left to the change of that module.

--- a/include/peridothill/kernel/kernel.h
+++ b/include/peridothill/kernel/kernel.h
@@ -152,5 +152,9 @@
 #define PhTask_LOG(SELF, ID, ...)                                             \
     PhTask_Log((SELF), (ID), (const PhField[]){__VA_ARGS__},                  \
                sizeof((const PhField[]){__VA_ARGS__}) / sizeof(PhField))
+/* Reports whether an event that is logged at most once a second may be logged
+ * now, and if so notes it.  `logged_at` is the time of the last one, 0 if
+ * there was none. */
+bool PhTask_LogIsDue(const PhTask *self, PhTime *logged_at);
 
 #endif
--- a/kernel/task.c
+++ b/kernel/task.c
@@ -1,5 +1,8 @@
 #include "kernel_internal.h"
 
+/* Of events that untrusted callers can cause at any rate. */
+static const PhTime LOG_INTERVAL = 1 * PH_NS_PER_S;
+
 bool
 PhTaskRef_IsNone(PhTaskRef ref)
 {
@@ -135,3 +138,14 @@
     PhLog_Write(self->kernel->options.log, id, self->spec.name,
                 PhTask_Now(self), fields, count);
 }
+
+bool
+PhTask_LogIsDue(const PhTask *self, PhTime *logged_at)
+{
+    PhTime now = PhTask_Now(self);
+    if (*logged_at != 0 && now - *logged_at < LOG_INTERVAL) {
+        return false;
+    }
+    *logged_at = now;
+    return true;
+}
--- a/services/platform/listener_budget.c
+++ b/services/platform/listener_budget.c
@@ -4,33 +4,18 @@
 
 #include "listener_internal.h"
 
-/* One line per second and cause, however many connections are closed. */
-static const PhTime LOG_INTERVAL = 1 * PH_NS_PER_S;
-
 static void
 count(const PhListener *l, PhCounter counter)
 {
     PhCounters_Add(PhKernel_Counters(PhTask_Kernel(l->self)), counter, 1);
 }
 
-/* Reports whether a line may be logged now. */
-static bool
-log_is_due(const PhListener *l, PhTime *logged_at)
-{
-    PhTime now = PhTask_Now(l->self);
-    if (*logged_at != 0 && now - *logged_at < LOG_INTERVAL) {
-        return false;
-    }
-    *logged_at = now;
-    return true;
-}
-
 static void
 budget_log(PhListener *l)
 {
     const PhReceiveBudget *b = l->options.receive.budget;
     l->budget_closed++;
-    if (log_is_due(l, &l->budget_logged_at)) {
+    if (PhTask_LogIsDue(l->self, &l->budget_logged_at)) {
         PhTask_LOG(l->self, PH_EVENT_RECEIVE_BUDGET,
                    PhField_U64("port", l->port),
                    PhField_U64("closed", l->budget_closed),
@@ -105,7 +90,7 @@
     PhListener *l = c->listener;
     count(l, PH_COUNTER_RECEIVE_HEADERS_CLOSED);
     l->headers_closed++;
-    if (log_is_due(l, &l->headers_logged_at)) {
+    if (PhTask_LogIsDue(l->self, &l->headers_logged_at)) {
         PhTask_LOG(
             l->self, PH_EVENT_RECEIVE_HEADERS, PhField_U64("port", l->port),
             PhField_U64("closed", l->headers_closed),
