listener: slow connections are closed beside the others

Cause: PhConnection_CloseSlow() was in the file of the receive budget, with which it has nothing to do, and the mark with the shutdown that closes a connection was written three times.

Change: it becomes a static function of listener_connections.c, which alone calls it, and one function closes a connection there. Connections that the budget closes keep their own function and mark. Counter, event and order of the closings are as before.

--- a/services/platform/listener_budget.c
+++ b/services/platform/listener_budget.c
@@ -84,23 +84,6 @@
     return c->closing || c->receiver.closing;
 }
 
-void
-PhConnection_CloseSlow(PhConnection *c)
-{
-    PhListener *l = c->listener;
-    count(l, PH_COUNTER_RECEIVE_HEADERS_CLOSED);
-    l->headers_closed++;
-    if (PhTask_LogIsDue(l->self, &l->headers_logged_at)) {
-        PhTask_LOG(
-            l->self, PH_EVENT_RECEIVE_HEADERS, PhField_U64("port", l->port),
-            PhField_U64("closed", l->headers_closed),
-            PhField_U64("connections", g_hash_table_size(l->connections)));
-        l->headers_closed = 0;
-    }
-    c->closing = true;
-    shutdown(c->fd, SHUT_RDWR);
-}
-
 bool
 PhListener_ReturnMemory(const PhListener *l)
 {
--- a/services/platform/listener_connections.c
+++ b/services/platform/listener_connections.c
@@ -181,9 +181,35 @@
            now - caller->begun_at >= limit;
 }
 
-/* libmicrohttpd reads the end of a stream that was shut down and cleans up.
- * Both directions are shut down, so that no request is read which cannot be
+/* libmicrohttpd then reads the end of the stream and cleans up. Both
+ * directions are shut down, so that no request is read which cannot be
  * answered. */
+static void
+connection_close(PhConnection *c)
+{
+    c->closing = true;
+    shutdown(c->fd, SHUT_RDWR);
+}
+
+/* Closes a connection because its headers take too long, or because it makes
+ * no progress while other callers wait. */
+static void
+connection_close_slow(PhConnection *c)
+{
+    PhListener *l = c->listener;
+    PhCounters_Add(PhKernel_Counters(PhTask_Kernel(l->self)),
+                   PH_COUNTER_RECEIVE_HEADERS_CLOSED, 1);
+    l->headers_closed++;
+    if (PhTask_LogIsDue(l->self, &l->headers_logged_at)) {
+        PhTask_LOG(
+            l->self, PH_EVENT_RECEIVE_HEADERS, PhField_U64("port", l->port),
+            PhField_U64("closed", l->headers_closed),
+            PhField_U64("connections", g_hash_table_size(l->connections)));
+        l->headers_closed = 0;
+    }
+    connection_close(c);
+}
+
 void
 PhListener_Sweep(PhListener *l)
 {
@@ -194,11 +220,10 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         PhConnection *caller = value;
         if (is_to_be_closed(l, caller, now) || has_left(caller, now)) {
-            caller->closing = true;
-            shutdown(caller->fd, SHUT_RDWR);
+            connection_close(caller);
         }
         else if (headers_are_late(l, caller, now)) {
-            PhConnection_CloseSlow(caller);
+            connection_close_slow(caller);
         }
     }
     callers_watch(l);
@@ -283,15 +308,14 @@
     }
     if (slow != NULL) {
         l->makes_room = true;
-        PhConnection_CloseSlow(slow);
+        connection_close_slow(slow);
         return;
     }
     for (GList *at = l->idle.head; at != NULL; at = at->next) {
         PhConnection *caller = at->data;
         if (!has_unread_bytes(caller)) {
             l->makes_room = true;
-            caller->closing = true;
-            shutdown(caller->fd, SHUT_RDWR);
+            connection_close(caller);
             return;
         }
     }
--- a/services/platform/listener_internal.h
+++ b/services/platform/listener_internal.h
@@ -122,9 +122,6 @@
 /* Closes connections until this one may hold `extra` bytes more.  Returns
  * false if it is itself to be closed. */
 bool PhConnection_Reserve(PhConnection *connection, size_t extra);
-/* Shuts a connection down because its headers take too long, or because it
- * makes no progress while other callers wait. */
-void PhConnection_CloseSlow(PhConnection *connection);
 /* Reports whether it was shut down, so that its request is not taken. */
 bool PhConnection_IsClosing(const PhConnection *connection);
 /* Returns memory to the system after much was held.  Returns true if that is
