listener: whether a connection is busy follows from its stage

Change: the flag is gone, is_busy() reads the stage. A part of a body sets the stage to "receiving" too, but none arrives after the request was delivered.

--- a/services/platform/listener_connections.c
+++ b/services/platform/listener_connections.c
@@ -138,6 +138,13 @@
     return PhConnection_Peek(c) > 0;
 }
 
+/* Reports whether its request was delivered and its answer is not sent. */
+static bool
+is_busy(const PhConnection *c)
+{
+    return c->receiver.stage != PH_RECEIVER_RECEIVING;
+}
+
 /* Reports whether a connection has no part of a request. While quiescing, one
  * that was used a moment ago is left to the next sweep, since its caller may
  * be sending. */
@@ -146,7 +153,7 @@
 {
     PhTime silent = now - caller->last_progress_at;
     if (silent >= l->options.idle_timeout_s * PH_NS_PER_S) {
-        return !caller->busy;
+        return !is_busy(caller);
     }
     return l->quiescing && silent >= SWEEP_INTERVAL_MS * PH_NS_PER_MS &&
            !caller->begun && !has_unread_bytes(caller);
@@ -167,7 +174,7 @@
 static bool
 has_left(const PhConnection *caller, PhTime now)
 {
-    return !caller->busy && !caller->closing &&
+    return !is_busy(caller) && !caller->closing &&
            (caller->begun || caller->silent != NULL) &&
            now - progress_time(caller) >= SWEEP_INTERVAL_MS * PH_NS_PER_MS &&
            PhConnection_Peek(caller) == 0;
--- a/services/platform/listener_internal.h
+++ b/services/platform/listener_internal.h
@@ -14,8 +14,7 @@
     bool begun;      /* the first line of its request was read */
     bool in_headers; /* and the headers were not */
     PhTime begun_at;
-    bool busy;    /* its request was delivered and is not answered yet */
-    bool closing; /* was shut down */
+    bool closing;            /* was shut down */
     PhTime last_progress_at; /* opened, headers received or answered */
     GList *idle;             /* its link in PhListener.idle, or NULL */
     GList *silent;           /* its link in PhListener.silent, or NULL */
--- a/services/platform/listener_request.c
+++ b/services/platform/listener_request.c
@@ -80,7 +80,6 @@
                            .headers = (const PhHttpHeader *)headers->data,
                            .header_count = headers->len};
     x->delivered = true;
-    x->caller->busy = true;
     PhConnection_Hold(x->caller, PH_RECEIVER_WAITING, x->body.capacity);
     g_hash_table_insert(l->exchanges, &x->id, x);
     l->options.on_request(l->options.context, &incoming);
@@ -311,7 +310,6 @@
     bool unanswered = g_hash_table_remove(l->exchanges, &x->id);
     uint64_t id = x->id;
     x->caller->begun = false;
-    x->caller->busy = false;
     x->caller->exchange = NULL;
     PhConnection_Hold(x->caller, PH_RECEIVER_RECEIVING, 0);
     x->caller->last_progress_at = PhTask_Now(l->self);
