receive budget: NULL stands for a budget without a limit

Cause: a listener without a budget is a case of its own in five places; PhConnection_Hold() had a copy of what PhReceiveBudget_Set() does with the receiver. The first lines of PhReceiveBudget_ReturnsMemory() repeated PhReceiveBudget_HasReleased().

Change: the functions of the budget accept NULL, and the listener asks no more whether there is one. The decision without a budget is "store", as before.

--- a/decide/requests/receive_budget.c
+++ b/decide/requests/receive_budget.c
@@ -59,6 +59,9 @@
 void
 PhReceiveBudget_Add(PhReceiveBudget *b, PhReceiver *r)
 {
+    if (b == NULL) {
+        return;
+    }
     r->place = b->receivers->len;
     b->used += r->bytes;
     g_ptr_array_add(b->receivers, r);
@@ -67,6 +70,9 @@
 void
 PhReceiveBudget_Remove(PhReceiveBudget *b, PhReceiver *r)
 {
+    if (b == NULL) {
+        return;
+    }
     b->used -= r->closing ? 0 : r->bytes;
     g_ptr_array_remove_index_fast(b->receivers, r->place);
     if (r->place < b->receivers->len) {
@@ -79,7 +85,7 @@
 PhReceiveBudget_Set(PhReceiveBudget *b, PhReceiver *r, PhReceiverStage stage,
                     size_t bytes, PhTime now)
 {
-    if (!r->closing) {
+    if (b != NULL && !r->closing) {
         b->used += bytes;
         b->used -= r->bytes;
         b->peak = MAX(b->peak, b->used);
@@ -119,6 +125,9 @@
 PhReceiveBudget_Decide(PhReceiveBudget *b, PhReceiver *sender, size_t extra,
                        PhTime now)
 {
+    if (b == NULL) {
+        return (PhReceiveDecision){.tag = PH_RECEIVE_STORE};
+    }
     if (sender->closing) {
         return (PhReceiveDecision){.tag = PH_RECEIVE_CLOSE_SENDER};
     }
@@ -144,7 +153,7 @@
 bool
 PhReceiveBudget_ReturnsMemory(PhReceiveBudget *b, PhTime now)
 {
-    if (b->peak < b->limit / PEAK_SHARE || b->used > b->peak / 2 ||
+    if (!PhReceiveBudget_HasReleased(b) || b->used > b->peak / 2 ||
         now - b->returned_at < RETURN_INTERVAL) {
         return false;
     }
@@ -156,5 +165,5 @@
 bool
 PhReceiveBudget_HasReleased(const PhReceiveBudget *b)
 {
-    return b->peak >= b->limit / PEAK_SHARE;
+    return b != NULL && b->peak >= b->limit / PEAK_SHARE;
 }
--- a/include/peridothill/decide/requests/receive_budget.h
+++ b/include/peridothill/decide/requests/receive_budget.h
@@ -54,6 +54,9 @@
 /* Bytes of all receivers that are not closing. */
 uint64_t PhReceiveBudget_Used(const PhReceiveBudget *budget);
 
+/* In the functions below, NULL stands for a budget without a limit, which
+ * counts nothing. */
+
 /* Adds an initialised receiver, which is borrowed until it is removed. */
 void PhReceiveBudget_Add(PhReceiveBudget *budget, PhReceiver *receiver);
 void PhReceiveBudget_Remove(PhReceiveBudget *budget, PhReceiver *receiver);
--- a/services/platform/listener_budget.c
+++ b/services/platform/listener_budget.c
@@ -29,14 +29,8 @@
 PhConnection_Hold(PhConnection *c, PhReceiverStage stage, size_t bytes)
 {
     const PhListener *l = c->listener;
-    if (l->options.receive.budget != NULL) {
-        PhReceiveBudget_Set(l->options.receive.budget, &c->receiver, stage,
-                            bytes, PhTask_Now(l->self));
-        return;
-    }
-    c->receiver.stage = stage;
-    c->receiver.bytes = bytes;
-    c->receiver.progress_at = PhTask_Now(l->self);
+    PhReceiveBudget_Set(l->options.receive.budget, &c->receiver, stage, bytes,
+                        PhTask_Now(l->self));
 }
 
 /* libmicrohttpd then reads the end of the stream and cleans up.  The body of a
@@ -58,7 +52,7 @@
 {
     PhListener *l = c->listener;
     PhReceiveBudget *budget = l->options.receive.budget;
-    while (budget != NULL) {
+    for (;;) {
         PhReceiveDecision d = PhReceiveBudget_Decide(
             budget, &c->receiver, extra, PhTask_Now(l->self));
         switch (d.tag) {
@@ -75,7 +69,6 @@
             return false;
         }
     }
-    return true;
 }
 
 bool
@@ -88,9 +81,6 @@
 PhListener_ReturnMemory(const PhListener *l)
 {
     PhReceiveBudget *budget = l->options.receive.budget;
-    if (budget == NULL) {
-        return false;
-    }
     if (PhReceiveBudget_ReturnsMemory(budget, PhTask_Now(l->self))) {
         malloc_trim(0);
     }
--- a/services/platform/listener_connections.c
+++ b/services/platform/listener_connections.c
@@ -70,9 +70,7 @@
     c->last_progress_at = PhTask_Now(l->self);
     c->receiver.fd = fd;
     c->receiver.progress_at = c->last_progress_at;
-    if (l->options.receive.budget != NULL) {
-        PhReceiveBudget_Add(l->options.receive.budget, &c->receiver);
-    }
+    PhReceiveBudget_Add(l->options.receive.budget, &c->receiver);
     connection_set_silent(l, c, true);
     g_hash_table_insert(l->connections, GINT_TO_POINTER(fd), c);
 }
@@ -83,9 +81,7 @@
     PhConnection *c = g_hash_table_lookup(l->connections, key);
     PhConnection_SetIdle(l, c, false);
     connection_set_silent(l, c, false);
-    if (l->options.receive.budget != NULL) {
-        PhReceiveBudget_Remove(l->options.receive.budget, &c->receiver);
-    }
+    PhReceiveBudget_Remove(l->options.receive.budget, &c->receiver);
     if (limit_is_reached(l)) {
         PhTask_Watch(l->self, l->listen_fd, 0);
         l->makes_room = false;
