receive budget: receivers without a file descriptor

Cause: PhReceiver had the descriptor of its connection, which PhConnection has too; only the listener read it, after it had turned the receiver into its connection. Decisions have no sockets.

Change: the member is gone; the comment of PhConnection.receiver says that it has to be the first member.

--- a/include/peridothill/decide/requests/receive_budget.h
+++ b/include/peridothill/decide/requests/receive_budget.h
@@ -26,7 +26,6 @@
     size_t bytes;       /* held by the listener for its request or answer */
     PhTime progress_at; /* last bytes that arrived, or begin of the stage */
     bool closing;       /* was chosen; it counts no more */
-    int fd;             /* for the one who closes it */
     unsigned place;     /* in the budget's list */
 } PhReceiver;
 
--- a/services/platform/listener_budget.c
+++ b/services/platform/listener_budget.c
@@ -40,7 +40,7 @@
 connection_shut(const PhListener *l, PhReceiver *receiver)
 {
     PhConnection *c = (PhConnection *)receiver;
-    shutdown(receiver->fd, SHUT_RDWR);
+    shutdown(c->fd, SHUT_RDWR);
     if (c->listener == l && c->exchange != NULL &&
         receiver->stage == PH_RECEIVER_RECEIVING) {
         PhBuf_Clear(&c->exchange->body);
--- a/services/platform/listener_connections.c
+++ b/services/platform/listener_connections.c
@@ -68,7 +68,6 @@
     c->listener = l;
     c->fd = fd;
     c->last_progress_at = PhTask_Now(l->self);
-    c->receiver.fd = fd;
     c->receiver.progress_at = c->last_progress_at;
     PhReceiveBudget_Add(l->options.receive.budget, &c->receiver);
     connection_set_silent(l, c, true);
--- a/services/platform/listener_internal.h
+++ b/services/platform/listener_internal.h
@@ -7,7 +7,9 @@
 #include "peridothill/services/listener.h"
 
 typedef struct PhConnection {
-    PhReceiver receiver; /* its part of the budget; kept without one too */
+    PhReceiver receiver; /* its part of the budget; kept without one too.  The
+                            first member: the budget chooses a receiver, and
+                            that is its connection */
     PhListener *listener;
     struct PhExchange *exchange; /* its request, NULL before its headers */
     int fd;
