listener: the three searches for a connection to close look alike

Cause: two of the searches had "no limit" as a part of the loop's condition, and the third, for the longest idle connection, was a loop inside the function that closes.

Change: early returns where there is no limit, and idle_find() beside silent_find() and stalled_find(), so that PhListener_MakeRoom() shows the order of the three. The same connection is chosen as before.

--- a/services/platform/listener_connections.c
+++ b/services/platform/listener_connections.c
@@ -250,7 +250,10 @@
     PhTime limit =
         limits->silent_time > 0 ? limits->silent_time : limits->header_time;
     PhTime now = PhTask_Now(l->self);
-    for (GList *at = l->silent.head; limit > 0 && at != NULL; at = at->next) {
+    if (limit == 0) {
+        return NULL;
+    }
+    for (GList *at = l->silent.head; at != NULL; at = at->next) {
         PhConnection *caller = at->data;
         if (now - caller->last_progress_at < limit) {
             return NULL;
@@ -286,8 +289,11 @@
     PhConnection *oldest = NULL;
     PhTime limit = l->options.receive.header_time;
     PhTime before = PhTask_Now(l->self) - limit;
+    if (limit == 0) {
+        return NULL;
+    }
     g_hash_table_iter_init(&iter, l->connections);
-    while (limit > 0 && g_hash_table_iter_next(&iter, NULL, &value)) {
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
         PhConnection *caller = value;
         if (is_stalled(caller, before)) {
             oldest = caller;
@@ -297,6 +303,19 @@
     return oldest;
 }
 
+/* Returns the connection that has been idle for the longest time, NULL if
+ * there is none. */
+static PhConnection *
+idle_find(const PhListener *l)
+{
+    for (GList *at = l->idle.head; at != NULL; at = at->next) {
+        if (!has_unread_bytes(at->data)) {
+            return at->data;
+        }
+    }
+    return NULL;
+}
+
 void
 PhListener_MakeRoom(PhListener *l)
 {
@@ -308,17 +327,12 @@
     if (slow == NULL) {
         slow = stalled_find(l);
     }
+    PhConnection *idle = slow == NULL ? idle_find(l) : NULL;
+    l->makes_room = slow != NULL || idle != NULL;
     if (slow != NULL) {
-        l->makes_room = true;
         connection_close_slow(slow);
-        return;
     }
-    for (GList *at = l->idle.head; at != NULL; at = at->next) {
-        PhConnection *caller = at->data;
-        if (!has_unread_bytes(caller)) {
-            l->makes_room = true;
-            connection_close(caller);
-            return;
-        }
+    else if (idle != NULL) {
+        connection_close(idle);
     }
 }
