config command: the action is chosen in one function

Cause: with the action "check", PhCommand_Config() asked four times in different ways which action it has, and the validity of its arguments was tested apart from the message about it.

Change: action_run() decides by the name first; check_run() tests the arguments of "check" and prints its message. The parser of the options has made sure of one argument, so subcommand_find() asks no more. Messages and exit codes are as before.

--- a/commands/config.c
+++ b/commands/config.c
@@ -117,7 +117,7 @@
 static const PhConfigSubcommand *
 subcommand_find(int argc, char **argv)
 {
-    for (size_t i = 0; argc >= 2 && i < G_N_ELEMENTS(subcommands); i++) {
+    for (size_t i = 0; i < G_N_ELEMENTS(subcommands); i++) {
         if (strcmp(argv[1], subcommands[i].name) == 0 &&
             argc - 2 == subcommands[i].arguments) {
             return &subcommands[i];
@@ -183,16 +183,42 @@
     return g_string_free(text, FALSE);
 }
 
-/* Whether the arguments are those of the action "check", which sends no
- * request to an instance and so has no use for its address and token. */
-static bool
-check_is_valid(int argc, char **argv, const PhConfigCheckOptions *check,
-               const PhClient *client)
+/* Runs the action "check", which sends no request to an instance and so has no
+ * use for its address and token.  Returns the exit code. */
+static int
+check_run(int argc, char **argv, PhConfigCheckOptions *check,
+          const PhClient *client)
+{
+    if (argc != 3 || (check->against != NULL && check->from != NULL) ||
+        client->address != NULL || client->token_file != NULL ||
+        client->settings != NULL) {
+        fprintf(stderr, "peridothill config: check takes one file, --json, "
+                        "and one of --against and --from; see --help\n");
+        return PH_EXIT_USAGE;
+    }
+    check->path = argv[2];
+    return PhConfigCheck_Run(check);
+}
+
+/* Runs the action that the arguments name.  Returns the exit code. */
+static int
+action_run(const PhOptions *options, int argc, char **argv,
+           PhConfigCheckOptions *check)
 {
-    return argc == 3 && strcmp(argv[1], "check") == 0 &&
-           (check->against == NULL || check->from == NULL) &&
-           client->address == NULL && client->token_file == NULL &&
-           client->settings == NULL;
+    if (strcmp(argv[1], "check") == 0) {
+        return check_run(argc, argv, check, options->client);
+    }
+    const PhConfigSubcommand *subcommand = subcommand_find(argc, argv);
+    if (subcommand == NULL || check->against != NULL || check->from != NULL) {
+        fprintf(stderr, "peridothill config: %s; see --help\n",
+                options->usage_error);
+        return PH_EXIT_USAGE;
+    }
+    if (!PhOptions_OpenClient(options)) {
+        return PH_EXIT_USAGE;
+    }
+    return subcommand_run(subcommand, options->client, argv + 2,
+                          check->as_json);
 }
 
 int
@@ -224,28 +250,10 @@
                          .usage_error =
                              "an action with its arguments is required"};
     int code = PH_EXIT_USAGE;
-    bool valid = PhOptions_Parse(&options, &argc, argv);
-    PhConfigCheckOptions check = {
-        .against = against, .from = from, .as_json = as_json};
-    const PhConfigSubcommand *subcommand =
-        valid && against == NULL && from == NULL ? subcommand_find(argc, argv)
-                                                 : NULL;
-    if (subcommand != NULL) {
-        if (PhOptions_OpenClient(&options)) {
-            code = subcommand_run(subcommand, &client, argv + 2, as_json);
-        }
-    }
-    else if (valid && check_is_valid(argc, argv, &check, &client)) {
-        check.path = argv[2];
-        code = PhConfigCheck_Run(&check);
-    }
-    else if (valid && argc > 1 && strcmp(argv[1], "check") == 0) {
-        fprintf(stderr, "peridothill config: check takes one file, --json, "
-                        "and one of --against and --from; see --help\n");
-    }
-    else if (valid) {
-        fprintf(stderr, "peridothill config: %s; see --help\n",
-                options.usage_error);
+    if (PhOptions_Parse(&options, &argc, argv)) {
+        PhConfigCheckOptions check = {
+            .against = against, .from = from, .as_json = as_json};
+        code = action_run(&options, argc, argv, &check);
     }
     g_free(details);
     g_free(against);
