commands: one function reads a file

Cause: the check of a configuration has a function that reads a file and turns the error of GLib into a result, as `peridothill serve` already had for its key files.

Change: PhFile_Read() in commands/file.c serves both. As a side effect the one byte that GLib allocates for an empty key file is freed. Messages and results are as before.

--- a/commands/config_check.c
+++ b/commands/config_check.c
@@ -1,6 +1,7 @@
 #include "commands/config_check.h"
 
 #include "commands/client.h"
+#include "commands/file.h"
 #include "peridothill/commands.h"
 #include "peridothill/platform/adapter.h"
 
@@ -12,22 +13,6 @@
     PAGES_MAX = 64,
 };
 
-static PhResult
-file_read(const char *path, PhStr *text)
-{
-    char *data;
-    gsize len;
-    GError *error = NULL;
-    if (!g_file_get_contents(path, &data, &len, &error)) {
-        PhResult r = PhResult_Make(PH_STATUS_IO, "%s", error->message);
-        g_error_free(error);
-        return r;
-    }
-    *text = PhStr_Dup(PhStr_FromBytes(data, len));
-    g_free(data);
-    return PhResult_Ok();
-}
-
 /* Reads a page of the operators' records. */
 static PhResult
 page_read(const PhClient *store, PhStr after, PhStr *config, PhStr *next)
@@ -135,7 +120,7 @@
     PhResult r = PhResult_Ok();
     *found = false;
     if (o->against != NULL) {
-        r = file_read(o->against, text);
+        r = PhFile_Read(o->against, text);
         *found = PhResult_IsOk(&r);
     }
     else if (o->from != NULL) {
@@ -202,7 +187,7 @@
     PhStr in_force = {0};
     bool found = false;
     int code = PH_EXIT_USAGE;
-    PhResult r = file_read(o->path, &text);
+    PhResult r = PhFile_Read(o->path, &text);
     if (PhResult_IsOk(&r)) {
         r = in_force_read(o, &in_force, &found);
     }
--- a/commands/serve.c
+++ b/commands/serve.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "commands/file.h"
 #include "commands/options.h"
 #include "peridothill/commands.h"
 #include "peridothill/platform/adapter.h"
@@ -27,42 +28,22 @@
     PhClock *clock;
 } PhServe;
 
-/* Reads a file; an empty path yields an empty text. */
-static PhResult
-secret_read(PhStr path, PhStr *text)
-{
-    if (path.len == 0) {
-        return PhResult_Ok();
-    }
-    char *path_c = PhStr_ToC(path);
-    char *data = NULL;
-    gsize len = 0;
-    GError *error = NULL;
-    gboolean read = g_file_get_contents(path_c, &data, &len, &error);
-    g_free(path_c);
-    if (!read) {
-        PhResult r = PhResult_Make(PH_STATUS_IO, "%s", error->message);
-        g_error_free(error);
-        return r;
-    }
-    *text = PhStr_FromBytes(data, len);
-    return PhResult_Ok();
-}
-
 /* Adds the key from a file; an empty path adds none. */
 static PhResult
 key_add(PhServe *s, PhStr path)
 {
     PhStr text = {0};
-    PhResult r = secret_read(path, &text);
-    if (!PhResult_IsOk(&r) || text.len == 0) {
-        return r;
+    if (path.len == 0) {
+        return PhResult_Ok();
     }
-    r = PhPeersKey_Parse(text, &s->keys[s->key_count]);
-    if (PhResult_IsOk(&r)) {
-        s->key_count++;
+    char *path_c = PhStr_ToC(path);
+    PhResult r = PhFile_Read(path_c, &text);
+    if (text.len > 0) {
+        r = PhPeersKey_Parse(text, &s->keys[s->key_count]);
+        s->key_count += PhResult_IsOk(&r);
     }
     PhStr_Clear(&text);
+    g_free(path_c);
     return r;
 }
 
