client: the content type is added in one place

Change: the header with the token is added if there is one, then the content type. The headers and their order are as before.

--- a/commands/client.c
+++ b/commands/client.c
@@ -109,16 +109,13 @@
 static struct curl_slist *
 headers_make(const PhClient *client)
 {
-    PhBuf buf = {0};
-    if (client->token.len == 0) {
-        return curl_slist_append(NULL, "Content-Type: application/json");
+    struct curl_slist *headers = NULL;
+    if (client->token.len > 0) {
+        char *line = g_strdup_printf("Authorization: Bearer %.*s",
+                                     PhStr_ARG(client->token));
+        headers = curl_slist_append(headers, line);
+        g_free(line);
     }
-    PhBuf_AppendFormat(&buf, "Authorization: Bearer %.*s",
-                       PhStr_ARG(client->token));
-    char *line = PhStr_ToC(PhBuf_Str(&buf));
-    struct curl_slist *headers = curl_slist_append(NULL, line);
-    PhBuf_Clear(&buf);
-    g_free(line);
     return curl_slist_append(headers, "Content-Type: application/json");
 }
 
