config check: the version in force without searches and copies

Cause: in_force_decode() searched for the first fault that instances refuse, although its comment says that these are decoded first, so that a refused document has one in front; in_force_read() had the same two lines for a file and for the store.

Change: the first fault is reported; the result is taken once. Messages and exit codes are as before.

--- a/commands/config_check.c
+++ b/commands/config_check.c
@@ -89,20 +89,18 @@
 in_force_decode(PhStr text, PhSchedDocument **in_force)
 {
     PhSchedDocument *document = PhWire_DecodeDocument(text);
-    for (guint i = 0; document->refused && i < document->faults->len; i++) {
-        const PhSchedFault *fault =
-            &g_array_index(document->faults, PhSchedFault, i);
-        if (fault->refused) {
-            PhResult r = PhResult_Make(
-                PH_STATUS_INVALID, "version in force: %.*s%s%.*s",
-                PhStr_ARG(fault->path), fault->path.len > 0 ? ": " : "",
-                PhStr_ARG(fault->reason));
-            PhSchedDocument_Destroy(document);
-            return r;
-        }
-    }
-    *in_force = document;
-    return PhResult_Ok();
+    if (!document->refused) {
+        *in_force = document;
+        return PhResult_Ok();
+    }
+    const PhSchedFault *fault =
+        &g_array_index(document->faults, PhSchedFault, 0);
+    PhResult r =
+        PhResult_Make(PH_STATUS_INVALID, "version in force: %.*s%s%.*s",
+                      PhStr_ARG(fault->path), fault->path.len > 0 ? ": " : "",
+                      PhStr_ARG(fault->reason));
+    PhSchedDocument_Destroy(document);
+    return r;
 }
 
 static void
@@ -117,16 +115,13 @@
 static PhResult
 in_force_read(const PhConfigCheckOptions *o, PhStr *text, bool *found)
 {
-    PhResult r = PhResult_Ok();
     *found = false;
-    if (o->against != NULL) {
-        r = PhFile_Read(o->against, text);
-        *found = PhResult_IsOk(&r);
-    }
-    else if (o->from != NULL) {
-        r = store_read(o->from, text);
-        *found = PhResult_IsOk(&r);
+    if (o->against == NULL && o->from == NULL) {
+        return PhResult_Ok();
     }
+    PhResult r = o->against != NULL ? PhFile_Read(o->against, text)
+                                    : store_read(o->from, text);
+    *found = PhResult_IsOk(&r);
     if (r.status == PH_STATUS_NOT_FOUND) {
         message_print(&r, "");
         r = PhResult_Ok();
