settings: one row macro for both kinds of keys

Cause: KEY_OR_OFF repeated the members of KEY but for one.

Change: ROW has them, with the member in which the two differ as its last argument. The table is as before.

--- a/codec/settings_key.c
+++ b/codec/settings_key.c
@@ -1,22 +1,22 @@
 #include "peridothill/codec/settings_key.h"
 
-#define KEY(SECTION, NAME, MEMBER, KIND, REQUIRED, MIN_VALUE, MAX_VALUE,      \
-            INITIAL, DOC)                                                     \
+/* The last arguments set further members. */
+#define ROW(SECTION, NAME, MEMBER, KIND, MIN_VALUE, MAX_VALUE, INITIAL, DOC,  \
+            ...)                                                              \
     {                                                                         \
         .section = (SECTION), .name = (NAME), .kind = PH_SETTING_##KIND,      \
-        .required = (REQUIRED), .offset = offsetof(PhSettings, MEMBER),       \
-        .min = (MIN_VALUE), .max = (MAX_VALUE), .initial = (INITIAL),         \
-        .doc = (DOC)                                                          \
+        .offset = offsetof(PhSettings, MEMBER), .min = (MIN_VALUE),           \
+        .max = (MAX_VALUE), .initial = (INITIAL), .doc = (DOC), __VA_ARGS__   \
     }
+#define KEY(SECTION, NAME, MEMBER, KIND, REQUIRED, MIN_VALUE, MAX_VALUE,      \
+            INITIAL, DOC)                                                     \
+    ROW(SECTION, NAME, MEMBER, KIND, MIN_VALUE, MAX_VALUE, INITIAL, DOC,      \
+        .required = (REQUIRED))
 /* Off by default, or within the range. */
 #define KEY_OR_OFF(SECTION, NAME, MEMBER, KIND, MIN_VALUE, MAX_VALUE,         \
                    INITIAL, DOC)                                              \
-    {                                                                         \
-        .section = (SECTION), .name = (NAME), .kind = PH_SETTING_##KIND,      \
-        .offset = offsetof(PhSettings, MEMBER), .min = (MIN_VALUE),           \
-        .max = (MAX_VALUE), .zero_is_off = true, .initial = (INITIAL),        \
-        .doc = (DOC)                                                          \
-    }
+    ROW(SECTION, NAME, MEMBER, KIND, MIN_VALUE, MAX_VALUE, INITIAL, DOC,      \
+        .zero_is_off = true)
 #define MS PH_NS_PER_MS
 #define S PH_NS_PER_S
 #define KB UINT64_C(1024)
