events: the list of the scheduler in the order of numbers

Cause: 7043 stood between 7039 and 7040, so that the next free number was not at the end.

Change: the row moves. Numbers, names, levels and texts are as before, and events are found by their number.

--- a/include/peridothill/common/event_list_schedule.h
+++ b/include/peridothill/common/event_list_schedule.h
@@ -63,10 +63,10 @@
          "submission refused, urgent jobs need the room that it would hold")
 PH_EVENT(7039, SCHEDULE_ROOM_STATE, INFO,
          "long-running jobs are refused for want of room, or no longer")
-PH_EVENT(7043, SCHEDULE_TOO_LATE, INFO,
-         "submission refused, it would end too late to be of value")
 PH_EVENT(7040, SCHEDULE_CLAIM, INFO,
          "task that has waited for long claims a worker")
 PH_EVENT(7041, SCHEDULE_CONTACT_LOST, WARNING,
          "store out of reach, calls that need it are refused at once")
 PH_EVENT(7042, SCHEDULE_CONTACT_BACK, INFO, "store is reached again")
+PH_EVENT(7043, SCHEDULE_TOO_LATE, INFO,
+         "submission refused, it would end too late to be of value")
