listener: marks and counts of closed connections explained where they are

Cause: PhConnection.closing said "was shut down", but connections that the budget closes have a mark of their own; the function that joins both was in the file of the budget. The times and counts of the two log lines stood apart, with "since then" at one of them.

Change: the comments say whose mark and count each is, and PhConnection_IsClosing() stands beside the function that sets the first mark.

--- a/services/platform/listener_budget.c
+++ b/services/platform/listener_budget.c
@@ -71,12 +71,6 @@
     }
 }
 
-bool
-PhConnection_IsClosing(const PhConnection *c)
-{
-    return c->closing || c->receiver.closing;
-}
-
 bool
 PhListener_ReturnMemory(const PhListener *l)
 {
--- a/services/platform/listener_connections.c
+++ b/services/platform/listener_connections.c
@@ -183,6 +183,12 @@
            now - caller->begun_at >= limit;
 }
 
+bool
+PhConnection_IsClosing(const PhConnection *c)
+{
+    return c->closing || c->receiver.closing;
+}
+
 /* libmicrohttpd then reads the end of the stream and cleans up. Both
  * directions are shut down, so that no request is read which cannot be
  * answered. */
--- a/services/platform/listener_internal.h
+++ b/services/platform/listener_internal.h
@@ -16,7 +16,7 @@
     bool begun;      /* the first line of its request was read */
     bool in_headers; /* and the headers were not */
     PhTime begun_at;
-    bool closing;            /* was shut down */
+    bool closing;            /* was shut down, not by the budget */
     PhTime last_progress_at; /* opened, headers received or answered */
     GList *idle;             /* its link in PhListener.idle, or NULL */
     GList *silent;           /* its link in PhListener.silent, or NULL */
@@ -54,10 +54,10 @@
                       first */
     GQueue silent; /* PhConnection on which no request has begun yet, oldest
                       first */
-    PhTime budget_logged_at; /* 0: never */
-    PhTime headers_logged_at;
-    uint64_t budget_closed; /* since then */
-    uint64_t headers_closed;
+    PhTime budget_logged_at;   /* 0: never */
+    uint64_t budget_closed;    /* connections since then, by the budget */
+    PhTime headers_logged_at;  /* 0: never */
+    uint64_t headers_closed;   /* connections since then, as too slow */
     bool close_after_response; /* every response closes its connection */
     bool close_for_now;        /* the same until further notice */
     bool quiescing;            /* connections without a request are closed */
@@ -102,6 +102,9 @@
                           bool idle);
 /* The first line of a request was read. */
 void PhConnection_SetBegun(PhConnection *connection);
+/* Reports whether it was shut down, here or by the budget, so that its request
+ * is not taken. */
+bool PhConnection_IsClosing(const PhConnection *connection);
 /* Returns what recv does for the next byte, which stays unread: 0 at the end
  * of the stream. */
 ssize_t PhConnection_Peek(const PhConnection *connection);
@@ -123,8 +126,6 @@
 /* Closes connections until this one may hold `extra` bytes more.  Returns
  * false if it is itself to be closed. */
 bool PhConnection_Reserve(PhConnection *connection, size_t extra);
-/* Reports whether it was shut down, so that its request is not taken. */
-bool PhConnection_IsClosing(const PhConnection *connection);
 /* Returns memory to the system after much was held.  Returns true if that is
  * still to come. */
 bool PhListener_ReturnMemory(const PhListener *listener);
