config findings: a value that is not stated is not encoded

Cause: value_append() made JSON of every value and threw it away for one that is not stated.

Change: that case returns first. The text is as before.

Checked: test_config_command and command_config pass.

--- a/commands/config_findings.c
+++ b/commands/config_findings.c
@@ -111,14 +111,13 @@
 static void
 value_append(PhBuf *out, const PhSchedValue *value)
 {
-    json_t *json = value_json(value);
-    PhStr text = PhJson_Write(json);
     if (value->kind == PH_SCHED_VALUE_NONE) {
         PhBuf_Append(out, PhStr_LITERAL("not stated"));
+        return;
     }
-    else {
-        PhBuf_Append(out, text);
-    }
+    json_t *json = value_json(value);
+    PhStr text = PhJson_Write(json);
+    PhBuf_Append(out, text);
     PhStr_Clear(&text);
     json_decref(json);
 }
