--- a/commands/config_check.c
+++ b/commands/config_check.c
@@ -1,6 +1,7 @@
 #include "commands/config_check.h"
 
 #include "commands/client.h"
+#include "commands/file.h"
 #include "peridothill/commands.h"
 #include "peridothill/platform/adapter.h"
 
@@ -12,22 +13,6 @@
     PAGES_MAX = 64,
 };
 
-static PhResult
-file_read(const char *path, PhStr *text)
-{
-    char *data;
-    gsize len;
-    GError *error = NULL;
-    if (!g_file_get_contents(path, &data, &len, &error)) {
-        PhResult r = PhResult_Make(PH_STATUS_IO, "%s", error->message);
-        g_error_free(error);
-        return r;
-    }
-    *text = PhStr_Dup(PhStr_FromBytes(data, len));
-    g_free(data);
-    return PhResult_Ok();
-}
-
 /* Reads a page of the operators' records. */
 static PhResult
 page_read(const PhClient *store, PhStr after, PhStr *config, PhStr *next)
@@ -104,20 +89,18 @@
 in_force_decode(PhStr text, PhSchedDocument **in_force)
 {
     PhSchedDocument *document = PhWire_DecodeDocument(text);
-    for (guint i = 0; document->refused && i < document->faults->len; i++) {
-        const PhSchedFault *fault =
-            &g_array_index(document->faults, PhSchedFault, i);
-        if (fault->refused) {
-            PhResult r = PhResult_Make(
-                PH_STATUS_INVALID, "version in force: %.*s%s%.*s",
-                PhStr_ARG(fault->path), fault->path.len > 0 ? ": " : "",
-                PhStr_ARG(fault->reason));
-            PhSchedDocument_Destroy(document);
-            return r;
-        }
-    }
-    *in_force = document;
-    return PhResult_Ok();
+    if (!document->refused) {
+        *in_force = document;
+        return PhResult_Ok();
+    }
+    const PhSchedFault *fault =
+        &g_array_index(document->faults, PhSchedFault, 0);
+    PhResult r =
+        PhResult_Make(PH_STATUS_INVALID, "version in force: %.*s%s%.*s",
+                      PhStr_ARG(fault->path), fault->path.len > 0 ? ": " : "",
+                      PhStr_ARG(fault->reason));
+    PhSchedDocument_Destroy(document);
+    return r;
 }
 
 static void
@@ -132,16 +115,13 @@
 static PhResult
 in_force_read(const PhConfigCheckOptions *o, PhStr *text, bool *found)
 {
-    PhResult r = PhResult_Ok();
     *found = false;
-    if (o->against != NULL) {
-        r = file_read(o->against, text);
-        *found = PhResult_IsOk(&r);
-    }
-    else if (o->from != NULL) {
-        r = store_read(o->from, text);
-        *found = PhResult_IsOk(&r);
+    if (o->against == NULL && o->from == NULL) {
+        return PhResult_Ok();
     }
+    PhResult r = o->against != NULL ? PhFile_Read(o->against, text)
+                                    : store_read(o->from, text);
+    *found = PhResult_IsOk(&r);
     if (r.status == PH_STATUS_NOT_FOUND) {
         message_print(&r, "");
         r = PhResult_Ok();
@@ -202,7 +182,7 @@
     PhStr in_force = {0};
     bool found = false;
     int code = PH_EXIT_USAGE;
-    PhResult r = file_read(o->path, &text);
+    PhResult r = PhFile_Read(o->path, &text);
     if (PhResult_IsOk(&r)) {
         r = in_force_read(o, &in_force, &found);
     }
--- a/include/peridothill/decide/requests/receive_budget.h
+++ b/include/peridothill/decide/requests/receive_budget.h
@@ -26,7 +26,6 @@
     size_t bytes;       /* held by the listener for its request or answer */
     PhTime progress_at; /* last bytes that arrived, or begin of the stage */
     bool closing;       /* was chosen; it counts no more */
-    int fd;             /* for the one who closes it */
     unsigned place;     /* in the budget's list */
 } PhReceiver;
 
@@ -54,6 +53,9 @@
 /* Bytes of all receivers that are not closing. */
 uint64_t PhReceiveBudget_Used(const PhReceiveBudget *budget);
 
+/* In the functions below, NULL stands for a budget without a limit, which
+ * counts nothing. */
+
 /* Adds an initialised receiver, which is borrowed until it is removed. */
 void PhReceiveBudget_Add(PhReceiveBudget *budget, PhReceiver *receiver);
 void PhReceiveBudget_Remove(PhReceiveBudget *budget, PhReceiver *receiver);
