tests/platform: one rig for tests with a listener

Five tests created an event loop, a paused clock and a kernel themselves, test_receive_limits four times; five created a listener with the same lines, and three had the same loop that steps the clock and lets the caller read. listener_rig.c now has this: PhListenerRig_Open starts a listener in a task of its own, PhListenerRig_OpenKernel does all but that for tests whose service has a listener (test_front, test_http), and PhListenerRig_CreateListener serves tests whose own task has one (test_late_answers, test_http_connections, test_http).

The names of the rows are the same in the same order. `meson test -v` of the seven: all pass, also before the change.

--- a/tests/platform/test_front.c
+++ b/tests/platform/test_front.c
@@ -2,10 +2,10 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "listener_rig.h"
 #include "peridothill/platform/adapter.h"
 #include "peridothill/services/interface.h"
 #include "peridothill/services/schedule.h"
-#include "raw_caller.h"
 #include "scripted_task.h"
 #include "tests/paused_loop.h"
 #include "tests/table.h"
@@ -128,14 +128,11 @@
 
 /* The front, the scheduler it passes calls to, and its only caller. */
 typedef struct PhFrontRig {
-    struct ev_loop *loop;
-    PhClock *clock;
-    PhKernel *kernel;
+    PhListenerRig base; /* its kernel and its caller */
     PhTask *schedule;
     PhTaskRef asker;
     uint64_t asked;
     size_t passed_on;
-    PhRawCaller caller;
 } PhFrontRig;
 
 static void
@@ -189,15 +186,6 @@
     return 0;
 }
 
-static void
-rig_run(PhFrontRig *r, int steps)
-{
-    for (int i = 0; i < steps; i++) {
-        PhPausedLoop_Step(r->loop, r->clock);
-        PhRawCaller_Read(&r->caller);
-    }
-}
-
 static void
 step_take(PhFrontRig *r, PhFrontStep step)
 {
@@ -205,25 +193,26 @@
     case STEP_NONE:
         break;
     case STEP_OPEN:
-        PhRawCaller_Open(&r->caller, clients_port());
+        PhRawCaller_Open(&r->base.caller, clients_port());
         break;
     case STEP_SEND_HEADERS:
-        PhRawCaller_Send(&r->caller, HEADERS);
+        PhRawCaller_Send(&r->base.caller, HEADERS);
         break;
     case STEP_SEND_END:
-        PhRawCaller_Send(&r->caller, END_OF_HEADERS);
+        PhRawCaller_Send(&r->base.caller, END_OF_HEADERS);
         break;
     case STEP_RUN:
-        rig_run(r, RUN_STEPS);
+        PhListenerRig_Run(&r->base, RUN_STEPS);
         break;
     case STEP_STOP:
-        PhKernel_Stop(r->kernel, PhKernel_Lookup(r->kernel, PH_SERVICE_FRONT));
+        PhKernel_Stop(r->base.kernel,
+                      PhKernel_Lookup(r->base.kernel, PH_SERVICE_FRONT));
         break;
     case STEP_PASS_NOTICE:
-        rig_run(r, NOTICE_MS / PH_PAUSED_STEP_MS + 1);
+        PhListenerRig_Run(&r->base, NOTICE_MS / PH_PAUSED_STEP_MS + 1);
         break;
     case STEP_PASS_LIMIT:
-        rig_run(r, LIMIT_MS / PH_PAUSED_STEP_MS + 1);
+        PhListenerRig_Run(&r->base, LIMIT_MS / PH_PAUSED_STEP_MS + 1);
         break;
     case STEP_ANSWER:
         schedule_answer(r);
@@ -239,48 +228,41 @@
 check_outcome(const PhFrontRig *r, const PhFrontCase *c)
 {
     assert_int_equal(r->passed_on, c->passed_on);
-    assert_int_equal(r->caller.closed, c->closed);
+    assert_int_equal(r->base.caller.closed, c->closed);
     if (c->answer == NULL) {
-        assert_int_equal(r->caller.reply_len, 0);
+        assert_int_equal(r->base.caller.reply_len, 0);
     }
     else {
-        assert_ptr_equal(strstr(r->caller.reply, c->answer), r->caller.reply);
+        assert_ptr_equal(strstr(r->base.caller.reply, c->answer),
+                         r->base.caller.reply);
     }
     assert_int_equal(
-        PhTaskRef_IsNone(PhKernel_Lookup(r->kernel, PH_SERVICE_FRONT)),
+        PhTaskRef_IsNone(PhKernel_Lookup(r->base.kernel, PH_SERVICE_FRONT)),
         c->ended);
 }
 
 static void
 check_front(const PhFrontCase *c)
 {
-    PhFrontRig r = {.caller.fd = -1};
-    r.loop = ev_loop_new(0);
-    r.clock = PhPausedLoop_CreateClock();
-    PhCounters *counters = PhCounters_Create();
-    r.kernel = PhKernel_Create(&(PhKernelOptions){
-        .clock = r.clock, .loop = r.loop, .counters = counters});
-    PhScriptedTask_Spawn(r.kernel, PH_SERVICE_SCHEDULE, MAILBOX_CAPACITY, &r,
-                         schedule_handle);
+    PhFrontRig r = {0};
+    PhListenerRig_OpenKernel(&r.base);
+    PhScriptedTask_Spawn(r.base.kernel, PH_SERVICE_SCHEDULE, MAILBOX_CAPACITY,
+                         &r, schedule_handle);
     PhFrontOptions options = {.listen = PhStr_LITERAL("127.0.0.1:0"),
                               .ready = PhStr_LITERAL("127.0.0.1:0"),
                               .body_limit_bytes = 100,
                               .connection_limit = 8,
                               .drain_notice = NOTICE_MS * PH_NS_PER_MS,
                               .drain_limit = LIMIT_MS * PH_NS_PER_MS};
-    PhResult started = PhFront_Start(r.kernel, &options);
+    PhResult started = PhFront_Start(r.base.kernel, &options);
     assert_true(PhResult_IsOk(&started));
-    rig_run(&r, 1);
+    PhListenerRig_Run(&r.base, 1);
     for (size_t i = 0; i < STEPS_MAX; i++) {
         step_take(&r, c->steps[i]);
     }
-    rig_run(&r, RUN_STEPS);
+    PhListenerRig_Run(&r.base, RUN_STEPS);
     check_outcome(&r, c);
-    PhRawCaller_Close(&r.caller);
-    PhKernel_Destroy(r.kernel);
-    PhCounters_Destroy(counters);
-    PhClock_Destroy(r.clock);
-    ev_loop_destroy(r.loop);
+    PhListenerRig_Close(&r.base);
 }
 
 /* Guards against stops that leave a request without an answer. */
--- a/tests/platform/test_http.c
+++ b/tests/platform/test_http.c
@@ -2,11 +2,10 @@
 
 #include <unistd.h>
 
+#include "listener_rig.h"
 #include "peridothill/codec/list_json.h"
 #include "peridothill/codec/log_json.h"
 #include "peridothill/services/interface.h"
-#include "peridothill/services/listener.h"
-#include "tests/paused_loop.h"
 #include "tests/table.h"
 
 enum {
@@ -180,16 +179,13 @@
     PhEchoServer *e = state;
     e->self = self;
     if (mail->kind == PH_MAIL_START) {
-        PhListenerOptions options = {.address = PhStr_LITERAL("127.0.0.1:0"),
-                                     .body_limit_bytes = 65536,
-                                     .connection_limit = 8,
-                                     .idle_timeout_s = 5,
-                                     .context = e,
-                                     .on_request = on_request,
-                                     .on_client_disconnect =
-                                         on_client_disconnect};
-        PhResult r = PhListener_Create(self, &options, &e->listener);
-        assert_int_equal(r.status, PH_STATUS_OK);
+        e->listener = PhListenerRig_CreateListener(
+            self, &(PhListenerOptions){.body_limit_bytes = 65536,
+                                       .idle_timeout_s = 5,
+                                       .context = e,
+                                       .on_request = on_request,
+                                       .on_client_disconnect =
+                                           on_client_disconnect});
         send_request(e);
         return;
     }
@@ -217,28 +213,22 @@
 static void
 check_http(const PhHttpCase *c)
 {
-    struct ev_loop *loop = ev_loop_new(0);
-    PhClock *clock = PhPausedLoop_CreateClock();
-    PhCounters *counters = PhCounters_Create();
-    PhKernel *kernel = PhKernel_Create(&(PhKernelOptions){
-        .clock = clock, .loop = loop, .counters = counters});
+    PhListenerRig rig;
     PhEchoServer e = {.c = c};
-    assert_int_equal(PhHttp_Start(kernel), PH_STATUS_OK);
+    PhListenerRig_OpenKernel(&rig);
+    assert_int_equal(PhHttp_Start(rig.kernel), PH_STATUS_OK);
     PhTaskSpec spec = {.name = PhStr_LITERAL("echo"),
                        .mailbox_capacity = 16,
                        .state = &e,
                        .handle = echo_handle,
                        .destroy = echo_destroy};
-    assert_int_equal(PhKernel_Spawn(kernel, &spec, NULL), PH_STATUS_OK);
+    assert_int_equal(PhKernel_Spawn(rig.kernel, &spec, NULL), PH_STATUS_OK);
     while (!is_over(&e)) {
-        PhPausedLoop_Step(loop, clock);
+        PhListenerRig_Run(&rig, 1);
     }
     assert_int_equal(e.served,
                      c->action != SERVER_IS_ABSENT && c->status != 413);
-    PhKernel_Destroy(kernel);
-    PhCounters_Destroy(counters);
-    PhClock_Destroy(clock);
-    ev_loop_destroy(loop);
+    PhListenerRig_Close(&rig);
 }
 
 /* Guards against reporting a wrong outcome for an HTTP request over real
--- a/tests/platform/test_http_connections.c
+++ b/tests/platform/test_http_connections.c
@@ -2,8 +2,8 @@
 #include "peridothill/services/http.h"
 
 #include "http_task.h"
+#include "listener_rig.h"
 #include "peridothill/services/interface.h"
-#include "peridothill/services/listener.h"
 #include "tests/table.h"
 
 enum {
@@ -127,14 +127,11 @@
     PhAgeServer *a = state;
     a->self = self;
     if (mail->kind == PH_MAIL_START) {
-        PhListenerOptions options = {.address = PhStr_LITERAL("127.0.0.1:0"),
-                                     .body_limit_bytes = 100,
-                                     .connection_limit = 8,
-                                     .idle_timeout_s = 5,
-                                     .context = a,
-                                     .on_request = on_request};
-        PhResult r = PhListener_Create(self, &options, &a->listener);
-        assert_int_equal(r.status, PH_STATUS_OK);
+        a->listener = PhListenerRig_CreateListener(
+            self, &(PhListenerOptions){.body_limit_bytes = 100,
+                                       .idle_timeout_s = 5,
+                                       .context = a,
+                                       .on_request = on_request});
         request_send(a, FIRST, 0);
         return;
     }
--- a/tests/platform/test_late_answers.c
+++ b/tests/platform/test_late_answers.c
@@ -4,8 +4,8 @@
 #include "peridothill/services/http.h"
 
 #include "http_task.h"
+#include "listener_rig.h"
 #include "peridothill/services/interface.h"
-#include "peridothill/services/listener.h"
 #include "tests/table.h"
 
 enum {
@@ -89,29 +89,17 @@
     s->request = incoming->id;
 }
 
-static void
-on_client_disconnect(void *context, uint64_t id)
-{
-    (void)context;
-    (void)id;
-}
-
 static void
 server_handle(void *state, PhTask *self, const PhMail *mail)
 {
     PhLateServer *s = state;
     s->self = self;
     if (mail->kind == PH_MAIL_START) {
-        PhListenerOptions options = {.address = PhStr_LITERAL("127.0.0.1:0"),
-                                     .body_limit_bytes = 100,
-                                     .connection_limit = 8,
-                                     .idle_timeout_s = 60,
-                                     .context = s,
-                                     .on_request = on_request,
-                                     .on_client_disconnect =
-                                         on_client_disconnect};
-        PhResult r = PhListener_Create(self, &options, &s->listener);
-        assert_int_equal(r.status, PH_STATUS_OK);
+        s->listener = PhListenerRig_CreateListener(
+            self, &(PhListenerOptions){.body_limit_bytes = 100,
+                                       .idle_timeout_s = 60,
+                                       .context = s,
+                                       .on_request = on_request});
         request_send(s);
         PhTask_SetTimer(self, ANSWER_TOKEN,
                         PhTask_Now(self) + s->c->answer_ms * PH_NS_PER_MS);
--- a/tests/platform/test_listener.c
+++ b/tests/platform/test_listener.c
@@ -2,8 +2,7 @@
 
 #include <string.h>
 
-#include "raw_caller.h"
-#include "tests/paused_loop.h"
+#include "listener_rig.h"
 #include "tests/table.h"
 
 enum {
@@ -112,11 +111,9 @@
 
 /* A task with a listener, and its only caller. */
 typedef struct PhStopServer {
-    PhTask *self;
-    PhListener *listener;
+    PhListenerRig rig;
     uint64_t waiting; /* id of the request to answer, or 0 */
     size_t read;
-    PhRawCaller caller;
 } PhStopServer;
 
 static void
@@ -129,86 +126,42 @@
 }
 
 static void
-on_client_disconnect(void *context, uint64_t id)
-{
-    (void)context;
-    (void)id;
-}
-
-static void
-server_handle(void *state, PhTask *self, const PhMail *mail)
-{
-    PhStopServer *s = state;
-    s->self = self;
-    if (mail->kind == PH_MAIL_START) {
-        PhListenerOptions options = {.address = PhStr_LITERAL("127.0.0.1:0"),
-                                     .body_limit_bytes = 100,
-                                     .connection_limit = 8,
-                                     .idle_timeout_s = 60,
-                                     .context = s,
-                                     .on_request = on_request,
-                                     .on_client_disconnect =
-                                         on_client_disconnect};
-        PhResult r = PhListener_Create(self, &options, &s->listener);
-        assert_int_equal(r.status, PH_STATUS_OK);
-        return;
-    }
-    PhListener_Handle(s->listener, mail);
-}
-
-static void
-server_destroy(void *state)
-{
-    PhListener_Destroy(((PhStopServer *)state)->listener);
-}
-
-static void
-loop_run(PhStopServer *s, struct ev_loop *loop, PhClock *clock, int steps)
-{
-    for (int i = 0; i < steps; i++) {
-        PhPausedLoop_Step(loop, clock);
-        PhRawCaller_Read(&s->caller);
-    }
-}
-
-static void
-step_take(PhStopServer *s, PhStopStep step, struct ev_loop *loop,
-          PhClock *clock)
+step_take(PhStopServer *s, PhStopStep step)
 {
     switch (step) {
     case STEP_NONE:
         break;
     case STEP_OPEN:
-        PhRawCaller_Open(&s->caller, PhListener_Port(s->listener));
+        PhRawCaller_Open(&s->rig.caller, PhListener_Port(s->rig.listener));
         break;
     case STEP_SEND_LINE:
-        PhRawCaller_Send(&s->caller, LINE);
+        PhRawCaller_Send(&s->rig.caller, LINE);
         break;
     case STEP_SEND_HEADERS:
-        PhRawCaller_Send(&s->caller, HEADERS);
+        PhRawCaller_Send(&s->rig.caller, HEADERS);
         break;
     case STEP_SEND_BODY:
-        PhRawCaller_Send(&s->caller, BODY);
+        PhRawCaller_Send(&s->rig.caller, BODY);
         break;
     case STEP_SEND_ALL:
-        PhRawCaller_Send(&s->caller, LINE);
-        PhRawCaller_Send(&s->caller, HEADERS);
-        PhRawCaller_Send(&s->caller, BODY);
+        PhRawCaller_Send(&s->rig.caller, LINE);
+        PhRawCaller_Send(&s->rig.caller, HEADERS);
+        PhRawCaller_Send(&s->rig.caller, BODY);
         break;
     case STEP_RUN:
-        loop_run(s, loop, clock, RUN_STEPS);
+        PhListenerRig_Run(&s->rig, RUN_STEPS);
         break;
     case STEP_RUN_PAST_SWEEP:
-        loop_run(s, loop, clock, SWEEP_STEPS);
+        PhListenerRig_Run(&s->rig, SWEEP_STEPS);
         break;
     case STEP_CLOSE_AFTER_ANSWERS:
-        PhListener_CloseAfterAnswers(s->listener);
+        PhListener_CloseAfterAnswers(s->rig.listener);
         break;
     case STEP_QUIESCE:
-        PhListener_Quiesce(s->listener);
+        PhListener_Quiesce(s->rig.listener);
         break;
     case STEP_ANSWER:
-        PhListener_Answer(s->listener, s->waiting, 200, NULL, 0,
+        PhListener_Answer(s->rig.listener, s->waiting, 200, NULL, 0,
                           PhStr_LITERAL("done"));
         break;
     }
@@ -217,40 +170,28 @@
 static void
 check_end(const PhStopServer *s, const PhStopCase *c)
 {
-    bool answered = strstr(s->caller.reply, "HTTP/1.1 200") != NULL &&
-                    strstr(s->caller.reply, "done") != NULL;
+    bool answered = strstr(s->rig.caller.reply, "HTTP/1.1 200") != NULL &&
+                    strstr(s->rig.caller.reply, "done") != NULL;
     assert_int_equal(s->read, c->read);
-    assert_true(s->caller.closed);
+    assert_true(s->rig.caller.closed);
     assert_int_equal(answered, c->end == END_ANSWERED);
-    assert_int_equal(PhListener_Connections(s->listener), 0);
+    assert_int_equal(PhListener_Connections(s->rig.listener), 0);
 }
 
 static void
 check_stop(const PhStopCase *c)
 {
-    struct ev_loop *loop = ev_loop_new(0);
-    PhClock *clock = PhPausedLoop_CreateClock();
-    PhCounters *counters = PhCounters_Create();
-    PhKernel *kernel = PhKernel_Create(&(PhKernelOptions){
-        .clock = clock, .loop = loop, .counters = counters});
-    PhStopServer s = {.caller.fd = -1};
-    PhTaskSpec spec = {.name = PhStr_LITERAL("server"),
-                       .mailbox_capacity = 16,
-                       .state = &s,
-                       .handle = server_handle,
-                       .destroy = server_destroy};
-    assert_int_equal(PhKernel_Spawn(kernel, &spec, NULL), PH_STATUS_OK);
-    loop_run(&s, loop, clock, 1);
+    PhStopServer s = {0};
+    PhListenerRig_Open(&s.rig, &(PhListenerOptions){.body_limit_bytes = 100,
+                                                    .idle_timeout_s = 60,
+                                                    .context = &s,
+                                                    .on_request = on_request});
     for (size_t i = 0; i < STEPS_MAX; i++) {
-        step_take(&s, c->steps[i], loop, clock);
+        step_take(&s, c->steps[i]);
     }
-    loop_run(&s, loop, clock, RUN_STEPS);
+    PhListenerRig_Run(&s.rig, RUN_STEPS);
     check_end(&s, c);
-    PhRawCaller_Close(&s.caller);
-    PhKernel_Destroy(kernel);
-    PhCounters_Destroy(counters);
-    PhClock_Destroy(clock);
-    ev_loop_destroy(loop);
+    PhListenerRig_Close(&s.rig);
 }
 
 /* Guards against requests that are read whole and not answered during a
--- a/tests/platform/test_receive_limits.c
+++ b/tests/platform/test_receive_limits.c
@@ -2,10 +2,8 @@
  * limits meet, and against slow headers that keep a connection. */
 #include <string.h>
 
+#include "listener_rig.h"
 #include "peridothill/codec/json.h"
-#include "peridothill/services/listener.h"
-#include "raw_caller.h"
-#include "tests/paused_loop.h"
 #include "tests/table.h"
 
 enum {
@@ -41,13 +39,11 @@
 };
 
 typedef struct PhReceiveServer {
-    PhTask *self;
-    PhListener *listener;
+    PhListenerRig rig;
     PhReceiveBudget *budget;
     size_t body; /* bytes of the last request */
     size_t requests;
     bool keeps; /* requests are not answered */
-    PhRawCaller caller;
 } PhReceiveServer;
 
 static void
@@ -57,52 +53,32 @@
     s->body = incoming->body.len;
     s->requests++;
     if (!s->keeps) {
-        PhListener_Answer(s->listener, incoming->id, 200, NULL, 0, (PhStr){0});
+        PhListener_Answer(s->rig.listener, incoming->id, 200, NULL, 0,
+                          (PhStr){0});
     }
 }
 
+/* `budget`: 0 for none. */
 static void
-on_client_disconnect(void *context, uint64_t id)
+server_open(PhReceiveServer *s, uint64_t budget)
 {
-    (void)context;
-    (void)id;
-}
-
-static void
-server_handle(void *state, PhTask *self, const PhMail *mail)
-{
-    PhReceiveServer *s = state;
-    s->self = self;
-    if (mail->kind == PH_MAIL_START) {
-        PhListenerOptions options = {
-            .address = PhStr_LITERAL("127.0.0.1:0"),
+    *s = (PhReceiveServer){0};
+    s->budget = budget > 0 ? PhReceiveBudget_Create(budget) : NULL;
+    PhListenerRig_Open(
+        &s->rig,
+        &(PhListenerOptions){
             .body_limit_bytes = BODY_LIMIT_BYTES,
-            .connection_limit = 8,
             .idle_timeout_s = 60,
             .receive = {.budget = s->budget, .header_time = 3 * PH_NS_PER_S},
             .context = s,
-            .on_request = on_request,
-            .on_client_disconnect = on_client_disconnect};
-        PhResult r = PhListener_Create(self, &options, &s->listener);
-        assert_int_equal(r.status, PH_STATUS_OK);
-        return;
-    }
-    PhListener_Handle(s->listener, mail);
+            .on_request = on_request});
 }
 
 static void
-server_destroy(void *state)
+server_close(PhReceiveServer *s)
 {
-    PhListener_Destroy(((PhReceiveServer *)state)->listener);
-}
-
-static void
-loop_run(PhReceiveServer *s, struct ev_loop *loop, PhClock *clock, int steps)
-{
-    for (int i = 0; i < steps; i++) {
-        PhPausedLoop_Step(loop, clock);
-        PhRawCaller_Read(&s->caller);
-    }
+    PhListenerRig_Close(&s->rig);
+    PhReceiveBudget_Destroy(s->budget);
 }
 
 /* The headers of a case; all of it takes HEADERS_BYTES. */
@@ -129,32 +105,30 @@
 
 /* Sends in pieces, between which the listener reads. */
 static void
-text_send(PhReceiveServer *s, const char *text, struct ev_loop *loop,
-          PhClock *clock)
+text_send(PhReceiveServer *s, const char *text)
 {
     char piece[PIECE_BYTES + 1];
-    while (*text != '\0' && s->caller.fd >= 0) {
+    while (*text != '\0' && s->rig.caller.fd >= 0) {
         g_strlcpy(piece, text, sizeof(piece));
-        PhRawCaller_Send(&s->caller, piece);
-        loop_run(s, loop, clock, 2);
+        PhRawCaller_Send(&s->rig.caller, piece);
+        PhListenerRig_Run(&s->rig, 2);
         text += strlen(piece);
     }
 }
 
 static void
-request_play(PhReceiveServer *s, const PhReceiveCase *c, struct ev_loop *loop,
-             PhClock *clock)
+request_play(PhReceiveServer *s, const PhReceiveCase *c)
 {
     char *headers = headers_make(c);
     char *body = g_strnfill(c->body, 'b');
     char *rest = headers + HEADERS_BYTES / 2;
     char *first = g_strndup(headers, HEADERS_BYTES / 2);
-    PhRawCaller_Open(&s->caller, PhListener_Port(s->listener));
-    text_send(s, first, loop, clock);
-    loop_run(s, loop, clock, c->pauses ? WAIT_STEPS : 1);
-    text_send(s, rest, loop, clock);
-    text_send(s, body, loop, clock);
-    loop_run(s, loop, clock, RUN_STEPS);
+    PhRawCaller_Open(&s->rig.caller, PhListener_Port(s->rig.listener));
+    text_send(s, first);
+    PhListenerRig_Run(&s->rig, c->pauses ? WAIT_STEPS : 1);
+    text_send(s, rest);
+    text_send(s, body);
+    PhListenerRig_Run(&s->rig, RUN_STEPS);
     g_free(first);
     g_free(headers);
     g_free(body);
@@ -163,39 +137,21 @@
 static void
 receive_run(const PhReceiveCase *c)
 {
-    struct ev_loop *loop = ev_loop_new(0);
-    PhClock *clock = PhPausedLoop_CreateClock();
-    PhCounters *counters = PhCounters_Create();
-    PhKernel *kernel = PhKernel_Create(&(PhKernelOptions){
-        .clock = clock, .loop = loop, .counters = counters});
-    PhReceiveServer s = {.caller.fd = -1};
-    if (c->budget > 0) {
-        s.budget = PhReceiveBudget_Create(c->budget);
-    }
-    PhTaskSpec spec = {.name = PhStr_LITERAL("server"),
-                       .mailbox_capacity = 16,
-                       .state = &s,
-                       .handle = server_handle,
-                       .destroy = server_destroy};
-    assert_int_equal(PhKernel_Spawn(kernel, &spec, NULL), PH_STATUS_OK);
-    loop_run(&s, loop, clock, 1);
-    request_play(&s, c, loop, clock);
-    assert_int_equal(strstr(s.caller.reply, "HTTP/1.1 200") != NULL,
+    PhReceiveServer s;
+    server_open(&s, c->budget);
+    request_play(&s, c);
+    assert_int_equal(strstr(s.rig.caller.reply, "HTTP/1.1 200") != NULL,
                      c->status == 200);
-    assert_int_equal(s.caller.reply_len > 0, c->status != 0);
+    assert_int_equal(s.rig.caller.reply_len > 0, c->status != 0);
     assert_int_equal(s.body, c->status == 200 ? c->body : 0);
-    assert_int_equal(s.caller.closed, c->status == 0);
-    PhRawCaller_Close(&s.caller);
-    loop_run(&s, loop, clock, RUN_STEPS);
-    assert_int_equal(PhListener_Connections(s.listener), 0);
+    assert_int_equal(s.rig.caller.closed, c->status == 0);
+    PhRawCaller_Close(&s.rig.caller);
+    PhListenerRig_Run(&s.rig, RUN_STEPS);
+    assert_int_equal(PhListener_Connections(s.rig.listener), 0);
     if (s.budget != NULL) {
         assert_int_equal(PhReceiveBudget_Used(s.budget), 0);
     }
-    PhKernel_Destroy(kernel);
-    PhReceiveBudget_Destroy(s.budget);
-    PhCounters_Destroy(counters);
-    PhClock_Destroy(clock);
-    ev_loop_destroy(loop);
+    server_close(&s);
 }
 
 static void
@@ -210,44 +166,29 @@
 static void
 test_end_after_close(void **state)
 {
-    struct ev_loop *loop = ev_loop_new(0);
-    PhClock *clock = PhPausedLoop_CreateClock();
-    PhCounters *counters = PhCounters_Create();
-    PhKernel *kernel = PhKernel_Create(&(PhKernelOptions){
-        .clock = clock, .loop = loop, .counters = counters});
-    PhReceiveServer s = {.caller.fd = -1, .budget = PhReceiveBudget_Create(5)};
+    PhReceiveServer s;
     PhRawCaller other = {.fd = -1};
-    PhTaskSpec spec = {.name = PhStr_LITERAL("server"),
-                       .mailbox_capacity = 16,
-                       .state = &s,
-                       .handle = server_handle,
-                       .destroy = server_destroy};
     (void)state;
-    assert_int_equal(PhKernel_Spawn(kernel, &spec, NULL), PH_STATUS_OK);
-    loop_run(&s, loop, clock, 1);
-    PhRawCaller_Open(&s.caller, PhListener_Port(s.listener));
-    PhRawCaller_Open(&other, PhListener_Port(s.listener));
-    PhRawCaller_Send(&s.caller, "POST /a HTTP/1.1\r\nHost: a\r\n"
-                                "Transfer-Encoding: chunked\r\n\r\n"
-                                "4\r\nbody\r\n");
+    server_open(&s, 5);
+    PhRawCaller_Open(&s.rig.caller, PhListener_Port(s.rig.listener));
+    PhRawCaller_Open(&other, PhListener_Port(s.rig.listener));
+    PhRawCaller_Send(&s.rig.caller, "POST /a HTTP/1.1\r\nHost: a\r\n"
+                                    "Transfer-Encoding: chunked\r\n\r\n"
+                                    "4\r\nbody\r\n");
     PhRawCaller_Send(&other, "POST /b HTTP/1.1\r\nHost: a\r\n"
                              "Content-Length: 3\r\n\r\n");
-    loop_run(&s, loop, clock, RUN_STEPS);
+    PhListenerRig_Run(&s.rig, RUN_STEPS);
     assert_int_equal(s.requests, 0);
     PhRawCaller_Send(&other, "new"); /* read first */
-    PhRawCaller_Send(&s.caller, "0\r\n\r\n");
-    loop_run(&s, loop, clock, RUN_STEPS);
+    PhRawCaller_Send(&s.rig.caller, "0\r\n\r\n");
+    PhListenerRig_Run(&s.rig, RUN_STEPS);
     assert_int_equal(s.requests, 1);
     assert_int_equal(s.body, 3);
-    assert_true(s.caller.closed);
+    assert_true(s.rig.caller.closed);
     assert_int_equal(
-        PhCounters_Get(counters, PH_COUNTER_RECEIVE_BUDGET_CLOSED), 1);
+        PhCounters_Get(s.rig.counters, PH_COUNTER_RECEIVE_BUDGET_CLOSED), 1);
     PhRawCaller_Close(&other);
-    PhKernel_Destroy(kernel);
-    PhReceiveBudget_Destroy(s.budget);
-    PhCounters_Destroy(counters);
-    PhClock_Destroy(clock);
-    ev_loop_destroy(loop);
+    server_close(&s);
 }
 
 /* Guards against finished requests that wait for the store and close all new
@@ -255,79 +196,49 @@
 static void
 test_waiting_requests(void **state)
 {
-    struct ev_loop *loop = ev_loop_new(0);
-    PhClock *clock = PhPausedLoop_CreateClock();
-    PhCounters *counters = PhCounters_Create();
-    PhKernel *kernel = PhKernel_Create(&(PhKernelOptions){
-        .clock = clock, .loop = loop, .counters = counters});
-    PhReceiveServer s = {
-        .caller.fd = -1, .budget = PhReceiveBudget_Create(5), .keeps = true};
+    PhReceiveServer s;
     PhRawCaller callers[WAITING_CALLERS];
-    PhTaskSpec spec = {.name = PhStr_LITERAL("server"),
-                       .mailbox_capacity = 16,
-                       .state = &s,
-                       .handle = server_handle,
-                       .destroy = server_destroy};
     (void)state;
-    assert_int_equal(PhKernel_Spawn(kernel, &spec, NULL), PH_STATUS_OK);
-    loop_run(&s, loop, clock, 1);
+    server_open(&s, 5);
+    s.keeps = true;
     for (size_t i = 0; i < WAITING_CALLERS; i++) {
         callers[i] = (PhRawCaller){.fd = -1};
-        PhRawCaller_Open(&callers[i], PhListener_Port(s.listener));
+        PhRawCaller_Open(&callers[i], PhListener_Port(s.rig.listener));
         PhRawCaller_Send(&callers[i], "POST /a HTTP/1.1\r\nHost: a\r\n"
                                       "Content-Length: 5\r\n\r\nwhole");
-        loop_run(&s, loop, clock, RUN_STEPS);
+        PhListenerRig_Run(&s.rig, RUN_STEPS);
         assert_int_equal(s.requests, i + 1);
         assert_int_equal(s.body, 5);
         assert_int_equal(PhReceiveBudget_Used(s.budget), 0);
     }
     assert_int_equal(
-        PhCounters_Get(counters, PH_COUNTER_RECEIVE_BUDGET_CLOSED), 0);
+        PhCounters_Get(s.rig.counters, PH_COUNTER_RECEIVE_BUDGET_CLOSED), 0);
     for (size_t i = 0; i < WAITING_CALLERS; i++) {
         PhRawCaller_Close(&callers[i]);
     }
-    PhKernel_Destroy(kernel);
-    PhReceiveBudget_Destroy(s.budget);
-    PhCounters_Destroy(counters);
-    PhClock_Destroy(clock);
-    ev_loop_destroy(loop);
+    server_close(&s);
 }
 
 /* Guards against short connections that put off the return of memory. */
 static void
 test_short_connections(void **state)
 {
-    struct ev_loop *loop = ev_loop_new(0);
-    PhClock *clock = PhPausedLoop_CreateClock();
-    PhCounters *counters = PhCounters_Create();
-    PhKernel *kernel = PhKernel_Create(&(PhKernelOptions){
-        .clock = clock, .loop = loop, .counters = counters});
-    PhReceiveServer s = {.caller.fd = -1, .budget = PhReceiveBudget_Create(5)};
-    PhTaskSpec spec = {.name = PhStr_LITERAL("server"),
-                       .mailbox_capacity = 16,
-                       .state = &s,
-                       .handle = server_handle,
-                       .destroy = server_destroy};
+    PhReceiveServer s;
     (void)state;
-    assert_int_equal(PhKernel_Spawn(kernel, &spec, NULL), PH_STATUS_OK);
-    loop_run(&s, loop, clock, 1);
+    server_open(&s, 5);
     for (int i = 0; i < SHORT_CONNECTIONS; i++) {
-        PhRawCaller_Open(&s.caller, PhListener_Port(s.listener));
-        PhRawCaller_Send(&s.caller,
+        PhRawCaller_Open(&s.rig.caller, PhListener_Port(s.rig.listener));
+        PhRawCaller_Send(&s.rig.caller,
                          i == 0 ? "POST /a HTTP/1.1\r\nHost: a\r\n"
                                   "Content-Length: 5\r\n\r\nwhole"
                                 : "GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
-        loop_run(&s, loop, clock, SHORT_STEPS);
+        PhListenerRig_Run(&s.rig, SHORT_STEPS);
         assert_int_equal(s.requests, i + 1);
-        PhRawCaller_Close(&s.caller);
-        loop_run(&s, loop, clock, SHORT_STEPS);
+        PhRawCaller_Close(&s.rig.caller);
+        PhListenerRig_Run(&s.rig, SHORT_STEPS);
     }
     assert_false(PhReceiveBudget_HasReleased(s.budget));
-    PhKernel_Destroy(kernel);
-    PhReceiveBudget_Destroy(s.budget);
-    PhCounters_Destroy(counters);
-    PhClock_Destroy(clock);
-    ev_loop_destroy(loop);
+    server_close(&s);
 }
 
 typedef struct PhValuesCase {
