tests/schedule: one start for the pairs in test_contact_pair

Six of the eight tests started two instances with a limit of silence, waited until the other one knew that a job does not exist and ran until both knew the owner, and two did so with five instances. pair_open and instances_settle do it now. starts_count reads the counter of starts of one instance, which was written out in seven places.

--- a/tests/schedule/test_contact_pair.c
+++ b/tests/schedule/test_contact_pair.c
@@ -30,6 +30,33 @@
     CONTACT_BACK_STEPS = 120, /* a probe, and a hello every 0.5 s */
 };
 
+/* Waits until the instances from `first` on know that there is no job ID_A,
+ * and then until all know the owner. */
+static void
+instances_settle(PhPlatformFixture *fixture, size_t first)
+{
+    for (size_t i = first; i < fixture->instance_count; i++) {
+        assert_true(
+            PhPlatformFixture_CallUntil(fixture, i, "GET", ID_A, "", 410, ""));
+    }
+    PhPlatformFixture_RunSteps(fixture, SETTLE_STEPS);
+}
+
+static void
+pair_open(PhPlatformFixture *fixture, bool links, unsigned contact_limit_ms)
+{
+    PhPlatformFixture_OpenWithContact(fixture, PH_FIXTURE_INSTANCES_MAX, links,
+                                      contact_limit_ms);
+    instances_settle(fixture, OTHER);
+}
+
+static uint64_t
+starts_count(const PhPlatformFixture *fixture, size_t instance)
+{
+    return PhCounters_Get(fixture->instances[instance].counters,
+                          PH_COUNTER_SCHEDULE_STARTS);
+}
+
 /* A call whose client waits for LATE_MS more, and its answer. */
 typedef struct PhLateCase {
     const char *name;
@@ -51,11 +78,7 @@
 {
     PhPlatformFixture fixture;
     char text[PH_FIXTURE_TEXT_BYTES];
-    PhPlatformFixture_OpenWithContact(&fixture, PH_FIXTURE_INSTANCES_MAX, true,
-                                      c->contact_limit_ms);
-    assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "GET", ID_A, "",
-                                            410, ""));
-    PhPlatformFixture_RunSteps(&fixture, SETTLE_STEPS);
+    pair_open(&fixture, true, c->contact_limit_ms);
     fixture.deadline_ms = LATE_MS;
     assert_int_equal(
         PhPlatformFixture_Call(&fixture, OTHER, c->method, ID_A, JOB, text),
@@ -118,11 +141,7 @@
 {
     PhPlatformFixture fixture;
     char text[PH_FIXTURE_TEXT_BYTES];
-    PhPlatformFixture_OpenWithContact(&fixture, PH_FIXTURE_INSTANCES_MAX, true,
-                                      c->contact_limit_ms);
-    assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "GET", ID_A, "",
-                                            410, ""));
-    PhPlatformFixture_RunSteps(&fixture, SETTLE_STEPS);
+    pair_open(&fixture, true, c->contact_limit_ms);
     check_ready(&fixture, 200);
     PhStandinStoreState_SetFault(fixture.store, PH_STANDIN_STORE_SILENT);
     PhPlatformFixture_RunSteps(&fixture, NO_CONTACT_STEPS);
@@ -137,8 +156,7 @@
     PhPlatformFixture_RunSteps(&fixture, CONTACT_BACK_STEPS);
     check_ready(&fixture, 200);
     PhPlatformFixture_RunJob(&fixture, OTHER, ID_B, JOB, 1);
-    const PhCounters *owner = fixture.instances[OWNER].counters;
-    assert_int_equal(PhCounters_Get(owner, PH_COUNTER_SCHEDULE_STARTS),
+    assert_int_equal(starts_count(&fixture, OWNER),
                      c->status == 503 ? TASKS : 2 * TASKS);
     PhPlatformFixture_Close(&fixture);
 }
@@ -187,11 +205,7 @@
 {
     PhPlatformFixture fixture;
     char text[PH_FIXTURE_TEXT_BYTES];
-    PhPlatformFixture_OpenWithContact(&fixture, PH_FIXTURE_INSTANCES_MAX, true,
-                                      c->contact_limit_ms);
-    assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "GET", ID_A, "",
-                                            410, ""));
-    PhPlatformFixture_RunSteps(&fixture, SETTLE_STEPS);
+    pair_open(&fixture, true, c->contact_limit_ms);
     fixture.first_fault = c->fault;
     int before = PhPlatformFixture_Send(&fixture, OTHER, "POST", ID_A, JOB);
     PhPlatformFixture_RunSteps(&fixture, OWNER_LOST_STEPS);
@@ -217,21 +231,18 @@
     }
     assert_int_equal(
         PhPlatformFixture_Call(&fixture, OTHER, "GET", ID_C, "", text), 410);
-    const PhCounters *other = fixture.instances[OTHER].counters;
-    assert_true(PhCounters_Get(other, PH_COUNTER_SCHEDULE_STARTS) >= TASKS);
+    assert_true(starts_count(&fixture, OTHER) >= TASKS);
     uint64_t starts =
         PhPlatformFixture_CounterSum(&fixture, PH_COUNTER_SCHEDULE_STARTS);
     fixture.first_fault = PH_STANDIN_STORE_HEALTHY;
     PhPlatformFixture_RunSteps(&fixture, SETTLE_STEPS);
     check_ready(&fixture, 200);
-    const PhCounters *owner = fixture.instances[OWNER].counters;
-    uint64_t by_owner = PhCounters_Get(owner, PH_COUNTER_SCHEDULE_STARTS);
+    uint64_t by_owner = starts_count(&fixture, OWNER);
     assert_true(PhPlatformFixture_CallUntil(&fixture, OWNER, "POST",
                                             "00000000000000d4", JOB, 200, ""));
     assert_true(PhPlatformFixture_CallUntil(
         &fixture, OTHER, "GET", "00000000000000d4", "", 200, "completed"));
-    assert_int_equal(PhCounters_Get(owner, PH_COUNTER_SCHEDULE_STARTS),
-                     by_owner);
+    assert_int_equal(starts_count(&fixture, OWNER), by_owner);
     assert_int_equal(
         PhPlatformFixture_CounterSum(&fixture, PH_COUNTER_SCHEDULE_STARTS),
         starts + TASKS);
@@ -276,11 +287,7 @@
     PhPlatformFixture fixture;
     char text[PH_FIXTURE_TEXT_BYTES];
     int second = -1;
-    PhPlatformFixture_OpenWithContact(&fixture, PH_FIXTURE_INSTANCES_MAX,
-                                      c->links, c->contact_limit_ms);
-    assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "GET", ID_A, "",
-                                            410, ""));
-    PhPlatformFixture_RunSteps(&fixture, SETTLE_STEPS);
+    pair_open(&fixture, c->links, c->contact_limit_ms);
     PhStandinStoreState_LoseAppends(fixture.store, JOBS, true);
     int first = PhPlatformFixture_Send(&fixture, OTHER, "POST", c->first, JOB);
     PhPlatformFixture_RunSteps(&fixture, 2);
@@ -330,11 +337,7 @@
 {
     PhPlatformFixture fixture;
     char text[PH_FIXTURE_TEXT_BYTES];
-    PhPlatformFixture_OpenWithContact(&fixture, PH_FIXTURE_INSTANCES_MAX, true,
-                                      c->contact_limit_ms);
-    assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "GET", ID_A, "",
-                                            410, ""));
-    PhPlatformFixture_RunSteps(&fixture, SETTLE_STEPS);
+    pair_open(&fixture, true, c->contact_limit_ms);
     fixture.first_fault = PH_STANDIN_STORE_DOWN;
     PhPlatformFixture_RunSteps(&fixture, c->steps);
     assert_int_equal(
@@ -396,11 +399,8 @@
     unsigned refused = 0;
     PhPlatformFixture_OpenWithContact(&fixture, PH_FIXTURE_CAPACITY, true,
                                       c->contact_limit_ms);
-    for (size_t i = 0; i < PH_FIXTURE_CAPACITY; i++) {
-        assert_true(PhPlatformFixture_CallUntil(&fixture, i, "GET", ID_A, "",
-                                                410, ""));
-    }
-    PhPlatformFixture_RunSteps(&fixture, 2 * SETTLE_STEPS);
+    instances_settle(&fixture, OWNER);
+    PhPlatformFixture_RunSteps(&fixture, SETTLE_STEPS);
     if (c->drains) {
         owner_drain(&fixture);
     }
@@ -459,36 +459,27 @@
 takeover_run(const PhTakeoverCase *c)
 {
     PhPlatformFixture fixture;
-    PhPlatformFixture_OpenWithContact(&fixture, PH_FIXTURE_INSTANCES_MAX, true,
-                                      c->contact_limit_ms);
-    assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "GET", ID_A, "",
-                                            410, ""));
-    PhPlatformFixture_RunSteps(&fixture, SETTLE_STEPS);
+    pair_open(&fixture, true, c->contact_limit_ms);
     PhTime end = PhClock_Now(fixture.clock);
-    const PhFixtureInstance *other = &fixture.instances[OTHER];
     if (c->dies) {
         PhPlatformFixture_Kill(&fixture, OWNER);
     }
     else {
-        PhKernel_Stop(other->kernel,
-                      PhKernel_Lookup(other->kernel, PH_SERVICE_PEERS));
+        PhKernel *kernel = fixture.instances[OTHER].kernel;
+        PhKernel_Stop(kernel, PhKernel_Lookup(kernel, PH_SERVICE_PEERS));
     }
     int call = PhPlatformFixture_Send(&fixture, OTHER, "POST", ID_A, JOB);
     PhTime limit = end + c->within_ms * PH_NS_PER_MS;
-    while (PhCounters_Get(other->counters, PH_COUNTER_SCHEDULE_STARTS) == 0 &&
+    while (starts_count(&fixture, OTHER) == 0 &&
            PhClock_Now(fixture.clock) < limit) {
         PhPlatformFixture_Run(&fixture);
     }
     print_message(
         "#   %lld ms\n",
         (long long)((PhClock_Now(fixture.clock) - end) / PH_NS_PER_MS));
-    assert_int_equal(
-        PhCounters_Get(other->counters, PH_COUNTER_SCHEDULE_STARTS) > 0,
-        c->takes_over);
+    assert_int_equal(starts_count(&fixture, OTHER) > 0, c->takes_over);
     if (!c->dies) {
-        const PhCounters *owner = fixture.instances[OWNER].counters;
-        assert_int_equal(PhCounters_Get(owner, PH_COUNTER_SCHEDULE_STARTS),
-                         TASKS);
+        assert_int_equal(starts_count(&fixture, OWNER), TASKS);
     }
     close(call);
     PhPlatformFixture_Close(&fixture);
@@ -540,11 +531,7 @@
     int calls[PH_FIXTURE_CAPACITY];
     PhPlatformFixture_OpenWithRoom(&fixture, PH_FIXTURE_CAPACITY,
                                    CONTACT_LIMIT_MS, c->room_reserve);
-    for (size_t i = 0; i < PH_FIXTURE_CAPACITY; i++) {
-        assert_true(PhPlatformFixture_CallUntil(&fixture, i, "GET", ID_A, "",
-                                                410, ""));
-    }
-    PhPlatformFixture_RunSteps(&fixture, SETTLE_STEPS);
+    instances_settle(&fixture, OWNER);
     int held = lasting_send(&fixture, OWNER, 1, c->held);
     assert_int_equal(PhPlatformFixture_Receive(&fixture, held, text), 200);
     PhPlatformFixture_RunSteps(&fixture, SETTLE_STEPS);
