--- a/tests/schedule/claim_fixture.c
+++ b/tests/schedule/claim_fixture.c
@@ -2,8 +2,6 @@
 
 #include "single_task.h"
 
-#include <stdio.h>
-
 enum {
     CPU_MILLI = 8000,
     MEM_MB = 100,
@@ -45,10 +43,7 @@
 PhClaimFixture_AddJob(PhClaimFixture *fixture, PhSchedStep step,
                       int64_t priority, PhTime slack, PhTime now)
 {
-    char id[17];
-    (void)snprintf(id, sizeof(id), "%016llx",
-                   (unsigned long long)++fixture->jobs);
-    PhSchedSpec spec = PhSingle_Spec(PhStr_FromC(id), step);
+    PhSchedSpec spec = PhSingle_NumberedSpec(++fixture->jobs, step);
     spec.terms.priority = priority;
     spec.terms.slack = slack;
     PhSchedJob *job =
--- a/tests/schedule/platform_fixture.c
+++ b/tests/schedule/platform_fixture.c
@@ -335,7 +335,7 @@
                              PhCounter counter)
 {
     uint64_t sum = 0;
-    for (size_t i = 0; i < PH_FIXTURE_INSTANCES_MAX; i++) {
+    for (size_t i = 0; i < fixture->instance_count; i++) {
         sum += PhCounters_Get(fixture->instances[i].counters, counter);
     }
     return sum;
--- a/tests/schedule/single_task.c
+++ b/tests/schedule/single_task.c
@@ -1,5 +1,7 @@
 #include "single_task.h"
 
+#include <inttypes.h>
+
 PhSchedSpec
 PhSingle_Spec(PhStr id, PhSchedStep step)
 {
@@ -9,6 +11,14 @@
     return spec;
 }
 
+PhSchedSpec
+PhSingle_NumberedSpec(uint64_t number, PhSchedStep step)
+{
+    char id[17];
+    g_snprintf(id, sizeof(id), "%016" PRIx64, number);
+    return PhSingle_Spec(PhStr_FromC(id), step);
+}
+
 PhSchedTask *
 PhSingle_AddJob(PhSchedModel *model, PhStr id, PhSchedStep step)
 {
--- a/tests/schedule/single_task.h
+++ b/tests/schedule/single_task.h
@@ -11,6 +11,8 @@
 /* The specification is owned by the caller and takes ownership of what the
  * step owns. */
 PhSchedSpec PhSingle_Spec(PhStr id, PhSchedStep step);
+/* The same with an id that is made from a number. */
+PhSchedSpec PhSingle_NumberedSpec(uint64_t number, PhSchedStep step);
 /* Adds a job with one step and returns its first task. */
 PhSchedTask *PhSingle_AddJob(PhSchedModel *model, PhStr id, PhSchedStep step);
 /* Passes the worker's entry to the scheduler. */
--- a/tests/schedule/test_active_tasks.c
+++ b/tests/schedule/test_active_tasks.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 
 #include "peridothill/decide/schedule/scheduler.h"
+#include "single_task.h"
 #include "tests/table.h"
 
 enum {
@@ -82,12 +83,7 @@
 static PhSchedSpec
 spec_make(unsigned number, uint32_t count)
 {
-    PhSchedSpec spec = {.step_count = 1, .steps = g_new0(PhSchedStep, 1)};
-    PhBuf id = {0};
-    PhBuf_AppendFormat(&id, "%016x", number);
-    spec.id = PhBuf_Take(&id);
-    spec.steps[0].count = count;
-    return spec;
+    return PhSingle_NumberedSpec(number, (PhSchedStep){.count = count});
 }
 
 static void
--- a/tests/schedule/test_room.c
+++ b/tests/schedule/test_room.c
@@ -375,9 +375,7 @@
 static PhSchedSpec
 spec_make(unsigned number, const char *queue, PhSchedStep step)
 {
-    char id[17];
-    g_snprintf(id, sizeof(id), "%016x", number);
-    PhSchedSpec spec = PhSingle_Spec(PhStr_FromC(id), step);
+    PhSchedSpec spec = PhSingle_NumberedSpec(number, step);
     spec.terms.stretch = 1.5;
     spec.terms.queue = PhStr_Dup(PhStr_FromC(queue));
     return spec;
--- a/tests/schedule/test_schedule_pair.c
+++ b/tests/schedule/test_schedule_pair.c
@@ -78,9 +78,7 @@
                                       c->links, c->contact_limit_ms);
     assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "GET", ID_A, "",
                                             410, ""));
-    for (int i = 0; i < SETTLE_STEPS; i++) {
-        PhPlatformFixture_Run(&fixture);
-    }
+    PhPlatformFixture_RunSteps(&fixture, SETTLE_STEPS);
     PhPlatformFixture_RunJob(&fixture, OTHER, ID_A, JOB, times);
     if (c->owner_dies) {
         PhPlatformFixture_Kill(&fixture, OWNER);
@@ -141,9 +139,7 @@
     PhPlatformFixture_OpenDispatching(&fixture, PH_FIXTURE_INSTANCES_MAX);
     assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "GET", ID_A, "",
                                             410, ""));
-    for (int i = 0; i < SETTLE_STEPS; i++) {
-        PhPlatformFixture_Run(&fixture);
-    }
+    PhPlatformFixture_RunSteps(&fixture, SETTLE_STEPS);
     PhPlatformFixture_RunJob(&fixture, OTHER, ID_A, JOB, 1);
     switch (c->fate) {
     case FATE_NONE:
@@ -265,9 +261,7 @@
                                                 410, ""));
     }
     PhStandinStoreState_RefuseReads(fixture.store, JOBS, true);
-    for (int i = 0; i < LAST_READ_STEPS; i++) {
-        PhPlatformFixture_Run(&fixture);
-    }
+    PhPlatformFixture_RunSteps(&fixture, LAST_READ_STEPS);
     if (c->accepted) {
         assert_int_equal(
             PhPlatformFixture_Call(&fixture, OWNER, "POST", ID_A, JOB, text),
--- a/tests/schedule/test_schedule_service.c
+++ b/tests/schedule/test_schedule_service.c
@@ -206,9 +206,7 @@
         PhPlatformFixture_Run(&fixture);
     }
     PhStandinStoreState_SetFault(fixture.store, c->fault);
-    for (int i = 0; i < ENDS_STEPS; i++) {
-        PhPlatformFixture_Run(&fixture);
-    }
+    PhPlatformFixture_RunSteps(&fixture, ENDS_STEPS);
     assert_int_equal(
         PhPlatformFixture_Call(&fixture, 0, "DELETE", ID, "", text),
         c->status);
@@ -289,17 +287,6 @@
     {"another data centre", TEXT("evacuate/silay"), false, false},
 };
 
-static uint64_t
-starts_sum(const PhPlatformFixture *fixture)
-{
-    uint64_t sum = 0;
-    for (size_t i = 0; i < fixture->instance_count; i++) {
-        sum += PhCounters_Get(fixture->instances[i].counters,
-                              PH_COUNTER_SCHEDULE_STARTS);
-    }
-    return sum;
-}
-
 static void
 evacuated_run(const PhEvacuatedCase *c)
 {
@@ -313,15 +300,16 @@
     if (c->takeover) {
         PhPlatformFixture_Kill(&fixture, 0);
     }
-    for (int i = 0; i < EVACUATED_STEPS; i++) {
-        PhPlatformFixture_Run(&fixture);
-    }
-    assert_int_equal(starts_sum(&fixture), c->waits ? 0 : 2);
+    PhPlatformFixture_RunSteps(&fixture, EVACUATED_STEPS);
+    assert_int_equal(
+        PhPlatformFixture_CounterSum(&fixture, PH_COUNTER_SCHEDULE_STARTS),
+        c->waits ? 0 : 2);
     PhStandinStoreState_Put(fixture.store, PhStr_LITERAL("keyed.op"), c->key,
                             (PhStr){0});
     assert_true(PhPlatformFixture_CallUntil(&fixture, instance, "GET", ID, "",
                                             200, "completed"));
-    assert_int_equal(starts_sum(&fixture), 2);
+    assert_int_equal(
+        PhPlatformFixture_CounterSum(&fixture, PH_COUNTER_SCHEDULE_STARTS), 2);
     PhPlatformFixture_Close(&fixture);
 }
 
@@ -375,14 +363,6 @@
      true, 200},
 };
 
-static void
-run_steps(PhPlatformFixture *fixture, int count)
-{
-    for (int i = 0; i < count; i++) {
-        PhPlatformFixture_Run(fixture);
-    }
-}
-
 static int64_t
 clock_ms(const PhPlatformFixture *fixture)
 {
@@ -413,13 +393,13 @@
     PhPlatformFixture_OpenWithContact(&fixture, 1, false, c->limit_ms);
     assert_true(
         PhPlatformFixture_CallUntil(&fixture, 0, "GET", ID, "", 410, ""));
-    run_steps(&fixture, SETTLED_STEPS);
+    PhPlatformFixture_RunSteps(&fixture, SETTLED_STEPS);
     assert_int_equal(PhPlatformFixture_CheckReady(&fixture, 0), 200);
     PhStandinStoreState_SetFault(fixture.store, c->fault);
     int sent = PhPlatformFixture_Send(&fixture, 0, "POST", ID, JOB);
-    run_steps(&fixture, APART_STEPS);
+    PhPlatformFixture_RunSteps(&fixture, APART_STEPS);
     int queued = PhPlatformFixture_Send(&fixture, 0, "POST", QUEUED_ID, JOB);
-    run_steps(&fixture, LOST_STEPS);
+    PhPlatformFixture_RunSteps(&fixture, LOST_STEPS);
     assert_int_equal(PhPlatformFixture_CheckReady(&fixture, 0), c->ready);
     int64_t begin = clock_ms(&fixture);
     assert_int_equal(PhPlatformFixture_Receive(&fixture, queued, text),
@@ -429,7 +409,7 @@
         c->fresh);
     assert_int_equal(clock_ms(&fixture) - begin <= AT_ONCE_MS, c->at_once);
     PhStandinStoreState_SetFault(fixture.store, PH_STANDIN_STORE_HEALTHY);
-    run_steps(&fixture, BACK_STEPS);
+    PhPlatformFixture_RunSteps(&fixture, BACK_STEPS);
     assert_int_equal(PhPlatformFixture_CheckReady(&fixture, 0), 200);
     if (c->limit_ms > 0) {
         assert_int_equal(
@@ -468,9 +448,9 @@
     PhPlatformFixture_OpenWithContact(&fixture, 1, false, CONTACT_LIMIT_MS);
     assert_true(
         PhPlatformFixture_CallUntil(&fixture, 0, "GET", ID, "", 410, ""));
-    run_steps(&fixture, SETTLED_STEPS);
+    PhPlatformFixture_RunSteps(&fixture, SETTLED_STEPS);
     fixture.instances[0].stands_still = true;
-    run_steps(&fixture, STANDSTILL_STEPS);
+    PhPlatformFixture_RunSteps(&fixture, STANDSTILL_STEPS);
     int call = PhPlatformFixture_Send(&fixture, 0, "POST", ID, JOB);
     fixture.instances[0].stands_still = false;
     assert_int_equal(PhPlatformFixture_Receive(&fixture, call, text), 200);
--- a/tests/schedule/test_store_limits.c
+++ b/tests/schedule/test_store_limits.c
@@ -21,17 +21,6 @@
     snprintf(id, ID_BYTES, "%016x", number + 1);
 }
 
-static uint64_t
-starts_sum(const PhPlatformFixture *fixture)
-{
-    uint64_t sum = 0;
-    for (size_t i = 0; i < fixture->instance_count; i++) {
-        sum += PhCounters_Get(fixture->instances[i].counters,
-                              PH_COUNTER_SCHEDULE_STARTS);
-    }
-    return sum;
-}
-
 /* Jobs of one step each that are submitted at once, and the limits of the
  * store. */
 typedef struct PhWideCase {
@@ -80,7 +69,9 @@
                                                 200, "completed"));
     }
     assert_int_equal(PhStandinStoreState_TooLarge(fixture.store), 0);
-    assert_int_equal(starts_sum(&fixture), (uint64_t)c->jobs * c->tasks);
+    assert_int_equal(
+        PhPlatformFixture_CounterSum(&fixture, PH_COUNTER_SCHEDULE_STARTS),
+        (uint64_t)c->jobs * c->tasks);
     size_t instance = c->takeover ? 1 : 0;
     if (c->takeover) {
         PhPlatformFixture_Kill(&fixture, 0);
@@ -89,7 +80,9 @@
                                             LATER_ID, LATER_JOB, 200, ""));
     assert_true(PhPlatformFixture_CallUntil(&fixture, instance, "GET",
                                             LATER_ID, "", 200, "completed"));
-    assert_int_equal(starts_sum(&fixture), (uint64_t)c->jobs * c->tasks + 1);
+    assert_int_equal(
+        PhPlatformFixture_CounterSum(&fixture, PH_COUNTER_SCHEDULE_STARTS),
+        (uint64_t)c->jobs * c->tasks + 1);
     PhPlatformFixture_Close(&fixture);
 }
 
@@ -172,9 +165,7 @@
     for (unsigned i = 0; i < c->count; i++) {
         connections[i] = submission_send(&fixture, i, c->lengths[i]);
     }
-    for (int i = 0; i < LOST_STEPS; i++) {
-        PhPlatformFixture_Run(&fixture);
-    }
+    PhPlatformFixture_RunSteps(&fixture, LOST_STEPS);
     PhStandinStoreState_LoseAppends(fixture.store, PhStr_LITERAL("keyed.jobs"),
                                     false);
     for (unsigned i = 0; i < c->count; i++) {
--- a/tests/schedule/test_waiting_calls.c
+++ b/tests/schedule/test_waiting_calls.c
@@ -86,18 +86,14 @@
                                       c->links, c->contact_limit_ms);
     assert_true(PhPlatformFixture_CallUntil(&fixture, OTHER, "POST", ID, JOB,
                                             200, ""));
-    for (int i = 0; i < SETTLE_STEPS; i++) {
-        PhPlatformFixture_Run(&fixture);
-    }
+    PhPlatformFixture_RunSteps(&fixture, SETTLE_STEPS);
     fate_meet(&fixture, c->fate);
     for (int i = 0; i < CALLS; i++) {
         if (i == STANDSTILL_CALLS) {
             fixture.instances[OWNER].stands_still = false;
         }
         calls[i] = PhPlatformFixture_Send(&fixture, c->asked, "GET", ID, "");
-        for (int k = 0; k < STEPS_APART; k++) {
-            PhPlatformFixture_Run(&fixture);
-        }
+        PhPlatformFixture_RunSteps(&fixture, STEPS_APART);
     }
     for (int i = 0; i < CALLS; i++) {
         int status = PhPlatformFixture_Receive(&fixture, calls[i], text);
