--- a/review/12/case.py
+++ b/review/12/case.py
@@ -24,9 +24,8 @@
     return next(i for i in bench.instances if i.name.encode() in value)
 
 
-async def play():
-    folder = pathlib.Path(__file__).resolve().parent
-    async with Bench(folder, instances=4) as bench:
+async def play(options):
+    async with Bench(options, instances=4) as bench:
         workers = [bench.worker(f"w{i + 1}", cpu=64000)
                    for i in range(WORKERS)]
         await bench.up()
--- a/review/stand-3/stand.py
+++ b/review/stand-3/stand.py
@@ -1,6 +1,7 @@
 """Stand-ins for the scripts of the third review: the platform's store, workers
 and clients, in one process and on loopback addresses, as PROTOCOL.md tells.
 Where the page is silent they behave like sound ones."""
+import argparse
 import asyncio
 import base64
 import json
@@ -565,10 +566,9 @@
 class Bench:
     """A small deployment; use it with `async with`."""
 
-    def __init__(self, folder, instances=2, **world):
-        self.folder = pathlib.Path(folder)
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
-        self.record = Record(self.folder / "record.txt")
+    def __init__(self, options, instances=2, **world):
+        self.trouble = options.trouble == 1
+        self.record = options.record
         self.work = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.store = Store()
         self.world = World(self.record, **world)
@@ -667,13 +667,19 @@
 
 
 def main(play):
-    """Runs play() and exits with 1 if it returns broken rules, 0 if not, 2 if
-    it could not run."""
+    """Runs play(options) and exits with 1 if it returns broken rules, 0 if
+    not, 2 if it could not run.  A result stands in the record."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--trouble", type=int, choices=(0, 1), required=True)
+    parser.add_argument("--record", type=Record, required=True)
+    options = parser.parse_args()
     try:
-        broken = asyncio.run(asyncio.wait_for(play(), 110))
+        broken = asyncio.run(asyncio.wait_for(play(options), 110))
     except Exception as e:  # the case could not run
+        options.record(f"could not run: {type(e).__name__}: {e}")
         print(f"could not run: {type(e).__name__}: {e}")
         sys.exit(2)
     for line in broken:
         print(line)
+    options.record(f"result: {'; '.join(broken) or 'held'}")
     sys.exit(1 if broken else 0)
