--- a/review/stand-3/stand.py
+++ b/review/stand-3/stand.py
@@ -19,7 +19,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "jobs.example"
-PREFIX = "/work/"
+PREFIX = "/queue/"
 
 
 def now():
@@ -303,6 +303,13 @@
         for r in runs:
             self.break_gang(r)
 
+    def lose(self):
+        """Lost for good: the platform removes its entry after three report
+        intervals of silence."""
+        self.crash()
+        asyncio.get_running_loop().call_later(
+            4.5, self.store.put, "keyed.servers", self.id, b"")
+
     def clock(self):
         return int((now() - self.boot_at) * 1000) + 1000
 
@@ -510,7 +517,7 @@
             self.process = subprocess.Popen(
                 words, cwd=ROOT, stdout=log, stderr=log,
                 stdin=subprocess.DEVNULL,
-                env={"PATH": os.environ["PATH"], "HOME": "/tmp",
+                env={"PATH": os.environ["PATH"], "HOME": str(self.path.parent),
                      "PERIDOTHILL_SETTINGS": str(self.path)})
         self.record(f"instance {self.name} started")
 
