schedule: a lease ends with the ownership under which it is granted

Cause: a successor can't tell an owner that has died from one that is cut off from the store and goes on, so it waits for the last lease that the owner may have granted: 9.1 s for the ownership, and a lease of 6.2 s, since an owner granted full leases until its ownership ended.

Change: no lease outlasts the ownership, 9 s from when its newest confirmed record was sent, on the slowest clock of a worker. Entries of the owner topic say that their holder keeps to this, and when the leases of earlier owners have expired; leases of an instance of the version before are waited for as before. Why it works: both lengths now end at the same moment, which is known from the record alone; nothing is concluded from silence.

--- a/codec/election_entry.c
+++ b/codec/election_entry.c
@@ -9,6 +9,7 @@
     FIELD_KEY,
     FIELD_EARLIER_MS,
     FIELD_SUCCESSOR,
+    FIELD_EARLIER_LEASES_MS,
     HOLDER_BYTES_MAX = 512,
     KEY_BYTES_MAX = 64,
     EARLIER_MS_MAX = 3600 * 1000,
@@ -28,6 +29,7 @@
     msgpack_packer p;
     msgpack_packer_init(&p, &out, PhPack_Write);
     msgpack_pack_map(&p, (size_t)FIELD_KEY + entry->states_earlier +
+                             entry->states_leases +
                              (entry->successor.len > 0));
     PhPack_U64(&p, FIELD_KIND, (uint64_t)entry->kind);
     PhPack_Bytes(&p, FIELD_HOLDER, entry->holder);
@@ -39,6 +41,10 @@
     if (entry->successor.len > 0) {
         PhPack_Bytes(&p, FIELD_SUCCESSOR, entry->successor);
     }
+    if (entry->states_leases) {
+        PhPack_I64(&p, FIELD_EARLIER_LEASES_MS,
+                   ceil_ms(entry->earlier_leases));
+    }
     return PhBuf_Take(&out);
 }
 
@@ -60,6 +66,19 @@
                : (PhStr){0};
 }
 
+/* Reads an optional duration, which may be negative. */
+static bool
+duration_read(const msgpack_object *value, PhTime *duration)
+{
+    int64_t ms;
+    if (!PhUnpack_I64(value, &ms) || ms < -EARLIER_MS_MAX ||
+        ms > EARLIER_MS_MAX) {
+        return false;
+    }
+    *duration = ms * PH_NS_PER_MS;
+    return true;
+}
+
 bool
 PhElectionEntry_Decode(PhStr value, PhElectionEntry *entry, PhStr *key)
 {
@@ -72,21 +91,19 @@
             kind <= PH_ELECTION_RELEASE &&
             PhUnpack_Bytes(PhUnpack_Field(root, FIELD_HOLDER),
                            HOLDER_BYTES_MAX, &holder);
-    int64_t earlier_ms = 0;
-    bool states_earlier =
-        valid &&
-        PhUnpack_I64(PhUnpack_Field(root, FIELD_EARLIER_MS), &earlier_ms) &&
-        earlier_ms >= -EARLIER_MS_MAX && earlier_ms <= EARLIER_MS_MAX;
     if (valid) {
         *entry = (PhElectionEntry){
             .kind = (PhElectionEntryKind)kind,
             .holder = PhStr_Dup(holder),
-            .states_earlier = states_earlier,
-            .earlier = states_earlier ? earlier_ms * PH_NS_PER_MS : 0,
             .address = text_copy(PhUnpack_Field(root, FIELD_ADDRESS),
                                  HOLDER_BYTES_MAX),
             .successor = text_copy(PhUnpack_Field(root, FIELD_SUCCESSOR),
                                    HOLDER_BYTES_MAX)};
+        entry->states_earlier = duration_read(
+            PhUnpack_Field(root, FIELD_EARLIER_MS), &entry->earlier);
+        entry->states_leases =
+            duration_read(PhUnpack_Field(root, FIELD_EARLIER_LEASES_MS),
+                          &entry->earlier_leases);
         *key = text_copy(PhUnpack_Field(root, FIELD_KEY), KEY_BYTES_MAX);
     }
     PhUnpack_Close(&unpack);
--- a/decide/schedule/election.c
+++ b/decide/schedule/election.c
@@ -2,6 +2,8 @@
 
 #include <glib.h>
 
+#include "peridothill/decide/schedule/lease_time.h"
+
 /* Three renewals fit into the time after which others claim. */
 static const PhTime RENEW_INTERVAL = 700 * PH_NS_PER_MS;
 static const PhTime CLAIM_AFTER = 2200 * PH_NS_PER_MS;
@@ -9,11 +11,12 @@
  * 100 ms. */
 static const PhTime EARLY_CLAIM_AFTER = 1500 * PH_NS_PER_MS;
 /* An owner whose newest confirmed entry is older than this steps down: one
- * second, more than one renewal, before OLD_OWNER_LIMIT (leases.c). */
+ * second, more than one renewal, before OLD_OWNER_LIMIT (leases.c).  No lease
+ * that it grants lasts longer. */
 static const PhTime GIVE_UP_AFTER = 9 * PH_NS_PER_S;
-/* An instance may still act as owner for this long after its newest entry was
- * read here: GIVE_UP_AFTER, plus 100 ms for the difference between the
- * clocks of the two instances. */
+/* An instance may still act as owner, and its leases may last, for this long
+ * after its newest entry was read here: GIVE_UP_AFTER, plus 100 ms for the
+ * difference between the clocks of the two instances. */
 static const PhTime OWNERSHIP_BOUND = 9100 * PH_NS_PER_MS;
 static const PhTime READ_WAIT = 1000 * PH_NS_PER_MS;
 static const PhTime RETRY_INTERVAL = 200 * PH_NS_PER_MS;
@@ -32,6 +35,7 @@
     PhStr newest_writer_address; /* where it is reached */
     PhTime newest_read_at;       /* the newest entry was read */
     bool newest_writer_may_own;  /* it may still be the owner */
+    bool newest_states_leases;   /* its leases end with its ownership */
     uint64_t newest_fence; /* fence of the newest claim seen, 0 for none */
     PhPredecessors *predecessors;
     PhTime delay;
@@ -168,6 +172,12 @@
     return e->confirmed_at;
 }
 
+PhTime
+PhElection_OwnedUntil(const PhElection *e)
+{
+    return e->confirmed_at + GIVE_UP_AFTER;
+}
+
 const PhPredecessors *
 PhElection_Predecessors(const PhElection *e)
 {
@@ -187,7 +197,12 @@
 step_down(PhElection *e, PhTime now)
 {
     if (e->role == PH_ELECTION_OWNER) {
-        PhPredecessors_Add(e->predecessors, e->holder, now, now, now);
+        PhPredecessor self = {.holder = e->holder,
+                              .replaced_at = now,
+                              .confirmed_at = now,
+                              .until = now,
+                              .owned_until = PhElection_OwnedUntil(e)};
+        PhPredecessors_Add(e->predecessors, &self);
     }
     e->role = PH_ELECTION_FOLLOWER;
     e->fence = 0;
@@ -304,20 +319,50 @@
     return !e->reading && now >= e->read_due && (follows || e->must_read);
 }
 
-/* Time from now until the last possible order of the owners before this
- * instance's next entry.  The newest writer has ended if it is an earlier
- * incarnation of this instance. */
+/* The newest writer as a predecessor that is replaced now and gives no orders
+ * after `until`. */
+static PhPredecessor
+newest_writer_replaced(const PhElection *e, PhTime now, PhTime until)
+{
+    PhTime owned_until = e->newest_read_at + OWNERSHIP_BOUND;
+    return (PhPredecessor){
+        .holder = e->newest_writer,
+        .replaced_at = now,
+        .confirmed_at = MIN(e->newest_read_at, until),
+        .until = until,
+        .owned_until = e->newest_states_leases ? owned_until : PH_TIME_NEVER};
+}
+
+/* Time until `last`, as entries state it. */
 static PhTime
-earlier_orders_left(const PhElection *e, PhTime now)
+time_left(PhTime last, PhTime now)
 {
-    PhTime last = PhPredecessors_LastOrder(e->predecessors);
+    return MAX(last - now, -EARLIER_AGE_MAX);
+}
+
+/* States in an entry of this instance when the last order of the owners before
+ * it is given, and when their last lease expires.  The newest writer has ended
+ * if it is an earlier incarnation of this instance. */
+static void
+earlier_owners_state(const PhElection *e, PhElectionAction *action, PhTime now)
+{
+    PhTime lease = PhLeaseTime_Longest();
+    PhTime order = PhPredecessors_LastOrder(e->predecessors);
+    PhTime expiry;
+    PhPredecessors_LastToExpire(e->predecessors, PH_TIME_NEVER, lease,
+                                &expiry);
     if (e->newest_writer_may_own &&
         !PhStr_Equal(e->newest_writer, e->holder)) {
-        last = MAX(last, held_by_earlier_incarnation(e)
-                             ? now
-                             : e->newest_read_at + OWNERSHIP_BOUND);
+        PhPredecessor newest =
+            newest_writer_replaced(e, now,
+                                   held_by_earlier_incarnation(e)
+                                       ? now
+                                       : e->newest_read_at + OWNERSHIP_BOUND);
+        order = MAX(order, newest.until);
+        expiry = MAX(expiry, MIN(newest.until + lease, newest.owned_until));
     }
-    return MAX(last - now, -EARLIER_AGE_MAX);
+    action->as.append.earlier = time_left(order, now);
+    action->as.append.earlier_leases = time_left(expiry, now);
 }
 
 PhElectionAction
@@ -340,7 +385,7 @@
         action.tag = PH_ELECTION_APPEND;
         action.as.append.kind = kind;
         action.as.append.at = e->next;
-        action.as.append.earlier = earlier_orders_left(e, now);
+        earlier_owners_state(e, &action, now);
         action.as.append.successor = e->own_successor;
         if (kind == PH_ELECTION_RELEASE) {
             /* Whoever reads the release relies on there being no orders after
@@ -427,6 +472,13 @@
     }
 }
 
+static void
+newest_writer_track(PhElection *e, PhTime now, PhTime until)
+{
+    PhPredecessor replaced = newest_writer_replaced(e, now, until);
+    PhPredecessors_Add(e->predecessors, &replaced);
+}
+
 /* Adds the holder of a release to the predecessors.  One that does not state
  * the orders before comes from a version that went on until it knew the
  * outcome. */
@@ -435,7 +487,7 @@
 {
     if (entry->states_earlier && e->newest_writer_may_own &&
         !PhStr_Equal(entry->holder, e->holder)) {
-        PhPredecessors_Add(e->predecessors, entry->holder, now, now, now);
+        newest_writer_track(e, now, now);
         e->newest_writer_may_own = false;
     }
 }
@@ -453,19 +505,21 @@
         PhPredecessors_End(e->predecessors, instance, now);
     }
     if (reborn && e->newest_writer_may_own) {
-        PhPredecessors_Add(e->predecessors, e->newest_writer, now, now, now);
+        newest_writer_track(e, now, now);
         e->newest_writer_may_own = false;
     }
     bool released = entry->kind == PH_ELECTION_RELEASE;
     if (!released && !same && e->newest_writer_may_own &&
         !PhStr_Equal(e->newest_writer, e->holder)) {
-        PhPredecessors_Add(e->predecessors, e->newest_writer, now,
-                           e->newest_read_at,
-                           e->newest_read_at + OWNERSHIP_BOUND);
+        newest_writer_track(e, now, e->newest_read_at + OWNERSHIP_BOUND);
     }
     if (entry->states_earlier) {
         PhPredecessors_Limit(e->predecessors, now + entry->earlier);
     }
+    if (entry->states_leases) {
+        PhPredecessors_LimitLeases(e->predecessors,
+                                   now + entry->earlier_leases);
+    }
     if (released) {
         track_released(e, entry, now);
         return;
@@ -476,12 +530,16 @@
     }
 }
 
-/* Entries were missed: any of their holders may still be the owner. */
+/* Entries were missed: any of their holders may still be the owner, and
+ * whether its leases end with its ownership is not known. */
 static void
 add_unknown_holder(PhElection *e, PhTime now)
 {
-    PhPredecessors_Add(e->predecessors, (PhStr){0}, now, now,
-                       now + OWNERSHIP_BOUND);
+    PhPredecessor unknown = {.replaced_at = now,
+                             .confirmed_at = now,
+                             .until = now + OWNERSHIP_BOUND,
+                             .owned_until = PH_TIME_NEVER};
+    PhPredecessors_Add(e->predecessors, &unknown);
 }
 
 static void
@@ -495,6 +553,7 @@
     e->owner_renews = e->owner_silent;
     track_replaced(e, entry, now);
     e->newest_read_at = now;
+    e->newest_states_leases = entry->states_leases;
     PhStr_Clear(&e->newest_writer);
     PhStr_Clear(&e->newest_writer_address);
     e->newest_writer = PhStr_Dup(entry->holder);
--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -1,10 +1,9 @@
 /* Leases of workers: which ones are granted and recorded, and when all granted
  * leases have expired. */
+#include "peridothill/decide/schedule/lease_time.h"
 #include "scheduler_private.h"
 
-/* Covers a crash of the owner, its detection and the takeover, together under
- * 4 s, plus the longest renewal interval of 1.5 s. */
-static const PhTime LEASE_TIME = 6 * PH_NS_PER_S;
+static const PhTime LEASE_TIME = PH_LEASE_MS * PH_NS_PER_MS;
 /* For workers that leave: their tasks are lost soon anyway, and start
  * elsewhere once the lease has ended.  Two renewals. */
 static const PhTime LEAVING_LEASE_TIME = 3 * PH_NS_PER_S;
@@ -14,11 +13,10 @@
 static const PhTime LEAVING_CONFIRMED_AGE = 3 * PH_NS_PER_S;
 static const PhTime LEAVING_CONFIRMED_AGE_BOUND = 3100 * PH_NS_PER_MS;
 /* An owner without the store continues for at most this long, see
- * docs/PLATFORM-DESIGN.md; a successor waits for this and one lease. */
+ * docs/PLATFORM-DESIGN.md. */
 static const PhTime OLD_OWNER_LIMIT = 10 * PH_NS_PER_S;
-/* Workers' clocks may be 2% slow. */
-static const int64_t CLOCK_SLOW_PERCENT = 102;
-static const PhTime CLOCK_MARGIN = 100 * PH_NS_PER_MS;
+/* A run needs longer than that to be worth its start. */
+static const PhTime OWNED_TIME_MIN = 1 * PH_NS_PER_S;
 /* A reader counts the bound of a record from when it reads it, so that of a
  * suspended worker is recorded again this often. */
 static const PhTime BOUND_RECORD_INTERVAL = 1 * PH_NS_PER_S;
@@ -26,7 +24,6 @@
  * if it cannot be asked because its entry is gone. */
 static const PhTime FIRST_ANSWER_LIMIT = 1 * PH_NS_PER_S;
 enum {
-    PERCENT = 100,
     /* An entry expires once it has not been written for three intervals.  One
      * that was deleted sooner was deleted by its worker. */
     REPORTS_UNTIL_SILENT = 2,
@@ -40,18 +37,11 @@
                s->options.lease_limit);
 }
 
-/* Longest duration on the owner's clock of a span on a worker's clock. */
-static PhTime
-slow_clock_bound(PhTime span)
-{
-    return span / PERCENT * CLOCK_SLOW_PERCENT + CLOCK_MARGIN;
-}
-
 /* Longest duration of a lease on the owner's clock. */
 static PhTime
 lease_bound(const PhScheduler *s, bool leaving)
 {
-    return slow_clock_bound(lease_length(s, leaving));
+    return PhLeaseTime_Bound(lease_length(s, leaving));
 }
 
 /* When a lease has expired that a later incarnation was granted by an order
@@ -62,7 +52,7 @@
 late_lease_end(const PhScheduler *s, PhTime sent_at)
 {
     return sent_at + PH_LATE_ORDER_MS * PH_NS_PER_MS +
-           slow_clock_bound(s->options.lease_limit);
+           PhLeaseTime_Bound(s->options.lease_limit);
 }
 
 /* Orders that were not bound to the earlier incarnation may reach the new one
@@ -84,11 +74,14 @@
                              PhTime limit)
 {
     const PhPredecessors *p = s->options.predecessors;
-    PhTime last = p == NULL ? limit : PhPredecessors_LastOrder(p);
-    PhTime any_end = MIN(last, limit) + lease_bound(s, false);
+    PhTime any_end = limit + lease_bound(s, false);
+    if (p != NULL) {
+        PhPredecessors_LastToExpire(p, limit, lease_bound(s, false), &any_end);
+    }
     if (w->leaving_at == 0) {
         return any_end;
     }
+    PhTime last = limit;
     PhTime last_unaware = 0;
     if (p != NULL) {
         last_unaware = PhPredecessors_LastOrderReplacedBy(p, w->leaving_at);
@@ -122,6 +115,9 @@
         w->failing_since > 0) {
         return false;
     }
+    if (s->owned_until > 0 && s->owned_until - now < OWNED_TIME_MIN) {
+        return false;
+    }
     return !w->leaving || s->confirmed_at == 0 ||
            now - s->confirmed_at <= LEAVING_CONFIRMED_AGE;
 }
@@ -303,26 +299,47 @@
 }
 
 /* Estimates the worker's clock in ms from its last reading.  A slow clock may
- * be behind the estimate, which slow_clock_bound allows for. */
+ * be behind the estimate, which PhLeaseTime_Bound() allows for. */
 static int64_t
 worker_clock(const PhSchedWorker *w, PhTime now)
 {
     return w->clock_ms + (now - w->clock_at) / PH_NS_PER_MS;
 }
 
-int64_t
-PhScheduler_Grant(PhScheduler *s, PhSchedWorker *w, PhTime now)
+/* The end of a lease that is granted now, on the worker's clock.  No lease
+ * outlasts the ownership: a successor waits for the end of that alone, since
+ * it can't tell an owner that has died from one that goes on without the
+ * store. */
+static int64_t
+new_lease_end_ms(const PhScheduler *s, const PhSchedWorker *w, PhTime now)
 {
     int64_t end_ms =
         worker_clock(w, now) + lease_length(s, w->leaving) / PH_NS_PER_MS;
+    if (s->owned_until == 0) {
+        return end_ms;
+    }
+    PhTime owned = PhLeaseTime_Within(s->owned_until - w->clock_at);
+    return MIN(end_ms, w->clock_ms + owned / PH_NS_PER_MS);
+}
+
+int64_t
+PhScheduler_Grant(PhScheduler *s, PhSchedWorker *w, PhTime now)
+{
+    int64_t end_ms = new_lease_end_ms(s, w, now);
     PhTime left = (end_ms - w->clock_ms) * PH_NS_PER_MS;
     w->granted_at = now;
     w->lease_end_ms = end_ms;
     w->leases.until =
-        MAX(w->leases.until, w->clock_at + slow_clock_bound(left));
+        MAX(w->leases.until, w->clock_at + PhLeaseTime_Bound(left));
     return end_ms;
 }
 
+PhTime
+PhScheduler_LeaseLeft(const PhSchedWorker *w, PhTime now)
+{
+    return MAX(w->lease_end_ms - worker_clock(w, now), 0) * PH_NS_PER_MS;
+}
+
 /* An order that is not bound counts as a new grant: a later incarnation may
  * execute it. */
 int64_t
--- a/decide/schedule/predecessors.c
+++ b/decide/schedule/predecessors.c
@@ -3,15 +3,8 @@
 /* Longer than any lease lasts. */
 static const PhTime FORGET_AFTER = 60 * PH_NS_PER_S;
 
-typedef struct PhPredecessor {
-    PhStr holder; /* owned, empty if unknown */
-    PhTime replaced_at;
-    PhTime confirmed_at;
-    PhTime until;
-} PhPredecessor;
-
 struct PhPredecessors {
-    GArray *all; /* PhPredecessor */
+    GArray *all; /* PhPredecessor, which own their holders */
 };
 
 static void
@@ -51,19 +44,16 @@
 }
 
 void
-PhPredecessors_Add(PhPredecessors *p, PhStr holder, PhTime now,
-                   PhTime confirmed, PhTime until)
+PhPredecessors_Add(PhPredecessors *p, const PhPredecessor *replaced)
 {
     for (guint i = p->all->len; i-- > 0;) {
         if (g_array_index(p->all, PhPredecessor, i).until <
-            now - FORGET_AFTER) {
+            replaced->replaced_at - FORGET_AFTER) {
             g_array_remove_index(p->all, i);
         }
     }
-    PhPredecessor added = {.holder = PhStr_Dup(holder),
-                           .replaced_at = now,
-                           .confirmed_at = confirmed,
-                           .until = until};
+    PhPredecessor added = *replaced;
+    added.holder = PhStr_Dup(replaced->holder);
     g_array_append_val(p->all, added);
 }
 
@@ -87,6 +77,32 @@
     }
 }
 
+void
+PhPredecessors_LimitLeases(PhPredecessors *p, PhTime until)
+{
+    for (guint i = 0; i < p->all->len; i++) {
+        PhPredecessor *x = &g_array_index(p->all, PhPredecessor, i);
+        x->owned_until = MIN(x->owned_until, until);
+    }
+}
+
+const PhPredecessor *
+PhPredecessors_LastToExpire(const PhPredecessors *p, PhTime limit,
+                            PhTime lease, PhTime *expiry)
+{
+    const PhPredecessor *last = NULL;
+    *expiry = 0;
+    for (guint i = 0; i < p->all->len; i++) {
+        const PhPredecessor *x = &g_array_index(p->all, PhPredecessor, i);
+        PhTime expires = MIN(MIN(x->until, limit) + lease, x->owned_until);
+        if (last == NULL || expires > *expiry) {
+            last = x;
+            *expiry = expires;
+        }
+    }
+    return last;
+}
+
 PhTime
 PhPredecessors_LastOrder(const PhPredecessors *p)
 {
--- a/decide/schedule/scheduler.c
+++ b/decide/schedule/scheduler.c
@@ -193,9 +193,10 @@
 }
 
 void
-PhScheduler_Confirm(PhScheduler *s, PhTime at)
+PhScheduler_Confirm(PhScheduler *s, PhTime at, PhTime owned_until)
 {
     s->confirmed_at = at;
+    s->owned_until = owned_until;
 }
 
 /* Reports whether the open batch has records. */
--- a/decide/schedule/scheduler_private.h
+++ b/decide/schedule/scheduler_private.h
@@ -24,6 +24,7 @@
     uint64_t fence; /* 0: not the owner */
     PhTime owner_since;
     PhTime confirmed_at; /* last confirmation of the ownership, 0: unknown */
+    PhTime owned_until;  /* it ends then without another one, 0: unknown */
     bool quiesced;       /* no new starts, and holds do not wait */
     PhTime closes_at;    /* quiesced: nothing is noted from then on */
     uint64_t open_batch;
@@ -131,6 +132,8 @@
 /* Grants a lease from `now`; returns its end on the worker's clock in ms. */
 int64_t PhScheduler_Grant(PhScheduler *scheduler, PhSchedWorker *worker,
                           PhTime now);
+/* What is left of the newest lease that was granted, on the worker's clock. */
+PhTime PhScheduler_LeaseLeft(const PhSchedWorker *worker, PhTime now);
 /* Returns the end of the newest lease that was granted, 0 if it has expired.
  * To grant it once more does not change when all leases have expired. */
 int64_t PhScheduler_GrantedLease(const PhSchedWorker *worker, PhTime now);
--- a/include/peridothill/decide/schedule/election.h
+++ b/include/peridothill/decide/schedule/election.h
@@ -28,7 +28,9 @@
  * A release may name the instance that shall claim first, `successor`.  They
  * are borrowed.  `earlier` is when the last order of all owners before
  * the holder is given at the latest, from the time at which the entry was
- * sent, negative if that has passed. */
+ * sent, negative if that has passed; `earlier_leases` is when the last lease
+ * of theirs has expired.  A holder that states the latter grants no lease that
+ * outlasts its ownership. */
 typedef struct PhElectionEntry {
     uint64_t offset;
     PhElectionEntryKind kind;
@@ -37,6 +39,8 @@
     PhStr successor;
     bool states_earlier;
     PhTime earlier;
+    bool states_leases;
+    PhTime earlier_leases;
 } PhElectionEntry;
 
 typedef enum PhElectionActionTag {
@@ -56,7 +60,8 @@
         struct {
             PhElectionEntryKind kind;
             uint64_t at;    /* offset at which the topic has to end */
-            PhTime earlier; /* of the entry */
+            PhTime earlier; /* of the entry, as the next */
+            PhTime earlier_leases;
             PhStr successor;
         } append;
     } as;
@@ -82,6 +87,8 @@
 uint64_t PhElection_OwnerFence(const PhElection *election);
 /* The time at which this owner sent its newest entry that took effect. */
 PhTime PhElection_ConfirmedAt(const PhElection *election);
+/* The time at which this ownership ends unless it is confirmed anew. */
+PhTime PhElection_OwnedUntil(const PhElection *election);
 /* Earlier owners; valid as long as the election exists. */
 const PhPredecessors *PhElection_Predecessors(const PhElection *election);
 /* An instance has reported the fence of the claim that it believes valid.  If
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -335,9 +335,11 @@
  * ownership: the model is ahead of the records and drops all of them, to be
  * read again. */
 void PhScheduler_SetFence(PhScheduler *scheduler, uint64_t fence, PhTime now);
-/* The ownership was last confirmed at `at`.  Without a call, no decision
+/* The ownership was last confirmed at `at`, and ends at `owned_until` without
+ * another confirmation; no lease lasts longer.  Without a call, no decision
  * depends on it. */
-void PhScheduler_Confirm(PhScheduler *scheduler, PhTime at);
+void PhScheduler_Confirm(PhScheduler *scheduler, PhTime at,
+                         PhTime owned_until);
 /* Before a release: no new starts, holds do not wait, and what a successor
  * needs is recorded.  Workers that leave are listened to for 0.15 s more at
  * most; what others report is left to the next owner, whom they tell again. */
--- a/services/schedule/schedule_owner.c
+++ b/services/schedule/schedule_owner.c
@@ -57,7 +57,10 @@
                              .address = t->options.link,
                              .successor = action->as.append.successor,
                              .states_earlier = true,
-                             .earlier = action->as.append.earlier};
+                             .earlier = action->as.append.earlier,
+                             .states_leases = true,
+                             .earlier_leases =
+                                 action->as.append.earlier_leases};
     a->records[0].value = PhElectionEntry_Encode(
         &entry, t->link_key.len > 0 ? t->link_key : t->claim_key);
     PhScheduleTask_Call(t, CALL_ELECTION_APPEND, &m);
@@ -431,7 +434,8 @@
     PhScheduleLink_Update(t);
     if (t->stage == OWNER_ACTIVE) {
         PhScheduleDispatch_Expire(t);
-        PhScheduler_Confirm(t->scheduler, PhElection_ConfirmedAt(t->election));
+        PhScheduler_Confirm(t->scheduler, PhElection_ConfirmedAt(t->election),
+                            PhElection_OwnedUntil(t->election));
         PhScheduler_Plan(t->scheduler, now,
                          PhTask_Wall(t->self) / PH_NS_PER_MS);
         PhScheduleLog_Notes(t);
--- a/tests/schedule/test_schedule_codec.c
+++ b/tests/schedule/test_schedule_codec.c
@@ -385,7 +385,8 @@
     const char *name;
     PhElectionEntry entry;
     PhStr key;
-    PhTime earlier; /* as read */
+    PhTime earlier;        /* as read */
+    PhTime earlier_leases; /* as read */
 } PhElectionCase;
 
 static const PhElectionCase election_cases[] = {
@@ -409,6 +410,25 @@
       .earlier = -1500 * PH_NS_PER_MS - 1},
      TEXT(""),
      -1500 * PH_NS_PER_MS},
+    {"earlier leases may last",
+     {.kind = PH_ELECTION_RENEWAL,
+      .holder = TEXT("a.1"),
+      .successor = TEXT("b"),
+      .states_earlier = true,
+      .earlier = 0,
+      .states_leases = true,
+      .earlier_leases = 6200 * PH_NS_PER_MS + 1},
+     TEXT("key"),
+     0,
+     6201 * PH_NS_PER_MS},
+    {"the longest duration that is read",
+     {.kind = PH_ELECTION_CLAIM,
+      .holder = TEXT("a.1"),
+      .states_leases = true,
+      .earlier_leases = 3600 * PH_NS_PER_S},
+     TEXT(""),
+     0,
+     3600 * PH_NS_PER_S},
 };
 
 static void
@@ -424,6 +444,8 @@
     assert_true(PhStr_Equal(key, c->key));
     assert_int_equal(entry.states_earlier, c->entry.states_earlier);
     assert_int_equal(entry.earlier, c->earlier);
+    assert_int_equal(entry.states_leases, c->entry.states_leases);
+    assert_int_equal(entry.earlier_leases, c->earlier_leases);
     assert_true(PhStr_Equal(entry.successor, c->entry.successor));
     PhElectionEntry_Clear(&entry);
     PhStr_Clear(&key);
