schedule log: names the earlier owner that a silent worker's leases depend on

The lines on takeovers (7000), silent workers (7015) and held tasks (7037) said that leases wait for earlier owners, but not for which one, nor that the bound has moved since. They now name the owner whose leases may expire last, 7000 says when that is, and 7044 reports a bound that has moved by 100 ms or more, at most once a second for each silent worker.

--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -20,6 +20,8 @@
 /* A reader counts the bound of a record from when it reads it, so that of a
  * suspended worker is recorded again this often. */
 static const PhTime BOUND_RECORD_INTERVAL = 1 * PH_NS_PER_S;
+/* Smaller moves of a bound are not reported. */
+static const PhTime REPORTED_MOVE_MIN = 100 * PH_NS_PER_MS;
 /* A worker that has not answered a new owner for this long is suspended, also
  * if it cannot be asked because its entry is gone. */
 static const PhTime FIRST_ANSWER_LIMIT = 1 * PH_NS_PER_S;
@@ -285,6 +287,7 @@
     event.as.suspended.lease_left = bound.until - now;
     event.as.suspended.evidence = bound.evidence;
     g_array_append_val(s->events, event);
+    w->reported_until = bound.until;
     suspension_change(s, w, suspended, now);
 }
 
@@ -298,6 +301,24 @@
     }
 }
 
+/* Reports that more has become known of when the leases of a suspended worker
+ * expire. */
+static void
+bound_report(PhScheduler *s, PhSchedWorker *w, PhLeaseBound bound, PhTime now)
+{
+    PhTime moved = bound.until - w->reported_until;
+    if (ABS(moved) < REPORTED_MOVE_MIN) {
+        return;
+    }
+    PhSchedEvent event = {.tag = PH_SCHED_EVENT_BOUND_MOVED,
+                          .worker = w,
+                          .as.bound_moved = {.lease_left = bound.until - now,
+                                             .moved = moved,
+                                             .evidence = bound.evidence}};
+    g_array_append_val(s->events, event);
+    w->reported_until = bound.until;
+}
+
 /* Estimates the worker's clock in ms from its last reading.  A slow clock may
  * be behind the estimate, which PhLeaseTime_Bound() allows for. */
 static int64_t
@@ -417,6 +438,7 @@
         }
         if (w->suspended && now - w->bound_at >= BOUND_RECORD_INTERVAL) {
             bound_record(s, w, now);
+            bound_report(s, w, bound, now);
         }
     }
     if (!newest || w->hold_in_flight || PhStr_IsEmpty(w->entry.address)) {
--- a/include/peridothill/common/event_list_schedule.h
+++ b/include/peridothill/common/event_list_schedule.h
@@ -70,3 +70,5 @@
 PH_EVENT(7042, SCHEDULE_CONTACT_BACK, INFO, "store is reached again")
 PH_EVENT(7043, SCHEDULE_TOO_LATE, INFO,
          "submission refused, it would end too late to be of value")
+PH_EVENT(7044, SCHEDULE_BOUND_MOVED, INFO,
+         "leases of a silent worker expire at another time than was known")
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -252,7 +252,9 @@
     PhTime bound_at;       /* the newest one was */
     /* All leases end this long after bound_at; 0: unknown. */
     PhTime lease_expiry_bound;
-    bool bound_inherited; /* by orders meant for an earlier incarnation */
+    bool bound_inherited;  /* by orders meant for an earlier incarnation */
+    PhTime reported_until; /* suspended: its leases expire then, as last
+                              reported */
     bool unbound;  /* it closes its connections, so that orders to it may reach
                       a later incarnation; recorded */
     bool dead;     /* replaced by another incarnation, or its leases expired */
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -155,6 +155,8 @@
     PH_SCHED_EVENT_WORKER_SUSPENDED, /* a worker does not answer: no more
                                         leases */
     PH_SCHED_EVENT_WORKER_RESUMED,   /* a suspended worker answers again */
+    PH_SCHED_EVENT_BOUND_MOVED, /* more has become known of the leases of a
+                                   suspended worker */
     PH_SCHED_EVENT_WORKER_LOST, /* a worker's leases expired, or it restarted
                                  */
     PH_SCHED_EVENT_WORKER_REMOVED,  /* a dead worker was removed from the model
@@ -266,6 +268,11 @@
             PhTime lease_left; /* longest time that a lease may still last */
             PhLeaseEvidence evidence;
         } suspended;
+        struct {
+            PhTime lease_left;
+            PhTime moved; /* negative: they expire earlier than was known */
+            PhLeaseEvidence evidence;
+        } bound_moved;
         struct {
             guint runs;
             PhTime suspended; /* duration, -1 if it was not suspended */
--- a/services/schedule/schedule_log.c
+++ b/services/schedule/schedule_log.c
@@ -1,5 +1,6 @@
 /* Log lines of the owner: orders, ends of runs and jobs, changes of
  * workers. */
+#include "peridothill/decide/schedule/lease_time.h"
 #include "schedule_task.h"
 
 /* Formats a task's name; the caller owns the string. */
@@ -217,6 +218,20 @@
     PhStr_Clear(&task);
 }
 
+/* The earlier owner whose leases may expire last, and when. */
+static PhStr
+last_earlier_owner(const PhScheduleTask *t, PhTime *expiry)
+{
+    const PhPredecessor *last = PhPredecessors_LastToExpire(
+        PhElection_Predecessors(t->election), PH_TIME_NEVER,
+        PhLeaseTime_Longest(), expiry);
+    if (last == NULL) {
+        return PhStr_LITERAL("none");
+    }
+    return PhStr_IsEmpty(last->holder) ? PhStr_LITERAL("unknown")
+                                       : last->holder;
+}
+
 /* Logs a takeover with the state of the workers as recorded by earlier
  * owners. */
 void
@@ -232,12 +247,16 @@
     PhTime now = PhTask_Now(t->self);
     PhTime last_order =
         PhPredecessors_LastOrder(PhElection_Predecessors(t->election));
+    PhTime expiry;
+    PhStr last_owner = last_earlier_owner(t, &expiry);
     PhTask_LOG(t->self, PH_EVENT_SCHEDULE_OWNER_GAINED,
                PhField_U64("fence", t->fence),
                PhField_I64("after_ms", (now - t->fence_at) / PH_NS_PER_MS),
                PhField_U64("workers", incarnations->len),
                PhField_U64("suspended", suspended),
-               PhField_I64("earlier_ms", (last_order - now) / PH_NS_PER_MS));
+               PhField_I64("earlier_ms", (last_order - now) / PH_NS_PER_MS),
+               PhField_I64("leases_ms", (expiry - now) / PH_NS_PER_MS),
+               PhField_STR("earlier_owner", last_owner));
 }
 
 void
@@ -269,6 +288,16 @@
     return PhStr_LITERAL("left");
 }
 
+/* The earlier owner that leases are waited for, if they are. */
+static PhStr
+evidence_owner(const PhScheduleTask *t, PhLeaseEvidence evidence)
+{
+    PhTime expiry;
+    return evidence == PH_LEASE_EVIDENCE_EARLIER_OWNERS
+               ? last_earlier_owner(t, &expiry)
+               : PhStr_LITERAL("none");
+}
+
 /* Logs what holds back the task that has been without a run for longest. */
 static void
 log_task_held(PhScheduleTask *t, const PhSchedEvent *note)
@@ -288,33 +317,36 @@
     bool leased = note->as.held.hold == PH_TASK_HOLD_LEASE;
     PhOrderLoad load = PhScheduler_OrderLoad(t->scheduler);
     PhTime left = note->as.held.lease.until - PhTask_Now(t->self);
-    PhTask_LOG(t->self, PH_EVENT_SCHEDULE_TASK_HELD, PhField_STR("run", task),
-               PhField_U64("number", note->as.held.run),
-               PhField_U64("lasting", note->as.held.long_running),
-               PhField_I64("held_ms", note->as.held.held / PH_NS_PER_MS),
-               PhField_STR("by", names[note->as.held.hold]),
-               PhField_STR("holder", note->worker != NULL
-                                         ? note->worker->entry.id
-                                         : PhStr_LITERAL("none")),
-               PhField_U64("fits", workers[PH_FIT_YES]),
-               PhField_U64("silent", workers[PH_FIT_SILENT]),
-               PhField_U64("cooldown", workers[PH_FIT_COOLDOWN]),
-               PhField_U64("doubted", workers[PH_FIT_DOUBTED]),
-               PhField_U64("step_limit", workers[PH_FIT_LIMIT]),
-               PhField_U64("claimed", workers[PH_FIT_CLAIMED]),
-               PhField_U64("order_room", note->as.held.order_room),
-               PhField_I64("lease_ms", leased ? left / PH_NS_PER_MS : -1),
-               PhField_STR("evidence",
-                           leased ? evidence_name(note->as.held.lease.evidence)
-                                  : PhStr_LITERAL("none")),
-               PhField_U64("limit", load.limit),
-               PhField_U64("outstanding", load.outstanding),
-               PhField_U64("workers", holds[PH_TASK_HOLD_WORKER]),
-               PhField_U64("records", holds[PH_TASK_HOLD_RECORD]),
-               PhField_U64("starts", holds[PH_TASK_HOLD_START]),
-               PhField_U64("stops", holds[PH_TASK_HOLD_STOP]),
-               PhField_U64("leases", holds[PH_TASK_HOLD_LEASE]),
-               PhField_U64("reports", holds[PH_TASK_HOLD_REPORT]));
+    PhTask_LOG(
+        t->self, PH_EVENT_SCHEDULE_TASK_HELD, PhField_STR("run", task),
+        PhField_U64("number", note->as.held.run),
+        PhField_U64("lasting", note->as.held.long_running),
+        PhField_I64("held_ms", note->as.held.held / PH_NS_PER_MS),
+        PhField_STR("by", names[note->as.held.hold]),
+        PhField_STR("holder", note->worker != NULL ? note->worker->entry.id
+                                                   : PhStr_LITERAL("none")),
+        PhField_U64("fits", workers[PH_FIT_YES]),
+        PhField_U64("silent", workers[PH_FIT_SILENT]),
+        PhField_U64("cooldown", workers[PH_FIT_COOLDOWN]),
+        PhField_U64("doubted", workers[PH_FIT_DOUBTED]),
+        PhField_U64("step_limit", workers[PH_FIT_LIMIT]),
+        PhField_U64("claimed", workers[PH_FIT_CLAIMED]),
+        PhField_U64("order_room", note->as.held.order_room),
+        PhField_I64("lease_ms", leased ? left / PH_NS_PER_MS : -1),
+        PhField_STR("evidence",
+                    leased ? evidence_name(note->as.held.lease.evidence)
+                           : PhStr_LITERAL("none")),
+        PhField_STR("owner",
+                    leased ? evidence_owner(t, note->as.held.lease.evidence)
+                           : PhStr_LITERAL("none")),
+        PhField_U64("limit", load.limit),
+        PhField_U64("outstanding", load.outstanding),
+        PhField_U64("workers", holds[PH_TASK_HOLD_WORKER]),
+        PhField_U64("records", holds[PH_TASK_HOLD_RECORD]),
+        PhField_U64("starts", holds[PH_TASK_HOLD_START]),
+        PhField_U64("stops", holds[PH_TASK_HOLD_STOP]),
+        PhField_U64("leases", holds[PH_TASK_HOLD_LEASE]),
+        PhField_U64("reports", holds[PH_TASK_HOLD_REPORT]));
     PhStr_Clear(&task);
 }
 
@@ -356,12 +388,29 @@
         PhField_U64("tasks", w->tasks->len),
         PhField_I64("lease_ms", left / PH_NS_PER_MS),
         PhField_STR("evidence", evidence_name(note->as.suspended.evidence)),
+        PhField_STR("owner", evidence_owner(t, note->as.suspended.evidence)),
         PhField_I64("heard_ms", since_ms(t, w->heard_at)),
         PhField_U64("holds", w->unanswered_holds),
         PhField_I64("granted_ms", since_ms(t, w->granted_at)),
         PhField_I64("renewed_ms", since_ms(t, w->renewed_at)));
 }
 
+static void
+log_bound_moved(PhScheduleTask *t, const PhSchedEvent *note)
+{
+    const PhSchedWorker *w = note->worker;
+    PhLeaseEvidence evidence = note->as.bound_moved.evidence;
+    PhTask_LOG(
+        t->self, PH_EVENT_SCHEDULE_BOUND_MOVED,
+        PhField_STR("worker", w->entry.id),
+        PhField_U64("tasks", w->tasks->len),
+        PhField_I64("lease_ms",
+                    note->as.bound_moved.lease_left / PH_NS_PER_MS),
+        PhField_I64("moved_ms", note->as.bound_moved.moved / PH_NS_PER_MS),
+        PhField_STR("evidence", evidence_name(evidence)),
+        PhField_STR("owner", evidence_owner(t, evidence)));
+}
+
 /* Logs a worker whose leases have expired, with the evidence for it. */
 static void
 log_worker_lost(PhScheduleTask *t, const PhSchedEvent *note)
@@ -405,6 +454,9 @@
                        PhField_STR("worker", w->entry.id),
                        PhField_U64("tasks", w->tasks->len));
             break;
+        case PH_SCHED_EVENT_BOUND_MOVED:
+            log_bound_moved(t, &notes[i]);
+            break;
         case PH_SCHED_EVENT_WORKER_LOST:
             log_worker_lost(t, &notes[i]);
             break;
--- a/tests/schedule/test_owned_leases.c
+++ b/tests/schedule/test_owned_leases.c
@@ -19,6 +19,7 @@
     PERCENT = 100,
     CLOCK_MARGIN_MS = 100,
     HOLD_WAIT_MS = 1500,
+    STEP_MS = 50,
 };
 
 /* What an owner grants to a worker that has answered it at START. */
@@ -132,6 +133,32 @@
     {"its ownership is over", -500, -500, 0},
 };
 
+static PhTime
+at_ms(int64_t ms)
+{
+    return START + ms * PH_NS_PER_MS;
+}
+
+/* Creates an owner at START that knows this of the one before, and its
+ * predecessors. */
+static PhScheduler *
+successor_open(PhTime last_order, PhTime owned_until, PhPredecessors **earlier)
+{
+    PhPredecessor before = {.holder = PhStr_LITERAL("a.1"),
+                            .replaced_at = START,
+                            .confirmed_at = START,
+                            .until = last_order,
+                            .owned_until = owned_until};
+    *earlier = PhPredecessors_Create();
+    PhPredecessors_Add(*earlier, &before);
+    PhScheduler *s = PhScheduler_Create(&(PhSchedulerOptions){
+        .lease_limit = 10 * PH_NS_PER_S, .predecessors = *earlier});
+    PhSingle_ShowWorker(s, false, START);
+    PhSingle_AddRun(s);
+    PhScheduler_SetFence(s, FENCE, START);
+    return s;
+}
+
 /* Whether the run counts after all holds up to `now` went without an answer.
  */
 static bool
@@ -153,26 +180,16 @@
 static void
 successor_run(const PhSuccessorCase *c)
 {
-    PhPredecessors *earlier = PhPredecessors_Create();
-    PhPredecessor before = {.holder = PhStr_LITERAL("a.1"),
-                            .replaced_at = START,
-                            .confirmed_at = START,
-                            .until = START + c->last_order_ms * PH_NS_PER_MS,
-                            .owned_until = c->owned_until_ms == 0
-                                               ? PH_TIME_NEVER
-                                               : START + c->owned_until_ms *
-                                                             PH_NS_PER_MS};
-    PhPredecessors_Add(earlier, &before);
-    PhScheduler *s = PhScheduler_Create(&(PhSchedulerOptions){
-        .lease_limit = 10 * PH_NS_PER_S, .predecessors = earlier});
-    PhSingle_ShowWorker(s, false, START);
-    PhSingle_AddRun(s);
-    PhScheduler_SetFence(s, FENCE, START);
+    PhPredecessors *earlier;
+    PhScheduler *s = successor_open(
+        at_ms(c->last_order_ms),
+        c->owned_until_ms == 0 ? PH_TIME_NEVER : at_ms(c->owned_until_ms),
+        &earlier);
     PhScheduler_RemoveWorker(s, PH_SINGLE_WORKER, PH_REMOVAL_DELETED, START);
     for (int64_t ms = 0; ms < c->expired_ms; ms++) {
-        assert_true(run_counts(s, START + ms * PH_NS_PER_MS));
+        assert_true(run_counts(s, at_ms(ms)));
     }
-    assert_false(run_counts(s, START + c->expired_ms * PH_NS_PER_MS));
+    assert_false(run_counts(s, at_ms(c->expired_ms)));
     PhScheduler_Destroy(s);
     PhPredecessors_Destroy(earlier);
 }
@@ -184,10 +201,76 @@
     Ph_RUN_TABLE(successor_cases, successor_run);
 }
 
+/* What an owner reports of a silent worker once it learns that the owner
+ * before has ended.  Times in milliseconds from START. */
+typedef struct PhReportCase {
+    const char *name;
+    int64_t owned_until_ms;
+    int64_t ended_ms; /* a hello says so; 0: none comes */
+    int64_t moved_ms; /* 0: no report */
+} PhReportCase;
+
+static const PhReportCase report_cases[] = {
+    {"nothing becomes known", 9000, 0, 0},
+    {"it ended a lease before its ownership does", 9000, 1500,
+     1500 + LEASE_BOUND_MS - 9000},
+    {"it ended later", 9000, 3500, 0},
+};
+
+/* Returns the sum of the reported moves, and checks that a second one comes a
+ * second after the first at the earliest. */
+static int64_t
+moves_take(PhScheduler *s, int64_t ms, int64_t *reported_ms)
+{
+    int64_t moved = 0;
+    size_t count;
+    const PhSchedEvent *events = PhScheduler_Events(s, &count);
+    for (size_t i = 0; i < count; i++) {
+        if (events[i].tag == PH_SCHED_EVENT_BOUND_MOVED) {
+            assert_int_equal(events[i].as.bound_moved.evidence,
+                             PH_LEASE_EVIDENCE_EARLIER_OWNERS);
+            assert_true(*reported_ms == 0 || ms - *reported_ms >= 1000);
+            *reported_ms = ms;
+            moved += events[i].as.bound_moved.moved / PH_NS_PER_MS;
+        }
+    }
+    PhScheduler_ClearEvents(s);
+    return moved;
+}
+
+static void
+report_run(const PhReportCase *c)
+{
+    PhTime owned_until = at_ms(c->owned_until_ms);
+    PhPredecessors *earlier;
+    PhScheduler *s = successor_open(owned_until, owned_until, &earlier);
+    int64_t moved_ms = 0;
+    int64_t reported_ms = 0;
+    for (int64_t ms = 0; ms < c->owned_until_ms / 2; ms += STEP_MS) {
+        PhTime now = at_ms(ms);
+        if (c->ended_ms > 0 && ms == c->ended_ms) {
+            PhPredecessors_End(earlier, PhStr_LITERAL("a"), now);
+        }
+        assert_true(run_counts(s, now));
+        moved_ms += moves_take(s, ms, &reported_ms);
+    }
+    assert_int_equal(moved_ms, c->moved_ms);
+    PhScheduler_Destroy(s);
+    PhPredecessors_Destroy(earlier);
+}
+
+static void
+test_reports(void **state)
+{
+    (void)state;
+    Ph_RUN_TABLE(report_cases, report_run);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {cmocka_unit_test(test_grants),
-                                       cmocka_unit_test(test_successors)};
+                                       cmocka_unit_test(test_successors),
+                                       cmocka_unit_test(test_reports)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
