holds: short waits, never none, while a lease is about to expire

A hold waited for half of what was left of the lease, so that one without a lease did not wait at all: an owner whose ownership is nearly over, or that has not been confirmed for 3 s and holds a worker that leaves, would repeat it with each answer.

A hold that leaves less than 3 s of a lease now waits for 0.5 s, as those of workers with serving and backfill tasks do.

--- a/decide/schedule/holds.c
+++ b/decide/schedule/holds.c
@@ -6,6 +6,9 @@
  * samples. */
 static const PhTime HOLD_WAIT = 1500 * PH_NS_PER_MS;
 static const PhTime HOLD_WAIT_SHARED = 500 * PH_NS_PER_MS;
+/* A hold that leaves a shorter lease than this waits as briefly, so that the
+ * lease is renewed soon after the ownership is confirmed anew. */
+static const PhTime EXPIRING_LEASE = 3 * PH_NS_PER_S;
 /* Time between two holds while reported ends of runs are not yet recorded
  * durably, or belong to a job that is not known yet. */
 static const PhTime HOLD_UNACKED_INTERVAL = 400 * PH_NS_PER_MS;
@@ -24,9 +27,6 @@
 /* The holds that follow an answer, until the new lease is answered, have this
  * share of the time-out: that lease may be the last one to come in time. */
 static const int RENEWAL_TIMEOUT_SHARE = 3;
-/* A hold does not wait longer than lets so many fit into what is left of the
- * lease. */
-static const int RENEWALS_LEFT_MIN = 2;
 /* Time from a hold without an answer to the next one, while leases last and
  * afterwards, and least time between the two, which may fail at once. */
 static const PhTime HOLD_RETRY = 50 * PH_NS_PER_MS;
@@ -95,9 +95,9 @@
     if (!s->quiesced && w->last_end_seen == w->last_end_acked &&
         w->tasks->len > 0) {
         bool shared = w->backfill_cpu_milli > 0 && w->serving_cpu_milli > 0;
+        bool expires = PhScheduler_LeaseLeft(w, now) < EXPIRING_LEASE;
         action->as.hold.wait =
-            MIN(shared ? HOLD_WAIT_SHARED : HOLD_WAIT,
-                PhScheduler_LeaseLeft(w, now) / RENEWALS_LEFT_MIN);
+            shared || expires ? HOLD_WAIT_SHARED : HOLD_WAIT;
         w->hold_due_at = now + action->as.hold.wait;
     }
     return true;
