tests: entries of the owner topic keep the name of the incarnation that wrote them

In simulations without rooms an entry borrowed the name of its instance, so that entries of a crashed instance took the name of its next incarnation. No store changes an entry, and an incarnation's name is never used again.

Entries now take a copy of the name, as they did with rooms. All rows and seeds stay; two rows are added, with seeds 70100 to 70130, which the old names break.

--- a/tests/schedule/owners_sim.c
+++ b/tests/schedule/owners_sim.c
@@ -276,11 +276,9 @@
             w->now);
         return;
     }
-    /* Without rooms, entries still take the name of a later incarnation. */
-    const char *name = w->rooms == NULL ? m->name : g_intern_string(m->name);
     PhElectionEntry entry = {.offset = w->elections->len,
                              .kind = a->as.append.kind,
-                             .holder = PhStr_FromC(name),
+                             .holder = PhStr_FromC(g_intern_string(m->name)),
                              .states_earlier = true,
                              .earlier = a->as.append.earlier,
                              .states_leases = true,
--- a/tests/schedule/test_owners.c
+++ b/tests/schedule/test_owners.c
@@ -233,6 +233,8 @@
     {"draining workers are partitioned", 429, 429, UNREACHABLE_KINDS, false},
     {"instances crash too", 1, 30, UNREACHABLE_KINDS | 1U << PH_OWNERS_CRASH,
      false},
+    {"the same, and entries of earlier incarnations are read", 70100, 70130,
+     UNREACHABLE_KINDS | 1U << PH_OWNERS_CRASH, false},
 };
 
 #define REPLY_LOSS_KINDS                                                      \
@@ -276,6 +278,8 @@
     {"the same, a third one", 21471, 21471, ALL_KINDS, true, true},
     {"the same, a fourth one", 21825, 21825, ALL_KINDS, true, true},
     {"late orders to a worker that has stopped", 127, 127, ALL_KINDS, true},
+    {"all kinds of faults, and entries of earlier incarnations are read",
+     70100, 70130, ALL_KINDS, true},
 };
 
 static const PhRandomCase repeated_start_cases[] = {
