schedule log: a worker that was taken over as silent is reported once

A new owner logs no 7015 for a worker that is on record as silent, so that what its runs wait for showed only in 7037 and at the end in 7017; and 7044 would have reported its first bound as moved by the whole uptime. The first 7044 of an owner for such a worker now gives its bound, with `moved_ms` 0.

Test: "the worker is on record as silent" in test_owned_leases. A released predecessor is a fixture of two tests now.

--- a/decide/schedule/leases.c
+++ b/decide/schedule/leases.c
@@ -147,6 +147,7 @@
             (PhLeaseBound){.until = w->bound_at + w->lease_expiry_bound,
                            .evidence = PH_LEASE_EVIDENCE_RECORD};
     }
+    w->reported_until = 0;
     w->failing_since = 0;
     w->heard_at = 0;
     w->answered_other_at = 0;
@@ -302,12 +303,13 @@
 }
 
 /* Reports that more has become known of when the leases of a suspended worker
- * expire. */
+ * expire, or what this owner knows of one that it took over as suspended. */
 static void
 bound_report(PhScheduler *s, PhSchedWorker *w, PhLeaseBound bound, PhTime now)
 {
-    PhTime moved = bound.until - w->reported_until;
-    if (ABS(moved) < REPORTED_MOVE_MIN) {
+    bool first = w->reported_until == 0;
+    PhTime moved = first ? 0 : bound.until - w->reported_until;
+    if (!first && ABS(moved) < REPORTED_MOVE_MIN) {
         return;
     }
     PhSchedEvent event = {.tag = PH_SCHED_EVENT_BOUND_MOVED,
--- a/include/peridothill/decide/schedule/model.h
+++ b/include/peridothill/decide/schedule/model.h
@@ -254,7 +254,7 @@
     PhTime lease_expiry_bound;
     bool bound_inherited;  /* by orders meant for an earlier incarnation */
     PhTime reported_until; /* suspended: its leases expire then, as last
-                              reported */
+                              reported by this owner; 0: it has not */
     bool unbound;  /* it closes its connections, so that orders to it may reach
                       a later incarnation; recorded */
     bool dead;     /* replaced by another incarnation, or its leases expired */
--- a/tests/schedule/single_task.c
+++ b/tests/schedule/single_task.c
@@ -69,3 +69,14 @@
     g_array_free(records, TRUE);
     PhScheduler_OnDurable(s, batch);
 }
+
+void
+PhSingle_AddReleased(PhPredecessors *earlier, PhTime now)
+{
+    PhPredecessor released = {.holder = PhStr_LITERAL("owner.1"),
+                              .replaced_at = now,
+                              .confirmed_at = now,
+                              .until = now,
+                              .owned_until = PH_TIME_NEVER};
+    PhPredecessors_Add(earlier, &released);
+}
--- a/tests/schedule/single_task.h
+++ b/tests/schedule/single_task.h
@@ -24,5 +24,8 @@
 PhSchedTask *PhSingle_AddRun(PhScheduler *scheduler);
 /* Makes all pending changes durable. */
 void PhSingle_RecordAll(PhScheduler *scheduler);
+/* Adds an earlier owner that has just released; its leases may outlast its
+ * ownership. */
+void PhSingle_AddReleased(PhPredecessors *earlier, PhTime now);
 
 #endif
--- a/tests/schedule/test_inherited_leases.c
+++ b/tests/schedule/test_inherited_leases.c
@@ -88,12 +88,7 @@
     bool listed = fence == 1 || c->listed;
     PhScheduler *s = PhScheduler_Create(&(PhSchedulerOptions){
         .lease_limit = 10 * PH_NS_PER_S, .predecessors = earlier});
-    PhPredecessor released = {.holder = PhStr_LITERAL("owner.1"),
-                              .replaced_at = now,
-                              .confirmed_at = now,
-                              .until = now,
-                              .owned_until = PH_TIME_NEVER};
-    PhPredecessors_Add(earlier, &released);
+    PhSingle_AddReleased(earlier, now);
     if (stored.value.len > 0) {
         PhSchedRecord record;
         PhResult r = PhSchedRecord_Decode(stored.key, stored.value, &record);
--- a/tests/schedule/test_owned_leases.c
+++ b/tests/schedule/test_owned_leases.c
@@ -145,9 +145,10 @@
 }
 
 /* Creates an owner at START that knows this of the one before, and its
- * predecessors. */
+ * predecessors.  The worker may be on record as silent. */
 static PhScheduler *
-successor_open(PhTime last_order, PhTime owned_until, PhPredecessors **earlier)
+successor_open(PhTime last_order, PhTime owned_until, int64_t recorded_ms,
+               PhPredecessors **earlier)
 {
     PhPredecessor before = {.holder = PhStr_LITERAL("a.1"),
                             .replaced_at = START,
@@ -158,6 +159,13 @@
     PhPredecessors_Add(*earlier, &before);
     PhScheduler *s = PhScheduler_Create(&(PhSchedulerOptions){
         .lease_limit = 10 * PH_NS_PER_S, .predecessors = *earlier});
+    PhSchedRecord record = {
+        .tag = PH_SCHED_RECORD_WORKER,
+        .id = PhStr_Dup(PH_SINGLE_WORKER),
+        .as.worker = {.born_ms = BORN_MS,
+                      .suspended = recorded_ms > 0,
+                      .lease_expiry_bound = recorded_ms * PH_NS_PER_MS}};
+    PhScheduler_Apply(s, &record, START);
     PhSingle_ShowWorker(s, false, START);
     PhSingle_AddRun(s);
     PhScheduler_SetFence(s, FENCE, START);
@@ -188,7 +196,7 @@
     PhPredecessors *earlier;
     PhScheduler *s = successor_open(
         at_ms(c->last_order_ms),
-        c->owned_until_ms == 0 ? PH_TIME_NEVER : at_ms(c->owned_until_ms),
+        c->owned_until_ms == 0 ? PH_TIME_NEVER : at_ms(c->owned_until_ms), 0,
         &earlier);
     PhScheduler_RemoveWorker(s, PH_SINGLE_WORKER, PH_REMOVAL_DELETED, START);
     for (int64_t ms = 0; ms < c->expired_ms; ms++) {
@@ -212,35 +220,44 @@
     const char *name;
     int64_t owned_until_ms;
     int64_t ended_ms; /* a hello says so; 0: none comes */
-    int64_t moved_ms; /* 0: no report */
+    int64_t moved_ms;
+    unsigned reports;
+    int64_t recorded_ms; /* an earlier owner has recorded that the leases last
+                            for so long; 0: none has */
 } PhReportCase;
 
 static const PhReportCase report_cases[] = {
-    {"nothing becomes known", 9000, 0, 0},
+    {"nothing becomes known", 9000, 0, 0, 0},
     {"it ended a lease before its ownership does", 9000, 1500,
-     1500 + LEASE_BOUND_MS - 9000},
-    {"it ended later", 9000, 3500, 0},
+     1500 + LEASE_BOUND_MS - 9000, 1},
+    {"it ended later", 9000, 3500, 0, 0},
+    {"the worker is on record as silent", 9000, 0, 0, 1, 5000},
 };
 
-/* Returns the sum of the reported moves, and checks that a second one comes a
- * second after the first at the earliest. */
-static int64_t
-moves_take(PhScheduler *s, int64_t ms, int64_t *reported_ms)
+/* The reports of one worker. */
+typedef struct PhReports {
+    unsigned count;
+    int64_t moved_ms;
+    int64_t last_ms;
+} PhReports;
+
+/* Adds the reports that are new, which are a second apart at least. */
+static void
+reports_take(PhScheduler *s, int64_t ms, PhLeaseEvidence evidence,
+             PhReports *reports)
 {
-    int64_t moved = 0;
     size_t count;
     const PhSchedEvent *events = PhScheduler_Events(s, &count);
     for (size_t i = 0; i < count; i++) {
         if (events[i].tag == PH_SCHED_EVENT_BOUND_MOVED) {
-            assert_int_equal(events[i].as.bound_moved.evidence,
-                             PH_LEASE_EVIDENCE_EARLIER_OWNERS);
-            assert_true(*reported_ms == 0 || ms - *reported_ms >= 1000);
-            *reported_ms = ms;
-            moved += events[i].as.bound_moved.moved / PH_NS_PER_MS;
+            assert_int_equal(events[i].as.bound_moved.evidence, evidence);
+            assert_true(reports->count == 0 || ms - reports->last_ms >= 1000);
+            reports->count++;
+            reports->last_ms = ms;
+            reports->moved_ms += events[i].as.bound_moved.moved / PH_NS_PER_MS;
         }
     }
     PhScheduler_ClearEvents(s);
-    return moved;
 }
 
 static void
@@ -248,18 +265,22 @@
 {
     PhTime owned_until = at_ms(c->owned_until_ms);
     PhPredecessors *earlier;
-    PhScheduler *s = successor_open(owned_until, owned_until, &earlier);
-    int64_t moved_ms = 0;
-    int64_t reported_ms = 0;
+    PhScheduler *s =
+        successor_open(owned_until, owned_until, c->recorded_ms, &earlier);
+    PhLeaseEvidence evidence = c->recorded_ms > 0
+                                   ? PH_LEASE_EVIDENCE_RECORD
+                                   : PH_LEASE_EVIDENCE_EARLIER_OWNERS;
+    PhReports reports = {0};
     for (int64_t ms = 0; ms < c->owned_until_ms / 2; ms += STEP_MS) {
         PhTime now = at_ms(ms);
         if (c->ended_ms > 0 && ms == c->ended_ms) {
             PhPredecessors_End(earlier, PhStr_LITERAL("a"), now);
         }
         assert_true(run_counts(s, now));
-        moved_ms += moves_take(s, ms, &reported_ms);
+        reports_take(s, ms, evidence, &reports);
     }
-    assert_int_equal(moved_ms, c->moved_ms);
+    assert_int_equal(reports.count, c->reports);
+    assert_int_equal(reports.moved_ms, c->moved_ms);
     PhScheduler_Destroy(s);
     PhPredecessors_Destroy(earlier);
 }
--- a/tests/schedule/test_recorded_bounds.c
+++ b/tests/schedule/test_recorded_bounds.c
@@ -98,12 +98,7 @@
 {
     PhScheduler *s = PhScheduler_Create(&(PhSchedulerOptions){
         .lease_limit = 10 * PH_NS_PER_S, .predecessors = earlier});
-    PhPredecessor released = {.holder = PhStr_LITERAL("owner.1"),
-                              .replaced_at = now,
-                              .confirmed_at = now,
-                              .until = now,
-                              .owned_until = PH_TIME_NEVER};
-    PhPredecessors_Add(earlier, &released);
+    PhSingle_AddReleased(earlier, now);
     if (stored->known) {
         PhSchedRecord record = {
             .tag = PH_SCHED_RECORD_WORKER,
