--- a/decide/schedule/holds.c
+++ b/decide/schedule/holds.c
@@ -6,6 +6,9 @@
  * samples. */
 static const PhTime HOLD_WAIT = 1500 * PH_NS_PER_MS;
 static const PhTime HOLD_WAIT_SHARED = 500 * PH_NS_PER_MS;
+/* A hold that leaves a shorter lease than this waits as briefly, so that the
+ * lease is renewed soon after the ownership is confirmed anew. */
+static const PhTime EXPIRING_LEASE = 3 * PH_NS_PER_S;
 /* Time between two holds while reported ends of runs are not yet recorded
  * durably, or belong to a job that is not known yet. */
 static const PhTime HOLD_UNACKED_INTERVAL = 400 * PH_NS_PER_MS;
@@ -92,7 +95,9 @@
     if (!s->quiesced && w->last_end_seen == w->last_end_acked &&
         w->tasks->len > 0) {
         bool shared = w->backfill_cpu_milli > 0 && w->serving_cpu_milli > 0;
-        action->as.hold.wait = shared ? HOLD_WAIT_SHARED : HOLD_WAIT;
+        bool expires = PhScheduler_LeaseLeft(w, now) < EXPIRING_LEASE;
+        action->as.hold.wait =
+            shared || expires ? HOLD_WAIT_SHARED : HOLD_WAIT;
         w->hold_due_at = now + action->as.hold.wait;
     }
     return true;
--- a/include/peridothill/decide/schedule/scheduler.h
+++ b/include/peridothill/decide/schedule/scheduler.h
@@ -155,6 +155,8 @@
     PH_SCHED_EVENT_WORKER_SUSPENDED, /* a worker does not answer: no more
                                         leases */
     PH_SCHED_EVENT_WORKER_RESUMED,   /* a suspended worker answers again */
+    PH_SCHED_EVENT_BOUND_MOVED, /* more has become known of the leases of a
+                                   suspended worker */
     PH_SCHED_EVENT_WORKER_LOST, /* a worker's leases expired, or it restarted
                                  */
     PH_SCHED_EVENT_WORKER_REMOVED,  /* a dead worker was removed from the model
@@ -266,6 +268,11 @@
             PhTime lease_left; /* longest time that a lease may still last */
             PhLeaseEvidence evidence;
         } suspended;
+        struct {
+            PhTime lease_left;
+            PhTime moved; /* negative: they expire earlier than was known */
+            PhLeaseEvidence evidence;
+        } bound_moved;
         struct {
             guint runs;
             PhTime suspended; /* duration, -1 if it was not suspended */
@@ -335,9 +342,11 @@
  * ownership: the model is ahead of the records and drops all of them, to be
  * read again. */
 void PhScheduler_SetFence(PhScheduler *scheduler, uint64_t fence, PhTime now);
-/* The ownership was last confirmed at `at`.  Without a call, no decision
+/* The ownership was last confirmed at `at`, and ends at `owned_until` without
+ * another confirmation; no lease lasts longer.  Without a call, no decision
  * depends on it. */
-void PhScheduler_Confirm(PhScheduler *scheduler, PhTime at);
+void PhScheduler_Confirm(PhScheduler *scheduler, PhTime at,
+                         PhTime owned_until);
 /* Before a release: no new starts, holds do not wait, and what a successor
  * needs is recorded.  Workers that leave are listened to for 0.15 s more at
  * most; what others report is left to the next owner, whom they tell again. */
--- a/tests/schedule/owners_sim.c
+++ b/tests/schedule/owners_sim.c
@@ -276,13 +276,13 @@
             w->now);
         return;
     }
-    /* Without rooms, entries still take the name of a later incarnation. */
-    const char *name = w->rooms == NULL ? m->name : g_intern_string(m->name);
     PhElectionEntry entry = {.offset = w->elections->len,
                              .kind = a->as.append.kind,
-                             .holder = PhStr_FromC(name),
+                             .holder = PhStr_FromC(g_intern_string(m->name)),
                              .states_earlier = true,
-                             .earlier = a->as.append.earlier};
+                             .earlier = a->as.append.earlier,
+                             .states_leases = true,
+                             .earlier_leases = a->as.append.earlier_leases};
     if (a->as.append.successor.len > 0) {
         char *successor = PhStr_ToC(a->as.append.successor);
         entry.successor = PhStr_FromC(g_intern_string(successor));
